--- a/src/process/platform/platformError.ts
+++ b/src/process/platform/platformError.ts
@@ -5,7 +5,6 @@
     /** The call may have taken effect: the answer was lost. */
     OutcomeUnknown: "outcomeUnknown",
 } as const;
-// eslint-disable-next-line @typescript-eslint/no-redeclare
 export type PlatformErrorKind = typeof PlatformErrorKind[keyof typeof PlatformErrorKind];
 
 /** A failed call to the platform. */
