Add the platform's client and its stand-in

Cause: what must last lives in the platform's key-value service. Conclusion: lost answers, silent connections and outages are told apart.

--- /dev/null
+++ b/src/process/platform/etcdWatch.ts
@@ -0,0 +1,154 @@
+import type { z } from "zod";
+import type { Clock, TimerHandle } from "../clock.ts";
+import { CallEffect } from "./callEffect.ts";
+import { classifyRefusal } from "./classifyRefusal.ts";
+import { classifyThrownError } from "./classifyThrownError.ts";
+import { etcdSchemas } from "./etcdSchemas.ts";
+import { LineSplitter } from "./lineSplitter.ts";
+import { type PlatformError, PlatformErrorKind } from "./platformError.ts";
+import type { WatchHandle, WatchOptions } from "./platformStore.ts";
+import type { PlatformTransport } from "./platformTransport.ts";
+
+const okStatus = 200;
+
+interface EtcdWatchOptions extends WatchOptions {
+    transport: PlatformTransport;
+    clock: Clock;
+    /** Address of the service as `host:port`, for messages. */
+    address: string;
+    key: string;
+    /** First revision of the key to report; 0 for changes from now on. */
+    fromRevision: number;
+    /** Time without an event or a progress notice after which the watch counts as broken, in milliseconds. */
+    silenceLimitMilliseconds: number;
+    /** Called once when the watch has ended for any reason. */
+    onEnded(): void;
+}
+
+/** A watch of one key over one streamed answer. It ends at the first failure, and says so unless it was closed. */
+export class EtcdWatch implements WatchHandle {
+    private readonly options: EtcdWatchOptions;
+    private readonly abort = new AbortController();
+    private silenceTimer: TimerHandle | undefined;
+    private isEnded = false;
+
+    private constructor(options: EtcdWatchOptions) {
+        this.options = options;
+    }
+
+    /**
+     * Starts a watch.
+     * @param options - Key, first revision, limits and callbacks.
+     */
+    static create(options: EtcdWatchOptions): EtcdWatch {
+        const watch = new EtcdWatch(options);
+        void watch.run();
+        return watch;
+    }
+
+    /** Ends the watch; no callback follows. */
+    close(): void {
+        this.end();
+    }
+
+    private async run(): Promise<void> {
+        this.restartSilenceTimer();
+        try {
+            this.fail(await this.readStream());
+        }
+        catch (error) {
+            this.fail(classifyThrownError(error, CallEffect.Read, this.options.address));
+        }
+    }
+
+    private async readStream(): Promise<PlatformError> {
+        const { key, fromRevision, transport } = this.options;
+        const create = {
+            key: Buffer.from(key, "utf8").toString("base64"),
+            start_revision: String(fromRevision),
+            progress_notify: true,
+        };
+        const response = await transport.openStream("/v3/watch", { create_request: create }, this.abort.signal);
+        if (response.statusCode !== okStatus) {
+            return classifyRefusal(response.statusCode, await response.body.text(), CallEffect.Read);
+        }
+        const splitter = LineSplitter.create();
+        for await (const chunk of response.body) {
+            this.restartSilenceTimer();
+            for (const line of splitter.push(chunk)) {
+                const failure = this.readLine(line);
+                if (failure !== undefined) {
+                    return failure;
+                }
+            }
+        }
+        return createNotDone("The platform ended the watch. Read the key again and watch anew.");
+    }
+
+    private readLine(line: string): PlatformError | undefined {
+        const { result } = etcdSchemas.watch.parse(JSON.parse(line));
+        if (result.canceled) {
+            return createNotDone(
+                `The platform canceled the watch; its oldest revision is ${result.compact_revision}. `
+                    + "Read the key again and watch anew.",
+            );
+        }
+        if (result.header.revision + 1 < this.options.fromRevision) {
+            return createNotDone(
+                "The platform's revision lies before the first one to watch: the service may have been restored to "
+                    + "an older state. Read the key again.",
+            );
+        }
+        return this.deliver(result.events);
+    }
+
+    private deliver(events: z.infer<typeof etcdSchemas.watch>["result"]["events"]): PlatformError | undefined {
+        for (const event of events) {
+            if (this.isEnded) {
+                return undefined;
+            }
+            if (event.type === "DELETE") {
+                return createNotDone("The watched key was deleted. Read the key again and watch anew.");
+            }
+            this.options.onValue(event.kv);
+        }
+        return undefined;
+    }
+
+    private restartSilenceTimer(): void {
+        if (this.isEnded) {
+            return;
+        }
+        this.silenceTimer?.cancel();
+        const limit = this.options.silenceLimitMilliseconds;
+        this.silenceTimer = this.options.clock.setTimer(limit, () => {
+            this.options.transport.replaceConnections();
+            this.fail(createNotDone(
+                `The watch was silent for ${limit} milliseconds. Read the key again and watch anew; `
+                    + "check that the service's interval of progress notices is shorter.",
+            ));
+        });
+    }
+
+    private fail(reason: PlatformError): void {
+        if (this.end()) {
+            this.options.onClosed(reason);
+        }
+    }
+
+    /** Ends the watch. False where it has ended already. */
+    private end(): boolean {
+        if (this.isEnded) {
+            return false;
+        }
+        this.isEnded = true;
+        this.silenceTimer?.cancel();
+        this.abort.abort(new Error("the watch was closed"));
+        this.options.onEnded();
+        return true;
+    }
+}
+
+function createNotDone(message: string): PlatformError {
+    return { kind: PlatformErrorKind.NotDone, message };
+}
--- a/src/process/platform/platformStore.ts
+++ b/src/process/platform/platformStore.ts
@@ -35,7 +35,10 @@
 export interface WatchOptions {
     /** Called for each change; events may be stale or repeated after a reconnection. */
     onValue(value: StoredValue): void;
-    /** Called when the watch has broken; the caller reads again and watches anew. */
+    /**
+     * Called once when the watch has broken, the key was deleted, or the service's revision went back; the caller reads
+     * again and watches anew. Not called after {@link WatchHandle.close}.
+     */
     onClosed(reason: PlatformError): void;
 }
 
@@ -70,8 +73,8 @@
     grantLease(timeToLiveMilliseconds: number): Promise<Result<string, PlatformError>>;
     /** Renews a lease. False where it has lapsed. */
     renewLease(leaseId: string): Promise<Result<boolean, PlatformError>>;
-    /** Ends a lease; its keys are deleted. */
+    /** Ends a lease; its keys are deleted. Succeeds also where the lease has lapsed already. */
     revokeLease(leaseId: string): Promise<Result<void, PlatformError>>;
-    /** Watches one key from a revision on. A waiting watch counts as one call. */
+    /** Watches one key from a revision on, 0 for changes from now on. A waiting watch counts as one call. */
     watch(key: string, fromRevision: number, options: WatchOptions): WatchHandle;
 }
--- /dev/null
+++ b/standins/platform/etcdGateway.ts
@@ -0,0 +1,123 @@
+import type { z } from "zod";
+import { createHeader } from "./createHeader.ts";
+import { createRangeTest } from "./createRangeTest.ts";
+import { etcdRequestSchemas } from "./etcdRequestSchemas.ts";
+import { formatKeyRecord } from "./formatKeyRecord.ts";
+import type { KeyValueState } from "./keyValueState.ts";
+import type { StandinAnswer } from "./standinAnswer.ts";
+
+/** Largest value, in bytes: one megabyte. */
+const maximumValueBytes = 1_000_000;
+const okStatus = 200;
+const badRequestStatus = 400;
+const notFoundStatus = 404;
+const invalidArgumentGrpcCode = 3;
+const notFoundGrpcCode = 5;
+const noLease = "0";
+
+type RangeRequest = z.infer<typeof etcdRequestSchemas.range>;
+type Operation = z.infer<typeof etcdRequestSchemas.transaction>["success"][number];
+
+/** Answers the calls of the etcd v3 API that aren't streams. */
+export class EtcdGateway {
+    private readonly state: KeyValueState;
+
+    private constructor(state: KeyValueState) {
+        this.state = state;
+    }
+
+    /** Creates a gateway before a store. */
+    static create(state: KeyValueState): EtcdGateway {
+        return new EtcdGateway(state);
+    }
+
+    range(body: unknown): StandinAnswer {
+        const request = etcdRequestSchemas.range.parse(body);
+        return this.answer(this.readRange(request), false);
+    }
+
+    transaction(body: unknown): StandinAnswer {
+        const request = etcdRequestSchemas.transaction.parse(body);
+        const succeeded = request.compare.every(({ key, mod_revision }) =>
+            (this.state.getRecord(key)?.modRevision ?? 0) === mod_revision
+        );
+        const operations = succeeded ? request.success : request.failure;
+        const refusal = this.findRefusal(operations);
+        if (refusal !== undefined) {
+            return refusal;
+        }
+        const responses = operations.map(operation => this.run(operation));
+        return this.answer({ succeeded, responses }, operations.some(operation => operation.request_put));
+    }
+
+    leaseGrant(body: unknown): StandinAnswer {
+        const { TTL } = etcdRequestSchemas.leaseGrant.parse(body);
+        if (TTL < 1) {
+            return refuse(
+                badRequestStatus,
+                invalidArgumentGrpcCode,
+                "The time to live of a lease is at least 1 second.",
+            );
+        }
+        return this.answer({ ID: this.state.leases.grant(TTL), TTL: String(TTL) }, true);
+    }
+
+    leaseKeepAlive(body: unknown): StandinAnswer {
+        const { ID } = etcdRequestSchemas.lease.parse(body);
+        const seconds = this.state.leases.renew(ID);
+        const result = { header: this.createHeader(), ID, TTL: seconds === 0 ? undefined : String(seconds) };
+        return { status: okStatus, body: { result }, hasWritten: false };
+    }
+
+    leaseRevoke(body: unknown): StandinAnswer {
+        const { ID } = etcdRequestSchemas.lease.parse(body);
+        return this.state.revokeLease(ID) ? this.answer({}, true) : refuseUnknownLease();
+    }
+
+    private findRefusal(operations: Operation[]): StandinAnswer | undefined {
+        for (const { request_put: put } of operations) {
+            if (put !== undefined && Buffer.byteLength(put.value, "base64") > maximumValueBytes) {
+                return refuse(badRequestStatus, invalidArgumentGrpcCode, "etcdserver: request is too large");
+            }
+            if (put !== undefined && put.lease !== noLease && !this.state.leases.has(put.lease)) {
+                return refuseUnknownLease();
+            }
+        }
+        return undefined;
+    }
+
+    private run({ request_put: put, request_range: range }: Operation): object {
+        if (put !== undefined) {
+            this.state.put(put.key, put.value, put.lease);
+            return { response_put: { header: this.createHeader() } };
+        }
+        return range === undefined ? {} : { response_range: { header: this.createHeader(), ...this.readRange(range) } };
+    }
+
+    private readRange({ key, range_end: rangeEnd, limit }: RangeRequest): object {
+        const single = rangeEnd === "" ? this.state.getRecord(key) : undefined;
+        const records = single === undefined ? this.state.getRecords(createRangeTest(key, rangeEnd)) : [single];
+        const page = limit > 0 ? records.slice(0, limit) : records;
+        return {
+            kvs: page.map(formatKeyRecord),
+            more: page.length < records.length ? true : undefined,
+            count: String(records.length),
+        };
+    }
+
+    private answer(body: object, hasWritten: boolean): StandinAnswer {
+        return { status: okStatus, body: { header: this.createHeader(), ...body }, hasWritten };
+    }
+
+    private createHeader(): object {
+        return createHeader(this.state.getRevision());
+    }
+}
+
+function refuse(status: number, code: number, message: string): StandinAnswer {
+    return { status, body: { code, message, details: [] }, hasWritten: false };
+}
+
+function refuseUnknownLease(): StandinAnswer {
+    return refuse(notFoundStatus, notFoundGrpcCode, "etcdserver: requested lease not found");
+}
--- /dev/null
+++ b/standins/platform/keyValueState.ts
@@ -0,0 +1,141 @@
+import type { Clock } from "../../src/process/clock.ts";
+import type { KeyEvent } from "./keyEvent.ts";
+import type { KeyRecord } from "./keyRecord.ts";
+import { LeaseTable } from "./leaseTable.ts";
+
+/** Number of changes kept for watches that begin in the past. */
+const historyLength = 1_000;
+const noLease = "0";
+
+interface Snapshot {
+    revision: number;
+    records: ReadonlyMap<string, KeyRecord>;
+    timesToLive: ReadonlyMap<string, number>;
+    history: readonly KeyEvent[];
+    compactedRevision: number;
+}
+
+/** Keys, revisions and leases, with the meanings of the etcd v3 API. */
+export class KeyValueState {
+    readonly leases: LeaseTable;
+    private readonly onEvents: (events: readonly KeyEvent[]) => void;
+    private records = new Map<string, KeyRecord>();
+    private history: KeyEvent[] = [];
+    private revision = 1;
+    private compactedRevision = 0;
+    private snapshot: Snapshot | undefined;
+
+    private constructor(clock: Clock, onEvents: (events: readonly KeyEvent[]) => void) {
+        this.onEvents = onEvents;
+        this.leases = LeaseTable.create(clock, leaseId => this.deleteKeysOfLease(leaseId));
+    }
+
+    /**
+     * Creates an empty store at revision 1.
+     * @param clock - Source of time for the leases.
+     * @param onEvents - Called after each write with the changes of one revision.
+     */
+    static create(clock: Clock, onEvents: (events: readonly KeyEvent[]) => void): KeyValueState {
+        return new KeyValueState(clock, onEvents);
+    }
+
+    getRevision(): number {
+        return this.revision;
+    }
+
+    /** Gets the newest revision whose changes are no longer kept; 0 where all are. */
+    getCompactedRevision(): number {
+        return this.compactedRevision;
+    }
+
+    getRecord(key: string): KeyRecord | undefined {
+        return this.records.get(key);
+    }
+
+    /** Gets the records whose keys are at or after one key and before another, in order. */
+    getRecords(isInRange: (key: string) => boolean): KeyRecord[] {
+        const records = [...this.records.values()].filter(record => isInRange(record.key));
+        return records.sort((left, right) => left.key < right.key ? -1 : 1);
+    }
+
+    /** Gets the kept changes from a revision on. */
+    getEventsSince(revision: number): KeyEvent[] {
+        return this.history.filter(event => event.record.modRevision >= revision);
+    }
+
+    /** Writes a key under a new revision. */
+    put(key: string, value: string, leaseId: string): void {
+        const previous = this.records.get(key);
+        this.revision++;
+        const record = {
+            key,
+            value,
+            createRevision: previous?.createRevision ?? this.revision,
+            modRevision: this.revision,
+            version: (previous?.version ?? 0) + 1,
+            leaseId,
+        };
+        this.records.set(key, record);
+        this.publish([{ type: "PUT", record }]);
+    }
+
+    /** Ends a lease and deletes its keys. False where there is no such lease. */
+    revokeLease(leaseId: string): boolean {
+        if (!this.leases.remove(leaseId)) {
+            return false;
+        }
+        this.deleteKeysOfLease(leaseId);
+        return true;
+    }
+
+    /** Remembers the present state in place of an earlier snapshot. */
+    takeSnapshot(): void {
+        this.snapshot = {
+            revision: this.revision,
+            records: new Map(this.records),
+            timesToLive: this.leases.getTimesToLive(),
+            history: [...this.history],
+            compactedRevision: this.compactedRevision,
+        };
+    }
+
+    /** Goes back to the last snapshot. False where there is none. */
+    restoreSnapshot(): boolean {
+        if (this.snapshot === undefined) {
+            return false;
+        }
+        this.revision = this.snapshot.revision;
+        this.records = new Map(this.snapshot.records);
+        this.history = [...this.snapshot.history];
+        this.compactedRevision = this.snapshot.compactedRevision;
+        this.leases.replaceAll(this.snapshot.timesToLive);
+        return true;
+    }
+
+    private deleteKeysOfLease(leaseId: string): void {
+        const bound = [...this.records.values()].filter(record => record.leaseId === leaseId);
+        if (bound.length === 0) {
+            return;
+        }
+        this.revision++;
+        for (const record of bound) {
+            this.records.delete(record.key);
+        }
+        this.publish(bound.map(record => this.createDeletion(record.key)));
+    }
+
+    private createDeletion(key: string): KeyEvent {
+        const modRevision = this.revision;
+        return {
+            type: "DELETE",
+            record: { key, value: "", createRevision: 0, modRevision, version: 0, leaseId: noLease },
+        };
+    }
+
+    private publish(events: KeyEvent[]): void {
+        this.history.push(...events);
+        const surplus = this.history.splice(0, Math.max(0, this.history.length - historyLength));
+        this.compactedRevision = surplus.at(-1)?.record.modRevision ?? this.compactedRevision;
+        this.onEvents(events);
+    }
+}
--- /dev/null
+++ b/tests/support/fakeClock.ts
@@ -0,0 +1,62 @@
+import type { Clock, TimerHandle } from "../../src/process/clock.ts";
+
+interface Timer {
+    time: number;
+    callback: () => void;
+}
+
+/** A clock that stands still until a test moves it. */
+export class FakeClock implements Clock {
+    private time = 0;
+    private readonly timers = new Set<Timer>();
+
+    private constructor() {}
+
+    static create(): FakeClock {
+        return new FakeClock();
+    }
+
+    getMonotonicTime(): number {
+        return this.time;
+    }
+
+    getWallTime(): number {
+        return 1_700_000_000_000 + this.time;
+    }
+
+    setTimer(delayMilliseconds: number, callback: () => void): TimerHandle {
+        const timer = { time: this.time + delayMilliseconds, callback };
+        this.timers.add(timer);
+        return { cancel: () => void this.timers.delete(timer) };
+    }
+
+    /** Moves the time on, running the timers in order and all promises that follow from each. */
+    async advance(milliseconds: number): Promise<void> {
+        const end = this.time + milliseconds;
+        await settle();
+        for (let next = this.findNext(end); next !== undefined; next = this.findNext(end)) {
+            this.timers.delete(next);
+            this.time = next.time;
+            next.callback();
+            await settle();
+        }
+        this.time = end;
+    }
+
+    private findNext(end: number): Timer | undefined {
+        let next: Timer | undefined;
+        for (const timer of this.timers) {
+            if (timer.time <= end && (next === undefined || timer.time < next.time)) {
+                next = timer;
+            }
+        }
+        return next;
+    }
+}
+
+/** Lets the promises that are ready run, and those that they make ready. */
+function settle(): Promise<void> {
+    return new Promise(resolve => {
+        setImmediate(resolve);
+    });
+}
--- /dev/null
+++ b/tests/support/recordingEventLog.ts
@@ -0,0 +1,16 @@
+import type { EventLog } from "../../src/process/logging/eventLog.ts";
+
+/** An event log that keeps the numbers of its events for a test to read. */
+export class RecordingEventLog implements EventLog {
+    readonly numbers: number[] = [];
+
+    private constructor() {}
+
+    static create(): RecordingEventLog {
+        return new RecordingEventLog();
+    }
+
+    write(event: { number: number; }): void {
+        this.numbers.push(event.number);
+    }
+}
