Add the stand-ins of model engines and document services

Change: continuous batching, KV state a sequence, leaving, fencing, faults, a record of what ran, a reference answer that does not depend on the split of layers.

--- /dev/null
+++ b/standins/engine/cacheTransfer.ts
@@ -0,0 +1,112 @@
+import { z } from "zod";
+import type { CacheBlob } from "../../src/connection/endpoint/engineProtocol.ts";
+import { Err, Ok, type Result } from "../../src/result.ts";
+import type { HeldLayers } from "./heldLayers.ts";
+import type { Sequence } from "./sequence/sequence.ts";
+import type { SequenceStore } from "./sequence/sequenceStore.ts";
+
+const dataSchema = z.object({
+    model: z.string(),
+    counts: z.array(z.int().min(0)),
+    digests: z.array(z.int()),
+});
+
+/** Options of {@link CacheTransfer}. */
+interface CacheTransferOptions {
+    modelLayers: Record<string, number>;
+    heldLayers: HeldLayers;
+    sequences: SequenceStore;
+    isLeaving(): boolean;
+}
+
+/** Why a cache was not moved; the reason is one that a pass would get, or `data` or `sequence`. */
+interface TransferError {
+    status: 400 | 404 | 409;
+    reason: string;
+    message: string;
+}
+
+/** Exports and imports sequences' KV caches. */
+export class CacheTransfer {
+    private readonly options: CacheTransferOptions;
+
+    private constructor(options: CacheTransferOptions) {
+        this.options = options;
+    }
+
+    /** Creates a transfer between a store of sequences and the outside. */
+    static create(options: CacheTransferOptions): CacheTransfer {
+        return new CacheTransfer(options);
+    }
+
+    /** Exports the layers that a sequence has seen, from the first to the last. */
+    exportCache(request: string, attempt: number): Result<CacheBlob, TransferError> {
+        const sequence = this.options.sequences.findSequence(request, attempt);
+        const layerStart = sequence?.counts.findIndex(count => count > 0) ?? -1;
+        if (!sequence || layerStart < 0) {
+            return fail(404, "sequence", "The engine holds no such sequence; name a running attempt.");
+        }
+        const layerEnd = sequence.counts.findLastIndex(count => count > 0) + 1;
+        const data = JSON.stringify({
+            model: sequence.identity.model,
+            counts: [...sequence.counts.slice(layerStart, layerEnd)],
+            digests: [...sequence.digests.slice(layerStart, layerEnd)],
+        });
+        const positions = Math.max(...sequence.counts);
+        return Ok({ request, attempt, layerStart, layerEnd, positions, data: Buffer.from(data).toString("base64") });
+    }
+
+    /** Imports a cache as a new sequence. */
+    importCache(blob: CacheBlob): Result<undefined, TransferError> {
+        const { modelLayers, heldLayers, sequences } = this.options;
+        const data = parseData(blob);
+        if (!data || blob.layerEnd > (modelLayers[data.model] ?? 0)) {
+            return fail(400, "data", "The data is not an export of these layers; send an export unchanged.");
+        }
+        const identity = { request: blob.request, attempt: blob.attempt, model: data.model };
+        if (!heldLayers.hasRange({ model: data.model, start: blob.layerStart, end: blob.layerEnd })) {
+            return fail(409, "layers", "The engine lacks these layers; import where they are held.");
+        }
+        if (this.options.isLeaving()) {
+            return fail(409, "leaving", "The engine is leaving; import at another.");
+        }
+        if (sequences.isClosed(identity) || sequences.getSequence(identity)) {
+            return fail(409, "cancelled", "The attempt is closed or runs here already; use a newer attempt.");
+        }
+        const layerPositions = data.counts.reduce((sum, count) => sum + count, 0);
+        const added = sequences.addSequence(identity, layerPositions);
+        if (added.err) {
+            return fail(409, added.val, "The engine has no memory left; import at another.");
+        }
+        fill(added.val, blob.layerStart, data);
+        sequences.countUse(layerPositions);
+        return Ok(undefined);
+    }
+}
+
+function fail(status: TransferError["status"], reason: string, message: string) {
+    return Err({ status, reason, message });
+}
+
+function fill(sequence: Sequence, layerStart: number, data: z.infer<typeof dataSchema>): void {
+    sequence.counts.set(data.counts, layerStart);
+    sequence.digests.set(data.digests, layerStart);
+}
+
+function parseData(blob: CacheBlob): z.infer<typeof dataSchema> | undefined {
+    let value: unknown;
+    try {
+        value = JSON.parse(Buffer.from(blob.data, "base64").toString("utf8"));
+    }
+    catch {
+        return undefined;
+    }
+    const parsed = dataSchema.safeParse(value);
+    const layers = blob.layerEnd - blob.layerStart;
+    if (
+        layers <= 0 || !parsed.success || parsed.data.counts.length !== layers || parsed.data.digests.length !== layers
+    ) {
+        return undefined;
+    }
+    return parsed.data;
+}
--- /dev/null
+++ b/standins/engine/engineStandin.ts
@@ -0,0 +1,175 @@
+import type { z } from "zod";
+import type { EngineStatus, PassBatch, PassResult } from "../../src/connection/endpoint/engineProtocol.ts";
+import type { Clock } from "../../src/process/clock.ts";
+import { systemClock } from "../../src/process/systemClock.ts";
+import { CacheEventLog } from "./cacheEventLog.ts";
+import { CacheTransfer } from "./cacheTransfer.ts";
+import { EngineFaults } from "./engineFaults.ts";
+import { createEngineRoutes } from "./engineRoutes.ts";
+import { engineStandinDefaults } from "./engineStandinDefaults.ts";
+import type { EngineStandinOptions } from "./engineStandinOptions.ts";
+import { ExecutionRecord } from "./executionRecord.ts";
+import { HeldLayers } from "./heldLayers.ts";
+import type { StandinExchange } from "./http/standinExchange.ts";
+import { StandinServer } from "./http/standinServer.ts";
+import { LaggedReading } from "./laggedReading.ts";
+import type { messageSchemas } from "./messageSchemas.ts";
+import { PrefixCache } from "./prefixCache.ts";
+import { SequenceStore } from "./sequence/sequenceStore.ts";
+import { PassRunner } from "./step/passRunner.ts";
+import { StepLoop } from "./step/stepLoop.ts";
+import { WeightOrders } from "./weightOrders.ts";
+
+type RequiredOptions = Pick<EngineStandinOptions, "name" | "layers" | "modelLayers">;
+
+/** The figures of a status that lag. */
+type EngineLoad = Pick<EngineStatus, "queue" | "sequences" | "freePositions">;
+
+/** A model engine's stand-in, which speaks the engine protocol on 127.0.0.1. */
+export class EngineStandin {
+    /** What the engine has executed. */
+    readonly record: ExecutionRecord;
+    readonly sequences: SequenceStore;
+    readonly orders: WeightOrders;
+    readonly cacheEvents: CacheEventLog;
+    readonly cacheTransfer: CacheTransfer;
+    private readonly options: EngineStandinOptions;
+    private readonly faults = EngineFaults.create();
+    private readonly heldLayers: HeldLayers;
+    private readonly loop: StepLoop;
+    private readonly load: LaggedReading<EngineLoad>;
+    private readonly server: StandinServer;
+    /** Memory, in positions of one layer. */
+    private readonly layerPositions: number;
+
+    private constructor(options: EngineStandinOptions, clock: Clock) {
+        const { modelLayers, checksFencing, weightLoadMilliseconds, maximumSequences } = options;
+        this.options = options;
+        this.record = ExecutionRecord.create(options.recordedRequests);
+        const heldLayers = this.heldLayers = HeldLayers.create(options.layers);
+        this.layerPositions = options.memoryPositions
+            * (heldLayers.getCount() || Math.max(...Object.values(modelLayers)));
+        const sequences = this.sequences = SequenceStore.create({
+            clock,
+            modelLayers,
+            maximumSequences,
+            layerPositions: this.layerPositions,
+            idleMilliseconds: options.sequenceIdleMilliseconds,
+        });
+        this.orders = WeightOrders.create({ clock, heldLayers, modelLayers, checksFencing, weightLoadMilliseconds });
+        this.cacheEvents = CacheEventLog.create({
+            clock,
+            delayMilliseconds: options.cacheEventDelayMilliseconds,
+            gapEvery: options.cacheEventGapEvery,
+            seed: options.seed,
+        });
+        const { record, faults } = this;
+        this.cacheTransfer = CacheTransfer.create({
+            modelLayers,
+            heldLayers,
+            sequences,
+            isLeaving: () => faults.leaving,
+        });
+        const prefixCache = PrefixCache.create(options.prefixCacheBlocks, this.cacheEvents);
+        const runner = PassRunner.create({ modelLayers, heldLayers, sequences, prefixCache, record, faults });
+        this.loop = StepLoop.create({ clock, engine: options, runner, record, faults });
+        this.load = LaggedReading.create({
+            clock,
+            intervalMilliseconds: options.loadLagMilliseconds,
+            read: () => this.readLoad(),
+        });
+        this.server = StandinServer.create({
+            port: options.port,
+            hopDelayMilliseconds: options.hopDelayMilliseconds,
+            handle: createEngineRoutes(this),
+        });
+    }
+
+    /**
+     * Creates an engine that does not listen yet.
+     * @param options - Name and layers, and what differs from the defaults.
+     * @param clock - Source of time.
+     */
+    static create(options: RequiredOptions & Partial<EngineStandinOptions>, clock: Clock = systemClock): EngineStandin {
+        // Without a prototype, so that a model that a message names is never found by an inherited name.
+        const modelLayers: Record<string, number> = Object.assign(Object.create(null), options.modelLayers);
+        return new EngineStandin({ ...engineStandinDefaults, ...options, modelLayers }, clock);
+    }
+
+    /** Starts to listen. */
+    listen(): Promise<void> {
+        return this.server.listen();
+    }
+
+    /** Stops the engine and closes all its connections. */
+    close(): Promise<void> {
+        this.loop.close();
+        this.load.close();
+        this.orders.close();
+        return this.server.close();
+    }
+
+    /** Gets the host:port that the engine listens on. */
+    getAddress(): string {
+        return this.server.getAddress();
+    }
+
+    /** Adds a batch's passes and answers each on the batch's own response as it completes. */
+    addBatch(batch: PassBatch, exchange: StandinExchange): void {
+        const isReset = this.faults.takeReset();
+        let remaining = batch.passes.length;
+        exchange.startLines();
+        const sendResult = (result: PassResult) => {
+            remaining--;
+            if (isReset) {
+                exchange.breakLine(result);
+                return;
+            }
+            exchange.sendLine(result);
+            if (remaining === 0) {
+                exchange.endLines();
+            }
+        };
+        if (remaining === 0) {
+            exchange.endLines();
+        }
+        for (const pass of batch.passes) {
+            this.loop.addPass(pass, sendResult);
+        }
+    }
+
+    /** Gets the status, whose load figures lag. */
+    getStatus(): EngineStatus {
+        const { value, ageMilliseconds } = this.load.get();
+        return {
+            endpoint: this.options.name,
+            leaving: this.faults.leaving,
+            layers: this.heldLayers.getRanges(),
+            ...value,
+            fencingNumber: this.orders.getFencingNumber(),
+            loadAgeMilliseconds: ageMilliseconds,
+            cacheSequence: this.cacheEvents.getSequence(),
+        };
+    }
+
+    /** Applies faults that a test asks for; those that it does not name stay as they are. */
+    setFaults(change: z.infer<typeof messageSchemas.faults>): void {
+        this.faults.apply(change);
+        if (change.freezeExistingConnections) {
+            this.server.gate.silenceOpenConnections();
+        }
+        if (change.freeze !== undefined) {
+            this.server.gate.setFrozen(change.freeze);
+            this.loop.resume();
+        }
+    }
+
+    private readLoad(): EngineLoad {
+        const heldLayers = Math.max(1, this.heldLayers.getCount());
+        return {
+            queue: this.loop.getQueue(),
+            sequences: this.sequences.getCount(),
+            freePositions: Math.floor(this.sequences.getFreeLayerPositions() / heldLayers),
+        };
+    }
+}
