Add configuration versions that only grow

Change: checked text with every fault by line and column, a follower that never goes lower, apply that resolves a lost answer, a watcher with reads as the backstop, differences. Conclusion: racing operators, stale events and an older store value never lower the version.

--- /dev/null
+++ b/src/version/decideApply.ts
@@ -0,0 +1,75 @@
+import { Err, Ok, type Result } from "../result.ts";
+import type { ApplyError } from "./applyError.ts";
+import { ApplyErrorKind } from "./applyErrorKind.ts";
+import type { ConfigurationEdit } from "./configurationEdit.ts";
+import { StoredConfiguration } from "./storedConfiguration.ts";
+
+const maximumEarlierEdits = 50;
+
+/** Largest value that the platform's store takes, in bytes. */
+const maximumValueBytes = 1_000_000;
+
+/** What to do next about an edit: nothing, as it was written before, or to write a value. */
+type ApplyStep =
+    | { kind: "written"; version: number; isReplaced: boolean; }
+    | { kind: "write"; next: StoredConfiguration; value: string; };
+
+/**
+ * Decides what to do about an edit from what stands in the store.
+ * @param edit - The edit.
+ * @param currentValue - Value under the configuration's key, or undefined where there is none.
+ * @param wallTime - Wall-clock time in milliseconds since the Unix epoch, kept for people.
+ */
+export function decideApply(
+    edit: ConfigurationEdit,
+    currentValue: string | undefined,
+    wallTime: number,
+): Result<ApplyStep, ApplyError> {
+    const decoded = currentValue === undefined ? Ok(undefined) : StoredConfiguration.decode(currentValue);
+    if (decoded.err) {
+        return Err({ kind: ApplyErrorKind.BrokenStoredValue, message: decoded.val.message });
+    }
+    const current = decoded.val;
+    const edits = current === undefined ? [] : [current, ...current.earlierEdits];
+    for (const [index, { version, editId }] of edits.entries()) {
+        if (editId === edit.editId) {
+            return Ok({ kind: "written", version, isReplaced: index > 0 });
+        }
+    }
+    const currentVersion = current?.version ?? 0;
+    if (currentVersion !== edit.expectedVersion) {
+        return Err({ kind: ApplyErrorKind.LostRace, message: describeLostRace(edit, current), currentVersion });
+    }
+    return encodeNext(edit, edits, wallTime);
+}
+
+function encodeNext(
+    edit: ConfigurationEdit,
+    edits: { version: number; editId: string; }[],
+    wallTime: number,
+): Result<ApplyStep, ApplyError> {
+    const next: StoredConfiguration = {
+        version: Math.max(edit.expectedVersion, edit.highestKnownVersion ?? 0) + 1,
+        editId: edit.editId,
+        text: edit.text,
+        author: edit.author,
+        appliedAt: wallTime,
+        earlierEdits: edits.slice(0, maximumEarlierEdits).map(({ version, editId }) => ({ version, editId })),
+    };
+    const value = StoredConfiguration.encode(next);
+    const bytes = Buffer.byteLength(value);
+    if (bytes > maximumValueBytes) {
+        const message =
+            `The text makes a value of ${bytes} bytes, and the store takes ${maximumValueBytes}. Shorten it.`;
+        return Err({ kind: ApplyErrorKind.TooLarge, message });
+    }
+    return Ok({ kind: "write", next, value });
+}
+
+function describeLostRace(edit: ConfigurationEdit, current: StoredConfiguration | undefined): string {
+    const found = current === undefined
+        ? "the store holds no configuration"
+        : `the store holds version ${current.version} by ${current.author}`;
+    return `The text was made from version ${edit.expectedVersion}, but ${found}. Nothing was written. `
+        + "Fetch the current text, make the change in it and apply it with its version.";
+}
--- /dev/null
+++ b/src/version/reportOffer.ts
@@ -0,0 +1,42 @@
+import type { TextFault } from "../process/jsonc/textFault.ts";
+import type { EventLog } from "../process/logging/eventLog.ts";
+import { events } from "../process/logging/events.ts";
+import type { ConfigurationVersion } from "./configurationVersion.ts";
+import type { OfferOutcome } from "./offerOutcome.ts";
+import { OfferOutcomeKind } from "./offerOutcomeKind.ts";
+import type { VersionOffer } from "./versionOffer.ts";
+
+/**
+ * Writes the log event of an offered configuration. Offers that change nothing leave no event.
+ * @param eventLog - Log to write to.
+ * @param source - Where the offer came from, such as `store` or a peer's address.
+ * @param offer - The offer.
+ * @param outcome - The follower's answer.
+ */
+export function reportOffer(
+    eventLog: EventLog,
+    source: string,
+    offer: VersionOffer,
+    outcome: OfferOutcome<ConfigurationVersion, TextFault[]>,
+): void {
+    const fields = { source, version: offer.version, edit: offer.editId };
+    switch (outcome.kind) {
+        case OfferOutcomeKind.Accepted:
+            eventLog.write(events.configurationAccepted, fields);
+            return;
+        case OfferOutcomeKind.Broken: {
+            const [first] = outcome.faults;
+            const fault = first === undefined ? "" : `${first.line}:${first.column} ${first.path}: ${first.message}`;
+            eventLog.write(events.configurationBroken, { ...fields, faults: outcome.faults.length, fault });
+            return;
+        }
+        case OfferOutcomeKind.Conflict:
+            eventLog.write(events.configurationConflict, { ...fields, keptEdit: outcome.currentEditId });
+            return;
+        case OfferOutcomeKind.InvalidVersion:
+            eventLog.write(events.configurationValueBroken, fields);
+            return;
+        case OfferOutcomeKind.NotNewer:
+            return;
+    }
+}
--- /dev/null
+++ b/tests/version/configurationWatcher.test.ts
@@ -0,0 +1,146 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { ConfigurationFollower } from "../../src/version/configurationFollower.ts";
+import { ConfigurationWatcher } from "../../src/version/configurationWatcher.ts";
+import { StoredConfiguration } from "../../src/version/storedConfiguration.ts";
+import { FakeClock } from "../support/fakeClock.ts";
+import { MemoryStore } from "../support/memoryStore.ts";
+import { RecordingEventLog } from "../support/recordingEventLog.ts";
+
+describe("ConfigurationWatcher", () => {
+    function encode(version: number, text = "{}"): string {
+        const edit = { editId: `edit-${version}`, author: "ana", appliedAt: 0, earlierEdits: [] };
+        return StoredConfiguration.encode({ version, text, ...edit });
+    }
+
+    function put(store: MemoryStore, version: number, text?: string) {
+        return store.put(StoredConfiguration.key, encode(version, text));
+    }
+
+    function setUp(isWatching: boolean, beforeCall?: () => Promise<void>) {
+        const clock = FakeClock.create();
+        const store = MemoryStore.create({ beforeCall });
+        const follower = ConfigurationFollower.create();
+        const eventLog = RecordingEventLog.create();
+        const options = { store, follower, clock, random: () => 0.5, eventLog, checkIntervalMilliseconds: 30_000 };
+        const watcher = ConfigurationWatcher.create(options);
+        watcher.setWatching(isWatching);
+        watcher.start();
+        return { clock, store, follower, watcher, numbers: eventLog.numbers };
+    }
+
+    it("reads at start and then in intervals without a watch", async () => {
+        const { clock, store, follower, watcher } = setUp(false);
+        await clock.advance(10);
+        assert.equal(follower.getVersion(), 0);
+        assert.equal(watcher.getLastContact(), 0);
+        put(store, 1);
+        await clock.advance(29_000);
+        assert.equal(follower.getVersion(), 0);
+        await clock.advance(1_000);
+        assert.equal(follower.getVersion(), 1);
+        assert.equal(watcher.getLastContact(), 30_000);
+        assert.equal(store.getCallCount("watch"), 0);
+    });
+
+    it("follows the watch, and not its stale events", async () => {
+        const { clock, store, follower, numbers } = setUp(true);
+        await clock.advance(10);
+        const stale = put(store, 1);
+        put(store, 2);
+        assert.equal(follower.getVersion(), 2);
+        store.emit(stale);
+        assert.equal(follower.getVersion(), 2);
+        assert.deepEqual(numbers, [1201, 1201]);
+    });
+
+    it("watches only while told to", async () => {
+        const { clock, store, watcher } = setUp(false);
+        await clock.advance(10);
+        watcher.setWatching(true);
+        await clock.advance(10);
+        assert.equal(store.getWatchCount(), 1);
+        watcher.setWatching(false);
+        assert.equal(store.getWatchCount(), 0);
+    });
+
+    it("replaces a watch that has gone silent", async () => {
+        const { clock, store, follower } = setUp(true);
+        await clock.advance(10);
+        store.silenceWatches();
+        put(store, 1);
+        await clock.advance(30_000);
+        assert.equal(follower.getVersion(), 1);
+        put(store, 2);
+        assert.equal(follower.getVersion(), 2);
+    });
+
+    it("backs off while the store is down, then reads and watches again", async () => {
+        const { clock, store, follower, watcher, numbers } = setUp(true);
+        put(store, 1);
+        await clock.advance(10);
+        store.setDown(true);
+        await clock.advance(300_000);
+        assert.ok(store.getCallCount() < 60, `${store.getCallCount()} calls`);
+        assert.equal(watcher.getLastContact(), 0);
+        assert.equal(follower.getVersion(), 1);
+        store.setDown(false);
+        put(store, 2);
+        await clock.advance(10_000);
+        assert.equal(follower.getVersion(), 2);
+        assert.equal(store.getWatchCount(), 1);
+        assert.deepEqual(numbers, [1201, 1208, 1206, 1207, 1201]);
+    });
+
+    it("keeps the version in force when the store comes back with an older value, and reports it once", async () => {
+        const { clock, store, follower, numbers } = setUp(true);
+        put(store, 1);
+        await clock.advance(10);
+        const snapshot = store.takeSnapshot();
+        put(store, 2);
+        store.restore(snapshot);
+        await clock.advance(200_000);
+        assert.equal(follower.getVersion(), 2);
+        assert.deepEqual(numbers, [1201, 1201, 1204]);
+        put(store, 3);
+        assert.equal(follower.getVersion(), 3);
+    });
+
+    it("keeps the version in force when a broken text or value comes, and reports each once", async () => {
+        const { clock, store, follower, numbers } = setUp(true);
+        put(store, 1);
+        await clock.advance(10);
+        put(store, 2, "{");
+        await clock.advance(100_000);
+        store.put(StoredConfiguration.key, "junk");
+        await clock.advance(100_000);
+        assert.equal(follower.getVersion(), 1);
+        assert.deepEqual(numbers, [1201, 1202, 1205]);
+    });
+
+    it("reads anew when a read stays unanswered, and still takes its late answer", async () => {
+        const held: (() => void)[] = [];
+        const { clock, store, follower, numbers } = setUp(
+            false,
+            () => new Promise(resolve => void held.push(resolve)),
+        );
+        put(store, 1);
+        await clock.advance(6_000);
+        assert.deepEqual(numbers, [1206]);
+        assert.equal(held.length, 2);
+        held[0]?.();
+        await clock.advance(0);
+        assert.equal(follower.getVersion(), 1);
+    });
+
+    it("does nothing more once stopped", async () => {
+        const { clock, store, follower, watcher } = setUp(true);
+        await clock.advance(10);
+        watcher.stop();
+        put(store, 1);
+        await clock.advance(300_000);
+        assert.equal(follower.getVersion(), 0);
+        assert.equal(store.getWatchCount(), 0);
+        assert.equal(store.getCallCount("get"), 1);
+    });
+});
