Add the claim log and the fenced lease

Cause: no node has a disk, and a write a request is too many for the store. Change: a ring of slots a shard, each appended by a single-key swap on the revision last seen, so that a stale owner always fails.

--- /dev/null
+++ b/src/process/claims/claimKeyError.ts
@@ -0,0 +1,17 @@
+/** Kinds of keys that cannot be claimed. */
+export const ClaimKeyErrorKind = {
+    /** Not a customer's name, a slash and a UUID version 7 in lower case. */
+    Malformed: "malformed",
+    /** Issued longer ago than the window. */
+    TooOld: "tooOld",
+    /** Issued further in the future than clocks may differ. */
+    InFuture: "inFuture",
+} as const;
+export type ClaimKeyErrorKind = typeof ClaimKeyErrorKind[keyof typeof ClaimKeyErrorKind];
+
+/** Why a key cannot be claimed. */
+export interface ClaimKeyError {
+    kind: ClaimKeyErrorKind;
+    /** What is wrong with the key and what to do about it. */
+    message: string;
+}
--- /dev/null
+++ b/src/process/claims/claimShard.ts
@@ -0,0 +1,262 @@
+import type { Result } from "../../result.ts";
+import { events } from "../logging/events.ts";
+import type { LogEvent } from "../logging/logEvent.ts";
+import { type PlatformError, PlatformErrorKind } from "../platform/platformError.ts";
+import type { StoredPage, SwapOutcome } from "../platform/platformStore.ts";
+import type { Claim } from "./claim.ts";
+import type { ClaimBatch } from "./claimBatch.ts";
+import { ClaimRing } from "./claimRing.ts";
+import type { ClaimShardOptions } from "./claimShardOptions.ts";
+import { claimStoreKeys } from "./claimStoreKeys.ts";
+import type { ClaimVerdict } from "./claimVerdict.ts";
+import { decideClaim } from "./decideClaim.ts";
+import { learnStored } from "./learnStored.ts";
+import { RingReading } from "./ringReading.ts";
+import type { ShardOutput } from "./shardOutput.ts";
+import type { ShardTime } from "./shardTime.ts";
+import { takeBatchClaims } from "./takeBatchClaims.ts";
+import { WaitingClaims } from "./waitingClaims.ts";
+
+/** Wait before a failed call is repeated, in milliseconds. */
+const retryMilliseconds = 100;
+
+/**
+ * The decisions about one shard of the claim log, without I/O and clock reads: each method is one event and
+ * returns what to do. A claim waits until the ring, as read from the service, holds its key: for the same
+ * claimant it is granted then, for another taken. An append writes the waiting claims to the next slot, if the
+ * slot still has the revision that was last seen there. Whatever then stands in the slot is taken in, whoever
+ * wrote it; so a lost answer needs no rule of its own. Appends whose outcome is unknown compare with the same
+ * revision as their repetition: at most one of them ever takes effect, however late they arrive.
+ */
+export class ClaimShard {
+    private readonly options: ClaimShardOptions;
+    private readonly ring: ClaimRing;
+    private readonly reading: RingReading;
+    private readonly waiting: WaitingClaims;
+    /** The append that is under way. */
+    private sent: ClaimBatch | undefined;
+    /** Claims of earlier appends to the next slot whose outcome is unknown, by key. */
+    private readonly uncertain = new Map<string, Claim>();
+    private isCalling = false;
+    private isLoadWanted = false;
+    private repeatAt = -Infinity;
+    private appendAt = -Infinity;
+    private batches = 0;
+    private output: ShardOutput = { verdicts: [], logs: [] };
+
+    private constructor(options: ClaimShardOptions) {
+        this.options = options;
+        this.ring = ClaimRing.create({ size: options.ringSize, windowMilliseconds: options.windowMilliseconds });
+        this.reading = RingReading.create(this.ring);
+        this.waiting = WaitingClaims.create({
+            decide: (claim, wallTime) => this.decide(claim, wallTime),
+            findPossible: key => this.uncertain.get(key) ?? this.sent?.claims.find(claim => claim.key === key),
+        });
+    }
+
+    /** Creates a shard of which nothing has been read yet. */
+    static create(options: ClaimShardOptions): ClaimShard {
+        return new ClaimShard(options);
+    }
+
+    /** Gets how many claims are in memory. */
+    getClaimCount(): number {
+        return this.ring.getClaimCount();
+    }
+
+    /** Whether the ring has been read up to its tail. */
+    isReady(): boolean {
+        return this.reading.getSlot() === undefined;
+    }
+
+    /** Reads the ring before the first claim comes. */
+    load(time: ShardTime): ShardOutput {
+        this.isLoadWanted = true;
+        return this.step(time);
+    }
+
+    /**
+     * Takes a claim.
+     * @param ticket - Number under which the verdict is given.
+     * @param claim - Claim to decide.
+     * @param time - Time of the event.
+     */
+    submit(ticket: number, claim: Claim, time: ShardTime): ShardOutput {
+        this.waiting.add({ ticket, claim, deadline: time.monotonic + this.options.giveUpMilliseconds }, time);
+        return this.step(time);
+    }
+
+    /** Goes on when the time that the last output named has come. */
+    wake(time: ShardTime): ShardOutput {
+        return this.step(time);
+    }
+
+    /** Takes the result of a read. */
+    finishRead(result: Result<StoredPage, PlatformError>, time: ShardTime): ShardOutput {
+        this.isCalling = false;
+        if (result.err) {
+            this.repeatLater(result.val, time);
+            return this.step(time);
+        }
+        if (!this.learnPage(result.val)) {
+            this.repeatAt = time.monotonic + retryMilliseconds;
+        }
+        if (this.isReady()) {
+            this.isLoadWanted = false;
+            this.log(events.claimShardLoaded, { claims: this.ring.getClaimCount(), next: this.ring.getNextNumber() });
+        }
+        this.waiting.answerDecided(time);
+        return this.step(time);
+    }
+
+    /** Takes the result of an append. */
+    finishSwap(result: Result<SwapOutcome, PlatformError>, time: ShardTime): ShardOutput {
+        const sent = this.sent;
+        this.isCalling = false;
+        this.sent = undefined;
+        if (result.err) {
+            if (sent !== undefined && result.val.kind === PlatformErrorKind.OutcomeUnknown) {
+                this.keepUncertain(sent);
+            }
+            this.repeatLater(result.val, time);
+        }
+        else if (sent !== undefined) {
+            this.settleAppend(result.val, sent, time);
+        }
+        return this.step(time);
+    }
+
+    private settleAppend(outcome: SwapOutcome, sent: ClaimBatch, time: ShardTime): void {
+        this.learnSwap(outcome, sent);
+        if (this.ring.getNextNumber() <= sent.number) {
+            this.keepUncertain(sent);
+            this.repeatAt = time.monotonic + retryMilliseconds;
+            return;
+        }
+        this.uncertain.clear();
+        this.waiting.answerDecided(time);
+    }
+
+    /** Takes in what stands in the slot after an append that reached the service. */
+    private learnSwap(outcome: SwapOutcome, sent: ClaimBatch): void {
+        const { swapped, revision, current } = outcome;
+        if (swapped) {
+            this.check(this.ring.learn(sent.number % this.options.ringSize, revision ?? 0, sent));
+            return;
+        }
+        if (current === undefined) {
+            this.log(events.claimSlotUnreadable, { reason: "The key of the slot was deleted." });
+            return;
+        }
+        const isOwn = current.value.includes(this.options.ownerId);
+        if (this.check(learnStored(this.ring, current)) && !isOwn) {
+            this.log(events.claimRaceLost, { number: sent.number });
+            this.reading.readFromTail();
+        }
+    }
+
+    /** Takes in a page of slots. False where it did not help. */
+    private learnPage(page: StoredPage): boolean {
+        for (const value of page.values) {
+            if (!this.check(learnStored(this.ring, value))) {
+                return false;
+            }
+        }
+        return this.reading.finishPage(page.nextKey === undefined ? undefined : claimStoreKeys.getSlot(page.nextKey));
+    }
+
+    private check(learned: Result<void, string>): boolean {
+        if (learned.err) {
+            this.log(events.claimSlotUnreadable, { reason: learned.val });
+        }
+        return learned.ok;
+    }
+
+    private keepUncertain(batch: ClaimBatch): void {
+        this.log(events.claimOutcomeUnknown, { number: batch.number, batchId: batch.batchId });
+        for (const claim of batch.claims) {
+            if (!this.uncertain.has(claim.key)) {
+                this.uncertain.set(claim.key, claim);
+            }
+        }
+    }
+
+    private repeatLater(error: PlatformError, time: ShardTime): void {
+        this.repeatAt = time.monotonic + retryMilliseconds;
+        this.log(events.claimStoreFailed, { kind: error.kind, reason: error.message });
+    }
+
+    private decide(claim: Claim, wallTime: number): ClaimVerdict | undefined {
+        const { windowMilliseconds } = this.options;
+        return decideClaim(claim, { ring: this.ring, isReady: this.isReady(), wallTime, windowMilliseconds });
+    }
+
+    private step(time: ShardTime): ShardOutput {
+        this.ring.dropPast(time.wall);
+        this.waiting.giveUp(time);
+        if (!this.isCalling && this.isCallWanted() && time.monotonic >= this.getCallTime()) {
+            this.startCall(time);
+        }
+        const output = { ...this.output, verdicts: this.waiting.takeVerdicts(), wakeAt: this.getWakeTime() };
+        this.output = { verdicts: [], logs: [] };
+        return output;
+    }
+
+    private startCall(time: ShardTime): void {
+        const slot = this.reading.getSlot();
+        if (slot === undefined) {
+            this.append(time);
+            return;
+        }
+        const { shard, pageSize } = this.options;
+        const fromKey = claimStoreKeys.getSlotKey(shard, slot);
+        this.isCalling = true;
+        this.output.call = { kind: "read", prefix: claimStoreKeys.getPrefix(shard), fromKey, limit: pageSize };
+    }
+
+    private append(time: ShardTime): void {
+        this.waiting.answerDecided(time);
+        if (!this.ring.isNextSlotFree(time.wall)) {
+            this.log(events.claimRingFull, { waiting: this.waiting.getEntries().length });
+            this.waiting.refuseAll("The claim log has no free slot. Widen its append interval, or try later.", time);
+        }
+        if (this.waiting.getEntries().length === 0) {
+            return;
+        }
+        this.batches += 1;
+        this.sent = {
+            number: this.ring.getNextNumber(),
+            batchId: `${this.options.ownerId}-${this.batches}`,
+            writtenAt: time.wall,
+            horizon: this.ring.getNextHorizon(),
+            claims: takeBatchClaims(this.waiting.getEntries()),
+        };
+        this.appendAt = time.monotonic + this.options.appendIntervalMilliseconds;
+        this.isCalling = true;
+        this.output.call = {
+            kind: "swap",
+            key: claimStoreKeys.getSlotKey(this.options.shard, this.ring.getNextSlot()),
+            expectedRevision: this.ring.getNextRevision(),
+            value: JSON.stringify(this.sent),
+        };
+    }
+
+    private isCallWanted(): boolean {
+        return this.waiting.getEntries().length > 0 || (this.isLoadWanted && !this.isReady());
+    }
+
+    private getCallTime(): number {
+        return this.isReady() ? Math.max(this.repeatAt, this.appendAt) : this.repeatAt;
+    }
+
+    private getWakeTime(): number | undefined {
+        const deadline = this.waiting.getEntries()[0]?.deadline ?? Infinity;
+        const callTime = !this.isCalling && this.isCallWanted() ? this.getCallTime() : Infinity;
+        const wakeAt = Math.min(deadline, callTime);
+        return wakeAt === Infinity ? undefined : wakeAt;
+    }
+
+    private log(event: LogEvent, fields: Record<string, string | number>): void {
+        this.output.logs.push({ event, fields: { shard: this.options.shard, ...fields } });
+    }
+}
--- /dev/null
+++ b/src/process/claims/shardTime.ts
@@ -0,0 +1,7 @@
+/** The two times of one event, in milliseconds. */
+export interface ShardTime {
+    /** For intervals and deadlines; only differences mean something. */
+    monotonic: number;
+    /** For the window, since the Unix epoch; it may step. */
+    wall: number;
+}
--- /dev/null
+++ b/src/process/leases/fencedLease.ts
@@ -0,0 +1,138 @@
+import { Err, Ok, type Result } from "../../result.ts";
+import type { ShardTime } from "../claims/shardTime.ts";
+import type { Clock, TimerHandle } from "../clock.ts";
+import type { EventLog } from "../logging/eventLog.ts";
+import type { PlatformStore } from "../platform/platformStore.ts";
+import type { RandomSource } from "../randomSource.ts";
+import { type LeaseError, LeaseErrorKind } from "./leaseError.ts";
+import type { LeaseOutput } from "./leaseOutput.ts";
+import { LeaseState } from "./leaseState.ts";
+
+/** Settings of a {@link FencedLease}. */
+export interface FencedLeaseOptions {
+    store: PlatformStore;
+    clock: Clock;
+    random: RandomSource;
+    log: EventLog;
+    /** Key of the lease in the platform's service. */
+    key: string;
+    /** Name of this process as a holder. */
+    holder: string;
+    /** How long the lease lasts without a renewal, in milliseconds. */
+    timeToLiveMilliseconds: number;
+    /** Longest time that an order is on its way or being carried out, in milliseconds. */
+    longestOrderMilliseconds: number;
+}
+
+/**
+ * The right to give orders to an endpoint, held by one process at a time, with a number that grows with each
+ * holder. Endpoints that check the number refuse an order of an earlier holder. For those that do not, the holder
+ * checks its monotonic clock right before it sends, and a successor waits out the lease and the longest order;
+ * what stays open is a pause between that check and the sending that outlasts the longest order, so such orders
+ * state the wanted end state and their sender reads it back.
+ *
+ * Kept as a plain record that is written by compare-and-swap, not as a lease of the service: such a lease ends by
+ * the service's clock, which a holder whose answers are lost cannot follow, an outage may lengthen it, its end
+ * deletes the key with the fencing number, and it would cost a call more for each renewal.
+ */
+export class FencedLease {
+    private readonly options: FencedLeaseOptions;
+    private readonly state: LeaseState;
+    private timer: TimerHandle | undefined;
+    private isRunning = false;
+
+    private constructor(options: FencedLeaseOptions) {
+        this.options = options;
+        this.state = LeaseState.create(options);
+    }
+
+    /** Creates a lease that is not sought before {@link start}. */
+    static create(options: FencedLeaseOptions): FencedLease {
+        return new FencedLease(options);
+    }
+
+    /** Seeks the lease, and renews it once it is held. */
+    start(): void {
+        this.isRunning = true;
+        this.apply(this.state.wake(this.getTime()));
+    }
+
+    /** Stops for good and gives the lease up. No order may be under way. */
+    async stop(): Promise<void> {
+        this.isRunning = false;
+        this.timer?.cancel();
+        const { call, logs } = this.state.release(this.getTime());
+        this.writeLogs(logs);
+        if (call?.kind === "swap") {
+            await this.options.store.compareAndSwap(this.options.key, call.expectedRevision, call.value);
+        }
+    }
+
+    /** Whether the lease is held now. */
+    isHeld(): boolean {
+        return this.getFencingNumber() !== undefined;
+    }
+
+    /** Gets the fencing number while the lease is held; undefined otherwise. */
+    getFencingNumber(): number | undefined {
+        return this.state.getFencingNumber(this.options.clock.getMonotonicTime());
+    }
+
+    /**
+     * Sends an order if the lease is held at this moment.
+     * @param action - Sends the order at once, with the fencing number; it may not wait before it does.
+     */
+    withFencing<T>(action: (fencingNumber: number) => T): Result<T, LeaseError> {
+        const fencingNumber = this.getFencingNumber();
+        if (fencingNumber === undefined) {
+            return Err({
+                kind: LeaseErrorKind.NotHeld,
+                message: `The lease ${this.options.key} is not held, so the order was not sent.`
+                    + " Leave it to the holder, or wait until this process holds the lease again.",
+            });
+        }
+        return Ok(action(fencingNumber));
+    }
+
+    private getTime(): ShardTime {
+        const { clock } = this.options;
+        return { monotonic: clock.getMonotonicTime(), wall: clock.getWallTime() };
+    }
+
+    private apply(output: LeaseOutput): void {
+        const { clock } = this.options;
+        this.writeLogs(output.logs);
+        this.timer?.cancel();
+        this.timer = undefined;
+        if (output.wakeAt !== undefined) {
+            const delay = Math.max(0, output.wakeAt - clock.getMonotonicTime());
+            this.timer = clock.setTimer(delay, () => this.handle(() => this.state.wake(this.getTime())));
+        }
+        if (output.call !== undefined) {
+            void this.run(output.call);
+        }
+    }
+
+    private async run(call: NonNullable<LeaseOutput["call"]>): Promise<void> {
+        const { store, key } = this.options;
+        if (call.kind === "read") {
+            const stored = await store.get(key);
+            this.handle(() => this.state.finishRead(stored, this.getTime()));
+            return;
+        }
+        const outcome = await store.compareAndSwap(key, call.expectedRevision, call.value);
+        this.handle(() => this.state.finishSwap(outcome, this.getTime()));
+    }
+
+    private handle(event: () => LeaseOutput): void {
+        if (this.isRunning) {
+            this.apply(event());
+        }
+    }
+
+    private writeLogs(logs: LeaseOutput["logs"]): void {
+        for (const { event, fields } of logs) {
+            this.options.log.write(event, { lease: this.options.key, ...fields });
+        }
+    }
+}
--- /dev/null
+++ b/tests/process/claims/claimOwner.test.ts
@@ -0,0 +1,217 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { ClaimOwner, type ClaimOwnerOptions } from "../../../src/process/claims/claimOwner.ts";
+import { claimStoreKeys } from "../../../src/process/claims/claimStoreKeys.ts";
+import type { ClaimVerdict } from "../../../src/process/claims/claimVerdict.ts";
+import type { Clock } from "../../../src/process/clock.ts";
+import { FakeClock } from "../../support/fakeClock.ts";
+import { MemoryStore } from "../../support/memoryStore.ts";
+import { createTestKey } from "./createTestKey.ts";
+
+const windowMilliseconds = 60_000;
+/** Longer than a slot is kept. */
+const longPause = 150_000;
+const hour = 3_600_000;
+
+function createBench(beforeCall?: (store: MemoryStore, method: string) => void) {
+    const clock = FakeClock.create();
+    const store: MemoryStore = MemoryStore.create({ beforeCall: method => beforeCall?.(store, method) });
+    let owners = 0;
+    return {
+        clock,
+        store,
+        createOwner: (options: Partial<ClaimOwnerOptions> = {}): ClaimOwner =>
+            ClaimOwner.create({
+                store,
+                clock,
+                log: { write: () => undefined },
+                ownerId: `owner${owners++}`,
+                shards: 1,
+                getShardOfKey: () => 0,
+                windowMilliseconds,
+                appendIntervalMilliseconds: 20,
+                giveUpMilliseconds: 1_000,
+                ringSize: 3,
+                pageSize: 1,
+                ...options,
+            }),
+        createKey: (index = 0): string => createTestKey(clock.getWallTime(), index),
+        claim: async (owner: ClaimOwner, key: string, claimant: string, bodyHash = "body"): Promise<ClaimVerdict> => {
+            const verdicts = owner.claim(0, [{ key, bodyHash, claimant, nodeId: "node" }]);
+            await clock.advance(1_100);
+            const [verdict] = await verdicts;
+            assert.ok(verdict);
+            return verdict;
+        },
+    };
+}
+
+/** Gets a clock whose wall time is wrong. */
+function moveWallTime(clock: Clock, milliseconds: number): Clock {
+    return {
+        getMonotonicTime: () => clock.getMonotonicTime(),
+        getWallTime: () => clock.getWallTime() + milliseconds,
+        setTimer: (delay, callback) => clock.setTimer(delay, callback),
+    };
+}
+
+describe("ClaimOwner", () => {
+    it("grants a key to the first claimant, at each owner and each time it asks", async () => {
+        const { createOwner, createKey, claim } = createBench();
+        const [first, second] = [createOwner(), createOwner()];
+        const key = createKey();
+        assert.equal((await claim(first, key, "x")).outcome, "granted");
+        for (const owner of [first, second]) {
+            assert.equal((await claim(owner, key, "x")).outcome, "granted");
+            assert.deepEqual(
+                { ...await claim(owner, key, "y"), message: undefined },
+                { outcome: "taken", claimant: "x", nodeId: "node", message: undefined },
+            );
+            assert.equal((await claim(owner, key, "z", "other body")).outcome, "body_mismatch");
+        }
+    });
+
+    it("writes claims that come together in one append", async () => {
+        const { clock, store, createOwner, createKey } = createBench();
+        const items = Array.from({ length: 100 }, (_, index) => ({
+            key: createKey(index),
+            bodyHash: "body",
+            claimant: `claimant${index}`,
+            nodeId: "node",
+        }));
+        const verdicts = createOwner().claim(0, items);
+        await clock.advance(0);
+        assert.ok((await verdicts).every(verdict => verdict.outcome === "granted"));
+        assert.equal(store.getCallCount("compareAndSwap"), 1);
+    });
+
+    it("grants after a lost answer, and not to another owner's claimant", async () => {
+        const { store, createOwner, createKey, claim } = createBench();
+        const [first, second] = [createOwner(), createOwner()];
+        await claim(first, createKey(1), "w");
+        const key = createKey(2);
+        store.loseAnswers(1);
+        assert.equal((await claim(first, key, "x")).outcome, "granted");
+        assert.equal((await claim(second, key, "y")).outcome, "taken");
+    });
+
+    it("refuses while the store is down and grants the key to the next claimant afterwards", async () => {
+        const { store, createOwner, createKey, claim } = createBench();
+        const owner = createOwner();
+        const key = createKey();
+        store.setDown(true);
+        assert.equal((await claim(owner, key, "x")).outcome, "unavailable");
+        store.setDown(false);
+        assert.equal((await claim(owner, key, "y")).outcome, "granted");
+    });
+
+    it("keeps a key from others after an append whose outcome stayed unknown", async () => {
+        const { store, createOwner, createKey, claim } = createBench();
+        const owner = createOwner();
+        await claim(owner, createKey(1), "w");
+        const key = createKey(2);
+        store.loseAnswers(1_000);
+        assert.equal((await claim(owner, key, "x")).outcome, "unavailable");
+        assert.equal((await claim(owner, key, "y")).outcome, "taken");
+        store.loseAnswers(0);
+        assert.equal((await claim(owner, key, "z")).outcome, "taken");
+        assert.equal((await claim(owner, key, "x")).outcome, "unavailable");
+        assert.equal((await claim(createOwner(), key, "v")).outcome, "taken");
+    });
+
+    it("frees a key after appends that were lost on the way", async () => {
+        const { store, createOwner, createKey, claim } = createBench();
+        const owner = createOwner();
+        await claim(owner, createKey(1), "w");
+        const key = createKey(2);
+        store.loseRequests(1_000);
+        assert.equal((await claim(owner, key, "x")).outcome, "unavailable");
+        store.loseRequests(0);
+        assert.equal((await claim(owner, key, "y")).outcome, "granted");
+    });
+
+    it("refuses new claims while the oldest slot still counts", async () => {
+        const { clock, createOwner, createKey, claim } = createBench();
+        const owner = createOwner();
+        for (const index of [1, 2, 3]) {
+            assert.equal((await claim(owner, createKey(index), "x")).outcome, "granted");
+        }
+        assert.equal((await claim(owner, createKey(4), "y")).outcome, "unavailable");
+        await clock.advance(longPause);
+        assert.equal((await claim(owner, createKey(5), "z")).outcome, "granted");
+    });
+
+    it("learns what was written while it was paused, when the ring went round too", async () => {
+        const { clock, createOwner, createKey, claim } = createBench();
+        const [paused, busy] = [createOwner(), createOwner()];
+        await claim(paused, createKey(0), "w");
+        await clock.advance(longPause);
+        const keys = [1, 2, 3].map(createKey);
+        for (const key of keys) {
+            assert.equal((await claim(busy, key, "x")).outcome, "granted");
+        }
+        for (const key of keys) {
+            assert.equal((await claim(paused, key, "y")).outcome, "taken");
+        }
+    });
+
+    it("refuses an overwritten key, also where clocks are wrong by more than the margin", async () => {
+        const { clock, createOwner, createKey, claim } = createBench();
+        const ahead = createOwner({ clock: moveWallTime(clock, hour) });
+        const key = createTestKey(clock.getWallTime() + hour);
+        assert.equal((await claim(ahead, key, "x")).outcome, "granted");
+        const owner = createOwner();
+        for (const index of [1, 2]) {
+            assert.equal((await claim(owner, createKey(index), "w")).outcome, "granted");
+        }
+        await clock.advance(longPause);
+        const later = createTestKey(clock.getWallTime() + hour, 3);
+        assert.equal((await claim(ahead, later, "w")).outcome, "granted");
+        const other = createOwner({ clock: moveWallTime(clock, hour - longPause) });
+        assert.equal((await claim(other, key, "y")).outcome, "too_old");
+    });
+
+    it("reads a slot again that was written while the listing went on", async () => {
+        let lists = 0;
+        const { store, createOwner, createKey, claim } = createBench((target, method) => {
+            lists += method === "list" ? 1 : 0;
+            if (lists === 2 && method === "list") {
+                put(target, 3, createKey(3));
+                put(target, 4, createKey(4));
+            }
+        });
+        for (const number of [0, 1, 2]) {
+            put(store, number, createKey(number));
+        }
+        assert.equal((await claim(createOwner(), createKey(3), "y")).outcome, "taken");
+    });
+
+    it("refuses claims where a slot does not fit", async () => {
+        for (
+            const value of [
+                "x",
+                "{}",
+                JSON.stringify({ number: 4, batchId: "", writtenAt: 0, horizon: -1, claims: [] }),
+            ]
+        ) {
+            const { store, createOwner, createKey, claim } = createBench();
+            store.put(claimStoreKeys.getSlotKey(0, 0), value);
+            assert.equal((await claim(createOwner(), createKey(), "x")).outcome, "unavailable");
+        }
+    });
+
+    it("answers waiting claims as not owned when the shard is released", async () => {
+        const { store, createOwner, createKey } = createBench();
+        const owner = createOwner();
+        store.setDown(true);
+        const verdicts = owner.claim(0, [{ key: createKey(), bodyHash: "body", claimant: "x", nodeId: "node" }]);
+        owner.releaseShard(0);
+        assert.equal((await verdicts)[0]?.outcome, "not_owner");
+    });
+});
+
+function put(store: MemoryStore, number: number, key: string): void {
+    const claims = [{ key, bodyHash: "body", claimant: "x", nodeId: "node" }];
+    const batch = { number, batchId: `other-${number}`, writtenAt: 0, horizon: -1, claims };
+    store.put(claimStoreKeys.getSlotKey(0, number % 3), JSON.stringify(batch));
+}
