Add membership and the connections between nodes

Change: a SWIM-like view, gossip with a bounded fan-out, epidemic spreading of configurations, connect-es calls that drop a silent connection.

--- /dev/null
+++ b/src/connection/peer/peerConnections.ts
@@ -0,0 +1,191 @@
+import type { Client } from "@connectrpc/connect";
+import type { EventLog } from "../../process/logging/eventLog.ts";
+import { events } from "../../process/logging/events.ts";
+import { Err, Ok, type Result } from "../../result.ts";
+import type {
+    AnnounceConfigurationRequest,
+    AnnounceConfigurationResponse,
+    ClaimRequest,
+    ClaimResponse,
+    GetConfigurationRequest,
+    GetConfigurationResponse,
+    GetKeptAnswerRequest,
+    GetKeptAnswerResponse,
+    GossipRequest,
+    GossipResponse,
+    PeerService,
+} from "../../wire/generated/foxlead/peer/v1/peer_pb.ts";
+import { PeerConnection } from "./peerConnection.ts";
+import type { PeerError } from "./peerError.ts";
+import { PeerErrorKind } from "./peerErrorKind.ts";
+import type { PeerTls } from "./peerTls.ts";
+import { toPeerError } from "./toPeerError.ts";
+
+const defaultTimeoutMilliseconds = 1_000;
+const defaultMaximumCalls = 64;
+const defaultPingIntervalMilliseconds = 5_000;
+const defaultIdleTimeoutMilliseconds = 180_000;
+
+/** Options of the connections to peers. */
+interface PeerConnectionsOptions {
+    /** Secret that all nodes share. */
+    secret: string;
+    /** Deadline of a call in milliseconds, where the call gives none. Default 1000. */
+    timeoutMilliseconds?: number;
+    /** Most calls under way to one peer; further ones are refused at once. Default 64. */
+    maximumCallsPerPeer?: number;
+    /** A connection unused for longer is checked by a ping before its next call, in milliseconds. Default 5000. */
+    pingIntervalMilliseconds?: number;
+    /** A connection unused for longer is closed, in milliseconds. Default 180000. */
+    idleTimeoutMilliseconds?: number;
+    /** Certificates; without them calls travel in clear text. */
+    tls?: PeerTls;
+    log: EventLog;
+}
+
+/** Options of one call. */
+interface PeerCallOptions {
+    /** Deadline of the call in milliseconds. */
+    timeoutMilliseconds?: number;
+}
+
+/**
+ * Calls to peers by address. Connections are kept and shared. One on which a call was not answered in time may have gone
+ * silent for good: it takes no further call, and the next call uses a new connection.
+ */
+export class PeerConnections {
+    private readonly options: PeerConnectionsOptions;
+    private readonly connections = new Map<string, PeerConnection>();
+    private isClosed = false;
+
+    private constructor(options: PeerConnectionsOptions) {
+        this.options = options;
+    }
+
+    /** Creates an empty set of connections. */
+    static create(options: PeerConnectionsOptions): PeerConnections {
+        return new PeerConnections(options);
+    }
+
+    /** Exchanges membership records. */
+    gossip(
+        address: string,
+        request: GossipRequest,
+        options?: PeerCallOptions,
+    ): Promise<Result<GossipResponse, PeerError>> {
+        return this.call(address, options, (client, callOptions) => client.gossip(request, callOptions));
+    }
+
+    /** Tells a peer of a configuration version. */
+    announceConfiguration(
+        address: string,
+        request: AnnounceConfigurationRequest,
+        options?: PeerCallOptions,
+    ): Promise<Result<AnnounceConfigurationResponse, PeerError>> {
+        return this.call(address, options, (client, callOptions) => client.announceConfiguration(request, callOptions));
+    }
+
+    /** Fetches a peer's configuration. */
+    getConfiguration(
+        address: string,
+        request: GetConfigurationRequest,
+        options?: PeerCallOptions,
+    ): Promise<Result<GetConfigurationResponse, PeerError>> {
+        return this.call(address, options, (client, callOptions) => client.getConfiguration(request, callOptions));
+    }
+
+    /** Claims idempotency keys at the owner of their shard. */
+    claim(
+        address: string,
+        request: ClaimRequest,
+        options?: PeerCallOptions,
+    ): Promise<Result<ClaimResponse, PeerError>> {
+        return this.call(address, options, (client, callOptions) => client.claim(request, callOptions));
+    }
+
+    /** Fetches the answer that a peer kept. */
+    getKeptAnswer(
+        address: string,
+        request: GetKeptAnswerRequest,
+        options?: PeerCallOptions,
+    ): Promise<Result<GetKeptAnswerResponse, PeerError>> {
+        return this.call(address, options, (client, callOptions) => client.getKeptAnswer(request, callOptions));
+    }
+
+    /** Closes all connections and ends the calls under way. */
+    close(): void {
+        this.isClosed = true;
+        for (const connection of this.connections.values()) {
+            connection.close();
+        }
+        this.connections.clear();
+    }
+
+    private async call<T>(
+        address: string,
+        options: PeerCallOptions | undefined,
+        call: (client: Client<typeof PeerService>, callOptions: { timeoutMs: number; }) => Promise<T>,
+    ): Promise<Result<T, PeerError>> {
+        if (this.isClosed) {
+            return Err(createClosedError(address));
+        }
+        const connection = this.getConnection(address);
+        const maximumCalls = this.options.maximumCallsPerPeer ?? defaultMaximumCalls;
+        if (connection.getCallCount() >= maximumCalls) {
+            return Err(createTooManyCallsError(address, maximumCalls));
+        }
+        const timeoutMs = options?.timeoutMilliseconds ?? this.getTimeout();
+        try {
+            return Ok(await connection.run(client => call(client, { timeoutMs })));
+        }
+        catch (reason) {
+            const error = toPeerError(reason, address);
+            if (error.kind === PeerErrorKind.TimedOut) {
+                this.replace(address, connection);
+            }
+            return Err(error);
+        }
+    }
+
+    private getConnection(address: string): PeerConnection {
+        const known = this.connections.get(address);
+        if (known !== undefined) {
+            return known;
+        }
+        const connection = PeerConnection.create({
+            address,
+            secret: this.options.secret,
+            tls: this.options.tls,
+            connectTimeoutMilliseconds: this.getTimeout(),
+            pingIntervalMilliseconds: this.options.pingIntervalMilliseconds ?? defaultPingIntervalMilliseconds,
+            pingTimeoutMilliseconds: this.getTimeout() / 2,
+            idleTimeoutMilliseconds: this.options.idleTimeoutMilliseconds ?? defaultIdleTimeoutMilliseconds,
+        });
+        this.connections.set(address, connection);
+        return connection;
+    }
+
+    private replace(address: string, connection: PeerConnection): void {
+        connection.retire();
+        if (this.connections.get(address) === connection) {
+            this.connections.delete(address);
+            this.options.log.write(events.peerConnectionSilent, { address });
+        }
+    }
+
+    private getTimeout(): number {
+        return this.options.timeoutMilliseconds ?? defaultTimeoutMilliseconds;
+    }
+}
+
+function createClosedError(address: string): PeerError {
+    return {
+        kind: PeerErrorKind.Closed,
+        message: `Peer ${address} was not called: this node is stopping; ask another.`,
+    };
+}
+
+function createTooManyCallsError(address: string, limit: number): PeerError {
+    const message = `Peer ${address} was not called: ${limit} calls to it are under way; try again later.`;
+    return { kind: PeerErrorKind.TooManyCalls, message };
+}
--- /dev/null
+++ b/src/connection/peer/peerHandlers.ts
@@ -0,0 +1,26 @@
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import type {
+    AnnounceConfigurationRequest,
+    AnnounceConfigurationResponseSchema,
+    ClaimRequest,
+    ClaimResponseSchema,
+    GetConfigurationRequest,
+    GetConfigurationResponseSchema,
+    GetKeptAnswerRequest,
+    GetKeptAnswerResponseSchema,
+    GossipRequest,
+    GossipResponseSchema,
+} from "../../wire/generated/foxlead/peer/v1/peer_pb.ts";
+
+/** What a node does with the calls of its peers. A handler that throws answers the call with an error. */
+export interface PeerHandlers {
+    gossip(request: GossipRequest): Promise<MessageInitShape<typeof GossipResponseSchema>>;
+    announceConfiguration(
+        request: AnnounceConfigurationRequest,
+    ): Promise<MessageInitShape<typeof AnnounceConfigurationResponseSchema>>;
+    getConfiguration(
+        request: GetConfigurationRequest,
+    ): Promise<MessageInitShape<typeof GetConfigurationResponseSchema>>;
+    claim(request: ClaimRequest): Promise<MessageInitShape<typeof ClaimResponseSchema>>;
+    getKeptAnswer(request: GetKeptAnswerRequest): Promise<MessageInitShape<typeof GetKeptAnswerResponseSchema>>;
+}
--- /dev/null
+++ b/src/process/membership/gossiper.ts
@@ -0,0 +1,187 @@
+import type { PeerError } from "../../connection/peer/peerError.ts";
+import { PeerErrorKind } from "../../connection/peer/peerErrorKind.ts";
+import type { Result } from "../../result.ts";
+import type { GossipRequest, GossipResponse } from "../../wire/generated/foxlead/peer/v1/peer_pb.ts";
+import type { Clock, TimerHandle } from "../clock.ts";
+import type { EventLog } from "../logging/eventLog.ts";
+import type { RandomSource } from "../randomSource.ts";
+import type { Contact } from "./contact.ts";
+import { ContactChooser } from "./contactChooser.ts";
+import { GossipExchange } from "./gossipExchange.ts";
+import type { GossipPayloads } from "./gossipPayloads.ts";
+import { logMemberChange } from "./logMemberChange.ts";
+import type { MembershipView } from "./membershipView.ts";
+import { MemberState } from "./memberState.ts";
+
+const defaultIntervalMilliseconds = 500;
+const defaultFullMeshPeers = 8;
+const defaultFanOut = 3;
+const defaultPullIntervalMilliseconds = 60_000;
+/** Share of the interval by which a round comes earlier or later. */
+const jitter = 0.2;
+/** Options of a gossiper. */
+interface GossiperOptions {
+    view: MembershipView;
+    payloads: GossipPayloads;
+    clock: Clock;
+    random: RandomSource;
+    log: EventLog;
+    /** Calls Gossip at an address; it must end by itself within a deadline. */
+    callGossip(address: string, request: GossipRequest): Promise<Result<GossipResponse, PeerError>>;
+    /** Called when a peer reports a version of the configuration that is higher than the own one. */
+    onPeerConfigurationVersion(version: number, peerAddress: string): void;
+    /** Mean time between two rounds in milliseconds. Default 500. */
+    intervalMilliseconds?: number;
+    /** Up to this many peers, all are contacted in each round. Default 8, a full mesh of 9 nodes. */
+    fullMeshPeers?: number;
+    /** Peers that are contacted in one round where there are more. Default 3, so that 340 nodes keep to their budget. */
+    fanOut?: number;
+    /** Mean time between two pulls of a peer's whole view in milliseconds. Default 60000. */
+    pullIntervalMilliseconds?: number;
+    /** Most recent changes of the membership in one message. Default 8. */
+    piggybackLimit?: number;
+    /** Most bytes of endpoint and demand records in one message. Default 256. */
+    payloadBudgetBytes?: number;
+}
+
+/**
+ * Exchanges heartbeats with peers in rounds. A peer that misses twice, the second time over a new connection, is
+ * suspected; the suspicion travels to others, some of which check it out of turn, and its refutation travels back:
+ * that is the indirect check.
+ */
+export class Gossiper {
+    private readonly options: GossiperOptions;
+    private readonly view: MembershipView;
+    private readonly exchange: GossipExchange;
+    private readonly chooser: ContactChooser;
+    private readonly pending = new Set<string>();
+    private readonly unsubscribe: () => void;
+    private timer: TimerHandle | undefined;
+    private isStopped = false;
+    private lastContact: number | undefined;
+
+    private constructor(options: GossiperOptions) {
+        this.options = options;
+        this.view = options.view;
+        this.exchange = GossipExchange.create(options);
+        this.chooser = ContactChooser.create({
+            view: options.view,
+            random: options.random,
+            fullMeshPeers: options.fullMeshPeers ?? defaultFullMeshPeers,
+            fanOut: options.fanOut ?? defaultFanOut,
+            pullIntervalMilliseconds: options.pullIntervalMilliseconds ?? defaultPullIntervalMilliseconds,
+        });
+        this.unsubscribe = this.view.onChange(change => {
+            logMemberChange(options.log, change, this.view.getSelf());
+            if (change.member.state === MemberState.Suspect) {
+                this.chooser.noteSuspect(change.member);
+            }
+        });
+    }
+
+    /** Creates a gossiper that does nothing before {@link Gossiper.start}. */
+    static create(options: GossiperOptions): Gossiper {
+        return new Gossiper(options);
+    }
+
+    /** Starts the rounds with one at once. */
+    start(): void {
+        this.runRound();
+    }
+
+    /** Stops the rounds; exchanges that are under way end by themselves. */
+    stop(): void {
+        this.isStopped = true;
+        this.timer?.cancel();
+        this.unsubscribe();
+    }
+
+    /** Gets the monotonic time in milliseconds of the last good exchange with any peer, undefined before the first. */
+    getLastContact(): number | undefined {
+        return this.lastContact;
+    }
+
+    /** Answers the Gossip call of a peer. */
+    handleGossip(request: GossipRequest): GossipResponse {
+        const now = this.options.clock.getMonotonicTime();
+        this.lastContact = now;
+        return this.exchange.answer(request, now);
+    }
+
+    /** Marks the own node as leaving and tells one round of peers at once. Ends when they have answered or missed. */
+    async announceLeaving(): Promise<void> {
+        this.view.announceLeaving();
+        await Promise.all(this.chooser.choosePeers().map(contact => this.callHeartbeat(contact)));
+    }
+
+    private runRound(): void {
+        if (this.isStopped) {
+            return;
+        }
+        const now = this.options.clock.getMonotonicTime();
+        this.view.advance(now);
+        for (const contact of this.chooser.chooseRound(now)) {
+            void this.contact(contact);
+        }
+        const interval = this.options.intervalMilliseconds ?? defaultIntervalMilliseconds;
+        const delay = interval * (1 + jitter * (2 * this.options.random() - 1));
+        this.timer = this.options.clock.setTimer(delay, () => this.runRound());
+    }
+
+    private async contact(contact: Contact): Promise<void> {
+        if (this.pending.has(contact.address)) {
+            return;
+        }
+        this.pending.add(contact.address);
+        try {
+            const isReached = await this.callHeartbeat(contact);
+            if (isReached && contact.isPull) {
+                await this.callPull(contact);
+            }
+        }
+        finally {
+            this.pending.delete(contact.address);
+        }
+    }
+
+    private async callHeartbeat(contact: Contact): Promise<boolean> {
+        const member = contact.nodeId === undefined ? undefined : this.view.getMember(contact.nodeId);
+        const request = this.exchange.createHeartbeat(member);
+        let result = await this.options.callGossip(contact.address, request);
+        if (result.err && result.val.kind === PeerErrorKind.TimedOut) {
+            // The connection has been replaced; a peer that lives answers over the new one.
+            result = await this.options.callGossip(contact.address, request);
+        }
+        const now = this.options.clock.getMonotonicTime();
+        if (result.err) {
+            if (contact.nodeId !== undefined && !this.isStopped && isMiss(result.val.kind)) {
+                this.view.noteMiss(contact.nodeId, now);
+            }
+            return false;
+        }
+        this.lastContact = now;
+        this.exchange.applyResponse(result.val, contact.address, false, now);
+        if (contact.nodeId === undefined) {
+            this.view.noteSeedAnswered(contact.address);
+        }
+        else {
+            this.view.noteContact(contact.nodeId);
+            this.exchange.noteVersion(contact.nodeId, result.val, now);
+        }
+        return true;
+    }
+
+    private async callPull(contact: Contact): Promise<void> {
+        const result = await this.options.callGossip(contact.address, this.exchange.createPull());
+        if (result.err) {
+            return;
+        }
+        this.chooser.notePulled();
+        this.exchange.applyResponse(result.val, contact.address, true, this.options.clock.getMonotonicTime());
+    }
+}
+
+/** An error that says nothing of the peer's health, such as a full queue of this node, is no miss. */
+function isMiss(kind: PeerErrorKind): boolean {
+    return kind === PeerErrorKind.TimedOut || kind === PeerErrorKind.Unreachable;
+}
--- /dev/null
+++ b/src/process/membership/rendezvousOwners.ts
@@ -0,0 +1,47 @@
+import createHasher, { type XXHashAPI } from "xxhash-wasm";
+
+/** A node with its weight for one key. */
+interface WeighedNode {
+    nodeId: string;
+    weight: number;
+}
+
+/**
+ * Assigns keys to nodes by rendezvous hashing (Thaler, Ravishankar: "Using name-based mappings to increase hit rates",
+ * IEEE/ACM Transactions on Networking, 1998): when a node goes, only its own keys move.
+ */
+export class RendezvousOwners {
+    private readonly hasher: XXHashAPI;
+
+    private constructor(hasher: XXHashAPI) {
+        this.hasher = hasher;
+    }
+
+    /** Loads the hash function. */
+    static async create(): Promise<RendezvousOwners> {
+        return new RendezvousOwners(await createHasher());
+    }
+
+    /**
+     * Gets the owners of a key, the first one first. The order of `nodeIds` does not matter.
+     * @param key - Name of what is to be owned.
+     * @param nodeIds - Nodes to choose from.
+     * @param count - Most owners to return.
+     */
+    getOwners(key: string, nodeIds: Iterable<string>, count: number): string[] {
+        const seed = this.hasher.h32(key);
+        const weighed: WeighedNode[] = [];
+        for (const nodeId of nodeIds) {
+            weighed.push({ nodeId, weight: this.hasher.h32(nodeId, seed) });
+        }
+        weighed.sort(compareWeight);
+        return weighed.slice(0, count).map(node => node.nodeId);
+    }
+}
+
+function compareWeight(left: WeighedNode, right: WeighedNode): number {
+    if (left.weight !== right.weight) {
+        return right.weight - left.weight;
+    }
+    return left.nodeId < right.nodeId ? -1 : 1;
+}
--- /dev/null
+++ b/tests/process/membership/gossiper.test.ts
@@ -0,0 +1,86 @@
+import assert from "node:assert/strict";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import type { VmRecord } from "../../../src/process/platform/vmList.ts";
+import { waitUntil } from "../../support/waitUntil.ts";
+import { TestNode } from "./testNode.ts";
+
+const nodeCount = 5;
+
+describe("Gossiper and ConfigurationSpreader over loopback", () => {
+    let nodes: TestNode[] = [];
+
+    beforeEach(async () => {
+        nodes = await Promise.all(Array.from({ length: nodeCount }, (_, index) => TestNode.create(`node-${index}`)));
+        const first = getNode(0);
+        const seed: VmRecord = {
+            vm: "node-0",
+            state: "live",
+            role: "node",
+            address: first.relay.getAddress(),
+            dataCentre: "a",
+        };
+        for (const node of nodes) {
+            node.view.applyVmList([seed], 0);
+            node.gossiper.start();
+        }
+        await waitUntil("all know all", () => nodes.every(node => node.view.getAliveMembers().length === nodeCount));
+    });
+
+    afterEach(async () => {
+        await Promise.all(nodes.map(node => node.close()));
+    });
+
+    function getNode(index: number): TestNode {
+        const node = nodes[index];
+        assert.ok(node !== undefined);
+        return node;
+    }
+
+    it("takes a node as dead that stops answering while its connections stay open", async () => {
+        const silent = getNode(4);
+        const others = nodes.slice(0, 4);
+        silent.gossiper.stop();
+        silent.relay.freezeAll();
+        assert.ok(silent.relay.getConnectionCount() > 0);
+        await waitUntil("all hold it as dead", () => others.every(node => node.getStateOf(silent) === "dead"));
+        for (const node of others) {
+            assert.equal(node.view.getAliveMembers().length, nodeCount - 1);
+            assert.ok(node.gossiper.getLastContact() !== undefined);
+        }
+    });
+
+    it("keeps a node whose old connections are silent while new ones work", async () => {
+        const node = getNode(4);
+        const before = node.relay.getConnectionCount();
+        const deaths: string[] = [];
+        for (const other of nodes) {
+            other.view.onChange(change => change.member.state === "dead" && deaths.push(change.member.nodeId));
+        }
+        node.relay.freeze();
+        const bytes = node.relay.getByteCount();
+        await waitUntil("new connections carry calls", () => node.relay.getByteCount() > bytes + 10_000);
+        await waitUntil("all hold it as alive", () => nodes.every(other => other.getStateOf(node) === "alive"));
+        assert.ok(before > 0);
+        assert.deepEqual(deaths, []);
+    });
+
+    it("tells the others of leaving before it ends", async () => {
+        const leaving = getNode(2);
+        await leaving.gossiper.announceLeaving();
+        for (const node of nodes) {
+            assert.equal(node.getStateOf(leaving), "leaving");
+        }
+    });
+
+    it("spreads a version to all, once each and never a lower one", async () => {
+        for (const version of [1, 3, 2]) {
+            getNode(version).accept({ version, editId: `edit-${version}`, text: `{ /* ${version} */ }` });
+            getNode(version).spreader.announce(version);
+        }
+        await waitUntil("all hold version 3", () => nodes.every(node => node.held?.version === 3));
+        for (const node of nodes) {
+            assert.equal(node.held?.editId, "edit-3");
+            assert.deepEqual(node.offered, [...new Set(node.offered)].sort());
+        }
+    });
+});
--- /dev/null
+++ b/tests/process/membership/rendezvousOwners.test.ts
@@ -0,0 +1,46 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { isWatcher } from "../../../src/process/membership/isWatcher.ts";
+import type { Member } from "../../../src/process/membership/member.ts";
+import { RendezvousOwners } from "../../../src/process/membership/rendezvousOwners.ts";
+
+const nodeIds = Array.from({ length: 9 }, (_, index) => `node-${index}`);
+const keys = Array.from({ length: 900 }, (_, index) => `key-${index}`);
+
+describe("RendezvousOwners", () => {
+    it("moves only the keys of a node that goes, and spreads them over all others", async () => {
+        const owners = await RendezvousOwners.create();
+        const rest = nodeIds.filter(nodeId => nodeId !== "node-4");
+        const heirs = new Set<string>();
+        for (const key of keys) {
+            const before = owners.getOwners(key, nodeIds, 3);
+            const after = owners.getOwners(key, [...rest].reverse(), 3);
+            assert.deepEqual(after.slice(0, 2), before.filter(nodeId => nodeId !== "node-4").slice(0, 2));
+            if (before[0] === "node-4") {
+                heirs.add(after[0] ?? "");
+            }
+        }
+        assert.equal(heirs.size, rest.length);
+    });
+
+    it("gives each node a fair share", async () => {
+        const owners = await RendezvousOwners.create();
+        const counts = new Map<string | undefined, number>();
+        for (const key of keys) {
+            const owner = owners.getOwners(key, nodeIds, 1)[0];
+            counts.set(owner, (counts.get(owner) ?? 0) + 1);
+        }
+        for (const nodeId of nodeIds) {
+            const count = counts.get(nodeId) ?? 0;
+            assert.ok(count > 60 && count < 140, `${nodeId} has ${count}`);
+        }
+    });
+
+    it("makes three nodes watchers, or all where there are fewer", async () => {
+        const owners = await RendezvousOwners.create();
+        const members = nodeIds.map(nodeId => ({ nodeId }) as Member);
+        const count = (of: Member[]): number => of.filter(member => isWatcher(member.nodeId, of, owners)).length;
+        assert.equal(count(members), 3);
+        assert.equal(count(members.slice(0, 2)), 2);
+    });
+});
--- /dev/null
+++ b/tests/process/membership/testNode.ts
@@ -0,0 +1,96 @@
+import { PeerConnections } from "../../../src/connection/peer/peerConnections.ts";
+import { PeerServer } from "../../../src/connection/peer/peerServer.ts";
+import { ConfigurationSpreader } from "../../../src/process/membership/configurationSpreader.ts";
+import type { ConfigurationText } from "../../../src/process/membership/configurationText.ts";
+import { Gossiper } from "../../../src/process/membership/gossiper.ts";
+import { MembershipView } from "../../../src/process/membership/membershipView.ts";
+import { systemClock } from "../../../src/process/systemClock.ts";
+import { CuttingRelay } from "../../support/cuttingRelay.ts";
+
+const secret = "test-secret";
+const log = { write: () => undefined };
+
+/** A node's membership over real loopback connections; all calls to it pass through its relay. */
+export class TestNode {
+    readonly view: MembershipView;
+    readonly relay: CuttingRelay;
+    readonly gossiper: Gossiper;
+    readonly spreader: ConfigurationSpreader;
+    readonly offered: number[] = [];
+    held: ConfigurationText | undefined;
+    private readonly connections: PeerConnections;
+    private server: PeerServer | undefined;
+
+    private constructor(nodeId: string, relay: CuttingRelay) {
+        this.relay = relay;
+        this.connections = PeerConnections.create({ secret, log, timeoutMilliseconds: 250 });
+        this.view = MembershipView.create({
+            nodeId,
+            peerAddress: relay.getAddress(),
+            dataCentre: "a",
+            incarnation: 1,
+            suspicionTimeoutMilliseconds: 1_000,
+        });
+        const { view, connections } = this;
+        const common = { view, log, clock: systemClock, random: Math.random };
+        this.spreader = ConfigurationSpreader.create({
+            ...common,
+            fanOut: 2,
+            callAnnounce: (address, request) => connections.announceConfiguration(address, request),
+            callGet: (address, request) => connections.getConfiguration(address, request),
+            getHeld: () => this.held,
+            offer: configuration => this.accept(configuration),
+        });
+        this.gossiper = Gossiper.create({
+            ...common,
+            intervalMilliseconds: 50,
+            payloads: {
+                collectEndpointRecords: () => [],
+                applyEndpointRecords: () => undefined,
+                collectDemandRecords: () => [],
+                applyDemandRecords: () => undefined,
+            },
+            callGossip: (address, request) => connections.gossip(address, request),
+            onPeerConfigurationVersion: (version, address) => void this.spreader.pull(version, address),
+        });
+    }
+
+    static async create(nodeId: string): Promise<TestNode> {
+        let port = 0;
+        const node = new TestNode(nodeId, await CuttingRelay.create(() => port));
+        node.server = await PeerServer.create({
+            address: "127.0.0.1:0",
+            secret,
+            log,
+            handlers: {
+                gossip: async request => node.gossiper.handleGossip(request),
+                announceConfiguration: async request => node.spreader.handleAnnounce(request),
+                getConfiguration: async request => node.spreader.handleGet(request),
+                claim: async () => ({}),
+                getKeptAnswer: async () => ({}),
+            },
+        });
+        port = Number(node.server.getAddress().split(":")[1]);
+        return node;
+    }
+
+    accept(configuration: ConfigurationText): void {
+        this.offered.push(configuration.version);
+        if (configuration.version > (this.held?.version ?? 0)) {
+            this.held = configuration;
+            this.view.setConfigurationVersion(configuration.version);
+        }
+    }
+
+    getStateOf(other: TestNode): string | undefined {
+        return this.view.getMember(other.view.getSelf().nodeId)?.state;
+    }
+
+    async close(): Promise<void> {
+        this.gossiper.stop();
+        this.spreader.stop();
+        this.connections.close();
+        await this.relay.close();
+        await this.server?.close(0);
+    }
+}
