Add the choice of chains and admission

Change: shortest estimated time over the layered graph with learnt step times; weighted fair queues, shared limits, early refusal with Retry-After, a retry budget.

--- /dev/null
+++ b/src/request/admission/admission.ts
@@ -0,0 +1,218 @@
+import { Err, type Result } from "../../result.ts";
+import type { CustomerConfiguration } from "../../version/configuration.ts";
+import type { AdmissionOptions } from "./admissionOptions.ts";
+import type { AdmissionRequest } from "./admissionRequest.ts";
+import { AdmissionTicket } from "./admissionTicket.ts";
+import { createCancelledRefusal } from "./createCancelledRefusal.ts";
+import { createDrainingRefusal } from "./createDrainingRefusal.ts";
+import type { QueueEntry } from "./queueEntry.ts";
+import type { Refusal } from "./refusal.ts";
+import { ServiceGate } from "./serviceGate.ts";
+import { Waiter } from "./waiter.ts";
+
+/** Largest part of the node's queue that one customer may hold. */
+const maximumCustomerPart = 0.5;
+
+/**
+ * Decides which requests run, which wait and which are refused. A refused request has not run: nothing is sent
+ * before the ticket is given, and a request that is given up is answered at once.
+ */
+export class Admission {
+    private readonly gates = new Map<string, ServiceGate<Waiter>>();
+    private readonly options: AdmissionOptions;
+    private draining = false;
+
+    private constructor(options: AdmissionOptions) {
+        this.options = options;
+    }
+
+    static create(options: AdmissionOptions): Admission {
+        return new Admission(options);
+    }
+
+    /** Requests that wait on this node. */
+    get waitingCount(): number {
+        let count = 0;
+        for (const gate of this.gates.values()) {
+            count += gate.queue.waitingCount;
+        }
+        return count;
+    }
+
+    /** Gets the load of each service that was asked for. */
+    getServiceLoads(): { service: string; running: number; waiting: number; limit: number; }[] {
+        return [...this.gates].map(([service, gate]) => ({
+            service,
+            running: gate.running,
+            waiting: gate.queue.waitingCount,
+            limit: gate.getLimit(),
+        }));
+    }
+
+    /**
+     * Asks to run a request.
+     * @param request - What is to run, for whom and until when.
+     * @returns The ticket to run it, or the refusal; never rejects.
+     */
+    requestAdmission(request: AdmissionRequest): Promise<Result<AdmissionTicket, Refusal>> {
+        const now = this.options.clock.getMonotonicTime();
+        const refusal = this.getRefusal(request, now);
+        if (refusal !== undefined) {
+            return Promise.resolve(Err(refusal));
+        }
+        const waiter = Waiter.create(request, now, this.getLatestStart(request, now));
+        this.enqueue(waiter, now);
+        this.admitWaiting(request.service);
+        if (waiter.entry?.isWaiting) {
+            this.watch(waiter, now);
+        }
+        return waiter.result;
+    }
+
+    /** Admits what may start now; call it after the concurrency limit of a service has grown. */
+    admitWaiting(service: string): void {
+        const gate = this.getGate(service);
+        const now = this.options.clock.getMonotonicTime();
+        while (gate.queue.waitingCount > 0 && gate.hasFreePlace()) {
+            const waiter = gate.queue.dequeue()?.item;
+            if (waiter === undefined) {
+                return;
+            }
+            // Its timer is late: the loop was busy.
+            if (waiter.latestStart < now) {
+                this.refuseWaiter(waiter, gate.createWaitRefusal(waiter.request, this.maximumWait, now));
+                continue;
+            }
+            gate.start();
+            waiter.admit(this.createTicket(waiter, gate, now));
+        }
+    }
+
+    /** Counts that an engine had no memory for a request that was admitted; call it before the ticket's release. */
+    observeRefusal(service: string): void {
+        this.getGate(service).observeRefusal(this.options.clock.getMonotonicTime());
+    }
+
+    /** Refuses all new and waiting requests from now on; those that run go on. */
+    startDraining(): void {
+        this.draining = true;
+        for (const gate of this.gates.values()) {
+            for (let entry = gate.queue.dequeue(); entry !== undefined; entry = gate.queue.dequeue()) {
+                entry.item.refuse(createDrainingRefusal(this.options.random));
+            }
+        }
+    }
+
+    /** Longest wait of any request, in milliseconds. */
+    private get maximumWait(): number {
+        return this.options.getConfiguration().limits.maximumQueueMilliseconds;
+    }
+
+    private getRefusal(request: AdmissionRequest, now: number): Refusal | undefined {
+        if (this.draining) {
+            return createDrainingRefusal(this.options.random);
+        }
+        if (request.signal?.aborted) {
+            return createCancelledRefusal();
+        }
+        const limitRefusal = this.options.customerLimits?.takeRequest(request.customer, now);
+        if (limitRefusal !== undefined) {
+            return limitRefusal;
+        }
+        const gate = this.getGate(request.service);
+        const refusal = gate.getWaitRefusal(request, this.maximumWait, now)
+            ?? this.getQueueRefusal(gate, request, now);
+        if (refusal !== undefined) {
+            this.options.customerLimits?.giveBackRequest(request.customer);
+        }
+        return refusal;
+    }
+
+    private getQueueRefusal(gate: ServiceGate<Waiter>, request: AdmissionRequest, now: number): Refusal | undefined {
+        if (gate.isOpen()) {
+            return undefined;
+        }
+        const maximum = this.options.getConfiguration().limits.maximumQueuedRequests;
+        const isOverOwnPart = gate.queue.getCustomerCount(request.customer) >= Math.ceil(maximum * maximumCustomerPart);
+        const isFull = this.waitingCount >= maximum;
+        if (isOverOwnPart || isFull && this.getEntryToEvict(gate, request) === undefined) {
+            return gate.createQueueRefusal(request, this.maximumWait, now);
+        }
+        return undefined;
+    }
+
+    private enqueue(waiter: Waiter, now: number): void {
+        const { customer, service, cost } = waiter.request;
+        const gate = this.getGate(service);
+        if (!gate.isOpen() && this.waitingCount >= this.options.getConfiguration().limits.maximumQueuedRequests) {
+            const evicted = this.getEntryToEvict(gate, waiter.request)?.item;
+            if (evicted !== undefined) {
+                this.giveUp(evicted, gate.createQueueRefusal(evicted.request, this.maximumWait, now));
+            }
+        }
+        waiter.entry = gate.queue.enqueue({ item: waiter, customer, weight: this.getWeight(customer), cost });
+    }
+
+    private getEntryToEvict(gate: ServiceGate<Waiter>, request: AdmissionRequest): QueueEntry<Waiter> | undefined {
+        const { customer, cost } = request;
+        return gate.queue.getEntryToEvict({ customer, cost, weight: this.getWeight(customer) });
+    }
+
+    private getLatestStart(request: AdmissionRequest, now: number): number {
+        return now + Math.max(0, this.getGate(request.service).getAllowedWait(request, this.maximumWait, now));
+    }
+
+    private watch(waiter: Waiter, now: number): void {
+        const { clock } = this.options;
+        const gate = this.getGate(waiter.request.service);
+        const timer = clock.setTimer(waiter.latestStart - now, () => {
+            this.giveUp(waiter, gate.createWaitRefusal(waiter.request, this.maximumWait, clock.getMonotonicTime()));
+        });
+        waiter.watch(timer, () => this.giveUp(waiter, createCancelledRefusal()));
+    }
+
+    private giveUp(waiter: Waiter, refusal: Refusal): void {
+        if (waiter.entry !== undefined && this.getGate(waiter.request.service).queue.remove(waiter.entry)) {
+            this.refuseWaiter(waiter, refusal);
+        }
+    }
+
+    private refuseWaiter(waiter: Waiter, refusal: Refusal): void {
+        this.options.customerLimits?.giveBackRequest(waiter.request.customer);
+        waiter.refuse(refusal);
+    }
+
+    private createTicket(waiter: Waiter, gate: ServiceGate<Waiter>, startedAt: number): AdmissionTicket {
+        const { customer, service, cost } = waiter.request;
+        return AdmissionTicket.create({
+            customer,
+            service,
+            priority: this.getCustomer(customer)?.priority ?? 0,
+            queuedMilliseconds: startedAt - waiter.arrivedAt,
+            onRelease: tokens => {
+                const now = this.options.clock.getMonotonicTime();
+                const weight = this.getWeight(customer);
+                gate.finish({ customer, weight, cost, tokens, elapsedMilliseconds: now - startedAt }, now);
+                this.admitWaiting(service);
+            },
+        });
+    }
+
+    private getCustomer(customer: string): CustomerConfiguration | undefined {
+        return this.options.getConfiguration().customers[customer];
+    }
+
+    private getWeight(customer: string): number {
+        return this.getCustomer(customer)?.weight ?? 1;
+    }
+
+    private getGate(service: string): ServiceGate<Waiter> {
+        let gate = this.gates.get(service);
+        if (gate === undefined) {
+            const { getConcurrencyLimit, random } = this.options;
+            gate = ServiceGate.create<Waiter>(service, () => getConcurrencyLimit(service), random);
+            this.gates.set(service, gate);
+        }
+        return gate;
+    }
+}
--- /dev/null
+++ b/src/request/admission/admissionOptions.ts
@@ -0,0 +1,15 @@
+import type { Clock } from "../../process/clock.ts";
+import type { RandomSource } from "../../process/randomSource.ts";
+import type { Configuration } from "../../version/configuration.ts";
+import type { CustomerLimits } from "./customerLimits.ts";
+
+/** What an `Admission` works with. */
+export interface AdmissionOptions {
+    getConfiguration: () => Configuration;
+    clock: Clock;
+    random: RandomSource;
+    /** This node's share of what the service's endpoints serve at the same time, in requests. */
+    getConcurrencyLimit: (service: string) => number;
+    /** Limits of the customers, shared with the other nodes; without it no rate limit holds. */
+    customerLimits?: CustomerLimits;
+}
--- /dev/null
+++ b/src/request/admission/admissionTicket.ts
@@ -0,0 +1,41 @@
+/** What an `AdmissionTicket` is created from. */
+interface AdmissionTicketOptions {
+    customer: string;
+    service: string;
+    priority: number;
+    queuedMilliseconds: number;
+    onRelease: (tokens: number) => void;
+}
+
+/** The right to run one request. Its holder releases it when the run has ended, however it ended. */
+export class AdmissionTicket {
+    readonly customer: string;
+    readonly service: string;
+    /** Priority of the customer for the engines; higher goes first. */
+    readonly priority: number;
+    /** Time between the arrival and the admission, in milliseconds. */
+    readonly queuedMilliseconds: number;
+    private onRelease: ((tokens: number) => void) | undefined;
+
+    private constructor(options: AdmissionTicketOptions) {
+        this.customer = options.customer;
+        this.service = options.service;
+        this.priority = options.priority;
+        this.queuedMilliseconds = options.queuedMilliseconds;
+        this.onRelease = options.onRelease;
+    }
+
+    static create(options: AdmissionTicketOptions): AdmissionTicket {
+        return new AdmissionTicket(options);
+    }
+
+    /**
+     * Gives the place back and settles the customer's account. A second call does nothing.
+     * @param usage - Tokens that the run took; 0 where an endpoint said that it did not run.
+     */
+    release(usage: { tokens: number; }): void {
+        const onRelease = this.onRelease;
+        this.onRelease = undefined;
+        onRelease?.(usage.tokens);
+    }
+}
--- /dev/null
+++ b/src/request/admission/queueEntry.ts
@@ -0,0 +1,8 @@
+/** One waiting item of a `FairQueue`. */
+export interface QueueEntry<T> {
+    readonly item: T;
+    readonly customer: string;
+    readonly cost: number;
+    /** False once the entry was taken or removed. */
+    isWaiting: boolean;
+}
--- /dev/null
+++ b/src/request/admission/serviceGate.ts
@@ -0,0 +1,178 @@
+import type { RandomSource } from "../../process/randomSource.ts";
+import { AdaptiveLimit } from "./adaptiveLimit.ts";
+import type { AdmissionRequest } from "./admissionRequest.ts";
+import { DrainRate } from "./drainRate.ts";
+import { FairQueue } from "./fairQueue.ts";
+import type { Refusal } from "./refusal.ts";
+import { RefusalKind } from "./refusalKind.ts";
+import { ReturnSchedule } from "./returnSchedule.ts";
+
+/** Part of the allowed wait up to which a request is queued: estimates err, and a late refusal helps nobody. */
+const queuedPart = 0.8;
+
+/** Part of the allowed wait to which the queue has drained when a refused caller comes back. */
+const returnPart = 0.5;
+
+/** A run that ended. */
+interface EndedRun {
+    customer: string;
+    weight: number;
+    /** Expected cost, in tokens. */
+    cost: number;
+    /** Tokens that it took; 0 where it did not run. */
+    tokens: number;
+    elapsedMilliseconds: number;
+}
+
+/** The admission of one service: what runs, what waits, and how fast it drains. Does no I/O and sets no timers. */
+export class ServiceGate<T> {
+    readonly queue = FairQueue.create<T>();
+    private readonly service: string;
+    private readonly returns: ReturnSchedule;
+    private readonly getGivenLimit: () => number;
+    private readonly adaptiveLimit = AdaptiveLimit.create();
+    private readonly drainRate = DrainRate.create();
+    private runningCount = 0;
+
+    private constructor(service: string, getGivenLimit: () => number, random: RandomSource) {
+        this.service = service;
+        this.getGivenLimit = getGivenLimit;
+        this.returns = ReturnSchedule.create(random);
+    }
+
+    /**
+     * @param service - Name of the service.
+     * @param getGivenLimit - Gets the requests that may run at the same time, before what is learned.
+     * @param random - Source of the spread of returns.
+     */
+    static create<T>(service: string, getGivenLimit: () => number, random: RandomSource): ServiceGate<T> {
+        return new ServiceGate<T>(service, getGivenLimit, random);
+    }
+
+    /** Requests in progress. */
+    get running(): number {
+        return this.runningCount;
+    }
+
+    /** Gets the requests that may run at the same time now. */
+    getLimit(): number {
+        return this.adaptiveLimit.getLimit(this.getGivenLimit());
+    }
+
+    /** Whether another request may start. */
+    hasFreePlace(): boolean {
+        return this.runningCount < this.getLimit();
+    }
+
+    /** Whether a new request would start at once. */
+    isOpen(): boolean {
+        return this.queue.waitingCount === 0 && this.hasFreePlace();
+    }
+
+    /**
+     * Gets the longest wait after which a request can still end in time.
+     * @param request - Request that arrives now.
+     * @param maximum - Longest wait of any request, in milliseconds.
+     * @param now - Monotonic time in milliseconds.
+     * @returns Milliseconds; negative where even a start at once would be too late.
+     */
+    getAllowedWait(request: AdmissionRequest, maximum: number, now: number): number {
+        if (request.deadline === undefined) {
+            return maximum;
+        }
+        return Math.min(maximum, request.deadline - now - this.drainRate.getRunMilliseconds(request.cost));
+    }
+
+    /**
+     * Refuses a request that would not end in time.
+     * @param request - Request that arrives now.
+     * @param maximum - Longest wait of any request, in milliseconds.
+     * @param now - Monotonic time in milliseconds.
+     */
+    getWaitRefusal(request: AdmissionRequest, maximum: number, now: number): Refusal | undefined {
+        if (this.isOpen()) {
+            // A run is tried even where it looks too long: only runs can show that the estimate is out of date.
+            const isLate = request.deadline !== undefined && request.deadline <= now;
+            return isLate ? this.createWaitRefusal(request, maximum, now) : undefined;
+        }
+        const allowed = this.getAllowedWait(request, maximum, now) * queuedPart;
+        return this.getWaitMilliseconds(request.customer, allowed) <= allowed
+            ? undefined
+            : this.createWaitRefusal(request, maximum, now);
+    }
+
+    /**
+     * Creates the refusal of a request that would not start, or end, in time.
+     * @param request - The refused request.
+     * @param maximum - Longest wait of any request, in milliseconds.
+     * @param now - Monotonic time in milliseconds.
+     */
+    createWaitRefusal(request: AdmissionRequest, maximum: number, now: number): Refusal {
+        return {
+            kind: RefusalKind.WaitTooLong,
+            retryAfterMilliseconds: this.bookReturn(request, maximum, now),
+            message: `The request for service "${this.service}" would not end in time and has not run. `
+                + "Send it again after the given time, or allow it more time.",
+        };
+    }
+
+    /**
+     * Creates the refusal of a request for which the queue has no place.
+     * @param request - The refused request.
+     * @param maximum - Longest wait of any request, in milliseconds.
+     * @param now - Monotonic time in milliseconds.
+     */
+    createQueueRefusal(request: AdmissionRequest, maximum: number, now: number): Refusal {
+        return {
+            kind: RefusalKind.QueueFull,
+            retryAfterMilliseconds: this.bookReturn(request, maximum, now),
+            message: `The queue for service "${this.service}" is full and the request has not run. `
+                + "Send it again after the given time, or raise limits.maximumQueuedRequests in the configuration.",
+        };
+    }
+
+    start(): void {
+        this.runningCount++;
+    }
+
+    /**
+     * Gives the place of a run back, settles its customer's account and learns from it.
+     * @param run - The run that ended.
+     * @param now - Monotonic time in milliseconds.
+     */
+    finish(run: EndedRun, now: number): void {
+        if (run.tokens > 0) {
+            this.adaptiveLimit.observeSuccess(this.runningCount, this.getGivenLimit());
+            this.drainRate.observe(run.cost, run.elapsedMilliseconds, now);
+        }
+        this.runningCount--;
+        this.queue.charge(run.customer, run.weight, run.tokens - run.cost);
+    }
+
+    /** Learns that an engine had no memory for a request that was admitted. */
+    observeRefusal(now: number): void {
+        const round = this.drainRate.getMeanRunMilliseconds() ?? 0;
+        this.adaptiveLimit.observeRefusal(this.runningCount, round, now);
+    }
+
+    /** Estimates the wait of a customer's new request in milliseconds, exactly where it is over `allowed`. */
+    private getWaitMilliseconds(customer: string, allowed: number): number {
+        const rate = this.getRate();
+        if (rate === undefined || rate <= 0) {
+            return 0;
+        }
+        const wholeQueue = this.queue.waitingCost / rate;
+        return wholeQueue <= allowed ? wholeQueue : this.queue.getCostAhead(customer) / rate;
+    }
+
+    private bookReturn(request: AdmissionRequest, maximum: number, now: number): number {
+        const goal = maximum * returnPart;
+        const excessMilliseconds = Math.max(0, this.getWaitMilliseconds(request.customer, goal) - goal);
+        return this.returns.book({ cost: request.cost, rate: this.getRate(), excessMilliseconds, now });
+    }
+
+    /** Gets the cost that drains in a millisecond; undefined before the first run has ended. */
+    private getRate(): number | undefined {
+        return this.drainRate.getRate(this.getLimit());
+    }
+}
--- /dev/null
+++ b/tests/request/chain/chainFixture.ts
@@ -0,0 +1,96 @@
+import type { EndpointState } from "../../../src/connection/endpoint/endpointState.ts";
+import type { Clock } from "../../../src/process/clock.ts";
+import type { ChainOptions } from "../../../src/request/chain/chainChooser.ts";
+import { EstimatedTimeChooser } from "../../../src/request/chain/estimatedTimeChooser.ts";
+import type { Configuration, EndpointConfiguration } from "../../../src/version/configuration.ts";
+import { createSeededRandom } from "./seededRandom.ts";
+
+/** What a test says of an endpoint. */
+export interface FixtureEndpoint {
+    start: number;
+    end: number;
+    dataCentre?: string;
+    state?: EndpointState["state"];
+    step?: number;
+}
+
+/** A chooser over a few endpoints `e0`, `e1` and so on, of one model `m`, at a time that the test sets. */
+export class ChainFixture {
+    readonly configuration: Configuration;
+    readonly states = new Map<string, EndpointState>();
+    now = 0;
+
+    private constructor(layers: number, endpoints: readonly FixtureEndpoint[]) {
+        this.configuration = createConfiguration(layers, endpoints);
+        for (const [index, { start, end, state }] of endpoints.entries()) {
+            const endpoint = `e${index}`;
+            this.states.set(endpoint, { endpoint, state: state ?? "serving", layers: [{ model: "m", start, end }] });
+        }
+    }
+
+    /** Creates the fixture. */
+    static create(layers: number, endpoints: readonly FixtureEndpoint[]): ChainFixture {
+        return new ChainFixture(layers, endpoints);
+    }
+
+    /** Creates a chooser that reads from this fixture. */
+    createChooser(seed = 1): EstimatedTimeChooser {
+        const clock: Clock = {
+            getMonotonicTime: () => this.now,
+            getWallTime: () => this.now,
+            setTimer: (_delay, callback) => {
+                callback();
+                return { cancel: () => undefined };
+            },
+        };
+        return EstimatedTimeChooser.create({
+            getConfiguration: () => this.configuration,
+            getEndpointState: name => this.states.get(name),
+            clock,
+            random: createSeededRandom(seed),
+        });
+    }
+
+    /** Options of a choice for model `m` from data centre `a`. */
+    getOptions(options: Partial<ChainOptions> = {}): ChainOptions {
+        return {
+            model: "m",
+            dataCentre: "a",
+            positions: 16,
+            excluded: new Set(),
+            preferred: new Set(),
+            ...options,
+        };
+    }
+}
+
+function createConfiguration(layers: number, endpoints: readonly FixtureEndpoint[]): Configuration {
+    const entries = endpoints.map(({ start, end, dataCentre, step }, index): [string, EndpointConfiguration] => [
+        `e${index}`,
+        {
+            kind: "engine",
+            address: "127.0.0.1:1",
+            dataCentre: dataCentre ?? "a",
+            accelerator: "k",
+            layers: [{ model: "m", start, end }],
+            checksFencing: true,
+            maximumSequences: 8,
+            stepMillisecondsPerLayer: step,
+        },
+    ]);
+    return {
+        models: { m: { layers, hiddenBytes: 1_000 } },
+        services: {},
+        endpoints: Object.fromEntries(entries),
+        dataCentres: { a: { region: "r" }, b: { region: "r" } },
+        links: [{ from: "a", to: "b", latencyMilliseconds: 10, megabytesPerSecond: 10 }],
+        customers: {},
+        limits: {
+            maximumBodyBytes: 1,
+            maximumTokens: 1,
+            maximumQueueMilliseconds: 1,
+            maximumQueuedRequests: 1,
+        },
+        claims: { shards: 1, windowMilliseconds: 1, appendIntervalMilliseconds: 1 },
+    };
+}
