--- /dev/null
+++ b/scripts/checkGenerated.ts
@@ -0,0 +1,34 @@
+/** Checks that the committed code of the wire definitions is what the generator makes of them now. */
+import { spawnSync } from "node:child_process";
+import { globSync, mkdtempSync, readFileSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+
+const folder = "src/wire/generated";
+
+process.chdir(new URL("..", import.meta.url).pathname);
+
+const output = mkdtempSync(join(tmpdir(), "foxlead-generated-"));
+try {
+    runBuf("lint");
+    runBuf("generate", "--output", output);
+    const expected = readTree(join(output, folder));
+    const committed = readTree(folder);
+    if (JSON.stringify(expected) !== JSON.stringify(committed)) {
+        throw new Error(`${folder} differs from what the generator makes. Run npm run generate and commit the result.`);
+    }
+}
+finally {
+    rmSync(output, { recursive: true });
+}
+
+function runBuf(...options: string[]): void {
+    const { status } = spawnSync("node_modules/.bin/buf", options, { stdio: "inherit" });
+    if (status !== 0) {
+        throw new Error(`buf ${options[0]} failed; see its message above.`);
+    }
+}
+
+function readTree(path: string): string[][] {
+    return globSync("**/*.ts", { cwd: path }).sort().map(file => [file, readFileSync(join(path, file), "utf8")]);
+}
--- /dev/null
+++ b/scripts/runTests.ts
@@ -0,0 +1,63 @@
+/**
+ * Runs the tests. Tests that KNOWN-RED.txt lists run apart, and their failure alone doesn't fail the run. Skipped
+ * tests fail it.
+ */
+import { existsSync, globSync, readFileSync } from "node:fs";
+import type { KnownRedTest } from "./testing/knownRedTest.ts";
+import { parseKnownRed } from "./testing/parseKnownRed.ts";
+import { runTestFiles } from "./testing/runTestFiles.ts";
+
+const knownRedFile = "KNOWN-RED.txt";
+
+process.chdir(new URL("..", import.meta.url).pathname);
+
+const knownRed = existsSync(knownRedFile) ? parseKnownRed(readFileSync(knownRedFile, "utf8")) : [];
+const faults: string[] = [];
+
+const filesWithKnownRed = new Set(knownRed.map(test => test.file));
+const files = globSync("tests/**/*.test.ts").sort();
+if (files.length === 0) {
+    throw new Error("There are no test files under tests/; restore them.");
+}
+await runAndCheck(files.filter(file => !filesWithKnownRed.has(file)), []);
+for (const file of filesWithKnownRed) {
+    await runAndCheck([file], knownRed.filter(test => test.file === file).map(createPattern));
+}
+for (const test of knownRed) {
+    await runKnownRed(test);
+}
+for (const fault of faults) {
+    console.error(fault);
+}
+process.exitCode = faults.length === 0 ? 0 : 1;
+
+async function runAndCheck(paths: string[], except: RegExp[]): Promise<void> {
+    // The test runner would look for files itself where none are named.
+    if (paths.length === 0) {
+        return;
+    }
+    const { failed, skipped } = await runTestFiles(paths, { except });
+    if (failed.length > 0) {
+        faults.push(`Failed: ${failed.join("; ")}.`);
+    }
+    if (skipped.length > 0) {
+        faults.push(`Marked as skipped or to do, which counts as failed: ${skipped.join("; ")}.`);
+    }
+}
+
+async function runKnownRed(test: KnownRedTest): Promise<void> {
+    console.log(`Known red: ${test.file}: ${test.fullName} (${test.cause}; ${test.issue})`);
+    const { failed, passed, skipped } = await runTestFiles([test.file], { only: [createPattern(test)] });
+    const isOne = failed.length + passed.length === 1 && skipped.length === 0;
+    const ownName = [...failed, ...passed][0];
+    if (isOne && passed.length > 0) {
+        console.log(`It passed in this run. Remove its line from ${knownRedFile} once it always does.`);
+    }
+    if (!isOne || ownName === undefined || !test.fullName.endsWith(ownName)) {
+        faults.push(`${knownRedFile} must name one test that runs, but not: ${test.file}: ${test.fullName}.`);
+    }
+}
+
+function createPattern(test: KnownRedTest): RegExp {
+    return new RegExp(`^${test.fullName.replaceAll(/[$()*+.?[\\\]^{|}]/g, "\\$&")}$`);
+}
--- /dev/null
+++ b/scripts/testing/parseKnownRed.ts
@@ -0,0 +1,34 @@
+import type { KnownRedTest } from "./knownRedTest.ts";
+
+const maximumLines = 3;
+const lineForm = "FILE > SUITE > TEST | CAUSE | ISSUE";
+
+/**
+ * Parses KNOWN-RED.txt: at most three lines, each `FILE > SUITE > TEST | CAUSE | ISSUE`.
+ * @param text - Content of the file.
+ * @throws Where a line is malformed or stands twice, or there are too many.
+ */
+export function parseKnownRed(text: string): KnownRedTest[] {
+    const lines = text.split("\n").filter(line => line.trim() !== "");
+    if (lines.length > maximumLines) {
+        throw new Error(`KNOWN-RED.txt has ${lines.length} lines. Mend tests until it has at most ${maximumLines}.`);
+    }
+    const tests: KnownRedTest[] = [];
+    for (const line of lines) {
+        const test = parseLine(line);
+        if (tests.some(other => other.file === test.file && other.fullName === test.fullName)) {
+            throw new Error(`KNOWN-RED.txt lists this test twice; remove a line: ${line}`);
+        }
+        tests.push(test);
+    }
+    return tests;
+}
+
+function parseLine(line: string): KnownRedTest {
+    const [path = "", cause, issue, ...excess] = line.split(" | ").map(part => part.trim());
+    const [file = "", ...names] = path.split(" > ");
+    if (!cause || !issue || excess.length > 0 || names.length === 0 || !/^tests\/.+\.test\.ts$/.test(file)) {
+        throw new Error(`KNOWN-RED.txt has a malformed line; write ${lineForm}: ${line}`);
+    }
+    return { file, fullName: names.join(" "), cause, issue };
+}
--- /dev/null
+++ b/scripts/writeEvents.ts
@@ -0,0 +1,6 @@
+/** Writes docs/EVENTS.md from the catalogue of log events. */
+import { writeFileSync } from "node:fs";
+import { events } from "../src/process/logging/events.ts";
+import { formatCatalogue } from "../src/process/logging/formatCatalogue.ts";
+
+writeFileSync(new URL("../docs/EVENTS.md", import.meta.url), formatCatalogue(events));
--- /dev/null
+++ b/src/connection/document/documentAnswer.ts
@@ -0,0 +1,6 @@
+/** The whole answer of a document service. */
+export interface DocumentAnswer {
+    status: number;
+    contentType: string;
+    body: Buffer;
+}
--- /dev/null
+++ b/src/connection/document/documentConnection.ts
@@ -0,0 +1,130 @@
+import { Agent, type Dispatcher } from "undici";
+import { Err, Ok, type Result } from "../../result.ts";
+import { isConnectFailure } from "../endpoint/isConnectFailure.ts";
+import type { DocumentAnswer } from "./documentAnswer.ts";
+import type { DocumentCall } from "./documentCall.ts";
+import type { DocumentFailure } from "./documentFailure.ts";
+
+/** Options of a {@link DocumentConnection}. */
+interface DocumentConnectionOptions {
+    endpoint: string;
+    /** host:port. */
+    address: string;
+}
+
+/** Answers above this are not passed on: they could not be kept whole. */
+const MaximumAnswerBytes = 16 * 1024 * 1024;
+const ConnectTimeoutMilliseconds = 500;
+/** Idle connections are retired soon, since one that has gone silent cannot be told from a good one. */
+const KeepAliveMilliseconds = 4_000;
+const TooManyRequestsStatus = 429;
+
+/** The connections of this node to one endpoint of a document service. */
+export class DocumentConnection {
+    private readonly options: DocumentConnectionOptions;
+    private agent = createAgent();
+
+    private constructor(options: DocumentConnectionOptions) {
+        this.options = options;
+    }
+
+    /** Creates the connections; nothing is opened before the first call. */
+    static create(options: DocumentConnectionOptions): DocumentConnection {
+        return new DocumentConnection(options);
+    }
+
+    /**
+     * Sends one call, once. A call that may not be repeated gets a connection of its own, so that an old one that has
+     * gone silent cannot swallow it.
+     * @param call - The call.
+     * @param signal - Aborts the call.
+     */
+    async send(call: DocumentCall, signal: AbortSignal): Promise<Result<DocumentAnswer, DocumentFailure>> {
+        const dispatcher = call.isIdempotent ? this.agent : createAgent();
+        try {
+            return await this.exchange(dispatcher, call, signal);
+        }
+        catch (error) {
+            return Err(this.createFailure(isConnectFailure(error) ? "notSent" : "unknown", describeError(error)));
+        }
+        finally {
+            if (dispatcher !== this.agent) {
+                void dispatcher.destroy();
+            }
+        }
+    }
+
+    /** Drops all open connections, after one has proved silent; new calls open new ones. */
+    replace(): void {
+        const oldAgent = this.agent;
+        this.agent = createAgent();
+        void oldAgent.close();
+    }
+
+    /** Closes the connections. */
+    async close(): Promise<void> {
+        await this.agent.close();
+    }
+
+    private async exchange(
+        dispatcher: Dispatcher,
+        call: DocumentCall,
+        signal: AbortSignal,
+    ): Promise<Result<DocumentAnswer, DocumentFailure>> {
+        const response = await dispatcher.request({
+            origin: `http://${this.options.address}`,
+            method: call.method as Dispatcher.HttpMethod,
+            path: call.path,
+            headers: call.headers,
+            body: call.body.length === 0 ? undefined : call.body,
+            signal,
+        });
+        if (response.statusCode === TooManyRequestsStatus) {
+            await response.body.dump();
+            return Err(this.createFailure("refused", "it is too busy"));
+        }
+        const body = await readAnswerBody(response.body);
+        if (body === undefined) {
+            return Err(this.createFailure("unknown", `its answer is larger than ${MaximumAnswerBytes} bytes`));
+        }
+        const contentType = response.headers["content-type"];
+        return Ok({
+            status: response.statusCode,
+            contentType: typeof contentType === "string" ? contentType : "application/octet-stream",
+            body,
+        });
+    }
+
+    private createFailure(kind: DocumentFailure["kind"], reason: string): DocumentFailure {
+        const { endpoint } = this.options;
+        return { kind, endpoint, message: `Endpoint ${endpoint} brought no answer: ${reason}.` };
+    }
+}
+
+function createAgent(): Agent {
+    return new Agent({
+        connectTimeout: ConnectTimeoutMilliseconds,
+        keepAliveTimeout: KeepAliveMilliseconds,
+        keepAliveMaxTimeout: KeepAliveMilliseconds,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        pipelining: 1,
+    });
+}
+
+async function readAnswerBody(stream: AsyncIterable<Buffer>): Promise<Buffer | undefined> {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    for await (const chunk of stream) {
+        length += chunk.length;
+        if (length > MaximumAnswerBytes) {
+            return undefined;
+        }
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks);
+}
+
+function describeError(error: unknown): string {
+    return error instanceof Error ? error.message : String(error);
+}
--- /dev/null
+++ b/src/connection/endpoint/batchClosing.ts
@@ -0,0 +1,6 @@
+/** How the answer to a batch of passes ended. */
+export interface BatchClosing {
+    reason: string;
+    /** Whether a byte of the batch may have reached the engine. */
+    mayHaveArrived: boolean;
+}
--- /dev/null
+++ b/src/connection/endpoint/endpointBelief.ts
@@ -0,0 +1,89 @@
+import type { LayerRange } from "../../version/configuration.ts";
+import type { EndpointObservation } from "./endpointObservation.ts";
+import type { EndpointState } from "./endpointState.ts";
+import type { EngineStatus } from "./engineProtocol.ts";
+
+/** A node's own good answer goes before a peer's word that the endpoint is unreachable, for this long. */
+const OwnAnswerMilliseconds = 1_000;
+
+/**
+ * What a node believes of one endpoint, from four sources: its own calls, the endpoint's status, the reports of peers, and
+ * the platform's list of machines. The first source that says "leaving" suffices; it ends only when that source takes it
+ * back.
+ */
+export class EndpointBelief {
+    private readonly endpoint: string;
+    private layers: readonly LayerRange[];
+    private hasReportedLayers = false;
+    private isVmLeaving = false;
+    private isLeaving = false;
+    private isUnreachable = false;
+    private answeredAt = Number.NEGATIVE_INFINITY;
+
+    private constructor(endpoint: string, layers: readonly LayerRange[]) {
+        this.endpoint = endpoint;
+        this.layers = layers;
+    }
+
+    /** Creates the belief at the start: serving, with the layers of the configuration. */
+    static create(endpoint: string, layers: readonly LayerRange[]): EndpointBelief {
+        return new EndpointBelief(endpoint, layers);
+    }
+
+    getState(): EndpointState {
+        const { endpoint, layers } = this;
+        if (this.isLeaving || this.isVmLeaving) {
+            return { endpoint, layers, state: "leaving" };
+        }
+        return { endpoint, layers, state: this.isUnreachable ? "unreachable" : "serving" };
+    }
+
+    /** Takes the layers of a new configuration, unless the engine has reported its own. */
+    setConfiguredLayers(layers: readonly LayerRange[]): void {
+        if (!this.hasReportedLayers) {
+            this.layers = layers;
+        }
+    }
+
+    observeStatus(status: EngineStatus): void {
+        this.isUnreachable = false;
+        this.isLeaving = status.leaving;
+        this.setReportedLayers(status.layers);
+    }
+
+    /** @param now - Monotonic time in milliseconds. */
+    observeAnswer(now: number): void {
+        this.isUnreachable = false;
+        this.answeredAt = now;
+    }
+
+    observeUnreachable(): void {
+        this.isUnreachable = true;
+    }
+
+    observeLeavingRefusal(): void {
+        this.isLeaving = true;
+    }
+
+    observeVm(state: "live" | "leaving"): void {
+        this.isVmLeaving = state === "leaving";
+    }
+
+    /** @param now - Monotonic time in milliseconds. */
+    observePeerReport(observation: EndpointObservation, now: number): void {
+        if (observation.state === "unreachable") {
+            this.isUnreachable ||= now - this.answeredAt > OwnAnswerMilliseconds;
+            return;
+        }
+        this.isUnreachable = false;
+        this.isLeaving = observation.state === "leaving";
+        this.setReportedLayers(observation.layers);
+    }
+
+    private setReportedLayers(layers: readonly LayerRange[]): void {
+        if (layers.length > 0 || this.hasReportedLayers) {
+            this.layers = layers;
+            this.hasReportedLayers = true;
+        }
+    }
+}
--- /dev/null
+++ b/src/connection/endpoint/endpointReports.ts
@@ -0,0 +1,79 @@
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import type { EndpointRecord, EndpointRecordSchema } from "../../wire/generated/foxlead/peer/v1/peer_pb.ts";
+
+/** An endpoint record as it is sent. */
+export type EndpointReport = MessageInitShape<typeof EndpointRecordSchema> & { endpoint: string; sequence: bigint; };
+
+/** A record that still travels. */
+interface TravellingReport {
+    report: EndpointReport;
+    /** Messages that it still rides on. */
+    transmissions: number;
+}
+
+/** Upper bound of the bytes that one record takes on the wire, names of common length included. */
+const EstimatedReportBytes = 96;
+const BytesPerRange = 24;
+/** As in SWIM's dissemination: a change rides on a few messages a node, growing with the logarithm of the nodes. */
+const TransmissionFactor = 4;
+
+/**
+ * The endpoint records that travel between nodes. A record that is new here is passed on a bounded number of times; a newer
+ * one of the same endpoint takes its place. Sequence numbers are wall-clock milliseconds of the observation.
+ */
+export class EndpointReports {
+    private readonly latest = new Map<string, bigint>();
+    private readonly travelling = new Map<string, TravellingReport>();
+    private readonly getNodeCount: () => number;
+
+    private constructor(getNodeCount: () => number) {
+        this.getNodeCount = getNodeCount;
+    }
+
+    /** @param getNodeCount - Gets the number of live nodes. */
+    static create(getNodeCount: () => number): EndpointReports {
+        return new EndpointReports(getNodeCount);
+    }
+
+    /**
+     * Takes a report of this node or a peer, if it is newer than the last one of its endpoint.
+     * @returns Whether it was new.
+     */
+    add(report: EndpointReport): boolean {
+        const known = this.latest.get(report.endpoint);
+        if (known !== undefined && known >= report.sequence) {
+            return false;
+        }
+        this.latest.set(report.endpoint, report.sequence);
+        const transmissions = TransmissionFactor * (1 + Math.ceil(Math.log2(this.getNodeCount() + 1)));
+        this.travelling.set(report.endpoint, { report, transmissions });
+        return true;
+    }
+
+    /** Takes a record that a peer sent; returns whether it was new. */
+    addRecord(record: EndpointRecord): boolean {
+        return this.add(record);
+    }
+
+    /**
+     * Gets the records for one message, those with the most transmissions left first.
+     * @param budgetBytes - Most bytes that they may take.
+     */
+    collect(budgetBytes: number): EndpointReport[] {
+        const waiting = [...this.travelling.values()].sort((left, right) => right.transmissions - left.transmissions);
+        const collected: EndpointReport[] = [];
+        let remainingBytes = budgetBytes;
+        for (const travelling of waiting) {
+            remainingBytes -= EstimatedReportBytes + BytesPerRange * (travelling.report.layers?.length ?? 0);
+            if (remainingBytes < 0) {
+                break;
+            }
+            collected.push(travelling.report);
+            travelling.transmissions -= 1;
+            if (travelling.transmissions === 0) {
+                this.travelling.delete(travelling.report.endpoint);
+            }
+        }
+        return collected;
+    }
+}
--- /dev/null
+++ b/src/connection/endpoint/engineConnection.ts
@@ -0,0 +1,307 @@
+import { Client, Pool } from "undici";
+import type { Clock } from "../../process/clock.ts";
+import { Err, Ok, type Result } from "../../result.ts";
+import type { BatchClosing } from "./batchClosing.ts";
+import type { CancelOrder, EngineOrder, EngineStatus, Pass, PassResult } from "./engineProtocol.ts";
+import { engineStatusSchema } from "./engineStatusSchema.ts";
+import { HopDeadline } from "./hopDeadline.ts";
+import type { PassFailure } from "./passFailure.ts";
+import { sendPassBatch } from "./sendPassBatch.ts";
+
+/** Options of an {@link EngineConnection}. */
+export interface EngineConnectionOptions {
+    endpoint: string;
+    /** host:port. */
+    address: string;
+    clock: Clock;
+    /** Called for each pass that was answered, with the time that it took in milliseconds. */
+    onAnswered(endpoint: string, pass: Pass, result: PassResult, elapsedMilliseconds: number): void;
+    /** Called when a connection has gone silent while new ones work, and is replaced. */
+    onSilentConnection(endpoint: string): void;
+}
+
+/** A pass that has been given to the connection and is not settled. */
+interface WaitingPass {
+    pass: Pass;
+    positions: number;
+    sends: number;
+    sentAt: number;
+    /** Whether a byte of the pass may have reached the engine. */
+    mayHaveArrived: boolean;
+    /** Whether a probe decides what becomes of the pass. */
+    isDoubtful: boolean;
+    settle(outcome: Result<PassResult, PassFailure>): void;
+    cancelTimer(): void;
+}
+
+/** An engine that answers a probe has this long to do so. */
+const ProbeTimeoutMilliseconds = 300;
+/** Sends of one pass, the first included, before the endpoint is given up. */
+const MaximumSends = 4;
+const MaximumConnections = 64;
+/** Reasons of a refusal that prove that the pass did not run; `cancelled` and `order` do not. */
+const notRunReasons: ReadonlySet<string> = new Set(["leaving", "memory", "layers", "model"]);
+const CallTimeoutMilliseconds = 2_000;
+
+/**
+ * The connections of this node to one model engine. Passes handed over in one turn of the event loop leave in one batch.
+ * A pass that is overdue makes the connection doubtful: the engine is probed over a new connection. If it answers, the
+ * old connections are replaced and the pass is sent again, which the engine does not run twice; if not, it fails.
+ */
+export class EngineConnection {
+    private readonly options: EngineConnectionOptions;
+    private readonly origin: string;
+    private readonly deadline = HopDeadline.create();
+    private readonly waiting = new Map<number, WaitingPass>();
+    private outgoing: WaitingPass[] = [];
+    private pool: Pool;
+    private nextId = 1;
+    private probe: Promise<boolean> | undefined;
+    private isClosed = false;
+
+    private constructor(options: EngineConnectionOptions) {
+        this.options = options;
+        this.origin = `http://${options.address}`;
+        this.pool = createPool(this.origin);
+    }
+
+    /** Creates the connections; nothing is opened before the first pass. */
+    static create(options: EngineConnectionOptions): EngineConnection {
+        return new EngineConnection(options);
+    }
+
+    /**
+     * Runs one pass at the engine.
+     * @param pass - The pass; its `id` is chosen here.
+     * @param positions - Positions that the pass covers, as far as known; the deadline depends on it.
+     */
+    runPass(pass: Omit<Pass, "id">, positions: number): Promise<Result<PassResult, PassFailure>> {
+        return new Promise(resolve => {
+            const waitingPass = this.createWaitingPass({ ...pass, id: this.nextId++ }, positions, resolve);
+            if (this.isClosed) {
+                waitingPass.settle(Err(this.createFailure("notSent", "closed")));
+                return;
+            }
+            this.waiting.set(waitingPass.pass.id, waitingPass);
+            this.enqueue(waitingPass);
+        });
+    }
+
+    /** Frees a sequence at the engine; a failure is of no consequence, since idle sequences lapse there. */
+    async cancel(order: CancelOrder): Promise<void> {
+        await this.call("POST", "/v1/cancel", order);
+    }
+
+    /** Reads the engine's status. */
+    async getStatus(): Promise<Result<EngineStatus, PassFailure>> {
+        const answer = await this.call("GET", "/v1/status");
+        if (!answer.ok) {
+            return answer;
+        }
+        const status = engineStatusSchema.safeParse(answer.val.body);
+        if (!status.success) {
+            return Err(this.createFailure("failed", "status of a wrong shape"));
+        }
+        return Ok(status.data);
+    }
+
+    /** Sends an order; the status code tells whether the engine took it (200) or found its number old (409). */
+    async sendOrder(order: EngineOrder): Promise<Result<number, PassFailure>> {
+        const answer = await this.call("POST", "/v1/orders", order);
+        return answer.ok ? Ok(answer.val.status) : answer;
+    }
+
+    /** Probes the engine over a new connection. Probes that come while one runs share its answer. */
+    isAnswering(): Promise<boolean> {
+        this.probe ??= this.probeOverNewConnection().finally(() => {
+            this.probe = undefined;
+        });
+        return this.probe;
+    }
+
+    /** Closes the connections; passes that wait fail. */
+    async close(): Promise<void> {
+        this.isClosed = true;
+        for (const waitingPass of this.waiting.values()) {
+            this.settle(waitingPass, Err(this.createFailure("unreachable", "closed")));
+        }
+        await this.pool.destroy();
+    }
+
+    private createWaitingPass(
+        pass: Pass,
+        positions: number,
+        settle: (outcome: Result<PassResult, PassFailure>) => void,
+    ): WaitingPass {
+        return {
+            pass,
+            positions,
+            sends: 0,
+            sentAt: 0,
+            mayHaveArrived: false,
+            isDoubtful: false,
+            settle,
+            cancelTimer: () => undefined,
+        };
+    }
+
+    private enqueue(waitingPass: WaitingPass): void {
+        this.outgoing.push(waitingPass);
+        if (this.outgoing.length === 1) {
+            setImmediate(() => this.flush());
+        }
+    }
+
+    private flush(): void {
+        const batch = this.outgoing.filter(waitingPass => this.waiting.has(waitingPass.pass.id));
+        this.outgoing = [];
+        if (batch.length === 0) {
+            return;
+        }
+        for (const waitingPass of batch) {
+            this.startDeadline(waitingPass);
+        }
+        this.sendBatch(batch);
+    }
+
+    private startDeadline(waitingPass: WaitingPass): void {
+        waitingPass.sends += 1;
+        waitingPass.sentAt = this.options.clock.getMonotonicTime();
+        const deadlineMilliseconds = this.deadline.getDeadline(waitingPass.positions) * waitingPass.sends;
+        const timer = this.options.clock.setTimer(deadlineMilliseconds, () => void this.handleOverdue(waitingPass));
+        waitingPass.cancelTimer = () => timer.cancel();
+    }
+
+    private sendBatch(batch: WaitingPass[]): void {
+        const sendNumbers = batch.map(waitingPass => waitingPass.sends);
+        sendPassBatch({
+            pool: this.pool,
+            passes: batch.map(waitingPass => waitingPass.pass),
+            onResult: result => this.handleResult(result),
+            onClosed: closing => this.handleBatchClosed(batch, sendNumbers, closing),
+        });
+    }
+
+    private handleResult(result: PassResult): void {
+        const waitingPass = this.waiting.get(result.id);
+        if (waitingPass === undefined) {
+            return;
+        }
+        if (result.outcome !== "done") {
+            const reason = result.reason ?? result.outcome;
+            const isSurelyNotRun = result.outcome === "refused" && notRunReasons.has(reason);
+            this.settle(waitingPass, Err(this.createFailure(isSurelyNotRun ? "refused" : "failed", reason)));
+            return;
+        }
+        const elapsedMilliseconds = this.options.clock.getMonotonicTime() - waitingPass.sentAt;
+        this.deadline.observe(result.count, elapsedMilliseconds);
+        this.options.onAnswered(this.options.endpoint, waitingPass.pass, result, elapsedMilliseconds);
+        this.settle(waitingPass, Ok(result));
+    }
+
+    /** The answer of a batch has ended: passes without a result are sent again, if the engine still answers. */
+    private handleBatchClosed(batch: WaitingPass[], sendNumbers: number[], closing: BatchClosing): void {
+        for (const [index, waitingPass] of batch.entries()) {
+            const isCurrentSend = waitingPass.sends === sendNumbers[index];
+            if (isCurrentSend && this.waiting.has(waitingPass.pass.id)) {
+                waitingPass.mayHaveArrived ||= closing.mayHaveArrived;
+                void this.resendOrFail(waitingPass, closing.reason);
+            }
+        }
+    }
+
+    private async handleOverdue(waitingPass: WaitingPass): Promise<void> {
+        waitingPass.mayHaveArrived = true;
+        const pool = this.pool;
+        await this.resendOrFail(waitingPass, "no answer in time", () => {
+            if (pool === this.pool) {
+                this.replacePool();
+            }
+        });
+    }
+
+    private async resendOrFail(waitingPass: WaitingPass, reason: string, onAnswering?: () => void): Promise<void> {
+        if (waitingPass.isDoubtful) {
+            return;
+        }
+        waitingPass.isDoubtful = true;
+        waitingPass.cancelTimer();
+        const isAnswering = waitingPass.sends < MaximumSends && await this.isAnswering();
+        waitingPass.isDoubtful = false;
+        if (!this.waiting.has(waitingPass.pass.id)) {
+            return;
+        }
+        if (!isAnswering) {
+            const kind = waitingPass.mayHaveArrived ? "unreachable" : "notSent";
+            this.settle(waitingPass, Err(this.createFailure(kind, reason)));
+            return;
+        }
+        onAnswering?.();
+        this.enqueue(waitingPass);
+    }
+
+    /** New batches use new connections; the old ones end when their answers have ended, or are cut after a while. */
+    private replacePool(): void {
+        const oldPool = this.pool;
+        this.pool = createPool(this.origin);
+        this.options.onSilentConnection(this.options.endpoint);
+        this.options.clock.setTimer(CallTimeoutMilliseconds, () => void oldPool.destroy());
+    }
+
+    private settle(waitingPass: WaitingPass, outcome: Result<PassResult, PassFailure>): void {
+        waitingPass.cancelTimer();
+        this.waiting.delete(waitingPass.pass.id);
+        waitingPass.settle(outcome);
+    }
+
+    private async probeOverNewConnection(): Promise<boolean> {
+        const client = new Client(this.origin, { connectTimeout: ProbeTimeoutMilliseconds });
+        try {
+            const signal = AbortSignal.timeout(ProbeTimeoutMilliseconds);
+            const response = await client.request({ method: "GET", path: "/v1/health", signal });
+            await response.body.dump();
+            return response.statusCode === 200;
+        }
+        catch {
+            return false;
+        }
+        finally {
+            void client.destroy();
+        }
+    }
+
+    private async call(
+        method: "GET" | "POST",
+        path: string,
+        body?: object,
+    ): Promise<Result<{ status: number; body: unknown; }, PassFailure>> {
+        try {
+            const response = await this.pool.request({
+                method,
+                path,
+                body: body === undefined ? undefined : JSON.stringify(body),
+                headers: { "content-type": "application/json" },
+                signal: AbortSignal.timeout(CallTimeoutMilliseconds),
+            });
+            const text = await response.body.text();
+            return Ok({ status: response.statusCode, body: text === "" ? undefined : JSON.parse(text) as unknown });
+        }
+        catch (error) {
+            return Err(this.createFailure("unreachable", String(error)));
+        }
+    }
+
+    private createFailure(kind: PassFailure["kind"], reason: string): PassFailure {
+        const { endpoint } = this.options;
+        return { kind, endpoint, reason, message: `Endpoint ${endpoint} brought no result: ${reason}.` };
+    }
+}
+
+function createPool(origin: string): Pool {
+    return new Pool(origin, {
+        connections: MaximumConnections,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        connectTimeout: 1_000,
+    });
+}
--- /dev/null
+++ b/src/connection/endpoint/hopDeadline.ts
@@ -0,0 +1,71 @@
+/** Deadlines never fall below this, so that a garbage collection on either side is no miss. */
+const MinimumDeadlineMilliseconds = 150;
+const MaximumDeadlineMilliseconds = 10_000;
+const InitialDecodeMilliseconds = 100;
+const InitialPositionMilliseconds = 2;
+const SmoothingFactor = 0.1;
+/** Deviations above the mean after which an answer is overdue, as TCP's retransmission timer does (RFC 6298). */
+const DeviationFactor = 6;
+const MeanFactor = 2;
+
+/** A smoothed mean with its mean deviation, as in RFC 6298. */
+interface SmoothedTime {
+    mean: number;
+    deviation: number;
+}
+
+/**
+ * How long to wait for the result of a pass before the connection is doubted, learnt for one endpoint.
+ * Decode passes (one position) and prefill passes (per position) are learnt apart.
+ */
+export class HopDeadline {
+    private readonly decode: SmoothedTime = {
+        mean: InitialDecodeMilliseconds,
+        deviation: InitialDecodeMilliseconds / 2,
+    };
+    private readonly position: SmoothedTime = {
+        mean: InitialPositionMilliseconds,
+        deviation: InitialPositionMilliseconds / 2,
+    };
+
+    private constructor() {}
+
+    /** Creates a deadline that has learnt nothing yet. */
+    static create(): HopDeadline {
+        return new HopDeadline();
+    }
+
+    /**
+     * Learns from a pass that was answered.
+     * @param positions - Positions of the pass.
+     * @param elapsedMilliseconds - From sending to the result.
+     */
+    observe(positions: number, elapsedMilliseconds: number): void {
+        if (positions === 1) {
+            smooth(this.decode, elapsedMilliseconds);
+            return;
+        }
+        smooth(this.position, Math.max(0, elapsedMilliseconds - this.decode.mean) / positions);
+    }
+
+    /**
+     * Gets the time after which a pass is overdue, in milliseconds.
+     * @param positions - Positions of the pass.
+     */
+    getDeadline(positions: number): number {
+        const decodeMilliseconds = getUpperTime(this.decode);
+        const prefillMilliseconds = positions === 1 ? 0 : positions * getUpperTime(this.position);
+        const deadlineMilliseconds = decodeMilliseconds + prefillMilliseconds;
+        return Math.min(MaximumDeadlineMilliseconds, Math.max(MinimumDeadlineMilliseconds, deadlineMilliseconds));
+    }
+}
+
+function smooth(time: SmoothedTime, sampleMilliseconds: number): void {
+    const error = sampleMilliseconds - time.mean;
+    time.mean += SmoothingFactor * error;
+    time.deviation += SmoothingFactor * (Math.abs(error) - time.deviation);
+}
+
+function getUpperTime(time: SmoothedTime): number {
+    return MeanFactor * time.mean + DeviationFactor * time.deviation;
+}
--- /dev/null
+++ b/src/connection/endpoint/sendPassBatch.ts
@@ -0,0 +1,59 @@
+import type { Dispatcher } from "undici";
+import type { BatchClosing } from "./batchClosing.ts";
+import type { Pass, PassResult } from "./engineProtocol.ts";
+import { isConnectFailure } from "./isConnectFailure.ts";
+import { LineSplitter } from "./lineSplitter.ts";
+import { passResultSchema } from "./passResultSchema.ts";
+
+/** Options of {@link sendPassBatch}. */
+interface PassBatchOptions {
+    pool: Dispatcher;
+    passes: readonly Pass[];
+    /** Called for each result as it arrives. */
+    onResult(result: PassResult): void;
+    /** Called once when the answer has ended, whether or not all results came. */
+    onClosed(closing: BatchClosing): void;
+}
+
+/** A result line holds the activations of a whole prompt. */
+const MaximumLineBytes = 16 * 1024 * 1024;
+
+/**
+ * Sends one batch of passes and reads the results line by line.
+ * @param options - The batch and where its results go.
+ */
+export function sendPassBatch(options: PassBatchOptions): void {
+    const controller = new AbortController();
+    const splitter = LineSplitter.create({
+        maximumLineBytes: MaximumLineBytes,
+        onLine: line => options.onResult(parsePassResult(line)),
+    });
+    const reading = readAnswer(options, splitter, controller.signal);
+    reading.then(reason => options.onClosed({ reason, mayHaveArrived: true }), (error: unknown) => {
+        controller.abort();
+        const reason = error instanceof Error ? error.message : String(error);
+        options.onClosed({ reason, mayHaveArrived: !isConnectFailure(error) });
+    });
+}
+
+async function readAnswer(options: PassBatchOptions, splitter: LineSplitter, signal: AbortSignal): Promise<string> {
+    const response = await options.pool.request({
+        method: "POST",
+        path: "/v1/passes",
+        body: JSON.stringify({ passes: options.passes }),
+        headers: { "content-type": "application/json" },
+        signal,
+    });
+    if (response.statusCode !== 200) {
+        await response.body.dump();
+        return `status ${response.statusCode}`;
+    }
+    for await (const chunk of response.body) {
+        splitter.push(chunk as Buffer);
+    }
+    return "the answer ended";
+}
+
+function parsePassResult(line: string): PassResult {
+    return passResultSchema.parse(JSON.parse(line));
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,24 @@
+/** The program `foxlead`. */
+import { createInterface } from "node:readline/promises";
+import { runCommandLine } from "./process/commandLine/runCommandLine.ts";
+import { systemClock } from "./process/systemClock.ts";
+
+const isTerminal = process.stdin.isTTY === true && process.stderr.isTTY === true;
+
+async function confirm(question: string): Promise<boolean> {
+    const reader = createInterface({ input: process.stdin, output: process.stderr });
+    // The end of the input, without an answer, means no.
+    const ended = new Promise<string>(resolve => {
+        reader.once("close", () => resolve(""));
+    });
+    const answer = await Promise.race([reader.question(`${question} [y/N] `), ended]);
+    reader.close();
+    return /^y(es)?$/i.test(answer.trim());
+}
+
+runCommandLine(process.argv.slice(2), {
+    clock: systemClock,
+    print: line => process.stdout.write(`${line}\n`),
+    printError: line => process.stderr.write(`${line}\n`),
+    confirm: isTerminal ? confirm : undefined,
+}).then(exitCode => process.exit(exitCode));
--- /dev/null
+++ b/src/process/claimRouter.ts
@@ -0,0 +1,116 @@
+import { create } from "@bufbuild/protobuf";
+import type { PeerConnections } from "../connection/peer/peerConnections.ts";
+import { ClaimRequestSchema } from "../wire/generated/foxlead/peer/v1/peer_pb.ts";
+import type { Claim } from "./claims/claim.ts";
+import { ClaimOutcome } from "./claims/claimOutcome.ts";
+import type { ClaimOwner } from "./claims/claimOwner.ts";
+import type { ClaimVerdict } from "./claims/claimVerdict.ts";
+import type { Clock } from "./clock.ts";
+import type { MembershipView } from "./membership/membershipView.ts";
+import { MemberState } from "./membership/memberState.ts";
+import type { RendezvousOwners } from "./membership/rendezvousOwners.ts";
+
+/** Options of a {@link ClaimRouter}. */
+interface ClaimRouterOptions {
+    view: MembershipView;
+    owners: RendezvousOwners;
+    peers: PeerConnections;
+    clock: Clock;
+    /** The owner in this process. */
+    local: ClaimOwner;
+    shards: number;
+    getShardOfKey(key: string, shards: number): number;
+    /** Longest time from the first question to the verdict, in milliseconds. */
+    giveUpMilliseconds: number;
+}
+
+const PauseMilliseconds = 20;
+const CallTimeoutMilliseconds = 700;
+const Candidates = 3;
+
+/**
+ * Brings a claim to the node that owns its shard, this one or a peer, and to the next in line where the owner does not
+ * answer. Any node may decide any claim; a wrong owner costs time only, since the store's compare-and-swap decides.
+ */
+export class ClaimRouter {
+    private readonly options: ClaimRouterOptions;
+
+    private constructor(options: ClaimRouterOptions) {
+        this.options = options;
+    }
+
+    /** Creates the router of a node. */
+    static create(options: ClaimRouterOptions): ClaimRouter {
+        return new ClaimRouter(options);
+    }
+
+    /** Makes this node read the shards that it owns, and forget the others. */
+    updateOwnedShards(): void {
+        const { local, shards, view } = this.options;
+        const self = view.getSelf().nodeId;
+        for (let shard = 0; shard < shards; shard += 1) {
+            if (this.getOwners(shard)[0] === self) {
+                local.loadShard(shard);
+            }
+        }
+    }
+
+    /**
+     * Claims a key. The claimant asks again under the same name until it has a final verdict, so an answer that was lost
+     * on the way does no harm.
+     * @param claim - The claim.
+     */
+    async claim(claim: Claim): Promise<ClaimVerdict> {
+        const { clock, shards, giveUpMilliseconds } = this.options;
+        const shard = this.options.getShardOfKey(claim.key, shards);
+        const giveUpAt = clock.getMonotonicTime() + giveUpMilliseconds;
+        for (let attempt = 0; clock.getMonotonicTime() < giveUpAt; attempt += 1) {
+            const candidates = this.getOwners(shard);
+            const nodeId = candidates[attempt % candidates.length];
+            const verdict = nodeId === undefined ? undefined : await this.claimAt(nodeId, shard, claim);
+            if (verdict !== undefined && verdict.outcome !== ClaimOutcome.NotOwner) {
+                return verdict;
+            }
+            await new Promise<void>(resolve => void clock.setTimer(PauseMilliseconds, resolve));
+        }
+        const message = "No node could record the claim in time.";
+        return { outcome: ClaimOutcome.Unavailable, message };
+    }
+
+    private async claimAt(nodeId: string, shard: number, claim: Claim): Promise<ClaimVerdict | undefined> {
+        const { view, peers, local } = this.options;
+        if (nodeId === view.getSelf().nodeId) {
+            const [verdict] = await local.claim(shard, [claim]);
+            return verdict;
+        }
+        const address = view.getMember(nodeId)?.peerAddress;
+        if (address === undefined) {
+            return undefined;
+        }
+        const request = create(ClaimRequestSchema, { shard, items: [claim] });
+        const response = await peers.claim(address, request, { timeoutMilliseconds: CallTimeoutMilliseconds });
+        const verdict = response.ok ? response.val.verdicts[0] : undefined;
+        return verdict === undefined ? undefined : toClaimVerdict(verdict);
+    }
+
+    private getOwners(shard: number): string[] {
+        const nodeIds: string[] = [];
+        for (const member of this.options.view.getAliveMembers()) {
+            if (member.state === MemberState.Alive) {
+                nodeIds.push(member.nodeId);
+            }
+        }
+        const self = this.options.view.getSelf().nodeId;
+        const owners = this.options.owners.getOwners(`claims-${shard}`, nodeIds, Candidates);
+        return owners.length > 0 ? owners : [self];
+    }
+}
+
+const outcomes: ReadonlySet<string> = new Set(Object.values(ClaimOutcome));
+
+function toClaimVerdict(
+    verdict: { outcome: string; claimant: string; nodeId: string; },
+): ClaimVerdict | undefined {
+    const { outcome, claimant, nodeId } = verdict;
+    return outcomes.has(outcome) ? { outcome: outcome as ClaimOutcome, claimant, nodeId } : undefined;
+}
--- /dev/null
+++ b/src/process/claimService.ts
@@ -0,0 +1,133 @@
+import { v4 as createRandomUuid } from "uuid";
+import type { PeerConnections } from "../connection/peer/peerConnections.ts";
+import type { ClaimDecision } from "../request/claimDecision.ts";
+import type { ClaimEnd, ClaimGate } from "../request/claimGate.ts";
+import type { ClaimConfiguration } from "../version/configuration.ts";
+import { ClaimRouter } from "./claimRouter.ts";
+import type { Claim } from "./claims/claim.ts";
+import { ClaimOutcome } from "./claims/claimOutcome.ts";
+import { ClaimOwner } from "./claims/claimOwner.ts";
+import type { ClaimVerdict } from "./claims/claimVerdict.ts";
+import type { ShardHash } from "./claims/shardHash.ts";
+import type { Clock } from "./clock.ts";
+import { KeptAnswers } from "./keptAnswers.ts";
+import type { EventLog } from "./logging/eventLog.ts";
+import type { MembershipView } from "./membership/membershipView.ts";
+import type { RendezvousOwners } from "./membership/rendezvousOwners.ts";
+import { NodeClaimGate } from "./nodeClaimGate.ts";
+import type { PlatformStore } from "./platform/platformStore.ts";
+
+/** Options of a {@link ClaimService}. */
+interface ClaimServiceOptions {
+    nodeId: string;
+    store: PlatformStore;
+    clock: Clock;
+    log: EventLog;
+    view: MembershipView;
+    owners: RendezvousOwners;
+    peers: PeerConnections;
+    shardHash: ShardHash;
+}
+
+/** The parts that exist once the configuration has told the number of shards. */
+interface ClaimParts {
+    owner: ClaimOwner;
+    router: ClaimRouter;
+    gate: NodeClaimGate;
+}
+
+const KeptAnswerBytes = 64 * 1024 * 1024;
+const OwnerGiveUpMilliseconds = 1_000;
+const RouterGiveUpMilliseconds = 2_500;
+
+/** At most once on one node: the claim owner for the shards it holds, and the gate for the requests it receives. */
+export class ClaimService implements ClaimGate {
+    private readonly options: ClaimServiceOptions;
+    private parts: ClaimParts | undefined;
+
+    private constructor(options: ClaimServiceOptions) {
+        this.options = options;
+    }
+
+    /** Creates the service; it grants nothing before {@link ClaimService.configure}. */
+    static create(options: ClaimServiceOptions): ClaimService {
+        return new ClaimService(options);
+    }
+
+    /**
+     * Takes the numbers of the first configuration. They hold until the process ends: a key's shard must not change while
+     * its claim counts.
+     */
+    configure(configuration: ClaimConfiguration): void {
+        this.parts ??= this.createParts(configuration);
+        this.parts.router.updateOwnedShards();
+    }
+
+    /** Takes a change of the members: shards may have come to this node. */
+    updateOwnedShards(): void {
+        this.parts?.router.updateOwnedShards();
+    }
+
+    async claim(key: string, bodyHash: string, claimant: string): Promise<ClaimDecision> {
+        if (this.parts === undefined) {
+            return { kind: "unavailable", message: "This node has no configuration yet. Send the request again." };
+        }
+        return await this.parts.gate.claim(key, bodyHash, claimant);
+    }
+
+    settle(key: string, end: ClaimEnd): void {
+        this.parts?.gate.settle(key, end);
+    }
+
+    /** Decides claims that a peer has brought. */
+    async claimForPeer(shard: number, claims: readonly Claim[]): Promise<ClaimVerdict[]> {
+        if (this.parts === undefined) {
+            return claims.map(() => ({ outcome: ClaimOutcome.NotOwner }));
+        }
+        return await this.parts.owner.claim(shard, claims);
+    }
+
+    /** Answers a peer that asks for a claimed request of this node. */
+    handOver(key: string, claimant: string): ClaimDecision {
+        return this.parts?.gate.handOver(key, claimant) ?? { kind: "unknown" };
+    }
+
+    /** Forgets all shards. */
+    close(): void {
+        this.parts?.owner.close();
+    }
+
+    private createParts(configuration: ClaimConfiguration): ClaimParts {
+        const { nodeId, store, clock, log, view, owners, peers, shardHash } = this.options;
+        const { shards, windowMilliseconds, appendIntervalMilliseconds } = configuration;
+        const getShardOfKey = (key: string, count: number) => shardHash.getShardOfKey(key, count);
+        const owner = ClaimOwner.create({
+            store,
+            clock,
+            log,
+            ownerId: createRandomUuid(),
+            shards,
+            getShardOfKey,
+            windowMilliseconds,
+            appendIntervalMilliseconds,
+            giveUpMilliseconds: OwnerGiveUpMilliseconds,
+        });
+        const router = ClaimRouter.create({
+            view,
+            owners,
+            peers,
+            clock,
+            local: owner,
+            shards,
+            getShardOfKey,
+            giveUpMilliseconds: RouterGiveUpMilliseconds,
+        });
+        const kept = KeptAnswers.create({
+            maximumBytes: KeptAnswerBytes,
+            timeToLiveMilliseconds: windowMilliseconds,
+            clock,
+        });
+        const gate = NodeClaimGate.create({ nodeId, router, kept, peers, view, clock, windowMilliseconds });
+        return { owner, router, gate };
+    }
+}
--- /dev/null
+++ b/src/process/commandLine/configuration/createApplyCommand.ts
@@ -0,0 +1,75 @@
+import type { CommandModule } from "yargs";
+import { adminOption } from "../adminOption.ts";
+import type { CommandContext } from "../commandContext.ts";
+import { UsageError } from "../usageError.ts";
+import type { ApplyArguments } from "./applyArguments.ts";
+import { applyConfigurationFile } from "./applyConfigurationFile.ts";
+import { storeOption } from "./storeOption.ts";
+import { withStore } from "./withStore.ts";
+
+const defaultTimeoutSeconds = 30;
+
+/** Creates the verb `config apply`. */
+export function createApplyCommand(context: CommandContext): CommandModule<object, ApplyArguments> {
+    return {
+        command: "apply <file>",
+        describe: "Bring a text into force as the next version.",
+        builder: parser =>
+            parser
+                .positional("file", { type: "string", demandOption: true, describe: "File of the configuration." })
+                .option("store", storeOption)
+                .option("expect", {
+                    type: "number",
+                    requiresArg: true,
+                    coerce: checkVersion,
+                    describe: "Version that the text was made from. Default: the one that stands in the store.",
+                })
+                .option("yes", { type: "boolean", default: false, describe: "Apply without a question." })
+                .option("wait", {
+                    type: "boolean",
+                    default: false,
+                    describe: "Wait until the version is in force on every node. Needs --admin.",
+                })
+                .option("timeout", {
+                    type: "number",
+                    default: defaultTimeoutSeconds,
+                    requiresArg: true,
+                    coerce: checkTimeout,
+                    describe: "Longest wait, in seconds.",
+                })
+                .option("admin", adminOption)
+                .option("edit", {
+                    type: "string",
+                    requiresArg: true,
+                    describe: "Name of the edit, to repeat one whose answer was lost. Default: a new one.",
+                })
+                .option("author", { type: "string", requiresArg: true, describe: "Who applies. Default: this user." })
+                .check(({ wait, admin }) => {
+                    if (wait && admin === undefined) {
+                        throw new UsageError("--wait needs --admin with at least one node to ask.");
+                    }
+                    return true;
+                })
+                .example("$0 config apply services.jsonc --store 127.0.0.1:2379", "Show what changes, ask, apply.")
+                .example(
+                    "$0 config apply services.jsonc --store 127.0.0.1:2379 --expect 7 --yes --wait --admin 127.0.0.1:9400",
+                    "Apply only over version 7, and wait for all nodes that 127.0.0.1:9400 knows.",
+                ),
+        handler: options =>
+            context.run(() => withStore(options.store, store => applyConfigurationFile(options, store, context))),
+    };
+}
+
+function checkVersion(version: number | undefined): number | undefined {
+    if (version !== undefined && !(Number.isSafeInteger(version) && version >= 0)) {
+        throw new UsageError("--expect needs the number of a version, or 0 for none.");
+    }
+    return version;
+}
+
+function checkTimeout(seconds: number): number {
+    if (!(seconds >= 0)) {
+        throw new UsageError("--timeout needs a number of seconds.");
+    }
+    return seconds;
+}
--- /dev/null
+++ b/src/process/commandLine/configuration/createConfigurationCommand.ts
@@ -0,0 +1,83 @@
+import type { Argv, CommandModule } from "yargs";
+import type { CommandContext } from "../commandContext.ts";
+import { checkConfiguration } from "./checkConfiguration.ts";
+import { createApplyCommand } from "./createApplyCommand.ts";
+import { diffConfiguration } from "./diffConfiguration.ts";
+import { showConfiguration } from "./showConfiguration.ts";
+import { showHistory } from "./showHistory.ts";
+import { storeOption } from "./storeOption.ts";
+import { withStore } from "./withStore.ts";
+
+/** Creates the verbs about the operators' configuration. */
+export function createConfigurationCommand(context: CommandContext): CommandModule {
+    return {
+        command: "config",
+        describe: "Check, compare, apply and show the operators' configuration.",
+        builder: parser =>
+            parser
+                .command(createCheckCommand(context))
+                .command(createDiffCommand(context))
+                .command(createApplyCommand(context))
+                .command(createShowCommand(context))
+                .command(createHistoryCommand(context))
+                .demandCommand(1, "Name what to do with the configuration."),
+        handler: () => undefined,
+    };
+}
+
+function createCheckCommand(context: CommandContext): CommandModule<object, { file: string; }> {
+    return {
+        command: "check <file>",
+        describe: "Check a text.",
+        builder: parser =>
+            addFile(parser).example("$0 config check services.jsonc", "List every fault with its line and column."),
+        handler: ({ file }) => context.run(() => checkConfiguration(file, context)),
+    };
+}
+
+function createDiffCommand(context: CommandContext): CommandModule<object, { file: string; store: string; }> {
+    return {
+        command: "diff <file>",
+        describe: "Show what applying a text would change.",
+        builder: parser =>
+            addFile(parser)
+                .option("store", storeOption)
+                .example("$0 config diff services.jsonc --store 127.0.0.1:2379", "Compare with what is in force."),
+        handler: ({ file, store: address }) =>
+            context.run(() => withStore(address, store => diffConfiguration(file, store, context))),
+    };
+}
+
+function createShowCommand(context: CommandContext): CommandModule<object, { store: string; version?: number; }> {
+    return {
+        command: "show",
+        describe: "Print the text of a version as it was written.",
+        builder: parser =>
+            parser
+                .option("store", storeOption)
+                .option("version", {
+                    type: "number",
+                    requiresArg: true,
+                    describe: "Version from the history. Default: the newest.",
+                })
+                .example("$0 config show --store 127.0.0.1:2379 > services.jsonc", "Fetch the text to change it."),
+        handler: ({ store: address, version }) =>
+            context.run(() => withStore(address, store => showConfiguration(version, store, context))),
+    };
+}
+
+function createHistoryCommand(context: CommandContext): CommandModule<object, { store: string; }> {
+    return {
+        command: "history",
+        describe: "List the last versions, who applied them and when.",
+        builder: parser =>
+            parser
+                .option("store", storeOption)
+                .example("$0 config history --store 127.0.0.1:2379", "List the versions."),
+        handler: ({ store: address }) => context.run(() => withStore(address, store => showHistory(store, context))),
+    };
+}
+
+function addFile(parser: Argv) {
+    return parser.positional("file", { type: "string", demandOption: true, describe: "File of the configuration." });
+}
--- /dev/null
+++ b/src/process/commandLine/configuration/showConfiguration.ts
@@ -0,0 +1,32 @@
+import { ConfigurationHistory } from "../../../version/configurationHistory.ts";
+import type { PlatformStore } from "../../platform/platformStore.ts";
+import type { CommandContext } from "../commandContext.ts";
+import { ExitCode } from "../exitCode.ts";
+import { readStoredConfiguration } from "./readStoredConfiguration.ts";
+
+/**
+ * Runs `config show`: the text goes to standard output as it was written, all else to standard error.
+ * @param version - Version from the history; the one in force where undefined.
+ */
+export async function showConfiguration(
+    version: number | undefined,
+    store: PlatformStore,
+    context: CommandContext,
+): Promise<ExitCode> {
+    const key = version === undefined ? undefined : ConfigurationHistory.getKey(version);
+    const stored = await readStoredConfiguration(store, key);
+    if (stored.err) {
+        context.printError(stored.val.message);
+        return ExitCode.Unreachable;
+    }
+    if (stored.val === undefined || (version !== undefined && stored.val.version !== version)) {
+        const remedy = "See foxlead config history for those that it holds, or apply a first one.";
+        context.printError(`The store does not hold ${version === undefined ? "a" : "that"} version. ${remedy}`);
+        return ExitCode.BrokenFile;
+    }
+    const { author, appliedAt, editId, text } = stored.val;
+    const time = new Date(appliedAt).toISOString();
+    context.printError(`Version ${stored.val.version} by ${author} at ${time}, edit ${editId}.`);
+    context.print(text.trimEnd());
+    return ExitCode.Success;
+}
--- /dev/null
+++ b/src/process/commandLine/createNodeCommand.ts
@@ -0,0 +1,32 @@
+import type { CommandModule } from "yargs";
+import type { CommandContext } from "./commandContext.ts";
+import { ExitCode } from "./exitCode.ts";
+import { loadSettings } from "./loadSettings.ts";
+
+/** Creates the verb `node`. */
+export function createNodeCommand(context: CommandContext): CommandModule<object, { settings: string; }> {
+    return {
+        command: "node",
+        describe: "Run a node until SIGTERM.",
+        builder: parser =>
+            parser
+                .option("settings", {
+                    type: "string",
+                    demandOption: true,
+                    requiresArg: true,
+                    describe: "File of the node's settings.",
+                })
+                .example("$0 node --settings node.settings.jsonc", "Run a node."),
+        handler: ({ settings: file }) =>
+            context.run(async () => {
+                const settings = loadSettings(file, context);
+                if (settings === undefined) {
+                    return ExitCode.BrokenFile;
+                }
+                // Imported here, because the operators' verbs need nothing of it.
+                const { runNode } = await import("../runNode.ts");
+                await runNode(settings);
+                return ExitCode.Success;
+            }),
+    };
+}
--- /dev/null
+++ b/src/process/commandLine/runCommandLine.ts
@@ -0,0 +1,73 @@
+import yargs, { type Argv } from "yargs";
+import type { CommandContext } from "./commandContext.ts";
+import { createConfigurationCommand } from "./configuration/createConfigurationCommand.ts";
+import { createNodeCommand } from "./createNodeCommand.ts";
+import { createSettingsCommand } from "./createSettingsCommand.ts";
+import { createStatusCommand } from "./createStatusCommand.ts";
+import { createVersionCommand } from "./createVersionCommand.ts";
+import { ExitCode } from "./exitCode.ts";
+import { UsageError } from "./usageError.ts";
+
+const widestHelp = 110;
+
+/**
+ * Parses the command line and runs its verb.
+ * @param words - Words of the command line after the program's name.
+ * @param surroundings - Clock, output and who answers questions.
+ */
+export async function runCommandLine(
+    words: string[],
+    surroundings: Omit<CommandContext, "run">,
+): Promise<ExitCode> {
+    let exitCode: ExitCode = ExitCode.Success;
+    const context: CommandContext = {
+        ...surroundings,
+        run: async verb => {
+            exitCode = await verb();
+        },
+    };
+    try {
+        await createParser(context).parseAsync(words);
+    }
+    catch (error) {
+        return reportError(error, context);
+    }
+    return exitCode;
+}
+
+function createParser(context: CommandContext): Argv {
+    const parser = yargs();
+    return parser
+        .scriptName("foxlead")
+        .usage("$0 <command>\n\nRouter between callers and endpoints.")
+        .command(createNodeCommand(context))
+        .command(createSettingsCommand(context))
+        .command(createConfigurationCommand(context))
+        .command(createStatusCommand(context))
+        .command(createVersionCommand(context))
+        .demandCommand(1, "Name a command.")
+        .strict()
+        .help()
+        .version(false)
+        .detectLocale(false)
+        .exitProcess(false)
+        .wrap(Math.min(widestHelp, parser.terminalWidth()))
+        .epilogue(
+            "Exit codes: 0 success, 1 usage, 2 faults in a file, 3 lost race, 4 platform or node unreachable, "
+                + "5 not in force everywhere in time, 70 unexpected error.",
+        )
+        .fail((message: string | undefined, error: Error | undefined) => {
+            throw error ?? new UsageError(message ?? "The command line is wrong.");
+        });
+}
+
+function reportError(error: unknown, context: CommandContext): ExitCode {
+    const isUsage = error instanceof UsageError || (error instanceof Error && error.name === "YError");
+    if (isUsage) {
+        context.printError(`${error.message}\nSee foxlead --help, or --help after a command.`);
+        return ExitCode.Usage;
+    }
+    const details = error instanceof Error ? error.stack ?? error.message : String(error);
+    context.printError(`Unexpected error. Please report it with this text: ${details}`);
+    return ExitCode.Unexpected;
+}
--- /dev/null
+++ b/src/process/endpointService.ts
@@ -0,0 +1,151 @@
+import { EndpointDirectory } from "../connection/endpoint/endpointDirectory.ts";
+import { EndpointObserver } from "../connection/endpoint/endpointObserver.ts";
+import { type EndpointReport, EndpointReports } from "../connection/endpoint/endpointReports.ts";
+import type { EndpointState } from "../connection/endpoint/endpointState.ts";
+import type { EngineStatus, Pass, PassResult } from "../connection/endpoint/engineProtocol.ts";
+import type { ChainChooser } from "../request/chain/chainChooser.ts";
+import type { Configuration } from "../version/configuration.ts";
+import type { EndpointRecord } from "../wire/generated/foxlead/peer/v1/peer_pb.ts";
+import type { Clock } from "./clock.ts";
+import type { EventLog } from "./logging/eventLog.ts";
+import { events } from "./logging/events.ts";
+import type { MembershipView } from "./membership/membershipView.ts";
+import type { RendezvousOwners } from "./membership/rendezvousOwners.ts";
+import type { Metrics } from "./metrics/metrics.ts";
+import type { RandomSource } from "./randomSource.ts";
+
+/** Options of an {@link EndpointService}. */
+interface EndpointServiceOptions {
+    nodeId: string;
+    clock: Clock;
+    random: RandomSource;
+    log: EventLog;
+    metrics: Metrics;
+    view: MembershipView;
+    owners: RendezvousOwners;
+    /** Gets the chooser, which is created after this service. */
+    getChooser(): ChainChooser;
+}
+
+const ObserveIntervalMilliseconds = 500;
+const ObserversOfEndpoint = 3;
+const MillisecondsPerSecond = 1_000;
+const endpointStates = ["serving", "leaving", "unreachable"] as const;
+
+/** The endpoints as one node sees them: connections, observation, and reports from and to the other nodes. */
+export class EndpointService {
+    readonly directory: EndpointDirectory;
+    private readonly options: EndpointServiceOptions;
+    private readonly observer: EndpointObserver;
+    private readonly reports: EndpointReports;
+
+    private constructor(options: EndpointServiceOptions) {
+        this.options = options;
+        this.reports = EndpointReports.create(() => options.view.getAliveMembers().length);
+        this.directory = EndpointDirectory.create({
+            clock: options.clock,
+            onAnswered: (endpoint, pass, result, elapsedMilliseconds) => {
+                this.observeAnswer(endpoint, pass, result, elapsedMilliseconds);
+            },
+            onSilentConnection: endpoint => options.log.write(events.silentConnectionReplaced, { endpoint }),
+            onStateChanged: state => this.noteState(state),
+        });
+        this.observer = EndpointObserver.create({
+            nodeId: options.nodeId,
+            directory: this.directory,
+            clock: options.clock,
+            random: options.random,
+            intervalMilliseconds: ObserveIntervalMilliseconds,
+            isObserver: endpoint => this.isObserver(endpoint),
+            onStatus: (endpoint, status) => this.observeLoad(endpoint, status),
+            onReport: report => void this.reports.add(report),
+        });
+    }
+
+    /** Creates the service without endpoints. */
+    static create(options: EndpointServiceOptions): EndpointService {
+        return new EndpointService(options);
+    }
+
+    /** Starts to observe. */
+    start(): void {
+        this.observer.start();
+    }
+
+    /** Takes the endpoints of a new configuration. */
+    update(configuration: Configuration): void {
+        this.directory.update(configuration);
+    }
+
+    /** Gets the reports that ride on one message of gossip. */
+    collectRecords(budgetBytes: number): EndpointReport[] {
+        return this.reports.collect(budgetBytes);
+    }
+
+    /** Takes the reports of a peer. */
+    applyRecords(records: readonly EndpointRecord[]): void {
+        for (const record of records) {
+            if (this.reports.addRecord(record)) {
+                this.applyRecord(record);
+            }
+        }
+    }
+
+    /** Stops observing and closes all connections. */
+    async close(): Promise<void> {
+        this.observer.stop();
+        await this.directory.close();
+    }
+
+    private applyRecord(record: EndpointRecord): void {
+        const { endpoint, layers } = record;
+        const state = endpointStates.find(known => known === record.state);
+        if (state === undefined) {
+            return;
+        }
+        this.directory.observePeerReport(endpoint, { state, layers });
+        this.options.getChooser().observeLoad({
+            endpoint,
+            queue: record.queueDepth,
+            sequences: record.sequences,
+            freePositions: record.freeTokens,
+            ageMilliseconds: Math.max(0, this.options.clock.getWallTime() - Number(record.sequence)),
+        });
+    }
+
+    private observeAnswer(endpoint: string, pass: Pass, result: PassResult, elapsedMilliseconds: number): void {
+        this.directory.observeAnswer(endpoint);
+        this.options.metrics.passSeconds.observe(elapsedMilliseconds / MillisecondsPerSecond);
+        this.options.getChooser().observePass({
+            endpoint,
+            layers: pass.layerEnd - pass.layerStart,
+            positions: result.count,
+            elapsedMilliseconds,
+            queue: result.queue,
+        });
+    }
+
+    private isObserver(endpoint: string): boolean {
+        const nodeIds = this.options.view.getAliveMembers().map(member => member.nodeId);
+        const observers = this.options.owners.getOwners(`endpoint-${endpoint}`, nodeIds, ObserversOfEndpoint);
+        return observers.includes(this.options.nodeId);
+    }
+
+    private observeLoad(endpoint: string, status: EngineStatus): void {
+        this.options.getChooser().observeLoad({
+            endpoint,
+            queue: status.queue,
+            sequences: status.sequences,
+            freePositions: status.freePositions,
+            ageMilliseconds: status.loadAgeMilliseconds,
+        });
+    }
+
+    private noteState(state: EndpointState): void {
+        const { log, metrics } = this.options;
+        log.write(events.endpointStateChanged, { endpoint: state.endpoint, state: state.state });
+        for (const known of endpointStates) {
+            metrics.endpointState.set({ endpoint: state.endpoint, state: known }, known === state.state ? 1 : 0);
+        }
+    }
+}
--- /dev/null
+++ b/src/process/membershipService.ts
@@ -0,0 +1,133 @@
+import type { PeerConnections } from "../connection/peer/peerConnections.ts";
+import type { ConfigurationFollower } from "../version/configurationFollower.ts";
+import type { ConfigurationWatcher } from "../version/configurationWatcher.ts";
+import { reportOffer } from "../version/reportOffer.ts";
+import type { Clock, TimerHandle } from "./clock.ts";
+import type { EventLog } from "./logging/eventLog.ts";
+import { ConfigurationSpreader } from "./membership/configurationSpreader.ts";
+import { Gossiper } from "./membership/gossiper.ts";
+import type { GossipPayloads } from "./membership/gossipPayloads.ts";
+import { isWatcher } from "./membership/isWatcher.ts";
+import type { MembershipView } from "./membership/membershipView.ts";
+import type { RendezvousOwners } from "./membership/rendezvousOwners.ts";
+import type { ListVms, VmRecord } from "./platform/vmList.ts";
+import type { RandomSource } from "./randomSource.ts";
+
+/** Options of a {@link MembershipService}. */
+interface MembershipServiceOptions {
+    view: MembershipView;
+    owners: RendezvousOwners;
+    peers: PeerConnections;
+    payloads: GossipPayloads;
+    follower: ConfigurationFollower;
+    watcher: ConfigurationWatcher;
+    listVms: ListVms;
+    /** Peer addresses of the settings, to find the other nodes through. */
+    seedAddresses: readonly string[];
+    clock: Clock;
+    random: RandomSource;
+    log: EventLog;
+    /** Takes each reading of the platform's list of machines. */
+    onVms(records: readonly VmRecord[]): void;
+    /** Called when the set of nodes that hold duties has changed. */
+    onMembersChanged(): void;
+}
+
+const VmListIntervalMilliseconds = 1_000;
+const jitter = 0.2;
+
+/** What ties a node to its peers: heartbeats, the spreading of configurations, the list of machines, watch duty. */
+export class MembershipService {
+    readonly gossiper: Gossiper;
+    readonly spreader: ConfigurationSpreader;
+    private readonly options: MembershipServiceOptions;
+    private timer: TimerHandle | undefined;
+    private isStopped = false;
+
+    private constructor(options: MembershipServiceOptions) {
+        const { view, peers, clock, random, log, payloads, follower } = options;
+        this.options = options;
+        this.spreader = ConfigurationSpreader.create({
+            view,
+            clock,
+            random,
+            log,
+            callAnnounce: (address, request) => peers.announceConfiguration(address, request),
+            callGet: (address, request) => peers.getConfiguration(address, request),
+            getHeld: () => follower.getCurrent(),
+            offer: offer => reportOffer(log, "peer", offer, follower.offer(offer)),
+        });
+        this.gossiper = Gossiper.create({
+            view,
+            payloads,
+            clock,
+            random,
+            log,
+            callGossip: (address, request) => peers.gossip(address, request),
+            onPeerConfigurationVersion: (version, address) => void this.spreader.pull(version, address),
+        });
+        view.onChange(change => {
+            if (!change.isVersionOnly) {
+                this.updateDuties();
+            }
+        });
+    }
+
+    /** Creates the service; it does nothing before {@link MembershipService.start}. */
+    static create(options: MembershipServiceOptions): MembershipService {
+        return new MembershipService(options);
+    }
+
+    /** Starts heartbeats and the reading of the list of machines. */
+    start(): void {
+        this.applySeeds();
+        this.updateDuties();
+        this.gossiper.start();
+        void this.readVms();
+    }
+
+    /** Tells the peers that this node is leaving, so that its duties pass on. */
+    async announceLeaving(): Promise<void> {
+        await this.gossiper.announceLeaving();
+        this.options.watcher.setWatching(false);
+    }
+
+    /** Stops everything. */
+    stop(): void {
+        this.isStopped = true;
+        this.timer?.cancel();
+        this.gossiper.stop();
+        this.spreader.stop();
+    }
+
+    /** The settings' seeds count as machines of the list until the list itself has been read. */
+    private applySeeds(): void {
+        const records: VmRecord[] = [];
+        for (const address of this.options.seedAddresses) {
+            records.push({ vm: `seed-${address}`, state: "live", role: "node", address, dataCentre: "" });
+        }
+        if (records.length > 0) {
+            this.options.view.applyVmList(records, this.options.clock.getMonotonicTime());
+        }
+    }
+
+    private async readVms(): Promise<void> {
+        const { listVms, view, clock, random, onVms } = this.options;
+        const vms = await listVms();
+        if (this.isStopped) {
+            return;
+        }
+        if (vms.ok && vms.val.length > 0) {
+            view.applyVmList(vms.val, clock.getMonotonicTime());
+            onVms(vms.val);
+        }
+        const delayMilliseconds = VmListIntervalMilliseconds * (1 + jitter * (2 * random() - 1));
+        this.timer = clock.setTimer(delayMilliseconds, () => void this.readVms());
+    }
+
+    private updateDuties(): void {
+        const { view, owners, watcher, onMembersChanged } = this.options;
+        watcher.setWatching(isWatcher(view.getSelf().nodeId, view.getAliveMembers(), owners));
+        onMembersChanged();
+    }
+}
--- /dev/null
+++ b/src/process/settings/parseSettings.ts
@@ -0,0 +1,19 @@
+import { readFileSync } from "node:fs";
+import type { Result } from "../../result.ts";
+import { parseJsonc } from "../jsonc/parseJsonc.ts";
+import type { TextFault } from "../jsonc/textFault.ts";
+import { createSettingsSchema } from "./createSettingsSchema.ts";
+import type { NodeSettings } from "./nodeSettings.ts";
+
+/**
+ * Parses the settings of a process, JSON with comments, and reads the files that they name.
+ * @param text - Text of the settings.
+ * @param readText - Reads a file that the settings name; throws where it can't. Reads from disk by default.
+ * @returns The settings, or every fault in the text with its line and column.
+ */
+export function parseSettings(
+    text: string,
+    readText: (file: string) => string = file => readFileSync(file, "utf8"),
+): Result<NodeSettings, TextFault[]> {
+    return parseJsonc(text, createSettingsSchema(readText));
+}
--- /dev/null
+++ b/src/request/admitRequest.ts
@@ -0,0 +1,42 @@
+import { Err, Ok, type Result } from "../result.ts";
+import type { AdmissionTicket } from "./admission/admissionTicket.ts";
+import { RefusalKind } from "./admission/refusalKind.ts";
+import type { RequestContext } from "./requestContext.ts";
+import type { RequestEnvironment } from "./requestEnvironment.ts";
+import { RequestError } from "./requestError.ts";
+
+const TooManyRequestsStatus = 429;
+const UnavailableStatus = 503;
+
+/**
+ * Waits for a place for a request, or refuses it as not run.
+ * @param environment - Parts of the process.
+ * @param context - The request.
+ * @param service - Name of the service.
+ * @param cost - Expected work in tokens; 1 for a call of a document service.
+ */
+export async function admitRequest(
+    environment: RequestEnvironment,
+    context: RequestContext,
+    service: string,
+    cost: number,
+): Promise<Result<AdmissionTicket, RequestError>> {
+    const span = environment.tracing.startSpan("admission", { parent: context.span.context });
+    const { customer, deadline, signal } = context;
+    const admission = await environment.admission.requestAdmission({ customer, service, cost, deadline, signal });
+    span.end();
+    if (admission.ok) {
+        return Ok(admission.val);
+    }
+    const refusal = admission.val;
+    if (refusal.kind === RefusalKind.Cancelled) {
+        return Err(RequestError.cancelled());
+    }
+    environment.metrics.refusalsTotal.inc({ reason: refusal.kind });
+    return Err(RequestError.notRun(context.permit, {
+        status: refusal.kind === RefusalKind.RateLimited ? TooManyRequestsStatus : UnavailableStatus,
+        code: refusal.kind,
+        message: refusal.message,
+        retryAfterMilliseconds: refusal.retryAfterMilliseconds,
+    }));
+}
--- /dev/null
+++ b/src/request/claimRequest.ts
@@ -0,0 +1,98 @@
+import { createHash } from "node:crypto";
+import { Err, Ok, type Result } from "../result.ts";
+import type { ClaimDecision } from "./claimDecision.ts";
+import type { KeptAnswer } from "./keptAnswer.ts";
+import type { RequestContext } from "./requestContext.ts";
+import type { RequestEnvironment } from "./requestEnvironment.ts";
+import { RequestError } from "./requestError.ts";
+
+/** The claim of a request that may go on. */
+export type RequestClaim =
+    /** The request may be repeated; nothing was claimed. */
+    | { kind: "unclaimed"; }
+    /** The request, and no other with this key, may run. */
+    | { kind: "granted"; key: string; }
+    /** The request ran before. */
+    | { kind: "answered"; answer: KeptAnswer; };
+
+const RunningRetryMilliseconds = 1_000;
+const UnavailableRetryMilliseconds = 2_000;
+
+/**
+ * Claims the key of a request that must run at most once: one whose service or caller says so, or that carries a key.
+ * @param environment - Parts of the process.
+ * @param context - The request.
+ * @param isIdempotentService - Whether calls of the service may be repeated.
+ * @param content - What the request asks for: method, path and body.
+ */
+export async function claimRequest(
+    environment: RequestEnvironment,
+    context: RequestContext,
+    isIdempotentService: boolean,
+    content: readonly (string | Buffer)[],
+): Promise<Result<RequestClaim, RequestError>> {
+    const { idempotencyKey } = context;
+    if (idempotencyKey === undefined) {
+        return isIdempotentService && !context.isMarkedNonIdempotent
+            ? Ok({ kind: "unclaimed" })
+            : Err(createMissingKeyError());
+    }
+    const startedAt = environment.clock.getMonotonicTime();
+    const span = environment.tracing.startSpan("claim", { parent: context.span.context });
+    const key = `${context.customer}/${idempotencyKey}`;
+    const decision = await environment.claims.claim(key, hashContent(content), context.id);
+    span.setAttributes({ "foxlead.claim": decision.kind });
+    span.end();
+    const elapsedMilliseconds = environment.clock.getMonotonicTime() - startedAt;
+    environment.metrics.claimSeconds.observe(elapsedMilliseconds / 1000);
+    environment.metrics.claimsTotal.inc({ outcome: decision.kind });
+    return toRequestClaim(context, key, decision);
+}
+
+function toRequestClaim(
+    context: RequestContext,
+    key: string,
+    decision: ClaimDecision,
+): Result<RequestClaim, RequestError> {
+    switch (decision.kind) {
+        case "granted":
+            return Ok({ kind: "granted", key });
+        case "answered":
+            return Ok({ kind: "answered", answer: decision.answer });
+        case "running":
+            return Err(RequestError.running(RunningRetryMilliseconds));
+        case "unknown":
+            return Err(RequestError.outcomeUnknown(
+                "An earlier request with this key was started and its answer is lost. It is not run again.",
+            ));
+        case "bodyMismatch":
+            return Err(RequestError.invalid(
+                422,
+                "key_reused",
+                "This idempotency key was used for another request. Use a new key.",
+            ));
+        case "badKey":
+            return Err(RequestError.invalid(400, "bad_idempotency_key", decision.message));
+        case "unavailable":
+            return Err(RequestError.notRun(context.permit, {
+                status: 503,
+                code: "claims_unavailable",
+                message: decision.message,
+                retryAfterMilliseconds: UnavailableRetryMilliseconds,
+            }));
+    }
+}
+
+function createMissingKeyError(): RequestError {
+    const message = "The request may run only once. Send an Idempotency-Key header that holds a new UUID version 7.";
+    return RequestError.invalid(400, "idempotency_key_missing", message);
+}
+
+function hashContent(content: readonly (string | Buffer)[]): string {
+    const hash = createHash("sha256");
+    for (const part of content) {
+        hash.update(part);
+        hash.update("\n");
+    }
+    return hash.digest("base64url");
+}
--- /dev/null
+++ b/src/request/model/createGenerationObserver.ts
@@ -0,0 +1,50 @@
+import { events } from "../../process/logging/events.ts";
+import type { RequestContext } from "../requestContext.ts";
+import type { RequestEnvironment } from "../requestEnvironment.ts";
+import type { GenerationObserver } from "./generationObserver.ts";
+
+const MillisecondsPerSecond = 1_000;
+
+/**
+ * Creates the observer that turns what happens to one answer into spans, metrics and log events.
+ * @param environment - Parts of the process.
+ * @param context - The request.
+ */
+export function createGenerationObserver(
+    environment: RequestEnvironment,
+    context: RequestContext,
+): GenerationObserver {
+    const { metrics, tracing, log, endpoints } = environment;
+    return {
+        onPassSent: (endpoint, pass) => {
+            const { position, layerStart, layerEnd, attempt } = pass;
+            const attributes = { endpoint, position, layerStart, layerEnd, attempt };
+            const span = tracing.startSpan("pass", { parent: context.span.context, attributes });
+            return result => {
+                metrics.passesTotal.inc({ outcome: result.ok ? "done" : result.val.kind });
+                if (!result.ok) {
+                    span.setFailed(result.val.message);
+                }
+                span.end();
+            };
+        },
+        onAttemptBroken: failure => {
+            metrics.rebuildsTotal.inc();
+            if (failure.reason === "leaving") {
+                endpoints.observeLeavingRefusal(failure.endpoint);
+            }
+            if (failure.kind === "unreachable" || failure.kind === "notSent") {
+                endpoints.observeUnreachable(failure.endpoint);
+            }
+            log.write(events.chainBroken, {
+                request: context.id,
+                endpoint: failure.endpoint,
+                kind: failure.kind,
+                reason: failure.reason,
+            });
+        },
+        onRecovered: elapsedMilliseconds =>
+            metrics.recoverySeconds.observe(elapsedMilliseconds / MillisecondsPerSecond),
+        onStaleResult: reason => metrics.staleResultsTotal.inc({ reason }),
+    };
+}
--- /dev/null
+++ b/src/request/model/handleChat.ts
@@ -0,0 +1,206 @@
+import type { AnswerWriter } from "../../connection/caller/answerWriter.ts";
+import { Err, Ok, type Result } from "../../result.ts";
+import type { ModelServiceConfiguration } from "../../version/configuration.ts";
+import type { AdmissionTicket } from "../admission/admissionTicket.ts";
+import { admitRequest } from "../admitRequest.ts";
+import type { Chain } from "../chain/chain.ts";
+import { claimRequest, type RequestClaim } from "../claimRequest.ts";
+import type { KeptAnswer } from "../keptAnswer.ts";
+import type { RequestContext } from "../requestContext.ts";
+import type { RequestEnvironment } from "../requestEnvironment.ts";
+import { RequestError } from "../requestError.ts";
+import { ChatAnswer } from "./chatAnswer.ts";
+import { type ChatRequest, parseChatRequest } from "./chatRequest.ts";
+import { createGenerationObserver } from "./createGenerationObserver.ts";
+import { type GenerationSummary, runGeneration } from "./runGeneration.ts";
+import { TokenTimes } from "./tokenTimes.ts";
+
+const DefaultMaximumTokens = 256;
+const BytesPerToken = 4;
+const MillisecondsPerSecond = 1_000;
+
+/** One chat request on its way through this node. */
+interface ChatRun {
+    environment: RequestEnvironment;
+    context: RequestContext;
+    writer: AnswerWriter;
+    chat: ChatRequest;
+    service: ModelServiceConfiguration;
+    maximumTokens: number;
+    answer: ChatAnswer;
+    headers: Record<string, string>;
+}
+
+/**
+ * Answers `POST /v1/chat/completions`.
+ * @param environment - Parts of the process.
+ * @param context - The request.
+ * @param body - Its body.
+ * @param writer - Takes the final answer, unless an error is returned.
+ */
+export async function handleChat(
+    environment: RequestEnvironment,
+    context: RequestContext,
+    body: Buffer,
+    writer: AnswerWriter,
+): Promise<Result<void, RequestError>> {
+    const run = createChatRun(environment, context, body, writer);
+    if (!run.ok) {
+        return run;
+    }
+    const cost = run.val.chat.prompt.length / BytesPerToken + run.val.maximumTokens;
+    const ticket = await admitRequest(environment, context, run.val.chat.service, cost);
+    if (!ticket.ok) {
+        return ticket;
+    }
+    let tokens = 0;
+    try {
+        const outcome = await runAdmitted(run.val, ticket.val, body);
+        tokens = outcome.ok ? outcome.val : 0;
+        return outcome.ok ? Ok.EMPTY : outcome;
+    }
+    finally {
+        ticket.val.release({ tokens });
+    }
+}
+
+function createChatRun(
+    environment: RequestEnvironment,
+    context: RequestContext,
+    body: Buffer,
+    writer: AnswerWriter,
+): Result<ChatRun, RequestError> {
+    const parsed = parseChatRequest(body);
+    if (!parsed.ok) {
+        return parsed;
+    }
+    const chat = parsed.val;
+    const { services, limits } = context.version.configuration;
+    const service = Object.hasOwn(services, chat.service) ? services[chat.service] : undefined;
+    if (service?.kind !== "model") {
+        return Err(createUnknownServiceError(context, chat.service));
+    }
+    const maximumTokens = Math.min(chat.maximumTokens ?? DefaultMaximumTokens, limits.maximumTokens);
+    const created = Math.floor(environment.clock.getWallTime() / MillisecondsPerSecond);
+    const answer = ChatAnswer.create({ id: `chatcmpl-${context.id}`, model: chat.service, created });
+    const headers = { "x-request-id": context.id };
+    return Ok({ environment, context, writer, chat, service, maximumTokens, answer, headers });
+}
+
+function createUnknownServiceError(context: RequestContext, name: string): RequestError {
+    const known: string[] = [];
+    for (const [service, configuration] of Object.entries(context.version.configuration.services)) {
+        if (configuration.kind === "model") {
+            known.push(service);
+        }
+    }
+    const message = `There is no model ${JSON.stringify(name)}. Use one of: ${known.join(", ")}.`;
+    return RequestError.invalid(404, "model_not_found", message);
+}
+
+/** Runs an admitted request and returns the tokens that it took. */
+async function runAdmitted(run: ChatRun, ticket: AdmissionTicket, body: Buffer): Promise<Result<number, RequestError>> {
+    const content = ["POST", "/v1/chat/completions", body];
+    const claim = await claimRequest(run.environment, run.context, run.service.idempotent, content);
+    if (!claim.ok) {
+        return claim;
+    }
+    if (claim.val.kind === "answered") {
+        replay(run, claim.val.answer);
+        return Ok(0);
+    }
+    const chunks: string[] = [];
+    const outcome = await generate(run, ticket, claim.val, chunks);
+    settleClaim(run, claim.val, outcome, chunks);
+    if (!outcome.ok) {
+        return outcome;
+    }
+    finish(run, outcome.val, chunks);
+    return Ok(outcome.val.tokens);
+}
+
+async function generate(
+    run: ChatRun,
+    ticket: AdmissionTicket,
+    claim: RequestClaim,
+    chunks: string[],
+): Promise<Result<GenerationSummary, RequestError>> {
+    const { environment, context, service, chat, writer } = run;
+    const times = TokenTimes.create(environment.clock, environment.metrics, context.arrivedAt);
+    return await runGeneration({
+        request: context.id,
+        model: service.model,
+        layers: context.version.configuration.models[service.model]!.layers,
+        prompt: chat.prompt,
+        maximumTokens: run.maximumTokens,
+        priority: ticket.priority,
+        dataCentre: environment.dataCentre,
+        permit: context.permit,
+        // A claimed request runs to its end without its caller, so that a repeat gets the answer.
+        signal: claim.kind === "granted" ? new AbortController().signal : context.signal,
+        chooser: environment.chooser,
+        clock: environment.clock,
+        observer: createGenerationObserver(environment, context),
+        getConnection: endpoint => environment.endpoints.getEngine(endpoint),
+        onChain: chain => {
+            run.headers["x-foxlead-chain"] = describeChain(chain);
+        },
+        onText: text => {
+            times.observeToken();
+            chunks.push(text);
+            if (chat.isStreamed) {
+                startStreamOnce(run);
+                writer.writeText(text);
+            }
+        },
+    });
+}
+
+function startStreamOnce(run: ChatRun): void {
+    if (!run.writer.isStreaming()) {
+        run.writer.startStream(run.headers, text => run.answer.createTextChunk(text));
+    }
+}
+
+function finish(run: ChatRun, summary: GenerationSummary, chunks: readonly string[]): void {
+    if (run.chat.isStreamed) {
+        startStreamOnce(run);
+        run.writer.endStream(run.answer.createLastChunks(summary.finishReason));
+        return;
+    }
+    run.writer.sendWhole(200, "application/json", run.answer.createWhole(chunks.join(""), summary), run.headers);
+}
+
+function replay(run: ChatRun, kept: KeptAnswer): void {
+    const headers = { ...run.headers, "x-foxlead-replayed": "true" };
+    if (!run.chat.isStreamed) {
+        run.writer.sendWhole(kept.status, kept.contentType, kept.body, headers);
+        return;
+    }
+    const { text, finishReason } = ChatAnswer.readWhole(kept.body);
+    run.writer.startStream(headers, part => run.answer.createTextChunk(part));
+    run.writer.writeText(text);
+    run.writer.endStream(run.answer.createLastChunks(finishReason));
+}
+
+function settleClaim(
+    run: ChatRun,
+    claim: RequestClaim,
+    outcome: Result<GenerationSummary, RequestError>,
+    chunks: readonly string[],
+): void {
+    if (claim.kind !== "granted") {
+        return;
+    }
+    const { claims } = run.environment;
+    if (outcome.ok) {
+        const body = Buffer.from(run.answer.createWhole(chunks.join(""), outcome.val));
+        claims.settle(claim.key, { kind: "finished", answer: { status: 200, contentType: "application/json", body } });
+        return;
+    }
+    claims.settle(claim.key, { kind: outcome.val.outcome === "notRun" ? "notRun" : "unknown" });
+}
+
+function describeChain(chain: Chain): string {
+    return chain.stages.map(stage => `${stage.endpoint}[${stage.layerStart}-${stage.layerEnd})`).join(" ");
+}
--- /dev/null
+++ b/src/request/model/runGeneration.ts
@@ -0,0 +1,249 @@
+import type { EngineConnection } from "../../connection/endpoint/engineConnection.ts";
+import type { PassResult } from "../../connection/endpoint/engineProtocol.ts";
+import type { PassFailure } from "../../connection/endpoint/passFailure.ts";
+import type { Clock } from "../../process/clock.ts";
+import { Err, Ok, type Result } from "../../result.ts";
+import type { Chain } from "../chain/chain.ts";
+import type { ChainChooser } from "../chain/chainChooser.ts";
+import type { NotRunPermit } from "../notRunPermit.ts";
+import { RequestError } from "../requestError.ts";
+import { Generation, type GenerationOptions } from "./generation.ts";
+import type { GenerationObserver } from "./generationObserver.ts";
+import type { GenerationStep } from "./generationStep.ts";
+
+/** What one generated answer needs of the process. */
+export interface RunGenerationOptions extends GenerationOptions {
+    dataCentre: string;
+    permit: NotRunPermit;
+    /** Aborts when the caller has gone away. */
+    signal: AbortSignal;
+    chooser: ChainChooser;
+    clock: Clock;
+    observer: GenerationObserver;
+    getConnection(endpoint: string): EngineConnection | undefined;
+    /** Hears of each chain before its first pass. */
+    onChain(chain: Chain): void;
+    /** Takes each accepted token's text, in order. */
+    onText(text: string): void;
+}
+
+/** A whole answer. */
+export interface GenerationSummary {
+    finishReason: "stop" | "length";
+    promptPositions: number;
+    tokens: number;
+    chain: Chain;
+    attempts: number;
+}
+
+/** Why an attempt ended without an answer. */
+type AttemptEnd = { kind: "cancelled"; } | { kind: "broken"; failure: PassFailure; };
+
+/** Attempts of one answer before it fails. */
+const MaximumAttempts = 12;
+/** How long a started answer waits for a chain to come back before it fails, in milliseconds. */
+const ChainPatienceMilliseconds = 8_000;
+const ChainRetryMilliseconds = 50;
+const NoChainRetryAfterMilliseconds = 1_000;
+
+/**
+ * Generates one answer: chooses a chain, drives each pass through its stages, and when a stage is lost rebuilds the
+ * context on another chain without emitting anything twice.
+ * @param options - The request and the parts of the process that it uses.
+ */
+export async function runGeneration(
+    options: RunGenerationOptions,
+): Promise<Result<GenerationSummary, RequestError>> {
+    return await GenerationRun.create(options).run();
+}
+
+class GenerationRun {
+    private readonly options: RunGenerationOptions;
+    private readonly generation: Generation;
+    private readonly excluded = new Set<string>();
+    private readonly survivors = new Set<string>();
+    private mayHaveRun = false;
+    private brokenAt: number | undefined;
+
+    private constructor(options: RunGenerationOptions) {
+        this.options = options;
+        this.generation = Generation.create(options);
+    }
+
+    static create(options: RunGenerationOptions): GenerationRun {
+        return new GenerationRun(options);
+    }
+
+    async run(): Promise<Result<GenerationSummary, RequestError>> {
+        let lastMessage = "";
+        for (let attempt = 1; attempt <= MaximumAttempts; attempt += 1) {
+            const chain = await this.chooseChain();
+            if (!chain.ok) {
+                return chain;
+            }
+            const outcome = await this.runReservedAttempt(chain.val);
+            if (outcome.ok) {
+                return Ok({ ...outcome.val, chain: chain.val });
+            }
+            if (outcome.val.kind === "cancelled") {
+                return Err(RequestError.cancelled());
+            }
+            lastMessage = outcome.val.failure.message;
+            this.handleBrokenAttempt(chain.val, outcome.val.failure);
+        }
+        return Err(this.createFinalError(`The answer failed on ${MaximumAttempts} chains. ${lastMessage}`));
+    }
+
+    private async runReservedAttempt(chain: Chain): Promise<Result<Omit<GenerationSummary, "chain">, AttemptEnd>> {
+        const { chooser } = this.options;
+        chooser.reserveChain(chain);
+        this.options.onChain(chain);
+        try {
+            return await this.runAttempt(chain);
+        }
+        finally {
+            this.freeChain(chain);
+            chooser.releaseChain(chain);
+        }
+    }
+
+    private async runAttempt(chain: Chain): Promise<Result<Omit<GenerationSummary, "chain">, AttemptEnd>> {
+        let stage = 0;
+        let pass = this.generation.startAttempt(chain);
+        this.options.permit.giveUp();
+        for (;;) {
+            const { endpoint } = chain.stages[stage]!;
+            const result = await this.runPass(endpoint, pass);
+            if (this.options.signal.aborted) {
+                return Err({ kind: "cancelled" });
+            }
+            if (!result.ok) {
+                return Err({ kind: "broken", failure: result.val });
+            }
+            this.mayHaveRun = true;
+            const step = this.generation.accept(result.val);
+            if (step.kind === "stale" || step.kind === "malformed") {
+                return Err({ kind: "broken", failure: this.createMalformedFailure(endpoint, step) });
+            }
+            this.emit(step);
+            if (step.kind === "ended") {
+                return Ok(this.createSummary(step.finishReason));
+            }
+            stage = step.stage;
+            pass = step.pass;
+        }
+    }
+
+    private async runPass(
+        endpoint: string,
+        pass: Parameters<EngineConnection["runPass"]>[0],
+    ): Promise<Result<PassResult, PassFailure>> {
+        const connection = this.options.getConnection(endpoint);
+        if (connection === undefined) {
+            const message = `Endpoint ${endpoint} is no longer in the configuration.`;
+            return Err({ kind: "notSent", endpoint, reason: "removed", message });
+        }
+        const { observer } = this.options;
+        const finishObservation = observer.onPassSent(endpoint, pass);
+        const result = await connection.runPass(pass, this.generation.getEstimatedPositions());
+        finishObservation(result);
+        return result;
+    }
+
+    private emit(step: GenerationStep): void {
+        if (step.kind !== "token" && step.kind !== "ended") {
+            return;
+        }
+        if (this.brokenAt !== undefined) {
+            this.options.observer.onRecovered(this.options.clock.getMonotonicTime() - this.brokenAt);
+            this.brokenAt = undefined;
+        }
+        if (step.text !== "") {
+            this.options.onText(step.text);
+        }
+    }
+
+    /** Chooses a chain; a request of which something has run waits for one, for a bounded time. */
+    private async chooseChain(): Promise<Result<Chain, RequestError>> {
+        const { clock } = this.options;
+        const giveUpAt = clock.getMonotonicTime() + ChainPatienceMilliseconds;
+        for (;;) {
+            const chain = this.options.chooser.chooseChain(this.createChainOptions());
+            if (chain.ok) {
+                return Ok(chain.val);
+            }
+            const isPatient = this.mayHaveRun && clock.getMonotonicTime() < giveUpAt;
+            if (this.options.signal.aborted) {
+                return Err(RequestError.cancelled());
+            }
+            if (!isPatient && this.excluded.size === 0) {
+                return Err(this.createFinalError(chain.val.message));
+            }
+            this.excluded.clear();
+            await new Promise<void>(resolve => void clock.setTimer(ChainRetryMilliseconds, resolve));
+        }
+    }
+
+    private createChainOptions(): Parameters<ChainChooser["chooseChain"]>[0] {
+        return {
+            model: this.options.model,
+            dataCentre: this.options.dataCentre,
+            positions: this.generation.getEstimatedPositions(),
+            excluded: this.excluded,
+            preferred: this.survivors,
+        };
+    }
+
+    private handleBrokenAttempt(chain: Chain, failure: PassFailure): void {
+        const { observer, chooser, clock } = this.options;
+        const isRefusal = failure.kind === "refused" || failure.kind === "notSent";
+        this.mayHaveRun ||= !isRefusal;
+        this.brokenAt ??= clock.getMonotonicTime();
+        this.excluded.add(failure.endpoint);
+        this.survivors.clear();
+        for (const stage of chain.stages) {
+            if (stage.endpoint !== failure.endpoint) {
+                this.survivors.add(stage.endpoint);
+            }
+        }
+        chooser.observeFailure(failure.endpoint);
+        observer.onAttemptBroken(failure);
+    }
+
+    /** Frees the sequence at every stage; engines keep it until they are told. */
+    private freeChain(chain: Chain): void {
+        const order = { request: this.options.request, attempt: this.generation.getAttempt() };
+        for (const stage of chain.stages) {
+            void this.options.getConnection(stage.endpoint)?.cancel(order);
+        }
+    }
+
+    private createFinalError(message: string): RequestError {
+        const { permit } = this.options;
+        if (this.mayHaveRun) {
+            return RequestError.failed(message);
+        }
+        permit.restore();
+        return RequestError.notRun(permit, {
+            status: 503,
+            code: "no_chain",
+            message,
+            retryAfterMilliseconds: NoChainRetryAfterMilliseconds,
+        });
+    }
+
+    private createMalformedFailure(endpoint: string, step: GenerationStep): PassFailure {
+        const reason = step.kind === "malformed" ? step.message : "a stale result";
+        this.options.observer.onStaleResult(step.kind === "stale" ? step.reason : "malformed");
+        return { kind: "failed", endpoint, reason, message: `Endpoint ${endpoint} broke the protocol: ${reason}` };
+    }
+
+    private createSummary(finishReason: "stop" | "length"): Omit<GenerationSummary, "chain"> {
+        return {
+            finishReason,
+            promptPositions: this.generation.getPromptPositions(),
+            tokens: this.generation.getTokenCount(),
+            attempts: this.generation.getAttempt(),
+        };
+    }
+}
--- /dev/null
+++ b/tests/connection/endpoint/engineConnection.test.ts
@@ -0,0 +1,89 @@
+import assert from "node:assert/strict";
+import { after, before, describe, it } from "node:test";
+import { EngineConnection } from "../../../src/connection/endpoint/engineConnection.ts";
+import { systemClock } from "../../../src/process/systemClock.ts";
+import { EngineStandin } from "../../../standins/engine/engineStandin.ts";
+
+const model = "m";
+const pass = { request: "r", attempt: 1, model, position: 0, layerStart: 0, layerEnd: 4, priority: 0, text: "a b c" };
+
+describe("EngineConnection", () => {
+    let engine: EngineStandin;
+    let connection: EngineConnection;
+    let silent = 0;
+
+    before(async () => {
+        const layers = [{ model, start: 0, end: 4 }];
+        engine = EngineStandin.create({ name: "engine", layers, modelLayers: { [model]: 8 } });
+        await engine.listen();
+        connection = createConnection(engine.getAddress());
+    });
+
+    after(async () => {
+        await connection.close();
+        await engine.close();
+    });
+
+    function createConnection(address: string): EngineConnection {
+        return EngineConnection.create({
+            endpoint: "engine",
+            address,
+            clock: systemClock,
+            onAnswered: () => undefined,
+            onSilentConnection: () => {
+                silent += 1;
+            },
+        });
+    }
+
+    async function countPositions(request: string): Promise<number> {
+        const response = await fetch(`http://${engine.getAddress()}/standin/record?request=${request}`);
+        const runs = await response.json() as { count: number; }[];
+        let positions = 0;
+        for (const run of runs) {
+            positions += run.count;
+        }
+        return positions;
+    }
+
+    it("brings each pass of a batch its own result", async () => {
+        const requests = ["r1", "r2", "r3"];
+        const results = await Promise.all(requests.map(request => connection.runPass({ ...pass, request }, 3)));
+        for (const [index, result] of results.entries()) {
+            assert.ok(result.ok);
+            assert.equal(result.val.request, requests[index]);
+            assert.equal(result.val.count, 3);
+        }
+    });
+
+    it("replaces a connection that has gone silent, and the pass runs once", async () => {
+        await connection.runPass({ ...pass, request: "warm" }, 3);
+        engine.setFaults({ freezeExistingConnections: true });
+        const result = await connection.runPass({ ...pass, request: "silent" }, 3);
+        assert.ok(result.ok);
+        assert.ok(silent > 0);
+        assert.equal(await countPositions("silent"), 3);
+    });
+
+    it("sends a pass again whose answer was cut off, and the pass runs once", async () => {
+        engine.setFaults({ resetNextBatches: 1 });
+        const result = await connection.runPass({ ...pass, request: "cut" }, 3);
+        assert.ok(result.ok);
+        assert.equal(await countPositions("cut"), 3);
+    });
+
+    it("tells a refusal that proves that nothing ran", async () => {
+        engine.setFaults({ refuseNext: 1 });
+        const result = await connection.runPass({ ...pass, request: "refused" }, 3);
+        assert.ok(!result.ok);
+        assert.equal(result.val.kind, "refused");
+    });
+
+    it("tells that nothing was sent where no connection comes about", async () => {
+        const closed = createConnection("127.0.0.1:1");
+        const result = await closed.runPass(pass, 3);
+        assert.ok(!result.ok);
+        assert.equal(result.val.kind, "notSent");
+        await closed.close();
+    });
+});
--- /dev/null
+++ b/tests/scripts/testing/parseKnownRed.test.ts
@@ -0,0 +1,28 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { parseKnownRed } from "../../../scripts/testing/parseKnownRed.ts";
+
+const line = "tests/a.test.ts > Suite > does a, b | cause of it | issue 12";
+
+describe("parseKnownRed", () => {
+    it("parses the lines of the file", () => {
+        assert.deepEqual(parseKnownRed(`${line}\n\n`), [
+            { file: "tests/a.test.ts", fullName: "Suite does a, b", cause: "cause of it", issue: "issue 12" },
+        ]);
+        assert.deepEqual(parseKnownRed(""), []);
+    });
+
+    it("refuses more than three lines and duplicate ones", () => {
+        const lines = [1, 2, 3, 4].map(number => line.replace("does", `does ${number}`));
+        assert.equal(parseKnownRed(lines.slice(0, 3).join("\n")).length, 3);
+        assert.throws(() => parseKnownRed(lines.join("\n")), /4 lines/);
+        assert.throws(() => parseKnownRed(`${line}\n${line}`), /twice/);
+    });
+
+    it("refuses malformed lines", () => {
+        for (const malformed of ["x", "tests/a.test.ts | b | c", "src/a.ts > b | c | d", `${line} | more`]) {
+            assert.throws(() => parseKnownRed(malformed), /malformed/);
+        }
+        assert.throws(() => parseKnownRed(line.replace("cause of it", "")), /malformed/);
+    });
+});
