--- /dev/null
+++ b/bench/membership/simulatedFleet.ts
@@ -0,0 +1,169 @@
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { GossipExchange } from "../../src/process/membership/gossipExchange.ts";
+import { memberCodec } from "../../src/process/membership/memberCodec.ts";
+import { MembershipView } from "../../src/process/membership/membershipView.ts";
+import { PeerRotation } from "../../src/process/membership/peerRotation.ts";
+import {
+    EndpointRecordSchema,
+    GossipRequestSchema,
+    type GossipResponse,
+    GossipResponseSchema,
+} from "../../src/wire/generated/foxlead/peer/v1/peer_pb.ts";
+import type { SimulatedNode } from "./simulatedNode.ts";
+
+/** More than the times that a change is passed on at 340 members. */
+const settleRounds = 20;
+const suspicionTimeoutMilliseconds = 3_000;
+
+/** All nodes of one size and fan-out. */
+export class SimulatedFleet {
+    readonly nodes: SimulatedNode[] = [];
+    /** Bytes of all messages so far. */
+    bytes = 0;
+    /** Number of all messages so far. */
+    messages = 0;
+    private readonly fanOut: number;
+    private readonly random: () => number;
+    private now = 0;
+
+    private readonly interval: number;
+
+    private constructor(size: number, fanOut: number, interval: number, payloadRecords: number, seed: number) {
+        this.interval = interval;
+        this.fanOut = fanOut;
+        const generator = xoroshiro128plus(seed);
+        this.random = () => (generator.next() >>> 0) / 2 ** 32;
+        for (let index = 0; index < size; index++) {
+            this.nodes.push(this.createNode(index, payloadRecords));
+        }
+        for (const node of this.nodes) {
+            this.pull(node);
+        }
+    }
+
+    /**
+     * Creates nodes that all know each other and have nothing left to pass on.
+     * @param size - Number of nodes.
+     * @param fanOut - Peers contacted in a round.
+     * @param interval - Milliseconds between two rounds.
+     * @param payloadRecords - Endpoint records in each message.
+     * @param seed - Seed of the random order of contacts.
+     */
+    static create(
+        size: number,
+        fanOut: number,
+        interval: number,
+        payloadRecords: number,
+        seed: number,
+    ): SimulatedFleet {
+        const fleet = new SimulatedFleet(size, fanOut, interval, payloadRecords, seed);
+        fleet.settle();
+        return fleet;
+    }
+
+    /** Adds a node that has pulled the whole view. */
+    add(payloadRecords: number): SimulatedNode {
+        const node = this.createNode(this.nodes.length, payloadRecords);
+        this.nodes.push(node);
+        this.pull(node);
+        return node;
+    }
+
+    /** Lets a node have the whole view, as after a pull. */
+    private pull(node: SimulatedNode): void {
+        const members = this.nodes.map(other => memberCodec.encode(other.view.getSelf()));
+        const response: GossipResponse = create(GossipResponseSchema, { members });
+        node.exchange.applyResponse(response, "", true, this.now);
+    }
+
+    /** Empties the queues of changes that the start has filled. */
+    private settle(): void {
+        for (let round = 0; round < settleRounds; round++) {
+            for (const node of this.nodes) {
+                node.exchange.createHeartbeat(undefined);
+            }
+        }
+    }
+
+    /** Runs rounds until a condition holds and gets their number. */
+    runUntil(isDone: () => boolean, limit: number): number {
+        let round = 0;
+        while (!isDone() && round < limit) {
+            this.runRound();
+            round++;
+        }
+        return round;
+    }
+
+    /** Lets each node contact its peers once. */
+    runRound(): void {
+        this.now += this.interval;
+        for (const node of this.nodes) {
+            if (node.isUp) {
+                node.view.advance(this.now);
+                this.contactPeers(node);
+            }
+        }
+    }
+
+    private contactPeers(node: SimulatedNode): void {
+        const self = node.view.getSelf().nodeId;
+        const peers = node.view.getMembers().filter(member => member.nodeId !== self && member.state !== "dead");
+        for (const nodeId of node.rotation.take(peers.map(peer => peer.nodeId), this.fanOut)) {
+            this.exchange(node, nodeId);
+        }
+    }
+
+    private exchange(node: SimulatedNode, nodeId: string): void {
+        const peer = this.nodes[Number(nodeId.split("-")[1])] as SimulatedNode;
+        const request = toBinary(GossipRequestSchema, node.exchange.createHeartbeat(node.view.getMember(nodeId)));
+        this.count(request);
+        if (!peer.isUp) {
+            node.view.noteMiss(nodeId, this.now);
+            return;
+        }
+        const answer = peer.exchange.answer(fromBinary(GossipRequestSchema, request), this.now);
+        const response = toBinary(GossipResponseSchema, answer);
+        this.count(response);
+        const address = peer.view.getSelf().peerAddress;
+        node.exchange.applyResponse(fromBinary(GossipResponseSchema, response), address, false, this.now);
+        node.view.noteContact(nodeId);
+    }
+
+    private count(message: Uint8Array): void {
+        this.bytes += message.length;
+        this.messages++;
+    }
+
+    private createNode(index: number, payloadRecords: number): SimulatedNode {
+        const view = MembershipView.create({
+            nodeId: `entry-${index}`,
+            peerAddress: `10.${index % 10}.${Math.floor(index / 200)}.${index % 200}:7400`,
+            dataCentre: `data-centre-${index % 10}`,
+            incarnation: 1_790_000_000_000 + index,
+            configurationVersion: 12_345,
+            suspicionTimeoutMilliseconds,
+        });
+        const endpoints = Array.from({ length: payloadRecords }, (_, number) =>
+            create(EndpointRecordSchema, {
+                endpoint: `runner-${number}`,
+                observer: `entry-${index}`,
+                sequence: 123_456n,
+                state: "serving",
+                queueDepth: 17,
+                freeTokens: 150_000,
+            }));
+        const exchange = GossipExchange.create({
+            view,
+            payloads: {
+                collectEndpointRecords: () => endpoints,
+                applyEndpointRecords: () => undefined,
+                collectDemandRecords: () => [],
+                applyDemandRecords: () => undefined,
+            },
+            onPeerConfigurationVersion: () => undefined,
+        });
+        return { view, exchange, rotation: PeerRotation.create(this.random), isUp: true };
+    }
+}
--- a/src/process/commandLine/formatStatus.ts
+++ b/src/process/commandLine/formatStatus.ts
@@ -1,18 +1,33 @@
 import type { NodeStatus } from "../admin/nodeStatus.ts";
 import { formatTable } from "./formatTable.ts";
 
+const millisecondsPerSecond = 1000;
+
+const nodeHeading = [
+    "NODE",
+    "DATA CENTRE",
+    "READY",
+    "VERSION",
+    "RUNNING",
+    "QUEUED",
+    "TOKENS/S",
+    "BOUND",
+    "STORE",
+    "PEERS",
+    "REASON",
+];
+
 /**
  * Formats what nodes answered as tables: the nodes that were asked, then all members and endpoints as they see them.
  * @param statuses - Answers.
  */
 export function formatStatus(statuses: readonly NodeStatus[]): string[] {
-    const nodes = [["NODE", "DATA CENTRE", "READY", "VERSION", "RUNNING", "QUEUED", "REASON"]];
+    const nodes = [nodeHeading];
     const members = new Map<string, string[]>();
     const endpoints = new Map<string, string[]>();
     for (const status of statuses) {
-        const { vm, dataCentre, ready, reason, configurationVersion, runningRequests, queuedRequests } = status;
-        const numbers = [configurationVersion, runningRequests, queuedRequests].map(String);
-        nodes.push([vm, dataCentre, ready ? "yes" : "no", ...numbers, reason]);
+        const { vm } = status;
+        nodes.push(formatNode(status));
         for (const member of status.members) {
             const row = [member.vm, member.dataCentre, member.state, String(member.configurationVersion), vm];
             addView(members, row);
@@ -30,6 +45,26 @@
     ];
 }
 
+function formatNode(status: NodeStatus): string[] {
+    return [
+        status.vm,
+        status.dataCentre,
+        status.ready ? "yes" : "no",
+        String(status.configurationVersion),
+        String(status.runningRequests),
+        String(status.queuedRequests),
+        status.tokensPerSecond.toFixed(0),
+        status.flowBoundTokensPerSecond?.toFixed(0) ?? "-",
+        formatAge(status.storeSilentMilliseconds),
+        formatAge(status.peersSilentMilliseconds),
+        status.reason,
+    ];
+}
+
+function formatAge(milliseconds: number | undefined): string {
+    return milliseconds === undefined ? "never" : `${(milliseconds / millisecondsPerSecond).toFixed(1)} s ago`;
+}
+
 /** Adds a row whose last cell names the node that sees it so; nodes that see the same share a row. */
 function addView(rows: Map<string, string[]>, row: string[]): void {
     const observer = row.at(-1) ?? "";
--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -2,7 +2,7 @@
 
 /**
  * The catalogue of log events. Numbers: 1000 process, 1100 platform, 1200 configuration, 1300 claims and leases,
- * 1400 membership and peers, 1500 chains, 1600 admission, 1700 requests, 1800 endpoint connections.
+ * 1400 membership and peers, 1500 chains, 1600 admission, 1700 requests, 1800 endpoint connections, 1900 orders.
  */
 export const events = {
     nodeStarted: { number: 1001, level: "info", message: "The node has started." },
@@ -89,6 +89,28 @@
         level: "warn",
         message: "A connection to an endpoint went silent while new ones work; it is replaced.",
     },
+    loadOrdered: { number: 1901, level: "info", message: "An engine is ordered to load layers." },
+    layersLoaded: { number: 1902, level: "info", message: "An engine holds the layers that it was ordered to load." },
+    loadGivenUp: { number: 1903, level: "warn", message: "A load is given up; another engine is chosen." },
+    loadRefused: {
+        number: 1904,
+        level: "warn",
+        message:
+            "An engine refused an order to load. With status 409 it has seen a higher fencing number: if the store was"
+            + " restored, raise the number of the key foxlead/leases/orders above it.",
+    },
+    layersWithoutEngine: {
+        number: 1905,
+        level: "error",
+        message:
+            "No engine can load some ranges of layers. Add engines, or look at why the present ones do not answer.",
+    },
+    loadRecordFailed: {
+        number: 1906,
+        level: "warn",
+        message: "The record of loads could not be read or written; no new load is ordered before it can.",
+    },
+    orderRoundFailed: { number: 1907, level: "error", message: "A round of orders ended by an unexpected error." },
     invariantBroken: {
         number: 1701,
         level: "error",
