Measure the path and end forced stops truthfully

Cause: a claimed request ignored its caller's leaving and so ignored a forced stop too: the node would have waited for it without end. Change: a stop signal beside the caller's; on either, the sequence is cancelled at the engines, which refuse the pass that waits.

--- /dev/null
+++ b/bench/path.ts
@@ -0,0 +1,146 @@
+/**
+ * Measures the path of a request through one node: requests, tokens and hops a second, processor time a hop, and latency,
+ * against the same passes sent to the stand-ins directly. Engines take no time for a step, so what shows is overhead.
+ */
+import { build, type Histogram } from "hdr-histogram-js";
+import { LocalDeployment } from "../scripts/deployment/localDeployment.ts";
+import { sendChat } from "../scripts/deployment/sendChat.ts";
+import { readProcessorTime } from "./path/readProcessorTime.ts";
+import { sendDirect } from "./path/sendDirect.ts";
+
+/** What one way of asking showed. */
+interface PathFigures {
+    way: string;
+    callers: number;
+    requestsPerSecond: number;
+    tokensPerSecond: number;
+    hopsPerSecond: number;
+    medianMilliseconds: number;
+    percentile99Milliseconds: number;
+    /** Processor time of the asking process (direct) or of the node, a hop. */
+    processorMicrosecondsPerHop: number;
+}
+
+const maximumTokens = 32;
+const requestsPerCaller = 16;
+const prompt = "Explain the deductions of this payslip to the family in plain words please";
+const microsecondsPerSecond = 1_000_000;
+
+process.chdir(new URL("..", import.meta.url).pathname);
+const engines = [1, 2, 3].flatMap(replica => [
+    createEngine(`first-${replica}`, "0-12"),
+    createEngine(`second-${replica}`, "12-24"),
+]);
+const deployment = await LocalDeployment.create({ nodes: 1, engines, documents: 0, isBuilt: false });
+try {
+    await deployment.apply();
+    const node = deployment.nodes[0]!;
+    const figures: PathFigures[] = [];
+    for (const callers of [1, 16, 64]) {
+        figures.push(await measure("direct", callers, index => runDirect(index), () => process.cpuUsage()));
+        figures.push(
+            await measure("through a node", callers, () => runThroughNode(), () => {
+                return readProcessorTime(node.adminAddress);
+            }),
+        );
+    }
+    console.table(figures);
+    for (let index = 0; index < figures.length; index += 2) {
+        const [direct, through] = [figures[index]!, figures[index + 1]!];
+        const ratio = through.medianMilliseconds / direct.medianMilliseconds;
+        console.log(`${direct.callers} callers: median latency through a node / direct = ${ratio.toFixed(2)}`);
+    }
+}
+finally {
+    await deployment.stop();
+}
+
+function createEngine(name: string, layers: string) {
+    return {
+        name,
+        layers,
+        dataCentre: "centre-a",
+        accelerator: "large",
+        stepMillisecondsPerLayer: 0.0001,
+        stepBaseMilliseconds: 0.001,
+        checksFencing: true,
+    };
+}
+
+async function runThroughNode(): Promise<number> {
+    const answer = await sendChat({
+        address: deployment.nodes[0]!.callerAddress,
+        apiKey: deployment.apiKey,
+        service: "assistant",
+        prompt,
+        maximumTokens,
+        isStreamed: true,
+    });
+    if (!answer.isWhole) {
+        throw new Error(`A request was not answered whole: ${answer.status} ${answer.errorCode}.`);
+    }
+    return answer.text.trim().split(" ").length;
+}
+
+async function runDirect(index: number): Promise<number> {
+    const replica = index % 3;
+    const stages = [deployment.engines[replica * 2]!, deployment.engines[replica * 2 + 1]!];
+    return await sendDirect({
+        addresses: stages.map(stage => stage.address),
+        model: deployment.model,
+        layers: deployment.modelLayers,
+        prompt: `user: ${prompt}`,
+        maximumTokens,
+    });
+}
+
+async function measure(
+    way: string,
+    callers: number,
+    run: (index: number) => Promise<number>,
+    readProcessor: () => NodeJS.CpuUsage | Promise<NodeJS.CpuUsage>,
+): Promise<PathFigures> {
+    const measuredRequests = callers * requestsPerCaller;
+    await runAll(callers, callers * 2, run, build());
+    const histogram = build();
+    const before = await readProcessor();
+    const startedAt = performance.now();
+    const tokens = await runAll(callers, measuredRequests, run, histogram);
+    const seconds = (performance.now() - startedAt) / 1_000;
+    const after = await readProcessor();
+    const hops = tokens * 2;
+    const processorMicroseconds = after.user + after.system - before.user - before.system;
+    return {
+        way,
+        callers,
+        requestsPerSecond: Math.round(measuredRequests / seconds),
+        tokensPerSecond: Math.round(tokens / seconds),
+        hopsPerSecond: Math.round(hops / seconds),
+        medianMilliseconds: histogram.getValueAtPercentile(50) / 1_000,
+        percentile99Milliseconds: histogram.getValueAtPercentile(99) / 1_000,
+        processorMicrosecondsPerHop: Math.round(10 * processorMicroseconds / hops) / 10,
+    };
+}
+
+/** Runs requests by so many callers at once and returns the tokens of all; latencies are recorded in microseconds. */
+async function runAll(
+    callers: number,
+    requests: number,
+    run: (index: number) => Promise<number>,
+    histogram: Histogram,
+): Promise<number> {
+    let next = 0;
+    let tokens = 0;
+    const runCaller = async () => {
+        while (next < requests) {
+            const index = next;
+            next += 1;
+            const startedAt = performance.now();
+            const count = await run(index);
+            tokens += count;
+            histogram.recordValue(Math.round((performance.now() - startedAt) / 1_000 * microsecondsPerSecond));
+        }
+    };
+    await Promise.all(Array.from({ length: callers }, runCaller));
+    return tokens;
+}
--- a/scripts/deployment/engineSpecification.ts
+++ b/scripts/deployment/engineSpecification.ts
@@ -6,5 +6,7 @@
     /** Layers as `start-end`. */
     layers: string;
     stepMillisecondsPerLayer: number;
+    /** Time of a step besides its layers, in milliseconds; the stand-in's default where undefined. */
+    stepBaseMilliseconds?: number;
     checksFencing: boolean;
 }
--- a/scripts/deployment/localDeployment.ts
+++ b/scripts/deployment/localDeployment.ts
@@ -24,13 +24,19 @@
     onLine?(name: string, line: string): void;
 }
 
-/** A node process with its addresses. */
-export interface DeployedNode {
+/** Name and addresses of a node. */
+interface PlannedNode {
     name: string;
-    process: ChildProcess;
+    dataCentre: string;
+    /** Addresses as host:port. */
     callerAddress: string;
     peerAddress: string;
     adminAddress: string;
+}
+
+/** A node process with its addresses. */
+export interface DeployedNode extends PlannedNode {
+    process: ChildProcess;
     settingsFile: string;
 }
 
@@ -61,6 +67,7 @@
     readonly nodes: DeployedNode[] = [];
     private readonly options: LocalDeploymentOptions;
     private readonly directory = mkdtempSync(join(tmpdir(), "foxlead-"));
+    private readonly processes = new Set<ChildProcess>();
     private nextNode = 1;
 
     private constructor(options: LocalDeploymentOptions) {
@@ -71,29 +78,14 @@
     static async create(options: LocalDeploymentOptions): Promise<LocalDeployment> {
         const deployment = new LocalDeployment(options);
         await deployment.startStandins();
-        for (let index = 0; index < options.nodes; index += 1) {
-            await deployment.startNode();
-        }
+        await deployment.startNodes(options.nodes);
         return deployment;
     }
 
     /** Starts one more node. */
-    async startNode(name = `node-${this.nextNode}`): Promise<DeployedNode> {
-        this.nextNode += 1;
-        const [caller, peer, admin] = await findFreePorts(3);
-        const settingsFile = join(this.directory, `${name}.settings.jsonc`);
-        const addresses = {
-            callerAddress: `127.0.0.1:${caller}`,
-            peerAddress: `127.0.0.1:${peer}`,
-            adminAddress: `127.0.0.1:${admin}`,
-        };
-        writeFileSync(settingsFile, JSON.stringify(this.createSettings(name, addresses), undefined, 4));
-        const process = this.startFoxlead(name, ["node", "--settings", settingsFile]);
-        await process.waitForLine(/FL1001/);
-        const node = { name, process, settingsFile, ...addresses };
-        this.nodes.push(node);
-        await this.setVm(name, { state: "live", role: "node", address: addresses.peerAddress });
-        return node;
+    async startNode(): Promise<DeployedNode> {
+        const [node] = await this.startNodes(1);
+        return node!;
     }
 
     /** Runs the command line of foxlead to its end. */
@@ -151,6 +143,11 @@
         });
     }
 
+    /** Takes a machine off the platform's list. */
+    async removeVm(name: string): Promise<void> {
+        await fetch(`http://${this.platform.address}/standin/vms/${name}`, { method: "DELETE" });
+    }
+
     /** Sets faults of a stand-in. */
     async setFaults(standin: DeployedStandin, faults: object): Promise<void> {
         await fetch(`http://${standin.address}/standin/faults`, {
@@ -168,6 +165,9 @@
             ...["--model-layers", `${this.model}:${modelLayers}`, "--maximum-sequences", sequences],
             ...["--step-milliseconds-per-layer", String(engine.stepMillisecondsPerLayer)],
             ...["--checks-fencing", String(engine.checksFencing)],
+            ...(engine.stepBaseMilliseconds === undefined
+                ? []
+                : ["--step-base-milliseconds", String(engine.stepBaseMilliseconds)]),
         ]);
     }
 
@@ -179,18 +179,81 @@
         return codes;
     }
 
+    /** Kills every process that still runs, also frozen ones; for a script that ends early. */
+    async kill(): Promise<void> {
+        const killed = [...this.processes].map(process => {
+            process.signal("SIGKILL");
+            return process.exited;
+        });
+        await Promise.all(killed);
+    }
+
+    /** Starts an engine that was killed again, on the port that it had. */
+    async restartEngine(name: string): Promise<void> {
+        const index = this.engines.findIndex(engine => engine.name === name);
+        const specification = this.getEngineSpecifications().find(engine => engine.name === name);
+        if (index < 0 || specification === undefined) {
+            throw new Error(`The deployment has no engine ${name}. Use one of its specifications.`);
+        }
+        const port = Number(this.engines[index]!.address.split(":")[1]);
+        this.engines[index] = await this.startEngine(specification, port);
+    }
+
+    /** Forgets a node that has ended, here and on the platform's list. */
+    async forgetNode(node: DeployedNode): Promise<void> {
+        const index = this.nodes.indexOf(node);
+        if (index >= 0) {
+            this.nodes.splice(index, 1);
+        }
+        await this.removeVm(node.name);
+    }
+
     getEngineSpecifications(): readonly EngineSpecification[] {
         return this.options.engines ?? demoEngines;
     }
 
+    /** Starts nodes at the same time, each of which knows the others. */
+    private async startNodes(count: number): Promise<DeployedNode[]> {
+        const ports = await findFreePorts(3 * count);
+        const planned: PlannedNode[] = [];
+        for (let index = 0; index < count; index += 1) {
+            const [caller, peer, admin] = ports.slice(3 * index);
+            planned.push({
+                name: `node-${this.nextNode}`,
+                dataCentre: dataCentres[this.nextNode % dataCentres.length]!,
+                callerAddress: `127.0.0.1:${caller}`,
+                peerAddress: `127.0.0.1:${peer}`,
+                adminAddress: `127.0.0.1:${admin}`,
+            });
+            this.nextNode += 1;
+        }
+        const peers = [...this.nodes, ...planned].map(node => node.peerAddress);
+        const started = await Promise.all(planned.map(node => this.startPlannedNode(node, peers)));
+        this.nodes.push(...started);
+        return started;
+    }
+
+    private async startPlannedNode(planned: PlannedNode, peers: readonly string[]): Promise<DeployedNode> {
+        const { name, peerAddress } = planned;
+        const settingsFile = join(this.directory, `${name}.settings.jsonc`);
+        const others = peers.filter(address => address !== peerAddress);
+        writeFileSync(settingsFile, JSON.stringify(this.createSettings(planned, others), undefined, 4));
+        const process = this.startFoxlead(name, ["node", "--settings", settingsFile]);
+        await process.waitForLine(/FL1001/);
+        await this.setVm(name, { state: "live", role: "node", address: peerAddress });
+        return { ...planned, process, settingsFile };
+    }
+
     private async startStandins(): Promise<void> {
         this.platform = await this.startStandin("platform", "standins/platform/main.ts", 0, []);
         const engines = this.getEngineSpecifications().map(engine => this.startEngine(engine));
-        this.engines.push(...await Promise.all(engines));
+        const documents: Promise<DeployedStandin>[] = [];
         for (let index = 1; index <= (this.options.documents ?? 2); index += 1) {
             const name = `document-${index}`;
-            this.documents.push(await this.startStandin(name, "standins/document/main.ts", 0, ["--name", name]));
+            documents.push(this.startStandin(name, "standins/document/main.ts", 0, ["--name", name]));
         }
+        this.engines.push(...await Promise.all(engines));
+        this.documents.push(...await Promise.all(documents));
         for (const standin of [...this.engines, ...this.documents]) {
             await this.setVm(standin.name, { state: "live", role: "endpoint", address: standin.address });
         }
@@ -210,22 +273,22 @@
 
     private startChild(name: string, command: string, options: readonly string[]): ChildProcess {
         const { onLine } = this.options;
-        return ChildProcess.create({ name, command, options, onLine: line => onLine?.(name, line) });
+        const process = ChildProcess.create({ name, command, options, onLine: line => onLine?.(name, line) });
+        this.processes.add(process);
+        void process.exited.then(() => this.processes.delete(process));
+        return process;
     }
 
-    private createSettings(
-        name: string,
-        addresses: { callerAddress: string; peerAddress: string; adminAddress: string; },
-    ): object {
+    private createSettings(planned: PlannedNode, peers: readonly string[]): object {
         const { otlpAddress, shutdownMilliseconds } = this.options;
         return {
-            vm: name,
-            dataCentre: dataCentres[this.nodes.length % dataCentres.length],
-            callerListener: addresses.callerAddress,
-            peerListener: addresses.peerAddress,
-            adminListener: addresses.adminAddress,
+            vm: planned.name,
+            dataCentre: planned.dataCentre,
+            callerListener: planned.callerAddress,
+            peerListener: planned.peerAddress,
+            adminListener: planned.adminAddress,
             platform: { storeAddress: this.platform.address, vmListAddress: this.platform.address },
-            peers: this.nodes.map(node => node.peerAddress),
+            peers,
             peerSecret,
             shutdownMilliseconds: shutdownMilliseconds ?? 30_000,
             ...(otlpAddress === undefined ? {} : { tracing: { otlpAddress, sampleRatio: 1 } }),
--- a/scripts/deployment/sendChat.ts
+++ b/scripts/deployment/sendChat.ts
@@ -1,4 +1,5 @@
 import { createParser } from "eventsource-parser";
+import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
 
 /** A chat request to send. */
@@ -12,6 +13,10 @@
     isStreamed: boolean;
     idempotencyKey?: string;
     signal?: AbortSignal;
+    /** Wait of a slow reader before each piece, in milliseconds. */
+    readDelayMilliseconds?: number;
+    /** Hears of each piece of a stream, with what has come so far. */
+    onPiece?(soFar: ChatOutcome): void;
 }
 
 /** What the caller saw. */
@@ -24,6 +29,10 @@
     /** Code of the error, if any; `notRun` and so on in `outcome`. */
     errorCode: string;
     outcome: string;
+    /** Message of the error, or what broke the connection. */
+    errorMessage: string;
+    /** Whether the answer is the kept one of an earlier request with the same key. */
+    isReplayed: boolean;
     retryAfterMilliseconds: number;
     firstTokenMilliseconds: number;
     betweenTokensMilliseconds: number;
@@ -32,8 +41,9 @@
 }
 
 /**
- * Sends a chat request and reads its whole answer.
+ * Sends a chat request and reads its whole answer. An answer that breaks off has the outcome `cut`.
  * @param options - The request.
+ * @throws Error where the connection fails before the answer begins.
  */
 export async function sendChat(options: ChatOptions): Promise<ChatOutcome> {
     const startedAt = performance.now();
@@ -59,28 +69,36 @@
     });
     const outcome = createOutcome(response.statusCode, response.headers);
     if (response.headers["content-type"]?.includes("event-stream") === true) {
-        await readStream(response.body, startedAt, outcome);
+        await readStream(response.body, startedAt, outcome, options);
         return outcome;
     }
-    const body = await response.body.json() as WholeBody;
+    const body = await readWhole(response.body, outcome);
     outcome.firstTokenMilliseconds = performance.now() - startedAt;
-    outcome.text = body.choices?.[0]?.message.content ?? "";
-    outcome.isWhole = body.choices !== undefined;
-    outcome.errorCode = body.error?.code ?? "";
-    outcome.outcome = body.error?.outcome ?? "finished";
+    if (body !== undefined) {
+        outcome.text = body.choices?.[0]?.message.content ?? "";
+        outcome.isWhole = body.choices !== undefined;
+        noteError(outcome, body.error ?? { code: "", outcome: "finished", message: "" });
+    }
     return outcome;
 }
 
+/** What an error says. */
+interface ErrorPart {
+    code: string;
+    outcome: string;
+    message: string;
+}
+
 /** The parts of a whole answer, or an error, that are read here. */
 interface WholeBody {
     choices?: { message: { content: string; }; }[];
-    error?: { code: string; outcome: string; };
+    error?: ErrorPart;
 }
 
 /** The parts of an event that are read here. */
 interface EventBody {
     choices?: { delta: { content?: string; }; }[];
-    error?: { code: string; outcome: string; };
+    error?: ErrorPart;
 }
 
 function createOutcome(status: number, headers: Record<string, string | string[] | undefined>): ChatOutcome {
@@ -91,6 +109,8 @@
         isWhole: false,
         errorCode: "",
         outcome: "cut",
+        errorMessage: "",
+        isReplayed: headers["x-foxlead-replayed"] === "true",
         retryAfterMilliseconds: Number(headers["retry-after-ms"] ?? 0),
         firstTokenMilliseconds: 0,
         betweenTokensMilliseconds: 0,
@@ -98,10 +118,30 @@
     };
 }
 
+function noteError(outcome: ChatOutcome, error: ErrorPart): void {
+    outcome.errorCode = error.code;
+    outcome.outcome = error.outcome;
+    outcome.errorMessage = error.message;
+}
+
+async function readWhole(
+    body: { json(): Promise<unknown>; },
+    outcome: ChatOutcome,
+): Promise<WholeBody | undefined> {
+    try {
+        return await body.json() as WholeBody;
+    }
+    catch (error) {
+        outcome.errorMessage = String(error);
+        return undefined;
+    }
+}
+
 async function readStream(
     body: AsyncIterable<Buffer>,
     startedAt: number,
     outcome: ChatOutcome,
+    { readDelayMilliseconds = 0, onPiece }: ChatOptions,
 ): Promise<void> {
     let lastAt = startedAt;
     let events = 0;
@@ -114,8 +154,9 @@
                 return;
             }
             const parsed = JSON.parse(event.data) as EventBody;
-            outcome.errorCode = parsed.error?.code ?? "";
-            outcome.outcome = parsed.error?.outcome ?? outcome.outcome;
+            if (parsed.error !== undefined) {
+                noteError(outcome, parsed.error);
+            }
             const text = parsed.choices?.[0]?.delta.content;
             if (text === undefined) {
                 return;
@@ -129,11 +170,20 @@
             }
             events += 1;
             lastAt = now;
+            onPiece?.(outcome);
         },
     });
     const decoder = new TextDecoder();
-    for await (const chunk of body) {
-        parser.feed(decoder.decode(chunk, { stream: true }));
+    try {
+        for await (const chunk of body) {
+            parser.feed(decoder.decode(chunk, { stream: true }));
+            if (readDelayMilliseconds > 0) {
+                await sleep(readDelayMilliseconds);
+            }
+        }
+    }
+    catch (error) {
+        outcome.errorMessage = String(error);
     }
     const tokensAfterFirst = Math.max(1, events - 1);
     outcome.betweenTokensMilliseconds = (lastAt - startedAt - outcome.firstTokenMilliseconds) / tokensAfterFirst;
--- /dev/null
+++ b/scripts/deployment/sendDocument.ts
@@ -0,0 +1,85 @@
+import { createHash } from "node:crypto";
+import { request } from "undici";
+
+/** A call to a document service to send. */
+interface DocumentOptions {
+    /** host:port of a node's caller listener. */
+    address: string;
+    apiKey: string;
+    service: string;
+    /** Path after the service's name, with the leading slash. */
+    path: string;
+    body: string;
+    idempotencyKey?: string;
+    signal?: AbortSignal;
+}
+
+/** What the caller saw. */
+export interface DocumentOutcome {
+    status: number;
+    /** `finished`, `cut`, or the outcome that the error names. */
+    outcome: string;
+    errorCode: string;
+    errorMessage: string;
+    /** Whether the answer belongs to this very call. */
+    isRight: boolean;
+    /** How often the service had executed the key. */
+    execution: number;
+    isReplayed: boolean;
+}
+
+/** The parts of an answer, or an error, that are read here. */
+interface AnswerBody {
+    path?: string;
+    bodySha256?: string;
+    execution?: number;
+    error?: { code: string; outcome: string; message: string; };
+}
+
+const timeoutMilliseconds = 60_000;
+
+/**
+ * Sends a call to a document service and checks its answer.
+ * @param options - The call.
+ * @throws Error where the connection fails before the answer begins.
+ */
+export async function sendDocument(options: DocumentOptions): Promise<DocumentOutcome> {
+    const headers: Record<string, string> = { authorization: `Bearer ${options.apiKey}` };
+    if (options.idempotencyKey !== undefined) {
+        headers["idempotency-key"] = options.idempotencyKey;
+    }
+    const response = await request(`http://${options.address}/v1/services/${options.service}${options.path}`, {
+        method: "POST",
+        headers,
+        body: options.body,
+        signal: options.signal,
+        headersTimeout: timeoutMilliseconds,
+        bodyTimeout: timeoutMilliseconds,
+    });
+    const outcome: DocumentOutcome = {
+        status: response.statusCode,
+        outcome: "cut",
+        errorCode: "",
+        errorMessage: "",
+        isRight: false,
+        execution: 0,
+        isReplayed: response.headers["x-foxlead-replayed"] === "true",
+    };
+    try {
+        readAnswer(options, outcome, await response.body.json() as AnswerBody);
+    }
+    catch (error) {
+        outcome.errorMessage = String(error);
+    }
+    return outcome;
+}
+
+function readAnswer(options: DocumentOptions, outcome: DocumentOutcome, body: AnswerBody): void {
+    const { error, path, bodySha256, execution } = body;
+    outcome.outcome = error?.outcome ?? "finished";
+    outcome.errorCode = error?.code ?? "";
+    outcome.errorMessage = error?.message ?? "";
+    outcome.execution = execution ?? 0;
+    const expectedSha256 = createHash("sha256").update(options.body).digest("hex");
+    outcome.isRight = outcome.status === 200 && path === options.path && bodySha256 === expectedSha256;
+}
--- a/src/connection/caller/callerServer.ts
+++ b/src/connection/caller/callerServer.ts
@@ -48,7 +48,8 @@
     private readonly server: Server;
     private requestsInProgress = 0;
     private onIdle: (() => void) | undefined;
-    private readonly running = new Set<AbortController>();
+    /** Aborts when what still runs is to be ended by force. */
+    private readonly stop = new AbortController();
 
     private constructor(options: CallerServerOptions) {
         this.options = options;
@@ -97,9 +98,7 @@
 
     /** Ends the requests that still run; each gets the answer that is true of it. */
     abortRequests(): void {
-        for (const controller of this.running) {
-            controller.abort("shutdown");
-        }
+        this.stop.abort();
     }
 
     /** Stops listening and closes idle connections. */
@@ -167,9 +166,9 @@
         const writer = AnswerWriter.create(response);
         const controller = new AbortController();
         this.requestsInProgress += 1;
-        this.running.add(controller);
-        response.on("close", () => controller.abort("closed"));
-        const result = await this.answer(request, arrivedAt, controller.signal, writer, handler);
+        response.on("close", () => controller.abort());
+        const signal = AbortSignal.any([controller.signal, this.stop.signal]);
+        const result = await this.answer(request, arrivedAt, signal, writer, handler);
         const outcome = result.ok ? Outcome.Finished : result.val.outcome;
         if (!result.ok) {
             writer.sendError(result.val);
@@ -179,7 +178,6 @@
             { service: this.getKnownLabel(label) },
             (clock.getMonotonicTime() - arrivedAt) / MillisecondsPerSecond,
         );
-        this.running.delete(controller);
         this.requestsInProgress -= 1;
         if (this.requestsInProgress === 0) {
             this.onIdle?.();
@@ -250,6 +248,7 @@
             isMarkedNonIdempotent: getHeader(request, "x-foxlead-idempotent") === "false",
             deadline: timeout > 0 ? arrivedAt + timeout : undefined,
             signal,
+            stopSignal: this.stop.signal,
             permit,
             span,
         });
--- a/src/request/document/runDocumentCall.ts
+++ b/src/request/document/runDocumentCall.ts
@@ -79,7 +79,7 @@
     });
     context.permit.giveUp();
     const timeout = AbortSignal.timeout(service.timeoutMilliseconds);
-    const signal = call.isIdempotent ? AbortSignal.any([timeout, context.signal]) : timeout;
+    const signal = AbortSignal.any([timeout, call.isIdempotent ? context.signal : context.stopSignal]);
     const headers = { ...call.headers, traceparent: formatTraceparent(span.context) };
     const answer = await connection.send({ ...call, headers }, signal);
     if (!answer.ok) {
--- a/src/request/model/handleChat.ts
+++ b/src/request/model/handleChat.ts
@@ -137,7 +137,8 @@
         dataCentre: environment.dataCentre,
         permit: context.permit,
         // A claimed request runs to its end without its caller, so that a repeat gets the answer.
-        signal: claim.kind === "granted" ? new AbortController().signal : context.signal,
+        signal: claim.kind === "granted" ? context.stopSignal : context.signal,
+        stopSignal: context.stopSignal,
         chooser: environment.chooser,
         clock: environment.clock,
         observer: createGenerationObserver(environment, context),
--- a/src/request/model/runGeneration.ts
+++ b/src/request/model/runGeneration.ts
@@ -15,8 +15,10 @@
 export interface RunGenerationOptions extends GenerationOptions {
     dataCentre: string;
     permit: NotRunPermit;
-    /** Aborts when the caller has gone away. */
+    /** Aborts when the answer has lost its use, or the node is forced to stop. */
     signal: AbortSignal;
+    /** Aborts when the node is forced to stop. */
+    stopSignal: AbortSignal;
     chooser: ChainChooser;
     clock: Clock;
     observer: GenerationObserver;
@@ -86,7 +88,7 @@
                 return Ok({ ...outcome.val, chain: chain.val });
             }
             if (outcome.val.kind === "cancelled") {
-                return Err(RequestError.cancelled());
+                return Err(this.createAbortError());
             }
             lastMessage = outcome.val.failure.message;
             this.handleBrokenAttempt(chain.val, outcome.val.failure);
@@ -95,13 +97,17 @@
     }
 
     private async runReservedAttempt(chain: Chain): Promise<Result<Omit<GenerationSummary, "chain">, AttemptEnd>> {
-        const { chooser } = this.options;
+        const { chooser, signal } = this.options;
         chooser.reserveChain(chain);
         this.options.onChain(chain);
+        // An engine refuses a pass that waits once its sequence is cancelled, so the run ends soon after the signal.
+        const freeChain = () => this.freeChain(chain);
+        signal.addEventListener("abort", freeChain, { once: true });
         try {
             return await this.runAttempt(chain);
         }
         finally {
+            signal.removeEventListener("abort", freeChain);
             this.freeChain(chain);
             chooser.releaseChain(chain);
         }
@@ -174,7 +180,7 @@
             }
             const isPatient = this.mayHaveRun && clock.getMonotonicTime() < giveUpAt;
             if (this.options.signal.aborted) {
-                return Err(RequestError.cancelled());
+                return Err(this.createAbortError());
             }
             if (!isPatient && this.excluded.size === 0) {
                 return Err(this.createFinalError(chain.val.message));
@@ -218,6 +224,12 @@
         }
     }
 
+    private createAbortError(): RequestError {
+        return this.options.stopSignal.aborted
+            ? RequestError.failed("The node was stopped before the answer was whole.")
+            : RequestError.cancelled();
+    }
+
     private createFinalError(message: string): RequestError {
         const { permit } = this.options;
         if (this.mayHaveRun) {
--- a/src/request/requestContext.ts
+++ b/src/request/requestContext.ts
@@ -18,8 +18,10 @@
     isMarkedNonIdempotent: boolean;
     /** Monotonic time at which the answer loses its use; undefined where the caller set none. */
     deadline: number | undefined;
-    /** Aborts when the caller has gone away. */
+    /** Aborts when the caller has gone away or the node is forced to stop. */
     signal: AbortSignal;
+    /** Aborts when the node is forced to stop; the caller's leaving does not count. */
+    stopSignal: AbortSignal;
     permit: NotRunPermit;
     span: Span;
 }
