Write the configuration in force back to a store that came back older

Cause: a store restored from an older copy keeps a lower version than the nodes; the next apply would get a number that the nodes have passed and ignore: accepted and never in force. And a change of the claim log's numbers would hide claims that still count. Conclusion: the next apply after a restore builds on the newest version, or loses its race.

--- a/src/process/commandLine/configuration/applyConfigurationFile.ts
+++ b/src/process/commandLine/configuration/applyConfigurationFile.ts
@@ -17,6 +17,7 @@
 const exitCodes: Readonly<Record<ApplyErrorKind, ExitCode>> = {
     [ApplyErrorKind.BrokenText]: ExitCode.BrokenFile,
     [ApplyErrorKind.TooLarge]: ExitCode.BrokenFile,
+    [ApplyErrorKind.ClaimsChanged]: ExitCode.BrokenFile,
     [ApplyErrorKind.LostRace]: ExitCode.LostRace,
     [ApplyErrorKind.StoreUnavailable]: ExitCode.Unreachable,
     [ApplyErrorKind.OutcomeUnknown]: ExitCode.Unreachable,
--- a/src/process/foxleadNode.ts
+++ b/src/process/foxleadNode.ts
@@ -13,6 +13,7 @@
 import type { ConfigurationVersion } from "../version/configurationVersion.ts";
 import { ConfigurationWatcher } from "../version/configurationWatcher.ts";
 import { CustomerIndex } from "../version/customerIndex.ts";
+import { restoreStoredConfiguration } from "../version/restoreStoredConfiguration.ts";
 import { AdminServer } from "./admin/adminServer.ts";
 import type { NodeStatus } from "./admin/nodeStatus.ts";
 import { ShardHash } from "./claims/shardHash.ts";
@@ -30,6 +31,7 @@
 import { NodeLifecycle } from "./nodeLifecycle.ts";
 import { createVmListReader } from "./platform/createVmListReader.ts";
 import { EtcdStore } from "./platform/etcdStore.ts";
+import type { StoredValue } from "./platform/platformStore.ts";
 import type { RandomSource } from "./randomSource.ts";
 import type { NodeSettings } from "./settings/nodeSettings.ts";
 import { Tracing } from "./tracing/tracing.ts";
@@ -115,6 +117,7 @@
             random,
             eventLog: log,
             checkIntervalMilliseconds: ConfigurationCheckMilliseconds,
+            onStoreBehind: stored => void this.restoreStored(stored),
         });
         const { view, peers, metrics } = this;
         const getConfiguration = () => this.getConfiguration();
@@ -318,6 +321,19 @@
         this.membership.spreader.announce(version.version);
     }
 
+    private async restoreStored(stored: StoredValue | undefined): Promise<void> {
+        const held = this.follower.getCurrent();
+        if (held === undefined) {
+            return;
+        }
+        const { clock, log } = this.options;
+        const options = { store: this.store, held, stored, wallTime: clock.getWallTime() };
+        const restored = await restoreStoredConfiguration(options);
+        if (restored.ok && restored.val.swapped) {
+            log.write(events.configurationRestored, { version: held.version });
+        }
+    }
+
     private getVersion(): { version: ConfigurationVersion; customers: CustomerIndex; } | undefined {
         const version = this.follower.getCurrent();
         return version === undefined || this.customers === undefined
--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -20,6 +20,11 @@
         level: "error",
         message: "Two edits hold the same version; the first one stays. Apply a newer version to end this.",
     },
+    configurationRestored: {
+        number: 1209,
+        level: "warn",
+        message: "The store came back with an older configuration; the one in force was written back.",
+    },
     configurationBehind: {
         number: 1204,
         level: "error",
--- a/src/version/applyErrorKind.ts
+++ b/src/version/applyErrorKind.ts
@@ -4,6 +4,8 @@
     BrokenText: "brokenText",
     /** The value would be larger than the store takes; nothing was written. */
     TooLarge: "tooLarge",
+    /** The text changes the numbers of the claim log; nothing was written. */
+    ClaimsChanged: "claimsChanged",
     /** Another edit came first; nothing was written. */
     LostRace: "lostRace",
     /** The store did not do it; nothing was written. */
--- a/src/version/configurationWatcher.ts
+++ b/src/version/configurationWatcher.ts
@@ -10,6 +10,9 @@
 import { StoredConfiguration } from "./storedConfiguration.ts";
 import { StoredConfigurationIntake } from "./storedConfigurationIntake.ts";
 
+/** A store that shows a lower version than the one in force is read again this soon, in milliseconds. */
+const storeBehindReadMilliseconds = 1_000;
+
 /** Options of a {@link ConfigurationWatcher}. */
 interface ConfigurationWatcherOptions {
     store: PlatformStore;
@@ -20,6 +23,12 @@
     eventLog: EventLog;
     /** Mean time between two reads of the version, in milliseconds, before jitter of a quarter to either side. */
     checkIntervalMilliseconds: number;
+    /**
+     * Called where this node watches and the store shows a lower version than the one in force, read after read: it was
+     * restored from an older copy.
+     * @param stored - What the store holds; undefined where it holds nothing.
+     */
+    onStoreBehind?(stored: StoredValue | undefined): void;
     /** Time after which an unanswered read counts as failed, in milliseconds. */
     readTimeoutMilliseconds?: number;
     /** Delay before the first retry, in milliseconds. */
@@ -134,8 +143,12 @@
         this.seenRevision = revision;
         this.lastContact = this.options.clock.getMonotonicTime();
         this.setTimer(this.options.checkIntervalMilliseconds * (0.75 + this.options.random() / 2), () => this.read());
-        if (result.val !== undefined) {
-            this.intake.takeRead(result.val);
+        const isBehind = this.intake.takeRead(result.val);
+        if (isBehind && this.isWatching) {
+            this.options.onStoreBehind?.(result.val);
+        }
+        if (this.intake.isBehind()) {
+            this.setTimer(storeBehindReadMilliseconds, () => this.read());
         }
         this.openWatch();
     }
--- a/src/version/decideApply.ts
+++ b/src/version/decideApply.ts
@@ -1,7 +1,9 @@
+import { isDeepStrictEqual } from "node:util";
 import { Err, Ok, type Result } from "../result.ts";
 import type { ApplyError } from "./applyError.ts";
 import { ApplyErrorKind } from "./applyErrorKind.ts";
 import type { ConfigurationEdit } from "./configurationEdit.ts";
+import { parseConfiguration } from "./parseConfiguration.ts";
 import { StoredConfiguration } from "./storedConfiguration.ts";
 
 const maximumEarlierEdits = 50;
@@ -9,6 +11,10 @@
 /** Largest value that the platform's store takes, in bytes. */
 const maximumValueBytes = 1_000_000;
 
+const claimsChangedMessage =
+    "The text changes `claims`, and nodes would no longer see claims that still count. Nothing was "
+    + "written. Keep the numbers that are in force.";
+
 /** What to do next about an edit: nothing, as it was written before, or to write a value. */
 type ApplyStep =
     | { kind: "written"; version: number; isReplaced: boolean; }
@@ -40,9 +46,19 @@
     if (currentVersion !== edit.expectedVersion) {
         return Err({ kind: ApplyErrorKind.LostRace, message: describeLostRace(edit, current), currentVersion });
     }
+    if (current !== undefined && hasChangedClaims(current.text, edit.text)) {
+        return Err({ kind: ApplyErrorKind.ClaimsChanged, message: claimsChangedMessage });
+    }
     return encodeNext(edit, edits, wallTime);
 }
 
+/** A key's shard and slot follow from these numbers, so a change would hide claims that still count. */
+function hasChangedClaims(currentText: string, nextText: string): boolean {
+    const current = parseConfiguration(currentText);
+    const next = parseConfiguration(nextText);
+    return current.ok && next.ok && !isDeepStrictEqual(current.val.claims, next.val.claims);
+}
+
 function encodeNext(
     edit: ConfigurationEdit,
     edits: { version: number; editId: string; }[],
--- a/src/version/storedConfigurationIntake.ts
+++ b/src/version/storedConfigurationIntake.ts
@@ -51,14 +51,24 @@
 
     /**
      * Takes the answer to a read, which shows what the store holds.
-     * @param stored - Value under the configuration's key.
+     * @param stored - Value under the configuration's key; undefined where there is none.
+     * @returns Whether the store has shown a lower version than the one in force, read after read.
      */
-    takeRead(stored: StoredValue): void {
-        this.takeEvent(stored);
+    takeRead(stored: StoredValue | undefined): boolean {
+        if (stored !== undefined) {
+            this.takeEvent(stored);
+        }
+        const storedVersion = stored === undefined ? 0 : this.lastVersion;
         const inForce = this.follower.getVersion();
-        this.readsBehind = this.lastVersion !== undefined && this.lastVersion < inForce ? this.readsBehind + 1 : 0;
-        if (this.readsBehind === readsUntilBehind && this.lastVersion !== undefined) {
-            this.eventLog.write(events.configurationBehind, { stored: this.lastVersion, inForce });
+        this.readsBehind = storedVersion !== undefined && storedVersion < inForce ? this.readsBehind + 1 : 0;
+        if (this.readsBehind === readsUntilBehind && storedVersion !== undefined) {
+            this.eventLog.write(events.configurationBehind, { stored: storedVersion, inForce });
         }
+        return this.readsBehind >= readsUntilBehind;
+    }
+
+    /** Tells whether the last read showed a lower version than the one in force. */
+    isBehind(): boolean {
+        return this.readsBehind > 0;
     }
 }
--- a/tests/version/applyConfiguration.test.ts
+++ b/tests/version/applyConfiguration.test.ts
@@ -54,6 +54,14 @@
         assert.equal(store.getCallCount(), 0);
     });
 
+    it("refuses a change of the claim log's numbers", async () => {
+        const store = MemoryStore.create();
+        await apply(store, 0, "x");
+        const applied = await apply(store, 1, "y", { text: `{ "claims": { "shards": 5 } }` });
+        assert.equal(applied.err && applied.val.kind, ApplyErrorKind.ClaimsChanged);
+        assert.equal(readStored(store).version, 1);
+    });
+
     it("refuses a value that the store would not take", async () => {
         const applied = await apply(MemoryStore.create(), 0, "x", { text: `{}${"\n".repeat(600_000)}` });
         assert.equal(applied.err && applied.val.kind, ApplyErrorKind.TooLarge);
--- a/tests/version/configurationWatcher.test.ts
+++ b/tests/version/configurationWatcher.test.ts
@@ -1,7 +1,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import type { StoredValue } from "../../src/process/platform/platformStore.ts";
 import { ConfigurationFollower } from "../../src/version/configurationFollower.ts";
 import { ConfigurationWatcher } from "../../src/version/configurationWatcher.ts";
+import { restoreStoredConfiguration } from "../../src/version/restoreStoredConfiguration.ts";
 import { StoredConfiguration } from "../../src/version/storedConfiguration.ts";
 import { FakeClock } from "../support/fakeClock.ts";
 import { MemoryStore } from "../support/memoryStore.ts";
@@ -22,11 +24,14 @@
         const store = MemoryStore.create({ beforeCall });
         const follower = ConfigurationFollower.create();
         const eventLog = RecordingEventLog.create();
-        const options = { store, follower, clock, random: () => 0.5, eventLog, checkIntervalMilliseconds: 30_000 };
+        const behind: (StoredValue | undefined)[] = [];
+        const onStoreBehind = (stored: StoredValue | undefined) => void behind.push(stored);
+        const common = { store, follower, clock, random: () => 0.5, eventLog };
+        const options = { ...common, checkIntervalMilliseconds: 30_000, onStoreBehind };
         const watcher = ConfigurationWatcher.create(options);
         watcher.setWatching(isWatching);
         watcher.start();
-        return { clock, store, follower, watcher, numbers: eventLog.numbers };
+        return { clock, store, follower, watcher, behind, numbers: eventLog.numbers };
     }
 
     it("reads at start and then in intervals without a watch", async () => {
@@ -54,6 +59,27 @@
         assert.deepEqual(numbers, [1201, 1201]);
     });
 
+    it("has the version in force written back to a store that came back with an older one", async () => {
+        const { clock, store, follower, watcher, behind } = setUp(true);
+        await clock.advance(10);
+        put(store, 1);
+        const snapshot = store.takeSnapshot();
+        put(store, 2);
+        store.restore(snapshot);
+        await clock.advance(40_000);
+        const held = follower.getCurrent();
+        assert.ok(held !== undefined && behind.length > 0);
+        const stored = behind.at(-1);
+        put(store, 1, "{ }");
+        const overtaken = await restoreStoredConfiguration({ store, held, stored, wallTime: 0 });
+        assert.equal(overtaken.unwrap().swapped, false);
+        const current = store.peek(StoredConfiguration.key);
+        const restored = await restoreStoredConfiguration({ store, held, stored: current, wallTime: 0 });
+        assert.equal(restored.unwrap().swapped, true);
+        assert.equal(StoredConfiguration.decode(store.peek(StoredConfiguration.key)?.value ?? "").unwrap().version, 2);
+        watcher.stop();
+    });
+
     it("watches only while told to", async () => {
         const { clock, store, watcher } = setUp(false);
         await clock.advance(10);
