Let services of one model share one gate

Cause: two services of one model each admitted up to the model's whole capacity, twice what its engines hold. Change: gates are named by model; an engine's memory refusal reaches the gate's adaptive limit. Conclusion: what all services of a model admit together stays within the places of its scarcest layer.

--- a/src/process/foxleadNode.ts
+++ b/src/process/foxleadNode.ts
@@ -6,7 +6,7 @@
 import { RetryBudget } from "../request/admission/retryBudget.ts";
 import type { ChainChooser } from "../request/chain/chainChooser.ts";
 import { EstimatedTimeChooser } from "../request/chain/estimatedTimeChooser.ts";
-import { getServiceCapacity } from "../request/getServiceCapacity.ts";
+import { getGateCapacity } from "../request/getGateCapacity.ts";
 import type { RequestEnvironment } from "../request/requestEnvironment.ts";
 import type { Configuration } from "../version/configuration.ts";
 import { ConfigurationFollower } from "../version/configurationFollower.ts";
@@ -149,7 +149,7 @@
             clock,
             random,
             customerLimits: this.customerLimits,
-            getConcurrencyLimit: service => this.getConcurrencyLimit(service),
+            getConcurrencyLimit: gate => this.getConcurrencyLimit(gate),
         });
         this.membership = this.createMembership(owners);
         this.lifecycle = this.createLifecycle();
@@ -345,9 +345,9 @@
         return this.follower.getCurrent()?.configuration ?? EmptyConfiguration;
     }
 
-    private getConcurrencyLimit(service: string): number {
+    private getConcurrencyLimit(gate: string): number {
         const getState = (endpoint: string) => this.endpoints.directory.getState(endpoint);
-        const capacity = getServiceCapacity(this.getConfiguration(), service, getState);
+        const capacity = getGateCapacity(this.getConfiguration(), gate, getState);
         const nodes = Math.max(1, this.view.getAliveMembers().length);
         return Math.min(capacity, Math.ceil(capacity / nodes * CapacityHeadroom));
     }
--- a/src/request/admitRequest.ts
+++ b/src/request/admitRequest.ts
@@ -12,18 +12,18 @@
  * Waits for a place for a request, or refuses it as not run.
  * @param environment - Parts of the process.
  * @param context - The request.
- * @param service - Name of the service.
+ * @param gate - Name of the gate, see `getGateName`.
  * @param cost - Expected work in tokens; 1 for a call of a document service.
  */
 export async function admitRequest(
     environment: RequestEnvironment,
     context: RequestContext,
-    service: string,
+    gate: string,
     cost: number,
 ): Promise<Result<AdmissionTicket, RequestError>> {
     const span = environment.tracing.startSpan("admission", { parent: context.span.context });
     const { customer, deadline, signal } = context;
-    const admission = await environment.admission.requestAdmission({ customer, service, cost, deadline, signal });
+    const admission = await environment.admission.requestAdmission({ customer, service: gate, cost, deadline, signal });
     span.end();
     if (admission.ok) {
         return Ok(admission.val);
--- a/src/request/model/createGenerationObserver.ts
+++ b/src/request/model/createGenerationObserver.ts
@@ -9,10 +9,12 @@
  * Creates the observer that turns what happens to one answer into spans, metrics and log events.
  * @param environment - Parts of the process.
  * @param context - The request.
+ * @param gate - Name of the gate that the request passed.
  */
 export function createGenerationObserver(
     environment: RequestEnvironment,
     context: RequestContext,
+    gate: string,
 ): GenerationObserver {
     const { metrics, tracing, log, endpoints } = environment;
     return {
@@ -30,6 +32,9 @@
         },
         onAttemptBroken: failure => {
             metrics.rebuildsTotal.inc();
+            if (failure.reason === "memory") {
+                environment.admission.observeRefusal(gate);
+            }
             if (failure.reason === "leaving") {
                 endpoints.observeLeavingRefusal(failure.endpoint);
             }
--- a/src/request/model/handleChat.ts
+++ b/src/request/model/handleChat.ts
@@ -5,6 +5,7 @@
 import { admitRequest } from "../admitRequest.ts";
 import type { Chain } from "../chain/chain.ts";
 import { claimRequest, type RequestClaim } from "../claimRequest.ts";
+import { getGateName } from "../getGateName.ts";
 import type { KeptAnswer } from "../keptAnswer.ts";
 import type { RequestContext } from "../requestContext.ts";
 import type { RequestEnvironment } from "../requestEnvironment.ts";
@@ -49,7 +50,7 @@
         return run;
     }
     const cost = run.val.chat.prompt.length / BytesPerToken + run.val.maximumTokens;
-    const ticket = await admitRequest(environment, context, run.val.chat.service, cost);
+    const ticket = await admitRequest(environment, context, getGateName(run.val.chat.service, run.val.service), cost);
     if (!ticket.ok) {
         return ticket;
     }
@@ -141,7 +142,7 @@
         stopSignal: context.stopSignal,
         chooser: environment.chooser,
         clock: environment.clock,
-        observer: createGenerationObserver(environment, context),
+        observer: createGenerationObserver(environment, context, ticket.service),
         getConnection: endpoint => environment.endpoints.getEngine(endpoint),
         onChain: chain => {
             run.headers["x-foxlead-chain"] = describeChain(chain);
