--- a/src/request/modelGatePrefix.ts
+++ b/src/request/modelGatePrefix.ts
@@ -1,2 +1,2 @@
-/** Begins the names of the gates of models; the name of a service may hold a colon too, but not begin with this. */
-export const modelGatePrefix = "model:";
+/** Begins the names of the gates of models. No service's name begins with a slash, so the names cannot clash. */
+export const modelGatePrefix = "/model/";
--- a/tests/request/getGateCapacity.test.ts
+++ b/tests/request/getGateCapacity.test.ts
@@ -34,9 +34,9 @@
     }
 
     it("is that of the layer with the fewest places", () => {
-        doTest("model:m", [], 16);
-        doTest("model:m", ["e3"], 8);
-        doTest("model:m", ["e1", "e3"], 0);
+        doTest("/model/m", [], 16);
+        doTest("/model/m", ["e3"], 8);
+        doTest("/model/m", ["e1", "e3"], 0);
     });
 
     it("is the sum of a document service's serving endpoints", () => {
