Export the coordination parts as a library, with examples that the tests run

Cause: others are to embed the claim log, the monotonic follower, the fenced lease and the membership view.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -34,5 +34,5 @@
             "@typescript-eslint/no-dynamic-delete": "off",
         },
     },
-    { files: ["scripts/**", "standins/**", "bench/**"], rules: { "no-console": "off" } },
+    { files: ["scripts/**", "standins/**", "bench/**", "docs/examples/**"], rules: { "no-console": "off" } },
 );
--- a/src/process/foxleadNode.ts
+++ b/src/process/foxleadNode.ts
@@ -138,12 +138,7 @@
             random,
         });
         this.claims = ClaimService.create({ nodeId, store: this.store, clock, log, view, owners, peers, shardHash });
-        this.customerLimits = CustomerLimits.create({
-            getConfiguration,
-            clock,
-            random,
-            getNodeCount: () => view.getAliveMembers().length,
-        });
+        this.customerLimits = CustomerLimits.create({ getConfiguration, clock, random });
         this.admission = Admission.create({
             getConfiguration,
             clock,
--- a/src/version/monotonicFollower.ts
+++ b/src/version/monotonicFollower.ts
@@ -4,7 +4,7 @@
 import type { VersionOffer } from "./versionOffer.ts";
 
 /** Options of a {@link MonotonicFollower}. */
-interface MonotonicFollowerOptions<T, F> {
+export interface MonotonicFollowerOptions<T, F> {
     /** Checks an offer and turns it into the value to put in force. */
     parse(offer: VersionOffer): Result<T, F>;
     /**
