--- a/src/process/claims/claimShard.ts
+++ b/src/process/claims/claimShard.ts
@@ -1,4 +1,4 @@
-import type { Result } from "../../result.ts";
+import { Err, type Result } from "../../result.ts";
 import { events } from "../logging/events.ts";
 import type { LogEvent } from "../logging/logEvent.ts";
 import { type PlatformError, PlatformErrorKind } from "../platform/platformError.ts";
@@ -10,10 +10,10 @@
 import { claimStoreKeys } from "./claimStoreKeys.ts";
 import type { ClaimVerdict } from "./claimVerdict.ts";
 import { decideClaim } from "./decideClaim.ts";
+import type { EventTime } from "./eventTime.ts";
 import { learnStored } from "./learnStored.ts";
 import { RingReading } from "./ringReading.ts";
 import type { ShardOutput } from "./shardOutput.ts";
-import type { ShardTime } from "./shardTime.ts";
 import { takeBatchClaims } from "./takeBatchClaims.ts";
 import { WaitingClaims } from "./waitingClaims.ts";
 
@@ -47,7 +47,7 @@
     private constructor(options: ClaimShardOptions) {
         this.options = options;
         this.ring = ClaimRing.create({ size: options.ringSize, windowMilliseconds: options.windowMilliseconds });
-        this.reading = RingReading.create(this.ring);
+        this.reading = RingReading.create(this.ring, slot => claimStoreKeys.getSlotKey(options.shard, slot));
         this.waiting = WaitingClaims.create({
             decide: (claim, wallTime) => this.decide(claim, wallTime),
             findPossible: key => this.uncertain.get(key) ?? this.sent?.claims.find(claim => claim.key === key),
@@ -66,11 +66,11 @@
 
     /** Whether the ring has been read up to its tail. */
     isReady(): boolean {
-        return this.reading.getSlot() === undefined;
+        return this.reading.getKey() === undefined;
     }
 
     /** Reads the ring before the first claim comes. */
-    load(time: ShardTime): ShardOutput {
+    load(time: EventTime): ShardOutput {
         this.isLoadWanted = true;
         return this.step(time);
     }
@@ -81,18 +81,18 @@
      * @param claim - Claim to decide.
      * @param time - Time of the event.
      */
-    submit(ticket: number, claim: Claim, time: ShardTime): ShardOutput {
+    submit(ticket: number, claim: Claim, time: EventTime): ShardOutput {
         this.waiting.add({ ticket, claim, deadline: time.monotonic + this.options.giveUpMilliseconds }, time);
         return this.step(time);
     }
 
     /** Goes on when the time that the last output named has come. */
-    wake(time: ShardTime): ShardOutput {
+    wake(time: EventTime): ShardOutput {
         return this.step(time);
     }
 
     /** Takes the result of a read. */
-    finishRead(result: Result<StoredPage, PlatformError>, time: ShardTime): ShardOutput {
+    finishRead(result: Result<StoredPage, PlatformError>, time: EventTime): ShardOutput {
         this.isCalling = false;
         if (result.err) {
             this.repeatLater(result.val, time);
@@ -110,7 +110,7 @@
     }
 
     /** Takes the result of an append. */
-    finishSwap(result: Result<SwapOutcome, PlatformError>, time: ShardTime): ShardOutput {
+    finishSwap(result: Result<SwapOutcome, PlatformError>, time: EventTime): ShardOutput {
         const sent = this.sent;
         this.isCalling = false;
         this.sent = undefined;
@@ -126,7 +126,7 @@
         return this.step(time);
     }
 
-    private settleAppend(outcome: SwapOutcome, sent: ClaimBatch, time: ShardTime): void {
+    private settleAppend(outcome: SwapOutcome, sent: ClaimBatch, time: EventTime): void {
         this.learnSwap(outcome, sent);
         if (this.ring.getNextNumber() <= sent.number) {
             this.keepUncertain(sent);
@@ -162,7 +162,11 @@
                 return false;
             }
         }
-        return this.reading.finishPage(page.nextKey === undefined ? undefined : claimStoreKeys.getSlot(page.nextKey));
+        const hasHelped = this.reading.finishPage(page.nextKey);
+        return hasHelped || this.check(Err(
+            `The service has lost the number due in ${this.reading.getKey()}.`
+                + " Once the window has passed, delete the shard's keys.",
+        ));
     }
 
     private check(learned: Result<void, string>): boolean {
@@ -181,7 +185,7 @@
         }
     }
 
-    private repeatLater(error: PlatformError, time: ShardTime): void {
+    private repeatLater(error: PlatformError, time: EventTime): void {
         this.repeatAt = time.monotonic + retryMilliseconds;
         this.log(events.claimStoreFailed, { kind: error.kind, reason: error.message });
     }
@@ -191,7 +195,7 @@
         return decideClaim(claim, { ring: this.ring, isReady: this.isReady(), wallTime, windowMilliseconds });
     }
 
-    private step(time: ShardTime): ShardOutput {
+    private step(time: EventTime): ShardOutput {
         this.ring.dropPast(time.wall);
         this.waiting.giveUp(time);
         if (!this.isCalling && this.isCallWanted() && time.monotonic >= this.getCallTime()) {
@@ -202,19 +206,18 @@
         return output;
     }
 
-    private startCall(time: ShardTime): void {
-        const slot = this.reading.getSlot();
-        if (slot === undefined) {
+    private startCall(time: EventTime): void {
+        const fromKey = this.reading.getKey();
+        if (fromKey === undefined) {
             this.append(time);
             return;
         }
         const { shard, pageSize } = this.options;
-        const fromKey = claimStoreKeys.getSlotKey(shard, slot);
         this.isCalling = true;
         this.output.call = { kind: "read", prefix: claimStoreKeys.getPrefix(shard), fromKey, limit: pageSize };
     }
 
-    private append(time: ShardTime): void {
+    private append(time: EventTime): void {
         this.waiting.answerDecided(time);
         if (!this.ring.isNextSlotFree(time.wall)) {
             this.log(events.claimRingFull, { waiting: this.waiting.getEntries().length });
--- a/src/process/claims/claimShardRunner.ts
+++ b/src/process/claims/claimShardRunner.ts
@@ -7,10 +7,10 @@
 import { ClaimOutcome } from "./claimOutcome.ts";
 import type { ClaimShard } from "./claimShard.ts";
 import type { ClaimVerdict } from "./claimVerdict.ts";
+import type { EventTime } from "./eventTime.ts";
 import type { GrantLedger } from "./grantLedger.ts";
 import type { ShardCall } from "./shardCall.ts";
 import type { ShardOutput } from "./shardOutput.ts";
-import type { ShardTime } from "./shardTime.ts";
 
 /** What a {@link ClaimShardRunner} works with. */
 export interface ClaimShardRunnerOptions {
@@ -80,7 +80,7 @@
         this.timer?.cancel();
     }
 
-    private handle(event: (shard: ClaimShard, time: ShardTime) => ShardOutput): void {
+    private handle(event: (shard: ClaimShard, time: EventTime) => ShardOutput): void {
         if (this.isClosed) {
             return;
         }
--- a/src/process/claims/ringReading.ts
+++ b/src/process/claims/ringReading.ts
@@ -6,40 +6,48 @@
  */
 export class RingReading {
     private readonly ring: ClaimRing;
+    private readonly getSlotKey: (slot: number) => string;
     private isListed = false;
-    private slot: number | undefined = 0;
+    private key: string | undefined;
 
-    private constructor(ring: ClaimRing) {
+    private constructor(ring: ClaimRing, getSlotKey: (slot: number) => string) {
         this.ring = ring;
+        this.getSlotKey = getSlotKey;
+        this.key = getSlotKey(0);
     }
 
-    /** Creates a reading that begins with the first slot. */
-    static create(ring: ClaimRing): RingReading {
-        return new RingReading(ring);
+    /**
+     * Creates a reading that begins with the first slot.
+     * @param ring - Ring that the pages are taken into.
+     * @param getSlotKey - Gets the key of a slot.
+     */
+    static create(ring: ClaimRing, getSlotKey: (slot: number) => string): RingReading {
+        return new RingReading(ring, getSlotKey);
     }
 
-    /** Gets the slot to read from next; undefined where all numbers up to the tail are known. */
-    getSlot(): number | undefined {
-        return this.slot;
+    /** Gets the key to read from next; undefined where all numbers up to the tail are known. */
+    getKey(): string | undefined {
+        return this.key;
     }
 
     /** Reads on from the tail, after another owner has appended. */
     readFromTail(): void {
-        this.slot = this.ring.getNextSlot();
+        this.key = this.getSlotKey(this.ring.getNextSlot());
     }
 
     /**
      * Goes on after a page. False where the page did not help: the slot that was to be read is missing.
-     * @param nextSlot - Slot that the listing continues with, where there are more.
+     * @param nextKey - Key that the listing continues with, where there are more.
      */
-    finishPage(nextSlot: number | undefined): boolean {
-        if (!this.isListed && nextSlot !== undefined) {
-            this.slot = nextSlot;
+    finishPage(nextKey: string | undefined): boolean {
+        if (!this.isListed && nextKey !== undefined) {
+            this.key = nextKey;
             return true;
         }
-        const readSlot = this.isListed ? this.slot : undefined;
+        const readKey = this.isListed ? this.key : undefined;
+        const gap = this.ring.findGap();
         this.isListed = true;
-        this.slot = this.ring.findGap();
-        return this.slot === undefined || this.slot !== readSlot;
+        this.key = gap === undefined ? undefined : this.getSlotKey(gap);
+        return this.key === undefined || this.key !== readKey;
     }
 }
--- a/src/process/claims/waitingClaims.ts
+++ b/src/process/claims/waitingClaims.ts
@@ -1,8 +1,8 @@
 import type { Claim } from "./claim.ts";
 import { ClaimOutcome } from "./claimOutcome.ts";
 import type { ClaimVerdict } from "./claimVerdict.ts";
+import type { EventTime } from "./eventTime.ts";
 import { RefusedClaimants } from "./refusedClaimants.ts";
-import type { ShardTime } from "./shardTime.ts";
 import type { TicketVerdict } from "./ticketVerdict.ts";
 import type { WaitingClaim } from "./waitingClaim.ts";
 
@@ -46,7 +46,7 @@
     }
 
     /** Answers a claim at once where it can be decided, else lets it wait. */
-    add(entry: WaitingClaim, time: ShardTime): void {
+    add(entry: WaitingClaim, time: EventTime): void {
         if (this.tryAnswer(entry, time)) {
             return;
         }
@@ -58,12 +58,12 @@
     }
 
     /** Answers the claims that can be decided now. */
-    answerDecided(time: ShardTime): void {
+    answerDecided(time: EventTime): void {
         this.entries = this.entries.filter(entry => !this.tryAnswer(entry, time));
     }
 
     /** Refuses the claims whose time is over. */
-    giveUp(time: ShardTime): void {
+    giveUp(time: EventTime): void {
         const isOver = (entry: WaitingClaim): boolean => entry.deadline <= time.monotonic;
         if (this.entries[0] === undefined || !isOver(this.entries[0])) {
             return;
@@ -77,14 +77,14 @@
     }
 
     /** Refuses all claims. */
-    refuseAll(message: string, time: ShardTime): void {
+    refuseAll(message: string, time: EventTime): void {
         for (const entry of this.entries) {
             this.refuse(entry, message, time);
         }
         this.entries = [];
     }
 
-    private tryAnswer(entry: WaitingClaim, time: ShardTime): boolean {
+    private tryAnswer(entry: WaitingClaim, time: EventTime): boolean {
         const { claim } = entry;
         const verdict = this.refused.getVerdict(claim.claimant) ?? this.options.decide(claim, time.wall);
         if (verdict !== undefined) {
@@ -94,7 +94,7 @@
     }
 
     /** Refuses a claim: taken where another claimant's append may have taken effect, else unavailable. */
-    private refuse(entry: WaitingClaim, message: string, time: ShardTime): void {
+    private refuse(entry: WaitingClaim, message: string, time: EventTime): void {
         const earlier = this.refused.getVerdict(entry.claim.claimant);
         this.answer(entry, earlier ?? this.getRefusal(entry.claim, message), time);
     }
@@ -107,7 +107,7 @@
         return { outcome: ClaimOutcome.Taken, claimant: possible.claimant, nodeId: possible.nodeId, message };
     }
 
-    private answer(entry: WaitingClaim, verdict: ClaimVerdict, time: ShardTime): void {
+    private answer(entry: WaitingClaim, verdict: ClaimVerdict, time: EventTime): void {
         if (verdict.outcome !== ClaimOutcome.Granted) {
             this.refused.add(entry.claim.claimant, verdict, time.monotonic);
         }
--- a/src/process/leases/fencedLease.ts
+++ b/src/process/leases/fencedLease.ts
@@ -1,5 +1,5 @@
 import { Err, Ok, type Result } from "../../result.ts";
-import type { ShardTime } from "../claims/shardTime.ts";
+import type { EventTime } from "../claims/eventTime.ts";
 import type { Clock, TimerHandle } from "../clock.ts";
 import type { EventLog } from "../logging/eventLog.ts";
 import type { PlatformStore } from "../platform/platformStore.ts";
@@ -94,7 +94,7 @@
         return Ok(action(fencingNumber));
     }
 
-    private getTime(): ShardTime {
+    private getTime(): EventTime {
         const { clock } = this.options;
         return { monotonic: clock.getMonotonicTime(), wall: clock.getWallTime() };
     }
--- a/src/process/leases/leaseState.ts
+++ b/src/process/leases/leaseState.ts
@@ -1,5 +1,5 @@
 import type { Result } from "../../result.ts";
-import type { ShardTime } from "../claims/shardTime.ts";
+import type { EventTime } from "../claims/eventTime.ts";
 import { events } from "../logging/events.ts";
 import type { LogEvent } from "../logging/logEvent.ts";
 import { type PlatformError, PlatformErrorKind } from "../platform/platformError.ts";
@@ -72,12 +72,12 @@
     }
 
     /** Goes on when the time that the last output named has come. */
-    wake(time: ShardTime): LeaseOutput {
+    wake(time: EventTime): LeaseOutput {
         return this.step(time);
     }
 
     /** Gives the lease up. The output's call is sent once, whatever its result. */
-    release(time: ShardTime): LeaseOutput {
+    release(time: EventTime): LeaseOutput {
         const { held, observed } = this;
         const isHeld = this.isValid(held, time.monotonic);
         this.held = undefined;
@@ -90,7 +90,7 @@
     }
 
     /** Takes the result of a read. */
-    finishRead(result: Result<StoredValue | undefined, PlatformError>, time: ShardTime): LeaseOutput {
+    finishRead(result: Result<StoredValue | undefined, PlatformError>, time: EventTime): LeaseOutput {
         this.isCalling = false;
         if (result.err) {
             this.repeatLater(result.val.message, time);
@@ -102,7 +102,7 @@
     }
 
     /** Takes the result of a write. */
-    finishSwap(result: Result<SwapOutcome, PlatformError>, time: ShardTime): LeaseOutput {
+    finishSwap(result: Result<SwapOutcome, PlatformError>, time: EventTime): LeaseOutput {
         const sent = this.sent;
         this.isCalling = false;
         this.sent = undefined;
@@ -122,7 +122,7 @@
     }
 
     /** Takes in what stands under the key: an own write whose answer was lost, or another's. */
-    private observe(stored: StoredValue | undefined, time: ShardTime): void {
+    private observe(stored: StoredValue | undefined, time: EventTime): void {
         const parsed = stored === undefined ? undefined : parseLeaseRecord(stored.value);
         if (parsed?.err) {
             this.lose();
@@ -140,7 +140,7 @@
     }
 
     /** Takes over an own write that has taken effect. */
-    private adopt(write: Write, revision: number, time: ShardTime): void {
+    private adopt(write: Write, revision: number, time: EventTime): void {
         const isNew = this.held?.record.fencingNumber !== write.record.fencingNumber;
         this.setObserved(revision, write.record, time);
         if (!this.isValid(write, time.monotonic)) {
@@ -153,7 +153,7 @@
         }
     }
 
-    private setObserved(revision: number, record: LeaseRecord | undefined, time: ShardTime): void {
+    private setObserved(revision: number, record: LeaseRecord | undefined, time: EventTime): void {
         this.highestNumber = Math.max(this.highestNumber, record?.fencingNumber ?? 0);
         if (this.observed?.revision === revision) {
             return;
@@ -170,7 +170,7 @@
         this.held = undefined;
     }
 
-    private step(time: ShardTime): LeaseOutput {
+    private step(time: EventTime): LeaseOutput {
         if (!this.isValid(this.held, time.monotonic)) {
             this.lose();
         }
@@ -180,7 +180,7 @@
         return output;
     }
 
-    private createCall(time: ShardTime): LeaseOutput["call"] {
+    private createCall(time: EventTime): LeaseOutput["call"] {
         this.isCalling = true;
         if (this.observed === undefined) {
             return { kind: "read" };
@@ -232,7 +232,7 @@
         return `${this.options.holder}-${this.writes}-${this.options.random()}`;
     }
 
-    private repeatLater(reason: string, time: ShardTime): void {
+    private repeatLater(reason: string, time: EventTime): void {
         this.repeatAt = time.monotonic + this.options.timeToLiveMilliseconds / retriesPerTimeToLive;
         this.log(events.leaseCallFailed, { reason });
     }
--- /dev/null
+++ b/tests/process/leases/fencedLease.test.ts
@@ -0,0 +1,177 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { Clock } from "../../../src/process/clock.ts";
+import { FencedLease } from "../../../src/process/leases/fencedLease.ts";
+import { FakeClock } from "../../support/fakeClock.ts";
+import { MemoryStore } from "../../support/memoryStore.ts";
+
+const timeToLive = 3_000;
+const longestOrder = 1_000;
+/** By then a successor holds the lease of a holder that stopped renewing. */
+const takeoverTime = timeToLive + longestOrder + 1_000;
+
+/** A clock of a process that can be paused: its timers wait, its time goes on. */
+class PausableClock implements Clock {
+    private readonly clock: FakeClock;
+    private isPaused = false;
+    private readonly overdue: (() => void)[] = [];
+
+    constructor(clock: FakeClock) {
+        this.clock = clock;
+    }
+
+    getMonotonicTime = (): number => this.clock.getMonotonicTime();
+    getWallTime = (): number => this.clock.getWallTime();
+
+    setTimer(delay: number, callback: () => void) {
+        return this.clock.setTimer(delay, () => void (this.isPaused ? this.overdue.push(callback) : callback()));
+    }
+
+    pause(): void {
+        this.isPaused = true;
+    }
+
+    resume(): void {
+        this.isPaused = false;
+        for (const callback of this.overdue.splice(0)) {
+            callback();
+        }
+    }
+}
+
+/** An endpoint that takes orders for its role. */
+class FakeEndpoint {
+    readonly roles: string[] = [];
+    private readonly isChecking: boolean;
+    private highestNumber = 0;
+
+    constructor(isChecking: boolean) {
+        this.isChecking = isChecking;
+    }
+
+    order(fencingNumber: number, role: string): void {
+        if (this.isChecking && fencingNumber < this.highestNumber) {
+            return;
+        }
+        this.highestNumber = fencingNumber;
+        this.roles.push(role);
+    }
+}
+
+function createBench() {
+    const clock = FakeClock.create();
+    const store = MemoryStore.create();
+    function createLease(holder: string, ownClock: Clock = clock): FencedLease {
+        return FencedLease.create({
+            store,
+            clock: ownClock,
+            random: () => 0.5,
+            log: { write: () => undefined },
+            key: "foxlead/leases/orders",
+            holder,
+            timeToLiveMilliseconds: timeToLive,
+            longestOrderMilliseconds: longestOrder,
+        });
+    }
+    return { clock, store, createLease };
+}
+
+async function createPausedHolder() {
+    const { clock, createLease } = createBench();
+    const pausable = new PausableClock(clock);
+    const [holder, successor] = [createLease("a", pausable), createLease("b")];
+    holder.start();
+    await clock.advance(10);
+    successor.start();
+    await clock.advance(10);
+    assert.equal(holder.getFencingNumber(), 1);
+    pausable.pause();
+    return { clock, pausable, holder, successor };
+}
+
+describe("FencedLease", () => {
+    it("is held by one process and renewed", async () => {
+        const { clock, createLease } = createBench();
+        const [first, second] = [createLease("a"), createLease("b")];
+        first.start();
+        await clock.advance(10);
+        second.start();
+        await clock.advance(20 * timeToLive);
+        assert.equal(first.getFencingNumber(), 1);
+        assert.equal(second.withFencing(() => 0).err, true);
+    });
+
+    it("loses itself after missed renewals and never overlaps with its successor", async () => {
+        const { clock, holder, successor } = await createPausedHolder();
+        for (let passed = 0; passed < takeoverTime; passed += 10) {
+            await clock.advance(10);
+            assert.ok(!(holder.isHeld() && successor.isHeld()));
+        }
+        assert.equal(successor.getFencingNumber(), 2);
+    });
+
+    it("goes on after lost answers, within its time only", async () => {
+        const { clock, store, createLease } = createBench();
+        const lease = createLease("a");
+        lease.start();
+        await clock.advance(10);
+        store.loseAnswers(2);
+        await clock.advance(timeToLive);
+        assert.equal(lease.getFencingNumber(), 1);
+        store.loseAnswers(1_000);
+        await clock.advance(2 * timeToLive);
+        assert.equal(lease.isHeld(), false);
+        store.loseAnswers(0);
+        await clock.advance(takeoverTime);
+        assert.equal(lease.getFencingNumber(), 2);
+    });
+
+    it("passes on after a release once the longest order is over", async () => {
+        const { clock, createLease } = createBench();
+        const [first, second] = [createLease("a"), createLease("b")];
+        first.start();
+        await clock.advance(10);
+        await first.stop();
+        second.start();
+        await clock.advance(longestOrder);
+        assert.equal(second.isHeld(), false);
+        await clock.advance(timeToLive / 5);
+        assert.equal(second.getFencingNumber(), 2);
+    });
+
+    it("sends nothing when its holder resumes after a takeover, to an endpoint that ignores the number", async () => {
+        const { clock, pausable, holder, successor } = await createPausedHolder();
+        const endpoint = new FakeEndpoint(false);
+        await clock.advance(takeoverTime);
+        successor.withFencing(number => endpoint.order(number, "new"));
+        const order = holder.withFencing(number => endpoint.order(number, "old"));
+        pausable.resume();
+        assert.equal(order.err, true);
+        assert.deepEqual(endpoint.roles, ["new"]);
+    });
+
+    it("has its longest order over before the successor sends, to an endpoint that ignores the number", async () => {
+        const { clock, holder, successor } = await createPausedHolder();
+        const endpoint = new FakeEndpoint(false);
+        await clock.advance(timeToLive - 30);
+        holder.withFencing(number => clock.setTimer(longestOrder, () => endpoint.order(number, "old")));
+        for (let passed = 0; passed < takeoverTime && !successor.isHeld(); passed += 10) {
+            await clock.advance(10);
+        }
+        successor.withFencing(number => endpoint.order(number, "new"));
+        assert.deepEqual(endpoint.roles, ["old", "new"]);
+    });
+
+    it("is refused by an endpoint that checks, when its holder is paused between its check and the sending", async () => {
+        const { clock, holder, successor } = await createPausedHolder();
+        const endpoint = new FakeEndpoint(true);
+        const paused = holder.withFencing(number => () => endpoint.order(number, "old"));
+        await clock.advance(takeoverTime);
+        successor.withFencing(number => endpoint.order(number, "new"));
+        if (paused.ok) {
+            paused.val();
+        }
+        assert.equal(paused.ok, true);
+        assert.deepEqual(endpoint.roles, ["new"]);
+    });
+});
