Share limits by credit, reserve places for small customers, refuse on arrival

Change: a credit per arrival of limit / demand; 3% of the places kept for customers under their share; a burst allowance; eviction from the largest customer.

--- /dev/null
+++ b/bench/admission/main.ts
@@ -0,0 +1,23 @@
+import { measureConcurrency } from "./measureConcurrency.ts";
+import { measureCost } from "./measureCost.ts";
+import { measureFairness } from "./measureFairness.ts";
+import { measureGoodput } from "./measureGoodput.ts";
+import { measureReturns } from "./measureReturns.ts";
+import { measureSharedLimits } from "./measureSharedLimits.ts";
+
+const parts: Record<string, () => Promise<void>> = {
+    goodput: measureGoodput,
+    fairness: measureFairness,
+    limits: measureSharedLimits,
+    returns: measureReturns,
+    concurrency: measureConcurrency,
+    cost: measureCost,
+};
+const chosen = process.argv.slice(2);
+for (const [name, measure] of Object.entries(parts)) {
+    if (chosen.length === 0 || chosen.includes(name)) {
+        const startedAt = performance.now();
+        await measure();
+        console.log(`(${name}: ${((performance.now() - startedAt) / 1000).toFixed(1)} s)`);
+    }
+}
--- /dev/null
+++ b/bench/admission/measureFairness.ts
@@ -0,0 +1,100 @@
+import { BenchGate } from "./benchGate.ts";
+import { createBenchConfiguration } from "./createBenchConfiguration.ts";
+import { createRandom } from "./createRandom.ts";
+import { getQuantile } from "./getQuantile.ts";
+import { type LoadStream, runLoadModel } from "./loadModel.ts";
+import type { LoadResult } from "./loadResult.ts";
+import { VirtualClock } from "./virtualClock.ts";
+
+const places = 64;
+const millisecondsPerToken = 20;
+const meanTokens = 250;
+const maximumTokens = 1_000;
+const meanRunTokens = meanTokens * (1 - Math.exp(-maximumTokens / meanTokens));
+/** Requests a second that the places can do. */
+const capacity = places * 1000 / millisecondsPerToken / meanRunTokens;
+const large = "large";
+const isSmall = (customer: string): boolean => customer !== large;
+
+interface FairnessOptions {
+    kind: string;
+    customerCount: number;
+    /** Load of all small customers together, as a part of the capacity. */
+    smallLoad: number;
+    /** Load of the large customer, as a part of the capacity. */
+    largeLoad: number;
+    durationMilliseconds: number;
+}
+
+/** Measures what a burst of one large customer does to the small ones. */
+export async function measureFairness(): Promise<void> {
+    console.log("\nFairness: the small customers (together half of the capacity) before and in a burst of a large one");
+    for (
+        const { customerCount, durationMilliseconds } of [
+            { customerCount: 10, durationMilliseconds: 1_200_000 },
+            { customerCount: 2_000, durationMilliseconds: 1_200_000 },
+        ]
+    ) {
+        for (const kind of ["admission", "unbounded queue"]) {
+            const options = { kind, customerCount, smallLoad: 0.5, durationMilliseconds };
+            const calm = await runFairness({ ...options, largeLoad: 0.2 });
+            const burst = await runFairness({ ...options, largeLoad: 3 });
+            console.log([
+                `${customerCount} customers`,
+                kind.padEnd(15),
+                compare("whole p99", calm.getTotals(isSmall), burst.getTotals(isSmall)),
+                compare("whole p99 of short runs", calm.getShortTotals(isSmall), burst.getShortTotals(isSmall)),
+                compare("wait p95", calm.getWaits(isSmall), burst.getWaits(isSmall), 0.95),
+                compare("wait p99", calm.getWaits(isSmall), burst.getWaits(isSmall)),
+                `small finished ${calm.getWaits(isSmall).length} and ${burst.getWaits(isSmall).length}`,
+                `large finished ${
+                    (burst.getWaits(name => !isSmall(name)).length
+                        / (durationMilliseconds / 1000) / capacity).toFixed(3)
+                } of capacity`,
+            ].join(", "));
+        }
+    }
+}
+
+function compare(name: string, calm: readonly number[], burst: readonly number[], quantile = 0.99): string {
+    const before = getQuantile(calm, quantile);
+    const after = getQuantile(burst, quantile);
+    const change = before > 0 ? ` (x ${(after / before).toFixed(3)})` : "";
+    return `${name} ${before.toFixed(0)} -> ${after.toFixed(0)} ms${change}`;
+}
+
+function runFairness(options: FairnessOptions): Promise<LoadResult> {
+    const { kind, customerCount, smallLoad, largeLoad, durationMilliseconds } = options;
+    const clock = VirtualClock.create();
+    const smallRate = smallLoad * capacity / (customerCount - 1);
+    const rates = new Map<string, number>([[large, largeLoad * capacity]]);
+    for (let index = 1; index < customerCount; index++) {
+        rates.set(`small${index}`, smallRate);
+    }
+    const configuration = createBenchConfiguration(Object.fromEntries([...rates.keys()].map(name => [name, {}])));
+    const gate = kind === "admission"
+        ? BenchGate.createAdmission({
+            getConfiguration: () => configuration,
+            clock,
+            random: createRandom(2),
+            getConcurrencyLimit: () => places,
+        })
+        : BenchGate.createFirstInFirstOut(places);
+    const streams: LoadStream[] = [];
+    for (const [customer, rate] of rates) {
+        streams.push({ customer, getRequestsPerSecond: () => rate, maximumRequestsPerSecond: rate });
+    }
+    return runLoadModel({
+        clock,
+        random: createRandom(1),
+        gate,
+        streams,
+        durationMilliseconds,
+        warmUpMilliseconds: 30_000,
+        millisecondsPerToken,
+        meanTokens,
+        maximumTokens,
+        patienceMilliseconds: 30_000,
+        maximumReturns: 3,
+    });
+}
--- /dev/null
+++ b/bench/admission/measureReturns.ts
@@ -0,0 +1,68 @@
+import { Admission } from "../../src/request/admission/admission.ts";
+import { createBenchConfiguration } from "./createBenchConfiguration.ts";
+import { createRandom } from "./createRandom.ts";
+import { VirtualClock } from "./virtualClock.ts";
+
+const places = 64;
+const runMilliseconds = 1_000;
+const callers = 3_000;
+const binMilliseconds = 1_000;
+
+/** Measures how 3,000 callers that come within 100 ms return until all are served. */
+export async function measureReturns(): Promise<void> {
+    console.log(
+        `\nReturns: ${callers} callers within 100 ms, each back when told until it is served; capacity`
+            + ` ${places} a second, longest wait 2 s`,
+    );
+    for (const kind of ["as told", "all after 1 s"]) {
+        const clock = VirtualClock.create();
+        const random = createRandom(3);
+        const configuration = createBenchConfiguration({ customer: {} }, {
+            maximumQueueMilliseconds: 2_000,
+            maximumQueuedRequests: 1_000,
+        });
+        const admission = Admission.create({
+            getConfiguration: () => configuration,
+            clock,
+            random: createRandom(4),
+            getConcurrencyLimit: () => places,
+        });
+        const bins = new Array<number>(300).fill(0);
+        let served = 0;
+        let servedAt = 0;
+        const send = (): void => {
+            const bin = Math.floor(clock.getMonotonicTime() / binMilliseconds);
+            bins[bin] = (bins[bin] ?? 0) + 1;
+            void admission.requestAdmission({ customer: "customer", service: "model", cost: 1 }).then(result => {
+                if (result.err) {
+                    clock.setTimer(kind === "as told" ? result.val.retryAfterMilliseconds : 1_000, send);
+                    return;
+                }
+                const ticket = result.val;
+                clock.setTimer(runMilliseconds, () => {
+                    ticket.release({ tokens: 1 });
+                    served++;
+                    servedAt = clock.getMonotonicTime();
+                });
+            });
+        };
+        // A few runs before, from which the drain rate is known.
+        for (let index = 0; index < places; index++) {
+            send();
+        }
+        await clock.runUntil(2 * runMilliseconds);
+        for (let index = 0; index < callers; index++) {
+            clock.setTimer(random() * 100, send);
+        }
+        await clock.runUntil(300_000);
+        const returns = bins.slice(3);
+        const attempts = returns.reduce((sum, count) => sum + count, 0);
+        console.log([
+            kind.padEnd(13),
+            `served ${served - places} of ${callers} in ${((servedAt - 2_000) / 1000).toFixed(1)} s`
+            + ` (capacity allows ${(callers / places).toFixed(1)} s)`,
+            `returns ${attempts}`,
+            `most in a second ${Math.max(...returns)}`,
+        ].join(", "));
+    }
+}
--- a/src/request/admission/adaptiveLimit.ts
+++ b/src/request/admission/adaptiveLimit.ts
@@ -1,9 +1,12 @@
 /** Part of the running requests that goes on after a refusal. */
 const decreaseFactor = 0.9;
 
+/** Part of a place that a run that ended well adds: the limit grows by this part in a round of runs. */
+const increasePerRun = 0.1;
+
 /**
- * A limit of the requests in progress that is learned from the refusals of the engines: additive increase,
- * multiplicative decrease. It only ever lowers the limit that was given.
+ * A limit of the requests in progress that is learned from the refusals of the engines: it shrinks by a tenth
+ * on a refusal and grows by as much in a round of runs that uses it up. It only ever lowers the limit that was given.
  */
 export class AdaptiveLimit {
     private learned = Number.POSITIVE_INFINITY;
@@ -38,7 +41,7 @@
     }
 
     /**
-     * Raises the limit after a run that ended well: by one for as many runs as the limit holds.
+     * Raises the limit after a run that ended well.
      * @param running - Requests in progress before the run ended.
      * @param given - Upper limit; the learned one is given up on reaching it.
      */
@@ -47,7 +50,7 @@
         if (running < Math.floor(this.learned)) {
             return;
         }
-        this.learned += 1 / this.learned;
+        this.learned += increasePerRun;
         if (this.learned >= given) {
             this.learned = Number.POSITIVE_INFINITY;
         }
--- a/src/request/admission/admission.ts
+++ b/src/request/admission/admission.ts
@@ -73,11 +73,7 @@
     admitWaiting(service: string): void {
         const gate = this.getGate(service);
         const now = this.options.clock.getMonotonicTime();
-        while (gate.queue.waitingCount > 0 && gate.hasFreePlace()) {
-            const waiter = gate.queue.dequeue()?.item;
-            if (waiter === undefined) {
-                return;
-            }
+        for (let waiter = gate.takeNext(now); waiter !== undefined; waiter = gate.takeNext(now)) {
             // Its timer is late: the loop was busy.
             if (waiter.latestStart < now) {
                 this.refuseWaiter(waiter, gate.createWaitRefusal(waiter.request, this.maximumWait, now));
@@ -210,7 +206,7 @@
         let gate = this.gates.get(service);
         if (gate === undefined) {
             const { getConcurrencyLimit, random } = this.options;
-            gate = ServiceGate.create<Waiter>(service, () => getConcurrencyLimit(service), random);
+            gate = ServiceGate.create<Waiter>(() => getConcurrencyLimit(service), random);
             this.gates.set(service, gate);
         }
         return gate;
--- a/src/request/admission/customerLimits.ts
+++ b/src/request/admission/customerLimits.ts
@@ -1,7 +1,6 @@
 import type { CustomerDemand } from "./customerDemand.ts";
 import type { CustomerLimitsOptions } from "./customerLimitsOptions.ts";
 import { LimitedCustomer } from "./limitedCustomer.ts";
-import { getLimitShare } from "./limitShare.ts";
 import { PeerDemands } from "./peerDemands.ts";
 import type { Refusal } from "./refusal.ts";
 import { RefusalKind } from "./refusalKind.ts";
@@ -9,17 +8,24 @@
 /** Fewer arrivals a second than this are not reported. */
 const minimumReportedDemand = 0.001;
 
+/** Time for which one report serves all the peers of a round, in milliseconds. */
+const reportMilliseconds = 100;
+
+const defaultMaximumRecords = 16;
+
 /** Told to a caller whose customer is not in the configuration, in milliseconds. */
 const unknownCustomerRetryMilliseconds = 10_000;
 
 /**
- * Holds the customers to their requests a second over all nodes. Each node lets through its share, which follows
- * the demands that the nodes tell each other; no node asks another before it decides.
+ * Holds the customers to their requests a second over all nodes. The nodes tell each other the demand that they
+ * see, and each lets through the same part of it; no node asks another before it decides.
  */
 export class CustomerLimits {
     private readonly customers = new Map<string, LimitedCustomer>();
     private readonly peers = PeerDemands.create();
     private readonly options: CustomerLimitsOptions;
+    private report: CustomerDemand[] = [];
+    private reportedAt = Number.NEGATIVE_INFINITY;
 
     private constructor(options: CustomerLimitsOptions) {
         this.options = options;
@@ -30,23 +36,24 @@
     }
 
     /**
-     * Counts a request and takes its place in this node's share.
+     * Counts a request and decides whether it is within the limit.
      * @param customer - Customer whose request it is.
      * @param now - Monotonic time in milliseconds.
-     * @returns The refusal where the share is used up.
+     * @returns The refusal where it is not.
      */
     takeRequest(customer: string, now: number): Refusal | undefined {
         const limit = this.getLimit(customer);
         if (limit === undefined) {
             return createUnknownCustomerRefusal(customer);
         }
-        const limited = this.customers.get(customer) ?? this.addCustomer(customer, limit, now);
-        if (limited.take(now)) {
+        const limited = this.getLimitedCustomer(customer, limit, now);
+        const peerDemand = this.getPeerDemand(customer);
+        if (limited.take(peerDemand, now)) {
             return undefined;
         }
         return {
             kind: RefusalKind.RateLimited,
-            retryAfterMilliseconds: limited.bookReturn(now),
+            retryAfterMilliseconds: limited.bookReturn(peerDemand, now),
             message: `Customer "${customer}" is over its ${limit} requests a second and the request has not run. `
                 + "Send it again after the given time, or raise requestsPerSecond in the configuration.",
         };
@@ -57,19 +64,19 @@
         this.customers.get(customer)?.giveBack();
     }
 
-    /** Gets the demand at this node for the other nodes; call it for each round of gossip. */
-    getDemand(): CustomerDemand[] {
+    /**
+     * Gets the demand at this node for the other nodes; call it for each round of gossip.
+     * @param maximumRecords - Most customers to report: those first that are nearest to their limit, as the others
+     * need no sharing. About 30 bytes each on the wire.
+     */
+    getDemand(maximumRecords = defaultMaximumRecords): CustomerDemand[] {
         const now = this.options.clock.getMonotonicTime();
-        this.peers.expire(now);
-        const demands: CustomerDemand[] = [];
-        for (const [customer, limited] of this.customers) {
-            const requestsPerSecond = limited.sampleDemand(now);
-            this.updateShare(customer, now);
-            if (requestsPerSecond >= minimumReportedDemand) {
-                demands.push({ customer, requestsPerSecond });
-            }
+        if (now - this.reportedAt >= reportMilliseconds) {
+            this.peers.expire(now);
+            this.report = this.createReport(now);
+            this.reportedAt = now;
         }
-        return demands;
+        return this.report.slice(0, maximumRecords);
     }
 
     /**
@@ -78,43 +85,43 @@
      * @param records - Its whole report.
      */
     applyPeerDemand(nodeId: string, records: readonly CustomerDemand[]): void {
-        const now = this.options.clock.getMonotonicTime();
-        for (const customer of this.peers.apply(nodeId, records, now)) {
-            this.updateShare(customer, now);
-        }
+        this.peers.apply(nodeId, records, this.options.clock.getMonotonicTime());
     }
 
     /** Forgets a node that has left; a silent one is forgotten after some seconds. */
     removePeer(nodeId: string): void {
-        const now = this.options.clock.getMonotonicTime();
-        for (const customer of this.peers.remove(nodeId)) {
-            this.updateShare(customer, now);
+        this.peers.remove(nodeId);
+    }
+
+    private createReport(now: number): CustomerDemand[] {
+        const found: { record: CustomerDemand; part: number; }[] = [];
+        for (const [customer, limited] of this.customers) {
+            const requestsPerSecond = limited.getDemand(now);
+            if (requestsPerSecond >= minimumReportedDemand) {
+                found.push({ record: { customer, requestsPerSecond }, part: requestsPerSecond / limited.limit });
+            }
+            else if (this.getLimit(customer) === undefined) {
+                this.customers.delete(customer);
+            }
         }
+        return found.sort((a, b) => b.part - a.part).map(({ record }) => record);
     }
 
-    private addCustomer(customer: string, limit: number, now: number): LimitedCustomer {
-        // Under contention a node that is new to the customer starts at a random phase: were the first request at
-        // each of many nodes let through, they would add up to far more than the limit.
-        const isContended = this.peers.getTotal(customer) > limit;
-        const limited = LimitedCustomer.create(isContended ? this.options.random() : 1, this.options.random, now);
-        this.customers.set(customer, limited);
-        this.updateShare(customer, now);
+    private getLimitedCustomer(customer: string, limit: number, now: number): LimitedCustomer {
+        let limited = this.customers.get(customer);
+        if (limited === undefined || limited.limit !== limit) {
+            limited = LimitedCustomer.create(limit, this.options.random, now);
+            this.customers.set(customer, limited);
+        }
         return limited;
     }
 
-    private updateShare(customer: string, now: number): void {
-        const limited = this.customers.get(customer);
-        const limit = this.getLimit(customer);
-        if (limited === undefined) {
-            return;
-        }
-        if (limit === undefined) {
-            this.customers.delete(customer);
-            return;
-        }
-        const nodeCount = Math.max(1, this.options.getNodeCount?.() ?? this.peers.peerCount + 1);
-        const peers = this.peers.getTotal(customer);
-        limited.setShare(getLimitShare({ limit, own: limited.demand, peers, nodeCount }), now);
+    /** Gets the demand at the other nodes, in requests a second; estimated where only some of them reported. */
+    private getPeerDemand(customer: string): number {
+        const { peerCount } = this.peers;
+        const others = (this.options.getNodeCount?.() ?? 1) - 1;
+        const scale = peerCount > 0 && others > peerCount ? others / peerCount : 1;
+        return this.peers.getTotal(customer) * scale;
     }
 
     private getLimit(customer: string): number | undefined {
--- a/src/request/admission/customerLimitsOptions.ts
+++ b/src/request/admission/customerLimitsOptions.ts
@@ -7,6 +7,9 @@
     getConfiguration: () => Configuration;
     clock: Clock;
     random: RandomSource;
-    /** Number of live nodes, this one among them; by default this one and the peers that report demand. */
+    /**
+     * Number of live nodes, this one among them. Where fewer report their demand, the others are taken to have as
+     * much each as those that do; without it only the reported demand counts.
+     */
     getNodeCount?: () => number;
 }
--- a/src/request/admission/fairQueue.ts
+++ b/src/request/admission/fairQueue.ts
@@ -75,19 +75,21 @@
 
     /** Takes the entry that goes next. */
     dequeue(): QueueEntry<T> | undefined {
-        while (true) {
-            const queue = this.heap.pop();
-            if (queue === undefined) {
-                return undefined;
-            }
-            queue.isListed = false;
-            const entry = queue.peek();
-            if (entry === undefined) {
-                continue;
-            }
-            this.take(queue, entry);
-            return entry;
+        const queue = this.getNextCustomer();
+        const entry = queue?.peek();
+        if (queue === undefined || entry === undefined) {
+            return undefined;
         }
+        this.heap.pop();
+        queue.isListed = false;
+        this.take(queue, entry);
+        return entry;
+    }
+
+    /** Whether the customer that goes next has already had its share and its burst. */
+    isNextOverShare(): boolean {
+        const queue = this.getNextCustomer();
+        return queue !== undefined && queue.startTag > this.virtualTime;
     }
 
     /**
@@ -115,21 +117,22 @@
     }
 
     /**
-     * Estimates the cost that goes before a new entry of a customer.
-     * Takes time in proportion to the number of waiting customers.
+     * Estimates whether more than a given cost goes before a new entry of a customer.
+     * Takes time in proportion to the number of waiting customers at the most.
      */
-    getCostAhead(customer: string): number {
+    isCostAheadOver(customer: string, maximumCost: number): boolean {
         const own = this.customers.get(customer);
         const startTag = this.getNextStartTag(own);
         let cost = own?.waitingCost ?? 0;
         for (const queue of this.heap.heapArray) {
-            const head = queue.peek();
-            if (queue === own || head === undefined || queue.startTag > startTag) {
-                continue;
+            if (cost > maximumCost) {
+                return true;
+            }
+            if (queue !== own && queue.startTag <= startTag) {
+                cost += Math.min(queue.waitingCost, (startTag - queue.startTag) * queue.weight + this.meanCost);
             }
-            cost += Math.min(queue.waitingCost, (startTag - queue.startTag) * queue.weight + head.cost);
         }
-        return cost;
+        return cost > maximumCost;
     }
 
     /**
@@ -150,6 +153,18 @@
         return largest?.peekNewest();
     }
 
+    /** Gets the customer that goes next, and drops those before it whose entries were all removed. */
+    private getNextCustomer(): CustomerQueue<T> | undefined {
+        for (let queue = this.heap.peek(); queue !== undefined; queue = this.heap.peek()) {
+            if (queue.waitingCount > 0) {
+                return queue;
+            }
+            this.heap.pop();
+            queue.isListed = false;
+        }
+        return undefined;
+    }
+
     private getStartTag(finishTag: number, weight: number): number {
         return Math.max(this.virtualTime, finishTag - burstRequests * this.meanCost / weight);
     }
--- a/src/request/admission/limitedCustomer.ts
+++ b/src/request/admission/limitedCustomer.ts
@@ -1,84 +1,88 @@
 import type { RandomSource } from "../../process/randomSource.ts";
 import { ReturnSchedule } from "./returnSchedule.ts";
 import { SmoothedRate } from "./smoothedRate.ts";
-import { TokenBucket } from "./tokenBucket.ts";
 
-/** Time after which an arrival counts for 1/e, in milliseconds. */
-const memoryMilliseconds = 2_000;
+/** Requests at the limit over which a demand is measured at least, so that chance refuses few within the limit. */
+const minimumMeasuredRequests = 20;
 
-/** Time that a demand takes to reach the other nodes, in milliseconds. */
-const lagMilliseconds = 500;
+/** Requests at the limit that are enough to measure a demand; more would only make it slower. */
+const enoughMeasuredRequests = 100;
 
-/** Length of the burst that a full bucket lets through, in seconds of the node's share. */
-const burstSeconds = 1;
+/** Time over which a demand is measured between the two, in milliseconds. */
+const usualMemoryMilliseconds = 2_000;
 
-/** One customer's arrivals at this node and its share of the customer's limit. */
+/** Shorter than the interval of gossip there is nothing to win, in milliseconds. */
+const minimumMemoryMilliseconds = 250;
+
+/**
+ * One customer's requests at one node. Every arrival earns the part of a request that the limit leaves of the
+ * whole demand, and passes once a whole one is there. So a node's share follows its demand at once, and nodes that
+ * see one request in many seconds still pass the right number together, which a token bucket a node does not.
+ */
 export class LimitedCustomer {
+    /** Limit over all nodes, in requests a second, for which the demand is measured. */
+    readonly limit: number;
     private readonly arrivals: SmoothedRate;
-    private readonly bucket: TokenBucket;
     private readonly returns: ReturnSchedule;
-    private demandInForce = 0;
-    private sampledDemand = 0;
-    private sampledAt: number;
-    private share = 0;
+    /** Part of a request that is earned; starts at random so that the nodes do not pass their first ones together. */
+    private credit: number;
 
-    private constructor(balance: number, random: RandomSource, now: number) {
-        this.arrivals = SmoothedRate.create(memoryMilliseconds, now);
-        this.bucket = TokenBucket.create(balance, now);
+    private constructor(limit: number, random: RandomSource, now: number) {
+        this.limit = limit;
+        this.arrivals = SmoothedRate.create(getMemoryMilliseconds(limit), now);
         this.returns = ReturnSchedule.create(random);
-        this.sampledAt = now;
+        this.credit = random();
     }
 
     /**
-     * @param balance - Requests that may pass at once.
-     * @param random - Source of the spread of returns.
+     * @param limit - Limit over all nodes, in requests a second.
+     * @param random - Source of the first credit and of the spread of returns.
      * @param now - Monotonic time in milliseconds.
      */
-    static create(balance: number, random: RandomSource, now: number): LimitedCustomer {
-        return new LimitedCustomer(balance, random, now);
-    }
-
-    /** Demand by which the share goes: as old as what the peers know, so that all the shares add up. */
-    get demand(): number {
-        return this.demandInForce;
+    static create(limit: number, random: RandomSource, now: number): LimitedCustomer {
+        return new LimitedCustomer(limit, random, now);
     }
 
-    /** Arrivals a second now. */
-    getArrivals(now: number): number {
+    /** Gets the arrivals at this node, in requests a second. */
+    getDemand(now: number): number {
         return this.arrivals.getPerSecond(now);
     }
 
-    /** Takes a sample of the demand for the other nodes; this node goes by it once they have it too. */
-    sampleDemand(now: number): number {
-        const arrivals = this.arrivals.getPerSecond(now);
-        if (now - this.sampledAt >= lagMilliseconds) {
-            this.demandInForce = this.sampledDemand;
-            this.sampledDemand = arrivals;
-            this.sampledAt = now;
+    /**
+     * Counts an arrival.
+     * @param peerDemand - Arrivals at the other nodes, in requests a second.
+     * @param now - Monotonic time in milliseconds.
+     * @returns Whether it passes.
+     */
+    take(peerDemand: number, now: number): boolean {
+        this.credit += this.getPassedPart(peerDemand, now);
+        this.arrivals.observe(now);
+        if (this.credit < 1) {
+            return false;
         }
-        return arrivals;
+        this.credit -= 1;
+        return true;
     }
 
-    /** Sets this node's share of the limit, in requests a second. */
-    setShare(share: number, now: number): void {
-        this.share = share;
-        this.bucket.setRate(share, Math.max(1, share * burstSeconds), now);
+    /** Gives back the place of a request that passed and was then refused for another reason. */
+    giveBack(): void {
+        this.credit = Math.min(1, this.credit + 1);
     }
 
-    /** Counts an arrival and takes its place in the share; returns whether there was one. */
-    take(now: number): boolean {
-        this.arrivals.observe(now);
-        return this.bucket.take(now);
+    /** Gets when a refused caller should come back, in milliseconds from now. */
+    bookReturn(peerDemand: number, now: number): number {
+        const passedPerSecond = this.getDemand(now) * this.getPassedPart(peerDemand, now);
+        return this.returns.book({ cost: 1, rate: passedPerSecond / 1000, excessMilliseconds: 0, now });
     }
 
-    /** Gives back the place of a request that was then refused for another reason. */
-    giveBack(): void {
-        this.bucket.giveBack();
+    private getPassedPart(peerDemand: number, now: number): number {
+        const demand = this.getDemand(now) + peerDemand;
+        return demand > this.limit ? this.limit / demand : 1;
     }
+}
 
-    /** Gets when a refused caller should come back, in milliseconds from now. */
-    bookReturn(now: number): number {
-        const excessMilliseconds = Math.min(this.bucket.getMillisecondsToToken(now), 60_000);
-        return this.returns.book({ cost: 1, rate: this.share / 1000, excessMilliseconds, now });
-    }
+function getMemoryMilliseconds(limit: number): number {
+    const least = Math.max(minimumMemoryMilliseconds, minimumMeasuredRequests * 1000 / limit);
+    const enough = enoughMeasuredRequests * 1000 / limit;
+    return Math.max(least, Math.min(usualMemoryMilliseconds, enough));
 }
--- a/src/request/admission/peerDemands.ts
+++ b/src/request/admission/peerDemands.ts
@@ -32,10 +32,12 @@
 
     /**
      * Replaces a peer's report.
-     * @returns The customers whose total has changed.
+     * @param nodeId - The peer.
+     * @param records - Its whole report.
+     * @param now - Monotonic time in milliseconds.
      */
-    apply(nodeId: string, records: readonly CustomerDemand[], now: number): Set<string> {
-        const changed = this.remove(nodeId);
+    apply(nodeId: string, records: readonly CustomerDemand[], now: number): void {
+        this.remove(nodeId);
         const demands = new Map<string, number>();
         for (const { customer, requestsPerSecond } of records) {
             if (!Number.isFinite(requestsPerSecond) || requestsPerSecond <= 0 || demands.has(customer)) {
@@ -43,21 +45,16 @@
             }
             demands.set(customer, requestsPerSecond);
             this.totals.set(customer, this.getTotal(customer) + requestsPerSecond);
-            changed.add(customer);
         }
         this.reports.set(nodeId, { receivedAt: now, demands });
-        return changed;
     }
 
-    /** Forgets a peer; returns the customers whose total has changed. */
-    remove(nodeId: string): Set<string> {
-        const changed = new Set<string>();
+    /** Forgets a peer. */
+    remove(nodeId: string): void {
         for (const [customer, requestsPerSecond] of this.reports.get(nodeId)?.demands ?? []) {
             this.subtract(customer, requestsPerSecond);
-            changed.add(customer);
         }
         this.reports.delete(nodeId);
-        return changed;
     }
 
     /** Forgets the peers that have been silent for too long. */
--- a/src/request/admission/returnSchedule.ts
+++ b/src/request/admission/returnSchedule.ts
@@ -32,7 +32,7 @@
      * @returns Time until the return, in milliseconds.
      */
     book(options: { cost: number; rate: number | undefined; excessMilliseconds: number; now: number; }): number {
-        const jitter = 0.5 + this.random();
+        const jitter = 0.75 + 0.5 * this.random();
         const { cost, rate, excessMilliseconds, now } = options;
         if (rate === undefined || rate <= 0) {
             return minimumReturnMilliseconds + excessMilliseconds + jitter * defaultHorizonMilliseconds;
--- a/src/request/admission/serviceGate.ts
+++ b/src/request/admission/serviceGate.ts
@@ -13,6 +13,12 @@
 /** Part of the allowed wait to which the queue has drained when a refused caller comes back. */
 const returnPart = 0.5;
 
+/** Part of the places that is kept for customers under their share while there are any. */
+const reservedPart = 0.03;
+
+/** Time after the last request of a customer under its share for which places are kept, in milliseconds. */
+const reservedMilliseconds = 1_000;
+
 /** A run that ended. */
 interface EndedRun {
     customer: string;
@@ -27,26 +33,24 @@
 /** The admission of one service: what runs, what waits, and how fast it drains. Does no I/O and sets no timers. */
 export class ServiceGate<T> {
     readonly queue = FairQueue.create<T>();
-    private readonly service: string;
     private readonly returns: ReturnSchedule;
     private readonly getGivenLimit: () => number;
     private readonly adaptiveLimit = AdaptiveLimit.create();
     private readonly drainRate = DrainRate.create();
     private runningCount = 0;
+    private underShareAt = Number.NEGATIVE_INFINITY;
 
-    private constructor(service: string, getGivenLimit: () => number, random: RandomSource) {
-        this.service = service;
+    private constructor(getGivenLimit: () => number, random: RandomSource) {
         this.getGivenLimit = getGivenLimit;
         this.returns = ReturnSchedule.create(random);
     }
 
     /**
-     * @param service - Name of the service.
      * @param getGivenLimit - Gets the requests that may run at the same time, before what is learned.
      * @param random - Source of the spread of returns.
      */
-    static create<T>(service: string, getGivenLimit: () => number, random: RandomSource): ServiceGate<T> {
-        return new ServiceGate<T>(service, getGivenLimit, random);
+    static create<T>(getGivenLimit: () => number, random: RandomSource): ServiceGate<T> {
+        return new ServiceGate<T>(getGivenLimit, random);
     }
 
     /** Requests in progress. */
@@ -59,14 +63,27 @@
         return this.adaptiveLimit.getLimit(this.getGivenLimit());
     }
 
-    /** Whether another request may start. */
-    hasFreePlace(): boolean {
-        return this.runningCount < this.getLimit();
+    /** Whether nothing waits and a place is free. */
+    isOpen(): boolean {
+        return this.queue.waitingCount === 0 && this.runningCount < this.getLimit();
     }
 
-    /** Whether a new request would start at once. */
-    isOpen(): boolean {
-        return this.queue.waitingCount === 0 && this.hasFreePlace();
+    /**
+     * Takes the waiting item that goes next, where there is a place for it.
+     * @param now - Monotonic time in milliseconds.
+     */
+    takeNext(now: number): T | undefined {
+        if (this.queue.waitingCount === 0) {
+            return undefined;
+        }
+        const isOverShare = this.queue.isNextOverShare();
+        if (!isOverShare) {
+            this.underShareAt = now;
+        }
+        const limit = this.getLimit();
+        const isReserving = isOverShare && now - this.underShareAt < reservedMilliseconds;
+        const usable = isReserving ? limit - Math.round(limit * reservedPart) : limit;
+        return this.runningCount < usable ? this.queue.dequeue()?.item : undefined;
     }
 
     /**
@@ -96,9 +113,7 @@
             return isLate ? this.createWaitRefusal(request, maximum, now) : undefined;
         }
         const allowed = this.getAllowedWait(request, maximum, now) * queuedPart;
-        return this.getWaitMilliseconds(request.customer, allowed) <= allowed
-            ? undefined
-            : this.createWaitRefusal(request, maximum, now);
+        return this.isWaitOver(request.customer, allowed) ? this.createWaitRefusal(request, maximum, now) : undefined;
     }
 
     /**
@@ -111,7 +126,7 @@
         return {
             kind: RefusalKind.WaitTooLong,
             retryAfterMilliseconds: this.bookReturn(request, maximum, now),
-            message: `The request for service "${this.service}" would not end in time and has not run. `
+            message: "The request would not end in time and has not run. "
                 + "Send it again after the given time, or allow it more time.",
         };
     }
@@ -126,7 +141,7 @@
         return {
             kind: RefusalKind.QueueFull,
             retryAfterMilliseconds: this.bookReturn(request, maximum, now),
-            message: `The queue for service "${this.service}" is full and the request has not run. `
+            message: "The queue is full and the request has not run. "
                 + "Send it again after the given time, or raise limits.maximumQueuedRequests in the configuration.",
         };
     }
@@ -155,20 +170,20 @@
         this.adaptiveLimit.observeRefusal(this.runningCount, round, now);
     }
 
-    /** Estimates the wait of a customer's new request in milliseconds, exactly where it is over `allowed`. */
-    private getWaitMilliseconds(customer: string, allowed: number): number {
+    /** Whether a customer's new request would wait longer than is allowed, in milliseconds. */
+    private isWaitOver(customer: string, allowed: number): boolean {
         const rate = this.getRate();
-        if (rate === undefined || rate <= 0) {
-            return 0;
+        if (allowed < 0 || rate === undefined || rate <= 0) {
+            return allowed < 0;
         }
-        const wholeQueue = this.queue.waitingCost / rate;
-        return wholeQueue <= allowed ? wholeQueue : this.queue.getCostAhead(customer) / rate;
+        const allowedCost = allowed * rate;
+        return this.queue.waitingCost > allowedCost && this.queue.isCostAheadOver(customer, allowedCost);
     }
 
     private bookReturn(request: AdmissionRequest, maximum: number, now: number): number {
-        const goal = maximum * returnPart;
-        const excessMilliseconds = Math.max(0, this.getWaitMilliseconds(request.customer, goal) - goal);
-        return this.returns.book({ cost: request.cost, rate: this.getRate(), excessMilliseconds, now });
+        const rate = this.getRate();
+        const excessMilliseconds = rate ? Math.max(0, this.queue.waitingCost / rate - maximum * returnPart) : 0;
+        return this.returns.book({ cost: request.cost, rate, excessMilliseconds, now });
     }
 
     /** Gets the cost that drains in a millisecond; undefined before the first run has ended. */
--- /dev/null
+++ b/tests/request/admission/admissionFixture.ts
@@ -0,0 +1,75 @@
+import { createBenchConfiguration } from "../../../bench/admission/createBenchConfiguration.ts";
+import { createRandom } from "../../../bench/admission/createRandom.ts";
+import { VirtualClock } from "../../../bench/admission/virtualClock.ts";
+import { Admission } from "../../../src/request/admission/admission.ts";
+import type { AdmissionRequest } from "../../../src/request/admission/admissionRequest.ts";
+import type { AdmissionTicket } from "../../../src/request/admission/admissionTicket.ts";
+import { CustomerLimits } from "../../../src/request/admission/customerLimits.ts";
+import type { Refusal } from "../../../src/request/admission/refusal.ts";
+import type { Configuration, CustomerConfiguration, RequestLimits } from "../../../src/version/configuration.ts";
+
+interface FixtureOptions {
+    customers?: Record<string, Partial<CustomerConfiguration>>;
+    limits?: Partial<RequestLimits>;
+    places?: number;
+}
+
+/** What became of one request: nothing yet while both are undefined. */
+interface Answer {
+    ticket?: AdmissionTicket;
+    refusal?: Refusal;
+    /** Virtual time of the answer, in milliseconds. */
+    answeredAt?: number;
+}
+
+/** An admission under a virtual clock. */
+export class AdmissionFixture {
+    readonly clock = VirtualClock.create();
+    readonly admission: Admission;
+    readonly configuration: Configuration;
+    places: number;
+
+    private constructor(options: FixtureOptions) {
+        this.places = options.places ?? 1;
+        this.configuration = createBenchConfiguration(options.customers ?? { alice: {}, bob: {} }, options.limits);
+        const shared = { getConfiguration: () => this.configuration, clock: this.clock, random: createRandom(1) };
+        this.admission = Admission.create({
+            ...shared,
+            getConcurrencyLimit: () => this.places,
+            customerLimits: CustomerLimits.create(shared),
+        });
+    }
+
+    static create(options: FixtureOptions = {}): AdmissionFixture {
+        return new AdmissionFixture(options);
+    }
+
+    /** Sends a request and notes its answer when it comes. */
+    async send(request: Partial<AdmissionRequest> = {}): Promise<Answer> {
+        const answer: Answer = {};
+        const whole = { customer: "alice", service: "chat", cost: 100, ...request };
+        void this.admission.requestAdmission(whole).then(result => {
+            answer.answeredAt = this.clock.getMonotonicTime();
+            if (result.ok) {
+                answer.ticket = result.val;
+            }
+            else {
+                answer.refusal = result.val;
+            }
+        });
+        await this.advance(0);
+        return answer;
+    }
+
+    /** Lets virtual time pass. */
+    async advance(milliseconds: number): Promise<void> {
+        await this.clock.runUntil(this.clock.getMonotonicTime() + milliseconds);
+    }
+
+    /** Teaches the admission that a run of 100 tokens takes a second. */
+    async learnRate(): Promise<void> {
+        const answer = await this.send();
+        await this.advance(1_000);
+        answer.ticket?.release({ tokens: 100 });
+    }
+}
