Choose chains by least time among random candidates, and compute the bound

Cause: choosing over all endpoints lets nodes herd on lagging reports. Change: six random candidates an interval, learnt step times, cached prefixes, a maximum-flow bound.

--- /dev/null
+++ b/bench/policy/decisionCost.ts
@@ -0,0 +1,71 @@
+import type { Clock } from "../../src/process/clock.ts";
+import type { ChainOptions } from "../../src/request/chain/chainChooser.ts";
+import { createFleet } from "./fleet.ts";
+import type { Policy } from "./policy.ts";
+import { createSeededRandom } from "./seededRandom.ts";
+
+const warmupDecisions = 2_000;
+const decisions = 4_000;
+
+/** Cost of one decision in microseconds, on the machine that ran it. */
+export interface DecisionCost {
+    policy: string;
+    runners: number;
+    models: number;
+    mean: number;
+    median: number;
+    percentile99: number;
+}
+
+/** Measures a choice with its reservation, among running sequences that end in turn. */
+export function measureDecisionCost(policy: Policy, runners: number, models: number): DecisionCost {
+    const fleet = createFleet(runners, models, createSeededRandom(1));
+    const random = createSeededRandom(2);
+    let now = 0;
+    const clock: Clock = {
+        getMonotonicTime: () => now,
+        getWallTime: () => now,
+        setTimer: () => ({ cancel: () => undefined }),
+    };
+    const chooser = policy.createChooser({
+        getConfiguration: () => fleet.configuration,
+        getEndpointState: name => fleet.states.get(name),
+        clock,
+        random,
+    }, fleet);
+    const running = [];
+    const costs: number[] = [];
+    for (let index = 0; index < warmupDecisions + decisions; index++) {
+        now += 1;
+        const options: ChainOptions = {
+            model: `model${index % models}`,
+            dataCentre: "a",
+            positions: 24,
+            excluded: new Set(),
+            preferred: new Set(),
+        };
+        const started = performance.now();
+        const chain = chooser.chooseChain(options).unwrap();
+        chooser.reserveChain(chain);
+        costs.push((performance.now() - started) * 1_000);
+        running.push(chain);
+        for (const { endpoint, layerStart, layerEnd } of chain.stages) {
+            const layers = layerEnd - layerStart;
+            const elapsedMilliseconds = 10 + layers * random();
+            chooser.observePass({ endpoint, layers, positions: 1, elapsedMilliseconds, queue: 2 });
+        }
+        const ended = running.length > 100 ? running.shift() : undefined;
+        if (ended !== undefined) {
+            chooser.releaseChain(ended);
+        }
+    }
+    const measured = costs.slice(warmupDecisions).sort((a, b) => a - b);
+    return {
+        policy: policy.name,
+        runners,
+        models,
+        mean: measured.reduce((sum, cost) => sum + cost, 0) / measured.length,
+        median: measured[Math.floor(measured.length / 2)] ?? 0,
+        percentile99: measured[Math.floor(measured.length * 0.99)] ?? 0,
+    };
+}
--- /dev/null
+++ b/bench/policy/greedyChooser.ts
@@ -0,0 +1,102 @@
+import type { Chain, ChainStage } from "../../src/request/chain/chain.ts";
+import type { ChainChooser, ChainOptions, LoadReport } from "../../src/request/chain/chainChooser.ts";
+import type { NoChainError } from "../../src/request/chain/noChainError.ts";
+import { Err, Ok, type Result } from "../../src/result.ts";
+import type { Configuration } from "../../src/version/configuration.ts";
+
+/** Ranks an endpoint for the next stage; the lowest rank is taken. */
+export type RankEndpoint = (load: Readonly<GreedyLoad>) => number;
+
+/** What a {@link GreedyChooser} counts of an endpoint. */
+export interface GreedyLoad {
+    /** Sequences of the last report. */
+    reported: number;
+    /** This node's sequences now. */
+    own: number;
+    /** Times that this node has chosen the endpoint. */
+    chosen: number;
+    maximumSequences: number;
+}
+
+/** A baseline: from layer 0 on, takes the lowest ranked endpoint that holds the next layer, as far as it holds. */
+export class GreedyChooser implements ChainChooser {
+    private readonly configuration: Configuration;
+    private readonly rank: RankEndpoint;
+    private readonly loads = new Map<string, GreedyLoad>();
+
+    private constructor(configuration: Configuration, rank: RankEndpoint) {
+        this.configuration = configuration;
+        this.rank = rank;
+        for (const [name, { maximumSequences }] of Object.entries(configuration.endpoints)) {
+            this.loads.set(name, { reported: 0, own: 0, chosen: 0, maximumSequences });
+        }
+    }
+
+    static create(configuration: Configuration, rank: RankEndpoint): GreedyChooser {
+        return new GreedyChooser(configuration, rank);
+    }
+
+    chooseChain({ model }: ChainOptions): Result<Chain, NoChainError> {
+        const layers = this.configuration.models[model]?.layers ?? 0;
+        const stages: ChainStage[] = [];
+        let layer = 0;
+        while (layer < layers) {
+            const stage = this.chooseStage(model, layer);
+            if (stage === undefined) {
+                return Err({ kind: "noChain", model, missingLayer: layer, message: "No endpoint holds the layer." });
+            }
+            stages.push(stage);
+            layer = stage.layerEnd;
+        }
+        return Ok({ stages });
+    }
+
+    reserveChain({ stages }: Chain): void {
+        for (const { endpoint } of stages) {
+            const load = this.loads.get(endpoint);
+            if (load !== undefined) {
+                load.own++;
+                load.chosen++;
+            }
+        }
+    }
+
+    releaseChain({ stages }: Chain): void {
+        for (const { endpoint } of stages) {
+            const load = this.loads.get(endpoint);
+            if (load !== undefined) {
+                load.own--;
+            }
+        }
+    }
+
+    observePass(): void {
+        // Baselines do not learn.
+    }
+
+    observeLoad(report: LoadReport): void {
+        const load = this.loads.get(report.endpoint);
+        if (load !== undefined) {
+            load.reported = report.sequences;
+        }
+    }
+
+    observeFailure(): void {
+        // Baselines do not learn.
+    }
+
+    private chooseStage(model: string, layer: number): ChainStage | undefined {
+        let best: ChainStage | undefined;
+        let bestRank = Infinity;
+        for (const [endpoint, { layers }] of Object.entries(this.configuration.endpoints)) {
+            const range = layers.find(held => held.model === model && held.start <= layer && layer < held.end);
+            const load = this.loads.get(endpoint);
+            const rank = range === undefined || load === undefined ? Infinity : this.rank(load);
+            if (range !== undefined && rank < bestRank) {
+                best = { endpoint, layerStart: layer, layerEnd: range.end };
+                bestRank = rank;
+            }
+        }
+        return best;
+    }
+}
--- /dev/null
+++ b/bench/policy/loadDriver.ts
@@ -0,0 +1,205 @@
+import type { RandomSource } from "../../src/process/randomSource.ts";
+import type { Chain, ChainStage } from "../../src/request/chain/chain.ts";
+import type { ChainChooser } from "../../src/request/chain/chainChooser.ts";
+import { LinkTable } from "../../src/request/chain/linkTable.ts";
+import { EngineStandin } from "./engineStandin.ts";
+import type { Fleet } from "./fleet.ts";
+import { LinkStandin } from "./linkStandin.ts";
+import type { Policy } from "./policy.ts";
+import { createSeededRandom } from "./seededRandom.ts";
+import { TokenRecorder } from "./tokenRecorder.ts";
+import { VirtualClock } from "./virtualClock.ts";
+
+/** Bytes of one token on a link. */
+const tokenBytes = 4;
+const reportIntervalMilliseconds = 200;
+/** Data centres of the nodes, which decide apart. */
+const nodeDataCentres = ["a", "b", "c", "a", "b", "c"] as const;
+/** Time over which the requests of a run at saturation start. */
+const startMilliseconds = 40_000;
+
+/** One run of a policy. */
+export interface LoadDriverOptions {
+    fleet: Fleet;
+    policy: Policy;
+    seed: number;
+    /** Lag of the load reports, in milliseconds. */
+    lagMilliseconds: number;
+    /** Requests a second that arrive at random; 0 for a fixed number of running requests. */
+    requestsPerSecond: number;
+    /** Requests that run at all times, where none arrive at random. */
+    runningRequests: number;
+    warmupMilliseconds: number;
+    measuredMilliseconds: number;
+}
+
+interface Node {
+    dataCentre: string;
+    chooser: ChainChooser;
+}
+
+interface Sequence {
+    node: Node;
+    chain: Chain;
+    arrival: number;
+    lastToken: number;
+    tokensLeft: number;
+}
+
+/** Drives several nodes' choosers with made-up requests over stand-in engines, under a virtual clock. */
+export class LoadDriver {
+    private readonly options: LoadDriverOptions;
+    private readonly clock = VirtualClock.create();
+    private readonly random: RandomSource;
+    private readonly engines = new Map<string, EngineStandin>();
+    private readonly links: LinkStandin;
+    private readonly nodes: readonly Node[];
+    private readonly recorder: TokenRecorder;
+    private nextNode = 0;
+
+    private constructor(options: LoadDriverOptions) {
+        this.options = options;
+        this.recorder = TokenRecorder.create(options.warmupMilliseconds);
+        this.random = createSeededRandom(options.seed);
+        const { configuration, speeds, states } = options.fleet;
+        this.links = LinkStandin.create(this.clock, LinkTable.create(configuration));
+        for (const [name, speed] of speeds) {
+            const layers = configuration.endpoints[name]?.layers.reduce((sum, { end, start }) => sum + end - start, 0);
+            this.engines.set(name, EngineStandin.create(this.clock, speed, layers ?? 0));
+        }
+        this.nodes = nodeDataCentres.map((dataCentre, index) => ({
+            dataCentre,
+            chooser: options.policy.createChooser({
+                getConfiguration: () => configuration,
+                getEndpointState: name => states.get(name),
+                clock: this.clock,
+                random: createSeededRandom(options.seed * 1_000 + index + 1),
+            }, options.fleet),
+        }));
+    }
+
+    /** Runs once and returns what was measured. */
+    static run(options: LoadDriverOptions): ReturnType<TokenRecorder["getResult"]> {
+        const driver = new LoadDriver(options);
+        driver.start();
+        driver.clock.runUntil(options.warmupMilliseconds + options.measuredMilliseconds);
+        return driver.recorder.getResult(options.measuredMilliseconds / 1_000);
+    }
+
+    private start(): void {
+        this.clock.setTimer(0, () => this.report());
+        if (this.options.requestsPerSecond > 0) {
+            this.scheduleArrival();
+            return;
+        }
+        for (let index = 0; index < this.options.runningRequests; index++) {
+            this.clock.setTimer(this.random() * startMilliseconds, () => this.startSequence());
+        }
+    }
+
+    private scheduleArrival(): void {
+        const delay = -Math.log(1 - this.random()) * 1_000 / this.options.requestsPerSecond;
+        this.clock.setTimer(delay, () => {
+            this.startSequence();
+            this.scheduleArrival();
+        });
+    }
+
+    private startSequence(): void {
+        const node = this.nodes[this.nextNode++ % this.nodes.length] as Node;
+        const positions = 8 + Math.floor(this.random() * 33);
+        const tokensLeft = 24 + Math.floor(this.random() * 33);
+        const chain = node.chooser.chooseChain({
+            model: `model${Math.floor(this.random() * Object.keys(this.options.fleet.configuration.models).length)}`,
+            dataCentre: node.dataCentre,
+            positions,
+            excluded: new Set(),
+            preferred: new Set(),
+        }).unwrap();
+        node.chooser.reserveChain(chain);
+        this.countSequences(chain, 1);
+        const now = this.clock.getMonotonicTime();
+        this.runStage({ node, chain, arrival: now, lastToken: -1, tokensLeft }, 0, positions);
+    }
+
+    private runStage(sequence: Sequence, index: number, positions: number): void {
+        const stage = sequence.chain.stages[index] as ChainStage;
+        const { hiddenBytes } = Object.values(this.options.fleet.configuration.models)[0] ?? { hiddenBytes: 0 };
+        const home = sequence.node.dataCentre;
+        const away = this.options.fleet.configuration.endpoints[stage.endpoint]?.dataCentre ?? home;
+        const isLast = index === sequence.chain.stages.length - 1;
+        const layers = stage.layerEnd - stage.layerStart;
+        const sent = this.clock.getMonotonicTime();
+        const finish = (queue: number) => {
+            this.links.send(away, home, isLast ? tokenBytes : positions * hiddenBytes, () => {
+                sequence.node.chooser.observePass({
+                    endpoint: stage.endpoint,
+                    layers,
+                    positions,
+                    elapsedMilliseconds: this.clock.getMonotonicTime() - sent,
+                    queue,
+                });
+                if (isLast) {
+                    this.acceptToken(sequence, positions);
+                }
+                else {
+                    this.runStage(sequence, index + 1, positions);
+                }
+            });
+        };
+        this.links.send(home, away, positions * (index === 0 ? tokenBytes : hiddenBytes), () => {
+            this.engines.get(stage.endpoint)?.addPass({
+                positions,
+                layerStart: stage.layerStart,
+                layerEnd: stage.layerEnd,
+                finish,
+            });
+        });
+    }
+
+    private acceptToken(sequence: Sequence, positions: number): void {
+        const now = this.clock.getMonotonicTime();
+        const isFirst = sequence.lastToken < 0;
+        this.recorder.record(now, now - (isFirst ? sequence.arrival : sequence.lastToken), positions, isFirst);
+        sequence.lastToken = now;
+        sequence.tokensLeft--;
+        if (sequence.tokensLeft > 0) {
+            this.runStage(sequence, 0, 1);
+            return;
+        }
+        sequence.node.chooser.releaseChain(sequence.chain);
+        this.countSequences(sequence.chain, -1);
+        if (this.options.requestsPerSecond === 0) {
+            this.startSequence();
+        }
+    }
+
+    private countSequences(chain: Chain, change: number): void {
+        for (const stage of chain.stages) {
+            const engine = this.engines.get(stage.endpoint);
+            if (engine !== undefined) {
+                engine.sequences += change;
+            }
+        }
+    }
+
+    /** Takes all engines' load now and tells the nodes after the lag. */
+    private report(): void {
+        const ageMilliseconds = this.options.lagMilliseconds;
+        const reports = [...this.engines].map(([endpoint, { queue, sequences }]) => ({
+            endpoint,
+            queue,
+            sequences,
+            freePositions: 1_000_000,
+            ageMilliseconds,
+        }));
+        this.clock.setTimer(ageMilliseconds, () => {
+            for (const { chooser } of this.nodes) {
+                for (const report of reports) {
+                    chooser.observeLoad(report);
+                }
+            }
+        });
+        this.clock.setTimer(reportIntervalMilliseconds, () => this.report());
+    }
+}
--- /dev/null
+++ b/bench/policy/scenario.ts
@@ -0,0 +1,63 @@
+import { computeFleetBound } from "./computeFleetBound.ts";
+import { createFleet } from "./fleet.ts";
+import { LoadDriver } from "./loadDriver.ts";
+import type { Policy } from "./policy.ts";
+import { createSeededRandom } from "./seededRandom.ts";
+
+const runners = 32;
+/** Requests that run at all times at saturation. */
+const saturatingRequests = 2_400;
+/** Mean positions of a request: 24 of the prompt, 40 tokens of which the last is not fed back. */
+const positionsPerRequest = 63;
+
+/** One cell of the comparison. */
+export interface ScenarioOptions {
+    policy: Policy;
+    fleetSeed: number;
+    lagMilliseconds: number;
+    /** Offered load as a part of the bound; undefined for saturation. */
+    load?: number;
+}
+
+/** What one cell showed; times are milliseconds, in the order median, 95th and 99th percentile. */
+export interface ScenarioResult {
+    policy: string;
+    fleetSeed: number;
+    lagMilliseconds: number;
+    load?: number;
+    tokensPerSecond: number;
+    /** Tokens a second of the bound: its positions a second, less those of prompts. */
+    boundTokensPerSecond: number;
+    /** Positions carried over the bound. */
+    partOfBound: number;
+    firstToken: readonly number[];
+    betweenTokens: readonly number[];
+}
+
+/** Runs one policy on one fleet under one load. */
+export function runScenario({ policy, fleetSeed, lagMilliseconds, load }: ScenarioOptions): ScenarioResult {
+    const fleet = createFleet(runners, 1, createSeededRandom(fleetSeed));
+    const bound = computeFleetBound(fleet).positionsPerSecond;
+    const result = LoadDriver.run({
+        fleet,
+        policy,
+        seed: 7,
+        lagMilliseconds,
+        requestsPerSecond: load === undefined ? 0 : load * bound / positionsPerRequest,
+        runningRequests: load === undefined ? saturatingRequests : 0,
+        warmupMilliseconds: load === undefined ? 60_000 : 10_000,
+        measuredMilliseconds: 15_000,
+    });
+    const partOfBound = result.positionsPerSecond / bound;
+    return {
+        policy: policy.name,
+        fleetSeed,
+        lagMilliseconds,
+        load,
+        tokensPerSecond: result.tokensPerSecond,
+        boundTokensPerSecond: result.tokensPerSecond / partOfBound,
+        partOfBound,
+        firstToken: result.firstToken,
+        betweenTokens: result.betweenTokens,
+    };
+}
--- /dev/null
+++ b/src/request/chain/areEqualRanges.ts
@@ -0,0 +1,9 @@
+import type { LayerRange } from "../../version/configuration.ts";
+
+/** Tells whether two lists hold the same ranges in the same order; quick for the same list. */
+export function areEqualRanges(first: readonly LayerRange[], second: readonly LayerRange[]): boolean {
+    return first === second || first.length === second.length && first.every((range, index) => {
+                const other = second[index];
+                return range.model === other?.model && range.start === other.start && range.end === other.end;
+            });
+}
--- a/src/request/chain/chainFleet.ts
+++ b/src/request/chain/chainFleet.ts
@@ -1,11 +1,15 @@
 import type { EndpointState } from "../../connection/endpoint/endpointState.ts";
-import type { Configuration, EndpointConfiguration, LayerRange } from "../../version/configuration.ts";
+import type { RandomSource } from "../../process/randomSource.ts";
+import type { Configuration, EndpointConfiguration } from "../../version/configuration.ts";
+import { areEqualRanges } from "./areEqualRanges.ts";
 import type { PassObservation } from "./chainChooser.ts";
 import { EndpointLoad } from "./endpointLoad.ts";
 import type { EndpointRecord } from "./endpointRecord.ts";
+import { computeLearntBound } from "./flow/computeLearntBound.ts";
 import { LayeredGraph } from "./layeredGraph.ts";
 import { LinkTable } from "./linkTable.ts";
 import { ModelHolders } from "./modelHolders.ts";
+import type { PrefixIndex } from "./prefixIndex.ts";
 import { StepTimeEstimator } from "./stepTimeEstimator.ts";
 
 /** Endpoints whose layers are compared with their state in one decision, besides those of the model itself. */
@@ -15,6 +19,8 @@
 export interface ChainFleetOptions {
     getConfiguration: () => Configuration;
     getEndpointState: (endpoint: string) => EndpointState | undefined;
+    prefixes: PrefixIndex;
+    random: RandomSource;
 }
 
 /**
@@ -46,15 +52,25 @@
         return this.records.get(endpoint);
     }
 
-    /** Gets a model's holders by the layers that the endpoints hold now; undefined for an unknown model. */
+    /** Gets a model's holders; undefined for an unknown model. Layers that changed are seen within some decisions. */
     getModelHolders(model: string): ModelHolders | undefined {
         this.followConfiguration();
         this.checkSomeLayers();
-        const present = this.models.get(model);
-        if (present !== undefined && present.records.every(record => !this.hasChangedLayers(record))) {
-            return present;
+        return this.models.get(model) ?? this.buildModelHolders(model);
+    }
+
+    /**
+     * Computes the most positions a second that the fleet can carry now, by the learnt step times.
+     * @param nodeDataCentres - Data centres of the nodes, one entry a node.
+     */
+    computeBound(nodeDataCentres: readonly string[]): number {
+        this.followConfiguration();
+        const { configuration, links, estimator } = this;
+        if (configuration === undefined) {
+            return 0;
         }
-        return this.buildModelHolders(model);
+        const getModelHolders = (model: string) => this.getModelHolders(model);
+        return computeLearntBound({ configuration, links, estimator, nodeDataCentres, getModelHolders });
     }
 
     /** Compares the layers of all endpoints with those that the graphs were built from. */
@@ -72,7 +88,7 @@
         }
         const link = this.links.getLink(dataCentre, record.dataCentre);
         const atEndpoint = Math.max(0, observation.elapsedMilliseconds - 2 * link.latencyMilliseconds);
-        this.estimator.observe(record.name, observation.layers, observation.positions, atEndpoint, observation.queue);
+        this.estimator.observe(record.name, observation, atEndpoint);
         record.load.observeQueue(observation.queue, now);
     }
 
@@ -89,6 +105,7 @@
         for (const name of this.records.keys()) {
             if (!names.has(name)) {
                 this.records.delete(name);
+                this.estimator.removeEndpoint(name);
             }
         }
         for (const [name, endpoint] of engines) {
@@ -135,8 +152,8 @@
 
     /** Tells whether an endpoint holds other layers than its record says; one without a state keeps its record. */
     private hasChangedLayers(record: EndpointRecord): boolean {
-        const layers = this.options.getEndpointState(record.name)?.layers;
-        return layers !== undefined && layers !== record.layers && !areEqualRanges(layers, record.layers);
+        const state = this.options.getEndpointState(record.name);
+        return state !== undefined && !areEqualRanges(state.layers, record.layers);
     }
 
     private buildModelHolders(model: string): ModelHolders | undefined {
@@ -152,21 +169,17 @@
         );
         const graph = LayeredGraph.create(layers, ranges);
         const holders = ModelHolders.create({
+            model,
             graph,
             records: graph.holders.map(holder => this.records.get(holder.endpoint) as EndpointRecord),
             hiddenBytes: this.configuration?.models[model]?.hiddenBytes ?? 0,
             links: this.links,
             estimator: this.estimator,
+            prefixes: this.options.prefixes,
+            random: this.options.random,
             getEndpointState: this.options.getEndpointState,
         });
         this.models.set(model, holders);
         return holders;
     }
 }
-
-function areEqualRanges(first: readonly LayerRange[], second: readonly LayerRange[]): boolean {
-    return first.length === second.length && first.every((range, index) => {
-        const other = second[index];
-        return range.model === other?.model && range.start === other.start && range.end === other.end;
-    });
-}
--- a/src/request/chain/endpointLoad.ts
+++ b/src/request/chain/endpointLoad.ts
@@ -3,8 +3,8 @@
 /** Half-life of a counted failure, in milliseconds. */
 const failureHalfLifeMilliseconds = 5_000;
 
-const smoothing = Number(process.env.SMOOTH ?? 0.3);
-const marginal = Number(process.env.MARGINAL ?? 1);
+/** Weight of the newest number of waiting passes against those seen before. */
+const queueWeight = 0.3;
 
 interface SequenceChange {
     time: number;
@@ -25,6 +25,7 @@
     private queueTime = -Infinity;
     /** Own sequences when the queue was seen. */
     private ownAtQueue = 0;
+    private freePositions = Infinity;
     private failures = 0;
     private failureTime = 0;
 
@@ -53,7 +54,7 @@
      * Takes in a report.
      * @param takenAt - Monotonic time when the figures were taken, in milliseconds.
      */
-    applyReport(report: { queue: number; sequences: number; }, takenAt: number): void {
+    applyReport(report: { queue: number; sequences: number; freePositions: number; }, takenAt: number): void {
         let ownThen = this.ownSequences;
         for (const { time, change } of this.changes) {
             if (time > takenAt) {
@@ -61,6 +62,7 @@
             }
         }
         this.otherSequences = Math.max(0, report.sequences - ownThen);
+        this.freePositions = report.freePositions;
         if (takenAt >= this.queueTime) {
             this.queue = report.queue;
             this.queueTime = takenAt;
@@ -70,7 +72,7 @@
 
     /** Takes in the number of passes that waited just now. */
     observeQueue(queue: number, now: number): void {
-        this.queue = smoothing * queue + (1 - smoothing) * this.queue;
+        this.queue = queueWeight * queue + (1 - queueWeight) * this.queue;
         this.queueTime = now;
         this.ownAtQueue = this.ownSequences;
     }
@@ -93,9 +95,14 @@
         return this.otherSequences + this.ownSequences;
     }
 
+    /** Gets the positions that fit in the endpoint's memory, as last reported. */
+    getFreePositions(): number {
+        return this.freePositions;
+    }
+
     /** Gets the passes that wait at the endpoint: as last seen, and one for each sequence that was added since. */
     getQueue(): number {
-        return Math.max(0, this.queue + marginal * Math.max(0, this.ownSequences - this.ownAtQueue));
+        return this.queue + Math.max(0, this.ownSequences - this.ownAtQueue);
     }
 
     private recordChange(change: SequenceChange): void {
--- a/src/request/chain/estimatedTimeChooser.ts
+++ b/src/request/chain/estimatedTimeChooser.ts
@@ -3,12 +3,15 @@
 import type { RandomSource } from "../../process/randomSource.ts";
 import { Err, Ok, type Result } from "../../result.ts";
 import type { Configuration } from "../../version/configuration.ts";
-import type { Chain } from "./chain.ts";
+import type { Chain, ChainStage } from "./chain.ts";
 import type { ChainChooser, ChainOptions, LoadReport, PassObservation } from "./chainChooser.ts";
 import { ChainFleet } from "./chainFleet.ts";
-import type { ModelHolders } from "./modelHolders.ts";
 import type { NoChainError } from "./noChainError.ts";
-import { selectAll } from "./selectAll.ts";
+import { selectRandomCandidates } from "./selectRandomCandidates.ts";
+
+/** Random endpoints that a decision weighs for each interval of layers. Measured in docs/design/chains.md. */
+const choicesPerInterval = 6;
+import { PrefixIndex } from "./prefixIndex.ts";
 import type { SelectCandidates } from "./selectCandidates.ts";
 
 /** What an {@link EstimatedTimeChooser} works with. */
@@ -29,6 +32,7 @@
  */
 export class EstimatedTimeChooser implements ChainChooser {
     private readonly options: EstimatedTimeChooserOptions;
+    private readonly prefixes = PrefixIndex.create();
     private readonly fleet: ChainFleet;
     private readonly selectCandidates: SelectCandidates;
     /** Data centre of the node, as the last choice named it. */
@@ -36,8 +40,8 @@
 
     private constructor(options: EstimatedTimeChooserOptions) {
         this.options = options;
-        this.fleet = ChainFleet.create(options);
-        this.selectCandidates = options.selectCandidates ?? selectAll;
+        this.fleet = ChainFleet.create({ ...options, prefixes: this.prefixes });
+        this.selectCandidates = options.selectCandidates ?? selectRandomCandidates(choicesPerInterval);
     }
 
     /** Creates a chooser. */
@@ -45,20 +49,27 @@
         return new EstimatedTimeChooser(options);
     }
 
+    /**
+     * Computes the most positions a second that the fleet can carry now, by the learnt step times.
+     * @param nodeDataCentres - Data centres of the nodes, one entry a node.
+     */
+    computeBound(nodeDataCentres: readonly string[]): number {
+        return this.fleet.computeBound(nodeDataCentres);
+    }
+
     /** Chooses a chain, or tells the first layer that no usable endpoint holds. */
     chooseChain(options: ChainOptions): Result<Chain, NoChainError> {
         this.dataCentre = options.dataCentre;
-        const holders = this.fleet.getModelHolders(options.model);
-        if (holders === undefined) {
-            return Err(createNoChainError(options.model, 0));
+        const stages = this.findStages(options);
+        if (stages !== undefined) {
+            return Ok({ stages });
         }
-        const usable = holders.findUsable(options.excluded);
-        const candidates = this.selectCandidates(holders, usable, this.options.random);
-        const stages = this.findChain(holders, candidates, options) ?? this.findChain(holders, usable, options);
-        if (stages === undefined) {
-            return Err(createNoChainError(options.model, holders.findMissingLayer(usable)));
-        }
-        return Ok({ stages });
+        // Layers that were not noticed yet may fill the gap.
+        this.fleet.checkAllLayers();
+        const found = this.findStages(options);
+        return found === undefined
+            ? Err(createNoChainError(options.model, this.findMissingLayer(options)))
+            : Ok({ stages: found });
     }
 
     /** Counts a sequence as running on a chain. */
@@ -90,9 +101,34 @@
         this.fleet.getRecord(endpoint)?.load.addFailure(this.options.clock.getMonotonicTime());
     }
 
-    private findChain(holders: ModelHolders, candidates: readonly number[], options: ChainOptions) {
-        holders.estimateCosts(candidates, options, this.options.clock.getMonotonicTime());
-        return holders.search.findChain(candidates, holders.costs);
+    /** Takes in a cache event: an endpoint has stored or evicted a prompt prefix. */
+    observePrefix(endpoint: string, prefixHash: string, isStored: boolean): void {
+        if (isStored) {
+            this.prefixes.addPrefix(prefixHash, endpoint);
+        }
+        else {
+            this.prefixes.removePrefix(prefixHash, endpoint);
+        }
+    }
+
+    private findStages(options: ChainOptions): ChainStage[] | undefined {
+        const holders = this.fleet.getModelHolders(options.model);
+        if (holders === undefined) {
+            return undefined;
+        }
+        const isUsable = (holder: number) => holders.isUsable(holder, options.excluded);
+        const now = this.options.clock.getMonotonicTime();
+        const findChain = (candidates: readonly number[]) => {
+            holders.estimateCosts(candidates, options, now);
+            return holders.search.findChain(candidates, holders.costs);
+        };
+        return findChain(this.selectCandidates(holders, isUsable, this.options.random))
+            ?? findChain([...holders.records.keys()].filter(isUsable));
+    }
+
+    private findMissingLayer(options: ChainOptions): number {
+        const holders = this.fleet.getModelHolders(options.model);
+        return holders?.graph.findMissingLayer(holder => holders.isUsable(holder, options.excluded)) ?? 0;
     }
 }
 
--- a/src/request/chain/flowBoundOptions.ts
+++ b/src/request/chain/flow/flowBoundOptions.ts
@@ -1,5 +1,5 @@
-import type { LayeredGraph } from "./layeredGraph.ts";
-import type { LinkTable } from "./linkTable.ts";
+import type { LayeredGraph } from "../layeredGraph.ts";
+import type { LinkTable } from "../linkTable.ts";
 
 /** A model of a {@link FlowBoundOptions}. */
 export interface FlowModel {
--- a/src/request/chain/selectCandidates.ts
+++ b/src/request/chain/selectCandidates.ts
@@ -4,12 +4,12 @@
 /**
  * Selects the holders that one decision weighs.
  * @param holders - Holders of the model.
- * @param usable - Indices of the holders that may be chosen, ascending.
+ * @param isUsable - Tells by a holder's index whether it may be chosen.
  * @param random - Source of the draws.
- * @returns Indices out of `usable`, without repeats. Where they leave a layer uncovered, all usable ones are weighed.
+ * @returns Indices of usable holders, without repeats. Where they leave a layer uncovered, all usable ones are weighed.
  */
 export type SelectCandidates = (
     holders: ModelHolders,
-    usable: readonly number[],
+    isUsable: (holder: number) => boolean,
     random: RandomSource,
 ) => readonly number[];
--- a/src/request/chain/stepTimeEstimate.ts
+++ b/src/request/chain/stepTimeEstimate.ts
@@ -1,11 +1,11 @@
 /** What is believed of an endpoint's step times. */
 export interface StepTimeEstimate {
-    /** One layer of a step that carries decode positions, in milliseconds. */
+    /** One layer of a step that carries decode positions, without waiting, in milliseconds. */
     decodeMilliseconds: number;
     /** One prompt position through one layer, in milliseconds. */
     prefillMilliseconds: number;
-    /** Wait for each pass that waits before, in milliseconds. */
-    wait: number;
-    /** Relative uncertainty: 0.5 means that the true time may well be half as much again. */
+    /** Wait of a pass for each pass that waits at the endpoint already, in milliseconds. */
+    waitMilliseconds: number;
+    /** Relative uncertainty of the decode time: at 0.5 it may well be half as long again, or half as long. */
     uncertainty: number;
 }
--- a/src/request/chain/stepTimeEstimator.ts
+++ b/src/request/chain/stepTimeEstimator.ts
@@ -1,26 +1,16 @@
 import type { StepTimeEstimate } from "./stepTimeEstimate.ts";
+import { StepTimes } from "./stepTimes.ts";
 
 /** Step time of one layer where neither the configuration nor any observation tells one, in milliseconds. */
 const defaultDecodeMilliseconds = 0.5;
 /** A prompt position's first guess as a part of a decode step: positions of one step share the weights' loading. */
 const prefillPartOfDecode = 1 / 8;
-/** Weight of a new observation in the moving average, once a few were seen. */
-const observationWeight = 0.05;
+/** First guess of the wait for one waiting pass, in layers of a decode step. */
+const waitInLayers = 2;
 /** Observations between two computations of the kinds' medians. */
-const observationsBetweenMedians = 256;
+const observationsBetweenMedians = 20_000;
 /** Relative uncertainty of an estimate that rests on no observation. */
-const initialUncertainty = 0.5;
-
-const RISE = Number(process.env.RISE ?? 0.01);
-interface StepTimes {
-    excess: number;
-    queue: number;
-    accelerator: string;
-    decodeMilliseconds: number | undefined;
-    decodeObservations: number;
-    prefillMilliseconds: number | undefined;
-    prefillObservations: number;
-}
+const initialUncertainty = 0.25;
 
 /**
  * Learns step times per endpoint from passes. An endpoint that was not observed starts from its configured step time,
@@ -28,7 +18,8 @@
  */
 export class StepTimeEstimator {
     private readonly endpoints = new Map<string, StepTimes>();
-    private readonly medians = new Map<string, { decode: number; prefill: number; }>();
+    /** By kind; the empty name stands for all endpoints. */
+    private readonly medians = new Map<string, StepTimeEstimate>();
     private observationsUntilMedians = 0;
 
     private constructor() {}
@@ -46,50 +37,38 @@
      */
     addEndpoint(endpoint: string, accelerator: string, decodeMilliseconds: number | undefined): void {
         if (!this.endpoints.has(endpoint)) {
-            this.endpoints.set(endpoint, {
-                accelerator,
-                excess: 0,
-                queue: 0,
-                decodeMilliseconds,
-                decodeObservations: 0,
-                prefillMilliseconds: undefined,
-                prefillObservations: 0,
-            });
+            this.endpoints.set(endpoint, StepTimes.create(accelerator, decodeMilliseconds));
             this.observationsUntilMedians = 0;
         }
     }
 
+    /** Forgets an endpoint. */
+    removeEndpoint(endpoint: string): void {
+        this.endpoints.delete(endpoint);
+    }
+
     /**
-     * Learns from one pass.
+     * Learns from one pass; more than one position is a prompt.
      * @param endpoint - Name of the endpoint.
-     * @param layers - Layers that the pass ran through.
-     * @param positions - Positions of the pass; one is a decode step, more are prefill.
+     * @param pass - Layers and positions that ran, and the passes that waited when it was answered.
      * @param milliseconds - Time at the endpoint, without the link.
      */
-    observe(endpoint: string, layers: number, positions: number, milliseconds: number, queue: number): void {
+    observe(
+        endpoint: string,
+        pass: { layers: number; positions: number; queue: number; },
+        milliseconds: number,
+    ): void {
         const times = this.endpoints.get(endpoint);
-        if (times === undefined || layers < 1 || positions < 1 || milliseconds < 0) {
+        if (times === undefined || pass.layers < 1 || pass.positions < 1) {
             return;
         }
         this.observationsUntilMedians--;
-        if (positions === 1) {
-            times.decodeObservations++;
-            const value = milliseconds / layers;
-            const present = times.decodeMilliseconds;
-            times.decodeMilliseconds = present === undefined
-                ? value
-                : present + (value - present) * (value < present ? 0.1 : RISE);
-            const excess = milliseconds - layers * times.decodeMilliseconds;
-            times.excess += (excess - times.excess) * 0.03;
-            times.queue += (queue - times.queue) * 0.03;
-            return;
+        if (pass.positions === 1) {
+            times.observeDecode(pass.layers, milliseconds, pass.queue);
+        }
+        else {
+            times.observePrefill(pass.layers, pass.positions, milliseconds);
         }
-        times.prefillObservations++;
-        times.prefillMilliseconds = average(
-            times.prefillMilliseconds,
-            milliseconds / (layers * positions),
-            times.prefillObservations,
-        );
     }
 
     /** Gets the estimate for an endpoint. */
@@ -98,42 +77,36 @@
             this.computeMedians();
         }
         const times = this.endpoints.get(endpoint);
-        const median = this.medians.get(times?.accelerator ?? "") ?? this.medians.get("");
-        const decode = times?.decodeMilliseconds ?? median?.decode ?? defaultDecodeMilliseconds;
-        return {
-            decodeMilliseconds: decode,
-            prefillMilliseconds: times?.prefillMilliseconds ?? median?.prefill ?? decode * prefillPartOfDecode,
-            wait: times && times.queue > 0.2 ? Math.max(0, times.excess) / times.queue : decode * 2,
-            uncertainty: initialUncertainty / (1 + (times?.decodeObservations ?? 0)),
-        };
+        const median = this.medians.get(times?.accelerator ?? "") ?? this.medians.get("") ?? createEstimate([]);
+        return times?.getEstimate(median) ?? median;
     }
 
-    /** Computes the medians of the kinds, and under the empty name that of all endpoints. */
     private computeMedians(): void {
         this.observationsUntilMedians = observationsBetweenMedians;
         this.medians.clear();
-        const groups = new Map<string, StepTimes[]>([["", []]]);
+        const groups = new Map<string, StepTimes[]>();
         for (const times of this.endpoints.values()) {
-            groups.get("")?.push(times);
-            if (times.accelerator !== "") {
-                groups.set(times.accelerator, [...groups.get(times.accelerator) ?? [], times]);
+            for (const name of new Set(["", times.accelerator])) {
+                const group = groups.get(name) ?? [];
+                group.push(times);
+                groups.set(name, group);
             }
         }
         for (const [accelerator, group] of groups) {
-            const decode = getMedian(group.map(times => times.decodeMilliseconds));
-            if (decode !== undefined) {
-                const prefill = getMedian(group.map(times => times.prefillMilliseconds));
-                this.medians.set(accelerator, { decode, prefill: prefill ?? decode * prefillPartOfDecode });
+            if (accelerator === "" || group.some(times => times.decodeMilliseconds !== undefined)) {
+                this.medians.set(accelerator, createEstimate(group));
             }
         }
     }
 }
 
-/** Moves an average towards a value: plainly over the first observations, exponentially weighted afterwards. */
-function average(present: number | undefined, value: number, observations: number): number {
-    return present === undefined
-        ? value
-        : present + (value - present) * Math.max(observationWeight, 1 / (observations + 1));
+/** Makes an estimate out of the medians of a group. */
+function createEstimate(group: readonly StepTimes[]): StepTimeEstimate {
+    const decodeMilliseconds = getMedian(group.map(times => times.decodeMilliseconds)) ?? defaultDecodeMilliseconds;
+    const prefillMilliseconds = getMedian(group.map(times => times.prefillMilliseconds))
+        ?? decodeMilliseconds * prefillPartOfDecode;
+    const waitMilliseconds = decodeMilliseconds * waitInLayers;
+    return { decodeMilliseconds, prefillMilliseconds, waitMilliseconds, uncertainty: initialUncertainty };
 }
 
 /** Gets the middle of the known values; undefined where none is known. */
