Order engines to load what has lost its holders, under a fenced lease

Change: a planner with grace time and a budget of loads, a dispatcher that records loads before it sends them, and a lease that is over at the very time it names as its end. Cause of the latter: with fractional times now - sentAt rounded below the time to live, so the lease was held at its end and woke without end; the test was red (expected undefined) and is green.

--- a/src/process/leases/leaseState.ts
+++ b/src/process/leases/leaseState.ts
@@ -224,7 +224,7 @@
     }
 
     private isValid(write: Write | undefined, monotonicTime: number): write is Write {
-        return write !== undefined && monotonicTime - write.sentAt < this.options.timeToLiveMilliseconds;
+        return write !== undefined && monotonicTime < write.sentAt + this.options.timeToLiveMilliseconds;
     }
 
     private createWriteId(): string {
--- /dev/null
+++ b/src/process/orders/findShortages.ts
@@ -0,0 +1,72 @@
+import type { Configuration } from "../../version/configuration.ts";
+import type { LayerCoverage } from "./layerCoverage.ts";
+import type { RangeShortage } from "./rangeShortage.ts";
+
+/**
+ * Finds the ranges of layers that too few engines hold, those without any holder first. Only models count that a service
+ * depends on. A range is cut where ranges of the configuration start or end, and never longer than the longest of these,
+ * so that one engine can load it.
+ * @param configuration - Configuration in force.
+ * @param coverage - Which engines hold each layer.
+ * @param wantedHolders - Engines that each layer should have.
+ */
+export function findShortages(
+    configuration: Configuration,
+    coverage: LayerCoverage,
+    wantedHolders: number,
+): RangeShortage[] {
+    const longest = getLongestRange(configuration);
+    const shortages: RangeShortage[] = [];
+    for (const model of getUsedModels(configuration)) {
+        const boundaries = getBoundaries(configuration, model);
+        const layers = configuration.models[model]?.layers ?? 0;
+        let last: RangeShortage | undefined;
+        for (let layer = 0; layer < layers; layer += 1) {
+            const holders = coverage.countHolders(model, layer);
+            if (holders >= wantedHolders) {
+                last = undefined;
+                continue;
+            }
+            const isFull = last !== undefined && last.range.end - last.range.start >= longest;
+            if (last === undefined || last.holders !== holders || boundaries.has(layer) || isFull) {
+                last = { range: { model, start: layer, end: layer }, holders };
+                shortages.push(last);
+            }
+            last.range.end = layer + 1;
+        }
+    }
+    // The sort is stable: models and layers stay in their order.
+    return shortages.sort((left, right) => left.holders - right.holders);
+}
+
+function getUsedModels(configuration: Configuration): Set<string> {
+    const models = new Set<string>();
+    for (const service of Object.values(configuration.services)) {
+        if (service.kind === "model") {
+            models.add(service.model);
+        }
+    }
+    return models;
+}
+
+function getBoundaries(configuration: Configuration, model: string): Set<number> {
+    const boundaries = new Set<number>();
+    for (const { layers } of Object.values(configuration.endpoints)) {
+        for (const range of layers) {
+            if (range.model === model) {
+                boundaries.add(range.start).add(range.end);
+            }
+        }
+    }
+    return boundaries;
+}
+
+function getLongestRange(configuration: Configuration): number {
+    let longest = 0;
+    for (const { layers } of Object.values(configuration.endpoints)) {
+        for (const range of layers) {
+            longest = Math.max(longest, range.end - range.start);
+        }
+    }
+    return longest === 0 ? Infinity : longest;
+}
--- /dev/null
+++ b/src/process/orders/orderTenure.ts
@@ -0,0 +1,179 @@
+import type { FencedLease } from "../leases/fencedLease.ts";
+import { events } from "../logging/events.ts";
+import { countMissingLayers } from "./countMissingLayers.ts";
+import { EngineGrace } from "./engineGrace.ts";
+import { EngineStatuses } from "./engineStatuses.ts";
+import { LoadLedger } from "./loadLedger.ts";
+import { LoadPlanner } from "./loadPlanner.ts";
+import { LoadRecord } from "./loadRecord.ts";
+import type { ObservedEngine } from "./observedEngine.ts";
+import type { OrderDispatcherOptions } from "./orderDispatcherOptions.ts";
+import type { PlannedLoad } from "./plannedLoad.ts";
+
+type PendingLoad = ReturnType<LoadLedger["getPending"]>[number];
+
+const OkStatus = 200;
+
+/** The rounds of one node while it owns the duty to issue orders. Without the lease it only observes. */
+export class OrderTenure {
+    private readonly options: OrderDispatcherOptions;
+    private readonly lease: FencedLease;
+    private readonly grace: EngineGrace;
+    private readonly ledger: LoadLedger;
+    private readonly record: LoadRecord;
+    private readonly statuses: EngineStatuses;
+    private readonly planner: LoadPlanner;
+    /** Fencing number under which the ledger was taken over from the record. */
+    private ledgerNumber: number | undefined;
+    /** Whether the ledger holds changes that are not written down. */
+    private isRecordStale = false;
+
+    private constructor(options: OrderDispatcherOptions, lease: FencedLease) {
+        this.options = options;
+        this.lease = lease;
+        this.grace = EngineGrace.create(options.policy.graceMilliseconds);
+        this.ledger = LoadLedger.create(options.policy);
+        this.record = LoadRecord.create(options.store);
+        this.statuses = EngineStatuses.create(options.getStatus, options.random);
+        const { ledger, statuses } = this;
+        this.planner = LoadPlanner.create({ dispatcher: options, ledger, statuses, observe: () => this.observe() });
+    }
+
+    /** Creates the work under a lease that is sought or held. */
+    static create(options: OrderDispatcherOptions, lease: FencedLease): OrderTenure {
+        return new OrderTenure(options, lease);
+    }
+
+    /** Observes, and while the lease is held: plans, writes down, sends and reads back. */
+    async runRound(): Promise<void> {
+        const engines = this.observe();
+        if (!await this.readRecord()) {
+            return;
+        }
+        this.settle(engines);
+        await this.readBack();
+        this.addLoads(await this.planner.plan());
+        await this.writeRecord();
+        await this.sendOrders();
+    }
+
+    private now(): number {
+        return this.options.clock.getMonotonicTime();
+    }
+
+    private observe(): ObservedEngine[] {
+        return this.grace.observe(this.options.getEndpointStates(), this.now());
+    }
+
+    /**
+     * Reads the record under each new fencing number, to take its loads over, and after each write that failed. Returns
+     * whether the lease is held and the record known.
+     */
+    private async readRecord(): Promise<boolean> {
+        const fencingNumber = this.lease.getFencingNumber();
+        if (fencingNumber === undefined) {
+            return false;
+        }
+        if (this.ledgerNumber === fencingNumber && this.record.isKnown()) {
+            return true;
+        }
+        const loads = await this.record.read();
+        if (loads.err) {
+            this.options.log.write(events.loadRecordFailed, { reason: loads.val });
+            return false;
+        }
+        if (this.ledgerNumber !== fencingNumber) {
+            this.ledger.adopt(loads.val, this.now());
+            this.ledgerNumber = fencingNumber;
+            this.isRecordStale = false;
+        }
+        return true;
+    }
+
+    private settle(engines: readonly ObservedEngine[]): void {
+        for (const { load, failure } of this.ledger.settle(engines, this.now())) {
+            const fields = describe(load);
+            this.isRecordStale = true;
+            if (failure === undefined) {
+                this.options.log.write(events.layersLoaded, fields);
+            }
+            else {
+                this.options.log.write(events.loadGivenUp, { ...fields, reason: failure });
+            }
+        }
+    }
+
+    /** Reads the engines that load. One that has not seen the fencing number has lost the order, which is sent again. */
+    private async readBack(): Promise<void> {
+        const loads = this.ledger.getPending().filter(load => load.isSent);
+        const statuses = await this.statuses.read(loads.map(load => load.endpoint));
+        const fencingNumber = this.lease.getFencingNumber();
+        for (const load of loads) {
+            const status = statuses.get(load.endpoint);
+            if (status === undefined || fencingNumber === undefined) {
+                continue;
+            }
+            load.isConfirmed = countMissingLayers(status.layers, load.range) === 0;
+            load.isSent = load.isConfirmed || status.fencingNumber >= fencingNumber;
+        }
+    }
+
+    private addLoads(loads: readonly PlannedLoad[]): void {
+        if (loads.length > 0) {
+            this.ledger.add(loads, this.now());
+            this.isRecordStale = true;
+        }
+    }
+
+    /** Writes the loads down. Until they surely stand there, none is sent. */
+    private async writeRecord(): Promise<void> {
+        if (!this.isRecordStale || this.lease.getFencingNumber() !== this.ledgerNumber) {
+            return;
+        }
+        const written = await this.record.write(this.ledger.getRecords());
+        this.isRecordStale = written.err;
+        if (written.err) {
+            this.options.log.write(events.loadRecordFailed, { reason: written.val });
+        }
+    }
+
+    /** Sends what is written down under the present fencing number and not sent yet, to those that serve. */
+    private async sendOrders(): Promise<void> {
+        if (this.isRecordStale || this.lease.getFencingNumber() !== this.ledgerNumber) {
+            return;
+        }
+        const serving = new Set<string>();
+        for (const { endpoint, isServing } of this.observe()) {
+            if (isServing) {
+                serving.add(endpoint);
+            }
+        }
+        const loads = this.ledger.getPending().filter(load => !load.isSent && serving.has(load.endpoint));
+        await Promise.all(loads.map(load => this.sendOrder(load)));
+    }
+
+    /** Sends one order in the same turn in which the lease is checked. */
+    private async sendOrder(load: PendingLoad): Promise<void> {
+        const { log, sendOrder } = this.options;
+        const { endpoint, range } = load;
+        const sending = this.lease.withFencing(fencingNumber => {
+            const answer = sendOrder(endpoint, { fencingNumber, kind: "load", range });
+            log.write(events.loadOrdered, { ...describe(load), fencingNumber });
+            return answer;
+        });
+        const answer = sending.ok ? await sending.val : undefined;
+        if (answer === undefined || answer.err) {
+            return;
+        }
+        load.isSent = answer.val === OkStatus;
+        if (!load.isSent) {
+            this.ledger.giveUp(load, this.now());
+            this.isRecordStale = true;
+            log.write(events.loadRefused, { ...describe(load), status: answer.val });
+        }
+    }
+}
+
+function describe({ endpoint, range }: PlannedLoad): Record<string, string> {
+    return { endpoint, layers: `${range.model} ${range.start}-${range.end}` };
+}
--- /dev/null
+++ b/tests/process/orders/orderBench.ts
@@ -0,0 +1,147 @@
+import type { EndpointState } from "../../../src/connection/endpoint/endpointState.ts";
+import type { EngineOrder } from "../../../src/connection/endpoint/engineProtocol.ts";
+import type { Clock } from "../../../src/process/clock.ts";
+import { LoadRecord } from "../../../src/process/orders/loadRecord.ts";
+import { OrderDispatcher } from "../../../src/process/orders/orderDispatcher.ts";
+import { OrderPolicy } from "../../../src/process/orders/orderPolicy.ts";
+import { Err, Ok } from "../../../src/result.ts";
+import type { LayerRange } from "../../../src/version/configuration.ts";
+import { HeldLayers } from "../../../standins/engine/heldLayers.ts";
+import { WeightOrders } from "../../../standins/engine/weightOrders.ts";
+import { createSeededRandom } from "../../request/chain/seededRandom.ts";
+import { FakeClock } from "../../support/fakeClock.ts";
+import { MemoryStore } from "../../support/memoryStore.ts";
+import { RecordingEventLog } from "../../support/recordingEventLog.ts";
+import { createTestConfiguration } from "./createTestConfiguration.ts";
+import { PausableClock } from "./pausableClock.ts";
+
+interface TestEngine {
+    held: HeldLayers;
+    orders: WeightOrders;
+    state: EndpointState["state"];
+}
+
+interface SentOrder {
+    nodeId: string;
+    endpoint: string;
+    order: EngineOrder;
+    /** Undefined while the order is on its way. */
+    status?: number;
+}
+
+interface OrderBenchOptions {
+    layers: Record<string, LayerRange[]>;
+    checksFencing?: boolean;
+    policy?: Partial<OrderPolicy>;
+}
+
+const weightLoadMilliseconds = 5_000;
+
+/** Dispatchers before engines that obey orders, under fake time. */
+export class OrderBench {
+    readonly clock = FakeClock.create();
+    readonly store = MemoryStore.create();
+    readonly log = RecordingEventLog.create();
+    readonly engines = new Map<string, TestEngine>();
+    readonly sent: SentOrder[] = [];
+    /** The node that owns the duty. */
+    owner = "a";
+    /** Runs before an engine's status is read for a node. */
+    beforeStatus: (nodeId: string) => Promise<void> | void = () => undefined;
+    /** Runs when a node's loads have been written down and the answer is on its way. */
+    afterWrite: () => Promise<void> | void = () => undefined;
+    /** Runs while an order of a node is on its way. */
+    beforeDelivery: (nodeId: string) => Promise<void> | void = () => undefined;
+    /** Engines with little free memory. */
+    readonly full = new Set<string>();
+    /** Whether orders are lost on the way. */
+    losesOrders = false;
+    private readonly options: OrderBenchOptions;
+    private readonly random = createSeededRandom(7);
+
+    private constructor(options: OrderBenchOptions) {
+        this.options = options;
+        const swap = this.store.compareAndSwap.bind(this.store);
+        this.store.compareAndSwap = async (...call) => {
+            const outcome = await swap(...call);
+            await (call[0] === LoadRecord.key ? this.afterWrite() : undefined);
+            return outcome;
+        };
+        for (const [name, layers] of Object.entries(options.layers)) {
+            const held = HeldLayers.create(layers);
+            this.engines.set(name, { held, orders: this.createOrders(held), state: "serving" });
+        }
+    }
+
+    static create(options: OrderBenchOptions): OrderBench {
+        return new OrderBench(options);
+    }
+
+    createNode(nodeId: string, clock: Clock = PausableClock.create(this.clock)): OrderDispatcher {
+        const configuration = createTestConfiguration(this.options.layers);
+        return OrderDispatcher.create({
+            nodeId,
+            store: this.store,
+            clock,
+            random: this.random,
+            log: this.log,
+            policy: { ...OrderPolicy, ...this.options.policy },
+            getConfiguration: () => configuration,
+            getEndpointStates: () =>
+                [...this.engines].map(([endpoint, { held, state }]) => ({ endpoint, layers: held.getRanges(), state })),
+            sendOrder: (endpoint, order) => this.deliver(nodeId, endpoint, order),
+            getStatus: endpoint => this.getStatus(nodeId, endpoint),
+            isDutyOwner: () => this.owner === nodeId,
+        });
+    }
+
+    setState(endpoint: string, state: EndpointState["state"]): void {
+        this.getEngine(endpoint).state = state;
+    }
+
+    /** Restarts an engine: it forgets the orders that it has not carried out. */
+    restart(endpoint: string): void {
+        const engine = this.getEngine(endpoint);
+        engine.orders.close();
+        engine.orders = this.createOrders(engine.held);
+    }
+
+    /** Whether an engine that serves holds a range. */
+    isServed(range: LayerRange): boolean {
+        return [...this.engines.values()].some(({ held, state }) => state === "serving" && held.hasRange(range));
+    }
+
+    private createOrders(heldLayers: HeldLayers): WeightOrders {
+        const { clock, options: { checksFencing = true } } = this;
+        const modelLayers = { large: 12, small: 4 };
+        return WeightOrders.create({ clock, heldLayers, modelLayers, checksFencing, weightLoadMilliseconds });
+    }
+
+    private getEngine(endpoint: string): TestEngine {
+        return this.engines.get(endpoint) as TestEngine;
+    }
+
+    private async deliver(nodeId: string, endpoint: string, order: EngineOrder) {
+        const sent: SentOrder = { nodeId, endpoint, order };
+        this.sent.push(sent);
+        await this.beforeDelivery(nodeId);
+        if (this.losesOrders) {
+            return Err({ message: "The order was lost." });
+        }
+        const obeyed = this.getEngine(endpoint).orders.obey(order);
+        sent.status = obeyed.ok ? 200 : obeyed.val.status;
+        return Ok(sent.status);
+    }
+
+    private async getStatus(nodeId: string, endpoint: string) {
+        await this.beforeStatus(nodeId);
+        const { held, orders, state } = this.getEngine(endpoint);
+        if (state === "unreachable") {
+            return Err({ message: "The engine does not answer." });
+        }
+        const freePositions = this.full.has(endpoint) ? 100 : 50_000;
+        const load = { queue: 0, sequences: 0, freePositions, loadAgeMilliseconds: 0, cacheSequence: 0 };
+        const leaving = state === "leaving";
+        return Ok({ endpoint, leaving, layers: held.getRanges(), fencingNumber: orders.getFencingNumber(), ...load });
+    }
+}
