--- a/scripts/deployment/localDeployment.ts
+++ b/scripts/deployment/localDeployment.ts
@@ -1,8 +1,8 @@
-import { createHash } from "node:crypto";
 import { mkdtempSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { ChildProcess } from "./childProcess.ts";
+import { createDeploymentConfiguration } from "./createDeploymentConfiguration.ts";
 import { demoEngines } from "./demoEngines.ts";
 import type { EngineSpecification } from "./engineSpecification.ts";
 import { findFreePorts } from "./findFreePorts.ts";
@@ -48,6 +48,7 @@
 }
 
 const modelLayers = 24;
+const defaultMaximumSequences = 64;
 const peerSecret = "a-secret-for-local-deployments-only";
 const dataCentres = ["centre-a", "centre-b", "centre-c"];
 
@@ -159,7 +160,7 @@
 
     /** Starts an engine, also one that was stopped: it gets a new port unless one is given. */
     async startEngine(engine: EngineSpecification, port = 0): Promise<DeployedStandin> {
-        const sequences = String(this.options.maximumSequences ?? 64);
+        const sequences = String(this.options.maximumSequences ?? defaultMaximumSequences);
         return await this.startStandin(engine.name, "standins/engine/main.ts", port, [
             ...["--name", engine.name, "--layers", `${this.model}:${engine.layers}`],
             ...["--model-layers", `${this.model}:${modelLayers}`, "--maximum-sequences", sequences],
@@ -296,61 +297,19 @@
     }
 
     private createConfiguration(): Record<string, unknown> {
-        const endpoints: Record<string, object> = {};
-        for (const [index, engine] of this.getEngineSpecifications().entries()) {
-            const [start, end] = engine.layers.split("-").map(Number);
-            endpoints[engine.name] = {
-                kind: "engine",
-                address: this.engines[index]!.address,
-                dataCentre: engine.dataCentre,
-                accelerator: engine.accelerator,
-                layers: [{ model: this.model, start, end }],
-                checksFencing: engine.checksFencing,
-                maximumSequences: this.options.maximumSequences ?? 64,
-            };
-        }
-        for (const document of this.documents) {
-            endpoints[document.name] = {
-                kind: "document",
-                address: document.address,
-                dataCentre: dataCentres[0],
-                maximumSequences: 64,
-            };
-        }
-        const documentNames = this.documents.map(document => document.name);
-        return {
-            dataCentres: Object.fromEntries(dataCentres.map(name => [name, { region: "south" }])),
-            links: createLinks(),
-            models: { [this.model]: { layers: modelLayers, hiddenBytes: 8192 } },
-            endpoints,
-            services: {
-                assistant: { kind: "model", model: this.model },
-                letters: { kind: "model", model: this.model, idempotent: false },
-                ...(documentNames.length === 0 ? {} : {
-                    receipts: { kind: "document", endpoints: documentNames, idempotent: false },
-                    summaries: { kind: "document", endpoints: documentNames, idempotent: true },
-                }),
-            },
-            customers: {
-                families: { keyHashes: [hashKey(this.apiKey)], weight: 3, requestsPerSecond: 10_000 },
-                clerks: { keyHashes: [hashKey(this.otherApiKey)], weight: 1, requestsPerSecond: 10_000 },
-            },
-            ...(this.options.limits === undefined ? {} : { limits: this.options.limits }),
-            ...(this.options.claims === undefined ? {} : { claims: this.options.claims }),
-        };
-    }
-}
-
-function createLinks(): object[] {
-    const links: object[] = [];
-    for (const [index, from] of dataCentres.entries()) {
-        for (const to of dataCentres.slice(index + 1)) {
-            links.push({ from, to, latencyMilliseconds: 0.5, megabytesPerSecond: 1_000 });
-        }
+        const { maximumSequences, limits, claims } = this.options;
+        return createDeploymentConfiguration({
+            dataCentres,
+            model: this.model,
+            modelLayers,
+            engines: this.getEngineSpecifications().map((engine, index) => {
+                return { ...engine, address: this.engines[index]!.address };
+            }),
+            documents: this.documents,
+            maximumSequences: maximumSequences ?? defaultMaximumSequences,
+            keys: { families: this.apiKey, clerks: this.otherApiKey },
+            limits,
+            claims,
+        });
     }
-    return links;
-}
-
-function hashKey(key: string): string {
-    return `sha256:${createHash("sha256").update(key).digest("hex")}`;
 }
--- a/src/connection/caller/answerWriter.ts
+++ b/src/connection/caller/answerWriter.ts
@@ -2,8 +2,11 @@
 import { InvariantError } from "../../process/invariantError.ts";
 import type { RequestError } from "../../request/requestError.ts";
 import { createErrorBody } from "./createErrorBody.ts";
+import { drainBody } from "./drainBody.ts";
+import { hasUnreadBody } from "./hasUnreadBody.ts";
 
 const MillisecondsPerSecond = 1000;
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 /**
  * Writes the one final answer of a request to its caller, whole or as server-sent events. Text that a slow reader has not
@@ -11,18 +14,24 @@
  */
 export class AnswerWriter {
     private readonly response: ServerResponse;
+    private readonly closesConnection: () => boolean;
     private isFinal = false;
     private isBlocked = false;
     private pendingText = "";
     private createTextEvent: (text: string) => string = text => text;
 
-    private constructor(response: ServerResponse) {
+    private constructor(response: ServerResponse, closesConnection: () => boolean) {
         this.response = response;
+        this.closesConnection = closesConnection;
     }
 
-    /** Creates the writer of one request. */
-    static create(response: ServerResponse): AnswerWriter {
-        const writer = new AnswerWriter(response);
+    /**
+     * Creates the writer of one request.
+     * @param response - The caller's response.
+     * @param closesConnection - Tells whether an answer that leaves now is the last one of its connection.
+     */
+    static create(response: ServerResponse, closesConnection: () => boolean = () => false): AnswerWriter {
+        const writer = new AnswerWriter(response, closesConnection);
         response.on("drain", () => writer.flush());
         return writer;
     }
@@ -32,6 +41,39 @@
         return this.response.headersSent;
     }
 
+    /** Tells whether the final answer has left. */
+    hasFinalAnswer(): boolean {
+        return this.isFinal;
+    }
+
+    /** @throws InvariantError where the request has no final answer. */
+    assertFinalAnswer(): void {
+        if (!this.isFinal) {
+            throw InvariantError.create("oneFinalAnswer", "A request was about to end without a final answer.");
+        }
+    }
+
+    /**
+     * Waits until the caller has taken the answer or has gone away.
+     * @param signal - Ends the wait.
+     */
+    async waitUntilTaken(signal: AbortSignal): Promise<void> {
+        const { response } = this;
+        if (response.writableFinished || response.destroyed || signal.aborted) {
+            return;
+        }
+        await new Promise<void>(resolve => {
+            response.once("finish", resolve);
+            response.once("close", resolve);
+            signal.addEventListener("abort", () => resolve(), { once: true });
+        });
+    }
+
+    /** Cuts the connection off, so that a caller never takes a part of an answer for the whole. */
+    cutOff(): void {
+        this.response.destroy();
+    }
+
     /**
      * Sends a whole answer.
      * @param status - HTTP status.
@@ -40,16 +82,20 @@
      * @param headers - Further headers.
      */
     sendWhole(status: number, contentType: string, body: string | Buffer, headers: Record<string, string> = {}): void {
-        this.markFinal();
-        if (this.response.destroyed) {
-            return;
+        this.assertNoFinalAnswer();
+        const { response } = this;
+        if (!response.destroyed) {
+            const isUnread = hasUnreadBody(response.req);
+            response.writeHead(status, {
+                ...headers,
+                ...this.createConnectionHeaders(isUnread),
+                ...this.createLengthHeaders(status, body),
+                "content-type": contentType,
+            });
+            this.endWhole(body, isUnread);
         }
-        this.response.writeHead(status, {
-            ...headers,
-            "content-type": contentType,
-            "content-length": Buffer.byteLength(body),
-        });
-        this.response.end(body);
+        // Not before the head has been written: one that Node.js does not take leaves room for an error.
+        this.isFinal = true;
     }
 
     /**
@@ -63,6 +109,7 @@
             ...headers,
             "content-type": "text/event-stream; charset=utf-8",
             "cache-control": "no-cache",
+            ...this.createConnectionHeaders(false),
         });
     }
 
@@ -79,7 +126,8 @@
      * @param lastEvents - Data of the events that close it.
      */
     endStream(lastEvents: readonly string[]): void {
-        this.markFinal();
+        this.assertNoFinalAnswer();
+        this.isFinal = true;
         this.flush();
         for (const data of lastEvents) {
             this.writeEvent(data);
@@ -113,11 +161,32 @@
         }
     }
 
-    private markFinal(): void {
+    /** A caller that still sends gets its whole answer at once, and the end when the rest of its body is dropped. */
+    private endWhole(body: string | Buffer, isUnread: boolean): void {
+        const { response } = this;
+        if (!isUnread) {
+            response.end(body);
+            return;
+        }
+        response.write(body);
+        void drainBody(response.req).then(() => response.end());
+    }
+
+    private createConnectionHeaders(isUnread: boolean): Record<string, string> {
+        return isUnread || this.closesConnection() ? { connection: "close" } : {};
+    }
+
+    /** The length of a body that is not sent is not known here, and must not be told as 0 (RFC 9110, section 8.6). */
+    private createLengthHeaders(status: number, body: string | Buffer): Record<string, number> {
+        const length = Buffer.byteLength(body);
+        const isWithoutBody = this.response.req.method === "HEAD" || bodilessStatuses.has(status);
+        return isWithoutBody && length === 0 ? {} : { "content-length": length };
+    }
+
+    private assertNoFinalAnswer(): void {
         if (this.isFinal) {
             throw InvariantError.create("oneFinalAnswer", "A request was about to get a second final answer.");
         }
-        this.isFinal = true;
     }
 }
 
--- a/src/connection/document/documentConnection.ts
+++ b/src/connection/document/documentConnection.ts
@@ -1,3 +1,4 @@
+import { connect } from "node:net";
 import { Agent, type Dispatcher } from "undici";
 import { Err, Ok, type Result } from "../../result.ts";
 import { isConnectFailure } from "../endpoint/isConnectFailure.ts";
@@ -54,6 +55,21 @@
         }
     }
 
+    /** Tells whether the endpoint takes a new connection. No byte is sent, since services have no common health call. */
+    isAnswering(): Promise<boolean> {
+        const { hostname, port } = new URL(`tcp://${this.options.address}`);
+        return new Promise(resolve => {
+            const socket = connect({ host: hostname.replace(/^\[|\]$/g, ""), port: Number(port) });
+            const settle = (isAnswering: boolean) => {
+                socket.destroy();
+                resolve(isAnswering);
+            };
+            socket.setTimeout(ConnectTimeoutMilliseconds, () => settle(false));
+            socket.once("connect", () => settle(true));
+            socket.once("error", () => settle(false));
+        });
+    }
+
     /** Drops all open connections, after one has proved silent; new calls open new ones. */
     replace(): void {
         const oldAgent = this.agent;
@@ -75,12 +91,14 @@
             origin: `http://${this.options.address}`,
             method: call.method as Dispatcher.HttpMethod,
             path: call.path,
-            headers: call.headers,
+            // Only the type of an answer's content is passed on, so its bytes must not need an encoding to be read.
+            headers: { ...call.headers, "accept-encoding": "identity" },
             body: call.body.length === 0 ? undefined : call.body,
             signal,
         });
         if (response.statusCode === TooManyRequestsStatus) {
-            await response.body.dump();
+            // Not waited for: the status says all, and the rest may not come.
+            void response.body.dump().catch(() => undefined);
             return Err(this.createFailure("refused", "it is too busy"));
         }
         const body = await readAnswerBody(response.body);
--- a/src/connection/endpoint/endpointDirectory.ts
+++ b/src/connection/endpoint/endpointDirectory.ts
@@ -26,11 +26,18 @@
     document?: DocumentConnection;
 }
 
+/** Engines of a data centre that are probed together, at most; bounds what an outage costs the nodes and the network. */
+const MaximumNeighbours = 16;
+/** Shortest time between two such rounds of probes of a data centre, in milliseconds. */
+const NeighbourProbeMilliseconds = 1_000;
+
 /** All endpoints of the configuration in force: their connections, and what this node believes of them. */
 export class EndpointDirectory {
     private readonly options: EndpointDirectoryOptions;
     private readonly entries = new Map<string, EndpointEntry>();
     private readonly namesByAddress = new Map<string, string>();
+    /** When the engines of a data centre were last probed together. */
+    private readonly neighboursProbedAt = new Map<string, number>();
 
     private constructor(options: EndpointDirectoryOptions) {
         this.options = options;
@@ -45,7 +52,7 @@
      * Takes the endpoints of a new configuration. Connections of endpoints that stay are kept; passes of requests in
      * progress end on those that go.
      */
-    update(configuration: Configuration): void {
+    update(configuration: Pick<Configuration, "endpoints">): void {
         for (const entry of [...this.entries.values()]) {
             const next = configuration.endpoints[entry.name];
             if (next?.address !== entry.configuration.address || next.kind !== entry.configuration.kind) {
@@ -95,9 +102,16 @@
         this.change(name, belief => belief.observeAnswer(this.options.clock.getMonotonicTime()));
     }
 
-    /** Notes that no new connection to an endpoint answers. */
+    /**
+     * Notes that no new connection to an endpoint answers. What ends one endpoint often ends its data centre, so the
+     * engines in use there are probed at once, before their passes are overdue.
+     */
     observeUnreachable(name: string): void {
         this.change(name, belief => belief.observeUnreachable());
+        const entry = this.entries.get(name);
+        if (entry?.configuration.kind === "engine") {
+            this.probeNeighbours(entry.configuration.dataCentre);
+        }
     }
 
     /** Notes that an endpoint refused new work because it is leaving. */
@@ -128,6 +142,33 @@
         }
     }
 
+    private probeNeighbours(dataCentre: string): void {
+        const now = this.options.clock.getMonotonicTime();
+        const probedAt = this.neighboursProbedAt.get(dataCentre) ?? Number.NEGATIVE_INFINITY;
+        if (now - probedAt < NeighbourProbeMilliseconds) {
+            return;
+        }
+        this.neighboursProbedAt.set(dataCentre, now);
+        let neighbours = 0;
+        for (const { name, configuration, belief, engine } of this.entries.values()) {
+            const isNeighbour = configuration.dataCentre === dataCentre && belief.getState().state !== "unreachable";
+            if (!isNeighbour || engine?.isInUse() !== true) {
+                continue;
+            }
+            void this.probe(name, engine);
+            neighbours += 1;
+            if (neighbours === MaximumNeighbours) {
+                return;
+            }
+        }
+    }
+
+    private async probe(name: string, engine: EngineConnection): Promise<void> {
+        if (!await engine.isAnswering()) {
+            this.change(name, belief => belief.observeUnreachable());
+        }
+    }
+
     private change(name: string, apply: (belief: EndpointBelief) => void): void {
         const entry = this.entries.get(name);
         if (entry === undefined) {
--- a/src/connection/endpoint/endpointObserver.ts
+++ b/src/connection/endpoint/endpointObserver.ts
@@ -60,6 +60,11 @@
                 void this.observe(endpoint);
             }
         }
+        for (const endpoint of this.options.directory.getNames("document")) {
+            if (this.options.directory.getState(endpoint)?.state === "unreachable") {
+                void this.observeDocument(endpoint);
+            }
+        }
         const { intervalMilliseconds, random, clock } = this.options;
         const delayMilliseconds = intervalMilliseconds * (1 + jitter * (2 * random() - 1));
         this.timer = clock.setTimer(delayMilliseconds, () => this.start());
@@ -94,6 +99,20 @@
         }
     }
 
+    /** A document endpoint that has failed is tried until it takes connections again. */
+    private async observeDocument(endpoint: string): Promise<void> {
+        const document = this.options.directory.getDocument(endpoint);
+        if (document === undefined || this.pending.has(endpoint)) {
+            return;
+        }
+        this.pending.add(endpoint);
+        const isAnswering = await document.isAnswering();
+        this.pending.delete(endpoint);
+        if (isAnswering && !this.isStopped) {
+            this.options.directory.observeAnswer(endpoint);
+        }
+    }
+
     private createReport(endpoint: string, status: EngineStatus | undefined): EndpointReport {
         const servingState = status?.leaving === true ? "leaving" : "serving";
         return {
--- a/src/connection/endpoint/engineConnection.ts
+++ b/src/connection/endpoint/engineConnection.ts
@@ -1,4 +1,4 @@
-import { Client, Pool } from "undici";
+import { Pool } from "undici";
 import type { Clock } from "../../process/clock.ts";
 import { Err, Ok, type Result } from "../../result.ts";
 import type { BatchClosing } from "./batchClosing.ts";
@@ -6,7 +6,10 @@
 import { engineStatusSchema } from "./engineStatusSchema.ts";
 import { HopDeadline } from "./hopDeadline.ts";
 import type { PassFailure } from "./passFailure.ts";
+import { PrefillWindow } from "./prefillWindow.ts";
+import { probeEngine } from "./probeEngine.ts";
 import { sendPassBatch } from "./sendPassBatch.ts";
+import type { WaitingPass } from "./waitingPass.ts";
 
 /** Options of an {@link EngineConnection}. */
 export interface EngineConnectionOptions {
@@ -20,43 +23,40 @@
     onSilentConnection(endpoint: string): void;
 }
 
-/** A pass that has been given to the connection and is not settled. */
-interface WaitingPass {
-    pass: Pass;
-    positions: number;
-    sends: number;
-    sentAt: number;
-    /** Whether a byte of the pass may have reached the engine. */
-    mayHaveArrived: boolean;
-    /** Whether a probe decides what becomes of the pass. */
-    isDoubtful: boolean;
-    settle(outcome: Result<PassResult, PassFailure>): void;
-    cancelTimer(): void;
-}
-
 /** An engine that answers a probe has this long to do so. */
 const ProbeTimeoutMilliseconds = 300;
 /** Sends of one pass, the first included, before the endpoint is given up. */
 const MaximumSends = 4;
+/** After a failed probe new passes fail at once for this long, unless the engine answers before. */
+const UnreachableMilliseconds = 1_000;
 const MaximumConnections = 64;
+/** Positions of long passes on their way to the engine. Measured in docs/design/recovery.md. */
+const PrefillPositions = 256;
 /** Reasons of a refusal that prove that the pass did not run; `cancelled` and `order` do not. */
 const notRunReasons: ReadonlySet<string> = new Set(["leaving", "memory", "layers", "model"]);
 const CallTimeoutMilliseconds = 2_000;
+/** An engine counts as in use for so long after its last pass. */
+const InUseMilliseconds = 5_000;
 
 /**
  * The connections of this node to one model engine. Passes handed over in one turn of the event loop leave in one batch.
  * A pass that is overdue makes the connection doubtful: the engine is probed over a new connection. If it answers, the
- * old connections are replaced and the pass is sent again, which the engine does not run twice; if not, it fails.
+ * old connections are replaced and the pass is sent again, which the engine does not run twice; if not, all passes that
+ * wait for the engine fail together, so that one pass finds out for all.
  */
 export class EngineConnection {
     private readonly options: EngineConnectionOptions;
     private readonly origin: string;
     private readonly deadline = HopDeadline.create();
     private readonly waiting = new Map<number, WaitingPass>();
+    private readonly prefillWindow = PrefillWindow.create(PrefillPositions);
     private outgoing: WaitingPass[] = [];
     private pool: Pool;
     private nextId = 1;
     private probe: Promise<boolean> | undefined;
+    private answeredAt = Number.NEGATIVE_INFINITY;
+    private usedAt = Number.NEGATIVE_INFINITY;
+    private unreachableUntil = Number.NEGATIVE_INFINITY;
     private isClosed = false;
 
     private constructor(options: EngineConnectionOptions) {
@@ -76,19 +76,36 @@
      * @param positions - Positions that the pass covers, as far as known; the deadline depends on it.
      */
     runPass(pass: Omit<Pass, "id">, positions: number): Promise<Result<PassResult, PassFailure>> {
+        const now = this.usedAt = this.options.clock.getMonotonicTime();
         return new Promise(resolve => {
             const waitingPass = this.createWaitingPass({ ...pass, id: this.nextId++ }, positions, resolve);
-            if (this.isClosed) {
-                waitingPass.settle(Err(this.createFailure("notSent", "closed")));
+            if (this.isClosed || now < this.unreachableUntil) {
+                waitingPass.settle(
+                    Err(this.createFailure("notSent", this.isClosed ? "closed" : "no answer to a probe")),
+                );
                 return;
             }
             this.waiting.set(waitingPass.pass.id, waitingPass);
+            if (positions > 1) {
+                this.prefillWindow.add(waitingPass);
+                this.enqueuePrefills();
+                return;
+            }
             this.enqueue(waitingPass);
         });
     }
 
-    /** Frees a sequence at the engine; a failure is of no consequence, since idle sequences lapse there. */
+    /**
+     * Frees a sequence at the engine; a failure is of no consequence, since idle sequences lapse there. A pass of the
+     * sequence that has not left yet fails at once.
+     */
     async cancel(order: CancelOrder): Promise<void> {
+        for (const waitingPass of this.waiting.values()) {
+            const { request, attempt } = waitingPass.pass;
+            if (request === order.request && attempt === order.attempt && waitingPass.sentAt.length === 0) {
+                this.settle(waitingPass, Err(this.createFailure("notSent", "cancelled")));
+            }
+        }
         await this.call("POST", "/v1/cancel", order);
     }
 
@@ -102,6 +119,7 @@
         if (!status.success) {
             return Err(this.createFailure("failed", "status of a wrong shape"));
         }
+        this.observeAnswer();
         return Ok(status.data);
     }
 
@@ -111,14 +129,20 @@
         return answer.ok ? Ok(answer.val.status) : answer;
     }
 
-    /** Probes the engine over a new connection. Probes that come while one runs share its answer. */
+    /**
+     * Probes the engine over a new connection. Probes that come while one runs share its answer. Where there is none,
+     * all passes that wait fail.
+     */
     isAnswering(): Promise<boolean> {
-        this.probe ??= this.probeOverNewConnection().finally(() => {
-            this.probe = undefined;
-        });
+        this.probe ??= this.runProbe();
         return this.probe;
     }
 
+    /** Tells whether this node gave the engine a pass not long ago. */
+    isInUse(): boolean {
+        return this.options.clock.getMonotonicTime() - this.usedAt < InUseMilliseconds;
+    }
+
     /** Closes the connections; passes that wait fail. */
     async close(): Promise<void> {
         this.isClosed = true;
@@ -136,8 +160,7 @@
         return {
             pass,
             positions,
-            sends: 0,
-            sentAt: 0,
+            sentAt: [],
             mayHaveArrived: false,
             isDoubtful: false,
             settle,
@@ -145,6 +168,12 @@
         };
     }
 
+    private enqueuePrefills(): void {
+        for (const waitingPass of this.prefillWindow.takeReady()) {
+            this.enqueue(waitingPass);
+        }
+    }
+
     private enqueue(waitingPass: WaitingPass): void {
         this.outgoing.push(waitingPass);
         if (this.outgoing.length === 1) {
@@ -165,24 +194,25 @@
     }
 
     private startDeadline(waitingPass: WaitingPass): void {
-        waitingPass.sends += 1;
-        waitingPass.sentAt = this.options.clock.getMonotonicTime();
-        const deadlineMilliseconds = this.deadline.getDeadline(waitingPass.positions) * waitingPass.sends;
+        const sends = waitingPass.sentAt.push(this.options.clock.getMonotonicTime());
+        const deadlineMilliseconds = this.deadline.getDeadline(waitingPass.positions) * sends;
         const timer = this.options.clock.setTimer(deadlineMilliseconds, () => void this.handleOverdue(waitingPass));
         waitingPass.cancelTimer = () => timer.cancel();
     }
 
     private sendBatch(batch: WaitingPass[]): void {
-        const sendNumbers = batch.map(waitingPass => waitingPass.sends);
+        const sends = new Map(batch.map(waitingPass => [waitingPass.pass.id, waitingPass.sentAt.length]));
         sendPassBatch({
             pool: this.pool,
             passes: batch.map(waitingPass => waitingPass.pass),
-            onResult: result => this.handleResult(result),
-            onClosed: closing => this.handleBatchClosed(batch, sendNumbers, closing),
+            onResult: result => this.handleResult(result, sends.get(result.id) ?? 1),
+            onClosed: closing => this.handleBatchClosed(batch, sends, closing),
         });
     }
 
-    private handleResult(result: PassResult): void {
+    /** @param send - Which send of the pass brought the result, from 1; the time counts from that one. */
+    private handleResult(result: PassResult, send: number): void {
+        this.observeAnswer();
         const waitingPass = this.waiting.get(result.id);
         if (waitingPass === undefined) {
             return;
@@ -193,16 +223,20 @@
             this.settle(waitingPass, Err(this.createFailure(isSurelyNotRun ? "refused" : "failed", reason)));
             return;
         }
-        const elapsedMilliseconds = this.options.clock.getMonotonicTime() - waitingPass.sentAt;
+        const elapsedMilliseconds = this.options.clock.getMonotonicTime() - waitingPass.sentAt[send - 1]!;
         this.deadline.observe(result.count, elapsedMilliseconds);
         this.options.onAnswered(this.options.endpoint, waitingPass.pass, result, elapsedMilliseconds);
         this.settle(waitingPass, Ok(result));
     }
 
     /** The answer of a batch has ended: passes without a result are sent again, if the engine still answers. */
-    private handleBatchClosed(batch: WaitingPass[], sendNumbers: number[], closing: BatchClosing): void {
-        for (const [index, waitingPass] of batch.entries()) {
-            const isCurrentSend = waitingPass.sends === sendNumbers[index];
+    private handleBatchClosed(
+        batch: readonly WaitingPass[],
+        sends: ReadonlyMap<number, number>,
+        closing: BatchClosing,
+    ): void {
+        for (const waitingPass of batch) {
+            const isCurrentSend = waitingPass.sentAt.length === sends.get(waitingPass.pass.id);
             if (isCurrentSend && this.waiting.has(waitingPass.pass.id)) {
                 waitingPass.mayHaveArrived ||= closing.mayHaveArrived;
                 void this.resendOrFail(waitingPass, closing.reason);
@@ -226,7 +260,7 @@
         }
         waitingPass.isDoubtful = true;
         waitingPass.cancelTimer();
-        const isAnswering = waitingPass.sends < MaximumSends && await this.isAnswering();
+        const isAnswering = waitingPass.sentAt.length < MaximumSends && await this.isAnswering();
         waitingPass.isDoubtful = false;
         if (!this.waiting.has(waitingPass.pass.id)) {
             return;
@@ -252,21 +286,39 @@
         waitingPass.cancelTimer();
         this.waiting.delete(waitingPass.pass.id);
         waitingPass.settle(outcome);
+        if (waitingPass.positions > 1) {
+            this.prefillWindow.remove(waitingPass);
+            this.enqueuePrefills();
+        }
     }
 
-    private async probeOverNewConnection(): Promise<boolean> {
-        const client = new Client(this.origin, { connectTimeout: ProbeTimeoutMilliseconds });
-        try {
-            const signal = AbortSignal.timeout(ProbeTimeoutMilliseconds);
-            const response = await client.request({ method: "GET", path: "/v1/health", signal });
-            await response.body.dump();
-            return response.statusCode === 200;
+    private observeAnswer(): void {
+        this.answeredAt = this.options.clock.getMonotonicTime();
+        this.unreachableUntil = Number.NEGATIVE_INFINITY;
+    }
+
+    private async runProbe(): Promise<boolean> {
+        const startedAt = this.options.clock.getMonotonicTime();
+        const isAnswered = await probeEngine(this.origin, ProbeTimeoutMilliseconds);
+        this.probe = undefined;
+        if (isAnswered) {
+            this.observeAnswer();
+            return true;
         }
-        catch {
-            return false;
+        // A pass that was answered meanwhile shows that only the probe was slow or lost.
+        if (this.answeredAt > startedAt) {
+            return true;
         }
-        finally {
-            void client.destroy();
+        this.unreachableUntil = this.options.clock.getMonotonicTime() + UnreachableMilliseconds;
+        this.failAll("no answer to a probe");
+        return false;
+    }
+
+    private failAll(reason: string): void {
+        for (const waitingPass of this.waiting.values()) {
+            const isOnItsWay = waitingPass.sentAt.length > 0 && !waitingPass.isDoubtful;
+            const mayHaveArrived = waitingPass.mayHaveArrived || isOnItsWay;
+            this.settle(waitingPass, Err(this.createFailure(mayHaveArrived ? "unreachable" : "notSent", reason)));
         }
     }
 
--- a/src/connection/peer/peerConnections.ts
+++ b/src/connection/peer/peerConnections.ts
@@ -41,6 +41,8 @@
     /** Certificates; without them calls travel in clear text. */
     tls?: PeerTls;
     log: EventLog;
+    /** Called when a call has ended, with its name and `ok` or the kind of its error. */
+    onCall?(call: string, outcome: string): void;
 }
 
 /** Options of one call. */
@@ -73,7 +75,7 @@
         request: GossipRequest,
         options?: PeerCallOptions,
     ): Promise<Result<GossipResponse, PeerError>> {
-        return this.call(address, options, (client, callOptions) => client.gossip(request, callOptions));
+        return this.call("gossip", address, options, (client, callOptions) => client.gossip(request, callOptions));
     }
 
     /** Tells a peer of a configuration version. */
@@ -82,7 +84,12 @@
         request: AnnounceConfigurationRequest,
         options?: PeerCallOptions,
     ): Promise<Result<AnnounceConfigurationResponse, PeerError>> {
-        return this.call(address, options, (client, callOptions) => client.announceConfiguration(request, callOptions));
+        return this.call(
+            "announceConfiguration",
+            address,
+            options,
+            (client, callOptions) => client.announceConfiguration(request, callOptions),
+        );
     }
 
     /** Fetches a peer's configuration. */
@@ -91,7 +98,12 @@
         request: GetConfigurationRequest,
         options?: PeerCallOptions,
     ): Promise<Result<GetConfigurationResponse, PeerError>> {
-        return this.call(address, options, (client, callOptions) => client.getConfiguration(request, callOptions));
+        return this.call(
+            "getConfiguration",
+            address,
+            options,
+            (client, callOptions) => client.getConfiguration(request, callOptions),
+        );
     }
 
     /** Claims idempotency keys at the owner of their shard. */
@@ -100,7 +112,7 @@
         request: ClaimRequest,
         options?: PeerCallOptions,
     ): Promise<Result<ClaimResponse, PeerError>> {
-        return this.call(address, options, (client, callOptions) => client.claim(request, callOptions));
+        return this.call("claim", address, options, (client, callOptions) => client.claim(request, callOptions));
     }
 
     /** Fetches the answer that a peer kept. */
@@ -109,7 +121,12 @@
         request: GetKeptAnswerRequest,
         options?: PeerCallOptions,
     ): Promise<Result<GetKeptAnswerResponse, PeerError>> {
-        return this.call(address, options, (client, callOptions) => client.getKeptAnswer(request, callOptions));
+        return this.call(
+            "getKeptAnswer",
+            address,
+            options,
+            (client, callOptions) => client.getKeptAnswer(request, callOptions),
+        );
     }
 
     /** Closes all connections and ends the calls under way. */
@@ -122,6 +139,17 @@
     }
 
     private async call<T>(
+        name: string,
+        address: string,
+        options: PeerCallOptions | undefined,
+        call: (client: Client<typeof PeerService>, callOptions: { timeoutMs: number; }) => Promise<T>,
+    ): Promise<Result<T, PeerError>> {
+        const result = await this.runCall(address, options, call);
+        this.options.onCall?.(name, result.ok ? "ok" : result.val.kind);
+        return result;
+    }
+
+    private async runCall<T>(
         address: string,
         options: PeerCallOptions | undefined,
         call: (client: Client<typeof PeerService>, callOptions: { timeoutMs: number; }) => Promise<T>,
--- a/src/process/claimRouter.ts
+++ b/src/process/claimRouter.ts
@@ -44,14 +44,18 @@
         return new ClaimRouter(options);
     }
 
-    /** Makes this node read the shards that it owns, and forget the others. */
+    /** Makes this node read the shards that it owns, and forget those for which it is not even next in line. */
     updateOwnedShards(): void {
         const { local, shards, view } = this.options;
         const self = view.getSelf().nodeId;
         for (let shard = 0; shard < shards; shard += 1) {
-            if (this.getOwners(shard)[0] === self) {
+            const owners = this.getOwners(shard);
+            if (owners[0] === self) {
                 local.loadShard(shard);
             }
+            else if (!owners.includes(self)) {
+                local.releaseShard(shard);
+            }
         }
     }
 
--- a/src/process/endpointService.ts
+++ b/src/process/endpointService.ts
@@ -75,6 +75,9 @@
     /** Takes the endpoints of a new configuration. */
     update(configuration: Configuration): void {
         this.directory.update(configuration);
+        for (const state of this.directory.getStates()) {
+            this.setStateMetric(state);
+        }
     }
 
     /** Gets the reports that ride on one message of gossip. */
@@ -142,8 +145,12 @@
     }
 
     private noteState(state: EndpointState): void {
-        const { log, metrics } = this.options;
-        log.write(events.endpointStateChanged, { endpoint: state.endpoint, state: state.state });
+        this.options.log.write(events.endpointStateChanged, { endpoint: state.endpoint, state: state.state });
+        this.setStateMetric(state);
+    }
+
+    private setStateMetric(state: EndpointState): void {
+        const { metrics } = this.options;
         for (const known of endpointStates) {
             metrics.endpointState.set({ endpoint: state.endpoint, state: known }, known === state.state ? 1 : 0);
         }
--- a/src/process/foxleadNode.ts
+++ b/src/process/foxleadNode.ts
@@ -4,9 +4,8 @@
 import { Admission } from "../request/admission/admission.ts";
 import { CustomerLimits } from "../request/admission/customerLimits.ts";
 import { RetryBudget } from "../request/admission/retryBudget.ts";
-import type { ChainChooser } from "../request/chain/chainChooser.ts";
 import { EstimatedTimeChooser } from "../request/chain/estimatedTimeChooser.ts";
-import { getGateCapacity } from "../request/getGateCapacity.ts";
+import { GateCapacities } from "../request/gateCapacities.ts";
 import type { RequestEnvironment } from "../request/requestEnvironment.ts";
 import type { Configuration } from "../version/configuration.ts";
 import { ConfigurationFollower } from "../version/configurationFollower.ts";
@@ -25,13 +24,18 @@
 import type { EventLog } from "./logging/eventLog.ts";
 import { events } from "./logging/events.ts";
 import { MembershipView } from "./membership/membershipView.ts";
+import { MemberState } from "./membership/memberState.ts";
 import { RendezvousOwners } from "./membership/rendezvousOwners.ts";
 import { MembershipService } from "./membershipService.ts";
 import { Metrics } from "./metrics/metrics.ts";
+import { NodeFigures } from "./nodeFigures.ts";
 import { NodeLifecycle } from "./nodeLifecycle.ts";
+import { OrderDispatcher } from "./orders/orderDispatcher.ts";
+import { OrderPolicy } from "./orders/orderPolicy.ts";
+import { createCountingStore } from "./platform/createCountingStore.ts";
 import { createVmListReader } from "./platform/createVmListReader.ts";
 import { EtcdStore } from "./platform/etcdStore.ts";
-import type { StoredValue } from "./platform/platformStore.ts";
+import type { PlatformStore, StoredValue } from "./platform/platformStore.ts";
 import type { RandomSource } from "./randomSource.ts";
 import type { NodeSettings } from "./settings/nodeSettings.ts";
 import { Tracing } from "./tracing/tracing.ts";
@@ -70,7 +74,9 @@
     private readonly options: FoxleadNodeOptions;
     private readonly metrics = Metrics.create();
     private readonly tracing: Tracing;
-    private readonly store: EtcdStore;
+    private readonly connectedStore: EtcdStore;
+    /** The connected store with its calls counted. */
+    private readonly store: PlatformStore;
     private readonly view: MembershipView;
     private readonly peers: PeerConnections;
     private readonly follower: ConfigurationFollower;
@@ -79,8 +85,11 @@
     private readonly endpoints: EndpointService;
     private readonly claims: ClaimService;
     private readonly customerLimits: CustomerLimits;
+    private readonly capacities: GateCapacities;
     private readonly admission: Admission;
-    private readonly chooser: ChainChooser;
+    private readonly chooser: EstimatedTimeChooser;
+    private readonly orders: OrderDispatcher;
+    private readonly figures: NodeFigures;
     private readonly lifecycle: NodeLifecycle;
     private readonly callers: CallerServer;
     private readonly admin: AdminServer;
@@ -93,10 +102,13 @@
         const nodeId = settings.vm;
         this.options = options;
         this.tracing = Tracing.create({ ...settings.tracing, vm: nodeId });
-        this.store = EtcdStore.create({
+        this.connectedStore = EtcdStore.create({
             address: settings.platform.storeAddress,
             timeoutMilliseconds: settings.platform.timeoutMilliseconds,
         });
+        this.store = createCountingStore(this.connectedStore, (call, outcome) => {
+            this.metrics.storeCallsTotal.inc({ call, outcome });
+        });
         this.view = MembershipView.create({
             nodeId,
             peerAddress: settings.peerListener,
@@ -108,6 +120,7 @@
             timeoutMilliseconds: PeerTimeoutMilliseconds,
             tls: createPeerTls(settings),
             log,
+            onCall: (call, outcome) => this.metrics.peerCallsTotal.inc({ call, outcome }),
         });
         this.follower = ConfigurationFollower.create({ onAccepted: version => this.putInForce(version) });
         this.watcher = ConfigurationWatcher.create({
@@ -138,7 +151,18 @@
             random,
         });
         this.claims = ClaimService.create({ nodeId, store: this.store, clock, log, view, owners, peers, shardHash });
-        this.customerLimits = CustomerLimits.create({ getConfiguration, clock, random });
+        this.customerLimits = CustomerLimits.create({
+            getConfiguration,
+            clock,
+            random,
+            getNodeCount: () => view.getAliveMembers().length,
+        });
+        this.capacities = GateCapacities.create({
+            clock,
+            getConfiguration,
+            getEndpointState: endpoint => this.endpoints.directory.getState(endpoint),
+            onGrown: gate => this.admission.admitWaiting(gate),
+        });
         this.admission = Admission.create({
             getConfiguration,
             clock,
@@ -146,6 +170,8 @@
             customerLimits: this.customerLimits,
             getConcurrencyLimit: gate => this.getConcurrencyLimit(gate),
         });
+        this.orders = this.createOrders(owners);
+        this.figures = this.createFigures();
         this.membership = this.createMembership(owners);
         this.lifecycle = this.createLifecycle();
         this.callers = this.createCallerServer();
@@ -190,6 +216,9 @@
         this.watcher.start();
         this.membership.start();
         this.endpoints.start();
+        this.capacities.start();
+        this.figures.start();
+        this.orders.start();
         log.write(events.nodeStarted, { caller: settings.callerListener, peer: settings.peerListener });
     }
 
@@ -203,6 +232,7 @@
         this.admission.startDraining();
         log.write(events.nodeDraining, { requests: this.callers.getRequestsInProgress() });
         void this.membership.announceLeaving();
+        const ordersStopped = this.orders.stop();
         const idle = this.callers.waitUntilIdle();
         const isIdle = await Promise.race([idle.then(() => true), deadline.then(() => false)]);
         if (!isIdle) {
@@ -210,6 +240,7 @@
             this.callers.abortRequests();
             await idle;
         }
+        await ordersStopped;
         await this.close();
         log.write(events.nodeStopped);
     }
@@ -226,8 +257,8 @@
             peersSilentMilliseconds: getAge(now, this.membership.gossiper.getLastContact()),
             runningRequests: this.callers.getRequestsInProgress(),
             queuedRequests: this.admission.waitingCount,
-            flowBoundTokensPerSecond: undefined,
-            tokensPerSecond: 0,
+            flowBoundTokensPerSecond: this.figures.getBound(),
+            tokensPerSecond: this.figures.getTokensPerSecond(),
         });
     }
 
@@ -236,14 +267,51 @@
         this.membership.stop();
         this.watcher.stop();
         this.claims.close();
+        this.capacities.stop();
+        this.figures.stop();
         await this.peerServer?.close();
         this.peers.close();
         await this.endpoints.close();
         await this.admin.close();
-        await this.store.close();
+        await this.connectedStore.close();
         await this.tracing.shutdown();
     }
 
+    private createOrders(owners: RendezvousOwners): OrderDispatcher {
+        const { clock, random, log, settings } = this.options;
+        const { view, store } = this;
+        const { directory } = this.endpoints;
+        return OrderDispatcher.create({
+            nodeId: settings.vm,
+            store,
+            clock,
+            random,
+            log,
+            policy: OrderPolicy,
+            getConfiguration: () => this.getConfiguration(),
+            getEndpointStates: () => directory.getStates(),
+            sendOrder: (endpoint, order) => directory.getEngine(endpoint)?.sendOrder(order),
+            getStatus: endpoint => directory.getEngine(endpoint)?.getStatus(),
+            isDutyOwner: () => {
+                const alive = view.getAliveMembers().filter(member => member.state === MemberState.Alive);
+                return owners.getOwners("orders", alive.map(member => member.nodeId), 1)[0] === settings.vm;
+            },
+        });
+    }
+
+    private createFigures(): NodeFigures {
+        return NodeFigures.create({
+            clock: this.options.clock,
+            metrics: this.metrics,
+            computeBound: () => {
+                return this.chooser.computeBound(this.view.getAliveMembers().map(member => member.dataCentre));
+            },
+            getNodeCount: () => Math.max(1, this.view.getAliveMembers().length),
+            getQueueLength: () => this.admission.waitingCount,
+            getTokenCount: () => this.metrics.getTokenCount(),
+        });
+    }
+
     private createMembership(owners: RendezvousOwners): MembershipService {
         const { settings, clock, random, log } = this.options;
         const { vmListAddress, timeoutMilliseconds } = settings.platform;
@@ -296,6 +364,7 @@
             chooser: this.chooser,
             endpoints: this.endpoints.directory,
             claims: this.claims,
+            getGateCapacity: gate => this.capacities.getCapacity(gate),
         };
         return CallerServer.create({
             listener: settings.callerListener,
@@ -341,8 +410,7 @@
     }
 
     private getConcurrencyLimit(gate: string): number {
-        const getState = (endpoint: string) => this.endpoints.directory.getState(endpoint);
-        const capacity = getGateCapacity(this.getConfiguration(), gate, getState);
+        const capacity = this.capacities.getCapacity(gate);
         const nodes = Math.max(1, this.view.getAliveMembers().length);
         return Math.min(capacity, Math.ceil(capacity / nodes * CapacityHeadroom));
     }
--- a/src/process/membership/gossipExchange.ts
+++ b/src/process/membership/gossipExchange.ts
@@ -85,12 +85,14 @@
         this.view.applyRecords(heard, now);
         this.view.noteContact(request.fromNodeId);
         this.payloads.applyEndpointRecords(request.endpoints);
-        this.payloads.applyDemandRecords(request.demands, request.fromNodeId);
+        const isPull = request.members.length === 0;
+        if (!isPull) {
+            this.payloads.applyDemandRecords(request.demands, request.fromNodeId);
+        }
         const sender = this.view.getMember(request.fromNodeId);
         if (sender !== undefined) {
             this.reportVersion(sender.configurationVersion, sender.peerAddress);
         }
-        const isPull = request.members.length === 0;
         const members = isPull ? this.view.getMembers() : this.addChanges(this.getCorrections(heard));
         return create(GossipResponseSchema, this.createResponse(members));
     }
--- a/src/process/metrics/metrics.ts
+++ b/src/process/metrics/metrics.ts
@@ -31,6 +31,8 @@
         passBuckets,
     );
 
+    readonly tokensTotal = this.createCounter("tokens_total", "Tokens accepted into answers.");
+    private tokenCount = 0;
     readonly passesTotal = this.createCounter("passes_total", "Passes over one layer range.", ["outcome"]);
     readonly passSeconds = this.createHistogram(
         "pass_seconds",
@@ -101,6 +103,17 @@
         return new Metrics();
     }
 
+    /** Counts a token that was accepted into an answer. */
+    countToken(): void {
+        this.tokenCount += 1;
+        this.tokensTotal.inc();
+    }
+
+    /** Gets the tokens that were accepted since the start. */
+    getTokenCount(): number {
+        return this.tokenCount;
+    }
+
     private createCounter<Label extends string = never>(name: string, help: string, labelNames: Label[] = []) {
         return new Counter({ name: `foxlead_${name}`, help, labelNames, registers: [this.registry] });
     }
--- a/src/process/settings/createSettingsSchema.ts
+++ b/src/process/settings/createSettingsSchema.ts
@@ -27,6 +27,7 @@
         error: `Write a secret of at least ${minimumSecretLength} characters.`,
     });
     const tls = z.strictObject({ certificate: valueOrFile, key: valueOrFile, authority: valueOrFile.optional() });
+    const peerTls = tls.required();
     return z.strictObject({
         vm: name,
         dataCentre: name,
@@ -46,7 +47,7 @@
         }).prefault({}),
         logging: z.strictObject({ level: z.enum(["info", "warn", "error"]).default("info") }).prefault({}),
         shutdownMilliseconds: milliseconds.default(30_000),
-        tls: z.strictObject({ callers: tls.optional(), peers: tls.optional() }).prefault({}),
+        tls: z.strictObject({ callers: tls.optional(), peers: peerTls.optional() }).prefault({}),
         limits: z.strictObject({
             maximumConnections: z.int().min(1).default(10_000),
             headerTimeoutMilliseconds: milliseconds.default(10_000),
--- a/src/request/admitRequest.ts
+++ b/src/request/admitRequest.ts
@@ -5,8 +5,18 @@
 import type { RequestEnvironment } from "./requestEnvironment.ts";
 import { RequestError } from "./requestError.ts";
 
-const TooManyRequestsStatus = 429;
-const UnavailableStatus = 503;
+const tooManyRequestsStatus = 429;
+const unavailableStatus = 503;
+const noEndpointRetryMilliseconds = 1_000;
+
+/** The codes that callers get for each kind of refusal. */
+const refusalCodes: Readonly<Record<RefusalKind, string>> = {
+    [RefusalKind.QueueFull]: "queue_full",
+    [RefusalKind.WaitTooLong]: "wait_too_long",
+    [RefusalKind.RateLimited]: "rate_limited",
+    [RefusalKind.Draining]: "draining",
+    [RefusalKind.Cancelled]: "cancelled",
+};
 
 /**
  * Waits for a place for a request, or refuses it as not run.
@@ -21,6 +31,14 @@
     gate: string,
     cost: number,
 ): Promise<Result<AdmissionTicket, RequestError>> {
+    if (environment.getGateCapacity(gate) === 0) {
+        return Err(RequestError.notRun(context.permit, {
+            status: unavailableStatus,
+            code: "no_endpoint",
+            message: "No endpoint can serve the request now. Send it again later.",
+            retryAfterMilliseconds: noEndpointRetryMilliseconds * (1 + environment.random()),
+        }));
+    }
     const span = environment.tracing.startSpan("admission", { parent: context.span.context });
     const { customer, deadline, signal } = context;
     const admission = await environment.admission.requestAdmission({ customer, service: gate, cost, deadline, signal });
@@ -34,8 +52,8 @@
     }
     environment.metrics.refusalsTotal.inc({ reason: refusal.kind });
     return Err(RequestError.notRun(context.permit, {
-        status: refusal.kind === RefusalKind.RateLimited ? TooManyRequestsStatus : UnavailableStatus,
-        code: refusal.kind,
+        status: refusal.kind === RefusalKind.RateLimited ? tooManyRequestsStatus : unavailableStatus,
+        code: refusalCodes[refusal.kind],
         message: refusal.message,
         retryAfterMilliseconds: refusal.retryAfterMilliseconds,
     }));
--- a/src/request/claimRequest.ts
+++ b/src/request/claimRequest.ts
@@ -1,4 +1,5 @@
 import { createHash } from "node:crypto";
+import { createClaimKey } from "../process/claims/createClaimKey.ts";
 import { Err, Ok, type Result } from "../result.ts";
 import type { ClaimDecision } from "./claimDecision.ts";
 import type { KeptAnswer } from "./keptAnswer.ts";
@@ -39,7 +40,7 @@
     }
     const startedAt = environment.clock.getMonotonicTime();
     const span = environment.tracing.startSpan("claim", { parent: context.span.context });
-    const key = `${context.customer}/${idempotencyKey}`;
+    const key = createClaimKey(context.customer, idempotencyKey);
     const decision = await environment.claims.claim(key, hashContent(content), context.id);
     span.setAttributes({ "foxlead.claim": decision.kind });
     span.end();
--- a/src/request/document/runDocumentCall.ts
+++ b/src/request/document/runDocumentCall.ts
@@ -51,6 +51,9 @@
         noteFailure(environment, answer.val);
         lastMessage = answer.val.message;
         mayHaveRun ||= answer.val.kind === "unknown";
+        if (context.stopSignal.aborted && call.isIdempotent) {
+            return Err(RequestError.failed("The node was stopped before the answer came."));
+        }
         if (context.signal.aborted && call.isIdempotent) {
             return Err(RequestError.cancelled());
         }
--- a/src/request/model/handleChat.ts
+++ b/src/request/model/handleChat.ts
@@ -30,6 +30,8 @@
     maximumTokens: number;
     answer: ChatAnswer;
     headers: Record<string, string>;
+    /** Texts of the accepted tokens. */
+    chunks: string[];
 }
 
 /**
@@ -54,14 +56,11 @@
     if (!ticket.ok) {
         return ticket;
     }
-    let tokens = 0;
     try {
-        const outcome = await runAdmitted(run.val, ticket.val, body);
-        tokens = outcome.ok ? outcome.val : 0;
-        return outcome.ok ? Ok.EMPTY : outcome;
+        return await runAdmitted(run.val, ticket.val, body);
     }
     finally {
-        ticket.val.release({ tokens });
+        ticket.val.release({ tokens: getUsedTokens(run.val) });
     }
 }
 
@@ -85,7 +84,12 @@
     const created = Math.floor(environment.clock.getWallTime() / MillisecondsPerSecond);
     const answer = ChatAnswer.create({ id: `chatcmpl-${context.id}`, model: chat.service, created });
     const headers = { "x-request-id": context.id };
-    return Ok({ environment, context, writer, chat, service, maximumTokens, answer, headers });
+    return Ok({ environment, context, writer, chat, service, maximumTokens, answer, headers, chunks: [] });
+}
+
+/** Tokens that the engines have worked on; 0 where nothing ran. */
+function getUsedTokens(run: ChatRun): number {
+    return run.context.permit.isAvailable() ? 0 : run.chat.prompt.length / BytesPerToken + run.chunks.length;
 }
 
 function createUnknownServiceError(context: RequestContext, name: string): RequestError {
@@ -99,8 +103,7 @@
     return RequestError.invalid(404, "model_not_found", message);
 }
 
-/** Runs an admitted request and returns the tokens that it took. */
-async function runAdmitted(run: ChatRun, ticket: AdmissionTicket, body: Buffer): Promise<Result<number, RequestError>> {
+async function runAdmitted(run: ChatRun, ticket: AdmissionTicket, body: Buffer): Promise<Result<void, RequestError>> {
     const content = ["POST", "/v1/chat/completions", body];
     const claim = await claimRequest(run.environment, run.context, run.service.idempotent, content);
     if (!claim.ok) {
@@ -108,23 +111,21 @@
     }
     if (claim.val.kind === "answered") {
         replay(run, claim.val.answer);
-        return Ok(0);
+        return Ok.EMPTY;
     }
-    const chunks: string[] = [];
-    const outcome = await generate(run, ticket, claim.val, chunks);
-    settleClaim(run, claim.val, outcome, chunks);
+    const outcome = await generate(run, ticket, claim.val);
+    settleClaim(run, claim.val, outcome);
     if (!outcome.ok) {
         return outcome;
     }
-    finish(run, outcome.val, chunks);
-    return Ok(outcome.val.tokens);
+    finish(run, outcome.val);
+    return Ok.EMPTY;
 }
 
 async function generate(
     run: ChatRun,
     ticket: AdmissionTicket,
     claim: RequestClaim,
-    chunks: string[],
 ): Promise<Result<GenerationSummary, RequestError>> {
     const { environment, context, service, chat, writer } = run;
     const times = TokenTimes.create(environment.clock, environment.metrics, context.arrivedAt);
@@ -149,7 +150,7 @@
         },
         onText: text => {
             times.observeToken();
-            chunks.push(text);
+            run.chunks.push(text);
             if (chat.isStreamed) {
                 startStreamOnce(run);
                 writer.writeText(text);
@@ -164,13 +165,13 @@
     }
 }
 
-function finish(run: ChatRun, summary: GenerationSummary, chunks: readonly string[]): void {
+function finish(run: ChatRun, summary: GenerationSummary): void {
     if (run.chat.isStreamed) {
         startStreamOnce(run);
         run.writer.endStream(run.answer.createLastChunks(summary.finishReason));
         return;
     }
-    run.writer.sendWhole(200, "application/json", run.answer.createWhole(chunks.join(""), summary), run.headers);
+    run.writer.sendWhole(200, "application/json", run.answer.createWhole(run.chunks.join(""), summary), run.headers);
 }
 
 function replay(run: ChatRun, kept: KeptAnswer): void {
@@ -189,14 +190,13 @@
     run: ChatRun,
     claim: RequestClaim,
     outcome: Result<GenerationSummary, RequestError>,
-    chunks: readonly string[],
 ): void {
     if (claim.kind !== "granted") {
         return;
     }
     const { claims } = run.environment;
     if (outcome.ok) {
-        const body = Buffer.from(run.answer.createWhole(chunks.join(""), outcome.val));
+        const body = Buffer.from(run.answer.createWhole(run.chunks.join(""), outcome.val));
         claims.settle(claim.key, { kind: "finished", answer: { status: 200, contentType: "application/json", body } });
         return;
     }
--- a/src/request/model/runGeneration.ts
+++ b/src/request/model/runGeneration.ts
@@ -10,6 +10,7 @@
 import { Generation, type GenerationOptions } from "./generation.ts";
 import type { GenerationObserver } from "./generationObserver.ts";
 import type { GenerationStep } from "./generationStep.ts";
+import { SlowStageDetector } from "./slowStageDetector.ts";
 
 /** What one generated answer needs of the process. */
 export interface RunGenerationOptions extends GenerationOptions {
@@ -43,6 +44,8 @@
 
 /** Attempts of one answer before it fails. */
 const MaximumAttempts = 12;
+/** Times that one answer leaves a stage that has become slow. */
+const MaximumSlowStages = 2;
 /** How long a started answer waits for a chain to come back before it fails, in milliseconds. */
 const ChainPatienceMilliseconds = 8_000;
 const ChainRetryMilliseconds = 50;
@@ -66,6 +69,7 @@
     private readonly survivors = new Set<string>();
     private mayHaveRun = false;
     private brokenAt: number | undefined;
+    private slowStages = 0;
 
     private constructor(options: RunGenerationOptions) {
         this.options = options;
@@ -117,8 +121,10 @@
         let stage = 0;
         let pass = this.generation.startAttempt(chain);
         this.options.permit.giveUp();
+        const detector = SlowStageDetector.create(chain.stages.length);
         for (;;) {
             const { endpoint } = chain.stages[stage]!;
+            const sentAt = this.options.clock.getMonotonicTime();
             const result = await this.runPass(endpoint, pass);
             if (this.options.signal.aborted) {
                 return Err({ kind: "cancelled" });
@@ -127,6 +133,7 @@
                 return Err({ kind: "broken", failure: result.val });
             }
             this.mayHaveRun = true;
+            detector.observePass(stage, result.val.count, this.options.clock.getMonotonicTime() - sentAt);
             const step = this.generation.accept(result.val);
             if (step.kind === "stale" || step.kind === "malformed") {
                 return Err({ kind: "broken", failure: this.createMalformedFailure(endpoint, step) });
@@ -135,6 +142,10 @@
             if (step.kind === "ended") {
                 return Ok(this.createSummary(step.finishReason));
             }
+            const slowStage = step.kind === "token" ? detector.findSlowStage() : undefined;
+            if (slowStage !== undefined && this.isReplaceable(chain.stages[slowStage]!.endpoint)) {
+                return Err({ kind: "broken", failure: this.createSlowFailure(chain.stages[slowStage]!.endpoint) });
+            }
             stage = step.stage;
             pass = step.pass;
         }
@@ -190,6 +201,21 @@
         }
     }
 
+    /** Tells whether there is a chain without an endpoint, and the answer has not changed its chain for speed too often. */
+    private isReplaceable(endpoint: string): boolean {
+        if (this.slowStages >= MaximumSlowStages) {
+            return false;
+        }
+        const excluded = new Set(this.excluded).add(endpoint);
+        return this.options.chooser.chooseChain({ ...this.createChainOptions(), excluded }).ok;
+    }
+
+    private createSlowFailure(endpoint: string): PassFailure {
+        this.slowStages += 1;
+        const message = `Endpoint ${endpoint} has become slow; the answer goes on without it.`;
+        return { kind: "slow", endpoint, reason: "slow", message };
+    }
+
     private createChainOptions(): Parameters<ChainChooser["chooseChain"]>[0] {
         return {
             model: this.options.model,
@@ -212,7 +238,10 @@
                 this.survivors.add(stage.endpoint);
             }
         }
-        chooser.observeFailure(failure.endpoint);
+        // What the chooser has learnt of a slow endpoint's times says more than a failure.
+        if (failure.kind !== "slow") {
+            chooser.observeFailure(failure.endpoint);
+        }
         observer.onAttemptBroken(failure);
     }
 
--- a/src/request/model/tokenTimes.ts
+++ b/src/request/model/tokenTimes.ts
@@ -23,6 +23,7 @@
 
     /** Notes that a token has been accepted. */
     observeToken(): void {
+        this.metrics.countToken();
         const now = this.clock.getMonotonicTime();
         const histogram = this.isFirst ? this.metrics.firstTokenSeconds : this.metrics.betweenTokensSeconds;
         histogram.observe((now - this.lastAt) / MillisecondsPerSecond);
--- a/src/request/requestEnvironment.ts
+++ b/src/request/requestEnvironment.ts
@@ -22,4 +22,6 @@
     chooser: ChainChooser;
     endpoints: EndpointDirectory;
     claims: ClaimGate;
+    /** Gets how many requests pass a gate at the same time over all nodes; 0 where no endpoint can serve them. */
+    getGateCapacity(gate: string): number;
 }
--- a/tests/connection/endpoint/engineConnection.test.ts
+++ b/tests/connection/endpoint/engineConnection.test.ts
@@ -1,8 +1,9 @@
 import assert from "node:assert/strict";
-import { after, before, describe, it } from "node:test";
+import { after, afterEach, before, beforeEach, describe, it } from "node:test";
 import { EngineConnection } from "../../../src/connection/endpoint/engineConnection.ts";
 import { systemClock } from "../../../src/process/systemClock.ts";
 import { EngineStandin } from "../../../standins/engine/engineStandin.ts";
+import { FakeClock } from "../../support/fakeClock.ts";
 
 const model = "m";
 const pass = { request: "r", attempt: 1, model, position: 0, layerStart: 0, layerEnd: 4, priority: 0, text: "a b c" };
@@ -86,4 +87,67 @@
         assert.equal(result.val.kind, "notSent");
         await closed.close();
     });
+
+    describe("under a clock that the test moves", () => {
+        /** Longer than the first deadline of a pass of one position, shorter than that of a long one. */
+        const overdueMilliseconds = 1_000;
+        const longPositions = 1_000;
+        let clock: FakeClock;
+        let timed: EngineConnection;
+        let elapsed: number[];
+
+        beforeEach(() => {
+            clock = FakeClock.create();
+            elapsed = [];
+            timed = EngineConnection.create({
+                endpoint: "engine",
+                address: engine.getAddress(),
+                clock,
+                onAnswered: (_endpoint, _pass, _result, elapsedMilliseconds) => void elapsed.push(elapsedMilliseconds),
+                onSilentConnection: () => undefined,
+            });
+        });
+
+        afterEach(async () => {
+            engine.setFaults({ freeze: false, slowFactor: 1 });
+            await timed.close();
+        });
+
+        it("fails every pass that waits once one has found the engine dead, and new ones at once", async () => {
+            engine.setFaults({ freeze: true });
+            const short = timed.runPass({ ...pass, request: "short" }, 1);
+            const long = timed.runPass({ ...pass, request: "long" }, longPositions);
+            await clock.advance(overdueMilliseconds);
+            for (const result of await Promise.all([short, long])) {
+                assert.ok(!result.ok);
+                assert.equal(result.val.kind, "unreachable");
+            }
+            const next = await timed.runPass({ ...pass, request: "next" }, 1);
+            assert.ok(!next.ok);
+            assert.equal(next.val.kind, "notSent");
+        });
+
+        it("takes passes again once the engine answers, or after a while", async () => {
+            engine.setFaults({ freeze: true });
+            const first = timed.runPass({ ...pass, request: "first" }, 1);
+            await clock.advance(overdueMilliseconds);
+            await first;
+            engine.setFaults({ freeze: false });
+            assert.ok(await timed.isAnswering());
+            assert.ok((await timed.runPass({ ...pass, request: "answered" }, 1)).ok);
+            engine.setFaults({ freeze: true });
+            assert.ok(!await timed.isAnswering());
+            engine.setFaults({ freeze: false });
+            await clock.advance(overdueMilliseconds);
+            assert.ok((await timed.runPass({ ...pass, request: "later" }, 1)).ok);
+        });
+
+        it("counts the time of a pass from the send that was answered", async () => {
+            engine.setFaults({ slowFactor: 100 });
+            const result = timed.runPass({ ...pass, request: "slow" }, 1);
+            await clock.advance(overdueMilliseconds);
+            assert.ok((await result).ok);
+            assert.deepEqual(elapsed, [overdueMilliseconds]);
+        });
+    });
 });
--- /dev/null
+++ b/tests/connection/endpoint/prefillWindow.test.ts
@@ -0,0 +1,73 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { PrefillWindow } from "../../../src/connection/endpoint/prefillWindow.ts";
+import type { WaitingPass } from "../../../src/connection/endpoint/waitingPass.ts";
+
+describe("PrefillWindow", () => {
+    function createPass(request: string, positions: number, rebuild = false): WaitingPass {
+        return {
+            pass: {
+                id: 1,
+                request,
+                attempt: 1,
+                model: "m",
+                position: 0,
+                layerStart: 0,
+                layerEnd: 4,
+                priority: 0,
+                rebuild,
+            },
+            positions,
+            sentAt: [],
+            mayHaveArrived: false,
+            isDoubtful: false,
+            settle: () => undefined,
+            cancelTimer: () => undefined,
+        };
+    }
+
+    function takeNames(window: PrefillWindow): string[] {
+        return window.takeReady().map(waitingPass => waitingPass.pass.request);
+    }
+
+    it("lets passes leave while their positions fit, and the next ones as those are settled", () => {
+        const window = PrefillWindow.create(100);
+        const [first, second, third] = [createPass("a", 60), createPass("b", 40), createPass("c", 1_000)];
+        window.add(first);
+        window.add(second);
+        window.add(third);
+        assert.deepEqual(takeNames(window), ["a", "b"]);
+        window.remove(first);
+        assert.deepEqual(takeNames(window), []);
+        window.remove(second);
+        assert.deepEqual(takeNames(window), ["c"], "A pass that is longer than the window goes alone.");
+    });
+
+    it("lets rebuilt contexts go before new prompts, each in the order of arrival", () => {
+        const window = PrefillWindow.create(1);
+        const first = createPass("a", 9);
+        window.add(first);
+        assert.deepEqual(takeNames(window), ["a"]);
+        for (const pass of [createPass("b", 9), createPass("c", 9, true), createPass("d", 9, true)]) {
+            window.add(pass);
+        }
+        window.remove(first);
+        assert.deepEqual(takeNames(window), ["c"]);
+    });
+
+    it("forgets a pass that is settled before it left, and frees nothing twice", () => {
+        const window = PrefillWindow.create(1);
+        const [first, second, third] = [createPass("a", 9), createPass("b", 9), createPass("c", 9)];
+        window.add(first);
+        window.add(second);
+        assert.deepEqual(takeNames(window), ["a"]);
+        window.remove(second);
+        window.add(third);
+        assert.deepEqual(takeNames(window), []);
+        window.remove(first);
+        window.remove(first);
+        assert.deepEqual(takeNames(window), ["c"]);
+        window.add(createPass("d", 9));
+        assert.deepEqual(takeNames(window), []);
+    });
+});
