--- a/src/process/claimRouter.ts
+++ b/src/process/claimRouter.ts
@@ -24,9 +24,9 @@
     giveUpMilliseconds: number;
 }
 
-const PauseMilliseconds = 20;
-const CallTimeoutMilliseconds = 700;
-const Candidates = 3;
+const pauseMilliseconds = 20;
+const callTimeoutMilliseconds = 700;
+const candidateCount = 3;
 
 /**
  * Brings a claim to the node that owns its shard, this one or a peer, and to the next in line where the owner does not
@@ -75,7 +75,7 @@
             if (verdict !== undefined && verdict.outcome !== ClaimOutcome.NotOwner) {
                 return verdict;
             }
-            await new Promise<void>(resolve => void clock.setTimer(PauseMilliseconds, resolve));
+            await new Promise<void>(resolve => void clock.setTimer(pauseMilliseconds, resolve));
         }
         const message = "No node could record the claim in time.";
         return { outcome: ClaimOutcome.Unavailable, message };
@@ -92,7 +92,7 @@
             return undefined;
         }
         const request = create(ClaimRequestSchema, { shard, items: [claim] });
-        const response = await peers.claim(address, request, { timeoutMilliseconds: CallTimeoutMilliseconds });
+        const response = await peers.claim(address, request, { timeoutMilliseconds: callTimeoutMilliseconds });
         const verdict = response.ok ? response.val.verdicts[0] : undefined;
         return verdict === undefined ? undefined : toClaimVerdict(verdict);
     }
@@ -105,7 +105,7 @@
             }
         }
         const self = this.options.view.getSelf().nodeId;
-        const owners = this.options.owners.getOwners(`claims-${shard}`, nodeIds, Candidates);
+        const owners = this.options.owners.getOwners(`claims-${shard}`, nodeIds, candidateCount);
         return owners.length > 0 ? owners : [self];
     }
 }
--- a/src/process/claimService.ts
+++ b/src/process/claimService.ts
@@ -36,9 +36,9 @@
     gate: NodeClaimGate;
 }
 
-const KeptAnswerBytes = 64 * 1024 * 1024;
-const OwnerGiveUpMilliseconds = 1_000;
-const RouterGiveUpMilliseconds = 2_500;
+const keptAnswerBytes = 64 * 1024 * 1024;
+const ownerGiveUpMilliseconds = 1_000;
+const routerGiveUpMilliseconds = 2_500;
 
 /** At most once on one node: the claim owner for the shards it holds, and the gate for the requests it receives. */
 export class ClaimService implements ClaimGate {
@@ -110,7 +110,7 @@
             getShardOfKey,
             windowMilliseconds,
             appendIntervalMilliseconds,
-            giveUpMilliseconds: OwnerGiveUpMilliseconds,
+            giveUpMilliseconds: ownerGiveUpMilliseconds,
         });
         const router = ClaimRouter.create({
             view,
@@ -120,10 +120,10 @@
             local: owner,
             shards,
             getShardOfKey,
-            giveUpMilliseconds: RouterGiveUpMilliseconds,
+            giveUpMilliseconds: routerGiveUpMilliseconds,
         });
         const kept = KeptAnswers.create({
-            maximumBytes: KeptAnswerBytes,
+            maximumBytes: keptAnswerBytes,
             timeToLiveMilliseconds: windowMilliseconds,
             clock,
         });
--- a/src/process/endpointService.ts
+++ b/src/process/endpointService.ts
@@ -27,9 +27,9 @@
     getChooser(): ChainChooser;
 }
 
-const ObserveIntervalMilliseconds = 500;
-const ObserversOfEndpoint = 3;
-const MillisecondsPerSecond = 1_000;
+const observeIntervalMilliseconds = 500;
+const observersOfEndpoint = 3;
+const millisecondsPerSecond = 1_000;
 const endpointStates = ["serving", "leaving", "unreachable"] as const;
 
 /** The endpoints as one node sees them: connections, observation, and reports from and to the other nodes. */
@@ -55,7 +55,7 @@
             directory: this.directory,
             clock: options.clock,
             random: options.random,
-            intervalMilliseconds: ObserveIntervalMilliseconds,
+            intervalMilliseconds: observeIntervalMilliseconds,
             isObserver: endpoint => this.isObserver(endpoint),
             onStatus: (endpoint, status) => this.observeLoad(endpoint, status),
             onReport: report => void this.reports.add(report),
@@ -118,7 +118,7 @@
 
     private observeAnswer(endpoint: string, pass: Pass, result: PassResult, elapsedMilliseconds: number): void {
         this.directory.observeAnswer(endpoint);
-        this.options.metrics.passSeconds.observe(elapsedMilliseconds / MillisecondsPerSecond);
+        this.options.metrics.passSeconds.observe(elapsedMilliseconds / millisecondsPerSecond);
         this.options.getChooser().observePass({
             endpoint,
             layers: pass.layerEnd - pass.layerStart,
@@ -130,7 +130,7 @@
 
     private isObserver(endpoint: string): boolean {
         const nodeIds = this.options.view.getAliveMembers().map(member => member.nodeId);
-        const observers = this.options.owners.getOwners(`endpoint-${endpoint}`, nodeIds, ObserversOfEndpoint);
+        const observers = this.options.owners.getOwners(`endpoint-${endpoint}`, nodeIds, observersOfEndpoint);
         return observers.includes(this.options.nodeId);
     }
 
--- a/src/process/foxleadNode.ts
+++ b/src/process/foxleadNode.ts
@@ -54,11 +54,11 @@
     shardHash: ShardHash;
 }
 
-const ConfigurationCheckMilliseconds = 10_000;
-const PeerTimeoutMilliseconds = 1_000;
+const configurationCheckMilliseconds = 10_000;
+const peerTimeoutMilliseconds = 1_000;
 /** A burst above the even share of the endpoints' places that a node may take, since callers spread unevenly. */
-const CapacityHeadroom = 1.5;
-const EmptyConfiguration: Configuration = {
+const capacityHeadroom = 1.5;
+const emptyConfiguration: Configuration = {
     models: {},
     services: {},
     endpoints: {},
@@ -117,7 +117,7 @@
         });
         this.peers = PeerConnections.create({
             secret: settings.peerSecret,
-            timeoutMilliseconds: PeerTimeoutMilliseconds,
+            timeoutMilliseconds: peerTimeoutMilliseconds,
             tls: createPeerTls(settings),
             log,
             onCall: (call, outcome) => this.metrics.peerCallsTotal.inc({ call, outcome }),
@@ -129,7 +129,7 @@
             clock,
             random,
             eventLog: log,
-            checkIntervalMilliseconds: ConfigurationCheckMilliseconds,
+            checkIntervalMilliseconds: configurationCheckMilliseconds,
             onStoreBehind: stored => void this.restoreStored(stored),
         });
         const { view, peers, metrics } = this;
@@ -406,13 +406,13 @@
     }
 
     private getConfiguration(): Configuration {
-        return this.follower.getCurrent()?.configuration ?? EmptyConfiguration;
+        return this.follower.getCurrent()?.configuration ?? emptyConfiguration;
     }
 
     private getConcurrencyLimit(gate: string): number {
         const capacity = this.capacities.getCapacity(gate);
         const nodes = Math.max(1, this.view.getAliveMembers().length);
-        return Math.min(capacity, Math.ceil(capacity / nodes * CapacityHeadroom));
+        return Math.min(capacity, Math.ceil(capacity / nodes * capacityHeadroom));
     }
 }
 
--- a/src/process/keptAnswers.ts
+++ b/src/process/keptAnswers.ts
@@ -21,7 +21,7 @@
     clock: Clock;
 }
 
-const EntryBytes = 200;
+const entryBytes = 200;
 
 /** The claimed requests of this node and, for a time, their answers. The least recently used go first. */
 export class KeptAnswers {
@@ -34,7 +34,7 @@
             maxSize: options.maximumBytes,
             ttl: options.timeToLiveMilliseconds,
             perf: { now: () => options.clock.getMonotonicTime() },
-            sizeCalculation: state => EntryBytes + (state.kind === "finished" ? state.answer.body.length : 0),
+            sizeCalculation: state => entryBytes + (state.kind === "finished" ? state.answer.body.length : 0),
         });
     }
 
--- a/src/process/membershipService.ts
+++ b/src/process/membershipService.ts
@@ -33,7 +33,7 @@
     onMembersChanged(): void;
 }
 
-const VmListIntervalMilliseconds = 1_000;
+const vmListIntervalMilliseconds = 1_000;
 const jitter = 0.2;
 
 /** What ties a node to its peers: heartbeats, the spreading of configurations, the list of machines, watch duty. */
@@ -121,7 +121,7 @@
             view.applyVmList(vms.val, clock.getMonotonicTime());
             onVms(vms.val);
         }
-        const delayMilliseconds = VmListIntervalMilliseconds * (1 + jitter * (2 * random() - 1));
+        const delayMilliseconds = vmListIntervalMilliseconds * (1 + jitter * (2 * random() - 1));
         this.timer = clock.setTimer(delayMilliseconds, () => void this.readVms());
     }
 
--- a/src/process/nodeLifecycle.ts
+++ b/src/process/nodeLifecycle.ts
@@ -21,9 +21,9 @@
 }
 
 /** A node that hears neither the store nor any peer for so long may hold an old configuration. */
-const IsolationMilliseconds = 10_000;
-const DrainingRetryMilliseconds = 500;
-const NotReadyRetryMilliseconds = 1_000;
+const isolationMilliseconds = 10_000;
+const drainingRetryMilliseconds = 500;
+const notReadyRetryMilliseconds = 1_000;
 
 /** Whether a node takes new requests. */
 export class NodeLifecycle {
@@ -50,16 +50,16 @@
     getRefusal(): NodeRefusal | undefined {
         if (this.isDraining) {
             const message = "This node is shutting down. Send the request again; another node takes it.";
-            return { code: "draining", message, retryAfterMilliseconds: DrainingRetryMilliseconds };
+            return { code: "draining", message, retryAfterMilliseconds: drainingRetryMilliseconds };
         }
         if (!this.options.hasConfiguration()) {
             const message = "This node has no configuration yet. Ask again soon, or another node.";
-            return { code: "not_ready", message, retryAfterMilliseconds: NotReadyRetryMilliseconds };
+            return { code: "not_ready", message, retryAfterMilliseconds: notReadyRetryMilliseconds };
         }
         if (this.isIsolated()) {
             const message = "This node hears neither the store nor any peer, so its configuration may be old."
                 + " Send the request again; another node takes it.";
-            return { code: "isolated", message, retryAfterMilliseconds: NotReadyRetryMilliseconds };
+            return { code: "isolated", message, retryAfterMilliseconds: notReadyRetryMilliseconds };
         }
         return undefined;
     }
@@ -84,6 +84,6 @@
             options.getStoreContact() ?? startedAt,
             options.getPeerContact() ?? startedAt,
         );
-        return options.clock.getMonotonicTime() - heardAt > IsolationMilliseconds;
+        return options.clock.getMonotonicTime() - heardAt > isolationMilliseconds;
     }
 }
--- a/src/process/orders/loadLedger.ts
+++ b/src/process/orders/loadLedger.ts
@@ -21,7 +21,7 @@
     failure?: string;
 }
 
-const MillisecondsPerMinute = 60_000;
+const millisecondsPerMinute = 60_000;
 
 /** The loads under way, and the budget of loads that keeps to the weight store's limits. */
 export class LoadLedger {
@@ -67,7 +67,7 @@
     /** Gets the number of loads that may start now. */
     getSlots(now: number): number {
         const { maximumLoads, maximumLoadsPerMinute } = this.policy;
-        const recent = this.loads.filter(load => now - load.startedAt < MillisecondsPerMinute);
+        const recent = this.loads.filter(load => now - load.startedAt < millisecondsPerMinute);
         return Math.max(0, Math.min(maximumLoads - this.getPending().length, maximumLoadsPerMinute - recent.length));
     }
 
@@ -107,7 +107,7 @@
                 ends.push(end);
             }
         }
-        this.loads = this.loads.filter(load => !load.isSettled || now - load.startedAt < MillisecondsPerMinute);
+        this.loads = this.loads.filter(load => !load.isSettled || now - load.startedAt < millisecondsPerMinute);
         return ends;
     }
 
--- a/src/process/orders/orderDispatcher.ts
+++ b/src/process/orders/orderDispatcher.ts
@@ -11,10 +11,10 @@
 }
 
 const leaseKey = "foxlead/leases/orders";
-const RoundMilliseconds = 1_000;
-const TimeToLiveMilliseconds = 4_000;
+const roundMilliseconds = 1_000;
+const leaseMilliseconds = 4_000;
 /** Longer than a call to an engine may take (2 s), so that no order arrives after its sender has given it up. */
-const LongestOrderMilliseconds = 3_000;
+const orderMilliseconds = 3_000;
 
 /**
  * Orders engines to load ranges of layers that too few engines hold. Every node runs one; the duty's owner seeks the
@@ -44,7 +44,7 @@
         this.round ??= this.runRound().finally(() => {
             this.round = undefined;
         });
-        this.timer = this.options.clock.setTimer(RoundMilliseconds, () => this.start());
+        this.timer = this.options.clock.setTimer(roundMilliseconds, () => this.start());
     }
 
     /** Stops for good: waits for the orders on their way, then releases the lease. */
@@ -78,8 +78,8 @@
             log,
             key: leaseKey,
             holder: nodeId,
-            timeToLiveMilliseconds: TimeToLiveMilliseconds,
-            longestOrderMilliseconds: LongestOrderMilliseconds,
+            timeToLiveMilliseconds: leaseMilliseconds,
+            longestOrderMilliseconds: orderMilliseconds,
         });
         lease.start();
         return { lease, tenure: OrderTenure.create(this.options, lease) };
--- a/src/process/orders/orderTenure.ts
+++ b/src/process/orders/orderTenure.ts
@@ -12,7 +12,7 @@
 
 type PendingLoad = ReturnType<LoadLedger["getPending"]>[number];
 
-const OkStatus = 200;
+const okStatus = 200;
 
 /** The rounds of one node while it owns the duty to issue orders. Without the lease it only observes. */
 export class OrderTenure {
@@ -165,7 +165,7 @@
         if (answer === undefined || answer.err) {
             return;
         }
-        load.isSent = answer.val === OkStatus;
+        load.isSent = answer.val === okStatus;
         if (!load.isSent) {
             this.ledger.giveUp(load, this.now());
             this.isRecordStale = true;
--- a/src/request/claimRequest.ts
+++ b/src/request/claimRequest.ts
@@ -16,8 +16,8 @@
     /** The request ran before. */
     | { kind: "answered"; answer: KeptAnswer; };
 
-const RunningRetryMilliseconds = 1_000;
-const UnavailableRetryMilliseconds = 2_000;
+const runningRetryMilliseconds = 1_000;
+const unavailableRetryMilliseconds = 2_000;
 
 /**
  * Claims the key of a request that must run at most once: one whose service or caller says so, or that carries a key.
@@ -61,7 +61,7 @@
         case "answered":
             return Ok({ kind: "answered", answer: decision.answer });
         case "running":
-            return Err(RequestError.running(RunningRetryMilliseconds));
+            return Err(RequestError.running(runningRetryMilliseconds));
         case "unknown":
             return Err(RequestError.outcomeUnknown(
                 "An earlier request with this key was started and its answer is lost. It is not run again.",
@@ -79,7 +79,7 @@
                 status: 503,
                 code: "claims_unavailable",
                 message: decision.message,
-                retryAfterMilliseconds: UnavailableRetryMilliseconds,
+                retryAfterMilliseconds: unavailableRetryMilliseconds,
             }));
     }
 }
--- a/src/request/document/handleDocument.ts
+++ b/src/request/document/handleDocument.ts
@@ -22,7 +22,7 @@
 }
 
 const safeMethods: ReadonlySet<string> = new Set(["GET", "HEAD", "OPTIONS"]);
-const DocumentCost = 1;
+const documentCost = 1;
 
 /**
  * Answers `/v1/services/NAME/...`.
@@ -41,7 +41,7 @@
     if (!service.ok) {
         return service;
     }
-    const ticket = await admitRequest(environment, context, request.service, DocumentCost);
+    const ticket = await admitRequest(environment, context, request.service, documentCost);
     if (!ticket.ok) {
         return ticket;
     }
@@ -49,7 +49,7 @@
         return await runAdmitted(environment, context, request, service.val, writer);
     }
     finally {
-        ticket.val.release({ tokens: DocumentCost });
+        ticket.val.release({ tokens: documentCost });
     }
 }
 
--- a/src/request/document/runDocumentCall.ts
+++ b/src/request/document/runDocumentCall.ts
@@ -8,9 +8,9 @@
 import type { RequestEnvironment } from "../requestEnvironment.ts";
 import { RequestError } from "../requestError.ts";
 
-const MaximumSends = 3;
-const RefusalRetryMilliseconds = 1_000;
-const NoEndpointRetryMilliseconds = 2_000;
+const maximumSends = 3;
+const refusalRetryMilliseconds = 1_000;
+const noEndpointRetryMilliseconds = 2_000;
 
 /**
  * Runs a document call at one of the service's endpoints. A call that surely did not run goes on to the next endpoint;
@@ -31,7 +31,7 @@
     let mayHaveRun = false;
     let lastMessage = "No endpoint of the service takes new work now.";
     retryBudget.observeRequest();
-    while (tried.size < MaximumSends) {
+    while (tried.size < maximumSends) {
         const endpoint = chooseEndpoint(environment, service, tried);
         if (endpoint === undefined) {
             break;
@@ -137,6 +137,6 @@
         status: 503,
         code: "no_endpoint",
         message,
-        retryAfterMilliseconds: sends === 0 ? NoEndpointRetryMilliseconds : RefusalRetryMilliseconds,
+        retryAfterMilliseconds: sends === 0 ? noEndpointRetryMilliseconds : refusalRetryMilliseconds,
     });
 }
