--- /dev/null
+++ b/src/process/configurationService.ts
@@ -0,0 +1,92 @@
+import type { Configuration } from "../version/configuration.ts";
+import { ConfigurationFollower } from "../version/configurationFollower.ts";
+import type { ConfigurationVersion } from "../version/configurationVersion.ts";
+import { ConfigurationWatcher } from "../version/configurationWatcher.ts";
+import { CustomerIndex } from "../version/customerIndex.ts";
+import { restoreStoredConfiguration } from "../version/restoreStoredConfiguration.ts";
+import type { Clock } from "./clock.ts";
+import type { EventLog } from "./logging/eventLog.ts";
+import { events } from "./logging/events.ts";
+import type { PlatformStore, StoredValue } from "./platform/platformStore.ts";
+import type { RandomSource } from "./randomSource.ts";
+
+/** Options of a {@link ConfigurationService}. */
+interface ConfigurationServiceOptions {
+    store: PlatformStore;
+    clock: Clock;
+    random: RandomSource;
+    log: EventLog;
+    /** Called with each accepted configuration. */
+    onAccepted(version: ConfigurationVersion): void;
+}
+
+const checkIntervalMilliseconds = 10_000;
+/** What holds before the first version; requests are refused then. */
+const emptyConfiguration: Configuration = {
+    models: {},
+    services: {},
+    endpoints: {},
+    dataCentres: {},
+    links: [],
+    customers: {},
+    limits: { maximumBodyBytes: 0, maximumTokens: 0, maximumQueueMilliseconds: 0, maximumQueuedRequests: 0 },
+    claims: { shards: 1, windowMilliseconds: 1, appendIntervalMilliseconds: 1 },
+};
+
+/** The configuration in force on one node, and the watch on the store that brings newer ones. */
+export class ConfigurationService {
+    readonly follower: ConfigurationFollower;
+    readonly watcher: ConfigurationWatcher;
+    private readonly options: ConfigurationServiceOptions;
+    private customers: CustomerIndex | undefined;
+
+    private constructor(options: ConfigurationServiceOptions) {
+        const { store, clock, random, log } = options;
+        this.options = options;
+        this.follower = ConfigurationFollower.create({ onAccepted: version => this.putInForce(version) });
+        this.watcher = ConfigurationWatcher.create({
+            store,
+            follower: this.follower,
+            clock,
+            random,
+            eventLog: log,
+            checkIntervalMilliseconds,
+            onStoreBehind: stored => void this.restoreStored(stored),
+        });
+    }
+
+    /** Creates the service without a configuration in force. */
+    static create(options: ConfigurationServiceOptions): ConfigurationService {
+        return new ConfigurationService(options);
+    }
+
+    /** Gets the configuration in force, or an empty one before the first. */
+    getConfiguration(): Configuration {
+        return this.follower.getCurrent()?.configuration ?? emptyConfiguration;
+    }
+
+    /** Gets the version in force with the index of its customers; undefined before the first. */
+    getVersion(): { version: ConfigurationVersion; customers: CustomerIndex; } | undefined {
+        const version = this.follower.getCurrent();
+        return version === undefined || this.customers === undefined
+            ? undefined
+            : { version, customers: this.customers };
+    }
+
+    private putInForce(version: ConfigurationVersion): void {
+        this.customers = CustomerIndex.create(version.configuration);
+        this.options.onAccepted(version);
+    }
+
+    private async restoreStored(stored: StoredValue | undefined): Promise<void> {
+        const held = this.follower.getCurrent();
+        if (held === undefined) {
+            return;
+        }
+        const { store, clock, log } = this.options;
+        const restored = await restoreStoredConfiguration({ store, held, stored, wallTime: clock.getWallTime() });
+        if (restored.ok && restored.val.swapped) {
+            log.write(events.configurationRestored, { version: held.version });
+        }
+    }
+}
--- /dev/null
+++ b/src/process/createOrderDispatcher.ts
@@ -0,0 +1,55 @@
+import type { EndpointDirectory } from "../connection/endpoint/endpointDirectory.ts";
+import type { Configuration } from "../version/configuration.ts";
+import type { Clock } from "./clock.ts";
+import type { EventLog } from "./logging/eventLog.ts";
+import type { MembershipView } from "./membership/membershipView.ts";
+import { MemberState } from "./membership/memberState.ts";
+import type { RendezvousOwners } from "./membership/rendezvousOwners.ts";
+import { OrderDispatcher } from "./orders/orderDispatcher.ts";
+import { OrderPolicy } from "./orders/orderPolicy.ts";
+import type { PlatformStore } from "./platform/platformStore.ts";
+import type { RandomSource } from "./randomSource.ts";
+
+/** The parts of a node that orders need. */
+interface OrderParts {
+    nodeId: string;
+    store: PlatformStore;
+    clock: Clock;
+    random: RandomSource;
+    log: EventLog;
+    view: MembershipView;
+    owners: RendezvousOwners;
+    directory: EndpointDirectory;
+    getConfiguration(): Configuration;
+}
+
+const dutyKey = "orders";
+
+/**
+ * Creates the dispatcher of orders to engines; the first owner of the duty among the live nodes seeks the lease.
+ * @param parts - The parts of the node.
+ */
+export function createOrderDispatcher(parts: OrderParts): OrderDispatcher {
+    const { nodeId, store, clock, random, log, view, owners, directory, getConfiguration } = parts;
+    return OrderDispatcher.create({
+        nodeId,
+        store,
+        clock,
+        random,
+        log,
+        policy: OrderPolicy,
+        getConfiguration,
+        getEndpointStates: () => directory.getStates(),
+        sendOrder: (endpoint, order) => directory.getEngine(endpoint)?.sendOrder(order),
+        getStatus: endpoint => directory.getEngine(endpoint)?.getStatus(),
+        isDutyOwner: () => {
+            const nodeIds: string[] = [];
+            for (const member of view.getAliveMembers()) {
+                if (member.state === MemberState.Alive) {
+                    nodeIds.push(member.nodeId);
+                }
+            }
+            return owners.getOwners(dutyKey, nodeIds, 1)[0] === nodeId;
+        },
+    });
+}
--- a/src/process/foxleadNode.ts
+++ b/src/process/foxleadNode.ts
@@ -1,41 +1,33 @@
 import { CallerServer } from "../connection/caller/callerServer.ts";
 import { PeerConnections } from "../connection/peer/peerConnections.ts";
 import { PeerServer } from "../connection/peer/peerServer.ts";
-import { Admission } from "../request/admission/admission.ts";
-import { CustomerLimits } from "../request/admission/customerLimits.ts";
 import { RetryBudget } from "../request/admission/retryBudget.ts";
 import { EstimatedTimeChooser } from "../request/chain/estimatedTimeChooser.ts";
-import { GateCapacities } from "../request/gateCapacities.ts";
-import type { RequestEnvironment } from "../request/requestEnvironment.ts";
-import type { Configuration } from "../version/configuration.ts";
-import { ConfigurationFollower } from "../version/configurationFollower.ts";
 import type { ConfigurationVersion } from "../version/configurationVersion.ts";
-import { ConfigurationWatcher } from "../version/configurationWatcher.ts";
-import { CustomerIndex } from "../version/customerIndex.ts";
-import { restoreStoredConfiguration } from "../version/restoreStoredConfiguration.ts";
 import { AdminServer } from "./admin/adminServer.ts";
 import type { NodeStatus } from "./admin/nodeStatus.ts";
+import { AdmissionService } from "./admissionService.ts";
 import { ShardHash } from "./claims/shardHash.ts";
 import { ClaimService } from "./claimService.ts";
 import type { Clock } from "./clock.ts";
+import { ConfigurationService } from "./configurationService.ts";
 import { createNodeStatus } from "./createNodeStatus.ts";
+import { createOrderDispatcher } from "./createOrderDispatcher.ts";
 import { createPeerHandlers } from "./createPeerHandlers.ts";
 import { EndpointService } from "./endpointService.ts";
 import type { EventLog } from "./logging/eventLog.ts";
 import { events } from "./logging/events.ts";
 import { MembershipView } from "./membership/membershipView.ts";
-import { MemberState } from "./membership/memberState.ts";
 import { RendezvousOwners } from "./membership/rendezvousOwners.ts";
 import { MembershipService } from "./membershipService.ts";
 import { Metrics } from "./metrics/metrics.ts";
 import { NodeFigures } from "./nodeFigures.ts";
 import { NodeLifecycle } from "./nodeLifecycle.ts";
-import { OrderDispatcher } from "./orders/orderDispatcher.ts";
-import { OrderPolicy } from "./orders/orderPolicy.ts";
+import type { OrderDispatcher } from "./orders/orderDispatcher.ts";
 import { createCountingStore } from "./platform/createCountingStore.ts";
 import { createVmListReader } from "./platform/createVmListReader.ts";
 import { EtcdStore } from "./platform/etcdStore.ts";
-import type { PlatformStore, StoredValue } from "./platform/platformStore.ts";
+import type { PlatformStore } from "./platform/platformStore.ts";
 import type { RandomSource } from "./randomSource.ts";
 import type { NodeSettings } from "./settings/nodeSettings.ts";
 import { Tracing } from "./tracing/tracing.ts";
@@ -54,20 +46,7 @@
     shardHash: ShardHash;
 }
 
-const configurationCheckMilliseconds = 10_000;
 const peerTimeoutMilliseconds = 1_000;
-/** A burst above the even share of the endpoints' places that a node may take, since callers spread unevenly. */
-const capacityHeadroom = 1.5;
-const emptyConfiguration: Configuration = {
-    models: {},
-    services: {},
-    endpoints: {},
-    dataCentres: {},
-    links: [],
-    customers: {},
-    limits: { maximumBodyBytes: 0, maximumTokens: 0, maximumQueueMilliseconds: 0, maximumQueuedRequests: 0 },
-    claims: { shards: 1, windowMilliseconds: 1, appendIntervalMilliseconds: 1 },
-};
 
 /** One node: everything that lives as long as its process. */
 export class FoxleadNode {
@@ -79,26 +58,23 @@
     private readonly store: PlatformStore;
     private readonly view: MembershipView;
     private readonly peers: PeerConnections;
-    private readonly follower: ConfigurationFollower;
-    private readonly watcher: ConfigurationWatcher;
-    private readonly membership: MembershipService;
+    private readonly configurations: ConfigurationService;
     private readonly endpoints: EndpointService;
-    private readonly claims: ClaimService;
-    private readonly customerLimits: CustomerLimits;
-    private readonly capacities: GateCapacities;
-    private readonly admission: Admission;
     private readonly chooser: EstimatedTimeChooser;
+    private readonly claims: ClaimService;
+    private readonly admissions: AdmissionService;
     private readonly orders: OrderDispatcher;
     private readonly figures: NodeFigures;
+    private readonly membership: MembershipService;
     private readonly lifecycle: NodeLifecycle;
     private readonly callers: CallerServer;
     private readonly admin: AdminServer;
     private peerServer: PeerServer | undefined;
-    private customers: CustomerIndex | undefined;
 
     private constructor(options: FoxleadNodeOptions, hashes: Hashes) {
         const { settings, log, clock, random } = options;
         const { owners, shardHash } = hashes;
+        const { metrics } = this;
         const nodeId = settings.vm;
         this.options = options;
         this.tracing = Tracing.create({ ...settings.tracing, vm: nodeId });
@@ -107,7 +83,7 @@
             timeoutMilliseconds: settings.platform.timeoutMilliseconds,
         });
         this.store = createCountingStore(this.connectedStore, (call, outcome) => {
-            this.metrics.storeCallsTotal.inc({ call, outcome });
+            metrics.storeCallsTotal.inc({ call, outcome });
         });
         this.view = MembershipView.create({
             nodeId,
@@ -118,60 +94,37 @@
         this.peers = PeerConnections.create({
             secret: settings.peerSecret,
             timeoutMilliseconds: peerTimeoutMilliseconds,
-            tls: createPeerTls(settings),
+            tls: settings.tls.peers,
             log,
-            onCall: (call, outcome) => this.metrics.peerCallsTotal.inc({ call, outcome }),
-        });
-        this.follower = ConfigurationFollower.create({ onAccepted: version => this.putInForce(version) });
-        this.watcher = ConfigurationWatcher.create({
-            store: this.store,
-            follower: this.follower,
-            clock,
-            random,
-            eventLog: log,
-            checkIntervalMilliseconds: configurationCheckMilliseconds,
-            onStoreBehind: stored => void this.restoreStored(stored),
+            onCall: (call, outcome) => metrics.peerCallsTotal.inc({ call, outcome }),
         });
-        const { view, peers, metrics } = this;
-        const getConfiguration = () => this.getConfiguration();
-        this.endpoints = EndpointService.create({
-            nodeId,
+        const { view, peers, store } = this;
+        this.configurations = ConfigurationService.create({
+            store,
             clock,
             random,
             log,
-            metrics,
-            view,
-            owners,
-            getChooser: () => this.chooser,
-        });
-        this.chooser = EstimatedTimeChooser.create({
-            getConfiguration,
-            getEndpointState: endpoint => this.endpoints.directory.getState(endpoint),
-            clock,
-            random,
+            onAccepted: version => this.putInForce(version),
         });
-        this.claims = ClaimService.create({ nodeId, store: this.store, clock, log, view, owners, peers, shardHash });
-        this.customerLimits = CustomerLimits.create({
-            getConfiguration,
-            clock,
-            random,
-            getNodeCount: () => view.getAliveMembers().length,
-        });
-        this.capacities = GateCapacities.create({
-            clock,
-            getConfiguration,
-            getEndpointState: endpoint => this.endpoints.directory.getState(endpoint),
-            onGrown: gate => this.admission.admitWaiting(gate),
-        });
-        this.admission = Admission.create({
-            getConfiguration,
+        const getConfiguration = () => this.configurations.getConfiguration();
+        const getChooser = () => this.chooser;
+        this.endpoints = EndpointService.create({ nodeId, clock, random, log, metrics, view, owners, getChooser });
+        const { directory } = this.endpoints;
+        const getEndpointState = (endpoint: string) => directory.getState(endpoint);
+        const getNodeCount = () => Math.max(1, view.getAliveMembers().length);
+        this.chooser = EstimatedTimeChooser.create({ getConfiguration, getEndpointState, clock, random });
+        this.claims = ClaimService.create({ nodeId, store, clock, log, view, owners, peers, shardHash });
+        this.admissions = AdmissionService.create({ clock, random, getConfiguration, getEndpointState, getNodeCount });
+        const common = { nodeId, store, clock, random, log, view, owners, directory };
+        this.orders = createOrderDispatcher({ ...common, getConfiguration });
+        this.figures = NodeFigures.create({
             clock,
-            random,
-            customerLimits: this.customerLimits,
-            getConcurrencyLimit: gate => this.getConcurrencyLimit(gate),
+            metrics,
+            computeBound: () => this.chooser.computeBound(view.getAliveMembers().map(member => member.dataCentre)),
+            getNodeCount,
+            getQueueLength: () => this.admissions.admission.waitingCount,
+            getTokenCount: () => metrics.getTokenCount(),
         });
-        this.orders = this.createOrders(owners);
-        this.figures = this.createFigures();
         this.membership = this.createMembership(owners);
         this.lifecycle = this.createLifecycle();
         this.callers = this.createCallerServer();
@@ -197,26 +150,23 @@
      */
     async start(): Promise<void> {
         const { settings, log } = this.options;
+        const { gossiper, spreader } = this.membership;
         this.peerServer = await PeerServer.create({
             address: settings.peerListener,
             secret: settings.peerSecret,
-            tls: createPeerTls(settings),
+            tls: settings.tls.peers,
             log,
-            handlers: createPeerHandlers({
-                gossiper: this.membership.gossiper,
-                spreader: this.membership.spreader,
-                claims: this.claims,
-            }),
+            handlers: createPeerHandlers({ gossiper, spreader, claims: this.claims }),
         });
         const admin = await this.admin.listen();
         if (!admin.ok) {
             throw new Error(admin.val.message);
         }
         await this.callers.listen();
-        this.watcher.start();
+        this.configurations.watcher.start();
         this.membership.start();
         this.endpoints.start();
-        this.capacities.start();
+        this.admissions.capacities.start();
         this.figures.start();
         this.orders.start();
         log.write(events.nodeStarted, { caller: settings.callerListener, peer: settings.peerListener });
@@ -229,7 +179,7 @@
     async stop(deadline: Promise<void>): Promise<void> {
         const { log } = this.options;
         this.lifecycle.startDraining();
-        this.admission.startDraining();
+        this.admissions.admission.startDraining();
         log.write(events.nodeDraining, { requests: this.callers.getRequestsInProgress() });
         void this.membership.announceLeaving();
         const ordersStopped = this.orders.stop();
@@ -252,11 +202,11 @@
             view: this.view,
             directory: this.endpoints.directory,
             readiness: this.lifecycle.getReadiness(),
-            version: this.follower.getCurrent(),
-            storeSilentMilliseconds: getAge(now, this.watcher.getLastContact()),
+            version: this.configurations.follower.getCurrent(),
+            storeSilentMilliseconds: getAge(now, this.configurations.watcher.getLastContact()),
             peersSilentMilliseconds: getAge(now, this.membership.gossiper.getLastContact()),
             runningRequests: this.callers.getRequestsInProgress(),
-            queuedRequests: this.admission.waitingCount,
+            queuedRequests: this.admissions.admission.waitingCount,
             flowBoundTokensPerSecond: this.figures.getBound(),
             tokensPerSecond: this.figures.getTokensPerSecond(),
         });
@@ -265,9 +215,9 @@
     private async close(): Promise<void> {
         await this.callers.close();
         this.membership.stop();
-        this.watcher.stop();
+        this.configurations.watcher.stop();
         this.claims.close();
-        this.capacities.stop();
+        this.admissions.capacities.stop();
         this.figures.stop();
         await this.peerServer?.close();
         this.peers.close();
@@ -277,50 +227,16 @@
         await this.tracing.shutdown();
     }
 
-    private createOrders(owners: RendezvousOwners): OrderDispatcher {
-        const { clock, random, log, settings } = this.options;
-        const { view, store } = this;
-        const { directory } = this.endpoints;
-        return OrderDispatcher.create({
-            nodeId: settings.vm,
-            store,
-            clock,
-            random,
-            log,
-            policy: OrderPolicy,
-            getConfiguration: () => this.getConfiguration(),
-            getEndpointStates: () => directory.getStates(),
-            sendOrder: (endpoint, order) => directory.getEngine(endpoint)?.sendOrder(order),
-            getStatus: endpoint => directory.getEngine(endpoint)?.getStatus(),
-            isDutyOwner: () => {
-                const alive = view.getAliveMembers().filter(member => member.state === MemberState.Alive);
-                return owners.getOwners("orders", alive.map(member => member.nodeId), 1)[0] === settings.vm;
-            },
-        });
-    }
-
-    private createFigures(): NodeFigures {
-        return NodeFigures.create({
-            clock: this.options.clock,
-            metrics: this.metrics,
-            computeBound: () => {
-                return this.chooser.computeBound(this.view.getAliveMembers().map(member => member.dataCentre));
-            },
-            getNodeCount: () => Math.max(1, this.view.getAliveMembers().length),
-            getQueueLength: () => this.admission.waitingCount,
-            getTokenCount: () => this.metrics.getTokenCount(),
-        });
-    }
-
     private createMembership(owners: RendezvousOwners): MembershipService {
         const { settings, clock, random, log } = this.options;
         const { vmListAddress, timeoutMilliseconds } = settings.platform;
+        const { customerLimits } = this.admissions;
         return MembershipService.create({
             view: this.view,
             owners,
             peers: this.peers,
-            follower: this.follower,
-            watcher: this.watcher,
+            follower: this.configurations.follower,
+            watcher: this.configurations.watcher,
             listVms: createVmListReader({ address: vmListAddress, timeoutMilliseconds }),
             seedAddresses: settings.peers,
             clock,
@@ -329,8 +245,8 @@
             payloads: {
                 collectEndpointRecords: budgetBytes => this.endpoints.collectRecords(budgetBytes),
                 applyEndpointRecords: records => this.endpoints.applyRecords(records),
-                collectDemandRecords: () => this.customerLimits.getDemand(),
-                applyDemandRecords: (records, nodeId) => this.customerLimits.applyPeerDemand(nodeId, records),
+                collectDemandRecords: () => customerLimits.getDemand(),
+                applyDemandRecords: (records, nodeId) => customerLimits.applyPeerDemand(nodeId, records),
             },
             onVms: records => this.endpoints.directory.observeVms(records),
             onMembersChanged: () => {
@@ -343,8 +259,8 @@
     private createLifecycle(): NodeLifecycle {
         return NodeLifecycle.create({
             clock: this.options.clock,
-            hasConfiguration: () => this.follower.getCurrent() !== undefined,
-            getStoreContact: () => this.watcher.getLastContact(),
+            hasConfiguration: () => this.configurations.follower.getCurrent() !== undefined,
+            getStoreContact: () => this.configurations.watcher.getLastContact(),
             getPeerContact: () => this.membership.gossiper.getLastContact(),
             hasKnownPeers: () => this.view.getMembers().length > 1 || this.view.getSeedAddresses().length > 0,
         });
@@ -352,75 +268,36 @@
 
     private createCallerServer(): CallerServer {
         const { settings, clock, random, log } = this.options;
-        const environment: RequestEnvironment = {
-            dataCentre: settings.dataCentre,
-            clock,
-            random,
-            log,
-            metrics: this.metrics,
-            tracing: this.tracing,
-            admission: this.admission,
-            retryBudget: RetryBudget.create(clock.getMonotonicTime()),
-            chooser: this.chooser,
-            endpoints: this.endpoints.directory,
-            claims: this.claims,
-            getGateCapacity: gate => this.capacities.getCapacity(gate),
-        };
         return CallerServer.create({
             listener: settings.callerListener,
             tls: settings.tls.callers,
             limits: settings.limits,
-            environment,
-            getVersion: () => this.getVersion(),
+            environment: {
+                dataCentre: settings.dataCentre,
+                clock,
+                random,
+                log,
+                metrics: this.metrics,
+                tracing: this.tracing,
+                admission: this.admissions.admission,
+                retryBudget: RetryBudget.create(clock.getMonotonicTime()),
+                chooser: this.chooser,
+                endpoints: this.endpoints.directory,
+                claims: this.claims,
+                getGateCapacity: gate => this.admissions.capacities.getCapacity(gate),
+            },
+            getVersion: () => this.configurations.getVersion(),
             getRefusal: () => this.lifecycle.getRefusal(),
         });
     }
 
     private putInForce(version: ConfigurationVersion): void {
-        this.customers = CustomerIndex.create(version.configuration);
         this.endpoints.update(version.configuration);
         this.claims.configure(version.configuration.claims);
         this.view.setConfigurationVersion(version.version);
         this.metrics.configurationVersion.set(version.version);
         this.membership.spreader.announce(version.version);
     }
-
-    private async restoreStored(stored: StoredValue | undefined): Promise<void> {
-        const held = this.follower.getCurrent();
-        if (held === undefined) {
-            return;
-        }
-        const { clock, log } = this.options;
-        const options = { store: this.store, held, stored, wallTime: clock.getWallTime() };
-        const restored = await restoreStoredConfiguration(options);
-        if (restored.ok && restored.val.swapped) {
-            log.write(events.configurationRestored, { version: held.version });
-        }
-    }
-
-    private getVersion(): { version: ConfigurationVersion; customers: CustomerIndex; } | undefined {
-        const version = this.follower.getCurrent();
-        return version === undefined || this.customers === undefined
-            ? undefined
-            : { version, customers: this.customers };
-    }
-
-    private getConfiguration(): Configuration {
-        return this.follower.getCurrent()?.configuration ?? emptyConfiguration;
-    }
-
-    private getConcurrencyLimit(gate: string): number {
-        const capacity = this.capacities.getCapacity(gate);
-        const nodes = Math.max(1, this.view.getAliveMembers().length);
-        return Math.min(capacity, Math.ceil(capacity / nodes * capacityHeadroom));
-    }
-}
-
-function createPeerTls(
-    settings: NodeSettings,
-): { certificate: string; key: string; authority: string; } | undefined {
-    const { peers } = settings.tls;
-    return peers === undefined ? undefined : { ...peers, authority: peers.authority ?? "" };
 }
 
 function getAge(now: number, at: number | undefined): number | undefined {
--- a/src/process/settings/nodeSettings.ts
+++ b/src/process/settings/nodeSettings.ts
@@ -39,7 +39,7 @@
         /** Plain HTTP where undefined. */
         callers?: TlsSettings;
         /** Plain connections between the nodes where undefined. */
-        peers?: TlsSettings;
+        peers?: Required<TlsSettings>;
     };
     limits: {
         /** Most connections of callers at the same time. */
