--- a/src/version/decideApply.ts
+++ b/src/version/decideApply.ts
@@ -1,4 +1,5 @@
 import { isDeepStrictEqual } from "node:util";
+import { maximumValueBytes } from "../process/platform/maximumValueBytes.ts";
 import { Err, Ok, type Result } from "../result.ts";
 import type { ApplyError } from "./applyError.ts";
 import { ApplyErrorKind } from "./applyErrorKind.ts";
@@ -8,9 +9,6 @@
 
 const maximumEarlierEdits = 50;
 
-/** Largest value that the platform's store takes, in bytes. */
-const maximumValueBytes = 1_000_000;
-
 const claimsChangedMessage =
     "The text changes `claims`, and nodes would no longer see claims that still count. Nothing was "
     + "written. Keep the numbers that are in force.";
