--- a/scripts/runTests.ts
+++ b/scripts/runTests.ts
@@ -19,7 +19,9 @@
 if (files.length === 0) {
     throw new Error("There are no test files under tests/; restore them.");
 }
-await runAndCheck(files.filter(file => !filesWithKnownRed.has(file)), []);
+const filesWithoutKnownRed = files.filter(file => !filesWithKnownRed.has(file));
+await runAndCheck(filesWithoutKnownRed.filter(file => !startsProcesses(file)), []);
+await runAndCheck(filesWithoutKnownRed.filter(startsProcesses), []);
 for (const file of filesWithKnownRed) {
     await runAndCheck([file], knownRed.filter(test => test.file === file).map(createPattern));
 }
@@ -36,7 +38,8 @@
     if (paths.length === 0) {
         return;
     }
-    const { failed, skipped } = await runTestFiles(paths, { except });
+    const concurrency = paths.some(startsProcesses) ? 1 : undefined;
+    const { failed, skipped } = await runTestFiles(paths, { except, concurrency });
     if (failed.length > 0) {
         faults.push(`Failed: ${failed.join("; ")}.`);
     }
@@ -58,6 +61,11 @@
     }
 }
 
+/** Files that start a dozen processes each run one after another. */
+function startsProcesses(file: string): boolean {
+    return file.startsWith("tests/system/");
+}
+
 function createPattern(test: KnownRedTest): RegExp {
     return new RegExp(`^${test.fullName.replaceAll(/[$()*+.?[\\\]^{|}]/g, "\\$&")}$`);
 }
--- /dev/null
+++ b/scripts/soak.ts
@@ -0,0 +1,45 @@
+/**
+ * Proves the promises under failure, from outside: real processes, a steady load and seeded faults. Prints what was found
+ * and ends with 1 where a promise was broken.
+ *
+ * Usage: npm run soak -- [--seed N] [--minutes M] [--requests R] [--faults F] [--kinds KIND,KIND] [--built]
+ */
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import { runSoak } from "./soak/runSoak.ts";
+import { printSoakReport } from "./soak/soakReport.ts";
+
+const MillisecondsPerMinute = 60_000;
+
+process.chdir(new URL("..", import.meta.url).pathname);
+const parsed = yargs(hideBin(process.argv))
+    .option("seed", { type: "number", default: Date.now() % 1_000_000, describe: "Seed of load and faults." })
+    .option("minutes", { type: "number", default: 2, describe: "Longest time of load." })
+    .option("requests", { type: "number", describe: "The load ends after so many requests." })
+    .option("faults", { type: "number", describe: "The faults end after so many." })
+    .option("kinds", { type: "string", describe: "Faults to choose from, with commas between. Default: all." })
+    .option("nodes", { type: "number", default: 4, describe: "Nodes." })
+    .option("rate", { type: "number", default: 25, describe: "Requests a second." })
+    .option("built", { type: "boolean", default: false, describe: "Run the built executable, not the sources." })
+    .strict()
+    .parseSync();
+
+const startedAt = Date.now();
+const print = (line: string) => {
+    const seconds = ((Date.now() - startedAt) / 1_000).toFixed(1);
+    console.log(`${seconds.padStart(6)} ${line}`);
+};
+print(`Soak with seed ${parsed.seed}.`);
+const result = await runSoak({
+    seed: parsed.seed,
+    milliseconds: parsed.minutes * MillisecondsPerMinute,
+    maximumRequests: parsed.requests,
+    maximumFaults: parsed.faults,
+    isBuilt: parsed.built,
+    nodes: parsed.nodes,
+    requestsPerSecond: parsed.rate,
+    kinds: parsed.kinds?.split(","),
+    print,
+});
+printSoakReport(result, line => console.log(line));
+process.exitCode = result.violations.length === 0 ? 0 : 1;
--- /dev/null
+++ b/scripts/soak/faultContext.ts
@@ -0,0 +1,40 @@
+import type { LocalDeployment } from "../deployment/localDeployment.ts";
+import type { FaultTimeline } from "./faultTimeline.ts";
+import type { NodeFleet } from "./nodeFleet.ts";
+import type { NodeWatch } from "./nodeWatch.ts";
+import type { SeededRandom } from "./seededRandom.ts";
+import type { Violations } from "./violations.ts";
+
+/** What faults act on. */
+export interface FaultContext {
+    deployment: LocalDeployment;
+    fleet: NodeFleet;
+    watch: NodeWatch;
+    timeline: FaultTimeline;
+    violations: Violations;
+    random: SeededRandom;
+    /** Names of the engines and documents at which a fault is shown. */
+    taken: Set<string>;
+    /** Spans in which an engine was leaving and its record could be checked. */
+    leavingChecks: { checked: number; skipped: number; };
+}
+
+/** A fault that is ready to be shown at a target. */
+interface PreparedFault {
+    /** Name of the process, or `platform`. */
+    target: string;
+    /** Shows the fault. */
+    show(): Promise<void> | void;
+    /** Ends the fault; returns once all is as before. */
+    undo(): Promise<void>;
+}
+
+/** A kind of fault. */
+export interface FaultKind {
+    /** Chance against the other kinds. */
+    weight: number;
+    /** Shortest and longest time that it is shown, in milliseconds. */
+    holdMilliseconds: readonly [number, number];
+    /** Chooses a target; undefined where there is none now. */
+    prepare(context: FaultContext): PreparedFault | undefined;
+}
--- /dev/null
+++ b/scripts/soak/faultLoop.ts
@@ -0,0 +1,88 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import type { FaultContext, FaultKind } from "./faultContext.ts";
+import { documentFaultKinds } from "./faults/documentFaultKinds.ts";
+import { engineFaultKinds } from "./faults/engineFaultKinds.ts";
+import { leavingFaultKinds } from "./faults/leavingFaultKinds.ts";
+import { nodeFaultKinds } from "./faults/nodeFaultKinds.ts";
+import { platformFaultKinds } from "./faults/platformFaultKinds.ts";
+
+/** Options of a {@link FaultLoop}. */
+interface FaultLoopOptions {
+    context: FaultContext;
+    maximumFaults: number;
+    /** Names of the kinds to choose from; all where undefined. */
+    kinds?: readonly string[];
+    print(line: string): void;
+}
+
+const allKinds: Readonly<Record<string, FaultKind>> = {
+    ...engineFaultKinds,
+    ...leavingFaultKinds,
+    ...documentFaultKinds,
+    ...platformFaultKinds,
+    ...nodeFaultKinds,
+};
+const pairShare = 0.4;
+const quietMilliseconds = [200, 1_500] as const;
+const longestStaggerMilliseconds = 800;
+
+/** Shows seeded faults, one at a time or two together, and ends each after a time. */
+export class FaultLoop {
+    private readonly options: FaultLoopOptions;
+    private readonly kinds: readonly string[];
+    private count = 0;
+    private isStopped = false;
+
+    private constructor(options: FaultLoopOptions) {
+        this.options = options;
+        this.kinds = repeatByWeight(options.kinds ?? Object.keys(allKinds));
+    }
+
+    /** Creates a loop that does nothing before {@link FaultLoop.run}. */
+    static create(options: FaultLoopOptions): FaultLoop {
+        return new FaultLoop(options);
+    }
+
+    /** Shows faults until stopped or all are shown; none is left when it returns. */
+    async run(): Promise<void> {
+        const { random } = this.options.context;
+        while (!this.isStopped && this.count < this.options.maximumFaults) {
+            await sleep(random.chooseInteger(...quietMilliseconds));
+            const isPair = random.isHit(pairShare);
+            const shown = [this.show(0)];
+            if (isPair) {
+                shown.push(this.show(random.chooseInteger(0, longestStaggerMilliseconds)));
+            }
+            await Promise.all(shown);
+        }
+    }
+
+    /** Shows no further fault. */
+    stop(): void {
+        this.isStopped = true;
+    }
+
+    private async show(delayMilliseconds: number): Promise<void> {
+        const { context, print } = this.options;
+        const { random, timeline } = context;
+        const kind = random.choose(this.kinds)!;
+        const { holdMilliseconds, prepare } = allKinds[kind]!;
+        const hold = random.chooseInteger(...holdMilliseconds);
+        this.count += 1;
+        await sleep(delayMilliseconds);
+        const fault = prepare(context);
+        if (fault === undefined) {
+            return;
+        }
+        const entry = timeline.start(kind, fault.target);
+        print(`${kind} at ${fault.target} for ${hold} ms`);
+        await fault.show();
+        await sleep(hold);
+        await fault.undo();
+        timeline.end(entry);
+    }
+}
+
+function repeatByWeight(kinds: readonly string[]): string[] {
+    return kinds.flatMap(kind => new Array<string>(allKinds[kind]?.weight ?? 0).fill(kind));
+}
--- /dev/null
+++ b/scripts/soak/faults/nodeFaultKinds.ts
@@ -0,0 +1,41 @@
+import type { FaultContext, FaultKind } from "../faultContext.ts";
+import type { FleetNode } from "../nodeFleet.ts";
+
+/** Does something to one node. */
+type Act = (context: FaultContext, node: FleetNode) => Promise<void> | void;
+
+/** Faults of nodes, and the graceful stop of a rolling restart. */
+export const nodeFaultKinds: Readonly<Record<string, FaultKind>> = {
+    nodeKill: createKind(5, [0, 4_000], ({ fleet }, node) => fleet.kill(node), ({ fleet }) => fleet.start()),
+    nodeFreeze: createKind(5, [200, 9_000], freeze, thaw),
+    nodeGracefulStop: createKind(
+        6,
+        [0, 500],
+        ({ fleet }, node) => fleet.stopGracefully(node),
+        ({ fleet }) => fleet.start(),
+    ),
+};
+
+function freeze(_context: FaultContext, { node }: FleetNode): void {
+    node.process.signal("SIGSTOP");
+}
+
+function thaw(_context: FaultContext, fleetNode: FleetNode): void {
+    fleetNode.node.process.signal("SIGCONT");
+    fleetNode.isTaken = false;
+}
+
+function createKind(weight: number, holdMilliseconds: readonly [number, number], show: Act, undo: Act): FaultKind {
+    return {
+        weight,
+        holdMilliseconds,
+        prepare: context => {
+            const fleetNode = context.fleet.take(context.random);
+            return fleetNode && {
+                target: fleetNode.node.name,
+                show: () => show(context, fleetNode),
+                undo: async () => await undo(context, fleetNode),
+            };
+        },
+    };
+}
--- /dev/null
+++ b/scripts/soak/faults/platformFaultKinds.ts
@@ -0,0 +1,53 @@
+import type { FaultKind } from "../faultContext.ts";
+import { raceOperators } from "../operators.ts";
+
+const name = "platform";
+
+/** Faults of the platform's service, and operators who race each other over it. */
+export const platformFaultKinds: Readonly<Record<string, FaultKind>> = {
+    platformDown: createKind(4, [500, 7_000], { down: true }, { down: false }),
+    platformHang: createKind(3, [500, 5_000], { hang: true }, { hang: false }),
+    platformDelay: createKind(3, [500, 5_000], { delayMilliseconds: 300 }, { delayMilliseconds: 0 }),
+    platformLostAnswers: createKind(4, [500, 2_000], { loseAnswers: 5 }, { loseAnswers: 0 }),
+    platformSilentConnections: createKind(3, [500, 1_500], { silenceOpenConnections: true }, {}),
+    configurationRace: {
+        weight: 5,
+        holdMilliseconds: [0, 500],
+        prepare: context => {
+            let racing = Promise.resolve();
+            return {
+                target: name,
+                show: () => {
+                    racing = raceOperators(context.deployment, context.watch, context.random);
+                },
+                undo: () => racing,
+            };
+        },
+    },
+};
+
+function createKind(
+    weight: number,
+    holdMilliseconds: readonly [number, number],
+    faults: object,
+    undone: object,
+): FaultKind {
+    return {
+        weight,
+        holdMilliseconds,
+        prepare: ({ deployment, taken }) => {
+            if (taken.has(name)) {
+                return undefined;
+            }
+            taken.add(name);
+            return {
+                target: name,
+                show: () => deployment.setFaults(deployment.platform, faults),
+                undo: async () => {
+                    await deployment.setFaults(deployment.platform, undone);
+                    taken.delete(name);
+                },
+            };
+        },
+    };
+}
--- /dev/null
+++ b/scripts/soak/nodeFleet.ts
@@ -0,0 +1,157 @@
+import { request } from "undici";
+import type { DeployedNode, LocalDeployment } from "../deployment/localDeployment.ts";
+import type { FaultTimeline } from "./faultTimeline.ts";
+import type { SeededRandom } from "./seededRandom.ts";
+import type { Violations } from "./violations.ts";
+
+/** A node and what the soak has done to it. */
+export interface FleetNode {
+    node: DeployedNode;
+    /** Wall-clock time of its start, in milliseconds. */
+    startedAt: number;
+    /** Whether the balancer sends requests to it. */
+    isInRotation: boolean;
+    /** Whether a fault is being shown at it, or it is being stopped. */
+    isTaken: boolean;
+    /** Whether its end is meant. */
+    isEnding: boolean;
+    hasEnded: boolean;
+}
+
+const readinessMilliseconds = 200;
+const checkTimeoutMilliseconds = 400;
+/** Failed checks in a row after which the balancer leaves a node out. */
+const maximumFailures = 2;
+
+/** The nodes behind a balancer that follows /readyz, as the platform's does. */
+export class NodeFleet {
+    private readonly deployment: LocalDeployment;
+    private readonly timeline: FaultTimeline;
+    private readonly violations: Violations;
+    private readonly all: FleetNode[] = [];
+    private readonly failures = new Map<FleetNode, number>();
+    private timer: NodeJS.Timeout | undefined;
+
+    private constructor(deployment: LocalDeployment, timeline: FaultTimeline, violations: Violations) {
+        this.deployment = deployment;
+        this.timeline = timeline;
+        this.violations = violations;
+    }
+
+    /** Takes in the nodes of a deployment. */
+    static create(deployment: LocalDeployment, timeline: FaultTimeline, violations: Violations): NodeFleet {
+        const fleet = new NodeFleet(deployment, timeline, violations);
+        for (const node of deployment.nodes) {
+            fleet.add(node, true);
+        }
+        fleet.timer = setInterval(() => fleet.checkReadiness(), readinessMilliseconds);
+        return fleet;
+    }
+
+    /** Gets the nodes whose process lives. */
+    getLive(): readonly FleetNode[] {
+        return this.all.filter(({ hasEnded }) => !hasEnded);
+    }
+
+    /** Chooses a node as the balancer does; another than one that is named, where there is one. */
+    choose(random: SeededRandom, except?: string): DeployedNode {
+        const ready = this.getLive().filter(({ isInRotation, isEnding }) => isInRotation && !isEnding);
+        const others = ready.filter(({ node }) => node.name !== except);
+        const candidates = others.length > 0 ? others : this.getLive();
+        return (random.choose(candidates) ?? this.all.at(-1)!).node;
+    }
+
+    /** Chooses a node to show a fault at, leaving at least two without one; undefined where there are too few. */
+    take(random: SeededRandom): FleetNode | undefined {
+        const free = this.getLive().filter(({ isTaken, isInRotation }) => !isTaken && isInRotation);
+        const chosen = random.choose(free);
+        if (chosen === undefined || free.length <= 2) {
+            return undefined;
+        }
+        chosen.isTaken = true;
+        return chosen;
+    }
+
+    /** Starts one more node. */
+    async start(): Promise<void> {
+        const fault = this.timeline.start("nodeStart", "node");
+        const node = await this.deployment.startNode();
+        fault.target = node.name;
+        this.add(node, false);
+        this.timeline.end(fault);
+    }
+
+    /** Kills a node at once. */
+    async kill(fleetNode: FleetNode): Promise<void> {
+        fleetNode.isEnding = true;
+        fleetNode.node.process.signal("SIGKILL");
+        await fleetNode.node.process.exited;
+        await this.forget(fleetNode);
+    }
+
+    /** Asks a node to end while the balancer still sends to it, and checks its exit code. */
+    async stopGracefully(fleetNode: FleetNode): Promise<void> {
+        const from = Date.now();
+        const { node } = fleetNode;
+        fleetNode.isEnding = true;
+        const code = await node.process.stop(60_000);
+        if (code !== 0) {
+            const message = `Node ${node.name} ended with ${code} after a graceful stop.`;
+            this.violations.add({ kind: "gracefulStopFailed", message, from, to: Date.now(), names: [node.name] });
+        }
+        await this.forget(fleetNode);
+    }
+
+    /** Ends the checks of readiness. */
+    close(): void {
+        clearInterval(this.timer);
+    }
+
+    private async forget(fleetNode: FleetNode): Promise<void> {
+        fleetNode.hasEnded = true;
+        fleetNode.isInRotation = false;
+        await this.deployment.forgetNode(fleetNode.node);
+    }
+
+    private add(node: DeployedNode, isInRotation: boolean): void {
+        const fleetNode: FleetNode = {
+            node,
+            startedAt: Date.now(),
+            isInRotation,
+            isTaken: false,
+            isEnding: false,
+            hasEnded: false,
+        };
+        this.all.push(fleetNode);
+        void node.process.exited.then(code => {
+            fleetNode.hasEnded = true;
+            if (!fleetNode.isEnding) {
+                const now = Date.now();
+                const message = `Node ${node.name} ended by itself with ${code}.`;
+                this.violations.add({ kind: "nodeCrashed", message, from: now, to: now, names: [node.name] });
+            }
+        });
+    }
+
+    private checkReadiness(): void {
+        for (const fleetNode of this.getLive()) {
+            void this.isReady(fleetNode.node).then(isReady => {
+                const failures = isReady ? 0 : (this.failures.get(fleetNode) ?? 0) + 1;
+                this.failures.set(fleetNode, failures);
+                fleetNode.isInRotation = failures === 0 || (fleetNode.isInRotation && failures < maximumFailures);
+            });
+        }
+    }
+
+    private async isReady(node: DeployedNode): Promise<boolean> {
+        try {
+            const signal = AbortSignal.timeout(checkTimeoutMilliseconds);
+            const response = await request(`http://${node.adminAddress}/readyz`, { signal });
+            await response.body.dump();
+            return response.statusCode === 200;
+        }
+        catch {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/scripts/soak/nodeWatch.ts
@@ -0,0 +1,181 @@
+import { request } from "undici";
+import { NodeStatus } from "../../src/process/admin/nodeStatus.ts";
+import type { FaultTimeline } from "./faultTimeline.ts";
+import type { FleetNode, NodeFleet } from "./nodeFleet.ts";
+import type { Violations } from "./violations.ts";
+
+/** A configuration that the command line has reported as accepted. */
+interface AcceptedVersion {
+    version: number;
+    /** Wall-clock time in milliseconds. */
+    at: number;
+}
+
+/** What was read of one node. */
+interface NodeReading {
+    version: number;
+    /** When each version, or a higher one, was first seen; wall-clock times in milliseconds. */
+    firstSeen: Map<number, number>;
+    invariantFailures: number;
+}
+
+const pollMilliseconds = 200;
+const pollTimeoutMilliseconds = 1_000;
+/** Time in which an accepted version has to be in force, and a margin for the polling. */
+const inForceMilliseconds = 3_000;
+const marginMilliseconds = 500;
+/** Faults under which the store or the peers count as not reachable. */
+const platformFaults = ["platformDown", "platformHang", "platformDelay"];
+const nodeFaults = ["nodeKill", "nodeFreeze", "nodeGracefulStop"];
+
+/** Reads /status and /metrics of all nodes, and checks versions and the counter of failed invariants. */
+export class NodeWatch {
+    private readonly fleet: NodeFleet;
+    private readonly timeline: FaultTimeline;
+    private readonly violations: Violations;
+    private readonly readings = new Map<FleetNode, NodeReading>();
+    private readonly pending = new Set<FleetNode>();
+    private readonly accepted: AcceptedVersion[] = [];
+    private readonly timer: NodeJS.Timeout;
+    private checkedVersions = 0;
+    private highestSeen = 0;
+
+    private constructor(fleet: NodeFleet, timeline: FaultTimeline, violations: Violations) {
+        this.fleet = fleet;
+        this.timeline = timeline;
+        this.violations = violations;
+        this.timer = setInterval(() => this.poll(), pollMilliseconds);
+    }
+
+    /** Starts to read. */
+    static create(fleet: NodeFleet, timeline: FaultTimeline, violations: Violations): NodeWatch {
+        return new NodeWatch(fleet, timeline, violations);
+    }
+
+    /** Takes a version that was accepted just now, and checks in time that it is in force. */
+    noteAccepted(version: number): void {
+        const at = Date.now();
+        if (this.accepted.some(other => other.version === version)) {
+            const message = `Version ${version} was reported as accepted for two edits.`;
+            this.violations.add({ kind: "versionTwice", message, from: at, to: at });
+        }
+        this.accepted.push({ version, at });
+        setTimeout(() => this.checkInForce(version, at), inForceMilliseconds + marginMilliseconds).unref();
+    }
+
+    /** Highest version that any node has reported or the command line has accepted. */
+    getHighestVersion(): number {
+        return Math.max(this.highestSeen, ...this.accepted.map(({ version }) => version));
+    }
+
+    /** Versions accepted, and checks of one on one node that could be made. */
+    getCounts(): { accepted: number; checked: number; } {
+        return { accepted: this.accepted.length, checked: this.checkedVersions };
+    }
+
+    /** Checks that all live nodes hold the highest version; for the quiet end of a soak. */
+    checkEnd(): void {
+        const now = Date.now();
+        const highest = this.getHighestVersion();
+        for (const fleetNode of this.fleet.getLive()) {
+            const version = this.readings.get(fleetNode)?.version ?? 0;
+            if (version !== highest) {
+                const message = `Node ${fleetNode.node.name} holds version ${version} at the end, not ${highest}.`;
+                this.violations.add({ kind: "versionAtEnd", message, from: now - inForceMilliseconds, to: now });
+            }
+        }
+    }
+
+    /** Ends the reading. */
+    close(): void {
+        clearInterval(this.timer);
+    }
+
+    private poll(): void {
+        for (const fleetNode of this.fleet.getLive()) {
+            if (!this.pending.has(fleetNode)) {
+                this.pending.add(fleetNode);
+                void this.read(fleetNode).finally(() => this.pending.delete(fleetNode));
+            }
+        }
+    }
+
+    private async read(fleetNode: FleetNode): Promise<void> {
+        const { adminAddress } = fleetNode.node;
+        const status = await fetchText(adminAddress, "/status");
+        const metrics = await fetchText(adminAddress, "/metrics");
+        if (status === undefined || metrics === undefined) {
+            return;
+        }
+        const reading = this.readings.get(fleetNode) ?? { version: 0, firstSeen: new Map(), invariantFailures: 0 };
+        this.readings.set(fleetNode, reading);
+        this.takeVersion(fleetNode, reading, NodeStatus.schema.parse(JSON.parse(status)).configurationVersion);
+        this.takeInvariantFailures(fleetNode, reading, sumCounter(metrics, "foxlead_invariant_failures_total"));
+    }
+
+    private takeVersion(fleetNode: FleetNode, reading: NodeReading, version: number): void {
+        const now = Date.now();
+        if (version < reading.version) {
+            const message = `Node ${fleetNode.node.name} went back from version ${reading.version} to ${version}.`;
+            this.violations.add({ kind: "versionWentBack", message, from: now, to: now });
+        }
+        for (let seen = reading.version + 1; seen <= version; seen += 1) {
+            reading.firstSeen.set(seen, now);
+        }
+        reading.version = version;
+        this.highestSeen = Math.max(this.highestSeen, version);
+    }
+
+    private takeInvariantFailures(fleetNode: FleetNode, reading: NodeReading, failures: number): void {
+        if (failures > reading.invariantFailures) {
+            const now = Date.now();
+            const message = `Node ${fleetNode.node.name} counts ${failures} failed invariants.`;
+            const names = [fleetNode.node.name];
+            this.violations.add({ kind: "invariantFailed", message, from: now - 1_000, to: now, names });
+        }
+        reading.invariantFailures = failures;
+    }
+
+    private checkInForce(version: number, at: number): void {
+        const now = Date.now();
+        if (this.timeline.hasDuring(platformFaults, at - marginMilliseconds, now)) {
+            return;
+        }
+        for (const fleetNode of this.fleet.getLive()) {
+            const { name } = fleetNode.node;
+            const isDisturbed = this.timeline.hasDuring(nodeFaults, at - marginMilliseconds, now, name);
+            if (isDisturbed || fleetNode.startedAt > at - marginMilliseconds) {
+                continue;
+            }
+            this.checkedVersions += 1;
+            const reading = this.readings.get(fleetNode);
+            const seenAt = reading?.firstSeen.get(version) ?? Infinity;
+            if (seenAt - at > inForceMilliseconds + marginMilliseconds) {
+                const held = reading?.version ?? 0;
+                const message = `Node ${name} holds version ${held} ${now - at} ms after ${version} was accepted.`;
+                this.violations.add({ kind: "versionNotInForce", message, from: at, to: now });
+            }
+        }
+    }
+}
+
+async function fetchText(address: string, path: string): Promise<string | undefined> {
+    try {
+        const signal = AbortSignal.timeout(pollTimeoutMilliseconds);
+        const response = await request(`http://${address}${path}`, { signal });
+        return await response.body.text();
+    }
+    catch {
+        return undefined;
+    }
+}
+
+function sumCounter(metrics: string, name: string): number {
+    let sum = 0;
+    for (const line of metrics.split("\n")) {
+        if (line.startsWith(`${name}{`) || line.startsWith(`${name} `)) {
+            sum += Number(line.slice(line.lastIndexOf(" ") + 1));
+        }
+    }
+    return sum;
+}
--- /dev/null
+++ b/scripts/soak/requestPlan.ts
@@ -0,0 +1,81 @@
+import { v7 as createUuid } from "uuid";
+import type { SeededRandom } from "./seededRandom.ts";
+
+/** A request that the load sends. */
+export interface RequestPlan {
+    number: number;
+    kind: "chat" | "document";
+    service: string;
+    isStreamed: boolean;
+    prompt: string;
+    maximumTokens: number;
+    /** Undefined for a request that may be repeated. */
+    idempotencyKey: string | undefined;
+    /** Whether the caller sends the request twice at the same time. */
+    isDoubled: boolean;
+    /** Wait after which the caller sends the request again through another node, in milliseconds; 0 for not. */
+    repeatAfterMilliseconds: number;
+    /** Time after which the caller goes away, in milliseconds; 0 for not. */
+    leaveAfterMilliseconds: number;
+    /** Wait before each piece that the caller reads, in milliseconds. */
+    readDelayMilliseconds: number;
+}
+
+/** Shares of the requests by service; the last takes the rest. */
+const shares = { assistant: 0.5, letters: 0.18, receipts: 0.22 };
+const doubledShare = 0.12;
+const repeatedShare = 0.25;
+const leavingShare = 0.04;
+const slowShare = 0.04;
+const streamedShare = 0.7;
+const words = ["explain", "the", "payslip", "of", "march", "ward", "notes", "draft", "letter", "tariff", "appeal"];
+
+/**
+ * Plans one request.
+ * @param random - Makes the choices.
+ * @param number - Number of the request.
+ */
+export function createRequestPlan(random: SeededRandom, number: number): RequestPlan {
+    const service = chooseService(random);
+    const kind = service === "assistant" || service === "letters" ? "chat" : "document";
+    const isKeyed = service === "letters" || service === "receipts";
+    const isDoubled = random.isHit(doubledShare);
+    const isRepeated = random.isHit(repeatedShare);
+    const repeatAfterMilliseconds = random.chooseInteger(50, 3_000);
+    const isLeaving = random.isHit(leavingShare);
+    const leaveAfterMilliseconds = random.chooseInteger(1, 150);
+    const isSlow = random.isHit(slowShare);
+    return {
+        number,
+        kind,
+        service,
+        isStreamed: random.isHit(streamedShare),
+        prompt: createPrompt(random, number),
+        maximumTokens: random.chooseInteger(8, 40),
+        idempotencyKey: isKeyed ? createUuid() : undefined,
+        isDoubled: isKeyed && isDoubled,
+        repeatAfterMilliseconds: isKeyed && isRepeated ? repeatAfterMilliseconds : 0,
+        leaveAfterMilliseconds: isLeaving ? leaveAfterMilliseconds : 0,
+        readDelayMilliseconds: isSlow ? 20 : 0,
+    };
+}
+
+function chooseService(random: SeededRandom): string {
+    const drawn = random.chooseInteger(0, 999) / 1_000;
+    let bound = 0;
+    for (const [service, share] of Object.entries(shares)) {
+        bound += share;
+        if (drawn < bound) {
+            return service;
+        }
+    }
+    return "summaries";
+}
+
+function createPrompt(random: SeededRandom, number: number): string {
+    const chosen: string[] = [];
+    for (let count = random.chooseInteger(3, 30); count > 0; count -= 1) {
+        chosen.push(random.choose(words)!);
+    }
+    return `${chosen.join(" ")} ${number}`;
+}
--- /dev/null
+++ b/scripts/soak/sendPlanned.ts
@@ -0,0 +1,113 @@
+import { referenceAnswer } from "../../standins/engine/referenceModel.ts";
+import type { LocalDeployment } from "../deployment/localDeployment.ts";
+import { sendChat } from "../deployment/sendChat.ts";
+import { sendDocument } from "../deployment/sendDocument.ts";
+import type { RequestPlan } from "./requestPlan.ts";
+import type { SendRecord } from "./sendRecord.ts";
+
+/** A sending of a planned request. */
+interface PlannedSending {
+    deployment: LocalDeployment;
+    plan: RequestPlan;
+    node: string;
+    /** host:port of the node's caller listener. */
+    address: string;
+    /** Whether the caller goes away where the plan says so; it stays to hear a repeat. */
+    mayLeave: boolean;
+}
+
+/** What an answer told. */
+type Told = Omit<SendRecord, "plan" | "node" | "sentAt" | "endedAt">;
+
+/** A connection that was refused; no byte of the request left the caller. */
+const notConnectedCodes: ReadonlySet<string> = new Set(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT"]);
+
+/**
+ * Sends a planned request once and compares its answer with what it has to be.
+ * An answer that is whole and not the right one gets the outcome `wrong`.
+ */
+export async function sendPlanned(sending: PlannedSending): Promise<SendRecord> {
+    const { plan, node } = sending;
+    const sentAt = Date.now();
+    const controller = new AbortController();
+    const isLeaving = sending.mayLeave && plan.leaveAfterMilliseconds > 0;
+    const timer = isLeaving ? setTimeout(() => controller.abort(), plan.leaveAfterMilliseconds) : undefined;
+    const send = plan.kind === "chat" ? sendPlannedChat : sendPlannedDocument;
+    let told: Told;
+    try {
+        told = await send(sending, controller.signal);
+    }
+    catch (error) {
+        told = describeFailure(error);
+    }
+    clearTimeout(timer);
+    if (controller.signal.aborted && told.outcome === "cut") {
+        told.outcome = "left";
+    }
+    return { plan, node, sentAt, endedAt: Date.now(), ...told };
+}
+
+async function sendPlannedChat(sending: PlannedSending, signal: AbortSignal): Promise<Told> {
+    const { plan, deployment, address } = sending;
+    const { service, prompt, maximumTokens, isStreamed, idempotencyKey, readDelayMilliseconds } = plan;
+    const answer = await sendChat({
+        address,
+        apiKey: deployment.apiKey,
+        service,
+        prompt,
+        maximumTokens,
+        isStreamed,
+        idempotencyKey,
+        signal,
+        readDelayMilliseconds,
+    });
+    const { modelLayers } = deployment;
+    const expected = referenceAnswer({ modelLayers, prompt: `user: ${prompt}`, maximumTokens }).text;
+    const { outcome, errorCode, errorMessage, isReplayed, chain, longestGapMilliseconds } = answer;
+    const told = { outcome, errorCode, message: errorMessage, isReplayed, execution: 0, chain, longestGapMilliseconds };
+    const isRight = outcome === "finished" ? answer.text === expected : expected.startsWith(answer.text);
+    return isRight ? told : { ...told, outcome: "wrong", message: `got "${answer.text}" for "${expected}"` };
+}
+
+async function sendPlannedDocument(sending: PlannedSending, signal: AbortSignal): Promise<Told> {
+    const { plan, deployment, address } = sending;
+    const { service, idempotencyKey, number, prompt } = plan;
+    const path = `/soak/${number}`;
+    const answer = await sendDocument({
+        address,
+        apiKey: deployment.otherApiKey,
+        service,
+        path,
+        body: prompt,
+        idempotencyKey,
+        signal,
+    });
+    const { outcome, errorCode, errorMessage, isReplayed, execution } = answer;
+    const told = {
+        outcome,
+        errorCode,
+        message: errorMessage,
+        isReplayed,
+        execution,
+        chain: "",
+        longestGapMilliseconds: 0,
+    };
+    return outcome === "finished" && !answer.isRight
+        ? { ...told, outcome: "wrong", message: `status ${answer.status} or the answer to another call` }
+        : told;
+}
+
+function describeFailure(error: unknown): Told {
+    const { code, name, message } = error as { code?: string; name?: string; message?: string; };
+    const causeCode = (error as { cause?: { code?: string; }; }).cause?.code;
+    const isNotConnected = notConnectedCodes.has(code ?? "") || notConnectedCodes.has(causeCode ?? "");
+    return {
+        outcome: isNotConnected ? "notConnected" : "cut",
+        errorCode: code ?? name ?? "",
+        message: `no answer began: ${message ?? ""}`,
+        isReplayed: false,
+        execution: 0,
+        chain: "",
+        longestGapMilliseconds: 0,
+    };
+}
--- /dev/null
+++ b/scripts/soak/soakReport.ts
@@ -0,0 +1,120 @@
+import { build, type Histogram } from "hdr-histogram-js";
+import type { FaultTimeline } from "./faultTimeline.ts";
+import type { KeyCounts } from "./keyCheck.ts";
+import type { SendRecord } from "./sendRecord.ts";
+import type { Violation } from "./violations.ts";
+
+/** What a soak has found. */
+export interface SoakResult {
+    seed: number;
+    seconds: number;
+    requests: number;
+    records: readonly SendRecord[];
+    timeline: FaultTimeline;
+    keys: KeyCounts;
+    versions: { accepted: number; checked: number; };
+    leavingChecks: { checked: number; skipped: number; };
+    exitCodes: readonly (number | undefined)[];
+    violations: readonly Violation[];
+}
+
+/** Faults of engines after which a stage has to be replaced. */
+const engineFaults = ["engineKill", "engineFreeze", "engineSilentConnections", "engineResets", "engineFailures"];
+const highestGapMilliseconds = 120_000;
+const maximumFailuresShown = 15;
+
+/**
+ * Writes the result of a soak for people to read.
+ * @param result - What was found.
+ * @param print - Takes each line.
+ */
+export function printSoakReport(result: SoakResult, print: (line: string) => void): void {
+    const { seed, seconds, requests, records, timeline, keys, versions, leavingChecks, exitCodes, violations } = result;
+    print(`Seed ${seed}: ${requests} requests, sent ${records.length} times, in ${seconds.toFixed(0)} s of load.`);
+    print(`Faults: ${formatCounts(timeline.getCounts())}.`);
+    print(`Sendings by outcome: ${formatCounts(countOutcomes(records, timeline))}.`);
+    print(`Keys: ${formatCounts({ ...keys })}.`);
+    print(`Configurations: ${versions.accepted} accepted, ${versions.checked} checks of one on one node after 3 s.`);
+    print(`Leaving engines: ${leavingChecks.checked} checked, ${leavingChecks.skipped} too disturbed to check.`);
+    print(`Exit codes of the nodes at the end: ${exitCodes.join(", ")}.`);
+    printGaps(records, timeline, print);
+    printFailures(records, timeline, print);
+    print(`Violations: ${violations.length}. ${formatCounts(countKinds(violations))}`);
+    for (const { kind, message, faults, lines } of violations.filter(violation => violation.lines.length > 0)) {
+        print(`\n${kind}: ${message}\n  Faults: ${faults}`);
+        for (const line of lines) {
+            print(`  | ${line}`);
+        }
+    }
+}
+
+function countOutcomes(records: readonly SendRecord[], timeline: FaultTimeline): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const record of records) {
+        const name = getOutcomeName(record, timeline);
+        counts[name] = (counts[name] ?? 0) + 1;
+    }
+    return counts;
+}
+
+function getOutcomeName(record: SendRecord, timeline: FaultTimeline): string {
+    const { node, outcome, errorCode, sentAt, endedAt } = record;
+    if (outcome === "cut") {
+        return timeline.hasDuring(["nodeKill"], sentAt, endedAt, node) ? "cut/nodeKilled" : "cut/other";
+    }
+    return outcome === "notRun" || outcome === "failed" ? `${outcome}/${errorCode}` : outcome;
+}
+
+function countKinds(violations: readonly Violation[]): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const { kind } of violations) {
+        counts[kind] = (counts[kind] ?? 0) + 1;
+    }
+    return counts;
+}
+
+/** Longest gaps of whole streams; apart, those through a stage at which a fault was shown meanwhile. */
+function printGaps(records: readonly SendRecord[], timeline: FaultTimeline, print: (line: string) => void): void {
+    const all = createHistogram();
+    const recovered = createHistogram();
+    for (const { plan, outcome, sentAt, endedAt, chain, longestGapMilliseconds } of records) {
+        if (plan.kind !== "chat" || !plan.isStreamed || outcome !== "finished" || plan.readDelayMilliseconds > 0) {
+            continue;
+        }
+        all.recordValue(Math.round(longestGapMilliseconds));
+        const faults = timeline.getDuring(sentAt, endedAt);
+        if (faults.some(({ kind, target }) => engineFaults.includes(kind) && chain.includes(`${target}[`))) {
+            recovered.recordValue(Math.round(longestGapMilliseconds));
+        }
+    }
+    print(`Longest gap of a whole stream: ${formatHistogram(all)}.`);
+    print(`The same where a stage of its first chain had a fault: ${formatHistogram(recovered)}.`);
+}
+
+/** Answers that failed, and those that broke off at a node that was frozen: no violations, but worth a look. */
+function printFailures(records: readonly SendRecord[], timeline: FaultTimeline, print: (line: string) => void): void {
+    const shown = records.filter(record => {
+        return record.outcome === "failed" || getOutcomeName(record, timeline) === "cut/other";
+    });
+    for (const { plan, node, outcome, sentAt, endedAt, message } of shown.slice(0, maximumFailuresShown)) {
+        const faults = timeline.describe(sentAt, endedAt);
+        print(`${outcome}: request ${plan.number} (${plan.service}) at ${node}, ${endedAt - sentAt} ms: ${message}`);
+        print(`  Faults: ${faults}`);
+    }
+}
+
+function createHistogram(): Histogram {
+    return build({ highestTrackableValue: highestGapMilliseconds, numberOfSignificantValueDigits: 3 });
+}
+
+function formatHistogram(histogram: Histogram): string {
+    const median = histogram.getValueAtPercentile(50);
+    const percentile99 = histogram.getValueAtPercentile(99);
+    return `median ${median} ms, 99th percentile ${percentile99} ms, worst ${histogram.maxValue} ms, `
+        + `of ${histogram.totalCount}`;
+}
+
+function formatCounts(counts: Record<string, number>): string {
+    const entries = Object.entries(counts).sort(([left], [right]) => left < right ? -1 : 1);
+    return entries.map(([name, count]) => `${name} ${count}`).join(", ");
+}
--- /dev/null
+++ b/scripts/soak/takeStandin.ts
@@ -0,0 +1,42 @@
+import type { DeployedStandin } from "../deployment/localDeployment.ts";
+import type { FaultContext } from "./faultContext.ts";
+
+/**
+ * Chooses an engine to show a fault at, such that the engines without one still hold all layers.
+ * @param context - What faults act on.
+ */
+export function takeEngine(context: FaultContext): DeployedStandin | undefined {
+    const { deployment, taken, random } = context;
+    const candidates = deployment.engines.filter(({ name }) => !taken.has(name) && isCovered(context, name));
+    const chosen = random.choose(candidates);
+    if (chosen !== undefined) {
+        taken.add(chosen.name);
+    }
+    return chosen;
+}
+
+/** Chooses a document service to show a fault at, leaving one without. */
+export function takeDocument(context: FaultContext): DeployedStandin | undefined {
+    const { deployment, taken, random } = context;
+    const free = deployment.documents.filter(({ name }) => !taken.has(name));
+    const chosen = random.choose(free);
+    if (chosen === undefined || free.length < 2) {
+        return undefined;
+    }
+    taken.add(chosen.name);
+    return chosen;
+}
+
+function isCovered({ deployment, taken }: FaultContext, without: string): boolean {
+    const covered = new Set<number>();
+    for (const { name, layers } of deployment.getEngineSpecifications()) {
+        if (taken.has(name) || name === without) {
+            continue;
+        }
+        const [start, end] = layers.split("-").map(Number);
+        for (let layer = start!; layer < end!; layer += 1) {
+            covered.add(layer);
+        }
+    }
+    return covered.size === deployment.modelLayers;
+}
--- a/scripts/testing/runTestFiles.ts
+++ b/scripts/testing/runTestFiles.ts
@@ -4,7 +4,7 @@
 /** A test file that hangs fails after this time, in milliseconds. */
 const fileTimeout = 300_000;
 /** Files that run at the same time; few, so that a busy machine gives the same verdict. */
-const concurrency = 4;
+const defaultConcurrency = 4;
 
 /** How the runner marks suites that fail only because of a test in them; a suite's own hooks fail otherwise. */
 const parentFailure = "subtestsFailed";
@@ -14,6 +14,8 @@
     only?: RegExp[];
     /** Leaves out the tests whose full names match. */
     except?: RegExp[];
+    /** Files that run at the same time. */
+    concurrency?: number;
 }
 
 interface TestRunSummary {
@@ -33,7 +35,7 @@
     const summary: TestRunSummary = { passed: [], failed: [], skipped: [] };
     const events = run({
         files,
-        concurrency,
+        concurrency: options.concurrency ?? defaultConcurrency,
         timeout: fileTimeout,
         testNamePatterns: options.only,
         testSkipPatterns: options.except,
--- a/src/process/claimRouter.ts
+++ b/src/process/claimRouter.ts
@@ -25,7 +25,7 @@
 }
 
 const pauseMilliseconds = 20;
-const callTimeoutMilliseconds = 700;
+const callTimeoutMilliseconds = 1_200;
 const candidateCount = 3;
 
 /**
@@ -68,7 +68,8 @@
         const { clock, shards, giveUpMilliseconds } = this.options;
         const shard = this.options.getShardOfKey(claim.key, shards);
         const giveUpAt = clock.getMonotonicTime() + giveUpMilliseconds;
-        for (let attempt = 0; clock.getMonotonicTime() < giveUpAt; attempt += 1) {
+        // A process that was paused has passed the time to give up; it still asks once.
+        for (let attempt = 0; attempt === 0 || clock.getMonotonicTime() < giveUpAt; attempt += 1) {
             const candidates = this.getOwners(shard);
             const nodeId = candidates[attempt % candidates.length];
             const verdict = nodeId === undefined ? undefined : await this.claimAt(nodeId, shard, claim);
@@ -113,8 +114,8 @@
 const outcomes: ReadonlySet<string> = new Set(Object.values(ClaimOutcome));
 
 function toClaimVerdict(
-    verdict: { outcome: string; claimant: string; nodeId: string; },
+    verdict: { outcome: string; claimant: string; nodeId: string; isUnclaimed: boolean; },
 ): ClaimVerdict | undefined {
-    const { outcome, claimant, nodeId } = verdict;
-    return outcomes.has(outcome) ? { outcome: outcome as ClaimOutcome, claimant, nodeId } : undefined;
+    const { outcome, claimant, nodeId, isUnclaimed } = verdict;
+    return outcomes.has(outcome) ? { outcome: outcome as ClaimOutcome, claimant, nodeId, isUnclaimed } : undefined;
 }
--- a/src/process/claimService.ts
+++ b/src/process/claimService.ts
@@ -11,6 +11,7 @@
 import type { ShardHash } from "./claims/shardHash.ts";
 import type { Clock } from "./clock.ts";
 import { KeptAnswers } from "./keptAnswers.ts";
+import type { KeptState } from "./keptState.ts";
 import type { EventLog } from "./logging/eventLog.ts";
 import type { MembershipView } from "./membership/membershipView.ts";
 import type { RendezvousOwners } from "./membership/rendezvousOwners.ts";
@@ -37,7 +38,7 @@
 }
 
 const keptAnswerBytes = 64 * 1024 * 1024;
-const ownerGiveUpMilliseconds = 1_000;
+const ownerGiveUpMilliseconds = 900;
 const routerGiveUpMilliseconds = 2_500;
 
 /** At most once on one node: the claim owner for the shards it holds, and the gate for the requests it receives. */
@@ -70,7 +71,7 @@
 
     async claim(key: string, bodyHash: string, claimant: string): Promise<ClaimDecision> {
         if (this.parts === undefined) {
-            return { kind: "unavailable", message: "This node has no configuration yet. Send the request again." };
+            return { kind: "unavailable", isUnclaimed: false };
         }
         return await this.parts.gate.claim(key, bodyHash, claimant);
     }
@@ -87,9 +88,14 @@
         return await this.parts.owner.claim(shard, claims);
     }
 
-    /** Answers a peer that asks for a claimed request of this node. */
-    handOver(key: string, claimant: string): ClaimDecision {
-        return this.parts?.gate.handOver(key, claimant) ?? { kind: "unknown" };
+    /**
+     * Answers a peer that asks for a claimed request of this node; undefined where nothing is known.
+     * @param key - The key.
+     * @param claimant - First claimant of the key.
+     * @param nodeId - The peer.
+     */
+    handOver(key: string, claimant: string, nodeId: string): KeptState | undefined {
+        return this.parts?.gate.handOver(key, claimant, nodeId);
     }
 
     /** Forgets all shards. */
--- a/src/process/claims/claimShard.ts
+++ b/src/process/claims/claimShard.ts
@@ -50,6 +50,7 @@
         this.reading = RingReading.create(this.ring, slot => claimStoreKeys.getSlotKey(options.shard, slot));
         this.waiting = WaitingClaims.create({
             decide: (claim, wallTime) => this.decide(claim, wallTime),
+            isReady: () => this.isReady(),
             findPossible: key => this.uncertain.get(key) ?? this.sent?.claims.find(claim => claim.key === key),
         });
     }
--- a/src/process/claims/claimVerdict.ts
+++ b/src/process/claims/claimVerdict.ts
@@ -7,6 +7,8 @@
     claimant?: string;
     /** Node of the first claimant. */
     nodeId?: string;
+    /** With unavailable: the shard had been read up to its tail, and no claim of the key was in it. */
+    isUnclaimed?: boolean;
     /** What stood in the way and what to do about it, where the claim was not granted. */
     message?: string;
 }
--- a/src/process/claims/waitingClaims.ts
+++ b/src/process/claims/waitingClaims.ts
@@ -10,6 +10,8 @@
 export interface WaitingClaimsOptions {
     /** Decides a claim from what is known; undefined where it has to wait. */
     decide(claim: Claim, wallTime: number): ClaimVerdict | undefined;
+    /** Tells whether the shard has been read up to its tail. */
+    isReady(): boolean;
     /** Finds a claim on a key that may have taken effect, or may still do so. */
     findPossible(key: string): Claim | undefined;
 }
@@ -102,7 +104,8 @@
     private getRefusal(claim: Claim, message: string): ClaimVerdict {
         const possible = this.options.findPossible(claim.key);
         if (possible === undefined || possible.claimant === claim.claimant) {
-            return { outcome: ClaimOutcome.Unavailable, message };
+            const isUnclaimed = this.options.isReady();
+            return { outcome: ClaimOutcome.Unavailable, message, ...(isUnclaimed ? { isUnclaimed } : {}) };
         }
         return { outcome: ClaimOutcome.Taken, claimant: possible.claimant, nodeId: possible.nodeId, message };
     }
--- a/src/process/createPeerHandlers.ts
+++ b/src/process/createPeerHandlers.ts
@@ -1,6 +1,6 @@
 import type { PeerHandlers } from "../connection/peer/peerHandlers.ts";
-import type { ClaimDecision } from "../request/claimDecision.ts";
 import type { ClaimService } from "./claimService.ts";
+import type { KeptState } from "./keptState.ts";
 import type { ConfigurationSpreader } from "./membership/configurationSpreader.ts";
 import type { Gossiper } from "./membership/gossiper.ts";
 
@@ -11,15 +11,14 @@
     claims: ClaimService;
 }
 
-/** The kept-answer states of the peer protocol for each decision. */
-const keptStates: Readonly<Record<ClaimDecision["kind"], string>> = {
-    answered: "finished",
+/** The states of the peer protocol for what is kept. */
+const keptStates: Readonly<Record<KeptState["kind"], string>> = {
+    finished: "finished",
     running: "running",
     granted: "transferred",
-    unavailable: "not_run",
+    released: "released",
+    moved: "moved",
     unknown: "unknown",
-    badKey: "unknown",
-    bodyMismatch: "unknown",
 };
 
 /**
@@ -34,9 +33,13 @@
         getConfiguration: request => Promise.resolve(spreader.handleGet(request)),
         claim: async request => ({ verdicts: await claims.claimForPeer(request.shard, request.items) }),
         getKeptAnswer: request => {
-            const decision = claims.handOver(request.key, request.claimant);
-            const answer = decision.kind === "answered" ? decision.answer : {};
-            return Promise.resolve({ state: keptStates[decision.kind], ...answer });
+            const state = claims.handOver(request.key, request.claimant, request.fromNodeId);
+            if (state === undefined) {
+                return Promise.resolve({ state: "unknown" });
+            }
+            const answer = state.kind === "finished" ? state.answer : {};
+            const nodeId = state.kind === "moved" ? state.nodeId : "";
+            return Promise.resolve({ state: keptStates[state.kind], nodeId, ...answer });
         },
     };
 }
--- a/src/process/keptAnswers.ts
+++ b/src/process/keptAnswers.ts
@@ -1,16 +1,6 @@
 import { LRUCache } from "lru-cache";
-import type { KeptAnswer } from "../request/keptAnswer.ts";
 import type { Clock } from "./clock.ts";
-
-/** What this node knows of a claimed request that it received. */
-export type KeptState =
-    | { kind: "running"; claimant: string; }
-    | { kind: "finished"; claimant: string; answer: KeptAnswer; }
-    /** Claimed, but surely not run: the grant can be used by a repeat or given to another node, once. */
-    | { kind: "released"; claimant: string; }
-    /** Never claimed for sure, and surely not run: it will not run here. */
-    | { kind: "notRun"; claimant: string; }
-    | { kind: "unknown"; claimant: string; };
+import type { KeptState } from "./keptState.ts";
 
 /** Options of {@link KeptAnswers}. */
 interface KeptAnswersOptions {
@@ -21,7 +11,8 @@
     clock: Clock;
 }
 
-const entryBytes = 200;
+/** Estimated bytes of an entry besides its answer. */
+const entryBytes = 300;
 
 /** The claimed requests of this node and, for a time, their answers. The least recently used go first. */
 export class KeptAnswers {
@@ -48,29 +39,19 @@
         return this.running.get(key) ?? this.states.get(key);
     }
 
-    /** Notes that a claimed request runs here. */
-    setRunning(key: string, claimant: string): void {
-        this.states.delete(key);
-        this.running.set(key, { kind: "running", claimant });
-    }
-
-    /** Notes how a claimed request ended. */
-    setEnded(key: string, state: Exclude<KeptState, { kind: "running"; }>): void {
+    /** Notes what has become of a key. */
+    setState(key: string, state: KeptState): void {
+        if (state.kind === "running") {
+            this.states.delete(key);
+            this.running.set(key, state);
+            return;
+        }
         this.running.delete(key);
         this.states.set(key, state);
     }
 
-    /**
-     * Takes a released grant, so that no other can.
-     * @param key - The key.
-     * @returns The claimant under which the request may now run once; undefined where nothing is released.
-     */
-    takeReleased(key: string): string | undefined {
-        const state = this.getState(key);
-        if (state?.kind !== "released") {
-            return undefined;
-        }
+    /** Forgets a key, whose right the caller has taken. */
+    removeState(key: string): void {
         this.states.delete(key);
-        return state.claimant;
     }
 }
--- a/src/process/nodeClaimGate.ts
+++ b/src/process/nodeClaimGate.ts
@@ -2,13 +2,14 @@
 import type { PeerConnections } from "../connection/peer/peerConnections.ts";
 import type { ClaimDecision } from "../request/claimDecision.ts";
 import type { ClaimEnd, ClaimGate } from "../request/claimGate.ts";
-import { GetKeptAnswerRequestSchema } from "../wire/generated/foxlead/peer/v1/peer_pb.ts";
+import { GetKeptAnswerRequestSchema, type GetKeptAnswerResponse } from "../wire/generated/foxlead/peer/v1/peer_pb.ts";
 import type { ClaimRouter } from "./claimRouter.ts";
 import { checkClaimKey } from "./claims/checkClaimKey.ts";
 import { ClaimOutcome } from "./claims/claimOutcome.ts";
 import type { ClaimVerdict } from "./claims/claimVerdict.ts";
 import type { Clock } from "./clock.ts";
-import type { KeptAnswers, KeptState } from "./keptAnswers.ts";
+import type { KeptAnswers } from "./keptAnswers.ts";
+import type { KeptState } from "./keptState.ts";
 import type { MembershipView } from "./membership/membershipView.ts";
 
 /** Options of a {@link NodeClaimGate}. */
@@ -22,16 +23,30 @@
     windowMilliseconds: number;
 }
 
-const unusedKeyMessage = "The claim could not be recorded, so the request did not run. Send it again with a new key.";
+/** A claim on its way; its claimant changes where it goes on under a name that another request left. */
+interface ClaimRun {
+    key: string;
+    bodyHash: string;
+    claimant: string;
+    /** Whether the claimant has been granted the key. */
+    isGranted: boolean;
+}
+
+/** What a step of a claim came to: a decision, or to claim under the run's claimant. */
+type ClaimStep = ClaimDecision | { kind: "claim"; };
+
+/** Claims under changed claimants, and nodes asked for one claimant, before the claim is given up. */
+const maximumSteps = 4;
 
 /**
- * The claims of one node: asks the owner of the key's shard, and where the key is taken, the node that took it for its
- * kept answer. A grant that was not used, since no endpoint was there to run the request, passes on to a repeat.
+ * The claims of one node: asks the owner of the key's shard, and where the key is taken, the node that took it for its kept
+ * answer. A grant that was not used, since no endpoint was there to run the request, passes on to a repeat. A right to a
+ * claimant's name is held by one request on one node at any time, so that no two run under it.
  */
 export class NodeClaimGate implements ClaimGate {
     private readonly options: NodeClaimGateOptions;
-    /** Claimant of each key that is claimed or running here. */
-    private readonly claimants = new Map<string, string>();
+    /** Claims on their way and granted ones that run. */
+    private readonly runs = new Map<string, ClaimRun>();
 
     private constructor(options: NodeClaimGateOptions) {
         this.options = options;
@@ -43,126 +58,184 @@
     }
 
     async claim(key: string, bodyHash: string, claimant: string): Promise<ClaimDecision> {
-        const { clock, windowMilliseconds, router, nodeId } = this.options;
+        const { clock, windowMilliseconds } = this.options;
         const checked = checkClaimKey(key, clock.getWallTime(), windowMilliseconds);
         if (!checked.ok) {
             return { kind: "badKey", message: checked.val.message };
         }
-        if (this.claimants.has(key)) {
-            return { kind: "running" };
+        const earlier = this.runs.get(key);
+        if (earlier !== undefined) {
+            return { kind: earlier.bodyHash === bodyHash ? "running" : "bodyMismatch" };
         }
-        this.claimants.set(key, claimant);
-        const verdict = await router.claim({ key, bodyHash, claimant, nodeId });
-        const decision = await this.decide(key, claimant, bodyHash, verdict);
-        if (decision.kind !== "granted") {
-            this.claimants.delete(key);
+        const run: ClaimRun = { key, bodyHash, claimant, isGranted: false };
+        this.runs.set(key, run);
+        let decision: ClaimDecision = { kind: "unavailable", isUnclaimed: false };
+        try {
+            decision = await this.decide(run);
+        }
+        finally {
+            this.endClaim(run, decision);
         }
         return decision;
     }
 
     settle(key: string, end: ClaimEnd): void {
-        const claimant = this.claimants.get(key) ?? "";
-        this.claimants.delete(key);
-        this.options.kept.setEnded(key, toKeptState(end, claimant));
+        const run = this.runs.get(key);
+        if (run === undefined) {
+            return;
+        }
+        this.runs.delete(key);
+        const { claimant, bodyHash } = run;
+        const common = { claimant, bodyHash };
+        switch (end.kind) {
+            case "finished":
+                this.options.kept.setState(key, { ...common, kind: "finished", answer: end.answer });
+                return;
+            case "notRun":
+                this.options.kept.setState(key, { ...common, kind: "granted" });
+                return;
+            case "unknown":
+                this.options.kept.setState(key, { ...common, kind: "unknown" });
+                return;
+        }
     }
 
     /**
-     * Answers a peer that asks for a claimed request of this node.
+     * Answers a peer that asks for a claimed request of this node. What is given to the peer is no longer held here.
      * @param key - The key.
      * @param claimant - First claimant of the key, as the owner of the shard told.
+     * @param nodeId - The peer.
      */
-    handOver(key: string, claimant: string): ClaimDecision {
+    handOver(key: string, claimant: string, nodeId: string): KeptState | undefined {
         const state = this.options.kept.getState(key);
-        if (state === undefined || state.claimant !== claimant) {
-            return { kind: this.claimants.get(key) === claimant ? "running" : "unknown" };
+        if (state?.claimant !== claimant) {
+            const run = this.runs.get(key);
+            return run?.claimant === claimant ? { kind: "running", claimant, bodyHash: run.bodyHash } : undefined;
         }
-        return this.decideByState(key, state);
+        if (state.kind === "granted" || state.kind === "released") {
+            const { bodyHash } = state;
+            this.options.kept.setState(key, { kind: "moved", claimant, bodyHash, nodeId });
+        }
+        return state;
+    }
+
+    private async decide(run: ClaimRun): Promise<ClaimDecision> {
+        let step = this.takeLocal(run);
+        for (let steps = 0; step.kind === "claim" && steps < maximumSteps; steps += 1) {
+            step = await this.claimOnce(run);
+        }
+        return step.kind === "claim" ? { kind: "unavailable", isUnclaimed: false } : step;
     }
 
-    private async decide(
-        key: string,
-        claimant: string,
-        bodyHash: string,
-        verdict: ClaimVerdict,
-    ): Promise<ClaimDecision> {
-        const { kept, nodeId } = this.options;
+    /** Answers from what this node knows, before anyone is asked: it holds also while the store is down. */
+    private takeLocal(run: ClaimRun): ClaimStep {
+        const { kept } = this.options;
+        const state = kept.getState(run.key);
+        if (state === undefined || state.kind === "moved") {
+            return { kind: "claim" };
+        }
+        if (state.bodyHash !== run.bodyHash) {
+            return { kind: "bodyMismatch" };
+        }
+        if (state.kind !== "granted" && state.kind !== "released") {
+            return toDecision(state);
+        }
+        kept.removeState(run.key);
+        run.claimant = state.claimant;
+        run.isGranted = state.kind === "granted";
+        return run.isGranted ? { kind: "granted" } : { kind: "claim" };
+    }
+
+    private async claimOnce(run: ClaimRun): Promise<ClaimStep> {
+        const { router, nodeId } = this.options;
+        const { key, bodyHash, claimant } = run;
+        const verdict = await router.claim({ key, bodyHash, claimant, nodeId });
         switch (verdict.outcome) {
             case ClaimOutcome.Granted:
-                kept.setRunning(key, claimant);
+                run.isGranted = true;
                 return { kind: "granted" };
             case ClaimOutcome.BodyMismatch:
                 return { kind: "bodyMismatch" };
             case ClaimOutcome.TooOld:
                 return { kind: "badKey", message: verdict.message ?? "The idempotency key is too old. Use a new one." };
-            case ClaimOutcome.Taken: {
-                const first = { claimant: verdict.claimant ?? "", nodeId: verdict.nodeId ?? "" };
-                const decision = first.nodeId === nodeId
-                    ? this.handOver(key, first.claimant)
-                    : await this.askFirstNode(key, bodyHash, first);
-                if (decision.kind === "granted") {
-                    this.claimants.set(key, claimant);
-                    kept.setRunning(key, claimant);
-                }
-                return decision;
-            }
+            case ClaimOutcome.Taken:
+                return await this.followFirst(run, verdict);
             default:
-                kept.setEnded(key, { kind: "notRun", claimant });
-                return { kind: "unavailable", message: unusedKeyMessage };
+                return { kind: "unavailable", isUnclaimed: verdict.isUnclaimed === true };
         }
     }
 
-    private decideByState(key: string, state: KeptState): ClaimDecision {
-        switch (state.kind) {
-            case "running":
-                return { kind: "running" };
-            case "finished":
-                return { kind: "answered", answer: state.answer };
-            case "released":
-                return this.options.kept.takeReleased(key) === undefined ? { kind: "unknown" } : { kind: "granted" };
-            case "notRun":
-                return { kind: "unavailable", message: unusedKeyMessage };
-            case "unknown":
+    /** Asks the node of the first claimant what has become of it, and the node that it passed its right to. */
+    private async followFirst(run: ClaimRun, verdict: ClaimVerdict): Promise<ClaimStep> {
+        const first = verdict.claimant ?? "";
+        let nodeId = verdict.nodeId ?? "";
+        for (let steps = 0; steps < maximumSteps; steps += 1) {
+            if (nodeId === this.options.nodeId) {
                 return { kind: "unknown" };
+            }
+            const response = await this.askNode(nodeId, run, first);
+            if (response?.state !== "moved") {
+                return this.takeFromPeer(run, first, response);
+            }
+            nodeId = response.nodeId;
         }
+        return { kind: "unknown" };
     }
 
-    private async askFirstNode(
-        key: string,
-        bodyHash: string,
-        first: { claimant: string; nodeId: string; },
-    ): Promise<ClaimDecision> {
-        const address = this.options.view.getMember(first.nodeId)?.peerAddress;
+    private async askNode(nodeId: string, run: ClaimRun, claimant: string): Promise<GetKeptAnswerResponse | undefined> {
+        const address = this.options.view.getMember(nodeId)?.peerAddress;
         if (address === undefined) {
-            return { kind: "unknown" };
+            return undefined;
         }
-        const request = create(GetKeptAnswerRequestSchema, { key, bodyHash, claimant: first.claimant });
+        const { key, bodyHash } = run;
+        const fromNodeId = this.options.nodeId;
+        const request = create(GetKeptAnswerRequestSchema, { key, bodyHash, claimant, fromNodeId });
         const response = await this.options.peers.getKeptAnswer(address, request);
-        if (!response.ok) {
-            return { kind: "unknown" };
-        }
-        const { state, status, contentType, body } = response.val;
-        switch (state) {
-            case "finished":
+        return response.ok ? response.val : undefined;
+    }
+
+    private takeFromPeer(run: ClaimRun, first: string, response: GetKeptAnswerResponse | undefined): ClaimStep {
+        switch (response?.state) {
+            case "finished": {
+                const { status, contentType, body } = response;
                 return { kind: "answered", answer: { status, contentType, body: Buffer.from(body) } };
+            }
             case "running":
                 return { kind: "running" };
             case "transferred":
+                run.claimant = first;
+                run.isGranted = true;
                 return { kind: "granted" };
-            case "not_run":
-                return { kind: "unavailable", message: unusedKeyMessage };
+            case "released":
+                run.claimant = first;
+                return { kind: "claim" };
             default:
                 return { kind: "unknown" };
         }
     }
+
+    /** Keeps what a claim that does not run leaves behind: the right to its claimant's name. */
+    private endClaim(run: ClaimRun, decision: ClaimDecision): void {
+        const { key, claimant, bodyHash } = run;
+        const { kept } = this.options;
+        if (decision.kind === "granted") {
+            kept.setState(key, { kind: "running", claimant, bodyHash });
+            return;
+        }
+        this.runs.delete(key);
+        if (decision.kind === "unavailable") {
+            kept.setState(key, { kind: "released", claimant, bodyHash });
+        }
+    }
 }
 
-function toKeptState(end: ClaimEnd, claimant: string): Exclude<KeptState, { kind: "running"; }> {
-    switch (end.kind) {
+function toDecision(state: Exclude<KeptState, { kind: "granted" | "released" | "moved"; }>): ClaimDecision {
+    switch (state.kind) {
+        case "running":
+            return { kind: "running" };
         case "finished":
-            return { kind: "finished", claimant, answer: end.answer };
-        case "notRun":
-            return { kind: "released", claimant };
+            return { kind: "answered", answer: state.answer };
         case "unknown":
-            return { kind: "unknown", claimant };
+            return { kind: "unknown" };
     }
 }
--- a/src/request/claimDecision.ts
+++ b/src/request/claimDecision.ts
@@ -14,5 +14,5 @@
     | { kind: "bodyMismatch"; }
     /** The key is malformed, past its window, or from the future. */
     | { kind: "badKey"; message: string; }
-    /** The claim could not be made and has not been: the request is surely not run. */
-    | { kind: "unavailable"; message: string; };
+    /** The claim could not be made: this sending does not run. Where the key is unclaimed, no earlier one is known. */
+    | { kind: "unavailable"; isUnclaimed: boolean; };
--- a/src/request/claimRequest.ts
+++ b/src/request/claimRequest.ts
@@ -75,15 +75,26 @@
         case "badKey":
             return Err(RequestError.invalid(400, "bad_idempotency_key", decision.message));
         case "unavailable":
-            return Err(RequestError.notRun(context.permit, {
-                status: 503,
-                code: "claims_unavailable",
-                message: decision.message,
-                retryAfterMilliseconds: unavailableRetryMilliseconds,
-            }));
+            return Err(createUnavailableError(context, decision.isUnclaimed));
     }
 }
 
+function createUnavailableError(context: RequestContext, isUnclaimed: boolean): RequestError {
+    if (!isUnclaimed) {
+        const message =
+            "The claim of the idempotency key could not be checked, so this sending did not run; an earlier one "
+            + "with the key may have. Send it again with the same key.";
+        return RequestError.undecided(message, unavailableRetryMilliseconds);
+    }
+    return RequestError.notRun(context.permit, {
+        status: 503,
+        code: "claims_unavailable",
+        message: "The claim of the idempotency key could not be recorded, so the request did not run. "
+            + "Send it again with the same key.",
+        retryAfterMilliseconds: unavailableRetryMilliseconds,
+    });
+}
+
 function createMissingKeyError(): RequestError {
     const message = "The request may run only once. Send an Idempotency-Key header that holds a new UUID version 7.";
     return RequestError.invalid(400, "idempotency_key_missing", message);
--- a/src/request/document/handleDocument.ts
+++ b/src/request/document/handleDocument.ts
@@ -8,6 +8,7 @@
 import type { RequestContext } from "../requestContext.ts";
 import type { RequestEnvironment } from "../requestEnvironment.ts";
 import { RequestError } from "../requestError.ts";
+import { settleOnThrow } from "../settleOnThrow.ts";
 import { runDocumentCall } from "./runDocumentCall.ts";
 
 /** A caller's HTTP call to a document service. */
@@ -88,7 +89,9 @@
         return Ok.EMPTY;
     }
     const call = createCall(context, request, claim.val);
-    const answer = await runDocumentCall(environment, context, service, call);
+    const answer = await settleOnThrow(environment, claim.val, () => {
+        return runDocumentCall(environment, context, service, call);
+    });
     settleClaim(environment, claim.val, answer);
     if (!answer.ok) {
         return answer;
--- a/src/request/model/handleChat.ts
+++ b/src/request/model/handleChat.ts
@@ -10,6 +10,7 @@
 import type { RequestContext } from "../requestContext.ts";
 import type { RequestEnvironment } from "../requestEnvironment.ts";
 import { RequestError } from "../requestError.ts";
+import { settleOnThrow } from "../settleOnThrow.ts";
 import { ChatAnswer } from "./chatAnswer.ts";
 import { type ChatRequest, parseChatRequest } from "./chatRequest.ts";
 import { createGenerationObserver } from "./createGenerationObserver.ts";
@@ -113,7 +114,7 @@
         replay(run, claim.val.answer);
         return Ok.EMPTY;
     }
-    const outcome = await generate(run, ticket, claim.val);
+    const outcome = await settleOnThrow(run.environment, claim.val, () => generate(run, ticket, claim.val));
     settleClaim(run, claim.val, outcome);
     if (!outcome.ok) {
         return outcome;
--- a/src/request/outcome.ts
+++ b/src/request/outcome.ts
@@ -2,8 +2,10 @@
 export const Outcome = {
     /** The whole answer was given. */
     Finished: "finished",
-    /** Surely not run: the caller may ask again. */
+    /** This sending surely did not and will not run, and no earlier one with its key is known: the caller may ask again. */
     NotRun: "notRun",
+    /** This sending did not run; whether an earlier one with the same key did cannot be told now. */
+    Undecided: "undecided",
     /** Started; whether it took effect is not known; never repeated. */
     OutcomeUnknown: "outcomeUnknown",
     /** Started and failed. */
--- a/src/request/requestError.ts
+++ b/src/request/requestError.ts
@@ -51,6 +51,17 @@
         return new RequestError({ outcome: Outcome.Invalid, status, code, message, retryAfterMilliseconds: undefined });
     }
 
+    /** The claim of the key could not be made: this sending did not run, an earlier one with the same key may have. */
+    static undecided(message: string, retryAfterMilliseconds: number): RequestError {
+        return new RequestError({
+            outcome: Outcome.Undecided,
+            status: 503,
+            code: "claims_unavailable",
+            message,
+            retryAfterMilliseconds,
+        });
+    }
+
     /** The request was started and it is not known whether it took effect. */
     static outcomeUnknown(message: string): RequestError {
         return RequestError.create(Outcome.OutcomeUnknown, 502, "outcome_unknown", message);
--- /dev/null
+++ b/tests/system/askChat.ts
@@ -0,0 +1,45 @@
+import assert from "node:assert/strict";
+import type { DeployedNode, LocalDeployment } from "../../scripts/deployment/localDeployment.ts";
+import { type ChatOutcome, sendChat } from "../../scripts/deployment/sendChat.ts";
+import { referenceAnswer } from "../../standins/engine/referenceModel.ts";
+
+/** A chat request of a test. */
+interface TestChat {
+    deployment: LocalDeployment;
+    node: DeployedNode;
+    prompt: string;
+    maximumTokens?: number;
+    /** Called once, when so many bytes of the answer have come. */
+    onMiddle?(soFar: ChatOutcome): void;
+}
+
+const middleCharacters = 40;
+
+/** Sends a streamed chat request, and checks that the answer is whole and the right one. */
+export async function askChat(chat: TestChat): Promise<ChatOutcome> {
+    const { deployment, node, prompt, maximumTokens = 60 } = chat;
+    let isPastMiddle = false;
+    const answer = await sendChat({
+        address: node.callerAddress,
+        apiKey: deployment.apiKey,
+        service: "assistant",
+        prompt,
+        maximumTokens,
+        isStreamed: true,
+        onPiece: soFar => {
+            if (!isPastMiddle && soFar.text.length > middleCharacters) {
+                isPastMiddle = true;
+                chat.onMiddle?.(soFar);
+            }
+        },
+    });
+    const { modelLayers } = deployment;
+    const expected = referenceAnswer({ modelLayers, prompt: `user: ${prompt}`, maximumTokens });
+    assert.equal(answer.outcome, "finished", answer.errorMessage);
+    assert.equal(answer.text, expected.text);
+    assert.ok(
+        chat.onMiddle === undefined || isPastMiddle,
+        "The answer was too short to be disturbed; change the prompt.",
+    );
+    return answer;
+}
--- /dev/null
+++ b/tests/system/readExecutions.ts
@@ -0,0 +1,13 @@
+import { request } from "undici";
+import type { LocalDeployment } from "../../scripts/deployment/localDeployment.ts";
+
+/** Counts how often the document services have executed a key, together. */
+export async function readExecutions(deployment: LocalDeployment, key: string): Promise<number> {
+    let executions = 0;
+    for (const { address } of deployment.documents) {
+        const response = await request(`http://${address}/standin/record`);
+        const record = await response.body.json() as { executions: Record<string, number>; };
+        executions += record.executions[key] ?? 0;
+    }
+    return executions;
+}
