Withstand bad input and slow callers

Also: errors of a standing connection counted as never sent; a time-out above 2^31 fired at once; idle connections closed 5 s after an answer, against the balancer.

--- a/src/connection/caller/answerWriter.ts
+++ b/src/connection/caller/answerWriter.ts
@@ -5,7 +5,7 @@
 import { drainBody } from "./drainBody.ts";
 import { hasUnreadBody } from "./hasUnreadBody.ts";
 
-const MillisecondsPerSecond = 1000;
+const millisecondsPerSecond = 1000;
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 /**
@@ -196,7 +196,7 @@
     }
     const milliseconds = Math.ceil(error.retryAfterMilliseconds);
     return {
-        "retry-after": String(Math.max(1, Math.ceil(milliseconds / MillisecondsPerSecond))),
+        "retry-after": String(Math.max(1, Math.ceil(milliseconds / millisecondsPerSecond))),
         "retry-after-ms": String(milliseconds),
     };
 }
--- a/src/connection/caller/callerConnections.ts
+++ b/src/connection/caller/callerConnections.ts
@@ -18,7 +18,7 @@
 }
 
 /** How long a caller may take to read the last error of its connection, in milliseconds. */
-const LingerMilliseconds = 500;
+const lingerMilliseconds = 500;
 
 /**
  * The requests of each open connection, so that all of them end when the caller goes away, also those whose answers wait
@@ -106,6 +106,6 @@
         `content-length: ${Buffer.byteLength(body)}`,
     ];
     socket.end(`${head.join("\r\n")}\r\n\r\n${body}`);
-    const timer = setTimeout(() => socket.destroy(), LingerMilliseconds);
+    const timer = setTimeout(() => socket.destroy(), lingerMilliseconds);
     socket.once("close", () => clearTimeout(timer));
 }
--- a/src/connection/caller/callerServer.ts
+++ b/src/connection/caller/callerServer.ts
@@ -1,21 +1,21 @@
 import findMyWay from "find-my-way";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { InvariantError } from "../../process/invariantError.ts";
-import { events } from "../../process/logging/events.ts";
 import { parseAddress } from "../../process/settings/parseAddress.ts";
 import { handleDocument } from "../../request/document/handleDocument.ts";
 import { handleChat } from "../../request/model/handleChat.ts";
 import { Outcome } from "../../request/outcome.ts";
 import type { RequestContext } from "../../request/requestContext.ts";
 import { RequestError } from "../../request/requestError.ts";
-import { Err, Ok, type Result } from "../../result.ts";
+import { Err, type Result } from "../../result.ts";
+import { answerModels } from "./answerModels.ts";
 import { AnswerWriter } from "./answerWriter.ts";
 import { CallerConnections } from "./callerConnections.ts";
 import type { CallerServerOptions } from "./callerServerOptions.ts";
 import { createForwardedHeaders } from "./createForwardedHeaders.ts";
 import { createHttpServer } from "./createHttpServer.ts";
 import { createRequestContext } from "./createRequestContext.ts";
+import { describeCrash } from "./describeCrash.ts";
 import { getServicePath } from "./getServicePath.ts";
 import { readBody } from "./readBody.ts";
 import { RunningRequests } from "./runningRequests.ts";
@@ -23,7 +23,7 @@
 /** Answers one kind of request, or returns the error to answer. */
 type Handler = (context: RequestContext, body: Buffer, writer: AnswerWriter) => Promise<Result<void, RequestError>>;
 
-const MillisecondsPerSecond = 1_000;
+const millisecondsPerSecond = 1_000;
 const allMethods = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"] as const;
 
 /** The listener for callers: routes, identifies the customer, reads the body, and answers each request exactly once. */
@@ -76,7 +76,7 @@
     async close(): Promise<void> {
         const closed = new Promise<void>(resolve => void this.server.close(() => resolve()));
         this.server.closeIdleConnections();
-        const timer = setTimeout(() => this.server.closeAllConnections(), MillisecondsPerSecond);
+        const timer = setTimeout(() => this.server.closeAllConnections(), millisecondsPerSecond);
         await closed;
         clearTimeout(timer);
     }
@@ -158,7 +158,7 @@
             writer.assertFinalAnswer();
         }
         catch (crash) {
-            this.describeCrash("", crash);
+            describeCrash(this.options.environment, "", crash);
             writer.cutOff();
             return Outcome.Failed;
         }
@@ -171,7 +171,7 @@
         metrics.requestsTotal.inc({ service: label, outcome });
         metrics.requestSeconds.observe(
             { service: label },
-            (clock.getMonotonicTime() - arrivedAt) / MillisecondsPerSecond,
+            (clock.getMonotonicTime() - arrivedAt) / millisecondsPerSecond,
         );
     }
 
@@ -201,34 +201,11 @@
             return body.ok ? await handler(context.val, body.val, writer) : body;
         }
         catch (error) {
-            return Err(this.describeCrash(context.val.id, error));
+            return Err(describeCrash(environment, context.val.id, error));
         }
         finally {
             span.end();
             environment.metrics.queueDepth.set(environment.admission.waitingCount);
         }
     }
-
-    private describeCrash(request: string, error: unknown): RequestError {
-        const { log, metrics } = this.options.environment;
-        const message = error instanceof Error ? error.message : String(error);
-        if (error instanceof InvariantError) {
-            metrics.invariantFailuresTotal.inc({ name: error.invariant });
-            log.write(events.invariantBroken, { request, invariant: error.invariant, message });
-            return RequestError.failed(`The check ${error.invariant} failed: ${message}`);
-        }
-        log.write(events.requestCrashed, { request, message });
-        return RequestError.failed("The request ended by an unexpected error. Ask the operators for event FL1703.");
-    }
-}
-
-function answerModels(context: RequestContext, writer: AnswerWriter): Promise<Result<void, RequestError>> {
-    const data: object[] = [];
-    for (const [id, service] of Object.entries(context.version.configuration.services)) {
-        if (service.kind === "model") {
-            data.push({ id, object: "model", owned_by: "foxlead" });
-        }
-    }
-    writer.sendWhole(200, "application/json", JSON.stringify({ object: "list", data }));
-    return Promise.resolve(Ok.EMPTY);
 }
--- a/src/connection/caller/createErrorBody.ts
+++ b/src/connection/caller/createErrorBody.ts
@@ -11,14 +11,14 @@
     };
 }
 
-const FirstServerErrorStatus = 500;
+const firstServerErrorStatus = 500;
 
 /**
  * Turns an error into the body that callers get.
  * @param error - The final answer.
  */
 export function createErrorBody(error: RequestError): ErrorBody {
-    const type = error.status < FirstServerErrorStatus ? "invalid_request_error" : "server_error";
+    const type = error.status < firstServerErrorStatus ? "invalid_request_error" : "server_error";
     return {
         error: {
             message: error.message,
--- a/src/connection/caller/createHttpServer.ts
+++ b/src/connection/caller/createHttpServer.ts
@@ -2,10 +2,15 @@
 import { createServer as createTlsServer } from "node:https";
 import type { CallerServerOptions } from "./callerServerOptions.ts";
 
-const MaximumHeaderBytes = 32 * 1024;
+const maximumHeaderBytes = 32 * 1024;
 /** Node.js looks for requests that are late at this interval, so that none is late for much longer. */
-const MaximumCheckMilliseconds = 1_000;
-const ChecksOfTimeout = 4;
+const maximumCheckMilliseconds = 1_000;
+const checksOfTimeout = 4;
+/**
+ * Idle connections outlive those of common balancers (60 s), so that the balancer closes them first: a request that meets a
+ * connection that closes here is reset.
+ */
+const keepAliveMilliseconds = 75_000;
 
 /**
  * Creates the HTTP server of the callers, with all its limits.
@@ -20,10 +25,11 @@
     const { bodyTimeoutMilliseconds, maximumConnections } = limits;
     const headersTimeout = Math.min(limits.headerTimeoutMilliseconds, bodyTimeoutMilliseconds);
     const serverOptions = {
-        maxHeaderSize: MaximumHeaderBytes,
+        maxHeaderSize: maximumHeaderBytes,
         headersTimeout,
         requestTimeout: bodyTimeoutMilliseconds,
-        connectionsCheckingInterval: Math.min(MaximumCheckMilliseconds, Math.ceil(headersTimeout / ChecksOfTimeout)),
+        keepAliveTimeout: keepAliveMilliseconds,
+        connectionsCheckingInterval: Math.min(maximumCheckMilliseconds, Math.ceil(headersTimeout / checksOfTimeout)),
     };
     const server = tls === undefined
         ? createServer(serverOptions, onRequest)
--- a/src/connection/caller/createRequestContext.ts
+++ b/src/connection/caller/createRequestContext.ts
@@ -7,7 +7,7 @@
 import { Err, Ok, type Result } from "../../result.ts";
 import type { CallerServerOptions } from "./callerServerOptions.ts";
 
-const NotReadyRetryMilliseconds = 1_000;
+const notReadyRetryMilliseconds = 1_000;
 
 /**
  * Takes a request in: refuses it where the node takes none, and finds its customer and what its headers say.
@@ -55,7 +55,7 @@
 
 function createNotReadyRefusal(): { code: string; message: string; retryAfterMilliseconds: number; } {
     const message = "This node has no configuration yet. Ask again soon, or another node.";
-    return { code: "not_ready", message, retryAfterMilliseconds: NotReadyRetryMilliseconds };
+    return { code: "not_ready", message, retryAfterMilliseconds: notReadyRetryMilliseconds };
 }
 
 function getApiKey(request: IncomingMessage): string {
--- a/src/connection/caller/drainBody.ts
+++ b/src/connection/caller/drainBody.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from "node:http";
 
-const MaximumDrainedBytes = 4 * 1024 * 1024;
-const MaximumDrainMilliseconds = 1_000;
+const maximumDrainedBytes = 4 * 1024 * 1024;
+const maximumDrainMilliseconds = 1_000;
 
 /**
  * Reads and drops the rest of a refused request's body, for a bounded time and number of bytes. A connection that is
@@ -19,11 +19,11 @@
         };
         const count = (chunk: Buffer) => {
             length += chunk.length;
-            if (length > MaximumDrainedBytes) {
+            if (length > maximumDrainedBytes) {
                 finish();
             }
         };
-        const timer = setTimeout(finish, MaximumDrainMilliseconds);
+        const timer = setTimeout(finish, maximumDrainMilliseconds);
         request.once("end", finish);
         request.once("close", finish);
         request.on("error", () => undefined);
--- a/src/connection/document/documentConnection.ts
+++ b/src/connection/document/documentConnection.ts
@@ -14,11 +14,14 @@
 }
 
 /** Answers above this are not passed on: they could not be kept whole. */
-const MaximumAnswerBytes = 16 * 1024 * 1024;
-const ConnectTimeoutMilliseconds = 500;
+const maximumAnswerBytes = 16 * 1024 * 1024;
+const connectTimeoutMilliseconds = 500;
 /** Idle connections are retired soon, since one that has gone silent cannot be told from a good one. */
-const KeepAliveMilliseconds = 4_000;
-const TooManyRequestsStatus = 429;
+const keepAliveMilliseconds = 4_000;
+const tooManyRequestsStatus = 429;
+/** What is read of a refusal's body, so that its connection can be used again. */
+const refusalRestBytes = 64 * 1024;
+const refusalRestMilliseconds = 1_000;
 
 /** The connections of this node to one endpoint of a document service. */
 export class DocumentConnection {
@@ -64,7 +67,7 @@
                 socket.destroy();
                 resolve(isAnswering);
             };
-            socket.setTimeout(ConnectTimeoutMilliseconds, () => settle(false));
+            socket.setTimeout(connectTimeoutMilliseconds, () => settle(false));
             socket.once("connect", () => settle(true));
             socket.once("error", () => settle(false));
         });
@@ -96,14 +99,15 @@
             body: call.body.length === 0 ? undefined : call.body,
             signal,
         });
-        if (response.statusCode === TooManyRequestsStatus) {
+        if (response.statusCode === tooManyRequestsStatus) {
             // Not waited for: the status says all, and the rest may not come.
-            void response.body.dump().catch(() => undefined);
+            const signalOfRest = AbortSignal.timeout(refusalRestMilliseconds);
+            void response.body.dump({ limit: refusalRestBytes, signal: signalOfRest }).catch(() => undefined);
             return Err(this.createFailure("refused", "it is too busy"));
         }
         const body = await readAnswerBody(response.body);
         if (body === undefined) {
-            return Err(this.createFailure("unknown", `its answer is larger than ${MaximumAnswerBytes} bytes`));
+            return Err(this.createFailure("unknown", `its answer is larger than ${maximumAnswerBytes} bytes`));
         }
         const contentType = response.headers["content-type"];
         return Ok({
@@ -121,9 +125,9 @@
 
 function createAgent(): Agent {
     return new Agent({
-        connectTimeout: ConnectTimeoutMilliseconds,
-        keepAliveTimeout: KeepAliveMilliseconds,
-        keepAliveMaxTimeout: KeepAliveMilliseconds,
+        connectTimeout: connectTimeoutMilliseconds,
+        keepAliveTimeout: keepAliveMilliseconds,
+        keepAliveMaxTimeout: keepAliveMilliseconds,
         headersTimeout: 0,
         bodyTimeout: 0,
         pipelining: 1,
@@ -135,7 +139,7 @@
     let length = 0;
     for await (const chunk of stream) {
         length += chunk.length;
-        if (length > MaximumAnswerBytes) {
+        if (length > maximumAnswerBytes) {
             return undefined;
         }
         chunks.push(chunk);
--- a/src/version/configurationSchema.ts
+++ b/src/version/configurationSchema.ts
@@ -28,7 +28,7 @@
         kind: z.literal("document"),
         endpoints: z.array(name).min(1),
         idempotent: z.boolean().default(false),
-        timeoutMilliseconds: count.default(30_000),
+        timeoutMilliseconds: count.max(3_600_000).default(30_000),
     }),
 ]);
 
--- /dev/null
+++ b/tests/connection/caller/nodeFixture.ts
@@ -0,0 +1,193 @@
+import assert from "node:assert/strict";
+import { createHash } from "node:crypto";
+import { request } from "undici";
+import { v7 as createUuid } from "uuid";
+import { findFreePorts } from "../../../scripts/deployment/findFreePorts.ts";
+import { FoxleadNode } from "../../../src/process/foxleadNode.ts";
+import { EtcdStore } from "../../../src/process/platform/etcdStore.ts";
+import { parseSettings } from "../../../src/process/settings/parseSettings.ts";
+import { systemClock } from "../../../src/process/systemClock.ts";
+import { applyConfiguration } from "../../../src/version/applyConfiguration.ts";
+import { DocumentStandin } from "../../../standins/document/documentStandin.ts";
+import { EngineStandin } from "../../../standins/engine/engineStandin.ts";
+import { PlatformStandin } from "../../../standins/platform/platformStandin.ts";
+import { RecordingEventLog } from "../../support/recordingEventLog.ts";
+import { waitUntil } from "../../support/waitUntil.ts";
+import { createNodeConfiguration, type EndpointAddresses } from "./createNodeConfiguration.ts";
+
+/** Options of a {@link NodeFixture}. */
+interface NodeFixtureOptions {
+    /** Limits of the node's settings. */
+    limits?: object;
+    /** Addresses of endpoints that a test brings itself, by name. */
+    addresses?: Partial<EndpointAddresses>;
+    /** Further limits of the configuration. */
+    configurationLimits?: object;
+    /** Time that a call of a document service may take, in milliseconds. */
+    documentTimeoutMilliseconds?: number;
+    stepBaseMilliseconds?: number;
+}
+
+/** What a caller got. */
+export interface CallerAnswer {
+    status: number;
+    headers: Record<string, string | string[] | undefined>;
+    text: string;
+}
+
+/** An error as a caller sees it. */
+interface ErrorExpectation {
+    status: number;
+    code: string;
+    outcome: string;
+    /** What the message says. */
+    message: RegExp;
+}
+
+/** A real node in the test's process, with stand-ins of the platform, two engines and two document services. */
+export class NodeFixture {
+    static readonly apiKey = "key-of-the-families";
+    readonly log = RecordingEventLog.create();
+    readonly engines: EngineStandin[] = [];
+    readonly documents: DocumentStandin[] = [];
+    node!: FoxleadNode;
+    /** host:port where callers connect. */
+    address = "";
+    private platform!: PlatformStandin;
+
+    private constructor() {}
+
+    /** Starts a node and brings its configuration into force. */
+    static async create(options: NodeFixtureOptions = {}): Promise<NodeFixture> {
+        const fixture = new NodeFixture();
+        fixture.platform = await PlatformStandin.create({ port: 0 });
+        await fixture.startEndpoints(options.stepBaseMilliseconds ?? 0);
+        await fixture.applyConfiguration(options);
+        await fixture.startNode(options);
+        return fixture;
+    }
+
+    /** Calls the node. */
+    async call(method: string, path: string, headers: Record<string, string>, body?: string): Promise<CallerAnswer> {
+        const options = { method: method as "GET", headers, body, headersTimeout: 20_000 };
+        const response = await request(`http://${this.address}${path}`, options);
+        return { status: response.statusCode, headers: response.headers, text: await response.body.text() };
+    }
+
+    /** Posts a body with the API key. */
+    post(path: string, body: string, headers: Record<string, string> = {}): Promise<CallerAnswer> {
+        const all = { authorization: `Bearer ${NodeFixture.apiKey}`, "content-type": "application/json", ...headers };
+        return this.call("POST", path, all, body);
+    }
+
+    /** Posts a chat request. */
+    chat(change: object = {}, headers: Record<string, string> = {}): Promise<CallerAnswer> {
+        return this.post("/v1/chat/completions", NodeFixture.createChatBody(change), headers);
+    }
+
+    static createChatBody(change: object = {}): string {
+        const messages = [{ role: "user", content: "one two three" }];
+        return JSON.stringify({ model: "assistant", messages, max_tokens: 4, ...change });
+    }
+
+    static createKey(): string {
+        return createUuid();
+    }
+
+    /** Counts what has run: passes at the engines and calls of the document services. */
+    countRuns(): number {
+        let runs = 0;
+        for (const engine of this.engines) {
+            runs += engine.record.summary.passes;
+        }
+        for (const document of this.documents) {
+            runs += document.getRecord().total;
+        }
+        return runs;
+    }
+
+    /** Sequences that hold memory at the engines. */
+    countSequences(): number {
+        let sequences = 0;
+        for (const engine of this.engines) {
+            sequences += engine.sequences.getCount();
+        }
+        return sequences;
+    }
+
+    /** Asserts that an ordinary request is answered whole. */
+    async assertServes(): Promise<void> {
+        const answer = await this.chat();
+        assert.equal(answer.status, 200, answer.text);
+    }
+
+    /** Asserts that an answer is a certain error in the shape that OpenAI's clients read. */
+    static assertError(answer: CallerAnswer, expected: ErrorExpectation): void {
+        assert.equal(answer.status, expected.status, answer.text);
+        const { error } = JSON.parse(answer.text) as { error: Record<string, string>; };
+        assert.deepEqual(Object.keys(error).sort(), ["code", "message", "outcome", "type"]);
+        assert.equal(error["code"], expected.code);
+        assert.equal(error["outcome"], expected.outcome);
+        assert.equal(error["type"], expected.status < 500 ? "invalid_request_error" : "server_error");
+        assert.match(error["message"]!, expected.message);
+    }
+
+    /** Stops the node gracefully and closes the stand-ins. */
+    async close(): Promise<void> {
+        await this.node.stop(new Promise(resolve => setTimeout(resolve, 1_000)));
+        for (const standin of [...this.engines, ...this.documents, this.platform]) {
+            await standin.close();
+        }
+    }
+
+    private async startEndpoints(stepBaseMilliseconds: number): Promise<void> {
+        for (const [index, start] of [0, 4].entries()) {
+            const layers = [{ model: "model", start, end: start + 4 }];
+            const name = `engine-${index + 1}`;
+            const options = { name, layers, modelLayers: { model: 8 }, loadLagMilliseconds: 0, stepBaseMilliseconds };
+            this.engines.push(EngineStandin.create(options));
+            this.documents.push(DocumentStandin.create({ name: `document-${index + 1}` }));
+        }
+        for (const standin of [...this.engines, ...this.documents]) {
+            await standin.listen();
+        }
+    }
+
+    private async applyConfiguration(options: NodeFixtureOptions): Promise<void> {
+        const addresses: EndpointAddresses = {
+            "engine-1": this.engines[0]!.getAddress(),
+            "engine-2": this.engines[1]!.getAddress(),
+            "document-1": this.documents[0]!.getAddress(),
+            "document-2": this.documents[1]!.getAddress(),
+            ...options.addresses,
+        };
+        const keyHash = `sha256:${createHash("sha256").update(NodeFixture.apiKey).digest("hex")}`;
+        const configuration = createNodeConfiguration(addresses, keyHash, options);
+        const store = EtcdStore.create({ address: this.platform.getAddress(), timeoutMilliseconds: 5_000 });
+        const edit = { text: JSON.stringify(configuration), author: "test", expectedVersion: 0, editId: "first" };
+        const applied = await applyConfiguration({ store, clock: systemClock, random: Math.random, ...edit });
+        await store.close();
+        assert.ok(applied.ok, JSON.stringify(applied.val));
+    }
+
+    private async startNode(options: NodeFixtureOptions): Promise<void> {
+        const [caller, peer, admin] = await findFreePorts(3);
+        this.address = `127.0.0.1:${caller}`;
+        const store = this.platform.getAddress();
+        const settings = parseSettings(JSON.stringify({
+            vm: "node-1",
+            dataCentre: "centre-a",
+            callerListener: this.address,
+            peerListener: `127.0.0.1:${peer}`,
+            adminListener: `127.0.0.1:${admin}`,
+            platform: { storeAddress: store, vmListAddress: store },
+            peerSecret: "a-secret-for-tests-only",
+            limits: options.limits ?? {},
+        }));
+        assert.ok(settings.ok, JSON.stringify(settings.val));
+        const { log } = this;
+        this.node = await FoxleadNode.create({ settings: settings.val, log, clock: systemClock, random: Math.random });
+        await this.node.start();
+        await waitUntil("the node is ready", () => this.node.getStatus().ready);
+    }
+}
--- /dev/null
+++ b/tests/connection/document/documentConnection.test.ts
@@ -0,0 +1,85 @@
+import assert from "node:assert/strict";
+import { after, before, describe, it } from "node:test";
+import { DocumentConnection } from "../../../src/connection/document/documentConnection.ts";
+import { documentFaultCases } from "./documentFaultCases.ts";
+import { RawEndpoint } from "./rawEndpoint.ts";
+
+const call = { method: "POST", path: "/a", headers: {}, body: Buffer.from("body"), isIdempotent: false };
+const TimeoutMilliseconds = 400;
+
+describe("DocumentConnection", () => {
+    let endpoint: RawEndpoint;
+    let connection: DocumentConnection;
+
+    before(async () => {
+        endpoint = await RawEndpoint.create();
+        connection = DocumentConnection.create({ endpoint: "document", address: endpoint.getAddress() });
+    });
+
+    after(async () => {
+        await connection.close();
+        await endpoint.close();
+    });
+
+    async function send(
+        options: RawEndpoint["options"],
+        change: Partial<typeof call> = {},
+        signal = AbortSignal.timeout(TimeoutMilliseconds),
+    ) {
+        endpoint.options = options;
+        endpoint.requests.length = 0;
+        endpoint.connections = 0;
+        return await connection.send({ ...call, ...change }, signal);
+    }
+
+    for (const [fault, options] of Object.entries(documentFaultCases)) {
+        it(`tells that a call may have run, and sends it once, where the service ${fault}`, async () => {
+            for (const isIdempotent of [false, true]) {
+                const answer = await send(options, { isIdempotent });
+                assert.equal(answer.ok ? "answered" : answer.val.kind, "unknown");
+                assert.equal(endpoint.connections <= 1 && endpoint.requests.length <= 1, true);
+                connection.replace();
+            }
+        });
+    }
+
+    it("takes the word of a busy service that nothing ran, also where its answer does not end", async () => {
+        const onRequest: RawEndpoint["options"]["onRequest"] = socket => {
+            socket.write("HTTP/1.1 429 Busy\r\ncontent-length: 100\r\n\r\npart");
+        };
+        for (const isIdempotent of [false, true]) {
+            const answer = await send({ onRequest }, { isIdempotent }, new AbortController().signal);
+            assert.equal(answer.ok ? "answered" : answer.val.kind, "refused");
+        }
+    });
+
+    it("tells that nothing was sent where no connection comes about", async () => {
+        const closed = DocumentConnection.create({ endpoint: "closed", address: "127.0.0.1:1" });
+        const answer = await closed.send(call, AbortSignal.timeout(TimeoutMilliseconds));
+        assert.equal(answer.ok ? "answered" : answer.val.kind, "notSent");
+        await closed.close();
+    });
+
+    it("brings the whole answer, whatever its pieces", async () => {
+        const onRequest: RawEndpoint["options"]["onRequest"] = socket => {
+            socket.write("HTTP/1.1 201 Created\r\ncontent-type: text/x\r\ntransfer-encoding: chunked\r\n\r\n");
+            for (const piece of ["ab", "c", "def"]) {
+                socket.write(`${piece.length}\r\n${piece}\r\n`);
+            }
+            socket.end("0\r\n\r\n");
+        };
+        const answer = await send({ onRequest });
+        assert.ok(answer.ok);
+        assert.deepEqual(answer.val, { status: 201, contentType: "text/x", body: Buffer.from("abcdef") });
+    });
+
+    it("asks for an answer that is not encoded, since the encoding is not passed on", async () => {
+        const onRequest: RawEndpoint["options"]["onRequest"] = socket => {
+            socket.end("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+        };
+        await send({ onRequest }, { headers: { "accept-encoding": "gzip", "x-kept": "1" } });
+        assert.match(endpoint.requests[0]!, /\r\naccept-encoding: identity\r\n/i);
+        assert.doesNotMatch(endpoint.requests[0]!, /gzip/);
+        assert.match(endpoint.requests[0]!, /x-kept: 1/);
+    });
+});
--- /dev/null
+++ b/tests/request/document/misbehavingDocuments.test.ts
@@ -0,0 +1,127 @@
+import assert from "node:assert/strict";
+import { after, before, describe, it } from "node:test";
+import { NodeFixture } from "../../connection/caller/nodeFixture.ts";
+import { documentFaultCases } from "../../connection/document/documentFaultCases.ts";
+import { RawEndpoint } from "../../connection/document/rawEndpoint.ts";
+
+const unknown = { status: 502, code: "outcome_unknown", outcome: "outcomeUnknown" } as const;
+const documentTimeoutMilliseconds = 500;
+
+function createKey(): Record<string, string> {
+    return { "idempotency-key": NodeFixture.createKey() };
+}
+
+describe("document services that misbehave", () => {
+    let fixture: NodeFixture;
+    const raws: RawEndpoint[] = [];
+
+    before(async () => {
+        raws.push(await RawEndpoint.create(), await RawEndpoint.create());
+        const addresses = { "document-1": raws[0]!.getAddress(), "document-2": raws[1]!.getAddress() };
+        fixture = await NodeFixture.create({ addresses, documentTimeoutMilliseconds });
+    });
+
+    after(async () => {
+        await fixture.close();
+        for (const raw of raws) {
+            await raw.close();
+        }
+    });
+
+    function setOptions(options: RawEndpoint["options"]): void {
+        for (const raw of raws) {
+            raw.options = options;
+            raw.requests.length = 0;
+            raw.connections = 0;
+        }
+    }
+
+    for (const [fault, options] of Object.entries(documentFaultCases)) {
+        it(`get a call that may run only once at most once where one ${fault}`, async () => {
+            setOptions(options);
+            const key = createKey();
+            const first = await fixture.post("/v1/services/receipts/a", "x", key);
+            NodeFixture.assertError(first, { ...unknown, message: /may have run; it is not repeated/ });
+            const repeat = await fixture.post("/v1/services/receipts/a", "x", key);
+            NodeFixture.assertError(repeat, { ...unknown, message: /not run again/ });
+            assert.equal(raws[0]!.connections + raws[1]!.connections, 1);
+        });
+    }
+
+    it("do not end the node", () => fixture.assertServes());
+});
+
+describe("a document service that fails beside one that works", () => {
+    let fixture: NodeFixture;
+    let raw: RawEndpoint;
+
+    before(async () => {
+        raw = await RawEndpoint.create();
+        const addresses = { "document-1": raw.getAddress() };
+        fixture = await NodeFixture.create({ addresses, documentTimeoutMilliseconds });
+        raw.options = { onRequest: socket => socket.write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n") };
+        // Requests save up the retries that the tests below take.
+        for (let round = 0; round < 100; round += 1) {
+            await fixture.post("/v1/services/summaries/a", "x");
+        }
+    });
+
+    after(async () => {
+        await fixture.close();
+        await raw.close();
+    });
+
+    for (const [fault, options] of Object.entries(documentFaultCases)) {
+        it(`has its idempotent calls taken over where it ${fault}`, async () => {
+            raw.options = options;
+            raw.connections = 0;
+            for (let round = 0; raw.connections === 0 && round < 100; round += 1) {
+                const answer = await fixture.post("/v1/services/summaries/a", "x");
+                assert.equal(answer.status, 200, answer.text);
+                assert.match(answer.text, /"service":"document-2"/);
+            }
+            assert.ok(raw.connections > 0);
+        });
+    }
+});
+
+describe("document services that nothing listens for", () => {
+    it("refuse a call as not run, and a repeat may run", async () => {
+        const raw = await RawEndpoint.create();
+        const address = raw.getAddress();
+        await raw.close();
+        const fixture = await NodeFixture.create({ addresses: { "document-1": address, "document-2": address } });
+        const key = createKey();
+        for (let repeat = 0; repeat < 2; repeat += 1) {
+            const answer = await fixture.post("/v1/services/receipts/a", "x", key);
+            NodeFixture.assertError(answer, { status: 503, code: "no_endpoint", outcome: "notRun", message: /./ });
+            assert.ok(Number(answer.headers["retry-after"]) > 0);
+            assert.ok(Number(answer.headers["retry-after-ms"]) > 0);
+        }
+        await fixture.close();
+    });
+});
+
+describe("paths of document services", () => {
+    it("reach the service as the caller wrote them", async () => {
+        const raw = await RawEndpoint.create({
+            onRequest: socket => socket.end("HTTP/1.1 200 OK\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"),
+        });
+        const address = raw.getAddress();
+        const fixture = await NodeFixture.create({ addresses: { "document-1": address, "document-2": address } });
+        const paths = [
+            ["/v1/services/summaries/a/b?c=d%20e&f=/v1/services/x", "/a/b?c=d%20e&f=/v1/services/x"],
+            ["/v1/services/summari%65s/%C3%B1", "/%C3%B1"],
+            [`/v1/services/${encodeURIComponent("liquidación")}/pdf`, "/pdf"],
+            ["/v1/services/summaries/", "/"],
+        ];
+        for (const [sent, expected] of paths) {
+            raw.requests.length = 0;
+            const answer = await fixture.post(sent!, "x");
+            assert.equal(answer.status, 200, answer.text);
+            assert.equal(raw.requests[0]!.split(" ")[1], expected);
+        }
+        await fixture.close();
+        await raw.close();
+    });
+});
