Recover faster from lost engines (in progress)

Change: waiting passes of an engine that is known unreachable settle at once, the deadline and the line splitter are mended, engines' answers are read with a bound.

--- a/src/connection/endpoint/engineConnection.ts
+++ b/src/connection/endpoint/engineConnection.ts
@@ -2,7 +2,10 @@
 import type { Clock } from "../../process/clock.ts";
 import { Err, Ok, type Result } from "../../result.ts";
 import type { BatchClosing } from "./batchClosing.ts";
+import { callEngine } from "./callEngine.ts";
+import type { EngineAnswer } from "./engineAnswer.ts";
 import type { CancelOrder, EngineOrder, EngineStatus, Pass, PassResult } from "./engineProtocol.ts";
+import { EngineReachability } from "./engineReachability.ts";
 import { engineStatusSchema } from "./engineStatusSchema.ts";
 import { HopDeadline } from "./hopDeadline.ts";
 import type { PassFailure } from "./passFailure.ts";
@@ -23,20 +26,14 @@
     onSilentConnection(endpoint: string): void;
 }
 
-/** An engine that answers a probe has this long to do so. */
-const ProbeTimeoutMilliseconds = 300;
 /** Sends of one pass, the first included, before the endpoint is given up. */
 const MaximumSends = 4;
-/** After a failed probe new passes fail at once for this long, unless the engine answers before. */
-const UnreachableMilliseconds = 1_000;
 const MaximumConnections = 64;
 /** Positions of long passes on their way to the engine. Measured in docs/design/recovery.md. */
 const PrefillPositions = 256;
 /** Reasons of a refusal that prove that the pass did not run; `cancelled` and `order` do not. */
 const notRunReasons: ReadonlySet<string> = new Set(["leaving", "memory", "layers", "model"]);
 const CallTimeoutMilliseconds = 2_000;
-/** An engine counts as in use for so long after its last pass. */
-const InUseMilliseconds = 5_000;
 
 /**
  * The connections of this node to one model engine. Passes handed over in one turn of the event loop leave in one batch.
@@ -53,16 +50,18 @@
     private outgoing: WaitingPass[] = [];
     private pool: Pool;
     private nextId = 1;
-    private probe: Promise<boolean> | undefined;
-    private answeredAt = Number.NEGATIVE_INFINITY;
-    private usedAt = Number.NEGATIVE_INFINITY;
-    private unreachableUntil = Number.NEGATIVE_INFINITY;
+    private readonly reachability: EngineReachability;
     private isClosed = false;
 
     private constructor(options: EngineConnectionOptions) {
         this.options = options;
         this.origin = `http://${options.address}`;
         this.pool = createPool(this.origin);
+        this.reachability = EngineReachability.create({
+            clock: options.clock,
+            probe: () => probeEngine(this.origin, this.deadline.getProbeTimeout()),
+            onSilent: () => this.failAll("no answer to a probe"),
+        });
     }
 
     /** Creates the connections; nothing is opened before the first pass. */
@@ -71,18 +70,18 @@
     }
 
     /**
-     * Runs one pass at the engine.
+     * Runs one pass at the engine. Where the engine has not answered for a while, a probe goes with it, so that a dead
+     * one shows before the first deadline.
      * @param pass - The pass; its `id` is chosen here.
      * @param positions - Positions that the pass covers, as far as known; the deadline depends on it.
      */
     runPass(pass: Omit<Pass, "id">, positions: number): Promise<Result<PassResult, PassFailure>> {
-        const now = this.usedAt = this.options.clock.getMonotonicTime();
+        this.reachability.observeUse();
         return new Promise(resolve => {
             const waitingPass = this.createWaitingPass({ ...pass, id: this.nextId++ }, positions, resolve);
-            if (this.isClosed || now < this.unreachableUntil) {
-                waitingPass.settle(
-                    Err(this.createFailure("notSent", this.isClosed ? "closed" : "no answer to a probe")),
-                );
+            if (this.isClosed || this.reachability.isUnreachable()) {
+                const reason = this.isClosed ? "closed" : "no answer to a probe";
+                waitingPass.settle(Err(this.createFailure("notSent", reason)));
                 return;
             }
             this.waiting.set(waitingPass.pass.id, waitingPass);
@@ -119,7 +118,7 @@
         if (!status.success) {
             return Err(this.createFailure("failed", "status of a wrong shape"));
         }
-        this.observeAnswer();
+        this.reachability.observeAnswer();
         return Ok(status.data);
     }
 
@@ -134,13 +133,12 @@
      * all passes that wait fail.
      */
     isAnswering(): Promise<boolean> {
-        this.probe ??= this.runProbe();
-        return this.probe;
+        return this.reachability.probe();
     }
 
     /** Tells whether this node gave the engine a pass not long ago. */
     isInUse(): boolean {
-        return this.options.clock.getMonotonicTime() - this.usedAt < InUseMilliseconds;
+        return this.reachability.isInUse();
     }
 
     /** Closes the connections; passes that wait fail. */
@@ -205,16 +203,16 @@
         sendPassBatch({
             pool: this.pool,
             passes: batch.map(waitingPass => waitingPass.pass),
-            onResult: result => this.handleResult(result, sends.get(result.id) ?? 1),
+            onResult: result => this.handleResult(result, sends.get(result.id)),
             onClosed: closing => this.handleBatchClosed(batch, sends, closing),
         });
     }
 
-    /** @param send - Which send of the pass brought the result, from 1; the time counts from that one. */
-    private handleResult(result: PassResult, send: number): void {
-        this.observeAnswer();
+    /** @param send - Which send of the pass brought the result, from 1; undefined where its batch had no such pass. */
+    private handleResult(result: PassResult, send: number | undefined): void {
+        this.reachability.observeAnswer();
         const waitingPass = this.waiting.get(result.id);
-        if (waitingPass === undefined) {
+        if (waitingPass === undefined || send === undefined) {
             return;
         }
         if (result.outcome !== "done") {
@@ -292,28 +290,6 @@
         }
     }
 
-    private observeAnswer(): void {
-        this.answeredAt = this.options.clock.getMonotonicTime();
-        this.unreachableUntil = Number.NEGATIVE_INFINITY;
-    }
-
-    private async runProbe(): Promise<boolean> {
-        const startedAt = this.options.clock.getMonotonicTime();
-        const isAnswered = await probeEngine(this.origin, ProbeTimeoutMilliseconds);
-        this.probe = undefined;
-        if (isAnswered) {
-            this.observeAnswer();
-            return true;
-        }
-        // A pass that was answered meanwhile shows that only the probe was slow or lost.
-        if (this.answeredAt > startedAt) {
-            return true;
-        }
-        this.unreachableUntil = this.options.clock.getMonotonicTime() + UnreachableMilliseconds;
-        this.failAll("no answer to a probe");
-        return false;
-    }
-
     private failAll(reason: string): void {
         for (const waitingPass of this.waiting.values()) {
             const isOnItsWay = waitingPass.sentAt.length > 0 && !waitingPass.isDoubtful;
@@ -326,17 +302,11 @@
         method: "GET" | "POST",
         path: string,
         body?: object,
-    ): Promise<Result<{ status: number; body: unknown; }, PassFailure>> {
+    ): Promise<Result<EngineAnswer, PassFailure>> {
         try {
-            const response = await this.pool.request({
-                method,
-                path,
-                body: body === undefined ? undefined : JSON.stringify(body),
-                headers: { "content-type": "application/json" },
-                signal: AbortSignal.timeout(CallTimeoutMilliseconds),
-            });
-            const text = await response.body.text();
-            return Ok({ status: response.statusCode, body: text === "" ? undefined : JSON.parse(text) as unknown });
+            return Ok(
+                await callEngine(this.pool, { method, path, body, timeoutMilliseconds: CallTimeoutMilliseconds }),
+            );
         }
         catch (error) {
             return Err(this.createFailure("unreachable", String(error)));
--- a/src/connection/endpoint/hopDeadline.ts
+++ b/src/connection/endpoint/hopDeadline.ts
@@ -1,6 +1,10 @@
 /** Deadlines never fall below this, so that a garbage collection on either side is no miss. */
 const MinimumDeadlineMilliseconds = 150;
 const MaximumDeadlineMilliseconds = 10_000;
+/** A probe is a new connection and a small call, so it takes two round trips and no step. */
+const MinimumProbeMilliseconds = 200;
+const MaximumProbeMilliseconds = 2_000;
+const ProbeFactor = 4 / 3;
 const InitialDecodeMilliseconds = 100;
 const InitialPositionMilliseconds = 2;
 const SmoothingFactor = 0.1;
@@ -37,10 +41,13 @@
 
     /**
      * Learns from a pass that was answered.
-     * @param positions - Positions of the pass.
+     * @param positions - Positions of the pass, as the engine counted them; nothing is learnt from less than one.
      * @param elapsedMilliseconds - From sending to the result.
      */
     observe(positions: number, elapsedMilliseconds: number): void {
+        if (positions < 1) {
+            return;
+        }
         if (positions === 1) {
             smooth(this.decode, elapsedMilliseconds);
             return;
@@ -58,6 +65,12 @@
         const deadlineMilliseconds = decodeMilliseconds + prefillMilliseconds;
         return Math.min(MaximumDeadlineMilliseconds, Math.max(MinimumDeadlineMilliseconds, deadlineMilliseconds));
     }
+
+    /** Gets the time that a probe over a new connection may take, in whole milliseconds; longer on a longer link. */
+    getProbeTimeout(): number {
+        const timeoutMilliseconds = Math.ceil(ProbeFactor * this.getDeadline(1));
+        return Math.min(MaximumProbeMilliseconds, Math.max(MinimumProbeMilliseconds, timeoutMilliseconds));
+    }
 }
 
 function smooth(time: SmoothedTime, sampleMilliseconds: number): void {
--- a/src/connection/endpoint/lineSplitter.ts
+++ b/src/connection/endpoint/lineSplitter.ts
@@ -11,7 +11,9 @@
 /** Splits a byte stream into lines of bounded length. */
 export class LineSplitter {
     private readonly options: LineSplitterOptions;
-    private pending: Buffer = Buffer.alloc(0);
+    /** Pieces of the line that has not ended; joined once at its end, so that a long line costs no more than its bytes. */
+    private pending: Buffer[] = [];
+    private pendingBytes = 0;
 
     private constructor(options: LineSplitterOptions) {
         this.options = options;
@@ -28,19 +30,32 @@
      * @throws RangeError where a line is longer than allowed.
      */
     push(chunk: Buffer): void {
-        const bytes = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
         let start = 0;
-        let end = bytes.indexOf(Newline, start);
+        let end = chunk.indexOf(Newline, start);
         while (end !== -1) {
-            this.assertLength(end - start);
-            if (end > start) {
-                this.options.onLine(bytes.toString("utf8", start, end));
-            }
+            this.addPending(chunk.subarray(start, end));
+            this.emitLine();
             start = end + 1;
-            end = bytes.indexOf(Newline, start);
+            end = chunk.indexOf(Newline, start);
+        }
+        this.addPending(chunk.subarray(start));
+    }
+
+    private addPending(piece: Buffer): void {
+        this.pendingBytes += piece.length;
+        this.assertLength(this.pendingBytes);
+        if (piece.length > 0) {
+            this.pending.push(piece);
+        }
+    }
+
+    private emitLine(): void {
+        const line = this.pending.length === 1 ? this.pending[0]! : Buffer.concat(this.pending);
+        this.pending = [];
+        this.pendingBytes = 0;
+        if (line.length > 0) {
+            this.options.onLine(line.toString("utf8"));
         }
-        this.assertLength(bytes.length - start);
-        this.pending = bytes.subarray(start);
     }
 
     private assertLength(length: number): void {
--- a/src/request/model/runGeneration.ts
+++ b/src/request/model/runGeneration.ts
@@ -7,6 +7,7 @@
 import type { ChainChooser } from "../chain/chainChooser.ts";
 import type { NotRunPermit } from "../notRunPermit.ts";
 import { RequestError } from "../requestError.ts";
+import { ChainSelection } from "./chainSelection.ts";
 import { Generation, type GenerationOptions } from "./generation.ts";
 import type { GenerationObserver } from "./generationObserver.ts";
 import type { GenerationStep } from "./generationStep.ts";
@@ -44,8 +45,6 @@
 
 /** Attempts of one answer before it fails. */
 const MaximumAttempts = 12;
-/** Times that one answer leaves a stage that has become slow. */
-const MaximumSlowStages = 2;
 /** How long a started answer waits for a chain to come back before it fails, in milliseconds. */
 const ChainPatienceMilliseconds = 8_000;
 const ChainRetryMilliseconds = 50;
@@ -65,15 +64,14 @@
 class GenerationRun {
     private readonly options: RunGenerationOptions;
     private readonly generation: Generation;
-    private readonly excluded = new Set<string>();
-    private readonly survivors = new Set<string>();
+    private readonly selection: ChainSelection;
     private mayHaveRun = false;
     private brokenAt: number | undefined;
-    private slowStages = 0;
 
     private constructor(options: RunGenerationOptions) {
         this.options = options;
         this.generation = Generation.create(options);
+        this.selection = ChainSelection.create(options);
     }
 
     static create(options: RunGenerationOptions): GenerationRun {
@@ -143,8 +141,8 @@
                 return Ok(this.createSummary(step.finishReason));
             }
             const slowStage = step.kind === "token" ? detector.findSlowStage() : undefined;
-            if (slowStage !== undefined && this.isReplaceable(chain.stages[slowStage]!.endpoint)) {
-                return Err({ kind: "broken", failure: this.createSlowFailure(chain.stages[slowStage]!.endpoint) });
+            if (slowStage !== undefined && this.selection.leaveSlowStage(chain.stages[slowStage]!.endpoint)) {
+                return Err({ kind: "broken", failure: createSlowFailure(chain.stages[slowStage]!.endpoint) });
             }
             stage = step.stage;
             pass = step.pass;
@@ -185,7 +183,7 @@
         const { clock } = this.options;
         const giveUpAt = clock.getMonotonicTime() + ChainPatienceMilliseconds;
         for (;;) {
-            const chain = this.options.chooser.chooseChain(this.createChainOptions());
+            const chain = this.selection.chooseChain(this.generation.getEstimatedPositions());
             if (chain.ok) {
                 return Ok(chain.val);
             }
@@ -193,55 +191,21 @@
             if (this.options.signal.aborted) {
                 return Err(this.createAbortError());
             }
-            if (!isPatient && this.excluded.size === 0) {
+            if (!isPatient && !this.selection.hasExclusions()) {
                 return Err(this.createFinalError(chain.val.message));
             }
-            this.excluded.clear();
+            this.selection.clearExclusions();
             await new Promise<void>(resolve => void clock.setTimer(ChainRetryMilliseconds, resolve));
         }
     }
 
-    /** Tells whether there is a chain without an endpoint, and the answer has not changed its chain for speed too often. */
-    private isReplaceable(endpoint: string): boolean {
-        if (this.slowStages >= MaximumSlowStages) {
-            return false;
-        }
-        const excluded = new Set(this.excluded).add(endpoint);
-        return this.options.chooser.chooseChain({ ...this.createChainOptions(), excluded }).ok;
-    }
-
-    private createSlowFailure(endpoint: string): PassFailure {
-        this.slowStages += 1;
-        const message = `Endpoint ${endpoint} has become slow; the answer goes on without it.`;
-        return { kind: "slow", endpoint, reason: "slow", message };
-    }
-
-    private createChainOptions(): Parameters<ChainChooser["chooseChain"]>[0] {
-        return {
-            model: this.options.model,
-            dataCentre: this.options.dataCentre,
-            positions: this.generation.getEstimatedPositions(),
-            excluded: this.excluded,
-            preferred: this.survivors,
-        };
-    }
-
     private handleBrokenAttempt(chain: Chain, failure: PassFailure): void {
         const { observer, chooser, clock } = this.options;
         const isRefusal = failure.kind === "refused" || failure.kind === "notSent";
         this.mayHaveRun ||= !isRefusal;
         this.brokenAt ??= clock.getMonotonicTime();
-        this.excluded.add(failure.endpoint);
-        this.survivors.clear();
-        for (const stage of chain.stages) {
-            if (stage.endpoint !== failure.endpoint) {
-                this.survivors.add(stage.endpoint);
-            }
-        }
-        // What the chooser has learnt of a slow endpoint's times says more than a failure.
-        if (failure.kind !== "slow") {
-            chooser.observeFailure(failure.endpoint);
-        }
+        this.selection.observeBroken(chain, failure.endpoint);
+        chooser.observeFailure(failure.endpoint);
         observer.onAttemptBroken(failure);
     }
 
@@ -288,3 +252,8 @@
         };
     }
 }
+
+function createSlowFailure(endpoint: string): PassFailure {
+    const message = `Endpoint ${endpoint} has become slow; the answer goes on without it.`;
+    return { kind: "slow", endpoint, reason: "slow", message };
+}
--- a/tests/connection/endpoint/engineConnection.test.ts
+++ b/tests/connection/endpoint/engineConnection.test.ts
@@ -127,6 +127,13 @@
             assert.equal(next.val.kind, "notSent");
         });
 
+        it("finds an engine dead that it has not used before, without waiting for a deadline", async () => {
+            engine.setFaults({ freeze: true });
+            const result = await timed.runPass({ ...pass, request: "unused" }, longPositions);
+            assert.ok(!result.ok);
+            assert.equal(result.val.kind, "unreachable");
+        });
+
         it("takes passes again once the engine answers, or after a while", async () => {
             engine.setFaults({ freeze: true });
             const first = timed.runPass({ ...pass, request: "first" }, 1);
