--- a/src/process/claimRouter.ts
+++ b/src/process/claimRouter.ts
@@ -9,6 +9,8 @@
 import type { MembershipView } from "./membership/membershipView.ts";
 import { MemberState } from "./membership/memberState.ts";
 import type { RendezvousOwners } from "./membership/rendezvousOwners.ts";
+import type { TraceContext } from "./tracing/traceContext.ts";
+import type { Tracing } from "./tracing/tracing.ts";
 
 /** Options of a {@link ClaimRouter}. */
 interface ClaimRouterOptions {
@@ -16,6 +18,7 @@
     owners: RendezvousOwners;
     peers: PeerConnections;
     clock: Clock;
+    tracing: Tracing;
     /** The owner in this process. */
     local: ClaimOwner;
     shards: number;
@@ -63,8 +66,9 @@
      * Claims a key. The claimant asks again under the same name until it has a final verdict, so an answer that was lost
      * on the way does no harm.
      * @param claim - The claim.
+     * @param parent - Span that the calls to peers belong to.
      */
-    async claim(claim: Claim): Promise<ClaimVerdict> {
+    async claim(claim: Claim, parent: TraceContext): Promise<ClaimVerdict> {
         const { clock, shards, giveUpMilliseconds } = this.options;
         const shard = this.options.getShardOfKey(claim.key, shards);
         const giveUpAt = clock.getMonotonicTime() + giveUpMilliseconds;
@@ -72,7 +76,7 @@
         for (let attempt = 0; attempt === 0 || clock.getMonotonicTime() < giveUpAt; attempt += 1) {
             const candidates = this.getOwners(shard);
             const nodeId = candidates[attempt % candidates.length];
-            const verdict = nodeId === undefined ? undefined : await this.claimAt(nodeId, shard, claim);
+            const verdict = nodeId === undefined ? undefined : await this.claimAt(nodeId, shard, claim, parent);
             if (verdict !== undefined && verdict.outcome !== ClaimOutcome.NotOwner) {
                 return verdict;
             }
@@ -82,7 +86,12 @@
         return { outcome: ClaimOutcome.Unavailable, message };
     }
 
-    private async claimAt(nodeId: string, shard: number, claim: Claim): Promise<ClaimVerdict | undefined> {
+    private async claimAt(
+        nodeId: string,
+        shard: number,
+        claim: Claim,
+        parent: TraceContext,
+    ): Promise<ClaimVerdict | undefined> {
         const { view, peers, local } = this.options;
         if (nodeId === view.getSelf().nodeId) {
             const [verdict] = await local.claim(shard, [claim]);
@@ -93,7 +102,12 @@
             return undefined;
         }
         const request = create(ClaimRequestSchema, { shard, items: [claim] });
+        const span = this.options.tracing.startSpan("peer call", {
+            parent,
+            attributes: { peer: nodeId, call: "claim" },
+        });
         const response = await peers.claim(address, request, { timeoutMilliseconds: callTimeoutMilliseconds });
+        span.end();
         const verdict = response.ok ? response.val.verdicts[0] : undefined;
         return verdict === undefined ? undefined : toClaimVerdict(verdict);
     }
--- a/src/process/claimService.ts
+++ b/src/process/claimService.ts
@@ -17,6 +17,8 @@
 import type { RendezvousOwners } from "./membership/rendezvousOwners.ts";
 import { NodeClaimGate } from "./nodeClaimGate.ts";
 import type { PlatformStore } from "./platform/platformStore.ts";
+import type { TraceContext } from "./tracing/traceContext.ts";
+import type { Tracing } from "./tracing/tracing.ts";
 
 /** Options of a {@link ClaimService}. */
 interface ClaimServiceOptions {
@@ -28,6 +30,7 @@
     owners: RendezvousOwners;
     peers: PeerConnections;
     shardHash: ShardHash;
+    tracing: Tracing;
 }
 
 /** The parts that exist once the configuration has told the number of shards. */
@@ -69,11 +72,16 @@
         this.parts?.router.updateOwnedShards();
     }
 
-    async claim(key: string, bodyHash: string, claimant: string): Promise<ClaimDecision> {
+    async claim(
+        key: string,
+        bodyHash: string,
+        claimant: string,
+        parent: TraceContext,
+    ): Promise<ClaimDecision> {
         if (this.parts === undefined) {
             return { kind: "unavailable", isUnclaimed: false };
         }
-        return await this.parts.gate.claim(key, bodyHash, claimant);
+        return await this.parts.gate.claim(key, bodyHash, claimant, parent);
     }
 
     settle(key: string, end: ClaimEnd): void {
@@ -104,7 +112,7 @@
     }
 
     private createParts(configuration: ClaimConfiguration): ClaimParts {
-        const { nodeId, store, clock, log, view, owners, peers, shardHash } = this.options;
+        const { nodeId, store, clock, log, view, owners, peers, shardHash, tracing } = this.options;
         const { shards, windowMilliseconds, appendIntervalMilliseconds } = configuration;
         const getShardOfKey = (key: string, count: number) => shardHash.getShardOfKey(key, count);
         const owner = ClaimOwner.create({
@@ -123,6 +131,7 @@
             owners,
             peers,
             clock,
+            tracing,
             local: owner,
             shards,
             getShardOfKey,
@@ -133,7 +142,7 @@
             timeToLiveMilliseconds: windowMilliseconds,
             clock,
         });
-        const gate = NodeClaimGate.create({ nodeId, router, kept, peers, view, clock, windowMilliseconds });
+        const gate = NodeClaimGate.create({ nodeId, router, kept, peers, view, clock, tracing, windowMilliseconds });
         return { owner, router, gate };
     }
 }
--- a/src/process/foxleadNode.ts
+++ b/src/process/foxleadNode.ts
@@ -113,7 +113,17 @@
         const getEndpointState = (endpoint: string) => directory.getState(endpoint);
         const getNodeCount = () => Math.max(1, view.getAliveMembers().length);
         this.chooser = EstimatedTimeChooser.create({ getConfiguration, getEndpointState, clock, random });
-        this.claims = ClaimService.create({ nodeId, store, clock, log, view, owners, peers, shardHash });
+        this.claims = ClaimService.create({
+            nodeId,
+            store,
+            clock,
+            log,
+            view,
+            owners,
+            peers,
+            shardHash,
+            tracing: this.tracing,
+        });
         this.admissions = AdmissionService.create({ clock, random, getConfiguration, getEndpointState, getNodeCount });
         const common = { nodeId, store, clock, random, log, view, owners, directory };
         this.orders = createOrderDispatcher({ ...common, getConfiguration });
--- a/src/process/nodeClaimGate.ts
+++ b/src/process/nodeClaimGate.ts
@@ -11,6 +11,8 @@
 import type { KeptAnswers } from "./keptAnswers.ts";
 import type { KeptState } from "./keptState.ts";
 import type { MembershipView } from "./membership/membershipView.ts";
+import type { TraceContext } from "./tracing/traceContext.ts";
+import type { Tracing } from "./tracing/tracing.ts";
 
 /** Options of a {@link NodeClaimGate}. */
 interface NodeClaimGateOptions {
@@ -20,6 +22,7 @@
     peers: PeerConnections;
     view: MembershipView;
     clock: Clock;
+    tracing: Tracing;
     windowMilliseconds: number;
 }
 
@@ -30,6 +33,8 @@
     claimant: string;
     /** Whether the claimant has been granted the key. */
     isGranted: boolean;
+    /** Span that the calls to peers belong to. */
+    parent: TraceContext;
 }
 
 /** What a step of a claim came to: a decision, or to claim under the run's claimant. */
@@ -57,7 +62,12 @@
         return new NodeClaimGate(options);
     }
 
-    async claim(key: string, bodyHash: string, claimant: string): Promise<ClaimDecision> {
+    async claim(
+        key: string,
+        bodyHash: string,
+        claimant: string,
+        parent: TraceContext,
+    ): Promise<ClaimDecision> {
         const { clock, windowMilliseconds } = this.options;
         const checked = checkClaimKey(key, clock.getWallTime(), windowMilliseconds);
         if (!checked.ok) {
@@ -67,7 +77,7 @@
         if (earlier !== undefined) {
             return { kind: earlier.bodyHash === bodyHash ? "running" : "bodyMismatch" };
         }
-        const run: ClaimRun = { key, bodyHash, claimant, isGranted: false };
+        const run: ClaimRun = { key, bodyHash, claimant, isGranted: false, parent };
         this.runs.set(key, run);
         let decision: ClaimDecision = { kind: "unavailable", isUnclaimed: false };
         try {
@@ -149,7 +159,7 @@
     private async claimOnce(run: ClaimRun): Promise<ClaimStep> {
         const { router, nodeId } = this.options;
         const { key, bodyHash, claimant } = run;
-        const verdict = await router.claim({ key, bodyHash, claimant, nodeId });
+        const verdict = await router.claim({ key, bodyHash, claimant, nodeId }, run.parent);
         switch (verdict.outcome) {
             case ClaimOutcome.Granted:
                 run.isGranted = true;
@@ -190,7 +200,10 @@
         const { key, bodyHash } = run;
         const fromNodeId = this.options.nodeId;
         const request = create(GetKeptAnswerRequestSchema, { key, bodyHash, claimant, fromNodeId });
+        const attributes = { peer: nodeId, call: "getKeptAnswer" };
+        const span = this.options.tracing.startSpan("peer call", { parent: run.parent, attributes });
         const response = await this.options.peers.getKeptAnswer(address, request);
+        span.end();
         return response.ok ? response.val : undefined;
     }
 
--- a/src/request/claimGate.ts
+++ b/src/request/claimGate.ts
@@ -1,3 +1,4 @@
+import type { TraceContext } from "../process/tracing/traceContext.ts";
 import type { ClaimDecision } from "./claimDecision.ts";
 import type { KeptAnswer } from "./keptAnswer.ts";
 
@@ -15,8 +16,9 @@
      * @param key - The customer's name, a slash and the caller's key.
      * @param bodyHash - Hash of what the request asks for.
      * @param claimant - Unique id of the request.
+     * @param parent - Span that the calls to peers belong to.
      */
-    claim(key: string, bodyHash: string, claimant: string): Promise<ClaimDecision>;
+    claim(key: string, bodyHash: string, claimant: string, parent: TraceContext): Promise<ClaimDecision>;
     /** Notes how a request that was granted its claim has ended. */
     settle(key: string, end: ClaimEnd): void;
 }
--- a/src/request/claimRequest.ts
+++ b/src/request/claimRequest.ts
@@ -41,7 +41,7 @@
     const startedAt = environment.clock.getMonotonicTime();
     const span = environment.tracing.startSpan("claim", { parent: context.span.context });
     const key = createClaimKey(context.customer, idempotencyKey);
-    const decision = await environment.claims.claim(key, hashContent(content), context.id);
+    const decision = await environment.claims.claim(key, hashContent(content), context.id, span.context);
     span.setAttributes({ "foxlead.claim": decision.kind });
     span.end();
     const elapsedMilliseconds = environment.clock.getMonotonicTime() - startedAt;
