--- a/src/process/logging/consolaEventLog.ts
+++ b/src/process/logging/consolaEventLog.ts
@@ -41,6 +41,7 @@
         return new ConsolaEventLog(consola);
     }
 
+    /** Writes an event and its fields as one line, where its level is in force. */
     write(event: LogEvent, fields: Readonly<Record<string, string | number | boolean>> = {}): void {
         this.consola[event.level].raw(event, fields);
     }
--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -28,7 +28,7 @@
     configurationBehind: {
         number: 1204,
         level: "error",
-        message: "The store holds a lower version than the one in force, which stays. Apply the text again.",
+        message: "The store holds a lower version than the one in force, which stays and is written back.",
     },
     configurationValueBroken: {
         number: 1205,
--- a/src/process/settings/createSettingsSchema.ts
+++ b/src/process/settings/createSettingsSchema.ts
@@ -26,8 +26,8 @@
     const secret = valueOrFile.refine(text => text.length >= minimumSecretLength, {
         error: `Write a secret of at least ${minimumSecretLength} characters.`,
     });
-    const tls = z.strictObject({ certificate: valueOrFile, key: valueOrFile, authority: valueOrFile.optional() });
-    const peerTls = tls.required();
+    const tls = z.strictObject({ certificate: valueOrFile, key: valueOrFile });
+    const peerTls = tls.extend({ authority: valueOrFile });
     return z.strictObject({
         vm: name,
         dataCentre: name,
--- a/src/process/settings/nodeSettings.ts
+++ b/src/process/settings/nodeSettings.ts
@@ -39,7 +39,10 @@
         /** Plain HTTP where undefined. */
         callers?: TlsSettings;
         /** Plain connections between the nodes where undefined. */
-        peers?: Required<TlsSettings>;
+        peers?: TlsSettings & {
+            /** Authority that must have signed the other nodes' certificates. */
+            authority: string;
+        };
     };
     limits: {
         /** Most connections of callers at the same time. */
--- a/src/process/settings/tlsSettings.ts
+++ b/src/process/settings/tlsSettings.ts
@@ -2,6 +2,4 @@
 export interface TlsSettings {
     certificate: string;
     key: string;
-    /** Authority that must have signed the other side's certificate; undefined where none is asked for. */
-    authority?: string;
 }
--- a/src/request/admitRequest.ts
+++ b/src/request/admitRequest.ts
@@ -7,6 +7,7 @@
 
 const tooManyRequestsStatus = 429;
 const unavailableStatus = 503;
+const noEndpointCode = "no_endpoint";
 const noEndpointRetryMilliseconds = 1_000;
 
 /** The codes that callers get for each kind of refusal. */
@@ -32,9 +33,10 @@
     cost: number,
 ): Promise<Result<AdmissionTicket, RequestError>> {
     if (environment.getGateCapacity(gate) === 0) {
+        environment.metrics.refusalsTotal.inc({ reason: noEndpointCode });
         return Err(RequestError.notRun(context.permit, {
             status: unavailableStatus,
-            code: "no_endpoint",
+            code: noEndpointCode,
             message: "No endpoint can serve the request now. Send it again later.",
             retryAfterMilliseconds: noEndpointRetryMilliseconds * (1 + environment.random()),
         }));
@@ -50,7 +52,7 @@
     if (refusal.kind === RefusalKind.Cancelled) {
         return Err(RequestError.cancelled());
     }
-    environment.metrics.refusalsTotal.inc({ reason: refusal.kind });
+    environment.metrics.refusalsTotal.inc({ reason: refusalCodes[refusal.kind] });
     return Err(RequestError.notRun(context.permit, {
         status: refusal.kind === RefusalKind.RateLimited ? tooManyRequestsStatus : unavailableStatus,
         code: refusalCodes[refusal.kind],
