Measure recovery, and what each change brought

Cause: recovery time is a headline figure and was not measured; struck streams rebuilt all at once, and their long passes made all others late, which looked like silence.

--- /dev/null
+++ b/bench/recovery/faults.ts
@@ -0,0 +1,49 @@
+import type { EngineFleet } from "./engineFleet.ts";
+import type { Fault } from "./fault.ts";
+
+const slowFactor = 10;
+
+const getOne = (_fleet: EngineFleet, engine: string) => [engine];
+const restart = (fleet: EngineFleet, engine: string) => fleet.restart(engine);
+
+/** The faults of engines and of the connections to them, the most common first. */
+export const faults: readonly Fault[] = [
+    {
+        name: "stage dies",
+        getStruck: getOne,
+        strike: (fleet, engine) => fleet.signal(engine, "SIGKILL"),
+        repair: restart,
+    },
+    {
+        name: "stage freezes",
+        getStruck: getOne,
+        strike: (fleet, engine) => fleet.signal(engine, "SIGSTOP"),
+        repair: restart,
+    },
+    {
+        name: "connections go silent",
+        getStruck: getOne,
+        strike: (fleet, engine) => fleet.setFaults(engine, { freezeExistingConnections: true }),
+        repair: restart,
+    },
+    {
+        name: "stage slows tenfold",
+        getStruck: getOne,
+        strike: (fleet, engine) => fleet.setFaults(engine, { slowFactor }),
+        repair: (fleet, engine) => fleet.setFaults(engine, { slowFactor: 1 }),
+    },
+    {
+        name: "data centre dies",
+        getStruck: (fleet, engine) =>
+            fleet.getNames().filter(name => fleet.getDataCentre(name) === fleet.getDataCentre(engine)),
+        strike: (fleet, engine) => fleet.signal(engine, "SIGKILL"),
+        repair: restart,
+    },
+    {
+        name: "data centre freezes",
+        getStruck: (fleet, engine) =>
+            fleet.getNames().filter(name => fleet.getDataCentre(name) === fleet.getDataCentre(engine)),
+        strike: (fleet, engine) => fleet.signal(engine, "SIGSTOP"),
+        repair: restart,
+    },
+];
--- /dev/null
+++ b/bench/recovery/streamLoad.ts
@@ -0,0 +1,128 @@
+import type { RandomSource } from "../../src/process/randomSource.ts";
+import { referenceAnswer } from "../../standins/engine/referenceModel.ts";
+import type { Router } from "./router.ts";
+
+/** Options of a {@link StreamLoad}. */
+interface StreamLoadOptions {
+    router: Router;
+    layers: number;
+    streams: number;
+    random: RandomSource;
+}
+
+/** One answer as its caller saw it. */
+export interface StreamRecord {
+    startedAt: number;
+    /** Endpoints of the chain in use. */
+    endpoints: string[];
+    /** Monotonic times of the tokens, in milliseconds. */
+    tokenTimes: number[];
+    /** Undefined while the answer runs. */
+    endedAt: number | undefined;
+}
+
+const promptWords = 60;
+const vocabulary = ["salary", "tariff", "deduction", "ward", "contract", "letter", "month", "household", "receipt"];
+const shortestAnswer = 60;
+const longestAnswer = 140;
+const staggerMilliseconds = 1_000;
+const millisecondsPerSecond = 1_000;
+
+/** So many streams at a time, each of which asks for its next answer when one has ended. */
+export class StreamLoad {
+    /** All answers, in the order of their starts. */
+    readonly records: StreamRecord[] = [];
+    /** Answers that were not what the model says, or did not come whole. */
+    wrongAnswers = 0;
+    private readonly options: StreamLoadOptions;
+    private readonly controller = new AbortController();
+    private readonly running: Promise<void>[] = [];
+    private nextAnswer = 1;
+
+    private constructor(options: StreamLoadOptions) {
+        this.options = options;
+    }
+
+    /** Starts the streams, spread over the first second. */
+    static start(options: StreamLoadOptions): StreamLoad {
+        const load = new StreamLoad(options);
+        for (let stream = 0; stream < options.streams; stream += 1) {
+            load.running.push(load.runStream(options.random() * staggerMilliseconds));
+        }
+        return load;
+    }
+
+    /** Gets the answers that run now. */
+    getRunning(): StreamRecord[] {
+        return this.records.filter(record => record.endedAt === undefined);
+    }
+
+    /**
+     * Gets the tokens a second of all streams between two times.
+     * @param from - Monotonic time in milliseconds.
+     * @param to - Monotonic time in milliseconds.
+     */
+    getRate(from: number, to: number): number {
+        let tokens = 0;
+        for (const record of this.records) {
+            for (const time of record.tokenTimes) {
+                tokens += time >= from && time < to ? 1 : 0;
+            }
+        }
+        return tokens * millisecondsPerSecond / (to - from);
+    }
+
+    /** Gives up all answers and waits until they have ended. */
+    async stop(): Promise<void> {
+        this.controller.abort();
+        await Promise.all(this.running);
+    }
+
+    private async runStream(delayMilliseconds: number): Promise<void> {
+        await new Promise(resolve => setTimeout(resolve, delayMilliseconds));
+        while (!this.controller.signal.aborted) {
+            await this.runAnswer();
+        }
+    }
+
+    private async runAnswer(): Promise<void> {
+        const { router, layers, random } = this.options;
+        const record: StreamRecord = {
+            startedAt: performance.now(),
+            endpoints: [],
+            tokenTimes: [],
+            endedAt: undefined,
+        };
+        this.records.push(record);
+        const prompt = createPrompt(random);
+        const maximumTokens = Math.floor(shortestAnswer + random() * (longestAnswer - shortestAnswer));
+        let text = "";
+        const isWhole = await router.generate({
+            id: `answer-${this.nextAnswer++}-${performance.timeOrigin + performance.now()}`,
+            prompt,
+            maximumTokens,
+            signal: this.controller.signal,
+            onChain: chain => {
+                record.endpoints = chain.stages.map(stage => stage.endpoint);
+            },
+            onText: piece => {
+                record.tokenTimes.push(performance.now());
+                text += piece;
+            },
+        });
+        record.endedAt = performance.now();
+        if (this.controller.signal.aborted) {
+            return;
+        }
+        const isRight = isWhole && text === referenceAnswer({ modelLayers: layers, prompt, maximumTokens }).text;
+        this.wrongAnswers += isRight ? 0 : 1;
+    }
+}
+
+function createPrompt(random: RandomSource): string {
+    const words: string[] = [];
+    for (let index = 0; index < promptWords; index += 1) {
+        words.push(vocabulary[Math.floor(random() * vocabulary.length)]!);
+    }
+    return words.join(" ");
+}
