Call a key unclaimed only where its owner has read on since its duty began

Ruled out: a second execution. Change: at each change of members an owner reads on from the tail, until it grows no more, and until then calls nothing unclaimed; the others forget the shard; only an owner may call a key unclaimed.

--- a/src/process/claimRouter.ts
+++ b/src/process/claimRouter.ts
@@ -47,21 +47,28 @@
         return new ClaimRouter(options);
     }
 
-    /** Makes this node read the shards that it owns, and forget those for which it is not even next in line. */
+    /** Makes this node read on in the shards that it owns, and forget the others: their owners append without it. */
     updateOwnedShards(): void {
-        const { local, shards, view } = this.options;
-        const self = view.getSelf().nodeId;
+        const { local, shards } = this.options;
         for (let shard = 0; shard < shards; shard += 1) {
-            const owners = this.getOwners(shard);
-            if (owners[0] === self) {
-                local.loadShard(shard);
+            if (this.isOwner(shard)) {
+                local.refreshShard(shard);
             }
-            else if (!owners.includes(self)) {
+            else {
                 local.releaseShard(shard);
             }
         }
     }
 
+    /**
+     * Decides claims here, for this node or a peer. Only the owner of the shard can tell that a key is unclaimed: another
+     * node's reading of the shard may be older than the owner's last append.
+     */
+    async claimHere(shard: number, claims: readonly Claim[]): Promise<ClaimVerdict[]> {
+        const verdicts = await this.options.local.claim(shard, claims);
+        return this.isOwner(shard) ? verdicts : verdicts.map(verdict => ({ ...verdict, isUnclaimed: false }));
+    }
+
     /**
      * Claims a key. The claimant asks again under the same name until it has a final verdict, so an answer that was lost
      * on the way does no harm.
@@ -92,9 +99,9 @@
         claim: Claim,
         parent: TraceContext,
     ): Promise<ClaimVerdict | undefined> {
-        const { view, peers, local } = this.options;
+        const { view, peers } = this.options;
         if (nodeId === view.getSelf().nodeId) {
-            const [verdict] = await local.claim(shard, [claim]);
+            const [verdict] = await this.claimHere(shard, [claim]);
             return verdict;
         }
         const address = view.getMember(nodeId)?.peerAddress;
@@ -112,6 +119,10 @@
         return verdict === undefined ? undefined : toClaimVerdict(verdict);
     }
 
+    private isOwner(shard: number): boolean {
+        return this.getOwners(shard)[0] === this.options.view.getSelf().nodeId;
+    }
+
     private getOwners(shard: number): string[] {
         const nodeIds: string[] = [];
         for (const member of this.options.view.getAliveMembers()) {
--- a/src/process/claimService.ts
+++ b/src/process/claimService.ts
@@ -94,7 +94,7 @@
         if (this.parts === undefined) {
             return claims.map(() => ({ outcome: ClaimOutcome.NotOwner }));
         }
-        return await this.parts.owner.claim(shard, claims);
+        return await this.parts.router.claimHere(shard, claims);
     }
 
     /**
--- a/src/process/claims/claimOwner.ts
+++ b/src/process/claims/claimOwner.ts
@@ -64,6 +64,11 @@
         this.getRunner(shard).load();
     }
 
+    /** Reads a shard, or reads on where it was read before: other owners may have appended meanwhile. */
+    refreshShard(shard: number): void {
+        this.getRunner(shard).refresh();
+    }
+
     /** Forgets a shard that this node does not own any more. */
     releaseShard(shard: number): void {
         this.runners.get(shard)?.close();
--- a/src/process/claims/claimShard.ts
+++ b/src/process/claims/claimShard.ts
@@ -84,6 +84,14 @@
         return this.step(time);
     }
 
+    /** Reads on from the tail. Until that is done, what other owners have appended may be unknown here. */
+    refresh(time: EventTime): ShardOutput {
+        if (this.isReady()) {
+            this.reading.readFromTail();
+        }
+        return this.load(time);
+    }
+
     /**
      * Takes a claim.
      * @param ticket - Number under which the verdict is given.
--- a/src/process/claims/claimShardRunner.ts
+++ b/src/process/claims/claimShardRunner.ts
@@ -49,6 +49,11 @@
         this.handle((shard, time) => shard.load(time));
     }
 
+    /** Reads the shard, or reads on from its tail where it was read before. */
+    refresh(): void {
+        this.handle((shard, time) => shard.refresh(time));
+    }
+
     /** Claims a key. Rejects with an `InvariantError` where a check of this program failed. */
     claim(claim: Claim): Promise<ClaimVerdict> {
         return new Promise((resolve, reject) => {
--- a/src/process/claims/ringReading.ts
+++ b/src/process/claims/ringReading.ts
@@ -9,6 +9,8 @@
     private readonly getSlotKey: (slot: number) => string;
     private isListed = false;
     private key: string | undefined;
+    /** Next number at the last reading from the tail; the reading goes on while it grows. */
+    private readThrough = 0;
 
     private constructor(ring: ClaimRing, getSlotKey: (slot: number) => string) {
         this.ring = ring;
@@ -32,6 +34,7 @@
 
     /** Reads on from the tail, after another owner has appended. */
     readFromTail(): void {
+        this.readThrough = this.ring.getNextNumber();
         this.key = this.getSlotKey(this.ring.getNextSlot());
     }
 
@@ -46,7 +49,12 @@
         }
         const readKey = this.isListed ? this.key : undefined;
         const gap = this.ring.findGap();
+        const wasListed = this.isListed;
         this.isListed = true;
+        if (gap === undefined && wasListed && this.ring.getNextNumber() > this.readThrough) {
+            this.readFromTail();
+            return true;
+        }
         this.key = gap === undefined ? undefined : this.getSlotKey(gap);
         return this.key === undefined || this.key !== readKey;
     }
--- a/src/process/membership/membershipViewOptions.ts
+++ b/src/process/membership/membershipViewOptions.ts
@@ -9,8 +9,8 @@
     configurationVersion?: number;
     /**
      * First incarnation. Pass the wall-clock time in milliseconds, so that a process that restarts under the same name
-     * outranks the records of its predecessor. Where the clock has stepped back, the node raises its incarnation when it
-     * receives them.
+     * outranks the records of its predecessor. Where the clock has stepped back, the node raises its incarnation when
+     * it receives them.
      */
     incarnation: number;
     /** Time in milliseconds that a suspected member has to refute the suspicion. Default 3000. */
--- a/src/process/nodeLifecycle.ts
+++ b/src/process/nodeLifecycle.ts
@@ -71,8 +71,9 @@
     }
 
     /**
-     * Tells whether neither the store nor a peer has answered lately. A single node without peers goes on when the store
-     * is down: no newer version can have been accepted without the store, and nobody else could serve its callers.
+     * Tells whether neither the store nor a peer has answered lately. A single node without peers goes on when the
+     * store is down: no newer version can have been accepted without the store, and nobody else could serve its
+     * callers.
      */
     private isIsolated(): boolean {
         if (!this.options.hasKnownPeers()) {
--- a/tests/process/claims/claimOwner.test.ts
+++ b/tests/process/claims/claimOwner.test.ts
@@ -56,6 +56,49 @@
 }
 
 describe("ClaimOwner", () => {
+    it("does not call a key unclaimed after its duty has moved, before it has read on", async () => {
+        const { clock, store, createOwner, createKey, claim } = createBench();
+        const [first, second] = [createOwner(), createOwner()];
+        const [known, unseen] = [createKey(1), createKey(2)];
+        await claim(first, createKey(0), "x");
+        await claim(second, known, "y");
+        first.refreshShard(0);
+        await clock.advance(100);
+        await claim(second, unseen, "yy");
+        store.setDown(true);
+        first.refreshShard(0);
+        assert.equal((await claim(first, known, "z")).outcome, "taken");
+        const verdict = await claim(first, unseen, "zz");
+        assert.equal(verdict.outcome, "unavailable");
+        assert.equal(verdict.isUnclaimed, undefined);
+    });
+
+    it("reads on to the last of several appends after its duty has moved", async () => {
+        const { clock, store, createOwner, createKey, claim } = createBench();
+        const [first, second] = [createOwner(), createOwner()];
+        await claim(first, createKey(0), "x");
+        const keys = [createKey(1), createKey(2)];
+        for (const [index, key] of keys.entries()) {
+            await claim(second, key, `y${index}`);
+        }
+        first.refreshShard(0);
+        await clock.advance(500);
+        store.setDown(true);
+        for (const [index, key] of keys.entries()) {
+            assert.equal((await claim(first, key, `z${index}`)).outcome, "taken");
+        }
+    });
+
+    it("calls a key unclaimed where it has read the shard and the service is down", async () => {
+        const { store, createOwner, createKey, claim } = createBench();
+        const owner = createOwner();
+        await claim(owner, createKey(0), "x");
+        store.setDown(true);
+        const verdict = await claim(owner, createKey(1), "x");
+        assert.equal(verdict.outcome, "unavailable");
+        assert.equal(verdict.isUnclaimed, true);
+    });
+
     it("grants a key to the first claimant, at each owner and each time it asks", async () => {
         const { createOwner, createKey, claim } = createBench();
         const [first, second] = [createOwner(), createOwner()];
