--- a/bench/admission/loadModel.ts
+++ b/bench/admission/loadModel.ts
@@ -82,7 +82,7 @@
     // The expected cost is off by up to a half either way.
     const cost = caller.tokens * (0.5 + random());
     const deadline = sentAt + options.patienceMilliseconds;
-    options.gate({ customer: caller.customer, service: "model", cost, deadline, signal: abort.signal }, release => {
+    options.gate({ customer: caller.customer, gate: "model", cost, deadline, signal: abort.signal }, release => {
         const startedAt = clock.getMonotonicTime();
         const run = clock.setTimer(caller.tokens * options.millisecondsPerToken, () => {
             patience.cancel();
--- a/bench/admission/measureCost.ts
+++ b/bench/admission/measureCost.ts
@@ -46,7 +46,7 @@
     const tickets: AdmissionTicket[] = [];
     const request = (index: number): void => {
         const customer = names[index % customerCount] ?? "";
-        void admission.requestAdmission({ customer, service: "model", cost: 100 }).then(result => {
+        void admission.requestAdmission({ customer, gate: "model", cost: 100 }).then(result => {
             if (result.ok) {
                 tickets.push(result.val);
             }
--- a/bench/admission/measureGoodput.ts
+++ b/bench/admission/measureGoodput.ts
@@ -4,6 +4,7 @@
 import { createRandom } from "./createRandom.ts";
 import { getQuantile } from "./getQuantile.ts";
 import { runLoadModel } from "./loadModel.ts";
+import type { LoadResult } from "./loadResult.ts";
 
 const places = 64;
 const millisecondsPerToken = 20;
@@ -14,10 +15,18 @@
 /** Tokens a second that the places can do. */
 const capacity = places * 1000 / millisecondsPerToken;
 
+/** One run: the gate, what the callers ask for, and how long they wait. */
+interface GoodputCase {
+    kind: string;
+    /** New requests, as a part of what the places can do. */
+    load: number;
+    patienceMilliseconds: number;
+    maximumTokens: number;
+}
+
 /** Measures goodput at several loads, with the admission and with the unbounded queue. */
 export async function measureGoodput(): Promise<void> {
     console.log("\nGoodput (part of capacity) by offered load (new requests; refused callers come back besides)");
-    const names = Array.from({ length: customerCount }, (_, index) => `customer${index}`);
     for (
         const { patienceMilliseconds, maximumTokens } of [
             { patienceMilliseconds: 15_000, maximumTokens: 500 },
@@ -26,52 +35,61 @@
     ) {
         for (const kind of ["admission", "unbounded queue"]) {
             for (const load of [0.5, 1, 2, 4]) {
-                const clock = VirtualClock.create();
-                const configuration = createBenchConfiguration(Object.fromEntries(names.map(name => [name, {}])));
-                const gate = kind === "admission"
-                    ? BenchGate.createAdmission({
-                        getConfiguration: () => configuration,
-                        clock,
-                        random: createRandom(2),
-                        getConcurrencyLimit: () => places,
-                    })
-                    : BenchGate.createFirstInFirstOut(places);
-                const requestsPerSecond = load * capacity / meanTokens / (1 - Math.exp(-maximumTokens / meanTokens))
-                    / customerCount;
-                const result = await runLoadModel({
-                    clock,
-                    random: createRandom(1),
-                    gate,
-                    streams: names.map(customer => ({
-                        customer,
-                        getRequestsPerSecond: () => requestsPerSecond,
-                        maximumRequestsPerSecond: requestsPerSecond,
-                    })),
-                    durationMilliseconds,
-                    warmUpMilliseconds,
-                    millisecondsPerToken,
-                    meanTokens,
-                    maximumTokens,
-                    patienceMilliseconds,
-                    maximumReturns: 3,
-                });
-                const goodput = result.goodTokens / capacity / (durationMilliseconds - warmUpMilliseconds) * 1000;
-                const atOnce = result.refusalLatencies.filter(latency => latency === 0).length;
-                console.log([
-                    `patience ${patienceMilliseconds / 1000} s`,
-                    kind.padEnd(15),
-                    `load ${load}`,
-                    `goodput ${goodput.toFixed(3)}`,
-                    `finished ${(result.finished / result.arrivals).toFixed(3)} of callers`,
-                    `p99 wait ${getQuantile(result.getWaits(() => true), 0.99).toFixed(0)} ms`,
-                    `refusals ${result.refusals}, at once ${(atOnce / Math.max(1, result.refusals)).toFixed(4)}`,
-                    `latency p50 ${getQuantile(result.refusalLatencies, 0.5).toFixed(0)}`
-                    + ` max ${getQuantile(result.refusalLatencies, 1).toFixed(0)} ms`,
-                    `retry after p5 ${getQuantile(result.retryAfters, 0.05).toFixed(0)}`
-                    + ` p50 ${getQuantile(result.retryAfters, 0.5).toFixed(0)}`
-                    + ` p95 ${getQuantile(result.retryAfters, 0.95).toFixed(0)} ms`,
-                ].join(", "));
+                const goodputCase = { kind, load, patienceMilliseconds, maximumTokens };
+                printResult(goodputCase, await runCase(goodputCase));
             }
         }
     }
 }
+
+function runCase({ kind, load, patienceMilliseconds, maximumTokens }: GoodputCase): Promise<LoadResult> {
+    const names = Array.from({ length: customerCount }, (_, index) => `customer${index}`);
+    const clock = VirtualClock.create();
+    const configuration = createBenchConfiguration(Object.fromEntries(names.map(name => [name, {}])));
+    const gate = kind === "admission"
+        ? BenchGate.createAdmission({
+            getConfiguration: () => configuration,
+            clock,
+            random: createRandom(2),
+            getConcurrencyLimit: () => places,
+        })
+        : BenchGate.createFirstInFirstOut(places);
+    const requestsPerSecond = load * capacity / meanTokens / (1 - Math.exp(-maximumTokens / meanTokens))
+        / customerCount;
+    return runLoadModel({
+        clock,
+        random: createRandom(1),
+        gate,
+        streams: names.map(customer => ({
+            customer,
+            getRequestsPerSecond: () => requestsPerSecond,
+            maximumRequestsPerSecond: requestsPerSecond,
+        })),
+        durationMilliseconds,
+        warmUpMilliseconds,
+        millisecondsPerToken,
+        meanTokens,
+        maximumTokens,
+        patienceMilliseconds,
+        maximumReturns: 3,
+    });
+}
+
+function printResult({ kind, load, patienceMilliseconds }: GoodputCase, result: LoadResult): void {
+    const goodput = result.goodTokens / capacity / (durationMilliseconds - warmUpMilliseconds) * 1000;
+    const atOnce = result.refusalLatencies.filter(latency => latency === 0).length;
+    console.log([
+        `patience ${patienceMilliseconds / 1000} s`,
+        kind.padEnd(15),
+        `load ${load}`,
+        `goodput ${goodput.toFixed(3)}`,
+        `finished ${(result.finished / result.arrivals).toFixed(3)} of callers`,
+        `p99 wait ${getQuantile(result.getWaits(() => true), 0.99).toFixed(0)} ms`,
+        `refusals ${result.refusals}, at once ${(atOnce / Math.max(1, result.refusals)).toFixed(4)}`,
+        `latency p50 ${getQuantile(result.refusalLatencies, 0.5).toFixed(0)}`
+        + ` max ${getQuantile(result.refusalLatencies, 1).toFixed(0)} ms`,
+        `retry after p5 ${getQuantile(result.retryAfters, 0.05).toFixed(0)}`
+        + ` p50 ${getQuantile(result.retryAfters, 0.5).toFixed(0)}`
+        + ` p95 ${getQuantile(result.retryAfters, 0.95).toFixed(0)} ms`,
+    ].join(", "));
+}
--- a/bench/admission/measureReturns.ts
+++ b/bench/admission/measureReturns.ts
@@ -8,6 +8,15 @@
 const callers = 3_000;
 const binMilliseconds = 1_000;
 
+/** What one run showed. */
+interface ReturnsResult {
+    /** Requests sent in each second of the run. */
+    bins: readonly number[];
+    served: number;
+    /** Time at which the last one was served, in milliseconds. */
+    servedAt: number;
+}
+
 /** Measures how 3,000 callers that come within 100 ms return until all are served. */
 export async function measureReturns(): Promise<void> {
     console.log(
@@ -15,46 +24,7 @@
             + ` ${places} a second, longest wait 2 s`,
     );
     for (const kind of ["as told", "all after 1 s"]) {
-        const clock = VirtualClock.create();
-        const random = createRandom(3);
-        const configuration = createBenchConfiguration({ customer: {} }, {
-            maximumQueueMilliseconds: 2_000,
-            maximumQueuedRequests: 1_000,
-        });
-        const admission = Admission.create({
-            getConfiguration: () => configuration,
-            clock,
-            random: createRandom(4),
-            getConcurrencyLimit: () => places,
-        });
-        const bins = new Array<number>(300).fill(0);
-        let served = 0;
-        let servedAt = 0;
-        const send = (): void => {
-            const bin = Math.floor(clock.getMonotonicTime() / binMilliseconds);
-            bins[bin] = (bins[bin] ?? 0) + 1;
-            void admission.requestAdmission({ customer: "customer", service: "model", cost: 1 }).then(result => {
-                if (result.err) {
-                    clock.setTimer(kind === "as told" ? result.val.retryAfterMilliseconds : 1_000, send);
-                    return;
-                }
-                const ticket = result.val;
-                clock.setTimer(runMilliseconds, () => {
-                    ticket.release({ tokens: 1 });
-                    served++;
-                    servedAt = clock.getMonotonicTime();
-                });
-            });
-        };
-        // A few runs before, from which the drain rate is known.
-        for (let index = 0; index < places; index++) {
-            send();
-        }
-        await clock.runUntil(2 * runMilliseconds);
-        for (let index = 0; index < callers; index++) {
-            clock.setTimer(random() * 100, send);
-        }
-        await clock.runUntil(300_000);
+        const { bins, served, servedAt } = await runReturns(kind === "as told");
         const returns = bins.slice(3);
         const attempts = returns.reduce((sum, count) => sum + count, 0);
         console.log([
@@ -66,3 +36,55 @@
         ].join(", "));
     }
 }
+
+/**
+ * Sends the callers and lets them return.
+ * @param isAsTold - Whether they come back when told; after 1 s where not.
+ */
+async function runReturns(isAsTold: boolean): Promise<ReturnsResult> {
+    const clock = VirtualClock.create();
+    const random = createRandom(3);
+    const admission = createAdmission(clock);
+    const bins = new Array<number>(300).fill(0);
+    let served = 0;
+    let servedAt = 0;
+    const send = (): void => {
+        const bin = Math.floor(clock.getMonotonicTime() / binMilliseconds);
+        bins[bin] = (bins[bin] ?? 0) + 1;
+        void admission.requestAdmission({ customer: "customer", gate: "model", cost: 1 }).then(result => {
+            if (result.err) {
+                clock.setTimer(isAsTold ? result.val.retryAfterMilliseconds : 1_000, send);
+                return;
+            }
+            const ticket = result.val;
+            clock.setTimer(runMilliseconds, () => {
+                ticket.release({ tokens: 1 });
+                served++;
+                servedAt = clock.getMonotonicTime();
+            });
+        });
+    };
+    // A few runs before, from which the drain rate is known.
+    for (let index = 0; index < places; index++) {
+        send();
+    }
+    await clock.runUntil(2 * runMilliseconds);
+    for (let index = 0; index < callers; index++) {
+        clock.setTimer(random() * 100, send);
+    }
+    await clock.runUntil(300_000);
+    return { bins, served, servedAt };
+}
+
+function createAdmission(clock: VirtualClock): Admission {
+    const configuration = createBenchConfiguration({ customer: {} }, {
+        maximumQueueMilliseconds: 2_000,
+        maximumQueuedRequests: 1_000,
+    });
+    return Admission.create({
+        getConfiguration: () => configuration,
+        clock,
+        random: createRandom(4),
+        getConcurrencyLimit: () => places,
+    });
+}
--- a/bench/capacity/measureCustomers.ts
+++ b/bench/capacity/measureCustomers.ts
@@ -4,10 +4,10 @@
 import { getGateCapacity } from "../../src/request/getGateCapacity.ts";
 import { modelGatePrefix } from "../../src/request/modelGatePrefix.ts";
 import type { Configuration } from "../../src/version/configuration.ts";
+import { createSeededRandom } from "../../tests/support/createSeededRandom.ts";
+import { VirtualClock } from "../../tests/support/virtualClock.ts";
 import { createBenchConfiguration } from "../admission/createBenchConfiguration.ts";
-import { VirtualClock } from "../admission/virtualClock.ts";
 import { createFleet } from "../policy/fleet.ts";
-import { createSeededRandom } from "../policy/seededRandom.ts";
 import { fitSlope } from "./fitSlope.ts";
 import { letterSize } from "./letterSize.ts";
 import { measureHeap } from "./measureHeap.ts";
@@ -122,7 +122,7 @@
     });
     const tickets: AdmissionTicket[] = [];
     const request = (index: number): void => {
-        const asked = { customer: names[index % names.length]!, service: "model", cost: 100 };
+        const asked = { customer: names[index % names.length]!, gate: "model", cost: 100 };
         void admission.requestAdmission(asked).then(result => result.ok && tickets.push(result.val));
     };
     for (let index = 0; index < places + names.length; index++) {
--- a/bench/capacity/measureOrders.ts
+++ b/bench/capacity/measureOrders.ts
@@ -5,7 +5,7 @@
 import type { Configuration } from "../../src/version/configuration.ts";
 import { parseConfiguration } from "../../src/version/parseConfiguration.ts";
 import { MemoryStore } from "../../tests/support/memoryStore.ts";
-import { VirtualClock } from "../admission/virtualClock.ts";
+import { VirtualClock } from "../../tests/support/virtualClock.ts";
 import { createSizedConfiguration } from "./createSizedConfiguration.ts";
 import { fitSlope } from "./fitSlope.ts";
 import { letterSize } from "./letterSize.ts";
--- a/bench/capacity/measureReportSpread.ts
+++ b/bench/capacity/measureReportSpread.ts
@@ -1,6 +1,6 @@
 import { type EndpointReport, EndpointReports } from "../../src/connection/endpoint/endpointReports.ts";
 import { PeerRotation } from "../../src/process/membership/peerRotation.ts";
-import { createSeededRandom } from "../policy/seededRandom.ts";
+import { createSeededRandom } from "../../tests/support/createSeededRandom.ts";
 import { letterSize } from "./letterSize.ts";
 import type { ReportSpread } from "./reportSpread.ts";
 
--- a/bench/recovery/foxleadRouter.ts
+++ b/bench/recovery/foxleadRouter.ts
@@ -5,7 +5,7 @@
 import type { GenerationObserver } from "../../src/request/model/generationObserver.ts";
 import { runGeneration } from "../../src/request/model/runGeneration.ts";
 import { NotRunPermit } from "../../src/request/notRunPermit.ts";
-import { createSeededRandom } from "../policy/seededRandom.ts";
+import { createSeededRandom } from "../../tests/support/createSeededRandom.ts";
 import type { EngineFleet } from "./engineFleet.ts";
 import type { Router, RouterCounts, RouterRequest } from "./router.ts";
 
--- a/bench/recovery/plainRouter.ts
+++ b/bench/recovery/plainRouter.ts
@@ -6,7 +6,7 @@
 import type { Chain, ChainStage } from "../../src/request/chain/chain.ts";
 import { EstimatedTimeChooser } from "../../src/request/chain/estimatedTimeChooser.ts";
 import type { Configuration } from "../../src/version/configuration.ts";
-import { createSeededRandom } from "../policy/seededRandom.ts";
+import { createSeededRandom } from "../../tests/support/createSeededRandom.ts";
 import type { EngineFleet } from "./engineFleet.ts";
 import type { Router, RouterCounts, RouterRequest } from "./router.ts";
 
--- a/bench/recovery/runTrial.ts
+++ b/bench/recovery/runTrial.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from "node:timers/promises";
-import { createSeededRandom } from "../policy/seededRandom.ts";
+import { createSeededRandom } from "../../tests/support/createSeededRandom.ts";
 import type { EngineFleet } from "./engineFleet.ts";
 import type { Fault } from "./fault.ts";
 import type { Router } from "./router.ts";
--- a/scripts/deployment/sendChat.ts
+++ b/scripts/deployment/sendChat.ts
@@ -137,6 +137,20 @@
     }
 }
 
+/** Takes an event of the stream into the outcome, but for its text, which is returned where there is one. */
+function takeEvent(data: string, outcome: ChatOutcome): string | undefined {
+    if (data === "[DONE]") {
+        outcome.isWhole = true;
+        outcome.outcome = "finished";
+        return undefined;
+    }
+    const parsed = JSON.parse(data) as EventBody;
+    if (parsed.error !== undefined) {
+        noteError(outcome, parsed.error);
+    }
+    return parsed.choices?.[0]?.delta.content;
+}
+
 async function readStream(
     body: AsyncIterable<Buffer>,
     startedAt: number,
@@ -148,16 +162,7 @@
     const parser = createParser({
         onEvent: event => {
             const now = performance.now();
-            if (event.data === "[DONE]") {
-                outcome.isWhole = true;
-                outcome.outcome = "finished";
-                return;
-            }
-            const parsed = JSON.parse(event.data) as EventBody;
-            if (parsed.error !== undefined) {
-                noteError(outcome, parsed.error);
-            }
-            const text = parsed.choices?.[0]?.delta.content;
+            const text = takeEvent(event.data, outcome);
             if (text === undefined) {
                 return;
             }
--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -9,7 +9,7 @@
 import { runSoak } from "./soak/runSoak.ts";
 import { printSoakReport } from "./soak/soakReport.ts";
 
-const MillisecondsPerMinute = 60_000;
+const millisecondsPerMinute = 60_000;
 
 process.chdir(new URL("..", import.meta.url).pathname);
 const parsed = yargs(hideBin(process.argv))
@@ -32,7 +32,7 @@
 print(`Soak with seed ${parsed.seed}.`);
 const result = await runSoak({
     seed: parsed.seed,
-    milliseconds: parsed.minutes * MillisecondsPerMinute,
+    milliseconds: parsed.minutes * millisecondsPerMinute,
     maximumRequests: parsed.requests,
     maximumFaults: parsed.faults,
     isBuilt: parsed.built,
--- a/src/connection/endpoint/callEngine.ts
+++ b/src/connection/endpoint/callEngine.ts
@@ -11,7 +11,7 @@
 }
 
 /** Engines are not trusted to end their answers; a status with thousands of layer ranges stays far below this. */
-const MaximumAnswerBytes = 1024 * 1024;
+const maximumAnswerBytes = 1024 * 1024;
 
 /**
  * Sends a call and reads its answer, a bounded one.
@@ -31,8 +31,8 @@
     let bytes = 0;
     for await (const chunk of response.body as AsyncIterable<Buffer>) {
         bytes += chunk.length;
-        if (bytes > MaximumAnswerBytes) {
-            throw new RangeError(`The answer to ${call.path} is longer than ${MaximumAnswerBytes} bytes.`);
+        if (bytes > maximumAnswerBytes) {
+            throw new RangeError(`The answer to ${call.path} is longer than ${maximumAnswerBytes} bytes.`);
         }
         chunks.push(chunk);
     }
--- a/src/connection/endpoint/endpointBelief.ts
+++ b/src/connection/endpoint/endpointBelief.ts
@@ -4,7 +4,7 @@
 import type { EngineStatus } from "./engineProtocol.ts";
 
 /** A node's own good answer goes before a peer's word that the endpoint is unreachable, for this long. */
-const OwnAnswerMilliseconds = 1_000;
+const ownAnswerMilliseconds = 1_000;
 
 /**
  * What a node believes of one endpoint, from four sources: its own calls, the endpoint's status, the reports of peers, and
@@ -72,7 +72,7 @@
     /** @param now - Monotonic time in milliseconds. */
     observePeerReport(observation: EndpointObservation, now: number): void {
         if (observation.state === "unreachable") {
-            this.isUnreachable ||= now - this.answeredAt > OwnAnswerMilliseconds;
+            this.isUnreachable ||= now - this.answeredAt > ownAnswerMilliseconds;
             return;
         }
         this.isUnreachable = false;
--- a/src/connection/endpoint/endpointDirectory.ts
+++ b/src/connection/endpoint/endpointDirectory.ts
@@ -27,9 +27,9 @@
 }
 
 /** Engines of a data centre that are probed together, at most; bounds what an outage costs the nodes and the network. */
-const MaximumNeighbours = 16;
+const maximumNeighbours = 16;
 /** Shortest time between two such rounds of probes of a data centre, in milliseconds. */
-const NeighbourProbeMilliseconds = 1_000;
+const neighbourProbeMilliseconds = 1_000;
 
 /** All endpoints of the configuration in force: their connections, and what this node believes of them. */
 export class EndpointDirectory {
@@ -145,7 +145,7 @@
     private probeNeighbours(dataCentre: string): void {
         const now = this.options.clock.getMonotonicTime();
         const probedAt = this.neighboursProbedAt.get(dataCentre) ?? Number.NEGATIVE_INFINITY;
-        if (now - probedAt < NeighbourProbeMilliseconds) {
+        if (now - probedAt < neighbourProbeMilliseconds) {
             return;
         }
         this.neighboursProbedAt.set(dataCentre, now);
@@ -157,7 +157,7 @@
             }
             void this.probe(name, engine);
             neighbours += 1;
-            if (neighbours === MaximumNeighbours) {
+            if (neighbours === maximumNeighbours) {
                 return;
             }
         }
--- a/src/connection/endpoint/endpointObserver.ts
+++ b/src/connection/endpoint/endpointObserver.ts
@@ -32,8 +32,8 @@
 /** An unchanged report is told again after this time, times the stretch. */
 const refreshMilliseconds = 5_000;
 /** A queue that changed by less than this share and few passes is not told. */
-const QueueChangeShare = 0.25;
-const QueueChangePasses = 4;
+const queueChangeShare = 0.25;
+const queueChangePasses = 4;
 
 /** Reads the status of those engines that this node observes, in turn, and reports what has changed. */
 export class EndpointObserver {
@@ -154,5 +154,5 @@
     }
     const queueBefore = before.queueDepth ?? 0;
     const change = Math.abs(queueBefore - (after.queueDepth ?? 0));
-    return change > QueueChangePasses && change > QueueChangeShare * queueBefore;
+    return change > queueChangePasses && change > queueChangeShare * queueBefore;
 }
--- a/src/connection/endpoint/endpointReports.ts
+++ b/src/connection/endpoint/endpointReports.ts
@@ -14,10 +14,10 @@
 }
 
 /** Upper bound of the bytes that one record takes on the wire, names of common length included. */
-const EstimatedReportBytes = 96;
-const BytesPerRange = 24;
+const estimatedReportBytes = 96;
+const bytesPerRange = 24;
 /** As in SWIM's dissemination: a change rides on a few messages a node, growing with the logarithm of the nodes. */
-const TransmissionFactor = 4;
+const transmissionFactor = 4;
 
 /**
  * The endpoint records that travel between nodes. A record that is new here is passed on a bounded number of times; a newer
@@ -47,7 +47,7 @@
             return false;
         }
         this.latest.set(report.endpoint, report);
-        const transmissions = TransmissionFactor * (1 + Math.ceil(Math.log2(this.getNodeCount() + 1)));
+        const transmissions = transmissionFactor * (1 + Math.ceil(Math.log2(this.getNodeCount() + 1)));
         const isChange = known?.state !== report.state || this.travelling.get(report.endpoint)?.isChange === true;
         this.travelling.set(report.endpoint, { report, transmissions, isChange });
         return true;
@@ -67,7 +67,7 @@
         const collected: EndpointReport[] = [];
         let remainingBytes = budgetBytes;
         for (const travelling of waiting) {
-            remainingBytes -= EstimatedReportBytes + BytesPerRange * (travelling.report.layers?.length ?? 0);
+            remainingBytes -= estimatedReportBytes + bytesPerRange * (travelling.report.layers?.length ?? 0);
             if (remainingBytes < 0) {
                 break;
             }
--- /dev/null
+++ b/src/connection/endpoint/engineCalls.ts
@@ -0,0 +1,70 @@
+import type { Dispatcher } from "undici";
+import { Err, Ok, type Result } from "../../result.ts";
+import { callEngine } from "./callEngine.ts";
+import { createPassFailure } from "./createPassFailure.ts";
+import type { EngineAnswer } from "./engineAnswer.ts";
+import type { CancelOrder, EngineOrder, EngineStatus } from "./engineProtocol.ts";
+import { engineStatusSchema } from "./engineStatusSchema.ts";
+import type { PassFailure } from "./passFailure.ts";
+
+/** Options of {@link EngineCalls}. */
+interface EngineCallsOptions {
+    endpoint: string;
+    /** Gets the connections to use now; silent ones are replaced. */
+    getDispatcher(): Dispatcher;
+}
+
+const callTimeoutMilliseconds = 2_000;
+
+/** The calls to an engine that are no passes. */
+export class EngineCalls {
+    private readonly options: EngineCallsOptions;
+
+    private constructor(options: EngineCallsOptions) {
+        this.options = options;
+    }
+
+    /** Creates the calls to one engine. */
+    static create(options: EngineCallsOptions): EngineCalls {
+        return new EngineCalls(options);
+    }
+
+    /** Frees a sequence; a failure is of no consequence, since idle sequences lapse at the engine. */
+    async cancel(order: CancelOrder): Promise<void> {
+        await this.call("POST", "/v1/cancel", order);
+    }
+
+    /** Reads the engine's status. */
+    async getStatus(): Promise<Result<EngineStatus, PassFailure>> {
+        const answer = await this.call("GET", "/v1/status");
+        if (!answer.ok) {
+            return answer;
+        }
+        const status = engineStatusSchema.safeParse(answer.val.body);
+        const { endpoint } = this.options;
+        return status.success
+            ? Ok(status.data)
+            : Err(createPassFailure(endpoint, "failed", "status of a wrong shape"));
+    }
+
+    /** Sends an order; the status code tells whether the engine took it (200) or found its number old (409). */
+    async sendOrder(order: EngineOrder): Promise<Result<number, PassFailure>> {
+        const answer = await this.call("POST", "/v1/orders", order);
+        return answer.ok ? Ok(answer.val.status) : answer;
+    }
+
+    private async call(
+        method: "GET" | "POST",
+        path: string,
+        body?: object,
+    ): Promise<Result<EngineAnswer, PassFailure>> {
+        const { endpoint, getDispatcher } = this.options;
+        const call = { method, path, body, timeoutMilliseconds: callTimeoutMilliseconds };
+        try {
+            return Ok(await callEngine(getDispatcher(), call));
+        }
+        catch (error) {
+            return Err(createPassFailure(endpoint, "unreachable", String(error)));
+        }
+    }
+}
--- a/src/connection/endpoint/engineConnection.ts
+++ b/src/connection/endpoint/engineConnection.ts
@@ -1,12 +1,11 @@
-import { Pool } from "undici";
 import type { Clock } from "../../process/clock.ts";
 import { Err, Ok, type Result } from "../../result.ts";
 import type { BatchClosing } from "./batchClosing.ts";
-import { callEngine } from "./callEngine.ts";
-import type { EngineAnswer } from "./engineAnswer.ts";
+import { createPassFailure } from "./createPassFailure.ts";
+import { EngineCalls } from "./engineCalls.ts";
+import { EnginePool } from "./enginePool.ts";
 import type { CancelOrder, EngineOrder, EngineStatus, Pass, PassResult } from "./engineProtocol.ts";
 import { EngineReachability } from "./engineReachability.ts";
-import { engineStatusSchema } from "./engineStatusSchema.ts";
 import { HopDeadline } from "./hopDeadline.ts";
 import type { PassFailure } from "./passFailure.ts";
 import { PrefillWindow } from "./prefillWindow.ts";
@@ -27,13 +26,11 @@
 }
 
 /** Sends of one pass, the first included, before the endpoint is given up. */
-const MaximumSends = 4;
-const MaximumConnections = 64;
+const maximumSends = 4;
 /** Positions of long passes on their way to the engine. Measured in docs/design/recovery.md. */
-const PrefillPositions = 256;
+const prefillPositions = 256;
 /** Reasons of a refusal that prove that the pass did not run; `cancelled` and `order` do not. */
 const notRunReasons: ReadonlySet<string> = new Set(["leaving", "memory", "layers", "model"]);
-const CallTimeoutMilliseconds = 2_000;
 
 /**
  * The connections of this node to one model engine. Passes handed over in one turn of the event loop leave in one batch.
@@ -46,9 +43,10 @@
     private readonly origin: string;
     private readonly deadline = HopDeadline.create();
     private readonly waiting = new Map<number, WaitingPass>();
-    private readonly prefillWindow = PrefillWindow.create(PrefillPositions);
+    private readonly prefillWindow = PrefillWindow.create(prefillPositions);
     private outgoing: WaitingPass[] = [];
-    private pool: Pool;
+    private readonly pool: EnginePool;
+    private readonly calls: EngineCalls;
     private nextId = 1;
     private readonly reachability: EngineReachability;
     private isClosed = false;
@@ -56,7 +54,11 @@
     private constructor(options: EngineConnectionOptions) {
         this.options = options;
         this.origin = `http://${options.address}`;
-        this.pool = createPool(this.origin);
+        this.pool = EnginePool.create(this.origin, options.clock);
+        this.calls = EngineCalls.create({
+            endpoint: options.endpoint,
+            getDispatcher: () => this.pool.getDispatcher(),
+        });
         this.reachability = EngineReachability.create({
             clock: options.clock,
             probe: () => probeEngine(this.origin, this.deadline.getProbeTimeout()),
@@ -105,27 +107,21 @@
                 this.settle(waitingPass, Err(this.createFailure("notSent", "cancelled")));
             }
         }
-        await this.call("POST", "/v1/cancel", order);
+        await this.calls.cancel(order);
     }
 
     /** Reads the engine's status. */
     async getStatus(): Promise<Result<EngineStatus, PassFailure>> {
-        const answer = await this.call("GET", "/v1/status");
-        if (!answer.ok) {
-            return answer;
-        }
-        const status = engineStatusSchema.safeParse(answer.val.body);
-        if (!status.success) {
-            return Err(this.createFailure("failed", "status of a wrong shape"));
+        const status = await this.calls.getStatus();
+        if (status.ok) {
+            this.reachability.observeAnswer();
         }
-        this.reachability.observeAnswer();
-        return Ok(status.data);
+        return status;
     }
 
     /** Sends an order; the status code tells whether the engine took it (200) or found its number old (409). */
-    async sendOrder(order: EngineOrder): Promise<Result<number, PassFailure>> {
-        const answer = await this.call("POST", "/v1/orders", order);
-        return answer.ok ? Ok(answer.val.status) : answer;
+    sendOrder(order: EngineOrder): Promise<Result<number, PassFailure>> {
+        return this.calls.sendOrder(order);
     }
 
     /**
@@ -201,7 +197,7 @@
     private sendBatch(batch: WaitingPass[]): void {
         const sends = new Map(batch.map(waitingPass => [waitingPass.pass.id, waitingPass.sentAt.length]));
         sendPassBatch({
-            pool: this.pool,
+            pool: this.pool.getDispatcher(),
             passes: batch.map(waitingPass => waitingPass.pass),
             onResult: result => this.handleResult(result, sends.get(result.id)),
             onClosed: closing => this.handleBatchClosed(batch, sends, closing),
@@ -244,10 +240,11 @@
 
     private async handleOverdue(waitingPass: WaitingPass): Promise<void> {
         waitingPass.mayHaveArrived = true;
-        const pool = this.pool;
+        const dispatcher = this.pool.getDispatcher();
         await this.resendOrFail(waitingPass, "no answer in time", () => {
-            if (pool === this.pool) {
-                this.replacePool();
+            if (dispatcher === this.pool.getDispatcher()) {
+                this.pool.replace();
+                this.options.onSilentConnection(this.options.endpoint);
             }
         });
     }
@@ -258,7 +255,7 @@
         }
         waitingPass.isDoubtful = true;
         waitingPass.cancelTimer();
-        const isAnswering = waitingPass.sentAt.length < MaximumSends && await this.isAnswering();
+        const isAnswering = waitingPass.sentAt.length < maximumSends && await this.isAnswering();
         waitingPass.isDoubtful = false;
         if (!this.waiting.has(waitingPass.pass.id)) {
             return;
@@ -272,14 +269,6 @@
         this.enqueue(waitingPass);
     }
 
-    /** New batches use new connections; the old ones end when their answers have ended, or are cut after a while. */
-    private replacePool(): void {
-        const oldPool = this.pool;
-        this.pool = createPool(this.origin);
-        this.options.onSilentConnection(this.options.endpoint);
-        this.options.clock.setTimer(CallTimeoutMilliseconds, () => void oldPool.destroy());
-    }
-
     private settle(waitingPass: WaitingPass, outcome: Result<PassResult, PassFailure>): void {
         waitingPass.cancelTimer();
         this.waiting.delete(waitingPass.pass.id);
@@ -298,32 +287,7 @@
         }
     }
 
-    private async call(
-        method: "GET" | "POST",
-        path: string,
-        body?: object,
-    ): Promise<Result<EngineAnswer, PassFailure>> {
-        try {
-            return Ok(
-                await callEngine(this.pool, { method, path, body, timeoutMilliseconds: CallTimeoutMilliseconds }),
-            );
-        }
-        catch (error) {
-            return Err(this.createFailure("unreachable", String(error)));
-        }
-    }
-
     private createFailure(kind: PassFailure["kind"], reason: string): PassFailure {
-        const { endpoint } = this.options;
-        return { kind, endpoint, reason, message: `Endpoint ${endpoint} brought no result: ${reason}.` };
+        return createPassFailure(this.options.endpoint, kind, reason);
     }
 }
-
-function createPool(origin: string): Pool {
-    return new Pool(origin, {
-        connections: MaximumConnections,
-        headersTimeout: 0,
-        bodyTimeout: 0,
-        connectTimeout: 1_000,
-    });
-}
--- a/src/connection/endpoint/engineReachability.ts
+++ b/src/connection/endpoint/engineReachability.ts
@@ -11,11 +11,11 @@
 }
 
 /** After a failed probe the engine counts as unreachable for this long, unless it answers before. */
-const UnreachableMilliseconds = 1_000;
+const unreachableMilliseconds = 1_000;
 /** An engine counts as in use for so long after its last pass. */
-const InUseMilliseconds = 5_000;
+const inUseMilliseconds = 5_000;
 /** An engine that has not answered for so long is probed together with the next pass, whose deadline is not learnt. */
-const IdleMilliseconds = 2_000;
+const idleMilliseconds = 2_000;
 
 /** What one node's own calls show of whether an engine answers. At most one probe runs at a time. */
 export class EngineReachability {
@@ -37,7 +37,7 @@
     /** Notes that a pass is on its way; one to an engine that has not answered for a while takes a probe with it. */
     observeUse(): void {
         this.usedAt = this.options.clock.getMonotonicTime();
-        if (this.usedAt - this.answeredAt > IdleMilliseconds) {
+        if (this.usedAt - this.answeredAt > idleMilliseconds) {
             void this.probe();
         }
     }
@@ -50,7 +50,7 @@
 
     /** Tells whether a pass was given to the engine not long ago. */
     isInUse(): boolean {
-        return this.options.clock.getMonotonicTime() - this.usedAt < InUseMilliseconds;
+        return this.options.clock.getMonotonicTime() - this.usedAt < inUseMilliseconds;
     }
 
     /** Tells whether a probe failed not long ago and nothing was answered since. */
@@ -76,7 +76,7 @@
         if (this.answeredAt > startedAt) {
             return true;
         }
-        this.unreachableUntil = this.options.clock.getMonotonicTime() + UnreachableMilliseconds;
+        this.unreachableUntil = this.options.clock.getMonotonicTime() + unreachableMilliseconds;
         // Where the probe was refused, the connections of passes on their way break too, and each tells whether it left.
         if (outcome === "silent") {
             this.options.onSilent();
--- a/src/connection/endpoint/hopDeadline.ts
+++ b/src/connection/endpoint/hopDeadline.ts
@@ -1,16 +1,16 @@
 /** Deadlines never fall below this, so that a garbage collection on either side is no miss. */
-const MinimumDeadlineMilliseconds = 150;
-const MaximumDeadlineMilliseconds = 10_000;
+const minimumDeadlineMilliseconds = 150;
+const maximumDeadlineMilliseconds = 10_000;
 /** A probe is a new connection and a small call, so it takes two round trips and no step. */
-const MinimumProbeMilliseconds = 200;
-const MaximumProbeMilliseconds = 2_000;
-const ProbeFactor = 4 / 3;
-const InitialDecodeMilliseconds = 100;
-const InitialPositionMilliseconds = 2;
-const SmoothingFactor = 0.1;
+const minimumProbeMilliseconds = 200;
+const maximumProbeMilliseconds = 2_000;
+const probeFactor = 4 / 3;
+const initialDecodeMilliseconds = 100;
+const initialPositionMilliseconds = 2;
+const smoothingFactor = 0.1;
 /** Deviations above the mean after which an answer is overdue, as TCP's retransmission timer does (RFC 6298). */
-const DeviationFactor = 6;
-const MeanFactor = 2;
+const deviationFactor = 6;
+const meanFactor = 2;
 
 /** A smoothed mean with its mean deviation, as in RFC 6298. */
 interface SmoothedTime {
@@ -24,12 +24,12 @@
  */
 export class HopDeadline {
     private readonly decode: SmoothedTime = {
-        mean: InitialDecodeMilliseconds,
-        deviation: InitialDecodeMilliseconds / 2,
+        mean: initialDecodeMilliseconds,
+        deviation: initialDecodeMilliseconds / 2,
     };
     private readonly position: SmoothedTime = {
-        mean: InitialPositionMilliseconds,
-        deviation: InitialPositionMilliseconds / 2,
+        mean: initialPositionMilliseconds,
+        deviation: initialPositionMilliseconds / 2,
     };
 
     private constructor() {}
@@ -63,22 +63,22 @@
         const decodeMilliseconds = getUpperTime(this.decode);
         const prefillMilliseconds = positions === 1 ? 0 : positions * getUpperTime(this.position);
         const deadlineMilliseconds = decodeMilliseconds + prefillMilliseconds;
-        return Math.min(MaximumDeadlineMilliseconds, Math.max(MinimumDeadlineMilliseconds, deadlineMilliseconds));
+        return Math.min(maximumDeadlineMilliseconds, Math.max(minimumDeadlineMilliseconds, deadlineMilliseconds));
     }
 
     /** Gets the time that a probe over a new connection may take, in whole milliseconds; longer on a longer link. */
     getProbeTimeout(): number {
-        const timeoutMilliseconds = Math.ceil(ProbeFactor * this.getDeadline(1));
-        return Math.min(MaximumProbeMilliseconds, Math.max(MinimumProbeMilliseconds, timeoutMilliseconds));
+        const timeoutMilliseconds = Math.ceil(probeFactor * this.getDeadline(1));
+        return Math.min(maximumProbeMilliseconds, Math.max(minimumProbeMilliseconds, timeoutMilliseconds));
     }
 }
 
 function smooth(time: SmoothedTime, sampleMilliseconds: number): void {
     const error = sampleMilliseconds - time.mean;
-    time.mean += SmoothingFactor * error;
-    time.deviation += SmoothingFactor * (Math.abs(error) - time.deviation);
+    time.mean += smoothingFactor * error;
+    time.deviation += smoothingFactor * (Math.abs(error) - time.deviation);
 }
 
 function getUpperTime(time: SmoothedTime): number {
-    return MeanFactor * time.mean + DeviationFactor * time.deviation;
+    return meanFactor * time.mean + deviationFactor * time.deviation;
 }
--- a/src/connection/endpoint/lineSplitter.ts
+++ b/src/connection/endpoint/lineSplitter.ts
@@ -6,7 +6,7 @@
     onLine(line: string): void;
 }
 
-const Newline = 10;
+const newline = 10;
 
 /** Splits a byte stream into lines of bounded length. */
 export class LineSplitter {
@@ -31,12 +31,12 @@
      */
     push(chunk: Buffer): void {
         let start = 0;
-        let end = chunk.indexOf(Newline, start);
+        let end = chunk.indexOf(newline, start);
         while (end !== -1) {
             this.addPending(chunk.subarray(start, end));
             this.emitLine();
             start = end + 1;
-            end = chunk.indexOf(Newline, start);
+            end = chunk.indexOf(newline, start);
         }
         this.addPending(chunk.subarray(start));
     }
--- a/src/connection/endpoint/sendPassBatch.ts
+++ b/src/connection/endpoint/sendPassBatch.ts
@@ -16,7 +16,7 @@
 }
 
 /** A result line holds the activations of a whole prompt. */
-const MaximumLineBytes = 16 * 1024 * 1024;
+const maximumLineBytes = 16 * 1024 * 1024;
 
 /**
  * Sends one batch of passes and reads the results line by line.
@@ -25,7 +25,7 @@
 export function sendPassBatch(options: PassBatchOptions): void {
     const controller = new AbortController();
     const splitter = LineSplitter.create({
-        maximumLineBytes: MaximumLineBytes,
+        maximumLineBytes,
         onLine: line => options.onResult(parsePassResult(line)),
     });
     const reading = readAnswer(options, splitter, controller.signal);
--- a/src/request/admission/admission.ts
+++ b/src/request/admission/admission.ts
@@ -40,10 +40,10 @@
         return count;
     }
 
-    /** Gets the load of each service that was asked for. */
-    getServiceLoads(): { service: string; running: number; waiting: number; limit: number; }[] {
-        return [...this.gates].map(([service, gate]) => ({
-            service,
+    /** Gets the load of each gate that was asked for, in requests. */
+    getGateLoads(): { gate: string; running: number; waiting: number; limit: number; }[] {
+        return [...this.gates].map(([name, gate]) => ({
+            gate: name,
             running: gate.running,
             waiting: gate.queue.waitingCount,
             limit: gate.getLimit(),
@@ -63,16 +63,16 @@
         }
         const waiter = Waiter.create(request, now, this.getLatestStart(request, now));
         this.enqueue(waiter, now);
-        this.admitWaiting(request.service);
+        this.admitWaiting(request.gate);
         if (waiter.entry?.isWaiting) {
             this.watch(waiter, now);
         }
         return waiter.result;
     }
 
-    /** Admits what may start now; call it after the concurrency limit of a service has grown. */
-    admitWaiting(service: string): void {
-        const gate = this.getGate(service);
+    /** Admits what may start now; call it after the concurrency limit of a gate has grown. */
+    admitWaiting(gateName: string): void {
+        const gate = this.getGate(gateName);
         const now = this.options.clock.getMonotonicTime();
         for (let waiter = gate.takeNext(now); waiter !== undefined; waiter = gate.takeNext(now)) {
             // Its timer is late: the loop was busy.
@@ -86,8 +86,8 @@
     }
 
     /** Counts that an engine had no memory for a request that was admitted; call it before the ticket's release. */
-    observeRefusal(service: string): void {
-        this.getGate(service).observeRefusal(this.options.clock.getMonotonicTime());
+    observeRefusal(gateName: string): void {
+        this.getGate(gateName).observeRefusal(this.options.clock.getMonotonicTime());
     }
 
     /** Refuses all new and waiting requests from now on; those that run go on. */
@@ -116,7 +116,7 @@
         if (limitRefusal !== undefined) {
             return limitRefusal;
         }
-        const gate = this.getGate(request.service);
+        const gate = this.getGate(request.gate);
         const refusal = gate.getWaitRefusal(request, this.maximumWait, now)
             ?? this.getQueueRefusal(gate, request, now);
         if (refusal !== undefined) {
@@ -139,8 +139,8 @@
     }
 
     private enqueue(waiter: Waiter, now: number): void {
-        const { customer, service, cost } = waiter.request;
-        const gate = this.getGate(service);
+        const { customer, gate: gateName, cost } = waiter.request;
+        const gate = this.getGate(gateName);
         if (!gate.isOpen() && this.waitingCount >= this.options.getConfiguration().limits.maximumQueuedRequests) {
             const evicted = this.getEntryToEvict(gate, waiter.request)?.item;
             if (evicted !== undefined) {
@@ -156,12 +156,12 @@
     }
 
     private getLatestStart(request: AdmissionRequest, now: number): number {
-        return now + Math.max(0, this.getGate(request.service).getAllowedWait(request, this.maximumWait, now));
+        return now + Math.max(0, this.getGate(request.gate).getAllowedWait(request, this.maximumWait, now));
     }
 
     private watch(waiter: Waiter, now: number): void {
         const { clock } = this.options;
-        const gate = this.getGate(waiter.request.service);
+        const gate = this.getGate(waiter.request.gate);
         const timer = clock.setTimer(waiter.latestStart - now, () => {
             this.giveUp(waiter, gate.createWaitRefusal(waiter.request, this.maximumWait, clock.getMonotonicTime()));
         });
@@ -169,7 +169,7 @@
     }
 
     private giveUp(waiter: Waiter, refusal: Refusal): void {
-        if (waiter.entry !== undefined && this.getGate(waiter.request.service).queue.remove(waiter.entry)) {
+        if (waiter.entry !== undefined && this.getGate(waiter.request.gate).queue.remove(waiter.entry)) {
             this.refuseWaiter(waiter, refusal);
         }
     }
@@ -180,17 +180,17 @@
     }
 
     private createTicket(waiter: Waiter, gate: ServiceGate<Waiter>, startedAt: number): AdmissionTicket {
-        const { customer, service, cost } = waiter.request;
+        const { customer, gate: gateName, cost } = waiter.request;
         return AdmissionTicket.create({
             customer,
-            service,
+            gate: gateName,
             priority: this.getCustomer(customer)?.priority ?? 0,
             queuedMilliseconds: startedAt - waiter.arrivedAt,
             onRelease: tokens => {
                 const now = this.options.clock.getMonotonicTime();
                 const weight = this.getWeight(customer);
                 gate.finish({ customer, weight, cost, tokens, elapsedMilliseconds: now - startedAt }, now);
-                this.admitWaiting(service);
+                this.admitWaiting(gateName);
             },
         });
     }
@@ -203,12 +203,12 @@
         return this.getCustomer(customer)?.weight ?? 1;
     }
 
-    private getGate(service: string): ServiceGate<Waiter> {
-        let gate = this.gates.get(service);
+    private getGate(name: string): ServiceGate<Waiter> {
+        let gate = this.gates.get(name);
         if (gate === undefined) {
             const { getConcurrencyLimit, random } = this.options;
-            gate = ServiceGate.create<Waiter>(() => getConcurrencyLimit(service), random);
-            this.gates.set(service, gate);
+            gate = ServiceGate.create<Waiter>(() => getConcurrencyLimit(name), random);
+            this.gates.set(name, gate);
         }
         return gate;
     }
--- a/src/request/admission/admissionOptions.ts
+++ b/src/request/admission/admissionOptions.ts
@@ -10,8 +10,8 @@
     clock: Clock;
     /** Source of the spread of the returns of refused callers. */
     random: RandomSource;
-    /** This node's share of what the service's endpoints serve at the same time, in requests. */
-    getConcurrencyLimit: (service: string) => number;
+    /** Gets this node's share of what the endpoints behind a gate serve at the same time, in requests. */
+    getConcurrencyLimit: (gate: string) => number;
     /** Limits of the customers, shared with the other nodes; without it no rate limit holds. */
     customerLimits?: CustomerLimits;
 }
--- a/src/request/admission/admissionTicket.ts
+++ b/src/request/admission/admissionTicket.ts
@@ -1,7 +1,8 @@
 /** What an `AdmissionTicket` is created from. */
 interface AdmissionTicketOptions {
     customer: string;
-    service: string;
+    /** Name of the gate. */
+    gate: string;
     /** Priority of the customer for the engines; higher goes first. */
     priority: number;
     /** Time between the arrival and the admission, in milliseconds. */
@@ -13,7 +14,8 @@
 /** The right to run one request. Its holder releases it when the run has ended, however it ended. */
 export class AdmissionTicket {
     readonly customer: string;
-    readonly service: string;
+    /** Name of the gate whose place it holds. */
+    readonly gate: string;
     /** Priority of the customer for the engines; higher goes first. */
     readonly priority: number;
     /** Time between the arrival and the admission, in milliseconds. */
@@ -22,7 +24,7 @@
 
     private constructor(options: AdmissionTicketOptions) {
         this.customer = options.customer;
-        this.service = options.service;
+        this.gate = options.gate;
         this.priority = options.priority;
         this.queuedMilliseconds = options.queuedMilliseconds;
         this.onRelease = options.onRelease;
--- a/src/request/admitRequest.ts
+++ b/src/request/admitRequest.ts
@@ -43,7 +43,7 @@
     }
     const span = environment.tracing.startSpan("admission", { parent: context.span.context });
     const { customer, deadline, signal } = context;
-    const admission = await environment.admission.requestAdmission({ customer, service: gate, cost, deadline, signal });
+    const admission = await environment.admission.requestAdmission({ customer, gate, cost, deadline, signal });
     span.end();
     if (admission.ok) {
         return Ok(admission.val);
--- a/src/request/model/chainSelection.ts
+++ b/src/request/model/chainSelection.ts
@@ -11,7 +11,7 @@
 }
 
 /** Times that one answer leaves a stage that has become slow. */
-const MaximumSlowStages = 2;
+const maximumSlowStages = 2;
 
 /** The chains of one answer: without the endpoints that failed it, and with those that survived where that is as good. */
 export class ChainSelection {
@@ -59,7 +59,7 @@
      * @param endpoint - Endpoint of the stage.
      */
     leaveSlowStage(endpoint: string): boolean {
-        if (this.slowStages >= MaximumSlowStages || !this.choose(1, new Set(this.excluded).add(endpoint)).ok) {
+        if (this.slowStages >= maximumSlowStages || !this.choose(1, new Set(this.excluded).add(endpoint)).ok) {
             return false;
         }
         this.slowStages += 1;
--- a/src/request/model/createGenerationObserver.ts
+++ b/src/request/model/createGenerationObserver.ts
@@ -3,7 +3,7 @@
 import type { RequestEnvironment } from "../requestEnvironment.ts";
 import type { GenerationObserver } from "./generationObserver.ts";
 
-const MillisecondsPerSecond = 1_000;
+const millisecondsPerSecond = 1_000;
 
 /**
  * Creates the observer that turns what happens to one answer into spans, metrics and log events.
@@ -49,7 +49,7 @@
             });
         },
         onRecovered: elapsedMilliseconds =>
-            metrics.recoverySeconds.observe(elapsedMilliseconds / MillisecondsPerSecond),
+            metrics.recoverySeconds.observe(elapsedMilliseconds / millisecondsPerSecond),
         onStaleResult: reason => metrics.staleResultsTotal.inc({ reason }),
     };
 }
--- a/src/request/model/handleChat.ts
+++ b/src/request/model/handleChat.ts
@@ -17,9 +17,9 @@
 import { type GenerationSummary, runGeneration } from "./runGeneration.ts";
 import { TokenTimes } from "./tokenTimes.ts";
 
-const DefaultMaximumTokens = 256;
-const BytesPerToken = 4;
-const MillisecondsPerSecond = 1_000;
+const defaultMaximumTokens = 256;
+const bytesPerToken = 4;
+const millisecondsPerSecond = 1_000;
 
 /** One chat request on its way through this node. */
 interface ChatRun {
@@ -52,7 +52,7 @@
     if (!run.ok) {
         return run;
     }
-    const cost = run.val.chat.prompt.length / BytesPerToken + run.val.maximumTokens;
+    const cost = run.val.chat.prompt.length / bytesPerToken + run.val.maximumTokens;
     const ticket = await admitRequest(environment, context, getGateName(run.val.chat.service, run.val.service), cost);
     if (!ticket.ok) {
         return ticket;
@@ -81,8 +81,8 @@
     if (service?.kind !== "model") {
         return Err(createUnknownServiceError(context, chat.service));
     }
-    const maximumTokens = Math.min(chat.maximumTokens ?? DefaultMaximumTokens, limits.maximumTokens);
-    const created = Math.floor(environment.clock.getWallTime() / MillisecondsPerSecond);
+    const maximumTokens = Math.min(chat.maximumTokens ?? defaultMaximumTokens, limits.maximumTokens);
+    const created = Math.floor(environment.clock.getWallTime() / millisecondsPerSecond);
     const answer = ChatAnswer.create({ id: `chatcmpl-${context.id}`, model: chat.service, created });
     const headers = { "x-request-id": context.id };
     return Ok({ environment, context, writer, chat, service, maximumTokens, answer, headers, chunks: [] });
@@ -90,7 +90,7 @@
 
 /** Tokens that the engines have worked on; 0 where nothing ran. */
 function getUsedTokens(run: ChatRun): number {
-    return run.context.permit.isAvailable() ? 0 : run.chat.prompt.length / BytesPerToken + run.chunks.length;
+    return run.context.permit.isAvailable() ? 0 : run.chat.prompt.length / bytesPerToken + run.chunks.length;
 }
 
 function createUnknownServiceError(context: RequestContext, name: string): RequestError {
@@ -144,7 +144,7 @@
         stopSignal: context.stopSignal,
         chooser: environment.chooser,
         clock: environment.clock,
-        observer: createGenerationObserver(environment, context, ticket.service),
+        observer: createGenerationObserver(environment, context, ticket.gate),
         getConnection: endpoint => environment.endpoints.getEngine(endpoint),
         onChain: chain => {
             run.headers["x-foxlead-chain"] = describeChain(chain);
--- a/src/request/model/runGeneration.ts
+++ b/src/request/model/runGeneration.ts
@@ -44,11 +44,11 @@
 type AttemptEnd = { kind: "cancelled"; } | { kind: "broken"; failure: PassFailure; };
 
 /** Attempts of one answer before it fails. */
-const MaximumAttempts = 12;
+const maximumAttempts = 12;
 /** How long a started answer waits for a chain to come back before it fails, in milliseconds. */
-const ChainPatienceMilliseconds = 8_000;
-const ChainRetryMilliseconds = 50;
-const NoChainRetryAfterMilliseconds = 1_000;
+const chainPatienceMilliseconds = 8_000;
+const chainRetryMilliseconds = 50;
+const noChainRetryAfterMilliseconds = 1_000;
 
 /**
  * Generates one answer: chooses a chain, drives each pass through its stages, and when a stage is lost rebuilds the
@@ -80,7 +80,7 @@
 
     async run(): Promise<Result<GenerationSummary, RequestError>> {
         let lastMessage = "";
-        for (let attempt = 1; attempt <= MaximumAttempts; attempt += 1) {
+        for (let attempt = 1; attempt <= maximumAttempts; attempt += 1) {
             const chain = await this.chooseChain();
             if (!chain.ok) {
                 return chain;
@@ -95,7 +95,7 @@
             lastMessage = outcome.val.failure.message;
             this.handleBrokenAttempt(chain.val, outcome.val.failure);
         }
-        return Err(this.createFinalError(`The answer failed on ${MaximumAttempts} chains. ${lastMessage}`));
+        return Err(this.createFinalError(`The answer failed on ${maximumAttempts} chains. ${lastMessage}`));
     }
 
     private async runReservedAttempt(chain: Chain): Promise<Result<Omit<GenerationSummary, "chain">, AttemptEnd>> {
@@ -181,7 +181,7 @@
     /** Chooses a chain; a request of which something has run waits for one, for a bounded time. */
     private async chooseChain(): Promise<Result<Chain, RequestError>> {
         const { clock } = this.options;
-        const giveUpAt = clock.getMonotonicTime() + ChainPatienceMilliseconds;
+        const giveUpAt = clock.getMonotonicTime() + chainPatienceMilliseconds;
         for (;;) {
             const chain = this.selection.chooseChain(this.generation.getEstimatedPositions());
             if (chain.ok) {
@@ -195,7 +195,7 @@
                 return Err(this.createFinalError(chain.val.message));
             }
             this.selection.clearExclusions();
-            await new Promise<void>(resolve => void clock.setTimer(ChainRetryMilliseconds, resolve));
+            await new Promise<void>(resolve => void clock.setTimer(chainRetryMilliseconds, resolve));
         }
     }
 
@@ -233,7 +233,7 @@
             status: 503,
             code: "no_chain",
             message,
-            retryAfterMilliseconds: NoChainRetryAfterMilliseconds,
+            retryAfterMilliseconds: noChainRetryAfterMilliseconds,
         });
     }
 
--- a/src/request/model/tokenTimes.ts
+++ b/src/request/model/tokenTimes.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "../../process/clock.ts";
 import type { Metrics } from "../../process/metrics/metrics.ts";
 
-const MillisecondsPerSecond = 1_000;
+const millisecondsPerSecond = 1_000;
 
 /** Measures the time to the first token of an answer and the times between its tokens. */
 export class TokenTimes {
@@ -26,7 +26,7 @@
         this.metrics.countToken();
         const now = this.clock.getMonotonicTime();
         const histogram = this.isFirst ? this.metrics.firstTokenSeconds : this.metrics.betweenTokensSeconds;
-        histogram.observe((now - this.lastAt) / MillisecondsPerSecond);
+        histogram.observe((now - this.lastAt) / millisecondsPerSecond);
         this.isFirst = false;
         this.lastAt = now;
     }
--- a/tests/connection/document/documentConnection.test.ts
+++ b/tests/connection/document/documentConnection.test.ts
@@ -5,7 +5,7 @@
 import { RawEndpoint } from "./rawEndpoint.ts";
 
 const call = { method: "POST", path: "/a", headers: {}, body: Buffer.from("body"), isIdempotent: false };
-const TimeoutMilliseconds = 400;
+const timeoutMilliseconds = 400;
 
 describe("DocumentConnection", () => {
     let endpoint: RawEndpoint;
@@ -24,7 +24,7 @@
     async function send(
         options: RawEndpoint["options"],
         change: Partial<typeof call> = {},
-        signal = AbortSignal.timeout(TimeoutMilliseconds),
+        signal = AbortSignal.timeout(timeoutMilliseconds),
     ) {
         endpoint.options = options;
         endpoint.requests.length = 0;
@@ -55,7 +55,7 @@
 
     it("tells that nothing was sent where no connection comes about", async () => {
         const closed = DocumentConnection.create({ endpoint: "closed", address: "127.0.0.1:1" });
-        const answer = await closed.send(call, AbortSignal.timeout(TimeoutMilliseconds));
+        const answer = await closed.send(call, AbortSignal.timeout(timeoutMilliseconds));
         assert.equal(answer.ok ? "answered" : answer.val.kind, "notSent");
         await closed.close();
     });
--- a/tests/request/admission/admission.test.ts
+++ b/tests/request/admission/admission.test.ts
@@ -95,7 +95,7 @@
         assert.equal(waiting.refusal?.kind, "draining");
         assert.equal((await fixture.send()).refusal?.kind, "draining");
         running.ticket?.release({ tokens: 100 });
-        assert.deepEqual(fixture.admission.getServiceLoads(), [{ service: "chat", running: 0, waiting: 0, limit: 1 }]);
+        assert.deepEqual(fixture.admission.getGateLoads(), [{ gate: "chat", running: 0, waiting: 0, limit: 1 }]);
     });
 
     it("admits what waits when the limit grows, and fewer after an engine's refusal", async () => {
@@ -106,7 +106,7 @@
         await fixture.advance(0);
         assert.ok(waiting.every(answer => answer.ticket !== undefined));
         fixture.admission.observeRefusal("chat");
-        assert.equal(fixture.admission.getServiceLoads()[0]?.limit, 3);
+        assert.equal(fixture.admission.getGateLoads()[0]?.limit, 3);
     });
 
     it("does not count a request against its customer's limit that it refuses for the wait", async () => {
--- a/tests/request/admission/admissionFixture.ts
+++ b/tests/request/admission/admissionFixture.ts
@@ -1,12 +1,12 @@
 import { createBenchConfiguration } from "../../../bench/admission/createBenchConfiguration.ts";
 import { createRandom } from "../../../bench/admission/createRandom.ts";
-import { VirtualClock } from "../../../bench/admission/virtualClock.ts";
 import { Admission } from "../../../src/request/admission/admission.ts";
 import type { AdmissionRequest } from "../../../src/request/admission/admissionRequest.ts";
 import type { AdmissionTicket } from "../../../src/request/admission/admissionTicket.ts";
 import { CustomerLimits } from "../../../src/request/admission/customerLimits.ts";
 import type { Refusal } from "../../../src/request/admission/refusal.ts";
 import type { Configuration, CustomerConfiguration, RequestLimits } from "../../../src/version/configuration.ts";
+import { VirtualClock } from "../../support/virtualClock.ts";
 
 interface FixtureOptions {
     customers?: Record<string, Partial<CustomerConfiguration>>;
@@ -47,7 +47,7 @@
     /** Sends a request and notes its answer when it comes. */
     async send(request: Partial<AdmissionRequest> = {}): Promise<Answer> {
         const answer: Answer = {};
-        const whole = { customer: "alice", service: "chat", cost: 100, ...request };
+        const whole = { customer: "alice", gate: "chat", cost: 100, ...request };
         void this.admission.requestAdmission(whole).then(result => {
             answer.answeredAt = this.clock.getMonotonicTime();
             if (result.ok) {
--- a/tests/request/admission/customerLimits.test.ts
+++ b/tests/request/admission/customerLimits.test.ts
@@ -2,8 +2,8 @@
 import { describe, it } from "node:test";
 import { createBenchConfiguration } from "../../../bench/admission/createBenchConfiguration.ts";
 import { createRandom } from "../../../bench/admission/createRandom.ts";
-import { VirtualClock } from "../../../bench/admission/virtualClock.ts";
 import { CustomerLimits } from "../../../src/request/admission/customerLimits.ts";
+import { VirtualClock } from "../../support/virtualClock.ts";
 
 function createLimits(nodeCount?: number): { limits: CustomerLimits; clock: VirtualClock; } {
     const clock = VirtualClock.create();
--- a/tests/request/chain/chainFixture.ts
+++ b/tests/request/chain/chainFixture.ts
@@ -4,7 +4,7 @@
 import { EstimatedTimeChooser } from "../../../src/request/chain/estimatedTimeChooser.ts";
 import type { SelectCandidates } from "../../../src/request/chain/selectCandidates.ts";
 import type { Configuration, EndpointConfiguration } from "../../../src/version/configuration.ts";
-import { createSeededRandom } from "./seededRandom.ts";
+import { createSeededRandom } from "../../support/createSeededRandom.ts";
 
 /** What a test says of an endpoint. */
 export interface FixtureEndpoint {
