--- a/bench/recovery/foxleadRouter.ts
+++ b/bench/recovery/foxleadRouter.ts
@@ -109,6 +109,7 @@
                 }
             },
             onRecovered: () => undefined,
+        onRebuilt: () => undefined,
             onStaleResult: () => undefined,
         };
     }
--- a/src/request/model/createGenerationObserver.ts
+++ b/src/request/model/createGenerationObserver.ts
@@ -50,6 +50,7 @@
         },
         onRecovered: elapsedMilliseconds =>
             metrics.recoverySeconds.observe(elapsedMilliseconds / millisecondsPerSecond),
+        onRebuilt: positions => metrics.rebuiltPositionsTotal.inc(positions),
         onStaleResult: reason => metrics.staleResultsTotal.inc({ reason }),
     };
 }
--- a/src/request/model/generationObserver.ts
+++ b/src/request/model/generationObserver.ts
@@ -10,5 +10,7 @@
     onAttemptBroken(failure: PassFailure): void;
     /** Tokens flow again, this many milliseconds after the attempt broke. */
     onRecovered(elapsedMilliseconds: number): void;
+    /** The answer has ended, and so many positions ran again for it on new chains. */
+    onRebuilt(positions: number): void;
     onStaleResult(reason: string): void;
 }
--- a/src/request/model/runGeneration.ts
+++ b/src/request/model/runGeneration.ts
@@ -79,6 +79,15 @@
     }
 
     async run(): Promise<Result<GenerationSummary, RequestError>> {
+        const outcome = await this.runAttempts();
+        const rebuiltPositions = this.generation.getRebuiltPositions();
+        if (rebuiltPositions > 0) {
+            this.options.observer.onRebuilt(rebuiltPositions);
+        }
+        return outcome;
+    }
+
+    private async runAttempts(): Promise<Result<GenerationSummary, RequestError>> {
         let lastMessage = "";
         for (let attempt = 1; attempt <= maximumAttempts; attempt += 1) {
             const chain = await this.chooseChain();
