Stop the kept demo gracefully however often the signal comes

Cause: npm and the terminal each send SIGINT, and the second ended the demo before its nodes had stopped. Change: later signals change nothing. Figures: by hand, exit codes of the nodes 0, 0, 0, where before the demo 'was ended by SIGINT'.

--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -110,5 +110,6 @@
     console.log(`  curl http://${callerAddress}/v1/models ${authorization}`);
     console.log(`  curl http://${adminAddress}/metrics`);
     console.log(`  dist/foxlead status --admin ${deployment.nodes.map(node => node.adminAddress).join(",")}`);
-    await new Promise<void>(resolve => process.once("SIGINT", () => resolve()));
+    // A terminal and npm may each send the signal; those after the first change nothing.
+    await new Promise<void>(resolve => process.on("SIGINT", () => resolve()));
 }
