Leave foreign idempotency keys alone where a request may be repeated

Cause: chat clients that send a key of their own kind with every request were refused with 400 on services that need no key. Change: a key that is no UUID of version 7 is not claimed where the request may be repeated, and refused where it may not.

--- a/src/request/claimRequest.ts
+++ b/src/request/claimRequest.ts
@@ -1,5 +1,6 @@
 import { createHash } from "node:crypto";
 import { createClaimKey } from "../process/claims/createClaimKey.ts";
+import { getIssueTime } from "../process/claims/getIssueTime.ts";
 import { Err, Ok, type Result } from "../result.ts";
 import type { ClaimDecision } from "./claimDecision.ts";
 import type { KeptAnswer } from "./keptAnswer.ts";
@@ -20,7 +21,8 @@
 const unavailableRetryMilliseconds = 2_000;
 
 /**
- * Claims the key of a request that must run at most once: one whose service or caller says so, or that carries a key.
+ * Claims the key of a request that must run at most once: one whose service or caller says so, or that carries a UUID of
+ * version 7 as its key.
  * @param environment - Parts of the process.
  * @param context - The request.
  * @param isIdempotentService - Whether calls of the service may be repeated.
@@ -33,14 +35,17 @@
     content: readonly (string | Buffer)[],
 ): Promise<Result<RequestClaim, RequestError>> {
     const { idempotencyKey } = context;
+    const mayBeRepeated = isIdempotentService && !context.isMarkedNonIdempotent;
     if (idempotencyKey === undefined) {
-        return isIdempotentService && !context.isMarkedNonIdempotent
-            ? Ok({ kind: "unclaimed" })
-            : Err(createMissingKeyError());
+        return mayBeRepeated ? Ok({ kind: "unclaimed" }) : Err(createMissingKeyError());
+    }
+    const key = createClaimKey(context.customer, idempotencyKey);
+    if (getIssueTime(key) === undefined) {
+        // Some chat clients send keys of their own with every request; they ask for nothing that a repeat would harm.
+        return mayBeRepeated ? Ok({ kind: "unclaimed" }) : Err(createMalformedKeyError());
     }
     const startedAt = environment.clock.getMonotonicTime();
     const span = environment.tracing.startSpan("claim", { parent: context.span.context });
-    const key = createClaimKey(context.customer, idempotencyKey);
     const decision = await environment.claims.claim(key, hashContent(content), context.id, span.context);
     span.setAttributes({ "foxlead.claim": decision.kind });
     span.end();
@@ -100,6 +105,11 @@
     return RequestError.invalid(400, "idempotency_key_missing", message);
 }
 
+function createMalformedKeyError(): RequestError {
+    const message = "The idempotency key is not a UUID of version 7. Create one for each new request.";
+    return RequestError.invalid(400, "bad_idempotency_key", message);
+}
+
 function hashContent(content: readonly (string | Buffer)[]): string {
     const hash = createHash("sha256");
     for (const part of content) {
