Pass kept answers on when a node stops gracefully

Cause: after a planned stop the repeats of requests that the node had answered got 'outcome unknown', since their answers lived in its memory only; a rolling restart lost them all. Conclusion: repeats survive planned stops; after a kill they still end as unknown. Unused grants are not passed on.

--- a/bench/recovery/foxleadRouter.ts
+++ b/bench/recovery/foxleadRouter.ts
@@ -109,7 +109,7 @@
                 }
             },
             onRecovered: () => undefined,
-        onRebuilt: () => undefined,
+            onRebuilt: () => undefined,
             onStaleResult: () => undefined,
         };
     }
--- a/src/connection/peer/peerConnections.ts
+++ b/src/connection/peer/peerConnections.ts
@@ -14,6 +14,8 @@
     GossipRequest,
     GossipResponse,
     PeerService,
+    TakeKeptAnswersRequest,
+    TakeKeptAnswersResponse,
 } from "../../wire/generated/foxlead/peer/v1/peer_pb.ts";
 import { PeerConnection } from "./peerConnection.ts";
 import type { PeerError } from "./peerError.ts";
@@ -129,6 +131,20 @@
         );
     }
 
+    /** Brings kept answers to a peer. */
+    takeKeptAnswers(
+        address: string,
+        request: TakeKeptAnswersRequest,
+        options?: PeerCallOptions,
+    ): Promise<Result<TakeKeptAnswersResponse, PeerError>> {
+        return this.call(
+            "takeKeptAnswers",
+            address,
+            options,
+            (client, callOptions) => client.takeKeptAnswers(request, callOptions),
+        );
+    }
+
     /** Closes all connections and ends the calls under way. */
     close(): void {
         this.isClosed = true;
--- a/src/connection/peer/peerHandlers.ts
+++ b/src/connection/peer/peerHandlers.ts
@@ -10,6 +10,8 @@
     GetKeptAnswerResponseSchema,
     GossipRequest,
     GossipResponseSchema,
+    TakeKeptAnswersRequest,
+    TakeKeptAnswersResponseSchema,
 } from "../../wire/generated/foxlead/peer/v1/peer_pb.ts";
 
 /** What a node does with the calls of its peers. A handler that throws answers the call with an error. */
@@ -23,4 +25,5 @@
     ): Promise<MessageInitShape<typeof GetConfigurationResponseSchema>>;
     claim(request: ClaimRequest): Promise<MessageInitShape<typeof ClaimResponseSchema>>;
     getKeptAnswer(request: GetKeptAnswerRequest): Promise<MessageInitShape<typeof GetKeptAnswerResponseSchema>>;
+    takeKeptAnswers(request: TakeKeptAnswersRequest): Promise<MessageInitShape<typeof TakeKeptAnswersResponseSchema>>;
 }
--- a/src/process/claimService.ts
+++ b/src/process/claimService.ts
@@ -3,6 +3,7 @@
 import type { ClaimDecision } from "../request/claimDecision.ts";
 import type { ClaimEnd, ClaimGate } from "../request/claimGate.ts";
 import type { ClaimConfiguration } from "../version/configuration.ts";
+import type { KeptAnswerItem } from "../wire/generated/foxlead/peer/v1/peer_pb.ts";
 import { ClaimRouter } from "./claimRouter.ts";
 import type { Claim } from "./claims/claim.ts";
 import { ClaimOutcome } from "./claims/claimOutcome.ts";
@@ -10,6 +11,7 @@
 import type { ClaimVerdict } from "./claims/claimVerdict.ts";
 import type { ShardHash } from "./claims/shardHash.ts";
 import type { Clock } from "./clock.ts";
+import { KeptAnswerHandOff } from "./keptAnswerHandOff.ts";
 import { KeptAnswers } from "./keptAnswers.ts";
 import type { KeptState } from "./keptState.ts";
 import type { EventLog } from "./logging/eventLog.ts";
@@ -38,6 +40,7 @@
     owner: ClaimOwner;
     router: ClaimRouter;
     gate: NodeClaimGate;
+    handOff: KeptAnswerHandOff;
 }
 
 const keptAnswerBytes = 64 * 1024 * 1024;
@@ -89,6 +92,16 @@
         this.parts?.gate.settle(key, end);
     }
 
+    /** Passes the kept answers on to other nodes, before this one stops. */
+    async passOnAnswers(): Promise<void> {
+        await this.parts?.handOff.passOn();
+    }
+
+    /** Takes the kept answers of a peer that is stopping. */
+    takeAnswers(items: readonly KeptAnswerItem[]): void {
+        this.parts?.handOff.take(items);
+    }
+
     /** Decides claims that a peer has brought. */
     async claimForPeer(shard: number, claims: readonly Claim[]): Promise<ClaimVerdict[]> {
         if (this.parts === undefined) {
@@ -143,7 +156,18 @@
             timeToLiveMilliseconds: windowMilliseconds,
             clock,
         });
-        const gate = NodeClaimGate.create({ nodeId, router, kept, peers, view, clock, tracing, windowMilliseconds });
-        return { owner, router, gate };
+        const handOff = KeptAnswerHandOff.create({ nodeId, kept, peers, view, owners, clock });
+        const gate = NodeClaimGate.create({
+            nodeId,
+            router,
+            kept,
+            handOff,
+            peers,
+            view,
+            clock,
+            tracing,
+            windowMilliseconds,
+        });
+        return { owner, router, gate, handOff };
     }
 }
--- a/src/process/createPeerHandlers.ts
+++ b/src/process/createPeerHandlers.ts
@@ -32,6 +32,10 @@
         announceConfiguration: request => Promise.resolve(spreader.handleAnnounce(request)),
         getConfiguration: request => Promise.resolve(spreader.handleGet(request)),
         claim: async request => ({ verdicts: await claims.claimForPeer(request.shard, request.items) }),
+        takeKeptAnswers: request => {
+            claims.takeAnswers(request.items);
+            return Promise.resolve({});
+        },
         getKeptAnswer: request => {
             const state = claims.handOver(request.key, request.claimant, request.fromNodeId);
             if (state === undefined) {
--- a/src/process/foxleadNode.ts
+++ b/src/process/foxleadNode.ts
@@ -172,6 +172,7 @@
             await idle;
         }
         await ordersStopped;
+        await this.claims.passOnAnswers();
         await this.close();
         log.write(events.nodeStopped);
     }
--- a/src/process/keptAnswers.ts
+++ b/src/process/keptAnswers.ts
@@ -11,6 +11,9 @@
     clock: Clock;
 }
 
+/** The state of a key whose answer is kept. */
+type FinishedState = Extract<KeptState, { kind: "finished"; }>;
+
 /** Estimated bytes of an entry besides its answer. */
 const entryBytes = 300;
 
@@ -39,6 +42,17 @@
         return this.running.get(key) ?? this.states.get(key);
     }
 
+    /** Gets the answers that are kept, the most recently used first. */
+    getFinished(): { key: string; state: FinishedState; }[] {
+        const finished: { key: string; state: FinishedState; }[] = [];
+        for (const [key, state] of this.states.entries()) {
+            if (state.kind === "finished") {
+                finished.push({ key, state });
+            }
+        }
+        return finished;
+    }
+
     /** Notes what has become of a key. */
     setState(key: string, state: KeptState): void {
         if (state.kind === "running") {
--- a/src/process/nodeClaimGate.ts
+++ b/src/process/nodeClaimGate.ts
@@ -8,6 +8,7 @@
 import { ClaimOutcome } from "./claims/claimOutcome.ts";
 import type { ClaimVerdict } from "./claims/claimVerdict.ts";
 import type { Clock } from "./clock.ts";
+import type { KeptAnswerHandOff } from "./keptAnswerHandOff.ts";
 import type { KeptAnswers } from "./keptAnswers.ts";
 import type { KeptState } from "./keptState.ts";
 import type { MembershipView } from "./membership/membershipView.ts";
@@ -19,6 +20,7 @@
     nodeId: string;
     router: ClaimRouter;
     kept: KeptAnswers;
+    handOff: KeptAnswerHandOff;
     peers: PeerConnections;
     view: MembershipView;
     clock: Clock;
@@ -176,19 +178,28 @@
         }
     }
 
-    /** Asks the node of the first claimant what has become of it, and the node that it passed its right to. */
+    /** Asks the node of the first claimant what has become of it, and the nodes that it may have passed it to. */
     private async followFirst(run: ClaimRun, verdict: ClaimVerdict): Promise<ClaimStep> {
         const first = verdict.claimant ?? "";
         let nodeId = verdict.nodeId ?? "";
         for (let steps = 0; steps < maximumSteps; steps += 1) {
-            if (nodeId === this.options.nodeId) {
-                return { kind: "unknown" };
+            const response = nodeId === this.options.nodeId ? undefined : await this.askNode(nodeId, run, first);
+            if (response?.state !== "moved") {
+                const step = this.takeFromPeer(run, first, response);
+                return step.kind === "unknown" ? await this.askHolders(run, first) : step;
             }
+            nodeId = response.nodeId;
+        }
+        return { kind: "unknown" };
+    }
+
+    /** Asks the nodes that a node which has stopped may have passed its kept answer to. */
+    private async askHolders(run: ClaimRun, first: string): Promise<ClaimStep> {
+        for (const nodeId of this.options.handOff.getHolders(run.key)) {
             const response = await this.askNode(nodeId, run, first);
-            if (response?.state !== "moved") {
+            if (response?.state === "finished") {
                 return this.takeFromPeer(run, first, response);
             }
-            nodeId = response.nodeId;
         }
         return { kind: "unknown" };
     }
--- a/tests/connection/peer/peerConnections.test.ts
+++ b/tests/connection/peer/peerConnections.test.ts
@@ -40,6 +40,7 @@
                     return { verdicts: [{ outcome: "granted" }] };
                 },
                 getKeptAnswer: async () => ({}),
+                takeKeptAnswers: async () => ({}),
             },
         });
         relay = await CuttingRelay.create(() => Number(server.getAddress().split(":")[1]));
--- a/tests/connection/peer/peerTls.test.ts
+++ b/tests/connection/peer/peerTls.test.ts
@@ -25,6 +25,7 @@
                 getConfiguration: async () => ({ version: 7n }),
                 claim: async () => ({}),
                 getKeptAnswer: async () => ({}),
+                takeKeptAnswers: async () => ({}),
             },
         });
     });
--- a/tests/process/membership/testNode.ts
+++ b/tests/process/membership/testNode.ts
@@ -68,6 +68,7 @@
                 getConfiguration: async request => node.spreader.handleGet(request),
                 claim: async () => ({}),
                 getKeptAnswer: async () => ({}),
+                takeKeptAnswers: async () => ({}),
             },
         });
         port = Number(node.server.getAddress().split(":")[1]);
