--- a/bench/capacity/computeNodeTotals.ts
+++ b/bench/capacity/computeNodeTotals.ts
@@ -1,20 +1,35 @@
+import { unstretchedNodes } from "../../src/process/membership/unstretchedNodes.ts";
 import { budgets } from "./budgets.ts";
 import type { IdleNode } from "./idleNode.ts";
 import { letterSize } from "./letterSize.ts";
 import type { SlopeTable } from "./slopeTable.ts";
 import type { Total } from "./total.ts";
 
-const { nodes, runners, customers, configurationChangesPerDay } = letterSize;
+const { nodes, runners, models, customers, configurationChangesPerDay } = letterSize;
 const vms = nodes + runners;
 const secondsPerDay = 86_400;
 /** The numbers of the program: src/process/membershipService.ts, foxleadNode.ts, endpointService.ts and membership. */
 const vmListPerSecond = 1;
-const backstopSeconds = 10;
+/** Stretched with the nodes; src/process/membership/getStretch.ts. */
+const backstopSeconds = 10 * nodes / unstretchedNodes;
 const observeRoundsPerSecond = 2;
 const observersOfEndpoint = 3;
 const gossipRequestsPerSecond = 6;
+/** Demand records of a request above nine nodes, and what one takes; src/process/foxleadNode.ts. */
+const demandRecords = 4;
+const demandRecordBytes = 30;
+/** One report of the demand serves all requests of a round; src/request/admission/customerLimits.ts. */
+const demandReportsPerSecond = 2;
+/**
+ * The letter names 233 failures and restarts of VMs a day; a node's share of them, each seen as leaving and coming, clears
+ * the kept duty to observe. So does a change of the configuration.
+ */
+const memberChangesPerDay = 2 * 233 * nodes / (nodes + runners);
 /** Records that one node hears in a second at most: two in an answer to it, one in a request of a peer. */
 const recordsHeardPerSecond = gossipRequestsPerSecond * 3;
+/** src/request/gateCapacities.ts and src/process/nodeFigures.ts. */
+const capacityRefreshesPerSecond = 2;
+const boundSeconds = 30;
 /** A choice: a scraper asks for the metrics this often. */
 const scrapeSeconds = 15;
 
@@ -88,19 +103,22 @@
         },
         {
             role: "customer limits",
-            processor: gossipRequestsPerSecond * slopes.getValue("customers.demand", customers) / 1_000,
-            bytes: 0,
+            processor: demandReportsPerSecond * slopes.getValue("customers.demand", customers) / 1_000,
+            // Requests of this node and to it.
+            bytes: 2 * gossipRequestsPerSecond * demandRecords * demandRecordBytes,
         },
     ];
 }
 
 function createEndpointParts(slopes: SlopeTable): ControlPart[] {
     const calls = runners * observersOfEndpoint / nodes * observeRoundsPerSecond;
+    const dutyChangesPerSecond = (memberChangesPerDay + configurationChangesPerDay) / secondsPerDay;
     const messages = 2 * gossipRequestsPerSecond;
     return [
         {
             role: "endpoint observer, who observes",
-            processor: observeRoundsPerSecond * slopes.getValue("observer.duty", nodes),
+            processor: observeRoundsPerSecond * slopes.getValue("observer.round", nodes)
+                + dutyChangesPerSecond * slopes.getValue("observer.duty", nodes),
             bytes: 0,
         },
         {
@@ -114,6 +132,16 @@
                 + messages * slopes.getValue("observer.collect", runners)) / 1_000,
             bytes: 0,
         },
+        {
+            role: "capacities of all gates",
+            processor: models * capacityRefreshesPerSecond * slopes.getValue("customers.places", runners) / 1_000,
+            bytes: 0,
+        },
+        {
+            role: "bound of the fleet",
+            processor: slopes.getValue("chains.bound", runners) / boundSeconds,
+            bytes: 0,
+        },
         {
             role: "metrics",
             processor: slopes.getValue("metrics.processor", runners) / scrapeSeconds,
--- a/bench/capacity/computePathTotals.ts
+++ b/bench/capacity/computePathTotals.ts
@@ -1,3 +1,4 @@
+import { unstretchedNodes } from "../../src/process/membership/unstretchedNodes.ts";
 import { letterSize } from "./letterSize.ts";
 import type { SlopeTable } from "./slopeTable.ts";
 import type { Total } from "./total.ts";
@@ -5,6 +6,7 @@
 const { nodes, runners, dataCentres, requestsPerSecond, tokensPerSecond, stages, betweenTokensMilliseconds } =
     letterSize;
 const observeRoundsPerSecond = 2;
+const observersOfEndpoint = 3;
 const core = 1_000;
 
 /** Works out what the requests themselves cost a node, and what the loss of a data centre adds. */
@@ -14,10 +16,12 @@
     const hops = tokensPerSecond / nodes * stages;
     const runningSeconds = tokensPerSecond / requestsPerSecond * betweenTokensMilliseconds / 1_000;
     const running = requests * runningSeconds;
-    const places = slopes.getValue("customers.lookups", 0) * slopes.getValue("customers.places", runners);
-    const admission = requests * (slopes.getValue("customers.admit", 0) + places) / 1_000;
+    const admission = requests * slopes.getValue("customers.admit", 0) / 1_000;
     const choice = requests * slopes.getValue("chains.processor", runners) / 1_000;
-    const refused = runners / dataCentres * observeRoundsPerSecond * slopes.getSlope("observer.refused") / 1_000;
+    // Every node asks each unreachable engine in one round of so many, its observers in each.
+    const asksInRound = 1 / Math.ceil(nodes / unstretchedNodes) + observersOfEndpoint / nodes;
+    const asks = runners / dataCentres * observeRoundsPerSecond * asksInRound;
+    const refused = asks * slopes.getSlope("observer.refused") / 1_000;
     return [
         { role, quantity: "hops", value: hops, unit: "1/s" },
         { role, quantity: "processor, hops", value: hops * slopes.getSlope("path.hop"), unit: "ms/s", budget: core },
--- a/bench/capacity/measureChains.ts
+++ b/bench/capacity/measureChains.ts
@@ -1,9 +1,15 @@
+import { systemClock } from "../../src/process/systemClock.ts";
+import { EstimatedTimeChooser } from "../../src/request/chain/estimatedTimeChooser.ts";
+import { createSeededRandom } from "../../tests/support/createSeededRandom.ts";
 import { measureDecisionCost } from "../policy/decisionCost.ts";
+import { createFleet } from "../policy/fleet.ts";
 import { policies } from "../policy/policies.ts";
 import { fitSlope } from "./fitSlope.ts";
+import { letterSize } from "./letterSize.ts";
 import { measureProcessor } from "./measureProcessor.ts";
 import type { Slope } from "./slope.ts";
 
+const { nodes, models, runners: allRunners } = letterSize;
 const role = "chain choice";
 const sizes = [[30, 1], [300, 4], [1_200, 14]] as const;
 /** Decisions of one call of bench/policy/decisionCost.ts, those of its warm-up included. */
@@ -31,5 +37,28 @@
             processor,
         ),
         fitSlope({ id: "chains.median", role, quantity: "decision, median wall time", unit: "us", variable }, median),
+        await measureBound(),
     ];
 }
+
+/** Measures the working out of the most positions a second that the fleet can carry. */
+async function measureBound(): Promise<Slope> {
+    const points = [];
+    for (const count of [allRunners / 4, allRunners / 2, allRunners]) {
+        const random = createSeededRandom(1);
+        const { configuration, states } = createFleet(count, models, random);
+        const chooser = EstimatedTimeChooser.create({
+            getConfiguration: () => configuration,
+            getEndpointState: name => states.get(name),
+            clock: systemClock,
+            random,
+        });
+        const dataCentres = Object.keys(configuration.dataCentres);
+        const nodeDataCentres = Array.from({ length: nodes }, (_, index) => dataCentres[index % dataCentres.length]!);
+        const compute = () => chooser.computeBound(nodeDataCentres);
+        compute();
+        points.push({ x: count, y: await measureProcessor(compute, repetitions) / 1_000 });
+    }
+    const description = { id: "chains.bound", role, quantity: "bound of the fleet", unit: "ms" };
+    return fitSlope({ ...description, variable: "runner" }, points);
+}
--- a/bench/capacity/measureCustomers.ts
+++ b/bench/capacity/measureCustomers.ts
@@ -21,6 +21,8 @@
 const requests = 10_000;
 const decisions = 200_000;
 const demandReadings = 20;
+/** Records of a request above nine nodes. */
+const demandRecords = 4;
 const betweenReadingsMilliseconds = 1_000;
 /** A limit at which one request counts for minutes. */
 const slowRequestsPerSecond = 0.1;
@@ -66,7 +68,7 @@
     const spent = await measureProcessor(async () => {
         for (let reading = 0; reading < demandReadings; reading++) {
             await clock.runUntil(clock.getMonotonicTime() + betweenReadingsMilliseconds);
-            limits.getDemand();
+            limits.getDemand(demandRecords);
         }
     }, repetitions);
     return spent / demandReadings;
--- a/bench/capacity/measureObservation.ts
+++ b/bench/capacity/measureObservation.ts
@@ -14,6 +14,7 @@
 const role = "endpoint observer";
 const { nodes, runners } = letterSize;
 const repetitions = 3;
+const keptRounds = 50;
 const runnerCounts = [runners / 4, runners / 2, runners];
 /** host:port where nobody listens. */
 const closedAddress = "127.0.0.1:9";
@@ -36,12 +37,13 @@
         answeredPoints.push({ x: calls, y: spent });
     }
     const refusedPoints = [];
-    for (const calls of [100, 200, 400]) {
-        const spent = await measureProcessor(() =>
-            repeat(calls, async () => {
-                await refused.getStatus();
-                await refused.isAnswering();
-            }), repetitions);
+    const callRefused = async (): Promise<void> => {
+        await refused.getStatus();
+        await refused.isAnswering();
+    };
+    await repeat(500, callRefused);
+    for (const calls of [250, 500, 1_000]) {
+        const spent = await measureProcessor(() => repeat(calls, callRefused), repetitions);
         refusedPoints.push({ x: calls, y: spent });
     }
     const bytePoints = [];
@@ -67,21 +69,30 @@
     ];
 }
 
-/** Lets a node that owns no duty go through its rounds: what is left is the working out of who observes. */
+/**
+ * Lets a node that owns no duty go through its rounds: after a change of the members, when who observes is worked out
+ * anew, and then with what is kept.
+ */
 async function measureDuty(): Promise<Slope[]> {
     const points = [];
+    const keptPoints = [];
     for (const members of [nodes / 10, nodes / 4, nodes / 2, nodes]) {
         const { service, runRound } = await createObservedService(runners, members);
-        runRound();
-        points.push({ x: members, y: await measureProcessor(runRound, repetitions) / 1_000 });
+        const runChangedRound = (): void => {
+            service.updateDuties();
+            runRound();
+        };
+        runChangedRound();
+        points.push({ x: members, y: await measureProcessor(runChangedRound, repetitions) / 1_000 });
+        const spent = await measureProcessor(() => repeat(keptRounds, runRound), repetitions);
+        keptPoints.push({ x: members, y: spent / 1_000 / keptRounds });
         await service.close();
     }
     const variable = "node";
+    const unit = "ms";
     return [
-        fitSlope(
-            { id: "observer.duty", role, quantity: `round over ${runners} engines`, unit: "ms", variable },
-            points,
-        ),
+        fitSlope({ id: "observer.duty", role, quantity: "round after a change of members", unit, variable }, points),
+        fitSlope({ id: "observer.round", role, quantity: "round, duty kept", unit, variable }, keptPoints),
     ];
 }
 
--- a/bench/capacity/measureReportSpread.ts
+++ b/bench/capacity/measureReportSpread.ts
@@ -1,22 +1,27 @@
 import { type EndpointReport, EndpointReports } from "../../src/connection/endpoint/endpointReports.ts";
 import { PeerRotation } from "../../src/process/membership/peerRotation.ts";
+import { unstretchedNodes } from "../../src/process/membership/unstretchedNodes.ts";
 import { createSeededRandom } from "../../tests/support/createSeededRandom.ts";
 import { letterSize } from "./letterSize.ts";
 import type { ReportSpread } from "./reportSpread.ts";
 
 const roundMilliseconds = 500;
 /** Sizes: today's, and parts of the letter's. Up to nine nodes contact all others in a round. */
-const cases = [
+const sizes = [
     { nodeCount: 9, engines: 30, fanOut: 8 },
     { nodeCount: 34, engines: 120, fanOut: 3 },
     { nodeCount: 102, engines: 360, fanOut: 3 },
     { nodeCount: letterSize.nodes, engines: letterSize.runners, fanOut: 3 },
 ];
+/** All nodes start at once; or all have long known every engine; or so, and a tenth of the engines is lost at the start. */
+const states = ["none known", "all known", "a tenth lost"] as const;
+const cases = states.flatMap(before => sizes.map(size => ({ ...size, before })));
+const lostPart = 0.1;
 const requestBytes = 128;
 const responseBytes = 256;
 const observers = 3;
-/** An observer tells an engine's state this often where nothing changes. */
-const refreshMilliseconds = 5_000;
+/** An observer tells an engine's state this often where nothing changes, times the stretch. */
+const unstretchedRefreshMilliseconds = 5_000;
 const warmupMilliseconds = 10_000;
 const limitMilliseconds = 16_000;
 const seed = 20_260_729;
@@ -38,8 +43,9 @@
     return cases.map(measureSpread);
 }
 
-function measureSpread({ nodeCount, engines, fanOut }: typeof cases[number]): ReportSpread {
+function measureSpread({ nodeCount, engines, fanOut, before }: typeof cases[number]): ReportSpread {
     const random = createSeededRandom(seed);
+    const refreshMilliseconds = unstretchedRefreshMilliseconds * Math.max(1, nodeCount / unstretchedNodes);
     const nodes: SpreadNode[] = Array.from({ length: nodeCount }, () => ({
         reports: EndpointReports.create(() => nodeCount),
         rotation: PeerRotation.create(random),
@@ -48,8 +54,13 @@
     }));
     const told = Array.from(
         { length: engines * observers },
-        () => random() * refreshMilliseconds - refreshMilliseconds,
+        () => before === "none known" ? -refreshMilliseconds : random() * refreshMilliseconds - refreshMilliseconds,
     );
+    if (before !== "none known") {
+        makeKnown(nodes, engines);
+    }
+    const firstLost = before === "a tenth lost" ? Math.round(engines * (1 - lostPart)) : engines;
+    told.fill(-refreshMilliseconds, firstLost * observers);
     const names = nodes.map((_, index) => String(index));
     const heardAt: number[] = [];
     let now = 0;
@@ -61,7 +72,8 @@
             const engine = Math.floor(index / observers);
             if (now - lastTold >= refreshMilliseconds) {
                 told[index] = now;
-                const state = engine === 0 && now >= warmupMilliseconds ? "leaving" : "serving";
+                const servingState = engine === 0 && now >= warmupMilliseconds ? "leaving" : "serving";
+                const state = engine >= firstLost ? "unreachable" : servingState;
                 take(nodes[(index * 7) % nodeCount]!, createReport(engine, index, now, state));
             }
         }
@@ -74,6 +86,7 @@
     return {
         nodes: nodeCount,
         engines,
+        before,
         known: ages.length / nodeCount / engines,
         meanAgeSeconds: ages.reduce((sum, age) => sum + age, 0) / ages.length / 1_000,
         leavingKnownSeconds: [0.5, 0.95, 1].map(part => heardAt[Math.ceil(part * nodeCount) - 1])
@@ -81,6 +94,18 @@
     };
 }
 
+/** Gives every node a record of every engine that no longer travels; its time is before the run and counts for no age. */
+function makeKnown(nodes: readonly SpreadNode[], engines: number): void {
+    for (const { reports } of nodes) {
+        for (let engine = 0; engine < engines; engine++) {
+            reports.add({ ...createReport(engine, 0, 0, "serving"), sequence: -1n });
+        }
+        while (reports.collect(Infinity).length > 0) {
+            // Each collection takes one of the transmissions.
+        }
+    }
+}
+
 function runRound(nodes: readonly SpreadNode[], names: readonly string[], fanOut: number): void {
     for (const [index, node] of nodes.entries()) {
         const peers = names.filter(name => name !== String(index));
--- a/bench/capacity/measureStore.ts
+++ b/bench/capacity/measureStore.ts
@@ -1,4 +1,5 @@
 import { EndpointDirectory } from "../../src/connection/endpoint/endpointDirectory.ts";
+import { getStretch } from "../../src/process/membership/getStretch.ts";
 import { isWatcher } from "../../src/process/membership/isWatcher.ts";
 import { MembershipView } from "../../src/process/membership/membershipView.ts";
 import { RendezvousOwners } from "../../src/process/membership/rendezvousOwners.ts";
@@ -21,7 +22,8 @@
 
 const log = { write: () => undefined };
 const checkIntervalMilliseconds = 10_000;
-const virtualMilliseconds = 120_000;
+/** Some intervals of the largest number of nodes, which are stretched to 378 s. */
+const virtualMilliseconds = 1_500_000;
 const nodeCounts = [34, 100, 340];
 const listReads = 40;
 
@@ -52,6 +54,14 @@
     const random = createSeededRandom(nodes);
     const owners = await RendezvousOwners.create();
     const members = createMembers(nodes);
+    const view = MembershipView.create({
+        nodeId: members[0]!.nodeId,
+        peerAddress: "10.0.0.1:7400",
+        dataCentre: "a",
+        incarnation: 1,
+    });
+    view.applyRecords(members, 0);
+    const intervalMilliseconds = checkIntervalMilliseconds * getStretch(view);
     for (const member of members) {
         const follower = ConfigurationFollower.create({ onAccepted: () => undefined });
         const watcher = ConfigurationWatcher.create({
@@ -60,14 +70,14 @@
             clock,
             random,
             eventLog: log,
-            getCheckIntervalMilliseconds: () => checkIntervalMilliseconds,
+            getCheckIntervalMilliseconds: () => intervalMilliseconds,
         });
         watcher.setWatching(isWatcher(member.nodeId, members, owners));
         watcher.start();
     }
-    await clock.runUntil(checkIntervalMilliseconds);
+    await clock.runUntil(intervalMilliseconds);
     const before = store.getCallCount("get");
-    await clock.runUntil(checkIntervalMilliseconds + virtualMilliseconds);
+    await clock.runUntil(intervalMilliseconds + virtualMilliseconds);
     return {
         reads: (store.getCallCount("get") - before) / virtualMilliseconds * 1_000,
         watches: store.getWatchCount(),
--- a/bench/capacity/printMeasurements.ts
+++ b/bench/capacity/printMeasurements.ts
@@ -33,9 +33,18 @@
     }
     if (reports !== undefined) {
         console.log("\nEndpoint records on gossip:\n");
-        const columns = ["nodes", "engines", "known", "mean age s", "50% / 95% / all know a leaving engine, s"];
-        const rows = reports.map(({ nodes, engines, known, meanAgeSeconds, leavingKnownSeconds }) => [
-            ...[nodes, engines, known, meanAgeSeconds].map(format),
+        const columns = [
+            "nodes",
+            "engines",
+            "before",
+            "heard",
+            "mean age s",
+            "50% / 95% / all know a leaving engine, s",
+        ];
+        const rows = reports.map(({ nodes, engines, before, known, meanAgeSeconds, leavingKnownSeconds }) => [
+            ...[nodes, engines].map(format),
+            before,
+            ...[known, meanAgeSeconds].map(format),
             leavingKnownSeconds.map(value => value === undefined ? "not in 16" : format(value)).join(" / "),
         ]);
         console.log(formatTable(columns, rows));
