--- a/src/connection/endpoint/endpointReports.ts
+++ b/src/connection/endpoint/endpointReports.ts
@@ -17,6 +17,7 @@
 const estimatedReportBytes = 96;
 const bytesPerRange = 24;
 /** As in SWIM's dissemination: a change rides on a few messages a node, growing with the logarithm of the nodes. */
+const servingState = "serving";
 const transmissionFactor = 4;
 
 /**
@@ -48,7 +49,9 @@
         }
         this.latest.set(report.endpoint, report);
         const transmissions = transmissionFactor * (1 + Math.ceil(Math.log2(this.getNodeCount() + 1)));
-        const isChange = known?.state !== report.state || this.travelling.get(report.endpoint)?.isChange === true;
+        // What nobody has told of is taken to be serving.
+        const isChange = (known?.state ?? servingState) !== report.state
+            || this.travelling.get(report.endpoint)?.isChange === true;
         this.travelling.set(report.endpoint, { report, transmissions, isChange });
         return true;
     }
--- a/tests/connection/endpoint/endpointReports.test.ts
+++ b/tests/connection/endpoint/endpointReports.test.ts
@@ -26,6 +26,15 @@
         assert.deepEqual(reports.collect(oneReportBytes).map(report => report.endpoint), ["engine-99"]);
     });
 
+    it("does not take the first word of a serving engine for a change", () => {
+        const reports = EndpointReports.create(() => 9);
+        for (let index = 0; index < 100; index += 1) {
+            reports.add(createReport(`engine-${index}`, 1));
+        }
+        reports.add(createReport("engine-99", 2, "leaving"));
+        assert.deepEqual(reports.collect(oneReportBytes).map(report => report.endpoint), ["engine-99"]);
+    });
+
     it("takes only what is newer, and passes each report on a bounded number of times", () => {
         const reports = EndpointReports.create(() => 9);
         assert.ok(reports.add(createReport("engine-1", 5)));
