--- a/scripts/soak/keyCheck.ts
+++ b/scripts/soak/keyCheck.ts
@@ -15,6 +15,8 @@
 
 /** A refusal that tells of the key, and not only of this one sending. */
 const claimRefusalCode = "claims_unavailable";
+/** The answer where the claim of a key could not be checked; it calls nothing not run. */
+const undecidedCode = "claim_undecided";
 
 /**
  * Checks all keys at the end: none was executed twice, and one that was refused as not run was not executed.
@@ -57,6 +59,12 @@
     if (executed > 0 && sendings.every(({ outcome }) => outcome === "notRun" || outcome === "notConnected")) {
         add("notRunButExecuted", "refused as not run, and executed");
     }
+    if (sendings.some(({ outcome, errorCode }) => (outcome === "undecided") !== (errorCode === undecidedCode))) {
+        add("undecidedMisused", "the outcome undecided and its code do not stand together");
+    }
+    if (sendings.some(({ outcome, errorCode }) => errorCode === claimRefusalCode && outcome !== "notRun")) {
+        add("refusalMisused", "a refusal of the claim does not say not run");
+    }
     // A refusal of the claim speaks of the key: what an earlier sending has run must not be called not run.
     for (const refused of sendings.filter(({ errorCode }) => errorCode === claimRefusalCode)) {
         const earlier = sendings.find(other => other.outcome === "finished" && other.endedAt < refused.sentAt);
--- a/src/request/requestError.ts
+++ b/src/request/requestError.ts
@@ -56,7 +56,7 @@
         return new RequestError({
             outcome: Outcome.Undecided,
             status: 503,
-            code: "claims_unavailable",
+            code: "claim_undecided",
             message,
             retryAfterMilliseconds,
         });
--- /dev/null
+++ b/tests/system/orders.test.ts
@@ -0,0 +1,46 @@
+import assert from "node:assert/strict";
+import { after, before, describe, it } from "node:test";
+import { LocalDeployment } from "../../scripts/deployment/localDeployment.ts";
+import { sendChat } from "../../scripts/deployment/sendChat.ts";
+import { referenceAnswer } from "../../standins/engine/referenceModel.ts";
+import { testEngines } from "./testEngines.ts";
+import { waitFor } from "./waitFor.ts";
+
+const maximumTokens = 4;
+/** Far above the grace time, the lease and the load together; it is there only to end a test that hangs. */
+const loadLimitMilliseconds = 90_000;
+const prompt = "Explain the payslip";
+
+describe("Orders to engines", () => {
+    let deployment: LocalDeployment;
+
+    before(async () => {
+        // Both halves of the model, and a second holder of the first half.
+        const engines = testEngines.slice(0, 3);
+        deployment = await LocalDeployment.create({ nodes: 3, engines, documents: 0, isBuilt: false });
+        await deployment.apply();
+    });
+
+    after(async () => {
+        await deployment.kill();
+    });
+
+    async function ask() {
+        const [node] = deployment.nodes;
+        const common = { address: node!.callerAddress, apiKey: deployment.apiKey, service: "assistant" };
+        return await sendChat({ ...common, prompt, maximumTokens, isStreamed: false });
+    }
+
+    it("bring back a layer range that has lost its only holder", async () => {
+        const expected = referenceAnswer({
+            modelLayers: deployment.modelLayers,
+            prompt: `user: ${prompt}`,
+            maximumTokens,
+        });
+        assert.equal((await ask()).text, expected.text);
+        const lost = deployment.engines.find(({ name }) => name === "second-a");
+        lost!.process.signal("SIGKILL");
+        const isAnswered = async () => (await ask()).text === expected.text;
+        await waitFor("the range is loaded elsewhere", isAnswered, loadLimitMilliseconds);
+    });
+});
