--- a/tests/connection/caller/callerServer.test.ts
+++ b/tests/connection/caller/callerServer.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { request } from "undici";
+import { v7 as createUuid } from "uuid";
 import { InvariantError } from "../../../src/process/invariantError.ts";
 import { events } from "../../../src/process/logging/events.ts";
 import type { Admission } from "../../../src/request/admission/admission.ts";
@@ -54,7 +55,7 @@
         const claim = () => Promise.resolve({ kind: "answered", answer } as const);
         environment.claims = { claim, settle: () => undefined };
         const { server, address, log } = await createCallerServer({ apiKey, environment });
-        const { status, text } = await send(address, "/v1/services/receipts/a", { "idempotency-key": "k" });
+        const { status, text } = await send(address, "/v1/services/receipts/a", { "idempotency-key": createUuid() });
         assert.deepEqual({ status, text }, { status: 200, text: "kept" });
         await server.waitUntilIdle();
         assert.deepEqual(log.numbers, [events.requestCrashed.number]);
