--- a/tests/connection/caller/gracefulStop.test.ts
+++ b/tests/connection/caller/gracefulStop.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
+import { v7 as createUuid } from "uuid";
 import type { Admission } from "../../../src/request/admission/admission.ts";
 import { Ok } from "../../../src/result.ts";
 import { createCallerServer } from "./callerServerFixture.ts";
@@ -23,7 +24,12 @@
     const { server, address } = await createCallerServer({ apiKey, environment });
     const caller = await RawCaller.connect(address);
     caller.socket.pause();
-    const headers = ["host: x", `authorization: Bearer ${apiKey}`, "idempotency-key: k", "content-length: 0"];
+    const headers = [
+        "host: x",
+        `authorization: Bearer ${apiKey}`,
+        `idempotency-key: ${createUuid()}`,
+        "content-length: 0",
+    ];
     caller.write(`POST /v1/services/receipts/a HTTP/1.1\r\n${headers.join("\r\n")}\r\n\r\n`);
     await sleep(100);
     return { server, caller };
