--- a/bench/recovery/plainRouter.ts
+++ b/bench/recovery/plainRouter.ts
@@ -1,7 +1,7 @@
 import { Agent } from "undici";
 import type { PassResult } from "../../src/connection/endpoint/engineProtocol.ts";
-import { LineSplitter } from "../../src/connection/endpoint/lineSplitter.ts";
 import { passResultSchema } from "../../src/connection/endpoint/passResultSchema.ts";
+import { LineSplitter } from "../../src/connection/lineSplitter.ts";
 import { systemClock } from "../../src/process/systemClock.ts";
 import type { Chain, ChainStage } from "../../src/request/chain/chain.ts";
 import { EstimatedTimeChooser } from "../../src/request/chain/estimatedTimeChooser.ts";
--- a/src/connection/endpoint/sendPassBatch.ts
+++ b/src/connection/endpoint/sendPassBatch.ts
@@ -1,8 +1,8 @@
 import type { Dispatcher } from "undici";
+import { LineSplitter } from "../lineSplitter.ts";
 import type { BatchClosing } from "./batchClosing.ts";
 import type { Pass, PassResult } from "./engineProtocol.ts";
 import { isConnectFailure } from "./isConnectFailure.ts";
-import { LineSplitter } from "./lineSplitter.ts";
 import { passResultSchema } from "./passResultSchema.ts";
 
 /** Options of {@link sendPassBatch}. */
--- a/src/process/platform/etcdWatch.ts
+++ b/src/process/platform/etcdWatch.ts
@@ -1,14 +1,17 @@
 import type { z } from "zod";
+import { LineSplitter } from "../../connection/lineSplitter.ts";
 import type { Clock, TimerHandle } from "../clock.ts";
 import { CallEffect } from "./callEffect.ts";
 import { classifyRefusal } from "./classifyRefusal.ts";
 import { classifyThrownError } from "./classifyThrownError.ts";
 import { etcdSchemas } from "./etcdSchemas.ts";
-import { LineSplitter } from "./lineSplitter.ts";
+import { maximumValueBytes } from "./maximumValueBytes.ts";
 import { type PlatformError, PlatformErrorKind } from "./platformError.ts";
 import type { WatchHandle, WatchOptions } from "./platformStore.ts";
 import type { PlatformTransport } from "./platformTransport.ts";
 
+/** A line holds a value in base64 and its envelope; a longer one ends the watch. */
+const maximumLineBytes = 4 * maximumValueBytes;
 const okStatus = 200;
 
 interface EtcdWatchOptions extends WatchOptions {
@@ -72,10 +75,12 @@
         if (response.statusCode !== okStatus) {
             return classifyRefusal(response.statusCode, await response.body.text(), CallEffect.Read);
         }
-        const splitter = LineSplitter.create();
+        const lines: string[] = [];
+        const splitter = LineSplitter.create({ maximumLineBytes, onLine: line => void lines.push(line) });
         for await (const chunk of response.body) {
             this.restartSilenceTimer();
-            for (const line of splitter.push(chunk)) {
+            splitter.push(chunk as Buffer);
+            for (const line of lines.splice(0)) {
                 const failure = this.readLine(line);
                 if (failure !== undefined) {
                     return failure;
--- a/tests/connection/endpoint/lineSplitter.test.ts
+++ b/tests/connection/lineSplitter.test.ts
@@ -1,7 +1,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { LineSplitter } from "../../../src/connection/endpoint/lineSplitter.ts";
+import { LineSplitter } from "../../src/connection/lineSplitter.ts";
 
 const maximumLineBytes = 64;
 
@@ -32,6 +32,11 @@
         );
     });
 
+    it("puts characters together that were cut anywhere, and leaves out empty lines", () => {
+        const bytes = Buffer.from('{"ñ":1}\n\n{"é":2}\nrest', "utf8");
+        assert.deepEqual(split([...bytes].map(byte => Buffer.of(byte))), ['{"ñ":1}', '{"é":2}']);
+    });
+
     it("refuses a line that is too long, ended or not", () => {
         const half = Buffer.alloc(maximumLineBytes / 2 + 1, "x");
         assert.throws(() => split([half, half]), RangeError);
