Complete the command line in shells

Cause: the completion that the operators were promised was missing. Change: yargs' own completion script.

--- a/src/process/commandLine/runCommandLine.ts
+++ b/src/process/commandLine/runCommandLine.ts
@@ -45,6 +45,7 @@
         .command(createConfigurationCommand(context))
         .command(createStatusCommand(context))
         .command(createVersionCommand(context))
+        .completion("completion", "Print a completion script for bash or zsh.")
         .demandCommand(1, "Name a command.")
         .strict()
         .help()
--- a/tests/process/commandLine/commandLine.test.ts
+++ b/tests/process/commandLine/commandLine.test.ts
@@ -82,6 +82,13 @@
         ]);
     });
 
+    it("prints a completion script, and completes verbs", async () => {
+        await Promise.all([
+            doTest(["completion"], ExitCode.Success, /foxlead completion.*compgen|compdef/s),
+            doTest(["--get-yargs-completions", "foxlead", ""], ExitCode.Success, /config[\s\S]*status/),
+        ]);
+    });
+
     it("reports wrong usage", async () => {
         await Promise.all([
             doTest([], ExitCode.Usage, /^$/, /Name a command/),
