List the nodes that hold duties in one place

Cause: the loop that leaves out suspected nodes stood three times (claims, orders, kept answers), and EndpointReports.addRecord only forwarded to add. Change: getDutyNodeIds serves all three; the forwarder is gone. No behaviour changes.

--- a/src/connection/endpoint/endpointReports.ts
+++ b/src/connection/endpoint/endpointReports.ts
@@ -1,5 +1,5 @@
 import type { MessageInitShape } from "@bufbuild/protobuf";
-import type { EndpointRecord, EndpointRecordSchema } from "../../wire/generated/foxlead/peer/v1/peer_pb.ts";
+import type { EndpointRecordSchema } from "../../wire/generated/foxlead/peer/v1/peer_pb.ts";
 
 /** An endpoint record as it is sent. */
 export type EndpointReport = MessageInitShape<typeof EndpointRecordSchema> & { endpoint: string; sequence: bigint; };
@@ -56,11 +56,6 @@
         return true;
     }
 
-    /** Takes a record that a peer sent; returns whether it was new. */
-    addRecord(record: EndpointRecord): boolean {
-        return this.add(record);
-    }
-
     /**
      * Gets the records for one message: changes of state first, then those with the most transmissions left.
      * @param budgetBytes - Most bytes that they may take.
--- a/src/process/claimRouter.ts
+++ b/src/process/claimRouter.ts
@@ -6,8 +6,8 @@
 import type { ClaimOwner } from "./claims/claimOwner.ts";
 import type { ClaimVerdict } from "./claims/claimVerdict.ts";
 import type { Clock } from "./clock.ts";
+import { getDutyNodeIds } from "./membership/getDutyNodeIds.ts";
 import type { MembershipView } from "./membership/membershipView.ts";
-import { MemberState } from "./membership/memberState.ts";
 import type { RendezvousOwners } from "./membership/rendezvousOwners.ts";
 import type { TraceContext } from "./tracing/traceContext.ts";
 import type { Tracing } from "./tracing/tracing.ts";
@@ -124,12 +124,7 @@
     }
 
     private getOwners(shard: number): string[] {
-        const nodeIds: string[] = [];
-        for (const member of this.options.view.getAliveMembers()) {
-            if (member.state === MemberState.Alive) {
-                nodeIds.push(member.nodeId);
-            }
-        }
+        const nodeIds = getDutyNodeIds(this.options.view);
         const self = this.options.view.getSelf().nodeId;
         const owners = this.options.owners.getOwners(`claims-${shard}`, nodeIds, candidateCount);
         return owners.length > 0 ? owners : [self];
--- a/src/process/createOrderDispatcher.ts
+++ b/src/process/createOrderDispatcher.ts
@@ -2,8 +2,8 @@
 import type { Configuration } from "../version/configuration.ts";
 import type { Clock } from "./clock.ts";
 import type { EventLog } from "./logging/eventLog.ts";
+import { getDutyNodeIds } from "./membership/getDutyNodeIds.ts";
 import type { MembershipView } from "./membership/membershipView.ts";
-import { MemberState } from "./membership/memberState.ts";
 import type { RendezvousOwners } from "./membership/rendezvousOwners.ts";
 import { OrderDispatcher } from "./orders/orderDispatcher.ts";
 import { OrderPolicy } from "./orders/orderPolicy.ts";
@@ -43,12 +43,7 @@
         sendOrder: (endpoint, order) => directory.getEngine(endpoint)?.sendOrder(order),
         getStatus: endpoint => directory.getEngine(endpoint)?.getStatus(),
         isDutyOwner: () => {
-            const nodeIds: string[] = [];
-            for (const member of view.getAliveMembers()) {
-                if (member.state === MemberState.Alive) {
-                    nodeIds.push(member.nodeId);
-                }
-            }
+            const nodeIds = getDutyNodeIds(view);
             return owners.getOwners(dutyKey, nodeIds, 1)[0] === nodeId;
         },
     });
--- a/src/process/endpointService.ts
+++ b/src/process/endpointService.ts
@@ -97,7 +97,7 @@
     /** Takes the reports of a peer. */
     applyRecords(records: readonly EndpointRecord[]): void {
         for (const record of records) {
-            if (this.reports.addRecord(record)) {
+            if (this.reports.add(record)) {
                 this.applyRecord(record);
             }
         }
--- a/src/process/keptAnswerHandOff.ts
+++ b/src/process/keptAnswerHandOff.ts
@@ -7,8 +7,8 @@
 } from "../wire/generated/foxlead/peer/v1/peer_pb.ts";
 import type { Clock } from "./clock.ts";
 import type { KeptAnswers } from "./keptAnswers.ts";
+import { getDutyNodeIds } from "./membership/getDutyNodeIds.ts";
 import type { MembershipView } from "./membership/membershipView.ts";
-import { MemberState } from "./membership/memberState.ts";
 import type { RendezvousOwners } from "./membership/rendezvousOwners.ts";
 
 /** Options of a {@link KeptAnswerHandOff}. */
@@ -49,12 +49,7 @@
      * @param key - The key.
      */
     getHolders(key: string): string[] {
-        const nodeIds: string[] = [];
-        for (const member of this.options.view.getAliveMembers()) {
-            if (member.state === MemberState.Alive && member.nodeId !== this.options.nodeId) {
-                nodeIds.push(member.nodeId);
-            }
-        }
+        const nodeIds = getDutyNodeIds(this.options.view).filter(nodeId => nodeId !== this.options.nodeId);
         return this.options.owners.getOwners(`kept-${key}`, nodeIds, holderCount);
     }
 
