--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -1,6 +1,8 @@
 /**
- * Builds dist/foxlead.cjs, one CommonJS bundle, and dist/foxlead, a single executable: the bundle inside a copy of
- * the Node.js binary that the lock file names.
+ * Builds foxlead.cjs, one CommonJS bundle, and foxlead, a single executable: the bundle inside a copy of the Node.js
+ * binary that the lock file names.
+ *
+ * Usage: build.ts [FOLDER], where FOLDER is dist by default.
  */
 import { build, type Plugin } from "esbuild";
 import { spawnSync } from "node:child_process";
@@ -8,10 +10,11 @@
 
 process.chdir(new URL("..", import.meta.url).pathname);
 
-const bundle = "dist/foxlead.cjs";
-const executable = "dist/foxlead";
-const seaConfiguration = "dist/sea.json";
-const seaBlob = "dist/sea.blob";
+const [folder = "dist"] = process.argv.slice(2);
+const bundle = `${folder}/foxlead.cjs`;
+const executable = `${folder}/foxlead`;
+const seaConfiguration = `${folder}/sea.json`;
+const seaBlob = `${folder}/sea.blob`;
 /** Marker in each Node.js binary; injection turns its last digit. From the manual of Node.js, "Single executables". */
 const sentinelFuse = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 const executableMode = 0o755;
@@ -36,7 +39,7 @@
     },
 };
 
-mkdirSync("dist", { recursive: true });
+mkdirSync(folder, { recursive: true });
 await build({
     entryPoints: ["src/main.ts"],
     outfile: bundle,
--- a/src/connection/peer/peerConnection.ts
+++ b/src/connection/peer/peerConnection.ts
@@ -1,6 +1,6 @@
+import type { DescService } from "@bufbuild/protobuf";
 import { type Client, createClient, type Interceptor } from "@connectrpc/connect";
 import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
-import { PeerService } from "../../wire/generated/foxlead/peer/v1/peer_pb.ts";
 import { peerSecret } from "./peerSecret.ts";
 import type { PeerTls } from "./peerTls.ts";
 
@@ -8,10 +8,13 @@
 const maximumMessageBytes = 4 * 1024 * 1024;
 
 /** Options of a connection. */
-interface PeerConnectionOptions {
+interface PeerConnectionOptions<Service extends DescService> {
+    /** What the peer is called for. */
+    service: Service;
     /** host:port of the peer listener. */
     address: string;
-    secret: string;
+    /** Secret that all nodes share; undefined where the network itself keeps others out. */
+    secret?: string;
     tls?: PeerTls;
     /** Longest time for connecting, in milliseconds. */
     connectTimeoutMilliseconds: number;
@@ -24,14 +27,14 @@
 }
 
 /** One HTTP/2 connection to a peer, opened at its first call. */
-export class PeerConnection {
+export class PeerConnection<Service extends DescService> {
     /** Client of the peer's service. */
-    readonly client: Client<typeof PeerService>;
+    readonly client: Client<Service>;
     private readonly sessions: Http2SessionManager;
     private callCount = 0;
     private isRetired = false;
 
-    private constructor(options: PeerConnectionOptions) {
+    private constructor(options: PeerConnectionOptions<Service>) {
         const baseUrl = `${options.tls === undefined ? "http" : "https"}://${options.address}`;
         this.sessions = new Http2SessionManager(baseUrl, {
             pingIntervalMs: options.pingIntervalMilliseconds,
@@ -44,15 +47,15 @@
             baseUrl,
             httpVersion: "2",
             sessionManager: this.sessions,
-            interceptors: [createSecretInterceptor(options.secret)],
+            interceptors: options.secret === undefined ? [] : [createSecretInterceptor(options.secret)],
             readMaxBytes: maximumMessageBytes,
             acceptCompression: [],
         });
-        this.client = createClient(PeerService, transport);
+        this.client = createClient(options.service, transport);
     }
 
     /** Creates a connection that is not open yet. */
-    static create(options: PeerConnectionOptions): PeerConnection {
+    static create<Service extends DescService>(options: PeerConnectionOptions<Service>): PeerConnection<Service> {
         return new PeerConnection(options);
     }
 
@@ -62,7 +65,7 @@
     }
 
     /** Runs a call, counting it while it is under way. */
-    async run<T>(call: (client: Client<typeof PeerService>) => Promise<T>): Promise<T> {
+    async run<T>(call: (client: Client<Service>) => Promise<T>): Promise<T> {
         this.callCount++;
         try {
             return await call(this.client);
--- a/src/connection/peer/peerConnections.ts
+++ b/src/connection/peer/peerConnections.ts
@@ -2,20 +2,20 @@
 import type { EventLog } from "../../process/logging/eventLog.ts";
 import { events } from "../../process/logging/events.ts";
 import { Err, Ok, type Result } from "../../result.ts";
-import type {
-    AnnounceConfigurationRequest,
-    AnnounceConfigurationResponse,
-    ClaimRequest,
-    ClaimResponse,
-    GetConfigurationRequest,
-    GetConfigurationResponse,
-    GetKeptAnswerRequest,
-    GetKeptAnswerResponse,
-    GossipRequest,
-    GossipResponse,
+import {
+    type AnnounceConfigurationRequest,
+    type AnnounceConfigurationResponse,
+    type ClaimRequest,
+    type ClaimResponse,
+    type GetConfigurationRequest,
+    type GetConfigurationResponse,
+    type GetKeptAnswerRequest,
+    type GetKeptAnswerResponse,
+    type GossipRequest,
+    type GossipResponse,
     PeerService,
-    TakeKeptAnswersRequest,
-    TakeKeptAnswersResponse,
+    type TakeKeptAnswersRequest,
+    type TakeKeptAnswersResponse,
 } from "../../wire/generated/foxlead/peer/v1/peer_pb.ts";
 import { PeerConnection } from "./peerConnection.ts";
 import type { PeerError } from "./peerError.ts";
@@ -59,7 +59,7 @@
  */
 export class PeerConnections {
     private readonly options: PeerConnectionsOptions;
-    private readonly connections = new Map<string, PeerConnection>();
+    private readonly connections = new Map<string, PeerConnection<typeof PeerService>>();
     private isClosed = false;
 
     private constructor(options: PeerConnectionsOptions) {
@@ -191,12 +191,13 @@
         }
     }
 
-    private getConnection(address: string): PeerConnection {
+    private getConnection(address: string): PeerConnection<typeof PeerService> {
         const known = this.connections.get(address);
         if (known !== undefined) {
             return known;
         }
         const connection = PeerConnection.create({
+            service: PeerService,
             address,
             secret: this.options.secret,
             tls: this.options.tls,
@@ -209,7 +210,7 @@
         return connection;
     }
 
-    private replace(address: string, connection: PeerConnection): void {
+    private replace(address: string, connection: PeerConnection<typeof PeerService>): void {
         connection.retire();
         if (this.connections.get(address) === connection) {
             this.connections.delete(address);
--- a/src/connection/peer/peerServer.ts
+++ b/src/connection/peer/peerServer.ts
@@ -17,9 +17,12 @@
 interface PeerServerOptions {
     /** host:port to listen at, the host by IP number; port 0 takes a free one. */
     address: string;
-    /** Secret that all nodes share. */
-    secret: string;
-    handlers: PeerHandlers;
+    /** Secret that all nodes share; undefined where the network itself keeps others out. */
+    secret?: string;
+    /** Answers the calls of a node's peers. */
+    handlers?: PeerHandlers;
+    /** Adds other services that peers call. */
+    registerRoutes?(router: ConnectRouter): void;
     /** Certificates; without them calls travel in clear text. */
     tls?: PeerTls;
     log: EventLog;
@@ -101,11 +104,11 @@
 function createListener(options: PeerServerOptions): Listener {
     const serve = connectNodeAdapter({
         readMaxBytes: maximumMessageBytes,
-        routes: (router: ConnectRouter) => router.service(PeerService, { ...options.handlers }),
+        routes: (router: ConnectRouter) => registerServices(router, options),
     });
     return (request, response) => {
         const received = request.headers[peerSecret.headerName];
-        if (typeof received === "string" && peerSecret.isEqual(received, options.secret)) {
+        if (isAdmitted(received, options.secret)) {
             serve(request, response);
             return;
         }
@@ -114,6 +117,17 @@
     };
 }
 
+function registerServices(router: ConnectRouter, { handlers, registerRoutes }: PeerServerOptions): void {
+    if (handlers !== undefined) {
+        router.service(PeerService, { ...handlers });
+    }
+    registerRoutes?.(router);
+}
+
+function isAdmitted(received: string | string[] | undefined, secret: string | undefined): boolean {
+    return secret === undefined || typeof received === "string" && peerSecret.isEqual(received, secret);
+}
+
 function refuse(response: http2.Http2ServerResponse): void {
     response.writeHead(unauthenticatedStatus, { "content-type": "application/json" });
     const message = "The peer secret is missing or wrong; give all nodes the same one.";
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,5 +1,6 @@
 /** The program `foxlead`. */
 import { createInterface } from "node:readline/promises";
+import { createPlatformCommand } from "../platform/createPlatformCommand.ts";
 import { runCommandLine } from "./process/commandLine/runCommandLine.ts";
 import { systemClock } from "./process/systemClock.ts";
 
@@ -21,4 +22,4 @@
     print: line => process.stdout.write(`${line}\n`),
     printError: line => process.stderr.write(`${line}\n`),
     confirm: isTerminal ? confirm : undefined,
-}).then(exitCode => process.exit(exitCode));
+}, [createPlatformCommand]).then(exitCode => process.exit(exitCode));
--- a/src/process/commandLine/runCommandLine.ts
+++ b/src/process/commandLine/runCommandLine.ts
@@ -1,4 +1,4 @@
-import yargs, { type Argv } from "yargs";
+import yargs, { type Argv, type CommandModule } from "yargs";
 import type { CommandContext } from "./commandContext.ts";
 import { createConfigurationCommand } from "./configuration/createConfigurationCommand.ts";
 import { createNodeCommand } from "./createNodeCommand.ts";
@@ -10,14 +10,20 @@
 
 const widestHelp = 110;
 
+/** Creates a verb that stands outside this folder. */
+// eslint-disable-next-line @typescript-eslint/no-explicit-any
+type CreateCommand = (context: CommandContext) => CommandModule<object, any>;
+
 /**
  * Parses the command line and runs its verb.
  * @param words - Words of the command line after the program's name.
  * @param surroundings - Clock, output and who answers questions.
+ * @param createCommands - Create further verbs.
  */
 export async function runCommandLine(
     words: string[],
     surroundings: Omit<CommandContext, "run">,
+    createCommands: CreateCommand[] = [],
 ): Promise<ExitCode> {
     let exitCode: ExitCode = ExitCode.Success;
     const context: CommandContext = {
@@ -27,7 +33,7 @@
         },
     };
     try {
-        await createParser(context).parseAsync(words);
+        await createParser(context, createCommands).parseAsync(words);
     }
     catch (error) {
         return reportError(error, context);
@@ -35,8 +41,11 @@
     return exitCode;
 }
 
-function createParser(context: CommandContext): Argv {
+function createParser(context: CommandContext, createCommands: CreateCommand[]): Argv {
     const parser = yargs();
+    for (const createCommand of createCommands) {
+        parser.command(createCommand(context));
+    }
     return parser
         .scriptName("foxlead")
         .usage("$0 <command>\n\nRouter between callers and endpoints.")
--- a/src/process/leases/fencedLease.ts
+++ b/src/process/leases/fencedLease.ts
@@ -10,7 +10,7 @@
 
 /** Settings of a {@link FencedLease}. */
 export interface FencedLeaseOptions {
-    store: PlatformStore;
+    store: Pick<PlatformStore, "get" | "compareAndSwap">;
     clock: Clock;
     random: RandomSource;
     log: EventLog;
--- a/src/process/metrics/metrics.ts
+++ b/src/process/metrics/metrics.ts
@@ -67,6 +67,16 @@
     readonly refusalsTotal = this.createCounter("refusals_total", "Requests refused as not run.", ["reason"]);
     readonly retriesTotal = this.createCounter("retries_total", "Repeated calls to endpoints.", ["outcome"]);
 
+    readonly relaysInProgress = this.createGauge("relays_in_progress", "Routed requests without their final answer.");
+    readonly upstreamConnectionsTotal = this.createCounter(
+        "upstream_connections_total",
+        "Connections opened to endpoints by the router.",
+    );
+    readonly endpointCallsTotal = this.createCounter("endpoint_calls_total", "Reports and orders sent to endpoints.", [
+        "call",
+        "outcome",
+    ]);
+
     readonly configurationVersion = this.createGauge(
         "configuration_version",
         "Version of the configuration in force.",
--- /dev/null
+++ b/src/process/placement/placementDuty.ts
@@ -0,0 +1,289 @@
+import type { EndpointReport, LayerOrder, OrderOutcome } from "../../request/relay/endpointProtocol.ts";
+import { getRequestMemory } from "../../request/relay/getRequestMemory.ts";
+import type { HeldLayers } from "../../request/relay/heldLayers.ts";
+import type { RegisteredEndpoint } from "../../request/relay/registeredEndpoint.ts";
+import type { EngineModel } from "../../version/routing/engineModel.ts";
+import type { RoutedService } from "../../version/routing/routingConfiguration.ts";
+import type { Clock, TimerHandle } from "../clock.ts";
+import { InvariantError } from "../invariantError.ts";
+import type { FencedLease } from "../leases/fencedLease.ts";
+import type { EventLog } from "../logging/eventLog.ts";
+import { events } from "../logging/events.ts";
+import type { PlatformStore } from "../platform/platformStore.ts";
+import { assignLayers, type LayerAssignment } from "./assignLayers.ts";
+import type { LayerColumn } from "./layerColumn.ts";
+import { type PlacementRecord, placementRecordSchema } from "./placementRecord.ts";
+import { type KindCount, planColumns } from "./planColumns.ts";
+
+/** Options of a {@link PlacementDuty}. */
+interface PlacementDutyOptions {
+    store: Pick<PlatformStore, "get" | "compareAndSwap">;
+    lease: FencedLease;
+    clock: Clock;
+    log: EventLog;
+    /** Prefix of the plans' keys; the service's name follows. */
+    keyPrefix: string;
+    /** Gets the services that have model engines. */
+    getModelServices(): RoutedService[];
+    /** Gets the endpoints of a service that stay. */
+    getEndpoints(service: string): readonly RegisteredEndpoint[];
+    sendOrder(endpoint: RegisteredEndpoint, order: LayerOrder): Promise<OrderOutcome | undefined>;
+    fetchReport(endpoint: RegisteredEndpoint): Promise<EndpointReport | undefined>;
+}
+
+/** An order that was sent and whose result the endpoint's record doesn't show yet. */
+interface OpenOrder {
+    layers: HeldLayers;
+    sentAt: number;
+    isAsking: boolean;
+}
+
+const tickMilliseconds = 250;
+/** Endpoints register within about a second of each other; a plan from half of them would waste the others. */
+const settleMilliseconds = 900;
+/** An order whose result isn't registered after the time for its load is looked into; loads that share the way take longer. */
+const orderGraceMilliseconds = 2_500;
+const secondMilliseconds = 1_000;
+
+/**
+ * Gives endpoints their layers, on the one node that holds the lease. Plans once for a service, keeps the plan in the
+ * store, and fills what endpoints come or go. All orders carry the lease's fencing number and the number of orders that
+ * the endpoint has begun, so that one that arrives late does nothing.
+ */
+export class PlacementDuty {
+    private readonly options: PlacementDutyOptions;
+    private readonly plans = new Map<string, LayerColumn[]>();
+    private readonly openOrders = new Map<string, OpenOrder>();
+    /** Number of orders that each endpoint is known to have begun. */
+    private readonly sequences = new Map<string, number>();
+    private readonly settled = new Map<string, { signature: string; since: number; }>();
+    private timer: TimerHandle | undefined;
+    /** Fencing number that an endpoint has refused; orders go on with a higher one only. */
+    private refusedNumber = 0;
+    private loadedNumber = 0;
+    private isPlanning = false;
+
+    private constructor(options: PlacementDutyOptions) {
+        this.options = options;
+    }
+
+    /** Creates a duty that does nothing before {@link start}. */
+    static create(options: PlacementDutyOptions): PlacementDuty {
+        return new PlacementDuty(options);
+    }
+
+    /** Looks at the endpoints from now on, whenever the lease is held. */
+    start(): void {
+        this.timer = this.options.clock.setTimer(tickMilliseconds, () => this.tick());
+    }
+
+    /** Gives no further orders. */
+    stop(): void {
+        this.timer?.cancel();
+        this.timer = undefined;
+    }
+
+    private tick(): void {
+        this.start();
+        const fencingNumber = this.options.lease.getFencingNumber();
+        if (fencingNumber === undefined || fencingNumber <= this.refusedNumber || this.isPlanning) {
+            return;
+        }
+        if (fencingNumber !== this.loadedNumber) {
+            this.loadedNumber = fencingNumber;
+            this.plans.clear();
+            this.openOrders.clear();
+        }
+        for (const service of this.options.getModelServices()) {
+            if (service.engine !== undefined) {
+                void this.place(service.name, service.engine);
+            }
+        }
+    }
+
+    private async place(service: string, model: EngineModel): Promise<void> {
+        const endpoints = this.options.getEndpoints(service);
+        if (endpoints.length === 0 || !this.isSettled(service, endpoints)) {
+            return;
+        }
+        const columns = this.plans.get(service);
+        if (columns === undefined) {
+            this.isPlanning = true;
+            await this.loadPlan(service, model, endpoints);
+            this.isPlanning = false;
+            return;
+        }
+        this.closeOrders(endpoints);
+        const stated = endpoints.map(endpoint => ({
+            id: endpoint.id,
+            dataCentre: endpoint.dataCentre,
+            kind: endpoint.kind ?? "",
+            layers: this.openOrders.get(endpoint.id)?.layers ?? endpoint.layers,
+        }));
+        for (const assignment of assignLayers(model, columns, stated)) {
+            const endpoint = endpoints.find(({ id }) => id === assignment.endpointId);
+            if (endpoint !== undefined && !this.openOrders.has(endpoint.id)) {
+                void this.order(model, endpoint, assignment);
+            }
+        }
+        this.inquireLate(model, endpoints);
+    }
+
+    /** Whether the list of endpoints has stood still long enough to plan from it. */
+    private isSettled(service: string, endpoints: readonly RegisteredEndpoint[]): boolean {
+        if (this.plans.has(service)) {
+            return true;
+        }
+        const now = this.options.clock.getMonotonicTime();
+        const signature = endpoints.map(({ id }) => id).join();
+        const known = this.settled.get(service);
+        if (known?.signature !== signature) {
+            this.settled.set(service, { signature, since: now });
+            return false;
+        }
+        return now - known.since >= settleMilliseconds;
+    }
+
+    private async loadPlan(
+        service: string,
+        model: EngineModel,
+        endpoints: readonly RegisteredEndpoint[],
+    ): Promise<void> {
+        const { store, keyPrefix, log } = this.options;
+        const key = `${keyPrefix}${service}`;
+        const stored = await store.get(key);
+        if (stored.err) {
+            log.write(events.leaseCallFailed, { key, reason: stored.val.message });
+            return;
+        }
+        const record = stored.val === undefined ? undefined : parseRecord(stored.val.value);
+        if (record !== undefined && record.layers === model.layers && record.modelName === model.modelName) {
+            this.plans.set(service, record.columns);
+            log.write(events.placementPlanned, { service, source: "store", columns: formatColumns(record.columns) });
+            return;
+        }
+        const columns = planColumns(model, countKinds(model, endpoints));
+        if (columns.length === 0) {
+            log.write(events.layersWithoutEngine, { service });
+            return;
+        }
+        const planned: PlacementRecord = { service, modelName: model.modelName, layers: model.layers, columns };
+        const written = await store.compareAndSwap(key, stored.val?.revision ?? 0, JSON.stringify(planned));
+        // A lost answer is found by the next read, and a plan of another holder by its revision.
+        if (written.ok && written.val.swapped) {
+            this.plans.set(service, columns);
+            log.write(events.placementPlanned, { service, source: "computed", columns: formatColumns(columns) });
+        }
+    }
+
+    private async order(model: EngineModel, endpoint: RegisteredEndpoint, assignment: LayerAssignment): Promise<void> {
+        const { lease, log, clock } = this.options;
+        assertFits(model, endpoint, assignment.layers);
+        // An endpoint that was ordered by an earlier holder refuses this number, and its report brings the right one.
+        const expectedSequence = this.sequences.get(endpoint.id) ?? 0;
+        const sending = lease.withFencing(fencingNumber => {
+            this.openOrders.set(endpoint.id, {
+                layers: assignment.layers,
+                sentAt: clock.getMonotonicTime(),
+                isAsking: false,
+            });
+            return this.options.sendOrder(endpoint, { layers: assignment.layers, fencingNumber, expectedSequence });
+        });
+        if (sending.err) {
+            return;
+        }
+        const { start, end } = assignment.layers;
+        const fields = { endpoint: endpoint.id, start, end, expectedSequence, fencingNumber: this.loadedNumber };
+        log.write(events.placementOrdered, fields);
+        const outcome = await sending.val;
+        log.write(events.placementOrderEnded, { ...fields, outcome: outcome?.kind ?? "unanswered" });
+        if (outcome?.kind === "fenced") {
+            this.refusedNumber = Math.max(this.refusedNumber, this.loadedNumber);
+            this.openOrders.delete(endpoint.id);
+        }
+        else if (outcome?.kind === "begun") {
+            this.sequences.set(endpoint.id, expectedSequence + 1);
+        }
+        else if (outcome?.kind !== "done") {
+            await this.readBack(endpoint);
+        }
+    }
+
+    /** Learns what became of an order that was not taken, or whose answer was lost. */
+    private async readBack(endpoint: RegisteredEndpoint): Promise<void> {
+        const order = this.openOrders.get(endpoint.id);
+        if (order === undefined || order.isAsking) {
+            return;
+        }
+        order.isAsking = true;
+        const report = await this.options.fetchReport(endpoint);
+        order.isAsking = false;
+        if (report === undefined) {
+            order.sentAt = this.options.clock.getMonotonicTime();
+            return;
+        }
+        this.sequences.set(endpoint.id, report.orderSequence);
+        if (report.isBusyWithOrder) {
+            order.sentAt = this.options.clock.getMonotonicTime();
+            return;
+        }
+        this.openOrders.delete(endpoint.id);
+    }
+
+    /** Forgets orders whose result the endpoints' records show, and those of endpoints that are gone. */
+    private closeOrders(endpoints: readonly RegisteredEndpoint[]): void {
+        const byId = new Map(endpoints.map(endpoint => [endpoint.id, endpoint]));
+        for (const [id, { layers }] of this.openOrders) {
+            const held = byId.get(id)?.layers;
+            if (!byId.has(id) || held?.start === layers.start && held.end === layers.end) {
+                this.openOrders.delete(id);
+            }
+        }
+    }
+
+    private inquireLate(model: EngineModel, endpoints: readonly RegisteredEndpoint[]): void {
+        const now = this.options.clock.getMonotonicTime();
+        for (const endpoint of endpoints) {
+            const order = this.openOrders.get(endpoint.id);
+            if (order === undefined) {
+                continue;
+            }
+            const part = (order.layers.end - order.layers.start) / model.layers;
+            if (now - order.sentAt > part * model.loadSeconds * secondMilliseconds + orderGraceMilliseconds) {
+                void this.readBack(endpoint);
+            }
+        }
+    }
+}
+
+function parseRecord(text: string): PlacementRecord | undefined {
+    try {
+        return placementRecordSchema.safeParse(JSON.parse(text)).data;
+    }
+    catch {
+        // A text that is no JSON is no plan; a new one takes its place.
+        return undefined;
+    }
+}
+
+function countKinds(model: EngineModel, endpoints: readonly RegisteredEndpoint[]): KindCount[] {
+    const counts = new Map<string, Map<string, number>>();
+    for (const { kind = "", dataCentre } of endpoints) {
+        const ofKind = counts.get(kind) ?? new Map<string, number>();
+        ofKind.set(dataCentre, (ofKind.get(dataCentre) ?? 0) + 1);
+        counts.set(kind, ofKind);
+    }
+    return [...model.kinds.values()].map(kind => ({ kind, counts: counts.get(kind.name) ?? new Map() }));
+}
+
+function formatColumns(columns: readonly LayerColumn[]): string {
+    return columns.map(({ layers, kind }) => `${kind}=${layers.start}-${layers.end}`).join(",");
+}
+
+/** Checks that an order leaves the endpoint room for requests; one that doesn't fit would end it. */
+function assertFits(model: EngineModel, endpoint: RegisteredEndpoint, { start, end }: HeldLayers): void {
+    const kind = model.kinds.get(endpoint.kind ?? "");
+    if (kind === undefined || getRequestMemory(model, kind, end - start) <= 0) {
+        throw InvariantError.create("orderFits", `Layers ${start}-${end} don't fit ${endpoint.id}.`);
+    }
+}
--- /dev/null
+++ b/src/process/placement/planColumns.ts
@@ -0,0 +1,224 @@
+import { estimatePass, estimatePrefill } from "../../request/relay/estimateStage.ts";
+import { getRequestMemory } from "../../request/relay/getRequestMemory.ts";
+import type { AcceleratorKind, EngineModel } from "../../version/routing/engineModel.ts";
+import type { LayerColumn } from "./layerColumn.ts";
+
+/** How many endpoints of a kind there are. */
+export interface KindCount {
+    kind: AcceleratorKind;
+    /** By data centre. */
+    counts: ReadonlyMap<string, number>;
+}
+
+/** Columns of one kind: how many there are, and how many layers each holds. */
+interface KindShare {
+    kind: AcceleratorKind;
+    columns: number;
+    layers: number;
+    /** Endpoints of the kind. */
+    count: number;
+    /** The same by data centre. */
+    counts: ReadonlyMap<string, number>;
+}
+
+/** Part of the memory that may be needed on average; the rest takes up that requests come unevenly. */
+const memoryPart = 0.6;
+/** Part of an engine's time that prompts may take; beyond it the answers being written wait too long. */
+const busyPart = 0.5;
+/** A column loses one of its replicas at a time and must bear it; one without a spare counts this little. */
+const withoutSpare = 0.35;
+/** More columns of one kind than this only add crossings. */
+const mostColumnsOfKind = 6;
+/** Mean wait for the pass in progress, as a part of a pass, and the pass itself. */
+const passesOfStep = 1.5;
+const bitsOfByte = 8;
+const kilobitsOfMegabit = 1_000;
+
+/**
+ * Plans ranges of layers so that all endpoints of a kind hold ranges of about one size, and every range has replicas.
+ * Searches the number of columns and of layers for each kind, for the most requests a second that memory, time and the
+ * loss of one replica allow: requests in progress are their rate times their duration, and a long chain of slow stages
+ * keeps them longer in memory.
+ * @param model - Figures of the model.
+ * @param kinds - Endpoints by kind.
+ * @returns Columns that tile all layers in order; empty where the weights fit nowhere.
+ */
+export function planColumns(model: EngineModel, kinds: readonly KindCount[]): LayerColumn[] {
+    const available = kinds.filter(({ counts }) => sum(counts.values()) > 0);
+    available.sort((left, right) => left.kind.stepFactor - right.kind.stepFactor);
+    let best: KindShare[] = [];
+    let bestRate = 0;
+    for (const shares of enumerateShares(model, available, 0, model.layers)) {
+        const rate = getSustainedRate(model, shares);
+        if (rate > bestRate) {
+            bestRate = rate;
+            best = shares;
+        }
+    }
+    return layOut(model, best);
+}
+
+function* enumerateShares(
+    model: EngineModel,
+    kinds: readonly KindCount[],
+    index: number,
+    layersLeft: number,
+): Generator<KindShare[]> {
+    const entry = kinds[index];
+    if (entry === undefined) {
+        if (layersLeft === 0) {
+            yield [];
+        }
+        return;
+    }
+    const isLast = index === kinds.length - 1;
+    for (const share of enumerateKind(model, entry, layersLeft, isLast)) {
+        for (const rest of enumerateShares(model, kinds, index + 1, layersLeft - share.columns * share.layers)) {
+            yield [share, ...rest];
+        }
+    }
+}
+
+/** Lists the shares of one kind. A kind that comes last holds all that is left, with ranges of nearly one size. */
+function* enumerateKind(
+    model: EngineModel,
+    { kind, counts }: KindCount,
+    layersLeft: number,
+    isLast: boolean,
+): Generator<KindShare> {
+    const count = sum(counts.values());
+    if (!isLast || layersLeft === 0) {
+        yield { kind, columns: 0, layers: 0, count, counts };
+    }
+    const mostLayers = Math.min(layersLeft, Math.floor(kind.memoryMegabytes / model.layerMegabytes));
+    for (let columns = 1; columns <= Math.min(count, mostColumnsOfKind); columns++) {
+        if (isLast) {
+            if (Math.ceil(layersLeft / columns) <= mostLayers && layersLeft >= columns) {
+                yield { kind, columns, layers: layersLeft / columns, count, counts };
+            }
+            continue;
+        }
+        for (let layers = 1; layers <= mostLayers && layers * columns <= layersLeft; layers++) {
+            yield { kind, columns, layers, count, counts };
+        }
+    }
+}
+
+/** Gets the most requests a second that the shares sustain. */
+function getSustainedRate(model: EngineModel, shares: readonly KindShare[]): number {
+    const usualTokens = model.usualPromptTokens + model.usualAnswerTokens / 2;
+    const passes = model.usualAnswerTokens / model.stepsOfPass;
+    let inProgress = Infinity;
+    let rateByTime = Infinity;
+    for (const share of shares) {
+        if (share.columns === 0) {
+            continue;
+        }
+        const replicas = Math.floor(share.count / share.columns);
+        const effective = replicas > 1 ? replicas - 1 : withoutSpare;
+        const memory = getRequestMemory(model, share.kind, Math.ceil(share.layers));
+        const inMemory = memory * memoryPart / (usualTokens * share.layers);
+        inProgress = Math.min(inProgress, effective * Math.min(inMemory, model.slots));
+        const work = createWork(share, 0, usualTokens);
+        const prefill = estimatePrefill(model, work, model.usualPromptTokens);
+        rateByTime = Math.min(rateByTime, effective * busyPart / prefill);
+    }
+    if (inProgress === Infinity) {
+        return 0;
+    }
+    const crossings = getCrossings(shares);
+    const bits = (model.usualPromptTokens + model.usualAnswerTokens) * model.activationBytes * bitsOfByte;
+    const transfer = bits / (model.pipeMegabits * kilobitsOfMegabit);
+    const rateByPipes = crossings === 0 ? Infinity : busyPart * countPipes(shares) / (crossings * transfer);
+    const crossing = transfer / busyPart + model.usualAnswerTokens * model.crossingMilliseconds;
+    const duration = getDuration(model, shares, inProgress, usualTokens, passes) + crossings * crossing;
+    return Math.min(inProgress / duration, rateByTime, rateByPipes);
+}
+
+/**
+ * Estimates how often a chain crosses between data centres. Between columns of one kind it must where a column has
+ * fewer replicas than there are data centres; between two kinds as far as these are spread differently.
+ */
+function getCrossings(shares: readonly KindShare[]): number {
+    const used = shares.filter(({ columns }) => columns > 0);
+    const dataCentres = countDataCentres(shares);
+    let crossings = 0;
+    for (const [index, share] of used.entries()) {
+        const replicas = Math.floor(share.count / share.columns);
+        crossings += (share.columns - 1) * Math.max(0, 1 - replicas / dataCentres);
+        const next = used[index + 1];
+        if (next !== undefined) {
+            crossings += getDistance(share, next);
+        }
+    }
+    return crossings;
+}
+
+/** Gets the part of the requests that must change the data centre between two kinds. */
+function getDistance(left: KindShare, right: KindShare): number {
+    let distance = 0;
+    for (const dataCentre of new Set([...left.counts.keys(), ...right.counts.keys()])) {
+        const leftPart = (left.counts.get(dataCentre) ?? 0) / left.count;
+        const rightPart = (right.counts.get(dataCentre) ?? 0) / right.count;
+        distance += Math.max(0, leftPart - rightPart);
+    }
+    return distance;
+}
+
+function countDataCentres(shares: readonly KindShare[]): number {
+    return new Set(shares.flatMap(({ counts }) => [...counts.keys()])).size;
+}
+
+/** Counts the pairs of data centres, each of which has a pipe of its own. */
+function countPipes(shares: readonly KindShare[]): number {
+    const dataCentres = countDataCentres(shares);
+    return dataCentres * (dataCentres - 1) / 2;
+}
+
+/** Gets how long a usual request takes with so many in progress, in milliseconds. */
+function getDuration(
+    model: EngineModel,
+    shares: readonly KindShare[],
+    inProgress: number,
+    usualTokens: number,
+    passes: number,
+): number {
+    let duration = 0;
+    for (const share of shares) {
+        if (share.columns === 0) {
+            continue;
+        }
+        const replicas = share.count / share.columns;
+        const work = createWork(share, inProgress / replicas, usualTokens);
+        const pass = estimatePass(model, work);
+        const prefill = estimatePrefill(model, work, model.usualPromptTokens);
+        duration += share.columns * (passes * passesOfStep * pass + prefill);
+    }
+    return duration;
+}
+
+function createWork(share: KindShare, requests: number, contextTokens: number) {
+    return { kind: share.kind, layers: share.layers, requests, contextTokens, slowness: 1 };
+}
+
+function layOut(model: EngineModel, shares: readonly KindShare[]): LayerColumn[] {
+    const columns: LayerColumn[] = [];
+    let at = 0;
+    for (const share of shares) {
+        const first = at;
+        for (let index = 1; index <= share.columns; index++) {
+            const end = first + Math.round(share.layers * index);
+            columns.push({ layers: { start: at, end }, kind: share.kind.name });
+            at = end;
+        }
+    }
+    return at === model.layers ? columns : [];
+}
+
+function sum(numbers: Iterable<number>): number {
+    let total = 0;
+    for (const value of numbers) {
+        total += value;
+    }
+    return total;
+}
--- /dev/null
+++ b/src/process/replica/recordFollower.ts
@@ -0,0 +1,155 @@
+import type { Clock } from "../clock.ts";
+import type { EventLog } from "../logging/eventLog.ts";
+import { events } from "../logging/events.ts";
+import type { PlatformError } from "../platform/platformError.ts";
+import type { RandomSource } from "../randomSource.ts";
+import type { RecordSection } from "./recordSection.ts";
+import type { RecordStore } from "./recordStore.ts";
+
+/** Options of a {@link RecordFollower}. */
+interface RecordFollowerOptions {
+    store: RecordStore;
+    section: RecordSection;
+    /** Prefix of the section's keys. */
+    prefix: string;
+    clock: Clock;
+    random: RandomSource;
+    log: EventLog;
+}
+
+/**
+ * One call waits for changes this long. Each call is paid for, and a connection that has gone silent is noticed only
+ * when its call is over; meanwhile the peers tell of changes.
+ */
+const waitMilliseconds = 8_000;
+/** After a failed call, at first; it doubles up to the longest. */
+const shortestPauseMilliseconds = 100;
+const longestPauseMilliseconds = 800;
+/** A peer that is ahead for so long shows that this node's own wait has gone silent. */
+const behindMilliseconds = 1_000;
+
+/** Follows a section of the store: reads it whole once, then waits for changes. */
+export class RecordFollower {
+    private readonly options: RecordFollowerOptions;
+    private readonly stopping = new AbortController();
+    private wait = new AbortController();
+    private isReadDue = true;
+    private failures = 0;
+    private lastFailureAt = -Infinity;
+    private behindSince: number | undefined;
+
+    private constructor(options: RecordFollowerOptions) {
+        this.options = options;
+    }
+
+    /** Creates a follower that does nothing before {@link start}. */
+    static create(options: RecordFollowerOptions): RecordFollower {
+        return new RecordFollower(options);
+    }
+
+    /** Follows until {@link stop}. */
+    start(): void {
+        void this.run();
+    }
+
+    /** Ends the calls under way. */
+    stop(): void {
+        this.stopping.abort();
+        this.wait.abort();
+    }
+
+    /** Whether the last call was answered. */
+    isInContact(): boolean {
+        return this.failures === 0;
+    }
+
+    /** Gets the monotonic time of the last failed call, in milliseconds. */
+    getLastFailure(): number {
+        return this.lastFailureAt;
+    }
+
+    /** Notes how far a peer has followed; a wait that stays behind is given up for a new one. */
+    notePeerFrontier(frontier: number): void {
+        const { section, clock } = this.options;
+        if (frontier <= section.getFrontier()) {
+            this.behindSince = undefined;
+            return;
+        }
+        const now = clock.getMonotonicTime();
+        this.behindSince ??= now;
+        if (now - this.behindSince > behindMilliseconds) {
+            this.behindSince = undefined;
+            this.wait.abort();
+        }
+    }
+
+    private async run(): Promise<void> {
+        while (!this.stopping.signal.aborted) {
+            const isAnswered = this.isReadDue ? await this.readAll() : await this.waitForChanges();
+            if (!isAnswered && !this.stopping.signal.aborted) {
+                await this.pause();
+            }
+        }
+    }
+
+    private async readAll(): Promise<boolean> {
+        const { store, prefix, section } = this.options;
+        const listing = await store.readAll(prefix);
+        if (listing.err) {
+            this.noteFailure(listing.val);
+            return false;
+        }
+        this.noteAnswer();
+        this.isReadDue = false;
+        section.applyListing(listing.val.records, listing.val.revision, "store");
+        return true;
+    }
+
+    private async waitForChanges(): Promise<boolean> {
+        const { store, prefix, section, log } = this.options;
+        this.wait = new AbortController();
+        const after = section.getFrontier();
+        const changes = await store.waitForChanges(prefix, after, waitMilliseconds, this.wait.signal);
+        if (changes.err) {
+            if (this.wait.signal.aborted) {
+                return true;
+            }
+            this.noteFailure(changes.val);
+            return false;
+        }
+        this.noteAnswer();
+        if (changes.val.isHistoryLost) {
+            log.write(events.storeHistoryLost, { section: section.name, after });
+            this.isReadDue = true;
+            return true;
+        }
+        section.applyChanges(changes.val.records, changes.val.revision, "store");
+        return true;
+    }
+
+    private noteAnswer(): void {
+        if (this.failures > 0) {
+            const { log, section } = this.options;
+            log.write(events.storeRegained, { section: section.name, failures: this.failures });
+        }
+        this.failures = 0;
+    }
+
+    private noteFailure(error: PlatformError): void {
+        const { log, section, clock } = this.options;
+        if (this.failures === 0) {
+            log.write(events.storeLost, { section: section.name, reason: error.message });
+        }
+        this.failures += 1;
+        this.lastFailureAt = clock.getMonotonicTime();
+    }
+
+    private pause(): Promise<void> {
+        const { clock, random } = this.options;
+        const doubled = shortestPauseMilliseconds * 2 ** Math.min(this.failures, 10);
+        const delay = Math.min(doubled, longestPauseMilliseconds) * (0.5 + random() / 2);
+        return new Promise(resolve => {
+            clock.setTimer(delay, resolve);
+        });
+    }
+}
--- /dev/null
+++ b/src/process/router/endpointRegistry.ts
@@ -0,0 +1,153 @@
+import type { RegisteredEndpoint } from "../../request/relay/registeredEndpoint.ts";
+import type { RelayDirectory } from "../../request/relay/relayDirectory.ts";
+import type { Result } from "../../result.ts";
+import type { Clock } from "../clock.ts";
+import type { EventLog } from "../logging/eventLog.ts";
+import { events } from "../logging/events.ts";
+import type { ChangeSource } from "../replica/recordSection.ts";
+import type { StoreRecord } from "../replica/storeRecord.ts";
+import type { EndpointSlowness } from "./endpointSlowness.ts";
+
+/** Options of an {@link EndpointRegistry}. */
+interface EndpointRegistryOptions {
+    clock: Clock;
+    log: EventLog;
+    slowness: EndpointSlowness;
+    /** Reads the record that an endpoint wrote under a key. */
+    decode(key: string, text: string): Result<RegisteredEndpoint, string>;
+    /** Gets the monotonic time in milliseconds at which the store was last found out of order. */
+    getLastStoreFailure(): number;
+    /** Called when an endpoint has come, gone or changed. */
+    onChange(): void;
+}
+
+/** An endpoint with the time at which its record vanished. */
+interface KeptEndpoint {
+    endpoint: RegisteredEndpoint;
+    /** Monotonic time in milliseconds until which the missing record is not taken as the endpoint's end. */
+    doubtfulUntil: number | undefined;
+}
+
+/**
+ * Records that lapsed while the store was out of order are back about two seconds after its return, where the endpoint
+ * lives; the rest covers the way of the change to this node.
+ */
+const returnMilliseconds = 2_300;
+
+/** The endpoints that are registered in the platform's store. */
+export class EndpointRegistry implements RelayDirectory {
+    private readonly options: EndpointRegistryOptions;
+    /** By key. */
+    private readonly endpoints = new Map<string, KeptEndpoint>();
+    private readonly usable = new Map<string, RegisteredEndpoint[]>();
+    private readonly byAddress = new Map<string, RegisteredEndpoint>();
+    private isIndexed = false;
+
+    private constructor(options: EndpointRegistryOptions) {
+        this.options = options;
+    }
+
+    /** Creates an empty registry. */
+    static create(options: EndpointRegistryOptions): EndpointRegistry {
+        return new EndpointRegistry(options);
+    }
+
+    /** Takes a change of an endpoint's record in. */
+    applyRecord({ key, revision, text }: StoreRecord, source: ChangeSource): void {
+        const { log, decode, onChange } = this.options;
+        if (text === undefined) {
+            this.remove(key, revision, source);
+            return;
+        }
+        const decoded = decode(key, text);
+        if (decoded.err) {
+            log.write(events.endpointRecordBroken, { key, revision, reason: decoded.val });
+            this.endpoints.delete(key);
+        }
+        else {
+            const endpoint = decoded.val;
+            this.endpoints.set(key, { endpoint, doubtfulUntil: undefined });
+            log.write(events.endpointRegistered, { ...describe(endpoint), revision, source });
+        }
+        this.isIndexed = false;
+        onChange();
+    }
+
+    /** Gets the endpoints of a service that may get new requests. */
+    getEndpoints(service: string): readonly RegisteredEndpoint[] {
+        this.buildIndex();
+        return this.usable.get(service) ?? [];
+    }
+
+    /** Gets the endpoint at an address, host:port. */
+    getEndpointAt(address: string): RegisteredEndpoint | undefined {
+        this.buildIndex();
+        return this.byAddress.get(address);
+    }
+
+    /** Gets the factor on an endpoint's usual times; 1 where nothing is known. */
+    getSlowness(endpointId: string): number {
+        return this.options.slowness.getFactor(endpointId, this.options.clock.getMonotonicTime());
+    }
+
+    /** Gets all endpoints, leaving ones included. */
+    getAll(): RegisteredEndpoint[] {
+        this.dropDoubtful();
+        return [...this.endpoints.values()].map(({ endpoint }) => endpoint);
+    }
+
+    private remove(key: string, revision: number, source: ChangeSource): void {
+        const known = this.endpoints.get(key);
+        if (known === undefined) {
+            return;
+        }
+        const { clock, log, getLastStoreFailure, onChange } = this.options;
+        const now = clock.getMonotonicTime();
+        const isDoubtful = now - getLastStoreFailure() < returnMilliseconds && !known.endpoint.isDraining;
+        log.write(events.endpointGone, { endpoint: known.endpoint.id, revision, source, isDoubtful });
+        if (isDoubtful) {
+            known.doubtfulUntil = now + returnMilliseconds;
+            clock.setTimer(returnMilliseconds, () => {
+                this.isIndexed = false;
+                onChange();
+            });
+            return;
+        }
+        this.endpoints.delete(key);
+        this.isIndexed = false;
+        onChange();
+    }
+
+    private dropDoubtful(): void {
+        const now = this.options.clock.getMonotonicTime();
+        for (const [key, { doubtfulUntil }] of this.endpoints) {
+            if (doubtfulUntil !== undefined && doubtfulUntil <= now) {
+                this.endpoints.delete(key);
+            }
+        }
+    }
+
+    private buildIndex(): void {
+        if (this.isIndexed) {
+            return;
+        }
+        this.isIndexed = true;
+        this.usable.clear();
+        this.byAddress.clear();
+        for (const endpoint of this.getAll()) {
+            this.byAddress.set(endpoint.address, endpoint);
+            if (endpoint.isDraining) {
+                continue;
+            }
+            const ofService = this.usable.get(endpoint.service) ?? [];
+            ofService.push(endpoint);
+            this.usable.set(endpoint.service, ofService);
+        }
+    }
+}
+
+function describe(endpoint: RegisteredEndpoint): Record<string, string | number | boolean> {
+    const { id, service, address, dataCentre, isDraining, kind, layers } = endpoint;
+    const range = layers === undefined ? "" : `${layers.start}-${layers.end}`;
+    return { endpoint: id, service, address, dataCentre, isDraining, kind: kind ?? "", layers: range };
+}
--- /dev/null
+++ b/src/process/router/peerExchange.ts
@@ -0,0 +1,266 @@
+import { create } from "@bufbuild/protobuf";
+import type { ConnectRouter } from "@connectrpc/connect";
+import { PeerConnection } from "../../connection/peer/peerConnection.ts";
+import { toPeerError } from "../../connection/peer/toPeerError.ts";
+import {
+    type ExchangeRequest,
+    ExchangeRequestSchema,
+    type ExchangeResponse,
+    ExchangeResponseSchema,
+    type NodeRecord,
+    NodeRecordSchema,
+    RouterService,
+} from "../../wire/generated/foxlead/router/v1/router_pb.ts";
+import type { Clock, TimerHandle } from "../clock.ts";
+import type { EventLog } from "../logging/eventLog.ts";
+import { events } from "../logging/events.ts";
+import type { RandomSource } from "../randomSource.ts";
+import type { RecordSection } from "../replica/recordSection.ts";
+import type { NodeTable } from "./nodeTable.ts";
+import type { PeerState } from "./peerState.ts";
+
+/** Options of {@link PeerExchange}. */
+interface PeerExchangeOptions {
+    nodeId: string;
+    /** host:port of this node's peer listener. */
+    address: string;
+    /** Addresses of some nodes to begin with; they may be stale or down. */
+    seeds: readonly string[];
+    nodes: NodeTable;
+    sections: readonly RecordSection[];
+    state: PeerState;
+    clock: Clock;
+    random: RandomSource;
+    log: EventLog;
+    /** Called with how far a peer has followed a section of the store. */
+    onFrontier(section: string, frontier: number): void;
+}
+
+/** Each exchange tells both sides; two partners a round reach each of nine nodes about twice a second. */
+const roundMilliseconds = 300;
+const partnersOfRound = 2;
+const callTimeoutMilliseconds = 600;
+/** A seed that is not known as a live node is tried once in so many rounds. */
+const roundsOfSeed = 4;
+
+type RouterPeer = PeerConnection<typeof RouterService>;
+
+/** Tells some peers of this node's state in each round, and learns theirs and what it has missed of the store. */
+export class PeerExchange {
+    private readonly options: PeerExchangeOptions;
+    private readonly connections = new Map<string, RouterPeer>();
+    private readonly unreachable = new Set<string>();
+    private timer: TimerHandle | undefined;
+    private round = 0;
+    private isStopped = false;
+    private lastContactAt: number | undefined;
+
+    private constructor(options: PeerExchangeOptions) {
+        this.options = options;
+    }
+
+    /** Creates an exchange that does nothing before {@link start}. */
+    static create(options: PeerExchangeOptions): PeerExchange {
+        return new PeerExchange(options);
+    }
+
+    /** Adds the service that peers call. */
+    registerRoutes(router: ConnectRouter): void {
+        router.service(RouterService, { exchange: request => this.answer(request) });
+    }
+
+    /** Begins the rounds. */
+    start(): void {
+        this.runRound();
+    }
+
+    /** Ends the rounds and closes the connections. */
+    stop(): void {
+        this.isStopped = true;
+        this.timer?.cancel();
+        for (const connection of this.connections.values()) {
+            connection.close();
+        }
+        this.connections.clear();
+    }
+
+    /** Gets the monotonic time of the last exchange with any peer, in milliseconds. */
+    getLastContact(): number | undefined {
+        return this.lastContactAt;
+    }
+
+    private runRound(): void {
+        if (this.isStopped) {
+            return;
+        }
+        this.round += 1;
+        for (const address of this.choosePartners()) {
+            void this.exchange(address);
+        }
+        const delay = roundMilliseconds * (0.8 + 0.4 * this.options.random());
+        this.timer = this.options.clock.setTimer(delay, () => this.runRound());
+    }
+
+    private choosePartners(): string[] {
+        const { nodes, clock, random, seeds, address } = this.options;
+        const live = nodes.getLiveNodes(clock.getMonotonicTime()).map(node => node.address);
+        const partners = new Set<string>();
+        for (
+            let tries = 0;
+            partners.size < Math.min(partnersOfRound, live.length) && tries < live.length * 2;
+            tries++
+        ) {
+            partners.add(live[Math.floor(random() * live.length)]!);
+        }
+        const isSeedTurn = live.length === 0 || this.round % roundsOfSeed === 0;
+        for (const seed of isSeedTurn ? seeds : []) {
+            if (seed !== address && !live.includes(seed)) {
+                partners.add(seed);
+            }
+        }
+        return [...partners];
+    }
+
+    private async exchange(address: string): Promise<void> {
+        const connection = this.getConnection(address);
+        if (connection.getCallCount() > 0) {
+            return;
+        }
+        try {
+            const response = await connection.run(client =>
+                client.exchange(this.createRequest(), { timeoutMs: callTimeoutMilliseconds })
+            );
+            this.noteReachable(address);
+            this.takeResponse(response);
+        }
+        catch (reason) {
+            this.drop(address, connection);
+            if (!this.isStopped && !this.unreachable.has(address)) {
+                this.unreachable.add(address);
+                const { kind, message } = toPeerError(reason, address);
+                this.options.log.write(events.routerPeerLost, { address, kind, reason: message });
+            }
+        }
+    }
+
+    private noteReachable(address: string): void {
+        if (this.unreachable.delete(address)) {
+            this.options.log.write(events.routerPeerRegained, { address });
+        }
+    }
+
+    private createRequest(): ExchangeRequest {
+        const { state, sections } = this.options;
+        const frontiers = sections.map(section => ({ section: section.name, revision: BigInt(section.getFrontier()) }));
+        return create(ExchangeRequestSchema, {
+            sender: this.createOwnRecord(),
+            nodes: this.createNodeRecords(),
+            ...state.createRecords(this.getTime()),
+            frontiers,
+        });
+    }
+
+    private async answer(request: ExchangeRequest): Promise<ExchangeResponse> {
+        const { sections, state } = this.options;
+        this.takeNodes(request.sender, request.nodes);
+        state.takeRecords(request, this.getTime());
+        const changes = [];
+        for (const { section: name, revision } of request.frontiers) {
+            this.options.onFrontier(name, Number(revision));
+            const section = sections.find(candidate => candidate.name === name);
+            const missing = section?.getChangesSince(Number(revision));
+            if (missing !== undefined) {
+                const records = missing.records.map(({ key, revision: at, text }) => ({
+                    key,
+                    revision: BigInt(at),
+                    isDeleted: text === undefined,
+                    text: text ?? "",
+                }));
+                changes.push({ section: name, frontier: BigInt(missing.frontier), isWhole: missing.isWhole, records });
+            }
+        }
+        return create(ExchangeResponseSchema, {
+            sender: this.createOwnRecord(),
+            nodes: this.createNodeRecords(),
+            ...state.createRecords(this.getTime()),
+            frontiers: sections.map(({ name }) => name).map(name => ({
+                section: name,
+                revision: BigInt(sections.find(section => section.name === name)!.getFrontier()),
+            })),
+            changes,
+        });
+    }
+
+    private takeResponse(response: ExchangeResponse): void {
+        this.takeNodes(response.sender, response.nodes);
+        this.options.state.takeRecords(response, this.getTime());
+        for (const { section: name, frontier, isWhole, records } of response.changes) {
+            const section = this.options.sections.find(candidate => candidate.name === name);
+            const decoded = records.map(({ key, revision, isDeleted, text }) => ({
+                key,
+                revision: Number(revision),
+                text: isDeleted ? undefined : text,
+            }));
+            if (isWhole) {
+                section?.applyListing(decoded, Number(frontier), "peer");
+            }
+            else {
+                section?.applyChanges(decoded, Number(frontier), "peer");
+            }
+        }
+        for (const { section, revision } of response.frontiers) {
+            this.options.onFrontier(section, Number(revision));
+        }
+    }
+
+    private takeNodes(sender: NodeRecord | undefined, records: readonly NodeRecord[]): void {
+        const { nodes } = this.options;
+        const now = this.getTime();
+        this.lastContactAt = now;
+        for (const { nodeId, address, age } of sender === undefined ? records : [sender, ...records]) {
+            nodes.note({ nodeId, address, heardAt: now - age });
+        }
+    }
+
+    private createOwnRecord(): NodeRecord {
+        const { nodeId, address } = this.options;
+        return create(NodeRecordSchema, { nodeId, address, age: 0 });
+    }
+
+    private createNodeRecords(): NodeRecord[] {
+        const now = this.getTime();
+        return this.options.nodes.getLiveNodes(now).map(({ nodeId, address, heardAt }) =>
+            create(NodeRecordSchema, { nodeId, address, age: Math.max(0, Math.round(now - heardAt)) })
+        );
+    }
+
+    private getConnection(address: string): RouterPeer {
+        const known = this.connections.get(address);
+        if (known !== undefined) {
+            return known;
+        }
+        const connection = PeerConnection.create({
+            service: RouterService,
+            address,
+            connectTimeoutMilliseconds: callTimeoutMilliseconds,
+            pingIntervalMilliseconds: 60_000,
+            pingTimeoutMilliseconds: callTimeoutMilliseconds,
+            idleTimeoutMilliseconds: 60_000,
+        });
+        this.connections.set(address, connection);
+        return connection;
+    }
+
+    /** A connection that failed once may have gone silent for good; the next call opens another. */
+    private drop(address: string, connection: RouterPeer): void {
+        connection.retire();
+        connection.close();
+        if (this.connections.get(address) === connection) {
+            this.connections.delete(address);
+        }
+    }
+
+    private getTime(): number {
+        return this.options.clock.getMonotonicTime();
+    }
+}
--- /dev/null
+++ b/src/process/router/peerState.ts
@@ -0,0 +1,68 @@
+import { create } from "@bufbuild/protobuf";
+import type { EndpointHealth } from "../../request/relay/endpointHealth.ts";
+import type { EndpointLoads } from "../../request/relay/endpointLoads.ts";
+import {
+    type ExchangeRequest,
+    type ExchangeResponse,
+    type LoadRecord,
+    LoadRecordSchema,
+    type SlownessRecord,
+    SlownessRecordSchema,
+    type SuspicionRecord,
+    SuspicionRecordSchema,
+} from "../../wire/generated/foxlead/router/v1/router_pb.ts";
+import type { EndpointSlowness } from "./endpointSlowness.ts";
+
+/** What a node tells its peers in each exchange. */
+interface PeerRecords {
+    loads: LoadRecord[];
+    suspicions: SuspicionRecord[];
+    slowness: SlownessRecord[];
+}
+
+/** Options of {@link PeerState}. */
+interface PeerStateOptions {
+    loads: EndpointLoads;
+    health: EndpointHealth;
+    slowness: EndpointSlowness;
+}
+
+/** Puts what a node knows of the endpoints into the messages of the peers, and takes theirs in. */
+export class PeerState {
+    private readonly options: PeerStateOptions;
+
+    private constructor(options: PeerStateOptions) {
+        this.options = options;
+    }
+
+    /** Creates the translation of this node's beliefs. */
+    static create(options: PeerStateOptions): PeerState {
+        return new PeerState(options);
+    }
+
+    /** Creates the records of an outgoing message. */
+    createRecords(now: number): PeerRecords {
+        const { loads, health, slowness } = this.options;
+        return {
+            loads: loads.getOwnLoads().map(load => create(LoadRecordSchema, load)),
+            suspicions: health.getSuspicions(now).map(({ endpointId, remainingMilliseconds }) =>
+                create(SuspicionRecordSchema, { endpointId, remaining: Math.round(remainingMilliseconds) })
+            ),
+            slowness: slowness.getReadings(now).map(reading => create(SlownessRecordSchema, reading)),
+        };
+    }
+
+    /** Takes the records of a peer's message in. */
+    takeRecords(message: ExchangeRequest | ExchangeResponse, now: number): void {
+        const { loads, health, slowness } = this.options;
+        if (message.sender !== undefined) {
+            loads.setPeerLoads(message.sender.nodeId, message.loads, now);
+        }
+        for (const { endpointId, remaining } of message.suspicions) {
+            health.addSuspicion({ endpointId, remainingMilliseconds: remaining }, now);
+        }
+        for (const { endpointId, factor, age } of message.slowness) {
+            slowness.note({ endpointId, factor, age }, now);
+        }
+    }
+}
--- /dev/null
+++ b/src/process/router/requestRouter.ts
@@ -0,0 +1,116 @@
+import type { AnswerSink } from "../../request/relay/answerSink.ts";
+import { createRefusal } from "../../request/relay/createRefusal.ts";
+import { DocumentRelay } from "../../request/relay/documentRelay.ts";
+import { RefusalReason } from "../../request/relay/refusalReason.ts";
+import type { RelayEnvironment } from "../../request/relay/relayEnvironment.ts";
+import type { RelayRefusal } from "../../request/relay/relayRefusal.ts";
+import type { RelayTask } from "../../request/relay/relayTask.ts";
+import type { RoutedRequest } from "../../request/relay/routedRequest.ts";
+import type { StallWatch } from "../../request/relay/stallWatch.ts";
+import { StreamRelay } from "../../request/relay/streamRelay.ts";
+import type { Route } from "../../version/routing/route.ts";
+import { events } from "../logging/events.ts";
+import type { Metrics } from "../metrics/metrics.ts";
+import type { RoutingHolder } from "./routingHolder.ts";
+
+/** Options of a {@link RequestRouter}. */
+interface RequestRouterOptions {
+    environment: RelayEnvironment;
+    holder: RoutingHolder;
+    stalls: StallWatch;
+    metrics: Metrics;
+}
+
+/** A node without a configuration gets one within about this time. */
+const notReadyRetryMilliseconds = 500;
+const secondMilliseconds = 1_000;
+
+/** Finds the route, customer and service of each request, and has it relayed. */
+export class RequestRouter {
+    private readonly options: RequestRouterOptions;
+
+    private constructor(options: RequestRouterOptions) {
+        this.options = options;
+    }
+
+    /** Creates a router. */
+    static create(options: RequestRouterOptions): RequestRouter {
+        return new RequestRouter(options);
+    }
+
+    /** Routes a request and answers its caller once. */
+    handle(request: RoutedRequest, sink: AnswerSink): void {
+        const state = this.options.holder.getState();
+        if (state === undefined) {
+            const refusal = createRefusal.notRun("this node has no configuration yet.", notReadyRetryMilliseconds);
+            this.refuse(request, sink, refusal, 0);
+            return;
+        }
+        const { version } = state.configuration;
+        const route = state.getRoute(request.host, request.target);
+        if (route === undefined) {
+            const message = "No route fits the host and path. Check them.";
+            this.refuse(request, sink, { reason: RefusalReason.NoRoute, message }, version);
+            return;
+        }
+        const customer = state.getCustomer(request.apiKey ?? "");
+        if (customer === undefined && state.needsKey() && !route.isPublic) {
+            const message = "No customer has this API key. Check it.";
+            this.refuse(request, sink, { reason: RefusalReason.UnknownKey, message }, version);
+            return;
+        }
+        const service = state.configuration.services.get(this.chooseService(route));
+        if (service === undefined) {
+            this.refuse(request, sink, createRefusal.notRun("its route names no known service."), version);
+            return;
+        }
+        const dueAt = request.arrivedAt
+            + Math.min(route.timeoutMilliseconds, request.deadlineMilliseconds ?? Infinity);
+        this.relay({ request, route, service, customer, sink, dueAt });
+    }
+
+    private relay(task: RelayTask): void {
+        const { environment, stalls, metrics } = this.options;
+        const { request, service } = task;
+        environment.repeats.observeRequest();
+        metrics.relaysInProgress.inc();
+        const finish = () => {
+            metrics.relaysInProgress.dec();
+            const seconds = (environment.clock.getMonotonicTime() - request.arrivedAt) / secondMilliseconds;
+            metrics.requestSeconds.observe({ service: service.name }, seconds);
+        };
+        if (service.engine === undefined) {
+            DocumentRelay.start(environment, task, finish);
+            return;
+        }
+        const relay = StreamRelay.create(environment, task, service.engine, () => {
+            stalls.remove(relay);
+            finish();
+        });
+        stalls.add(relay);
+        relay.start();
+    }
+
+    private chooseService({ services }: Route): string {
+        let total = 0;
+        for (const { weight } of services) {
+            total += weight;
+        }
+        let at = this.options.environment.random() * total;
+        for (const { service, weight } of services) {
+            at -= weight;
+            if (at < 0) {
+                return service;
+            }
+        }
+        return services[0]?.service ?? "";
+    }
+
+    private refuse(request: RoutedRequest, sink: AnswerSink, refusal: RelayRefusal, version: number): void {
+        const { environment, metrics } = this.options;
+        const { reason } = refusal;
+        environment.log.write(events.relayRefused, { request: request.id, reason, configurationVersion: version });
+        metrics.refusalsTotal.inc({ reason });
+        sink.refuse(refusal);
+    }
+}
--- /dev/null
+++ b/src/process/router/routerNode.ts
@@ -0,0 +1,245 @@
+import { PeerServer } from "../../connection/peer/peerServer.ts";
+import { UpstreamPools } from "../../connection/upstream/upstreamPools.ts";
+import { RetryBudget } from "../../request/admission/retryBudget.ts";
+import type { AnswerSink } from "../../request/relay/answerSink.ts";
+import { EndpointHealth } from "../../request/relay/endpointHealth.ts";
+import { EndpointLoads } from "../../request/relay/endpointLoads.ts";
+import type { RelayEnvironment } from "../../request/relay/relayEnvironment.ts";
+import type { RoutedRequest } from "../../request/relay/routedRequest.ts";
+import { StallWatch } from "../../request/relay/stallWatch.ts";
+import type { RoutedService } from "../../version/routing/routingConfiguration.ts";
+import { FencedLease } from "../leases/fencedLease.ts";
+import { events } from "../logging/events.ts";
+import { PlacementDuty } from "../placement/placementDuty.ts";
+import { RecordFollower } from "../replica/recordFollower.ts";
+import { RecordSection } from "../replica/recordSection.ts";
+import { EndpointCalls } from "./endpointCalls.ts";
+import { EndpointRegistry } from "./endpointRegistry.ts";
+import { EndpointSlowness } from "./endpointSlowness.ts";
+import { NodeTable } from "./nodeTable.ts";
+import { PeerExchange } from "./peerExchange.ts";
+import { PeerState } from "./peerState.ts";
+import { RequestRouter } from "./requestRouter.ts";
+import type { RouterNodeOptions } from "./routerNodeOptions.ts";
+import { RoutingHolder } from "./routingHolder.ts";
+import { SlownessPoll } from "./slownessPoll.ts";
+
+/** The lease is renewed three times in this time; a holder that was lost is followed after it. */
+const leaseMilliseconds = 3_000;
+/** Endpoints refuse orders with an older fencing number, so a successor need not wait for those under way. */
+const longestOrderMilliseconds = 300;
+/** Half of the allowance is used: a node's share of it goes by the nodes that it knows of, which may be too few. */
+const slackPart = 0.5;
+const ratioPart = 0.8;
+const secondMilliseconds = 1_000;
+
+/** A node that routes requests to endpoints registered in the platform's store. */
+export class RouterNode {
+    private readonly options: RouterNodeOptions;
+    private readonly nodes: NodeTable;
+    private readonly pools: UpstreamPools;
+    private readonly registry: EndpointRegistry;
+    private readonly holder: RoutingHolder;
+    private readonly followers: RecordFollower[];
+    private readonly exchange: PeerExchange;
+    private readonly lease: FencedLease;
+    private readonly duty: PlacementDuty;
+    private readonly router: RequestRouter;
+    private readonly poll: SlownessPoll;
+    private readonly health = EndpointHealth.create();
+    private peerServer: PeerServer | undefined;
+    private isDraining = false;
+
+    private constructor(options: RouterNodeOptions) {
+        this.options = options;
+        const { settings, clock, random, log, store, keys, metrics, protocol, nodeId } = options;
+        const loads = EndpointLoads.create();
+        const slowness = EndpointSlowness.create();
+        this.nodes = NodeTable.create(nodeId);
+        this.pools = UpstreamPools.create(() => metrics.upstreamConnectionsTotal.inc());
+        this.holder = RoutingHolder.create({ decode: options.decodeConfiguration, log, metrics });
+        this.registry = EndpointRegistry.create({
+            clock,
+            log,
+            slowness,
+            decode: options.decodeEndpoint,
+            getLastStoreFailure: () => this.getLastStoreFailure(),
+            onChange: () => this.retainEndpoints(),
+        });
+        const configuration = RecordSection.create({
+            name: "configuration",
+            onChange: (record, source) => this.holder.applyRecord(record, source),
+        });
+        const endpoints = RecordSection.create({
+            name: "endpoints",
+            onChange: (record, source) => this.registry.applyRecord(record, source),
+        });
+        this.followers = [
+            RecordFollower.create({ store, section: configuration, prefix: keys.configuration, clock, random, log }),
+            RecordFollower.create({ store, section: endpoints, prefix: keys.endpointPrefix, clock, random, log }),
+        ];
+        this.exchange = PeerExchange.create({
+            nodeId,
+            address: settings.peerListener,
+            seeds: settings.seeds,
+            nodes: this.nodes,
+            sections: [configuration, endpoints],
+            state: PeerState.create({ loads, health: this.health, slowness }),
+            clock,
+            random,
+            log,
+            onFrontier: (section, frontier) => this.noteFrontier(section, frontier),
+        });
+        const environment: RelayEnvironment = {
+            dataCentre: settings.dataCentre,
+            clock,
+            random,
+            log,
+            protocol,
+            pools: this.pools,
+            directory: this.registry,
+            loads,
+            health: this.health,
+            repeats: RetryBudget.create(clock.getMonotonicTime(), () => this.getRepeatPolicy()),
+        };
+        const calls = EndpointCalls.create({ protocol, pools: this.pools, clock, metrics });
+        this.lease = FencedLease.create({
+            store,
+            clock,
+            random,
+            log,
+            key: keys.placementLease,
+            holder: nodeId,
+            timeToLiveMilliseconds: leaseMilliseconds,
+            longestOrderMilliseconds,
+        });
+        this.duty = PlacementDuty.create({
+            store,
+            lease: this.lease,
+            clock,
+            log,
+            keyPrefix: keys.placementPrefix,
+            getModelServices: () => this.getModelServices(),
+            getEndpoints: service => this.registry.getEndpoints(service),
+            sendOrder: (endpoint, order) => calls.sendLayerOrder(endpoint, order),
+            fetchReport: endpoint => calls.fetchReport(endpoint),
+        });
+        this.poll = SlownessPoll.create({
+            nodeId,
+            clock,
+            slowness,
+            getNodeIds: () => this.nodes.getLiveNodes(clock.getMonotonicTime()).map(node => node.nodeId),
+            getEndpoints: () => this.getModelServices().flatMap(({ name }) => [...this.registry.getEndpoints(name)]),
+            fetchReport: endpoint => calls.fetchReport(endpoint),
+        });
+        const stalls = StallWatch.create({
+            environment,
+            clock,
+            fetchReport: endpoint => calls.fetchReport(endpoint),
+            reroute: (requestId, stages) => calls.sendReroute(requestId, stages),
+        });
+        this.router = RequestRouter.create({ environment, holder: this.holder, stalls, metrics });
+    }
+
+    /** Creates a node that does nothing before {@link start}. */
+    static create(options: RouterNodeOptions): RouterNode {
+        return new RouterNode(options);
+    }
+
+    /** Listens for peers, follows the store and seeks the duty of placement. */
+    async start(): Promise<void> {
+        const { settings, log, nodeId } = this.options;
+        this.peerServer = await PeerServer.create({
+            address: settings.peerListener,
+            registerRoutes: router => this.exchange.registerRoutes(router),
+            log,
+        });
+        for (const follower of this.followers) {
+            follower.start();
+        }
+        this.exchange.start();
+        this.lease.start();
+        this.duty.start();
+        this.poll.start();
+        log.write(events.nodeStarted, { nodeId, version: this.options.version });
+    }
+
+    /** Routes a request and answers its caller once. */
+    handle(request: RoutedRequest, sink: AnswerSink): void {
+        this.router.handle(request, sink);
+    }
+
+    /** Whether the balancer should send callers here. */
+    isReady(): boolean {
+        return !this.isDraining && this.holder.getState() !== undefined;
+    }
+
+    /** Gets the configuration in force; undefined before the first. */
+    getRouting() {
+        return this.holder.getState();
+    }
+
+    /** Gets what operators see of this node. */
+    getStatus(): object {
+        const now = this.options.clock.getMonotonicTime();
+        return {
+            node: this.options.nodeId,
+            configurationVersion: this.holder.getState()?.configuration.version,
+            isReady: this.isReady(),
+            hasPlacementDuty: this.lease.isHeld(),
+            peers: this.nodes.getLiveNodes(now),
+            endpoints: this.registry.getAll(),
+        };
+    }
+
+    /** From here on the balancer is told to send callers elsewhere, and duties are given up. */
+    async startDraining(): Promise<void> {
+        this.isDraining = true;
+        this.options.log.write(events.nodeDraining, {});
+        this.duty.stop();
+        this.poll.stop();
+        await this.lease.stop();
+    }
+
+    /** Ends what still runs. */
+    async stop(): Promise<void> {
+        for (const follower of this.followers) {
+            follower.stop();
+        }
+        this.exchange.stop();
+        this.pools.close();
+        await this.peerServer?.close(0);
+    }
+
+    private getModelServices(): RoutedService[] {
+        const services = this.holder.getState()?.configuration.services.values() ?? [];
+        return [...services].filter(({ engine }) => engine !== undefined);
+    }
+
+    private getLastStoreFailure(): number {
+        return Math.max(...this.followers.map(follower => follower.getLastFailure()));
+    }
+
+    private noteFrontier(section: string, frontier: number): void {
+        const index = section === "configuration" ? 0 : 1;
+        this.followers[index]?.notePeerFrontier(frontier);
+    }
+
+    private retainEndpoints(): void {
+        const endpoints = this.registry.getAll();
+        this.health.retain(new Set(endpoints.map(({ id }) => id)));
+        this.pools.retain(new Set(endpoints.map(({ address }) => address)));
+    }
+
+    /** This node's part of the repeats that all nodes may send together. */
+    private getRepeatPolicy() {
+        const { settings, clock } = this.options;
+        const nodes = 1 + this.nodes.getLiveNodes(clock.getMonotonicTime()).length;
+        const slack = settings.repeatSlack * slackPart / nodes;
+        return {
+            ratio: settings.repeatRatio * ratioPart,
+            perSecond: slack / 2 / (settings.repeatWindowMilliseconds / secondMilliseconds),
+            maximumBalance: Math.max(1, slack / 2),
+        };
+    }
+}
--- /dev/null
+++ b/src/process/router/routerNodeOptions.ts
@@ -0,0 +1,43 @@
+import type { EndpointProtocol } from "../../request/relay/endpointProtocol.ts";
+import type { RegisteredEndpoint } from "../../request/relay/registeredEndpoint.ts";
+import type { Result } from "../../result.ts";
+import type { RoutingConfiguration } from "../../version/routing/routingConfiguration.ts";
+import type { Clock } from "../clock.ts";
+import type { EventLog } from "../logging/eventLog.ts";
+import type { Metrics } from "../metrics/metrics.ts";
+import type { PlatformStore } from "../platform/platformStore.ts";
+import type { RandomSource } from "../randomSource.ts";
+import type { RecordStore } from "../replica/recordStore.ts";
+import type { RouterSettings } from "./routerSettings.ts";
+
+/** Where things stand in the platform's store. */
+export interface RouterKeys {
+    /** The configuration in force. */
+    configuration: string;
+    /** Prefix of the endpoints' records. */
+    endpointPrefix: string;
+    /** The lease of the node that places layers. */
+    placementLease: string;
+    /** Prefix of the plans of layers; the service's name follows. */
+    placementPrefix: string;
+}
+
+/** What a router node is made of. */
+export interface RouterNodeOptions {
+    /** New with each start of the process. */
+    nodeId: string;
+    /** Version of the program. */
+    version: string;
+    settings: RouterSettings;
+    clock: Clock;
+    random: RandomSource;
+    log: EventLog;
+    metrics: Metrics;
+    store: Pick<PlatformStore, "get" | "compareAndSwap"> & RecordStore;
+    keys: RouterKeys;
+    protocol: EndpointProtocol;
+    /** Reads the text of a configuration. */
+    decodeConfiguration(text: string): Result<RoutingConfiguration, string>;
+    /** Reads the record that an endpoint wrote under a key. */
+    decodeEndpoint(key: string, text: string): Result<RegisteredEndpoint, string>;
+}
--- /dev/null
+++ b/src/process/router/routingHolder.ts
@@ -0,0 +1,58 @@
+import type { Result } from "../../result.ts";
+import type { RoutingConfiguration } from "../../version/routing/routingConfiguration.ts";
+import { RoutingState } from "../../version/routing/routingState.ts";
+import type { EventLog } from "../logging/eventLog.ts";
+import { events } from "../logging/events.ts";
+import type { Metrics } from "../metrics/metrics.ts";
+import type { ChangeSource } from "../replica/recordSection.ts";
+import type { StoreRecord } from "../replica/storeRecord.ts";
+
+/** Options of a {@link RoutingHolder}. */
+interface RoutingHolderOptions {
+    decode(text: string): Result<RoutingConfiguration, string>;
+    log: EventLog;
+    metrics: Metrics;
+}
+
+/** The configuration in force on this node. Its version never goes back. */
+export class RoutingHolder {
+    private readonly options: RoutingHolderOptions;
+    private state: RoutingState | undefined;
+
+    private constructor(options: RoutingHolderOptions) {
+        this.options = options;
+    }
+
+    /** Creates a holder without a configuration. */
+    static create(options: RoutingHolderOptions): RoutingHolder {
+        return new RoutingHolder(options);
+    }
+
+    /** Gets the configuration in force; undefined before the first. */
+    getState(): RoutingState | undefined {
+        return this.state;
+    }
+
+    /** Puts a configuration in force, unless it is broken or no newer than the present one. */
+    applyRecord({ key, revision, text }: StoreRecord, source: ChangeSource): void {
+        const { decode, log, metrics } = this.options;
+        if (text === undefined) {
+            log.write(events.routingBroken, { key, revision, reason: "The key was deleted." });
+            return;
+        }
+        const decoded = decode(text);
+        if (decoded.err) {
+            log.write(events.routingBroken, { key, revision, reason: decoded.val });
+            return;
+        }
+        const { version, routes, customers } = decoded.val;
+        const current = this.state?.configuration.version ?? -1;
+        if (version <= current) {
+            return;
+        }
+        this.state = RoutingState.create(decoded.val);
+        metrics.configurationVersion.set(version);
+        const fields = { version, revision, source, routes: routes.length, customers: customers.length };
+        log.write(events.routingAccepted, fields);
+    }
+}
--- a/src/request/admission/retryBudget.ts
+++ b/src/request/admission/retryBudget.ts
@@ -1,32 +1,43 @@
-/** Retries allowed for each request. */
-const retryRatio = 0.1;
-
-/** Retries a second that are allowed besides, so that a node with few requests can retry at all. */
-const retriesPerSecond = 1;
+/** How many retries a node may send. */
+export interface RetryPolicy {
+    /** Retries allowed for each request. */
+    ratio: number;
+    /** Retries a second that are allowed besides, so that a node with few requests can retry at all. */
+    perSecond: number;
+    /** Most retries that are saved up. */
+    maximumBalance: number;
+}
 
-/** Most retries that are saved up. */
-const maximumBalance = 50;
+const defaultPolicy: RetryPolicy = { ratio: 0.1, perSecond: 1, maximumBalance: 50 };
+const startPart = 0.2;
 
 /**
  * The node's budget of retries. When most calls fail, retrying them all would multiply the load just when the
- * endpoints can bear it least; the budget holds the retries at a tenth of the requests plus one a second.
+ * endpoints can bear it least; by default the budget holds the retries at a tenth of the requests plus one a second.
  */
 export class RetryBudget {
-    private balance = maximumBalance / 5;
+    private readonly getPolicy: () => RetryPolicy;
+    private balance: number;
     private updatedAt: number;
 
-    private constructor(now: number) {
+    private constructor(now: number, getPolicy: () => RetryPolicy) {
+        this.getPolicy = getPolicy;
+        this.balance = getPolicy().maximumBalance * startPart;
         this.updatedAt = now;
     }
 
-    /** @param now - Monotonic time in milliseconds. */
-    static create(now: number): RetryBudget {
-        return new RetryBudget(now);
+    /**
+     * Creates a budget with a part of what can be saved up.
+     * @param now - Monotonic time in milliseconds.
+     * @param getPolicy - Gets how many retries are allowed now.
+     */
+    static create(now: number, getPolicy: () => RetryPolicy = () => defaultPolicy): RetryBudget {
+        return new RetryBudget(now, getPolicy);
     }
 
     /** Counts a request, not a retry. */
     observeRequest(): void {
-        this.add(retryRatio);
+        this.add(this.getPolicy().ratio);
     }
 
     /**
@@ -35,7 +46,7 @@
      * @returns Whether the retry may be sent.
      */
     takeRetry(now: number): boolean {
-        this.add(Math.max(0, now - this.updatedAt) * retriesPerSecond / 1000);
+        this.add(Math.max(0, now - this.updatedAt) * this.getPolicy().perSecond / 1000);
         this.updatedAt = now;
         if (this.balance < 1) {
             return false;
@@ -45,6 +56,6 @@
     }
 
     private add(retries: number): void {
-        this.balance = Math.min(maximumBalance, this.balance + retries);
+        this.balance = Math.min(this.getPolicy().maximumBalance, this.balance + retries);
     }
 }
--- /dev/null
+++ b/src/request/relay/chooseStages.ts
@@ -0,0 +1,223 @@
+import type { RandomSource } from "../../process/randomSource.ts";
+import type { EngineModel } from "../../version/routing/engineModel.ts";
+import { estimatePass, estimatePrefill } from "./estimateStage.ts";
+import type { RelayStage } from "./relayStage.ts";
+import type { StageCandidate } from "./stageCandidate.ts";
+
+/** A request that needs a chain. */
+export interface StageQuery {
+    model: EngineModel;
+    promptTokens: number;
+    answerTokens: number;
+    /** Data centre that the caller's node stands in. */
+    dataCentre: string;
+    /** First stage that the chain must begin with, where a running request moves to another chain. */
+    firstStage?: RelayStage;
+}
+
+/** A partial chain that ends at a layer. */
+interface PartialChain {
+    cost: number;
+    candidate: StageCandidate | undefined;
+    start: number;
+    previous: PartialChain | undefined;
+}
+
+/** Mean wait for the pass in progress, as a part of a pass, and the pass itself. */
+const passesOfStep = 1.5;
+/** A chain may cost up to this part more than the best one and be chosen: nodes that decide apart then differ. */
+const randomPart = 0.08;
+/** Above this part of an endpoint's memory its cost rises, so that requests go elsewhere before it is full. */
+const easyMemoryPart = 0.55;
+const memorySteepness = 6;
+/** Beyond the whole memory the engine gives requests up in mid-stream; such a stage is the last resort. */
+const overfullCost = 100_000;
+const bitsOfByte = 8;
+const kilobitsOfMegabit = 1_000;
+
+/**
+ * Chooses the chain with the least estimated time, by dynamic programming over the layers. Chains whose stages use all
+ * of what the endpoints hold are looked at first; parts of held ranges only where there is no such chain.
+ * @param query - The request.
+ * @param candidates - Endpoints that may be used.
+ * @param random - Source of the noise that sets nodes apart.
+ * @returns Stages that run each layer once and in order; undefined where there are none.
+ */
+export function chooseStages(
+    query: StageQuery,
+    candidates: readonly StageCandidate[],
+    random: RandomSource,
+): RelayStage[] | undefined {
+    return searchChain(query, candidates, random, false) ?? searchChain(query, candidates, random, true);
+}
+
+function searchChain(
+    query: StageQuery,
+    candidates: readonly StageCandidate[],
+    random: RandomSource,
+    mayUseParts: boolean,
+): RelayStage[] | undefined {
+    const { model, firstStage } = query;
+    const ends = getEnds(candidates);
+    const begin: PartialChain = { cost: 0, candidate: undefined, start: 0, previous: undefined };
+    const chainsByEnd = new Map<number, Map<string, PartialChain>>([[0, new Map([[query.dataCentre, begin]])]]);
+    for (const at of [0, ...ends]) {
+        const chains = chainsByEnd.get(at);
+        if (chains === undefined || at >= model.layers) {
+            continue;
+        }
+        for (const candidate of candidates) {
+            const { start, end } = candidate.layers;
+            if (at === 0 && firstStage !== undefined && candidate.endpoint.id !== firstStage.endpoint.id) {
+                continue;
+            }
+            if (mayUseParts ? start > at || end <= at : start !== at) {
+                continue;
+            }
+            const chain = extendChain(query, chains, candidate, at);
+            if (chain === undefined) {
+                continue;
+            }
+            chain.cost *= 1 + randomPart * random();
+            for (const stop of getStops(query, candidate, at, ends, mayUseParts)) {
+                keepBest(
+                    chainsByEnd,
+                    stop,
+                    candidate.endpoint.dataCentre,
+                    scaleChain(query, chain, candidate, at, stop),
+                );
+            }
+        }
+    }
+    return toStages(getBest(chainsByEnd.get(model.layers)), model.layers);
+}
+
+function getEnds(candidates: readonly StageCandidate[]): number[] {
+    const ends = new Set<number>();
+    for (const { layers } of candidates) {
+        ends.add(layers.start);
+        ends.add(layers.end);
+    }
+    ends.delete(0);
+    return [...ends].sort((left, right) => left - right);
+}
+
+/** Gets the layers at which a stage from `at` on may stop. */
+function getStops(
+    { firstStage }: StageQuery,
+    { layers }: StageCandidate,
+    at: number,
+    ends: readonly number[],
+    mayUseParts: boolean,
+): number[] {
+    if (at === 0 && firstStage !== undefined) {
+        return [firstStage.end];
+    }
+    return mayUseParts ? ends.filter(end => end > at && end <= layers.end) : [layers.end];
+}
+
+/** Gets the cheapest chain that ends at `at` and goes on at a candidate; its cost holds all but the stage itself. */
+function extendChain(
+    query: StageQuery,
+    chains: ReadonlyMap<string, PartialChain>,
+    candidate: StageCandidate,
+    at: number,
+): PartialChain | undefined {
+    let best: PartialChain | undefined;
+    for (const [dataCentre, previous] of chains) {
+        const crossing = dataCentre === candidate.endpoint.dataCentre ? 0 : getCrossingCost(query, at);
+        const cost = previous.cost + crossing;
+        if (!hasEndpoint(previous, candidate) && (best === undefined || cost < best.cost)) {
+            best = { cost, candidate, start: at, previous };
+        }
+    }
+    return best;
+}
+
+function scaleChain(
+    query: StageQuery,
+    chain: PartialChain,
+    candidate: StageCandidate,
+    start: number,
+    end: number,
+): PartialChain {
+    return { ...chain, cost: chain.cost + getStageCost(query, candidate, end - start) };
+}
+
+/** Gets the time that a stage adds to a whole answer, in milliseconds, made dearer as its memory fills. */
+function getStageCost(query: StageQuery, candidate: StageCandidate, layers: number): number {
+    const { model, promptTokens, answerTokens } = query;
+    const work = {
+        kind: candidate.kind,
+        layers,
+        requests: candidate.requests + 1,
+        contextTokens: model.usualPromptTokens + model.usualAnswerTokens / 2,
+        slowness: candidate.slowness,
+    };
+    const passes = answerTokens / model.stepsOfPass;
+    const time = passes * passesOfStep * estimatePass(model, work) + estimatePrefill(model, work, promptTokens);
+    const needed = candidate.tokenLayers + (promptTokens + answerTokens) * layers;
+    const part = needed / Math.max(1, candidate.totalTokenLayers);
+    if (part > 1) {
+        return time + overfullCost * part;
+    }
+    const excess = Math.max(0, part - easyMemoryPart) / (1 - easyMemoryPart);
+    return time * (1 + memorySteepness * excess * excess);
+}
+
+/** Gets the time that a crossing between data centres adds to a whole answer, in milliseconds. */
+function getCrossingCost({ model, promptTokens, answerTokens }: StageQuery, at: number): number {
+    if (at === 0) {
+        // The caller's connection crosses, not the activations.
+        return model.crossingMilliseconds;
+    }
+    const bits = (promptTokens + answerTokens) * model.activationBytes * bitsOfByte;
+    const transfer = bits / (model.pipeMegabits * kilobitsOfMegabit);
+    return 2 * transfer + answerTokens * model.crossingMilliseconds;
+}
+
+function hasEndpoint(chain: PartialChain | undefined, candidate: StageCandidate): boolean {
+    for (let part = chain; part !== undefined; part = part.previous) {
+        if (part.candidate?.endpoint.id === candidate.endpoint.id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+function keepBest(
+    chainsByEnd: Map<number, Map<string, PartialChain>>,
+    end: number,
+    dataCentre: string,
+    chain: PartialChain,
+): void {
+    const chains = chainsByEnd.get(end) ?? new Map<string, PartialChain>();
+    chainsByEnd.set(end, chains);
+    const known = chains.get(dataCentre);
+    if (known === undefined || chain.cost < known.cost) {
+        chains.set(dataCentre, chain);
+    }
+}
+
+function getBest(chains: ReadonlyMap<string, PartialChain> | undefined): PartialChain | undefined {
+    let best: PartialChain | undefined;
+    for (const chain of chains?.values() ?? []) {
+        if (best === undefined || chain.cost < best.cost) {
+            best = chain;
+        }
+    }
+    return best;
+}
+
+function toStages(last: PartialChain | undefined, layers: number): RelayStage[] | undefined {
+    if (last === undefined) {
+        return undefined;
+    }
+    const stages: RelayStage[] = [];
+    let end = layers;
+    for (let part: PartialChain | undefined = last; part?.candidate !== undefined; part = part.previous) {
+        stages.unshift({ endpoint: part.candidate.endpoint, start: part.start, end });
+        end = part.start;
+    }
+    return stages;
+}
--- /dev/null
+++ b/src/request/relay/documentRelay.ts
@@ -0,0 +1,309 @@
+import type { IncomingHttpHeaders } from "node:http";
+import type { UpstreamExchange } from "../../connection/upstream/upstreamConnection.ts";
+import { type UpstreamFailure, UpstreamFailureKind } from "../../connection/upstream/upstreamFailure.ts";
+import type { TimerHandle } from "../../process/clock.ts";
+import { events } from "../../process/logging/events.ts";
+import { RequestKind } from "../../version/routing/requestKind.ts";
+import type { AnswerHead } from "./answerHead.ts";
+import { chooseEndpoint } from "./chooseEndpoint.ts";
+import { createRefusal } from "./createRefusal.ts";
+import type { LoadReservation } from "./endpointLoads.ts";
+import type { RegisteredEndpoint } from "./registeredEndpoint.ts";
+import type { RelayEnvironment } from "./relayEnvironment.ts";
+import type { RelayRefusal } from "./relayRefusal.ts";
+import type { RelayTask } from "./relayTask.ts";
+
+/** One sending of the request to one endpoint. */
+interface Attempt {
+    endpoint: RegisteredEndpoint;
+    sentAt: number;
+    reservation: LoadReservation;
+    exchange: UpstreamExchange | undefined;
+    head: AnswerHead | undefined;
+    chunks: Buffer[];
+}
+
+/** A whole answer. */
+interface WholeAnswer {
+    head: AnswerHead;
+    body: Buffer;
+}
+
+/** Why an attempt brought no answer that can be passed on. */
+interface AttemptEnd {
+    /** Whether the endpoint has surely not run the request. */
+    isNotRun: boolean;
+    cause: string;
+    /** A failure of the endpoint itself, which is passed on where nothing better comes. */
+    answer?: WholeAnswer;
+}
+
+/**
+ * A request that may be repeated is sent to a second endpoint when this part of its objective is over without an answer;
+ * the first answer counts. At 193 ms and a usual work of 43 ms, all but one or two in a hundred are answered before.
+ */
+const hedgePart = 0.6;
+/** Connections that were idle for longer may have gone silent; a request that can't be repeated doesn't use them. */
+const freshIdleMilliseconds = 3_000;
+/** Refusals of endpoints are followed by another endpoint up to so many times, since they cost the caller nothing. */
+const mostRefusals = 4;
+const serverErrorStatus = 500;
+
+/** Forwards one request to a document service and answers its caller once. */
+export class DocumentRelay {
+    private readonly environment: RelayEnvironment;
+    private readonly task: RelayTask;
+    private readonly tried = new Set<string>();
+    private readonly running = new Set<Attempt>();
+    private readonly timers: TimerHandle[] = [];
+    private readonly onDone: () => void;
+    private attempts = 0;
+    private refusals = 0;
+    private mayHaveRun = false;
+    private failure: WholeAnswer | undefined;
+    private isDone = false;
+
+    private constructor(environment: RelayEnvironment, task: RelayTask, onDone: () => void) {
+        this.environment = environment;
+        this.task = task;
+        this.onDone = onDone;
+    }
+
+    /**
+     * Starts to forward a request.
+     * @param environment - What relayed requests work with.
+     * @param task - The request.
+     * @param onDone - Called once when the caller has its answer or has gone.
+     */
+    static start(environment: RelayEnvironment, task: RelayTask, onDone: () => void): void {
+        new DocumentRelay(environment, task, onDone).run();
+    }
+
+    private run(): void {
+        const { environment, task } = this;
+        task.sink.onClosed(() => this.finish("callerGone"));
+        this.setTimer(task.dueAt - environment.clock.getMonotonicTime(), () => this.expire());
+        if (this.isRepeatable()) {
+            this.setTimer(task.route.objectiveMilliseconds * hedgePart, () => this.hedge());
+        }
+        this.startAttempt("no endpoint of the service is ready.");
+    }
+
+    private isRepeatable(): boolean {
+        return this.task.route.kind === RequestKind.Idempotent;
+    }
+
+    private startAttempt(cause: string): void {
+        const { environment, task } = this;
+        const endpoint = this.chooseNext();
+        const isRepeat = this.attempts > 0;
+        const isAllowed = this.attempts < task.route.maximumAttempts
+            || !this.mayHaveRun && this.refusals <= mostRefusals;
+        if (endpoint === undefined || !isAllowed || isRepeat && !this.takeRepeat()) {
+            this.giveUp(cause);
+            return;
+        }
+        this.tried.add(endpoint.id);
+        this.attempts += 1;
+        const now = environment.clock.getMonotonicTime();
+        const reservation = environment.loads.reserveEndpoint(endpoint.id);
+        const attempt: Attempt = {
+            endpoint,
+            sentAt: now,
+            reservation,
+            exchange: undefined,
+            head: undefined,
+            chunks: [],
+        };
+        this.running.add(attempt);
+        this.send(attempt, task.dueAt - now);
+    }
+
+    private send(attempt: Attempt, remainingMilliseconds: number): void {
+        const { protocol, pools } = this.environment;
+        const { request, customer } = this.task;
+        const { endpoint } = attempt;
+        const upstream = protocol.createRequest(request, { endpoint, customer, remainingMilliseconds, lastEventId: 0 });
+        const idleLimit = this.isRepeatable() ? Infinity : freshIdleMilliseconds;
+        attempt.exchange = pools.getPool(endpoint.address).send(upstream, {
+            onHead: (status, headers) => this.takeHead(attempt, status, headers),
+            onData: chunk => attempt.chunks.push(chunk),
+            onEnd: () => this.takeAnswer(attempt),
+            onFailure: failure => this.takeFailure(attempt, failure),
+        }, idleLimit);
+    }
+
+    private takeHead(attempt: Attempt, status: number, headers: IncomingHttpHeaders): void {
+        attempt.head = this.environment.protocol.readHead(status, headers, this.task.request.id);
+        if (!attempt.head.isForRequest) {
+            attempt.exchange?.abort();
+            this.environment.health.addFailure(attempt.endpoint.id, this.getTime());
+            this.endAttempt(attempt, { isNotRun: false, cause: "the endpoint's answer belongs to another request." });
+        }
+    }
+
+    private takeAnswer(attempt: Attempt): void {
+        const { head } = attempt;
+        if (head === undefined) {
+            this.endAttempt(attempt, { isNotRun: false, cause: "the endpoint's answer has no head." });
+            return;
+        }
+        const now = this.getTime();
+        const { health } = this.environment;
+        if (head.isNotRun) {
+            this.refusals += 1;
+            health.addFailure(attempt.endpoint.id, now);
+            this.endAttempt(attempt, { isNotRun: true, cause: "the endpoints refused it." });
+            return;
+        }
+        const answer = { head, body: Buffer.concat(attempt.chunks) };
+        if (head.status >= serverErrorStatus) {
+            health.addFailure(attempt.endpoint.id, now);
+            this.endAttempt(attempt, { isNotRun: false, cause: `the endpoint answered ${head.status}.`, answer });
+            return;
+        }
+        if (!head.isSigned) {
+            health.addFailure(attempt.endpoint.id, now);
+            this.endAttempt(attempt, { isNotRun: false, cause: "the endpoint's answer is not signed." });
+            return;
+        }
+        health.addSuccess(attempt.endpoint.id, now);
+        this.deliver(answer, attempt.endpoint);
+    }
+
+    private takeFailure(attempt: Attempt, failure: UpstreamFailure): void {
+        const isNotRun = failure.kind === UpstreamFailureKind.NotSent;
+        const { health } = this.environment;
+        if (isNotRun) {
+            health.addLoss(attempt.endpoint.id, this.getTime());
+        }
+        else {
+            health.addFailure(attempt.endpoint.id, this.getTime());
+        }
+        this.endAttempt(attempt, { isNotRun, cause: `the endpoint's answer is missing (${failure.message}).` });
+    }
+
+    private endAttempt(attempt: Attempt, end: AttemptEnd): void {
+        if (this.isDone) {
+            return;
+        }
+        this.releaseAttempt(attempt);
+        this.mayHaveRun ||= !end.isNotRun;
+        this.failure = end.answer ?? this.failure;
+        this.environment.log.write(events.relayAttemptFailed, {
+            request: this.task.request.id,
+            endpoint: attempt.endpoint.id,
+            attempt: this.attempts,
+            isNotRun: end.isNotRun,
+            cause: end.cause,
+            milliseconds: Math.round(this.getTime() - attempt.sentAt),
+        });
+        if (this.running.size > 0) {
+            return;
+        }
+        if (end.isNotRun && !this.mayHaveRun || this.isRepeatable()) {
+            this.startAttempt(end.cause);
+            return;
+        }
+        this.giveUp(end.cause);
+    }
+
+    /** Sends the request to a second endpoint beside the first, which is late. */
+    private hedge(): void {
+        const { route } = this.task;
+        const next = this.chooseNext();
+        if (this.isDone || this.attempts === 0 || this.attempts >= route.maximumAttempts || next === undefined) {
+            return;
+        }
+        for (const attempt of this.running) {
+            this.environment.health.addFailure(attempt.endpoint.id, this.getTime());
+        }
+        this.mayHaveRun = true;
+        this.startAttempt("the endpoint is late.");
+    }
+
+    private chooseNext(): RegisteredEndpoint | undefined {
+        const { directory } = this.environment;
+        const endpoints = directory.getEndpoints(this.task.service.name).filter(({ id }) => !this.tried.has(id));
+        return chooseEndpoint(this.environment, endpoints);
+    }
+
+    private takeRepeat(): boolean {
+        return this.environment.repeats.takeRetry(this.getTime());
+    }
+
+    private deliver(answer: WholeAnswer, endpoint: RegisteredEndpoint): void {
+        const { sink } = this.task;
+        sink.writeHead(answer.head);
+        if (answer.body.length > 0) {
+            sink.write(answer.body);
+        }
+        sink.end();
+        this.finish("answered", endpoint.id, answer.head.status);
+    }
+
+    private giveUp(cause: string): void {
+        if (this.running.size > 0) {
+            return;
+        }
+        if (this.failure !== undefined) {
+            const { failure } = this;
+            this.task.sink.writeHead(failure.head);
+            this.task.sink.write(failure.body);
+            this.task.sink.end();
+            this.finish("endpointFailed", undefined, failure.head.status);
+            return;
+        }
+        this.refuse(this.mayHaveRun ? createRefusal.outcomeUnknown(cause) : createRefusal.notRun(cause));
+    }
+
+    private expire(): void {
+        const mayHaveRun = this.mayHaveRun || this.running.size > 0;
+        this.refuse(mayHaveRun ? createRefusal.timedOut() : createRefusal.notRun("no endpoint took it in time."));
+    }
+
+    private refuse(refusal: RelayRefusal): void {
+        if (!this.isDone) {
+            this.task.sink.refuse(refusal);
+            this.finish(refusal.reason);
+        }
+    }
+
+    private finish(outcome: string, endpointId = "", status = 0): void {
+        if (this.isDone) {
+            return;
+        }
+        this.isDone = true;
+        for (const timer of this.timers) {
+            timer.cancel();
+        }
+        for (const attempt of [...this.running]) {
+            attempt.exchange?.abort();
+            this.releaseAttempt(attempt);
+        }
+        const { request, route } = this.task;
+        this.environment.log.write(events.relayEnded, {
+            request: request.id,
+            route: route.name,
+            outcome,
+            status,
+            endpoint: endpointId,
+            attempts: this.attempts,
+            milliseconds: Math.round(this.getTime() - request.arrivedAt),
+        });
+        this.onDone();
+    }
+
+    private releaseAttempt(attempt: Attempt): void {
+        attempt.reservation.release();
+        this.running.delete(attempt);
+    }
+
+    private setTimer(delay: number, callback: () => void): void {
+        this.timers.push(this.environment.clock.setTimer(Math.max(0, delay), callback));
+    }
+
+    private getTime(): number {
+        return this.environment.clock.getMonotonicTime();
+    }
+}
--- /dev/null
+++ b/src/request/relay/heldLayers.ts
@@ -0,0 +1,5 @@
+/** Layers of a model from `start` up to but not including `end`. */
+export interface HeldLayers {
+    start: number;
+    end: number;
+}
--- /dev/null
+++ b/src/request/relay/listCandidates.ts
@@ -0,0 +1,34 @@
+import type { EngineModel } from "../../version/routing/engineModel.ts";
+import { getRequestMemory } from "./getRequestMemory.ts";
+import type { RelayEnvironment } from "./relayEnvironment.ts";
+import type { StageCandidate } from "./stageCandidate.ts";
+
+/**
+ * Lists the endpoints of a model that can be stages now: those that hold layers and are not taken as lost.
+ * @param environment - Directory, loads and health.
+ * @param model - Figures of the model.
+ * @param service - Name of the service.
+ */
+export function listCandidates(environment: RelayEnvironment, model: EngineModel, service: string): StageCandidate[] {
+    const { directory, loads, health, clock } = environment;
+    const now = clock.getMonotonicTime();
+    const candidates: StageCandidate[] = [];
+    for (const endpoint of directory.getEndpoints(service)) {
+        const { layers } = endpoint;
+        const kind = model.kinds.get(endpoint.kind ?? "");
+        if (layers === undefined || kind === undefined || health.isSuspect(endpoint.id, now)) {
+            continue;
+        }
+        const { requests, tokenLayers } = loads.getLoad(endpoint.id);
+        candidates.push({
+            endpoint,
+            layers,
+            kind,
+            requests,
+            tokenLayers,
+            totalTokenLayers: getRequestMemory(model, kind, layers.end - layers.start),
+            slowness: directory.getSlowness(endpoint.id),
+        });
+    }
+    return candidates;
+}
--- /dev/null
+++ b/src/request/relay/relayDirectory.ts
@@ -0,0 +1,11 @@
+import type { RegisteredEndpoint } from "./registeredEndpoint.ts";
+
+/** The endpoints that may get requests now. */
+export interface RelayDirectory {
+    /** Gets the endpoints of a service, without those that are leaving or gone. */
+    getEndpoints(service: string): readonly RegisteredEndpoint[];
+    /** Gets the endpoint at an address, host:port, leaving ones included. */
+    getEndpointAt(address: string): RegisteredEndpoint | undefined;
+    /** Gets the factor on an endpoint's usual times; 1 where nothing else is known. */
+    getSlowness(endpointId: string): number;
+}
--- /dev/null
+++ b/src/request/relay/relayEnvironment.ts
@@ -0,0 +1,24 @@
+import type { UpstreamPools } from "../../connection/upstream/upstreamPools.ts";
+import type { Clock } from "../../process/clock.ts";
+import type { EventLog } from "../../process/logging/eventLog.ts";
+import type { RandomSource } from "../../process/randomSource.ts";
+import type { RetryBudget } from "../admission/retryBudget.ts";
+import type { EndpointHealth } from "./endpointHealth.ts";
+import type { EndpointLoads } from "./endpointLoads.ts";
+import type { EndpointProtocol } from "./endpointProtocol.ts";
+import type { RelayDirectory } from "./relayDirectory.ts";
+
+/** What relayed requests work with. */
+export interface RelayEnvironment {
+    /** Data centre of this node. */
+    dataCentre: string;
+    clock: Clock;
+    random: RandomSource;
+    log: EventLog;
+    protocol: EndpointProtocol;
+    pools: UpstreamPools;
+    directory: RelayDirectory;
+    loads: EndpointLoads;
+    health: EndpointHealth;
+    repeats: RetryBudget;
+}
--- /dev/null
+++ b/src/request/relay/relayTask.ts
@@ -0,0 +1,15 @@
+import type { Route } from "../../version/routing/route.ts";
+import type { RoutedService } from "../../version/routing/routingConfiguration.ts";
+import type { AnswerSink } from "./answerSink.ts";
+import type { RoutedRequest } from "./routedRequest.ts";
+
+/** A request whose route and customer are known. */
+export interface RelayTask {
+    request: RoutedRequest;
+    route: Route;
+    service: RoutedService;
+    customer: string | undefined;
+    sink: AnswerSink;
+    /** Monotonic time in milliseconds at which the final answer is due: the route's time or the caller's, if shorter. */
+    dueAt: number;
+}
--- /dev/null
+++ b/src/request/relay/stageCandidate.ts
@@ -0,0 +1,18 @@
+import type { AcceleratorKind } from "../../version/routing/engineModel.ts";
+import type { HeldLayers } from "./heldLayers.ts";
+import type { RegisteredEndpoint } from "./registeredEndpoint.ts";
+
+/** An endpoint that can be a stage of a chain, with what its choice depends on. */
+export interface StageCandidate {
+    endpoint: RegisteredEndpoint;
+    layers: HeldLayers;
+    kind: AcceleratorKind;
+    /** Requests of all nodes that pass through it. */
+    requests: number;
+    /** Memory that these need, in tokens times layers. */
+    tokenLayers: number;
+    /** Memory for requests, in tokens times layers. */
+    totalTokenLayers: number;
+    /** Factor on its usual times; 1 where it is as fast as its kind. */
+    slowness: number;
+}
--- /dev/null
+++ b/src/version/routing/routingConfiguration.ts
@@ -0,0 +1,36 @@
+import type { EngineModel } from "./engineModel.ts";
+import type { Route } from "./route.ts";
+
+/** A service that requests go to. */
+export interface RoutedService {
+    name: string;
+    /** Connections that one endpoint takes from all nodes together. */
+    maximumConnections: number;
+    /** Figures of the model's engines; undefined for a document service. */
+    engine: EngineModel | undefined;
+}
+
+/** A customer and its API keys. */
+export interface RoutingCustomer {
+    name: string;
+    apiKeys: string[];
+}
+
+/** What a caller may send, and how long it may take. */
+export interface CallerLimits {
+    headerBytes: number;
+    bodyBytes: number;
+    headerTimeoutMilliseconds: number;
+    idleTimeoutMilliseconds: number;
+}
+
+/** One version of what the operators want routed, in full. */
+export interface RoutingConfiguration {
+    /** Grows with each change. */
+    version: number;
+    routes: Route[];
+    /** By name. */
+    services: ReadonlyMap<string, RoutedService>;
+    customers: RoutingCustomer[];
+    limits: CallerLimits;
+}
--- /dev/null
+++ b/src/version/routing/routingState.ts
@@ -0,0 +1,39 @@
+import { RouteTable } from "./routeTable.ts";
+import type { RoutingConfiguration } from "./routingConfiguration.ts";
+
+/** A configuration in force, with the indexes that requests are looked up in. Never changed once created. */
+export class RoutingState {
+    readonly configuration: RoutingConfiguration;
+    private readonly routes: RouteTable;
+    private readonly customerByKey = new Map<string, string>();
+
+    private constructor(configuration: RoutingConfiguration) {
+        this.configuration = configuration;
+        this.routes = RouteTable.create(configuration.routes);
+        for (const customer of configuration.customers) {
+            for (const key of customer.apiKeys) {
+                this.customerByKey.set(key, customer.name);
+            }
+        }
+    }
+
+    /** Creates the indexes of a configuration. */
+    static create(configuration: RoutingConfiguration): RoutingState {
+        return new RoutingState(configuration);
+    }
+
+    /** Gets the route of a request by its host and path with query. */
+    getRoute(host: string, target: string) {
+        return this.routes.getRoute(host, target);
+    }
+
+    /** Gets the name of the customer that holds an API key. */
+    getCustomer(apiKey: string): string | undefined {
+        return this.customerByKey.get(apiKey);
+    }
+
+    /** Whether requests need an API key where their route is not public. */
+    needsKey(): boolean {
+        return this.configuration.customers.length > 0;
+    }
+}
