Plan layers so that the loss of one endpoint strikes few requests

Cause: with two replicas a column, each loss broke into half of all streams, and the small accelerators were filled to the last request. The plan now weighs the part of the requests that pass through one replica, and keeps memory free for their spread.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["dist/**", "node_modules/**", "src/wire/generated/**"] },
+    { ignores: ["dist/**", "target/**", "node_modules/**", "src/wire/generated/**"] },
     js.configs.recommended,
     ...tseslint.configs.strict,
     {
--- a/src/process/placement/assignLayers.ts
+++ b/src/process/placement/assignLayers.ts
@@ -45,18 +45,21 @@
         }
         addReplica(model, cover, endpoint);
     }
-    const assignments: LayerAssignment[] = [];
+    const assignments = new Map<string, LayerAssignment>();
     // Those with the least choice first: what fits into little memory is left to them.
     free.sort((left, right) => getMemory(model, left) - getMemory(model, right));
     for (const endpoint of free) {
         const cover = chooseColumn(model, covers, endpoint);
         if (cover !== undefined) {
             addReplica(model, cover, endpoint);
-            assignments.push({ endpointId: endpoint.id, layers: cover.column.layers });
+            assignments.set(endpoint.id, { endpointId: endpoint.id, layers: cover.column.layers });
         }
     }
-    const move = findMove(model, covers);
-    return move === undefined ? assignments : [...assignments, move];
+    const move = findMove(model, covers, assignments);
+    if (move !== undefined) {
+        assignments.set(move.endpointId, move);
+    }
+    return [...assignments.values()];
 }
 
 function isSameRange(left: HeldLayers, right: HeldLayers | undefined): boolean {
@@ -79,21 +82,20 @@
     return kind === undefined ? 0 : getRequestMemory(model, kind, count) / count;
 }
 
-/** Chooses the column for an empty endpoint: one of its kind that is covered least, first of all in its data centre. */
+/**
+ * Chooses the column for an empty endpoint: one that nobody holds, or else the one of its kind that is covered least,
+ * first of all in its data centre.
+ */
 function chooseColumn(
     model: EngineModel,
     covers: readonly ColumnCover[],
     endpoint: PlacementEndpoint,
 ): ColumnCover | undefined {
     const fitting = covers.filter(({ column }) => getTokens(model, column, endpoint) >= getLeastTokens(model));
-    const uncovered = fitting.filter(({ replicas }) => replicas.length === 0);
     const ofKind = fitting.filter(({ column }) => column.kind === endpoint.kind);
-    const usual = getUsualTokens(covers);
-    const weak = fitting.filter(({ tokens }) => tokens < usual * weakPart);
-    const options = [uncovered, weak, ofKind, fitting].find(list => list.length > 0) ?? [];
     let best: ColumnCover | undefined;
     let bestRank = Infinity;
-    for (const cover of options) {
+    for (const cover of ofKind.length > 0 ? ofKind : fitting) {
         const nearby = cover.replicas.filter(({ dataCentre }) => dataCentre === endpoint.dataCentre).length;
         const rank = cover.replicas.length + nearbyWeight * nearby;
         if (rank < bestRank) {
@@ -118,8 +120,15 @@
     return sorted[Math.floor(sorted.length / 2)] ?? 0;
 }
 
-/** Finds one endpoint that should leave a well covered column for a weak one. One at a time, since moves cost service. */
-function findMove(model: EngineModel, covers: readonly ColumnCover[]): LayerAssignment | undefined {
+/**
+ * Finds one endpoint that should leave a well covered column for a weak one; best of all one that is empty still. One at
+ * a time, since moves cost service.
+ */
+function findMove(
+    model: EngineModel,
+    covers: readonly ColumnCover[],
+    assignments: ReadonlyMap<string, LayerAssignment>,
+): LayerAssignment | undefined {
     const usual = getUsualTokens(covers);
     let weakest: ColumnCover | undefined;
     for (const cover of covers) {
@@ -133,9 +142,11 @@
     }
     let best: PlacementEndpoint | undefined;
     let mostLeft = weakest.replicas.length === 0 ? 0 : usual * sparePart;
+    const emptyBonus = usual;
     for (const giver of covers) {
         for (const endpoint of giver.replicas) {
-            const left = giver.tokens - getTokens(model, giver.column, endpoint);
+            const bonus = assignments.has(endpoint.id) ? emptyBonus : 0;
+            const left = giver.tokens - getTokens(model, giver.column, endpoint) + bonus;
             const isFit = getTokens(model, weakest.column, endpoint) >= getLeastTokens(model);
             if (giver !== weakest && giver.replicas.length > 1 && isFit && left > mostLeft) {
                 mostLeft = left;
--- a/src/process/placement/planColumns.ts
+++ b/src/process/placement/planColumns.ts
@@ -21,12 +21,20 @@
     counts: ReadonlyMap<string, number>;
 }
 
-/** Part of the memory that may be needed on average; the rest takes up that requests come unevenly. */
-const memoryPart = 0.6;
+/**
+ * Requests differ in size about as much as they are large on average, so that the memory needed by n of them varies by
+ * the square root of n requests; so many times that is kept free.
+ */
+const spreadsKeptFree = 1.5;
 /** Part of an engine's time that prompts may take; beyond it the answers being written wait too long. */
 const busyPart = 0.5;
 /** A column loses one of its replicas at a time and must bear it; one without a spare counts this little. */
 const withoutSpare = 0.35;
+/**
+ * The loss of one replica breaks into the answers of all requests that pass through it. That it strikes a quarter of the
+ * requests and not a half is worth this power of e in rate for each unit, here about a factor of two.
+ */
+const lossWeight = 2.8;
 /** More columns of one kind than this only add crossings. */
 const mostColumnsOfKind = 6;
 /** Mean wait for the pass in progress, as a part of a pass, and the pass itself. */
@@ -49,7 +57,7 @@
     let best: KindShare[] = [];
     let bestRate = 0;
     for (const shares of enumerateShares(model, available, 0, model.layers)) {
-        const rate = getSustainedRate(model, shares);
+        const rate = getSustainedRate(model, shares) * Math.exp(-lossWeight * getWorstLoss(shares));
         if (rate > bestRate) {
             bestRate = rate;
             best = shares;
@@ -104,6 +112,17 @@
     }
 }
 
+/** Gets the part of all requests that pass through one replica, at the column with the fewest. */
+function getWorstLoss(shares: readonly KindShare[]): number {
+    let worst = 0;
+    for (const { columns, count } of shares) {
+        if (columns > 0) {
+            worst = Math.max(worst, 1 / Math.floor(count / columns));
+        }
+    }
+    return worst;
+}
+
 /** Gets the most requests a second that the shares sustain. */
 function getSustainedRate(model: EngineModel, shares: readonly KindShare[]): number {
     const usualTokens = model.usualPromptTokens + model.usualAnswerTokens / 2;
@@ -117,8 +136,9 @@
         const replicas = Math.floor(share.count / share.columns);
         const effective = replicas > 1 ? replicas - 1 : withoutSpare;
         const memory = getRequestMemory(model, share.kind, Math.ceil(share.layers));
-        const inMemory = memory * memoryPart / (usualTokens * share.layers);
-        inProgress = Math.min(inProgress, effective * Math.min(inMemory, model.slots));
+        const inMemory = memory / (usualTokens * share.layers);
+        const usable = Math.max(0, inMemory - spreadsKeptFree * Math.sqrt(inMemory));
+        inProgress = Math.min(inProgress, effective * Math.min(usable, model.slots));
         const work = createWork(share, 0, usualTokens);
         const prefill = estimatePrefill(model, work, model.usualPromptTokens);
         rateByTime = Math.min(rateByTime, effective * busyPart / prefill);
