Test the platform's path, its decoders, the planner and the copy of the store

A stream no longer runs at more first stages than its route allows while these stay sound; the test of that failed before.

--- a/src/process/router/routerNodeOptions.ts
+++ b/src/process/router/routerNodeOptions.ts
@@ -11,7 +11,7 @@
 import type { RouterSettings } from "./routerSettings.ts";
 
 /** Where things stand in the platform's store. */
-export interface RouterKeys {
+interface RouterKeys {
     /** The configuration in force. */
     configuration: string;
     /** Prefix of the endpoints' records. */
--- a/src/request/relay/streamRelay.ts
+++ b/src/request/relay/streamRelay.ts
@@ -46,8 +46,8 @@
 
 /** Refusals are followed by another chain up to so many times, since they cost the caller nothing. */
 const mostRefusals = 4;
-/** Chains that were lost without the caller's or the route's fault are replaced up to so many times. */
-const mostLosses = 3;
+/** However many first stages are lost, a request is not sent more often than this. */
+const mostAttempts = 6;
 const successStatus = 200;
 const redirectStatus = 300;
 
@@ -66,7 +66,8 @@
     private attempt: Attempt | undefined;
     private attempts = 0;
     private refusals = 0;
-    private losses = 0;
+    /** First stages that may have run the request. */
+    private readonly ranAt = new Set<string>();
     private reroutes = 0;
     private mayHaveRun = false;
     private isHeadWritten = false;
@@ -173,9 +174,10 @@
     private startAttempt(cause: string): void {
         const stages = this.chooseChain(this.avoided, undefined);
         const isRepeat = this.attempts > 0;
-        const mostAttempts = this.task.route.maximumAttempts + this.losses;
-        const isAllowed = this.attempts < mostAttempts || !this.mayHaveRun && this.refusals <= mostRefusals;
-        if (stages === undefined || !isAllowed || isRepeat && !this.environment.repeats.takeRetry(this.getTime())) {
+        if (
+            stages === undefined || !this.mayRunAgain()
+            || isRepeat && !this.environment.repeats.takeRetry(this.getTime())
+        ) {
             this.giveUp(cause);
             return;
         }
@@ -197,6 +199,23 @@
         this.send(attempt, stages, this.task.dueAt - now);
     }
 
+    /** Whether the route allows another run. First stages that were lost since don't count. */
+    private mayRunAgain(): boolean {
+        if (this.attempts >= mostAttempts || this.refusals > mostRefusals) {
+            return false;
+        }
+        const { directory, health } = this.environment;
+        const now = this.getTime();
+        const registered = new Set(directory.getEndpoints(this.task.service.name).map(({ id }) => id));
+        let soundRuns = 0;
+        for (const id of this.ranAt) {
+            if (registered.has(id) && !health.isSuspect(id, now)) {
+                soundRuns += 1;
+            }
+        }
+        return soundRuns < this.task.route.maximumAttempts;
+    }
+
     private send(attempt: Attempt, stages: RelayStage[], remainingMilliseconds: number): void {
         const { protocol, pools } = this.environment;
         const { request, customer } = this.task;
@@ -340,7 +359,6 @@
         const isNotRun = failure.kind === UpstreamFailureKind.NotSent;
         const cause = `the connection to the first stage failed (${failure.message}).`;
         if (isNotRun) {
-            this.losses += 1;
             this.environment.health.addLoss(id, this.getTime());
         }
         this.endAttempt(attempt, { isNotRun, cause, avoid: [id] });
@@ -357,7 +375,10 @@
         }
         attempt.reservation.release();
         this.attempt = undefined;
-        this.mayHaveRun ||= !end.isNotRun;
+        if (!end.isNotRun) {
+            this.mayHaveRun = true;
+            this.ranAt.add(attempt.stages[0]!.endpoint.id);
+        }
         for (const id of end.avoid) {
             this.avoided.add(id);
         }
@@ -371,9 +392,6 @@
             milliseconds: Math.round(this.getTime() - attempt.sentAt),
         });
         if (end.isNotRun || this.isRepeatable()) {
-            if (!end.isNotRun && end.failure === undefined && this.losses < mostLosses) {
-                this.losses += 1;
-            }
             this.startAttempt(end.cause);
             return;
         }
--- a/src/version/routing/route.ts
+++ b/src/version/routing/route.ts
@@ -1,7 +1,7 @@
 import type { RequestKind } from "./requestKind.ts";
 
 /** One of the services that a route's requests go to. */
-export interface WeightedService {
+interface WeightedService {
     service: string;
     /** Share of the requests, relative to the other weights of the route. */
     weight: number;
--- a/src/version/routing/routingConfiguration.ts
+++ b/src/version/routing/routingConfiguration.ts
@@ -11,13 +11,13 @@
 }
 
 /** A customer and its API keys. */
-export interface RoutingCustomer {
+interface RoutingCustomer {
     name: string;
     apiKeys: string[];
 }
 
 /** What a caller may send, and how long it may take. */
-export interface CallerLimits {
+interface CallerLimits {
     headerBytes: number;
     bodyBytes: number;
     headerTimeoutMilliseconds: number;
--- /dev/null
+++ b/standins/router/keyValueStandin.ts
@@ -0,0 +1,219 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** A value as the store keeps it; undefined where it was deleted. */
+interface StoredItem {
+    key: string;
+    /** Base64. */
+    value: string | undefined;
+    revision: number;
+    created: number;
+}
+
+/** How the stand-in misbehaves. */
+export interface KeyValueFaults {
+    /** Status that every call gets. */
+    refuseWith?: number;
+    /** Calls get no answer. */
+    isSilent?: boolean;
+    /** Writes are done and get no answer. */
+    losesAnswers?: boolean;
+}
+
+/** The body of a transaction. */
+interface Transaction {
+    expected: { key: string; revision: number; }[];
+    puts: { key: string; value: string; }[];
+    remove: string[];
+}
+
+const pageSize = 20;
+
+/** A stand-in of the platform's key-value store: keys, ranges, watches and transactions over HTTP. */
+export class KeyValueStandin {
+    faults: KeyValueFaults = {};
+    /** Calls by path. */
+    readonly calls = new Map<string, number>();
+    private readonly server: Server;
+    private readonly items = new Map<string, StoredItem>();
+    private readonly waiting = new Set<() => void>();
+    private revision = 1;
+    private forgottenUntil = 0;
+
+    private constructor() {
+        this.server = createServer((request, response) => void this.handle(request, response));
+    }
+
+    /** Starts a store without keys on a free port of the loopback address. */
+    static async create(): Promise<KeyValueStandin> {
+        const standin = new KeyValueStandin();
+        await new Promise<void>(resolve => standin.server.listen(0, "127.0.0.1", resolve));
+        return standin;
+    }
+
+    /** Gets host:port. */
+    getAddress(): string {
+        return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    }
+
+    /** Writes a key as an operator or an endpoint does. */
+    put(key: string, value: object): void {
+        this.write(key, Buffer.from(JSON.stringify(value)).toString("base64"));
+        this.wake();
+    }
+
+    /** Deletes a key. */
+    remove(key: string): void {
+        this.write(key, undefined);
+        this.wake();
+    }
+
+    /** Drops the history; watches from before get 410. */
+    compact(): void {
+        this.forgottenUntil = this.revision;
+    }
+
+    /** Gets the text under a key. */
+    getText(key: string): string | undefined {
+        const value = this.items.get(key)?.value;
+        return value === undefined ? undefined : Buffer.from(value, "base64").toString("utf8");
+    }
+
+    /** Stops, with all connections. */
+    async close(): Promise<void> {
+        await new Promise(resolve => {
+            this.server.close(resolve);
+            this.server.closeAllConnections();
+        });
+    }
+
+    private write(key: string, value: string | undefined): void {
+        this.revision += 1;
+        const created = this.items.get(key)?.created ?? this.revision;
+        this.items.set(key, { key, value, revision: this.revision, created });
+    }
+
+    private wake(): void {
+        for (const check of [...this.waiting]) {
+            check();
+        }
+    }
+
+    private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const url = new URL(request.url ?? "/", "http://store");
+        this.calls.set(url.pathname, (this.calls.get(url.pathname) ?? 0) + 1);
+        const text = await readText(request);
+        if (this.faults.isSilent === true) {
+            return;
+        }
+        if (this.faults.refuseWith !== undefined) {
+            send(response, this.faults.refuseWith, { error: "Refused by a fault." });
+            return;
+        }
+        switch (url.pathname) {
+            case "/v1/kv-key":
+                return this.answerKey(url, response);
+            case "/v1/kv-range":
+                return this.answerRange(url, response);
+            case "/v1/kv-watch":
+                return this.answerWatch(url, response);
+            case "/v1/kv-txn":
+                return this.answerTransaction(JSON.parse(text) as Transaction, response);
+            default:
+                send(response, 404, { error: "Unknown path." });
+        }
+    }
+
+    private answerKey(url: URL, response: ServerResponse): void {
+        const item = this.items.get(url.searchParams.get("key") ?? "");
+        if (item?.value === undefined) {
+            send(response, 404, {});
+            return;
+        }
+        send(response, 200, { ...item, lease: 0, at: this.revision });
+    }
+
+    private answerRange(url: URL, response: ServerResponse): void {
+        const prefix = url.searchParams.get("prefix") ?? "";
+        const after = url.searchParams.get("after") ?? "";
+        const items = [...this.items.values()].filter(({ key, value }) =>
+            value !== undefined && key.startsWith(prefix) && key > after
+        );
+        items.sort((left, right) => left.key < right.key ? -1 : 1);
+        send(response, 200, {
+            items: items.slice(0, pageSize),
+            has_more: items.length > pageSize,
+            at: this.revision,
+        });
+    }
+
+    private answerWatch(url: URL, response: ServerResponse): void {
+        const prefix = url.searchParams.get("prefix") ?? "";
+        const after = Number(url.searchParams.get("after"));
+        const answerIfChanged = (isLast: boolean) => {
+            if (after < this.forgottenUntil) {
+                finish(410, {});
+                return;
+            }
+            const changed = [...this.items.values()].filter(({ key, revision }) =>
+                key.startsWith(prefix) && revision > after
+            );
+            if (changed.length > 0 || isLast) {
+                changed.sort((left, right) => left.revision - right.revision);
+                const events = changed.map(({ key, value, revision }) =>
+                    value === undefined ? { key, revision, deleted: true } : { key, value, revision }
+                );
+                finish(200, { events, at: this.revision });
+            }
+        };
+        const check = () => answerIfChanged(false);
+        const timer = setTimeout(() => answerIfChanged(true), Number(url.searchParams.get("wait_ms")));
+        const finish = (status: number, body: object) => {
+            clearTimeout(timer);
+            this.waiting.delete(check);
+            send(response, status, body);
+        };
+        response.once("close", () => {
+            clearTimeout(timer);
+            this.waiting.delete(check);
+        });
+        this.waiting.add(check);
+        check();
+    }
+
+    private answerTransaction({ expected, puts, remove }: Transaction, response: ServerResponse): void {
+        const isMet = expected.every(({ key, revision }) => {
+            const item = this.items.get(key);
+            return (item?.value === undefined ? 0 : item.revision) === revision;
+        });
+        if (!isMet) {
+            const items = expected.map(({ key }) => this.items.get(key)).filter(item => item?.value !== undefined);
+            send(response, 412, { items });
+            return;
+        }
+        for (const { key, value } of puts) {
+            this.write(key, value);
+        }
+        for (const key of remove) {
+            this.write(key, undefined);
+        }
+        this.wake();
+        if (this.faults.losesAnswers === true) {
+            response.destroy();
+            return;
+        }
+        send(response, 200, { revision: this.revision });
+    }
+}
+
+async function readText(request: IncomingMessage): Promise<string> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) {
+        chunks.push(chunk as Buffer);
+    }
+    return Buffer.concat(chunks).toString("utf8");
+}
+
+function send(response: ServerResponse, status: number, body: object): void {
+    response.writeHead(status, { "content-type": "application/json" }).end(JSON.stringify(body));
+}
--- /dev/null
+++ b/tests/platform/decoders.test.ts
@@ -0,0 +1,85 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { decodeConfiguration } from "../../platform/decodeConfiguration.ts";
+import { decodeEndpoint } from "../../platform/decodeEndpoint.ts";
+import { endpointProtocol } from "../../platform/endpointProtocol.ts";
+import { readBootFile } from "../../platform/readBootFile.ts";
+import { createConfiguration } from "./routerBench.ts";
+
+const boot = `
+node_name: "edge-1"
+zone: "a"
+ip: "10.1.0.4"
+unknown: [1, 2]
+listen: { front: "10.1.0.4:1", ready: "10.1.0.4:2", control: "10.1.0.4:3" }
+internal_ports: [7340, 7355]
+seeds: ["10.1.0.5:3"]
+bounds: { grace_s: 8, retry_budget_ratio: 0.2, budget_window_s: 10, retry_budget_slack: 202 }
+platform: { address: "10.2.0.1:9", form: "kv" }
+`;
+
+describe("The decoders of the platform", () => {
+    it("read the settings and ignore fields that they don't know", () => {
+        const settings = readBootFile(boot).unwrap();
+        assert.equal(settings.vm, "edge-1");
+        assert.equal(settings.peerListener, "10.1.0.4:3");
+        assert.equal(settings.adminListener, "10.1.0.4:7340");
+        assert.equal(settings.shutdownMilliseconds, 7_600);
+    });
+
+    it("name each faulty field of the settings", () => {
+        const faults = readBootFile(boot.replace('"10.1.0.4:1"', '"nowhere"').replace("grace_s: 8", "grace_s: -1"));
+        assert.ok(faults.err);
+        assert.match(faults.val.join("\n"), /^listen\.front: .*\nbounds\.grace_s: /);
+        assert.ok(readBootFile("a: [").err);
+    });
+
+    it("read a configuration", () => {
+        const configuration = decodeConfiguration(JSON.stringify(createConfiguration(7))).unwrap();
+        assert.equal(configuration.version, 7);
+        assert.equal(configuration.routes.length, 4);
+        assert.equal(configuration.services.get("model")?.engine?.prefillTokensOfMillisecond, 100);
+        assert.equal(configuration.services.get("documents")?.engine, undefined);
+    });
+
+    it("read an endpoint's record, with or without layers", () => {
+        const record = {
+            service: "s",
+            address: "1.2.3.4:5",
+            zone: "a",
+            slots: 6,
+            state: "ready",
+            sequence: 4,
+            kind: "k",
+        };
+        assert.equal(decodeEndpoint("servers/i-1", JSON.stringify(record)).unwrap().id, "i-1");
+        const holding = decodeEndpoint(
+            "servers/i-1",
+            JSON.stringify({ ...record, layers: { from: 2, to: 9, version: 1 } }),
+        );
+        assert.deepEqual(holding.unwrap().layers, { start: 2, end: 9 });
+        assert.ok(decodeEndpoint("servers/i-1", JSON.stringify({ ...record, state: "draining" })).unwrap().isDraining);
+    });
+
+    it("answer any bytes with a result, never with an exception", () => {
+        const anyText = fc.oneof(fc.string(), fc.json());
+        fc.assert(fc.property(anyText, text => {
+            decodeConfiguration(text);
+            decodeEndpoint("servers/x", text);
+            readBootFile(text);
+            endpointProtocol.readReport(Buffer.from(text));
+            endpointProtocol.readOrderOutcome(409, Buffer.from(text));
+        }));
+    });
+
+    it("take only the stated signs for proof that a request was not run", () => {
+        const doTest = (status: number, headers: Record<string, string>, isNotRun: boolean) =>
+            assert.equal(endpointProtocol.readHead(status, { "request-id": "r", ...headers }, "r").isNotRun, isNotRun);
+        doTest(503, { "not-executed": "1" }, true);
+        doTest(421, {}, true);
+        doTest(503, {}, false);
+        doTest(500, {}, false);
+        doTest(200, { "response-seal": "s" }, false);
+    });
+});
--- /dev/null
+++ b/tests/platform/platformChanges.test.ts
@@ -0,0 +1,110 @@
+import assert from "node:assert/strict";
+import { after, before, describe, it } from "node:test";
+import { KeyValueStandin } from "../../standins/router/keyValueStandin.ts";
+import { waitUntil } from "../support/waitUntil.ts";
+import { createConfiguration, RouterBench, type StartedNode } from "./routerBench.ts";
+
+describe("Changes on the platform", () => {
+    let bench: RouterBench;
+    let refused: KeyValueStandin;
+    let node: StartedNode;
+    let other: StartedNode;
+
+    before(async () => {
+        bench = await RouterBench.create();
+        refused = await KeyValueStandin.create();
+        refused.faults = { refuseWith: 503 };
+        await bench.addEndpoint("first", "documents");
+        await bench.addEndpoint("second", "documents");
+        node = await bench.addNode();
+        await bench.waitForEndpoints(node, 2);
+        other = await bench.addNode(refused.getAddress());
+    });
+
+    after(async () => {
+        await bench.close();
+        await refused.close();
+    });
+
+    const getVersion = (started: StartedNode) => started.node.getRouting()?.configuration.version;
+
+    it("reach a node that the store refuses, through its peers", async () => {
+        await bench.waitForEndpoints(other, 2);
+        assert.equal(getVersion(other), 1);
+        bench.store.put("op/config", createConfiguration(4, { tenants: [{ name: "first", api_keys: ["new"] }] }));
+        await waitUntil("the version is in force there", () => getVersion(other) === 4);
+        assert.equal((await bench.send(other, "/safe/x")).status, 401);
+    });
+
+    it("never go back to an older version", async () => {
+        bench.store.put("op/config", createConfiguration(3));
+        bench.store.put("op/config", createConfiguration(5));
+        await waitUntil("the newest is in force", () => getVersion(other) === 5 && getVersion(node) === 5);
+        bench.store.put("op/config", createConfiguration(2));
+        await new Promise(resolve => setTimeout(resolve, 300));
+        assert.equal(getVersion(node), 5);
+    });
+
+    it("take an endpoint out that leaves or is gone, at both nodes", async () => {
+        bench.register("first", "documents", undefined, "draining");
+        bench.store.remove("servers/second");
+        const getUsable = (started: StartedNode) =>
+            (started.node.getStatus() as { endpoints: { isDraining: boolean; }[]; }).endpoints
+                .filter(endpoint => !endpoint.isDraining).length;
+        await waitUntil("none is left", () => getUsable(node) === 0 && getUsable(other) === 0);
+        const answer = await bench.send(other, "/safe/x");
+        assert.equal(answer.status, 503);
+        bench.register("first", "documents");
+        await waitUntil("one is back", () => getUsable(other) === 1);
+    });
+
+    it("are all there after the store has lost its history", async () => {
+        bench.store.put("op/config", createConfiguration(8));
+        bench.store.compact();
+        bench.store.put("op/config", createConfiguration(9));
+        await waitUntil("the newest is in force", () => getVersion(node) === 9);
+    });
+
+    it("are answered with 503 by a node that knows of no configuration", async () => {
+        const lonely = await RouterBench.create();
+        lonely.store.faults = { refuseWith: 503 };
+        const started = await lonely.addNode();
+        const answer = await lonely.send(started, "/safe/x");
+        assert.equal(answer.status, 503);
+        assert.ok(Number(answer.headers["retry-after"]) > 0);
+        assert.equal(started.node.isReady(), false);
+        await lonely.close();
+    });
+
+    it("place the layers on empty endpoints once, under a fencing number", async () => {
+        const placing = await RouterBench.create();
+        for (const id of ["e1", "e2", "e3", "e4"]) {
+            await placing.addEndpoint(id, "model");
+        }
+        const started = await placing.addNode();
+        await waitUntil(
+            "a chain serves",
+            () => [...placing.endpoints.values()].every(({ layers }) => layers !== undefined),
+        );
+        const orders = [...placing.endpoints.values()].flatMap(endpoint => endpoint.orders);
+        assert.equal(orders.length, 4);
+        assert.ok(orders.every(({ fence, expected }) => fence === 1 && expected === 0));
+        await waitUntil("the records are known", () => placing.nodes[0]!.node.isReady());
+        const answer = await placing.send(started, "/model/x");
+        assert.equal(answer.status, 200);
+        await placing.close();
+    });
+
+    it("place the layers also where the store loses the answers to its writes", async () => {
+        const placing = await RouterBench.create();
+        await placing.addEndpoint("e1", "model");
+        await placing.addEndpoint("e2", "model");
+        placing.store.faults = { losesAnswers: true };
+        await placing.addNode();
+        await waitUntil(
+            "both hold layers",
+            () => [...placing.endpoints.values()].every(({ layers }) => layers !== undefined),
+        );
+        await placing.close();
+    });
+});
--- /dev/null
+++ b/tests/platform/routerBench.ts
@@ -0,0 +1,240 @@
+import { type IncomingHttpHeaders, request as sendRequest } from "node:http";
+import { CallerListener } from "../../platform/callerListener.ts";
+import { decodeConfiguration } from "../../platform/decodeConfiguration.ts";
+import { decodeEndpoint } from "../../platform/decodeEndpoint.ts";
+import { endpointProtocol } from "../../platform/endpointProtocol.ts";
+import { KeyValueStore } from "../../platform/keyValueStore.ts";
+import { findFreePorts } from "../../scripts/deployment/findFreePorts.ts";
+import { Metrics } from "../../src/process/metrics/metrics.ts";
+import { RouterNode } from "../../src/process/router/routerNode.ts";
+import { systemClock } from "../../src/process/systemClock.ts";
+import { EndpointStandin } from "../../standins/router/endpointStandin.ts";
+import { KeyValueStandin } from "../../standins/router/keyValueStandin.ts";
+import { RecordingEventLog } from "../support/recordingEventLog.ts";
+import { waitUntil } from "../support/waitUntil.ts";
+
+/** An answer as a caller sees it. */
+export interface CallerAnswer {
+    status: number;
+    headers: IncomingHttpHeaders;
+    body: string;
+    /** Whether the answer came to its proper end. */
+    isComplete: boolean;
+}
+
+/** A node that listens for callers. */
+export interface StartedNode {
+    node: RouterNode;
+    callers: CallerListener;
+    store: KeyValueStore;
+    log: RecordingEventLog;
+    address: string;
+    peerAddress: string;
+}
+
+const key = "key-of-one";
+let requests = 0;
+
+/** Creates a configuration in the platform's form. */
+export function createConfiguration(version: number, changes: object = {}): Record<string, unknown> {
+    const base = { host: "one.example", timeout_ms: 3_000, target_latency_ms: 300, max_attempts: 2 };
+    return {
+        version,
+        routes: [
+            { ...base, name: "safe", prefix: "/safe/", kind: "idempotent", service: "documents" },
+            { ...base, name: "unsafe", prefix: "/unsafe/", kind: "non_idempotent", service: "documents" },
+            { ...base, name: "model", prefix: "/model/", kind: "streaming", service: "model", resumable: true },
+            { ...base, name: "once", prefix: "/once/", kind: "streaming", service: "model" },
+        ],
+        services: [{ name: "documents", max_conns: 50 }, { name: "model", max_conns: 50, engine: createEngine() }],
+        limits: {
+            max_header_bytes: 16_384,
+            max_body_bytes: 100_000,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        },
+        tenants: [{ name: "first", api_keys: [key] }],
+        ...changes,
+    };
+}
+
+function createEngine(): object {
+    return {
+        slots: 10,
+        kv_bytes: 800_000,
+        stride: 3,
+        models: [{ name: "m", load_s: 1 }],
+        step_ms: 1,
+        per_seq_ms: 0.01,
+        context_per_k: 0.01,
+        read_per_s: 100_000,
+        loads_at_once: 3,
+        delays: [{ from: "a", to: "b", delay_ms: 1 }],
+        usual: { prompt: 700, answer: 200 },
+        layers: 8,
+        layer_mb: 1_000,
+        act_bytes: 1_000,
+        pipe_mbps: 10_000,
+        kinds: [{ name: "big", mb: 20_000, pace: 1, read_x: 1 }],
+    };
+}
+
+/** A store, endpoints and nodes of the router, all in this process, on loopback addresses. */
+export class RouterBench {
+    readonly store: KeyValueStandin;
+    readonly endpoints = new Map<string, EndpointStandin>();
+    readonly nodes: StartedNode[] = [];
+
+    private constructor(store: KeyValueStandin) {
+        this.store = store;
+    }
+
+    /** Starts a store with a configuration. */
+    static async create(): Promise<RouterBench> {
+        const bench = new RouterBench(await KeyValueStandin.create());
+        bench.store.put("op/config", createConfiguration(1));
+        return bench;
+    }
+
+    /** Starts an endpoint and registers it. */
+    async addEndpoint(
+        id: string,
+        service: "documents" | "model",
+        layers?: { from: number; to: number; },
+    ): Promise<EndpointStandin> {
+        const endpoint = await EndpointStandin.create({
+            id,
+            layers,
+            onLayers: held => this.register(id, service, held),
+        });
+        this.endpoints.set(id, endpoint);
+        this.register(id, service, layers);
+        return endpoint;
+    }
+
+    /** Writes an endpoint's record. */
+    register(id: string, service: string, layers?: { from: number; to: number; }, state = "ready"): void {
+        this.store.put(`servers/${id}`, {
+            service,
+            address: this.endpoints.get(id)!.getAddress(),
+            zone: "a",
+            version: "v1",
+            slots: 6,
+            state,
+            cold_left_ms: 0,
+            sequence: 77,
+            ...(service === "model" ? { kind: "big", layers: layers ?? null } : {}),
+        });
+    }
+
+    /** Starts a node. */
+    async addNode(storeAddress = this.store.getAddress()): Promise<StartedNode> {
+        const [callerPort, peerPort] = await findFreePorts(2);
+        const address = `127.0.0.1:${callerPort}`;
+        const peerAddress = `127.0.0.1:${peerPort}`;
+        const log = RecordingEventLog.create();
+        const store = KeyValueStore.create(storeAddress, () => undefined);
+        const node = RouterNode.create({
+            nodeId: `node-${this.nodes.length}`,
+            version: "test",
+            settings: {
+                vm: `vm-${this.nodes.length}`,
+                dataCentre: "a",
+                callerListener: address,
+                readinessListener: "127.0.0.1:0",
+                peerListener: peerAddress,
+                adminListener: "127.0.0.1:0",
+                seeds: this.nodes.map(started => started.peerAddress),
+                storeAddress,
+                shutdownMilliseconds: 2_000,
+                repeatRatio: 0.2,
+                repeatSlack: 200,
+                repeatWindowMilliseconds: 10_000,
+            },
+            clock: systemClock,
+            random: Math.random,
+            log,
+            metrics: Metrics.create(),
+            store,
+            keys: {
+                configuration: "op/config",
+                endpointPrefix: "servers/",
+                placementLease: "foxlead/leases/placement",
+                placementPrefix: "foxlead/placement/",
+            },
+            protocol: endpointProtocol,
+            decodeConfiguration,
+            decodeEndpoint,
+        });
+        const callers = CallerListener.create({
+            address,
+            clock: systemClock,
+            getMaximumBodyBytes: () => 100_000,
+            handle: (request, sink) => node.handle(request, sink),
+        });
+        await node.start();
+        await callers.listen();
+        const started = { node, callers, store, log, address, peerAddress };
+        this.nodes.push(started);
+        return started;
+    }
+
+    /** Waits until a node knows the configuration and so many endpoints. */
+    async waitForEndpoints(started: StartedNode, count: number): Promise<void> {
+        await waitUntil(
+            `${count} endpoints are known`,
+            () =>
+                started.node.isReady()
+                && (started.node.getStatus() as { endpoints: object[]; }).endpoints.length === count,
+        );
+    }
+
+    /** Sends a request as a caller. */
+    send(
+        started: StartedNode,
+        path: string,
+        options: { method?: string; headers?: Record<string, string>; body?: string; signal?: AbortSignal; } = {},
+    ): Promise<CallerAnswer> {
+        const [host, port] = started.address.split(":");
+        requests += 1;
+        const headers = {
+            host: "one.example",
+            "request-id": `request-${requests}`,
+            "request-deadline-ms": "5000",
+            authorization: `Bearer ${key}`,
+            ...options.headers,
+        };
+        return new Promise((resolve, reject) => {
+            const { method = "POST", body = "", signal } = options;
+            const request = sendRequest({ host, port, path, method, headers, signal, agent: false }, response => {
+                const chunks: Buffer[] = [];
+                const finish = () =>
+                    resolve({
+                        status: response.statusCode ?? 0,
+                        headers: response.headers,
+                        body: Buffer.concat(chunks).toString("utf8"),
+                        isComplete: response.complete,
+                    });
+                response.on("data", (chunk: Buffer) => chunks.push(chunk));
+                response.on("error", () => undefined);
+                response.on("close", finish);
+            });
+            request.on("error", reject);
+            request.end(body);
+        });
+    }
+
+    /** Stops everything. */
+    async close(): Promise<void> {
+        for (const { node, callers, store } of this.nodes) {
+            callers.stopListening();
+            await node.startDraining();
+            await node.stop();
+            store.close();
+        }
+        for (const endpoint of this.endpoints.values()) {
+            await endpoint.close();
+        }
+        await this.store.close();
+    }
+}
--- /dev/null
+++ b/tests/process/placement/planColumns.test.ts
@@ -0,0 +1,60 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { planColumns } from "../../../src/process/placement/planColumns.ts";
+import { getRequestMemory } from "../../../src/request/relay/getRequestMemory.ts";
+import { relayModel } from "../../request/relay/relayModel.ts";
+
+const dataCentres = ["a", "b", "c"];
+
+function plan(counts: Record<string, number[]>) {
+    const kinds = [...relayModel.kinds.values()].map(kind => ({
+        kind,
+        counts: new Map((counts[kind.name] ?? []).map((count, index) => [dataCentres[index]!, count])),
+    }));
+    return planColumns(relayModel, kinds);
+}
+
+function sum(numbers: number[]): number {
+    return numbers.reduce((left, right) => left + right, 0);
+}
+
+describe("planColumns", () => {
+    const fleets: Record<string, number[]>[] = [
+        { fast: [1, 1, 2], middle: [3, 6, 2], slow: [8, 5, 5] },
+        { fast: [2, 2, 4], middle: [9, 15, 6], slow: [22, 12, 14] },
+        { fast: [0, 1, 0], middle: [3, 6, 2], slow: [8, 5, 5] },
+        { middle: [3, 6, 2], slow: [8, 5, 5] },
+        { fast: [4, 4, 4] },
+    ];
+    for (const fleet of fleets) {
+        it(`tiles the layers and leaves memory for requests: ${JSON.stringify(fleet)}`, () => {
+            const columns = plan(fleet);
+            let at = 0;
+            for (const { layers, kind } of columns) {
+                assert.equal(layers.start, at);
+                assert.ok(getRequestMemory(relayModel, relayModel.kinds.get(kind)!, layers.end - layers.start) > 0);
+                at = layers.end;
+            }
+            assert.equal(at, relayModel.layers);
+        });
+    }
+
+    it("lets no endpoint carry more than a quarter of the requests where there are enough of each kind", () => {
+        const fleet = fleets[0]!;
+        const columns = plan(fleet);
+        for (const [kind, counts] of Object.entries(fleet)) {
+            const columnsOfKind = columns.filter(column => column.kind === kind).length;
+            assert.ok(columnsOfKind === 0 || Math.floor(sum(counts) / columnsOfKind) >= 4, kind);
+        }
+    });
+
+    it("plans nothing where the weights fit nowhere", () => {
+        assert.deepEqual(plan({ slow: [1, 1, 1] }), []);
+    });
+
+    it("takes less than half a second for 1,200 endpoints", () => {
+        const startedAt = performance.now();
+        plan({ fast: [40, 40, 40], middle: [160, 160, 160], slow: [200, 200, 200] });
+        assert.ok(performance.now() - startedAt < 500);
+    });
+});
--- /dev/null
+++ b/tests/request/relay/chooseStages.test.ts
@@ -0,0 +1,82 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { assertTiling } from "../../../src/request/relay/assertTiling.ts";
+import { chooseStages, type StageQuery } from "../../../src/request/relay/chooseStages.ts";
+import type { StageCandidate } from "../../../src/request/relay/stageCandidate.ts";
+import { createCandidate, relayModel } from "./relayModel.ts";
+
+const query: StageQuery = { model: relayModel, promptTokens: 800, answerTokens: 200, dataCentre: "a" };
+
+function choose(candidates: StageCandidate[], changes: Partial<StageQuery> = {}): string[] | undefined {
+    return chooseStages({ ...query, ...changes }, candidates, () => 0)?.map(({ endpoint }) => endpoint.id);
+}
+
+describe("chooseStages", () => {
+    it("tiles all layers with replicas of columns", () => {
+        const candidates = [createCandidate("1", 0, 30), createCandidate("2", 30, 80), createCandidate("3", 30, 80)];
+        const stages = chooseStages(query, candidates, () => 0);
+        assertTiling(stages!, relayModel.layers);
+    });
+
+    it("finds none where layers are missing", () => {
+        assert.equal(choose([createCandidate("1", 0, 30), createCandidate("2", 31, 80)]), undefined);
+    });
+
+    it("uses a part of what an endpoint holds where columns don't fit each other", () => {
+        const stages = chooseStages(query, [createCandidate("1", 0, 50), createCandidate("2", 30, 80)], () => 0);
+        assertTiling(stages!, relayModel.layers);
+    });
+
+    it("takes the replica with fewer requests, with free memory, and that is not slow", () => {
+        const first = createCandidate("1", 0, 40);
+        assert.deepEqual(
+            choose([first, createCandidate("2", 40, 80, { requests: 60 }), createCandidate("3", 40, 80)]),
+            ["1", "3"],
+        );
+        const full = createCandidate("2", 40, 80, { tokenLayers: 3_900_000 });
+        assert.deepEqual(choose([first, full, createCandidate("3", 40, 80, { requests: 60 })]), ["1", "3"]);
+        assert.deepEqual(choose([first, createCandidate("2", 40, 80, { slowness: 4 }), createCandidate("3", 40, 80)]), [
+            "1",
+            "3",
+        ]);
+    });
+
+    it("stays in the caller's data centre where the load is alike", () => {
+        const candidates = [
+            createCandidate("1", 0, 40, { dataCentre: "b" }),
+            createCandidate("2", 0, 40),
+            createCandidate("3", 40, 80, { dataCentre: "b" }),
+            createCandidate("4", 40, 80),
+        ];
+        assert.deepEqual(choose(candidates), ["2", "4"]);
+    });
+
+    it("begins with the given first stage where a request is moved", () => {
+        const candidates = [
+            createCandidate("1", 0, 40, { requests: 90 }),
+            createCandidate("2", 0, 40),
+            createCandidate("3", 40, 80),
+        ];
+        const firstStage = { endpoint: candidates[0]!.endpoint, start: 0, end: 40 };
+        assert.deepEqual(choose(candidates, { firstStage }), ["1", "3"]);
+    });
+
+    it("makes only chains that run each layer once and in order, whatever endpoints hold", () => {
+        const range = fc.tuple(fc.integer({ min: 0, max: 79 }), fc.integer({ min: 1, max: 80 }));
+        fc.assert(
+            fc.property(
+                fc.array(range, { maxLength: 24 }),
+                fc.infiniteStream(fc.double({ min: 0, max: 1, noNaN: true })),
+                (ranges, randoms) => {
+                    const candidates = ranges.filter(([start, end]) => start < end)
+                        .map(([start, end], index) => createCandidate(String(index), start, end));
+                    const stages = chooseStages(query, candidates, () => randoms.next().value!);
+                    if (stages !== undefined) {
+                        assertTiling(stages, relayModel.layers);
+                    }
+                },
+            ),
+        );
+    });
+});
--- /dev/null
+++ b/tests/request/relay/endpointHealth.test.ts
@@ -0,0 +1,31 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { EndpointHealth } from "../../../src/request/relay/endpointHealth.ts";
+
+describe("EndpointHealth", () => {
+    it("takes an endpoint as lost for longer with each loss in a row, until it answers", () => {
+        const health = EndpointHealth.create();
+        health.addLoss("e", 0);
+        assert.ok(health.isSuspect("e", 399));
+        assert.ok(!health.isSuspect("e", 401));
+        health.addLoss("e", 401);
+        assert.ok(health.isSuspect("e", 1_200));
+        health.addSuccess("e", 1_200);
+        assert.ok(!health.isSuspect("e", 1_200));
+    });
+
+    it("forgets failures with time", () => {
+        const health = EndpointHealth.create();
+        health.addFailure("e", 0);
+        const share = health.getFailureShare("e", 0);
+        assert.ok(Math.abs(health.getFailureShare("e", 3_000) - share / 2) < 1e-9);
+    });
+
+    it("takes a peer's suspicion over for the time that it lasts there", () => {
+        const health = EndpointHealth.create();
+        health.addSuspicion({ endpointId: "e", remainingMilliseconds: 500 }, 100);
+        assert.ok(health.isSuspect("e", 599));
+        assert.ok(!health.isSuspect("e", 601));
+        assert.deepEqual(health.getSuspicions(200), [{ endpointId: "e", remainingMilliseconds: 400 }]);
+    });
+});
--- /dev/null
+++ b/tests/request/relay/eventSplitter.test.ts
@@ -0,0 +1,29 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { EventSplitter } from "../../../src/request/relay/eventSplitter.ts";
+
+const text = "id: 1\ndata: a\n\n: note\n\nweight: 2\nid: 22\r\ndata: b\r\n\r\nid:3\ndata: \u00e9\n\nid: 4\nda";
+
+describe("EventSplitter", () => {
+    it("gives whole events with their ids, and keeps back what isn't whole", () => {
+        const splitter = EventSplitter.create();
+        const events = splitter.push(Buffer.from(text));
+        assert.deepEqual(events.map(({ id }) => id), [1, undefined, 22, 3]);
+        assert.ok(splitter.hasRest());
+    });
+
+    it("gives the same events however the bytes are cut, and changes none", () => {
+        const bytes = Buffer.from(text);
+        const whole = EventSplitter.create().push(bytes);
+        fc.assert(fc.property(fc.array(fc.integer({ min: 0, max: bytes.length })), cuts => {
+            const splitter = EventSplitter.create();
+            const at = [0, ...cuts.sort((left, right) => left - right), bytes.length];
+            const events = at.slice(1).flatMap((end, index) => splitter.push(bytes.subarray(at[index], end)));
+            assert.deepEqual(events.map(({ id }) => id), whole.map(({ id }) => id));
+            assert.ok(
+                Buffer.concat(events.map(event => event.bytes)).equals(Buffer.concat(whole.map(event => event.bytes))),
+            );
+        }));
+    });
+});
