--- a/src/process/leases/fencedLease.ts
+++ b/src/process/leases/fencedLease.ts
@@ -78,6 +78,11 @@
         return this.state.getFencingNumber(this.options.clock.getMonotonicTime());
     }
 
+    /** As {@link LeaseState.getLastNumber}. */
+    getLastNumber(): number | undefined {
+        return this.state.getLastNumber();
+    }
+
     /**
      * Sends an order if the lease is held at this moment.
      * @param action - Sends the order at once, with the fencing number; it may not wait before it does.
--- a/src/process/leases/leaseState.ts
+++ b/src/process/leases/leaseState.ts
@@ -71,6 +71,15 @@
         return this.isValid(this.held, monotonicTime) ? this.held.record.fencingNumber : undefined;
     }
 
+    /**
+     * Gets the fencing number under which this process was the last known holder, also after the lease's time; undefined
+     * once another holder is known. It proves nothing: only endpoints that check the number make orders under it safe.
+     */
+    getLastNumber(): number | undefined {
+        const record = this.observed?.record;
+        return record?.holder === this.options.holder && !record.isReleased ? record.fencingNumber : undefined;
+    }
+
     /** Goes on when the time that the last output named has come. */
     wake(time: EventTime): LeaseOutput {
         return this.step(time);
--- a/src/process/placement/placementDuty.ts
+++ b/src/process/placement/placementDuty.ts
@@ -18,7 +18,9 @@
 /** Options of a {@link PlacementDuty}. */
 interface PlacementDutyOptions {
     store: Pick<PlatformStore, "get" | "compareAndSwap">;
-    lease: FencedLease;
+    lease: Pick<FencedLease, "getFencingNumber" | "getLastNumber">;
+    /** Whether the store answers this node. */
+    isStoreAnswering(): boolean;
     clock: Clock;
     log: EventLog;
     /** Prefix of the plans' keys; the service's name follows. */
@@ -85,7 +87,7 @@
 
     private tick(): void {
         this.start();
-        const fencingNumber = this.options.lease.getFencingNumber();
+        const fencingNumber = this.getFencingNumber();
         if (fencingNumber === undefined || fencingNumber <= this.refusedNumber || this.isPlanning) {
             return;
         }
@@ -101,6 +103,16 @@
         }
     }
 
+    /**
+     * Gets the number to give orders under. While the store is out of order nobody can renew or take the lease, and layers
+     * that are lost then must be placed all the same; so the last holder goes on. Should the store refuse only this node,
+     * the endpoints refuse its number once another holder has given them an order.
+     */
+    private getFencingNumber(): number | undefined {
+        const { lease, isStoreAnswering } = this.options;
+        return lease.getFencingNumber() ?? (isStoreAnswering() ? undefined : lease.getLastNumber());
+    }
+
     private async place(service: string, model: EngineModel): Promise<void> {
         const endpoints = this.options.getEndpoints(service);
         if (endpoints.length === 0 || !this.isSettled(service, endpoints)) {
@@ -177,28 +189,24 @@
     }
 
     private async order(model: EngineModel, endpoint: RegisteredEndpoint, assignment: LayerAssignment): Promise<void> {
-        const { lease, log, clock } = this.options;
+        const { log, clock } = this.options;
         assertFits(model, endpoint, assignment.layers);
         // An endpoint that was ordered by an earlier holder refuses this number, and its report brings the right one.
         const expectedSequence = this.sequences.get(endpoint.id) ?? 0;
-        const sending = lease.withFencing(fencingNumber => {
-            this.openOrders.set(endpoint.id, {
-                layers: assignment.layers,
-                sentAt: clock.getMonotonicTime(),
-                isAsking: false,
-            });
-            return this.options.sendOrder(endpoint, { layers: assignment.layers, fencingNumber, expectedSequence });
-        });
-        if (sending.err) {
+        const fencingNumber = this.getFencingNumber();
+        if (fencingNumber === undefined) {
             return;
         }
-        const { start, end } = assignment.layers;
-        const fields = { endpoint: endpoint.id, start, end, expectedSequence, fencingNumber: this.loadedNumber };
+        const { layers } = assignment;
+        this.openOrders.set(endpoint.id, { layers, sentAt: clock.getMonotonicTime(), isAsking: false });
+        const sending = this.options.sendOrder(endpoint, { layers, fencingNumber, expectedSequence });
+        const { start, end } = layers;
+        const fields = { endpoint: endpoint.id, start, end, expectedSequence, fencingNumber };
         log.write(events.placementOrdered, fields);
-        const outcome = await sending.val;
+        const outcome = await sending;
         log.write(events.placementOrderEnded, { ...fields, outcome: outcome?.kind ?? "unanswered" });
         if (outcome?.kind === "fenced") {
-            this.refusedNumber = Math.max(this.refusedNumber, this.loadedNumber);
+            this.refusedNumber = Math.max(this.refusedNumber, fencingNumber);
             this.openOrders.delete(endpoint.id);
         }
         else if (outcome?.kind === "begun") {
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -116,6 +116,7 @@
         this.duty = PlacementDuty.create({
             store,
             lease: this.lease,
+            isStoreAnswering: () => this.followers.every(follower => follower.isInContact()),
             clock,
             log,
             keyPrefix: keys.placementPrefix,
--- a/src/request/relay/listCandidates.ts
+++ b/src/request/relay/listCandidates.ts
@@ -4,7 +4,7 @@
 import type { StageCandidate } from "./stageCandidate.ts";
 
 /**
- * Lists the endpoints of a model that can be stages now: those that hold layers and are not taken as lost.
+ * Lists the endpoints of a model that can be stages now: those that hold layers.
  * @param environment - Directory, loads and health.
  * @param model - Figures of the model.
  * @param service - Name of the service.
@@ -16,7 +16,7 @@
     for (const endpoint of directory.getEndpoints(service)) {
         const { layers } = endpoint;
         const kind = model.kinds.get(endpoint.kind ?? "");
-        if (layers === undefined || kind === undefined || health.isSuspect(endpoint.id, now)) {
+        if (layers === undefined || kind === undefined) {
             continue;
         }
         const { requests, tokenLayers } = loads.getLoad(endpoint.id);
@@ -28,6 +28,7 @@
             tokenLayers,
             totalTokenLayers: getRequestMemory(model, kind, layers.end - layers.start),
             slowness: directory.getSlowness(endpoint.id),
+            isSuspect: health.isSuspect(endpoint.id, now),
         });
     }
     return candidates;
--- a/src/request/relay/stageCandidate.ts
+++ b/src/request/relay/stageCandidate.ts
@@ -15,4 +15,6 @@
     totalTokenLayers: number;
     /** Factor on its usual times; 1 where it is as fast as its kind. */
     slowness: number;
+    /** Whether it is taken as lost for now. */
+    isSuspect: boolean;
 }
--- a/src/request/relay/streamRelay.ts
+++ b/src/request/relay/streamRelay.ts
@@ -238,10 +238,11 @@
             dataCentre: environment.dataCentre,
             firstStage,
         };
-        const candidates = listCandidates(environment, model, task.service.name);
-        const sound = candidates.filter(({ endpoint }) => !avoid.has(endpoint.id));
-        const stages = chooseStages(query, sound, environment.random);
-        return stages ?? (firstStage === undefined ? chooseStages(query, candidates, environment.random) : undefined);
+        const candidates = listCandidates(environment, model, task.service.name)
+            .filter(({ endpoint }) => !avoid.has(endpoint.id));
+        const sound = candidates.filter(({ isSuspect }) => !isSuspect);
+        // An endpoint that is taken as lost may be back; where no chain can do without it, it is tried.
+        return chooseStages(query, sound, environment.random) ?? chooseStages(query, candidates, environment.random);
     }
 
     private getTokens(): number {
@@ -281,7 +282,12 @@
         const now = this.getTime();
         this.mayHaveRun = true;
         attempt.lastProgressAt = now;
-        attempt.hasEvents = true;
+        if (!attempt.hasEvents) {
+            attempt.hasEvents = true;
+            for (const { endpoint } of attempt.stages) {
+                this.environment.health.addSuccess(endpoint.id, now);
+            }
+        }
         if (event.id !== undefined) {
             if (event.id <= this.lastEventId) {
                 return;
@@ -322,7 +328,8 @@
         if (head.isNotRun) {
             this.refusals += 1;
             const faulty = this.getFaulty(attempt, head.faultyAddress);
-            this.environment.health.addFailure(faulty, this.getTime());
+            // It is leaving or full, which its record may not show for seconds.
+            this.environment.health.addLoss(faulty, this.getTime());
             this.endAttempt(attempt, {
                 isNotRun: true,
                 cause: `the endpoint refused it (${head.status}).`,
@@ -345,7 +352,6 @@
             this.endAttempt(attempt, { isNotRun: false, cause: "the stream ended within an event.", avoid: [] });
             return;
         }
-        this.environment.health.addSuccess(first!.endpoint.id, this.getTime());
         this.writeHead(head);
         this.task.sink.end();
         this.finish("answered");
@@ -388,6 +394,7 @@
             attempt: this.attempts,
             isNotRun: end.isNotRun,
             cause: end.cause,
+            avoided: end.avoid.join(","),
             lastEvent: this.lastEventId,
             milliseconds: Math.round(this.getTime() - attempt.sentAt),
         });
--- a/tests/request/relay/relayModel.ts
+++ b/tests/request/relay/relayModel.ts
@@ -62,6 +62,7 @@
         tokenLayers: 0,
         totalTokenLayers: 100_000 * (end - start),
         slowness: 1,
+        isSuspect: false,
         ...rest,
     };
 }
