--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -57,6 +57,7 @@
         level: "error",
         message: "The changed settings cannot be read; the earlier ones stay in force.",
     },
+    adminListenerFailed: { number: 1008, level: "error", message: "Metrics and status are not served." },
     logLinesDropped: { number: 1007, level: "warn", message: "Log lines were dropped to keep to their bound." },
     claimShardLoaded: { number: 1301, level: "info", message: "The claim shard is read; its claims are answered." },
     claimSlotUnreadable: {
