--- a/src/process/commandLine/runCommandLine.ts
+++ b/src/process/commandLine/runCommandLine.ts
@@ -6,6 +6,7 @@
 import { createStatusCommand } from "./createStatusCommand.ts";
 import { createVersionCommand } from "./createVersionCommand.ts";
 import { ExitCode } from "./exitCode.ts";
+import { createExplainCommand } from "./explain/createExplainCommand.ts";
 import { UsageError } from "./usageError.ts";
 
 const widestHelp = 110;
@@ -53,6 +54,7 @@
         .command(createSettingsCommand(context))
         .command(createConfigurationCommand(context))
         .command(createStatusCommand(context))
+        .command(createExplainCommand(context))
         .command(createVersionCommand(context))
         .completion("completion", "Print a completion script for bash or zsh.")
         .demandCommand(1, "Name a command.")
--- a/src/process/router/peerExchange.ts
+++ b/src/process/router/peerExchange.ts
@@ -47,7 +47,7 @@
 const roundMilliseconds = 300;
 const partnersOfRound = 2;
 /** Of the second partners, this part is sought in all data centres; what crosses between them is paid by the byte. */
-const awayPart = 0.35;
+const awayPart = 0.6;
 /** Each message tells of some nodes only; in a few rounds each node hears of all. */
 const nodesOfMessage = 10;
 const longestAge = 0xffff_ffff;
