Let most of the allowance of repeats be used at once

Cause: the budget held 8 repeats a node, while the loss of one endpoint breaks a quarter of its streams; these were cut or refused though other chains were free. What was never sent no longer counts.

--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -58,7 +58,7 @@
 
 writeFileSync(
     seaConfiguration,
-    JSON.stringify({ main: bundle, output: seaBlob, disableExperimentalSEAWarning: true }),
+    JSON.stringify({ main: bundle, output: seaBlob, disableExperimentalSEAWarning: true, useCodeCache: true }),
 );
 run(process.execPath, "--experimental-sea-config", seaConfiguration);
 rmSync(executable, { force: true });
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -31,8 +31,13 @@
 const leaseMilliseconds = 3_000;
 /** Endpoints refuse orders with an older fencing number, so a successor need not wait for those under way. */
 const longestOrderMilliseconds = 300;
-/** Half of the allowance is used: a node's share of it goes by the nodes that it knows of, which may be too few. */
-const slackPart = 0.5;
+/**
+ * Parts of what all nodes together may repeat in a window beyond the ratio. The loss of one endpoint breaks all requests
+ * that pass through it at once, so most of it can be used at once; the rest is earned back over the window. What is left
+ * is for nodes that are not known here.
+ */
+const savedPart = 0.75;
+const earnedPart = 0.1;
 const ratioPart = 0.8;
 const secondMilliseconds = 1_000;
 /** How often it is reviewed who follows the store. */
@@ -283,11 +288,12 @@
     /** This node's part of the repeats that all nodes may send together. */
     private getRepeatPolicy() {
         const { settings } = this.options;
-        const slack = settings.repeatSlack * slackPart / this.getNodeCount();
+        const slack = settings.repeatSlack / this.getNodeCount();
+        const windowSeconds = settings.repeatWindowMilliseconds / secondMilliseconds;
         return {
             ratio: settings.repeatRatio * ratioPart,
-            perSecond: slack / 2 / (settings.repeatWindowMilliseconds / secondMilliseconds),
-            maximumBalance: Math.max(1, slack / 2),
+            perSecond: slack * earnedPart / windowSeconds,
+            maximumBalance: Math.max(1, slack * savedPart),
         };
     }
 }
--- a/src/request/relay/documentRelay.ts
+++ b/src/request/relay/documentRelay.ts
@@ -33,6 +33,8 @@
 interface AttemptEnd {
     /** Whether the endpoint has surely not run the request. */
     isNotRun: boolean;
+    /** Whether no byte of it was sent. */
+    isUnsent?: boolean;
     cause: string;
     /** A failure of the endpoint itself, which is passed on where nothing better comes. */
     answer?: WholeAnswer;
@@ -93,10 +95,9 @@
         return this.task.route.kind === RequestKind.Idempotent;
     }
 
-    private startAttempt(cause: string): void {
+    private startAttempt(cause: string, isRepeat = false): void {
         const { environment, task } = this;
         const endpoint = this.chooseNext();
-        const isRepeat = this.attempts > 0;
         const isAllowed = this.attempts < task.route.maximumAttempts
             || !this.mayHaveRun && this.refusals <= mostRefusals;
         if (endpoint === undefined || !isAllowed || isRepeat && !this.takeRepeat()) {
@@ -180,7 +181,11 @@
         else {
             health.addFailure(attempt.endpoint.id, this.getTime());
         }
-        this.endAttempt(attempt, { isNotRun, cause: `the endpoint's answer is missing (${failure.message}).` });
+        this.endAttempt(attempt, {
+            isNotRun,
+            isUnsent: isNotRun,
+            cause: `the endpoint's answer is missing (${failure.message}).`,
+        });
     }
 
     private endAttempt(attempt: Attempt, end: AttemptEnd): void {
@@ -202,7 +207,7 @@
             return;
         }
         if (end.isNotRun && !this.mayHaveRun || this.isRepeatable()) {
-            this.startAttempt(end.cause);
+            this.startAttempt(end.cause, !end.isUnsent);
             return;
         }
         this.giveUp(end.cause);
@@ -219,7 +224,7 @@
             this.environment.health.addFailure(attempt.endpoint.id, this.getTime());
         }
         this.mayHaveRun = true;
-        this.startAttempt("the endpoint is late.");
+        this.startAttempt("the endpoint is late.", true);
     }
 
     private chooseNext(): RegisteredEndpoint | undefined {
@@ -265,11 +270,11 @@
     private refuse(refusal: RelayRefusal): void {
         if (!this.isDone) {
             this.task.sink.refuse(refusal);
-            this.finish(refusal.reason);
+            this.finish(refusal.reason, "", 0, refusal.message);
         }
     }
 
-    private finish(outcome: string, endpointId = "", status = 0): void {
+    private finish(outcome: string, endpointId = "", status = 0, cause = ""): void {
         if (this.isDone) {
             return;
         }
@@ -286,6 +291,7 @@
             request: request.id,
             route: route.name,
             outcome,
+            cause,
             status,
             endpoint: endpointId,
             attempts: this.attempts,
--- a/src/request/relay/streamRelay.ts
+++ b/src/request/relay/streamRelay.ts
@@ -38,6 +38,8 @@
 interface AttemptEnd {
     /** Whether the chain has surely not run the request. */
     isNotRun: boolean;
+    /** Whether no byte of it was sent. */
+    isUnsent?: boolean;
     cause: string;
     /** Endpoints that the next chain avoids. */
     avoid: string[];
@@ -174,14 +176,23 @@
         this.endAttempt(attempt, { isNotRun: false, cause, avoid });
     }
 
-    private startAttempt(cause: string): void {
+    /**
+     * Sends the request over the best chain, or gives it up.
+     * @param cause - Why there is no answer yet.
+     * @param isRepeat - Whether an endpoint got the request before, which the budget of repeats bounds.
+     */
+    private startAttempt(cause: string, isRepeat = false): void {
         const stages = this.chooseChain(this.avoided, undefined);
-        const isRepeat = this.attempts > 0;
-        if (
-            stages === undefined || !this.mayRunAgain()
-            || isRepeat && !this.environment.repeats.takeRetry(this.getTime())
-        ) {
-            this.giveUp(cause);
+        if (stages === undefined) {
+            this.giveUp(`${cause} No other chain is left.`);
+            return;
+        }
+        if (!this.mayRunAgain()) {
+            this.giveUp(`${cause} The route allows no further endpoint.`);
+            return;
+        }
+        if (isRepeat && !this.environment.repeats.takeRetry(this.getTime())) {
+            this.giveUp(`${cause} The budget of repeats is used up.`);
             return;
         }
         assertTiling(stages, this.model.layers);
@@ -387,7 +398,7 @@
         if (isNotRun) {
             this.environment.health.addLoss(id, this.getTime());
         }
-        this.endAttempt(attempt, { isNotRun, cause, avoid: [id] });
+        this.endAttempt(attempt, { isNotRun, isUnsent: isNotRun, cause, avoid: [id] });
     }
 
     private getFaulty(attempt: Attempt, address: string | undefined): string {
@@ -419,7 +430,7 @@
             milliseconds: Math.round(this.getTime() - attempt.sentAt),
         });
         if (end.isNotRun || this.isRepeatable()) {
-            this.startAttempt(end.cause);
+            this.startAttempt(end.cause, !end.isUnsent);
             return;
         }
         this.giveUp(end.cause, end.failure);
@@ -432,14 +443,14 @@
     private giveUp(cause: string, failure?: AttemptEnd["failure"]): void {
         if (this.isHeadWritten) {
             this.task.sink.cut();
-            this.finish("cut");
+            this.finish("cut", cause);
             return;
         }
         if (failure !== undefined) {
             this.task.sink.writeHead(failure.head);
             this.task.sink.write(failure.body);
             this.task.sink.end();
-            this.finish("endpointFailed");
+            this.finish("endpointFailed", cause);
             return;
         }
         this.refuse(this.mayHaveRun ? createRefusal.outcomeUnknown(cause) : createRefusal.notRun(cause));
@@ -456,10 +467,10 @@
 
     private refuse(refusal: RelayRefusal): void {
         this.task.sink.refuse(refusal);
-        this.finish(refusal.reason);
+        this.finish(refusal.reason, refusal.message);
     }
 
-    private finish(outcome: string): void {
+    private finish(outcome: string, cause = ""): void {
         if (this.isDone) {
             return;
         }
@@ -469,22 +480,23 @@
         this.attempt = undefined;
         attempt?.exchange?.abort();
         attempt?.reservation.release();
-        this.logEnd(outcome, attempt);
+        this.logEnd(outcome, cause, attempt);
         this.onDone();
     }
 
-    private logEnd(outcome: string, attempt: Attempt | undefined): void {
+    private logEnd(outcome: string, cause: string, attempt: Attempt | undefined): void {
         const { request, route } = this.task;
         this.environment.log.write(events.relayEnded, {
             request: request.id,
             route: route.name,
             outcome,
+            cause,
             attempts: this.attempts,
             reroutes: this.reroutes,
             events: this.eventCount,
             chain: attempt === undefined ? "" : formatStages(attempt.stages),
             promptTokens: request.promptTokens,
-            firstEventMilliseconds: Math.round((this.firstEventAt ?? 0) - request.arrivedAt),
+            firstEventMilliseconds: Math.round((this.firstEventAt ?? request.arrivedAt) - request.arrivedAt),
             longestGapMilliseconds: Math.round(this.longestGap),
             milliseconds: Math.round(this.getTime() - request.arrivedAt),
         });
