--- a/src/process/placement/assignLayers.ts
+++ b/src/process/placement/assignLayers.ts
@@ -11,7 +11,7 @@
 }
 
 /** The move of an endpoint from one column to another. */
-export interface LayerMove extends LayerAssignment {
+interface LayerMove extends LayerAssignment {
     /** Whether nobody holds the column, so that no chain exists without the move. */
     isUrgent: boolean;
 }
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -20,6 +20,7 @@
 import { EndpointPoll } from "./endpointPoll.ts";
 import { EndpointReadings } from "./endpointReadings.ts";
 import { EndpointRegistry } from "./endpointRegistry.ts";
+import { HighestCount } from "./highestCount.ts";
 import { isStoreWatcher } from "./isStoreWatcher.ts";
 import { NodeTable } from "./nodeTable.ts";
 import { PeerExchange } from "./peerExchange.ts";
@@ -40,10 +41,12 @@
  */
 const savedPart = 0.75;
 const earnedPart = 0.1;
-const ratioPart = 0.8;
+const ratioPart = 0.75;
 const secondMilliseconds = 1_000;
 /** So few nodes all follow the store: then none depends on another, and the calls cost little. */
 const mostIndependentNodes = 12;
+/** A node that has just started knows of few others; it takes a small part of what all may do together until it does. */
+const unknownNodes = 9;
 /** How often it is reviewed who follows the store. */
 const reviewMilliseconds = 250;
 /** A node whose peers brought nothing current for this part of the time that changes may take follows the store itself. */
@@ -79,11 +82,13 @@
     /** Until when this node follows the store because its peers did not bring it what is current. */
     private followsUntil = -Infinity;
     private readonly probe: StoreProbe;
+    private readonly nodeCount: HighestCount;
 
     private constructor(options: RouterNodeOptions) {
         this.options = options;
         const { settings, clock, random, log, store, keys, metrics, protocol, nodeId } = options;
         this.startedAt = clock.getMonotonicTime();
+        this.nodeCount = HighestCount.create(unknownNodes, this.startedAt);
         this.probe = StoreProbe.create({ clock, callStore: () => store.isAnswering() });
         const loads = EndpointLoads.create();
         const readings = EndpointReadings.create();
@@ -316,7 +321,8 @@
     }
 
     private getNodeCount(): number {
-        return 1 + this.nodes.getLiveNodes(this.options.clock.getMonotonicTime()).length;
+        const now = this.options.clock.getMonotonicTime();
+        return this.nodeCount.note(1 + this.nodes.getLiveNodes(now).length, now);
     }
 
     /** This node's part of the repeats that all nodes may send together. */
