--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -2,6 +2,7 @@
 import { UpstreamPools } from "../../connection/upstream/upstreamPools.ts";
 import { RetryBudget } from "../../request/admission/retryBudget.ts";
 import type { AnswerSink } from "../../request/relay/answerSink.ts";
+import { CrossingDelays } from "../../request/relay/crossingDelays.ts";
 import { EndpointHealth } from "../../request/relay/endpointHealth.ts";
 import { EndpointLoads } from "../../request/relay/endpointLoads.ts";
 import { PipeLoad } from "../../request/relay/pipeLoad.ts";
@@ -149,6 +150,7 @@
             loads,
             health: this.health,
             queue: RelayQueue.create(clock),
+            crossings: CrossingDelays.create(),
             pipeLoad: PipeLoad.create(),
             getNodeCount: () => this.getNodeCount(),
             repeats: RetryBudget.create(clock.getMonotonicTime(), () => this.getRepeatPolicy()),
--- a/src/request/relay/chooseStages.ts
+++ b/src/request/relay/chooseStages.ts
@@ -16,6 +16,8 @@
     mayOverfill: boolean;
     /** Part of the pipes between data centres that is in use, 0 to 1. */
     pipeUse: number;
+    /** Gets what a crossing was seen to add to first events lately, in milliseconds. */
+    getCrossingDelay(from: string, to: string): number;
     /** First stage that the chain must begin with, where a running request moves to another chain. */
     firstStage?: RelayStage;
 }
@@ -50,6 +52,8 @@
 const entryCrossingMilliseconds = 80;
 /** A token waits behind the prompts of others as long as it travels. */
 const delaysOfToken = 2;
+/** A slow way was seen to add to a whole answer about so many times what it adds to the first event. */
+const delaysOfAnswer = 10;
 /** Above this use of the pipes the estimate grows no further. */
 const mostPipeUse = 0.9;
 
@@ -146,7 +150,8 @@
 ): PartialChain | undefined {
     let best: PartialChain | undefined;
     for (const [dataCentre, previous] of chains) {
-        const crossing = dataCentre === candidate.endpoint.dataCentre ? 0 : getCrossingCost(query, at);
+        const { dataCentre: to } = candidate.endpoint;
+        const crossing = dataCentre === to ? 0 : getCrossingCost(query, at, dataCentre, to);
         const cost = previous.cost + crossing;
         if (!hasEndpoint(previous, candidate) && (best === undefined || cost < best.cost)) {
             best = { cost, candidate, start: at, previous };
@@ -195,13 +200,15 @@
  * Gets the time that a crossing between data centres adds to a whole answer, in milliseconds. All chains share the pipes:
  * with little traffic a crossing was measured to add 5 ms to each event, near saturation 12 ms and 90 ms to the first.
  */
-function getCrossingCost({ model, promptTokens, answerTokens, pipeUse }: StageQuery, at: number): number {
+function getCrossingCost(query: StageQuery, at: number, from: string, to: string): number {
+    const { model, promptTokens, answerTokens, pipeUse } = query;
     if (at === 0) {
         return entryCrossingMilliseconds;
     }
     const transfer = getCrossingBits(model, promptTokens + answerTokens) / (model.pipeMegabits * kilobitsOfMegabit);
     const waiting = 1 - Math.min(pipeUse, mostPipeUse);
-    return (transfer + delaysOfToken * answerTokens * model.crossingMilliseconds) / waiting;
+    const usual = (transfer + delaysOfToken * answerTokens * model.crossingMilliseconds) / waiting;
+    return usual + delaysOfAnswer * query.getCrossingDelay(from, to);
 }
 
 function hasEndpoint(chain: PartialChain | undefined, candidate: StageCandidate): boolean {
--- a/src/request/relay/relayEnvironment.ts
+++ b/src/request/relay/relayEnvironment.ts
@@ -3,6 +3,7 @@
 import type { EventLog } from "../../process/logging/eventLog.ts";
 import type { RandomSource } from "../../process/randomSource.ts";
 import type { RetryBudget } from "../admission/retryBudget.ts";
+import type { CrossingDelays } from "./crossingDelays.ts";
 import type { EndpointHealth } from "./endpointHealth.ts";
 import type { EndpointLoads } from "./endpointLoads.ts";
 import type { EndpointProtocol } from "./endpointProtocol.ts";
@@ -24,6 +25,7 @@
     health: EndpointHealth;
     repeats: RetryBudget;
     queue: RelayQueue;
+    crossings: CrossingDelays;
     /** What this node's requests move between data centres. */
     pipeLoad: PipeLoad;
     /** Gets the number of nodes that live, this one included. */
--- a/src/request/relay/stallWatch.ts
+++ b/src/request/relay/stallWatch.ts
@@ -118,12 +118,39 @@
             if (isStalled || isTouched) {
                 void this.reroute(relay, lost);
             }
-            else if (now - (relay.getLastProgress() ?? now) > hopelessMilliseconds) {
-                this.abandon(relay, first.id, "the chain is silent.");
+            else {
+                this.reviewSilent(relay, first, now);
             }
         }
     }
 
+    /**
+     * Looks at a silent stream that its first stage knows no cause for. Where others over the same data centres go on, it
+     * is lost by itself, and another chain brings it further. Where none does, the ways are slow or full, and to send it
+     * once more would add to that.
+     */
+    private reviewSilent(relay: StreamRelay, first: RegisteredEndpoint, now: number): void {
+        const { crossings } = this.options.environment;
+        const dataCentres = relay.getDataCentres();
+        if (!relay.hasEvents()) {
+            crossings.note(dataCentres, now - (relay.getSentAt() ?? now), now);
+        }
+        const isHopeless = now - (relay.getLastProgress() ?? now) > hopelessMilliseconds;
+        if (isHopeless && this.hasProgress(dataCentres.join(), now)) {
+            this.abandon(relay, first.id, "the chain is silent while others go on.");
+        }
+    }
+
+    private hasProgress(dataCentres: string, now: number): boolean {
+        for (const relay of this.relays) {
+            const isAlive = relay.hasEvents() && !isSilent(relay, now);
+            if (isAlive && relay.getDataCentres().join() === dataCentres) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private noteLost(report: EndpointReport, now: number): Set<string> {
         const { environment } = this.options;
         const lost = new Set<string>();
--- a/src/request/relay/streamRelay.ts
+++ b/src/request/relay/streamRelay.ts
@@ -133,6 +133,16 @@
         return this.attempt?.lastProgressAt;
     }
 
+    /** Gets the data centres of the chain in use, in order. */
+    getDataCentres(): string[] {
+        return listDataCentres(this.attempt?.stages ?? []);
+    }
+
+    /** Gets the monotonic time at which the chain in use was asked, in milliseconds. */
+    getSentAt(): number | undefined {
+        return this.attempt?.sentAt;
+    }
+
     /** Whether the chain in use has brought an event. */
     hasEvents(): boolean {
         return this.attempt?.hasEvents === true;
@@ -295,6 +305,7 @@
         mayOverfill: boolean,
     ): RelayStage[] | undefined {
         const { environment, model, task } = this;
+        const now = this.getTime();
         const query: StageQuery = {
             model,
             promptTokens: task.request.promptTokens || model.usualPromptTokens,
@@ -303,6 +314,7 @@
             pipeUse: this.getPipeUse(),
             firstStage,
             mayOverfill,
+            getCrossingDelay: (from, to) => environment.crossings.getExtra(from, to, now),
         };
         const candidates = listCandidates(environment, model, task.service.name)
             .filter(({ endpoint }) => !avoid.has(endpoint.id));
@@ -365,6 +377,7 @@
         attempt.lastProgressAt = now;
         if (!attempt.hasEvents) {
             attempt.hasEvents = true;
+            this.environment.crossings.note(listDataCentres(attempt.stages), now - attempt.sentAt, now);
             for (const { endpoint } of attempt.stages) {
                 this.environment.health.addSuccess(endpoint.id, now);
             }
@@ -564,6 +577,10 @@
     return head.status >= successStatus && head.status < redirectStatus && head.isSigned && !head.isNotRun;
 }
 
+function listDataCentres(stages: readonly RelayStage[]): string[] {
+    return stages.map(({ endpoint }) => endpoint.dataCentre);
+}
+
 function formatStages(stages: readonly RelayStage[]): string {
     return stages.map(({ endpoint, start, end }) => `${endpoint.id}=${start}-${end}`).join(",");
 }
--- a/tests/request/relay/chooseStages.test.ts
+++ b/tests/request/relay/chooseStages.test.ts
@@ -13,6 +13,7 @@
     dataCentre: "a",
     pipeUse: 0,
     mayOverfill: true,
+    getCrossingDelay: () => 0,
 };
 
 function choose(candidates: StageCandidate[], changes: Partial<StageQuery> = {}): string[] | undefined {
@@ -75,6 +76,16 @@
         assert.deepEqual(choose(candidates, { pipeUse: 0.9 }), ["1", "2"]);
     });
 
+    it("keeps away from a way between data centres that has become slow", () => {
+        const candidates = [
+            createCandidate("1", 0, 40),
+            createCandidate("2", 40, 80, { dataCentre: "b" }),
+            createCandidate("3", 40, 80, { dataCentre: "c", requests: 40 }),
+        ];
+        assert.deepEqual(choose(candidates), ["1", "2"]);
+        assert.deepEqual(choose(candidates, { getCrossingDelay: (_from, to) => to === "b" ? 400 : 0 }), ["1", "3"]);
+    });
+
     it("begins with the given first stage where a request is moved", () => {
         const candidates = [
             createCandidate("1", 0, 40, { requests: 90 }),
