--- /dev/null
+++ b/src/request/relay/relayChains.ts
@@ -0,0 +1,100 @@
+import type { EngineModel } from "../../version/routing/engineModel.ts";
+import { assertTiling } from "./assertTiling.ts";
+import { chooseStages, type StageQuery } from "./chooseStages.ts";
+import type { LoadReservation } from "./endpointLoads.ts";
+import { getCrossingBits } from "./getCrossingBits.ts";
+import { listCandidates } from "./listCandidates.ts";
+import type { RelayEnvironment } from "./relayEnvironment.ts";
+import type { RelayStage } from "./relayStage.ts";
+import type { RelayTask } from "./relayTask.ts";
+
+/** What a chain must be like. */
+interface ChainWish {
+    /** Ids of endpoints that it does without. */
+    avoid: ReadonlySet<string>;
+    /** First stage that it begins with, where a running request moves. */
+    firstStage?: RelayStage;
+    /** Whether endpoints without room for the request may be part of it. */
+    mayOverfill: boolean;
+}
+
+const bitsOfMegabit = 1_000_000;
+
+/** Chooses the chains of one request, and counts it at their endpoints. */
+export class RelayChains {
+    private readonly environment: RelayEnvironment;
+    private readonly task: RelayTask;
+    private readonly model: EngineModel;
+
+    private constructor(environment: RelayEnvironment, task: RelayTask, model: EngineModel) {
+        this.environment = environment;
+        this.task = task;
+        this.model = model;
+    }
+
+    /** Creates the choice for a request. */
+    static create(environment: RelayEnvironment, task: RelayTask, model: EngineModel): RelayChains {
+        return new RelayChains(environment, task, model);
+    }
+
+    /** Chooses the best chain; undefined where there is none. */
+    choose({ avoid, firstStage, mayOverfill }: ChainWish): RelayStage[] | undefined {
+        const { environment, model, task } = this;
+        const now = environment.clock.getMonotonicTime();
+        const query: StageQuery = {
+            model,
+            promptTokens: this.getPromptTokens(),
+            answerTokens: this.getAnswerTokens(),
+            dataCentre: environment.dataCentre,
+            pipeUse: this.getPipeUse(now),
+            firstStage,
+            mayOverfill,
+            getCrossingDelay: (from, to) => environment.crossings.getExtra(from, to, now),
+        };
+        const candidates = listCandidates(environment, model, task.service.name)
+            .filter(({ endpoint }) => !avoid.has(endpoint.id));
+        const sound = candidates.filter(({ isSuspect }) => !isSuspect);
+        // An endpoint that is taken as lost may be back; where no chain can do without it, it is tried.
+        return chooseStages(query, sound, environment.random) ?? chooseStages(query, candidates, environment.random);
+    }
+
+    /**
+     * Counts the request at the endpoints of a chain, until it is released, and what it moves between data centres.
+     * @throws InvariantError where the chain doesn't run each layer once and in order.
+     */
+    reserve(stages: readonly RelayStage[]): LoadReservation {
+        assertTiling(stages, this.model.layers);
+        const { loads, pipeLoad, clock } = this.environment;
+        const tokens = this.getPromptTokens() + this.getAnswerTokens();
+        const bits = countCrossings(stages) * getCrossingBits(this.model, tokens);
+        pipeLoad.add(bits, clock.getMonotonicTime());
+        return loads.reserveStages(stages, tokens);
+    }
+
+    /** Estimates the use of the pipes from this node's part, since callers are spread over the nodes. */
+    private getPipeUse(now: number): number {
+        const { pipeLoad, getNodeCount } = this.environment;
+        return pipeLoad.getRate(now) * getNodeCount() / (this.model.pipeMegabits * bitsOfMegabit);
+    }
+
+    private getPromptTokens(): number {
+        return this.task.request.promptTokens || this.model.usualPromptTokens;
+    }
+
+    /** Expects what the caller estimates, or the usual length, within the most that it asks for. */
+    private getAnswerTokens(): number {
+        const { expectedAnswerTokens, maximumAnswerTokens } = this.task.request;
+        return Math.min(expectedAnswerTokens || this.model.usualAnswerTokens, maximumAnswerTokens || Infinity);
+    }
+}
+
+function countCrossings(stages: readonly RelayStage[]): number {
+    let crossings = 0;
+    for (const [index, { endpoint }] of stages.entries()) {
+        const next = stages[index + 1];
+        if (next !== undefined && next.endpoint.dataCentre !== endpoint.dataCentre) {
+            crossings += 1;
+        }
+    }
+    return crossings;
+}
--- a/src/request/relay/streamRelay.ts
+++ b/src/request/relay/streamRelay.ts
@@ -1,63 +1,27 @@
 import type { IncomingHttpHeaders } from "node:http";
-import type { UpstreamExchange } from "../../connection/upstream/upstreamConnection.ts";
 import { type UpstreamFailure, UpstreamFailureKind } from "../../connection/upstream/upstreamFailure.ts";
 import type { TimerHandle } from "../../process/clock.ts";
 import { events } from "../../process/logging/events.ts";
 import type { EngineModel } from "../../version/routing/engineModel.ts";
 import type { AnswerHead } from "./answerHead.ts";
-import { assertTiling } from "./assertTiling.ts";
-import { chooseStages, type StageQuery } from "./chooseStages.ts";
 import { createRefusal } from "./createRefusal.ts";
-import type { LoadReservation } from "./endpointLoads.ts";
-import { EventSplitter } from "./eventSplitter.ts";
-import type { StreamEvent } from "./eventSplitter.ts";
-import { getCrossingBits } from "./getCrossingBits.ts";
-import { listCandidates } from "./listCandidates.ts";
+import { EventSplitter, type StreamEvent } from "./eventSplitter.ts";
+import { formatStages } from "./formatStages.ts";
+import { RelayChains } from "./relayChains.ts";
 import type { RelayEnvironment } from "./relayEnvironment.ts";
 import type { QueuedRelay } from "./relayQueue.ts";
 import type { RelayRefusal } from "./relayRefusal.ts";
 import type { RelayStage } from "./relayStage.ts";
 import type { RelayTask } from "./relayTask.ts";
+import { RunAllowance } from "./runAllowance.ts";
+import type { EndpointFailure, StreamAttempt, StreamAttemptEnd } from "./streamAttempt.ts";
+import { EventVerdict, StreamProgress } from "./streamProgress.ts";
 
-/** One run of the request on one chain. */
-interface Attempt {
-    stages: RelayStage[];
-    sentAt: number;
-    reservation: LoadReservation;
-    exchange: UpstreamExchange | undefined;
-    head: AnswerHead | undefined;
-    splitter: EventSplitter;
-    /** Body of an answer that is no stream of events. */
-    chunks: Buffer[];
-    /** Whether the last event of this run has reached the caller, and when; for the search of stalled chains. */
-    lastProgressAt: number;
-    /** Whether this run has brought an event. */
-    hasEvents: boolean;
-}
-
-/** Why a run brought no further events. */
-interface AttemptEnd {
-    /** Whether the chain has surely not run the request. */
-    isNotRun: boolean;
-    /** Whether no byte of it was sent. */
-    isUnsent?: boolean;
-    cause: string;
-    /** Endpoints that the next chain avoids. */
-    avoid: string[];
-    /** A whole answer of the endpoint that is no success; passed on where nothing better comes. */
-    failure?: { head: AnswerHead; body: Buffer; };
-}
-
-/** Refusals are followed by another chain up to so many times, since they cost the caller nothing. */
-const mostRefusals = 4;
 /**
  * A request waits for room at most this long. Callers leave a stream after 2 s without an event, and a first event takes up
  * to 300 ms under load; a late answer is worth more to them than a refusal.
  */
 const longestWaitMilliseconds = 1_200;
-/** However many first stages are lost, a request is not sent more often than this. */
-const mostAttempts = 6;
-const bitsOfMegabit = 1_000_000;
 const successStatus = 200;
 const redirectStatus = 300;
 
@@ -69,33 +33,29 @@
 export class StreamRelay {
     readonly task: RelayTask;
     private readonly environment: RelayEnvironment;
-    private readonly model: EngineModel;
+    private readonly chains: RelayChains;
+    private readonly allowance: RunAllowance;
+    private readonly progress: StreamProgress;
     private readonly onDone: () => void;
     private readonly avoided = new Set<string>();
     private timer: TimerHandle | undefined;
-    private attempt: Attempt | undefined;
-    private attempts = 0;
-    private refusals = 0;
-    /** First stages that may have run the request. */
-    private readonly ranAt = new Set<string>();
+    private attempt: StreamAttempt | undefined;
+    private queued: QueuedRelay | undefined;
+    private failure: EndpointFailure | undefined;
     private reroutes = 0;
     private mayHaveRun = false;
     private isHeadWritten = false;
-    private lastEventId: number;
-    private eventCount = 0;
-    private longestGap = 0;
-    private firstEventAt: number | undefined;
     private isDone = false;
-    private queued: QueuedRelay | undefined;
     /** Whether a move to another chain is being asked for. */
     isRerouting = false;
 
     private constructor(environment: RelayEnvironment, task: RelayTask, model: EngineModel, onDone: () => void) {
         this.environment = environment;
         this.task = task;
-        this.model = model;
         this.onDone = onDone;
-        this.lastEventId = task.request.lastEventId;
+        this.chains = RelayChains.create(environment, task, model);
+        this.allowance = RunAllowance.create(environment, task);
+        this.progress = StreamProgress.create(task.request.lastEventId);
     }
 
     /**
@@ -157,7 +117,8 @@
         if (firstStage === undefined || avoid.has(firstStage.endpoint.id)) {
             return undefined;
         }
-        return this.chooseChain(new Set([...this.avoided, ...avoid]), firstStage, true);
+        const all = new Set([...this.avoided, ...avoid]);
+        return this.chains.choose({ avoid: all, firstStage, mayOverfill: true });
     }
 
     /** Notes that the endpoints took the move to another chain. */
@@ -166,16 +127,15 @@
         if (attempt === undefined) {
             return;
         }
-        this.notePipes(stages);
         attempt.reservation.release();
         attempt.stages = stages;
-        attempt.reservation = this.environment.loads.reserveStages(stages, this.getTokens());
+        attempt.reservation = this.chains.reserve(stages);
         attempt.lastProgressAt = this.getTime();
         this.reroutes += 1;
         this.environment.log.write(events.relayRerouted, {
             request: this.task.request.id,
             chain: formatStages(stages),
-            lastEvent: this.lastEventId,
+            lastEvent: this.progress.getLastId(),
         });
     }
 
@@ -199,14 +159,16 @@
      * @param isRepeat - Whether an endpoint got the request before, which the budget of repeats bounds.
      */
     private startAttempt(cause: string, isRepeat = false): void {
-        if (!this.mayRunAgain()) {
+        if (!this.allowance.mayRunAgain()) {
             this.giveUp(`${cause} The route allows no further endpoint.`);
             return;
         }
         const { queue, repeats } = this.environment;
-        const mustWait = this.attempts === 0 && queue.hasBefore(this.task.route.priority);
+        const mustWait = this.allowance.getSendings() === 0 && queue.hasBefore(this.task.route.priority);
         // A stream that has begun does not wait for room: its caller would leave.
-        const stages = mustWait ? undefined : this.chooseChain(this.avoided, undefined, this.isHeadWritten);
+        const stages = mustWait
+            ? undefined
+            : this.chains.choose({ avoid: this.avoided, mayOverfill: this.isHeadWritten });
         if (stages === undefined) {
             this.waitForRoom(cause, isRepeat);
             return;
@@ -240,7 +202,7 @@
         if (this.isDone) {
             return true;
         }
-        const stages = this.chooseChain(this.avoided, undefined, false);
+        const stages = this.chains.choose({ avoid: this.avoided, mayOverfill: false });
         if (stages === undefined || isRepeat && !this.environment.repeats.takeRetry(this.getTime())) {
             return false;
         }
@@ -250,14 +212,13 @@
     }
 
     private runAttempt(stages: RelayStage[]): void {
-        assertTiling(stages, this.model.layers);
-        this.notePipes(stages);
-        this.attempts += 1;
+        const reservation = this.chains.reserve(stages);
+        this.allowance.noteSending();
         const now = this.getTime();
-        const attempt: Attempt = {
+        const attempt: StreamAttempt = {
             stages,
             sentAt: now,
-            reservation: this.environment.loads.reserveStages(stages, this.getTokens()),
+            reservation,
             exchange: undefined,
             head: undefined,
             splitter: EventSplitter.create(),
@@ -269,28 +230,11 @@
         this.send(attempt, stages, this.task.dueAt - now);
     }
 
-    /** Whether the route allows another run. First stages that were lost since don't count. */
-    private mayRunAgain(): boolean {
-        if (this.attempts >= mostAttempts || this.refusals > mostRefusals) {
-            return false;
-        }
-        const { directory, health } = this.environment;
-        const now = this.getTime();
-        const registered = new Set(directory.getEndpoints(this.task.service.name).map(({ id }) => id));
-        let soundRuns = 0;
-        for (const id of this.ranAt) {
-            if (registered.has(id) && !health.isSuspect(id, now)) {
-                soundRuns += 1;
-            }
-        }
-        return soundRuns < this.task.route.maximumAttempts;
-    }
-
-    private send(attempt: Attempt, stages: RelayStage[], remainingMilliseconds: number): void {
+    private send(attempt: StreamAttempt, stages: RelayStage[], remainingMilliseconds: number): void {
         const { protocol, pools } = this.environment;
         const { request, customer } = this.task;
         const { endpoint } = stages[0]!;
-        const context = { endpoint, customer, remainingMilliseconds, stages, lastEventId: this.lastEventId };
+        const context = { endpoint, customer, remainingMilliseconds, stages, lastEventId: this.progress.getLastId() };
         attempt.exchange = pools.getPool(endpoint.address).send(protocol.createRequest(request, context), {
             onHead: (status, headers) => this.takeHead(attempt, status, headers),
             onData: chunk => this.takeData(attempt, chunk),
@@ -299,56 +243,7 @@
         });
     }
 
-    private chooseChain(
-        avoid: ReadonlySet<string>,
-        firstStage: RelayStage | undefined,
-        mayOverfill: boolean,
-    ): RelayStage[] | undefined {
-        const { environment, model, task } = this;
-        const now = this.getTime();
-        const query: StageQuery = {
-            model,
-            promptTokens: task.request.promptTokens || model.usualPromptTokens,
-            answerTokens: this.getAnswerTokens(),
-            dataCentre: environment.dataCentre,
-            pipeUse: this.getPipeUse(),
-            firstStage,
-            mayOverfill,
-            getCrossingDelay: (from, to) => environment.crossings.getExtra(from, to, now),
-        };
-        const candidates = listCandidates(environment, model, task.service.name)
-            .filter(({ endpoint }) => !avoid.has(endpoint.id));
-        const sound = candidates.filter(({ isSuspect }) => !isSuspect);
-        // An endpoint that is taken as lost may be back; where no chain can do without it, it is tried.
-        return chooseStages(query, sound, environment.random) ?? chooseStages(query, candidates, environment.random);
-    }
-
-    /** Estimates the use of the pipes from this node's part, since callers are spread over the nodes. */
-    private getPipeUse(): number {
-        const { pipeLoad, getNodeCount } = this.environment;
-        return pipeLoad.getRate(this.getTime()) * getNodeCount() / (this.model.pipeMegabits * bitsOfMegabit);
-    }
-
-    private notePipes(stages: readonly RelayStage[]): void {
-        let crossings = 0;
-        for (const [index, { endpoint }] of stages.entries()) {
-            const next = stages[index + 1];
-            crossings += next !== undefined && next.endpoint.dataCentre !== endpoint.dataCentre ? 1 : 0;
-        }
-        this.environment.pipeLoad.add(crossings * getCrossingBits(this.model, this.getTokens()), this.getTime());
-    }
-
-    private getTokens(): number {
-        return (this.task.request.promptTokens || this.model.usualPromptTokens) + this.getAnswerTokens();
-    }
-
-    /** Expects what the caller estimates, or the usual length, within the most that it asks for. */
-    private getAnswerTokens(): number {
-        const { expectedAnswerTokens, maximumAnswerTokens } = this.task.request;
-        return Math.min(expectedAnswerTokens || this.model.usualAnswerTokens, maximumAnswerTokens || Infinity);
-    }
-
-    private takeHead(attempt: Attempt, status: number, headers: IncomingHttpHeaders): void {
+    private takeHead(attempt: StreamAttempt, status: number, headers: IncomingHttpHeaders): void {
         const head = this.environment.protocol.readHead(status, headers, this.task.request.id);
         attempt.head = head;
         if (!head.isForRequest) {
@@ -358,7 +253,7 @@
         }
     }
 
-    private takeData(attempt: Attempt, chunk: Buffer): void {
+    private takeData(attempt: StreamAttempt, chunk: Buffer): void {
         if (attempt !== this.attempt || attempt.head === undefined) {
             return;
         }
@@ -367,11 +262,13 @@
             return;
         }
         for (const event of attempt.splitter.push(chunk)) {
-            this.takeEvent(attempt, attempt.head, event);
+            if (attempt === this.attempt) {
+                this.takeEvent(attempt, attempt.head, event);
+            }
         }
     }
 
-    private takeEvent(attempt: Attempt, head: AnswerHead, event: StreamEvent): void {
+    private takeEvent(attempt: StreamAttempt, head: AnswerHead, event: StreamEvent): void {
         const now = this.getTime();
         this.mayHaveRun = true;
         attempt.lastProgressAt = now;
@@ -382,30 +279,18 @@
                 this.environment.health.addSuccess(endpoint.id, now);
             }
         }
-        if (event.id !== undefined) {
-            if (event.id <= this.lastEventId) {
-                return;
-            }
-            this.noteGap(now);
-            this.lastEventId = event.id;
-        }
-        this.writeHead(head);
-        this.task.sink.write(event.bytes);
-        this.eventCount += 1;
-    }
-
-    private noteGap(now: number): void {
-        if (this.firstEventAt === undefined) {
-            this.firstEventAt = now;
+        const verdict = this.progress.take(event.id, now);
+        if (verdict === EventVerdict.Gap) {
+            attempt.exchange?.abort();
+            this.endAttempt(attempt, { isNotRun: false, cause: "an event of the stream is missing.", avoid: [] });
+            return;
         }
-        else {
-            this.longestGap = Math.max(this.longestGap, now - this.lastEventAt);
+        if (verdict === EventVerdict.Pass) {
+            this.writeHead(head);
+            this.task.sink.write(event.bytes);
         }
-        this.lastEventAt = now;
     }
 
-    private lastEventAt = 0;
-
     private writeHead(head: AnswerHead): void {
         if (!this.isHeadWritten) {
             this.isHeadWritten = true;
@@ -413,14 +298,14 @@
         }
     }
 
-    private takeEnd(attempt: Attempt): void {
+    private takeEnd(attempt: StreamAttempt): void {
         const { head } = attempt;
         if (attempt !== this.attempt || head === undefined) {
             return;
         }
         const [first] = attempt.stages;
         if (head.isNotRun) {
-            this.refusals += 1;
+            this.allowance.noteRefusal();
             const faulty = this.getFaulty(attempt, head.faultyAddress);
             // It is leaving or full, which its record may not show for seconds.
             this.environment.health.addLoss(faulty, this.getTime());
@@ -451,7 +336,7 @@
         this.finish("answered");
     }
 
-    private takeFailure(attempt: Attempt, failure: UpstreamFailure): void {
+    private takeFailure(attempt: StreamAttempt, failure: UpstreamFailure): void {
         if (attempt !== this.attempt) {
             return;
         }
@@ -464,12 +349,12 @@
         this.endAttempt(attempt, { isNotRun, isUnsent: isNotRun, cause, avoid: [id] });
     }
 
-    private getFaulty(attempt: Attempt, address: string | undefined): string {
+    private getFaulty(attempt: StreamAttempt, address: string | undefined): string {
         const stage = attempt.stages.find(({ endpoint }) => endpoint.address === address);
         return (stage ?? attempt.stages[0]!).endpoint.id;
     }
 
-    private endAttempt(attempt: Attempt, end: AttemptEnd): void {
+    private endAttempt(attempt: StreamAttempt, end: StreamAttemptEnd): void {
         if (this.isDone || attempt !== this.attempt) {
             return;
         }
@@ -477,33 +362,35 @@
         this.attempt = undefined;
         if (!end.isNotRun) {
             this.mayHaveRun = true;
-            this.ranAt.add(attempt.stages[0]!.endpoint.id);
+            this.allowance.noteRun(attempt.stages[0]!.endpoint.id);
         }
+        this.failure = end.failure ?? this.failure;
         for (const id of end.avoid) {
             this.avoided.add(id);
         }
         this.environment.log.write(events.relayAttemptFailed, {
             request: this.task.request.id,
             chain: formatStages(attempt.stages),
-            attempt: this.attempts,
+            attempt: this.allowance.getSendings(),
             isNotRun: end.isNotRun,
             cause: end.cause,
             avoided: end.avoid.join(","),
-            lastEvent: this.lastEventId,
+            lastEvent: this.progress.getLastId(),
             milliseconds: Math.round(this.getTime() - attempt.sentAt),
         });
         if (end.isNotRun || this.isRepeatable()) {
             this.startAttempt(end.cause, !end.isUnsent);
             return;
         }
-        this.giveUp(end.cause, end.failure);
+        this.giveUp(end.cause);
     }
 
     private isRepeatable(): boolean {
         return this.task.route.isResumable;
     }
 
-    private giveUp(cause: string, failure?: AttemptEnd["failure"]): void {
+    private giveUp(cause: string): void {
+        const { failure } = this;
         if (this.isHeadWritten) {
             this.task.sink.cut();
             this.finish("cut", cause);
@@ -550,20 +437,20 @@
         this.onDone();
     }
 
-    private logEnd(outcome: string, cause: string, attempt: Attempt | undefined): void {
+    private logEnd(outcome: string, cause: string, attempt: StreamAttempt | undefined): void {
         const { request, route } = this.task;
         this.environment.log.write(events.relayEnded, {
             request: request.id,
             route: route.name,
             outcome,
             cause,
-            attempts: this.attempts,
+            attempts: this.allowance.getSendings(),
             reroutes: this.reroutes,
-            events: this.eventCount,
+            events: this.progress.getCount(),
             chain: attempt === undefined ? "" : formatStages(attempt.stages),
             promptTokens: request.promptTokens,
-            firstEventMilliseconds: Math.round((this.firstEventAt ?? request.arrivedAt) - request.arrivedAt),
-            longestGapMilliseconds: Math.round(this.longestGap),
+            firstEventMilliseconds: Math.round((this.progress.getFirstTime() ?? request.arrivedAt) - request.arrivedAt),
+            longestGapMilliseconds: Math.round(this.progress.getLongestGap()),
             milliseconds: Math.round(this.getTime() - request.arrivedAt),
         });
     }
@@ -580,7 +467,3 @@
 function listDataCentres(stages: readonly RelayStage[]): string[] {
     return stages.map(({ endpoint }) => endpoint.dataCentre);
 }
-
-function formatStages(stages: readonly RelayStage[]): string {
-    return stages.map(({ endpoint, start, end }) => `${endpoint.id}=${start}-${end}`).join(",");
-}
