--- /dev/null
+++ b/tests/platform/platformProcess.test.ts
@@ -0,0 +1,118 @@
+import assert from "node:assert/strict";
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, before, describe, it } from "node:test";
+import { request } from "undici";
+import { findFreePorts } from "../../scripts/deployment/findFreePorts.ts";
+import { EndpointStandin } from "../../standins/router/endpointStandin.ts";
+import { KeyValueStandin } from "../../standins/router/keyValueStandin.ts";
+import { createConfiguration } from "./routerBench.ts";
+
+const startMilliseconds = 15_000;
+
+describe("The program on the platform", () => {
+    let store: KeyValueStandin;
+    let endpoint: EndpointStandin;
+    let folder: string;
+    let ports: number[];
+    let child: ChildProcess;
+    let output = "";
+
+    before(async () => {
+        store = await KeyValueStandin.create();
+        endpoint = await EndpointStandin.create({ id: "first" });
+        store.put("op/config", createConfiguration(1));
+        const record = { service: "documents", address: endpoint.getAddress(), zone: "a", slots: 6, state: "ready" };
+        store.put("servers/first", record);
+        ports = await findFreePorts(4);
+        folder = mkdtempSync(join(tmpdir(), "foxlead-platform-"));
+        writeFileSync(join(folder, "node.yaml"), createBootFile());
+        child = spawn(process.execPath, ["src/main.ts", "platform", "--settings", join(folder, "node.yaml")], {
+            stdio: ["ignore", "pipe", "inherit"],
+        });
+        child.stdout!.on("data", (chunk: Buffer) => output += chunk.toString("utf8"));
+        await waitUntilReady();
+    });
+
+    after(async () => {
+        child.kill("SIGKILL");
+        await endpoint.close();
+        await store.close();
+        rmSync(folder, { recursive: true });
+    });
+
+    function createBootFile(): string {
+        const [front, ready, control, admin] = ports;
+        return JSON.stringify({
+            node_name: "edge-1",
+            zone: "a",
+            ip: "127.0.0.1",
+            listen: { front: `127.0.0.1:${front}`, ready: `127.0.0.1:${ready}`, control: `127.0.0.1:${control}` },
+            internal_ports: [admin, admin],
+            seeds: [],
+            bounds: {
+                config_apply_ms: 2_000,
+                drain_ms: 2_000,
+                grace_s: 8,
+                retry_budget_ratio: 0.2,
+                budget_window_s: 10,
+                retry_budget_slack: 200,
+            },
+            platform: { address: store.getAddress() },
+        });
+    }
+
+    async function getReadiness(): Promise<number> {
+        const response = await fetch(`http://127.0.0.1:${ports[1]}/v1/readiness`).catch(() => undefined);
+        return response?.status ?? 0;
+    }
+
+    async function waitUntilReady(): Promise<void> {
+        for (let waited = 0; waited < startMilliseconds; waited += 50) {
+            if (await getReadiness() === 200 && output.includes("FL1810")) {
+                return;
+            }
+            await new Promise(resolve => setTimeout(resolve, 50));
+        }
+        throw new Error(`The program was not ready in time: ${output}`);
+    }
+
+    function call(id: string) {
+        return request(`http://127.0.0.1:${ports[0]}/unsafe/x`, {
+            method: "POST",
+            headers: { host: "one.example", "request-id": id, authorization: "Bearer key-of-one" },
+        });
+    }
+
+    it("serves metrics, and goes on when its settings are read again", async () => {
+        const metrics = await (await fetch(`http://127.0.0.1:${ports[3]}/metrics`)).text();
+        assert.match(metrics, /foxlead_configuration_version 1/);
+        child.kill("SIGHUP");
+        for (let waited = 0; waited < startMilliseconds && !output.includes("FL1005"); waited += 20) {
+            await new Promise(resolve => setTimeout(resolve, 20));
+        }
+        assert.match(output, /FL1005/);
+        assert.equal(await getReadiness(), 200);
+    });
+
+    it("finishes at SIGTERM what it has taken, also what comes until the balancer knows, and ends with 0", async () => {
+        endpoint.behaviour = { delayMilliseconds: 1_000 };
+        const taken = call("before");
+        await new Promise(resolve => setTimeout(resolve, 200));
+        child.kill("SIGTERM");
+        await new Promise(resolve => setTimeout(resolve, 200));
+        assert.equal(await getReadiness(), 503);
+        const late = call("after");
+        for (const answer of [await taken, await late]) {
+            assert.equal(answer.statusCode, 200);
+            assert.equal(answer.headers.connection, "close");
+            assert.equal(await answer.body.text(), "answer of first");
+        }
+        const [code] = await once(child, "exit") as [number];
+        assert.equal(code, 0);
+        assert.match(output, /FL1002[^]*FL1003/);
+    });
+});
