--- a/src/process/router/peerExchange.ts
+++ b/src/process/router/peerExchange.ts
@@ -148,7 +148,9 @@
         const sentAt = this.getTime();
         try {
             const response = await connection.run(client =>
-                client.exchange(this.createRequest(), { timeoutMs: callTimeoutMilliseconds })
+                client.exchange(create(ExchangeRequestSchema, this.createOwnState()), {
+                    timeoutMs: callTimeoutMilliseconds,
+                })
             );
             this.noteReachable(address);
             this.takeResponse(response, sentAt);
@@ -169,17 +171,17 @@
         }
     }
 
-    private createRequest(): ExchangeRequest {
-        const { state, sections } = this.options;
-        const frontiers = sections.map(section => ({ section: section.name, revision: BigInt(section.getFrontier()) }));
-        return create(ExchangeRequestSchema, {
+    /** Creates what every message says of this node, in either direction. */
+    private createOwnState() {
+        const { state, sections, getFreshTime } = this.options;
+        return {
             sender: this.createOwnRecord(),
             nodes: this.createNodeRecords(),
             ...state.createRecords(this.getTime()),
-            frontiers,
+            frontiers: sections.map(section => ({ section: section.name, revision: BigInt(section.getFrontier()) })),
             storeFailureAge: this.getStoreFailureAge(),
-            freshAge: this.getAge(this.options.getFreshTime()),
-        });
+            freshAge: this.getAge(getFreshTime()),
+        };
     }
 
     private getStoreFailureAge(): number {
@@ -216,18 +218,7 @@
                 changes.push({ section: name, frontier: BigInt(missing.frontier), isWhole: missing.isWhole, records });
             }
         }
-        return create(ExchangeResponseSchema, {
-            sender: this.createOwnRecord(),
-            nodes: this.createNodeRecords(),
-            ...state.createRecords(this.getTime()),
-            frontiers: sections.map(({ name }) => name).map(name => ({
-                section: name,
-                revision: BigInt(sections.find(section => section.name === name)!.getFrontier()),
-            })),
-            changes,
-            storeFailureAge: this.getStoreFailureAge(),
-            freshAge: this.getAge(this.options.getFreshTime()),
-        });
+        return create(ExchangeResponseSchema, { ...this.createOwnState(), changes });
     }
 
     private takeResponse(response: ExchangeResponse, sentAt: number): void {
--- a/src/request/relay/answerSink.ts
+++ b/src/request/relay/answerSink.ts
@@ -3,8 +3,6 @@
 
 /** Where the answer to a caller goes. Ends with exactly one of `end`, `refuse` and `cut`. */
 export interface AnswerSink {
-    /** Whether the caller has gone. */
-    isClosed(): boolean;
     /** Calls back once the caller goes before its answer has ended. */
     onClosed(callback: () => void): void;
     /** Begins the answer with an endpoint's status and headers. */
