Add a fault soak of foxlead platform: loopback proxies, signals, a misbehaving store

Grown out of scripts/soak: the fault loop takes its kinds, reports share their counts. Runs the real program as processes. A first run hung with the soak's own process busy; open until traced.

--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -2,10 +2,12 @@
  * Proves the promises under failure, from outside: real processes, a steady load and seeded faults. Prints what was found
  * and ends with 1 where a promise was broken.
  *
- * Usage: npm run soak -- [--seed N] [--minutes M] [--requests R] [--faults F] [--kinds KIND,KIND] [--built]
+ * Usage: npm run soak -- [--program node|platform] [--seed N] [--minutes M] [--requests R] [--faults F] [--kinds KIND,KIND] [--built]
  */
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
+import { printRouterSoakReport } from "./soak/router/routerSoakReport.ts";
+import { runRouterSoak } from "./soak/router/runRouterSoak.ts";
 import { runSoak } from "./soak/runSoak.ts";
 import { printSoakReport } from "./soak/soakReport.ts";
 
@@ -13,6 +15,11 @@
 
 process.chdir(new URL("..", import.meta.url).pathname);
 const parsed = yargs(hideBin(process.argv))
+    .option("program", {
+        choices: ["node", "platform"] as const,
+        default: "node" as const,
+        describe: "The verb of foxlead that is run.",
+    })
     .option("seed", { type: "number", default: Date.now() % 1_000_000, describe: "Seed of load and faults." })
     .option("minutes", { type: "number", default: 2, describe: "Longest time of load." })
     .option("requests", { type: "number", describe: "The load ends after so many requests." })
@@ -30,7 +37,7 @@
     console.log(`${seconds.padStart(6)} ${line}`);
 };
 print(`Soak with seed ${parsed.seed}.`);
-const result = await runSoak({
+const options = {
     seed: parsed.seed,
     milliseconds: parsed.minutes * millisecondsPerMinute,
     maximumRequests: parsed.requests,
@@ -40,6 +47,14 @@
     requestsPerSecond: parsed.rate,
     kinds: parsed.kinds?.split(","),
     print,
-});
-printSoakReport(result, line => console.log(line));
-process.exitCode = result.violations.length === 0 ? 0 : 1;
+};
+if (parsed.program === "platform") {
+    const result = await runRouterSoak(options);
+    printRouterSoakReport(result, line => console.log(line));
+    process.exitCode = result.violations.length === 0 ? 0 : 1;
+}
+else {
+    const result = await runSoak(options);
+    printSoakReport(result, line => console.log(line));
+    process.exitCode = result.violations.length === 0 ? 0 : 1;
+}
--- a/scripts/soak/faultContext.ts
+++ b/scripts/soak/faultContext.ts
@@ -18,23 +18,3 @@
     /** Spans in which an engine was leaving and its record could be checked. */
     leavingChecks: { checked: number; skipped: number; };
 }
-
-/** A fault that is ready to be shown at a target. */
-interface PreparedFault {
-    /** Name of the process, or `platform`. */
-    target: string;
-    /** Shows the fault. */
-    show(): Promise<void> | void;
-    /** Ends the fault; returns once all is as before. */
-    undo(): Promise<void>;
-}
-
-/** A kind of fault. */
-export interface FaultKind {
-    /** Chance against the other kinds. */
-    weight: number;
-    /** Shortest and longest time that it is shown, in milliseconds. */
-    holdMilliseconds: readonly [number, number];
-    /** Chooses a target; undefined where there is none now. */
-    prepare(context: FaultContext): PreparedFault | undefined;
-}
--- a/scripts/soak/faultLoop.ts
+++ b/scripts/soak/faultLoop.ts
@@ -1,45 +1,39 @@
 import { setTimeout as sleep } from "node:timers/promises";
-import type { FaultContext, FaultKind } from "./faultContext.ts";
-import { documentFaultKinds } from "./faults/documentFaultKinds.ts";
-import { engineFaultKinds } from "./faults/engineFaultKinds.ts";
-import { leavingFaultKinds } from "./faults/leavingFaultKinds.ts";
-import { nodeFaultKinds } from "./faults/nodeFaultKinds.ts";
-import { platformFaultKinds } from "./faults/platformFaultKinds.ts";
+import type { FaultKind } from "./faultKind.ts";
+import type { FaultTimeline } from "./faultTimeline.ts";
+import type { SeededRandom } from "./seededRandom.ts";
 
 /** Options of a {@link FaultLoop}. */
-interface FaultLoopOptions {
-    context: FaultContext;
+interface FaultLoopOptions<Context> {
+    context: Context;
+    /** All kinds, by name. */
+    allKinds: Readonly<Record<string, FaultKind<Context>>>;
     maximumFaults: number;
     /** Names of the kinds to choose from; all where undefined. */
     kinds?: readonly string[];
     print(line: string): void;
 }
 
-const allKinds: Readonly<Record<string, FaultKind>> = {
-    ...engineFaultKinds,
-    ...leavingFaultKinds,
-    ...documentFaultKinds,
-    ...platformFaultKinds,
-    ...nodeFaultKinds,
-};
 const pairShare = 0.4;
 const quietMilliseconds = [200, 1_500] as const;
 const longestStaggerMilliseconds = 800;
 
 /** Shows seeded faults, one at a time or two together, and ends each after a time. */
-export class FaultLoop {
-    private readonly options: FaultLoopOptions;
+export class FaultLoop<Context extends { random: SeededRandom; timeline: FaultTimeline; }> {
+    private readonly options: FaultLoopOptions<Context>;
     private readonly kinds: readonly string[];
     private count = 0;
     private isStopped = false;
 
-    private constructor(options: FaultLoopOptions) {
+    private constructor(options: FaultLoopOptions<Context>) {
         this.options = options;
-        this.kinds = repeatByWeight(options.kinds ?? Object.keys(allKinds));
+        this.kinds = repeatByWeight(options.allKinds, options.kinds ?? Object.keys(options.allKinds));
     }
 
     /** Creates a loop that does nothing before {@link FaultLoop.run}. */
-    static create(options: FaultLoopOptions): FaultLoop {
+    static create<Context extends { random: SeededRandom; timeline: FaultTimeline; }>(
+        options: FaultLoopOptions<Context>,
+    ): FaultLoop<Context> {
         return new FaultLoop(options);
     }
 
@@ -63,7 +57,7 @@
     }
 
     private async show(delayMilliseconds: number): Promise<void> {
-        const { context, print } = this.options;
+        const { context, allKinds, print } = this.options;
         const { random, timeline } = context;
         const kind = random.choose(this.kinds)!;
         const { holdMilliseconds, prepare } = allKinds[kind]!;
@@ -83,6 +77,6 @@
     }
 }
 
-function repeatByWeight(kinds: readonly string[]): string[] {
+function repeatByWeight(allKinds: Readonly<Record<string, { weight: number; }>>, kinds: readonly string[]): string[] {
     return kinds.flatMap(kind => new Array<string>(allKinds[kind]?.weight ?? 0).fill(kind));
 }
--- a/scripts/soak/faults/documentFaultKinds.ts
+++ b/scripts/soak/faults/documentFaultKinds.ts
@@ -1,5 +1,6 @@
 import type { DeployedStandin } from "../../deployment/localDeployment.ts";
-import type { FaultContext, FaultKind } from "../faultContext.ts";
+import type { FaultContext } from "../faultContext.ts";
+import type { FaultKind } from "../faultKind.ts";
 import { takeDocument } from "../takeStandin.ts";
 
 /** Does something to one document service. */
@@ -8,7 +9,7 @@
 const weight = 2;
 
 /** Faults of document services. Their processes are never killed, since they hold the record of what was executed. */
-export const documentFaultKinds: Readonly<Record<string, FaultKind>> = {
+export const documentFaultKinds: Readonly<Record<string, FaultKind<FaultContext>>> = {
     documentRefusals: createSettingKind([500, 2_000], { refuseNext: 8 }, { refuseNext: 0 }),
     documentResetsBefore: createSettingKind([500, 2_000], { resetBeforeRun: 4 }, { resetBeforeRun: 0 }),
     documentResetsAfter: createSettingKind([500, 2_000], { resetAfterRun: 4 }, { resetAfterRun: 0 }),
@@ -21,12 +22,16 @@
     ),
 };
 
-function createSettingKind(holdMilliseconds: readonly [number, number], faults: object, undone: object): FaultKind {
+function createSettingKind(
+    holdMilliseconds: readonly [number, number],
+    faults: object,
+    undone: object,
+): FaultKind<FaultContext> {
     const set = (setting: object): Act => ({ deployment }, document) => deployment.setFaults(document, setting);
     return createKind(holdMilliseconds, set(faults), set(undone));
 }
 
-function createKind(holdMilliseconds: readonly [number, number], show: Act, undo: Act): FaultKind {
+function createKind(holdMilliseconds: readonly [number, number], show: Act, undo: Act): FaultKind<FaultContext> {
     return {
         weight,
         holdMilliseconds,
--- a/scripts/soak/faults/engineFaultKinds.ts
+++ b/scripts/soak/faults/engineFaultKinds.ts
@@ -1,12 +1,13 @@
 import type { DeployedStandin } from "../../deployment/localDeployment.ts";
-import type { FaultContext, FaultKind } from "../faultContext.ts";
+import type { FaultContext } from "../faultContext.ts";
+import type { FaultKind } from "../faultKind.ts";
 import { takeEngine } from "../takeStandin.ts";
 
 /** Does something to one engine. */
 type Act = (context: FaultContext, engine: DeployedStandin) => Promise<void>;
 
 /** Faults of engines but those of leaving. */
-export const engineFaultKinds: Readonly<Record<string, FaultKind>> = {
+export const engineFaultKinds: Readonly<Record<string, FaultKind<FaultContext>>> = {
     engineKill: createKind(6, [500, 5_000], kill, ({ deployment }, engine) => deployment.restartEngine(engine.name)),
     engineFreeze: createKind(6, [300, 6_000], createSignal("SIGSTOP"), createSignal("SIGCONT")),
     engineSilentConnections: createSettingKind(5, [500, 1_500], { freezeExistingConnections: true }, {}),
@@ -33,12 +34,17 @@
     holdMilliseconds: readonly [number, number],
     faults: object,
     undone: object,
-): FaultKind {
+): FaultKind<FaultContext> {
     const set = (setting: object): Act => ({ deployment }, engine) => deployment.setFaults(engine, setting);
     return createKind(weight, holdMilliseconds, set(faults), set(undone));
 }
 
-function createKind(weight: number, holdMilliseconds: readonly [number, number], show: Act, undo: Act): FaultKind {
+function createKind(
+    weight: number,
+    holdMilliseconds: readonly [number, number],
+    show: Act,
+    undo: Act,
+): FaultKind<FaultContext> {
     return {
         weight,
         holdMilliseconds,
--- a/scripts/soak/faults/leavingFaultKinds.ts
+++ b/scripts/soak/faults/leavingFaultKinds.ts
@@ -1,7 +1,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
 import type { DeployedStandin } from "../../deployment/localDeployment.ts";
-import type { FaultContext, FaultKind } from "../faultContext.ts";
+import type { FaultContext } from "../faultContext.ts";
+import type { FaultKind } from "../faultKind.ts";
 import { checkLeaving } from "../leavingCheck.ts";
 import { takeEngine } from "../takeStandin.ts";
 
@@ -13,7 +14,7 @@
 const holdMilliseconds = [3_500, 6_000] as const;
 
 /** Engines that leave: by the platform's list of machines, or by their own word. */
-export const leavingFaultKinds: Readonly<Record<string, FaultKind>> = {
+export const leavingFaultKinds: Readonly<Record<string, FaultKind<FaultContext>>> = {
     engineLeavingByList: createKind(async ({ deployment }, { name, address }, isLeaving) => {
         await deployment.setVm(name, { state: isLeaving ? "leaving" : "live", role: "endpoint", address });
     }),
@@ -22,7 +23,7 @@
     }),
 };
 
-function createKind(setLeaving: SetLeaving): FaultKind {
+function createKind(setLeaving: SetLeaving): FaultKind<FaultContext> {
     return {
         weight: 4,
         holdMilliseconds,
--- a/scripts/soak/faults/nodeFaultKinds.ts
+++ b/scripts/soak/faults/nodeFaultKinds.ts
@@ -1,11 +1,12 @@
-import type { FaultContext, FaultKind } from "../faultContext.ts";
+import type { FaultContext } from "../faultContext.ts";
+import type { FaultKind } from "../faultKind.ts";
 import type { FleetNode } from "../nodeFleet.ts";
 
 /** Does something to one node. */
 type Act = (context: FaultContext, node: FleetNode) => Promise<void> | void;
 
 /** Faults of nodes, and the graceful stop of a rolling restart. */
-export const nodeFaultKinds: Readonly<Record<string, FaultKind>> = {
+export const nodeFaultKinds: Readonly<Record<string, FaultKind<FaultContext>>> = {
     nodeKill: createKind(5, [0, 4_000], ({ fleet }, node) => fleet.kill(node), ({ fleet }) => fleet.start()),
     nodeFreeze: createKind(5, [200, 9_000], freeze, thaw),
     nodeGracefulStop: createKind(
@@ -25,7 +26,12 @@
     fleetNode.isTaken = false;
 }
 
-function createKind(weight: number, holdMilliseconds: readonly [number, number], show: Act, undo: Act): FaultKind {
+function createKind(
+    weight: number,
+    holdMilliseconds: readonly [number, number],
+    show: Act,
+    undo: Act,
+): FaultKind<FaultContext> {
     return {
         weight,
         holdMilliseconds,
--- a/scripts/soak/faults/platformFaultKinds.ts
+++ b/scripts/soak/faults/platformFaultKinds.ts
@@ -1,10 +1,11 @@
-import type { FaultKind } from "../faultContext.ts";
+import type { FaultContext } from "../faultContext.ts";
+import type { FaultKind } from "../faultKind.ts";
 import { raceOperators } from "../operators.ts";
 
 const name = "platform";
 
 /** Faults of the platform's service, and operators who race each other over it. */
-export const platformFaultKinds: Readonly<Record<string, FaultKind>> = {
+export const platformFaultKinds: Readonly<Record<string, FaultKind<FaultContext>>> = {
     platformDown: createKind(4, [500, 7_000], { down: true }, { down: false }),
     platformHang: createKind(3, [500, 5_000], { hang: true }, { hang: false }),
     platformDelay: createKind(3, [500, 5_000], { delayMilliseconds: 300 }, { delayMilliseconds: 0 }),
@@ -31,7 +32,7 @@
     holdMilliseconds: readonly [number, number],
     faults: object,
     undone: object,
-): FaultKind {
+): FaultKind<FaultContext> {
     return {
         weight,
         holdMilliseconds,
--- /dev/null
+++ b/scripts/soak/formatCounts.ts
@@ -0,0 +1,5 @@
+/** Formats counts by name, in the order of the names. */
+export function formatCounts(counts: Record<string, number>): string {
+    const entries = Object.entries(counts).sort(([left], [right]) => left < right ? -1 : 1);
+    return entries.map(([name, count]) => `${name} ${count}`).join(", ");
+}
--- /dev/null
+++ b/scripts/soak/router/callChecks.ts
@@ -0,0 +1,203 @@
+import type { FaultTimeline } from "../faultTimeline.ts";
+import type { Violations } from "../violations.ts";
+import { callKinds, type CallRecord } from "./callRecord.ts";
+import type { RouterDeployment } from "./routerDeployment.ts";
+
+/** Options of {@link CallChecks}. */
+interface CallChecksOptions {
+    deployment: RouterDeployment;
+    timeline: FaultTimeline;
+    violations: Violations;
+}
+
+/** A run of a request at an endpoint. */
+type Run = ReturnType<RouterDeployment["endpoints"][number]["getRuns"]>[number];
+
+/** Statuses that promise that a request has not run and never will. */
+const notRunStatuses = [408, 421, 429, 503];
+/** Statuses that say that a request is wrong; those of the soak never are. */
+const wrongStatuses = [400, 401, 403, 404, 405, 413, 431];
+/** The most that one request's route allows. */
+const maximumAttempts = 2;
+const timeoutMilliseconds = 3_000;
+/** Above the half second of the rule by what a busy machine adds. */
+const lateMilliseconds = 1_500;
+const drainMilliseconds = 2_000;
+const drainSlackMilliseconds = 500;
+/** After a fault, promises with a time bound hold again after this time. */
+const settleMilliseconds = 4_000;
+const eventsOfStream = 20;
+const modelLayers = 8;
+
+/** Checks the promises from what callers and endpoints have seen. */
+export class CallChecks {
+    private readonly options: CallChecksOptions;
+    private readonly records = new Map<string, CallRecord>();
+
+    private constructor(options: CallChecksOptions) {
+        this.options = options;
+    }
+
+    /** Creates checks that have seen nothing. */
+    static create(options: CallChecksOptions): CallChecks {
+        return new CallChecks(options);
+    }
+
+    /** Checks a request that has ended, as far as its caller can tell. */
+    checkAnswer(record: CallRecord): void {
+        this.records.set(record.id, record);
+        const { status, isComplete, signature, kind } = record;
+        if (status === 200) {
+            this.checkSuccess(record);
+        }
+        else if (signature !== undefined && status !== 500) {
+            this.add("statusChanged", `A signed answer has status ${status}.`, record);
+        }
+        else if (wrongStatuses.includes(status)) {
+            this.add("denied", `A proper request of kind ${kind} got ${status}: ${record.text}`, record);
+        }
+        const took = record.endedAt - record.sentAt;
+        const isHeld = took > timeoutMilliseconds + lateMilliseconds;
+        if (isHeld && (!isComplete || status !== 200) && !this.hasNodeFault(record)) {
+            this.add("held", `A request of kind ${kind} was held for ${took} ms and got ${status}.`, record);
+        }
+    }
+
+    /** Checks at the end what endpoints have run. */
+    checkRuns(): void {
+        const runs = this.options.deployment.endpoints.flatMap(endpoint => endpoint.getRuns());
+        const byRequest = new Map<string, Run[]>();
+        for (const run of runs) {
+            byRequest.set(run.id, [...byRequest.get(run.id) ?? [], run]);
+            this.checkRun(run);
+        }
+        for (const record of this.records.values()) {
+            this.checkCounts(record, byRequest.get(record.id) ?? []);
+        }
+    }
+
+    /** Gets the requests by outcome. */
+    getCounts(): Record<string, number> {
+        const counts: Record<string, number> = {};
+        for (const { kind, status, isComplete } of this.records.values()) {
+            const name = `${kind}/${status}${isComplete ? "" : " cut"}`;
+            counts[name] = (counts[name] ?? 0) + 1;
+        }
+        return counts;
+    }
+
+    private checkSuccess(record: CallRecord): void {
+        if (record.signature === undefined) {
+            this.add("unsigned", "A success bears no endpoint's signature.", record);
+            return;
+        }
+        const endpointId = record.signature.replace("seal-", "");
+        if (record.kind === callKinds.safe || record.kind === callKinds.unsafe) {
+            if (record.isComplete && record.text !== `answer of ${endpointId}`) {
+                this.add("mixedUp", `The body is "${record.text}".`, record);
+            }
+            return;
+        }
+        const ids = [...record.text.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
+        const isInOrder = ids.every((id, index) => id === index + 1);
+        if (!isInOrder || record.isComplete && ids.length !== eventsOfStream) {
+            this.add("events", `The events are ${ids.join(" ")}.`, record);
+        }
+    }
+
+    private checkRun(run: Run): void {
+        const record = this.records.get(run.id);
+        if (record === undefined) {
+            this.addRun("unasked", "Nobody sent this request.", run);
+            return;
+        }
+        const isChanged = run.method !== record.method || run.url !== record.path || run.body !== record.body;
+        if (isChanged || run.headers["tenant"] !== "first" || run.headers.authorization !== undefined) {
+            this.addRun("changed", `It came as ${run.method} ${run.url} of ${run.headers["tenant"]}.`, run, record);
+        }
+        const stages = run.headers["hop-count"];
+        if (typeof stages === "string" && !isTiling(stages)) {
+            this.addRun("layers", `Its chain is ${stages}.`, run, record);
+        }
+        this.checkLeaving(run, record);
+    }
+
+    private checkLeaving(run: Run, record: CallRecord): void {
+        for (const endpoint of this.options.deployment.endpoints) {
+            const since = endpoint.getLeavingSince(run.endpointId);
+            if (since === undefined || run.arrivedAt <= since + drainMilliseconds + drainSlackMilliseconds) {
+                continue;
+            }
+            if (!this.hasFault(["node", "store"], since - settleMilliseconds, run.arrivedAt, record.node)) {
+                this.addRun(
+                    "drain",
+                    `It came ${run.arrivedAt - since} ms after the endpoint said it leaves.`,
+                    run,
+                    record,
+                );
+            }
+        }
+    }
+
+    private checkCounts(record: CallRecord, runs: readonly Run[]): void {
+        const { kind, status, isComplete, endedAt } = record;
+        const isOnce = kind === callKinds.unsafe || kind === callKinds.once;
+        if (isOnce && runs.length > 1) {
+            this.add("twice", `It ran ${runs.length} times.`, record);
+        }
+        if (isOnce && runs.length > 0 && notRunStatuses.includes(status)) {
+            this.add("refused", `It got ${status} and ran at ${runs[0]!.endpointId}.`, record);
+        }
+        if (runs.length > maximumAttempts) {
+            this.add("attempts", `It ran ${runs.length} times.`, record);
+        }
+        // A connection that ends while nothing of the request was passed on has crossed its closing.
+        const isCut = !isComplete && runs.length > 0;
+        if (isCut && this.isPlannedStopOnly(record) && endedAt - record.sentAt < timeoutMilliseconds) {
+            this.add("lost", `A planned stop cut it off: ${record.reason}`, record);
+        }
+    }
+
+    /** Whether the node was being stopped as planned, and nothing else was out of order. */
+    private isPlannedStopOnly({ node, sentAt, endedAt }: CallRecord): boolean {
+        const shown = this.options.timeline.getDuring(sentAt - settleMilliseconds, endedAt);
+        return shown.length > 0
+            && shown.every(({ kind, target }) => kind === "nodeStop" || kind === "nodeReload" && target === node);
+    }
+
+    private hasNodeFault({ node, sentAt, endedAt }: CallRecord): boolean {
+        return this.hasFault(["node"], sentAt - settleMilliseconds, endedAt, node);
+    }
+
+    /** Whether a fault at a node, or at all of a kind, was shown in a span; kinds by their first letters. */
+    private hasFault(prefixes: readonly string[], from: number, to: number, node: string): boolean {
+        return this.options.timeline.getDuring(from, to).some(({ kind, target }) =>
+            prefixes.some(prefix => kind.startsWith(prefix)) && (target === node || target === "store")
+        );
+    }
+
+    private addRun(kind: string, message: string, run: Run, record?: CallRecord): void {
+        const { id, endpointId, arrivedAt } = run;
+        const names = record === undefined ? undefined : [record.node];
+        const text = `${id} at ${endpointId}: ${message}`;
+        this.options.violations.add({ kind, message: text, from: arrivedAt, to: arrivedAt, names });
+    }
+
+    private add(kind: string, message: string, { id, node, sentAt, endedAt }: CallRecord): void {
+        const text = `${id} at ${node}: ${message}`;
+        this.options.violations.add({ kind, message: text, from: sentAt, to: endedAt, names: [node] });
+    }
+}
+
+/** Whether the stages of a chain, as HOST:PORT=FROM-TO, hold each layer once and in order. */
+function isTiling(stages: string): boolean {
+    let next = 0;
+    for (const stage of stages.split(",")) {
+        const [from, to] = stage.split("=")[1]!.split("-").map(Number);
+        if (from !== next || to! <= from) {
+            return false;
+        }
+        next = to!;
+    }
+    return next === modelLayers;
+}
--- /dev/null
+++ b/scripts/soak/router/callerLoad.ts
@@ -0,0 +1,159 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { Pool } from "undici";
+import { callerKey } from "../../../standins/router/callerKey.ts";
+import type { SeededRandom } from "../seededRandom.ts";
+import { type CallKind, callKinds, type CallRecord } from "./callRecord.ts";
+import type { RouterDeployment, SoakNode } from "./routerDeployment.ts";
+
+/** Options of a {@link CallerLoad}. */
+interface CallerLoadOptions {
+    /** First part of the requests' ids. */
+    name: string;
+    deployment: RouterDeployment;
+    random: SeededRandom;
+    requestsPerSecond: number;
+    maximumRequests: number;
+    /** Called once a request has ended. */
+    onEnded(record: CallRecord): void;
+}
+
+const kinds: readonly CallKind[] = Object.values(callKinds);
+/** Connections that callers keep to each node. */
+const connections = 12;
+const deadlineMilliseconds = 5_000;
+/** A caller gives up this long after its deadline. */
+const patienceMilliseconds = 4_000;
+const longestBody = 3_000;
+const secondMilliseconds = 1_000;
+const readinessMilliseconds = 1_000;
+/** Failed checks in a row after which the balancer leaves a node out. */
+const maximumFailures = 2;
+/** Share of requests that go to any node over a connection that was kept, whatever the balancer knows. */
+const keptShare = 0.2;
+
+/** Callers that send a steady stream of requests over kept connections, to the nodes that are ready. */
+export class CallerLoad {
+    private readonly options: CallerLoadOptions;
+    private readonly pools = new Map<SoakNode, Pool>();
+    private readonly failures = new Map<SoakNode, number>();
+    private count = 0;
+    private isStopped = false;
+
+    private constructor(options: CallerLoadOptions) {
+        this.options = options;
+    }
+
+    /** Creates callers that send nothing before {@link CallerLoad.run}. */
+    static create(options: CallerLoadOptions): CallerLoad {
+        return new CallerLoad(options);
+    }
+
+    /** Sends requests until stopped or all are sent; all have ended when it returns. */
+    async run(): Promise<void> {
+        const { random, requestsPerSecond, maximumRequests } = this.options;
+        const timer = setInterval(() => void this.checkReadiness(), readinessMilliseconds);
+        const running = new Set<Promise<void>>();
+        while (!this.isStopped && this.count < maximumRequests) {
+            const sending = this.send(random.choose(kinds)!, this.chooseNode());
+            running.add(sending);
+            void sending.finally(() => running.delete(sending));
+            await sleep(secondMilliseconds / requestsPerSecond);
+        }
+        await Promise.all(running);
+        clearInterval(timer);
+    }
+
+    /** Sends no further request. */
+    stop(): void {
+        this.isStopped = true;
+    }
+
+    /** Ends all connections. */
+    async close(): Promise<void> {
+        for (const pool of this.pools.values()) {
+            await pool.destroy();
+        }
+    }
+
+    private async checkReadiness(): Promise<void> {
+        const { deployment } = this.options;
+        for (const node of deployment.nodes) {
+            const isReady = await deployment.isReady(node);
+            this.failures.set(node, isReady ? 0 : (this.failures.get(node) ?? 0) + 1);
+        }
+    }
+
+    private chooseNode(): SoakNode {
+        const { random, deployment: { nodes } } = this.options;
+        const isKept = random.isHit(keptShare);
+        const inRotation = nodes.filter(node => isKept || (this.failures.get(node) ?? 0) < maximumFailures);
+        return random.choose(inRotation.length > 0 ? inRotation : nodes)!;
+    }
+
+    private async send(kind: CallKind, node: SoakNode): Promise<void> {
+        const { name, random, onEnded } = this.options;
+        this.count += 1;
+        const id = `${name}-${this.count}`;
+        const isDocumentRead = kind === callKinds.safe;
+        const record: CallRecord = {
+            id,
+            kind,
+            method: isDocumentRead ? "GET" : "POST",
+            path: `/${kind}/${id}?of=${random.chooseInteger(0, 9)}`,
+            body: isDocumentRead ? "" : createBody(random),
+            node: node.name,
+            sentAt: Date.now(),
+            endedAt: 0,
+            status: 0,
+            signature: undefined,
+            text: "",
+            isComplete: false,
+            reason: "",
+        };
+        await this.receive(record, this.getPool(node));
+        record.endedAt = Date.now();
+        onEnded(record);
+    }
+
+    private async receive(record: CallRecord, pool: Pool): Promise<void> {
+        try {
+            const answer = await pool.request({
+                method: record.method,
+                path: record.path,
+                headers: {
+                    host: "one.example",
+                    "request-id": record.id,
+                    "request-deadline-ms": String(deadlineMilliseconds),
+                    authorization: `Bearer ${callerKey}`,
+                },
+                body: record.body,
+                signal: AbortSignal.timeout(deadlineMilliseconds + patienceMilliseconds),
+            });
+            record.status = answer.statusCode;
+            const signature = answer.headers["response-seal"];
+            record.signature = typeof signature === "string" ? signature : undefined;
+            for await (const chunk of answer.body) {
+                record.text += String(chunk);
+            }
+            record.isComplete = true;
+        }
+        catch (error) {
+            record.reason = error instanceof Error ? `${error.name}: ${error.message}` : String(error);
+        }
+    }
+
+    private getPool(node: SoakNode): Pool {
+        const known = this.pools.get(node);
+        if (known !== undefined) {
+            return known;
+        }
+        const options = { connections, pipelining: 1, keepAliveTimeout: 12_000 };
+        const pool = new Pool(`http://127.0.0.1:${node.ports.callers}`, options);
+        this.pools.set(node, pool);
+        return pool;
+    }
+}
+
+function createBody(random: SeededRandom): string {
+    return String(random.chooseInteger(0, 9)).repeat(random.chooseInteger(1, longestBody));
+}
--- /dev/null
+++ b/scripts/soak/router/routerDeployment.ts
@@ -0,0 +1,197 @@
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { createBootFile } from "../../../standins/router/createBootFile.ts";
+import { createConfiguration } from "../../../standins/router/createConfiguration.ts";
+import { KeyValueStandin } from "../../../standins/router/keyValueStandin.ts";
+import type { ChildProcess } from "../../deployment/childProcess.ts";
+import { findFreePorts } from "../../deployment/findFreePorts.ts";
+import { ProcessStarter } from "../../deployment/processStarter.ts";
+import { LoopbackProxy } from "./loopbackProxy.ts";
+import { SoakEndpoint } from "./soakEndpoint.ts";
+
+/** Options of a {@link RouterDeployment}. */
+interface RouterDeploymentOptions {
+    nodes: number;
+    /** Whether nodes run from the built executable or from the sources. */
+    isBuilt: boolean;
+    /** Called for each line that a process writes. */
+    onLine(name: string, line: string): void;
+    /** Called when a process has ended that was not asked to. */
+    onUnexpectedEnd(name: string, code: number | undefined): void;
+}
+
+/** A node of the deployment, also while its process is not there. */
+export interface SoakNode {
+    name: string;
+    /** Ports of its listeners. */
+    ports: { callers: number; readiness: number; peers: number; admin: number; };
+    /** Stands between the node and the store. */
+    storeProxy: LoopbackProxy;
+    settingsFile: string;
+    process: ChildProcess;
+    /** Wall-clock time in milliseconds from which the process is being ended; undefined while it is not. */
+    endingSince: number | undefined;
+    /** Whether a fault is being shown at it. */
+    isTaken: boolean;
+    /** Exit codes after SIGTERM. */
+    exitCodes: (number | undefined)[];
+}
+
+const dataCentres = ["a", "b"];
+/** Memory for half of the model's layers and some requests, so that a chain has two stages. */
+const engineChanges = { kinds: [{ name: "big", mb: 5_000, pace: 1, read_x: 1 }] };
+const stages = 4;
+const documentEndpoints = 3;
+const pollMilliseconds = 50;
+const stopMilliseconds = 8_000;
+
+/** A store, endpoints and real nodes of `foxlead platform` on the loopback address, with proxies between them. */
+export class RouterDeployment {
+    readonly store: KeyValueStandin;
+    readonly nodes: SoakNode[] = [];
+    readonly endpoints: SoakEndpoint[] = [];
+    private readonly options: RouterDeploymentOptions;
+    private readonly processes: ProcessStarter;
+    private readonly directory = mkdtempSync(join(tmpdir(), "foxlead-soak-"));
+    private version = 1;
+
+    private constructor(options: RouterDeploymentOptions, store: KeyValueStandin) {
+        this.options = options;
+        this.store = store;
+        this.processes = ProcessStarter.create(options);
+    }
+
+    /** Starts everything and waits until each node is ready. */
+    static async create(options: RouterDeploymentOptions): Promise<RouterDeployment> {
+        const deployment = new RouterDeployment(options, await KeyValueStandin.create());
+        deployment.configure();
+        await deployment.startEndpoints();
+        await deployment.startNodes();
+        await deployment.waitForLayers();
+        return deployment;
+    }
+
+    /** Writes the next configuration. Returns its version. */
+    configure(changes: object = {}): number {
+        this.version += 1;
+        this.store.put("op/config", createConfiguration(this.version, changes, engineChanges));
+        return this.version;
+    }
+
+    /** Waits until each stage holds layers. */
+    async waitForLayers(): Promise<void> {
+        while (this.endpoints.some(endpoint => endpoint.isStage() && !endpoint.hasLayers())) {
+            await sleep(pollMilliseconds);
+        }
+    }
+
+    /** Starts a node's process again, on its old ports, and waits until it is ready. */
+    async restart(node: SoakNode): Promise<void> {
+        node.process = this.startProcess(node);
+        node.endingSince = undefined;
+        await this.waitUntilReady(node);
+    }
+
+    /** Asks a node's process to end. Returns once it has. */
+    async terminate(node: SoakNode): Promise<void> {
+        node.endingSince = Date.now();
+        node.exitCodes.push(await node.process.stop(stopMilliseconds));
+    }
+
+    /** Kills a node's process. */
+    async kill(node: SoakNode): Promise<void> {
+        node.endingSince = Date.now();
+        node.process.signal("SIGKILL");
+        await node.process.exited;
+    }
+
+    /** Whether a node says that it is ready. */
+    async isReady({ ports }: SoakNode): Promise<boolean> {
+        const signal = AbortSignal.timeout(1_000);
+        const answer = await fetch(`http://127.0.0.1:${ports.readiness}/v1/readiness`, { signal }).catch(() =>
+            undefined
+        );
+        await answer?.body?.cancel();
+        return answer?.status === 200;
+    }
+
+    /** Ends every process, also frozen ones. */
+    async close(): Promise<void> {
+        for (const node of this.nodes) {
+            node.endingSince ??= Date.now();
+        }
+        await this.processes.killAll();
+        for (const endpoint of this.endpoints) {
+            await endpoint.close();
+        }
+        for (const { storeProxy } of this.nodes) {
+            await storeProxy.close();
+        }
+        await this.store.close();
+        rmSync(this.directory, { recursive: true });
+    }
+
+    private async startEndpoints(): Promise<void> {
+        for (let index = 0; index < documentEndpoints; index += 1) {
+            const name = `document-${index}`;
+            this.endpoints.push(await SoakEndpoint.create({ name, store: this.store, isStage: false }));
+        }
+        for (let index = 0; index < stages; index += 1) {
+            const name = `stage-${index}`;
+            this.endpoints.push(await SoakEndpoint.create({ name, store: this.store, isStage: true }));
+        }
+    }
+
+    private async startNodes(): Promise<void> {
+        const ports = await findFreePorts(4 * this.options.nodes);
+        for (let index = 0; index < this.options.nodes; index += 1) {
+            const [callers, readiness, peers, admin] = ports.slice(4 * index);
+            const name = `node-${index}`;
+            const planned = {
+                name,
+                ports: { callers: callers!, readiness: readiness!, peers: peers!, admin: admin! },
+                storeProxy: await LoopbackProxy.create(getPort(this.store.getAddress())),
+                settingsFile: join(this.directory, `${name}.yaml`),
+                endingSince: undefined,
+                isTaken: false,
+                exitCodes: [],
+            };
+            const seeds = this.nodes.map(node => `127.0.0.1:${node.ports.peers}`);
+            const boot = createBootFile({
+                vm: name,
+                dataCentre: dataCentres[index % dataCentres.length]!,
+                ...planned.ports,
+                seeds,
+                store: planned.storeProxy.getAddress(),
+            });
+            writeFileSync(planned.settingsFile, boot);
+            this.nodes.push({ ...planned, process: this.startProcess(planned) });
+        }
+        for (const node of this.nodes) {
+            await this.waitUntilReady(node);
+        }
+    }
+
+    private startProcess({ name, settingsFile }: { name: string; settingsFile: string; }): ChildProcess {
+        const process = this.processes.startFoxlead(name, ["platform", "--settings", settingsFile]);
+        void process.exited.then(code => {
+            const node = this.nodes.find(other => other.process === process);
+            if (node !== undefined && node.endingSince === undefined) {
+                this.options.onUnexpectedEnd(name, code);
+            }
+        });
+        return process;
+    }
+
+    private async waitUntilReady(node: SoakNode): Promise<void> {
+        while (node.endingSince === undefined && !await this.isReady(node)) {
+            await sleep(pollMilliseconds);
+        }
+    }
+}
+
+function getPort(address: string): number {
+    return Number(address.split(":")[1]);
+}
--- /dev/null
+++ b/scripts/soak/router/routerSoakContext.ts
@@ -0,0 +1,10 @@
+import type { FaultTimeline } from "../faultTimeline.ts";
+import type { SeededRandom } from "../seededRandom.ts";
+import type { RouterDeployment } from "./routerDeployment.ts";
+
+/** What faults act on. */
+export interface RouterSoakContext {
+    deployment: RouterDeployment;
+    random: SeededRandom;
+    timeline: FaultTimeline;
+}
--- /dev/null
+++ b/scripts/soak/router/soakEndpoint.ts
@@ -0,0 +1,129 @@
+import { type EndpointBehaviour, EndpointStandin, type RunRecord } from "../../../standins/router/endpointStandin.ts";
+import type { KeyValueStandin } from "../../../standins/router/keyValueStandin.ts";
+import { LoopbackProxy } from "./loopbackProxy.ts";
+
+/** Options of a {@link SoakEndpoint}. */
+interface SoakEndpointOptions {
+    name: string;
+    store: KeyValueStandin;
+    /** Whether it holds layers of the model; it starts without any. */
+    isStage: boolean;
+}
+
+/** A run, and the start of the endpoint that ran it. */
+interface SoakRun extends RunRecord {
+    endpointId: string;
+}
+
+/** A stay of an endpoint at an address, from a start to its end. */
+interface EndpointStart {
+    standin: EndpointStandin;
+    id: string;
+    /** Wall-clock time in milliseconds from which it has told the store that it leaves. */
+    leavingSince: number | undefined;
+}
+
+const eventsOfStream = 20;
+const eventMilliseconds = 30;
+
+/** An endpoint behind a proxy, over all its starts. */
+export class SoakEndpoint {
+    readonly name: string;
+    readonly proxy: LoopbackProxy;
+    isTaken = false;
+    private readonly options: SoakEndpointOptions;
+    private readonly starts: EndpointStart[] = [];
+
+    private constructor(options: SoakEndpointOptions, proxy: LoopbackProxy) {
+        this.options = options;
+        this.name = options.name;
+        this.proxy = proxy;
+    }
+
+    /** Starts an endpoint and registers it. */
+    static async create(options: SoakEndpointOptions): Promise<SoakEndpoint> {
+        const endpoint = new SoakEndpoint(options, await LoopbackProxy.create(0));
+        await endpoint.start();
+        return endpoint;
+    }
+
+    /** Whether it holds layers of the model. */
+    isStage(): boolean {
+        return this.options.isStage;
+    }
+
+    /** Whether it holds layers that requests can pass. */
+    hasLayers(): boolean {
+        return this.getLast().standin.layers !== undefined;
+    }
+
+    /** Starts anew under another id, without layers. */
+    async start(): Promise<void> {
+        const id = `${this.name}-${this.starts.length}`;
+        const standin = await EndpointStandin.create({
+            id,
+            events: eventsOfStream,
+            eventMilliseconds,
+            onLayers: () => this.register(),
+        });
+        this.starts.push({ standin, id, leavingSince: undefined });
+        this.proxy.setTarget(Number(standin.getAddress().split(":")[1]));
+        this.register();
+    }
+
+    /** Changes how it answers. */
+    setBehaviour(behaviour: EndpointBehaviour): void {
+        this.getLast().standin.behaviour = behaviour;
+    }
+
+    /** Tells the store that it leaves, and goes on serving. */
+    startLeaving(): void {
+        this.getLast().leavingSince = Date.now();
+        this.register("draining");
+    }
+
+    /** Ends as a crash does: its record stays until {@link SoakEndpoint.unregister}. */
+    async crash(): Promise<void> {
+        await this.getLast().standin.close();
+    }
+
+    /** Removes its record, as the platform does after missed heartbeats. */
+    unregister(): void {
+        this.options.store.remove(`servers/${this.getLast().id}`);
+    }
+
+    /** Gets what all starts have run. */
+    getRuns(): SoakRun[] {
+        return this.starts.flatMap(({ standin, id }) => standin.runs.map(run => ({ ...run, endpointId: id })));
+    }
+
+    /** Gets when a start told the store that it leaves. */
+    getLeavingSince(endpointId: string): number | undefined {
+        return this.starts.find(({ id }) => id === endpointId)?.leavingSince;
+    }
+
+    /** Stops. */
+    async close(): Promise<void> {
+        await this.getLast().standin.close();
+        await this.proxy.close();
+    }
+
+    private getLast(): EndpointStart {
+        return this.starts.at(-1)!;
+    }
+
+    private register(state = "ready"): void {
+        const { id, standin } = this.getLast();
+        this.options.store.put(`servers/${id}`, {
+            service: this.isStage() ? "model" : "documents",
+            address: this.proxy.getAddress(),
+            zone: "a",
+            version: "v1",
+            slots: 40,
+            state,
+            cold_left_ms: 0,
+            sequence: 1,
+            ...(this.isStage() ? { kind: "big", layers: standin.layers ?? null } : {}),
+        });
+    }
+}
--- a/scripts/soak/runSoak.ts
+++ b/scripts/soak/runSoak.ts
@@ -1,7 +1,13 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { LocalDeployment } from "../deployment/localDeployment.ts";
 import { checkAnswer } from "./answerCheck.ts";
+import type { FaultContext } from "./faultContext.ts";
 import { FaultLoop } from "./faultLoop.ts";
+import { documentFaultKinds } from "./faults/documentFaultKinds.ts";
+import { engineFaultKinds } from "./faults/engineFaultKinds.ts";
+import { leavingFaultKinds } from "./faults/leavingFaultKinds.ts";
+import { nodeFaultKinds } from "./faults/nodeFaultKinds.ts";
+import { platformFaultKinds } from "./faults/platformFaultKinds.ts";
 import { FaultTimeline } from "./faultTimeline.ts";
 import { checkKeys } from "./keyCheck.ts";
 import { checkLine } from "./lineCheck.ts";
@@ -16,6 +22,13 @@
 import type { SoakResult } from "./soakReport.ts";
 import { Violations } from "./violations.ts";
 
+const allKinds = {
+    ...engineFaultKinds,
+    ...leavingFaultKinds,
+    ...documentFaultKinds,
+    ...platformFaultKinds,
+    ...nodeFaultKinds,
+};
 const quietEndMilliseconds = 4_000;
 const millisecondsPerSecond = 1_000;
 
@@ -79,9 +92,10 @@
             timeline,
             violations,
             random: SeededRandom.create(seed + 2),
-            taken: new Set(),
+            taken: new Set<string>(),
             leavingChecks,
         },
+        allKinds,
         maximumFaults: options.maximumFaults ?? Infinity,
         kinds: options.kinds,
         print,
@@ -108,7 +122,7 @@
 }
 
 /** Ends the load when its time is over or all faults are shown; the faults end with the load. */
-async function runUntilDone(options: SoakOptions, load: RequestLoad, faults: FaultLoop): Promise<void> {
+async function runUntilDone(options: SoakOptions, load: RequestLoad, faults: FaultLoop<FaultContext>): Promise<void> {
     const timer = setTimeout(() => load.stop(), options.milliseconds);
     const running = load.run().finally(() => faults.stop());
     await Promise.all([running, faults.run()]);
--- a/scripts/soak/soakReport.ts
+++ b/scripts/soak/soakReport.ts
@@ -1,6 +1,8 @@
 import { build, type Histogram } from "hdr-histogram-js";
 import type { FaultTimeline } from "./faultTimeline.ts";
+import { formatCounts } from "./formatCounts.ts";
 import type { KeyCounts } from "./keyCheck.ts";
+import { printViolations } from "./printViolations.ts";
 import type { SendRecord } from "./sendRecord.ts";
 import type { Violation } from "./violations.ts";
 
@@ -39,13 +41,7 @@
     print(`Exit codes of the nodes at the end: ${exitCodes.join(", ")}.`);
     printGaps(records, timeline, print);
     printFailures(records, timeline, print);
-    print(`Violations: ${violations.length}. ${formatCounts(countKinds(violations))}`);
-    for (const { kind, message, faults, lines } of violations.filter(violation => violation.lines.length > 0)) {
-        print(`\n${kind}: ${message}\n  Faults: ${faults}`);
-        for (const line of lines) {
-            print(`  | ${line}`);
-        }
-    }
+    printViolations(violations, print);
 }
 
 function countOutcomes(records: readonly SendRecord[], timeline: FaultTimeline): Record<string, number> {
@@ -65,14 +61,6 @@
     return outcome === "notRun" || outcome === "failed" ? `${outcome}/${errorCode}` : outcome;
 }
 
-function countKinds(violations: readonly Violation[]): Record<string, number> {
-    const counts: Record<string, number> = {};
-    for (const { kind } of violations) {
-        counts[kind] = (counts[kind] ?? 0) + 1;
-    }
-    return counts;
-}
-
 /** Longest gaps of whole streams; apart, those through a stage at which a fault was shown meanwhile. */
 function printGaps(records: readonly SendRecord[], timeline: FaultTimeline, print: (line: string) => void): void {
     const all = createHistogram();
@@ -113,8 +101,3 @@
     return `median ${median} ms, 99th percentile ${percentile99} ms, worst ${histogram.maxValue} ms, `
         + `of ${histogram.totalCount}`;
 }
-
-function formatCounts(counts: Record<string, number>): string {
-    const entries = Object.entries(counts).sort(([left], [right]) => left < right ? -1 : 1);
-    return entries.map(([name, count]) => `${name} ${count}`).join(", ");
-}
--- a/standins/router/endpointStandin.ts
+++ b/standins/router/endpointStandin.ts
@@ -38,6 +38,8 @@
     url: string;
     headers: IncomingHttpHeaders;
     body: string;
+    /** Wall-clock time in milliseconds. */
+    arrivedAt: number;
     /** Whether its connection closed before the answer was whole. */
     isAbandoned: boolean;
 }
@@ -166,7 +168,7 @@
             return;
         }
         const { method = "", url = "", headers } = request;
-        const record: RunRecord = { id, method, url, headers, body, isAbandoned: false };
+        const record: RunRecord = { id, method, url, headers, body, arrivedAt: Date.now(), isAbandoned: false };
         this.runs.push(record);
         response.once("close", () => {
             record.isAbandoned = !response.writableFinished;
--- a/tests/platform/decoders.test.ts
+++ b/tests/platform/decoders.test.ts
@@ -5,7 +5,7 @@
 import { decodeEndpoint } from "../../platform/decodeEndpoint.ts";
 import { endpointProtocol } from "../../platform/endpointProtocol.ts";
 import { readBootFile } from "../../platform/readBootFile.ts";
-import { createConfiguration } from "./routerBench.ts";
+import { createConfiguration } from "../../standins/router/createConfiguration.ts";
 
 const boot = `
 node_name: "edge-1"
--- a/tests/platform/platformChanges.test.ts
+++ b/tests/platform/platformChanges.test.ts
@@ -1,8 +1,9 @@
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
+import { createConfiguration } from "../../standins/router/createConfiguration.ts";
 import { KeyValueStandin } from "../../standins/router/keyValueStandin.ts";
 import { waitUntil } from "../support/waitUntil.ts";
-import { createConfiguration, RouterBench, type StartedNode } from "./routerBench.ts";
+import { RouterBench, type StartedNode } from "./routerBench.ts";
 
 describe("Changes on the platform", () => {
     let bench: RouterBench;
--- a/tests/platform/platformProcess.test.ts
+++ b/tests/platform/platformProcess.test.ts
@@ -7,9 +7,10 @@
 import { after, before, describe, it } from "node:test";
 import { request } from "undici";
 import { findFreePorts } from "../../scripts/deployment/findFreePorts.ts";
+import { createBootFile } from "../../standins/router/createBootFile.ts";
+import { createConfiguration } from "../../standins/router/createConfiguration.ts";
 import { EndpointStandin } from "../../standins/router/endpointStandin.ts";
 import { KeyValueStandin } from "../../standins/router/keyValueStandin.ts";
-import { createConfiguration } from "./routerBench.ts";
 
 const startMilliseconds = 15_000;
 
@@ -29,7 +30,18 @@
         store.put("servers/first", record);
         ports = await findFreePorts(4);
         folder = mkdtempSync(join(tmpdir(), "foxlead-platform-"));
-        writeFileSync(join(folder, "node.yaml"), createBootFile());
+        const [callers, readiness, peers, admin] = ports;
+        const boot = createBootFile({
+            vm: "edge-1",
+            dataCentre: "a",
+            callers: callers!,
+            readiness: readiness!,
+            peers: peers!,
+            admin: admin!,
+            seeds: [],
+            store: store.getAddress(),
+        });
+        writeFileSync(join(folder, "node.yaml"), boot);
         child = spawn(process.execPath, ["src/main.ts", "platform", "--settings", join(folder, "node.yaml")], {
             stdio: ["ignore", "pipe", "inherit"],
         });
@@ -44,27 +56,6 @@
         rmSync(folder, { recursive: true });
     });
 
-    function createBootFile(): string {
-        const [front, ready, control, admin] = ports;
-        return JSON.stringify({
-            node_name: "edge-1",
-            zone: "a",
-            ip: "127.0.0.1",
-            listen: { front: `127.0.0.1:${front}`, ready: `127.0.0.1:${ready}`, control: `127.0.0.1:${control}` },
-            internal_ports: [admin, admin],
-            seeds: [],
-            bounds: {
-                config_apply_ms: 2_000,
-                drain_ms: 2_000,
-                grace_s: 8,
-                retry_budget_ratio: 0.2,
-                budget_window_s: 10,
-                retry_budget_slack: 200,
-            },
-            platform: { address: store.getAddress() },
-        });
-    }
-
     async function getReadiness(): Promise<number> {
         const response = await fetch(`http://127.0.0.1:${ports[1]}/v1/readiness`).catch(() => undefined);
         return response?.status ?? 0;
