--- a/scripts/soak/router/loopbackProxy.ts
+++ b/scripts/soak/router/loopbackProxy.ts
@@ -88,7 +88,13 @@
             caller.resetAndDestroy();
             return;
         }
-        const target = connect(this.targetPort, "127.0.0.1");
+        const target = connect(this.targetPort, "127.0.0.1", () => {
+            // The system may give the connection the port that nobody listens on, and join it to itself.
+            if (target.localPort === target.remotePort) {
+                target.resetAndDestroy();
+                caller.resetAndDestroy();
+            }
+        });
         const pair = { caller, target };
         this.pairs.add(pair);
         this.pipe(caller, target, proxyModes.cutRequests);
--- a/src/process/router/peerExchange.ts
+++ b/src/process/router/peerExchange.ts
@@ -14,8 +14,10 @@
 import type { Clock, TimerHandle } from "../clock.ts";
 import type { EventLog } from "../logging/eventLog.ts";
 import { events } from "../logging/events.ts";
+import type { RendezvousOwners } from "../membership/rendezvousOwners.ts";
 import type { RandomSource } from "../randomSource.ts";
 import type { RecordSection } from "../replica/recordSection.ts";
+import { choosePartners } from "./choosePartners.ts";
 import type { NodeTable } from "./nodeTable.ts";
 import type { PeerState } from "./peerState.ts";
 
@@ -38,6 +40,8 @@
     /** Addresses of some nodes to begin with; they may be stale or down. */
     seeds: readonly string[];
     nodes: NodeTable;
+    /** Assigns partners to nodes. */
+    owners: RendezvousOwners;
     sections: readonly RecordSection[];
     state: PeerState;
     clock: Clock;
@@ -110,34 +114,43 @@
             return;
         }
         this.round += 1;
-        for (const address of this.choosePartners()) {
+        for (const address of this.chooseAddresses()) {
             void this.exchange(address);
         }
         const delay = roundMilliseconds * (0.8 + 0.4 * this.options.random());
         this.timer = this.options.clock.setTimer(delay, () => this.runRound());
     }
 
-    private choosePartners(): string[] {
-        const { nodes, clock, random, seeds, address } = this.options;
-        const known = nodes.getLiveNodes(clock.getMonotonicTime());
-        const live = known.map(node => node.address);
-        const near = known.filter(({ dataCentre }) => dataCentre === this.options.dataCentre).map(node => node.address);
-        const partners = new Set<string>();
+    /** Chooses whom to talk to in this round, and closes connections to nodes that are no partners any more. */
+    private chooseAddresses(): string[] {
+        const { nodeId, dataCentre, nodes, owners, clock, random, seeds, address } = this.options;
+        const live = nodes.getLiveNodes(clock.getMonotonicTime());
+        const { near, away } = choosePartners(nodeId, dataCentre, live, owners);
+        const chosen = new Set<string>();
         for (let count = 0; count < partnersOfRound; count++) {
             const isAway = near.length === 0 || count > 0 && random() < awayPart;
-            const choice = isAway ? live : near;
+            const choice = isAway ? [...near, ...away] : near;
             const partner = choice[Math.floor(random() * choice.length)];
             if (partner !== undefined) {
-                partners.add(partner);
+                chosen.add(partner.address);
             }
         }
         const isSeedTurn = live.length === 0 || this.round % roundsOfSeed === 0;
         for (const seed of isSeedTurn ? seeds : []) {
-            if (seed !== address && !live.includes(seed)) {
-                partners.add(seed);
+            if (seed !== address && !live.some(node => node.address === seed)) {
+                chosen.add(seed);
+            }
+        }
+        this.closeOthers(new Set([...near, ...away].map(node => node.address)), chosen);
+        return [...chosen];
+    }
+
+    private closeOthers(partners: ReadonlySet<string>, chosen: ReadonlySet<string>): void {
+        for (const [address, connection] of this.connections) {
+            if (!partners.has(address) && !chosen.has(address) && connection.getCallCount() === 0) {
+                this.drop(address, connection);
             }
         }
-        return [...partners];
     }
 
     private async exchange(address: string): Promise<void> {
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -130,6 +130,7 @@
             onStoreFailure: failedAt => {
                 this.lastToldFailure = Math.max(this.lastToldFailure, failedAt);
             },
+            owners: options.owners,
             seeds: settings.seeds,
             nodes: this.nodes,
             sections: [configuration, endpoints],
