Go on with the stored plan at once when the duty of placement is taken over

Waits now only before a new plan and before holders are moved. Test failed first: 'goes on at once with the plan that it finds when it takes the lease'.

--- a/src/process/placement/placementDuty.ts
+++ b/src/process/placement/placementDuty.ts
@@ -60,6 +60,11 @@
 export class PlacementDuty {
     private readonly options: PlacementDutyOptions;
     private readonly plans = new Map<string, LayerColumn[]>();
+    /**
+     * Services whose plan was looked for in the store since the lease was taken. A successor finds one and goes on with it at
+     * once; only a new plan waits until all endpoints have registered. Saves 0.9 s of each takeover.
+     */
+    private readonly lookedFor = new Set<string>();
     private readonly openOrders = new Map<string, OpenOrder>();
     /** Endpoints that are busy with an order of an earlier holder, until when they are left alone. */
     private readonly busyUntil = new Map<string, number>();
@@ -103,6 +108,7 @@
         if (fencingNumber !== this.loadedNumber) {
             this.loadedNumber = fencingNumber;
             this.plans.clear();
+            this.lookedFor.clear();
             this.openOrders.clear();
         }
         for (const service of this.options.getModelServices()) {
@@ -124,14 +130,17 @@
 
     private async place(service: string, model: EngineModel): Promise<void> {
         const endpoints = this.options.getEndpoints(service);
-        if (endpoints.length === 0 || !this.isSettled(service, endpoints)) {
+        if (endpoints.length === 0) {
             return;
         }
+        const isSettled = this.isSettled(service, endpoints);
         const columns = this.plans.get(service);
         if (columns === undefined) {
-            this.isPlanning = true;
-            await this.loadPlan(service, model, endpoints);
-            this.isPlanning = false;
+            if (isSettled || !this.lookedFor.has(service)) {
+                this.isPlanning = true;
+                await this.loadPlan(service, model, endpoints, isSettled);
+                this.isPlanning = false;
+            }
             return;
         }
         this.closeOrders(endpoints);
@@ -143,7 +152,7 @@
             layers: this.openOrders.get(endpoint.id)?.layers ?? endpoint.layers,
             isBusy: this.openOrders.has(endpoint.id) || (this.busyUntil.get(endpoint.id) ?? 0) > now,
         }));
-        for (const assignment of this.decide(service, model, columns, stated)) {
+        for (const assignment of this.decide(service, model, columns, stated, isSettled)) {
             const endpoint = endpoints.find(({ id }) => id === assignment.endpointId);
             if (endpoint !== undefined) {
                 void this.order(model, endpoint, assignment);
@@ -158,11 +167,13 @@
         model: EngineModel,
         columns: readonly LayerColumn[],
         endpoints: readonly PlacementEndpoint[],
+        isSettled: boolean,
     ): LayerAssignment[] {
         const now = this.options.clock.getMonotonicTime();
         const { assignments, move } = assignLayers(model, columns, endpoints);
         const weak = this.weakColumns.get(service);
-        if (move === undefined) {
+        // A successor may not know all endpoints yet, and a holder that is moved for a column that only looks weak is lost.
+        if (move === undefined || !isSettled) {
             this.weakColumns.delete(service);
             return assignments;
         }
@@ -177,11 +188,8 @@
         return [...assignments, move];
     }
 
-    /** Whether the list of endpoints has stood still long enough to plan from it. */
+    /** Whether the list of endpoints has stood still long enough to plan, or to move a holder, from it. */
     private isSettled(service: string, endpoints: readonly RegisteredEndpoint[]): boolean {
-        if (this.plans.has(service)) {
-            return true;
-        }
         const now = this.options.clock.getMonotonicTime();
         const signature = endpoints.map(({ id }) => id).join();
         const known = this.settled.get(service);
@@ -196,6 +204,7 @@
         service: string,
         model: EngineModel,
         endpoints: readonly RegisteredEndpoint[],
+        isSettled: boolean,
     ): Promise<void> {
         const { store, keyPrefix, log } = this.options;
         const key = `${keyPrefix}${service}`;
@@ -204,12 +213,16 @@
             log.write(events.leaseCallFailed, { key, reason: stored.val.message });
             return;
         }
+        this.lookedFor.add(service);
         const record = stored.val === undefined ? undefined : parseRecord(stored.val.value);
         if (record !== undefined && record.layers === model.layers && record.modelName === model.modelName) {
             this.plans.set(service, record.columns);
             log.write(events.placementPlanned, { service, source: "store", columns: formatColumns(record.columns) });
             return;
         }
+        if (!isSettled) {
+            return;
+        }
         const columns = planColumns(model, countKinds(model, endpoints));
         if (columns.length === 0) {
             log.write(events.layersWithoutEngine, { service });
--- /dev/null
+++ b/tests/process/placement/placementDuty.test.ts
@@ -0,0 +1,87 @@
+import assert from "node:assert/strict";
+import { beforeEach, describe, it } from "node:test";
+import { PlacementDuty } from "../../../src/process/placement/placementDuty.ts";
+import type { LayerOrder } from "../../../src/request/relay/endpointProtocol.ts";
+import type { HeldLayers } from "../../../src/request/relay/heldLayers.ts";
+import type { RegisteredEndpoint } from "../../../src/request/relay/registeredEndpoint.ts";
+import { createEndpoint, relayModel } from "../../request/relay/relayModel.ts";
+import { FakeClock } from "../../support/fakeClock.ts";
+import { MemoryStore } from "../../support/memoryStore.ts";
+import { RecordingEventLog } from "../../support/recordingEventLog.ts";
+
+const second = { start: 24, end: 40 };
+const third = { start: 40, end: 56 };
+const kind = "middle";
+const planKey = "placement/model";
+
+function createMiddle(id: string, layers?: HeldLayers): RegisteredEndpoint {
+    return createEndpoint(id, { kind, layers });
+}
+
+describe("PlacementDuty", () => {
+    let clock: FakeClock;
+    let store: MemoryStore;
+    let endpoints: RegisteredEndpoint[];
+    let orders: { endpoint: string; order: LayerOrder; }[];
+
+    beforeEach(() => {
+        clock = FakeClock.create();
+        store = MemoryStore.create();
+        orders = [];
+        endpoints = [createMiddle("x", second), createMiddle("y", third), createMiddle("z")];
+    });
+
+    function start(fencingNumber: number): PlacementDuty {
+        const duty = PlacementDuty.create({
+            store,
+            lease: { getFencingNumber: () => fencingNumber, getLastNumber: () => fencingNumber },
+            isStoreAnswering: () => true,
+            clock,
+            log: RecordingEventLog.create(),
+            keyPrefix: "placement/",
+            getModelServices: () => [{ name: "model", engine: relayModel }] as never,
+            getEndpoints: () => endpoints,
+            sendOrder: async ({ id }, order) => {
+                orders.push({ endpoint: id, order });
+                return { kind: "begun", faultyAddress: undefined };
+            },
+            fetchReport: async () => undefined,
+        });
+        duty.start();
+        return duty;
+    }
+
+    async function storePlan(): Promise<void> {
+        const columns = [{ layers: second, kind }, { layers: third, kind }];
+        const plan = { service: "model", modelName: relayModel.modelName, layers: relayModel.layers, columns };
+        await store.compareAndSwap(planKey, 0, JSON.stringify(plan));
+    }
+
+    it("goes on at once with the plan that it finds when it takes the lease", async () => {
+        await storePlan();
+        start(2);
+        await clock.advance(600);
+        assert.deepEqual(orders.map(({ endpoint }) => endpoint), ["z"]);
+        assert.equal(orders[0]!.order.fencingNumber, 2);
+    });
+
+    it("plans anew only once the endpoints have registered", async () => {
+        const others = Array.from({ length: 8 }, (_, index) => createMiddle(`other-${index}`));
+        endpoints = [...others.slice(0, 4).map(endpoint => ({ ...endpoint, kind: "fast" })), ...others.slice(4)];
+        start(1);
+        await clock.advance(600);
+        assert.equal(await store.get(planKey).then(stored => stored.unwrap()), undefined);
+        await clock.advance(1_000);
+        assert.notEqual(await store.get(planKey).then(stored => stored.unwrap()), undefined);
+    });
+
+    it("moves no holder before it knows that all endpoints are there", async () => {
+        await storePlan();
+        endpoints = [createMiddle("x", second), createMiddle("w", second)];
+        start(2);
+        await clock.advance(800);
+        assert.deepEqual(orders, []);
+        await clock.advance(3_000);
+        assert.equal(orders.length, 1);
+    });
+});
