--- a/src/process/leases/fencedLease.ts
+++ b/src/process/leases/fencedLease.ts
@@ -6,6 +6,7 @@
 import type { RandomSource } from "../randomSource.ts";
 import { type LeaseError, LeaseErrorKind } from "./leaseError.ts";
 import type { LeaseOutput } from "./leaseOutput.ts";
+import type { LeaseRelease } from "./leaseRelease.ts";
 import { LeaseState } from "./leaseState.ts";
 
 /** Settings of a {@link FencedLease}. */
@@ -40,6 +41,7 @@
     private readonly state: LeaseState;
     private timer: TimerHandle | undefined;
     private isRunning = false;
+    private newestRelease: LeaseRelease | undefined;
 
     private constructor(options: FencedLeaseOptions) {
         this.options = options;
@@ -61,11 +63,31 @@
     async stop(): Promise<void> {
         this.isRunning = false;
         this.timer?.cancel();
+        const fencingNumber = this.getFencingNumber();
         const { call, logs } = this.state.release(this.getTime());
         this.writeLogs(logs);
-        if (call?.kind === "swap") {
-            await this.options.store.compareAndSwap(this.options.key, call.expectedRevision, call.value);
+        if (call?.kind !== "swap") {
+            return;
+        }
+        const outcome = await this.options.store.compareAndSwap(this.options.key, call.expectedRevision, call.value);
+        const revision = outcome.ok && outcome.val.swapped ? outcome.val.revision : undefined;
+        if (revision !== undefined && fencingNumber !== undefined) {
+            this.newestRelease = { revision, fencingNumber };
+        }
+    }
+
+    /** Gets the newest release that is known, this process' own or another's; undefined where there is none. */
+    getNewestRelease(): LeaseRelease | undefined {
+        return this.newestRelease;
+    }
+
+    /** Takes another's word that the lease was given up. */
+    noteRelease(release: LeaseRelease): void {
+        if (release.revision <= (this.newestRelease?.revision ?? 0)) {
+            return;
         }
+        this.newestRelease = release;
+        this.handle(() => this.state.noteRelease(release, this.getTime()));
     }
 
     /** Whether the lease is held now. */
--- a/src/process/leases/leaseState.ts
+++ b/src/process/leases/leaseState.ts
@@ -7,6 +7,7 @@
 import type { RandomSource } from "../randomSource.ts";
 import type { LeaseOutput } from "./leaseOutput.ts";
 import type { LeaseRecord } from "./leaseRecord.ts";
+import type { LeaseRelease } from "./leaseRelease.ts";
 import { parseLeaseRecord } from "./parseLeaseRecord.ts";
 
 /** Settings of a {@link LeaseState}. */
@@ -98,6 +99,28 @@
         return { call: { kind: "swap", expectedRevision: observed.revision, value }, logs: this.logs };
     }
 
+    /**
+     * Takes another's word that the lease was given up, so that a successor need not wait for the end of a time that no longer
+     * counts. A false word does no harm: the lease is still taken by comparing its revision.
+     */
+    noteRelease({ revision, fencingNumber }: LeaseRelease, time: EventTime): LeaseOutput {
+        const isNews = this.observed === undefined || this.observed.revision < revision;
+        if (isNews && !this.isValid(this.held, time.monotonic)) {
+            const { timeToLiveMilliseconds, longestOrderMilliseconds } = this.options;
+            const record: LeaseRecord = {
+                holder: "",
+                fencingNumber,
+                writeId: "",
+                isReleased: true,
+                timeToLiveMilliseconds,
+                longestOrderMilliseconds,
+                expiresHint: time.wall,
+            };
+            this.setObserved(revision, record, time);
+        }
+        return this.step(time);
+    }
+
     /** Takes the result of a read. */
     finishRead(result: Result<StoredValue | undefined, PlatformError>, time: EventTime): LeaseOutput {
         this.isCalling = false;
--- a/src/process/router/peerExchange.ts
+++ b/src/process/router/peerExchange.ts
@@ -7,11 +7,14 @@
     ExchangeRequestSchema,
     type ExchangeResponse,
     ExchangeResponseSchema,
+    type LeaseRelease as WireRelease,
+    LeaseReleaseSchema,
     type NodeRecord,
     NodeRecordSchema,
     RouterService,
 } from "../../wire/generated/foxlead/router/v1/router_pb.ts";
 import type { Clock, TimerHandle } from "../clock.ts";
+import type { LeaseRelease } from "../leases/leaseRelease.ts";
 import type { EventLog } from "../logging/eventLog.ts";
 import { events } from "../logging/events.ts";
 import type { RendezvousOwners } from "../membership/rendezvousOwners.ts";
@@ -39,6 +42,10 @@
     onFresh(freshAt: number): void;
     /** Addresses of some nodes to begin with; they may be stale or down. */
     seeds: readonly string[];
+    /** Gets the newest release of the duty of placement that is known. */
+    getLeaseRelease(): LeaseRelease | undefined;
+    /** Called with a release that a peer knows of. */
+    onLeaseRelease(release: LeaseRelease): void;
     nodes: NodeTable;
     /** Assigns partners to nodes. */
     owners: RendezvousOwners;
@@ -186,7 +193,7 @@
 
     /** Creates what every message says of this node, in either direction. */
     private createOwnState() {
-        const { state, sections, getFreshTime } = this.options;
+        const { state, sections, getFreshTime, getLeaseRelease } = this.options;
         return {
             sender: this.createOwnRecord(),
             nodes: this.createNodeRecords(),
@@ -194,6 +201,7 @@
             frontiers: sections.map(section => ({ section: section.name, revision: BigInt(section.getFrontier()) })),
             storeFailureAge: this.getStoreFailureAge(),
             freshAge: this.getAge(getFreshTime()),
+            leaseRelease: encodeRelease(getLeaseRelease()),
         };
     }
 
@@ -211,11 +219,19 @@
         }
     }
 
+    private takeRelease(release: WireRelease | undefined): void {
+        if (release !== undefined) {
+            const { revision, fencingNumber } = release;
+            this.options.onLeaseRelease({ revision: Number(revision), fencingNumber: Number(fencingNumber) });
+        }
+    }
+
     private async answer(request: ExchangeRequest): Promise<ExchangeResponse> {
         const { sections, state } = this.options;
         this.takeNodes(request.sender, request.nodes);
         state.takeRecords(request, this.getTime());
         this.takeStoreFailure(request.storeFailureAge);
+        this.takeRelease(request.leaseRelease);
         const changes = [];
         for (const { section: name, revision } of request.frontiers) {
             this.options.onFrontier(name, Number(revision));
@@ -238,6 +254,7 @@
         this.takeNodes(response.sender, response.nodes);
         this.options.state.takeRecords(response, this.getTime());
         this.takeStoreFailure(response.storeFailureAge);
+        this.takeRelease(response.leaseRelease);
         for (const { section: name, frontier, isWhole, records } of response.changes) {
             const section = this.options.sections.find(candidate => candidate.name === name);
             const decoded = records.map(({ key, revision, isDeleted, text }) => ({
@@ -323,3 +340,10 @@
         return this.options.clock.getMonotonicTime();
     }
 }
+
+function encodeRelease(release: LeaseRelease | undefined): WireRelease | undefined {
+    return release && create(LeaseReleaseSchema, {
+        revision: BigInt(release.revision),
+        fencingNumber: BigInt(release.fencingNumber),
+    });
+}
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -131,6 +131,8 @@
                 this.lastToldFailure = Math.max(this.lastToldFailure, failedAt);
             },
             owners: options.owners,
+            getLeaseRelease: () => this.lease.getNewestRelease(),
+            onLeaseRelease: release => this.lease.noteRelease(release),
             seeds: settings.seeds,
             nodes: this.nodes,
             sections: [configuration, endpoints],
--- a/tests/platform/platformChanges.test.ts
+++ b/tests/platform/platformChanges.test.ts
@@ -96,6 +96,26 @@
         await placing.close();
     });
 
+    it("pass the duty of placement on within two seconds of a stop", async () => {
+        const pair = await RouterBench.create();
+        const hasDuty = ({ node: other }: StartedNode) =>
+            (other.getStatus() as { hasPlacementDuty: boolean; }).hasPlacementDuty;
+        const first = await pair.addNode();
+        await waitUntil("the first has the duty", () => hasDuty(first));
+        const second = await pair.addNode();
+        await waitUntil(
+            "they know each other",
+            () => (second.node.getStatus() as { peers: object[]; }).peers.length === 1,
+        );
+        // The successor's own look at the lease comes first, from which it would otherwise count the whole time.
+        await new Promise(resolve => setTimeout(resolve, 500));
+        const stoppedAt = Date.now();
+        await first.node.startDraining();
+        await waitUntil("the second has the duty", () => hasDuty(second));
+        assert.ok(Date.now() - stoppedAt < 2_000, `It took ${Date.now() - stoppedAt} ms.`);
+        await pair.close();
+    });
+
     it("place the layers also where the store loses the answers to its writes", async () => {
         const placing = await RouterBench.create();
         await placing.addEndpoint("e1", "model");
--- a/tests/process/leases/fencedLease.test.ts
+++ b/tests/process/leases/fencedLease.test.ts
@@ -111,6 +111,21 @@
         assert.equal(second.getFencingNumber(), 2);
     });
 
+    it("is passed on sooner where the successor hears of the release", async () => {
+        const { clock, createLease } = createBench();
+        const [holder, successor] = [createLease("a"), createLease("b")];
+        holder.start();
+        await clock.advance(10);
+        successor.start();
+        await clock.advance(10);
+        await holder.stop();
+        const release = holder.getNewestRelease();
+        assert.equal(release?.fencingNumber, 1);
+        successor.noteRelease(release);
+        await clock.advance(longestOrder + 400);
+        assert.equal(successor.getFencingNumber(), 2);
+    });
+
     it("sends nothing when its holder resumes after a takeover, to an endpoint that ignores the number", async () => {
         const { clock, pausable, holder, successor } = await createPausedHolder();
         const endpoint = new FakeEndpoint(false);
