Keep one call of the store's probe under way, also when it is stopped and started meanwhile

Cause: a start while a call was under way began a second loop of probes, which nothing ended; found by reading. Test failed first: 5 calls at the same time, now 1.

--- a/src/process/router/storeProbe.ts
+++ b/src/process/router/storeProbe.ts
@@ -14,6 +14,8 @@
 export class StoreProbe {
     private readonly options: StoreProbeOptions;
     private timer: TimerHandle | undefined;
+    private isActive = false;
+    private isCalling = false;
     private lastAnswerAt = -Infinity;
     private isAnswered = true;
 
@@ -28,13 +30,15 @@
 
     /** Probes from now on, or no more. */
     setActive(isActive: boolean): void {
+        this.isActive = isActive;
         if (!isActive) {
             this.timer?.cancel();
             this.timer = undefined;
             this.isAnswered = true;
-            return;
         }
-        this.timer ??= this.options.clock.setTimer(0, () => void this.probe());
+        else if (this.timer === undefined && !this.isCalling) {
+            this.timer = this.options.clock.setTimer(0, () => void this.probe());
+        }
     }
 
     /** Whether the last call was answered. */
@@ -50,8 +54,11 @@
     private async probe(): Promise<void> {
         const { clock, callStore } = this.options;
         const sentAt = clock.getMonotonicTime();
+        this.timer = undefined;
+        this.isCalling = true;
         const isAnswered = await callStore();
-        if (this.timer === undefined) {
+        this.isCalling = false;
+        if (!this.isActive) {
             return;
         }
         this.isAnswered = isAnswered;
--- a/tests/process/router/storeProbe.test.ts
+++ b/tests/process/router/storeProbe.test.ts
@@ -21,4 +21,30 @@
         assert.ok(probe.isInContact());
         probe.setActive(false);
     });
+
+    it("makes one call at a time, also where it is stopped and started while one is under way", async () => {
+        const clock = FakeClock.create();
+        let open = 0;
+        let most = 0;
+        let calls = 0;
+        const callStore = async () => {
+            calls += 1;
+            open += 1;
+            most = Math.max(most, open);
+            await new Promise<void>(resolve => clock.setTimer(300, resolve));
+            open -= 1;
+            return true;
+        };
+        const probe = StoreProbe.create({ clock, callStore });
+        for (let count = 0; count < 5; count += 1) {
+            probe.setActive(true);
+            await clock.advance(10);
+            probe.setActive(false);
+        }
+        probe.setActive(true);
+        await clock.advance(3_000);
+        assert.equal(most, 1);
+        assert.ok(calls <= 6, `It made ${calls} calls.`);
+        probe.setActive(false);
+    });
 });
