Let only nodes that follow the store seek the duty of placement

At its start each node knows of few others and counts as one that follows the store; it then sought the lease for good, a write each 3.3 s. Tests failed first: 'makes no calls while it is not sought'.

--- a/src/process/leases/fencedLease.ts
+++ b/src/process/leases/fencedLease.ts
@@ -41,6 +41,7 @@
     private readonly state: LeaseState;
     private timer: TimerHandle | undefined;
     private isRunning = false;
+    private isStopped = false;
     private newestRelease: LeaseRelease | undefined;
 
     private constructor(options: FencedLeaseOptions) {
@@ -53,14 +54,26 @@
         return new FencedLease(options);
     }
 
-    /** Seeks the lease, and renews it once it is held. */
+    /** Seeks the lease, and renews it once it is held. Does nothing while it does so already. */
     start(): void {
-        this.isRunning = true;
-        this.apply(this.state.wake(this.getTime()));
+        if (!this.isRunning) {
+            this.isRunning = true;
+            this.apply(this.state.wake(this.getTime()));
+        }
+    }
+
+    /** Seeks the lease no longer, until {@link start}. Does nothing while it is held. */
+    pause(): void {
+        if (!this.isHeld()) {
+            this.isRunning = false;
+            this.timer?.cancel();
+            this.timer = undefined;
+        }
     }
 
     /** Stops for good and gives the lease up. No order may be under way. */
     async stop(): Promise<void> {
+        this.isStopped = true;
         this.isRunning = false;
         this.timer?.cancel();
         const fencingNumber = this.getFencingNumber();
@@ -131,7 +144,7 @@
         this.writeLogs(output.logs);
         this.timer?.cancel();
         this.timer = undefined;
-        if (output.wakeAt !== undefined) {
+        if (output.wakeAt !== undefined && this.isRunning) {
             const delay = Math.max(0, output.wakeAt - clock.getMonotonicTime());
             this.timer = clock.setTimer(delay, () => this.handle(() => this.state.wake(this.getTime())));
         }
@@ -144,11 +157,11 @@
         const { store, key } = this.options;
         if (call.kind === "read") {
             const stored = await store.get(key);
-            this.handle(() => this.state.finishRead(stored, this.getTime()));
+            this.finish(() => this.state.finishRead(stored, this.getTime()));
             return;
         }
         const outcome = await store.compareAndSwap(key, call.expectedRevision, call.value);
-        this.handle(() => this.state.finishSwap(outcome, this.getTime()));
+        this.finish(() => this.state.finishSwap(outcome, this.getTime()));
     }
 
     private handle(event: () => LeaseOutput): void {
@@ -157,6 +170,17 @@
         }
     }
 
+    /** Takes the result of a call, also where the lease is no longer sought: the state waits for it. */
+    private finish(event: () => LeaseOutput): void {
+        if (this.isStopped) {
+            return;
+        }
+        const output = event();
+        // A call that was under way at the pause may have brought the lease, which is then kept.
+        this.isRunning ||= this.isHeld();
+        this.apply(output);
+    }
+
     private writeLogs(logs: LeaseOutput["logs"]): void {
         for (const { event, fields } of logs) {
             this.options.log.write(event, { lease: this.options.key, ...fields });
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -74,7 +74,6 @@
     private readonly startedAt: number;
     private peerServer: PeerServer | undefined;
     private isDraining = false;
-    private hasSoughtLease = false;
     private watchTimer: TimerHandle | undefined;
     /** When the store was last out of order, by what peers told. */
     private lastToldFailure = -Infinity;
@@ -239,10 +238,14 @@
         // With few nodes nobody depends on what this one hears.
         this.probe.setActive(isActive && others.length >= mostIndependentNodes);
         const hasPeers = others.length > 0 || now - this.startedAt > lonelyMilliseconds;
-        if (isWatcher && hasPeers && !this.hasSoughtLease && !this.isDraining) {
-            this.hasSoughtLease = true;
+        if (isWatcher && hasPeers && !this.isDraining) {
             this.lease.start();
         }
+        else if (!isWatcher) {
+            // At its start a node that knows of few others counts as one that follows the store. Were all to seek the lease
+            // from then on, 77 nodes would make 23 writes a second to no purpose.
+            this.lease.pause();
+        }
         this.watchTimer = clock.setTimer(reviewMilliseconds, () => this.reviewWatch());
     }
 
--- a/tests/process/leases/fencedLease.test.ts
+++ b/tests/process/leases/fencedLease.test.ts
@@ -126,6 +126,40 @@
         assert.equal(successor.getFencingNumber(), 2);
     });
 
+    it("makes no calls while it is not sought, and is sought again later", async () => {
+        const { clock, store, createLease } = createBench();
+        const [holder, other] = [createLease("a"), createLease("b")];
+        holder.start();
+        await clock.advance(10);
+        other.start();
+        await clock.advance(10);
+        other.pause();
+        holder.pause();
+        assert.equal(holder.isHeld(), true);
+        await clock.advance(5_000);
+        assert.equal(holder.isHeld(), true);
+        await holder.stop();
+        const before = await store.get("foxlead/leases/orders");
+        await clock.advance(10_000);
+        assert.deepEqual(await store.get("foxlead/leases/orders"), before);
+        other.start();
+        await clock.advance(longestOrder + 1_000);
+        assert.equal(other.getFencingNumber(), 2);
+    });
+
+    it("keeps what a call brought that was under way when it was no longer sought", async () => {
+        const { clock, createLease } = createBench();
+        const lease = createLease("a");
+        lease.start();
+        lease.pause();
+        await clock.advance(10);
+        lease.start();
+        await clock.advance(2_000);
+        assert.equal(lease.isHeld(), true);
+        await clock.advance(10_000);
+        assert.equal(lease.isHeld(), true);
+    });
+
     it("sends nothing when its holder resumes after a takeover, to an endpoint that ignores the number", async () => {
         const { clock, pausable, holder, successor } = await createPausedHolder();
         const endpoint = new FakeEndpoint(false);
