--- a/src/process/router/peerExchange.ts
+++ b/src/process/router/peerExchange.ts
@@ -17,10 +17,8 @@
 import type { LeaseRelease } from "../leases/leaseRelease.ts";
 import type { EventLog } from "../logging/eventLog.ts";
 import { events } from "../logging/events.ts";
-import type { RendezvousOwners } from "../membership/rendezvousOwners.ts";
 import type { RandomSource } from "../randomSource.ts";
 import type { RecordSection } from "../replica/recordSection.ts";
-import { choosePartners } from "./choosePartners.ts";
 import type { NodeTable } from "./nodeTable.ts";
 import type { PeerState } from "./peerState.ts";
 
@@ -47,8 +45,6 @@
     /** Called with a release that a peer knows of. */
     onLeaseRelease(release: LeaseRelease): void;
     nodes: NodeTable;
-    /** Assigns partners to nodes. */
-    owners: RendezvousOwners;
     sections: readonly RecordSection[];
     state: PeerState;
     clock: Clock;
@@ -121,43 +117,34 @@
             return;
         }
         this.round += 1;
-        for (const address of this.chooseAddresses()) {
+        for (const address of this.choosePartners()) {
             void this.exchange(address);
         }
         const delay = roundMilliseconds * (0.8 + 0.4 * this.options.random());
         this.timer = this.options.clock.setTimer(delay, () => this.runRound());
     }
 
-    /** Chooses whom to talk to in this round, and closes connections to nodes that are no partners any more. */
-    private chooseAddresses(): string[] {
-        const { nodeId, dataCentre, nodes, owners, clock, random, seeds, address } = this.options;
-        const live = nodes.getLiveNodes(clock.getMonotonicTime());
-        const { near, away } = choosePartners(nodeId, dataCentre, live, owners);
-        const chosen = new Set<string>();
+    private choosePartners(): string[] {
+        const { nodes, clock, random, seeds, address } = this.options;
+        const known = nodes.getLiveNodes(clock.getMonotonicTime());
+        const live = known.map(node => node.address);
+        const near = known.filter(({ dataCentre }) => dataCentre === this.options.dataCentre).map(node => node.address);
+        const partners = new Set<string>();
         for (let count = 0; count < partnersOfRound; count++) {
             const isAway = near.length === 0 || count > 0 && random() < awayPart;
-            const choice = isAway ? [...near, ...away] : near;
+            const choice = isAway ? live : near;
             const partner = choice[Math.floor(random() * choice.length)];
             if (partner !== undefined) {
-                chosen.add(partner.address);
+                partners.add(partner);
             }
         }
         const isSeedTurn = live.length === 0 || this.round % roundsOfSeed === 0;
         for (const seed of isSeedTurn ? seeds : []) {
-            if (seed !== address && !live.some(node => node.address === seed)) {
-                chosen.add(seed);
-            }
-        }
-        this.closeOthers(new Set([...near, ...away].map(node => node.address)), chosen);
-        return [...chosen];
-    }
-
-    private closeOthers(partners: ReadonlySet<string>, chosen: ReadonlySet<string>): void {
-        for (const [address, connection] of this.connections) {
-            if (!partners.has(address) && !chosen.has(address) && connection.getCallCount() === 0) {
-                this.drop(address, connection);
+            if (seed !== address && !live.includes(seed)) {
+                partners.add(seed);
             }
         }
+        return [...partners];
     }
 
     private async exchange(address: string): Promise<void> {
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -129,7 +129,6 @@
             onStoreFailure: failedAt => {
                 this.lastToldFailure = Math.max(this.lastToldFailure, failedAt);
             },
-            owners: options.owners,
             getLeaseRelease: () => this.lease.getNewestRelease(),
             onLeaseRelease: release => this.lease.noteRelease(release),
             seeds: settings.seeds,
