Take a copy of the store as stale at 0.6 of the time that changes may take, not at 0.4

Cause: the way over peers takes 1.2 to 1.5 s at times, so that nodes which need not follow the store took turns in doing so for 6 s each.

--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -51,7 +51,7 @@
 /** How often it is reviewed who follows the store. */
 const reviewMilliseconds = 250;
 /** A node whose peers brought nothing current for this part of the time that changes may take follows the store itself. */
-const stalePart = 0.4;
+const stalePart = 0.6;
 /** It goes on for this long, so that it doesn't change its ways with every late message. */
 const followMilliseconds = 6_000;
 /** A node that has heard of no other by then takes itself for the only one. */
