--- a/scripts/soak/faultKind.ts
+++ b/scripts/soak/faultKind.ts
@@ -1,5 +1,5 @@
 /** A fault that is ready to be shown at a target. */
-export interface PreparedFault {
+interface PreparedFault {
     /** Name of the process, or `platform`. */
     target: string;
     /** Shows the fault. */
--- /dev/null
+++ b/tests/platform/earlyAnswers.test.ts
@@ -0,0 +1,103 @@
+import assert from "node:assert/strict";
+import { createServer, type Server, type Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+import { after, before, describe, it } from "node:test";
+import { waitUntil } from "../support/waitUntil.ts";
+import { RouterBench, type StartedNode } from "./routerBench.ts";
+
+const bodyLength = 90_000;
+const pauseMilliseconds = 300;
+const answer = "early";
+
+/** An endpoint that answers as soon as it has a request's head, and reads the rest of the body later. */
+class EarlyEndpoint {
+    /** What came on each connection. */
+    readonly received: string[] = [];
+    private readonly server: Server;
+    private readonly sockets: Socket[] = [];
+
+    private constructor() {
+        this.server = createServer({ highWaterMark: 1_024 }, socket => this.accept(socket));
+    }
+
+    static async create(): Promise<EarlyEndpoint> {
+        const endpoint = new EarlyEndpoint();
+        await new Promise<void>(resolve => endpoint.server.listen(0, "127.0.0.1", resolve));
+        return endpoint;
+    }
+
+    getAddress(): string {
+        return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    }
+
+    close(): void {
+        for (const socket of this.sockets) {
+            socket.destroy();
+        }
+        this.server.close();
+    }
+
+    private accept(socket: Socket): void {
+        const index = this.received.push("") - 1;
+        this.sockets.push(socket);
+        socket.on("error", () => undefined);
+        socket.on("data", (bytes: Buffer) => {
+            const before = this.received[index]!;
+            this.received[index] = before + bytes.toString("latin1");
+            const id = [...this.received[index].matchAll(/request-id: (\S+)/gi)].at(-1)?.[1];
+            const heads = this.received[index].match(/request-id: /gi)?.length ?? 0;
+            if (heads > (before.match(/request-id: /gi)?.length ?? 0)) {
+                socket.pause();
+                setTimeout(() => socket.resume(), pauseMilliseconds);
+                socket.write(
+                    `HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nresponse-seal: s\r\ncontent-length: ${answer.length}\r\n\r\n${answer}`,
+                );
+            }
+        });
+    }
+}
+
+describe("Answers that come before a long body is read", () => {
+    let bench: RouterBench;
+    let node: StartedNode;
+    let endpoint: EarlyEndpoint;
+
+    before(async () => {
+        bench = await RouterBench.create();
+        endpoint = await EarlyEndpoint.create();
+        const record = { service: "documents", address: endpoint.getAddress(), zone: "a", slots: 6, state: "ready" };
+        bench.store.put("servers/early", record);
+        node = await bench.addNode();
+        await bench.waitForEndpoints(node, 1);
+    });
+
+    after(async () => {
+        await bench.close();
+        endpoint.close();
+    });
+
+    it("reach the caller, and nothing but the rest of that body follows on the connection", async () => {
+        const body = "b".repeat(bodyLength);
+        const first = await bench.send(node, "/unsafe/first", { body });
+        assert.deepEqual([first.status, first.body], [200, answer]);
+        const second = await bench.send(node, "/unsafe/second", { body: "c".repeat(100) });
+        assert.equal(second.status, 200);
+        await waitUntil("the bodies have come", () => endpoint.received.join("").includes("c".repeat(100)));
+        for (const text of endpoint.received) {
+            for (const [head, ...rest] of splitRequests(text)) {
+                const length = Number(/content-length: (\d+)/i.exec(head!)?.[1] ?? 0);
+                const [letter] = rest[0]?.[0] ?? "";
+                assert.ok(rest[0]!.length <= length, "More bytes came than the body has.");
+                assert.equal(rest[0], (letter ?? "").repeat(rest[0]!.length), "Other bytes came within the body.");
+            }
+        }
+    });
+});
+
+/** Splits what came on a connection into requests, each with its head and its body. */
+function splitRequests(text: string): [string, string][] {
+    return text.split(/(?=POST )/).map(part => {
+        const end = part.indexOf("\r\n\r\n");
+        return [part.slice(0, end), part.slice(end + 4)];
+    });
+}
