--- a/src/process/placement/placementDuty.ts
+++ b/src/process/placement/placementDuty.ts
@@ -65,6 +65,8 @@
      * once; only a new plan waits until all endpoints have registered. Saves 0.9 s of each takeover.
      */
     private readonly lookedFor = new Set<string>();
+    /** Services whose endpoints have stood still once since the lease was taken. Later losses are acted on at once. */
+    private readonly hasSettled = new Set<string>();
     private readonly openOrders = new Map<string, OpenOrder>();
     /** Endpoints that are busy with an order of an earlier holder, until when they are left alone. */
     private readonly busyUntil = new Map<string, number>();
@@ -109,6 +111,7 @@
             this.loadedNumber = fencingNumber;
             this.plans.clear();
             this.lookedFor.clear();
+            this.hasSettled.clear();
             this.openOrders.clear();
         }
         for (const service of this.options.getModelServices()) {
@@ -188,8 +191,11 @@
         return [...assignments, move];
     }
 
-    /** Whether the list of endpoints has stood still long enough to plan, or to move a holder, from it. */
+    /** Whether the list of endpoints has stood still long enough, once, to plan from it or to move a holder. */
     private isSettled(service: string, endpoints: readonly RegisteredEndpoint[]): boolean {
+        if (this.hasSettled.has(service)) {
+            return true;
+        }
         const now = this.options.clock.getMonotonicTime();
         const signature = endpoints.map(({ id }) => id).join();
         const known = this.settled.get(service);
@@ -197,7 +203,11 @@
             this.settled.set(service, { signature, since: now });
             return false;
         }
-        return now - known.since >= settleMilliseconds;
+        if (now - known.since < settleMilliseconds) {
+            return false;
+        }
+        this.hasSettled.add(service);
+        return true;
     }
 
     private async loadPlan(
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -50,7 +50,10 @@
 const unknownNodes = 9;
 /** How often it is reviewed who follows the store. */
 const reviewMilliseconds = 250;
-/** A node whose peers brought nothing current for this part of the time that changes may take follows the store itself. */
+/**
+ * A node whose peers brought nothing current for this part of the time that changes may take follows the store itself. The way
+ * over peers takes up to 1.5 s of the usual 3 s; at 0.4 half of 16 nodes followed the store at any time, at 0.6 one in four.
+ */
 const stalePart = 0.6;
 /** It goes on for this long, so that it doesn't change its ways with every late message. */
 const followMilliseconds = 6_000;
--- a/tests/process/placement/placementDuty.test.ts
+++ b/tests/process/placement/placementDuty.test.ts
@@ -84,4 +84,16 @@
         await clock.advance(3_000);
         assert.equal(orders.length, 1);
     });
+
+    it("moves a holder at once for a column that has lost its last one", async () => {
+        await storePlan();
+        endpoints = [createMiddle("x", second), createMiddle("w", second), createMiddle("y", third)];
+        start(2);
+        await clock.advance(3_000);
+        assert.equal(orders.length, 0);
+        endpoints = endpoints.slice(0, 2);
+        await clock.advance(600);
+        assert.equal(orders.length, 1);
+        assert.deepEqual(orders[0]!.order.layers, third);
+    });
 });
