Wait for room at sound endpoints rather than send a request to one that is taken as lost

What binds is left: half of the first layers' memory is gone for 15 s. Test failed first (by its absence: the choice was not a function of its own).

--- a/src/request/relay/relayChains.ts
+++ b/src/request/relay/relayChains.ts
@@ -1,6 +1,7 @@
 import type { EngineModel } from "../../version/routing/engineModel.ts";
 import { assertTiling } from "./assertTiling.ts";
-import { chooseStages, type StageQuery } from "./chooseStages.ts";
+import { chooseSoundStages } from "./chooseSoundStages.ts";
+import type { StageQuery } from "./chooseStages.ts";
 import type { LoadReservation } from "./endpointLoads.ts";
 import { getCrossingBits } from "./getCrossingBits.ts";
 import { listCandidates } from "./listCandidates.ts";
@@ -53,9 +54,7 @@
         };
         const candidates = listCandidates(environment, model, task.service.name)
             .filter(({ endpoint }) => !avoid.has(endpoint.id));
-        const sound = candidates.filter(({ isSuspect }) => !isSuspect);
-        // An endpoint that is taken as lost may be back; where no chain can do without it, it is tried.
-        return chooseStages(query, sound, environment.random) ?? chooseStages(query, candidates, environment.random);
+        return chooseSoundStages(query, candidates, environment.random);
     }
 
     /**
--- /dev/null
+++ b/tests/request/relay/chooseSoundStages.test.ts
@@ -0,0 +1,41 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { chooseSoundStages } from "../../../src/request/relay/chooseSoundStages.ts";
+import type { StageQuery } from "../../../src/request/relay/chooseStages.ts";
+import type { StageCandidate } from "../../../src/request/relay/stageCandidate.ts";
+import { createCandidate, relayModel } from "./relayModel.ts";
+
+const query: StageQuery = {
+    model: relayModel,
+    promptTokens: 800,
+    answerTokens: 200,
+    dataCentre: "a",
+    pipeUse: 0,
+    mayOverfill: false,
+    getCrossingDelay: () => 0,
+};
+const last = createCandidate("last", 40, 80);
+const full = createCandidate("full", 0, 40, { tokenLayers: 6_000_000 });
+const lost = createCandidate("lost", 0, 40, { isSuspect: true });
+
+function choose(candidates: StageCandidate[], changes: Partial<StageQuery> = {}): string[] | undefined {
+    return chooseSoundStages({ ...query, ...changes }, candidates, () => 0)?.map(({ endpoint }) => endpoint.id);
+}
+
+describe("chooseSoundStages", () => {
+    it("does without endpoints that are taken as lost", () => {
+        assert.deepEqual(choose([lost, createCandidate("sound", 0, 40), last]), ["sound", "last"]);
+    });
+
+    it("waits for room rather than to try a lost endpoint", () => {
+        assert.equal(choose([lost, full, last]), undefined);
+    });
+
+    it("takes a full endpoint before a lost one where it may not wait", () => {
+        assert.deepEqual(choose([lost, full, last], { mayOverfill: true }), ["full", "last"]);
+    });
+
+    it("tries a lost endpoint where no other holds its layers", () => {
+        assert.deepEqual(choose([lost, last]), ["lost", "last"]);
+    });
+});
