--- a/bench/capacity/countWireBytes.ts
+++ b/bench/capacity/countWireBytes.ts
@@ -1,4 +1,4 @@
-import { CuttingRelay } from "../../tests/support/cuttingRelay.ts";
+import { LoopbackProxy } from "../../standins/network/loopbackProxy.ts";
 
 /**
  * Counts the bytes that calls move in both directions, without the headers of TCP and IP.
@@ -6,7 +6,7 @@
  * @param run - Makes the calls at the address that it is given.
  */
 export async function countWireBytes(address: string, run: (address: string) => Promise<unknown>): Promise<number> {
-    const relay = await CuttingRelay.create(() => Number(address.split(":")[1]));
+    const relay = await LoopbackProxy.create(() => address);
     await run(relay.getAddress());
     const bytes = relay.getByteCount();
     await relay.close();
--- a/bench/membership/measureCallCost.ts
+++ b/bench/membership/measureCallCost.ts
@@ -7,7 +7,7 @@
     GossipRequestSchema,
     GossipResponseSchema,
 } from "../../src/wire/generated/foxlead/peer/v1/peer_pb.ts";
-import { CuttingRelay } from "../../tests/support/cuttingRelay.ts";
+import { LoopbackProxy } from "../../standins/network/loopbackProxy.ts";
 import { SimulatedFleet } from "./simulatedFleet.ts";
 import type { SimulatedNode } from "./simulatedNode.ts";
 
@@ -57,7 +57,7 @@
     server: PeerServer,
     request: GossipRequest,
 ): Promise<Pick<CallCost, "warmBytes" | "coldBytes">> {
-    const relay = await CuttingRelay.create(() => Number(server.getAddress().split(":")[1]));
+    const relay = await LoopbackProxy.create(() => server.getAddress());
     const connections = PeerConnections.create({ secret, log });
     await callMany(connections, relay.getAddress(), request, 1);
     const coldBytes = relay.getByteCount();
--- /dev/null
+++ b/scripts/soak/countNames.ts
@@ -0,0 +1,8 @@
+/** Counts how often each name comes. */
+export function countNames(names: Iterable<string>): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const name of names) {
+        counts[name] = (counts[name] ?? 0) + 1;
+    }
+    return counts;
+}
--- a/scripts/soak/faultLoop.ts
+++ b/scripts/soak/faultLoop.ts
@@ -8,7 +8,8 @@
     context: Context;
     /** All kinds, by name. */
     allKinds: Readonly<Record<string, FaultKind<Context>>>;
-    maximumFaults: number;
+    /** Not limited where undefined. */
+    maximumFaults?: number;
     /** Names of the kinds to choose from; all where undefined. */
     kinds?: readonly string[];
     print(line: string): void;
@@ -30,7 +31,7 @@
         this.kinds = repeatByWeight(options.allKinds, options.kinds ?? Object.keys(options.allKinds));
     }
 
-    /** Creates a loop that does nothing before {@link FaultLoop.run}. */
+    /** Creates a loop that does nothing before {@link FaultLoop.runBeside}. */
     static create<Context extends { random: SeededRandom; timeline: FaultTimeline; }>(
         options: FaultLoopOptions<Context>,
     ): FaultLoop<Context> {
@@ -38,9 +39,9 @@
     }
 
     /** Shows faults until stopped or all are shown; none is left when it returns. */
-    async run(): Promise<void> {
-        const { random } = this.options.context;
-        while (!this.isStopped && this.count < this.options.maximumFaults) {
+    private async run(): Promise<void> {
+        const { context: { random }, maximumFaults = Infinity } = this.options;
+        while (!this.isStopped && this.count < maximumFaults) {
             await sleep(random.chooseInteger(...quietMilliseconds));
             const isPair = random.isHit(pairShare);
             const shown = [this.show(0)];
@@ -51,9 +52,18 @@
         }
     }
 
-    /** Shows no further fault. */
-    stop(): void {
-        this.isStopped = true;
+    /**
+     * Shows faults beside a load. The load ends when its time is over or all its requests are sent, and the faults with it.
+     * @param load - The load.
+     * @param milliseconds - Longest time of the load.
+     */
+    async runBeside(load: { run(): Promise<void>; stop(): void; }, milliseconds: number): Promise<void> {
+        const timer = setTimeout(() => load.stop(), milliseconds);
+        const running = load.run().finally(() => {
+            this.isStopped = true;
+        });
+        await Promise.all([running, this.run()]);
+        clearTimeout(timer);
     }
 
     private async show(delayMilliseconds: number): Promise<void> {
--- a/scripts/soak/faultTimeline.ts
+++ b/scripts/soak/faultTimeline.ts
@@ -1,3 +1,5 @@
+import { countNames } from "./countNames.ts";
+
 /** A fault that was shown for a time. */
 export interface ShownFault {
     kind: string;
@@ -45,11 +47,7 @@
 
     /** Counts the faults by kind. */
     getCounts(): Record<string, number> {
-        const counts: Record<string, number> = {};
-        for (const { kind } of this.faults) {
-            counts[kind] = (counts[kind] ?? 0) + 1;
-        }
-        return counts;
+        return countNames(this.faults.map(({ kind }) => kind));
     }
 
     /** Describes the faults of a span in one line. */
--- a/scripts/soak/faults/nodeFaultKinds.ts
+++ b/scripts/soak/faults/nodeFaultKinds.ts
@@ -1,3 +1,4 @@
+import { createFaultKind } from "../createFaultKind.ts";
 import type { FaultContext } from "../faultContext.ts";
 import type { FaultKind } from "../faultKind.ts";
 import type { FleetNode } from "../nodeFleet.ts";
@@ -7,16 +8,15 @@
 
 /** Faults of nodes, and the graceful stop of a rolling restart. */
 export const nodeFaultKinds: Readonly<Record<string, FaultKind<FaultContext>>> = {
-    nodeKill: createKind(5, [0, 4_000], ({ fleet }, node) => fleet.kill(node), ({ fleet }) => fleet.start()),
+    nodeKill: createKind(5, [0, 4_000], ({ fleet }, node) => fleet.kill(node), startAnother),
     nodeFreeze: createKind(5, [200, 9_000], freeze, thaw),
-    nodeGracefulStop: createKind(
-        6,
-        [0, 500],
-        ({ fleet }, node) => fleet.stopGracefully(node),
-        ({ fleet }) => fleet.start(),
-    ),
+    nodeGracefulStop: createKind(6, [0, 500], ({ fleet }, node) => fleet.stopGracefully(node), startAnother),
 };
 
+function startAnother({ fleet }: FaultContext): Promise<void> {
+    return fleet.start();
+}
+
 function freeze(_context: FaultContext, { node }: FleetNode): void {
     node.process.signal("SIGSTOP");
 }
@@ -32,16 +32,14 @@
     show: Act,
     undo: Act,
 ): FaultKind<FaultContext> {
-    return {
+    return createFaultKind({
         weight,
         holdMilliseconds,
-        prepare: context => {
-            const fleetNode = context.fleet.take(context.random);
-            return fleetNode && {
-                target: fleetNode.node.name,
-                show: () => show(context, fleetNode),
-                undo: async () => await undo(context, fleetNode),
-            };
-        },
-    };
+        take: ({ fleet, random }) => fleet.take(random),
+        getName: ({ node }) => node.name,
+        show,
+        undo,
+        // A node that has ended is not given back; another has started in its place.
+        release: () => undefined,
+    });
 }
--- a/scripts/soak/faults/platformFaultKinds.ts
+++ b/scripts/soak/faults/platformFaultKinds.ts
@@ -1,3 +1,5 @@
+import type { DeployedStandin, LocalDeployment } from "../../deployment/localDeployment.ts";
+import { createFaultKind } from "../createFaultKind.ts";
 import type { FaultContext } from "../faultContext.ts";
 import type { FaultKind } from "../faultKind.ts";
 import { raceOperators } from "../operators.ts";
@@ -33,22 +35,21 @@
     faults: object,
     undone: object,
 ): FaultKind<FaultContext> {
-    return {
+    return createFaultKind({
         weight,
         holdMilliseconds,
-        prepare: ({ deployment, taken }) => {
-            if (taken.has(name)) {
-                return undefined;
-            }
-            taken.add(name);
-            return {
-                target: name,
-                show: () => deployment.setFaults(deployment.platform, faults),
-                undo: async () => {
-                    await deployment.setFaults(deployment.platform, undone);
-                    taken.delete(name);
-                },
-            };
-        },
-    };
+        take: ({ deployment, taken }) => takePlatform(deployment, taken),
+        getName: () => name,
+        show: ({ deployment }, platform) => deployment.setFaults(platform, faults),
+        undo: ({ deployment }, platform) => deployment.setFaults(platform, undone),
+        release: ({ taken }) => taken.delete(name),
+    });
+}
+
+function takePlatform({ platform }: LocalDeployment, taken: Set<string>): DeployedStandin | undefined {
+    if (taken.has(name)) {
+        return undefined;
+    }
+    taken.add(name);
+    return platform;
 }
--- a/scripts/soak/keyCheck.ts
+++ b/scripts/soak/keyCheck.ts
@@ -82,15 +82,8 @@
 }
 
 function groupByKey(records: readonly SendRecord[]): Map<string, SendRecord[]> {
-    const groups = new Map<string, SendRecord[]>();
-    for (const record of records) {
-        const key = record.plan.idempotencyKey;
-        if (key !== undefined) {
-            const group = groups.get(key) ?? [];
-            group.push(record);
-            groups.set(key, group);
-        }
-    }
+    const keyed = records.filter(({ plan }) => plan.idempotencyKey !== undefined);
+    const groups = Map.groupBy(keyed, ({ plan }) => plan.idempotencyKey!);
     for (const group of groups.values()) {
         group.sort((left, right) => left.sentAt - right.sentAt);
     }
--- a/scripts/soak/lineCheck.ts
+++ b/scripts/soak/lineCheck.ts
@@ -16,7 +16,6 @@
 export function checkLine(name: string, line: string, violations: Violations): void {
     const kind = forbiddenEvents[eventPattern.exec(line)?.[1] ?? ""];
     if (kind !== undefined) {
-        const now = Date.now();
-        violations.add({ kind, message: `${name} wrote ${line}`, from: now, to: now, names: [name] });
+        violations.addNow(kind, `${name} wrote ${line}`, [name]);
     }
 }
--- a/scripts/soak/nodeFleet.ts
+++ b/scripts/soak/nodeFleet.ts
@@ -1,6 +1,6 @@
-import { request } from "undici";
 import type { DeployedNode, LocalDeployment } from "../deployment/localDeployment.ts";
 import type { FaultTimeline } from "./faultTimeline.ts";
+import { fetchText } from "./fetchText.ts";
 import type { SeededRandom } from "./seededRandom.ts";
 import type { Violations } from "./violations.ts";
 
@@ -126,32 +126,20 @@
         void node.process.exited.then(code => {
             fleetNode.hasEnded = true;
             if (!fleetNode.isEnding) {
-                const now = Date.now();
                 const message = `Node ${node.name} ended by itself with ${code}.`;
-                this.violations.add({ kind: "nodeCrashed", message, from: now, to: now, names: [node.name] });
+                this.violations.addNow("nodeCrashed", message, [node.name]);
             }
         });
     }
 
     private checkReadiness(): void {
         for (const fleetNode of this.getLive()) {
-            void this.isReady(fleetNode.node).then(isReady => {
-                const failures = isReady ? 0 : (this.failures.get(fleetNode) ?? 0) + 1;
+            const { adminAddress } = fleetNode.node;
+            void fetchText(`http://${adminAddress}/readyz`, checkTimeoutMilliseconds).then(answer => {
+                const failures = answer?.status === 200 ? 0 : (this.failures.get(fleetNode) ?? 0) + 1;
                 this.failures.set(fleetNode, failures);
                 fleetNode.isInRotation = failures === 0 || (fleetNode.isInRotation && failures < maximumFailures);
             });
         }
     }
-
-    private async isReady(node: DeployedNode): Promise<boolean> {
-        try {
-            const signal = AbortSignal.timeout(checkTimeoutMilliseconds);
-            const response = await request(`http://${node.adminAddress}/readyz`, { signal });
-            await response.body.dump();
-            return response.statusCode === 200;
-        }
-        catch {
-            return false;
-        }
-    }
 }
--- a/scripts/soak/nodeWatch.ts
+++ b/scripts/soak/nodeWatch.ts
@@ -1,6 +1,6 @@
-import { request } from "undici";
 import { NodeStatus } from "../../src/process/admin/nodeStatus.ts";
 import type { FaultTimeline } from "./faultTimeline.ts";
+import { fetchText } from "./fetchText.ts";
 import type { FleetNode, NodeFleet } from "./nodeFleet.ts";
 import type { Violations } from "./violations.ts";
 
@@ -57,7 +57,7 @@
         const at = Date.now();
         if (this.accepted.some(other => other.version === version)) {
             const message = `Version ${version} was reported as accepted for two edits.`;
-            this.violations.add({ kind: "versionTwice", message, from: at, to: at });
+            this.violations.addNow("versionTwice", message);
         }
         this.accepted.push({ version, at });
         setTimeout(() => this.checkInForce(version, at), inForceMilliseconds + marginMilliseconds).unref();
@@ -102,22 +102,22 @@
 
     private async read(fleetNode: FleetNode): Promise<void> {
         const { adminAddress } = fleetNode.node;
-        const status = await fetchText(adminAddress, "/status");
-        const metrics = await fetchText(adminAddress, "/metrics");
+        const status = await fetchText(`http://${adminAddress}/status`, pollTimeoutMilliseconds);
+        const metrics = await fetchText(`http://${adminAddress}/metrics`, pollTimeoutMilliseconds);
         if (status === undefined || metrics === undefined) {
             return;
         }
         const reading = this.readings.get(fleetNode) ?? { version: 0, firstSeen: new Map(), invariantFailures: 0 };
         this.readings.set(fleetNode, reading);
-        this.takeVersion(fleetNode, reading, NodeStatus.schema.parse(JSON.parse(status)).configurationVersion);
-        this.takeInvariantFailures(fleetNode, reading, sumCounter(metrics, "foxlead_invariant_failures_total"));
+        this.takeVersion(fleetNode, reading, NodeStatus.schema.parse(JSON.parse(status.text)).configurationVersion);
+        this.takeInvariantFailures(fleetNode, reading, sumCounter(metrics.text, "foxlead_invariant_failures_total"));
     }
 
     private takeVersion(fleetNode: FleetNode, reading: NodeReading, version: number): void {
         const now = Date.now();
         if (version < reading.version) {
             const message = `Node ${fleetNode.node.name} went back from version ${reading.version} to ${version}.`;
-            this.violations.add({ kind: "versionWentBack", message, from: now, to: now });
+            this.violations.addNow("versionWentBack", message);
         }
         for (let seen = reading.version + 1; seen <= version; seen += 1) {
             reading.firstSeen.set(seen, now);
@@ -159,17 +159,6 @@
     }
 }
 
-async function fetchText(address: string, path: string): Promise<string | undefined> {
-    try {
-        const signal = AbortSignal.timeout(pollTimeoutMilliseconds);
-        const response = await request(`http://${address}${path}`, { signal });
-        return await response.body.text();
-    }
-    catch {
-        return undefined;
-    }
-}
-
 function sumCounter(metrics: string, name: string): number {
     let sum = 0;
     for (const line of metrics.split("\n")) {
--- /dev/null
+++ b/scripts/soak/plannedCallers.ts
@@ -0,0 +1,73 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import type { LocalDeployment } from "../deployment/localDeployment.ts";
+import type { NodeFleet } from "./nodeFleet.ts";
+import { createRequestPlan, type RequestPlan } from "./requestPlan.ts";
+import type { SeededRandom } from "./seededRandom.ts";
+import { sendPlanned } from "./sendPlanned.ts";
+import type { SendRecord } from "./sendRecord.ts";
+
+/** Options of a {@link PlannedCallers}. */
+interface PlannedCallersOptions {
+    deployment: LocalDeployment;
+    fleet: NodeFleet;
+    /** Makes the plans. */
+    random: SeededRandom;
+    /** Chooses nodes, as answers come; apart, so that the plans depend on the seed alone. */
+    nodeRandom: SeededRandom;
+    /** Takes each sending once it has ended. */
+    onSent(record: SendRecord): void;
+}
+
+/** Outcomes after which a caller with a key asks again. */
+const unclearOutcomes: ReadonlySet<string> = new Set(["cut", "notConnected", "notRun", "running", "left"]);
+const maximumSends = 5;
+const millisecondsPerSecond = 1_000;
+
+/** Callers who send planned requests, of which some repeat, go away or read slowly. */
+export class PlannedCallers {
+    private readonly options: PlannedCallersOptions;
+
+    private constructor(options: PlannedCallersOptions) {
+        this.options = options;
+    }
+
+    /** Creates callers who send nothing before {@link PlannedCallers.send}. */
+    static create(options: PlannedCallersOptions): PlannedCallers {
+        return new PlannedCallers(options);
+    }
+
+    /** Sends the request with a number, as often as its plan wants; ends with its last answer. */
+    send(number: number): Promise<void> {
+        const plan = createRequestPlan(this.options.random, number);
+        return plan.idempotencyKey === undefined ? this.sendOnce(plan) : this.sendKeyed(plan);
+    }
+
+    private async sendOnce(plan: RequestPlan): Promise<void> {
+        await this.sendThrough(plan, true);
+    }
+
+    /** A caller with a key asks again with the same key, through another node, until it knows. */
+    private async sendKeyed(plan: RequestPlan): Promise<void> {
+        const first = this.sendThrough(plan, true);
+        const doubled = plan.isDoubled ? this.sendThrough(plan, false) : undefined;
+        let last = await first;
+        await doubled;
+        for (let sends = 1; sends < maximumSends; sends += 1) {
+            const isUnclear = unclearOutcomes.has(last.outcome);
+            const isPlanned = sends === 1 && plan.repeatAfterMilliseconds > 0;
+            if (!isUnclear && !isPlanned) {
+                return;
+            }
+            await sleep(plan.repeatAfterMilliseconds || millisecondsPerSecond);
+            last = await this.sendThrough(plan, false, last.node);
+        }
+    }
+
+    private async sendThrough(plan: RequestPlan, mayLeave: boolean, except?: string): Promise<SendRecord> {
+        const { deployment, fleet, nodeRandom, onSent } = this.options;
+        const { name, callerAddress } = fleet.choose(nodeRandom, except);
+        const record = await sendPlanned({ deployment, plan, node: name, address: callerAddress, mayLeave });
+        onSent(record);
+        return record;
+    }
+}
--- a/scripts/soak/router/callChecks.ts
+++ b/scripts/soak/router/callChecks.ts
@@ -1,6 +1,8 @@
+import { countNames } from "../countNames.ts";
 import type { FaultTimeline } from "../faultTimeline.ts";
 import type { Violations } from "../violations.ts";
 import { callKinds, type CallRecord } from "./callRecord.ts";
+import { eventsOfStream } from "./eventsOfStream.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
 
 /** Options of {@link CallChecks}. */
@@ -24,9 +26,10 @@
 const lateMilliseconds = 1_500;
 const drainMilliseconds = 2_000;
 const drainSlackMilliseconds = 500;
+/** Planned work at nodes, which cuts nothing off. */
+const plannedKinds = ["nodeStop", "nodeReload"];
 /** After a fault, promises with a time bound hold again after this time. */
 const settleMilliseconds = 4_000;
-const eventsOfStream = 20;
 const modelLayers = 8;
 
 /** Checks the promises from what callers and endpoints have seen. */
@@ -66,24 +69,29 @@
     /** Checks at the end what endpoints have run. */
     checkRuns(): void {
         const runs = this.options.deployment.endpoints.flatMap(endpoint => endpoint.getRuns());
-        const byRequest = new Map<string, Run[]>();
         for (const run of runs) {
-            byRequest.set(run.id, [...byRequest.get(run.id) ?? [], run]);
             this.checkRun(run);
         }
+        const byRequest = Map.groupBy(runs, ({ id }) => id);
         for (const record of this.records.values()) {
             this.checkCounts(record, byRequest.get(record.id) ?? []);
         }
     }
 
+    /** Describes the requests without a whole success whose ids begin so. */
+    listFailed(name: string): string[] {
+        const failed = [...this.records.values()].filter(({ id, status, isComplete }) =>
+            id.startsWith(name) && (status !== 200 || !isComplete)
+        );
+        return failed.map(({ id, node, status, reason }) => `${id} at ${node}: ${status} ${reason}`);
+    }
+
     /** Gets the requests by outcome. */
     getCounts(): Record<string, number> {
-        const counts: Record<string, number> = {};
-        for (const { kind, status, isComplete } of this.records.values()) {
-            const name = `${kind}/${status}${isComplete ? "" : " cut"}`;
-            counts[name] = (counts[name] ?? 0) + 1;
-        }
-        return counts;
+        const records = [...this.records.values()];
+        return countNames(
+            records.map(({ kind, status, isComplete }) => `${kind}/${status}${isComplete ? "" : " cut"}`),
+        );
     }
 
     private checkSuccess(record: CallRecord): void {
@@ -153,16 +161,15 @@
         }
         // A connection that ends while nothing of the request was passed on has crossed its closing.
         const isCut = !isComplete && runs.length > 0;
-        if (isCut && this.isPlannedStopOnly(record) && endedAt - record.sentAt < timeoutMilliseconds) {
-            this.add("lost", `A planned stop cut it off: ${record.reason}`, record);
+        if (isCut && this.hasPlannedStopsOnly(record) && endedAt - record.sentAt < timeoutMilliseconds) {
+            this.add("lost", `It was cut off: ${record.reason}`, record);
         }
     }
 
-    /** Whether the node was being stopped as planned, and nothing else was out of order. */
-    private isPlannedStopOnly({ node, sentAt, endedAt }: CallRecord): boolean {
+    /** Whether nothing was out of order but that nodes were stopped, or read their settings again, as planned. */
+    private hasPlannedStopsOnly({ sentAt, endedAt }: CallRecord): boolean {
         const shown = this.options.timeline.getDuring(sentAt - settleMilliseconds, endedAt);
-        return shown.length > 0
-            && shown.every(({ kind, target }) => kind === "nodeStop" || kind === "nodeReload" && target === node);
+        return shown.every(({ kind }) => plannedKinds.includes(kind));
     }
 
     private hasNodeFault({ node, sentAt, endedAt }: CallRecord): boolean {
@@ -176,16 +183,15 @@
         );
     }
 
-    private addRun(kind: string, message: string, run: Run, record?: CallRecord): void {
-        const { id, endpointId, arrivedAt } = run;
-        const names = record === undefined ? undefined : [record.node];
-        const text = `${id} at ${endpointId}: ${message}`;
-        this.options.violations.add({ kind, message: text, from: arrivedAt, to: arrivedAt, names });
+    private addRun(kind: string, text: string, { id, endpointId, arrivedAt }: Run, record?: CallRecord): void {
+        const message = `${id} at ${endpointId}: ${text}`;
+        const names = record && [record.node];
+        this.options.violations.add({ kind, message, from: arrivedAt, to: arrivedAt, names });
     }
 
-    private add(kind: string, message: string, { id, node, sentAt, endedAt }: CallRecord): void {
-        const text = `${id} at ${node}: ${message}`;
-        this.options.violations.add({ kind, message: text, from: sentAt, to: endedAt, names: [node] });
+    private add(kind: string, text: string, { id, node, sentAt, endedAt }: CallRecord): void {
+        const message = `${id} at ${node}: ${text}`;
+        this.options.violations.add({ kind, message, from: sentAt, to: endedAt, names: [node] });
     }
 }
 
--- /dev/null
+++ b/scripts/soak/router/eventsOfStream.ts
@@ -0,0 +1,2 @@
+/** Events of each stream that the soak's endpoints send. */
+export const eventsOfStream = 20;
--- a/scripts/soak/router/callerLoad.ts
+++ b/scripts/soak/router/routerCallers.ts
@@ -1,18 +1,13 @@
-import { setTimeout as sleep } from "node:timers/promises";
 import { Pool } from "undici";
 import { callerKey } from "../../../standins/router/callerKey.ts";
 import type { SeededRandom } from "../seededRandom.ts";
 import { type CallKind, callKinds, type CallRecord } from "./callRecord.ts";
 import type { RouterDeployment, SoakNode } from "./routerDeployment.ts";
 
-/** Options of a {@link CallerLoad}. */
-interface CallerLoadOptions {
-    /** First part of the requests' ids. */
-    name: string;
+/** Options of a {@link RouterCallers}. */
+interface RouterCallersOptions {
     deployment: RouterDeployment;
     random: SeededRandom;
-    requestsPerSecond: number;
-    maximumRequests: number;
     /** Called once a request has ended. */
     onEnded(record: CallRecord): void;
 }
@@ -24,52 +19,32 @@
 /** A caller gives up this long after its deadline. */
 const patienceMilliseconds = 4_000;
 const longestBody = 3_000;
-const secondMilliseconds = 1_000;
 const readinessMilliseconds = 1_000;
 /** Failed checks in a row after which the balancer leaves a node out. */
 const maximumFailures = 2;
 /** Share of requests that go to any node over a connection that was kept, whatever the balancer knows. */
 const keptShare = 0.2;
 
-/** Callers that send a steady stream of requests over kept connections, to the nodes that are ready. */
-export class CallerLoad {
-    private readonly options: CallerLoadOptions;
+/** Callers who send requests over kept connections, to the nodes that are ready. */
+export class RouterCallers {
+    private readonly options: RouterCallersOptions;
     private readonly pools = new Map<SoakNode, Pool>();
     private readonly failures = new Map<SoakNode, number>();
-    private count = 0;
-    private isStopped = false;
+    private readonly timer: NodeJS.Timeout;
 
-    private constructor(options: CallerLoadOptions) {
+    private constructor(options: RouterCallersOptions) {
         this.options = options;
+        this.timer = setInterval(() => void this.checkReadiness(), readinessMilliseconds);
     }
 
-    /** Creates callers that send nothing before {@link CallerLoad.run}. */
-    static create(options: CallerLoadOptions): CallerLoad {
-        return new CallerLoad(options);
-    }
-
-    /** Sends requests until stopped or all are sent; all have ended when it returns. */
-    async run(): Promise<void> {
-        const { random, requestsPerSecond, maximumRequests } = this.options;
-        const timer = setInterval(() => void this.checkReadiness(), readinessMilliseconds);
-        const running = new Set<Promise<void>>();
-        while (!this.isStopped && this.count < maximumRequests) {
-            const sending = this.send(random.choose(kinds)!, this.chooseNode());
-            running.add(sending);
-            void sending.finally(() => running.delete(sending));
-            await sleep(secondMilliseconds / requestsPerSecond);
-        }
-        await Promise.all(running);
-        clearInterval(timer);
-    }
-
-    /** Sends no further request. */
-    stop(): void {
-        this.isStopped = true;
+    /** Creates callers who send nothing before {@link RouterCallers.send}, and know which nodes are ready. */
+    static create(options: RouterCallersOptions): RouterCallers {
+        return new RouterCallers(options);
     }
 
     /** Ends all connections. */
     async close(): Promise<void> {
+        clearInterval(this.timer);
         for (const pool of this.pools.values()) {
             await pool.destroy();
         }
@@ -90,10 +65,11 @@
         return random.choose(inRotation.length > 0 ? inRotation : nodes)!;
     }
 
-    private async send(kind: CallKind, node: SoakNode): Promise<void> {
-        const { name, random, onEnded } = this.options;
-        this.count += 1;
-        const id = `${name}-${this.count}`;
+    /** Sends a request to one of the nodes; ends with its answer. */
+    async send(id: string): Promise<void> {
+        const { random, onEnded } = this.options;
+        const kind = random.choose(kinds)!;
+        const node = this.chooseNode();
         const isDocumentRead = kind === callKinds.safe;
         const record: CallRecord = {
             id,
--- a/scripts/soak/router/routerDeployment.ts
+++ b/scripts/soak/router/routerDeployment.ts
@@ -2,13 +2,14 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
+import { LoopbackProxy } from "../../../standins/network/loopbackProxy.ts";
 import { createBootFile } from "../../../standins/router/createBootFile.ts";
 import { createConfiguration } from "../../../standins/router/createConfiguration.ts";
 import { KeyValueStandin } from "../../../standins/router/keyValueStandin.ts";
 import type { ChildProcess } from "../../deployment/childProcess.ts";
 import { findFreePorts } from "../../deployment/findFreePorts.ts";
 import { ProcessStarter } from "../../deployment/processStarter.ts";
-import { LoopbackProxy } from "./loopbackProxy.ts";
+import { fetchText } from "../fetchText.ts";
 import { SoakEndpoint } from "./soakEndpoint.ts";
 
 /** Options of a {@link RouterDeployment}. */
@@ -45,6 +46,7 @@
 const stages = 4;
 const documentEndpoints = 3;
 const pollMilliseconds = 50;
+const checkTimeoutMilliseconds = 1_000;
 const stopMilliseconds = 8_000;
 
 /** A store, endpoints and real nodes of `foxlead platform` on the loopback address, with proxies between them. */
@@ -109,11 +111,7 @@
 
     /** Whether a node says that it is ready. */
     async isReady({ ports }: SoakNode): Promise<boolean> {
-        const signal = AbortSignal.timeout(1_000);
-        const answer = await fetch(`http://127.0.0.1:${ports.readiness}/v1/readiness`, { signal }).catch(() =>
-            undefined
-        );
-        await answer?.body?.cancel();
+        const answer = await fetchText(`http://127.0.0.1:${ports.readiness}/v1/readiness`, checkTimeoutMilliseconds);
         return answer?.status === 200;
     }
 
@@ -152,7 +150,7 @@
             const planned = {
                 name,
                 ports: { callers: callers!, readiness: readiness!, peers: peers!, admin: admin! },
-                storeProxy: await LoopbackProxy.create(getPort(this.store.getAddress())),
+                storeProxy: await LoopbackProxy.create(() => this.store.getAddress()),
                 settingsFile: join(this.directory, `${name}.yaml`),
                 endingSince: undefined,
                 isTaken: false,
@@ -191,7 +189,3 @@
         }
     }
 }
-
-function getPort(address: string): number {
-    return Number(address.split(":")[1]);
-}
--- a/scripts/soak/router/routerFaultKinds.ts
+++ b/scripts/soak/router/routerFaultKinds.ts
@@ -1,13 +1,16 @@
 import { setTimeout as sleep } from "node:timers/promises";
+import { ProxyMode } from "../../../standins/network/proxyMode.ts";
 import type { EndpointBehaviour } from "../../../standins/router/endpointStandin.ts";
 import type { KeyValueFaults } from "../../../standins/router/keyValueStandin.ts";
+import { createFaultKind } from "../createFaultKind.ts";
 import type { FaultKind } from "../faultKind.ts";
-import { type ProxyMode, proxyModes } from "./loopbackProxy.ts";
-import type { SoakNode } from "./routerDeployment.ts";
+import type { RouterDeployment, SoakNode } from "./routerDeployment.ts";
 import type { RouterSoakContext } from "./routerSoakContext.ts";
 import type { SoakEndpoint } from "./soakEndpoint.ts";
 
 type Kind = FaultKind<RouterSoakContext>;
+/** Does something to one target. */
+type Act<Target> = (context: RouterSoakContext, target: Target) => Promise<void> | void;
 type Span = readonly [number, number];
 
 /** Longest and shortest times of faults, in milliseconds. */
@@ -19,6 +22,9 @@
 /** An endpoint that leaves goes on serving this long after the bound, in milliseconds. */
 const leavingMilliseconds = 3_000;
 
+const ofNode = createTargetKinds(({ nodes }) => nodes);
+const ofEndpoint = createTargetKinds(({ endpoints }) => endpoints);
+
 /** Faults of nodes, of the store, of endpoints, and of the connections between them. */
 export const routerFaultKinds: Readonly<Record<string, Kind>> = {
     nodeKill: ofNode(3, none, (context, node) => context.deployment.kill(node), restart),
@@ -26,21 +32,21 @@
     nodeStopAtStart: ofNode(1, none, stopAtStart, restart),
     nodeFreeze: ofNode(3, long, (_, { process }) => process.signal("SIGSTOP"), thaw),
     nodeReload: ofNode(2, none, (_, { process }) => process.signal("SIGHUP"), () => undefined),
-    nodeStoreReset: ofStoreConnection(1, proxyModes.reset),
-    nodeStoreSilence: ofStoreConnection(2, proxyModes.silence),
-    nodeStoreCut: ofStoreConnection(1, proxyModes.cutRequests),
-    nodeStoreAnswersLost: ofStoreConnection(1, proxyModes.cutAnswers),
-    nodeStoreDelay: ofStoreConnection(1, proxyModes.delay),
+    nodeStoreReset: ofStoreConnection(1, ProxyMode.Reset),
+    nodeStoreSilence: ofStoreConnection(2, ProxyMode.Silence),
+    nodeStoreCut: ofStoreConnection(1, ProxyMode.CutRequests),
+    nodeStoreAnswersLost: ofStoreConnection(1, ProxyMode.CutAnswers),
+    nodeStoreDelay: ofStoreConnection(1, ProxyMode.Delay),
     storeRefuses: ofStore(2, long, { refuseWith: 503 }),
     storeSilent: ofStore(2, long, { isSilent: true }),
     storeLosesAnswers: ofStore(2, long, { losesAnswers: true }),
     storeCompact: ofDeployment(2, ({ deployment }) => deployment.store.compact()),
     configurationChange: ofDeployment(2, ({ deployment }) => void deployment.configure()),
-    endpointReset: ofEndpointConnection(2, proxyModes.reset),
-    endpointSilence: ofEndpointConnection(2, proxyModes.silence),
-    endpointCutRequests: ofEndpointConnection(1, proxyModes.cutRequests),
-    endpointCutAnswers: ofEndpointConnection(2, proxyModes.cutAnswers),
-    endpointDelay: ofEndpointConnection(2, proxyModes.delay),
+    endpointReset: ofEndpointConnection(2, ProxyMode.Reset),
+    endpointSilence: ofEndpointConnection(2, ProxyMode.Silence),
+    endpointCutRequests: ofEndpointConnection(1, ProxyMode.CutRequests),
+    endpointCutAnswers: ofEndpointConnection(2, ProxyMode.CutAnswers),
+    endpointDelay: ofEndpointConnection(2, ProxyMode.Delay),
     endpointRefuses: ofBehaviour(2, { refuseWith: 503 }),
     endpointLosesAnswers: ofBehaviour(2, { losesAnswer: true }),
     endpointFails: ofBehaviour(1, { failWith: 500 }),
@@ -51,36 +57,47 @@
     endpointCutsStreams: ofBehaviour(2, { cutsAfterEvent: 5 }),
     endpointStallsStreams: ofBehaviour(2, { stallsAfterEvent: 7 }),
     endpointSlow: ofBehaviour(1, { delayMilliseconds: 700 }),
-    endpointCrash: ofEndpoint(3, short, endpoint => endpoint.crash(), startAfterCrash),
-    endpointLeaves: ofEndpoint(3, none, endpoint => endpoint.startLeaving(), endAfterLeaving),
+    endpointCrash: ofEndpoint(3, short, (_, endpoint) => endpoint.crash(), startAfterCrash),
+    endpointLeaves: ofEndpoint(3, none, (_, endpoint) => endpoint.startLeaving(), endAfterLeaving),
 };
 
-function ofNode(
-    weight: number,
-    holdMilliseconds: Span,
-    show: (context: RouterSoakContext, node: SoakNode) => Promise<void> | void,
-    undo: (context: RouterSoakContext, node: SoakNode) => Promise<void> | void,
-): Kind {
-    return {
-        weight,
-        holdMilliseconds,
-        prepare: context => {
-            const { nodes } = context.deployment;
-            const node = context.random.choose(nodes.filter(({ isTaken }) => !isTaken));
-            if (node === undefined) {
-                return undefined;
-            }
-            node.isTaken = true;
-            return {
-                target: node.name,
-                show: () => show(context, node),
-                undo: async () => {
-                    await undo(context, node);
-                    node.isTaken = false;
-                },
-            };
-        },
-    };
+/** Creates kinds of faults at one of the nodes, or of the endpoints, that is free. */
+function createTargetKinds<Target extends { name: string; isTaken: boolean; }>(
+    getAll: (deployment: RouterDeployment) => readonly Target[],
+) {
+    return (weight: number, holdMilliseconds: Span, show: Act<Target>, undo: Act<Target>): Kind =>
+        createFaultKind({
+            weight,
+            holdMilliseconds,
+            take: ({ deployment, random }) => {
+                const target = random.choose(getAll(deployment).filter(({ isTaken }) => !isTaken));
+                if (target !== undefined) {
+                    target.isTaken = true;
+                }
+                return target;
+            },
+            getName: ({ name }) => name,
+            show,
+            undo,
+            release: (_, target) => {
+                target.isTaken = false;
+            },
+        });
+}
+
+function ofStoreConnection(weight: number, mode: ProxyMode): Kind {
+    const set = (newMode: ProxyMode): Act<SoakNode> => (_, { storeProxy }) => storeProxy.setMode(newMode);
+    return ofNode(weight, long, set(mode), set(ProxyMode.Pass));
+}
+
+function ofEndpointConnection(weight: number, mode: ProxyMode): Kind {
+    const set = (newMode: ProxyMode): Act<SoakEndpoint> => (_, { proxy }) => proxy.setMode(newMode);
+    return ofEndpoint(weight, short, set(mode), set(ProxyMode.Pass));
+}
+
+function ofBehaviour(weight: number, behaviour: EndpointBehaviour): Kind {
+    const set = (next: EndpointBehaviour): Act<SoakEndpoint> => (_, endpoint) => endpoint.setBehaviour(next);
+    return ofEndpoint(weight, short, set(behaviour), set({}));
 }
 
 function restart({ deployment }: RouterSoakContext, node: SoakNode): Promise<void> {
@@ -100,34 +117,20 @@
     process.signal("SIGCONT");
 }
 
-function ofStoreConnection(weight: number, mode: ProxyMode): Kind {
-    return ofNode(
-        weight,
-        long,
-        (_, { storeProxy }) => storeProxy.setMode(mode),
-        (_, { storeProxy }) => storeProxy.setMode(proxyModes.pass),
-    );
-}
-
 function ofStore(weight: number, holdMilliseconds: Span, faults: KeyValueFaults): Kind {
-    return {
+    return createFaultKind({
         weight,
         holdMilliseconds,
-        prepare: ({ deployment: { store } }) => {
-            if (Object.keys(store.faults).length > 0) {
-                return undefined;
-            }
-            return {
-                target: "store",
-                show: () => {
-                    store.faults = faults;
-                },
-                undo: () => {
-                    store.faults = {};
-                },
-            };
+        take: ({ deployment: { store } }) => Object.keys(store.faults).length > 0 ? undefined : store,
+        getName: () => "store",
+        show: (_, store) => {
+            store.faults = faults;
         },
-    };
+        undo: (_, store) => {
+            store.faults = {};
+        },
+        release: () => undefined,
+    });
 }
 
 function ofDeployment(weight: number, show: (context: RouterSoakContext) => void): Kind {
@@ -138,58 +141,13 @@
     };
 }
 
-function ofEndpoint(
-    weight: number,
-    holdMilliseconds: Span,
-    show: (endpoint: SoakEndpoint) => Promise<void> | void,
-    undo: (endpoint: SoakEndpoint) => Promise<void> | void,
-): Kind {
-    return {
-        weight,
-        holdMilliseconds,
-        prepare: ({ deployment: { endpoints }, random }) => {
-            const endpoint = random.choose(endpoints.filter(({ isTaken }) => !isTaken));
-            if (endpoint === undefined) {
-                return undefined;
-            }
-            endpoint.isTaken = true;
-            return {
-                target: endpoint.name,
-                show: () => show(endpoint),
-                undo: async () => {
-                    await undo(endpoint);
-                    endpoint.isTaken = false;
-                },
-            };
-        },
-    };
-}
-
-function ofEndpointConnection(weight: number, mode: ProxyMode): Kind {
-    return ofEndpoint(
-        weight,
-        short,
-        ({ proxy }) => proxy.setMode(mode),
-        ({ proxy }) => proxy.setMode(proxyModes.pass),
-    );
-}
-
-function ofBehaviour(weight: number, behaviour: EndpointBehaviour): Kind {
-    return ofEndpoint(
-        weight,
-        short,
-        endpoint => endpoint.setBehaviour(behaviour),
-        endpoint => endpoint.setBehaviour({}),
-    );
-}
-
-async function startAfterCrash(endpoint: SoakEndpoint): Promise<void> {
-    const removing = sleep(recordMilliseconds).then(() => endpoint.unregister());
-    await removing;
+async function startAfterCrash(_: RouterSoakContext, endpoint: SoakEndpoint): Promise<void> {
+    await sleep(recordMilliseconds);
+    endpoint.unregister();
     await endpoint.start();
 }
 
-async function endAfterLeaving(endpoint: SoakEndpoint): Promise<void> {
+async function endAfterLeaving(_: RouterSoakContext, endpoint: SoakEndpoint): Promise<void> {
     await sleep(leavingMilliseconds);
     endpoint.unregister();
     await endpoint.crash();
--- a/scripts/soak/router/runRouterSoak.ts
+++ b/scripts/soak/router/runRouterSoak.ts
@@ -2,12 +2,15 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { FaultLoop } from "../faultLoop.ts";
 import { FaultTimeline } from "../faultTimeline.ts";
+import { checkLine } from "../lineCheck.ts";
 import { LogTail } from "../logTail.ts";
+import { runWithCleanup } from "../runWithCleanup.ts";
 import { SeededRandom } from "../seededRandom.ts";
 import type { SoakOptions } from "../soakOptions.ts";
+import { SteadyLoad } from "../steadyLoad.ts";
 import { Violations } from "../violations.ts";
 import { CallChecks } from "./callChecks.ts";
-import { CallerLoad } from "./callerLoad.ts";
+import { RouterCallers } from "./routerCallers.ts";
 import { RouterDeployment } from "./routerDeployment.ts";
 import { routerFaultKinds } from "./routerFaultKinds.ts";
 import type { RouterSoakResult } from "./routerSoakReport.ts";
@@ -15,6 +18,10 @@
 /** After the last fault, everything is served again within this time. */
 const recoveryMilliseconds = 6_000;
 const recoveryRequests = 60;
+/** First part of the ids of the requests after the last fault. */
+const recoveryName = "last";
+/** Failed requests that are described. */
+const maximumShown = 5;
 const millisecondsPerSecond = 1_000;
 /** A node that outgrows this would be ended by the platform on its smallest machines, in kilobytes. */
 const memoryKilobytes = 250_000;
@@ -38,56 +45,43 @@
     const deployment = await RouterDeployment.create({
         nodes: options.nodes,
         isBuilt: options.isBuilt,
-        onLine: (name, line) => log.add(name, line),
-        onUnexpectedEnd: (name, code) => {
-            const now = Date.now();
-            violations.add({
-                kind: "ended",
-                message: `${name} ended by itself with ${code}.`,
-                from: now,
-                to: now,
-                names: [name],
-            });
+        onLine: (name, line) => {
+            log.add(name, line);
+            checkLine(name, line, violations);
         },
+        onUnexpectedEnd: (name, code) => violations.addNow("ended", `${name} ended by itself with ${code}.`, [name]),
     });
-    const onInterrupted = () => void deployment.close().finally(() => process.exit(130));
-    process.once("SIGINT", onInterrupted);
     const checks = CallChecks.create({ deployment, timeline, violations });
-    try {
-        return await soak(options, { deployment, timeline, violations, checks });
-    }
-    finally {
-        process.off("SIGINT", onInterrupted);
-        await deployment.close();
-    }
+    return await runWithCleanup(
+        () => deployment.close(),
+        () => soak(options, { deployment, timeline, violations, checks }),
+    );
 }
 
 async function soak(options: SoakOptions, parts: SoakParts): Promise<RouterSoakResult> {
     const { deployment, timeline, violations, checks } = parts;
     const startedAt = Date.now();
+    const random = SeededRandom.create(options.seed);
+    const callers = RouterCallers.create({ deployment, random, onEnded: record => checks.checkAnswer(record) });
     const faults = FaultLoop.create({
         context: { deployment, timeline, random: SeededRandom.create(options.seed + 1) },
         allKinds: routerFaultKinds,
-        maximumFaults: options.maximumFaults ?? Infinity,
-        kinds: options.kinds,
-        print: options.print,
+        ...options,
     });
-    const load = CallerLoad.create({
-        name: "call",
-        deployment,
-        random: SeededRandom.create(options.seed),
-        requestsPerSecond: options.requestsPerSecond,
-        maximumRequests: options.maximumRequests ?? Infinity,
-        onEnded: record => checks.checkAnswer(record),
-    });
-    const timer = setTimeout(() => load.stop(), options.milliseconds);
-    await Promise.all([load.run().finally(() => faults.stop()), faults.run()]);
-    clearTimeout(timer);
+    const load = SteadyLoad.create({ ...options, random, send: number => callers.send(`call-${number}`) });
+    await faults.runBeside(load, options.milliseconds);
     await sleep(recoveryMilliseconds);
-    await checkRecovery(options, parts);
+    const last = SteadyLoad.create({
+        ...options,
+        random,
+        maximumRequests: recoveryRequests,
+        send: number => callers.send(`${recoveryName}-${number}`),
+    });
+    await last.run();
+    checkRecovery(parts);
     checkMemory(parts);
     await Promise.all(deployment.nodes.map(node => deployment.terminate(node)));
-    await load.close();
+    await callers.close();
     checks.checkRuns();
     checkExits(parts);
     return {
@@ -99,29 +93,12 @@
     };
 }
 
-/** Checks that after the last fault every request is served. */
-async function checkRecovery(options: SoakOptions, parts: SoakParts): Promise<void> {
-    const { deployment, violations, checks } = parts;
-    const from = Date.now();
-    const failed: string[] = [];
-    const load = CallerLoad.create({
-        name: "last",
-        deployment,
-        random: SeededRandom.create(options.seed),
-        requestsPerSecond: options.requestsPerSecond,
-        maximumRequests: recoveryRequests,
-        onEnded: record => {
-            checks.checkAnswer(record);
-            if (record.status !== 200 || !record.isComplete) {
-                failed.push(`${record.id} at ${record.node}: ${record.status} ${record.reason}`);
-            }
-        },
-    });
-    await load.run();
-    await load.close();
+/** Checks that after the last fault every request was served. */
+function checkRecovery({ checks, violations }: SoakParts): void {
+    const failed = checks.listFailed(recoveryName);
     if (failed.length > 0) {
-        const message = `${failed.length} requests failed after the last fault: ${failed.slice(0, 5).join("; ")}`;
-        violations.add({ kind: "notRecovered", message, from, to: Date.now() });
+        const shown = failed.slice(0, maximumShown).join("; ");
+        violations.addNow("notRecovered", `${failed.length} requests failed after the last fault: ${shown}`);
     }
 }
 
@@ -131,8 +108,7 @@
         const status = readFileSync(`/proc/${process.getProcessId()}/status`, "utf8");
         const kilobytes = Number(/VmHWM:\s+(\d+)/.exec(status)?.[1]);
         if (kilobytes > memoryKilobytes) {
-            const now = Date.now();
-            violations.add({ kind: "memory", message: `${name} has held ${kilobytes} kB.`, from: now, to: now });
+            violations.addNow("memory", `${name} has held ${kilobytes} kB.`);
         }
     }
 }
@@ -141,9 +117,7 @@
 function checkExits({ deployment, violations }: SoakParts): void {
     for (const { name, exitCodes } of deployment.nodes) {
         if (exitCodes.some(code => code !== 0)) {
-            const now = Date.now();
-            const message = `${name} ended after SIGTERM with ${exitCodes.join(", ")}.`;
-            violations.add({ kind: "exit", message, from: now, to: now, names: [name] });
+            violations.addNow("exit", `${name} ended after SIGTERM with ${exitCodes.join(", ")}.`, [name]);
         }
     }
 }
--- a/scripts/soak/router/soakEndpoint.ts
+++ b/scripts/soak/router/soakEndpoint.ts
@@ -1,6 +1,7 @@
+import { LoopbackProxy } from "../../../standins/network/loopbackProxy.ts";
 import { type EndpointBehaviour, EndpointStandin, type RunRecord } from "../../../standins/router/endpointStandin.ts";
 import type { KeyValueStandin } from "../../../standins/router/keyValueStandin.ts";
-import { LoopbackProxy } from "./loopbackProxy.ts";
+import { eventsOfStream } from "./eventsOfStream.ts";
 
 /** Options of a {@link SoakEndpoint}. */
 interface SoakEndpointOptions {
@@ -19,11 +20,12 @@
 interface EndpointStart {
     standin: EndpointStandin;
     id: string;
+    /** host:port, also after its end. */
+    address: string;
     /** Wall-clock time in milliseconds from which it has told the store that it leaves. */
     leavingSince: number | undefined;
 }
 
-const eventsOfStream = 20;
 const eventMilliseconds = 30;
 
 /** An endpoint behind a proxy, over all its starts. */
@@ -32,17 +34,20 @@
     readonly proxy: LoopbackProxy;
     isTaken = false;
     private readonly options: SoakEndpointOptions;
-    private readonly starts: EndpointStart[] = [];
+    private readonly starts: EndpointStart[];
 
-    private constructor(options: SoakEndpointOptions, proxy: LoopbackProxy) {
+    private constructor(options: SoakEndpointOptions, proxy: LoopbackProxy, starts: EndpointStart[]) {
         this.options = options;
         this.name = options.name;
         this.proxy = proxy;
+        this.starts = starts;
     }
 
     /** Starts an endpoint and registers it. */
     static async create(options: SoakEndpointOptions): Promise<SoakEndpoint> {
-        const endpoint = new SoakEndpoint(options, await LoopbackProxy.create(0));
+        const starts: EndpointStart[] = [];
+        const proxy = await LoopbackProxy.create(() => starts.at(-1)!.address);
+        const endpoint = new SoakEndpoint(options, proxy, starts);
         await endpoint.start();
         return endpoint;
     }
@@ -66,8 +71,8 @@
             eventMilliseconds,
             onLayers: () => this.register(),
         });
-        this.starts.push({ standin, id, leavingSince: undefined });
-        this.proxy.setTarget(Number(standin.getAddress().split(":")[1]));
+        this.starts.push({ standin, id, address: standin.getAddress(), leavingSince: undefined });
+        this.proxy.resetAll();
         this.register();
     }
 
--- a/scripts/soak/runSoak.ts
+++ b/scripts/soak/runSoak.ts
@@ -1,7 +1,6 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { LocalDeployment } from "../deployment/localDeployment.ts";
 import { checkAnswer } from "./answerCheck.ts";
-import type { FaultContext } from "./faultContext.ts";
 import { FaultLoop } from "./faultLoop.ts";
 import { documentFaultKinds } from "./faults/documentFaultKinds.ts";
 import { engineFaultKinds } from "./faults/engineFaultKinds.ts";
@@ -14,12 +13,14 @@
 import { LogTail } from "./logTail.ts";
 import { NodeFleet } from "./nodeFleet.ts";
 import { NodeWatch } from "./nodeWatch.ts";
-import { RequestLoad } from "./requestLoad.ts";
+import { PlannedCallers } from "./plannedCallers.ts";
+import { runWithCleanup } from "./runWithCleanup.ts";
 import { SeededRandom } from "./seededRandom.ts";
 import type { SendRecord } from "./sendRecord.ts";
 import { soakEngines } from "./soakEngines.ts";
 import type { SoakOptions } from "./soakOptions.ts";
 import type { SoakResult } from "./soakReport.ts";
+import { SteadyLoad } from "./steadyLoad.ts";
 import { Violations } from "./violations.ts";
 
 const allKinds = {
@@ -49,16 +50,10 @@
             checkLine(name, line, violations);
         },
     });
-    const onInterrupted = () => void deployment.kill().finally(() => process.exit(130));
-    process.once("SIGINT", onInterrupted);
-    try {
+    return await runWithCleanup(() => deployment.kill(), async () => {
         await deployment.apply();
         return await soak(options, deployment, timeline, violations);
-    }
-    finally {
-        process.off("SIGINT", onInterrupted);
-        await deployment.kill();
-    }
+    });
 }
 
 async function soak(
@@ -67,22 +62,22 @@
     timeline: FaultTimeline,
     violations: Violations,
 ): Promise<SoakResult> {
-    const { seed, print } = options;
+    const { seed } = options;
     const fleet = NodeFleet.create(deployment, timeline, violations);
     const watch = NodeWatch.create(fleet, timeline, violations);
     const records: SendRecord[] = [];
-    const load = RequestLoad.create({
+    const random = SeededRandom.create(seed);
+    const callers = PlannedCallers.create({
         deployment,
         fleet,
-        random: SeededRandom.create(seed),
+        random,
         nodeRandom: SeededRandom.create(seed + 1),
-        requestsPerSecond: options.requestsPerSecond,
-        maximumRequests: options.maximumRequests ?? Infinity,
         onSent: record => {
             records.push(record);
             checkAnswer(record, timeline, violations);
         },
     });
+    const load = SteadyLoad.create({ ...options, random, send: number => callers.send(number) });
     const leavingChecks = { checked: 0, skipped: 0 };
     const faults = FaultLoop.create({
         context: {
@@ -96,12 +91,10 @@
             leavingChecks,
         },
         allKinds,
-        maximumFaults: options.maximumFaults ?? Infinity,
-        kinds: options.kinds,
-        print,
+        ...options,
     });
     const startedAt = Date.now();
-    await runUntilDone(options, load, faults);
+    await faults.runBeside(load, options.milliseconds);
     const seconds = (Date.now() - startedAt) / millisecondsPerSecond;
     await sleep(quietEndMilliseconds);
     watch.checkEnd();
@@ -121,14 +114,6 @@
     };
 }
 
-/** Ends the load when its time is over or all faults are shown; the faults end with the load. */
-async function runUntilDone(options: SoakOptions, load: RequestLoad, faults: FaultLoop<FaultContext>): Promise<void> {
-    const timer = setTimeout(() => load.stop(), options.milliseconds);
-    const running = load.run().finally(() => faults.stop());
-    await Promise.all([running, faults.run()]);
-    clearTimeout(timer);
-}
-
 async function stopAll(fleet: NodeFleet, watch: NodeWatch): Promise<(number | undefined)[]> {
     watch.close();
     fleet.close();
--- a/scripts/soak/sendPlanned.ts
+++ b/scripts/soak/sendPlanned.ts
@@ -19,6 +19,16 @@
 /** What an answer told. */
 type Told = Omit<SendRecord, "plan" | "node" | "sentAt" | "endedAt">;
 
+/** Of a sending that no answer came to. */
+const noAnswer: Told = {
+    outcome: "",
+    errorCode: "",
+    message: "",
+    isReplayed: false,
+    execution: 0,
+    chain: "",
+    longestGapMilliseconds: 0,
+};
 /** A connection that was refused; no byte of the request left the caller. */
 const notConnectedCodes: ReadonlySet<string> = new Set(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT"]);
 
@@ -64,7 +74,7 @@
     const { modelLayers } = deployment;
     const expected = referenceAnswer({ modelLayers, prompt: `user: ${prompt}`, maximumTokens }).text;
     const { outcome, errorCode, errorMessage, isReplayed, chain, longestGapMilliseconds } = answer;
-    const told = { outcome, errorCode, message: errorMessage, isReplayed, execution: 0, chain, longestGapMilliseconds };
+    const told = { ...noAnswer, outcome, errorCode, message: errorMessage, isReplayed, chain, longestGapMilliseconds };
     const isRight = outcome === "finished" ? answer.text === expected : expected.startsWith(answer.text);
     return isRight ? told : { ...told, outcome: "wrong", message: `got "${answer.text}" for "${expected}"` };
 }
@@ -83,15 +93,7 @@
         signal,
     });
     const { outcome, errorCode, errorMessage, isReplayed, execution } = answer;
-    const told = {
-        outcome,
-        errorCode,
-        message: errorMessage,
-        isReplayed,
-        execution,
-        chain: "",
-        longestGapMilliseconds: 0,
-    };
+    const told = { ...noAnswer, outcome, errorCode, message: errorMessage, isReplayed, execution };
     return outcome === "finished" && !answer.isRight
         ? { ...told, outcome: "wrong", message: `status ${answer.status} or the answer to another call` }
         : told;
@@ -102,12 +104,9 @@
     const causeCode = (error as { cause?: { code?: string; }; }).cause?.code;
     const isNotConnected = notConnectedCodes.has(code ?? "") || notConnectedCodes.has(causeCode ?? "");
     return {
+        ...noAnswer,
         outcome: isNotConnected ? "notConnected" : "cut",
         errorCode: code ?? name ?? "",
         message: `no answer began: ${message ?? ""}`,
-        isReplayed: false,
-        execution: 0,
-        chain: "",
-        longestGapMilliseconds: 0,
     };
 }
--- a/scripts/soak/soakReport.ts
+++ b/scripts/soak/soakReport.ts
@@ -1,4 +1,5 @@
 import { build, type Histogram } from "hdr-histogram-js";
+import { countNames } from "./countNames.ts";
 import type { FaultTimeline } from "./faultTimeline.ts";
 import { formatCounts } from "./formatCounts.ts";
 import type { KeyCounts } from "./keyCheck.ts";
@@ -34,7 +35,8 @@
     const { seed, seconds, requests, records, timeline, keys, versions, leavingChecks, exitCodes, violations } = result;
     print(`Seed ${seed}: ${requests} requests, sent ${records.length} times, in ${seconds.toFixed(0)} s of load.`);
     print(`Faults: ${formatCounts(timeline.getCounts())}.`);
-    print(`Sendings by outcome: ${formatCounts(countOutcomes(records, timeline))}.`);
+    const outcomes = countNames(records.map(record => getOutcomeName(record, timeline)));
+    print(`Sendings by outcome: ${formatCounts(outcomes)}.`);
     print(`Keys: ${formatCounts({ ...keys })}.`);
     print(`Configurations: ${versions.accepted} accepted, ${versions.checked} checks of one on one node after 3 s.`);
     print(`Leaving engines: ${leavingChecks.checked} checked, ${leavingChecks.skipped} too disturbed to check.`);
@@ -44,15 +46,6 @@
     printViolations(violations, print);
 }
 
-function countOutcomes(records: readonly SendRecord[], timeline: FaultTimeline): Record<string, number> {
-    const counts: Record<string, number> = {};
-    for (const record of records) {
-        const name = getOutcomeName(record, timeline);
-        counts[name] = (counts[name] ?? 0) + 1;
-    }
-    return counts;
-}
-
 function getOutcomeName(record: SendRecord, timeline: FaultTimeline): string {
     const { node, outcome, errorCode, sentAt, endedAt } = record;
     if (outcome === "cut") {
--- a/scripts/soak/violations.ts
+++ b/scripts/soak/violations.ts
@@ -58,6 +58,12 @@
         });
     }
 
+    /** Adds a violation that is seen at this moment. */
+    addNow(kind: string, message: string, names?: readonly string[]): void {
+        const now = Date.now();
+        this.add({ kind, message, from: now, to: now, names });
+    }
+
     getAll(): readonly Violation[] {
         return this.found;
     }
--- a/tests/connection/peer/peerConnections.test.ts
+++ b/tests/connection/peer/peerConnections.test.ts
@@ -8,7 +8,7 @@
     ClaimRequestSchema,
     GetConfigurationRequestSchema,
 } from "../../../src/wire/generated/foxlead/peer/v1/peer_pb.ts";
-import { CuttingRelay } from "../../support/cuttingRelay.ts";
+import { LoopbackProxy } from "../../../standins/network/loopbackProxy.ts";
 import { waitUntil } from "../../support/waitUntil.ts";
 
 const secret = "test-secret";
@@ -18,7 +18,7 @@
     const numbers: number[] = [];
     const log = { write: (event: { number: number; }) => numbers.push(event.number) };
     let server: PeerServer;
-    let relay: CuttingRelay;
+    let relay: LoopbackProxy;
     let connections: PeerConnections;
     let finishClaim: () => void;
 
@@ -43,7 +43,7 @@
                 takeKeptAnswers: async () => ({}),
             },
         });
-        relay = await CuttingRelay.create(() => Number(server.getAddress().split(":")[1]));
+        relay = await LoopbackProxy.create(() => server.getAddress());
         connections = createConnections(secret);
     });
 
--- a/tests/process/membership/testNode.ts
+++ b/tests/process/membership/testNode.ts
@@ -5,7 +5,7 @@
 import { Gossiper } from "../../../src/process/membership/gossiper.ts";
 import { MembershipView } from "../../../src/process/membership/membershipView.ts";
 import { systemClock } from "../../../src/process/systemClock.ts";
-import { CuttingRelay } from "../../support/cuttingRelay.ts";
+import { LoopbackProxy } from "../../../standins/network/loopbackProxy.ts";
 
 const secret = "test-secret";
 const log = { write: () => undefined };
@@ -13,7 +13,7 @@
 /** A node's membership over real loopback connections; all calls to it pass through its relay. */
 export class TestNode {
     readonly view: MembershipView;
-    readonly relay: CuttingRelay;
+    readonly relay: LoopbackProxy;
     readonly gossiper: Gossiper;
     readonly spreader: ConfigurationSpreader;
     readonly offered: number[] = [];
@@ -21,7 +21,7 @@
     private readonly connections: PeerConnections;
     private server: PeerServer | undefined;
 
-    private constructor(nodeId: string, relay: CuttingRelay) {
+    private constructor(nodeId: string, relay: LoopbackProxy) {
         this.relay = relay;
         this.connections = PeerConnections.create({ secret, log, timeoutMilliseconds: 250 });
         this.view = MembershipView.create({
@@ -56,8 +56,8 @@
     }
 
     static async create(nodeId: string): Promise<TestNode> {
-        let port = 0;
-        const node = new TestNode(nodeId, await CuttingRelay.create(() => port));
+        let address = "";
+        const node = new TestNode(nodeId, await LoopbackProxy.create(() => address));
         node.server = await PeerServer.create({
             address: "127.0.0.1:0",
             secret,
@@ -71,7 +71,7 @@
                 takeKeptAnswers: async () => ({}),
             },
         });
-        port = Number(node.server.getAddress().split(":")[1]);
+        address = node.server.getAddress();
         return node;
     }
 
--- a/tests/scripts/callChecks.test.ts
+++ b/tests/scripts/callChecks.test.ts
@@ -128,4 +128,13 @@
             "lost",
         ]);
     });
+
+    it("finds requests that are cut off while nothing is out of order, and excuses those under a fault", () => {
+        const cut = createRecord({ isComplete: false, status: 0, signature: undefined });
+        assert.deepEqual(check(cut, createRun()), ["lost"]);
+        const kill = timeline.start("nodeKill", "node-0");
+        kill.from = 900;
+        kill.to = 1_000;
+        assert.deepEqual(check(cut, createRun()), ["lost"]);
+    });
 });
--- a/tests/scripts/loopbackProxy.test.ts
+++ b/tests/standins/loopbackProxy.test.ts
@@ -3,7 +3,8 @@
 import type { AddressInfo } from "node:net";
 import { after, before, beforeEach, describe, it } from "node:test";
 import { request } from "undici";
-import { LoopbackProxy, proxyModes } from "../../scripts/soak/router/loopbackProxy.ts";
+import { LoopbackProxy } from "../../standins/network/loopbackProxy.ts";
+import { ProxyMode } from "../../standins/network/proxyMode.ts";
 
 describe("LoopbackProxy", () => {
     let server: Server;
@@ -16,12 +17,12 @@
             response.end("answer");
         });
         await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-        proxy = await LoopbackProxy.create((server.address() as AddressInfo).port);
+        proxy = await LoopbackProxy.create(() => `127.0.0.1:${(server.address() as AddressInfo).port}`);
     });
 
     beforeEach(() => {
         arrived = 0;
-        proxy.setMode(proxyModes.pass);
+        proxy.setMode(ProxyMode.Pass);
     });
 
     after(async () => {
@@ -38,35 +39,35 @@
 
     it("passes bytes on, also with a delay", async () => {
         assert.equal(await call(), "answer");
-        proxy.setMode(proxyModes.delay);
+        proxy.setMode(ProxyMode.Delay);
         const startedAt = Date.now();
         assert.equal(await call(), "answer");
         assert.ok(Date.now() - startedAt >= 290);
     });
 
     it("resets connections", async () => {
-        proxy.setMode(proxyModes.reset);
+        proxy.setMode(ProxyMode.Reset);
         await assert.rejects(call());
         assert.equal(arrived, 0);
     });
 
     it("cuts the way of the requests", async () => {
-        proxy.setMode(proxyModes.cutRequests);
+        proxy.setMode(ProxyMode.CutRequests);
         await assert.rejects(call());
         assert.equal(arrived, 0);
     });
 
     it("cuts the way of the answers", async () => {
-        proxy.setMode(proxyModes.cutAnswers);
+        proxy.setMode(ProxyMode.CutAnswers);
         await assert.rejects(call());
         assert.equal(arrived, 1);
     });
 
     it("falls silent, and passes bytes on again", async () => {
-        proxy.setMode(proxyModes.silence);
+        proxy.setMode(ProxyMode.Silence);
         await assert.rejects(call());
         assert.equal(arrived, 0);
-        proxy.setMode(proxyModes.pass);
+        proxy.setMode(ProxyMode.Pass);
         assert.equal(await call(), "answer");
     });
 });
--- a/tests/system/nodes.test.ts
+++ b/tests/system/nodes.test.ts
@@ -6,8 +6,9 @@
 import { FaultTimeline } from "../../scripts/soak/faultTimeline.ts";
 import { LogTail } from "../../scripts/soak/logTail.ts";
 import { NodeFleet } from "../../scripts/soak/nodeFleet.ts";
-import { RequestLoad } from "../../scripts/soak/requestLoad.ts";
+import { PlannedCallers } from "../../scripts/soak/plannedCallers.ts";
 import { SeededRandom } from "../../scripts/soak/seededRandom.ts";
+import { SteadyLoad } from "../../scripts/soak/steadyLoad.ts";
 import { Violations } from "../../scripts/soak/violations.ts";
 import { DocumentCaller } from "./documentCaller.ts";
 import { readExecutions } from "./readExecutions.ts";
@@ -43,18 +44,18 @@
         const violations = Violations.create(timeline, LogTail.create(), () => undefined);
         const fleet = NodeFleet.create(deployment, timeline, violations);
         let finished = 0;
-        const load = RequestLoad.create({
+        const random = SeededRandom.create(1);
+        const callers = PlannedCallers.create({
             deployment,
             fleet,
-            random: SeededRandom.create(1),
+            random,
             nodeRandom: SeededRandom.create(2),
-            requestsPerSecond: 40,
-            maximumRequests: Infinity,
             onSent: record => {
                 finished += record.outcome === "finished" ? 1 : 0;
                 checkAnswer(record, timeline, violations);
             },
         });
+        const load = SteadyLoad.create({ random, requestsPerSecond: 40, send: number => callers.send(number) });
         const running = load.run();
         await waitFor("the load runs", () => Promise.resolve(finished >= 10));
         for (const fleetNode of fleet.getLive()) {
