Say once what nodes tell each other in either direction

The request and the answer of an exchange repeated nine fields, and the two sides took them in separately. A message of their own holds them now, and one function takes it in.

--- a/src/process/router/peerExchange.ts
+++ b/src/process/router/peerExchange.ts
@@ -11,6 +11,8 @@
     LeaseReleaseSchema,
     type NodeRecord,
     NodeRecordSchema,
+    type NodeState,
+    NodeStateSchema,
     RouterService,
 } from "../../wire/generated/foxlead/router/v1/router_pb.ts";
 import type { Clock, TimerHandle } from "../clock.ts";
@@ -155,7 +157,7 @@
         const sentAt = this.getTime();
         try {
             const response = await connection.run(client =>
-                client.exchange(create(ExchangeRequestSchema, this.createOwnState()), {
+                client.exchange(create(ExchangeRequestSchema, { state: this.createOwnState() }), {
                     timeoutMs: callTimeoutMilliseconds,
                 })
             );
@@ -179,9 +181,9 @@
     }
 
     /** Creates what every message says of this node, in either direction. */
-    private createOwnState() {
+    private createOwnState(): NodeState {
         const { state, sections, getFreshTime, getLeaseRelease } = this.options;
-        return {
+        return create(NodeStateSchema, {
             sender: this.createOwnRecord(),
             nodes: this.createNodeRecords(),
             ...state.createRecords(this.getTime()),
@@ -189,7 +191,7 @@
             storeFailureAge: this.getStoreFailureAge(),
             freshAge: this.getAge(getFreshTime()),
             leaseRelease: encodeRelease(getLeaseRelease()),
-        };
+        });
     }
 
     private getStoreFailureAge(): number {
@@ -206,21 +208,22 @@
         }
     }
 
-    private takeRelease(release: WireRelease | undefined): void {
-        if (release !== undefined) {
-            const { revision, fencingNumber } = release;
+    private takeState(message: NodeState): void {
+        this.takeNodes(message.sender, message.nodes);
+        this.options.state.takeRecords(message, this.getTime());
+        this.takeStoreFailure(message.storeFailureAge);
+        const { leaseRelease } = message;
+        if (leaseRelease !== undefined) {
+            const { revision, fencingNumber } = leaseRelease;
             this.options.onLeaseRelease({ revision: Number(revision), fencingNumber: Number(fencingNumber) });
         }
     }
 
-    private async answer(request: ExchangeRequest): Promise<ExchangeResponse> {
-        const { sections, state } = this.options;
-        this.takeNodes(request.sender, request.nodes);
-        state.takeRecords(request, this.getTime());
-        this.takeStoreFailure(request.storeFailureAge);
-        this.takeRelease(request.leaseRelease);
+    private async answer({ state = create(NodeStateSchema) }: ExchangeRequest): Promise<ExchangeResponse> {
+        const { sections } = this.options;
+        this.takeState(state);
         const changes = [];
-        for (const { section: name, revision } of request.frontiers) {
+        for (const { section: name, revision } of state.frontiers) {
             this.options.onFrontier(name, Number(revision));
             const section = sections.find(candidate => candidate.name === name);
             const missing = section?.getChangesSince(Number(revision));
@@ -234,15 +237,15 @@
                 changes.push({ section: name, frontier: BigInt(missing.frontier), isWhole: missing.isWhole, records });
             }
         }
-        return create(ExchangeResponseSchema, { ...this.createOwnState(), changes });
+        return create(ExchangeResponseSchema, { state: this.createOwnState(), changes });
     }
 
-    private takeResponse(response: ExchangeResponse, sentAt: number): void {
-        this.takeNodes(response.sender, response.nodes);
-        this.options.state.takeRecords(response, this.getTime());
-        this.takeStoreFailure(response.storeFailureAge);
-        this.takeRelease(response.leaseRelease);
-        for (const { section: name, frontier, isWhole, records } of response.changes) {
+    private takeResponse({ state, changes }: ExchangeResponse, sentAt: number): void {
+        if (state === undefined) {
+            return;
+        }
+        this.takeState(state);
+        for (const { section: name, frontier, isWhole, records } of changes) {
             const section = this.options.sections.find(candidate => candidate.name === name);
             const decoded = records.map(({ key, revision, isDeleted, text }) => ({
                 key,
@@ -256,12 +259,12 @@
                 section?.applyChanges(decoded, Number(frontier), "peer");
             }
         }
-        for (const { section, revision } of response.frontiers) {
+        for (const { section, revision } of state.frontiers) {
             this.options.onFrontier(section, Number(revision));
         }
-        // The changes of the response have been taken in, so that this copy is as current as the peer's was.
-        if (response.freshAge < longestAge) {
-            this.options.onFresh(sentAt - response.freshAge);
+        // The changes of the answer have been taken in, so that this copy is as current as the peer's was.
+        if (state.freshAge < longestAge) {
+            this.options.onFresh(sentAt - state.freshAge);
         }
     }
 
--- a/src/process/router/peerState.ts
+++ b/src/process/router/peerState.ts
@@ -2,10 +2,9 @@
 import type { EndpointHealth } from "../../request/relay/endpointHealth.ts";
 import type { EndpointLoads } from "../../request/relay/endpointLoads.ts";
 import {
-    type ExchangeRequest,
-    type ExchangeResponse,
     type LoadRecord,
     LoadRecordSchema,
+    type NodeState,
     type ReadingRecord,
     ReadingRecordSchema,
     type SuspicionRecord,
@@ -53,7 +52,7 @@
     }
 
     /** Takes the records of a peer's message in. */
-    takeRecords(message: ExchangeRequest | ExchangeResponse, now: number): void {
+    takeRecords(message: NodeState, now: number): void {
         const { loads, health, readings } = this.options;
         if (message.sender !== undefined) {
             loads.setPeerLoads(message.sender.nodeId, message.loads, now);
