Estimate an answer's time, forget values and pass whole answers on in one place each

Chooser and planner each had the mean wait of one and a half passes, the time of an answer and of a transfer; the context of a request was passed to the estimate though it follows from the model. Both relays had the answer of an endpoint and its passing on, and how often a refusal is followed; two records halved values by the same formula.

--- a/src/process/placement/planColumns.ts
+++ b/src/process/placement/planColumns.ts
@@ -1,5 +1,9 @@
-import { estimatePass, estimatePrefill } from "../../request/relay/estimateStage.ts";
+import { estimateAnswer } from "../../request/relay/estimateAnswer.ts";
+import { estimatePrefill } from "../../request/relay/estimatePrefill.ts";
+import { getMeanContext } from "../../request/relay/getMeanContext.ts";
 import { getRequestMemory } from "../../request/relay/getRequestMemory.ts";
+import { getTransferTime } from "../../request/relay/getTransferTime.ts";
+import type { StageWork } from "../../request/relay/stageWork.ts";
 import type { AcceleratorKind, EngineModel } from "../../version/routing/engineModel.ts";
 import type { LayerColumn } from "./layerColumn.ts";
 
@@ -39,10 +43,6 @@
 const mostColumnsOfKind = 6;
 /** Endpoints are planned to be in use for two thirds, so that a data centre can take more than its part. */
 const sparePart = 1.5;
-/** Mean wait for the pass in progress, as a part of a pass, and the pass itself. */
-const passesOfStep = 1.5;
-const bitsOfByte = 8;
-const kilobitsOfMegabit = 1_000;
 
 /**
  * Plans ranges of layers so that all endpoints of a kind hold ranges of about one size, and every range has replicas.
@@ -127,8 +127,7 @@
 
 /** Gets the most requests a second that the shares sustain. */
 function getSustainedRate(model: EngineModel, shares: readonly KindShare[]): number {
-    const usualTokens = model.usualPromptTokens + model.usualAnswerTokens / 2;
-    const passes = model.usualAnswerTokens / model.stepsOfPass;
+    const usualTokens = getMeanContext(model);
     let inProgress = Infinity;
     let rateByTime = Infinity;
     for (const share of shares) {
@@ -141,7 +140,7 @@
         const inMemory = memory / (usualTokens * share.layers);
         const usable = Math.max(0, inMemory - spreadsKeptFree * Math.sqrt(inMemory));
         inProgress = Math.min(inProgress, effective * Math.min(usable, model.slots));
-        const work = createWork(share, 0, usualTokens);
+        const work = createWork(share, 0);
         const prefill = estimatePrefill(model, work, model.usualPromptTokens);
         rateByTime = Math.min(rateByTime, effective * busyPart / prefill);
     }
@@ -149,11 +148,10 @@
         return 0;
     }
     const crossings = getCrossings(shares);
-    const bits = (model.usualPromptTokens + model.usualAnswerTokens) * model.activationBytes * bitsOfByte;
-    const transfer = bits / (model.pipeMegabits * kilobitsOfMegabit);
+    const transfer = getTransferTime(model, model.usualPromptTokens + model.usualAnswerTokens);
     const rateByPipes = crossings === 0 ? Infinity : busyPart / (crossings * transfer);
     const crossing = transfer / busyPart + model.usualAnswerTokens * model.crossingMilliseconds;
-    const duration = getDuration(model, shares, inProgress, usualTokens, passes) + crossings * crossing;
+    const duration = getDuration(model, shares, inProgress) + crossings * crossing;
     return Math.min(inProgress / duration, rateByTime, rateByPipes);
 }
 
@@ -186,29 +184,21 @@
 }
 
 /** Gets how long a usual request takes with so many in progress, in milliseconds. */
-function getDuration(
-    model: EngineModel,
-    shares: readonly KindShare[],
-    inProgress: number,
-    usualTokens: number,
-    passes: number,
-): number {
+function getDuration(model: EngineModel, shares: readonly KindShare[], inProgress: number): number {
     let duration = 0;
     for (const share of shares) {
         if (share.columns === 0) {
             continue;
         }
         const replicas = share.count / share.columns;
-        const work = createWork(share, inProgress / replicas, usualTokens);
-        const pass = estimatePass(model, work);
-        const prefill = estimatePrefill(model, work, model.usualPromptTokens);
-        duration += share.columns * (passes * passesOfStep * pass + prefill);
+        const work = createWork(share, inProgress / replicas);
+        duration += share.columns * estimateAnswer(model, work, model.usualPromptTokens, model.usualAnswerTokens);
     }
     return duration;
 }
 
-function createWork(share: KindShare, requests: number, contextTokens: number) {
-    return { kind: share.kind, layers: share.layers, requests, contextTokens, slowness: 1 };
+function createWork({ kind, layers }: KindShare, requests: number): StageWork {
+    return { kind, layers, requests, slowness: 1 };
 }
 
 function layOut(model: EngineModel, shares: readonly KindShare[]): LayerColumn[] {
--- a/src/request/relay/chooseStages.ts
+++ b/src/request/relay/chooseStages.ts
@@ -1,7 +1,7 @@
 import type { RandomSource } from "../../process/randomSource.ts";
 import type { EngineModel } from "../../version/routing/engineModel.ts";
-import { estimatePass, estimatePrefill } from "./estimateStage.ts";
-import { getCrossingBits } from "./getCrossingBits.ts";
+import { estimateAnswer } from "./estimateAnswer.ts";
+import { getTransferTime } from "./getTransferTime.ts";
 import type { RelayStage } from "./relayStage.ts";
 import type { StageCandidate } from "./stageCandidate.ts";
 
@@ -30,8 +30,6 @@
     previous: PartialChain | undefined;
 }
 
-/** Mean wait for the pass in progress, as a part of a pass, and the pass itself. */
-const passesOfStep = 1.5;
 /** A chain may cost up to this part more than the best one and be chosen: nodes that decide apart then differ. */
 const randomPart = 0.08;
 /** Above this part of an endpoint's memory its cost rises, so that requests go elsewhere before it is full. */
@@ -44,7 +42,6 @@
  * length from the beginning, which is a seventh more than they were seen to take on average.
  */
 const mostMemoryPart = 1.1;
-const kilobitsOfMegabit = 1_000;
 /**
  * A first stage in another data centre makes the answer's events cross, which is paid for by the byte but hardly slower;
  * it is taken only where the near ones have clearly more to do.
@@ -177,11 +174,9 @@
         kind: candidate.kind,
         layers,
         requests: candidate.requests + 1,
-        contextTokens: model.usualPromptTokens + model.usualAnswerTokens / 2,
         slowness: candidate.slowness,
     };
-    const passes = answerTokens / model.stepsOfPass;
-    const time = passes * passesOfStep * estimatePass(model, work) + estimatePrefill(model, work, promptTokens);
+    const time = estimateAnswer(model, work, promptTokens, answerTokens);
     const part = getMemoryPart(query, candidate, layers);
     if (part > 1) {
         return time + overfullCost * part;
@@ -205,7 +200,7 @@
     if (at === 0) {
         return entryCrossingMilliseconds;
     }
-    const transfer = getCrossingBits(model, promptTokens + answerTokens) / (model.pipeMegabits * kilobitsOfMegabit);
+    const transfer = getTransferTime(model, promptTokens + answerTokens);
     const waiting = 1 - Math.min(pipeUse, mostPipeUse);
     const usual = (transfer + delaysOfToken * answerTokens * model.crossingMilliseconds) / waiting;
     return usual + delaysOfAnswer * query.getCrossingDelay(from, to);
--- a/src/request/relay/crossingDelays.ts
+++ b/src/request/relay/crossingDelays.ts
@@ -1,3 +1,5 @@
+import { forget } from "./forget.ts";
+
 /** What was seen of the crossings from one data centre to another. */
 interface CrossingRecord {
     /** Moving average of the time that a crossing adds to a first event, in milliseconds. */
@@ -56,7 +58,7 @@
         if (record === undefined) {
             return 0;
         }
-        return record.extraMilliseconds * 2 ** (-(now - record.updatedAt) / forgettingMilliseconds);
+        return forget(record.extraMilliseconds, now - record.updatedAt, forgettingMilliseconds);
     }
 }
 
--- a/src/request/relay/documentRelay.ts
+++ b/src/request/relay/documentRelay.ts
@@ -8,10 +8,13 @@
 import { chooseEndpoint } from "./chooseEndpoint.ts";
 import { createRefusal } from "./createRefusal.ts";
 import type { LoadReservation } from "./endpointLoads.ts";
+import { mostRefusals } from "./mostRefusals.ts";
 import type { RegisteredEndpoint } from "./registeredEndpoint.ts";
 import type { RelayEnvironment } from "./relayEnvironment.ts";
 import type { RelayRefusal } from "./relayRefusal.ts";
 import type { RelayTask } from "./relayTask.ts";
+import { sendWholeAnswer } from "./sendWholeAnswer.ts";
+import type { WholeAnswer } from "./wholeAnswer.ts";
 
 /** One sending of the request to one endpoint. */
 interface Attempt {
@@ -23,12 +26,6 @@
     chunks: Buffer[];
 }
 
-/** A whole answer. */
-interface WholeAnswer {
-    head: AnswerHead;
-    body: Buffer;
-}
-
 /** Why an attempt brought no answer that can be passed on. */
 interface AttemptEnd {
     /** Whether the endpoint has surely not run the request. */
@@ -47,8 +44,6 @@
 const hedgePart = 0.6;
 /** Connections that were idle for longer may have gone silent; a request that can't be repeated doesn't use them. */
 const freshIdleMilliseconds = 3_000;
-/** Refusals of endpoints are followed by another endpoint up to so many times, since they cost the caller nothing. */
-const mostRefusals = 4;
 const serverErrorStatus = 500;
 
 /** Forwards one request to a document service and answers its caller once. */
@@ -238,12 +233,7 @@
     }
 
     private deliver(answer: WholeAnswer, endpoint: RegisteredEndpoint): void {
-        const { sink } = this.task;
-        sink.writeHead(answer.head);
-        if (answer.body.length > 0) {
-            sink.write(answer.body);
-        }
-        sink.end();
+        sendWholeAnswer(this.task.sink, answer);
         this.finish("answered", endpoint.id, answer.head.status);
     }
 
@@ -253,9 +243,7 @@
         }
         if (this.failure !== undefined) {
             const { failure } = this;
-            this.task.sink.writeHead(failure.head);
-            this.task.sink.write(failure.body);
-            this.task.sink.end();
+            sendWholeAnswer(this.task.sink, failure);
             this.finish("endpointFailed", undefined, failure.head.status);
             return;
         }
--- a/src/request/relay/endpointHealth.ts
+++ b/src/request/relay/endpointHealth.ts
@@ -1,3 +1,5 @@
+import { forget } from "./forget.ts";
+
 /** What this node has seen of one endpoint's behaviour. */
 interface HealthRecord {
     /** Moving average of failed exchanges, 0 to 1. */
@@ -45,7 +47,7 @@
         if (record === undefined) {
             return 0;
         }
-        return record.failureShare * 2 ** (-(now - record.updatedAt) / forgettingMilliseconds);
+        return forget(record.failureShare, now - record.updatedAt, forgettingMilliseconds);
     }
 
     /** Gets the endpoints that are taken as lost, for the peers. */
--- a/src/request/relay/runAllowance.ts
+++ b/src/request/relay/runAllowance.ts
@@ -1,8 +1,7 @@
+import { mostRefusals } from "./mostRefusals.ts";
 import type { RelayEnvironment } from "./relayEnvironment.ts";
 import type { RelayTask } from "./relayTask.ts";
 
-/** Refusals are followed by another chain up to so many times, since they cost the caller nothing. */
-const mostRefusals = 4;
 /** However many first stages are lost, a request is not sent more often than this. */
 const mostSendings = 6;
 
--- a/src/request/relay/streamAttempt.ts
+++ b/src/request/relay/streamAttempt.ts
@@ -3,6 +3,7 @@
 import type { LoadReservation } from "./endpointLoads.ts";
 import type { EventSplitter } from "./eventSplitter.ts";
 import type { RelayStage } from "./relayStage.ts";
+import type { WholeAnswer } from "./wholeAnswer.ts";
 
 /** One run of a streamed request on one chain. */
 export interface StreamAttempt {
@@ -21,12 +22,6 @@
     hasEvents: boolean;
 }
 
-/** A whole answer of an endpoint that is no success. */
-export interface EndpointFailure {
-    head: AnswerHead;
-    body: Buffer;
-}
-
 /** Why a run brings no further events. */
 export interface StreamAttemptEnd {
     /** Whether the chain has surely not run the request. */
@@ -37,5 +32,5 @@
     /** Ids of endpoints that the next chain avoids. */
     avoid: string[];
     /** Passed on where nothing better comes. */
-    failure?: EndpointFailure;
+    failure?: WholeAnswer;
 }
--- a/src/request/relay/streamRelay.ts
+++ b/src/request/relay/streamRelay.ts
@@ -14,8 +14,10 @@
 import type { RelayStage } from "./relayStage.ts";
 import type { RelayTask } from "./relayTask.ts";
 import { RunAllowance } from "./runAllowance.ts";
-import type { EndpointFailure, StreamAttempt, StreamAttemptEnd } from "./streamAttempt.ts";
+import { sendWholeAnswer } from "./sendWholeAnswer.ts";
+import type { StreamAttempt, StreamAttemptEnd } from "./streamAttempt.ts";
 import { EventVerdict, StreamProgress } from "./streamProgress.ts";
+import type { WholeAnswer } from "./wholeAnswer.ts";
 
 /**
  * A request waits for room at most this long. Callers leave a stream after 2 s without an event, and a first event takes up
@@ -41,7 +43,7 @@
     private timer: TimerHandle | undefined;
     private attempt: StreamAttempt | undefined;
     private queued: QueuedRelay | undefined;
-    private failure: EndpointFailure | undefined;
+    private failure: WholeAnswer | undefined;
     private reroutes = 0;
     private mayHaveRun = false;
     private isHeadWritten = false;
@@ -397,9 +399,7 @@
             return;
         }
         if (failure !== undefined) {
-            this.task.sink.writeHead(failure.head);
-            this.task.sink.write(failure.body);
-            this.task.sink.end();
+            sendWholeAnswer(this.task.sink, failure);
             this.finish("endpointFailed", cause);
             return;
         }
