--- a/scripts/soak/router/callChecks.ts
+++ b/scripts/soak/router/callChecks.ts
@@ -1,7 +1,8 @@
 import { countNames } from "../countNames.ts";
 import type { FaultTimeline } from "../faultTimeline.ts";
 import type { Violations } from "../violations.ts";
-import { callKinds, type CallRecord } from "./callRecord.ts";
+import { callKinds } from "./callKind.ts";
+import type { CallRecord } from "./callRecord.ts";
 import { eventsOfStream } from "./eventsOfStream.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
 
--- a/scripts/soak/router/routerCallers.ts
+++ b/scripts/soak/router/routerCallers.ts
@@ -1,8 +1,11 @@
 import { Pool } from "undici";
 import { callerKey } from "../../../standins/router/callerKey.ts";
 import type { SeededRandom } from "../seededRandom.ts";
-import { type CallKind, callKinds, type CallRecord } from "./callRecord.ts";
-import type { RouterDeployment, SoakNode } from "./routerDeployment.ts";
+import type { CallKind } from "./callKind.ts";
+import { callKinds } from "./callKind.ts";
+import type { CallRecord } from "./callRecord.ts";
+import type { RouterDeployment } from "./routerDeployment.ts";
+import type { SoakNode } from "./soakNode.ts";
 
 /** Options of a {@link RouterCallers}. */
 interface RouterCallersOptions {
--- a/scripts/soak/router/routerDeployment.ts
+++ b/scripts/soak/router/routerDeployment.ts
@@ -11,6 +11,7 @@
 import { ProcessStarter } from "../../deployment/processStarter.ts";
 import { fetchText } from "../fetchText.ts";
 import { SoakEndpoint } from "./soakEndpoint.ts";
+import type { SoakNode } from "./soakNode.ts";
 
 /** Options of a {@link RouterDeployment}. */
 interface RouterDeploymentOptions {
@@ -23,23 +24,6 @@
     onUnexpectedEnd(name: string, code: number | undefined): void;
 }
 
-/** A node of the deployment, also while its process is not there. */
-export interface SoakNode {
-    name: string;
-    /** Ports of its listeners. */
-    ports: { callers: number; readiness: number; peers: number; admin: number; };
-    /** Stands between the node and the store. */
-    storeProxy: LoopbackProxy;
-    settingsFile: string;
-    process: ChildProcess;
-    /** Wall-clock time in milliseconds from which the process is being ended; undefined while it is not. */
-    endingSince: number | undefined;
-    /** Whether a fault is being shown at it. */
-    isTaken: boolean;
-    /** Exit codes after SIGTERM. */
-    exitCodes: (number | undefined)[];
-}
-
 const dataCentres = ["a", "b"];
 /** Memory for half of the model's layers and some requests, so that a chain has two stages. */
 const engineChanges = { kinds: [{ name: "big", mb: 5_000, pace: 1, read_x: 1 }] };
--- a/scripts/soak/router/routerFaultKinds.ts
+++ b/scripts/soak/router/routerFaultKinds.ts
@@ -1,12 +1,13 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { ProxyMode } from "../../../standins/network/proxyMode.ts";
-import type { EndpointBehaviour } from "../../../standins/router/endpointStandin.ts";
-import type { KeyValueFaults } from "../../../standins/router/keyValueStandin.ts";
+import type { EndpointBehaviour } from "../../../standins/router/endpointBehaviour.ts";
+import type { KeyValueFaults } from "../../../standins/router/keyValueFaults.ts";
 import { createFaultKind } from "../createFaultKind.ts";
 import type { FaultKind } from "../faultKind.ts";
-import type { RouterDeployment, SoakNode } from "./routerDeployment.ts";
+import type { RouterDeployment } from "./routerDeployment.ts";
 import type { RouterSoakContext } from "./routerSoakContext.ts";
 import type { SoakEndpoint } from "./soakEndpoint.ts";
+import type { SoakNode } from "./soakNode.ts";
 
 type Kind = FaultKind<RouterSoakContext>;
 /** Does something to one target. */
--- a/scripts/soak/router/soakEndpoint.ts
+++ b/scripts/soak/router/soakEndpoint.ts
@@ -1,6 +1,8 @@
 import { LoopbackProxy } from "../../../standins/network/loopbackProxy.ts";
-import { type EndpointBehaviour, EndpointStandin, type RunRecord } from "../../../standins/router/endpointStandin.ts";
+import type { EndpointBehaviour } from "../../../standins/router/endpointBehaviour.ts";
+import { EndpointStandin } from "../../../standins/router/endpointStandin.ts";
 import type { KeyValueStandin } from "../../../standins/router/keyValueStandin.ts";
+import type { RunRecord } from "../../../standins/router/runRecord.ts";
 import { eventsOfStream } from "./eventsOfStream.ts";
 
 /** Options of a {@link SoakEndpoint}. */
--- a/src/connection/endpoint/endpointReports.ts
+++ b/src/connection/endpoint/endpointReports.ts
@@ -16,8 +16,8 @@
 /** Upper bound of the bytes that one record takes on the wire, names of common length included. */
 const estimatedReportBytes = 96;
 const bytesPerRange = 24;
-/** As in SWIM's dissemination: a change rides on a few messages a node, growing with the logarithm of the nodes. */
 const servingState = "serving";
+/** As in SWIM's dissemination: a change rides on a few messages a node, growing with the logarithm of the nodes. */
 const transmissionFactor = 4;
 
 /**
--- a/src/connection/upstream/upstreamConnection.ts
+++ b/src/connection/upstream/upstreamConnection.ts
@@ -1,16 +1,11 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Socket } from "node:net";
 import { buildConnector, Client, type Dispatcher } from "undici";
-import { UpstreamFailureKind } from "./upstreamFailure.ts";
+import type { UpstreamExchange } from "./upstreamExchange.ts";
+import { UpstreamFailureKind } from "./upstreamFailureKind.ts";
 import type { UpstreamListener } from "./upstreamListener.ts";
 import type { UpstreamRequest } from "./upstreamRequest.ts";
 
-/** An exchange that is under way. */
-export interface UpstreamExchange {
-    /** Ends the exchange and its connection. No further call reaches the listener. */
-    abort(): void;
-}
-
 /** Options of an {@link UpstreamConnection}. */
 interface UpstreamConnectionOptions {
     /** host:port of the endpoint. */
--- a/src/connection/upstream/upstreamPool.ts
+++ b/src/connection/upstream/upstreamPool.ts
@@ -1,4 +1,5 @@
-import { UpstreamConnection, type UpstreamExchange } from "./upstreamConnection.ts";
+import { UpstreamConnection } from "./upstreamConnection.ts";
+import type { UpstreamExchange } from "./upstreamExchange.ts";
 import type { UpstreamListener } from "./upstreamListener.ts";
 import type { UpstreamRequest } from "./upstreamRequest.ts";
 
--- a/src/process/commandLine/explain/formatStory.ts
+++ b/src/process/commandLine/explain/formatStory.ts
@@ -1,4 +1,4 @@
-import type { StoryLine } from "./requestStory.ts";
+import type { StoryLine } from "./storyLine.ts";
 
 /**
  * Formats a request's story, one line an event, with the time since its first line.
--- a/src/process/commandLine/explain/requestStory.ts
+++ b/src/process/commandLine/explain/requestStory.ts
@@ -1,16 +1,4 @@
-/** One line of a log that concerns the request. */
-export interface StoryLine {
-    /** Time of the line, milliseconds since the Unix epoch. */
-    time: number;
-    vm: string;
-    event: string;
-    message: string;
-    /** What else the line says. */
-    fields: Readonly<Record<string, unknown>>;
-    /** Whether it concerns an endpoint that the request used, and not the request itself. */
-    isContext: boolean;
-}
-
+import type { StoryLine } from "./storyLine.ts";
 /** How far around the request lines about its endpoints are shown, in milliseconds. */
 const contextMilliseconds = 3_000;
 const commonFields = new Set(["time", "level", "event", "message", "vm"]);
--- a/src/process/placement/assignLayers.ts
+++ b/src/process/placement/assignLayers.ts
@@ -1,15 +1,10 @@
 import { getRequestMemory } from "../../request/relay/getRequestMemory.ts";
 import type { HeldLayers } from "../../request/relay/heldLayers.ts";
 import type { EngineModel } from "../../version/routing/engineModel.ts";
+import type { LayerAssignment } from "./layerAssignment.ts";
 import type { LayerColumn } from "./layerColumn.ts";
 import type { PlacementEndpoint } from "./placementEndpoint.ts";
 
-/** A range that an endpoint should hold. */
-export interface LayerAssignment {
-    endpointId: string;
-    layers: HeldLayers;
-}
-
 /** The move of an endpoint from one column to another. */
 interface LayerMove extends LayerAssignment {
     /** Whether nobody holds the column, so that no chain exists without the move. */
--- a/src/process/placement/placementDuty.ts
+++ b/src/process/placement/placementDuty.ts
@@ -1,20 +1,24 @@
-import type { EndpointReport, LayerOrder, OrderOutcome } from "../../request/relay/endpointProtocol.ts";
+import type { EndpointReport } from "../../request/relay/endpointReport.ts";
 import { getRequestMemory } from "../../request/relay/getRequestMemory.ts";
 import type { HeldLayers } from "../../request/relay/heldLayers.ts";
+import type { LayerOrder } from "../../request/relay/layerOrder.ts";
+import type { OrderOutcome } from "../../request/relay/orderOutcome.ts";
 import type { RegisteredEndpoint } from "../../request/relay/registeredEndpoint.ts";
 import type { EngineModel } from "../../version/routing/engineModel.ts";
-import type { RoutedService } from "../../version/routing/routingConfiguration.ts";
+import type { RoutedService } from "../../version/routing/routedService.ts";
 import type { Clock, TimerHandle } from "../clock.ts";
 import { InvariantError } from "../invariantError.ts";
 import type { FencedLease } from "../leases/fencedLease.ts";
 import type { EventLog } from "../logging/eventLog.ts";
 import { events } from "../logging/events.ts";
 import type { PlatformStore } from "../platform/platformStore.ts";
-import { assignLayers, type LayerAssignment } from "./assignLayers.ts";
+import { assignLayers } from "./assignLayers.ts";
+import type { KindCount } from "./kindCount.ts";
+import type { LayerAssignment } from "./layerAssignment.ts";
 import type { LayerColumn } from "./layerColumn.ts";
 import type { PlacementEndpoint } from "./placementEndpoint.ts";
 import { type PlacementRecord, placementRecordSchema } from "./placementRecord.ts";
-import { type KindCount, planColumns } from "./planColumns.ts";
+import { planColumns } from "./planColumns.ts";
 
 /** Options of a {@link PlacementDuty}. */
 interface PlacementDutyOptions {
--- a/src/process/placement/planColumns.ts
+++ b/src/process/placement/planColumns.ts
@@ -4,16 +4,11 @@
 import { getRequestMemory } from "../../request/relay/getRequestMemory.ts";
 import { getTransferTime } from "../../request/relay/getTransferTime.ts";
 import type { StageWork } from "../../request/relay/stageWork.ts";
-import type { AcceleratorKind, EngineModel } from "../../version/routing/engineModel.ts";
+import type { AcceleratorKind } from "../../version/routing/acceleratorKind.ts";
+import type { EngineModel } from "../../version/routing/engineModel.ts";
+import type { KindCount } from "./kindCount.ts";
 import type { LayerColumn } from "./layerColumn.ts";
 
-/** How many endpoints of a kind there are. */
-export interface KindCount {
-    kind: AcceleratorKind;
-    /** By data centre. */
-    counts: ReadonlyMap<string, number>;
-}
-
 /** Columns of one kind: how many there are, and how many layers each holds. */
 interface KindShare {
     kind: AcceleratorKind;
--- /dev/null
+++ b/src/process/replica/changeSource.ts
@@ -0,0 +1,2 @@
+/** Where a change was learnt. */
+export type ChangeSource = "store" | "peer";
--- a/src/process/replica/recordSection.ts
+++ b/src/process/replica/recordSection.ts
@@ -1,16 +1,7 @@
+import type { ChangeSource } from "./changeSource.ts";
+import type { SectionChanges } from "./sectionChanges.ts";
 import type { StoreRecord } from "./storeRecord.ts";
 
-/** What a node lacks of a section. */
-export interface SectionChanges {
-    frontier: number;
-    /** Whether the records are all that there are, so that any other key is deleted. */
-    isWhole: boolean;
-    records: StoreRecord[];
-}
-
-/** Where a change was learnt. */
-export type ChangeSource = "store" | "peer";
-
 /** Options of a {@link RecordSection}. */
 interface RecordSectionOptions {
     /** Name of the section among the nodes. */
--- a/src/process/replica/recordStore.ts
+++ b/src/process/replica/recordStore.ts
@@ -1,22 +1,7 @@
 import type { Result } from "../../result.ts";
 import type { PlatformError } from "../platform/platformError.ts";
-import type { StoreRecord } from "./storeRecord.ts";
-
-/** Records as they stood at a revision. */
-export interface RecordListing {
-    records: StoreRecord[];
-    /** Changes after this revision may be missing; all before are there. */
-    revision: number;
-}
-
-/** Changes since a revision. */
-export interface RecordChanges {
-    records: StoreRecord[];
-    /** Where the next wait goes on from. */
-    revision: number;
-    /** Whether the store no longer has the changes, so that everything has to be read again. */
-    isHistoryLost: boolean;
-}
+import type { RecordChanges } from "./recordChanges.ts";
+import type { RecordListing } from "./recordListing.ts";
 
 /** The platform's store as far as its records are followed. Nothing here retries. */
 export interface RecordStore {
--- a/src/process/router/endpointCalls.ts
+++ b/src/process/router/endpointCalls.ts
@@ -1,14 +1,12 @@
 import type { UpstreamPools } from "../../connection/upstream/upstreamPools.ts";
 import type { UpstreamRequest } from "../../connection/upstream/upstreamRequest.ts";
-import type {
-    EndpointProtocol,
-    EndpointReport,
-    LayerOrder,
-    OrderOutcome,
-} from "../../request/relay/endpointProtocol.ts";
+import type { EndpointProtocol } from "../../request/relay/endpointProtocol.ts";
+import type { EndpointReport } from "../../request/relay/endpointReport.ts";
+import type { LayerOrder } from "../../request/relay/layerOrder.ts";
+import type { OrderOutcome } from "../../request/relay/orderOutcome.ts";
 import type { RegisteredEndpoint } from "../../request/relay/registeredEndpoint.ts";
 import type { RelayStage } from "../../request/relay/relayStage.ts";
-import type { RerouteOutcome } from "../../request/relay/stallWatch.ts";
+import type { RerouteOutcome } from "../../request/relay/rerouteOutcome.ts";
 import type { Clock } from "../clock.ts";
 import type { Metrics } from "../metrics/metrics.ts";
 
--- a/src/process/router/endpointPoll.ts
+++ b/src/process/router/endpointPoll.ts
@@ -1,4 +1,4 @@
-import type { EndpointReport } from "../../request/relay/endpointProtocol.ts";
+import type { EndpointReport } from "../../request/relay/endpointReport.ts";
 import type { RegisteredEndpoint } from "../../request/relay/registeredEndpoint.ts";
 import type { Clock, TimerHandle } from "../clock.ts";
 import type { EndpointReadings } from "./endpointReadings.ts";
--- a/src/process/router/endpointRegistry.ts
+++ b/src/process/router/endpointRegistry.ts
@@ -4,7 +4,7 @@
 import type { Clock } from "../clock.ts";
 import type { EventLog } from "../logging/eventLog.ts";
 import { events } from "../logging/events.ts";
-import type { ChangeSource } from "../replica/recordSection.ts";
+import type { ChangeSource } from "../replica/changeSource.ts";
 import type { StoreRecord } from "../replica/storeRecord.ts";
 import type { EndpointReadings } from "./endpointReadings.ts";
 
--- a/src/process/router/isStoreWatcher.ts
+++ b/src/process/router/isStoreWatcher.ts
@@ -1,5 +1,5 @@
 import type { RendezvousOwners } from "../membership/rendezvousOwners.ts";
-import type { KnownNode } from "./nodeTable.ts";
+import type { KnownNode } from "./knownNode.ts";
 
 /** So many watch at least; each further watcher costs calls to the store. */
 const fewestWatchers = 2;
--- a/src/process/router/nodeTable.ts
+++ b/src/process/router/nodeTable.ts
@@ -1,16 +1,4 @@
-/** Another node of the deployment. */
-export interface KnownNode {
-    /** New with each start of a process. */
-    nodeId: string;
-    /** host:port of its peer listener. */
-    address: string;
-    dataCentre: string;
-    /** Whether the store refuses it or does not answer it, as it said last. */
-    isWithoutStore: boolean;
-    /** Monotonic time in milliseconds at which anyone heard of it directly, as far as known. */
-    heardAt: number;
-}
-
+import type { KnownNode } from "./knownNode.ts";
 /** A node that nobody heard of for so long is taken as gone; exchanges come several times in that time. */
 const goneMilliseconds = 4_000;
 
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -10,7 +10,7 @@
 import { RelayQueue } from "../../request/relay/relayQueue.ts";
 import type { RoutedRequest } from "../../request/relay/routedRequest.ts";
 import { StallWatch } from "../../request/relay/stallWatch.ts";
-import type { RoutedService } from "../../version/routing/routingConfiguration.ts";
+import type { RoutedService } from "../../version/routing/routedService.ts";
 import type { TimerHandle } from "../clock.ts";
 import { FencedLease } from "../leases/fencedLease.ts";
 import { events } from "../logging/events.ts";
--- a/src/process/router/routingHolder.ts
+++ b/src/process/router/routingHolder.ts
@@ -4,7 +4,7 @@
 import type { EventLog } from "../logging/eventLog.ts";
 import { events } from "../logging/events.ts";
 import type { Metrics } from "../metrics/metrics.ts";
-import type { ChangeSource } from "../replica/recordSection.ts";
+import type { ChangeSource } from "../replica/changeSource.ts";
 import type { StoreRecord } from "../replica/storeRecord.ts";
 
 /** Options of a {@link RoutingHolder}. */
--- a/src/request/relay/chooseSoundStages.ts
+++ b/src/request/relay/chooseSoundStages.ts
@@ -1,7 +1,8 @@
 import type { RandomSource } from "../../process/randomSource.ts";
-import { chooseStages, type StageQuery } from "./chooseStages.ts";
+import { chooseStages } from "./chooseStages.ts";
 import type { RelayStage } from "./relayStage.ts";
 import type { StageCandidate } from "./stageCandidate.ts";
+import type { StageQuery } from "./stageQuery.ts";
 
 /**
  * Chooses a chain of endpoints that are not taken as lost. One that is may be back, so it is tried where no chain can do
--- a/src/request/relay/chooseStages.ts
+++ b/src/request/relay/chooseStages.ts
@@ -1,26 +1,9 @@
 import type { RandomSource } from "../../process/randomSource.ts";
-import type { EngineModel } from "../../version/routing/engineModel.ts";
 import { estimateAnswer } from "./estimateAnswer.ts";
 import { getTransferTime } from "./getTransferTime.ts";
 import type { RelayStage } from "./relayStage.ts";
 import type { StageCandidate } from "./stageCandidate.ts";
-
-/** A request that needs a chain. */
-export interface StageQuery {
-    model: EngineModel;
-    promptTokens: number;
-    answerTokens: number;
-    /** Data centre that the caller's node stands in. */
-    dataCentre: string;
-    /** Whether endpoints without room for the request may be chosen; they give requests up in mid-stream. */
-    mayOverfill: boolean;
-    /** Part of the pipes between data centres that is in use, 0 to 1. */
-    pipeUse: number;
-    /** Gets what a crossing was seen to add to first events lately, in milliseconds. */
-    getCrossingDelay(from: string, to: string): number;
-    /** First stage that the chain must begin with, where a running request moves to another chain. */
-    firstStage?: RelayStage;
-}
+import type { StageQuery } from "./stageQuery.ts";
 
 /** A partial chain that ends at a layer. */
 interface PartialChain {
--- a/src/request/relay/documentRelay.ts
+++ b/src/request/relay/documentRelay.ts
@@ -1,13 +1,14 @@
 import type { IncomingHttpHeaders } from "node:http";
-import type { UpstreamExchange } from "../../connection/upstream/upstreamConnection.ts";
-import { type UpstreamFailure, UpstreamFailureKind } from "../../connection/upstream/upstreamFailure.ts";
+import type { UpstreamExchange } from "../../connection/upstream/upstreamExchange.ts";
+import type { UpstreamFailure } from "../../connection/upstream/upstreamFailure.ts";
+import { UpstreamFailureKind } from "../../connection/upstream/upstreamFailureKind.ts";
 import type { TimerHandle } from "../../process/clock.ts";
 import { events } from "../../process/logging/events.ts";
 import { RequestKind } from "../../version/routing/requestKind.ts";
 import type { AnswerHead } from "./answerHead.ts";
 import { chooseEndpoint } from "./chooseEndpoint.ts";
 import { createRefusal } from "./createRefusal.ts";
-import type { LoadReservation } from "./endpointLoads.ts";
+import type { LoadReservation } from "./loadReservation.ts";
 import { mostRefusals } from "./mostRefusals.ts";
 import type { RegisteredEndpoint } from "./registeredEndpoint.ts";
 import type { RelayEnvironment } from "./relayEnvironment.ts";
--- a/src/request/relay/endpointHealth.ts
+++ b/src/request/relay/endpointHealth.ts
@@ -1,4 +1,5 @@
 import { forget } from "./forget.ts";
+import type { Suspicion } from "./suspicion.ts";
 
 /** What this node has seen of one endpoint's behaviour. */
 interface HealthRecord {
@@ -11,12 +12,6 @@
     failuresInRow: number;
 }
 
-/** An endpoint that is taken as lost, for the peers. */
-export interface Suspicion {
-    endpointId: string;
-    remainingMilliseconds: number;
-}
-
 /** Weight of the newest exchange in the average: about the last six exchanges count. */
 const newestWeight = 0.3;
 /** The average halves in this time, so that an endpoint that had failed is tried again. */
--- a/src/request/relay/endpointLoads.ts
+++ b/src/request/relay/endpointLoads.ts
@@ -1,19 +1,7 @@
+import type { LoadOfEndpoint } from "./loadOfEndpoint.ts";
+import type { LoadReservation } from "./loadReservation.ts";
 import type { RelayStage } from "./relayStage.ts";
 
-/** What requests take of one endpoint. */
-export interface LoadOfEndpoint {
-    endpointId: string;
-    requests: number;
-    /** Memory that the requests are expected to need, in tokens times layers. */
-    tokenLayers: number;
-}
-
-/** Gives back what a request has taken. */
-export interface LoadReservation {
-    /** Does nothing when called again. */
-    release(): void;
-}
-
 /** What one peer has said of its own requests. */
 interface PeerLoads {
     receivedAt: number;
--- /dev/null
+++ b/src/request/relay/endpointReport.ts
@@ -0,0 +1,15 @@
+import type { HeldLayers } from "./heldLayers.ts";
+
+/** What an endpoint says of its state; some hundred milliseconds old. */
+export interface EndpointReport {
+    /** Factor on the engine's usual times; above 1 where it is slow. */
+    slowness: number;
+    orderSequence: number;
+    isBusyWithOrder: boolean;
+    layers: HeldLayers | undefined;
+    /** Memory of requests that can't be given up, in tokens times layers. */
+    usedTokenLayers: number;
+    totalTokenLayers: number;
+    /** Requests that wait for an endpoint further down their chain, by request id. */
+    stalled: { requestId: string; address: string; }[];
+}
--- a/src/request/relay/eventSplitter.ts
+++ b/src/request/relay/eventSplitter.ts
@@ -1,11 +1,4 @@
-/** One event of a stream, as the endpoint sent it. */
-export interface StreamEvent {
-    /** The event's bytes with the empty line that ends it. */
-    bytes: Buffer;
-    /** Undefined where the event has no id. */
-    id: number | undefined;
-}
-
+import type { StreamEvent } from "./streamEvent.ts";
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
 const idPattern = /^id: ?(\d+)\r?$/m;
--- a/src/request/relay/getRequestMemory.ts
+++ b/src/request/relay/getRequestMemory.ts
@@ -1,4 +1,5 @@
-import type { AcceleratorKind, EngineModel } from "../../version/routing/engineModel.ts";
+import type { AcceleratorKind } from "../../version/routing/acceleratorKind.ts";
+import type { EngineModel } from "../../version/routing/engineModel.ts";
 
 const bytesOfMegabyte = 1_000_000;
 
--- a/src/request/relay/relayChains.ts
+++ b/src/request/relay/relayChains.ts
@@ -1,13 +1,13 @@
 import type { EngineModel } from "../../version/routing/engineModel.ts";
 import { assertTiling } from "./assertTiling.ts";
 import { chooseSoundStages } from "./chooseSoundStages.ts";
-import type { StageQuery } from "./chooseStages.ts";
-import type { LoadReservation } from "./endpointLoads.ts";
 import { getCrossingBits } from "./getCrossingBits.ts";
 import { listCandidates } from "./listCandidates.ts";
+import type { LoadReservation } from "./loadReservation.ts";
 import type { RelayEnvironment } from "./relayEnvironment.ts";
 import type { RelayStage } from "./relayStage.ts";
 import type { RelayTask } from "./relayTask.ts";
+import type { StageQuery } from "./stageQuery.ts";
 
 /** What a chain must be like. */
 interface ChainWish {
--- a/src/request/relay/relayQueue.ts
+++ b/src/request/relay/relayQueue.ts
@@ -1,18 +1,5 @@
 import type { Clock, TimerHandle } from "../../process/clock.ts";
-
-/** A request that waits for a chain with room. */
-export interface QueuedRelay {
-    /** Rank; 0 goes first. */
-    priority: number;
-    /** Monotonic time in milliseconds at which the request arrived. */
-    arrivedAt: number;
-    /** Monotonic time in milliseconds until which it waits. */
-    waitsUntil: number;
-    /** Tries to start the request; false where there is still no room. */
-    tryStart(): boolean;
-    /** The time is over. */
-    giveUp(): void;
-}
+import type { QueuedRelay } from "./queuedRelay.ts";
 
 /** Room comes free as answers end, every few milliseconds under load. */
 const pollMilliseconds = 25;
--- a/src/request/relay/relayTask.ts
+++ b/src/request/relay/relayTask.ts
@@ -1,5 +1,5 @@
 import type { Route } from "../../version/routing/route.ts";
-import type { RoutedService } from "../../version/routing/routingConfiguration.ts";
+import type { RoutedService } from "../../version/routing/routedService.ts";
 import type { AnswerSink } from "./answerSink.ts";
 import type { RoutedRequest } from "./routedRequest.ts";
 
--- a/src/request/relay/stageCandidate.ts
+++ b/src/request/relay/stageCandidate.ts
@@ -1,4 +1,4 @@
-import type { AcceleratorKind } from "../../version/routing/engineModel.ts";
+import type { AcceleratorKind } from "../../version/routing/acceleratorKind.ts";
 import type { HeldLayers } from "./heldLayers.ts";
 import type { RegisteredEndpoint } from "./registeredEndpoint.ts";
 
--- a/src/request/relay/stageWork.ts
+++ b/src/request/relay/stageWork.ts
@@ -1,4 +1,4 @@
-import type { AcceleratorKind } from "../../version/routing/engineModel.ts";
+import type { AcceleratorKind } from "../../version/routing/acceleratorKind.ts";
 
 /** What one stage is asked to do. */
 export interface StageWork {
--- a/src/request/relay/stallWatch.ts
+++ b/src/request/relay/stallWatch.ts
@@ -1,9 +1,10 @@
 import type { Clock, TimerHandle } from "../../process/clock.ts";
 import { events } from "../../process/logging/events.ts";
-import type { EndpointReport } from "./endpointProtocol.ts";
+import type { EndpointReport } from "./endpointReport.ts";
 import type { RegisteredEndpoint } from "./registeredEndpoint.ts";
 import type { RelayEnvironment } from "./relayEnvironment.ts";
 import type { RelayStage } from "./relayStage.ts";
+import type { RerouteOutcome } from "./rerouteOutcome.ts";
 import type { StreamRelay } from "./streamRelay.ts";
 
 /** Options of a {@link StallWatch}. */
@@ -16,13 +17,6 @@
     reroute(requestId: string, stages: RelayStage[]): Promise<RerouteOutcome>;
 }
 
-/** What became of a move to another chain. */
-export interface RerouteOutcome {
-    isDone: boolean;
-    /** host:port of the endpoint that stood in the way, where one is named. */
-    faultyAddress: string | undefined;
-}
-
 const sweepMilliseconds = 60;
 /** Events come every 20 to 60 ms; a stream that is silent for this long is looked into. */
 const silentMilliseconds = 240;
--- a/src/request/relay/streamAttempt.ts
+++ b/src/request/relay/streamAttempt.ts
@@ -1,9 +1,8 @@
-import type { UpstreamExchange } from "../../connection/upstream/upstreamConnection.ts";
+import type { UpstreamExchange } from "../../connection/upstream/upstreamExchange.ts";
 import type { AnswerHead } from "./answerHead.ts";
-import type { LoadReservation } from "./endpointLoads.ts";
 import type { EventSplitter } from "./eventSplitter.ts";
+import type { LoadReservation } from "./loadReservation.ts";
 import type { RelayStage } from "./relayStage.ts";
-import type { WholeAnswer } from "./wholeAnswer.ts";
 
 /** One run of a streamed request on one chain. */
 export interface StreamAttempt {
@@ -21,16 +20,3 @@
     /** Whether this run has brought an event. */
     hasEvents: boolean;
 }
-
-/** Why a run brings no further events. */
-export interface StreamAttemptEnd {
-    /** Whether the chain has surely not run the request. */
-    isNotRun: boolean;
-    /** Whether no byte of it was sent. */
-    isUnsent?: boolean;
-    cause: string;
-    /** Ids of endpoints that the next chain avoids. */
-    avoid: string[];
-    /** Passed on where nothing better comes. */
-    failure?: WholeAnswer;
-}
--- a/src/request/relay/streamRelay.ts
+++ b/src/request/relay/streamRelay.ts
@@ -1,22 +1,26 @@
 import type { IncomingHttpHeaders } from "node:http";
-import { type UpstreamFailure, UpstreamFailureKind } from "../../connection/upstream/upstreamFailure.ts";
+import type { UpstreamFailure } from "../../connection/upstream/upstreamFailure.ts";
+import { UpstreamFailureKind } from "../../connection/upstream/upstreamFailureKind.ts";
 import type { TimerHandle } from "../../process/clock.ts";
 import { events } from "../../process/logging/events.ts";
 import type { EngineModel } from "../../version/routing/engineModel.ts";
 import type { AnswerHead } from "./answerHead.ts";
 import { createRefusal } from "./createRefusal.ts";
-import { EventSplitter, type StreamEvent } from "./eventSplitter.ts";
+import { EventSplitter } from "./eventSplitter.ts";
+import { EventVerdict } from "./eventVerdict.ts";
 import { formatStages } from "./formatStages.ts";
+import type { QueuedRelay } from "./queuedRelay.ts";
 import { RelayChains } from "./relayChains.ts";
 import type { RelayEnvironment } from "./relayEnvironment.ts";
-import type { QueuedRelay } from "./relayQueue.ts";
 import type { RelayRefusal } from "./relayRefusal.ts";
 import type { RelayStage } from "./relayStage.ts";
 import type { RelayTask } from "./relayTask.ts";
 import { RunAllowance } from "./runAllowance.ts";
 import { sendWholeAnswer } from "./sendWholeAnswer.ts";
-import type { StreamAttempt, StreamAttemptEnd } from "./streamAttempt.ts";
-import { EventVerdict, StreamProgress } from "./streamProgress.ts";
+import type { StreamAttempt } from "./streamAttempt.ts";
+import type { StreamAttemptEnd } from "./streamAttemptEnd.ts";
+import type { StreamEvent } from "./streamEvent.ts";
+import { StreamProgress } from "./streamProgress.ts";
 import type { WholeAnswer } from "./wholeAnswer.ts";
 
 /**
--- /dev/null
+++ b/src/request/relay/suspicion.ts
@@ -0,0 +1,5 @@
+/** An endpoint that is taken as lost, for the peers. */
+export interface Suspicion {
+    endpointId: string;
+    remainingMilliseconds: number;
+}
--- a/src/version/routing/routingConfiguration.ts
+++ b/src/version/routing/routingConfiguration.ts
@@ -1,14 +1,5 @@
-import type { EngineModel } from "./engineModel.ts";
 import type { Route } from "./route.ts";
-
-/** A service that requests go to. */
-export interface RoutedService {
-    name: string;
-    /** Connections that one endpoint takes from all nodes together. */
-    maximumConnections: number;
-    /** Figures of the model's engines; undefined for a document service. */
-    engine: EngineModel | undefined;
-}
+import type { RoutedService } from "./routedService.ts";
 
 /** A customer and its API keys. */
 interface RoutingCustomer {
--- /dev/null
+++ b/standins/router/endpointBehaviour.ts
@@ -0,0 +1,23 @@
+/** What the stand-in does with a request. */
+export interface EndpointBehaviour {
+    /** Refuses as not run, with this status. */
+    refuseWith?: number;
+    /** Runs the request and breaks the connection without an answer. */
+    losesAnswer?: boolean;
+    /** Runs the request and answers with this status. */
+    failWith?: number;
+    /** Names another request in its answer. */
+    answersWrongRequest?: boolean;
+    /** Leaves the signature out. */
+    isUnsigned?: boolean;
+    /** Sends bytes after its answer. */
+    sendsExtra?: boolean;
+    /** Answers without a length and then resets the connection. */
+    resetsUnframed?: boolean;
+    /** Breaks a stream off in the middle of the event after this one. */
+    cutsAfterEvent?: number;
+    /** Falls silent after this event until it is moved to another chain. */
+    stallsAfterEvent?: number;
+    /** Answers this much later, in milliseconds. */
+    delayMilliseconds?: number;
+}
--- a/standins/router/endpointStandin.ts
+++ b/standins/router/endpointStandin.ts
@@ -1,48 +1,7 @@
-import {
-    createServer,
-    type IncomingHttpHeaders,
-    type IncomingMessage,
-    type Server,
-    type ServerResponse,
-} from "node:http";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
-
-/** What the stand-in does with a request. */
-export interface EndpointBehaviour {
-    /** Refuses as not run, with this status. */
-    refuseWith?: number;
-    /** Runs the request and breaks the connection without an answer. */
-    losesAnswer?: boolean;
-    /** Runs the request and answers with this status. */
-    failWith?: number;
-    /** Names another request in its answer. */
-    answersWrongRequest?: boolean;
-    /** Leaves the signature out. */
-    isUnsigned?: boolean;
-    /** Sends bytes after its answer. */
-    sendsExtra?: boolean;
-    /** Answers without a length and then resets the connection. */
-    resetsUnframed?: boolean;
-    /** Breaks a stream off in the middle of the event after this one. */
-    cutsAfterEvent?: number;
-    /** Falls silent after this event until it is moved to another chain. */
-    stallsAfterEvent?: number;
-    /** Answers this much later, in milliseconds. */
-    delayMilliseconds?: number;
-}
-
-/** A request that the stand-in has run. */
-export interface RunRecord {
-    id: string;
-    method: string;
-    url: string;
-    headers: IncomingHttpHeaders;
-    body: string;
-    /** Wall-clock time in milliseconds. */
-    arrivedAt: number;
-    /** Whether its connection closed before the answer was whole. */
-    isAbandoned: boolean;
-}
+import type { EndpointBehaviour } from "./endpointBehaviour.ts";
+import type { RunRecord } from "./runRecord.ts";
 
 /** Options of an {@link EndpointStandin}. */
 interface EndpointStandinOptions {
--- a/standins/router/keyValueStandin.ts
+++ b/standins/router/keyValueStandin.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import type { KeyValueFaults } from "./keyValueFaults.ts";
 
 /** A value as the store keeps it; undefined where it was deleted. */
 interface StoredItem {
@@ -10,16 +11,6 @@
     created: number;
 }
 
-/** How the stand-in misbehaves. */
-export interface KeyValueFaults {
-    /** Status that every call gets. */
-    refuseWith?: number;
-    /** Calls get no answer. */
-    isSilent?: boolean;
-    /** Writes are done and get no answer. */
-    losesAnswers?: boolean;
-}
-
 /** The body of a transaction. */
 interface Transaction {
     expected: { key: string; revision: number; }[];
--- a/tests/process/placement/placementDuty.test.ts
+++ b/tests/process/placement/placementDuty.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { beforeEach, describe, it } from "node:test";
 import { PlacementDuty } from "../../../src/process/placement/placementDuty.ts";
-import type { LayerOrder } from "../../../src/request/relay/endpointProtocol.ts";
 import type { HeldLayers } from "../../../src/request/relay/heldLayers.ts";
+import type { LayerOrder } from "../../../src/request/relay/layerOrder.ts";
 import type { RegisteredEndpoint } from "../../../src/request/relay/registeredEndpoint.ts";
 import { createEndpoint, relayModel } from "../../request/relay/relayModel.ts";
 import { FakeClock } from "../../support/fakeClock.ts";
--- a/tests/process/router/isStoreWatcher.test.ts
+++ b/tests/process/router/isStoreWatcher.test.ts
@@ -2,7 +2,7 @@
 import { before, describe, it } from "node:test";
 import { RendezvousOwners } from "../../../src/process/membership/rendezvousOwners.ts";
 import { isStoreWatcher } from "../../../src/process/router/isStoreWatcher.ts";
-import type { KnownNode } from "../../../src/process/router/nodeTable.ts";
+import type { KnownNode } from "../../../src/process/router/knownNode.ts";
 
 describe("isStoreWatcher", () => {
     let owners: RendezvousOwners;
--- a/tests/request/relay/chooseSoundStages.test.ts
+++ b/tests/request/relay/chooseSoundStages.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { chooseSoundStages } from "../../../src/request/relay/chooseSoundStages.ts";
-import type { StageQuery } from "../../../src/request/relay/chooseStages.ts";
 import type { StageCandidate } from "../../../src/request/relay/stageCandidate.ts";
+import type { StageQuery } from "../../../src/request/relay/stageQuery.ts";
 import { createCandidate, relayModel } from "./relayModel.ts";
 
 const query: StageQuery = {
--- a/tests/request/relay/chooseStages.test.ts
+++ b/tests/request/relay/chooseStages.test.ts
@@ -2,8 +2,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { assertTiling } from "../../../src/request/relay/assertTiling.ts";
-import { chooseStages, type StageQuery } from "../../../src/request/relay/chooseStages.ts";
+import { chooseStages } from "../../../src/request/relay/chooseStages.ts";
 import type { StageCandidate } from "../../../src/request/relay/stageCandidate.ts";
+import type { StageQuery } from "../../../src/request/relay/stageQuery.ts";
 import { createCandidate, relayModel } from "./relayModel.ts";
 
 const query: StageQuery = {
--- a/tests/request/relay/relayModel.ts
+++ b/tests/request/relay/relayModel.ts
@@ -1,6 +1,7 @@
 import type { RegisteredEndpoint } from "../../../src/request/relay/registeredEndpoint.ts";
 import type { StageCandidate } from "../../../src/request/relay/stageCandidate.ts";
-import type { AcceleratorKind, EngineModel } from "../../../src/version/routing/engineModel.ts";
+import type { AcceleratorKind } from "../../../src/version/routing/acceleratorKind.ts";
+import type { EngineModel } from "../../../src/version/routing/engineModel.ts";
 
 const kinds: AcceleratorKind[] = [
     { name: "fast", memoryMegabytes: 72_000, stepFactor: 2.4, prefillFactor: 3.2 },
--- a/tests/request/relay/streamProgress.test.ts
+++ b/tests/request/relay/streamProgress.test.ts
@@ -1,7 +1,8 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { EventVerdict, StreamProgress } from "../../../src/request/relay/streamProgress.ts";
+import { EventVerdict } from "../../../src/request/relay/eventVerdict.ts";
+import { StreamProgress } from "../../../src/request/relay/streamProgress.ts";
 
 describe("StreamProgress", () => {
     it("passes events on with rising ids only, and shows a missing one", () => {
