--- a/scripts/soak/router/soakEndpoint.ts
+++ b/scripts/soak/router/soakEndpoint.ts
@@ -1,4 +1,5 @@
 import { LoopbackProxy } from "../../../standins/network/loopbackProxy.ts";
+import { createEndpointRecord } from "../../../standins/router/createEndpointRecord.ts";
 import type { EndpointBehaviour } from "../../../standins/router/endpointBehaviour.ts";
 import { EndpointStandin } from "../../../standins/router/endpointStandin.ts";
 import type { KeyValueStandin } from "../../../standins/router/keyValueStandin.ts";
@@ -29,6 +30,8 @@
 }
 
 const eventMilliseconds = 30;
+/** Requests that an endpoint runs at the same time. */
+const slots = 40;
 
 /** An endpoint behind a proxy, over all its starts. */
 export class SoakEndpoint {
@@ -119,18 +122,13 @@
         return this.starts.at(-1)!;
     }
 
-    private register(state = "ready"): void {
+    private register(state?: string): void {
         const { id, standin } = this.getLast();
-        this.options.store.put(`servers/${id}`, {
-            service: this.isStage() ? "model" : "documents",
-            address: this.proxy.getAddress(),
-            zone: "a",
-            version: "v1",
-            slots: 40,
-            state,
-            cold_left_ms: 0,
-            sequence: 1,
-            ...(this.isStage() ? { kind: "big", layers: standin.layers ?? null } : {}),
-        });
+        const service = this.isStage() ? "model" : "documents";
+        const layers = this.isStage() ? standin.layers ?? null : undefined;
+        this.options.store.put(
+            `servers/${id}`,
+            createEndpointRecord({ service, address: this.proxy.getAddress(), state, slots, layers }),
+        );
     }
 }
--- a/src/process/leases/fencedLease.ts
+++ b/src/process/leases/fencedLease.ts
@@ -100,7 +100,9 @@
             return;
         }
         this.newestRelease = release;
-        this.handle(() => this.state.noteRelease(release, this.getTime()));
+        if (this.isRunning) {
+            this.apply(this.state.noteRelease(release, this.getTime()));
+        }
     }
 
     /** Whether the lease is held now. */
@@ -146,7 +148,7 @@
         this.timer = undefined;
         if (output.wakeAt !== undefined && this.isRunning) {
             const delay = Math.max(0, output.wakeAt - clock.getMonotonicTime());
-            this.timer = clock.setTimer(delay, () => this.handle(() => this.state.wake(this.getTime())));
+            this.timer = clock.setTimer(delay, () => this.apply(this.state.wake(this.getTime())));
         }
         if (output.call !== undefined) {
             void this.run(output.call);
@@ -164,12 +166,6 @@
         this.finish(() => this.state.finishSwap(outcome, this.getTime()));
     }
 
-    private handle(event: () => LeaseOutput): void {
-        if (this.isRunning) {
-            this.apply(event());
-        }
-    }
-
     /** Takes the result of a call, also where the lease is no longer sought: the state waits for it. */
     private finish(event: () => LeaseOutput): void {
         if (this.isStopped) {
--- a/src/process/leases/leaseState.ts
+++ b/src/process/leases/leaseState.ts
@@ -11,7 +11,7 @@
 import { parseLeaseRecord } from "./parseLeaseRecord.ts";
 
 /** Settings of a {@link LeaseState}. */
-export interface LeaseStateOptions {
+interface LeaseStateOptions {
     random: RandomSource;
     /** Name of this process as a holder. */
     holder: string;
--- a/src/process/placement/placementDuty.ts
+++ b/src/process/placement/placementDuty.ts
@@ -13,6 +13,7 @@
 import { events } from "../logging/events.ts";
 import type { PlatformStore } from "../platform/platformStore.ts";
 import { assignLayers } from "./assignLayers.ts";
+import { EndpointSettling } from "./endpointSettling.ts";
 import type { KindCount } from "./kindCount.ts";
 import type { LayerAssignment } from "./layerAssignment.ts";
 import type { LayerColumn } from "./layerColumn.ts";
@@ -46,8 +47,6 @@
 }
 
 const tickMilliseconds = 250;
-/** Endpoints register within about a second of each other; a plan from half of them would waste the others. */
-const settleMilliseconds = 900;
 /** An order whose result isn't registered after the time for its load is looked into; loads that share the way take longer. */
 const orderGraceMilliseconds = 2_500;
 /** An endpoint that crashed is back, empty, within about 4 s, of which its record outlives it for 3.6 s. */
@@ -69,14 +68,13 @@
      * once; only a new plan waits until all endpoints have registered. Saves 0.9 s of each takeover.
      */
     private readonly lookedFor = new Set<string>();
-    /** Services whose endpoints have stood still once since the lease was taken. Later losses are acted on at once. */
-    private readonly hasSettled = new Set<string>();
+    /** Since the lease was taken. */
+    private readonly settling = EndpointSettling.create();
     private readonly openOrders = new Map<string, OpenOrder>();
     /** Endpoints that are busy with an order of an earlier holder, until when they are left alone. */
     private readonly busyUntil = new Map<string, number>();
     /** Number of orders that each endpoint is known to have begun. */
     private readonly sequences = new Map<string, number>();
-    private readonly settled = new Map<string, { signature: string; since: number; }>();
     /** The weakest column of each service, by its first layer, and since when it has been weak. */
     private readonly weakColumns = new Map<string, { start: number; since: number; }>();
     private timer: TimerHandle | undefined;
@@ -115,7 +113,7 @@
             this.loadedNumber = fencingNumber;
             this.plans.clear();
             this.lookedFor.clear();
-            this.hasSettled.clear();
+            this.settling.restart();
             this.openOrders.clear();
         }
         for (const service of this.options.getModelServices()) {
@@ -140,7 +138,7 @@
         if (endpoints.length === 0) {
             return;
         }
-        const isSettled = this.isSettled(service, endpoints);
+        const isSettled = this.settling.note(service, endpoints, this.options.clock.getMonotonicTime());
         const columns = this.plans.get(service);
         if (columns === undefined) {
             if (isSettled || !this.lookedFor.has(service)) {
@@ -195,25 +193,6 @@
         return [...assignments, move];
     }
 
-    /** Whether the list of endpoints has stood still long enough, once, to plan from it or to move a holder. */
-    private isSettled(service: string, endpoints: readonly RegisteredEndpoint[]): boolean {
-        if (this.hasSettled.has(service)) {
-            return true;
-        }
-        const now = this.options.clock.getMonotonicTime();
-        const signature = endpoints.map(({ id }) => id).join();
-        const known = this.settled.get(service);
-        if (known?.signature !== signature) {
-            this.settled.set(service, { signature, since: now });
-            return false;
-        }
-        if (now - known.since < settleMilliseconds) {
-            return false;
-        }
-        this.hasSettled.add(service);
-        return true;
-    }
-
     private async loadPlan(
         service: string,
         model: EngineModel,
--- a/tests/platform/earlyAnswers.test.ts
+++ b/tests/platform/earlyAnswers.test.ts
@@ -2,6 +2,7 @@
 import { createServer, type Server, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
 import { after, before, describe, it } from "node:test";
+import { createEndpointRecord } from "../../standins/router/createEndpointRecord.ts";
 import { waitUntil } from "../support/waitUntil.ts";
 import { RouterBench, type StartedNode } from "./routerBench.ts";
 
@@ -65,7 +66,7 @@
     before(async () => {
         bench = await RouterBench.create();
         endpoint = await EarlyEndpoint.create();
-        const record = { service: "documents", address: endpoint.getAddress(), zone: "a", slots: 6, state: "ready" };
+        const record = createEndpointRecord({ service: "documents", address: endpoint.getAddress() });
         bench.store.put("servers/early", record);
         node = await bench.addNode();
         await bench.waitForEndpoints(node, 1);
--- a/tests/platform/platformProcess.test.ts
+++ b/tests/platform/platformProcess.test.ts
@@ -9,6 +9,7 @@
 import { findFreePorts } from "../../scripts/deployment/findFreePorts.ts";
 import { createBootFile } from "../../standins/router/createBootFile.ts";
 import { createConfiguration } from "../../standins/router/createConfiguration.ts";
+import { createEndpointRecord } from "../../standins/router/createEndpointRecord.ts";
 import { EndpointStandin } from "../../standins/router/endpointStandin.ts";
 import { KeyValueStandin } from "../../standins/router/keyValueStandin.ts";
 
@@ -26,7 +27,7 @@
         store = await KeyValueStandin.create();
         endpoint = await EndpointStandin.create({ id: "first" });
         store.put("op/config", createConfiguration(1));
-        const record = { service: "documents", address: endpoint.getAddress(), zone: "a", slots: 6, state: "ready" };
+        const record = createEndpointRecord({ service: "documents", address: endpoint.getAddress() });
         store.put("servers/first", record);
         ports = await findFreePorts(4);
         folder = mkdtempSync(join(tmpdir(), "foxlead-platform-"));
--- a/tests/platform/routerBench.ts
+++ b/tests/platform/routerBench.ts
@@ -11,6 +11,7 @@
 import { systemClock } from "../../src/process/systemClock.ts";
 import { callerKey } from "../../standins/router/callerKey.ts";
 import { createConfiguration } from "../../standins/router/createConfiguration.ts";
+import { createEndpointRecord } from "../../standins/router/createEndpointRecord.ts";
 import { EndpointStandin } from "../../standins/router/endpointStandin.ts";
 import { KeyValueStandin } from "../../standins/router/keyValueStandin.ts";
 import { RecordingEventLog } from "../support/recordingEventLog.ts";
@@ -71,18 +72,10 @@
     }
 
     /** Writes an endpoint's record. */
-    register(id: string, service: string, layers?: { from: number; to: number; }, state = "ready"): void {
-        this.store.put(`servers/${id}`, {
-            service,
-            address: this.endpoints.get(id)!.getAddress(),
-            zone: "a",
-            version: "v1",
-            slots: 6,
-            state,
-            cold_left_ms: 0,
-            sequence: 77,
-            ...(service === "model" ? { kind: "big", layers: layers ?? null } : {}),
-        });
+    register(id: string, service: string, layers?: { from: number; to: number; }, state?: string): void {
+        const address = this.endpoints.get(id)!.getAddress();
+        const held = service === "model" ? layers ?? null : undefined;
+        this.store.put(`servers/${id}`, createEndpointRecord({ service, address, state, layers: held }));
     }
 
     /** Starts a node. */
