--- a/src/request/relay/runAllowance.ts
+++ b/src/request/relay/runAllowance.ts
@@ -51,13 +51,10 @@
         }
         const { directory, health, clock } = this.environment;
         const now = clock.getMonotonicTime();
-        const registered = new Set(directory.getEndpoints(this.task.service.name).map(({ id }) => id));
-        let soundRuns = 0;
-        for (const id of this.ranAt) {
-            if (registered.has(id) && !health.isSuspect(id, now)) {
-                soundRuns += 1;
-            }
-        }
-        return soundRuns < this.task.route.maximumAttempts;
+        const endpoints = directory.getEndpoints(this.task.service.name);
+        const soundRuns = [...this.ranAt].filter(ranId =>
+            endpoints.some(({ id }) => id === ranId) && !health.isSuspect(ranId, now)
+        );
+        return soundRuns.length < this.task.route.maximumAttempts;
     }
 }
--- a/standins/network/loopbackProxy.ts
+++ b/standins/network/loopbackProxy.ts
@@ -1,4 +1,5 @@
 import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
+import { parseAddress } from "../../src/process/settings/parseAddress.ts";
 import { ProxyMode } from "./proxyMode.ts";
 
 /** Of a delay; under the two checks of a balancer, so that a delayed part counts as slow and not as dead. */
@@ -105,8 +106,7 @@
             caller.resetAndDestroy();
             return;
         }
-        const [host, port] = this.getTargetAddress().split(":");
-        const target = connect(Number(port), host, () => {
+        const target = connect(parseAddress(this.getTargetAddress()), () => {
             // The system may give the connection the port that nobody listens on, and join it to itself.
             if (target.localPort === target.remotePort) {
                 reset(target);
--- a/tests/platform/routerBench.ts
+++ b/tests/platform/routerBench.ts
@@ -4,6 +4,7 @@
 import { decodeEndpoint } from "../../platform/decodeEndpoint.ts";
 import { endpointProtocol } from "../../platform/endpointProtocol.ts";
 import { KeyValueStore } from "../../platform/keyValueStore.ts";
+import { routerKeys } from "../../platform/routerKeys.ts";
 import { findFreePorts } from "../../scripts/deployment/findFreePorts.ts";
 import { RendezvousOwners } from "../../src/process/membership/rendezvousOwners.ts";
 import { Metrics } from "../../src/process/metrics/metrics.ts";
@@ -110,12 +111,7 @@
             metrics: Metrics.create(),
             owners: await RendezvousOwners.create(),
             store,
-            keys: {
-                configuration: "op/config",
-                endpointPrefix: "servers/",
-                placementLease: "foxlead/leases/placement",
-                placementPrefix: "foxlead/placement/",
-            },
+            keys: routerKeys,
             protocol: endpointProtocol,
             decodeConfiguration,
             decodeEndpoint,
--- a/tests/request/relay/chooseSoundStages.test.ts
+++ b/tests/request/relay/chooseSoundStages.test.ts
@@ -3,23 +3,13 @@
 import { chooseSoundStages } from "../../../src/request/relay/chooseSoundStages.ts";
 import type { StageCandidate } from "../../../src/request/relay/stageCandidate.ts";
 import type { StageQuery } from "../../../src/request/relay/stageQuery.ts";
-import { createCandidate, relayModel } from "./relayModel.ts";
-
-const query: StageQuery = {
-    model: relayModel,
-    promptTokens: 800,
-    answerTokens: 200,
-    dataCentre: "a",
-    pipeUse: 0,
-    mayOverfill: false,
-    getCrossingDelay: () => 0,
-};
+import { createCandidate, stageQuery } from "./relayModel.ts";
 const last = createCandidate("last", 40, 80);
 const full = createCandidate("full", 0, 40, { tokenLayers: 6_000_000 });
 const lost = createCandidate("lost", 0, 40, { isSuspect: true });
 
 function choose(candidates: StageCandidate[], changes: Partial<StageQuery> = {}): string[] | undefined {
-    return chooseSoundStages({ ...query, ...changes }, candidates, () => 0)?.map(({ endpoint }) => endpoint.id);
+    return chooseSoundStages({ ...stageQuery, ...changes }, candidates, () => 0)?.map(({ endpoint }) => endpoint.id);
 }
 
 describe("chooseSoundStages", () => {
--- a/tests/request/relay/chooseStages.test.ts
+++ b/tests/request/relay/chooseStages.test.ts
@@ -5,17 +5,9 @@
 import { chooseStages } from "../../../src/request/relay/chooseStages.ts";
 import type { StageCandidate } from "../../../src/request/relay/stageCandidate.ts";
 import type { StageQuery } from "../../../src/request/relay/stageQuery.ts";
-import { createCandidate, relayModel } from "./relayModel.ts";
+import { createCandidate, relayModel, stageQuery } from "./relayModel.ts";
 
-const query: StageQuery = {
-    model: relayModel,
-    promptTokens: 800,
-    answerTokens: 200,
-    dataCentre: "a",
-    pipeUse: 0,
-    mayOverfill: true,
-    getCrossingDelay: () => 0,
-};
+const query: StageQuery = { ...stageQuery, mayOverfill: true };
 
 function choose(candidates: StageCandidate[], changes: Partial<StageQuery> = {}): string[] | undefined {
     return chooseStages({ ...query, ...changes }, candidates, () => 0)?.map(({ endpoint }) => endpoint.id);
--- a/tests/request/relay/relayModel.ts
+++ b/tests/request/relay/relayModel.ts
@@ -1,5 +1,6 @@
 import type { RegisteredEndpoint } from "../../../src/request/relay/registeredEndpoint.ts";
 import type { StageCandidate } from "../../../src/request/relay/stageCandidate.ts";
+import type { StageQuery } from "../../../src/request/relay/stageQuery.ts";
 import type { AcceleratorKind } from "../../../src/version/routing/acceleratorKind.ts";
 import type { EngineModel } from "../../../src/version/routing/engineModel.ts";
 
@@ -31,6 +32,17 @@
     kinds: new Map(kinds.map(kind => [kind.name, kind])),
 };
 
+/** A usual request for a chain of the model. */
+export const stageQuery: StageQuery = {
+    model: relayModel,
+    promptTokens: 800,
+    answerTokens: 200,
+    dataCentre: "a",
+    pipeUse: 0,
+    mayOverfill: false,
+    getCrossingDelay: () => 0,
+};
+
 /** Creates an endpoint of the model. */
 export function createEndpoint(id: string, changes: Partial<RegisteredEndpoint> = {}): RegisteredEndpoint {
     return {
