--- a/standins/network/loopbackProxy.ts
+++ b/standins/network/loopbackProxy.ts
@@ -106,7 +106,7 @@
             caller.resetAndDestroy();
             return;
         }
-        const target = connect(parseAddress(this.getTargetAddress()), () => {
+        const target = connect(parseAddress(this.getTargetAddress())!, () => {
             // The system may give the connection the port that nobody listens on, and join it to itself.
             if (target.localPort === target.remotePort) {
                 reset(target);
