--- a/bench/admission/measureFairness.ts
+++ b/bench/admission/measureFairness.ts
@@ -1,14 +1,9 @@
-import { VirtualClock } from "../../tests/support/virtualClock.ts";
-import { BenchGate } from "./benchGate.ts";
-import { createBenchConfiguration } from "./createBenchConfiguration.ts";
-import { createRandom } from "./createRandom.ts";
+import { comparedRun } from "./comparedRun.ts";
 import { getQuantile } from "./getQuantile.ts";
-import { type LoadStream, runLoadModel } from "./loadModel.ts";
 import type { LoadResult } from "./loadResult.ts";
+import { runComparedLoad } from "./runComparedLoad.ts";
 
-const places = 64;
-const millisecondsPerToken = 20;
-const meanTokens = 250;
+const { places, millisecondsPerToken, meanTokens } = comparedRun;
 const maximumTokens = 1_000;
 const meanRunTokens = meanTokens * (1 - Math.exp(-maximumTokens / meanTokens));
 /** Requests a second that the places can do. */
@@ -65,36 +60,17 @@
 
 function runFairness(options: FairnessOptions): Promise<LoadResult> {
     const { kind, customerCount, smallLoad, largeLoad, durationMilliseconds } = options;
-    const clock = VirtualClock.create();
     const smallRate = smallLoad * capacity / (customerCount - 1);
     const rates = new Map<string, number>([[large, largeLoad * capacity]]);
     for (let index = 1; index < customerCount; index++) {
         rates.set(`small${index}`, smallRate);
     }
-    const configuration = createBenchConfiguration(Object.fromEntries([...rates.keys()].map(name => [name, {}])));
-    const gate = kind === "admission"
-        ? BenchGate.createAdmission({
-            getConfiguration: () => configuration,
-            clock,
-            random: createRandom(2),
-            getConcurrencyLimit: () => places,
-        })
-        : BenchGate.createFirstInFirstOut(places);
-    const streams: LoadStream[] = [];
-    for (const [customer, rate] of rates) {
-        streams.push({ customer, getRequestsPerSecond: () => rate, maximumRequestsPerSecond: rate });
-    }
-    return runLoadModel({
-        clock,
-        random: createRandom(1),
-        gate,
-        streams,
+    return runComparedLoad({
+        kind,
+        rates,
+        maximumTokens,
         durationMilliseconds,
         warmUpMilliseconds: 30_000,
-        millisecondsPerToken,
-        meanTokens,
-        maximumTokens,
         patienceMilliseconds: 30_000,
-        maximumReturns: 3,
     });
 }
--- a/bench/admission/measureGoodput.ts
+++ b/bench/admission/measureGoodput.ts
@@ -1,14 +1,9 @@
-import { VirtualClock } from "../../tests/support/virtualClock.ts";
-import { BenchGate } from "./benchGate.ts";
-import { createBenchConfiguration } from "./createBenchConfiguration.ts";
-import { createRandom } from "./createRandom.ts";
+import { comparedRun } from "./comparedRun.ts";
 import { getQuantile } from "./getQuantile.ts";
-import { runLoadModel } from "./loadModel.ts";
 import type { LoadResult } from "./loadResult.ts";
+import { runComparedLoad } from "./runComparedLoad.ts";
 
-const places = 64;
-const millisecondsPerToken = 20;
-const meanTokens = 250;
+const { places, millisecondsPerToken, meanTokens } = comparedRun;
 const durationMilliseconds = 330_000;
 const warmUpMilliseconds = 30_000;
 const customerCount = 10;
@@ -42,37 +37,14 @@
     }
 }
 
-function runCase({ kind, load, patienceMilliseconds, maximumTokens }: GoodputCase): Promise<LoadResult> {
-    const names = Array.from({ length: customerCount }, (_, index) => `customer${index}`);
-    const clock = VirtualClock.create();
-    const configuration = createBenchConfiguration(Object.fromEntries(names.map(name => [name, {}])));
-    const gate = kind === "admission"
-        ? BenchGate.createAdmission({
-            getConfiguration: () => configuration,
-            clock,
-            random: createRandom(2),
-            getConcurrencyLimit: () => places,
-        })
-        : BenchGate.createFirstInFirstOut(places);
+function runCase({ load, maximumTokens, ...goodputCase }: GoodputCase): Promise<LoadResult> {
     const requestsPerSecond = load * capacity / meanTokens / (1 - Math.exp(-maximumTokens / meanTokens))
         / customerCount;
-    return runLoadModel({
-        clock,
-        random: createRandom(1),
-        gate,
-        streams: names.map(customer => ({
-            customer,
-            getRequestsPerSecond: () => requestsPerSecond,
-            maximumRequestsPerSecond: requestsPerSecond,
-        })),
-        durationMilliseconds,
-        warmUpMilliseconds,
-        millisecondsPerToken,
-        meanTokens,
-        maximumTokens,
-        patienceMilliseconds,
-        maximumReturns: 3,
-    });
+    const rates = new Map<string, number>();
+    for (let index = 0; index < customerCount; index++) {
+        rates.set(`customer${index}`, requestsPerSecond);
+    }
+    return runComparedLoad({ ...goodputCase, rates, maximumTokens, durationMilliseconds, warmUpMilliseconds });
 }
 
 function printResult({ kind, load, patienceMilliseconds }: GoodputCase, result: LoadResult): void {
--- /dev/null
+++ b/bench/admission/runComparedLoad.ts
@@ -0,0 +1,41 @@
+import { VirtualClock } from "../../tests/support/virtualClock.ts";
+import { BenchGate } from "./benchGate.ts";
+import { comparedRun } from "./comparedRun.ts";
+import { createBenchConfiguration } from "./createBenchConfiguration.ts";
+import { createRandom } from "./createRandom.ts";
+import { type LoadStream, runLoadModel } from "./loadModel.ts";
+import type { LoadResult } from "./loadResult.ts";
+
+/** One run: the gate, what the customers ask for, and how long they wait. */
+interface ComparedLoad {
+    /** `admission`, or the unbounded queue. */
+    kind: string;
+    /** New requests a second by customer. */
+    rates: ReadonlyMap<string, number>;
+    maximumTokens: number;
+    durationMilliseconds: number;
+    warmUpMilliseconds: number;
+    patienceMilliseconds: number;
+}
+
+const maximumReturns = 3;
+
+/** Runs a steady load against one of the gates. */
+export function runComparedLoad({ kind, rates, ...load }: ComparedLoad): Promise<LoadResult> {
+    const { places, ...run } = comparedRun;
+    const clock = VirtualClock.create();
+    const configuration = createBenchConfiguration(Object.fromEntries([...rates.keys()].map(name => [name, {}])));
+    const gate = kind === "admission"
+        ? BenchGate.createAdmission({
+            getConfiguration: () => configuration,
+            clock,
+            random: createRandom(2),
+            getConcurrencyLimit: () => places,
+        })
+        : BenchGate.createFirstInFirstOut(places);
+    const streams: LoadStream[] = [];
+    for (const [customer, rate] of rates) {
+        streams.push({ customer, getRequestsPerSecond: () => rate, maximumRequestsPerSecond: rate });
+    }
+    return runLoadModel({ clock, random: createRandom(1), gate, streams, maximumReturns, ...run, ...load });
+}
--- a/src/request/admission/retryBudget.ts
+++ b/src/request/admission/retryBudget.ts
@@ -1,4 +1,5 @@
 import type { RetryPolicy } from "./retryPolicy.ts";
+
 const defaultPolicy: RetryPolicy = { ratio: 0.1, perSecond: 1, maximumBalance: 50 };
 const startPart = 0.2;
 
@@ -28,7 +29,8 @@
 
     /** Counts a request, not a retry. */
     observeRequest(): void {
-        this.add(this.getPolicy().ratio);
+        const policy = this.getPolicy();
+        this.add(policy.ratio, policy);
     }
 
     /**
@@ -37,7 +39,8 @@
      * @returns Whether the retry may be sent.
      */
     takeRetry(now: number): boolean {
-        this.add(Math.max(0, now - this.updatedAt) * this.getPolicy().perSecond / 1000);
+        const policy = this.getPolicy();
+        this.add(Math.max(0, now - this.updatedAt) * policy.perSecond / 1000, policy);
         this.updatedAt = now;
         if (this.balance < 1) {
             return false;
@@ -46,7 +49,7 @@
         return true;
     }
 
-    private add(retries: number): void {
-        this.balance = Math.min(this.getPolicy().maximumBalance, this.balance + retries);
+    private add(retries: number, { maximumBalance }: RetryPolicy): void {
+        this.balance = Math.min(maximumBalance, this.balance + retries);
     }
 }
