Tell the starts of an endpoint apart by its incarnation, and take no endpoint from a record of another writer

An endpoint may start again under its id. Its key now holds its id and its start, so that loads, health, readings, orders and streams of the earlier start end at once, here and in what peers tell; records of an earlier start are ignored, and a report that names a later one counts before its record comes. Streams through an endpoint that started again are moved at once. Orders name their endpoint. A record with a fault is logged once for its reason, not with each heartbeat.

Tests failed before: two starts under one id were one endpoint; records with unknown states, fractional starts or empty ranges were used.

--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -133,6 +133,17 @@
         level: "error",
         message: "The record of an endpoint cannot be read; it gets no requests.",
     },
+    endpointRestarted: {
+        number: 1813,
+        level: "warn",
+        message: "An endpoint has started again under its id; nothing that was known of it holds any more.",
+    },
+    endpointRecordOutdated: {
+        number: 1814,
+        level: "info",
+        message: "The record of an endpoint is of an earlier start than the one known; it is ignored.",
+    },
+    endpointReportBroken: { number: 1815, level: "error", message: "An endpoint's report cannot be read." },
     placementPlanned: { number: 1910, level: "info", message: "The layers are planned over the endpoints." },
     placementOrdered: { number: 1911, level: "info", message: "An endpoint was ordered to hold layers." },
     placementOrderEnded: { number: 1912, level: "info", message: "An endpoint took or refused an order." },
--- a/src/process/router/endpointCalls.ts
+++ b/src/process/router/endpointCalls.ts
@@ -8,6 +8,8 @@
 import type { RelayStage } from "../../request/relay/relayStage.ts";
 import type { RerouteOutcome } from "../../request/relay/rerouteOutcome.ts";
 import type { Clock } from "../clock.ts";
+import type { EventLog } from "../logging/eventLog.ts";
+import { events } from "../logging/events.ts";
 import type { Metrics } from "../metrics/metrics.ts";
 
 /** Options of {@link EndpointCalls}. */
@@ -16,6 +18,9 @@
     pools: UpstreamPools;
     clock: Clock;
     metrics: Metrics;
+    log: EventLog;
+    /** Called with an endpoint and the start that its report names, where that is another one. */
+    onIncarnation(endpoint: RegisteredEndpoint, incarnation: number): void;
 }
 
 /** A whole answer to a report or order. */
@@ -52,13 +57,23 @@
             return undefined;
         }
         const report = protocol.readReport(answer.body);
-        return report.ok ? report.val : undefined;
+        if (report.err) {
+            this.options.log.write(events.endpointReportBroken, { endpoint: endpoint.id, reason: report.val });
+            return undefined;
+        }
+        const { incarnation } = report.val;
+        if (incarnation !== 0 && incarnation !== endpoint.incarnation) {
+            // Of an endpoint that has started again since it was asked for, or of an earlier start, on a connection that lived on.
+            this.options.onIncarnation(endpoint, incarnation);
+            return undefined;
+        }
+        return report.val;
     }
 
     /** Orders an endpoint to hold layers; undefined where the answer is missing. */
     async sendLayerOrder(endpoint: RegisteredEndpoint, order: LayerOrder): Promise<OrderOutcome | undefined> {
         const { protocol } = this.options;
-        const request = protocol.createLayerOrder(endpoint.address, order);
+        const request = protocol.createLayerOrder(endpoint, order);
         const answer = await this.call("order", endpoint.address, request, orderTimeoutMilliseconds);
         return answer === undefined ? undefined : protocol.readOrderOutcome(answer.status, answer.body);
     }
@@ -66,9 +81,9 @@
     /** Asks the first stage of a chain to move a request to another one. */
     async sendReroute(requestId: string, stages: RelayStage[]): Promise<RerouteOutcome> {
         const { protocol } = this.options;
-        const { address } = stages[0]!.endpoint;
-        const request = protocol.createRerouteOrder(address, requestId, stages);
-        const answer = await this.call("reroute", address, request, rerouteTimeoutMilliseconds);
+        const { endpoint } = stages[0]!;
+        const request = protocol.createRerouteOrder(endpoint, requestId, stages);
+        const answer = await this.call("reroute", endpoint.address, request, rerouteTimeoutMilliseconds);
         if (answer === undefined) {
             return { isDone: false, faultyAddress: undefined };
         }
--- a/src/process/router/endpointRegistry.ts
+++ b/src/process/router/endpointRegistry.ts
@@ -1,3 +1,4 @@
+import { createEndpointKey } from "../../request/relay/createEndpointKey.ts";
 import type { RegisteredEndpoint } from "../../request/relay/registeredEndpoint.ts";
 import type { RelayDirectory } from "../../request/relay/relayDirectory.ts";
 import type { Result } from "../../result.ts";
@@ -21,6 +22,8 @@
     getLastStoreFailure(): number;
     /** Called when an endpoint has come, gone or changed. */
     onChange(): void;
+    /** Called with what was known of an endpoint that has started again under its id. */
+    onRestart(earlier: RegisteredEndpoint): void;
 }
 
 /** An endpoint with the time at which its record vanished. */
@@ -43,6 +46,8 @@
     private readonly options: EndpointRegistryOptions;
     /** By key. */
     private readonly endpoints = new Map<string, KeptEndpoint>();
+    /** Why records can't be read, by key. */
+    private readonly brokenReasons = new Map<string, string>();
     private readonly usable = new Map<string, RegisteredEndpoint[]>();
     private readonly byAddress = new Map<string, RegisteredEndpoint>();
     private isIndexed = false;
@@ -58,25 +63,68 @@
 
     /** Takes a change of an endpoint's record in. */
     applyRecord({ key, revision, text }: StoreRecord, source: ChangeSource): void {
-        const { log, decode, onChange } = this.options;
+        const { log, decode, onChange, onRestart } = this.options;
         if (text === undefined) {
+            this.brokenReasons.delete(key);
             this.remove(key, revision, source);
             return;
         }
         const decoded = decode(key, text);
         if (decoded.err) {
-            log.write(events.endpointRecordBroken, { key, revision, reason: decoded.val });
-            this.endpoints.delete(key);
+            this.takeBroken(key, revision, decoded.val);
+            return;
         }
-        else {
-            const endpoint = decoded.val;
-            this.endpoints.set(key, { endpoint, doubtfulUntil: undefined });
-            log.write(events.endpointRegistered, { ...describe(endpoint), revision, source });
+        this.brokenReasons.delete(key);
+        const endpoint = decoded.val;
+        const known = this.endpoints.get(key)?.endpoint;
+        if (known !== undefined && endpoint.incarnation < known.incarnation) {
+            log.write(events.endpointRecordOutdated, { ...describe(endpoint), revision, source });
+            return;
         }
+        this.endpoints.set(key, { endpoint, doubtfulUntil: undefined });
+        log.write(events.endpointRegistered, { ...describe(endpoint), revision, source });
         this.isIndexed = false;
+        if (known !== undefined && known.incarnation < endpoint.incarnation) {
+            log.write(events.endpointRestarted, { endpoint: endpoint.id, earlier: known.id, source });
+            onRestart(known);
+        }
         onChange();
     }
 
+    /**
+     * Takes the start that an endpoint itself named. After a later start than the one registered it holds no layers, until
+     * its own record says so; an earlier one is of no interest.
+     * @param asked - The endpoint as it was known when it was asked.
+     * @param incarnation - Its start, in Unix milliseconds.
+     */
+    noteIncarnation(asked: RegisteredEndpoint, incarnation: number): void {
+        for (const [key, { endpoint: known }] of this.endpoints) {
+            if (known.registeredId !== asked.registeredId || incarnation <= known.incarnation) {
+                continue;
+            }
+            const id = createEndpointKey(known.registeredId, incarnation);
+            const endpoint = { ...known, id, incarnation, layers: undefined };
+            this.endpoints.set(key, { endpoint, doubtfulUntil: undefined });
+            this.isIndexed = false;
+            this.options.log.write(events.endpointRestarted, { endpoint: id, earlier: known.id, source: "report" });
+            this.options.onRestart(known);
+            this.options.onChange();
+            return;
+        }
+    }
+
+    /** A record that can't be read names no endpoint; it is written again with each heartbeat and logged once for its reason. */
+    private takeBroken(key: string, revision: number, reason: string): void {
+        if (this.brokenReasons.get(key) !== reason) {
+            this.brokenReasons.set(key, reason);
+            this.options.log.write(events.endpointRecordBroken, { key, revision, reason });
+        }
+        if (this.endpoints.delete(key)) {
+            this.isIndexed = false;
+            this.options.onChange();
+        }
+    }
+
     /** Gets the endpoints of a service that may get new requests. */
     getEndpoints(service: string): readonly RegisteredEndpoint[] {
         this.buildIndex();
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -58,6 +58,7 @@
     private readonly duty: PlacementDuty;
     private readonly router: RequestRouter;
     private readonly poll: EndpointPoll;
+    private readonly stalls: StallWatch;
     private readonly health = EndpointHealth.create();
     private peerServer: PeerServer | undefined;
     private isDraining = false;
@@ -80,6 +81,7 @@
             drainMilliseconds: settings.drainMilliseconds,
             getLastStoreFailure: () => this.following.getLastFailure(),
             onChange: () => this.retainEndpoints(),
+            onRestart: earlier => this.stalls.loseEndpoint(earlier),
         });
         const configuration = RecordSection.create({
             name: "configuration",
@@ -150,7 +152,14 @@
             getNodeCount: () => this.getNodeCount(),
             repeats: RetryBudget.create(clock.getMonotonicTime(), () => this.getRepeatPolicy()),
         };
-        const calls = EndpointCalls.create({ protocol, pools: this.pools, clock, metrics });
+        const calls = EndpointCalls.create({
+            protocol,
+            pools: this.pools,
+            clock,
+            metrics,
+            log,
+            onIncarnation: (endpoint, incarnation) => this.registry.noteIncarnation(endpoint, incarnation),
+        });
         this.duty = PlacementDuty.create({
             store,
             lease: this.lease,
@@ -172,13 +181,13 @@
             getEndpoints: () => this.getModelServices().flatMap(({ name }) => [...this.registry.getEndpoints(name)]),
             fetchReport: endpoint => calls.fetchReport(endpoint),
         });
-        const stalls = StallWatch.create({
+        this.stalls = StallWatch.create({
             environment,
             clock,
             fetchReport: endpoint => calls.fetchReport(endpoint),
             reroute: (requestId, stages) => calls.sendReroute(requestId, stages),
         });
-        this.router = RequestRouter.create({ environment, holder: this.holder, stalls, metrics });
+        this.router = RequestRouter.create({ environment, holder: this.holder, stalls: this.stalls, metrics });
     }
 
     /** Creates a node that does nothing before {@link start}. */
--- a/src/request/relay/endpointProtocol.ts
+++ b/src/request/relay/endpointProtocol.ts
@@ -6,6 +6,7 @@
 import type { ForwardingContext } from "./forwardingContext.ts";
 import type { LayerOrder } from "./layerOrder.ts";
 import type { OrderOutcome } from "./orderOutcome.ts";
+import type { RegisteredEndpoint } from "./registeredEndpoint.ts";
 import type { RelayStage } from "./relayStage.ts";
 import type { RoutedRequest } from "./routedRequest.ts";
 
@@ -15,8 +16,8 @@
     readHead(status: number, headers: IncomingHttpHeaders, requestId: string): AnswerHead;
     createReportRequest(address: string): UpstreamRequest;
     readReport(body: Buffer): Result<EndpointReport, string>;
-    createLayerOrder(address: string, order: LayerOrder): UpstreamRequest;
+    createLayerOrder(endpoint: RegisteredEndpoint, order: LayerOrder): UpstreamRequest;
     /** Creates the order that moves a running request to another chain with the same first stage. */
-    createRerouteOrder(address: string, requestId: string, stages: RelayStage[]): UpstreamRequest;
+    createRerouteOrder(endpoint: RegisteredEndpoint, requestId: string, stages: RelayStage[]): UpstreamRequest;
     readOrderOutcome(status: number, body: Buffer): OrderOutcome;
 }
--- a/src/request/relay/registeredEndpoint.ts
+++ b/src/request/relay/registeredEndpoint.ts
@@ -2,8 +2,12 @@
 
 /** An endpoint as it registered itself in the platform's store. */
 export interface RegisteredEndpoint {
-    /** New with each start of the endpoint. */
+    /** New with each start of the endpoint: its registered id and its incarnation. */
     id: string;
+    /** Id under which it registered; an endpoint may start again under the id that it had. */
+    registeredId: string;
+    /** When it started, in Unix milliseconds: the higher one is the later start; 0 where it doesn't say. */
+    incarnation: number;
     service: string;
     /** host:port. */
     address: string;
--- a/src/request/relay/stallWatch.ts
+++ b/src/request/relay/stallWatch.ts
@@ -57,6 +57,20 @@
         this.relays.delete(relay);
     }
 
+    /**
+     * Moves the streams that pass through an endpoint which has started again: it knows nothing of them, and without this
+     * each would be found silent only after its longest pause.
+     * @param earlier - The endpoint as it was before.
+     */
+    loseEndpoint({ id }: RegisteredEndpoint): void {
+        const lost = new Set([id]);
+        for (const relay of [...this.relays]) {
+            if (relay.getStages()?.some(({ endpoint }) => endpoint.id === id) === true) {
+                void this.reroute(relay, lost);
+            }
+        }
+    }
+
     private sweep(): void {
         this.timer = undefined;
         const now = this.options.clock.getMonotonicTime();
--- a/standins/router/createEndpointRecord.ts
+++ b/standins/router/createEndpointRecord.ts
@@ -9,11 +9,13 @@
     slots?: number;
     /** Layers that a stage of the model holds; null where it holds none yet, undefined for other endpoints. */
     layers?: { from: number; to: number; } | null;
+    /** When it started, in Unix milliseconds. Default: 1,000. */
+    born?: number;
 }
 
 /** Creates the record that an endpoint writes into the platform's store. */
 export function createEndpointRecord(options: EndpointRecordOptions): Record<string, unknown> {
-    const { service, address, state = "ready", slots = 6, layers } = options;
+    const { service, address, state = "ready", slots = 6, layers, born = 1_000 } = options;
     return {
         service,
         address,
@@ -23,6 +25,7 @@
         state,
         cold_left_ms: 0,
         sequence: 77,
+        born,
         ...(layers === undefined ? {} : { kind: "big", layers }),
     };
 }
--- a/standins/router/endpointStandin.ts
+++ b/standins/router/endpointStandin.ts
@@ -20,6 +20,8 @@
 export class EndpointStandin {
     behaviour: EndpointBehaviour = {};
     layers: { from: number; to: number; } | undefined;
+    /** When it started, in Unix milliseconds. */
+    born = 1_000;
     readonly runs: RunRecord[] = [];
     readonly orders: Record<string, unknown>[] = [];
     /** Ids of requests whose stream waits for another chain, with the address at fault. */
@@ -81,6 +83,7 @@
             pace: 1,
             sequence: this.sequence,
             busy: false,
+            born: this.born,
             layers: this.layers ?? null,
             kv_used: 0,
             kv_total: 1_000,
--- a/tests/platform/decoders.test.ts
+++ b/tests/platform/decoders.test.ts
@@ -19,6 +19,17 @@
 platform: { address: "10.2.0.1:9", form: "kv" }
 `;
 
+const record = {
+    service: "s",
+    address: "1.2.3.4:5",
+    zone: "a",
+    slots: 6,
+    state: "ready",
+    sequence: 4,
+    kind: "k",
+    born: 1_700_000_000_000,
+};
+
 describe("The decoders of the platform", () => {
     it("read the settings and ignore fields that they don't know", () => {
         const settings = readBootFile(boot).unwrap();
@@ -44,16 +55,9 @@
     });
 
     it("read an endpoint's record, with or without layers", () => {
-        const record = {
-            service: "s",
-            address: "1.2.3.4:5",
-            zone: "a",
-            slots: 6,
-            state: "ready",
-            sequence: 4,
-            kind: "k",
-        };
-        assert.equal(decodeEndpoint("servers/i-1", JSON.stringify(record)).unwrap().id, "i-1");
+        const endpoint = decodeEndpoint("servers/i-1", JSON.stringify(record)).unwrap();
+        assert.equal(endpoint.registeredId, "i-1");
+        assert.equal(endpoint.incarnation, 1_700_000_000_000);
         const holding = decodeEndpoint(
             "servers/i-1",
             JSON.stringify({ ...record, layers: { from: 2, to: 9, version: 1 } }),
@@ -62,6 +66,34 @@
         assert.ok(decodeEndpoint("servers/i-1", JSON.stringify({ ...record, state: "draining" })).unwrap().isDraining);
     });
 
+    it("tell two starts of an endpoint under one id apart", () => {
+        const decode = (born: number) => decodeEndpoint("servers/i-1", JSON.stringify({ ...record, born })).unwrap().id;
+        assert.notEqual(decode(1), decode(2));
+        assert.equal(decode(2), decode(2));
+    });
+
+    it("find a fault in a record of another writer, whatever is missing or of another type", () => {
+        assert.equal(decodeEndpoint("servers/i-1", JSON.stringify({ ...record, born: undefined })).unwrap().id, "i-1");
+        const strange = fc.oneof(
+            fc.constant(null),
+            fc.constant({}),
+            fc.constant([]),
+            fc.constant(-1.5),
+            fc.boolean(),
+        );
+        const needed = fc.constantFrom("service", "address", "zone", "slots", "state", "born");
+        fc.assert(fc.property(needed, strange, (field, value) => {
+            assert.ok(decodeEndpoint("servers/i-1", JSON.stringify({ ...record, [field]: value })).err, field);
+        }));
+        for (
+            const changes of [{ state: "resting" }, { address: "nowhere" }, { born: 1.5 }, {
+                layers: { from: 9, to: 2 },
+            }]
+        ) {
+            assert.ok(decodeEndpoint("servers/i-1", JSON.stringify({ ...record, ...changes })).err);
+        }
+    });
+
     it("answer any bytes with a result, never with an exception", () => {
         const anyText = fc.oneof(fc.string(), fc.json());
         fc.assert(fc.property(anyText, text => {
--- a/tests/process/router/endpointRegistry.test.ts
+++ b/tests/process/router/endpointRegistry.test.ts
@@ -1,25 +1,35 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { events } from "../../../src/process/logging/events.ts";
 import { EndpointReadings } from "../../../src/process/router/endpointReadings.ts";
 import { EndpointRegistry } from "../../../src/process/router/endpointRegistry.ts";
+import { createEndpointKey } from "../../../src/request/relay/createEndpointKey.ts";
 import { Err, Ok } from "../../../src/result.ts";
 import { createEndpoint } from "../../request/relay/relayModel.ts";
 import { FakeClock } from "../../support/fakeClock.ts";
+import { RecordingEventLog } from "../../support/recordingEventLog.ts";
 
 function createBench(lastStoreFailure = -Infinity) {
     const clock = FakeClock.create();
+    const log = RecordingEventLog.create();
+    const restarted: string[] = [];
     const registry = EndpointRegistry.create({
         clock,
-        log: { write: () => undefined },
+        log,
         readings: EndpointReadings.create(),
-        decode: (key, text) =>
-            text === "broken" ? Err("It is broken.") : Ok(createEndpoint(key, { isDraining: text === "leaving" })),
+        decode: (key, text) => {
+            const incarnation = Number(/\d+/.exec(text)?.[0] ?? 1);
+            const id = createEndpointKey(key, incarnation);
+            const changes = { id, incarnation, isDraining: text === "leaving", layers: { start: 0, end: 9 } };
+            return text === "broken" ? Err("It is broken.") : Ok(createEndpoint(key, changes));
+        },
         drainMilliseconds: 2_000,
         getLastStoreFailure: () => lastStoreFailure,
         onChange: () => undefined,
+        onRestart: ({ id }) => restarted.push(id),
     });
-    const getIds = () => registry.getEndpoints("model").map(({ id }) => id);
-    return { clock, registry, getIds };
+    const getIds = () => registry.getEndpoints("model").map(({ registeredId }) => registeredId);
+    return { clock, registry, getIds, log, restarted };
 }
 
 describe("EndpointRegistry", () => {
@@ -29,7 +39,7 @@
         registry.applyRecord({ key: "2", revision: 2, text: "leaving" }, "store");
         registry.applyRecord({ key: "3", revision: 3, text: "broken" }, "store");
         assert.deepEqual(getIds(), ["1"]);
-        assert.equal(registry.getEndpointAt("10.0.0.1:2")?.id, "2");
+        assert.equal(registry.getEndpointAt("10.0.0.1:2")?.registeredId, "2");
         registry.applyRecord({ key: "1", revision: 4, text: undefined }, "store");
         assert.deepEqual(getIds(), []);
     });
@@ -53,4 +63,46 @@
         await clock.advance(5_000);
         assert.deepEqual(getIds(), ["1"]);
     });
+
+    it("takes a later start under the same id as another endpoint, and ignores the record of an earlier one", () => {
+        const { registry, restarted } = createBench();
+        const getId = () => registry.getEndpoints("model")[0]?.id;
+        registry.applyRecord({ key: "1", revision: 1, text: "born 5" }, "store");
+        registry.applyRecord({ key: "1", revision: 2, text: "born 7" }, "store");
+        assert.deepEqual(restarted, ["1@5"]);
+        assert.equal(getId(), "1@7");
+        registry.applyRecord({ key: "1", revision: 3, text: "born 5" }, "peer");
+        assert.equal(getId(), "1@7");
+        assert.deepEqual(restarted, ["1@5"]);
+    });
+
+    it("knows of no layers at an endpoint whose report names a later start, until its record comes", () => {
+        const { registry, restarted } = createBench();
+        const getEndpoint = () => registry.getEndpoints("model")[0]!;
+        registry.applyRecord({ key: "1", revision: 1, text: "born 5" }, "store");
+        const asked = getEndpoint();
+        registry.noteIncarnation(asked, 4);
+        assert.equal(getEndpoint(), asked);
+        registry.noteIncarnation(asked, 8);
+        assert.deepEqual(restarted, ["1@5"]);
+        assert.equal(getEndpoint().layers, undefined);
+        registry.applyRecord({ key: "1", revision: 2, text: "born 5" }, "store");
+        assert.equal(getEndpoint().layers, undefined);
+        registry.applyRecord({ key: "1", revision: 3, text: "born 8" }, "store");
+        assert.deepEqual(getEndpoint().layers, { start: 0, end: 9 });
+    });
+
+    it("logs once why a record can't be read, however often it is written", () => {
+        const { registry, log, getIds } = createBench();
+        for (const revision of [1, 2, 3]) {
+            registry.applyRecord({ key: "1", revision, text: "broken" }, "store");
+        }
+        const getCount = () => log.numbers.filter(number => number === events.endpointRecordBroken.number).length;
+        assert.equal(getCount(), 1);
+        registry.applyRecord({ key: "1", revision: 4, text: "ready" }, "store");
+        assert.deepEqual(getIds(), ["1"]);
+        registry.applyRecord({ key: "1", revision: 5, text: "broken" }, "store");
+        assert.deepEqual(getIds(), []);
+        assert.equal(getCount(), 2);
+    });
 });
--- a/tests/request/relay/relayModel.ts
+++ b/tests/request/relay/relayModel.ts
@@ -47,6 +47,8 @@
 export function createEndpoint(id: string, changes: Partial<RegisteredEndpoint> = {}): RegisteredEndpoint {
     return {
         id,
+        registeredId: id,
+        incarnation: 1,
         service: "model",
         address: `10.0.0.1:${id}`,
         dataCentre: "a",
