Decide who starts, waits and is turned away in one line, and share the room of endpoints among nodes

The queue served by arrival, after up to 1.2 s, so that what was served was late.

Change: StartLine, a function of state and event, orders by rank, by who can still be in time and by what customers were given; turns away on arrival who can't be served in time, with a return that the pace allows. A full endpoint isn't a lost one. All pairs of nodes speak in each round under load. Callers that come back are told from new ones by the time that they have left, learnt while nobody is turned away. Customers' ranks go before their routes'.

--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -119,6 +119,13 @@
     },
     relayRerouted: { number: 1712, level: "warn", message: "A stream was moved to another chain while it ran." },
     relayStalled: { number: 1713, level: "warn", message: "Streams are silent; their first stage was asked why." },
+    relayWaits: { number: 1715, level: "info", message: "A routed request waits for room." },
+    relayTurnedAway: {
+        number: 1716,
+        level: "info",
+        message: "A routed request was turned away for want of room, with a time to come back.",
+    },
+    endpointFull: { number: 1717, level: "info", message: "An endpoint refused a request for want of room." },
     relayRefused: { number: 1714, level: "warn", message: "A routed request was refused before it was sent." },
     endpointStateChanged: { number: 1801, level: "info", message: "The state of an endpoint has changed." },
     silentConnectionReplaced: {
--- a/src/process/router/peerExchange.ts
+++ b/src/process/router/peerExchange.ts
@@ -22,6 +22,7 @@
 import { events } from "../logging/events.ts";
 import type { RandomSource } from "../randomSource.ts";
 import type { RecordSection } from "../replica/recordSection.ts";
+import { choosePartners } from "./choosePartners.ts";
 import type { NodeTable } from "./nodeTable.ts";
 import type { PeerState } from "./peerState.ts";
 import type { StoreFollowing } from "./storeFollowing.ts";
@@ -41,16 +42,14 @@
     nodes: NodeTable;
     sections: readonly RecordSection[];
     state: PeerState;
+    /** Whether this node's requests contend with those of others for room. */
+    isBusy(): boolean;
     clock: Clock;
     random: RandomSource;
     log: EventLog;
 }
 
-/** Each exchange tells both sides; two partners a round reach each of nine nodes about twice a second. */
 const roundMilliseconds = 300;
-const partnersOfRound = 2;
-/** Of the second partners, this part is sought in all data centres; what crosses between them is paid by the byte. */
-const awayPart = 0.6;
 /** Each message tells of some nodes only; in a few rounds each node hears of all. */
 const nodesOfMessage = 10;
 const longestAge = 0xffff_ffff;
@@ -111,19 +110,10 @@
     }
 
     private choosePartners(): string[] {
-        const { nodes, clock, random, seeds, address } = this.options;
+        const { nodeId, dataCentre, nodes, clock, random, seeds, address, isBusy } = this.options;
         const known = nodes.getLiveNodes(clock.getMonotonicTime());
         const live = known.map(node => node.address);
-        const near = known.filter(({ dataCentre }) => dataCentre === this.options.dataCentre).map(node => node.address);
-        const partners = new Set<string>();
-        for (let count = 0; count < partnersOfRound; count++) {
-            const isAway = near.length === 0 || count > 0 && random() < awayPart;
-            const choice = isAway ? live : near;
-            const partner = choice[Math.floor(random() * choice.length)];
-            if (partner !== undefined) {
-                partners.add(partner);
-            }
-        }
+        const partners = choosePartners({ nodeId, dataCentre, nodes: known, isBusy: isBusy(), random });
         const isSeedTurn = live.length === 0 || this.round % roundsOfSeed === 0;
         for (const seed of isSeedTurn ? seeds : []) {
             if (seed !== address && !live.includes(seed)) {
--- a/src/process/router/peerState.ts
+++ b/src/process/router/peerState.ts
@@ -15,6 +15,7 @@
 /** What a node tells its peers in each exchange. */
 interface PeerRecords {
     loads: LoadRecord[];
+    demand: number;
     suspicions: SuspicionRecord[];
     readings: ReadingRecord[];
 }
@@ -24,6 +25,8 @@
     loads: EndpointLoads;
     health: EndpointHealth;
     readings: EndpointReadings;
+    /** Gets the tokens a second of new requests that come to this node. */
+    getDemand(): number;
 }
 
 /** Puts what a node knows of the endpoints into the messages of the peers, and takes theirs in. */
@@ -41,9 +44,12 @@
 
     /** Creates the records of an outgoing message. */
     createRecords(now: number): PeerRecords {
-        const { loads, health, readings } = this.options;
+        const { loads, health, readings, getDemand } = this.options;
         return {
-            loads: loads.getOwnLoads().map(load => create(LoadRecordSchema, load)),
+            demand: getDemand(),
+            loads: loads.getOwnLoads().map(({ endpointId, requests, tokenLayers }) =>
+                create(LoadRecordSchema, { endpointId, requests, tokenLayers })
+            ),
             suspicions: health.getSuspicions(now).map(({ endpointId, remainingMilliseconds }) =>
                 create(SuspicionRecordSchema, { endpointId, remaining: Math.round(remainingMilliseconds) })
             ),
@@ -55,7 +61,7 @@
     takeRecords(message: NodeState, now: number): void {
         const { loads, health, readings } = this.options;
         if (message.sender !== undefined) {
-            loads.setPeerLoads(message.sender.nodeId, message.loads, now);
+            loads.setPeerLoads(message.sender.nodeId, message.loads, message.demand, now);
         }
         for (const { endpointId, remaining } of message.suspicions) {
             health.addSuspicion({ endpointId, remainingMilliseconds: remaining }, now);
--- a/src/process/router/requestRouter.ts
+++ b/src/process/router/requestRouter.ts
@@ -66,7 +66,10 @@
         }
         const dueAt = request.arrivedAt
             + Math.min(route.timeoutMilliseconds, request.deadlineMilliseconds ?? Infinity);
-        this.relay({ request, route, service, customer, sink, dueAt });
+        const rank = state.getCustomerRank(customer) ?? route.priority;
+        const { deadlines, clock } = this.options.environment;
+        const isReturn = deadlines.note(route.name, request.deadlineMilliseconds, clock.getMonotonicTime());
+        this.relay({ request, route, service, customer, sink, rank, isReturn, dueAt });
     }
 
     private relay(task: RelayTask): void {
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -1,10 +1,12 @@
 import { PeerServer } from "../../connection/peer/peerServer.ts";
 import { UpstreamPools } from "../../connection/upstream/upstreamPools.ts";
 import { RetryBudget } from "../../request/admission/retryBudget.ts";
+import { UsualDeadlines } from "../../request/admission/start/usualDeadlines.ts";
 import type { AnswerSink } from "../../request/relay/answerSink.ts";
 import { CrossingDelays } from "../../request/relay/crossingDelays.ts";
 import { EndpointHealth } from "../../request/relay/endpointHealth.ts";
 import { EndpointLoads } from "../../request/relay/endpointLoads.ts";
+import { FirstEventTimes } from "../../request/relay/firstEventTimes.ts";
 import { PipeLoad } from "../../request/relay/pipeLoad.ts";
 import type { RelayEnvironment } from "../../request/relay/relayEnvironment.ts";
 import { RelayQueue } from "../../request/relay/relayQueue.ts";
@@ -59,6 +61,7 @@
     private readonly router: RequestRouter;
     private readonly poll: EndpointPoll;
     private readonly stalls: StallWatch;
+    private readonly onEndpointsChanged: () => void;
     private readonly health = EndpointHealth.create();
     private peerServer: PeerServer | undefined;
     private isDraining = false;
@@ -68,7 +71,12 @@
         this.options = options;
         const { settings, clock, random, log, store, keys, metrics, protocol, nodeId } = options;
         this.nodeCount = HighestCount.create(unknownNodes, clock.getMonotonicTime());
-        const loads = EndpointLoads.create();
+        const queue = RelayQueue.create({ clock, random, log });
+        const loads = EndpointLoads.create(() => queue.wake());
+        this.onEndpointsChanged = () => {
+            queue.wake();
+            loads.retain(new Set(this.registry.getAll().map(({ id }) => id)));
+        };
         const readings = EndpointReadings.create();
         this.nodes = NodeTable.create(nodeId);
         this.pools = UpstreamPools.create(() => metrics.upstreamConnectionsTotal.inc());
@@ -131,7 +139,8 @@
             seeds: settings.seeds,
             nodes: this.nodes,
             sections: [configuration, endpoints],
-            state: PeerState.create({ loads, health: this.health, readings }),
+            state: PeerState.create({ loads, health: this.health, readings, getDemand: () => queue.getDemand() }),
+            isBusy: () => queue.isBusy(),
             clock,
             random,
             log,
@@ -146,7 +155,9 @@
             directory: this.registry,
             loads,
             health: this.health,
-            queue: RelayQueue.create(clock),
+            queue,
+            firstEvents: FirstEventTimes.create(),
+            deadlines: UsualDeadlines.create(),
             crossings: CrossingDelays.create(),
             pipeLoad: PipeLoad.create(),
             getNodeCount: () => this.getNodeCount(),
@@ -264,6 +275,7 @@
         const endpoints = this.registry.getAll();
         this.health.retain(new Set(endpoints.map(({ id }) => id)));
         this.pools.retain(new Set(endpoints.map(({ address }) => address)));
+        this.onEndpointsChanged();
     }
 
     private getNodeCount(): number {
--- a/src/request/admission/smoothedRate.ts
+++ b/src/request/admission/smoothedRate.ts
@@ -20,9 +20,10 @@
     /**
      * Counts an event.
      * @param now - Monotonic time in milliseconds.
+     * @param amount - What it counts for.
      */
-    observe(now: number): void {
-        this.perSecond = this.getPerSecond(now) + 1000 / this.memoryMilliseconds;
+    observe(now: number, amount = 1): void {
+        this.perSecond = this.getPerSecond(now) + amount * 1000 / this.memoryMilliseconds;
         this.updatedAt = now;
     }
 
--- a/src/request/relay/chooseStages.ts
+++ b/src/request/relay/chooseStages.ts
@@ -20,11 +20,6 @@
 const memorySteepness = 6;
 /** Beyond the whole memory the engine gives requests up in mid-stream; such a stage is the last resort. */
 const overfullCost = 100_000;
-/**
- * Endpoints with more than this part of their memory taken are without room. Requests are counted at their expected
- * length from the beginning, which is a seventh more than they were seen to take on average.
- */
-const mostMemoryPart = 1.1;
 /**
  * A first stage in another data centre makes the answer's events cross, which is paid for by the byte but hardly slower;
  * it is taken only where the near ones have clearly more to do.
@@ -73,7 +68,7 @@
             if (at === 0 && firstStage !== undefined && candidate.endpoint.id !== firstStage.endpoint.id) {
                 continue;
             }
-            if (!query.mayOverfill && getMemoryPart(query, candidate, end - start) > mostMemoryPart) {
+            if (!query.mayOverfill && !hasRoom(query, candidate, end - start)) {
                 continue;
             }
             if (mayUseParts ? start > at || end <= at : start !== at) {
@@ -169,9 +164,18 @@
 }
 
 /** Gets the part of an endpoint's memory that is taken with the request. */
-function getMemoryPart({ promptTokens, answerTokens }: StageQuery, candidate: StageCandidate, layers: number): number {
-    const needed = candidate.tokenLayers + (promptTokens + answerTokens) * layers;
-    return needed / Math.max(1, candidate.totalTokenLayers);
+function getMemoryPart(query: StageQuery, candidate: StageCandidate, layers: number): number {
+    return (candidate.tokenLayers + getNeededMemory(query, layers)) / Math.max(1, candidate.totalTokenLayers);
+}
+
+function hasRoom(query: StageQuery, candidate: StageCandidate, layers: number): boolean {
+    const spare = query.sparePart * candidate.totalTokenLayers;
+    return getNeededMemory(query, layers) + spare <= candidate.roomTokenLayers;
+}
+
+/** Gets the memory that the request needs at a stage, in tokens times layers. */
+function getNeededMemory({ promptTokens, answerTokens }: StageQuery, layers: number): number {
+    return (promptTokens + answerTokens) * layers;
 }
 
 /**
--- a/src/request/relay/documentRelay.ts
+++ b/src/request/relay/documentRelay.ts
@@ -103,7 +103,7 @@
         this.tried.add(endpoint.id);
         this.attempts += 1;
         const now = environment.clock.getMonotonicTime();
-        const reservation = environment.loads.reserveEndpoint(endpoint.id);
+        const reservation = environment.loads.reserveEndpoint(endpoint.id, now);
         const attempt: Attempt = {
             endpoint,
             sentAt: now,
--- a/src/request/relay/listCandidates.ts
+++ b/src/request/relay/listCandidates.ts
@@ -10,8 +10,9 @@
  * @param service - Name of the service.
  */
 export function listCandidates(environment: RelayEnvironment, model: EngineModel, service: string): StageCandidate[] {
-    const { directory, loads, health, clock } = environment;
+    const { directory, loads, health, clock, queue } = environment;
     const now = clock.getMonotonicTime();
+    const demand = queue.getDemand();
     const candidates: StageCandidate[] = [];
     for (const endpoint of directory.getEndpoints(service)) {
         const { layers } = endpoint;
@@ -20,13 +21,16 @@
             continue;
         }
         const { requests, tokenLayers } = loads.getLoad(endpoint.id);
+        const hiddenTokenLayers = directory.getHiddenTokenLayers(endpoint.id);
+        const totalTokenLayers = getRequestMemory(model, kind, layers.end - layers.start);
         candidates.push({
             endpoint,
             layers,
             kind,
             requests,
-            tokenLayers: tokenLayers + directory.getHiddenTokenLayers(endpoint.id),
-            totalTokenLayers: getRequestMemory(model, kind, layers.end - layers.start),
+            tokenLayers: tokenLayers + hiddenTokenLayers,
+            totalTokenLayers,
+            roomTokenLayers: loads.getRoom(endpoint.id, totalTokenLayers - hiddenTokenLayers, demand, now),
             slowness: directory.getSlowness(endpoint.id),
             isSuspect: health.isSuspect(endpoint.id, now),
         });
--- a/src/request/relay/queuedRelay.ts
+++ b/src/request/relay/queuedRelay.ts
@@ -1,13 +1,11 @@
-/** A request that waits for a chain with room. */
-export interface QueuedRelay {
-    /** Rank; 0 goes first. */
-    priority: number;
-    /** Monotonic time in milliseconds at which the request arrived. */
-    arrivedAt: number;
-    /** Monotonic time in milliseconds until which it waits. */
-    waitsUntil: number;
-    /** Tries to start the request; false where there is still no room. */
-    tryStart(): boolean;
-    /** The time is over. */
-    giveUp(): void;
+import type { StartRequest } from "../admission/start/startRequest.ts";
+import type { RelayPlace } from "./relayPlace.ts";
+
+/** A request that asks for a chain, and what is to be done once that is decided. */
+export interface QueuedRelay extends StartRequest<RelayPlace> {
+    requestId: string;
+    /** A chain is taken for it. */
+    start(place: RelayPlace): void;
+    /** It is turned away. */
+    refuse(cause: string, retryAfterMilliseconds: number): void;
 }
--- a/src/request/relay/relayChains.ts
+++ b/src/request/relay/relayChains.ts
@@ -17,9 +17,13 @@
     firstStage?: RelayStage;
     /** Whether endpoints without room for the request may be part of it. */
     mayOverfill: boolean;
+    /** Part of each endpoint's memory that must stay free for others. Default: 0. */
+    sparePart?: number;
 }
 
 const bitsOfMegabit = 1_000_000;
+/** Above this part of an endpoint's memory, a few requests more of each node would fill it. */
+const scarceMemoryPart = 0.6;
 
 /** Chooses the chains of one request, and counts it at their endpoints. */
 export class RelayChains {
@@ -39,7 +43,7 @@
     }
 
     /** Chooses the best chain; undefined where there is none. */
-    choose({ avoid, firstStage, mayOverfill }: ChainWish): RelayStage[] | undefined {
+    choose({ avoid, firstStage, mayOverfill, sparePart = 0 }: ChainWish): RelayStage[] | undefined {
         const { environment, model, task } = this;
         const now = environment.clock.getMonotonicTime();
         const query: StageQuery = {
@@ -50,6 +54,7 @@
             pipeUse: this.getPipeUse(now),
             firstStage,
             mayOverfill,
+            sparePart,
             getCrossingDelay: (from, to) => environment.crossings.getExtra(from, to, now),
         };
         const candidates = listCandidates(environment, model, task.service.name)
@@ -63,11 +68,35 @@
      */
     reserve(stages: readonly RelayStage[]): LoadReservation {
         assertTiling(stages, this.model.layers);
-        const { loads, pipeLoad, clock } = this.environment;
-        const tokens = this.getPromptTokens() + this.getAnswerTokens();
+        const { loads, pipeLoad, clock, queue } = this.environment;
+        const tokens = this.getTokens();
+        const now = clock.getMonotonicTime();
         const bits = countCrossings(stages) * getCrossingBits(this.model, tokens);
-        pipeLoad.add(bits, clock.getMonotonicTime());
-        return loads.reserveStages(stages, tokens);
+        pipeLoad.add(bits, now);
+        if (stages.some(({ endpoint }) => (this.getMemoryPart(endpoint.id) ?? 0) > scarceMemoryPart)) {
+            queue.noteContention();
+        }
+        return loads.reserveStages(stages, tokens, now);
+    }
+
+    /** Gets the tokens that the request is expected to have at its end. */
+    getTokens(): number {
+        return this.getPromptTokens() + this.getAnswerTokens();
+    }
+
+    /** Whether there is a chain for the request, if nothing else ran. As long as no endpoint is known, the list is still to come. */
+    hasChain(avoid: ReadonlySet<string>): boolean {
+        const { directory } = this.environment;
+        return directory.getEndpoints(this.task.service.name).length === 0
+            || this.choose({ avoid, mayOverfill: true }) !== undefined;
+    }
+
+    /** Gets the part of an endpoint's memory that is taken, as far as is known; undefined for one that is gone. */
+    getMemoryPart(endpointId: string): number | undefined {
+        const { environment, model, task } = this;
+        const candidate = listCandidates(environment, model, task.service.name)
+            .find(({ endpoint }) => endpoint.id === endpointId);
+        return candidate && candidate.tokenLayers / candidate.totalTokenLayers;
     }
 
     /** Estimates the use of the pipes from this node's part, since callers are spread over the nodes. */
--- a/src/request/relay/relayEnvironment.ts
+++ b/src/request/relay/relayEnvironment.ts
@@ -3,10 +3,12 @@
 import type { EventLog } from "../../process/logging/eventLog.ts";
 import type { RandomSource } from "../../process/randomSource.ts";
 import type { RetryBudget } from "../admission/retryBudget.ts";
+import type { UsualDeadlines } from "../admission/start/usualDeadlines.ts";
 import type { CrossingDelays } from "./crossingDelays.ts";
 import type { EndpointHealth } from "./endpointHealth.ts";
 import type { EndpointLoads } from "./endpointLoads.ts";
 import type { EndpointProtocol } from "./endpointProtocol.ts";
+import type { FirstEventTimes } from "./firstEventTimes.ts";
 import type { PipeLoad } from "./pipeLoad.ts";
 import type { RelayDirectory } from "./relayDirectory.ts";
 import type { RelayQueue } from "./relayQueue.ts";
@@ -25,6 +27,8 @@
     health: EndpointHealth;
     repeats: RetryBudget;
     queue: RelayQueue;
+    firstEvents: FirstEventTimes;
+    deadlines: UsualDeadlines;
     crossings: CrossingDelays;
     /** What this node's requests move between data centres. */
     pipeLoad: PipeLoad;
--- a/src/request/relay/relayTask.ts
+++ b/src/request/relay/relayTask.ts
@@ -10,6 +10,10 @@
     service: RoutedService;
     customer: string | undefined;
     sink: AnswerSink;
+    /** Rank; 0 goes first. */
+    rank: number;
+    /** Whether its caller has come back with it, as far as that can be known, so that it is late already. */
+    isReturn: boolean;
     /** Monotonic time in milliseconds at which the final answer is due: the route's time or the caller's, if shorter. */
     dueAt: number;
 }
--- a/src/request/relay/stageCandidate.ts
+++ b/src/request/relay/stageCandidate.ts
@@ -13,6 +13,8 @@
     tokenLayers: number;
     /** Memory for requests, in tokens times layers. */
     totalTokenLayers: number;
+    /** Memory that this node may still give to requests there, in tokens times layers. */
+    roomTokenLayers: number;
     /** Factor on its usual times; 1 where it is as fast as its kind. */
     slowness: number;
     /** Whether it is taken as lost for now. */
--- a/src/request/relay/stageQuery.ts
+++ b/src/request/relay/stageQuery.ts
@@ -10,6 +10,8 @@
     dataCentre: string;
     /** Whether endpoints without room for the request may be chosen; they give requests up in mid-stream. */
     mayOverfill: boolean;
+    /** Part of each endpoint's memory that must stay free for others, 0 to 1. */
+    sparePart: number;
     /** Part of the pipes between data centres that is in use, 0 to 1. */
     pipeUse: number;
     /** Gets what a crossing was seen to add to first events lately, in milliseconds. */
--- a/src/request/relay/streamRelay.ts
+++ b/src/request/relay/streamRelay.ts
@@ -12,6 +12,7 @@
 import type { QueuedRelay } from "./queuedRelay.ts";
 import { RelayChains } from "./relayChains.ts";
 import type { RelayEnvironment } from "./relayEnvironment.ts";
+import type { RelayPlace } from "./relayPlace.ts";
 import type { RelayRefusal } from "./relayRefusal.ts";
 import type { RelayStage } from "./relayStage.ts";
 import type { RelayTask } from "./relayTask.ts";
@@ -28,8 +29,20 @@
  * to 300 ms under load; a late answer is worth more to them than a refusal.
  */
 const longestWaitMilliseconds = 1_200;
+/** Callers honour a time to come back of up to this part of the time that they have left. */
+const returnPart = 1 / 3;
+/** At most this part of the objective is kept for the way to the first event; the rest may be waited. */
+const longestReservePart = 0.6;
+/**
+ * A request that is late already leaves this part of each endpoint's memory to those that can still be served in time: it
+ * would come back, or find room at once, just as often as they do, and the room is then spent on late answers.
+ */
+const latePart = 0.1;
+/** An endpoint that refuses with less than this part of its memory taken refuses for another reason than want of room. */
+const fullMemoryPart = 0.6;
 const successStatus = 200;
 const redirectStatus = 300;
+const misdirectedStatus = 421;
 
 /**
  * Forwards one streamed request over a chain of endpoints and passes its events on as they come. Where the chain is
@@ -86,7 +99,7 @@
         sink.onClosed(() => this.finish("callerGone"));
         const delay = Math.max(0, dueAt - this.getTime());
         this.timer = this.environment.clock.setTimer(delay, () => this.expire());
-        this.startAttempt("no chain of endpoints holds all layers.");
+        this.startAttempt("no chain of endpoints has room.");
     }
 
     /** Gets the chain in use; undefined between two runs. */
@@ -169,56 +182,80 @@
             this.giveUp(`${cause} The route allows no further endpoint.`);
             return;
         }
-        const { queue, repeats } = this.environment;
-        const mustWait = this.allowance.getSendings() === 0 && queue.hasBefore(this.task.route.priority);
-        // A stream that has begun does not wait for room: its caller would leave.
-        const stages = mustWait
-            ? undefined
-            : this.chains.choose({ avoid: this.avoided, mayOverfill: this.isHeadWritten });
+        if (this.isHeadWritten) {
+            this.resume(cause, isRepeat);
+            return;
+        }
+        this.queued = this.createQueued(cause, isRepeat);
+        this.environment.queue.ask(this.queued);
+    }
+
+    /** Goes on with a stream that has begun. It does not wait for room: its caller would leave. */
+    private resume(cause: string, isRepeat: boolean): void {
+        const stages = this.chains.choose({ avoid: this.avoided, mayOverfill: true });
         if (stages === undefined) {
-            this.waitForRoom(cause, isRepeat);
+            this.giveUp(`${cause} No other chain has room.`);
             return;
         }
-        if (isRepeat && !repeats.takeRetry(this.getTime())) {
+        if (isRepeat && !this.environment.repeats.takeRetry(this.getTime())) {
             this.giveUp(`${cause} The budget of repeats is used up.`);
             return;
         }
-        this.runAttempt(stages);
+        this.environment.queue.noteStart();
+        this.runAttempt({ stages, reservation: this.chains.reserve(stages) });
     }
 
-    private waitForRoom(cause: string, isRepeat: boolean): void {
-        const { queue } = this.environment;
-        const { arrivedAt } = this.task.request;
-        const waitsUntil = Math.min(arrivedAt + longestWaitMilliseconds, this.task.dueAt);
-        if (this.isHeadWritten || this.getTime() >= waitsUntil) {
-            this.giveUp(`${cause} No other chain has room.`);
-            return;
-        }
-        this.queued = {
-            priority: this.task.route.priority,
-            arrivedAt,
-            waitsUntil,
-            tryStart: () => this.startFromQueue(isRepeat),
-            giveUp: () => this.giveUp(`${cause} No chain had room in time.`),
+    private createQueued(cause: string, isRepeat: boolean): QueuedRelay {
+        const { request, route, customer, rank, isReturn, dueAt } = this.task;
+        const { firstEvents, repeats } = this.environment;
+        const reserve = Math.min(firstEvents.getExpected(), route.objectiveMilliseconds * longestReservePart);
+        const timelyUntil = isReturn ? -Infinity : request.arrivedAt + route.objectiveMilliseconds - reserve;
+        return {
+            requestId: request.id,
+            rank,
+            customer,
+            cost: this.chains.getTokens(),
+            timelyUntil,
+            waitsUntil: Math.min(request.arrivedAt + longestWaitMilliseconds, dueAt),
+            longestReturnMilliseconds: (dueAt - request.arrivedAt) * returnPart,
+            takePlace: () => {
+                const sparePart = this.getTime() > timelyUntil ? latePart : 0;
+                const stages = this.chains.choose({ avoid: this.avoided, mayOverfill: false, sparePart });
+                if (stages === undefined || isRepeat && !repeats.takeRetry(this.getTime())) {
+                    return undefined;
+                }
+                return { stages, reservation: this.chains.reserve(stages) };
+            },
+            isServable: () => this.chains.hasChain(this.avoided),
+            start: place => {
+                this.queued = undefined;
+                this.runAttempt(place);
+            },
+            refuse: (reason, retryAfterMilliseconds) => {
+                this.queued = undefined;
+                this.turnAway(`${cause} ${reason}`, retryAfterMilliseconds);
+            },
         };
-        queue.add(this.queued);
     }
 
-    private startFromQueue(isRepeat: boolean): boolean {
-        if (this.isDone) {
-            return true;
-        }
-        const stages = this.chains.choose({ avoid: this.avoided, mayOverfill: false });
-        if (stages === undefined || isRepeat && !this.environment.repeats.takeRetry(this.getTime())) {
-            return false;
+    private turnAway(cause: string, retryAfterMilliseconds: number): void {
+        const { log, deadlines } = this.environment;
+        deadlines.noteRefusal(this.getTime());
+        log.write(events.relayTurnedAway, {
+            request: this.task.request.id,
+            cause,
+            isReturn: this.task.isReturn,
+            retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
+            waitedMilliseconds: Math.round(this.getTime() - this.task.request.arrivedAt),
+        });
+        if (this.mayHaveRun || this.failure !== undefined) {
+            this.giveUp(cause);
+            return;
         }
-        this.queued = undefined;
-        this.runAttempt(stages);
-        return true;
+        this.refuse(createRefusal.notRun(cause, retryAfterMilliseconds));
     }
 
-    private runAttempt(stages: RelayStage[]): void {
-        const reservation = this.chains.reserve(stages);
+    private runAttempt({ stages, reservation }: RelayPlace): void {
         this.allowance.noteSending();
         const now = this.getTime();
         const attempt: StreamAttempt = {
@@ -281,6 +318,7 @@
         if (!attempt.hasEvents) {
             attempt.hasEvents = true;
             this.environment.crossings.note(listDataCentres(attempt.stages), now - attempt.sentAt, now);
+            this.environment.firstEvents.note(now - attempt.sentAt);
             for (const { endpoint } of attempt.stages) {
                 this.environment.health.addSuccess(endpoint.id, now);
             }
@@ -312,13 +350,10 @@
         const [first] = attempt.stages;
         if (head.isNotRun) {
             this.allowance.noteRefusal();
-            const faulty = this.getFaulty(attempt, head.faultyAddress);
-            // It is leaving or full, which its record may not show for seconds.
-            this.environment.health.addLoss(faulty, this.getTime());
             this.endAttempt(attempt, {
                 isNotRun: true,
                 cause: `the endpoint refused it (${head.status}).`,
-                avoid: [faulty],
+                avoid: this.noteRefusal(this.getFaulty(attempt, head.faultyAddress), head.status),
             });
             return;
         }
@@ -355,6 +390,25 @@
         this.endAttempt(attempt, { isNotRun, isUnsent: isNotRun, cause, avoid: [id] });
     }
 
+    /**
+     * Notes why an endpoint refused: whether it was full, or leaving or lost. One that is full serves others as before, and to
+     * take it for lost would take its room from all nodes, at twice the load and more until little is left.
+     * @returns Ids of endpoints that the next chain avoids.
+     */
+    private noteRefusal(endpointId: string, status: number): string[] {
+        const { loads, health, log } = this.environment;
+        const now = this.getTime();
+        const memoryPart = this.chains.getMemoryPart(endpointId) ?? 0;
+        if (status !== misdirectedStatus && memoryPart >= fullMemoryPart) {
+            loads.noteFull(endpointId, now);
+            log.write(events.endpointFull, { request: this.task.request.id, endpoint: endpointId, memoryPart });
+            return [];
+        }
+        // It is leaving, lost, or gives its layers up, which its record may not show for seconds.
+        health.addLoss(endpointId, now);
+        return [endpointId];
+    }
+
     private getFaulty(attempt: StreamAttempt, address: string | undefined): string {
         const stage = attempt.stages.find(({ endpoint }) => endpoint.address === address);
         return (stage ?? attempt.stages[0]!).endpoint.id;
@@ -364,7 +418,7 @@
         if (this.isDone || attempt !== this.attempt) {
             return;
         }
-        attempt.reservation.release();
+        this.leave(attempt);
         this.attempt = undefined;
         if (!end.isNotRun) {
             this.mayHaveRun = true;
@@ -391,6 +445,13 @@
         this.giveUp(end.cause);
     }
 
+    /** Gives back what an attempt has taken. */
+    private leave(attempt: StreamAttempt): void {
+        const held = attempt.hasEvents ? this.getTime() - attempt.sentAt : undefined;
+        this.environment.queue.noteEnd(this.chains.getTokens(), held);
+        attempt.reservation.release();
+    }
+
     private isRepeatable(): boolean {
         return this.task.route.isResumable;
     }
@@ -416,7 +477,8 @@
             this.finish("cutAtTimeout");
             return;
         }
-        this.refuse(createRefusal.timedOut());
+        const isNotRun = !this.mayHaveRun && this.attempt === undefined;
+        this.refuse(isNotRun ? createRefusal.notRun("no chain had room in time.") : createRefusal.timedOut());
     }
 
     private refuse(refusal: RelayRefusal): void {
@@ -436,7 +498,9 @@
         const { attempt } = this;
         this.attempt = undefined;
         attempt?.exchange?.abort();
-        attempt?.reservation.release();
+        if (attempt !== undefined) {
+            this.leave(attempt);
+        }
         this.logEnd(outcome, cause, attempt);
         this.onDone();
     }
--- a/src/version/routing/routingConfiguration.ts
+++ b/src/version/routing/routingConfiguration.ts
@@ -5,6 +5,8 @@
 interface RoutingCustomer {
     name: string;
     apiKeys: string[];
+    /** Rank of its requests, before that of their routes; undefined where they have the routes'. */
+    rank: number | undefined;
 }
 
 /** What a caller may send, and how long it may take. */
--- a/src/version/routing/routingState.ts
+++ b/src/version/routing/routingState.ts
@@ -6,11 +6,15 @@
     readonly configuration: RoutingConfiguration;
     private readonly routes: RouteTable;
     private readonly customerByKey = new Map<string, string>();
+    private readonly rankByCustomer = new Map<string, number>();
 
     private constructor(configuration: RoutingConfiguration) {
         this.configuration = configuration;
         this.routes = RouteTable.create(configuration.routes);
         for (const customer of configuration.customers) {
+            if (customer.rank !== undefined) {
+                this.rankByCustomer.set(customer.name, customer.rank);
+            }
             for (const key of customer.apiKeys) {
                 this.customerByKey.set(key, customer.name);
             }
@@ -32,6 +36,11 @@
         return this.customerByKey.get(apiKey);
     }
 
+    /** Gets the rank of a customer's requests; undefined where they have that of their routes. */
+    getCustomerRank(customer: string | undefined): number | undefined {
+        return customer === undefined ? undefined : this.rankByCustomer.get(customer);
+    }
+
     /** Whether requests need an API key where their route is not public. */
     needsKey(): boolean {
         return this.configuration.customers.length > 0;
--- /dev/null
+++ b/tests/process/router/choosePartners.test.ts
@@ -0,0 +1,49 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { choosePartners } from "../../../src/process/router/choosePartners.ts";
+import type { KnownNode } from "../../../src/process/router/knownNode.ts";
+import { createSeededRandom } from "../../support/createSeededRandom.ts";
+
+function createNodes(count: number): KnownNode[] {
+    return Array.from({ length: count }, (_, index) => ({
+        nodeId: `node-${String(index).padStart(3, "0")}`,
+        address: `10.0.0.${index}:1`,
+        dataCentre: `dc-${index % 3}`,
+        isWithoutStore: false,
+        heardAt: 0,
+    }));
+}
+
+/** Chooses the partners of each node; gives the pairs that speak, and the most partners of one node. */
+function chooseAll(count: number, isBusy: boolean) {
+    const nodes = createNodes(count);
+    const random = createSeededRandom(1);
+    const pairs = new Set<string>();
+    let most = 0;
+    for (const { nodeId, dataCentre, address } of nodes) {
+        const others = nodes.filter(node => node.nodeId !== nodeId);
+        const partners = choosePartners({ nodeId, dataCentre, nodes: others, isBusy, random });
+        most = Math.max(most, partners.size);
+        for (const partner of partners) {
+            pairs.add([address, partner].sort().join());
+        }
+    }
+    return { pairs, most };
+}
+
+describe("choosePartners", () => {
+    it("lets all pairs of up to thirteen nodes speak in a round under load", () => {
+        for (const count of [2, 3, 9, 13]) {
+            assert.equal(chooseAll(count, true).pairs.size, count * (count - 1) / 2, `${count} nodes`);
+        }
+    });
+
+    it("keeps to few partners in a large deployment and in calm", () => {
+        assert.ok(chooseAll(60, true).most <= 6);
+        assert.ok(chooseAll(60, false).most <= 2);
+    });
+
+    it("has no partner where no other node is known", () => {
+        assert.equal(chooseAll(1, true).pairs.size, 0);
+    });
+});
--- a/tests/request/relay/relayModel.ts
+++ b/tests/request/relay/relayModel.ts
@@ -40,6 +40,7 @@
     dataCentre: "a",
     pipeUse: 0,
     mayOverfill: false,
+    sparePart: 0,
     getCrossingDelay: () => 0,
 };
 
@@ -76,6 +77,7 @@
         requests: 0,
         tokenLayers: 0,
         totalTokenLayers: 100_000 * (end - start),
+        roomTokenLayers: 100_000 * (end - start) - (changes.tokenLayers ?? 0),
         slowness: 1,
         isSuspect: false,
         ...rest,
