--- /dev/null
+++ b/bench/experiment/experiment.ts
@@ -0,0 +1,285 @@
+import type { RandomSource } from "../../src/process/randomSource.ts";
+import { choosePartners } from "../../src/process/router/choosePartners.ts";
+import type { AnswerSink } from "../../src/request/relay/answerSink.ts";
+import type { RegisteredEndpoint } from "../../src/request/relay/registeredEndpoint.ts";
+import type { RelayDirectory } from "../../src/request/relay/relayDirectory.ts";
+import { StreamRelay } from "../../src/request/relay/streamRelay.ts";
+import { RequestKind } from "../../src/version/routing/requestKind.ts";
+import type { Route } from "../../src/version/routing/route.ts";
+import { createSeededRandom } from "../../tests/support/createSeededRandom.ts";
+import { VirtualClock } from "../../tests/support/virtualClock.ts";
+import { createRequest } from "./createRequest.ts";
+import { experimentModel } from "./experimentModel.ts";
+import type { ExperimentResult, ExperimentWindow } from "./experimentResult.ts";
+import type { ExperimentSettings } from "./experimentSettings.ts";
+import type { Mechanism } from "./mechanism.ts";
+import { type CallerOutcome, SimulatedCaller } from "./simulatedCaller.ts";
+import { SimulatedEngine } from "./simulatedEngine.ts";
+import { SimulatedEngines } from "./simulatedEngines.ts";
+import { SimulatedNode } from "./simulatedNode.ts";
+import type { SimulatedRequest } from "./simulatedRequest.ts";
+
+/** Options of an experiment's run. */
+interface RunOptions {
+    settings: ExperimentSettings;
+    seed: number;
+    without?: ReadonlySet<Mechanism>;
+}
+
+const secondMilliseconds = 1_000;
+const windowSeconds = 2;
+const roundMilliseconds = 300;
+/** After its end, this long is played without new requests. */
+const restMilliseconds = 25_000;
+const dataCentres = ["a", "b", "c"];
+const serviceName = "model";
+
+const route: Route = {
+    name: "r",
+    host: "h",
+    prefix: "/",
+    kind: RequestKind.Stream,
+    services: [{ service: serviceName, weight: 1 }],
+    timeoutMilliseconds: 20_000,
+    objectiveMilliseconds: 500,
+    maximumGapMilliseconds: 200,
+    maximumAttempts: 2,
+    priority: 1,
+    isPublic: true,
+    isResumable: true,
+};
+
+/** Plays a load over some nodes and engines, in virtual time; the same seed gives the same result. */
+export class Experiment {
+    private readonly settings: ExperimentSettings;
+    private readonly random: RandomSource;
+    private readonly clock = VirtualClock.create();
+    private readonly engines: SimulatedEngine[];
+    private readonly world: SimulatedEngines;
+    private readonly nodes: SimulatedNode[];
+    private readonly outcomes: { request: SimulatedRequest; outcome: CallerOutcome; }[] = [];
+    private readonly seed: number;
+    private count = 0;
+
+    private constructor({ settings, seed, without = new Set() }: RunOptions) {
+        this.settings = settings;
+        this.seed = seed;
+        this.random = createSeededRandom(seed);
+        this.engines = createEngines(settings);
+        this.world = SimulatedEngines.create(this.clock, this.engines);
+        const directory = createDirectory(this.engines);
+        this.nodes = Array.from({ length: settings.nodes }, (_, index) =>
+            SimulatedNode.create({
+                index,
+                nodeCount: settings.nodes,
+                dataCentre: dataCentres[index % dataCentres.length]!,
+                clock: this.clock,
+                random: createSeededRandom(seed * settings.nodes + index + 1),
+                engines: this.world,
+                directory,
+                without,
+            }));
+    }
+
+    /** Plays an experiment. */
+    static run(options: RunOptions): ExperimentResult {
+        const experiment = new Experiment(options);
+        experiment.play();
+        return experiment.summarize();
+    }
+
+    private play(): void {
+        const end = this.settings.durationSeconds * secondMilliseconds;
+        this.scheduleFaults();
+        for (const node of this.nodes) {
+            this.scheduleRound(node);
+        }
+        this.scheduleArrival();
+        this.clock.runTimersUntil(end + restMilliseconds);
+    }
+
+    private scheduleArrival(): void {
+        const { arrivalsPerSecond, durationSeconds } = this.settings;
+        const rate = arrivalsPerSecond * this.getFactor();
+        const gap = -Math.log(1 - this.random()) / rate * secondMilliseconds;
+        this.clock.setTimer(gap, () => {
+            if (this.clock.getMonotonicTime() > durationSeconds * secondMilliseconds) {
+                return;
+            }
+            this.count += 1;
+            const request = createRequest(this.settings, `request-${this.count}`, this.random);
+            SimulatedCaller.start({
+                clock: this.clock,
+                random: this.random,
+                request,
+                send: (...sending) => this.send(...sending),
+                onDone: outcome => this.outcomes.push({ request, outcome }),
+            });
+            this.scheduleArrival();
+        });
+    }
+
+    private getFactor(): number {
+        const now = this.clock.getMonotonicTime() / secondMilliseconds;
+        let factor = 1;
+        for (const burst of this.settings.bursts) {
+            if (now >= burst.from && now < burst.to) {
+                factor *= burst.factor;
+            }
+        }
+        return factor;
+    }
+
+    private send(request: SimulatedRequest, attempt: number, deadlineMilliseconds: number, sink: AnswerSink): void {
+        const { environment } = this.nodes[Math.floor(this.random() * this.nodes.length)]!;
+        const now = this.clock.getMonotonicTime();
+        const isReturn = environment.deadlines.note(route.name, deadlineMilliseconds, now);
+        const task = {
+            request: {
+                id: `${request.id}-${attempt}`,
+                method: "POST",
+                host: "h",
+                target: String(request.events),
+                headers: [],
+                body: Buffer.alloc(0),
+                apiKey: undefined,
+                arrivedAt: now,
+                deadlineMilliseconds,
+                lastEventId: 0,
+                promptTokens: request.promptTokens,
+                maximumAnswerTokens: 3 * experimentModel.usualAnswerTokens,
+                expectedAnswerTokens: request.expectedAnswerTokens,
+            },
+            route,
+            service: { name: serviceName, maximumConnections: 1_000, engine: experimentModel },
+            customer: request.customer,
+            sink,
+            rank: 1,
+            isReturn,
+            dueAt: now + deadlineMilliseconds,
+        };
+        environment.repeats.observeRequest();
+        StreamRelay.create(environment, task, experimentModel, () => undefined).start();
+    }
+
+    private scheduleRound(node: SimulatedNode): void {
+        this.clock.setTimer(roundMilliseconds * (0.8 + 0.4 * this.random()), () => {
+            const others = this.nodes.filter(other => other !== node);
+            const partners = choosePartners({
+                nodeId: node.nodeId,
+                dataCentre: node.dataCentre,
+                nodes: others.map(({ nodeId, dataCentre }) => ({
+                    nodeId,
+                    dataCentre,
+                    address: nodeId,
+                    isWithoutStore: false,
+                    heardAt: 0,
+                })),
+                isBusy: node.isBusy(),
+                random: this.random,
+            });
+            for (const other of others.filter(({ nodeId }) => partners.has(nodeId))) {
+                node.exchangeWith(other, this.clock.getMonotonicTime());
+            }
+            this.scheduleRound(node);
+        });
+    }
+
+    private scheduleFaults(): void {
+        for (const { kind, from, to, share, factor, nodeShare } of this.settings.faults) {
+            const struck = this.engines.filter(() => this.random() < share);
+            const cutNodes = new Set([...this.nodes.keys()].filter(() => this.random() < nodeShare));
+            this.clock.setTimer(from * secondMilliseconds, () => {
+                for (const engine of struck) {
+                    engine.slowness = kind === "slow" ? factor : 1;
+                    engine.cutNodes = kind === "cut" ? cutNodes : new Set();
+                    if (kind === "lost") {
+                        this.world.loseEngine(engine);
+                    }
+                }
+            });
+            this.clock.setTimer(to * secondMilliseconds, () => {
+                for (const engine of struck) {
+                    engine.slowness = 1;
+                    engine.cutNodes = new Set();
+                    engine.isLost = false;
+                }
+            });
+        }
+    }
+
+    private summarize(): ExperimentResult {
+        const windows: ExperimentWindow[] = [];
+        for (let from = 0; from < this.settings.durationSeconds; from += windowSeconds) {
+            windows.push({ from, asked: 0, inAim: 0, late: 0, refused: 0, failed: 0, firstEvents: [] });
+        }
+        const returned = this.outcomes.filter(({ outcome }) => outcome.wasRefused);
+        for (const { outcome } of this.outcomes) {
+            const window = windows[Math.floor(outcome.sentAt / secondMilliseconds / windowSeconds)];
+            if (window === undefined) {
+                continue;
+            }
+            window.asked += 1;
+            window[outcome.kind] += 1;
+            if (outcome.firstEventMilliseconds !== undefined) {
+                window.firstEvents.push(outcome.firstEventMilliseconds);
+            }
+        }
+        return {
+            seed: this.seed,
+            windows,
+            sent: this.world.counts.sent,
+            refusedByEngines: this.world.counts.refused,
+            preempted: this.world.counts.preempted,
+            returned: returned.length,
+            servedReturns: returned.filter(({ outcome }) => outcome.kind === "late" || outcome.kind === "inAim").length,
+            customerShortfall: this.getCustomerShortfall(),
+        };
+    }
+
+    private getCustomerShortfall(): number {
+        const asked = new Map<string, number>();
+        const served = new Map<string, number>();
+        for (const { request: { customer }, outcome } of this.outcomes) {
+            asked.set(customer, (asked.get(customer) ?? 0) + 1);
+            served.set(customer, (served.get(customer) ?? 0) + (outcome.kind === "inAim" ? 1 : 0));
+        }
+        const all = this.outcomes.filter(({ outcome }) => outcome.kind === "inAim").length / this.outcomes.length;
+        const parts = [...asked].map(([customer, count]) => served.get(customer)! / count);
+        return Math.max(0, ...parts.map(part => all - part));
+    }
+}
+
+function createEngines({ endpoints }: ExperimentSettings): SimulatedEngine[] {
+    const engines: SimulatedEngine[] = [];
+    for (const { kind, count, layers: [start, end] } of endpoints) {
+        for (let index = 0; index < count; index++) {
+            const id = `${engines.length}`;
+            const endpoint: RegisteredEndpoint = {
+                id,
+                registeredId: id,
+                incarnation: 0,
+                service: serviceName,
+                address: `10.0.0.${id}:1`,
+                dataCentre: dataCentres[index % dataCentres.length]!,
+                slots: experimentModel.slots,
+                isDraining: false,
+                kind,
+                layers: { start, end },
+            };
+            engines.push(SimulatedEngine.create(endpoint, { start, end }));
+        }
+    }
+    return engines;
+}
+
+function createDirectory(engines: readonly SimulatedEngine[]): RelayDirectory {
+    const endpoints = engines.map(({ endpoint }) => endpoint);
+    const byId = new Map(engines.map(engine => [engine.endpoint.id, engine]));
+    return {
+        getEndpoints: () => endpoints,
+        getEndpointAt: address => endpoints.find(endpoint => endpoint.address === address),
+        getSlowness: id => byId.get(id)?.slowness ?? 1,
+        getHiddenTokenLayers: () => 0,
+    };
+}
--- /dev/null
+++ b/bench/experiment/experimentModel.ts
@@ -0,0 +1,30 @@
+import type { AcceleratorKind } from "../../src/version/routing/acceleratorKind.ts";
+import type { EngineModel } from "../../src/version/routing/engineModel.ts";
+
+const kinds: AcceleratorKind[] = [
+    { name: "fast", memoryMegabytes: 72_000, stepFactor: 2.4, prefillFactor: 3.2 },
+    { name: "middle", memoryMegabytes: 43_200, stepFactor: 5.6, prefillFactor: 2.7 },
+    { name: "slow", memoryMegabytes: 21_600, stepFactor: 16, prefillFactor: 8.2 },
+];
+
+/** The model whose engines an experiment plays: 80 layers over three kinds of accelerators. */
+export const experimentModel: EngineModel = {
+    modelName: "m",
+    layers: 80,
+    layerMegabytes: 1_750,
+    loadSeconds: 14,
+    loadsAtOnce: 5,
+    slots: 134,
+    tokenBytes: 1_315_343,
+    stepsOfPass: 3,
+    stepMilliseconds: 1.02,
+    stepMillisecondsOfRequest: 0.0102,
+    stepMillisecondsOfThousandTokens: 0.0137,
+    prefillTokensOfMillisecond: 105,
+    activationBytes: 65_767,
+    pipeMegabits: 26_000,
+    crossingMilliseconds: 0.75,
+    usualPromptTokens: 774,
+    usualAnswerTokens: 200,
+    kinds: new Map(kinds.map(kind => [kind.name, kind])),
+};
--- /dev/null
+++ b/bench/experiment/simulatedNode.ts
@@ -0,0 +1,112 @@
+import type { Clock } from "../../src/process/clock.ts";
+import type { RandomSource } from "../../src/process/randomSource.ts";
+import { RetryBudget } from "../../src/request/admission/retryBudget.ts";
+import { UsualDeadlines } from "../../src/request/admission/start/usualDeadlines.ts";
+import { CrossingDelays } from "../../src/request/relay/crossingDelays.ts";
+import { EndpointHealth } from "../../src/request/relay/endpointHealth.ts";
+import { EndpointLoads } from "../../src/request/relay/endpointLoads.ts";
+import { FirstEventTimes } from "../../src/request/relay/firstEventTimes.ts";
+import { PipeLoad } from "../../src/request/relay/pipeLoad.ts";
+import type { RelayDirectory } from "../../src/request/relay/relayDirectory.ts";
+import type { RelayEnvironment } from "../../src/request/relay/relayEnvironment.ts";
+import { RelayQueue } from "../../src/request/relay/relayQueue.ts";
+import { Mechanism } from "./mechanism.ts";
+import type { SimulatedEngines } from "./simulatedEngines.ts";
+import { simulatedProtocol } from "./simulatedProtocol.ts";
+
+/** Options of a {@link SimulatedNode}. */
+interface SimulatedNodeOptions {
+    index: number;
+    nodeCount: number;
+    dataCentre: string;
+    clock: Clock;
+    random: RandomSource;
+    engines: SimulatedEngines;
+    directory: RelayDirectory;
+    without: ReadonlySet<Mechanism>;
+}
+
+const repeatPolicy = { ratio: 0.15, perSecond: 0.2, maximumBalance: 17 };
+
+/** A node of an experiment: what decides in production, over simulated engines. */
+export class SimulatedNode {
+    readonly nodeId: string;
+    readonly dataCentre: string;
+    readonly environment: RelayEnvironment;
+    private readonly without: ReadonlySet<Mechanism>;
+
+    private constructor(options: SimulatedNodeOptions) {
+        const { index, nodeCount, dataCentre, clock, random, engines, directory, without } = options;
+        this.nodeId = `node-${String(index).padStart(3, "0")}`;
+        this.dataCentre = dataCentre;
+        this.without = without;
+        const log = { write: () => undefined };
+        const queue = RelayQueue.create({ clock, random, log });
+        const loads = EndpointLoads.create(() => queue.wake());
+        const deadlines = UsualDeadlines.create();
+        this.environment = {
+            dataCentre,
+            clock,
+            random,
+            log,
+            protocol: simulatedProtocol,
+            pools: {
+                getPool: () => ({
+                    send: ({ headers }, listener) => engines.send(index, simulatedProtocol.readSent(headers), listener),
+                }),
+            },
+            directory,
+            loads,
+            health: EndpointHealth.create(),
+            repeats: RetryBudget.create(clock.getMonotonicTime(), () => repeatPolicy),
+            queue,
+            firstEvents: FirstEventTimes.create(),
+            deadlines,
+            crossings: CrossingDelays.create(),
+            pipeLoad: PipeLoad.create(),
+            getNodeCount: () => nodeCount,
+        };
+        this.switchOff(loads, deadlines, queue);
+    }
+
+    /** Creates a node without requests. */
+    static create(options: SimulatedNodeOptions): SimulatedNode {
+        return new SimulatedNode(options);
+    }
+
+    /** Whether it speaks to more peers in a round. */
+    isBusy(): boolean {
+        return !this.without.has(Mechanism.News) && this.environment.queue.isBusy();
+    }
+
+    /** Exchanges state with a peer, in both directions. */
+    exchangeWith(peer: SimulatedNode, now: number): void {
+        this.tell(peer, now);
+        peer.tell(this, now);
+    }
+
+    private tell(peer: SimulatedNode, now: number): void {
+        const { loads, health, queue } = this.environment;
+        const own = loads.getOwnLoads().map(load => ({ ...load }));
+        peer.environment.loads.setPeerLoads(this.nodeId, own, queue.getDemand(), now);
+        for (const suspicion of health.getSuspicions(now)) {
+            peer.environment.health.addSuspicion(suspicion, now);
+        }
+    }
+
+    private switchOff(loads: EndpointLoads, deadlines: UsualDeadlines, queue: RelayQueue): void {
+        if (this.without.has(Mechanism.Room)) {
+            loads.getRoom = (endpointId, total) => total - loads.getLoad(endpointId).tokenLayers;
+        }
+        if (this.without.has(Mechanism.Full)) {
+            loads.noteFull = (endpointId, now) => this.environment.health.addLoss(endpointId, now);
+        }
+        if (this.without.has(Mechanism.Returns)) {
+            deadlines.note = () => false;
+        }
+        if (this.without.has(Mechanism.Timeliness)) {
+            const { ask } = queue;
+            queue.ask = relay => ask.call(queue, { ...relay, timelyUntil: Infinity });
+        }
+    }
+}
--- a/src/request/relay/relayEnvironment.ts
+++ b/src/request/relay/relayEnvironment.ts
@@ -1,4 +1,3 @@
-import type { UpstreamPools } from "../../connection/upstream/upstreamPools.ts";
 import type { Clock } from "../../process/clock.ts";
 import type { EventLog } from "../../process/logging/eventLog.ts";
 import type { RandomSource } from "../../process/randomSource.ts";
@@ -12,6 +11,7 @@
 import type { PipeLoad } from "./pipeLoad.ts";
 import type { RelayDirectory } from "./relayDirectory.ts";
 import type { RelayQueue } from "./relayQueue.ts";
+import type { RelayTransport } from "./relayTransport.ts";
 
 /** What relayed requests work with. */
 export interface RelayEnvironment {
@@ -21,7 +21,7 @@
     random: RandomSource;
     log: EventLog;
     protocol: EndpointProtocol;
-    pools: UpstreamPools;
+    pools: RelayTransport;
     directory: RelayDirectory;
     loads: EndpointLoads;
     health: EndpointHealth;
--- /dev/null
+++ b/src/request/relay/relayTransport.ts
@@ -0,0 +1,15 @@
+import type { UpstreamExchange } from "../../connection/upstream/upstreamExchange.ts";
+import type { UpstreamListener } from "../../connection/upstream/upstreamListener.ts";
+import type { UpstreamRequest } from "../../connection/upstream/upstreamRequest.ts";
+
+/** Connections to endpoints, as far as relayed requests need them. */
+export interface RelayTransport {
+    /** Gets the connections to an address, host:port. */
+    getPool(address: string): {
+        send(
+            request: UpstreamRequest,
+            listener: UpstreamListener,
+            maximumIdleMilliseconds?: number,
+        ): UpstreamExchange;
+    };
+}
