Don't take an endpoint for lost at a peer's word while its events come here

Cause: a third of the endpoints cut from two fifths of the nodes, at three times the load: each cut node told its suspicion to all, so that first stages that served the others were left alone by all nodes; at second 6 and 7, 63 of 370 were served in time.

--- a/src/request/relay/endpointHealth.ts
+++ b/src/request/relay/endpointHealth.ts
@@ -10,6 +10,8 @@
     suspectUntil: number;
     /** Failures in a row. */
     failuresInRow: number;
+    /** Monotonic time in milliseconds of the last event of a stream that passed through it. */
+    aliveAt: number;
 }
 
 /** Weight of the newest exchange in the average: about the last six exchanges count. */
@@ -19,6 +21,8 @@
 /** An endpoint without a connection is tried again after this time at first; it doubles with each failure in a row. */
 const shortestSuspicionMilliseconds = 400;
 const longestSuspicionMilliseconds = 4_000;
+/** Events come every 20 to 60 ms, and twice that under load; an endpoint that none came from for so long may be lost. */
+const aliveMilliseconds = 300;
 
 /** Finds endpoints that fail from the results of exchanges, since health checks may be good all the while. */
 export class EndpointHealth {
@@ -66,6 +70,11 @@
         record.suspectUntil = 0;
     }
 
+    /** Notes that an event of a stream passed through the endpoint. */
+    noteAlive(endpointId: string, now: number): void {
+        this.getRecord(endpointId, now).aliveAt = now;
+    }
+
     /** Notes an exchange that failed, of an endpoint that may still be sound. */
     addFailure(endpointId: string, now: number): void {
         this.update(endpointId, 1, now);
@@ -79,9 +88,15 @@
         record.suspectUntil = Math.max(record.suspectUntil, now + Math.min(pause, longestSuspicionMilliseconds));
     }
 
-    /** Takes a peer's suspicion over; it ends when the peer's does. */
+    /**
+     * Takes a peer's suspicion over; it ends when the peer's does. Not that of an endpoint whose events come here: it may be
+     * out of reach for the peer alone, and to take it for lost would take its room from all nodes.
+     */
     addSuspicion(suspicion: Suspicion, now: number): void {
         const record = this.getRecord(suspicion.endpointId, now);
+        if (now - record.aliveAt < aliveMilliseconds) {
+            return;
+        }
         const remaining = Math.min(suspicion.remainingMilliseconds, longestSuspicionMilliseconds);
         record.suspectUntil = Math.max(record.suspectUntil, now + remaining);
     }
@@ -108,7 +123,7 @@
         if (known !== undefined) {
             return known;
         }
-        const record = { failureShare: 0, updatedAt: now, suspectUntil: 0, failuresInRow: 0 };
+        const record = { failureShare: 0, updatedAt: now, suspectUntil: 0, failuresInRow: 0, aliveAt: -Infinity };
         this.records.set(endpointId, record);
         return record;
     }
--- a/src/request/relay/streamRelay.ts
+++ b/src/request/relay/streamRelay.ts
@@ -315,6 +315,9 @@
         const now = this.getTime();
         this.mayHaveRun = true;
         attempt.lastProgressAt = now;
+        for (const { endpoint } of attempt.stages) {
+            this.environment.health.noteAlive(endpoint.id, now);
+        }
         if (!attempt.hasEvents) {
             attempt.hasEvents = true;
             this.environment.crossings.note(listDataCentres(attempt.stages), now - attempt.sentAt, now);
--- a/tests/request/relay/endpointHealth.test.ts
+++ b/tests/request/relay/endpointHealth.test.ts
@@ -28,4 +28,13 @@
         assert.ok(!health.isSuspect("e", 601));
         assert.deepEqual(health.getSuspicions(200), [{ endpointId: "e", remainingMilliseconds: 400 }]);
     });
+
+    it("doesn't take a peer's suspicion over while events of the endpoint come here", () => {
+        const health = EndpointHealth.create();
+        health.noteAlive("e", 0);
+        health.addSuspicion({ endpointId: "e", remainingMilliseconds: 1_000 }, 200);
+        assert.ok(!health.isSuspect("e", 200));
+        health.addSuspicion({ endpointId: "e", remainingMilliseconds: 1_000 }, 400);
+        assert.ok(health.isSuspect("e", 400));
+    });
 });
