Say that a request has not run where no byte of it was sent, and send it elsewhere

An exchange tells whether a byte may have left. A stream whose first stage takes no connection is sent again or refused as not run in place of 502, and a document request that can't be repeated goes to another endpoint after 0.6 of its objective in place of waiting for the silent one until its time is over.

--- a/bench/experiment/simulatedEngines.ts
+++ b/bench/experiment/simulatedEngines.ts
@@ -58,6 +58,7 @@
             timer: undefined,
             hasHead: false,
         };
+        let isSent = false;
         this.counts.sent += 1;
         const first = engines[0]!;
         if (first.isLost || first.cutNodes.has(node)) {
@@ -68,9 +69,10 @@
             );
         }
         else {
+            isSent = true;
             this.setTimer(run, networkMilliseconds, () => this.admit(run));
         }
-        return { abort: () => this.leave(run) };
+        return { abort: () => this.leave(run), isSent: () => isSent };
     }
 
     /** Cuts off what depends on an engine that is lost. */
--- a/src/connection/upstream/upstreamConnection.ts
+++ b/src/connection/upstream/upstreamConnection.ts
@@ -94,10 +94,11 @@
         }, {
             onRequestStart: given => {
                 controller = given;
-                isSent = true;
                 if (isOver) {
                     given.abort(new Error("The exchange was given up."));
+                    return;
                 }
+                isSent = true;
             },
             onResponseStart: (_controller, status, headers) => {
                 if (isOver || status < 200) {
@@ -129,6 +130,7 @@
             onResponseError: (_controller, error) => fail(error.message),
         });
         return {
+            isSent: () => isSent,
             abort: () => {
                 if (isOver) {
                     return;
--- a/src/process/commandLine/runCommandLine.ts
+++ b/src/process/commandLine/runCommandLine.ts
@@ -34,7 +34,7 @@
         },
     };
     try {
-        await createParser(context, createCommands).parseAsync(words);
+        await createParser(context, createCommands).parseAsync(words[0] === "--version" ? ["version"] : words);
     }
     catch (error) {
         return reportError(error, context);
--- a/src/request/relay/documentRelay.ts
+++ b/src/request/relay/documentRelay.ts
@@ -57,6 +57,8 @@
     private readonly onDone: () => void;
     private attempts = 0;
     private refusals = 0;
+    /** Attempts of which no byte was sent. */
+    private unsent = 0;
     private mayHaveRun = false;
     private failure: WholeAnswer | undefined;
     private isDone = false;
@@ -81,9 +83,7 @@
         const { environment, task } = this;
         task.sink.onClosed(() => this.finish("callerGone"));
         this.setTimer(task.dueAt - environment.clock.getMonotonicTime(), () => this.expire());
-        if (this.isRepeatable()) {
-            this.setTimer(task.route.objectiveMilliseconds * hedgePart, () => this.hedge());
-        }
+        this.setTimer(task.route.objectiveMilliseconds * hedgePart, () => this.reviewLate());
         this.startAttempt("no endpoint of the service is ready.");
     }
 
@@ -94,8 +94,8 @@
     private startAttempt(cause: string, isRepeat = false): void {
         const { environment, task } = this;
         const endpoint = this.chooseNext();
-        const isAllowed = this.attempts < task.route.maximumAttempts
-            || !this.mayHaveRun && this.refusals <= mostRefusals;
+        const isAllowed = this.attempts - this.unsent < task.route.maximumAttempts
+            || !this.mayHaveRun && this.running.size === 0 && this.refusals <= mostRefusals;
         if (endpoint === undefined || !isAllowed || isRepeat && !this.takeRepeat()) {
             this.giveUp(cause);
             return;
@@ -190,6 +190,7 @@
         }
         this.releaseAttempt(attempt);
         this.mayHaveRun ||= !end.isNotRun;
+        this.unsent += end.isUnsent === true ? 1 : 0;
         this.failure = end.answer ?? this.failure;
         this.environment.log.write(events.relayAttemptFailed, {
             request: this.task.request.id,
@@ -209,7 +210,29 @@
         this.giveUp(end.cause);
     }
 
-    /** Sends the request to a second endpoint beside the first, which is late. */
+    /**
+     * Looks at a request whose answer is late. One that may be repeated goes to a second endpoint beside the first. Any other
+     * one goes there in place of the first where that has no connection yet, so that it surely hasn't run: connections open
+     * within milliseconds, and one to an endpoint that fell silent would use up the caller's time.
+     */
+    private reviewLate(): void {
+        if (this.isRepeatable()) {
+            this.hedge();
+            return;
+        }
+        for (const attempt of [...this.running]) {
+            if (attempt.exchange?.isSent() === false) {
+                attempt.exchange.abort();
+                this.environment.health.addLoss(attempt.endpoint.id, this.getTime());
+                this.endAttempt(attempt, {
+                    isNotRun: true,
+                    isUnsent: true,
+                    cause: "the endpoint takes no connection.",
+                });
+            }
+        }
+    }
+
     private hedge(): void {
         const { route } = this.task;
         const next = this.chooseNext();
@@ -219,7 +242,6 @@
         for (const attempt of this.running) {
             this.environment.health.addFailure(attempt.endpoint.id, this.getTime());
         }
-        this.mayHaveRun = true;
         this.startAttempt("the endpoint is late.", true);
     }
 
@@ -252,7 +274,8 @@
     }
 
     private expire(): void {
-        const mayHaveRun = this.mayHaveRun || this.running.size > 0;
+        const isRunning = [...this.running].some(({ exchange }) => exchange?.isSent() === true);
+        const mayHaveRun = this.mayHaveRun || isRunning;
         this.refuse(mayHaveRun ? createRefusal.timedOut() : createRefusal.notRun("no endpoint took it in time."));
     }
 
--- a/src/request/relay/streamRelay.ts
+++ b/src/request/relay/streamRelay.ts
@@ -168,8 +168,9 @@
         if (attempt === undefined) {
             return;
         }
+        const isUnsent = attempt.exchange?.isSent() === false;
         attempt.exchange?.abort();
-        this.endAttempt(attempt, { isNotRun: false, cause, avoid });
+        this.endAttempt(attempt, { isNotRun: isUnsent, isUnsent, cause, avoid });
     }
 
     /**
@@ -480,7 +481,7 @@
             this.finish("cutAtTimeout");
             return;
         }
-        const isNotRun = !this.mayHaveRun && this.attempt === undefined;
+        const isNotRun = !this.mayHaveRun && this.attempt?.exchange?.isSent() !== true;
         this.refuse(isNotRun ? createRefusal.notRun("no chain had room in time.") : createRefusal.timedOut());
     }
 
--- a/tests/process/commandLine/commandLine.test.ts
+++ b/tests/process/commandLine/commandLine.test.ts
@@ -79,6 +79,7 @@
             doTest(["--help"], ExitCode.Success, /foxlead config .*Exit codes/s),
             doTest(["config", "apply", "--help"], ExitCode.Success, /Examples:/),
             doTest(["version"], ExitCode.Success, /^foxlead \d/),
+            doTest(["--version"], ExitCode.Success, /^foxlead \d/),
         ]);
     });
 
--- /dev/null
+++ b/tests/request/relay/documentRelay.test.ts
@@ -0,0 +1,38 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { DocumentRelay } from "../../../src/request/relay/documentRelay.ts";
+import { RequestKind } from "../../../src/version/routing/requestKind.ts";
+import { RelayBench } from "./relayBench.ts";
+import { createEndpoint } from "./relayModel.ts";
+
+function start(kind: RequestKind): RelayBench {
+    const bench = RelayBench.create([createEndpoint("1"), createEndpoint("2")]);
+    DocumentRelay.start(bench.environment, bench.createTask(kind), () => undefined);
+    return bench;
+}
+
+describe("DocumentRelay", () => {
+    it("sends a request that can't be repeated elsewhere where its endpoint takes no connection", async () => {
+        const bench = start(RequestKind.NonIdempotent);
+        await bench.clock.advance(90);
+        assert.equal(bench.sendings.length, 2);
+        assert.ok(bench.sendings[0]!.isAborted);
+        assert.notEqual(bench.sendings[1]!.address, bench.sendings[0]!.address);
+    });
+
+    it("leaves a request that can't be repeated where a byte of it was sent, and doesn't know what became of it", async () => {
+        const bench = start(RequestKind.NonIdempotent);
+        bench.sendings[0]!.isSent = true;
+        await bench.clock.advance(1_100);
+        assert.equal(bench.sendings.length, 1);
+        assert.deepEqual(bench.answers, ["timedOut"]);
+    });
+
+    it("says that nothing ran where no endpoint took a connection", async () => {
+        for (const kind of [RequestKind.NonIdempotent, RequestKind.Idempotent]) {
+            const bench = start(kind);
+            await bench.clock.advance(1_100);
+            assert.deepEqual(bench.answers, ["notRun"], kind);
+        }
+    });
+});
--- /dev/null
+++ b/tests/request/relay/relayBench.ts
@@ -0,0 +1,131 @@
+import { endpointProtocol } from "../../../platform/endpointProtocol.ts";
+import type { UpstreamListener } from "../../../src/connection/upstream/upstreamListener.ts";
+import { RetryBudget } from "../../../src/request/admission/retryBudget.ts";
+import { UsualDeadlines } from "../../../src/request/admission/start/usualDeadlines.ts";
+import type { AnswerSink } from "../../../src/request/relay/answerSink.ts";
+import { CrossingDelays } from "../../../src/request/relay/crossingDelays.ts";
+import { EndpointHealth } from "../../../src/request/relay/endpointHealth.ts";
+import { EndpointLoads } from "../../../src/request/relay/endpointLoads.ts";
+import { FirstEventTimes } from "../../../src/request/relay/firstEventTimes.ts";
+import { PipeLoad } from "../../../src/request/relay/pipeLoad.ts";
+import type { RegisteredEndpoint } from "../../../src/request/relay/registeredEndpoint.ts";
+import type { RelayEnvironment } from "../../../src/request/relay/relayEnvironment.ts";
+import { RelayQueue } from "../../../src/request/relay/relayQueue.ts";
+import type { RelayTask } from "../../../src/request/relay/relayTask.ts";
+import type { RequestKind } from "../../../src/version/routing/requestKind.ts";
+import { FakeClock } from "../../support/fakeClock.ts";
+import { RecordingEventLog } from "../../support/recordingEventLog.ts";
+import { relayModel } from "./relayModel.ts";
+
+/** A request that was handed to a connection. */
+interface Sending {
+    address: string;
+    listener: UpstreamListener;
+    /** Whether a byte of it has left. */
+    isSent: boolean;
+    isAborted: boolean;
+}
+
+/** What relays work with, over connections that do what a test says. */
+export class RelayBench {
+    readonly clock = FakeClock.create();
+    readonly sendings: Sending[] = [];
+    /** Final answers of the caller, such as `notRun` or `200`. */
+    readonly answers: string[] = [];
+    readonly environment: RelayEnvironment;
+
+    private constructor(endpoints: RegisteredEndpoint[]) {
+        const { clock } = this;
+        const log = RecordingEventLog.create();
+        const random = () => 0.5;
+        const queue = RelayQueue.create({ clock, random, log });
+        this.environment = {
+            dataCentre: "a",
+            clock,
+            random,
+            log,
+            protocol: endpointProtocol,
+            pools: { getPool: address => ({ send: (_request, listener) => this.send(address, listener) }) },
+            directory: {
+                getEndpoints: service => endpoints.filter(endpoint => endpoint.service === service),
+                getEndpointAt: address => endpoints.find(endpoint => endpoint.address === address),
+                getSlowness: () => 1,
+                getHiddenTokenLayers: () => 0,
+            },
+            loads: EndpointLoads.create(() => queue.wake()),
+            health: EndpointHealth.create(),
+            repeats: RetryBudget.create(0),
+            queue,
+            firstEvents: FirstEventTimes.create(),
+            deadlines: UsualDeadlines.create(),
+            crossings: CrossingDelays.create(),
+            pipeLoad: PipeLoad.create(),
+            getNodeCount: () => 1,
+        };
+    }
+
+    /** Creates a bench over endpoints. */
+    static create(endpoints: RegisteredEndpoint[]): RelayBench {
+        return new RelayBench(endpoints);
+    }
+
+    /** Creates a request of a kind, for the service of the endpoints. */
+    createTask(kind: RequestKind, isResumable = false): RelayTask {
+        const sink: AnswerSink = {
+            onClosed: () => undefined,
+            writeHead: ({ status }) => this.answers.push(String(status)),
+            write: () => undefined,
+            end: () => undefined,
+            refuse: ({ reason }) => this.answers.push(reason),
+            cut: () => this.answers.push("cut"),
+        };
+        return {
+            request: {
+                id: "request",
+                method: "POST",
+                host: "h",
+                target: "/",
+                headers: [],
+                body: Buffer.alloc(0),
+                apiKey: undefined,
+                arrivedAt: 0,
+                deadlineMilliseconds: 1_000,
+                lastEventId: 0,
+                promptTokens: 800,
+                maximumAnswerTokens: 400,
+                expectedAnswerTokens: 200,
+            },
+            route: {
+                name: "r",
+                host: "h",
+                prefix: "/",
+                kind,
+                services: [{ service: "model", weight: 1 }],
+                timeoutMilliseconds: 1_000,
+                objectiveMilliseconds: 100,
+                maximumGapMilliseconds: 200,
+                maximumAttempts: 1,
+                priority: 1,
+                isPublic: true,
+                isResumable,
+            },
+            service: { name: "model", maximumConnections: 10, engine: relayModel },
+            customer: undefined,
+            sink,
+            rank: 1,
+            isReturn: false,
+            dueAt: 1_000,
+        };
+    }
+
+    private send(address: string, listener: UpstreamListener) {
+        const sending: Sending = { address, listener, isSent: false, isAborted: false };
+        this.sendings.push(sending);
+        return {
+            abort: () => {
+                sending.isAborted = true;
+            },
+            isSent: () => sending.isSent,
+        };
+    }
+}
--- /dev/null
+++ b/tests/request/relay/streamRelay.test.ts
@@ -0,0 +1,55 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { StreamRelay } from "../../../src/request/relay/streamRelay.ts";
+import { RequestKind } from "../../../src/version/routing/requestKind.ts";
+import { RelayBench } from "./relayBench.ts";
+import { createEndpoint, relayModel } from "./relayModel.ts";
+
+const layers = { start: 0, end: 80 };
+const kinds = new Map([...relayModel.kinds].map(([name, kind]) => [name, { ...kind, memoryMegabytes: 200_000 }]));
+/** One endpoint holds all layers. */
+const model = { ...relayModel, kinds };
+
+function start(ids: string[]) {
+    const bench = RelayBench.create(ids.map(id => createEndpoint(id, { layers })));
+    const relay = StreamRelay.create(bench.environment, bench.createTask(RequestKind.Stream), model, () => undefined);
+    relay.start();
+    return { bench, relay };
+}
+
+describe("StreamRelay", () => {
+    it("goes on elsewhere where its first stage was given up before a byte was sent, though it may not be repeated", () => {
+        const { bench, relay } = start(["1", "2"]);
+        relay.abandonChain([relay.getStages()![0]!.endpoint.id], "the first stage does not answer.");
+        assert.equal(bench.sendings.length, 2);
+        assert.deepEqual(bench.answers, []);
+    });
+
+    it("says that nothing ran where no byte was ever sent", () => {
+        const { bench, relay } = start(["1"]);
+        relay.abandonChain(["1"], "the first stage does not answer.");
+        assert.deepEqual(bench.answers, ["notRun"]);
+    });
+
+    it("doesn't know what became of a request of which bytes were sent", () => {
+        const { bench, relay } = start(["1", "2"]);
+        bench.sendings[0]!.isSent = true;
+        relay.abandonChain(["1", "2"], "the first stage does not answer.");
+        assert.deepEqual(bench.answers, ["outcomeUnknown"]);
+    });
+
+    it("says that nothing ran where the time is over before a byte was sent", async () => {
+        const { bench } = start(["1"]);
+        await bench.clock.advance(1_100);
+        assert.deepEqual(bench.answers, ["notRun"]);
+    });
+
+    it("is refused at once where no endpoints together hold the model", () => {
+        const { bench } = start([]);
+        assert.deepEqual(bench.answers, []);
+        const other = RelayBench.create([createEndpoint("1", { layers: { start: 0, end: 40 } })]);
+        const task = other.createTask(RequestKind.Stream);
+        StreamRelay.create(other.environment, task, model, () => undefined).start();
+        assert.deepEqual(other.answers, ["notRun"]);
+    });
+});
