--- a/src/request/relay/streamRelay.ts
+++ b/src/request/relay/streamRelay.ts
@@ -5,10 +5,12 @@
 import { events } from "../../process/logging/events.ts";
 import type { EngineModel } from "../../version/routing/engineModel.ts";
 import type { AnswerHead } from "./answerHead.ts";
+import { createQueuedRelay } from "./createQueuedRelay.ts";
 import { createRefusal } from "./createRefusal.ts";
 import { EventSplitter } from "./eventSplitter.ts";
 import { EventVerdict } from "./eventVerdict.ts";
 import { formatStages } from "./formatStages.ts";
+import { noteRefusal } from "./noteRefusal.ts";
 import type { QueuedRelay } from "./queuedRelay.ts";
 import type { RegisteredEndpoint } from "./registeredEndpoint.ts";
 import { RelayChains } from "./relayChains.ts";
@@ -25,25 +27,8 @@
 import { StreamProgress } from "./streamProgress.ts";
 import type { WholeAnswer } from "./wholeAnswer.ts";
 
-/**
- * A request waits for room at most this long. Callers leave a stream after 2 s without an event, and a first event takes up
- * to 300 ms under load; a late answer is worth more to them than a refusal.
- */
-const longestWaitMilliseconds = 1_200;
-/** Callers honour a time to come back of up to this part of the time that they have left. */
-const returnPart = 1 / 3;
-/** At most this part of the objective is kept for the way to the first event; the rest may be waited. */
-const longestReservePart = 0.6;
-/**
- * A request that is late already leaves this part of each endpoint's memory to those that can still be served in time: it
- * would come back, or find room at once, just as often as they do, and the room is then spent on late answers.
- */
-const latePart = 0.2;
-/** An endpoint that refuses with less than this part of its memory taken refuses for another reason than want of room. */
-const fullMemoryPart = 0.6;
 const successStatus = 200;
 const redirectStatus = 300;
-const misdirectedStatus = 421;
 
 /**
  * Forwards one streamed request over a chain of endpoints and passes its events on as they come. Where the chain is
@@ -188,8 +173,23 @@
             this.resume(cause, isRepeat);
             return;
         }
-        this.queued = this.createQueued(cause, isRepeat);
-        this.environment.queue.ask(this.queued);
+        const { environment, task, chains, avoided } = this;
+        this.queued = createQueuedRelay({
+            environment,
+            task,
+            chains,
+            avoided,
+            isRepeat,
+            start: place => {
+                this.queued = undefined;
+                this.runAttempt(place);
+            },
+            refuse: (reason, retryAfterMilliseconds) => {
+                this.queued = undefined;
+                this.turnAway(`${cause} ${reason}`, retryAfterMilliseconds);
+            },
+        });
+        environment.queue.ask(this.queued);
     }
 
     /** Goes on with a stream that has begun. It does not wait for room: its caller would leave. */
@@ -207,39 +207,6 @@
         this.runAttempt({ stages, reservation: this.chains.reserve(stages) });
     }
 
-    private createQueued(cause: string, isRepeat: boolean): QueuedRelay {
-        const { request, route, customer, rank, isReturn, dueAt } = this.task;
-        const { firstEvents, repeats } = this.environment;
-        const reserve = Math.min(firstEvents.getExpected(), route.objectiveMilliseconds * longestReservePart);
-        const timelyUntil = isReturn ? -Infinity : request.arrivedAt + route.objectiveMilliseconds - reserve;
-        return {
-            requestId: request.id,
-            rank,
-            customer,
-            cost: this.chains.getTokens(),
-            timelyUntil,
-            waitsUntil: Math.min(request.arrivedAt + longestWaitMilliseconds, dueAt),
-            longestReturnMilliseconds: (dueAt - request.arrivedAt) * returnPart,
-            takePlace: () => {
-                const sparePart = this.getTime() > timelyUntil ? latePart : 0;
-                const stages = this.chains.choose({ avoid: this.avoided, mayOverfill: false, sparePart });
-                if (stages === undefined || isRepeat && !repeats.takeRetry(this.getTime())) {
-                    return undefined;
-                }
-                return { stages, reservation: this.chains.reserve(stages) };
-            },
-            isServable: () => this.chains.hasChain(this.avoided),
-            start: place => {
-                this.queued = undefined;
-                this.runAttempt(place);
-            },
-            refuse: (reason, retryAfterMilliseconds) => {
-                this.queued = undefined;
-                this.turnAway(`${cause} ${reason}`, retryAfterMilliseconds);
-            },
-        };
-    }
-
     private turnAway(cause: string, retryAfterMilliseconds: number): void {
         const { log, deadlines } = this.environment;
         deadlines.noteRefusal(this.getTime());
@@ -395,23 +362,10 @@
         this.endAttempt(attempt, { isNotRun, isUnsent: isNotRun, cause, avoid: [id] });
     }
 
-    /**
-     * Notes why an endpoint refused: whether it was full, or leaving or lost. One that is full serves others as before, and to
-     * take it for lost would take its room from all nodes, at twice the load and more until little is left.
-     * @returns Ids of endpoints that the next chain avoids.
-     */
     private noteRefusal(endpoint: RegisteredEndpoint, status: number): string[] {
-        const { loads, health, log } = this.environment;
-        const now = this.getTime();
-        const memoryPart = this.chains.getMemoryPart(endpoint);
-        if (status !== misdirectedStatus && memoryPart >= fullMemoryPart) {
-            loads.noteFull(endpoint.id, now);
-            log.write(events.endpointFull, { request: this.task.request.id, endpoint: endpoint.id, memoryPart });
-            return [];
-        }
-        // It is leaving, lost, or gives its layers up, which its record may not show for seconds.
-        health.addLoss(endpoint.id, now);
-        return [endpoint.id];
+        const { environment, chains, task } = this;
+        const memoryPart = chains.getMemoryPart(endpoint);
+        return noteRefusal({ environment, requestId: task.request.id, endpoint, status, memoryPart });
     }
 
     private endAttempt(attempt: StreamAttempt, end: StreamAttemptEnd): void {
--- /dev/null
+++ b/tests/request/relay/noteRefusal.test.ts
@@ -0,0 +1,31 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { noteRefusal } from "../../../src/request/relay/noteRefusal.ts";
+import { RelayBench } from "./relayBench.ts";
+import { createEndpoint } from "./relayModel.ts";
+
+function refuse(status: number, memoryPart: number) {
+    const endpoint = createEndpoint("1");
+    const { environment } = RelayBench.create([endpoint]);
+    const avoided = noteRefusal({ environment, requestId: "r", endpoint, status, memoryPart });
+    return {
+        avoided,
+        isSuspect: environment.health.isSuspect("1", 0),
+        room: environment.loads.getRoom("1", 100, 0, 0),
+    };
+}
+
+describe("noteRefusal", () => {
+    it("takes a refusal of an endpoint that is nearly full for want of room", () => {
+        assert.deepEqual(refuse(503, 0.9), { avoided: [], isSuspect: false, room: 0 });
+    });
+
+    it("takes any other refusal for that of an endpoint that is leaving or lost", () => {
+        for (const [status, memoryPart] of [[503, 0.2], [421, 0.9]] as const) {
+            const { avoided, isSuspect, room } = refuse(status, memoryPart);
+            assert.deepEqual(avoided, ["1"]);
+            assert.ok(isSuspect);
+            assert.ok(room > 0);
+        }
+    });
+});
