--- a/tests/request/relay/relayModel.ts
+++ b/tests/request/relay/relayModel.ts
@@ -1,36 +1,11 @@
+import { experimentModel } from "../../../bench/experiment/experimentModel.ts";
 import type { RegisteredEndpoint } from "../../../src/request/relay/registeredEndpoint.ts";
 import type { StageCandidate } from "../../../src/request/relay/stageCandidate.ts";
 import type { StageQuery } from "../../../src/request/relay/stageQuery.ts";
-import type { AcceleratorKind } from "../../../src/version/routing/acceleratorKind.ts";
 import type { EngineModel } from "../../../src/version/routing/engineModel.ts";
 
-const kinds: AcceleratorKind[] = [
-    { name: "fast", memoryMegabytes: 72_000, stepFactor: 2.4, prefillFactor: 3.2 },
-    { name: "middle", memoryMegabytes: 43_200, stepFactor: 5.6, prefillFactor: 2.7 },
-    { name: "slow", memoryMegabytes: 21_600, stepFactor: 16, prefillFactor: 8.2 },
-];
-
 /** A model of 80 layers over three kinds of accelerators. */
-export const relayModel: EngineModel = {
-    modelName: "m",
-    layers: 80,
-    layerMegabytes: 1_750,
-    loadSeconds: 14,
-    loadsAtOnce: 5,
-    slots: 134,
-    tokenBytes: 1_315_343,
-    stepsOfPass: 3,
-    stepMilliseconds: 1.02,
-    stepMillisecondsOfRequest: 0.0102,
-    stepMillisecondsOfThousandTokens: 0.0137,
-    prefillTokensOfMillisecond: 105,
-    activationBytes: 65_767,
-    pipeMegabits: 26_000,
-    crossingMilliseconds: 0.75,
-    usualPromptTokens: 774,
-    usualAnswerTokens: 200,
-    kinds: new Map(kinds.map(kind => [kind.name, kind])),
-};
+export const relayModel: EngineModel = experimentModel;
 
 /** A usual request for a chain of the model. */
 export const stageQuery: StageQuery = {
@@ -73,7 +48,7 @@
     return {
         endpoint: createEndpoint(id, { layers, dataCentre }),
         layers,
-        kind: kinds[0]!,
+        kind: relayModel.kinds.get("fast")!,
         requests: 0,
         tokenLayers: 0,
         totalTokenLayers: 100_000 * (end - start),
