--- a/src/process/metrics/metrics.ts
+++ b/src/process/metrics/metrics.ts
@@ -1,6 +1,7 @@
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from "prom-client";
 
 const requestBuckets = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 120, 300];
+const excessBuckets = [-0.3, -0.2, -0.1, -0.05, 0, 0.05, 0.1, 0.2, 0.3, 0.5];
 const passBuckets = [0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
 
 /**
@@ -67,6 +68,21 @@
     readonly refusalsTotal = this.createCounter("refusals_total", "Requests refused as not run.", ["reason"]);
     readonly retriesTotal = this.createCounter("retries_total", "Repeated calls to endpoints.", ["outcome"]);
 
+    readonly startDecisionsTotal = this.createCounter(
+        "start_decisions_total",
+        "Decisions on routed requests for a chain: start, wait or refuse; one that waits is decided on twice.",
+        ["decision"],
+    );
+    readonly startWaitSeconds = this.createHistogram(
+        "start_wait_seconds",
+        "Time that routed requests waited for a chain before they were started.",
+        passBuckets,
+    );
+    readonly startWaitExcessSeconds = this.createHistogram(
+        "start_wait_excess_seconds",
+        "That time less what was expected; below 0 where the wait was shorter.",
+        excessBuckets,
+    );
     readonly relaysInProgress = this.createGauge("relays_in_progress", "Routed requests without their final answer.");
     readonly upstreamConnectionsTotal = this.createCounter(
         "upstream_connections_total",
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -71,7 +71,16 @@
         this.options = options;
         const { settings, clock, random, log, store, keys, metrics, protocol, nodeId } = options;
         this.nodeCount = HighestCount.create(unknownNodes, clock.getMonotonicTime());
-        const queue = RelayQueue.create({ clock, random, log });
+        const queue = RelayQueue.create({
+            clock,
+            random,
+            log,
+            onDecided: decision => metrics.startDecisionsTotal.inc({ decision }),
+            onWaited: (milliseconds, expectedMilliseconds) => {
+                metrics.startWaitSeconds.observe(milliseconds / secondMilliseconds);
+                metrics.startWaitExcessSeconds.observe((milliseconds - expectedMilliseconds) / secondMilliseconds);
+            },
+        });
         const loads = EndpointLoads.create(() => queue.wake());
         this.onEndpointsChanged = () => {
             queue.wake();
--- a/src/request/relay/relayQueue.ts
+++ b/src/request/relay/relayQueue.ts
@@ -12,6 +12,16 @@
     clock: Clock;
     random: RandomSource;
     log: EventLog;
+    /** Called with each decision on a request that has just come, and on one that has waited. */
+    onDecided?(decision: StartDecision<RelayPlace>["kind"]): void;
+    /** Called when a request that waited is started: how long it waited, and was expected to, in milliseconds. */
+    onWaited?(milliseconds: number, expectedMilliseconds: number): void;
+}
+
+/** A request in the queue. */
+interface QueuedWait {
+    since: number;
+    expectedMilliseconds: number;
 }
 
 /** After an answer's time or two, the load is what it was before. */
@@ -24,6 +34,7 @@
     private readonly options: RelayQueueOptions;
     private readonly line: StartLine<RelayPlace>;
     private timer: TimerHandle | undefined;
+    private readonly waits = new Map<QueuedRelay, QueuedWait>();
     private isWoken = false;
     private contendedAt = -Infinity;
 
@@ -40,12 +51,14 @@
     /** Has it decided whether a request starts, waits or is turned away; the first and the last are carried out at once. */
     ask(relay: QueuedRelay): void {
         const decision = this.line.decideArrival(relay, this.getTime());
+        this.options.onDecided?.(decision.kind);
         if (decision.kind !== "start") {
             this.contendedAt = this.getTime();
         }
         if (decision.kind === "wait") {
             const { requestId } = relay;
             const expectedMilliseconds = Math.round(decision.expectedMilliseconds);
+            this.waits.set(relay, { since: this.getTime(), expectedMilliseconds });
             const waiting = this.line.getLength();
             this.options.log.write(events.relayWaits, { request: requestId, expectedMilliseconds, waiting });
             this.scheduleReview();
@@ -57,6 +70,7 @@
     /** Takes a request out, whose caller has gone. */
     remove(relay: QueuedRelay): void {
         this.line.remove(relay);
+        this.waits.delete(relay);
     }
 
     /** Looks at those that wait, soon: room has come free, or endpoints have come or gone. */
@@ -98,11 +112,22 @@
         this.timer = undefined;
         this.isWoken = false;
         for (const { request, decision } of this.line.review(this.getTime())) {
-            this.carryOut(request as QueuedRelay, decision);
+            const relay = request as QueuedRelay;
+            this.options.onDecided?.(decision.kind);
+            this.noteWait(relay, decision.kind === "start");
+            this.carryOut(relay, decision);
         }
         this.scheduleReview();
     }
 
+    private noteWait(relay: QueuedRelay, isStarted: boolean): void {
+        const wait = this.waits.get(relay);
+        this.waits.delete(relay);
+        if (wait !== undefined && isStarted) {
+            this.options.onWaited?.(this.getTime() - wait.since, wait.expectedMilliseconds);
+        }
+    }
+
     private scheduleReview(): void {
         const now = this.getTime();
         const at = this.line.getNextReview(now);
--- a/tests/request/relay/relayQueue.test.ts
+++ b/tests/request/relay/relayQueue.test.ts
@@ -7,8 +7,14 @@
 
 function createBench() {
     const clock = FakeClock.create();
-    const queue = RelayQueue.create({ clock, random: () => 0.5, log: RecordingEventLog.create() });
     const log: string[] = [];
+    const waits: number[][] = [];
+    const queue = RelayQueue.create({
+        clock,
+        random: () => 0.5,
+        log: RecordingEventLog.create(),
+        onWaited: (...wait) => waits.push(wait),
+    });
     const room = { places: 0 };
     const ask = (name: string, rank = 1): QueuedRelay => {
         const now = clock.getMonotonicTime();
@@ -34,7 +40,7 @@
         queue.ask(relay);
         return relay;
     };
-    return { clock, queue, log, room, ask };
+    return { clock, queue, log, waits, room, ask };
 }
 
 describe("RelayQueue", () => {
@@ -49,12 +55,13 @@
     });
 
     it("finds room that came free without a sign", async () => {
-        const { clock, log, room, ask } = createBench();
+        const { clock, log, waits, room, ask } = createBench();
         ask("first");
         await clock.advance(10);
         room.places = 1;
         await clock.advance(60);
         assert.deepEqual(log, ["start first"]);
+        assert.deepEqual(waits, [[50, 0]]);
     });
 
     it("turns away at the end of the time, and not what was taken out", async () => {
