--- a/bench/experiment/simulatedEngine.ts
+++ b/bench/experiment/simulatedEngine.ts
@@ -7,12 +7,6 @@
 import { experimentModel as model } from "./experimentModel.ts";
 import type { SimulatedRun } from "./simulatedRun.ts";
 
-/**
- * Part of a pass that a token waits for at each stage, beside its own work. Set so that a calm deployment holds as many
- * requests at once as were measured on played days.
- */
-const passFactor = 1;
-
 /** One endpoint of an experiment: its memory, its requests and how fast it is. */
 export class SimulatedEngine {
     readonly endpoint: RegisteredEndpoint;
@@ -55,7 +49,7 @@
     getEventMilliseconds(): number {
         const context = model.stepMillisecondsOfThousandTokens * getMeanContext(model) / 1_000;
         const step = model.stepMilliseconds + this.runs.size * (model.stepMillisecondsOfRequest + context);
-        return model.stepsOfPass * step * this.kind.stepFactor * this.slowness * this.getPart() * passFactor;
+        return model.stepsOfPass * step * this.kind.stepFactor * this.slowness * this.getPart();
     }
 
     /**
