--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -61,7 +61,8 @@
     private readonly router: RequestRouter;
     private readonly poll: EndpointPoll;
     private readonly stalls: StallWatch;
-    private readonly onEndpointsChanged: () => void;
+    private readonly queue: RelayQueue;
+    private readonly loads: EndpointLoads;
     private readonly health = EndpointHealth.create();
     private peerServer: PeerServer | undefined;
     private isDraining = false;
@@ -71,7 +72,7 @@
         this.options = options;
         const { settings, clock, random, log, store, keys, metrics, protocol, nodeId } = options;
         this.nodeCount = HighestCount.create(unknownNodes, clock.getMonotonicTime());
-        const queue = RelayQueue.create({
+        this.queue = RelayQueue.create({
             clock,
             random,
             log,
@@ -81,11 +82,8 @@
                 metrics.startWaitExcessSeconds.observe((milliseconds - expectedMilliseconds) / secondMilliseconds);
             },
         });
-        const loads = EndpointLoads.create(() => queue.wake());
-        this.onEndpointsChanged = () => {
-            queue.wake();
-            loads.retain(new Set(this.registry.getAll().map(({ id }) => id)));
-        };
+        this.loads = EndpointLoads.create(() => this.queue.wake());
+        const { queue, loads } = this;
         const readings = EndpointReadings.create();
         this.nodes = NodeTable.create(nodeId);
         this.pools = UpstreamPools.create(() => metrics.upstreamConnectionsTotal.inc());
@@ -282,9 +280,11 @@
 
     private retainEndpoints(): void {
         const endpoints = this.registry.getAll();
-        this.health.retain(new Set(endpoints.map(({ id }) => id)));
+        const ids = new Set(endpoints.map(({ id }) => id));
+        this.health.retain(ids);
+        this.loads.retain(ids);
         this.pools.retain(new Set(endpoints.map(({ address }) => address)));
-        this.onEndpointsChanged();
+        this.queue.wake();
     }
 
     private getNodeCount(): number {
