--- a/src/process/placement/planColumns.ts
+++ b/src/process/placement/planColumns.ts
@@ -20,6 +20,14 @@
     counts: ReadonlyMap<string, number>;
 }
 
+/** What all shares that one plan looks at have in common. */
+interface Fleet {
+    /** Number of data centres that have endpoints. */
+    dataCentres: number;
+    /** Part of the requests that could stay in one data centre each, by the names of the kinds in use; filled as it is asked for. */
+    localParts: Map<string, number>;
+}
+
 /**
  * Requests differ in size about as much as they are large on average, so that the memory needed by n of them varies by
  * the square root of n requests; so many times that is kept free.
@@ -51,10 +59,12 @@
 export function planColumns(model: EngineModel, kinds: readonly KindCount[]): LayerColumn[] {
     const available = kinds.filter(({ counts }) => sum(counts.values()) > 0);
     available.sort((left, right) => left.kind.stepFactor - right.kind.stepFactor);
+    // Tens of thousands of shares are looked at, so what they have in common is found once.
+    const fleet: Fleet = { dataCentres: countDataCentres(available), localParts: new Map() };
     let best: KindShare[] = [];
     let bestRate = 0;
     for (const shares of enumerateShares(model, available, 0, model.layers)) {
-        const rate = getSustainedRate(model, shares) * Math.exp(-lossWeight * getWorstLoss(shares));
+        const rate = getSustainedRate(model, fleet, shares) * Math.exp(-lossWeight * getWorstLoss(shares));
         if (rate > bestRate) {
             bestRate = rate;
             best = shares;
@@ -121,7 +131,7 @@
 }
 
 /** Gets the most requests a second that the shares sustain. */
-function getSustainedRate(model: EngineModel, shares: readonly KindShare[]): number {
+function getSustainedRate(model: EngineModel, fleet: Fleet, shares: readonly KindShare[]): number {
     const usualTokens = getMeanContext(model);
     let inProgress = Infinity;
     let rateByTime = Infinity;
@@ -142,7 +152,7 @@
     if (inProgress === Infinity) {
         return 0;
     }
-    const crossings = getCrossings(shares);
+    const crossings = getCrossings(fleet, shares);
     const transfer = getTransferTime(model, model.usualPromptTokens + model.usualAnswerTokens);
     const rateByPipes = crossings === 0 ? Infinity : busyPart / (crossings * transfer);
     const crossing = transfer / busyPart + model.usualAnswerTokens * model.crossingMilliseconds;
@@ -154,10 +164,10 @@
  * Estimates how often a chain crosses between data centres. Between columns of one kind it must where a column has
  * fewer replicas than there are data centres; between two kinds as far as no data centre has enough of both.
  */
-function getCrossings(shares: readonly KindShare[]): number {
+function getCrossings(fleet: Fleet, shares: readonly KindShare[]): number {
     const used = shares.filter(({ columns }) => columns > 0);
-    const dataCentres = countDataCentres(shares);
-    const away = 1 - Math.min(1, sparePart * getLocalPart(used));
+    const { dataCentres } = fleet;
+    const away = 1 - Math.min(1, sparePart * getLocalPart(fleet, used));
     let crossings = (used.length - 1) * away;
     for (const { count, columns } of used) {
         crossings += (columns - 1) * Math.max(0, 1 - Math.floor(count / columns) / dataCentres);
@@ -166,16 +176,22 @@
 }
 
 /** Gets the part of all requests that could stay in one data centre each if every endpoint were in full use. */
-function getLocalPart(used: readonly KindShare[]): number {
+function getLocalPart({ localParts }: Fleet, used: readonly KindShare[]): number {
+    const names = used.map(({ kind }) => kind.name).join();
+    const known = localParts.get(names);
+    if (known !== undefined) {
+        return known;
+    }
     let part = 0;
     for (const dataCentre of new Set(used.flatMap(({ counts }) => [...counts.keys()]))) {
         part += Math.min(...used.map(({ count, counts }) => (counts.get(dataCentre) ?? 0) / count));
     }
+    localParts.set(names, part);
     return part;
 }
 
-function countDataCentres(shares: readonly KindShare[]): number {
-    return new Set(shares.flatMap(({ counts }) => [...counts.keys()])).size;
+function countDataCentres(kinds: readonly KindCount[]): number {
+    return new Set(kinds.flatMap(({ counts }) => [...counts.keys()])).size;
 }
 
 /** Gets how long a usual request takes with so many in progress, in milliseconds. */
