--- a/src/process/replica/recordFollower.ts
+++ b/src/process/replica/recordFollower.ts
@@ -12,6 +12,8 @@
     section: RecordSection;
     /** Prefix of the section's keys. */
     prefix: string;
+    /** Whether the store has answered a cheap call lately; after a failed call none is made before. */
+    isStoreAnswering(): boolean;
     clock: Clock;
     random: RandomSource;
     log: EventLog;
@@ -128,6 +130,10 @@
     private async run(): Promise<void> {
         while (!this.stopping.signal.aborted) {
             await this.waitUntilActive();
+            if (this.failures > 0 && !this.options.isStoreAnswering()) {
+                await this.sleep(this.getPause());
+                continue;
+            }
             const isAnswered = this.isReadDue ? await this.readAll() : await this.waitForChanges();
             if (!this.stopping.signal.aborted) {
                 await this.sleep(isAnswered ? this.gatherDelay : this.getPause());
--- a/src/process/router/isStoreWatcher.ts
+++ b/src/process/router/isStoreWatcher.ts
@@ -3,18 +3,16 @@
 import { listStoreWatchers } from "./listStoreWatchers.ts";
 
 /**
- * Decides whether a node follows the store itself; see {@link listStoreWatchers}.
- * @param nodeId - The node.
- * @param isWithoutStore - Whether the store refuses the node itself. It tries on, since it may be the only one left, and learns
- * that way when it is served again.
+ * Decides whether a node calls the store itself; see {@link listStoreWatchers}.
+ * @param own - The node.
  * @param others - The other nodes that live.
  * @param owners - Assigns duties to nodes without agreement.
  */
 export function isStoreWatcher(
-    nodeId: string,
-    isWithoutStore: boolean,
+    own: Pick<KnownNode, "nodeId" | "isWithoutStore">,
     others: readonly KnownNode[],
     owners: RendezvousOwners,
 ): boolean {
-    return isWithoutStore || listStoreWatchers([...others, { nodeId, isWithoutStore }], owners).includes(nodeId);
+    const { following, refused } = listStoreWatchers([...others, own], owners);
+    return following.includes(own.nodeId) || refused.includes(own.nodeId);
 }
--- a/src/process/router/listNewsSources.ts
+++ b/src/process/router/listNewsSources.ts
@@ -27,6 +27,6 @@
     const near = others.filter(({ dataCentre }) => dataCentre === own.dataCentre).map(({ nodeId }) => nodeId);
     const relays = listRelays(own.dataCentre, [...near, own.nodeId], owners);
     const isRelay = relays.includes(own.nodeId);
-    const sources = new Set(isRelay ? listStoreWatchers([...others, own], owners) : relays);
+    const sources = new Set(isRelay ? listStoreWatchers([...others, own], owners).following : relays);
     return { isRelay, addresses: others.filter(({ nodeId }) => sources.has(nodeId)).map(({ address }) => address) };
 }
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -129,15 +129,8 @@
             nodes: this.nodes,
             owners: options.owners,
             followers: [
-                RecordFollower.create({
-                    store,
-                    section: configuration,
-                    prefix: keys.configuration,
-                    clock,
-                    random,
-                    log,
-                }),
-                RecordFollower.create({ store, section: endpoints, prefix: keys.endpointPrefix, clock, random, log }),
+                this.createFollower(configuration, keys.configuration),
+                this.createFollower(endpoints, keys.endpointPrefix),
             ],
             lease: this.lease,
             isDraining: () => this.isDraining,
@@ -284,6 +277,12 @@
         await this.peerServer?.close(0);
     }
 
+    private createFollower(section: RecordSection, prefix: string): RecordFollower {
+        const { store, clock, random, log } = this.options;
+        const isStoreAnswering = () => this.following.isProbeAnswered();
+        return RecordFollower.create({ store, section, prefix, isStoreAnswering, clock, random, log });
+    }
+
     /** What comes from a peer is passed on once all of it is taken in. */
     private tellNews(source: ChangeSource): void {
         if (source === "store") {
--- a/src/process/router/storeFollowing.ts
+++ b/src/process/router/storeFollowing.ts
@@ -102,6 +102,11 @@
         }
     }
 
+    /** Whether the cheap call of the probe was answered last, so that others are worth their price. */
+    isProbeAnswered(): boolean {
+        return this.probe.isInContact();
+    }
+
     /** Whether the store refuses this node or does not answer it. */
     isWithoutStore(): boolean {
         return !this.probe.isInContact() || !this.options.followers.every(follower => follower.isInContact());
@@ -149,8 +154,9 @@
         for (const follower of followers) {
             follower.setActive(isActive);
         }
-        // With few nodes nobody depends on what this one hears.
-        this.probe.setActive(isActive && others.length >= mostIndependentNodes);
+        // With few nodes nobody depends on what this one hears, but while the store fails all wait for the probe.
+        const isFailing = followers.some(follower => !follower.isInContact());
+        this.probe.setActive(isActive && (isFailing || others.length >= mostIndependentNodes));
         const hasPeers = others.length > 0 || now - this.startedAt > lonelyMilliseconds;
         this.reviewLease(isWatcher, hasPeers);
         this.timer = clock.setTimer(reviewMilliseconds, () => this.review());
@@ -161,7 +167,7 @@
         if (others.length < mostIndependentNodes) {
             return isSeed || now - this.startedAt > acquaintanceMilliseconds;
         }
-        return isStoreWatcher(nodeId, this.isWithoutStore(), others, owners);
+        return isStoreWatcher({ nodeId, isWithoutStore: this.isWithoutStore() }, others, owners);
     }
 
     /** Whether nobody has told this node of the store's records since it started. */
@@ -182,7 +188,8 @@
 
     private reviewLease(isWatcher: boolean, hasPeers: boolean): void {
         const { lease, isDraining, hasPlacementWork } = this.options;
-        if (!isWatcher) {
+        if (!isWatcher || this.isWithoutStore()) {
+            // Without the store nobody can take the lease; its holder alone goes on trying to renew it.
             // At its start a node that knows of few others counts as one that follows the store. Were all to seek the lease
             // from then on, 77 nodes would make 23 writes a second to no purpose.
             lease.pause();
--- /dev/null
+++ b/tests/process/replica/recordFollower.test.ts
@@ -0,0 +1,87 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { PlatformErrorKind } from "../../../src/process/platform/platformError.ts";
+import { RecordFollower } from "../../../src/process/replica/recordFollower.ts";
+import { RecordSection } from "../../../src/process/replica/recordSection.ts";
+import type { RecordStore } from "../../../src/process/replica/recordStore.ts";
+import { Err, Ok } from "../../../src/result.ts";
+import { FakeClock } from "../../support/fakeClock.ts";
+import { RecordingEventLog } from "../../support/recordingEventLog.ts";
+
+/** A store whose answers a test sets, and that counts its calls. */
+class CountedStore implements RecordStore {
+    isDown = false;
+    reads = 0;
+    waits = 0;
+    /** What each wait brings; nothing while undefined. */
+    changesOfWait: number | undefined;
+    private revision = 1;
+
+    async readAll() {
+        this.reads += 1;
+        return this.isDown ? this.fail() : Ok({ records: [], revision: this.revision });
+    }
+
+    async waitForChanges() {
+        this.waits += 1;
+        if (this.isDown) {
+            return this.fail();
+        }
+        this.revision += 1;
+        const records = [{ key: "k", revision: this.revision, text: "t" }];
+        return Ok({ records, revision: this.revision, isHistoryLost: false });
+    }
+
+    private fail() {
+        return Err({ kind: PlatformErrorKind.NotDone, message: "The store refused the call. Try again later." });
+    }
+}
+
+describe("RecordFollower", () => {
+    function start(isStoreAnswering: () => boolean) {
+        const clock = FakeClock.create();
+        const store = new CountedStore();
+        const section = RecordSection.create({ name: "s", onChange: () => undefined });
+        const follower = RecordFollower.create({
+            store,
+            section,
+            prefix: "s/",
+            isStoreAnswering,
+            clock,
+            random: () => 0.5,
+            log: RecordingEventLog.create(),
+        });
+        follower.start();
+        return { clock, store, follower };
+    }
+
+    async function pass(clock: FakeClock, milliseconds: number): Promise<void> {
+        for (let passed = 0; passed < milliseconds; passed += 10) {
+            await clock.advance(10);
+        }
+    }
+
+    it("makes no call to a store that failed one before the probe is answered, and goes on then", async () => {
+        let isAnswering = true;
+        const { clock, store, follower } = start(() => isAnswering);
+        await pass(clock, 2_000);
+        store.isDown = true;
+        await pass(clock, 1_000);
+        isAnswering = false;
+        await pass(clock, 1_000);
+        const before = store.waits + store.reads;
+        await pass(clock, 10_000);
+        assert.equal(store.waits + store.reads, before);
+        assert.equal(follower.isInContact(), false);
+        store.isDown = false;
+        isAnswering = true;
+        await pass(clock, 2_000);
+        assert.equal(follower.isInContact(), true);
+    });
+
+    it("waits longer between calls where each brings changes", async () => {
+        const { clock, store } = start(() => true);
+        await pass(clock, 12_000);
+        assert.ok(store.waits >= 12_000 / 600 && store.waits <= 28, `${store.waits} calls`);
+    });
+});
--- a/tests/process/router/isStoreWatcher.test.ts
+++ b/tests/process/router/isStoreWatcher.test.ts
@@ -23,9 +23,7 @@
 
     function listWatchers(nodes: KnownNode[]): string[] {
         return nodes
-            .filter(node =>
-                isStoreWatcher(node.nodeId, node.isWithoutStore, nodes.filter(other => other !== node), owners)
-            )
+            .filter(node => isStoreWatcher(node, nodes.filter(other => other !== node), owners))
             .map(node => node.nodeId);
     }
 
@@ -40,5 +38,11 @@
         const changed = nodes.map(node => ({ ...node, isWithoutStore: refused.has(node.nodeId) }));
         const watchers = listWatchers(changed);
         assert.equal(watchers.filter(nodeId => !refused.has(nodeId)).length, 3);
+        assert.ok([...refused].every(nodeId => watchers.includes(nodeId)));
+    });
+
+    it("lets few nodes go on trying where the store refuses all", () => {
+        const nodes = createNodes(195).map(node => ({ ...node, isWithoutStore: true }));
+        assert.equal(listWatchers(nodes).length, 16);
     });
 });
--- /dev/null
+++ b/tests/process/router/listNewsSources.test.ts
@@ -0,0 +1,54 @@
+import assert from "node:assert/strict";
+import { before, describe, it } from "node:test";
+import { RendezvousOwners } from "../../../src/process/membership/rendezvousOwners.ts";
+import type { KnownNode } from "../../../src/process/router/knownNode.ts";
+import { listNewsSources } from "../../../src/process/router/listNewsSources.ts";
+
+describe("listNewsSources", () => {
+    let owners: RendezvousOwners;
+    const nodes: KnownNode[] = Array.from({ length: 195 }, (_, index) => ({
+        nodeId: `node-${index}`,
+        address: `10.0.0.${index}:1`,
+        dataCentre: `dc-${index % 5}`,
+        isWithoutStore: false,
+        heardAt: 0,
+    }));
+
+    before(async () => {
+        owners = await RendezvousOwners.create();
+    });
+
+    function list(own: KnownNode) {
+        return listNewsSources(own, nodes.filter(node => node !== own), owners);
+    }
+
+    it("brings news to every node in two steps", () => {
+        const relays = new Set(nodes.filter(node => list(node).isRelay).map(({ address }) => address));
+        const watchers = new Set(nodes.filter(node => list(node).isRelay).flatMap(node => list(node).addresses));
+        assert.equal(watchers.size, 4);
+        for (const node of nodes.filter(({ address }) => !relays.has(address))) {
+            const { addresses } = list(node);
+            assert.ok(addresses.length >= 2 && addresses.every(address => relays.has(address)));
+        }
+    });
+
+    it("asks no node too often: each relay serves a bounded part of its data centre", () => {
+        const askers = new Map<string, number>();
+        for (const node of nodes) {
+            const { isRelay, addresses } = list(node);
+            for (const address of isRelay ? [] : addresses) {
+                askers.set(address, (askers.get(address) ?? 0) + 1 / addresses.length);
+            }
+        }
+        assert.ok(Math.max(...askers.values()) <= 12);
+    });
+
+    it("crosses between data centres for relays only", () => {
+        for (const node of nodes) {
+            const { isRelay, addresses } = list(node);
+            const isNear = (address: string) =>
+                nodes.find(other => other.address === address)!.dataCentre === node.dataCentre;
+            assert.ok(isRelay || addresses.every(isNear));
+        }
+    });
+});
