--- a/src/process/commandLine/configuration/createApplyCommand.ts
+++ b/src/process/commandLine/configuration/createApplyCommand.ts
@@ -3,9 +3,7 @@
 import type { CommandContext } from "../commandContext.ts";
 import { UsageError } from "../usageError.ts";
 import type { ApplyArguments } from "./applyArguments.ts";
-import { applyConfigurationFile } from "./applyConfigurationFile.ts";
 import { storeOption } from "./storeOption.ts";
-import { withStore } from "./withStore.ts";
 
 const defaultTimeoutSeconds = 30;
 
@@ -56,7 +54,11 @@
                     "Apply only over version 7, and wait for all nodes that 127.0.0.1:9400 knows.",
                 ),
         handler: options =>
-            context.run(() => withStore(options.store, store => applyConfigurationFile(options, store, context))),
+            context.run(async () => {
+                const { withStore } = await import("./withStore.ts");
+                const { applyConfigurationFile } = await import("./applyConfigurationFile.ts");
+                return withStore(options.store, store => applyConfigurationFile(options, store, context));
+            }),
     };
 }
 
--- a/src/process/commandLine/configuration/createConfigurationCommand.ts
+++ b/src/process/commandLine/configuration/createConfigurationCommand.ts
@@ -1,14 +1,12 @@
 import type { Argv, CommandModule } from "yargs";
 import type { CommandContext } from "../commandContext.ts";
-import { checkConfiguration } from "./checkConfiguration.ts";
 import { createApplyCommand } from "./createApplyCommand.ts";
-import { diffConfiguration } from "./diffConfiguration.ts";
-import { showConfiguration } from "./showConfiguration.ts";
-import { showHistory } from "./showHistory.ts";
 import { storeOption } from "./storeOption.ts";
-import { withStore } from "./withStore.ts";
 
-/** Creates the verbs about the operators' configuration. */
+/**
+ * Creates the verbs about the operators' configuration. What each needs is imported when it runs, since every start of the program
+ * would pay for it otherwise.
+ */
 export function createConfigurationCommand(context: CommandContext): CommandModule {
     return {
         command: "config",
@@ -31,7 +29,11 @@
         describe: "Check a text.",
         builder: parser =>
             addFile(parser).example("$0 config check services.jsonc", "List every fault with its line and column."),
-        handler: ({ file }) => context.run(() => checkConfiguration(file, context)),
+        handler: ({ file }) =>
+            context.run(async () => {
+                const { checkConfiguration } = await import("./checkConfiguration.ts");
+                return checkConfiguration(file, context);
+            }),
     };
 }
 
@@ -44,7 +46,11 @@
                 .option("store", storeOption)
                 .example("$0 config diff services.jsonc --store 127.0.0.1:2379", "Compare with what is in force."),
         handler: ({ file, store: address }) =>
-            context.run(() => withStore(address, store => diffConfiguration(file, store, context))),
+            context.run(async () => {
+                const { withStore } = await import("./withStore.ts");
+                const { diffConfiguration } = await import("./diffConfiguration.ts");
+                return withStore(address, store => diffConfiguration(file, store, context));
+            }),
     };
 }
 
@@ -62,7 +68,11 @@
                 })
                 .example("$0 config show --store 127.0.0.1:2379 > services.jsonc", "Fetch the text to change it."),
         handler: ({ store: address, version }) =>
-            context.run(() => withStore(address, store => showConfiguration(version, store, context))),
+            context.run(async () => {
+                const { withStore } = await import("./withStore.ts");
+                const { showConfiguration } = await import("./showConfiguration.ts");
+                return withStore(address, store => showConfiguration(version, store, context));
+            }),
     };
 }
 
@@ -74,7 +84,12 @@
             parser
                 .option("store", storeOption)
                 .example("$0 config history --store 127.0.0.1:2379", "List the versions."),
-        handler: ({ store: address }) => context.run(() => withStore(address, store => showHistory(store, context))),
+        handler: ({ store: address }) =>
+            context.run(async () => {
+                const { withStore } = await import("./withStore.ts");
+                const { showHistory } = await import("./showHistory.ts");
+                return withStore(address, store => showHistory(store, context));
+            }),
     };
 }
 
--- a/src/process/commandLine/createNodeCommand.ts
+++ b/src/process/commandLine/createNodeCommand.ts
@@ -1,7 +1,6 @@
 import type { CommandModule } from "yargs";
 import type { CommandContext } from "./commandContext.ts";
 import { ExitCode } from "./exitCode.ts";
-import { loadSettings } from "./loadSettings.ts";
 
 /** Creates the verb `node`. */
 export function createNodeCommand(context: CommandContext): CommandModule<object, { settings: string; }> {
@@ -19,11 +18,12 @@
                 .example("$0 node --settings node.settings.jsonc", "Run a node."),
         handler: ({ settings: file }) =>
             context.run(async () => {
+                // Imported here, because the other verbs need nothing of it.
+                const { loadSettings } = await import("./loadSettings.ts");
                 const settings = loadSettings(file, context);
                 if (settings === undefined) {
                     return ExitCode.BrokenFile;
                 }
-                // Imported here, because the operators' verbs need nothing of it.
                 const { runNode } = await import("../runNode.ts");
                 await runNode(settings);
                 return ExitCode.Success;
--- a/src/process/commandLine/createSettingsCommand.ts
+++ b/src/process/commandLine/createSettingsCommand.ts
@@ -1,7 +1,6 @@
 import type { CommandModule } from "yargs";
 import type { CommandContext } from "./commandContext.ts";
 import { ExitCode } from "./exitCode.ts";
-import { loadSettings } from "./loadSettings.ts";
 
 /** Creates the verbs about settings. */
 export function createSettingsCommand(context: CommandContext): CommandModule {
@@ -14,6 +13,7 @@
                 .example("$0 settings check node.settings.jsonc", "List every fault with its line and column."),
         handler: ({ file }) =>
             context.run(async () => {
+                const { loadSettings } = await import("./loadSettings.ts");
                 const settings = loadSettings(file, context);
                 if (settings === undefined) {
                     return ExitCode.BrokenFile;
--- a/src/process/commandLine/createStatusCommand.ts
+++ b/src/process/commandLine/createStatusCommand.ts
@@ -3,7 +3,6 @@
 import { adminOption } from "./adminOption.ts";
 import type { CommandContext } from "./commandContext.ts";
 import { ExitCode } from "./exitCode.ts";
-import { fetchNodeStatus } from "./fetchNodeStatus.ts";
 import { formatStatus } from "./formatStatus.ts";
 
 /** Creates the verb `status`. */
@@ -24,6 +23,7 @@
 }
 
 async function showStatus(addresses: string[], isJson: boolean, context: CommandContext): Promise<ExitCode> {
+    const { fetchNodeStatus } = await import("./fetchNodeStatus.ts");
     const answers = await Promise.all(addresses.map(fetchNodeStatus));
     const statuses: NodeStatus[] = [];
     for (const answer of answers) {
