--- a/bench/experiment/experiment.ts
+++ b/bench/experiment/experiment.ts
@@ -176,6 +176,7 @@
                     heardAt: 0,
                 })),
                 sources: [],
+                round: 1,
                 isBusy: node.isBusy(),
                 random: this.random,
             });
--- a/src/process/metrics/metrics.ts
+++ b/src/process/metrics/metrics.ts
@@ -1,5 +1,7 @@
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from "prom-client";
 
+/** The event loop's delay is sampled so often; at 10 ms, the default, 100 wake-ups a second took half of an idle node's processor. */
+const loopMonitoringMilliseconds = 250;
 const requestBuckets = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 120, 300];
 const excessBuckets = [-0.3, -0.2, -0.1, -0.05, 0, 0.05, 0.1, 0.2, 0.3, 0.5];
 const passBuckets = [0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
@@ -121,7 +123,10 @@
     );
 
     private constructor() {
-        collectDefaultMetrics({ register: this.registry });
+        collectDefaultMetrics({
+            register: this.registry,
+            eventLoopMonitoringPrecision: loopMonitoringMilliseconds,
+        });
     }
 
     /** Creates the metrics of a node, with those of the process beside them. */
--- /dev/null
+++ b/src/process/placement/chooseLoads.ts
@@ -0,0 +1,56 @@
+import type { HeldLayers } from "../../request/relay/heldLayers.ts";
+import type { LayerAssignment } from "./layerAssignment.ts";
+import type { LayerColumn } from "./layerColumn.ts";
+import type { PlacementEndpoint } from "./placementEndpoint.ts";
+
+/** What the choice of loads depends on. */
+interface LoadQuery {
+    columns: readonly LayerColumn[];
+    /** Endpoints that stay, with what they hold or were ordered to hold. */
+    endpoints: readonly PlacementEndpoint[];
+    /** What should be ordered. */
+    assignments: readonly LayerAssignment[];
+    /** Loads at the same time above which each takes longer. */
+    loadsAtOnce: number;
+}
+
+/**
+ * Chooses which assignments are ordered now.
+ *
+ * The load that it answers is the loss of a fifth of the endpoints under full traffic. All loads together end when the last does:
+ * seven of 25 layers each, of which three share the way at full speed, took 10 s, in which no data centre had a whole chain. One
+ * after the other they take as long in sum, and the data centre that lacks least serves after the first 4 s. Where nothing serves
+ * yet, as at the start, nobody gains by an order, and all are given at once.
+ * @returns The assignments to order, those first after which a data centre has all columns.
+ */
+export function chooseLoads({ columns, endpoints, assignments, loadsAtOnce }: LoadQuery): readonly LayerAssignment[] {
+    const isServing = columns.every(({ layers }) =>
+        endpoints.some(endpoint => !endpoint.isBusy && isSameRange(endpoint.layers, layers))
+    );
+    if (!isServing) {
+        return assignments;
+    }
+    const dataCentres = new Map(endpoints.map(({ id, dataCentre }) => [id, dataCentre]));
+    const ranked = assignments.map(assignment => {
+        const dataCentre = dataCentres.get(assignment.endpointId);
+        const isWhole = columns.some(({ layers }) => isSameRange(assignment.layers, layers));
+        return { assignment, lacking: countLacking(columns, endpoints, dataCentre), isWhole };
+    });
+    ranked.sort((left, right) => left.lacking - right.lacking || Number(right.isWhole) - Number(left.isWhole));
+    const loading = endpoints.filter(({ isBusy }) => isBusy).length;
+    return ranked.slice(0, Math.max(0, loadsAtOnce - loading)).map(({ assignment }) => assignment);
+}
+
+/** Counts the columns that a data centre lacks; those that it is loading count as held. */
+function countLacking(
+    columns: readonly LayerColumn[],
+    endpoints: readonly PlacementEndpoint[],
+    dataCentre: string | undefined,
+): number {
+    const near = endpoints.filter(endpoint => endpoint.dataCentre === dataCentre);
+    return columns.filter(({ layers }) => !near.some(endpoint => isSameRange(endpoint.layers, layers))).length;
+}
+
+function isSameRange(left: HeldLayers | undefined, right: HeldLayers): boolean {
+    return left?.start === right.start && left.end === right.end;
+}
--- a/src/process/placement/placementDuty.ts
+++ b/src/process/placement/placementDuty.ts
@@ -13,6 +13,7 @@
 import { events } from "../logging/events.ts";
 import type { PlatformStore } from "../platform/platformStore.ts";
 import { assignLayers } from "./assignLayers.ts";
+import { chooseLoads } from "./chooseLoads.ts";
 import { EndpointSettling } from "./endpointSettling.ts";
 import type { KindCount } from "./kindCount.ts";
 import type { LayerAssignment } from "./layerAssignment.ts";
@@ -165,12 +166,14 @@
             return true;
         }
         this.closeOrders(endpoints);
-        const assignments = this.decide(service, model, columns, this.describe(endpoints, now), isSettled);
+        const described = this.describe(endpoints, now);
+        const assignments = this.decide(service, model, columns, described, isSettled);
         const isWorkDue = assignments.length > 0 || this.openOrders.size > 0;
         if (!mayOrder) {
             return isWorkDue;
         }
-        for (const assignment of assignments) {
+        const { loadsAtOnce } = model;
+        for (const assignment of chooseLoads({ columns, endpoints: described, assignments, loadsAtOnce })) {
             const endpoint = endpoints.find(({ id }) => id === assignment.endpointId);
             if (endpoint !== undefined) {
                 void this.order(model, endpoint, assignment);
--- a/src/process/router/choosePartners.ts
+++ b/src/process/router/choosePartners.ts
@@ -9,6 +9,8 @@
     nodes: readonly KnownNode[];
     /** Addresses of the nodes from which this one hears news; empty in a deployment of few nodes. */
     sources: readonly string[];
+    /** Number of the round. */
+    round: number;
     /** Whether this node's requests contend with those of others for room. */
     isBusy: boolean;
     random: RandomSource;
@@ -21,6 +23,12 @@
  * nodes of different data centres spoke each two seconds only, and nodes took places at full endpoints from what they had heard.
  */
 const mostAcquainted = 13;
+/**
+ * Of more nodes each asks one in a round, and in one round of so many it is one by chance, from whom it learns of other nodes. An
+ * exchange takes 2.5 ms of processor at either side in a process that has just started; two a round each 0.3 s took half of what
+ * a node used among 22.
+ */
+const roundsOfChance = 3;
 /**
  * Of more nodes each can't hear from all within a round. Those of its data centre use the same endpoints, so under load it speaks
  * to so many of these besides. Six of all took 0.10 of a processor a node among 63, where calm took 0.06, and told of few.
@@ -37,11 +45,11 @@
     if (query.nodes.length < mostAcquainted) {
         return query.isBusy ? chooseNeighbours(query) : chooseSome(query, calmPartners);
     }
-    const { sources, nodes, dataCentre, isBusy, random } = query;
-    const partners = new Set<string>();
-    addOne(partners, sources, random);
-    for (const partner of chooseSome(query, calmPartners - partners.size)) {
-        partners.add(partner);
+    const { sources, nodes, dataCentre, isBusy, random, round } = query;
+    const isChance = sources.length === 0 || round % roundsOfChance === 0;
+    const partners = isChance ? chooseSome(query, 1) : new Set<string>();
+    if (!isChance) {
+        addOne(partners, sources, random);
     }
     const near = listAddresses(nodes.filter(node => node.dataCentre === dataCentre));
     for (let count = 0; isBusy && count < busyNeighbours; count++) {
@@ -62,12 +70,13 @@
     return partners;
 }
 
-function chooseSome({ dataCentre, nodes, random }: PartnerQuery, most: number): Set<string> {
+/** Chooses nodes by chance; all but one of them, which may be anywhere, in the same data centre. */
+function chooseSome({ dataCentre, nodes, random }: PartnerQuery, count: number): Set<string> {
     const all = listAddresses(nodes);
     const near = listAddresses(nodes.filter(node => node.dataCentre === dataCentre));
     const partners = new Set<string>();
-    for (let count = calmPartners - most; count < calmPartners; count++) {
-        const isAway = near.length === 0 || count > 0 && random() < awayPart;
+    for (let index = calmPartners - count; index < calmPartners; index++) {
+        const isAway = near.length === 0 || index > 0 && random() < awayPart;
         addOne(partners, isAway ? all : near, random);
     }
     return partners;
--- a/src/process/router/peerExchange.ts
+++ b/src/process/router/peerExchange.ts
@@ -55,11 +55,12 @@
     log: EventLog;
 }
 
-const shortestRoundMilliseconds = 300;
-/** News takes a few rounds; above this the slowest of the usual nodes would follow the store by themselves. */
-const longestRoundMilliseconds = 500;
-/** Rounds are this much longer for each node beyond those that all speak to each other, so that a node's work is bounded. */
-const roundMillisecondsOfNode = 1;
+const roundMilliseconds = 300;
+/**
+ * Of many nodes each hears news in two steps of at most two of these rounds, within the time after which it would follow the store
+ * by itself.
+ */
+const longRoundMilliseconds = 450;
 const mostAcquainted = 13;
 /** News is passed on at once, but not by more rounds than this allows. */
 const newsMilliseconds = 100;
@@ -147,8 +148,7 @@
     }
 
     private getRoundTime(): number {
-        const strangers = Math.max(0, this.listLive().length - mostAcquainted);
-        return Math.min(longestRoundMilliseconds, shortestRoundMilliseconds + strangers * roundMillisecondsOfNode);
+        return this.listLive().length < mostAcquainted ? roundMilliseconds : longRoundMilliseconds;
     }
 
     private listLive(): KnownNode[] {
@@ -166,7 +166,15 @@
         const known = this.listLive();
         const nodes = known.filter(node => !this.peers.isUnreachable(node.address));
         const sources = this.listSources().addresses.filter(source => !this.peers.isUnreachable(source));
-        const partners = choosePartners({ nodeId, dataCentre, nodes, sources, isBusy: isBusy(), random });
+        const partners = choosePartners({
+            nodeId,
+            dataCentre,
+            nodes,
+            sources,
+            round: this.round,
+            isBusy: isBusy(),
+            random,
+        });
         this.addUnreachable(partners, known);
         const isSeedTurn = known.length === 0 || this.round % roundsOfSeed === 0;
         for (const seed of isSeedTurn ? seeds : []) {
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -13,6 +13,7 @@
 import type { RoutedRequest } from "../../request/relay/routedRequest.ts";
 import { StallWatch } from "../../request/relay/stallWatch.ts";
 import type { RoutedService } from "../../version/routing/routedService.ts";
+import type { TimerHandle } from "../clock.ts";
 import { FencedLease } from "../leases/fencedLease.ts";
 import { events } from "../logging/events.ts";
 import { PlacementDuty } from "../placement/placementDuty.ts";
@@ -67,6 +68,7 @@
     private readonly health = EndpointHealth.create();
     private peerServer: PeerServer | undefined;
     private isDraining = false;
+    private retaining: TimerHandle | undefined;
     private readonly nodeCount: HighestCount;
 
     private constructor(options: RouterNodeOptions) {
@@ -96,7 +98,7 @@
             decode: options.decodeEndpoint,
             drainMilliseconds: settings.drainMilliseconds,
             getLastStoreFailure: () => this.following.getLastFailure(),
-            onChange: () => this.retainEndpoints(),
+            onChange: () => this.scheduleRetaining(),
             onRestart: earlier => this.stalls.loseEndpoint(earlier),
         });
         const configuration = RecordSection.create({
@@ -295,7 +297,13 @@
         return [...services].filter(({ engine }) => engine !== undefined);
     }
 
+    /** A listing brings a change for each endpoint; what is kept of endpoints is looked through once after all of them. */
+    private scheduleRetaining(): void {
+        this.retaining ??= this.options.clock.setTimer(0, () => this.retainEndpoints());
+    }
+
     private retainEndpoints(): void {
+        this.retaining = undefined;
         const endpoints = this.registry.getAll();
         const ids = new Set(endpoints.map(({ id }) => id));
         this.health.retain(ids);
--- /dev/null
+++ b/tests/process/placement/chooseLoads.test.ts
@@ -0,0 +1,65 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { chooseLoads } from "../../../src/process/placement/chooseLoads.ts";
+import type { PlacementEndpoint } from "../../../src/process/placement/placementEndpoint.ts";
+
+const first = { start: 0, end: 40 };
+const second = { start: 40, end: 80 };
+const columns = [first, second].map(layers => ({ layers, kind: "fast" }));
+const loadsAtOnce = 2;
+
+function createEndpoint(id: string, layers?: typeof first, isBusy = false): PlacementEndpoint {
+    return { id, dataCentre: id[0]!, kind: "fast", layers, isBusy };
+}
+
+function assign(...wanted: [string, typeof first][]) {
+    return wanted.map(([endpointId, layers]) => ({ endpointId, layers }));
+}
+
+function listIds(endpoints: PlacementEndpoint[], assignments: ReturnType<typeof assign>): string[] {
+    return chooseLoads({ columns, endpoints, assignments, loadsAtOnce }).map(({ endpointId }) => endpointId);
+}
+
+describe("chooseLoads", () => {
+    it("orders everything at once while nothing serves", () => {
+        const endpoints = [createEndpoint("a1"), createEndpoint("a2"), createEndpoint("b1"), createEndpoint("b2")];
+        const assignments = assign(["a1", first], ["a2", second], ["b1", first], ["b2", second]);
+        assert.deepEqual(listIds(endpoints, assignments), ["a1", "a2", "b1", "b2"]);
+    });
+
+    it("completes the data centre that lacks least first, with no more loads than run at full speed", () => {
+        const endpoints = [
+            createEndpoint("a1"),
+            createEndpoint("a2"),
+            createEndpoint("b1", first),
+            createEndpoint("b2"),
+            createEndpoint("c1", first),
+            createEndpoint("c2", second),
+        ];
+        const assignments = assign(["a1", first], ["a2", second], ["b2", second]);
+        assert.deepEqual(listIds(endpoints, assignments), ["b2", "a1"]);
+    });
+
+    it("counts the loads that are under way", () => {
+        const endpoints = [
+            createEndpoint("a1", first, true),
+            createEndpoint("b1", second, true),
+            createEndpoint("b2"),
+            createEndpoint("c1", first),
+            createEndpoint("c2", second),
+        ];
+        assert.deepEqual(listIds(endpoints, assign(["b2", first])), []);
+    });
+
+    it("orders whole columns before parts of them", () => {
+        const endpoints = [
+            createEndpoint("a1"),
+            createEndpoint("a2"),
+            createEndpoint("a3"),
+            createEndpoint("c1", first),
+            createEndpoint("c2", second),
+        ];
+        const assignments = assign(["a1", { start: 0, end: 20 }], ["a2", first], ["a3", second]);
+        assert.deepEqual(listIds(endpoints, assignments), ["a2", "a3"]);
+    });
+});
--- a/tests/process/router/choosePartners.test.ts
+++ b/tests/process/router/choosePartners.test.ts
@@ -22,7 +22,7 @@
     let most = 0;
     for (const { nodeId, dataCentre, address } of nodes) {
         const others = nodes.filter(node => node.nodeId !== nodeId);
-        const partners = choosePartners({ nodeId, dataCentre, nodes: others, sources: [], isBusy, random });
+        const partners = choosePartners({ nodeId, dataCentre, nodes: others, sources: [], round: 1, isBusy, random });
         most = Math.max(most, partners.size);
         for (const partner of partners) {
             pairs.add([address, partner].sort().join());
@@ -43,6 +43,20 @@
         assert.ok(chooseAll(60, false).most <= 2);
     });
 
+    it("asks those that it hears news from, and in one round of three another one", () => {
+        const nodes = createNodes(60);
+        const sources = ["10.0.0.3:1", "10.0.0.6:1"];
+        const query = { nodeId: "n", dataCentre: "dc-0", nodes, sources, isBusy: false, random: createSeededRandom(1) };
+        for (const round of [1, 2, 4, 5]) {
+            const partners = [...choosePartners({ ...query, round })];
+            assert.equal(partners.length, 1);
+            assert.ok(sources.includes(partners[0]!));
+        }
+        const others = [3, 6, 9, 12, 15, 18].flatMap(round => [...choosePartners({ ...query, round })]);
+        assert.equal(others.length, 6);
+        assert.ok(others.some(partner => !sources.includes(partner)));
+    });
+
     it("has no partner where no other node is known", () => {
         assert.equal(chooseAll(1, true).pairs.size, 0);
     });
