--- a/src/process/placement/assignLayers.ts
+++ b/src/process/placement/assignLayers.ts
@@ -1,6 +1,7 @@
 import { getRequestMemory } from "../../request/relay/getRequestMemory.ts";
 import type { HeldLayers } from "../../request/relay/heldLayers.ts";
 import type { EngineModel } from "../../version/routing/engineModel.ts";
+import { isSameRange } from "./isSameRange.ts";
 import type { LayerAssignment } from "./layerAssignment.ts";
 import type { LayerColumn } from "./layerColumn.ts";
 import type { PlacementEndpoint } from "./placementEndpoint.ts";
@@ -62,7 +63,7 @@
     const covers = columns.map(column => createCover(column));
     const free: PlacementEndpoint[] = [];
     for (const endpoint of endpoints) {
-        const cover = covers.find(({ column }) => isSameRange(column.layers, endpoint.layers));
+        const cover = covers.find(({ column }) => isSameRange(endpoint.layers, column.layers));
         const part = cover === undefined ? findPart(covers, endpoint.layers) : undefined;
         if (cover !== undefined) {
             addReplica(model, cover, endpoint);
@@ -107,7 +108,7 @@
 function findPart(covers: readonly ColumnCover[], layers: HeldLayers | undefined): PartCover | undefined {
     for (const { parts } of covers) {
         for (const cut of parts.values()) {
-            const part = cut.find(candidate => isSameRange(candidate.layers, layers));
+            const part = cut.find(candidate => isSameRange(layers, candidate.layers));
             if (part !== undefined) {
                 return part;
             }
@@ -116,10 +117,6 @@
     return undefined;
 }
 
-function isSameRange(left: HeldLayers, right: HeldLayers | undefined): boolean {
-    return left.start === right?.start && left.end === right.end;
-}
-
 function addReplica(model: EngineModel, cover: ColumnCover, endpoint: PlacementEndpoint): void {
     cover.replicas.push(endpoint);
     cover.tokens += getTokens(model, cover.column.layers, endpoint);
--- a/src/process/placement/chooseLoads.ts
+++ b/src/process/placement/chooseLoads.ts
@@ -1,4 +1,4 @@
-import type { HeldLayers } from "../../request/relay/heldLayers.ts";
+import { isSameRange } from "./isSameRange.ts";
 import type { LayerAssignment } from "./layerAssignment.ts";
 import type { LayerColumn } from "./layerColumn.ts";
 import type { PlacementEndpoint } from "./placementEndpoint.ts";
@@ -10,6 +10,8 @@
     endpoints: readonly PlacementEndpoint[];
     /** What should be ordered. */
     assignments: readonly LayerAssignment[];
+    /** Loads that endpoints are known to have begun and not ended. */
+    loading: number;
     /** Loads at the same time above which each takes longer. */
     loadsAtOnce: number;
 }
@@ -23,7 +25,9 @@
  * yet, as at the start, nobody gains by an order, and all are given at once.
  * @returns The assignments to order, those first after which a data centre has all columns.
  */
-export function chooseLoads({ columns, endpoints, assignments, loadsAtOnce }: LoadQuery): readonly LayerAssignment[] {
+export function chooseLoads(
+    { columns, endpoints, assignments, loading, loadsAtOnce }: LoadQuery,
+): readonly LayerAssignment[] {
     const isServing = columns.every(({ layers }) =>
         endpoints.some(endpoint => !endpoint.isBusy && isSameRange(endpoint.layers, layers))
     );
@@ -37,7 +41,6 @@
         return { assignment, lacking: countLacking(columns, endpoints, dataCentre), isWhole };
     });
     ranked.sort((left, right) => left.lacking - right.lacking || Number(right.isWhole) - Number(left.isWhole));
-    const loading = endpoints.filter(({ isBusy }) => isBusy).length;
     return ranked.slice(0, Math.max(0, loadsAtOnce - loading)).map(({ assignment }) => assignment);
 }
 
@@ -50,7 +53,3 @@
     const near = endpoints.filter(endpoint => endpoint.dataCentre === dataCentre);
     return columns.filter(({ layers }) => !near.some(endpoint => isSameRange(endpoint.layers, layers))).length;
 }
-
-function isSameRange(left: HeldLayers | undefined, right: HeldLayers): boolean {
-    return left?.start === right.start && left.end === right.end;
-}
--- a/src/process/placement/placementDuty.ts
+++ b/src/process/placement/placementDuty.ts
@@ -46,6 +46,8 @@
 interface OpenOrder {
     layers: HeldLayers;
     sentAt: number;
+    /** Whether the endpoint said that it has begun it. */
+    isBegun: boolean;
     isAsking: boolean;
 }
 
@@ -173,7 +175,8 @@
             return isWorkDue;
         }
         const { loadsAtOnce } = model;
-        for (const assignment of chooseLoads({ columns, endpoints: described, assignments, loadsAtOnce })) {
+        const loading = [...this.openOrders.values()].filter(({ isBegun }) => isBegun).length;
+        for (const assignment of chooseLoads({ columns, endpoints: described, assignments, loading, loadsAtOnce })) {
             const endpoint = endpoints.find(({ id }) => id === assignment.endpointId);
             if (endpoint !== undefined) {
                 void this.order(model, endpoint, assignment);
@@ -287,7 +290,7 @@
             return;
         }
         const { layers } = assignment;
-        this.openOrders.set(endpoint.id, { layers, sentAt: clock.getMonotonicTime(), isAsking: false });
+        this.openOrders.set(endpoint.id, { layers, sentAt: clock.getMonotonicTime(), isBegun: false, isAsking: false });
         const sending = this.options.sendOrder(endpoint, { layers, fencingNumber, expectedSequence });
         const { start, end } = layers;
         const fields = { endpoint: endpoint.id, start, end, expectedSequence, fencingNumber };
@@ -299,6 +302,7 @@
             this.openOrders.delete(endpoint.id);
         }
         else if (outcome?.kind === "begun") {
+            this.noteBegun(endpoint.id);
             this.sequences.set(endpoint.id, expectedSequence + 1);
         }
         else if (outcome?.kind !== "done") {
@@ -306,6 +310,13 @@
         }
     }
 
+    private noteBegun(endpointId: string): void {
+        const order = this.openOrders.get(endpointId);
+        if (order !== undefined) {
+            order.isBegun = true;
+        }
+    }
+
     /** Learns what became of an order that was not taken, or whose answer was lost. */
     private async readBack(endpoint: RegisteredEndpoint): Promise<void> {
         const order = this.openOrders.get(endpoint.id);
--- a/src/process/replica/recordFollower.ts
+++ b/src/process/replica/recordFollower.ts
@@ -29,7 +29,11 @@
  * otherwise returns for every one of them. Far below the seconds within which a change must be in force.
  */
 const shortestGatherMilliseconds = 180;
-/** Where each call brings changes, as when all endpoints start or load, the wait grows up to this. */
+/**
+ * Where so many calls in a row bring changes, as when hundreds of endpoints start and load, the wait grows up to the longest. A fault
+ * brings a few changes, which nodes should know at once.
+ */
+const callsBeforeGrowth = 5;
 const longestGatherMilliseconds = 600;
 const gatherGrowth = 1.5;
 /** After a failed call, at first; it doubles up to the longest. */
@@ -46,6 +50,8 @@
     private isReadDue = true;
     private failures = 0;
     private gatherDelay = 0;
+    /** Calls in a row that brought changes. */
+    private changingCalls = 0;
     private lastFailureAt = -Infinity;
     private isActive = true;
     private onActive: (() => void) | undefined;
@@ -184,13 +190,16 @@
             return true;
         }
         section.applyChanges(changes.val.records, changes.val.revision, "store");
-        this.gatherDelay = changes.val.records.length > 0 ? this.getNextGather() : 0;
+        this.changingCalls = changes.val.records.length > 0 ? this.changingCalls + 1 : 0;
+        this.gatherDelay = this.changingCalls > 0 ? this.getNextGather() : 0;
         return true;
     }
 
     private getNextGather(): number {
-        const grown = Math.max(shortestGatherMilliseconds, this.gatherDelay * gatherGrowth);
-        return Math.min(grown, longestGatherMilliseconds);
+        if (this.changingCalls <= callsBeforeGrowth) {
+            return shortestGatherMilliseconds;
+        }
+        return Math.min(this.gatherDelay * gatherGrowth, longestGatherMilliseconds);
     }
 
     private noteAnswer(): void {
