--- a/src/process/placement/placementDuty.ts
+++ b/src/process/placement/placementDuty.ts
@@ -1,13 +1,10 @@
 import type { EndpointReport } from "../../request/relay/endpointReport.ts";
-import { getRequestMemory } from "../../request/relay/getRequestMemory.ts";
-import type { HeldLayers } from "../../request/relay/heldLayers.ts";
 import type { LayerOrder } from "../../request/relay/layerOrder.ts";
 import type { OrderOutcome } from "../../request/relay/orderOutcome.ts";
 import type { RegisteredEndpoint } from "../../request/relay/registeredEndpoint.ts";
 import type { EngineModel } from "../../version/routing/engineModel.ts";
 import type { RoutedService } from "../../version/routing/routedService.ts";
 import type { Clock, TimerHandle } from "../clock.ts";
-import { InvariantError } from "../invariantError.ts";
 import type { FencedLease } from "../leases/fencedLease.ts";
 import type { EventLog } from "../logging/eventLog.ts";
 import { events } from "../logging/events.ts";
@@ -18,6 +15,7 @@
 import type { KindCount } from "./kindCount.ts";
 import type { LayerAssignment } from "./layerAssignment.ts";
 import type { LayerColumn } from "./layerColumn.ts";
+import { LayerOrders } from "./layerOrders.ts";
 import type { PlacementEndpoint } from "./placementEndpoint.ts";
 import { type PlacementRecord, placementRecordSchema } from "./placementRecord.ts";
 import { planColumns } from "./planColumns.ts";
@@ -42,25 +40,11 @@
     fetchReport(endpoint: RegisteredEndpoint): Promise<EndpointReport | undefined>;
 }
 
-/** An order that was sent and whose result the endpoint's record doesn't show yet. */
-interface OpenOrder {
-    layers: HeldLayers;
-    sentAt: number;
-    /** Whether the endpoint said that it has begun it. */
-    isBegun: boolean;
-    isAsking: boolean;
-}
-
 const tickMilliseconds = 250;
-/** An order whose result isn't registered after the time for its load is looked into; loads that share the way take longer. */
-const orderGraceMilliseconds = 2_500;
 /** An endpoint that crashed is back, empty, within about 4 s, of which its record outlives it for 3.6 s. */
 const moveMilliseconds = 1_500;
 /** A candidate that has found no plan looks again after this time; the holder may be at it. */
 const lookAgainMilliseconds = 3_000;
-/** An endpoint that is busy with another's order is asked again after this time. */
-const busyMilliseconds = 800;
-const secondMilliseconds = 1_000;
 
 /**
  * Gives endpoints their layers, on the one node that holds the lease. Plans once for a service, keeps the plan in the
@@ -78,22 +62,17 @@
     /** Monotonic time in milliseconds at which each service's plan was looked for last. */
     private readonly lookedAt = new Map<string, number>();
     private readonly settling = EndpointSettling.create();
-    private readonly openOrders = new Map<string, OpenOrder>();
-    /** Endpoints that are busy with an order of an earlier holder, until when they are left alone. */
-    private readonly busyUntil = new Map<string, number>();
-    /** Number of orders that each endpoint is known to have begun. */
-    private readonly sequences = new Map<string, number>();
+    private readonly orders: LayerOrders;
     /** The weakest column of each service, by its first layer, and since when it has been weak. */
     private readonly weakColumns = new Map<string, { start: number; since: number; }>();
     private timer: TimerHandle | undefined;
-    /** Fencing number that an endpoint has refused; orders go on with a higher one only. */
-    private refusedNumber = 0;
     private loadedNumber = 0;
     private isPlanning = false;
     private isWorkDue = true;
 
     private constructor(options: PlacementDutyOptions) {
         this.options = options;
+        this.orders = LayerOrders.create(options);
     }
 
     /** Creates a duty that does nothing before {@link start}. */
@@ -123,7 +102,7 @@
             return;
         }
         const fencingNumber = this.getFencingNumber();
-        const mayOrder = fencingNumber !== undefined && fencingNumber > this.refusedNumber;
+        const mayOrder = fencingNumber !== undefined && fencingNumber > this.orders.getRefusedNumber();
         if (!mayOrder && !this.options.isCandidate()) {
             return;
         }
@@ -131,11 +110,12 @@
             this.loadedNumber = fencingNumber;
             this.plans.clear();
             this.lookedFor.clear();
-            this.openOrders.clear();
+            this.orders.clear();
         }
         this.isWorkDue = false;
         for (const service of this.options.getModelServices()) {
-            if (service.engine !== undefined && this.place(service.name, service.engine, mayOrder)) {
+            const orderNumber = mayOrder ? fencingNumber : undefined;
+            if (service.engine !== undefined && this.place(service.name, service.engine, orderNumber)) {
                 this.isWorkDue = true;
             }
         }
@@ -153,9 +133,10 @@
 
     /**
      * Looks at the endpoints of a service, and gives the orders that are due where it may.
+     * @param fencingNumber - Number to give them under; undefined where it may give none.
      * @returns Whether there is anything to do.
      */
-    private place(service: string, model: EngineModel, mayOrder: boolean): boolean {
+    private place(service: string, model: EngineModel, fencingNumber: number | undefined): boolean {
         const endpoints = this.options.getEndpoints(service);
         if (endpoints.length === 0) {
             return false;
@@ -164,25 +145,26 @@
         const isSettled = this.settling.note(service, endpoints, now);
         const columns = this.plans.get(service);
         if (columns === undefined) {
+            const mayOrder = fencingNumber !== undefined;
             void this.lookForPlan(service, model, endpoints, { isSettled, mayOrder });
             return true;
         }
-        this.closeOrders(endpoints);
+        this.orders.close(endpoints);
         const described = this.describe(endpoints, now);
         const assignments = this.decide(service, model, columns, described, isSettled);
-        const isWorkDue = assignments.length > 0 || this.openOrders.size > 0;
-        if (!mayOrder) {
+        const isWorkDue = assignments.length > 0 || this.orders.isAnyOpen();
+        if (fencingNumber === undefined) {
             return isWorkDue;
         }
         const { loadsAtOnce } = model;
-        const loading = [...this.openOrders.values()].filter(({ isBegun }) => isBegun).length;
+        const loading = this.orders.countLoading();
         for (const assignment of chooseLoads({ columns, endpoints: described, assignments, loading, loadsAtOnce })) {
             const endpoint = endpoints.find(({ id }) => id === assignment.endpointId);
             if (endpoint !== undefined) {
-                void this.order(model, endpoint, assignment);
+                void this.orders.send(model, endpoint, assignment.layers, fencingNumber);
             }
         }
-        this.inquireLate(model, endpoints);
+        this.orders.inquireLate(model, endpoints);
         return isWorkDue;
     }
 
@@ -191,8 +173,8 @@
             id: endpoint.id,
             dataCentre: endpoint.dataCentre,
             kind: endpoint.kind ?? "",
-            layers: this.openOrders.get(endpoint.id)?.layers ?? endpoint.layers,
-            isBusy: this.openOrders.has(endpoint.id) || (this.busyUntil.get(endpoint.id) ?? 0) > now,
+            layers: this.orders.getLayers(endpoint.id) ?? endpoint.layers,
+            isBusy: this.orders.isBusy(endpoint.id, now),
         }));
     }
 
@@ -279,89 +261,6 @@
             log.write(events.placementPlanned, { service, source: "computed", columns: formatColumns(columns) });
         }
     }
-
-    private async order(model: EngineModel, endpoint: RegisteredEndpoint, assignment: LayerAssignment): Promise<void> {
-        const { log, clock } = this.options;
-        assertFits(model, endpoint, assignment.layers);
-        // An endpoint that was ordered by an earlier holder refuses this number, and its report brings the right one.
-        const expectedSequence = this.sequences.get(endpoint.id) ?? 0;
-        const fencingNumber = this.getFencingNumber();
-        if (fencingNumber === undefined) {
-            return;
-        }
-        const { layers } = assignment;
-        this.openOrders.set(endpoint.id, { layers, sentAt: clock.getMonotonicTime(), isBegun: false, isAsking: false });
-        const sending = this.options.sendOrder(endpoint, { layers, fencingNumber, expectedSequence });
-        const { start, end } = layers;
-        const fields = { endpoint: endpoint.id, start, end, expectedSequence, fencingNumber };
-        log.write(events.placementOrdered, fields);
-        const outcome = await sending;
-        log.write(events.placementOrderEnded, { ...fields, outcome: outcome?.kind ?? "unanswered" });
-        if (outcome?.kind === "fenced") {
-            this.refusedNumber = Math.max(this.refusedNumber, fencingNumber);
-            this.openOrders.delete(endpoint.id);
-        }
-        else if (outcome?.kind === "begun") {
-            this.noteBegun(endpoint.id);
-            this.sequences.set(endpoint.id, expectedSequence + 1);
-        }
-        else if (outcome?.kind !== "done") {
-            await this.readBack(endpoint);
-        }
-    }
-
-    private noteBegun(endpointId: string): void {
-        const order = this.openOrders.get(endpointId);
-        if (order !== undefined) {
-            order.isBegun = true;
-        }
-    }
-
-    /** Learns what became of an order that was not taken, or whose answer was lost. */
-    private async readBack(endpoint: RegisteredEndpoint): Promise<void> {
-        const order = this.openOrders.get(endpoint.id);
-        if (order === undefined || order.isAsking) {
-            return;
-        }
-        order.isAsking = true;
-        const report = await this.options.fetchReport(endpoint);
-        order.isAsking = false;
-        if (report === undefined) {
-            order.sentAt = this.options.clock.getMonotonicTime();
-            return;
-        }
-        this.sequences.set(endpoint.id, report.orderSequence);
-        this.openOrders.delete(endpoint.id);
-        if (report.isBusyWithOrder) {
-            // It may be another's order that it is busy with, so nothing is known of its layers before it is done.
-            this.busyUntil.set(endpoint.id, this.options.clock.getMonotonicTime() + busyMilliseconds);
-        }
-    }
-
-    /** Forgets orders whose result the endpoints' records show, and those of endpoints that are gone. */
-    private closeOrders(endpoints: readonly RegisteredEndpoint[]): void {
-        const byId = new Map(endpoints.map(endpoint => [endpoint.id, endpoint]));
-        for (const [id, { layers }] of this.openOrders) {
-            const held = byId.get(id)?.layers;
-            if (!byId.has(id) || held?.start === layers.start && held.end === layers.end) {
-                this.openOrders.delete(id);
-            }
-        }
-    }
-
-    private inquireLate(model: EngineModel, endpoints: readonly RegisteredEndpoint[]): void {
-        const now = this.options.clock.getMonotonicTime();
-        for (const endpoint of endpoints) {
-            const order = this.openOrders.get(endpoint.id);
-            if (order === undefined) {
-                continue;
-            }
-            const part = (order.layers.end - order.layers.start) / model.layers;
-            if (now - order.sentAt > part * model.loadSeconds * secondMilliseconds + orderGraceMilliseconds) {
-                void this.readBack(endpoint);
-            }
-        }
-    }
 }
 
 function parseRecord(text: string): PlacementRecord | undefined {
@@ -387,11 +286,3 @@
 function formatColumns(columns: readonly LayerColumn[]): string {
     return columns.map(({ layers, kind }) => `${kind}=${layers.start}-${layers.end}`).join(",");
 }
-
-/** Checks that an order leaves the endpoint room for requests; one that doesn't fit would end it. */
-function assertFits(model: EngineModel, endpoint: RegisteredEndpoint, { start, end }: HeldLayers): void {
-    const kind = model.kinds.get(endpoint.kind ?? "");
-    if (kind === undefined || getRequestMemory(model, kind, end - start) <= 0) {
-        throw InvariantError.create("orderFits", `Layers ${start}-${end} don't fit ${endpoint.id}.`);
-    }
-}
--- a/src/process/router/storeFollowing.ts
+++ b/src/process/router/storeFollowing.ts
@@ -43,11 +43,6 @@
 const followMilliseconds = 6_000;
 /** A node that has heard of no other by then takes itself for the only one. */
 const lonelyMilliseconds = 1_500;
-/**
- * A node that no peer has told of the store's records by then reads them itself. Nodes that others find first, since the settings
- * name them, read at once; of 195 that start together the rest would otherwise all read and follow, 27 calls each.
- */
-const firstWordMilliseconds = 400;
 /** Only after this time does a node that knows of few others take it that there are few. */
 const acquaintanceMilliseconds = 1_500;
 /** Parts of the time that changes may take: the probe comes so many times in it. */
@@ -151,7 +146,7 @@
         const others = nodes.getLiveNodes(now);
         const isWatcher = this.isWatcher(others, now);
         this.isOneOfWatchers = isWatcher;
-        const isActive = isWatcher || lease.isHeld() || this.isStale(now) || this.isReadingDue(now);
+        const isActive = isWatcher || lease.isHeld() || this.isStale(now) || this.isReadingDue();
         for (const follower of followers) {
             follower.setActive(isActive);
         }
@@ -171,16 +166,18 @@
         return isStoreWatcher({ nodeId, isWithoutStore: this.isWithoutStore() }, others, owners);
     }
 
-    /** Whether nobody has told this node of the store's records since it started. */
-    private isReadingDue(now: number): boolean {
-        const hasRecords = this.options.followers.every(follower => follower.hasRecords());
-        return !hasRecords && now - this.startedAt >= firstWordMilliseconds;
+    /**
+     * Whether nothing is known yet of some section. Every node reads the store once when it starts, two calls, since after a loss of
+     * all power its callers wait for that; only to follow it is left to few.
+     */
+    private isReadingDue(): boolean {
+        return !this.options.followers.every(follower => follower.hasRecords());
     }
 
     /** Whether this node follows the store because its peers did not bring it what is current. */
     private isStale(now: number): boolean {
         const { configurationMilliseconds } = this.options;
-        const freshAt = Math.max(this.getFreshTime(), this.startedAt + firstWordMilliseconds);
+        const freshAt = Math.max(this.getFreshTime(), this.startedAt);
         if (now - freshAt > configurationMilliseconds * stalePart) {
             this.followsUntil = now + followMilliseconds;
         }
