--- a/tests/process/replica/recordFollower.test.ts
+++ b/tests/process/replica/recordFollower.test.ts
@@ -1,42 +1,11 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { PlatformErrorKind } from "../../../src/process/platform/platformError.ts";
 import { RecordFollower } from "../../../src/process/replica/recordFollower.ts";
 import { RecordSection } from "../../../src/process/replica/recordSection.ts";
-import type { RecordStore } from "../../../src/process/replica/recordStore.ts";
-import { Err, Ok } from "../../../src/result.ts";
+import { CountedStore } from "../../support/countedStore.ts";
 import { FakeClock } from "../../support/fakeClock.ts";
 import { RecordingEventLog } from "../../support/recordingEventLog.ts";
 
-/** A store whose answers a test sets, and that counts its calls. */
-class CountedStore implements RecordStore {
-    isDown = false;
-    reads = 0;
-    waits = 0;
-    /** What each wait brings; nothing while undefined. */
-    changesOfWait: number | undefined;
-    private revision = 1;
-
-    async readAll() {
-        this.reads += 1;
-        return this.isDown ? this.fail() : Ok({ records: [], revision: this.revision });
-    }
-
-    async waitForChanges() {
-        this.waits += 1;
-        if (this.isDown) {
-            return this.fail();
-        }
-        this.revision += 1;
-        const records = [{ key: "k", revision: this.revision, text: "t" }];
-        return Ok({ records, revision: this.revision, isHistoryLost: false });
-    }
-
-    private fail() {
-        return Err({ kind: PlatformErrorKind.NotDone, message: "The store refused the call. Try again later." });
-    }
-}
-
 describe("RecordFollower", () => {
     function start(isStoreAnswering: () => boolean) {
         const clock = FakeClock.create();
