--- a/src/process/leases/fencedLease.ts
+++ b/src/process/leases/fencedLease.ts
@@ -75,9 +75,9 @@
     }
 
     /**
-     * Neither seeks nor renews the lease, until {@link start}: there is no order to give. It ends by its time, and whoever has an
-     * order to give first takes it again, with a higher number. The record is read once, since a successor counts the time of the
-     * last holder from when it saw the record.
+     * Neither seeks nor renews the lease, until {@link start}: there is no order to give. One that is held is given up, so that
+     * whoever has an order to give first takes it at once, with a higher number; left to end by its time, its successors would wait
+     * for the 3.3 s in which the last holder may have renewed it unseen. The record is read once for the same reason.
      */
     rest(): void {
         this.isRunning = false;
@@ -85,6 +85,10 @@
         this.timer?.cancel();
         this.timer = undefined;
         this.state.setSought(false);
+        if (this.isHeld()) {
+            void this.giveUp();
+            return;
+        }
         this.apply(this.state.look(this.getTime()));
     }
 
@@ -93,6 +97,10 @@
         this.isStopped = true;
         this.isRunning = false;
         this.timer?.cancel();
+        await this.giveUp();
+    }
+
+    private async giveUp(): Promise<void> {
         const fencingNumber = this.getFencingNumber();
         const { call, logs } = this.state.release(this.getTime());
         this.writeLogs(logs);
@@ -103,6 +111,7 @@
         const revision = outcome.ok && outcome.val.swapped ? outcome.val.revision : undefined;
         if (revision !== undefined && fencingNumber !== undefined) {
             this.newestRelease = { revision, fencingNumber };
+            this.state.noteOwnRelease(this.newestRelease, this.getTime());
         }
     }
 
@@ -117,7 +126,7 @@
             return;
         }
         this.newestRelease = release;
-        if (this.isRunning) {
+        if (this.isRunning || this.isResting) {
             this.apply(this.state.noteRelease(release, this.getTime()));
         }
     }
--- a/src/process/leases/leaseState.ts
+++ b/src/process/leases/leaseState.ts
@@ -53,6 +53,8 @@
     private readonly uncertain = new Map<string, Write>();
     private isCalling = false;
     private isSought = true;
+    /** Number of the lease that this process gave up last. */
+    private releasedNumber = 0;
     private repeatAt = -Infinity;
     private acquireDelay = 0;
     private highestNumber = 0;
@@ -79,7 +81,10 @@
      */
     getLastNumber(): number | undefined {
         const record = this.observed?.record;
-        return record?.holder === this.options.holder && !record.isReleased ? record.fencingNumber : undefined;
+        if (record?.holder === this.options.holder && !record.isReleased) {
+            return record.fencingNumber;
+        }
+        return this.releasedNumber > 0 && this.releasedNumber === this.highestNumber ? this.releasedNumber : undefined;
     }
 
     /** Sets whether the lease is to be taken and renewed. */
@@ -114,6 +119,12 @@
         return { call: { kind: "swap", expectedRevision: observed.revision, value }, logs: this.logs };
     }
 
+    /** Takes in that the lease was given up by this process, which stays the last holder until another one is seen. */
+    noteOwnRelease(release: LeaseRelease, time: EventTime): void {
+        this.releasedNumber = release.fencingNumber;
+        this.setReleased(release, time);
+    }
+
     /**
      * Takes another's word that the lease was given up, so that a successor need not wait for the end of a time that no longer
      * counts. A false word does no harm: the lease is still taken by comparing its revision.
@@ -121,21 +132,25 @@
     noteRelease({ revision, fencingNumber }: LeaseRelease, time: EventTime): LeaseOutput {
         const isNews = this.observed === undefined || this.observed.revision < revision;
         if (isNews && !this.isValid(this.held, time.monotonic)) {
-            const { timeToLiveMilliseconds, longestOrderMilliseconds } = this.options;
-            const record: LeaseRecord = {
-                holder: "",
-                fencingNumber,
-                writeId: "",
-                isReleased: true,
-                timeToLiveMilliseconds,
-                longestOrderMilliseconds,
-                expiresHint: time.wall,
-            };
-            this.setObserved(revision, record, time);
+            this.setReleased({ revision, fencingNumber }, time);
         }
         return this.step(time);
     }
 
+    private setReleased({ revision, fencingNumber }: LeaseRelease, time: EventTime): void {
+        const { timeToLiveMilliseconds, longestOrderMilliseconds } = this.options;
+        const record: LeaseRecord = {
+            holder: "",
+            fencingNumber,
+            writeId: "",
+            isReleased: true,
+            timeToLiveMilliseconds,
+            longestOrderMilliseconds,
+            expiresHint: time.wall,
+        };
+        this.setObserved(revision, record, time);
+    }
+
     /** Takes the result of a read. */
     finishRead(result: Result<StoredValue | undefined, PlatformError>, time: EventTime): LeaseOutput {
         this.isCalling = false;
--- a/tests/process/leases/fencedLease.test.ts
+++ b/tests/process/leases/fencedLease.test.ts
@@ -95,6 +95,27 @@
         assert.equal(first.isHeld(), false);
     });
 
+    it("is given up for a rest, after renewals that a successor has not seen, and taken within half a second", async () => {
+        const { clock, createLease } = createBench();
+        const [first, second] = [createLease("a"), createLease("b")];
+        first.start();
+        second.rest();
+        await clock.advance(5 * timeToLive);
+        assert.equal(first.getFencingNumber(), 1);
+        first.rest();
+        await clock.advance(10);
+        assert.equal(first.isHeld(), false);
+        assert.equal(first.getLastNumber(), 1);
+        second.noteRelease(first.getNewestRelease()!);
+        await clock.advance(longestOrder + 100);
+        second.start();
+        await clock.advance(500);
+        assert.equal(second.getFencingNumber(), 2);
+        first.start();
+        await clock.advance(100);
+        assert.equal(first.getLastNumber(), undefined);
+    });
+
     it("is not held by two where both seek it after a rest", async () => {
         const { clock, createLease } = createBench();
         const leases = ["a", "b", "c"].map(holder => createLease(holder));
