--- a/bench/experiment/experiment.ts
+++ b/bench/experiment/experiment.ts
@@ -176,7 +176,7 @@
                     heardAt: 0,
                 })),
                 sources: [],
-                isRelay: false,
+                isHub: false,
                 round: 1,
                 isBusy: node.isBusy(),
                 random: this.random,
--- a/src/process/router/changeFetching.ts
+++ b/src/process/router/changeFetching.ts
@@ -21,7 +21,7 @@
     clock: Clock;
     log: EventLog;
     /** Whether this node brings news into its data centre, so that few copies cross. */
-    isRelay(): boolean;
+    isHub(): boolean;
     /** Called with the monotonic time at which this node's copy is now known to have been current. */
     onFresh(freshAt: number): void;
     /** Called when changes have been taken in that others lack. */
@@ -60,7 +60,7 @@
 
     /** Takes a peer's word on how far it has followed each section, and fetches what is missing here. */
     noteFrontiers(peer: ChangeSourcePeer): void {
-        const { sections, dataCentre, clock, isRelay } = this.options;
+        const { sections, dataCentre, clock, isHub } = this.options;
         const now = clock.getMonotonicTime();
         for (const { section: name, revision } of peer.frontiers) {
             const section = sections.find(candidate => candidate.name === name);
@@ -73,7 +73,7 @@
                 isFetching: this.fetching.has(name),
                 isEmpty: section.getFrontier() === 0,
                 isNear: peer.dataCentre === dataCentre,
-                isRelay: isRelay(),
+                isHub: isHub(),
                 behindMilliseconds: now - behindSince,
             });
             if (isDue) {
--- a/src/process/router/choosePartners.ts
+++ b/src/process/router/choosePartners.ts
@@ -11,7 +11,7 @@
     /** Addresses of the nodes from which this one hears news. */
     sources: readonly string[];
     /** Whether others hear news from this one, and so speak to it. */
-    isRelay: boolean;
+    isHub: boolean;
     /** Number of the round. */
     round: number;
     /** Whether this node's requests contend with those of others for room. */
@@ -42,8 +42,8 @@
     if (query.nodes.length < mostAcquainted) {
         return query.isBusy ? chooseNeighbours(query) : chooseSome(query, calmPartners);
     }
-    const { sources, isRelay, nodes, dataCentre, isBusy, random, round } = query;
-    const isChance = sources.length === 0 || !isRelay && round % roundsOfChance === 0;
+    const { sources, isHub, nodes, dataCentre, isBusy, random, round } = query;
+    const isChance = sources.length === 0 || !isHub && round % roundsOfChance === 0;
     const partners = isChance ? chooseSome(query, 1) : new Set<string>();
     if (!isChance) {
         addOne(partners, sources, random);
--- a/src/process/router/peerExchange.ts
+++ b/src/process/router/peerExchange.ts
@@ -96,7 +96,7 @@
             peers: this.peers,
             clock,
             log,
-            isRelay: () => this.listSources().isRelay,
+            isHub: () => this.listSources().isHub,
             onFresh: freshAt => following.notePeerFresh(freshAt),
             onNews: () => this.tellNews(),
         });
@@ -166,14 +166,14 @@
         const { nodeId, dataCentre, random, seeds, address, isBusy } = this.options;
         const known = this.listLive();
         const nodes = this.listPartners(known);
-        const { isRelay, addresses } = this.listSources();
+        const { isHub, addresses } = this.listSources();
         const sources = addresses.filter(source => !this.peers.isUnreachable(source));
         const partners = choosePartners({
             nodeId,
             dataCentre,
             nodes,
             sources,
-            isRelay,
+            isHub,
             round: this.round,
             isBusy: isBusy(),
             random,
--- a/src/process/router/shouldFetch.ts
+++ b/src/process/router/shouldFetch.ts
@@ -7,12 +7,12 @@
     /** Whether the peer is in the same data centre. */
     isNear: boolean;
     /** Whether this node brings news into its data centre. */
-    isRelay: boolean;
+    isHub: boolean;
     /** Since when a peer is known to be ahead. */
     behindMilliseconds: number;
 }
 
-/** Within this time the relays of a data centre have the change, and the nodes near them a round later. */
+/** Within this time the hubs of a data centre have the change, and the nodes near them a round later. */
 const awayPatienceMilliseconds = 700;
 
 /**
@@ -20,12 +20,12 @@
  *
  * The load that it answers is a change of the whole configuration at many nodes at once: half a megabyte that each node fetched
  * from several others came to 0.11 GB between data centres for 22 nodes, and to calls that timed out on slow links while the old
- * version stayed in force. So there is one fetch at a time, and only relays fetch from another data centre at once.
+ * version stayed in force. So there is one fetch at a time, and only hubs fetch from another data centre at once.
  */
 export function shouldFetch(situation: FetchSituation): boolean {
-    const { isFetching, isEmpty, isNear, isRelay, behindMilliseconds } = situation;
+    const { isFetching, isEmpty, isNear, isHub, behindMilliseconds } = situation;
     if (isFetching) {
         return false;
     }
-    return isEmpty || isNear || isRelay || behindMilliseconds >= awayPatienceMilliseconds;
+    return isEmpty || isNear || isHub || behindMilliseconds >= awayPatienceMilliseconds;
 }
--- a/tests/process/router/choosePartners.test.ts
+++ b/tests/process/router/choosePartners.test.ts
@@ -27,7 +27,7 @@
             dataCentre,
             nodes: others,
             sources: [],
-            isRelay: false,
+            isHub: false,
             round: 1,
             isBusy,
             random,
@@ -60,7 +60,7 @@
             dataCentre: "dc-0",
             nodes,
             sources,
-            isRelay: false,
+            isHub: false,
             isBusy: false,
             random: createSeededRandom(1),
         };
--- a/tests/process/router/listNewsSources.test.ts
+++ b/tests/process/router/listNewsSources.test.ts
@@ -23,32 +23,32 @@
     }
 
     it("brings news to every node in two steps", () => {
-        const relays = new Set(nodes.filter(node => list(node).isRelay).map(({ address }) => address));
-        const watchers = new Set(nodes.filter(node => list(node).isRelay).flatMap(node => list(node).addresses));
+        const hubs = new Set(nodes.filter(node => list(node).isHub).map(({ address }) => address));
+        const watchers = new Set(nodes.filter(node => list(node).isHub).flatMap(node => list(node).addresses));
         assert.equal(watchers.size, 4);
-        for (const node of nodes.filter(({ address }) => !relays.has(address))) {
+        for (const node of nodes.filter(({ address }) => !hubs.has(address))) {
             const { addresses } = list(node);
-            assert.ok(addresses.length >= 2 && addresses.every(address => relays.has(address)));
+            assert.ok(addresses.length >= 2 && addresses.every(address => hubs.has(address)));
         }
     });
 
-    it("asks no node too often: each relay serves a bounded part of its data centre", () => {
+    it("asks no node too often: each hub serves a bounded part of its data centre", () => {
         const askers = new Map<string, number>();
         for (const node of nodes) {
-            const { isRelay, addresses } = list(node);
-            for (const address of isRelay ? [] : addresses) {
+            const { isHub, addresses } = list(node);
+            for (const address of isHub ? [] : addresses) {
                 askers.set(address, (askers.get(address) ?? 0) + 1 / addresses.length);
             }
         }
         assert.ok(Math.max(...askers.values()) <= 12);
     });
 
-    it("crosses between data centres for relays only", () => {
+    it("crosses between data centres for hubs only", () => {
         for (const node of nodes) {
-            const { isRelay, addresses } = list(node);
+            const { isHub, addresses } = list(node);
             const isNear = (address: string) =>
                 nodes.find(other => other.address === address)!.dataCentre === node.dataCentre;
-            assert.ok(isRelay || addresses.every(isNear));
+            assert.ok(isHub || addresses.every(isNear));
         }
     });
 });
