Log what a request is recognized by when its caller sends it again

Each sending of a caller has an id of its own, so the lines of the log could not say that endpoints ended under one and the same request. FL1710 and FL1711 now hold a hash of caller, path and body, and FL1711 what tells an overfull endpoint from a harmful request: how full the first stage was, and for how long the run had brought events.

--- a/bench/experiment/experiment.ts
+++ b/bench/experiment/experiment.ts
@@ -153,6 +153,7 @@
             route,
             service: { name: serviceName, maximumConnections: 1_000, engine: experimentModel },
             customer: request.customer,
+            fingerprint: request.id,
             sink,
             rank: 1,
             isReturn,
--- a/src/process/router/requestRouter.ts
+++ b/src/process/router/requestRouter.ts
@@ -1,6 +1,7 @@
 import type { AnswerSink } from "../../request/relay/answerSink.ts";
 import { createRefusal } from "../../request/relay/createRefusal.ts";
 import { DocumentRelay } from "../../request/relay/documentRelay.ts";
+import { fingerprintRequest } from "../../request/relay/fingerprintRequest.ts";
 import { RefusalReason } from "../../request/relay/refusalReason.ts";
 import type { RelayEnvironment } from "../../request/relay/relayEnvironment.ts";
 import type { RelayRefusal } from "../../request/relay/relayRefusal.ts";
@@ -69,7 +70,8 @@
         const rank = state.getCustomerRank(customer) ?? route.priority;
         const { deadlines, clock } = this.options.environment;
         const isReturn = deadlines.note(route.name, request.deadlineMilliseconds, clock.getMonotonicTime());
-        this.relay({ request, route, service, customer, sink, rank, isReturn, dueAt });
+        const fingerprint = fingerprintRequest(request, customer);
+        this.relay({ request, route, service, customer, fingerprint, sink, rank, isReturn, dueAt });
     }
 
     private relay(task: RelayTask): void {
--- a/src/request/relay/documentRelay.ts
+++ b/src/request/relay/documentRelay.ts
@@ -198,6 +198,7 @@
             attempt: this.attempts,
             isNotRun: end.isNotRun,
             cause: end.cause,
+            fingerprint: this.task.fingerprint,
             milliseconds: Math.round(this.getTime() - attempt.sentAt),
         });
         if (this.running.size > 0) {
@@ -306,6 +307,7 @@
             cause,
             status,
             endpoint: endpointId,
+            fingerprint: this.task.fingerprint,
             attempts: this.attempts,
             milliseconds: Math.round(this.getTime() - request.arrivedAt),
         });
--- a/src/request/relay/relayTask.ts
+++ b/src/request/relay/relayTask.ts
@@ -9,6 +9,8 @@
     route: Route;
     service: RoutedService;
     customer: string | undefined;
+    /** What the request is recognized by when its caller sends it again; see `fingerprintRequest`. */
+    fingerprint: string;
     sink: AnswerSink;
     /** Rank; 0 goes first. */
     rank: number;
--- a/src/request/relay/streamAttempt.ts
+++ b/src/request/relay/streamAttempt.ts
@@ -17,6 +17,6 @@
     chunks: Buffer[];
     /** Monotonic time of the last sign of life, in milliseconds; for the search of stalled chains. */
     lastProgressAt: number;
-    /** Whether this run has brought an event. */
-    hasEvents: boolean;
+    /** Monotonic time of the first event of this run, in milliseconds; undefined before it. */
+    firstEventAt: number | undefined;
 }
--- a/src/request/relay/streamRelay.ts
+++ b/src/request/relay/streamRelay.ts
@@ -110,7 +110,7 @@
 
     /** Whether the chain in use has brought an event. */
     hasEvents(): boolean {
-        return this.attempt?.hasEvents === true;
+        return this.attempt?.firstEventAt !== undefined;
     }
 
     /**
@@ -236,7 +236,7 @@
             splitter: EventSplitter.create(),
             chunks: [],
             lastProgressAt: now,
-            hasEvents: false,
+            firstEventAt: undefined,
         };
         this.attempt = attempt;
         this.send(attempt, stages, this.task.dueAt - now);
@@ -287,8 +287,8 @@
         for (const { endpoint } of attempt.stages) {
             this.environment.health.noteAlive(endpoint.id, now);
         }
-        if (!attempt.hasEvents) {
-            attempt.hasEvents = true;
+        if (attempt.firstEventAt === undefined) {
+            attempt.firstEventAt = now;
             this.environment.crossings.note(listDataCentres(attempt.stages), now - attempt.sentAt, now);
             this.environment.firstEvents.note(now - attempt.sentAt);
             for (const { endpoint } of attempt.stages) {
@@ -390,6 +390,9 @@
             cause: end.cause,
             avoided: end.avoid.join(","),
             lastEvent: this.progress.getLastId(),
+            fingerprint: this.task.fingerprint,
+            memoryPart: Number(this.chains.getMemoryPart(attempt.stages[0]!.endpoint).toFixed(2)),
+            eventMilliseconds: Math.round(getEventTime(attempt)),
             milliseconds: Math.round(this.getTime() - attempt.sentAt),
         });
         if (end.isNotRun || this.isRepeatable()) {
@@ -401,7 +404,7 @@
 
     /** Gives back what an attempt has taken. */
     private leave(attempt: StreamAttempt): void {
-        const held = attempt.hasEvents ? this.getTime() - attempt.sentAt : undefined;
+        const held = attempt.firstEventAt !== undefined ? this.getTime() - attempt.sentAt : undefined;
         this.environment.queue.noteEnd(this.chains.getTokens(), held);
         attempt.reservation.release();
     }
@@ -466,6 +469,7 @@
             route: route.name,
             outcome,
             cause,
+            fingerprint: this.task.fingerprint,
             attempts: this.allowance.getSendings(),
             reroutes: this.reroutes,
             events: this.progress.getCount(),
@@ -491,6 +495,11 @@
     return (stages.find(({ endpoint }) => endpoint.address === address) ?? stages[0]!).endpoint;
 }
 
+/** Gets the time from the first event of a run to its last one, in milliseconds. */
+function getEventTime({ firstEventAt, lastProgressAt }: StreamAttempt): number {
+    return firstEventAt === undefined ? 0 : lastProgressAt - firstEventAt;
+}
+
 function listDataCentres(stages: readonly RelayStage[]): string[] {
     return stages.map(({ endpoint }) => endpoint.dataCentre);
 }
--- a/tests/request/relay/relayBench.ts
+++ b/tests/request/relay/relayBench.ts
@@ -116,6 +116,7 @@
             },
             service: { name: "model", maximumConnections: 10, engine: relayModel },
             customer: undefined,
+            fingerprint: "fingerprint",
             sink,
             rank: 1,
             isReturn: false,
