Test that a request which ends endpoints is hardly sent on any more

It fails: two nodes send a request that has ended three endpoints on 8 times more, to one endpoint after the other, each of which ends.

--- a/standins/router/endpointBehaviour.ts
+++ b/standins/router/endpointBehaviour.ts
@@ -16,6 +16,8 @@
     resetsUnframed?: boolean;
     /** Breaks a stream off in the middle of the event after this one. */
     cutsAfterEvent?: number;
+    /** Ends, with all its connections, soon after it began to run a request with this body. */
+    endsOnBody?: string;
     /** Falls silent after this event until it is moved to another chain. */
     stallsAfterEvent?: number;
     /** Answers this much later, in milliseconds. */
--- a/standins/router/endpointStandin.ts
+++ b/standins/router/endpointStandin.ts
@@ -16,6 +16,9 @@
     onLayers?(layers: { from: number; to: number; }): void;
 }
 
+/** Time from the beginning of a run that ends the endpoint to that end, in milliseconds. */
+const endMilliseconds = 20;
+
 /** A stand-in of the platform's endpoints: document answers, streams, reports and orders. */
 export class EndpointStandin {
     behaviour: EndpointBehaviour = {};
@@ -28,6 +31,8 @@
     readonly stalled = new Map<string, string>();
     /** Address that the report names for stalled streams. */
     stalledAt = "";
+    /** Whether it takes no connections any more. */
+    hasEnded = false;
     private readonly options: EndpointStandinOptions;
     private readonly server: Server;
     private readonly resumes = new Map<string, () => void>();
@@ -54,6 +59,13 @@
 
     /** Stops, with all connections. */
     async close(): Promise<void> {
+        if (!this.hasEnded) {
+            await this.end();
+        }
+    }
+
+    private async end(): Promise<void> {
+        this.hasEnded = true;
         await new Promise(resolve => {
             this.server.close(resolve);
             this.server.closeAllConnections();
@@ -135,6 +147,10 @@
         response.once("close", () => {
             record.isAbandoned = !response.writableFinished;
         });
+        if (behaviour.endsOnBody === body) {
+            setTimeout(() => void this.end(), endMilliseconds);
+            return;
+        }
         setTimeout(() => this.answer(request, response, record), behaviour.delayMilliseconds ?? 0);
     }
 
