Keep what is held back in the store, so that it outlives a loss of all nodes

What callers would see: after all nodes have ended at once, a request that was held back is sent on again and ends two more endpoints, since only the nodes' memories held it. The hold is now written to one key of the platform's store by the node that finds it, and read once by each node that starts; a call a start, and two for each request that is held back.

Test: a node that starts after all others have stopped answers 503 and sends nothing; it sent the request before.

--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -138,6 +138,18 @@
         message:
             "A request isn't sent on, since several endpoints ended while they ran it. Ask its caller to change it.",
     },
+    quarantineNotKept: {
+        number: 1720,
+        level: "warn",
+        message:
+            "The requests that are held back could not be read from the store or written there; it is tried again.",
+    },
+    quarantineRecordBroken: {
+        number: 1721,
+        level: "error",
+        message:
+            "The store's record of requests that are held back cannot be read; it is written anew with the next one.",
+    },
     relayRefused: { number: 1714, level: "warn", message: "A routed request was refused before it was sent." },
     endpointStateChanged: { number: 1801, level: "info", message: "The state of an endpoint has changed." },
     silentConnectionReplaced: {
--- /dev/null
+++ b/src/process/router/quarantineRecord.ts
@@ -0,0 +1,13 @@
+import { z } from "zod";
+
+/** The requests that are held back, as they stand in the platform's store. */
+export const quarantineRecordSchema = z.object({
+    runs: z.array(z.object({
+        fingerprint: z.string(),
+        endpointId: z.string(),
+        /** Wall-clock time at which the endpoint ended, in milliseconds since the Unix epoch. */
+        endedAt: z.number(),
+    })),
+});
+
+export type QuarantineRecord = z.infer<typeof quarantineRecordSchema>;
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -29,6 +29,7 @@
 import { NodeTable } from "./nodeTable.ts";
 import { PeerExchange } from "./peerExchange.ts";
 import { PeerState } from "./peerState.ts";
+import { QuarantineKeeper } from "./quarantineKeeper.ts";
 import { RequestRouter } from "./requestRouter.ts";
 import type { RouterNodeOptions } from "./routerNodeOptions.ts";
 import { RoutingHolder } from "./routingHolder.ts";
@@ -66,6 +67,7 @@
     private readonly stalls: StallWatch;
     private readonly queue: RelayQueue;
     private readonly loads: EndpointLoads;
+    private readonly quarantineKeeper: QuarantineKeeper;
     private readonly health = EndpointHealth.create();
     private peerServer: PeerServer | undefined;
     private isDraining = false;
@@ -96,9 +98,11 @@
                 metrics.endpointEndsTotal.inc({ outcome: isHeldBack ? "heldBack" : "suspected" });
                 if (isHeldBack) {
                     this.exchange.tellNews();
+                    this.quarantineKeeper.save();
                 }
             },
         });
+        this.quarantineKeeper = QuarantineKeeper.create({ store, key: keys.quarantine, quarantine, clock, log });
         this.nodes = NodeTable.create(nodeId);
         this.pools = UpstreamPools.create(() => metrics.upstreamConnectionsTotal.inc());
         this.holder = RoutingHolder.create({ decode: options.decodeConfiguration, log, metrics });
@@ -246,6 +250,7 @@
             log,
         });
         this.following.start();
+        this.quarantineKeeper.start();
         this.exchange.start();
         this.duty.start();
         this.poll.start();
@@ -292,6 +297,7 @@
     /** Ends what still runs. */
     async stop(): Promise<void> {
         this.following.stop();
+        this.quarantineKeeper.stop();
         this.exchange.stop();
         this.pools.close();
         await this.peerServer?.close(0);
--- a/src/process/router/routerNodeOptions.ts
+++ b/src/process/router/routerNodeOptions.ts
@@ -21,6 +21,8 @@
     placementLease: string;
     /** Prefix of the plans of layers; the service's name follows. */
     placementPrefix: string;
+    /** The requests that are held back. */
+    quarantine: string;
 }
 
 /** What a router node is made of. */
--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -30,8 +30,8 @@
 const lateReadingMilliseconds = 500;
 /** All nodes hear of a suspicion within this time, after which only requests that are held back are told of. */
 const newsMilliseconds = 5_000;
-/** Bound on a message between nodes. */
-const mostToldRuns = 100;
+/** Bound on a message between nodes, and on what is kept in the store. */
+const mostListedRuns = 100;
 const mostSuspects = 1_000;
 const mostServed = 4_096;
 
@@ -96,6 +96,15 @@
 
     /** Gets what peers have to know: what is new, and all of requests that are held back, for nodes that have just started. */
     getRuns(now: number): EndedRun[] {
+        return this.listRuns(now, newsMilliseconds);
+    }
+
+    /** Gets what is known of the requests that are held back. */
+    getHeldRuns(now: number): EndedRun[] {
+        return this.listRuns(now, 0);
+    }
+
+    private listRuns(now: number, newsMilliseconds: number): EndedRun[] {
         const runs: EndedRun[] = [];
         for (const [fingerprint, endpoints] of this.suspects.entries()) {
             const isHeld = this.findHold(endpoints, now) !== undefined;
@@ -104,7 +113,7 @@
                     runs.push({ fingerprint, endpointId, at });
                 }
             }
-            if (runs.length >= mostToldRuns) {
+            if (runs.length >= mostListedRuns) {
                 break;
             }
         }
--- a/tests/platform/harmfulRequest.test.ts
+++ b/tests/platform/harmfulRequest.test.ts
@@ -73,4 +73,14 @@
         }
         assert.equal(countRuns(), runsBefore);
     });
+
+    it("is still refused after all nodes have ended, so that none of them remembers", async () => {
+        const runsBefore = countRuns();
+        await bench.stopNodes();
+        const node = await bench.addNode();
+        await bench.waitForEndpoints(node, firstStages + 1);
+        await wait(newsMilliseconds);
+        assert.equal((await sendHarmful(node)).status, 503);
+        assert.equal(countRuns(), runsBefore);
+    });
 });
--- a/tests/platform/routerBench.ts
+++ b/tests/platform/routerBench.ts
@@ -176,14 +176,19 @@
         });
     }
 
-    /** Stops everything. */
-    async close(): Promise<void> {
-        for (const { node, callers, store } of this.nodes) {
+    /** Stops all nodes. */
+    async stopNodes(): Promise<void> {
+        for (const { node, callers, store } of this.nodes.splice(0)) {
             callers.stopListening();
             await node.startDraining();
             await node.stop();
             store.close();
         }
+    }
+
+    /** Stops everything. */
+    async close(): Promise<void> {
+        await this.stopNodes();
         for (const endpoint of this.endpoints.values()) {
             await endpoint.close();
         }
--- /dev/null
+++ b/tests/process/router/quarantineKeeper.test.ts
@@ -0,0 +1,88 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { QuarantineKeeper } from "../../../src/process/router/quarantineKeeper.ts";
+import { RequestQuarantine } from "../../../src/request/relay/quarantine/requestQuarantine.ts";
+import { FakeClock } from "../../support/fakeClock.ts";
+import { MemoryStore } from "../../support/memoryStore.ts";
+import { RecordingEventLog } from "../../support/recordingEventLog.ts";
+
+const key = "quarantine";
+
+function createNode(store: MemoryStore, clock: FakeClock) {
+    const log = RecordingEventLog.create();
+    const quarantine = RequestQuarantine.create({ log, getAliveTime: () => -Infinity });
+    const keeper = QuarantineKeeper.create({ store, key, quarantine, clock, log });
+    const hold = (fingerprint: string) => {
+        for (const endpointId of ["1", "2"]) {
+            quarantine.noteEnded({ fingerprint, endpointId, at: clock.getMonotonicTime() }, "request");
+        }
+        keeper.save();
+    };
+    const getRemaining = (fingerprint: string) =>
+        quarantine.getHold(fingerprint, clock.getMonotonicTime())?.remainingMilliseconds;
+    return { keeper, hold, getRemaining };
+}
+
+describe("QuarantineKeeper", () => {
+    it("brings a node that starts what the others held back, for the rest of its time", async () => {
+        const store = MemoryStore.create();
+        const clock = FakeClock.create();
+        const first = createNode(store, clock);
+        first.hold("harmful");
+        await clock.advance(20_000);
+        const second = createNode(store, clock);
+        second.keeper.start();
+        await clock.advance(10);
+        assert.equal(second.getRemaining("harmful"), 39_990);
+    });
+
+    it("keeps what several nodes hold back at the same time", async () => {
+        const store = MemoryStore.create();
+        const clock = FakeClock.create();
+        createNode(store, clock).hold("a");
+        createNode(store, clock).hold("b");
+        await clock.advance(5_000);
+        const later = createNode(store, clock);
+        later.keeper.start();
+        await clock.advance(10);
+        assert.ok(later.getRemaining("a") !== undefined);
+        assert.ok(later.getRemaining("b") !== undefined);
+    });
+
+    it("goes on trying where the store is down, and where an answer is lost", async () => {
+        const store = MemoryStore.create();
+        const clock = FakeClock.create();
+        const first = createNode(store, clock);
+        store.setDown(true);
+        first.hold("harmful");
+        await clock.advance(3_000);
+        store.setDown(false);
+        store.loseAnswers(1);
+        await clock.advance(10_000);
+        const second = createNode(store, clock);
+        second.keeper.start();
+        await clock.advance(10);
+        assert.ok(second.getRemaining("harmful") !== undefined);
+    });
+
+    it("makes one call at a start, and none besides while nothing is held back", async () => {
+        const store = MemoryStore.create();
+        const clock = FakeClock.create();
+        createNode(store, clock).keeper.start();
+        await clock.advance(60_000);
+        assert.equal(store.getCallCount("get"), 1);
+        assert.equal(store.getCallCount("compareAndSwap"), 0);
+    });
+
+    it("writes a record anew that can't be read", async () => {
+        const store = MemoryStore.create();
+        const clock = FakeClock.create();
+        await store.compareAndSwap(key, 0, "{");
+        createNode(store, clock).hold("harmful");
+        await clock.advance(1_000);
+        const later = createNode(store, clock);
+        later.keeper.start();
+        await clock.advance(10);
+        assert.ok(later.getRemaining("harmful") !== undefined);
+    });
+});
