Send harmful requests in the soak, and check that they are hardly sent on

A fault of the soak sends one request twelve times to any nodes; it ends each endpoint that begins to run it. Once it has ended three, nodes without a fault of their own may send it on three times at most.

--- a/scripts/soak/router/callChecks.ts
+++ b/scripts/soak/router/callChecks.ts
@@ -4,6 +4,7 @@
 import { callKinds } from "./callKind.ts";
 import type { CallRecord } from "./callRecord.ts";
 import { eventsOfStream } from "./eventsOfStream.ts";
+import { harmfulBody } from "./harmfulBody.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
 
 /** Options of {@link CallChecks}. */
@@ -32,6 +33,9 @@
 /** After a fault, promises with a time bound hold again after this time. */
 const settleMilliseconds = 4_000;
 const modelLayers = 8;
+/** After a request has ended so many endpoints, it may be sent on so often. */
+const mostEnded = 3;
+const mostLateSendings = 3;
 
 /** Checks the promises from what callers and endpoints have seen. */
 export class CallChecks {
@@ -73,6 +77,10 @@
         for (const run of runs) {
             this.checkRun(run);
         }
+        const harmful = runs.filter(({ body }) => body === harmfulBody);
+        for (const ofOne of Map.groupBy(harmful, ({ url }) => url).values()) {
+            this.checkHarmful(ofOne);
+        }
         const byRequest = Map.groupBy(runs, ({ id }) => id);
         for (const record of this.records.values()) {
             this.checkCounts(record, byRequest.get(record.id) ?? []);
@@ -131,6 +139,26 @@
         this.checkLeaving(run, record);
     }
 
+    /** Checks that a request is hardly sent on any more, by whatever node, once it has ended several endpoints. */
+    private checkHarmful(runs: readonly Run[]): void {
+        const byEndpoint = [...Map.groupBy(runs, ({ endpointId }) => endpointId).values()];
+        const firstRuns = byEndpoint.map(ofEndpoint => ofEndpoint[0]!);
+        const last = firstRuns.sort((left, right) => left.arrivedAt - right.arrivedAt)[mostEnded - 1];
+        const late = runs.filter(({ id, arrivedAt }) => {
+            const node = this.records.get(id)?.node ?? "";
+            const settledAt = arrivedAt - settleMilliseconds;
+            return last !== undefined && settledAt > last.arrivedAt
+                && !this.hasFault(["node", "store"], settledAt, arrivedAt, node);
+        });
+        if (late.length > mostLateSendings) {
+            this.addRun(
+                "harmful",
+                `It was sent on ${late.length} times after ${mostEnded} endpoints ended.`,
+                late.at(-1)!,
+            );
+        }
+    }
+
     private checkLeaving(run: Run, record: CallRecord): void {
         for (const endpoint of this.options.deployment.endpoints) {
             const since = endpoint.getLeavingSince(run.endpointId);
@@ -157,7 +185,8 @@
         if (isOnce && runs.length > 0 && notRunStatuses.includes(status)) {
             this.add("refused", `It got ${status} and ran at ${runs[0]!.endpointId}.`, record);
         }
-        if (runs.length > maximumAttempts) {
+        // Endpoints that have ended don't count.
+        if (runs.length > maximumAttempts && record.body !== harmfulBody) {
             this.add("attempts", `It ran ${runs.length} times.`, record);
         }
         // A connection that ends while nothing of the request was passed on has crossed its closing.
--- a/scripts/soak/router/routerCallers.ts
+++ b/scripts/soak/router/routerCallers.ts
@@ -4,6 +4,7 @@
 import type { CallKind } from "./callKind.ts";
 import { callKinds } from "./callKind.ts";
 import type { CallRecord } from "./callRecord.ts";
+import { harmfulBody } from "./harmfulBody.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
 import type { SoakNode } from "./soakNode.ts";
 
@@ -70,16 +71,23 @@
 
     /** Sends a request to one of the nodes; ends with its answer. */
     async send(id: string): Promise<void> {
-        const { random, onEnded } = this.options;
+        const { random } = this.options;
         const kind = random.choose(kinds)!;
-        const node = this.chooseNode();
+        const path = `/${kind}/${id}?of=${random.chooseInteger(0, 9)}`;
         const isDocumentRead = kind === callKinds.safe;
+        const body = isDocumentRead ? "" : createBody(random);
+        await this.call({ id, kind, method: isDocumentRead ? "GET" : "POST", path, body });
+    }
+
+    /** Sends a request that ends the endpoints which run it. */
+    async sendHarmful(id: string, kind: CallKind, path: string): Promise<void> {
+        await this.call({ id, kind, method: "POST", path, body: harmfulBody });
+    }
+
+    private async call(content: Pick<CallRecord, "id" | "kind" | "method" | "path" | "body">): Promise<void> {
+        const node = this.chooseNode();
         const record: CallRecord = {
-            id,
-            kind,
-            method: isDocumentRead ? "GET" : "POST",
-            path: `/${kind}/${id}?of=${random.chooseInteger(0, 9)}`,
-            body: isDocumentRead ? "" : createBody(random),
+            ...content,
             node: node.name,
             sentAt: Date.now(),
             endedAt: 0,
@@ -91,7 +99,7 @@
         };
         await this.receive(record, this.getPool(node));
         record.endedAt = Date.now();
-        onEnded(record);
+        this.options.onEnded(record);
     }
 
     private async receive(record: CallRecord, pool: Pool): Promise<void> {
--- a/scripts/soak/router/routerFaultKinds.ts
+++ b/scripts/soak/router/routerFaultKinds.ts
@@ -4,6 +4,7 @@
 import type { KeyValueFaults } from "../../../standins/router/keyValueFaults.ts";
 import { createFaultKind } from "../createFaultKind.ts";
 import type { FaultKind } from "../faultKind.ts";
+import { callKinds } from "./callKind.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
 import type { RouterSoakContext } from "./routerSoakContext.ts";
 import type { SoakEndpoint } from "./soakEndpoint.ts";
@@ -18,8 +19,10 @@
 const short: Span = [200, 2_000];
 const long: Span = [1_000, 6_000];
 const none: Span = [0, 300];
-/** A record outlives its endpoint by three heartbeats. */
-const recordMilliseconds = 3_600;
+/** How often a caller sends a harmful request, and the time between two sendings in milliseconds. */
+const harmfulSendings = 12;
+const betweenHarmful: Span = [50, 1_200];
+let harmfulSeries = 0;
 /** An endpoint that leaves goes on serving this long after the bound, in milliseconds. */
 const leavingMilliseconds = 3_000;
 
@@ -43,6 +46,7 @@
     storeLosesAnswers: ofStore(2, long, { losesAnswers: true }),
     storeCompact: ofDeployment(2, ({ deployment }) => deployment.store.compact()),
     configurationChange: ofDeployment(2, ({ deployment }) => void deployment.configure()),
+    harmfulRequest: ofDeployment(2, sendHarmful),
     endpointReset: ofEndpointConnection(2, ProxyMode.Reset),
     endpointSilence: ofEndpointConnection(2, ProxyMode.Silence),
     endpointCutRequests: ofEndpointConnection(1, ProxyMode.CutRequests),
@@ -58,7 +62,7 @@
     endpointCutsStreams: ofBehaviour(2, { cutsAfterEvent: 5 }),
     endpointStallsStreams: ofBehaviour(2, { stallsAfterEvent: 7 }),
     endpointSlow: ofBehaviour(1, { delayMilliseconds: 700 }),
-    endpointCrash: ofEndpoint(3, short, (_, endpoint) => endpoint.crash(), startAfterCrash),
+    endpointCrash: ofEndpoint(3, short, (_, endpoint) => endpoint.crash(), (_, endpoint) => endpoint.restart()),
     endpointLeaves: ofEndpoint(3, none, (_, endpoint) => endpoint.startLeaving(), endAfterLeaving),
 };
 
@@ -134,7 +138,7 @@
     });
 }
 
-function ofDeployment(weight: number, show: (context: RouterSoakContext) => void): Kind {
+function ofDeployment(weight: number, show: (context: RouterSoakContext) => Promise<void> | void): Kind {
     return {
         weight,
         holdMilliseconds: none,
@@ -142,10 +146,14 @@
     };
 }
 
-async function startAfterCrash(_: RouterSoakContext, endpoint: SoakEndpoint): Promise<void> {
-    await sleep(recordMilliseconds);
-    endpoint.unregister();
-    await endpoint.start();
+/** A caller sends a request again and again, which ends each endpoint that begins to run it. */
+async function sendHarmful({ callers, random }: RouterSoakContext): Promise<void> {
+    const series = harmfulSeries += 1;
+    const kind = random.choose(Object.values(callKinds))!;
+    for (let count = 0; count < harmfulSendings; count++) {
+        void callers.sendHarmful(`harmful-${series}-${count}`, kind, `/${kind}/harmful-${series}`);
+        await sleep(random.chooseInteger(...betweenHarmful));
+    }
 }
 
 async function endAfterLeaving(_: RouterSoakContext, endpoint: SoakEndpoint): Promise<void> {
--- a/scripts/soak/router/routerSoakContext.ts
+++ b/scripts/soak/router/routerSoakContext.ts
@@ -1,5 +1,6 @@
 import type { FaultTimeline } from "../faultTimeline.ts";
 import type { SeededRandom } from "../seededRandom.ts";
+import type { RouterCallers } from "./routerCallers.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
 
 /** What faults act on. */
@@ -7,4 +8,5 @@
     deployment: RouterDeployment;
     random: SeededRandom;
     timeline: FaultTimeline;
+    callers: RouterCallers;
 }
--- a/scripts/soak/router/soakEndpoint.ts
+++ b/scripts/soak/router/soakEndpoint.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import { LoopbackProxy } from "../../../standins/network/loopbackProxy.ts";
 import { createEndpointRecord } from "../../../standins/router/createEndpointRecord.ts";
 import type { EndpointBehaviour } from "../../../standins/router/endpointBehaviour.ts";
@@ -5,6 +6,7 @@
 import type { KeyValueStandin } from "../../../standins/router/keyValueStandin.ts";
 import type { RunRecord } from "../../../standins/router/runRecord.ts";
 import { eventsOfStream } from "./eventsOfStream.ts";
+import { harmfulBody } from "./harmfulBody.ts";
 
 /** Options of a {@link SoakEndpoint}. */
 interface SoakEndpointOptions {
@@ -30,6 +32,8 @@
 }
 
 const eventMilliseconds = 30;
+/** A record outlives its endpoint by three heartbeats. */
+const recordMilliseconds = 3_600;
 /** Requests that an endpoint runs at the same time. */
 const slots = 40;
 
@@ -38,6 +42,7 @@
     readonly name: string;
     readonly proxy: LoopbackProxy;
     isTaken = false;
+    private isRestarting = false;
     private readonly options: SoakEndpointOptions;
     private readonly starts: EndpointStart[];
 
@@ -75,7 +80,9 @@
             events: eventsOfStream,
             eventMilliseconds,
             onLayers: () => this.register(),
+            onEnded: () => void this.restart(),
         });
+        standin.behaviour = { endsOnBody: harmfulBody };
         this.starts.push({ standin, id, address: standin.getAddress(), leavingSince: undefined });
         this.proxy.resetAll();
         this.register();
@@ -83,7 +90,7 @@
 
     /** Changes how it answers. */
     setBehaviour(behaviour: EndpointBehaviour): void {
-        this.getLast().standin.behaviour = behaviour;
+        this.getLast().standin.behaviour = { endsOnBody: harmfulBody, ...behaviour };
     }
 
     /** Tells the store that it leaves, and goes on serving. */
@@ -92,6 +99,18 @@
         this.register("draining");
     }
 
+    /** Starts again some time after it has ended, whatever ended it. */
+    async restart(): Promise<void> {
+        const ended = this.getLast();
+        await sleep(recordMilliseconds);
+        if (ended === this.getLast() && !this.isRestarting) {
+            this.isRestarting = true;
+            this.unregister();
+            await this.start();
+            this.isRestarting = false;
+        }
+    }
+
     /** Ends as a crash does: its record stays until {@link SoakEndpoint.unregister}. */
     async crash(): Promise<void> {
         await this.getLast().standin.close();
--- a/standins/router/endpointStandin.ts
+++ b/standins/router/endpointStandin.ts
@@ -14,6 +14,8 @@
     layers?: { from: number; to: number; };
     /** Called when an order has changed its layers. */
     onLayers?(layers: { from: number; to: number; }): void;
+    /** Called when a request has ended it. */
+    onEnded?(): void;
 }
 
 /** Time from the beginning of a run that ends the endpoint to that end, in milliseconds. */
@@ -64,6 +66,13 @@
         }
     }
 
+    private async endByRequest(): Promise<void> {
+        if (!this.hasEnded) {
+            await this.end();
+            this.options.onEnded?.();
+        }
+    }
+
     private async end(): Promise<void> {
         this.hasEnded = true;
         await new Promise(resolve => {
@@ -148,7 +157,7 @@
             record.isAbandoned = !response.writableFinished;
         });
         if (behaviour.endsOnBody === body) {
-            setTimeout(() => void this.end(), endMilliseconds);
+            setTimeout(() => void this.endByRequest(), endMilliseconds);
             return;
         }
         setTimeout(() => this.answer(request, response, record), behaviour.delayMilliseconds ?? 0);
--- a/tests/scripts/callChecks.test.ts
+++ b/tests/scripts/callChecks.test.ts
@@ -137,4 +137,23 @@
         kill.to = 1_000;
         assert.deepEqual(check(cut, createRun()), ["lost"]);
     });
+
+    it("finds a request that is sent on again and again though it has ended three endpoints", () => {
+        const send = (arrivedAt: number, endpointId: string) => {
+            const id = `harmful-${arrivedAt}`;
+            const path = "/model/harmful";
+            checks.checkAnswer(
+                createRecord({ id, kind: "model", path, body: "harmful", status: 502, signature: undefined }),
+            );
+            runs.push(createRun({ id, url: path, body: "harmful", arrivedAt, endpointId }));
+        };
+        for (const [index, at] of [1_000, 1_500, 2_000, 2_500, 7_000, 7_500, 8_000].entries()) {
+            send(at, `e${index}`);
+        }
+        checks.checkRuns();
+        assert.deepEqual(violations.getAll(), []);
+        send(8_500, "e9");
+        checks.checkRuns();
+        assert.deepEqual(violations.getAll().map(({ kind }) => kind), ["harmful"]);
+    });
 });
