--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -96,8 +96,9 @@
             getAliveTime: endpointId => this.health.getAliveTime(endpointId),
             onEnded: isHeldBack => {
                 metrics.endpointEndsTotal.inc({ outcome: isHeldBack ? "heldBack" : "suspected" });
+                // The next sending may come to any other node, a moment later.
+                this.exchange.tellNews();
                 if (isHeldBack) {
-                    this.exchange.tellNews();
                     this.quarantineKeeper.save();
                 }
             },
--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -9,7 +9,7 @@
     log: EventLog;
     /** Gets the monotonic time in milliseconds of an endpoint's last sign of life; -Infinity where none is known. */
     getAliveTime(endpointId: string): number;
-    /** Called when an endpoint seems to have ended, and whether a request is held back for it, which peers must hear at once. */
+    /** Called when an endpoint seems to have ended, which peers must hear at once, and whether its request is held back. */
     onEnded?(isHeldBack: boolean): void;
 }
 
