Never pass on a streamed success without a signature

Callers could get status 200 with events that no endpoint had signed: an answer whose head lacked the signature was taken for the endpoint's own failure, kept, and sent whole when no other chain was left. Only failures are kept now; a success without a signature leads to another chain, or to the answer that the outcome is unknown.

--- a/src/request/relay/streamRelay.ts
+++ b/src/request/relay/streamRelay.ts
@@ -375,13 +375,12 @@
             return;
         }
         if (!isSuccess(head)) {
-            const failure = { head, body: Buffer.concat(attempt.chunks) };
-            const avoid = [first!.endpoint.id];
             this.endAttempt(attempt, {
                 isNotRun: false,
-                cause: `the endpoint answered ${head.status}.`,
-                avoid,
-                failure,
+                cause: `the endpoint answered ${head.status}${head.isSigned ? "" : " without a signature"}.`,
+                avoid: [first!.endpoint.id],
+                // A success without a signature isn't the endpoint's own answer, and must not reach the caller as one.
+                failure: hasSuccessStatus(head) ? undefined : { head, body: Buffer.concat(attempt.chunks) },
             });
             return;
         }
@@ -536,7 +535,11 @@
 }
 
 function isSuccess(head: AnswerHead): boolean {
-    return head.status >= successStatus && head.status < redirectStatus && head.isSigned && !head.isNotRun;
+    return hasSuccessStatus(head) && head.isSigned && !head.isNotRun;
+}
+
+function hasSuccessStatus({ status }: AnswerHead): boolean {
+    return status >= successStatus && status < redirectStatus;
 }
 
 /** Gets the endpoint of a chain that an answer names as being at fault; the first one where it names none. */
--- a/tests/request/relay/streamRelay.test.ts
+++ b/tests/request/relay/streamRelay.test.ts
@@ -44,6 +44,17 @@
         assert.deepEqual(bench.answers, ["notRun"]);
     });
 
+    // Seed 300 of the soak: an endpoint left the signature out for 1.8 s, and 16 callers got status 200 with its events as a whole
+    // answer. The relay took it for a failure of the endpoint ("the endpoint answered 200." in FL1711), and passed it on as one.
+    it("never passes on a success without a signature", () => {
+        const { bench } = start(["1"]);
+        const { listener } = bench.sendings[0]!;
+        listener.onHead(200, { "request-id": "request" });
+        listener.onData(Buffer.from("id: 1\ndata: x\n\n"));
+        listener.onEnd();
+        assert.deepEqual(bench.answers, ["outcomeUnknown"]);
+    });
+
     it("is refused at once where no endpoints together hold the model", () => {
         const { bench } = start([]);
         assert.deepEqual(bench.answers, []);
