Give up a wait for changes that a silent store has swallowed

Callers' requests could reach endpoints that had long said that they leave, or wait for layers that nobody ordered: a store that was silent for some seconds swallowed the calls in which nodes began to wait for changes. Once it was back, nothing told them; they heard of the next changes when their waits ran out, up to 15 s later. With few nodes all wait at the same time, so that no peer is ahead either.

A wait that goes on for half a second is now checked by the cheapest call. Where that isn't answered, the wait counts as failed, the probe begins, and the store is asked again as soon as it answers. One cheap call for each long wait.

--- a/src/process/replica/recordFollower.ts
+++ b/src/process/replica/recordFollower.ts
@@ -14,6 +14,8 @@
     prefix: string;
     /** Whether the store has answered a cheap call lately; after a failed call none is made before. */
     isStoreAnswering(): boolean;
+    /** Makes the cheapest call to the store; false where it isn't answered soon. */
+    callStore(): Promise<boolean>;
     clock: Clock;
     random: RandomSource;
     log: EventLog;
@@ -39,9 +41,14 @@
 /** After a failed call, at first; it doubles up to the longest. */
 const shortestPauseMilliseconds = 100;
 const longestPauseMilliseconds = 800;
+/** A wait that goes on for so long is checked by a cheap call. */
+const checkMilliseconds = 500;
 /** A peer that is ahead for so long shows that this node's own wait has gone silent. */
 const behindMilliseconds = 1_000;
 
+/** Why a wait was given up of which the store seems to know nothing. */
+const swallowedReason = "The store does not answer.";
+
 /** Follows a section of the store: reads it whole once, then waits for changes. */
 export class RecordFollower {
     private readonly options: RecordFollowerOptions;
@@ -171,12 +178,15 @@
     }
 
     private async waitForChanges(): Promise<boolean> {
-        const { store, prefix, section, log } = this.options;
-        this.wait = new AbortController();
+        const { store, prefix, section, log, clock } = this.options;
+        const wait = new AbortController();
+        this.wait = wait;
         const after = section.getFrontier();
-        const changes = await store.waitForChanges(prefix, after, waitMilliseconds, this.wait.signal);
+        const check = clock.setTimer(checkMilliseconds, () => void this.checkWait(wait));
+        const changes = await store.waitForChanges(prefix, after, waitMilliseconds, wait.signal);
+        check.cancel();
         if (changes.err) {
-            if (this.wait.signal.aborted) {
+            if (wait.signal.aborted && wait.signal.reason !== swallowedReason) {
                 this.gatherDelay = 0;
                 return true;
             }
@@ -195,6 +205,17 @@
         return true;
     }
 
+    /**
+     * Gives a wait up where the store answers nothing: it may have swallowed the call, and would never answer it, also once it
+     * is back. Nodes that wait so hear of no change until their waits run out.
+     */
+    private async checkWait(wait: AbortController): Promise<void> {
+        const isAnswered = await this.options.callStore();
+        if (!isAnswered) {
+            wait.abort(swallowedReason);
+        }
+    }
+
     private getNextGather(): number {
         if (this.changingCalls <= callsBeforeGrowth) {
             return shortestGatherMilliseconds;
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -307,7 +307,8 @@
     private createFollower(section: RecordSection, prefix: string): RecordFollower {
         const { store, clock, random, log } = this.options;
         const isStoreAnswering = () => this.following.isProbeAnswered();
-        return RecordFollower.create({ store, section, prefix, isStoreAnswering, clock, random, log });
+        const callStore = () => store.isAnswering();
+        return RecordFollower.create({ store, section, prefix, isStoreAnswering, callStore, clock, random, log });
     }
 
     /** What comes from a peer is passed on once all of it is taken in. */
--- a/tests/process/replica/recordFollower.test.ts
+++ b/tests/process/replica/recordFollower.test.ts
@@ -16,6 +16,10 @@
             section,
             prefix: "s/",
             isStoreAnswering,
+            callStore: () => {
+                store.probes += 1;
+                return Promise.resolve(!store.isSilent);
+            },
             clock,
             random: () => 0.5,
             log: RecordingEventLog.create(),
@@ -48,6 +52,35 @@
         assert.equal(follower.isInContact(), true);
     });
 
+    // Seed 304 of the soak: the store was silent for 4.8 s and swallowed the calls in which three nodes began to wait for changes. Nobody
+    // noticed when it was back: an endpoint said 2 s later that it leaves, and all nodes heard it 11 s after that (FL1102 and
+    // FL1811 at 31.55 s), when the waits had run out. None of them had seen a failed call.
+    it("doesn't go on waiting on a call that a silent store has swallowed", async () => {
+        const { clock, store, follower } = start(() => !store.isSilent);
+        await pass(clock, 2_000);
+        store.hasChanges = false;
+        await pass(clock, 2_000);
+        store.isSilent = true;
+        store.endWaits();
+        await pass(clock, 3_000);
+        assert.equal(follower.isInContact(), false);
+        store.isSilent = false;
+        store.hasChanges = true;
+        const before = store.waits;
+        await pass(clock, 1_000);
+        assert.ok(store.waits > before, "It has not asked again.");
+        assert.equal(follower.isInContact(), true);
+    });
+
+    it("makes one cheap call for a wait that is long, and none for one that brings changes at once", async () => {
+        const { clock, store } = start(() => true);
+        await pass(clock, 4_000);
+        assert.equal(store.probes, 0);
+        store.hasChanges = false;
+        await pass(clock, 10_000);
+        assert.equal(store.probes, 1);
+    });
+
     it("waits longer between calls only where many in a row bring changes", async () => {
         const { clock, store } = start(() => true);
         await pass(clock, 1_500);
--- a/tests/process/router/storeFollowing.test.ts
+++ b/tests/process/router/storeFollowing.test.ts
@@ -33,6 +33,7 @@
             section,
             prefix: "s/",
             isStoreAnswering: () => !store.isDown,
+            callStore: async () => !store.isDown,
             clock,
             random: () => 0.5,
             log,
