Read streamed answers and write their log lines apart from deciding about them

StreamAnswerReader says what an endpoint's answer is, StreamStory writes the lines of the log; behaviour is the same.

--- a/src/request/relay/streamAttempt.ts
+++ b/src/request/relay/streamAttempt.ts
@@ -1,6 +1,4 @@
 import type { UpstreamExchange } from "../../connection/upstream/upstreamExchange.ts";
-import type { AnswerHead } from "./answerHead.ts";
-import type { EventSplitter } from "./eventSplitter.ts";
 import type { LoadReservation } from "./loadReservation.ts";
 import type { RelayStage } from "./relayStage.ts";
 
@@ -11,10 +9,6 @@
     sentAt: number;
     reservation: LoadReservation;
     exchange: UpstreamExchange | undefined;
-    head: AnswerHead | undefined;
-    splitter: EventSplitter;
-    /** Body of an answer that is no stream of events. */
-    chunks: Buffer[];
     /** Monotonic time of the last sign of life, in milliseconds; for the search of stalled chains. */
     lastProgressAt: number;
     /** Monotonic time of the first event of this run, in milliseconds; undefined before it. */
--- a/src/request/relay/streamRelay.ts
+++ b/src/request/relay/streamRelay.ts
@@ -1,4 +1,3 @@
-import type { IncomingHttpHeaders } from "node:http";
 import type { UpstreamFailure } from "../../connection/upstream/upstreamFailure.ts";
 import { UpstreamFailureKind } from "../../connection/upstream/upstreamFailureKind.ts";
 import type { TimerHandle } from "../../process/clock.ts";
@@ -7,9 +6,7 @@
 import type { AnswerHead } from "./answerHead.ts";
 import { createQueuedRelay } from "./createQueuedRelay.ts";
 import { createRefusal } from "./createRefusal.ts";
-import { EventSplitter } from "./eventSplitter.ts";
 import { EventVerdict } from "./eventVerdict.ts";
-import { formatStages } from "./formatStages.ts";
 import { noteRefusal } from "./noteRefusal.ts";
 import { TaskQuarantine } from "./quarantine/taskQuarantine.ts";
 import type { QueuedRelay } from "./queuedRelay.ts";
@@ -22,14 +19,15 @@
 import type { RelayTask } from "./relayTask.ts";
 import { RunAllowance } from "./runAllowance.ts";
 import { sendWholeAnswer } from "./sendWholeAnswer.ts";
+import type { StreamAnswerEnd } from "./streamAnswerEnd.ts";
+import { StreamAnswerReader } from "./streamAnswerReader.ts";
 import type { StreamAttempt } from "./streamAttempt.ts";
 import type { StreamAttemptEnd } from "./streamAttemptEnd.ts";
 import type { StreamEvent } from "./streamEvent.ts";
 import { StreamProgress } from "./streamProgress.ts";
+import { StreamStory } from "./streamStory.ts";
 import type { WholeAnswer } from "./wholeAnswer.ts";
 
-const successStatus = 200;
-const redirectStatus = 300;
 /** A request that ends the endpoint which runs it does so within a few steps. */
 const outlivedMilliseconds = 250;
 
@@ -45,13 +43,13 @@
     private readonly allowance: RunAllowance;
     private readonly quarantine: TaskQuarantine;
     private readonly progress: StreamProgress;
+    private readonly story: StreamStory;
     private readonly onDone: () => void;
     private readonly avoided = new Set<string>();
     private timer: TimerHandle | undefined;
     private attempt: StreamAttempt | undefined;
     private queued: QueuedRelay | undefined;
     private failure: WholeAnswer | undefined;
-    private reroutes = 0;
     private mayHaveRun = false;
     private isHeadWritten = false;
     private isDone = false;
@@ -66,6 +64,7 @@
         this.allowance = RunAllowance.create(environment, task);
         this.quarantine = TaskQuarantine.create(environment, task);
         this.progress = StreamProgress.create(task.request.lastEventId);
+        this.story = StreamStory.create(environment, task, this.progress);
     }
 
     /**
@@ -150,12 +149,7 @@
         attempt.stages = stages;
         attempt.reservation = this.chains.reserve(stages);
         attempt.lastProgressAt = this.getTime();
-        this.reroutes += 1;
-        this.environment.log.write(events.relayRerouted, {
-            request: this.task.request.id,
-            chain: formatStages(stages),
-            lastEvent: this.progress.getLastId(),
-        });
+        this.story.writeReroute(stages);
     }
 
     /**
@@ -274,9 +268,6 @@
             sentAt: now,
             reservation,
             exchange: undefined,
-            head: undefined,
-            splitter: EventSplitter.create(),
-            chunks: [],
             lastProgressAt: now,
             firstEventAt: undefined,
         };
@@ -289,40 +280,24 @@
         const { request, customer } = this.task;
         const { endpoint } = stages[0]!;
         const context = { endpoint, customer, remainingMilliseconds, stages, lastEventId: this.progress.getLastId() };
+        const reader = StreamAnswerReader.create({
+            protocol,
+            requestId: request.id,
+            onEvent: (event, head) => this.takeEvent(attempt, head, event),
+            onEnd: end => this.takeEnd(attempt, end),
+        });
         attempt.exchange = pools.getPool(endpoint.address).send(protocol.createRequest(request, context), {
-            onHead: (status, headers) => this.takeHead(attempt, status, headers),
-            onData: chunk => this.takeData(attempt, chunk),
-            onEnd: () => this.takeEnd(attempt),
+            onHead: (status, headers) => reader.takeHead(status, headers),
+            onData: chunk => reader.takeData(chunk),
+            onEnd: () => reader.takeEnd(),
             onFailure: failure => this.takeFailure(attempt, failure),
         });
     }
 
-    private takeHead(attempt: StreamAttempt, status: number, headers: IncomingHttpHeaders): void {
-        const head = this.environment.protocol.readHead(status, headers, this.task.request.id);
-        attempt.head = head;
-        if (!head.isForRequest) {
-            attempt.exchange?.abort();
-            const avoid = [attempt.stages[0]!.endpoint.id];
-            this.endAttempt(attempt, { isNotRun: false, cause: "the answer belongs to another request.", avoid });
-        }
-    }
-
-    private takeData(attempt: StreamAttempt, chunk: Buffer): void {
-        if (attempt !== this.attempt || attempt.head === undefined) {
-            return;
-        }
-        if (!isSuccess(attempt.head)) {
-            attempt.chunks.push(chunk);
+    private takeEvent(attempt: StreamAttempt, head: AnswerHead, event: StreamEvent): void {
+        if (attempt !== this.attempt) {
             return;
         }
-        for (const event of attempt.splitter.push(chunk)) {
-            if (attempt === this.attempt) {
-                this.takeEvent(attempt, attempt.head, event);
-            }
-        }
-    }
-
-    private takeEvent(attempt: StreamAttempt, head: AnswerHead, event: StreamEvent): void {
         const now = this.getTime();
         this.mayHaveRun = true;
         attempt.lastProgressAt = now;
@@ -359,35 +334,42 @@
         }
     }
 
-    private takeEnd(attempt: StreamAttempt): void {
-        const { head } = attempt;
-        if (attempt !== this.attempt || head === undefined) {
-            return;
-        }
-        const [first] = attempt.stages;
-        if (head.isNotRun) {
-            this.allowance.noteRefusal();
-            this.endAttempt(attempt, {
-                isNotRun: true,
-                cause: `the endpoint refused it (${head.status}).`,
-                avoid: this.noteRefusal(getFaulty(attempt, head.faultyAddress), head.status),
-            });
-            return;
-        }
-        if (!isSuccess(head)) {
-            this.endAttempt(attempt, {
-                isNotRun: false,
-                cause: `the endpoint answered ${head.status}${head.isSigned ? "" : " without a signature"}.`,
-                avoid: [first!.endpoint.id],
-                // A success without a signature isn't the endpoint's own answer, and must not reach the caller as one.
-                failure: hasSuccessStatus(head) ? undefined : { head, body: Buffer.concat(attempt.chunks) },
-            });
+    private takeEnd(attempt: StreamAttempt, end: StreamAnswerEnd): void {
+        if (attempt !== this.attempt) {
             return;
         }
-        if (attempt.splitter.hasRest()) {
-            this.endAttempt(attempt, { isNotRun: false, cause: "the stream ended within an event.", avoid: [] });
-            return;
+        const firstId = attempt.stages[0]!.endpoint.id;
+        switch (end.kind) {
+            case "whole":
+                this.complete(end.head);
+                return;
+            case "refused": {
+                const { head } = end;
+                this.allowance.noteRefusal();
+                const avoid = this.noteRefusal(getFaulty(attempt, head.faultyAddress), head.status);
+                this.endAttempt(attempt, { isNotRun: true, cause: `the endpoint refused it (${head.status}).`, avoid });
+                return;
+            }
+            case "failed": {
+                const { head, answer } = end;
+                const cause = `the endpoint answered ${head.status}${head.isSigned ? "" : " without a signature"}.`;
+                this.endAttempt(attempt, { isNotRun: false, cause, avoid: [firstId], failure: answer });
+                return;
+            }
+            case "cut":
+                this.endAttempt(attempt, { isNotRun: false, cause: "the stream ended within an event.", avoid: [] });
+                return;
+            case "foreign":
+                attempt.exchange?.abort();
+                this.endAttempt(attempt, {
+                    isNotRun: false,
+                    cause: "the answer belongs to another request.",
+                    avoid: [firstId],
+                });
         }
+    }
+
+    private complete(head: AnswerHead): void {
         this.quarantine.noteOutlived();
         this.writeHead(head);
         this.task.sink.end();
@@ -430,19 +412,9 @@
         for (const id of end.avoid) {
             this.avoided.add(id);
         }
-        this.environment.log.write(events.relayAttemptFailed, {
-            request: this.task.request.id,
-            chain: formatStages(attempt.stages),
-            attempt: this.allowance.getSendings(),
-            isNotRun: end.isNotRun,
-            cause: end.cause,
-            avoided: end.avoid.join(","),
-            lastEvent: this.progress.getLastId(),
-            fingerprint: this.task.fingerprint,
-            memoryPart: Number(this.chains.getMemoryPart(attempt.stages[0]!.endpoint).toFixed(2)),
-            eventMilliseconds: Math.round(getEventTime(attempt)),
-            milliseconds: Math.round(this.getTime() - attempt.sentAt),
-        });
+        const sendings = this.allowance.getSendings();
+        const memoryPart = this.chains.getMemoryPart(attempt.stages[0]!.endpoint);
+        this.story.writeFailure({ attempt, end, sendings, memoryPart });
         if (end.isNotRun || this.isRepeatable()) {
             this.startAttempt(end.cause, !end.isUnsent);
             return;
@@ -506,52 +478,20 @@
         if (attempt !== undefined) {
             this.leave(attempt);
         }
-        this.logEnd(outcome, cause, attempt);
+        this.story.writeEnd({ outcome, cause, sendings: this.allowance.getSendings(), attempt });
         this.onDone();
     }
 
-    private logEnd(outcome: string, cause: string, attempt: StreamAttempt | undefined): void {
-        const { request, route } = this.task;
-        this.environment.log.write(events.relayEnded, {
-            request: request.id,
-            route: route.name,
-            outcome,
-            cause,
-            fingerprint: this.task.fingerprint,
-            attempts: this.allowance.getSendings(),
-            reroutes: this.reroutes,
-            events: this.progress.getCount(),
-            chain: attempt === undefined ? "" : formatStages(attempt.stages),
-            promptTokens: request.promptTokens,
-            firstEventMilliseconds: Math.round((this.progress.getFirstTime() ?? request.arrivedAt) - request.arrivedAt),
-            longestGapMilliseconds: Math.round(this.progress.getLongestGap()),
-            milliseconds: Math.round(this.getTime() - request.arrivedAt),
-        });
-    }
-
     private getTime(): number {
         return this.environment.clock.getMonotonicTime();
     }
 }
 
-function isSuccess(head: AnswerHead): boolean {
-    return hasSuccessStatus(head) && head.isSigned && !head.isNotRun;
-}
-
-function hasSuccessStatus({ status }: AnswerHead): boolean {
-    return status >= successStatus && status < redirectStatus;
-}
-
 /** Gets the endpoint of a chain that an answer names as being at fault; the first one where it names none. */
 function getFaulty({ stages }: StreamAttempt, address: string | undefined): RegisteredEndpoint {
     return (stages.find(({ endpoint }) => endpoint.address === address) ?? stages[0]!).endpoint;
 }
 
-/** Gets the time from the first event of a run to its last one, in milliseconds. */
-function getEventTime({ firstEventAt, lastProgressAt }: StreamAttempt): number {
-    return firstEventAt === undefined ? 0 : lastProgressAt - firstEventAt;
-}
-
 function listDataCentres(stages: readonly RelayStage[]): string[] {
     return stages.map(({ endpoint }) => endpoint.dataCentre);
 }
--- /dev/null
+++ b/src/request/relay/streamStory.ts
@@ -0,0 +1,104 @@
+import { events } from "../../process/logging/events.ts";
+import { formatStages } from "./formatStages.ts";
+import type { RelayEnvironment } from "./relayEnvironment.ts";
+import type { RelayStage } from "./relayStage.ts";
+import type { RelayTask } from "./relayTask.ts";
+import type { StreamAttempt } from "./streamAttempt.ts";
+import type { StreamAttemptEnd } from "./streamAttemptEnd.ts";
+import type { StreamProgress } from "./streamProgress.ts";
+
+/** An attempt that has failed, for the log. */
+interface FailedAttempt {
+    attempt: StreamAttempt;
+    end: StreamAttemptEnd;
+    /** How often the request was sent until then. */
+    sendings: number;
+    /** Part of the first stage's memory that was taken. */
+    memoryPart: number;
+}
+
+/** The end of a request, for the log. */
+interface EndedRequest {
+    outcome: string;
+    cause: string;
+    /** How often the request was sent. */
+    sendings: number;
+    /** What was still running. */
+    attempt: StreamAttempt | undefined;
+}
+
+/** The lines of the log on one streamed request. */
+export class StreamStory {
+    private readonly environment: RelayEnvironment;
+    private readonly task: RelayTask;
+    private readonly progress: StreamProgress;
+    private reroutes = 0;
+
+    private constructor(environment: RelayEnvironment, task: RelayTask, progress: StreamProgress) {
+        this.environment = environment;
+        this.task = task;
+        this.progress = progress;
+    }
+
+    /** Creates the lines of a request that was not sent yet. */
+    static create(environment: RelayEnvironment, task: RelayTask, progress: StreamProgress): StreamStory {
+        return new StreamStory(environment, task, progress);
+    }
+
+    /** Writes that the request was moved to another chain. */
+    writeReroute(stages: readonly RelayStage[]): void {
+        this.reroutes += 1;
+        this.environment.log.write(events.relayRerouted, {
+            request: this.task.request.id,
+            chain: formatStages(stages),
+            lastEvent: this.progress.getLastId(),
+        });
+    }
+
+    /** Writes why an attempt has failed. */
+    writeFailure({ attempt, end, sendings, memoryPart }: FailedAttempt): void {
+        this.environment.log.write(events.relayAttemptFailed, {
+            request: this.task.request.id,
+            chain: formatStages(attempt.stages),
+            attempt: sendings,
+            isNotRun: end.isNotRun,
+            cause: end.cause,
+            avoided: end.avoid.join(","),
+            lastEvent: this.progress.getLastId(),
+            fingerprint: this.task.fingerprint,
+            memoryPart: Number(memoryPart.toFixed(2)),
+            eventMilliseconds: Math.round(getEventTime(attempt)),
+            milliseconds: this.getMillisecondsSince(attempt.sentAt),
+        });
+    }
+
+    /** Writes how the request has ended. */
+    writeEnd({ outcome, cause, sendings, attempt }: EndedRequest): void {
+        const { request, route, fingerprint } = this.task;
+        const { arrivedAt } = request;
+        this.environment.log.write(events.relayEnded, {
+            request: request.id,
+            route: route.name,
+            outcome,
+            cause,
+            fingerprint,
+            attempts: sendings,
+            reroutes: this.reroutes,
+            events: this.progress.getCount(),
+            chain: attempt === undefined ? "" : formatStages(attempt.stages),
+            promptTokens: request.promptTokens,
+            firstEventMilliseconds: Math.round((this.progress.getFirstTime() ?? arrivedAt) - arrivedAt),
+            longestGapMilliseconds: Math.round(this.progress.getLongestGap()),
+            milliseconds: this.getMillisecondsSince(arrivedAt),
+        });
+    }
+
+    private getMillisecondsSince(time: number): number {
+        return Math.round(this.environment.clock.getMonotonicTime() - time);
+    }
+}
+
+/** Gets the time from the first event of a run to its last one, in milliseconds. */
+function getEventTime({ firstEventAt, lastProgressAt }: StreamAttempt): number {
+    return firstEventAt === undefined ? 0 : lastProgressAt - firstEventAt;
+}
