--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -25,6 +25,7 @@
 import { EndpointPoll } from "./endpointPoll.ts";
 import { EndpointReadings } from "./endpointReadings.ts";
 import { EndpointRegistry } from "./endpointRegistry.ts";
+import { getRepeatPolicy } from "./getRepeatPolicy.ts";
 import { HighestCount } from "./highestCount.ts";
 import { NodeTable } from "./nodeTable.ts";
 import { PeerExchange } from "./peerExchange.ts";
@@ -39,14 +40,6 @@
 const leaseMilliseconds = 3_000;
 /** Endpoints refuse orders with an older fencing number, so a successor need not wait for those under way. */
 const longestOrderMilliseconds = 300;
-/**
- * Parts of what all nodes together may repeat in a window beyond the ratio. The loss of one endpoint breaks all requests
- * that pass through it at once, so most of it can be used at once; the rest is earned back over the window. What is left
- * is for nodes that are not known here.
- */
-const savedPart = 0.75;
-const earnedPart = 0.1;
-const ratioPart = 0.75;
 const secondMilliseconds = 1_000;
 /** A node that has just started knows of few others; it takes a small part of what all may do together until it does. */
 const unknownNodes = 9;
@@ -196,7 +189,7 @@
             crossings: CrossingDelays.create(),
             pipeLoad: PipeLoad.create(),
             getNodeCount: () => this.getNodeCount(),
-            repeats: RetryBudget.create(clock.getMonotonicTime(), () => this.getRepeatPolicy()),
+            repeats: RetryBudget.create(clock.getMonotonicTime(), () => getRepeatPolicy(settings, this.getNodeCount())),
         };
         const calls = EndpointCalls.create({
             protocol,
@@ -342,16 +335,4 @@
         const now = this.options.clock.getMonotonicTime();
         return this.nodeCount.note(1 + this.nodes.getLiveNodes(now).length, now);
     }
-
-    /** This node's part of the repeats that all nodes may send together. */
-    private getRepeatPolicy() {
-        const { settings } = this.options;
-        const slack = settings.repeatSlack / this.getNodeCount();
-        const windowSeconds = settings.repeatWindowMilliseconds / secondMilliseconds;
-        return {
-            ratio: settings.repeatRatio * ratioPart,
-            perSecond: slack * earnedPart / windowSeconds,
-            maximumBalance: Math.max(1, slack * savedPart),
-        };
-    }
 }
