--- a/standins/network/loopbackProxy.ts
+++ b/standins/network/loopbackProxy.ts
@@ -1,5 +1,6 @@
 import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
 import { parseAddress } from "../../src/process/settings/parseAddress.ts";
+import { DelayLine } from "./delayLine.ts";
 import { ProxyMode } from "./proxyMode.ts";
 
 /** Of a delay; under the two checks of a balancer, so that a delayed part counts as slow and not as dead. */
@@ -134,15 +135,11 @@
 
     /** Passes bytes on in one direction, which one of the modes cuts. */
     private pipe(from: Socket, to: Socket, cuttingMode: ProxyMode): void {
+        const line = DelayLine.create();
         const pass = (act: () => void) => {
-            if (this.mode === cuttingMode || this.mode === ProxyMode.Silence) {
-                return;
+            if (this.mode !== cuttingMode && this.mode !== ProxyMode.Silence) {
+                line.add(this.mode === ProxyMode.Delay ? delayMilliseconds : 0, act);
             }
-            if (this.mode === ProxyMode.Delay) {
-                setTimeout(act, delayMilliseconds);
-                return;
-            }
-            act();
         };
         from.on("data", (bytes: Buffer) => pass(() => this.write(to, bytes)));
         from.on("end", () => pass(() => to.end()));
