--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -32,6 +32,7 @@
 const newsMilliseconds = 5_000;
 /** Bound on a message between nodes, and on what is kept in the store. */
 const mostListedRuns = 100;
+/** Bounds on what is remembered, in requests. */
 const mostSuspects = 1_000;
 const mostServed = 4_096;
 
