--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -105,12 +105,13 @@
         return this.listRuns(now, 0);
     }
 
-    private listRuns(now: number, newsMilliseconds: number): EndedRun[] {
+    /** Lists the runs of requests that are held back, and all that ended lately. */
+    private listRuns(now: number, youngerThanMilliseconds: number): EndedRun[] {
         const runs: EndedRun[] = [];
         for (const [fingerprint, endpoints] of this.suspects.entries()) {
             const isHeld = this.findHold(endpoints, now) !== undefined;
             for (const [endpointId, at] of endpoints) {
-                if (isHeld || now - at < newsMilliseconds) {
+                if (isHeld || now - at < youngerThanMilliseconds) {
                     runs.push({ fingerprint, endpointId, at });
                 }
             }
