Give a request up in one place, with what its caller is told where nothing has run

Three places asked whether anything of the request had run before they chose its answer, which giveUp asks again. They hand it the refusal now.

--- a/src/request/relay/documentRelay.ts
+++ b/src/request/relay/documentRelay.ts
@@ -125,16 +125,10 @@
     /** Ends the request where it is held back, unless an endpoint still runs it. Returns whether it is. */
     private reviewHold(cause: string): boolean {
         const hold = this.quarantine.getHold();
-        if (hold === undefined) {
-            return false;
+        if (hold !== undefined) {
+            this.giveUp(cause, createRefusal.heldBack(hold));
         }
-        if (this.running.size > 0 || this.mayHaveRun || this.failure !== undefined) {
-            this.giveUp(cause);
-        }
-        else {
-            this.refuse(createRefusal.heldBack(hold));
-        }
-        return true;
+        return hold !== undefined;
     }
 
     private send(attempt: Attempt, remainingMilliseconds: number): void {
@@ -285,7 +279,12 @@
         this.finish("answered", endpoint.id, answer.head.status);
     }
 
-    private giveUp(cause: string): void {
+    /**
+     * Ends the request without an endpoint's success, unless an endpoint still runs it.
+     * @param cause - Why.
+     * @param notRun - What its caller is told where nothing of it has run.
+     */
+    private giveUp(cause: string, notRun: RelayRefusal = createRefusal.notRun(cause)): void {
         if (this.running.size > 0) {
             return;
         }
@@ -295,7 +294,7 @@
             this.finish("endpointFailed", undefined, failure.head.status);
             return;
         }
-        this.refuse(this.mayHaveRun ? createRefusal.outcomeUnknown(cause) : createRefusal.notRun(cause));
+        this.refuse(this.mayHaveRun ? createRefusal.outcomeUnknown(cause) : notRun);
     }
 
     private expire(): void {
--- a/src/request/relay/streamRelay.ts
+++ b/src/request/relay/streamRelay.ts
@@ -216,16 +216,10 @@
     /** Ends the request where it is held back. Returns whether it is. */
     private reviewHold(cause: string): boolean {
         const hold = this.quarantine.getHold();
-        if (hold === undefined) {
-            return false;
+        if (hold !== undefined) {
+            this.giveUp(`${cause} Endpoints end while they run this request.`, createRefusal.heldBack(hold));
         }
-        if (this.mayHaveRun || this.failure !== undefined) {
-            this.giveUp(`${cause} Endpoints end while they run this request.`);
-        }
-        else {
-            this.refuse(createRefusal.heldBack(hold));
-        }
-        return true;
+        return hold !== undefined;
     }
 
     /** Goes on with a stream that has begun. It does not wait for room: its caller would leave. */
@@ -253,11 +247,7 @@
             retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
             waitedMilliseconds: Math.round(this.getTime() - this.task.request.arrivedAt),
         });
-        if (this.mayHaveRun || this.failure !== undefined) {
-            this.giveUp(cause);
-            return;
-        }
-        this.refuse(createRefusal.notRun(cause, retryAfterMilliseconds));
+        this.giveUp(cause, createRefusal.notRun(cause, retryAfterMilliseconds));
     }
 
     private runAttempt({ stages, reservation }: RelayPlace): void {
@@ -433,7 +423,12 @@
         return this.task.route.isResumable;
     }
 
-    private giveUp(cause: string): void {
+    /**
+     * Ends the request without a whole answer.
+     * @param cause - Why.
+     * @param notRun - What its caller is told where nothing of it has run.
+     */
+    private giveUp(cause: string, notRun: RelayRefusal = createRefusal.notRun(cause)): void {
         const { failure } = this;
         if (this.isHeadWritten) {
             this.task.sink.cut();
@@ -445,7 +440,7 @@
             this.finish("endpointFailed", cause);
             return;
         }
-        this.refuse(this.mayHaveRun ? createRefusal.outcomeUnknown(cause) : createRefusal.notRun(cause));
+        this.refuse(this.mayHaveRun ? createRefusal.outcomeUnknown(cause) : notRun);
     }
 
     private expire(): void {
