Compile what a node needs once, when the executable is built

Change: the build serves requests from a small deployment and keeps the functions that a node had compiled; the executable takes them over. Of undici only the parts that a node uses are loaded; the bundle has no character that doubles its text in memory.

--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -4,20 +4,37 @@
  *
  * Usage: build.ts [FOLDER], where FOLDER is dist by default.
  */
-import { build, type Plugin } from "esbuild";
+import { build, type BuildOptions, type Plugin } from "esbuild";
 import { spawnSync } from "node:child_process";
 import { chmodSync, copyFileSync, mkdirSync, rmSync, writeFileSync } from "node:fs";
+import { assetNames } from "./executable/assetNames.ts";
+import { createCodeCache } from "./executable/createCodeCache.ts";
 
 process.chdir(new URL("..", import.meta.url).pathname);
 
 const [folder = "dist"] = process.argv.slice(2);
 const bundle = `${folder}/foxlead.cjs`;
 const executable = `${folder}/foxlead`;
+const entry = `${folder}/main.cjs`;
+const codeCache = `${folder}/foxlead.cache`;
 const seaConfiguration = `${folder}/sea.json`;
 const seaBlob = `${folder}/sea.blob`;
 /** Marker in each Node.js binary; injection turns its last digit. From the manual of Node.js, "Single executables". */
 const sentinelFuse = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 const executableMode = 0o755;
+/** A node has a part of one processor, on which helper threads would only take turns with the one that serves. */
+const flags = ["--single-threaded-gc"];
+const bundling = {
+    bundle: true,
+    platform: "node",
+    format: "cjs",
+    target: "node24",
+    charset: "ascii",
+    legalComments: "none",
+    // Comments may hold characters that need twice the memory for the whole text.
+    minifyWhitespace: true,
+    logLevel: "warning",
+} satisfies BuildOptions;
 
 /**
  * Takes the ES modules of libraries whose CommonJS is UMD: there `require` is passed on as a value, so that esbuild
@@ -39,33 +56,57 @@
     },
 };
 
+/**
+ * Takes of undici the parts that a node uses, and the whole only at the first call of `request`, which the command line makes: its
+ * index loads fetch, WebSocket, caches and a database, which each start of a node would pay for.
+ */
+const partsOfUndici: Plugin = {
+    name: "parts-of-undici",
+    setup: ({ onResolve, onLoad }) => {
+        onResolve({ filter: /^undici$/ }, ({ path, resolveDir }) => ({
+            path,
+            namespace: "parts",
+            pluginData: resolveDir,
+        }));
+        onLoad({ filter: /^undici$/, namespace: "parts" }, ({ pluginData }) => ({
+            contents: `
+                const Dispatcher = require("undici/lib/dispatcher/dispatcher.js");
+                Object.assign(Dispatcher.prototype, require("undici/lib/api/index.js"));
+                exports.Agent = require("undici/lib/dispatcher/agent.js");
+                exports.Client = require("undici/lib/dispatcher/client.js");
+                exports.Pool = require("undici/lib/dispatcher/pool.js");
+                exports.buildConnector = require("undici/lib/core/connect.js");
+                Object.defineProperty(exports, "request", { get: () => require("undici/index.js").request });
+            `,
+            resolveDir: pluginData,
+        }));
+    },
+};
+
 mkdirSync(folder, { recursive: true });
 await build({
+    ...bundling,
     entryPoints: ["src/main.ts"],
     outfile: bundle,
-    bundle: true,
-    platform: "node",
-    format: "cjs",
-    target: "node24",
-    plugins: [esModulesOfUmdLibraries],
+    plugins: [esModulesOfUmdLibraries, partsOfUndici],
     // ts-results and jsonc-parser cannot be bundled from their CommonJS form.
     mainFields: ["module", "main"],
     // CommonJS has no import.meta; yargs looks there for its own place.
     define: { "import.meta.url": "bundleUrl" },
     banner: { js: 'const bundleUrl = require("node:url").pathToFileURL(__filename).href;' },
-    logLevel: "warning",
 });
 
+await build({ ...bundling, entryPoints: ["scripts/executable/main.ts"], outfile: entry });
+await createCodeCache(bundle, codeCache, flags);
+
 writeFileSync(
     seaConfiguration,
     JSON.stringify({
-        main: bundle,
+        main: entry,
         output: seaBlob,
         disableExperimentalSEAWarning: true,
-        useCodeCache: true,
-        // A node has a part of one processor, on which helper threads only take turns with the one that serves: idle nodes took
-        // 18.6 ms of processor a second with it and 22.1 ms without (two nodes and stand-ins in one process, one run each).
-        execArgv: ["--single-threaded-gc"],
+        assets: { [assetNames.bundle]: bundle, [assetNames.codeCache]: codeCache },
+        execArgv: flags,
         execArgvExtension: "none",
     }),
 );
@@ -76,6 +117,8 @@
 run("node_modules/.bin/postject", executable, "NODE_SEA_BLOB", seaBlob, "--sentinel-fuse", sentinelFuse);
 rmSync(seaConfiguration);
 rmSync(seaBlob);
+rmSync(entry);
+rmSync(codeCache);
 run(executable, "version");
 console.log(`Built ${bundle} and ${executable}.`);
 
--- a/scripts/deployment/processStarter.ts
+++ b/scripts/deployment/processStarter.ts
@@ -4,6 +4,8 @@
 interface ProcessStarterOptions {
     /** Whether foxlead runs from the built executable or from the sources. */
     isBuilt: boolean;
+    /** Command that runs foxlead, with its first options, in place of these two. */
+    foxlead?: readonly string[];
     /** Called for each line that a process writes. */
     onLine?(name: string, line: string): void;
 }
@@ -28,6 +30,10 @@
      * @param options - Its command-line options.
      */
     startFoxlead(name: string, options: readonly string[]): ChildProcess {
+        const [command, ...first] = this.options.foxlead ?? [];
+        if (command !== undefined) {
+            return this.start(name, command, [...first, ...options]);
+        }
         return this.options.isBuilt
             ? this.start(name, "dist/foxlead", options)
             : this.startSource(name, "src/main.ts", options);
--- /dev/null
+++ b/scripts/executable/recordCodeCache.ts
@@ -0,0 +1,14 @@
+/**
+ * Runs foxlead from its bundle and writes the functions that were compiled meanwhile to a file, when the process ends.
+ *
+ * Usage: recordCodeCache.ts BUNDLE FILE [ARGUMENT...], with the arguments of foxlead.
+ */
+import { readFileSync, writeFileSync } from "node:fs";
+import { compileBundle } from "./compileBundle.ts";
+import { runBundle } from "./runBundle.ts";
+
+const [bundle, file, ...options] = process.argv.slice(2);
+const script = compileBundle(readFileSync(bundle!));
+process.argv = [process.execPath, process.execPath, ...options];
+process.once("exit", () => writeFileSync(file!, script.createCachedData()));
+runBundle(script);
--- a/scripts/soak/router/routerDeployment.ts
+++ b/scripts/soak/router/routerDeployment.ts
@@ -18,6 +18,8 @@
     nodes: number;
     /** Whether nodes run from the built executable or from the sources. */
     isBuilt: boolean;
+    /** Command that runs foxlead, with its first options, in place of these two. */
+    foxlead?: readonly string[];
     /** Called for each line that a process writes. */
     onLine(name: string, line: string): void;
     /** Called when a process has ended that was not asked to. */
