Tell all nodes at once of an endpoint that refuses new requests, after asking it whether it does

Change: an endpoint that refuses although it seems to have room is asked for its report; one that has room to spare, or doesn't answer, is kept out of new chains by all nodes for 3 s, whatever events of it still come; the news is passed on at once. Nodes look again at times of their own.

--- a/bench/experiment/simulatedNode.ts
+++ b/bench/experiment/simulatedNode.ts
@@ -65,6 +65,7 @@
             directory,
             loads,
             health,
+            refusals: { note: () => Promise.resolve() },
             quarantine,
             repeats: RetryBudget.create(clock.getMonotonicTime(), () => repeatPolicy),
             queue,
--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -150,6 +150,11 @@
         message:
             "The store's record of requests that are held back cannot be read; it is written anew with the next one.",
     },
+    endpointRefuses: {
+        number: 1722,
+        level: "info",
+        message: "An endpoint refused a request that it seemed to have room for, and was asked whether it refuses all.",
+    },
     relayRefused: { number: 1714, level: "warn", message: "A routed request was refused before it was sent." },
     endpointStateChanged: { number: 1801, level: "info", message: "The state of an endpoint has changed." },
     silentConnectionReplaced: {
--- a/src/process/router/peerState.ts
+++ b/src/process/router/peerState.ts
@@ -32,6 +32,8 @@
     readings: EndpointReadings;
     /** Gets the tokens a second of new requests that come to this node. */
     getDemand(): number;
+    /** Called when a peer has told of what others should know at once. */
+    onNews(): void;
 }
 
 /** Puts what a node knows of the endpoints into the messages of the peers, and takes theirs in. */
@@ -55,8 +57,8 @@
             loads: loads.getOwnLoads().map(({ endpointId, requests, tokenLayers }) =>
                 create(LoadRecordSchema, { endpointId, requests, tokenLayers })
             ),
-            suspicions: health.getSuspicions(now).map(({ endpointId, remainingMilliseconds }) =>
-                create(SuspicionRecordSchema, { endpointId, remaining: Math.round(remainingMilliseconds) })
+            suspicions: health.getSuspicions(now).map(({ endpointId, remainingMilliseconds, isRefusing }) =>
+                create(SuspicionRecordSchema, { endpointId, remaining: Math.round(remainingMilliseconds), isRefusing })
             ),
             readings: readings.getReadings(now).map(reading => create(ReadingRecordSchema, reading)),
             endedRuns: quarantine.getRuns(now).map(({ fingerprint, endpointId, at }) =>
@@ -67,12 +69,16 @@
 
     /** Takes the records of a peer's message in. */
     takeRecords(message: NodeState, now: number): void {
-        const { loads, health, quarantine, readings } = this.options;
+        const { loads, health, quarantine, readings, onNews } = this.options;
         if (message.sender !== undefined) {
             loads.setPeerLoads(message.sender.nodeId, message.loads, message.demand, now);
         }
-        for (const { endpointId, remaining } of message.suspicions) {
-            health.addSuspicion({ endpointId, remainingMilliseconds: remaining }, now);
+        let isNews = false;
+        for (const { endpointId, remaining, isRefusing } of message.suspicions) {
+            isNews = health.addSuspicion({ endpointId, remainingMilliseconds: remaining, isRefusing }, now) || isNews;
+        }
+        if (isNews) {
+            onNews();
         }
         for (const { fingerprint, endpointId, age } of message.endedRuns) {
             quarantine.takeRun({ fingerprint, endpointId, at: now - age });
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -9,6 +9,7 @@
 import { FirstEventTimes } from "../../request/relay/firstEventTimes.ts";
 import { PipeLoad } from "../../request/relay/pipeLoad.ts";
 import { RequestQuarantine } from "../../request/relay/quarantine/requestQuarantine.ts";
+import { RefusalWatch } from "../../request/relay/refusalWatch.ts";
 import type { RelayEnvironment } from "../../request/relay/relayEnvironment.ts";
 import { RelayQueue } from "../../request/relay/relayQueue.ts";
 import type { RoutedRequest } from "../../request/relay/routedRequest.ts";
@@ -61,7 +62,7 @@
     private readonly queue: RelayQueue;
     private readonly loads: EndpointLoads;
     private readonly quarantineKeeper: QuarantineKeeper;
-    private readonly health = EndpointHealth.create();
+    private readonly health: EndpointHealth;
     private peerServer: PeerServer | undefined;
     private isDraining = false;
     private retaining: TimerHandle | undefined;
@@ -70,6 +71,7 @@
     private constructor(options: RouterNodeOptions) {
         this.options = options;
         const { settings, clock, random, log, store, keys, metrics, protocol, nodeId } = options;
+        this.health = EndpointHealth.create(random);
         this.nodeCount = HighestCount.create(unknownNodes, clock.getMonotonicTime());
         this.queue = RelayQueue.create({
             clock,
@@ -166,12 +168,21 @@
                 quarantine,
                 readings,
                 getDemand: () => queue.getDemand(),
+                onNews: () => this.exchange.tellNews(),
             }),
             isBusy: () => queue.isBusy(),
             clock,
             random,
             log,
         });
+        const calls = EndpointCalls.create({
+            protocol,
+            pools: this.pools,
+            clock,
+            metrics,
+            log,
+            onIncarnation: (endpoint, incarnation) => this.registry.noteIncarnation(endpoint, incarnation),
+        });
         const environment: RelayEnvironment = {
             dataCentre: settings.dataCentre,
             clock,
@@ -182,6 +193,13 @@
             directory: this.registry,
             loads,
             health: this.health,
+            refusals: RefusalWatch.create({
+                health: this.health,
+                clock,
+                log,
+                fetchReport: endpoint => calls.fetchReport(endpoint),
+                onFound: () => this.exchange.tellNews(),
+            }),
             quarantine,
             queue,
             firstEvents: FirstEventTimes.create(),
@@ -191,14 +209,6 @@
             getNodeCount: () => this.getNodeCount(),
             repeats: RetryBudget.create(clock.getMonotonicTime(), () => getRepeatPolicy(settings, this.getNodeCount())),
         };
-        const calls = EndpointCalls.create({
-            protocol,
-            pools: this.pools,
-            clock,
-            metrics,
-            log,
-            onIncarnation: (endpoint, incarnation) => this.registry.noteIncarnation(endpoint, incarnation),
-        });
         this.duty = PlacementDuty.create({
             store,
             lease: this.lease,
--- /dev/null
+++ b/src/request/relay/isRefusalLasting.ts
@@ -0,0 +1,13 @@
+import type { EndpointReport } from "./endpointReport.ts";
+
+/** Above this part of its memory an endpoint may refuse for want of room. */
+const fullMemoryPart = 0.6;
+
+/**
+ * Decides whether an endpoint that has refused a request will refuse the next ones too: it is leaving, or gives its layers up, or is
+ * lost. One that is full takes others as soon as room comes free, and to keep all nodes away from it would waste that.
+ * @param report - What it says of itself; undefined where it doesn't answer.
+ */
+export function isRefusalLasting(report: EndpointReport | undefined): boolean {
+    return report === undefined || report.usedTokenLayers < fullMemoryPart * report.totalTokenLayers;
+}
--- a/src/request/relay/noteRefusal.ts
+++ b/src/request/relay/noteRefusal.ts
@@ -4,7 +4,7 @@
 
 /** A refusal by an endpoint of a chain. */
 interface EndpointRefusal {
-    environment: Pick<RelayEnvironment, "clock" | "loads" | "health" | "log">;
+    environment: Pick<RelayEnvironment, "clock" | "loads" | "health" | "log" | "refusals">;
     requestId: string;
     /** The endpoint that refused, or that the refusal names. */
     endpoint: RegisteredEndpoint;
@@ -25,7 +25,7 @@
  * @returns Ids of endpoints that the next chain avoids.
  */
 export function noteRefusal({ environment, requestId, endpoint, status, memoryPart }: EndpointRefusal): string[] {
-    const { clock, loads, health, log } = environment;
+    const { clock, loads, health, log, refusals } = environment;
     const now = clock.getMonotonicTime();
     if (status !== misdirectedStatus && memoryPart >= fullMemoryPart) {
         loads.noteFull(endpoint.id, now);
@@ -34,5 +34,6 @@
     }
     // It is leaving, lost, or gives its layers up, which its record may not show for seconds.
     health.addLoss(endpoint.id, now);
+    void refusals.note(endpoint);
     return [endpoint.id];
 }
--- a/src/request/relay/relayEnvironment.ts
+++ b/src/request/relay/relayEnvironment.ts
@@ -10,6 +10,7 @@
 import type { FirstEventTimes } from "./firstEventTimes.ts";
 import type { PipeLoad } from "./pipeLoad.ts";
 import type { RequestQuarantine } from "./quarantine/requestQuarantine.ts";
+import type { RefusalWatch } from "./refusalWatch.ts";
 import type { RelayDirectory } from "./relayDirectory.ts";
 import type { RelayQueue } from "./relayQueue.ts";
 import type { RelayTransport } from "./relayTransport.ts";
@@ -26,6 +27,7 @@
     directory: RelayDirectory;
     loads: EndpointLoads;
     health: EndpointHealth;
+    refusals: Pick<RefusalWatch, "note">;
     repeats: RetryBudget;
     quarantine: RequestQuarantine;
     queue: RelayQueue;
--- a/tests/request/relay/endpointHealth.test.ts
+++ b/tests/request/relay/endpointHealth.test.ts
@@ -23,18 +23,44 @@
 
     it("takes a peer's suspicion over for the time that it lasts there", () => {
         const health = EndpointHealth.create();
-        health.addSuspicion({ endpointId: "e", remainingMilliseconds: 500 }, 100);
+        health.addSuspicion({ endpointId: "e", remainingMilliseconds: 500, isRefusing: false }, 100);
         assert.ok(health.isSuspect("e", 599));
         assert.ok(!health.isSuspect("e", 601));
-        assert.deepEqual(health.getSuspicions(200), [{ endpointId: "e", remainingMilliseconds: 400 }]);
+        assert.deepEqual(health.getSuspicions(200), [{
+            endpointId: "e",
+            remainingMilliseconds: 400,
+            isRefusing: false,
+        }]);
     });
 
     it("doesn't take a peer's suspicion over while events of the endpoint come here", () => {
         const health = EndpointHealth.create();
         health.noteAlive("e", 0);
-        health.addSuspicion({ endpointId: "e", remainingMilliseconds: 1_000 }, 200);
+        health.addSuspicion({ endpointId: "e", remainingMilliseconds: 1_000, isRefusing: false }, 200);
         assert.ok(!health.isSuspect("e", 200));
-        health.addSuspicion({ endpointId: "e", remainingMilliseconds: 1_000 }, 400);
+        health.addSuspicion({ endpointId: "e", remainingMilliseconds: 1_000, isRefusing: false }, 400);
         assert.ok(health.isSuspect("e", 400));
     });
+
+    it("takes over from a peer that an endpoint refuses new requests, also while its events come here", () => {
+        const health = EndpointHealth.create();
+        health.noteAlive("e", 0);
+        const suspicion = { endpointId: "e", remainingMilliseconds: 1_000, isRefusing: true };
+        assert.ok(health.addSuspicion(suspicion, 0));
+        assert.ok(!health.addSuspicion(suspicion, 10));
+        assert.ok(health.isSuspect("e", 900));
+        assert.deepEqual(health.getSuspicions(10), [{
+            endpointId: "e",
+            remainingMilliseconds: 1_000,
+            isRefusing: true,
+        }]);
+        assert.ok(!health.isSuspect("e", 1_011));
+    });
+
+    it("looks again later than the peers, by a time of its own", () => {
+        const health = EndpointHealth.create(() => 1);
+        health.addRefusal("e", 0);
+        assert.deepEqual(health.getSuspicions(3_001), []);
+        assert.ok(health.isSuspect("e", 3_001));
+    });
 });
--- a/tests/request/relay/relayBench.ts
+++ b/tests/request/relay/relayBench.ts
@@ -61,6 +61,7 @@
             },
             loads: EndpointLoads.create(() => queue.wake()),
             health,
+            refusals: { note: () => Promise.resolve() },
             quarantine: RequestQuarantine.create({ log, getAliveTime: endpointId => health.getAliveTime(endpointId) }),
             repeats: RetryBudget.create(0),
             queue,
