--- /dev/null
+++ b/scripts/account.ts
@@ -0,0 +1,61 @@
+/**
+ * Accounts from the nodes' logs for what was not answered in time: by moment, route and reason.
+ *
+ * Usage: npm run account -- LOG... [--first 500] [--gap 250] [--window 2] [--json FILE] [--svg FILE]
+ */
+import { readFileSync, writeFileSync } from "node:fs";
+import yargs from "yargs";
+import { formatTable } from "../src/process/commandLine/formatTable.ts";
+import { accountRequests } from "./account/accountRequests.ts";
+import type { AccountWindow } from "./account/accountWindow.ts";
+import { drawWindows } from "./account/drawWindows.ts";
+import { parseRequestEnd } from "./account/parseRequestEnd.ts";
+import type { RequestEnd } from "./account/requestEnd.ts";
+
+const options = yargs(process.argv.slice(2))
+    .scriptName("account")
+    .option("first", { type: "number", default: 500, describe: "Longest time to the first event, in milliseconds." })
+    .option("gap", { type: "number", default: 250, describe: "Longest pause between events, in milliseconds." })
+    .option("window", { type: "number", default: 2, describe: "Length of a window, in seconds." })
+    .option("json", { type: "string", describe: "File to write the account to." })
+    .option("svg", { type: "string", describe: "File to write a picture to." })
+    .demandCommand(1, "Name the logs to read.")
+    .strictOptions()
+    .parseSync();
+const mostReasons = 12;
+
+const ends = options._.flatMap(file => readEnds(String(file)));
+const windows = accountRequests(ends, options.window);
+printTable([
+    ["from second", "asked", "in time", "most lost to"],
+    ...windows.map(({ from, asked, inTime, lost }) => [String(from), String(asked), String(inTime), formatMost(lost)]),
+]);
+const [whole] = accountRequests(ends, Infinity);
+console.log(`\n${whole?.inTime ?? 0} of ${whole?.asked ?? 0} in time; the rest by reason:`);
+printTable(whole?.lost.slice(0, mostReasons).map(([reason, count]) => [String(count), reason]) ?? []);
+console.log("\nBy route:");
+printTable([...Map.groupBy(ends, ({ route }) => route)].map(([route, ofRoute]) => {
+    const [all] = accountRequests(ofRoute, Infinity);
+    return [route, `${all!.inTime} of ${all!.asked} in time`, formatMost(all!.lost)];
+}));
+if (options.json !== undefined) {
+    writeFileSync(options.json, `${JSON.stringify(windows, undefined, 4)}\n`);
+}
+if (options.svg !== undefined) {
+    writeFileSync(options.svg, drawWindows(windows));
+}
+
+function readEnds(file: string): RequestEnd[] {
+    const objectives = { firstMilliseconds: options.first, gapMilliseconds: options.gap };
+    return readFileSync(file, "utf8").split("\n").map(line => parseRequestEnd(line, objectives)).filter(end =>
+        end !== undefined
+    );
+}
+
+function formatMost([most]: AccountWindow["lost"]): string {
+    return most === undefined ? "" : `${most[1]} ${most[0]}`;
+}
+
+function printTable(rows: string[][]): void {
+    console.log(formatTable(rows).join("\n"));
+}
--- /dev/null
+++ b/scripts/account/parseRequestEnd.ts
@@ -0,0 +1,57 @@
+import { z } from "zod";
+import { events } from "../../src/process/logging/events.ts";
+import type { Objectives } from "./objectives.ts";
+import type { RequestEnd } from "./requestEnd.ts";
+
+const endSchema = z.object({
+    time: z.string(),
+    event: z.literal(`FL${events.relayEnded.number}`),
+    route: z.string(),
+    outcome: z.string(),
+    cause: z.string().default(""),
+    milliseconds: z.number(),
+    reroutes: z.number().default(0),
+    attempts: z.number().default(1),
+    firstEventMilliseconds: z.number().optional(),
+    longestGapMilliseconds: z.number().default(0),
+});
+
+/**
+ * Reads how a request ended from a line of a node's log.
+ * @param line - The line; what stands before its JSON is passed over.
+ * @param objectives - What an answer must keep to be in time.
+ * @returns Undefined where the line tells of something else.
+ */
+export function parseRequestEnd(line: string, objectives: Objectives): RequestEnd | undefined {
+    const parsed = endSchema.safeParse(readJson(line));
+    if (!parsed.success) {
+        return undefined;
+    }
+    const end = parsed.data;
+    return {
+        arrivedAt: Date.parse(end.time) - end.milliseconds,
+        route: end.route,
+        reason: getReason(end, objectives),
+    };
+}
+
+function readJson(line: string): unknown {
+    try {
+        return JSON.parse(line.slice(line.indexOf("{")));
+    }
+    catch {
+        // A line that was cut, or that another program has written.
+        return undefined;
+    }
+}
+
+function getReason(end: z.infer<typeof endSchema>, { firstMilliseconds, gapMilliseconds }: Objectives): string {
+    if (end.outcome !== "answered") {
+        return end.cause === "" ? end.outcome : `${end.outcome}: ${end.cause}`;
+    }
+    const how = `${end.reroutes > 0 ? ", moved" : ""}${end.attempts > 1 ? ", sent again" : ""}`;
+    if ((end.firstEventMilliseconds ?? end.milliseconds) > firstMilliseconds) {
+        return `late: its beginning${how}`;
+    }
+    return end.longestGapMilliseconds > gapMilliseconds ? `late: a pause${how}` : "inTime";
+}
