Bound what a node starts over each pipe between data centres by its part of all demand

Change: each node has its part, by demand, of 0.7 of each directed pipe; a chain that may wait crosses only where its part is free, one request may be ahead of it; what goes over a pipe all the same (streams that move) delays what comes next.

--- a/bench/experiment/simulatedNode.ts
+++ b/bench/experiment/simulatedNode.ts
@@ -7,6 +7,7 @@
 import { EndpointLoads } from "../../src/request/relay/endpointLoads.ts";
 import { FirstEventTimes } from "../../src/request/relay/firstEventTimes.ts";
 import { PipeLoad } from "../../src/request/relay/pipeLoad.ts";
+import { PipeShares } from "../../src/request/relay/pipeShares.ts";
 import { RequestQuarantine } from "../../src/request/relay/quarantine/requestQuarantine.ts";
 import type { RelayDirectory } from "../../src/request/relay/relayDirectory.ts";
 import type { RelayEnvironment } from "../../src/request/relay/relayEnvironment.ts";
@@ -73,6 +74,7 @@
             deadlines,
             crossings: CrossingDelays.create(),
             pipeLoad: PipeLoad.create(),
+            pipeShares: PipeShares.create(() => loads.getDemandPart(queue.getDemand(), nodeCount)),
             getNodeCount: () => nodeCount,
         };
         this.switchOff(loads, deadlines, queue);
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -8,6 +8,7 @@
 import { EndpointLoads } from "../../request/relay/endpointLoads.ts";
 import { FirstEventTimes } from "../../request/relay/firstEventTimes.ts";
 import { PipeLoad } from "../../request/relay/pipeLoad.ts";
+import { PipeShares } from "../../request/relay/pipeShares.ts";
 import { RequestQuarantine } from "../../request/relay/quarantine/requestQuarantine.ts";
 import { RefusalWatch } from "../../request/relay/refusalWatch.ts";
 import type { RelayEnvironment } from "../../request/relay/relayEnvironment.ts";
@@ -206,6 +207,7 @@
             deadlines: UsualDeadlines.create(),
             crossings: CrossingDelays.create(),
             pipeLoad: PipeLoad.create(),
+            pipeShares: PipeShares.create(() => loads.getDemandPart(queue.getDemand(), this.getNodeCount())),
             getNodeCount: () => this.getNodeCount(),
             repeats: RetryBudget.create(clock.getMonotonicTime(), () => getRepeatPolicy(settings, this.getNodeCount())),
         };
--- a/src/request/relay/endpointLoads.ts
+++ b/src/request/relay/endpointLoads.ts
@@ -27,6 +27,8 @@
 const peakIntervalMilliseconds = 300;
 /** By then, requests that were on their way when the endpoint refused one are counted by all. */
 const fullMilliseconds = 250;
+/** A node with little demand has this part of an equal part all the same, for what may come next. */
+const leastDemandPart = 0.25;
 const noLoad: LoadOfEndpoint = { endpointId: "", requests: 0, tokenLayers: 0 };
 
 /** The load of each endpoint: this node's own requests, and those that its peers have told of. */
@@ -79,6 +81,19 @@
         return getOwnRoom({ own, ownPeak, others, total, share: this.getShare(ownDemand) });
     }
 
+    /**
+     * Gets this node's part of the demand of all nodes. Those that it has heard nothing of lately are taken to have as much as the
+     * others have on average.
+     * @param ownDemand - Tokens a second of new requests that come to this node.
+     * @param nodeCount - Nodes that live, this one included.
+     */
+    getDemandPart(ownDemand: number, nodeCount: number): number {
+        const equalPart = 1 / nodeCount;
+        const peerMean = this.peerCount > 0 ? this.peerDemand / this.peerCount : ownDemand;
+        const sum = ownDemand + peerMean * (nodeCount - 1);
+        return sum > 0 ? Math.max(ownDemand / sum, equalPart * leastDemandPart) : equalPart;
+    }
+
     /** Notes that an endpoint refused a request for want of room: whatever is counted here, it has none for a moment. */
     noteFull(endpointId: string, now: number): void {
         const load = this.getOwn(endpointId, now);
--- a/src/request/relay/relayChains.ts
+++ b/src/request/relay/relayChains.ts
@@ -4,6 +4,7 @@
 import { getCrossingBits } from "./getCrossingBits.ts";
 import { getRequestMemory } from "./getRequestMemory.ts";
 import { listCandidates } from "./listCandidates.ts";
+import { listCrossings } from "./listCrossings.ts";
 import type { LoadReservation } from "./loadReservation.ts";
 import type { RegisteredEndpoint } from "./registeredEndpoint.ts";
 import type { RelayEnvironment } from "./relayEnvironment.ts";
@@ -59,6 +60,7 @@
             sparePart,
             isConnected: address => environment.pools.getPool(address).hasIdle(),
             getCrossingDelay: (from, to) => environment.crossings.getExtra(from, to, now),
+            getPipeWait: (from, to) => environment.pipeShares.getWait(from, to, now),
         };
         const candidates = listCandidates(environment, model, task.service.name)
             .filter(({ endpoint }) => !avoid.has(endpoint.id));
@@ -71,11 +73,14 @@
      */
     reserve(stages: readonly RelayStage[]): LoadReservation {
         assertTiling(stages, this.model.layers);
-        const { loads, pipeLoad, clock, queue } = this.environment;
+        const { loads, pipeLoad, pipeShares, clock, queue } = this.environment;
         const tokens = this.getTokens();
         const now = clock.getMonotonicTime();
-        const bits = countCrossings(stages) * getCrossingBits(this.model, tokens);
-        pipeLoad.add(bits, now);
+        const crossings = listCrossings(stages);
+        pipeLoad.add(crossings.length * getCrossingBits(this.model, tokens), now);
+        for (const { from, to } of crossings) {
+            pipeShares.take(from, to, this.model, tokens, now);
+        }
         if (stages.some(({ endpoint }) => this.getMemoryPart(endpoint) > scarceMemoryPart)) {
             queue.noteContention();
         }
@@ -121,14 +126,3 @@
         return Math.min(expectedAnswerTokens || this.model.usualAnswerTokens, maximumAnswerTokens || Infinity);
     }
 }
-
-function countCrossings(stages: readonly RelayStage[]): number {
-    let crossings = 0;
-    for (const [index, { endpoint }] of stages.entries()) {
-        const next = stages[index + 1];
-        if (next !== undefined && next.endpoint.dataCentre !== endpoint.dataCentre) {
-            crossings += 1;
-        }
-    }
-    return crossings;
-}
--- a/src/request/relay/relayEnvironment.ts
+++ b/src/request/relay/relayEnvironment.ts
@@ -9,6 +9,7 @@
 import type { EndpointProtocol } from "./endpointProtocol.ts";
 import type { FirstEventTimes } from "./firstEventTimes.ts";
 import type { PipeLoad } from "./pipeLoad.ts";
+import type { PipeShares } from "./pipeShares.ts";
 import type { RequestQuarantine } from "./quarantine/requestQuarantine.ts";
 import type { RefusalWatch } from "./refusalWatch.ts";
 import type { RelayDirectory } from "./relayDirectory.ts";
@@ -36,6 +37,7 @@
     crossings: CrossingDelays;
     /** What this node's requests move between data centres. */
     pipeLoad: PipeLoad;
+    pipeShares: PipeShares;
     /** Gets the number of nodes that live, this one included. */
     getNodeCount(): number;
 }
--- a/src/request/relay/stageQuery.ts
+++ b/src/request/relay/stageQuery.ts
@@ -16,6 +16,8 @@
     pipeUse: number;
     /** Gets what a crossing was seen to add to first events lately, in milliseconds. */
     getCrossingDelay(from: string, to: string): number;
+    /** Gets how long this node's part of the pipe from one data centre to another is taken, in milliseconds. */
+    getPipeWait(from: string, to: string): number;
     /** Whether a connection to an endpoint's address is open and free. */
     isConnected(address: string): boolean;
     /** First stage that the chain must begin with, where a running request moves to another chain. */
--- a/tests/request/relay/relayBench.ts
+++ b/tests/request/relay/relayBench.ts
@@ -8,6 +8,7 @@
 import { EndpointLoads } from "../../../src/request/relay/endpointLoads.ts";
 import { FirstEventTimes } from "../../../src/request/relay/firstEventTimes.ts";
 import { PipeLoad } from "../../../src/request/relay/pipeLoad.ts";
+import { PipeShares } from "../../../src/request/relay/pipeShares.ts";
 import { RequestQuarantine } from "../../../src/request/relay/quarantine/requestQuarantine.ts";
 import type { RegisteredEndpoint } from "../../../src/request/relay/registeredEndpoint.ts";
 import type { RelayEnvironment } from "../../../src/request/relay/relayEnvironment.ts";
@@ -69,6 +70,7 @@
             deadlines: UsualDeadlines.create(),
             crossings: CrossingDelays.create(),
             pipeLoad: PipeLoad.create(),
+            pipeShares: PipeShares.create(() => 1),
             getNodeCount: () => 1,
         };
     }
--- a/tests/request/relay/relayModel.ts
+++ b/tests/request/relay/relayModel.ts
@@ -18,6 +18,7 @@
     sparePart: 0,
     isConnected: () => true,
     getCrossingDelay: () => 0,
+    getPipeWait: () => 0,
 };
 
 /** Creates an endpoint of the model. */
