--- /dev/null
+++ b/tests/platform/createAnswerSink.test.ts
@@ -0,0 +1,85 @@
+import assert from "node:assert/strict";
+import { createServer, type ServerResponse } from "node:http";
+import { type AddressInfo, connect } from "node:net";
+import { describe, it } from "node:test";
+import { createAnswerSink } from "../../platform/createAnswerSink.ts";
+import type { AnswerHead } from "../../src/request/relay/answerHead.ts";
+import type { AnswerSink } from "../../src/request/relay/answerSink.ts";
+
+/** Sends requests at once over one connection and answers them by a function. Returns all bytes that come back. */
+async function exchange(paths: string[], answer: (sinks: AnswerSink[]) => void, version = "1.1"): Promise<string> {
+    const sinks: AnswerSink[] = [];
+    const server = createServer((request, response: ServerResponse) => {
+        sinks.push(createAnswerSink(response, "id", () => request.url === paths.at(-1)));
+        if (sinks.length === paths.length) {
+            answer(sinks);
+        }
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    const socket = connect(port, "127.0.0.1");
+    socket.write(paths.map(path => `GET ${path} HTTP/${version}\r\nHost: h\r\n\r\n`).join(""));
+    let received = "";
+    for await (const chunk of socket) {
+        received += String(chunk);
+    }
+    server.close();
+    return received;
+}
+
+function createHead(headers: string[] = []): AnswerHead {
+    return {
+        status: 200,
+        headers: ["Content-Type", "text/event-stream", ...headers],
+        isForRequest: true,
+        isSigned: true,
+        isNotRun: false,
+        faultyAddress: undefined,
+    };
+}
+
+/** Writes an answer of two parts, of which one has a length of two hexadecimal digits. */
+function stream(sink: AnswerSink, text: string): void {
+    sink.writeHead(createHead());
+    sink.write(Buffer.from(text));
+    sink.write(Buffer.from(text.repeat(10)));
+    sink.end();
+}
+
+describe("createAnswerSink", () => {
+    it("writes each part of a stream as a chunk, and the end after the last one", async () => {
+        const received = await exchange(["/only"], ([sink]) => stream(sink!, "ab"));
+        const [, body] = received.split("\r\n\r\n", 1).length === 1 ? received.split(/\r\n\r\n(.*)/s) : [];
+        assert.equal(body, `2\r\nab\r\n14\r\n${"ab".repeat(10)}\r\n0\r\n\r\n`);
+    });
+
+    it("keeps an answer back until those before it on the connection have ended", async () => {
+        const received = await exchange(["/first", "/second"], ([first, second]) => {
+            stream(second!, "2");
+            stream(first!, "1");
+        });
+        assert.ok(received.indexOf("1111111111") < received.indexOf("2222222222"), received);
+        assert.equal(received.match(/\r\n0\r\n\r\n/g)?.length, 2);
+        assert.equal(received.match(/HTTP\/1\.1 200/g)?.length, 2);
+    });
+
+    it("leaves an answer with a length, and one for a caller without chunks, unframed", async () => {
+        const whole = await exchange(["/only"], ([sink]) => {
+            sink!.writeHead(createHead(["Content-Length", "3"]));
+            sink!.write(Buffer.from("abc"));
+            sink!.end();
+        });
+        assert.ok(whole.endsWith("\r\n\r\nabc"), whole);
+        const old = await exchange(["/only"], ([sink]) => stream(sink!, "ab"), "1.0");
+        assert.ok(old.endsWith(`\r\n\r\n${"ab".repeat(11)}`), old);
+    });
+
+    it("never ends an answer that is cut as a complete one", async () => {
+        const received = await exchange(["/only"], ([sink]) => {
+            sink!.writeHead(createHead());
+            sink!.write(Buffer.from("ab"));
+            sink!.cut();
+        }).catch(() => "");
+        assert.ok(!received.includes("\r\n0\r\n\r\n"), received);
+    });
+});
