--- a/src/request/admission/retryBudget.ts
+++ b/src/request/admission/retryBudget.ts
@@ -39,21 +39,16 @@
      * @returns Whether the retry may be sent.
      */
     takeRetry(now: number): boolean {
-        if (!this.hasRetry(now)) {
+        const policy = this.getPolicy();
+        this.add(Math.max(0, now - this.updatedAt) * policy.perSecond / 1000, policy);
+        this.updatedAt = now;
+        if (this.balance < 1) {
             return false;
         }
         this.balance -= 1;
         return true;
     }
 
-    /** Whether a retry may be sent at this monotonic time in milliseconds. */
-    hasRetry(now: number): boolean {
-        const policy = this.getPolicy();
-        this.add(Math.max(0, now - this.updatedAt) * policy.perSecond / 1000, policy);
-        this.updatedAt = now;
-        return this.balance >= 1;
-    }
-
     private add(retries: number, { maximumBalance }: RetryPolicy): void {
         this.balance = Math.min(maximumBalance, this.balance + retries);
     }
--- a/src/request/relay/runAllowance.ts
+++ b/src/request/relay/runAllowance.ts
@@ -44,19 +44,15 @@
         this.ranAt.add(endpointId);
     }
 
-    /**
-     * Whether the request may be sent to another first stage.
-     * @param runningId - First stage that runs it now, where it isn't noted yet.
-     */
-    mayRunAgain(runningId?: string): boolean {
+    /** Whether the request may be sent to another first stage. */
+    mayRunAgain(): boolean {
         if (this.sendings >= mostSendings || this.refusals > mostRefusals) {
             return false;
         }
         const { directory, health, clock } = this.environment;
         const now = clock.getMonotonicTime();
         const endpoints = directory.getEndpoints(this.task.service.name);
-        const ranAt = runningId === undefined ? this.ranAt : new Set([...this.ranAt, runningId]);
-        const soundRuns = [...ranAt].filter(ranId =>
+        const soundRuns = [...this.ranAt].filter(ranId =>
             endpoints.some(({ id }) => id === ranId) && !health.isSuspect(ranId, now)
         );
         return soundRuns.length < this.task.route.maximumAttempts;
--- a/src/request/relay/streamRelay.ts
+++ b/src/request/relay/streamRelay.ts
@@ -19,7 +19,6 @@
 import type { RelayTask } from "./relayTask.ts";
 import { RunAllowance } from "./runAllowance.ts";
 import { sendWholeAnswer } from "./sendWholeAnswer.ts";
-import { shouldBeginAnew } from "./shouldBeginAnew.ts";
 import type { StreamAnswerEnd } from "./streamAnswerEnd.ts";
 import { StreamAnswerReader } from "./streamAnswerReader.ts";
 import type { StreamAttempt } from "./streamAttempt.ts";
@@ -40,7 +39,6 @@
 export class StreamRelay {
     readonly task: RelayTask;
     private readonly environment: RelayEnvironment;
-    private readonly model: EngineModel;
     private readonly chains: RelayChains;
     private readonly allowance: RunAllowance;
     private readonly quarantine: TaskQuarantine;
@@ -62,7 +60,6 @@
         this.environment = environment;
         this.task = task;
         this.onDone = onDone;
-        this.model = model;
         this.chains = RelayChains.create(environment, task, model);
         this.allowance = RunAllowance.create(environment, task);
         this.quarantine = TaskQuarantine.create(environment, task);
@@ -123,34 +120,14 @@
     /**
      * Chooses another chain with the same first stage, without certain endpoints.
      * @param avoid - Ids of endpoints that hold the stream up.
-     * @returns Its stages; undefined where there is none, or where the stream had better be begun anew.
      */
     chooseReroute(avoid: ReadonlySet<string>): RelayStage[] | undefined {
-        const lost = this.attempt?.stages ?? [];
-        const [firstStage] = lost;
+        const [firstStage] = this.attempt?.stages ?? [];
         if (firstStage === undefined || avoid.has(firstStage.endpoint.id) || this.quarantine.getHold() !== undefined) {
             return undefined;
         }
         const all = new Set([...this.avoided, ...avoid]);
-        const moved = this.chains.choose({ avoid: all, firstStage, mayOverfill: true });
-        return moved === undefined || this.isBegunAnew(lost, moved, all) ? undefined : moved;
-    }
-
-    /** Whether the stream is begun anew rather than moved; only where it may be sent once more. */
-    private isBegunAnew(lost: readonly RelayStage[], moved: RelayStage[], avoid: ReadonlySet<string>): boolean {
-        const { environment, task, chains } = this;
-        const now = this.getTime();
-        const maySend = task.route.isResumable
-            && this.allowance.mayRunAgain(lost[0]?.endpoint.id)
-            && environment.repeats.hasRetry(now);
-        return shouldBeginAnew({
-            model: this.model,
-            contextTokens: chains.getTokens(),
-            lost,
-            moved,
-            anew: maySend ? chains.choose({ avoid, mayOverfill: true }) : undefined,
-            getPipeWait: (from, to) => environment.pipeShares.getWait(from, to, now),
-        });
+        return this.chains.choose({ avoid: all, firstStage, mayOverfill: true });
     }
 
     /** Notes that endpoints are lost; where the request had just begun to run there, it may be what ended them. */
