--- a/src/request/relay/crossing.ts
+++ b/src/request/relay/crossing.ts
@@ -2,6 +2,4 @@
 export interface Crossing {
     from: string;
     to: string;
-    /** Index of the stage that they come to. */
-    toStage: number;
 }
--- a/src/request/relay/listCrossings.ts
+++ b/src/request/relay/listCrossings.ts
@@ -7,7 +7,7 @@
     for (const [index, { endpoint }] of stages.entries()) {
         const next = stages[index + 1];
         if (next !== undefined && next.endpoint.dataCentre !== endpoint.dataCentre) {
-            crossings.push({ from: endpoint.dataCentre, to: next.endpoint.dataCentre, toStage: index + 1 });
+            crossings.push({ from: endpoint.dataCentre, to: next.endpoint.dataCentre });
         }
     }
     return crossings;
