--- a/src/process/logging/boundedLineWriter.ts
+++ b/src/process/logging/boundedLineWriter.ts
@@ -16,8 +16,8 @@
 }
 
 /**
- * A node writes about 3 lines a request; at 30 requests a second this leaves room for a storm of retries. Beyond it the
- * lines themselves would slow the requests down.
+ * Several times the lines of a node's usual requests, which leaves room for a storm of retries. Beyond it the lines themselves would
+ * slow the requests down.
  */
 const linesOfSecond = 300;
 const mostSavedLines = 1_500;
--- a/src/process/placement/assignLayers.ts
+++ b/src/process/placement/assignLayers.ts
@@ -135,8 +135,8 @@
 
 /**
  * Takes the column for an empty endpoint: one that nobody holds, or else, of those of its kind, one that its data centre lacks.
- * A data centre without some column makes each of its chains cross to another one, and all crossings share the pipes: where two of
- * five lacked one, 0.1 of the requests were served in time after the loss of seven of 33 endpoints, since the pipes were full.
+ * A data centre without some column makes each of its chains cross to another one, and all crossings share the pipes, which are full
+ * as soon as endpoints are lost.
  */
 function takeColumn(
     model: EngineModel,
--- a/src/process/placement/chooseLoads.ts
+++ b/src/process/placement/chooseLoads.ts
@@ -19,10 +19,9 @@
 /**
  * Chooses which assignments are ordered now.
  *
- * The load that it answers is the loss of a fifth of the endpoints under full traffic. All loads together end when the last does:
- * seven of 25 layers each, of which three share the way at full speed, took 10 s, in which no data centre had a whole chain. One
- * after the other they take as long in sum, and the data centre that lacks least serves after the first 4 s. Where nothing serves
- * yet, as at the start, nobody gains by an order, and all are given at once.
+ * The load that it answers is the loss of a fifth of the endpoints under full traffic. All loads together end when the last does, and
+ * until then no data centre may have a whole chain. One after the other they take as long in sum, and the data centre that lacks least
+ * serves after the first. Where nothing serves yet, as at the start, nobody gains by an order, and all are given at once.
  * @returns The assignments to order, those first after which a data centre has all columns.
  */
 export function chooseLoads(
--- a/src/process/placement/placementDuty.ts
+++ b/src/process/placement/placementDuty.ts
@@ -41,7 +41,7 @@
 }
 
 const tickMilliseconds = 250;
-/** An endpoint that crashed is back, empty, within about 4 s, of which its record outlives it for 3.6 s. */
+/** An endpoint that crashed is often back, empty, this long after its record has lapsed; then nobody need move. */
 const moveMilliseconds = 1_500;
 /** A candidate that has found no plan looks again after this time; the holder may be at it. */
 const lookAgainMilliseconds = 3_000;
@@ -56,7 +56,7 @@
     private readonly plans = new Map<string, LayerColumn[]>();
     /**
      * Services whose plan was looked for in the store since the lease was taken. A successor finds one and goes on with it at
-     * once; only a new plan waits until all endpoints have registered. Saves 0.9 s of each takeover.
+     * once; only a new plan waits until all endpoints have registered.
      */
     private readonly lookedFor = new Set<string>();
     /** Monotonic time in milliseconds at which each service's plan was looked for last. */
--- a/src/process/router/choosePartners.ts
+++ b/src/process/router/choosePartners.ts
@@ -22,13 +22,13 @@
 /** With two partners a round, state passes on over the others within seconds. */
 const calmPartners = 2;
 /**
- * Of more nodes each asks one in a round, and in one round of so many it is one by chance, from whom it learns of other nodes. With
- * two a round each 0.3 s, and the event loop sampled each 10 ms, 22 nodes took 58.8 s of processor on a calm day; now 41.3 s.
+ * Of more nodes each asks one in a round, which keeps the processor time of calm nodes low, and in one round of so many it is one by
+ * chance, from whom it learns of other nodes.
  */
 const roundsOfChance = 3;
 /**
  * Of more nodes each can't hear from all within a round. Those of its data centre use the same endpoints, so under load it speaks
- * to so many of these besides. Six of all took 0.10 of a processor a node among 63, where calm took 0.06, and told of few.
+ * to so many of these besides.
  */
 const busyNeighbours = 2;
 /** Of the second partners, this part is sought in all data centres; what crosses between them is paid by the byte. */
--- a/src/process/router/endpointRegistry.ts
+++ b/src/process/router/endpointRegistry.ts
@@ -81,8 +81,8 @@
             log.write(events.endpointRecordOutdated, { ...describe(endpoint), revision, source });
             return;
         }
-        // What a peer brings is logged where it came from the store, and here in one line a fetch: a line of each node for each
-        // endpoint would be 100,000 lines for 195 nodes and 190 endpoints that register and load.
+        // What a peer brings is logged where it came from the store, and here in one line a fetch, not in one of each node for each
+        // endpoint.
         if (source === "store") {
             log.write(events.endpointRegistered, { ...describe(endpoint), revision, source });
         }
--- a/src/process/router/shouldFetch.ts
+++ b/src/process/router/shouldFetch.ts
@@ -18,9 +18,8 @@
 /**
  * Decides whether changes are fetched from a peer that has them.
  *
- * The load that it answers is a change of the whole configuration at many nodes at once: half a megabyte that each node fetched
- * from several others came to 0.11 GB between data centres for 22 nodes, and to calls that timed out on slow links while the old
- * version stayed in force. So there is one fetch at a time, and only hubs fetch from another data centre at once.
+ * The load that it answers is a change of the whole configuration at many nodes at once: half a megabyte that each node fetches
+ * from several others fills slow links, so that calls time out while the old version stays in force. So there is one fetch at a time, and only hubs fetch from another data centre at once.
  */
 export function shouldFetch(situation: FetchSituation): boolean {
     const { isFetching, isEmpty, isNear, isHub, behindMilliseconds } = situation;
--- a/src/process/router/storeFollowing.ts
+++ b/src/process/router/storeFollowing.ts
@@ -34,9 +34,8 @@
 /** How often it is reviewed who follows the store. */
 const reviewMilliseconds = 250;
 /**
- * A node whose peers brought nothing current for this part of the time that changes may take follows the store itself. By the probe
- * and two steps over peers a copy is up to 2.4 s old among many nodes, of 4 s; at 0.6 of that the nodes of the quiet day with 22
- * made 231 calls to the store.
+ * A node whose peers brought nothing current for this part of the time that changes may take follows the store itself. With less, the
+ * usual way of news by the probe and two steps over peers would take too long for many nodes, and all would call the store.
  */
 const stalePart = 0.75;
 /** It goes on for this long, so that it doesn't change its ways with every late message. */
@@ -189,7 +188,7 @@
         if (!isWatcher || this.isWithoutStore()) {
             // Without the store nobody can take the lease; its holder alone goes on trying to renew it.
             // At its start a node that knows of few others counts as one that follows the store. Were all to seek the lease
-            // from then on, 77 nodes would make 23 writes a second to no purpose.
+            // from then on, their writes would be to no purpose.
             lease.pause();
             return;
         }
--- a/src/request/admission/start/startLine.ts
+++ b/src/request/admission/start/startLine.ts
@@ -25,8 +25,7 @@
 const mostPasses = 4;
 /**
  * A request may wait where its expected wait is at most this part of the time that it has. Others that come meanwhile may go
- * before it; with the whole of it, twice as much was turned away only after its wait (0.023 of a day's worth at four times the
- * load, against 0.011), and no more was served.
+ * before it; with the whole of it more would be turned away only after their wait, and no more served.
  */
 const expectedPart = 0.6;
 /** Before the first request has ended nothing is known of the pace, and so many may wait. */
--- a/src/request/relay/chooseSoundStages.ts
+++ b/src/request/relay/chooseSoundStages.ts
@@ -7,7 +7,7 @@
 /**
  * Chooses a chain of endpoints that are not taken as lost. One that is may be back, so it is tried where no chain can do
  * without it; but not because the others are full just now, since room comes free sooner than a lost endpoint is found
- * lost again. In a day with two of four first stages lost, 391 requests were sent to them in 4 s.
+ * lost again.
  * @param query - The request.
  * @param candidates - Endpoints that hold layers.
  * @param random - Source of the noise that sets nodes apart.
--- a/src/request/relay/chooseStages.ts
+++ b/src/request/relay/chooseStages.ts
@@ -27,12 +27,12 @@
 const entryCrossingMilliseconds = 80;
 /**
  * A first stage without an open connection takes a handshake and a place among the connections that the endpoint accepts from all
- * nodes. The noise alone made each of 195 nodes open connections to all first stages, nearly one for each request.
+ * nodes. Without this the noise alone has each of many nodes open connections to all first stages.
  */
 const openingMilliseconds = 100;
 /** A token waits behind the prompts of others as long as it travels. */
 const delaysOfToken = 2;
-/** A slow way was seen to add to a whole answer about so many times what it adds to the first event. */
+/** A slow way adds to a whole answer about so many times what it adds to the first event. */
 const delaysOfAnswer = 10;
 /** Above this use of the pipes the estimate grows no further. */
 const mostPipeUse = 0.9;
@@ -188,8 +188,8 @@
 }
 
 /**
- * Gets the time that a crossing between data centres adds to a whole answer, in milliseconds. All chains share the pipes:
- * with little traffic a crossing was measured to add 5 ms to each event, near saturation 12 ms and 90 ms to the first.
+ * Gets the time that a crossing between data centres adds to a whole answer, in milliseconds. All chains share the pipes, so it grows
+ * with their use.
  */
 function getCrossingCost(query: StageQuery, at: number, from: string, to: string): number {
     const { model, promptTokens, answerTokens, pipeUse } = query;
--- a/src/request/relay/createQueuedRelay.ts
+++ b/src/request/relay/createQueuedRelay.ts
@@ -15,8 +15,8 @@
 }
 
 /**
- * A request waits for room at most this long. Callers leave a stream after 2 s without an event, and a first event takes up
- * to 300 ms under load; a late answer is worth more to them than a refusal.
+ * A request waits for room at most this long: its first event then still comes before its caller leaves. A late answer is worth
+ * more to callers than a refusal.
  */
 const longestWaitMilliseconds = 1_200;
 /** Callers honour a time to come back of up to this part of the time that they have left. */
--- a/src/request/relay/documentRelay.ts
+++ b/src/request/relay/documentRelay.ts
@@ -41,7 +41,7 @@
 
 /**
  * A request that may be repeated is sent to a second endpoint when this part of its objective is over without an answer;
- * the first answer counts. At 193 ms and a usual work of 43 ms, all but one or two in a hundred are answered before.
+ * the first answer counts. Nearly all are answered before.
  */
 const hedgePart = 0.6;
 /** Connections that were idle for longer may have gone silent; a request that can't be repeated doesn't use them. */
--- a/src/request/relay/endpointHealth.ts
+++ b/src/request/relay/endpointHealth.ts
@@ -28,7 +28,7 @@
 const refusingMilliseconds = 3_000;
 /** Nodes look again at times that differ by up to this, and whoever is first tells the others. */
 const lookAgainMilliseconds = 1_500;
-/** Events come every 20 to 60 ms, and twice that under load; an endpoint that none came from for so long may be lost. */
+/** Several times the usual time between events; an endpoint that none came from for so long may be lost. */
 const aliveMilliseconds = 300;
 
 /** Finds endpoints that fail from the results of exchanges, since health checks may be good all the while. */
--- a/src/request/relay/getOwnRoom.ts
+++ b/src/request/relay/getOwnRoom.ts
@@ -13,9 +13,8 @@
 }
 
 /**
- * Part of the memory that may be promised. Requests are counted at their expected length from the beginning; at the height
- * of an overload the sum of these was measured to be 1.00 to 1.05 times what the endpoints report as used. With 1.05 in place
- * of 1, 0.903 of a load of twice the usual for 20 s was served in time, in place of 0.889 (medians of four simulated seeds).
+ * Part of the memory that may be promised. Requests are counted at their expected length from the beginning, so that their sum is
+ * somewhat more than what they use.
  */
 const mostPart = 1.05;
 /** So much is left by a node that grows, for what the others start before it hears of them. */
--- a/src/request/relay/stallWatch.ts
+++ b/src/request/relay/stallWatch.ts
@@ -18,13 +18,13 @@
 }
 
 const sweepMilliseconds = 60;
-/** Events come every 20 to 60 ms; a stream that is silent for this long is looked into. */
+/** A stream that is silent for several times the usual time between events is looked into. */
 const silentMilliseconds = 240;
-/** A first event takes the reading of the prompt on each stage, 50 to 200 ms. */
+/** A first event takes the reading of the prompt on each stage besides. */
 const silentBeforeFirstMilliseconds = 420;
-/** Reports are some 200 ms old; asking the same endpoint again sooner brings nothing new. */
+/** Reports are as old as this; asking the same endpoint again sooner brings nothing new. */
 const askAgainMilliseconds = 200;
-/** A stream that is silent for this long without an explanation goes on over another chain: callers leave after 2 s. */
+/** A stream that is silent for this long without an explanation goes on over another chain, before its caller leaves. */
 const hopelessMilliseconds = 1_300;
 
 /**
