--- a/tests/request/relay/chooseStages.test.ts
+++ b/tests/request/relay/chooseStages.test.ts
@@ -69,6 +69,16 @@
         assert.deepEqual(choose(candidates, { pipeUse: 0.9 }), ["1", "2"]);
     });
 
+    it("crosses only where its node's part of the pipe is free, unless it has to go on at once", () => {
+        const candidates = [createCandidate("1", 0, 40), createCandidate("2", 40, 80, { dataCentre: "b" })];
+        const getPipeWait = (from: string, to: string) => from === "a" && to === "b" ? 100 : 0;
+        assert.deepEqual(choose(candidates, { mayOverfill: false }), ["1", "2"]);
+        assert.equal(choose(candidates, { mayOverfill: false, getPipeWait }), undefined);
+        assert.deepEqual(choose(candidates, { getPipeWait }), ["1", "2"]);
+        const inOtherCentre = [...candidates, createCandidate("3", 0, 40, { dataCentre: "b" })];
+        assert.deepEqual(choose(inOtherCentre, { mayOverfill: false, getPipeWait }), ["3", "2"]);
+    });
+
     it("keeps away from a way between data centres that has become slow", () => {
         const candidates = [
             createCandidate("1", 0, 40),
--- a/tests/request/relay/endpointLoads.test.ts
+++ b/tests/request/relay/endpointLoads.test.ts
@@ -53,4 +53,14 @@
         loads.setPeerLoads("p", [], 0, 0);
         assert.equal(released, 2);
     });
+
+    it("gives a node its part of the demand, and takes nodes that it has not heard of for average ones", () => {
+        const loads = EndpointLoads.create();
+        assert.equal(loads.getDemandPart(0, 4), 1 / 4);
+        assert.equal(loads.getDemandPart(100, 4), 1 / 4);
+        loads.setPeerLoads("one", [], 50, 0);
+        assert.equal(loads.getDemandPart(100, 3), 100 / (100 + 2 * 50));
+        // A node without requests keeps a small part for what may come next.
+        assert.equal(loads.getDemandPart(0, 4), 1 / 16);
+    });
 });
