List and name the ways between data centres in one place, and ask for a pipe's wait once

The delays of crossings and the parts of pipes each had the loop over a chain's stages and the key of a way. The choice of chains asked twice for the same wait.

--- a/src/request/relay/chooseStages.ts
+++ b/src/request/relay/chooseStages.ts
@@ -131,10 +131,12 @@
     let best: PartialChain | undefined;
     for (const [dataCentre, previous] of chains) {
         const { dataCentre: to } = candidate.endpoint;
-        if (dataCentre !== to && !hasPipe(query, at, dataCentre, to)) {
+        // A caller's way to the first stage needs no pipe.
+        const pipeWait = at === 0 || dataCentre === to ? 0 : query.getPipeWait(dataCentre, to);
+        if (pipeWait > 0 && !query.mayOverfill) {
             continue;
         }
-        const crossing = dataCentre === to ? 0 : getCrossingCost(query, at, dataCentre, to);
+        const crossing = dataCentre === to ? 0 : getCrossingCost(query, at, dataCentre, to) + pipeWait;
         const opening = at === 0 && !query.isConnected(candidate.endpoint.address) ? openingMilliseconds : 0;
         const cost = previous.cost + crossing + opening;
         if (!hasEndpoint(previous, candidate) && (best === undefined || cost < best.cost)) {
@@ -199,12 +201,7 @@
     const transfer = getTransferTime(model, promptTokens + answerTokens);
     const waiting = 1 - Math.min(pipeUse, mostPipeUse);
     const usual = (transfer + delaysOfToken * answerTokens * model.crossingMilliseconds) / waiting;
-    return usual + delaysOfAnswer * query.getCrossingDelay(from, to) + query.getPipeWait(from, to);
-}
-
-/** Whether the pipe from one data centre to another can take the request now; a caller's way to the first stage needs none. */
-function hasPipe(query: StageQuery, at: number, from: string, to: string): boolean {
-    return at === 0 || query.mayOverfill || query.getPipeWait(from, to) === 0;
+    return usual + delaysOfAnswer * query.getCrossingDelay(from, to);
 }
 
 function hasEndpoint(chain: PartialChain | undefined, candidate: StageCandidate): boolean {
--- a/src/request/relay/crossingDelays.ts
+++ b/src/request/relay/crossingDelays.ts
@@ -1,4 +1,6 @@
 import { forget } from "./forget.ts";
+import { formatCrossing } from "./formatCrossing.ts";
+import { listCrossings } from "./listCrossings.ts";
 
 /** What was seen of the crossings from one data centre to another. */
 interface CrossingRecord {
@@ -35,7 +37,7 @@
      * @param now - Monotonic time in milliseconds.
      */
     note(dataCentres: readonly string[], milliseconds: number, now: number): void {
-        const ways = listWays(dataCentres);
+        const ways = listCrossings(dataCentres).map(({ from, to }) => formatCrossing(from, to));
         if (ways.length === 0) {
             const known = this.withoutCrossing ?? milliseconds;
             this.withoutCrossing = known + newestWeight * (milliseconds - known);
@@ -50,7 +52,7 @@
 
     /** Gets the time that a crossing adds to a first event, in milliseconds. */
     getExtra(from: string, to: string, now: number): number {
-        return this.getExtraOfWay(formatWay(from, to), now);
+        return this.getExtraOfWay(formatCrossing(from, to), now);
     }
 
     private getExtraOfWay(way: string, now: number): number {
@@ -61,18 +63,3 @@
         return forget(record.extraMilliseconds, now - record.updatedAt, forgettingMilliseconds);
     }
 }
-
-function listWays(dataCentres: readonly string[]): string[] {
-    const ways: string[] = [];
-    for (const [index, from] of dataCentres.entries()) {
-        const to = dataCentres[index + 1];
-        if (to !== undefined && to !== from) {
-            ways.push(formatWay(from, to));
-        }
-    }
-    return ways;
-}
-
-function formatWay(from: string, to: string): string {
-    return `${from}>${to}`;
-}
--- a/src/request/relay/listCrossings.ts
+++ b/src/request/relay/listCrossings.ts
@@ -1,13 +1,15 @@
 import type { Crossing } from "./crossing.ts";
-import type { RelayStage } from "./relayStage.ts";
 
-/** Lists the ways between data centres that a chain's tokens take, in order. */
-export function listCrossings(stages: readonly RelayStage[]): Crossing[] {
+/**
+ * Lists the ways between data centres that a chain's tokens take, in order.
+ * @param dataCentres - Data centres of the chain's stages, in order.
+ */
+export function listCrossings(dataCentres: readonly string[]): Crossing[] {
     const crossings: Crossing[] = [];
-    for (const [index, { endpoint }] of stages.entries()) {
-        const next = stages[index + 1];
-        if (next !== undefined && next.endpoint.dataCentre !== endpoint.dataCentre) {
-            crossings.push({ from: endpoint.dataCentre, to: next.endpoint.dataCentre });
+    for (const [index, from] of dataCentres.entries()) {
+        const to = dataCentres[index + 1];
+        if (to !== undefined && to !== from) {
+            crossings.push({ from, to });
         }
     }
     return crossings;
--- a/src/request/relay/pipeShares.ts
+++ b/src/request/relay/pipeShares.ts
@@ -1,4 +1,5 @@
 import type { EngineModel } from "../../version/routing/engineModel.ts";
+import { formatCrossing } from "./formatCrossing.ts";
 import { getCrossingBits } from "./getCrossingBits.ts";
 
 /** Bits of a megabit a second that pass in a millisecond. */
@@ -48,7 +49,7 @@
      * ahead of its part: requests come to a single node in bursts, which level out over all.
      */
     getWait(from: string, to: string, now: number): number {
-        const use = this.uses.get(formatWay(from, to));
+        const use = this.uses.get(formatCrossing(from, to));
         return use === undefined ? 0 : Math.max(0, use.freeAt - use.lastMilliseconds - now);
     }
 
@@ -62,13 +63,9 @@
      */
     take(from: string, to: string, model: EngineModel, tokens: number, now: number): void {
         const rate = model.pipeMegabits * bitsOfMillisecond * usablePart * this.getShare();
-        const way = formatWay(from, to);
+        const way = formatCrossing(from, to);
         const start = Math.max(now, this.uses.get(way)?.freeAt ?? now);
         const lastMilliseconds = getCrossingBits(model, tokens) / rate;
         this.uses.set(way, { freeAt: start + lastMilliseconds, lastMilliseconds });
     }
 }
-
-function formatWay(from: string, to: string): string {
-    return `${from}>${to}`;
-}
--- a/src/request/relay/relayChains.ts
+++ b/src/request/relay/relayChains.ts
@@ -5,6 +5,7 @@
 import { getRequestMemory } from "./getRequestMemory.ts";
 import { listCandidates } from "./listCandidates.ts";
 import { listCrossings } from "./listCrossings.ts";
+import { listDataCentres } from "./listDataCentres.ts";
 import type { LoadReservation } from "./loadReservation.ts";
 import type { RegisteredEndpoint } from "./registeredEndpoint.ts";
 import type { RelayEnvironment } from "./relayEnvironment.ts";
@@ -76,7 +77,7 @@
         const { loads, pipeLoad, pipeShares, clock, queue } = this.environment;
         const tokens = this.getTokens();
         const now = clock.getMonotonicTime();
-        const crossings = listCrossings(stages);
+        const crossings = listCrossings(listDataCentres(stages));
         pipeLoad.add(crossings.length * getCrossingBits(this.model, tokens), now);
         for (const { from, to } of crossings) {
             pipeShares.take(from, to, this.model, tokens, now);
--- a/src/request/relay/streamRelay.ts
+++ b/src/request/relay/streamRelay.ts
@@ -7,6 +7,7 @@
 import { createQueuedRelay } from "./createQueuedRelay.ts";
 import { createRefusal } from "./createRefusal.ts";
 import { EventVerdict } from "./eventVerdict.ts";
+import { listDataCentres } from "./listDataCentres.ts";
 import { noteRefusal } from "./noteRefusal.ts";
 import { TaskQuarantine } from "./quarantine/taskQuarantine.ts";
 import type { QueuedRelay } from "./queuedRelay.ts";
@@ -486,7 +487,3 @@
 function getFaulty({ stages }: StreamAttempt, address: string | undefined): RegisteredEndpoint {
     return (stages.find(({ endpoint }) => endpoint.address === address) ?? stages[0]!).endpoint;
 }
-
-function listDataCentres(stages: readonly RelayStage[]): string[] {
-    return stages.map(({ endpoint }) => endpoint.dataCentre);
-}
