--- a/src/request/relay/isRefusalLasting.ts
+++ b/src/request/relay/isRefusalLasting.ts
@@ -1,7 +1,5 @@
 import type { EndpointReport } from "./endpointReport.ts";
-
-/** Above this part of its memory an endpoint may refuse for want of room. */
-const fullMemoryPart = 0.6;
+import { fullMemoryPart } from "./fullMemoryPart.ts";
 
 /**
  * Decides whether an endpoint that has refused a request will refuse the next ones too: it is leaving, or gives its layers up, or is
--- a/src/request/relay/noteRefusal.ts
+++ b/src/request/relay/noteRefusal.ts
@@ -1,4 +1,5 @@
 import { events } from "../../process/logging/events.ts";
+import { fullMemoryPart } from "./fullMemoryPart.ts";
 import type { RegisteredEndpoint } from "./registeredEndpoint.ts";
 import type { RelayEnvironment } from "./relayEnvironment.ts";
 
@@ -14,8 +15,6 @@
     memoryPart: number;
 }
 
-/** An endpoint that refuses with less than this part of its memory taken refuses for another reason than want of room. */
-const fullMemoryPart = 0.6;
 /** The endpoint isn't the one that was meant, or doesn't hold the layers. */
 const misdirectedStatus = 421;
 
