--- a/scripts/account/parseRequestEnd.ts
+++ b/scripts/account/parseRequestEnd.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
 import { events } from "../../src/process/logging/events.ts";
+import { readEventLine } from "../../src/process/logging/readEventLine.ts";
 import type { Objectives } from "./objectives.ts";
 import type { RequestEnd } from "./requestEnd.ts";
 
@@ -23,7 +24,7 @@
  * @returns Undefined where the line tells of something else.
  */
 export function parseRequestEnd(line: string, objectives: Objectives): RequestEnd | undefined {
-    const parsed = endSchema.safeParse(readJson(line));
+    const parsed = endSchema.safeParse(readEventLine(line));
     if (!parsed.success) {
         return undefined;
     }
@@ -35,16 +36,6 @@
     };
 }
 
-function readJson(line: string): unknown {
-    try {
-        return JSON.parse(line.slice(line.indexOf("{")));
-    }
-    catch {
-        // A line that was cut, or that another program has written.
-        return undefined;
-    }
-}
-
 function getReason(end: z.infer<typeof endSchema>, { firstMilliseconds, gapMilliseconds }: Objectives): string {
     if (end.outcome !== "answered") {
         return end.cause === "" ? end.outcome : `${end.outcome}: ${end.cause}`;
--- a/src/process/commandLine/explain/requestStory.ts
+++ b/src/process/commandLine/explain/requestStory.ts
@@ -1,4 +1,6 @@
+import { readEventLine } from "../../logging/readEventLine.ts";
 import type { StoryLine } from "./storyLine.ts";
+
 /** How far around the request lines about its endpoints are shown, in milliseconds. */
 const contextMilliseconds = 3_000;
 const commonFields = new Set(["time", "level", "event", "message", "vm"]);
@@ -35,22 +37,13 @@
     return [...own, ...context.map(line => ({ ...line, isContext: true }))].sort(compareTime);
 }
 
-/** Reads a line; what stands before its first brace, such as a prefix of the collector, is passed over. */
 function parseLine(line: string): StoryLine | undefined {
-    const start = line.indexOf("{");
-    if (start === -1) {
-        return undefined;
-    }
-    let value: unknown;
-    try {
-        value = JSON.parse(line.slice(start));
-    }
-    catch {
-        // Other programs may write to the same stream.
+    const value = readEventLine(line);
+    if (value === undefined) {
         return undefined;
     }
-    const entries = Object.entries(value as Record<string, unknown>);
-    const { time, vm, event, message } = value as Record<string, unknown>;
+    const entries = Object.entries(value);
+    const { time, vm, event, message } = value;
     if (typeof time !== "string" || typeof event !== "string") {
         return undefined;
     }
