--- a/scripts/executable/createCodeCache.ts
+++ b/scripts/executable/createCodeCache.ts
@@ -3,9 +3,9 @@
 import { RouterDeployment } from "../soak/router/routerDeployment.ts";
 import { SeededRandom } from "../soak/seededRandom.ts";
 
-/** Nodes that speak to each other, of which one records. */
+/** Nodes that speak to each other; each records what it has compiled. */
 const nodes = 3;
-/** Requests that compile what serves callers; twice as many change the file by little. */
+/** Requests of all kinds, so that what serves callers is compiled. */
 const requests = 150;
 const requestIntervalMilliseconds = 15;
 /** Exchanges with peers and reviews of all kinds have run some times by then. */
