Log how late a node's event loop was, what it did meanwhile, and when a request's first byte left

What callers saw: endpoints got requests whose callers had left a second before (GONE). The logs could not tell a node that was late from a request that waited in it. Now FL1009 tells of a late loop with the processor time that it used and the longest known piece of work, and FL1710 by how much the loop was late when a request was taken up and when its first byte left. The lateness is taken from the timers that are set anyway, so that the node wakes no more often. No decision changes.

--- a/bench/experiment/simulatedEngines.ts
+++ b/bench/experiment/simulatedEngines.ts
@@ -58,7 +58,7 @@
             timer: undefined,
             hasHead: false,
         };
-        let isSent = false;
+        let sentAt: number | undefined;
         this.counts.sent += 1;
         const first = engines[0]!;
         if (first.isLost || first.cutNodes.has(node)) {
@@ -69,10 +69,10 @@
             );
         }
         else {
-            isSent = true;
+            sentAt = this.clock.getMonotonicTime();
             this.setTimer(run, networkMilliseconds, () => this.admit(run));
         }
-        return { abort: () => this.leave(run), isSent: () => isSent };
+        return { abort: () => this.leave(run), getSentTime: () => sentAt };
     }
 
     /** Cuts off what depends on an engine that is lost. */
--- a/src/connection/upstream/upstreamConnection.ts
+++ b/src/connection/upstream/upstreamConnection.ts
@@ -75,7 +75,7 @@
      */
     send(request: UpstreamRequest, listener: UpstreamListener): UpstreamExchange {
         let controller: Dispatcher.DispatchController | undefined;
-        let isSent = false;
+        let sentAt: number | undefined;
         let isOver = false;
         let isUnframed = false;
         const fail = (message: string) => {
@@ -84,7 +84,10 @@
             }
             isOver = true;
             this.leave();
-            listener.onFailure({ kind: isSent ? UpstreamFailureKind.Broken : UpstreamFailureKind.NotSent, message });
+            listener.onFailure({
+                kind: sentAt === undefined ? UpstreamFailureKind.NotSent : UpstreamFailureKind.Broken,
+                message,
+            });
         };
         this.client.dispatch({
             method: request.method as Dispatcher.HttpMethod,
@@ -98,7 +101,7 @@
                     given.abort(new Error("The exchange was given up."));
                     return;
                 }
-                isSent = true;
+                sentAt = performance.now();
             },
             onResponseStart: (_controller, status, headers) => {
                 if (isOver || status < 200) {
@@ -130,7 +133,7 @@
             onResponseError: (_controller, error) => fail(error.message),
         });
         return {
-            isSent: () => isSent,
+            getSentTime: () => sentAt,
             abort: () => {
                 if (isOver) {
                     return;
--- a/src/connection/upstream/upstreamExchange.ts
+++ b/src/connection/upstream/upstreamExchange.ts
@@ -2,6 +2,9 @@
 export interface UpstreamExchange {
     /** Ends the exchange and its connection. No further call reaches the listener. */
     abort(): void;
-    /** Whether a byte of the request may have been sent. One that was aborted before is never sent. */
-    isSent(): boolean;
+    /**
+     * Gets the monotonic time in milliseconds from which on bytes of the request may have left; undefined where none has. One that
+     * was aborted before is never sent.
+     */
+    getSentTime(): number | undefined;
 }
--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -59,6 +59,11 @@
     },
     adminListenerFailed: { number: 1008, level: "error", message: "Metrics and status are not served." },
     logLinesDropped: { number: 1007, level: "warn", message: "Log lines were dropped to keep to their bound." },
+    loopLate: {
+        number: 1009,
+        level: "warn",
+        message: "The event loop was late: this node was slow to read what had come to it.",
+    },
     claimShardLoaded: { number: 1301, level: "info", message: "The claim shard is read; its claims are answered." },
     claimSlotUnreadable: {
         number: 1302,
--- a/src/process/placement/placementDuty.ts
+++ b/src/process/placement/placementDuty.ts
@@ -29,6 +29,8 @@
     /** Whether this node would take the lease where there is an order to give. */
     isCandidate(): boolean;
     clock: Clock;
+    /** Runs a part of the work that may take long; see `LoopWatch.run`. */
+    runLong<Result>(name: string, action: () => Result): Result;
     log: EventLog;
     /** Prefix of the plans' keys; the service's name follows. */
     keyPrefix: string;
@@ -207,7 +209,10 @@
         isSettled: boolean,
     ): LayerAssignment[] {
         const now = this.options.clock.getMonotonicTime();
-        const { assignments, move } = assignLayers(model, columns, endpoints);
+        const { assignments, move } = this.options.runLong(
+            "assignLayers",
+            () => assignLayers(model, columns, endpoints),
+        );
         const weak = this.weakColumns.get(service);
         // A successor may not know all endpoints yet, and a holder that is moved for a column that only looks weak is lost.
         if (move === undefined || !isSettled) {
@@ -248,7 +253,7 @@
         if (!mayPlan) {
             return;
         }
-        const columns = planColumns(model, countKinds(model, endpoints));
+        const columns = this.options.runLong("planColumns", () => planColumns(model, countKinds(model, endpoints)));
         if (columns.length === 0) {
             log.write(events.layersWithoutEngine, { service });
             return;
--- a/src/process/router/requestRouter.ts
+++ b/src/process/router/requestRouter.ts
@@ -11,6 +11,7 @@
 import { StreamRelay } from "../../request/relay/streamRelay.ts";
 import type { Route } from "../../version/routing/route.ts";
 import { events } from "../logging/events.ts";
+import type { LoopWatch } from "../loop/loopWatch.ts";
 import type { Metrics } from "../metrics/metrics.ts";
 import type { RoutingHolder } from "./routingHolder.ts";
 
@@ -20,6 +21,7 @@
     holder: RoutingHolder;
     stalls: StallWatch;
     metrics: Metrics;
+    loop: Pick<LoopWatch, "getLateness">;
 }
 
 /** A node without a configuration gets one within about this time. */
@@ -71,7 +73,19 @@
         const { deadlines, clock } = this.options.environment;
         const isReturn = deadlines.note(route.name, request.deadlineMilliseconds, clock.getMonotonicTime());
         const fingerprint = fingerprintRequest(request, customer);
-        this.relay({ request, route, service, customer, fingerprint, sink, rank, isReturn, dueAt });
+        const takenUpLateMilliseconds = this.options.loop.getLateness();
+        this.relay({
+            request,
+            route,
+            service,
+            customer,
+            fingerprint,
+            sink,
+            rank,
+            takenUpLateMilliseconds,
+            isReturn,
+            dueAt,
+        });
     }
 
     private relay(task: RelayTask): void {
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -102,7 +102,11 @@
         this.quarantineKeeper = QuarantineKeeper.create({ store, key: keys.quarantine, quarantine, clock, log });
         this.nodes = NodeTable.create(nodeId);
         this.pools = UpstreamPools.create(() => metrics.upstreamConnectionsTotal.inc());
-        this.holder = RoutingHolder.create({ decode: options.decodeConfiguration, log, metrics });
+        this.holder = RoutingHolder.create({
+            decode: text => clock.run("configuration", () => options.decodeConfiguration(text)),
+            log,
+            metrics,
+        });
         this.registry = EndpointRegistry.create({
             clock,
             log,
@@ -217,6 +221,7 @@
             isStoreAnswering: () => !this.following.isWithoutStore(),
             isCandidate: () => this.following.isStoreWatcher() && !this.isDraining,
             clock,
+            runLong: (name, action) => clock.run(name, action),
             log,
             keyPrefix: keys.placementPrefix,
             getModelServices: () => this.getModelServices(),
@@ -239,7 +244,13 @@
             fetchReport: endpoint => calls.fetchReport(endpoint),
             reroute: (requestId, stages) => calls.sendReroute(requestId, stages),
         });
-        this.router = RequestRouter.create({ environment, holder: this.holder, stalls: this.stalls, metrics });
+        this.router = RequestRouter.create({
+            environment,
+            holder: this.holder,
+            stalls: this.stalls,
+            metrics,
+            loop: clock,
+        });
     }
 
     /** Creates a node that does nothing before {@link start}. */
--- a/src/process/router/routerNodeOptions.ts
+++ b/src/process/router/routerNodeOptions.ts
@@ -2,8 +2,8 @@
 import type { RegisteredEndpoint } from "../../request/relay/registeredEndpoint.ts";
 import type { Result } from "../../result.ts";
 import type { RoutingConfiguration } from "../../version/routing/routingConfiguration.ts";
-import type { Clock } from "../clock.ts";
 import type { EventLog } from "../logging/eventLog.ts";
+import type { LoopWatch } from "../loop/loopWatch.ts";
 import type { RendezvousOwners } from "../membership/rendezvousOwners.ts";
 import type { Metrics } from "../metrics/metrics.ts";
 import type { PlatformStore } from "../platform/platformStore.ts";
@@ -32,7 +32,8 @@
     /** Version of the program. */
     version: string;
     settings: RouterSettings;
-    clock: Clock;
+    /** Clock of all parts of the node, which sees how late the event loop is. */
+    clock: LoopWatch;
     random: RandomSource;
     log: EventLog;
     metrics: Metrics;
--- a/src/request/relay/documentRelay.ts
+++ b/src/request/relay/documentRelay.ts
@@ -8,6 +8,7 @@
 import type { AnswerHead } from "./answerHead.ts";
 import { chooseEndpoint } from "./chooseEndpoint.ts";
 import { createRefusal } from "./createRefusal.ts";
+import { getSentMilliseconds } from "./getSentMilliseconds.ts";
 import type { LoadReservation } from "./loadReservation.ts";
 import { mostRefusals } from "./mostRefusals.ts";
 import { TaskQuarantine } from "./quarantine/taskQuarantine.ts";
@@ -61,6 +62,8 @@
     private refusals = 0;
     /** Attempts of which no byte was sent. */
     private unsent = 0;
+    /** Monotonic time in milliseconds at which the first byte left for an endpoint. */
+    private firstSentAt: number | undefined;
     private mayHaveRun = false;
     private failure: WholeAnswer | undefined;
     private isDone = false;
@@ -240,8 +243,8 @@
             return;
         }
         for (const attempt of [...this.running]) {
-            if (attempt.exchange?.isSent() === false) {
-                attempt.exchange.abort();
+            if (attempt.exchange?.getSentTime() === undefined) {
+                attempt.exchange?.abort();
                 this.environment.health.addLoss(attempt.endpoint.id, this.getTime());
                 this.endAttempt(attempt, {
                     isNotRun: true,
@@ -298,7 +301,7 @@
     }
 
     private expire(): void {
-        const isRunning = [...this.running].some(({ exchange }) => exchange?.isSent() === true);
+        const isRunning = [...this.running].some(({ exchange }) => exchange?.getSentTime() !== undefined);
         const mayHaveRun = this.mayHaveRun || isRunning;
         this.refuse(mayHaveRun ? createRefusal.timedOut() : createRefusal.notRun("no endpoint took it in time."));
     }
@@ -332,12 +335,15 @@
             endpoint: endpointId,
             fingerprint: this.task.fingerprint,
             attempts: this.attempts,
+            takenUpLateMilliseconds: Math.round(this.task.takenUpLateMilliseconds),
+            sentMilliseconds: getSentMilliseconds(this.firstSentAt, request.arrivedAt),
             milliseconds: Math.round(this.getTime() - request.arrivedAt),
         });
         this.onDone();
     }
 
     private releaseAttempt(attempt: Attempt): void {
+        this.firstSentAt ??= attempt.exchange?.getSentTime();
         attempt.reservation.release();
         this.running.delete(attempt);
     }
--- a/src/request/relay/relayTask.ts
+++ b/src/request/relay/relayTask.ts
@@ -14,6 +14,8 @@
     sink: AnswerSink;
     /** Rank; 0 goes first. */
     rank: number;
+    /** By how much the node's event loop was late when it took the request up, in milliseconds. */
+    takenUpLateMilliseconds: number;
     /** Whether its caller has come back with it, as far as that can be known, so that it is late already. */
     isReturn: boolean;
     /** Monotonic time in milliseconds at which the final answer is due: the route's time or the caller's, if shorter. */
--- a/src/request/relay/streamRelay.ts
+++ b/src/request/relay/streamRelay.ts
@@ -51,6 +51,8 @@
     private attempt: StreamAttempt | undefined;
     private queued: QueuedRelay | undefined;
     private failure: WholeAnswer | undefined;
+    /** Monotonic time in milliseconds at which the first byte left for an endpoint. */
+    private firstSentAt: number | undefined;
     private mayHaveRun = false;
     private isHeadWritten = false;
     private isDone = false;
@@ -163,7 +165,7 @@
         if (attempt === undefined) {
             return;
         }
-        const isUnsent = attempt.exchange?.isSent() === false;
+        const isUnsent = attempt.exchange?.getSentTime() === undefined;
         attempt.exchange?.abort();
         this.endAttempt(attempt, { isNotRun: isUnsent, isUnsent, cause, avoid });
     }
@@ -417,6 +419,7 @@
     private leave(attempt: StreamAttempt): void {
         const held = attempt.firstEventAt !== undefined ? this.getTime() - attempt.sentAt : undefined;
         this.environment.queue.noteEnd(this.chains.getTokens(), held);
+        this.firstSentAt ??= attempt.exchange?.getSentTime();
         attempt.reservation.release();
     }
 
@@ -450,7 +453,7 @@
             this.finish("cutAtTimeout");
             return;
         }
-        const isNotRun = !this.mayHaveRun && this.attempt?.exchange?.isSent() !== true;
+        const isNotRun = !this.mayHaveRun && this.attempt?.exchange?.getSentTime() === undefined;
         this.refuse(isNotRun ? createRefusal.notRun("no chain had room in time.") : createRefusal.timedOut());
     }
 
@@ -474,7 +477,8 @@
         if (attempt !== undefined) {
             this.leave(attempt);
         }
-        this.story.writeEnd({ outcome, cause, sendings: this.allowance.getSendings(), attempt });
+        const { firstSentAt } = this;
+        this.story.writeEnd({ outcome, cause, sendings: this.allowance.getSendings(), attempt, firstSentAt });
         this.onDone();
     }
 
--- a/src/request/relay/streamStory.ts
+++ b/src/request/relay/streamStory.ts
@@ -1,5 +1,6 @@
 import { events } from "../../process/logging/events.ts";
 import { formatStages } from "./formatStages.ts";
+import { getSentMilliseconds } from "./getSentMilliseconds.ts";
 import type { RelayEnvironment } from "./relayEnvironment.ts";
 import type { RelayStage } from "./relayStage.ts";
 import type { RelayTask } from "./relayTask.ts";
@@ -25,6 +26,8 @@
     sendings: number;
     /** What was still running. */
     attempt: StreamAttempt | undefined;
+    /** Monotonic time in milliseconds at which the first byte left for an endpoint. */
+    firstSentAt: number | undefined;
 }
 
 /** The lines of the log on one streamed request. */
@@ -73,8 +76,8 @@
     }
 
     /** Writes how the request has ended. */
-    writeEnd({ outcome, cause, sendings, attempt }: EndedRequest): void {
-        const { request, route, fingerprint } = this.task;
+    writeEnd({ outcome, cause, sendings, attempt, firstSentAt }: EndedRequest): void {
+        const { request, route, fingerprint, takenUpLateMilliseconds } = this.task;
         const { arrivedAt } = request;
         this.environment.log.write(events.relayEnded, {
             request: request.id,
@@ -87,6 +90,8 @@
             events: this.progress.getCount(),
             chain: attempt === undefined ? "" : formatStages(attempt.stages),
             promptTokens: request.promptTokens,
+            takenUpLateMilliseconds: Math.round(takenUpLateMilliseconds),
+            sentMilliseconds: getSentMilliseconds(firstSentAt, arrivedAt),
             firstEventMilliseconds: Math.round((this.progress.getFirstTime() ?? arrivedAt) - arrivedAt),
             longestGapMilliseconds: Math.round(this.progress.getLongestGap()),
             milliseconds: this.getMillisecondsSince(arrivedAt),
--- a/tests/platform/routerBench.ts
+++ b/tests/platform/routerBench.ts
@@ -6,6 +6,8 @@
 import { KeyValueStore } from "../../platform/keyValueStore.ts";
 import { routerKeys } from "../../platform/routerKeys.ts";
 import { findFreePorts } from "../../scripts/deployment/findFreePorts.ts";
+import { getProcessorTime } from "../../src/process/loop/getProcessorTime.ts";
+import { LoopWatch } from "../../src/process/loop/loopWatch.ts";
 import { RendezvousOwners } from "../../src/process/membership/rendezvousOwners.ts";
 import { Metrics } from "../../src/process/metrics/metrics.ts";
 import { RouterNode } from "../../src/process/router/routerNode.ts";
@@ -88,6 +90,7 @@
         const peerAddress = `127.0.0.1:${peerPort}`;
         const log = RecordingEventLog.create();
         const store = KeyValueStore.create(storeAddress, () => undefined);
+        const clock = LoopWatch.create({ clock: systemClock, log, getProcessorTime });
         const node = RouterNode.create({
             nodeId: `node-${this.nodes.length}`,
             version: "test",
@@ -107,7 +110,7 @@
                 repeatSlack: 2_000,
                 repeatWindowMilliseconds: 10_000,
             },
-            clock: systemClock,
+            clock,
             random: Math.random,
             log,
             metrics: Metrics.create(),
@@ -120,7 +123,7 @@
         });
         const callers = CallerListener.create({
             address,
-            clock: systemClock,
+            clock,
             getMaximumBodyBytes: () => 100_000,
             handle: (request, sink) => node.handle(request, sink),
         });
--- /dev/null
+++ b/tests/process/loop/loopWatch.test.ts
@@ -0,0 +1,82 @@
+import assert from "node:assert/strict";
+import { beforeEach, describe, it } from "node:test";
+import type { TimerHandle } from "../../../src/process/clock.ts";
+import { LoopWatch } from "../../../src/process/loop/loopWatch.ts";
+
+interface WrittenLine {
+    milliseconds?: number;
+    processorMilliseconds?: number;
+    job?: string;
+    jobMilliseconds?: number;
+}
+
+describe("LoopWatch", () => {
+    let now: number;
+    let processorTime: number;
+    let due: (() => void)[];
+    let lines: WrittenLine[];
+    let watch: LoopWatch;
+
+    beforeEach(() => {
+        now = 0;
+        processorTime = 0;
+        due = [];
+        lines = [];
+        const setTimer = (_delay: number, callback: () => void): TimerHandle => {
+            due.push(callback);
+            return { cancel: () => undefined };
+        };
+        watch = LoopWatch.create({
+            clock: { getMonotonicTime: () => now, getWallTime: () => now, setTimer },
+            log: { write: (_event, fields) => lines.push(fields ?? {}) },
+            getProcessorTime: () => processorTime,
+        });
+    });
+
+    function runTimersAt(time: number): void {
+        now = time;
+        for (const callback of due.splice(0)) {
+            callback();
+        }
+    }
+
+    it("runs timers that are in time without a word", () => {
+        let runs = 0;
+        watch.setTimer(250, () => runs++);
+        runTimersAt(260);
+        assert.deepEqual([runs, lines.length, watch.getLateness()], [1, 0, 0]);
+    });
+
+    it("tells once by how much the loop was late, and what it did meanwhile", () => {
+        watch.setTimer(50, () => undefined);
+        watch.setTimer(250, () => undefined);
+        watch.run("short", () => now = 20);
+        watch.run("long", () => now = 1_500);
+        processorTime = 1_400;
+        runTimersAt(1_950);
+        assert.deepEqual(lines, [{
+            milliseconds: 1_900,
+            sinceMilliseconds: 1_950,
+            processorMilliseconds: 1_400,
+            job: "long",
+            jobMilliseconds: 1_480,
+        }]);
+        assert.equal(watch.getLateness(), 1_900);
+    });
+
+    it("forgets the delay once what had come meanwhile is taken up", () => {
+        watch.setTimer(50, () => undefined);
+        runTimersAt(1_000);
+        now = 2_000;
+        assert.equal(watch.getLateness(), 0);
+    });
+
+    it("lays a delay only to work that was done in it", () => {
+        watch.run("early", () => now = 900);
+        watch.setTimer(10, () => undefined);
+        runTimersAt(910);
+        watch.setTimer(10, () => undefined);
+        runTimersAt(2_000);
+        assert.equal(lines[0]!.job, "");
+    });
+});
--- a/tests/process/placement/placementDuty.test.ts
+++ b/tests/process/placement/placementDuty.test.ts
@@ -38,6 +38,7 @@
             isStoreAnswering: () => true,
             isCandidate: () => true,
             clock,
+            runLong: (_name, action) => action(),
             log: RecordingEventLog.create(),
             keyPrefix: "placement/",
             getModelServices: () => [{ name: "model", engine: relayModel }] as never,
--- a/tests/request/relay/documentRelay.test.ts
+++ b/tests/request/relay/documentRelay.test.ts
@@ -22,7 +22,7 @@
 
     it("leaves a request that can't be repeated where a byte of it was sent, and doesn't know what became of it", async () => {
         const bench = start(RequestKind.NonIdempotent);
-        bench.sendings[0]!.isSent = true;
+        bench.sendings[0]!.sentAt = 0;
         await bench.clock.advance(1_100);
         assert.equal(bench.sendings.length, 1);
         assert.deepEqual(bench.answers, ["timedOut"]);
--- a/tests/request/relay/relayBench.ts
+++ b/tests/request/relay/relayBench.ts
@@ -23,8 +23,8 @@
 interface Sending {
     address: string;
     listener: UpstreamListener;
-    /** Whether a byte of it has left. */
-    isSent: boolean;
+    /** When its first byte left. */
+    sentAt: number | undefined;
     isAborted: boolean;
 }
 
@@ -125,19 +125,20 @@
             fingerprint: "fingerprint",
             sink,
             rank: 1,
+            takenUpLateMilliseconds: 0,
             isReturn: false,
             dueAt: 1_000,
         };
     }
 
     private send(address: string, listener: UpstreamListener) {
-        const sending: Sending = { address, listener, isSent: false, isAborted: false };
+        const sending: Sending = { address, listener, sentAt: undefined, isAborted: false };
         this.sendings.push(sending);
         return {
             abort: () => {
                 sending.isAborted = true;
             },
-            isSent: () => sending.isSent,
+            getSentTime: () => sending.sentAt,
         };
     }
 }
--- a/tests/request/relay/streamRelay.test.ts
+++ b/tests/request/relay/streamRelay.test.ts
@@ -33,7 +33,7 @@
 
     it("doesn't know what became of a request of which bytes were sent", () => {
         const { bench, relay } = start(["1", "2"]);
-        bench.sendings[0]!.isSent = true;
+        bench.sendings[0]!.sentAt = 0;
         relay.abandonChain(["1", "2"], "the first stage does not answer.");
         assert.deepEqual(bench.answers, ["outcomeUnknown"]);
     });
