Read all that has come before a request goes out, so that none goes on whose caller has left

Cause: a node that was late found request and close together in a connection. The loop reads a connection once when it looks at it, so the request was taken up and sent in one turn and the close behind it was read in the next. Class: acting on what was true when a message was written. A caller counts as gone when it ends its side, not only when the connection has closed. Timers that are late (LoopWatch) run after all input that has come: repeats, second tries, moves, the line and time-outs act on answers and closes that lie unread otherwise.

--- a/bench/experiment/simulatedNode.ts
+++ b/bench/experiment/simulatedNode.ts
@@ -60,7 +60,8 @@
             pools: {
                 getPool: () => ({
                     hasIdle: () => true,
-                    send: ({ headers }, listener) => engines.send(index, simulatedProtocol.readSent(headers), listener),
+                    sendForCaller: (createRequest, listener) =>
+                        engines.send(index, simulatedProtocol.readSent(createRequest().headers), listener),
                 }),
             },
             directory,
--- a/src/connection/caller/callerConnections.ts
+++ b/src/connection/caller/callerConnections.ts
@@ -36,7 +36,7 @@
 
     /**
      * Notes that a request has begun; it ends with its response.
-     * @returns A signal that aborts when the connection closes before.
+     * @returns A signal that aborts when the caller leaves before.
      */
     add(request: IncomingMessage, response: ServerResponse): AbortSignal {
         const openRequest = { request, response, controller: new AbortController() };
@@ -85,6 +85,8 @@
         }
         const connection: CallerConnection = { requests: new Set(), isBroken: false };
         this.connections.set(socket, connection);
+        // A caller that has ended its side gets no answer any more; the connection closes by itself, some time later.
+        socket.once("end", () => abort(connection));
         socket.once("close", () => abort(connection));
         return connection;
     }
--- a/src/connection/upstream/upstreamConnection.ts
+++ b/src/connection/upstream/upstreamConnection.ts
@@ -1,6 +1,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Socket } from "node:net";
 import { buildConnector, Client, type Dispatcher } from "undici";
+import type { InputBarrier } from "../../process/loop/inputBarrier.ts";
 import type { UpstreamExchange } from "./upstreamExchange.ts";
 import { UpstreamFailureKind } from "./upstreamFailureKind.ts";
 import type { UpstreamListener } from "./upstreamListener.ts";
@@ -11,6 +12,8 @@
     /** host:port of the endpoint. */
     address: string;
     connectTimeoutMilliseconds: number;
+    /** Has the first request wait until all is read that came while the connection opened; the request may be given up by that. */
+    barrier: Pick<InputBarrier, "pass">;
     /** The connection has become free for another exchange. */
     onFree(): void;
     /** The connection is gone. */
@@ -45,7 +48,7 @@
                     if (error === null) {
                         this.watchSocket(socket);
                     }
-                    callback(...result);
+                    options.barrier.pass(() => callback(...result));
                 }),
             pipelining: 1,
             headersTimeout: 0,
--- a/src/connection/upstream/upstreamPool.ts
+++ b/src/connection/upstream/upstreamPool.ts
@@ -1,3 +1,4 @@
+import type { InputBarrier } from "../../process/loop/inputBarrier.ts";
 import { UpstreamConnection } from "./upstreamConnection.ts";
 import type { UpstreamExchange } from "./upstreamExchange.ts";
 import type { UpstreamListener } from "./upstreamListener.ts";
@@ -7,6 +8,8 @@
 interface UpstreamPoolOptions {
     /** host:port of the endpoint. */
     address: string;
+    /** Has what may be out of date wait until all that has come to the node is read. */
+    barrier: Pick<InputBarrier, "pass">;
     /** Called for each new connection. */
     onOpened(): void;
 }
@@ -42,19 +45,34 @@
         return this.idle.length > 0;
     }
 
+    /** Sends a request of this node's own over an idle connection or a new one. */
+    send(request: UpstreamRequest, listener: UpstreamListener): UpstreamExchange {
+        return this.take(Infinity).send(request, listener);
+    }
+
     /**
-     * Sends a request over an idle connection or a new one.
-     * @param request - The request.
+     * Sends a caller's request, unless it is given up until all is read that has come to the node: its caller may have gone.
+     * @param createRequest - Creates the request as it is when it goes.
      * @param listener - Told what becomes of it.
      * @param maximumIdleMilliseconds - Connections that were idle for longer are not used. A request that can't be
      * repeated asks for a short time, because a connection may have gone silent unnoticed.
      */
-    send(
-        request: UpstreamRequest,
+    sendForCaller(
+        createRequest: () => UpstreamRequest,
         listener: UpstreamListener,
         maximumIdleMilliseconds = Infinity,
     ): UpstreamExchange {
-        return this.take(maximumIdleMilliseconds).send(request, listener);
+        let exchange: UpstreamExchange | undefined;
+        const passage = this.options.barrier.pass(() => {
+            exchange = this.take(maximumIdleMilliseconds).send(createRequest(), listener);
+        });
+        return {
+            abort: () => {
+                passage.cancel();
+                exchange?.abort();
+            },
+            getSentTime: () => exchange?.getSentTime(),
+        };
     }
 
     /** Closes the idle connections, after one of them has proved silent. */
@@ -81,9 +99,11 @@
     }
 
     private open(): UpstreamConnection {
-        this.options.onOpened();
+        const { address, barrier, onOpened } = this.options;
+        onOpened();
         const connection = UpstreamConnection.create({
-            address: this.options.address,
+            address,
+            barrier,
             connectTimeoutMilliseconds,
             onFree: () => this.idle.push(connection),
             onGone: () => this.remove(connection),
--- a/src/connection/upstream/upstreamPools.ts
+++ b/src/connection/upstream/upstreamPools.ts
@@ -1,20 +1,24 @@
+import type { InputBarrier } from "../../process/loop/inputBarrier.ts";
 import { UpstreamPool } from "./upstreamPool.ts";
 
 /** The connections of this node to all endpoints, by address. */
 export class UpstreamPools {
     private readonly pools = new Map<string, UpstreamPool>();
+    private readonly barrier: Pick<InputBarrier, "pass">;
     private readonly onOpened: () => void;
 
-    private constructor(onOpened: () => void) {
+    private constructor(barrier: Pick<InputBarrier, "pass">, onOpened: () => void) {
+        this.barrier = barrier;
         this.onOpened = onOpened;
     }
 
     /**
      * Creates pools without connections.
+     * @param barrier - Has requests wait until all that has come to the node is read.
      * @param onOpened - Called for each new connection.
      */
-    static create(onOpened: () => void): UpstreamPools {
-        return new UpstreamPools(onOpened);
+    static create(barrier: Pick<InputBarrier, "pass">, onOpened: () => void): UpstreamPools {
+        return new UpstreamPools(barrier, onOpened);
     }
 
     /** Gets the connections to an address. */
@@ -23,7 +27,7 @@
         if (known !== undefined) {
             return known;
         }
-        const pool = UpstreamPool.create({ address, onOpened: this.onOpened });
+        const pool = UpstreamPool.create({ address, barrier: this.barrier, onOpened: this.onOpened });
         this.pools.set(address, pool);
         return pool;
     }
--- a/src/process/loop/loopWatch.ts
+++ b/src/process/loop/loopWatch.ts
@@ -1,11 +1,14 @@
 import type { Clock, TimerHandle } from "../clock.ts";
 import type { EventLog } from "../logging/eventLog.ts";
 import { events } from "../logging/events.ts";
+import type { InputBarrier } from "./inputBarrier.ts";
 
 /** Options of a {@link LoopWatch}. */
 interface LoopWatchOptions {
     /** The clock whose timers are watched. */
     clock: Clock;
+    /** Has late timers wait until all is read that came before their ends. */
+    barrier: Pick<InputBarrier, "pass">;
     log: EventLog;
     /** Gets the processor time that this process has used, in milliseconds. */
     getProcessorTime(): number;
@@ -24,7 +27,8 @@
  * Watches how late the event loop is, by the timers that the node sets anyway, so that it wakes no more often. A late loop acts on
  * what was true when a message was written, and neither its callers nor its peers can tell it from a slow network.
  *
- * Its clock is the one that the node's parts set their timers with.
+ * It is the clock that the node's parts set their timers with. A timer that is late runs after all input that has come: else what it
+ * waits for, such as an answer, would be taken as missing though it is there.
  */
 export class LoopWatch implements Clock {
     private readonly options: LoopWatchOptions;
@@ -56,10 +60,20 @@
     /** Runs a callback once after a delay, and notes how late it runs. */
     setTimer(delayMilliseconds: number, callback: () => void): TimerHandle {
         const dueAt = this.getMonotonicTime() + delayMilliseconds;
-        return this.options.clock.setTimer(delayMilliseconds, () => {
-            this.noteTimer(dueAt);
+        let passage: TimerHandle | undefined;
+        const timer = this.options.clock.setTimer(delayMilliseconds, () => {
+            if (this.noteTimer(dueAt)) {
+                passage = this.options.barrier.pass(callback);
+                return;
+            }
             callback();
         });
+        return {
+            cancel: () => {
+                timer.cancel();
+                passage?.cancel();
+            },
+        };
     }
 
     /** Gets by how much the loop was late a moment ago, in milliseconds; 0 where it was in time. */
@@ -83,16 +97,19 @@
         return result;
     }
 
-    private noteTimer(dueAt: number): void {
+    /** Returns whether the timer is late. */
+    private noteTimer(dueAt: number): boolean {
         const now = this.getMonotonicTime();
         const late = now - dueAt;
-        if (late > lateMilliseconds) {
+        const isLate = late > lateMilliseconds;
+        if (isLate) {
             this.noteLate(late, now);
         }
         if (now - this.sample.at >= sampleMilliseconds) {
             this.sample = { at: now, processorTime: this.options.getProcessorTime() };
             this.longestJob = { name: "", milliseconds: 0 };
         }
+        return isLate;
     }
 
     private noteLate(late: number, now: number): void {
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -101,7 +101,7 @@
         });
         this.quarantineKeeper = QuarantineKeeper.create({ store, key: keys.quarantine, quarantine, clock, log });
         this.nodes = NodeTable.create(nodeId);
-        this.pools = UpstreamPools.create(() => metrics.upstreamConnectionsTotal.inc());
+        this.pools = UpstreamPools.create(options.barrier, () => metrics.upstreamConnectionsTotal.inc());
         this.holder = RoutingHolder.create({
             decode: text => clock.run("configuration", () => options.decodeConfiguration(text)),
             log,
--- a/src/process/router/routerNodeOptions.ts
+++ b/src/process/router/routerNodeOptions.ts
@@ -3,6 +3,7 @@
 import type { Result } from "../../result.ts";
 import type { RoutingConfiguration } from "../../version/routing/routingConfiguration.ts";
 import type { EventLog } from "../logging/eventLog.ts";
+import type { InputBarrier } from "../loop/inputBarrier.ts";
 import type { LoopWatch } from "../loop/loopWatch.ts";
 import type { RendezvousOwners } from "../membership/rendezvousOwners.ts";
 import type { Metrics } from "../metrics/metrics.ts";
@@ -34,6 +35,8 @@
     settings: RouterSettings;
     /** Clock of all parts of the node, which sees how late the event loop is. */
     clock: LoopWatch;
+    /** Has what goes out wait until all that has come is read. */
+    barrier: Pick<InputBarrier, "pass">;
     random: RandomSource;
     log: EventLog;
     metrics: Metrics;
--- a/src/request/relay/documentRelay.ts
+++ b/src/request/relay/documentRelay.ts
@@ -122,7 +122,7 @@
             chunks: [],
         };
         this.running.add(attempt);
-        this.send(attempt, task.dueAt - now);
+        this.send(attempt);
     }
 
     /** Ends the request where it is held back, unless an endpoint still runs it. Returns whether it is. */
@@ -134,13 +134,16 @@
         return hold !== undefined;
     }
 
-    private send(attempt: Attempt, remainingMilliseconds: number): void {
+    private send(attempt: Attempt): void {
         const { protocol, pools } = this.environment;
-        const { request, customer } = this.task;
+        const { request, customer, dueAt } = this.task;
         const { endpoint } = attempt;
-        const upstream = protocol.createRequest(request, { endpoint, customer, remainingMilliseconds, lastEventId: 0 });
+        const createRequest = () => {
+            const remainingMilliseconds = dueAt - this.getTime();
+            return protocol.createRequest(request, { endpoint, customer, remainingMilliseconds, lastEventId: 0 });
+        };
         const idleLimit = this.isRepeatable() ? Infinity : freshIdleMilliseconds;
-        attempt.exchange = pools.getPool(endpoint.address).send(upstream, {
+        attempt.exchange = pools.getPool(endpoint.address).sendForCaller(createRequest, {
             onHead: (status, headers) => this.takeHead(attempt, status, headers),
             onData: chunk => attempt.chunks.push(chunk),
             onEnd: () => this.takeAnswer(attempt),
--- a/src/request/relay/relayTransport.ts
+++ b/src/request/relay/relayTransport.ts
@@ -8,8 +8,9 @@
     getPool(address: string): {
         /** Whether a connection is open and free. */
         hasIdle(): boolean;
-        send(
-            request: UpstreamRequest,
+        /** Sends a caller's request, created as it goes, unless it is given up until all that has come to the node is read. */
+        sendForCaller(
+            createRequest: () => UpstreamRequest,
             listener: UpstreamListener,
             maximumIdleMilliseconds?: number,
         ): UpstreamExchange;
--- a/src/request/relay/streamRelay.ts
+++ b/src/request/relay/streamRelay.ts
@@ -265,21 +265,25 @@
             firstEventAt: undefined,
         };
         this.attempt = attempt;
-        this.send(attempt, stages, this.task.dueAt - now);
+        this.send(attempt, stages);
     }
 
-    private send(attempt: StreamAttempt, stages: RelayStage[], remainingMilliseconds: number): void {
+    private send(attempt: StreamAttempt, stages: RelayStage[]): void {
         const { protocol, pools } = this.environment;
-        const { request, customer } = this.task;
+        const { request, customer, dueAt } = this.task;
         const { endpoint } = stages[0]!;
-        const context = { endpoint, customer, remainingMilliseconds, stages, lastEventId: this.progress.getLastId() };
+        const createRequest = () => {
+            const remainingMilliseconds = dueAt - this.getTime();
+            const lastEventId = this.progress.getLastId();
+            return protocol.createRequest(request, { endpoint, customer, remainingMilliseconds, stages, lastEventId });
+        };
         const reader = StreamAnswerReader.create({
             protocol,
             requestId: request.id,
             onEvent: (event, head) => this.takeEvent(attempt, head, event),
             onEnd: end => this.takeEnd(attempt, end),
         });
-        attempt.exchange = pools.getPool(endpoint.address).send(protocol.createRequest(request, context), {
+        attempt.exchange = pools.getPool(endpoint.address).sendForCaller(createRequest, {
             onHead: (status, headers) => reader.takeHead(status, headers),
             onData: chunk => reader.takeData(chunk),
             onEnd: () => reader.takeEnd(),
--- /dev/null
+++ b/tests/connection/upstream/upstreamPool.test.ts
@@ -0,0 +1,95 @@
+import assert from "node:assert/strict";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { setTimeout as wait } from "node:timers/promises";
+import type { UpstreamListener } from "../../../src/connection/upstream/upstreamListener.ts";
+import { UpstreamPool } from "../../../src/connection/upstream/upstreamPool.ts";
+import type { UpstreamRequest } from "../../../src/connection/upstream/upstreamRequest.ts";
+import { waitUntil } from "../../support/waitUntil.ts";
+
+const request: UpstreamRequest = { method: "POST", target: "/", headers: ["Host", "h"], body: Buffer.from("x") };
+
+describe("UpstreamPool", () => {
+    let server: Server;
+    let pool: UpstreamPool;
+    let arrivals: number;
+    let ends: number;
+    let passages: Set<() => void>;
+
+    beforeEach(async () => {
+        arrivals = 0;
+        ends = 0;
+        passages = new Set();
+        server = createServer((message, response) => {
+            arrivals += 1;
+            message.resume();
+            response.end("answer");
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        pool = UpstreamPool.create({
+            address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+            barrier: {
+                pass: action => {
+                    passages.add(action);
+                    return { cancel: () => void passages.delete(action) };
+                },
+            },
+            onOpened: () => undefined,
+        });
+    });
+
+    afterEach(async () => {
+        pool.close();
+        await new Promise(resolve => server.close(resolve));
+    });
+
+    const listener: UpstreamListener = {
+        onHead: () => undefined,
+        onData: () => undefined,
+        onEnd: () => ends++,
+        onFailure: () => undefined,
+    };
+
+    /** Lets everything pass that waits until all that has come is read. */
+    function pass(): void {
+        const actions = [...passages];
+        passages.clear();
+        for (const action of actions) {
+            action();
+        }
+    }
+
+    it("sends nothing of a request that is given up before all that had come is read", async () => {
+        const exchange = pool.sendForCaller(() => request, listener);
+        exchange.abort();
+        pass();
+        await wait(50);
+        assert.deepEqual([arrivals, exchange.getSentTime(), pool.getSize()], [0, undefined, 0]);
+    });
+
+    it("sends nothing of a request that is given up while its connection opens, read after the opening", async () => {
+        const exchange = pool.sendForCaller(() => request, listener);
+        pass();
+        await waitUntil("the connection is open", () => passages.size > 0);
+        exchange.abort();
+        pass();
+        await wait(50);
+        assert.deepEqual([arrivals, exchange.getSentTime()], [0, undefined]);
+    });
+
+    it("creates a request as it goes, and sends it", async () => {
+        let created = 0;
+        const exchange = pool.sendForCaller(() => {
+            created += 1;
+            return request;
+        }, listener);
+        assert.equal(created, 0);
+        pass();
+        await waitUntil("the connection is open", () => passages.size > 0);
+        pass();
+        await waitUntil("it is answered", () => ends === 1);
+        assert.deepEqual([created, arrivals], [1, 1]);
+        assert.ok(exchange.getSentTime()! > 0);
+    });
+});
--- a/tests/platform/createAnswerSink.test.ts
+++ b/tests/platform/createAnswerSink.test.ts
@@ -10,7 +10,7 @@
 async function exchange(paths: string[], answer: (sinks: AnswerSink[]) => void, version = "1.1"): Promise<string> {
     const sinks: AnswerSink[] = [];
     const server = createServer((request, response: ServerResponse) => {
-        sinks.push(createAnswerSink(response, "id", () => request.url === paths.at(-1)));
+        sinks.push(createAnswerSink(response, "id", () => request.url === paths.at(-1), new AbortController().signal));
         if (sinks.length === paths.length) {
             answer(sinks);
         }
--- a/tests/platform/routerBench.ts
+++ b/tests/platform/routerBench.ts
@@ -7,6 +7,7 @@
 import { routerKeys } from "../../platform/routerKeys.ts";
 import { findFreePorts } from "../../scripts/deployment/findFreePorts.ts";
 import { getProcessorTime } from "../../src/process/loop/getProcessorTime.ts";
+import { InputBarrier } from "../../src/process/loop/inputBarrier.ts";
 import { LoopWatch } from "../../src/process/loop/loopWatch.ts";
 import { RendezvousOwners } from "../../src/process/membership/rendezvousOwners.ts";
 import { Metrics } from "../../src/process/metrics/metrics.ts";
@@ -90,7 +91,8 @@
         const peerAddress = `127.0.0.1:${peerPort}`;
         const log = RecordingEventLog.create();
         const store = KeyValueStore.create(storeAddress, () => undefined);
-        const clock = LoopWatch.create({ clock: systemClock, log, getProcessorTime });
+        const barrier = InputBarrier.create();
+        const clock = LoopWatch.create({ clock: systemClock, barrier, log, getProcessorTime });
         const node = RouterNode.create({
             nodeId: `node-${this.nodes.length}`,
             version: "test",
@@ -111,6 +113,7 @@
                 repeatWindowMilliseconds: 10_000,
             },
             clock,
+            barrier,
             random: Math.random,
             log,
             metrics: Metrics.create(),
--- a/tests/process/loop/loopWatch.test.ts
+++ b/tests/process/loop/loopWatch.test.ts
@@ -15,6 +15,7 @@
     let processorTime: number;
     let due: (() => void)[];
     let lines: WrittenLine[];
+    let passages: (() => void)[];
     let watch: LoopWatch;
 
     beforeEach(() => {
@@ -22,12 +23,19 @@
         processorTime = 0;
         due = [];
         lines = [];
+        passages = [];
         const setTimer = (_delay: number, callback: () => void): TimerHandle => {
             due.push(callback);
             return { cancel: () => undefined };
         };
         watch = LoopWatch.create({
             clock: { getMonotonicTime: () => now, getWallTime: () => now, setTimer },
+            barrier: {
+                pass: action => {
+                    passages.push(action);
+                    return { cancel: () => void passages.splice(passages.indexOf(action), 1) };
+                },
+            },
             log: { write: (_event, fields) => lines.push(fields ?? {}) },
             getProcessorTime: () => processorTime,
         });
@@ -64,6 +72,19 @@
         assert.equal(watch.getLateness(), 1_900);
     });
 
+    it("has a late timer wait until all is read that came before its end", () => {
+        const ran: string[] = [];
+        watch.setTimer(10, () => ran.push("first"));
+        const second = watch.setTimer(10, () => ran.push("second"));
+        runTimersAt(500);
+        assert.deepEqual(ran, []);
+        second.cancel();
+        for (const action of passages) {
+            action();
+        }
+        assert.deepEqual(ran, ["first"]);
+    });
+
     it("forgets the delay once what had come meanwhile is taken up", () => {
         watch.setTimer(50, () => undefined);
         runTimersAt(1_000);
--- a/tests/request/relay/relayBench.ts
+++ b/tests/request/relay/relayBench.ts
@@ -51,7 +51,7 @@
             pools: {
                 getPool: address => ({
                     hasIdle: () => true,
-                    send: (_request, listener) => this.send(address, listener),
+                    sendForCaller: (_createRequest, listener) => this.send(address, listener),
                 }),
             },
             directory: {
