Plan layers in slices, between which the node reads and sends

Cause: tens of thousands of shares were looked at in one go. Test: it can be paused more than 5,000 times for 86 endpoints.

--- a/src/process/placement/placementDuty.ts
+++ b/src/process/placement/placementDuty.ts
@@ -8,6 +8,7 @@
 import type { FencedLease } from "../leases/fencedLease.ts";
 import type { EventLog } from "../logging/eventLog.ts";
 import { events } from "../logging/events.ts";
+import { runInSlices } from "../loop/runInSlices.ts";
 import type { PlatformStore } from "../platform/platformStore.ts";
 import { assignLayers } from "./assignLayers.ts";
 import { chooseLoads } from "./chooseLoads.ts";
@@ -18,7 +19,7 @@
 import { LayerOrders } from "./layerOrders.ts";
 import type { PlacementEndpoint } from "./placementEndpoint.ts";
 import { type PlacementRecord, placementRecordSchema } from "./placementRecord.ts";
-import { planColumns } from "./planColumns.ts";
+import { searchColumns } from "./searchColumns.ts";
 
 /** Options of a {@link PlacementDuty}. */
 interface PlacementDutyOptions {
@@ -236,7 +237,7 @@
         endpoints: readonly RegisteredEndpoint[],
         mayPlan: boolean,
     ): Promise<void> {
-        const { store, keyPrefix, log } = this.options;
+        const { store, keyPrefix, log, clock } = this.options;
         const key = `${keyPrefix}${service}`;
         const stored = await store.get(key);
         if (stored.err) {
@@ -253,7 +254,7 @@
         if (!mayPlan) {
             return;
         }
-        const columns = this.options.runLong("planColumns", () => planColumns(model, countKinds(model, endpoints)));
+        const columns = await runInSlices(searchColumns(model, countKinds(model, endpoints)), clock);
         if (columns.length === 0) {
             log.write(events.layersWithoutEngine, { service });
             return;
--- a/src/process/placement/planColumns.ts
+++ b/src/process/placement/searchColumns.ts
@@ -51,12 +51,12 @@
  * Plans ranges of layers so that all endpoints of a kind hold ranges of about one size, and every range has replicas.
  * Searches the number of columns and of layers for each kind, for the most requests a second that memory, time and the
  * loss of one replica allow: requests in progress are their rate times their duration, and a long chain of slow stages
- * keeps them longer in memory.
+ * keeps them longer in memory. There are tens of thousands of them, so that the search may be paused after each.
  * @param model - Figures of the model.
  * @param kinds - Endpoints by kind.
  * @returns Columns that tile all layers in order; empty where the weights fit nowhere.
  */
-export function planColumns(model: EngineModel, kinds: readonly KindCount[]): LayerColumn[] {
+export function* searchColumns(model: EngineModel, kinds: readonly KindCount[]): Generator<void, LayerColumn[]> {
     const available = kinds.filter(({ counts }) => sum(counts.values()) > 0);
     available.sort((left, right) => left.kind.stepFactor - right.kind.stepFactor);
     // Tens of thousands of shares are looked at, so what they have in common is found once.
@@ -69,6 +69,7 @@
             bestRate = rate;
             best = shares;
         }
+        yield;
     }
     return layOut(model, best);
 }
--- a/tests/process/placement/planColumns.test.ts
+++ b/tests/process/placement/searchColumns.test.ts
@@ -1,24 +1,34 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { planColumns } from "../../../src/process/placement/planColumns.ts";
+import type { KindCount } from "../../../src/process/placement/kindCount.ts";
+import { searchColumns } from "../../../src/process/placement/searchColumns.ts";
 import { getRequestMemory } from "../../../src/request/relay/getRequestMemory.ts";
 import { relayModel } from "../../request/relay/relayModel.ts";
 
 const dataCentres = ["a", "b", "c"];
 
-function plan(counts: Record<string, number[]>) {
-    const kinds = [...relayModel.kinds.values()].map(kind => ({
+function listKinds(counts: Record<string, number[]>): KindCount[] {
+    return [...relayModel.kinds.values()].map(kind => ({
         kind,
         counts: new Map((counts[kind.name] ?? []).map((count, index) => [dataCentres[index]!, count])),
     }));
-    return planColumns(relayModel, kinds);
+}
+
+function plan(counts: Record<string, number[]>) {
+    const kinds = listKinds(counts);
+    const search = searchColumns(relayModel, kinds);
+    let step = search.next();
+    while (step.done !== true) {
+        step = search.next();
+    }
+    return step.value;
 }
 
 function sum(numbers: number[]): number {
     return numbers.reduce((left, right) => left + right, 0);
 }
 
-describe("planColumns", () => {
+describe("searchColumns", () => {
     const fleets: Record<string, number[]>[] = [
         { fast: [1, 1, 2], middle: [3, 6, 2], slow: [8, 5, 5] },
         { fast: [2, 2, 4], middle: [9, 15, 6], slow: [22, 12, 14] },
@@ -58,6 +68,19 @@
         assert.deepEqual(plan({ slow: [1, 1, 1] }), []);
     });
 
+    // The holder of the lease stood still for half a second while it planned, on a small part of a core.
+    it("can be paused often, however many endpoints there are", () => {
+        const search = searchColumns(
+            relayModel,
+            listKinds({ fast: [2, 2, 4], middle: [9, 15, 6], slow: [22, 12, 14] }),
+        );
+        let pauses = 0;
+        while (search.next().done !== true) {
+            pauses += 1;
+        }
+        assert.ok(pauses > 5_000, String(pauses));
+    });
+
     it("takes less than half a second for 1,200 endpoints", () => {
         const startedAt = performance.now();
         plan({ fast: [40, 40, 40], middle: [160, 160, 160], slow: [200, 200, 200] });
