--- a/src/connection/caller/callerServer.ts
+++ b/src/connection/caller/callerServer.ts
@@ -1,6 +1,7 @@
 import findMyWay from "find-my-way";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { InputBarrier } from "../../process/loop/inputBarrier.ts";
 import { parseAddress } from "../../process/settings/parseAddress.ts";
 import { handleDocument } from "../../request/document/handleDocument.ts";
 import { handleChat } from "../../request/model/handleChat.ts";
@@ -31,6 +32,8 @@
     private readonly options: CallerServerOptions;
     private readonly server: Server;
     private readonly connections = CallerConnections.create();
+    /** A node that was late finds a request and its caller's close together. */
+    private readonly barrier = InputBarrier.create();
     private readonly running = RunningRequests.create();
     /** Aborts when what still runs is to be ended by force. */
     private readonly stop = new AbortController();
@@ -198,7 +201,11 @@
         const { span, version } = context.val;
         try {
             const body = await readBody(request, response, version.configuration.limits.maximumBodyBytes);
-            return body.ok ? await handler(context.val, body.val, writer) : body;
+            if (!body.ok) {
+                return body;
+            }
+            await new Promise<void>(resolve => this.barrier.pass(resolve));
+            return signal.aborted ? Err(RequestError.cancelled()) : await handler(context.val, body.val, writer);
         }
         catch (error) {
             return Err(describeCrash(environment, context.val.id, error));
