Read the limit that an endpoint names, and log when it begins, changes and ends

LIMIT, sight only: no decision reads it yet. FL1723 tells a node that has read a limit from one that hasn't, and from where it has it, which no line could.

--- a/bench/experiment/simulatedNode.ts
+++ b/bench/experiment/simulatedNode.ts
@@ -6,6 +6,7 @@
 import { EndpointHealth } from "../../src/request/relay/endpointHealth.ts";
 import { EndpointLoads } from "../../src/request/relay/endpointLoads.ts";
 import { FirstEventTimes } from "../../src/request/relay/firstEventTimes.ts";
+import { EndpointLimits } from "../../src/request/relay/limits/endpointLimits.ts";
 import { PipeLoad } from "../../src/request/relay/pipeLoad.ts";
 import { PipeShares } from "../../src/request/relay/pipeShares.ts";
 import { RequestQuarantine } from "../../src/request/relay/quarantine/requestQuarantine.ts";
@@ -68,6 +69,7 @@
             loads,
             health,
             refusals: { note: () => Promise.resolve() },
+            limits: EndpointLimits.create(log),
             quarantine,
             repeats: RetryBudget.create(clock.getMonotonicTime(), () => repeatPolicy),
             queue,
--- a/bench/experiment/simulatedProtocol.ts
+++ b/bench/experiment/simulatedProtocol.ts
@@ -36,6 +36,7 @@
             isSigned: true,
             isNotRun: status === refusedStatus,
             faultyAddress: typeof address === "string" ? address : undefined,
+            requestsPerSecond: undefined,
         };
     },
 
--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -160,6 +160,12 @@
         level: "info",
         message: "An endpoint refused a request that it seemed to have room for, and was asked whether it refuses all.",
     },
+    endpointLimited: {
+        number: 1723,
+        level: "info",
+        message:
+            "An endpoint has begun, changed or ceased to limit the requests that it takes from all nodes together.",
+    },
     relayRefused: { number: 1714, level: "warn", message: "A routed request was refused before it was sent." },
     endpointStateChanged: { number: 1801, level: "info", message: "The state of an endpoint has changed." },
     silentConnectionReplaced: {
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -7,6 +7,7 @@
 import { EndpointHealth } from "../../request/relay/endpointHealth.ts";
 import { EndpointLoads } from "../../request/relay/endpointLoads.ts";
 import { FirstEventTimes } from "../../request/relay/firstEventTimes.ts";
+import { EndpointLimits } from "../../request/relay/limits/endpointLimits.ts";
 import { PipeLoad } from "../../request/relay/pipeLoad.ts";
 import { PipeShares } from "../../request/relay/pipeShares.ts";
 import { RequestQuarantine } from "../../request/relay/quarantine/requestQuarantine.ts";
@@ -64,6 +65,7 @@
     private readonly loads: EndpointLoads;
     private readonly quarantineKeeper: QuarantineKeeper;
     private readonly health: EndpointHealth;
+    private readonly limits: EndpointLimits;
     private peerServer: PeerServer | undefined;
     private isDraining = false;
     private retaining: TimerHandle | undefined;
@@ -188,6 +190,7 @@
             log,
             onIncarnation: (endpoint, incarnation) => this.registry.noteIncarnation(endpoint, incarnation),
         });
+        this.limits = EndpointLimits.create(log);
         const environment: RelayEnvironment = {
             dataCentre: settings.dataCentre,
             clock,
@@ -205,6 +208,7 @@
                 fetchReport: endpoint => calls.fetchReport(endpoint),
                 onFound: () => this.exchange.tellNews(),
             }),
+            limits: this.limits,
             quarantine,
             queue,
             firstEvents: FirstEventTimes.create(),
@@ -350,6 +354,7 @@
         const ids = new Set(endpoints.map(({ id }) => id));
         this.health.retain(ids);
         this.loads.retain(ids);
+        this.limits.retain(ids);
         this.pools.retain(new Set(endpoints.map(({ address }) => address)));
         this.queue.wake();
     }
--- a/src/request/relay/answerHead.ts
+++ b/src/request/relay/answerHead.ts
@@ -11,4 +11,6 @@
     isNotRun: boolean;
     /** host:port of the endpoint of a chain that is at fault, where the answer names one. */
     faultyAddress: string | undefined;
+    /** Requests a second that the endpoint takes from all nodes together for now; undefined where it names no limit. */
+    requestsPerSecond: number | undefined;
 }
--- a/src/request/relay/documentRelay.ts
+++ b/src/request/relay/documentRelay.ts
@@ -157,7 +157,9 @@
             attempt.exchange?.abort();
             this.environment.health.addFailure(attempt.endpoint.id, this.getTime());
             this.endAttempt(attempt, { isNotRun: false, cause: "the endpoint's answer belongs to another request." });
+            return;
         }
+        this.environment.limits.noteAnswer(attempt.endpoint.id, attempt.head.requestsPerSecond, this.getTime());
     }
 
     private takeAnswer(attempt: Attempt): void {
--- a/src/request/relay/relayEnvironment.ts
+++ b/src/request/relay/relayEnvironment.ts
@@ -8,6 +8,7 @@
 import type { EndpointLoads } from "./endpointLoads.ts";
 import type { EndpointProtocol } from "./endpointProtocol.ts";
 import type { FirstEventTimes } from "./firstEventTimes.ts";
+import type { EndpointLimits } from "./limits/endpointLimits.ts";
 import type { PipeLoad } from "./pipeLoad.ts";
 import type { PipeShares } from "./pipeShares.ts";
 import type { RequestQuarantine } from "./quarantine/requestQuarantine.ts";
@@ -29,6 +30,8 @@
     loads: EndpointLoads;
     health: EndpointHealth;
     refusals: Pick<RefusalWatch, "note">;
+    /** How many requests endpoints take from all nodes together. */
+    limits: EndpointLimits;
     repeats: RetryBudget;
     quarantine: RequestQuarantine;
     queue: RelayQueue;
--- a/src/request/relay/streamAnswerReader.ts
+++ b/src/request/relay/streamAnswerReader.ts
@@ -9,6 +9,8 @@
 interface StreamAnswerReaderOptions {
     protocol: EndpointProtocol;
     requestId: string;
+    /** Takes the head of an answer to the request. */
+    onHead(head: AnswerHead): void;
     /** Takes each event of a success, in order. */
     onEvent(event: StreamEvent, head: AnswerHead): void;
     /** Called once where the answer comes to its end. */
@@ -37,11 +39,13 @@
 
     /** Takes the answer's head. */
     takeHead(status: number, headers: IncomingHttpHeaders): void {
-        const { protocol, requestId, onEnd } = this.options;
+        const { protocol, requestId, onHead, onEnd } = this.options;
         this.head = protocol.readHead(status, headers, requestId);
         if (!this.head.isForRequest) {
             onEnd({ kind: "foreign" });
+            return;
         }
+        onHead(this.head);
     }
 
     /** Takes bytes of the answer's body. */
--- a/src/request/relay/streamRelay.ts
+++ b/src/request/relay/streamRelay.ts
@@ -269,7 +269,8 @@
     }
 
     private send(attempt: StreamAttempt, stages: RelayStage[]): void {
-        const { protocol, pools } = this.environment;
+        const { environment } = this;
+        const { protocol, pools } = environment;
         const { request, customer, dueAt } = this.task;
         const { endpoint } = stages[0]!;
         const createRequest = () => {
@@ -280,6 +281,7 @@
         const reader = StreamAnswerReader.create({
             protocol,
             requestId: request.id,
+            onHead: head => environment.limits.noteAnswer(endpoint.id, head.requestsPerSecond, this.getTime()),
             onEvent: (event, head) => this.takeEvent(attempt, head, event),
             onEnd: end => this.takeEnd(attempt, end),
         });
--- a/tests/platform/createAnswerSink.test.ts
+++ b/tests/platform/createAnswerSink.test.ts
@@ -35,6 +35,7 @@
         isSigned: true,
         isNotRun: false,
         faultyAddress: undefined,
+        requestsPerSecond: undefined,
     };
 }
 
--- a/tests/platform/decoders.test.ts
+++ b/tests/platform/decoders.test.ts
@@ -114,4 +114,11 @@
         doTest(500, {}, false);
         doTest(200, { "response-seal": "s" }, false);
     });
+
+    it("reads the requests a second that an endpoint takes, and takes nothing else for a limit", () => {
+        const read = (text?: string) =>
+            endpointProtocol.readHead(200, text === undefined ? {} : { "server-limit": text }, "r").requestsPerSecond;
+        assert.deepEqual(["2", "3.5", "0"].map(read), [2, 3.5, 0]);
+        assert.deepEqual([undefined, "", "many", "-1", "Infinity"].map(read), Array(5).fill(undefined));
+    });
 });
--- a/tests/request/relay/relayBench.ts
+++ b/tests/request/relay/relayBench.ts
@@ -7,6 +7,7 @@
 import { EndpointHealth } from "../../../src/request/relay/endpointHealth.ts";
 import { EndpointLoads } from "../../../src/request/relay/endpointLoads.ts";
 import { FirstEventTimes } from "../../../src/request/relay/firstEventTimes.ts";
+import { EndpointLimits } from "../../../src/request/relay/limits/endpointLimits.ts";
 import { PipeLoad } from "../../../src/request/relay/pipeLoad.ts";
 import { PipeShares } from "../../../src/request/relay/pipeShares.ts";
 import { RequestQuarantine } from "../../../src/request/relay/quarantine/requestQuarantine.ts";
@@ -63,6 +64,7 @@
             loads: EndpointLoads.create(() => queue.wake()),
             health,
             refusals: { note: () => Promise.resolve() },
+            limits: EndpointLimits.create(log),
             quarantine: RequestQuarantine.create({ log, getAliveTime: endpointId => health.getAliveTime(endpointId) }),
             repeats: RetryBudget.create(0),
             queue,
