--- a/standins/router/endpointBehaviour.ts
+++ b/standins/router/endpointBehaviour.ts
@@ -20,6 +20,8 @@
     endsOnBody?: string;
     /** Falls silent after this event until it is moved to another chain. */
     stallsAfterEvent?: number;
+    /** Names this as the requests a second that it takes from all nodes together. */
+    requestsPerSecond?: number;
     /** Answers this much later, in milliseconds. */
     delayMilliseconds?: number;
 }
--- a/standins/router/endpointStandin.ts
+++ b/standins/router/endpointStandin.ts
@@ -171,7 +171,9 @@
         }
         const answeredId = behaviour.answersWrongRequest === true ? "another" : id;
         const signature = behaviour.isUnsigned === true ? {} : { "response-seal": `seal-${this.options.id}` };
-        const head = { "request-id": answeredId, ...signature };
+        const { requestsPerSecond: rate } = behaviour;
+        const limit = rate === undefined ? {} : { "server-limit": String(rate) };
+        const head = { "request-id": answeredId, ...signature, ...limit };
         if (behaviour.resetsUnframed === true) {
             request.socket.write(`HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nresponse-seal: s\r\n\r\nhalf`);
             setTimeout(() => request.socket.resetAndDestroy(), 30);
