Let any rate be shared by demand as customers' limits are

LimitedCustomer becomes SharedRate, whose limit may change from arrival to arrival, and PeerDemands counts by any key. No behaviour changes; it is what a limit of requests at an endpoint needs, in place of a copy.

--- a/src/request/admission/customerLimits.ts
+++ b/src/request/admission/customerLimits.ts
@@ -1,9 +1,28 @@
 import type { CustomerDemand } from "./customerDemand.ts";
 import type { CustomerLimitsOptions } from "./customerLimitsOptions.ts";
-import { LimitedCustomer } from "./limitedCustomer.ts";
 import { PeerDemands } from "./peerDemands.ts";
 import type { Refusal } from "./refusal.ts";
 import { RefusalKind } from "./refusalKind.ts";
+import { SharedRate } from "./sharedRate.ts";
+
+/** A customer that has sent requests. */
+interface LimitedCustomer {
+    /** Limit over all nodes, in requests a second, for which the demand is measured. */
+    limit: number;
+    rate: SharedRate;
+}
+
+/** Requests at the limit over which a demand is measured at least, so that chance refuses few within the limit. */
+const minimumMeasuredRequests = 20;
+
+/** Requests at the limit that are enough to measure a demand; more would only make it slower. */
+const enoughMeasuredRequests = 100;
+
+/** Time over which a demand is measured where the limit allows 20 to 100 requests in it, in milliseconds. */
+const usualMemoryMilliseconds = 2_000;
+
+/** Shortest time over which a demand is measured, in milliseconds: about the interval of gossip. */
+const minimumMemoryMilliseconds = 250;
 
 /** Fewer arrivals a second than this are not reported. */
 const minimumReportedDemand = 0.001;
@@ -47,14 +66,14 @@
         if (limit === undefined) {
             return createUnknownCustomerRefusal(customer);
         }
-        const limited = this.getLimitedCustomer(customer, limit, now);
+        const { rate } = this.getLimitedCustomer(customer, limit, now);
         const peerDemand = this.getPeerDemand(customer);
-        if (limited.take(peerDemand, now)) {
+        if (rate.take(limit, peerDemand, now)) {
             return undefined;
         }
         return {
             kind: RefusalKind.RateLimited,
-            retryAfterMilliseconds: limited.bookReturn(peerDemand, now),
+            retryAfterMilliseconds: rate.bookReturn(limit, peerDemand, now),
             message: `Customer "${customer}" is over its ${limit} requests a second and the request has not run. `
                 + "Send it again after the given time, or raise requestsPerSecond in the configuration.",
         };
@@ -62,7 +81,7 @@
 
     /** Gives back the place of a request that was then refused for another reason. */
     giveBackRequest(customer: string): void {
-        this.customers.get(customer)?.giveBack();
+        this.customers.get(customer)?.rate.giveBack();
     }
 
     /**
@@ -86,7 +105,8 @@
      * @param records - Its whole report.
      */
     applyPeerDemand(nodeId: string, records: readonly CustomerDemand[]): void {
-        this.peers.apply(nodeId, records, this.options.clock.getMonotonicTime());
+        const demands = records.map(({ customer, requestsPerSecond }) => [customer, requestsPerSecond] as const);
+        this.peers.apply(nodeId, demands, this.options.clock.getMonotonicTime());
     }
 
     /** Forgets the report of a node that has left; that of a silent one is forgotten after 5 s. */
@@ -96,10 +116,10 @@
 
     private createReport(now: number): CustomerDemand[] {
         const found: { record: CustomerDemand; part: number; }[] = [];
-        for (const [customer, limited] of this.customers) {
-            const requestsPerSecond = limited.getDemand(now);
+        for (const [customer, { limit, rate }] of this.customers) {
+            const requestsPerSecond = rate.getDemand(now);
             if (requestsPerSecond >= minimumReportedDemand) {
-                found.push({ record: { customer, requestsPerSecond }, part: requestsPerSecond / limited.limit });
+                found.push({ record: { customer, requestsPerSecond }, part: requestsPerSecond / limit });
             }
             else if (this.getLimit(customer) === undefined) {
                 this.customers.delete(customer);
@@ -111,7 +131,8 @@
     private getLimitedCustomer(customer: string, limit: number, now: number): LimitedCustomer {
         let limited = this.customers.get(customer);
         if (limited === undefined || limited.limit !== limit) {
-            limited = LimitedCustomer.create(limit, this.options.random, now);
+            const memoryMilliseconds = getMemoryMilliseconds(limit);
+            limited = { limit, rate: SharedRate.create({ memoryMilliseconds, random: this.options.random, now }) };
             this.customers.set(customer, limited);
         }
         return limited;
@@ -119,10 +140,7 @@
 
     /** Gets the demand at the other nodes, in requests a second; estimated where only some of them reported. */
     private getPeerDemand(customer: string): number {
-        const { peerCount } = this.peers;
-        const others = (this.options.getNodeCount?.() ?? 1) - 1;
-        const scale = peerCount > 0 && others > peerCount ? others / peerCount : 1;
-        return this.peers.getTotal(customer) * scale;
+        return this.peers.estimateTotal(customer, (this.options.getNodeCount?.() ?? 1) - 1);
     }
 
     private getLimit(customer: string): number | undefined {
@@ -130,6 +148,12 @@
     }
 }
 
+function getMemoryMilliseconds(limit: number): number {
+    const least = Math.max(minimumMemoryMilliseconds, minimumMeasuredRequests * 1000 / limit);
+    const enough = enoughMeasuredRequests * 1000 / limit;
+    return Math.max(least, Math.min(usualMemoryMilliseconds, enough));
+}
+
 function createUnknownCustomerRefusal(customer: string): Refusal {
     return {
         kind: RefusalKind.RateLimited,
