Keep the requests of all nodes within the limit that an endpoint names

Class: a resource that all nodes share, without an account of it. Change: EndpointLimits, and the nodes' exchange tells of limits and of what each would send there. A node's part follows its demand over 5 s and fills with time; all together may have saved at most one and a half seconds of the limit and four requests, so where nodes are more than that, only so many of them, near ones first, use the endpoint. What goes beyond goes over other chains; where only limits hold a request up it is refused at once with a time to return. First tries, repeats, second tries and streams that go on are all counted; a move that keeps its first stage sends that stage no request. The plan of layers doesn't know of limits.

--- a/bench/experiment/simulatedNode.ts
+++ b/bench/experiment/simulatedNode.ts
@@ -69,7 +69,11 @@
             loads,
             health,
             refusals: { note: () => Promise.resolve() },
-            limits: EndpointLimits.create(log),
+            limits: EndpointLimits.create({
+                log,
+                random,
+                chooseSharers: () => ({ count: 1, areAll: true, isOneOfThem: true }),
+            }),
             quarantine,
             repeats: RetryBudget.create(clock.getMonotonicTime(), () => repeatPolicy),
             queue,
--- a/src/process/router/peerState.ts
+++ b/src/process/router/peerState.ts
@@ -1,10 +1,13 @@
 import { create } from "@bufbuild/protobuf";
 import type { EndpointHealth } from "../../request/relay/endpointHealth.ts";
 import type { EndpointLoads } from "../../request/relay/endpointLoads.ts";
+import type { EndpointLimits } from "../../request/relay/limits/endpointLimits.ts";
 import type { RequestQuarantine } from "../../request/relay/quarantine/requestQuarantine.ts";
 import {
     type EndedRunRecord,
     EndedRunRecordSchema,
+    type EndpointLimitRecord,
+    EndpointLimitRecordSchema,
     type LoadRecord,
     LoadRecordSchema,
     type NodeState,
@@ -22,6 +25,7 @@
     suspicions: SuspicionRecord[];
     readings: ReadingRecord[];
     endedRuns: EndedRunRecord[];
+    endpointLimits: EndpointLimitRecord[];
 }
 
 /** Options of {@link PeerState}. */
@@ -29,6 +33,7 @@
     loads: EndpointLoads;
     health: EndpointHealth;
     quarantine: RequestQuarantine;
+    limits: EndpointLimits;
     readings: EndpointReadings;
     /** Gets the tokens a second of new requests that come to this node. */
     getDemand(): number;
@@ -51,7 +56,7 @@
 
     /** Creates the records of an outgoing message. */
     createRecords(now: number): PeerRecords {
-        const { loads, health, quarantine, readings, getDemand } = this.options;
+        const { loads, health, quarantine, limits, readings, getDemand } = this.options;
         return {
             demand: getDemand(),
             loads: loads.getOwnLoads().map(({ endpointId, requests, tokenLayers }) =>
@@ -64,13 +69,23 @@
             endedRuns: quarantine.getRuns(now).map(({ fingerprint, endpointId, at }) =>
                 create(EndedRunRecordSchema, { fingerprint, endpointId, age: Math.round(now - at) })
             ),
+            endpointLimits: limits.listReports(now).map(({ endpointId, requestsPerSecond, at, demand }) =>
+                create(EndpointLimitRecordSchema, { endpointId, requestsPerSecond, age: Math.round(now - at), demand })
+            ),
         };
     }
 
     /** Takes the records of a peer's message in. */
     takeRecords(message: NodeState, now: number): void {
-        const { loads, health, quarantine, readings, onNews } = this.options;
+        const { loads, health, quarantine, limits, readings, onNews } = this.options;
         if (message.sender !== undefined) {
+            const reports = message.endpointLimits.map(({ endpointId, requestsPerSecond, age, demand }) => ({
+                endpointId,
+                requestsPerSecond,
+                at: now - age,
+                demand,
+            }));
+            limits.takeReports(message.sender.nodeId, reports, now);
             loads.setPeerLoads(message.sender.nodeId, message.loads, message.demand, now);
         }
         let isNews = false;
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -24,6 +24,7 @@
 import type { ChangeSource } from "../replica/changeSource.ts";
 import { RecordFollower } from "../replica/recordFollower.ts";
 import { RecordSection } from "../replica/recordSection.ts";
+import { chooseLimitSharers } from "./chooseLimitSharers.ts";
 import { EndpointCalls } from "./endpointCalls.ts";
 import { EndpointPoll } from "./endpointPoll.ts";
 import { EndpointReadings } from "./endpointReadings.ts";
@@ -88,6 +89,19 @@
         });
         this.loads = EndpointLoads.create(() => this.queue.wake());
         const { queue, loads } = this;
+        this.limits = EndpointLimits.create({
+            log,
+            random,
+            chooseSharers: (endpoint, most) => {
+                const self = { nodeId, dataCentre: settings.dataCentre };
+                const nodes = [self, ...this.nodes.getLiveNodes(clock.getMonotonicTime())];
+                return chooseLimitSharers({ endpoint, most, nodeId, nodes, owners: options.owners });
+            },
+            onNews: () => {
+                queue.wake();
+                this.exchange.tellNews();
+            },
+        });
         const readings = EndpointReadings.create();
         const quarantine = RequestQuarantine.create({
             log,
@@ -173,6 +187,7 @@
                 loads,
                 health: this.health,
                 quarantine,
+                limits: this.limits,
                 readings,
                 getDemand: () => queue.getDemand(),
                 onNews: () => this.exchange.tellNews(),
@@ -190,7 +205,6 @@
             log,
             onIncarnation: (endpoint, incarnation) => this.registry.noteIncarnation(endpoint, incarnation),
         });
-        this.limits = EndpointLimits.create(log);
         const environment: RelayEnvironment = {
             dataCentre: settings.dataCentre,
             clock,
--- a/src/request/admission/start/startLine.ts
+++ b/src/request/admission/start/startLine.ts
@@ -98,6 +98,11 @@
                 retryAfterMilliseconds: Math.min(unservableReturnMilliseconds, request.longestReturnMilliseconds),
             };
         }
+        const limitReturn = request.getLimitReturn();
+        if (limitReturn !== undefined) {
+            const retryAfterMilliseconds = Math.min(limitReturn, request.longestReturnMilliseconds);
+            return { kind: "refuse", cause: "its endpoints limit what they take.", retryAfterMilliseconds };
+        }
         const expectedMilliseconds = this.getExpectedWait(request, ahead, now);
         if (expectedMilliseconds > getPatience(request, now) * expectedPart) {
             return this.turnAway(request, "it would wait too long for room.", now);
--- a/src/request/admission/start/startRequest.ts
+++ b/src/request/admission/start/startRequest.ts
@@ -15,4 +15,9 @@
     takePlace(): Place | undefined;
     /** Whether there would be a place for it if nothing else ran. */
     isServable(): boolean;
+    /**
+     * Gets when its caller should come back, in milliseconds from now, where only limits that endpoints name hold it up: to wait for
+     * a place brings nothing then. Undefined otherwise.
+     */
+    getLimitReturn(): number | undefined;
 }
--- a/src/request/relay/createQueuedRelay.ts
+++ b/src/request/relay/createQueuedRelay.ts
@@ -36,6 +36,8 @@
     const { clock, firstEvents, repeats } = environment;
     const reserve = Math.min(firstEvents.getExpected(), route.objectiveMilliseconds * longestReservePart);
     const timelyUntil = isReturn ? -Infinity : request.arrivedAt + route.objectiveMilliseconds - reserve;
+    const closed = new Set<string>();
+    environment.limits.noteRequest(task.service.name, clock.getMonotonicTime());
     return {
         requestId: request.id,
         rank,
@@ -47,13 +49,18 @@
         takePlace: () => {
             const now = clock.getMonotonicTime();
             const sparePart = now > timelyUntil ? latePart : 0;
-            const stages = chains.choose({ avoid: avoided, mayOverfill: false, sparePart });
-            if (stages === undefined || isRepeat && !repeats.takeRetry(now)) {
+            const stages = chains.chooseOpen({ avoid: avoided, mayOverfill: false, sparePart, closed });
+            if (stages === undefined) {
+                return undefined;
+            }
+            if (isRepeat && !repeats.takeRetry(now)) {
+                chains.giveBack(stages);
                 return undefined;
             }
             return { stages, reservation: chains.reserve(stages) };
         },
         isServable: () => chains.hasChain(avoided),
+        getLimitReturn: () => chains.getLimitReturn({ avoid: avoided, closed }),
         start,
         refuse,
     };
--- a/src/request/relay/documentRelay.ts
+++ b/src/request/relay/documentRelay.ts
@@ -102,10 +102,16 @@
             return;
         }
         const { environment, task } = this;
-        const endpoint = this.chooseNext();
         const isAllowed = this.attempts - this.unsent < task.route.maximumAttempts
             || !this.mayHaveRun && this.running.size === 0 && this.refusals <= mostRefusals;
-        if (endpoint === undefined || !isAllowed || isRepeat && !this.takeRepeat()) {
+        const closed = new Set<string>();
+        const endpoint = isAllowed ? this.takeNext(closed) : undefined;
+        if (endpoint === undefined) {
+            this.giveUpForLimits(closed, cause);
+            return;
+        }
+        if (isRepeat && !this.takeRepeat()) {
+            environment.limits.giveBack(endpoint.id);
             this.giveUp(cause);
             return;
         }
@@ -262,8 +268,8 @@
 
     private hedge(): void {
         const { route } = this.task;
-        const next = this.chooseNext();
-        if (this.isDone || this.attempts === 0 || this.attempts >= route.maximumAttempts || next === undefined) {
+        const isAllowed = this.attempts > 0 && this.attempts < route.maximumAttempts;
+        if (this.isDone || !isAllowed || this.listUntried().length === 0) {
             return;
         }
         for (const attempt of this.running) {
@@ -272,10 +278,40 @@
         this.startAttempt("the endpoint is late.", true);
     }
 
-    private chooseNext(): RegisteredEndpoint | undefined {
-        const { directory } = this.environment;
-        const endpoints = directory.getEndpoints(this.task.service.name).filter(({ id }) => !this.tried.has(id));
-        return chooseEndpoint(this.environment, endpoints);
+    private listUntried(): RegisteredEndpoint[] {
+        return this.environment.directory.getEndpoints(this.task.service.name).filter(({ id }) => !this.tried.has(id));
+    }
+
+    /**
+     * Chooses the endpoint to send to, whose limit leaves the request a place.
+     * @param closed - Takes the ids of those whose limits don't.
+     */
+    private takeNext(closed: Set<string>): RegisteredEndpoint | undefined {
+        const { environment, task } = this;
+        const { limits } = environment;
+        const now = this.getTime();
+        limits.noteRequest(task.service.name, now);
+        let untried = this.listUntried();
+        for (let next = chooseEndpoint(environment, untried); next !== undefined;) {
+            if (limits.take(next, now)) {
+                return next;
+            }
+            closed.add(next.id);
+            untried = untried.filter(({ id }) => !closed.has(id));
+            next = chooseEndpoint(environment, untried);
+        }
+        return undefined;
+    }
+
+    /** Ends the request where no endpoint is left, or where the limits of those that are left leave it no place. */
+    private giveUpForLimits(closed: ReadonlySet<string>, cause: string): void {
+        if (closed.size === 0) {
+            this.giveUp(cause);
+            return;
+        }
+        const retryAfterMilliseconds = this.environment.limits.bookReturn(closed, this.getTime());
+        const limited = `${cause} The endpoints limit what they take.`;
+        this.giveUp(limited, createRefusal.notRun(limited, retryAfterMilliseconds));
     }
 
     private takeRepeat(): boolean {
--- a/src/request/relay/relayChains.ts
+++ b/src/request/relay/relayChains.ts
@@ -23,9 +23,19 @@
     mayOverfill: boolean;
     /** Part of each endpoint's memory that must stay free for others. Default: 0. */
     sparePart?: number;
+    /** Ids of endpoints whose limits have left the request no place. */
+    closed?: ReadonlySet<string>;
+}
+
+/** What a chain must be like for a request that is to be sent over it. */
+interface OpenChainWish extends ChainWish {
+    /** Ids of endpoints whose limits have left the request no place; grows. */
+    closed: Set<string>;
 }
 
 const bitsOfMegabit = 1_000_000;
+/** A request asks at so many limited endpoints at most; where all are limited, to ask at each would cost the node a search each. */
+const mostLimitsAsked = 3;
 /** Above this part of an endpoint's memory, a few requests more of each node would fill it. */
 const scarceMemoryPart = 0.6;
 
@@ -47,7 +57,7 @@
     }
 
     /** Chooses the best chain; undefined where there is none. */
-    choose({ avoid, firstStage, mayOverfill, sparePart = 0 }: ChainWish): RelayStage[] | undefined {
+    choose({ avoid, firstStage, mayOverfill, sparePart = 0, closed }: ChainWish): RelayStage[] | undefined {
         const { environment, model, task } = this;
         const now = environment.clock.getMonotonicTime();
         const query: StageQuery = {
@@ -64,10 +74,53 @@
             getPipeWait: (from, to) => environment.pipeShares.getWait(from, to, now),
         };
         const candidates = listCandidates(environment, model, task.service.name)
-            .filter(({ endpoint }) => !avoid.has(endpoint.id));
+            .filter(({ endpoint: { id } }) => !avoid.has(id) && closed?.has(id) !== true);
         return chooseSoundStages(query, candidates, environment.random);
     }
 
+    /**
+     * Chooses the best chain for the request to be sent over, and takes it out of the first stage's limit: that stage alone gets a
+     * request from this node.
+     */
+    chooseOpen(wish: OpenChainWish): RelayStage[] | undefined {
+        const { limits, clock } = this.environment;
+        const { closed } = wish;
+        let asked = 0;
+        for (let stages = this.choose(wish); stages !== undefined; stages = this.choose(wish)) {
+            const { endpoint } = stages[0]!;
+            if (limits.take(endpoint, clock.getMonotonicTime())) {
+                return stages;
+            }
+            closed.add(endpoint.id);
+            asked += 1;
+            if (asked === mostLimitsAsked) {
+                this.closeLimited(closed);
+            }
+        }
+        return undefined;
+    }
+
+    /** Gives back what {@link chooseOpen} took, where nothing is sent. */
+    giveBack(stages: readonly RelayStage[]): void {
+        this.environment.limits.giveBack(stages[0]!.endpoint.id);
+    }
+
+    /** Gets when the caller should come back where only the limits of endpoints hold the request up; undefined otherwise. */
+    getLimitReturn({ avoid, closed }: Pick<OpenChainWish, "avoid" | "closed">): number | undefined {
+        const isHeldUp = closed.size > 0 && this.choose({ avoid, closed, mayOverfill: true }) === undefined;
+        const { limits, clock } = this.environment;
+        return isHeldUp ? limits.bookReturn(closed, clock.getMonotonicTime()) : undefined;
+    }
+
+    private closeLimited(closed: Set<string>): void {
+        const { limits, directory } = this.environment;
+        for (const { id } of directory.getEndpoints(this.task.service.name)) {
+            if (limits.isLimited(id)) {
+                closed.add(id);
+            }
+        }
+    }
+
     /**
      * Counts the request at the endpoints of a chain, until it is released, and what it moves between data centres.
      * @throws InvariantError where the chain doesn't run each layer once and in order.
--- a/src/request/relay/streamRelay.ts
+++ b/src/request/relay/streamRelay.ts
@@ -210,6 +210,7 @@
     private startQueued(place: RelayPlace, cause: string): void {
         if (this.reviewHold(cause)) {
             this.environment.queue.noteEnd(this.chains.getTokens(), undefined);
+            this.chains.giveBack(place.stages);
             place.reservation.release();
             return;
         }
@@ -227,17 +228,20 @@
 
     /** Goes on with a stream that has begun. It does not wait for room: its caller would leave. */
     private resume(cause: string, isRepeat: boolean): void {
-        const stages = this.chains.choose({ avoid: this.avoided, mayOverfill: true });
+        const { environment, chains, avoided, task } = this;
+        environment.limits.noteRequest(task.service.name, this.getTime());
+        const stages = chains.chooseOpen({ avoid: avoided, mayOverfill: true, closed: new Set() });
         if (stages === undefined) {
             this.giveUp(`${cause} No other chain has room.`);
             return;
         }
-        if (isRepeat && !this.environment.repeats.takeRetry(this.getTime())) {
+        if (isRepeat && !environment.repeats.takeRetry(this.getTime())) {
+            chains.giveBack(stages);
             this.giveUp(`${cause} The budget of repeats is used up.`);
             return;
         }
-        this.environment.queue.noteStart();
-        this.runAttempt({ stages, reservation: this.chains.reserve(stages) });
+        environment.queue.noteStart();
+        this.runAttempt({ stages, reservation: chains.reserve(stages) });
     }
 
     private turnAway(cause: string, retryAfterMilliseconds: number): void {
--- /dev/null
+++ b/tests/process/router/chooseLimitSharers.test.ts
@@ -0,0 +1,35 @@
+import assert from "node:assert/strict";
+import { before, describe, it } from "node:test";
+import { RendezvousOwners } from "../../../src/process/membership/rendezvousOwners.ts";
+import { chooseLimitSharers } from "../../../src/process/router/chooseLimitSharers.ts";
+
+const nodes = Array.from({ length: 12 }, (_, index) => ({ nodeId: `n${index}`, dataCentre: index < 4 ? "a" : "b" }));
+
+describe("chooseLimitSharers", () => {
+    let owners: RendezvousOwners;
+
+    before(async () => {
+        owners = await RendezvousOwners.create();
+    });
+
+    const choose = (nodeId: string, most: number, id = "x") =>
+        chooseLimitSharers({ endpoint: { id, dataCentre: "a" }, most, nodeId, nodes, owners });
+    const list = (most: number, id?: string) =>
+        nodes.map(({ nodeId }) => nodeId).filter(nodeId => choose(nodeId, most, id).isOneOfThem);
+
+    it("chooses all nodes where they are few", () => {
+        assert.deepEqual(choose("n3", 12), { count: 12, areAll: true, isOneOfThem: true });
+    });
+
+    it("chooses as many as may, the same at each node, those of the endpoint's data centre first", () => {
+        assert.equal(list(6).length, 6);
+        assert.deepEqual(list(6).slice(0, 4), ["n0", "n1", "n2", "n3"]);
+        assert.ok(list(3).every(nodeId => ["n0", "n1", "n2", "n3"].includes(nodeId)));
+        assert.equal(choose("n0", 6).count, 6);
+    });
+
+    it("chooses others for other endpoints", () => {
+        const chosen = new Set(["x", "y", "z", "u", "v"].map(id => list(2, id).join()));
+        assert.ok(chosen.size > 1);
+    });
+});
--- a/tests/request/admission/start/startLine.test.ts
+++ b/tests/request/admission/start/startLine.test.ts
@@ -31,6 +31,7 @@
                     return name;
                 },
                 isServable: () => true,
+                getLimitReturn: () => undefined,
                 ...changes,
             };
             return request;
@@ -57,6 +58,17 @@
         assert.equal(bench.line.getLength(), 0);
     });
 
+    it("turns away at once, with that time to come back, whom only limits of endpoints hold up", () => {
+        const bench = createBench(0);
+        const limited = bench.create("limited", { getLimitReturn: () => 800 });
+        assert.deepEqual(bench.line.decideArrival(limited, 0), {
+            kind: "refuse",
+            cause: "its endpoints limit what they take.",
+            retryAfterMilliseconds: 800,
+        });
+        assert.equal(bench.line.getLength(), 0);
+    });
+
     it("turns away on arrival who would wait past the objective, and tells when to come back", () => {
         const bench = createBench(100);
         bench.pace(1_000);
--- a/tests/request/relay/limits/endpointLimits.test.ts
+++ b/tests/request/relay/limits/endpointLimits.test.ts
@@ -1,16 +1,34 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { EndpointLimits } from "../../../../src/request/relay/limits/endpointLimits.ts";
+import { createEndpoint } from "../relayModel.ts";
+import { LimitBench } from "./limitBench.ts";
+
+const namedAt = 5_000;
+/** From this time after it first named a limit an endpoint is held to it. */
+const settleMilliseconds = 3_000;
+
+function getAllowed(limit: number): number {
+    return 1.5 * limit * 4 + 5;
+}
 
 describe("EndpointLimits", () => {
-    function create() {
+    function create(sharers = { count: 1, areAll: true, isOneOfThem: true }) {
         const lines: unknown[] = [];
-        const limits = EndpointLimits.create({ write: (_event, fields) => lines.push(fields) });
-        return { lines, limits };
+        let news = 0;
+        const limits = EndpointLimits.create({
+            log: { write: (_event, fields) => lines.push(fields) },
+            random: () => 0.5,
+            chooseSharers: () => sharers,
+            onNews: () => news++,
+        });
+        return { lines, limits, countNews: () => news };
     }
 
+    const endpoint = createEndpoint("x", { kind: "middle" });
+
     it("tells when an endpoint begins, changes and ceases to name a limit, and not between", () => {
-        const { lines, limits } = create();
+        const { lines, limits, countNews } = create();
         for (const rate of [undefined, 2, 2, 3.5, undefined, undefined]) {
             limits.noteAnswer("x", rate, 0);
         }
@@ -20,6 +38,7 @@
             { ...line, isLimited: true, requestsPerSecond: 3.5, before: 2 },
             { ...line, isLimited: false, requestsPerSecond: 0, before: 3.5 },
         ]);
+        assert.equal(countNews(), 3);
     });
 
     it("forgets endpoints that are gone", () => {
@@ -29,4 +48,118 @@
         limits.noteAnswer("x", undefined, 0);
         assert.equal(lines.length, 1);
     });
+
+    it("holds nothing back where there is no limit, and all where others share it", () => {
+        const { limits } = create({ count: 7, areAll: false, isOneOfThem: false });
+        assert.ok(limits.take(endpoint, 0));
+        limits.noteAnswer("x", 2, 0);
+        assert.ok(!limits.take(endpoint, 10_000));
+        limits.noteAnswer("x", undefined, 10_000);
+        assert.ok(limits.take(endpoint, 10_000));
+    });
+
+    it("gives back what was taken and not sent", () => {
+        const { limits } = create();
+        limits.noteAnswer("x", 1, 0);
+        limits.take(endpoint, 0);
+        const takeAll = () => {
+            let taken = 0;
+            while (limits.take(endpoint, 10_000)) {
+                taken += 1;
+            }
+            return taken;
+        };
+        assert.ok(takeAll() > 0);
+        limits.giveBack("x");
+        assert.equal(takeAll(), 1);
+    });
+
+    it("takes a peer's word where it is newer, also on the end of a limit", () => {
+        const { limits } = create();
+        const tell = (requestsPerSecond: number | undefined, at: number, now: number) =>
+            limits.takeReports("peer", [{ endpointId: "x", requestsPerSecond, at, demand: 1 }], now);
+        tell(2, 1_000, 1_000);
+        assert.ok(limits.isLimited("x"));
+        limits.noteAnswer("x", undefined, 2_000);
+        tell(2, 1_500, 2_100);
+        assert.ok(!limits.isLimited("x"));
+        tell(2, 2_500, 2_600);
+        assert.ok(limits.isLimited("x"));
+        tell(undefined, 3_000, 3_000);
+        assert.ok(!limits.isLimited("x"));
+        assert.equal(limits.listReports(4_000)[0]!.requestsPerSecond, undefined);
+        assert.deepEqual(limits.listReports(14_000), []);
+    });
+
+    it("tells callers to come back at the pace of this node's part", () => {
+        const { limits } = create();
+        limits.noteAnswer("x", 2, 0);
+        limits.take(endpoint, 0);
+        const returns = Array.from({ length: 4 }, () => limits.bookReturn(["x"], 0));
+        assert.ok(returns[0]! < 1_000, String(returns));
+        assert.ok(returns[3]! > 1_500 && returns[3]! < 4_000, String(returns));
+    });
+
+    for (const [nodes, requestsPerSecond] of [[2, 40], [6, 55], [9, 55], [63, 240]] as const) {
+        for (const limit of [1.3, 3.5, 10]) {
+            it(`keeps ${nodes} nodes within ${limit} a second together, and uses it`, () => {
+                for (const seed of [1, 2, 3]) {
+                    const getWishedPart = () => 0.5;
+                    const getLimit = (now: number) => now >= namedAt ? limit : undefined;
+                    const bench = LimitBench.create({ seed, nodes, requestsPerSecond, getWishedPart, getLimit });
+                    bench.runUntil(20_000);
+                    const most = bench.getMost(namedAt + settleMilliseconds, 20_000);
+                    assert.ok(most <= getAllowed(limit), `${most} in 4 s, seed ${seed}`);
+                    const rate = bench.getRate(namedAt + settleMilliseconds, 20_000);
+                    assert.ok(rate >= 0.5 * limit, `only ${rate} a second, seed ${seed}`);
+                }
+            });
+        }
+    }
+
+    for (const nodes of [6, 9, 12]) {
+        it(`keeps ${nodes} nodes within a limit where another endpoint is lost and all turn to this one`, () => {
+            for (const limit of [1.3, 3.5, 10]) {
+                for (const seed of [1, 2, 3]) {
+                    const getWishedPart = (now: number) => now > 12_000 ? 0.8 : 0.05;
+                    const getLimit = (now: number) => now >= namedAt ? limit : undefined;
+                    const options = { seed, nodes, requestsPerSecond: 55, getWishedPart, getLimit };
+                    const bench = LimitBench.create(options);
+                    bench.runUntil(20_000);
+                    const most = bench.getMost(namedAt + settleMilliseconds, 20_000);
+                    assert.ok(most <= getAllowed(limit), `${most} in 4 s, limit ${limit}, seed ${seed}`);
+                }
+            }
+        });
+    }
+
+    it("follows a limit that falls, ends and comes back, while a node starts again", () => {
+        for (const seed of [1, 2, 3, 4, 5]) {
+            const getLimit = (now: number) => {
+                if (now < 5_000 || now >= 20_000 && now < 26_000) {
+                    return undefined;
+                }
+                return now < 12_000 ? 10 : 2;
+            };
+            const getWishedPart = () => 0.5;
+            const bench = LimitBench.create({ seed, nodes: 6, requestsPerSecond: 55, getWishedPart, getLimit });
+            bench.runUntil(14_000);
+            bench.restart(2);
+            bench.runUntil(34_000);
+            assert.ok(bench.getMost(8_000, 12_000) <= getAllowed(10));
+            assert.ok(bench.getMost(13_000, 20_000) <= getAllowed(2), `${bench.getMost(13_000, 20_000)}, seed ${seed}`);
+            assert.ok(bench.getRate(21_500, 26_000) >= 0.85 * 27.5, `only ${bench.getRate(21_500, 26_000)} a second`);
+            assert.ok(bench.getMost(29_000, 34_000) <= getAllowed(2));
+        }
+    });
+
+    it("gives most of a limit to the node that most of the demand comes to", () => {
+        const getLimit = (now: number) => now >= namedAt ? 3 : undefined;
+        const getWishedPart = () => 0.3;
+        const options = { seed: 1, nodes: 6, requestsPerSecond: 10, getWishedPart, getLimit, firstPart: 0.9 };
+        const bench = LimitBench.create(options);
+        bench.runUntil(40_000);
+        const rate = bench.getRate(15_000, 40_000);
+        assert.ok(rate > 1.5, `${rate} a second`);
+    });
 });
--- /dev/null
+++ b/tests/request/relay/limits/limitBench.ts
@@ -0,0 +1,137 @@
+import { EndpointLimits } from "../../../../src/request/relay/limits/endpointLimits.ts";
+import { createSeededRandom } from "../../../support/createSeededRandom.ts";
+import { VirtualClock } from "../../../support/virtualClock.ts";
+import { createEndpoint } from "../relayModel.ts";
+
+/** Options of a {@link LimitBench}. */
+interface LimitBenchOptions {
+    seed: number;
+    nodes: number;
+    /** Requests a second of the service that come to all nodes together. */
+    requestsPerSecond: number;
+    /** Gets the part of them that would be sent to the endpoint at a time in milliseconds. */
+    getWishedPart(now: number): number;
+    /** Gets the limit that the endpoint names at a time in milliseconds; undefined where it names none. */
+    getLimit(now: number): number | undefined;
+    /** Part of the demand that comes to the first node; the others have equal parts. Default: an equal part. */
+    firstPart?: number;
+}
+
+const answerMilliseconds = 70;
+const roundMilliseconds = 400;
+const wayMilliseconds = 3;
+const stepMilliseconds = 10;
+const secondMilliseconds = 1_000;
+const windowMilliseconds = 4_000;
+const endpoint = createEndpoint("limited", { kind: "middle" });
+
+/** Nodes that share the limit of one endpoint, in virtual time: requests at random moments, and exchanges by rounds as nodes make them. */
+export class LimitBench {
+    /** Times at which requests came to the endpoint, in milliseconds. */
+    readonly arrivals: number[] = [];
+    readonly clock = VirtualClock.create();
+    private readonly options: LimitBenchOptions;
+    private readonly random: () => number;
+    private readonly nodes: EndpointLimits[] = [];
+
+    private constructor(options: LimitBenchOptions) {
+        this.options = options;
+        this.random = createSeededRandom(options.seed);
+        for (let index = 0; index < options.nodes; index++) {
+            this.nodes.push(this.createNode(index));
+            this.clock.setTimer(this.random() * roundMilliseconds, () => this.exchange(index));
+        }
+        this.clock.setTimer(stepMilliseconds, () => this.step());
+    }
+
+    /** Creates nodes that know of no limit. */
+    static create(options: LimitBenchOptions): LimitBench {
+        return new LimitBench(options);
+    }
+
+    /** Runs until a time in milliseconds. */
+    runUntil(time: number): void {
+        this.clock.runTimersUntil(time);
+    }
+
+    /** Starts a node again, so that it knows nothing. */
+    restart(index: number): void {
+        this.nodes[index] = this.createNode(index);
+    }
+
+    /** Gets the most requests in any window between two times. */
+    getMost(from: number, to: number): number {
+        const times = this.arrivals.filter(time => time >= from && time < to);
+        let most = 0;
+        let first = 0;
+        for (const [index, time] of times.entries()) {
+            while (times[first]! <= time - windowMilliseconds) {
+                first += 1;
+            }
+            most = Math.max(most, index - first + 1);
+        }
+        return most;
+    }
+
+    /** Gets the mean of the requests a second between two times. */
+    getRate(from: number, to: number): number {
+        return this.arrivals.filter(time => time >= from && time < to).length * secondMilliseconds / (to - from);
+    }
+
+    private createNode(index: number): EndpointLimits {
+        const { nodes } = this.options;
+        return EndpointLimits.create({
+            log: { write: () => undefined },
+            random: this.random,
+            chooseSharers: (_endpointId, most) =>
+                most >= nodes
+                    ? { count: nodes, areAll: true, isOneOfThem: true }
+                    : { count: most, areAll: false, isOneOfThem: index < most },
+        });
+    }
+
+    private step(): void {
+        const now = this.clock.getMonotonicTime();
+        const { requestsPerSecond, nodes, firstPart = 1 / nodes } = this.options;
+        const inStep = requestsPerSecond * stepMilliseconds / secondMilliseconds;
+        for (let left = inStep; left > 0; left -= 1) {
+            if (this.random() < left) {
+                const isFirst = this.random() < firstPart;
+                this.send(isFirst ? 0 : 1 + Math.floor(this.random() * (nodes - 1)), now);
+            }
+        }
+        this.clock.setTimer(stepMilliseconds, () => this.step());
+    }
+
+    private send(index: number, now: number): void {
+        const limits = this.nodes[index]!;
+        limits.noteRequest(endpoint.service, now);
+        if (this.random() < this.options.getWishedPart(now) && limits.take(endpoint, now)) {
+            this.arrivals.push(now);
+            const limit = this.options.getLimit(now);
+            this.clock.setTimer(
+                answerMilliseconds,
+                () => limits.noteAnswer(endpoint.id, limit, now + answerMilliseconds),
+            );
+        }
+    }
+
+    private exchange(index: number): void {
+        const other = Math.floor(this.random() * this.options.nodes);
+        if (other !== index) {
+            this.tell(index, other);
+            this.tell(other, index);
+        }
+        this.clock.setTimer(roundMilliseconds * (0.8 + 0.4 * this.random()), () => this.exchange(index));
+    }
+
+    private tell(from: number, to: number): void {
+        const sentAt = this.clock.getMonotonicTime();
+        const reports = this.nodes[from]!.listReports(sentAt);
+        this.clock.setTimer(wayMilliseconds, () => {
+            const now = this.clock.getMonotonicTime();
+            const received = reports.map(report => ({ ...report, at: report.at + now - sentAt }));
+            this.nodes[to]!.takeReports(`node-${from}`, received, now);
+        });
+    }
+}
--- a/tests/request/relay/relayBench.ts
+++ b/tests/request/relay/relayBench.ts
@@ -64,7 +64,11 @@
             loads: EndpointLoads.create(() => queue.wake()),
             health,
             refusals: { note: () => Promise.resolve() },
-            limits: EndpointLimits.create(log),
+            limits: EndpointLimits.create({
+                log,
+                random,
+                chooseSharers: () => ({ count: 1, areAll: true, isOneOfThem: true }),
+            }),
             quarantine: RequestQuarantine.create({ log, getAliveTime: endpointId => health.getAliveTime(endpointId) }),
             repeats: RetryBudget.create(0),
             queue,
--- a/tests/request/relay/relayQueue.test.ts
+++ b/tests/request/relay/relayQueue.test.ts
@@ -27,6 +27,7 @@
             waitsUntil: now + 1_000,
             longestReturnMilliseconds: 1_000,
             isServable: () => true,
+            getLimitReturn: () => undefined,
             takePlace: () => {
                 if (room.places === 0) {
                     return undefined;
