--- a/scripts/soak/router/callChecks.ts
+++ b/scripts/soak/router/callChecks.ts
@@ -3,6 +3,7 @@
 import type { Violations } from "../violations.ts";
 import { callKinds } from "./callKind.ts";
 import type { CallRecord } from "./callRecord.ts";
+import { endpointLimitKind } from "./endpointLimitKind.ts";
 import { eventsOfStream } from "./eventsOfStream.ts";
 import { harmfulBody } from "./harmfulBody.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
@@ -32,6 +33,12 @@
 const plannedKinds = ["nodeStop", "nodeReload"];
 /** After a fault, promises with a time bound hold again after this time. */
 const settleMilliseconds = 4_000;
+/** A request that came to an endpoint so long after its caller had left was sent on after it; the rule's half second, and the way. */
+const leftMilliseconds = 700;
+const mostSentAfterLeaving = 3;
+/** An endpoint's limit counts over so long, for one and a half times what it allows and a few requests more. */
+const limitMilliseconds = 4_000;
+const mostOfLimit = 1.5 * endpointLimitKind.requestsPerSecond * limitMilliseconds / 1_000 + 5;
 const modelLayers = 8;
 /** After a request has ended so many endpoints, it may be sent on so often. */
 const mostEnded = 3;
@@ -66,7 +73,7 @@
         }
         const took = record.endedAt - record.sentAt;
         const isHeld = took > timeoutMilliseconds + lateMilliseconds;
-        if (isHeld && (!isComplete || status !== 200) && !this.hasNodeFault(record)) {
+        if (record.leftAt === undefined && isHeld && (!isComplete || status !== 200) && !this.hasNodeFault(record)) {
             this.add("held", `A request of kind ${kind} was held for ${took} ms and got ${status}.`, record);
         }
     }
@@ -77,6 +84,8 @@
         for (const run of runs) {
             this.checkRun(run);
         }
+        this.checkLeft(runs);
+        this.checkLimits(runs);
         const harmful = runs.filter(({ body }) => body === harmfulBody);
         for (const ofOne of Map.groupBy(harmful, ({ url }) => url).values()) {
             this.checkHarmful(ofOne);
@@ -159,6 +168,42 @@
         }
     }
 
+    /** Checks that hardly a request came to an endpoint after its caller had left. */
+    private checkLeft(runs: readonly Run[]): void {
+        const late = runs.filter(({ id, arrivedAt, endpointId }) => {
+            const { leftAt, node = "" } = this.records.get(id) ?? {};
+            return leftAt !== undefined && arrivedAt > leftAt + leftMilliseconds
+                && !this.hasFault(["node"], leftAt - settleMilliseconds, arrivedAt, node)
+                && !this.hasEndpointFault(endpointId, leftAt, arrivedAt);
+        });
+        if (late.length > mostSentAfterLeaving) {
+            this.addRun("gone", `It is one of ${late.length} that came after their callers had left.`, late.at(-1)!);
+        }
+    }
+
+    /** Checks that endpoints that limit what they take get no more, from nodes at which nothing was out of order. */
+    private checkLimits(runs: readonly Run[]): void {
+        for (const { kind, target, from, to } of this.options.timeline.getDuring(0, Infinity)) {
+            if (kind !== endpointLimitKind.name) {
+                continue;
+            }
+            const counted = runs.filter(({ id, endpointId, arrivedAt }) =>
+                endpointId.startsWith(`${target}-`) && arrivedAt >= from + settleMilliseconds && arrivedAt <= to
+                && !this.hasFault(["node"], arrivedAt - settleMilliseconds, arrivedAt, this.records.get(id)?.node ?? "")
+            );
+            for (const run of counted) {
+                const window = counted.filter(({ arrivedAt }) =>
+                    arrivedAt >= run.arrivedAt && arrivedAt < run.arrivedAt + limitMilliseconds
+                );
+                if (window.length > mostOfLimit) {
+                    const text = `It is the first of ${window.length} in ${limitMilliseconds} ms at a limit.`;
+                    this.addRun("limit", text, run);
+                    break;
+                }
+            }
+        }
+    }
+
     private checkLeaving(run: Run, record: CallRecord): void {
         for (const endpoint of this.options.deployment.endpoints) {
             const since = endpoint.getLeavingSince(run.endpointId);
@@ -190,7 +235,7 @@
             this.add("attempts", `It ran ${runs.length} times.`, record);
         }
         // A connection that ends while nothing of the request was passed on has crossed its closing.
-        const isCut = !isComplete && runs.length > 0;
+        const isCut = !isComplete && runs.length > 0 && record.leftAt === undefined;
         if (isCut && this.hasPlannedStopsOnly(record) && endedAt - record.sentAt < timeoutMilliseconds) {
             this.add("lost", `It was cut off: ${record.reason}`, record);
         }
@@ -206,6 +251,11 @@
         return this.hasFault(["node"], sentAt - settleMilliseconds, endedAt, node);
     }
 
+    private hasEndpointFault(endpointId: string, from: number, to: number): boolean {
+        const shown = this.options.timeline.getDuring(from, to);
+        return shown.some(({ kind, target }) => kind.startsWith("endpoint") && endpointId.startsWith(`${target}-`));
+    }
+
     /** Whether a fault at a node, or at all of a kind, was shown in a span; kinds by their first letters. */
     private hasFault(prefixes: readonly string[], from: number, to: number, node: string): boolean {
         return this.options.timeline.getDuring(from, to).some(({ kind, target }) =>
--- a/scripts/soak/router/callRecord.ts
+++ b/scripts/soak/router/callRecord.ts
@@ -11,6 +11,8 @@
     /** Wall-clock times in milliseconds. */
     sentAt: number;
     endedAt: number;
+    /** When its caller left before its answer had ended, in wall-clock milliseconds; undefined where it stayed. */
+    leftAt: number | undefined;
     /** 0 where the connection ended before a head came. */
     status: number;
     /** The endpoint's signature; undefined where the answer bears none. */
--- a/scripts/soak/router/routerCallers.ts
+++ b/scripts/soak/router/routerCallers.ts
@@ -16,6 +16,9 @@
     onEnded(record: CallRecord): void;
 }
 
+/** What a caller asks for. */
+type CallContent = Pick<CallRecord, "id" | "kind" | "method" | "path" | "body">;
+
 const kinds: readonly CallKind[] = Object.values(callKinds);
 /** Connections that callers keep to each node. */
 const connections = 12;
@@ -26,6 +29,9 @@
 const readinessMilliseconds = 1_000;
 /** Failed checks in a row after which the balancer leaves a node out. */
 const maximumFailures = 2;
+/** Share of requests whose callers leave, and after what time in milliseconds at the longest. */
+const leavingShare = 0.08;
+const longestStay = 800;
 /** Share of requests that go to any node over a connection that was kept, whatever the balancer knows. */
 const keptShare = 0.2;
 
@@ -69,40 +75,57 @@
         return random.choose(inRotation.length > 0 ? inRotation : nodes)!;
     }
 
-    /** Sends a request to one of the nodes; ends with its answer. */
+    /** Sends a request to one of the nodes; ends with its answer, or when its caller leaves, as some do. */
     async send(id: string): Promise<void> {
+        await this.call(this.createCall(id), this.options.random.isHit(leavingShare));
+    }
+
+    /** Sends a request whose caller stays until it has its answer. */
+    async sendPatiently(id: string): Promise<void> {
+        await this.call(this.createCall(id), false);
+    }
+
+    private createCall(id: string): CallContent {
         const { random } = this.options;
         const kind = random.choose(kinds)!;
         const path = `/${kind}/${id}?of=${random.chooseInteger(0, 9)}`;
         const isDocumentRead = kind === callKinds.safe;
         const body = isDocumentRead ? "" : createBody(random);
-        await this.call({ id, kind, method: isDocumentRead ? "GET" : "POST", path, body });
+        return { id, kind, method: isDocumentRead ? "GET" : "POST", path, body };
     }
 
     /** Sends a request that ends the endpoints which run it. */
     async sendHarmful(id: string, kind: CallKind, path: string): Promise<void> {
-        await this.call({ id, kind, method: "POST", path, body: harmfulBody });
+        await this.call({ id, kind, method: "POST", path, body: harmfulBody }, false);
     }
 
-    private async call(content: Pick<CallRecord, "id" | "kind" | "method" | "path" | "body">): Promise<void> {
+    private async call(content: CallContent, leaves: boolean): Promise<void> {
         const node = this.chooseNode();
         const record: CallRecord = {
             ...content,
             node: node.name,
             sentAt: Date.now(),
             endedAt: 0,
+            leftAt: undefined,
             status: 0,
             signature: undefined,
             text: "",
             isComplete: false,
             reason: "",
         };
-        await this.receive(record, this.getPool(node));
+        await this.receive(record, this.getPool(node), leaves);
         record.endedAt = Date.now();
         this.options.onEnded(record);
     }
 
-    private async receive(record: CallRecord, pool: Pool): Promise<void> {
+    private async receive(record: CallRecord, pool: Pool, leaves: boolean): Promise<void> {
+        const { random } = this.options;
+        const left = new AbortController();
+        const leave = () => {
+            record.leftAt = Date.now();
+            left.abort();
+        };
+        const timer = leaves ? setTimeout(leave, random.chooseInteger(0, longestStay)) : undefined;
         try {
             const answer = await pool.request({
                 method: record.method,
@@ -114,7 +137,10 @@
                     authorization: `Bearer ${callerKey}`,
                 },
                 body: record.body,
-                signal: AbortSignal.timeout(deadlineMilliseconds + patienceMilliseconds),
+                signal: AbortSignal.any([
+                    left.signal,
+                    AbortSignal.timeout(deadlineMilliseconds + patienceMilliseconds),
+                ]),
             });
             record.status = answer.statusCode;
             const signature = answer.headers["response-seal"];
@@ -127,6 +153,9 @@
         catch (error) {
             record.reason = error instanceof Error ? `${error.name}: ${error.message}` : String(error);
         }
+        finally {
+            clearTimeout(timer);
+        }
     }
 
     private getPool(node: SoakNode): Pool {
--- a/scripts/soak/router/routerFaultKinds.ts
+++ b/scripts/soak/router/routerFaultKinds.ts
@@ -5,6 +5,7 @@
 import { createFaultKind } from "../createFaultKind.ts";
 import type { FaultKind } from "../faultKind.ts";
 import { callKinds } from "./callKind.ts";
+import { endpointLimitKind } from "./endpointLimitKind.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
 import type { RouterSoakContext } from "./routerSoakContext.ts";
 import type { SoakEndpoint } from "./soakEndpoint.ts";
@@ -18,6 +19,7 @@
 /** Longest and shortest times of faults, in milliseconds. */
 const short: Span = [200, 2_000];
 const long: Span = [1_000, 6_000];
+const longer: Span = [7_000, 12_000];
 const none: Span = [0, 300];
 /** How often a caller sends a harmful request, and the time between two sendings in milliseconds. */
 const harmfulSendings = 12;
@@ -62,6 +64,7 @@
     endpointCutsStreams: ofBehaviour(2, { cutsAfterEvent: 5 }),
     endpointStallsStreams: ofBehaviour(2, { stallsAfterEvent: 7 }),
     endpointSlow: ofBehaviour(1, { delayMilliseconds: 700 }),
+    [endpointLimitKind.name]: ofBehaviour(3, { requestsPerSecond: endpointLimitKind.requestsPerSecond }, longer),
     endpointCrash: ofEndpoint(3, short, (_, endpoint) => endpoint.crash(), (_, endpoint) => endpoint.restart()),
     endpointLeaves: ofEndpoint(3, none, (_, endpoint) => endpoint.startLeaving(), endAfterLeaving),
 };
@@ -100,9 +103,9 @@
     return ofEndpoint(weight, short, set(mode), set(ProxyMode.Pass));
 }
 
-function ofBehaviour(weight: number, behaviour: EndpointBehaviour): Kind {
+function ofBehaviour(weight: number, behaviour: EndpointBehaviour, hold = short): Kind {
     const set = (next: EndpointBehaviour): Act<SoakEndpoint> => (_, endpoint) => endpoint.setBehaviour(next);
-    return ofEndpoint(weight, short, set(behaviour), set({}));
+    return ofEndpoint(weight, hold, set(behaviour), set({}));
 }
 
 function restart({ deployment }: RouterSoakContext, node: SoakNode): Promise<void> {
--- a/scripts/soak/router/runRouterSoak.ts
+++ b/scripts/soak/router/runRouterSoak.ts
@@ -75,7 +75,7 @@
         ...options,
         random,
         maximumRequests: recoveryRequests,
-        send: number => callers.send(`${recoveryName}-${number}`),
+        send: number => callers.sendPatiently(`${recoveryName}-${number}`),
     });
     await last.run();
     checkRecovery(parts);
--- a/tests/scripts/callChecks.test.ts
+++ b/tests/scripts/callChecks.test.ts
@@ -39,6 +39,7 @@
             node: "node-0",
             sentAt: 900,
             endedAt: 1_000,
+            leftAt: undefined,
             status: 200,
             signature: "seal-e",
             text: "answer of e",
@@ -115,6 +116,48 @@
         assert.deepEqual(check(createRecord(), late), ["drain"]);
     });
 
+    it("finds requests that came to endpoints after their callers had left, but for faults of the node or the endpoint", () => {
+        const leave = (count: number, arrivedAt: number) => {
+            runs = [];
+            for (let index = 0; index < count; index++) {
+                const id = `left-${index}`;
+                const path = `/unsafe/${id}`;
+                const left = { status: 0, signature: undefined, isComplete: false, endedAt: 5_000, leftAt: 5_000 };
+                checks.checkAnswer(createRecord({ id, path, sentAt: 4_500, ...left }));
+                runs.push(createRun({ id, url: path, arrivedAt, endpointId: "e-0" }));
+            }
+            checks.checkRuns();
+            return violations.getAll().filter(({ kind }) => kind === "gone").length;
+        };
+        assert.equal(leave(4, 5_600), 0);
+        assert.equal(leave(3, 5_800), 0);
+        const delay = timeline.start("endpointDelay", "e");
+        delay.from = 5_100;
+        delay.to = 5_700;
+        assert.equal(leave(4, 5_800), 0);
+        delay.target = "f";
+        assert.equal(leave(4, 5_800), 1);
+    });
+
+    it("finds endpoints that get more than their limit once it has settled", () => {
+        const limit = timeline.start("endpointLimits", "e");
+        limit.from = 10_000;
+        limit.to = 20_000;
+        const send = (count: number, from: number) => {
+            for (let index = 0; index < count; index++) {
+                const id = `${from}-${index}`;
+                const path = `/unsafe/${id}`;
+                checks.checkAnswer(createRecord({ id, path }));
+                runs.push(createRun({ id, url: path, arrivedAt: from + index, endpointId: "e-0" }));
+            }
+            checks.checkRuns();
+            return violations.getAll().map(({ kind }) => kind);
+        };
+        assert.deepEqual(send(30, 10_500), []);
+        assert.deepEqual(send(8, 15_000), []);
+        assert.deepEqual(send(1, 18_900), ["limit"]);
+    });
+
     it("finds requests that are held for too long", () => {
         const held = createRecord({ status: 504, signature: undefined, endedAt: 900 + 4_600 });
         assert.deepEqual(check(held, createRun()), ["held"]);
