Log what endpoints ask of a node in their answers

The logs could not tell the hypotheses of the incident apart: no line said that an endpoint named a time without requests or that it is leaving, and nothing read either header.

FL1724 logs each Retry-After of a 503, FL1725 each Server-Leaving, with the endpoint and the request. Nothing follows from them yet.

--- a/bench/experiment/simulatedNode.ts
+++ b/bench/experiment/simulatedNode.ts
@@ -1,3 +1,4 @@
+import { EndpointInstructions } from "../../src/connection/instructions/endpointInstructions.ts";
 import type { Clock } from "../../src/process/clock.ts";
 import type { RandomSource } from "../../src/process/randomSource.ts";
 import { RetryBudget } from "../../src/request/admission/retryBudget.ts";
@@ -74,6 +75,7 @@
                 random,
                 chooseSharers: () => ({ count: 1, includesAllNodes: true, includesThisNode: true }),
             }),
+            instructions: EndpointInstructions.create({ log }),
             quarantine,
             retryBudget: RetryBudget.create(clock.getMonotonicTime(), () => retryBudgetPolicy),
             queue,
--- a/bench/experiment/simulatedProtocol.ts
+++ b/bench/experiment/simulatedProtocol.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders } from "node:http";
+import type { AnswerInstructions } from "../../src/connection/instructions/answerInstructions.ts";
 import type { AnswerHead } from "../../src/request/relay/answerHead.ts";
 import type { EndpointProtocol } from "../../src/request/relay/endpointProtocol.ts";
 import type { ForwardingContext } from "../../src/request/relay/forwardingContext.ts";
@@ -7,6 +8,7 @@
 
 const emptyBody = Buffer.alloc(0);
 const refusedStatus = 503;
+const noInstructions: AnswerInstructions = { isLeaving: false, pauseMilliseconds: undefined };
 
 /** Protocol between nodes and simulated engines. The headers of a request hold everything that the engines need. */
 export const simulatedProtocol = {
@@ -40,9 +42,12 @@
             isNotRun: status === refusedStatus,
             faultyAddress: typeof address === "string" ? address : undefined,
             requestsPerSecond: undefined,
+            instructions: noInstructions,
         };
     },
 
+    readInstructions: () => noInstructions,
+
     createReportRequest: () => ({ method: "GET", target: "/", headers: [], body: emptyBody }),
     readReport: () => Err("Reports are not simulated."),
     createLayerOrder: () => ({ method: "POST", target: "/", headers: [], body: emptyBody }),
--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -232,6 +232,16 @@
         level: "info",
         message: "An endpoint's limit on requests from all nodes together was set, changed or removed.",
     },
+    endpointPauseRequested: {
+        number: 1724,
+        level: "info",
+        message: "An endpoint refused a request and asked this node to send it none for some time.",
+    },
+    endpointLeavingAnnounced: {
+        number: 1725,
+        level: "info",
+        message: "An endpoint announced in an answer that it is leaving.",
+    },
     relayRefused: {
         number: 1714,
         level: "warn",
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -1,3 +1,4 @@
+import { EndpointInstructions } from "../../connection/instructions/endpointInstructions.ts";
 import { FramedServer } from "../../connection/peer/framed/framedServer.ts";
 import { UpstreamPools } from "../../connection/upstream/upstreamPools.ts";
 import { RetryBudget } from "../../request/admission/retryBudget.ts";
@@ -106,6 +107,7 @@
                 this.exchange.propagateUpdate();
             },
         });
+        const instructions = EndpointInstructions.create({ log });
         const readings = EndpointReadings.create();
         const quarantine = RequestQuarantine.create({
             log,
@@ -227,6 +229,7 @@
                 onFound: () => this.exchange.propagateUpdate(),
             }),
             limits: this.limits,
+            instructions,
             quarantine,
             queue,
             firstEvents: FirstEventTimes.create(),
--- a/src/request/relay/answerHead.ts
+++ b/src/request/relay/answerHead.ts
@@ -1,3 +1,5 @@
+import type { AnswerInstructions } from "../../connection/instructions/answerInstructions.ts";
+
 /** Status and evaluated headers of an endpoint's answer. */
 export interface AnswerHead {
     status: number;
@@ -13,4 +15,6 @@
     faultyAddress: string | undefined;
     /** Current rate limit of the endpoint for all nodes together, in requests per second; undefined if it states none. */
     requestsPerSecond: number | undefined;
+    /** What the endpoint says about further requests from this node. */
+    instructions: AnswerInstructions;
 }
--- a/src/request/relay/documentRelay.ts
+++ b/src/request/relay/documentRelay.ts
@@ -165,7 +165,14 @@
             this.endAttempt(attempt, { isNotRun: false, cause: "the endpoint's answer belongs to another request." });
             return;
         }
-        this.environment.limits.noteAnswer(attempt.endpoint.id, attempt.head.requestsPerSecond, this.getTime());
+        const { limits, instructions } = this.environment;
+        const { endpoint, head } = attempt;
+        limits.noteAnswer(endpoint.id, head.requestsPerSecond, this.getTime());
+        instructions.noteAnswer({
+            endpointId: endpoint.id,
+            instructions: head.instructions,
+            answerTo: this.task.request.id,
+        });
     }
 
     private handleAnswer(attempt: Attempt): void {
--- a/src/request/relay/endpointProtocol.ts
+++ b/src/request/relay/endpointProtocol.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders } from "node:http";
+import type { AnswerInstructions } from "../../connection/instructions/answerInstructions.ts";
 import type { UpstreamRequest } from "../../connection/upstream/upstreamRequest.ts";
 import type { Result } from "../../result.ts";
 import type { AnswerHead } from "./answerHead.ts";
@@ -14,6 +15,8 @@
 export interface EndpointProtocol {
     createRequest(request: RoutedRequest, context: ForwardingContext): UpstreamRequest;
     readHead(status: number, headers: IncomingHttpHeaders, requestId: string): AnswerHead;
+    /** Reads the instructions of any answer of an endpoint, also of one to a report request or an order. */
+    readInstructions(status: number, headers: IncomingHttpHeaders): AnswerInstructions;
     createReportRequest(address: string): UpstreamRequest;
     readReport(body: Buffer): Result<EndpointReport, string>;
     createLayerOrder(endpoint: RegisteredEndpoint, order: LayerOrder): UpstreamRequest;
--- a/src/request/relay/relayEnvironment.ts
+++ b/src/request/relay/relayEnvironment.ts
@@ -1,3 +1,4 @@
+import type { EndpointInstructions } from "../../connection/instructions/endpointInstructions.ts";
 import type { Clock } from "../../process/clock.ts";
 import type { EventLog } from "../../process/logging/eventLog.ts";
 import type { RandomSource } from "../../process/randomSource.ts";
@@ -32,6 +33,7 @@
     refusalDetector: Pick<RefusalDetector, "check">;
     /** Rate limits that endpoints set for all nodes together. */
     limits: EndpointLimits;
+    instructions: EndpointInstructions;
     retryBudget: RetryBudget;
     quarantine: RequestQuarantine;
     queue: RelayQueue;
--- a/src/request/relay/streamRelay.ts
+++ b/src/request/relay/streamRelay.ts
@@ -285,7 +285,10 @@
         const reader = StreamAnswerReader.create({
             protocol,
             requestId: request.id,
-            onHead: head => environment.limits.noteAnswer(endpoint.id, head.requestsPerSecond, this.getTime()),
+            onHead: ({ requestsPerSecond, instructions }) => {
+                environment.limits.noteAnswer(endpoint.id, requestsPerSecond, this.getTime());
+                environment.instructions.noteAnswer({ endpointId: endpoint.id, instructions, answerTo: request.id });
+            },
             onEvent: (event, head) => this.handleEvent(attempt, head, event),
             onEnd: end => this.handleEnd(attempt, end),
         });
--- a/tests/platform/createAnswerSink.test.ts
+++ b/tests/platform/createAnswerSink.test.ts
@@ -36,6 +36,7 @@
         isNotRun: false,
         faultyAddress: undefined,
         requestsPerSecond: undefined,
+        instructions: { isLeaving: false, pauseMilliseconds: undefined },
     };
 }
 
--- a/tests/request/relay/relayBench.ts
+++ b/tests/request/relay/relayBench.ts
@@ -1,4 +1,5 @@
 import { endpointProtocol } from "../../../platform/endpointProtocol.ts";
+import { EndpointInstructions } from "../../../src/connection/instructions/endpointInstructions.ts";
 import type { UpstreamListener } from "../../../src/connection/upstream/upstreamListener.ts";
 import { RetryBudget } from "../../../src/request/admission/retryBudget.ts";
 import { RetryDetector } from "../../../src/request/admission/start/retryDetector.ts";
@@ -69,6 +70,7 @@
                 random,
                 chooseSharers: () => ({ count: 1, includesAllNodes: true, includesThisNode: true }),
             }),
+            instructions: EndpointInstructions.create({ log }),
             quarantine: RequestQuarantine.create({
                 log,
                 getAliveTime: endpointId => health.getLastAliveTime(endpointId),
