Reproduce the incident: an endpoint that asks for a pause gets requests within it

Three endpoints hold the first layers, all refuse with 503 and Retry-After, and sixteen callers repeat at once.

--- a/standins/router/endpointBehaviour.ts
+++ b/standins/router/endpointBehaviour.ts
@@ -2,6 +2,10 @@
 export interface EndpointBehaviour {
     /** Refuses requests with this status and marks them as not executed. */
     refusalStatus?: number;
+    /** Time in seconds for which a refusal asks the node to send no requests. */
+    pauseSeconds?: number;
+    /** Announces in all responses that the endpoint is leaving. */
+    isLeaving?: boolean;
     /** Runs the request and resets the connection without a response. */
     losesAnswer?: boolean;
     /** Runs the request and responds with this status. */
--- a/standins/router/endpointStandin.ts
+++ b/standins/router/endpointStandin.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import type { EndpointBehaviour } from "./endpointBehaviour.ts";
+import type { PauseRecord } from "./pauseRecord.ts";
 import type { RunRecord } from "./runRecord.ts";
 
 /** Options of an {@link EndpointStandin}. */
@@ -19,6 +20,7 @@
 }
 
 const stopDelayMilliseconds = 20;
+const millisecondsPerSecond = 1_000;
 
 /** Stand-in for an endpoint of the platform. It serves documents, streams, reports and orders. */
 export class EndpointStandin {
@@ -27,6 +29,11 @@
     /** Start time of the endpoint, in Unix milliseconds. */
     born = 1_000;
     readonly runs: RunRecord[] = [];
+    /** Times at which requests of callers arrived, also those that were refused, in Unix milliseconds. */
+    readonly arrivals: number[] = [];
+    readonly pauses: PauseRecord[] = [];
+    /** Time of the first response that announced that the endpoint is leaving, in Unix milliseconds. */
+    leavingSince: number | undefined;
     readonly orders: Record<string, unknown>[] = [];
     /** Requests whose stream waits for another chain: the address of the failed stage by request ID. */
     readonly stalled = new Map<string, string>();
@@ -81,6 +88,10 @@
     }
 
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        if (this.behaviour.isLeaving === true) {
+            this.leavingSince ??= Date.now();
+            response.setHeader("server-leaving", "1");
+        }
         const chunks: Buffer[] = [];
         for await (const chunk of request) {
             chunks.push(chunk as Buffer);
@@ -145,8 +156,9 @@
             sendJson(response, 421, {});
             return;
         }
+        this.arrivals.push(Date.now());
         if (behaviour.refusalStatus !== undefined) {
-            response.writeHead(behaviour.refusalStatus, { "request-id": id, "not-executed": "1" }).end();
+            this.refuse(response, id, behaviour.refusalStatus);
             return;
         }
         const { method = "", url = "", headers } = request;
@@ -162,6 +174,15 @@
         setTimeout(() => this.sendAnswer(request, response, record), behaviour.delayMilliseconds ?? 0);
     }
 
+    private refuse(response: ServerResponse, id: string, status: number): void {
+        const { pauseSeconds } = this.behaviour;
+        if (pauseSeconds !== undefined) {
+            response.setHeader("retry-after", String(pauseSeconds));
+            this.pauses.push({ refusedAt: Date.now(), endsAt: Date.now() + pauseSeconds * millisecondsPerSecond });
+        }
+        response.writeHead(status, { "request-id": id, "not-executed": "1" }).end();
+    }
+
     private sendAnswer(request: IncomingMessage, response: ServerResponse, { id, headers }: RunRecord): void {
         const { behaviour } = this;
         if (behaviour.losesAnswer === true) {
--- /dev/null
+++ b/tests/platform/endpointPause.test.ts
@@ -0,0 +1,80 @@
+import assert from "node:assert/strict";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { setTimeout as wait } from "node:timers/promises";
+import type { EndpointStandin } from "../../standins/router/endpointStandin.ts";
+import { RouterTestHarness, type StartedNode } from "./routerTestHarness.ts";
+
+/** Callers that send their next request at once, also after a refusal. */
+const callerCount = 16;
+const runMilliseconds = 4_500;
+/** An endpoint counts the requests of a node from this time after its refusal, and this many are allowed. */
+const reactionMilliseconds = 500;
+const allowedInPause = 2;
+
+// Guards against sending requests to an endpoint that has refused one and asked for none for some time with Retry-After.
+describe("An endpoint that asks for a pause", () => {
+    let harness: RouterTestHarness;
+    let node: StartedNode;
+
+    beforeEach(async () => {
+        harness = await RouterTestHarness.create();
+    });
+
+    afterEach(() => harness.close());
+
+    async function startNode(endpoints: EndpointStandin[]): Promise<void> {
+        node = await harness.addNode();
+        await harness.waitForEndpoints(node, harness.endpoints.size);
+        for (const [index, endpoint] of endpoints.entries()) {
+            endpoint.behaviour = { refusalStatus: 503, pauseSeconds: 1 + index };
+        }
+    }
+
+    async function addFirstStages(): Promise<EndpointStandin[]> {
+        const firsts = [];
+        for (const id of ["a1", "a2", "a3"]) {
+            firsts.push(await harness.addEndpoint(id, "model", { from: 0, to: 4 }));
+        }
+        await harness.addEndpoint("b1", "model", { from: 4, to: 8 });
+        const columns = [{ layers: { start: 0, end: 4 }, kind: "big" }, { layers: { start: 4, end: 8 }, kind: "big" }];
+        harness.store.put("foxlead/placement/model", { service: "model", modelName: "m", layers: 8, columns });
+        return firsts;
+    }
+
+    /** Sends requests that are repeated at once. Returns the statuses, with their counts. */
+    async function sendRepeatedly(path: string): Promise<Map<number, number>> {
+        const statuses = new Map<number, number>();
+        const endsAt = performance.now() + runMilliseconds;
+        const call = async () => {
+            while (performance.now() < endsAt) {
+                const { status } = await harness.send(node, path);
+                statuses.set(status, (statuses.get(status) ?? 0) + 1);
+                await wait(5);
+            }
+        };
+        await Promise.all(Array.from({ length: callerCount }, call));
+        return statuses;
+    }
+
+    function assertPausesKept(endpoints: EndpointStandin[]): void {
+        for (const { arrivals, pauses } of endpoints) {
+            assert.ok(pauses.length > 0, "The endpoint got no request.");
+            const counts = pauses.map(({ refusedAt, endsAt }) =>
+                arrivals.filter(at => at > refusedAt + reactionMilliseconds && at < endsAt).length
+            );
+            const most = Math.max(...counts);
+            assert.ok(
+                most <= allowedInPause,
+                `${most} requests arrived within a pause, ${allowedInPause} are allowed.`,
+            );
+        }
+    }
+
+    it("gets no stream within it, even if all endpoints with the first layers ask for one and callers repeat at once", async () => {
+        const firsts = await addFirstStages();
+        await startNode(firsts);
+        const statuses = await sendRepeatedly("/model/x");
+        assertPausesKept(firsts);
+        assert.deepEqual([...statuses.keys()], [503]);
+    });
+});
