Keep requests from an endpoint for the time that its refusal names

What callers saw: nothing; an endpoint that had refused a request with Retry-After: 3 got three more from the same node within that time.

Cause: nobody read Retry-After of an endpoint. What spared it was the node's own guess (back-off from 0.4 s, 3 s after two reports, nothing if it counts as full), and even that was set aside when no other endpoint was left. Class: an instruction in a peer's answer that doesn't become state of the node.

Change: EndpointInstructions keeps, per incarnation, the end of the pause that each answer names (the latest counts; also of answers to reports and orders). The choosers of documents and of chains (all stages) leave such endpoints out, without a last resort; a request that was chosen before is asked again at the moment of writing (UpstreamListener.maySend) and goes elsewhere; waiting requests are refused at once if a pause leaves no chain, with the time at which one is possible again. The poller and the check after refusals leave it alone too. Records, reports, peers and the store don't end a pause.

Why it works: the decision to send is the only way past the line, and it asks at choice and at writing.

--- a/bench/experiment/simulatedNode.ts
+++ b/bench/experiment/simulatedNode.ts
@@ -75,7 +75,7 @@
                 random,
                 chooseSharers: () => ({ count: 1, includesAllNodes: true, includesThisNode: true }),
             }),
-            instructions: EndpointInstructions.create({ log }),
+            instructions: EndpointInstructions.create({ clock, log }),
             quarantine,
             retryBudget: RetryBudget.create(clock.getMonotonicTime(), () => retryBudgetPolicy),
             queue,
--- a/src/connection/instructions/endpointInstructions.ts
+++ b/src/connection/instructions/endpointInstructions.ts
@@ -1,10 +1,14 @@
+import type { Clock } from "../../process/clock.ts";
 import type { EventLog } from "../../process/logging/eventLog.ts";
 import { events } from "../../process/logging/events.ts";
 import type { AnswerInstructions } from "./answerInstructions.ts";
 
 /** Options of {@link EndpointInstructions}. */
 interface EndpointInstructionsOptions {
+    clock: Pick<Clock, "getMonotonicTime" | "getWallTime">;
     log: EventLog;
+    /** Called when an endpoint has asked for a pause or for a longer one. */
+    onPause?(endpointId: string): void;
 }
 
 /** Answer of an endpoint to this node. */
@@ -15,9 +19,32 @@
     answerTo: string;
 }
 
-/** The instructions that endpoints have given to this node in their answers. */
+/** Instructions of one endpoint that are in force. */
+interface EndpointRecord {
+    /** Monotonic time in milliseconds until which the endpoint wants no requests; -Infinity if it has asked for no pause. */
+    pausedUntil: number;
+    isLeaving: boolean;
+    /** Monotonic time in milliseconds of the last answer with instructions. */
+    answeredAt: number;
+    /** Unix time in milliseconds of that answer. */
+    answeredAtWallTime: number;
+}
+
+/** An endpoint's instructions, for operators. */
+interface EndpointInstructionStatus {
+    endpoint: string;
+    isLeaving: boolean;
+    pausedMilliseconds: number;
+}
+
+/**
+ * The instructions that endpoints have given to this node in their answers: to send no requests for some time.
+ *
+ * They bind this node whatever the endpoint's record, its reports or peers say. A pause ends only with its time.
+ */
 export class EndpointInstructions {
     private readonly options: EndpointInstructionsOptions;
+    private readonly records = new Map<string, EndpointRecord>();
 
     private constructor(options: EndpointInstructionsOptions) {
         this.options = options;
@@ -28,18 +55,97 @@
         return new EndpointInstructions(options);
     }
 
-    /** Records the instructions of an answer. */
+    /** Applies the instructions of an answer. Of several pauses, the one that ends last counts. */
     noteAnswer({ endpointId, instructions, answerTo }: InstructingAnswer): void {
         const { isLeaving, pauseMilliseconds } = instructions;
-        if (pauseMilliseconds !== undefined) {
-            this.options.log.write(events.endpointPauseRequested, {
-                endpoint: endpointId,
-                answerTo,
-                milliseconds: Math.round(pauseMilliseconds),
-            });
+        if (!isLeaving && pauseMilliseconds === undefined) {
+            return;
+        }
+        const { clock } = this.options;
+        const now = clock.getMonotonicTime();
+        const known = this.records.get(endpointId);
+        const record: EndpointRecord = {
+            pausedUntil: Math.max(known?.pausedUntil ?? -Infinity, now + (pauseMilliseconds ?? -Infinity)),
+            isLeaving: isLeaving || known?.isLeaving === true,
+            answeredAt: now,
+            answeredAtWallTime: clock.getWallTime(),
+        };
+        this.records.set(endpointId, record);
+        this.report(endpointId, known, record, answerTo);
+    }
+
+    /**
+     * Checks if this node may send a request to an endpoint.
+     * @param endpointId - The endpoint.
+     * @param at - Monotonic time in milliseconds at which it would be sent. Default: now.
+     */
+    maySend(endpointId: string, at: number = this.options.clock.getMonotonicTime()): boolean {
+        const record = this.records.get(endpointId);
+        return record === undefined || record.pausedUntil <= at;
+    }
+
+    /** Gets the monotonic times in milliseconds at which the pauses of some endpoints end, in order and without repetition. */
+    listPauseEnds(endpointIds: Iterable<string>): number[] {
+        const now = this.options.clock.getMonotonicTime();
+        const ends = new Set<number>();
+        for (const id of endpointIds) {
+            const record = this.records.get(id);
+            if (record !== undefined && record.pausedUntil > now) {
+                ends.add(record.pausedUntil);
+            }
+        }
+        return [...ends].sort((left, right) => left - right);
+    }
+
+    /**
+     * Applies instructions to the next incarnation of an endpoint if it already ran when they arrived. The node then learned of
+     * the restart late, and the answer came from the new process.
+     * @param earlierId - Id of the earlier incarnation.
+     * @param later - The later incarnation, with its start time in Unix milliseconds.
+     */
+    handleRestart(earlierId: string, later: { id: string; incarnation: number; }): void {
+        const record = this.records.get(earlierId);
+        if (record !== undefined && record.answeredAtWallTime >= later.incarnation && !this.records.has(later.id)) {
+            this.records.set(later.id, record);
+        }
+    }
+
+    /** Removes instructions that have ended. */
+    removeEnded(): void {
+        const now = this.options.clock.getMonotonicTime();
+        for (const [endpointId, { pausedUntil }] of this.records) {
+            if (pausedUntil <= now) {
+                this.records.delete(endpointId);
+            }
+        }
+    }
+
+    /** Lists the instructions in force, for operators. */
+    getStatus(): EndpointInstructionStatus[] {
+        const now = this.options.clock.getMonotonicTime();
+        const statuses: EndpointInstructionStatus[] = [];
+        for (const [endpoint, { isLeaving, pausedUntil }] of this.records) {
+            if (isLeaving || pausedUntil > now) {
+                statuses.push({ endpoint, isLeaving, pausedMilliseconds: Math.max(0, Math.round(pausedUntil - now)) });
+            }
+        }
+        return statuses;
+    }
+
+    private report(
+        endpointId: string,
+        known: EndpointRecord | undefined,
+        { isLeaving, pausedUntil, answeredAt }: EndpointRecord,
+        answerTo: string,
+    ): void {
+        const { log, onPause } = this.options;
+        if (pausedUntil > (known?.pausedUntil ?? -Infinity)) {
+            const milliseconds = Math.round(pausedUntil - answeredAt);
+            log.write(events.endpointPauseRequested, { endpoint: endpointId, answerTo, milliseconds });
+            onPause?.(endpointId);
         }
-        if (isLeaving) {
-            this.options.log.write(events.endpointLeavingAnnounced, { endpoint: endpointId, answerTo });
+        if (isLeaving && known?.isLeaving !== true) {
+            log.write(events.endpointLeavingAnnounced, { endpoint: endpointId, answerTo });
         }
     }
 }
--- a/src/connection/upstream/upstreamConnection.ts
+++ b/src/connection/upstream/upstreamConnection.ts
@@ -87,16 +87,14 @@
         let sentAt: number | undefined;
         let isEnded = false;
         let endsWithConnection = false;
-        const fail = (message: string) => {
+        const fail = (message: string, kind?: UpstreamFailureKind) => {
             if (isEnded) {
                 return;
             }
             isEnded = true;
             this.disconnect();
-            listener.onFailure({
-                kind: sentAt === undefined ? UpstreamFailureKind.NotSent : UpstreamFailureKind.Broken,
-                message,
-            });
+            const defaultKind = sentAt === undefined ? UpstreamFailureKind.NotSent : UpstreamFailureKind.Broken;
+            listener.onFailure({ kind: kind ?? defaultKind, message });
         };
         this.client.dispatch({
             method: request.method as Dispatcher.HttpMethod,
@@ -110,6 +108,12 @@
                     dispatchController.abort(new Error("The exchange was aborted."));
                     return;
                 }
+                if (listener.maySend?.() === false) {
+                    const message = "The request was withheld before it was written.";
+                    fail(message, UpstreamFailureKind.Withheld);
+                    dispatchController.abort(new Error(message));
+                    return;
+                }
                 sentAt = performance.now();
             },
             onResponseStart: (_controller, status, headers) => {
--- a/src/connection/upstream/upstreamFailureKind.ts
+++ b/src/connection/upstream/upstreamFailureKind.ts
@@ -1,5 +1,7 @@
 /** Kinds of failure of an exchange with an endpoint. */
 export const UpstreamFailureKind = {
+    /** The listener disallowed the request immediately before it was written, so no byte was sent. */
+    Withheld: "withheld",
     /** No connection was established, so no byte was sent. */
     NotSent: "notSent",
     /** At least part of the request may have been sent, and the response is missing or incomplete. */
--- a/src/connection/upstream/upstreamListener.ts
+++ b/src/connection/upstream/upstreamListener.ts
@@ -3,6 +3,11 @@
 
 /** Receives the events of an exchange. The last call is either `onEnd` or `onFailure`. */
 export interface UpstreamListener {
+    /**
+     * Called immediately before the request is written, which may be long after it was passed to the pool. If it returns false,
+     * nothing is written and the exchange fails as withheld.
+     */
+    maySend?(): boolean;
     /** Called with the status and the headers of the response. */
     onHead(status: number, headers: IncomingHttpHeaders): void;
     onData(chunk: Buffer): void;
--- a/src/connection/upstream/upstreamPool.ts
+++ b/src/connection/upstream/upstreamPool.ts
@@ -1,6 +1,7 @@
 import type { InputBarrier } from "../../process/loop/inputBarrier.ts";
 import { UpstreamConnection } from "./upstreamConnection.ts";
 import type { UpstreamExchange } from "./upstreamExchange.ts";
+import { UpstreamFailureKind } from "./upstreamFailureKind.ts";
 import type { UpstreamListener } from "./upstreamListener.ts";
 import type { UpstreamRequest } from "./upstreamRequest.ts";
 
@@ -20,6 +21,8 @@
  */
 const connectTimeoutMilliseconds = 700;
 
+const withheldMessage = "The request was withheld before it was written.";
+
 /** The connections of this node to one address. Idle ones are reused, the most recently used one first. */
 export class UpstreamPool {
     private readonly options: UpstreamPoolOptions;
@@ -65,6 +68,10 @@
     ): UpstreamExchange {
         let exchange: UpstreamExchange | undefined;
         const deferred = this.options.barrier.defer(() => {
+            if (listener.maySend?.() === false) {
+                listener.onFailure({ kind: UpstreamFailureKind.Withheld, message: withheldMessage });
+                return;
+            }
             exchange = this.acquire(maximumIdleMilliseconds).send(createRequest(), listener);
         });
         return {
--- a/src/process/metrics/metrics.ts
+++ b/src/process/metrics/metrics.ts
@@ -73,6 +73,11 @@
 
     readonly queueDepth = this.createGauge("queue_depth", "Requests that are queued for admission.");
     readonly refusalsTotal = this.createCounter("refusals_total", "Requests refused without being run.", ["reason"]);
+    readonly endpointInstructionsTotal = this.createCounter(
+        "endpoint_instructions_total",
+        "Times that an endpoint asked this node for a pause or announced that it is leaving.",
+        ["instruction"],
+    );
     readonly endpointEndsTotal = this.createCounter(
         "endpoint_ends_total",
         "Endpoints that appear to have crashed when they started to run a request, by outcome for the request.",
--- a/src/process/router/endpointCalls.ts
+++ b/src/process/router/endpointCalls.ts
@@ -1,3 +1,4 @@
+import type { AnswerInstructions } from "../../connection/instructions/answerInstructions.ts";
 import type { UpstreamPools } from "../../connection/upstream/upstreamPools.ts";
 import type { UpstreamRequest } from "../../connection/upstream/upstreamRequest.ts";
 import type { EndpointProtocol } from "../../request/relay/endpointProtocol.ts";
@@ -19,6 +20,8 @@
     clock: Clock;
     metrics: Metrics;
     log: EventLog;
+    /** Called with the instructions of each answer, and the name of the call. */
+    onInstructions(endpoint: RegisteredEndpoint, instructions: AnswerInstructions, call: string): void;
     /** Called when the incarnation in an endpoint's report differs from the known one. */
     onIncarnation(endpoint: RegisteredEndpoint, incarnation: number): void;
 }
@@ -52,7 +55,7 @@
     async fetchReport(endpoint: RegisteredEndpoint): Promise<EndpointReport | undefined> {
         const { protocol } = this.options;
         const request = protocol.createReportRequest(endpoint.address);
-        const answer = await this.call("report", endpoint.address, request, reportTimeoutMilliseconds);
+        const answer = await this.call("report", endpoint, request, reportTimeoutMilliseconds);
         if (answer === undefined || answer.status !== successStatus) {
             return undefined;
         }
@@ -74,7 +77,7 @@
     async sendLayerOrder(endpoint: RegisteredEndpoint, order: LayerOrder): Promise<OrderOutcome | undefined> {
         const { protocol } = this.options;
         const request = protocol.createLayerOrder(endpoint, order);
-        const answer = await this.call("order", endpoint.address, request, orderTimeoutMilliseconds);
+        const answer = await this.call("order", endpoint, request, orderTimeoutMilliseconds);
         return answer === undefined ? undefined : protocol.readOrderOutcome(answer.status, answer.body);
     }
 
@@ -83,7 +86,7 @@
         const { protocol } = this.options;
         const { endpoint } = stages[0]!;
         const request = protocol.createRerouteOrder(endpoint, requestId, stages);
-        const answer = await this.call("reroute", endpoint.address, request, rerouteTimeoutMilliseconds);
+        const answer = await this.call("reroute", endpoint, request, rerouteTimeoutMilliseconds);
         if (answer === undefined) {
             return { isDone: false, faultyAddress: undefined };
         }
@@ -94,11 +97,11 @@
 
     private call(
         name: string,
-        address: string,
+        endpoint: RegisteredEndpoint,
         request: UpstreamRequest,
         timeoutMilliseconds: number,
     ): Promise<CallAnswer | undefined> {
-        const { pools, clock, metrics } = this.options;
+        const { protocol, pools, clock, metrics, onInstructions } = this.options;
         return new Promise(resolve => {
             const chunks: Buffer[] = [];
             let status = 0;
@@ -107,9 +110,10 @@
                 metrics.endpointCallsTotal.inc({ call: name, outcome });
                 resolve(answer);
             };
-            const exchange = pools.getPool(address).send(request, {
-                onHead: responseStatus => {
+            const exchange = pools.getPool(endpoint.address).send(request, {
+                onHead: (responseStatus, headers) => {
                     status = responseStatus;
+                    onInstructions(endpoint, protocol.readInstructions(responseStatus, headers), name);
                 },
                 onData: chunk => chunks.push(chunk),
                 onEnd: () => finish("answered", { status, body: Buffer.concat(chunks) }),
--- a/src/process/router/endpointRegistry.ts
+++ b/src/process/router/endpointRegistry.ts
@@ -22,8 +22,8 @@
     getLastStoreFailure(): number;
     /** Called when an endpoint was added, removed or changed. */
     onChange(): void;
-    /** Called with the previous state of an endpoint that has restarted under the same id. */
-    onRestart(earlier: RegisteredEndpoint): void;
+    /** Called with the previous and the current state of an endpoint that has restarted under the same id. */
+    onRestart(earlier: RegisteredEndpoint, later: RegisteredEndpoint): void;
 }
 
 /** An endpoint, with the deadline for its record to return if it is missing. */
@@ -114,7 +114,7 @@
         this.isIndexed = false;
         if (known !== undefined && known.incarnation < endpoint.incarnation) {
             log.write(events.endpointRestarted, { endpoint: endpoint.id, earlier: known.id, source });
-            onRestart(known);
+            onRestart(known, endpoint);
         }
         onChange();
     }
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -13,6 +13,7 @@
 import { LinkTraffic } from "../../request/relay/linkTraffic.ts";
 import { RequestQuarantine } from "../../request/relay/quarantine/requestQuarantine.ts";
 import { RefusalDetector } from "../../request/relay/refusalDetector.ts";
+import type { RegisteredEndpoint } from "../../request/relay/registeredEndpoint.ts";
 import type { RelayEnvironment } from "../../request/relay/relayEnvironment.ts";
 import { RelayQueue } from "../../request/relay/relayQueue.ts";
 import type { RoutedRequest } from "../../request/relay/routedRequest.ts";
@@ -72,6 +73,7 @@
     private readonly quarantinePersister: QuarantinePersister;
     private readonly health: EndpointHealth;
     private readonly limits: EndpointLimits;
+    private readonly instructions: EndpointInstructions;
     private peerServer: FramedServer | undefined;
     private isDraining = false;
     private cleanupTimer: TimerHandle | undefined;
@@ -107,7 +109,15 @@
                 this.exchange.propagateUpdate();
             },
         });
-        const instructions = EndpointInstructions.create({ log });
+        this.instructions = EndpointInstructions.create({
+            clock,
+            log,
+            onPause: () => {
+                metrics.endpointInstructionsTotal.inc({ instruction: "pause" });
+                queue.refuseUnservable();
+            },
+        });
+        const { instructions } = this;
         const readings = EndpointReadings.create();
         const quarantine = RequestQuarantine.create({
             log,
@@ -137,7 +147,10 @@
             drainMilliseconds: settings.drainMilliseconds,
             getLastStoreFailure: () => this.storeWatch.getLastFailure(),
             onChange: () => this.scheduleCleanup(),
-            onRestart: earlier => this.stallDetector.handleEndpointRestart(earlier),
+            onRestart: (earlier, later) => {
+                instructions.handleRestart(earlier.id, later);
+                this.stallDetector.handleEndpointRestart(earlier);
+            },
         });
         const configuration = RecordSection.create({
             name: "configuration",
@@ -209,6 +222,8 @@
             clock,
             metrics,
             log,
+            onInstructions: (endpoint, instructed, call) =>
+                instructions.noteAnswer({ endpointId: endpoint.id, instructions: instructed, answerTo: call }),
             onIncarnation: (endpoint, incarnation) => this.registry.handleIncarnation(endpoint, incarnation),
         });
         const environment: RelayEnvironment = {
@@ -263,7 +278,7 @@
             readings,
             getExpectedTokenLayers: endpointId => loads.getLoad(endpointId).tokenLayers,
             getNodeIds: () => this.nodes.getLiveNodes(clock.getMonotonicTime()).map(node => node.nodeId),
-            getEndpoints: () => this.getModelServices().flatMap(({ name }) => [...this.registry.getEndpoints(name)]),
+            getEndpoints: () => this.listPolledEndpoints(),
             fetchReport: endpoint => calls.fetchReport(endpoint),
         });
         this.stallDetector = StallDetector.create({
@@ -330,6 +345,7 @@
             hasPlacementDuty: this.lease.isHeld(),
             peers: this.nodes.getLiveNodes(now),
             endpoints: this.registry.getAll(),
+            endpointInstructions: this.instructions.getStatus(),
         };
     }
 
@@ -370,6 +386,12 @@
         return [...services].filter(({ engine }) => engine !== undefined);
     }
 
+    /** Lists the endpoints of models, except those that want no requests from this node at the moment. */
+    private listPolledEndpoints(): RegisteredEndpoint[] {
+        const endpoints = this.getModelServices().flatMap(({ name }) => this.registry.getEndpoints(name));
+        return endpoints.filter(({ id }) => this.instructions.maySend(id));
+    }
+
     /** Schedules one cleanup of endpoint state after all changes of a listing, which has a change for each endpoint. */
     private scheduleCleanup(): void {
         this.cleanupTimer ??= this.options.clock.setTimer(0, () => this.removeStaleEndpointState());
@@ -382,6 +404,7 @@
         this.health.retain(ids);
         this.loads.retain(ids);
         this.limits.retain(ids);
+        this.instructions.removeEnded();
         this.pools.retain(new Set(endpoints.map(({ address }) => address)));
         this.queue.wake();
     }
--- a/src/request/admission/start/startQueue.ts
+++ b/src/request/admission/start/startQueue.ts
@@ -3,6 +3,7 @@
 import { RetrySchedule } from "../retrySchedule.ts";
 import { SmoothedRate } from "../smoothedRate.ts";
 import type { StartDecision } from "./startDecision.ts";
+import type { StartRefusal } from "./startRefusal.ts";
 import type { StartRequest } from "./startRequest.ts";
 
 /** A request in the queue. */
@@ -92,12 +93,9 @@
                 return { kind: "start", reservation };
             }
         }
-        if (!request.isServable()) {
-            return {
-                kind: "refuse",
-                cause: "the available endpoints together do not hold the whole model.",
-                retryAfterMilliseconds: Math.min(unservableRetryMilliseconds, request.maximumRetryMilliseconds),
-            };
+        const refusal = refuseUnservable(request);
+        if (refusal !== undefined) {
+            return refusal;
         }
         const limitRetryMilliseconds = request.getLimitRetryMilliseconds();
         if (limitRetryMilliseconds !== undefined) {
@@ -149,6 +147,25 @@
         return reviewed;
     }
 
+    /**
+     * Refuses the waiting requests that can't be served any more, after endpoints have asked for a pause or are leaving.
+     * @returns The decisions on these requests.
+     */
+    reviewServability(): ReviewedRequest<Reservation>[] {
+        const reviewed: ReviewedRequest<Reservation>[] = [];
+        const stillWaiting: WaitingRequest<Reservation>[] = [];
+        for (const waiting of this.waiting) {
+            const decision = refuseUnservable(waiting.request);
+            if (decision === undefined) {
+                stillWaiting.push(waiting);
+                continue;
+            }
+            reviewed.push({ request: waiting.request, decision });
+        }
+        this.waiting = stillWaiting;
+        return reviewed;
+    }
+
     /** Gets the latest time of the next review if no event triggers it earlier; undefined if no requests wait. */
     getNextReview(now: number): number | undefined {
         let next: number | undefined;
@@ -278,6 +295,23 @@
     }
 }
 
+/** Refuses a request that no endpoints could serve even if nothing else were running. Undefined for any other request. */
+function refuseUnservable(request: StartRequest<unknown>): StartRefusal | undefined {
+    if (request.isServable()) {
+        return undefined;
+    }
+    const pauseMilliseconds = request.getPauseRetryMilliseconds();
+    const cause = pauseMilliseconds === undefined
+        ? "the available endpoints together do not hold the whole model."
+        : "its endpoints accept no requests for some time.";
+    const retryMilliseconds = pauseMilliseconds ?? unservableRetryMilliseconds;
+    return {
+        kind: "refuse",
+        cause,
+        retryAfterMilliseconds: Math.min(retryMilliseconds, request.maximumRetryMilliseconds),
+    };
+}
+
 function isOnTime({ latestOnTimeStart }: StartRequest<unknown>, now: number): boolean {
     return now <= latestOnTimeStart;
 }
--- a/src/request/admission/start/startRequest.ts
+++ b/src/request/admission/start/startRequest.ts
@@ -15,6 +15,11 @@
     tryReserve(): Reservation | undefined;
     /** Checks if the endpoints could serve it if nothing else were running. */
     isServable(): boolean;
+    /**
+     * Gets the retry delay in milliseconds if it isn't servable only because endpoints have asked for a pause; undefined
+     * otherwise.
+     */
+    getPauseRetryMilliseconds(): number | undefined;
     /**
      * Gets the retry delay in milliseconds if only the rate limits that endpoints declare keep it from starting, in which case
      * waiting for capacity is useless; undefined otherwise.
--- a/src/request/relay/createQueuedRelay.ts
+++ b/src/request/relay/createQueuedRelay.ts
@@ -70,6 +70,7 @@
             return { stages, reservation: chains.reserve(stages) };
         },
         isServable: () => chains.hasChain(avoided),
+        getPauseRetryMilliseconds: () => chains.getPauseRetryDelay(avoided),
         getLimitRetryMilliseconds: () => chains.getLimitRetryDelay({ avoid: avoided, rateLimited }),
         start,
         refuse,
--- a/src/request/relay/documentRelay.ts
+++ b/src/request/relay/documentRelay.ts
@@ -9,6 +9,7 @@
 import { chooseEndpoint } from "./chooseEndpoint.ts";
 import type { CompleteAnswer } from "./completeAnswer.ts";
 import { createRefusal } from "./createRefusal.ts";
+import { getPauseRetryDelay } from "./getPauseRetryDelay.ts";
 import { getSentMilliseconds } from "./getSentMilliseconds.ts";
 import type { LoadReservation } from "./loadReservation.ts";
 import { maximumRefusals } from "./maximumRefusals.ts";
@@ -154,6 +155,7 @@
             onData: chunk => attempt.chunks.push(chunk),
             onEnd: () => this.handleAnswer(attempt),
             onFailure: failure => this.handleFailure(attempt, failure),
+            maySend: () => this.environment.instructions.maySend(endpoint.id),
         }, idleLimit);
     }
 
@@ -207,9 +209,12 @@
     }
 
     private handleFailure(attempt: Attempt, failure: UpstreamFailure): void {
-        const isNotRun = failure.kind === UpstreamFailureKind.NotSent;
-        const { health } = this.environment;
-        if (isNotRun) {
+        const isNotRun = failure.kind !== UpstreamFailureKind.Broken;
+        const { health, limits } = this.environment;
+        if (failure.kind === UpstreamFailureKind.Withheld) {
+            limits.refund(attempt.endpoint.id);
+        }
+        else if (isNotRun) {
             health.markUnavailable(attempt.endpoint.id, this.getTime());
         }
         else {
@@ -286,8 +291,9 @@
     }
 
     private listUntried(): RegisteredEndpoint[] {
-        return this.environment.directory.getEndpoints(this.task.service.name).filter(({ id }) =>
-            !this.triedIds.has(id)
+        const { directory, instructions } = this.environment;
+        return directory.getEndpoints(this.task.service.name).filter(({ id }) =>
+            !this.triedIds.has(id) && instructions.maySend(id)
         );
     }
 
@@ -312,10 +318,10 @@
         return undefined;
     }
 
-    /** Ends the request when no endpoint is left. The refusal depends on whether endpoints were skipped because of rate limits. */
+    /** Ends the request when no endpoint is left. The refusal depends on whether endpoints have rate limits or want a pause. */
     private refuseOrGiveUp(limitedIds: ReadonlySet<string>, cause: string): void {
         if (limitedIds.size === 0) {
-            this.giveUp(cause);
+            this.refusePausedOrGiveUp(cause);
             return;
         }
         const retryAfterMilliseconds = this.environment.limits.bookRetry(limitedIds, this.getTime());
@@ -323,6 +329,19 @@
         this.giveUp(limitedCause, createRefusal.notRun(limitedCause, retryAfterMilliseconds));
     }
 
+    private refusePausedOrGiveUp(cause: string): void {
+        const { directory, instructions, random } = this.environment;
+        const ids = directory.getEndpoints(this.task.service.name).map(({ id }) => id);
+        const [firstEnd] = instructions.listPauseEnds(ids);
+        if (firstEnd === undefined) {
+            this.giveUp(cause);
+            return;
+        }
+        const pausedCause = `${cause} The remaining endpoints accept no requests for some time.`;
+        const retryAfterMilliseconds = getPauseRetryDelay(firstEnd - this.getTime(), random);
+        this.giveUp(pausedCause, createRefusal.notRun(pausedCause, retryAfterMilliseconds));
+    }
+
     private takeRetryFromBudget(): boolean {
         return this.environment.retryBudget.takeRetry(this.getTime());
     }
--- a/src/request/relay/noteRefusal.ts
+++ b/src/request/relay/noteRefusal.ts
@@ -5,7 +5,7 @@
 
 /** Refusal of a request by an endpoint of a chain. */
 interface EndpointRefusal {
-    environment: Pick<RelayEnvironment, "clock" | "loads" | "health" | "log" | "refusalDetector">;
+    environment: Pick<RelayEnvironment, "clock" | "loads" | "health" | "log" | "refusalDetector" | "instructions">;
     requestId: string;
     /** The endpoint that refused, or that the refusal names. */
     endpoint: RegisteredEndpoint;
@@ -25,7 +25,7 @@
  * @returns Ids of endpoints that the next chain must avoid.
  */
 export function noteRefusal({ environment, requestId, endpoint, status, memoryPart }: EndpointRefusal): string[] {
-    const { clock, loads, health, log, refusalDetector } = environment;
+    const { clock, loads, health, log, refusalDetector, instructions } = environment;
     const now = clock.getMonotonicTime();
     if (status !== misdirectedStatus && memoryPart >= fullMemoryFraction) {
         loads.markFull(endpoint.id, now);
@@ -34,6 +34,8 @@
     }
     // The endpoint is leaving, down, or unloads its layers, which its record may not show for seconds.
     health.markUnavailable(endpoint.id, now);
-    void refusalDetector.check(endpoint);
+    if (instructions.maySend(endpoint.id)) {
+        void refusalDetector.check(endpoint);
+    }
     return [endpoint.id];
 }
--- a/src/request/relay/relayChains.ts
+++ b/src/request/relay/relayChains.ts
@@ -1,7 +1,9 @@
 import type { EngineModel } from "../../version/routing/engineModel.ts";
 import { assertValidChain } from "./assertValidChain.ts";
 import { chooseHealthyStages } from "./chooseHealthyStages.ts";
+import { findFirstIndex } from "./findFirstIndex.ts";
 import { getActivationBits } from "./getActivationBits.ts";
+import { getPauseRetryDelay } from "./getPauseRetryDelay.ts";
 import { getRequestMemory } from "./getRequestMemory.ts";
 import { listCandidates } from "./listCandidates.ts";
 import { listDataCentreLinks } from "./listDataCentreLinks.ts";
@@ -25,6 +27,8 @@
     spareFraction?: number;
     /** Ids of endpoints whose rate limits rejected the request. */
     rateLimited?: ReadonlySet<string>;
+    /** Monotonic time in milliseconds at which the chain is used: pauses of endpoints that have ended by then don't count. Default: now. */
+    at?: number;
 }
 
 /** Requirements for a chain that the request is sent over, within the endpoints' rate limits. */
@@ -58,10 +62,11 @@
 
     /** Chooses the best chain, or returns undefined if there is none. */
     choose(
-        { avoid, firstStage, mayOvercommit, spareFraction = 0, rateLimited }: ChainRequirements,
+        { avoid, firstStage, mayOvercommit, spareFraction = 0, rateLimited, at }: ChainRequirements,
     ): RelayStage[] | undefined {
         const { environment, model, task } = this;
         const now = environment.clock.getMonotonicTime();
+        const runningId = firstStage?.endpoint.id;
         const query: StageQuery = {
             model,
             promptTokens: this.getPromptTokens(),
@@ -76,7 +81,10 @@
             getLinkWait: (from, to) => environment.linkPacer.getWait(from, to, now),
         };
         const candidates = listCandidates(environment, model, task.service.name)
-            .filter(({ endpoint: { id } }) => !avoid.has(id) && rateLimited?.has(id) !== true);
+            .filter(({ endpoint: { id } }) =>
+                !avoid.has(id) && rateLimited?.has(id) !== true
+                && (id === runningId || environment.instructions.maySend(id, at))
+            );
         return chooseHealthyStages(query, candidates, environment.random);
     }
 
@@ -120,6 +128,23 @@
         return isRateLimited ? limits.bookRetry(rateLimited, clock.getMonotonicTime()) : undefined;
     }
 
+    /**
+     * Gets the delay in milliseconds after which the caller should retry, if only the pauses that endpoints have asked for leave no
+     * chain. Undefined otherwise.
+     */
+    getPauseRetryDelay(avoid: ReadonlySet<string>): number | undefined {
+        const { directory, instructions, clock, random } = this.environment;
+        const ids = directory.getEndpoints(this.task.service.name).map(({ id }) => id);
+        const ends = instructions.listPauseEnds(ids);
+        const hasChainAt = (at: number | undefined) =>
+            at !== undefined && this.choose({ avoid, mayOvercommit: true, at }) !== undefined;
+        if (!hasChainAt(ends.at(-1))) {
+            return undefined;
+        }
+        const end = ends[findFirstIndex(ends.length, index => hasChainAt(ends[index]))]!;
+        return getPauseRetryDelay(end - clock.getMonotonicTime(), random);
+    }
+
     /** Excludes all rate-limited endpoints. */
     private excludeLimited(rateLimited: Set<string>): void {
         const { limits, directory } = this.environment;
--- a/src/request/relay/relayEnvironment.ts
+++ b/src/request/relay/relayEnvironment.ts
@@ -33,6 +33,7 @@
     refusalDetector: Pick<RefusalDetector, "check">;
     /** Rate limits that endpoints set for all nodes together. */
     limits: EndpointLimits;
+    /** What endpoints have told this node to send or not to send them. */
     instructions: EndpointInstructions;
     retryBudget: RetryBudget;
     quarantine: RequestQuarantine;
--- a/src/request/relay/relayQueue.ts
+++ b/src/request/relay/relayQueue.ts
@@ -83,6 +83,13 @@
         this.timer = this.options.clock.setTimer(0, () => this.review());
     }
 
+    /** Refuses the waiting requests that can't be served any more, after endpoints have asked for a pause or are leaving. */
+    refuseUnservable(): void {
+        for (const { request, decision } of this.startQueue.reviewServability()) {
+            this.endWaiting(request as QueuedRelay, decision);
+        }
+    }
+
     /** Counts a request that was started without the queue. */
     noteStart(): void {
         this.startQueue.recordStart();
@@ -112,14 +119,17 @@
         this.timer = undefined;
         this.isReviewDue = false;
         for (const { request, decision } of this.startQueue.review(this.getTime())) {
-            const relay = request as QueuedRelay;
-            this.options.onDecided?.(decision.kind);
-            this.endWait(relay, decision.kind === "start");
-            this.execute(relay, decision);
+            this.endWaiting(request as QueuedRelay, decision);
         }
         this.scheduleReview();
     }
 
+    private endWaiting(relay: QueuedRelay, decision: StartDecision<ReservedChain>): void {
+        this.options.onDecided?.(decision.kind);
+        this.endWait(relay, decision.kind === "start");
+        this.execute(relay, decision);
+    }
+
     private endWait(relay: QueuedRelay, isStarted: boolean): void {
         const wait = this.waits.get(relay);
         this.waits.delete(relay);
--- a/src/request/relay/streamRelay.ts
+++ b/src/request/relay/streamRelay.ts
@@ -285,10 +285,7 @@
         const reader = StreamAnswerReader.create({
             protocol,
             requestId: request.id,
-            onHead: ({ requestsPerSecond, instructions }) => {
-                environment.limits.noteAnswer(endpoint.id, requestsPerSecond, this.getTime());
-                environment.instructions.noteAnswer({ endpointId: endpoint.id, instructions, answerTo: request.id });
-            },
+            onHead: head => this.handleHead(stages, head),
             onEvent: (event, head) => this.handleEvent(attempt, head, event),
             onEnd: end => this.handleEnd(attempt, end),
         });
@@ -297,9 +294,25 @@
             onData: chunk => reader.handleData(chunk),
             onEnd: () => reader.handleEnd(),
             onFailure: failure => this.handleFailure(attempt, failure),
+            maySend: () => environment.instructions.maySend(endpoint.id),
         });
     }
 
+    private handleHead(stages: readonly RelayStage[], head: AnswerHead): void {
+        const { limits, instructions } = this.environment;
+        const { endpoint } = stages[0]!;
+        const answerTo = this.task.request.id;
+        limits.noteAnswer(endpoint.id, head.requestsPerSecond, this.getTime());
+        instructions.noteAnswer({ endpointId: endpoint.id, instructions: head.instructions, answerTo });
+        const { pauseMilliseconds } = head.instructions;
+        const faulty = getFaultyEndpoint(stages, head.faultyAddress);
+        if (pauseMilliseconds !== undefined && faulty.id !== endpoint.id) {
+            // The pause may be that of a later stage, whose refusal the first stage passes on.
+            const pause = { isLeaving: false, pauseMilliseconds };
+            instructions.noteAnswer({ endpointId: faulty.id, instructions: pause, answerTo });
+        }
+    }
+
     private handleEvent(attempt: StreamAttempt, head: AnswerHead, event: StreamEvent): void {
         if (attempt !== this.attempt) {
             return;
@@ -356,7 +369,7 @@
             case "refused": {
                 const { head } = end;
                 this.attemptLimit.noteRefusal();
-                const avoid = this.noteRefusal(getFaultyEndpoint(attempt, head.faultyAddress), head.status);
+                const avoid = this.noteRefusal(getFaultyEndpoint(attempt.stages, head.faultyAddress), head.status);
                 this.endAttempt(attempt, {
                     isNotRun: true,
                     cause: `the endpoint refused the request (${head.status}).`,
@@ -395,6 +408,12 @@
             return;
         }
         const { id } = attempt.stages[0]!.endpoint;
+        if (failure.kind === UpstreamFailureKind.Withheld) {
+            this.chains.refundLimit(attempt.stages);
+            const cause = "the first stage asked for no more requests before this one was written.";
+            this.endAttempt(attempt, { isNotRun: true, isUnsent: true, cause, avoid: [] });
+            return;
+        }
         const isNotRun = failure.kind === UpstreamFailureKind.NotSent;
         const cause = `the connection to the first stage failed (${failure.message}).`;
         if (isNotRun) {
@@ -515,6 +534,6 @@
 }
 
 /** Gets the endpoint that an answer names as faulty, or the first endpoint of the chain if it names none. */
-function getFaultyEndpoint({ stages }: StreamAttempt, address: string | undefined): RegisteredEndpoint {
+function getFaultyEndpoint(stages: readonly RelayStage[], address: string | undefined): RegisteredEndpoint {
     return (stages.find(({ endpoint }) => endpoint.address === address) ?? stages[0]!).endpoint;
 }
--- a/tests/connection/upstream/upstreamPool.test.ts
+++ b/tests/connection/upstream/upstreamPool.test.ts
@@ -78,6 +78,34 @@
         assert.deepEqual([arrivals, exchange.getSentTime()], [0, undefined]);
     });
 
+    it("doesn't write a request that is disallowed while its connection opens, and reports it as withheld", async () => {
+        let isAllowed = true;
+        const failures: string[] = [];
+        const exchange = pool.sendForCaller(() => request, {
+            ...listener,
+            maySend: () => isAllowed,
+            onFailure: ({ kind }) => failures.push(kind),
+        });
+        runDeferredActions();
+        await waitUntil("the connection is open", () => deferredActions.size > 0);
+        isAllowed = false;
+        runDeferredActions();
+        await waitUntil("the exchange has failed", () => failures.length > 0);
+        await wait(50);
+        assert.deepEqual([failures, arrivals, exchange.getSentTime()], [["withheld"], 0, undefined]);
+    });
+
+    it("opens no connection for a request that is disallowed before the pending input is read", () => {
+        const failures: string[] = [];
+        pool.sendForCaller(() => request, {
+            ...listener,
+            maySend: () => false,
+            onFailure: ({ kind }) => failures.push(kind),
+        });
+        runDeferredActions();
+        assert.deepEqual([failures, pool.getSize()], [["withheld"], 0]);
+    });
+
     it("creates a request when it is sent", async () => {
         let created = 0;
         const exchange = pool.sendForCaller(() => {
--- a/tests/platform/endpointPause.test.ts
+++ b/tests/platform/endpointPause.test.ts
@@ -41,6 +41,14 @@
         return firsts;
     }
 
+    async function addDocuments(ids = ["d1", "d2", "d3"]): Promise<EndpointStandin[]> {
+        const endpoints = [];
+        for (const id of ids) {
+            endpoints.push(await harness.addEndpoint(id, "documents"));
+        }
+        return endpoints;
+    }
+
     /** Sends requests that are repeated at once. Returns the statuses, with their counts. */
     async function sendRepeatedly(path: string): Promise<Map<number, number>> {
         const statuses = new Map<number, number>();
@@ -77,4 +85,60 @@
         assertPausesKept(firsts);
         assert.deepEqual([...statuses.keys()], [503]);
     });
+
+    it("gets no document request within it, even if all endpoints ask for one and callers repeat at once", async () => {
+        const endpoints = await addDocuments();
+        await startNode(endpoints);
+        const statuses = await sendRepeatedly("/safe/x");
+        assertPausesKept(endpoints);
+        assert.deepEqual([...statuses.keys()], [503]);
+    });
+
+    it("gets none within it while the store is away", async () => {
+        const endpoints = await addDocuments();
+        await startNode(endpoints);
+        harness.store.faults = { isSilent: true };
+        await sendRepeatedly("/unsafe/x");
+        assertPausesKept(endpoints);
+    });
+
+    it("gets none within it after its record was removed and has returned", async () => {
+        const endpoints = await addDocuments();
+        await startNode(endpoints);
+        const rewrite = setInterval(() => {
+            for (const id of harness.endpoints.keys()) {
+                harness.store.remove(`servers/${id}`);
+                setTimeout(() => harness.register(id, "documents"), 50);
+            }
+        }, 200);
+        await sendRepeatedly("/safe/x");
+        clearInterval(rewrite);
+        assertPausesKept(endpoints);
+    });
+
+    it("gets none within it after a refusal that names a shorter time", async () => {
+        const endpoints = await addDocuments();
+        await startNode(endpoints);
+        const [endpoint] = endpoints;
+        endpoint!.behaviour = { refusalStatus: 503, pauseSeconds: 3 };
+        const shorten = setInterval(() => {
+            endpoint!.behaviour = { refusalStatus: 503, pauseSeconds: 0.2 };
+        }, 50);
+        await sendRepeatedly("/safe/x");
+        clearInterval(shorten);
+        assertPausesKept(endpoints);
+    });
+
+    it("gets requests again after it, and callers were told to return then", async () => {
+        const [endpoint] = await addDocuments(["d1"]);
+        await startNode([endpoint!]);
+        const refused = await harness.send(node, "/safe/x");
+        const seconds = Number(refused.headers["retry-after"]);
+        assert.equal(refused.status, 503);
+        assert.ok(seconds > 0.9 && seconds < 1.6, `Retry-After is ${seconds}.`);
+        endpoint!.behaviour = {};
+        assert.equal((await harness.send(node, "/safe/x")).status, 503);
+        await wait(seconds * 1_000);
+        assert.equal((await harness.send(node, "/safe/x")).status, 200);
+    });
 });
--- a/tests/request/admission/start/startQueue.test.ts
+++ b/tests/request/admission/start/startQueue.test.ts
@@ -31,6 +31,7 @@
                     return name;
                 },
                 isServable: () => true,
+                getPauseRetryMilliseconds: () => undefined,
                 getLimitRetryMilliseconds: () => undefined,
                 ...changes,
             };
@@ -105,6 +106,26 @@
         assert.equal(fixture.queue.getLength(), 0);
     });
 
+    it("refuses a request whose endpoints want a pause, on arrival and while it waits, with the time after which they accept it", () => {
+        const fixture = createFixture();
+        let isPaused = false;
+        const changes: Partial<TestRequest> = {
+            isServable: () => !isPaused,
+            getPauseRetryMilliseconds: () => 3_000,
+        };
+        fixture.queue.decideArrival(fixture.create("waiting", changes), 0);
+        assert.deepEqual(fixture.queue.reviewServability(), []);
+        isPaused = true;
+        const refusal = {
+            kind: "refuse",
+            cause: "its endpoints accept no requests for some time.",
+            retryAfterMilliseconds: 3_000,
+        };
+        assert.deepEqual(fixture.queue.reviewServability().map(({ decision }) => decision), [refusal]);
+        assert.deepEqual(fixture.queue.decideArrival(fixture.create("arriving", changes), 0), refusal);
+        assert.equal(fixture.queue.getLength(), 0);
+    });
+
     it("starts requests that are on time before late ones, and the customer with the least granted work first", () => {
         const fixture = createFixture();
         fixture.queue.decideArrival(fixture.create("late", { latestOnTimeStart: -1 }), 0);
--- a/tests/request/relay/documentRelay.test.ts
+++ b/tests/request/relay/documentRelay.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { UpstreamFailureKind } from "../../../src/connection/upstream/upstreamFailureKind.ts";
 import { DocumentRelay } from "../../../src/request/relay/documentRelay.ts";
 import { RequestKind } from "../../../src/version/routing/requestKind.ts";
 import { RelayBench } from "./relayBench.ts";
@@ -28,6 +29,15 @@
         assert.deepEqual(bench.answers, ["timedOut"]);
     });
 
+    it("sends a request that was withheld from an endpoint to another one, without considering the first one unavailable", () => {
+        const bench = start(RequestKind.NonIdempotent);
+        const [first] = bench.sentRequests;
+        first!.listener.onFailure({ kind: UpstreamFailureKind.Withheld, message: "withheld" });
+        assert.equal(bench.sentRequests.length, 2);
+        assert.notEqual(bench.sentRequests[1]!.address, first!.address);
+        assert.deepEqual(bench.environment.health.getSuspicions(0), []);
+    });
+
     it("answers that the request was not run if no endpoint accepted a connection", async () => {
         for (const kind of [RequestKind.NonIdempotent, RequestKind.Idempotent]) {
             const bench = start(kind);
--- a/tests/request/relay/relayBench.ts
+++ b/tests/request/relay/relayBench.ts
@@ -70,7 +70,7 @@
                 random,
                 chooseSharers: () => ({ count: 1, includesAllNodes: true, includesThisNode: true }),
             }),
-            instructions: EndpointInstructions.create({ log }),
+            instructions: EndpointInstructions.create({ clock, log }),
             quarantine: RequestQuarantine.create({
                 log,
                 getAliveTime: endpointId => health.getLastAliveTime(endpointId),
--- a/tests/request/relay/relayQueue.test.ts
+++ b/tests/request/relay/relayQueue.test.ts
@@ -27,6 +27,7 @@
             latestStart: now + 1_000,
             maximumRetryMilliseconds: 1_000,
             isServable: () => true,
+            getPauseRetryMilliseconds: () => undefined,
             getLimitRetryMilliseconds: () => undefined,
             tryReserve: () => {
                 if (capacity.free === 0) {
