Send no new requests to an endpoint that says in its answers that it leaves

What callers saw: requests that were sent more than drain_ms after the first such answer still went to the endpoint and ended with it.

Cause: nobody read Server-Leaving; a node took an endpoint for leaving only by its record in the store, which may never say so, may lag, or can't be read. The same class as the pauses: an instruction in a peer's answer that doesn't become state.

Change: EndpointInstructions keeps the announcement per incarnation, from answers to requests, reports and orders. The registry treats such an endpoint like a draining one, for requests and for placement, whatever its record says; peers learn at once that it refuses. It is remembered for 10 minutes without a record, since records lapse with the store. A restart makes it another endpoint; an answer that came after the start of the later incarnation counts for that one.

--- a/src/connection/instructions/endpointInstructions.ts
+++ b/src/connection/instructions/endpointInstructions.ts
@@ -7,6 +7,8 @@
 interface EndpointInstructionsOptions {
     clock: Pick<Clock, "getMonotonicTime" | "getWallTime">;
     log: EventLog;
+    /** Called when an endpoint has announced that it is leaving, which wasn't known before. */
+    onLeaving?(endpointId: string): void;
     /** Called when an endpoint has asked for a pause or for a longer one. */
     onPause?(endpointId: string): void;
 }
@@ -37,10 +39,15 @@
     pausedMilliseconds: number;
 }
 
+/** Time for which the leaving of an endpoint without a record is remembered: the record may come back after a store outage. */
+const leavingRetentionMilliseconds = 600_000;
+
 /**
- * The instructions that endpoints have given to this node in their answers: to send no requests for some time.
+ * The instructions that endpoints have given to this node in their answers: to send no requests for some time, or none any more
+ * because the endpoint is leaving.
  *
- * They bind this node whatever the endpoint's record, its reports or peers say. A pause ends only with its time.
+ * They bind this node whatever the endpoint's record, its reports or peers say. A pause ends only with its time, and a leaving
+ * endpoint stays so until it has restarted, which makes it another endpoint with another id.
  */
 export class EndpointInstructions {
     private readonly options: EndpointInstructionsOptions;
@@ -81,7 +88,12 @@
      */
     maySend(endpointId: string, at: number = this.options.clock.getMonotonicTime()): boolean {
         const record = this.records.get(endpointId);
-        return record === undefined || record.pausedUntil <= at;
+        return record === undefined || !record.isLeaving && record.pausedUntil <= at;
+    }
+
+    /** Checks if an endpoint has announced that it is leaving. */
+    isLeaving(endpointId: string): boolean {
+        return this.records.get(endpointId)?.isLeaving === true;
     }
 
     /** Gets the monotonic times in milliseconds at which the pauses of some endpoints end, in order and without repetition. */
@@ -90,7 +102,7 @@
         const ends = new Set<number>();
         for (const id of endpointIds) {
             const record = this.records.get(id);
-            if (record !== undefined && record.pausedUntil > now) {
+            if (record !== undefined && !record.isLeaving && record.pausedUntil > now) {
                 ends.add(record.pausedUntil);
             }
         }
@@ -110,11 +122,17 @@
         }
     }
 
-    /** Removes instructions that have ended. */
-    removeEnded(): void {
+    /**
+     * Removes instructions that have ended, and those of endpoints that have not been registered for a long time.
+     * @param endpointIds - Ids of the registered endpoints.
+     */
+    retain(endpointIds: ReadonlySet<string>): void {
         const now = this.options.clock.getMonotonicTime();
-        for (const [endpointId, { pausedUntil }] of this.records) {
-            if (pausedUntil <= now) {
+        for (const [endpointId, { isLeaving, pausedUntil, answeredAt }] of this.records) {
+            const isKept = isLeaving
+                ? endpointIds.has(endpointId) || now - answeredAt < leavingRetentionMilliseconds
+                : pausedUntil > now;
+            if (!isKept) {
                 this.records.delete(endpointId);
             }
         }
@@ -138,7 +156,7 @@
         { isLeaving, pausedUntil, answeredAt }: EndpointRecord,
         answerTo: string,
     ): void {
-        const { log, onPause } = this.options;
+        const { log, onLeaving, onPause } = this.options;
         if (pausedUntil > (known?.pausedUntil ?? -Infinity)) {
             const milliseconds = Math.round(pausedUntil - answeredAt);
             log.write(events.endpointPauseRequested, { endpoint: endpointId, answerTo, milliseconds });
@@ -146,6 +164,7 @@
         }
         if (isLeaving && known?.isLeaving !== true) {
             log.write(events.endpointLeavingAnnounced, { endpoint: endpointId, answerTo });
+            onLeaving?.(endpointId);
         }
     }
 }
--- a/src/process/router/endpointRegistry.ts
+++ b/src/process/router/endpointRegistry.ts
@@ -18,6 +18,8 @@
     decode(key: string, text: string): Result<RegisteredEndpoint, string>;
     /** How long an endpoint that is gone may still get requests, in milliseconds. */
     drainMilliseconds: number;
+    /** Checks if an endpoint has announced to this node that it is leaving, whatever its record says. */
+    isLeaving(endpointId: string): boolean;
     /** Gets the monotonic time in milliseconds of the last known store failure. */
     getLastStoreFailure(): number;
     /** Called when an endpoint was added, removed or changed. */
@@ -119,6 +121,12 @@
         onChange();
     }
 
+    /** Stops returning an endpoint that has announced that it is leaving. */
+    handleLeaving(): void {
+        this.isIndexed = false;
+        this.options.onChange();
+    }
+
     /** Removes the endpoint of an invalid record. The record is rewritten with each heartbeat, so each reason is logged once. */
     private handleInvalidRecord(key: string, revision: number, reason: string): void {
         if (this.invalidRecordReasons.get(key) !== reason) {
@@ -200,7 +208,7 @@
         this.byAddress.clear();
         for (const endpoint of this.getAll()) {
             this.byAddress.set(endpoint.address, endpoint);
-            if (endpoint.isDraining) {
+            if (endpoint.isDraining || this.options.isLeaving(endpoint.id)) {
                 continue;
             }
             const serviceEndpoints = this.usableByService.get(endpoint.service) ?? [];
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -112,6 +112,10 @@
         this.instructions = EndpointInstructions.create({
             clock,
             log,
+            onLeaving: endpointId => {
+                metrics.endpointInstructionsTotal.inc({ instruction: "leaving" });
+                this.handleEndpointLeaving(endpointId);
+            },
             onPause: () => {
                 metrics.endpointInstructionsTotal.inc({ instruction: "pause" });
                 queue.refuseUnservable();
@@ -145,6 +149,7 @@
             readings,
             decode: options.decodeEndpoint,
             drainMilliseconds: settings.drainMilliseconds,
+            isLeaving: endpointId => instructions.isLeaving(endpointId),
             getLastStoreFailure: () => this.storeWatch.getLastFailure(),
             onChange: () => this.scheduleCleanup(),
             onRestart: (earlier, later) => {
@@ -392,6 +397,14 @@
         return endpoints.filter(({ id }) => this.instructions.maySend(id));
     }
 
+    /** Stops sending to an endpoint that has announced that it is leaving, and informs the peers. */
+    private handleEndpointLeaving(endpointId: string): void {
+        this.registry.handleLeaving();
+        this.health.addRefusal(endpointId, this.options.clock.getMonotonicTime());
+        this.queue.refuseUnservable();
+        this.exchange.propagateUpdate();
+    }
+
     /** Schedules one cleanup of endpoint state after all changes of a listing, which has a change for each endpoint. */
     private scheduleCleanup(): void {
         this.cleanupTimer ??= this.options.clock.setTimer(0, () => this.removeStaleEndpointState());
@@ -404,7 +417,7 @@
         this.health.retain(ids);
         this.loads.retain(ids);
         this.limits.retain(ids);
-        this.instructions.removeEnded();
+        this.instructions.retain(ids);
         this.pools.retain(new Set(endpoints.map(({ address }) => address)));
         this.queue.wake();
     }
--- a/tests/connection/instructions/endpointInstructions.test.ts
+++ b/tests/connection/instructions/endpointInstructions.test.ts
@@ -44,10 +44,10 @@
     it("keeps the pause of an endpoint whose record is missing for a moment", async () => {
         const { clock, instructions, pause } = createFixture();
         pause("1", 1_000);
-        instructions.removeEnded();
+        instructions.retain(new Set());
         assert.equal(instructions.maySend("1"), false);
         await clock.advance(1_000);
-        instructions.removeEnded();
+        instructions.retain(new Set());
         assert.deepEqual(instructions.getStatus(), []);
     });
 
@@ -59,4 +59,35 @@
         assert.deepEqual(instructions.listPauseEnds(["1", "2", "3", "4"]), [100, 300]);
         assert.deepEqual([instructions.maySend("1", 200), instructions.maySend("2", 200)], [false, true]);
     });
+
+    const leavingAnswer = { instructions: { isLeaving: true, pauseMilliseconds: undefined }, answerTo: "r" };
+
+    it("allows no requests to a leaving endpoint, also while it isn't registered for a moment", async () => {
+        const { clock, instructions } = createFixture();
+        instructions.noteAnswer({ endpointId: "1", ...leavingAnswer });
+        instructions.retain(new Set());
+        await clock.advance(60_000);
+        instructions.retain(new Set());
+        assert.deepEqual([instructions.maySend("1"), instructions.isLeaving("1")], [false, true]);
+        await clock.advance(600_000);
+        instructions.retain(new Set(["1"]));
+        assert.equal(instructions.maySend("1"), false);
+        instructions.retain(new Set());
+        assert.equal(instructions.maySend("1"), true);
+    });
+
+    it("doesn't list the pause of a leaving endpoint, since it ends at no time", () => {
+        const { instructions, pause } = createFixture();
+        pause("1", 1_000);
+        instructions.noteAnswer({ endpointId: "1", ...leavingAnswer });
+        assert.deepEqual(instructions.listPauseEnds(["1"]), []);
+    });
+
+    it("applies to the next incarnation only what was answered after its start", () => {
+        const { clock, instructions } = createFixture();
+        instructions.noteAnswer({ endpointId: "1", ...leavingAnswer });
+        instructions.handleRestart("1", { id: "later", incarnation: clock.getWallTime() + 1 });
+        instructions.handleRestart("1", { id: "sameTime", incarnation: clock.getWallTime() });
+        assert.deepEqual([instructions.maySend("later"), instructions.maySend("sameTime")], [true, false]);
+    });
 });
--- a/tests/process/router/endpointRegistry.test.ts
+++ b/tests/process/router/endpointRegistry.test.ts
@@ -24,6 +24,7 @@
             return text === "broken" ? Err("It is broken.") : Ok(createEndpoint(key, changes));
         },
         drainMilliseconds: 2_000,
+        isLeaving: () => false,
         getLastStoreFailure: () => lastStoreFailure,
         onChange: () => undefined,
         onRestart: ({ id }) => restarted.push(id),
