Heed pauses and announced leaving of endpoints in foxlead node too

Change: EndpointDirectory uses the same EndpointInstructions, fed by every answer of documents, passes, status and orders. Choosers see a paused endpoint as paused, capacities and orders of layers don't. An announced leaving outweighs peers' reports; it ends when the address refuses connections or by a later status without it, since endpoints here have no incarnation, and the node checks that itself. Idempotent calls that a document service refuses this way go to another one; refused callers get the time.

--- a/bench/capacity/measureObservation.ts
+++ b/bench/capacity/measureObservation.ts
@@ -162,8 +162,16 @@
 
 function connect(address: string): EngineConnection {
     const ignore = () => undefined;
-    const options = { endpoint: "runner-1", clock: systemClock, onAnswered: ignore, onSilentConnection: ignore };
-    return EngineConnection.create({ ...options, address });
+    return EngineConnection.create({
+        endpoint: "runner-1",
+        address,
+        clock: systemClock,
+        onAnswered: ignore,
+        onSilentConnection: ignore,
+        onInstructions: ignore,
+        onConnectionRefused: ignore,
+        isPaused: () => false,
+    });
 }
 
 async function repeat(count: number, run: () => unknown): Promise<void> {
--- a/bench/capacity/measureStatus.ts
+++ b/bench/capacity/measureStatus.ts
@@ -1,4 +1,5 @@
 import { EndpointDirectory } from "../../src/connection/endpoint/endpointDirectory.ts";
+import { EndpointInstructions } from "../../src/connection/instructions/endpointInstructions.ts";
 import { createNodeStatus } from "../../src/process/createNodeStatus.ts";
 import { MembershipView } from "../../src/process/membership/membershipView.ts";
 import { Metrics } from "../../src/process/metrics/metrics.ts";
@@ -60,6 +61,7 @@
     view.applyRecords(createMembers(nodes), 0);
     const directory = EndpointDirectory.create({
         clock: systemClock,
+        instructions: EndpointInstructions.create({ clock: systemClock, log: { write: () => undefined } }),
         onAnswered: () => undefined,
         onSilentConnection: () => undefined,
         onStateChanged: () => undefined,
--- a/bench/capacity/measureStore.ts
+++ b/bench/capacity/measureStore.ts
@@ -1,4 +1,5 @@
 import { EndpointDirectory } from "../../src/connection/endpoint/endpointDirectory.ts";
+import { EndpointInstructions } from "../../src/connection/instructions/endpointInstructions.ts";
 import { getIntervalFactor } from "../../src/process/membership/getIntervalFactor.ts";
 import { isConfigurationWatcher } from "../../src/process/membership/isConfigurationWatcher.ts";
 import { MembershipView } from "../../src/process/membership/membershipView.ts";
@@ -151,6 +152,7 @@
     view.applyRecords(createMembers(designSize.nodes), 0);
     const directory = EndpointDirectory.create({
         clock: systemClock,
+        instructions: EndpointInstructions.create({ clock: systemClock, log: { write: () => undefined } }),
         onAnswered: () => undefined,
         onSilentConnection: () => undefined,
         onStateChanged: () => undefined,
--- a/bench/recovery/foxleadRouter.ts
+++ b/bench/recovery/foxleadRouter.ts
@@ -1,5 +1,6 @@
 import { EndpointDirectory } from "../../src/connection/endpoint/endpointDirectory.ts";
 import { EndpointObserver } from "../../src/connection/endpoint/endpointObserver.ts";
+import { EndpointInstructions } from "../../src/connection/instructions/endpointInstructions.ts";
 import { systemClock } from "../../src/process/systemClock.ts";
 import { EstimatedTimeChooser } from "../../src/request/chain/estimatedTimeChooser.ts";
 import type { GenerationObserver } from "../../src/request/model/generationObserver.ts";
@@ -70,6 +71,7 @@
             clock: systemClock,
             observer: this.createObserver(),
             getConnection: endpoint => this.directory.getEngine(endpoint),
+            getPauseMilliseconds: () => undefined,
             onChainChosen: chain => request.onChain(chain),
             onText: text => request.onText(text),
         });
@@ -85,6 +87,7 @@
     private createDirectory(): EndpointDirectory {
         return EndpointDirectory.create({
             clock: systemClock,
+            instructions: EndpointInstructions.create({ clock: systemClock, log: { write: () => undefined } }),
             onAnswered: (endpoint, pass, result, elapsedMilliseconds) => {
                 this.directory.observeAnswer(endpoint);
                 const layers = pass.layerEnd - pass.layerStart;
--- a/src/connection/document/documentConnection.ts
+++ b/src/connection/document/documentConnection.ts
@@ -2,6 +2,9 @@
 import { Agent, type Dispatcher } from "undici";
 import { Err, Ok, type Result } from "../../result.ts";
 import { isConnectFailure } from "../endpoint/isConnectFailure.ts";
+import { isConnectionRefused } from "../endpoint/isConnectionRefused.ts";
+import type { AnswerInstructions } from "../instructions/answerInstructions.ts";
+import { readHeaderInstructions } from "../instructions/readHeaderInstructions.ts";
 import type { DocumentAnswer } from "./documentAnswer.ts";
 import type { DocumentCall } from "./documentCall.ts";
 import type { DocumentFailure } from "./documentFailure.ts";
@@ -11,6 +14,10 @@
     endpoint: string;
     /** Address of the endpoint, as host:port. */
     address: string;
+    /** Called with the instructions of each answer. */
+    onInstructions(endpoint: string, instructions: AnswerInstructions): void;
+    /** Called when the endpoint refuses connections, since no process listens at its address. */
+    onConnectionRefused(endpoint: string): void;
 }
 
 /** Larger responses are not forwarded, because they could not be stored completely. */
@@ -47,6 +54,7 @@
             return await this.exchange(dispatcher, call, signal);
         }
         catch (error) {
+            this.observeConnectError(error);
             return Err(this.createFailure(isConnectFailure(error) ? "notSent" : "unknown", describeError(error)));
         }
         finally {
@@ -69,7 +77,10 @@
             };
             socket.setTimeout(connectTimeoutMilliseconds, () => settle(false));
             socket.once("connect", () => settle(true));
-            socket.once("error", () => settle(false));
+            socket.once("error", error => {
+                this.observeConnectError(error);
+                settle(false);
+            });
         });
     }
 
@@ -99,6 +110,8 @@
             body: call.body.length === 0 ? undefined : call.body,
             signal,
         });
+        const instructions = readHeaderInstructions(response.statusCode, response.headers);
+        this.options.onInstructions(this.options.endpoint, instructions);
         if (response.statusCode === tooManyRequestsStatus) {
             // The body is not awaited: the status is sufficient, and the rest of the body may never arrive.
             const discardSignal = AbortSignal.timeout(maximumDiscardMilliseconds);
@@ -110,11 +123,19 @@
             return Err(this.createFailure("unknown", `its response is larger than ${maximumAnswerBytes} bytes`));
         }
         const contentType = response.headers["content-type"];
-        return Ok({
+        const answer: DocumentAnswer = {
             status: response.statusCode,
             contentType: typeof contentType === "string" ? contentType : "application/octet-stream",
             body,
-        });
+        };
+        const { pauseMilliseconds } = instructions;
+        return Ok(pauseMilliseconds === undefined ? answer : { ...answer, pauseMilliseconds });
+    }
+
+    private observeConnectError(error: unknown): void {
+        if (isConnectionRefused(error)) {
+            this.options.onConnectionRefused(this.options.endpoint);
+        }
     }
 
     private createFailure(kind: DocumentFailure["kind"], reason: string): DocumentFailure {
--- a/src/connection/endpoint/callEngine.ts
+++ b/src/connection/endpoint/callEngine.ts
@@ -1,4 +1,5 @@
 import type { Dispatcher } from "undici";
+import { readHeaderInstructions } from "../instructions/readHeaderInstructions.ts";
 import type { EngineAnswer } from "./engineAnswer.ts";
 
 /** A call to an engine that is not a batch of passes. */
@@ -36,5 +37,6 @@
         chunks.push(chunk);
     }
     const text = Buffer.concat(chunks).toString("utf8");
-    return { status: response.statusCode, body: text === "" ? undefined : JSON.parse(text) as unknown };
+    const instructions = readHeaderInstructions(response.statusCode, response.headers);
+    return { status: response.statusCode, instructions, body: text === "" ? undefined : JSON.parse(text) as unknown };
 }
--- a/src/connection/endpoint/endpointDirectory.ts
+++ b/src/connection/endpoint/endpointDirectory.ts
@@ -2,6 +2,8 @@
 import type { VmRecord } from "../../process/platform/vmList.ts";
 import type { Configuration, EndpointConfiguration } from "../../version/configuration.ts";
 import { DocumentConnection } from "../document/documentConnection.ts";
+import type { AnswerInstructions } from "../instructions/answerInstructions.ts";
+import type { EndpointInstructions } from "../instructions/endpointInstructions.ts";
 import type { EndpointObservation } from "./endpointObservation.ts";
 import type { EndpointState } from "./endpointState.ts";
 import { EndpointStateTracker } from "./endpointStateTracker.ts";
@@ -11,6 +13,8 @@
 /** Options of an {@link EndpointDirectory}. */
 interface EndpointDirectoryOptions {
     clock: Clock;
+    /** What endpoints have told this node to send or not to send them. */
+    instructions: EndpointInstructions;
     onAnswered: EngineConnectionOptions["onAnswered"];
     onSilentConnection: EngineConnectionOptions["onSilentConnection"];
     /** Called when the state of an endpoint has changed. */
@@ -75,13 +79,28 @@
         return names;
     }
 
+    /** Gets the state of an endpoint, which doesn't depend on pauses. */
     getState(name: string): EndpointState | undefined {
-        return this.entries.get(name)?.tracker.getState();
+        const entry = this.entries.get(name);
+        return entry === undefined ? undefined : this.getEntryState(entry);
+    }
+
+    /** Gets the state of an endpoint for choosing where requests are sent. An endpoint that wants no requests now is `paused`. */
+    getStateForRequests(name: string): EndpointState | undefined {
+        const state = this.getState(name);
+        const isPaused = state !== undefined && state.state !== "leaving" && !this.options.instructions.maySend(name);
+        return isPaused ? { ...state, state: "paused" } : state;
     }
 
-    /** Gets the states of all endpoints, for operators. */
+    /** Gets the states of all endpoints, for operators. They don't depend on pauses. */
     getStates(): EndpointState[] {
-        return [...this.entries.values()].map(entry => entry.tracker.getState());
+        return [...this.entries.values()].map(entry => this.getEntryState(entry));
+    }
+
+    /** Gets the time in milliseconds until the first pause of some endpoints ends; undefined if none is paused. */
+    getPauseMilliseconds(names: Iterable<string>): number | undefined {
+        const [firstEnd] = this.options.instructions.listPauseEnds(names);
+        return firstEnd === undefined ? undefined : firstEnd - this.options.clock.getMonotonicTime();
     }
 
     getEngine(name: string): EngineConnection | undefined {
@@ -92,9 +111,37 @@
         return this.entries.get(name)?.document;
     }
 
-    /** Records the status of an engine. */
-    observeStatus(name: string, status: EngineStatus): void {
-        this.updateState(name, tracker => tracker.observeStatus(status));
+    /**
+     * Records the status of an engine.
+     * @param requestedAt - Monotonic time in milliseconds at which the status was requested.
+     */
+    observeStatus(name: string, status: EngineStatus, requestedAt: number): void {
+        this.updateState(name, tracker => {
+            tracker.observeStatus(status);
+            if (!status.leaving) {
+                this.options.instructions.endLeaving(name, requestedAt);
+            }
+        });
+    }
+
+    /** Records the instructions of an endpoint's answer. They bind this node whatever peers report. */
+    observeInstructions(name: string, instructions: AnswerInstructions): void {
+        this.updateState(name, () => {
+            this.options.instructions.noteAnswer({ endpointId: name, instructions, answerTo: "call" });
+        });
+    }
+
+    /** Records that no process listens at an endpoint's address: the process that gave instructions has ended. */
+    observeConnectionRefused(name: string): void {
+        this.updateState(name, tracker => {
+            this.options.instructions.forget(name);
+            tracker.observeUnreachable();
+        });
+    }
+
+    /** Checks if an endpoint has announced to this node that it is leaving. */
+    hasAnnouncedLeaving(name: string): boolean {
+        return this.options.instructions.isLeaving(name);
     }
 
     /** Records that an endpoint answered. */
@@ -174,14 +221,19 @@
         if (entry === undefined) {
             return;
         }
-        const before = entry.tracker.getState();
+        const before = this.getEntryState(entry);
         update(entry.tracker);
-        const after = entry.tracker.getState();
+        const after = this.getEntryState(entry);
         if (before.state !== after.state) {
             this.options.onStateChanged(after);
         }
     }
 
+    private getEntryState({ name, tracker }: EndpointEntry): EndpointState {
+        const state = tracker.getState();
+        return this.options.instructions.isLeaving(name) ? { ...state, state: "leaving" } : state;
+    }
+
     private addOrUpdate(name: string, configuration: EndpointConfiguration): void {
         const entry = this.entries.get(name);
         if (entry !== undefined) {
@@ -200,15 +252,23 @@
         configuration: EndpointConfiguration,
     ): Pick<EndpointEntry, "engine" | "document"> {
         const { address, kind } = configuration;
+        const callbacks = {
+            onInstructions: (name: string, instructions: AnswerInstructions) =>
+                this.observeInstructions(name, instructions),
+            onConnectionRefused: (name: string) => this.observeConnectionRefused(name),
+        };
         if (kind === "document") {
-            return { document: DocumentConnection.create({ endpoint, address }) };
+            return { document: DocumentConnection.create({ endpoint, address, ...callbacks }) };
         }
-        const { clock, onAnswered, onSilentConnection } = this.options;
-        return { engine: EngineConnection.create({ endpoint, address, clock, onAnswered, onSilentConnection }) };
+        const { clock, onAnswered, onSilentConnection, instructions } = this.options;
+        const isPaused = (name: string) => !instructions.isLeaving(name) && !instructions.maySend(name);
+        const options = { endpoint, address, clock, onAnswered, onSilentConnection, isPaused, ...callbacks };
+        return { engine: EngineConnection.create(options) };
     }
 
     private async remove(entry: EndpointEntry): Promise<void> {
         this.entries.delete(entry.name);
+        this.options.instructions.forget(entry.name);
         if (this.namesByAddress.get(entry.configuration.address) === entry.name) {
             this.namesByAddress.delete(entry.configuration.address);
         }
--- a/src/connection/endpoint/endpointObserver.ts
+++ b/src/connection/endpoint/endpointObserver.ts
@@ -65,13 +65,12 @@
         const isUnreachableRound = this.round % Math.ceil(this.options.getIntervalFactor()) === 0;
         this.round += 1;
         for (const endpoint of this.options.directory.getNames("engine")) {
-            const isUnreachable = this.options.directory.getState(endpoint)?.state === "unreachable";
-            if (this.options.isObserver(endpoint) || isUnreachable && isUnreachableRound) {
+            if (this.options.isObserver(endpoint) || isUnreachableRound && this.needsOwnCheck(endpoint)) {
                 void this.observe(endpoint);
             }
         }
         for (const endpoint of this.options.directory.getNames("document")) {
-            if (this.options.directory.getState(endpoint)?.state === "unreachable") {
+            if (this.needsOwnCheck(endpoint)) {
                 void this.observeDocument(endpoint);
             }
         }
@@ -86,25 +85,34 @@
         this.timer?.cancel();
     }
 
+    /** Checks if this node has knowledge of an endpoint that only its own calls can end. */
+    private needsOwnCheck(endpoint: string): boolean {
+        const { directory } = this.options;
+        return directory.getState(endpoint)?.state === "unreachable" || directory.hasAnnouncedLeaving(endpoint);
+    }
+
     private async observe(endpoint: string): Promise<void> {
-        const engine = this.options.directory.getEngine(endpoint);
-        if (engine === undefined || this.pending.has(endpoint)) {
+        const { directory, clock } = this.options;
+        const engine = directory.getEngine(endpoint);
+        const isPaused = directory.getStateForRequests(endpoint)?.state === "paused";
+        if (engine === undefined || isPaused || this.pending.has(endpoint)) {
             return;
         }
         this.pending.add(endpoint);
+        const requestedAt = clock.getMonotonicTime();
         const status = await engine.getStatus();
         this.pending.delete(endpoint);
         if (this.isStopped) {
             return;
         }
         if (status.ok) {
-            this.options.directory.observeStatus(endpoint, status.val);
+            directory.observeStatus(endpoint, status.val, requestedAt);
             this.options.onStatus(endpoint, status.val);
             this.publish(this.createReport(endpoint, status.val));
             return;
         }
         if (!await engine.isAnswering()) {
-            this.options.directory.observeUnreachable(endpoint);
+            directory.observeUnreachable(endpoint);
             this.publish(this.createReport(endpoint, undefined));
         }
     }
--- a/src/connection/endpoint/engineCalls.ts
+++ b/src/connection/endpoint/engineCalls.ts
@@ -1,5 +1,6 @@
 import type { Dispatcher } from "undici";
 import { Err, Ok, type Result } from "../../result.ts";
+import type { AnswerInstructions } from "../instructions/answerInstructions.ts";
 import { callEngine } from "./callEngine.ts";
 import { createPassFailure } from "./createPassFailure.ts";
 import type { EngineAnswer } from "./engineAnswer.ts";
@@ -12,6 +13,8 @@
     endpoint: string;
     /** Gets the connection pool to use. It changes when connections that stopped responding are replaced. */
     getDispatcher(): Dispatcher;
+    /** Called with the instructions of each answer. */
+    onInstructions(instructions: AnswerInstructions): void;
 }
 
 const callTimeoutMilliseconds = 2_000;
@@ -42,8 +45,9 @@
         }
         const status = engineStatusSchema.safeParse(answer.val.body);
         const { endpoint } = this.options;
+        const { isLeaving } = answer.val.instructions;
         return status.success
-            ? Ok(status.data)
+            ? Ok({ ...status.data, leaving: status.data.leaving || isLeaving })
             : Err(createPassFailure(endpoint, "failed", "the status does not match the schema"));
     }
 
@@ -63,7 +67,9 @@
         const { endpoint, getDispatcher } = this.options;
         const call = { method, path, body, timeoutMilliseconds: callTimeoutMilliseconds };
         try {
-            return Ok(await callEngine(getDispatcher(), call));
+            const answer = await callEngine(getDispatcher(), call);
+            this.options.onInstructions(answer.instructions);
+            return Ok(answer);
         }
         catch (error) {
             return Err(createPassFailure(endpoint, "unreachable", String(error)));
--- a/src/connection/endpoint/engineConnection.ts
+++ b/src/connection/endpoint/engineConnection.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "../../process/clock.ts";
 import { Err, Ok, type Result } from "../../result.ts";
+import type { AnswerInstructions } from "../instructions/answerInstructions.ts";
 import type { BatchCloseInfo } from "./batchCloseInfo.ts";
 import { createPassFailure } from "./createPassFailure.ts";
 import { EngineCalls } from "./engineCalls.ts";
@@ -11,6 +12,7 @@
 import type { PendingPass } from "./pendingPass.ts";
 import { PrefillWindow } from "./prefillWindow.ts";
 import { probeEngine } from "./probeEngine.ts";
+import type { ProbeOutcome } from "./probeOutcome.ts";
 import { sendPassBatch } from "./sendPassBatch.ts";
 
 /** Options of an {@link EngineConnection}. */
@@ -21,6 +23,12 @@
     clock: Clock;
     /** Called for each pass with a result, with the time from the send to the result in milliseconds. */
     onAnswered(endpoint: string, pass: Pass, result: PassResult, elapsedMilliseconds: number): void;
+    /** Called with the instructions of each answer. */
+    onInstructions(endpoint: string, instructions: AnswerInstructions): void;
+    /** Called when the engine refuses connections, since no process listens at its address. */
+    onConnectionRefused(endpoint: string): void;
+    /** Checks if the engine accepts passes, or has asked this node for a pause. */
+    isPaused(endpoint: string): boolean;
     /** Called when the connections are replaced, because one stopped responding while a new one works. */
     onSilentConnection(endpoint: string): void;
 }
@@ -29,6 +37,8 @@
 const maximumSends = 4;
 /** Maximum number of positions of prefill passes in flight to the engine; see docs/design/recovery.md. */
 const maximumPrefillPositions = 256;
+/** Reason of passes that were not run because the engine has asked for a pause. */
+const pausedReason = "it has asked for a pause";
 /** Refusal reasons that guarantee that the pass did not run; `cancelled` and `order` do not. */
 const notRunReasons: ReadonlySet<string> = new Set(["leaving", "memory", "layers", "model"]);
 
@@ -62,10 +72,11 @@
         this.calls = EngineCalls.create({
             endpoint: options.endpoint,
             getDispatcher: () => this.pool.getDispatcher(),
+            onInstructions: instructions => options.onInstructions(options.endpoint, instructions),
         });
         this.reachability = EngineReachability.create({
             clock: options.clock,
-            probe: () => probeEngine(this.origin, this.deadline.getProbeTimeout()),
+            probe: () => this.probe(),
             onSilent: () => this.failAll("no response to a probe"),
         });
     }
@@ -85,6 +96,10 @@
         this.reachability.observeUse();
         return new Promise(resolve => {
             const pendingPass = this.createPendingPass({ ...pass, id: this.nextId++ }, positions, resolve);
+            if (this.isPaused()) {
+                pendingPass.settle(Err(this.createFailure("refused", pausedReason)));
+                return;
+            }
             if (this.isClosed || this.reachability.isUnreachable()) {
                 const reason = this.isClosed ? "closed" : "no response to a probe";
                 pendingPass.settle(Err(this.createFailure("notSent", reason)));
@@ -111,7 +126,9 @@
                 this.settle(pendingPass, Err(this.createFailure("notSent", "cancelled")));
             }
         }
-        await this.calls.cancel(order);
+        if (!this.isPaused()) {
+            await this.calls.cancel(order);
+        }
     }
 
     /** Gets the status of the engine. */
@@ -152,6 +169,18 @@
         await this.pool.destroy();
     }
 
+    private isPaused(): boolean {
+        return this.options.isPaused(this.options.endpoint);
+    }
+
+    private async probe(): Promise<ProbeOutcome> {
+        const outcome = await probeEngine(this.origin, this.deadline.getProbeTimeout());
+        if (outcome === "refused") {
+            this.options.onConnectionRefused(this.options.endpoint);
+        }
+        return outcome;
+    }
+
     private createPendingPass(
         pass: Pass,
         positions: number,
@@ -184,6 +213,10 @@
     private flush(): void {
         const batch = this.nextBatch.filter(pendingPass => this.pendingPasses.has(pendingPass.pass.id));
         this.nextBatch = [];
+        if (this.isPaused()) {
+            this.refusePasses(batch);
+            return;
+        }
         if (batch.length === 0) {
             return;
         }
@@ -208,11 +241,31 @@
         sendPassBatch({
             dispatcher: this.pool.getDispatcher(),
             passes: batch.map(pendingPass => pendingPass.pass),
+            onInstructions: instructions => this.handleInstructions(batch, instructions),
             onResult: result => this.handleResult(result, sends.get(result.id)),
             onClosed: closing => this.handleBatchClosed(batch, sends, closing),
         });
     }
 
+    /** An engine that refuses a batch and asks for a pause has run none of its passes. */
+    private handleInstructions(batch: readonly PendingPass[], instructions: AnswerInstructions): void {
+        this.options.onInstructions(this.options.endpoint, instructions);
+        if (instructions.pauseMilliseconds === undefined) {
+            return;
+        }
+        this.refusePasses(batch);
+    }
+
+    /** Fails passes that the engine has not run in their last send. An earlier send may have arrived. */
+    private refusePasses(batch: readonly PendingPass[]): void {
+        for (const pendingPass of batch) {
+            if (this.pendingPasses.has(pendingPass.pass.id)) {
+                const kind = pendingPass.mayHaveArrived ? "failed" : "refused";
+                this.settle(pendingPass, Err(this.createFailure(kind, pausedReason)));
+            }
+        }
+    }
+
     /** @param send - Number of the send that returned the result, from 1; undefined if the batch has no such pass. */
     private handleResult(result: PassResult, send: number | undefined): void {
         this.reachability.observeAnswer();
--- a/src/connection/endpoint/probeEngine.ts
+++ b/src/connection/endpoint/probeEngine.ts
@@ -1,4 +1,5 @@
 import { Client } from "undici";
+import { isConnectionRefused } from "./isConnectionRefused.ts";
 import type { ProbeOutcome } from "./probeOutcome.ts";
 
 /**
@@ -15,7 +16,7 @@
         return response.statusCode === 200 ? "answering" : "silent";
     }
     catch (error) {
-        return (error as { code?: unknown; }).code === "ECONNREFUSED" ? "refused" : "silent";
+        return isConnectionRefused(error) ? "refused" : "silent";
     }
     finally {
         void client.destroy();
--- a/src/connection/endpoint/sendPassBatch.ts
+++ b/src/connection/endpoint/sendPassBatch.ts
@@ -1,4 +1,6 @@
 import type { Dispatcher } from "undici";
+import type { AnswerInstructions } from "../instructions/answerInstructions.ts";
+import { readHeaderInstructions } from "../instructions/readHeaderInstructions.ts";
 import { LineSplitter } from "../lineSplitter.ts";
 import type { BatchCloseInfo } from "./batchCloseInfo.ts";
 import type { Pass, PassResult } from "./engineProtocol.ts";
@@ -9,6 +11,8 @@
 interface PassBatchOptions {
     dispatcher: Dispatcher;
     passes: readonly Pass[];
+    /** Called with the instructions of the answer, before its results. */
+    onInstructions(instructions: AnswerInstructions): void;
     /** Called for each result as it arrives. */
     onResult(result: PassResult): void;
     /** Called once when the response has ended, with or without all results. */
@@ -43,6 +47,7 @@
         headers: { "content-type": "application/json" },
         signal,
     });
+    options.onInstructions(readHeaderInstructions(response.statusCode, response.headers));
     if (response.statusCode !== 200) {
         await response.body.dump();
         return `status ${response.statusCode}`;
--- a/src/connection/instructions/endpointInstructions.ts
+++ b/src/connection/instructions/endpointInstructions.ts
@@ -122,6 +122,23 @@
         }
     }
 
+    /**
+     * Ends the leaving of an endpoint that has no incarnations, after an answer that doesn't announce it: another process has
+     * given the answer.
+     * @param requestedAt - Monotonic time in milliseconds at which the answer was requested. Earlier announcements end.
+     */
+    endLeaving(endpointId: string, requestedAt: number): void {
+        const record = this.records.get(endpointId);
+        if (record?.isLeaving === true && record.answeredAt < requestedAt) {
+            record.isLeaving = false;
+        }
+    }
+
+    /** Forgets the instructions of an endpoint whose process has ended. */
+    forget(endpointId: string): void {
+        this.records.delete(endpointId);
+    }
+
     /**
      * Removes instructions that have ended, and those of endpoints that have not been registered for a long time.
      * @param endpointIds - Ids of the registered endpoints.
--- a/src/process/endpointService.ts
+++ b/src/process/endpointService.ts
@@ -3,6 +3,7 @@
 import { type EndpointReport, EndpointReports } from "../connection/endpoint/endpointReports.ts";
 import type { EndpointState } from "../connection/endpoint/endpointState.ts";
 import type { EngineStatus, Pass, PassResult } from "../connection/endpoint/engineProtocol.ts";
+import { EndpointInstructions } from "../connection/instructions/endpointInstructions.ts";
 import type { ChainChooser } from "../request/chain/chainChooser.ts";
 import type { Configuration } from "../version/configuration.ts";
 import type { EndpointRecord } from "../wire/generated/foxlead/peer/v1/peer_pb.ts";
@@ -47,6 +48,12 @@
         this.reports = EndpointReports.create(() => options.view.getAliveMembers().length);
         this.directory = EndpointDirectory.create({
             clock: options.clock,
+            instructions: EndpointInstructions.create({
+                clock: options.clock,
+                log: options.log,
+                onLeaving: () => options.metrics.endpointInstructionsTotal.inc({ instruction: "leaving" }),
+                onPause: () => options.metrics.endpointInstructionsTotal.inc({ instruction: "pause" }),
+            }),
             onAnswered: (endpoint, pass, result, elapsedMilliseconds) => {
                 this.observeAnswer(endpoint, pass, result, elapsedMilliseconds);
             },
--- a/src/process/foxleadNode.ts
+++ b/src/process/foxleadNode.ts
@@ -100,7 +100,12 @@
         this.endpoints = EndpointService.create({ nodeId, clock, random, log, metrics, view, owners, getChooser });
         const { directory } = this.endpoints;
         const getEndpointState = (endpoint: string) => directory.getState(endpoint);
-        this.chooser = EstimatedTimeChooser.create({ getConfiguration, getEndpointState, clock, random });
+        this.chooser = EstimatedTimeChooser.create({
+            getConfiguration,
+            getEndpointState: endpoint => directory.getStateForRequests(endpoint),
+            clock,
+            random,
+        });
         this.claims = ClaimService.create({ nodeId, store, clock, log, view, owners, peers, shardHash, tracing });
         this.admissions = AdmissionService.create({ clock, random, view, getConfiguration, getEndpointState });
         const common = { nodeId, store, clock, random, log, view, owners, directory };
--- a/src/request/document/handleDocument.ts
+++ b/src/request/document/handleDocument.ts
@@ -24,6 +24,7 @@
 
 const safeMethods: ReadonlySet<string> = new Set(["GET", "HEAD", "OPTIONS"]);
 const documentCallCost = 1;
+const millisecondsPerSecond = 1_000;
 
 /**
  * Handles a request to `/v1/services/NAME/...`.
@@ -96,8 +97,12 @@
     if (!answer.ok) {
         return answer;
     }
-    const { status, contentType, body } = answer.val;
-    writer.sendResponse(status, contentType, body, { "x-request-id": context.id });
+    const { status, contentType, body, pauseMilliseconds } = answer.val;
+    const headers: Record<string, string> = { "x-request-id": context.id };
+    if (pauseMilliseconds !== undefined) {
+        headers["retry-after"] = String(Math.ceil(pauseMilliseconds / millisecondsPerSecond));
+    }
+    writer.sendResponse(status, contentType, body, headers);
     return Ok.EMPTY;
 }
 
--- a/src/request/document/runDocumentCall.ts
+++ b/src/request/document/runDocumentCall.ts
@@ -2,12 +2,24 @@
 import type { DocumentCall } from "../../connection/document/documentCall.ts";
 import type { DocumentFailure } from "../../connection/document/documentFailure.ts";
 import { formatTraceparent } from "../../process/tracing/formatTraceparent.ts";
-import { Err, type Result } from "../../result.ts";
+import { Err, Ok, type Result } from "../../result.ts";
 import type { DocumentServiceConfiguration } from "../../version/configuration.ts";
+import { getPauseRetryDelay } from "../getPauseRetryDelay.ts";
 import type { RequestContext } from "../requestContext.ts";
 import type { RequestEnvironment } from "../requestEnvironment.ts";
 import { RequestError } from "../requestError.ts";
 
+/** A call that no endpoint has answered. */
+interface FailedCall {
+    /** Whether an endpoint may have run it. */
+    mayHaveRun: boolean;
+    /** Number of endpoints that it was sent to. */
+    attempts: number;
+    message: string;
+    /** Time until an endpoint that has asked for a pause accepts calls again; undefined if none has. */
+    retryAfterMilliseconds: number | undefined;
+}
+
 const maximumAttempts = 3;
 const refusalRetryAfterMilliseconds = 1_000;
 const noEndpointRetryAfterMilliseconds = 2_000;
@@ -29,6 +41,7 @@
     const { retryBudget, clock, metrics } = environment;
     const tried = new Set<string>();
     let mayHaveRun = false;
+    let refusal: DocumentAnswer | undefined;
     let lastMessage = "No endpoint of the service accepts new work at the moment.";
     retryBudget.observeRequest();
     while (tried.size < maximumAttempts) {
@@ -45,9 +58,13 @@
         }
         tried.add(endpoint);
         const answer = await sendCall(environment, context, service, call, endpoint);
-        if (answer.ok) {
+        if (answer.ok && !(call.isIdempotent && answer.val.pauseMilliseconds !== undefined)) {
             return answer;
         }
+        if (answer.ok) {
+            refusal = answer.val;
+            continue;
+        }
         observeFailure(environment, answer.val);
         lastMessage = answer.val.message;
         mayHaveRun ||= answer.val.kind === "unknown";
@@ -62,7 +79,16 @@
             return Err(RequestError.outcomeUnknown(message));
         }
     }
-    return Err(createFinalError(context, mayHaveRun, tried.size, lastMessage));
+    if (refusal !== undefined && !mayHaveRun) {
+        return Ok(refusal);
+    }
+    const pauseMilliseconds = environment.endpoints.getPauseMilliseconds(service.endpoints);
+    const retryAfterMilliseconds = pauseMilliseconds === undefined
+        ? undefined
+        : getPauseRetryDelay(pauseMilliseconds, environment.random);
+    return Err(
+        createFinalError(context, { mayHaveRun, attempts: tried.size, message: lastMessage, retryAfterMilliseconds }),
+    );
 }
 
 async function sendCall(
@@ -111,7 +137,7 @@
     const serving: string[] = [];
     const unreachable: string[] = [];
     for (const endpoint of service.endpoints) {
-        const state = tried.has(endpoint) ? undefined : environment.endpoints.getState(endpoint)?.state;
+        const state = tried.has(endpoint) ? undefined : environment.endpoints.getStateForRequests(endpoint)?.state;
         if (state === "serving") {
             serving.push(endpoint);
         }
@@ -125,9 +151,7 @@
 
 function createFinalError(
     context: RequestContext,
-    mayHaveRun: boolean,
-    attempts: number,
-    message: string,
+    { mayHaveRun, attempts, message, retryAfterMilliseconds }: FailedCall,
 ): RequestError {
     if (mayHaveRun) {
         return RequestError.failed(message);
@@ -137,6 +161,7 @@
         status: 503,
         code: "no_endpoint",
         message,
-        retryAfterMilliseconds: attempts === 0 ? noEndpointRetryAfterMilliseconds : refusalRetryAfterMilliseconds,
+        retryAfterMilliseconds: retryAfterMilliseconds
+            ?? (attempts === 0 ? noEndpointRetryAfterMilliseconds : refusalRetryAfterMilliseconds),
     });
 }
--- a/src/request/relay/getPauseRetryDelay.ts
+++ b/src/request/getPauseRetryDelay.ts
@@ -1,4 +1,4 @@
-import type { RandomSource } from "../../process/randomSource.ts";
+import type { RandomSource } from "../process/randomSource.ts";
 
 /** Time over which the callers that were refused during a pause return after it. */
 const returnSpreadMilliseconds = 500;
--- a/src/request/model/handleChat.ts
+++ b/src/request/model/handleChat.ts
@@ -146,6 +146,8 @@
         clock: environment.clock,
         observer: createGenerationObserver(environment, context, ticket.gate),
         getConnection: endpoint => environment.endpoints.getEngine(endpoint),
+        getPauseMilliseconds: () =>
+            environment.endpoints.getPauseMilliseconds(environment.endpoints.getNames("engine")),
         onChainChosen: chain => {
             run.headers["x-foxlead-chain"] = formatChain(chain);
         },
--- a/src/request/model/runGeneration.ts
+++ b/src/request/model/runGeneration.ts
@@ -25,6 +25,8 @@
     clock: Clock;
     observer: GenerationObserver;
     getConnection(endpoint: string): EngineConnection | undefined;
+    /** Gets the time in milliseconds until an engine that has asked for a pause accepts passes again; undefined if none has. */
+    getPauseMilliseconds(): number | undefined;
     /** Called with each chain before its first pass. */
     onChainChosen(chain: Chain): void;
     /** Called with the text of each accepted token, in order. Not called for empty texts. */
@@ -247,7 +249,7 @@
             status: 503,
             code: "no_chain",
             message,
-            retryAfterMilliseconds: noChainRetryAfterMilliseconds,
+            retryAfterMilliseconds: Math.max(noChainRetryAfterMilliseconds, this.options.getPauseMilliseconds() ?? 0),
         });
     }
 
--- a/src/request/relay/documentRelay.ts
+++ b/src/request/relay/documentRelay.ts
@@ -5,11 +5,11 @@
 import type { TimerHandle } from "../../process/clock.ts";
 import { events } from "../../process/logging/events.ts";
 import { RequestKind } from "../../version/routing/requestKind.ts";
+import { getPauseRetryDelay } from "../getPauseRetryDelay.ts";
 import type { AnswerHead } from "./answerHead.ts";
 import { chooseEndpoint } from "./chooseEndpoint.ts";
 import type { CompleteAnswer } from "./completeAnswer.ts";
 import { createRefusal } from "./createRefusal.ts";
-import { getPauseRetryDelay } from "./getPauseRetryDelay.ts";
 import { getSentMilliseconds } from "./getSentMilliseconds.ts";
 import type { LoadReservation } from "./loadReservation.ts";
 import { maximumRefusals } from "./maximumRefusals.ts";
--- a/src/request/relay/relayChains.ts
+++ b/src/request/relay/relayChains.ts
@@ -1,9 +1,9 @@
 import type { EngineModel } from "../../version/routing/engineModel.ts";
+import { getPauseRetryDelay } from "../getPauseRetryDelay.ts";
 import { assertValidChain } from "./assertValidChain.ts";
 import { chooseHealthyStages } from "./chooseHealthyStages.ts";
 import { findFirstIndex } from "./findFirstIndex.ts";
 import { getActivationBits } from "./getActivationBits.ts";
-import { getPauseRetryDelay } from "./getPauseRetryDelay.ts";
 import { getRequestMemory } from "./getRequestMemory.ts";
 import { listCandidates } from "./listCandidates.ts";
 import { listDataCentreLinks } from "./listDataCentreLinks.ts";
--- a/tests/connection/document/documentConnection.test.ts
+++ b/tests/connection/document/documentConnection.test.ts
@@ -7,13 +7,15 @@
 const call = { method: "POST", path: "/a", headers: {}, body: Buffer.from("body"), isIdempotent: false };
 const timeoutMilliseconds = 400;
 
+const callbacks = { onInstructions: () => undefined, onConnectionRefused: () => undefined };
+
 describe("DocumentConnection", () => {
     let endpoint: RawEndpoint;
     let connection: DocumentConnection;
 
     before(async () => {
         endpoint = await RawEndpoint.create();
-        connection = DocumentConnection.create({ endpoint: "document", address: endpoint.getAddress() });
+        connection = DocumentConnection.create({ endpoint: "document", address: endpoint.getAddress(), ...callbacks });
     });
 
     after(async () => {
@@ -54,7 +56,7 @@
     });
 
     it("reports that nothing was sent if no connection is established", async () => {
-        const closed = DocumentConnection.create({ endpoint: "closed", address: "127.0.0.1:1" });
+        const closed = DocumentConnection.create({ endpoint: "closed", address: "127.0.0.1:1", ...callbacks });
         const answer = await closed.send(call, AbortSignal.timeout(timeoutMilliseconds));
         assert.equal(answer.ok ? "answered" : answer.val.kind, "notSent");
         await closed.close();
--- a/tests/connection/endpoint/endpointDirectory.test.ts
+++ b/tests/connection/endpoint/endpointDirectory.test.ts
@@ -1,9 +1,11 @@
 import assert from "node:assert/strict";
-import { after, before, describe, it } from "node:test";
+import { after, afterEach, before, beforeEach, describe, it } from "node:test";
 import { EndpointDirectory } from "../../../src/connection/endpoint/endpointDirectory.ts";
+import { EndpointInstructions } from "../../../src/connection/instructions/endpointInstructions.ts";
 import { systemClock } from "../../../src/process/systemClock.ts";
 import type { EndpointConfiguration } from "../../../src/version/configuration.ts";
 import { EngineStandin } from "../../../standins/engine/engineStandin.ts";
+import { FakeClock } from "../../support/fakeClock.ts";
 import { waitUntil } from "../../support/waitUntil.ts";
 
 const model = "m";
@@ -34,6 +36,7 @@
         }
         directory = EndpointDirectory.create({
             clock: systemClock,
+            instructions: EndpointInstructions.create({ clock: systemClock, log: { write: () => undefined } }),
             onAnswered: endpoint => directory.observeAnswer(endpoint),
             onSilentConnection: () => undefined,
             onStateChanged: () => undefined,
@@ -60,4 +63,64 @@
         assert.equal(directory.getState("far")?.state, "serving");
         assert.equal(directory.getState("idle")?.state, "serving");
     });
+
+    describe("instructions of endpoints", () => {
+        const leaving = { isLeaving: true, pauseMilliseconds: undefined };
+        const status = {
+            endpoint: "",
+            leaving: false,
+            layers: [],
+            queue: 0,
+            sequences: 0,
+            freePositions: 1,
+            fencingNumber: 0,
+        };
+        let name: string;
+        let other: EndpointDirectory;
+
+        beforeEach(() => {
+            name = directory.getNames("engine")[0]!;
+            const clock = FakeClock.create();
+            other = EndpointDirectory.create({
+                clock,
+                instructions: EndpointInstructions.create({ clock, log: { write: () => undefined } }),
+                onAnswered: () => undefined,
+                onSilentConnection: () => undefined,
+                onStateChanged: () => undefined,
+            });
+            const endpoint = { kind: "document" as const, address: "127.0.0.1:1", dataCentre: "a", layers: [] };
+            other.update({ endpoints: { [name]: { ...endpoint, checksFencing: false, maximumSequences: 1 } } });
+        });
+
+        afterEach(() => other.close());
+
+        it("keep it leaving whatever a peer reports, until no process listens at its address", () => {
+            other.observeInstructions(name, leaving);
+            other.observePeerReport(name, { state: "serving", layers: [] });
+            other.observeAnswer(name);
+            assert.equal(other.getState(name)?.state, "leaving");
+            other.observeConnectionRefused(name);
+            assert.equal(other.getState(name)?.state, "unreachable");
+            other.observeAnswer(name);
+            assert.equal(other.getState(name)?.state, "serving");
+        });
+
+        it("keep it leaving until a status that was requested after the announcement says otherwise", () => {
+            other.observeInstructions(name, leaving);
+            const answered = { ...status, loadAgeMilliseconds: 0, cacheSequence: 0 };
+            other.observeStatus(name, answered, 0);
+            assert.equal(other.getState(name)?.state, "leaving");
+            other.observeStatus(name, answered, 1);
+            assert.equal(other.getState(name)?.state, "serving");
+        });
+
+        it("pause it for requests only", () => {
+            other.observeInstructions(name, { isLeaving: false, pauseMilliseconds: 100 });
+            assert.deepEqual(
+                [other.getState(name)?.state, other.getStateForRequests(name)?.state],
+                ["serving", "paused"],
+            );
+            assert.equal(other.getPauseMilliseconds([name]), 100);
+        });
+    });
 });
--- a/tests/connection/endpoint/engineConnection.test.ts
+++ b/tests/connection/endpoint/engineConnection.test.ts
@@ -1,4 +1,6 @@
 import assert from "node:assert/strict";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
 import { after, afterEach, before, beforeEach, describe, it } from "node:test";
 import { EngineConnection } from "../../../src/connection/endpoint/engineConnection.ts";
 import { systemClock } from "../../../src/process/systemClock.ts";
@@ -30,6 +32,9 @@
             endpoint: "engine",
             address,
             clock: systemClock,
+            onInstructions: () => undefined,
+            onConnectionRefused: () => undefined,
+            isPaused: () => false,
             onAnswered: () => undefined,
             onSilentConnection: () => {
                 silent += 1;
@@ -80,6 +85,42 @@
         assert.equal(result.val.kind, "refused");
     });
 
+    it("doesn't send a pass again that an engine refused with a time to wait, and no other within it", async () => {
+        let requestCount = 0;
+        const server = createServer(({ url }, response) => {
+            if (url === "/v1/health") {
+                response.end();
+                return;
+            }
+            requestCount += 1;
+            response.writeHead(503, { "retry-after": "1" }).end();
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        let isPaused = false;
+        const paused = EngineConnection.create({
+            endpoint: "engine",
+            address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+            clock: systemClock,
+            onInstructions: (_endpoint, { pauseMilliseconds }) => {
+                isPaused = pauseMilliseconds === 1_000;
+            },
+            onConnectionRefused: () => undefined,
+            isPaused: () => isPaused,
+            onAnswered: () => undefined,
+            onSilentConnection: () => undefined,
+        });
+        const kinds: string[] = [];
+        for (const request of ["first", "second"]) {
+            const result = await paused.runPass({ ...pass, request }, 3);
+            kinds.push(result.ok ? "ok" : result.val.kind);
+            await paused.cancel({ request, attempt: 1 });
+        }
+        await paused.close();
+        await new Promise(resolve => server.close(resolve));
+        assert.deepEqual(kinds, ["refused", "refused"]);
+        assert.equal(requestCount, 1);
+    });
+
     it("reports that nothing was sent if no connection is established", async () => {
         const closed = createConnection("127.0.0.1:1");
         const result = await closed.runPass(pass, 3);
@@ -103,6 +144,9 @@
                 endpoint: "engine",
                 address: engine.getAddress(),
                 clock,
+                onInstructions: () => undefined,
+                onConnectionRefused: () => undefined,
+                isPaused: () => false,
                 onAnswered: (_endpoint, _pass, _result, elapsedMilliseconds) => void elapsed.push(elapsedMilliseconds),
                 onSilentConnection: () => undefined,
             });
