--- a/src/connection/endpoint/endpointDirectory.ts
+++ b/src/connection/endpoint/endpointDirectory.ts
@@ -139,6 +139,11 @@
         });
     }
 
+    /** Removes instructions that have ended. A missed restart of a leaving endpoint is made up for after some minutes. */
+    removeEndedInstructions(): void {
+        this.options.instructions.retain(new Set());
+    }
+
     /** Checks if an endpoint has announced to this node that it is leaving. */
     hasAnnouncedLeaving(name: string): boolean {
         return this.options.instructions.isLeaving(name);
--- a/src/connection/endpoint/endpointObserver.ts
+++ b/src/connection/endpoint/endpointObserver.ts
@@ -61,6 +61,7 @@
         if (this.isStopped) {
             return;
         }
+        this.options.directory.removeEndedInstructions();
         // An engine may be unreachable only for this node, so this node also checks those that it doesn't observe.
         const isUnreachableRound = this.round % Math.ceil(this.options.getIntervalFactor()) === 0;
         this.round += 1;
