Don't probe an engine because of passes that its pause holds back

Cause: a pass to a paused engine was refused only after it had counted as use, which probes an engine that has not answered for 2 s.

Change: the pause is asked first. Tests of engines and generations pass.

--- a/src/connection/endpoint/engineConnection.ts
+++ b/src/connection/endpoint/engineConnection.ts
@@ -27,7 +27,7 @@
     onInstructions(endpoint: string, instructions: AnswerInstructions): void;
     /** Called when the engine refuses connections, since no process listens at its address. */
     onConnectionRefused(endpoint: string): void;
-    /** Checks if the engine accepts passes, or has asked this node for a pause. */
+    /** Checks if the engine has asked this node for a pause that has not ended. */
     isPaused(endpoint: string): boolean;
     /** Called when the connections are replaced, because one stopped responding while a new one works. */
     onSilentConnection(endpoint: string): void;
@@ -93,13 +93,12 @@
      * @param positions - Number of positions that the pass covers, as far as known. The deadline depends on it.
      */
     runPass(pass: Omit<Pass, "id">, positions: number): Promise<Result<PassResult, PassFailure>> {
+        if (this.isPaused()) {
+            return Promise.resolve(Err(this.createFailure("refused", pausedReason)));
+        }
         this.reachability.observeUse();
         return new Promise(resolve => {
             const pendingPass = this.createPendingPass({ ...pass, id: this.nextId++ }, positions, resolve);
-            if (this.isPaused()) {
-                pendingPass.settle(Err(this.createFailure("refused", pausedReason)));
-                return;
-            }
             if (this.isClosed || this.reachability.isUnreachable()) {
                 const reason = this.isClosed ? "closed" : "no response to a probe";
                 pendingPass.settle(Err(this.createFailure("notSent", reason)));
