Don't hold endpoints as refusing in the first moments of a node

What callers saw: a stream whose first stages broke off could run at three of them where its route allows two, if its node had just started; the chooser could avoid sound endpoints then, too.

Cause: an endpoint that has refused nothing had refusingUntil 0, to which the node's jitter of up to 1.5 s is added. The clock begins near 0 with the process, so until it passes the jitter each endpoint with a health record counts as refusing, and its runs as lost.

Change: no refusal is -Infinity.

--- a/src/request/relay/endpointHealth.ts
+++ b/src/request/relay/endpointHealth.ts
@@ -97,7 +97,7 @@
         }
         const record = this.update(endpointId, 0, now);
         record.consecutiveFailures = 0;
-        record.suspectUntil = 0;
+        record.suspectUntil = -Infinity;
     }
 
     /** Records that the endpoint answered, or that an event of a stream came through it. */
@@ -172,8 +172,8 @@
         const record = {
             failureShare: 0,
             updatedAt: now,
-            suspectUntil: 0,
-            refusingUntil: 0,
+            suspectUntil: -Infinity,
+            refusingUntil: -Infinity,
             consecutiveFailures: 0,
             aliveAt: -Infinity,
         };
--- a/tests/request/relay/endpointHealth.test.ts
+++ b/tests/request/relay/endpointHealth.test.ts
@@ -63,4 +63,12 @@
         assert.deepEqual(health.getSuspicions(3_001), []);
         assert.ok(health.isSuspect("e", 3_001));
     });
+
+    it("doesn't suspect an endpoint that has refused nothing right after the start of the process", () => {
+        const health = EndpointHealth.create(() => 1);
+        health.addSuccess("e", 10);
+        health.markAlive("e", 10);
+        health.addFailure("e", 10);
+        assert.equal(health.isSuspect("e", 20), false);
+    });
 });
