Share the plan of test models, and move the creation of pending passes into a file of its own

Change: RouterTestHarness.putPlacementInHalves, createPendingPass. 49 tests of the files concerned pass.

--- a/src/connection/endpoint/engineConnection.ts
+++ b/src/connection/endpoint/engineConnection.ts
@@ -3,6 +3,7 @@
 import type { AnswerInstructions } from "../instructions/answerInstructions.ts";
 import type { BatchCloseInfo } from "./batchCloseInfo.ts";
 import { createPassFailure } from "./createPassFailure.ts";
+import { createPendingPass } from "./createPendingPass.ts";
 import { EngineCalls } from "./engineCalls.ts";
 import { EnginePool } from "./enginePool.ts";
 import type { CancelOrder, EngineOrder, EngineStatus, Pass, PassResult } from "./engineProtocol.ts";
@@ -98,7 +99,7 @@
         }
         this.reachability.observeUse();
         return new Promise(resolve => {
-            const pendingPass = this.createPendingPass({ ...pass, id: this.nextId++ }, positions, resolve);
+            const pendingPass = createPendingPass({ ...pass, id: this.nextId++ }, positions, resolve);
             if (this.isClosed || this.reachability.isUnreachable()) {
                 const reason = this.isClosed ? "closed" : "no response to a probe";
                 pendingPass.settle(Err(this.createFailure("notSent", reason)));
@@ -180,22 +181,6 @@
         return outcome;
     }
 
-    private createPendingPass(
-        pass: Pass,
-        positions: number,
-        settle: (outcome: Result<PassResult, PassFailure>) => void,
-    ): PendingPass {
-        return {
-            pass,
-            positions,
-            sentAt: [],
-            mayHaveArrived: false,
-            isBeingProbed: false,
-            settle,
-            cancelTimer: () => undefined,
-        };
-    }
-
     private enqueuePrefills(): void {
         for (const pendingPass of this.prefillWindow.takeReady()) {
             this.enqueue(pendingPass);
--- a/tests/platform/endpointLeaving.test.ts
+++ b/tests/platform/endpointLeaving.test.ts
@@ -28,8 +28,7 @@
         const leaving = await harness.addEndpoint("a1", "model", { from: 0, to: 4 });
         await harness.addEndpoint("a2", "model", { from: 0, to: 4 });
         await harness.addEndpoint("b1", "model", { from: 4, to: 8 });
-        const columns = [{ layers: { start: 0, end: 4 }, kind: "big" }, { layers: { start: 4, end: 8 }, kind: "big" }];
-        harness.store.put("foxlead/placement/model", { service: "model", modelName: "m", layers: 8, columns });
+        harness.putPlacementInHalves();
         return leaving;
     }
 
--- a/tests/platform/endpointLimit.test.ts
+++ b/tests/platform/endpointLimit.test.ts
@@ -90,8 +90,7 @@
             firsts.push(await harness.addEndpoint(id, "model", { from: 0, to: 4 }));
         }
         await harness.addEndpoint("b1", "model", { from: 4, to: 8 });
-        const columns = [{ layers: { start: 0, end: 4 }, kind: "big" }, { layers: { start: 4, end: 8 }, kind: "big" }];
-        harness.store.put("foxlead/placement/model", { service: "model", modelName: "m", layers: 8, columns });
+        harness.putPlacementInHalves();
         await startNodes(4);
         for (const first of firsts) {
             first.behaviour = { requestsPerSecond: 3.5 };
--- a/tests/platform/harmfulRequest.test.ts
+++ b/tests/platform/harmfulRequest.test.ts
@@ -29,8 +29,7 @@
             endpoint.behaviour = { stopsOnBody: harmfulBody };
         }
         await harness.addEndpoint("b1", "model", { from: 4, to: 8 });
-        const columns = [{ layers: { start: 0, end: 4 }, kind: "big" }, { layers: { start: 4, end: 8 }, kind: "big" }];
-        harness.store.put("foxlead/placement/model", { service: "model", modelName: "m", layers: 8, columns });
+        harness.putPlacementInHalves();
         nodes = [await harness.addNode(), await harness.addNode()];
         for (const node of nodes) {
             await harness.waitForEndpoints(node, firstStages + 1);
--- a/tests/platform/routerTestHarness.ts
+++ b/tests/platform/routerTestHarness.ts
@@ -84,6 +84,12 @@
         this.store.put(`servers/${id}`, createEndpointRecord({ service, address, state, layers: held, born }));
     }
 
+    /** Writes a plan in which endpoints hold either half of the model's layers. No layers are moved if the endpoints match it. */
+    putPlacementInHalves(): void {
+        const columns = [{ layers: { start: 0, end: 4 }, kind: "big" }, { layers: { start: 4, end: 8 }, kind: "big" }];
+        this.store.put("foxlead/placement/model", { service: "model", modelName: "m", layers: 8, columns });
+    }
+
     /** Starts a node. */
     async addNode(storeAddress = this.store.getAddress()): Promise<StartedNode> {
         const [callerPort, peerPort] = await findFreePorts(2);
--- a/tests/platform/streamPath.test.ts
+++ b/tests/platform/streamPath.test.ts
@@ -19,9 +19,7 @@
         ];
         await harness.addEndpoint("b1", "model", { from: 4, to: 8 });
         await harness.addEndpoint("b2", "model", { from: 4, to: 8 });
-        // A plan that matches the endpoints' layers, so that no layers are moved.
-        const columns = [{ layers: { start: 0, end: 4 }, kind: "big" }, { layers: { start: 4, end: 8 }, kind: "big" }];
-        harness.store.put("foxlead/placement/model", { service: "model", modelName: "m", layers: 8, columns });
+        harness.putPlacementInHalves();
         node = await harness.addNode();
         await harness.waitForEndpoints(node, 4);
     });
