Keep an engine's refusal as leaving against older reports of peers

Cause, found in the search for the same class: an engine that refuses a pass as leaving was taken for serving again by the next report of a peer, which may be older than the refusal.

Change: the refusal is kept like an announced leaving: a later status of the engine itself, a refused connection or ten minutes end it. The new test of EndpointDirectory fails without it (the state was serving); 33 tests of endpoints, stages and nodes pass.

--- a/src/connection/endpoint/endpointDirectory.ts
+++ b/src/connection/endpoint/endpointDirectory.ts
@@ -166,9 +166,9 @@
         }
     }
 
-    /** Records that an endpoint refused new work because it is leaving. */
+    /** Records that an endpoint refused new work because it is leaving. Like any announcement, this outweighs what peers report. */
     observeLeavingRefusal(name: string): void {
-        this.updateState(name, tracker => tracker.observeLeavingRefusal());
+        this.observeInstructions(name, { isLeaving: true, pauseMilliseconds: undefined });
     }
 
     /** Records the observation of a peer. */
--- a/src/connection/endpoint/endpointStateTracker.ts
+++ b/src/connection/endpoint/endpointStateTracker.ts
@@ -8,8 +8,9 @@
 
 /**
  * Tracks the state of one endpoint from four sources: this node's own calls, the endpoint's status, the reports of
- * peers and the VM list of the platform. One source that reports "leaving" is sufficient. The VM list and the other
- * sources are tracked separately, so that neither cancels a "leaving" of the other.
+ * peers and the VM list of the platform. One source that reports "leaving" is sufficient. The VM list and the other sources
+ * are tracked separately, so that neither cancels a "leaving" of the other. What the endpoint itself announces in its answers
+ * isn't tracked here.
  */
 export class EndpointStateTracker {
     private readonly endpoint: string;
@@ -61,10 +62,6 @@
         this.isUnreachable = true;
     }
 
-    observeLeavingRefusal(): void {
-        this.isLeaving = true;
-    }
-
     observeVm(state: "live" | "leaving"): void {
         this.isVmLeaving = state === "leaving";
     }
--- a/tests/connection/endpoint/endpointDirectory.test.ts
+++ b/tests/connection/endpoint/endpointDirectory.test.ts
@@ -105,6 +105,12 @@
             assert.equal(other.getState(name)?.state, "serving");
         });
 
+        it("keep it leaving after it has refused a pass for that, whatever a peer reports", () => {
+            other.observeLeavingRefusal(name);
+            other.observePeerReport(name, { state: "serving", layers: [] });
+            assert.equal(other.getState(name)?.state, "leaving");
+        });
+
         it("keep it leaving until a status that was requested after the announcement says otherwise", () => {
             other.observeInstructions(name, leaving);
             const answered = { ...status, loadAgeMilliseconds: 0, cacheSequence: 0 };
