Tell peers sooner that endpoints still refuse requests

Change: an endpoint that refused all requests until recently and refuses again is asked for its report once, not twice 200 ms apart; the second question guards against a report from before the endpoint was filled, which its earlier refusal rules out here.

--- a/src/request/relay/endpointHealth.ts
+++ b/src/request/relay/endpointHealth.ts
@@ -29,6 +29,8 @@
  * few seconds. After this time, a few of the nodes try it again.
  */
 const refusingMilliseconds = 3_000;
+/** Time after which an endpoint that refused requests counts like one that has never done so. */
+const recentRefusalMilliseconds = 3_000;
 /** Maximum jitter between nodes that try a refusing endpoint again: the first node that does so informs the others. */
 const maximumRefusalJitterMilliseconds = 1_500;
 /** Time without events after which an endpoint may be unavailable: several times the usual time between events. */
@@ -68,6 +70,12 @@
         return this.markRefusing(endpointId, refusingMilliseconds, now);
     }
 
+    /** Checks if the endpoint refuses requests or was known to do so until recently. */
+    hasRefusedRecently(endpointId: string, now: number): boolean {
+        const refusingUntil = this.records.get(endpointId)?.refusingUntil ?? -Infinity;
+        return now - refusingUntil < recentRefusalMilliseconds;
+    }
+
     /** Gets the share of recent exchanges that failed, 0 to 1. */
     getFailureShare(endpointId: string, now: number): number {
         const record = this.records.get(endpointId);
--- a/src/request/relay/refusalDetector.ts
+++ b/src/request/relay/refusalDetector.ts
@@ -43,15 +43,20 @@
         return new RefusalDetector(options);
     }
 
-    /** Checks why an endpoint refused a request although it was expected to have free memory. */
+    /**
+     * Checks why an endpoint refused a request although it was expected to have free memory. One that refused all requests until
+     * recently is checked once, so that peers whose knowledge ends at the same time are informed before they try it again.
+     */
     async check(endpoint: RegisteredEndpoint): Promise<void> {
         const { id } = endpoint;
         if (this.checking.has(id)) {
             return;
         }
         this.checking.add(id);
+        const { health, clock } = this.options;
+        const isKnown = health.hasRefusedRecently(id, clock.getMonotonicTime());
         let report = await this.options.fetchReport(endpoint);
-        if (isRefusalLasting(report)) {
+        if (isRefusalLasting(report) && !isKnown) {
             await this.wait();
             report = await this.options.fetchReport(endpoint);
         }
--- a/tests/request/relay/refusalDetector.test.ts
+++ b/tests/request/relay/refusalDetector.test.ts
@@ -59,6 +59,28 @@
         assert.deepEqual(await checkRefusal(createReport(100), createReport(900)), { isAvoided: false, found: 0 });
     });
 
+    it("asks an endpoint only once that refused until recently, so that peers learn sooner that it still does", async () => {
+        const health = EndpointHealth.create();
+        const clock = FakeClock.create();
+        let reports = 0;
+        const detector = RefusalDetector.create({
+            health,
+            clock,
+            log: RecordingEventLog.create(),
+            fetchReport: () => {
+                reports += 1;
+                return Promise.resolve(createReport(200));
+            },
+            onFound: () => undefined,
+        });
+        void detector.check(endpoint);
+        await clock.advance(3_500);
+        assert.deepEqual([health.isSuspect("e", 3_500), reports], [false, 2]);
+        void detector.check(endpoint);
+        await clock.advance(50);
+        assert.deepEqual([health.isSuspect("e", 3_550), reports], [true, 3]);
+    });
+
     /**
      * Guards against an exhausted retry budget when a quarter of the endpoints drain while the store is unavailable. They continue their
      * running streams, so no node believes a peer's suspicion, and each of 65 nodes discovers each of 16 endpoints by refused requests
