--- a/src/connection/upstream/upstreamConnection.ts
+++ b/src/connection/upstream/upstreamConnection.ts
@@ -6,6 +6,7 @@
 import { UpstreamFailureKind } from "./upstreamFailureKind.ts";
 import type { UpstreamListener } from "./upstreamListener.ts";
 import type { UpstreamRequest } from "./upstreamRequest.ts";
+import { withheldFailure } from "./withheldFailure.ts";
 
 /** Options of an {@link UpstreamConnection}. */
 interface UpstreamConnectionOptions {
@@ -109,9 +110,8 @@
                     return;
                 }
                 if (listener.maySend?.() === false) {
-                    const message = "The request was withheld before it was written.";
-                    fail(message, UpstreamFailureKind.Withheld);
-                    dispatchController.abort(new Error(message));
+                    fail(withheldFailure.message, withheldFailure.kind);
+                    dispatchController.abort(new Error(withheldFailure.message));
                     return;
                 }
                 sentAt = performance.now();
--- a/src/connection/upstream/upstreamPool.ts
+++ b/src/connection/upstream/upstreamPool.ts
@@ -1,9 +1,9 @@
 import type { InputBarrier } from "../../process/loop/inputBarrier.ts";
 import { UpstreamConnection } from "./upstreamConnection.ts";
 import type { UpstreamExchange } from "./upstreamExchange.ts";
-import { UpstreamFailureKind } from "./upstreamFailureKind.ts";
 import type { UpstreamListener } from "./upstreamListener.ts";
 import type { UpstreamRequest } from "./upstreamRequest.ts";
+import { withheldFailure } from "./withheldFailure.ts";
 
 /** Options of an {@link UpstreamPool}. */
 interface UpstreamPoolOptions {
@@ -21,8 +21,6 @@
  */
 const connectTimeoutMilliseconds = 700;
 
-const withheldMessage = "The request was withheld before it was written.";
-
 /** The connections of this node to one address. Idle ones are reused, the most recently used one first. */
 export class UpstreamPool {
     private readonly options: UpstreamPoolOptions;
@@ -69,7 +67,7 @@
         let exchange: UpstreamExchange | undefined;
         const deferred = this.options.barrier.defer(() => {
             if (listener.maySend?.() === false) {
-                listener.onFailure({ kind: UpstreamFailureKind.Withheld, message: withheldMessage });
+                listener.onFailure(withheldFailure);
                 return;
             }
             exchange = this.acquire(maximumIdleMilliseconds).send(createRequest(), listener);
