Show that a store which loses the waiting calls leaves all nodes without changes

Two nodes that follow the store and one that it refuses: after the store has lost the waits of all and answers every later call, a configuration and an endpoint that leaves reach none of them within 2,000 ms (versions 1, 1, 1 where 2, 2, 2 is expected).

--- a/standins/router/keyValueStandin.ts
+++ b/standins/router/keyValueStandin.ts
@@ -27,7 +27,8 @@
     readonly callCounts = new Map<string, number>();
     private readonly server: Server;
     private readonly items = new Map<string, StoredItem>();
-    private readonly pendingWatches = new Set<() => void>();
+    /** Callbacks of the pending watches: the key answers a watch if there are changes, the value makes it never answer. */
+    private readonly pendingWatches = new Map<() => void, () => void>();
     private revision = 1;
     private compactedRevision = 0;
 
@@ -64,6 +65,14 @@
         this.compactedRevision = this.revision;
     }
 
+    /** Loses the calls that wait for changes: they are never answered, and their connections stay open. */
+    losePendingWatches(): void {
+        for (const lose of this.pendingWatches.values()) {
+            lose();
+        }
+        this.pendingWatches.clear();
+    }
+
     /** Gets the value of a key as text. */
     getText(key: string): string | undefined {
         const value = this.items.get(key)?.value;
@@ -85,7 +94,7 @@
     }
 
     private checkPendingWatches(): void {
-        for (const check of [...this.pendingWatches]) {
+        for (const check of [...this.pendingWatches.keys()]) {
             check();
         }
     }
@@ -168,7 +177,7 @@
             clearTimeout(timer);
             this.pendingWatches.delete(check);
         });
-        this.pendingWatches.add(check);
+        this.pendingWatches.set(check, () => clearTimeout(timer));
         check();
     }
 
