Confirm by calls that a node's copy of the store is current

What callers saw: requests handled by a version that had been replaced more than 2 s before, and requests at an endpoint that had announced more than 2 s before that it leaves. Cause: a call that waits for changes lasts up to 15 s and was checked once, 0.5 s after its start, over another connection. If the store or a connection lost it later, nothing failed; where all nodes lost theirs, no peer was ahead. The answer of the cheapest call counted as proof that the copy was current, though it says nothing of the waiting call. Change: a copy counts as current at the time of an answered call for changes only, of this node or of a peer that is not ahead. A node that follows the store makes a call that is answered at once when its copy is older: after 0.2 of the configuration time the selected watchers, whose word reaches all others, after 0.5 any other. A wait that missed what such a call returned is replaced; if neither it nor the cheapest call is answered, both are aborted and the store counts as out, also in the middle of a wait. After a failure the first call is answered at once, so that it is known at once that the store responds.

--- a/src/process/replica/recordFollower.ts
+++ b/src/process/replica/recordFollower.ts
@@ -1,8 +1,10 @@
+import type { Result } from "../../result.ts";
 import type { Clock } from "../clock.ts";
 import type { EventLog } from "../logging/eventLog.ts";
 import { events } from "../logging/events.ts";
-import type { PlatformError } from "../platform/platformError.ts";
+import { type PlatformError, PlatformErrorKind } from "../platform/platformError.ts";
 import type { RandomSource } from "../randomSource.ts";
+import type { RecordChanges } from "./recordChanges.ts";
 import type { RecordSection } from "./recordSection.ts";
 import type { RecordStore } from "./recordStore.ts";
 
@@ -21,11 +23,10 @@
     log: EventLog;
 }
 
-/**
- * Maximum time that one call waits for changes. Each call is billed, but an unresponsive connection is only detected when its
- * call ends; until then, changes come from peers.
- */
+/** Maximum time that one call waits for changes. Each call is billed, so that the wait is long. */
 const waitTimeoutMilliseconds = 15_000;
+/** Wait time of a call that is answered immediately, with or without changes. */
+const immediateWaitMilliseconds = 1;
 /**
  * Minimum delay of the next call after changes, which batches changes that occur together into one call. Otherwise the wait of
  * each node would return for every change. The delay is far below the seconds within which a change must be in force.
@@ -41,8 +42,10 @@
 /** Base of the backoff after failed calls. It doubles with each failure up to the maximum. */
 const baseBackoffMilliseconds = 100;
 const maximumBackoffMilliseconds = 800;
-/** Time after which a wait in progress is checked by a cheap call. */
-const waitCheckMilliseconds = 500;
+/** Time after which a cheap call checks whether the store answers, if it has not answered the call that confirms the section. */
+const confirmationCheckMilliseconds = 600;
+/** A wait that has not returned changes this long after another call did is assumed to be lost. */
+const lostWaitMilliseconds = 200;
 /** If a peer is ahead for longer than this, this node's own wait is assumed to be unresponsive. */
 const maximumLagMilliseconds = 1_000;
 
@@ -50,17 +53,27 @@
 const AbortReason = {
     /** The store has probably lost the call. */
     Lost: "The store does not answer.",
+    /** Another call returned changes that this wait should have returned. */
+    MissedChanges: "It did not return changes that another call returned.",
     /** A peer has changes that this node's wait should have returned. */
     BehindPeer: "A peer is ahead.",
     /** This node leaves the section to updates from peers. */
     Inactive: "The section is left to peers.",
 } as const;
 
+const unansweredError: PlatformError = {
+    kind: PlatformErrorKind.NotDone,
+    message: "The platform's store answers neither a call for changes nor a cheap one. Check that it is running.",
+};
+
 /** Keeps a section up to date with the store: reads all records once, then waits for changes. */
 export class RecordFollower {
     private readonly options: RecordFollowerOptions;
     private readonly stopping = new AbortController();
-    private wait = new AbortController();
+    /** The call that waits for changes, if there is one. */
+    private wait: AbortController | undefined;
+    /** The call that confirms that the section is current, if there is one. */
+    private confirmation: AbortController | undefined;
     private isFullReadDue = true;
     private failures = 0;
     private nextCallDelay = 0;
@@ -99,7 +112,8 @@
     /** Stops following and aborts calls in flight. */
     stop(): void {
         this.stopping.abort();
-        this.wait.abort();
+        this.wait?.abort();
+        this.confirmation?.abort();
         this.onActive?.();
     }
 
@@ -115,7 +129,7 @@
         }
         // Earlier failures say nothing about the current state of the store.
         this.failures = 0;
-        this.wait.abort(AbortReason.Inactive);
+        this.wait?.abort(AbortReason.Inactive);
     }
 
     /** Checks if the section has been read at least once, from the store or a peer. */
@@ -123,11 +137,6 @@
         return this.options.section.getFrontier() > 0;
     }
 
-    /** Checks if the follower is active and has missed no change, as far as the answers of the store show. */
-    isCurrent(): boolean {
-        return this.isActive && !this.isFullReadDue && this.failures === 0;
-    }
-
     /** Checks if the last call was answered. */
     isStoreReachable(): boolean {
         return this.failures === 0;
@@ -154,7 +163,35 @@
         this.behindSince ??= now;
         if (now - this.behindSince > maximumLagMilliseconds) {
             this.behindSince = undefined;
-            this.wait.abort(AbortReason.BehindPeer);
+            this.wait?.abort(AbortReason.BehindPeer);
+        }
+    }
+
+    /**
+     * Proves that the section is current, or finds changes that the waiting call missed, by a call that is answered immediately.
+     * A waiting call alone proves nothing before it ends: the store, or a connection that has stopped responding, may have lost it.
+     */
+    async confirm(): Promise<void> {
+        const { clock } = this.options;
+        const isStoreDown = this.failures > 0 && this.wait === undefined;
+        if (!this.isActive || this.isFullReadDue || this.confirmation !== undefined || isStoreDown) {
+            return;
+        }
+        const wait = this.wait;
+        const confirmation = new AbortController();
+        this.confirmation = confirmation;
+        const check = clock.setTimer(confirmationCheckMilliseconds, () => void this.checkStore(confirmation, wait));
+        const changes = await this.requestChanges(immediateWaitMilliseconds, confirmation.signal);
+        check.cancel();
+        this.confirmation = undefined;
+        if (changes.err) {
+            await this.checkStore(confirmation, wait);
+        }
+        else if (changes.val.isHistoryLost) {
+            wait?.abort(AbortReason.MissedChanges);
+        }
+        else if (changes.val.records.length > 0) {
+            clock.setTimer(lostWaitMilliseconds, () => wait?.abort(AbortReason.MissedChanges));
         }
     }
 
@@ -198,50 +235,73 @@
     }
 
     private async waitForChanges(): Promise<boolean> {
-        const { store, prefix, section, log, clock } = this.options;
+        const { clock } = this.options;
         const wait = new AbortController();
         this.wait = wait;
+        const sentAt = clock.getMonotonicTime();
+        // After a failure, a call that is answered immediately shows without a delay that the store responds again.
+        const waitMilliseconds = this.failures > 0 ? immediateWaitMilliseconds : waitTimeoutMilliseconds;
+        const changes = await this.requestChanges(waitMilliseconds, wait.signal);
+        this.wait = undefined;
+        if (changes.err) {
+            return this.handleFailedWait(changes.val, wait, sentAt);
+        }
+        this.callsWithChanges = changes.val.records.length > 0 ? this.callsWithChanges + 1 : 0;
+        this.nextCallDelay = this.callsWithChanges > 0 ? this.getBatchDelay() : 0;
+        return true;
+    }
+
+    /** Requests the changes since the section's frontier, and applies them. */
+    private async requestChanges(
+        waitMilliseconds: number,
+        signal: AbortSignal,
+    ): Promise<Result<RecordChanges, PlatformError>> {
+        const { store, prefix, section, log, clock } = this.options;
         const after = section.getFrontier();
         const sentAt = clock.getMonotonicTime();
-        const check = clock.setTimer(waitCheckMilliseconds, () => void this.checkWait(wait));
-        const changes = await store.waitForChanges(prefix, after, waitTimeoutMilliseconds, wait.signal);
-        check.cancel();
+        const changes = await store.waitForChanges(prefix, after, waitMilliseconds, signal);
         if (changes.err) {
-            if (wait.signal.aborted) {
-                this.logAbort(wait, sentAt);
-            }
-            if (wait.signal.aborted && wait.signal.reason !== AbortReason.Lost) {
-                this.nextCallDelay = 0;
-                return true;
-            }
-            this.recordFailure(changes.val);
-            return false;
+            return changes;
         }
         this.recordSuccess();
         if (changes.val.isHistoryLost) {
             log.write(events.storeHistoryLost, { section: section.name, after });
             this.isFullReadDue = true;
-            return true;
         }
-        this.confirmedAt = sentAt;
-        section.applyChanges(changes.val.records, changes.val.revision, "store");
-        this.callsWithChanges = changes.val.records.length > 0 ? this.callsWithChanges + 1 : 0;
-        this.nextCallDelay = this.callsWithChanges > 0 ? this.getBatchDelay() : 0;
-        return true;
+        else {
+            this.confirmedAt = sentAt;
+            section.applyChanges(changes.val.records, changes.val.revision, "store");
+        }
+        return changes;
+    }
+
+    /** Handles a wait that has no answer. Returns whether to make the next call without a backoff. */
+    private handleFailedWait(error: PlatformError, { signal }: AbortController, sentAt: number): boolean {
+        const isReplaced = signal.aborted && signal.reason !== AbortReason.Lost;
+        if (signal.aborted) {
+            this.logAbort(signal, sentAt);
+        }
+        if (!isReplaced) {
+            this.recordFailure(error);
+        }
+        this.nextCallDelay = 0;
+        return isReplaced;
     }
 
     /**
-     * Aborts a wait if the store does not answer a cheap call. The store may have lost the waiting call and would never answer
-     * it, even after it recovers, so the node would get no changes until the wait times out.
+     * Aborts the calls in flight if the store does not answer a cheap call either. If it does, the answer to them may be long and on
+     * its way over a slow link.
      */
-    private async checkWait(wait: AbortController): Promise<void> {
-        const isAnswered = await this.options.callStore();
-        if (!isAnswered) {
-            wait.abort(AbortReason.Lost);
+    private async checkStore(confirmation: AbortController, wait: AbortController | undefined): Promise<void> {
+        if (confirmation.signal.aborted || await this.options.callStore() || confirmation.signal.aborted) {
+            return;
         }
+        this.recordFailure(unansweredError);
+        confirmation.abort();
+        wait?.abort(AbortReason.Lost);
     }
 
-    private logAbort({ signal }: AbortController, sentAt: number): void {
+    private logAbort(signal: AbortSignal, sentAt: number): void {
         const { section, log, clock } = this.options;
         if (this.stopping.signal.aborted || signal.reason === AbortReason.Inactive) {
             return;
@@ -258,7 +318,8 @@
         if (this.callsWithChanges <= callsBeforeDelayGrowth) {
             return minimumBatchDelayMilliseconds;
         }
-        return Math.min(this.nextCallDelay * batchDelayGrowthFactor, maximumBatchDelayMilliseconds);
+        const grown = Math.max(minimumBatchDelayMilliseconds, this.nextCallDelay) * batchDelayGrowthFactor;
+        return Math.min(grown, maximumBatchDelayMilliseconds);
     }
 
     private recordSuccess(): void {
--- a/src/process/router/storeProbe.ts
+++ b/src/process/router/storeProbe.ts
@@ -9,13 +9,12 @@
     intervalMilliseconds: number;
 }
 
-/** Health check of the store. Detects early that it no longer answers this node, since other nodes depend on its watch. */
+/** Health check of the store by its cheapest call, while other calls to it fail. */
 export class StoreProbe {
     private readonly options: StoreProbeOptions;
     private timer: TimerHandle | undefined;
     private isActive = false;
     private isCalling = false;
-    private lastAnswerAt = -Infinity;
     private isAnswered = true;
 
     private constructor(options: StoreProbeOptions) {
@@ -45,14 +44,8 @@
         return this.isAnswered;
     }
 
-    /** Gets the monotonic time in milliseconds at which the last answered call was sent. */
-    getLastAnswer(): number {
-        return this.lastAnswerAt;
-    }
-
     private async probe(): Promise<void> {
         const { clock, callStore } = this.options;
-        const sentAt = clock.getMonotonicTime();
         this.timer = undefined;
         this.isCalling = true;
         const isAnswered = await callStore();
@@ -61,9 +54,6 @@
             return;
         }
         this.isAnswered = isAnswered;
-        if (isAnswered) {
-            this.lastAnswerAt = sentAt;
-        }
         this.timer = clock.setTimer(this.options.intervalMilliseconds, () => void this.probe());
     }
 }
--- a/src/process/router/storeWatchController.ts
+++ b/src/process/router/storeWatchController.ts
@@ -52,6 +52,13 @@
 const discoveryMilliseconds = 1_500;
 /** Number of probes within the configuration time. */
 const probesPerConfigurationTime = 5;
+/**
+ * A selected watcher whose copy was not confirmed for this fraction of the configuration time confirms it by a call. All other nodes
+ * learn it from the watchers' messages.
+ */
+const watcherConfirmationFraction = 0.2;
+/** The same for any other node that calls the store, in case that no watcher has told it in time. */
+const confirmationFraction = 0.5;
 
 /**
  * Decides from the live nodes whether this node watches the store or gets changes from other nodes. Tracks how current this
@@ -120,10 +127,13 @@
         return this.isSelectedWatcher;
     }
 
-    /** Gets the monotonic time in milliseconds at which this node's copy of the store was last known to be current. */
+    /**
+     * Gets the monotonic time in milliseconds at which this node's copy of the store was last known to be current: the time of an
+     * answered call for changes, by this node or by a peer that was not ahead.
+     */
     getFreshTime(): number {
-        const isFollowing = this.options.followers.every(follower => follower.isCurrent());
-        return Math.max(this.lastPeerFreshTime, isFollowing ? this.probe.getLastAnswer() : -Infinity);
+        const confirmedAt = Math.min(...this.options.followers.map(follower => follower.getConfirmedTime()));
+        return Math.max(this.lastPeerFreshTime, confirmedAt);
     }
 
     /** Gets the monotonic time in milliseconds of the last store failure that any node has found. */
@@ -157,20 +167,33 @@
         for (const follower of followers) {
             follower.setActive(isActive);
         }
-        // With few nodes no other node depends on this one, but during a store failure the followers wait for the probe.
+        // During a store failure the followers wait for the probe, which is the cheapest call.
         const isFailing = followers.some(follower => !follower.isStoreReachable());
-        this.probe.setActive(isActive && (isFailing || others.length >= independentNodeLimit));
+        this.probe.setActive(isActive && isFailing);
+        this.confirmCopy(others, now);
         const hasPeers = others.length > 0 || now - this.startedAt > soleNodeMilliseconds;
         this.reviewLease(isWatcher, hasPeers);
         this.reportCopyAge(now);
         this.timer = clock.setTimer(reviewIntervalMilliseconds, () => this.review());
     }
 
+    /** Confirms the copy by a call if nothing else has for some time. */
+    private confirmCopy(others: readonly KnownNode[], now: number): void {
+        const { nodeId, owners, followers, configurationMilliseconds } = this.options;
+        const isSelected = isStoreWatcher({ nodeId, isWithoutStore: this.isWithoutStore() }, others, owners);
+        const fraction = isSelected ? watcherConfirmationFraction : confirmationFraction;
+        if (now - this.getFreshTime() < configurationMilliseconds * fraction) {
+            return;
+        }
+        for (const follower of followers) {
+            void follower.confirm();
+        }
+    }
+
     /** Reports the age of the copy, and logs when it exceeds the time within which a change must be in force, and when it no longer does. */
     private reportCopyAge(now: number): void {
         const { log, followers, configurationMilliseconds, onCopyAge } = this.options;
-        const confirmedAt = Math.min(...followers.map(follower => follower.getConfirmedTime()));
-        const age = Math.round(now - Math.max(this.lastPeerFreshTime, confirmedAt, this.startedAt));
+        const age = Math.round(now - Math.max(this.getFreshTime(), this.startedAt));
         onCopyAge(age);
         const isUnconfirmed = age > configurationMilliseconds;
         if (isUnconfirmed === this.isLoggedAsUnconfirmed) {
--- a/tests/platform/lostWaits.test.ts
+++ b/tests/platform/lostWaits.test.ts
@@ -57,6 +57,22 @@
         harness.store.losePendingWatches();
         await assertChangesReachAllNodes();
     });
+
+    it("delays no change beyond its bound if it was silent before", async () => {
+        harness.store.faults = { isSilent: true };
+        harness.store.losePendingWatches();
+        await delay(2_000);
+        harness.store.faults = {};
+        await assertChangesReachAllNodes();
+    });
+
+    it("delays no change beyond its bound if it was silent for less than a call's timeout", async () => {
+        harness.store.faults = { isSilent: true };
+        harness.store.losePendingWatches();
+        await delay(300);
+        harness.store.faults = {};
+        await assertChangesReachAllNodes();
+    });
 });
 
 function listLeaving({ node }: StartedNode): string[] {
