Log when the platform's store has come back from an older copy

Cause: Store-Era, by which the store tells it, was read nowhere; the logs of second2 show only that the history was lost, again and again. Change: the store's client reads the era of each response, refused ones too; FL1107 with both eras, gauge foxlead_store_era. No decision changes.

--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -82,6 +82,11 @@
         message: "It is not known that this node's copy of the store is current; changes may be missing.",
     },
     storeCopyConfirmed: { number: 1106, level: "info", message: "This node's copy of the store is current again." },
+    storeRestored: {
+        number: 1107,
+        level: "warn",
+        message: "The platform's store has come back from an older copy. Changes that it had acknowledged may be lost.",
+    },
     routingAccepted: {
         number: 1210,
         level: "info",
--- a/src/process/metrics/metrics.ts
+++ b/src/process/metrics/metrics.ts
@@ -131,6 +131,10 @@
         "store_copy_age_seconds",
         "Time since this node's copy of the platform's store was last known to be current.",
     );
+    readonly storeEra = this.createGauge(
+        "store_era",
+        "Number that the platform's store increases each time that it comes back from an older copy.",
+    );
     readonly peerCallsTotal = this.createCounter("peer_calls_total", "Calls to other nodes.", ["call", "outcome"]);
 
     readonly flowBoundTokensPerSecond = this.createGauge(
--- a/tests/platform/routerTestHarness.ts
+++ b/tests/platform/routerTestHarness.ts
@@ -96,7 +96,7 @@
         const address = `127.0.0.1:${callerPort}`;
         const peerAddress = `127.0.0.1:${peerPort}`;
         const log = RecordingEventLog.create();
-        const store = KeyValueStore.create(storeAddress, () => undefined);
+        const store = KeyValueStore.create(storeAddress, { onCall: () => undefined, onEra: () => undefined });
         const barrier = InputBarrier.create();
         const clock = EventLoopMonitor.create({ clock: systemClock, barrier, log, getProcessorTime });
         const node = RouterNode.create({
