Show that changes of a store that came back from an older copy are ignored

The stand-in of the store can be copied and restored: later writes are lost, revisions are given out again, Store-Era rises.

--- a/standins/router/keyValueStandin.ts
+++ b/standins/router/keyValueStandin.ts
@@ -11,6 +11,13 @@
     created: number;
 }
 
+/** State of a store at a moment. */
+interface StoreCopy {
+    items: ReadonlyMap<string, StoredItem>;
+    revision: number;
+    compactedRevision: number;
+}
+
 /** Request body of a transaction. */
 interface Transaction {
     expected: { key: string; revision: number; }[];
@@ -26,10 +33,12 @@
     /** Number of calls by path. */
     readonly callCounts = new Map<string, number>();
     private readonly server: Server;
-    private readonly items = new Map<string, StoredItem>();
+    private items = new Map<string, StoredItem>();
     /** Callbacks of the pending watches: the key answers a watch if there are changes, the value makes it never answer. */
     private readonly pendingWatches = new Map<() => void, () => void>();
     private revision = 1;
+    /** Sent with all responses. Rises by one each time the store is restored. */
+    private era = 0;
     private compactedRevision = 0;
 
     private constructor() {
@@ -65,6 +74,21 @@
         this.compactedRevision = this.revision;
     }
 
+    /** Copies the state of the store. */
+    createCopy(): StoreCopy {
+        return { items: new Map(this.items), revision: this.revision, compactedRevision: this.compactedRevision };
+    }
+
+    /** Restores an older copy: later writes are lost, and their revisions are given out again. Waiting calls are cut. */
+    restore({ items, revision, compactedRevision }: StoreCopy): void {
+        this.items = new Map(items);
+        this.revision = revision;
+        this.compactedRevision = compactedRevision;
+        this.era += 1;
+        this.losePendingWatches();
+        this.server.closeAllConnections();
+    }
+
     /** Loses the calls that wait for changes: they are never answered, and their connections stay open. */
     losePendingWatches(): void {
         for (const lose of this.pendingWatches.values()) {
@@ -103,6 +127,7 @@
         const url = new URL(request.url ?? "/", "http://store");
         this.callCounts.set(url.pathname, (this.callCounts.get(url.pathname) ?? 0) + 1);
         const text = await readText(request);
+        response.setHeader("store-era", this.era);
         if (this.faults.isSilent === true) {
             return;
         }
@@ -151,7 +176,7 @@
         const prefix = url.searchParams.get("prefix") ?? "";
         const after = Number(url.searchParams.get("after"));
         const answerIfChanged = (isLast: boolean) => {
-            if (after < this.compactedRevision) {
+            if (after < this.compactedRevision || after > this.revision) {
                 finish(410, {});
                 return;
             }
