Order the store's records by era and revision

Cause: a store that comes back from a copy gives out revisions again, and Store-Era was read nowhere. Where the store had passed the known revision meanwhile, no 410 came at all, and what was written below it was missed for good. Change: an era revision is one number, with the era in its high part, so that a comparison is right by itself, in sections, frontiers, fetches, freshness and messages of peers. When the era rises, all records are read again, in the new era. What a node has seen still binds it: the newest configuration stays in the section, so that peers get it; an endpoint that leaves stays leaving; one that is gone comes back only if it is written again, or if its record does not expire within 6 s. A record that the copy lacks is waited for like one that lapsed in an outage.

--- /dev/null
+++ b/src/process/replica/eraRevision.ts
@@ -0,0 +1,16 @@
+/** Multiplies the era. Leaves 36 bits for revisions and 17 bits for eras within the integers that a number holds exactly. */
+const eraFactor = 2 ** 36;
+
+/**
+ * Revisions of a store that may come back from an older copy and then give out revisions again. The store calls the time between two
+ * such returns an era. An era revision is one number, so that revisions of different eras can't be compared wrongly: each revision of
+ * a later era is higher than all of an earlier one. In era 0 it equals the store's revision.
+ */
+export const EraRevision = {
+    /** Creates an era revision. */
+    create: (era: number, revision: number): number => era * eraFactor + revision,
+    /** Gets the era of an era revision. */
+    getEra: (eraRevision: number): number => Math.floor(eraRevision / eraFactor),
+    /** Gets the store's own revision. */
+    getRevision: (eraRevision: number): number => eraRevision % eraFactor,
+} as const;
--- a/src/process/replica/recordFollower.ts
+++ b/src/process/replica/recordFollower.ts
@@ -57,6 +57,8 @@
     MissedChanges: "It did not return changes that another call returned.",
     /** A peer has changes that this node's wait should have returned. */
     BehindPeer: "A peer is ahead.",
+    /** The store has come back from an older copy, so that all records are read again. */
+    Restored: "The store was restored.",
     /** This node leaves the section to updates from peers. */
     Inactive: "The section is left to peers.",
 } as const;
@@ -132,6 +134,12 @@
         this.wait?.abort(AbortReason.Inactive);
     }
 
+    /** Handles that the store has come back from an older copy: all records are read again. */
+    handleStoreRestored(): void {
+        this.isFullReadDue = true;
+        this.wait?.abort(AbortReason.Restored);
+    }
+
     /** Checks if the section has been read at least once, from the store or a peer. */
     hasRecords(): boolean {
         return this.options.section.getFrontier() > 0;
--- a/src/process/replica/recordSection.ts
+++ b/src/process/replica/recordSection.ts
@@ -1,4 +1,5 @@
 import type { ChangeSource } from "./changeSource.ts";
+import { EraRevision } from "./eraRevision.ts";
 import type { SectionChanges } from "./sectionChanges.ts";
 import type { StoreRecord } from "./storeRecord.ts";
 
@@ -8,14 +9,20 @@
     name: string;
     /** Called for each record that is new to this copy. */
     onChange(record: StoreRecord, source: ChangeSource): void;
+    /**
+     * Checks if a record from a later era of the store is older than the known one, because the store came back from an older copy.
+     * The known text then stays.
+     */
+    isOutdated?(record: StoreRecord, known: StoreRecord): boolean;
 }
 
 /** Maximum number of deletions that are kept for lagging peers. A peer that lags further gets all records. */
 const maximumDeletions = 2_000;
 
 /**
- * Replica of the store's records with one prefix. Changes are ordered by the store's revisions, so they may come from the store
- * or from a peer, in any order: a record is never replaced by an older one.
+ * Replica of the store's records with one prefix. Changes are ordered by their era revisions, so they may come from the store
+ * or from a peer, in any order: a record is never replaced by an older one. After the store has come back from an older copy, a full
+ * listing gives each record a revision of the new era, so that peers that know the earlier one get all of them.
  */
 export class RecordSection {
     readonly name: string;
@@ -89,6 +96,10 @@
         if (known !== undefined && known.revision >= record.revision) {
             return;
         }
+        if (known !== undefined && this.isKept(record, known)) {
+            this.records.set(record.key, { ...known, revision: record.revision });
+            return;
+        }
         this.records.set(record.key, record);
         if (record.text === undefined) {
             this.deletionCount += 1;
@@ -97,6 +108,12 @@
         this.options.onChange(record, source);
     }
 
+    /** Checks if a record of a later era leaves the known text as it is. */
+    private isKept(record: StoreRecord, known: StoreRecord): boolean {
+        const isLaterEra = EraRevision.getEra(record.revision) > EraRevision.getEra(known.revision);
+        return isLaterEra && (record.text === known.text || this.options.isOutdated?.(record, known) === true);
+    }
+
     private discardDeletions(): void {
         if (this.deletionCount <= maximumDeletions) {
             return;
--- a/src/process/router/endpointRegistry.ts
+++ b/src/process/router/endpointRegistry.ts
@@ -2,10 +2,11 @@
 import type { RegisteredEndpoint } from "../../request/relay/registeredEndpoint.ts";
 import type { RelayDirectory } from "../../request/relay/relayDirectory.ts";
 import type { Result } from "../../result.ts";
-import type { Clock } from "../clock.ts";
+import type { Clock, TimerHandle } from "../clock.ts";
 import type { EventLog } from "../logging/eventLog.ts";
 import { events } from "../logging/events.ts";
 import type { ChangeSource } from "../replica/changeSource.ts";
+import { EraRevision } from "../replica/eraRevision.ts";
 import type { StoreRecord } from "../replica/storeRecord.ts";
 import type { EndpointReadings } from "./endpointReadings.ts";
 
@@ -35,6 +36,22 @@
     retainedUntil: number | undefined;
 }
 
+/** An endpoint whose record was removed. */
+interface RemovedEndpoint {
+    incarnation: number;
+    /** Revision of the removal. */
+    revision: number;
+    /** The record of an older copy of the store, with the timer that accepts it. */
+    returned: { revision: number; timer: TimerHandle; } | undefined;
+}
+
+/** Maximum number of removed endpoints to remember. */
+const maximumRemovedEndpoints = 2_000;
+/**
+ * If an older copy of the store still has the record of an endpoint that is gone, the record expires within this time, since the
+ * endpoint no longer renews it. A record that is still there is that of a live endpoint.
+ */
+const goneRecordMilliseconds = 6_000;
 /** Records that expired during a store outage are written again within about two seconds after it. */
 const recordRecoveryMilliseconds = 2_000;
 /**
@@ -50,6 +67,12 @@
     private readonly endpoints = new Map<string, RegistryEntry>();
     /** Parse errors of invalid records, by key. */
     private readonly invalidRecordReasons = new Map<string, string>();
+    /** Endpoints whose records were removed, by key. */
+    private readonly removedEndpoints = new Map<string, RemovedEndpoint>();
+    /** Latest era of the store's records; undefined if there are none yet. */
+    private era: number | undefined;
+    /** Monotonic time in milliseconds at which records of a later era first showed that the store has come back from an older copy. */
+    private restoredAt = -Infinity;
     private readonly usableByService = new Map<string, RegisteredEndpoint[]>();
     private readonly byAddress = new Map<string, RegisteredEndpoint>();
     private isIndexed = false;
@@ -66,6 +89,7 @@
     /** Applies a change of an endpoint's record. */
     applyRecord({ key, revision, text }: StoreRecord, source: ChangeSource): void {
         const { log, decode } = this.options;
+        this.noteEra(EraRevision.getEra(revision));
         if (text === undefined) {
             this.invalidRecordReasons.delete(key);
             this.remove(key, revision, source);
@@ -83,6 +107,12 @@
             log.write(events.endpointRecordOutdated, { ...describe(endpoint), revision, source });
             return;
         }
+        if (this.isGone(key, endpoint, revision)) {
+            log.write(events.endpointRecordOutdated, { ...describe(endpoint), revision, source });
+            this.holdBack(key, endpoint, revision);
+            return;
+        }
+        this.forgetRemoval(key);
         // Changes from a peer are logged by the node that read them from the store. Here they have one line per fetch, which
         // avoids a line for each endpoint at each node.
         if (source === "store") {
@@ -108,6 +138,60 @@
         }
     }
 
+    /** Checks if a record of a later era of the store lacks the announcement of an endpoint that is known to be leaving. */
+    isOutdated(record: StoreRecord, known: StoreRecord): boolean {
+        const { decode } = this.options;
+        const endpoint = record.text === undefined ? undefined : decode(record.key, record.text);
+        const knownEndpoint = known.text === undefined ? undefined : decode(known.key, known.text);
+        // An endpoint that is leaving stays so until it ends, even if an older copy of the store doesn't have its announcement.
+        return endpoint?.ok === true
+            && knownEndpoint?.ok === true
+            && endpoint.val.id === knownEndpoint.val.id
+            && knownEndpoint.val.isDraining
+            && !endpoint.val.isDraining;
+    }
+
+    private noteEra(era: number): void {
+        if (this.era !== undefined && era > this.era) {
+            this.restoredAt = this.options.clock.getMonotonicTime();
+        }
+        this.era = Math.max(era, this.era ?? 0);
+    }
+
+    /** Checks if an endpoint is known to be gone and its record only comes from an older copy of the store. */
+    private isGone(key: string, { incarnation }: RegisteredEndpoint, revision: number): boolean {
+        const removed = this.removedEndpoints.get(key);
+        if (removed === undefined || incarnation > removed.incarnation) {
+            return false;
+        }
+        const lastRevision = removed.returned?.revision ?? removed.revision;
+        return EraRevision.getEra(revision) > EraRevision.getEra(lastRevision);
+    }
+
+    /** Registers an endpoint that is known to be gone only if its record does not expire. */
+    private holdBack(key: string, endpoint: RegisteredEndpoint, revision: number): void {
+        const removed = this.removedEndpoints.get(key)!;
+        removed.returned?.timer.cancel();
+        const timer = this.options.clock.setTimer(goneRecordMilliseconds, () => {
+            this.forgetRemoval(key);
+            this.replace(key, endpoint, "store");
+        });
+        removed.returned = { revision, timer };
+    }
+
+    private noteRemoval(key: string, { incarnation }: RegisteredEndpoint, revision: number): void {
+        this.forgetRemoval(key);
+        this.removedEndpoints.set(key, { incarnation, revision, returned: undefined });
+        if (this.removedEndpoints.size > maximumRemovedEndpoints) {
+            this.forgetRemoval(this.removedEndpoints.keys().next().value!);
+        }
+    }
+
+    private forgetRemoval(key: string): void {
+        this.removedEndpoints.get(key)?.returned?.timer.cancel();
+        this.removedEndpoints.delete(key);
+    }
+
     /** Replaces the endpoint under a key. After a restart, notifies the owner to drop other state of the earlier process. */
     private replace(key: string, endpoint: RegisteredEndpoint, source: ChangeSource | "report"): void {
         const { log, onRestart, onChange } = this.options;
@@ -170,11 +254,14 @@
     private remove(key: string, revision: number, source: ChangeSource): void {
         const known = this.endpoints.get(key);
         if (known === undefined) {
+            this.noteRepeatedRemoval(key, revision);
             return;
         }
         const { clock, log, getLastStoreFailure, onChange, drainMilliseconds } = this.options;
         const now = clock.getMonotonicTime();
-        const isDoubtful = now - getLastStoreFailure() < recordRecoveryMilliseconds && !known.endpoint.isDraining;
+        const lastDisruption = Math.max(getLastStoreFailure(), this.restoredAt);
+        const isDoubtful = now - lastDisruption < recordRecoveryMilliseconds && !known.endpoint.isDraining;
+        this.noteRemoval(key, known.endpoint, revision);
         log.write(events.endpointRemoved, { endpoint: known.endpoint.id, revision, source, isDoubtful });
         if (isDoubtful) {
             const waitMilliseconds = drainMilliseconds * recordWaitFraction;
@@ -190,6 +277,16 @@
         onChange();
     }
 
+    /** The record of an endpoint that was gone before came back with an older copy of the store and is removed again. */
+    private noteRepeatedRemoval(key: string, revision: number): void {
+        const removed = this.removedEndpoints.get(key);
+        if (removed !== undefined) {
+            removed.returned?.timer.cancel();
+            removed.returned = undefined;
+            removed.revision = revision;
+        }
+    }
+
     private removeExpired(): void {
         const now = this.options.clock.getMonotonicTime();
         for (const [key, { retainedUntil }] of this.endpoints) {
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -163,6 +163,7 @@
                 this.holder.applyRecord(record, source);
                 this.propagateStoreChange(source);
             },
+            isOutdated: (record, known) => this.holder.isOutdated(record, known),
         });
         const endpoints = RecordSection.create({
             name: "endpoints",
@@ -170,6 +171,7 @@
                 this.registry.applyRecord(record, source);
                 this.propagateStoreChange(source);
             },
+            isOutdated: (record, known) => this.registry.isOutdated(record, known),
         });
         this.lease = FencedLease.create({
             store,
@@ -356,6 +358,11 @@
         };
     }
 
+    /** Handles that the store has come back from an older copy, and may have lost what it had acknowledged. */
+    handleStoreRestored(): void {
+        this.storeWatch.handleStoreRestored();
+    }
+
     /** Reports this node as not ready to the load balancer, and gives up its duties. */
     async startDraining(): Promise<void> {
         this.isDraining = true;
--- a/src/process/router/routingHolder.ts
+++ b/src/process/router/routingHolder.ts
@@ -33,6 +33,13 @@
         return this.state;
     }
 
+    /** Checks if a record has no configuration, or an older one than the known record. */
+    isOutdated(record: StoreRecord, known: StoreRecord): boolean {
+        const version = this.getVersion(record);
+        const knownVersion = this.getVersion(known);
+        return knownVersion !== undefined && (version === undefined || version < knownVersion);
+    }
+
     /** Puts a configuration in force, unless it is invalid or not newer than the current one. */
     applyRecord({ key, revision, text }: StoreRecord, source: ChangeSource): void {
         const { decode, log, metrics } = this.options;
@@ -55,4 +62,9 @@
         const fields = { version, revision, source, routes: routes.length, customers: customers.length };
         log.write(events.routingAccepted, fields);
     }
+
+    private getVersion({ text }: StoreRecord): number | undefined {
+        const decoded = text === undefined ? undefined : this.options.decode(text);
+        return decoded?.ok ? decoded.val.version : undefined;
+    }
 }
--- a/src/process/router/storeWatchController.ts
+++ b/src/process/router/storeWatchController.ts
@@ -141,6 +141,13 @@
         return Math.max(this.lastPeerFailure, ...this.options.followers.map(follower => follower.getLastFailure()));
     }
 
+    /** Handles that the store has come back from an older copy: all records are read again. */
+    handleStoreRestored(): void {
+        for (const follower of this.options.followers) {
+            follower.handleStoreRestored();
+        }
+    }
+
     /** Records when a peer's copy was last known to be current. This node's copy must have reached the same revision. */
     recordPeerFreshTime(freshAt: number): void {
         this.lastPeerFreshTime = Math.max(this.lastPeerFreshTime, freshAt);
--- a/tests/platform/restoredStore.test.ts
+++ b/tests/platform/restoredStore.test.ts
@@ -68,6 +68,86 @@
         harness.register("first", "documents", undefined, "draining");
         await assertAllNodesKnow({ leaving: ["first"], ids: ["first", "second"] });
     });
+
+    it("delays no change beyond its bound once its revisions have passed the known ones", async () => {
+        const copy = harness.store.createCopy();
+        putChanges(3);
+        await delay(settleMilliseconds);
+        harness.store.faults = { isSilent: true };
+        harness.store.restore(copy);
+        harness.register("first", "documents", undefined, "draining");
+        putChanges(6);
+        await delay(settleMilliseconds);
+        harness.store.faults = {};
+        await assertAllNodesKnow({ leaving: ["first"], ids: ["first", "second"] });
+    });
+
+    it("delays no change beyond its bound in the third of three returns in a row", async () => {
+        for (let count = 0; count < 3; count++) {
+            const copy = harness.store.createCopy();
+            putChanges(4);
+            await delay(60);
+            harness.store.restore(copy);
+            putConfiguration();
+        }
+        harness.register("first", "documents", undefined, "draining");
+        await assertAllNodesKnow({ leaving: ["first"], ids: ["first", "second"] });
+    });
+
+    it("ends no known leaving of an endpoint by a record of before", async () => {
+        const copy = harness.store.createCopy();
+        harness.register("first", "documents", undefined, "draining");
+        await delay(settleMilliseconds);
+        harness.store.restore(copy);
+        await assertAllNodesKnow({ leaving: ["first"], ids: ["first", "second"] });
+        assert.equal(harness.endpoints.get("first")!.runs.length, 0);
+    });
+
+    it("brings back no endpoint that is known to be gone", async () => {
+        const copy = harness.store.createCopy();
+        harness.store.remove("servers/first");
+        await delay(settleMilliseconds);
+        harness.store.restore(copy);
+        await assertAllNodesKnow({ leaving: [], ids: ["second"] });
+        harness.store.remove("servers/first");
+        await assertAllNodesKnow({ leaving: [], ids: ["second"] });
+    });
+
+    it("drops an endpoint whose record it lost if it is not written again", async () => {
+        const copy = harness.store.createCopy();
+        await harness.addEndpoint("third", "documents");
+        await harness.addEndpoint("fourth", "documents");
+        await delay(settleMilliseconds);
+        harness.store.restore(copy);
+        harness.register("fourth", "documents");
+        await assertAllNodesKnow({ leaving: [], ids: ["first", "fourth", "second"] });
+    });
+
+    it("gives a node that starts after it the newest known configuration through its peers", async () => {
+        const copy = harness.store.createCopy();
+        putChanges(3);
+        await delay(settleMilliseconds);
+        harness.store.restore(copy);
+        await delay(settleMilliseconds);
+        nodes.push(await harness.addNode(refused.getAddress()));
+        await assertAllNodesKnow({ leaving: [], ids: ["first", "second"] });
+    });
+
+    // The store had given out the revision again, for a write of another process.
+    it("executes no write that expects a revision of before", async () => {
+        const copy = harness.store.createCopy();
+        harness.store.put("key", { value: "earlier" });
+        const store = nodes[0]!.store;
+        const earlier = await store.get("key");
+        assert.ok(earlier.ok && earlier.val !== undefined);
+        harness.store.restore(copy);
+        harness.store.put("key", { value: "later" });
+        await delay(settleMilliseconds);
+        const swapped = await store.compareAndSwap("key", earlier.val.revision, "overwritten");
+        assert.ok(swapped.ok && !swapped.val.swapped);
+        assert.equal(harness.store.getText("key"), JSON.stringify({ value: "later" }));
+        assert.equal(swapped.val.current?.value, JSON.stringify({ value: "later" }));
+    });
 });
 
 function listEndpoints({ node }: StartedNode): { registeredId: string; isDraining: boolean; }[] {
--- a/tests/platform/routerTestHarness.ts
+++ b/tests/platform/routerTestHarness.ts
@@ -96,10 +96,13 @@
         const address = `127.0.0.1:${callerPort}`;
         const peerAddress = `127.0.0.1:${peerPort}`;
         const log = RecordingEventLog.create();
-        const store = KeyValueStore.create(storeAddress, { onCall: () => undefined, onEra: () => undefined });
+        const store = KeyValueStore.create(storeAddress, {
+            onCall: () => undefined,
+            onEra: (_era, earlierEra) => earlierEra !== undefined && node.handleStoreRestored(),
+        });
         const barrier = InputBarrier.create();
         const clock = EventLoopMonitor.create({ clock: systemClock, barrier, log, getProcessorTime });
-        const node = RouterNode.create({
+        const node: RouterNode = RouterNode.create({
             nodeId: `node-${this.nodes.length}`,
             version: "test",
             settings: {
--- a/tests/process/router/endpointRegistry.test.ts
+++ b/tests/process/router/endpointRegistry.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { events } from "../../../src/process/logging/events.ts";
+import { EraRevision } from "../../../src/process/replica/eraRevision.ts";
 import { EndpointReadings } from "../../../src/process/router/endpointReadings.ts";
 import { EndpointRegistry } from "../../../src/process/router/endpointRegistry.ts";
 import { createEndpointKey } from "../../../src/request/relay/createEndpointKey.ts";
@@ -106,4 +107,42 @@
         assert.deepEqual(getIds(), []);
         assert.equal(getCount(), 2);
     });
+
+    describe("of a store that came back from an older copy", () => {
+        /** Registers an endpoint, removes it, and applies its record again in the next era. */
+        function returnRemoved(text: string) {
+            const fixture = createFixture();
+            fixture.registry.applyRecord({ key: "1", revision: EraRevision.create(1, 5), text: "ready" }, "store");
+            fixture.registry.applyRecord({ key: "1", revision: EraRevision.create(1, 6), text: undefined }, "store");
+            fixture.registry.applyRecord({ key: "1", revision: EraRevision.create(2, 5), text }, "store");
+            return fixture;
+        }
+
+        it("returns no endpoint that is known to be gone, unless its record does not expire", async () => {
+            const { clock, getIds } = returnRemoved("ready");
+            await clock.advance(5_000);
+            assert.deepEqual(getIds(), []);
+            await clock.advance(2_000);
+            assert.deepEqual(getIds(), ["1"]);
+        });
+
+        it("returns such an endpoint as soon as its record is written again", () => {
+            const { registry, getIds } = returnRemoved("ready");
+            registry.applyRecord({ key: "1", revision: EraRevision.create(2, 9), text: "ready" }, "store");
+            assert.deepEqual(getIds(), ["1"]);
+        });
+
+        it("returns a later start of such an endpoint at once", () => {
+            assert.deepEqual(returnRemoved("ready 2").getIds(), ["1"]);
+        });
+
+        it("does not return it if its record expires, also after the next copy", async () => {
+            const { clock, registry, getIds } = returnRemoved("ready");
+            registry.applyRecord({ key: "1", revision: EraRevision.create(2, 9), text: undefined }, "store");
+            await clock.advance(10_000);
+            assert.deepEqual(getIds(), []);
+            registry.applyRecord({ key: "1", revision: EraRevision.create(3, 5), text: "ready" }, "store");
+            assert.deepEqual(getIds(), []);
+        });
+    });
 });
