Give out no fencing number twice after the store has come back from an older copy

What would be seen: orders of two nodes under the same fencing number, which endpoints can't tell apart. Cause: the number follows from the lease's record, and an older copy lacks the last ones that were given out; a holder of before went on while another process acquired the lease that the copy had free or expired. Change: the numbers of an era begin at the era times a million. When the era rises, a holder no longer holds the lease until it has acquired it again; another process waits until the time to live of a holder of before is over, and ignores its release notices.

--- a/src/process/leases/fencedLease.ts
+++ b/src/process/leases/fencedLease.ts
@@ -23,6 +23,8 @@
     timeToLiveMilliseconds: number;
     /** Maximum time from sending an order to its completion, in milliseconds. */
     longestOrderMilliseconds: number;
+    /** Gets the era of the store, which rises each time that it comes back from an older copy; undefined if it is unknown. */
+    getStoreEra?(): number | undefined;
 }
 
 /**
@@ -132,6 +134,13 @@
         }
     }
 
+    /** Handles that the store has come back from an older copy: the lease is no longer held until it is acquired again. */
+    handleStoreRestored(): void {
+        if (!this.isStopped) {
+            this.apply(this.state.wake(this.getTime()));
+        }
+    }
+
     /** Checks if this process holds the lease now. */
     isHeld(): boolean {
         return this.getFencingNumber() !== undefined;
--- a/src/process/leases/leaseState.ts
+++ b/src/process/leases/leaseState.ts
@@ -5,6 +5,7 @@
 import { type PlatformError, PlatformErrorKind } from "../platform/platformError.ts";
 import type { StoredValue, SwapOutcome } from "../platform/platformStore.ts";
 import type { RandomSource } from "../randomSource.ts";
+import { EraRevision } from "../replica/eraRevision.ts";
 import type { LeaseOutput } from "./leaseOutput.ts";
 import type { LeaseRecord } from "./leaseRecord.ts";
 import type { LeaseRelease } from "./leaseRelease.ts";
@@ -19,6 +20,8 @@
     timeToLiveMilliseconds: number;
     /** Maximum time from sending an order to its completion, in milliseconds. */
     longestOrderMilliseconds: number;
+    /** Gets the era of the store, which rises each time that it comes back from an older copy; undefined if it is unknown. */
+    getStoreEra?(): number | undefined;
 }
 
 /** The last known state of the lease's key. */
@@ -37,6 +40,11 @@
 
 /** Factor by which a successor waits longer, because clocks run at different speeds. */
 const driftFactor = 1.01;
+/**
+ * Fencing numbers of a later era of the store are higher than all of an earlier one, since an older copy of the store does not
+ * contain the last number that was given out.
+ */
+const fencingNumbersPerEra = 1_000_000;
 const renewalsPerTimeToLive = 3;
 const retriesPerTimeToLive = 10;
 
@@ -53,6 +61,9 @@
     private sent: Write | undefined;
     /** Own writes with an unknown outcome, by write id. All compare with the observed revision. */
     private readonly undetermined = new Map<string, Write>();
+    private era: number | undefined;
+    /** Monotonic time in milliseconds before which the lease is not acquired, since a holder of an earlier era may still act. */
+    private blockedUntil = -Infinity;
     private isCalling = false;
     private isWanted = true;
     /** Fencing number of the lease that this process released last. */
@@ -135,7 +146,8 @@
      */
     noteRelease({ revision, fencingNumber }: LeaseRelease, time: EventTime): LeaseOutput {
         const isNewer = this.observed === undefined || this.observed.revision < revision;
-        if (isNewer && !this.isValid(this.held, time.monotonic)) {
+        const isOfEra = EraRevision.getEra(revision) >= (this.era ?? 0);
+        if (isNewer && isOfEra && !this.isValid(this.held, time.monotonic)) {
             this.setReleased({ revision, fencingNumber }, time);
         }
         return this.step(time);
@@ -236,7 +248,32 @@
         this.held = undefined;
     }
 
+    /**
+     * Forgets all that was known of the store before it came back from an older copy. The record may be lost together with the number,
+     * and another process may acquire the lease. A process that did not hold it waits until the earlier holder's time to live is over.
+     */
+    private checkEra({ monotonic }: EventTime): void {
+        const era = this.options.getStoreEra?.();
+        if (era === undefined || era === this.era) {
+            return;
+        }
+        const isFirst = this.era === undefined;
+        this.era = era;
+        if (isFirst) {
+            return;
+        }
+        if (!this.isValid(this.held, monotonic)) {
+            const { timeToLiveMilliseconds, longestOrderMilliseconds } = this.options;
+            this.blockedUntil = monotonic + (timeToLiveMilliseconds + longestOrderMilliseconds) * driftFactor;
+        }
+        this.lose();
+        this.observed = undefined;
+        this.sent = undefined;
+        this.undetermined.clear();
+    }
+
     private step(time: EventTime): LeaseOutput {
+        this.checkEra(time);
         if (!this.isValid(this.held, time.monotonic)) {
             this.lose();
         }
@@ -255,7 +292,7 @@
         const { timeToLiveMilliseconds, longestOrderMilliseconds, holder } = this.options;
         const record: LeaseRecord = {
             holder,
-            fencingNumber: this.held?.record.fencingNumber ?? this.highestFencingNumber + 1,
+            fencingNumber: this.held?.record.fencingNumber ?? this.getNextFencingNumber(),
             writeId: this.createWriteId(),
             isReleased: false,
             timeToLiveMilliseconds,
@@ -266,6 +303,10 @@
         return { kind: "swap", expectedRevision: this.observed.revision, value: JSON.stringify(record) };
     }
 
+    private getNextFencingNumber(): number {
+        return Math.max(this.highestFencingNumber, (this.era ?? 0) * fencingNumbersPerEra) + 1;
+    }
+
     private getCallTime(): number {
         if (this.held !== undefined) {
             const { timeToLiveMilliseconds } = this.options;
@@ -277,11 +318,15 @@
     /** Gets the time at which the lease may be acquired: its time to live plus the maximum order time after it was first seen. */
     private getAcquireTime(): number {
         const { record, firstSeenAt } = this.observed ?? {};
-        if (record === undefined || firstSeenAt === undefined) {
+        if (firstSeenAt === undefined) {
             return -Infinity;
         }
+        if (record === undefined) {
+            return this.blockedUntil;
+        }
         const timeToLive = record.isReleased ? 0 : record.timeToLiveMilliseconds;
-        return firstSeenAt + (timeToLive + record.longestOrderMilliseconds) * driftFactor + this.acquireJitter;
+        const endsAt = firstSeenAt + (timeToLive + record.longestOrderMilliseconds) * driftFactor + this.acquireJitter;
+        return Math.max(endsAt, this.blockedUntil);
     }
 
     private getWakeTime(): number | undefined {
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -182,6 +182,7 @@
             holder: nodeId,
             timeToLiveMilliseconds: leaseTtlMilliseconds,
             longestOrderMilliseconds,
+            getStoreEra: () => store.getEra(),
         });
         this.storeWatch = StoreWatchController.create({
             nodeId,
@@ -360,6 +361,7 @@
 
     /** Handles that the store has come back from an older copy, and may have lost what it had acknowledged. */
     handleStoreRestored(): void {
+        this.lease.handleStoreRestored();
         this.storeWatch.handleStoreRestored();
     }
 
--- a/tests/process/leases/leaseState.test.ts
+++ b/tests/process/leases/leaseState.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { LeaseState } from "../../../src/process/leases/leaseState.ts";
+import { EraRevision } from "../../../src/process/replica/eraRevision.ts";
 import { Ok } from "../../../src/result.ts";
 
 describe("LeaseState", () => {
@@ -63,4 +64,74 @@
         state.noteRelease({ revision: 9, fencingNumber: 7 }, { monotonic: 4_020, wall: 0 });
         assert.equal(state.getFencingNumber(4_030), 8);
     });
+
+    describe("of a store that came back from an older copy", () => {
+        const timeToLiveMilliseconds = 3_000;
+        const longestOrderMilliseconds = 300;
+        const time = (monotonic: number) => ({ monotonic, wall: 0 });
+
+        /** Creates a process that read the lease at time 0, when its key was absent. */
+        function start() {
+            const store = { era: 1 };
+            const state = LeaseState.create({
+                random: () => 0.5,
+                holder: "node-1",
+                timeToLiveMilliseconds,
+                longestOrderMilliseconds,
+                getStoreEra: () => store.era,
+            });
+            state.wake(time(0));
+            return { store, state, read: state.finishRead(Ok(undefined), time(0)) };
+        }
+
+        function getFencingNumber(call: ReturnType<LeaseState["wake"]>["call"]): number {
+            assert.equal(call?.kind, "swap");
+            return (JSON.parse(call.value) as { fencingNumber: number; }).fencingNumber;
+        }
+
+        // The copy did not have the record of the last holder, so its number was given out again.
+        it("gives out no fencing number twice", () => {
+            const first = start();
+            const earlier = getFencingNumber(first.read.call);
+            const second = start();
+            second.store.era = 2;
+            second.state.wake(time(10));
+            second.state.finishRead(Ok(undefined), time(20));
+            const later = getFencingNumber(second.state.wake(time(5_000)).call);
+            assert.ok(later > earlier, `${later} after ${earlier}`);
+        });
+
+        it("is not held by its holder until it is acquired again, with a higher number", () => {
+            const { store, state, read } = start();
+            state.finishSwap(Ok({ swapped: true, revision: 1 }), time(10));
+            assert.equal(state.getFencingNumber(20), getFencingNumber(read.call));
+            store.era = 2;
+            assert.equal(state.wake(time(30)).call?.kind, "read");
+            assert.equal(state.getFencingNumber(40), undefined);
+            const again = state.finishRead(Ok(undefined), time(50));
+            assert.ok(getFencingNumber(again.call) > getFencingNumber(read.call));
+        });
+
+        it("is acquired by another process only after the time to live of an earlier holder", () => {
+            const { store, state } = start();
+            state.finishSwap(Ok({ swapped: false, current: undefined }), time(10));
+            store.era = 2;
+            state.wake(time(1_000));
+            state.finishRead(Ok(undefined), time(1_010));
+            assert.equal(state.wake(time(1_000 + timeToLiveMilliseconds)).call, undefined);
+            const end = 1_000 + (timeToLiveMilliseconds + longestOrderMilliseconds) * 1.1;
+            assert.equal(state.wake(time(end)).call?.kind, "swap");
+        });
+
+        it("ignores a release notice of before", () => {
+            const { store, state } = start();
+            state.finishSwap(Ok({ swapped: false, current: undefined }), time(10));
+            store.era = 2;
+            state.wake(time(1_000));
+            state.finishRead(Ok(undefined), time(1_010));
+            const notice = { revision: EraRevision.create(1, 90), fencingNumber: 1_000_004 };
+            assert.equal(state.noteRelease(notice, time(1_020)).call, undefined);
+            assert.equal(state.wake(time(2_000)).call, undefined);
+        });
+    });
 });
