Store the plan of layers and quarantined requests again that a restored store has lost

What would be seen: after a return from an older copy and the loss of all nodes, another plan of layers, with a move of each endpoint, and a request that crashes endpoints, which is sent again. Cause: both are written once, when they arise, and the store was taken to lose nothing. Evidence: the tests of both fail without the change (the restored store has neither). Change: when the era rises, the last holder of the lease writes the plans that the copy lacks, and a node that holds requests back writes them; both by compare-and-swap, one call each. A holder that finds no plan prefers the one that it knows to a new one.

--- a/src/process/placement/placementController.ts
+++ b/src/process/placement/placementController.ts
@@ -61,6 +61,8 @@
 export class PlacementController {
     private readonly options: PlacementControllerOptions;
     private readonly plans = new Map<string, LayerColumn[]>();
+    /** The last known record of each service's plan in the store, even if the store may have lost it. */
+    private readonly knownRecords = new Map<string, PlacementRecord>();
     /**
      * Services for which the store was read under the current lease, whether or not it contained a plan. A stored plan
      * is used immediately; only a new plan waits until all endpoints have registered.
@@ -102,6 +104,20 @@
         this.timer = undefined;
     }
 
+    /**
+     * Handles that the store has come back from an older copy. The last holder of the lease writes the plans that the copy lacks, so
+     * that a later holder does not make another one and move layers.
+     */
+    handleStoreRestored(): void {
+        this.loadedFencingNumber = 0;
+        if (this.options.lease.getLastNumber() === undefined) {
+            return;
+        }
+        for (const record of this.knownRecords.values()) {
+            void this.writeRecord(record, 0);
+        }
+    }
+
     /** Checks if orders are due or pending, as of the last check of a candidate or the lease holder. */
     hasWork(): boolean {
         return this.isWorkDue;
@@ -248,7 +264,7 @@
         endpoints: readonly RegisteredEndpoint[],
         canCreatePlan: boolean,
     ): Promise<void> {
-        const { store, keyPrefix, log, clock } = this.options;
+        const { store, keyPrefix, log } = this.options;
         const key = `${keyPrefix}${service}`;
         const stored = await store.get(key);
         if (stored.err) {
@@ -257,27 +273,56 @@
         }
         this.servicesReadFromStore.add(service);
         const record = stored.val === undefined ? undefined : parseRecord(stored.val.value);
-        if (record !== undefined && record.layers === model.layers && record.modelName === model.modelName) {
+        if (record !== undefined && isRecordOf(model, record)) {
             this.plans.set(service, record.columns);
+            this.knownRecords.set(service, record);
             log.write(events.placementPlanned, { service, source: "store", columns: formatColumns(record.columns) });
             return;
         }
         if (!canCreatePlan) {
             return;
         }
-        const columns = await runInSlices(searchColumns(model, countKinds(model, endpoints)), clock);
-        if (columns.length === 0) {
+        const newRecord = await this.createRecord(service, model, endpoints);
+        if (newRecord.columns.length === 0) {
             log.write(events.layersWithoutEngine, { service });
             return;
         }
-        const newRecord: PlacementRecord = { service, modelName: model.modelName, layers: model.layers, columns };
-        const written = await store.compareAndSwap(key, stored.val?.revision ?? 0, JSON.stringify(newRecord));
         // If the answer was lost or another node stored a plan first, the next attempt reads the stored plan.
-        if (written.ok && written.val.swapped) {
-            this.plans.set(service, columns);
-            log.write(events.placementPlanned, { service, source: "computed", columns: formatColumns(columns) });
+        if (await this.writeRecord(newRecord, stored.val?.revision ?? 0)) {
+            this.plans.set(service, newRecord.columns);
+            const columns = formatColumns(newRecord.columns);
+            log.write(events.placementPlanned, { service, source: "computed", columns });
+        }
+    }
+
+    /** Gets the last known plan, which the store may have lost, or makes one. */
+    private async createRecord(
+        service: string,
+        model: EngineModel,
+        endpoints: readonly RegisteredEndpoint[],
+    ): Promise<PlacementRecord> {
+        const known = this.knownRecords.get(service);
+        if (known !== undefined && isRecordOf(model, known)) {
+            return known;
         }
+        const columns = await runInSlices(searchColumns(model, countKinds(model, endpoints)), this.options.clock);
+        return { service, modelName: model.modelName, layers: model.layers, columns };
     }
+
+    private async writeRecord(record: PlacementRecord, expectedRevision: number): Promise<boolean> {
+        const { store, keyPrefix } = this.options;
+        const key = `${keyPrefix}${record.service}`;
+        const written = await store.compareAndSwap(key, expectedRevision, JSON.stringify(record));
+        const isWritten = written.ok && written.val.swapped;
+        if (isWritten) {
+            this.knownRecords.set(record.service, record);
+        }
+        return isWritten;
+    }
+}
+
+function isRecordOf(model: EngineModel, { layers, modelName }: PlacementRecord): boolean {
+    return layers === model.layers && modelName === model.modelName;
 }
 
 function parseRecord(text: string): PlacementRecord | undefined {
--- a/src/process/router/quarantinePersister.ts
+++ b/src/process/router/quarantinePersister.ts
@@ -58,6 +58,14 @@
         void this.run();
     }
 
+    /** Handles that the store has come back from an older copy, which may lack quarantined requests. */
+    handleStoreRestored(): void {
+        const { quarantine, clock } = this.options;
+        if (quarantine.getHeldCrashes(clock.getMonotonicTime()).length > 0) {
+            this.save();
+        }
+    }
+
     /** Makes no further calls. */
     stop(): void {
         this.isStopped = true;
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -363,6 +363,8 @@
     handleStoreRestored(): void {
         this.lease.handleStoreRestored();
         this.storeWatch.handleStoreRestored();
+        this.quarantinePersister.handleStoreRestored();
+        this.placementController.handleStoreRestored();
     }
 
     /** Reports this node as not ready to the load balancer, and gives up its duties. */
--- a/tests/platform/restoredStore.test.ts
+++ b/tests/platform/restoredStore.test.ts
@@ -2,6 +2,7 @@
 import { after, afterEach, before, beforeEach, describe, it } from "node:test";
 import { createConfiguration } from "../../standins/router/createConfiguration.ts";
 import { KeyValueStandin } from "../../standins/router/keyValueStandin.ts";
+import { waitUntil } from "../support/waitUntil.ts";
 import { RouterTestHarness, type StartedNode } from "./routerTestHarness.ts";
 
 /** Time within which a change must be in force, and an endpoint that leaves must get no more requests, in milliseconds. */
@@ -148,6 +149,27 @@
         assert.equal(harness.store.getText("key"), JSON.stringify({ value: "later" }));
         assert.equal(swapped.val.current?.value, JSON.stringify({ value: "later" }));
     });
+
+    it("gets a plan of layers that it lost back, and orders have higher fencing numbers than before", async () => {
+        const copy = harness.store.createCopy();
+        for (const id of ["e1", "e2"]) {
+            await harness.addEndpoint(id, "model");
+        }
+        const getLayers = (id: string) => harness.endpoints.get(id)!.layers;
+        await waitUntil("both hold layers", () => getLayers("e1") !== undefined && getLayers("e2") !== undefined);
+        const plan = harness.store.getText("foxlead/placement/model");
+        harness.store.restore(copy);
+        for (const id of ["e1", "e2"]) {
+            harness.register(id, "model", getLayers(id));
+        }
+        await waitUntil("the plan is back", () => harness.store.getText("foxlead/placement/model") === plan);
+        await harness.addEndpoint("e3", "model");
+        await waitUntil("the new endpoint holds layers", () => getLayers("e3") !== undefined);
+        const fences = (ids: string[]) =>
+            ids.flatMap(id => harness.endpoints.get(id)!.orders.map(({ fence }) => fence));
+        const before = Math.max(...fences(["e1", "e2"]).map(Number));
+        assert.ok(fences(["e3"]).every(fence => Number(fence) > before), `${fences(["e3"])} after ${before}`);
+    });
 });
 
 function listEndpoints({ node }: StartedNode): { registeredId: string; isDraining: boolean; }[] {
--- a/tests/process/placement/placementController.test.ts
+++ b/tests/process/placement/placementController.test.ts
@@ -98,4 +98,28 @@
         assert.equal(orders.length, 1);
         assert.deepEqual(orders[0]!.order.layers, third);
     });
+
+    // Another plan would have moved the layers of all endpoints.
+    it("stores the plan in use again if the store came back from an older copy without it", async () => {
+        const copy = store.takeSnapshot();
+        await storePlan();
+        const plan = store.peek(planKey)!.value;
+        const controller = start(2);
+        await clock.advance(600);
+        store.restore(copy);
+        controller.handleStoreRestored();
+        await clock.advance(3_000);
+        assert.equal(store.peek(planKey)?.value, plan);
+    });
+
+    it("leaves a plan that the older copy has as it is", async () => {
+        await storePlan();
+        const copy = store.takeSnapshot();
+        const controller = start(2);
+        await clock.advance(600);
+        store.restore(copy);
+        controller.handleStoreRestored();
+        await clock.advance(3_000);
+        assert.deepEqual(store.peek(planKey), copy.get(planKey));
+    });
 });
--- a/tests/process/router/quarantinePersister.test.ts
+++ b/tests/process/router/quarantinePersister.test.ts
@@ -100,4 +100,20 @@
         await clock.advance(10);
         assert.ok(later.getRemaining("harmful") !== undefined);
     });
+
+    it("saves what was quarantined again after the store came back from an older copy without it", async () => {
+        const store = MemoryStore.create();
+        const clock = FakeClock.create();
+        const copy = store.takeSnapshot();
+        const first = createNode(store, clock);
+        first.hold("harmful");
+        await clock.advance(100);
+        store.restore(copy);
+        first.persister.handleStoreRestored();
+        await clock.advance(1_000);
+        const second = createNode(store, clock);
+        second.persister.start();
+        await clock.advance(10);
+        assert.ok(second.getRemaining("harmful") !== undefined);
+    });
 });
