Keep endpoints whose records lapsed in a long outage of the store until they can be back

Cause: the time of the last failure was that of the last failed call for changes. During an outage only the probe calls the store, so that the failure was 4 s old when the outage ended, and a removal is in doubt for 2 s only. Evidence: the new test of the watch controller, before: last failure at 4,525 ms where the outage still lasts at 10,000 ms. Change: a probe that is not answered counts as a failure of the store.

--- a/src/process/router/storeProbe.ts
+++ b/src/process/router/storeProbe.ts
@@ -16,6 +16,7 @@
     private isActive = false;
     private isCalling = false;
     private isAnswered = true;
+    private lastFailureAt = -Infinity;
 
     private constructor(options: StoreProbeOptions) {
         this.options = options;
@@ -44,6 +45,11 @@
         return this.isAnswered;
     }
 
+    /** Gets the monotonic time in milliseconds of the last call that was not answered. */
+    getLastFailure(): number {
+        return this.lastFailureAt;
+    }
+
     private async probe(): Promise<void> {
         const { clock, callStore } = this.options;
         this.timer = undefined;
@@ -54,6 +60,9 @@
             return;
         }
         this.isAnswered = isAnswered;
+        if (!isAnswered) {
+            this.lastFailureAt = clock.getMonotonicTime();
+        }
         this.timer = clock.setTimer(this.options.intervalMilliseconds, () => void this.probe());
     }
 }
--- a/src/process/router/storeWatchController.ts
+++ b/src/process/router/storeWatchController.ts
@@ -138,7 +138,8 @@
 
     /** Gets the monotonic time in milliseconds of the last store failure that any node has found. */
     getLastFailure(): number {
-        return Math.max(this.lastPeerFailure, ...this.options.followers.map(follower => follower.getLastFailure()));
+        const failures = this.options.followers.map(follower => follower.getLastFailure());
+        return Math.max(this.lastPeerFailure, this.probe.getLastFailure(), ...failures);
     }
 
     /** Handles that the store has come back from an older copy: all records are read again. */
--- a/tests/process/router/storeWatchController.test.ts
+++ b/tests/process/router/storeWatchController.test.ts
@@ -133,4 +133,13 @@
         await advance(3_000);
         assert.equal(leaseCalls.at(-1), "pause");
     });
+
+    // All records that lapsed in an outage of 4 s were taken as gone, since the last failed call was long ago when it ended.
+    it("knows of a failure of the store as long as it lasts", async () => {
+        const { store, controller, advance } = start({ otherCount: 8 });
+        await advance(4_000);
+        store.isDown = true;
+        await advance(6_000);
+        assert.ok(controller.getLastFailure() >= 9_000, `last failure at ${controller.getLastFailure()}`);
+    });
 });
