Confirm the copies of few nodes by the calls of one of them

Change: with few nodes only the first of the selected ones makes the calls, after a quarter of the configuration time; any other after 0.6 of it, if no message has told it that its copy is current.

--- a/src/process/router/storeWatchController.ts
+++ b/src/process/router/storeWatchController.ts
@@ -6,6 +6,7 @@
 import type { RecordFollower } from "../replica/recordFollower.ts";
 import { isStoreWatcher } from "./isStoreWatcher.ts";
 import type { KnownNode } from "./knownNode.ts";
+import { listStoreWatchers } from "./listStoreWatchers.ts";
 import type { NodeTable } from "./nodeTable.ts";
 import { StoreProbe } from "./storeProbe.ts";
 
@@ -53,12 +54,12 @@
 /** Number of probes within the configuration time. */
 const probesPerConfigurationTime = 5;
 /**
- * A selected watcher whose copy was not confirmed for this fraction of the configuration time confirms it by a call. All other nodes
- * learn it from the watchers' messages.
+ * A selected node whose copy was not confirmed for this fraction of the configuration time confirms it by a call. All other nodes
+ * learn it from messages.
  */
-const watcherConfirmationFraction = 0.2;
-/** The same for any other node that calls the store, in case that no watcher has told it in time. */
-const confirmationFraction = 0.5;
+const selectedConfirmationFraction = 0.25;
+/** The same for any other node that calls the store, in case that no message has told it in time. */
+const confirmationFraction = 0.6;
 
 /**
  * Decides from the live nodes whether this node watches the store or gets changes from other nodes. Tracks how current this
@@ -187,9 +188,8 @@
 
     /** Confirms the copy by a call if nothing else has for some time. */
     private confirmCopy(others: readonly KnownNode[], now: number): void {
-        const { nodeId, owners, followers, configurationMilliseconds } = this.options;
-        const isSelected = isStoreWatcher({ nodeId, isWithoutStore: this.isWithoutStore() }, others, owners);
-        const fraction = isSelected ? watcherConfirmationFraction : confirmationFraction;
+        const { followers, configurationMilliseconds } = this.options;
+        const fraction = this.isSelectedToConfirm(others) ? selectedConfirmationFraction : confirmationFraction;
         if (now - this.getFreshTime() < configurationMilliseconds * fraction) {
             return;
         }
@@ -198,6 +198,13 @@
         }
     }
 
+    /** With few nodes the word of one reaches all others soon; with many it is that of all watchers. */
+    private isSelectedToConfirm(others: readonly KnownNode[]): boolean {
+        const { nodeId, owners } = this.options;
+        const { watching } = listStoreWatchers([...others, { nodeId, isWithoutStore: this.isWithoutStore() }], owners);
+        return others.length < independentNodeLimit ? watching[0] === nodeId : watching.includes(nodeId);
+    }
+
     /** Reports the age of the copy, and logs when it exceeds the time within which a change must be in force, and when it no longer does. */
     private reportCopyAge(now: number): void {
         const { log, followers, configurationMilliseconds, onCopyAge } = this.options;
