Fetch changes from another peer if one does not answer for a second

What would be seen: a node without the store that stays behind its peers for 3 s, where 2 s are allowed. Cause: a section has one fetch in flight, and its timeout is 3 s, as long as a whole section may take over a slow link. A peer that does not answer, for instance on a connection that has gone silent, kept the node from all others for that time. Change: after a second without an answer another peer is asked; the same one isn't asked again meanwhile.

--- a/src/process/router/changeFetcher.ts
+++ b/src/process/router/changeFetcher.ts
@@ -17,7 +17,7 @@
 interface ChangeFetcherOptions {
     sections: readonly RecordSection[];
     dataCentre: string;
-    peers: RouterPeers;
+    peers: Pick<RouterPeers, "call">;
     clock: Clock;
     log: EventLog;
     /** Whether this node is a hub, which brings updates into its data centre, so that few copies cross data centres. */
@@ -40,13 +40,24 @@
  * For that reason it is not part of the exchange: it would exceed the timeout there, and each called peer would send it again.
  */
 const fetchTimeoutMilliseconds = 3_000;
+/** A peer that has not answered for this long may never do so. Another one is asked then; its answer makes the first one needless. */
+const unansweredMilliseconds = 1_000;
 /** Largest age that the message can hold (uint32); also stands for an unknown age. */
 const maximumAgeMilliseconds = 0xffff_ffff;
 
-/** Fetches changes of the store from peers that are ahead, with one call per section at a time. */
+/** A call in flight. */
+interface Fetch {
+    address: string;
+    sentAt: number;
+}
+
+/**
+ * Fetches changes of the store from peers that are ahead, with one call per section at a time, or one more if a peer does not answer.
+ */
 export class ChangeFetcher {
     private readonly options: ChangeFetcherOptions;
-    private readonly fetching = new Set<string>();
+    /** The latest call in flight by section. */
+    private readonly fetches = new Map<string, Fetch>();
     /** Monotonic time in milliseconds since which each section is known to be behind. */
     private readonly behindSince = new Map<string, number>();
 
@@ -71,7 +82,7 @@
             const behindSince = this.behindSince.get(name) ?? now;
             this.behindSince.set(name, behindSince);
             const isFetchDue = shouldFetch({
-                isFetching: this.fetching.has(name),
+                isFetching: this.isFetching(name, peer.address, now),
                 isEmpty: section.getFrontier() === 0,
                 isNear: peer.dataCentre === dataCentre,
                 isHub: isHub(),
@@ -109,16 +120,24 @@
         });
     }
 
+    private isFetching(section: string, address: string, now: number): boolean {
+        const fetch = this.fetches.get(section);
+        return fetch !== undefined && (fetch.address === address || now - fetch.sentAt < unansweredMilliseconds);
+    }
+
     private async fetch(section: RecordSection, peer: ChangeSourcePeer): Promise<void> {
         const { peers, clock } = this.options;
-        this.fetching.add(section.name);
         const sentAt = clock.getMonotonicTime();
+        const fetch = { address: peer.address, sentAt };
+        this.fetches.set(section.name, fetch);
         const frontier = { section: section.name, revision: BigInt(section.getFrontier()) };
         const response = await peers.call(
             peer.address,
             client => client.fetch({ frontier }, { timeoutMs: fetchTimeoutMilliseconds }),
         );
-        this.fetching.delete(section.name);
+        if (this.fetches.get(section.name) === fetch) {
+            this.fetches.delete(section.name);
+        }
         if (response === undefined) {
             return;
         }
