Let the soak's store lose waiting calls and come back from older copies

Change: waitsLost, during which the checks with a time limit hold on; storeRestored, after which the operator and the endpoints write again what they wrote, and records of ended endpoints expire; at the end, the newest configuration must be in force on every node.

--- a/scripts/soak/router/routerDeployment.ts
+++ b/scripts/soak/router/routerDeployment.ts
@@ -40,10 +40,13 @@
     readonly store: KeyValueStandin;
     readonly nodes: SoakNode[] = [];
     readonly endpoints: SoakEndpoint[] = [];
+    /** Whether a fault of the store is in progress. */
+    isStoreTaken = false;
     private readonly options: RouterDeploymentOptions;
     private readonly processes: ProcessStarter;
     private readonly directory = mkdtempSync(join(tmpdir(), "foxlead-soak-"));
     private version = 1;
+    private writeConfiguration: () => void = () => undefined;
 
     private constructor(options: RouterDeploymentOptions, store: KeyValueStandin) {
         this.options = options;
@@ -64,10 +67,33 @@
     /** Writes a new version of the configuration and returns the version. */
     configure(changes: object = {}): number {
         this.version += 1;
-        this.store.put("op/config", createConfiguration(this.version, changes, engineChanges));
+        this.writeConfiguration = () =>
+            this.store.put("op/config", createConfiguration(this.version, changes, engineChanges));
+        this.writeConfiguration();
         return this.version;
     }
 
+    /** Gets the newest version of the configuration. */
+    getVersion(): number {
+        return this.version;
+    }
+
+    /** Restores the store to an older copy. The operator and the endpoints then write again what they have written. */
+    restoreStore(copy: ReturnType<KeyValueStandin["createCopy"]>): void {
+        this.store.restore(copy);
+        this.writeConfiguration();
+        for (const endpoint of this.endpoints) {
+            void endpoint.handleStoreRestored();
+        }
+    }
+
+    /** Gets the version of the configuration in force at a node; undefined if it does not answer. */
+    async getVersionInForce({ ports }: SoakNode): Promise<number | undefined> {
+        const answer = await fetchText(`http://127.0.0.1:${ports.admin}/metrics`, checkTimeoutMilliseconds);
+        const version = /^foxlead_configuration_version (\d+)/m.exec(answer?.text ?? "")?.[1];
+        return version === undefined ? undefined : Number(version);
+    }
+
     /** Waits until all stages hold layers. */
     async waitForLayers(): Promise<void> {
         while (this.endpoints.some(endpoint => endpoint.isStage() && !endpoint.hasLayers())) {
--- a/scripts/soak/router/routerFaultKinds.ts
+++ b/scripts/soak/router/routerFaultKinds.ts
@@ -46,6 +46,9 @@
     storeRefuses: storeFault(2, longDuration, { refusalStatus: 503 }),
     storeSilent: storeFault(2, longDuration, { isSilent: true }),
     storeLosesAnswers: storeFault(2, longDuration, { losesAnswers: true }),
+    // Checks with a time limit hold on during this fault, unlike during those whose names begin with "store".
+    waitsLost: deploymentFault(2, ({ deployment }) => deployment.store.losePendingWatches()),
+    storeRestored: storeFault(3, longDuration, {}, ({ store }) => store.createCopy(), restoreStore),
     storeCompact: deploymentFault(2, ({ deployment }) => deployment.store.compact()),
     configurationChange: deploymentFault(2, ({ deployment }) => void deployment.configure()),
     harmfulRequest: deploymentFault(2, sendHarmful),
@@ -150,22 +153,47 @@
     process.signal("SIGCONT");
 }
 
-function storeFault(weight: number, durationMilliseconds: DurationRange, faults: KeyValueFaults): RouterFaultKind {
+function storeFault<State = void>(
+    weight: number,
+    durationMilliseconds: DurationRange,
+    faults: KeyValueFaults,
+    prepare: (deployment: RouterDeployment) => State = () => undefined as State,
+    finish: (context: RouterSoakContext, state: State) => Promise<void> | void = () => undefined,
+): RouterFaultKind {
     return createFaultKind({
         weight,
         durationMilliseconds,
-        take: ({ deployment: { store } }) => Object.keys(store.faults).length > 0 ? undefined : store,
+        take: ({ deployment }) => {
+            if (deployment.isStoreTaken) {
+                return undefined;
+            }
+            deployment.isStoreTaken = true;
+            return { deployment, state: prepare(deployment) };
+        },
         getName: () => "store",
-        inject: (_, store) => {
-            store.faults = faults;
+        inject: (_, { deployment }) => {
+            deployment.store.faults = faults;
         },
-        revert: (_, store) => {
-            store.faults = {};
+        revert: async (context, { deployment, state }) => {
+            await finish(context, state);
+            deployment.store.faults = {};
+        },
+        release: (_, { deployment }) => {
+            deployment.isStoreTaken = false;
         },
-        release: () => undefined,
     });
 }
 
+/** Makes the store silent for a moment and lets it come back from an older copy. */
+async function restoreStore(
+    { deployment, random }: RouterSoakContext,
+    copy: ReturnType<RouterDeployment["store"]["createCopy"]>,
+): Promise<void> {
+    deployment.store.faults = { isSilent: true };
+    await sleep(random.chooseInteger(...shortDuration));
+    deployment.restoreStore(copy);
+}
+
 function deploymentFault(
     weight: number,
     inject: (context: RouterSoakContext) => Promise<void> | void,
--- a/scripts/soak/router/runRouterSoak.ts
+++ b/scripts/soak/router/runRouterSoak.ts
@@ -79,6 +79,7 @@
     });
     await recoveryLoad.run();
     checkRecovery(parts);
+    await checkConfiguration(parts);
     checkMemory(parts);
     await Promise.all(deployment.nodes.map(node => deployment.terminate(node)));
     await callers.close();
@@ -102,6 +103,19 @@
     }
 }
 
+/** Checks that the newest configuration is in force on all nodes. */
+async function checkConfiguration({ deployment, violations }: SoakParts): Promise<void> {
+    for (const node of deployment.nodes) {
+        const version = await deployment.getVersionInForce(node);
+        if (version !== deployment.getVersion()) {
+            const expected = deployment.getVersion();
+            violations.addNow("outdated", `${node.name} has version ${version} in force, not ${expected}.`, [
+                node.name,
+            ]);
+        }
+    }
+}
+
 /** Checks the peak memory of each node's process. */
 function checkMemory({ deployment, violations }: SoakParts): void {
     for (const { name, process } of deployment.nodes) {
--- a/scripts/soak/router/soakEndpoint.ts
+++ b/scripts/soak/router/soakEndpoint.ts
@@ -50,6 +50,8 @@
     readonly proxy: LoopbackProxy;
     isTaken = false;
     private isRestarting = false;
+    /** Rewrites the last record of the current incarnation. */
+    private writeAgain: () => void = () => undefined;
     private readonly options: SoakEndpointOptions;
     private readonly incarnations: EndpointIncarnation[];
 
@@ -125,9 +127,23 @@
 
     /** Removes the store record, as the platform does after missed heartbeats. */
     unregister(): void {
+        this.writeAgain = () => undefined;
         this.options.store.remove(`servers/${this.getCurrent().id}`);
     }
 
+    /**
+     * Writes the record again if the store was restored to an older copy. Records of earlier incarnations, which the copy may contain,
+     * expire like those of a crashed endpoint.
+     */
+    async handleStoreRestored(): Promise<void> {
+        this.writeAgain();
+        const ended = this.incarnations.slice(0, -1);
+        await sleep(recordTimeToLiveMilliseconds);
+        for (const { id } of ended) {
+            this.options.store.remove(`servers/${id}`);
+        }
+    }
+
     /** Gets the runs of all incarnations. */
     getRuns(): SoakRun[] {
         return this.incarnations.flatMap(({ standin, id }) => standin.runs.map(run => ({ ...run, endpointId: id })));
@@ -157,9 +173,8 @@
         const { id, standin } = this.getCurrent();
         const service = this.isStage() ? "model" : "documents";
         const layers = this.isStage() ? standin.layers ?? null : undefined;
-        this.options.store.put(
-            `servers/${id}`,
-            createEndpointRecord({ service, address: this.proxy.getAddress(), state, slots, layers }),
-        );
+        const record = createEndpointRecord({ service, address: this.proxy.getAddress(), state, slots, layers });
+        this.writeAgain = () => this.options.store.put(`servers/${id}`, record);
+        this.writeAgain();
     }
 }
