--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -356,6 +356,8 @@
             peers: this.nodes.getLiveNodes(now),
             endpoints: this.registry.getAll(),
             endpointInstructions: this.instructions.getStatus(),
+            storeEra: this.options.store.getEra(),
+            storeCopyAgeMilliseconds: Math.round(now - this.storeWatch.getFreshTime()),
         };
     }
 
