Account for the lateness of the own process when judging whether peers are alive

What would be seen: a node of foxlead node on a starved machine that declares others dead, and takes on their duties. Cause: a call that timed out counted as the peer's miss, and a suspicion's deadline ran on, while this process itself was too late to read what had come. Evidence: lateProcess.test.ts, of whose three tests two fail without the change; the third holds that a peer that really does not answer is still declared dead in the same time. Change: the gossiper measures by how much its rounds are late. A call during which that was over a quarter of its time is no miss, and running deadlines are postponed by the lateness before they are checked. The fake clock can let time pass without running timers.

--- a/src/process/membership/gossiper.ts
+++ b/src/process/membership/gossiper.ts
@@ -19,6 +19,8 @@
 const defaultPullIntervalMilliseconds = 60_000;
 /** Largest jitter of a round, as a share of the interval. */
 const jitterRatio = 0.2;
+/** A call during which this process was late for more than this share of the time says nothing of the peer. */
+const maximumLateFraction = 0.25;
 
 /** Options of a {@link Gossiper}. */
 interface GossiperOptions {
@@ -58,6 +60,9 @@
     private readonly pending = new Set<string>();
     private readonly unsubscribe: () => void;
     private timer: TimerHandle | undefined;
+    private nextRoundAt: number | undefined;
+    /** Time by which all rounds together were late, in milliseconds. */
+    private lateness = 0;
     private isStopped = false;
     private lastContact: number | undefined;
 
@@ -120,15 +125,31 @@
             return;
         }
         const now = this.options.clock.getMonotonicTime();
+        const lateMilliseconds = this.getCurrentLateness(now);
+        this.lateness += lateMilliseconds;
+        this.nextRoundAt = undefined;
+        // What peers sent while this process was late is read only after this round.
+        this.view.postponeDeadlines(lateMilliseconds);
         this.view.advance(now);
         for (const contact of this.chooser.chooseRound(now)) {
             void this.contact(contact);
         }
         const interval = this.options.intervalMilliseconds ?? defaultIntervalMilliseconds;
         const delay = interval * (1 + jitterRatio * (2 * this.options.random() - 1));
+        this.nextRoundAt = now + delay;
         this.timer = this.options.clock.setTimer(delay, () => this.runRound());
     }
 
+    /** Gets the time by which the next round is overdue, in milliseconds. */
+    private getCurrentLateness(now: number): number {
+        return this.nextRoundAt === undefined ? 0 : Math.max(0, now - this.nextRoundAt);
+    }
+
+    /** Gets the time by which this process was late so far, in milliseconds. */
+    private getLateness(now: number): number {
+        return this.lateness + this.getCurrentLateness(now);
+    }
+
     private async contact(contact: Contact): Promise<void> {
         if (this.pending.has(contact.address)) {
             return;
@@ -148,6 +169,8 @@
     private async callHeartbeat(contact: Contact): Promise<boolean> {
         const member = contact.nodeId === undefined ? undefined : this.view.getMember(contact.nodeId);
         const request = this.exchange.createHeartbeat(member);
+        const sentAt = this.options.clock.getMonotonicTime();
+        const latenessBefore = this.getLateness(sentAt);
         let result = await this.options.callGossip(contact.address, request);
         if (result.err && result.val.kind === PeerErrorKind.TimedOut) {
             // The connection has been replaced. A peer that is alive answers over the new one.
@@ -155,7 +178,9 @@
         }
         const now = this.options.clock.getMonotonicTime();
         if (result.err) {
-            if (contact.nodeId !== undefined && !this.isStopped && isMiss(result.val.kind)) {
+            const lateMilliseconds = this.getLateness(now) - latenessBefore;
+            const isLate = lateMilliseconds > (now - sentAt) * maximumLateFraction;
+            if (contact.nodeId !== undefined && !this.isStopped && isMiss(result.val.kind) && !isLate) {
                 this.view.noteMiss(contact.nodeId, now);
             }
             return false;
--- a/src/process/membership/memberTimers.ts
+++ b/src/process/membership/memberTimers.ts
@@ -69,6 +69,15 @@
         this.getTimes(nodeId).suspicionDeadline ??= now + this.suspicionTimeoutMilliseconds;
     }
 
+    /** Postpones all deadlines that are running. */
+    postponeDeadlines(milliseconds: number): void {
+        for (const times of this.times.values()) {
+            if (times.suspicionDeadline !== undefined) {
+                times.suspicionDeadline += milliseconds;
+            }
+        }
+    }
+
     /** Records an answer of a member. It cancels the deadline only for a leaving member. */
     recordContact(nodeId: string, state: MemberState | undefined): void {
         const times = this.times.get(nodeId);
--- a/src/process/membership/membershipView.ts
+++ b/src/process/membership/membershipView.ts
@@ -174,6 +174,11 @@
         this.timers.recordContact(nodeId, this.members.get(nodeId)?.state);
     }
 
+    /** Extends the time in which suspects may refute their suspicion, because this process was late to read what they sent. */
+    postponeDeadlines(milliseconds: number): void {
+        this.timers.postponeDeadlines(milliseconds);
+    }
+
     /**
      * Declares members dead that did not refute a suspicion in time, and removes those whose retention has ended.
      * @param now - Monotonic time in milliseconds.
--- /dev/null
+++ b/tests/process/membership/lateProcess.test.ts
@@ -0,0 +1,95 @@
+import { create } from "@bufbuild/protobuf";
+import assert from "node:assert/strict";
+import { beforeEach, describe, it } from "node:test";
+import type { PeerError } from "../../../src/connection/peer/peerError.ts";
+import { PeerErrorKind } from "../../../src/connection/peer/peerErrorKind.ts";
+import { Gossiper } from "../../../src/process/membership/gossiper.ts";
+import type { Member } from "../../../src/process/membership/member.ts";
+import { MembershipView } from "../../../src/process/membership/membershipView.ts";
+import { MemberState } from "../../../src/process/membership/memberState.ts";
+import { Err, Ok, type Result } from "../../../src/result.ts";
+import { type GossipResponse, GossipResponseSchema } from "../../../src/wire/generated/foxlead/peer/v1/peer_pb.ts";
+import { FakeClock } from "../../support/fakeClock.ts";
+
+const callMilliseconds = 250;
+const suspicionMilliseconds = 1_000;
+const peer: Member = {
+    nodeId: "peer",
+    incarnation: 1,
+    state: MemberState.Alive,
+    peerAddress: "127.0.0.1:2",
+    dataCentre: "a",
+    configurationVersion: 0,
+};
+
+describe("A process that is late", () => {
+    let clock: FakeClock;
+    let view: MembershipView;
+    let isAnswering: boolean;
+
+    beforeEach(() => {
+        clock = FakeClock.create();
+        isAnswering = true;
+        view = MembershipView.create({
+            nodeId: "own",
+            peerAddress: "127.0.0.1:1",
+            dataCentre: "a",
+            incarnation: 1,
+            suspicionTimeoutMilliseconds: suspicionMilliseconds,
+        });
+        const gossiper = Gossiper.create({
+            view,
+            log: { write: () => undefined },
+            clock,
+            random: () => 0.5,
+            intervalMilliseconds: 50,
+            payloads: {
+                collectEndpointRecords: () => [],
+                applyEndpointRecords: () => undefined,
+                collectDemandRecords: () => [],
+                applyDemandRecords: () => undefined,
+            },
+            callGossip: callPeer,
+            onPeerConfigurationVersion: () => undefined,
+        });
+        view.applyRecords([peer], 0);
+        gossiper.start();
+    });
+
+    /** Answers after 10 ms, unless the caller is late or the peer does not answer; then the call times out. */
+    async function callPeer(): Promise<Result<GossipResponse, PeerError>> {
+        const sentAt = clock.getMonotonicTime();
+        await new Promise<void>(resolve => clock.setTimer(isAnswering ? 10 : callMilliseconds, resolve));
+        return clock.getMonotonicTime() - sentAt < callMilliseconds
+            ? Ok(create(GossipResponseSchema, {}))
+            : Err({ kind: PeerErrorKind.TimedOut, message: "The call timed out." });
+    }
+
+    const getState = () => view.getMember("peer")?.state;
+
+    it("suspects no peer whose answer it read too late", async () => {
+        await clock.advance(500);
+        for (let count = 0; count < 10; count++) {
+            clock.freeze(400);
+            await clock.advance(5);
+            assert.equal(getState(), MemberState.Alive);
+        }
+    });
+
+    it("declares no suspect dead before it has read what came meanwhile", async () => {
+        isAnswering = false;
+        await clock.advance(900);
+        assert.equal(getState(), MemberState.Suspect);
+        clock.freeze(2 * suspicionMilliseconds);
+        await clock.advance(60);
+        assert.equal(getState(), MemberState.Suspect);
+        view.applyRecords([{ ...peer, incarnation: 2 }], clock.getMonotonicTime());
+        assert.equal(getState(), MemberState.Alive);
+    });
+
+    it("declares a peer dead that does not answer while the process is in time", async () => {
+        isAnswering = false;
+        await clock.advance(700 + suspicionMilliseconds + callMilliseconds);
+        assert.equal(getState(), MemberState.Dead);
+    });
+});
--- a/tests/support/fakeClock.ts
+++ b/tests/support/fakeClock.ts
@@ -42,13 +42,18 @@
         await settle();
         for (let next = this.findNext(end); next !== undefined; next = this.findNext(end)) {
             this.timers.delete(next);
-            this.time = next.time;
+            this.time = Math.max(this.time, next.time);
             next.callback();
             await settle();
         }
         this.time = end;
     }
 
+    /** Lets time pass without running timers, like a process that gets no processor time. They run late at the next advance. */
+    freeze(milliseconds: number): void {
+        this.time += milliseconds;
+    }
+
     private findNext(end: number): Timer | undefined {
         let next: Timer | undefined;
         for (const timer of this.timers) {
