Keep the endpoints that are gone in a class of their own

Change: RemovedEndpoints; listEndpoints for the tests. No behaviour changes. Result: the tests of the router, of lost waits and of restored stores pass.

--- a/src/process/router/endpointRegistry.ts
+++ b/src/process/router/endpointRegistry.ts
@@ -2,13 +2,14 @@
 import type { RegisteredEndpoint } from "../../request/relay/registeredEndpoint.ts";
 import type { RelayDirectory } from "../../request/relay/relayDirectory.ts";
 import type { Result } from "../../result.ts";
-import type { Clock, TimerHandle } from "../clock.ts";
+import type { Clock } from "../clock.ts";
 import type { EventLog } from "../logging/eventLog.ts";
 import { events } from "../logging/events.ts";
 import type { ChangeSource } from "../replica/changeSource.ts";
 import { EraRevision } from "../replica/eraRevision.ts";
 import type { StoreRecord } from "../replica/storeRecord.ts";
 import type { EndpointReadings } from "./endpointReadings.ts";
+import { RemovedEndpoints } from "./removedEndpoints.ts";
 
 /** Options of an {@link EndpointRegistry}. */
 interface EndpointRegistryOptions {
@@ -36,22 +37,6 @@
     retainedUntil: number | undefined;
 }
 
-/** An endpoint whose record was removed. */
-interface RemovedEndpoint {
-    incarnation: number;
-    /** Revision of the removal. */
-    revision: number;
-    /** The record of an older copy of the store, with the timer that accepts it. */
-    returned: { revision: number; timer: TimerHandle; } | undefined;
-}
-
-/** Maximum number of removed endpoints to remember. */
-const maximumRemovedEndpoints = 2_000;
-/**
- * If an older copy of the store still has the record of an endpoint that is gone, the record expires within this time, since the
- * endpoint no longer renews it. A record that is still there is that of a live endpoint.
- */
-const goneRecordMilliseconds = 6_000;
 /** Records that expired during a store outage are written again within about two seconds after it. */
 const recordRecoveryMilliseconds = 2_000;
 /**
@@ -67,8 +52,7 @@
     private readonly endpoints = new Map<string, RegistryEntry>();
     /** Parse errors of invalid records, by key. */
     private readonly invalidRecordReasons = new Map<string, string>();
-    /** Endpoints whose records were removed, by key. */
-    private readonly removedEndpoints = new Map<string, RemovedEndpoint>();
+    private readonly removed: RemovedEndpoints;
     /** Latest era of the store's records; undefined if there are none yet. */
     private era: number | undefined;
     /** Monotonic time in milliseconds at which records of a later era first showed that the store has come back from an older copy. */
@@ -79,6 +63,10 @@
 
     private constructor(options: EndpointRegistryOptions) {
         this.options = options;
+        this.removed = RemovedEndpoints.create({
+            clock: options.clock,
+            onAlive: (key, endpoint) => this.replace(key, endpoint, "store"),
+        });
     }
 
     /** Creates an empty registry. */
@@ -107,12 +95,12 @@
             log.write(events.endpointRecordOutdated, { ...describe(endpoint), revision, source });
             return;
         }
-        if (this.isGone(key, endpoint, revision)) {
+        if (this.removed.isGone(key, endpoint, revision)) {
             log.write(events.endpointRecordOutdated, { ...describe(endpoint), revision, source });
-            this.holdBack(key, endpoint, revision);
+            this.removed.holdBack(key, endpoint, revision);
             return;
         }
-        this.forgetRemoval(key);
+        this.removed.forget(key);
         // Changes from a peer are logged by the node that read them from the store. Here they have one line per fetch, which
         // avoids a line for each endpoint at each node.
         if (source === "store") {
@@ -158,40 +146,6 @@
         this.era = Math.max(era, this.era ?? 0);
     }
 
-    /** Checks if an endpoint is known to be gone and its record only comes from an older copy of the store. */
-    private isGone(key: string, { incarnation }: RegisteredEndpoint, revision: number): boolean {
-        const removed = this.removedEndpoints.get(key);
-        if (removed === undefined || incarnation > removed.incarnation) {
-            return false;
-        }
-        const lastRevision = removed.returned?.revision ?? removed.revision;
-        return EraRevision.getEra(revision) > EraRevision.getEra(lastRevision);
-    }
-
-    /** Registers an endpoint that is known to be gone only if its record does not expire. */
-    private holdBack(key: string, endpoint: RegisteredEndpoint, revision: number): void {
-        const removed = this.removedEndpoints.get(key)!;
-        removed.returned?.timer.cancel();
-        const timer = this.options.clock.setTimer(goneRecordMilliseconds, () => {
-            this.forgetRemoval(key);
-            this.replace(key, endpoint, "store");
-        });
-        removed.returned = { revision, timer };
-    }
-
-    private noteRemoval(key: string, { incarnation }: RegisteredEndpoint, revision: number): void {
-        this.forgetRemoval(key);
-        this.removedEndpoints.set(key, { incarnation, revision, returned: undefined });
-        if (this.removedEndpoints.size > maximumRemovedEndpoints) {
-            this.forgetRemoval(this.removedEndpoints.keys().next().value!);
-        }
-    }
-
-    private forgetRemoval(key: string): void {
-        this.removedEndpoints.get(key)?.returned?.timer.cancel();
-        this.removedEndpoints.delete(key);
-    }
-
     /** Replaces the endpoint under a key. After a restart, notifies the owner to drop other state of the earlier process. */
     private replace(key: string, endpoint: RegisteredEndpoint, source: ChangeSource | "report"): void {
         const { log, onRestart, onChange } = this.options;
@@ -254,14 +208,14 @@
     private remove(key: string, revision: number, source: ChangeSource): void {
         const known = this.endpoints.get(key);
         if (known === undefined) {
-            this.noteRepeatedRemoval(key, revision);
+            this.removed.addRepeated(key, revision);
             return;
         }
         const { clock, log, getLastStoreFailure, onChange, drainMilliseconds } = this.options;
         const now = clock.getMonotonicTime();
         const lastDisruption = Math.max(getLastStoreFailure(), this.restoredAt);
         const isDoubtful = now - lastDisruption < recordRecoveryMilliseconds && !known.endpoint.isDraining;
-        this.noteRemoval(key, known.endpoint, revision);
+        this.removed.add(key, known.endpoint, revision);
         log.write(events.endpointRemoved, { endpoint: known.endpoint.id, revision, source, isDoubtful });
         if (isDoubtful) {
             const waitMilliseconds = drainMilliseconds * recordWaitFraction;
@@ -277,16 +231,6 @@
         onChange();
     }
 
-    /** The record of an endpoint that was gone before came back with an older copy of the store and is removed again. */
-    private noteRepeatedRemoval(key: string, revision: number): void {
-        const removed = this.removedEndpoints.get(key);
-        if (removed !== undefined) {
-            removed.returned?.timer.cancel();
-            removed.returned = undefined;
-            removed.revision = revision;
-        }
-    }
-
     private removeExpired(): void {
         const now = this.options.clock.getMonotonicTime();
         for (const [key, { retainedUntil }] of this.endpoints) {
--- a/tests/platform/lostWaits.test.ts
+++ b/tests/platform/lostWaits.test.ts
@@ -2,6 +2,7 @@
 import { after, afterEach, before, beforeEach, describe, it } from "node:test";
 import { createConfiguration } from "../../standins/router/createConfiguration.ts";
 import { KeyValueStandin } from "../../standins/router/keyValueStandin.ts";
+import { listEndpoints } from "./listEndpoints.ts";
 import { RouterTestHarness, type StartedNode } from "./routerTestHarness.ts";
 
 /** Time within which a change must be in force, and an endpoint that leaves must get no more requests, in milliseconds. */
@@ -75,9 +76,8 @@
     });
 });
 
-function listLeaving({ node }: StartedNode): string[] {
-    const { endpoints } = node.getStatus() as { endpoints: { registeredId: string; isDraining: boolean; }[]; };
-    return endpoints.filter(({ isDraining }) => isDraining).map(({ registeredId }) => registeredId);
+function listLeaving(started: StartedNode): string[] {
+    return listEndpoints(started).filter(({ isDraining }) => isDraining).map(({ registeredId }) => registeredId);
 }
 
 function delay(milliseconds: number): Promise<void> {
--- a/tests/platform/restoredStore.test.ts
+++ b/tests/platform/restoredStore.test.ts
@@ -3,6 +3,7 @@
 import { createConfiguration } from "../../standins/router/createConfiguration.ts";
 import { KeyValueStandin } from "../../standins/router/keyValueStandin.ts";
 import { waitUntil } from "../support/waitUntil.ts";
+import { listEndpoints } from "./listEndpoints.ts";
 import { RouterTestHarness, type StartedNode } from "./routerTestHarness.ts";
 
 /** Time within which a change must be in force, and an endpoint that leaves must get no more requests, in milliseconds. */
@@ -172,16 +173,12 @@
     });
 });
 
-function listEndpoints({ node }: StartedNode): { registeredId: string; isDraining: boolean; }[] {
-    return (node.getStatus() as { endpoints: { registeredId: string; isDraining: boolean; }[]; }).endpoints;
-}
-
 function listIds(started: StartedNode): string[] {
-    return listEndpoints(started).map(({ registeredId }) => registeredId).sort();
+    return listEndpoints(started).map(({ registeredId }) => registeredId);
 }
 
 function listLeaving(started: StartedNode): string[] {
-    return listEndpoints(started).filter(({ isDraining }) => isDraining).map(({ registeredId }) => registeredId).sort();
+    return listEndpoints(started).filter(({ isDraining }) => isDraining).map(({ registeredId }) => registeredId);
 }
 
 function delay(milliseconds: number): Promise<void> {
