--- a/src/process/replica/recordFollower.ts
+++ b/src/process/replica/recordFollower.ts
@@ -4,6 +4,7 @@
 import { events } from "../logging/events.ts";
 import { type PlatformError, PlatformErrorKind } from "../platform/platformError.ts";
 import type { RandomSource } from "../randomSource.ts";
+import { CallPacer } from "./callPacer.ts";
 import type { RecordChanges } from "./recordChanges.ts";
 import type { RecordSection } from "./recordSection.ts";
 import type { RecordStore } from "./recordStore.ts";
@@ -27,21 +28,6 @@
 const waitTimeoutMilliseconds = 15_000;
 /** Wait time of a call that is answered immediately, with or without changes. */
 const immediateWaitMilliseconds = 1;
-/**
- * Minimum delay of the next call after changes, which batches changes that occur together into one call. Otherwise the wait of
- * each node would return for every change. The delay is far below the seconds within which a change must be in force.
- */
-const minimumBatchDelayMilliseconds = 180;
-/**
- * After more than this number of consecutive calls with changes, for example when hundreds of endpoints start and load, the delay
- * grows up to the maximum. A fault causes only a few changes, which nodes should get immediately.
- */
-const callsBeforeDelayGrowth = 5;
-const maximumBatchDelayMilliseconds = 600;
-const batchDelayGrowthFactor = 1.5;
-/** Base of the backoff after failed calls. It doubles with each failure up to the maximum. */
-const baseBackoffMilliseconds = 100;
-const maximumBackoffMilliseconds = 800;
 /** Time after which a cheap call checks whether the store answers, if it has not answered the call that confirms the section. */
 const confirmationCheckMilliseconds = 600;
 /** A wait that has not returned changes this long after another call did is assumed to be lost. */
@@ -71,6 +57,7 @@
 /** Keeps a section up to date with the store: reads all records once, then waits for changes. */
 export class RecordFollower {
     private readonly options: RecordFollowerOptions;
+    private readonly pacer: CallPacer;
     private readonly stopping = new AbortController();
     /** The call that waits for changes, if there is one. */
     private wait: AbortController | undefined;
@@ -78,9 +65,6 @@
     private confirmation: AbortController | undefined;
     private isFullReadDue = true;
     private failures = 0;
-    private nextCallDelay = 0;
-    /** Calls in a row that brought changes. */
-    private callsWithChanges = 0;
     private lastFailureAt = -Infinity;
     private isActive = true;
     private onActive: (() => void) | undefined;
@@ -89,6 +73,7 @@
 
     private constructor(options: RecordFollowerOptions) {
         this.options = options;
+        this.pacer = CallPacer.create(options.random);
     }
 
     /** Creates a follower, which does nothing before {@link start}. */
@@ -207,12 +192,12 @@
         while (!this.stopping.signal.aborted) {
             await this.waitUntilActive();
             if (this.failures > 0 && !this.options.isStoreAnswering()) {
-                await this.sleep(this.getBackoff());
+                await this.sleep(this.pacer.getBackoff(this.failures));
                 continue;
             }
             const isAnswered = this.isFullReadDue ? await this.readAll() : await this.waitForChanges();
             if (!this.stopping.signal.aborted) {
-                await this.sleep(isAnswered ? this.nextCallDelay : this.getBackoff());
+                await this.sleep(isAnswered ? this.pacer.getDelay() : this.pacer.getBackoff(this.failures));
             }
         }
     }
@@ -236,8 +221,7 @@
         this.recordSuccess();
         this.confirmedAt = sentAt;
         this.isFullReadDue = false;
-        // After this delay, a review has decided whether this node should wait for changes at all.
-        this.nextCallDelay = minimumBatchDelayMilliseconds * 2;
+        this.pacer.noteListing();
         section.applyListing(listing.val.records, listing.val.revision, "store");
         return true;
     }
@@ -254,8 +238,7 @@
         if (changes.err) {
             return this.handleFailedWait(changes.val, wait, sentAt);
         }
-        this.callsWithChanges = changes.val.records.length > 0 ? this.callsWithChanges + 1 : 0;
-        this.nextCallDelay = this.callsWithChanges > 0 ? this.getBatchDelay() : 0;
+        this.pacer.noteChanges(changes.val.records.length > 0);
         return true;
     }
 
@@ -292,7 +275,7 @@
         if (!isReplaced) {
             this.recordFailure(error);
         }
-        this.nextCallDelay = 0;
+        this.pacer.noteReplaced();
         return isReplaced;
     }
 
@@ -322,14 +305,6 @@
         });
     }
 
-    private getBatchDelay(): number {
-        if (this.callsWithChanges <= callsBeforeDelayGrowth) {
-            return minimumBatchDelayMilliseconds;
-        }
-        const grown = Math.max(minimumBatchDelayMilliseconds, this.nextCallDelay) * batchDelayGrowthFactor;
-        return Math.min(grown, maximumBatchDelayMilliseconds);
-    }
-
     private recordSuccess(): void {
         if (this.failures > 0) {
             const { log, section } = this.options;
@@ -347,11 +322,6 @@
         this.lastFailureAt = clock.getMonotonicTime();
     }
 
-    private getBackoff(): number {
-        const doubled = baseBackoffMilliseconds * 2 ** Math.min(this.failures, 10);
-        return Math.min(doubled, maximumBackoffMilliseconds) * (0.5 + this.options.random() / 2);
-    }
-
     private sleep(milliseconds: number): Promise<void> {
         return new Promise(resolve => {
             this.options.clock.setTimer(milliseconds, resolve);
