Check that a copy is not taken for current while the store answers no call for changes

Cause: with the confirmations, the last answer of the probe was no longer kept, and its test lost the check that it does not advance while the store is silent. It was the evidence for a current copy. Change: the check stands at the controller, which now decides that, and is stricter: no time at all after the outage began. The probe's test checks the time of its last failure.

--- a/tests/process/router/storeProbe.test.ts
+++ b/tests/process/router/storeProbe.test.ts
@@ -14,6 +14,7 @@
         isAnswering = false;
         await clock.advance(1_000);
         assert.ok(!probe.isStoreReachable());
+        assert.ok(probe.getLastFailure() >= 2_000 - 450, `last failure at ${probe.getLastFailure()}`);
         isAnswering = true;
         await clock.advance(1_000);
         assert.ok(probe.isStoreReachable());
--- a/tests/process/router/storeWatchController.test.ts
+++ b/tests/process/router/storeWatchController.test.ts
@@ -134,6 +134,17 @@
         assert.equal(leaseCalls.at(-1), "pause");
     });
 
+    it("does not take its copy for current while the store answers no call for changes", async () => {
+        const { store, controller, advance } = start({ otherCount: 8, isTold: () => false });
+        await advance(4_000);
+        store.isDown = true;
+        await advance(1_000);
+        const freshTime = controller.getFreshTime();
+        assert.ok(freshTime <= 4_000, `current at ${freshTime}`);
+        await advance(5_000);
+        assert.equal(controller.getFreshTime(), freshTime);
+    });
+
     // All records that lapsed in an outage of 4 s were taken as gone, since the last failed call was long ago when it ended.
     it("knows of a failure of the store as long as it lasts", async () => {
         const { store, controller, advance } = start({ otherCount: 8 });
