--- a/src/process/replica/eraRevision.ts
+++ b/src/process/replica/eraRevision.ts
@@ -1,5 +1,6 @@
-/** Multiplies the era. Leaves 36 bits for revisions and 17 bits for eras within the integers that a number holds exactly. */
-const eraFactor = 2 ** 36;
+/** Leaves 33 bits for revisions and 20 bits for eras within the integers that a number holds exactly. */
+const eraFactor = 2 ** 33;
+const eraCount = 2 ** 20;
 
 /**
  * Revisions of a store that may come back from an older copy and then give out revisions again. The store calls the time between two
@@ -7,6 +8,8 @@
  * a later era is higher than all of an earlier one. In era 0 it equals the store's revision.
  */
 export const EraRevision = {
+    /** Reduces the number by which the store names an era to the range that an era revision can hold. */
+    toEra: (number: number): number => number % eraCount,
     /** Creates an era revision. */
     create: (era: number, revision: number): number => era * eraFactor + revision,
     /** Gets the era of an era revision. */
