Confirm the copies of many nodes by the calls of one of them

Change: only the first of the selected nodes makes the calls, after half of the configuration time; for all others an answered probe counts for the freshness again, as before the confirmations. What the waiting calls of all have missed is found there within that time and spreads as any change.

--- a/src/process/replica/recordFollower.ts
+++ b/src/process/replica/recordFollower.ts
@@ -130,6 +130,11 @@
         return this.options.section.getFrontier() > 0;
     }
 
+    /** Checks if the follower is active and its last call was answered. */
+    isCurrent(): boolean {
+        return this.isActive && !this.isFullReadDue && this.failures === 0;
+    }
+
     /** Checks if the last call was answered. */
     isStoreReachable(): boolean {
         return this.failures === 0;
--- a/src/process/router/storeProbe.ts
+++ b/src/process/router/storeProbe.ts
@@ -9,13 +9,14 @@
     intervalMilliseconds: number;
 }
 
-/** Health check of the store by its cheapest call, while other calls to it fail. */
+/** Health check of the store. Detects early that it no longer answers this node, since other nodes depend on its watch. */
 export class StoreProbe {
     private readonly options: StoreProbeOptions;
     private timer: TimerHandle | undefined;
     private isActive = false;
     private isCalling = false;
     private isAnswered = true;
+    private lastAnswerAt = -Infinity;
     private lastFailureAt = -Infinity;
 
     private constructor(options: StoreProbeOptions) {
@@ -45,6 +46,11 @@
         return this.isAnswered;
     }
 
+    /** Gets the monotonic time in milliseconds at which the last answered call was sent. */
+    getLastAnswer(): number {
+        return this.lastAnswerAt;
+    }
+
     /** Gets the monotonic time in milliseconds of the last call that was not answered. */
     getLastFailure(): number {
         return this.lastFailureAt;
@@ -52,6 +58,7 @@
 
     private async probe(): Promise<void> {
         const { clock, callStore } = this.options;
+        const sentAt = clock.getMonotonicTime();
         this.timer = undefined;
         this.isCalling = true;
         const isAnswered = await callStore();
@@ -60,7 +67,10 @@
             return;
         }
         this.isAnswered = isAnswered;
-        if (!isAnswered) {
+        if (isAnswered) {
+            this.lastAnswerAt = sentAt;
+        }
+        else {
             this.lastFailureAt = clock.getMonotonicTime();
         }
         this.timer = clock.setTimer(this.options.intervalMilliseconds, () => void this.probe());
--- a/src/process/router/storeWatchController.ts
+++ b/src/process/router/storeWatchController.ts
@@ -54,11 +54,13 @@
 /** Number of probes within the configuration time. */
 const probesPerConfigurationTime = 5;
 /**
- * A selected node whose copy was not confirmed for this fraction of the configuration time confirms it by a call. All other nodes
- * learn it from messages.
+ * One selected node confirms its copy by a call if nothing else has for this fraction of the configuration time. All other nodes learn
+ * it from messages.
  */
 const selectedConfirmationFraction = 0.25;
-/** The same for any other node that calls the store, in case that no message has told it in time. */
+/** The same with many nodes, where the price of the calls counts for more, and a probe shows that the store answers. */
+const selectedConfirmationFractionOfMany = 0.5;
+/** The same for any other of few nodes, in case that no message has told it in time. */
 const confirmationFraction = 0.6;
 
 /**
@@ -77,6 +79,8 @@
     /** Time until which this node watches the store because its copy was stale. */
     private watchesUntil = -Infinity;
     private isSelectedWatcher = false;
+    /** Whether there are so many nodes that only few of them watch the store. */
+    private hasManyNodes = false;
     /** Whether the log says that this node's copy may lack changes. */
     private isLoggedAsUnconfirmed = false;
 
@@ -130,11 +134,14 @@
 
     /**
      * Gets the monotonic time in milliseconds at which this node's copy of the store was last known to be current: the time of an
-     * answered call for changes, by this node or by a peer that was not ahead.
+     * answered call for changes, by this node or by a peer that was not ahead. With many nodes also that of an answered probe, since
+     * the selected node finds soon what the waiting calls of the others have missed.
      */
     getFreshTime(): number {
-        const confirmedAt = Math.min(...this.options.followers.map(follower => follower.getConfirmedTime()));
-        return Math.max(this.lastPeerFreshTime, confirmedAt);
+        const { followers } = this.options;
+        const confirmedAt = this.getConfirmedTime();
+        const isProbeValid = this.hasManyNodes && followers.every(follower => follower.isCurrent());
+        return Math.max(this.lastPeerFreshTime, confirmedAt, isProbeValid ? this.probe.getLastAnswer() : -Infinity);
     }
 
     /** Gets the monotonic time in milliseconds of the last store failure that any node has found. */
@@ -176,9 +183,10 @@
         for (const follower of followers) {
             follower.setActive(isActive);
         }
-        // During a store failure the followers wait for the probe, which is the cheapest call.
+        this.hasManyNodes = others.length >= independentNodeLimit;
+        // With few nodes no other node depends on this one, but during a store failure the followers wait for the probe.
         const isFailing = followers.some(follower => !follower.isStoreReachable());
-        this.probe.setActive(isActive && isFailing);
+        this.probe.setActive(isActive && (isFailing || this.hasManyNodes));
         this.confirmCopy(others, now);
         const hasPeers = others.length > 0 || now - this.startedAt > soleNodeMilliseconds;
         this.reviewLease(isWatcher, hasPeers);
@@ -186,23 +194,33 @@
         this.timer = clock.setTimer(reviewIntervalMilliseconds, () => this.review());
     }
 
+    private getConfirmedTime(): number {
+        return Math.min(...this.options.followers.map(follower => follower.getConfirmedTime()));
+    }
+
     /** Confirms the copy by a call if nothing else has for some time. */
     private confirmCopy(others: readonly KnownNode[], now: number): void {
-        const { followers, configurationMilliseconds } = this.options;
-        const fraction = this.isSelectedToConfirm(others) ? selectedConfirmationFraction : confirmationFraction;
-        if (now - this.getFreshTime() < configurationMilliseconds * fraction) {
+        if (now - this.getLastConfirmation() < this.getConfirmationInterval(others)) {
             return;
         }
-        for (const follower of followers) {
+        for (const follower of this.options.followers) {
             void follower.confirm();
         }
     }
 
-    /** With few nodes the word of one reaches all others soon; with many it is that of all watchers. */
-    private isSelectedToConfirm(others: readonly KnownNode[]): boolean {
-        const { nodeId, owners } = this.options;
+    private getLastConfirmation(): number {
+        return this.hasManyNodes ? this.getConfirmedTime() : this.getFreshTime();
+    }
+
+    /** Gets the time after which this node confirms its copy by a call, in milliseconds. */
+    private getConfirmationInterval(others: readonly KnownNode[]): number {
+        const { nodeId, owners, configurationMilliseconds } = this.options;
         const { watching } = listStoreWatchers([...others, { nodeId, isWithoutStore: this.isWithoutStore() }], owners);
-        return others.length < independentNodeLimit ? watching[0] === nodeId : watching.includes(nodeId);
+        const isSelected = watching[0] === nodeId;
+        if (this.hasManyNodes) {
+            return isSelected ? configurationMilliseconds * selectedConfirmationFractionOfMany : Infinity;
+        }
+        return configurationMilliseconds * (isSelected ? selectedConfirmationFraction : confirmationFraction);
     }
 
     /** Reports the age of the copy, and logs when it exceeds the time within which a change must be in force, and when it no longer does. */
--- a/tests/process/router/storeProbe.test.ts
+++ b/tests/process/router/storeProbe.test.ts
@@ -11,9 +11,11 @@
         probe.setActive(true);
         await clock.advance(1_000);
         assert.ok(probe.isStoreReachable());
+        const lastAnswer = probe.getLastAnswer();
         isAnswering = false;
         await clock.advance(1_000);
         assert.ok(!probe.isStoreReachable());
+        assert.ok(probe.getLastAnswer() <= lastAnswer + 450);
         assert.ok(probe.getLastFailure() >= 2_000 - 450, `last failure at ${probe.getLastFailure()}`);
         isAnswering = true;
         await clock.advance(1_000);
--- a/tests/process/router/storeWatchController.test.ts
+++ b/tests/process/router/storeWatchController.test.ts
@@ -17,8 +17,9 @@
     });
 
     /** Starts a node that in each step hears from the other nodes, whose copies are current. */
-    function start({ otherCount, hasWork = false, isSeed = false, isTold = () => true }: {
+    function start({ otherCount, hasWork = false, isSeed = false, isTold = () => true, prefix = "node" }: {
         otherCount: number;
+        prefix?: string;
         isTold?: () => boolean;
         hasWork?: boolean;
         isSeed?: boolean;
@@ -65,7 +66,7 @@
                 for (let index = 0; index < otherCount; index++) {
                     const heardAt = clock.getMonotonicTime();
                     nodes.update({
-                        nodeId: `node-${index}`,
+                        nodeId: `${prefix}-${index}`,
                         address: `10.0.0.${index}:1`,
                         dataCentre: "a",
                         isWithoutStore: false,
@@ -134,6 +135,25 @@
         assert.equal(leaseCalls.at(-1), "pause");
     });
 
+    // The waiting calls of all nodes are lost, and the store answers everything else.
+    it("confirms its copy within half of the configuration time at only one node of a large deployment", async () => {
+        const isFirst = (prefix: string) => {
+            const nodeIds = ["own", ...Array.from({ length: 12 }, (_, index) => `${prefix}-${index}`)];
+            return owners.getOwners("store", nodeIds, 1)[0] === "own";
+        };
+        const prefixes = Array.from({ length: 200 }, (_, index) => `node-${index}`);
+        for (const prefix of [prefixes.find(isFirst)!, prefixes.find(candidate => !isFirst(candidate))!]) {
+            const { store, advance } = start({ otherCount: 12, prefix });
+            store.hasChanges = false;
+            await advance(6_000);
+            store.loseWaits();
+            const before = store.confirmations;
+            await advance(10_000);
+            const calls = store.confirmations - before;
+            assert.ok(isFirst(prefix) ? calls >= 4 && calls <= 5 : calls === 0, `${calls} calls beside ${prefix}`);
+        }
+    });
+
     it("does not take its copy for current while the store answers no call for changes", async () => {
         const { store, controller, advance } = start({ otherCount: 8, isTold: () => false });
         await advance(4_000);
