--- a/src/process/replica/recordFollower.ts
+++ b/src/process/replica/recordFollower.ts
@@ -19,6 +19,8 @@
     isStoreAnswering(): boolean;
     /** Makes the cheapest call to the store; returns false if it is not answered soon. */
     callStore(): Promise<boolean>;
+    /** Called when a call has returned changes that the waiting call has not. Those of other nodes may have missed them too. */
+    onMissedChanges(): void;
     clock: Clock;
     random: RandomSource;
     log: EventLog;
@@ -189,6 +191,7 @@
             wait?.abort(AbortReason.MissedChanges);
         }
         else if (changes.val.records.length > 0) {
+            this.options.onMissedChanges();
             clock.setTimer(lostWaitMilliseconds, () => wait?.abort(AbortReason.MissedChanges));
         }
     }
--- a/src/process/router/peerExchange.ts
+++ b/src/process/router/peerExchange.ts
@@ -23,6 +23,7 @@
 import { ChangeFetcher } from "./changeFetcher.ts";
 import { choosePartners } from "./choosePartners.ts";
 import type { KnownNode } from "./knownNode.ts";
+import { listDistributors } from "./listDistributors.ts";
 import { listUpdateSources } from "./listUpdateSources.ts";
 import { maximumFullMeshNodes } from "./maximumFullMeshNodes.ts";
 import type { NodeTable } from "./nodeTable.ts";
@@ -127,6 +128,18 @@
         this.timer = this.options.clock.setTimer(wait, () => this.runRound());
     }
 
+    /**
+     * Tells the nodes from which all others get updates that this node's copy has changed. Otherwise each of them would ask for
+     * changes of one node in a round, and only this one has them if the others' waiting calls were lost.
+     */
+    announceMissedChanges(): void {
+        const { nodeId, dataCentre, storeWatch, owners } = this.options;
+        const own = { nodeId, dataCentre, isWithoutStore: storeWatch.isWithoutStore() };
+        for (const address of listDistributors(own, this.listLive(), owners)) {
+            void this.exchange(address);
+        }
+    }
+
     private runRound(): void {
         if (this.isStopped) {
             return;
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -391,7 +391,17 @@
         const { store, clock, random, log } = this.options;
         const isStoreAnswering = () => this.storeWatch.isProbeAnswered();
         const callStore = () => store.isAnswering();
-        return RecordFollower.create({ store, section, prefix, isStoreAnswering, callStore, clock, random, log });
+        return RecordFollower.create({
+            store,
+            section,
+            prefix,
+            isStoreAnswering,
+            callStore,
+            onMissedChanges: () => this.exchange.announceMissedChanges(),
+            clock,
+            random,
+            log,
+        });
     }
 
     /** Passes on a change from the store. Changes from a peer are passed on once all of them are applied. */
--- a/tests/process/replica/recordFollower.test.ts
+++ b/tests/process/replica/recordFollower.test.ts
@@ -20,6 +20,7 @@
                 store.probes += 1;
                 return Promise.resolve(!store.isSilent);
             },
+            onMissedChanges: () => undefined,
             clock,
             random: () => 0.5,
             log: RecordingEventLog.create(),
