--- a/src/process/router/storeWatchController.ts
+++ b/src/process/router/storeWatchController.ts
@@ -59,7 +59,7 @@
  */
 const selectedConfirmationFraction = 0.25;
 /** The same with many nodes, where the price of the calls counts for more, and a probe shows that the store answers. */
-const selectedConfirmationFractionOfMany = 0.375;
+const selectedConfirmationFractionOfMany = 0.4;
 /** The same for any other of few nodes, in case that no message has told it in time. */
 const confirmationFraction = 0.6;
 
