Log the record of an endpoint that is gone by an event of its own

Cause: FL1814 says that a record is from an earlier start, which is not true of one that an older copy of the store still has. Change: FL1816.

--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -286,6 +286,12 @@
         level: "info",
         message: "The record of an endpoint is from an earlier start than the known one; it is ignored.",
     },
+    endpointRecordReturned: {
+        number: 1816,
+        level: "info",
+        message:
+            "An older copy of the store has the record of an endpoint that is gone; it is ignored unless it stays.",
+    },
     endpointReportInvalid: { number: 1815, level: "error", message: "The report of an endpoint is invalid." },
     placementPlanned: {
         number: 1910,
--- a/src/process/router/endpointRegistry.ts
+++ b/src/process/router/endpointRegistry.ts
@@ -96,7 +96,7 @@
             return;
         }
         if (this.removed.isGone(key, endpoint, revision)) {
-            log.write(events.endpointRecordOutdated, { ...describe(endpoint), revision, source });
+            log.write(events.endpointRecordReturned, { ...describe(endpoint), revision, source });
             this.removed.holdBack(key, endpoint, revision);
             return;
         }
