Rank the nodes for confirmations only where one of them may be due

Cause: each node of a large deployment ranked all nodes in every review, four times a second, to find whether it is the first of the store watchers, a second time after the review's own ranking; only a selected watcher can be, and only once its copy is old enough. Change: both are checked first. Who confirms, and when, stays as it is. Its effect on processor time was not measured.

--- a/src/process/router/storeWatchController.ts
+++ b/src/process/router/storeWatchController.ts
@@ -200,7 +200,12 @@
 
     /** Confirms the copy by a call if nothing else has for some time. */
     private confirmCopy(others: readonly KnownNode[], now: number): void {
-        if (now - this.getLastConfirmation() < this.getConfirmationInterval(others)) {
+        const age = now - this.getLastConfirmation();
+        // Ranking the nodes takes processor time, and with many nodes only a selected watcher can be the first of them.
+        if (this.hasManyNodes && !this.isSelectedWatcher || age < this.getMinimumConfirmationInterval()) {
+            return;
+        }
+        if (age < this.getConfirmationInterval(others)) {
             return;
         }
         for (const follower of this.options.followers) {
@@ -216,11 +221,16 @@
     private getConfirmationInterval(others: readonly KnownNode[]): number {
         const { nodeId, owners, configurationMilliseconds } = this.options;
         const { watching } = listStoreWatchers([...others, { nodeId, isWithoutStore: this.isWithoutStore() }], owners);
-        const isSelected = watching[0] === nodeId;
-        if (this.hasManyNodes) {
-            return isSelected ? configurationMilliseconds * selectedConfirmationFractionOfMany : Infinity;
+        if (watching[0] === nodeId) {
+            return this.getMinimumConfirmationInterval();
         }
-        return configurationMilliseconds * (isSelected ? selectedConfirmationFraction : confirmationFraction);
+        return this.hasManyNodes ? Infinity : configurationMilliseconds * confirmationFraction;
+    }
+
+    /** Gets the interval of the selected node, in milliseconds. No other node confirms its copy more often. */
+    private getMinimumConfirmationInterval(): number {
+        const fraction = this.hasManyNodes ? selectedConfirmationFractionOfMany : selectedConfirmationFraction;
+        return this.options.configurationMilliseconds * fraction;
     }
 
     /** Reports the age of the copy, and logs when it exceeds the time within which a change must be in force, and when it no longer does. */
