Log and count the endpoints that a node cannot connect to

No line told whether a node or its endpoints are at fault: FL1711 names single attempts. FL1817 and FL1818 come once for each endpoint, with how many of those registered are unreachable; foxlead_unreachable_endpoints holds the number. Sockets to endpoints are created by a function that is passed in, so that tests can cut a node's links.

--- a/src/connection/upstream/upstreamConnection.ts
+++ b/src/connection/upstream/upstreamConnection.ts
@@ -1,7 +1,9 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Socket } from "node:net";
-import { buildConnector, Client, type Dispatcher } from "undici";
+import type { Duplex } from "node:stream";
+import { Client, type Dispatcher } from "undici";
 import type { InputBarrier } from "../../process/loop/inputBarrier.ts";
+import type { EndpointConnector } from "./path/endpointConnector.ts";
 import type { UpstreamExchange } from "./upstreamExchange.ts";
 import { UpstreamFailureKind } from "./upstreamFailureKind.ts";
 import type { UpstreamListener } from "./upstreamListener.ts";
@@ -12,7 +14,7 @@
 interface UpstreamConnectionOptions {
     /** host:port of the endpoint. */
     address: string;
-    connectTimeoutMilliseconds: number;
+    connector: Pick<EndpointConnector, "open">;
     /**
      * Delays the first request until all input that arrived while the connection opened is read, since that input may
      * abort the request.
@@ -43,19 +45,18 @@
 
     private constructor(options: UpstreamConnectionOptions) {
         this.options = options;
-        const connect = buildConnector({
-            timeout: options.connectTimeoutMilliseconds,
-            keepAlive: true,
-            keepAliveInitialDelay: 1_000,
-        });
-        this.client = new Client(`http://${options.address}`, {
-            connect: (connectOptions, callback) =>
-                connect(connectOptions, (...result) => {
-                    const [error, socket] = result;
-                    if (error === null) {
-                        this.watchSocket(socket);
+        const { address, connector, barrier } = options;
+        this.client = new Client(`http://${address}`, {
+            connect: (_connectOptions, callback) =>
+                connector.open(address, result => {
+                    if (result.ok) {
+                        this.watchSocket(result.val.socket);
                     }
-                    options.barrier.defer(() => callback(...result));
+                    barrier.defer(() =>
+                        result.ok
+                            ? callback(null, result.val.socket as Socket)
+                            : callback(new Error(result.val), null)
+                    );
                 }),
             pipelining: 1,
             headersTimeout: 0,
@@ -164,8 +165,7 @@
         this.disconnect();
     }
 
-    private watchSocket(socket: Socket): void {
-        socket.setNoDelay(true);
+    private watchSocket(socket: Duplex): void {
         socket.once("error", () => {
             this.hasSocketFailed = true;
         });
--- a/src/connection/upstream/upstreamPool.ts
+++ b/src/connection/upstream/upstreamPool.ts
@@ -1,4 +1,5 @@
 import type { InputBarrier } from "../../process/loop/inputBarrier.ts";
+import type { EndpointConnector } from "./path/endpointConnector.ts";
 import { UpstreamConnection } from "./upstreamConnection.ts";
 import type { UpstreamExchange } from "./upstreamExchange.ts";
 import type { UpstreamListener } from "./upstreamListener.ts";
@@ -11,16 +12,11 @@
     address: string;
     /** Delays requests until all input that has already arrived at the node is read, since it may abort them. */
     barrier: Pick<InputBarrier, "defer">;
+    connector: Pick<EndpointConnector, "open">;
     /** Called for each new connection. */
     onOpened(): void;
 }
 
-/**
- * Two round trips between data centres and the acceptance of the connection take a few milliseconds. The rest allows
- * for the retransmission of a lost packet.
- */
-const connectTimeoutMilliseconds = 700;
-
 /** The connections of this node to one address. Idle ones are reused, the most recently used one first. */
 export class UpstreamPool {
     private readonly options: UpstreamPoolOptions;
@@ -105,12 +101,12 @@
     }
 
     private open(): UpstreamConnection {
-        const { address, barrier, onOpened } = this.options;
+        const { address, barrier, connector, onOpened } = this.options;
         onOpened();
         const connection = UpstreamConnection.create({
             address,
             barrier,
-            connectTimeoutMilliseconds,
+            connector,
             onIdle: () => this.idle.push(connection),
             onClosed: () => this.remove(connection),
         });
--- a/src/connection/upstream/upstreamPools.ts
+++ b/src/connection/upstream/upstreamPools.ts
@@ -1,24 +1,28 @@
 import type { InputBarrier } from "../../process/loop/inputBarrier.ts";
+import type { EndpointConnector } from "./path/endpointConnector.ts";
 import { UpstreamPool } from "./upstreamPool.ts";
 
+/** Options of {@link UpstreamPools}. */
+interface UpstreamPoolsOptions {
+    /** Delays requests until all input that has already arrived at the node is read. */
+    barrier: Pick<InputBarrier, "defer">;
+    connector: Pick<EndpointConnector, "open">;
+    /** Called for each new connection. */
+    onOpened(): void;
+}
+
 /** The connection pools of this node, one per endpoint address. */
 export class UpstreamPools {
     private readonly pools = new Map<string, UpstreamPool>();
-    private readonly barrier: Pick<InputBarrier, "defer">;
-    private readonly onOpened: () => void;
+    private readonly options: UpstreamPoolsOptions;
 
-    private constructor(barrier: Pick<InputBarrier, "defer">, onOpened: () => void) {
-        this.barrier = barrier;
-        this.onOpened = onOpened;
+    private constructor(options: UpstreamPoolsOptions) {
+        this.options = options;
     }
 
-    /**
-     * Creates an empty set of pools.
-     * @param barrier - Delays requests until all input that has already arrived at the node is read.
-     * @param onOpened - Called for each new connection.
-     */
-    static create(barrier: Pick<InputBarrier, "defer">, onOpened: () => void): UpstreamPools {
-        return new UpstreamPools(barrier, onOpened);
+    /** Creates an empty set of pools. */
+    static create(options: UpstreamPoolsOptions): UpstreamPools {
+        return new UpstreamPools(options);
     }
 
     /** Gets the pool of an address, creating it if necessary. */
@@ -27,7 +31,7 @@
         if (known !== undefined) {
             return known;
         }
-        const pool = UpstreamPool.create({ address, barrier: this.barrier, onOpened: this.onOpened });
+        const pool = UpstreamPool.create({ address, ...this.options });
         this.pools.set(address, pool);
         return pool;
     }
--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -292,6 +292,16 @@
         message:
             "An older copy of the store has the record of an endpoint that is gone; it is ignored unless it stays.",
     },
+    endpointPathLost: {
+        number: 1817,
+        level: "warn",
+        message: "This node cannot connect to an endpoint. If peers can, check the links of this node.",
+    },
+    endpointPathRestored: {
+        number: 1818,
+        level: "info",
+        message: "This node can connect to an endpoint again.",
+    },
     endpointReportInvalid: { number: 1815, level: "error", message: "The report of an endpoint is invalid." },
     placementPlanned: {
         number: 1910,
--- a/src/process/metrics/metrics.ts
+++ b/src/process/metrics/metrics.ts
@@ -108,6 +108,10 @@
         "upstream_connections_total",
         "Connections opened to endpoints by the router.",
     );
+    readonly unreachableEndpoints = this.createGauge(
+        "unreachable_endpoints",
+        "Registered endpoints that this node cannot connect to over its own links.",
+    );
     readonly endpointCallsTotal = this.createCounter("endpoint_calls_total", "Reports and orders sent to endpoints.", [
         "call",
         "outcome",
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -1,5 +1,8 @@
 import { EndpointInstructions } from "../../connection/instructions/endpointInstructions.ts";
 import { FramedServer } from "../../connection/peer/framed/framedServer.ts";
+import { createTcpSocket } from "../../connection/upstream/path/createTcpSocket.ts";
+import { EndpointConnector } from "../../connection/upstream/path/endpointConnector.ts";
+import { EndpointPaths } from "../../connection/upstream/path/endpointPaths.ts";
 import { UpstreamPools } from "../../connection/upstream/upstreamPools.ts";
 import { RetryBudget } from "../../request/admission/retryBudget.ts";
 import { RetryDetector } from "../../request/admission/start/retryDetector.ts";
@@ -58,6 +61,7 @@
 export class RouterNode {
     private readonly options: RouterNodeOptions;
     private readonly nodes: NodeTable;
+    private readonly paths: EndpointPaths;
     private readonly pools: UpstreamPools;
     private readonly registry: EndpointRegistry;
     private readonly holder: RoutingHolder;
@@ -137,7 +141,16 @@
         });
         this.quarantinePersister = QuarantinePersister.create({ store, key: keys.quarantine, quarantine, clock, log });
         this.nodes = NodeTable.create(nodeId);
-        this.pools = UpstreamPools.create(options.barrier, () => metrics.upstreamConnectionsTotal.inc());
+        this.paths = EndpointPaths.create((address, failure) => this.handlePathChanged(address, failure));
+        this.pools = UpstreamPools.create({
+            barrier: options.barrier,
+            connector: EndpointConnector.create({
+                clock,
+                paths: this.paths,
+                createSocket: options.createSocket ?? createTcpSocket,
+            }),
+            onOpened: () => metrics.upstreamConnectionsTotal.inc(),
+        });
         this.holder = RoutingHolder.create({
             decode: text => clock.run("configuration", () => options.decodeConfiguration(text)),
             log,
@@ -443,10 +456,27 @@
         this.loads.retain(ids);
         this.limits.retain(ids);
         this.instructions.retain(ids);
-        this.pools.retain(new Set(endpoints.map(({ address }) => address)));
+        const addresses = new Set(endpoints.map(({ address }) => address));
+        this.paths.retain(addresses);
+        this.pools.retain(addresses);
         this.queue.wake();
     }
 
+    /** Logs that this node can't connect to an endpoint any more, or can again. */
+    private handlePathChanged(address: string, failure: string | undefined): void {
+        const { log, metrics } = this.options;
+        const unreachable = this.paths.getFailingCount();
+        metrics.unreachableEndpoints.set(unreachable);
+        const endpoint = this.registry.getEndpointAt(address)?.id ?? "";
+        const details = { endpoint, address, unreachable, registered: this.registry.getAll().length };
+        if (failure === undefined) {
+            log.write(events.endpointPathRestored, details);
+        }
+        else {
+            log.write(events.endpointPathLost, { ...details, cause: failure });
+        }
+    }
+
     private getNodeCount(): number {
         const now = this.options.clock.getMonotonicTime();
         return this.maximumNodeCount.add(1 + this.nodes.getLiveNodes(now).length, now);
--- a/src/process/router/routerNodeOptions.ts
+++ b/src/process/router/routerNodeOptions.ts
@@ -1,3 +1,4 @@
+import type { CreateSocket } from "../../connection/upstream/path/createSocket.ts";
 import type { EndpointProtocol } from "../../request/relay/endpointProtocol.ts";
 import type { RegisteredEndpoint } from "../../request/relay/registeredEndpoint.ts";
 import type { Result } from "../../result.ts";
@@ -52,6 +53,8 @@
     };
     keys: RouterKeys;
     protocol: EndpointProtocol;
+    /** Creates the sockets of direct connections to endpoints. Default: TCP sockets. */
+    createSocket?: CreateSocket;
     /** Parses the text of a configuration. */
     decodeConfiguration(text: string): Result<RoutingConfiguration, string>;
     /** Parses the record that an endpoint wrote under a key. */
--- a/tests/connection/upstream/upstreamPool.test.ts
+++ b/tests/connection/upstream/upstreamPool.test.ts
@@ -3,9 +3,13 @@
 import type { AddressInfo } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { setTimeout as wait } from "node:timers/promises";
+import { createTcpSocket } from "../../../src/connection/upstream/path/createTcpSocket.ts";
+import { EndpointConnector } from "../../../src/connection/upstream/path/endpointConnector.ts";
+import { EndpointPaths } from "../../../src/connection/upstream/path/endpointPaths.ts";
 import type { UpstreamListener } from "../../../src/connection/upstream/upstreamListener.ts";
 import { UpstreamPool } from "../../../src/connection/upstream/upstreamPool.ts";
 import type { UpstreamRequest } from "../../../src/connection/upstream/upstreamRequest.ts";
+import { systemClock } from "../../../src/process/systemClock.ts";
 import { waitUntil } from "../../support/waitUntil.ts";
 
 const request: UpstreamRequest = { method: "POST", target: "/", headers: ["Host", "h"], body: Buffer.from("x") };
@@ -35,6 +39,11 @@
                     return { cancel: () => void deferredActions.delete(action) };
                 },
             },
+            connector: EndpointConnector.create({
+                clock: systemClock,
+                paths: EndpointPaths.create(() => undefined),
+                createSocket: createTcpSocket,
+            }),
             onOpened: () => undefined,
         });
     });
