--- a/tests/platform/routerTestHarness.ts
+++ b/tests/platform/routerTestHarness.ts
@@ -13,6 +13,7 @@
 import { Metrics } from "../../src/process/metrics/metrics.ts";
 import { RouterNode } from "../../src/process/router/routerNode.ts";
 import { systemClock } from "../../src/process/systemClock.ts";
+import { NodeLinks } from "../../standins/network/nodeLinks.ts";
 import { callerKey } from "../../standins/router/callerKey.ts";
 import { createConfiguration } from "../../standins/router/createConfiguration.ts";
 import { createEndpointRecord } from "../../standins/router/createEndpointRecord.ts";
@@ -38,6 +39,8 @@
     log: RecordingEventLog;
     address: string;
     peerAddress: string;
+    /** The node's links to the endpoints that were added before it. */
+    links: NodeLinks;
 }
 
 let requestCount = 0;
@@ -92,6 +95,10 @@
 
     /** Starts a node. */
     async addNode(storeAddress = this.store.getAddress()): Promise<StartedNode> {
+        const links = NodeLinks.create();
+        for (const endpoint of this.endpoints.values()) {
+            await links.add(endpoint.getAddress());
+        }
         const [callerPort, peerPort] = await findFreePorts(2);
         const address = `127.0.0.1:${callerPort}`;
         const peerAddress = `127.0.0.1:${peerPort}`;
@@ -132,6 +139,7 @@
             protocol: endpointProtocol,
             decodeConfiguration,
             decodeEndpoint,
+            createSocket: target => links.createSocket(target),
         });
         const callers = CallerListener.create({
             address,
@@ -141,7 +149,7 @@
         });
         await node.start();
         await callers.listen();
-        const started = { node, callers, store, log, address, peerAddress };
+        const started = { node, callers, store, log, address, peerAddress, links };
         this.nodes.push(started);
         return started;
     }
@@ -193,11 +201,12 @@
 
     /** Stops all nodes. */
     async stopNodes(): Promise<void> {
-        for (const { node, callers, store } of this.nodes.splice(0)) {
+        for (const { node, callers, store, links } of this.nodes.splice(0)) {
             callers.stopListening();
             await node.startDraining();
             await node.stop();
             store.close();
+            await links.close();
         }
     }
 
--- /dev/null
+++ b/tests/platform/unreachableEndpoints.test.ts
@@ -0,0 +1,74 @@
+import assert from "node:assert/strict";
+import { after, afterEach, before, describe, it } from "node:test";
+import { LinkCut } from "../../standins/network/nodeLinks.ts";
+import { type CallerAnswer, RouterTestHarness, type StartedNode } from "./routerTestHarness.ts";
+
+/** Time from the cut after which the node must serve as well as the others, in milliseconds. */
+const settleMilliseconds = 3_000;
+const restoreMilliseconds = 2_000;
+const requestIntervalMilliseconds = 40;
+const requestsPerPath = 12;
+const paths = ["/safe/x", "/unsafe/x", "/model/x", "/once/x"];
+const cuts = [LinkCut.Silent, LinkCut.Reset, LinkCut.RefuseNew];
+
+describe("A node without links to the endpoints", () => {
+    let harness: RouterTestHarness;
+    let nodes: StartedNode[];
+
+    before(async () => {
+        harness = await RouterTestHarness.create();
+        for (const id of ["a1", "a2"]) {
+            await harness.addEndpoint(id, "model", { from: 0, to: 4 });
+            await harness.addEndpoint(id.replace("a", "b"), "model", { from: 4, to: 8 });
+            await harness.addEndpoint(id.replace("a", "d"), "documents");
+        }
+        harness.putPlacementInHalves();
+        nodes = [];
+        for (let count = 0; count < 3; count++) {
+            nodes.push(await harness.addNode());
+        }
+        for (const node of nodes) {
+            await harness.waitForEndpoints(node, 6);
+        }
+    });
+
+    afterEach(async () => {
+        for (const { links } of nodes) {
+            links.setCut(LinkCut.None);
+        }
+        await delay(restoreMilliseconds);
+    });
+
+    after(() => harness.close());
+
+    /** Sends requests of each kind at a steady rate, and returns the statuses of the incomplete or failed answers. */
+    async function listFailures(node: StartedNode): Promise<number[]> {
+        const sending: Promise<CallerAnswer>[] = [];
+        for (let count = 0; count < requestsPerPath; count++) {
+            for (const path of paths) {
+                sending.push(harness.send(node, path, { headers: { "request-deadline-ms": "2000" } }));
+            }
+            await delay(requestIntervalMilliseconds);
+        }
+        const answers = await Promise.all(sending);
+        return answers.filter(({ status, isComplete }) => status !== 200 || !isComplete).map(({ status }) => status);
+    }
+
+    // Callers got 503 or no answer for as long as a node had no links to the endpoints, although its peers could reach them.
+    it("serves its callers through its peers", async () => {
+        const [node] = nodes;
+        for (const cut of cuts) {
+            assert.deepEqual(await listFailures(node!), []);
+            node!.links.setCut(cut);
+            // Callers keep coming while the cut is detected.
+            await Promise.all([listFailures(node!), delay(settleMilliseconds)]);
+            assert.deepEqual(await listFailures(node!), [], cut);
+            node!.links.setCut(LinkCut.None);
+            await delay(restoreMilliseconds);
+        }
+    });
+});
+
+function delay(milliseconds: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
