Reach endpoints through peers where this node's own links fail

Cause: a node had one way to an endpoint, its own link, and took a link that fails for an endpoint that fails. Every request tried four first stages and was refused; resets counted as runs against the route's attempts and as crashes against the request; held connections that were dead swallowed a request each.

Nothing is sent before the peer's connection is open, so NotSent stays true; the far end marks a regular end, so that a peer that stops never makes an answer look whole. Nodes tell each other what part of the endpoints they reach. Two addresses that fail within 1 s make the node test all others to which it holds connections. A broken or silent connection is tested: if a peer reaches the endpoint, only the path is lost, and the run counts neither as an attempt nor as a crash nor against the endpoint.

--- a/bench/experiment/simulatedEngines.ts
+++ b/bench/experiment/simulatedEngines.ts
@@ -1,3 +1,4 @@
+import { PathState } from "../../src/connection/upstream/path/pathState.ts";
 import type { UpstreamExchange } from "../../src/connection/upstream/upstreamExchange.ts";
 import { UpstreamFailureKind } from "../../src/connection/upstream/upstreamFailureKind.ts";
 import type { UpstreamListener } from "../../src/connection/upstream/upstreamListener.ts";
@@ -72,7 +73,12 @@
             sentAt = this.clock.getMonotonicTime();
             this.setTimer(run, networkMilliseconds, () => this.admit(run));
         }
-        return { abort: () => this.removeRun(run), getSentTime: () => sentAt };
+        return {
+            abort: () => this.removeRun(run),
+            getSentTime: () => sentAt,
+            isPathLost: () => false,
+            testPath: onDone => onDone(PathState.Down),
+        };
     }
 
     /** Marks an engine as lost and aborts the runs that depend on it. */
--- a/bench/experiment/simulatedNode.ts
+++ b/bench/experiment/simulatedNode.ts
@@ -62,6 +62,7 @@
             pools: {
                 getPool: () => ({
                     hasIdle: () => true,
+                    hasBytesSince: () => true,
                     sendForCaller: (createRequest, listener) =>
                         engines.send(index, simulatedProtocol.readSent(createRequest().headers), listener),
                 }),
--- a/scripts/soak/router/routerDeployment.ts
+++ b/scripts/soak/router/routerDeployment.ts
@@ -31,6 +31,7 @@
 const engineChanges = { kinds: [{ name: "big", mb: 5_000, pace: 1, read_x: 1 }] };
 const stageEndpoints = 4;
 const documentEndpoints = 3;
+const portsPerNode = 5;
 const pollMilliseconds = 50;
 const checkTimeoutMilliseconds = 1_000;
 const stopMilliseconds = 8_000;
@@ -155,13 +156,13 @@
     }
 
     private async startNodes(): Promise<void> {
-        const ports = await findFreePorts(4 * this.options.nodes);
+        const ports = await findFreePorts(portsPerNode * this.options.nodes);
         for (let index = 0; index < this.options.nodes; index += 1) {
-            const [callers, readiness, peers, admin] = ports.slice(4 * index);
+            const [callers, readiness, peers, admin, tunnels] = ports.slice(portsPerNode * index);
             const name = `node-${index}`;
             const planned = {
                 name,
-                ports: { callers: callers!, readiness: readiness!, peers: peers!, admin: admin! },
+                ports: { callers: callers!, readiness: readiness!, peers: peers!, admin: admin!, tunnels: tunnels! },
                 storeProxy: await LoopbackProxy.create(() => this.store.getAddress()),
                 settingsFile: join(this.directory, `${name}.yaml`),
                 endingSince: undefined,
--- a/scripts/soak/router/soakNode.ts
+++ b/scripts/soak/router/soakNode.ts
@@ -5,7 +5,7 @@
 export interface SoakNode {
     name: string;
     /** Ports of its listeners. */
-    ports: { callers: number; readiness: number; peers: number; admin: number; };
+    ports: { callers: number; readiness: number; peers: number; admin: number; tunnels: number; };
     /** Proxy between the node and the store. */
     storeProxy: LoopbackProxy;
     settingsFile: string;
--- /dev/null
+++ b/src/connection/upstream/path/connectionOpening.ts
@@ -0,0 +1,178 @@
+import type { Duplex } from "node:stream";
+import type { Clock, TimerHandle } from "../../../process/clock.ts";
+import { Err, Ok, type Result } from "../../../result.ts";
+import { openTunnel } from "../../peer/tunnel/openTunnel.ts";
+import type { TunnelFailure } from "../../peer/tunnel/tunnelFailure.ts";
+import { TunnelFailureKind } from "../../peer/tunnel/tunnelFailureKind.ts";
+import type { CreateSocket } from "./createSocket.ts";
+import type { EndpointPaths } from "./endpointPaths.ts";
+import { openDirect } from "./openDirect.ts";
+import type { OpenedSocket } from "./openedSocket.ts";
+import type { TunnelPeers } from "./tunnelPeers.ts";
+
+/** Options of a {@link ConnectionOpening}. */
+interface ConnectionOpeningOptions {
+    /** host:port of the endpoint. */
+    address: string;
+    clock: Pick<Clock, "setTimer" | "getMonotonicTime">;
+    paths: EndpointPaths;
+    peers: TunnelPeers;
+    createSocket: CreateSocket;
+    /** Called once, with the connection or the reason for the failure. */
+    onDone(result: Result<OpenedSocket, string>): void;
+}
+
+/**
+ * Two round trips between data centres and the acceptance of the connection take a few milliseconds. The rest allows
+ * for the retransmission of a lost packet.
+ */
+const directTimeoutMilliseconds = 700;
+/** Longer than the peer needs to find out that it can't connect to the endpoint. */
+const tunnelTimeoutMilliseconds = 200;
+const maximumPeers = 3;
+/** Peers that answer but can't connect to the endpoint; after this many it counts as down. */
+const maximumEndpointFailures = 2;
+
+/**
+ * Opens a connection to an endpoint: directly or, if this node's link doesn't work or is slower, through a peer. The direct
+ * attempt goes on after a peer was faster, since its result shows if the link works.
+ */
+export class ConnectionOpening {
+    private readonly options: ConnectionOpeningOptions;
+    private readonly triedPeers = new Set<string>();
+    private timer: TimerHandle | undefined;
+    private isDirectTried = false;
+    private isDirectPending = false;
+    private isTunnelPending = false;
+    private endpointFailures = 0;
+    private failure = "no peer can connect to it.";
+    private isDone = false;
+
+    private constructor(options: ConnectionOpeningOptions) {
+        this.options = options;
+    }
+
+    /** Starts to open a connection. */
+    static start(options: ConnectionOpeningOptions): void {
+        new ConnectionOpening(options).run();
+    }
+
+    private run(): void {
+        const { address, clock, paths } = this.options;
+        const { isDirect, peerDelayMilliseconds } = paths.planOpen(address, clock.getMonotonicTime());
+        if (isDirect) {
+            this.tryDirect();
+        }
+        if (peerDelayMilliseconds === 0) {
+            this.tryPeer();
+        }
+        else {
+            this.timer = clock.setTimer(peerDelayMilliseconds, () => this.tryPeer());
+        }
+    }
+
+    private tryDirect(): void {
+        const { address, clock, createSocket } = this.options;
+        this.isDirectTried = true;
+        this.isDirectPending = true;
+        openDirect({
+            address,
+            timeoutMilliseconds: directTimeoutMilliseconds,
+            clock,
+            createSocket,
+            onDone: result => this.handleDirect(result),
+        });
+    }
+
+    private handleDirect(result: Result<Duplex, string>): void {
+        const { address, clock, paths } = this.options;
+        const now = clock.getMonotonicTime();
+        this.isDirectPending = false;
+        if (result.ok) {
+            paths.recordOpened(address, now);
+            this.succeed({ socket: result.val, peer: undefined });
+            return;
+        }
+        this.failure = result.val;
+        paths.recordFailed(address, result.val, now);
+        this.tryPeer();
+    }
+
+    private tryPeer(): void {
+        if (this.isDone || this.isTunnelPending) {
+            return;
+        }
+        const { clock } = this.options;
+        const peer = this.choosePeer();
+        if (peer === undefined) {
+            this.handleNoPeer();
+            return;
+        }
+        this.triedPeers.add(peer);
+        this.isTunnelPending = true;
+        openTunnel({
+            peer,
+            address: this.options.address,
+            timeoutMilliseconds: tunnelTimeoutMilliseconds,
+            clock,
+            onDone: result => this.handleTunnel(peer, result),
+        });
+    }
+
+    private choosePeer(): string | undefined {
+        const { address, clock, paths, peers } = this.options;
+        const now = clock.getMonotonicTime();
+        if (this.endpointFailures >= maximumEndpointFailures) {
+            paths.recordPeersFailed(address, now);
+            return undefined;
+        }
+        const mayAsk = this.triedPeers.size < maximumPeers && paths.mayAskPeers(address, now);
+        return mayAsk ? peers.choose(this.triedPeers, now) : undefined;
+    }
+
+    private handleNoPeer(): void {
+        if (!this.isDirectTried) {
+            this.tryDirect();
+        }
+        else if (!this.isDirectPending) {
+            this.finish(Err(this.failure));
+        }
+    }
+
+    private handleTunnel(peer: string, result: Result<Duplex, TunnelFailure>): void {
+        const { address, clock, paths, peers } = this.options;
+        const now = clock.getMonotonicTime();
+        this.isTunnelPending = false;
+        if (result.ok) {
+            if (!this.isDone) {
+                paths.recordFailed(address, "A connection through a peer opened first.", now);
+            }
+            this.succeed({ socket: result.val, peer });
+            return;
+        }
+        if (result.val.kind === TunnelFailureKind.Peer) {
+            peers.recordFailure(peer, now);
+        }
+        else {
+            this.endpointFailures += 1;
+        }
+        this.tryPeer();
+    }
+
+    private succeed(opened: OpenedSocket): void {
+        if (this.isDone) {
+            opened.socket.on("error", () => undefined);
+            opened.socket.destroy();
+            return;
+        }
+        this.finish(Ok(opened));
+    }
+
+    private finish(result: Result<OpenedSocket, string>): void {
+        if (!this.isDone) {
+            this.isDone = true;
+            this.timer?.cancel();
+            this.options.onDone(result);
+        }
+    }
+}
--- /dev/null
+++ b/src/connection/upstream/path/pathTester.ts
@@ -0,0 +1,127 @@
+import type { Clock } from "../../../process/clock.ts";
+import { openTunnel } from "../../peer/tunnel/openTunnel.ts";
+import { TunnelFailureKind } from "../../peer/tunnel/tunnelFailureKind.ts";
+import type { CreateSocket } from "./createSocket.ts";
+import type { EndpointPaths } from "./endpointPaths.ts";
+import { openDirect } from "./openDirect.ts";
+import { PathState } from "./pathState.ts";
+import type { TunnelPeers } from "./tunnelPeers.ts";
+
+/** Options of a {@link PathTester}. */
+interface PathTesterOptions {
+    clock: Pick<Clock, "setTimer" | "getMonotonicTime">;
+    paths: EndpointPaths;
+    peers: TunnelPeers;
+    createSocket: CreateSocket;
+}
+
+/** Connections open within a few milliseconds; the rest allows for a busy event loop at either end. */
+const directTimeoutMilliseconds = 120;
+const tunnelTimeoutMilliseconds = 200;
+const maximumPeers = 2;
+/** Time for which the result of a test holds. */
+const resultMilliseconds = 200;
+
+/** Tests whether endpoints can be reached, by opening connections that carry no request. */
+export class PathTester {
+    private readonly options: PathTesterOptions;
+    private readonly tests = new Map<string, Promise<PathState>>();
+
+    private constructor(options: PathTesterOptions) {
+        this.options = options;
+    }
+
+    /** Creates a tester. */
+    static create(options: PathTesterOptions): PathTester {
+        return new PathTester(options);
+    }
+
+    /** Tests the path to an address. Concurrent and immediately following calls share a test. */
+    test(address: string): Promise<PathState> {
+        return this.share(address, () => this.run(address));
+    }
+
+    /** Tests the path to an address through a peer, likewise. */
+    testPeer(peer: string, address: string): Promise<PathState> {
+        return this.share(
+            `${peer} ${address}`,
+            async () => await this.testTunnel(peer, address) ? PathState.Open : PathState.Lost,
+        );
+    }
+
+    /** Tests the direct path to an address. Returns whether a connection was opened. */
+    testDirect(address: string): Promise<boolean> {
+        const { clock, paths, createSocket } = this.options;
+        return new Promise(resolve => {
+            openDirect({
+                address,
+                timeoutMilliseconds: directTimeoutMilliseconds,
+                clock,
+                createSocket,
+                onDone: result => {
+                    const now = clock.getMonotonicTime();
+                    if (result.ok) {
+                        result.val.destroy();
+                        paths.recordOpened(address, now);
+                    }
+                    else {
+                        paths.recordFailed(address, result.val, now);
+                    }
+                    resolve(result.ok);
+                },
+            });
+        });
+    }
+
+    private share(key: string, run: () => Promise<PathState>): Promise<PathState> {
+        const running = this.tests.get(key);
+        if (running !== undefined) {
+            return running;
+        }
+        const test = run();
+        this.tests.set(key, test);
+        void test.then(() => this.options.clock.setTimer(resultMilliseconds, () => this.tests.delete(key)));
+        return test;
+    }
+
+    /** Opens a connection through a peer. Returns whether this succeeded. */
+    private testTunnel(peer: string, address: string): Promise<boolean> {
+        const { clock, peers } = this.options;
+        return new Promise(resolve => {
+            openTunnel({
+                peer,
+                address,
+                timeoutMilliseconds: tunnelTimeoutMilliseconds,
+                clock,
+                onDone: result => {
+                    if (result.ok) {
+                        result.val.destroy();
+                    }
+                    else if (result.val.kind === TunnelFailureKind.Peer) {
+                        peers.recordFailure(peer, clock.getMonotonicTime());
+                    }
+                    resolve(result.ok);
+                },
+            });
+        });
+    }
+
+    private async run(address: string): Promise<PathState> {
+        if (await this.testDirect(address)) {
+            return PathState.Open;
+        }
+        const { clock, paths, peers } = this.options;
+        const tried = new Set<string>();
+        for (let count = 0; count < maximumPeers && paths.mayAskPeers(address, clock.getMonotonicTime()); count++) {
+            const peer = peers.choose(tried, clock.getMonotonicTime());
+            if (peer === undefined) {
+                break;
+            }
+            tried.add(peer);
+            if (await this.testTunnel(peer, address)) {
+                return PathState.Lost;
+            }
+        }
+        return PathState.Down;
+    }
+}
--- a/src/connection/upstream/upstreamConnection.ts
+++ b/src/connection/upstream/upstreamConnection.ts
@@ -3,7 +3,8 @@
 import type { Duplex } from "node:stream";
 import { Client, type Dispatcher } from "undici";
 import type { InputBarrier } from "../../process/loop/inputBarrier.ts";
-import type { EndpointConnector } from "./path/endpointConnector.ts";
+import type { ConnectionPath } from "./path/connectionPath.ts";
+import type { PathConnector } from "./path/pathConnector.ts";
 import type { UpstreamExchange } from "./upstreamExchange.ts";
 import { UpstreamFailureKind } from "./upstreamFailureKind.ts";
 import type { UpstreamListener } from "./upstreamListener.ts";
@@ -14,7 +15,7 @@
 interface UpstreamConnectionOptions {
     /** host:port of the endpoint. */
     address: string;
-    connector: Pick<EndpointConnector, "open">;
+    connector: PathConnector;
     /**
      * Delays the first request until all input that arrived while the connection opened is read, since that input may
      * abort the request.
@@ -42,14 +43,18 @@
     private isClosed = false;
     /** Monotonic time in milliseconds at which the last exchange ended. */
     private idleSince = 0;
+    private readonly path: ConnectionPath;
 
     private constructor(options: UpstreamConnectionOptions) {
         this.options = options;
         const { address, connector, barrier } = options;
+        this.path = { address, peer: undefined, lastByteAt: performance.now() };
         this.client = new Client(`http://${address}`, {
             connect: (_connectOptions, callback) =>
                 connector.open(address, result => {
                     if (result.ok) {
+                        this.path.peer = result.val.peer;
+                        this.path.lastByteAt = performance.now();
                         this.watchSocket(result.val.socket);
                     }
                     barrier.defer(() =>
@@ -74,6 +79,11 @@
         return new UpstreamConnection(options);
     }
 
+    /** Gets the path that the connection takes. */
+    getPath(): Readonly<ConnectionPath> {
+        return this.path;
+    }
+
     /** Gets how long the connection has been idle, in milliseconds. */
     getIdleTime(now: number): number {
         return now - this.idleSince;
@@ -118,6 +128,7 @@
                 sentAt = performance.now();
             },
             onResponseStart: (_controller, status, headers) => {
+                this.path.lastByteAt = performance.now();
                 if (isEnded || status < 200) {
                     return;
                 }
@@ -125,6 +136,7 @@
                 listener.onHead(status, headers);
             },
             onResponseData: (_controller, chunk) => {
+                this.path.lastByteAt = performance.now();
                 if (!isEnded) {
                     listener.onData(chunk);
                 }
@@ -149,6 +161,8 @@
         });
         return {
             getSentTime: () => sentAt,
+            isPathLost: () => sentAt !== undefined && this.options.connector.isLost(this.path),
+            testPath: onDone => void this.options.connector.test(this.path).then(onDone),
             abort: () => {
                 if (isEnded) {
                     return;
--- a/src/connection/upstream/upstreamExchange.ts
+++ b/src/connection/upstream/upstreamExchange.ts
@@ -1,3 +1,5 @@
+import type { PathState } from "./path/pathState.ts";
+
 /** A request to an endpoint that is in progress, with its response. */
 export interface UpstreamExchange {
     /** Aborts the exchange and closes its connection. The listener is not called any more. */
@@ -7,4 +9,11 @@
      * were. An exchange that is aborted before this time is never sent.
      */
     getSentTime(): number | undefined;
+    /** Checks if the path of its connection is known not to work, and nothing was received since it failed. */
+    isPathLost(): boolean;
+    /**
+     * Tests the path of its connection.
+     * @param onDone - Called with the result. `Lost` means that the endpoint can be reached over another path.
+     */
+    testPath(onDone: (state: PathState) => void): void;
 }
--- a/src/connection/upstream/upstreamPool.ts
+++ b/src/connection/upstream/upstreamPool.ts
@@ -1,5 +1,5 @@
 import type { InputBarrier } from "../../process/loop/inputBarrier.ts";
-import type { EndpointConnector } from "./path/endpointConnector.ts";
+import type { PathConnector } from "./path/pathConnector.ts";
 import { UpstreamConnection } from "./upstreamConnection.ts";
 import type { UpstreamExchange } from "./upstreamExchange.ts";
 import type { UpstreamListener } from "./upstreamListener.ts";
@@ -12,7 +12,7 @@
     address: string;
     /** Delays requests until all input that has already arrived at the node is read, since it may abort them. */
     barrier: Pick<InputBarrier, "defer">;
-    connector: Pick<EndpointConnector, "open">;
+    connector: PathConnector;
     /** Called for each new connection. */
     onOpened(): void;
 }
@@ -60,6 +60,7 @@
         listener: UpstreamListener,
         maximumIdleMilliseconds = Infinity,
     ): UpstreamExchange {
+        const { address } = this.options;
         let exchange: UpstreamExchange | undefined;
         const deferred = this.options.barrier.defer(() => {
             if (listener.maySend?.() === false) {
@@ -74,6 +75,14 @@
                 exchange?.abort();
             },
             getSentTime: () => exchange?.getSentTime(),
+            isPathLost: () => exchange?.isPathLost() ?? false,
+            testPath: onDone => {
+                if (exchange === undefined) {
+                    void this.options.connector.test({ address, peer: undefined }).then(onDone);
+                    return;
+                }
+                exchange.testPath(onDone);
+            },
         };
     }
 
@@ -91,13 +100,39 @@
         }
     }
 
+    /** Closes the idle connections through peers that are not needed or not usable any more. */
+    closeUnusedTunnels(): void {
+        const { connector } = this.options;
+        const unused = this.idle.filter(connection =>
+            connection.getPath().peer !== undefined && !connector.isUsable(connection.getPath())
+        );
+        for (const connection of unused) {
+            connection.close();
+        }
+    }
+
+    /** Checks if bytes were received from the address over an open connection since the given monotonic time in milliseconds. */
+    hasBytesSince(time: number): boolean {
+        for (const connection of this.connections) {
+            if (connection.getPath().lastByteAt > time) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private acquire(maximumIdleMilliseconds: number): UpstreamConnection {
-        const latest = this.idle.at(-1);
-        if (latest !== undefined && latest.getIdleTime(performance.now()) <= maximumIdleMilliseconds) {
-            this.idle.pop();
-            return latest;
+        const { address, connector } = this.options;
+        const now = performance.now();
+        const recent = this.idle.filter(connection => connection.getIdleTime(now) <= maximumIdleMilliseconds);
+        const usable = recent.findLast(connection => connector.isUsable(connection.getPath()));
+        // A connection over a path that fails may still be open, and is the only way if no peer can help.
+        const connection = usable ?? (connector.hasPeer(address) ? undefined : recent.at(-1));
+        if (connection === undefined) {
+            return this.open();
         }
-        return this.open();
+        this.idle.splice(this.idle.indexOf(connection), 1);
+        return connection;
     }
 
     private open(): UpstreamConnection {
@@ -107,13 +142,20 @@
             address,
             barrier,
             connector,
-            onIdle: () => this.idle.push(connection),
+            onIdle: () => this.release(connection),
             onClosed: () => this.remove(connection),
         });
         this.connections.add(connection);
         return connection;
     }
 
+    private release(connection: UpstreamConnection): void {
+        this.idle.push(connection);
+        if (connection.getPath().peer !== undefined) {
+            this.closeUnusedTunnels();
+        }
+    }
+
     private remove(connection: UpstreamConnection): void {
         this.connections.delete(connection);
         const index = this.idle.indexOf(connection);
--- a/src/connection/upstream/upstreamPools.ts
+++ b/src/connection/upstream/upstreamPools.ts
@@ -1,12 +1,12 @@
 import type { InputBarrier } from "../../process/loop/inputBarrier.ts";
-import type { EndpointConnector } from "./path/endpointConnector.ts";
+import type { PathConnector } from "./path/pathConnector.ts";
 import { UpstreamPool } from "./upstreamPool.ts";
 
 /** Options of {@link UpstreamPools}. */
 interface UpstreamPoolsOptions {
     /** Delays requests until all input that has already arrived at the node is read. */
     barrier: Pick<InputBarrier, "defer">;
-    connector: Pick<EndpointConnector, "open">;
+    connector: PathConnector;
     /** Called for each new connection. */
     onOpened(): void;
 }
@@ -49,6 +49,18 @@
         }
     }
 
+    /** Closes the idle connections through peers that are not needed or not usable any more. */
+    closeUnusedTunnels(): void {
+        for (const pool of this.pools.values()) {
+            pool.closeUnusedTunnels();
+        }
+    }
+
+    /** Lists the addresses to which connections are open. */
+    listOpenAddresses(): string[] {
+        return [...this.pools].filter(([, pool]) => pool.getSize() > 0).map(([address]) => address);
+    }
+
     /** Closes all connections. */
     close(): void {
         for (const pool of this.pools.values()) {
--- a/src/process/metrics/metrics.ts
+++ b/src/process/metrics/metrics.ts
@@ -112,6 +112,7 @@
         "unreachable_endpoints",
         "Registered endpoints that this node cannot connect to over its own links.",
     );
+    readonly tunnels = this.createGauge("tunnels", "Connections to endpoints that peers hold through this node.");
     readonly endpointCallsTotal = this.createCounter("endpoint_calls_total", "Reports and orders sent to endpoints.", [
         "call",
         "outcome",
--- a/src/process/router/knownNode.ts
+++ b/src/process/router/knownNode.ts
@@ -7,6 +7,10 @@
     dataCentre: string;
     /** Whether it last reported that the store refuses it or does not answer it. */
     isWithoutStore: boolean;
+    /** Address of its listener for tunnels to endpoints, as host:port; empty or absent if it takes none. */
+    tunnelAddress?: string;
+    /** Fraction of the endpoints that it can't connect to, as it last reported, 0 to 1. Default: 0. */
+    unreachableFraction?: number;
     /** Latest known monotonic time in milliseconds at which any node heard from it directly. */
     heardAt: number;
 }
--- a/src/process/router/nodeTable.ts
+++ b/src/process/router/nodeTable.ts
@@ -28,8 +28,7 @@
         const known = this.nodes.get(node.nodeId);
         if (known !== undefined) {
             if (node.heardAt > known.heardAt) {
-                known.heardAt = node.heardAt;
-                known.isWithoutStore = node.isWithoutStore;
+                Object.assign(known, node);
             }
             return;
         }
--- a/src/process/router/peerExchange.ts
+++ b/src/process/router/peerExchange.ts
@@ -22,6 +22,7 @@
 import type { RecordSection } from "../replica/recordSection.ts";
 import { ChangeFetcher } from "./changeFetcher.ts";
 import { choosePartners } from "./choosePartners.ts";
+import type { EndpointLinks } from "./endpointLinks.ts";
 import type { KnownNode } from "./knownNode.ts";
 import { listDistributors } from "./listDistributors.ts";
 import { listUpdateSources } from "./listUpdateSources.ts";
@@ -37,6 +38,8 @@
     /** Address of this node's peer listener, as host:port. */
     address: string;
     dataCentre: string;
+    /** What this node tells about its links to the endpoints. */
+    links: Pick<EndpointLinks, "getTunnelAddress" | "getUnreachableFraction">;
     /** Tracks the store's state, as seen by this node and reported by peers. */
     storeWatch: StoreWatchController;
     /** Lease for placing layers; peers pass on that it was released. */
@@ -75,6 +78,7 @@
 /** Largest age that the message can hold (uint32); also stands for an unknown age. */
 const maximumAgeMilliseconds = 0xffff_ffff;
 const callTimeoutMilliseconds = 600;
+const percent = 100;
 /** A seed that is not known as a live node is called once in this many rounds. */
 const roundsPerSeedCall = 4;
 
@@ -293,15 +297,30 @@
     private applyNodes({ sender, nodes }: NodeState): void {
         const now = this.getTime();
         for (const record of sender === undefined ? nodes : [sender, ...nodes]) {
-            const { nodeId, address, dataCentre, age, isWithoutStore } = record;
-            this.options.nodes.update({ nodeId, address, dataCentre, isWithoutStore, heardAt: now - age });
+            const { nodeId, address, dataCentre, age, isWithoutStore, tunnelAddress, unreachablePercent } = record;
+            this.options.nodes.update({
+                nodeId,
+                address,
+                dataCentre,
+                isWithoutStore,
+                tunnelAddress,
+                unreachableFraction: unreachablePercent / percent,
+                heardAt: now - age,
+            });
         }
     }
 
     private createOwnRecord(): NodeRecord {
-        const { nodeId, address, dataCentre, storeWatch } = this.options;
-        const isWithoutStore = storeWatch.isWithoutStore();
-        return create(NodeRecordSchema, { nodeId, address, dataCentre, age: 0, isWithoutStore });
+        const { nodeId, address, dataCentre, storeWatch, links } = this.options;
+        return create(NodeRecordSchema, {
+            nodeId,
+            address,
+            dataCentre,
+            age: 0,
+            isWithoutStore: storeWatch.isWithoutStore(),
+            tunnelAddress: links.getTunnelAddress(),
+            unreachablePercent: Math.round(links.getUnreachableFraction() * percent),
+        });
     }
 
     private createNodeRecords(live: readonly KnownNode[], knownToPeer = Infinity): NodeRecord[] {
@@ -314,13 +333,15 @@
             0,
             isNewcomer ? nodesPerNewcomerMessage : usualCount,
         );
-        return selected.map(({ nodeId, address, dataCentre, isWithoutStore, heardAt }) =>
+        return selected.map(node =>
             create(NodeRecordSchema, {
-                nodeId,
-                address,
-                dataCentre,
-                isWithoutStore,
-                age: Math.max(0, Math.round(now - heardAt)),
+                nodeId: node.nodeId,
+                address: node.address,
+                dataCentre: node.dataCentre,
+                isWithoutStore: node.isWithoutStore,
+                tunnelAddress: node.tunnelAddress ?? "",
+                unreachablePercent: Math.round((node.unreachableFraction ?? 0) * percent),
+                age: Math.max(0, Math.round(now - node.heardAt)),
             })
         );
     }
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -1,9 +1,5 @@
 import { EndpointInstructions } from "../../connection/instructions/endpointInstructions.ts";
 import { FramedServer } from "../../connection/peer/framed/framedServer.ts";
-import { createTcpSocket } from "../../connection/upstream/path/createTcpSocket.ts";
-import { EndpointConnector } from "../../connection/upstream/path/endpointConnector.ts";
-import { EndpointPaths } from "../../connection/upstream/path/endpointPaths.ts";
-import { UpstreamPools } from "../../connection/upstream/upstreamPools.ts";
 import { RetryBudget } from "../../request/admission/retryBudget.ts";
 import { RetryDetector } from "../../request/admission/start/retryDetector.ts";
 import type { AnswerSink } from "../../request/relay/answerSink.ts";
@@ -32,6 +28,7 @@
 import { RecordSection } from "../replica/recordSection.ts";
 import { chooseLimitSharers } from "./chooseLimitSharers.ts";
 import { EndpointCalls } from "./endpointCalls.ts";
+import { EndpointLinks } from "./endpointLinks.ts";
 import { EndpointPoller } from "./endpointPoller.ts";
 import { EndpointReadings } from "./endpointReadings.ts";
 import { EndpointRegistry } from "./endpointRegistry.ts";
@@ -61,8 +58,7 @@
 export class RouterNode {
     private readonly options: RouterNodeOptions;
     private readonly nodes: NodeTable;
-    private readonly paths: EndpointPaths;
-    private readonly pools: UpstreamPools;
+    private readonly links: EndpointLinks;
     private readonly registry: EndpointRegistry;
     private readonly holder: RoutingHolder;
     private readonly storeWatch: StoreWatchController;
@@ -141,16 +137,14 @@
         });
         this.quarantinePersister = QuarantinePersister.create({ store, key: keys.quarantine, quarantine, clock, log });
         this.nodes = NodeTable.create(nodeId);
-        this.paths = EndpointPaths.create((address, failure) => this.handlePathChanged(address, failure));
-        this.pools = UpstreamPools.create({
-            barrier: options.barrier,
-            connector: EndpointConnector.create({
-                clock,
-                paths: this.paths,
-                createSocket: options.createSocket ?? createTcpSocket,
-            }),
-            onOpened: () => metrics.upstreamConnectionsTotal.inc(),
+        this.links = EndpointLinks.create({
+            ...options,
+            tunnelListener: settings.tunnelListener,
+            nodes: this.nodes,
+            getRegistry: () => this.registry,
+            onLinksChanged: () => this.exchange.propagateUpdate(),
         });
+        const { pools } = this.links;
         this.holder = RoutingHolder.create({
             decode: text => clock.run("configuration", () => options.decodeConfiguration(text)),
             log,
@@ -219,6 +213,7 @@
             nodeId,
             address: settings.peerListener,
             dataCentre: settings.dataCentre,
+            links: this.links,
             storeWatch: this.storeWatch,
             lease: this.lease,
             seeds: settings.seeds,
@@ -241,7 +236,7 @@
         });
         const calls = EndpointCalls.create({
             protocol,
-            pools: this.pools,
+            pools,
             clock,
             metrics,
             log,
@@ -255,7 +250,7 @@
             random,
             log,
             protocol,
-            pools: this.pools,
+            pools,
             directory: this.registry,
             loads,
             health: this.health,
@@ -335,6 +330,7 @@
                 fetch: request => this.exchange.handleFetch(request),
             },
         });
+        await this.links.start();
         this.storeWatch.start();
         this.quarantinePersister.start();
         this.exchange.start();
@@ -388,15 +384,22 @@
         this.options.log.write(events.nodeDraining, {});
         this.placementController.stop();
         this.endpointPoller.stop();
+        this.links.startDraining();
+        this.exchange.propagateUpdate();
         await this.lease.stop();
     }
 
+    /** Waits until peers use no connections to endpoints through this node any more. */
+    waitUntilUnused(): Promise<void> {
+        return this.links.waitUntilUnused();
+    }
+
     /** Stops the remaining parts and closes the connections. */
     async stop(): Promise<void> {
         this.storeWatch.stop();
         this.quarantinePersister.stop();
         this.exchange.stop();
-        this.pools.close();
+        await this.links.close();
         await this.peerServer?.close();
     }
 
@@ -456,27 +459,10 @@
         this.loads.retain(ids);
         this.limits.retain(ids);
         this.instructions.retain(ids);
-        const addresses = new Set(endpoints.map(({ address }) => address));
-        this.paths.retain(addresses);
-        this.pools.retain(addresses);
+        this.links.retain(new Set(endpoints.map(({ address }) => address)));
         this.queue.wake();
     }
 
-    /** Logs that this node can't connect to an endpoint any more, or can again. */
-    private handlePathChanged(address: string, failure: string | undefined): void {
-        const { log, metrics } = this.options;
-        const unreachable = this.paths.getFailingCount();
-        metrics.unreachableEndpoints.set(unreachable);
-        const endpoint = this.registry.getEndpointAt(address)?.id ?? "";
-        const details = { endpoint, address, unreachable, registered: this.registry.getAll().length };
-        if (failure === undefined) {
-            log.write(events.endpointPathRestored, details);
-        }
-        else {
-            log.write(events.endpointPathLost, { ...details, cause: failure });
-        }
-    }
-
     private getNodeCount(): number {
         const now = this.options.clock.getMonotonicTime();
         return this.maximumNodeCount.add(1 + this.nodes.getLiveNodes(now).length, now);
--- a/src/process/router/routerSettings.ts
+++ b/src/process/router/routerSettings.ts
@@ -8,6 +8,8 @@
     readinessListener: string;
     /** Address of the listener for peers, as host:port. */
     peerListener: string;
+    /** Address of the listener for peers' tunnels to endpoints, as host:port. */
+    tunnelListener: string;
     /** Address of the listener for metrics and status, as host:port. */
     adminListener: string;
     /** Addresses of the peer listeners of some nodes. */
--- a/src/process/router/stopRouter.ts
+++ b/src/process/router/stopRouter.ts
@@ -25,7 +25,7 @@
 
 /**
  * Stops a node without losing requests: it keeps serving until the load balancer has removed it, and then completes the
- * accepted requests.
+ * accepted requests and those that peers send through it.
  */
 export async function stopRouter({ node, callers, shutdownMilliseconds, clock }: StopRouterOptions): Promise<void> {
     const sleep = (milliseconds: number) => new Promise<void>(resolve => clock.setTimer(milliseconds, resolve));
@@ -34,6 +34,6 @@
     void node.startDraining();
     await sleep(balancerRemovalMilliseconds);
     callers.stopListening();
-    await Promise.race([callers.waitUntilIdle(), deadline]);
+    await Promise.race([Promise.all([callers.waitUntilIdle(), node.waitUntilUnused()]), deadline]);
     await Promise.race([node.stop(), deadline]);
 }
--- a/src/request/relay/documentRelay.ts
+++ b/src/request/relay/documentRelay.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders } from "node:http";
+import { PathState } from "../../connection/upstream/path/pathState.ts";
 import type { UpstreamExchange } from "../../connection/upstream/upstreamExchange.ts";
 import type { UpstreamFailure } from "../../connection/upstream/upstreamFailure.ts";
 import { UpstreamFailureKind } from "../../connection/upstream/upstreamFailureKind.ts";
@@ -36,6 +37,8 @@
     isNotRun: boolean;
     /** Whether no byte of the request was sent. */
     isUnsent?: boolean;
+    /** Whether only the path to the endpoint is lost, while the endpoint itself is alive. */
+    isPathLost?: boolean;
     cause: string;
     /** The endpoint's error response, which is forwarded if no other attempt succeeds. */
     answer?: CompleteAnswer;
@@ -61,8 +64,8 @@
     private readonly quarantine: TaskQuarantine;
     private attempts = 0;
     private refusals = 0;
-    /** Number of attempts that ended before a byte was sent. */
-    private unsentAttempts = 0;
+    /** Number of attempts that ended before a byte was sent, or whose path was lost. */
+    private uncountedAttempts = 0;
     /** Monotonic time in milliseconds at which the first byte was sent to an endpoint. */
     private firstSentAt: number | undefined;
     private mayHaveRun = false;
@@ -103,7 +106,7 @@
             return;
         }
         const { environment, task } = this;
-        const isAllowed = this.attempts - this.unsentAttempts < task.route.maximumAttempts
+        const isAllowed = this.attempts - this.uncountedAttempts < task.route.maximumAttempts
             || !this.mayHaveRun && this.runningAttempts.size === 0 && this.refusals <= maximumRefusals;
         const limitedIds = new Set<string>();
         const endpoint = isAllowed ? this.acquireEndpoint(limitedIds) : undefined;
@@ -209,32 +212,40 @@
     }
 
     private handleFailure(attempt: Attempt, failure: UpstreamFailure): void {
-        const isNotRun = failure.kind !== UpstreamFailureKind.Broken;
         const { health, limits } = this.environment;
+        const cause = `the exchange with the endpoint failed (${failure.message}).`;
+        if (failure.kind === UpstreamFailureKind.Broken) {
+            attempt.exchange?.testPath(state => this.handleBreak(attempt, state === PathState.Lost, cause));
+            return;
+        }
         if (failure.kind === UpstreamFailureKind.Withheld) {
             limits.refund(attempt.endpoint.id);
         }
-        else if (isNotRun) {
+        else {
             health.markUnavailable(attempt.endpoint.id, this.getTime());
         }
-        else {
-            health.addFailure(attempt.endpoint.id, this.getTime());
+        this.endAttempt(attempt, { isNotRun: true, isUnsent: true, cause });
+    }
+
+    private handleBreak(attempt: Attempt, isPathLost: boolean, cause: string): void {
+        if (!isPathLost) {
+            this.environment.health.addFailure(attempt.endpoint.id, this.getTime());
             this.quarantine.noteCrash(attempt.endpoint.id, attempt.sentAt);
         }
-        this.endAttempt(attempt, {
-            isNotRun,
-            isUnsent: isNotRun,
-            cause: `the exchange with the endpoint failed (${failure.message}).`,
-        });
+        this.endAttempt(attempt, { isNotRun: false, isPathLost, cause });
     }
 
     private endAttempt(attempt: Attempt, end: AttemptEnd): void {
-        if (this.isDone) {
+        if (this.isDone || !this.runningAttempts.has(attempt)) {
             return;
         }
         this.releaseAttempt(attempt);
         this.mayHaveRun ||= !end.isNotRun;
-        this.unsentAttempts += end.isUnsent === true ? 1 : 0;
+        this.uncountedAttempts += end.isUnsent === true || end.isPathLost === true ? 1 : 0;
+        if (end.isPathLost === true) {
+            // The endpoint can be reached over another path.
+            this.triedIds.delete(attempt.endpoint.id);
+        }
         this.failureAnswer = end.answer ?? this.failureAnswer;
         this.environment.log.write(events.relayAttemptFailed, {
             request: this.task.request.id,
@@ -261,6 +272,7 @@
      * waiting for an unresponsive endpoint would use up the caller's time.
      */
     private handleLateAnswer(): void {
+        this.testSilentPaths();
         if (this.isIdempotent()) {
             this.hedge();
             return;
@@ -278,6 +290,27 @@
         }
     }
 
+    /** Tests the paths of attempts whose endpoints have sent nothing since. If one is lost, an idempotent request takes another. */
+    private testSilentPaths(): void {
+        for (const attempt of this.runningAttempts) {
+            const { exchange, endpoint, sentAt } = attempt;
+            const isSent = exchange?.getSentTime() !== undefined;
+            if (!isSent || this.environment.pools.getPool(endpoint.address).hasBytesSince(sentAt)) {
+                continue;
+            }
+            exchange.testPath(state => {
+                if (state === PathState.Lost && this.isIdempotent() && this.runningAttempts.has(attempt)) {
+                    exchange.abort();
+                    this.endAttempt(attempt, {
+                        isNotRun: false,
+                        isPathLost: true,
+                        cause: "the path to the endpoint is lost.",
+                    });
+                }
+            });
+        }
+    }
+
     private hedge(): void {
         const { route } = this.task;
         const isAllowed = this.attempts > 0 && this.attempts < route.maximumAttempts;
--- a/src/request/relay/relayTransport.ts
+++ b/src/request/relay/relayTransport.ts
@@ -8,6 +8,8 @@
     getPool(address: string): {
         /** Checks if a connection is open and idle. */
         hasIdle(): boolean;
+        /** Checks if bytes were received from the address since the given monotonic time in milliseconds. */
+        hasBytesSince(time: number): boolean;
         /** Sends a caller's request once all pending input of the node is read, unless it is aborted by then. It is created when sent. */
         sendForCaller(
             createRequest: () => UpstreamRequest,
--- a/src/request/relay/stallDetector.ts
+++ b/src/request/relay/stallDetector.ts
@@ -24,6 +24,8 @@
 const silenceBeforeFirstEventMilliseconds = 420;
 /** Maximum age of a report. Fetching it from the same endpoint again before that returns nothing new. */
 const reportIntervalMilliseconds = 200;
+/** Reports arrive within a few milliseconds. If one is overdue, the path to the endpoint may be lost. */
+const usualReportMilliseconds = 60;
 /** A stream that is silent for this long without a known cause is continued over another chain, before its caller gives up. */
 const abandonMilliseconds = 1_300;
 
@@ -102,7 +104,15 @@
     }
 
     private async resolveStall(first: RegisteredEndpoint, relays: StreamRelay[]): Promise<void> {
-        const report = await this.options.fetchReport(first);
+        const reporting = this.options.fetchReport(first);
+        if (!await this.isSettledSoon(reporting)) {
+            await Promise.all(relays.map(relay => new Promise<void>(resolve => relay.testPath(resolve))));
+        }
+        if (continueOverOtherPaths(relays).length === 0) {
+            return;
+        }
+        const report = await reporting;
+        const affected = continueOverOtherPaths(relays);
         const { environment, clock } = this.options;
         const now = clock.getMonotonicTime();
         environment.log.write(events.relayStalled, {
@@ -114,13 +124,13 @@
         });
         if (report === undefined) {
             environment.health.markUnavailable(first.id, now);
-            for (const relay of relays) {
+            for (const relay of affected) {
                 this.abandon(relay, first.id, "the first stage does not answer.");
             }
             return;
         }
         const lost = this.recordLost(report, now);
-        for (const relay of relays) {
+        for (const relay of affected) {
             const isStalled = report.stalled.some(({ requestId }) => requestId === relay.task.request.id);
             const isAffected = relay.getStages()?.some(({ endpoint }) => lost.has(endpoint.id)) === true;
             if (isStalled || isAffected) {
@@ -132,6 +142,17 @@
         }
     }
 
+    /** Waits until a report is there or overdue. Returns whether it is there. */
+    private isSettledSoon(reporting: Promise<unknown>): Promise<boolean> {
+        return new Promise(resolve => {
+            const timer = this.options.clock.setTimer(usualReportMilliseconds, () => resolve(false));
+            void reporting.then(() => {
+                timer.cancel();
+                resolve(true);
+            });
+        });
+    }
+
     /**
      * Reviews a silent stream for which its first stage reports no cause. If other streams over the same data centres
      * make progress, only this stream is lost, and it continues over another chain. Otherwise the links are slow or
@@ -199,6 +220,11 @@
     }
 }
 
+/** Continues the streams whose path is lost, and returns the others. */
+function continueOverOtherPaths(relays: readonly StreamRelay[]): StreamRelay[] {
+    return relays.filter(relay => !relay.continueIfPathLost());
+}
+
 function isSilent(relay: StreamRelay, now: number): boolean {
     const limit = relay.hasEvents() ? silenceMilliseconds : silenceBeforeFirstEventMilliseconds;
     return now - (relay.getLastProgress() ?? now) > limit;
--- a/src/request/relay/streamAttemptEnd.ts
+++ b/src/request/relay/streamAttemptEnd.ts
@@ -8,6 +8,8 @@
     isUnsent?: boolean;
     /** Whether the connection to the first stage broke, as it does when an endpoint crashes. */
     isBroken?: boolean;
+    /** Whether only the path to the first stage is lost, while the stage itself is alive. */
+    isPathLost?: boolean;
     cause: string;
     /** Ids of endpoints that the next chain must avoid. */
     avoid: string[];
--- a/src/request/relay/streamRelay.ts
+++ b/src/request/relay/streamRelay.ts
@@ -1,3 +1,4 @@
+import { PathState } from "../../connection/upstream/path/pathState.ts";
 import type { UpstreamFailure } from "../../connection/upstream/upstreamFailure.ts";
 import { UpstreamFailureKind } from "../../connection/upstream/upstreamFailureKind.ts";
 import type { TimerHandle } from "../../process/clock.ts";
@@ -418,8 +419,40 @@
         const cause = `the connection to the first stage failed (${failure.message}).`;
         if (isNotRun) {
             this.environment.health.markUnavailable(id, this.getTime());
+            this.endAttempt(attempt, { isNotRun, isUnsent: true, cause, avoid: [id] });
+            return;
         }
-        this.endAttempt(attempt, { isNotRun, isUnsent: isNotRun, isBroken: !isNotRun, cause, avoid: [id] });
+        attempt.exchange?.testPath(state => {
+            const isPathLost = state === PathState.Lost;
+            const avoid = isPathLost ? [] : [id];
+            this.endAttempt(attempt, { isNotRun, isBroken: !isPathLost, isPathLost, cause, avoid });
+        });
+    }
+
+    /** Tests the path of the connection in use. Calls back when the result is known. */
+    testPath(onDone: () => void): void {
+        const exchange = this.attempt?.exchange;
+        if (exchange === undefined) {
+            onDone();
+            return;
+        }
+        exchange.testPath(onDone);
+    }
+
+    /**
+     * Continues a resumable stream over another connection if the path of the one in use is lost. Any other stream waits, since the
+     * path may return.
+     * @returns Whether it was continued.
+     */
+    continueIfPathLost(): boolean {
+        const { attempt } = this;
+        if (attempt?.exchange?.isPathLost() !== true || !this.isResumable()) {
+            return false;
+        }
+        attempt.exchange.abort();
+        const cause = "the path to the first stage is lost.";
+        this.endAttempt(attempt, { isNotRun: false, isPathLost: true, cause, avoid: [] });
+        return true;
     }
 
     private noteRefusal(endpoint: RegisteredEndpoint, status: number): string[] {
@@ -436,7 +469,9 @@
         this.attempt = undefined;
         if (!end.isNotRun) {
             this.mayHaveRun = true;
-            this.attemptLimit.noteRun(attempt.stages[0]!.endpoint.id);
+            if (end.isPathLost !== true) {
+                this.attemptLimit.noteRun(attempt.stages[0]!.endpoint.id);
+            }
         }
         if (end.isBroken === true) {
             this.quarantine.noteCrash(attempt.stages[0]!.endpoint.id, attempt.sentAt);
--- a/standins/router/createBootFile.ts
+++ b/standins/router/createBootFile.ts
@@ -7,6 +7,8 @@
     readiness: number;
     peers: number;
     admin: number;
+    /** Port of the listener for tunnels of other nodes. */
+    tunnels: number;
     /** Addresses of the peer listeners of other nodes, as host:port. */
     seeds: readonly string[];
     /** Address of the platform's store, as host:port. */
@@ -15,13 +17,13 @@
 
 /** Creates the content of the settings file that the platform writes for a node. */
 export function createBootFile(options: BootFileOptions): string {
-    const { vm, dataCentre, callers, readiness, peers, admin, seeds, store } = options;
+    const { vm, dataCentre, callers, readiness, peers, admin, tunnels, seeds, store } = options;
     return JSON.stringify({
         node_name: vm,
         zone: dataCentre,
         ip: "127.0.0.1",
         listen: { front: `127.0.0.1:${callers}`, ready: `127.0.0.1:${readiness}`, control: `127.0.0.1:${peers}` },
-        internal_ports: [admin, admin],
+        internal_ports: [admin, tunnels],
         seeds,
         bounds: {
             config_apply_ms: 2_000,
--- a/tests/connection/upstream/upstreamPool.test.ts
+++ b/tests/connection/upstream/upstreamPool.test.ts
@@ -6,6 +6,7 @@
 import { createTcpSocket } from "../../../src/connection/upstream/path/createTcpSocket.ts";
 import { EndpointConnector } from "../../../src/connection/upstream/path/endpointConnector.ts";
 import { EndpointPaths } from "../../../src/connection/upstream/path/endpointPaths.ts";
+import { TunnelPeers } from "../../../src/connection/upstream/path/tunnelPeers.ts";
 import type { UpstreamListener } from "../../../src/connection/upstream/upstreamListener.ts";
 import { UpstreamPool } from "../../../src/connection/upstream/upstreamPool.ts";
 import type { UpstreamRequest } from "../../../src/connection/upstream/upstreamRequest.ts";
@@ -42,7 +43,9 @@
             connector: EndpointConnector.create({
                 clock: systemClock,
                 paths: EndpointPaths.create(() => undefined),
+                peers: TunnelPeers.create({ listPeers: () => [], random: Math.random }),
                 createSocket: createTcpSocket,
+                onReview: () => undefined,
             }),
             onOpened: () => undefined,
         });
--- a/tests/platform/platformProcess.test.ts
+++ b/tests/platform/platformProcess.test.ts
@@ -29,9 +29,9 @@
         store.put("op/config", createConfiguration(1));
         const record = createEndpointRecord({ service: "documents", address: endpoint.getAddress() });
         store.put("servers/first", record);
-        ports = await findFreePorts(4);
+        ports = await findFreePorts(5);
         folder = mkdtempSync(join(tmpdir(), "foxlead-platform-"));
-        const [callers, readiness, peers, admin] = ports;
+        const [callers, readiness, peers, admin, tunnels] = ports;
         const boot = createBootFile({
             vm: "edge-1",
             dataCentre: "a",
@@ -39,6 +39,7 @@
             readiness: readiness!,
             peers: peers!,
             admin: admin!,
+            tunnels: tunnels!,
             seeds: [],
             store: store.getAddress(),
         });
--- a/tests/platform/routerTestHarness.ts
+++ b/tests/platform/routerTestHarness.ts
@@ -39,7 +39,7 @@
     log: RecordingEventLog;
     address: string;
     peerAddress: string;
-    /** The node's links to the endpoints that were added before it. */
+    /** The node's links to the endpoints. */
     links: NodeLinks;
 }
 
@@ -93,13 +93,18 @@
         this.store.put("foxlead/placement/model", { service: "model", modelName: "m", layers: 8, columns });
     }
 
-    /** Starts a node. */
-    async addNode(storeAddress = this.store.getAddress()): Promise<StartedNode> {
+    /** Creates links of a node to all endpoints that can be cut. */
+    async createLinks(): Promise<NodeLinks> {
         const links = NodeLinks.create();
         for (const endpoint of this.endpoints.values()) {
             await links.add(endpoint.getAddress());
         }
-        const [callerPort, peerPort] = await findFreePorts(2);
+        return links;
+    }
+
+    /** Starts a node. */
+    async addNode(storeAddress = this.store.getAddress(), links = NodeLinks.create()): Promise<StartedNode> {
+        const [callerPort, peerPort, tunnelPort] = await findFreePorts(3);
         const address = `127.0.0.1:${callerPort}`;
         const peerAddress = `127.0.0.1:${peerPort}`;
         const log = RecordingEventLog.create();
@@ -119,6 +124,7 @@
                 readinessListener: "127.0.0.1:0",
                 peerListener: peerAddress,
                 adminListener: "127.0.0.1:0",
+                tunnelListener: `127.0.0.1:${tunnelPort}`,
                 seeds: this.nodes.map(started => started.peerAddress),
                 storeAddress,
                 shutdownMilliseconds: 2_000,
--- a/tests/platform/unreachableEndpoints.test.ts
+++ b/tests/platform/unreachableEndpoints.test.ts
@@ -25,7 +25,7 @@
         harness.putPlacementInHalves();
         nodes = [];
         for (let count = 0; count < 3; count++) {
-            nodes.push(await harness.addNode());
+            nodes.push(await harness.addNode(undefined, await harness.createLinks()));
         }
         for (const node of nodes) {
             await harness.waitForEndpoints(node, 6);
@@ -67,6 +67,37 @@
             await delay(restoreMilliseconds);
         }
     });
+
+    it("serves its callers through the peer that is left if most nodes are cut off", async () => {
+        for (const { links } of nodes.slice(0, 2)) {
+            links.setCut(LinkCut.Reset);
+        }
+        await Promise.all([listFailures(nodes[0]!), listFailures(nodes[1]!), delay(settleMilliseconds)]);
+        assert.deepEqual(await listFailures(nodes[0]!), []);
+        assert.deepEqual(await listFailures(nodes[1]!), []);
+    });
+
+    it("serves its callers if it loses only the first stages", async () => {
+        const firstStages = ["a1", "a2"].map(id => harness.endpoints.get(id)!.getAddress());
+        nodes[0]!.links.setCut(LinkCut.Silent, address => firstStages.includes(address));
+        await Promise.all([listFailures(nodes[0]!), delay(settleMilliseconds)]);
+        assert.deepEqual(await listFailures(nodes[0]!), []);
+    });
+
+    it("rejects requests as not run if all nodes are cut off, and serves again soon after", async () => {
+        for (const { links } of nodes) {
+            links.setCut(LinkCut.Reset);
+        }
+        await Promise.all([listFailures(nodes[0]!), delay(settleMilliseconds)]);
+        const statuses = await listFailures(nodes[0]!);
+        assert.equal(statuses.length, requestsPerPath * paths.length);
+        assert.deepEqual([...new Set(statuses)], [503]);
+        for (const { links } of nodes) {
+            links.setCut(LinkCut.None);
+        }
+        await delay(restoreMilliseconds);
+        assert.deepEqual(await listFailures(nodes[0]!), []);
+    });
 });
 
 function delay(milliseconds: number): Promise<void> {
--- a/tests/request/relay/relayBench.ts
+++ b/tests/request/relay/relayBench.ts
@@ -1,5 +1,6 @@
 import { endpointProtocol } from "../../../platform/endpointProtocol.ts";
 import { EndpointInstructions } from "../../../src/connection/instructions/endpointInstructions.ts";
+import { PathState } from "../../../src/connection/upstream/path/pathState.ts";
 import type { UpstreamListener } from "../../../src/connection/upstream/upstreamListener.ts";
 import { RetryBudget } from "../../../src/request/admission/retryBudget.ts";
 import { RetryDetector } from "../../../src/request/admission/start/retryDetector.ts";
@@ -53,6 +54,7 @@
             pools: {
                 getPool: address => ({
                     hasIdle: () => true,
+                    hasBytesSince: () => true,
                     sendForCaller: (_createRequest, listener) => this.send(address, listener),
                 }),
             },
@@ -150,6 +152,8 @@
                 sentRequest.isAborted = true;
             },
             getSentTime: () => sentRequest.sentAt,
+            isPathLost: () => false,
+            testPath: (onDone: (state: PathState) => void) => onDone(PathState.Down),
         };
     }
 }
