Ask further peers soon if one does not open a tunnel

Change: the next peer is asked after 50 ms, four in all, and three have to say that they can't reach the endpoint. Tests of paths open connections by the same code.

--- a/src/connection/upstream/path/connectionOpening.ts
+++ b/src/connection/upstream/path/connectionOpening.ts
@@ -18,20 +18,18 @@
     paths: EndpointPaths;
     peers: TunnelPeers;
     createSocket: CreateSocket;
+    directTimeoutMilliseconds: number;
     /** Called once, with the connection or the reason for the failure. */
     onDone(result: Result<OpenedSocket, string>): void;
 }
 
-/**
- * Two round trips between data centres and the acceptance of the connection take a few milliseconds. The rest allows
- * for the retransmission of a lost packet.
- */
-const directTimeoutMilliseconds = 700;
 /** Longer than the peer needs to find out that it can't connect to the endpoint. */
 const tunnelTimeoutMilliseconds = 200;
-const maximumPeers = 3;
-/** Peers that answer but can't connect to the endpoint; after this many it counts as down. */
-const maximumEndpointFailures = 2;
+/** A peer that has not answered after this time may have lost its links too, so another one is asked besides. */
+const nextPeerMilliseconds = 50;
+const maximumPeers = 4;
+/** An endpoint counts as down once this many peers have answered that they can't connect to it. */
+const maximumEndpointFailures = 3;
 
 /**
  * Opens a connection to an endpoint: directly or, if this node's link doesn't work or is slower, through a peer. The direct
@@ -43,7 +41,7 @@
     private timer: TimerHandle | undefined;
     private isDirectTried = false;
     private isDirectPending = false;
-    private isTunnelPending = false;
+    private pendingTunnels = 0;
     private endpointFailures = 0;
     private failure = "no peer can connect to it.";
     private isDone = false;
@@ -72,7 +70,7 @@
     }
 
     private tryDirect(): void {
-        const { address, clock, createSocket } = this.options;
+        const { address, clock, createSocket, directTimeoutMilliseconds } = this.options;
         this.isDirectTried = true;
         this.isDirectPending = true;
         openDirect({
@@ -99,24 +97,26 @@
     }
 
     private tryPeer(): void {
-        if (this.isDone || this.isTunnelPending) {
+        this.timer?.cancel();
+        if (this.isDone) {
             return;
         }
-        const { clock } = this.options;
+        const { address, clock } = this.options;
         const peer = this.choosePeer();
         if (peer === undefined) {
             this.handleNoPeer();
             return;
         }
         this.triedPeers.add(peer);
-        this.isTunnelPending = true;
+        this.pendingTunnels += 1;
         openTunnel({
             peer,
-            address: this.options.address,
+            address,
             timeoutMilliseconds: tunnelTimeoutMilliseconds,
             clock,
             onDone: result => this.handleTunnel(peer, result),
         });
+        this.timer = clock.setTimer(nextPeerMilliseconds, () => this.tryPeer());
     }
 
     private choosePeer(): string | undefined {
@@ -134,7 +134,7 @@
         if (!this.isDirectTried) {
             this.tryDirect();
         }
-        else if (!this.isDirectPending) {
+        else if (!this.isDirectPending && this.pendingTunnels === 0) {
             this.finish(Err(this.failure));
         }
     }
@@ -142,7 +142,7 @@
     private handleTunnel(peer: string, result: Result<Duplex, TunnelFailure>): void {
         const { address, clock, paths, peers } = this.options;
         const now = clock.getMonotonicTime();
-        this.isTunnelPending = false;
+        this.pendingTunnels -= 1;
         if (result.ok) {
             if (!this.isDone) {
                 paths.recordFailed(address, "A connection through a peer opened first.", now);
--- a/src/connection/upstream/path/endpointConnector.ts
+++ b/src/connection/upstream/path/endpointConnector.ts
@@ -19,6 +19,11 @@
     onReview(): void;
 }
 
+/**
+ * Two round trips between data centres and the acceptance of the connection take a few milliseconds. The rest allows
+ * for the retransmission of a lost packet.
+ */
+const directTimeoutMilliseconds = 700;
 /** Interval between reviews of unreachable addresses, while there are any. */
 const reviewMilliseconds = 250;
 /** Maximum number of unreachable addresses that are tried again in a review, so that links that return are not flooded. */
@@ -52,8 +57,7 @@
      * @param onDone - Called once, with the connection or the reason for the failure.
      */
     open(address: string, onDone: (result: Result<OpenedSocket, string>) => void): void {
-        const { clock, paths, peers, createSocket } = this.options;
-        ConnectionOpening.start({ address, clock, paths, peers, createSocket, onDone });
+        ConnectionOpening.start({ ...this.options, address, directTimeoutMilliseconds, onDone });
     }
 
     /**
--- a/src/connection/upstream/path/pathTester.ts
+++ b/src/connection/upstream/path/pathTester.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../../../process/clock.ts";
 import { openTunnel } from "../../peer/tunnel/openTunnel.ts";
 import { TunnelFailureKind } from "../../peer/tunnel/tunnelFailureKind.ts";
+import { ConnectionOpening } from "./connectionOpening.ts";
 import type { CreateSocket } from "./createSocket.ts";
 import type { EndpointPaths } from "./endpointPaths.ts";
 import { openDirect } from "./openDirect.ts";
@@ -18,7 +19,6 @@
 /** Connections open within a few milliseconds; the rest allows for a busy event loop at either end. */
 const directTimeoutMilliseconds = 120;
 const tunnelTimeoutMilliseconds = 200;
-const maximumPeers = 2;
 /** Time for which the result of a test holds. */
 const resultMilliseconds = 200;
 
@@ -106,22 +106,23 @@
         });
     }
 
-    private async run(address: string): Promise<PathState> {
-        if (await this.testDirect(address)) {
-            return PathState.Open;
-        }
-        const { clock, paths, peers } = this.options;
-        const tried = new Set<string>();
-        for (let count = 0; count < maximumPeers && paths.mayAskPeers(address, clock.getMonotonicTime()); count++) {
-            const peer = peers.choose(tried, clock.getMonotonicTime());
-            if (peer === undefined) {
-                break;
-            }
-            tried.add(peer);
-            if (await this.testTunnel(peer, address)) {
-                return PathState.Lost;
-            }
-        }
-        return PathState.Down;
+    private run(address: string): Promise<PathState> {
+        return new Promise(resolve => {
+            ConnectionOpening.start({
+                ...this.options,
+                address,
+                directTimeoutMilliseconds,
+                onDone: result => {
+                    if (result.err) {
+                        resolve(PathState.Down);
+                        return;
+                    }
+                    const { socket, peer } = result.val;
+                    socket.on("error", () => undefined);
+                    socket.destroy();
+                    resolve(peer === undefined ? PathState.Open : PathState.Lost);
+                },
+            });
+        });
     }
 }
