--- a/tests/platform/unreachableEndpoints.test.ts
+++ b/tests/platform/unreachableEndpoints.test.ts
@@ -1,6 +1,9 @@
 import assert from "node:assert/strict";
 import { after, afterEach, before, describe, it } from "node:test";
+import { stopRouter } from "../../src/process/router/stopRouter.ts";
+import { systemClock } from "../../src/process/systemClock.ts";
 import { LinkCut } from "../../standins/network/nodeLinks.ts";
+import { waitUntil } from "../support/waitUntil.ts";
 import { type CallerAnswer, RouterTestHarness, type StartedNode } from "./routerTestHarness.ts";
 
 /** Time from the cut after which the node must serve as well as the others, in milliseconds. */
@@ -37,10 +40,24 @@
             links.setCut(LinkCut.None);
         }
         await delay(restoreMilliseconds);
+        assert.deepEqual(listRepeatedRuns(), []);
     });
 
     after(() => harness.close());
 
+    /** Lists the requests that must not be repeated and were run more than once. */
+    function listRepeatedRuns(): string[] {
+        const seen = new Set<string>();
+        const repeated: string[] = [];
+        for (const { url, headers } of [...harness.endpoints.values()].flatMap(({ runs }) => runs)) {
+            const id = String(headers["request-id"]);
+            if (!url.startsWith("/safe/") && !url.startsWith("/model/") && seen.size === seen.add(id).size) {
+                repeated.push(id);
+            }
+        }
+        return repeated;
+    }
+
     /** Sends requests of each kind at a steady rate, and returns the statuses of the incomplete or failed answers. */
     async function listFailures(node: StartedNode): Promise<number[]> {
         const sending: Promise<CallerAnswer>[] = [];
@@ -77,6 +94,53 @@
         assert.deepEqual(await listFailures(nodes[1]!), []);
     });
 
+    it("ends the run of a caller that leaves, and of no other", async () => {
+        const [node] = nodes;
+        node!.links.setCut(LinkCut.Reset);
+        await Promise.all([listFailures(node!), delay(settleMilliseconds)]);
+        const firsts = ["a1", "a2"].map(id => harness.endpoints.get(id)!);
+        for (const first of firsts) {
+            first.runs.length = 0;
+            first.behaviour = { stallsAfterEvent: 1 };
+        }
+        const controller = new AbortController();
+        const sending = harness.send(node!, "/once/x", { signal: controller.signal }).catch(() => undefined);
+        const listRuns = () => firsts.flatMap(({ runs }) => runs);
+        await waitUntil("the stream runs", () => listRuns().length > 0);
+        assert.equal(listRuns().some(({ isAbandoned }) => isAbandoned), false);
+        controller.abort();
+        await sending;
+        await waitUntil("its run has ended", () => listRuns().every(({ isAbandoned }) => isAbandoned));
+        for (const first of firsts) {
+            first.behaviour = {};
+        }
+    });
+
+    it("serves its callers while the peer that they are served through stops", async () => {
+        const links = await harness.createLinks();
+        const leaving = await harness.addNode(undefined, links);
+        await harness.waitForEndpoints(leaving, 6);
+        for (const other of nodes) {
+            other.links.setCut(LinkCut.Reset);
+        }
+        await Promise.all([listFailures(nodes[0]!), delay(settleMilliseconds)]);
+        nodes[1]!.links.setCut(LinkCut.None);
+        await delay(restoreMilliseconds);
+        const stopping = stopRouter({
+            node: leaving.node,
+            callers: leaving.callers,
+            shutdownMilliseconds: 7_000,
+            clock: systemClock,
+        });
+        for (let count = 0; count < 6; count++) {
+            assert.deepEqual(await listFailures(nodes[0]!), []);
+        }
+        await stopping;
+        leaving.store.close();
+        harness.nodes.pop();
+        await links.close();
+    });
+
     it("serves its callers if it loses only the first stages", async () => {
         const firstStages = ["a1", "a2"].map(id => harness.endpoints.get(id)!.getAddress());
         nodes[0]!.links.setCut(LinkCut.Silent, address => firstStages.includes(address));
