--- a/scripts/soak/router/routerDeployment.ts
+++ b/scripts/soak/router/routerDeployment.ts
@@ -79,7 +79,7 @@
         return this.version;
     }
 
-    /** Restores the store to an older copy. The operator and the endpoints then write again what they have written. */
+    /** Restores the store from an older snapshot. The operator and the endpoints then write again what they have written. */
     restoreStore(copy: ReturnType<KeyValueStandin["createCopy"]>): void {
         this.store.restore(copy);
         this.writeConfiguration();
--- a/scripts/soak/router/routerFaultKinds.ts
+++ b/scripts/soak/router/routerFaultKinds.ts
@@ -184,7 +184,7 @@
     });
 }
 
-/** Makes the store silent for a moment and lets it come back from an older copy. */
+/** Makes the store silent for a moment and restores it from an older snapshot. */
 async function restoreStore(
     { deployment, random }: RouterSoakContext,
     copy: ReturnType<RouterDeployment["store"]["createCopy"]>,
--- a/scripts/soak/router/soakEndpoint.ts
+++ b/scripts/soak/router/soakEndpoint.ts
@@ -132,7 +132,7 @@
     }
 
     /**
-     * Writes the record again if the store was restored to an older copy. Records of earlier incarnations, which the copy may contain,
+     * Writes the record again if the store was restored from an older snapshot. Records of earlier incarnations, which the copy may contain,
      * expire like those of a crashed endpoint.
      */
     async handleStoreRestored(): Promise<void> {
--- a/src/process/leases/fencedLease.ts
+++ b/src/process/leases/fencedLease.ts
@@ -23,7 +23,7 @@
     timeToLiveMilliseconds: number;
     /** Maximum time from sending an order to its completion, in milliseconds. */
     longestOrderMilliseconds: number;
-    /** Gets the era of the store, which rises each time that it comes back from an older copy; undefined if it is unknown. */
+    /** Gets the era of the store, which rises each time that it is restored from an older snapshot; undefined if it is unknown. */
     getStoreEra?(): number | undefined;
 }
 
@@ -134,7 +134,7 @@
         }
     }
 
-    /** Handles that the store has come back from an older copy: the lease is no longer held until it is acquired again. */
+    /** Handles that the store was restored from an older snapshot: the lease is no longer held until it is acquired again. */
     handleStoreRestored(): void {
         if (!this.isStopped) {
             this.apply(this.state.wake(this.getTime()));
--- a/src/process/leases/leaseState.ts
+++ b/src/process/leases/leaseState.ts
@@ -20,7 +20,7 @@
     timeToLiveMilliseconds: number;
     /** Maximum time from sending an order to its completion, in milliseconds. */
     longestOrderMilliseconds: number;
-    /** Gets the era of the store, which rises each time that it comes back from an older copy; undefined if it is unknown. */
+    /** Gets the era of the store, which rises each time that it is restored from an older snapshot; undefined if it is unknown. */
     getStoreEra?(): number | undefined;
 }
 
@@ -41,7 +41,7 @@
 /** Factor by which a successor waits longer, because clocks run at different speeds. */
 const driftFactor = 1.01;
 /**
- * Fencing numbers of a later era of the store are higher than all of an earlier one, since an older copy of the store does not
+ * Fencing numbers of a later era of the store are higher than all of an earlier one, since an older snapshot of the store does not
  * contain the last number that was given out.
  */
 const fencingNumbersPerEra = 1_000_000;
@@ -249,7 +249,7 @@
     }
 
     /**
-     * Forgets all that was known of the store before it came back from an older copy. The record may be lost together with the number,
+     * Forgets all that was known of the store before it was restored from an older snapshot. The record may be lost together with the number,
      * and another process may acquire the lease. A process that did not hold it waits until the earlier holder's time to live is over.
      */
     private checkEra({ monotonic }: EventTime): void {
--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -85,7 +85,8 @@
     storeRestored: {
         number: 1107,
         level: "warn",
-        message: "The platform's store has come back from an older copy. Changes that it had acknowledged may be lost.",
+        message:
+            "The platform's store was restored from an older snapshot. Changes that it had acknowledged may be lost.",
     },
     routingAccepted: {
         number: 1210,
@@ -290,7 +291,7 @@
         number: 1816,
         level: "info",
         message:
-            "An older copy of the store has the record of an endpoint that is gone; it is ignored unless it stays.",
+            "An older snapshot of the store has the record of an endpoint that is gone; it is ignored unless it stays.",
     },
     endpointPathLost: {
         number: 1817,
--- a/src/process/metrics/metrics.ts
+++ b/src/process/metrics/metrics.ts
@@ -138,7 +138,7 @@
     );
     readonly storeEra = this.createGauge(
         "store_era",
-        "Number that the platform's store increases each time that it comes back from an older copy.",
+        "Number that the platform's store increases each time that it is restored from an older snapshot.",
     );
     readonly peerCallsTotal = this.createCounter("peer_calls_total", "Calls to other nodes.", ["call", "outcome"]);
 
--- a/src/process/placement/placementController.ts
+++ b/src/process/placement/placementController.ts
@@ -105,7 +105,7 @@
     }
 
     /**
-     * Handles that the store has come back from an older copy. The last holder of the lease writes the plans that the copy lacks, so
+     * Handles that the store was restored from an older snapshot. The last holder of the lease writes the plans that the copy lacks, so
      * that a later holder does not make another one and move layers.
      */
     handleStoreRestored(): void {
--- a/src/process/replica/eraRevision.ts
+++ b/src/process/replica/eraRevision.ts
@@ -3,7 +3,7 @@
 const eraCount = 2 ** 20;
 
 /**
- * Revisions of a store that may come back from an older copy and then give out revisions again. The store calls the time between two
+ * Revisions of a store that may be restored from an older snapshot and then give out revisions again. The store calls the time between two
  * such returns an era. An era revision is one number, so that revisions of different eras can't be compared wrongly: each revision of
  * a later era is higher than all of an earlier one. In era 0 it equals the store's revision.
  */
--- a/src/process/replica/recordFollower.ts
+++ b/src/process/replica/recordFollower.ts
@@ -45,7 +45,7 @@
     MissedChanges: "It did not return changes that another call returned.",
     /** A peer has changes that this node's wait should have returned. */
     BehindPeer: "A peer is ahead.",
-    /** The store has come back from an older copy, so that all records are read again. */
+    /** The store was restored from an older snapshot, so that all records are read again. */
     Restored: "The store was restored.",
     /** This node leaves the section to updates from peers. */
     Inactive: "The section is left to peers.",
@@ -121,7 +121,7 @@
         this.wait?.abort(AbortReason.Inactive);
     }
 
-    /** Handles that the store has come back from an older copy: all records are read again. */
+    /** Handles that the store was restored from an older snapshot: all records are read again. */
     handleStoreRestored(): void {
         this.isFullReadDue = true;
         this.wait?.abort(AbortReason.Restored);
--- a/src/process/replica/recordSection.ts
+++ b/src/process/replica/recordSection.ts
@@ -10,7 +10,7 @@
     /** Called for each record that is new to this copy. */
     onChange(record: StoreRecord, source: ChangeSource): void;
     /**
-     * Checks if a record from a later era of the store is older than the known one, because the store came back from an older copy.
+     * Checks if a record from a later era of the store is older than the known one, because the store was restored from an older snapshot.
      * The known text then stays.
      */
     isOutdated?(record: StoreRecord, known: StoreRecord): boolean;
@@ -21,7 +21,7 @@
 
 /**
  * Replica of the store's records with one prefix. Changes are ordered by their era revisions, so they may come from the store
- * or from a peer, in any order: a record is never replaced by an older one. After the store has come back from an older copy, a full
+ * or from a peer, in any order: a record is never replaced by an older one. After the store was restored from an older snapshot, a full
  * listing gives each record a revision of the new era, so that peers that know the earlier one get all of them.
  */
 export class RecordSection {
--- a/src/process/router/endpointRegistry.ts
+++ b/src/process/router/endpointRegistry.ts
@@ -55,7 +55,7 @@
     private readonly removed: RemovedEndpoints;
     /** Latest era of the store's records; undefined if there are none yet. */
     private era: number | undefined;
-    /** Monotonic time in milliseconds at which records of a later era first showed that the store has come back from an older copy. */
+    /** Monotonic time in milliseconds at which records of a later era first showed that the store was restored from an older snapshot. */
     private restoredAt = -Infinity;
     private readonly usableByService = new Map<string, RegisteredEndpoint[]>();
     private readonly byAddress = new Map<string, RegisteredEndpoint>();
@@ -131,7 +131,7 @@
         const { decode } = this.options;
         const endpoint = record.text === undefined ? undefined : decode(record.key, record.text);
         const knownEndpoint = known.text === undefined ? undefined : decode(known.key, known.text);
-        // An endpoint that is leaving stays so until it ends, even if an older copy of the store doesn't have its announcement.
+        // An endpoint that is leaving stays so until it ends, even if an older snapshot of the store doesn't have its announcement.
         return endpoint?.ok === true
             && knownEndpoint?.ok === true
             && endpoint.val.id === knownEndpoint.val.id
--- a/src/process/router/quarantinePersister.ts
+++ b/src/process/router/quarantinePersister.ts
@@ -58,7 +58,7 @@
         void this.run();
     }
 
-    /** Handles that the store has come back from an older copy, which may lack quarantined requests. */
+    /** Handles that the store was restored from an older snapshot, which may lack quarantined requests. */
     handleStoreRestored(): void {
         const { quarantine, clock } = this.options;
         if (quarantine.getHeldCrashes(clock.getMonotonicTime()).length > 0) {
--- a/src/process/router/removedEndpoints.ts
+++ b/src/process/router/removedEndpoints.ts
@@ -14,11 +14,11 @@
     incarnation: number;
     /** Revision of the removal. */
     revision: number;
-    /** The record that came back with an older copy of the store. */
+    /** The record that came back with an older snapshot of the store. */
     returned: ReturnedRecord | undefined;
 }
 
-/** A record that came back with an older copy of the store, with the timer that accepts it. */
+/** A record that came back with an older snapshot of the store, with the timer that accepts it. */
 interface ReturnedRecord {
     revision: number;
     timer: TimerHandle;
@@ -27,12 +27,12 @@
 /** Maximum number of endpoints to remember. */
 const maximumEndpoints = 2_000;
 /**
- * If an older copy of the store still has the record of an endpoint that is gone, the record expires within this time, since the
+ * If an older snapshot of the store still has the record of an endpoint that is gone, the record expires within this time, since the
  * endpoint no longer renews it. A record that is still there is that of a live endpoint.
  */
 const expiryMilliseconds = 6_000;
 
-/** Remembers which endpoints are gone, so that an older copy of the store does not bring them back. */
+/** Remembers which endpoints are gone, so that an older snapshot of the store does not bring them back. */
 export class RemovedEndpoints {
     private readonly options: RemovedEndpointsOptions;
     /** By the key of the record, oldest removal first. */
@@ -56,7 +56,7 @@
         }
     }
 
-    /** Records that a record was removed whose endpoint is not registered, because it may have come back with an older copy. */
+    /** Records that a record was removed whose endpoint is not registered, because it may have come back with an older snapshot. */
     addRepeated(key: string, revision: number): void {
         const removed = this.endpoints.get(key);
         if (removed !== undefined) {
@@ -72,7 +72,7 @@
         this.endpoints.delete(key);
     }
 
-    /** Checks if an endpoint is known to be gone and its record only comes from an older copy of the store. */
+    /** Checks if an endpoint is known to be gone and its record only comes from an older snapshot of the store. */
     isGone(key: string, { incarnation }: RegisteredEndpoint, revision: number): boolean {
         const removed = this.endpoints.get(key);
         if (removed === undefined || incarnation > removed.incarnation) {
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -370,7 +370,7 @@
         };
     }
 
-    /** Handles that the store has come back from an older copy, and may have lost what it had acknowledged. */
+    /** Handles that the store was restored from an older snapshot, and may have lost what it had acknowledged. */
     handleStoreRestored(): void {
         this.lease.handleStoreRestored();
         this.storeWatch.handleStoreRestored();
--- a/src/process/router/routerNodeOptions.ts
+++ b/src/process/router/routerNodeOptions.ts
@@ -48,7 +48,7 @@
         getStale: PlatformStore["get"];
         /** Makes the cheapest call; returns false if it is not answered soon. */
         isAnswering(): Promise<boolean>;
-        /** Gets the era of the store, which rises each time that it comes back from an older copy; undefined if it is unknown. */
+        /** Gets the era of the store, which rises each time that it is restored from an older snapshot; undefined if it is unknown. */
         getEra(): number | undefined;
     };
     keys: RouterKeys;
--- a/src/process/router/storeWatchController.ts
+++ b/src/process/router/storeWatchController.ts
@@ -150,7 +150,7 @@
         return Math.max(this.lastPeerFailure, this.probe.getLastFailure(), ...failures);
     }
 
-    /** Handles that the store has come back from an older copy: all records are read again. */
+    /** Handles that the store was restored from an older snapshot: all records are read again. */
     handleStoreRestored(): void {
         for (const follower of this.options.followers) {
             follower.handleStoreRestored();
--- a/standins/router/keyValueStandin.ts
+++ b/standins/router/keyValueStandin.ts
@@ -79,7 +79,7 @@
         return { items: new Map(this.items), revision: this.revision, compactedRevision: this.compactedRevision };
     }
 
-    /** Restores an older copy: later writes are lost, and their revisions are given out again. Waiting calls are cut. */
+    /** Restores an older snapshot: later writes are lost, and their revisions are given out again. Waiting calls are cut. */
     restore({ items, revision, compactedRevision }: StoreCopy): void {
         this.items = new Map(items);
         this.revision = revision;
--- a/tests/platform/manyNodes.test.ts
+++ b/tests/platform/manyNodes.test.ts
@@ -43,7 +43,7 @@
         await assertVersionInForce();
     });
 
-    it("delays no change beyond its bound if it comes back from an older copy", async () => {
+    it("delays no change beyond its bound if it is restored from an older snapshot", async () => {
         const copy = harness.store.createCopy();
         for (let count = 0; count < 10; count++) {
             putConfiguration();
--- a/tests/platform/restoredStore.test.ts
+++ b/tests/platform/restoredStore.test.ts
@@ -11,7 +11,7 @@
 /** Time for all nodes to learn of changes. */
 const settleMilliseconds = 800;
 
-describe("A store that comes back from an older copy", () => {
+describe("A store that is restored from an older snapshot", () => {
     let harness: RouterTestHarness;
     let refused: KeyValueStandin;
     let nodes: StartedNode[];
--- a/tests/process/leases/leaseState.test.ts
+++ b/tests/process/leases/leaseState.test.ts
@@ -65,7 +65,7 @@
         assert.equal(state.getFencingNumber(4_030), 8);
     });
 
-    describe("of a store that came back from an older copy", () => {
+    describe("of a store that was restored from an older snapshot", () => {
         const timeToLiveMilliseconds = 3_000;
         const longestOrderMilliseconds = 300;
         const time = (monotonic: number) => ({ monotonic, wall: 0 });
--- a/tests/process/placement/placementController.test.ts
+++ b/tests/process/placement/placementController.test.ts
@@ -100,7 +100,7 @@
     });
 
     // Another plan would have moved the layers of all endpoints.
-    it("stores the plan in use again if the store came back from an older copy without it", async () => {
+    it("stores the plan in use again if the store was restored from an older snapshot without it", async () => {
         const copy = store.takeSnapshot();
         await storePlan();
         const plan = store.peek(planKey)!.value;
@@ -112,7 +112,7 @@
         assert.equal(store.peek(planKey)?.value, plan);
     });
 
-    it("leaves a plan that the older copy has as it is", async () => {
+    it("leaves a plan that the older snapshot has as it is", async () => {
         await storePlan();
         const copy = store.takeSnapshot();
         const controller = start(2);
--- a/tests/process/router/endpointRegistry.test.ts
+++ b/tests/process/router/endpointRegistry.test.ts
@@ -108,7 +108,7 @@
         assert.equal(getCount(), 2);
     });
 
-    describe("of a store that came back from an older copy", () => {
+    describe("of a store that was restored from an older snapshot", () => {
         /** Registers an endpoint, removes it, and applies its record again in the next era. */
         function returnRemoved(text: string) {
             const fixture = createFixture();
--- a/tests/process/router/quarantinePersister.test.ts
+++ b/tests/process/router/quarantinePersister.test.ts
@@ -101,7 +101,7 @@
         assert.ok(later.getRemaining("harmful") !== undefined);
     });
 
-    it("saves what was quarantined again after the store came back from an older copy without it", async () => {
+    it("saves what was quarantined again after the store was restored from an older snapshot without it", async () => {
         const store = MemoryStore.create();
         const clock = FakeClock.create();
         const copy = store.takeSnapshot();
