Test a sample of addresses before all, and paths of reports that time out

Cause: two endpoints that end together made every node connect to all others, and new connections are paid for; and a node with few requests met its lost links only with the next request.

Change: three addresses are tested first, the others only if one of them is unreachable. A report or order that times out has its path tested.

--- a/src/connection/upstream/path/endpointConnector.ts
+++ b/src/connection/upstream/path/endpointConnector.ts
@@ -1,4 +1,5 @@
 import type { Clock, TimerHandle } from "../../../process/clock.ts";
+import type { RandomSource } from "../../../process/randomSource.ts";
 import type { Result } from "../../../result.ts";
 import { ConnectionOpening } from "./connectionOpening.ts";
 import type { ConnectionPath } from "./connectionPath.ts";
@@ -15,6 +16,7 @@
     paths: EndpointPaths;
     peers: TunnelPeers;
     createSocket: CreateSocket;
+    random: RandomSource;
     /** Called in each review: connections whose path doesn't work, or is not needed any more, should be closed. */
     onReview(): void;
 }
@@ -30,6 +32,8 @@
 const retriesPerReview = 8;
 /** Minimum interval between tests of all addresses. */
 const sweepIntervalMilliseconds = 2_000;
+/** Number of addresses that are tested first: several endpoints may just have ended. */
+const sampleSize = 3;
 /** Maximum number of addresses that are tested at once. */
 const maximumSweep = 64;
 
@@ -90,8 +94,8 @@
     }
 
     /**
-     * Handles that an address has become unreachable. If several have, the other ones are tested, since connections to them
-     * that are held open may be dead.
+     * Handles that an address has become unreachable. If several have, others are tested, since connections to them that are
+     * held open may be dead.
      * @param listAddresses - Lists the addresses to which connections are held open.
      */
     handleUnreachable(listAddresses: () => string[]): void {
@@ -102,10 +106,7 @@
             return;
         }
         this.sweptAt = now;
-        const addresses = listAddresses().filter(address => paths.getFailingSince(address) === undefined);
-        for (const address of addresses.slice(0, maximumSweep)) {
-            void this.tester.testDirect(address);
-        }
+        void this.sweep(listAddresses().filter(address => paths.getFailingSince(address) === undefined));
     }
 
     /** Stops the reviews. */
@@ -114,6 +115,20 @@
         this.timer?.cancel();
     }
 
+    /** Tests some addresses, and the others if one of them is unreachable. */
+    private async sweep(addresses: readonly string[]): Promise<void> {
+        const first = Math.floor(this.options.random() * addresses.length);
+        const shuffled = [...addresses.slice(first), ...addresses.slice(0, first)];
+        const sample = shuffled.slice(0, sampleSize);
+        const results = await Promise.all(sample.map(address => this.tester.testDirect(address)));
+        if (results.every(isOpen => isOpen)) {
+            return;
+        }
+        for (const address of shuffled.slice(sampleSize, maximumSweep)) {
+            void this.tester.testDirect(address);
+        }
+    }
+
     private scheduleReview(): void {
         if (!this.isClosed) {
             this.timer ??= this.options.clock.setTimer(reviewMilliseconds, () => this.review());
--- a/src/process/router/endpointCalls.ts
+++ b/src/process/router/endpointCalls.ts
@@ -120,6 +120,8 @@
                 onFailure: failure => finish(failure.kind, undefined),
             });
             const timer = clock.setTimer(timeoutMilliseconds, () => {
+                // Where few requests come, these calls are the first to meet a lost path.
+                exchange.testPath(() => undefined);
                 exchange.abort();
                 finish("timedOut", undefined);
             });
--- a/src/process/router/endpointLinks.ts
+++ b/src/process/router/endpointLinks.ts
@@ -57,6 +57,7 @@
                 random,
             }),
             createSocket,
+            random,
             onReview: () => this.pools.closeUnusedTunnels(),
         });
         this.pools = UpstreamPools.create({
--- a/tests/connection/upstream/upstreamPool.test.ts
+++ b/tests/connection/upstream/upstreamPool.test.ts
@@ -45,6 +45,7 @@
                 paths: EndpointPaths.create(() => undefined),
                 peers: TunnelPeers.create({ listPeers: () => [], random: Math.random }),
                 createSocket: createTcpSocket,
+                random: Math.random,
                 onReview: () => undefined,
             }),
             onOpened: () => undefined,
