Cut nodes off from all endpoints in the soak

The soak had a proxy for each endpoint, but none for a node and an endpoint, so that no fault of its could tell a lost link from a lost endpoint. A module that is loaded into a node's process lets its connections to the endpoints fall silent, resets them or refuses new ones; a proxy would accept connections that a partition does not let open. An endpoint stand-in ended the soak when a request broke off in its body.

--- a/scripts/deployment/processStarter.ts
+++ b/scripts/deployment/processStarter.ts
@@ -6,6 +6,8 @@
     isBuilt: boolean;
     /** Command and leading arguments that run foxlead; overrides `isBuilt`. */
     foxlead?: readonly string[];
+    /** Modules that are loaded into foxlead before the program, if it runs from the sources. */
+    preloaded?: readonly string[];
     /** Called for each line of output of a process. */
     onLine?(name: string, line: string): void;
 }
@@ -36,7 +38,7 @@
         }
         return this.options.isBuilt
             ? this.start(name, "dist/foxlead", options)
-            : this.startSource(name, "src/main.ts", options);
+            : this.startSource(name, "src/main.ts", options, this.options.preloaded);
     }
 
     /**
@@ -44,9 +46,17 @@
      * @param name - Name of the process, passed to `onLine`.
      * @param file - Path relative to the root of the repository.
      * @param options - Command-line arguments.
+     * @param preloaded - Modules that are loaded before it, as paths relative to the root of the repository.
      */
-    startSource(name: string, file: string, options: readonly string[]): ChildProcess {
-        return this.start(name, process.execPath, ["--disable-warning=ExperimentalWarning", file, ...options]);
+    startSource(
+        name: string,
+        file: string,
+        options: readonly string[],
+        preloaded: readonly string[] = [],
+    ): ChildProcess {
+        const imports = preloaded.map(module => `--import=./${module}`);
+        const flags = ["--disable-warning=ExperimentalWarning", ...imports];
+        return this.start(name, process.execPath, [...flags, file, ...options]);
     }
 
     /** Kills all running processes, including frozen ones, and waits until they have exited. */
--- a/scripts/soak/router/routerDeployment.ts
+++ b/scripts/soak/router/routerDeployment.ts
@@ -1,7 +1,9 @@
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, renameSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
+import { parseAddress } from "../../../src/process/settings/parseAddress.ts";
+import { LinkCut } from "../../../standins/network/linkCut.ts";
 import { LoopbackProxy } from "../../../standins/network/loopbackProxy.ts";
 import { createBootFile } from "../../../standins/router/createBootFile.ts";
 import { createConfiguration } from "../../../standins/router/createConfiguration.ts";
@@ -10,6 +12,8 @@
 import { findFreePorts } from "../../deployment/findFreePorts.ts";
 import { ProcessStarter } from "../../deployment/processStarter.ts";
 import { fetchText } from "../fetchText.ts";
+import { getLinksFile } from "./getLinksFile.ts";
+import type { LinkState } from "./linkState.ts";
 import { SoakEndpoint } from "./soakEndpoint.ts";
 import type { SoakNode } from "./soakNode.ts";
 
@@ -52,7 +56,7 @@
     private constructor(options: RouterDeploymentOptions, store: KeyValueStandin) {
         this.options = options;
         this.store = store;
-        this.processes = ProcessStarter.create(options);
+        this.processes = ProcessStarter.create({ ...options, preloaded: ["scripts/soak/router/cuttableLinks.ts"] });
     }
 
     /** Starts all parts and waits until the nodes are ready and the stages hold layers. */
@@ -128,6 +132,16 @@
         return answer?.status === 200;
     }
 
+    /** Cuts or restores the links of a node to all endpoints. Has no effect on nodes that don't run from the sources. */
+    setLinks({ settingsFile }: Pick<SoakNode, "settingsFile">, cut: LinkCut): void {
+        const ports = this.endpoints.map(({ proxy }) => parseAddress(proxy.getAddress())!.port);
+        const state: LinkState = { cut, ports };
+        const file = getLinksFile(settingsFile);
+        // Renamed into its place, so that the node never reads a part of it.
+        writeFileSync(`${file}.new`, JSON.stringify(state));
+        renameSync(`${file}.new`, file);
+    }
+
     /** Kills all processes, including frozen ones, and closes the stand-ins and proxies. */
     async close(): Promise<void> {
         for (const node of this.nodes) {
@@ -178,6 +192,7 @@
                 store: planned.storeProxy.getAddress(),
             });
             writeFileSync(planned.settingsFile, boot);
+            this.setLinks(planned, LinkCut.None);
             this.nodes.push({ ...planned, process: this.startProcess(planned) });
         }
         for (const node of this.nodes) {
--- a/scripts/soak/router/routerFaultKinds.ts
+++ b/scripts/soak/router/routerFaultKinds.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from "node:timers/promises";
+import { LinkCut } from "../../../standins/network/linkCut.ts";
 import { ProxyMode } from "../../../standins/network/proxyMode.ts";
 import type { EndpointBehaviour } from "../../../standins/router/endpointBehaviour.ts";
 import type { KeyValueFaults } from "../../../standins/router/keyValueFaults.ts";
@@ -43,6 +44,9 @@
     nodeStoreCut: storeConnectionFault(1, ProxyMode.CutRequests),
     nodeStoreAnswersLost: storeConnectionFault(1, ProxyMode.CutAnswers),
     nodeStoreDelay: storeConnectionFault(1, ProxyMode.Delay),
+    nodeLinksSilent: nodeLinksFault(2, LinkCut.Silent),
+    nodeLinksReset: nodeLinksFault(2, LinkCut.Reset),
+    nodeLinksRefuseNew: nodeLinksFault(1, LinkCut.RefuseNew),
     storeRefuses: storeFault(2, longDuration, { refusalStatus: 503 }),
     storeSilent: storeFault(2, longDuration, { isSilent: true }),
     storeLosesAnswers: storeFault(2, longDuration, { losesAnswers: true }),
@@ -126,6 +130,12 @@
     return nodeFault(weight, longDuration, set(mode), set(ProxyMode.Pass));
 }
 
+/** Cuts a node off from all endpoints, while callers, the store and the other nodes reach it. */
+function nodeLinksFault(weight: number, cut: LinkCut): RouterFaultKind {
+    const set = (next: LinkCut): FaultAction<SoakNode> => ({ deployment }, node) => deployment.setLinks(node, next);
+    return nodeFault(weight, longDuration, set(cut), set(LinkCut.None));
+}
+
 function endpointConnectionFault(weight: number, mode: ProxyMode): RouterFaultKind {
     const set = (newMode: ProxyMode): FaultAction<SoakEndpoint> => (_, { proxy }) => proxy.setMode(newMode);
     return endpointFault(weight, shortDuration, set(mode), set(ProxyMode.Pass));
--- a/standins/network/nodeLinks.ts
+++ b/standins/network/nodeLinks.ts
@@ -1,20 +1,9 @@
 import { connect, Socket } from "node:net";
 import type { Address } from "../../src/process/settings/address.ts";
+import { LinkCut } from "./linkCut.ts";
 import { LoopbackProxy } from "./loopbackProxy.ts";
 import { ProxyMode } from "./proxyMode.ts";
 
-/** How the links of a node to the endpoints are cut. */
-export const LinkCut = {
-    None: "none",
-    /** Open connections fall silent, and new ones never open. */
-    Silent: "silent",
-    /** Open connections are reset, and new ones are refused. */
-    Reset: "reset",
-    /** Open connections go on, and new ones are refused. */
-    RefuseNew: "refuseNew",
-} as const;
-export type LinkCut = typeof LinkCut[keyof typeof LinkCut];
-
 /** A port of the loopback address on which nothing listens. */
 const closedPort = 1;
 
--- a/standins/router/endpointStandin.ts
+++ b/standins/router/endpointStandin.ts
@@ -88,11 +88,10 @@
         if (this.behaviour.isLeaving === true) {
             response.setHeader("server-leaving", "1");
         }
-        const chunks: Buffer[] = [];
-        for await (const chunk of request) {
-            chunks.push(chunk as Buffer);
+        const body = await readBody(request);
+        if (body === undefined) {
+            return;
         }
-        const body = Buffer.concat(chunks).toString("utf8");
         if (request.url === "/v1/report") {
             this.sendReport(response);
             return;
@@ -245,3 +244,17 @@
 function sendJson(response: ServerResponse, status: number, body: object): void {
     response.writeHead(status, { "content-type": "application/json" }).end(JSON.stringify(body));
 }
+
+/** Reads the body of a request. Returns undefined if the caller disconnects before its end. */
+async function readBody(request: IncomingMessage): Promise<string | undefined> {
+    const chunks: Buffer[] = [];
+    try {
+        for await (const chunk of request) {
+            chunks.push(chunk as Buffer);
+        }
+    }
+    catch {
+        return undefined;
+    }
+    return Buffer.concat(chunks).toString("utf8");
+}
--- a/tests/platform/unreachableEndpoints.test.ts
+++ b/tests/platform/unreachableEndpoints.test.ts
@@ -2,7 +2,7 @@
 import { after, afterEach, before, describe, it } from "node:test";
 import { stopRouter } from "../../src/process/router/stopRouter.ts";
 import { systemClock } from "../../src/process/systemClock.ts";
-import { LinkCut } from "../../standins/network/nodeLinks.ts";
+import { LinkCut } from "../../standins/network/linkCut.ts";
 import { waitUntil } from "../support/waitUntil.ts";
 import { type CallerAnswer, RouterTestHarness, type StartedNode } from "./routerTestHarness.ts";
 
