Move the choice of documents' endpoints out of the relay

No behaviour changes: 123 tests of request/relay, documentPath, endpointLimit and endpointPause passed.

--- a/src/request/relay/documentRelay.ts
+++ b/src/request/relay/documentRelay.ts
@@ -6,11 +6,10 @@
 import type { TimerHandle } from "../../process/clock.ts";
 import { events } from "../../process/logging/events.ts";
 import { RequestKind } from "../../version/routing/requestKind.ts";
-import { getPauseRetryDelay } from "../getPauseRetryDelay.ts";
 import type { AnswerHead } from "./answerHead.ts";
-import { chooseEndpoint } from "./chooseEndpoint.ts";
 import type { CompleteAnswer } from "./completeAnswer.ts";
 import { createRefusal } from "./createRefusal.ts";
+import { DocumentEndpoints } from "./documentEndpoints.ts";
 import { getSentMilliseconds } from "./getSentMilliseconds.ts";
 import type { LoadReservation } from "./loadReservation.ts";
 import { maximumRefusals } from "./maximumRefusals.ts";
@@ -57,7 +56,7 @@
 export class DocumentRelay {
     private readonly environment: RelayEnvironment;
     private readonly task: RelayTask;
-    private readonly triedIds = new Set<string>();
+    private readonly endpoints: DocumentEndpoints;
     private readonly runningAttempts = new Set<Attempt>();
     private readonly timers: TimerHandle[] = [];
     private readonly onDone: () => void;
@@ -76,6 +75,7 @@
         this.environment = environment;
         this.task = task;
         this.onDone = onDone;
+        this.endpoints = DocumentEndpoints.create(environment, task);
         this.quarantine = TaskQuarantine.create(environment, task);
     }
 
@@ -108,10 +108,10 @@
         const { environment, task } = this;
         const isAllowed = this.attempts - this.uncountedAttempts < task.route.maximumAttempts
             || !this.mayHaveRun && this.runningAttempts.size === 0 && this.refusals <= maximumRefusals;
-        const limitedIds = new Set<string>();
-        const endpoint = isAllowed ? this.acquireEndpoint(limitedIds) : undefined;
+        const endpoint = isAllowed ? this.endpoints.acquire() : undefined;
         if (endpoint === undefined) {
-            this.refuseOrGiveUp(limitedIds, cause);
+            const exhausted = this.endpoints.explainExhaustion(cause);
+            this.giveUp(exhausted.cause, exhausted.refusal);
             return;
         }
         if (isRetry && !this.takeRetryFromBudget()) {
@@ -119,7 +119,6 @@
             this.giveUp(cause);
             return;
         }
-        this.triedIds.add(endpoint.id);
         this.attempts += 1;
         const now = environment.clock.getMonotonicTime();
         const reservation = environment.loads.reserveEndpoint(endpoint.id, now);
@@ -243,8 +242,7 @@
         this.mayHaveRun ||= !end.isNotRun;
         this.uncountedAttempts += end.isUnsent === true || end.isPathLost === true ? 1 : 0;
         if (end.isPathLost === true) {
-            // The endpoint can be reached over another path.
-            this.triedIds.delete(attempt.endpoint.id);
+            this.endpoints.allowAgain(attempt.endpoint.id);
         }
         this.failureAnswer = end.answer ?? this.failureAnswer;
         this.environment.log.write(events.relayAttemptFailed, {
@@ -314,7 +312,7 @@
     private hedge(): void {
         const { route } = this.task;
         const isAllowed = this.attempts > 0 && this.attempts < route.maximumAttempts;
-        if (this.isDone || !isAllowed || this.listUntried().length === 0) {
+        if (this.isDone || !isAllowed || !this.endpoints.hasUntried()) {
             return;
         }
         for (const attempt of this.runningAttempts) {
@@ -323,58 +321,6 @@
         this.startAttempt("the endpoint has not answered in time.", true);
     }
 
-    private listUntried(): RegisteredEndpoint[] {
-        const { directory, instructions } = this.environment;
-        return directory.getEndpoints(this.task.service.name).filter(({ id }) =>
-            !this.triedIds.has(id) && instructions.maySend(id)
-        );
-    }
-
-    /**
-     * Chooses the next endpoint and takes the request out of this node's share of the endpoint's rate limit.
-     * @param limitedIds - Receives the ids of endpoints that were skipped because of their rate limits.
-     */
-    private acquireEndpoint(limitedIds: Set<string>): RegisteredEndpoint | undefined {
-        const { environment, task } = this;
-        const { limits } = environment;
-        const now = this.getTime();
-        limits.noteRequest(task.service.name, now);
-        let untried = this.listUntried();
-        for (let next = chooseEndpoint(environment, untried); next !== undefined;) {
-            if (limits.take(next, now)) {
-                return next;
-            }
-            limitedIds.add(next.id);
-            untried = untried.filter(({ id }) => !limitedIds.has(id));
-            next = chooseEndpoint(environment, untried);
-        }
-        return undefined;
-    }
-
-    /** Ends the request when no endpoint is left. The refusal depends on whether endpoints have rate limits or want a pause. */
-    private refuseOrGiveUp(limitedIds: ReadonlySet<string>, cause: string): void {
-        if (limitedIds.size === 0) {
-            this.refusePausedOrGiveUp(cause);
-            return;
-        }
-        const retryAfterMilliseconds = this.environment.limits.bookRetry(limitedIds, this.getTime());
-        const limitedCause = `${cause} The rate limits of the remaining endpoints are exhausted.`;
-        this.giveUp(limitedCause, createRefusal.notRun(limitedCause, retryAfterMilliseconds));
-    }
-
-    private refusePausedOrGiveUp(cause: string): void {
-        const { directory, instructions, random } = this.environment;
-        const ids = directory.getEndpoints(this.task.service.name).map(({ id }) => id);
-        const [firstEnd] = instructions.listPauseEnds(ids);
-        if (firstEnd === undefined) {
-            this.giveUp(cause);
-            return;
-        }
-        const pausedCause = `${cause} The remaining endpoints accept no requests for some time.`;
-        const retryAfterMilliseconds = getPauseRetryDelay(firstEnd - this.getTime(), random);
-        this.giveUp(pausedCause, createRefusal.notRun(pausedCause, retryAfterMilliseconds));
-    }
-
     private takeRetryFromBudget(): boolean {
         return this.environment.retryBudget.takeRetry(this.getTime());
     }
