--- /dev/null
+++ b/src/request/relay/answerEnd.ts
@@ -0,0 +1,5 @@
+/** How the answer to a caller ended, for the log. */
+export interface AnswerEnd {
+    outcome: string;
+    cause: string;
+}
--- a/src/request/relay/streamRelay.ts
+++ b/src/request/relay/streamRelay.ts
@@ -4,9 +4,9 @@
 import type { TimerHandle } from "../../process/clock.ts";
 import { events } from "../../process/logging/events.ts";
 import type { EngineModel } from "../../version/routing/engineModel.ts";
+import type { AnswerEnd } from "./answerEnd.ts";
 import type { AnswerHead } from "./answerHead.ts";
 import { AttemptLimit } from "./attemptLimit.ts";
-import type { CompleteAnswer } from "./completeAnswer.ts";
 import { createQueuedRelay } from "./createQueuedRelay.ts";
 import { createRefusal } from "./createRefusal.ts";
 import { EventVerdict } from "./eventVerdict.ts";
@@ -21,7 +21,7 @@
 import type { RelayStage } from "./relayStage.ts";
 import type { RelayTask } from "./relayTask.ts";
 import type { ReservedChain } from "./reservedChain.ts";
-import { sendCompleteAnswer } from "./sendCompleteAnswer.ts";
+import { StreamAnswer } from "./streamAnswer.ts";
 import type { StreamAnswerEnd } from "./streamAnswerEnd.ts";
 import { StreamAnswerReader } from "./streamAnswerReader.ts";
 import type { StreamAttempt } from "./streamAttempt.ts";
@@ -45,17 +45,15 @@
     private readonly attemptLimit: AttemptLimit;
     private readonly quarantine: TaskQuarantine;
     private readonly progress: StreamProgress;
+    private readonly answer: StreamAnswer;
     private readonly logger: StreamLogger;
     private readonly onDone: () => void;
     private readonly avoided = new Set<string>();
     private timer: TimerHandle | undefined;
     private attempt: StreamAttempt | undefined;
     private queuedRelay: QueuedRelay | undefined;
-    private failureAnswer: CompleteAnswer | undefined;
     /** Monotonic time in milliseconds at which the first byte was sent to an endpoint. */
     private firstSentAt: number | undefined;
-    private mayHaveRun = false;
-    private isHeadWritten = false;
     private isDone = false;
     /** Whether a move to another chain is in progress. */
     isRerouting = false;
@@ -68,6 +66,7 @@
         this.attemptLimit = AttemptLimit.create(environment, task);
         this.quarantine = TaskQuarantine.create(environment, task);
         this.progress = StreamProgress.create(task.request.lastEventId);
+        this.answer = StreamAnswer.create(task.sink);
         this.logger = StreamLogger.create(environment, task, this.progress);
     }
 
@@ -90,7 +89,7 @@
     /** Sends the request over the best chain. */
     start(): void {
         const { sink, dueAt } = this.task;
-        sink.onClosed(() => this.finish("callerGone"));
+        sink.onClosed(() => this.finish({ outcome: "callerGone", cause: "" }));
         const delay = Math.max(0, dueAt - this.getTime());
         this.timer = this.environment.clock.setTimer(delay, () => this.handleTimeout());
         this.startAttempt("no chain of endpoints has free capacity.");
@@ -184,7 +183,7 @@
             this.giveUp(`${cause} The route allows no further attempt.`);
             return;
         }
-        if (this.isHeadWritten) {
+        if (this.answer.isBegun()) {
             this.resume(cause, isRetry);
             return;
         }
@@ -319,7 +318,7 @@
             return;
         }
         const now = this.getTime();
-        this.mayHaveRun = true;
+        this.answer.noteRun();
         attempt.lastProgressAt = now;
         for (const { endpoint } of attempt.stages) {
             this.environment.health.markAlive(endpoint.id, now);
@@ -346,15 +345,7 @@
             return;
         }
         if (verdict === EventVerdict.Pass) {
-            this.writeHead(head);
-            this.task.sink.write(event.bytes);
-        }
-    }
-
-    private writeHead(head: AnswerHead): void {
-        if (!this.isHeadWritten) {
-            this.isHeadWritten = true;
-            this.task.sink.writeHead(head);
+            this.answer.write(head, event.bytes);
         }
     }
 
@@ -399,9 +390,7 @@
 
     private complete(head: AnswerHead): void {
         this.quarantine.markSafe();
-        this.writeHead(head);
-        this.task.sink.end();
-        this.finish("answered");
+        this.finish(this.answer.complete(head));
     }
 
     private handleFailure(attempt: StreamAttempt, failure: UpstreamFailure): void {
@@ -468,7 +457,7 @@
         this.releaseAttempt(attempt);
         this.attempt = undefined;
         if (!end.isNotRun) {
-            this.mayHaveRun = true;
+            this.answer.noteRun();
             if (end.isPathLost !== true) {
                 this.attemptLimit.noteRun(attempt.stages[0]!.endpoint.id);
             }
@@ -476,7 +465,9 @@
         if (end.isBroken === true) {
             this.quarantine.noteCrash(attempt.stages[0]!.endpoint.id, attempt.sentAt);
         }
-        this.failureAnswer = end.failure ?? this.failureAnswer;
+        if (end.failure !== undefined) {
+            this.answer.noteFailure(end.failure);
+        }
         for (const id of end.avoid) {
             this.avoided.add(id);
         }
@@ -508,36 +499,15 @@
      * @param notRun - Answer to the caller if the request has not run.
      */
     private giveUp(cause: string, notRun: RelayRefusal = createRefusal.notRun(cause)): void {
-        const { failureAnswer } = this;
-        if (this.isHeadWritten) {
-            this.task.sink.abort();
-            this.finish("cut", cause);
-            return;
-        }
-        if (failureAnswer !== undefined) {
-            sendCompleteAnswer(this.task.sink, failureAnswer);
-            this.finish("endpointFailed", cause);
-            return;
-        }
-        this.refuse(this.mayHaveRun ? createRefusal.outcomeUnknown(cause) : notRun);
+        this.finish(this.answer.giveUp(cause, notRun));
     }
 
     private handleTimeout(): void {
-        if (this.isHeadWritten) {
-            this.task.sink.abort();
-            this.finish("cutAtTimeout");
-            return;
-        }
-        const isNotRun = !this.mayHaveRun && this.attempt?.exchange?.getSentTime() === undefined;
-        this.refuse(isNotRun ? createRefusal.notRun("no chain had free capacity in time.") : createRefusal.timedOut());
-    }
-
-    private refuse(refusal: RelayRefusal): void {
-        this.task.sink.refuse(refusal);
-        this.finish(refusal.reason, refusal.message);
+        const isSent = this.attempt?.exchange?.getSentTime() !== undefined;
+        this.finish(this.answer.timeOut(isSent));
     }
 
-    private finish(outcome: string, cause = ""): void {
+    private finish({ outcome, cause }: AnswerEnd): void {
         if (this.isDone) {
             return;
         }
