foxlead node: reach engines and document services through peers where its own links fail

Change: the connections of the pools, probes and calls are opened by the same code as in foxlead platform. Tunnels go over the peers' HTTP/2 listener, with its secret and certificates, in the same frames. A connection that the endpoint accepts and resets at once is a path that works.

--- a/bench/capacity/createBenchEndpointService.ts
+++ b/bench/capacity/createBenchEndpointService.ts
@@ -4,6 +4,7 @@
 import { Metrics } from "../../src/process/metrics/metrics.ts";
 import { systemClock } from "../../src/process/systemClock.ts";
 import { EstimatedTimeChooser } from "../../src/request/chain/estimatedTimeChooser.ts";
+import { Err } from "../../src/result.ts";
 import { parseConfiguration } from "../../src/version/parseConfiguration.ts";
 import { createMembers } from "./createMembers.ts";
 import { createSizedConfiguration } from "./createSizedConfiguration.ts";
@@ -45,6 +46,7 @@
         random: Math.random,
         log: { write: () => undefined },
         metrics: Metrics.create(),
+        connector: { open: (_address, onDone) => onDone(Err("The bench opens no connections.")) },
         view,
         owners: await RendezvousOwners.create(),
         getChooser: () => chooser,
--- a/src/connection/document/documentConnection.ts
+++ b/src/connection/document/documentConnection.ts
@@ -1,5 +1,4 @@
-import { connect } from "node:net";
-import { Agent, type Dispatcher } from "undici";
+import { Agent, buildConnector, type Dispatcher } from "undici";
 import { Err, Ok, type Result } from "../../result.ts";
 import { isConnectFailure } from "../endpoint/isConnectFailure.ts";
 import { isConnectionRefused } from "../endpoint/isConnectionRefused.ts";
@@ -14,6 +13,8 @@
     endpoint: string;
     /** Address of the endpoint, as host:port. */
     address: string;
+    /** Opens the connections. Default: the HTTP client does. */
+    connect?: buildConnector.connector;
     /** Called with the instructions of each answer. */
     onInstructions(endpoint: string, instructions: AnswerInstructions): void;
     /** Called when the endpoint refuses connections, since no process listens at its address. */
@@ -33,10 +34,11 @@
 /** The connections of this node to one endpoint of a document service. */
 export class DocumentConnection {
     private readonly options: DocumentConnectionOptions;
-    private agent = createAgent();
+    private agent: Agent;
 
     private constructor(options: DocumentConnectionOptions) {
         this.options = options;
+        this.agent = createAgent(options.connect);
     }
 
     /** Creates the connection pool. Connections open with the first call. */
@@ -49,7 +51,7 @@
      * dead one.
      */
     async send(call: DocumentCall, signal: AbortSignal): Promise<Result<DocumentAnswer, DocumentFailure>> {
-        const dispatcher = call.isIdempotent ? this.agent : createAgent();
+        const dispatcher = call.isIdempotent ? this.agent : createAgent(this.options.connect);
         try {
             return await this.exchange(dispatcher, call, signal);
         }
@@ -68,18 +70,18 @@
      * Checks if the endpoint accepts a new connection. No byte is sent, since the services have no common health check.
      */
     isAnswering(): Promise<boolean> {
-        const { hostname, port } = new URL(`tcp://${this.options.address}`);
+        const { address, connect = buildConnector({ timeout: connectTimeoutMilliseconds }) } = this.options;
+        const { hostname, port, host } = new URL(`http://${address}`);
         return new Promise(resolve => {
-            const socket = connect({ host: hostname.replace(/^\[|\]$/g, ""), port: Number(port) });
-            const settle = (isAnswering: boolean) => {
+            connect({ hostname, host, protocol: "http:", port }, (error, socket) => {
+                if (error !== null) {
+                    this.observeConnectError(error);
+                    resolve(false);
+                    return;
+                }
+                socket.on("error", () => undefined);
                 socket.destroy();
-                resolve(isAnswering);
-            };
-            socket.setTimeout(connectTimeoutMilliseconds, () => settle(false));
-            socket.once("connect", () => settle(true));
-            socket.once("error", error => {
-                this.observeConnectError(error);
-                settle(false);
+                resolve(true);
             });
         });
     }
@@ -87,7 +89,7 @@
     /** Makes new calls use new connections. Used after a connection stopped responding. */
     replace(): void {
         const oldAgent = this.agent;
-        this.agent = createAgent();
+        this.agent = createAgent(this.options.connect);
         void oldAgent.close();
     }
 
@@ -144,9 +146,10 @@
     }
 }
 
-function createAgent(): Agent {
+function createAgent(connect: buildConnector.connector | undefined): Agent {
     return new Agent({
         connectTimeout: connectTimeoutMilliseconds,
+        connect,
         keepAliveTimeout: keepAliveMilliseconds,
         keepAliveMaxTimeout: keepAliveMilliseconds,
         headersTimeout: 0,
--- a/src/connection/endpoint/endpointDirectory.ts
+++ b/src/connection/endpoint/endpointDirectory.ts
@@ -4,6 +4,8 @@
 import { DocumentConnection } from "../document/documentConnection.ts";
 import type { AnswerInstructions } from "../instructions/answerInstructions.ts";
 import type { EndpointInstructions } from "../instructions/endpointInstructions.ts";
+import { createHttpConnector } from "../upstream/path/createHttpConnector.ts";
+import type { EndpointConnector } from "../upstream/path/endpointConnector.ts";
 import type { EndpointObservation } from "./endpointObservation.ts";
 import type { EndpointState } from "./endpointState.ts";
 import { EndpointStateTracker } from "./endpointStateTracker.ts";
@@ -13,6 +15,8 @@
 /** Options of an {@link EndpointDirectory}. */
 interface EndpointDirectoryOptions {
     clock: Clock;
+    /** Opens connections to the endpoints. Default: the HTTP client does. */
+    connector?: Pick<EndpointConnector, "open">;
     /** What endpoints have told this node to send or not to send them. */
     instructions: EndpointInstructions;
     onAnswered: EngineConnectionOptions["onAnswered"];
@@ -68,6 +72,16 @@
         }
     }
 
+    /** Gets the name of the endpoint at an address (host:port). */
+    getNameAt(address: string): string | undefined {
+        return this.namesByAddress.get(address);
+    }
+
+    /** Gets the addresses of all endpoints, as host:port. */
+    getAddresses(): string[] {
+        return [...this.entries.values()].map(({ configuration }) => configuration.address);
+    }
+
     /** Gets the names of the endpoints of a kind. */
     getNames(kind: EndpointConfiguration["kind"]): string[] {
         const names: string[] = [];
@@ -257,17 +271,21 @@
         configuration: EndpointConfiguration,
     ): Pick<EndpointEntry, "engine" | "document"> {
         const { address, kind } = configuration;
-        const callbacks = {
+        const { connector } = this.options;
+        const common = {
+            endpoint,
+            address,
+            connect: connector && createHttpConnector(connector, address),
             onInstructions: (name: string, instructions: AnswerInstructions) =>
                 this.observeInstructions(name, instructions),
             onConnectionRefused: (name: string) => this.observeConnectionRefused(name),
         };
         if (kind === "document") {
-            return { document: DocumentConnection.create({ endpoint, address, ...callbacks }) };
+            return { document: DocumentConnection.create(common) };
         }
         const { clock, onAnswered, onSilentConnection, instructions } = this.options;
         const isPaused = (name: string) => !instructions.isLeaving(name) && !instructions.maySend(name);
-        const options = { endpoint, address, clock, onAnswered, onSilentConnection, isPaused, ...callbacks };
+        const options = { ...common, clock, onAnswered, onSilentConnection, isPaused };
         return { engine: EngineConnection.create(options) };
     }
 
--- a/src/connection/endpoint/engineConnection.ts
+++ b/src/connection/endpoint/engineConnection.ts
@@ -1,3 +1,4 @@
+import type { buildConnector } from "undici";
 import type { Clock } from "../../process/clock.ts";
 import { Err, Ok, type Result } from "../../result.ts";
 import type { AnswerInstructions } from "../instructions/answerInstructions.ts";
@@ -21,6 +22,8 @@
     endpoint: string;
     /** Address of the engine, as host:port. */
     address: string;
+    /** Opens the connections. Default: the HTTP client does. */
+    connect?: buildConnector.connector;
     clock: Clock;
     /** Called for each pass with a result, with the time from the send to the result in milliseconds. */
     onAnswered(endpoint: string, pass: Pass, result: PassResult, elapsedMilliseconds: number): void;
@@ -69,7 +72,7 @@
     private constructor(options: EngineConnectionOptions) {
         this.options = options;
         this.origin = `http://${options.address}`;
-        this.pool = EnginePool.create(this.origin, options.clock);
+        this.pool = EnginePool.create(this.origin, options.clock, options.connect);
         this.calls = EngineCalls.create({
             endpoint: options.endpoint,
             getDispatcher: () => this.pool.getDispatcher(),
@@ -174,7 +177,7 @@
     }
 
     private async probe(): Promise<ProbeOutcome> {
-        const outcome = await probeEngine(this.origin, this.deadline.getProbeTimeout());
+        const outcome = await probeEngine(this.origin, this.deadline.getProbeTimeout(), this.options.connect);
         if (outcome === "refused") {
             this.options.onConnectionRefused(this.options.endpoint);
         }
--- a/src/connection/endpoint/enginePool.ts
+++ b/src/connection/endpoint/enginePool.ts
@@ -1,4 +1,4 @@
-import { type Dispatcher, Pool } from "undici";
+import { type buildConnector, type Dispatcher, Pool } from "undici";
 import type { Clock } from "../../process/clock.ts";
 
 const maximumConnections = 64;
@@ -10,21 +10,24 @@
 export class EnginePool {
     private readonly origin: string;
     private readonly clock: Clock;
+    private readonly connect: buildConnector.connector | undefined;
     private pool: Pool;
 
-    private constructor(origin: string, clock: Clock) {
+    private constructor(origin: string, clock: Clock, connect?: buildConnector.connector) {
         this.origin = origin;
         this.clock = clock;
-        this.pool = createPool(origin);
+        this.connect = connect;
+        this.pool = createPool(origin, connect);
     }
 
     /**
      * Creates a pool without open connections.
      * @param origin - Scheme, host and port of the engine.
      * @param clock - Clock that times the closing of replaced connections.
+     * @param connect - Opens the connections. Default: the HTTP client does.
      */
-    static create(origin: string, clock: Clock): EnginePool {
-        return new EnginePool(origin, clock);
+    static create(origin: string, clock: Clock, connect?: buildConnector.connector): EnginePool {
+        return new EnginePool(origin, clock, connect);
     }
 
     /** Gets the dispatcher for new calls. */
@@ -37,7 +40,7 @@
      */
     replace(): void {
         const oldPool = this.pool;
-        this.pool = createPool(this.origin);
+        this.pool = createPool(this.origin, this.connect);
         this.clock.setTimer(retirementMilliseconds, () => void oldPool.destroy());
     }
 
@@ -47,11 +50,12 @@
     }
 }
 
-function createPool(origin: string): Pool {
+function createPool(origin: string, connect: buildConnector.connector | undefined): Pool {
     return new Pool(origin, {
         connections: maximumConnections,
         headersTimeout: 0,
         bodyTimeout: 0,
         connectTimeout: connectTimeoutMilliseconds,
+        connect,
     });
 }
--- a/src/connection/peer/peerConnection.ts
+++ b/src/connection/peer/peerConnection.ts
@@ -3,6 +3,7 @@
 import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
 import { peerSecret } from "./peerSecret.ts";
 import type { PeerTls } from "./peerTls.ts";
+import { toSecureOptions } from "./toSecureOptions.ts";
 
 /** Maximum size of a received message: a configuration of 1 MB, with a margin for its envelope. */
 const maximumMessageBytes = 4 * 1024 * 1024;
@@ -100,7 +101,3 @@
         return next(request);
     };
 }
-
-function toSecureOptions(tls: PeerTls): { cert: string; key: string; ca: string; } {
-    return { cert: tls.certificate, key: tls.key, ca: tls.authority };
-}
--- a/src/connection/peer/peerServer.ts
+++ b/src/connection/peer/peerServer.ts
@@ -8,6 +8,9 @@
 import type { PeerHandlers } from "./peerHandlers.ts";
 import { peerSecret } from "./peerSecret.ts";
 import type { PeerTls } from "./peerTls.ts";
+import { connectTunnel } from "./tunnel/connectTunnel.ts";
+import { peerTunnelHeaders } from "./tunnel/peerTunnelHeaders.ts";
+import type { TunnelOptions } from "./tunnel/tunnelOptions.ts";
 
 const unauthenticatedStatus = 401;
 const maximumMessageBytes = 4 * 1024 * 1024;
@@ -21,6 +24,8 @@
     secret?: string;
     /** Handlers for the calls of peers. */
     handlers: PeerHandlers;
+    /** How connections for tunnels of peers are opened. Without it, no tunnels are taken. */
+    tunnels?: TunnelOptions;
     /** Certificates. Without them, calls are not encrypted. */
     tls?: PeerTls;
     log: EventLog;
@@ -109,6 +114,10 @@
     return (request, response) => {
         const received = request.headers[peerSecret.headerName];
         if (isAdmitted(received, options.secret)) {
+            if (options.tunnels !== undefined && request.url === peerTunnelHeaders.path) {
+                serveTunnel(request, options.tunnels);
+                return;
+            }
             serve(request, response);
             return;
         }
@@ -117,6 +126,12 @@
     };
 }
 
+function serveTunnel({ stream, headers }: http2.Http2ServerRequest, tunnels: TunnelOptions): void {
+    stream.on("error", () => undefined);
+    stream.respond();
+    connectTunnel(stream, String(headers[peerTunnelHeaders.address] ?? ""), tunnels);
+}
+
 function isAdmitted(received: string | string[] | undefined, secret: string | undefined): boolean {
     return secret === undefined || typeof received === "string" && peerSecret.isEqual(received, secret);
 }
--- a/src/connection/peer/tunnel/createTunnelStream.ts
+++ b/src/connection/peer/tunnel/createTunnelStream.ts
@@ -1,4 +1,3 @@
-import type { Socket } from "node:net";
 import { Duplex } from "node:stream";
 import type { TunnelFrame } from "./tunnelFrame.ts";
 import { TunnelFrameKind } from "./tunnelFrameKind.ts";
@@ -8,30 +7,30 @@
  * Creates the near end of a tunnel that the peer has opened. It reads and writes like a socket to the endpoint. The bytes to the
  * endpoint go on as they are. The bytes from it come in frames, so that the end of the endpoint's connection differs from the end of
  * the peer: an answer whose end is the end of its connection would otherwise look complete when the peer stops.
- * @param socket - Connection to the peer.
+ * @param connection - Connection to the peer.
  * @param reader - Reader of its frames, which has read the one that opened the tunnel.
  * @param frames - Frames that came with that one.
  */
 export function createTunnelStream(
-    socket: Socket,
+    connection: Duplex,
     reader: TunnelFrameReader,
     frames: readonly TunnelFrame[],
 ): Duplex {
     let hasEnded = false;
     const stream = new Duplex({
         allowHalfOpen: false,
-        read: () => void socket.resume(),
-        write: (chunk: Buffer, encoding, callback) => void socket.write(chunk, encoding, callback),
-        final: callback => void socket.end(callback),
+        read: () => void connection.resume(),
+        write: (chunk: Buffer, encoding, callback) => void connection.write(chunk, encoding, callback),
+        final: callback => void connection.end(callback),
         destroy: (error, callback) => {
-            socket.destroy();
+            connection.destroy();
             callback(error);
         },
     });
     const handleFrames = (received: readonly TunnelFrame[]) => {
         for (const { kind, payload } of received) {
             if (kind === TunnelFrameKind.Data && !stream.push(payload)) {
-                socket.pause();
+                connection.pause();
             }
             else if (kind === TunnelFrameKind.End) {
                 hasEnded = true;
@@ -39,7 +38,7 @@
             }
         }
     };
-    socket.on("data", (chunk: Buffer) => {
+    connection.on("data", (chunk: Buffer) => {
         const received = reader.push(chunk);
         if (received.err) {
             stream.destroy(new Error(received.val));
@@ -47,8 +46,8 @@
         }
         handleFrames(received.val);
     });
-    socket.on("error", error => stream.destroy(error));
-    socket.once("close", () => {
+    connection.on("error", error => stream.destroy(error));
+    connection.once("close", () => {
         if (!hasEnded) {
             stream.destroy(new Error("The tunnel through a peer was closed before the endpoint's connection ended."));
         }
--- a/src/connection/peer/tunnel/tunnelServer.ts
+++ b/src/connection/peer/tunnel/tunnelServer.ts
@@ -1,38 +1,23 @@
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
-import type { Clock } from "../../../process/clock.ts";
 import { parseAddress } from "../../../process/settings/parseAddress.ts";
-import type { CreateSocket } from "../../upstream/path/createSocket.ts";
-import { openDirect } from "../../upstream/path/openDirect.ts";
-import { encodeTunnelFrame } from "./encodeTunnelFrame.ts";
-import { TunnelFrameKind } from "./tunnelFrameKind.ts";
+import { connectTunnel } from "./connectTunnel.ts";
+import type { TunnelOptions } from "./tunnelOptions.ts";
 
 /** Options of a {@link TunnelServer}. */
-interface TunnelServerOptions {
+interface TunnelServerOptions extends TunnelOptions {
     /** Address to listen on, as host:port. */
     address: string;
-    clock: Pick<Clock, "setTimer">;
-    createSocket: CreateSocket;
-    /** Gets why no tunnel to an address may be opened now; undefined if it may. */
-    getRefusal(address: string): string | undefined;
-    /** Called with the result of each connection to an endpoint; the failure is undefined if it was opened. */
-    onConnected(address: string, failure: string | undefined): void;
     /** Called when the number of open tunnels has changed. */
     onCountChanged(count: number): void;
 }
 
-/** Shorter than the time that the peer waits, so that it learns the reason. */
-const connectTimeoutMilliseconds = 150;
 const requestTimeoutMilliseconds = 2_000;
 /** Length of the longest address with its line feed. */
 const maximumRequestBytes = 64;
 /** Sockets that a node may use for the tunnels of its peers; each tunnel takes two. */
 const maximumTunnels = 800;
-const noBytes = Buffer.alloc(0);
 
-/**
- * Connects peers to endpoints that they can't reach over their own links. A tunnel carries bytes only: all decisions on a request
- * stay with the peer. It always connects directly, so that no tunnel goes through two nodes.
- */
+/** The listener for tunnels of peers to endpoints. */
 export class TunnelServer {
     private readonly options: TunnelServerOptions;
     private readonly server: Server;
@@ -98,7 +83,7 @@
                 timer.cancel();
                 socket.off("data", readRequest);
                 socket.pause();
-                this.connect(socket, request.trim());
+                connectTunnel(socket, request.trim(), this.options);
             }
             else if (request.length > maximumRequestBytes) {
                 socket.destroy();
@@ -106,58 +91,4 @@
         };
         socket.on("data", readRequest);
     }
-
-    private connect(socket: Socket, address: string): void {
-        const { clock, createSocket, getRefusal, onConnected } = this.options;
-        const refusal = getRefusal(address);
-        if (refusal !== undefined) {
-            refuse(socket, refusal);
-            return;
-        }
-        let cancelOpening = () => undefined as void;
-        const handleClose = () => cancelOpening();
-        socket.once("close", handleClose);
-        cancelOpening = openDirect({
-            address,
-            timeoutMilliseconds: connectTimeoutMilliseconds,
-            clock,
-            createSocket,
-            onDone: result => {
-                socket.off("close", handleClose);
-                onConnected(address, result.err ? result.val : undefined);
-                if (result.err) {
-                    refuse(socket, result.val);
-                    return;
-                }
-                socket.write(encodeTunnelFrame({ kind: TunnelFrameKind.Opened, payload: noBytes }));
-                join(socket, result.val);
-            },
-        });
-    }
-}
-
-function refuse(socket: Socket, reason: string): void {
-    socket.end(encodeTunnelFrame({ kind: TunnelFrameKind.Failed, payload: Buffer.from(reason) }));
-}
-
-/** Passes bytes between a peer and an endpoint, each as fast as the other takes them, until either connection ends. */
-function join(peer: Socket, endpoint: Socket): void {
-    endpoint.on("data", (chunk: Buffer) => {
-        if (!peer.write(encodeTunnelFrame({ kind: TunnelFrameKind.Data, payload: chunk }))) {
-            endpoint.pause();
-        }
-    });
-    peer.on("drain", () => endpoint.resume());
-    endpoint.once("end", () => peer.end(encodeTunnelFrame({ kind: TunnelFrameKind.End, payload: noBytes })));
-    // A reset ends the tunnel without the frame for a regular end, so that the peer takes it as a failure.
-    endpoint.once("error", () => peer.resetAndDestroy());
-    endpoint.once("close", () => peer.destroySoon());
-    peer.once("close", () => endpoint.destroy());
-    peer.on("data", (chunk: Buffer) => {
-        if (!endpoint.write(chunk)) {
-            peer.pause();
-        }
-    });
-    endpoint.on("drain", () => peer.resume());
-    peer.resume();
 }
--- a/src/connection/upstream/path/connectionOpening.ts
+++ b/src/connection/upstream/path/connectionOpening.ts
@@ -1,13 +1,13 @@
 import type { Duplex } from "node:stream";
 import type { Clock, TimerHandle } from "../../../process/clock.ts";
 import { Err, Ok, type Result } from "../../../result.ts";
-import { openTunnel } from "../../peer/tunnel/openTunnel.ts";
 import type { TunnelFailure } from "../../peer/tunnel/tunnelFailure.ts";
 import { TunnelFailureKind } from "../../peer/tunnel/tunnelFailureKind.ts";
 import type { CreateSocket } from "./createSocket.ts";
 import type { EndpointPaths } from "./endpointPaths.ts";
 import { openDirect } from "./openDirect.ts";
 import type { OpenedSocket } from "./openedSocket.ts";
+import type { OpenTunnel } from "./openTunnel.ts";
 import type { TunnelPeers } from "./tunnelPeers.ts";
 
 /** Options of a {@link ConnectionOpening}. */
@@ -18,6 +18,7 @@
     paths: EndpointPaths;
     peers: TunnelPeers;
     createSocket: CreateSocket;
+    openTunnel: OpenTunnel;
     directTimeoutMilliseconds: number;
     /** Called once, with the connection or the reason for the failure. */
     onDone(result: Result<OpenedSocket, string>): void;
@@ -28,6 +29,7 @@
 /** A peer that has not answered after this time may have lost its links too, so another one is asked besides. */
 const nextPeerMilliseconds = 50;
 const maximumPeers = 4;
+const resetCode = "ECONNRESET";
 /** An endpoint counts as down once this many peers have answered that they can't connect to it. */
 const maximumEndpointFailures = 3;
 
@@ -92,6 +94,12 @@
             return;
         }
         this.failure = result.val;
+        if (result.val.includes(resetCode)) {
+            // The endpoint accepted the connection and closed it, so the path works.
+            paths.recordOpened(address, now);
+            this.finish(Err(this.failure));
+            return;
+        }
         paths.recordFailed(address, result.val, now);
         this.tryPeer();
     }
@@ -101,7 +109,7 @@
         if (this.isDone) {
             return;
         }
-        const { address, clock } = this.options;
+        const { address, clock, openTunnel } = this.options;
         const peer = this.choosePeer();
         if (peer === undefined) {
             this.handleNoPeer();
--- a/src/connection/upstream/path/endpointConnector.ts
+++ b/src/connection/upstream/path/endpointConnector.ts
@@ -6,6 +6,7 @@
 import type { CreateSocket } from "./createSocket.ts";
 import type { EndpointPaths } from "./endpointPaths.ts";
 import type { OpenedSocket } from "./openedSocket.ts";
+import type { OpenTunnel } from "./openTunnel.ts";
 import type { PathState } from "./pathState.ts";
 import { PathTester } from "./pathTester.ts";
 import type { TunnelPeers } from "./tunnelPeers.ts";
@@ -16,6 +17,7 @@
     paths: EndpointPaths;
     peers: TunnelPeers;
     createSocket: CreateSocket;
+    openTunnel: OpenTunnel;
     random: RandomSource;
     /** Called in each review: connections whose path doesn't work, or is not needed any more, should be closed. */
     onReview(): void;
--- a/src/connection/upstream/path/pathTester.ts
+++ b/src/connection/upstream/path/pathTester.ts
@@ -1,10 +1,10 @@
 import type { Clock } from "../../../process/clock.ts";
-import { openTunnel } from "../../peer/tunnel/openTunnel.ts";
 import { TunnelFailureKind } from "../../peer/tunnel/tunnelFailureKind.ts";
 import { ConnectionOpening } from "./connectionOpening.ts";
 import type { CreateSocket } from "./createSocket.ts";
 import type { EndpointPaths } from "./endpointPaths.ts";
 import { openDirect } from "./openDirect.ts";
+import type { OpenTunnel } from "./openTunnel.ts";
 import { PathState } from "./pathState.ts";
 import type { TunnelPeers } from "./tunnelPeers.ts";
 
@@ -14,6 +14,7 @@
     paths: EndpointPaths;
     peers: TunnelPeers;
     createSocket: CreateSocket;
+    openTunnel: OpenTunnel;
 }
 
 /** Connections open within a few milliseconds; the rest allows for a busy event loop at either end. */
@@ -86,7 +87,7 @@
 
     /** Opens a connection through a peer. Returns whether this succeeded. */
     private testTunnel(peer: string, address: string): Promise<boolean> {
-        const { clock, peers } = this.options;
+        const { clock, peers, openTunnel } = this.options;
         return new Promise(resolve => {
             openTunnel({
                 peer,
--- a/src/process/endpointService.ts
+++ b/src/process/endpointService.ts
@@ -4,6 +4,7 @@
 import type { EndpointState } from "../connection/endpoint/endpointState.ts";
 import type { EngineStatus, Pass, PassResult } from "../connection/endpoint/engineProtocol.ts";
 import { EndpointInstructions } from "../connection/instructions/endpointInstructions.ts";
+import type { EndpointConnector } from "../connection/upstream/path/endpointConnector.ts";
 import type { ChainChooser } from "../request/chain/chainChooser.ts";
 import type { Configuration } from "../version/configuration.ts";
 import type { EndpointRecord } from "../wire/generated/foxlead/peer/v1/peer_pb.ts";
@@ -23,6 +24,8 @@
     random: RandomSource;
     log: EventLog;
     metrics: Metrics;
+    /** Opens connections to the endpoints, directly or through peers. */
+    connector: Pick<EndpointConnector, "open">;
     view: MembershipView;
     owners: RendezvousOwners;
     /** Gets the chooser. A function, since the chooser is created after this service. */
@@ -48,6 +51,7 @@
         this.reports = EndpointReports.create(() => options.view.getAliveMembers().length);
         this.directory = EndpointDirectory.create({
             clock: options.clock,
+            connector: options.connector,
             instructions: EndpointInstructions.create({
                 clock: options.clock,
                 log: options.log,
--- a/src/process/foxleadNode.ts
+++ b/src/process/foxleadNode.ts
@@ -1,6 +1,9 @@
 import { CallerServer } from "../connection/caller/callerServer.ts";
 import { PeerConnections } from "../connection/peer/peerConnections.ts";
 import { PeerServer } from "../connection/peer/peerServer.ts";
+import { PeerTunnels } from "../connection/peer/tunnel/peerTunnels.ts";
+import type { CreateSocket } from "../connection/upstream/path/createSocket.ts";
+import { createTcpSocket } from "../connection/upstream/path/createTcpSocket.ts";
 import { RetryBudget } from "../request/admission/retryBudget.ts";
 import { EstimatedTimeChooser } from "../request/chain/estimatedTimeChooser.ts";
 import type { ConfigurationVersion } from "../version/configurationVersion.ts";
@@ -14,6 +17,7 @@
 import { createNodeStatus } from "./createNodeStatus.ts";
 import { createOrderDispatcher } from "./createOrderDispatcher.ts";
 import { createPeerHandlers } from "./createPeerHandlers.ts";
+import { EndpointAccess } from "./endpointAccess.ts";
 import { EndpointService } from "./endpointService.ts";
 import type { EventLog } from "./logging/eventLog.ts";
 import { events } from "./logging/events.ts";
@@ -37,6 +41,8 @@
     log: EventLog;
     clock: Clock;
     random: RandomSource;
+    /** Creates the sockets of direct connections to endpoints. Default: TCP sockets. */
+    createSocket?: CreateSocket;
 }
 
 /** Services whose hash functions are loaded asynchronously. */
@@ -58,6 +64,8 @@
     private readonly view: MembershipView;
     private readonly peers: PeerConnections;
     private readonly configurations: ConfigurationService;
+    private readonly tunnels: PeerTunnels;
+    private readonly access: EndpointAccess;
     private readonly endpoints: EndpointService;
     private readonly chooser: EstimatedTimeChooser;
     private readonly claims: ClaimService;
@@ -85,6 +93,7 @@
             incarnation: Math.floor(clock.getWallTime()),
         });
         this.peers = this.createPeerConnections();
+        this.tunnels = PeerTunnels.create({ secret: settings.peerSecret, tls: settings.tls.peers });
         const { view, peers, tracing } = this;
         const { store } = this.platform;
         this.configurations = ConfigurationService.create({
@@ -97,7 +106,10 @@
         });
         const getConfiguration = () => this.configurations.getConfiguration();
         const getChooser = () => this.chooser;
-        this.endpoints = EndpointService.create({ nodeId, clock, random, log, metrics, view, owners, getChooser });
+        this.access = this.createEndpointAccess();
+        const { connector } = this.access;
+        const observed = { nodeId, clock, random, log, metrics, connector, view, owners };
+        this.endpoints = EndpointService.create({ ...observed, getChooser });
         const { directory } = this.endpoints;
         const getEndpointState = (endpoint: string) => directory.getState(endpoint);
         this.chooser = EstimatedTimeChooser.create({
@@ -143,6 +155,7 @@
             tls: settings.tls.peers,
             log,
             handlers: createPeerHandlers({ gossiper, distributor, claims: this.claims }),
+            tunnels: this.access.getTunnelOptions(),
         });
         const admin = await this.admin.listen();
         if (!admin.ok) {
@@ -166,6 +179,7 @@
     async stop(deadline: Promise<void>): Promise<void> {
         const { log } = this.options;
         this.lifecycle.startDraining();
+        this.access.startDraining();
         this.admissions.admission.startDraining();
         log.write(events.nodeDraining, { requests: this.callers.getRequestsInProgress() });
         void this.membership.announceLeaving();
@@ -209,7 +223,9 @@
         this.statistics.stop();
         await this.peerServer?.close();
         this.peers.close();
+        this.access.close();
         await this.endpoints.close();
+        this.tunnels.close();
         await this.admin.close();
         await this.platform.close();
         await this.tracing.shutdown();
@@ -226,6 +242,29 @@
         });
     }
 
+    private createEndpointAccess(): EndpointAccess {
+        const { clock, random, log, createSocket = createTcpSocket } = this.options;
+        const { view, metrics, tunnels } = this;
+        const getStates = () => this.endpoints.directory.getStates();
+        return EndpointAccess.create({
+            clock,
+            random,
+            log,
+            metrics,
+            createSocket,
+            openTunnel: options => tunnels.open(options),
+            listPeers: () =>
+                view.getAliveMembers()
+                    .filter(({ nodeId }) => nodeId !== this.options.settings.vm)
+                    .map(({ peerAddress }) => ({ address: peerAddress, unreachableFraction: 0 })),
+            findEndpoint: address => this.endpoints.directory.getNameAt(address),
+            countEndpoints: () => getStates().length,
+            listOpenAddresses: () => this.endpoints.directory.getAddresses(),
+            onReview: () => undefined,
+            onLinksChanged: () => undefined,
+        });
+    }
+
     private createStatistics(): NodeStatistics {
         const { view, metrics } = this;
         return NodeStatistics.create({
@@ -307,6 +346,7 @@
 
     private applyVersion(version: ConfigurationVersion): void {
         this.endpoints.update(version.configuration);
+        this.access.retain(new Set(this.endpoints.directory.getAddresses()));
         this.claims.configure(version.configuration.claims);
         this.view.setConfigurationVersion(version.version);
         this.metrics.configurationVersion.set(version.version);
--- a/src/process/router/endpointLinks.ts
+++ b/src/process/router/endpointLinks.ts
@@ -1,14 +1,12 @@
+import { openTcpTunnel } from "../../connection/peer/tunnel/openTcpTunnel.ts";
 import { TunnelServer } from "../../connection/peer/tunnel/tunnelServer.ts";
 import type { CreateSocket } from "../../connection/upstream/path/createSocket.ts";
 import { createTcpSocket } from "../../connection/upstream/path/createTcpSocket.ts";
-import { EndpointConnector } from "../../connection/upstream/path/endpointConnector.ts";
-import { EndpointPaths } from "../../connection/upstream/path/endpointPaths.ts";
 import type { TunnelPeer } from "../../connection/upstream/path/tunnelPeer.ts";
-import { TunnelPeers } from "../../connection/upstream/path/tunnelPeers.ts";
 import { UpstreamPools } from "../../connection/upstream/upstreamPools.ts";
 import type { Clock } from "../clock.ts";
+import { EndpointAccess } from "../endpointAccess.ts";
 import type { EventLog } from "../logging/eventLog.ts";
-import { events } from "../logging/events.ts";
 import type { InputBarrier } from "../loop/inputBarrier.ts";
 import type { Metrics } from "../metrics/metrics.ts";
 import type { RandomSource } from "../randomSource.ts";
@@ -33,36 +31,31 @@
     onLinksChanged(): void;
 }
 
-/** The links of this node to the endpoints: its connections, which of its paths work, and the tunnels that it opens and takes. */
+/** The connections of a router node to the endpoints, and the listener for tunnels of its peers. */
 export class EndpointLinks {
     readonly pools: UpstreamPools;
     private readonly options: EndpointLinksOptions;
-    private readonly paths: EndpointPaths;
-    private readonly connector: EndpointConnector;
-    private readonly createSocket: CreateSocket;
+    private readonly access: EndpointAccess;
     private server: TunnelServer | undefined;
     private isDraining = false;
     private onTunnelsClosed: (() => void) | undefined;
 
     private constructor(options: EndpointLinksOptions) {
         this.options = options;
-        const { clock, barrier, random, metrics, createSocket = createTcpSocket } = options;
-        this.createSocket = createSocket;
-        this.paths = EndpointPaths.create((address, failure) => this.handlePathChanged(address, failure));
-        this.connector = EndpointConnector.create({
-            clock,
-            paths: this.paths,
-            peers: TunnelPeers.create({
-                listPeers: () => this.listTunnelPeers(),
-                random,
-            }),
-            createSocket,
-            random,
+        const { barrier, metrics, getRegistry } = options;
+        this.access = EndpointAccess.create({
+            createSocket: createTcpSocket,
+            ...options,
+            openTunnel: openTcpTunnel,
+            listPeers: () => this.listTunnelPeers(),
+            findEndpoint: address => getRegistry().getEndpointAt(address)?.id,
+            countEndpoints: () => getRegistry().getAll().length,
+            listOpenAddresses: () => this.pools.listOpenAddresses(),
             onReview: () => this.pools.closeUnusedTunnels(),
         });
         this.pools = UpstreamPools.create({
             barrier,
-            connector: this.connector,
+            connector: this.access.connector,
             onOpened: () => metrics.upstreamConnectionsTotal.inc(),
         });
     }
@@ -74,13 +67,10 @@
 
     /** Starts to take tunnels of peers. */
     async start(): Promise<void> {
-        const { tunnelListener, clock, metrics } = this.options;
+        const { tunnelListener, metrics } = this.options;
         this.server = await TunnelServer.create({
+            ...this.access.getTunnelOptions(),
             address: tunnelListener,
-            clock,
-            createSocket: this.createSocket,
-            getRefusal: address => this.getTunnelRefusal(address),
-            onConnected: (address, failure) => this.handleTunnelConnected(address, failure),
             onCountChanged: count => {
                 metrics.tunnels.set(count);
                 if (count === 0) {
@@ -97,12 +87,13 @@
 
     /** Gets the fraction of the endpoints tried that this node can't connect to, 0 to 1. */
     getUnreachableFraction(): number {
-        return this.paths.getFailingFraction();
+        return this.access.getUnreachableFraction();
     }
 
     /** Takes no more tunnels; peers stop using the open ones when they learn of it. */
     startDraining(): void {
         this.isDraining = true;
+        this.access.startDraining();
     }
 
     /** Waits until peers have closed all tunnels. */
@@ -117,13 +108,13 @@
 
     /** Forgets the addresses that no endpoint has any more. */
     retain(addresses: ReadonlySet<string>): void {
-        this.paths.retain(addresses);
+        this.access.retain(addresses);
         this.pools.retain(addresses);
     }
 
     /** Closes all connections and tunnels. */
     async close(): Promise<void> {
-        this.connector.close();
+        this.access.close();
         this.pools.close();
         await this.server?.close();
     }
@@ -138,42 +129,4 @@
         }
         return peers;
     }
-
-    private getTunnelRefusal(address: string): string | undefined {
-        if (this.isDraining) {
-            return "this node is shutting down.";
-        }
-        if (this.options.getRegistry().getEndpointAt(address) === undefined) {
-            return "no endpoint is registered at this address.";
-        }
-        return this.paths.getFailingSince(address) === undefined ? undefined : "this node can't connect to it either.";
-    }
-
-    private handleTunnelConnected(address: string, failure: string | undefined): void {
-        const now = this.options.clock.getMonotonicTime();
-        if (failure === undefined) {
-            this.paths.recordOpened(address, now);
-        }
-        else {
-            this.paths.recordFailed(address, failure, now);
-        }
-    }
-
-    private handlePathChanged(address: string, failure: string | undefined): void {
-        const { log, metrics, getRegistry, onLinksChanged } = this.options;
-        const unreachable = this.paths.getFailingCount();
-        metrics.unreachableEndpoints.set(unreachable);
-        const registry = getRegistry();
-        const endpoint = registry.getEndpointAt(address)?.id ?? "";
-        const details = { endpoint, address, unreachable, registered: registry.getAll().length };
-        if (failure === undefined) {
-            log.write(events.endpointPathRestored, details);
-            return;
-        }
-        log.write(events.endpointPathLost, { ...details, cause: failure });
-        this.connector.handleUnreachable(() => this.pools.listOpenAddresses());
-        if (unreachable > 1) {
-            onLinksChanged();
-        }
-    }
 }
--- a/tests/connection/caller/nodeFixture.ts
+++ b/tests/connection/caller/nodeFixture.ts
@@ -3,6 +3,7 @@
 import { request } from "undici";
 import { v7 as createUuid } from "uuid";
 import { findFreePorts } from "../../../scripts/deployment/findFreePorts.ts";
+import type { CreateSocket } from "../../../src/connection/upstream/path/createSocket.ts";
 import { FoxleadNode } from "../../../src/process/foxleadNode.ts";
 import { EtcdStore } from "../../../src/process/platform/etcdStore.ts";
 import { parseSettings } from "../../../src/process/settings/parseSettings.ts";
@@ -26,6 +27,10 @@
     /** Timeout of a call to a document service. */
     documentTimeoutMilliseconds?: number;
     stepBaseMilliseconds?: number;
+    /** Creates the sockets of the node's direct connections to endpoints. */
+    createSocket?: CreateSocket;
+    /** Whether the node has a peer. */
+    hasPeer?: boolean;
     /** Time that an engine needs to load the weights of layers. */
     weightLoadMilliseconds?: number;
 }
@@ -56,6 +61,7 @@
     /** Address for callers, as host:port. */
     address = "";
     private platform!: PlatformStandin;
+    private peer: FoxleadNode | undefined;
 
     private constructor() {}
 
@@ -136,7 +142,8 @@
 
     /** Stops the node gracefully and closes the stand-ins. */
     async close(): Promise<void> {
-        await this.node.stop(new Promise(resolve => setTimeout(resolve, 1_000)));
+        const deadline = new Promise<void>(resolve => setTimeout(resolve, 1_000));
+        await Promise.all([this.node.stop(deadline), this.peer?.stop(deadline)]);
         for (const standin of [...this.engines, ...this.documents, this.platform]) {
             await standin.close();
         }
@@ -175,23 +182,51 @@
     }
 
     private async startNode(options: NodeFixtureOptions): Promise<void> {
-        const [caller, peer, admin] = await findFreePorts(3);
+        const [caller, peer, admin, otherCaller, otherPeer, otherAdmin] = await findFreePorts(6);
         this.address = `127.0.0.1:${caller}`;
+        const peers = options.hasPeer === true ? [`127.0.0.1:${otherPeer}`] : [];
+        const own = { callerListener: this.address, peerListener: `127.0.0.1:${peer}`, admin: admin!, peers };
+        this.node = await this.createNode("node-1", own, options, options.createSocket);
+        if (options.hasPeer === true) {
+            this.peer = await this.createNode("node-2", {
+                callerListener: `127.0.0.1:${otherCaller}`,
+                peerListener: `127.0.0.1:${otherPeer}`,
+                admin: otherAdmin!,
+                peers: [own.peerListener],
+            }, options);
+            const { node, peer: other } = this;
+            await waitUntil(
+                "the nodes know each other",
+                () => node.getStatus().members.length === 2 && other.getStatus().ready,
+            );
+        }
+    }
+
+    private async createNode(
+        vm: string,
+        listeners: { callerListener: string; peerListener: string; admin: number; peers: string[]; },
+        options: NodeFixtureOptions,
+        createSocket?: CreateSocket,
+    ): Promise<FoxleadNode> {
         const store = this.platform.getAddress();
+        const { callerListener, peerListener, admin, peers } = listeners;
         const settings = parseSettings(JSON.stringify({
-            vm: "node-1",
+            vm,
             dataCentre: "centre-a",
-            callerListener: this.address,
-            peerListener: `127.0.0.1:${peer}`,
+            callerListener,
+            peerListener,
             adminListener: `127.0.0.1:${admin}`,
             platform: { storeAddress: store, vmListAddress: store },
             peerSecret: "a-secret-for-tests-only",
+            peers,
             limits: options.limits ?? {},
         }));
         assert.ok(settings.ok, JSON.stringify(settings.val));
         const { log } = this;
-        this.node = await FoxleadNode.create({ settings: settings.val, log, clock: systemClock, random: Math.random });
-        await this.node.start();
-        await waitUntil("the node is ready", () => this.node.getStatus().ready);
+        const common = { settings: settings.val, log, clock: systemClock, random: Math.random, createSocket };
+        const node = await FoxleadNode.create(common);
+        await node.start();
+        await waitUntil("the node is ready", () => node.getStatus().ready);
+        return node;
     }
 }
--- a/tests/connection/peer/tunnel/tunnel.test.ts
+++ b/tests/connection/peer/tunnel/tunnel.test.ts
@@ -2,7 +2,7 @@
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { afterEach, beforeEach, describe, it } from "node:test";
-import { openTunnel } from "../../../../src/connection/peer/tunnel/openTunnel.ts";
+import { openTcpTunnel } from "../../../../src/connection/peer/tunnel/openTcpTunnel.ts";
 import type { TunnelFailure } from "../../../../src/connection/peer/tunnel/tunnelFailure.ts";
 import { TunnelFailureKind } from "../../../../src/connection/peer/tunnel/tunnelFailureKind.ts";
 import { TunnelServer } from "../../../../src/connection/peer/tunnel/tunnelServer.ts";
@@ -52,7 +52,7 @@
 
     function open(address = getEndpointAddress()): Promise<Result<Duplex, TunnelFailure>> {
         return new Promise(onDone =>
-            openTunnel({
+            openTcpTunnel({
                 peer: `127.0.0.1:${peer.getPort()}`,
                 address,
                 timeoutMilliseconds: 1_000,
--- a/tests/connection/upstream/upstreamPool.test.ts
+++ b/tests/connection/upstream/upstreamPool.test.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { setTimeout as wait } from "node:timers/promises";
+import { openTcpTunnel } from "../../../src/connection/peer/tunnel/openTcpTunnel.ts";
 import { createTcpSocket } from "../../../src/connection/upstream/path/createTcpSocket.ts";
 import { EndpointConnector } from "../../../src/connection/upstream/path/endpointConnector.ts";
 import { EndpointPaths } from "../../../src/connection/upstream/path/endpointPaths.ts";
@@ -45,6 +46,7 @@
                 paths: EndpointPaths.create(() => undefined),
                 peers: TunnelPeers.create({ listPeers: () => [], random: Math.random }),
                 createSocket: createTcpSocket,
+                openTunnel: openTcpTunnel,
                 random: Math.random,
                 onReview: () => undefined,
             }),
