Keep the placement lease until a move that is awaited is made

Cause: a candidate asked for the lease when a move was due and forgot the move; as the holder it saw the move anew, found no order to give yet and released the lease. With luck an order went out in between; it was refused, since the new holder did not know how many orders the endpoint had begun, and the lease was gone before the report with the number was used. All nodes acquired and released the lease in turn (fencing numbers 1000001 to 1000020 within 15 s).

Change: a candidate does not forget a due move, and a holder keeps the lease while a move is awaited.

Evidence: the new test of placementController fails before (no order within 3 s) and passes; 61 tests of placement, leases and the experiments passed.

--- a/src/process/placement/placementController.ts
+++ b/src/process/placement/placementController.ts
@@ -178,9 +178,10 @@
         }
         this.orders.removeCompleted(endpoints);
         const states = this.createPlacementEndpoints(endpoints, now);
-        const assignments = this.getDueOrders(service, model, columns, states, isStable);
+        const canOrder = fencingNumber !== undefined;
+        const assignments = this.getDueOrders(service, model, columns, states, { isStable, canOrder });
         const isWorkDue = assignments.length > 0 || this.orders.hasPending();
-        if (fencingNumber === undefined) {
+        if (!canOrder) {
             return isWorkDue;
         }
         const { loadsAtOnce } = model;
@@ -192,7 +193,8 @@
             }
         }
         this.orders.checkOverdue(model, endpoints);
-        return isWorkDue;
+        // A holder that gave up the lease before a move is due would have to acquire it again for the move.
+        return isWorkDue || this.dueMoves.has(service);
     }
 
     private createPlacementEndpoints(endpoints: readonly RegisteredEndpoint[], now: number): PlacementEndpoint[] {
@@ -234,7 +236,7 @@
         model: EngineModel,
         columns: readonly LayerColumn[],
         endpoints: readonly PlacementEndpoint[],
-        isStable: boolean,
+        { isStable, canOrder }: { isStable: boolean; canOrder: boolean; },
     ): LayerAssignment[] {
         const now = this.options.clock.getMonotonicTime();
         const { assignments, move } = this.options.runLong(
@@ -254,7 +256,9 @@
         if (now - dueMove.since < moveDelayMilliseconds && !move.isUrgent) {
             return assignments;
         }
-        this.dueMoves.delete(service);
+        if (canOrder) {
+            this.dueMoves.delete(service);
+        }
         return [...assignments, move];
     }
 
--- a/tests/process/placement/placementController.test.ts
+++ b/tests/process/placement/placementController.test.ts
@@ -99,6 +99,52 @@
         assert.deepEqual(orders[0]!.order.layers, third);
     });
 
+    // The candidate asked for the lease when a move was due, and as the holder gave it up before the move was due again: all nodes
+    // acquired and released the lease in turn while no endpoint held some layers.
+    it("keeps the lease until it has moved an endpoint to a column that has lost its last replica", async () => {
+        await storePlan();
+        endpoints = [createMiddle("x", second), createMiddle("w", second), createMiddle("y", third)];
+        let fencingNumber: number | undefined;
+        let acquisitions = 0;
+        const begun: LayerOrder[] = [];
+        const controller = PlacementController.create({
+            store,
+            lease: { getFencingNumber: () => fencingNumber, getLastNumber: () => acquisitions },
+            isStoreAnswering: () => true,
+            isCandidate: () => true,
+            clock,
+            runLong: (_name, action) => action(),
+            log: RecordingEventLog.create(),
+            keyPrefix: "placement/",
+            getModelServices: () => [{ name: "model", engine: relayModel }] as never,
+            getEndpoints: () => endpoints,
+            sendOrder: async (_endpoint, order) => {
+                // An earlier holder has given the endpoint an order, of which this node doesn't know.
+                if (order.expectedSequence === 0) {
+                    return { kind: "misfit", faultyAddress: undefined };
+                }
+                begun.push(order);
+                return { kind: "begun", faultyAddress: undefined };
+            },
+            fetchReport: async () => ({ orderSequence: 1, isBusyWithOrder: false }) as never,
+        });
+        controller.start();
+        await clock.advance(3_000);
+        endpoints = endpoints.slice(0, 2);
+        for (let waited = 0; waited < 3_000 && begun.length === 0; waited += 130) {
+            await clock.advance(130);
+            if (fencingNumber === undefined && controller.hasWork()) {
+                acquisitions += 1;
+                fencingNumber = acquisitions;
+            }
+            else if (fencingNumber !== undefined && !controller.hasWork()) {
+                fencingNumber = undefined;
+            }
+        }
+        assert.deepEqual(begun.map(({ layers }) => layers), [third]);
+        assert.equal(acquisitions, 1);
+    });
+
     // Another plan would have moved the layers of all endpoints.
     it("stores the plan in use again if the store was restored from an older snapshot without it", async () => {
         const copy = store.takeSnapshot();
