--- a/bench/experiment/simulatedEngines.ts
+++ b/bench/experiment/simulatedEngines.ts
@@ -76,6 +76,7 @@
         return {
             abort: () => this.removeRun(run),
             getSentTime: () => sentAt,
+            getPeer: () => undefined,
             isPathLost: () => false,
             testPath: onDone => onDone(PathState.Down),
         };
--- a/src/connection/upstream/upstreamConnection.ts
+++ b/src/connection/upstream/upstreamConnection.ts
@@ -161,6 +161,7 @@
         });
         return {
             getSentTime: () => sentAt,
+            getPeer: () => this.path.peer,
             isPathLost: () => sentAt !== undefined && this.options.connector.isLost(this.path),
             testPath: onDone => void this.options.connector.test(this.path).then(onDone),
             abort: () => {
--- a/src/connection/upstream/upstreamExchange.ts
+++ b/src/connection/upstream/upstreamExchange.ts
@@ -9,6 +9,8 @@
      * were. An exchange that is aborted before this time is never sent.
      */
     getSentTime(): number | undefined;
+    /** Gets the address of the peer that its connection goes through; undefined if it is direct. */
+    getPeer(): string | undefined;
     /** Checks if the path of its connection is known not to work, and nothing was received since it failed. */
     isPathLost(): boolean;
     /**
--- a/src/connection/upstream/upstreamPool.ts
+++ b/src/connection/upstream/upstreamPool.ts
@@ -75,6 +75,7 @@
                 exchange?.abort();
             },
             getSentTime: () => exchange?.getSentTime(),
+            getPeer: () => exchange?.getPeer(),
             isPathLost: () => exchange?.isPathLost() ?? false,
             testPath: onDone => {
                 if (exchange === undefined) {
--- a/src/request/relay/documentRelay.ts
+++ b/src/request/relay/documentRelay.ts
@@ -207,7 +207,7 @@
             return;
         }
         health.addSuccess(attempt.endpoint.id, now);
-        this.deliver(answer, attempt.endpoint);
+        this.deliver(answer, attempt);
     }
 
     private handleFailure(attempt: Attempt, failure: UpstreamFailure): void {
@@ -248,6 +248,7 @@
         this.environment.log.write(events.relayAttemptFailed, {
             request: this.task.request.id,
             endpoint: attempt.endpoint.id,
+            peer: attempt.exchange?.getPeer() ?? "",
             attempt: this.attempts,
             isNotRun: end.isNotRun,
             cause: end.cause,
@@ -325,9 +326,9 @@
         return this.environment.retryBudget.takeRetry(this.getTime());
     }
 
-    private deliver(answer: CompleteAnswer, endpoint: RegisteredEndpoint): void {
+    private deliver(answer: CompleteAnswer, attempt: Attempt): void {
         sendCompleteAnswer(this.task.sink, answer);
-        this.finish("answered", endpoint.id, answer.head.status);
+        this.finish("answered", attempt, answer.head.status);
     }
 
     /**
@@ -357,11 +358,11 @@
     private refuse(refusal: RelayRefusal): void {
         if (!this.isDone) {
             this.task.sink.refuse(refusal);
-            this.finish(refusal.reason, "", 0, refusal.message);
+            this.finish(refusal.reason, undefined, 0, refusal.message);
         }
     }
 
-    private finish(outcome: string, endpointId = "", status = 0, cause = ""): void {
+    private finish(outcome: string, answered?: Attempt, status = 0, cause = ""): void {
         if (this.isDone) {
             return;
         }
@@ -380,7 +381,8 @@
             outcome,
             cause,
             status,
-            endpoint: endpointId,
+            endpoint: answered?.endpoint.id ?? "",
+            peer: answered?.exchange?.getPeer() ?? "",
             fingerprint: this.task.fingerprint,
             attempts: this.attempts,
             takenUpLateMilliseconds: Math.round(this.task.takenUpLateMilliseconds),
--- a/src/request/relay/streamLogger.ts
+++ b/src/request/relay/streamLogger.ts
@@ -63,6 +63,7 @@
         this.environment.log.write(events.relayAttemptFailed, {
             request: this.task.request.id,
             chain: formatStages(attempt.stages),
+            peer: attempt.exchange?.getPeer() ?? "",
             attempt: attemptCount,
             isNotRun: end.isNotRun,
             cause: end.cause,
@@ -89,6 +90,7 @@
             reroutes: this.rerouteCount,
             events: this.progress.getCount(),
             chain: attempt === undefined ? "" : formatStages(attempt.stages),
+            peer: attempt?.exchange?.getPeer() ?? "",
             promptTokens: request.promptTokens,
             takenUpLateMilliseconds: Math.round(takenUpLateMilliseconds),
             sentMilliseconds: getSentMilliseconds(firstSentAt, arrivedAt),
--- a/tests/platform/unreachableEndpoints.test.ts
+++ b/tests/platform/unreachableEndpoints.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { after, afterEach, before, describe, it } from "node:test";
+import { events } from "../../src/process/logging/events.ts";
 import { stopRouter } from "../../src/process/router/stopRouter.ts";
 import { systemClock } from "../../src/process/systemClock.ts";
 import { LinkCut } from "../../standins/network/linkCut.ts";
@@ -80,6 +81,7 @@
             // Callers keep coming while the cut is detected.
             await Promise.all([listFailures(node!), delay(settleMilliseconds)]);
             assert.deepEqual(await listFailures(node!), [], cut);
+            assert.ok(node!.log.numbers.includes(events.endpointPathLost.number));
             node!.links.setCut(LinkCut.None);
             await delay(restoreMilliseconds);
         }
--- a/tests/process/placement/placementController.test.ts
+++ b/tests/process/placement/placementController.test.ts
@@ -31,7 +31,10 @@
         endpoints = [createMiddle("x", second), createMiddle("y", third), createMiddle("z")];
     });
 
-    function start(fencingNumber: number): PlacementController {
+    function start(
+        fencingNumber: number,
+        changes: Partial<Parameters<typeof PlacementController.create>[0]> = {},
+    ): PlacementController {
         const controller = PlacementController.create({
             store,
             lease: { getFencingNumber: () => fencingNumber, getLastNumber: () => fencingNumber },
@@ -48,6 +51,7 @@
                 return { kind: "begun", faultyAddress: undefined };
             },
             fetchReport: async () => undefined,
+            ...changes,
         });
         controller.start();
         return controller;
@@ -107,17 +111,8 @@
         let fencingNumber: number | undefined;
         let acquisitions = 0;
         const begun: LayerOrder[] = [];
-        const controller = PlacementController.create({
-            store,
+        const controller = start(0, {
             lease: { getFencingNumber: () => fencingNumber, getLastNumber: () => acquisitions },
-            isStoreAnswering: () => true,
-            isCandidate: () => true,
-            clock,
-            runLong: (_name, action) => action(),
-            log: RecordingEventLog.create(),
-            keyPrefix: "placement/",
-            getModelServices: () => [{ name: "model", engine: relayModel }] as never,
-            getEndpoints: () => endpoints,
             sendOrder: async (_endpoint, order) => {
                 // An earlier holder has given the endpoint an order, of which this node doesn't know.
                 if (order.expectedSequence === 0) {
@@ -128,7 +123,6 @@
             },
             fetchReport: async () => ({ orderSequence: 1, isBusyWithOrder: false }) as never,
         });
-        controller.start();
         await clock.advance(3_000);
         endpoints = endpoints.slice(0, 2);
         for (let waited = 0; waited < 3_000 && begun.length === 0; waited += 130) {
--- a/tests/request/relay/relayBench.ts
+++ b/tests/request/relay/relayBench.ts
@@ -152,6 +152,7 @@
                 sentRequest.isAborted = true;
             },
             getSentTime: () => sentRequest.sentAt,
+            getPeer: () => undefined,
             isPathLost: () => false,
             testPath: (onDone: (state: PathState) => void) => onDone(PathState.Down),
         };
