--- a/tests/platform/unreachableEndpoints.test.ts
+++ b/tests/platform/unreachableEndpoints.test.ts
@@ -143,6 +143,21 @@
         await links.close();
     });
 
+    it("serves its callers if it starts without links", async () => {
+        const links = await harness.createLinks();
+        links.setCut(LinkCut.Silent);
+        const starting = await harness.addNode(undefined, links);
+        await harness.waitForEndpoints(starting, 6);
+        await delay(settleMilliseconds);
+        assert.deepEqual(await listFailures(starting), []);
+        starting.callers.stopListening();
+        await starting.node.startDraining();
+        await starting.node.stop();
+        starting.store.close();
+        harness.nodes.pop();
+        await links.close();
+    });
+
     it("serves its callers if it loses only the first stages", async () => {
         const firstStages = ["a1", "a2"].map(id => harness.endpoints.get(id)!.getAddress());
         nodes[0]!.links.setCut(LinkCut.Silent, address => firstStages.includes(address));
