Keep the placement lease only for moves to layers that no endpoint holds

Change: only a move to layers that no endpoint holds keeps the lease. Whether balancing moves should be made in small fleets is open.

--- a/src/process/placement/placementController.ts
+++ b/src/process/placement/placementController.ts
@@ -73,9 +73,10 @@
     private readonly stabilityTracker = EndpointStabilityTracker.create();
     private readonly orders: LayerOrderTracker;
     /**
-     * First layer of the target column of each service's delayed move, and monotonic time since which it is the target.
+     * The delayed move of each service: first layer of the target column, monotonic time since which it is the target, and whether
+     * no endpoint holds the column.
      */
-    private readonly dueMoves = new Map<string, { start: number; since: number; }>();
+    private readonly dueMoves = new Map<string, { start: number; since: number; isUrgent: boolean; }>();
     private timer: TimerHandle | undefined;
     /** Fencing number under which plans were last loaded. */
     private loadedFencingNumber = 0;
@@ -193,8 +194,8 @@
             }
         }
         this.orders.checkOverdue(model, endpoints);
-        // A holder that gave up the lease before a move is due would have to acquire it again for the move.
-        return isWorkDue || this.dueMoves.has(service);
+        // A holder that gave up the lease before an urgent move is due would have to acquire it again for the move.
+        return isWorkDue || this.dueMoves.get(service)?.isUrgent === true;
     }
 
     private createPlacementEndpoints(endpoints: readonly RegisteredEndpoint[], now: number): PlacementEndpoint[] {
@@ -250,13 +251,13 @@
             return assignments;
         }
         if (dueMove?.start !== move.layers.start) {
-            this.dueMoves.set(service, { start: move.layers.start, since: now });
+            this.dueMoves.set(service, { start: move.layers.start, since: now, isUrgent: move.isUrgent });
             return assignments;
         }
         if (now - dueMove.since < moveDelayMilliseconds && !move.isUrgent) {
             return assignments;
         }
-        if (canOrder) {
+        if (canOrder || !move.isUrgent) {
             this.dueMoves.delete(service);
         }
         return [...assignments, move];
