--- a/src/process/placement/placementController.ts
+++ b/src/process/placement/placementController.ts
@@ -73,9 +73,10 @@
     private readonly stabilityTracker = EndpointStabilityTracker.create();
     private readonly orders: LayerOrderTracker;
     /**
-     * First layer of the target column of each service's delayed move, and monotonic time since which it is the target.
+     * The delayed move of each service: first layer of the target column, monotonic time since which it is the target, and whether
+     * no endpoint holds the column.
      */
-    private readonly dueMoves = new Map<string, { start: number; since: number; }>();
+    private readonly dueMoves = new Map<string, { start: number; since: number; isUrgent: boolean; }>();
     private timer: TimerHandle | undefined;
     /** Fencing number under which plans were last loaded. */
     private loadedFencingNumber = 0;
@@ -178,9 +179,10 @@
         }
         this.orders.removeCompleted(endpoints);
         const states = this.createPlacementEndpoints(endpoints, now);
-        const assignments = this.getDueOrders(service, model, columns, states, isStable);
+        const canOrder = fencingNumber !== undefined;
+        const assignments = this.getDueOrders(service, model, columns, states, { isStable, canOrder });
         const isWorkDue = assignments.length > 0 || this.orders.hasPending();
-        if (fencingNumber === undefined) {
+        if (!canOrder) {
             return isWorkDue;
         }
         const { loadsAtOnce } = model;
@@ -192,7 +194,8 @@
             }
         }
         this.orders.checkOverdue(model, endpoints);
-        return isWorkDue;
+        // A holder that gave up the lease before an urgent move is due would have to acquire it again for the move.
+        return isWorkDue || this.dueMoves.get(service)?.isUrgent === true;
     }
 
     private createPlacementEndpoints(endpoints: readonly RegisteredEndpoint[], now: number): PlacementEndpoint[] {
@@ -234,7 +237,7 @@
         model: EngineModel,
         columns: readonly LayerColumn[],
         endpoints: readonly PlacementEndpoint[],
-        isStable: boolean,
+        { isStable, canOrder }: { isStable: boolean; canOrder: boolean; },
     ): LayerAssignment[] {
         const now = this.options.clock.getMonotonicTime();
         const { assignments, move } = this.options.runLong(
@@ -248,13 +251,15 @@
             return assignments;
         }
         if (dueMove?.start !== move.layers.start) {
-            this.dueMoves.set(service, { start: move.layers.start, since: now });
+            this.dueMoves.set(service, { start: move.layers.start, since: now, isUrgent: move.isUrgent });
             return assignments;
         }
         if (now - dueMove.since < moveDelayMilliseconds && !move.isUrgent) {
             return assignments;
         }
-        this.dueMoves.delete(service);
+        if (canOrder || !move.isUrgent) {
+            this.dueMoves.delete(service);
+        }
         return [...assignments, move];
     }
 
--- a/tests/platform/unreachableEndpoints.test.ts
+++ b/tests/platform/unreachableEndpoints.test.ts
@@ -1,8 +1,9 @@
 import assert from "node:assert/strict";
 import { after, afterEach, before, describe, it } from "node:test";
+import { events } from "../../src/process/logging/events.ts";
 import { stopRouter } from "../../src/process/router/stopRouter.ts";
 import { systemClock } from "../../src/process/systemClock.ts";
-import { LinkCut } from "../../standins/network/nodeLinks.ts";
+import { LinkCut } from "../../standins/network/linkCut.ts";
 import { waitUntil } from "../support/waitUntil.ts";
 import { type CallerAnswer, RouterTestHarness, type StartedNode } from "./routerTestHarness.ts";
 
@@ -80,6 +81,7 @@
             // Callers keep coming while the cut is detected.
             await Promise.all([listFailures(node!), delay(settleMilliseconds)]);
             assert.deepEqual(await listFailures(node!), [], cut);
+            assert.ok(node!.log.numbers.includes(events.endpointPathLost.number));
             node!.links.setCut(LinkCut.None);
             await delay(restoreMilliseconds);
         }
@@ -141,6 +143,21 @@
         await links.close();
     });
 
+    it("serves its callers if it starts without links", async () => {
+        const links = await harness.createLinks();
+        links.setCut(LinkCut.Silent);
+        const starting = await harness.addNode(undefined, links);
+        await harness.waitForEndpoints(starting, 6);
+        await delay(settleMilliseconds);
+        assert.deepEqual(await listFailures(starting), []);
+        starting.callers.stopListening();
+        await starting.node.startDraining();
+        await starting.node.stop();
+        starting.store.close();
+        harness.nodes.pop();
+        await links.close();
+    });
+
     it("serves its callers if it loses only the first stages", async () => {
         const firstStages = ["a1", "a2"].map(id => harness.endpoints.get(id)!.getAddress());
         nodes[0]!.links.setCut(LinkCut.Silent, address => firstStages.includes(address));
