--- a/bench/experiment/experiment.ts
+++ b/bench/experiment/experiment.ts
@@ -1,9 +1,9 @@
 import type { RandomSource } from "../../src/process/randomSource.ts";
 import { choosePartners } from "../../src/process/router/choosePartners.ts";
-import type { AnswerSink } from "../../src/request/relay/answerSink.ts";
-import type { RegisteredEndpoint } from "../../src/request/relay/registeredEndpoint.ts";
-import type { RelayDirectory } from "../../src/request/relay/relayDirectory.ts";
-import { StreamRelay } from "../../src/request/relay/streamRelay.ts";
+import type { AnswerSink } from "../../src/request/relay/answers/answerSink.ts";
+import type { RegisteredEndpoint } from "../../src/request/relay/endpoints/registeredEndpoint.ts";
+import type { RelayDirectory } from "../../src/request/relay/endpoints/relayDirectory.ts";
+import { StreamRelay } from "../../src/request/relay/streams/streamRelay.ts";
 import { RequestKind } from "../../src/version/routing/requestKind.ts";
 import type { Route } from "../../src/version/routing/route.ts";
 import { createSeededRandom } from "../../tests/support/createSeededRandom.ts";
--- a/bench/experiment/simulatedCaller.ts
+++ b/bench/experiment/simulatedCaller.ts
@@ -1,7 +1,7 @@
 import type { Clock, TimerHandle } from "../../src/process/clock.ts";
 import type { RandomSource } from "../../src/process/randomSource.ts";
-import type { AnswerSink } from "../../src/request/relay/answerSink.ts";
-import type { RelayRefusal } from "../../src/request/relay/relayRefusal.ts";
+import type { AnswerSink } from "../../src/request/relay/answers/answerSink.ts";
+import type { RelayRefusal } from "../../src/request/relay/answers/relayRefusal.ts";
 import type { SimulatedRequest } from "./simulatedRequest.ts";
 
 /** Options of a {@link SimulatedCaller}. */
--- a/bench/experiment/simulatedEngine.ts
+++ b/bench/experiment/simulatedEngine.ts
@@ -1,8 +1,8 @@
-import { estimatePrefillTime } from "../../src/request/relay/estimatePrefillTime.ts";
-import { getMeanContext } from "../../src/request/relay/getMeanContext.ts";
-import { getRequestMemory } from "../../src/request/relay/getRequestMemory.ts";
-import type { HeldLayers } from "../../src/request/relay/heldLayers.ts";
-import type { RegisteredEndpoint } from "../../src/request/relay/registeredEndpoint.ts";
+import { estimatePrefillTime } from "../../src/request/relay/chains/estimatePrefillTime.ts";
+import { getMeanContext } from "../../src/request/relay/chains/getMeanContext.ts";
+import { getRequestMemory } from "../../src/request/relay/chains/getRequestMemory.ts";
+import type { HeldLayers } from "../../src/request/relay/endpoints/heldLayers.ts";
+import type { RegisteredEndpoint } from "../../src/request/relay/endpoints/registeredEndpoint.ts";
 import type { AcceleratorKind } from "../../src/version/routing/acceleratorKind.ts";
 import { experimentModel as model } from "./experimentModel.ts";
 import type { SimulatedRun } from "./simulatedRun.ts";
--- a/bench/experiment/simulatedProtocol.ts
+++ b/bench/experiment/simulatedProtocol.ts
@@ -1,6 +1,6 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { AnswerInstructions } from "../../src/connection/instructions/answerInstructions.ts";
-import type { AnswerHead } from "../../src/request/relay/answerHead.ts";
+import type { AnswerHead } from "../../src/request/relay/answers/answerHead.ts";
 import type { EndpointProtocol } from "../../src/request/relay/endpointProtocol.ts";
 import type { ForwardingContext } from "../../src/request/relay/forwardingContext.ts";
 import type { RoutedRequest } from "../../src/request/relay/routedRequest.ts";
--- a/src/process/placement/assignLayers.ts
+++ b/src/process/placement/assignLayers.ts
@@ -1,5 +1,5 @@
-import { getRequestMemory } from "../../request/relay/getRequestMemory.ts";
-import type { HeldLayers } from "../../request/relay/heldLayers.ts";
+import { getRequestMemory } from "../../request/relay/chains/getRequestMemory.ts";
+import type { HeldLayers } from "../../request/relay/endpoints/heldLayers.ts";
 import type { EngineModel } from "../../version/routing/engineModel.ts";
 import { isSameRange } from "./isSameRange.ts";
 import type { LayerAssignment } from "./layerAssignment.ts";
--- a/src/process/placement/layerAssignment.ts
+++ b/src/process/placement/layerAssignment.ts
@@ -1,4 +1,4 @@
-import type { HeldLayers } from "../../request/relay/heldLayers.ts";
+import type { HeldLayers } from "../../request/relay/endpoints/heldLayers.ts";
 
 /** An endpoint and the range of layers that it should hold. */
 export interface LayerAssignment {
--- a/src/process/placement/layerColumn.ts
+++ b/src/process/placement/layerColumn.ts
@@ -1,4 +1,4 @@
-import type { HeldLayers } from "../../request/relay/heldLayers.ts";
+import type { HeldLayers } from "../../request/relay/endpoints/heldLayers.ts";
 
 /**
  * A range of layers in the plan of a model. The columns of a plan cover all layers in order without overlap, and the
--- a/src/process/placement/layerOrderTracker.ts
+++ b/src/process/placement/layerOrderTracker.ts
@@ -1,9 +1,9 @@
-import type { EndpointReport } from "../../request/relay/endpointReport.ts";
-import { getRequestMemory } from "../../request/relay/getRequestMemory.ts";
-import type { HeldLayers } from "../../request/relay/heldLayers.ts";
-import type { LayerOrder } from "../../request/relay/layerOrder.ts";
-import type { OrderOutcome } from "../../request/relay/orderOutcome.ts";
-import type { RegisteredEndpoint } from "../../request/relay/registeredEndpoint.ts";
+import { getRequestMemory } from "../../request/relay/chains/getRequestMemory.ts";
+import type { EndpointReport } from "../../request/relay/endpoints/endpointReport.ts";
+import type { HeldLayers } from "../../request/relay/endpoints/heldLayers.ts";
+import type { LayerOrder } from "../../request/relay/endpoints/layerOrder.ts";
+import type { OrderOutcome } from "../../request/relay/endpoints/orderOutcome.ts";
+import type { RegisteredEndpoint } from "../../request/relay/endpoints/registeredEndpoint.ts";
 import type { EngineModel } from "../../version/routing/engineModel.ts";
 import type { Clock } from "../clock.ts";
 import { InvariantError } from "../invariantError.ts";
--- a/src/process/placement/placementController.ts
+++ b/src/process/placement/placementController.ts
@@ -1,7 +1,7 @@
-import type { EndpointReport } from "../../request/relay/endpointReport.ts";
-import type { LayerOrder } from "../../request/relay/layerOrder.ts";
-import type { OrderOutcome } from "../../request/relay/orderOutcome.ts";
-import type { RegisteredEndpoint } from "../../request/relay/registeredEndpoint.ts";
+import type { EndpointReport } from "../../request/relay/endpoints/endpointReport.ts";
+import type { LayerOrder } from "../../request/relay/endpoints/layerOrder.ts";
+import type { OrderOutcome } from "../../request/relay/endpoints/orderOutcome.ts";
+import type { RegisteredEndpoint } from "../../request/relay/endpoints/registeredEndpoint.ts";
 import type { EngineModel } from "../../version/routing/engineModel.ts";
 import type { RoutedService } from "../../version/routing/routedService.ts";
 import type { Clock, TimerHandle } from "../clock.ts";
--- a/src/process/placement/placementEndpoint.ts
+++ b/src/process/placement/placementEndpoint.ts
@@ -1,4 +1,4 @@
-import type { HeldLayers } from "../../request/relay/heldLayers.ts";
+import type { HeldLayers } from "../../request/relay/endpoints/heldLayers.ts";
 
 /** An endpoint with the state that placement decisions depend on. */
 export interface PlacementEndpoint {
--- a/src/process/placement/searchColumns.ts
+++ b/src/process/placement/searchColumns.ts
@@ -1,9 +1,9 @@
-import { estimateAnswerTime } from "../../request/relay/estimateAnswerTime.ts";
-import { estimatePrefillTime } from "../../request/relay/estimatePrefillTime.ts";
-import { getMeanContext } from "../../request/relay/getMeanContext.ts";
-import { getRequestMemory } from "../../request/relay/getRequestMemory.ts";
-import { getTransferTime } from "../../request/relay/getTransferTime.ts";
-import type { StageWork } from "../../request/relay/stageWork.ts";
+import { estimateAnswerTime } from "../../request/relay/chains/estimateAnswerTime.ts";
+import { estimatePrefillTime } from "../../request/relay/chains/estimatePrefillTime.ts";
+import { getMeanContext } from "../../request/relay/chains/getMeanContext.ts";
+import { getRequestMemory } from "../../request/relay/chains/getRequestMemory.ts";
+import type { StageWork } from "../../request/relay/chains/stageWork.ts";
+import { getTransferTime } from "../../request/relay/links/getTransferTime.ts";
 import type { AcceleratorKind } from "../../version/routing/acceleratorKind.ts";
 import type { EngineModel } from "../../version/routing/engineModel.ts";
 import type { KindCount } from "./kindCount.ts";
--- a/src/process/router/endpointPoller.ts
+++ b/src/process/router/endpointPoller.ts
@@ -1,5 +1,5 @@
-import type { EndpointReport } from "../../request/relay/endpointReport.ts";
-import type { RegisteredEndpoint } from "../../request/relay/registeredEndpoint.ts";
+import type { EndpointReport } from "../../request/relay/endpoints/endpointReport.ts";
+import type { RegisteredEndpoint } from "../../request/relay/endpoints/registeredEndpoint.ts";
 import type { Clock, TimerHandle } from "../clock.ts";
 import type { EndpointReadings } from "./endpointReadings.ts";
 
--- a/src/process/router/endpointRegistry.ts
+++ b/src/process/router/endpointRegistry.ts
@@ -1,6 +1,6 @@
-import { createEndpointKey } from "../../request/relay/createEndpointKey.ts";
-import type { RegisteredEndpoint } from "../../request/relay/registeredEndpoint.ts";
-import type { RelayDirectory } from "../../request/relay/relayDirectory.ts";
+import { createEndpointKey } from "../../request/relay/endpoints/createEndpointKey.ts";
+import type { RegisteredEndpoint } from "../../request/relay/endpoints/registeredEndpoint.ts";
+import type { RelayDirectory } from "../../request/relay/endpoints/relayDirectory.ts";
 import type { Result } from "../../result.ts";
 import type { Clock } from "../clock.ts";
 import type { EventLog } from "../logging/eventLog.ts";
--- a/src/process/router/peerState.ts
+++ b/src/process/router/peerState.ts
@@ -1,6 +1,6 @@
 import { create } from "@bufbuild/protobuf";
-import type { EndpointHealth } from "../../request/relay/endpointHealth.ts";
-import type { EndpointLoads } from "../../request/relay/endpointLoads.ts";
+import type { EndpointHealth } from "../../request/relay/endpoints/endpointHealth.ts";
+import type { EndpointLoads } from "../../request/relay/endpoints/endpointLoads.ts";
 import type { EndpointLimits } from "../../request/relay/limits/endpointLimits.ts";
 import type { RequestQuarantine } from "../../request/relay/quarantine/requestQuarantine.ts";
 import {
--- a/src/process/router/removedEndpoints.ts
+++ b/src/process/router/removedEndpoints.ts
@@ -1,4 +1,4 @@
-import type { RegisteredEndpoint } from "../../request/relay/registeredEndpoint.ts";
+import type { RegisteredEndpoint } from "../../request/relay/endpoints/registeredEndpoint.ts";
 import type { Clock, TimerHandle } from "../clock.ts";
 import { EraRevision } from "../replica/eraRevision.ts";
 
--- a/src/process/router/routerNodeOptions.ts
+++ b/src/process/router/routerNodeOptions.ts
@@ -1,6 +1,6 @@
 import type { CreateSocket } from "../../connection/upstream/path/createSocket.ts";
 import type { EndpointProtocol } from "../../request/relay/endpointProtocol.ts";
-import type { RegisteredEndpoint } from "../../request/relay/registeredEndpoint.ts";
+import type { RegisteredEndpoint } from "../../request/relay/endpoints/registeredEndpoint.ts";
 import type { Result } from "../../result.ts";
 import type { RoutingConfiguration } from "../../version/routing/routingConfiguration.ts";
 import type { EventLog } from "../logging/eventLog.ts";
--- a/src/request/relay/answerHead.ts
+++ b/src/request/relay/answers/answerHead.ts
@@ -1,4 +1,4 @@
-import type { AnswerInstructions } from "../../connection/instructions/answerInstructions.ts";
+import type { AnswerInstructions } from "../../../connection/instructions/answerInstructions.ts";
 
 /** Status and evaluated headers of an endpoint's answer. */
 export interface AnswerHead {
--- a/src/request/relay/createRefusal.ts
+++ b/src/request/relay/answers/createRefusal.ts
@@ -1,4 +1,4 @@
-import type { RequestHold } from "./quarantine/requestHold.ts";
+import type { RequestHold } from "../quarantine/requestHold.ts";
 import { RefusalReason } from "./refusalReason.ts";
 import type { RelayRefusal } from "./relayRefusal.ts";
 
--- a/src/request/relay/attemptLimit.ts
+++ b/src/request/relay/attemptLimit.ts
@@ -1,4 +1,4 @@
-import { maximumRefusals } from "./maximumRefusals.ts";
+import { maximumRefusals } from "./answers/maximumRefusals.ts";
 import type { RelayEnvironment } from "./relayEnvironment.ts";
 import type { RelayTask } from "./relayTask.ts";
 
--- a/src/request/relay/assertValidChain.ts
+++ b/src/request/relay/chains/assertValidChain.ts
@@ -1,4 +1,4 @@
-import { InvariantError } from "../../process/invariantError.ts";
+import { InvariantError } from "../../../process/invariantError.ts";
 import type { RelayStage } from "./relayStage.ts";
 
 /**
--- a/src/request/relay/chooseHealthyStages.ts
+++ b/src/request/relay/chains/chooseHealthyStages.ts
@@ -1,4 +1,4 @@
-import type { RandomSource } from "../../process/randomSource.ts";
+import type { RandomSource } from "../../../process/randomSource.ts";
 import { chooseStages } from "./chooseStages.ts";
 import type { RelayStage } from "./relayStage.ts";
 import type { StageCandidate } from "./stageCandidate.ts";
--- a/src/request/relay/chooseStages.ts
+++ b/src/request/relay/chains/chooseStages.ts
@@ -1,6 +1,6 @@
-import type { RandomSource } from "../../process/randomSource.ts";
+import type { RandomSource } from "../../../process/randomSource.ts";
+import { getTransferTime } from "../links/getTransferTime.ts";
 import { estimateAnswerTime } from "./estimateAnswerTime.ts";
-import { getTransferTime } from "./getTransferTime.ts";
 import type { RelayStage } from "./relayStage.ts";
 import type { StageCandidate } from "./stageCandidate.ts";
 import type { StageQuery } from "./stageQuery.ts";
--- a/src/request/relay/estimateAnswerTime.ts
+++ b/src/request/relay/chains/estimateAnswerTime.ts
@@ -1,4 +1,4 @@
-import type { EngineModel } from "../../version/routing/engineModel.ts";
+import type { EngineModel } from "../../../version/routing/engineModel.ts";
 import { estimatePrefillTime } from "./estimatePrefillTime.ts";
 import { getMeanContext } from "./getMeanContext.ts";
 import type { StageWork } from "./stageWork.ts";
--- a/src/request/relay/estimatePrefillTime.ts
+++ b/src/request/relay/chains/estimatePrefillTime.ts
@@ -1,4 +1,4 @@
-import type { EngineModel } from "../../version/routing/engineModel.ts";
+import type { EngineModel } from "../../../version/routing/engineModel.ts";
 import type { StageWork } from "./stageWork.ts";
 
 /** Estimates the prefill time of a prompt at a stage, in milliseconds. */
--- a/src/request/relay/getMeanContext.ts
+++ b/src/request/relay/chains/getMeanContext.ts
@@ -1,4 +1,4 @@
-import type { EngineModel } from "../../version/routing/engineModel.ts";
+import type { EngineModel } from "../../../version/routing/engineModel.ts";
 
 /** Gets the mean context length of a usual request while it is answered, in tokens. */
 export function getMeanContext(
--- a/src/request/relay/getRequestMemory.ts
+++ b/src/request/relay/chains/getRequestMemory.ts
@@ -1,5 +1,5 @@
-import type { AcceleratorKind } from "../../version/routing/acceleratorKind.ts";
-import type { EngineModel } from "../../version/routing/engineModel.ts";
+import type { AcceleratorKind } from "../../../version/routing/acceleratorKind.ts";
+import type { EngineModel } from "../../../version/routing/engineModel.ts";
 
 const bytesPerMegabyte = 1_000_000;
 
--- a/src/request/relay/listCandidates.ts
+++ b/src/request/relay/chains/listCandidates.ts
@@ -1,6 +1,6 @@
-import type { EngineModel } from "../../version/routing/engineModel.ts";
+import type { EngineModel } from "../../../version/routing/engineModel.ts";
+import type { RelayEnvironment } from "../relayEnvironment.ts";
 import { getRequestMemory } from "./getRequestMemory.ts";
-import type { RelayEnvironment } from "./relayEnvironment.ts";
 import type { StageCandidate } from "./stageCandidate.ts";
 
 /**
--- a/src/request/relay/relayChains.ts
+++ b/src/request/relay/chains/relayChains.ts
@@ -1,18 +1,18 @@
-import type { EngineModel } from "../../version/routing/engineModel.ts";
-import { getPauseRetryDelay } from "../getPauseRetryDelay.ts";
+import type { EngineModel } from "../../../version/routing/engineModel.ts";
+import { getPauseRetryDelay } from "../../getPauseRetryDelay.ts";
+import type { LoadReservation } from "../endpoints/loadReservation.ts";
+import type { RegisteredEndpoint } from "../endpoints/registeredEndpoint.ts";
+import { getActivationBits } from "../links/getActivationBits.ts";
+import { listDataCentreLinks } from "../links/listDataCentreLinks.ts";
+import { listDataCentres } from "../links/listDataCentres.ts";
+import type { RelayEnvironment } from "../relayEnvironment.ts";
+import type { RelayTask } from "../relayTask.ts";
 import { assertValidChain } from "./assertValidChain.ts";
 import { chooseHealthyStages } from "./chooseHealthyStages.ts";
 import { findFirstIndex } from "./findFirstIndex.ts";
-import { getActivationBits } from "./getActivationBits.ts";
 import { getRequestMemory } from "./getRequestMemory.ts";
 import { listCandidates } from "./listCandidates.ts";
-import { listDataCentreLinks } from "./listDataCentreLinks.ts";
-import { listDataCentres } from "./listDataCentres.ts";
-import type { LoadReservation } from "./loadReservation.ts";
-import type { RegisteredEndpoint } from "./registeredEndpoint.ts";
-import type { RelayEnvironment } from "./relayEnvironment.ts";
 import type { RelayStage } from "./relayStage.ts";
-import type { RelayTask } from "./relayTask.ts";
 import type { StageQuery } from "./stageQuery.ts";
 
 /** Requirements for a chain. */
--- a/src/request/relay/relayStage.ts
+++ b/src/request/relay/chains/relayStage.ts
@@ -1,4 +1,4 @@
-import type { RegisteredEndpoint } from "./registeredEndpoint.ts";
+import type { RegisteredEndpoint } from "../endpoints/registeredEndpoint.ts";
 
 /** A stage of a chain: the layers from `start` (inclusive) to `end` (exclusive), run by one endpoint. */
 export interface RelayStage {
--- a/src/request/relay/reservedChain.ts
+++ b/src/request/relay/chains/reservedChain.ts
@@ -1,4 +1,4 @@
-import type { LoadReservation } from "./loadReservation.ts";
+import type { LoadReservation } from "../endpoints/loadReservation.ts";
 import type { RelayStage } from "./relayStage.ts";
 
 /** A chain with capacity reserved for a request. */
--- a/src/request/relay/stageCandidate.ts
+++ b/src/request/relay/chains/stageCandidate.ts
@@ -1,6 +1,6 @@
-import type { AcceleratorKind } from "../../version/routing/acceleratorKind.ts";
-import type { HeldLayers } from "./heldLayers.ts";
-import type { RegisteredEndpoint } from "./registeredEndpoint.ts";
+import type { AcceleratorKind } from "../../../version/routing/acceleratorKind.ts";
+import type { HeldLayers } from "../endpoints/heldLayers.ts";
+import type { RegisteredEndpoint } from "../endpoints/registeredEndpoint.ts";
 
 /** An endpoint that can be a stage of a chain, with the properties by which it is chosen. */
 export interface StageCandidate {
--- a/src/request/relay/stageQuery.ts
+++ b/src/request/relay/chains/stageQuery.ts
@@ -1,4 +1,4 @@
-import type { EngineModel } from "../../version/routing/engineModel.ts";
+import type { EngineModel } from "../../../version/routing/engineModel.ts";
 import type { RelayStage } from "./relayStage.ts";
 
 /** Parameters for choosing the chain of a request. */
--- a/src/request/relay/stageWork.ts
+++ b/src/request/relay/chains/stageWork.ts
@@ -1,4 +1,4 @@
-import type { AcceleratorKind } from "../../version/routing/acceleratorKind.ts";
+import type { AcceleratorKind } from "../../../version/routing/acceleratorKind.ts";
 
 /** The work of one stage. */
 export interface StageWork {
--- a/src/request/relay/isRefusalLasting.ts
+++ b/src/request/relay/detection/isRefusalLasting.ts
@@ -1,5 +1,5 @@
-import type { EndpointReport } from "./endpointReport.ts";
-import { fullMemoryFraction } from "./fullMemoryFraction.ts";
+import { fullMemoryFraction } from "../chains/fullMemoryFraction.ts";
+import type { EndpointReport } from "../endpoints/endpointReport.ts";
 
 /**
  * Checks if an endpoint that has refused a request will also refuse the next ones, because it is leaving, unloads its layers or
--- a/src/request/relay/noteRefusal.ts
+++ b/src/request/relay/detection/noteRefusal.ts
@@ -1,7 +1,7 @@
-import { events } from "../../process/logging/events.ts";
-import { fullMemoryFraction } from "./fullMemoryFraction.ts";
-import type { RegisteredEndpoint } from "./registeredEndpoint.ts";
-import type { RelayEnvironment } from "./relayEnvironment.ts";
+import { events } from "../../../process/logging/events.ts";
+import { fullMemoryFraction } from "../chains/fullMemoryFraction.ts";
+import type { RegisteredEndpoint } from "../endpoints/registeredEndpoint.ts";
+import type { RelayEnvironment } from "../relayEnvironment.ts";
 
 /** Refusal of a request by an endpoint of a chain. */
 interface EndpointRefusal {
--- a/src/request/relay/refusalDetector.ts
+++ b/src/request/relay/detection/refusalDetector.ts
@@ -1,10 +1,10 @@
-import type { Clock } from "../../process/clock.ts";
-import type { EventLog } from "../../process/logging/eventLog.ts";
-import { events } from "../../process/logging/events.ts";
-import type { EndpointHealth } from "./endpointHealth.ts";
-import type { EndpointReport } from "./endpointReport.ts";
+import type { Clock } from "../../../process/clock.ts";
+import type { EventLog } from "../../../process/logging/eventLog.ts";
+import { events } from "../../../process/logging/events.ts";
+import type { EndpointHealth } from "../endpoints/endpointHealth.ts";
+import type { EndpointReport } from "../endpoints/endpointReport.ts";
+import type { RegisteredEndpoint } from "../endpoints/registeredEndpoint.ts";
 import { isRefusalLasting } from "./isRefusalLasting.ts";
-import type { RegisteredEndpoint } from "./registeredEndpoint.ts";
 
 /** Options of a {@link RefusalDetector}. */
 interface RefusalDetectorOptions {
--- a/src/request/relay/stallDetector.ts
+++ b/src/request/relay/detection/stallDetector.ts
@@ -1,11 +1,11 @@
-import type { Clock, TimerHandle } from "../../process/clock.ts";
-import { events } from "../../process/logging/events.ts";
-import type { EndpointReport } from "./endpointReport.ts";
-import type { RegisteredEndpoint } from "./registeredEndpoint.ts";
-import type { RelayEnvironment } from "./relayEnvironment.ts";
-import type { RelayStage } from "./relayStage.ts";
-import type { RerouteOutcome } from "./rerouteOutcome.ts";
-import type { StreamRelay } from "./streamRelay.ts";
+import type { Clock, TimerHandle } from "../../../process/clock.ts";
+import { events } from "../../../process/logging/events.ts";
+import type { RelayStage } from "../chains/relayStage.ts";
+import type { EndpointReport } from "../endpoints/endpointReport.ts";
+import type { RegisteredEndpoint } from "../endpoints/registeredEndpoint.ts";
+import type { RerouteOutcome } from "../endpoints/rerouteOutcome.ts";
+import type { RelayEnvironment } from "../relayEnvironment.ts";
+import type { StreamRelay } from "../streams/streamRelay.ts";
 
 /** Options of a {@link StallDetector}. */
 interface StallDetectorOptions {
--- a/src/request/relay/chooseEndpoint.ts
+++ b/src/request/relay/documents/chooseEndpoint.ts
@@ -1,5 +1,5 @@
-import type { RegisteredEndpoint } from "./registeredEndpoint.ts";
-import type { RelayEnvironment } from "./relayEnvironment.ts";
+import type { RegisteredEndpoint } from "../endpoints/registeredEndpoint.ts";
+import type { RelayEnvironment } from "../relayEnvironment.ts";
 
 /** An endpoint that always fails costs `1 + failureWeight` times as much as one that never does. */
 const failureWeight = 8;
--- a/src/request/relay/documentEndpoints.ts
+++ b/src/request/relay/documents/documentEndpoints.ts
@@ -1,10 +1,10 @@
-import { getPauseRetryDelay } from "../getPauseRetryDelay.ts";
+import { getPauseRetryDelay } from "../../getPauseRetryDelay.ts";
+import { createRefusal } from "../answers/createRefusal.ts";
+import type { RelayRefusal } from "../answers/relayRefusal.ts";
+import type { RegisteredEndpoint } from "../endpoints/registeredEndpoint.ts";
+import type { RelayEnvironment } from "../relayEnvironment.ts";
+import type { RelayTask } from "../relayTask.ts";
 import { chooseEndpoint } from "./chooseEndpoint.ts";
-import { createRefusal } from "./createRefusal.ts";
-import type { RegisteredEndpoint } from "./registeredEndpoint.ts";
-import type { RelayEnvironment } from "./relayEnvironment.ts";
-import type { RelayRefusal } from "./relayRefusal.ts";
-import type { RelayTask } from "./relayTask.ts";
 
 /** Why no endpoint is left for a request. */
 interface ExhaustedEndpoints {
--- a/src/request/relay/documentRelay.ts
+++ b/src/request/relay/documents/documentRelay.ts
@@ -1,24 +1,24 @@
 import type { IncomingHttpHeaders } from "node:http";
-import { PathState } from "../../connection/upstream/path/pathState.ts";
-import type { UpstreamExchange } from "../../connection/upstream/upstreamExchange.ts";
-import type { UpstreamFailure } from "../../connection/upstream/upstreamFailure.ts";
-import { UpstreamFailureKind } from "../../connection/upstream/upstreamFailureKind.ts";
-import type { TimerHandle } from "../../process/clock.ts";
-import { events } from "../../process/logging/events.ts";
-import { RequestKind } from "../../version/routing/requestKind.ts";
-import type { AnswerHead } from "./answerHead.ts";
-import type { CompleteAnswer } from "./completeAnswer.ts";
-import { createRefusal } from "./createRefusal.ts";
+import { PathState } from "../../../connection/upstream/path/pathState.ts";
+import type { UpstreamExchange } from "../../../connection/upstream/upstreamExchange.ts";
+import type { UpstreamFailure } from "../../../connection/upstream/upstreamFailure.ts";
+import { UpstreamFailureKind } from "../../../connection/upstream/upstreamFailureKind.ts";
+import type { TimerHandle } from "../../../process/clock.ts";
+import { events } from "../../../process/logging/events.ts";
+import { RequestKind } from "../../../version/routing/requestKind.ts";
+import type { AnswerHead } from "../answers/answerHead.ts";
+import type { CompleteAnswer } from "../answers/completeAnswer.ts";
+import { createRefusal } from "../answers/createRefusal.ts";
+import { maximumRefusals } from "../answers/maximumRefusals.ts";
+import type { RelayRefusal } from "../answers/relayRefusal.ts";
+import { sendCompleteAnswer } from "../answers/sendCompleteAnswer.ts";
+import type { LoadReservation } from "../endpoints/loadReservation.ts";
+import type { RegisteredEndpoint } from "../endpoints/registeredEndpoint.ts";
+import { getSentMilliseconds } from "../getSentMilliseconds.ts";
+import { TaskQuarantine } from "../quarantine/taskQuarantine.ts";
+import type { RelayEnvironment } from "../relayEnvironment.ts";
+import type { RelayTask } from "../relayTask.ts";
 import { DocumentEndpoints } from "./documentEndpoints.ts";
-import { getSentMilliseconds } from "./getSentMilliseconds.ts";
-import type { LoadReservation } from "./loadReservation.ts";
-import { maximumRefusals } from "./maximumRefusals.ts";
-import { TaskQuarantine } from "./quarantine/taskQuarantine.ts";
-import type { RegisteredEndpoint } from "./registeredEndpoint.ts";
-import type { RelayEnvironment } from "./relayEnvironment.ts";
-import type { RelayRefusal } from "./relayRefusal.ts";
-import type { RelayTask } from "./relayTask.ts";
-import { sendCompleteAnswer } from "./sendCompleteAnswer.ts";
 
 /** An attempt to run the request at an endpoint. */
 interface Attempt {
--- a/src/request/relay/endpointProtocol.ts
+++ b/src/request/relay/endpointProtocol.ts
@@ -2,13 +2,13 @@
 import type { AnswerInstructions } from "../../connection/instructions/answerInstructions.ts";
 import type { UpstreamRequest } from "../../connection/upstream/upstreamRequest.ts";
 import type { Result } from "../../result.ts";
-import type { AnswerHead } from "./answerHead.ts";
-import type { EndpointReport } from "./endpointReport.ts";
+import type { AnswerHead } from "./answers/answerHead.ts";
+import type { RelayStage } from "./chains/relayStage.ts";
+import type { EndpointReport } from "./endpoints/endpointReport.ts";
+import type { LayerOrder } from "./endpoints/layerOrder.ts";
+import type { OrderOutcome } from "./endpoints/orderOutcome.ts";
+import type { RegisteredEndpoint } from "./endpoints/registeredEndpoint.ts";
 import type { ForwardingContext } from "./forwardingContext.ts";
-import type { LayerOrder } from "./layerOrder.ts";
-import type { OrderOutcome } from "./orderOutcome.ts";
-import type { RegisteredEndpoint } from "./registeredEndpoint.ts";
-import type { RelayStage } from "./relayStage.ts";
 import type { RoutedRequest } from "./routedRequest.ts";
 
 /** Encodes requests to endpoints and decodes their answers. Makes no decisions of its own. */
--- a/src/request/relay/endpointHealth.ts
+++ b/src/request/relay/endpoints/endpointHealth.ts
@@ -1,4 +1,4 @@
-import type { RandomSource } from "../../process/randomSource.ts";
+import type { RandomSource } from "../../../process/randomSource.ts";
 import { decay } from "./decay.ts";
 import type { Suspicion } from "./suspicion.ts";
 
--- a/src/request/relay/endpointLoads.ts
+++ b/src/request/relay/endpoints/endpointLoads.ts
@@ -1,7 +1,7 @@
+import type { RelayStage } from "../chains/relayStage.ts";
 import { computeAvailableMemory } from "./computeAvailableMemory.ts";
 import type { LoadOfEndpoint } from "./loadOfEndpoint.ts";
 import type { LoadReservation } from "./loadReservation.ts";
-import type { RelayStage } from "./relayStage.ts";
 
 /** Last report of a peer about its own requests. */
 interface PeerLoads {
--- a/src/request/relay/forwardingContext.ts
+++ b/src/request/relay/forwardingContext.ts
@@ -1,5 +1,5 @@
-import type { RegisteredEndpoint } from "./registeredEndpoint.ts";
-import type { RelayStage } from "./relayStage.ts";
+import type { RelayStage } from "./chains/relayStage.ts";
+import type { RegisteredEndpoint } from "./endpoints/registeredEndpoint.ts";
 
 /** Data that is sent to an endpoint along with the caller's request. */
 export interface ForwardingContext {
--- a/src/request/relay/limits/endpointLimits.ts
+++ b/src/request/relay/limits/endpointLimits.ts
@@ -4,7 +4,7 @@
 import { PeerDemands } from "../../admission/peerDemands.ts";
 import { RetrySchedule } from "../../admission/retrySchedule.ts";
 import { SmoothedRate } from "../../admission/smoothedRate.ts";
-import type { RegisteredEndpoint } from "../registeredEndpoint.ts";
+import type { RegisteredEndpoint } from "../endpoints/registeredEndpoint.ts";
 import type { EndpointLimit } from "./endpointLimit.ts";
 import { LimitQuota } from "./limitQuota.ts";
 import type { LimitReport } from "./limitReport.ts";
--- a/src/request/relay/getActivationBits.ts
+++ b/src/request/relay/links/getActivationBits.ts
@@ -1,4 +1,4 @@
-import type { EngineModel } from "../../version/routing/engineModel.ts";
+import type { EngineModel } from "../../../version/routing/engineModel.ts";
 
 const bitsPerByte = 8;
 
--- a/src/request/relay/getTransferTime.ts
+++ b/src/request/relay/links/getTransferTime.ts
@@ -1,4 +1,4 @@
-import type { EngineModel } from "../../version/routing/engineModel.ts";
+import type { EngineModel } from "../../../version/routing/engineModel.ts";
 import { getActivationBits } from "./getActivationBits.ts";
 
 const kilobitsPerMegabit = 1_000;
--- a/src/request/relay/linkDelays.ts
+++ b/src/request/relay/links/linkDelays.ts
@@ -1,4 +1,4 @@
-import { decay } from "./decay.ts";
+import { decay } from "../endpoints/decay.ts";
 import { formatDataCentreLink } from "./formatDataCentreLink.ts";
 import { listDataCentreLinks } from "./listDataCentreLinks.ts";
 
--- a/src/request/relay/listDataCentres.ts
+++ b/src/request/relay/links/listDataCentres.ts
@@ -1,4 +1,4 @@
-import type { RelayStage } from "./relayStage.ts";
+import type { RelayStage } from "../chains/relayStage.ts";
 
 /** Lists the data centres of a chain's stages, in order. */
 export function listDataCentres(stages: readonly RelayStage[]): string[] {
--- a/src/request/relay/createQueuedRelay.ts
+++ b/src/request/relay/queue/createQueuedRelay.ts
@@ -1,7 +1,7 @@
+import type { RelayChains } from "../chains/relayChains.ts";
+import type { RelayEnvironment } from "../relayEnvironment.ts";
+import type { RelayTask } from "../relayTask.ts";
 import type { QueuedRelay } from "./queuedRelay.ts";
-import type { RelayChains } from "./relayChains.ts";
-import type { RelayEnvironment } from "./relayEnvironment.ts";
-import type { RelayTask } from "./relayTask.ts";
 
 /** Options of {@link createQueuedRelay}. */
 interface QueuedRelayOptions extends Pick<QueuedRelay, "start" | "refuse"> {
--- a/src/request/relay/queuedRelay.ts
+++ b/src/request/relay/queue/queuedRelay.ts
@@ -1,5 +1,5 @@
-import type { StartRequest } from "../admission/start/startRequest.ts";
-import type { ReservedChain } from "./reservedChain.ts";
+import type { StartRequest } from "../../admission/start/startRequest.ts";
+import type { ReservedChain } from "../chains/reservedChain.ts";
 
 /** A request that needs a chain, with the callbacks for the queue's decision. */
 export interface QueuedRelay extends StartRequest<ReservedChain> {
--- a/src/request/relay/relayQueue.ts
+++ b/src/request/relay/queue/relayQueue.ts
@@ -1,11 +1,11 @@
-import type { Clock, TimerHandle } from "../../process/clock.ts";
-import type { EventLog } from "../../process/logging/eventLog.ts";
-import { events } from "../../process/logging/events.ts";
-import type { RandomSource } from "../../process/randomSource.ts";
-import type { StartDecision } from "../admission/start/startDecision.ts";
-import { StartQueue } from "../admission/start/startQueue.ts";
+import type { Clock, TimerHandle } from "../../../process/clock.ts";
+import type { EventLog } from "../../../process/logging/eventLog.ts";
+import { events } from "../../../process/logging/events.ts";
+import type { RandomSource } from "../../../process/randomSource.ts";
+import type { StartDecision } from "../../admission/start/startDecision.ts";
+import { StartQueue } from "../../admission/start/startQueue.ts";
+import type { ReservedChain } from "../chains/reservedChain.ts";
 import type { QueuedRelay } from "./queuedRelay.ts";
-import type { ReservedChain } from "./reservedChain.ts";
 
 /** Options of a {@link RelayQueue}. */
 interface RelayQueueOptions {
--- a/src/request/relay/relayEnvironment.ts
+++ b/src/request/relay/relayEnvironment.ts
@@ -4,18 +4,18 @@
 import type { RandomSource } from "../../process/randomSource.ts";
 import type { RetryBudget } from "../admission/retryBudget.ts";
 import type { RetryDetector } from "../admission/start/retryDetector.ts";
-import type { EndpointHealth } from "./endpointHealth.ts";
-import type { EndpointLoads } from "./endpointLoads.ts";
+import type { RefusalDetector } from "./detection/refusalDetector.ts";
 import type { EndpointProtocol } from "./endpointProtocol.ts";
-import type { FirstEventTimes } from "./firstEventTimes.ts";
+import type { EndpointHealth } from "./endpoints/endpointHealth.ts";
+import type { EndpointLoads } from "./endpoints/endpointLoads.ts";
+import type { FirstEventTimes } from "./endpoints/firstEventTimes.ts";
+import type { RelayDirectory } from "./endpoints/relayDirectory.ts";
 import type { EndpointLimits } from "./limits/endpointLimits.ts";
-import type { LinkDelays } from "./linkDelays.ts";
-import type { LinkPacer } from "./linkPacer.ts";
-import type { LinkTraffic } from "./linkTraffic.ts";
+import type { LinkDelays } from "./links/linkDelays.ts";
+import type { LinkPacer } from "./links/linkPacer.ts";
+import type { LinkTraffic } from "./links/linkTraffic.ts";
 import type { RequestQuarantine } from "./quarantine/requestQuarantine.ts";
-import type { RefusalDetector } from "./refusalDetector.ts";
-import type { RelayDirectory } from "./relayDirectory.ts";
-import type { RelayQueue } from "./relayQueue.ts";
+import type { RelayQueue } from "./queue/relayQueue.ts";
 import type { RelayTransport } from "./relayTransport.ts";
 
 /** Dependencies shared by all relayed requests. */
--- a/src/request/relay/relayTask.ts
+++ b/src/request/relay/relayTask.ts
@@ -1,6 +1,6 @@
 import type { Route } from "../../version/routing/route.ts";
 import type { RoutedService } from "../../version/routing/routedService.ts";
-import type { AnswerSink } from "./answerSink.ts";
+import type { AnswerSink } from "./answers/answerSink.ts";
 import type { RoutedRequest } from "./routedRequest.ts";
 
 /** A request with its resolved route and customer. */
--- a/src/request/relay/streamAnswer.ts
+++ b/src/request/relay/streams/streamAnswer.ts
@@ -1,10 +1,10 @@
-import type { AnswerEnd } from "./answerEnd.ts";
-import type { AnswerHead } from "./answerHead.ts";
-import type { AnswerSink } from "./answerSink.ts";
-import type { CompleteAnswer } from "./completeAnswer.ts";
-import { createRefusal } from "./createRefusal.ts";
-import type { RelayRefusal } from "./relayRefusal.ts";
-import { sendCompleteAnswer } from "./sendCompleteAnswer.ts";
+import type { AnswerEnd } from "../answers/answerEnd.ts";
+import type { AnswerHead } from "../answers/answerHead.ts";
+import type { AnswerSink } from "../answers/answerSink.ts";
+import type { CompleteAnswer } from "../answers/completeAnswer.ts";
+import { createRefusal } from "../answers/createRefusal.ts";
+import type { RelayRefusal } from "../answers/relayRefusal.ts";
+import { sendCompleteAnswer } from "../answers/sendCompleteAnswer.ts";
 
 /** The answer to the caller of a streamed request, over all attempts. */
 export class StreamAnswer {
--- a/src/request/relay/streamAnswerEnd.ts
+++ b/src/request/relay/streams/streamAnswerEnd.ts
@@ -1,5 +1,5 @@
-import type { AnswerHead } from "./answerHead.ts";
-import type { CompleteAnswer } from "./completeAnswer.ts";
+import type { AnswerHead } from "../answers/answerHead.ts";
+import type { CompleteAnswer } from "../answers/completeAnswer.ts";
 
 /** How an endpoint's answer to a streamed request ended, if the connection didn't fail. */
 export type StreamAnswerEnd =
--- a/src/request/relay/streamAnswerReader.ts
+++ b/src/request/relay/streams/streamAnswerReader.ts
@@ -1,6 +1,6 @@
 import type { IncomingHttpHeaders } from "node:http";
-import type { AnswerHead } from "./answerHead.ts";
-import type { EndpointProtocol } from "./endpointProtocol.ts";
+import type { AnswerHead } from "../answers/answerHead.ts";
+import type { EndpointProtocol } from "../endpointProtocol.ts";
 import { EventSplitter } from "./eventSplitter.ts";
 import type { StreamAnswerEnd } from "./streamAnswerEnd.ts";
 import type { StreamEvent } from "./streamEvent.ts";
--- a/src/request/relay/streamAttempt.ts
+++ b/src/request/relay/streams/streamAttempt.ts
@@ -1,6 +1,6 @@
-import type { UpstreamExchange } from "../../connection/upstream/upstreamExchange.ts";
-import type { LoadReservation } from "./loadReservation.ts";
-import type { RelayStage } from "./relayStage.ts";
+import type { UpstreamExchange } from "../../../connection/upstream/upstreamExchange.ts";
+import type { RelayStage } from "../chains/relayStage.ts";
+import type { LoadReservation } from "../endpoints/loadReservation.ts";
 
 /** An attempt to run a streamed request on a chain. */
 export interface StreamAttempt {
--- a/src/request/relay/streamAttemptEnd.ts
+++ b/src/request/relay/streams/streamAttemptEnd.ts
@@ -1,4 +1,4 @@
-import type { CompleteAnswer } from "./completeAnswer.ts";
+import type { CompleteAnswer } from "../answers/completeAnswer.ts";
 
 /** Why an attempt ended without completing the stream. */
 export interface StreamAttemptEnd {
--- a/src/request/relay/streamLogger.ts
+++ b/src/request/relay/streams/streamLogger.ts
@@ -1,9 +1,9 @@
-import { events } from "../../process/logging/events.ts";
-import { formatStages } from "./formatStages.ts";
-import { getSentMilliseconds } from "./getSentMilliseconds.ts";
-import type { RelayEnvironment } from "./relayEnvironment.ts";
-import type { RelayStage } from "./relayStage.ts";
-import type { RelayTask } from "./relayTask.ts";
+import { events } from "../../../process/logging/events.ts";
+import { formatStages } from "../chains/formatStages.ts";
+import type { RelayStage } from "../chains/relayStage.ts";
+import { getSentMilliseconds } from "../getSentMilliseconds.ts";
+import type { RelayEnvironment } from "../relayEnvironment.ts";
+import type { RelayTask } from "../relayTask.ts";
 import type { StreamAttempt } from "./streamAttempt.ts";
 import type { StreamAttemptEnd } from "./streamAttemptEnd.ts";
 import type { StreamProgress } from "./streamProgress.ts";
--- a/tests/platform/createAnswerSink.test.ts
+++ b/tests/platform/createAnswerSink.test.ts
@@ -3,8 +3,8 @@
 import { type AddressInfo, connect } from "node:net";
 import { describe, it } from "node:test";
 import { createAnswerSink } from "../../platform/createAnswerSink.ts";
-import type { AnswerHead } from "../../src/request/relay/answerHead.ts";
-import type { AnswerSink } from "../../src/request/relay/answerSink.ts";
+import type { AnswerHead } from "../../src/request/relay/answers/answerHead.ts";
+import type { AnswerSink } from "../../src/request/relay/answers/answerSink.ts";
 
 /** Sends pipelined requests over one connection, answers them with a function and returns all bytes received. */
 async function exchange(paths: string[], answer: (sinks: AnswerSink[]) => void, version = "1.1"): Promise<string> {
--- a/tests/process/placement/assignLayers.test.ts
+++ b/tests/process/placement/assignLayers.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import { assignLayers } from "../../../src/process/placement/assignLayers.ts";
 import type { PlacementEndpoint } from "../../../src/process/placement/placementEndpoint.ts";
-import { getRequestMemory } from "../../../src/request/relay/getRequestMemory.ts";
+import { getRequestMemory } from "../../../src/request/relay/chains/getRequestMemory.ts";
 import { relayModel } from "../../request/relay/relayModel.ts";
 import { createSeededRandom } from "../../support/createSeededRandom.ts";
 
--- a/tests/process/placement/placementController.test.ts
+++ b/tests/process/placement/placementController.test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import { beforeEach, describe, it } from "node:test";
 import { PlacementController } from "../../../src/process/placement/placementController.ts";
-import type { HeldLayers } from "../../../src/request/relay/heldLayers.ts";
-import type { LayerOrder } from "../../../src/request/relay/layerOrder.ts";
-import type { RegisteredEndpoint } from "../../../src/request/relay/registeredEndpoint.ts";
+import type { HeldLayers } from "../../../src/request/relay/endpoints/heldLayers.ts";
+import type { LayerOrder } from "../../../src/request/relay/endpoints/layerOrder.ts";
+import type { RegisteredEndpoint } from "../../../src/request/relay/endpoints/registeredEndpoint.ts";
 import { createEndpoint, relayModel } from "../../request/relay/relayModel.ts";
 import { FakeClock } from "../../support/fakeClock.ts";
 import { MemoryStore } from "../../support/memoryStore.ts";
--- a/tests/process/placement/searchColumns.test.ts
+++ b/tests/process/placement/searchColumns.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import type { KindCount } from "../../../src/process/placement/kindCount.ts";
 import { searchColumns } from "../../../src/process/placement/searchColumns.ts";
-import { getRequestMemory } from "../../../src/request/relay/getRequestMemory.ts";
+import { getRequestMemory } from "../../../src/request/relay/chains/getRequestMemory.ts";
 import { relayModel } from "../../request/relay/relayModel.ts";
 
 const dataCentres = ["a", "b", "c"];
--- a/tests/process/router/endpointRegistry.test.ts
+++ b/tests/process/router/endpointRegistry.test.ts
@@ -4,7 +4,7 @@
 import { EraRevision } from "../../../src/process/replica/eraRevision.ts";
 import { EndpointReadings } from "../../../src/process/router/endpointReadings.ts";
 import { EndpointRegistry } from "../../../src/process/router/endpointRegistry.ts";
-import { createEndpointKey } from "../../../src/request/relay/createEndpointKey.ts";
+import { createEndpointKey } from "../../../src/request/relay/endpoints/createEndpointKey.ts";
 import { Err, Ok } from "../../../src/result.ts";
 import { createEndpoint } from "../../request/relay/relayModel.ts";
 import { FakeClock } from "../../support/fakeClock.ts";
--- a/tests/request/relay/chooseHealthyStages.test.ts
+++ b/tests/request/relay/chains/chooseHealthyStages.test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { chooseHealthyStages } from "../../../src/request/relay/chooseHealthyStages.ts";
-import type { StageCandidate } from "../../../src/request/relay/stageCandidate.ts";
-import type { StageQuery } from "../../../src/request/relay/stageQuery.ts";
-import { createCandidate, stageQuery } from "./relayModel.ts";
+import { chooseHealthyStages } from "../../../../src/request/relay/chains/chooseHealthyStages.ts";
+import type { StageCandidate } from "../../../../src/request/relay/chains/stageCandidate.ts";
+import type { StageQuery } from "../../../../src/request/relay/chains/stageQuery.ts";
+import { createCandidate, stageQuery } from "../relayModel.ts";
 const last = createCandidate("last", 40, 80);
 const full = createCandidate("full", 0, 40, { tokenLayers: 6_000_000 });
 const lost = createCandidate("lost", 0, 40, { isSuspect: true });
--- a/tests/request/relay/chooseStages.test.ts
+++ b/tests/request/relay/chains/chooseStages.test.ts
@@ -1,11 +1,11 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { assertValidChain } from "../../../src/request/relay/assertValidChain.ts";
-import { chooseStages } from "../../../src/request/relay/chooseStages.ts";
-import type { StageCandidate } from "../../../src/request/relay/stageCandidate.ts";
-import type { StageQuery } from "../../../src/request/relay/stageQuery.ts";
-import { createCandidate, relayModel, stageQuery } from "./relayModel.ts";
+import { assertValidChain } from "../../../../src/request/relay/chains/assertValidChain.ts";
+import { chooseStages } from "../../../../src/request/relay/chains/chooseStages.ts";
+import type { StageCandidate } from "../../../../src/request/relay/chains/stageCandidate.ts";
+import type { StageQuery } from "../../../../src/request/relay/chains/stageQuery.ts";
+import { createCandidate, relayModel, stageQuery } from "../relayModel.ts";
 
 const query: StageQuery = { ...stageQuery, mayOvercommit: true };
 
--- a/tests/request/relay/findFirstIndex.test.ts
+++ b/tests/request/relay/chains/findFirstIndex.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { findFirstIndex } from "../../../src/request/relay/findFirstIndex.ts";
+import { findFirstIndex } from "../../../../src/request/relay/chains/findFirstIndex.ts";
 
 describe("findFirstIndex", () => {
     it("finds the first index for which the condition holds, or the count if there is none", () => {
--- a/tests/request/relay/noteRefusal.test.ts
+++ b/tests/request/relay/detection/noteRefusal.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { noteRefusal } from "../../../src/request/relay/noteRefusal.ts";
-import { RelayBench } from "./relayBench.ts";
-import { createEndpoint } from "./relayModel.ts";
+import { noteRefusal } from "../../../../src/request/relay/detection/noteRefusal.ts";
+import { RelayBench } from "../relayBench.ts";
+import { createEndpoint } from "../relayModel.ts";
 
 function refuse(status: number, memoryPart: number) {
     const endpoint = createEndpoint("1");
--- a/tests/request/relay/refusalDetector.test.ts
+++ b/tests/request/relay/detection/refusalDetector.test.ts
@@ -1,12 +1,12 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { EndpointHealth } from "../../../src/request/relay/endpointHealth.ts";
-import type { EndpointReport } from "../../../src/request/relay/endpointReport.ts";
-import { RefusalDetector } from "../../../src/request/relay/refusalDetector.ts";
-import { createSeededRandom } from "../../support/createSeededRandom.ts";
-import { FakeClock } from "../../support/fakeClock.ts";
-import { RecordingEventLog } from "../../support/recordingEventLog.ts";
-import { createEndpoint } from "./relayModel.ts";
+import { RefusalDetector } from "../../../../src/request/relay/detection/refusalDetector.ts";
+import { EndpointHealth } from "../../../../src/request/relay/endpoints/endpointHealth.ts";
+import type { EndpointReport } from "../../../../src/request/relay/endpoints/endpointReport.ts";
+import { createSeededRandom } from "../../../support/createSeededRandom.ts";
+import { FakeClock } from "../../../support/fakeClock.ts";
+import { RecordingEventLog } from "../../../support/recordingEventLog.ts";
+import { createEndpoint } from "../relayModel.ts";
 
 const endpoint = createEndpoint("e");
 
--- a/tests/request/relay/documentRelay.test.ts
+++ b/tests/request/relay/documents/documentRelay.test.ts
@@ -1,10 +1,10 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { UpstreamFailureKind } from "../../../src/connection/upstream/upstreamFailureKind.ts";
-import { DocumentRelay } from "../../../src/request/relay/documentRelay.ts";
-import { RequestKind } from "../../../src/version/routing/requestKind.ts";
-import { RelayBench } from "./relayBench.ts";
-import { createEndpoint } from "./relayModel.ts";
+import { UpstreamFailureKind } from "../../../../src/connection/upstream/upstreamFailureKind.ts";
+import { DocumentRelay } from "../../../../src/request/relay/documents/documentRelay.ts";
+import { RequestKind } from "../../../../src/version/routing/requestKind.ts";
+import { RelayBench } from "../relayBench.ts";
+import { createEndpoint } from "../relayModel.ts";
 
 function start(kind: RequestKind): RelayBench {
     const bench = RelayBench.create([createEndpoint("1"), createEndpoint("2")]);
--- a/tests/request/relay/computeAvailableMemory.test.ts
+++ b/tests/request/relay/endpoints/computeAvailableMemory.test.ts
@@ -1,7 +1,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { computeAvailableMemory } from "../../../src/request/relay/computeAvailableMemory.ts";
+import { computeAvailableMemory } from "../../../../src/request/relay/endpoints/computeAvailableMemory.ts";
 
 const memory = { own: 0, ownPeak: 0, others: 0, total: 1_000, share: 0.1 };
 
--- a/tests/request/relay/endpointHealth.test.ts
+++ b/tests/request/relay/endpoints/endpointHealth.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { EndpointHealth } from "../../../src/request/relay/endpointHealth.ts";
+import { EndpointHealth } from "../../../../src/request/relay/endpoints/endpointHealth.ts";
 
 describe("EndpointHealth", () => {
     it("increases the backoff with each consecutive failure of an endpoint, until it answers", () => {
--- a/tests/request/relay/endpointLoads.test.ts
+++ b/tests/request/relay/endpoints/endpointLoads.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { EndpointLoads } from "../../../src/request/relay/endpointLoads.ts";
-import { createEndpoint } from "./relayModel.ts";
+import { EndpointLoads } from "../../../../src/request/relay/endpoints/endpointLoads.ts";
+import { createEndpoint } from "../relayModel.ts";
 
 const stages = [
     { endpoint: createEndpoint("1"), start: 0, end: 10 },
--- a/tests/request/relay/linkDelays.test.ts
+++ b/tests/request/relay/links/linkDelays.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { LinkDelays } from "../../../src/request/relay/linkDelays.ts";
+import { LinkDelays } from "../../../../src/request/relay/links/linkDelays.ts";
 
 describe("LinkDelays", () => {
     it("detects a link that has become slow, and its delay decays over time", () => {
--- a/tests/request/relay/linkPacer.test.ts
+++ b/tests/request/relay/links/linkPacer.test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { getTransferTime } from "../../../src/request/relay/getTransferTime.ts";
-import { LinkPacer } from "../../../src/request/relay/linkPacer.ts";
-import { createSeededRandom } from "../../support/createSeededRandom.ts";
-import { relayModel } from "./relayModel.ts";
+import { getTransferTime } from "../../../../src/request/relay/links/getTransferTime.ts";
+import { LinkPacer } from "../../../../src/request/relay/links/linkPacer.ts";
+import { createSeededRandom } from "../../../support/createSeededRandom.ts";
+import { relayModel } from "../relayModel.ts";
 
 const tokens = 1_000;
 const transferTime = getTransferTime(relayModel, tokens);
--- a/tests/request/relay/quarantine/taskQuarantine.test.ts
+++ b/tests/request/relay/quarantine/taskQuarantine.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { UpstreamFailureKind } from "../../../../src/connection/upstream/upstreamFailureKind.ts";
-import { DocumentRelay } from "../../../../src/request/relay/documentRelay.ts";
-import { StreamRelay } from "../../../../src/request/relay/streamRelay.ts";
+import { DocumentRelay } from "../../../../src/request/relay/documents/documentRelay.ts";
+import { StreamRelay } from "../../../../src/request/relay/streams/streamRelay.ts";
 import { RequestKind } from "../../../../src/version/routing/requestKind.ts";
 import { RelayBench } from "../relayBench.ts";
 import { createEndpoint, relayModel } from "../relayModel.ts";
--- a/tests/request/relay/relayQueue.test.ts
+++ b/tests/request/relay/queue/relayQueue.test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import type { QueuedRelay } from "../../../src/request/relay/queuedRelay.ts";
-import { RelayQueue } from "../../../src/request/relay/relayQueue.ts";
-import { FakeClock } from "../../support/fakeClock.ts";
-import { RecordingEventLog } from "../../support/recordingEventLog.ts";
+import type { QueuedRelay } from "../../../../src/request/relay/queue/queuedRelay.ts";
+import { RelayQueue } from "../../../../src/request/relay/queue/relayQueue.ts";
+import { FakeClock } from "../../../support/fakeClock.ts";
+import { RecordingEventLog } from "../../../support/recordingEventLog.ts";
 
 function createBench() {
     const clock = FakeClock.create();
--- a/tests/request/relay/relayModel.ts
+++ b/tests/request/relay/relayModel.ts
@@ -1,7 +1,7 @@
 import { experimentModel } from "../../../bench/experiment/experimentModel.ts";
-import type { RegisteredEndpoint } from "../../../src/request/relay/registeredEndpoint.ts";
-import type { StageCandidate } from "../../../src/request/relay/stageCandidate.ts";
-import type { StageQuery } from "../../../src/request/relay/stageQuery.ts";
+import type { StageCandidate } from "../../../src/request/relay/chains/stageCandidate.ts";
+import type { StageQuery } from "../../../src/request/relay/chains/stageQuery.ts";
+import type { RegisteredEndpoint } from "../../../src/request/relay/endpoints/registeredEndpoint.ts";
 import type { EngineModel } from "../../../src/version/routing/engineModel.ts";
 
 /** A model with 80 layers and three accelerator kinds. */
--- a/tests/request/relay/eventSplitter.test.ts
+++ b/tests/request/relay/streams/eventSplitter.test.ts
@@ -1,7 +1,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { EventSplitter } from "../../../src/request/relay/eventSplitter.ts";
+import { EventSplitter } from "../../../../src/request/relay/streams/eventSplitter.ts";
 
 const text = "id: 1\ndata: a\n\n: note\n\nweight: 2\nid: 22\r\ndata: b\r\n\r\nid:3\ndata: \u00e9\n\nid: 4\nda";
 
--- a/tests/request/relay/streamProgress.test.ts
+++ b/tests/request/relay/streams/streamProgress.test.ts
@@ -1,8 +1,8 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { EventVerdict } from "../../../src/request/relay/eventVerdict.ts";
-import { StreamProgress } from "../../../src/request/relay/streamProgress.ts";
+import { EventVerdict } from "../../../../src/request/relay/streams/eventVerdict.ts";
+import { StreamProgress } from "../../../../src/request/relay/streams/streamProgress.ts";
 
 describe("StreamProgress", () => {
     it("passes only events with increasing ids, and detects a missing one", () => {
--- a/tests/request/relay/streamRelay.test.ts
+++ b/tests/request/relay/streams/streamRelay.test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { StreamRelay } from "../../../src/request/relay/streamRelay.ts";
-import { RequestKind } from "../../../src/version/routing/requestKind.ts";
-import { RelayBench } from "./relayBench.ts";
-import { createEndpoint, relayModel } from "./relayModel.ts";
+import { StreamRelay } from "../../../../src/request/relay/streams/streamRelay.ts";
+import { RequestKind } from "../../../../src/version/routing/requestKind.ts";
+import { RelayBench } from "../relayBench.ts";
+import { createEndpoint, relayModel } from "../relayModel.ts";
 
 const layers = { start: 0, end: 80 };
 const kinds = new Map([...relayModel.kinds].map(([name, kind]) => [name, { ...kind, memoryMegabytes: 200_000 }]));
