--- a/src/process/router/peerState.ts
+++ b/src/process/router/peerState.ts
@@ -17,9 +17,10 @@
     SuspicionRecordSchema,
 } from "../../wire/generated/foxlead/router/v1/router_pb.ts";
 import type { EndpointReadings } from "./endpointReadings.ts";
+import type { PeerStatePart } from "./peerStatePart.ts";
 
 /** The records that a node sends to its peers in each exchange. */
-interface PeerRecords {
+interface PeerRecords extends ReturnType<PeerStatePart["createRecords"]> {
     loads: LoadRecord[];
     demand: number;
     suspicions: SuspicionRecord[];
@@ -35,6 +36,8 @@
     quarantine: RequestQuarantine;
     limits: EndpointLimits;
     readings: EndpointReadings;
+    /** Further parts of the state. */
+    parts: readonly PeerStatePart[];
     /** Gets the demand of new requests at this node, in tokens per second. */
     getDemand(): number;
     /** Called when a peer has sent something that should be passed on immediately. */
@@ -56,8 +59,9 @@
 
     /** Creates the records of an outgoing message. */
     createRecords(now: number): PeerRecords {
-        const { loads, health, quarantine, limits, readings, getDemand } = this.options;
+        const { loads, health, quarantine, limits, readings, parts, getDemand } = this.options;
         return {
+            ...Object.assign({}, ...parts.map(part => part.createRecords(now))),
             demand: getDemand(),
             loads: loads.getOwnLoads().map(({ endpointId, requests, tokenLayers }) =>
                 create(LoadRecordSchema, { endpointId, requests, tokenLayers })
@@ -77,7 +81,10 @@
 
     /** Applies the records of a peer's message. */
     applyRecords(message: NodeState, now: number): void {
-        const { loads, health, quarantine, limits, readings, onUpdate } = this.options;
+        const { loads, health, quarantine, limits, readings, parts, onUpdate } = this.options;
+        for (const part of parts) {
+            part.applyRecords(message, now);
+        }
         if (message.sender !== undefined) {
             const reports = message.endpointLimits.map(({ endpointId, requestsPerSecond, age, demand }) => ({
                 endpointId,
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -226,6 +226,7 @@
                 quarantine,
                 limits: this.limits,
                 readings,
+                parts: [],
                 getDemand: () => queue.getDemand(),
                 onUpdate: () => this.exchange.propagateUpdate(),
             }),
