Tell the purposes of moves of layers apart

Cause: a move that makes a data centre complete and one that only balances replicas are both "not urgent" to the placement, so that neither can be given precedence. Change: assignLayers returns a list of moves, each with its purpose. The decisions are the same as before.

--- a/src/process/placement/assignLayers.ts
+++ b/src/process/placement/assignLayers.ts
@@ -4,20 +4,16 @@
 import { isSameRange } from "./isSameRange.ts";
 import type { LayerAssignment } from "./layerAssignment.ts";
 import type { LayerColumn } from "./layerColumn.ts";
+import type { LayerMove } from "./layerMove.ts";
+import { MovePurpose } from "./movePurpose.ts";
 import type { PlacementEndpoint } from "./placementEndpoint.ts";
 
-/** A move of an endpoint from one column to another. */
-interface LayerMove extends LayerAssignment {
-    /** Whether no endpoint holds the target column, so that no complete chain exists without the move. */
-    isUrgent: boolean;
-}
-
 /** Orders that should be given. */
 interface LayerDecisions {
     /** Assignments for endpoints that hold neither a column nor a part of one. */
     assignments: LayerAssignment[];
-    /** Move of an endpoint that already holds a column; undefined if none is needed. */
-    move: LayerMove | undefined;
+    /** Moves of endpoints that already hold a column. */
+    moves: LayerMove[];
 }
 
 /** The endpoints that hold a column or parts of it. */
@@ -89,7 +85,8 @@
         }
     }
     const assigned = new Set(assignments.map(({ endpointId }) => endpointId));
-    return { assignments, move: findLocalMove(model, coverages, assigned) ?? findMove(model, coverages, assigned) };
+    const move = findLocalMove(model, coverages, assigned) ?? findMove(model, coverages, assigned);
+    return { assignments, moves: move === undefined ? [] : [move] };
 }
 
 /** Creates the coverage of a column without replicas, with each way to split the column into parts. */
@@ -257,7 +254,11 @@
                 )
                 : undefined;
             if (target !== undefined) {
-                return { endpointId: endpoint.id, layers: target.column.layers, isUrgent: false };
+                return {
+                    endpointId: endpoint.id,
+                    layers: target.column.layers,
+                    purpose: MovePurpose.DataCentreLacks,
+                };
             }
         }
     }
@@ -281,8 +282,8 @@
     const sources = others.filter(({ column }) => column.kind === weakest.column.kind);
     const endpointId = findEndpointToMove(model, weakest, sources, assigned)
         ?? findEndpointToMove(model, weakest, others, assigned);
-    const isUrgent = weakest.replicas.length === 0;
-    return endpointId === undefined ? undefined : { endpointId, layers: weakest.column.layers, isUrgent };
+    const purpose = weakest.replicas.length === 0 ? MovePurpose.FleetLacks : MovePurpose.Balance;
+    return endpointId === undefined ? undefined : { endpointId, layers: weakest.column.layers, purpose };
 }
 
 /** Gets the id of the endpoint whose move leaves the weaker of the two columns with the most memory. */
--- a/src/process/placement/placementController.ts
+++ b/src/process/placement/placementController.ts
@@ -17,6 +17,7 @@
 import type { LayerAssignment } from "./layerAssignment.ts";
 import type { LayerColumn } from "./layerColumn.ts";
 import { LayerOrderTracker } from "./layerOrderTracker.ts";
+import { MovePurpose } from "./movePurpose.ts";
 import type { PlacementEndpoint } from "./placementEndpoint.ts";
 import { type PlacementRecord, placementRecordSchema } from "./placementRecord.ts";
 import { searchColumns } from "./searchColumns.ts";
@@ -240,7 +241,7 @@
         { isStable, canOrder }: { isStable: boolean; canOrder: boolean; },
     ): LayerAssignment[] {
         const now = this.options.clock.getMonotonicTime();
-        const { assignments, move } = this.options.runLong(
+        const { assignments, moves: [move] } = this.options.runLong(
             "assignLayers",
             () => assignLayers(model, columns, endpoints),
         );
@@ -250,14 +251,15 @@
             this.dueMoves.delete(service);
             return assignments;
         }
+        const isUrgent = move.purpose === MovePurpose.FleetLacks;
         if (dueMove?.start !== move.layers.start) {
-            this.dueMoves.set(service, { start: move.layers.start, since: now, isUrgent: move.isUrgent });
+            this.dueMoves.set(service, { start: move.layers.start, since: now, isUrgent });
             return assignments;
         }
-        if (now - dueMove.since < moveDelayMilliseconds && !move.isUrgent) {
+        if (now - dueMove.since < moveDelayMilliseconds && !isUrgent) {
             return assignments;
         }
-        if (canOrder || !move.isUrgent) {
+        if (canOrder || !isUrgent) {
             this.dueMoves.delete(service);
         }
         return [...assignments, move];
--- a/tests/process/placement/assignLayers.test.ts
+++ b/tests/process/placement/assignLayers.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { assignLayers } from "../../../src/process/placement/assignLayers.ts";
+import { MovePurpose } from "../../../src/process/placement/movePurpose.ts";
 import type { PlacementEndpoint } from "../../../src/process/placement/placementEndpoint.ts";
 import { getRequestMemory } from "../../../src/request/relay/chains/getRequestMemory.ts";
 import { relayModel } from "../../request/relay/relayModel.ts";
@@ -23,7 +24,7 @@
 }
 
 function move(endpoints: PlacementEndpoint[]) {
-    return assignLayers(relayModel, columns, endpoints).move;
+    return assignLayers(relayModel, columns, endpoints).moves[0];
 }
 
 /** Creates the given number of endpoints that hold each column. */
@@ -78,7 +79,7 @@
     it("moves one endpoint urgently to a column without replicas, but never the last replica of its own column", () => {
         const decided = move(createHolders(1, 2, 0));
         assert.deepEqual(decided?.layers, third);
-        assert.equal(decided?.isUrgent, true);
+        assert.equal(decided?.purpose, MovePurpose.FleetLacks);
         assert.match(decided?.endpointId ?? "", /^24-/);
         assert.equal(move(createHolders(1, 1, 0)), undefined);
     });
@@ -87,7 +88,7 @@
         const decided = move(createHolders(4, 3, 7));
         assert.deepEqual(decided?.layers, second);
         assert.match(decided?.endpointId ?? "", /^40-/);
-        assert.equal(decided?.isUrgent, false);
+        assert.equal(decided?.purpose, MovePurpose.Balance);
         assert.equal(move(createHolders(4, 5, 6)), undefined);
     });
 
@@ -151,6 +152,6 @@
             createEndpoint("6", "middle", second, "b"),
             createEndpoint("7", "middle", third, "c"),
         ];
-        assert.deepEqual(move(endpoints), { endpointId: "5", layers: third, isUrgent: false });
+        assert.deepEqual(move(endpoints), { endpointId: "5", layers: third, purpose: MovePurpose.DataCentreLacks });
     });
 });
