Account for the event loop's time by cause

Change: ProcessorAccount counts occurrences and the time of synchronous work by cause, with one clock read at each end; the time of nested work counts for the inner cause only. Hooks are at the start, the peer exchange (build, encode, decode, apply), the store's responses, polls of endpoints, the receipt and head of a request, events and end of a stream, refusals, reviews of the start queue, documents, timers, log lines and metrics. Garbage collection comes from performance entries, which are reported after the work in which it ran, so it overlaps the other causes. What is not attributed (HTTP parsers, sockets, promise continuations) is processorMilliseconds less the sum.

It writes FL1010 every 5 s and the metrics foxlead_processor_account_seconds_total and foxlead_processor_account_total. Without the option, a hook is a call and a comparison.

The cost of the enabled account was not measured.

--- a/src/connection/peer/framed/createFramedTransport.ts
+++ b/src/connection/peer/framed/createFramedTransport.ts
@@ -1,7 +1,10 @@
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import { Code, ConnectError, type Transport } from "@connectrpc/connect";
+import { ProcessorAccount } from "../../../process/loop/processorAccount.ts";
+import { ProcessorCause } from "../../../process/loop/processorCause.ts";
 import type { FramedConnection } from "./framedConnection.ts";
 
+const account = ProcessorAccount.ofProcess;
 const defaultTimeoutMilliseconds = 2_000;
 /** Frames carry no headers. */
 const noHeaders = new Headers();
@@ -13,7 +16,10 @@
 export function createFramedTransport(connection: FramedConnection): Transport {
     return {
         async unary(method, _signal, timeoutMilliseconds, _header, input) {
-            const payload = toBinary(method.input, create(method.input, input));
+            const payload = account.run(
+                ProcessorCause.PeerEncode,
+                () => toBinary(method.input, create(method.input, input)),
+            );
             const timeout = timeoutMilliseconds ?? defaultTimeoutMilliseconds;
             const answer = await connection.call(method.name, payload, timeout);
             return {
@@ -22,7 +28,7 @@
                 method,
                 header: noHeaders,
                 trailer: noHeaders,
-                message: fromBinary(method.output, answer),
+                message: account.run(ProcessorCause.PeerDecode, () => fromBinary(method.output, answer)),
             };
         },
         stream: () =>
--- a/src/connection/peer/framed/framedConnection.ts
+++ b/src/connection/peer/framed/framedConnection.ts
@@ -1,6 +1,8 @@
 import { Code, ConnectError } from "@connectrpc/connect";
 import { connect, type Socket } from "node:net";
 import type { Clock, TimerHandle } from "../../../process/clock.ts";
+import { ProcessorAccount } from "../../../process/loop/processorAccount.ts";
+import { ProcessorCause } from "../../../process/loop/processorCause.ts";
 import type { Address } from "../../../process/settings/address.ts";
 import { encodeFrame } from "./encodeFrame.ts";
 import type { Frame } from "./frame.ts";
@@ -98,18 +100,25 @@
             }
         });
         socket.on("data", (chunk: Buffer) => {
-            const frames = reader.push(chunk);
-            if (frames.err) {
-                socket.destroy(new Error(frames.val));
-                return;
-            }
-            for (const frame of frames.val) {
-                this.handleFrame(frame);
-            }
+            ProcessorAccount.ofProcess.runPart(
+                ProcessorCause.PeerDecode,
+                () => this.handleData(socket, reader, chunk),
+            );
         });
         return socket;
     }
 
+    private handleData(socket: Socket, reader: FrameReader, chunk: Buffer): void {
+        const frames = reader.push(chunk);
+        if (frames.err) {
+            socket.destroy(new Error(frames.val));
+            return;
+        }
+        for (const frame of frames.val) {
+            this.handleFrame(frame);
+        }
+    }
+
     private handleFrame({ callId, kind, payload }: Frame): void {
         const call = this.remove(callId);
         if (kind === FrameKind.Answer) {
--- a/src/connection/peer/framed/framedServer.ts
+++ b/src/connection/peer/framed/framedServer.ts
@@ -1,5 +1,7 @@
 import { type DescService, fromBinary, type MessageShape, toBinary } from "@bufbuild/protobuf";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import { ProcessorAccount } from "../../../process/loop/processorAccount.ts";
+import { ProcessorCause } from "../../../process/loop/processorCause.ts";
 import { parseAddress } from "../../../process/settings/parseAddress.ts";
 import { encodeFrame } from "./encodeFrame.ts";
 import type { Frame } from "./frame.ts";
@@ -25,6 +27,7 @@
 /** Handles a call with an encoded input and returns the encoded output. */
 type EncodedHandler = (payload: Uint8Array) => Uint8Array;
 
+const account = ProcessorAccount.ofProcess;
 /** Callers close idle connections after a minute. This closes the remaining ones. */
 const idleTimeoutMilliseconds = 180_000;
 /** Size of the unsent answers above which the connection of a caller that doesn't read them is closed. */
@@ -50,7 +53,10 @@
         const encoded = new Map<string, EncodedHandler>();
         for (const method of service.methods) {
             const handle = handlers[method.localName as keyof typeof handlers] as (request: unknown) => never;
-            encoded.set(method.name, payload => toBinary(method.output, handle(fromBinary(method.input, payload))));
+            encoded.set(method.name, payload => {
+                const output = handle(account.run(ProcessorCause.PeerDecode, () => fromBinary(method.input, payload)));
+                return account.run(ProcessorCause.PeerEncode, () => toBinary(method.output, output));
+            });
         }
         const created = new FramedServer(encoded);
         await new Promise<void>((resolve, reject) => {
@@ -83,17 +89,21 @@
         socket.on("error", () => socket.destroy());
         socket.setTimeout(idleTimeoutMilliseconds, () => socket.destroy());
         socket.on("data", (chunk: Buffer) => {
-            const frames = reader.push(chunk);
-            if (frames.err || socket.writableLength > maximumUnsentBytes) {
-                socket.destroy();
-                return;
-            }
-            for (const frame of frames.val) {
-                socket.write(encodeFrame(this.answer(frame)));
-            }
+            account.runPart(ProcessorCause.PeerDecode, () => this.handleData(socket, reader, chunk));
         });
     }
 
+    private handleData(socket: Socket, reader: FrameReader, chunk: Buffer): void {
+        const frames = reader.push(chunk);
+        if (frames.err || socket.writableLength > maximumUnsentBytes) {
+            socket.destroy();
+            return;
+        }
+        for (const frame of frames.val) {
+            socket.write(encodeFrame(this.answer(frame)));
+        }
+    }
+
     private answer({ callId, method, payload }: Frame): Frame {
         const handle = this.handlers.get(method);
         if (handle === undefined) {
--- a/src/process/admin/adminServer.ts
+++ b/src/process/admin/adminServer.ts
@@ -2,6 +2,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { Err, Ok, type Result } from "../../result.ts";
+import { ProcessorAccount } from "../loop/processorAccount.ts";
+import { ProcessorCause } from "../loop/processorCause.ts";
 import type { Metrics } from "../metrics/metrics.ts";
 import { parseAddress } from "../settings/parseAddress.ts";
 import type { ListenError } from "./listenError.ts";
@@ -100,7 +102,7 @@
 
     private async respondWithMetrics(response: ServerResponse): Promise<void> {
         const { registry } = this.options.metrics;
-        const text = await registry.metrics();
+        const text = await ProcessorAccount.ofProcess.run(ProcessorCause.Metrics, () => registry.metrics());
         response.writeHead(200, { "content-type": registry.contentType }).end(text);
     }
 }
--- a/src/process/logging/consolaEventLog.ts
+++ b/src/process/logging/consolaEventLog.ts
@@ -1,4 +1,6 @@
 import { type ConsolaInstance, createConsola, LogLevels, type LogObject } from "consola";
+import { ProcessorAccount } from "../loop/processorAccount.ts";
+import { ProcessorCause } from "../loop/processorCause.ts";
 import type { EventLog } from "./eventLog.ts";
 import { formatEventLine } from "./formatEventLine.ts";
 import type { LogEvent } from "./logEvent.ts";
@@ -40,6 +42,6 @@
 
     /** Writes an event and its fields as one line if its level is enabled. */
     write(event: LogEvent, fields: Readonly<Record<string, string | number | boolean>> = {}): void {
-        this.consola[event.level].raw(event, fields);
+        ProcessorAccount.ofProcess.run(ProcessorCause.LogLine, () => this.consola[event.level].raw(event, fields));
     }
 }
--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -119,6 +119,11 @@
         level: "warn",
         message: "The event loop was delayed; incoming data was processed late.",
     },
+    processorAccount: {
+        number: 1010,
+        level: "info",
+        message: "Occurrences and time of the event loop's thread by cause since the last such line.",
+    },
     claimShardLoaded: {
         number: 1301,
         level: "info",
--- a/src/process/loop/eventLoopMonitor.ts
+++ b/src/process/loop/eventLoopMonitor.ts
@@ -2,6 +2,8 @@
 import type { EventLog } from "../logging/eventLog.ts";
 import { events } from "../logging/events.ts";
 import type { InputBarrier } from "./inputBarrier.ts";
+import { ProcessorAccount } from "./processorAccount.ts";
+import { ProcessorCause } from "./processorCause.ts";
 
 /** Options of a {@link EventLoopMonitor}. */
 interface EventLoopMonitorOptions {
@@ -14,6 +16,7 @@
     getProcessorTime(): number;
 }
 
+const account = ProcessorAccount.ofProcess;
 /** A timer that is later than this shows that the event loop was blocked, and not just a busy iteration. */
 const lateThresholdMilliseconds = 100;
 /** All input that arrived while the event loop was blocked is processed within this time. */
@@ -63,10 +66,10 @@
         let deferred: TimerHandle | undefined;
         const timer = this.options.clock.setTimer(delayMilliseconds, () => {
             if (this.checkTimer(dueAt)) {
-                deferred = this.options.barrier.defer(callback);
+                deferred = this.options.barrier.defer(() => account.run(ProcessorCause.Timer, callback));
                 return;
             }
-            callback();
+            account.run(ProcessorCause.Timer, callback);
         });
         return {
             cancel: () => {
--- a/src/process/metrics/metrics.ts
+++ b/src/process/metrics/metrics.ts
@@ -118,6 +118,17 @@
         "outcome",
     ]);
 
+    readonly processorAccountSecondsTotal = this.createCounter(
+        "processor_account_seconds_total",
+        "Time of the event loop's thread by cause, if the processor account is enabled.",
+        ["cause"],
+    );
+    readonly processorAccountTotal = this.createCounter(
+        "processor_account_total",
+        "Occurrences of the causes of the processor account.",
+        ["cause"],
+    );
+
     readonly configurationVersion = this.createGauge(
         "configuration_version",
         "Version of the configuration in force.",
--- a/src/process/replica/recordFollower.ts
+++ b/src/process/replica/recordFollower.ts
@@ -2,6 +2,8 @@
 import type { Clock } from "../clock.ts";
 import type { EventLog } from "../logging/eventLog.ts";
 import { events } from "../logging/events.ts";
+import { ProcessorAccount } from "../loop/processorAccount.ts";
+import { ProcessorCause } from "../loop/processorCause.ts";
 import { type PlatformError, PlatformErrorKind } from "../platform/platformError.ts";
 import type { RandomSource } from "../randomSource.ts";
 import { CallPacer } from "./callPacer.ts";
@@ -230,7 +232,11 @@
         this.confirmedAt = sentAt;
         this.isFullReadDue = false;
         this.pacer.noteListing();
-        section.applyListing(listing.val.records, listing.val.revision, "store");
+        const { records, revision } = listing.val;
+        ProcessorAccount.ofProcess.runPart(
+            ProcessorCause.Store,
+            () => section.applyListing(records, revision, "store"),
+        );
         return true;
     }
 
@@ -269,7 +275,11 @@
         }
         else {
             this.confirmedAt = sentAt;
-            section.applyChanges(changes.val.records, changes.val.revision, "store");
+            const { records, revision } = changes.val;
+            ProcessorAccount.ofProcess.runPart(
+                ProcessorCause.Store,
+                () => section.applyChanges(records, revision, "store"),
+            );
         }
         return changes;
     }
--- a/src/process/router/changeFetcher.ts
+++ b/src/process/router/changeFetcher.ts
@@ -9,6 +9,8 @@
 import type { Clock } from "../clock.ts";
 import type { EventLog } from "../logging/eventLog.ts";
 import { events } from "../logging/events.ts";
+import { ProcessorAccount } from "../loop/processorAccount.ts";
+import { ProcessorCause } from "../loop/processorCause.ts";
 import type { RecordSection } from "../replica/recordSection.ts";
 import type { RouterPeers } from "./routerPeers.ts";
 import { shouldFetch } from "./shouldFetch.ts";
@@ -141,7 +143,10 @@
         if (response === undefined) {
             return;
         }
-        this.applyFetched(section, response.changes, peer.address);
+        ProcessorAccount.ofProcess.runPart(
+            ProcessorCause.PeerApply,
+            () => this.applyFetched(section, response.changes, peer.address),
+        );
         this.behindSince.delete(section.name);
         if (response.freshAge < maximumAgeMilliseconds && this.isCaughtUpWith(peer.frontiers)) {
             this.options.onFresh(sentAt - response.freshAge);
--- a/src/process/router/endpointCalls.ts
+++ b/src/process/router/endpointCalls.ts
@@ -11,6 +11,8 @@
 import type { Clock } from "../clock.ts";
 import type { EventLog } from "../logging/eventLog.ts";
 import { events } from "../logging/events.ts";
+import { ProcessorAccount } from "../loop/processorAccount.ts";
+import { ProcessorCause } from "../loop/processorCause.ts";
 import type { Metrics } from "../metrics/metrics.ts";
 
 /** Options of {@link EndpointCalls}. */
@@ -32,6 +34,7 @@
     body: Buffer;
 }
 
+const account = ProcessorAccount.ofProcess;
 /** Endpoints write reports without queueing them, so an endpoint that takes longer counts as unresponsive. */
 const reportTimeoutMilliseconds = 350;
 const orderTimeoutMilliseconds = 1_200;
@@ -59,7 +62,7 @@
         if (answer === undefined || answer.status !== successStatus) {
             return undefined;
         }
-        const report = protocol.readReport(answer.body);
+        const report = account.run(ProcessorCause.EndpointPoll, () => protocol.readReport(answer.body));
         if (report.err) {
             this.options.log.write(events.endpointReportInvalid, { endpoint: endpoint.id, reason: report.val });
             return undefined;
@@ -113,7 +116,10 @@
             const exchange = pools.getPool(endpoint.address).send(request, {
                 onHead: (responseStatus, headers) => {
                     status = responseStatus;
-                    onInstructions(endpoint, protocol.readInstructions(responseStatus, headers), name);
+                    account.runPart(
+                        ProcessorCause.EndpointPoll,
+                        () => onInstructions(endpoint, protocol.readInstructions(responseStatus, headers), name),
+                    );
                 },
                 onData: chunk => chunks.push(chunk),
                 onEnd: () => finish("answered", { status, body: Buffer.concat(chunks) }),
--- a/src/process/router/endpointPoller.ts
+++ b/src/process/router/endpointPoller.ts
@@ -1,6 +1,8 @@
 import type { EndpointReport } from "../../request/relay/endpoints/endpointReport.ts";
 import type { RegisteredEndpoint } from "../../request/relay/endpoints/registeredEndpoint.ts";
 import type { Clock, TimerHandle } from "../clock.ts";
+import { ProcessorAccount } from "../loop/processorAccount.ts";
+import { ProcessorCause } from "../loop/processorCause.ts";
 import type { EndpointReadings } from "./endpointReadings.ts";
 
 /** Options of a {@link EndpointPoller}. */
@@ -44,7 +46,7 @@
     start(): void {
         this.timer = this.options.clock.setTimer(pollIntervalMilliseconds, () => {
             this.start();
-            this.pollAll();
+            ProcessorAccount.ofProcess.runPart(ProcessorCause.EndpointPoll, () => this.pollAll());
         });
     }
 
--- a/src/process/router/peerExchange.ts
+++ b/src/process/router/peerExchange.ts
@@ -17,6 +17,8 @@
 import type { FencedLease } from "../leases/fencedLease.ts";
 import type { LeaseRelease } from "../leases/leaseRelease.ts";
 import type { EventLog } from "../logging/eventLog.ts";
+import { ProcessorAccount } from "../loop/processorAccount.ts";
+import { ProcessorCause } from "../loop/processorCause.ts";
 import type { RendezvousOwners } from "../membership/rendezvousOwners.ts";
 import type { RandomSource } from "../randomSource.ts";
 import type { RecordSection } from "../replica/recordSection.ts";
@@ -229,12 +231,16 @@
             client => client.exchange(create(ExchangeRequestSchema, { state }), { timeoutMs: callTimeoutMilliseconds }),
         );
         if (response !== undefined) {
-            this.applyResponse(response, sentAt);
+            ProcessorAccount.ofProcess.run(ProcessorCause.PeerApply, () => this.applyResponse(response, sentAt));
         }
     }
 
     /** Creates the state of this node for a request or a response. */
     private createOwnState(knownToPeer?: number): NodeState {
+        return ProcessorAccount.ofProcess.run(ProcessorCause.PeerBuild, () => this.buildOwnState(knownToPeer));
+    }
+
+    private buildOwnState(knownToPeer: number | undefined): NodeState {
         const { state, sections, storeWatch, lease } = this.options;
         const live = this.listLive();
         return create(NodeStateSchema, {
@@ -275,13 +281,16 @@
 
     /** Applies a peer's state and responds with the state of this node. */
     handleExchange({ state = create(NodeStateSchema) }: ExchangeRequest): ExchangeResponse {
-        this.applyState(state);
+        ProcessorAccount.ofProcess.run(ProcessorCause.PeerApply, () => this.applyState(state));
         return create(ExchangeResponseSchema, { state: this.createOwnState(state.knownNodes) });
     }
 
     /** Responds with the store changes that a peer lacks. */
     handleFetch(request: FetchRequest): FetchResponse {
-        return this.fetching.createResponse(request, this.getAge(this.options.storeWatch.getFreshTime()));
+        return ProcessorAccount.ofProcess.run(
+            ProcessorCause.PeerBuild,
+            () => this.fetching.createResponse(request, this.getAge(this.options.storeWatch.getFreshTime())),
+        );
     }
 
     private applyResponse({ state }: ExchangeResponse, sentAt: number): void {
--- a/src/process/router/requestRouter.ts
+++ b/src/process/router/requestRouter.ts
@@ -12,6 +12,8 @@
 import type { Route } from "../../version/routing/route.ts";
 import { events } from "../logging/events.ts";
 import type { EventLoopMonitor } from "../loop/eventLoopMonitor.ts";
+import { ProcessorAccount } from "../loop/processorAccount.ts";
+import { ProcessorCause } from "../loop/processorCause.ts";
 import type { Metrics } from "../metrics/metrics.ts";
 import type { RoutingHolder } from "./routingHolder.ts";
 
@@ -24,6 +26,7 @@
     loop: Pick<EventLoopMonitor, "getLag">;
 }
 
+const account = ProcessorAccount.ofProcess;
 /** Retry delay given to callers; a node without a configuration gets one within about this time. */
 const notReadyRetryMilliseconds = 500;
 const secondMilliseconds = 1_000;
@@ -103,6 +106,7 @@
             metrics.requestSeconds.observe({ service: service.name }, seconds);
         };
         if (service.engine === undefined) {
+            account.reassign(ProcessorCause.StreamHead, ProcessorCause.Document);
             DocumentRelay.start(environment, task, finish);
             return;
         }
--- a/src/request/relay/documents/documentRelay.ts
+++ b/src/request/relay/documents/documentRelay.ts
@@ -5,6 +5,8 @@
 import { UpstreamFailureKind } from "../../../connection/upstream/upstreamFailureKind.ts";
 import type { TimerHandle } from "../../../process/clock.ts";
 import { events } from "../../../process/logging/events.ts";
+import { ProcessorAccount } from "../../../process/loop/processorAccount.ts";
+import { ProcessorCause } from "../../../process/loop/processorCause.ts";
 import { RequestKind } from "../../../version/routing/requestKind.ts";
 import type { AnswerHead } from "../answers/answerHead.ts";
 import type { CompleteAnswer } from "../answers/completeAnswer.ts";
@@ -43,6 +45,7 @@
     answer?: CompleteAnswer;
 }
 
+const account = ProcessorAccount.ofProcess;
 /**
  * Fraction of the latency objective after which an unanswered idempotent request is hedged: it is also sent to a second
  * endpoint, and the first answer is used. Nearly all requests are answered before.
@@ -153,10 +156,11 @@
         };
         const idleLimit = this.isIdempotent() ? Infinity : maximumIdleMilliseconds;
         attempt.exchange = pools.getPool(endpoint.address).sendForCaller(createRequest, {
-            onHead: (status, headers) => this.handleHead(attempt, status, headers),
+            onHead: (status, headers) =>
+                account.runPart(ProcessorCause.Document, () => this.handleHead(attempt, status, headers)),
             onData: chunk => attempt.chunks.push(chunk),
-            onEnd: () => this.handleAnswer(attempt),
-            onFailure: failure => this.handleFailure(attempt, failure),
+            onEnd: () => account.runPart(ProcessorCause.Document, () => this.handleAnswer(attempt)),
+            onFailure: failure => account.runPart(ProcessorCause.Document, () => this.handleFailure(attempt, failure)),
             maySend: () => this.environment.instructions.maySend(endpoint.id),
         }, idleLimit);
     }
--- a/src/request/relay/queue/relayQueue.ts
+++ b/src/request/relay/queue/relayQueue.ts
@@ -1,6 +1,8 @@
 import type { Clock, TimerHandle } from "../../../process/clock.ts";
 import type { EventLog } from "../../../process/logging/eventLog.ts";
 import { events } from "../../../process/logging/events.ts";
+import { ProcessorAccount } from "../../../process/loop/processorAccount.ts";
+import { ProcessorCause } from "../../../process/loop/processorCause.ts";
 import type { RandomSource } from "../../../process/randomSource.ts";
 import type { StartDecision } from "../../admission/start/startDecision.ts";
 import { StartQueue } from "../../admission/start/startQueue.ts";
@@ -118,7 +120,11 @@
     private review(): void {
         this.timer = undefined;
         this.isReviewDue = false;
-        for (const { request, decision } of this.startQueue.review(this.getTime())) {
+        const reviewed = ProcessorAccount.ofProcess.run(
+            ProcessorCause.QueueReview,
+            () => this.startQueue.review(this.getTime()),
+        );
+        for (const { request, decision } of reviewed) {
             this.endWaiting(request as QueuedRelay, decision);
         }
         this.scheduleReview();
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -3,6 +3,8 @@
 import { UpstreamFailureKind } from "../../../connection/upstream/upstreamFailureKind.ts";
 import type { TimerHandle } from "../../../process/clock.ts";
 import { events } from "../../../process/logging/events.ts";
+import { ProcessorAccount } from "../../../process/loop/processorAccount.ts";
+import { ProcessorCause } from "../../../process/loop/processorCause.ts";
 import type { EngineModel } from "../../../version/routing/engineModel.ts";
 import type { AnswerEnd } from "../answers/answerEnd.ts";
 import type { AnswerHead } from "../answers/answerHead.ts";
@@ -30,6 +32,7 @@
 import { StreamLogger } from "./streamLogger.ts";
 import { StreamProgress } from "./streamProgress.ts";
 
+const account = ProcessorAccount.ofProcess;
 /** A request that crashes the endpoint that runs it does so within a few steps. After this time it is considered safe. */
 const safeAfterMilliseconds = 250;
 
@@ -269,7 +272,7 @@
             firstEventAt: undefined,
         };
         this.attempt = attempt;
-        this.send(attempt, stages);
+        account.runPart(ProcessorCause.StreamHead, () => this.send(attempt, stages));
     }
 
     private send(attempt: StreamAttempt, stages: RelayStage[]): void {
@@ -290,10 +293,11 @@
             onEnd: end => this.handleEnd(attempt, end),
         });
         attempt.exchange = pools.getPool(endpoint.address).sendForCaller(createRequest, {
-            onHead: (status, headers) => reader.handleHead(status, headers),
-            onData: chunk => reader.handleData(chunk),
-            onEnd: () => reader.handleEnd(),
-            onFailure: failure => this.handleFailure(attempt, failure),
+            onHead: (status, headers) =>
+                account.runPart(ProcessorCause.StreamHead, () => reader.handleHead(status, headers)),
+            onData: chunk => account.runPart(ProcessorCause.StreamEvent, () => reader.handleData(chunk)),
+            onEnd: () => account.run(ProcessorCause.StreamEnd, () => reader.handleEnd()),
+            onFailure: failure => account.run(ProcessorCause.StreamEnd, () => this.handleFailure(attempt, failure)),
             maySend: () => environment.instructions.maySend(endpoint.id),
         });
     }
@@ -317,6 +321,7 @@
         if (attempt !== this.attempt) {
             return;
         }
+        account.count(ProcessorCause.StreamEvent);
         const now = this.getTime();
         this.answer.noteRun();
         attempt.lastProgressAt = now;
