Judge suspected crashes by when the connection broke, not by when its path was tested

Cause: since connections are opened directly or through peers, a broken connection is reported to the quarantine only after the test of its path.

Change: the relays take the time at which the connection broke before the test of the path, and the time at which the request was written. Documents and streams alike.

--- a/src/request/relay/documents/documentRelay.ts
+++ b/src/request/relay/documents/documentRelay.ts
@@ -214,7 +214,8 @@
         const { health, limits } = this.environment;
         const cause = `the exchange with the endpoint failed (${failure.message}).`;
         if (failure.kind === UpstreamFailureKind.Broken) {
-            attempt.exchange?.testPath(state => this.handleBreak(attempt, state === PathState.Lost, cause));
+            const brokenAt = this.getTime();
+            attempt.exchange?.testPath(state => this.handleBreak(attempt, state === PathState.Lost, brokenAt, cause));
             return;
         }
         if (failure.kind === UpstreamFailureKind.Withheld) {
@@ -226,10 +227,11 @@
         this.endAttempt(attempt, { isNotRun: true, isUnsent: true, cause });
     }
 
-    private handleBreak(attempt: Attempt, isPathLost: boolean, cause: string): void {
+    private handleBreak(attempt: Attempt, isPathLost: boolean, brokenAt: number, cause: string): void {
         if (!isPathLost) {
             this.environment.health.addFailure(attempt.endpoint.id, this.getTime());
-            this.quarantine.noteCrash(attempt.endpoint.id, attempt.sentAt);
+            const sentAt = attempt.exchange?.getSentTime() ?? attempt.sentAt;
+            this.quarantine.noteCrash(attempt.endpoint.id, sentAt, brokenAt);
         }
         this.endAttempt(attempt, { isNotRun: false, isPathLost, cause });
     }
--- a/src/request/relay/quarantine/taskQuarantine.ts
+++ b/src/request/relay/quarantine/taskQuarantine.ts
@@ -50,9 +50,10 @@
      * Records a suspected crash, if the request had just begun to run on the endpoint.
      * @param endpointId - Id of the endpoint that seems to have crashed.
      * @param sentAt - Monotonic time in milliseconds at which the request was sent to it.
+     * @param at - Monotonic time in milliseconds at which the connection broke. The test of its path takes longer than
+     * {@link minimumRunMilliseconds}, so that the time after the test would make every request a suspect.
      */
-    noteCrash(endpointId: string, sentAt: number): void {
-        const at = this.environment.clock.getMonotonicTime();
+    noteCrash(endpointId: string, sentAt: number, at: number): void {
         if (!this.isSafe && at - sentAt >= minimumRunMilliseconds) {
             const { fingerprint, request } = this.task;
             this.environment.quarantine.noteCrash({ fingerprint, endpointId, at }, request.id);
--- a/src/request/relay/streams/streamAttemptEnd.ts
+++ b/src/request/relay/streams/streamAttemptEnd.ts
@@ -6,8 +6,11 @@
     isNotRun: boolean;
     /** Whether no byte of the request was sent. */
     isUnsent?: boolean;
-    /** Whether the connection to the first stage broke, as it does when an endpoint crashes. */
-    isBroken?: boolean;
+    /**
+     * Monotonic time in milliseconds at which the connection to the first stage broke, as it does when an endpoint crashes;
+     * undefined if it didn't, or if only the path is lost.
+     */
+    brokenAt?: number;
     /** Whether only the path to the first stage is lost, while the stage itself is alive. */
     isPathLost?: boolean;
     cause: string;
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -137,7 +137,7 @@
     noteLost(endpointIds: ReadonlySet<string>): void {
         for (const { endpoint } of this.attempt?.stages ?? []) {
             if (endpointIds.has(endpoint.id)) {
-                this.quarantine.noteCrash(endpoint.id, this.attempt!.sentAt);
+                this.quarantine.noteCrash(endpoint.id, this.attempt!.sentAt, this.getTime());
             }
         }
     }
@@ -411,10 +411,17 @@
             this.endAttempt(attempt, { isNotRun, isUnsent: true, cause, avoid: [id] });
             return;
         }
+        const brokenAt = this.getTime();
         attempt.exchange?.testPath(state => {
             const isPathLost = state === PathState.Lost;
             const avoid = isPathLost ? [] : [id];
-            this.endAttempt(attempt, { isNotRun, isBroken: !isPathLost, isPathLost, cause, avoid });
+            this.endAttempt(attempt, {
+                isNotRun,
+                brokenAt: isPathLost ? undefined : brokenAt,
+                isPathLost,
+                cause,
+                avoid,
+            });
         });
     }
 
@@ -462,8 +469,9 @@
                 this.attemptLimit.noteRun(attempt.stages[0]!.endpoint.id);
             }
         }
-        if (end.isBroken === true) {
-            this.quarantine.noteCrash(attempt.stages[0]!.endpoint.id, attempt.sentAt);
+        if (end.brokenAt !== undefined) {
+            const sentAt = attempt.exchange?.getSentTime() ?? attempt.sentAt;
+            this.quarantine.noteCrash(attempt.stages[0]!.endpoint.id, sentAt, end.brokenAt);
         }
         if (end.failure !== undefined) {
             this.answer.noteFailure(end.failure);
--- a/tests/request/relay/quarantine/taskQuarantine.test.ts
+++ b/tests/request/relay/quarantine/taskQuarantine.test.ts
@@ -75,6 +75,35 @@
         }
     });
 
+    // Guards against judging by the time after the test of the path, which suspected each request that a crashed endpoint cut off.
+    it("is not suspected then if the test of the path takes longer than a run that is suspected", async () => {
+        for (const kind of [RequestKind.Stream, RequestKind.Idempotent]) {
+            const bench = createBench();
+            bench.pathTestMilliseconds = runMilliseconds;
+            if (kind === RequestKind.Stream) {
+                startStream(bench);
+            }
+            else {
+                DocumentRelay.start(bench.environment, createTask(bench, kind), () => undefined);
+            }
+            for (const count of [2, 3, 4]) {
+                await crashEndpoint(bench, 1);
+                await bench.clock.advance(runMilliseconds);
+                assert.equal(bench.sentRequests.length, count, kind);
+            }
+        }
+    });
+
+    it("is not suspected if it was written to a connection that took long to open, and broke at once", async () => {
+        const bench = createBench();
+        startStream(bench);
+        for (const count of [2, 3, 4]) {
+            bench.sentRequests.at(-1)!.sentAt = bench.clock.getMonotonicTime() + runMilliseconds - 1;
+            await crashEndpoint(bench);
+            assert.equal(bench.sentRequests.length, count);
+        }
+    });
+
     it("is not sent if other endpoints crashed while it waited for free memory", async () => {
         const bench = createBench();
         for (const id of ["1", "2", "3", "4"]) {
--- a/tests/request/relay/relayBench.ts
+++ b/tests/request/relay/relayBench.ts
@@ -37,6 +37,8 @@
     readonly sentRequests: SentRequest[] = [];
     /** Final answers to the caller, such as `notRun` or `200`. */
     readonly answers: string[] = [];
+    /** Time that the test of a path takes; its result is that the endpoint is down. */
+    pathTestMilliseconds = 0;
     readonly environment: RelayEnvironment;
 
     private constructor(endpoints: RegisteredEndpoint[]) {
@@ -154,7 +156,13 @@
             getSentTime: () => sentRequest.sentAt,
             getPeer: () => undefined,
             isPathLost: () => false,
-            testPath: (onDone: (state: PathState) => void) => onDone(PathState.Down),
+            testPath: (onDone: (state: PathState) => void) => {
+                if (this.pathTestMilliseconds === 0) {
+                    onDone(PathState.Down);
+                    return;
+                }
+                this.clock.setTimer(this.pathTestMilliseconds, () => onDone(PathState.Down));
+            },
         };
     }
 }
