Log rank, customer and data centres of a request at its end

Cause: FL1710 doesn't tell whose request ended and where it ran, so that losses can't be counted by rank, customer or data centre. Change: FL1710 has rank, customer, dataCentre (of the node) and dataCentres (of the endpoints of the last attempt, in order), for streams and documents. createEndFields builds the fields that both share; the other fields are as before. Bytes a log line and processor time were not measured.

--- a/src/request/relay/documents/documentRelay.ts
+++ b/src/request/relay/documents/documentRelay.ts
@@ -12,9 +12,9 @@
 import { maximumRefusals } from "../answers/maximumRefusals.ts";
 import type { RelayRefusal } from "../answers/relayRefusal.ts";
 import { sendCompleteAnswer } from "../answers/sendCompleteAnswer.ts";
+import { createEndFields } from "../createEndFields.ts";
 import type { LoadReservation } from "../endpoints/loadReservation.ts";
 import type { RegisteredEndpoint } from "../endpoints/registeredEndpoint.ts";
-import { getSentMilliseconds } from "../getSentMilliseconds.ts";
 import { TaskQuarantine } from "../quarantine/taskQuarantine.ts";
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
@@ -67,6 +67,8 @@
     private uncountedAttempts = 0;
     /** Monotonic time in milliseconds at which the first byte was sent to an endpoint. */
     private firstSentAt: number | undefined;
+    /** Endpoint of the last attempt. */
+    private lastEndpoint: RegisteredEndpoint | undefined;
     private mayHaveRun = false;
     private failureAnswer: CompleteAnswer | undefined;
     private isDone = false;
@@ -131,6 +133,7 @@
             chunks: [],
         };
         this.runningAttempts.add(attempt);
+        this.lastEndpoint = endpoint;
         this.send(attempt);
     }
 
@@ -374,20 +377,19 @@
             attempt.exchange?.abort();
             this.releaseAttempt(attempt);
         }
-        const { request, route } = this.task;
-        this.environment.log.write(events.relayEnded, {
-            request: request.id,
-            route: route.name,
-            outcome,
-            cause,
+        const { environment, task } = this;
+        const dataCentre = (answered?.endpoint ?? this.lastEndpoint)?.dataCentre;
+        environment.log.write(events.relayEnded, {
+            ...createEndFields(environment, task, {
+                outcome,
+                cause,
+                attemptCount: this.attempts,
+                firstSentAt: this.firstSentAt,
+                peer: answered?.exchange?.getPeer(),
+                dataCentres: dataCentre === undefined ? [] : [dataCentre],
+            }),
             status,
             endpoint: answered?.endpoint.id ?? "",
-            peer: answered?.exchange?.getPeer() ?? "",
-            fingerprint: this.task.fingerprint,
-            attempts: this.attempts,
-            takenUpLateMilliseconds: Math.round(this.task.takenUpLateMilliseconds),
-            sentMilliseconds: getSentMilliseconds(this.firstSentAt, request.arrivedAt),
-            milliseconds: Math.round(this.getTime() - request.arrivedAt),
         });
         this.onDone();
     }
--- a/src/request/relay/streams/streamLogger.ts
+++ b/src/request/relay/streams/streamLogger.ts
@@ -1,7 +1,8 @@
 import { events } from "../../../process/logging/events.ts";
 import { formatStages } from "../chains/formatStages.ts";
 import type { RelayStage } from "../chains/relayStage.ts";
-import { getSentMilliseconds } from "../getSentMilliseconds.ts";
+import { createEndFields } from "../createEndFields.ts";
+import { listDataCentres } from "../links/listDataCentres.ts";
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
 import type { StreamAttempt } from "./streamAttempt.ts";
@@ -36,6 +37,8 @@
     private readonly task: RelayTask;
     private readonly progress: StreamProgress;
     private rerouteCount = 0;
+    /** Chain of the last failed attempt; empty if none has failed. */
+    private failedStages: readonly RelayStage[] = [];
 
     private constructor(environment: RelayEnvironment, task: RelayTask, progress: StreamProgress) {
         this.environment = environment;
@@ -60,6 +63,7 @@
 
     /** Logs why an attempt failed. */
     writeFailure({ attempt, end, attemptCount, memoryPart }: FailedAttempt): void {
+        this.failedStages = attempt.stages;
         this.environment.log.write(events.relayAttemptFailed, {
             request: this.task.request.id,
             chain: formatStages(attempt.stages),
@@ -78,25 +82,23 @@
 
     /** Logs how the request ended. */
     writeEnd({ outcome, cause, attemptCount, attempt, firstSentAt }: EndedRequest): void {
-        const { request, route, fingerprint, takenUpLateMilliseconds } = this.task;
-        const { arrivedAt } = request;
-        this.environment.log.write(events.relayEnded, {
-            request: request.id,
-            route: route.name,
-            outcome,
-            cause,
-            fingerprint,
-            attempts: attemptCount,
+        const { environment, task } = this;
+        const { arrivedAt, promptTokens } = task.request;
+        environment.log.write(events.relayEnded, {
+            ...createEndFields(environment, task, {
+                outcome,
+                cause,
+                attemptCount,
+                firstSentAt,
+                peer: attempt?.exchange?.getPeer(),
+                dataCentres: listDataCentres(attempt?.stages ?? this.failedStages),
+            }),
             reroutes: this.rerouteCount,
             events: this.progress.getCount(),
             chain: attempt === undefined ? "" : formatStages(attempt.stages),
-            peer: attempt?.exchange?.getPeer() ?? "",
-            promptTokens: request.promptTokens,
-            takenUpLateMilliseconds: Math.round(takenUpLateMilliseconds),
-            sentMilliseconds: getSentMilliseconds(firstSentAt, arrivedAt),
+            promptTokens,
             firstEventMilliseconds: Math.round((this.progress.getFirstTime() ?? arrivedAt) - arrivedAt),
             longestGapMilliseconds: Math.round(this.progress.getLongestGap()),
-            milliseconds: this.getMillisecondsSince(arrivedAt),
         });
     }
 
--- a/tests/request/relay/relayBench.ts
+++ b/tests/request/relay/relayBench.ts
@@ -34,14 +34,14 @@
 /** Relay dependencies with fake connections that a test controls. */
 export class RelayBench {
     readonly clock = FakeClock.create();
+    readonly log = RecordingEventLog.create();
     readonly sentRequests: SentRequest[] = [];
     /** Final answers to the caller, such as `notRun` or `200`. */
     readonly answers: string[] = [];
     readonly environment: RelayEnvironment;
 
     private constructor(endpoints: RegisteredEndpoint[]) {
-        const { clock } = this;
-        const log = RecordingEventLog.create();
+        const { clock, log } = this;
         const random = () => 0.5;
         const queue = RelayQueue.create({ clock, random, log });
         const health = EndpointHealth.create();
--- a/tests/support/recordingEventLog.ts
+++ b/tests/support/recordingEventLog.ts
@@ -1,8 +1,10 @@
 import type { EventLog } from "../../src/process/logging/eventLog.ts";
 
-/** An event log that records the numbers of its events for tests. */
+/** An event log that records its events for tests. */
 export class RecordingEventLog implements EventLog {
     readonly numbers: number[] = [];
+    /** Fields of each event, in the order of `numbers`. */
+    readonly fields: Parameters<EventLog["write"]>[1][] = [];
 
     private constructor() {}
 
@@ -11,8 +13,9 @@
         return new RecordingEventLog();
     }
 
-    /** Records the number of an event. */
-    write(event: { number: number; }): void {
+    /** Records an event. */
+    write(event: { number: number; }, fields?: Parameters<EventLog["write"]>[1]): void {
         this.numbers.push(event.number);
+        this.fields.push(fields);
     }
 }
