Count requests by rank, customer, data centre, where they ran and kind of endpoint

Cause: the account tells by moment, route and reason what was lost, but not whose requests these were, whether they crossed between data centres, how long they waited before they were sent and when their callers were told to retry. Change: npm run account takes --by rank|customer|data-centre|run-at|kind. Each prints a table over all and by window with the requests asked, in time and refused, the retry delays from FL1716, the waits from sentMilliseconds and the most frequent reason. All but the 12 largest groups are merged. Kinds come from FL1810. Logs without the fields give no table; without --by output and JSON are as before. Reading the lines is now readRequestEnds, since a request's retry delay and kinds stand in other lines; the tests of the parser go through it with the same inputs and expectations. On a generated log of 3,000 requests with text before the JSON all five tables are printed, without --by the printed report, the JSON and the SVG are byte for byte those of the code before, and with the fields removed no table is printed.

--- a/scripts/account.ts
+++ b/scripts/account.ts
@@ -1,30 +1,47 @@
 /**
- * Reports from the logs of nodes which requests were not answered in time, by time window, route and reason.
+ * Reports from the logs of nodes which requests were not answered in time, by time window, route and reason, and with `--by` also by
+ * rank, customer, data centre of the node, data centres that ran them or kind of endpoint.
  *
- * Usage: npm run account -- LOG... [--first 500] [--gap 250] [--window 2] [--json FILE] [--svg FILE]
+ * Usage: npm run account -- LOG... [--first 500] [--gap 250] [--window 2] [--by rank --by run-at] [--json FILE] [--svg FILE]
  */
 import { readFileSync, writeFileSync } from "node:fs";
 import yargs from "yargs";
 import { formatTable } from "../src/process/commandLine/formatTable.ts";
+import { accountGroups } from "./account/accountGroups.ts";
 import { accountRequests } from "./account/accountRequests.ts";
-import type { AccountWindow } from "./account/accountWindow.ts";
 import { drawWindows } from "./account/drawWindows.ts";
-import { parseRequestEnd } from "./account/parseRequestEnd.ts";
-import type { RequestEnd } from "./account/requestEnd.ts";
+import { formatGroups } from "./account/formatGroups.ts";
+import { formatMostFrequent } from "./account/formatMostFrequent.ts";
+import { Grouping } from "./account/grouping.ts";
+import { readRequestEnds } from "./account/readRequestEnds.ts";
 
 const options = yargs(process.argv.slice(2))
     .scriptName("account")
     .option("first", { type: "number", default: 500, describe: "Maximum time to the first event, in milliseconds." })
     .option("gap", { type: "number", default: 250, describe: "Maximum gap between events, in milliseconds." })
     .option("window", { type: "number", default: 2, describe: "Length of a time window, in seconds." })
-    .option("json", { type: "string", describe: "Write the report to this file as JSON." })
+    .option("by", {
+        type: "string",
+        array: true,
+        nargs: 1,
+        choices: Object.values(Grouping),
+        default: [],
+        describe: "Also count by this, over all and by time window; can be given several times.",
+    })
+    .option("json", {
+        type: "string",
+        describe: "Write the time windows to this file as JSON; with --by an object with windows and groups.",
+    })
     .option("svg", { type: "string", describe: "Write a chart to this file as SVG." })
     .demandCommand(1, "Specify at least one log file.")
     .strictOptions()
     .parseSync();
 const maximumReasons = 12;
 
-const ends = options._.flatMap(file => readEnds(String(file)));
+const ends = readRequestEnds(options._.map(file => readFileSync(String(file), "utf8")), {
+    firstMilliseconds: options.first,
+    gapMilliseconds: options.gap,
+});
 const windows = accountRequests(ends, options.window);
 printTable([
     ["from second", "asked", "in time", "most frequent reason"],
@@ -40,24 +57,23 @@
     const [all] = accountRequests(endsOfRoute, Infinity);
     return [route, `${all!.inTime} of ${all!.asked} in time`, formatMostFrequent(all!.lost)];
 }));
+const groups = new Map(options.by.map(grouping => [grouping, accountGroups(ends, grouping, options.window)]));
+for (const [grouping, groupsOfTable] of groups) {
+    if (groupsOfTable.length === 0) {
+        console.log(`\nThe logs don't tell the ${grouping} of any request.`);
+        continue;
+    }
+    console.log(`\nBy ${grouping}:`);
+    printTable(formatGroups(groupsOfTable, grouping));
+}
 if (options.json !== undefined) {
-    writeFileSync(options.json, `${JSON.stringify(windows, undefined, 4)}\n`);
+    const report = groups.size === 0 ? windows : { windows, groups: Object.fromEntries(groups) };
+    writeFileSync(options.json, `${JSON.stringify(report, undefined, 4)}\n`);
 }
 if (options.svg !== undefined) {
     writeFileSync(options.svg, drawWindows(windows));
 }
 
-function readEnds(file: string): RequestEnd[] {
-    const objectives = { firstMilliseconds: options.first, gapMilliseconds: options.gap };
-    return readFileSync(file, "utf8").split("\n").map(line => parseRequestEnd(line, objectives)).filter(end =>
-        end !== undefined
-    );
-}
-
-function formatMostFrequent([most]: AccountWindow["lost"]): string {
-    return most === undefined ? "" : `${most[1]} ${most[0]}`;
-}
-
 function printTable(rows: string[][]): void {
     console.log(formatTable(rows).join("\n"));
 }
--- a/scripts/account/parseRequestEnd.ts
+++ b/scripts/account/parseRequestEnd.ts
@@ -1,38 +1,67 @@
 import { z } from "zod";
 import { events } from "../../src/process/logging/events.ts";
-import { readEventLine } from "../../src/process/logging/readEventLine.ts";
+import { RefusalReason } from "../../src/request/relay/answers/refusalReason.ts";
 import type { Objectives } from "./objectives.ts";
 import type { RequestEnd } from "./requestEnd.ts";
 
+/** The end of a request, before lines of other events are taken into account. */
+interface ParsedEnd extends Omit<RequestEnd, "retryMilliseconds" | "kinds"> {
+    /** Id of the request. */
+    request: string;
+    /** Ids of the endpoints in use at the end, in order. */
+    endpoints: string[];
+}
+
 const endSchema = z.object({
     time: z.string(),
     event: z.literal(`FL${events.relayEnded.number}`),
+    request: z.string().default(""),
     route: z.string(),
+    rank: z.number().optional(),
+    customer: z.string().optional(),
+    dataCentre: z.string().optional(),
+    dataCentres: z.string().optional(),
     outcome: z.string(),
     cause: z.string().default(""),
+    chain: z.string().default(""),
+    endpoint: z.string().default(""),
     milliseconds: z.number(),
     reroutes: z.number().default(0),
     attempts: z.number().default(1),
+    sentMilliseconds: z.number().optional(),
     firstEventMilliseconds: z.number().optional(),
     longestGapMilliseconds: z.number().default(0),
 });
+const refusedOutcomes: ReadonlySet<string> = new Set([RefusalReason.NotRun, RefusalReason.HeldBack]);
 
 /**
- * Parses a log line of a node that reports the end of a request.
- * @param line - The line; text before the JSON is ignored.
+ * Parses the fields of a log line of a node that reports the end of a request.
+ * @param fields - The fields; undefined for a line that is no event.
  * @param objectives - Limits that a response must meet to be in time.
  * @returns Undefined if the line is of another event or malformed.
  */
-export function parseRequestEnd(line: string, objectives: Objectives): RequestEnd | undefined {
-    const parsed = endSchema.safeParse(readEventLine(line));
+export function parseRequestEnd(
+    fields: Readonly<Record<string, unknown>> | undefined,
+    objectives: Objectives,
+): ParsedEnd | undefined {
+    const parsed = endSchema.safeParse(fields);
     if (!parsed.success) {
         return undefined;
     }
     const end = parsed.data;
+    const { request, route, rank, customer, dataCentre, dataCentres, sentMilliseconds = -1 } = end;
     return {
+        request,
         arrivedAt: Date.parse(end.time) - end.milliseconds,
-        route: end.route,
+        route,
         reason: getReason(end, objectives),
+        isRefused: refusedOutcomes.has(end.outcome),
+        sentMilliseconds: sentMilliseconds < 0 ? undefined : sentMilliseconds,
+        rank,
+        customer,
+        dataCentre,
+        dataCentres: dataCentres === undefined ? undefined : splitList(dataCentres),
+        endpoints: end.endpoint === "" ? splitList(end.chain).map(getStageEndpoint) : [end.endpoint],
     };
 }
 
@@ -46,3 +75,12 @@
     }
     return end.longestGapMilliseconds > gapMilliseconds ? `late: a pause${suffix}` : "inTime";
 }
+
+function splitList(text: string): string[] {
+    return text === "" ? [] : text.split(",");
+}
+
+/** Gets the endpoint of a stage that is formatted as `ID=START-END`. */
+function getStageEndpoint(stage: string): string {
+    return stage.slice(0, stage.lastIndexOf("="));
+}
