--- a/tests/request/relay/relayBench.ts
+++ b/tests/request/relay/relayBench.ts
@@ -34,6 +34,7 @@
 /** Relay dependencies with fake connections that a test controls. */
 export class RelayBench {
     readonly clock = FakeClock.create();
+    readonly log = RecordingEventLog.create();
     readonly sentRequests: SentRequest[] = [];
     /** Final answers to the caller, such as `notRun` or `200`. */
     readonly answers: string[] = [];
@@ -42,8 +43,7 @@
     readonly environment: RelayEnvironment;
 
     private constructor(endpoints: RegisteredEndpoint[]) {
-        const { clock } = this;
-        const log = RecordingEventLog.create();
+        const { clock, log } = this;
         const random = () => 0.5;
         const queue = RelayQueue.create({ clock, random, log });
         const health = EndpointHealth.create();
