Count a document request's attempts in a class of its own

Change: DocumentAttempts keeps these and decides whether another attempt or a hedge is allowed; the types of an attempt and of its end have files of their own.

--- /dev/null
+++ b/src/request/relay/documents/documentAttempts.ts
@@ -0,0 +1,119 @@
+import type { CompleteAnswer } from "../answers/completeAnswer.ts";
+import { maximumRefusals } from "../answers/maximumRefusals.ts";
+import type { RegisteredEndpoint } from "../endpoints/registeredEndpoint.ts";
+import type { DocumentAttempt } from "./documentAttempt.ts";
+import type { DocumentAttemptEnd } from "./documentAttemptEnd.ts";
+
+/** The attempts to run a document request: those in progress, their number, and what the ended ones tell of the request. */
+export class DocumentAttempts {
+    private readonly maximumAttempts: number;
+    private readonly running = new Set<DocumentAttempt>();
+    private count = 0;
+    private refusals = 0;
+    /** Number of attempts that ended before a byte was sent, or whose path was lost. */
+    private uncounted = 0;
+    private firstSentAt: number | undefined;
+    private lastEndpoint: RegisteredEndpoint | undefined;
+    private hasPossibleRun = false;
+    private failureAnswer: CompleteAnswer | undefined;
+
+    private constructor(maximumAttempts: number) {
+        this.maximumAttempts = maximumAttempts;
+    }
+
+    /**
+     * Creates the record of a request that was not sent yet.
+     * @param maximumAttempts - Maximum number of attempts by the request's route.
+     */
+    static create(maximumAttempts: number): DocumentAttempts {
+        return new DocumentAttempts(maximumAttempts);
+    }
+
+    /**
+     * Checks if the request may be sent to another endpoint. A request that surely has not run may exceed the route's maximum, up to a
+     * number of refusals.
+     */
+    isAnotherAllowed(): boolean {
+        return this.count - this.uncounted < this.maximumAttempts
+            || !this.hasPossibleRun && !this.areRunning() && this.refusals <= maximumRefusals;
+    }
+
+    /** Checks if the number of attempts allows a hedge. */
+    isHedgeAllowed(): boolean {
+        return this.count > 0 && this.count < this.maximumAttempts;
+    }
+
+    /** Adds an attempt that begins. */
+    add(attempt: DocumentAttempt): void {
+        this.count += 1;
+        this.lastEndpoint = attempt.endpoint;
+        this.running.add(attempt);
+    }
+
+    /** Counts a refusal by an endpoint. */
+    noteRefusal(): void {
+        this.refusals += 1;
+    }
+
+    /** Ends an attempt without an answer that can be forwarded. */
+    end(attempt: DocumentAttempt, { isNotRun, isUnsent, isPathLost, answer }: DocumentAttemptEnd): void {
+        this.release(attempt);
+        this.hasPossibleRun ||= !isNotRun;
+        this.uncounted += isUnsent === true || isPathLost === true ? 1 : 0;
+        this.failureAnswer = answer ?? this.failureAnswer;
+    }
+
+    /** Aborts the attempts in progress. */
+    abortAll(): void {
+        for (const attempt of [...this.running]) {
+            attempt.exchange?.abort();
+            this.release(attempt);
+        }
+    }
+
+    /** Gets the attempts in progress. The set changes as attempts begin and end. */
+    getRunning(): ReadonlySet<DocumentAttempt> {
+        return this.running;
+    }
+
+    /** Checks if an attempt is in progress. */
+    isRunning(attempt: DocumentAttempt): boolean {
+        return this.running.has(attempt);
+    }
+
+    /** Checks if any attempt is in progress. */
+    areRunning(): boolean {
+        return this.running.size > 0;
+    }
+
+    /** Checks if an ended attempt may have run the request. */
+    mayHaveRun(): boolean {
+        return this.hasPossibleRun;
+    }
+
+    /** Gets the number of attempts so far. */
+    getCount(): number {
+        return this.count;
+    }
+
+    /** Gets the endpoint of the last attempt. */
+    getLastEndpoint(): RegisteredEndpoint | undefined {
+        return this.lastEndpoint;
+    }
+
+    /** Gets the monotonic time in milliseconds at which the first byte was sent to an endpoint; undefined while no such attempt has ended. */
+    getFirstSentTime(): number | undefined {
+        return this.firstSentAt;
+    }
+
+    /** Gets the last error response of an endpoint. */
+    getFailureAnswer(): CompleteAnswer | undefined {
+        return this.failureAnswer;
+    }
+
+    private release(attempt: DocumentAttempt): void {
+        this.firstSentAt ??= attempt.exchange?.getSentTime();
+        attempt.reservation.release();
+        this.running.delete(attempt);
+    }
+}
--- a/src/request/relay/documents/documentRelay.ts
+++ b/src/request/relay/documents/documentRelay.ts
@@ -1,48 +1,23 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { PathState } from "../../../connection/upstream/path/pathState.ts";
-import type { UpstreamExchange } from "../../../connection/upstream/upstreamExchange.ts";
 import type { UpstreamFailure } from "../../../connection/upstream/upstreamFailure.ts";
 import { UpstreamFailureKind } from "../../../connection/upstream/upstreamFailureKind.ts";
 import type { TimerHandle } from "../../../process/clock.ts";
 import { events } from "../../../process/logging/events.ts";
 import { RequestKind } from "../../../version/routing/requestKind.ts";
-import type { AnswerHead } from "../answers/answerHead.ts";
 import type { CompleteAnswer } from "../answers/completeAnswer.ts";
 import { createRefusal } from "../answers/createRefusal.ts";
-import { maximumRefusals } from "../answers/maximumRefusals.ts";
 import type { RelayRefusal } from "../answers/relayRefusal.ts";
 import { sendCompleteAnswer } from "../answers/sendCompleteAnswer.ts";
 import { createEndFields } from "../createEndFields.ts";
-import type { LoadReservation } from "../endpoints/loadReservation.ts";
-import type { RegisteredEndpoint } from "../endpoints/registeredEndpoint.ts";
 import { TaskQuarantine } from "../quarantine/taskQuarantine.ts";
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
+import type { DocumentAttempt } from "./documentAttempt.ts";
+import type { DocumentAttemptEnd } from "./documentAttemptEnd.ts";
+import { DocumentAttempts } from "./documentAttempts.ts";
 import { DocumentEndpoints } from "./documentEndpoints.ts";
 
-/** An attempt to run the request at an endpoint. */
-interface Attempt {
-    endpoint: RegisteredEndpoint;
-    sentAt: number;
-    reservation: LoadReservation;
-    exchange: UpstreamExchange | undefined;
-    head: AnswerHead | undefined;
-    chunks: Buffer[];
-}
-
-/** Why an attempt ended without an answer that can be forwarded. */
-interface AttemptEnd {
-    /** Whether it is certain that the endpoint has not run the request. */
-    isNotRun: boolean;
-    /** Whether no byte of the request was sent. */
-    isUnsent?: boolean;
-    /** Whether only the path to the endpoint is lost, while the endpoint itself is alive. */
-    isPathLost?: boolean;
-    cause: string;
-    /** The endpoint's error response, which is forwarded if no other attempt succeeds. */
-    answer?: CompleteAnswer;
-}
-
 /**
  * Fraction of the latency objective after which an unanswered idempotent request is hedged: it is also sent to a second
  * endpoint, and the first answer is used. Nearly all requests are answered before.
@@ -57,26 +32,17 @@
     private readonly environment: RelayEnvironment;
     private readonly task: RelayTask;
     private readonly endpoints: DocumentEndpoints;
-    private readonly runningAttempts = new Set<Attempt>();
+    private readonly attempts: DocumentAttempts;
     private readonly timers: TimerHandle[] = [];
     private readonly onDone: () => void;
     private readonly quarantine: TaskQuarantine;
-    private attempts = 0;
-    private refusals = 0;
-    /** Number of attempts that ended before a byte was sent, or whose path was lost. */
-    private uncountedAttempts = 0;
-    /** Monotonic time in milliseconds at which the first byte was sent to an endpoint. */
-    private firstSentAt: number | undefined;
-    /** Endpoint of the last attempt. */
-    private lastEndpoint: RegisteredEndpoint | undefined;
-    private mayHaveRun = false;
-    private failureAnswer: CompleteAnswer | undefined;
     private isDone = false;
 
     private constructor(environment: RelayEnvironment, task: RelayTask, onDone: () => void) {
         this.environment = environment;
         this.task = task;
         this.onDone = onDone;
+        this.attempts = DocumentAttempts.create(task.route.maximumAttempts);
         this.endpoints = DocumentEndpoints.create(environment, task);
         this.quarantine = TaskQuarantine.create(environment, task);
     }
@@ -107,10 +73,8 @@
         if (this.refuseIfQuarantined(cause)) {
             return;
         }
-        const { environment, task } = this;
-        const isAllowed = this.attempts - this.uncountedAttempts < task.route.maximumAttempts
-            || !this.mayHaveRun && this.runningAttempts.size === 0 && this.refusals <= maximumRefusals;
-        const endpoint = isAllowed ? this.endpoints.acquire() : undefined;
+        const { environment } = this;
+        const endpoint = this.attempts.isAnotherAllowed() ? this.endpoints.acquire() : undefined;
         if (endpoint === undefined) {
             const exhausted = this.endpoints.explainExhaustion(cause);
             this.giveUp(exhausted.cause, exhausted.refusal);
@@ -121,10 +85,9 @@
             this.giveUp(cause);
             return;
         }
-        this.attempts += 1;
         const now = environment.clock.getMonotonicTime();
         const reservation = environment.loads.reserveEndpoint(endpoint.id, now);
-        const attempt: Attempt = {
+        const attempt: DocumentAttempt = {
             endpoint,
             sentAt: now,
             reservation,
@@ -132,8 +95,7 @@
             head: undefined,
             chunks: [],
         };
-        this.runningAttempts.add(attempt);
-        this.lastEndpoint = endpoint;
+        this.attempts.add(attempt);
         this.send(attempt);
     }
 
@@ -146,7 +108,7 @@
         return hold !== undefined;
     }
 
-    private send(attempt: Attempt): void {
+    private send(attempt: DocumentAttempt): void {
         const { protocol, pools } = this.environment;
         const { request, customer, dueAt } = this.task;
         const { endpoint } = attempt;
@@ -164,7 +126,7 @@
         }, idleLimit);
     }
 
-    private handleHead(attempt: Attempt, status: number, headers: IncomingHttpHeaders): void {
+    private handleHead(attempt: DocumentAttempt, status: number, headers: IncomingHttpHeaders): void {
         attempt.head = this.environment.protocol.readHead(status, headers, this.task.request.id);
         if (!attempt.head.isForRequest) {
             attempt.exchange?.abort();
@@ -182,7 +144,7 @@
         });
     }
 
-    private handleAnswer(attempt: Attempt): void {
+    private handleAnswer(attempt: DocumentAttempt): void {
         const { head } = attempt;
         if (head === undefined) {
             this.endAttempt(attempt, { isNotRun: false, cause: "the endpoint's answer has no status and headers." });
@@ -192,7 +154,7 @@
         const { health } = this.environment;
         health.markAlive(attempt.endpoint.id, now);
         if (head.isNotRun) {
-            this.refusals += 1;
+            this.attempts.noteRefusal();
             health.addFailure(attempt.endpoint.id, now);
             this.endAttempt(attempt, { isNotRun: true, cause: "the endpoints refused it." });
             return;
@@ -213,7 +175,7 @@
         this.deliver(answer, attempt);
     }
 
-    private handleFailure(attempt: Attempt, failure: UpstreamFailure): void {
+    private handleFailure(attempt: DocumentAttempt, failure: UpstreamFailure): void {
         const { health, limits } = this.environment;
         const cause = `the exchange with the endpoint failed (${failure.message}).`;
         if (failure.kind === UpstreamFailureKind.Broken) {
@@ -229,7 +191,7 @@
         this.endAttempt(attempt, { isNotRun: true, isUnsent: true, cause });
     }
 
-    private handleBreak(attempt: Attempt, isPathLost: boolean, cause: string): void {
+    private handleBreak(attempt: DocumentAttempt, isPathLost: boolean, cause: string): void {
         if (!isPathLost) {
             this.environment.health.addFailure(attempt.endpoint.id, this.getTime());
             this.quarantine.noteCrash(attempt.endpoint.id, attempt.sentAt);
@@ -237,31 +199,28 @@
         this.endAttempt(attempt, { isNotRun: false, isPathLost, cause });
     }
 
-    private endAttempt(attempt: Attempt, end: AttemptEnd): void {
-        if (this.isDone || !this.runningAttempts.has(attempt)) {
+    private endAttempt(attempt: DocumentAttempt, end: DocumentAttemptEnd): void {
+        if (this.isDone || !this.attempts.isRunning(attempt)) {
             return;
         }
-        this.releaseAttempt(attempt);
-        this.mayHaveRun ||= !end.isNotRun;
-        this.uncountedAttempts += end.isUnsent === true || end.isPathLost === true ? 1 : 0;
+        this.attempts.end(attempt, end);
         if (end.isPathLost === true) {
             this.endpoints.allowAgain(attempt.endpoint.id);
         }
-        this.failureAnswer = end.answer ?? this.failureAnswer;
         this.environment.log.write(events.relayAttemptFailed, {
             request: this.task.request.id,
             endpoint: attempt.endpoint.id,
             peer: attempt.exchange?.getPeer() ?? "",
-            attempt: this.attempts,
+            attempt: this.attempts.getCount(),
             isNotRun: end.isNotRun,
             cause: end.cause,
             fingerprint: this.task.fingerprint,
             milliseconds: Math.round(this.getTime() - attempt.sentAt),
         });
-        if (this.runningAttempts.size > 0) {
+        if (this.attempts.areRunning()) {
             return;
         }
-        if (end.isNotRun && !this.mayHaveRun || this.isIdempotent()) {
+        if (end.isNotRun && !this.attempts.mayHaveRun() || this.isIdempotent()) {
             this.startAttempt(end.cause, !end.isUnsent);
             return;
         }
@@ -279,7 +238,7 @@
             this.hedge();
             return;
         }
-        for (const attempt of [...this.runningAttempts]) {
+        for (const attempt of [...this.attempts.getRunning()]) {
             if (attempt.exchange?.getSentTime() === undefined) {
                 attempt.exchange?.abort();
                 this.environment.health.markUnavailable(attempt.endpoint.id, this.getTime());
@@ -294,14 +253,14 @@
 
     /** Tests the paths of attempts whose endpoints have sent nothing since. If one is lost, an idempotent request takes another. */
     private testSilentPaths(): void {
-        for (const attempt of this.runningAttempts) {
+        for (const attempt of this.attempts.getRunning()) {
             const { exchange, endpoint, sentAt } = attempt;
             const isSent = exchange?.getSentTime() !== undefined;
             if (!isSent || this.environment.pools.getPool(endpoint.address).hasBytesSince(sentAt)) {
                 continue;
             }
             exchange.testPath(state => {
-                if (state === PathState.Lost && this.isIdempotent() && this.runningAttempts.has(attempt)) {
+                if (state === PathState.Lost && this.isIdempotent() && this.attempts.isRunning(attempt)) {
                     exchange.abort();
                     this.endAttempt(attempt, {
                         isNotRun: false,
@@ -314,12 +273,10 @@
     }
 
     private hedge(): void {
-        const { route } = this.task;
-        const isAllowed = this.attempts > 0 && this.attempts < route.maximumAttempts;
-        if (this.isDone || !isAllowed || !this.endpoints.hasUntried()) {
+        if (this.isDone || !this.attempts.isHedgeAllowed() || !this.endpoints.hasUntried()) {
             return;
         }
-        for (const attempt of this.runningAttempts) {
+        for (const attempt of this.attempts.getRunning()) {
             this.environment.health.addFailure(attempt.endpoint.id, this.getTime());
         }
         this.startAttempt("the endpoint has not answered in time.", true);
@@ -329,7 +286,7 @@
         return this.environment.retryBudget.takeRetry(this.getTime());
     }
 
-    private deliver(answer: CompleteAnswer, attempt: Attempt): void {
+    private deliver(answer: CompleteAnswer, attempt: DocumentAttempt): void {
         sendCompleteAnswer(this.task.sink, answer);
         this.finish("answered", attempt, answer.head.status);
     }
@@ -340,21 +297,21 @@
      * @param notRun - Refusal for the caller if no endpoint has run the request.
      */
     private giveUp(cause: string, notRun: RelayRefusal = createRefusal.notRun(cause)): void {
-        if (this.runningAttempts.size > 0) {
+        if (this.attempts.areRunning()) {
             return;
         }
-        if (this.failureAnswer !== undefined) {
-            const { failureAnswer } = this;
+        const failureAnswer = this.attempts.getFailureAnswer();
+        if (failureAnswer !== undefined) {
             sendCompleteAnswer(this.task.sink, failureAnswer);
             this.finish("endpointFailed", undefined, failureAnswer.head.status);
             return;
         }
-        this.refuse(this.mayHaveRun ? createRefusal.outcomeUnknown(cause) : notRun);
+        this.refuse(this.attempts.mayHaveRun() ? createRefusal.outcomeUnknown(cause) : notRun);
     }
 
     private expire(): void {
-        const isRunning = [...this.runningAttempts].some(({ exchange }) => exchange?.getSentTime() !== undefined);
-        const mayHaveRun = this.mayHaveRun || isRunning;
+        const isRunning = [...this.attempts.getRunning()].some(({ exchange }) => exchange?.getSentTime() !== undefined);
+        const mayHaveRun = this.attempts.mayHaveRun() || isRunning;
         this.refuse(mayHaveRun ? createRefusal.timedOut() : createRefusal.notRun("no endpoint accepted it in time."));
     }
 
@@ -365,7 +322,7 @@
         }
     }
 
-    private finish(outcome: string, answered?: Attempt, status = 0, cause = ""): void {
+    private finish(outcome: string, answered?: DocumentAttempt, status = 0, cause = ""): void {
         if (this.isDone) {
             return;
         }
@@ -373,18 +330,15 @@
         for (const timer of this.timers) {
             timer.cancel();
         }
-        for (const attempt of [...this.runningAttempts]) {
-            attempt.exchange?.abort();
-            this.releaseAttempt(attempt);
-        }
-        const { environment, task } = this;
-        const dataCentre = (answered?.endpoint ?? this.lastEndpoint)?.dataCentre;
+        this.attempts.abortAll();
+        const { environment, task, attempts } = this;
+        const dataCentre = (answered?.endpoint ?? attempts.getLastEndpoint())?.dataCentre;
         environment.log.write(events.relayEnded, {
             ...createEndFields(environment, task, {
                 outcome,
                 cause,
-                attemptCount: this.attempts,
-                firstSentAt: this.firstSentAt,
+                attemptCount: attempts.getCount(),
+                firstSentAt: attempts.getFirstSentTime(),
                 peer: answered?.exchange?.getPeer(),
                 dataCentres: dataCentre === undefined ? [] : [dataCentre],
             }),
@@ -394,12 +348,6 @@
         this.onDone();
     }
 
-    private releaseAttempt(attempt: Attempt): void {
-        this.firstSentAt ??= attempt.exchange?.getSentTime();
-        attempt.reservation.release();
-        this.runningAttempts.delete(attempt);
-    }
-
     private setTimer(delay: number, callback: () => void): void {
         this.timers.push(this.environment.clock.setTimer(Math.max(0, delay), callback));
     }
