Take no incarnation of another endpoint at the same address for a restart

Cause: three endpoints crashed and their records ended while the store was in trouble, so the registry retained them for a while. A new endpoint registered at the address of one of them. It stayed registered for good, without layers: the placement ordered it to load layers, and requests could be sent to it.

Change: the incarnation in a report counts only if no other endpoint registered at the address with it and the record of the endpoint isn't missing. A retained endpoint keeps its deadline. An endpoint at whose address another one has started later is no longer used, also while its own record exists, since only one process can listen at an address. Where incarnations are unknown (0) nothing changes.

--- a/src/process/router/endpointRegistry.ts
+++ b/src/process/router/endpointRegistry.ts
@@ -9,6 +9,7 @@
 import { EraRevision } from "../replica/eraRevision.ts";
 import type { StoreRecord } from "../replica/storeRecord.ts";
 import type { EndpointReadings } from "./endpointReadings.ts";
+import { findReplacedEndpoints } from "./findReplacedEndpoints.ts";
 import { RemovedEndpoints } from "./removedEndpoints.ts";
 
 /** Options of an {@link EndpointRegistry}. */
@@ -35,6 +36,8 @@
     endpoint: RegisteredEndpoint;
     /** Monotonic time in milliseconds until which the endpoint stays registered although its record is missing. */
     retainedUntil: number | undefined;
+    /** Whether the incarnation comes from a report instead of the endpoint's record. */
+    isIncarnationReported: boolean;
 }
 
 /** Records that expired during a store outage are written again within about two seconds after it. */
@@ -111,21 +114,35 @@
 
     /**
      * Handles the incarnation that an endpoint reported. If it is later than the registered one, the endpoint counts as
-     * holding no layers until its own record says so. An earlier one is ignored.
+     * holding no layers until its own record says so. An earlier one is ignored, and so is one that may be that of another
+     * endpoint that has taken over the address: if another one registered there with it, or if the record is missing.
      * @param requestedEndpoint - The endpoint as it was known when the report was requested.
      * @param incarnation - Start time of its process, in Unix milliseconds.
      */
     handleIncarnation(requestedEndpoint: RegisteredEndpoint, incarnation: number): void {
-        for (const [key, { endpoint: known }] of this.endpoints) {
+        for (const [key, { endpoint: known, retainedUntil }] of this.endpoints) {
             if (known.registeredId !== requestedEndpoint.registeredId || incarnation <= known.incarnation) {
                 continue;
             }
+            if (retainedUntil !== undefined || this.hasOther(key, known.address, incarnation)) {
+                return;
+            }
             const id = createEndpointKey(known.registeredId, incarnation);
             this.replace(key, { ...known, id, incarnation, layers: undefined }, "report");
             return;
         }
     }
 
+    /** Checks if another endpoint registered at an address with an incarnation. */
+    private hasOther(key: string, address: string, incarnation: number): boolean {
+        for (const [otherKey, { endpoint }] of this.endpoints) {
+            if (otherKey !== key && endpoint.address === address && endpoint.incarnation === incarnation) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Checks if a record of a later era of the store lacks the announcement of an endpoint that is known to be leaving. */
     isOutdated(record: StoreRecord, known: StoreRecord): boolean {
         const { decode } = this.options;
@@ -150,7 +167,7 @@
     private replace(key: string, endpoint: RegisteredEndpoint, source: ChangeSource | "report"): void {
         const { log, onRestart, onChange } = this.options;
         const known = this.endpoints.get(key)?.endpoint;
-        this.endpoints.set(key, { endpoint, retainedUntil: undefined });
+        this.endpoints.set(key, { endpoint, retainedUntil: undefined, isIncarnationReported: source === "report" });
         this.isIndexed = false;
         if (known !== undefined && known.incarnation < endpoint.incarnation) {
             log.write(events.endpointRestarted, { endpoint: endpoint.id, earlier: known.id, source });
@@ -247,7 +264,12 @@
         this.isIndexed = true;
         this.usableByService.clear();
         this.byAddress.clear();
-        for (const endpoint of this.getAll()) {
+        const endpoints = this.getAll();
+        const replaced = findReplacedEndpoints(this.endpoints.values());
+        for (const endpoint of endpoints) {
+            if (replaced.has(endpoint)) {
+                continue;
+            }
             this.byAddress.set(endpoint.address, endpoint);
             if (endpoint.isDraining || this.options.isLeaving(endpoint.id)) {
                 continue;
--- a/tests/process/router/endpointRegistry.test.ts
+++ b/tests/process/router/endpointRegistry.test.ts
@@ -21,7 +21,8 @@
         decode: (key, text) => {
             const incarnation = Number(/\d+/.exec(text)?.[0] ?? 1);
             const id = createEndpointKey(key, incarnation);
-            const changes = { id, incarnation, isDraining: text === "leaving", layers: { start: 0, end: 9 } };
+            const address = `10.0.0.1:${/ at (\d+)/.exec(text)?.[1] ?? key}`;
+            const changes = { id, incarnation, address, isDraining: text === "leaving", layers: { start: 0, end: 9 } };
             return text === "broken" ? Err("It is broken.") : Ok(createEndpoint(key, changes));
         },
         drainMilliseconds: 2_000,
@@ -94,6 +95,44 @@
         assert.deepEqual(getEndpoint().layers, { start: 0, end: 9 });
     });
 
+    // The report of the new process at the address was taken for a restart of the old one, which then stayed registered for good.
+    it("removes a retained endpoint at its deadline though a new endpoint at its address reports another incarnation", async () => {
+        const { clock, registry, getIds, restarted } = createFixture(0);
+        registry.applyRecord({ key: "1", revision: 1, text: "born 5" }, "store");
+        const asked = registry.getEndpoints("model")[0]!;
+        registry.applyRecord({ key: "1", revision: 2, text: undefined }, "store");
+        registry.handleIncarnation(asked, 8);
+        assert.deepEqual(restarted, []);
+        registry.applyRecord({ key: "2", revision: 3, text: "born 8 at 1" }, "store");
+        registry.handleIncarnation(asked, 8);
+        await clock.advance(1_000);
+        assert.deepEqual(registry.getAll().map(({ registeredId }) => registeredId), ["2"]);
+        assert.deepEqual(getIds(), ["2"]);
+        assert.deepEqual(restarted, []);
+    });
+
+    it("uses only the latest endpoint at an address while the record of an earlier one has not ended", () => {
+        const { registry, getIds, restarted } = createFixture();
+        registry.applyRecord({ key: "1", revision: 1, text: "born 5" }, "store");
+        const asked = registry.getEndpoints("model")[0]!;
+        registry.applyRecord({ key: "2", revision: 2, text: "born 8 at 1" }, "store");
+        registry.handleIncarnation(asked, 8);
+        assert.deepEqual(restarted, []);
+        assert.deepEqual(getIds(), ["2"]);
+        registry.applyRecord({ key: "1", revision: 3, text: "born 5" }, "store");
+        assert.deepEqual(getIds(), ["2"]);
+        assert.equal(registry.getEndpointAt("10.0.0.1:1")?.registeredId, "2");
+    });
+
+    it("uses the endpoint whose own record has an incarnation that a report brought for another one before", () => {
+        const { registry, getIds } = createFixture();
+        registry.applyRecord({ key: "1", revision: 1, text: "born 5" }, "store");
+        registry.handleIncarnation(registry.getEndpoints("model")[0]!, 8);
+        assert.deepEqual(getIds(), ["1"]);
+        registry.applyRecord({ key: "2", revision: 2, text: "born 8 at 1" }, "store");
+        assert.deepEqual(getIds(), ["2"]);
+    });
+
     it("logs once why a record is invalid, however often it is written", () => {
         const { registry, log, getIds } = createFixture();
         for (const revision of [1, 2, 3]) {
