Resolve mismatched orders in one round trip and delay refused ones

Cause: a new lease holder assumes sequence number 0, so its order to an endpoint that had orders before was refused (409), and it was sent with the right number only at a later check or after a fixed delay, 1.75 to 10 s later. An endpoint that refused all orders, such as one whose address another endpoint had taken over, was ordered at each check, four times a second.

Change: after a refusal the report is read, and if it shows another sequence number, the order is sent again at once with it while its fencing number is still valid (decideOrderFollowUp). An endpoint that carries out another order is left alone for the time that the load takes, or until its record changes. An order without an answer that the endpoint carries out counts as begun. Other refusals are repeated after 0.5 s, then twice as long each time up to 8 s. An endpoint that answers neither an order nor two requests for its report no longer counts as holding the ordered layers. The pending orders of one service are no longer removed by the check of another one.

--- a/src/process/placement/layerOrderTracker.ts
+++ b/src/process/placement/layerOrderTracker.ts
@@ -9,6 +9,7 @@
 import { InvariantError } from "../invariantError.ts";
 import type { EventLog } from "../logging/eventLog.ts";
 import { events } from "../logging/events.ts";
+import { decideOrderFollowUp, OrderFollowUp } from "./decideOrderFollowUp.ts";
 import { isSameRange } from "./isSameRange.ts";
 
 /** Options of {@link LayerOrderTracker}. */
@@ -17,28 +18,52 @@
     log: EventLog;
     sendOrder(endpoint: RegisteredEndpoint, order: LayerOrder): Promise<OrderOutcome | undefined>;
     fetchReport(endpoint: RegisteredEndpoint): Promise<EndpointReport | undefined>;
+    /** Checks if orders with this fencing number may be sent now. */
+    mayOrder(fencingNumber: number): boolean;
 }
 
 /** An order that was sent and whose result does not show in the endpoint's registration yet. */
 interface PendingOrder {
+    endpoint: RegisteredEndpoint;
     layers: HeldLayers;
-    /**
-     * Monotonic time from which the load time counts, in milliseconds. Reset if the endpoint's report can't be fetched.
-     */
-    sentAt: number;
-    /** Whether the endpoint has confirmed that it began the order. */
+    fencingNumber: number;
+    expectedSequence: number;
+    loadMilliseconds: number;
+    /** Outcome of the order; undefined if the endpoint has not answered. */
+    outcome: OrderOutcome["kind"] | undefined;
+    /** Whether the order was sent again with the sequence number that the endpoint reported. */
+    isResent: boolean;
+    /** Whether the endpoint has begun the order, as far as known. */
     isBegun: boolean;
+    /** Monotonic time in milliseconds from which the order is overdue, and the endpoint's report is fetched. */
+    dueAt: number;
+    /** Number of times that the report was not answered. */
+    unansweredReports: number;
     /** Whether a request for the endpoint's report is in flight. */
     isFetchingReport: boolean;
 }
 
+/** An endpoint that is given no order for some time. */
+interface Block {
+    /** Monotonic time in milliseconds. */
+    until: number;
+    /** The layers that its record showed. If they change, the endpoint has completed an order and the block ends. */
+    registeredLayers: HeldLayers | undefined;
+}
+
 /**
  * Time beyond the expected load time after which an order is overdue. Loads that share bandwidth take longer than
  * expected.
  */
 const overdueMarginMilliseconds = 2_500;
-/** Time for which an endpoint that is busy with an unknown order is given no other order. */
-const busyBackoffMilliseconds = 800;
+/**
+ * Delay before an endpoint that refused an order is given another one. It doubles with each refusal up to the maximum, since an endpoint
+ * that refuses all orders was ordered again at each check.
+ */
+const initialRetryMilliseconds = 500;
+const maximumRetryMilliseconds = 8_000;
+/** An endpoint that doesn't answer this many requests for its report doesn't count as holding the ordered layers any more. */
+const maximumUnansweredReports = 2;
 const millisecondsPerSecond = 1_000;
 
 /**
@@ -48,10 +73,11 @@
 export class LayerOrderTracker {
     private readonly options: LayerOrderTrackerOptions;
     private readonly pending = new Map<string, PendingOrder>();
-    /** Monotonic time until which each busy endpoint is given no order, in milliseconds. */
-    private readonly busyUntil = new Map<string, number>();
+    private readonly blocks = new Map<string, Block>();
     /** Number of orders that each endpoint has begun, as far as known. */
     private readonly sequences = new Map<string, number>();
+    /** Number of consecutive orders that each endpoint has refused. */
+    private readonly refusals = new Map<string, number>();
     /** Highest fencing number that an endpoint has refused. */
     private refusedFencingNumber = 0;
 
@@ -74,9 +100,9 @@
         return this.pending.size > 0;
     }
 
-    /** Counts the loads that endpoints have begun and, as far as known, not completed. */
-    countActiveLoads(): number {
-        return [...this.pending.values()].filter(({ isBegun }) => isBegun).length;
+    /** Counts the loads that endpoints of a service have begun and, as far as known, not completed. */
+    countActiveLoads(service: string): number {
+        return [...this.pending.values()].filter(order => order.endpoint.service === service && order.isBegun).length;
     }
 
     /** Gets the layers that an endpoint was ordered to hold; undefined if no order is pending. */
@@ -85,8 +111,10 @@
     }
 
     /** Checks if an endpoint must not be given an order now. */
-    isBusy(endpointId: string, now: number): boolean {
-        return this.pending.has(endpointId) || (this.busyUntil.get(endpointId) ?? 0) > now;
+    isBusy({ id, layers }: RegisteredEndpoint, now: number): boolean {
+        const block = this.blocks.get(id);
+        return this.pending.has(id)
+            || block !== undefined && block.until > now && isSameLayers(block.registeredLayers, layers);
     }
 
     /** Removes all pending orders, which were sent under an earlier fencing number. */
@@ -104,77 +132,149 @@
         layers: HeldLayers,
         fencingNumber: number,
     ): Promise<void> {
-        const { log, clock, sendOrder } = this.options;
         assertFits(model, endpoint, layers);
-        // If an earlier lease holder gave the endpoint orders, it refuses 0, and its report contains the right number.
-        const expectedSequence = this.sequences.get(endpoint.id) ?? 0;
-        const order = { layers, sentAt: clock.getMonotonicTime(), isBegun: false, isFetchingReport: false };
+        const loadMilliseconds = (layers.end - layers.start) / model.layers * model.loadSeconds * millisecondsPerSecond;
+        const order = {
+            endpoint,
+            layers,
+            fencingNumber,
+            // If an earlier lease holder gave the endpoint orders, it refuses 0, and its report contains the right number.
+            expectedSequence: this.sequences.get(endpoint.id) ?? 0,
+            loadMilliseconds,
+            outcome: undefined,
+            isResent: false,
+            isBegun: false,
+            dueAt: this.options.clock.getMonotonicTime() + loadMilliseconds + overdueMarginMilliseconds,
+            unansweredReports: 0,
+            isFetchingReport: false,
+        };
         this.pending.set(endpoint.id, order);
-        const outcomePromise = sendOrder(endpoint, { layers, fencingNumber, expectedSequence });
-        const { start, end } = layers;
-        const fields = { endpoint: endpoint.id, start, end, expectedSequence, fencingNumber };
-        log.write(events.placementOrdered, fields);
-        const outcome = await outcomePromise;
-        log.write(events.placementOrderEnded, { ...fields, outcome: outcome?.kind ?? "unanswered" });
-        if (outcome?.kind === "fenced") {
-            this.refusedFencingNumber = Math.max(this.refusedFencingNumber, fencingNumber);
-            this.pending.delete(endpoint.id);
-        }
-        else if (outcome?.kind === "begun") {
-            order.isBegun = true;
-            this.sequences.set(endpoint.id, expectedSequence + 1);
-        }
-        else if (outcome?.kind !== "done") {
-            await this.fetchResult(endpoint);
-        }
+        await this.sendPending(order);
     }
 
-    /** Removes orders whose layers the endpoints have registered, and orders of endpoints that are gone. */
-    removeCompleted(endpoints: readonly RegisteredEndpoint[]): void {
+    /** Removes orders whose layers the endpoints of a service have registered, and orders of endpoints that are gone. */
+    removeCompleted(service: string, endpoints: readonly RegisteredEndpoint[]): void {
         const byId = new Map(endpoints.map(endpoint => [endpoint.id, endpoint]));
-        for (const [id, { layers }] of this.pending) {
-            const endpoint = byId.get(id);
-            if (endpoint === undefined || isSameRange(endpoint.layers, layers)) {
+        for (const [id, { layers, endpoint }] of this.pending) {
+            const current = byId.get(id);
+            if (endpoint.service === service && (current === undefined || isSameRange(current.layers, layers))) {
                 this.pending.delete(id);
             }
         }
     }
 
     /** Fetches the reports of endpoints with overdue orders. */
-    checkOverdue(model: EngineModel, endpoints: readonly RegisteredEndpoint[]): void {
+    checkOverdue(): void {
         const now = this.options.clock.getMonotonicTime();
-        for (const endpoint of endpoints) {
-            const order = this.pending.get(endpoint.id);
-            if (order === undefined) {
-                continue;
-            }
-            const fraction = (order.layers.end - order.layers.start) / model.layers;
-            if (now - order.sentAt > fraction * model.loadSeconds * millisecondsPerSecond + overdueMarginMilliseconds) {
-                void this.fetchResult(endpoint);
+        for (const order of this.pending.values()) {
+            if (now > order.dueAt) {
+                void this.resolve(order);
             }
         }
     }
 
-    /** Fetches the report of an endpoint whose order was refused, unanswered or is overdue, and removes the order. */
-    private async fetchResult(endpoint: RegisteredEndpoint): Promise<void> {
-        const order = this.pending.get(endpoint.id);
-        if (order === undefined || order.isFetchingReport) {
+    private async sendPending(order: PendingOrder): Promise<void> {
+        const { log, sendOrder } = this.options;
+        const { endpoint, layers, fencingNumber, expectedSequence } = order;
+        const outcomePromise = sendOrder(endpoint, { layers, fencingNumber, expectedSequence });
+        const fields = { endpoint: endpoint.id, start: layers.start, end: layers.end, expectedSequence, fencingNumber };
+        log.write(events.placementOrdered, fields);
+        order.outcome = (await outcomePromise)?.kind;
+        log.write(events.placementOrderEnded, { ...fields, outcome: order.outcome ?? "unanswered" });
+        if (order.outcome === "fenced") {
+            this.refusedFencingNumber = Math.max(this.refusedFencingNumber, fencingNumber);
+            this.remove(order);
+        }
+        else if (order.outcome === "begun") {
+            this.handleBegun(order);
+        }
+        else if (order.outcome !== "done") {
+            await this.resolve(order);
+        }
+    }
+
+    private handleBegun(order: PendingOrder): void {
+        const { endpoint, expectedSequence } = order;
+        order.isBegun = true;
+        this.sequences.set(endpoint.id, expectedSequence + 1);
+        this.refusals.delete(endpoint.id);
+    }
+
+    /** Fetches the report of an endpoint whose order was refused, unanswered or is overdue, and acts on it. */
+    private async resolve(order: PendingOrder): Promise<void> {
+        const { clock, fetchReport, mayOrder } = this.options;
+        const { endpoint, layers, expectedSequence, outcome, isResent } = order;
+        if (order.isFetchingReport) {
             return;
         }
         order.isFetchingReport = true;
-        const report = await this.options.fetchReport(endpoint);
+        const report = await fetchReport(endpoint);
         order.isFetchingReport = false;
+        const now = clock.getMonotonicTime();
+        if (report !== undefined) {
+            this.sequences.set(endpoint.id, report.orderSequence);
+        }
+        if (this.pending.get(endpoint.id) !== order) {
+            return;
+        }
         if (report === undefined) {
-            order.sentAt = this.options.clock.getMonotonicTime();
+            order.unansweredReports += 1;
+            order.dueAt = now + getRetryDelay(order.unansweredReports);
+            const isRefused = outcome !== undefined && !order.isBegun;
+            if (isRefused || order.unansweredReports >= maximumUnansweredReports) {
+                this.reject(order);
+            }
             return;
         }
-        this.sequences.set(endpoint.id, report.orderSequence);
-        this.pending.delete(endpoint.id);
-        if (report.isBusyWithOrder) {
-            // The order in progress may come from an earlier lease holder, so the endpoint's future layers are unknown.
-            this.busyUntil.set(endpoint.id, this.options.clock.getMonotonicTime() + busyBackoffMilliseconds);
+        const sent = { layers, expectedSequence, registeredLayers: endpoint.layers, outcome, isResent };
+        const followUp = decideOrderFollowUp(sent, report);
+        if (followUp === OrderFollowUp.Wait) {
+            if (report.isBusyWithOrder) {
+                this.handleBegun(order);
+            }
+            order.dueAt = now + order.loadMilliseconds + overdueMarginMilliseconds;
+        }
+        else if (followUp === OrderFollowUp.Resend && mayOrder(order.fencingNumber)) {
+            order.expectedSequence = report.orderSequence;
+            order.isResent = true;
+            await this.sendPending(order);
+        }
+        else if (followUp === OrderFollowUp.Busy) {
+            // The other order's layers are unknown, and its load takes about as long as that of this one.
+            this.block(order, order.loadMilliseconds);
+        }
+        else {
+            this.reject(order);
         }
     }
+
+    private reject(order: PendingOrder): void {
+        const refusals = (this.refusals.get(order.endpoint.id) ?? 0) + 1;
+        this.refusals.set(order.endpoint.id, refusals);
+        this.block(order, getRetryDelay(refusals));
+    }
+
+    /** Removes an order and gives the endpoint no other one for some time. */
+    private block(order: PendingOrder, milliseconds: number): void {
+        const { id, layers } = order.endpoint;
+        const until = this.options.clock.getMonotonicTime() + milliseconds;
+        this.blocks.set(id, { until, registeredLayers: layers });
+        this.remove(order);
+    }
+
+    private remove(order: PendingOrder): void {
+        if (this.pending.get(order.endpoint.id) === order) {
+            this.pending.delete(order.endpoint.id);
+        }
+    }
+}
+
+function getRetryDelay(failures: number): number {
+    return Math.min(maximumRetryMilliseconds, initialRetryMilliseconds * 2 ** Math.max(0, failures - 1));
+}
+
+function isSameLayers(left: HeldLayers | undefined, right: HeldLayers | undefined): boolean {
+    return left === undefined ? right === undefined : isSameRange(right, left);
 }
 
 /**
--- a/src/process/placement/placementController.ts
+++ b/src/process/placement/placementController.ts
@@ -87,7 +87,7 @@
 
     private constructor(options: PlacementControllerOptions) {
         this.options = options;
-        this.orders = LayerOrderTracker.create(options);
+        this.orders = LayerOrderTracker.create({ ...options, mayOrder: number => this.getFencingNumber() === number });
     }
 
     /** Creates an instance that does nothing before {@link start}. */
@@ -178,7 +178,7 @@
             void this.ensurePlan(service, model, endpoints, { isStable, canOrder });
             return true;
         }
-        this.orders.removeCompleted(endpoints);
+        this.orders.removeCompleted(service, endpoints);
         const states = this.createPlacementEndpoints(endpoints, now);
         const canOrder = fencingNumber !== undefined;
         const assignments = this.getDueOrders(service, model, columns, states, { isStable, canOrder });
@@ -187,14 +187,14 @@
             return isWorkDue;
         }
         const { loadsAtOnce } = model;
-        const activeLoads = this.orders.countActiveLoads();
+        const activeLoads = this.orders.countActiveLoads(service);
         for (const assignment of chooseLoads({ columns, endpoints: states, assignments, activeLoads, loadsAtOnce })) {
             const endpoint = endpoints.find(({ id }) => id === assignment.endpointId);
             if (endpoint !== undefined) {
                 void this.orders.send(model, endpoint, assignment.layers, fencingNumber);
             }
         }
-        this.orders.checkOverdue(model, endpoints);
+        this.orders.checkOverdue();
         // A holder that gave up the lease before an urgent move is due would have to acquire it again for the move.
         return isWorkDue || this.dueMoves.get(service)?.isUrgent === true;
     }
@@ -205,7 +205,7 @@
             dataCentre: endpoint.dataCentre,
             kind: endpoint.kind ?? "",
             layers: this.orders.getOrderedLayers(endpoint.id) ?? endpoint.layers,
-            isBusy: this.orders.isBusy(endpoint.id, now),
+            isBusy: this.orders.isBusy(endpoint, now),
         }));
     }
 
