Don't count a refusal that asks for a pause as a failure of the document endpoint

Cause: each refusal of a document request counted as a failure of its endpoint, also those with Retry-After. The requests that an endpoint had in progress when it began to refuse raised its failure share to almost 1, which makes it up to 9 times as costly. The share halves every 3 s, so the endpoint got no requests for seconds after its pause while others had free slots, and only a success, for which it needed a request, ended that sooner.

Change: a refusal with a pause is not counted, since the pause already says for how long the endpoint gets no requests. Refusals without one count as before.

--- a/src/request/relay/documents/documentRelay.ts
+++ b/src/request/relay/documents/documentRelay.ts
@@ -190,7 +190,11 @@
         health.markAlive(attempt.endpoint.id, now);
         if (head.isNotRun) {
             this.refusals += 1;
-            health.addFailure(attempt.endpoint.id, now);
+            // A pause already says for how long the endpoint gets no requests. If the refusals of the requests that it had in progress
+            // counted as failures too, it would get none for seconds after that, as long as others have free slots.
+            if (head.instructions.pauseMilliseconds === undefined) {
+                health.addFailure(attempt.endpoint.id, now);
+            }
             this.endAttempt(attempt, { isNotRun: true, cause: "the endpoints refused it." });
             return;
         }
