Don't hold back a request whose crashes another request explains

Cause: a harmless request that was on the same two endpoints as a harmful one is held back at all nodes for a minute. Callers that send few different bodies lose all requests with this body: with four bodies, a quarter of the streams of the route is refused.

Change: a request with two suspected crashes isn't held back if one other request with three or more was on both endpoints. If the request is harmful too, its next crash is one that the other doesn't explain, and it is held back for ten minutes, so a wrong decision costs one endpoint. While both have the same two crashes, either may be the cause, and both are held back as before.

--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -93,7 +93,9 @@
      */
     getHold(fingerprint: string, now: number): RequestHold | undefined {
         const endpoints = this.suspectRequests.get(fingerprint);
-        return endpoints === undefined ? undefined : this.findHold(endpoints, now);
+        return endpoints === undefined || endpoints.size < minimumCrashes
+            ? undefined
+            : this.findHold(endpoints, now, this.listCertain(now));
     }
 
     /** Gets the crashes to announce to peers: recent ones, and those of held-back requests for nodes that have just started. */
@@ -109,8 +111,9 @@
     /** Lists the crashes of requests that are held back, and all recent crashes. */
     private listCrashes(now: number, maximumAgeMilliseconds: number): SuspectedCrash[] {
         const crashes: SuspectedCrash[] = [];
+        const certain = this.listCertain(now);
         for (const [fingerprint, endpoints] of this.suspectRequests.entries()) {
-            const isHeld = this.findHold(endpoints, now) !== undefined;
+            const isHeld = this.findHold(endpoints, now, certain) !== undefined;
             for (const [endpointId, at] of endpoints) {
                 if (isHeld || now - at < maximumAgeMilliseconds) {
                     crashes.push({ fingerprint, endpointId, at });
@@ -134,9 +137,25 @@
         return true;
     }
 
-    private findHold(endpoints: CrashTimes, now: number): RequestHold | undefined {
+    /** Lists the crashes of each request that has crashed so many endpoints that it is no coincidence. */
+    private listCertain(now: number): CrashTimes[] {
+        const certain: CrashTimes[] = [];
+        for (const endpoints of this.suspectRequests.values()) {
+            this.removeStale(endpoints, now);
+            if (endpoints.size >= certainCrashes) {
+                certain.push(endpoints);
+            }
+        }
+        return certain;
+    }
+
+    private findHold(
+        endpoints: CrashTimes,
+        now: number,
+        certain: readonly CrashTimes[],
+    ): RequestHold | undefined {
         this.removeStale(endpoints, now);
-        if (endpoints.size < minimumCrashes) {
+        if (endpoints.size < minimumCrashes || endpoints.size < certainCrashes && isExplained(endpoints, certain)) {
             return undefined;
         }
         const hold = endpoints.size < certainCrashes ? shortHoldMilliseconds : longHoldMilliseconds;
@@ -154,3 +173,12 @@
         }
     }
 }
+
+/**
+ * Checks if one other request that has certainly crashed endpoints was on all endpoints of a suspect request when they crashed. The
+ * suspect may then be harmless; if it isn't, its next crash is one that the other request doesn't explain.
+ */
+function isExplained(endpoints: CrashTimes, certain: readonly CrashTimes[]): boolean {
+    const ids = [...endpoints.keys()];
+    return certain.some(crashes => ids.every(id => crashes.has(id)));
+}
--- a/tests/request/relay/quarantine/requestQuarantine.test.ts
+++ b/tests/request/relay/quarantine/requestQuarantine.test.ts
@@ -42,6 +42,37 @@
         assert.equal(quarantine.getHold("harmful", 3 * minute)?.remainingMilliseconds, 9 * minute);
     });
 
+    // Guards against refusing a harmless request for a minute that was on the same endpoints as a harmful one.
+    it("does not hold back a request if one that crashed a third endpoint too explains its crashes", () => {
+        const { quarantine, crash } = createBench();
+        for (const endpointId of ["1", "2"]) {
+            crash("harmful", endpointId, 0);
+            crash("harmless", endpointId, 0);
+        }
+        crash("elsewhere", "2", 0);
+        crash("elsewhere", "4", 0);
+        assert.ok(quarantine.getHold("harmless", 1) !== undefined, "Either of two requests may be the cause.");
+        crash("harmful", "3", 2);
+        assert.equal(quarantine.getHold("harmless", 3), undefined);
+        assert.ok(quarantine.getHold("harmful", 3) !== undefined);
+        assert.ok(quarantine.getHold("elsewhere", 3) !== undefined, "One of its crashes is not explained.");
+        const held = quarantine.getHeldCrashes(3).map(({ fingerprint }) => fingerprint);
+        assert.deepEqual(new Set(held), new Set(["harmful", "elsewhere"]));
+    });
+
+    it("holds it back again if it crashes an endpoint without the other request", () => {
+        const { quarantine, crash } = createBench();
+        for (const endpointId of ["1", "2", "3"]) {
+            crash("harmful", endpointId, 0);
+        }
+        for (const endpointId of ["1", "2"]) {
+            crash("variant", endpointId, 0);
+        }
+        assert.equal(quarantine.getHold("variant", 1), undefined);
+        crash("variant", "4", 2);
+        assert.equal(quarantine.getHold("variant", 2)?.remainingMilliseconds, 10 * minute);
+    });
+
     it("counts an endpoint once, and does not count one that is still alive", () => {
         const { quarantine, crash, aliveTimes } = createBench();
         crash("r", "1", 0);
