Keep the start queue in order and refuse without searches of chains

Change: WaitingOrder keeps the waiting requests by rank and customer, each in order of time. Customers are compared only when the order is asked for, by a number that doesn't change while granted rates decay. ExhaustedCapacity remembers for which requests of a service no capacity was found. It ends when capacity is released, a peer's loads arrive, endpoints change, a limit changes or a pause begins, with each review, and after 50 ms, the interval at which waiting requests are reviewed for capacity that becomes free by time alone. Nothing is remembered while an endpoint pauses, for retries, and for requests that avoid endpoints or met rate limits. Whether endpoints hold the whole model is now checked by their ranges instead of a search, also before a search that would fail for lack of memory.

Decisions stay the same but for one case: an arrival within 50 ms after a failed search, with no change in between, is decided by that search, so it may wait for the next review or be refused where time alone has freed capacity. Retries have no time in the order; as before, none of a customer's retries counts as ahead of another one (the comparison gave NaN).

The cost of a refusal against a served request on a node was not measured.

--- a/src/connection/instructions/endpointInstructions.ts
+++ b/src/connection/instructions/endpointInstructions.ts
@@ -91,6 +91,17 @@
         return record === undefined || !record.isLeaving && record.pausedUntil <= at;
     }
 
+    /** Checks if any endpoint wants no requests for some time. */
+    hasPauses(): boolean {
+        const now = this.options.clock.getMonotonicTime();
+        for (const { pausedUntil } of this.records.values()) {
+            if (pausedUntil > now) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Checks if an endpoint has announced that it is leaving. */
     isLeaving(endpointId: string): boolean {
         return this.records.get(endpointId)?.isLeaving === true;
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -449,6 +449,7 @@
 
     /** Schedules one cleanup of endpoint state after all changes of a listing, which has a change for each endpoint. */
     private scheduleCleanup(): void {
+        this.queue.noteCapacityChange();
         this.cleanupTimer ??= this.options.clock.setTimer(0, () => this.removeStaleEndpointState());
     }
 
--- a/src/request/admission/smoothedRate.ts
+++ b/src/request/admission/smoothedRate.ts
@@ -35,4 +35,12 @@
     getPerSecond(now: number): number {
         return this.perSecond * Math.exp((this.updatedAt - now) / this.timeConstantMilliseconds);
     }
+
+    /**
+     * Gets a number that orders rates of the same time constant as their current values do. It doesn't change with time, since all
+     * of them decay by the same factor.
+     */
+    getOrder(): number {
+        return Math.log(this.perSecond) + this.updatedAt / this.timeConstantMilliseconds;
+    }
 }
--- a/src/request/admission/start/startQueue.ts
+++ b/src/request/admission/start/startQueue.ts
@@ -2,15 +2,26 @@
 import { DrainRate } from "../drainRate.ts";
 import { RetrySchedule } from "../retrySchedule.ts";
 import { SmoothedRate } from "../smoothedRate.ts";
+import { ExhaustedCapacity, type KnownExhaustion } from "./exhaustedCapacity.ts";
+import { refuseUnservable } from "./refuseUnservable.ts";
 import type { StartDecision } from "./startDecision.ts";
-import type { StartRefusal } from "./startRefusal.ts";
 import type { StartRequest } from "./startRequest.ts";
+import { WaitingList } from "./waitingList.ts";
+import { type ListPart, WaitingOrder } from "./waitingOrder.ts";
+import type { WaitingRequest } from "./waitingRequest.ts";
 
-/** A request in the queue. */
-interface WaitingRequest<Reservation> {
-    request: StartRequest<Reservation>;
-    /** Number of requests behind it in the order that were started before it. */
-    bypassCount: number;
+/** Requests that start before another one. */
+interface RequestsAhead {
+    count: number;
+    /** Their total cost, in tokens. */
+    cost: number;
+}
+
+/** Result of an attempt to start a request. */
+interface StartAttempt<Reservation> {
+    reservation: Reservation | undefined;
+    /** What is remembered of the lack of capacity, if it holds for other requests too. */
+    exhaustion: KnownExhaustion | undefined;
 }
 
 /** The decision on a request that was waiting. */
@@ -19,11 +30,6 @@
     decision: StartDecision<Reservation>;
 }
 
-/**
- * Number of requests that may overtake a waiting one. A large request needs more capacity at once than a small one, so a
- * steady flow of small requests would starve it. At this number, nothing behind it is started before it.
- */
-const maximumBypassCount = 4;
 /**
  * A request is queued if its expected wait is at most this fraction of the time that it may wait, since later arrivals may
  * be started before it. With a fraction of 1, more requests are refused only after waiting and no more are served.
@@ -35,8 +41,6 @@
 const timeConstantMilliseconds = 5_000;
 /** Minimum fraction of the throughput that is assumed to be available to retries, regardless of the rate of new requests. */
 const minimumRetryFraction = 0.2;
-/** Retry delay if the endpoints together do not hold the whole model: its layers are reassigned within seconds. */
-const unservableRetryMilliseconds = 2_000;
 
 /**
  * Decides which requests start, wait or are refused when there are more requests than capacity.
@@ -54,12 +58,16 @@
     private readonly onTimeArrivals: SmoothedRate;
     private readonly retrySchedule: RetrySchedule;
     private readonly grantedRates = new Map<string, SmoothedRate>();
-    private waiting: WaitingRequest<Reservation>[] = [];
+    private readonly waiting: WaitingOrder<Reservation>;
+    private readonly exhausted = ExhaustedCapacity.create();
     private running = 0;
 
     private constructor(random: RandomSource, now: number) {
         this.retrySchedule = RetrySchedule.create(random);
         this.onTimeArrivals = SmoothedRate.create(timeConstantMilliseconds, now);
+        this.waiting = WaitingOrder.create(
+            customer => this.grantedRates.get(customer ?? "")?.getOrder() ?? -Infinity,
+        );
     }
 
     /**
@@ -73,7 +81,7 @@
 
     /** Gets the number of waiting requests. */
     getLength(): number {
-        return this.waiting.length;
+        return this.waiting.getLength();
     }
 
     /** Gets the recent rate of new requests at this node, in tokens a second, to report to the peers. */
@@ -86,55 +94,71 @@
         if (isOnTime(request, now)) {
             this.onTimeArrivals.observe(now, request.cost);
         }
-        const ahead = this.getRequestsAhead(request, now);
-        if (ahead.every(({ bypassCount }) => bypassCount < maximumBypassCount)) {
-            const reservation = this.tryStart(request, now, ahead);
-            if (reservation !== undefined) {
-                return { kind: "start", reservation };
+        const ahead = this.waiting.getAhead(request, now);
+        const attempt = this.tryStartArrival(request, now, ahead);
+        if (attempt.reservation !== undefined) {
+            return { kind: "start", reservation: attempt.reservation };
+        }
+        if (attempt.exhaustion?.isServable !== true) {
+            const refusal = refuseUnservable(request);
+            if (refusal !== undefined) {
+                return refusal;
             }
         }
-        const refusal = refuseUnservable(request);
-        if (refusal !== undefined) {
-            return refusal;
+        if (attempt.exhaustion !== undefined) {
+            attempt.exhaustion.isServable = true;
         }
         const limitRetryMilliseconds = request.getLimitRetryMilliseconds();
         if (limitRetryMilliseconds !== undefined) {
             const retryAfterMilliseconds = Math.min(limitRetryMilliseconds, request.maximumRetryMilliseconds);
             return { kind: "refuse", cause: "its endpoints limit what they take.", retryAfterMilliseconds };
         }
-        const expectedMilliseconds = this.getExpectedWait(request, ahead, now);
+        const expectedMilliseconds = this.getExpectedWait(request, sumAhead(ahead), now);
         if (expectedMilliseconds > getRemainingWait(request, now) * maximumExpectedWaitFraction) {
             return this.refuse(request, "it would wait too long for capacity.", now);
         }
-        this.waiting.push({ request, bypassCount: 0 });
+        this.waiting.add(request, now);
         return { kind: "wait", expectedMilliseconds };
     }
 
+    /**
+     * Forgets for which requests no capacity was found. It must be called when capacity may have become free or endpoints have
+     * changed, before the next arrival.
+     */
+    noteCapacityChange(): void {
+        this.exhausted.clear();
+    }
+
     /**
      * Decides again on the waiting requests, after capacity was released, endpoints were added or removed, or time has passed.
      * @returns The decisions on the requests that no longer wait.
      */
     review(now: number): ReviewedRequest<Reservation>[] {
+        this.exhausted.clear();
         const reviewed: ReviewedRequest<Reservation>[] = [];
-        const ordered = this.waiting.toSorted((left, right) => this.compare(left.request, right.request, now));
         const stillWaiting: WaitingRequest<Reservation>[] = [];
+        const ahead: RequestsAhead = { count: 0, cost: 0 };
+        let isBlocked = false;
         let smallestUnreservedCost = Infinity;
-        for (const waiting of ordered) {
+        for (const waiting of this.waiting.listInOrder(now)) {
             const { request } = waiting;
-            const isBlocked = stillWaiting.some(({ bypassCount }) => bypassCount >= maximumBypassCount);
             const reservation = isBlocked || request.cost >= smallestUnreservedCost
                 ? undefined
-                : this.tryStart(request, now, stillWaiting);
+                : this.tryReserve(request, now).reservation;
             if (reservation !== undefined) {
+                this.waiting.remove(request);
+                for (const bypassed of stillWaiting) {
+                    this.waiting.addBypass(bypassed);
+                    isBlocked ||= WaitingList.isBlocking(bypassed);
+                }
                 reviewed.push({ request, decision: { kind: "start", reservation } });
                 continue;
             }
             smallestUnreservedCost = isBlocked
                 ? smallestUnreservedCost
                 : Math.min(smallestUnreservedCost, request.cost);
-            if (
-                now >= request.latestStart || !isOnTime(request, now) && !this.canServeLate(request, stillWaiting, now)
-            ) {
+            if (now >= request.latestStart || waiting.isLate && !this.canServeLate(request, ahead, now)) {
+                this.waiting.remove(request);
                 reviewed.push({
                     request,
                     decision: this.refuse(request, "no capacity became available in time.", now),
@@ -142,8 +166,10 @@
                 continue;
             }
             stillWaiting.push(waiting);
+            isBlocked ||= WaitingList.isBlocking(waiting);
+            ahead.count += 1;
+            ahead.cost += request.cost;
         }
-        this.waiting = stillWaiting;
         return reviewed;
     }
 
@@ -152,24 +178,22 @@
      * @returns The decisions on these requests.
      */
     reviewServability(): ReviewedRequest<Reservation>[] {
+        this.exhausted.clear();
         const reviewed: ReviewedRequest<Reservation>[] = [];
-        const stillWaiting: WaitingRequest<Reservation>[] = [];
-        for (const waiting of this.waiting) {
-            const decision = refuseUnservable(waiting.request);
-            if (decision === undefined) {
-                stillWaiting.push(waiting);
-                continue;
+        for (const { request } of this.waiting.getAll()) {
+            const decision = refuseUnservable(request);
+            if (decision !== undefined) {
+                this.waiting.remove(request);
+                reviewed.push({ request, decision });
             }
-            reviewed.push({ request: waiting.request, decision });
         }
-        this.waiting = stillWaiting;
         return reviewed;
     }
 
     /** Gets the latest time of the next review if no event triggers it earlier; undefined if no requests wait. */
     getNextReview(now: number): number | undefined {
         let next: number | undefined;
-        for (const { request } of this.waiting) {
+        for (const { request } of this.waiting.getAll()) {
             const at = isOnTime(request, now) ? request.latestOnTimeStart : request.latestStart;
             next = Math.min(next ?? Infinity, at);
         }
@@ -178,7 +202,7 @@
 
     /** Removes a request whose caller has disconnected. */
     remove(request: StartRequest<Reservation>): void {
-        this.waiting = this.waiting.filter(waiting => waiting.request !== request);
+        this.waiting.remove(request);
     }
 
     /**
@@ -199,21 +223,48 @@
         this.running += 1;
     }
 
-    private tryStart(
+    /** Starts a request that has arrived if nothing ahead of it prevents that and there is capacity. */
+    private tryStartArrival(
         request: StartRequest<Reservation>,
         now: number,
-        bypassed: WaitingRequest<Reservation>[],
-    ): Reservation | undefined {
-        const reservation = request.tryReserve();
-        if (reservation === undefined) {
-            return undefined;
+        ahead: readonly ListPart<Reservation>[],
+    ): StartAttempt<Reservation> {
+        if (ahead.some(({ list, count }) => list.isBlocked(count))) {
+            return { reservation: undefined, exhaustion: undefined };
         }
-        for (const waiting of bypassed) {
-            waiting.bypassCount += 1;
+        const attempt = this.tryReserve(request, now);
+        if (attempt.reservation !== undefined) {
+            for (const { list, count } of ahead) {
+                for (const bypassed of list.getEntries().slice(0, count)) {
+                    list.addBypass(bypassed);
+                }
+            }
         }
-        this.running += 1;
-        this.getOrAddGrantedRate(request.customer, now).observe(now, request.cost);
-        return reservation;
+        return attempt;
+    }
+
+    /** Reserves the capacity of a request and counts it as running. Doesn't search if it is known that there is none. */
+    private tryReserve(request: StartRequest<Reservation>, now: number): StartAttempt<Reservation> {
+        const query = { isOnTime: isOnTime(request, now), cost: request.cost, now };
+        const capacityClass = request.getCapacityClass?.();
+        const known = capacityClass === undefined ? undefined : this.exhausted.find({ ...query, capacityClass });
+        if (known !== undefined) {
+            return { reservation: undefined, exhaustion: known };
+        }
+        const reservation = request.tryReserve();
+        if (reservation !== undefined) {
+            this.running += 1;
+            this.getOrAddGrantedRate(request.customer, now).observe(now, request.cost);
+            return { reservation, exhaustion: undefined };
+        }
+        // The search may have met rate limits, which are not the same for the next request.
+        const failedClass = request.getCapacityClass?.();
+        return {
+            reservation,
+            exhaustion: failedClass === undefined
+                ? undefined
+                : this.exhausted.add({ ...query, capacityClass: failedClass }),
+        };
     }
 
     private refuse(request: StartRequest<Reservation>, cause: string, now: number): StartDecision<Reservation> {
@@ -232,34 +283,23 @@
         return { kind: "refuse", cause, retryAfterMilliseconds };
     }
 
-    private getRequestsAhead(request: StartRequest<Reservation>, now: number): WaitingRequest<Reservation>[] {
-        return this.waiting.filter(other => this.compare(other.request, request, now) <= 0);
-    }
-
     /** Estimates the wait of a request in milliseconds, from the cost of the requests ahead of it and the throughput. */
     private getExpectedWait(
         request: StartRequest<Reservation>,
-        ahead: readonly WaitingRequest<Reservation>[],
+        ahead: RequestsAhead,
         now: number,
     ): number {
         const throughput = this.drainRate.getRate(this.running);
         if (throughput === undefined || throughput === 0) {
-            return ahead.length < maximumWaitingWithoutEstimate ? 0 : Infinity;
-        }
-        let cost = request.cost;
-        for (const other of ahead) {
-            cost += other.request.cost;
+            return ahead.count < maximumWaitingWithoutEstimate ? 0 : Infinity;
         }
+        const cost = request.cost + ahead.cost;
         // New requests that arrive in the meantime go before a request that is late.
         const rate = isOnTime(request, now) ? throughput : throughput - this.getOnTimeArrivalRate(now);
         return rate > 0 ? cost / rate : Infinity;
     }
 
-    private canServeLate(
-        request: StartRequest<Reservation>,
-        ahead: readonly WaitingRequest<Reservation>[],
-        now: number,
-    ): boolean {
+    private canServeLate(request: StartRequest<Reservation>, ahead: RequestsAhead, now: number): boolean {
         return this.getExpectedWait(request, ahead, now) <= getRemainingWait(request, now);
     }
 
@@ -268,26 +308,6 @@
         return this.onTimeArrivals.getPerSecond(now) / 1000;
     }
 
-    /** Orders by rank, then requests that can meet their objective first, then by work granted to the customer, then by time. */
-    private compare(left: StartRequest<Reservation>, right: StartRequest<Reservation>, now: number): number {
-        const rank = left.rank - right.rank;
-        if (rank !== 0) {
-            return rank;
-        }
-        const isLeftOnTime = isOnTime(left, now);
-        if (isLeftOnTime !== isOnTime(right, now)) {
-            return isLeftOnTime ? -1 : 1;
-        }
-        const grantedDifference = left.customer === right.customer
-            ? 0
-            : this.getGrantedRate(left.customer, now) - this.getGrantedRate(right.customer, now);
-        return grantedDifference || left.latestOnTimeStart - right.latestOnTimeStart;
-    }
-
-    private getGrantedRate(customer: string | undefined, now: number): number {
-        return this.grantedRates.get(customer ?? "")?.getPerSecond(now) ?? 0;
-    }
-
     private getOrAddGrantedRate(customer = "", now: number): SmoothedRate {
         const known = this.grantedRates.get(customer) ?? SmoothedRate.create(timeConstantMilliseconds, now);
         this.grantedRates.set(customer, known);
@@ -295,21 +315,13 @@
     }
 }
 
-/** Refuses a request that no endpoints could serve even if nothing else were running. Undefined for any other request. */
-function refuseUnservable(request: StartRequest<unknown>): StartRefusal | undefined {
-    if (request.isServable()) {
-        return undefined;
+function sumAhead(ahead: readonly ListPart<unknown>[]): RequestsAhead {
+    const sum: RequestsAhead = { count: 0, cost: 0 };
+    for (const { list, count } of ahead) {
+        sum.count += count;
+        sum.cost += list.getCost(count);
     }
-    const pauseMilliseconds = request.getPauseRetryMilliseconds();
-    const cause = pauseMilliseconds === undefined
-        ? "the available endpoints together do not hold the whole model."
-        : "its endpoints accept no requests for some time.";
-    const retryMilliseconds = pauseMilliseconds ?? unservableRetryMilliseconds;
-    return {
-        kind: "refuse",
-        cause,
-        retryAfterMilliseconds: Math.min(retryMilliseconds, request.maximumRetryMilliseconds),
-    };
+    return sum;
 }
 
 function isOnTime({ latestOnTimeStart }: StartRequest<unknown>, now: number): boolean {
--- a/src/request/admission/start/startRequest.ts
+++ b/src/request/admission/start/startRequest.ts
@@ -11,6 +11,11 @@
     latestStart: number;
     /** Maximum retry delay that its caller follows, in milliseconds. */
     maximumRetryMilliseconds: number;
+    /**
+     * Gets the class within which requests differ only in their cost and in whether they are on time, as far as capacity for them
+     * is concerned. Undefined, or absent, if the request must search for capacity itself.
+     */
+    getCapacityClass?(): string | undefined;
     /** Finds and reserves the capacity that it needs to run; undefined if there is not enough. */
     tryReserve(): Reservation | undefined;
     /** Checks if the endpoints could serve it if nothing else were running. */
--- a/src/request/relay/chains/chooseStages.ts
+++ b/src/request/relay/chains/chooseStages.ts
@@ -1,5 +1,6 @@
 import type { RandomSource } from "../../../process/randomSource.ts";
 import { getTransferTime } from "../links/getTransferTime.ts";
+import { coversAllLayers } from "./coversAllLayers.ts";
 import { estimateAnswerTime } from "./estimateAnswerTime.ts";
 import type { RelayStage } from "./relayStage.ts";
 import type { StageCandidate } from "./stageCandidate.ts";
@@ -50,6 +51,15 @@
     candidates: readonly StageCandidate[],
     random: RandomSource,
 ): RelayStage[] | undefined {
+    // When memory is exhausted, most searches would fail. This check is much cheaper than a search.
+    const usable = query.mayOvercommit
+        ? candidates
+        : candidates.filter(candidate =>
+            hasFreeMemory(query, candidate, candidate.layers.end - candidate.layers.start)
+        );
+    if (!coversAllLayers(usable.map(({ layers }) => layers), query.model.layers)) {
+        return undefined;
+    }
     return searchChain(query, candidates, random, false) ?? searchChain(query, candidates, random, true);
 }
 
--- a/src/request/relay/chains/relayChains.ts
+++ b/src/request/relay/chains/relayChains.ts
@@ -1,5 +1,6 @@
 import type { EngineModel } from "../../../version/routing/engineModel.ts";
 import { getPauseRetryDelay } from "../../getPauseRetryDelay.ts";
+import type { HeldLayers } from "../endpoints/heldLayers.ts";
 import type { LoadReservation } from "../endpoints/loadReservation.ts";
 import type { RegisteredEndpoint } from "../endpoints/registeredEndpoint.ts";
 import { getActivationBits } from "../links/getActivationBits.ts";
@@ -9,6 +10,7 @@
 import type { RelayTask } from "../relayTask.ts";
 import { assertValidChain } from "./assertValidChain.ts";
 import { chooseHealthyStages } from "./chooseHealthyStages.ts";
+import { coversAllLayers } from "./coversAllLayers.ts";
 import { findFirstIndex } from "./findFirstIndex.ts";
 import { getRequestMemory } from "./getRequestMemory.ts";
 import { listCandidates } from "./listCandidates.ts";
@@ -27,8 +29,6 @@
     spareFraction?: number;
     /** Ids of endpoints whose rate limits rejected the request. */
     rateLimited?: ReadonlySet<string>;
-    /** Monotonic time in milliseconds at which the chain is used: pauses of endpoints that have ended by then don't count. Default: now. */
-    at?: number;
 }
 
 /** Requirements for a chain that the request is sent over, within the endpoints' rate limits. */
@@ -62,7 +62,7 @@
 
     /** Chooses the best chain, or returns undefined if there is none. */
     choose(
-        { avoid, firstStage, mayOvercommit, spareFraction = 0, rateLimited, at }: ChainRequirements,
+        { avoid, firstStage, mayOvercommit, spareFraction = 0, rateLimited }: ChainRequirements,
     ): RelayStage[] | undefined {
         const { environment, model, task } = this;
         const now = environment.clock.getMonotonicTime();
@@ -83,7 +83,7 @@
         const candidates = listCandidates(environment, model, task.service.name)
             .filter(({ endpoint: { id } }) =>
                 !avoid.has(id) && rateLimited?.has(id) !== true
-                && (id === runningId || environment.instructions.maySend(id, at))
+                && (id === runningId || environment.instructions.maySend(id))
             );
         return chooseHealthyStages(query, candidates, environment.random);
     }
@@ -136,8 +136,7 @@
         const { directory, instructions, clock, random } = this.environment;
         const ids = directory.getEndpoints(this.task.service.name).map(({ id }) => id);
         const ends = instructions.listPauseEnds(ids);
-        const hasChainAt = (at: number | undefined) =>
-            at !== undefined && this.choose({ avoid, mayOvercommit: true, at }) !== undefined;
+        const hasChainAt = (at: number | undefined) => at !== undefined && this.coversAllLayers(avoid, at);
         if (!hasChainAt(ends.at(-1))) {
             return undefined;
         }
@@ -186,8 +185,24 @@
      */
     hasChain(avoid: ReadonlySet<string>): boolean {
         const { directory } = this.environment;
-        return directory.getEndpoints(this.task.service.name).length === 0
-            || this.choose({ avoid, mayOvercommit: true }) !== undefined;
+        return directory.getEndpoints(this.task.service.name).length === 0 || this.coversAllLayers(avoid);
+    }
+
+    /**
+     * Checks if the endpoints that take requests together hold the whole model.
+     * @param avoid - Ids of endpoints that don't count.
+     * @param at - Monotonic time in milliseconds: pauses of endpoints that have ended by then don't count. Default: now.
+     */
+    private coversAllLayers(avoid: ReadonlySet<string>, at?: number): boolean {
+        const { directory, instructions } = this.environment;
+        const ranges: HeldLayers[] = [];
+        for (const { id, kind, layers } of directory.getEndpoints(this.task.service.name)) {
+            const isCandidate = layers !== undefined && this.model.kinds.has(kind ?? "") && !avoid.has(id);
+            if (isCandidate && instructions.maySend(id, at)) {
+                ranges.push(layers);
+            }
+        }
+        return coversAllLayers(ranges, this.model.layers);
     }
 
     /** Gets the known used fraction of an endpoint's memory; 0 for an endpoint without layers. */
--- a/src/request/relay/queue/createQueuedRelay.ts
+++ b/src/request/relay/queue/createQueuedRelay.ts
@@ -33,7 +33,7 @@
 export function createQueuedRelay(options: QueuedRelayOptions): QueuedRelay {
     const { environment, task, chains, avoided, isRetry, start, refuse } = options;
     const { request, route, customer, rank, isReturn, dueAt } = task;
-    const { clock, firstEvents, retryBudget } = environment;
+    const { clock, firstEvents, retryBudget, instructions } = environment;
     const reservedMilliseconds = Math.min(
         firstEvents.getExpected(),
         route.targetLatencyMilliseconds * maximumReserveFraction,
@@ -51,6 +51,11 @@
         latestOnTimeStart,
         latestStart: Math.min(request.arrivedAt + maximumWaitMilliseconds, dueAt),
         maximumRetryMilliseconds: (dueAt - request.arrivedAt) * maximumRetryDelayFraction,
+        // A pause ends by time alone, without a notification, and frees capacity at that moment.
+        getCapacityClass: () =>
+            isRetry || avoided.size > 0 || rateLimited.size > 0 || instructions.hasPauses()
+                ? undefined
+                : task.service.name,
         tryReserve: () => {
             const now = clock.getMonotonicTime();
             const spareFraction = now > latestOnTimeStart ? reservedFractionForTimely : 0;
--- a/src/request/relay/queue/relayQueue.ts
+++ b/src/request/relay/queue/relayQueue.ts
@@ -77,6 +77,7 @@
 
     /** Schedules an immediate review of the waiting requests, after memory became free or the endpoints changed. */
     wake(): void {
+        this.startQueue.noteCapacityChange();
         if (this.isReviewDue || this.startQueue.getLength() === 0) {
             return;
         }
@@ -85,6 +86,11 @@
         this.timer = this.options.clock.setTimer(0, () => this.review());
     }
 
+    /** Ends what is known of exhausted capacity, before a {@link wake} that follows. */
+    noteCapacityChange(): void {
+        this.startQueue.noteCapacityChange();
+    }
+
     /** Refuses the waiting requests that can't be served any more, after endpoints have asked for a pause or are leaving. */
     refuseUnservable(): void {
         for (const { request, decision } of this.startQueue.reviewServability()) {
@@ -145,9 +151,12 @@
     }
 
     private scheduleReview(): void {
+        if (this.timer !== undefined) {
+            return;
+        }
         const now = this.getTime();
         const at = this.startQueue.getNextReview(now);
-        if (at === undefined || this.timer !== undefined) {
+        if (at === undefined) {
             return;
         }
         const delay = Math.min(maximumReviewDelayMilliseconds, Math.max(1, at - now));
--- a/tests/request/relay/queue/relayQueue.test.ts
+++ b/tests/request/relay/queue/relayQueue.test.ts
@@ -16,7 +16,7 @@
         onWaited: (...wait) => waits.push(wait),
     });
     const capacity = { free: 0 };
-    const submit = (name: string, rank = 1): QueuedRelay => {
+    const submit = (name: string, rank = 1, capacityClass?: string): QueuedRelay => {
         const now = clock.getMonotonicTime();
         const relay: QueuedRelay = {
             requestId: name,
@@ -26,6 +26,7 @@
             latestOnTimeStart: now + 300,
             latestStart: now + 1_000,
             maximumRetryMilliseconds: 1_000,
+            getCapacityClass: () => capacityClass,
             isServable: () => true,
             getPauseRetryMilliseconds: () => undefined,
             getLimitRetryMilliseconds: () => undefined,
@@ -56,6 +57,17 @@
         assert.deepEqual(log, ["start urgent"]);
     });
 
+    // Guards against arrivals that are queued by outdated knowledge when nothing waits at the time of the notification.
+    it("starts a request that arrives right after it was notified of free capacity", async () => {
+        const { clock, queue, log, capacity, submit } = createBench();
+        queue.remove(submit("first", 1, "model"));
+        capacity.free = 1;
+        queue.wake();
+        submit("second", 1, "model");
+        await clock.advance(0);
+        assert.deepEqual(log, ["start second"]);
+    });
+
     it("finds capacity that became free without a notification", async () => {
         const { clock, log, waits, capacity, submit } = createBench();
         submit("first");
