--- a/src/process/commandLine/runCommandLine.ts
+++ b/src/process/commandLine/runCommandLine.ts
@@ -7,6 +7,7 @@
 import { createVersionCommand } from "./createVersionCommand.ts";
 import { ExitCode } from "./exitCode.ts";
 import { createExplainCommand } from "./explain/createExplainCommand.ts";
+import { reportUnexpectedError } from "./reportUnexpectedError.ts";
 import { UsageError } from "./usageError.ts";
 
 const maximumHelpWidth = 110;
@@ -81,7 +82,5 @@
         context.printError(`${error.message}\nSee foxlead --help, or foxlead COMMAND --help.`);
         return ExitCode.Usage;
     }
-    const details = error instanceof Error ? error.stack ?? error.message : String(error);
-    context.printError(`Unexpected error. Please report it with the following details: ${details}`);
-    return ExitCode.Unexpected;
+    return reportUnexpectedError(error, context);
 }
