Import zod as a namespace of its module

Cause: the export z of zod is an object of all of its functions, so the bundle contained all locales and converters.

Change: the sources import the namespace, from which the bundler takes what is used.

--- a/src/connection/endpoint/engineStatusSchema.ts
+++ b/src/connection/endpoint/engineStatusSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const layerRangeSchema = z.object({
     model: z.string(),
--- a/src/connection/endpoint/passResultSchema.ts
+++ b/src/connection/endpoint/passResultSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Schema of one line of an engine's response, which is validated because engines are not trusted. */
 export const passResultSchema = z.object({
--- a/src/process/admin/nodeStatus.ts
+++ b/src/process/admin/nodeStatus.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Status that a node serves under `/status`. */
 export interface NodeStatus {
--- a/src/process/claims/parseClaimBatch.ts
+++ b/src/process/claims/parseClaimBatch.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { Err, Ok, type Result } from "../../result.ts";
 import type { ClaimBatch } from "./claimBatch.ts";
 
--- a/src/process/placement/placementRecord.ts
+++ b/src/process/placement/placementRecord.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Schema of the plan of a service's layers in the platform's store. */
 export const placementRecordSchema = z.object({
--- a/src/process/platform/createVmListReader.ts
+++ b/src/process/platform/createVmListReader.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { systemClock } from "../systemClock.ts";
 import { CallEffect } from "./callEffect.ts";
 import { PlatformTransport } from "./platformTransport.ts";
--- a/src/process/platform/etcdSchemas.ts
+++ b/src/process/platform/etcdSchemas.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Decodes a 64-bit integer, which JSON represents as a string. A missing one is 0. */
 const integer = z.union([z.string(), z.number()]).default("0").transform(text => Number(text)).pipe(z.int());
--- a/src/process/router/quarantineRecord.ts
+++ b/src/process/router/quarantineRecord.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Stored form of the quarantined requests in the platform's store. */
 export const quarantineRecordSchema = z.object({
--- a/src/process/settings/createSettingsSchema.ts
+++ b/src/process/settings/createSettingsSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type { NodeSettings } from "./nodeSettings.ts";
 import { parseAddress } from "./parseAddress.ts";
 
--- a/src/version/configurationSchema.ts
+++ b/src/version/configurationSchema.ts
@@ -1,5 +1,5 @@
 import { isIP } from "node:net";
-import { z } from "zod";
+import * as z from "zod";
 import type { Configuration } from "./configuration.ts";
 
 const namePattern = /^[\p{L}\p{N}][\p{L}\p{N}._:/-]{0,99}$/u;
--- a/src/version/storedConfiguration.ts
+++ b/src/version/storedConfiguration.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { Err, Ok, type Result } from "../result.ts";
 
 /** The configuration as it is kept in the platform's store. */
