--- a/scripts/executable/createBundle.ts
+++ b/scripts/executable/createBundle.ts
@@ -51,7 +51,7 @@
             onLoad({ filter: /^undici$/, namespace: "parts" }, ({ pluginData }) => ({
                 contents: `
                     const Dispatcher = require("undici/lib/dispatcher/dispatcher.js");
-                    Object.assign(Dispatcher.prototype, require("undici/lib/api/index.js"));
+                    Dispatcher.prototype.request = require("undici/lib/api/api-request.js");
                     exports.Agent = require("undici/lib/dispatcher/agent.js");
                     exports.Client = require("undici/lib/dispatcher/client.js");
                     exports.Pool = require("undici/lib/dispatcher/pool.js");
@@ -96,7 +96,8 @@
         // ts-results and jsonc-parser can't be bundled from their CommonJS form.
         mainFields: ["module", "main"],
         // CommonJS has no import.meta, which yargs uses to find its own location.
-        define: { "import.meta.url": "bundleUrl" },
+        // undici leaves out its second, experimental HTTP parser where `esbuildDetection` is defined.
+        define: { "import.meta.url": "bundleUrl", esbuildDetection: "true" },
         banner: { js: 'const bundleUrl = require("node:url").pathToFileURL(__filename).href;' },
     });
     return metafile;
--- a/src/process/admin/adminServer.ts
+++ b/src/process/admin/adminServer.ts
@@ -1,4 +1,3 @@
-import findMyWay from "find-my-way";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { Err, Ok, type Result } from "../../result.ts";
@@ -30,13 +29,21 @@
 export class AdminServer {
     private readonly options: AdminServerOptions;
     private readonly server: Server;
+    /** Functions that respond to GET, by path. A router library would compile functions for these paths at each start. */
+    private readonly responders: ReadonlyMap<string, (response: ServerResponse) => void> = new Map([
+        ["/metrics", response => {
+            this.respondWithMetrics(response).catch((error: unknown) => respondWithFailure(response, error));
+        }],
+        ["/readyz", response => this.respondWithReadiness(response)],
+        ["/healthz", response => this.respondWithHealth(response)],
+        ["/status", response => this.respondWithStatus(response)],
+    ]);
 
     private constructor(options: AdminServerOptions) {
         this.options = options;
-        const router = this.createRouter();
         this.server = createServer((request, response) => {
             try {
-                router.lookup(request, response);
+                this.handle(request, response);
             }
             catch (error) {
                 respondWithFailure(response, error);
@@ -78,24 +85,34 @@
         });
     }
 
-    private createRouter() {
-        const router = findMyWay({ defaultRoute: (request, response) => respondToUnknownPath(request, response) });
-        router.get("/metrics", (_request, response) => {
-            this.respondWithMetrics(response).catch((error: unknown) => respondWithFailure(response, error));
-        });
-        router.get("/readyz", (_request, response) => {
-            const { ready, reason } = this.options.isReady();
-            respondWithText(response, ready ? 200 : 503, reason);
-        });
-        router.get("/healthz", (_request, response) => {
-            const isHealthy = this.options.isHealthy();
-            respondWithText(response, isHealthy ? 200 : 503, isHealthy ? "Healthy." : "Unhealthy.");
-        });
-        router.get("/status", (_request, response) => {
-            const body = `${JSON.stringify(this.options.getStatus(), undefined, 4)}\n`;
-            response.writeHead(200, { "content-type": "application/json" }).end(body);
-        });
-        return router;
+    private handle(request: IncomingMessage, response: ServerResponse): void {
+        const respond = this.responders.get(getPath(request));
+        if (respond === undefined) {
+            const paths = [...this.responders.keys()].join(", ");
+            respondWithText(response, 404, `Unknown path; known paths are ${paths}.`);
+            return;
+        }
+        if (request.method !== "GET") {
+            response.setHeader("allow", "GET");
+            respondWithText(response, 405, "Use GET.");
+            return;
+        }
+        respond(response);
+    }
+
+    private respondWithReadiness(response: ServerResponse): void {
+        const { ready, reason } = this.options.isReady();
+        respondWithText(response, ready ? 200 : 503, reason);
+    }
+
+    private respondWithHealth(response: ServerResponse): void {
+        const isHealthy = this.options.isHealthy();
+        respondWithText(response, isHealthy ? 200 : 503, isHealthy ? "Healthy." : "Unhealthy.");
+    }
+
+    private respondWithStatus(response: ServerResponse): void {
+        const body = `${JSON.stringify(this.options.getStatus(), undefined, 4)}\n`;
+        response.writeHead(200, { "content-type": "application/json" }).end(body);
     }
 
     private async respondWithMetrics(response: ServerResponse): Promise<void> {
@@ -105,16 +122,10 @@
     }
 }
 
-const paths = ["/metrics", "/readyz", "/healthz", "/status"];
-
-function respondToUnknownPath(request: IncomingMessage, response: ServerResponse): void {
-    const [path = ""] = (request.url ?? "").split("?");
-    if (paths.includes(path)) {
-        response.setHeader("allow", "GET");
-        respondWithText(response, 405, "Use GET.");
-        return;
-    }
-    respondWithText(response, 404, `Unknown path; known paths are ${paths.join(", ")}.`);
+/** Gets the path of a request without its query. */
+function getPath({ url = "" }: IncomingMessage): string {
+    const [path = ""] = url.split("?");
+    return path;
 }
 
 /** Responds to a failed request. The failure must not end the process, since operators then need the other paths most. */
--- a/src/process/logging/consolaEventLog.ts
+++ b/src/process/logging/consolaEventLog.ts
@@ -1,4 +1,4 @@
-import { type ConsolaInstance, createConsola, LogLevels, type LogObject } from "consola";
+import { type ConsolaInstance, createConsola, LogLevels, type LogObject } from "consola/core";
 import type { EventLog } from "./eventLog.ts";
 import { formatEventLine } from "./formatEventLine.ts";
 import type { LogEvent } from "./logEvent.ts";
