--- a/src/process/logging/consolaEventLog.ts
+++ b/src/process/logging/consolaEventLog.ts
@@ -1,4 +1,4 @@
-import { type ConsolaInstance, createConsola, LogLevels, type LogObject } from "consola";
+import { type ConsolaInstance, createConsola, LogLevels, type LogObject } from "consola/core";
 import { ProcessorAccount } from "../loop/processorAccount.ts";
 import { ProcessorCause } from "../loop/processorCause.ts";
 import type { EventLog } from "./eventLog.ts";
