Keep the placement lease until moves are made and for 6 s beyond the last order

Cause: a candidate acquired the lease for a move whose delay had passed, forgot when the move was first wanted, and as the holder saw it as not due, reported no work and released the lease; the next node did the same 1.5 s later.

Change: MoveSchedule keeps the time of a move when the lease changes hands. A move to a column that the fleet or the data centre lacks keeps the lease until it is made. A move for balance neither acquires nor keeps it and is made only by a holder that has something else to order. decideLeaseAction keeps an idle holder's lease for 6 s without renewing it; FencedLease.keep makes no calls, start acquires it again at once while no other process has written the record, and rest releases it also after it has expired. The expiry of a lease that was not renewed on purpose isn't logged as a loss. Reading and making plans is now in PlacementPlans.

--- a/src/process/leases/fencedLease.ts
+++ b/src/process/leases/fencedLease.ts
@@ -62,8 +62,7 @@
         if (!this.isRunning) {
             this.isRunning = true;
             this.isRelinquished = false;
-            this.state.setWanted(true);
-            this.apply(this.state.wake(this.getTime()));
+            this.apply(this.state.resume(this.getTime()));
         }
     }
 
@@ -83,18 +82,26 @@
      * The record is read once for the same reason.
      */
     rest(): void {
-        this.isRunning = false;
-        this.isRelinquished = true;
-        this.timer?.cancel();
-        this.timer = undefined;
-        this.state.setWanted(false);
-        if (this.isHeld()) {
+        this.keep();
+        if (this.isLastHolder()) {
             void this.release();
             return;
         }
         this.apply(this.state.readIfUnknown(this.getTime()));
     }
 
+    /**
+     * Keeps the lease without renewing it, because there may soon be orders to send. After it has expired, {@link start} acquires it
+     * at once, unless another process has.
+     */
+    keep(): void {
+        this.isRunning = false;
+        this.isRelinquished = true;
+        this.timer?.cancel();
+        this.timer = undefined;
+        this.state.suspend();
+    }
+
     /** Stops permanently and releases the lease. No order may be in flight. */
     async stop(): Promise<void> {
         this.isStopped = true;
@@ -104,8 +111,8 @@
     }
 
     private async release(): Promise<void> {
-        const fencingNumber = this.getFencingNumber();
-        const { call, logs } = this.state.release(this.getTime());
+        const fencingNumber = this.getLastNumber();
+        const { call, logs } = this.state.release();
         this.writeLogs(logs);
         if (call?.kind !== "swap") {
             return;
@@ -146,6 +153,11 @@
         return this.getFencingNumber() !== undefined;
     }
 
+    /** See {@link LeaseState.isLastHolder}. */
+    isLastHolder(): boolean {
+        return this.state.isLastHolder();
+    }
+
     /** Gets the fencing number if the lease is held; undefined otherwise. */
     getFencingNumber(): number | undefined {
         return this.state.getFencingNumber(this.options.clock.getMonotonicTime());
--- a/src/process/leases/leaseState.ts
+++ b/src/process/leases/leaseState.ts
@@ -66,6 +66,10 @@
     private blockedUntil = -Infinity;
     private isCalling = false;
     private isWanted = true;
+    /** Revision of the newest write of this process that has succeeded. */
+    private adoptedRevision: number | undefined;
+    /** Revision of the record that this process has tried to release. */
+    private releaseTriedAt: number | undefined;
     /** Fencing number of the lease that this process released last. */
     private releasedFencingNumber = 0;
     private retryAt = -Infinity;
@@ -102,9 +106,28 @@
             : undefined;
     }
 
-    /** Sets whether to acquire and renew the lease. */
-    setWanted(isWanted: boolean): void {
-        this.isWanted = isWanted;
+    /**
+     * Checks if this process has written the last known record and not released the lease, which may have expired. The holder's name
+     * isn't enough, since an earlier process may have had the same one.
+     */
+    isLastHolder(): boolean {
+        const { observed } = this;
+        return observed !== undefined && observed.revision === this.adoptedRevision;
+    }
+
+    /** Neither acquires nor renews the lease until {@link resume}. */
+    suspend(): void {
+        this.isWanted = false;
+    }
+
+    /** Acquires and renews the lease again. */
+    resume(time: EventTime): LeaseOutput {
+        // The lease was not renewed on purpose, so that its end is no loss.
+        if (!this.isWanted && !this.isValid(this.held, time.monotonic)) {
+            this.held = undefined;
+        }
+        this.isWanted = true;
+        return this.step(time);
     }
 
     /** Requests a read of the record if it was never seen. */
@@ -121,17 +144,19 @@
         return this.step(time);
     }
 
-    /** Releases the lease. The call in the output is sent once, without retries. */
-    release(time: EventTime): LeaseOutput {
-        const { held, observed } = this;
-        const isHeld = this.isValid(held, time.monotonic);
+    /** Releases the lease, also if it has expired. The call in the output is sent once for a record, without retries. */
+    release(): LeaseOutput {
+        const { observed } = this;
         this.held = undefined;
-        if (!isHeld || observed === undefined || this.isCalling) {
+        const isDue = this.isLastHolder() && !this.isCalling && observed?.revision !== this.releaseTriedAt;
+        if (!isDue || observed?.record === undefined) {
             return { logs: [] };
         }
-        const value = JSON.stringify({ ...held.record, writeId: this.createWriteId(), isReleased: true });
-        this.log(events.leaseReleased, { fencingNumber: held.record.fencingNumber });
-        return { call: { kind: "swap", expectedRevision: observed.revision, value }, logs: this.logs };
+        this.releaseTriedAt = observed.revision;
+        const value = JSON.stringify({ ...observed.record, writeId: this.createWriteId(), isReleased: true });
+        const { fencingNumber } = observed.record;
+        const logs = [{ event: events.leaseReleased, fields: { fencingNumber } }];
+        return { call: { kind: "swap", expectedRevision: observed.revision, value }, logs };
     }
 
     /** Records that this process released the lease. It stays the last holder until another one is seen. */
@@ -221,6 +246,7 @@
     private adopt(write: Write, revision: number, time: EventTime): void {
         const isNew = this.held?.record.fencingNumber !== write.record.fencingNumber;
         this.setObserved(revision, write.record, time);
+        this.adoptedRevision = revision;
         if (!this.isValid(write, time.monotonic)) {
             this.lose();
             return;
@@ -268,6 +294,7 @@
         }
         this.lose();
         this.observed = undefined;
+        this.adoptedRevision = undefined;
         this.sent = undefined;
         this.undetermined.clear();
     }
@@ -321,7 +348,8 @@
         if (firstSeenAt === undefined) {
             return -Infinity;
         }
-        if (record === undefined) {
+        // No other process has written the record since, so that only this one can have sent orders.
+        if (record === undefined || this.isLastHolder()) {
             return this.blockedUntil;
         }
         const timeToLive = record.isReleased ? 0 : record.timeToLiveMilliseconds;
--- a/src/process/placement/placementController.ts
+++ b/src/process/placement/placementController.ts
@@ -7,25 +7,22 @@
 import type { Clock, TimerHandle } from "../clock.ts";
 import type { FencedLease } from "../leases/fencedLease.ts";
 import type { EventLog } from "../logging/eventLog.ts";
-import { events } from "../logging/events.ts";
-import { runInSlices } from "../loop/runInSlices.ts";
 import type { PlatformStore } from "../platform/platformStore.ts";
 import { assignLayers } from "./assignLayers.ts";
 import { chooseLoads } from "./chooseLoads.ts";
+import { decideLeaseAction } from "./decideLeaseAction.ts";
 import { EndpointStabilityTracker } from "./endpointStabilityTracker.ts";
-import type { KindCount } from "./kindCount.ts";
-import type { LayerAssignment } from "./layerAssignment.ts";
-import type { LayerColumn } from "./layerColumn.ts";
+import type { LayerMove } from "./layerMove.ts";
 import { LayerOrderTracker } from "./layerOrderTracker.ts";
-import { MovePurpose } from "./movePurpose.ts";
+import type { LeaseAction } from "./leaseAction.ts";
+import { MoveSchedule } from "./moveSchedule.ts";
 import type { PlacementEndpoint } from "./placementEndpoint.ts";
-import { type PlacementRecord, placementRecordSchema } from "./placementRecord.ts";
-import { searchColumns } from "./searchColumns.ts";
+import { PlacementPlans } from "./placementPlans.ts";
 
 /** Options of a {@link PlacementController}. */
 interface PlacementControllerOptions {
     store: Pick<PlatformStore, "get" | "compareAndSwap">;
-    lease: Pick<FencedLease, "getFencingNumber" | "getLastNumber">;
+    lease: Pick<FencedLease, "getFencingNumber" | "getLastNumber" | "isLastHolder">;
     /** Checks if this node can reach the store. */
     isStoreAnswering(): boolean;
     /** Checks if this node would try to acquire the lease when orders are due. */
@@ -45,13 +42,13 @@
 }
 
 const checkIntervalMilliseconds = 250;
-/**
- * Delay of moves that are not urgent. An endpoint that crashed often registers again without layers within this time
- * after its registration expired, and then no other endpoint needs to move.
- */
-const moveDelayMilliseconds = 1_500;
-/** Time after which a candidate without a plan reads the store again. The lease holder may be computing the plan. */
-const candidateRetryMilliseconds = 3_000;
+/** What is to be done for a service. */
+interface PlacementWork {
+    /** Whether a plan is missing or orders are due, for which a candidate acquires the lease. */
+    isDue: boolean;
+    /** Whether orders are pending or will be due soon, for which a holder keeps the lease. */
+    isPending: boolean;
+}
 
 /**
  * Assigns layers to endpoints on the node that holds the lease. Makes one plan per service, keeps it in the store, and
@@ -61,32 +58,23 @@
  */
 export class PlacementController {
     private readonly options: PlacementControllerOptions;
-    private readonly plans = new Map<string, LayerColumn[]>();
-    /** The last known record of each service's plan in the store, even if the store may have lost it. */
-    private readonly knownRecords = new Map<string, PlacementRecord>();
-    /**
-     * Services for which the store was read under the current lease, whether or not it contained a plan. A stored plan
-     * is used immediately; only a new plan waits until all endpoints have registered.
-     */
-    private readonly servicesReadFromStore = new Set<string>();
-    /** Monotonic time of the last attempt to load each service's plan, in milliseconds. */
-    private readonly lastPlanAttemptAt = new Map<string, number>();
+    private readonly plans: PlacementPlans;
     private readonly stabilityTracker = EndpointStabilityTracker.create();
     private readonly orders: LayerOrderTracker;
-    /**
-     * The delayed move of each service: first layer of the target column, monotonic time since which it is the target, and whether
-     * no endpoint holds the column.
-     */
-    private readonly dueMoves = new Map<string, { start: number; since: number; isUrgent: boolean; }>();
+    private readonly moveSchedule = MoveSchedule.create();
     private timer: TimerHandle | undefined;
     /** Fencing number under which plans were last loaded. */
     private loadedFencingNumber = 0;
-    /** Whether an attempt to load or make a plan is in progress. */
-    private isPlanning = false;
-    private isWorkDue = true;
+    /** Monotonic time in milliseconds since which there has been something to order; undefined if there is nothing. */
+    private workSince: number | undefined;
+    /** Monotonic time in milliseconds at which there was something to order last. */
+    private lastWorkAt: number;
 
     private constructor(options: PlacementControllerOptions) {
         this.options = options;
+        this.plans = PlacementPlans.create(options);
+        this.workSince = options.clock.getMonotonicTime();
+        this.lastWorkAt = this.workSince;
         this.orders = LayerOrderTracker.create({ ...options, mayOrder: number => this.getFencingNumber() === number });
     }
 
@@ -115,19 +103,24 @@
         if (this.options.lease.getLastNumber() === undefined) {
             return;
         }
-        for (const record of this.knownRecords.values()) {
-            void this.writeRecord(record, 0);
-        }
+        this.plans.writeAgain();
     }
 
-    /** Checks if orders are due or pending, as of the last check of a candidate or the lease holder. */
-    hasWork(): boolean {
-        return this.isWorkDue;
+    /** Decides whether this node acquires, keeps or releases the lease, as of the last check. */
+    getLeaseAction(): LeaseAction {
+        const { clock, lease } = this.options;
+        const { workSince, lastWorkAt } = this;
+        return decideLeaseAction({
+            isHolder: lease.isLastHolder(),
+            workSince,
+            lastWorkAt,
+            now: clock.getMonotonicTime(),
+        });
     }
 
     private check(): void {
         this.start();
-        if (this.isPlanning) {
+        if (this.plans.isBusy()) {
             return;
         }
         const fencingNumber = this.getFencingNumber();
@@ -138,15 +131,24 @@
         if (canOrder && fencingNumber !== this.loadedFencingNumber) {
             this.loadedFencingNumber = fencingNumber;
             this.plans.clear();
-            this.servicesReadFromStore.clear();
             this.orders.clear();
         }
-        this.isWorkDue = false;
+        let hasWork = false;
         for (const service of this.options.getModelServices()) {
-            const orderFencingNumber = canOrder ? fencingNumber : undefined;
-            if (service.engine !== undefined && this.placeLayers(service.name, service.engine, orderFencingNumber)) {
-                this.isWorkDue = true;
+            if (service.engine === undefined) {
+                continue;
             }
+            const work = this.placeLayers(service.name, service.engine, canOrder ? fencingNumber : undefined);
+            hasWork ||= work.isDue || canOrder && work.isPending;
+        }
+        this.noteWork(hasWork);
+    }
+
+    private noteWork(hasWork: boolean): void {
+        const now = this.options.clock.getMonotonicTime();
+        this.workSince = hasWork ? this.workSince ?? now : undefined;
+        if (hasWork) {
+            this.lastWorkAt = now;
         }
     }
 
@@ -163,40 +165,57 @@
     /**
      * Checks the endpoints of a service and sends the orders that are due.
      * @param fencingNumber - Fencing number of the orders; undefined if this node must not send any.
-     * @returns Whether a plan is missing, or orders are due or pending.
      */
-    private placeLayers(service: string, model: EngineModel, fencingNumber: number | undefined): boolean {
+    private placeLayers(service: string, model: EngineModel, fencingNumber: number | undefined): PlacementWork {
         const endpoints = this.options.getEndpoints(service);
         if (endpoints.length === 0) {
-            return false;
+            return { isDue: false, isPending: false };
         }
         const now = this.options.clock.getMonotonicTime();
         const isStable = this.stabilityTracker.update(service, endpoints, now);
         const columns = this.plans.get(service);
         if (columns === undefined) {
-            const canOrder = fencingNumber !== undefined;
-            void this.ensurePlan(service, model, endpoints, { isStable, canOrder });
-            return true;
+            void this.plans.ensure(service, model, endpoints, { isStable, canOrder: fencingNumber !== undefined });
+            return { isDue: true, isPending: false };
         }
         this.orders.removeCompleted(service, endpoints);
         const states = this.createPlacementEndpoints(endpoints, now);
-        const canOrder = fencingNumber !== undefined;
-        const assignments = this.getDueOrders(service, model, columns, states, { isStable, canOrder });
-        const isWorkDue = assignments.length > 0 || this.orders.hasPending();
-        if (!canOrder) {
-            return isWorkDue;
-        }
-        const { loadsAtOnce } = model;
-        const activeLoads = this.orders.countActiveLoads(service);
-        for (const assignment of chooseLoads({ columns, endpoints: states, assignments, activeLoads, loadsAtOnce })) {
-            const endpoint = endpoints.find(({ id }) => id === assignment.endpointId);
-            if (endpoint !== undefined) {
-                void this.orders.send(model, endpoint, assignment.layers, fencingNumber);
+        const { assignments, moves } = this.options.runLong(
+            "assignLayers",
+            () => assignLayers(model, columns, states),
+        );
+        const { due, balancing, isLeaseNeeded } = this.scheduleMoves(service, moves, endpoints, isStable);
+        const wanted = [...assignments, ...due];
+        const isPending = isLeaseNeeded || this.orders.hasPending();
+        if (wanted.length > 0 || isPending) {
+            // The lease is neither acquired nor kept for balance alone: the calls to the store have a price, and the service is complete.
+            wanted.push(...balancing);
+        }
+        if (fencingNumber !== undefined) {
+            const { loadsAtOnce } = model;
+            const activeLoads = this.orders.countActiveLoads(service);
+            const query = { columns, endpoints: states, assignments: wanted, activeLoads, loadsAtOnce };
+            for (const assignment of chooseLoads(query)) {
+                const endpoint = endpoints.find(({ id }) => id === assignment.endpointId);
+                if (endpoint !== undefined) {
+                    void this.orders.send(model, endpoint, assignment.layers, fencingNumber);
+                }
             }
+            this.orders.checkOverdue();
         }
-        this.orders.checkOverdue();
-        // A holder that gave up the lease before an urgent move is due would have to acquire it again for the move.
-        return isWorkDue || this.dueMoves.get(service)?.isUrgent === true;
+        return { isDue: wanted.length > 0, isPending: isPending || this.orders.hasPending() };
+    }
+
+    private scheduleMoves(
+        service: string,
+        moves: readonly LayerMove[],
+        endpoints: readonly RegisteredEndpoint[],
+        isStable: boolean,
+    ) {
+        // A node that has just started may not know all endpoints yet, and a needless move takes a replica from another column.
+        const dataCentres = new Map(endpoints.map(({ id, dataCentre }) => [id, dataCentre]));
+        const now = this.options.clock.getMonotonicTime();
+        return this.moveSchedule.update(service, isStable ? moves : [], id => dataCentres.get(id) ?? "", now);
     }
 
     private createPlacementEndpoints(endpoints: readonly RegisteredEndpoint[], now: number): PlacementEndpoint[] {
@@ -208,150 +227,4 @@
             isBusy: this.orders.isBusy(endpoint, now),
         }));
     }
-
-    /** Loads or makes the plan of a service if an attempt is due. A candidate only loads it, and less often. */
-    private async ensurePlan(
-        service: string,
-        model: EngineModel,
-        endpoints: readonly RegisteredEndpoint[],
-        { isStable, canOrder }: { isStable: boolean; canOrder: boolean; },
-    ): Promise<void> {
-        const now = this.options.clock.getMonotonicTime();
-        const isDue = canOrder
-            ? isStable || !this.servicesReadFromStore.has(service)
-            : isStable && now - (this.lastPlanAttemptAt.get(service) ?? -Infinity) > candidateRetryMilliseconds;
-        if (!isDue) {
-            return;
-        }
-        this.lastPlanAttemptAt.set(service, now);
-        this.isPlanning = true;
-        await this.loadPlan(service, model, endpoints, isStable && canOrder);
-        this.isPlanning = false;
-    }
-
-    /**
-     * Gets the orders that are due. A move that is not urgent is delayed, since a lost replica of the target column may
-     * recover.
-     */
-    private getDueOrders(
-        service: string,
-        model: EngineModel,
-        columns: readonly LayerColumn[],
-        endpoints: readonly PlacementEndpoint[],
-        { isStable, canOrder }: { isStable: boolean; canOrder: boolean; },
-    ): LayerAssignment[] {
-        const now = this.options.clock.getMonotonicTime();
-        const { assignments, moves: [move] } = this.options.runLong(
-            "assignLayers",
-            () => assignLayers(model, columns, endpoints),
-        );
-        const dueMove = this.dueMoves.get(service);
-        // A new lease holder may not know all endpoints yet, and a needless move takes a replica from another column.
-        if (move === undefined || !isStable) {
-            this.dueMoves.delete(service);
-            return assignments;
-        }
-        const isUrgent = move.purpose === MovePurpose.FleetLacks;
-        if (dueMove?.start !== move.layers.start) {
-            this.dueMoves.set(service, { start: move.layers.start, since: now, isUrgent });
-            return assignments;
-        }
-        if (now - dueMove.since < moveDelayMilliseconds && !isUrgent) {
-            return assignments;
-        }
-        if (canOrder || !isUrgent) {
-            this.dueMoves.delete(service);
-        }
-        return [...assignments, move];
-    }
-
-    private async loadPlan(
-        service: string,
-        model: EngineModel,
-        endpoints: readonly RegisteredEndpoint[],
-        canCreatePlan: boolean,
-    ): Promise<void> {
-        const { store, keyPrefix, log } = this.options;
-        const key = `${keyPrefix}${service}`;
-        const stored = await store.get(key);
-        if (stored.err) {
-            log.write(events.leaseCallFailed, { key, reason: stored.val.message });
-            return;
-        }
-        this.servicesReadFromStore.add(service);
-        const record = stored.val === undefined ? undefined : parseRecord(stored.val.value);
-        if (record !== undefined && isRecordOf(model, record)) {
-            this.plans.set(service, record.columns);
-            this.knownRecords.set(service, record);
-            log.write(events.placementPlanned, { service, source: "store", columns: formatColumns(record.columns) });
-            return;
-        }
-        if (!canCreatePlan) {
-            return;
-        }
-        const newRecord = await this.createRecord(service, model, endpoints);
-        if (newRecord.columns.length === 0) {
-            log.write(events.layersWithoutEngine, { service });
-            return;
-        }
-        // If the answer was lost or another node stored a plan first, the next attempt reads the stored plan.
-        if (await this.writeRecord(newRecord, stored.val?.revision ?? 0)) {
-            this.plans.set(service, newRecord.columns);
-            const columns = formatColumns(newRecord.columns);
-            log.write(events.placementPlanned, { service, source: "computed", columns });
-        }
-    }
-
-    /** Gets the last known plan, which the store may have lost, or makes one. */
-    private async createRecord(
-        service: string,
-        model: EngineModel,
-        endpoints: readonly RegisteredEndpoint[],
-    ): Promise<PlacementRecord> {
-        const known = this.knownRecords.get(service);
-        if (known !== undefined && isRecordOf(model, known)) {
-            return known;
-        }
-        const columns = await runInSlices(searchColumns(model, countKinds(model, endpoints)), this.options.clock);
-        return { service, modelName: model.modelName, layers: model.layers, columns };
-    }
-
-    private async writeRecord(record: PlacementRecord, expectedRevision: number): Promise<boolean> {
-        const { store, keyPrefix } = this.options;
-        const key = `${keyPrefix}${record.service}`;
-        const written = await store.compareAndSwap(key, expectedRevision, JSON.stringify(record));
-        const isWritten = written.ok && written.val.swapped;
-        if (isWritten) {
-            this.knownRecords.set(record.service, record);
-        }
-        return isWritten;
-    }
-}
-
-function isRecordOf(model: EngineModel, { layers, modelName }: PlacementRecord): boolean {
-    return layers === model.layers && modelName === model.modelName;
-}
-
-function parseRecord(text: string): PlacementRecord | undefined {
-    try {
-        return placementRecordSchema.safeParse(JSON.parse(text)).data;
-    }
-    catch {
-        // Invalid JSON counts as no plan, and a new plan replaces it.
-        return undefined;
-    }
-}
-
-function countKinds(model: EngineModel, endpoints: readonly RegisteredEndpoint[]): KindCount[] {
-    const counts = new Map<string, Map<string, number>>();
-    for (const { kind = "", dataCentre } of endpoints) {
-        const kindCounts = counts.get(kind) ?? new Map<string, number>();
-        kindCounts.set(dataCentre, (kindCounts.get(dataCentre) ?? 0) + 1);
-        counts.set(kind, kindCounts);
-    }
-    return [...model.kinds.values()].map(kind => ({ kind, counts: counts.get(kind.name) ?? new Map() }));
-}
-
-function formatColumns(columns: readonly LayerColumn[]): string {
-    return columns.map(({ layers, kind }) => `${kind}=${layers.start}-${layers.end}`).join(",");
 }
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -205,7 +205,7 @@
             callStore: () => store.isAnswering(),
             configurationMilliseconds: settings.configurationMilliseconds,
             isSeed: settings.seeds.length === 0 || settings.seeds.includes(settings.peerListener),
-            hasPlacementWork: () => this.placementController.hasWork(),
+            getLeaseAction: () => this.placementController.getLeaseAction(),
             onCopyAge: milliseconds => metrics.storeCopyAgeSeconds.set(milliseconds / secondMilliseconds),
             log,
         });
--- a/src/process/router/storeWatchController.ts
+++ b/src/process/router/storeWatchController.ts
@@ -3,6 +3,7 @@
 import type { EventLog } from "../logging/eventLog.ts";
 import { events } from "../logging/events.ts";
 import type { RendezvousOwners } from "../membership/rendezvousOwners.ts";
+import { LeaseAction } from "../placement/leaseAction.ts";
 import type { RecordFollower } from "../replica/recordFollower.ts";
 import { isStoreWatcher } from "./isStoreWatcher.ts";
 import type { KnownNode } from "./knownNode.ts";
@@ -19,7 +20,7 @@
     owners: RendezvousOwners;
     followers: readonly RecordFollower[];
     /** Lease for placing layers. Only nodes that watch the store try to acquire it. */
-    lease: Pick<FencedLease, "isHeld" | "start" | "pause" | "rest">;
+    lease: Pick<FencedLease, "isHeld" | "start" | "pause" | "keep" | "rest">;
     /** Whether this node is giving up its duties. */
     isDraining(): boolean;
     /** Makes the cheapest call to the store; returns false if it is not answered soon. */
@@ -28,8 +29,8 @@
     configurationMilliseconds: number;
     /** Whether this node is a seed in the settings of the other nodes. */
     isSeed: boolean;
-    /** Whether there are layers to place, for which the lease is needed. */
-    hasPlacementWork(): boolean;
+    /** Decides what to do with the lease while the store answers this node. */
+    getLeaseAction(): LeaseAction;
     /** Called regularly with the time since this node's copy was last known to be current, in milliseconds. */
     onCopyAge(milliseconds: number): void;
     log: EventLog;
@@ -275,7 +276,7 @@
     }
 
     private reviewLease(isWatcher: boolean, hasPeers: boolean): void {
-        const { lease, isDraining, hasPlacementWork } = this.options;
+        const { lease, isDraining, getLeaseAction } = this.options;
         if (!isWatcher || this.isWithoutStore()) {
             // Without the store no node can acquire the lease; only its holder keeps trying to renew it.
             // A node that has just started and knows few others counts as a store watcher. If all such nodes kept trying to
@@ -283,13 +284,18 @@
             lease.pause();
             return;
         }
-        if (!hasPlacementWork()) {
-            // Renewing an unused lease every second would be a fifth of all calls to the store on a day with little activity.
-            lease.rest();
-            return;
-        }
-        if (hasPeers && !isDraining()) {
-            lease.start();
+        switch (getLeaseAction()) {
+            case LeaseAction.Acquire:
+                if (hasPeers && !isDraining()) {
+                    lease.start();
+                }
+                return;
+            case LeaseAction.Keep:
+                lease.keep();
+                return;
+            case LeaseAction.Release:
+                // Renewing an unused lease every second would be a fifth of all calls to the store on a day with little activity.
+                lease.rest();
         }
     }
 }
--- a/tests/process/leases/fencedLease.test.ts
+++ b/tests/process/leases/fencedLease.test.ts
@@ -116,6 +116,45 @@
         assert.equal(first.getLastNumber(), undefined);
     });
 
+    // Each renewal of a lease without orders is a priced call, and a release after each order let the lease change hands every second.
+    it("is kept without calls to the store, acquired again at once after it expired, and released even then", async () => {
+        const { clock, store, createLease } = createFixture();
+        const [first, second] = [createLease("a"), createLease("b")];
+        first.start();
+        second.rest();
+        await clock.advance(10);
+        const before = store.getCallCount();
+        first.keep();
+        await clock.advance(timeToLive - 100);
+        assert.equal(first.getFencingNumber(), 1);
+        await clock.advance(2 * timeToLive);
+        assert.equal(store.getCallCount(), before);
+        assert.equal(first.isHeld(), false);
+        first.start();
+        await clock.advance(10);
+        assert.equal(first.getFencingNumber(), 2);
+        first.keep();
+        await clock.advance(2 * timeToLive);
+        first.rest();
+        await clock.advance(10);
+        second.noteRelease(first.getNewestRelease()!);
+        await clock.advance(longestOrder + 100);
+        second.start();
+        await clock.advance(500);
+        assert.equal(second.getFencingNumber(), 3);
+    });
+
+    // A process with the same name may still be sending orders of an earlier start.
+    it("is not acquired at once by a later process with the name of its holder", async () => {
+        const { clock, createLease } = createFixture();
+        createLease("a").start();
+        await clock.advance(10);
+        const later = createLease("a");
+        later.start();
+        await clock.advance(timeToLive);
+        assert.equal(later.isHeld(), false);
+    });
+
     it("has at most one holder if several processes start to acquire it", async () => {
         const { clock, createLease } = createFixture();
         const leases = ["a", "b", "c"].map(holder => createLease(holder));
--- a/tests/process/placement/placementController.test.ts
+++ b/tests/process/placement/placementController.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { beforeEach, describe, it } from "node:test";
+import { LeaseAction } from "../../../src/process/placement/leaseAction.ts";
 import { PlacementController } from "../../../src/process/placement/placementController.ts";
 import type { HeldLayers } from "../../../src/request/relay/endpoints/heldLayers.ts";
 import type { LayerOrder } from "../../../src/request/relay/endpoints/layerOrder.ts";
@@ -37,7 +38,11 @@
     ): PlacementController {
         const controller = PlacementController.create({
             store,
-            lease: { getFencingNumber: () => fencingNumber, getLastNumber: () => fencingNumber },
+            lease: {
+                getFencingNumber: () => fencingNumber,
+                getLastNumber: () => fencingNumber,
+                isLastHolder: () => true,
+            },
             isStoreAnswering: () => true,
             isCandidate: () => true,
             clock,
@@ -103,40 +108,109 @@
         assert.deepEqual(orders[0]!.order.layers, third);
     });
 
-    // The candidate asked for the lease when a move was due, and as the holder gave it up before the move was due again: all nodes
-    // acquired and released the lease in turn while no endpoint held some layers.
-    it("keeps the lease until it has moved an endpoint to a column that has lost its last replica", async () => {
-        await storePlan();
-        endpoints = [createMiddle("x", second), createMiddle("w", second), createMiddle("y", third)];
+    describe("that acquires the lease when it has something to order", () => {
         let fencingNumber: number | undefined;
-        let acquisitions = 0;
-        const begun: LayerOrder[] = [];
-        const controller = start(0, {
-            lease: { getFencingNumber: () => fencingNumber, getLastNumber: () => acquisitions },
-            sendOrder: async (_endpoint, order) => {
-                // An earlier holder has given the endpoint an order, of which this node doesn't know.
-                if (order.expectedSequence === 0) {
-                    return { kind: "misfit", faultyAddress: undefined };
-                }
-                begun.push(order);
-                return { kind: "begun", faultyAddress: undefined };
-            },
-            fetchReport: async () => ({ orderSequence: 1, isBusyWithOrder: false }) as never,
+        let acquisitions: number;
+        let sequence: number;
+
+        beforeEach(() => {
+            fencingNumber = undefined;
+            acquisitions = 0;
+            sequence = 0;
         });
-        await clock.advance(3_000);
-        endpoints = endpoints.slice(0, 2);
-        for (let waited = 0; waited < 3_000 && begun.length === 0; waited += 130) {
-            await clock.advance(130);
-            if (fencingNumber === undefined && controller.hasWork()) {
-                acquisitions += 1;
-                fencingNumber = acquisitions;
-            }
-            else if (fencingNumber !== undefined && !controller.hasWork()) {
-                fencingNumber = undefined;
+
+        function startCandidate(): PlacementController {
+            return start(0, {
+                lease: {
+                    getFencingNumber: () => fencingNumber,
+                    getLastNumber: () => acquisitions,
+                    isLastHolder: () => fencingNumber !== undefined,
+                },
+                sendOrder: async ({ id }, order) => {
+                    // An earlier holder may have given the endpoint an order, of which this node doesn't know.
+                    if (order.expectedSequence !== sequence) {
+                        return { kind: "misfit", faultyAddress: undefined };
+                    }
+                    orders.push({ endpoint: id, order });
+                    return { kind: "begun", faultyAddress: undefined };
+                },
+                fetchReport: async () => ({ orderSequence: sequence, isBusyWithOrder: false }) as never,
+            });
+        }
+
+        /** Acquires and releases the lease as the controller asks. */
+        async function run(controller: PlacementController, milliseconds: number): Promise<void> {
+            for (let waited = 0; waited < milliseconds; waited += 130) {
+                await clock.advance(130);
+                const action = controller.getLeaseAction();
+                if (fencingNumber === undefined && action === LeaseAction.Acquire) {
+                    acquisitions += 1;
+                    fencingNumber = acquisitions;
+                }
+                else if (action === LeaseAction.Release) {
+                    fencingNumber = undefined;
+                }
             }
         }
-        assert.deepEqual(begun.map(({ layers }) => layers), [third]);
-        assert.equal(acquisitions, 1);
+
+        // The candidate asked for the lease when a move was due, and as the holder gave it up before the move was due again: all nodes
+        // acquired and released the lease in turn while no endpoint held some layers.
+        it("keeps it until it has moved an endpoint to a column that has lost its last replica", async () => {
+            await storePlan();
+            endpoints = [createMiddle("x", second), createMiddle("w", second), createMiddle("y", third)];
+            sequence = 1;
+            const controller = startCandidate();
+            await clock.advance(3_000);
+            endpoints = endpoints.slice(0, 2);
+            await run(controller, 3_000);
+            assert.deepEqual(orders.map(({ order }) => order.layers), [third]);
+            assert.equal(acquisitions, 1);
+        });
+
+        // A data centre lacked a column for the rest of a day although two of its endpoints held another one, while the lease changed
+        // hands 18 times without an order.
+        it("moves an endpoint to a column that its data centre lacks under one acquisition", async () => {
+            await storePlan();
+            const other = { kind, dataCentre: "b" };
+            const remote = [second, third].map((layers, index) => createEndpoint(`b${index}`, { ...other, layers }));
+            endpoints = [...remote, createMiddle("x", second), createMiddle("y", third), createMiddle("w", second)];
+            const controller = startCandidate();
+            await run(controller, 12_000);
+            const before = acquisitions;
+            endpoints = endpoints.filter(({ id }) => id !== "y");
+            await run(controller, 5_000);
+            assert.deepEqual(orders.map(({ order }) => order.layers), [third]);
+            assert.equal(acquisitions - before, 1);
+        });
+
+        // The lease changed hands each 1.5 s for moves that no holder made.
+        it("makes a move for balance only along with other orders, and never acquires it for balance alone", async () => {
+            await storePlan();
+            endpoints = [createMiddle("x", second), createMiddle("w", second), createMiddle("v", second)];
+            endpoints.push(createMiddle("y", third));
+            const controller = startCandidate();
+            await run(controller, 30_000);
+            assert.equal(orders.length, 0);
+            assert.equal(acquisitions, 1);
+            endpoints = [...endpoints, createEndpoint("z", { kind: "slow" })];
+            await run(controller, 2_500);
+            assert.equal(acquisitions, 2);
+            assert.deepEqual(orders.map(({ order }) => order.layers.start).sort(), [third.start, third.start]);
+            assert.equal(orders.filter(({ endpoint }) => endpoint === "z").length, 1);
+        });
+
+        it("keeps it for 6 s after the last order", async () => {
+            await storePlan();
+            const controller = startCandidate();
+            await run(controller, 1_000);
+            assert.deepEqual(orders.map(({ endpoint }) => endpoint), ["z"]);
+            endpoints = endpoints.with(2, createMiddle("z", orders[0]!.order.layers));
+            await run(controller, 5_500);
+            assert.notEqual(fencingNumber, undefined);
+            assert.equal(controller.getLeaseAction(), LeaseAction.Keep);
+            await run(controller, 1_500);
+            assert.equal(fencingNumber, undefined);
+        });
     });
 
     // Another plan would have moved the layers of all endpoints.
--- a/tests/process/router/storeWatchController.test.ts
+++ b/tests/process/router/storeWatchController.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { before, describe, it } from "node:test";
 import { RendezvousOwners } from "../../../src/process/membership/rendezvousOwners.ts";
+import { LeaseAction } from "../../../src/process/placement/leaseAction.ts";
 import { RecordFollower } from "../../../src/process/replica/recordFollower.ts";
 import { RecordSection } from "../../../src/process/replica/recordSection.ts";
 import { NodeTable } from "../../../src/process/router/nodeTable.ts";
@@ -51,13 +52,14 @@
                 isHeld: () => false,
                 start: () => leaseCalls.push("start"),
                 pause: () => leaseCalls.push("pause"),
+                keep: () => leaseCalls.push("keep"),
                 rest: () => leaseCalls.push("rest"),
             },
             isDraining: () => false,
             callStore: async () => !store.isDown,
             configurationMilliseconds: 4_000,
             isSeed,
-            hasPlacementWork: () => hasWork,
+            getLeaseAction: () => hasWork ? LeaseAction.Acquire : LeaseAction.Release,
             onCopyAge: () => undefined,
             log,
         });
