--- a/src/request/relay/streams/eventSplitter.ts
+++ b/src/request/relay/streams/eventSplitter.ts
@@ -1,7 +1,11 @@
 import type { StreamEvent } from "./streamEvent.ts";
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
-const idPattern = /^id: ?(\d+)\r?$/m;
+const space = 0x20;
+const digitZero = 0x30;
+const digitNine = 0x39;
+const decimalRadix = 10;
+const idField = Buffer.from("id:");
 
 /** Splits the bytes of a stream into complete events, which keep their exact bytes. */
 export class EventSplitter {
@@ -45,6 +49,37 @@
 }
 
 function createEvent(bytes: Buffer): StreamEvent {
-    const id = idPattern.exec(bytes.toString("latin1"))?.[1];
-    return { bytes, id: id === undefined ? undefined : Number(id) };
+    return { bytes, id: findId(bytes) };
+}
+
+/** Finds the first line with a numeric id. Reads the bytes in place, since decoding them as text would copy each event. */
+function findId(bytes: Buffer): number | undefined {
+    for (let lineStart = 0; lineStart < bytes.length;) {
+        const id = readId(bytes, lineStart);
+        if (id !== undefined) {
+            return id;
+        }
+        const lineEnd = bytes.indexOf(lineFeed, lineStart);
+        lineStart = lineEnd === -1 ? bytes.length : lineEnd + 1;
+    }
+    return undefined;
+}
+
+/** Reads the id of a line; undefined if the line has none or one that is not a number. */
+function readId(bytes: Buffer, lineStart: number): number | undefined {
+    for (let index = 0; index < idField.length; index++) {
+        if (bytes[lineStart + index] !== idField[index]) {
+            return undefined;
+        }
+    }
+    let at = lineStart + idField.length;
+    at += bytes[at] === space ? 1 : 0;
+    const firstDigit = at;
+    let id = 0;
+    for (let byte = bytes[at]!; byte >= digitZero && byte <= digitNine; byte = bytes[at]!) {
+        id = id * decimalRadix + byte - digitZero;
+        at += 1;
+    }
+    const isLineEnd = bytes[at] === lineFeed || bytes[at] === carriageReturn;
+    return at > firstDigit && isLineEnd ? id : undefined;
 }
--- a/tests/platform/createAnswerSink.test.ts
+++ b/tests/platform/createAnswerSink.test.ts
@@ -7,12 +7,19 @@
 import type { AnswerSink } from "../../src/request/relay/answers/answerSink.ts";
 
 /** Sends pipelined requests over one connection, answers them with a function and returns all bytes received. */
-async function exchange(paths: string[], answer: (sinks: AnswerSink[]) => void, version = "1.1"): Promise<string> {
+async function exchange(
+    paths: string[],
+    answer: (sinks: AnswerSink[], responses: ServerResponse[]) => void,
+    version = "1.1",
+    onReceived: (text: string) => void = () => undefined,
+): Promise<string> {
     const sinks: AnswerSink[] = [];
+    const responses: ServerResponse[] = [];
     const server = createServer((request, response: ServerResponse) => {
         sinks.push(createAnswerSink(response, "id", () => request.url === paths.at(-1), new AbortController().signal));
+        responses.push(response);
         if (sinks.length === paths.length) {
-            answer(sinks);
+            answer(sinks, responses);
         }
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
@@ -22,6 +29,7 @@
     let received = "";
     for await (const chunk of socket) {
         received += String(chunk);
+        onReceived(String(chunk));
     }
     server.close();
     return received;
@@ -55,6 +63,50 @@
         assert.equal(body, `2\r\nab\r\n14\r\n${"ab".repeat(10)}\r\n0\r\n\r\n`);
     });
 
+    // Guards against a system call for each event when a late node reads several of a stream at once.
+    it("writes the head and all events of a turn in one write, and events of a later turn in another", async () => {
+        let writes = 0;
+        const received = await exchange(["/only"], ([sink], [response]) => {
+            const socket = response!.socket!;
+            const { _write: write, _writev: writev } = socket;
+            socket._write = (...parameters) => {
+                writes += 1;
+                write.apply(socket, parameters);
+            };
+            socket._writev = (...parameters) => {
+                writes += 1;
+                writev!.apply(socket, parameters);
+            };
+            sink!.writeHead(createHead());
+            sink!.write(Buffer.from("ab"));
+            sink!.write(Buffer.from("cd"));
+            assert.equal(writes, 0);
+            setImmediate(() => {
+                assert.equal(writes, 1);
+                sink!.write(Buffer.from("ef"));
+                sink!.end();
+                setImmediate(() => assert.equal(writes, 2));
+            });
+        });
+        assert.ok(received.endsWith("\r\n\r\n2\r\nab\r\n2\r\ncd\r\n2\r\nef\r\n0\r\n\r\n"), received);
+    });
+
+    // Guards against the loss of events that arrived together with the failure of their stream.
+    it("delivers the events of the turn in which a response is aborted", async () => {
+        let received = "";
+        await exchange(
+            ["/only"],
+            ([sink]) => {
+                sink!.writeHead(createHead());
+                sink!.write(Buffer.from("abc"));
+                sink!.abort();
+            },
+            "1.1",
+            text => received += text,
+        ).catch(() => undefined);
+        assert.match(received, /3\r\nabc/);
+    });
+
     it("holds a pipelined response back until the ones before it are complete", async () => {
         const received = await exchange(["/first", "/second"], ([first, second]) => {
             stream(second!, "2");
--- a/tests/request/relay/streams/eventSplitter.test.ts
+++ b/tests/request/relay/streams/eventSplitter.test.ts
@@ -13,6 +13,13 @@
         assert.ok(splitter.hasIncompleteEvent());
     });
 
+    // Guards against ids that are read from other fields or only in part, which would lose or repeat events.
+    it("reads only complete numeric ids at the start of a line", () => {
+        const lines = ["id: 7x", "xid: 7", "id:", "id:  7", "data: id: 7", "id: 0012", "id:5\r", "id: 1\nid: 2"];
+        const ids = lines.map(line => EventSplitter.create().push(Buffer.from(`data: a\n${line}\ndata: b\n\n`))[0]!.id);
+        assert.deepEqual(ids, [undefined, undefined, undefined, undefined, undefined, 12, 5, 1]);
+    });
+
     it("returns the same events with the same bytes, however the stream is split into chunks", () => {
         const bytes = Buffer.from(text);
         const expected = EventSplitter.create().push(bytes);
