Encode messages between nodes as JSON arrays

A node with a tenth of a core runs the exchange with its peers mostly in the interpreter. There, the binary codec is slow, since it handles each byte in JavaScript, while JSON's functions are native code.

Each message is now a JSON array with the field numbers - 1 as indexes, so fields can be added as before. Types are checked when a message is decoded. Servers take both encodings, and a client that a peer of an older release tells that it has no JSON methods falls back to binary messages.

--- a/src/connection/peer/framed/framedServer.ts
+++ b/src/connection/peer/framed/framedServer.ts
@@ -1,4 +1,11 @@
-import { type DescService, fromBinary, type MessageShape, toBinary } from "@bufbuild/protobuf";
+import {
+    create,
+    type DescService,
+    fromBinary,
+    type MessageInitShape,
+    type MessageShape,
+    toBinary,
+} from "@bufbuild/protobuf";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { ProcessorAccount } from "../../../process/loop/processorAccount.ts";
 import { ProcessorCause } from "../../../process/loop/processorCause.ts";
@@ -8,12 +15,14 @@
 import { FrameKind } from "./frameKind.ts";
 import { frameLayout } from "./frameLayout.ts";
 import { FrameReader } from "./frameReader.ts";
+import { JsonCodec } from "./jsonCodec.ts";
+import { jsonMethod } from "./jsonMethod.ts";
 
 /** Handlers of the unary methods of a service. */
 type UnaryHandlers<Service extends DescService> = {
     [Name in keyof Service["method"]]: (
         request: MessageShape<Service["method"][Name]["input"]>,
-    ) => MessageShape<Service["method"][Name]["output"]>;
+    ) => MessageInitShape<Service["method"][Name]["output"]>;
 };
 
 /** Options of a {@link FramedServer}. */
@@ -53,9 +62,19 @@
         const encoded = new Map<string, EncodedHandler>();
         for (const method of service.methods) {
             const handle = handlers[method.localName as keyof typeof handlers] as (request: unknown) => never;
+            const input = JsonCodec.create(method.input);
+            const output = JsonCodec.create(method.output);
+            encoded.set(jsonMethod.getName(method.name), payload => {
+                const answer = handle(account.run(ProcessorCause.PeerDecode, () => input.decode(payload)));
+                return account.run(ProcessorCause.PeerEncode, () => output.encode(answer));
+            });
+            // Callers of an older release.
             encoded.set(method.name, payload => {
-                const output = handle(account.run(ProcessorCause.PeerDecode, () => fromBinary(method.input, payload)));
-                return account.run(ProcessorCause.PeerEncode, () => toBinary(method.output, output));
+                const answer = handle(account.run(ProcessorCause.PeerDecode, () => fromBinary(method.input, payload)));
+                return account.run(
+                    ProcessorCause.PeerEncode,
+                    () => toBinary(method.output, create(method.output, answer)),
+                );
             });
         }
         const created = new FramedServer(encoded);
@@ -107,7 +126,7 @@
     private answer({ callId, method, payload }: Frame): Frame {
         const handle = this.handlers.get(method);
         if (handle === undefined) {
-            return createFailure(callId, `Unknown method ${method}.`);
+            return createFailure(callId, jsonMethod.describeUnknown(method));
         }
         try {
             return { callId, kind: FrameKind.Answer, method: "", payload: handle(payload) };
--- a/tests/connection/peer/framed/framedCalls.test.ts
+++ b/tests/connection/peer/framed/framedCalls.test.ts
@@ -1,15 +1,19 @@
-import { create } from "@bufbuild/protobuf";
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import { type Client, Code, ConnectError, createClient } from "@connectrpc/connect";
 import assert from "node:assert/strict";
 import { connect, createServer } from "node:net";
 import { after, afterEach, before, beforeEach, describe, it } from "node:test";
 import { createFramedTransport } from "../../../../src/connection/peer/framed/createFramedTransport.ts";
+import { encodeFrame } from "../../../../src/connection/peer/framed/encodeFrame.ts";
 import { FramedConnection } from "../../../../src/connection/peer/framed/framedConnection.ts";
 import { FramedServer } from "../../../../src/connection/peer/framed/framedServer.ts";
+import { FrameKind } from "../../../../src/connection/peer/framed/frameKind.ts";
+import { FrameReader } from "../../../../src/connection/peer/framed/frameReader.ts";
 import { systemClock } from "../../../../src/process/systemClock.ts";
 import {
     ExchangeResponseSchema,
     type FetchRequest,
+    FetchRequestSchema,
     FetchResponseSchema,
     RouterService,
 } from "../../../../src/wire/generated/foxlead/router/v1/router_pb.ts";
@@ -87,6 +91,46 @@
         await new Promise(resolve => silent.close(resolve));
     });
 
+    it("uses binary messages with a server of an older release, which doesn't know the JSON methods", async () => {
+        const methods: string[] = [];
+        const older = createServer(socket => {
+            const reader = FrameReader.create();
+            socket.on("data", chunk => {
+                for (const { callId, method, payload } of reader.push(chunk).unwrap()) {
+                    methods.push(method);
+                    socket.write(encodeFrame(
+                        method === "Fetch"
+                            ? {
+                                callId,
+                                kind: FrameKind.Answer,
+                                method: "",
+                                payload: toBinary(FetchResponseSchema, fetch(fromBinary(FetchRequestSchema, payload))),
+                            }
+                            : {
+                                callId,
+                                kind: FrameKind.Failure,
+                                method: "",
+                                payload: Buffer.from(`Unknown method ${method}.`),
+                            },
+                    ));
+                }
+            });
+        });
+        await new Promise<void>(resolve => older.listen(0, "127.0.0.1", resolve));
+        createConnection((older.address() as { port: number; }).port);
+        assert.equal((await ask(3)).changes!.records[0]!.text.length, 3);
+        assert.equal((await ask(4)).changes!.records[0]!.text.length, 4);
+        assert.deepEqual(methods, ["Fetch.json", "Fetch", "Fetch"]);
+        connection.close();
+        await new Promise(resolve => older.close(resolve));
+    });
+
+    it("serves binary messages of a caller of an older release", async () => {
+        const payload = toBinary(FetchRequestSchema, create(FetchRequestSchema, { frontier: { revision: 6n } }));
+        const answer = fromBinary(FetchResponseSchema, await connection.call("Fetch", payload, 2_000));
+        assert.equal(answer.changes!.records[0]!.text.length, 6);
+    });
+
     it("aborts its calls immediately if nothing listens or the peer closes the connection", async () => {
         createConnection(1);
         assert.equal(await getCode(ask(1)), Code.Unavailable);
