Keep the sum of the peers' loads up to date

With each message of a peer, a node summed the loads that all peers report of all endpoints: with 22 nodes and 29 endpoints over 600 map operations for each message, 21 times a second.

The sums now change by the difference between a peer's last report and its new one. An endpoint that no peer reports any more is removed with its rounding error. A property test compares the sums with those of all current reports.

--- a/src/request/relay/endpoints/endpointLoads.ts
+++ b/src/request/relay/endpoints/endpointLoads.ts
@@ -11,6 +11,12 @@
     demand: number;
 }
 
+/** The sum of what peers report of one endpoint. */
+interface PeerSum extends LoadOfEndpoint {
+    /** Number of peers that report requests at it. */
+    reports: number;
+}
+
 /** This node's requests at one endpoint. */
 interface OwnLoad extends LoadOfEndpoint {
     /** Peak memory of these requests in the current interval, in tokens times layers. */
@@ -37,7 +43,8 @@
     private readonly own = new Map<string, OwnLoad>();
     private readonly peers = new Map<string, PeerLoads>();
     private readonly onRelease: () => void;
-    private peerSums = new Map<string, LoadOfEndpoint>();
+    /** Kept up to date with each report, since summing the reports of all peers for each of them would be quadratic. */
+    private readonly peerSums = new Map<string, PeerSum>();
     private peerDemand = 0;
     private peerCount = 0;
 
@@ -110,8 +117,12 @@
 
     /** Sets the loads and the demand that a peer reports, replacing its previous report. */
     setPeerLoads(peerId: string, loads: LoadOfEndpoint[], demand: number, now: number): void {
+        this.removePeer(peerId);
         this.peers.set(peerId, { receivedAt: now, loads, demand });
-        this.sumPeers(now);
+        for (const load of loads) {
+            this.addToSum(load);
+        }
+        this.removeExpiredPeers(now);
         this.onRelease();
     }
 
@@ -199,24 +210,50 @@
         return sum > 0 ? ownDemand / sum : 1 / (1 + this.peerCount);
     }
 
-    private sumPeers(now: number): void {
-        this.peerSums = new Map();
+    private removeExpiredPeers(now: number): void {
         this.peerDemand = 0;
-        for (const [peerId, { receivedAt, loads, demand }] of this.peers) {
+        for (const [peerId, { receivedAt, demand }] of this.peers) {
             if (now - receivedAt > peerReportTimeToLiveMilliseconds) {
-                this.peers.delete(peerId);
+                this.removePeer(peerId);
                 continue;
             }
             this.peerDemand += demand;
-            for (const load of loads) {
-                const sum = this.peerSums.get(load.endpointId) ?? { ...noLoad, endpointId: load.endpointId };
-                sum.requests += load.requests;
-                sum.tokenLayers += load.tokenLayers;
-                this.peerSums.set(load.endpointId, sum);
-            }
         }
         this.peerCount = this.peers.size;
     }
+
+    private removePeer(peerId: string): void {
+        const peer = this.peers.get(peerId);
+        this.peers.delete(peerId);
+        for (const load of peer?.loads ?? []) {
+            this.subtractFromSum(load);
+        }
+    }
+
+    private addToSum({ endpointId, requests, tokenLayers }: LoadOfEndpoint): void {
+        const sum = this.peerSums.get(endpointId);
+        if (sum === undefined) {
+            this.peerSums.set(endpointId, { endpointId, requests, tokenLayers, reports: 1 });
+            return;
+        }
+        sum.requests += requests;
+        sum.tokenLayers += tokenLayers;
+        sum.reports += 1;
+    }
+
+    private subtractFromSum({ endpointId, requests, tokenLayers }: LoadOfEndpoint): void {
+        const sum = this.peerSums.get(endpointId);
+        if (sum === undefined) {
+            return;
+        }
+        sum.requests -= requests;
+        sum.tokenLayers -= tokenLayers;
+        sum.reports -= 1;
+        if (sum.reports === 0) {
+            // Removed with its rounding error, which must not remain at an idle endpoint.
+            this.peerSums.delete(endpointId);
+        }
+    }
 }
 
 /** Gets the recent peak memory of this node's requests at an endpoint, in tokens times layers. */
--- a/tests/request/relay/endpoints/endpointLoads.test.ts
+++ b/tests/request/relay/endpoints/endpointLoads.test.ts
@@ -1,3 +1,4 @@
+import fc from "fast-check";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { EndpointLoads } from "../../../../src/request/relay/endpoints/endpointLoads.ts";
@@ -29,6 +30,36 @@
         assert.deepEqual(loads.getLoad("1"), { endpointId: "1", requests: 1, tokenLayers: 10 });
     });
 
+    it("keeps the same sums as adding up all current reports, and no rounding error when the last request ends", () => {
+        const anyReport = fc.record({
+            peer: fc.constantFrom("p", "q", "r"),
+            elapsed: fc.constantFrom(0, 300, 2_000),
+            tokens: fc.array(fc.integer({ min: 1, max: 1_000 }), { maxLength: 3 }),
+        });
+        fc.assert(fc.property(fc.array(anyReport, { maxLength: 30 }), reports => {
+            const loads = EndpointLoads.create();
+            const current = new Map<string, { at: number; tokens: number[]; }>();
+            let now = 0;
+            for (const { peer, elapsed, tokens } of reports) {
+                now += elapsed;
+                const records = tokens.map((count, id) => ({
+                    endpointId: String(id),
+                    requests: 1,
+                    tokenLayers: count / 7,
+                }));
+                loads.setPeerLoads(peer, records, 0, now);
+                current.set(peer, { at: now, tokens });
+            }
+            for (const id of [0, 1, 2]) {
+                const shown = [...current.values()].filter(({ at, tokens }) => now - at <= 3_000 && id < tokens.length);
+                const expected = shown.reduce((sum, { tokens }) => sum + tokens[id]! / 7, 0);
+                const { requests, tokenLayers } = loads.getLoad(String(id));
+                assert.equal(requests, shown.length);
+                assert.ok(shown.length === 0 ? tokenLayers === 0 : Math.abs(tokenLayers - expected) < 1e-6);
+            }
+        }));
+    });
+
     it("reserves the memory of an ended request for this node until peers know that it ended", () => {
         const loads = EndpointLoads.create();
         const reservation = loads.reserveStages(stages, 100, 0);
