Look for silent streams when one can be silent

While streams run, the stall detector woke up every 60 ms. A stream counts as silent only 240 ms after its last event (420 ms before its first one).

--- a/src/request/relay/detection/stallDetector.ts
+++ b/src/request/relay/detection/stallDetector.ts
@@ -17,6 +17,7 @@
     reroute(requestId: string, stages: RelayStage[]): Promise<RerouteOutcome>;
 }
 
+/** Minimum interval between sweeps. It is also the interval while streams are silent. */
 const sweepIntervalMilliseconds = 60;
 /** A stream without events for this long, several times the usual time between events, is checked. */
 const silenceMilliseconds = 240;
@@ -90,10 +91,24 @@
             this.investigate(relays, now);
         }
         if (this.relays.size > 0) {
-            this.timer = this.options.clock.setTimer(sweepIntervalMilliseconds, () => this.sweep());
+            this.timer = this.options.clock.setTimer(this.getSweepDelay(now), () => this.sweep());
         }
     }
 
+    /**
+     * Gets the time until a stream can be silent. A stream that progresses after now can't be silent earlier than
+     * {@link silenceMilliseconds} from now. While all streams progress, sweeps are therefore several times less frequent than at a fixed
+     * interval, and still detect a silent stream as early.
+     */
+    private getSweepDelay(now: number): number {
+        let delay = silenceMilliseconds;
+        for (const relay of this.relays) {
+            const silentAt = (relay.getLastProgress() ?? now) + getSilenceLimit(relay);
+            delay = Math.min(delay, silentAt - now + 1);
+        }
+        return Math.max(sweepIntervalMilliseconds, delay);
+    }
+
     private investigate(relays: StreamRelay[], now: number): void {
         const { endpoint } = relays[0]!.getStages()![0]!;
         if (now - (this.reportRequestedAt.get(endpoint.id) ?? -Infinity) < reportIntervalMilliseconds) {
@@ -226,6 +241,9 @@
 }
 
 function isSilent(relay: StreamRelay, now: number): boolean {
-    const limit = relay.hasEvents() ? silenceMilliseconds : silenceBeforeFirstEventMilliseconds;
-    return now - (relay.getLastProgress() ?? now) > limit;
+    return now - (relay.getLastProgress() ?? now) > getSilenceLimit(relay);
+}
+
+function getSilenceLimit(relay: StreamRelay): number {
+    return relay.hasEvents() ? silenceMilliseconds : silenceBeforeFirstEventMilliseconds;
 }
