Build one message for all partners of a round

A node built and encoded its state for each partner, by way of a message object for each record.

What peers tell of other nodes is skipped if this node has heard from them later.

--- a/src/process/router/nodeTable.ts
+++ b/src/process/router/nodeTable.ts
@@ -17,19 +17,22 @@
         return new NodeTable(ownId);
     }
 
+    /** Checks if {@link update} would have an effect for a node that was last heard from at this time. */
+    isNewer(nodeId: string, heardAt: number): boolean {
+        return nodeId !== this.ownId && heardAt > (this.nodes.get(nodeId)?.heardAt ?? -Infinity);
+    }
+
     /**
      * Adds or updates a node. Removes an earlier process at the same address.
      * @param node - The node and when it was last heard from.
      */
     update(node: KnownNode): void {
-        if (node.nodeId === this.ownId) {
+        if (!this.isNewer(node.nodeId, node.heardAt)) {
             return;
         }
         const known = this.nodes.get(node.nodeId);
         if (known !== undefined) {
-            if (node.heardAt > known.heardAt) {
-                Object.assign(known, node);
-            }
+            Object.assign(known, node);
             return;
         }
         for (const [nodeId, other] of this.nodes) {
--- a/src/process/router/peerExchange.ts
+++ b/src/process/router/peerExchange.ts
@@ -1,15 +1,12 @@
-import { create } from "@bufbuild/protobuf";
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
 import {
     type ExchangeRequest,
-    ExchangeRequestSchema,
+    type ExchangeRequestSchema,
     type ExchangeResponse,
-    ExchangeResponseSchema,
+    type ExchangeResponseSchema,
     type FetchRequest,
     type FetchResponse,
-    type LeaseRelease as WireLeaseRelease,
-    LeaseReleaseSchema,
-    type NodeRecord,
-    NodeRecordSchema,
+    type NodeRecordSchema,
     type NodeState,
     NodeStateSchema,
 } from "../../wire/generated/foxlead/router/v1/router_pb.ts";
@@ -84,6 +81,10 @@
 /** A seed that is not known as a live node is called once in this many rounds. */
 const roundsPerSeedCall = 4;
 
+/** What a node sends of itself. */
+type OwnState = Exclude<MessageInitShape<typeof NodeStateSchema>, NodeState>;
+type OwnNodeRecord = MessageInitShape<typeof NodeRecordSchema>;
+
 /** Exchanges state with some peers in each round, and fetches missing changes of the store from them. */
 export class PeerExchange {
     private readonly options: PeerExchangeOptions;
@@ -141,9 +142,7 @@
     announceMissedChanges(): void {
         const { nodeId, dataCentre, storeWatch, owners } = this.options;
         const own = { nodeId, dataCentre, isWithoutStore: storeWatch.isWithoutStore() };
-        for (const address of listDistributors(own, this.listLive(), owners)) {
-            void this.exchange(address);
-        }
+        this.exchangeWith(listDistributors(own, this.listLive(), owners));
     }
 
     private runRound(): void {
@@ -153,9 +152,7 @@
         this.timer?.cancel();
         this.round += 1;
         this.lastRoundAt = this.getTime();
-        for (const address of this.choosePartners()) {
-            void this.exchange(address);
-        }
+        this.exchangeWith(this.choosePartners());
         const delay = this.getRoundInterval() * (0.8 + 0.4 * this.options.random());
         this.timer = this.options.clock.setTimer(delay, () => this.runRound());
     }
@@ -220,15 +217,23 @@
         }
     }
 
-    private async exchange(address: string): Promise<void> {
-        if (this.peers.getCallCount(address) > 0) {
+    /** Sends this node's state to peers, except those that have not answered yet. All get the same message, which is built once. */
+    private exchangeWith(addresses: readonly string[]): void {
+        const idle = addresses.filter(address => this.peers.getCallCount(address) === 0);
+        if (idle.length === 0) {
             return;
         }
+        const request = { state: this.createOwnState() };
+        for (const address of idle) {
+            void this.exchange(address, request);
+        }
+    }
+
+    private async exchange(address: string, request: MessageInitShape<typeof ExchangeRequestSchema>): Promise<void> {
         const sentAt = this.getTime();
-        const state = this.createOwnState();
         const response = await this.peers.call(
             address,
-            client => client.exchange(create(ExchangeRequestSchema, { state }), { timeoutMs: callTimeoutMilliseconds }),
+            client => client.exchange(request, { timeoutMs: callTimeoutMilliseconds }),
         );
         if (response !== undefined) {
             ProcessorAccount.ofProcess.run(ProcessorCause.PeerApply, () => this.applyResponse(response, sentAt));
@@ -236,23 +241,23 @@
     }
 
     /** Creates the state of this node for a request or a response. */
-    private createOwnState(knownToPeer?: number): NodeState {
+    private createOwnState(knownToPeer?: number): OwnState {
         return ProcessorAccount.ofProcess.run(ProcessorCause.PeerBuild, () => this.buildOwnState(knownToPeer));
     }
 
-    private buildOwnState(knownToPeer: number | undefined): NodeState {
+    private buildOwnState(knownToPeer: number | undefined): OwnState {
         const { state, sections, storeWatch, lease } = this.options;
         const live = this.listLive();
-        return create(NodeStateSchema, {
+        return {
+            ...state.createRecords(this.getTime()),
             sender: this.createOwnRecord(),
             nodes: this.createNodeRecords(live, knownToPeer),
             knownNodes: live.length + 1,
-            ...state.createRecords(this.getTime()),
             frontiers: sections.map(section => ({ section: section.name, revision: BigInt(section.getFrontier()) })),
             storeFailureAge: this.getAge(storeWatch.getLastFailure()),
             freshAge: this.getAge(storeWatch.getFreshTime()),
             leaseRelease: encodeRelease(lease.getNewestRelease()),
-        });
+        };
     }
 
     private getAge(at: number): number {
@@ -280,9 +285,11 @@
     }
 
     /** Applies a peer's state and responds with the state of this node. */
-    handleExchange({ state = create(NodeStateSchema) }: ExchangeRequest): ExchangeResponse {
+    handleExchange(
+        { state = create(NodeStateSchema) }: ExchangeRequest,
+    ): MessageInitShape<typeof ExchangeResponseSchema> {
         ProcessorAccount.ofProcess.run(ProcessorCause.PeerApply, () => this.applyState(state));
-        return create(ExchangeResponseSchema, { state: this.createOwnState(state.knownNodes) });
+        return { state: this.createOwnState(state.knownNodes) };
     }
 
     /** Responds with the store changes that a peer lacks. */
@@ -306,6 +313,10 @@
     private applyNodes({ sender, nodes }: NodeState): void {
         const now = this.getTime();
         for (const record of sender === undefined ? nodes : [sender, ...nodes]) {
+            // Most of what peers tell of others is older than what this node knows.
+            if (!this.options.nodes.isNewer(record.nodeId, now - record.age)) {
+                continue;
+            }
             const { nodeId, address, dataCentre, age, isWithoutStore, tunnelAddress, unreachablePercent } = record;
             this.options.nodes.update({
                 nodeId,
@@ -319,9 +330,9 @@
         }
     }
 
-    private createOwnRecord(): NodeRecord {
+    private createOwnRecord(): OwnNodeRecord {
         const { nodeId, address, dataCentre, storeWatch, links } = this.options;
-        return create(NodeRecordSchema, {
+        return {
             nodeId,
             address,
             dataCentre,
@@ -329,10 +340,10 @@
             isWithoutStore: storeWatch.isWithoutStore(),
             tunnelAddress: links.getTunnelAddress(),
             unreachablePercent: Math.round(links.getUnreachableFraction() * percent),
-        });
+        };
     }
 
-    private createNodeRecords(live: readonly KnownNode[], knownToPeer = Infinity): NodeRecord[] {
+    private createNodeRecords(live: readonly KnownNode[], knownToPeer = Infinity): OwnNodeRecord[] {
         const { random } = this.options;
         const now = this.getTime();
         const isNewcomer = knownToPeer < live.length * newcomerFraction;
@@ -342,17 +353,15 @@
             0,
             isNewcomer ? nodesPerNewcomerMessage : usualCount,
         );
-        return selected.map(node =>
-            create(NodeRecordSchema, {
-                nodeId: node.nodeId,
-                address: node.address,
-                dataCentre: node.dataCentre,
-                isWithoutStore: node.isWithoutStore,
-                tunnelAddress: node.tunnelAddress ?? "",
-                unreachablePercent: Math.round((node.unreachableFraction ?? 0) * percent),
-                age: Math.max(0, Math.round(now - node.heardAt)),
-            })
-        );
+        return selected.map(node => ({
+            nodeId: node.nodeId,
+            address: node.address,
+            dataCentre: node.dataCentre,
+            isWithoutStore: node.isWithoutStore,
+            tunnelAddress: node.tunnelAddress ?? "",
+            unreachablePercent: Math.round((node.unreachableFraction ?? 0) * percent),
+            age: Math.max(0, Math.round(now - node.heardAt)),
+        }));
     }
 
     private getTime(): number {
@@ -360,9 +369,6 @@
     }
 }
 
-function encodeRelease(release: LeaseRelease | undefined): WireLeaseRelease | undefined {
-    return release && create(LeaseReleaseSchema, {
-        revision: BigInt(release.revision),
-        fencingNumber: BigInt(release.fencingNumber),
-    });
+function encodeRelease(release: LeaseRelease | undefined): OwnState["leaseRelease"] {
+    return release && { revision: BigInt(release.revision), fencingNumber: BigInt(release.fencingNumber) };
 }
--- a/src/process/router/peerState.ts
+++ b/src/process/router/peerState.ts
@@ -1,33 +1,14 @@
-import { create } from "@bufbuild/protobuf";
+import type { MessageInitShape } from "@bufbuild/protobuf";
 import type { EndpointHealth } from "../../request/relay/endpoints/endpointHealth.ts";
 import type { EndpointLoads } from "../../request/relay/endpoints/endpointLoads.ts";
 import type { EndpointLimits } from "../../request/relay/limits/endpointLimits.ts";
 import type { RequestQuarantine } from "../../request/relay/quarantine/requestQuarantine.ts";
-import {
-    type EndedRunRecord,
-    EndedRunRecordSchema,
-    type EndpointLimitRecord,
-    EndpointLimitRecordSchema,
-    type LoadRecord,
-    LoadRecordSchema,
-    type NodeState,
-    type ReadingRecord,
-    ReadingRecordSchema,
-    type SuspicionRecord,
-    SuspicionRecordSchema,
-} from "../../wire/generated/foxlead/router/v1/router_pb.ts";
+import type { NodeState, NodeStateSchema } from "../../wire/generated/foxlead/router/v1/router_pb.ts";
 import type { EndpointReadings } from "./endpointReadings.ts";
 import type { PeerStatePart } from "./peerStatePart.ts";
 
 /** The records that a node sends to its peers in each exchange. */
-interface PeerRecords extends ReturnType<PeerStatePart["createRecords"]> {
-    loads: LoadRecord[];
-    demand: number;
-    suspicions: SuspicionRecord[];
-    readings: ReadingRecord[];
-    endedRuns: EndedRunRecord[];
-    endpointLimits: EndpointLimitRecord[];
-}
+type PeerRecords = Exclude<MessageInitShape<typeof NodeStateSchema>, NodeState>;
 
 /** Options of {@link PeerState}. */
 interface PeerStateOptions {
@@ -63,19 +44,28 @@
         return {
             ...Object.assign({}, ...parts.map(part => part.createRecords(now))),
             demand: getDemand(),
-            loads: loads.getOwnLoads().map(({ endpointId, requests, tokenLayers }) =>
-                create(LoadRecordSchema, { endpointId, requests, tokenLayers })
-            ),
-            suspicions: health.getSuspicions(now).map(({ endpointId, remainingMilliseconds, isRefusing }) =>
-                create(SuspicionRecordSchema, { endpointId, remaining: Math.round(remainingMilliseconds), isRefusing })
-            ),
-            readings: readings.getReadings(now).map(reading => create(ReadingRecordSchema, reading)),
-            endedRuns: quarantine.getCrashes(now).map(({ fingerprint, endpointId, at }) =>
-                create(EndedRunRecordSchema, { fingerprint, endpointId, age: Math.round(now - at) })
-            ),
-            endpointLimits: limits.listReports(now).map(({ endpointId, requestsPerSecond, at, demand }) =>
-                create(EndpointLimitRecordSchema, { endpointId, requestsPerSecond, age: Math.round(now - at), demand })
-            ),
+            loads: loads.getOwnLoads().map(({ endpointId, requests, tokenLayers }) => ({
+                endpointId,
+                requests,
+                tokenLayers,
+            })),
+            suspicions: health.getSuspicions(now).map(({ endpointId, remainingMilliseconds, isRefusing }) => ({
+                endpointId,
+                remaining: Math.round(remainingMilliseconds),
+                isRefusing,
+            })),
+            readings: readings.getReadings(now),
+            endedRuns: quarantine.getCrashes(now).map(({ fingerprint, endpointId, at }) => ({
+                fingerprint,
+                endpointId,
+                age: Math.round(now - at),
+            })),
+            endpointLimits: limits.listReports(now).map(({ endpointId, requestsPerSecond, at, demand }) => ({
+                endpointId,
+                requestsPerSecond,
+                age: Math.round(now - at),
+                demand,
+            })),
         };
     }
 
