Cache the owners of duties until the nodes change

A node hashed and sorted all nodes in each round of the exchange and in each review of its duties, six times a second, mostly with the same result.

The router now keeps the last owners of each key for as long as the nodes are the same.

--- a/src/process/router/isStoreWatcher.ts
+++ b/src/process/router/isStoreWatcher.ts
@@ -11,7 +11,7 @@
 export function isStoreWatcher(
     own: Pick<KnownNode, "nodeId" | "isWithoutStore">,
     others: readonly KnownNode[],
-    owners: RendezvousOwners,
+    owners: Pick<RendezvousOwners, "getOwners">,
 ): boolean {
     const { watching, refused } = listStoreWatchers([...others, own], owners);
     return watching.includes(own.nodeId) || refused.includes(own.nodeId);
--- a/src/process/router/listDistributors.ts
+++ b/src/process/router/listDistributors.ts
@@ -13,7 +13,7 @@
 export function listDistributors(
     own: Pick<KnownNode, "nodeId" | "dataCentre" | "isWithoutStore">,
     others: readonly KnownNode[],
-    owners: RendezvousOwners,
+    owners: Pick<RendezvousOwners, "getOwners">,
 ): string[] {
     const distributors = new Set(listStoreWatchers([...others, own], owners).watching);
     for (const [dataCentre, nodes] of Map.groupBy([...others, own], node => node.dataCentre)) {
--- a/src/process/router/listHubs.ts
+++ b/src/process/router/listHubs.ts
@@ -13,7 +13,11 @@
  * @param owners - Assigns duties to nodes without coordination.
  * @returns Ids of the hubs.
  */
-export function listHubs(dataCentre: string, nodeIds: readonly string[], owners: RendezvousOwners): string[] {
+export function listHubs(
+    dataCentre: string,
+    nodeIds: readonly string[],
+    owners: Pick<RendezvousOwners, "getOwners">,
+): string[] {
     const count = Math.max(minimumHubs, Math.ceil(nodeIds.length / nodesPerHub));
     return owners.getOwners(`hub/${dataCentre}`, nodeIds, count);
 }
--- a/src/process/router/listStoreWatchers.ts
+++ b/src/process/router/listStoreWatchers.ts
@@ -32,7 +32,10 @@
  * @param nodes - The live nodes.
  * @param owners - Assigns duties to nodes without coordination.
  */
-export function listStoreWatchers(nodes: readonly Watcher[], owners: RendezvousOwners): StoreWatchers {
+export function listStoreWatchers(
+    nodes: readonly Watcher[],
+    owners: Pick<RendezvousOwners, "getOwners">,
+): StoreWatchers {
     const watchers = baseWatchers + Math.ceil(nodes.length / nodesPerWatcher);
     const ranked = owners.getOwners(watchKey, nodes.map(({ nodeId }) => nodeId), watchers * candidatesPerWatcher);
     const withoutStore = new Set(nodes.filter(({ isWithoutStore }) => isWithoutStore).map(({ nodeId }) => nodeId));
--- a/src/process/router/listUpdateSources.ts
+++ b/src/process/router/listUpdateSources.ts
@@ -22,7 +22,7 @@
 export function listUpdateSources(
     own: Pick<KnownNode, "nodeId" | "dataCentre" | "isWithoutStore">,
     others: readonly KnownNode[],
-    owners: RendezvousOwners,
+    owners: Pick<RendezvousOwners, "getOwners">,
 ): UpdateSources {
     const localIds = others.filter(({ dataCentre }) => dataCentre === own.dataCentre).map(({ nodeId }) => nodeId);
     const hubs = listHubs(own.dataCentre, [...localIds, own.nodeId], owners);
--- a/src/process/router/peerExchange.ts
+++ b/src/process/router/peerExchange.ts
@@ -47,7 +47,7 @@
     seeds: readonly string[];
     nodes: NodeTable;
     /** Assigns duties to nodes. */
-    owners: RendezvousOwners;
+    owners: Pick<RendezvousOwners, "getOwners">;
     sections: readonly RecordSection[];
     state: PeerState;
     /** Whether this node's requests compete with those of other nodes for endpoint capacity. */
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -22,6 +22,7 @@
 import type { TimerHandle } from "../clock.ts";
 import { FencedLease } from "../leases/fencedLease.ts";
 import { events } from "../logging/events.ts";
+import { OwnersCache } from "../membership/ownersCache.ts";
 import { PlacementController } from "../placement/placementController.ts";
 import type { ChangeSource } from "../replica/changeSource.ts";
 import { RecordFollower } from "../replica/recordFollower.ts";
@@ -82,6 +83,7 @@
     private constructor(options: RouterNodeOptions) {
         this.options = options;
         const { settings, clock, random, log, store, keys, metrics, protocol, nodeId } = options;
+        const owners = OwnersCache.create(options.owners);
         this.health = EndpointHealth.create(random);
         this.maximumNodeCount = SlidingMaximum.create(initialNodeCount, clock.getMonotonicTime());
         this.queue = RelayQueue.create({
@@ -195,7 +197,7 @@
             nodeId,
             clock,
             nodes: this.nodes,
-            owners: options.owners,
+            owners,
             followers: [
                 this.createFollower(configuration, keys.configuration),
                 this.createFollower(endpoints, keys.endpointPrefix),
@@ -218,7 +220,7 @@
             lease: this.lease,
             seeds: settings.seeds,
             nodes: this.nodes,
-            owners: options.owners,
+            owners,
             sections: [configuration, endpoints],
             state: PeerState.create({
                 loads,
--- a/src/process/router/storeWatchController.ts
+++ b/src/process/router/storeWatchController.ts
@@ -16,7 +16,7 @@
     clock: Clock;
     nodes: NodeTable;
     /** Assigns duties to nodes. */
-    owners: RendezvousOwners;
+    owners: Pick<RendezvousOwners, "getOwners">;
     followers: readonly RecordFollower[];
     /** Lease for placing layers. Only nodes that watch the store try to acquire it. */
     lease: Pick<FencedLease, "isHeld" | "start" | "pause" | "rest">;
