Stop ordering when the placement lease has expired while another node can reach the store

Cause: a node that the store refused from 2.5 to 11.5 s logged that it had lost the lease and went on ordering with its last number, since it took its own refusal for an outage. Another node acquired the next number at 10.76 s, and both ordered the same endpoints.

Change: a holder whose lease has expired continues only if no live node that could acquire the lease can reach the store (StoreWatchController.isStoreLost, from KnownNode.isWithoutStore). A release notice with a higher number ends the lease at once, also at a node that doesn't acquire it at the moment, which ignored such notices. Pending orders are dropped once another holder is known.

--- a/src/process/leases/fencedLease.ts
+++ b/src/process/leases/fencedLease.ts
@@ -139,6 +139,10 @@
         if (this.isRunning || this.isRelinquished) {
             this.apply(this.state.noteRelease(release, this.getTime()));
         }
+        else if (!this.isStopped) {
+            // A holder that can't reach the store learns only from its peers that another process has held the lease since.
+            this.state.observeRelease(release, this.getTime());
+        }
     }
 
     /** Handles that the store was restored from an older snapshot: the lease is no longer held until it is acquired again. */
--- a/src/process/leases/leaseState.ts
+++ b/src/process/leases/leaseState.ts
@@ -169,13 +169,20 @@
      * Handles a notice that another process released the lease, so that a successor does not wait for a time to live that no
      * longer applies. A false notice is harmless, because acquiring the lease still compares its revision.
      */
-    noteRelease({ revision, fencingNumber }: LeaseRelease, time: EventTime): LeaseOutput {
+    noteRelease(release: LeaseRelease, time: EventTime): LeaseOutput {
+        this.observeRelease(release, time);
+        return this.step(time);
+    }
+
+    /** Handles such a notice without acquiring the lease. A higher number than the held one shows that the lease was lost. */
+    observeRelease({ revision, fencingNumber }: LeaseRelease, time: EventTime): void {
         const isNewer = this.observed === undefined || this.observed.revision < revision;
         const isOfEra = EraRevision.getEra(revision) >= (this.era ?? 0);
-        if (isNewer && isOfEra && !this.isValid(this.held, time.monotonic)) {
+        const isHeld = this.isValid(this.held, time.monotonic) && this.held.record.fencingNumber >= fencingNumber;
+        if (isNewer && isOfEra && !isHeld) {
+            this.lose();
             this.setReleased({ revision, fencingNumber }, time);
         }
-        return this.step(time);
     }
 
     private setReleased({ revision, fencingNumber }: LeaseRelease, time: EventTime): void {
--- a/src/process/placement/placementController.ts
+++ b/src/process/placement/placementController.ts
@@ -23,8 +23,8 @@
 interface PlacementControllerOptions {
     store: Pick<PlatformStore, "get" | "compareAndSwap">;
     lease: Pick<FencedLease, "getFencingNumber" | "getLastNumber" | "isLastHolder">;
-    /** Checks if this node can reach the store. */
-    isStoreAnswering(): boolean;
+    /** Checks if neither this node nor any other that could acquire the lease can reach the store. */
+    isStoreLost(): boolean;
     /** Checks if this node would try to acquire the lease when orders are due. */
     isCandidate(): boolean;
     clock: Clock;
@@ -125,6 +125,9 @@
         }
         const fencingNumber = this.getFencingNumber();
         const canOrder = fencingNumber !== undefined && fencingNumber > this.orders.getRefusedFencingNumber();
+        if (this.options.lease.getLastNumber() === undefined) {
+            this.orders.clear();
+        }
         if (!canOrder && !this.options.isCandidate()) {
             return;
         }
@@ -133,13 +136,14 @@
             this.plans.clear();
             this.orders.clear();
         }
+        const mayHavePending = canOrder || this.options.lease.isLastHolder();
         let hasWork = false;
         for (const service of this.options.getModelServices()) {
             if (service.engine === undefined) {
                 continue;
             }
             const work = this.placeLayers(service.name, service.engine, canOrder ? fencingNumber : undefined);
-            hasWork ||= work.isDue || canOrder && work.isPending;
+            hasWork ||= work.isDue || mayHavePending && work.isPending;
         }
         this.noteWork(hasWork);
     }
@@ -153,13 +157,12 @@
     }
 
     /**
-     * Gets the fencing number for orders. During a store outage no node can renew or acquire the lease, but lost layers
-     * must still be placed, so the last holder continues. If only this node can't reach the store, endpoints refuse its
-     * number once another holder has given them an order.
+     * Gets the fencing number for orders. A holder whose lease has expired continues only while no node can reach the store: lost layers
+     * must still be placed, and no other node can acquire the lease. If another node can, two holders would order the same endpoints.
      */
     private getFencingNumber(): number | undefined {
-        const { lease, isStoreAnswering } = this.options;
-        return lease.getFencingNumber() ?? (isStoreAnswering() ? undefined : lease.getLastNumber());
+        const { lease, isStoreLost } = this.options;
+        return lease.getFencingNumber() ?? (isStoreLost() ? lease.getLastNumber() : undefined);
     }
 
     /**
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -280,7 +280,7 @@
         this.placementController = PlacementController.create({
             store,
             lease: this.lease,
-            isStoreAnswering: () => !this.storeWatch.isWithoutStore(),
+            isStoreLost: () => this.storeWatch.isStoreLost(),
             isCandidate: () => this.storeWatch.isStoreWatcher() && !this.isDraining,
             clock,
             runLong: (name, action) => clock.run(name, action),
--- a/src/process/router/storeWatchController.ts
+++ b/src/process/router/storeWatchController.ts
@@ -128,6 +128,18 @@
         return !this.probe.isStoreReachable() || !this.options.followers.every(follower => follower.isStoreReachable());
     }
 
+    /** Checks if neither this node nor any other that could acquire the placement lease can reach the store. */
+    isStoreLost(): boolean {
+        if (!this.isWithoutStore()) {
+            return false;
+        }
+        const { nodeId, owners, nodes, clock } = this.options;
+        const others = nodes.getLiveNodes(clock.getMonotonicTime());
+        return others.length < independentNodeLimit
+            ? others.every(({ isWithoutStore }) => isWithoutStore)
+            : listStoreWatchers([...others, { nodeId, isWithoutStore: true }], owners).watching.length === 0;
+    }
+
     /** Checks if the last review selected this node to watch the store. */
     isStoreWatcher(): boolean {
         return this.isSelectedWatcher;
--- a/tests/process/leases/fencedLease.test.ts
+++ b/tests/process/leases/fencedLease.test.ts
@@ -144,6 +144,30 @@
         assert.equal(second.getFencingNumber(), 3);
     });
 
+    // A node that the store refused ignored that another one had held the lease since, and ordered with its last number.
+    it("has no last number any more once its paused holder hears of a later holder", async () => {
+        const { clock, createLease } = createFixture();
+        const lease = createLease("a");
+        lease.start();
+        await clock.advance(10);
+        lease.noteRelease({ revision: 7, fencingNumber: 1 });
+        assert.equal(lease.getFencingNumber(), 1);
+        lease.noteRelease({ revision: 8, fencingNumber: 2 });
+        assert.equal(lease.getFencingNumber(), undefined);
+        assert.equal(lease.getLastNumber(), undefined);
+        const paused = createLease("b");
+        paused.noteRelease({ revision: 8, fencingNumber: 2 });
+        await clock.advance(takeoverTime);
+        paused.start();
+        await clock.advance(10);
+        const before = paused.getLastNumber()!;
+        paused.keep();
+        await clock.advance(takeoverTime);
+        paused.pause();
+        paused.noteRelease({ revision: 99, fencingNumber: before + 1 });
+        assert.equal(paused.getLastNumber(), undefined);
+    });
+
     // A process with the same name may still be sending orders of an earlier start.
     it("is not acquired at once by a later process with the name of its holder", async () => {
         const { clock, createLease } = createFixture();
--- a/tests/process/placement/placementController.test.ts
+++ b/tests/process/placement/placementController.test.ts
@@ -43,7 +43,7 @@
                 getLastNumber: () => fencingNumber,
                 isLastHolder: () => true,
             },
-            isStoreAnswering: () => true,
+            isStoreLost: () => false,
             isCandidate: () => true,
             clock,
             runLong: (_name, action) => action(),
@@ -213,6 +213,30 @@
         });
     });
 
+    // A node that the store refused ordered with its last number while another one held the lease, and both ordered the same endpoints.
+    it("stops ordering when its lease has expired, unless no node can reach the store", async () => {
+        await storePlan();
+        endpoints = endpoints.slice(0, 2);
+        let isExpired = false;
+        let isStoreLost = false;
+        start(1, {
+            lease: {
+                getFencingNumber: () => isExpired ? undefined : 1,
+                getLastNumber: () => 1,
+                isLastHolder: () => true,
+            },
+            isStoreLost: () => isStoreLost,
+        });
+        await clock.advance(3_000);
+        isExpired = true;
+        endpoints = [...endpoints, createMiddle("z")];
+        await clock.advance(3_000);
+        assert.equal(orders.length, 0);
+        isStoreLost = true;
+        await clock.advance(600);
+        assert.deepEqual(orders.map(({ endpoint }) => endpoint), ["z"]);
+    });
+
     // Another plan would have moved the layers of all endpoints.
     it("stores the plan in use again if the store was restored from an older snapshot without it", async () => {
         const copy = store.takeSnapshot();
--- a/tests/process/router/storeWatchController.test.ts
+++ b/tests/process/router/storeWatchController.test.ts
@@ -18,12 +18,13 @@
     });
 
     /** Starts a node that in each step hears from the other nodes, whose copies are current. */
-    function start({ otherCount, hasWork = false, isSeed = false, isTold = () => true, prefix = "node" }: {
+    function start({ otherCount, hasWork = false, isSeed = false, isTold = () => true, prefix = "node", ...others }: {
         otherCount: number;
         prefix?: string;
         isTold?: () => boolean;
         hasWork?: boolean;
         isSeed?: boolean;
+        isWithoutStore?: () => boolean;
     }) {
         const clock = FakeClock.create();
         const store = new CountedStore();
@@ -72,7 +73,7 @@
                         nodeId: `${prefix}-${index}`,
                         address: `10.0.0.${index}:1`,
                         dataCentre: "a",
-                        isWithoutStore: false,
+                        isWithoutStore: others.isWithoutStore?.() ?? false,
                         heardAt,
                     });
                 }
@@ -176,4 +177,27 @@
         await advance(6_000);
         assert.ok(controller.getLastFailure() >= 9_000, `last failure at ${controller.getLastFailure()}`);
     });
+
+    // A holder of the lease that only the store's refusal had separated from it went on ordering beside the next holder.
+    for (const otherCount of [8, 12]) {
+        it(`takes the store for lost only if none of ${otherCount} other nodes can reach it`, async () => {
+            let isWithoutStore = false;
+            // The node must be one of the candidates for watching the store.
+            const prefix = ["node", "peer", "vm", "host"].find(candidate => {
+                const nodeIds = ["own", ...Array.from({ length: otherCount }, (_, index) => `${candidate}-${index}`)];
+                return owners.getOwners("store", nodeIds, 12).includes("own");
+            })!;
+            const options = { otherCount, isSeed: true, isWithoutStore: () => isWithoutStore, prefix };
+            const { store, controller, advance } = start(options);
+            await advance(1_000);
+            assert.equal(controller.isStoreLost(), false);
+            store.isDown = true;
+            controller.handleStoreRestored();
+            await advance(6_000);
+            assert.equal(controller.isStoreLost(), false);
+            isWithoutStore = true;
+            await advance(3_000);
+            assert.equal(controller.isStoreLost(), true);
+        });
+    }
 });
