Keep the assignments by kind where they complete each data centre

Change: the columns of the endpoints' own kinds are assigned first, and only if a data centre is still incomplete, the decisions are made again by what it lacks.

--- a/src/process/placement/assignLayers.ts
+++ b/src/process/placement/assignLayers.ts
@@ -38,15 +38,19 @@
 ): LayerDecisions {
     const fleet = FleetCoverage.create(model, columns, endpoints);
     const fleetLacks = fleet.columns.filter(coverage => !fleet.isCoveredByFleet(coverage));
-    const dataCentres = [...fleet.dataCentres.keys()].map(name => ({ name, lacking: fleet.listLacking(name).length }));
-    dataCentres.sort((left, right) => left.lacking - right.lacking);
-    for (const { name } of dataCentres) {
-        completeDataCentre(fleet, name);
+    assignReplicas(fleet, endpoints);
+    let completions: PlacementDecision[] = [];
+    if (listIncomplete(fleet).length > 0) {
+        // The planned kinds of free endpoints don't complete each data centre, so their kind may only break ties.
+        fleet.rollback(0);
+        for (const dataCentre of listIncomplete(fleet)) {
+            completeDataCentre(fleet, dataCentre);
+        }
+        completions = fleet.listDecisions();
+        assignReplicas(fleet, endpoints);
     }
-    const completions = fleet.listDecisions();
     const planned = completions.filter(({ endpoint }) => !fleet.isFree(endpoint));
     const urgent = fleetLacks.filter(coverage => isMoveNeeded(fleet, coverage, completions));
-    assignReplicas(fleet, endpoints);
     const assignments = fleet.listDecisions()
         .filter(({ endpoint }) => fleet.isFree(endpoint))
         .map(({ endpoint, to: { layers } }) => ({ endpointId: endpoint.id, layers }));
@@ -57,6 +61,13 @@
     return { assignments, moves: listUrgentMoves(fleet, { planned, urgent, endpoints }) };
 }
 
+/** Lists the data centres that lack columns, with the one that lacks the fewest first. */
+function listIncomplete(fleet: FleetCoverage): string[] {
+    const counts = [...fleet.dataCentres.keys()].map(name => ({ name, lacking: fleet.listLacking(name).length }));
+    counts.sort((left, right) => left.lacking - right.lacking);
+    return counts.filter(({ lacking }) => lacking > 0).map(({ name }) => name);
+}
+
 /** Checks if no free endpoints are to load a column that the fleet lacks. */
 function isMoveNeeded(
     fleet: FleetCoverage,
