Let a late node protect itself

A node whose event loop runs late serves its running streams late too, and keeps getting its share of new requests.

Nodes report their lag and whether they are out of rotation in NodeRecord.

Steps are reviewed in the rounds of the exchange, without a timer of their own.

Log lines don't become fewer yet.

Log events FL1014 to FL1016; metrics foxlead_overload_step and foxlead_out_of_rotation.

--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -124,6 +124,23 @@
         level: "info",
         message: "Occurrences and time of the event loop's thread by cause since the last such line.",
     },
+    overloadStepChanged: {
+        number: 1014,
+        level: "warn",
+        message:
+            "The last step by which this node protects itself from its load has changed, because its event loop is late or no longer is.",
+    },
+    rotationLeft: {
+        number: 1015,
+        level: "warn",
+        message:
+            "This node is late and reports itself as not ready to the load balancer; others of its data centre can take its requests.",
+    },
+    rotationJoined: {
+        number: 1016,
+        level: "info",
+        message: "This node no longer reports itself as not ready to the load balancer because of its lag.",
+    },
     claimShardLoaded: {
         number: 1301,
         level: "info",
--- a/src/process/metrics/metrics.ts
+++ b/src/process/metrics/metrics.ts
@@ -129,6 +129,16 @@
         ["cause"],
     );
 
+    readonly overloadStep = this.createGauge(
+        "overload_step",
+        "1 for the steps by which this node protects itself from its load now, 0 for those that it took before.",
+        ["step"],
+    );
+    readonly outOfRotation = this.createGauge(
+        "out_of_rotation",
+        "1 while this node reports itself as not ready to the load balancer because it is late, otherwise 0.",
+    );
+
     readonly configurationVersion = this.createGauge(
         "configuration_version",
         "Version of the configuration in force.",
--- /dev/null
+++ b/src/process/overload/lowestRankRefuser.ts
@@ -0,0 +1,68 @@
+import { createRefusal } from "../../request/relay/answers/createRefusal.ts";
+import type { RelayRefusal } from "../../request/relay/answers/relayRefusal.ts";
+import type { RoutedRequest } from "../../request/relay/routedRequest.ts";
+import type { RoutingState } from "../../version/routing/routingState.ts";
+import type { RandomSource } from "../randomSource.ts";
+import { findLowestRanks } from "./findLowestRanks.ts";
+
+/** The lowest ranks of a configuration. */
+interface KnownRanks {
+    state: RoutingState;
+    lowest: Map<string, number>;
+}
+
+/** Fraction of the retry delay by which it varies, so that the refused callers don't return together. */
+const retrySpread = 0.5;
+
+/**
+ * Decides whether a node that is too late to serve all requests refuses one before it reads the body: a request of the lowest rank of its
+ * services. Where all requests of a service have one rank, none is refused.
+ *
+ * Load: a small node gets a burst of the last rank while its streams of the first rank run.
+ */
+export class LowestRankRefuser {
+    private readonly random: RandomSource;
+    private known: KnownRanks | undefined;
+
+    private constructor(random: RandomSource) {
+        this.random = random;
+    }
+
+    /** Creates a refuser. */
+    static create(random: RandomSource): LowestRankRefuser {
+        return new LowestRankRefuser(random);
+    }
+
+    /**
+     * Decides on a request to a node that is too late.
+     * @param head - Head of the request.
+     * @param state - The configuration in force.
+     * @param recoveryMilliseconds - Time until the node serves such requests again, if it is on time from now on.
+     * @returns The refusal, or undefined if the request is handled as usual.
+     */
+    decide(
+        { host, target, apiKey }: Pick<RoutedRequest, "host" | "target" | "apiKey">,
+        state: RoutingState,
+        recoveryMilliseconds: number,
+    ): RelayRefusal | undefined {
+        const route = state.getRoute(host, target);
+        const customer = state.getCustomer(apiKey ?? "");
+        if (route === undefined || customer === undefined && state.needsKey() && !route.isPublic) {
+            return undefined;
+        }
+        const rank = state.getCustomerRank(customer) ?? route.priority;
+        const lowest = this.getLowestRanks(state);
+        if (!route.services.every(({ service }) => lowest.get(service) === rank)) {
+            return undefined;
+        }
+        const delay = Math.round(recoveryMilliseconds * (1 + retrySpread * this.random()));
+        return createRefusal.notRun("this node is late and serves more urgent requests first.", delay);
+    }
+
+    private getLowestRanks(state: RoutingState): Map<string, number> {
+        if (this.known?.state !== state) {
+            this.known = { state, lowest: findLowestRanks(state.configuration) };
+        }
+        return this.known.lowest;
+    }
+}
--- a/src/process/router/endpointPoller.ts
+++ b/src/process/router/endpointPoller.ts
@@ -14,6 +14,8 @@
     getExpectedTokenLayers(endpointId: string): number;
     /** Gets the ids of the other live nodes. */
     getNodeIds(): string[];
+    /** Gets the factor on the interval. */
+    getIntervalFactor(): number;
     /** Gets the endpoints to poll. */
     getEndpoints(): RegisteredEndpoint[];
     fetchReport(endpoint: RegisteredEndpoint): Promise<EndpointReport | undefined>;
@@ -44,7 +46,8 @@
 
     /** Starts to poll this node's share of the endpoints. */
     start(): void {
-        this.timer = this.options.clock.setTimer(pollIntervalMilliseconds, () => {
+        const { clock, getIntervalFactor } = this.options;
+        this.timer = clock.setTimer(pollIntervalMilliseconds * getIntervalFactor(), () => {
             this.start();
             ProcessorAccount.ofProcess.runPart(ProcessorCause.EndpointPoll, () => this.pollAll());
         });
--- a/src/process/router/knownNode.ts
+++ b/src/process/router/knownNode.ts
@@ -11,6 +11,10 @@
     tunnelAddress?: string;
     /** Fraction of the endpoints that it can't connect to, as it last reported, 0 to 1. Default: 0. */
     unreachableFraction?: number;
+    /** Lag of its event loop in milliseconds, as it last reported. Default: 0. */
+    lag?: number;
+    /** Whether it last reported that it tells the load balancer that it is not ready. Default: false. */
+    isOutOfRotation?: boolean;
     /** Latest known monotonic time in milliseconds at which any node heard from it directly. */
     heardAt: number;
 }
--- a/src/process/router/peerExchange.ts
+++ b/src/process/router/peerExchange.ts
@@ -17,6 +17,7 @@
 import { ProcessorAccount } from "../loop/processorAccount.ts";
 import { ProcessorCause } from "../loop/processorCause.ts";
 import type { RendezvousOwners } from "../membership/rendezvousOwners.ts";
+import type { OverloadProtection } from "../overload/overloadProtection.ts";
 import type { RandomSource } from "../randomSource.ts";
 import type { RecordSection } from "../replica/recordSection.ts";
 import { ChangeFetcher } from "./changeFetcher.ts";
@@ -52,6 +53,10 @@
     state: PeerState;
     /** Whether this node's requests compete with those of other nodes for endpoint capacity. */
     isBusy(): boolean;
+    /** Reviewed in each round. */
+    overload: Pick<OverloadProtection, "review" | "getLag" | "getExchangeIntervalFactor">;
+    /** Whether this node tells the load balancer that it is ready. */
+    isReady(): boolean;
     clock: Clock;
     random: RandomSource;
     log: EventLog;
@@ -150,6 +155,7 @@
             return;
         }
         this.timer?.cancel();
+        this.options.overload.review();
         this.round += 1;
         this.lastRoundAt = this.getTime();
         this.exchangeWith(this.choosePartners());
@@ -158,7 +164,8 @@
     }
 
     private getRoundInterval(): number {
-        return this.listLive().length < maximumFullMeshNodes ? roundMilliseconds : largeRoundMilliseconds;
+        const interval = this.listLive().length < maximumFullMeshNodes ? roundMilliseconds : largeRoundMilliseconds;
+        return interval * this.options.overload.getExchangeIntervalFactor();
     }
 
     private listLive(): KnownNode[] {
@@ -318,6 +325,7 @@
                 continue;
             }
             const { nodeId, address, dataCentre, age, isWithoutStore, tunnelAddress, unreachablePercent } = record;
+            const { lag, isOutOfRotation } = record;
             this.options.nodes.update({
                 nodeId,
                 address,
@@ -325,13 +333,15 @@
                 isWithoutStore,
                 tunnelAddress,
                 unreachableFraction: unreachablePercent / percent,
+                lag,
+                isOutOfRotation,
                 heardAt: now - age,
             });
         }
     }
 
     private createOwnRecord(): OwnNodeRecord {
-        const { nodeId, address, dataCentre, storeWatch, links } = this.options;
+        const { nodeId, address, dataCentre, storeWatch, links, overload, isReady } = this.options;
         return {
             nodeId,
             address,
@@ -340,6 +350,8 @@
             isWithoutStore: storeWatch.isWithoutStore(),
             tunnelAddress: links.getTunnelAddress(),
             unreachablePercent: Math.round(links.getUnreachableFraction() * percent),
+            lag: overload.getLag(),
+            isOutOfRotation: !isReady(),
         };
     }
 
@@ -360,6 +372,8 @@
             isWithoutStore: node.isWithoutStore,
             tunnelAddress: node.tunnelAddress ?? "",
             unreachablePercent: Math.round((node.unreachableFraction ?? 0) * percent),
+            lag: node.lag ?? 0,
+            isOutOfRotation: node.isOutOfRotation ?? false,
             age: Math.max(0, Math.round(now - node.heardAt)),
         }));
     }
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -3,6 +3,7 @@
 import { RetryBudget } from "../../request/admission/retryBudget.ts";
 import { RetryDetector } from "../../request/admission/start/retryDetector.ts";
 import type { AnswerSink } from "../../request/relay/answers/answerSink.ts";
+import type { RelayRefusal } from "../../request/relay/answers/relayRefusal.ts";
 import { RefusalDetector } from "../../request/relay/detection/refusalDetector.ts";
 import { StallDetector } from "../../request/relay/detection/stallDetector.ts";
 import { EndpointHealth } from "../../request/relay/endpoints/endpointHealth.ts";
@@ -23,6 +24,8 @@
 import { FencedLease } from "../leases/fencedLease.ts";
 import { events } from "../logging/events.ts";
 import { OwnersCache } from "../membership/ownersCache.ts";
+import { LowestRankRefuser } from "../overload/lowestRankRefuser.ts";
+import { OverloadProtection } from "../overload/overloadProtection.ts";
 import { PlacementController } from "../placement/placementController.ts";
 import type { ChangeSource } from "../replica/changeSource.ts";
 import { RecordFollower } from "../replica/recordFollower.ts";
@@ -79,6 +82,8 @@
     private isDraining = false;
     private cleanupTimer: TimerHandle | undefined;
     private readonly maximumNodeCount: SlidingMaximum;
+    private readonly overload: OverloadProtection;
+    private readonly lowestRankRefuser: LowestRankRefuser;
 
     private constructor(options: RouterNodeOptions) {
         this.options = options;
@@ -139,6 +144,17 @@
         });
         this.quarantinePersister = QuarantinePersister.create({ store, key: keys.quarantine, quarantine, clock, log });
         this.nodes = NodeTable.create(nodeId);
+        this.lowestRankRefuser = LowestRankRefuser.create(random);
+        this.overload = OverloadProtection.create({
+            nodeId,
+            dataCentre: settings.dataCentre,
+            clock,
+            getLag: () => clock.getLag(),
+            getNodes: () => this.nodes.getLiveNodes(clock.getMonotonicTime()),
+            owners,
+            log,
+            metrics,
+        });
         this.links = EndpointLinks.create({
             ...options,
             tunnelListener: settings.tunnelListener,
@@ -233,6 +249,8 @@
                 onUpdate: () => this.exchange.propagateUpdate(),
             }),
             isBusy: () => queue.isContended(),
+            overload: this.overload,
+            isReady: () => this.isReady(),
             clock,
             random,
             log,
@@ -299,6 +317,7 @@
             readings,
             getExpectedTokenLayers: endpointId => loads.getLoad(endpointId).tokenLayers,
             getNodeIds: () => this.nodes.getLiveNodes(clock.getMonotonicTime()).map(node => node.nodeId),
+            getIntervalFactor: () => this.overload.getPollIntervalFactor(),
             getEndpoints: () => this.listPolledEndpoints(),
             fetchReport: endpoint => calls.fetchReport(endpoint),
         });
@@ -347,9 +366,30 @@
         this.router.handle(request, sink);
     }
 
+    /**
+     * Refuses a request before its body is read if this node is too late to serve it.
+     * @returns The refusal, or undefined if the request is to be handled as usual.
+     */
+    refuseEarly(head: Pick<RoutedRequest, "id" | "host" | "target" | "apiKey">): RelayRefusal | undefined {
+        const recoveryMilliseconds = this.overload.getRefusalMilliseconds();
+        const state = this.holder.getState();
+        if (recoveryMilliseconds === 0 || state === undefined) {
+            return undefined;
+        }
+        const refusal = this.lowestRankRefuser.decide(head, state, recoveryMilliseconds);
+        if (refusal !== undefined) {
+            const { log, metrics } = this.options;
+            const { reason } = refusal;
+            const { version: configurationVersion } = state.configuration;
+            log.write(events.relayRefused, { request: head.id, reason, configurationVersion });
+            metrics.refusalsTotal.inc({ reason });
+        }
+        return refusal;
+    }
+
     /** Checks if the load balancer should send callers to this node. */
     isReady(): boolean {
-        return !this.isDraining && this.holder.getState() !== undefined;
+        return !this.isDraining && !this.overload.isOutOfRotation() && this.holder.getState() !== undefined;
     }
 
     /** Gets the configuration in force; undefined if there is none yet. */
--- /dev/null
+++ b/tests/platform/lateListener.test.ts
@@ -0,0 +1,87 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
+import { after, before, describe, it } from "node:test";
+import { CallerListener } from "../../platform/callerListener.ts";
+import { findFreePorts } from "../../scripts/deployment/findFreePorts.ts";
+import { systemClock } from "../../src/process/systemClock.ts";
+import { createRefusal } from "../../src/request/relay/answers/createRefusal.ts";
+import { RefusalReason } from "../../src/request/relay/answers/refusalReason.ts";
+
+describe("CallerListener of a late node", () => {
+    let isRefusing = false;
+    /** Number of requests handled in each turn of the event loop. */
+    const handledByTurn = new Map<number, number>();
+    let turn = 0;
+    let port: number;
+    let listener: CallerListener;
+
+    before(async () => {
+        [port] = await findFreePorts(1) as [number];
+        listener = CallerListener.create({
+            address: `127.0.0.1:${port}`,
+            clock: systemClock,
+            getMaximumBodyBytes: () => 1_000,
+            refuseEarly: head => isRefusing ? createRefusal.notRun(`${head.target} is late.`, 2_500) : undefined,
+            handle: (request, sink) => {
+                handledByTurn.set(turn, (handledByTurn.get(turn) ?? 0) + 1);
+                sink.refuse({ reason: RefusalReason.NoRoute, message: request.body.toString() });
+            },
+        });
+        await listener.listen();
+    });
+
+    after(() => {
+        listener.stopListening();
+    });
+
+    /** Opens a connection and sends text. Returns what is received until the connection ends. */
+    async function exchange(text: string): Promise<string> {
+        const socket: Socket = connect(port, "127.0.0.1");
+        let received = "";
+        socket.on("data", chunk => received += chunk.toString());
+        socket.write(text);
+        await once(socket, "close");
+        return received;
+    }
+
+    const createRequest = (body: string, length = body.length) =>
+        `POST /x HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nConnection: close\r\nContent-Length: ${length}\r\n\r\n${body}`;
+
+    /** Sends a burst of requests whose connections all arrive in one turn. Returns the maximum number handled in one turn. */
+    async function sendBurst(bodies: readonly string[]): Promise<number> {
+        handledByTurn.clear();
+        let isCounting = true;
+        const countTurns = () => {
+            turn += 1;
+            if (isCounting) {
+                setImmediate(countTurns);
+            }
+        };
+        const exchanges = bodies.map(body => exchange(createRequest(body)));
+        countTurns();
+        const answers = await Promise.all(exchanges);
+        isCounting = false;
+        for (const [index, answer] of answers.entries()) {
+            assert.match(answer, /^HTTP\/1.1 404 /);
+            assert.ok(answer.endsWith(`{"error":"${bodies[index]}"}`));
+        }
+        return Math.max(...handledByTurn.values());
+    }
+
+    // Events of running streams would wait for the whole burst otherwise. Node.js accepts one connection per turn, so the node doesn't
+    // limit them itself.
+    it("serves all of a burst of connections, few in each turn of the event loop", async () => {
+        const bodies = Array.from({ length: 60 }, (_item, index) => `body ${index}`);
+        assert.ok(await sendBurst(bodies) <= 8);
+    });
+
+    it("refuses a request before its body arrives, with the retry delay", async () => {
+        isRefusing = true;
+        const answer = await exchange(createRequest("", 500));
+        isRefusing = false;
+        assert.match(answer, /^HTTP\/1.1 503 /);
+        assert.match(answer, /Retry-After: 2.5\r\n/);
+        assert.ok(answer.includes("/x is late."));
+    });
+});
