Check the placement when something changes, and read as a successor what was ordered before

Cause: work was found by a check each 250 ms and the lease reviewed by another one, the plan was read from the store with each new fencing number, and a successor didn't know what its predecessor had ordered.

Change: a change of the endpoints or the configuration, the acquired lease, the result of an order and a loaded plan cause the check at once, and new work the review of the lease. Timers remain for delayed moves, overdue orders and stability, and a check each 2 s (0.3 s while there is work). A node that acquires the lease again directly after itself keeps plan and orders in memory. Any other new holder reads the plan and the reports of endpoints without planned layers in parallel, and orders after at most 300 ms.

--- a/src/process/leases/fencedLease.ts
+++ b/src/process/leases/fencedLease.ts
@@ -25,6 +25,8 @@
     longestOrderMilliseconds: number;
     /** Gets the era of the store, which rises each time that it is restored from an older snapshot; undefined if it is unknown. */
     getStoreEra?(): number | undefined;
+    /** Called when the lease was acquired. */
+    onAcquired?(): void;
 }
 
 /**
@@ -223,10 +225,14 @@
         if (this.isStopped) {
             return;
         }
+        const earlierNumber = this.getFencingNumber();
         const output = event();
         // A call in flight at the time of a pause may have acquired the lease, which is then kept.
         this.isRunning ||= !this.isRelinquished && this.isHeld();
         this.apply(output);
+        if (this.isHeld() && this.getFencingNumber() !== earlierNumber) {
+            this.options.onAcquired?.();
+        }
     }
 
     private writeLogs(logs: LeaseOutput["logs"]): void {
--- a/src/process/placement/layerOrderTracker.ts
+++ b/src/process/placement/layerOrderTracker.ts
@@ -20,6 +20,8 @@
     fetchReport(endpoint: RegisteredEndpoint): Promise<EndpointReport | undefined>;
     /** Checks if orders with this fencing number may be sent now. */
     mayOrder(fencingNumber: number): boolean;
+    /** Called when the result of an order is known, so that another one may be due. */
+    onResult(): void;
 }
 
 /** An order that was sent and whose result does not show in the endpoint's registration yet. */
@@ -64,6 +66,8 @@
 const maximumRetryMilliseconds = 8_000;
 /** An endpoint that doesn't answer this many requests for its report doesn't count as holding the ordered layers any more. */
 const maximumUnansweredReports = 2;
+/** Time within which the record of an endpoint shows the layers that its report does. */
+const recordDelayMilliseconds = 1_500;
 const millisecondsPerSecond = 1_000;
 
 /**
@@ -173,6 +177,36 @@
         }
     }
 
+    /** Gets the monotonic time in milliseconds at which an order is overdue or an endpoint may be given one again; undefined if none is. */
+    getNextDueAt(now: number): number | undefined {
+        const times = [...this.pending.values()].map(({ dueAt }) => dueAt);
+        for (const { until } of this.blocks.values()) {
+            times.push(until);
+        }
+        const next = Math.min(...times.filter(time => time > now));
+        return next === Infinity ? undefined : next;
+    }
+
+    /** Reads from their reports which orders endpoints have begun under earlier fencing numbers, so that none is ordered twice. */
+    async readStates(model: EngineModel, endpoints: readonly RegisteredEndpoint[]): Promise<void> {
+        const { clock, fetchReport } = this.options;
+        await Promise.all(endpoints.map(async endpoint => {
+            const report = await fetchReport(endpoint);
+            if (report === undefined || this.pending.has(endpoint.id)) {
+                return;
+            }
+            const { id, layers: registeredLayers } = endpoint;
+            this.sequences.set(id, report.orderSequence);
+            const now = clock.getMonotonicTime();
+            if (report.isBusyWithOrder) {
+                this.blocks.set(id, { until: now + model.loadSeconds * millisecondsPerSecond, registeredLayers });
+            }
+            else if (report.layers !== undefined && !isSameLayers(registeredLayers, report.layers)) {
+                this.blocks.set(id, { until: now + recordDelayMilliseconds, registeredLayers });
+            }
+        }));
+    }
+
     private async sendPending(order: PendingOrder): Promise<void> {
         const { log, sendOrder } = this.options;
         const { endpoint, layers, fencingNumber, expectedSequence } = order;
@@ -191,6 +225,7 @@
         else if (order.outcome !== "done") {
             await this.resolve(order);
         }
+        this.options.onResult();
     }
 
     private handleBegun(order: PendingOrder): void {
--- a/src/process/placement/placementController.ts
+++ b/src/process/placement/placementController.ts
@@ -1,4 +1,5 @@
 import type { EndpointReport } from "../../request/relay/endpoints/endpointReport.ts";
+import type { HeldLayers } from "../../request/relay/endpoints/heldLayers.ts";
 import type { LayerOrder } from "../../request/relay/endpoints/layerOrder.ts";
 import type { OrderOutcome } from "../../request/relay/endpoints/orderOutcome.ts";
 import type { RegisteredEndpoint } from "../../request/relay/endpoints/registeredEndpoint.ts";
@@ -39,15 +40,24 @@
     getEndpoints(service: string): readonly RegisteredEndpoint[];
     sendOrder(endpoint: RegisteredEndpoint, order: LayerOrder): Promise<OrderOutcome | undefined>;
     fetchReport(endpoint: RegisteredEndpoint): Promise<EndpointReport | undefined>;
+    /** Called when there is something to order, so that the lease is acquired at once. */
+    onWork(): void;
 }
 
-const checkIntervalMilliseconds = 250;
+/** Longest time between two checks. Events that may change what is to be ordered cause a check at once. */
+const maximumCheckMilliseconds = 2_000;
+/** The same while something is to be ordered, the endpoints are not stable yet or a plan is missing. */
+const activeCheckMilliseconds = 300;
+/** Time within which a new holder reads what its predecessor ordered, before it orders. */
+const takeoverReadMilliseconds = 300;
 /** What is to be done for a service. */
 interface PlacementWork {
     /** Whether a plan is missing or orders are due, for which a candidate acquires the lease. */
     isDue: boolean;
     /** Whether orders are pending or will be due soon, for which a holder keeps the lease. */
     isPending: boolean;
+    /** Monotonic time in milliseconds of the next check; Infinity if none is needed before an event. */
+    nextCheckAt: number;
 }
 
 /**
@@ -63,6 +73,9 @@
     private readonly orders: LayerOrderTracker;
     private readonly moveSchedule = MoveSchedule.create();
     private timer: TimerHandle | undefined;
+    private isStarted = false;
+    /** Whether this node reads what its predecessor as the holder ordered. */
+    private isTakingOver = false;
     /** Fencing number under which plans were last loaded. */
     private loadedFencingNumber = 0;
     /** Monotonic time in milliseconds since which there has been something to order; undefined if there is nothing. */
@@ -72,10 +85,14 @@
 
     private constructor(options: PlacementControllerOptions) {
         this.options = options;
-        this.plans = PlacementPlans.create(options);
+        this.plans = PlacementPlans.create({ ...options, onAttempted: () => this.wake() });
         this.workSince = options.clock.getMonotonicTime();
         this.lastWorkAt = this.workSince;
-        this.orders = LayerOrderTracker.create({ ...options, mayOrder: number => this.getFencingNumber() === number });
+        this.orders = LayerOrderTracker.create({
+            ...options,
+            mayOrder: number => this.getFencingNumber() === number,
+            onResult: () => this.wake(),
+        });
     }
 
     /** Creates an instance that does nothing before {@link start}. */
@@ -83,17 +100,29 @@
         return new PlacementController(options);
     }
 
-    /** Starts to check the endpoints periodically while this node holds the lease or is a candidate for it. */
+    /** Starts to check the endpoints while this node holds the lease or is a candidate for it. */
     start(): void {
-        this.timer = this.options.clock.setTimer(checkIntervalMilliseconds, () => this.check());
+        this.isStarted = true;
+        this.wake();
     }
 
     /** Stops checking the endpoints and sending orders. */
     stop(): void {
+        this.isStarted = false;
         this.timer?.cancel();
         this.timer = undefined;
     }
 
+    /** Checks the endpoints after the events of this turn: the endpoints, the plan, the lease or the result of an order have changed. */
+    wake(): void {
+        this.setTimer(0);
+    }
+
+    private setTimer(milliseconds: number): void {
+        this.timer?.cancel();
+        this.timer = this.isStarted ? this.options.clock.setTimer(milliseconds, () => this.check()) : undefined;
+    }
+
     /**
      * Handles that the store was restored from an older snapshot. The last holder of the lease writes the plans that the copy lacks, so
      * that a later holder does not make another one and move layers.
@@ -119,41 +148,86 @@
     }
 
     private check(): void {
-        this.start();
-        if (this.plans.isBusy()) {
+        this.setTimer(maximumCheckMilliseconds);
+        if (this.plans.isBusy() || this.isTakingOver) {
             return;
         }
+        const { lease, isCandidate, getModelServices, clock } = this.options;
         const fencingNumber = this.getFencingNumber();
         const canOrder = fencingNumber !== undefined && fencingNumber > this.orders.getRefusedFencingNumber();
-        if (this.options.lease.getLastNumber() === undefined) {
+        if (lease.getLastNumber() === undefined) {
             this.orders.clear();
         }
-        if (!canOrder && !this.options.isCandidate()) {
+        if (!canOrder && !isCandidate()) {
             return;
         }
         if (canOrder && fencingNumber !== this.loadedFencingNumber) {
+            const isOwnSuccessor = this.loadedFencingNumber > 0 && fencingNumber === this.loadedFencingNumber + 1;
             this.loadedFencingNumber = fencingNumber;
-            this.plans.clear();
-            this.orders.clear();
+            if (!isOwnSuccessor) {
+                this.orders.clear();
+                void this.takeOver();
+                return;
+            }
         }
-        const mayHavePending = canOrder || this.options.lease.isLastHolder();
+        const mayHavePending = canOrder || lease.isLastHolder();
         let hasWork = false;
-        for (const service of this.options.getModelServices()) {
+        let nextCheckAt = Infinity;
+        for (const service of getModelServices()) {
             if (service.engine === undefined) {
                 continue;
             }
             const work = this.placeLayers(service.name, service.engine, canOrder ? fencingNumber : undefined);
             hasWork ||= work.isDue || mayHavePending && work.isPending;
+            nextCheckAt = Math.min(nextCheckAt, work.nextCheckAt);
         }
         this.noteWork(hasWork);
+        const now = clock.getMonotonicTime();
+        const ordersDueAt = this.orders.getNextDueAt(now) ?? Infinity;
+        const wait = Math.min(nextCheckAt, ordersDueAt) - now;
+        this.setTimer(Math.min(hasWork ? activeCheckMilliseconds : maximumCheckMilliseconds, Math.max(1, wait)));
+    }
+
+    /**
+     * Reads the plans and the reports of endpoints that don't hold what is planned, which the last holder may have ordered to load. An
+     * order without their sequence numbers would be refused.
+     */
+    private async takeOver(): Promise<void> {
+        const { clock, getModelServices } = this.options;
+        const services = getModelServices();
+        this.isTakingOver = true;
+        const readings = services.map(async ({ name, engine }) => {
+            if (engine !== undefined) {
+                await this.orders.readStates(engine, this.listUnplanned(name));
+            }
+        });
+        const timeout = new Promise<void>(resolve => {
+            clock.setTimer(takeoverReadMilliseconds, resolve);
+        });
+        await Promise.race([Promise.all([this.plans.refresh(services), ...readings]), timeout]);
+        this.isTakingOver = false;
+        this.wake();
+    }
+
+    /** Lists the endpoints of a service that hold neither a column nor a part of one. */
+    private listUnplanned(service: string): RegisteredEndpoint[] {
+        const columns = this.plans.get(service);
+        const isPlanned = (held: HeldLayers) =>
+            columns === undefined
+            || columns.some(({ layers }) => layers.start <= held.start && held.end <= layers.end);
+        return this.options.getEndpoints(service).filter(({ layers }) => layers === undefined || !isPlanned(layers));
     }
 
     private noteWork(hasWork: boolean): void {
         const now = this.options.clock.getMonotonicTime();
+        const isNew = hasWork && this.workSince === undefined;
         this.workSince = hasWork ? this.workSince ?? now : undefined;
         if (hasWork) {
             this.lastWorkAt = now;
         }
+        if (isNew) {
+            this.options.onWork();
+        }
     }
 
     /**
@@ -172,14 +246,15 @@
     private placeLayers(service: string, model: EngineModel, fencingNumber: number | undefined): PlacementWork {
         const endpoints = this.options.getEndpoints(service);
         if (endpoints.length === 0) {
-            return { isDue: false, isPending: false };
+            return { isDue: false, isPending: false, nextCheckAt: Infinity };
         }
         const now = this.options.clock.getMonotonicTime();
         const isStable = this.stabilityTracker.update(service, endpoints, now);
+        const stableCheckAt = isStable ? Infinity : now + activeCheckMilliseconds;
         const columns = this.plans.get(service);
         if (columns === undefined) {
             void this.plans.ensure(service, model, endpoints, { isStable, canOrder: fencingNumber !== undefined });
-            return { isDue: true, isPending: false };
+            return { isDue: true, isPending: false, nextCheckAt: stableCheckAt };
         }
         this.orders.removeCompleted(service, endpoints);
         const states = this.createPlacementEndpoints(endpoints, now);
@@ -187,7 +262,12 @@
             "assignLayers",
             () => assignLayers(model, columns, states),
         );
-        const { due, balancing, isLeaseNeeded } = this.scheduleMoves(service, moves, endpoints, isStable);
+        const { due, balancing, isLeaseNeeded, nextDueAt = Infinity } = this.scheduleMoves(
+            service,
+            moves,
+            endpoints,
+            isStable,
+        );
         const wanted = [...assignments, ...due];
         const isPending = isLeaseNeeded || this.orders.hasPending();
         if (wanted.length > 0 || isPending) {
@@ -206,7 +286,11 @@
             }
             this.orders.checkOverdue();
         }
-        return { isDue: wanted.length > 0, isPending: isPending || this.orders.hasPending() };
+        return {
+            isDue: wanted.length > 0,
+            isPending: isPending || this.orders.hasPending(),
+            nextCheckAt: Math.min(stableCheckAt, nextDueAt),
+        };
     }
 
     private scheduleMoves(
--- a/src/process/placement/placementPlans.ts
+++ b/src/process/placement/placementPlans.ts
@@ -17,6 +17,8 @@
     log: EventLog;
     /** Prefix of the keys of plans in the store, followed by the name of the service. */
     keyPrefix: string;
+    /** Called after each attempt to load or make a plan. */
+    onAttempted(): void;
 }
 
 /** What a node may do to get the plan of a service. */
@@ -64,10 +66,17 @@
         return this.isAttempting;
     }
 
-    /** Drops all plans, so that they are read from the store again. Another holder may have stored others. */
-    clear(): void {
-        this.plans.clear();
+    /**
+     * Reads the plans of services from the store again, since another holder may have stored others. The known plans stay in use if the
+     * store doesn't answer.
+     */
+    async refresh(services: readonly { name: string; engine?: EngineModel | undefined; }[]): Promise<void> {
         this.servicesReadFromStore.clear();
+        await Promise.all(services.map(async ({ name, engine }) => {
+            if (engine !== undefined) {
+                await this.load(name, engine, [], false);
+            }
+        }));
     }
 
     /** Writes the plans again that an older snapshot of the store lacks. */
@@ -95,6 +104,7 @@
         this.isAttempting = true;
         await this.load(service, model, endpoints, isStable && canOrder);
         this.isAttempting = false;
+        this.options.onAttempted();
     }
 
     private async load(
@@ -118,6 +128,7 @@
             log.write(events.placementPlanned, { service, source: "store", columns: formatColumns(record.columns) });
             return;
         }
+        this.plans.delete(service);
         if (!canCreatePlan) {
             return;
         }
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -158,7 +158,10 @@
             drainMilliseconds: settings.drainMilliseconds,
             isLeaving: endpointId => instructions.isLeaving(endpointId),
             getLastStoreFailure: () => this.storeWatch.getLastFailure(),
-            onChange: () => this.scheduleCleanup(),
+            onChange: () => {
+                this.scheduleCleanup();
+                this.placementController.wake();
+            },
             onRestart: (earlier, later) => {
                 instructions.handleRestart(earlier.id, later);
                 this.stallDetector.handleEndpointRestart(earlier);
@@ -168,6 +171,7 @@
             name: "configuration",
             onChange: (record, source) => {
                 this.holder.applyRecord(record, source);
+                this.placementController.wake();
                 this.propagateStoreChange(source);
             },
             isOutdated: (record, known) => this.holder.isOutdated(record, known),
@@ -190,6 +194,7 @@
             timeToLiveMilliseconds: leaseTtlMilliseconds,
             longestOrderMilliseconds,
             getStoreEra: () => store.getEra(),
+            onAcquired: () => this.placementController.wake(),
         });
         this.storeWatch = StoreWatchController.create({
             nodeId,
@@ -290,6 +295,7 @@
             getEndpoints: service => this.registry.getEndpoints(service),
             sendOrder: (endpoint, order) => calls.sendLayerOrder(endpoint, order),
             fetchReport: endpoint => calls.fetchReport(endpoint),
+            onWork: () => this.storeWatch.reviewLease(),
         });
         this.endpointPoller = EndpointPoller.create({
             nodeId,
--- a/src/process/router/storeWatchController.ts
+++ b/src/process/router/storeWatchController.ts
@@ -201,8 +201,7 @@
         const isFailing = followers.some(follower => !follower.isStoreReachable());
         this.probe.setActive(isActive && (isFailing || this.hasManyNodes));
         this.confirmCopy(others, now);
-        const hasPeers = others.length > 0 || now - this.startedAt > soleNodeMilliseconds;
-        this.reviewLease(isWatcher, hasPeers);
+        this.reviewLease();
         this.reportCopyAge(now);
         this.timer = clock.setTimer(reviewIntervalMilliseconds, () => this.review());
     }
@@ -287,9 +286,12 @@
         return now < this.watchesUntil;
     }
 
-    private reviewLease(isWatcher: boolean, hasPeers: boolean): void {
-        const { lease, isDraining, getLeaseAction } = this.options;
-        if (!isWatcher || this.isWithoutStore()) {
+    /** Acquires, keeps or releases the placement lease, as of the last review of the nodes. */
+    reviewLease(): void {
+        const { lease, isDraining, getLeaseAction, nodes, clock } = this.options;
+        const now = clock.getMonotonicTime();
+        const hasPeers = nodes.getLiveNodes(now).length > 0 || now - this.startedAt > soleNodeMilliseconds;
+        if (!this.isSelectedWatcher || this.isWithoutStore()) {
             // Without the store no node can acquire the lease; only its holder keeps trying to renew it.
             // A node that has just started and knows few others counts as a store watcher. If all such nodes kept trying to
             // acquire the lease, their writes would be useless.
--- a/tests/process/placement/layerOrderTracker.test.ts
+++ b/tests/process/placement/layerOrderTracker.test.ts
@@ -29,6 +29,7 @@
             },
             fetchReport: async () => report as EndpointReport | undefined,
             mayOrder: number => number === 1,
+            onResult: () => undefined,
         });
     }
 
