Choose the node that orders placements by rendezvous hashing

Cause: each node that could acquire the lease tried to when it saw something to order.

Change: listPlanners ranks these nodes by rendezvous hashing; late nodes come last, and nodes that the store refuses are left out. FL1920 names the chosen node when it changes, FL1921 says why due orders are withheld, and foxlead_placement_first_order_seconds is the time from the evidence to the first order. Only this node's own lag counts so far, since peers don't report theirs yet.

--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -320,6 +320,16 @@
         level: "info",
         message: "An endpoint accepted or rejected a placement order, or did not answer.",
     },
+    placementPlannerChosen: {
+        number: 1920,
+        level: "info",
+        message: "The node that should order placements was chosen.",
+    },
+    placementOrderWithheld: {
+        number: 1921,
+        level: "info",
+        message: "Placement orders are due but withheld.",
+    },
     loadOrdered: { number: 1901, level: "info", message: "An engine was ordered to load layers." },
     layersLoaded: {
         number: 1902,
--- a/src/process/metrics/metrics.ts
+++ b/src/process/metrics/metrics.ts
@@ -143,6 +143,11 @@
         "call",
         "outcome",
     ]);
+    readonly placementFirstOrderSeconds = this.createHistogram(
+        "placement_first_order_seconds",
+        "Time from when layers had to be placed, as this node sees it, until its first order.",
+        [0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10],
+    );
     readonly storeCopyAgeSeconds = this.createGauge(
         "store_copy_age_seconds",
         "Time since this node's copy of the platform's store was last known to be current.",
--- a/src/process/placement/placementController.ts
+++ b/src/process/placement/placementController.ts
@@ -8,6 +8,7 @@
 import type { Clock, TimerHandle } from "../clock.ts";
 import type { FencedLease } from "../leases/fencedLease.ts";
 import type { EventLog } from "../logging/eventLog.ts";
+import { events } from "../logging/events.ts";
 import type { PlatformStore } from "../platform/platformStore.ts";
 import { assignLayers } from "./assignLayers.ts";
 import { chooseLoads } from "./chooseLoads.ts";
@@ -42,6 +43,8 @@
     fetchReport(endpoint: RegisteredEndpoint): Promise<EndpointReport | undefined>;
     /** Called when there is something to order, so that the lease is acquired at once. */
     onWork(): void;
+    /** Called at the first order after there was nothing to order, with the time since then in milliseconds. */
+    onFirstOrder(milliseconds: number): void;
 }
 
 /** Longest time between two checks. Events that may change what is to be ordered cause a check at once. */
@@ -82,6 +85,10 @@
     private workSince: number | undefined;
     /** Monotonic time in milliseconds at which there was something to order last. */
     private lastWorkAt: number;
+    /** Whether an order was sent since there has been something to order. */
+    private hasOrdered = false;
+    /** Why orders are withheld, by service, as logged. */
+    private readonly withheldReasons = new Map<string, string>();
 
     private constructor(options: PlacementControllerOptions) {
         this.options = options;
@@ -135,14 +142,18 @@
         this.plans.writeAgain();
     }
 
-    /** Decides whether this node acquires, keeps or releases the lease, as of the last check. */
-    getLeaseAction(): LeaseAction {
+    /**
+     * Decides whether this node acquires, keeps or releases the lease, as of the last check.
+     * @param rank - Number of nodes that should acquire the lease before this one.
+     */
+    getLeaseAction(rank: number): LeaseAction {
         const { clock, lease } = this.options;
         const { workSince, lastWorkAt } = this;
         return decideLeaseAction({
             isHolder: lease.isLastHolder(),
             workSince,
             lastWorkAt,
+            rank,
             now: clock.getMonotonicTime(),
         });
     }
@@ -221,6 +232,7 @@
     private noteWork(hasWork: boolean): void {
         const now = this.options.clock.getMonotonicTime();
         const isNew = hasWork && this.workSince === undefined;
+        this.hasOrdered &&= hasWork;
         this.workSince = hasWork ? this.workSince ?? now : undefined;
         if (hasWork) {
             this.lastWorkAt = now;
@@ -278,13 +290,19 @@
             const { loadsAtOnce } = model;
             const activeLoads = this.orders.countActiveLoads(service);
             const query = { columns, endpoints: states, assignments: wanted, activeLoads, loadsAtOnce };
-            for (const assignment of chooseLoads(query)) {
+            const chosen = chooseLoads(query);
+            for (const assignment of chosen) {
                 const endpoint = endpoints.find(({ id }) => id === assignment.endpointId);
                 if (endpoint !== undefined) {
+                    this.noteOrder();
                     void this.orders.send(model, endpoint, assignment.layers, fencingNumber);
                 }
             }
             this.orders.checkOverdue();
+            this.logWithheld(service, wanted.length - chosen.length, "other loads are running");
+        }
+        else if (this.options.lease.isLastHolder()) {
+            this.logWithheld(service, wanted.length, "the lease has expired and another node may acquire it");
         }
         return {
             isDue: wanted.length > 0,
@@ -293,6 +311,25 @@
         };
     }
 
+    private noteOrder(): void {
+        if (!this.hasOrdered) {
+            this.hasOrdered = true;
+            const now = this.options.clock.getMonotonicTime();
+            this.options.onFirstOrder(now - (this.workSince ?? now));
+        }
+    }
+
+    /** Logs why orders are withheld, once until the reason changes. */
+    private logWithheld(service: string, orders: number, reason: string): void {
+        if (orders === 0) {
+            this.withheldReasons.delete(service);
+        }
+        else if (this.withheldReasons.get(service) !== reason) {
+            this.withheldReasons.set(service, reason);
+            this.options.log.write(events.placementOrderWithheld, { service, orders, reason });
+        }
+    }
+
     private scheduleMoves(
         service: string,
         moves: readonly LayerMove[],
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -47,6 +47,8 @@
 const leaseTtlMilliseconds = 3_000;
 /** Endpoints refuse orders with an older fencing number, so a successor does not wait for orders in flight. */
 const longestOrderMilliseconds = 300;
+/** A node whose event loop is later than this couldn't order within half a second, and leaves it to another one. */
+const lateMilliseconds = 250;
 const secondMilliseconds = 1_000;
 /**
  * Initially assumed number of nodes. A node that has just started knows few others, and takes a small share of the limits for
@@ -210,7 +212,8 @@
             callStore: () => store.isAnswering(),
             configurationMilliseconds: settings.configurationMilliseconds,
             isSeed: settings.seeds.length === 0 || settings.seeds.includes(settings.peerListener),
-            getLeaseAction: () => this.placementController.getLeaseAction(),
+            getLeaseAction: rank => this.placementController.getLeaseAction(rank),
+            isLate: () => clock.getLag() > lateMilliseconds,
             onCopyAge: milliseconds => metrics.storeCopyAgeSeconds.set(milliseconds / secondMilliseconds),
             log,
         });
@@ -296,6 +299,9 @@
             sendOrder: (endpoint, order) => calls.sendLayerOrder(endpoint, order),
             fetchReport: endpoint => calls.fetchReport(endpoint),
             onWork: () => this.storeWatch.reviewLease(),
+            onFirstOrder: milliseconds => {
+                metrics.placementFirstOrderSeconds.observe(milliseconds / secondMilliseconds);
+            },
         });
         this.endpointPoller = EndpointPoller.create({
             nodeId,
--- a/src/process/router/storeWatchController.ts
+++ b/src/process/router/storeWatchController.ts
@@ -7,6 +7,7 @@
 import type { RecordFollower } from "../replica/recordFollower.ts";
 import { isStoreWatcher } from "./isStoreWatcher.ts";
 import type { KnownNode } from "./knownNode.ts";
+import { listPlanners } from "./listPlanners.ts";
 import { listStoreWatchers } from "./listStoreWatchers.ts";
 import type { NodeTable } from "./nodeTable.ts";
 import { StoreProbe } from "./storeProbe.ts";
@@ -29,8 +30,13 @@
     configurationMilliseconds: number;
     /** Whether this node is a seed in the settings of the other nodes. */
     isSeed: boolean;
-    /** Decides what to do with the lease while the store answers this node. */
-    getLeaseAction(): LeaseAction;
+    /**
+     * Decides what to do with the lease while the store answers this node.
+     * @param rank - Number of nodes that should acquire the lease before this one.
+     */
+    getLeaseAction(rank: number): LeaseAction;
+    /** Whether the event loop of this node runs late. */
+    isLate(): boolean;
     /** Called regularly with the time since this node's copy was last known to be current, in milliseconds. */
     onCopyAge(milliseconds: number): void;
     log: EventLog;
@@ -80,6 +86,8 @@
     /** Time until which this node watches the store because its copy was stale. */
     private watchesUntil = -Infinity;
     private isSelectedWatcher = false;
+    /** The node that should order placements, as logged. */
+    private loggedPlanner: string | undefined;
     /** Whether there are so many nodes that only few of them watch the store. */
     private hasManyNodes = false;
     /** Whether the log says that this node's copy may lack changes. */
@@ -290,7 +298,8 @@
     reviewLease(): void {
         const { lease, isDraining, getLeaseAction, nodes, clock } = this.options;
         const now = clock.getMonotonicTime();
-        const hasPeers = nodes.getLiveNodes(now).length > 0 || now - this.startedAt > soleNodeMilliseconds;
+        const others = nodes.getLiveNodes(now);
+        const hasPeers = others.length > 0 || now - this.startedAt > soleNodeMilliseconds;
         if (!this.isSelectedWatcher || this.isWithoutStore()) {
             // Without the store no node can acquire the lease; only its holder keeps trying to renew it.
             // A node that has just started and knows few others counts as a store watcher. If all such nodes kept trying to
@@ -298,7 +307,7 @@
             lease.pause();
             return;
         }
-        switch (getLeaseAction()) {
+        switch (getLeaseAction(this.getPlannerRank(others))) {
             case LeaseAction.Acquire:
                 if (hasPeers && !isDraining()) {
                     lease.start();
@@ -312,4 +321,25 @@
                 lease.rest();
         }
     }
+
+    /** Gets the number of nodes that should acquire the placement lease before this one. */
+    private getPlannerRank(others: readonly KnownNode[]): number {
+        const { nodeId, owners, isLate, log } = this.options;
+        const nodes = [...others, { nodeId, isWithoutStore: false }];
+        // In a large deployment only the nodes that watch the store may acquire the lease.
+        const watching = this.hasManyNodes ? new Set(listStoreWatchers(nodes, owners).watching) : undefined;
+        const candidates = nodes.filter(node => watching?.has(node.nodeId) !== false);
+        const planners = listPlanners(
+            candidates.map(node => node.nodeId === nodeId ? { ...node, isLate: isLate() } : node),
+            owners,
+        );
+        const [planner = ""] = planners;
+        if (planner !== this.loggedPlanner) {
+            this.loggedPlanner = planner;
+            const fields = { planner, candidates: planners.length, nodes: nodes.length, isLate: isLate() };
+            log.write(events.placementPlannerChosen, fields);
+        }
+        const rank = planners.indexOf(nodeId);
+        return rank < 0 ? planners.length : rank;
+    }
 }
--- a/tests/process/placement/placementController.test.ts
+++ b/tests/process/placement/placementController.test.ts
@@ -23,12 +23,14 @@
     let clock: FakeClock;
     let store: MemoryStore;
     let endpoints: RegisteredEndpoint[];
+    let firstOrders: number[];
     let orders: { endpoint: string; order: LayerOrder; }[];
 
     beforeEach(() => {
         clock = FakeClock.create();
         store = MemoryStore.create();
         orders = [];
+        firstOrders = [];
         endpoints = [createMiddle("x", second), createMiddle("y", third), createMiddle("z")];
     });
 
@@ -57,6 +59,7 @@
             },
             fetchReport: async () => undefined,
             onWork: () => undefined,
+            onFirstOrder: milliseconds => firstOrders.push(milliseconds),
             ...changes,
         });
         controller.start();
@@ -144,7 +147,7 @@
         async function run(controller: PlacementController, milliseconds: number): Promise<void> {
             for (let waited = 0; waited < milliseconds; waited += 130) {
                 await clock.advance(130);
-                const action = controller.getLeaseAction();
+                const action = controller.getLeaseAction(0);
                 if (fencingNumber === undefined && action === LeaseAction.Acquire) {
                     acquisitions += 1;
                     fencingNumber = acquisitions;
@@ -209,7 +212,7 @@
             endpoints = endpoints.with(2, createMiddle("z", orders[0]!.order.layers));
             await run(controller, 5_500);
             assert.notEqual(fencingNumber, undefined);
-            assert.equal(controller.getLeaseAction(), LeaseAction.Keep);
+            assert.equal(controller.getLeaseAction(0), LeaseAction.Keep);
             await run(controller, 1_500);
             assert.equal(fencingNumber, undefined);
         });
@@ -251,6 +254,7 @@
         await clock.advance(10);
         assert.deepEqual(orders.map(({ endpoint }) => endpoint), ["z"]);
         assert.equal(store.getCallCount(), before);
+        assert.deepEqual(firstOrders, [0]);
     });
 
     // A successor ordered what its predecessor had ordered already, and its orders were refused for their sequence numbers.
--- a/tests/process/router/storeWatchController.test.ts
+++ b/tests/process/router/storeWatchController.test.ts
@@ -61,6 +61,7 @@
             configurationMilliseconds: 4_000,
             isSeed,
             getLeaseAction: () => hasWork ? LeaseAction.Acquire : LeaseAction.Release,
+            isLate: () => false,
             onCopyAge: () => undefined,
             log,
         });
