--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -51,6 +51,8 @@
 const leaseTtlMilliseconds = 3_000;
 /** Endpoints refuse orders with an older fencing number, so a successor does not wait for orders in flight. */
 const longestOrderMilliseconds = 300;
+/** A node whose event loop is later than this couldn't order within half a second, and leaves it to another one. */
+const lateMilliseconds = 250;
 const secondMilliseconds = 1_000;
 /**
  * Initially assumed number of nodes. A node that has just started knows few others, and takes a small share of the limits for
@@ -176,7 +178,10 @@
             drainMilliseconds: settings.drainMilliseconds,
             isLeaving: endpointId => instructions.isLeaving(endpointId),
             getLastStoreFailure: () => this.storeWatch.getLastFailure(),
-            onChange: () => this.scheduleCleanup(),
+            onChange: () => {
+                this.scheduleCleanup();
+                this.placementController.wake();
+            },
             onRestart: (earlier, later) => {
                 instructions.handleRestart(earlier.id, later);
                 this.stallDetector.handleEndpointRestart(earlier);
@@ -186,6 +191,7 @@
             name: "configuration",
             onChange: (record, source) => {
                 this.holder.applyRecord(record, source);
+                this.placementController.wake();
                 this.propagateStoreChange(source);
             },
             isOutdated: (record, known) => this.holder.isOutdated(record, known),
@@ -208,6 +214,7 @@
             timeToLiveMilliseconds: leaseTtlMilliseconds,
             longestOrderMilliseconds,
             getStoreEra: () => store.getEra(),
+            onAcquired: () => this.placementController.wake(),
         });
         this.storeWatch = StoreWatchController.create({
             nodeId,
@@ -223,7 +230,8 @@
             callStore: () => store.isAnswering(),
             configurationMilliseconds: settings.configurationMilliseconds,
             isSeed: settings.seeds.length === 0 || settings.seeds.includes(settings.peerListener),
-            getLeaseAction: () => this.placementController.getLeaseAction(),
+            getLeaseAction: rank => this.placementController.getLeaseAction(rank),
+            isLate: () => clock.getLag() > lateMilliseconds,
             onCopyAge: milliseconds => metrics.storeCopyAgeSeconds.set(milliseconds / secondMilliseconds),
             log,
         });
@@ -310,6 +318,10 @@
             getEndpoints: service => this.registry.getEndpoints(service),
             sendOrder: (endpoint, order) => calls.sendLayerOrder(endpoint, order),
             fetchReport: endpoint => calls.fetchReport(endpoint),
+            onWork: () => this.storeWatch.reviewLease(),
+            onFirstOrder: milliseconds => {
+                metrics.placementFirstOrderSeconds.observe(milliseconds / secondMilliseconds);
+            },
         });
         this.endpointPoller = EndpointPoller.create({
             nodeId,
--- a/tests/process/placement/placementController.test.ts
+++ b/tests/process/placement/placementController.test.ts
@@ -23,12 +23,14 @@
     let clock: FakeClock;
     let store: MemoryStore;
     let endpoints: RegisteredEndpoint[];
+    let firstOrders: number[];
     let orders: { endpoint: string; order: LayerOrder; }[];
 
     beforeEach(() => {
         clock = FakeClock.create();
         store = MemoryStore.create();
         orders = [];
+        firstOrders = [];
         endpoints = [createMiddle("x", second), createMiddle("y", third), createMiddle("z")];
     });
 
@@ -56,6 +58,8 @@
                 return { kind: "begun", faultyAddress: undefined };
             },
             fetchReport: async () => undefined,
+            onWork: () => undefined,
+            onFirstOrder: milliseconds => firstOrders.push(milliseconds),
             ...changes,
         });
         controller.start();
@@ -99,11 +103,12 @@
     it("moves an endpoint without delay to a column that has lost its last replica", async () => {
         await storePlan();
         endpoints = [createMiddle("x", second), createMiddle("w", second), createMiddle("y", third)];
-        start(2);
+        const controller = start(2);
         await clock.advance(3_000);
         assert.equal(orders.length, 0);
         endpoints = endpoints.slice(0, 2);
-        await clock.advance(600);
+        controller.wake();
+        await clock.advance(500);
         assert.equal(orders.length, 1);
         assert.deepEqual(orders[0]!.order.layers, third);
     });
@@ -142,7 +147,7 @@
         async function run(controller: PlacementController, milliseconds: number): Promise<void> {
             for (let waited = 0; waited < milliseconds; waited += 130) {
                 await clock.advance(130);
-                const action = controller.getLeaseAction();
+                const action = controller.getLeaseAction(0);
                 if (fencingNumber === undefined && action === LeaseAction.Acquire) {
                     acquisitions += 1;
                     fencingNumber = acquisitions;
@@ -207,7 +212,7 @@
             endpoints = endpoints.with(2, createMiddle("z", orders[0]!.order.layers));
             await run(controller, 5_500);
             assert.notEqual(fencingNumber, undefined);
-            assert.equal(controller.getLeaseAction(), LeaseAction.Keep);
+            assert.equal(controller.getLeaseAction(0), LeaseAction.Keep);
             await run(controller, 1_500);
             assert.equal(fencingNumber, undefined);
         });
@@ -237,6 +242,44 @@
         assert.deepEqual(orders.map(({ endpoint }) => endpoint), ["z"]);
     });
 
+    // Work was found by a check each 250 ms, and the plan was read only then.
+    it("orders at once when an empty endpoint registers, without reading the store", async () => {
+        await storePlan();
+        endpoints = endpoints.slice(0, 2);
+        const controller = start(1);
+        await clock.advance(3_000);
+        const before = store.getCallCount();
+        endpoints = [...endpoints, createMiddle("z")];
+        controller.wake();
+        await clock.advance(10);
+        assert.deepEqual(orders.map(({ endpoint }) => endpoint), ["z"]);
+        assert.equal(store.getCallCount(), before);
+        assert.deepEqual(firstOrders, [0]);
+    });
+
+    // A successor ordered what its predecessor had ordered already, and its orders were refused for their sequence numbers.
+    it("reads as a successor what endpoints without planned layers were ordered before", async () => {
+        await storePlan();
+        endpoints = [...endpoints, createMiddle("v")];
+        const asked: string[] = [];
+        start(4, {
+            fetchReport: async ({ id }) => {
+                asked.push(id);
+                return { orderSequence: 2, isBusyWithOrder: id === "v", layers: undefined } as never;
+            },
+        });
+        await clock.advance(2_000);
+        assert.deepEqual(asked, ["z", "v"]);
+        assert.deepEqual(orders.map(({ endpoint, order }) => [endpoint, order.expectedSequence]), [["z", 2]]);
+    });
+
+    it("orders after 300 ms as a successor though reports are not answered", async () => {
+        await storePlan();
+        start(4, { fetchReport: () => new Promise(() => undefined) });
+        await clock.advance(310);
+        assert.deepEqual(orders.map(({ endpoint }) => endpoint), ["z"]);
+    });
+
     // Another plan would have moved the layers of all endpoints.
     it("stores the plan in use again if the store was restored from an older snapshot without it", async () => {
         const copy = store.takeSnapshot();
