--- a/src/process/placement/assignLayers.ts
+++ b/src/process/placement/assignLayers.ts
@@ -14,7 +14,7 @@
 
 /** Orders that should be given. */
 interface LayerDecisions {
-    /** Assignments for endpoints that hold neither a column nor a part of one, with the most important first. */
+    /** Assignments for endpoints that hold neither a column nor a part of one; `chooseLoads` decides which come first. */
     assignments: LayerAssignment[];
     /**
      * Moves of endpoints that already hold a column, with the most important first: at most one for a column that the
--- a/tests/process/placement/assignLayersAfterLosses.test.ts
+++ b/tests/process/placement/assignLayersAfterLosses.test.ts
@@ -122,6 +122,35 @@
         assert.deepEqual(replayPlacement(firstColumns, replay.endpoints.slice(1)).broken, []);
     });
 
+    // Guards against a fleet without a complete chain, and against the data centre that lacks least giving up a column.
+    it("moves an endpoint whose column is held elsewhere to a column that the fleet lacks, where most is lacking", () => {
+        const endpoints = [
+            ...createEndpoints("a", "1 a100 30-60", ...v100s.map(text => `1 ${text}`), "1 l4 78-80"),
+            ...createEndpoints("b", "1 a100 30-60", "1 v100 60-66", "1 l4 78-80"),
+        ];
+        assert.deepEqual(assignLayers(replayModel, firstColumns, endpoints), {
+            assignments: [],
+            moves: [{ endpointId: "b-a100-0-0", layers: { start: 0, end: 30 }, purpose: MovePurpose.FleetLacks }],
+        });
+        assert.ok(isComplete(replayPlacement(firstColumns, endpoints).endpoints));
+        assert.deepEqual(assignLayers(replayModel, firstColumns, endpoints.slice(0, 5)).moves, []);
+    });
+
+    // Guards against a data centre that waits for the move of another one, and against moves while replicas are loading.
+    it("moves one endpoint in each data centre that lacks columns, once the other replica of its column is loaded", () => {
+        const holders = ["1 a100 0-30", "1 a100 30-60", "2 v100 60-66", "1 l4 78-80"];
+        const endpoints = [
+            ...createEndpoints("a", ...holders, "1 v100 66-72"),
+            ...createEndpoints("b", ...holders, "1 v100 72-78"),
+        ];
+        const { moves } = assignLayers(replayModel, firstColumns, endpoints);
+        const targets = moves.map(({ endpointId, layers }) => [endpointId[0], layers.start]);
+        assert.deepEqual(targets, [["a", 72], ["b", 66]]);
+        assert.ok(moves.every(({ purpose }) => purpose === MovePurpose.DataCentreLacks));
+        const loading = endpoints.map(endpoint => ({ ...endpoint, isBusy: endpoint.id.endsWith("v100-2-0") }));
+        assert.deepEqual(assignLayers(replayModel, firstColumns, loading).moves, []);
+    });
+
     for (
         const [name, fleet, columns] of [
             ["first", firstFleet, firstColumns],
@@ -144,5 +173,20 @@
                 assert.ok(replay.loads.length <= endpoints.length, `${seed}`);
             }
         });
+
+        // Guards against moves that undo each other while endpoints leave and return.
+        it(`completes the data centres again after each endpoint was replaced: ${name} fleet`, () => {
+            let endpoints = fleet;
+            let loads = 0;
+            for (const replaced of fleet) {
+                const remaining = replayPlacement(columns, endpoints.filter(({ id }) => id !== replaced.id));
+                const replay = replayPlacement(columns, [...remaining.endpoints, { ...replaced, layers: undefined }]);
+                assert.deepEqual([...remaining.broken, ...replay.broken], [], replaced.id);
+                endpoints = replay.endpoints;
+                loads += remaining.loads.length + replay.loads.length;
+            }
+            assert.ok(["a", "b", "c"].every(dataCentre => isComplete(endpoints, dataCentre)));
+            assert.ok(loads <= 2 * fleet.length, String(loads));
+        });
     }
 });
