Rank late nodes last for the placement by the lag that they report

Cause: peers report the lag of their event loops now, but the choice of the node that orders placements knew only its own. Change: StoreWatchController takes the lag of each known node; the type of the owners fits the cache of owners. Measured: the tests of router, placement, overload and logging pass.

--- a/src/process/router/listPlanners.ts
+++ b/src/process/router/listPlanners.ts
@@ -13,7 +13,10 @@
  * Lists the nodes that may order placements, the one that should do it first. All nodes choose it without coordination, so that one of
  * them acquires the lease as soon as there is something to order. Late nodes come last, and nodes that the store refuses are left out.
  */
-export function listPlanners(candidates: readonly PlannerCandidate[], owners: RendezvousOwners): string[] {
+export function listPlanners(
+    candidates: readonly PlannerCandidate[],
+    owners: Pick<RendezvousOwners, "getOwners">,
+): string[] {
     const reachable = candidates.filter(({ isWithoutStore }) => !isWithoutStore);
     const late = new Set(reachable.filter(({ isLate }) => isLate).map(({ nodeId }) => nodeId));
     const ranked = owners.getOwners(planningKey, reachable.map(({ nodeId }) => nodeId), reachable.length);
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -51,8 +51,6 @@
 const leaseTtlMilliseconds = 3_000;
 /** Endpoints refuse orders with an older fencing number, so a successor does not wait for orders in flight. */
 const longestOrderMilliseconds = 300;
-/** A node whose event loop is later than this couldn't order within half a second, and leaves it to another one. */
-const lateMilliseconds = 250;
 const secondMilliseconds = 1_000;
 /**
  * Initially assumed number of nodes. A node that has just started knows few others, and takes a small share of the limits for
@@ -231,7 +229,7 @@
             configurationMilliseconds: settings.configurationMilliseconds,
             isSeed: settings.seeds.length === 0 || settings.seeds.includes(settings.peerListener),
             getLeaseAction: rank => this.placementController.getLeaseAction(rank),
-            isLate: () => clock.getLag() > lateMilliseconds,
+            getLag: () => clock.getLag(),
             onCopyAge: milliseconds => metrics.storeCopyAgeSeconds.set(milliseconds / secondMilliseconds),
             log,
         });
--- a/src/process/router/storeWatchController.ts
+++ b/src/process/router/storeWatchController.ts
@@ -35,8 +35,8 @@
      * @param rank - Number of nodes that should acquire the lease before this one.
      */
     getLeaseAction(rank: number): LeaseAction;
-    /** Whether the event loop of this node runs late. */
-    isLate(): boolean;
+    /** Gets the lag of this node's event loop in milliseconds. */
+    getLag(): number;
     /** Called regularly with the time since this node's copy was last known to be current, in milliseconds. */
     onCopyAge(milliseconds: number): void;
     log: EventLog;
@@ -70,6 +70,9 @@
 /** The same for any other of few nodes, in case that no message has told it in time. */
 const confirmationFraction = 0.6;
 
+/** A node whose event loop is later than this couldn't order within half a second, and leaves it to another one. */
+const lateMilliseconds = 250;
+
 /**
  * Decides from the live nodes whether this node watches the store or gets changes from other nodes. Tracks how current this
  * node's copy is, and when the store last failed.
@@ -324,19 +327,25 @@
 
     /** Gets the number of nodes that should acquire the placement lease before this one. */
     private getPlannerRank(others: readonly KnownNode[]): number {
-        const { nodeId, owners, isLate, log } = this.options;
-        const nodes = [...others, { nodeId, isWithoutStore: false }];
+        const { nodeId, owners, getLag, log } = this.options;
+        const lag = getLag();
+        const nodes = [...others, { nodeId, isWithoutStore: false, lag }];
         // In a large deployment only the nodes that watch the store may acquire the lease.
         const watching = this.hasManyNodes ? new Set(listStoreWatchers(nodes, owners).watching) : undefined;
         const candidates = nodes.filter(node => watching?.has(node.nodeId) !== false);
         const planners = listPlanners(
-            candidates.map(node => node.nodeId === nodeId ? { ...node, isLate: isLate() } : node),
+            candidates.map(node => ({ ...node, isLate: (node.lag ?? 0) > lateMilliseconds })),
             owners,
         );
         const [planner = ""] = planners;
         if (planner !== this.loggedPlanner) {
             this.loggedPlanner = planner;
-            const fields = { planner, candidates: planners.length, nodes: nodes.length, isLate: isLate() };
+            const fields = {
+                planner,
+                candidates: planners.length,
+                nodes: nodes.length,
+                lagMilliseconds: Math.round(lag),
+            };
             log.write(events.placementPlannerChosen, fields);
         }
         const rank = planners.indexOf(nodeId);
--- a/tests/process/router/storeWatchController.test.ts
+++ b/tests/process/router/storeWatchController.test.ts
@@ -61,7 +61,7 @@
             configurationMilliseconds: 4_000,
             isSeed,
             getLeaseAction: () => hasWork ? LeaseAction.Acquire : LeaseAction.Release,
-            isLate: () => false,
+            getLag: () => 0,
             onCopyAge: () => undefined,
             log,
         });
