Split a column to free the endpoints that parts of a lacking one need

Cause: a data centre that had lost one of two large endpoints stayed incomplete if the endpoints for the parts of the lacking column were those that held another column, although smaller ones could have taken that column in parts. Change: if a lacking column can't be split among endpoints that the data centre can spare, another column is split first, and its holders count as spare as soon as its parts are loaded. An endpoint that holds a whole column may also leave it where its data centre holds the column in parts, except for balance. Parts go to the endpoints with the least memory.

--- a/src/process/placement/completeDataCentre.ts
+++ b/src/process/placement/completeDataCentre.ts
@@ -26,7 +26,9 @@
     const decisionCount = fleet.getDecisionCount();
     coverColumns(fleet, dataCentre, true);
     for (const coverage of fleet.listLacking(dataCentre)) {
-        coverInParts(fleet, dataCentre, coverage);
+        if (!coverInParts(fleet, dataCentre, coverage)) {
+            coverByFreedEndpoints(fleet, dataCentre, coverage);
+        }
     }
     if (fleet.listLacking(dataCentre).length === 0) {
         return;
@@ -68,7 +70,7 @@
     for (const coverage of queue) {
         const fitting = endpoints.filter(endpoint =>
             !endpoint.isBusy
-            && fleet.getHeld(endpoint) !== coverage
+            && !holdsSingly(fleet, endpoint, coverage)
             && fleet.fits(coverage, endpoint)
             && (mayMoveAnyKind || fleet.isFree(endpoint) || endpoint.kind === coverage.column.kind)
         );
@@ -91,6 +93,12 @@
     return false;
 }
 
+/** Checks if an endpoint holds a column, or the only replica of a part of it in its data centre. */
+function holdsSingly(fleet: FleetCoverage, endpoint: PlacementEndpoint, { column }: ReplicaSet): boolean {
+    const held = fleet.getHeld(endpoint);
+    return held?.column === column && (held === fleet.getWhole(held) || held.counts.get(endpoint.dataCentre) === 1);
+}
+
 function placeInSuccession(
     fleet: FleetCoverage,
     successions: ReadonlyMap<ReplicaSet, Succession>,
@@ -103,16 +111,29 @@
     }
 }
 
-/** Splits a column among endpoints that the data centre can spare, if the parts together fit. */
-function coverInParts(fleet: FleetCoverage, dataCentre: string, { partitions }: ColumnCoverage): void {
+/**
+ * Splits a column among endpoints that the data centre can spare, if the parts together fit.
+ * @returns Whether they do.
+ */
+function coverInParts(fleet: FleetCoverage, dataCentre: string, { partitions }: ColumnCoverage): boolean {
     const decisionCount = fleet.getDecisionCount();
-    const ranked = partitions.map(parts => ({
-        parts: parts.filter(({ counts }) => !counts.has(dataCentre)),
-        ranks: [parts.filter(({ counts }) => !counts.has(dataCentre)).length],
-    }));
-    ranked.sort((left, right) => left.ranks[0]! - right.ranks[0]!);
-    for (const { parts } of ranked) {
+    const lacking = partitions.map(parts => parts.filter(({ counts }) => !counts.has(dataCentre)));
+    lacking.sort((left, right) => left.length - right.length);
+    for (const parts of lacking) {
         if (parts.every(part => coverLayers(fleet, dataCentre, part, true))) {
+            return true;
+        }
+        fleet.rollback(decisionCount);
+    }
+    return false;
+}
+
+/** Splits a column among the endpoints of another column, which smaller endpoints take over in parts. */
+function coverByFreedEndpoints(fleet: FleetCoverage, dataCentre: string, target: ColumnCoverage): void {
+    const decisionCount = fleet.getDecisionCount();
+    for (const other of fleet.columns) {
+        const isTried = other !== target && other.counts.has(dataCentre) && coverInParts(fleet, dataCentre, other);
+        if (isTried && coverInParts(fleet, dataCentre, target)) {
             return;
         }
         fleet.rollback(decisionCount);
@@ -135,7 +156,8 @@
                 ranks: [
                     isFree ? 0 : 1,
                     isFree || fleet.canLeave(endpoint, false) ? 0 : 1,
-                    getKindRank(endpoint, target),
+                    // Larger endpoints are left for whole columns.
+                    target === fleet.getWhole(target) ? getKindRank(endpoint, target) : fleet.getMemory(endpoint),
                     isFree ? fleet.getMemory(endpoint) : -fleet.getRemainingTokens(endpoint),
                 ],
             });
--- a/src/process/placement/findBalanceMove.ts
+++ b/src/process/placement/findBalanceMove.ts
@@ -35,9 +35,12 @@
     let best: PlacementEndpoint | undefined;
     let bestRemaining = weakest.tokens * minimumMemoryGain;
     for (const source of sources) {
-        // Endpoints that hold a part are only needed until the data centre has a replica of the whole column.
+        // Parts of a column do not replace a faster replica of the whole, but are not needed beside one.
+        const wholeHolders = [...source.replicas.values()].filter(({ dataCentre }) =>
+            source.counts.get(dataCentre)! > 1
+        );
         const partHolders = source.partitions.flat().flatMap(({ replicas }) => [...replicas.values()]);
-        for (const endpoint of [...source.replicas.values(), ...partHolders]) {
+        for (const endpoint of [...wholeHolders, ...partHolders]) {
             const gained = weakest.tokens + getRequestTokens(fleet.model, weakest.layers, endpoint);
             const remaining = Math.min(fleet.getRemainingTokens(endpoint), gained);
             if (remaining > bestRemaining && fleet.fits(weakest, endpoint) && fleet.canLeave(endpoint, false)) {
--- a/src/process/placement/fleetCoverage.ts
+++ b/src/process/placement/fleetCoverage.ts
@@ -97,14 +97,13 @@
     }
 
     /** Checks if the endpoints of a data centre hold a column, as a whole or in parts. */
-    isCovered({ counts, partitions }: ColumnCoverage, dataCentre: string): boolean {
-        return counts.has(dataCentre)
-            || partitions.some(parts => parts.every(part => part.counts.has(dataCentre)));
+    isCovered(coverage: ColumnCoverage, dataCentre: string): boolean {
+        return coverage.counts.has(dataCentre) || isHeldInParts(coverage, part => part.counts.has(dataCentre));
     }
 
     /** Checks if the endpoints of the fleet hold a column, as a whole or in parts. */
-    isCoveredByFleet({ counts, partitions }: ColumnCoverage): boolean {
-        return counts.size > 0 || partitions.some(parts => parts.every(part => part.counts.size > 0));
+    isCoveredByFleet(coverage: ColumnCoverage): boolean {
+        return coverage.counts.size > 0 || isHeldInParts(coverage, part => part.counts.size > 0);
     }
 
     /** Lists the columns that the endpoints of a data centre don't hold. */
@@ -118,7 +117,11 @@
         if (set === undefined) {
             return false;
         }
-        return getCount(set, endpoint) > 1 || (isPart(set) && this.getWhole(set).counts.has(endpoint.dataCentre));
+        const { dataCentre } = endpoint;
+        const whole = this.getWhole(set);
+        return (set.counts.get(dataCentre) ?? 0) > 1 || (set === whole
+            ? isHeldInParts(whole, part => part.counts.has(dataCentre))
+            : whole.counts.has(dataCentre));
     }
 
     /**
@@ -132,8 +135,9 @@
         }
         const whole = this.getWhole(set);
         const loaded = isElsewhereEnough ? this.loaded : this.loadedByDataCentre.get(endpoint.dataCentre);
-        const count = loaded?.get(set) ?? 0;
-        return count > 1 || (set !== whole && (loaded?.get(whole) ?? 0) > 0);
+        return (loaded?.get(set) ?? 0) > 1 || (set === whole
+            ? isHeldInParts(whole, part => loaded?.has(part) === true)
+            : loaded?.has(whole) === true);
     }
 
     /** Gets the memory of an endpoint, in megabytes. */
@@ -219,8 +223,9 @@
     }
 }
 
-function getCount({ counts }: ReplicaSet, { dataCentre }: PlacementEndpoint): number {
-    return counts.get(dataCentre) ?? 0;
+/** Checks if there is a way to split a column such that each part fulfils a condition. */
+function isHeldInParts({ partitions }: ColumnCoverage, isHeld: (part: ReplicaSet) => boolean): boolean {
+    return partitions.some(parts => parts.every(isHeld));
 }
 
 function isPart({ layers, column }: ReplicaSet): boolean {
--- a/tests/process/placement/assignLayersAfterLosses.test.ts
+++ b/tests/process/placement/assignLayersAfterLosses.test.ts
@@ -122,6 +122,32 @@
         assert.deepEqual(replayPlacement(firstColumns, replay.endpoints.slice(1)).broken, []);
     });
 
+    // Guards against chains that use links although smaller endpoints could free the ones that the parts need.
+    it("splits another column to free the endpoints that hold the parts of a lacking one", () => {
+        const endpoints = [
+            ...createEndpoints(
+                "a",
+                "1 a100 25-50",
+                "3 l4 70-80",
+                "2 v100 50-55",
+                "2 v100 55-60",
+                "1 v100 60-65",
+                "1 v100 65-70",
+            ),
+            ...createEndpoints(
+                "b",
+                "1 a100 0-25",
+                "1 a100 25-50",
+                ...secondV100s.map(text => `1 ${text}`),
+                "1 l4 70-80",
+            ),
+        ];
+        const replay = replayPlacement(secondColumns, endpoints);
+        assert.ok(isComplete(replay.endpoints, "a"));
+        assert.equal(replay.loads.length, 5);
+        assert.deepEqual(replay.broken, []);
+    });
+
     // Guards against a fleet without a complete chain, and against the data centre that lacks least giving up a column.
     it("moves an endpoint whose column is held elsewhere to a column that the fleet lacks, where most is lacking", () => {
         const endpoints = [
