Load first what the fleet lacks, then what a data centre lacks, then replicas

Cause: while the fleet lacked a column, all loads were ordered at once, also those of replicas. Otherwise replicas in a complete data centre went before what another one lacked, since loads were sorted by the number of missing columns alone.

Change: chooseLoads picks one load after the other by what it gains, given those before: a range that the fleet lacks, then one that the data centre lacks with the fewest missing first, then replicas; complete columns before parts, smaller ranges before larger ones. Only while no endpoint holds layers, as at the start, all are ordered at once. Parts that together cover a column count as a replica of it. Loads that endpoints run for an earlier holder and orders that are not answered yet count toward the limit. EndpointBlocks, PlacementWorkState and assertOrderFits are moved out of their files.

--- a/src/process/placement/layerOrderTracker.ts
+++ b/src/process/placement/layerOrderTracker.ts
@@ -1,4 +1,3 @@
-import { getRequestMemory } from "../../request/relay/chains/getRequestMemory.ts";
 import type { EndpointReport } from "../../request/relay/endpoints/endpointReport.ts";
 import type { HeldLayers } from "../../request/relay/endpoints/heldLayers.ts";
 import type { LayerOrder } from "../../request/relay/endpoints/layerOrder.ts";
@@ -6,10 +5,11 @@
 import type { RegisteredEndpoint } from "../../request/relay/endpoints/registeredEndpoint.ts";
 import type { EngineModel } from "../../version/routing/engineModel.ts";
 import type { Clock } from "../clock.ts";
-import { InvariantError } from "../invariantError.ts";
 import type { EventLog } from "../logging/eventLog.ts";
 import { events } from "../logging/events.ts";
+import { assertOrderFits } from "./assertOrderFits.ts";
 import { decideOrderFollowUp, OrderFollowUp } from "./decideOrderFollowUp.ts";
+import { EndpointBlocks } from "./endpointBlocks.ts";
 import { isSameRange } from "./isSameRange.ts";
 
 /** Options of {@link LayerOrderTracker}. */
@@ -45,14 +45,6 @@
     isFetchingReport: boolean;
 }
 
-/** An endpoint that is given no order for some time. */
-interface Block {
-    /** Monotonic time in milliseconds. */
-    until: number;
-    /** The layers that its record showed. If they change, the endpoint has completed an order and the block ends. */
-    registeredLayers: HeldLayers | undefined;
-}
-
 /**
  * Time beyond the expected load time after which an order is overdue. Loads that share bandwidth take longer than
  * expected.
@@ -77,7 +69,7 @@
 export class LayerOrderTracker {
     private readonly options: LayerOrderTrackerOptions;
     private readonly pending = new Map<string, PendingOrder>();
-    private readonly blocks = new Map<string, Block>();
+    private readonly blocks = EndpointBlocks.create();
     /** Number of orders that each endpoint has begun, as far as known. */
     private readonly sequences = new Map<string, number>();
     /** Number of consecutive orders that each endpoint has refused. */
@@ -104,9 +96,17 @@
         return this.pending.size > 0;
     }
 
-    /** Counts the loads that endpoints of a service have begun and, as far as known, not completed. */
-    countActiveLoads(service: string): number {
-        return [...this.pending.values()].filter(order => order.endpoint.service === service && order.isBegun).length;
+    /**
+     * Counts the loads of a service that run or are expected to: those that endpoints have begun and not completed as far as known, under
+     * this or an earlier holder, and those of orders that were not answered yet.
+     */
+    countActiveLoads(service: string, now: number): number {
+        let loads = 0;
+        for (const { endpoint, isBegun, outcome, unansweredReports } of this.pending.values()) {
+            const isSent = outcome === undefined && unansweredReports === 0;
+            loads += endpoint.service === service && (isBegun || isSent) ? 1 : 0;
+        }
+        return loads + this.blocks.countLoading(service, now);
     }
 
     /** Gets the layers that an endpoint was ordered to hold; undefined if no order is pending. */
@@ -115,10 +115,8 @@
     }
 
     /** Checks if an endpoint must not be given an order now. */
-    isBusy({ id, layers }: RegisteredEndpoint, now: number): boolean {
-        const block = this.blocks.get(id);
-        return this.pending.has(id)
-            || block !== undefined && block.until > now && isSameLayers(block.registeredLayers, layers);
+    isBusy(endpoint: RegisteredEndpoint, now: number): boolean {
+        return this.pending.has(endpoint.id) || this.blocks.isBlocked(endpoint, now);
     }
 
     /** Removes all pending orders, which were sent under an earlier fencing number. */
@@ -136,7 +134,7 @@
         layers: HeldLayers,
         fencingNumber: number,
     ): Promise<void> {
-        assertFits(model, endpoint, layers);
+        assertOrderFits(model, endpoint, layers);
         const loadMilliseconds = (layers.end - layers.start) / model.layers * model.loadSeconds * millisecondsPerSecond;
         const order = {
             endpoint,
@@ -159,6 +157,7 @@
     /** Removes orders whose layers the endpoints of a service have registered, and orders of endpoints that are gone. */
     removeCompleted(service: string, endpoints: readonly RegisteredEndpoint[]): void {
         const byId = new Map(endpoints.map(endpoint => [endpoint.id, endpoint]));
+        this.blocks.removeEnded(service, byId, this.options.clock.getMonotonicTime());
         for (const [id, { layers, endpoint }] of this.pending) {
             const current = byId.get(id);
             if (endpoint.service === service && (current === undefined || isSameRange(current.layers, layers))) {
@@ -180,29 +179,28 @@
     /** Gets the monotonic time in milliseconds at which an order is overdue or an endpoint may be given one again; undefined if none is. */
     getNextDueAt(now: number): number | undefined {
         const times = [...this.pending.values()].map(({ dueAt }) => dueAt);
-        for (const { until } of this.blocks.values()) {
-            times.push(until);
-        }
-        const next = Math.min(...times.filter(time => time > now));
+        const next = Math.min(...[...times, ...this.blocks.getEndTimes()].filter(time => time > now));
         return next === Infinity ? undefined : next;
     }
 
-    /** Reads from their reports which orders endpoints have begun under earlier fencing numbers, so that none is ordered twice. */
-    async readStates(model: EngineModel, endpoints: readonly RegisteredEndpoint[]): Promise<void> {
+    /**
+     * Reads from their reports which orders endpoints have begun under earlier fencing numbers, so that none is ordered twice.
+     * @param loadMilliseconds - Longest time that such an order takes.
+     */
+    async readStates(endpoints: readonly RegisteredEndpoint[], loadMilliseconds: number): Promise<void> {
         const { clock, fetchReport } = this.options;
         await Promise.all(endpoints.map(async endpoint => {
             const report = await fetchReport(endpoint);
             if (report === undefined || this.pending.has(endpoint.id)) {
                 return;
             }
-            const { id, layers: registeredLayers } = endpoint;
-            this.sequences.set(id, report.orderSequence);
+            this.sequences.set(endpoint.id, report.orderSequence);
             const now = clock.getMonotonicTime();
             if (report.isBusyWithOrder) {
-                this.blocks.set(id, { until: now + model.loadSeconds * millisecondsPerSecond, registeredLayers });
+                this.blocks.add(endpoint, now + loadMilliseconds, true);
             }
-            else if (report.layers !== undefined && !isSameLayers(registeredLayers, report.layers)) {
-                this.blocks.set(id, { until: now + recordDelayMilliseconds, registeredLayers });
+            else if (report.layers !== undefined && !isSameRange(endpoint.layers, report.layers)) {
+                this.blocks.add(endpoint, now + recordDelayMilliseconds, false);
             }
         }));
     }
@@ -276,7 +274,7 @@
         }
         else if (followUp === OrderFollowUp.Busy) {
             // The other order's layers are unknown, and its load takes about as long as that of this one.
-            this.block(order, order.loadMilliseconds);
+            this.block(order, order.loadMilliseconds, report.isBusyWithOrder);
         }
         else {
             this.reject(order);
@@ -286,14 +284,12 @@
     private reject(order: PendingOrder): void {
         const refusals = (this.refusals.get(order.endpoint.id) ?? 0) + 1;
         this.refusals.set(order.endpoint.id, refusals);
-        this.block(order, getRetryDelay(refusals));
+        this.block(order, getRetryDelay(refusals), false);
     }
 
     /** Removes an order and gives the endpoint no other one for some time. */
-    private block(order: PendingOrder, milliseconds: number): void {
-        const { id, layers } = order.endpoint;
-        const until = this.options.clock.getMonotonicTime() + milliseconds;
-        this.blocks.set(id, { until, registeredLayers: layers });
+    private block(order: PendingOrder, milliseconds: number, isLoading: boolean): void {
+        this.blocks.add(order.endpoint, this.options.clock.getMonotonicTime() + milliseconds, isLoading);
         this.remove(order);
     }
 
@@ -307,17 +303,3 @@
 function getRetryDelay(failures: number): number {
     return Math.min(maximumRetryMilliseconds, initialRetryMilliseconds * 2 ** Math.max(0, failures - 1));
 }
-
-function isSameLayers(left: HeldLayers | undefined, right: HeldLayers | undefined): boolean {
-    return left === undefined ? right === undefined : isSameRange(right, left);
-}
-
-/**
- * Asserts that an order leaves the endpoint memory for requests. Layers that do not fit would terminate the endpoint.
- */
-function assertFits(model: EngineModel, endpoint: RegisteredEndpoint, { start, end }: HeldLayers): void {
-    const kind = model.kinds.get(endpoint.kind ?? "");
-    if (kind === undefined || getRequestMemory(model, kind, end - start) <= 0) {
-        throw InvariantError.create("orderFits", `Layers ${start}-${end} do not fit in the memory of ${endpoint.id}.`);
-    }
-}
--- a/src/process/placement/placementController.ts
+++ b/src/process/placement/placementController.ts
@@ -12,7 +12,6 @@
 import type { PlatformStore } from "../platform/platformStore.ts";
 import { assignLayers } from "./assignLayers.ts";
 import { chooseLoads } from "./chooseLoads.ts";
-import { decideLeaseAction } from "./decideLeaseAction.ts";
 import { EndpointStabilityTracker } from "./endpointStabilityTracker.ts";
 import type { LayerMove } from "./layerMove.ts";
 import { LayerOrderTracker } from "./layerOrderTracker.ts";
@@ -20,6 +19,7 @@
 import { MoveSchedule } from "./moveSchedule.ts";
 import type { PlacementEndpoint } from "./placementEndpoint.ts";
 import { PlacementPlans } from "./placementPlans.ts";
+import { PlacementWorkState } from "./placementWorkState.ts";
 
 /** Options of a {@link PlacementController}. */
 interface PlacementControllerOptions {
@@ -53,6 +53,7 @@
 const activeCheckMilliseconds = 300;
 /** Time within which a new holder reads what its predecessor ordered, before it orders. */
 const takeoverReadMilliseconds = 300;
+const millisecondsPerSecond = 1_000;
 /** What is to be done for a service. */
 interface PlacementWork {
     /** Whether a plan is missing or orders are due, for which a candidate acquires the lease. */
@@ -81,20 +82,14 @@
     private isTakingOver = false;
     /** Fencing number under which plans were last loaded. */
     private loadedFencingNumber = 0;
-    /** Monotonic time in milliseconds since which there has been something to order; undefined if there is nothing. */
-    private workSince: number | undefined;
-    /** Monotonic time in milliseconds at which there was something to order last. */
-    private lastWorkAt: number;
-    /** Whether an order was sent since there has been something to order. */
-    private hasOrdered = false;
+    private readonly work: PlacementWorkState;
     /** Why orders are withheld, by service, as logged. */
     private readonly withheldReasons = new Map<string, string>();
 
     private constructor(options: PlacementControllerOptions) {
         this.options = options;
         this.plans = PlacementPlans.create({ ...options, onAttempted: () => this.wake() });
-        this.workSince = options.clock.getMonotonicTime();
-        this.lastWorkAt = this.workSince;
+        this.work = PlacementWorkState.create(options);
         this.orders = LayerOrderTracker.create({
             ...options,
             mayOrder: number => this.getFencingNumber() === number,
@@ -147,15 +142,7 @@
      * @param rank - Number of nodes that should acquire the lease before this one.
      */
     getLeaseAction(rank: number): LeaseAction {
-        const { clock, lease } = this.options;
-        const { workSince, lastWorkAt } = this;
-        return decideLeaseAction({
-            isHolder: lease.isLastHolder(),
-            workSince,
-            lastWorkAt,
-            rank,
-            now: clock.getMonotonicTime(),
-        });
+        return this.work.getLeaseAction(this.options.lease.isLastHolder(), rank);
     }
 
     private check(): void {
@@ -192,7 +179,7 @@
             hasWork ||= work.isDue || mayHavePending && work.isPending;
             nextCheckAt = Math.min(nextCheckAt, work.nextCheckAt);
         }
-        this.noteWork(hasWork);
+        this.work.update(hasWork);
         const now = clock.getMonotonicTime();
         const ordersDueAt = this.orders.getNextDueAt(now) ?? Infinity;
         const wait = Math.min(nextCheckAt, ordersDueAt) - now;
@@ -209,7 +196,10 @@
         this.isTakingOver = true;
         const readings = services.map(async ({ name, engine }) => {
             if (engine !== undefined) {
-                await this.orders.readStates(engine, this.listUnplanned(name));
+                const columns = this.plans.get(name) ?? [{ layers: { start: 0, end: engine.layers } }];
+                const longest = Math.max(...columns.map(({ layers }) => layers.end - layers.start));
+                const loadSeconds = longest / engine.layers * engine.loadSeconds;
+                await this.orders.readStates(this.listUnplanned(name), loadSeconds * millisecondsPerSecond);
             }
         });
         const timeout = new Promise<void>(resolve => {
@@ -229,19 +219,6 @@
         return this.options.getEndpoints(service).filter(({ layers }) => layers === undefined || !isPlanned(layers));
     }
 
-    private noteWork(hasWork: boolean): void {
-        const now = this.options.clock.getMonotonicTime();
-        const isNew = hasWork && this.workSince === undefined;
-        this.hasOrdered &&= hasWork;
-        this.workSince = hasWork ? this.workSince ?? now : undefined;
-        if (hasWork) {
-            this.lastWorkAt = now;
-        }
-        if (isNew) {
-            this.options.onWork();
-        }
-    }
-
     /**
      * Gets the fencing number for orders. A holder whose lease has expired continues only while no node can reach the store: lost layers
      * must still be placed, and no other node can acquire the lease. If another node can, two holders would order the same endpoints.
@@ -288,13 +265,13 @@
         }
         if (fencingNumber !== undefined) {
             const { loadsAtOnce } = model;
-            const activeLoads = this.orders.countActiveLoads(service);
+            const activeLoads = this.orders.countActiveLoads(service, now);
             const query = { columns, endpoints: states, assignments: wanted, activeLoads, loadsAtOnce };
             const chosen = chooseLoads(query);
             for (const assignment of chosen) {
                 const endpoint = endpoints.find(({ id }) => id === assignment.endpointId);
                 if (endpoint !== undefined) {
-                    this.noteOrder();
+                    this.work.recordOrder();
                     void this.orders.send(model, endpoint, assignment.layers, fencingNumber);
                 }
             }
@@ -311,14 +288,6 @@
         };
     }
 
-    private noteOrder(): void {
-        if (!this.hasOrdered) {
-            this.hasOrdered = true;
-            const now = this.options.clock.getMonotonicTime();
-            this.options.onFirstOrder(now - (this.workSince ?? now));
-        }
-    }
-
     /** Logs why orders are withheld, once until the reason changes. */
     private logWithheld(service: string, orders: number, reason: string): void {
         if (orders === 0) {
--- a/tests/process/placement/chooseLoads.test.ts
+++ b/tests/process/placement/chooseLoads.test.ts
@@ -65,4 +65,33 @@
         const assignments = assign(["a1", { start: 0, end: 20 }], ["a2", first], ["a3", second]);
         assert.deepEqual(listIds(endpoints, assignments), ["a2", "a3"]);
     });
+
+    // Replicas in a complete data centre were loaded before what another one lacked, and while the fleet lacked a range, all at once.
+    it("loads first what the fleet lacks, then what a data centre lacks, then replicas", () => {
+        const endpoints = [
+            createEndpoint("a1", first),
+            createEndpoint("a2"),
+            createEndpoint("a3"),
+            createEndpoint("b1", first),
+            createEndpoint("b2"),
+            createEndpoint("c1", first),
+            createEndpoint("c2"),
+        ];
+        const assignments = assign(["a3", first], ["a2", second], ["b2", second], ["c2", second]);
+        assert.deepEqual(listIds(endpoints, assignments), ["a2", "b2"]);
+        assert.deepEqual(listIds(endpoints, assign(["a3", first], ["c2", second])), ["c2", "a3"]);
+        const loading = endpoints.map(endpoint =>
+            endpoint.id === "a2" ? { ...endpoint, layers: second, isBusy: true } : endpoint
+        );
+        assert.deepEqual(listIds(loading, assign(["a3", first], ["b2", second]), 1), ["b2"]);
+    });
+
+    it("prefers the smaller of two ranges that the fleet lacks", () => {
+        const sizes = [first, { start: 40, end: 70 }, { start: 70, end: 80 }];
+        const endpoints = [createEndpoint("a1", first), createEndpoint("a2"), createEndpoint("a3")];
+        const assignments = assign(["a2", sizes[1]!], ["a3", sizes[2]!]);
+        const query = { columns: sizes.map(layers => ({ layers, kind: "fast" })), endpoints, assignments };
+        const chosen = chooseLoads({ ...query, activeLoads: 1, loadsAtOnce });
+        assert.deepEqual(chosen.map(({ endpointId }) => endpointId), ["a3"]);
+    });
 });
--- a/tests/process/placement/layerOrderTracker.test.ts
+++ b/tests/process/placement/layerOrderTracker.test.ts
@@ -57,7 +57,7 @@
         start(sequence => sequence === 3 ? "begun" : "misfit");
         await check(checkMilliseconds);
         assert.deepEqual(sent, [{ sequence: 0, at: 0 }, { sequence: 3, at: 0 }]);
-        assert.equal(tracker.countActiveLoads("model"), 1);
+        assert.equal(tracker.countActiveLoads("model", clock.getMonotonicTime()), 1);
     });
 
     it("sends no mismatched order again under a fencing number that is no longer valid", async () => {
@@ -77,7 +77,9 @@
     it("waits for the load of an endpoint that is busy with another order, or until its record shows the end", async () => {
         report = { orderSequence: 1, isBusyWithOrder: true, layers: undefined };
         start(() => "misfit");
-        await check(loadMilliseconds);
+        await check(loadMilliseconds / 2);
+        assert.equal(tracker.countActiveLoads("model", clock.getMonotonicTime()), 1);
+        await check(loadMilliseconds / 2);
         assert.equal(sent.length, 1);
         report = { orderSequence: 1, isBusyWithOrder: false, layers: { start: 0, end: 16 } };
         await check(checkMilliseconds, { ...endpoint, layers: { start: 0, end: 16 } });
@@ -89,7 +91,7 @@
         start(() => undefined);
         await check(loadMilliseconds);
         assert.equal(sent.length, 1);
-        assert.equal(tracker.countActiveLoads("model"), 1);
+        assert.equal(tracker.countActiveLoads("model", clock.getMonotonicTime()), 1);
     });
 
     // An endpoint that was lost counted as holding the ordered layers until its record ended, so that no other one was ordered.
