Send deletions that a listing does not report to peers that are behind

A listing has no record of the deletion of a key that was not known before. A node that had just read one at revision 109 had the frontier 109 without a deletion at 109, and answered a peer with the frontier 108 with 0 records. The peer took itself for complete up to 109, passed the same on, and kept sending requests to the deleted endpoint.

A section now treats all deletions up to the frontier of a listing as discarded, so that a peer with a lower frontier gets the full set of keys. Records with a revision up to the peer's frontier are sent without text, as is_unchanged. A peer that lacks such a record does not apply the answer and fetches with frontier 0. The same rule holds for full answers of peers, for a listing after lost history and for one after a restored store, since all of them go through applyListing.

A second fault of this kind: an answer that was requested before a listing and arrived after it returned a deleted key for good, since the section had no record of the deletion. Unknown keys in an answer that is older than the section are now ignored up to its frontier. The same holds after the deletion records were discarded.

A node of an earlier release ignores an unchanged record that it knows in this revision, and keeps the key. One that it does not know, against its frontier, it would take for an empty text, which is reported as an invalid record.

--- a/src/process/replica/recordSection.ts
+++ b/src/process/replica/recordSection.ts
@@ -1,5 +1,6 @@
 import type { ChangeSource } from "./changeSource.ts";
 import { EraRevision } from "./eraRevision.ts";
+import type { RecordRevision } from "./recordRevision.ts";
 import type { SectionChanges } from "./sectionChanges.ts";
 import type { StoreRecord } from "./storeRecord.ts";
 
@@ -29,7 +30,10 @@
     private readonly options: RecordSectionOptions;
     private readonly records = new Map<string, StoreRecord>();
     private frontier = 0;
-    /** Revision up to which deletions may have been discarded. */
+    /**
+     * Revision up to which deletions may be missing, because they were discarded, or because a listing does not report those of keys
+     * that were not known.
+     */
     private discardedUntil = 0;
     private deletionCount = 0;
 
@@ -56,24 +60,53 @@
      */
     applyChanges(records: Iterable<StoreRecord>, frontier: number, source: ChangeSource): void {
         for (const record of records) {
-            this.applyRecord(record, source);
+            if (!this.isDeletedSince(record, frontier)) {
+                this.applyRecord(record, source);
+            }
         }
         this.frontier = Math.max(this.frontier, frontier);
     }
 
-    /** Applies a full listing. Keys that are not in it and have not changed since are deleted. */
-    applyListing(records: readonly StoreRecord[], frontier: number, source: ChangeSource): void {
-        const listed = new Set(records.map(({ key }) => key));
+    /**
+     * Applies a full listing. Keys that are not in it and have not changed since are deleted.
+     * @param records - The listed records.
+     * @param frontier - Revision up to which the listing is complete.
+     * @param source - Source of the listing.
+     * @param unchanged - Further listed records, which {@link hasRecords} has found to be known.
+     */
+    applyListing(
+        records: readonly StoreRecord[],
+        frontier: number,
+        source: ChangeSource,
+        unchanged: readonly RecordRevision[] = [],
+    ): void {
+        const listed = new Set([...records, ...unchanged].map(({ key }) => key));
         for (const { key, revision, text } of [...this.records.values()]) {
             if (!listed.has(key) && revision <= frontier && text !== undefined) {
                 this.applyRecord({ key, revision: frontier, text: undefined }, source);
             }
         }
+        if (frontier > this.frontier) {
+            this.discardedUntil = Math.max(this.discardedUntil, frontier);
+        }
         this.applyChanges(records, frontier, source);
     }
 
     /**
-     * Gets the changes that a peer lacks; undefined if there are none.
+     * Checks if records that a peer left out as unchanged are known.
+     * @param unchanged - The records.
+     * @param frontier - Revision up to which the peer's answer is complete.
+     */
+    hasRecords(unchanged: readonly RecordRevision[], frontier: number): boolean {
+        return unchanged.every(record => {
+            const revision = this.records.get(record.key)?.revision ?? 0;
+            return revision >= record.revision || this.isDeletedSince(record, frontier);
+        });
+    }
+
+    /**
+     * Gets the changes that a peer lacks; undefined if there are none. A full section that is sent because of missing deletions leaves
+     * out the texts that the peer has by its frontier: that of the configuration may exceed 100 KB.
      * @param frontier - The peer's frontier.
      */
     getChangesSince(frontier: number): SectionChanges | undefined {
@@ -81,14 +114,27 @@
             return undefined;
         }
         const isWhole = frontier < this.discardedUntil || frontier === 0;
-        const records: StoreRecord[] = [];
+        const changes: SectionChanges = { frontier: this.frontier, isWhole, records: [], unchanged: [] };
         for (const record of this.records.values()) {
-            const isNeeded = isWhole ? record.text !== undefined : record.revision > frontier;
-            if (isNeeded) {
-                records.push(record);
+            if (isWhole && record.text === undefined) {
+                continue;
+            }
+            if (record.revision > frontier) {
+                changes.records.push(record);
+            }
+            else if (isWhole) {
+                changes.unchanged.push({ key: record.key, revision: record.revision });
             }
         }
-        return { frontier: this.frontier, isWhole, records };
+        return changes;
+    }
+
+    /**
+     * Checks if a record in an answer that is older than this section belongs to a key that was deleted since and whose deletion
+     * is no longer or was never recorded here: the section has all records up to its frontier.
+     */
+    private isDeletedSince({ key, revision }: RecordRevision, frontier: number): boolean {
+        return frontier < this.frontier && revision <= this.frontier && !this.records.has(key);
     }
 
     private applyRecord(record: StoreRecord, source: ChangeSource): void {
--- a/src/process/router/changeFetcher.ts
+++ b/src/process/router/changeFetcher.ts
@@ -11,7 +11,9 @@
 import { events } from "../logging/events.ts";
 import { ProcessorAccount } from "../loop/processorAccount.ts";
 import { ProcessorCause } from "../loop/processorCause.ts";
+import type { RecordRevision } from "../replica/recordRevision.ts";
 import type { RecordSection } from "../replica/recordSection.ts";
+import type { StoreRecord } from "../replica/storeRecord.ts";
 import type { RouterPeers } from "./routerPeers.ts";
 import { shouldFetch } from "./shouldFetch.ts";
 
@@ -103,12 +105,19 @@
         if (section === undefined || missing === undefined) {
             return create(FetchResponseSchema, { freshAge });
         }
-        const records = missing.records.map(({ key, revision, text }) => ({
+        const changed = missing.records.map(({ key, revision, text }) => ({
             key,
             revision: BigInt(revision),
             isDeleted: text === undefined,
             text: text ?? "",
         }));
+        // A node of an earlier release ignores an unchanged record, because it ignores any that it knows in the same revision.
+        const unchanged = missing.unchanged.map(({ key, revision }) => ({
+            key,
+            revision: BigInt(revision),
+            isUnchanged: true,
+        }));
+        const records = [...changed, ...unchanged];
         const { frontier: ownFrontier, isWhole } = missing;
         const changes = { section: section.name, frontier: BigInt(ownFrontier), isWhole, records };
         return create(FetchResponseSchema, { freshAge, changes });
@@ -132,11 +141,18 @@
         const sentAt = clock.getMonotonicTime();
         const fetch = { address: peer.address, sentAt };
         this.fetches.set(section.name, fetch);
-        const frontier = { section: section.name, revision: BigInt(section.getFrontier()) };
-        const response = await peers.call(
-            peer.address,
-            client => client.fetch({ frontier }, { timeoutMs: fetchTimeoutMilliseconds }),
-        );
+        const request = (revision: number) => {
+            const frontier = { section: section.name, revision: BigInt(revision) };
+            return peers.call(
+                peer.address,
+                client => client.fetch({ frontier }, { timeoutMs: fetchTimeoutMilliseconds }),
+            );
+        };
+        let response = await request(section.getFrontier());
+        // The peer left out a text that this node lacks despite its frontier. At frontier 0, it sends all texts.
+        if (response !== undefined && !hasUnchanged(section, response.changes)) {
+            response = await request(0);
+        }
         if (this.fetches.get(section.name) === fetch) {
             this.fetches.delete(section.name);
         }
@@ -155,14 +171,10 @@
 
     private applyFetched(section: RecordSection, changes: SectionChanges | undefined, address: string): void {
         const previousFrontier = section.getFrontier();
-        const records = (changes?.records ?? []).map(({ key, revision, isDeleted, text }) => ({
-            key,
-            revision: Number(revision),
-            text: isDeleted ? undefined : text,
-        }));
+        const records = changes === undefined ? [] : getChanged(changes);
         const frontier = Number(changes?.frontier ?? 0);
         if (changes?.isWhole === true) {
-            section.applyListing(records, frontier, "peer");
+            section.applyListing(records, frontier, "peer", getUnchanged(changes));
         }
         else {
             section.applyChanges(records, frontier, "peer");
@@ -174,3 +186,23 @@
         }
     }
 }
+
+/** Checks if a section has the records whose texts a peer left out. */
+function hasUnchanged(section: RecordSection, changes: SectionChanges | undefined): boolean {
+    return changes === undefined || section.hasRecords(getUnchanged(changes), Number(changes.frontier));
+}
+
+function getChanged({ records }: SectionChanges): StoreRecord[] {
+    return records.filter(({ isUnchanged }) => !isUnchanged).map(({ key, revision, isDeleted, text }) => ({
+        key,
+        revision: Number(revision),
+        text: isDeleted ? undefined : text,
+    }));
+}
+
+function getUnchanged({ records }: SectionChanges): RecordRevision[] {
+    return records.filter(({ isUnchanged }) => isUnchanged).map(({ key, revision }) => ({
+        key,
+        revision: Number(revision),
+    }));
+}
--- a/tests/process/router/changeFetcher.test.ts
+++ b/tests/process/router/changeFetcher.test.ts
@@ -1,9 +1,17 @@
-import { create } from "@bufbuild/protobuf";
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { setImmediate } from "node:timers/promises";
 import { RecordSection } from "../../../src/process/replica/recordSection.ts";
+import type { StoreRecord } from "../../../src/process/replica/storeRecord.ts";
 import { ChangeFetcher } from "../../../src/process/router/changeFetcher.ts";
-import { FetchResponseSchema } from "../../../src/wire/generated/foxlead/router/v1/router_pb.ts";
+import type { RouterPeers } from "../../../src/process/router/routerPeers.ts";
+import {
+    FetchRequestSchema,
+    type FetchResponse,
+    FetchResponseSchema,
+    SectionFrontierSchema,
+} from "../../../src/wire/generated/foxlead/router/v1/router_pb.ts";
 import { FakeClock } from "../../support/fakeClock.ts";
 import { RecordingEventLog } from "../../support/recordingEventLog.ts";
 
@@ -68,4 +76,61 @@
         tell("silent");
         assert.deepEqual(called, ["silent"]);
     });
+
+    /** Creates a node whose section has the frontier 108, and a peer that has read a listing at revision 110. */
+    function createPair(known: readonly StoreRecord[]) {
+        const createFetcher = (section: RecordSection, call: RouterPeers["call"]) =>
+            ChangeFetcher.create({
+                sections: [section],
+                dataCentre: "a",
+                peers: { call },
+                clock: FakeClock.create(),
+                log: RecordingEventLog.create(),
+                isHub: () => true,
+                onFresh: () => undefined,
+                onUpdate: () => undefined,
+            });
+        const state = new Map<string, string | undefined>();
+        const section = RecordSection.create({ name: "s", onChange: ({ key, text }) => state.set(key, text) });
+        section.applyChanges(known, 108, "store");
+        const peerSection = RecordSection.create({ name: "s", onChange: () => undefined });
+        peerSection.applyListing([configuration, { key: "new", revision: 109, text: "new" }], 110, "store");
+        const peer = createFetcher(peerSection, () => Promise.resolve(undefined));
+        const responses: FetchResponse[] = [];
+        const client = {
+            fetch: (request: MessageInitShape<typeof FetchRequestSchema>) => {
+                const response = peer.createResponse(create(FetchRequestSchema, request), 10);
+                responses.push(response);
+                return Promise.resolve(response);
+            },
+        };
+        const fetcher = createFetcher(
+            section,
+            (_address, send) => send(client as unknown as Parameters<typeof send>[0]),
+        );
+        const frontiers = [create(SectionFrontierSchema, { section: "s", revision: 110n })];
+        fetcher.handlePeerFrontiers({ address: "peer", dataCentre: "a", frontiers });
+        return { section, state, responses };
+    }
+
+    const configuration = { key: "configuration", revision: 50, text: "long" };
+
+    // A node that knew a key when a peer's listing no longer had it never heard of the deletion.
+    it("deletes a key that the peer's listing lacks, without receiving the texts that it has", async () => {
+        const deleted = { key: "endpoint", revision: 60, text: "ready" };
+        const { section, state, responses } = createPair([configuration, deleted]);
+        await setImmediate();
+        assert.deepEqual([...state], [["configuration", "long"], ["endpoint", undefined], ["new", "new"]]);
+        assert.equal(section.getFrontier(), 110);
+        const texts = responses.map(({ changes }) => changes!.records.map(({ key, text }) => [key, text]));
+        assert.deepEqual(texts, [[["new", "new"], ["configuration", ""]]]);
+    });
+
+    it("fetches all records if it does not know one whose text the peer left out", async () => {
+        const { section, state, responses } = createPair([]);
+        await setImmediate();
+        assert.deepEqual([...state], [["configuration", "long"], ["new", "new"]]);
+        assert.equal(section.getFrontier(), 110);
+        assert.equal(responses.length, 2);
+    });
 });
