Take endpoints for lost by the evidence of nodes, before their records end

Cause: endpoints that crash count as holding their layers until their records end, 3 to 5 s later and one by one, so the first orders followed 5 s after a loss.

A node that has lost its links or whose event loop is late gives no evidence. Refusals by an endpoint are no evidence (markRejecting). The placement leaves lost endpoints out and checks at once; requests are routed as before. FL1830, FL1831 and foxlead_lost_endpoints show losses.

A move to a column that no endpoint holds waits 250 ms, so that an endpoint that restarts at once keeps its place.

--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -308,6 +308,16 @@
         level: "info",
         message: "This node can connect to an endpoint again.",
     },
+    endpointLost: {
+        number: 1830,
+        level: "warn",
+        message: "An endpoint is considered lost by the evidence of nodes; its layers are placed on others.",
+    },
+    endpointLossEnded: {
+        number: 1831,
+        level: "info",
+        message: "An endpoint that was considered lost has answered, or there is no more evidence of its loss.",
+    },
     endpointReportInvalid: { number: 1815, level: "error", message: "The report of an endpoint is invalid." },
     placementPlanned: {
         number: 1910,
--- a/src/process/metrics/metrics.ts
+++ b/src/process/metrics/metrics.ts
@@ -143,6 +143,10 @@
         "call",
         "outcome",
     ]);
+    readonly lostEndpoints = this.createGauge(
+        "lost_endpoints",
+        "Endpoints that are considered lost by the evidence of nodes, although they are registered.",
+    );
     readonly placementFirstOrderSeconds = this.createHistogram(
         "placement_first_order_seconds",
         "Time from when layers had to be placed, as this node sees it, until its first order.",
--- a/src/process/placement/moveSchedule.ts
+++ b/src/process/placement/moveSchedule.ts
@@ -18,8 +18,11 @@
  * after its registration expired, and then no other endpoint needs to move.
  */
 const moveDelayMilliseconds = 1_500;
-/** Delay of a move to a column that no endpoint holds. Losses that belong together are known within it. */
-const urgentDelayMilliseconds = 100;
+/**
+ * Delay of a move to a column that no endpoint holds. Losses that belong together are known within it, and an endpoint that restarts at
+ * once registers within it.
+ */
+const urgentDelayMilliseconds = 250;
 
 /** Delays moves of endpoints between columns. A move keeps its time when the node acquires the lease for it. */
 export class MoveSchedule {
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -29,6 +29,7 @@
 import { chooseLimitSharers } from "./chooseLimitSharers.ts";
 import { EndpointCalls } from "./endpointCalls.ts";
 import { EndpointLinks } from "./endpointLinks.ts";
+import { EndpointLosses } from "./endpointLosses.ts";
 import { EndpointPoller } from "./endpointPoller.ts";
 import { EndpointReadings } from "./endpointReadings.ts";
 import { EndpointRegistry } from "./endpointRegistry.ts";
@@ -74,6 +75,7 @@
     private readonly loads: EndpointLoads;
     private readonly quarantinePersister: QuarantinePersister;
     private readonly health: EndpointHealth;
+    private readonly losses: EndpointLosses;
     private readonly limits: EndpointLimits;
     private readonly instructions: EndpointInstructions;
     private peerServer: FramedServer | undefined;
@@ -84,7 +86,7 @@
     private constructor(options: RouterNodeOptions) {
         this.options = options;
         const { settings, clock, random, log, store, keys, metrics, protocol, nodeId } = options;
-        this.health = EndpointHealth.create(random);
+        this.health = EndpointHealth.create(random, endpointId => this.losses.addEvidence(endpointId));
         this.maximumNodeCount = SlidingMaximum.create(initialNodeCount, clock.getMonotonicTime());
         this.queue = RelayQueue.create({
             clock,
@@ -146,6 +148,20 @@
             getRegistry: () => this.registry,
             onLinksChanged: () => this.exchange.propagateUpdate(),
         });
+        const isLate = () => clock.getLag() > lateMilliseconds;
+        this.losses = EndpointLosses.create({
+            clock,
+            log,
+            nodes: this.nodes,
+            getAliveTime: endpointId => this.health.getLastAliveTime(endpointId),
+            getUnreachableFraction: () => this.links.getUnreachableFraction(),
+            isLate,
+            onChange: lostCount => {
+                metrics.lostEndpoints.set(lostCount);
+                this.placementController.wake();
+            },
+            onEvidence: () => this.exchange.propagateUpdate(),
+        });
         const { pools } = this.links;
         this.holder = RoutingHolder.create({
             decode: text => clock.run("configuration", () => options.decodeConfiguration(text)),
@@ -213,7 +229,7 @@
             configurationMilliseconds: settings.configurationMilliseconds,
             isSeed: settings.seeds.length === 0 || settings.seeds.includes(settings.peerListener),
             getLeaseAction: rank => this.placementController.getLeaseAction(rank),
-            isLate: () => clock.getLag() > lateMilliseconds,
+            isLate,
             onCopyAge: milliseconds => metrics.storeCopyAgeSeconds.set(milliseconds / secondMilliseconds),
             log,
         });
@@ -234,7 +250,7 @@
                 quarantine,
                 limits: this.limits,
                 readings,
-                parts: [],
+                parts: [this.losses],
                 getDemand: () => queue.getDemand(),
                 onUpdate: () => this.exchange.propagateUpdate(),
             }),
@@ -249,8 +265,10 @@
             clock,
             metrics,
             log,
-            onInstructions: (endpoint, instructed, call) =>
-                instructions.noteAnswer({ endpointId: endpoint.id, instructions: instructed, answerTo: call }),
+            onInstructions: (endpoint, instructed, call) => {
+                this.losses.addResponse(endpoint.id);
+                instructions.noteAnswer({ endpointId: endpoint.id, instructions: instructed, answerTo: call });
+            },
             onIncarnation: (endpoint, incarnation) => this.registry.handleIncarnation(endpoint, incarnation),
         });
         const environment: RelayEnvironment = {
@@ -295,7 +313,7 @@
             log,
             keyPrefix: keys.placementPrefix,
             getModelServices: () => this.getModelServices(),
-            getEndpoints: service => this.registry.getEndpoints(service),
+            getEndpoints: service => this.listPresentEndpoints(service),
             sendOrder: (endpoint, order) => calls.sendLayerOrder(endpoint, order),
             fetchReport: endpoint => calls.fetchReport(endpoint),
             onWork: () => this.storeWatch.reviewLease(),
@@ -445,6 +463,13 @@
         return [...services].filter(({ engine }) => engine !== undefined);
     }
 
+    /** Lists the endpoints of a service that are not lost by the evidence of nodes. */
+    private listPresentEndpoints(service: string): RegisteredEndpoint[] {
+        const endpoints = this.registry.getEndpoints(service);
+        const lost = this.losses.getLostEndpoints(endpoints.map(({ id }) => id));
+        return endpoints.filter(({ id }) => !lost.has(id));
+    }
+
     /** Lists the endpoints of models, except those that want no requests from this node at the moment. */
     private listPolledEndpoints(): RegisteredEndpoint[] {
         const endpoints = this.getModelServices().flatMap(({ name }) => this.registry.getEndpoints(name));
@@ -471,6 +496,7 @@
         this.health.retain(ids);
         this.loads.retain(ids);
         this.limits.retain(ids);
+        this.losses.retain(ids);
         this.instructions.retain(ids);
         this.links.retain(new Set(endpoints.map(({ address }) => address)));
         this.queue.wake();
--- a/src/request/relay/detection/noteRefusal.ts
+++ b/src/request/relay/detection/noteRefusal.ts
@@ -33,7 +33,7 @@
         return [];
     }
     // The endpoint is leaving, down, or unloads its layers, which its record may not show for seconds.
-    health.markUnavailable(endpoint.id, now);
+    health.markRejecting(endpoint.id, now);
     if (instructions.maySend(endpoint.id)) {
         void refusalDetector.check(endpoint);
     }
--- a/src/request/relay/documents/documentRelay.ts
+++ b/src/request/relay/documents/documentRelay.ts
@@ -222,7 +222,12 @@
         const cause = `the exchange with the endpoint failed (${failure.message}).`;
         if (failure.kind === UpstreamFailureKind.Broken) {
             const brokenAt = this.getTime();
-            attempt.exchange?.testPath(state => this.handleBreak(attempt, state === PathState.Lost, brokenAt, cause));
+            attempt.exchange?.testPath(state => {
+                if (state === PathState.Down) {
+                    health.markUnreachable(attempt.endpoint.id);
+                }
+                this.handleBreak(attempt, state === PathState.Lost, brokenAt, cause);
+            });
             return;
         }
         if (failure.kind === UpstreamFailureKind.Withheld) {
--- a/src/request/relay/endpoints/endpointHealth.ts
+++ b/src/request/relay/endpoints/endpointHealth.ts
@@ -42,16 +42,23 @@
     /** Jitter of this node before it tries a refusing endpoint again, in milliseconds. */
     private readonly refusalJitterMilliseconds: number;
 
-    private constructor(refusalJitterMilliseconds: number) {
+    private readonly onUnreachable: (endpointId: string) => void;
+
+    private constructor(refusalJitterMilliseconds: number, onUnreachable: (endpointId: string) => void) {
         this.refusalJitterMilliseconds = refusalJitterMilliseconds;
+        this.onUnreachable = onUnreachable;
     }
 
     /**
      * Creates an instance in which all endpoints are healthy.
      * @param random - Source of this node's jitter.
+     * @param onUnreachable - Called when there is evidence that an endpoint is lost.
      */
-    static create(random: RandomSource = () => 0): EndpointHealth {
-        return new EndpointHealth(random() * maximumRefusalJitterMilliseconds);
+    static create(
+        random: RandomSource = () => 0,
+        onUnreachable: (endpointId: string) => void = () => undefined,
+    ): EndpointHealth {
+        return new EndpointHealth(random() * maximumRefusalJitterMilliseconds, onUnreachable);
     }
 
     /** Checks if new requests should avoid the endpoint, because it is considered unavailable or refuses them. */
@@ -125,6 +132,17 @@
 
     /** Records that the endpoint accepts no connection or stalls its chains. */
     markUnavailable(endpointId: string, now: number): void {
+        this.markRejecting(endpointId, now);
+        this.onUnreachable(endpointId);
+    }
+
+    /** Records that no node can connect to the endpoint any more. It is tried again, since connections may also end one by one. */
+    markUnreachable(endpointId: string): void {
+        this.onUnreachable(endpointId);
+    }
+
+    /** Records that the endpoint rejected a request that it should have accepted. Its answer shows that it isn't lost. */
+    markRejecting(endpointId: string, now: number): void {
         const record = this.update(endpointId, 1, now);
         const backoff = initialBackoffMilliseconds * 2 ** record.consecutiveFailures;
         record.consecutiveFailures += 1;
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -420,6 +420,9 @@
         attempt.exchange?.testPath(state => {
             const isPathLost = state === PathState.Lost;
             const avoid = isPathLost ? [] : [id];
+            if (state === PathState.Down) {
+                this.environment.health.markUnreachable(id);
+            }
             this.endAttempt(attempt, {
                 isNotRun,
                 brokenAt: isPathLost ? undefined : brokenAt,
