--- /dev/null
+++ b/src/process/router/isLateNode.ts
@@ -0,0 +1,10 @@
+/**
+ * A node whose event loop is later than this, in milliseconds, couldn't order placements within half a second, and doesn't tell a lost endpoint
+ * from one whose answers it has not read yet.
+ */
+const lateMilliseconds = 250;
+
+/** Checks if a node runs late by the lag of its event loop in milliseconds. */
+export function isLateNode(lagMilliseconds: number): boolean {
+    return lagMilliseconds > lateMilliseconds;
+}
--- a/src/process/router/storeWatchController.ts
+++ b/src/process/router/storeWatchController.ts
@@ -5,6 +5,7 @@
 import type { RendezvousOwners } from "../membership/rendezvousOwners.ts";
 import { LeaseAction } from "../placement/leaseAction.ts";
 import type { RecordFollower } from "../replica/recordFollower.ts";
+import { isLateNode } from "./isLateNode.ts";
 import { isStoreWatcher } from "./isStoreWatcher.ts";
 import type { KnownNode } from "./knownNode.ts";
 import { listPlanners } from "./listPlanners.ts";
@@ -70,9 +71,6 @@
 /** The same for any other of few nodes, in case that no message has told it in time. */
 const confirmationFraction = 0.6;
 
-/** A node whose event loop is later than this couldn't order within half a second, and leaves it to another one. */
-const lateMilliseconds = 250;
-
 /**
  * Decides from the live nodes whether this node watches the store or gets changes from other nodes. Tracks how current this
  * node's copy is, and when the store last failed.
@@ -334,7 +332,7 @@
         const watching = this.hasManyNodes ? new Set(listStoreWatchers(nodes, owners).watching) : undefined;
         const candidates = nodes.filter(node => watching?.has(node.nodeId) !== false);
         const planners = listPlanners(
-            candidates.map(node => ({ ...node, isLate: (node.lag ?? 0) > lateMilliseconds })),
+            candidates.map(node => ({ ...node, isLate: isLateNode(node.lag ?? 0) })),
             owners,
         );
         const [planner = ""] = planners;
