Divide contended links among the nodes and close those at which streams wait

Each node may begin two requests at once on an unused share of a link, so the first requests of all nodes arrive at the link together, and streams are begun that can't be on time any more.

Change: LinkAdmission decides on each crossing. Where no data centre is complete and the demand of all nodes exceeds what they may use of the link, each node takes its share strictly and at a moment of its own; a stream that can't be on time any more, or can't cross before its caller leaves, is not begun; streams that wait at a link close it (FL1740, FL1741), at this node and at its peers; a stream is begun at most twice over a link. A node's share follows the demand of the nodes that name the link in their messages. A request that a link keeps from starting waits in the start queue if it can still be on time, and is refused with the time at which the link has capacity otherwise. A stream that may be queued at a link is not sent again by the stall detector. Links at which all requests fit are not divided any more.

--- a/bench/experiment/simulatedNode.ts
+++ b/bench/experiment/simulatedNode.ts
@@ -8,8 +8,8 @@
 import { FirstEventTimes } from "../../src/request/relay/endpoints/firstEventTimes.ts";
 import type { RelayDirectory } from "../../src/request/relay/endpoints/relayDirectory.ts";
 import { EndpointLimits } from "../../src/request/relay/limits/endpointLimits.ts";
+import { LinkAdmission } from "../../src/request/relay/links/linkAdmission.ts";
 import { LinkDelays } from "../../src/request/relay/links/linkDelays.ts";
-import { LinkPacer } from "../../src/request/relay/links/linkPacer.ts";
 import { LinkTraffic } from "../../src/request/relay/links/linkTraffic.ts";
 import { RequestQuarantine } from "../../src/request/relay/quarantine/requestQuarantine.ts";
 import { RelayQueue } from "../../src/request/relay/queue/relayQueue.ts";
@@ -49,6 +49,7 @@
         const loads = EndpointLoads.create(() => queue.wake());
         const retryDetector = RetryDetector.create();
         const health = EndpointHealth.create();
+        const linkDelays = LinkDelays.create();
         const quarantine = RequestQuarantine.create({
             log,
             getAliveTime: endpointId => health.getLastAliveTime(endpointId),
@@ -82,9 +83,15 @@
             queue,
             firstEvents: FirstEventTimes.create(),
             retryDetector,
-            linkDelays: LinkDelays.create(),
+            linkDelays,
             linkTraffic: LinkTraffic.create(),
-            linkPacer: LinkPacer.create(() => loads.getDemandShare(queue.getDemand(), nodeCount)),
+            links: LinkAdmission.create({
+                random,
+                log,
+                delays: linkDelays,
+                getDemand: () => queue.getDemand(),
+                getNodeCount: () => nodeCount,
+            }),
             getNodeCount: () => nodeCount,
         };
         this.disableMechanisms(loads, retryDetector, queue);
@@ -107,9 +114,10 @@
     }
 
     private sendStateTo(peer: SimulatedNode, now: number): void {
-        const { loads, health, quarantine, queue } = this.environment;
+        const { loads, health, quarantine, queue, links } = this.environment;
         const own = loads.getOwnLoads().map(load => ({ ...load }));
         peer.environment.loads.setPeerLoads(this.nodeId, own, queue.getDemand(), now);
+        peer.environment.links.applyReports(this.nodeId, queue.getDemand(), links.createReports(now), now);
         for (const suspicion of health.getSuspicions(now)) {
             peer.environment.health.applySuspicion(suspicion, now);
         }
--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -269,6 +269,12 @@
         level: "warn",
         message: "A routed request was refused before it was sent to an endpoint.",
     },
+    linkClosed: {
+        number: 1740,
+        level: "warn",
+        message: "Streams wait at a link between data centres, so no new ones use it. Check the link's bandwidth.",
+    },
+    linkOpen: { number: 1741, level: "info", message: "A link between data centres is open for new streams again." },
     endpointStateChanged: { number: 1801, level: "info", message: "The state of an endpoint changed." },
     unresponsiveConnectionReplaced: {
         number: 1802,
--- a/src/process/metrics/metrics.ts
+++ b/src/process/metrics/metrics.ts
@@ -112,6 +112,16 @@
         "unreachable_endpoints",
         "Registered endpoints that this node cannot connect to over its own links.",
     );
+    readonly linkLoadBitsPerSecond = this.createGauge(
+        "link_load_bits_per_second",
+        "Traffic that this node's requests cause on a link between data centres.",
+        ["from", "to"],
+    );
+    readonly linkClosed = this.createGauge(
+        "link_closed",
+        "1 while a link between data centres is closed for new streams at this node.",
+        ["from", "to"],
+    );
     readonly tunnels = this.createGauge("tunnels", "Connections to endpoints that peers hold through this node.");
     readonly endpointCallsTotal = this.createCounter("endpoint_calls_total", "Reports and orders sent to endpoints.", [
         "call",
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -10,8 +10,8 @@
 import { FirstEventTimes } from "../../request/relay/endpoints/firstEventTimes.ts";
 import type { RegisteredEndpoint } from "../../request/relay/endpoints/registeredEndpoint.ts";
 import { EndpointLimits } from "../../request/relay/limits/endpointLimits.ts";
+import { LinkAdmission } from "../../request/relay/links/linkAdmission.ts";
 import { LinkDelays } from "../../request/relay/links/linkDelays.ts";
-import { LinkPacer } from "../../request/relay/links/linkPacer.ts";
 import { LinkTraffic } from "../../request/relay/links/linkTraffic.ts";
 import { RequestQuarantine } from "../../request/relay/quarantine/requestQuarantine.ts";
 import { RelayQueue } from "../../request/relay/queue/relayQueue.ts";
@@ -33,6 +33,7 @@
 import { EndpointReadings } from "./endpointReadings.ts";
 import { EndpointRegistry } from "./endpointRegistry.ts";
 import { getRetryPolicy } from "./getRetryPolicy.ts";
+import { LinkLoadPart } from "./linkLoadPart.ts";
 import { NodeTable } from "./nodeTable.ts";
 import { PeerExchange } from "./peerExchange.ts";
 import { PeerState } from "./peerState.ts";
@@ -209,6 +210,15 @@
             onCopyAge: milliseconds => metrics.storeCopyAgeSeconds.set(milliseconds / secondMilliseconds),
             log,
         });
+        const linkDelays = LinkDelays.create();
+        const links = LinkAdmission.create({
+            random,
+            log,
+            delays: linkDelays,
+            getDemand: () => queue.getDemand(),
+            getNodeCount: () => this.getNodeCount(),
+            onClosed: (link, isClosed) => metrics.linkClosed.set({ ...link }, isClosed ? 1 : 0),
+        });
         this.exchange = PeerExchange.create({
             nodeId,
             address: settings.peerListener,
@@ -226,7 +236,7 @@
                 quarantine,
                 limits: this.limits,
                 readings,
-                parts: [],
+                parts: [LinkLoadPart.create(links, metrics)],
                 getDemand: () => queue.getDemand(),
                 onUpdate: () => this.exchange.propagateUpdate(),
             }),
@@ -268,9 +278,9 @@
             queue,
             firstEvents: FirstEventTimes.create(),
             retryDetector: RetryDetector.create(),
-            linkDelays: LinkDelays.create(),
+            linkDelays,
             linkTraffic: LinkTraffic.create(),
-            linkPacer: LinkPacer.create(() => loads.getDemandShare(queue.getDemand(), this.getNodeCount())),
+            links,
             getNodeCount: () => this.getNodeCount(),
             retryBudget: RetryBudget.create(
                 clock.getMonotonicTime(),
--- a/src/request/admission/start/startQueue.ts
+++ b/src/request/admission/start/startQueue.ts
@@ -4,7 +4,9 @@
 import { SmoothedRate } from "../smoothedRate.ts";
 import { ExhaustedCapacity, type KnownExhaustion } from "./exhaustedCapacity.ts";
 import { refuseUnservable } from "./refuseUnservable.ts";
+import type { StartBlock } from "./startBlock.ts";
 import type { StartDecision } from "./startDecision.ts";
+import type { StartRefusal } from "./startRefusal.ts";
 import type { StartRequest } from "./startRequest.ts";
 import { WaitingList } from "./waitingList.ts";
 import { type ListPart, WaitingOrder } from "./waitingOrder.ts";
@@ -113,6 +115,10 @@
             const retryAfterMilliseconds = Math.min(limitRetryMilliseconds, request.maximumRetryMilliseconds);
             return { kind: "refuse", cause: "its endpoints limit what they take.", retryAfterMilliseconds };
         }
+        const block = request.getLinkBlock?.();
+        if (block !== undefined) {
+            return this.decideBlocked(request, block, now);
+        }
         const expectedMilliseconds = this.getExpectedWait(request, sumAhead(ahead), now);
         if (expectedMilliseconds > getRemainingWait(request, now) * maximumExpectedWaitFraction) {
             return this.refuse(request, "it would wait too long for capacity.", now);
@@ -157,6 +163,12 @@
             smallestUnreservedCost = isBlocked
                 ? smallestUnreservedCost
                 : Math.min(smallestUnreservedCost, request.cost);
+            const block = isOnTime(request, now) ? undefined : request.getLinkBlock?.();
+            if (block !== undefined) {
+                this.waiting.remove(request);
+                reviewed.push({ request, decision: refuseBlocked(request, block) });
+                continue;
+            }
             if (now >= request.latestStart || waiting.isLate && !this.canServeLate(request, ahead, now)) {
                 this.waiting.remove(request);
                 reviewed.push({
@@ -223,6 +235,20 @@
         this.running += 1;
     }
 
+    /** Decides on a request that a link keeps from starting. It waits if it can still be on time when the link has capacity. */
+    private decideBlocked(
+        request: StartRequest<Reservation>,
+        block: StartBlock,
+        now: number,
+    ): StartDecision<Reservation> {
+        const expectedMilliseconds = block.waitMilliseconds;
+        if (now + expectedMilliseconds > Math.min(request.latestOnTimeStart, request.latestStart)) {
+            return refuseBlocked(request, block);
+        }
+        this.waiting.add(request, now);
+        return { kind: "wait", expectedMilliseconds };
+    }
+
     /** Starts a request that has arrived if nothing ahead of it prevents that and there is capacity. */
     private tryStartArrival(
         request: StartRequest<Reservation>,
@@ -324,6 +350,14 @@
     return sum;
 }
 
+function refuseBlocked(request: StartRequest<unknown>, block: StartBlock): StartRefusal {
+    return {
+        kind: "refuse",
+        cause: "the link between its data centres has no capacity in time.",
+        retryAfterMilliseconds: Math.min(block.bookRetry(), request.maximumRetryMilliseconds),
+    };
+}
+
 function isOnTime({ latestOnTimeStart }: StartRequest<unknown>, now: number): boolean {
     return now <= latestOnTimeStart;
 }
--- a/src/request/admission/start/startRequest.ts
+++ b/src/request/admission/start/startRequest.ts
@@ -1,3 +1,5 @@
+import type { StartBlock } from "./startBlock.ts";
+
 /** A request that asks to be started. */
 export interface StartRequest<Reservation> {
     /** Rank; lower ranks go first. */
@@ -30,4 +32,9 @@
      * waiting for capacity is useless; undefined otherwise.
      */
     getLimitRetryMilliseconds(): number | undefined;
+    /**
+     * Gets what is known if only a link between data centres keeps it from starting; undefined, or absent, otherwise. Waiting for memory
+     * is useless then.
+     */
+    getLinkBlock?(): StartBlock | undefined;
 }
--- a/src/request/relay/chains/chooseHealthyStages.ts
+++ b/src/request/relay/chains/chooseHealthyStages.ts
@@ -6,7 +6,7 @@
 
 /**
  * Chooses a chain of endpoints that are not suspect. Suspect endpoints may have recovered, so they are tried if no chain is
- * possible without them. They are not tried only because the healthy endpoints are full: memory becomes free sooner than a
+ * possible without them. They are not tried only because the healthy endpoints are full or a link has no capacity: both become free sooner than a
  * failed endpoint is detected again.
  * @param query - The request.
  * @param candidates - Endpoints that hold layers.
@@ -24,6 +24,6 @@
         return stages;
     }
     const isOnlyFull = !query.mayOvercommit
-        && chooseStages({ ...query, mayOvercommit: true }, healthy, random) !== undefined;
+        && chooseStages({ ...query, mayOvercommit: true, getLinkWait: () => 0 }, healthy, random) !== undefined;
     return isOnlyFull ? undefined : chooseStages(query, candidates, random);
 }
--- a/src/request/relay/chains/chooseStages.ts
+++ b/src/request/relay/chains/chooseStages.ts
@@ -143,7 +143,7 @@
         const { dataCentre: to } = candidate.endpoint;
         // Requests to the first stage don't count against this node's share of the link.
         const linkWait = layer === 0 || dataCentre === to ? 0 : query.getLinkWait(dataCentre, to);
-        if (linkWait > 0 && !query.mayOvercommit) {
+        if (linkWait === Infinity || linkWait > 0 && !query.mayOvercommit) {
             continue;
         }
         const linkCost = dataCentre === to ? 0 : getLinkCost(query, layer, dataCentre, to) + linkWait;
--- a/src/request/relay/chains/relayChains.ts
+++ b/src/request/relay/chains/relayChains.ts
@@ -1,9 +1,11 @@
 import type { EngineModel } from "../../../version/routing/engineModel.ts";
+import type { StartBlock } from "../../admission/start/startBlock.ts";
 import { getPauseRetryDelay } from "../../getPauseRetryDelay.ts";
 import type { HeldLayers } from "../endpoints/heldLayers.ts";
 import type { LoadReservation } from "../endpoints/loadReservation.ts";
 import type { RegisteredEndpoint } from "../endpoints/registeredEndpoint.ts";
 import { getActivationBits } from "../links/getActivationBits.ts";
+import { LinkUse } from "../links/linkUse.ts";
 import { listDataCentreLinks } from "../links/listDataCentreLinks.ts";
 import { listDataCentres } from "../links/listDataCentres.ts";
 import type { RelayEnvironment } from "../relayEnvironment.ts";
@@ -29,6 +31,8 @@
     spareFraction?: number;
     /** Ids of endpoints whose rate limits rejected the request. */
     rateLimited?: ReadonlySet<string>;
+    /** Whether links between data centres count as free, because only the existence of a chain is checked. */
+    ignoresLinks?: boolean;
 }
 
 /** Requirements for a chain that the request is sent over, within the endpoints' rate limits. */
@@ -48,11 +52,13 @@
     private readonly environment: RelayEnvironment;
     private readonly task: RelayTask;
     private readonly model: EngineModel;
+    private readonly linkUse: LinkUse;
 
     private constructor(environment: RelayEnvironment, task: RelayTask, model: EngineModel) {
         this.environment = environment;
         this.task = task;
         this.model = model;
+        this.linkUse = LinkUse.create(environment, task, model);
     }
 
     /** Creates the selection for a request. */
@@ -62,11 +68,17 @@
 
     /** Chooses the best chain, or returns undefined if there is none. */
     choose(
-        { avoid, firstStage, mayOvercommit, spareFraction = 0, rateLimited }: ChainRequirements,
+        { avoid, firstStage, mayOvercommit, spareFraction = 0, rateLimited, ignoresLinks = false }: ChainRequirements,
     ): RelayStage[] | undefined {
         const { environment, model, task } = this;
         const now = environment.clock.getMonotonicTime();
         const runningId = firstStage?.endpoint.id;
+        const candidates = listCandidates(environment, model, task.service.name)
+            .filter(({ endpoint: { id } }) =>
+                !avoid.has(id) && rateLimited?.has(id) !== true
+                && (id === runningId || environment.instructions.maySend(id))
+            );
+        const linkSearch = this.linkUse.startSearch(candidates, this.getPromptTokens(), mayOvercommit, now);
         const query: StageQuery = {
             model,
             promptTokens: this.getPromptTokens(),
@@ -78,14 +90,18 @@
             spareFraction,
             isConnected: address => environment.pools.getPool(address).hasIdle(),
             getLinkDelay: (from, to) => environment.linkDelays.getDelay(from, to, now),
-            getLinkWait: (from, to) => environment.linkPacer.getWait(from, to, now),
+            getLinkWait: (from, to) => ignoresLinks ? 0 : linkSearch.getWait(from, to),
         };
-        const candidates = listCandidates(environment, model, task.service.name)
-            .filter(({ endpoint: { id } }) =>
-                !avoid.has(id) && rateLimited?.has(id) !== true
-                && (id === runningId || environment.instructions.maySend(id))
-            );
-        return chooseHealthyStages(query, candidates, environment.random);
+        const stages = chooseHealthyStages(query, candidates, environment.random);
+        if (stages === undefined && !mayOvercommit) {
+            linkSearch.noteFailure();
+        }
+        return stages;
+    }
+
+    /** Gets the link that keeps the request from starting; undefined if none does. */
+    getLinkBlock(): StartBlock | undefined {
+        return this.linkUse.getBlock(this.getTokens());
     }
 
     /**
@@ -123,7 +139,7 @@
         { avoid, rateLimited }: Pick<LimitedChainRequirements, "avoid" | "rateLimited">,
     ): number | undefined {
         const isRateLimited = rateLimited.size > 0
-            && this.choose({ avoid, rateLimited, mayOvercommit: true }) === undefined;
+            && this.choose({ avoid, rateLimited, mayOvercommit: true, ignoresLinks: true }) === undefined;
         const { limits, clock } = this.environment;
         return isRateLimited ? limits.bookRetry(rateLimited, clock.getMonotonicTime()) : undefined;
     }
@@ -160,18 +176,37 @@
      */
     reserve(stages: readonly RelayStage[]): LoadReservation {
         assertValidChain(stages, this.model.layers);
-        const { loads, linkTraffic, linkPacer, clock, queue } = this.environment;
+        const { loads, linkTraffic, clock, queue } = this.environment;
         const tokens = this.getTokens();
         const now = clock.getMonotonicTime();
         const links = listDataCentreLinks(listDataCentres(stages));
         linkTraffic.add(links.length * getActivationBits(this.model, tokens), now);
-        for (const { from, to } of links) {
-            linkPacer.reserve(from, to, this.model, tokens, now);
-        }
+        const endCrossing = this.linkUse.begin(links, this.getPromptTokens(), this.getAnswerTokens(), now);
         if (stages.some(({ endpoint }) => this.getUsedMemoryFraction(endpoint) > scarceMemoryFraction)) {
             queue.noteContention();
         }
-        return loads.reserveStages(stages, tokens, now);
+        const reservation = loads.reserveStages(stages, tokens, now);
+        return {
+            release: () => {
+                endCrossing();
+                reservation.release();
+            },
+        };
+    }
+
+    /** Records an event of the request's stream. */
+    noteEvent(now: number): void {
+        this.linkUse.noteEvent(now);
+    }
+
+    /** Takes back that the request was begun over the links of its chain, after it was not run there. */
+    refundLinks(): void {
+        this.linkUse.refund();
+    }
+
+    /** Checks if the stream may be queued at a link between data centres, where sending it again would add to the queue. */
+    isQueuedAtLink(): boolean {
+        return this.linkUse.isQueued();
     }
 
     /** Gets the expected number of tokens of the prompt and the answer. */
--- a/src/request/relay/chains/stageQuery.ts
+++ b/src/request/relay/chains/stageQuery.ts
@@ -16,7 +16,10 @@
     linkUtilization: number;
     /** Gets the recently observed delay that a link between data centres adds to first events, in milliseconds. */
     getLinkDelay(from: string, to: string): number;
-    /** Gets how long this node's share of the link from one data centre to another stays occupied, in milliseconds. */
+    /**
+     * Gets how long the request must wait before it uses the link from one data centre to another, in milliseconds; Infinity if it
+     * must not use it at all.
+     */
     getLinkWait(from: string, to: string): number;
     /** Checks if a connection to an endpoint's address is open and idle. */
     isConnected(address: string): boolean;
--- a/src/request/relay/detection/stallDetector.ts
+++ b/src/request/relay/detection/stallDetector.ts
@@ -156,7 +156,7 @@
     /**
      * Reviews a silent stream for which its first stage reports no cause. If other streams over the same data centres
      * make progress, only this stream is lost, and it continues over another chain. Otherwise the links are slow or
-     * congested, and sending it again would add to the congestion.
+     * congested, and sending it again would add to the congestion. A stream that may be queued at a link is left in its place.
      */
     private reviewUnexplained(relay: StreamRelay, first: RegisteredEndpoint, now: number): void {
         const { linkDelays } = this.options.environment;
@@ -165,7 +165,7 @@
             linkDelays.recordFirstEvent(dataCentres, now - (relay.getSentAt() ?? now), now);
         }
         const isOverdue = now - (relay.getLastProgress() ?? now) > abandonMilliseconds;
-        if (isOverdue && this.hasProgressingStream(dataCentres.join(), now)) {
+        if (isOverdue && !relay.isQueuedAtLink() && this.hasProgressingStream(dataCentres.join(), now)) {
             this.abandon(relay, first.id, "the chain is silent while others make progress.");
         }
     }
--- a/src/request/relay/links/linkDelays.ts
+++ b/src/request/relay/links/linkDelays.ts
@@ -1,4 +1,5 @@
 import { decay } from "../endpoints/decay.ts";
+import { FirstEventTimes } from "../endpoints/firstEventTimes.ts";
 import { formatDataCentreLink } from "./formatDataCentreLink.ts";
 import { listDataCentreLinks } from "./listDataCentreLinks.ts";
 
@@ -22,6 +23,7 @@
     private readonly records = new Map<string, LinkRecord>();
     /** Moving average of the time to the first event within a data centre, in milliseconds. */
     private millisecondsWithinDataCentre: number | undefined;
+    private readonly firstEventsWithinDataCentre = FirstEventTimes.create();
 
     private constructor() {}
 
@@ -41,6 +43,7 @@
         if (links.length === 0) {
             const average = this.millisecondsWithinDataCentre ?? milliseconds;
             this.millisecondsWithinDataCentre = average + newestWeight * (milliseconds - average);
+            this.firstEventsWithinDataCentre.record(milliseconds);
             return;
         }
         const delay = Math.max(0, milliseconds - (this.millisecondsWithinDataCentre ?? milliseconds)) / links.length;
@@ -55,6 +58,11 @@
         return this.getDelayOfLink(formatDataCentreLink(from, to), now);
     }
 
+    /** Gets the time within which about nine in ten first events arrive over chains that use no link, in milliseconds. */
+    getUsualFirstEvent(): number {
+        return this.firstEventsWithinDataCentre.getExpected();
+    }
+
     private getDelayOfLink(link: string, now: number): number {
         const record = this.records.get(link);
         if (record === undefined) {
--- a/src/request/relay/links/linkPacer.ts
+++ b/src/request/relay/links/linkPacer.ts
@@ -1,14 +1,9 @@
 import type { EngineModel } from "../../../version/routing/engineModel.ts";
 import { formatDataCentreLink } from "./formatDataCentreLink.ts";
 import { getActivationBits } from "./getActivationBits.ts";
+import { getUsableRate } from "./getUsableRate.ts";
 
-/** Bits per millisecond at a bandwidth of one megabit per second. */
-const bitsPerMillisecond = 1_000;
-/**
- * Fraction of a link's bandwidth that requests may use. With more, prompts queue behind each other for longer than a latency objective
- * allows, and the tokens of running streams queue behind them.
- */
-const usableFraction = 0.7;
+type ShareSource = (from: string, to: string, now: number) => number;
 
 /** This node's use of one link. */
 interface LinkUse {
@@ -30,17 +25,17 @@
  */
 export class LinkPacer {
     private readonly uses = new Map<string, LinkUse>();
-    private readonly getShare: () => number;
+    private readonly getShare: ShareSource;
 
-    private constructor(getShare: () => number) {
+    private constructor(getShare: ShareSource) {
         this.getShare = getShare;
     }
 
     /**
      * Creates the pacing of a node that has not used any link.
-     * @param getShare - Gets this node's share of the demand of all nodes, above 0 and at most 1.
+     * @param getShare - Gets this node's share of the demand of all nodes for a link, above 0 and at most 1.
      */
-    static create(getShare: () => number): LinkPacer {
+    static create(getShare: ShareSource): LinkPacer {
         return new LinkPacer(getShare);
     }
 
@@ -60,12 +55,34 @@
      * @param model - Parameters of the model.
      * @param tokens - Tokens of the full request, or of the context that is moved.
      * @param now - Monotonic time in milliseconds.
+     * @param creditMilliseconds - Time that the share was free before, which counts for this request. Default: 0.
      */
-    reserve(from: string, to: string, model: EngineModel, tokens: number, now: number): void {
-        const rate = model.linkMegabitsPerSecond * bitsPerMillisecond * usableFraction * this.getShare();
+    reserve(from: string, to: string, model: EngineModel, tokens: number, now: number, creditMilliseconds = 0): void {
         const key = formatDataCentreLink(from, to);
-        const start = Math.max(now, this.uses.get(key)?.freeAt ?? now);
-        const lastMilliseconds = getActivationBits(model, tokens) / rate;
+        const start = Math.max(now - creditMilliseconds, this.uses.get(key)?.freeAt ?? now);
+        const lastMilliseconds = this.getOccupancy(from, to, model, tokens, now);
         this.uses.set(key, { freeAt: start + lastMilliseconds, lastMilliseconds });
     }
+
+    /** Gets how long a request occupies this node's share of a link, in milliseconds. */
+    getOccupancy(from: string, to: string, model: EngineModel, tokens: number, now: number): number {
+        return getActivationBits(model, tokens) / (getUsableRate(model) * this.getShare(from, to, now));
+    }
+
+    /** Gets how long this node's share of a link stays occupied, without the request that it may be ahead. */
+    getIdleWait(from: string, to: string, now: number): number {
+        return Math.max(0, (this.uses.get(formatDataCentreLink(from, to))?.freeAt ?? -Infinity) - now);
+    }
+
+    /**
+     * Delays the next request over a link that this node has not used recently. When all nodes start to use a link in the same moment,
+     * their first requests would otherwise arrive at the link together.
+     * @param milliseconds - Delay; different at each node.
+     * @param now - Monotonic time in milliseconds.
+     */
+    delayStart(from: string, to: string, milliseconds: number, now: number): void {
+        const key = formatDataCentreLink(from, to);
+        const freeAt = Math.max(now + milliseconds, this.uses.get(key)?.freeAt ?? now);
+        this.uses.set(key, { freeAt, lastMilliseconds: 0 });
+    }
 }
--- /dev/null
+++ b/src/request/relay/links/linkShares.ts
@@ -0,0 +1,92 @@
+import { formatDataCentreLink } from "./formatDataCentreLink.ts";
+
+/** Last message of a peer, as far as links are concerned. */
+interface PeerDemand {
+    receivedAt: number;
+    /** Tokens per second of new requests that arrive at the peer. */
+    demand: number;
+    /** Links that the peer uses or has recently had to wait for. */
+    links: ReadonlySet<string>;
+}
+
+/** Options of {@link LinkShares}. */
+interface LinkSharesOptions {
+    /** Gets the tokens per second of new requests that arrive at this node. */
+    getDemand(): number;
+    /** Gets the number of live nodes, including this one. */
+    getNodeCount(): number;
+}
+
+/** Time to live of a peer's message. */
+const timeToLiveMilliseconds = 3_000;
+/** Time after which a peer that needs the same link has found that it does, so that its message names the link. */
+const noticeMilliseconds = 1_000;
+/** Minimum share of a node with little demand, as a fraction of an equal share, for requests that may come next. */
+const minimumShareFraction = 0.25;
+
+/**
+ * Divides the links between data centres among the nodes by the demand that can use each of them.
+ *
+ * Nodes without a recent message count with the mean of the others, so a node that hears from few peers still takes its own
+ * share only. Without any message, it takes an equal share.
+ */
+export class LinkShares {
+    private readonly options: LinkSharesOptions;
+    private readonly peers = new Map<string, PeerDemand>();
+    /** Monotonic time since which this node has needed each link without a break. */
+    private readonly needs = new Map<string, { since: number; at: number; }>();
+
+    private constructor(options: LinkSharesOptions) {
+        this.options = options;
+    }
+
+    /** Creates an instance that knows of no peers. */
+    static create(options: LinkSharesOptions): LinkShares {
+        return new LinkShares(options);
+    }
+
+    /** Applies a peer's message. */
+    applyPeer(peerId: string, demand: number, links: readonly string[], now: number): void {
+        this.peers.set(peerId, { receivedAt: now, demand, links: new Set(links) });
+    }
+
+    /** Records that a request of this node needs a link. */
+    noteNeed(link: string, now: number): void {
+        const known = this.needs.get(link);
+        const isContinued = known !== undefined && now - known.at <= timeToLiveMilliseconds;
+        this.needs.set(link, { since: isContinued ? known.since : now, at: now });
+    }
+
+    /** Lists the links that this node has needed recently. */
+    listNeeded(now: number): string[] {
+        return [...this.needs].filter(([, { at }]) => now - at <= timeToLiveMilliseconds).map(([link]) => link);
+    }
+
+    /** Gets this node's share of a link, above 0 and at most 1. */
+    getShare(from: string, to: string, now: number): number {
+        const own = this.options.getDemand();
+        const total = this.getTotalDemand(from, to, now);
+        const equalShare = 1 / this.options.getNodeCount();
+        return total > 0 ? Math.min(1, Math.max(own / total, equalShare * minimumShareFraction)) : equalShare;
+    }
+
+    /** Gets the tokens per second of new requests that can use a link, at all nodes. */
+    getTotalDemand(from: string, to: string, now: number): number {
+        const link = formatDataCentreLink(from, to);
+        const { since } = this.needs.get(link) ?? { since: now };
+        let heard = 0;
+        let demand = 0;
+        for (const [peerId, peer] of this.peers) {
+            if (now - peer.receivedAt > timeToLiveMilliseconds) {
+                this.peers.delete(peerId);
+                continue;
+            }
+            heard += 1;
+            const isCompeting = peer.links.has(link) || peer.receivedAt < since + noticeMilliseconds;
+            demand += isCompeting ? peer.demand : 0;
+        }
+        const own = this.options.getDemand();
+        const others = this.options.getNodeCount() - 1;
+        return heard === 0 ? own * (1 + others) : own + demand + Math.max(0, others - heard) * demand / heard;
+    }
+}
--- /dev/null
+++ b/src/request/relay/links/linkUse.ts
@@ -0,0 +1,155 @@
+import type { EngineModel } from "../../../version/routing/engineModel.ts";
+import type { StartBlock } from "../../admission/start/startBlock.ts";
+import { coversAllLayers } from "../chains/coversAllLayers.ts";
+import type { StageCandidate } from "../chains/stageCandidate.ts";
+import type { RelayEnvironment } from "../relayEnvironment.ts";
+import type { RelayTask } from "../relayTask.ts";
+import type { DataCentreLink } from "./dataCentreLink.ts";
+import { formatDataCentreLink } from "./formatDataCentreLink.ts";
+import { getWaitLimit } from "./getWaitLimit.ts";
+import type { LinkCrossing } from "./linkCrossing.ts";
+
+/** The links that one search for a chain considers. */
+interface LinkSearch {
+    /** Gets how long the request must wait before it uses a link, in milliseconds; Infinity if it must not use it. */
+    getWait(from: string, to: string): number;
+    /** Records that the search has found no chain. */
+    noteFailure(): void;
+}
+
+/** One request's use of the links between data centres. */
+export class LinkUse {
+    private readonly environment: RelayEnvironment;
+    private readonly task: RelayTask;
+    private readonly model: EngineModel;
+    /** Number of times that the request was sent over each link. */
+    private readonly beginCounts = new Map<string, number>();
+    private lastLinks: readonly DataCentreLink[] = [];
+    private crossing: LinkCrossing | undefined;
+    private lastEventAt: number | undefined;
+
+    private constructor(environment: RelayEnvironment, task: RelayTask, model: EngineModel) {
+        this.environment = environment;
+        this.task = task;
+        this.model = model;
+    }
+
+    /** Creates the use of a request that was not sent yet. */
+    static create(environment: RelayEnvironment, task: RelayTask, model: EngineModel): LinkUse {
+        return new LinkUse(environment, task, model);
+    }
+
+    /**
+     * Starts the search for a chain. Decides on each link once, when the search first considers it.
+     * @param candidates - Endpoints that the chain may use.
+     * @param promptTokens - Tokens of the prompt.
+     * @param isRunning - Whether the stream has begun and can't wait.
+     * @param now - Monotonic time in milliseconds.
+     */
+    startSearch(
+        candidates: readonly StageCandidate[],
+        promptTokens: number,
+        isRunning: boolean,
+        now: number,
+    ): LinkSearch {
+        const { environment: { links }, task, model } = this;
+        const { request, route } = task;
+        const waits = new Map<string, DataCentreLink & { wait: number; }>();
+        let isOnlyChoice: boolean | undefined;
+        const getWait = (from: string, to: string): number => {
+            const key = formatDataCentreLink(from, to);
+            const known = waits.get(key);
+            if (known !== undefined) {
+                return known.wait;
+            }
+            isOnlyChoice ??= !hasCompleteDataCentre(candidates, model.layers);
+            const wait = links.getWait({
+                from,
+                to,
+                model,
+                promptTokens,
+                elapsedMilliseconds: now - (isRunning ? this.lastEventAt ?? request.arrivedAt : request.arrivedAt),
+                objectiveMilliseconds: route.targetLatencyMilliseconds,
+                waitLimitMilliseconds: getWaitLimit(route),
+                isReturn: task.isReturn,
+                isRunning,
+                beginCount: this.beginCounts.get(key) ?? 0,
+                isOnlyChoice,
+            }, now);
+            waits.set(key, { from, to, wait });
+            return wait;
+        };
+        const noteFailure = () => {
+            const blocked = [...waits.values()].filter(({ wait }) => wait > 0);
+            for (const link of blocked) {
+                links.noteNeed(link, now);
+            }
+            const [first] = blocked.toSorted((left, right) => left.wait - right.wait);
+            links.noteBlock(task.service.name, isOnlyChoice === true ? first : undefined, now);
+        };
+        return { getWait, noteFailure };
+    }
+
+    /** Gets the link that kept the last search of the service from finding a chain; undefined if none did. */
+    getBlock(tokens: number): StartBlock | undefined {
+        const { environment: { links, clock }, task, model } = this;
+        const now = clock.getMonotonicTime();
+        const block = links.getBlock(task.service.name, now);
+        if (block === undefined) {
+            return undefined;
+        }
+        const waitMilliseconds = Math.min(block.wait, getWaitLimit(task.route));
+        return {
+            waitMilliseconds,
+            bookRetry: () => links.bookRetry(block, model, tokens, waitMilliseconds, now),
+        };
+    }
+
+    /**
+     * Counts that the request is sent over links.
+     * @returns Records that its chain is no longer used.
+     */
+    begin(links: readonly DataCentreLink[], promptTokens: number, answerTokens: number, now: number): () => void {
+        this.lastLinks = links;
+        this.crossing = undefined;
+        if (links.length === 0) {
+            return () => undefined;
+        }
+        for (const key of listKeys(links)) {
+            this.beginCounts.set(key, (this.beginCounts.get(key) ?? 0) + 1);
+        }
+        const { environment, model } = this;
+        const crossing = environment.links.begin(links, model, promptTokens, answerTokens, now);
+        this.crossing = crossing;
+        return () => crossing.end(environment.clock.getMonotonicTime());
+    }
+
+    /** Takes back the last count, after the request was not run. */
+    refund(): void {
+        for (const key of listKeys(this.lastLinks)) {
+            this.beginCounts.set(key, (this.beginCounts.get(key) ?? 1) - 1);
+        }
+        this.lastLinks = [];
+    }
+
+    /** Records an event of the stream. */
+    noteEvent(now: number): void {
+        this.lastEventAt = now;
+        this.crossing?.noteEvent(now);
+    }
+
+    /** Checks if the stream may be queued at a link. */
+    isQueued(): boolean {
+        return this.crossing?.isQueued() === true;
+    }
+}
+
+function listKeys(links: readonly DataCentreLink[]): Set<string> {
+    return new Set(links.map(({ from, to }) => formatDataCentreLink(from, to)));
+}
+
+/** Checks if the endpoints of one data centre together hold every layer. */
+function hasCompleteDataCentre(candidates: readonly StageCandidate[], layers: number): boolean {
+    const byDataCentre = Map.groupBy(candidates, ({ endpoint }) => endpoint.dataCentre);
+    return [...byDataCentre.values()].some(local => coversAllLayers(local.map(candidate => candidate.layers), layers));
+}
--- a/src/request/relay/queue/createQueuedRelay.ts
+++ b/src/request/relay/queue/createQueuedRelay.ts
@@ -77,6 +77,7 @@
         isServable: () => chains.hasChain(avoided),
         getPauseRetryMilliseconds: () => chains.getPauseRetryDelay(avoided),
         getLimitRetryMilliseconds: () => chains.getLimitRetryDelay({ avoid: avoided, rateLimited }),
+        getLinkBlock: () => chains.getLinkBlock(),
         start,
         refuse,
     };
--- a/src/request/relay/relayEnvironment.ts
+++ b/src/request/relay/relayEnvironment.ts
@@ -11,8 +11,8 @@
 import type { FirstEventTimes } from "./endpoints/firstEventTimes.ts";
 import type { RelayDirectory } from "./endpoints/relayDirectory.ts";
 import type { EndpointLimits } from "./limits/endpointLimits.ts";
+import type { LinkAdmission } from "./links/linkAdmission.ts";
 import type { LinkDelays } from "./links/linkDelays.ts";
-import type { LinkPacer } from "./links/linkPacer.ts";
 import type { LinkTraffic } from "./links/linkTraffic.ts";
 import type { RequestQuarantine } from "./quarantine/requestQuarantine.ts";
 import type { RelayQueue } from "./queue/relayQueue.ts";
@@ -43,7 +43,7 @@
     linkDelays: LinkDelays;
     /** Traffic between data centres caused by this node's requests. */
     linkTraffic: LinkTraffic;
-    linkPacer: LinkPacer;
+    links: LinkAdmission;
     /** Gets the number of live nodes, including this one. */
     getNodeCount(): number;
 }
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -123,6 +123,11 @@
         return this.attempt?.firstEventAt !== undefined;
     }
 
+    /** Checks if the stream may be queued at a link between data centres. */
+    isQueuedAtLink(): boolean {
+        return this.chains.isQueuedAtLink();
+    }
+
     /**
      * Chooses another chain with the same first stage.
      * @param avoid - Ids of endpoints that block the stream, which the chain must not use.
@@ -325,6 +330,7 @@
         const now = this.getTime();
         this.answer.noteRun();
         attempt.lastProgressAt = now;
+        this.chains.noteEvent(now);
         for (const { endpoint } of attempt.stages) {
             this.environment.health.markAlive(endpoint.id, now);
         }
@@ -468,7 +474,10 @@
         }
         this.releaseAttempt(attempt);
         this.attempt = undefined;
-        if (!end.isNotRun) {
+        if (end.isNotRun) {
+            this.chains.refundLinks();
+        }
+        else {
             this.answer.noteRun();
             if (end.isPathLost !== true) {
                 this.attemptLimit.noteRun(attempt.stages[0]!.endpoint.id);
--- a/tests/request/relay/chains/chooseStages.test.ts
+++ b/tests/request/relay/chains/chooseStages.test.ts
@@ -79,6 +79,11 @@
         assert.deepEqual(choose(inOtherCentre, { mayOvercommit: false, getLinkWait }), ["3", "2"]);
     });
 
+    it("never uses a link that the request must not use, even if the request must not wait", () => {
+        const candidates = [createCandidate("1", 0, 40), createCandidate("2", 40, 80, { dataCentre: "b" })];
+        assert.equal(choose(candidates, { getLinkWait: () => Infinity }), undefined);
+    });
+
     it("avoids a link between data centres that has become slow", () => {
         const candidates = [
             createCandidate("1", 0, 40),
--- a/tests/request/relay/relayBench.ts
+++ b/tests/request/relay/relayBench.ts
@@ -10,8 +10,8 @@
 import { FirstEventTimes } from "../../../src/request/relay/endpoints/firstEventTimes.ts";
 import type { RegisteredEndpoint } from "../../../src/request/relay/endpoints/registeredEndpoint.ts";
 import { EndpointLimits } from "../../../src/request/relay/limits/endpointLimits.ts";
+import { LinkAdmission } from "../../../src/request/relay/links/linkAdmission.ts";
 import { LinkDelays } from "../../../src/request/relay/links/linkDelays.ts";
-import { LinkPacer } from "../../../src/request/relay/links/linkPacer.ts";
 import { LinkTraffic } from "../../../src/request/relay/links/linkTraffic.ts";
 import { RequestQuarantine } from "../../../src/request/relay/quarantine/requestQuarantine.ts";
 import { RelayQueue } from "../../../src/request/relay/queue/relayQueue.ts";
@@ -47,6 +47,7 @@
         const random = () => 0.5;
         const queue = RelayQueue.create({ clock, random, log });
         const health = EndpointHealth.create();
+        const linkDelays = LinkDelays.create();
         this.environment = {
             dataCentre: "a",
             clock,
@@ -83,9 +84,15 @@
             queue,
             firstEvents: FirstEventTimes.create(),
             retryDetector: RetryDetector.create(),
-            linkDelays: LinkDelays.create(),
+            linkDelays,
             linkTraffic: LinkTraffic.create(),
-            linkPacer: LinkPacer.create(() => 1),
+            links: LinkAdmission.create({
+                random,
+                log,
+                delays: linkDelays,
+                getDemand: () => queue.getDemand(),
+                getNodeCount: () => 1,
+            }),
             getNodeCount: () => 1,
         };
     }
