Keep the retries at links in a class of their own

Change: LinkRetries knows the blocked links and books retries. A peer's message replaces all of its earlier reports, and outdated messages of peers are forgotten with each own message.

--- a/src/request/relay/links/linkAdmission.ts
+++ b/src/request/relay/links/linkAdmission.ts
@@ -12,6 +12,7 @@
 import { LinkGate } from "./linkGate.ts";
 import { LinkPacer } from "./linkPacer.ts";
 import type { LinkReport } from "./linkReport.ts";
+import { LinkRetries } from "./linkRetries.ts";
 import { LinkShares } from "./linkShares.ts";
 import { LinkTraffic } from "./linkTraffic.ts";
 
@@ -29,11 +30,6 @@
     onClosed?(link: DataCentreLink, isClosed: boolean): void;
 }
 
-/** A link that a request could not use, and the time in milliseconds until it can. */
-interface BlockedLink extends DataCentreLink {
-    wait: number;
-}
-
 type LinkOfModel = Pick<LinkCrossingQuery, "from" | "to" | "model">;
 
 /** State of one link. */
@@ -43,8 +39,6 @@
     traffic: LinkTraffic;
     /** Monotonic time at which the link was last found to be contended, in milliseconds. */
     contendedAt: number;
-    /** Monotonic time up to which callers were told to return, in milliseconds. */
-    bookedUntil: number;
 }
 
 /** Maximum number of times that a stream is sent over the same link. */
@@ -58,17 +52,12 @@
 const contendedQueueLength = 2;
 /** Size of the prompts that peers' streams are expected to have at most, as a multiple of a typical one. */
 const largePromptFactor = 2;
-/** Time for which searches for chains may be skipped after one has failed. */
-const blockMilliseconds = 50;
 const minimumWaitMilliseconds = 1;
 const millisecondsPerSecond = 1_000;
 /** Maximum number of links in a report. */
 const maximumReportedLinks = 12;
 /** Time after which a link that is no longer contended counts as unused. */
 const contentionMilliseconds = 3_000;
-/** Maximum time for which returns of refused callers are booked ahead. Later ones would find other conditions. */
-const maximumBookingMilliseconds = 5_000;
-
 /**
  * Decides which streams may use the links between data centres, at which all chains of all nodes share the bandwidth.
  *
@@ -82,8 +71,9 @@
     private readonly options: LinkAdmissionOptions;
     private readonly shares: LinkShares;
     private readonly pacer: LinkPacer;
+    /** Which links keep requests from starting, and the retries that are booked on them. */
+    readonly retries = LinkRetries.create();
     private readonly states = new Map<string, LinkState>();
-    private readonly blocks = new Map<string, { block: BlockedLink | undefined; at: number; }>();
 
     private constructor(options: LinkAdmissionOptions) {
         this.options = options;
@@ -190,29 +180,18 @@
         return this.pacer.getOccupancy(from, to, model, tokens, now);
     }
 
-    /** Records the link that keeps a service's requests from starting, or that none does. */
-    noteBlock(service: string, block: BlockedLink | undefined, now: number): void {
-        this.blocks.set(service, { block, at: now });
-    }
-
-    /** Gets the link that recently kept a service's requests from starting; undefined if none did. */
-    getBlock(service: string, now: number): BlockedLink | undefined {
-        const known = this.blocks.get(service);
-        return known !== undefined && now - known.at <= blockMilliseconds ? known.block : undefined;
-    }
-
-    /** Books capacity of a link for the retry of a refused request, and gets the delay after which its caller should return. */
+    /**
+     * Books capacity of a link for the retry of a refused request.
+     * @returns The retry delay in milliseconds.
+     */
     bookRetry(link: DataCentreLink, model: EngineModel, tokens: number, waitMilliseconds: number, now: number): number {
-        const { from, to } = link;
-        const state = this.getState(from, to);
-        const occupancy = this.pacer.getOccupancy(from, to, model, tokens, now);
-        const earliest = Math.max(now + waitMilliseconds, state.bookedUntil);
-        state.bookedUntil = Math.min(now + maximumBookingMilliseconds, earliest + occupancy);
-        return earliest - now;
+        const occupancy = this.pacer.getOccupancy(link.from, link.to, model, tokens, now);
+        return this.retries.book(link, waitMilliseconds, occupancy, now);
     }
 
     /** Records that a request needs a link, whether it may use it or not. */
     noteNeed({ from, to }: DataCentreLink, now: number): void {
+        this.getState(from, to);
         this.shares.noteNeed(formatDataCentreLink(from, to), now);
     }
 
@@ -292,6 +271,9 @@
      */
     applyReports(peerId: string, demand: number, reports: readonly LinkReport[], now: number): void {
         this.shares.applyPeer(peerId, demand, reports.map(({ from, to }) => formatDataCentreLink(from, to)), now);
+        for (const { gate } of this.states.values()) {
+            gate.applyReport(peerId, 0, 0, now);
+        }
         for (const { from, to, waiting, longestWaitMilliseconds } of reports) {
             this.getState(from, to).gate.applyReport(peerId, waiting, longestWaitMilliseconds, now);
         }
@@ -310,7 +292,6 @@
             gate: LinkGate.create({ link, log, onChange: isClosed => onClosed?.(link, isClosed) }),
             traffic: LinkTraffic.create(),
             contendedAt: -Infinity,
-            bookedUntil: -Infinity,
         };
         this.states.set(key, state);
         return state;
--- a/src/request/relay/links/linkShares.ts
+++ b/src/request/relay/links/linkShares.ts
@@ -57,8 +57,13 @@
         this.needs.set(link, { since: isContinued ? known.since : now, at: now });
     }
 
-    /** Lists the links that this node has needed recently. */
+    /** Lists the links that this node has needed recently, and forgets outdated messages. */
     listNeeded(now: number): string[] {
+        for (const [peerId, { receivedAt }] of this.peers) {
+            if (now - receivedAt > timeToLiveMilliseconds) {
+                this.peers.delete(peerId);
+            }
+        }
         return [...this.needs].filter(([, { at }]) => now - at <= timeToLiveMilliseconds).map(([link]) => link);
     }
 
@@ -76,9 +81,8 @@
         const { since } = this.needs.get(link) ?? { since: now };
         let heard = 0;
         let demand = 0;
-        for (const [peerId, peer] of this.peers) {
+        for (const peer of this.peers.values()) {
             if (now - peer.receivedAt > timeToLiveMilliseconds) {
-                this.peers.delete(peerId);
                 continue;
             }
             heard += 1;
--- a/src/request/relay/links/linkUse.ts
+++ b/src/request/relay/links/linkUse.ts
@@ -85,7 +85,7 @@
                 links.noteNeed(link, now);
             }
             const [first] = blocked.toSorted((left, right) => left.wait - right.wait);
-            links.noteBlock(task.service.name, isOnlyChoice === true ? first : undefined, now);
+            links.retries.noteBlock(task.service.name, isOnlyChoice === true ? first : undefined, now);
         };
         return { getWait, noteFailure };
     }
@@ -94,7 +94,7 @@
     getBlock(tokens: number): StartBlock | undefined {
         const { environment: { links, clock }, task, model } = this;
         const now = clock.getMonotonicTime();
-        const block = links.getBlock(task.service.name, now);
+        const block = links.retries.getBlock(task.service.name, now);
         if (block === undefined) {
             return undefined;
         }
