--- a/tests/request/admission/start/startQueue.test.ts
+++ b/tests/request/admission/start/startQueue.test.ts
@@ -62,6 +62,22 @@
         assert.equal(fixture.queue.getLength(), 0);
     });
 
+    // Guards against late streams over a congested link: requests waited for it until their callers left.
+    it("queues a request that a link blocks only if it can still be on time, and refuses it with the link's time otherwise", () => {
+        const fixture = createFixture(0);
+        fixture.learnThroughput(10_000);
+        let waitMilliseconds = 300;
+        const changes = { getLinkBlock: () => ({ waitMilliseconds, bookRetry: () => waitMilliseconds + 500 }) };
+        const decideArrival = (name: string) => fixture.queue.decideArrival(fixture.create(name, changes), 0);
+        assert.deepEqual(decideArrival("soon"), { kind: "wait", expectedMilliseconds: 300 });
+        waitMilliseconds = 400;
+        const cause = "the link between its data centres has no capacity in time.";
+        assert.deepEqual(decideArrival("late"), { kind: "refuse", cause, retryAfterMilliseconds: 900 });
+        assert.deepEqual(fixture.review(350), []);
+        assert.deepEqual(fixture.review(351), ["refuse soon"]);
+        assert.equal(fixture.queue.getLength(), 0);
+    });
+
     it("immediately refuses a request that only endpoint limits block, with their retry delay", () => {
         const fixture = createFixture(0);
         const limited = fixture.create("limited", { getLimitRetryMilliseconds: () => 800 });
--- /dev/null
+++ b/tests/request/relay/links/linkUse.test.ts
@@ -0,0 +1,59 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { RelayChains } from "../../../../src/request/relay/chains/relayChains.ts";
+import { RequestKind } from "../../../../src/version/routing/requestKind.ts";
+import { RelayBench } from "../relayBench.ts";
+import { createEndpoint, relayModel } from "../relayModel.ts";
+
+const kinds = new Map([...relayModel.kinds].map(([name, kind]) => [name, { ...kind, memoryMegabytes: 200_000 }]));
+const model = { ...relayModel, kinds };
+const requirements = { avoid: new Set<string>(), mayOvercommit: false };
+
+/** Creates a request whose chains all use the link from one data centre to another. */
+function createChains() {
+    const bench = RelayBench.create([
+        createEndpoint("1", { layers: { start: 0, end: 40 } }),
+        createEndpoint("2", { layers: { start: 40, end: 80 }, dataCentre: "b" }),
+    ]);
+    const task = bench.createTask(RequestKind.Stream, true);
+    return { bench, chains: RelayChains.create(bench.environment, task, model) };
+}
+
+describe("LinkUse", () => {
+    // Guards against a link that is filled by repeated sends: 54 of 137 streams were begun two to five times.
+    it("begins a stream at most twice over a link, also if the stream is resumed", () => {
+        const { chains } = createChains();
+        for (let count = 0; count < 2; count++) {
+            const stages = chains.choose(requirements)!;
+            chains.reserve(stages).release();
+        }
+        assert.equal(chains.choose(requirements), undefined);
+        assert.equal(chains.choose({ ...requirements, mayOvercommit: true }), undefined);
+        chains.refundLinks();
+        assert.ok(chains.choose(requirements));
+    });
+
+    it("begins a stream for the second time only after the first one no longer waits at the link", async () => {
+        const { bench, chains } = createChains();
+        const reservation = chains.reserve(chains.choose(requirements)!);
+        await bench.clock.advance(900);
+        assert.equal(chains.isQueuedAtLink(), true);
+        assert.equal(chains.choose(requirements), undefined);
+        assert.ok(chains.getLinkBlock()!.waitMilliseconds > 0);
+        chains.noteEvent(bench.clock.getMonotonicTime());
+        assert.equal(chains.isQueuedAtLink(), false);
+        assert.ok(chains.choose({ ...requirements, mayOvercommit: true }));
+        reservation.release();
+    });
+
+    it("does not tell of a link if a data centre holds every layer", () => {
+        const { bench, chains } = createChains();
+        const local = createEndpoint("3", { layers: { start: 40, end: 80 } });
+        const endpoints = [...bench.environment.directory.getEndpoints("model"), local];
+        bench.environment.directory.getEndpoints = () => endpoints;
+        bench.environment.links.begin([{ from: "a", to: "b" }], model, 800, 200, -900);
+        bench.environment.loads.markFull("3", 0);
+        assert.equal(chains.choose(requirements), undefined);
+        assert.equal(chains.getLinkBlock(), undefined);
+    });
+});
