Send the urgency of a request to engines where its service has several ranks

listServiceRanks lists the ranks that requests for a service can have; getUrgency maps the place of a rank among them, and whether the request can still be on time, to 0 to 9. The rank goes first, as in the start queue. ForwardingContext carries the value and the adapter writes Request-Urgency. Nothing is sent for a service with one rank or for documents.

The effect at engines was not measured.

--- a/bench/experiment/experiment.ts
+++ b/bench/experiment/experiment.ts
@@ -156,6 +156,7 @@
             fingerprint: request.id,
             sink,
             rank: 1,
+            ranks: [1],
             takenUpLateMilliseconds: 0,
             isReturn,
             dueAt: now + deadlineMilliseconds,
--- a/src/process/router/requestRouter.ts
+++ b/src/process/router/requestRouter.ts
@@ -89,6 +89,7 @@
             fingerprint,
             sink,
             rank,
+            ranks: state.getRanks(service.name),
             takenUpLateMilliseconds,
             isReturn,
             dueAt,
--- a/src/request/relay/forwardingContext.ts
+++ b/src/request/relay/forwardingContext.ts
@@ -13,4 +13,6 @@
     stages?: RelayStage[];
     /** Id of the last event that the caller has received; 0 if none. */
     lastEventId: number;
+    /** Urgency of the request at the endpoint, 0 (first) to 9; undefined where its service has requests of one rank. */
+    urgency?: number | undefined;
 }
--- a/src/request/relay/queue/createQueuedRelay.ts
+++ b/src/request/relay/queue/createQueuedRelay.ts
@@ -1,6 +1,7 @@
 import type { RelayChains } from "../chains/relayChains.ts";
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
+import { getLatestOnTimeStart } from "./getLatestOnTimeStart.ts";
 import type { QueuedRelay } from "./queuedRelay.ts";
 
 /** Options of {@link createQueuedRelay}. */
@@ -21,8 +22,6 @@
 const maximumWaitMilliseconds = 1_200;
 /** Callers follow a retry delay of up to this fraction of the time that they have left. */
 const maximumRetryDelayFraction = 1 / 3;
-/** Maximum fraction of the latency objective that is reserved for the first event; the rest may be spent in the queue. */
-const maximumReserveFraction = 0.6;
 /**
  * Fraction of each endpoint's memory that a late request leaves free for requests that can still be served in time. Late
  * requests would otherwise be retried or started just as often as those, and the memory would be spent on late answers.
@@ -32,15 +31,9 @@
 /** Creates the queue entry of a request for a chain, which states how long it may wait and how it is started. */
 export function createQueuedRelay(options: QueuedRelayOptions): QueuedRelay {
     const { environment, task, chains, avoided, isRetry, start, refuse } = options;
-    const { request, route, customer, rank, isReturn, dueAt } = task;
-    const { clock, firstEvents, retryBudget, instructions } = environment;
-    const reservedMilliseconds = Math.min(
-        firstEvents.getExpected(),
-        route.targetLatencyMilliseconds * maximumReserveFraction,
-    );
-    const latestOnTimeStart = isReturn
-        ? -Infinity
-        : request.arrivedAt + route.targetLatencyMilliseconds - reservedMilliseconds;
+    const { request, customer, rank, dueAt } = task;
+    const { clock, retryBudget, instructions } = environment;
+    const latestOnTimeStart = getLatestOnTimeStart(environment, task);
     const rateLimited = new Set<string>();
     environment.limits.noteRequest(task.service.name, clock.getMonotonicTime());
     return {
--- a/src/request/relay/relayTask.ts
+++ b/src/request/relay/relayTask.ts
@@ -14,6 +14,8 @@
     sink: AnswerSink;
     /** Priority rank; 0 is the highest priority. */
     rank: number;
+    /** Ranks that requests for the service can have, in ascending order. Ranks matter only where there are several. */
+    ranks: readonly number[];
     /** Event loop delay when the node began to handle the request, in milliseconds. */
     takenUpLateMilliseconds: number;
     /** Whether the request appears to be a retry by the caller, so that it is already late. */
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -6,6 +6,7 @@
 import { ProcessorAccount } from "../../../process/loop/processorAccount.ts";
 import { ProcessorCause } from "../../../process/loop/processorCause.ts";
 import type { EngineModel } from "../../../version/routing/engineModel.ts";
+import { getUrgency } from "../../admission/ranks/getUrgency.ts";
 import type { AnswerEnd } from "../answers/answerEnd.ts";
 import type { AnswerHead } from "../answers/answerHead.ts";
 import { createRefusal } from "../answers/createRefusal.ts";
@@ -19,6 +20,7 @@
 import { listDataCentres } from "../links/listDataCentres.ts";
 import { TaskQuarantine } from "../quarantine/taskQuarantine.ts";
 import { createQueuedRelay } from "../queue/createQueuedRelay.ts";
+import { getLatestOnTimeStart } from "../queue/getLatestOnTimeStart.ts";
 import type { QueuedRelay } from "../queue/queuedRelay.ts";
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
@@ -278,12 +280,21 @@
     private send(attempt: StreamAttempt, stages: RelayStage[]): void {
         const { environment } = this;
         const { protocol, pools } = environment;
-        const { request, customer, dueAt } = this.task;
+        const { request, customer, dueAt, rank, ranks } = this.task;
         const { endpoint } = stages[0]!;
         const createRequest = () => {
-            const remainingMilliseconds = dueAt - this.getTime();
+            const now = this.getTime();
             const lastEventId = this.progress.getLastId();
-            return protocol.createRequest(request, { endpoint, customer, remainingMilliseconds, stages, lastEventId });
+            // The caller of a stream that has begun notices each pause, so it still counts as on time.
+            const isOnTime = this.answer.isBegun() || now <= getLatestOnTimeStart(environment, this.task);
+            return protocol.createRequest(request, {
+                endpoint,
+                customer,
+                remainingMilliseconds: dueAt - now,
+                stages,
+                lastEventId,
+                urgency: getUrgency(rank, ranks, isOnTime),
+            });
         };
         const reader = StreamAnswerReader.create({
             protocol,
--- a/src/version/routing/routingState.ts
+++ b/src/version/routing/routingState.ts
@@ -1,3 +1,4 @@
+import { listServiceRanks } from "../../request/admission/ranks/listServiceRanks.ts";
 import { RouteTable } from "./routeTable.ts";
 import type { RoutingConfiguration } from "./routingConfiguration.ts";
 
@@ -7,6 +8,7 @@
     private readonly routes: RouteTable;
     private readonly customerByKey = new Map<string, string>();
     private readonly rankByCustomer = new Map<string, number>();
+    private readonly ranksByService = new Map<string, readonly number[]>();
 
     private constructor(configuration: RoutingConfiguration) {
         this.configuration = configuration;
@@ -19,6 +21,9 @@
                 this.customerByKey.set(key, customer.name);
             }
         }
+        for (const service of configuration.services.keys()) {
+            this.ranksByService.set(service, listServiceRanks(configuration, service));
+        }
     }
 
     /** Creates the indexes of a configuration. */
@@ -41,6 +46,11 @@
         return customer === undefined ? undefined : this.rankByCustomer.get(customer);
     }
 
+    /** Gets the ranks that requests for a service can have, in ascending order. */
+    getRanks(service: string): readonly number[] {
+        return this.ranksByService.get(service) ?? [];
+    }
+
     /** Checks if requests need an API key unless their route is public. */
     needsKey(): boolean {
         return this.configuration.customers.length > 0;
--- a/tests/request/relay/relayBench.ts
+++ b/tests/request/relay/relayBench.ts
@@ -25,6 +25,7 @@
 /** A request that was passed to a connection. */
 interface SentRequest {
     address: string;
+    headers: readonly string[];
     listener: UpstreamListener;
     /** Time at which its first byte was sent. */
     sentAt: number | undefined;
@@ -57,7 +58,7 @@
                 getPool: address => ({
                     hasIdle: () => true,
                     hasBytesSince: () => true,
-                    sendForCaller: (_createRequest, listener) => this.send(address, listener),
+                    sendForCaller: (createRequest, listener) => this.send(address, createRequest().headers, listener),
                 }),
             },
             directory: {
@@ -140,14 +141,15 @@
             fingerprint: "fingerprint",
             sink,
             rank: 1,
+            ranks: [1],
             takenUpLateMilliseconds: 0,
             isReturn: false,
             dueAt: 1_000,
         };
     }
 
-    private send(address: string, listener: UpstreamListener) {
-        const sentRequest: SentRequest = { address, listener, sentAt: undefined, isAborted: false };
+    private send(address: string, headers: readonly string[], listener: UpstreamListener) {
+        const sentRequest: SentRequest = { address, headers, listener, sentAt: undefined, isAborted: false };
         this.sentRequests.push(sentRequest);
         return {
             abort: () => {
--- a/tests/request/relay/streams/streamRelay.test.ts
+++ b/tests/request/relay/streams/streamRelay.test.ts
@@ -55,6 +55,23 @@
         assert.deepEqual(bench.answers, ["outcomeUnknown"]);
     });
 
+    // Guards against engines that read the prompts of all ranks in order of arrival, and against a header without ranks.
+    it("sends the urgency of the request where its service has several ranks", () => {
+        const bench = RelayBench.create([createEndpoint("1", { layers })]);
+        const task = bench.createTask(RequestKind.Stream);
+        StreamRelay.create(bench.environment, task, model, () => undefined).start();
+        StreamRelay.create(bench.environment, { ...task, ranks: [0, 1] }, model, () => undefined).start();
+        const late = { ...task, ranks: [0, 1], isReturn: true };
+        StreamRelay.create(bench.environment, late, model, () => undefined).start();
+        const urgencies = bench.sentRequests.map(({ headers }) => headers[headers.indexOf("Request-Urgency") + 1]);
+        assert.deepEqual(bench.sentRequests.map(({ headers }) => headers.includes("Request-Urgency")), [
+            false,
+            true,
+            true,
+        ]);
+        assert.deepEqual(urgencies.slice(1), ["2", "3"]);
+    });
+
     it("refuses immediately if the endpoints together do not hold the whole model", () => {
         const { bench } = start([]);
         assert.deepEqual(bench.answers, []);
