--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -44,6 +44,7 @@
 import { PeerExchange } from "./peerExchange.ts";
 import { PeerState } from "./peerState.ts";
 import { QuarantinePersister } from "./quarantinePersister.ts";
+import { RankDemandPart } from "./rankDemandPart.ts";
 import { RequestRouter } from "./requestRouter.ts";
 import type { RouterNodeOptions } from "./routerNodeOptions.ts";
 import { RoutingHolder } from "./routingHolder.ts";
@@ -100,6 +101,8 @@
             random,
             log,
             onDecided: decision => metrics.startDecisionsTotal.inc({ decision }),
+            onRankOutcome: (rank, outcome) => metrics.rankRequestsTotal.inc({ rank, outcome }),
+            onAdmittedShare: (rank, share) => metrics.rankAdmittedShare.set({ rank }, share),
             onWaited: (milliseconds, expectedMilliseconds) => {
                 metrics.startWaitSeconds.observe(milliseconds / secondMilliseconds);
                 metrics.startWaitExcessSeconds.observe((milliseconds - expectedMilliseconds) / secondMilliseconds);
@@ -277,7 +280,11 @@
                 quarantine,
                 limits: this.limits,
                 readings,
-                parts: [this.losses, LinkLoadPart.create(links, metrics)],
+                parts: [
+                    this.losses,
+                    LinkLoadPart.create(links, metrics),
+                    RankDemandPart.create(queue.rankReserve.demands),
+                ],
                 getDemand: () => queue.getDemand(),
                 onUpdate: () => this.exchange.propagateUpdate(),
             }),
