Leave out peers from the shares of contended links only

Cause: peers whose messages don't name a link left their share of it to the others also where a complete data centre makes the link a choice.

Change: shares of a link that is not contended follow the demand of all nodes, as before.

--- a/src/request/relay/links/linkAdmission.ts
+++ b/src/request/relay/links/linkAdmission.ts
@@ -173,6 +173,7 @@
             this.pacer.delayStart(query.from, query.to, milliseconds, now);
         }
         state.contendedAt = now;
+        this.shares.noteContention(formatDataCentreLink(query.from, query.to), now);
     }
 
     private getTypicalOccupancy({ from, to, model }: LinkOfModel, now: number): number {
--- a/src/request/relay/links/linkShares.ts
+++ b/src/request/relay/links/linkShares.ts
@@ -33,8 +33,10 @@
 export class LinkShares {
     private readonly options: LinkSharesOptions;
     private readonly peers = new Map<string, PeerDemand>();
-    /** Monotonic time since which this node has needed each link without a break. */
-    private readonly needs = new Map<string, { since: number; at: number; }>();
+    /** Monotonic time in milliseconds at which this node last needed each link. */
+    private readonly neededAt = new Map<string, number>();
+    /** Monotonic time in milliseconds since which each link is contended without a break. */
+    private readonly contentions = new Map<string, { since: number; at: number; }>();
 
     private constructor(options: LinkSharesOptions) {
         this.options = options;
@@ -52,9 +54,14 @@
 
     /** Records that a request of this node needs a link. */
     noteNeed(link: string, now: number): void {
-        const known = this.needs.get(link);
+        this.neededAt.set(link, now);
+    }
+
+    /** Records that more requests of all nodes need a link than it bears. Peers that don't need it then leave their share to the others. */
+    noteContention(link: string, now: number): void {
+        const known = this.contentions.get(link);
         const isContinued = known !== undefined && now - known.at <= timeToLiveMilliseconds;
-        this.needs.set(link, { since: isContinued ? known.since : now, at: now });
+        this.contentions.set(link, { since: isContinued ? known.since : now, at: now });
     }
 
     /** Lists the links that this node has needed recently, and forgets outdated messages. */
@@ -64,7 +71,7 @@
                 this.peers.delete(peerId);
             }
         }
-        return [...this.needs].filter(([, { at }]) => now - at <= timeToLiveMilliseconds).map(([link]) => link);
+        return [...this.neededAt].filter(([, at]) => now - at <= timeToLiveMilliseconds).map(([link]) => link);
     }
 
     /** Gets this node's share of a link, above 0 and at most 1. */
@@ -78,7 +85,9 @@
     /** Gets the tokens per second of new requests that can use a link, at all nodes. */
     getTotalDemand(from: string, to: string, now: number): number {
         const link = formatDataCentreLink(from, to);
-        const { since } = this.needs.get(link) ?? { since: now };
+        const contention = this.contentions.get(link);
+        const isContended = contention !== undefined && now - contention.at <= timeToLiveMilliseconds;
+        const reportedFrom = isContended ? contention.since + noticeMilliseconds : Infinity;
         let heard = 0;
         let demand = 0;
         for (const peer of this.peers.values()) {
@@ -86,7 +95,7 @@
                 continue;
             }
             heard += 1;
-            const isCompeting = peer.links.has(link) || peer.receivedAt < since + noticeMilliseconds;
+            const isCompeting = peer.links.has(link) || peer.receivedAt < reportedFrom;
             demand += isCompeting ? peer.demand : 0;
         }
         const own = this.options.getDemand();
