Sum the demand of all nodes once for each search of a chain

Cause: a search asks for the wait of each link between the data centres, and each answer summed the demand of all peers again.

Change: the sum for links that are not contended is kept for the moment of the search.

Measured (trial, one process on a shared machine): 10 data centres and 340 nodes, 55 instead of 116 microseconds for the waits of all 90 links in a search; 3 data centres and 92 nodes, 16 instead of 18.

--- a/src/request/relay/links/linkShares.ts
+++ b/src/request/relay/links/linkShares.ts
@@ -37,6 +37,8 @@
     private readonly neededAt = new Map<string, number>();
     /** Monotonic time in milliseconds since which each link is contended without a break. */
     private readonly contentions = new Map<string, { since: number; at: number; }>();
+    /** Last result for links that are not contended. */
+    private demandOfAll: { at: number; total: number; } | undefined;
 
     private constructor(options: LinkSharesOptions) {
         this.options = options;
@@ -49,6 +51,7 @@
 
     /** Applies a peer's message. */
     applyPeer(peerId: string, demand: number, links: readonly string[], now: number): void {
+        this.demandOfAll = undefined;
         this.peers.set(peerId, { receivedAt: now, demand, links: new Set(links) });
     }
 
@@ -86,17 +89,25 @@
     getTotalDemand(from: string, to: string, now: number): number {
         const link = formatDataCentreLink(from, to);
         const contention = this.contentions.get(link);
-        const isContended = contention !== undefined && now - contention.at <= timeToLiveMilliseconds;
-        const reportedFrom = isContended ? contention.since + noticeMilliseconds : Infinity;
+        if (contention !== undefined && now - contention.at <= timeToLiveMilliseconds) {
+            const reportedFrom = contention.since + noticeMilliseconds;
+            return this.sumDemand(now, peer => peer.links.has(link) || peer.receivedAt < reportedFrom);
+        }
+        // One search for a chain asks for all links between the data centres.
+        if (this.demandOfAll?.at !== now) {
+            this.demandOfAll = { at: now, total: this.sumDemand(now, () => true) };
+        }
+        return this.demandOfAll.total;
+    }
+
+    private sumDemand(now: number, isCompeting: (peer: PeerDemand) => boolean): number {
         let heard = 0;
         let demand = 0;
         for (const peer of this.peers.values()) {
-            if (now - peer.receivedAt > timeToLiveMilliseconds) {
-                continue;
+            if (now - peer.receivedAt <= timeToLiveMilliseconds) {
+                heard += 1;
+                demand += isCompeting(peer) ? peer.demand : 0;
             }
-            heard += 1;
-            const isCompeting = peer.links.has(link) || peer.receivedAt < reportedFrom;
-            demand += isCompeting ? peer.demand : 0;
         }
         const own = this.options.getDemand();
         const others = this.options.getNodeCount() - 1;
