--- a/src/request/relay/links/linkShares.ts
+++ b/src/request/relay/links/linkShares.ts
@@ -33,8 +33,12 @@
 export class LinkShares {
     private readonly options: LinkSharesOptions;
     private readonly peers = new Map<string, PeerDemand>();
-    /** Monotonic time since which this node has needed each link without a break. */
-    private readonly needs = new Map<string, { since: number; at: number; }>();
+    /** Monotonic time in milliseconds at which this node last needed each link. */
+    private readonly neededAt = new Map<string, number>();
+    /** Monotonic time in milliseconds since which each link is contended without a break. */
+    private readonly contentions = new Map<string, { since: number; at: number; }>();
+    /** Last result for links that are not contended. */
+    private demandOfAll: { at: number; total: number; } | undefined;
 
     private constructor(options: LinkSharesOptions) {
         this.options = options;
@@ -47,14 +51,20 @@
 
     /** Applies a peer's message. */
     applyPeer(peerId: string, demand: number, links: readonly string[], now: number): void {
+        this.demandOfAll = undefined;
         this.peers.set(peerId, { receivedAt: now, demand, links: new Set(links) });
     }
 
     /** Records that a request of this node needs a link. */
     noteNeed(link: string, now: number): void {
-        const known = this.needs.get(link);
+        this.neededAt.set(link, now);
+    }
+
+    /** Records that more requests of all nodes need a link than it bears. Peers that don't need it then leave their share to the others. */
+    noteContention(link: string, now: number): void {
+        const known = this.contentions.get(link);
         const isContinued = known !== undefined && now - known.at <= timeToLiveMilliseconds;
-        this.needs.set(link, { since: isContinued ? known.since : now, at: now });
+        this.contentions.set(link, { since: isContinued ? known.since : now, at: now });
     }
 
     /** Lists the links that this node has needed recently, and forgets outdated messages. */
@@ -64,7 +74,7 @@
                 this.peers.delete(peerId);
             }
         }
-        return [...this.needs].filter(([, { at }]) => now - at <= timeToLiveMilliseconds).map(([link]) => link);
+        return [...this.neededAt].filter(([, at]) => now - at <= timeToLiveMilliseconds).map(([link]) => link);
     }
 
     /** Gets this node's share of a link, above 0 and at most 1. */
@@ -78,16 +88,26 @@
     /** Gets the tokens per second of new requests that can use a link, at all nodes. */
     getTotalDemand(from: string, to: string, now: number): number {
         const link = formatDataCentreLink(from, to);
-        const { since } = this.needs.get(link) ?? { since: now };
+        const contention = this.contentions.get(link);
+        if (contention !== undefined && now - contention.at <= timeToLiveMilliseconds) {
+            const reportedFrom = contention.since + noticeMilliseconds;
+            return this.sumDemand(now, peer => peer.links.has(link) || peer.receivedAt < reportedFrom);
+        }
+        // One search for a chain asks for all links between the data centres.
+        if (this.demandOfAll?.at !== now) {
+            this.demandOfAll = { at: now, total: this.sumDemand(now, () => true) };
+        }
+        return this.demandOfAll.total;
+    }
+
+    private sumDemand(now: number, isCompeting: (peer: PeerDemand) => boolean): number {
         let heard = 0;
         let demand = 0;
         for (const peer of this.peers.values()) {
-            if (now - peer.receivedAt > timeToLiveMilliseconds) {
-                continue;
+            if (now - peer.receivedAt <= timeToLiveMilliseconds) {
+                heard += 1;
+                demand += isCompeting(peer) ? peer.demand : 0;
             }
-            heard += 1;
-            const isCompeting = peer.links.has(link) || peer.receivedAt < since + noticeMilliseconds;
-            demand += isCompeting ? peer.demand : 0;
         }
         const own = this.options.getDemand();
         const others = this.options.getNodeCount() - 1;
