Read the lease's record before it is needed, and move its review to a file of its own

Cause: a node counted the time to live of another holder's lease from its first attempt to acquire it. If the last holder could no longer release it, the planner waited 3.3 s with orders due. A node that began to watch the store found work only at its next check.

Change: a node reads the record once when it becomes the planner, and when there is something to order that another node should order first (LeaseAction.Await), in place of the write that failed for an outdated revision. StoreWatchController tells the placement when the node begins to watch the store; a node that may not order has no work. LeaseReviewer has the review of the lease. A new holder reads no reports while no endpoint holds layers. The simulated fleet kills a node together with its calls to the store, which went on renewing the lease before.

--- a/src/process/leases/fencedLease.ts
+++ b/src/process/leases/fencedLease.ts
@@ -104,6 +104,18 @@
         this.state.suspend();
     }
 
+    /**
+     * Reads the record if this process isn't the last holder, without acquiring the lease. If the record is still the same when the lease
+     * is acquired, the holder's time to live counts from this read.
+     */
+    refresh(): void {
+        if (!this.isRunning && !this.isStopped && !this.isLastHolder()) {
+            this.state.suspend();
+            this.isRelinquished = true;
+            this.apply(this.state.read(this.getTime()));
+        }
+    }
+
     /** Stops permanently and releases the lease. No order may be in flight. */
     async stop(): Promise<void> {
         this.isStopped = true;
--- a/src/process/leases/leaseState.ts
+++ b/src/process/leases/leaseState.ts
@@ -132,7 +132,12 @@
 
     /** Requests a read of the record if it was never seen. */
     readIfUnknown(time: EventTime): LeaseOutput {
-        if (this.observed !== undefined || this.isCalling || time.monotonic < this.retryAt) {
+        return this.observed === undefined ? this.read(time) : { logs: [] };
+    }
+
+    /** Requests a read of the record. */
+    read(time: EventTime): LeaseOutput {
+        if (this.isCalling || time.monotonic < this.retryAt) {
             return { logs: [] };
         }
         this.isCalling = true;
--- a/src/process/placement/decideLeaseAction.ts
+++ b/src/process/placement/decideLeaseAction.ts
@@ -30,5 +30,8 @@
     if (workSince !== undefined && now - workSince >= wait) {
         return LeaseAction.Acquire;
     }
+    if (workSince !== undefined) {
+        return LeaseAction.Await;
+    }
     return isHolder && now - lastWorkAt < keepMilliseconds ? LeaseAction.Keep : LeaseAction.Release;
 }
--- a/src/process/placement/leaseAction.ts
+++ b/src/process/placement/leaseAction.ts
@@ -4,6 +4,8 @@
     Acquire: "acquire",
     /** Keep the lease without renewing it. */
     Keep: "keep",
+    /** Leave the lease to a node that should acquire it first, but read its record, so that the time until it ends counts from now. */
+    Await: "await",
     /** Release the lease if it is held, and don't acquire it. */
     Release: "release",
 } as const;
--- a/src/process/placement/placementController.ts
+++ b/src/process/placement/placementController.ts
@@ -157,6 +157,7 @@
             this.orders.clear();
         }
         if (!canOrder && !isCandidate()) {
+            this.work.update(false);
             return;
         }
         if (canOrder && fencingNumber !== this.loadedFencingNumber) {
@@ -210,13 +211,20 @@
         this.wake();
     }
 
-    /** Lists the endpoints of a service that hold neither a column nor a part of one. */
+    /**
+     * Lists the endpoints of a service that hold neither a column nor a part of one. None if no endpoint holds layers, as at the start:
+     * there were no orders before, and all reports would be read.
+     */
     private listUnplanned(service: string): RegisteredEndpoint[] {
+        const endpoints = this.options.getEndpoints(service);
+        if (endpoints.every(({ layers }) => layers === undefined)) {
+            return [];
+        }
         const columns = this.plans.get(service);
         const isPlanned = (held: HeldLayers) =>
             columns === undefined
             || columns.some(({ layers }) => layers.start <= held.start && held.end <= layers.end);
-        return this.options.getEndpoints(service).filter(({ layers }) => layers === undefined || !isPlanned(layers));
+        return endpoints.filter(({ layers }) => layers === undefined || !isPlanned(layers));
     }
 
     /**
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -229,6 +229,7 @@
             configurationMilliseconds: settings.configurationMilliseconds,
             isSeed: settings.seeds.length === 0 || settings.seeds.includes(settings.peerListener),
             getLeaseAction: rank => this.placementController.getLeaseAction(rank),
+            onSelected: () => this.placementController.wake(),
             isLate,
             onCopyAge: milliseconds => metrics.storeCopyAgeSeconds.set(milliseconds / secondMilliseconds),
             log,
--- a/src/process/router/storeWatchController.ts
+++ b/src/process/router/storeWatchController.ts
@@ -3,11 +3,11 @@
 import type { EventLog } from "../logging/eventLog.ts";
 import { events } from "../logging/events.ts";
 import type { RendezvousOwners } from "../membership/rendezvousOwners.ts";
-import { LeaseAction } from "../placement/leaseAction.ts";
+import type { LeaseAction } from "../placement/leaseAction.ts";
 import type { RecordFollower } from "../replica/recordFollower.ts";
 import { isStoreWatcher } from "./isStoreWatcher.ts";
 import type { KnownNode } from "./knownNode.ts";
-import { listPlanners } from "./listPlanners.ts";
+import { LeaseReviewer } from "./leaseReviewer.ts";
 import { listStoreWatchers } from "./listStoreWatchers.ts";
 import type { NodeTable } from "./nodeTable.ts";
 import { StoreProbe } from "./storeProbe.ts";
@@ -21,7 +21,7 @@
     owners: RendezvousOwners;
     followers: readonly RecordFollower[];
     /** Lease for placing layers. Only nodes that watch the store try to acquire it. */
-    lease: Pick<FencedLease, "isHeld" | "start" | "pause" | "keep" | "rest">;
+    lease: Pick<FencedLease, "isHeld" | "start" | "pause" | "keep" | "refresh" | "rest">;
     /** Whether this node is giving up its duties. */
     isDraining(): boolean;
     /** Makes the cheapest call to the store; returns false if it is not answered soon. */
@@ -35,6 +35,8 @@
      * @param rank - Number of nodes that should acquire the lease before this one.
      */
     getLeaseAction(rank: number): LeaseAction;
+    /** Called when this node begins to watch the store, so that it may acquire the lease. */
+    onSelected(): void;
     /** Whether the event loop of this node runs late. */
     isLate(): boolean;
     /** Called regularly with the time since this node's copy was last known to be current, in milliseconds. */
@@ -77,6 +79,7 @@
 export class StoreWatchController {
     private readonly options: StoreWatchControllerOptions;
     private readonly probe: StoreProbe;
+    private readonly leaseReviewer: LeaseReviewer;
     private readonly startedAt: number;
     private timer: TimerHandle | undefined;
     /** Time of the last store failure that peers reported. */
@@ -86,8 +89,6 @@
     /** Time until which this node watches the store because its copy was stale. */
     private watchesUntil = -Infinity;
     private isSelectedWatcher = false;
-    /** The node that should order placements, as logged. */
-    private loggedPlanner: string | undefined;
     /** Whether there are so many nodes that only few of them watch the store. */
     private hasManyNodes = false;
     /** Whether the log says that this node's copy may lack changes. */
@@ -101,6 +102,7 @@
             callStore,
             intervalMilliseconds: configurationMilliseconds / probesPerConfigurationTime,
         });
+        this.leaseReviewer = LeaseReviewer.create(options);
         this.startedAt = clock.getMonotonicTime();
     }
 
@@ -199,6 +201,9 @@
         const now = clock.getMonotonicTime();
         const others = nodes.getLiveNodes(now);
         const isWatcher = this.isWatcher(others, now);
+        if (isWatcher && !this.isSelectedWatcher) {
+            this.options.onSelected();
+        }
         this.isSelectedWatcher = isWatcher;
         const isActive = isWatcher || lease.isHeld() || this.isStale(now) || this.isReadingDue();
         for (const follower of followers) {
@@ -296,50 +301,14 @@
 
     /** Acquires, keeps or releases the placement lease, as of the last review of the nodes. */
     reviewLease(): void {
-        const { lease, isDraining, getLeaseAction, nodes, clock } = this.options;
+        const { nodes, clock } = this.options;
         const now = clock.getMonotonicTime();
         const others = nodes.getLiveNodes(now);
-        const hasPeers = others.length > 0 || now - this.startedAt > soleNodeMilliseconds;
-        if (!this.isSelectedWatcher || this.isWithoutStore()) {
-            // Without the store no node can acquire the lease; only its holder keeps trying to renew it.
-            // A node that has just started and knows few others counts as a store watcher. If all such nodes kept trying to
-            // acquire the lease, their writes would be useless.
-            lease.pause();
-            return;
-        }
-        switch (getLeaseAction(this.getPlannerRank(others))) {
-            case LeaseAction.Acquire:
-                if (hasPeers && !isDraining()) {
-                    lease.start();
-                }
-                return;
-            case LeaseAction.Keep:
-                lease.keep();
-                return;
-            case LeaseAction.Release:
-                // Renewing an unused lease every second would be a fifth of all calls to the store on a day with little activity.
-                lease.rest();
-        }
-    }
-
-    /** Gets the number of nodes that should acquire the placement lease before this one. */
-    private getPlannerRank(others: readonly KnownNode[]): number {
-        const { nodeId, owners, isLate, log } = this.options;
-        const nodes = [...others, { nodeId, isWithoutStore: false }];
-        // In a large deployment only the nodes that watch the store may acquire the lease.
-        const watching = this.hasManyNodes ? new Set(listStoreWatchers(nodes, owners).watching) : undefined;
-        const candidates = nodes.filter(node => watching?.has(node.nodeId) !== false);
-        const planners = listPlanners(
-            candidates.map(node => node.nodeId === nodeId ? { ...node, isLate: isLate() } : node),
-            owners,
-        );
-        const [planner = ""] = planners;
-        if (planner !== this.loggedPlanner) {
-            this.loggedPlanner = planner;
-            const fields = { planner, candidates: planners.length, nodes: nodes.length, isLate: isLate() };
-            log.write(events.placementPlannerChosen, fields);
-        }
-        const rank = planners.indexOf(nodeId);
-        return rank < 0 ? planners.length : rank;
+        this.leaseReviewer.review({
+            others,
+            isAvailable: this.isSelectedWatcher && !this.isWithoutStore(),
+            hasManyNodes: this.hasManyNodes,
+            hasPeers: others.length > 0 || now - this.startedAt > soleNodeMilliseconds,
+        });
     }
 }
--- a/tests/process/leases/fencedLease.test.ts
+++ b/tests/process/leases/fencedLease.test.ts
@@ -168,6 +168,23 @@
         assert.equal(paused.getLastNumber(), undefined);
     });
 
+    // A successor counted the time to live from its first attempt to acquire the lease, when there was already something to order.
+    it("is acquired at once by a process that has read the unchanged record of its lost holder long enough before", async () => {
+        const { clock, createLease } = createFixture();
+        const [holder, successor] = [createLease("a"), createLease("b")];
+        successor.rest();
+        await clock.advance(10);
+        holder.start();
+        await clock.advance(10);
+        holder.keep();
+        successor.refresh();
+        await clock.advance(takeoverTime);
+        assert.equal(successor.isHeld(), false);
+        successor.start();
+        await clock.advance(10);
+        assert.equal(successor.getFencingNumber(), 2);
+    });
+
     // A process with the same name may still be sending orders of an earlier start.
     it("is not acquired at once by a later process with the name of its holder", async () => {
         const { clock, createLease } = createFixture();
--- a/tests/process/placement/decideLeaseAction.test.ts
+++ b/tests/process/placement/decideLeaseAction.test.ts
@@ -10,9 +10,9 @@
     it("lets one node acquire the lease at once, and the others only if the work is still there later", () => {
         const getAction = (rank: number, now: number) => decideLeaseAction({ ...work, rank, now });
         assert.equal(getAction(0, 1_000), LeaseAction.Acquire);
-        assert.equal(getAction(1, 2_400), LeaseAction.Release);
+        assert.equal(getAction(1, 2_400), LeaseAction.Await);
         assert.equal(getAction(1, 2_500), LeaseAction.Acquire);
-        assert.equal(getAction(8, 3_900), LeaseAction.Release);
+        assert.equal(getAction(8, 3_900), LeaseAction.Await);
         assert.equal(getAction(8, 4_000), LeaseAction.Acquire);
     });
 
--- a/tests/process/placement/placementController.test.ts
+++ b/tests/process/placement/placementController.test.ts
@@ -273,6 +273,21 @@
         assert.deepEqual(orders.map(({ endpoint, order }) => [endpoint, order.expectedSequence]), [["z", 2]]);
     });
 
+    it("reads no reports at the start, when no endpoint holds layers", async () => {
+        await storePlan();
+        endpoints = ["v", "w", "x"].map(id => createMiddle(id));
+        let reports = 0;
+        start(1, {
+            fetchReport: async () => {
+                reports += 1;
+                return undefined;
+            },
+        });
+        await clock.advance(600);
+        assert.equal(orders.length, 3);
+        assert.equal(reports, 0);
+    });
+
     it("orders after 300 ms as a successor though reports are not answered", async () => {
         await storePlan();
         start(4, { fetchReport: () => new Promise(() => undefined) });
--- a/tests/process/placement/placementFleet.ts
+++ b/tests/process/placement/placementFleet.ts
@@ -24,6 +24,8 @@
     lease: FencedLease;
     controller: PlacementController;
     isUp: boolean;
+    /** Whether the node leaves the lease to another one although there is something to order. */
+    isAwaiting: boolean;
 }
 
 /** Time after which all nodes have evidence of a loss. */
@@ -59,7 +61,11 @@
         const rank = nodes.length;
         const log = RecordingEventLog.create();
         const lease = FencedLease.create({
-            store,
+            store: {
+                get: key => this.answer(node, () => store.get(key)),
+                compareAndSwap: (key, revision, value) =>
+                    this.answer(node, () => store.compareAndSwap(key, revision, value)),
+            },
             clock,
             random,
             log,
@@ -85,7 +91,7 @@
             onWork: () => this.review(node, rank),
             onFirstOrder: () => undefined,
         });
-        const node = { lease, controller, isUp: true };
+        const node = { lease, controller, isUp: true, isAwaiting: false };
         nodes.push(node);
         controller.start();
         this.repeatReview(node, rank);
@@ -95,7 +101,6 @@
     kill(node: SimulatedNode): void {
         node.isUp = false;
         node.controller.stop();
-        node.lease.pause();
     }
 
     /** Registers an endpoint. */
@@ -122,6 +127,11 @@
         return running.filter(({ registered: { layers } }) => layers?.start === start && layers.end === end).length;
     }
 
+    /** Makes a call to the store, which is never made by a node that was killed. */
+    private answer<Result>(node: SimulatedNode, call: () => Promise<Result>): Promise<Result> {
+        return node.isUp ? call() : new Promise(() => undefined);
+    }
+
     private handleOrder(id: string, order: LayerOrder): OrderOutcome | undefined {
         const endpoint = this.endpoints.get(id)!;
         if (!endpoint.isUp) {
@@ -177,17 +187,26 @@
         });
     }
 
-    private review({ lease, controller }: SimulatedNode, rank: number): void {
-        switch (controller.getLeaseAction(rank)) {
+    private review(node: SimulatedNode, rank: number): void {
+        const { lease, controller } = node;
+        const action = controller.getLeaseAction(rank);
+        switch (action) {
             case LeaseAction.Acquire:
                 lease.start();
                 break;
             case LeaseAction.Keep:
                 lease.keep();
                 break;
+            case LeaseAction.Await:
+                lease.pause();
+                if (!node.isAwaiting) {
+                    lease.refresh();
+                }
+                break;
             case LeaseAction.Release:
                 lease.rest();
         }
+        node.isAwaiting = action === LeaseAction.Await;
         for (const { lease: other } of this.nodes) {
             const release = lease.getNewestRelease();
             if (other !== lease && release !== undefined) {
--- a/tests/process/placement/recovery.test.ts
+++ b/tests/process/placement/recovery.test.ts
@@ -92,6 +92,22 @@
         );
     });
 
+    // The lease of a killed holder must end first: its time to live, and up to as long again until a candidate has seen the last renewal.
+    it("lets another node order within 6 s if the planner is killed while it holds the lease", async () => {
+        for (let seed = 1; seed <= 8; seed++) {
+            const { fleet } = await start(seed);
+            crashAll(fleet, ["e1", "e5", "e9"]);
+            await fleet.clock.advance(1_000 + 250 * seed);
+            fleet.kill(fleet.nodes[0]!);
+            const killedAt = fleet.clock.getMonotonicTime();
+            crashAll(fleet, ["e2", "e6"]);
+            await fleet.clock.advance(6_000);
+            const first = fleet.orders.find(({ at }) => at > killedAt);
+            assert.ok(first !== undefined, `Seed ${seed}`);
+            assert.equal(first.order.fencingNumber, 3, `Seed ${seed}`);
+        }
+    });
+
     it("makes no calls to the store at rest", async () => {
         const { fleet } = await start(4);
         await fleet.clock.advance(10_000);
--- a/tests/process/router/storeWatchController.test.ts
+++ b/tests/process/router/storeWatchController.test.ts
@@ -31,6 +31,7 @@
         const nodes = NodeTable.create("own");
         const log = RecordingEventLog.create();
         const leaseCalls: string[] = [];
+        const selections: number[] = [];
         const section = RecordSection.create({ name: "s", onChange: () => undefined });
         const follower = RecordFollower.create({
             store,
@@ -54,6 +55,7 @@
                 start: () => leaseCalls.push("start"),
                 pause: () => leaseCalls.push("pause"),
                 keep: () => leaseCalls.push("keep"),
+                refresh: () => leaseCalls.push("refresh"),
                 rest: () => leaseCalls.push("rest"),
             },
             isDraining: () => false,
@@ -61,6 +63,7 @@
             configurationMilliseconds: 4_000,
             isSeed,
             getLeaseAction: () => hasWork ? LeaseAction.Acquire : LeaseAction.Release,
+            onSelected: () => selections.push(clock.getMonotonicTime()),
             isLate: () => false,
             onCopyAge: () => undefined,
             log,
@@ -84,7 +87,7 @@
                 await clock.advance(50);
             }
         };
-        return { store, controller, leaseCalls, advance };
+        return { store, controller, leaseCalls, selections, advance };
     }
 
     it("reads the store once at start and leaves watching it to others in a large deployment", async () => {
@@ -95,9 +98,10 @@
     });
 
     it("watches the store in a small deployment", async () => {
-        const { store, controller, advance } = start({ otherCount: 8 });
+        const { store, controller, selections, advance } = start({ otherCount: 8 });
         await advance(3_000);
         assert.equal(controller.isStoreWatcher(), true);
+        assert.equal(selections.length, 1);
         assert.ok(store.waits > 1);
     });
 
@@ -132,6 +136,13 @@
         assert.equal(busy.leaseCalls.at(-1), "start");
     });
 
+    it("reads the lease's record once when it becomes the planner", async () => {
+        const { leaseCalls, advance } = start({ otherCount: 0, isSeed: true });
+        await advance(3_000);
+        assert.equal(leaseCalls.filter(call => call === "refresh").length, 1);
+        assert.ok(!leaseCalls.includes("start"));
+    });
+
     it("does not try to acquire the lease while the store refuses the node", async () => {
         const { store, leaseCalls, advance } = start({ otherCount: 8, hasWork: true });
         await advance(4_000);
