--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -250,6 +250,7 @@
             configurationMilliseconds: settings.configurationMilliseconds,
             isSeed: settings.seeds.length === 0 || settings.seeds.includes(settings.peerListener),
             getLeaseAction: rank => this.placementController.getLeaseAction(rank),
+            onSelected: () => this.placementController.wake(),
             getLag: () => clock.getLag(),
             onCopyAge: milliseconds => metrics.storeCopyAgeSeconds.set(milliseconds / secondMilliseconds),
             log,
