Use a node's own lag neither for the planner nor for evidence of losses

Cause: a node that was late by 250 ms left the orders to the others and gave no evidence. In the seconds after a loss most small nodes are late, and as peers don't know each other's lag yet, all of them would have waited 3 s before they ordered.

Change: only what all nodes know ranks planners, so listPlanners takes isLate, which no record gives yet. Evidence counts also at a late node: late timers run after the input that has arrived (InputBarrier), so that lag makes no answer seem overdue.

--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -311,7 +311,7 @@
     endpointLost: {
         number: 1830,
         level: "warn",
-        message: "An endpoint is considered lost by the evidence of nodes; its layers are placed on others.",
+        message: "An endpoint is considered lost by the evidence of nodes; the placement leaves it out.",
     },
     endpointLossEnded: {
         number: 1831,
--- a/src/process/placement/endpointLossDetector.ts
+++ b/src/process/placement/endpointLossDetector.ts
@@ -6,7 +6,7 @@
 
 /** The nodes whose evidence counts. */
 interface ReporterSituation {
-    /** Whether this node's own evidence counts: it reaches most endpoints and its event loop runs on time. */
+    /** Whether this node's own evidence counts, because it reaches most endpoints. */
     isReliable: boolean;
     /** Number of other live nodes. */
     peers: number;
--- a/src/process/router/endpointLosses.ts
+++ b/src/process/router/endpointLosses.ts
@@ -16,8 +16,6 @@
     getAliveTime(endpointId: string): number;
     /** Gets the fraction of the endpoints that this node can't connect to, 0 to 1. */
     getUnreachableFraction(): number;
-    /** Whether the event loop of this node runs late, so that answers seem overdue. */
-    isLate(): boolean;
     /** Called with the number of lost endpoints when it has changed. */
     onChange(lostCount: number): void;
     /** Called when peers should learn of new evidence at once. */
@@ -98,8 +96,7 @@
     }
 
     private isReliable(): boolean {
-        const { isLate, getUnreachableFraction } = this.options;
-        return !isLate() && getUnreachableFraction() < lostLinksFraction;
+        return this.options.getUnreachableFraction() < lostLinksFraction;
     }
 
     private review(): void {
--- a/src/process/router/leaseReviewer.ts
+++ b/src/process/router/leaseReviewer.ts
@@ -21,8 +21,6 @@
      * @param rank - Number of nodes that should acquire the lease before this one.
      */
     getLeaseAction(rank: number): LeaseAction;
-    /** Whether the event loop of this node runs late. */
-    isLate(): boolean;
 }
 
 /** What this node knows of the others and the store. */
@@ -92,21 +90,18 @@
 
     /** Ranks the nodes that may acquire the lease. Returns whether this one has become the first. */
     private updatePlanners(others: readonly KnownNode[], hasManyNodes: boolean): boolean {
-        const { nodeId, owners, isLate, log } = this.options;
+        const { nodeId, owners, log } = this.options;
         const nodes = [...others, { nodeId, isWithoutStore: false }];
         // In a large deployment only the nodes that watch the store may acquire the lease.
         const watching = hasManyNodes ? new Set(listStoreWatchers(nodes, owners).watching) : undefined;
         const candidates = nodes.filter(node => watching?.has(node.nodeId) !== false);
         const [earlier] = this.planners;
-        this.planners = listPlanners(
-            candidates.map(node => node.nodeId === nodeId ? { ...node, isLate: isLate() } : node),
-            owners,
-        );
+        this.planners = listPlanners(candidates, owners);
         const [planner = ""] = this.planners;
         if (planner === earlier) {
             return false;
         }
-        const fields = { planner, candidates: this.planners.length, nodes: nodes.length, isLate: isLate() };
+        const fields = { planner, candidates: this.planners.length, nodes: nodes.length };
         log.write(events.placementPlannerChosen, fields);
         return planner === nodeId;
     }
--- a/src/process/router/listPlanners.ts
+++ b/src/process/router/listPlanners.ts
@@ -3,7 +3,10 @@
 
 /** A node that may acquire the placement lease. */
 interface PlannerCandidate extends Pick<KnownNode, "nodeId" | "isWithoutStore"> {
-    /** Whether its event loop runs late, as far as known. */
+    /**
+     * Whether it has told all nodes that its event loop runs late. What only the node itself knows must not be used: with all nodes
+     * late, each would leave the orders to the others.
+     */
     isLate?: boolean;
 }
 
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -48,8 +48,6 @@
 const leaseTtlMilliseconds = 3_000;
 /** Endpoints refuse orders with an older fencing number, so a successor does not wait for orders in flight. */
 const longestOrderMilliseconds = 300;
-/** A node whose event loop is later than this couldn't order within half a second, and leaves it to another one. */
-const lateMilliseconds = 250;
 const secondMilliseconds = 1_000;
 /**
  * Initially assumed number of nodes. A node that has just started knows few others, and takes a small share of the limits for
@@ -148,14 +146,12 @@
             getRegistry: () => this.registry,
             onLinksChanged: () => this.exchange.propagateUpdate(),
         });
-        const isLate = () => clock.getLag() > lateMilliseconds;
         this.losses = EndpointLosses.create({
             clock,
             log,
             nodes: this.nodes,
             getAliveTime: endpointId => this.health.getLastAliveTime(endpointId),
             getUnreachableFraction: () => this.links.getUnreachableFraction(),
-            isLate,
             onChange: lostCount => {
                 metrics.lostEndpoints.set(lostCount);
                 this.placementController.wake();
@@ -230,7 +226,6 @@
             isSeed: settings.seeds.length === 0 || settings.seeds.includes(settings.peerListener),
             getLeaseAction: rank => this.placementController.getLeaseAction(rank),
             onSelected: () => this.placementController.wake(),
-            isLate,
             onCopyAge: milliseconds => metrics.storeCopyAgeSeconds.set(milliseconds / secondMilliseconds),
             log,
         });
--- a/src/process/router/storeWatchController.ts
+++ b/src/process/router/storeWatchController.ts
@@ -37,8 +37,6 @@
     getLeaseAction(rank: number): LeaseAction;
     /** Called when this node begins to watch the store, so that it may acquire the lease. */
     onSelected(): void;
-    /** Whether the event loop of this node runs late. */
-    isLate(): boolean;
     /** Called regularly with the time since this node's copy was last known to be current, in milliseconds. */
     onCopyAge(milliseconds: number): void;
     log: EventLog;
