Move endpoints for a data centre only once the record of a lost one has ended

Cause: with the evidence of nodes, three engines that crashed and were back after 4 s had their layers moved to other endpoints, in parts of other kinds, 1.5 s after the crash. Change: the evidence counts for assignments to free endpoints and for moves to columns that the fleet lacks. Other moves count a lost endpoint as present until its record has ended. Measured: the new test fails without the change (2 orders); the tests of placement and router pass.

--- a/src/process/placement/placementController.ts
+++ b/src/process/placement/placementController.ts
@@ -13,9 +13,11 @@
 import { assignLayers } from "./assignLayers.ts";
 import { chooseLoads } from "./chooseLoads.ts";
 import { EndpointStabilityTracker } from "./endpointStabilityTracker.ts";
+import type { LayerColumn } from "./layerColumn.ts";
 import type { LayerMove } from "./layerMove.ts";
 import { LayerOrderTracker } from "./layerOrderTracker.ts";
 import type { LeaseAction } from "./leaseAction.ts";
+import { MovePurpose } from "./movePurpose.ts";
 import { MoveSchedule } from "./moveSchedule.ts";
 import type { PlacementEndpoint } from "./placementEndpoint.ts";
 import { PlacementPlans } from "./placementPlans.ts";
@@ -39,6 +41,8 @@
     getModelServices(): RoutedService[];
     /** Gets the endpoints of a service that are not draining. */
     getEndpoints(service: string): readonly RegisteredEndpoint[];
+    /** Gets the endpoints of a service that are lost by the evidence of nodes, although their records exist. */
+    getLostEndpoints(service: string): readonly RegisteredEndpoint[];
     sendOrder(endpoint: RegisteredEndpoint, order: LayerOrder): Promise<OrderOutcome | undefined>;
     fetchReport(endpoint: RegisteredEndpoint): Promise<EndpointReport | undefined>;
     /** Called when there is something to order, so that the lease is acquired at once. */
@@ -257,7 +261,7 @@
         const states = this.createPlacementEndpoints(endpoints, now);
         const { assignments, moves } = this.options.runLong(
             "assignLayers",
-            () => assignLayers(model, columns, states),
+            () => this.decide(service, model, columns, states),
         );
         const { due, balancing, isLeaseNeeded, nextDueAt = Infinity } = this.scheduleMoves(
             service,
@@ -296,6 +300,32 @@
         };
     }
 
+    /**
+     * Decides on assignments and moves. Nodes have evidence of a loss seconds before the endpoint's record ends, and within these seconds
+     * many endpoints are back. The evidence suffices for assignments to free endpoints and for moves to columns that the fleet lacks. Any
+     * other move takes an endpoint out of service for its load, so it counts an endpoint as lost only once its record has ended.
+     */
+    private decide(
+        service: string,
+        model: EngineModel,
+        columns: readonly LayerColumn[],
+        states: readonly PlacementEndpoint[],
+    ): ReturnType<typeof assignLayers> {
+        const decision = assignLayers(model, columns, states);
+        const lost = this.options.getLostEndpoints(service);
+        if (lost.length === 0) {
+            return decision;
+        }
+        const now = this.options.clock.getMonotonicTime();
+        const lostStates = this.createPlacementEndpoints(lost, now).map(state => ({ ...state, isBusy: true }));
+        const { moves } = assignLayers(model, columns, [...states, ...lostStates]);
+        const isForFleet = ({ purpose }: LayerMove) => purpose === MovePurpose.FleetLacks;
+        return {
+            assignments: decision.assignments,
+            moves: [...decision.moves.filter(isForFleet), ...moves.filter(move => !isForFleet(move))],
+        };
+    }
+
     /** Logs why orders are withheld, once until the reason changes. */
     private logWithheld(service: string, orders: number, reason: string): void {
         if (orders === 0) {
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -38,7 +38,6 @@
 import { EndpointReadings } from "./endpointReadings.ts";
 import { EndpointRegistry } from "./endpointRegistry.ts";
 import { getRetryPolicy } from "./getRetryPolicy.ts";
-import { isLateNode } from "./isLateNode.ts";
 import { LinkLoadPart } from "./linkLoadPart.ts";
 import { NodeTable } from "./nodeTable.ts";
 import { PeerExchange } from "./peerExchange.ts";
@@ -169,14 +168,12 @@
             getRegistry: () => this.registry,
             onLinksChanged: () => this.exchange.propagateUpdate(),
         });
-        const isLate = () => isLateNode(clock.getLag());
         this.losses = EndpointLosses.create({
             clock,
             log,
             nodes: this.nodes,
             getAliveTime: endpointId => this.health.getLastAliveTime(endpointId),
             getUnreachableFraction: () => this.links.getUnreachableFraction(),
-            isLate,
             onChange: lostCount => {
                 metrics.lostEndpoints.set(lostCount);
                 this.placementController.wake();
@@ -350,7 +347,8 @@
             log,
             keyPrefix: keys.placementPrefix,
             getModelServices: () => this.getModelServices(),
-            getEndpoints: service => this.listPresentEndpoints(service),
+            getEndpoints: service => this.listEndpoints(service, false),
+            getLostEndpoints: service => this.listEndpoints(service, true),
             sendOrder: (endpoint, order) => calls.sendLayerOrder(endpoint, order),
             fetchReport: endpoint => calls.fetchReport(endpoint),
             onWork: () => this.storeWatch.reviewLease(),
@@ -522,11 +520,11 @@
         return [...services].filter(({ engine }) => engine !== undefined);
     }
 
-    /** Lists the endpoints of a service that are not lost by the evidence of nodes. */
-    private listPresentEndpoints(service: string): RegisteredEndpoint[] {
+    /** Lists the endpoints of a service that are lost by the evidence of nodes, or those that aren't. */
+    private listEndpoints(service: string, areLost: boolean): RegisteredEndpoint[] {
         const endpoints = this.registry.getEndpoints(service);
         const lost = this.losses.getLostEndpoints(endpoints.map(({ id }) => id));
-        return endpoints.filter(({ id }) => !lost.has(id));
+        return endpoints.filter(({ id }) => lost.has(id) === areLost);
     }
 
     /** Lists the endpoints of models, except those that want no requests from this node at the moment. */
--- a/tests/process/placement/placementController.test.ts
+++ b/tests/process/placement/placementController.test.ts
@@ -53,6 +53,7 @@
             keyPrefix: "placement/",
             getModelServices: () => [{ name: "model", engine: relayModel }] as never,
             getEndpoints: () => endpoints,
+            getLostEndpoints: () => [],
             sendOrder: async ({ id }, order) => {
                 orders.push({ endpoint: id, order });
                 return { kind: "begun", faultyAddress: undefined };
@@ -113,6 +114,28 @@
         assert.deepEqual(orders[0]!.order.layers, third);
     });
 
+    // Guards against moves for endpoints that crash and are back within seconds: their loads left a data centre slower than the loss did.
+    it("moves an endpoint for a data centre only once the record of the lost one has ended", async () => {
+        await storePlan();
+        const elsewhere = { ...createMiddle("e", third), dataCentre: "other" };
+        const lost = createMiddle("y", third);
+        const present = [createMiddle("x", second), createMiddle("w", second), elsewhere];
+        let hasRecord = true;
+        endpoints = [...present, lost];
+        const controller = start(2, { getLostEndpoints: () => hasRecord && endpoints.length < 4 ? [lost] : [] });
+        await clock.advance(3_000);
+        endpoints = present;
+        controller.wake();
+        await clock.advance(4_000);
+        assert.equal(orders.length, 0);
+        hasRecord = false;
+        controller.wake();
+        await clock.advance(1_400);
+        assert.equal(orders.length, 0);
+        await clock.advance(600);
+        assert.deepEqual(orders.map(({ order }) => order.layers), [third]);
+    });
+
     describe("that acquires the lease when it has something to order", () => {
         let fencingNumber: number | undefined;
         let acquisitions: number;
--- a/tests/process/placement/placementFleet.ts
+++ b/tests/process/placement/placementFleet.ts
@@ -86,6 +86,7 @@
             keyPrefix: "placement/",
             getModelServices: () => [{ name: "model", engine: relayModel }] as never,
             getEndpoints: () => [...this.known.values()],
+            getLostEndpoints: () => [],
             sendOrder: async ({ id }, order) => node.isUp ? this.handleOrder(id, order) : undefined,
             fetchReport: async ({ id }) => this.createReport(id) as never,
             onWork: () => this.review(node, rank),
