Estimate the queue at a link from the last stream, and hold late streams back too

Cause: a node sends one stream every few seconds over a contended link, so the moving average of delays follows a growing queue too late; and late streams were begun into a queue in which even a new request would have become late.

Over a contended link, a late stream waits until a new request could be on time.

Trials that did not help and were dropped: halving the rate of a closed link, an exchange at once when a link closes.

--- a/src/request/relay/links/linkAdmission.ts
+++ b/src/request/relay/links/linkAdmission.ts
@@ -5,12 +5,12 @@
 import { formatDataCentreLink } from "./formatDataCentreLink.ts";
 import { getActivationBits } from "./getActivationBits.ts";
 import { getTransferTime } from "./getTransferTime.ts";
-import { getUsableRate } from "./getUsableRate.ts";
 import type { LinkCrossing } from "./linkCrossing.ts";
 import type { LinkCrossingQuery } from "./linkCrossingQuery.ts";
 import type { LinkDelays } from "./linkDelays.ts";
 import { LinkGate } from "./linkGate.ts";
 import { LinkPacer } from "./linkPacer.ts";
+import { LinkQueueTimes } from "./linkQueueTimes.ts";
 import type { LinkReport } from "./linkReport.ts";
 import { LinkRetries } from "./linkRetries.ts";
 import { LinkShares } from "./linkShares.ts";
@@ -53,7 +53,6 @@
 /** Size of the prompts that peers' streams are expected to have at most, as a multiple of a typical one. */
 const largePromptFactor = 2;
 const minimumWaitMilliseconds = 1;
-const millisecondsPerSecond = 1_000;
 /** Maximum number of links in a report. */
 const maximumReportedLinks = 12;
 /** Time after which a link that is no longer contended counts as unused. */
@@ -71,6 +70,7 @@
     private readonly options: LinkAdmissionOptions;
     private readonly shares: LinkShares;
     private readonly pacer: LinkPacer;
+    private readonly queueTimes: LinkQueueTimes;
     /** Which links keep requests from starting, and the retries that are booked on them. */
     readonly retries = LinkRetries.create();
     private readonly states = new Map<string, LinkState>();
@@ -78,6 +78,7 @@
     private constructor(options: LinkAdmissionOptions) {
         this.options = options;
         this.shares = LinkShares.create(options);
+        this.queueTimes = LinkQueueTimes.create(options.delays);
         this.pacer = LinkPacer.create((from, to, now) => this.shares.getShare(from, to, now));
     }
 
@@ -104,7 +105,7 @@
         if (gateState === "closed" || gateState === "trial" && state.gate.getWaitingCount() > 0) {
             return isRunning ? Infinity : this.getClosedWait(query, couldBeOnTime ? slack : Infinity, now);
         }
-        const demandRatio = this.getDemandRatio(query, now);
+        const demandRatio = this.shares.getDemandRatio(query, query.model, now);
         const isScarce = demandRatio > 1;
         if (isScarce && query.isOnlyChoice && !isRunning) {
             this.spreadStart(state, query, 1 - 1 / demandRatio, now);
@@ -127,6 +128,11 @@
         if (!query.isOnlyChoice) {
             return this.pacer.getWait(from, to, now);
         }
+        // A late stream must not prolong a queue in which even a new request would become late.
+        const lateExcess = queueTime - Math.max(0, slack + elapsedMilliseconds);
+        if (!couldBeOnTime && lateExcess > 0) {
+            return lateExcess;
+        }
         const reserved = couldBeOnTime ? 0 : reservedFractionForTimely * this.getTypicalOccupancy(query, now);
         return this.pacer.getIdleWait(from, to, now - reserved);
     }
@@ -143,11 +149,9 @@
 
     /** Gets the time for which a prompt is expected to queue at a link, in milliseconds. */
     private getQueueTime({ from, to, model }: LinkOfModel, now: number): number {
-        const typicalTransfer = getTransferTime(model, model.typicalPromptTokens);
-        const { contendedAt } = this.getState(from, to);
-        const isContended = now - contendedAt <= contentionMilliseconds;
-        const observed = Math.max(0, this.options.delays.getDelay(from, to, now) - typicalTransfer);
-        return Math.max(observed, isContended ? contendedQueueLength * typicalTransfer : 0);
+        const isContended = now - this.getState(from, to).contendedAt <= contentionMilliseconds;
+        const contended = contendedQueueLength * getTransferTime(model, model.typicalPromptTokens);
+        return Math.max(this.queueTimes.get(from, to, model, now), isContended ? contended : 0);
     }
 
     /** Gets the expected time to the first event of other nodes' streams, whose prompts may be large. */
@@ -156,12 +160,6 @@
             + getTransferTime(query.model, largePromptFactor * query.model.typicalPromptTokens);
     }
 
-    /** Gets the traffic that the new requests of all nodes would put on the link, as a multiple of what they may use of it. */
-    private getDemandRatio({ from, to, model }: LinkCrossingQuery, now: number): number {
-        const bitsPerSecond = getActivationBits(model, this.shares.getTotalDemand(from, to, now));
-        return bitsPerSecond / (getUsableRate(model) * millisecondsPerSecond);
-    }
-
     /**
      * Begins to divide a link among the nodes. Their first requests are spread over the time that each of them occupies its share, or
      * over less if the link bears most requests.
@@ -231,6 +229,7 @@
             noteEvent: at => {
                 if (isWaiting) {
                     isWaiting = false;
+                    this.queueTimes.record(links, at - now, transfer, at);
                     for (const { gate, stream } of streams) {
                         gate.removeAnswered(stream, at);
                     }
--- a/src/request/relay/links/linkRetries.ts
+++ b/src/request/relay/links/linkRetries.ts
@@ -2,7 +2,7 @@
 import { formatDataCentreLink } from "./formatDataCentreLink.ts";
 
 /** A link that a request could not use, and the time in milliseconds until it can. */
-export interface BlockedLink extends DataCentreLink {
+interface BlockedLink extends DataCentreLink {
     wait: number;
 }
 
--- a/src/request/relay/links/linkShares.ts
+++ b/src/request/relay/links/linkShares.ts
@@ -1,4 +1,8 @@
+import type { EngineModel } from "../../../version/routing/engineModel.ts";
+import type { DataCentreLink } from "./dataCentreLink.ts";
 import { formatDataCentreLink } from "./formatDataCentreLink.ts";
+import { getActivationBits } from "./getActivationBits.ts";
+import { getUsableRate } from "./getUsableRate.ts";
 
 /** Last message of a peer, as far as links are concerned. */
 interface PeerDemand {
@@ -17,6 +21,7 @@
     getNodeCount(): number;
 }
 
+const millisecondsPerSecond = 1_000;
 /** Time to live of a peer's message. */
 const timeToLiveMilliseconds = 3_000;
 /** Time after which a peer that needs the same link has found that it does, so that its message names the link. */
@@ -85,8 +90,14 @@
         return total > 0 ? Math.min(1, Math.max(own / total, equalShare * minimumShareFraction)) : equalShare;
     }
 
+    /** Gets the traffic that the new requests of all nodes would put on a link, as a multiple of what they may use of it. */
+    getDemandRatio({ from, to }: DataCentreLink, model: EngineModel, now: number): number {
+        const bitsPerSecond = getActivationBits(model, this.getTotalDemand(from, to, now));
+        return bitsPerSecond / (getUsableRate(model) * millisecondsPerSecond);
+    }
+
     /** Gets the tokens per second of new requests that can use a link, at all nodes. */
-    getTotalDemand(from: string, to: string, now: number): number {
+    private getTotalDemand(from: string, to: string, now: number): number {
         const link = formatDataCentreLink(from, to);
         const contention = this.contentions.get(link);
         if (contention !== undefined && now - contention.at <= timeToLiveMilliseconds) {
