--- a/src/request/relay/queue/createQueuedRelay.ts
+++ b/src/request/relay/queue/createQueuedRelay.ts
@@ -47,7 +47,8 @@
         queue.rankReserve.noteArrival(ranked, getState(clock.getMonotonicTime()));
     }
     const getReserve = (now: number) => isRanked ? queue.rankReserve.getFraction(ranked, getState(now)) : 0;
-    const isHeld = () => isRanked && queue.rankReserve.isHeld(ranked, getState(clock.getMonotonicTime()));
+    // The first attempt has used the credit of its rank for the request.
+    const isHeld = () => isRanked && !isRetry && queue.rankReserve.isHeld(ranked, getState(clock.getMonotonicTime()));
     const mayIgnoreReserve = () => isRanked && queue.rankReserve.mayIgnore(ranked);
     return {
         requestId: request.id,
@@ -82,7 +83,7 @@
                 chains.refundLimit(stages);
                 return undefined;
             }
-            if (isRanked) {
+            if (isRanked && !isRetry) {
                 queue.rankReserve.noteStart(ranked, now);
             }
             return { stages, reservation: chains.reserve(stages) };
--- a/tests/request/relay/queue/createQueuedRelay.test.ts
+++ b/tests/request/relay/queue/createQueuedRelay.test.ts
@@ -15,12 +15,12 @@
 function createBench() {
     const bench = RelayBench.create(endpoints);
     const { environment } = bench;
-    const create = (changes: Partial<RelayTask>) => {
+    const create = (changes: Partial<RelayTask>, isRetry = false) => {
         const task = { ...bench.createTask("stream"), ...changes };
         const chains = RelayChains.create(environment, task, relayModel);
         const avoided = new Set<string>();
         const callbacks = { start: () => undefined, refuse: () => undefined };
-        return createQueuedRelay({ environment, task, chains, avoided, isRetry: false, ...callbacks });
+        return createQueuedRelay({ environment, task, chains, avoided, isRetry, ...callbacks });
     };
     return { bench, create };
 }
@@ -37,6 +37,17 @@
         assert.deepEqual(classes, ["0 model", "1 model"]);
     });
 
+    // Guards against requests that were admitted once and wait for credit again after an endpoint has refused them.
+    it("holds requests beyond the share of their rank, but not their further attempts", () => {
+        const { bench, create } = createBench();
+        const ranks = [0, 1];
+        bench.environment.queue.noteEnd(1_000, 1_000_000_000);
+        assert.ok(create({ rank: 1, ranks }).tryReserve() !== undefined);
+        assert.equal(create({ rank: 1, ranks }).isHeld?.(), true);
+        assert.equal(create({ rank: 1, ranks }, true).isHeld?.(), false);
+        assert.equal(create({ rank: 1, ranks: [1] }).isHeld?.(), false);
+    });
+
     // Guards against decisions by rank where there is one: what is remembered and reported must be as without ranks.
     it("neither counts demand by rank nor has a class by rank where the service has one rank", () => {
         const { bench, create } = createBench();
