Hold further attempts by rank again

With 22 nodes, where endpoints refuse many first attempts, this served the first ranks worse, so further attempts need and take credit again: a refusal shows that less capacity is free than assumed. The test asks for this now.

--- a/src/request/relay/queue/createQueuedRelay.ts
+++ b/src/request/relay/queue/createQueuedRelay.ts
@@ -47,8 +47,8 @@
         queue.rankReserve.noteArrival(ranked, getState(clock.getMonotonicTime()));
     }
     const getReserve = (now: number) => isRanked ? queue.rankReserve.getFraction(ranked, getState(now)) : 0;
-    // The first attempt has used the credit of its rank for the request.
-    const isHeld = () => isRanked && !isRetry && queue.rankReserve.isHeld(ranked, getState(clock.getMonotonicTime()));
+    // A further attempt needs credit again: the refusal of the first one shows that less capacity is free than assumed.
+    const isHeld = () => isRanked && queue.rankReserve.isHeld(ranked, getState(clock.getMonotonicTime()));
     const mayIgnoreReserve = () => isRanked && queue.rankReserve.mayIgnore(ranked);
     return {
         requestId: request.id,
@@ -83,7 +83,7 @@
                 chains.refundLimit(stages);
                 return undefined;
             }
-            if (isRanked && !isRetry) {
+            if (isRanked) {
                 queue.rankReserve.noteStart(ranked, now);
             }
             return { stages, reservation: chains.reserve(stages) };
--- a/tests/request/relay/queue/createQueuedRelay.test.ts
+++ b/tests/request/relay/queue/createQueuedRelay.test.ts
@@ -37,14 +37,14 @@
         assert.deepEqual(classes, ["0 model", "1 model"]);
     });
 
-    // Guards against requests that were admitted once and wait for credit again after an endpoint has refused them.
-    it("holds requests beyond the share of their rank, but not their further attempts", () => {
+    // Guards against further attempts that fill endpoints which have just refused the first ones.
+    it("holds requests beyond the share of their rank, also further attempts", () => {
         const { bench, create } = createBench();
         const ranks = [0, 1];
         bench.environment.queue.noteEnd(1_000, 1_000_000_000);
         assert.ok(create({ rank: 1, ranks }).tryReserve() !== undefined);
         assert.equal(create({ rank: 1, ranks }).isHeld?.(), true);
-        assert.equal(create({ rank: 1, ranks }, true).isHeld?.(), false);
+        assert.equal(create({ rank: 1, ranks }, true).isHeld?.(), true);
         assert.equal(create({ rank: 1, ranks: [1] }).isHeld?.(), false);
     });
 
