--- a/src/request/relay/queue/createQueuedRelay.ts
+++ b/src/request/relay/queue/createQueuedRelay.ts
@@ -47,6 +47,7 @@
         queue.rankReserve.noteArrival(ranked, getState(clock.getMonotonicTime()));
     }
     const getReserve = (now: number) => isRanked ? queue.rankReserve.getFraction(ranked, getState(now)) : 0;
+    // A further attempt needs credit again: the refusal of the first one shows that less capacity is free than assumed.
     const isHeld = () => isRanked && queue.rankReserve.isHeld(ranked, getState(clock.getMonotonicTime()));
     const mayIgnoreReserve = () => isRanked && queue.rankReserve.mayIgnore(ranked);
     return {
