Show in the status what holds requests back

Change: the status has a part "load": demand and admitted tokens a second by rank, here and at all nodes; the reserve of each rank with the time for which it has held; the links between data centres with this node's traffic, their state, since when they are closed and by whose report; the endpoints that are lost by evidence, with their reporters; the planner and whether this node holds the lease; the step of the overload protection. The parts got getters that only read: the state of a link or a reserve is that of the last request. Without several ranks, data centres or losses the lists are empty.

The status of a running process was not fetched.

--- a/src/process/overload/overloadProtection.ts
+++ b/src/process/overload/overloadProtection.ts
@@ -68,6 +68,11 @@
         return Math.round(this.options.getLag());
     }
 
+    /** Gets the last step taken; undefined if the node is on time. */
+    getStep(): OverloadStep | undefined {
+        return this.detector.getLastStep();
+    }
+
     /** Checks if this node has left the load balancer's rotation. */
     isOutOfRotation(): boolean {
         return this.isOut;
--- a/src/process/placement/endpointLossDetector.ts
+++ b/src/process/placement/endpointLossDetector.ts
@@ -25,6 +25,15 @@
     newestAge: number;
 }
 
+/** An endpoint that is lost by evidence. */
+interface FoundLoss {
+    endpointId: string;
+    /** Ids of the nodes with evidence of the last seconds; "self" for this one. */
+    reporters: string[];
+    /** Time since the last evidence that counted, in milliseconds. */
+    ageMilliseconds: number;
+}
+
 /** Evidence that is older doesn't count toward finding an endpoint lost. */
 const evidenceTtlMilliseconds = 1_500;
 /** A node without peers takes its own evidence alone once it is this old. */
@@ -172,6 +181,17 @@
         }
     }
 
+    /** Lists the endpoints that were found lost, with the nodes that have evidence and the time since the last evidence. */
+    listFound(now: number): FoundLoss[] {
+        return [...this.found].map(([endpointId, lastAt]) => ({
+            endpointId,
+            reporters: [...this.evidence.get(endpointId)?.keys() ?? []].map(reporter =>
+                reporter === ownReporter ? "self" : reporter
+            ),
+            ageMilliseconds: Math.round(now - lastAt),
+        }));
+    }
+
     /** Counts the endpoints that were found lost, whichever service they belong to. */
     countLost(): number {
         return this.found.size;
--- a/src/process/router/endpointLosses.ts
+++ b/src/process/router/endpointLosses.ts
@@ -67,6 +67,11 @@
         return this.detector.getLostEndpoints(endpointIds);
     }
 
+    /** See {@link EndpointLossDetector.listFound}. */
+    listFound(now: number) {
+        return this.detector.listFound(now);
+    }
+
     /** Removes endpoints that are no longer registered. */
     retain(endpointIds: ReadonlySet<string>): void {
         this.detector.retain(endpointIds);
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -31,6 +31,7 @@
 import { RecordFollower } from "../replica/recordFollower.ts";
 import { RecordSection } from "../replica/recordSection.ts";
 import { chooseLimitSharers } from "./chooseLimitSharers.ts";
+import { createLoadStatus } from "./createLoadStatus.ts";
 import { EndpointCalls } from "./endpointCalls.ts";
 import { EndpointLinks } from "./endpointLinks.ts";
 import { EndpointLosses } from "./endpointLosses.ts";
@@ -81,6 +82,7 @@
     private readonly quarantinePersister: QuarantinePersister;
     private readonly health: EndpointHealth;
     private readonly losses: EndpointLosses;
+    private readonly linkAdmission: LinkAdmission;
     private readonly limits: EndpointLimits;
     private readonly instructions: EndpointInstructions;
     private peerServer: FramedServer | undefined;
@@ -255,7 +257,7 @@
             log,
         });
         const linkDelays = LinkDelays.create();
-        const links = LinkAdmission.create({
+        this.linkAdmission = LinkAdmission.create({
             random,
             log,
             delays: linkDelays,
@@ -263,6 +265,7 @@
             getNodeCount: () => this.getNodeCount(),
             onClosed: (link, isClosed) => metrics.linkClosed.set({ ...link }, isClosed ? 1 : 0),
         });
+        const links = this.linkAdmission;
         this.exchange = PeerExchange.create({
             nodeId,
             address: settings.peerListener,
@@ -456,6 +459,7 @@
             endpointInstructions: this.instructions.getStatus(),
             storeEra: this.options.store.getEra(),
             storeCopyAgeMilliseconds: Math.round(now - this.storeWatch.getFreshTime()),
+            load: this.createLoadStatus(now),
         };
     }
 
@@ -516,6 +520,15 @@
         }
     }
 
+    private createLoadStatus(now: number): object {
+        const { queue: { rankReserve }, linkAdmission, losses, storeWatch, lease, overload } = this;
+        const nodeCount = this.getNodeCount();
+        return createLoadStatus(
+            { rankReserve, linkAdmission, losses, storeWatch, lease, overload, nodeCount },
+            now,
+        );
+    }
+
     private getModelServices(): RoutedService[] {
         const services = this.holder.getState()?.configuration.services.values() ?? [];
         return [...services].filter(({ engine }) => engine !== undefined);
--- a/src/process/router/storeWatchController.ts
+++ b/src/process/router/storeWatchController.ts
@@ -195,6 +195,11 @@
         follower?.handlePeerFrontier(frontier);
     }
 
+    /** Gets the node that should order placements; undefined if this node doesn't watch the store, and so doesn't choose it. */
+    getPlanner(): string | undefined {
+        return this.isSelectedWatcher && !this.isWithoutStore() ? this.loggedPlanner : undefined;
+    }
+
     private review(): void {
         const { clock, nodes, lease, followers } = this.options;
         const now = clock.getMonotonicTime();
--- a/src/request/admission/ranks/rankDemands.ts
+++ b/src/request/admission/ranks/rankDemands.ts
@@ -63,6 +63,11 @@
             .map(rank => this.sumOwn(now, rank));
     }
 
+    /** Gets the demand for all services of one rank at this node. */
+    getOwn(rank: number, now: number): RankDemand {
+        return this.sumOwn(now, rank);
+    }
+
     /** Sets the demand that a peer reports, replacing its previous report. */
     setPeerDemands(peerId: string, demands: readonly RankDemand[], now: number): void {
         if (demands.length > 0 || this.peers.has(peerId)) {
@@ -74,12 +79,14 @@
      * Gets the demand for a service of one rank at all nodes. Reports don't tell services apart, so the service has the fraction of
      * the reported demand that it has of this node's. Nodes without a recent report count with the mean of the other peers, or
      * with this node's demand if there are none.
+     * @param service - The service; undefined for all services together.
      * @param nodeCount - Number of live nodes, including this one.
      */
-    getTotal(service: string, rank: number, nodeCount: number, now: number): RankDemand {
+    getTotal(service: string | undefined, rank: number, nodeCount: number, now: number): RankDemand {
         const own = this.sumOwn(now, rank);
         const ownOfService = this.sumOwn(now, rank, service);
-        const serviceFraction = own.demand > 0 ? ownOfService.demand / own.demand : 1 / this.countServices();
+        const unknownFraction = service === undefined ? 1 : 1 / this.countServices();
+        const serviceFraction = own.demand > 0 ? ownOfService.demand / own.demand : unknownFraction;
         const reported: RankDemand = { rank, demand: 0, admitted: 0 };
         let reporterCount = 0;
         for (const [peerId, { receivedAt, byRank }] of this.peers) {
@@ -104,6 +111,17 @@
         };
     }
 
+    /** Lists the ranks of which this node or a peer with a recent report has had requests, highest priority first. */
+    listRanks(now: number): number[] {
+        const ranks = new Set([...this.own.values()].map(({ rank }) => rank));
+        for (const { receivedAt, byRank } of this.peers.values()) {
+            for (const rank of now - receivedAt <= peerReportTimeToLiveMilliseconds ? byRank.keys() : []) {
+                ranks.add(rank);
+            }
+        }
+        return [...ranks].sort((left, right) => left - right);
+    }
+
     /** Gets the age of the oldest report in use, in milliseconds; 0 if there is none. */
     getOldestReportAge(now: number): number {
         let oldest = 0;
--- a/src/request/relay/links/linkAdmission.ts
+++ b/src/request/relay/links/linkAdmission.ts
@@ -280,6 +280,16 @@
         }
     }
 
+    /** Lists the links that this node or a peer has needed since the start, with this node's traffic. */
+    listStatus(now: number) {
+        return [...this.states.values()].map(({ link, gate, traffic }) => ({
+            ...link,
+            bitsPerSecond: Math.round(traffic.getRate(now)),
+            waiting: gate.getWaitingCount(),
+            ...gate.getStatus(now),
+        }));
+    }
+
     private getState(from: string, to: string): LinkState {
         const key = formatDataCentreLink(from, to);
         const known = this.states.get(key);
--- a/src/request/relay/links/linkGate.ts
+++ b/src/request/relay/links/linkGate.ts
@@ -24,9 +24,26 @@
     longestWaitMilliseconds: number;
 }
 
+/** Why a link is not open. */
+interface LinkClosure {
+    /** Monotonic time in milliseconds. */
+    closedAt: number;
+    /** The node whose streams wait; "self" for this one. */
+    reporter: string;
+}
+
 /** Whether new streams may use a link. */
 type GateState = "open" | "closed" | "trial";
 
+/** State of a link for operators. */
+interface LinkGateStatus {
+    state: GateState;
+    /** Time since the link was closed, in milliseconds; undefined while it is open. */
+    closedMilliseconds: number | undefined;
+    /** The node whose streams closed it; "self" for this one. */
+    reporter: string | undefined;
+}
+
 /** Time beyond the expected one after which a stream without an event counts as waiting at the link. */
 const toleranceMilliseconds = 300;
 /** Time to live of a peer's report. */
@@ -44,6 +61,8 @@
     private readonly streams = new Set<WaitingStream>();
     private readonly peers = new Map<string, PeerWait>();
     private state: GateState = "open";
+    /** The last closure; undefined while the link is open. */
+    private closure: LinkClosure | undefined;
     /** Latest time at which a stream was sent that has an event now. */
     private answeredUntil = -Infinity;
 
@@ -69,7 +88,7 @@
         this.answeredUntil = Math.max(this.answeredUntil, stream.sentAt);
         this.update(now, Infinity);
         if (this.state === "trial") {
-            this.change("open", { longestWaitMilliseconds: 0, waiting: 0, reporter: "" });
+            this.change("open", { longestWaitMilliseconds: 0, waiting: 0, reporter: "" }, now);
         }
     }
 
@@ -122,11 +141,18 @@
         return this.findOverdue(now, expectedMilliseconds)?.longestWaitMilliseconds ?? 0;
     }
 
+    /** Gets the state as of the last request or event, without changing it. */
+    getStatus(now: number): LinkGateStatus {
+        const { state, closure } = this;
+        const closedMilliseconds = closure === undefined ? undefined : Math.round(now - closure.closedAt);
+        return { state, closedMilliseconds, reporter: closure?.reporter };
+    }
+
     private update(now: number, expectedMilliseconds: number): void {
         const overdue = this.findOverdue(now, expectedMilliseconds);
         if (overdue !== undefined) {
             if (this.state !== "closed") {
-                this.change("closed", overdue);
+                this.change("closed", overdue, now);
             }
         }
         else if (this.state === "closed") {
@@ -158,8 +184,10 @@
     private change(
         state: "open" | "closed",
         { waiting, longestWaitMilliseconds, reporter }: Omit<PeerWait, "receivedAt"> & { reporter: string; },
+        now: number,
     ): void {
         this.state = state;
+        this.closure = state === "closed" ? { closedAt: now, reporter } : undefined;
         const { link: { from, to }, log, onChange } = this.options;
         if (state === "closed") {
             const longestWait = Math.round(longestWaitMilliseconds);
--- a/src/request/relay/queue/rankReserve.ts
+++ b/src/request/relay/queue/rankReserve.ts
@@ -30,11 +30,27 @@
 
 /** A computed reserve. */
 interface KnownReserve {
+    service: string;
+    rank: number;
     fraction: number;
     at: number;
+    /** Monotonic time in milliseconds since which the fraction is above 0 without a break; undefined if it is 0. */
+    since: number | undefined;
     loggedFraction: number;
 }
 
+/** What requests of one rank leave free for higher ranks. */
+interface ReserveStatus {
+    service: string;
+    rank: number;
+    /** Fraction of each endpoint's memory. */
+    fraction: number;
+    /** Time for which it has been above 0 without a break, in milliseconds; undefined if it is 0. */
+    heldMilliseconds: number | undefined;
+    /** Time since it was computed, in milliseconds. */
+    ageMilliseconds: number;
+}
+
 /** Options of a {@link RankReserve}. */
 interface RankReserveOptions {
     log: EventLog;
@@ -110,7 +126,8 @@
         const capacityTokens = getCapacityTokens();
         const fraction = computeReserve({ higherRanks, holdMilliseconds, capacityTokens });
         const loggedFraction = known?.loggedFraction ?? 0;
-        const next = { fraction, at: now, loggedFraction };
+        const since = fraction > 0 ? known?.since ?? now : undefined;
+        const next = { service, rank, fraction, at: now, since, loggedFraction };
         if (Math.abs(fraction - loggedFraction) > loggedChange && now - this.loggedAt >= reportIntervalMilliseconds) {
             this.loggedAt = now;
             next.loggedFraction = fraction;
@@ -136,6 +153,22 @@
         return fraction;
     }
 
+    /** Gets the fraction that was last computed for requests of this kind, 0 if none was. */
+    getLastFraction({ service, rank }: Pick<RankedRequest, "service" | "rank">): number {
+        return this.known.get(getKey(service, rank))?.fraction ?? 0;
+    }
+
+    /** Lists the reserves that were last computed. They are computed only as requests arrive or wait. */
+    listReserves(now: number): ReserveStatus[] {
+        return [...this.known.values()].map(({ service, rank, fraction, at, since }) => ({
+            service,
+            rank,
+            fraction: round(fraction),
+            heldMilliseconds: since === undefined ? undefined : Math.round(now - since),
+            ageMilliseconds: Math.round(now - at),
+        }));
+    }
+
     private reportShare(service: string, rank: number, nodeCount: number, now: number): void {
         const { onAdmittedShare } = this.options;
         if (
