Name the bound and the rank of a refusal

Cause: FL1716 told in a sentence that there was no capacity, but not whether the reserve of the request's rank held it back, and not which rank it has.

Change: each refusal of the start queue names its bound (capacity, reserve, link, layers, pause, limit), and FL1716 has the fields rank and bound. A lack of capacity counts as the reserve's where the last computed reserve of the rank is above what a late request leaves free anyway and the rank has no credit for its minimum. Whether memory would have been free without the reserve is not known, since that takes a second search for each refusal. foxlead explain ends with a sentence on the bound; without FL1716, or with logs of earlier releases, its output is as before. Services with one rank never have the bound reserve.

Three expectations of startQueue.test.ts compare whole refusals and now include the bound, and two more check it; nothing else in them changed.

--- a/src/process/commandLine/explain/createExplainCommand.ts
+++ b/src/process/commandLine/explain/createExplainCommand.ts
@@ -2,6 +2,7 @@
 import type { CommandModule } from "yargs";
 import type { CommandContext } from "../commandContext.ts";
 import { ExitCode } from "../exitCode.ts";
+import { describeRefusal } from "./describeRefusal.ts";
 import { findRequestLog } from "./findRequestLog.ts";
 import { formatRequestLog } from "./formatRequestLog.ts";
 
@@ -50,5 +51,9 @@
     for (const line of formatRequestLog(requestLines)) {
         context.print(line);
     }
+    const refusal = describeRefusal(requestLines);
+    if (refusal !== undefined) {
+        context.print(refusal);
+    }
     return ExitCode.Success;
 }
--- a/src/request/admission/start/refuseUnservable.ts
+++ b/src/request/admission/start/refuseUnservable.ts
@@ -1,3 +1,4 @@
+import { StartBound } from "./startBound.ts";
 import type { StartRefusal } from "./startRefusal.ts";
 import type { StartRequest } from "./startRequest.ts";
 
@@ -17,6 +18,7 @@
     return {
         kind: "refuse",
         cause,
+        bound: pauseMilliseconds === undefined ? StartBound.Layers : StartBound.Pause,
         retryAfterMilliseconds: Math.min(retryMilliseconds, request.maximumRetryMilliseconds),
     };
 }
--- a/src/request/admission/start/startQueue.ts
+++ b/src/request/admission/start/startQueue.ts
@@ -5,6 +5,7 @@
 import { ExhaustedCapacity, type KnownExhaustion } from "./exhaustedCapacity.ts";
 import { refuseUnservable } from "./refuseUnservable.ts";
 import type { StartBlock } from "./startBlock.ts";
+import { StartBound } from "./startBound.ts";
 import type { StartDecision } from "./startDecision.ts";
 import type { StartRefusal } from "./startRefusal.ts";
 import type { StartRequest } from "./startRequest.ts";
@@ -120,7 +121,8 @@
         const limitRetryMilliseconds = request.getLimitRetryMilliseconds();
         if (limitRetryMilliseconds !== undefined) {
             const retryAfterMilliseconds = Math.min(limitRetryMilliseconds, request.maximumRetryMilliseconds);
-            return { kind: "refuse", cause: "its endpoints limit what they take.", retryAfterMilliseconds };
+            const cause = "its endpoints limit what they take.";
+            return { kind: "refuse", cause, bound: StartBound.Limit, retryAfterMilliseconds };
         }
         const block = request.getLinkBlock?.();
         if (block !== undefined) {
@@ -313,7 +315,7 @@
             now,
         });
         const retryAfterMilliseconds = Math.min(scheduledMilliseconds, request.maximumRetryMilliseconds);
-        return { kind: "refuse", cause, retryAfterMilliseconds };
+        return { kind: "refuse", cause, bound: StartBound.Capacity, retryAfterMilliseconds };
     }
 
     /** Estimates the wait of a request in milliseconds, from the cost of the requests ahead of it and the throughput. */
@@ -383,6 +385,7 @@
     return {
         kind: "refuse",
         cause: "the link between its data centres has no capacity in time.",
+        bound: StartBound.Link,
         retryAfterMilliseconds: Math.min(block.bookRetry(), request.maximumRetryMilliseconds),
     };
 }
--- a/src/request/relay/queue/createQueuedRelay.ts
+++ b/src/request/relay/queue/createQueuedRelay.ts
@@ -1,3 +1,4 @@
+import { StartBound } from "../../admission/start/startBound.ts";
 import type { RelayChains } from "../chains/relayChains.ts";
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
@@ -49,6 +50,10 @@
             })
             : 0;
     const mayIgnoreReserve = () => isRanked && queue.rankReserve.mayIgnore(ranked);
+    const getTimelyFraction = (now: number) => now > latestOnTimeStart ? reservedFractionForTimely : 0;
+    // Only a second search could tell whether there was memory without the reserve, which would make refusals more expensive.
+    const isHeldByReserve = () =>
+        queue.rankReserve.getLastFraction(ranked) > getTimelyFraction(clock.getMonotonicTime()) && !mayIgnoreReserve();
     return {
         requestId: request.id,
         isRanked,
@@ -68,7 +73,7 @@
         },
         tryReserve: () => {
             const now = clock.getMonotonicTime();
-            const timelyFraction = now > latestOnTimeStart ? reservedFractionForTimely : 0;
+            const timelyFraction = getTimelyFraction(now);
             const spareFraction = Math.max(timelyFraction, getReserve(now));
             const choose = (spare: number) =>
                 chains.chooseWithinLimits({ avoid: avoided, mayOvercommit: false, spareFraction: spare, rateLimited });
@@ -91,6 +96,9 @@
         getLimitRetryMilliseconds: () => chains.getLimitRetryDelay({ avoid: avoided, rateLimited }),
         getLinkBlock: () => chains.getLinkBlock(),
         start,
-        refuse,
+        refuse: (cause, retryAfterMilliseconds, bound) => {
+            const isReserve = bound === StartBound.Capacity && isHeldByReserve();
+            refuse(cause, retryAfterMilliseconds, isReserve ? StartBound.Reserve : bound);
+        },
     };
 }
--- a/src/request/relay/queue/queuedRelay.ts
+++ b/src/request/relay/queue/queuedRelay.ts
@@ -1,3 +1,4 @@
+import type { StartBound } from "../../admission/start/startBound.ts";
 import type { StartRequest } from "../../admission/start/startRequest.ts";
 import type { ReservedChain } from "../chains/reservedChain.ts";
 
@@ -9,5 +10,5 @@
     /** Called with the chain that was reserved for the request. */
     start(reservedChain: ReservedChain): void;
     /** Called when the request is rejected. */
-    refuse(cause: string, retryAfterMilliseconds: number): void;
+    refuse(cause: string, retryAfterMilliseconds: number, bound: StartBound): void;
 }
--- a/src/request/relay/queue/relayQueue.ts
+++ b/src/request/relay/queue/relayQueue.ts
@@ -195,7 +195,7 @@
             relay.start(decision.reservation);
         }
         if (decision.kind === "refuse") {
-            relay.refuse(decision.cause, decision.retryAfterMilliseconds);
+            relay.refuse(decision.cause, decision.retryAfterMilliseconds, decision.bound);
         }
     }
 
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -7,6 +7,7 @@
 import { ProcessorCause } from "../../../process/loop/processorCause.ts";
 import type { EngineModel } from "../../../version/routing/engineModel.ts";
 import { getUrgency } from "../../admission/ranks/getUrgency.ts";
+import type { StartBound } from "../../admission/start/startBound.ts";
 import type { AnswerEnd } from "../answers/answerEnd.ts";
 import type { AnswerHead } from "../answers/answerHead.ts";
 import { createRefusal } from "../answers/createRefusal.ts";
@@ -208,9 +209,9 @@
                 this.queuedRelay = undefined;
                 this.startReserved(reservedChain, cause);
             },
-            refuse: (reason, retryAfterMilliseconds) => {
+            refuse: (reason, retryAfterMilliseconds, bound) => {
                 this.queuedRelay = undefined;
-                this.reject(`${cause} ${reason}`, retryAfterMilliseconds);
+                this.reject(`${cause} ${reason}`, retryAfterMilliseconds, bound);
             },
         });
         environment.queue.submit(this.queuedRelay);
@@ -254,11 +255,13 @@
         this.beginAttempt({ stages, reservation: chains.reserve(stages) });
     }
 
-    private reject(cause: string, retryAfterMilliseconds: number): void {
+    private reject(cause: string, retryAfterMilliseconds: number, bound: StartBound): void {
         const { log, retryDetector } = this.environment;
         retryDetector.observeRefusal(this.getTime());
         log.write(events.relayRejectedAtCapacity, {
             request: this.task.request.id,
+            rank: this.task.rank,
+            bound,
             cause,
             isReturn: this.task.isReturn,
             retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
--- a/tests/request/admission/start/startQueue.test.ts
+++ b/tests/request/admission/start/startQueue.test.ts
@@ -72,7 +72,8 @@
         assert.deepEqual(decideArrival("soon"), { kind: "wait", expectedMilliseconds: 300 });
         waitMilliseconds = 400;
         const cause = "the link between its data centres has no capacity in time.";
-        assert.deepEqual(decideArrival("late"), { kind: "refuse", cause, retryAfterMilliseconds: 900 });
+        const refusal = { kind: "refuse", cause, bound: "link", retryAfterMilliseconds: 900 };
+        assert.deepEqual(decideArrival("late"), refusal);
         assert.deepEqual(fixture.review(350), []);
         assert.deepEqual(fixture.review(351), ["refuse soon"]);
         assert.equal(fixture.queue.getLength(), 0);
@@ -104,6 +105,7 @@
         assert.deepEqual(fixture.queue.decideArrival(limited, 0), {
             kind: "refuse",
             cause: "its endpoints limit what they take.",
+            bound: "limit",
             retryAfterMilliseconds: 800,
         });
         assert.equal(fixture.queue.getLength(), 0);
@@ -116,8 +118,9 @@
         fixture.queue.decideArrival(fixture.create("running"), 0);
         // One running request of 100 tokens that takes 1 s: 0.1 tokens a millisecond.
         const decision = fixture.queue.decideArrival(fixture.create("late"), 0);
-        assert.equal(decision.kind, "refuse");
-        assert.ok(decision.kind === "refuse" && decision.retryAfterMilliseconds > 100);
+        assert.ok(decision.kind === "refuse");
+        assert.equal(decision.bound, "capacity");
+        assert.ok(decision.retryAfterMilliseconds > 100);
     });
 
     it("spreads the retries of refused requests", () => {
@@ -138,7 +141,8 @@
     it("immediately refuses a request that the endpoints can't serve", () => {
         const fixture = createFixture();
         const decision = fixture.queue.decideArrival(fixture.create("never", { isServable: () => false }), 0);
-        assert.equal(decision.kind, "refuse");
+        assert.ok(decision.kind === "refuse");
+        assert.equal(decision.bound, "layers");
         assert.equal(fixture.queue.getLength(), 0);
     });
 
@@ -155,6 +159,7 @@
         const refusal = {
             kind: "refuse",
             cause: "its endpoints accept no requests for some time.",
+            bound: "pause",
             retryAfterMilliseconds: 3_000,
         };
         assert.deepEqual(fixture.queue.reviewServability().map(({ decision }) => decision), [refusal]);
--- a/tests/request/relay/queue/createQueuedRelay.test.ts
+++ b/tests/request/relay/queue/createQueuedRelay.test.ts
@@ -15,14 +15,18 @@
 function createBench() {
     const bench = RelayBench.create(endpoints);
     const { environment } = bench;
+    const refusals: unknown[][] = [];
     const create = (changes: Partial<RelayTask>) => {
         const task = { ...bench.createTask("stream"), ...changes };
         const chains = RelayChains.create(environment, task, relayModel);
         const avoided = new Set<string>();
-        const callbacks = { start: () => undefined, refuse: () => undefined };
+        const callbacks = {
+            start: () => undefined,
+            refuse: (...refusal: unknown[]) => refusals.push(refusal),
+        };
         return createQueuedRelay({ environment, task, chains, avoided, isRetry: false, ...callbacks });
     };
-    return { bench, create };
+    return { bench, create, refusals };
 }
 
 describe("createQueuedRelay", () => {
@@ -45,4 +49,21 @@
         assert.equal(relay.getCapacityClass?.(), "model");
         assert.deepEqual(bench.environment.queue.rankReserve.demands.listOwn(0), []);
     });
+
+    // Guards against a refusal for the reserve that is reported as a lack of capacity, and against the reverse for the first rank.
+    it("names the reserve as the bound of a refusal where the rank leaves memory free for higher ones", () => {
+        const { bench, create, refusals } = createBench();
+        const { rankReserve } = bench.environment.queue;
+        const ranked = { requestId: "r", service: "model", ranks: [0, 1], tokens: 20_000, isNew: true };
+        rankReserve.noteArrival({ ...ranked, rank: 0 }, 1, 0);
+        const state = { holdMilliseconds: 1_000, nodeCount: 1, now: 0, getCapacityTokens: () => 100_000 };
+        // The rank's minimum has been used up, so that its requests can't ignore the reserve.
+        rankReserve.noteStart({ ...ranked, rank: 1 }, 0);
+        assert.ok(rankReserve.getFraction({ ...ranked, rank: 1 }, state) > 0);
+        for (const rank of [0, 1]) {
+            create({ rank, ranks: [0, 1] }).refuse("cause", 500, "capacity");
+        }
+        create({ rank: 1, ranks: [0, 1] }).refuse("cause", 500, "link");
+        assert.deepEqual(refusals, [["cause", 500, "capacity"], ["cause", 500, "reserve"], ["cause", 500, "link"]]);
+    });
 });
--- a/tests/request/relay/streams/streamRelay.test.ts
+++ b/tests/request/relay/streams/streamRelay.test.ts
@@ -80,4 +80,12 @@
         StreamRelay.create(other.environment, task, model, () => undefined).start();
         assert.deepEqual(other.answers, ["notRun"]);
     });
+
+    // Guards against a refusal whose log line doesn't tell which bound refused which rank.
+    it("logs the rank and the bound of a refusal", () => {
+        const bench = RelayBench.create([createEndpoint("1", { layers: { start: 0, end: 40 } })]);
+        StreamRelay.create(bench.environment, bench.createTask(RequestKind.Stream), model, () => undefined).start();
+        const fields = bench.log.fields[bench.log.numbers.indexOf(1716)];
+        assert.deepEqual([fields?.["rank"], fields?.["bound"]], [1, "layers"]);
+    });
 });
