Check the load part of the status on a running node

Cause: the test of the status creates its parts itself, so a part that is not connected in RouterNode would go unnoticed.

Change: the platform test of an idle node also compares the part "load" of its status.

--- a/tests/platform/platformChanges.test.ts
+++ b/tests/platform/platformChanges.test.ts
@@ -102,8 +102,13 @@
         const { node: alone } = await idle.addNode();
         await waitUntil("it is ready", () => alone.isReady());
         await new Promise(resolve => setTimeout(resolve, 1_000));
-        const { hasPlacementDuty } = alone.getStatus() as { hasPlacementDuty: boolean; };
+        const { hasPlacementDuty, load } = alone.getStatus() as { hasPlacementDuty: boolean; load: object; };
         assert.equal(hasPlacementDuty, false);
+        // Guards against a status whose parts are not those of the running node.
+        const { overload, ...rest } = JSON.parse(JSON.stringify(load)) as { overload: object; };
+        const placement = { planner: "node-0", isLeaseHolder: false };
+        assert.deepEqual(rest, { ranks: [], reserves: [], links: [], lostEndpoints: [], placement });
+        assert.deepEqual(Object.keys(overload), ["step", "lagMilliseconds", "isOutOfRotation"]);
         await idle.close();
     });
 
