Show in the status which ranks and customers were refused

The status had reserves and links, but no refusals.

Change: RelayQueue keeps the refusals of the last seconds in at most 64 groups by rank, customer and bound, for the status only; no decision reads them. It costs an update of a map for each refusal, in all deployments. A group ends after 5 s without a refusal. Document requests, and refusals of a late node before the body is read, are not among them.

The cost of a refusal was not measured.

--- a/src/process/router/createLoadStatus.ts
+++ b/src/process/router/createLoadStatus.ts
@@ -1,6 +1,7 @@
 import type { RankDemand } from "../../request/admission/ranks/rankDemand.ts";
 import type { LinkAdmission } from "../../request/relay/links/linkAdmission.ts";
 import type { RankReserve } from "../../request/relay/queue/rankReserve.ts";
+import type { RecentRefusals } from "../../request/relay/queue/recentRefusals.ts";
 import type { FencedLease } from "../leases/fencedLease.ts";
 import type { OverloadProtection } from "../overload/overloadProtection.ts";
 import type { EndpointLosses } from "./endpointLosses.ts";
@@ -9,6 +10,7 @@
 /** The parts of a node that {@link createLoadStatus} reads. */
 interface LoadStatusSources {
     rankReserve: Pick<RankReserve, "demands" | "listReserves">;
+    refusals: Pick<RecentRefusals, "list">;
     linkAdmission: Pick<LinkAdmission, "listStatus">;
     losses: Pick<EndpointLosses, "listFound">;
     storeWatch: Pick<StoreWatchController, "getPlanner">;
@@ -25,7 +27,7 @@
  * @param now - Monotonic time in milliseconds.
  */
 export function createLoadStatus(sources: LoadStatusSources, now: number) {
-    const { rankReserve, linkAdmission, losses, storeWatch, lease, overload, nodeCount } = sources;
+    const { rankReserve, refusals, linkAdmission, losses, storeWatch, lease, overload, nodeCount } = sources;
     const { demands } = rankReserve;
     return {
         ranks: demands.listRanks(now).map(rank => ({
@@ -34,6 +36,7 @@
             allNodes: formatRates(demands.getTotal(undefined, rank, nodeCount, now)),
         })),
         reserves: rankReserve.listReserves(now),
+        refusals: refusals.list(now),
         links: linkAdmission.listStatus(now),
         lostEndpoints: losses.listFound(now),
         placement: { planner: storeWatch.getPlanner(), isLeaseHolder: lease.isHeld() },
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -521,10 +521,10 @@
     }
 
     private createLoadStatus(now: number): object {
-        const { queue: { rankReserve }, linkAdmission, losses, storeWatch, lease, overload } = this;
+        const { queue: { rankReserve, refusals }, linkAdmission, losses, storeWatch, lease, overload } = this;
         const nodeCount = this.getNodeCount();
         return createLoadStatus(
-            { rankReserve, linkAdmission, losses, storeWatch, lease, overload, nodeCount },
+            { rankReserve, refusals, linkAdmission, losses, storeWatch, lease, overload, nodeCount },
             now,
         );
     }
--- a/src/request/relay/queue/createQueuedRelay.ts
+++ b/src/request/relay/queue/createQueuedRelay.ts
@@ -98,7 +98,10 @@
         start,
         refuse: (cause, retryAfterMilliseconds, bound) => {
             const isReserve = bound === StartBound.Capacity && isHeldByReserve();
-            refuse(cause, retryAfterMilliseconds, isReserve ? StartBound.Reserve : bound);
+            const namedBound = isReserve ? StartBound.Reserve : bound;
+            const refusal = { rank, customer, bound: namedBound, retryAfterMilliseconds };
+            queue.refusals.note(refusal, clock.getMonotonicTime());
+            refuse(cause, retryAfterMilliseconds, namedBound);
         },
     };
 }
--- a/src/request/relay/queue/relayQueue.ts
+++ b/src/request/relay/queue/relayQueue.ts
@@ -9,6 +9,7 @@
 import type { ReservedChain } from "../chains/reservedChain.ts";
 import type { QueuedRelay } from "./queuedRelay.ts";
 import { RankReserve } from "./rankReserve.ts";
+import { RecentRefusals } from "./recentRefusals.ts";
 
 /** What happens to a request of a service that has several ranks. */
 type RankOutcome = "asked" | "admitted" | "queued" | "refused";
@@ -44,6 +45,8 @@
 export class RelayQueue {
     /** What lower ranks leave free for higher ones. */
     readonly rankReserve: RankReserve;
+    /** The refusals of the last seconds. */
+    readonly refusals = RecentRefusals.create();
     private readonly options: RelayQueueOptions;
     private readonly startQueue: StartQueue<ReservedChain>;
     private timer: TimerHandle | undefined;
--- a/tests/platform/platformChanges.test.ts
+++ b/tests/platform/platformChanges.test.ts
@@ -107,7 +107,7 @@
         // Guards against a status whose parts are not those of the running node.
         const { overload, ...rest } = JSON.parse(JSON.stringify(load)) as { overload: object; };
         const placement = { planner: "node-0", isLeaseHolder: false };
-        assert.deepEqual(rest, { ranks: [], reserves: [], links: [], lostEndpoints: [], placement });
+        assert.deepEqual(rest, { ranks: [], reserves: [], refusals: [], links: [], lostEndpoints: [], placement });
         assert.deepEqual(Object.keys(overload), ["step", "lagMilliseconds", "isOutOfRotation"]);
         await idle.close();
     });
--- a/tests/process/router/createLoadStatus.test.ts
+++ b/tests/process/router/createLoadStatus.test.ts
@@ -5,6 +5,7 @@
 import { LinkAdmission } from "../../../src/request/relay/links/linkAdmission.ts";
 import { LinkDelays } from "../../../src/request/relay/links/linkDelays.ts";
 import { RankReserve } from "../../../src/request/relay/queue/rankReserve.ts";
+import { RecentRefusals } from "../../../src/request/relay/queue/recentRefusals.ts";
 import { relayModel } from "../../request/relay/relayModel.ts";
 import { RecordingEventLog } from "../../support/recordingEventLog.ts";
 
@@ -14,6 +15,7 @@
     const detector = EndpointLossDetector.create(() => -Infinity);
     return {
         rankReserve: RankReserve.create({ log }),
+        refusals: RecentRefusals.create(),
         linkAdmission: LinkAdmission.create({
             random: () => 0.5,
             log,
@@ -35,6 +37,7 @@
         assert.deepEqual(JSON.parse(JSON.stringify(status)), {
             ranks: [],
             reserves: [],
+            refusals: [],
             links: [],
             lostEndpoints: [],
             placement: { planner: "node-2", isLeaseHolder: false },
--- a/tests/request/relay/queue/createQueuedRelay.test.ts
+++ b/tests/request/relay/queue/createQueuedRelay.test.ts
@@ -65,5 +65,11 @@
         }
         create({ rank: 1, ranks: [0, 1] }).refuse("cause", 500, "link");
         assert.deepEqual(refusals, [["cause", 500, "capacity"], ["cause", 500, "reserve"], ["cause", 500, "link"]]);
+        // Guards against a status that names another bound than the log.
+        assert.deepEqual(bench.environment.queue.refusals.list(0).map(({ rank, bound }) => [rank, bound]), [
+            [0, "capacity"],
+            [1, "reserve"],
+            [1, "link"],
+        ]);
     });
 });
