--- a/src/process/router/leaseReviewer.ts
+++ b/src/process/router/leaseReviewer.ts
@@ -91,6 +91,11 @@
         }
     }
 
+    /** Gets the node that should order placements, as of the last review; undefined before the first one. */
+    getPlanner(): string | undefined {
+        return this.planners[0];
+    }
+
     /** Ranks the nodes that may acquire the lease. Returns whether this one has become the first. */
     private updatePlanners(others: readonly KnownNode[], hasManyNodes: boolean): boolean {
         const { nodeId, owners, getLag, log } = this.options;
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -31,6 +31,7 @@
 import { RecordFollower } from "../replica/recordFollower.ts";
 import { RecordSection } from "../replica/recordSection.ts";
 import { chooseLimitSharers } from "./chooseLimitSharers.ts";
+import { createLoadStatus } from "./createLoadStatus.ts";
 import { EndpointCalls } from "./endpointCalls.ts";
 import { EndpointLinks } from "./endpointLinks.ts";
 import { EndpointLosses } from "./endpointLosses.ts";
@@ -80,6 +81,7 @@
     private readonly quarantinePersister: QuarantinePersister;
     private readonly health: EndpointHealth;
     private readonly losses: EndpointLosses;
+    private readonly linkAdmission: LinkAdmission;
     private readonly limits: EndpointLimits;
     private readonly instructions: EndpointInstructions;
     private peerServer: FramedServer | undefined;
@@ -253,7 +255,7 @@
             log,
         });
         const linkDelays = LinkDelays.create();
-        const links = LinkAdmission.create({
+        this.linkAdmission = LinkAdmission.create({
             random,
             log,
             delays: linkDelays,
@@ -261,6 +263,7 @@
             getNodeCount: () => this.getNodeCount(),
             onClosed: (link, isClosed) => metrics.linkClosed.set({ ...link }, isClosed ? 1 : 0),
         });
+        const links = this.linkAdmission;
         this.exchange = PeerExchange.create({
             nodeId,
             address: settings.peerListener,
@@ -455,6 +458,7 @@
             endpointInstructions: this.instructions.getStatus(),
             storeEra: this.options.store.getEra(),
             storeCopyAgeMilliseconds: Math.round(now - this.storeWatch.getFreshTime()),
+            load: this.createLoadStatus(now),
         };
     }
 
@@ -515,6 +519,15 @@
         }
     }
 
+    private createLoadStatus(now: number): object {
+        const { queue: { rankReserve, refusals }, linkAdmission, losses, storeWatch, lease, overload } = this;
+        const nodeCount = this.getNodeCount();
+        return createLoadStatus(
+            { rankReserve, refusals, linkAdmission, losses, storeWatch, lease, overload, nodeCount },
+            now,
+        );
+    }
+
     private getModelServices(): RoutedService[] {
         const services = this.holder.getState()?.configuration.services.values() ?? [];
         return [...services].filter(({ engine }) => engine !== undefined);
--- a/src/request/relay/queue/createQueuedRelay.ts
+++ b/src/request/relay/queue/createQueuedRelay.ts
@@ -1,3 +1,4 @@
+import { StartBound } from "../../admission/start/startBound.ts";
 import type { RelayChains } from "../chains/relayChains.ts";
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
@@ -50,6 +51,10 @@
     // A further attempt needs credit again: the refusal of the first one shows that less capacity is free than assumed.
     const isHeld = () => isRanked && queue.rankReserve.isHeld(ranked, getState(clock.getMonotonicTime()));
     const mayIgnoreReserve = () => isRanked && queue.rankReserve.mayIgnore(ranked);
+    const getTimelyFraction = (now: number) => now > latestOnTimeStart ? reservedFractionForTimely : 0;
+    // Only a second search could tell whether there was memory without the reserve, which would make refusals more expensive.
+    const isHeldByReserve = () =>
+        queue.rankReserve.getLastFraction(ranked) > getTimelyFraction(clock.getMonotonicTime()) && !mayIgnoreReserve();
     return {
         requestId: request.id,
         isRanked,
@@ -70,7 +75,7 @@
         isHeld,
         tryReserve: () => {
             const now = clock.getMonotonicTime();
-            const timelyFraction = now > latestOnTimeStart ? reservedFractionForTimely : 0;
+            const timelyFraction = getTimelyFraction(now);
             const spareFraction = Math.max(timelyFraction, getReserve(now));
             const choose = (spare: number) =>
                 chains.chooseWithinLimits({ avoid: avoided, mayOvercommit: false, spareFraction: spare, rateLimited });
@@ -93,6 +98,12 @@
         getLimitRetryMilliseconds: () => chains.getLimitRetryDelay({ avoid: avoided, rateLimited }),
         getLinkBlock: () => chains.getLinkBlock(),
         start,
-        refuse,
+        refuse: (cause, retryAfterMilliseconds, bound) => {
+            const isReserve = bound === StartBound.Capacity && (isHeld() || isHeldByReserve());
+            const namedBound = isReserve ? StartBound.Reserve : bound;
+            const refusal = { rank, customer, bound: namedBound, retryAfterMilliseconds };
+            queue.refusals.note(refusal, clock.getMonotonicTime());
+            refuse(cause, retryAfterMilliseconds, namedBound);
+        },
     };
 }
