Extend the soak of foxlead platform by ranks, unequal customers and faults under load

Cause: the soak had routes of one rank, one customer, one data centre of engines and no load beyond what they serve, so it could not find faults of the parts for hard load.

Bursts and stops in bursts count as planned operations, which must not interrupt requests. Endpoint stand-ins refuse orders for another endpoint with 421 and register with the time of their start.

--- a/scripts/soak/router/callChecks.ts
+++ b/scripts/soak/router/callChecks.ts
@@ -3,12 +3,14 @@
 import type { Violations } from "../violations.ts";
 import { callKinds } from "./callKind.ts";
 import type { CallRecord } from "./callRecord.ts";
+import { checkRanks } from "./checkRanks.ts";
 import { endpointLimitKind } from "./endpointLimitKind.ts";
 import { eventsPerStream } from "./eventsPerStream.ts";
 import { findArrivalsAfterLeaving } from "./findArrivalsAfterLeaving.ts";
 import { findArrivalsInPauses } from "./findArrivalsInPauses.ts";
 import { harmfulBody } from "./harmfulBody.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
+import { startAtDeletionKind } from "./startAtDeletionKind.ts";
 
 /** Options of {@link CallChecks}. */
 interface CallChecksOptions {
@@ -31,8 +33,8 @@
 const responseToleranceMilliseconds = 1_500;
 const drainMilliseconds = 2_000;
 const drainSlackMilliseconds = 500;
-/** Planned operations at nodes, which must not interrupt requests. */
-const plannedOperations = ["nodeStop", "nodeReload"];
+/** Planned operations at nodes and bursts of requests, which must not interrupt requests. */
+const plannedOperations = ["nodeStop", "nodeStopInBurst", "nodeReload", "burst"];
 /** Time after a fault from which invariants with a time limit hold again. */
 const settleMilliseconds = 4_000;
 /** Time after a caller's disconnect from which no request may arrive at an endpoint: the permitted 500 ms plus transit. */
@@ -102,6 +104,8 @@
         for (const record of this.records.values()) {
             this.checkRunCounts(record, byRequest.get(record.id) ?? []);
         }
+        const sound = [...this.records.values()].filter(record => !this.hasNodeFault(record));
+        checkRanks(sound, id => byRequest.has(id), this.options.violations);
     }
 
     /** Describes the requests whose ids start with a prefix and that have no complete successful response. */
@@ -150,7 +154,7 @@
             return;
         }
         const isChanged = run.method !== record.method || run.url !== record.path || run.body !== record.body;
-        if (isChanged || run.headers["tenant"] !== "first" || run.headers.authorization !== undefined) {
+        if (isChanged || run.headers["tenant"] !== record.customer || run.headers.authorization !== undefined) {
             this.addForRun(
                 "changed",
                 `It arrived as ${run.method} ${run.url} of tenant ${run.headers["tenant"]}.`,
@@ -242,17 +246,23 @@
         }
     }
 
-    /** Checks that an endpoint receives no request after its drain period. */
+    /** Checks that an endpoint receives no request after its drain period, counted from its draining or the end of its record. */
     private checkDraining(run: Run, record: CallRecord): void {
         for (const endpoint of this.options.deployment.endpoints) {
-            const since = endpoint.getLeavingSince(run.endpointId);
+            const since = endpoint.getLeavingSince(run.endpointId) ?? endpoint.getDeletedAt(run.endpointId);
             if (since === undefined || run.arrivedAt <= since + drainMilliseconds + drainSlackMilliseconds) {
                 continue;
             }
-            if (!this.hasFault(["node", "store"], since - settleMilliseconds, run.arrivedAt, record.node)) {
+            if (
+                !this.hasFault(["node", "store"], since - settleMilliseconds, run.arrivedAt, record.node, [
+                    startAtDeletionKind,
+                ])
+            ) {
                 this.addForRun(
                     "drain",
-                    `It arrived ${run.arrivedAt - since} ms after the endpoint started draining.`,
+                    `It arrived ${
+                        run.arrivedAt - since
+                    } ms after the endpoint started draining or its record was deleted.`,
                     run,
                     record,
                 );
@@ -296,9 +306,16 @@
     }
 
     /** Gets if a fault of the node or the store, whose kind starts with one of the prefixes, overlaps a time span. */
-    private hasFault(prefixes: readonly string[], from: number, to: number, node: string): boolean {
+    private hasFault(
+        prefixes: readonly string[],
+        from: number,
+        to: number,
+        node: string,
+        ignoredKinds: readonly string[] = [],
+    ): boolean {
         return this.options.timeline.getDuring(from, to).some(({ kind, target }) =>
-            prefixes.some(prefix => kind.startsWith(prefix)) && (target === node || target === "store")
+            !ignoredKinds.includes(kind) && prefixes.some(prefix => kind.startsWith(prefix))
+            && (target === node || target === "store")
         );
     }
 
--- a/scripts/soak/router/callKind.ts
+++ b/scripts/soak/router/callKind.ts
@@ -8,6 +8,8 @@
     model: "model",
     /** A model request that may run at most once. */
     once: "once",
+    /** A model request with a resumable stream, of the last rank. */
+    last: "last",
 } as const;
 
 /** One of {@link callKinds}. */
--- a/scripts/soak/router/callRecord.ts
+++ b/scripts/soak/router/callRecord.ts
@@ -7,6 +7,8 @@
     method: "GET" | "POST";
     path: string;
     body: string;
+    /** Name of the customer. */
+    customer: string;
     /** Name of the node. */
     node: string;
     /** Wall-clock times in milliseconds. */
--- a/scripts/soak/router/routerCallers.ts
+++ b/scripts/soak/router/routerCallers.ts
@@ -1,9 +1,9 @@
 import { Pool } from "undici";
-import { callerKey } from "../../../standins/router/callerKey.ts";
 import type { SeededRandom } from "../seededRandom.ts";
 import type { CallKind } from "./callKind.ts";
 import { callKinds } from "./callKind.ts";
 import type { CallRecord } from "./callRecord.ts";
+import { type Customer, customers } from "./customers.ts";
 import { harmfulBody } from "./harmfulBody.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
 import type { SoakNode } from "./soakNode.ts";
@@ -21,7 +21,7 @@
 
 const kinds: readonly CallKind[] = Object.values(callKinds);
 /** Maximum of connections to each node. */
-const connections = 12;
+const connections = 40;
 const deadlineMilliseconds = 5_000;
 /** Time after the request's deadline at which the caller gives up. */
 const callerTimeoutMarginMilliseconds = 4_000;
@@ -85,9 +85,13 @@
         await this.call(this.createCall(id), false);
     }
 
-    private createCall(id: string): CallContent {
+    /** Sends a model request of a kind. */
+    async sendOfKind(id: string, kind: CallKind): Promise<void> {
+        await this.call(this.createCall(id, kind), false);
+    }
+
+    private createCall(id: string, kind: CallKind = this.options.random.choose(kinds)!): CallContent {
         const { random } = this.options;
-        const kind = random.choose(kinds)!;
         const path = `/${kind}/${id}?of=${random.chooseInteger(0, 9)}`;
         const isGet = kind === callKinds.safe;
         const body = isGet ? "" : createBody(random);
@@ -101,8 +105,10 @@
 
     private async call(content: CallContent, disconnects: boolean): Promise<void> {
         const node = this.chooseNode();
+        const { name: customer, apiKey } = chooseCustomer(this.options.random);
         const record: CallRecord = {
             ...content,
+            customer,
             node: node.name,
             sentAt: Date.now(),
             endedAt: 0,
@@ -113,12 +119,12 @@
             isComplete: false,
             reason: "",
         };
-        await this.receive(record, this.getPool(node), disconnects);
+        await this.receive(record, apiKey, this.getPool(node), disconnects);
         record.endedAt = Date.now();
         this.options.onEnded(record);
     }
 
-    private async receive(record: CallRecord, pool: Pool, disconnects: boolean): Promise<void> {
+    private async receive(record: CallRecord, apiKey: string, pool: Pool, disconnects: boolean): Promise<void> {
         const { random } = this.options;
         const controller = new AbortController();
         const disconnect = () => {
@@ -136,7 +142,7 @@
                     host: "one.example",
                     "request-id": record.id,
                     "request-deadline-ms": String(deadlineMilliseconds),
-                    authorization: `Bearer ${callerKey}`,
+                    authorization: `Bearer ${apiKey}`,
                 },
                 body: record.body,
                 signal: AbortSignal.any([
@@ -172,6 +178,11 @@
     }
 }
 
+function chooseCustomer(random: SeededRandom): Customer {
+    const [large, ...others] = customers;
+    return random.isHit(large!.share) ? large! : random.choose(others)!;
+}
+
 function createBody(random: SeededRandom): string {
     return String(random.chooseInteger(0, 9)).repeat(random.chooseInteger(1, maximumBodyCharacters));
 }
--- a/scripts/soak/router/routerDeployment.ts
+++ b/scripts/soak/router/routerDeployment.ts
@@ -6,12 +6,12 @@
 import { LinkCut } from "../../../standins/network/linkCut.ts";
 import { LoopbackProxy } from "../../../standins/network/loopbackProxy.ts";
 import { createBootFile } from "../../../standins/router/createBootFile.ts";
-import { createConfiguration } from "../../../standins/router/createConfiguration.ts";
 import { KeyValueStandin } from "../../../standins/router/keyValueStandin.ts";
 import type { ChildProcess } from "../../deployment/childProcess.ts";
 import { findFreePorts } from "../../deployment/findFreePorts.ts";
 import { ProcessStarter } from "../../deployment/processStarter.ts";
 import { fetchText } from "../fetchText.ts";
+import { createSoakConfiguration } from "./createSoakConfiguration.ts";
 import { getLinksFile } from "./getLinksFile.ts";
 import type { LinkState } from "./linkState.ts";
 import { SoakEndpoint } from "./soakEndpoint.ts";
@@ -31,9 +31,8 @@
 }
 
 const dataCentres = ["a", "b"];
-/** Memory for half of the model's layers and some requests, so that a chain needs two stages. */
-const engineChanges = { kinds: [{ name: "big", mb: 5_000, pace: 1, read_x: 1 }] };
-const stageEndpoints = 4;
+/** Data centres of the stages. A stage holds half of the layers, so that the second data centre lacks some. */
+const stageDataCentres = ["a", "a", "a", "b"];
 const documentEndpoints = 3;
 const portsPerNode = 5;
 const pollMilliseconds = 50;
@@ -70,10 +69,9 @@
     }
 
     /** Writes a new version of the configuration and returns the version. */
-    configure(changes: object = {}): number {
+    configure(): number {
         this.version += 1;
-        this.writeConfiguration = () =>
-            this.store.put("op/config", createConfiguration(this.version, changes, engineChanges));
+        this.writeConfiguration = () => this.store.put("op/config", createSoakConfiguration(this.version));
         this.writeConfiguration();
         return this.version;
     }
@@ -161,11 +159,13 @@
     private async startEndpoints(): Promise<void> {
         for (let index = 0; index < documentEndpoints; index += 1) {
             const name = `document-${index}`;
-            this.endpoints.push(await SoakEndpoint.create({ name, store: this.store, isStage: false }));
+            this.endpoints.push(
+                await SoakEndpoint.create({ name, store: this.store, isStage: false, dataCentre: dataCentres[0]! }),
+            );
         }
-        for (let index = 0; index < stageEndpoints; index += 1) {
+        for (const [index, dataCentre] of stageDataCentres.entries()) {
             const name = `stage-${index}`;
-            this.endpoints.push(await SoakEndpoint.create({ name, store: this.store, isStage: true }));
+            this.endpoints.push(await SoakEndpoint.create({ name, store: this.store, isStage: true, dataCentre }));
         }
     }
 
--- a/scripts/soak/router/routerFaultKinds.ts
+++ b/scripts/soak/router/routerFaultKinds.ts
@@ -7,10 +7,14 @@
 import type { FaultKind } from "../faultKind.ts";
 import { callKinds } from "./callKind.ts";
 import { endpointLimitKind } from "./endpointLimitKind.ts";
+import { endpointTakesAddress } from "./endpointTakesAddress.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
 import type { RouterSoakContext } from "./routerSoakContext.ts";
 import type { SoakEndpoint } from "./soakEndpoint.ts";
 import type { SoakNode } from "./soakNode.ts";
+import { startAtDeletionKind } from "./startAtDeletionKind.ts";
+import { startBurst } from "./startBurst.ts";
+import { takeEndpoint } from "./takeEndpoint.ts";
 
 type RouterFaultKind = FaultKind<RouterSoakContext>;
 /** Injects or reverts a fault of a target. */
@@ -26,6 +30,10 @@
 const harmfulRequests = 12;
 const harmfulDelayMilliseconds: DurationRange = [50, 1_200];
 let lastHarmfulSeries = 0;
+/** Time from the start of a burst to the end of a node, after which the nodes share the capacity by rank. */
+const burstSettleMilliseconds = 4_000;
+/** Time from the start of a node within which a record is deleted; a node reads the store within it. */
+const deletionMilliseconds: DurationRange = [0, 1_200];
 /** Time that a leaving endpoint keeps serving before it stops; longer than the drain period of the nodes. */
 const leavingMilliseconds = 3_000;
 
@@ -37,6 +45,9 @@
     nodeKill: nodeFault(3, minimalDuration, (context, node) => context.deployment.kill(node), restart),
     nodeStop: nodeFault(4, minimalDuration, (context, node) => context.deployment.terminate(node), restart),
     nodeStopAtStart: nodeFault(1, minimalDuration, stopAtStart, restart),
+    nodeKillInBurst: endInBurst((deployment, node) => deployment.kill(node)),
+    nodeStopInBurst: endInBurst((deployment, node) => deployment.terminate(node)),
+    [startAtDeletionKind]: nodeFault(3, minimalDuration, startAtDeletion, () => undefined),
     nodeFreeze: nodeFault(3, longDuration, (_, { process }) => process.signal("SIGSTOP"), thaw),
     nodeReload: nodeFault(2, minimalDuration, (_, { process }) => process.signal("SIGHUP"), () => undefined),
     nodeStoreReset: storeConnectionFault(1, ProxyMode.Reset),
@@ -56,6 +67,20 @@
     storeCompact: deploymentFault(2, ({ deployment }) => deployment.store.compact()),
     configurationChange: deploymentFault(2, ({ deployment }) => void deployment.configure()),
     harmfulRequest: deploymentFault(2, sendHarmful),
+    burst: {
+        weight: 3,
+        durationMilliseconds: extendedDuration,
+        prepare: context => {
+            let end = () => undefined as void;
+            return {
+                target: "callers",
+                inject: () => {
+                    end = startBurst(context);
+                },
+                revert: () => end(),
+            };
+        },
+    },
     endpointReset: endpointConnectionFault(2, ProxyMode.Reset),
     endpointSilence: endpointConnectionFault(2, ProxyMode.Silence),
     endpointCutRequests: endpointConnectionFault(1, ProxyMode.CutRequests),
@@ -82,6 +107,8 @@
     endpointCutsStreams: behaviourFault(2, { cutsAfterEvent: 5 }),
     endpointStallsStreams: behaviourFault(2, { stallsAfterEvent: 7 }),
     endpointSlow: behaviourFault(1, { delayMilliseconds: 700 }),
+    endpointSlowStream: behaviourFault(2, { slowness: 6 }, longDuration),
+    endpointTakesAddress,
     [endpointLimitKind.name]: behaviourFault(
         3,
         { requestsPerSecond: endpointLimitKind.requestsPerSecond },
@@ -159,6 +186,33 @@
     await restarting;
 }
 
+/** Ends a node while it shares the capacity with the others in a burst. */
+function endInBurst(endNode: (deployment: RouterDeployment, node: SoakNode) => Promise<void>): RouterFaultKind {
+    const inject: FaultAction<SoakNode> = async (context, node) => {
+        const endBurst = startBurst(context);
+        await sleep(burstSettleMilliseconds);
+        await endNode(context.deployment, node);
+        await sleep(burstSettleMilliseconds);
+        endBurst();
+    };
+    return nodeFault(2, minimalDuration, inject, restart);
+}
+
+/** Kills a node and deletes the record of an endpoint, which goes on serving, while the node starts again. */
+async function startAtDeletion(context: RouterSoakContext, node: SoakNode): Promise<void> {
+    const { deployment, random } = context;
+    const endpoint = takeEndpoint(context);
+    await deployment.kill(node);
+    const restarting = deployment.restart(node);
+    await sleep(random.chooseInteger(...deletionMilliseconds));
+    endpoint?.unregister();
+    await restarting;
+    if (endpoint !== undefined) {
+        await stopAfterLeaving(context, endpoint);
+        endpoint.isTaken = false;
+    }
+}
+
 function thaw(_context: RouterSoakContext, { process }: SoakNode): void {
     process.signal("SIGCONT");
 }
--- a/scripts/soak/router/soakEndpoint.ts
+++ b/scripts/soak/router/soakEndpoint.ts
@@ -15,6 +15,7 @@
     store: KeyValueStandin;
     /** Whether the endpoint serves layers of the model; it starts without any. */
     isStage: boolean;
+    dataCentre: string;
 }
 
 /** An execution of a request, with the id of the endpoint incarnation that ran it. */
@@ -36,6 +37,13 @@
     address: string;
     /** Wall-clock time in milliseconds at which it registered as draining; undefined if it has not. */
     leavingSince: number | undefined;
+    /** Wall-clock time at which its store record was deleted, in milliseconds; undefined if it was not. */
+    deletedAt: number | undefined;
+}
+
+/** Where a proxy leads to; undefined only until the endpoint is created. */
+interface ProxyTarget {
+    endpoint: SoakEndpoint | undefined;
 }
 
 const eventMilliseconds = 30;
@@ -47,26 +55,29 @@
 /** An endpoint behind a proxy. Each start creates a new incarnation with its own id. */
 export class SoakEndpoint {
     readonly name: string;
-    readonly proxy: LoopbackProxy;
+    proxy: LoopbackProxy;
     isTaken = false;
     private isRestarting = false;
     /** Rewrites the last record of the current incarnation. */
     private writeAgain: () => void = () => undefined;
     private readonly options: SoakEndpointOptions;
-    private readonly incarnations: EndpointIncarnation[];
+    private readonly incarnations: EndpointIncarnation[] = [];
+    /** Selects the endpoint that the proxy leads to. */
+    private target: ProxyTarget;
 
-    private constructor(options: SoakEndpointOptions, proxy: LoopbackProxy, incarnations: EndpointIncarnation[]) {
+    private constructor(options: SoakEndpointOptions, proxy: LoopbackProxy, target: ProxyTarget) {
         this.options = options;
         this.name = options.name;
         this.proxy = proxy;
-        this.incarnations = incarnations;
+        this.target = target;
+        target.endpoint = this;
     }
 
     /** Starts an endpoint and registers it. */
     static async create(options: SoakEndpointOptions): Promise<SoakEndpoint> {
-        const incarnations: EndpointIncarnation[] = [];
-        const proxy = await LoopbackProxy.create(() => incarnations.at(-1)!.address);
-        const endpoint = new SoakEndpoint(options, proxy, incarnations);
+        const target: ProxyTarget = { endpoint: undefined };
+        const proxy = await LoopbackProxy.create(() => target.endpoint!.getCurrent().address);
+        const endpoint = new SoakEndpoint(options, proxy, target);
         await endpoint.start();
         return endpoint;
     }
@@ -88,11 +99,13 @@
             id,
             events: eventsPerStream,
             eventMilliseconds,
-            onLayersChanged: () => this.register(),
+            onLayersChanged: () => this.handleLayersChanged(id),
             onStopped: () => void this.restart(),
         });
         standin.behaviour = { stopsOnBody: harmfulBody };
-        this.incarnations.push({ standin, id, address: standin.getAddress(), leavingSince: undefined });
+        standin.born = Date.now();
+        const address = standin.getAddress();
+        this.incarnations.push({ standin, id, address, leavingSince: undefined, deletedAt: undefined });
         this.proxy.resetConnections();
         this.register();
     }
@@ -128,7 +141,17 @@
     /** Removes the store record, as the platform does after missed heartbeats. */
     unregister(): void {
         this.writeAgain = () => undefined;
-        this.options.store.remove(`servers/${this.getCurrent().id}`);
+        const current = this.getCurrent();
+        current.deletedAt ??= Date.now();
+        this.options.store.remove(`servers/${current.id}`);
+    }
+
+    /** Exchanges the addresses of two endpoints that have crashed, so that each starts again at the address of the other one. */
+    exchangeAddresses(other: SoakEndpoint): void {
+        [this.proxy, other.proxy] = [other.proxy, this.proxy];
+        [this.target, other.target] = [other.target, this.target];
+        this.target.endpoint = this;
+        other.target.endpoint = other;
     }
 
     /**
@@ -137,7 +160,8 @@
      */
     async handleStoreRestored(): Promise<void> {
         this.writeAgain();
-        const ended = this.incarnations.slice(0, -1);
+        const current = this.getCurrent();
+        const ended = this.incarnations.filter(each => each !== current || each.deletedAt !== undefined);
         await sleep(recordTimeToLiveMilliseconds);
         for (const { id } of ended) {
             this.options.store.remove(`servers/${id}`);
@@ -159,6 +183,11 @@
         return this.incarnations.find(({ id }) => id === endpointId)?.leavingSince;
     }
 
+    /** Gets the wall-clock time at which the store record of an incarnation was deleted, in milliseconds. */
+    getDeletedAt(endpointId: string): number | undefined {
+        return this.incarnations.find(({ id }) => id === endpointId)?.deletedAt;
+    }
+
     /** Stops the endpoint and its proxy. */
     async close(): Promise<void> {
         await this.getCurrent().standin.close();
@@ -169,11 +198,22 @@
         return this.incarnations.at(-1)!;
     }
 
+    /** Registers the new layers, unless the record was deleted or the endpoint has been replaced. */
+    private handleLayersChanged(id: string): void {
+        const current = this.getCurrent();
+        if (current.id === id && current.deletedAt === undefined) {
+            this.register();
+        }
+    }
+
     private register(state?: string): void {
         const { id, standin } = this.getCurrent();
         const service = this.isStage() ? "model" : "documents";
         const layers = this.isStage() ? standin.layers ?? null : undefined;
-        const record = createEndpointRecord({ service, address: this.proxy.getAddress(), state, slots, layers });
+        const address = this.proxy.getAddress();
+        const { dataCentre } = this.options;
+        const { born } = standin;
+        const record = createEndpointRecord({ service, address, state, slots, layers, born, dataCentre });
         this.writeAgain = () => this.options.store.put(`servers/${id}`, record);
         this.writeAgain();
     }
--- a/standins/router/createEndpointRecord.ts
+++ b/standins/router/createEndpointRecord.ts
@@ -11,15 +11,17 @@
     layers?: { from: number; to: number; } | null;
     /** Start time of the endpoint, in Unix milliseconds. Default: 1,000. */
     born?: number;
+    /** Default: `a`. */
+    dataCentre?: string;
 }
 
 /** Creates the record that an endpoint writes to the platform's store. */
 export function createEndpointRecord(options: EndpointRecordOptions): Record<string, unknown> {
-    const { service, address, state = "ready", slots = 6, layers, born = 1_000 } = options;
+    const { service, address, state = "ready", slots = 6, layers, born = 1_000, dataCentre = "a" } = options;
     return {
         service,
         address,
-        zone: "a",
+        zone: dataCentre,
         version: "v1",
         slots,
         state,
--- a/standins/router/endpointBehaviour.ts
+++ b/standins/router/endpointBehaviour.ts
@@ -28,4 +28,6 @@
     requestsPerSecond?: number;
     /** Delay of the response, in milliseconds. */
     delayMilliseconds?: number;
+    /** Factor on the time between events, which the endpoint also reports. */
+    slowness?: number;
 }
--- a/standins/router/endpointStandin.ts
+++ b/standins/router/endpointStandin.ts
@@ -97,6 +97,10 @@
             return;
         }
         if (request.url === "/v1/order") {
+            if (this.isMisdirected(request)) {
+                sendJson(response, 421, {});
+                return;
+            }
             this.handleOrder(JSON.parse(body) as Record<string, unknown>, response);
             return;
         }
@@ -106,7 +110,7 @@
     private sendReport(response: ServerResponse): void {
         const stalled = [...this.stalled.keys()].map(id => ({ id, address: this.stalledAddress }));
         sendJson(response, 200, {
-            pace: 1,
+            pace: this.behaviour.slowness ?? 1,
             sequence: this.sequence,
             busy: false,
             born: this.born,
@@ -146,8 +150,7 @@
     private runRequest(request: IncomingMessage, response: ServerResponse, body: string): void {
         const id = String(request.headers["request-id"]);
         const { behaviour } = this;
-        const expected = request.headers["expect-instance"];
-        if (expected !== undefined && expected !== this.options.id) {
+        if (this.isMisdirected(request)) {
             sendJson(response, 421, {});
             return;
         }
@@ -169,6 +172,12 @@
         setTimeout(() => this.sendAnswer(request, response, record), behaviour.delayMilliseconds ?? 0);
     }
 
+    /** Gets if a request or an order is addressed to another endpoint, which had the address before. */
+    private isMisdirected({ headers }: IncomingMessage): boolean {
+        const expected = headers["expect-instance"];
+        return expected !== undefined && expected !== this.options.id;
+    }
+
     private recordArrival(requestId: string): void {
         const { pauseSeconds, isLeaving = false } = this.behaviour;
         const arrivedAt = Date.now();
@@ -237,7 +246,7 @@
             return;
         }
         response.write(`id: ${event}\ndata: ${this.options.id}\n\n`);
-        setTimeout(() => this.streamFrom(event + 1, id, response), eventMilliseconds);
+        setTimeout(() => this.streamFrom(event + 1, id, response), eventMilliseconds * (behaviour.slowness ?? 1));
     }
 }
 
--- a/tests/scripts/callChecks.test.ts
+++ b/tests/scripts/callChecks.test.ts
@@ -29,6 +29,7 @@
             getRuns: () => runs,
             getArrivals: () => [{ endpointId: "e", arrivals }],
             getLeavingSince: (id: string) => id === "leaving" ? leftAt : undefined,
+            getDeletedAt: (id: string) => id === "deleted" ? leftAt : undefined,
         }];
         checks = CallChecks.create({ deployment: { endpoints } as never, timeline, violations });
     });
@@ -40,6 +41,7 @@
             method: "POST",
             path: "/unsafe/call-1",
             body: "body",
+            customer: "first",
             node: "node-0",
             sentAt: 900,
             endedAt: 1_000,
@@ -120,6 +122,48 @@
         assert.deepEqual(check(createRecord(), late), ["drain"]);
     });
 
+    it("detects requests that reach an endpoint after its record was deleted, also at a node that started then", () => {
+        assert.deepEqual(check(createRecord(), createRun({ endpointId: "deleted", arrivedAt: leftAt + 2_400 })), []);
+        const late = createRun({ endpointId: "deleted", arrivedAt: leftAt + 2_600 });
+        const start = timeline.start("nodeStartAtDeletion", "node-0");
+        start.from = leftAt - 500;
+        start.to = leftAt + 4_000;
+        assert.deepEqual(check(createRecord(), late), ["drain"]);
+        const freeze = timeline.start("nodeFreeze", "node-0");
+        freeze.from = leftAt;
+        freeze.to = leftAt + 500;
+        assert.deepEqual(check(createRecord(), late), ["drain"]);
+    });
+
+    it("detects that the last rank is admitted while the first is refused for longer than 3 s", () => {
+        const text = JSON.stringify({ error: "It would wait too long for capacity." });
+        const refusal = { status: 503, signature: undefined, text };
+        const send = (kind: "model" | "last", sentAt: number, changes: Partial<CallRecord>, isAdmitted: boolean) => {
+            const id = `${kind}-${sentAt}`;
+            const path = `/${kind}/${id}`;
+            checks.checkAnswer(createRecord({ id, kind, path, sentAt, endedAt: sentAt + 10, ...changes }));
+            if (isAdmitted) {
+                runs.push(createRun({ id, url: path, arrivedAt: sentAt }));
+            }
+        };
+        const countRanks = () => {
+            checks.checkRuns();
+            return violations.getAll().filter(({ kind }) => kind === "ranks").length;
+        };
+        for (let at = 10_000; at < 16_000; at += 500) {
+            send("model", at, refusal, false);
+        }
+        send("last", 12_900, { text: stream }, true);
+        send("last", 14_000, { text: stream }, true);
+        assert.equal(countRanks(), 0);
+        send("last", 14_500, { text: stream }, true);
+        assert.equal(countRanks(), 1);
+        const silent = timeline.start("nodeLinksSilent", "node-0");
+        silent.from = 13_000;
+        silent.to = 14_600;
+        assert.equal(countRanks(), 1);
+    });
+
     it("detects requests forwarded after their callers disconnected, except during faults of the node or the endpoint", () => {
         const leave = (count: number, arrivedAt: number) => {
             runs = [];
