--- a/scripts/soak/router/routerFaultKinds.ts
+++ b/scripts/soak/router/routerFaultKinds.ts
@@ -39,6 +39,7 @@
 
 const nodeFault = createTargetFault(({ nodes }) => nodes);
 const endpointFault = createTargetFault(({ endpoints }) => endpoints);
+const stageFault = createTargetFault(({ endpoints }) => endpoints.filter(endpoint => endpoint.isStage()));
 
 /** Faults of nodes, the store, endpoints and the connections between them. */
 export const routerFaultKinds: Readonly<Record<string, RouterFaultKind>> = {
@@ -107,7 +108,7 @@
     endpointCutsStreams: behaviourFault(2, { cutsAfterEvent: 5 }),
     endpointStallsStreams: behaviourFault(2, { stallsAfterEvent: 7 }),
     endpointSlow: behaviourFault(1, { delayMilliseconds: 700 }),
-    endpointSlowStream: behaviourFault(2, { slowness: 6 }, longDuration),
+    endpointSlowStream: behaviourFault(2, { slowness: 6 }, longDuration, stageFault),
     endpointTakesAddress,
     [endpointLimitKind.name]: behaviourFault(
         3,
@@ -168,9 +169,14 @@
     return endpointFault(weight, shortDuration, set(mode), set(ProxyMode.Pass));
 }
 
-function behaviourFault(weight: number, behaviour: EndpointBehaviour, hold = shortDuration): RouterFaultKind {
+function behaviourFault(
+    weight: number,
+    behaviour: EndpointBehaviour,
+    hold = shortDuration,
+    createFault = endpointFault,
+): RouterFaultKind {
     const set = (next: EndpointBehaviour): FaultAction<SoakEndpoint> => (_, endpoint) => endpoint.setBehaviour(next);
-    return endpointFault(weight, hold, set(behaviour), set({}));
+    return createFault(weight, hold, set(behaviour), set({}));
 }
 
 function restart({ deployment }: RouterSoakContext, node: SoakNode): Promise<void> {
