State what a stage of the soak holds

Cause: with memory for half of the model's layers a stage has 2,500 tokens left, less than the eight usual requests that isUseful asks for, so the placement gives each stage a quarter; the comments said half.

Change: comments only.

Measured: a call of assignLayers with the soak's model, columns 0-4 and 4-8 and four free stages (three in one data centre) assigns 0-2, 2-4, 4-6 and 6-8.

--- a/scripts/soak/router/createSoakConfiguration.ts
+++ b/scripts/soak/router/createSoakConfiguration.ts
@@ -3,7 +3,10 @@
 import { customers } from "./customers.ts";
 import { modelRanks } from "./modelRanks.ts";
 
-/** Memory for half of the model's layers and some requests, so that a chain needs two stages. */
+/**
+ * Memory for half of the model's layers, but then for fewer requests than the placement takes for useful, so that a stage holds a quarter
+ * and a chain needs four stages.
+ */
 const engineChanges = { kinds: [{ name: "big", mb: 5_000, pace: 1, read_x: 1 }] };
 
 /** Creates a configuration with model routes of three ranks and customers of unequal size. */
--- a/scripts/soak/router/routerDeployment.ts
+++ b/scripts/soak/router/routerDeployment.ts
@@ -31,7 +31,7 @@
 }
 
 const dataCentres = ["a", "b"];
-/** Data centres of the stages. A stage holds half of the layers, so that the second data centre lacks some. */
+/** Data centres of the stages. A chain needs four stages, so that no data centre holds every layer. */
 const stageDataCentres = ["a", "a", "a", "b"];
 const documentEndpoints = 3;
 const portsPerNode = 5;
