Move one endpoint of a data centre at a time while one is lost by evidence

Cause: with an endpoint lost by evidence, moves come from two decisions: those for the fleet count it as lost, the others as present. Neither counts the moves of the other. If both are due at the same check, as when a node acquires the lease later, they could take both replicas of a column, so that the fleet lacked it, or order one endpoint twice. Change: moves for a data centre or for balance are left out in the data centre from which an endpoint moves for the fleet. They are decided again once that order is known. Deployments without lost endpoints are not affected. Measured: the new test fails without the change (2 orders, for both replicas of the column); the 17 tests of the file pass.

--- a/src/process/placement/placementController.ts
+++ b/src/process/placement/placementController.ts
@@ -320,10 +320,12 @@
         const lostStates = this.createPlacementEndpoints(lost, now).map(state => ({ ...state, isBusy: true }));
         const { moves } = assignLayers(model, columns, [...states, ...lostStates]);
         const isForFleet = ({ purpose }: LayerMove) => purpose === MovePurpose.FleetLacks;
-        return {
-            assignments: decision.assignments,
-            moves: [...decision.moves.filter(isForFleet), ...moves.filter(move => !isForFleet(move))],
-        };
+        const fleetMoves = decision.moves.filter(isForFleet);
+        // Moves of the two decisions don't count each other, so that together they could take all replicas of a column.
+        const dataCentres = new Map(states.map(({ id, dataCentre }) => [id, dataCentre]));
+        const moving = new Set(fleetMoves.map(({ endpointId }) => dataCentres.get(endpointId)));
+        const others = moves.filter(move => !isForFleet(move) && !moving.has(dataCentres.get(move.endpointId)));
+        return { assignments: decision.assignments, moves: [...fleetMoves, ...others] };
     }
 
     /** Logs why orders are withheld, once until the reason changes. */
--- a/tests/process/placement/placementController.test.ts
+++ b/tests/process/placement/placementController.test.ts
@@ -10,6 +10,7 @@
 import { MemoryStore } from "../../support/memoryStore.ts";
 import { RecordingEventLog } from "../../support/recordingEventLog.ts";
 
+const first = { start: 8, end: 24 };
 const second = { start: 24, end: 40 };
 const third = { start: 40, end: 56 };
 const kind = "middle";
@@ -136,6 +137,35 @@
         assert.deepEqual(orders.map(({ order }) => order.layers), [third]);
     });
 
+    // Guards against two moves that were decided apart, one by evidence and one by records, and took both replicas of a column.
+    it("moves only one endpoint of a data centre at a time while an endpoint is lost by evidence", async () => {
+        const columns = [first, second, third].map(layers => ({ layers, kind }));
+        const plan = { service: "model", modelName: relayModel.modelName, layers: relayModel.layers, columns };
+        await store.compareAndSwap(planKey, 0, JSON.stringify(plan));
+        const elsewhere = { ...createMiddle("e", third), dataCentre: "other" };
+        const lost = { ...createMiddle("l", second), dataCentre: "other" };
+        const present = [createMiddle("x", first), createMiddle("w", first), elsewhere];
+        let isHolder = false;
+        endpoints = [...present, lost];
+        const controller = start(0, {
+            lease: {
+                getFencingNumber: () => isHolder ? 2 : undefined,
+                getLastNumber: () => 2,
+                isLastHolder: () => true,
+            },
+            getLostEndpoints: () => endpoints.length < 4 ? [lost] : [],
+        });
+        await clock.advance(5_000);
+        endpoints = present;
+        controller.wake();
+        await clock.advance(400);
+        // Both moves are due when the node acquires the lease.
+        isHolder = true;
+        controller.wake();
+        await clock.advance(600);
+        assert.deepEqual(orders.map(({ order }) => order.layers), [second]);
+    });
+
     describe("that acquires the lease when it has something to order", () => {
         let fencingNumber: number | undefined;
         let acquisitions: number;
