Leave ranks above the range of the message out of exchanges

Cause: the configuration allows each integer as a priority, and the message holds 32 bits. Receivers refuse a message with a larger rank as a whole, so that a node with a request of such a rank was cut off from all of its peers. Change: such ranks are left out, like negative ones.

--- a/src/process/router/rankDemandPart.ts
+++ b/src/process/router/rankDemandPart.ts
@@ -3,6 +3,9 @@
 import { type NodeState, RankDemandRecordSchema } from "../../wire/generated/foxlead/router/v1/router_pb.ts";
 import type { PeerStatePart } from "./peerStatePart.ts";
 
+/** Largest rank that the message can hold (uint32). */
+const maximumRank = 0xffff_ffff;
+
 /** The demand by rank in the state that nodes exchange. */
 export class RankDemandPart implements PeerStatePart {
     private readonly demands: RankDemands;
@@ -18,7 +21,9 @@
 
     createRecords(now: number) {
         // The configuration allows ranks that the message can't hold.
-        const reported = this.demands.listOwn(now).filter(({ rank }) => Number.isInteger(rank) && rank >= 0);
+        const reported = this.demands.listOwn(now).filter(({ rank }) =>
+            Number.isInteger(rank) && rank >= 0 && rank <= maximumRank
+        );
         return {
             rankDemands: reported.map(({ rank, demand, admitted }) =>
                 create(RankDemandRecordSchema, { rank, demand, admitted })
