Report the largest lag of the last half second only

Cause: each late timer renewed the largest lag that was still reported, so that it never decreased while timers were more than 100 ms late at least twice a second. A node with a small share of a core kept reporting one long pause: it refused requests of the lowest rank, stayed out of rotation and came last in the order of planners although its real lag was far below the thresholds. Change: the monitor keeps the recent lags that no later one exceeds, and reports the largest of the last 500 ms. Measured: the new test fails without the change (3,000 ms instead of 200 ms); the 6 tests of the file pass.

--- a/src/process/loop/eventLoopMonitor.ts
+++ b/src/process/loop/eventLoopMonitor.ts
@@ -16,11 +16,19 @@
     getProcessorTime(): number;
 }
 
+/** How late a timer was, and the monotonic time at which it ran. Both are in milliseconds. */
+interface MeasuredLag {
+    at: number;
+    milliseconds: number;
+}
+
 const account = ProcessorAccount.ofProcess;
 /** A timer that is later than this shows that the event loop was blocked, and not just a busy iteration. */
 const lateThresholdMilliseconds = 100;
 /** All input that arrived while the event loop was blocked is processed within this time. */
 const recentMilliseconds = 500;
+/** A smaller lag within this time after a larger one isn't kept, so that the timers of one delay are not kept one by one. */
+const lagResolutionMilliseconds = 10;
 /** Minimum interval between reads of the processor time, since each one is a system call. */
 const sampleIntervalMilliseconds = 200;
 /** Minimum interval between log lines, so that one line covers all timers that one delay has made late. */
@@ -35,7 +43,8 @@
  */
 export class EventLoopMonitor implements Clock {
     private readonly options: EventLoopMonitorOptions;
-    private latestLag = { at: -Infinity, milliseconds: 0 };
+    /** The recent lags of which none that followed was as large, so that the largest comes first. */
+    private lags: MeasuredLag[] = [];
     private loggedAt = -Infinity;
     private sample: { at: number; processorTime: number; };
     private longestJob = { name: "", milliseconds: 0 };
@@ -79,10 +88,10 @@
         };
     }
 
-    /** Gets the recent lag of the event loop in milliseconds; 0 if timers were on time. */
+    /** Gets the largest recent lag of the event loop in milliseconds; 0 if timers were on time. */
     getLag(): number {
-        const { at, milliseconds } = this.latestLag;
-        return this.getMonotonicTime() - at < recentMilliseconds ? milliseconds : 0;
+        const now = this.getMonotonicTime();
+        return this.lags.find(({ at }) => now - at < recentMilliseconds)?.milliseconds ?? 0;
     }
 
     /**
@@ -116,7 +125,10 @@
     }
 
     private recordLag(late: number, now: number): void {
-        this.latestLag = { at: now, milliseconds: Math.max(late, this.getLag()) };
+        this.lags = this.lags.filter(({ at, milliseconds }) => now - at < recentMilliseconds && milliseconds > late);
+        if (now - (this.lags.at(-1)?.at ?? -Infinity) >= lagResolutionMilliseconds) {
+            this.lags.push({ at: now, milliseconds: late });
+        }
         if (now - this.loggedAt < logIntervalMilliseconds) {
             return;
         }
--- a/tests/process/loop/eventLoopMonitor.test.ts
+++ b/tests/process/loop/eventLoopMonitor.test.ts
@@ -55,6 +55,17 @@
         assert.deepEqual([runs, lines.length, monitor.getLag()], [1, 0, 0]);
     });
 
+    // Guards against a node that stayed out of rotation after one long pause, because shorter ones renewed the lag of that pause.
+    it("reports the largest lag of the last half second, not an earlier one that smaller lags followed", () => {
+        const lags: number[] = [];
+        for (const [delay, at] of [[0, 3_000], [200, 3_400], [100, 3_700], [50, 3_900]] as const) {
+            monitor.setTimer(delay, () => undefined);
+            runTimersAt(at);
+            lags.push(monitor.getLag());
+        }
+        assert.deepEqual(lags, [3_000, 3_000, 200, 200]);
+    });
+
     it("logs once by how much the event loop was late, and the longest work in that time", () => {
         monitor.setTimer(50, () => undefined);
         monitor.setTimer(250, () => undefined);
