Limit how often a lease holder without a plan reads the store

Cause: the end of each attempt to load or make a plan causes a check, and the check began the next attempt at once. A holder that can't make a plan, because too few endpoints are registered or the store refuses its calls, called the store and searched columns without pause. Change: a holder tries again 250 ms after the last attempt began, as often as the former check did.

--- a/src/process/placement/placementPlans.ts
+++ b/src/process/placement/placementPlans.ts
@@ -31,6 +31,8 @@
 
 /** Time after which a candidate without a plan reads the store again. The lease holder may be computing the plan. */
 const candidateRetryMilliseconds = 3_000;
+/** Time after which the holder tries again if the store didn't answer or no plan was possible: the end of an attempt causes a check. */
+const holderRetryMilliseconds = 250;
 
 /** The plans of the services: read from the store, or made and stored by the lease holder. */
 export class PlacementPlans {
@@ -94,9 +96,10 @@
         { isStable, canOrder }: PlanSituation,
     ): Promise<void> {
         const now = this.options.clock.getMonotonicTime();
+        const sinceLastAttempt = now - (this.lastAttemptAt.get(service) ?? -Infinity);
         const isDue = canOrder
-            ? isStable || !this.servicesReadFromStore.has(service)
-            : isStable && now - (this.lastAttemptAt.get(service) ?? -Infinity) > candidateRetryMilliseconds;
+            ? (isStable || !this.servicesReadFromStore.has(service)) && sinceLastAttempt >= holderRetryMilliseconds
+            : isStable && sinceLastAttempt > candidateRetryMilliseconds;
         if (!isDue) {
             return;
         }
--- a/tests/process/placement/placementController.test.ts
+++ b/tests/process/placement/placementController.test.ts
@@ -92,6 +92,22 @@
         assert.notEqual(await store.get(planKey).then(stored => stored.unwrap()), undefined);
     });
 
+    // Guards against a holder that reads the store again as soon as it has answered: such calls have a price.
+    it("reads the store a few times per second while too few endpoints for a plan are registered", async () => {
+        endpoints = [createMiddle("x")];
+        let reads = 0;
+        const get = async (key: string) => {
+            reads += 1;
+            await new Promise<void>(resolve => {
+                clock.setTimer(5, resolve);
+            });
+            return store.get(key);
+        };
+        start(1, { store: { get, compareAndSwap: (...swap) => store.compareAndSwap(...swap) } });
+        await clock.advance(5_000);
+        assert.ok(reads <= 20, `It has read the store ${reads} times.`);
+    });
+
     it("moves no endpoint between columns before the set of endpoints is stable", async () => {
         await storePlan();
         endpoints = [createMiddle("x", second), createMiddle("w", second)];
