Count peers without requests with no demand of any rank

A peer that has had no requests sends no record of a rank, so it counted with the mean of the peers that do. On a deployment where 30 of 83 nodes have callers, the demand of all nodes was overestimated by 83 / 30, and lower ranks were held back while capacity was free.

A message with a total demand of 0 now counts as a report of no demand. Peers with requests but without records of ranks, such as nodes of an older version, count with the mean as before. Deployments with one rank keep no record of idle peers.

--- a/src/process/router/rankDemandPart.ts
+++ b/src/process/router/rankDemandPart.ts
@@ -26,9 +26,9 @@
         };
     }
 
-    applyRecords({ sender, rankDemands }: NodeState, now: number): void {
+    applyRecords({ sender, demand, rankDemands }: NodeState, now: number): void {
         if (sender !== undefined) {
-            this.demands.setPeerDemands(sender.nodeId, rankDemands, now);
+            this.demands.setPeerDemands(sender.nodeId, rankDemands, now, demand === 0);
         }
     }
 }
--- a/src/request/admission/ranks/rankDemands.ts
+++ b/src/request/admission/ranks/rankDemands.ts
@@ -63,9 +63,17 @@
             .map(rank => this.sumOwn(now, rank));
     }
 
-    /** Sets the demand that a peer reports, replacing its previous report. */
-    setPeerDemands(peerId: string, demands: readonly RankDemand[], now: number): void {
-        if (demands.length > 0 || this.peers.has(peerId)) {
+    /**
+     * Sets the demand that a peer reports, replacing its previous report.
+     * @param peerId - The peer.
+     * @param demands - Its demand by rank; empty if it has not had requests of services with several ranks.
+     * @param now - Monotonic time in milliseconds.
+     * @param isIdle - Whether the peer has had no requests at all. Its demand is then known to be 0. If it counted with the mean of
+     * the others, few nodes with callers among many without would overestimate the demand several times and hold requests back.
+     */
+    setPeerDemands(peerId: string, demands: readonly RankDemand[], now: number, isIdle = false): void {
+        const isKnownIdle = isIdle && this.own.size > 0;
+        if (demands.length > 0 || isKnownIdle || this.peers.has(peerId)) {
             this.peers.set(peerId, { receivedAt: now, byRank: new Map(demands.map(demand => [demand.rank, demand])) });
         }
     }
--- a/tests/request/admission/ranks/rankDemands.test.ts
+++ b/tests/request/admission/ranks/rankDemands.test.ts
@@ -17,6 +17,17 @@
         assert.deepEqual(demands.getTotal("m", 0, 3, 0), { rank: 0, demand: 1_200, admitted: 580 });
     });
 
+    // Guards against shares of a fraction of the capacity on deployments where few nodes have callers.
+    it("counts peers that have had no requests with no demand", () => {
+        const demands = RankDemands.create();
+        observe(demands, "m", 0);
+        demands.setPeerDemands("a", [{ rank: 0, demand: 100, admitted: 40 }], 0);
+        for (const peerId of ["b", "c", "d"]) {
+            demands.setPeerDemands(peerId, [], 0, true);
+        }
+        assert.equal(demands.getTotal("m", 0, 5, 0).demand, 1_100);
+    });
+
     it("ignores outdated reports", () => {
         const demands = RankDemands.create();
         demands.setPeerDemands("a", [{ rank: 0, demand: 100, admitted: 40 }], 0);
