Keep ranks that messages can't hold out of the reports and their totals

The configuration allows any number as a priority. A route with a priority above 2^32 - 1 made every message of a node with its requests fail to encode (invalid uint32), so that the node exchanged nothing with its peers. A priority such as -1 isn't reported, and its demand counted as that of one node as soon as peers reported another rank, so that lower ranks got nearly all of the capacity.

Ranks that a message can't hold are now left out of the reports by one check, and all nodes are assumed to have this node's demand of such a rank, as if there were no reports. Integer priorities from 0 to 2^32 - 1 are handled as before.

--- a/src/process/router/rankDemandPart.ts
+++ b/src/process/router/rankDemandPart.ts
@@ -17,10 +17,8 @@
     }
 
     createRecords(now: number) {
-        // The configuration allows ranks that the message can't hold.
-        const reported = this.demands.listOwn(now).filter(({ rank }) => Number.isInteger(rank) && rank >= 0);
         return {
-            rankDemands: reported.map(({ rank, demand, admitted }) =>
+            rankDemands: this.demands.listOwn(now).map(({ rank, demand, admitted }) =>
                 create(RankDemandRecordSchema, { rank, demand, admitted })
             ),
         };
--- a/src/request/admission/ranks/rankDemands.ts
+++ b/src/request/admission/ranks/rankDemands.ts
@@ -1,4 +1,5 @@
 import { SmoothedRate } from "../smoothedRate.ts";
+import { isReportedRank } from "./isReportedRank.ts";
 import type { RankDemand } from "./rankDemand.ts";
 
 /** Last report of a peer about its own requests. */
@@ -58,7 +59,7 @@
 
     /** Lists the demand at this node, to report it to peers. */
     listOwn(now: number): RankDemand[] {
-        const ranks = new Set([...this.own.values()].map(({ rank }) => rank));
+        const ranks = new Set([...this.own.values()].map(({ rank }) => rank).filter(isReportedRank));
         return [...ranks].sort((left, right) => left - right).slice(0, maximumReportedRanks)
             .map(rank => this.sumOwn(now, rank));
     }
@@ -81,7 +82,7 @@
     /**
      * Gets the demand for a service of one rank at all nodes. Reports don't tell services apart, so the service has the fraction of
      * the reported demand that it has of this node's. Nodes without a recent report count with the mean of the other peers, or
-     * with this node's demand if there are none.
+     * with this node's demand if there are none, or if the rank isn't reported.
      * @param nodeCount - Number of live nodes, including this one.
      */
     getTotal(service: string, rank: number, nodeCount: number, now: number): RankDemand {
@@ -100,7 +101,7 @@
             reported.admitted += byRank.get(rank)?.admitted ?? 0;
         }
         const peerCount = Math.max(0, nodeCount - 1);
-        if (reporterCount === 0) {
+        if (reporterCount === 0 || !isReportedRank(rank)) {
             const { demand, admitted } = ownOfService;
             return { rank, demand: demand * (1 + peerCount), admitted: admitted * (1 + peerCount) };
         }
--- a/tests/process/router/rankDemandPart.test.ts
+++ b/tests/process/router/rankDemandPart.test.ts
@@ -7,9 +7,9 @@
 
 describe("RankDemandPart", () => {
     // Guards against ranks that the message can't hold: without the check, no message of the node can be encoded.
-    it("passes the demand by rank to a peer, without ranks that are negative or no integers", () => {
+    it("passes the demand by rank to a peer, without ranks that are negative, too large or no integers", () => {
         const own = RankDemands.create();
-        for (const rank of [-1, 0.5, 2]) {
+        for (const rank of [-1, 0.5, 2, 5_000_000_000]) {
             own.observeArrival({ service: "m", rank, tokens: 2_000 }, 0);
         }
         const records = RankDemandPart.create(own).createRecords(0);
--- a/tests/request/admission/ranks/rankDemands.test.ts
+++ b/tests/request/admission/ranks/rankDemands.test.ts
@@ -36,6 +36,16 @@
         assert.equal(demands.getTotal("m", 0, 2, 3_001).demand, 0);
     });
 
+    // Guards against a first rank of -1 that counts with the demand of one node, so that lower ranks get nearly all capacity.
+    it("assumes the demand of each node to be the same for a rank that isn't reported", () => {
+        const demands = RankDemands.create();
+        observe(demands, "m", -1);
+        observe(demands, "m", 0);
+        demands.setPeerDemands("a", [{ rank: 0, demand: 100, admitted: 40 }], 0);
+        assert.deepEqual(demands.listOwn(0).map(({ rank }) => rank), [0]);
+        assert.equal(demands.getTotal("m", -1, 4, 0).demand, 4_000);
+    });
+
     // Guards against a reserve at one service for the demand of another one, since reports don't tell services apart.
     it("gives each service the fraction of the reported demand that it has of this node's", () => {
         const demands = RankDemands.create();
