Begin streams over a contended link when none can be on time

While no data centre is complete and a link bears too little, a stream was begun only if a prompt that queues behind two typical ones could still be on time. The usual time to a first event is measured at chains that use no link. If first events had become slow before a loss, beyond the objective less three transfers (287 ms at 1,700 Mbit/s and an objective of 500 ms), no stream passed this condition, and the usual time was not measured again until a data centre was complete: a node used nothing of its share for as long as the loss lasted.

If a typical request can't be on time over a contended link, requests are now only paced by the node's share, within the wait limit of their callers and while the link is open. Otherwise nothing changes, nor where a link bears the demand or a data centre is complete.

--- a/src/request/relay/links/linkAdmission.ts
+++ b/src/request/relay/links/linkAdmission.ts
@@ -1,9 +1,11 @@
 import type { EventLog } from "../../../process/logging/eventLog.ts";
 import type { RandomSource } from "../../../process/randomSource.ts";
 import type { EngineModel } from "../../../version/routing/engineModel.ts";
+import { canBeOnTime } from "./canBeOnTime.ts";
 import type { DataCentreLink } from "./dataCentreLink.ts";
 import { formatDataCentreLink } from "./formatDataCentreLink.ts";
 import { getActivationBits } from "./getActivationBits.ts";
+import { getContendedQueueTime } from "./getContendedQueueTime.ts";
 import { getTransferTime } from "./getTransferTime.ts";
 import type { LinkCrossing } from "./linkCrossing.ts";
 import type { LinkCrossingQuery } from "./linkCrossingQuery.ts";
@@ -48,8 +50,6 @@
  * Late requests would otherwise take the share whenever no other request waits, and the next one that arrives would become late too.
  */
 const reservedFractionForTimely = 0.5;
-/** Typical prompts that are expected to be ahead at a link of which the nodes use as much as they may. */
-const contendedQueueLength = 2;
 /** Size of the prompts that peers' streams are expected to have at most, as a multiple of a typical one. */
 const largePromptFactor = 2;
 const minimumWaitMilliseconds = 1;
@@ -117,7 +117,8 @@
         if (isRunning) {
             return this.pacer.getWait(from, to, now);
         }
-        if (couldBeOnTime && queueTime > slack) {
+        const mayBeOnTime = !isScarce || canBeOnTime(query, this.options.delays.getUsualFirstEvent());
+        if (mayBeOnTime && couldBeOnTime && queueTime > slack) {
             // With spare bandwidth, the request is served late rather than refused.
             const excess = queueTime - slack;
             return isScarce ? excess : Math.max(minimumWaitMilliseconds, Math.min(excess, slack));
@@ -130,7 +131,7 @@
         }
         // A late stream must not prolong a queue in which even a new request would become late.
         const lateExcess = queueTime - Math.max(0, slack + elapsedMilliseconds);
-        if (!couldBeOnTime && lateExcess > 0) {
+        if (mayBeOnTime && !couldBeOnTime && lateExcess > 0) {
             return lateExcess;
         }
         const reserved = couldBeOnTime ? 0 : reservedFractionForTimely * this.getTypicalOccupancy(query, now);
@@ -150,8 +151,7 @@
     /** Gets the time for which a prompt is expected to queue at a link, in milliseconds. */
     private getQueueTime({ from, to, model }: LinkOfModel, now: number): number {
         const isContended = now - this.getState(from, to).contendedAt <= contentionMilliseconds;
-        const contended = contendedQueueLength * getTransferTime(model, model.typicalPromptTokens);
-        return Math.max(this.queueTimes.get(from, to, model, now), isContended ? contended : 0);
+        return Math.max(this.queueTimes.get(from, to, model, now), isContended ? getContendedQueueTime(model) : 0);
     }
 
     /** Gets the expected time to the first event of other nodes' streams, whose prompts may be large. */
--- a/tests/request/relay/links/linkAdmission.test.ts
+++ b/tests/request/relay/links/linkAdmission.test.ts
@@ -1,5 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { getActivationBits } from "../../../../src/request/relay/links/getActivationBits.ts";
+import { getUsableRate } from "../../../../src/request/relay/links/getUsableRate.ts";
 import { LinkAdmission } from "../../../../src/request/relay/links/linkAdmission.ts";
 import type { LinkCrossing } from "../../../../src/request/relay/links/linkCrossing.ts";
 import type { LinkCrossingQuery } from "../../../../src/request/relay/links/linkCrossingQuery.ts";
@@ -138,6 +140,29 @@
         assert.equal(admission.getWait({ ...query, isRunning: true, elapsedMilliseconds: 1_700 }, 0), Infinity);
     });
 
+    // Guards against an unused link: the usual time to a first event isn't measured again while all chains use a link.
+    it("begins its share of the streams if first events were too slow for any of them to be on time", () => {
+        const delays = LinkDelays.create();
+        for (let count = 0; count < 200; count++) {
+            delays.recordFirstEvent(["a", "a"], 400, 0);
+        }
+        const usableTokens = 1_000 * getUsableRate(replayModel) / getActivationBits(replayModel, 1);
+        const getDemand = () => 3 * usableTokens / replayNodeCount;
+        const admission = createAdmission({ delays, getDemand, getNodeCount: () => replayNodeCount });
+        const { typicalPromptTokens, typicalAnswerTokens } = replayModel;
+        const occupancy = (typicalPromptTokens + typicalAnswerTokens) / (usableTokens / replayNodeCount);
+        let begun = 0;
+        for (let now = 0; now < 20_000; now += 50) {
+            if (admission.getWait(query, now) === 0) {
+                begun += 1;
+                admission.begin([link], replayModel, typicalPromptTokens, typicalAnswerTokens, now).noteEvent(
+                    now + 500,
+                );
+            }
+        }
+        assert.ok(begun >= 0.7 * 20 / occupancy && begun <= 20 / occupancy + 1, `${begun} were begun`);
+    });
+
     it("does not begin a stream more than twice over a link, and the second time only if the link is open", () => {
         const admission = createAdmission();
         assert.equal(admission.getWait({ ...query, beginCount: 1 }, 0), 0);
