--- a/src/request/admission/ranks/rankDemands.ts
+++ b/src/request/admission/ranks/rankDemands.ts
@@ -1,4 +1,5 @@
 import { SmoothedRate } from "../smoothedRate.ts";
+import { isReportedRank } from "./isReportedRank.ts";
 import type { RankDemand } from "./rankDemand.ts";
 
 /** Last report of a peer about its own requests. */
@@ -58,7 +59,7 @@
 
     /** Lists the demand at this node, to report it to peers. */
     listOwn(now: number): RankDemand[] {
-        const ranks = new Set([...this.own.values()].map(({ rank }) => rank));
+        const ranks = new Set([...this.own.values()].map(({ rank }) => rank).filter(isReportedRank));
         return [...ranks].sort((left, right) => left - right).slice(0, maximumReportedRanks)
             .map(rank => this.sumOwn(now, rank));
     }
@@ -68,9 +69,17 @@
         return this.sumOwn(now, rank);
     }
 
-    /** Sets the demand that a peer reports, replacing its previous report. */
-    setPeerDemands(peerId: string, demands: readonly RankDemand[], now: number): void {
-        if (demands.length > 0 || this.peers.has(peerId)) {
+    /**
+     * Sets the demand that a peer reports, replacing its previous report.
+     * @param peerId - The peer.
+     * @param demands - Its demand by rank; empty if it has not had requests of services with several ranks.
+     * @param now - Monotonic time in milliseconds.
+     * @param isIdle - Whether the peer has had no requests at all. Its demand is then known to be 0. If it counted with the mean of
+     * the others, few nodes with callers among many without would overestimate the demand several times and hold requests back.
+     */
+    setPeerDemands(peerId: string, demands: readonly RankDemand[], now: number, isIdle = false): void {
+        const isKnownIdle = isIdle && this.own.size > 0;
+        if (demands.length > 0 || isKnownIdle || this.peers.has(peerId)) {
             this.peers.set(peerId, { receivedAt: now, byRank: new Map(demands.map(demand => [demand.rank, demand])) });
         }
     }
@@ -78,7 +87,7 @@
     /**
      * Gets the demand for a service of one rank at all nodes. Reports don't tell services apart, so the service has the fraction of
      * the reported demand that it has of this node's. Nodes without a recent report count with the mean of the other peers, or
-     * with this node's demand if there are none.
+     * with this node's demand if there are none, or if the rank isn't reported.
      * @param service - The service; undefined for all services together.
      * @param nodeCount - Number of live nodes, including this one.
      */
@@ -99,7 +108,7 @@
             reported.admitted += byRank.get(rank)?.admitted ?? 0;
         }
         const peerCount = Math.max(0, nodeCount - 1);
-        if (reporterCount === 0) {
+        if (reporterCount === 0 || !isReportedRank(rank)) {
             const { demand, admitted } = ownOfService;
             return { rank, demand: demand * (1 + peerCount), admitted: admitted * (1 + peerCount) };
         }
