Release the lease of a node that no longer watches the store

Cause: in deployments with more than 12 nodes, a holder with orders that is replaced as a store watcher, for example because a node has started, had its lease paused. A pause leaves a held lease running, and nothing else ended it: the node renewed it once a second and watched the store for as long as it ran, also without orders. Change: such a node releases the lease as soon as it has no orders. A node that isn't the last holder, or that the store refuses, still makes no calls. With fewer nodes all watch the store, and nothing changes.

--- a/src/process/router/leaseReviewer.ts
+++ b/src/process/router/leaseReviewer.ts
@@ -13,7 +13,7 @@
     nodeId: string;
     /** Assigns duties to nodes. */
     owners: Pick<RendezvousOwners, "getOwners">;
-    lease: Pick<FencedLease, "start" | "pause" | "keep" | "refresh" | "rest">;
+    lease: Pick<FencedLease, "isLastHolder" | "start" | "pause" | "keep" | "refresh" | "rest">;
     log: EventLog;
     /** Whether this node is giving up its duties. */
     isDraining(): boolean;
@@ -30,8 +30,10 @@
 interface LeaseReview {
     /** The other live nodes. */
     others: readonly KnownNode[];
-    /** Whether this node watches the store, which answers it. */
-    isAvailable: boolean;
+    /** Whether this node watches the store. */
+    isWatcher: boolean;
+    /** Whether the store answers this node. */
+    isStoreAnswering: boolean;
     /** Whether there are so many nodes that only few of them watch the store. */
     hasManyNodes: boolean;
     /** Whether this node knows other nodes, or has found that it is the only one. */
@@ -56,13 +58,10 @@
     }
 
     /** Reviews the lease. */
-    review({ others, isAvailable, hasManyNodes, hasPeers }: LeaseReview): void {
+    review({ others, isWatcher, isStoreAnswering, hasManyNodes, hasPeers }: LeaseReview): void {
         const { nodeId, lease, isDraining, getLeaseAction } = this.options;
-        if (!isAvailable) {
-            // Without the store no node can acquire the lease; only its holder keeps trying to renew it.
-            // A node that has just started and knows few others counts as a store watcher. If all such nodes kept trying to
-            // acquire the lease, their writes would be useless.
-            lease.pause();
+        if (!isWatcher || !isStoreAnswering) {
+            this.reviewWithoutDuty(isStoreAnswering);
             return;
         }
         const isNewPlanner = this.updatePlanners(others, hasManyNodes);
@@ -91,6 +90,20 @@
         }
     }
 
+    /** Leaves the lease to other nodes. */
+    private reviewWithoutDuty(isStoreAnswering: boolean): void {
+        const { lease, getLeaseAction } = this.options;
+        // A holder would renew the lease for as long as it runs, although it has no orders.
+        if (isStoreAnswering && lease.isLastHolder() && getLeaseAction(0) !== LeaseAction.Acquire) {
+            lease.rest();
+            return;
+        }
+        // Without the store no node can acquire the lease; only its holder keeps trying to renew it.
+        // A node that has just started and knows few others counts as a store watcher. If all such nodes kept trying to
+        // acquire the lease, their writes would be useless.
+        lease.pause();
+    }
+
     /** Ranks the nodes that may acquire the lease. Returns whether this one has become the first. */
     private updatePlanners(others: readonly KnownNode[], hasManyNodes: boolean): boolean {
         const { nodeId, owners, getLag, log } = this.options;
--- a/src/process/router/storeWatchController.ts
+++ b/src/process/router/storeWatchController.ts
@@ -21,7 +21,7 @@
     owners: Pick<RendezvousOwners, "getOwners">;
     followers: readonly RecordFollower[];
     /** Lease for placing layers. Only nodes that watch the store try to acquire it. */
-    lease: Pick<FencedLease, "isHeld" | "start" | "pause" | "keep" | "refresh" | "rest">;
+    lease: Pick<FencedLease, "isHeld" | "isLastHolder" | "start" | "pause" | "keep" | "refresh" | "rest">;
     /** Whether this node is giving up its duties. */
     isDraining(): boolean;
     /** Makes the cheapest call to the store; returns false if it is not answered soon. */
@@ -306,7 +306,8 @@
         const others = nodes.getLiveNodes(now);
         this.leaseReviewer.review({
             others,
-            isAvailable: this.isSelectedWatcher && !this.isWithoutStore(),
+            isWatcher: this.isSelectedWatcher,
+            isStoreAnswering: !this.isWithoutStore(),
             hasManyNodes: this.hasManyNodes,
             hasPeers: others.length > 0 || now - this.startedAt > soleNodeMilliseconds,
         });
--- a/tests/process/router/storeWatchController.test.ts
+++ b/tests/process/router/storeWatchController.test.ts
@@ -52,6 +52,7 @@
             followers: [follower],
             lease: {
                 isHeld: () => false,
+                isLastHolder: () => false,
                 start: () => leaseCalls.push("start"),
                 pause: () => leaseCalls.push("pause"),
                 keep: () => leaseCalls.push("keep"),
