Don't let a held request block others that may start

A request that was overtaken four times blocks all arrivals behind it. If the share of its rank ran out afterwards, it was held and still blocked them, although capacity was free for them: each waited for the next review, up to 50 ms, or was refused because the expected wait was too long.

The check now passes over held requests, as the review does already. Nothing changes where a service has one rank, since no request is held there.

--- a/src/request/admission/start/waitingList.ts
+++ b/src/request/admission/start/waitingList.ts
@@ -70,13 +70,14 @@
         return cost;
     }
 
-    /** Checks if nothing may overtake one of the first requests of the list. */
+    /** Checks if nothing may overtake one of the first requests of the list. One that is held blocks no others, whatever its count. */
     isBlocked(count: number): boolean {
-        if (this.blockingCount === 0 || count === this.entries.length) {
-            return this.blockingCount > 0;
+        if (this.blockingCount === 0) {
+            return false;
         }
         for (let index = 0; index < count; index++) {
-            if (WaitingList.isBlocking(this.entries[index]!)) {
+            const entry = this.entries[index]!;
+            if (WaitingList.isBlocking(entry) && entry.request.isHeld?.() !== true) {
                 return true;
             }
         }
--- a/tests/request/admission/start/startQueue.test.ts
+++ b/tests/request/admission/start/startQueue.test.ts
@@ -98,6 +98,21 @@
         assert.ok(refuse(2) > 4_000);
     });
 
+    // Guards against a rank whose share runs out while one of its requests waits that was overtaken too often to be overtaken again.
+    it("starts others before a request that is held after it was overtaken", () => {
+        const fixture = createFixture(0);
+        let isHeld = false;
+        fixture.queue.decideArrival(fixture.create("large", { rank: 0, cost: 1_000, isHeld: () => isHeld }), 0);
+        for (let index = 0; index < 4; index++) {
+            fixture.freeTokens = 100;
+            assert.equal(fixture.queue.decideArrival(fixture.create("other"), 0).kind, "start");
+        }
+        fixture.freeTokens = 100;
+        assert.notEqual(fixture.queue.decideArrival(fixture.create("blocked"), 0).kind, "start");
+        isHeld = true;
+        assert.equal(fixture.queue.decideArrival(fixture.create("free"), 0).kind, "start");
+    });
+
     // Guards against a request that may not start yet and keeps others from free capacity, as one that is overtaken too often does.
     it("starts others before a request that is held, and this one as soon as it no longer is", () => {
         const fixture = createFixture(0);
