Keep a link closed while a peer's stream waits at it

The first event of one of a node's own streams opened the link even though a peer still reported a stream that waits at it, and the next request closed it again. Ten events of own streams in that time wrote twenty log lines (FL1740 and FL1741) and changed the metric as often; no request was admitted in between.

The first event is now judged with the expected time that the last request gave for streams of peers. The link opens as before once no stream waits. Nodes without peers see no difference.

--- a/src/request/relay/links/linkGate.ts
+++ b/src/request/relay/links/linkGate.ts
@@ -46,6 +46,8 @@
     private state: GateState = "open";
     /** Latest time at which a stream was sent that has an event now. */
     private answeredUntil = -Infinity;
+    /** Expected time to the first event of peers' streams, as last given. */
+    private peerExpectedMilliseconds = Infinity;
 
     private constructor(options: LinkGateOptions) {
         this.options = options;
@@ -67,7 +69,8 @@
     removeAnswered(stream: WaitingStream, now: number): void {
         this.streams.delete(stream);
         this.answeredUntil = Math.max(this.answeredUntil, stream.sentAt);
-        this.update(now, Infinity);
+        // Streams of peers that still wait keep the link closed. It would otherwise open and close with each event.
+        this.update(now, this.peerExpectedMilliseconds);
         if (this.state === "trial") {
             this.change("open", { longestWaitMilliseconds: 0, waiting: 0, reporter: "" });
         }
@@ -113,6 +116,7 @@
      * @param expectedMilliseconds - Expected time to the first event of peers' streams.
      */
     getState(now: number, expectedMilliseconds: number): GateState {
+        this.peerExpectedMilliseconds = expectedMilliseconds;
         this.update(now, expectedMilliseconds);
         return this.state;
     }
--- a/tests/request/relay/links/linkGate.test.ts
+++ b/tests/request/relay/links/linkGate.test.ts
@@ -41,6 +41,20 @@
         assert.equal(gate.getState(4_100, expected), "trial");
     });
 
+    // Guards against two log lines for each event that arrives while a peer's stream waits.
+    it("stays closed for a peer's waiting stream while events of its own streams arrive", () => {
+        const { gate, changes } = createGate();
+        const streams = [0, 1, 2].map(at => gate.add(5_000, at));
+        gate.applyReport("peer", 1, 600, 100);
+        for (const stream of streams) {
+            assert.equal(gate.getState(200, expected), "closed");
+            gate.removeAnswered(stream, 200);
+        }
+        assert.deepEqual(changes, [true]);
+        gate.applyReport("peer", 0, 0, 300);
+        assert.equal(gate.getState(300, expected), "trial");
+    });
+
     it("stays open if a stream is lost while later ones over the same link have events", () => {
         const { gate } = createGate();
         const lost = gate.add(expected, 0);
