Load the parts of a column that the fleet lacks before those that a data centre lacks

Cause: where endpoints can hold a column only in parts, a data centre took a free endpoint for a part that another data centre held, and the fleet lacked layers for good with all endpoints up. Change: if the fleet still lacks a column that no endpoint of its kind can hold alone, its missing parts come first, by free endpoints or by those whose layers another endpoint of the fleet has loaded.

--- a/src/process/placement/assignLayers.ts
+++ b/src/process/placement/assignLayers.ts
@@ -2,6 +2,7 @@
 import { assignReplicas } from "./assignReplicas.ts";
 import type { ColumnCoverage } from "./columnCoverage.ts";
 import { completeDataCentre } from "./completeDataCentre.ts";
+import { coverFleetInParts } from "./coverFleetInParts.ts";
 import { findBalanceMove } from "./findBalanceMove.ts";
 import { findFleetMove } from "./findFleetMove.ts";
 import { FleetCoverage } from "./fleetCoverage.ts";
@@ -49,6 +50,21 @@
         completions = fleet.listDecisions();
         assignReplicas(fleet, endpoints);
     }
+    const lackedInParts = fleetLacks.filter(coverage =>
+        !fleet.isCoveredByFleet(coverage) && isOnlyHeldInParts(fleet, coverage, endpoints)
+    );
+    if (lackedInParts.length > 0) {
+        // Endpoints that complete their data centre in parts may be the ones that the fleet needs.
+        fleet.rollback(0);
+        for (const coverage of lackedInParts) {
+            coverFleetInParts(fleet, coverage, endpoints);
+        }
+        for (const dataCentre of listIncomplete(fleet)) {
+            completeDataCentre(fleet, dataCentre);
+        }
+        completions = fleet.listDecisions();
+        assignReplicas(fleet, endpoints);
+    }
     const planned = completions.filter(({ endpoint }) => !fleet.isFree(endpoint));
     const urgent = fleetLacks.filter(coverage => isMoveNeeded(fleet, coverage, completions));
     const assignments = fleet.listDecisions()
@@ -61,6 +77,19 @@
     return { assignments, moves: listUrgentMoves(fleet, { planned, urgent, endpoints }) };
 }
 
+/**
+ * Checks if a column can only be held in parts. If no endpoint of its kind is there, one that can hold it as a whole may still register
+ * or return.
+ */
+function isOnlyHeldInParts(
+    fleet: FleetCoverage,
+    coverage: ColumnCoverage,
+    endpoints: readonly PlacementEndpoint[],
+): boolean {
+    return endpoints.some(({ kind }) => kind === coverage.column.kind)
+        && !endpoints.some(endpoint => fleet.fits(coverage, endpoint));
+}
+
 /** Lists the data centres that lack columns, with the one that lacks the fewest first. */
 function listIncomplete(fleet: FleetCoverage): string[] {
     const counts = [...fleet.dataCentres.keys()].map(name => ({ name, lacking: fleet.listLacking(name).length }));
@@ -90,7 +119,10 @@
     },
 ): LayerMove[] {
     const ready = planned.filter(({ endpoint }) => fleet.canLeave(endpoint, false));
-    const fleetMove = findReadyFleetMove(ready, urgent) ?? findAnyFleetMove(fleet, urgent, endpoints);
+    const readyForFleet = planned.filter(({ endpoint }) => fleet.canLeave(endpoint, true));
+    const fleetMove = findReadyFleetMove(ready, urgent)
+        ?? findAnyFleetMove(fleet, urgent, endpoints)
+        ?? findReadyFleetMove(readyForFleet, urgent);
     const moves = fleetMove === undefined ? [] : [fleetMove];
     // One move for each data centre, since the next one may depend on which endpoints have loaded their layers by then.
     const moving = new Set(
