--- a/scripts/soak/router/routerCallers.ts
+++ b/scripts/soak/router/routerCallers.ts
@@ -5,6 +5,7 @@
 import type { CallRecord } from "./callRecord.ts";
 import { type Customer, customers } from "./customers.ts";
 import { harmfulBody } from "./harmfulBody.ts";
+import { modelRanks } from "./modelRanks.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
 import type { SoakNode } from "./soakNode.ts";
 
@@ -19,7 +20,10 @@
 /** The content of a request. */
 type CallContent = Pick<CallRecord, "id" | "kind" | "method" | "path" | "body">;
 
-const kinds: readonly CallKind[] = Object.values(callKinds);
+const modelKinds = Object.keys(modelRanks) as CallKind[];
+const documentKinds: readonly CallKind[] = [callKinds.safe, callKinds.unsafe];
+/** Share of model requests outside bursts. */
+const modelShare = 0.5;
 /** Maximum of connections to each node. */
 const connections = 40;
 const deadlineMilliseconds = 5_000;
@@ -90,7 +94,7 @@
         await this.call(this.createCall(id, kind), false);
     }
 
-    private createCall(id: string, kind: CallKind = this.options.random.choose(kinds)!): CallContent {
+    private createCall(id: string, kind = chooseKind(this.options.random)): CallContent {
         const { random } = this.options;
         const path = `/${kind}/${id}?of=${random.chooseInteger(0, 9)}`;
         const isGet = kind === callKinds.safe;
@@ -178,6 +182,10 @@
     }
 }
 
+function chooseKind(random: SeededRandom): CallKind {
+    return random.choose(random.isHit(modelShare) ? modelKinds : documentKinds)!;
+}
+
 function chooseCustomer(random: SeededRandom): Customer {
     const [large, ...others] = customers;
     return random.isHit(large!.share) ? large! : random.choose(others)!;
