Count the demand by rank for the nodes that are alive now

Cause: the demand of all nodes by rank was scaled to the highest number of nodes of the last 30 s, which is nine at the start. Change: the reserve and the shares use the number of live nodes. Limits for all nodes together keep the highest one.

--- a/bench/experiment/simulatedNode.ts
+++ b/bench/experiment/simulatedNode.ts
@@ -93,6 +93,7 @@
                 getNodeCount: () => nodeCount,
             }),
             getNodeCount: () => nodeCount,
+            getLiveNodeCount: () => nodeCount,
         };
         this.disableMechanisms(loads, retryDetector, queue);
     }
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -335,6 +335,7 @@
             linkTraffic: LinkTraffic.create(),
             links,
             getNodeCount: () => this.getNodeCount(),
+            getLiveNodeCount: () => this.getLiveNodeCount(),
             retryBudget: RetryBudget.create(
                 clock.getMonotonicTime(),
                 () => getRetryPolicy(settings, this.getNodeCount()),
@@ -521,7 +522,7 @@
 
     private createLoadStatus(now: number): object {
         const { queue: { rankReserve, refusals }, linkAdmission, losses, storeWatch, lease, overload } = this;
-        const nodeCount = this.getNodeCount();
+        const nodeCount = this.getLiveNodeCount();
         return createLoadStatus(
             { rankReserve, refusals, linkAdmission, losses, storeWatch, lease, overload, nodeCount },
             now,
@@ -573,8 +574,12 @@
         this.queue.wake();
     }
 
+    /** Gets the highest number of nodes of the last seconds, so that limits for all nodes together also hold while nodes restart. */
     private getNodeCount(): number {
-        const now = this.options.clock.getMonotonicTime();
-        return this.maximumNodeCount.add(1 + this.nodes.getLiveNodes(now).length, now);
+        return this.maximumNodeCount.add(this.getLiveNodeCount(), this.options.clock.getMonotonicTime());
+    }
+
+    private getLiveNodeCount(): number {
+        return 1 + this.nodes.getLiveNodes(this.options.clock.getMonotonicTime()).length;
     }
 }
--- a/src/request/relay/queue/createQueuedRelay.ts
+++ b/src/request/relay/queue/createQueuedRelay.ts
@@ -29,7 +29,7 @@
 export function createQueuedRelay(options: QueuedRelayOptions): QueuedRelay {
     const { environment, task, chains, avoided, isRetry, start, refuse } = options;
     const { request, service, customer, rank, ranks, isReturn, dueAt } = task;
-    const { clock, retryBudget, instructions, queue, getNodeCount } = environment;
+    const { clock, retryBudget, instructions, queue, getLiveNodeCount } = environment;
     const latestOnTimeStart = getLatestOnTimeStart(environment, task);
     const rateLimited = new Set<string>();
     environment.limits.noteRequest(service.name, clock.getMonotonicTime());
@@ -39,7 +39,7 @@
     const ranked = { requestId: request.id, service: service.name, rank, ranks, tokens, isNew };
     const getState = (now: number) => ({
         holdMilliseconds: queue.getMeanRunMilliseconds(),
-        nodeCount: getNodeCount(),
+        nodeCount: getLiveNodeCount(),
         now,
         getMemoryTokens: () => chains.getMemoryTokens(),
         getTimelyTokens: () => chains.getTimelyTokens(),
--- a/src/request/relay/relayEnvironment.ts
+++ b/src/request/relay/relayEnvironment.ts
@@ -46,4 +46,6 @@
     links: LinkAdmission;
     /** Gets the number of live nodes, including this one. */
     getNodeCount(): number;
+    /** Gets the number of nodes that are alive now, including this one. {@link getNodeCount} may be the highest of the last seconds. */
+    getLiveNodeCount(): number;
 }
--- a/tests/request/relay/relayBench.ts
+++ b/tests/request/relay/relayBench.ts
@@ -95,6 +95,7 @@
                 getNodeCount: () => 1,
             }),
             getNodeCount: () => 1,
+            getLiveNodeCount: () => 1,
         };
     }
 
