Keep the floor of a rank in one place

The shares over all nodes and the floor at one node had the fraction each for itself; one changed without the other would have starved the last rank. No behaviour changes; the ranks' tests pass.

--- a/src/request/admission/ranks/computeAdmittedShares.ts
+++ b/src/request/admission/ranks/computeAdmittedShares.ts
@@ -1,7 +1,5 @@
 import type { RankDemand } from "./rankDemand.ts";
-
-/** Fraction of its demand that each rank gets in any case. */
-const floorShare = 0.05;
+import { rankFloorFraction } from "./rankFloorFraction.ts";
 
 /**
  * Computes the fraction of its demand that each rank is admitted with, 0.05 to 1, by waterfilling: higher ranks go first, and lower
@@ -17,11 +15,11 @@
     capacity: number,
 ): number[] {
     // The floors of the lower ranks are set aside first, so that all ranks together don't exceed the capacity.
-    let reserved = demands.reduce((sum, { demand }) => sum + demand * floorShare, 0);
+    let reserved = demands.reduce((sum, { demand }) => sum + demand * rankFloorFraction, 0);
     let left = capacity;
     return demands.map(({ demand }) => {
-        reserved -= demand * floorShare;
-        const share = demand > 0 ? Math.min(1, Math.max(floorShare, (left - reserved) / demand)) : 1;
+        reserved -= demand * rankFloorFraction;
+        const share = demand > 0 ? Math.min(1, Math.max(rankFloorFraction, (left - reserved) / demand)) : 1;
         left -= share * demand;
         return share;
     });
--- a/src/request/admission/ranks/rankFloor.ts
+++ b/src/request/admission/ranks/rankFloor.ts
@@ -1,5 +1,4 @@
-/** Fraction of its demand that each rank gets in any case. */
-const floorFraction = 0.05;
+import { rankFloorFraction } from "./rankFloorFraction.ts";
 
 /**
  * Grants each rank a minimum fraction of its demand at this node, by credit.
@@ -20,7 +19,7 @@
 
     /** Records a request that has arrived. At most one request is saved up. */
     observeArrival(key: string, cost: number): void {
-        this.credits.set(key, Math.min(cost, (this.credits.get(key) ?? 0) + floorFraction * cost));
+        this.credits.set(key, Math.min(cost, (this.credits.get(key) ?? 0) + rankFloorFraction * cost));
     }
 
     /** Records a request that was started. The debt is at most the cost of the request, so that it is paid off by 20 arrivals. */
