Let the floor of a rank use the credits of ranks

Cause: RankFloor repeated the arithmetic of RankCredits with a limit of one request. Change: the limit is an argument of RankCredits; RankFloor keeps its interface and calls it. Behaviour is the same.

--- a/src/request/admission/ranks/rankCredits.ts
+++ b/src/request/admission/ranks/rankCredits.ts
@@ -1,5 +1,4 @@
-/** Number of requests for which credit is saved up, and for which a rank may be in debt. */
-const maximumRequests = 3;
+const defaultMaximumRequests = 3;
 
 /**
  * Admits requests by credit: each arrival adds its admitted share of its cost, and a request may start while there is credit.
@@ -9,21 +8,28 @@
 export class RankCredits {
     private readonly credits = new Map<string, number>();
 
-    private constructor() {}
+    private readonly maximumRequests: number;
 
-    /** Creates an instance without credit. */
-    static create(): RankCredits {
-        return new RankCredits();
+    private constructor(maximumRequests: number) {
+        this.maximumRequests = maximumRequests;
+    }
+
+    /**
+     * Creates an instance without credit.
+     * @param maximumRequests - Number of requests for which credit is saved up, and for which a rank may be in debt.
+     */
+    static create(maximumRequests = defaultMaximumRequests): RankCredits {
+        return new RankCredits(maximumRequests);
     }
 
     /** Adds the admitted share of the cost of a request that has arrived. */
     add(key: string, cost: number, share: number): void {
-        this.credits.set(key, Math.min(maximumRequests * cost, (this.credits.get(key) ?? 0) + share * cost));
+        this.credits.set(key, Math.min(this.maximumRequests * cost, (this.credits.get(key) ?? 0) + share * cost));
     }
 
     /** Takes off the cost of a request that was started. */
     take(key: string, cost: number): void {
-        this.credits.set(key, Math.max(-maximumRequests * cost, (this.credits.get(key) ?? 0) - cost));
+        this.credits.set(key, Math.max(-this.maximumRequests * cost, (this.credits.get(key) ?? 0) - cost));
     }
 
     /** Checks if a request may start. */
--- a/src/request/admission/ranks/rankFloor.ts
+++ b/src/request/admission/ranks/rankFloor.ts
@@ -1,3 +1,4 @@
+import { RankCredits } from "./rankCredits.ts";
 import { rankFloorFraction } from "./rankFloorFraction.ts";
 
 /**
@@ -8,7 +9,7 @@
  * anyway gets nothing extra, and a node with few requests is exact over time.
  */
 export class RankFloor {
-    private readonly credits = new Map<string, number>();
+    private readonly credits = RankCredits.create(1);
 
     private constructor() {}
 
@@ -19,16 +20,16 @@
 
     /** Records a request that has arrived. At most one request is saved up. */
     observeArrival(key: string, cost: number): void {
-        this.credits.set(key, Math.min(cost, (this.credits.get(key) ?? 0) + rankFloorFraction * cost));
+        this.credits.add(key, cost, rankFloorFraction);
     }
 
     /** Records a request that was started. The debt is at most the cost of the request, so that it is paid off by 20 arrivals. */
     observeStart(key: string, cost: number): void {
-        this.credits.set(key, Math.max(-cost, (this.credits.get(key) ?? 0) - cost));
+        this.credits.take(key, cost);
     }
 
     /** Checks if a rank may start a request regardless of what is reserved for others. */
     hasCredit(key: string): boolean {
-        return (this.credits.get(key) ?? 0) > 0;
+        return this.credits.hasCredit(key);
     }
 }
