Look up the rank and the ranks of a service in the routing state only

Cause: findLowestRanks computed the ranks of a service a second time, beside listServiceRanks, and two places chose between the rank of the customer and that of the route. Change: RoutingState.getRank decides for both; a late node takes the lowest rank from RoutingState.getRanks, so its cache is gone. One difference: routes that send a service no requests (weight 0) no longer count for its lowest rank, as elsewhere; before, such a route could keep a late node from refusing the rank that is last in fact.

--- a/src/process/overload/lowestRankRefuser.ts
+++ b/src/process/overload/lowestRankRefuser.ts
@@ -3,13 +3,6 @@
 import type { RoutedRequest } from "../../request/relay/routedRequest.ts";
 import type { RoutingState } from "../../version/routing/routingState.ts";
 import type { RandomSource } from "../randomSource.ts";
-import { findLowestRanks } from "./findLowestRanks.ts";
-
-/** The lowest ranks of a configuration. */
-interface KnownRanks {
-    state: RoutingState;
-    lowest: Map<string, number>;
-}
 
 /** Fraction of the retry delay by which it varies, so that the refused callers don't return together. */
 const retrySpread = 0.5;
@@ -22,7 +15,6 @@
  */
 export class LowestRankRefuser {
     private readonly random: RandomSource;
-    private known: KnownRanks | undefined;
 
     private constructor(random: RandomSource) {
         this.random = random;
@@ -50,19 +42,15 @@
         if (route === undefined || customer === undefined && state.needsKey() && !route.isPublic) {
             return undefined;
         }
-        const rank = state.getCustomerRank(customer) ?? route.priority;
-        const lowest = this.getLowestRanks(state);
-        if (!route.services.every(({ service }) => lowest.get(service) === rank)) {
+        const rank = state.getRank(customer, route);
+        const isLowest = route.services.every(({ service }) => {
+            const ranks = state.getRanks(service);
+            return ranks.length > 1 && ranks.at(-1) === rank;
+        });
+        if (!isLowest) {
             return undefined;
         }
         const delay = Math.round(recoveryMilliseconds * (1 + retrySpread * this.random()));
         return createRefusal.notRun("this node is late and serves more urgent requests first.", delay);
     }
-
-    private getLowestRanks(state: RoutingState): Map<string, number> {
-        if (this.known?.state !== state) {
-            this.known = { state, lowest: findLowestRanks(state.configuration) };
-        }
-        return this.known.lowest;
-    }
 }
--- a/src/process/router/requestRouter.ts
+++ b/src/process/router/requestRouter.ts
@@ -72,7 +72,7 @@
         }
         const dueAt = request.arrivedAt
             + Math.min(route.timeoutMilliseconds, request.deadlineMilliseconds ?? Infinity);
-        const rank = state.getCustomerRank(customer) ?? route.priority;
+        const rank = state.getRank(customer, route);
         const { retryDetector, clock } = this.options.environment;
         const isReturn = retryDetector.observeRequest(
             route.name,
--- a/src/version/routing/routingState.ts
+++ b/src/version/routing/routingState.ts
@@ -1,4 +1,5 @@
 import { listServiceRanks } from "../../request/admission/ranks/listServiceRanks.ts";
+import type { Route } from "./route.ts";
 import { RouteTable } from "./routeTable.ts";
 import type { RoutingConfiguration } from "./routingConfiguration.ts";
 
@@ -41,9 +42,10 @@
         return this.customerByKey.get(apiKey);
     }
 
-    /** Gets the priority of a customer's requests, or undefined if they use that of their routes. */
-    getCustomerRank(customer: string | undefined): number | undefined {
-        return customer === undefined ? undefined : this.rankByCustomer.get(customer);
+    /** Gets the rank of a customer's requests on a route: that of the customer if it has one. Lower ranks go first. */
+    getRank(customer: string | undefined, route: Pick<Route, "priority">): number {
+        const rank = customer === undefined ? undefined : this.rankByCustomer.get(customer);
+        return rank ?? route.priority;
     }
 
     /** Gets the ranks that requests for a service can have, in ascending order. */
