Count other replicas of a column in one place

Cause: isSpare and canLeave repeated the same condition on two kinds of counts, and coverFleetInParts filtered its parts twice. Change: hasOtherReplica takes the counts as a function. Behaviour is the same.

--- a/src/process/placement/coverFleetInParts.ts
+++ b/src/process/placement/coverFleetInParts.ts
@@ -16,10 +16,10 @@
     coverage: ColumnCoverage,
     endpoints: readonly PlacementEndpoint[],
 ): void {
-    const partitions = coverage.partitions.map(parts => ({
-        parts: parts.filter(part => part.counts.size === 0),
-        ranks: [parts.filter(part => part.counts.size === 0).length],
-    }));
+    const partitions = coverage.partitions.map(all => {
+        const parts = all.filter(part => part.counts.size === 0);
+        return { parts, ranks: [parts.length] };
+    });
     for (const part of chooseLowestRanked(partitions)?.parts ?? []) {
         const endpoint = chooseEndpoint(fleet, part, endpoints);
         if (endpoint !== undefined) {
--- a/src/process/placement/fleetCoverage.ts
+++ b/src/process/placement/fleetCoverage.ts
@@ -118,10 +118,7 @@
             return false;
         }
         const { dataCentre } = endpoint;
-        const whole = this.getWhole(set);
-        return (set.counts.get(dataCentre) ?? 0) > 1 || (set === whole
-            ? isHeldInParts(whole, part => part.counts.has(dataCentre))
-            : whole.counts.has(dataCentre));
+        return this.hasOtherReplica(set, ({ counts }) => counts.get(dataCentre) ?? 0);
     }
 
     /**
@@ -133,11 +130,8 @@
         if (endpoint.isBusy || set === undefined) {
             return false;
         }
-        const whole = this.getWhole(set);
         const loaded = isElsewhereEnough ? this.loaded : this.loadedByDataCentre.get(endpoint.dataCentre);
-        return (loaded?.get(set) ?? 0) > 1 || (set === whole
-            ? isHeldInParts(whole, part => loaded?.has(part) === true)
-            : loaded?.has(whole) === true);
+        return this.hasOtherReplica(set, other => loaded?.get(other) ?? 0);
     }
 
     /** Gets the memory of an endpoint, in megabytes. */
@@ -165,6 +159,13 @@
         return this.columns.find(coverage => coverage.column === column)!;
     }
 
+    /** Checks if a column or part that one endpoint holds is held by another one too: alone, in parts, or with the whole column. */
+    private hasOtherReplica(set: ReplicaSet, getCount: (set: ReplicaSet) => number): boolean {
+        const whole = this.getWhole(set);
+        return getCount(set) > 1
+            || (set === whole ? isHeldInParts(whole, part => getCount(part) > 0) : getCount(whole) > 0);
+    }
+
     private findSet(layers: HeldLayers | undefined): ReplicaSet | undefined {
         if (layers === undefined) {
             return undefined;
