Keep the time to live of peers' reports in one place

Cause: four classes that share what peers report had a constant of 3 s each, and LinkAdmission repeated its check of contention. Change: one constant and one function. Behaviour is the same.

--- a/src/request/admission/ranks/rankDemands.ts
+++ b/src/request/admission/ranks/rankDemands.ts
@@ -1,3 +1,4 @@
+import { peerReportTimeToLiveMilliseconds } from "../peerReportTimeToLiveMilliseconds.ts";
 import { SmoothedRate } from "../smoothedRate.ts";
 import { isReportedRank } from "./isReportedRank.ts";
 import type { RankDemand } from "./rankDemand.ts";
@@ -25,8 +26,6 @@
 
 /** Maximum number of ranks that a node reports, so that messages stay bounded. Those with the highest priority are reported. */
 const maximumReportedRanks = 8;
-/** Time to live of a peer's report; peers send several in this time. */
-const peerReportTimeToLiveMilliseconds = 3_000;
 /** Bursts last 3 to 7 s, so the rates must follow within less. */
 const timeConstantMilliseconds = 2_000;
 
--- a/src/request/relay/endpoints/endpointLoads.ts
+++ b/src/request/relay/endpoints/endpointLoads.ts
@@ -1,3 +1,4 @@
+import { peerReportTimeToLiveMilliseconds } from "../../admission/peerReportTimeToLiveMilliseconds.ts";
 import type { RelayStage } from "../chains/relayStage.ts";
 import { computeAvailableMemory } from "./computeAvailableMemory.ts";
 import type { LoadOfEndpoint } from "./loadOfEndpoint.ts";
@@ -28,8 +29,6 @@
     fullUntil: number;
 }
 
-/** Time to live of a peer's report; peers send several in this time. */
-const peerReportTimeToLiveMilliseconds = 3_000;
 /** Interval of peak tracking. All peers know a change of this node's load after one to two intervals. */
 const peakIntervalMilliseconds = 300;
 /** After this time, all nodes have counted the requests that were in flight when the endpoint refused one. */
--- a/src/request/relay/links/linkAdmission.ts
+++ b/src/request/relay/links/linkAdmission.ts
@@ -150,8 +150,8 @@
 
     /** Gets the time for which a prompt is expected to queue at a link, in milliseconds. */
     private getQueueTime({ from, to, model }: LinkOfModel, now: number): number {
-        const isContended = now - this.getState(from, to).contendedAt <= contentionMilliseconds;
-        return Math.max(this.queueTimes.get(from, to, model, now), isContended ? getContendedQueueTime(model) : 0);
+        const contendedTime = isContended(this.getState(from, to), now) ? getContendedQueueTime(model) : 0;
+        return Math.max(this.queueTimes.get(from, to, model, now), contendedTime);
     }
 
     /** Gets the expected time to the first event of other nodes' streams, whose prompts may be large. */
@@ -165,7 +165,7 @@
      * over less if the link bears most requests.
      */
     private spreadStart(state: LinkState, query: LinkCrossingQuery, excessFraction: number, now: number): void {
-        if (now - state.contendedAt > contentionMilliseconds) {
+        if (!isContended(state, now)) {
             const fraction = excessFraction * this.options.random();
             const milliseconds = fraction * this.getTypicalOccupancy(query, now);
             this.pacer.delayStart(query.from, query.to, milliseconds, now);
@@ -216,10 +216,10 @@
         );
         const streams = links.map(link => {
             const { from, to } = link;
-            const { gate, traffic, contendedAt } = this.getState(from, to);
+            const state = this.getState(from, to);
+            const { gate, traffic } = state;
             this.noteNeed(link, now);
-            const isContended = now - contendedAt <= contentionMilliseconds;
-            const credit = isContended ? this.getTypicalOccupancy({ from, to, model }, now) : 0;
+            const credit = isContended(state, now) ? this.getTypicalOccupancy({ from, to, model }, now) : 0;
             this.pacer.reserve(from, to, model, promptTokens + answerTokens, now, credit);
             traffic.add(getActivationBits(model, promptTokens + answerTokens), now);
             return { gate, stream: gate.add(expected, now) };
@@ -307,3 +307,7 @@
         return state;
     }
 }
+
+function isContended({ contendedAt }: LinkState, now: number): boolean {
+    return now - contendedAt <= contentionMilliseconds;
+}
--- a/src/request/relay/links/linkGate.ts
+++ b/src/request/relay/links/linkGate.ts
@@ -1,5 +1,6 @@
 import type { EventLog } from "../../../process/logging/eventLog.ts";
 import { events } from "../../../process/logging/events.ts";
+import { peerReportTimeToLiveMilliseconds } from "../../admission/peerReportTimeToLiveMilliseconds.ts";
 import type { DataCentreLink } from "./dataCentreLink.ts";
 
 /** Options of a {@link LinkGate}. */
@@ -46,8 +47,6 @@
 
 /** Time beyond the expected one after which a stream without an event counts as waiting at the link. */
 const toleranceMilliseconds = 300;
-/** Time to live of a peer's report. */
-const peerTimeToLiveMilliseconds = 3_000;
 
 /**
  * Closes a link between data centres for new streams while streams wait at it.
@@ -173,7 +172,7 @@
             }
         }
         for (const [reporter, peer] of this.peers) {
-            if (now - peer.receivedAt > peerTimeToLiveMilliseconds) {
+            if (now - peer.receivedAt > peerReportTimeToLiveMilliseconds) {
                 this.peers.delete(reporter);
                 continue;
             }
--- a/src/request/relay/links/linkShares.ts
+++ b/src/request/relay/links/linkShares.ts
@@ -1,4 +1,5 @@
 import type { EngineModel } from "../../../version/routing/engineModel.ts";
+import { peerReportTimeToLiveMilliseconds } from "../../admission/peerReportTimeToLiveMilliseconds.ts";
 import type { DataCentreLink } from "./dataCentreLink.ts";
 import { formatDataCentreLink } from "./formatDataCentreLink.ts";
 import { getActivationBits } from "./getActivationBits.ts";
@@ -22,8 +23,6 @@
 }
 
 const millisecondsPerSecond = 1_000;
-/** Time to live of a peer's message. */
-const timeToLiveMilliseconds = 3_000;
 /** Time after which a peer that needs the same link has found that it does, so that its message names the link. */
 const noticeMilliseconds = 1_000;
 /** Minimum share of a node with little demand, as a fraction of an equal share, for requests that may come next. */
@@ -68,18 +67,20 @@
     /** Records that more requests of all nodes need a link than it bears. Peers that don't need it then leave their share to the others. */
     noteContention(link: string, now: number): void {
         const known = this.contentions.get(link);
-        const isContinued = known !== undefined && now - known.at <= timeToLiveMilliseconds;
+        const isContinued = known !== undefined && now - known.at <= peerReportTimeToLiveMilliseconds;
         this.contentions.set(link, { since: isContinued ? known.since : now, at: now });
     }
 
     /** Lists the links that this node has needed recently, and forgets outdated messages. */
     listNeeded(now: number): string[] {
         for (const [peerId, { receivedAt }] of this.peers) {
-            if (now - receivedAt > timeToLiveMilliseconds) {
+            if (now - receivedAt > peerReportTimeToLiveMilliseconds) {
                 this.peers.delete(peerId);
             }
         }
-        return [...this.neededAt].filter(([, at]) => now - at <= timeToLiveMilliseconds).map(([link]) => link);
+        return [...this.neededAt].filter(([, at]) => now - at <= peerReportTimeToLiveMilliseconds).map(([link]) =>
+            link
+        );
     }
 
     /** Gets this node's share of a link, above 0 and at most 1. */
@@ -100,7 +101,7 @@
     private getTotalDemand(from: string, to: string, now: number): number {
         const link = formatDataCentreLink(from, to);
         const contention = this.contentions.get(link);
-        if (contention !== undefined && now - contention.at <= timeToLiveMilliseconds) {
+        if (contention !== undefined && now - contention.at <= peerReportTimeToLiveMilliseconds) {
             const reportedFrom = contention.since + noticeMilliseconds;
             return this.sumDemand(now, peer => peer.links.has(link) || peer.receivedAt < reportedFrom);
         }
@@ -115,7 +116,7 @@
         let heard = 0;
         let demand = 0;
         for (const peer of this.peers.values()) {
-            if (now - peer.receivedAt <= timeToLiveMilliseconds) {
+            if (now - peer.receivedAt <= peerReportTimeToLiveMilliseconds) {
                 heard += 1;
                 demand += isCompeting(peer) ? peer.demand : 0;
             }
