Ignore a late answer with a key of which only an earlier deletion is known

Cause: a listing of before a restore of the store arrived after a later one. The key had been deleted, added again and lost by the restore, and this copy knew the first deletion only, so it took the late record for a new one. Change: a record from an answer that is older than the section is ignored if the section holds no text for its key.

--- a/src/process/replica/recordSection.ts
+++ b/src/process/replica/recordSection.ts
@@ -130,11 +130,11 @@
     }
 
     /**
-     * Checks if a record in an answer that is older than this section belongs to a key that was deleted since and whose deletion
-     * is no longer or was never recorded here: the section has all records up to its frontier.
+     * Checks if a record in an answer that is older than this section belongs to a key that was deleted since: the section has all
+     * records up to its frontier. The deletion may not be recorded here, or an earlier one may be, if the store was restored since.
      */
     private isDeletedSince({ key, revision }: RecordRevision, frontier: number): boolean {
-        return frontier < this.frontier && revision <= this.frontier && !this.records.has(key);
+        return frontier < this.frontier && revision <= this.frontier && this.records.get(key)?.text === undefined;
     }
 
     private applyRecord(record: StoreRecord, source: ChangeSource): void {
--- a/tests/process/replica/recordSectionDeletions.test.ts
+++ b/tests/process/replica/recordSectionDeletions.test.ts
@@ -164,6 +164,16 @@
         assert.deepEqual([...started.state.keys()], []);
     });
 
+    // After a restore of the store, a late listing of before returned a key that had been deleted, added again and lost by the restore.
+    it("ignores a late answer with a key of which only an earlier deletion is known", () => {
+        const replica = new Replica();
+        replica.section.applyChanges([endpoint], 50, "store");
+        replica.section.applyChanges([{ key: "endpoint", revision: 60, text: undefined }], 60, "store");
+        replica.section.applyListing([], 109, "store");
+        replica.section.applyListing([{ key: "endpoint", revision: 70, text: "again" }], 80, "store");
+        assert.deepEqual([...replica.state.keys()], []);
+    });
+
     it("ignores a late answer with a key whose deletion is no longer recorded", () => {
         const replica = new Replica();
         replica.section.applyChanges([endpoint], 50, "store");
