--- a/src/process/router/changeFetcher.ts
+++ b/src/process/router/changeFetcher.ts
@@ -49,6 +49,15 @@
 /** Largest age that the message can hold (uint32); also stands for an unknown age. */
 const maximumAgeMilliseconds = 0xffff_ffff;
 
+/** Where changes were fetched from, and what it took. */
+interface FetchedFrom {
+    address: string;
+    /** Time from when a peer was first known to be ahead to the start of the fetch, in milliseconds. */
+    behindMilliseconds: number;
+    /** Duration of the fetch, in milliseconds. */
+    fetchMilliseconds: number;
+}
+
 /** A call in flight. */
 interface Fetch {
     address: string;
@@ -159,9 +168,11 @@
         if (response === undefined) {
             return;
         }
+        const fetchMilliseconds = Math.round(clock.getMonotonicTime() - sentAt);
+        const behindMilliseconds = Math.round(sentAt - (this.behindSince.get(section.name) ?? sentAt));
         ProcessorAccount.ofProcess.runPart(
             ProcessorCause.PeerApply,
-            () => this.applyFetched(section, response.changes, peer.address),
+            () => this.applyFetched(section, response.changes, { ...peer, fetchMilliseconds, behindMilliseconds }),
         );
         this.behindSince.delete(section.name);
         if (response.freshAge < maximumAgeMilliseconds && this.isCaughtUpWith(peer.frontiers)) {
@@ -169,7 +180,7 @@
         }
     }
 
-    private applyFetched(section: RecordSection, changes: SectionChanges | undefined, address: string): void {
+    private applyFetched(section: RecordSection, changes: SectionChanges | undefined, fetched: FetchedFrom): void {
         const previousFrontier = section.getFrontier();
         const records = changes === undefined ? [] : getChanged(changes);
         const frontier = Number(changes?.frontier ?? 0);
@@ -180,7 +191,15 @@
             section.applyChanges(records, frontier, "peer");
         }
         if (section.getFrontier() > previousFrontier) {
-            const fields = { section: section.name, address, records: records.length, frontier };
+            const { address, fetchMilliseconds, behindMilliseconds } = fetched;
+            const fields = {
+                section: section.name,
+                address,
+                records: records.length,
+                frontier,
+                behindMilliseconds,
+                fetchMilliseconds,
+            };
             this.options.log.write(events.routerChangesFetched, fields);
             this.options.onUpdate();
         }
--- a/src/process/router/requestRouter.ts
+++ b/src/process/router/requestRouter.ts
@@ -16,6 +16,7 @@
 import { ProcessorCause } from "../loop/processorCause.ts";
 import type { Metrics } from "../metrics/metrics.ts";
 import type { RoutingHolder } from "./routingHolder.ts";
+import type { StoreCopyState } from "./storeCopyState.ts";
 
 /** Options of a {@link RequestRouter}. */
 interface RequestRouterOptions {
@@ -24,12 +25,16 @@
     stallDetector: StallDetector;
     metrics: Metrics;
     loop: Pick<EventLoopMonitor, "getLag">;
+    /** Gets the copy of the store that requests are routed by. */
+    getCopy(): StoreCopyState;
 }
 
 const account = ProcessorAccount.ofProcess;
 /** Retry delay given to callers; a node without a configuration gets one within about this time. */
 const notReadyRetryMilliseconds = 500;
 const secondMilliseconds = 1_000;
+/** Maximum length of a caller's text in the log. */
+const maximumLoggedLength = 100;
 
 /** Resolves the route, customer and service of each request, and starts its relay. */
 export class RequestRouter {
@@ -135,10 +140,23 @@
     }
 
     private refuse(request: RoutedRequest, sink: AnswerSink, refusal: RelayRefusal, version: number): void {
-        const { environment, metrics } = this.options;
+        const { environment, metrics, getCopy } = this.options;
         const { reason } = refusal;
-        environment.log.write(events.relayRefused, { request: request.id, reason, configurationVersion: version });
+        environment.log.write(events.relayRefused, {
+            request: request.id,
+            reason,
+            configurationVersion: version,
+            host: request.host.slice(0, maximumLoggedLength),
+            path: getPath(request.target).slice(0, maximumLoggedLength),
+            ...getCopy(),
+        });
         metrics.refusalsTotal.inc({ reason });
         sink.refuse(refusal);
     }
 }
+
+/** Gets the path of a target without its query, which may hold what must not be logged. */
+function getPath(target: string): string {
+    const queryStart = target.indexOf("?");
+    return queryStart === -1 ? target : target.slice(0, queryStart);
+}
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -382,6 +382,10 @@
             stallDetector: this.stallDetector,
             metrics,
             loop: clock,
+            getCopy: () => ({
+                copyAgeMilliseconds: this.storeWatch.getCopyAge(),
+                copyRevision: configuration.getFrontier(),
+            }),
         });
     }
 
@@ -458,7 +462,7 @@
             endpoints: this.registry.getAll(),
             endpointInstructions: this.instructions.getStatus(),
             storeEra: this.options.store.getEra(),
-            storeCopyAgeMilliseconds: Math.round(now - this.storeWatch.getFreshTime()),
+            storeCopyAgeMilliseconds: this.storeWatch.getCopyAge(),
             load: this.createLoadStatus(now),
         };
     }
--- a/src/process/router/storeWatchController.ts
+++ b/src/process/router/storeWatchController.ts
@@ -167,6 +167,12 @@
         return Math.max(this.lastPeerFreshTime, confirmedAt, isProbeValid ? this.probe.getLastAnswer() : -Infinity);
     }
 
+    /** Gets the time since this node's copy of the store was last known to be current, or since the start, in milliseconds. */
+    getCopyAge(): number {
+        const freshAt = Math.max(this.getFreshTime(), this.startedAt);
+        return Math.round(this.options.clock.getMonotonicTime() - freshAt);
+    }
+
     /** Gets the monotonic time in milliseconds of the last store failure that any node has found. */
     getLastFailure(): number {
         const failures = this.options.followers.map(follower => follower.getLastFailure());
@@ -220,7 +226,7 @@
         this.probe.setActive(isActive && (isFailing || this.hasManyNodes));
         this.confirmCopy(others, now);
         this.reviewLease();
-        this.reportCopyAge(now);
+        this.reportCopyAge();
         this.timer = clock.setTimer(reviewIntervalMilliseconds, () => this.review());
     }
 
@@ -264,9 +270,9 @@
     }
 
     /** Reports the age of the copy, and logs when it exceeds the time within which a change must be in force, and when it no longer does. */
-    private reportCopyAge(now: number): void {
+    private reportCopyAge(): void {
         const { log, followers, configurationMilliseconds, onCopyAge } = this.options;
-        const age = Math.round(now - Math.max(this.getFreshTime(), this.startedAt));
+        const age = this.getCopyAge();
         onCopyAge(age);
         const isUnconfirmed = age > configurationMilliseconds;
         if (isUnconfirmed === this.isLoggedAsUnconfirmed) {
