--- a/scripts/soak/router/routerDeployment.ts
+++ b/scripts/soak/router/routerDeployment.ts
@@ -20,6 +20,8 @@
 /** Options of {@link RouterDeployment}. */
 interface RouterDeploymentOptions {
     nodes: number;
+    /** Time within which a change must be in force, in milliseconds. */
+    configurationMilliseconds?: number;
     /** Whether nodes run from the built executable instead of the sources. */
     isBuilt: boolean;
     /** Command and leading arguments that run foxlead; overrides `isBuilt`. */
@@ -61,10 +63,16 @@
     /** Starts all parts and waits until the nodes are ready and the stages hold layers. */
     static async create(options: RouterDeploymentOptions): Promise<RouterDeployment> {
         const deployment = new RouterDeployment(options, await KeyValueStandin.create());
-        deployment.configure();
-        await deployment.startEndpoints();
-        await deployment.startNodes();
-        await deployment.waitForLayers();
+        try {
+            deployment.configure();
+            await deployment.startEndpoints();
+            await deployment.startNodes();
+            await deployment.waitForLayers();
+        }
+        catch (error) {
+            await deployment.close();
+            throw error;
+        }
         return deployment;
     }
 
@@ -97,6 +105,12 @@
         return version === undefined ? undefined : Number(version);
     }
 
+    /** Gets the id of a node's process, by which duties are assigned. */
+    async getNodeId({ ports }: SoakNode): Promise<string | undefined> {
+        const answer = await fetchText(`http://127.0.0.1:${ports.admin}/status`, checkTimeoutMilliseconds);
+        return answer && (JSON.parse(answer.text) as { node: string; }).node;
+    }
+
     /** Waits until all stages hold layers. */
     async waitForLayers(): Promise<void> {
         while (this.endpoints.some(endpoint => endpoint.isStage() && !endpoint.hasLayers())) {
@@ -190,6 +204,7 @@
                 ...planned.ports,
                 seeds,
                 store: planned.storeProxy.getAddress(),
+                configurationMilliseconds: this.options.configurationMilliseconds,
             });
             writeFileSync(planned.settingsFile, boot);
             this.setLinks(planned, LinkCut.None);
@@ -212,7 +227,15 @@
     }
 
     private async waitUntilReady(node: SoakNode): Promise<void> {
+        let hasEnded = false;
+        void node.process.exited.then(() => {
+            hasEnded = true;
+        });
         while (node.endingSince === undefined && !await this.isReady(node)) {
+            if (hasEnded) {
+                const lastLine = node.process.getLines().at(-1) ?? "";
+                throw new Error(`${node.name} ended before it was ready; look at its last line: ${lastLine}`);
+            }
             await sleep(pollMilliseconds);
         }
     }
--- a/standins/router/createBootFile.ts
+++ b/standins/router/createBootFile.ts
@@ -13,11 +13,16 @@
     seeds: readonly string[];
     /** Address of the platform's store, as host:port. */
     store: string;
+    /** Time within which a change must be in force, in milliseconds. */
+    configurationMilliseconds?: number;
 }
 
+const defaultConfigurationMilliseconds = 2_000;
+
 /** Creates the content of the settings file that the platform writes for a node. */
 export function createBootFile(options: BootFileOptions): string {
     const { vm, dataCentre, callers, readiness, peers, admin, tunnels, seeds, store } = options;
+    const { configurationMilliseconds = defaultConfigurationMilliseconds } = options;
     return JSON.stringify({
         node_name: vm,
         zone: dataCentre,
@@ -26,7 +31,7 @@
         internal_ports: [admin, tunnels],
         seeds,
         bounds: {
-            config_apply_ms: 2_000,
+            config_apply_ms: configurationMilliseconds,
             drain_ms: 2_000,
             grace_s: 8,
             retry_budget_ratio: 0.2,
