--- a/src/process/replica/recordFollower.ts
+++ b/src/process/replica/recordFollower.ts
@@ -67,7 +67,7 @@
     private wait: AbortController | undefined;
     /** The call that confirms that the section is current, if there is one. */
     private confirmation: AbortController | undefined;
-    private isFullReadDue = true;
+    private needsFullRead = true;
     private failures = 0;
     private lastFailureAt = -Infinity;
     private isActive = true;
@@ -125,7 +125,7 @@
 
     /** Handles that the store was restored from an older snapshot: all records are read again. */
     handleStoreRestored(): void {
-        this.isFullReadDue = true;
+        this.needsFullRead = true;
         this.wait?.abort(AbortReason.Restored);
     }
 
@@ -134,9 +134,9 @@
         return this.options.section.getFrontier() > 0;
     }
 
-    /** Checks if the follower is active and its last call was answered. */
-    isCurrent(): boolean {
-        return this.isActive && !this.isFullReadDue && this.failures === 0;
+    /** Checks if all records have to be read before a call for changes can prove anything. */
+    isFullReadDue(): boolean {
+        return this.needsFullRead;
     }
 
     /** Checks if the last call was answered. */
@@ -170,13 +170,13 @@
     }
 
     /**
-     * Proves that the section is current, or finds changes that the waiting call missed, by a call that is answered immediately.
-     * A waiting call alone proves nothing before it ends: the store, or a connection that has stopped responding, may have lost it.
+     * Proves that the section is current, or finds changes that it lacks, by a call that is answered immediately. An inactive follower does
+     * so too. A waiting call alone proves nothing before it ends: the store, or a connection that has stopped responding, may have lost it.
      */
     async confirm(): Promise<void> {
         const { clock } = this.options;
         const isStoreDown = this.failures > 0 && this.wait === undefined;
-        if (!this.isActive || this.isFullReadDue || this.confirmation !== undefined || isStoreDown) {
+        if (this.needsFullRead || this.confirmation !== undefined || isStoreDown) {
             return;
         }
         const wait = this.wait;
@@ -205,7 +205,7 @@
                 await this.sleep(this.pacer.getBackoff(this.failures));
                 continue;
             }
-            const isAnswered = this.isFullReadDue ? await this.readAll() : await this.waitForChanges();
+            const isAnswered = this.needsFullRead ? await this.readAll() : await this.waitForChanges();
             if (!this.stopping.signal.aborted) {
                 await this.sleep(isAnswered ? this.pacer.getDelay() : this.pacer.getBackoff(this.failures));
             }
@@ -230,7 +230,7 @@
         }
         this.recordSuccess();
         this.confirmedAt = sentAt;
-        this.isFullReadDue = false;
+        this.needsFullRead = false;
         this.pacer.noteListing();
         const { records, revision } = listing.val;
         ProcessorAccount.ofProcess.runPart(
@@ -271,7 +271,7 @@
         this.recordSuccess();
         if (changes.val.isHistoryLost) {
             log.write(events.storeHistoryLost, { section: section.name, after });
-            this.isFullReadDue = true;
+            this.needsFullRead = true;
         }
         else {
             this.confirmedAt = sentAt;
--- a/src/process/router/changeFetcher.ts
+++ b/src/process/router/changeFetcher.ts
@@ -24,8 +24,8 @@
     peers: Pick<RouterPeers, "call">;
     clock: Clock;
     log: EventLog;
-    /** Whether this node is a hub, which brings updates into its data centre, so that few copies cross data centres. */
-    isHub(): boolean;
+    /** Whether other nodes get updates from this node. Any other waits for one of its data centre, so that few copies cross data centres. */
+    isDistributor(): boolean;
     /** Called with the monotonic time at which this node's copy is known to have been current. */
     onFresh(freshAt: number): void;
     /** Called after applying changes that other nodes may lack. */
@@ -85,7 +85,7 @@
 
     /** Compares the frontiers that a peer reports with those of this node, and fetches missing changes. */
     handlePeerFrontiers(peer: ChangeSourcePeer): void {
-        const { sections, dataCentre, clock, isHub } = this.options;
+        const { sections, dataCentre, clock, isDistributor } = this.options;
         const now = clock.getMonotonicTime();
         for (const { section: name, revision } of peer.frontiers) {
             const section = sections.find(candidate => candidate.name === name);
@@ -98,7 +98,7 @@
                 isFetching: this.isFetching(name, peer.address, now),
                 isEmpty: section.getFrontier() === 0,
                 isNear: peer.dataCentre === dataCentre,
-                isHub: isHub(),
+                isDistributor: isDistributor(),
                 behindMilliseconds: now - behindSince,
             });
             if (isFetchDue) {
--- a/src/process/router/choosePartners.ts
+++ b/src/process/router/choosePartners.ts
@@ -8,12 +8,14 @@
     dataCentre: string;
     /** The other live nodes. */
     nodes: readonly KnownNode[];
-    /** Addresses of the nodes from which this node gets store updates. */
+    /** Addresses of the nodes from which this node gets store updates, the preferred ones first. */
     sources: readonly string[];
     /** Whether other nodes get store updates from this node, and therefore call it. */
-    isHub: boolean;
+    isDistributor: boolean;
     /** Number of the exchange round. */
     round: number;
+    /** Whether this node needs a newer proof that its copy of the store is current. */
+    isProofDue: boolean;
     /** Whether this node's requests compete with those of other nodes for endpoint capacity. */
     isBusy: boolean;
     random: RandomSource;
@@ -45,12 +47,8 @@
     if (query.nodes.length < maximumFullMeshNodes) {
         return query.isBusy ? chooseRingSuccessors(query) : chooseRandom(query, idlePartnerCount);
     }
-    const { sources, isHub, nodes, dataCentre, isBusy, random, round } = query;
-    const isRandomRound = sources.length === 0 || !isHub && round % roundsPerRandomPartner === 0;
-    const partners = isRandomRound ? chooseRandom(query, 1) : new Set<string>();
-    if (!isRandomRound) {
-        addRandom(partners, sources, random);
-    }
+    const { nodes, dataCentre, isBusy, random } = query;
+    const partners = isRandomRound(query) ? chooseRandom(query, 1) : new Set([chooseSource(query)]);
     const local = listAddresses(nodes.filter(node => node.dataCentre === dataCentre));
     for (let count = 0; isBusy && count < busyLocalPartnerCount; count++) {
         addRandom(partners, local, random);
@@ -58,6 +56,17 @@
     return partners;
 }
 
+function isRandomRound({ sources, isDistributor, isProofDue, round }: PartnerQuery): boolean {
+    const isLearningRound = !isDistributor && !isProofDue && round % roundsPerRandomPartner === 0;
+    return sources.length === 0 || isLearningRound;
+}
+
+/** Chooses a random source, or the one whose proof is the newest, which is the first one for nodes that others get updates from. */
+function chooseSource({ sources, isDistributor, isProofDue, random }: PartnerQuery): string {
+    const index = isDistributor && isProofDue ? 0 : Math.floor(random() * sources.length);
+    return sources[index]!;
+}
+
 /** Chooses the next half of the nodes on a ring ordered by id, so that in each pair one node calls the other. */
 function chooseRingSuccessors({ nodeId, nodes }: PartnerQuery): Set<string> {
     const ring = nodes.toSorted((left, right) => left.nodeId < right.nodeId ? -1 : 1);
--- a/src/process/router/listStoreWatchers.ts
+++ b/src/process/router/listStoreWatchers.ts
@@ -20,8 +20,8 @@
 const watchKey = "store";
 
 /** The nodes that call the store. */
-interface StoreWatchers {
-    /** Ids of the nodes that watch it, from which the other nodes get changes. */
+export interface StoreWatchers {
+    /** Ids of the nodes that watch it, from which the other nodes get changes, in the order in which they take over from each other. */
     watching: string[];
     /** Ids of the candidates that the store refuses. They retry to detect when it serves them again. */
     refused: string[];
--- a/src/process/router/peerExchange.ts
+++ b/src/process/router/peerExchange.ts
@@ -110,7 +110,7 @@
             peers: this.peers,
             clock,
             log,
-            isHub: () => this.listSources().isHub,
+            isDistributor: () => this.listSources().isDistributor,
             onFresh: freshAt => storeWatch.recordPeerFreshTime(freshAt),
             onUpdate: () => this.propagateUpdate(),
         });
@@ -179,18 +179,19 @@
     }
 
     private choosePartners(): string[] {
-        const { nodeId, dataCentre, random, seeds, address, isBusy } = this.options;
+        const { nodeId, dataCentre, random, seeds, address, isBusy, storeWatch } = this.options;
         const live = this.listLive();
         const nodes = this.listPartnerCandidates(live);
-        const { isHub, addresses } = this.listSources();
-        const sources = addresses.filter(source => !this.peers.isUnreachable(source));
+        const { isDistributor, addresses } = this.listSources();
+        const sources = addresses.filter(source => this.isIdle(source));
         const partners = choosePartners({
             nodeId,
             dataCentre,
             nodes,
             sources,
-            isHub,
+            isDistributor,
             round: this.round,
+            isProofDue: storeWatch.isProofDue(isDistributor),
             isBusy: isBusy(),
             random,
         });
@@ -204,6 +205,11 @@
         return [...partners];
     }
 
+    /** Checks if a source answers, as far as known. One that has not answered yet may stand still. */
+    private isIdle(source: string): boolean {
+        return !this.peers.isUnreachable(source) && this.peers.getCallCount(source) === 0;
+    }
+
     /**
      * Excludes unreachable nodes, but only in large deployments. In small ones, one node of each pair calls the other, which
      * requires that all see the same nodes. Otherwise some pairs stop exchanging state while nodes restart in turn, and endpoint
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -510,13 +510,20 @@
             prefix,
             isStoreAnswering,
             callStore,
-            onMissedChanges: () => this.exchange.announceMissedChanges(),
+            onMissedChanges: () => this.announceMissedChanges(),
             clock,
             random,
             log,
         });
     }
 
+    /** Only watchers announce, since all other nodes may find the same change at the same moment. */
+    private announceMissedChanges(): void {
+        if (this.storeWatch.isStoreWatcher()) {
+            this.exchange.announceMissedChanges();
+        }
+    }
+
     /** Passes on a change from the store. Changes from a peer are passed on once all of them are applied. */
     private propagateStoreChange(source: ChangeSource): void {
         if (source === "store") {
--- a/src/process/router/shouldFetch.ts
+++ b/src/process/router/shouldFetch.ts
@@ -6,8 +6,8 @@
     isEmpty: boolean;
     /** Whether the peer is in the same data centre. */
     isNear: boolean;
-    /** Whether this node is a hub, which brings updates into its data centre. */
-    isHub: boolean;
+    /** Whether other nodes get updates from this node. */
+    isDistributor: boolean;
     /** Time since a peer was first known to be ahead, in milliseconds. */
     behindMilliseconds: number;
 }
@@ -26,9 +26,9 @@
  * only hubs fetch from another data centre without a delay.
  */
 export function shouldFetch(state: FetchState): boolean {
-    const { isFetching, isEmpty, isNear, isHub, behindMilliseconds } = state;
+    const { isFetching, isEmpty, isNear, isDistributor, behindMilliseconds } = state;
     if (isFetching) {
         return false;
     }
-    return isEmpty || isNear || isHub || behindMilliseconds >= remoteFetchDelayMilliseconds;
+    return isEmpty || isNear || isDistributor || behindMilliseconds >= remoteFetchDelayMilliseconds;
 }
--- a/src/process/router/storeWatchController.ts
+++ b/src/process/router/storeWatchController.ts
@@ -5,10 +5,12 @@
 import type { RendezvousOwners } from "../membership/rendezvousOwners.ts";
 import type { LeaseAction } from "../placement/leaseAction.ts";
 import type { RecordFollower } from "../replica/recordFollower.ts";
+import { getConfirmationFraction } from "./getConfirmationFraction.ts";
 import { isStoreWatcher } from "./isStoreWatcher.ts";
 import type { KnownNode } from "./knownNode.ts";
 import { LeaseReviewer } from "./leaseReviewer.ts";
-import { listStoreWatchers } from "./listStoreWatchers.ts";
+import { listStoreWatchers, type StoreWatchers } from "./listStoreWatchers.ts";
+import { maximumCopyAgeFraction } from "./maximumCopyAgeFraction.ts";
 import type { NodeTable } from "./nodeTable.ts";
 import { StoreProbe } from "./storeProbe.ts";
 
@@ -48,29 +50,16 @@
 const independentNodeLimit = 12;
 /** Interval at which a node re-evaluates whether it watches the store. */
 const reviewIntervalMilliseconds = 250;
-/**
- * A node whose copy was not confirmed as current for this fraction of the configuration time watches the store itself. A
- * lower fraction would be exceeded at many nodes by the usual path of the probe and two hops over peers, and all would call
- * the store.
- */
-const staleFraction = 0.75;
-/** How long such a node keeps watching, so that it does not switch with every late message. */
-const fallbackWatchMilliseconds = 6_000;
 /** A node that has heard from no other node after this time assumes that it is the only one. */
 const soleNodeMilliseconds = 1_500;
 /** A node that knows few others assumes only after this time that there are few. */
 const discoveryMilliseconds = 1_500;
+/** A node asks the peers from which it gets updates for a newer proof if its own is older than this fraction of the configuration time. */
+const proofRequestFraction = 0.5;
+/** The same for a node from which others get updates: a proof reaches them one round later. */
+const distributorProofRequestFraction = 0.35;
 /** Number of probes within the configuration time. */
 const probesPerConfigurationTime = 5;
-/**
- * One selected node confirms its copy by a call if nothing else has for this fraction of the configuration time. All other nodes learn
- * it from messages.
- */
-const selectedConfirmationFraction = 0.25;
-/** The same with many nodes, where the price of the calls counts for more, and a probe shows that the store answers. */
-const selectedConfirmationFractionOfMany = 0.4;
-/** The same for any other of few nodes, in case that no message has told it in time. */
-const confirmationFraction = 0.6;
 
 /**
  * Decides from the live nodes whether this node watches the store or gets changes from other nodes. Tracks how current this
@@ -86,9 +75,9 @@
     private lastPeerFailure = -Infinity;
     /** Time at which this node's copy of the store was last known to be current, as reported by peers. */
     private lastPeerFreshTime = -Infinity;
-    /** Time until which this node watches the store because its copy was stale. */
-    private watchesUntil = -Infinity;
     private isSelectedWatcher = false;
+    /** Age of the copy at which this node confirms it by a call, in milliseconds. */
+    private confirmationAge = Infinity;
     /** Whether there are so many nodes that only few of them watch the store. */
     private hasManyNodes = false;
     /** Whether the log says that this node's copy may lack changes. */
@@ -156,15 +145,36 @@
     }
 
     /**
-     * Gets the monotonic time in milliseconds at which this node's copy of the store was last known to be current: the time of an
-     * answered call for changes, by this node or by a peer that was not ahead. With many nodes also that of an answered probe, since
-     * the selected node finds soon what the waiting calls of the others have missed.
+     * Gets the monotonic time in milliseconds up to which this node's copy of the store is proven to have all changes: the time of an
+     * answered call for changes, by this node or by a peer that was not ahead. An answered probe proves nothing: the call that waits for
+     * changes may be lost all the same.
      */
     getFreshTime(): number {
-        const { followers } = this.options;
-        const confirmedAt = this.getConfirmedTime();
-        const isProbeValid = this.hasManyNodes && followers.every(follower => follower.isCurrent());
-        return Math.max(this.lastPeerFreshTime, confirmedAt, isProbeValid ? this.probe.getLastAnswer() : -Infinity);
+        return Math.max(this.lastPeerFreshTime, this.getConfirmedTime());
+    }
+
+    /** Checks if the copy is proven to have all changes that must be in force. */
+    isCopyCurrent(): boolean {
+        return this.getCopyAge() <= this.options.configurationMilliseconds * maximumCopyAgeFraction;
+    }
+
+    /**
+     * Checks if this node should ask the peers from which it gets updates for a newer proof.
+     * @param isDistributor - Whether other nodes get updates from this node.
+     */
+    isProofDue(isDistributor: boolean): boolean {
+        const fraction = isDistributor ? distributorProofRequestFraction : proofRequestFraction;
+        return this.getCopyAge() > this.options.configurationMilliseconds * fraction;
+    }
+
+    /** Proves by calls that the copy is current, or finds what it lacks, except for sections that were proven to be current lately. */
+    confirmCopy(): void {
+        const provenAfter = this.options.clock.getMonotonicTime() - this.confirmationAge;
+        for (const follower of this.options.followers) {
+            if (follower.getConfirmedTime() <= provenAfter) {
+                void follower.confirm();
+            }
+        }
     }
 
     /** Gets the time since this node's copy of the store was last known to be current, or since the start, in milliseconds. */
@@ -208,65 +218,44 @@
     }
 
     private review(): void {
-        const { clock, nodes, lease, followers } = this.options;
+        const { nodeId, clock, nodes, lease, followers, configurationMilliseconds } = this.options;
         const now = clock.getMonotonicTime();
         const others = nodes.getLiveNodes(now);
-        const isWatcher = this.isWatcher(others, now);
+        this.hasManyNodes = others.length >= independentNodeLimit;
+        const watchers = this.listWatchers(others);
+        this.confirmationAge = configurationMilliseconds
+            * getConfirmationFraction(watchers.watching.indexOf(nodeId), this.hasManyNodes);
+        const isWatcher = this.isWatcher(watchers, now);
         if (isWatcher && !this.isSelectedWatcher) {
             this.options.onSelected();
         }
         this.isSelectedWatcher = isWatcher;
-        const isActive = isWatcher || lease.isHeld() || this.isStale(now) || this.isReadingDue();
+        // A node whose own call has failed keeps calling until the store answers, since it may be the only one that the store refuses.
+        const isFailing = followers.some(follower => !follower.isStoreReachable());
+        const isActive = isWatcher || lease.isHeld() || isFailing || this.isReadingDue();
         for (const follower of followers) {
             follower.setActive(isActive);
         }
-        this.hasManyNodes = others.length >= independentNodeLimit;
         // With few nodes no other node depends on this one, but during a store failure the followers wait for the probe.
-        const isFailing = followers.some(follower => !follower.isStoreReachable());
         this.probe.setActive(isActive && (isFailing || this.hasManyNodes));
-        this.confirmCopy(others, now);
+        if (this.getCopyAge() >= this.confirmationAge) {
+            this.confirmCopy();
+        }
         this.reviewLease();
         this.reportCopyAge();
-        this.timer = clock.setTimer(reviewIntervalMilliseconds, () => this.review());
+        this.timer = clock.setTimer(this.getReviewDelay(), () => this.review());
     }
 
-    private getConfirmedTime(): number {
-        return Math.min(...this.options.followers.map(follower => follower.getConfirmedTime()));
+    /** Gets the time until the next review, which is at the latest when the copy has to be confirmed. */
+    private getReviewDelay(): number {
+        const untilConfirmation = this.confirmationAge - this.getCopyAge();
+        return untilConfirmation > 0
+            ? Math.min(reviewIntervalMilliseconds, Math.ceil(untilConfirmation))
+            : reviewIntervalMilliseconds;
     }
 
-    /** Confirms the copy by a call if nothing else has for some time. */
-    private confirmCopy(others: readonly KnownNode[], now: number): void {
-        const age = now - this.getLastConfirmation();
-        // Ranking the nodes takes processor time, and with many nodes only a selected watcher can be the first of them.
-        if (this.hasManyNodes && !this.isSelectedWatcher || age < this.getMinimumConfirmationInterval()) {
-            return;
-        }
-        if (age < this.getConfirmationInterval(others)) {
-            return;
-        }
-        for (const follower of this.options.followers) {
-            void follower.confirm();
-        }
-    }
-
-    private getLastConfirmation(): number {
-        return this.hasManyNodes ? this.getConfirmedTime() : this.getFreshTime();
-    }
-
-    /** Gets the time after which this node confirms its copy by a call, in milliseconds. */
-    private getConfirmationInterval(others: readonly KnownNode[]): number {
-        const { nodeId, owners, configurationMilliseconds } = this.options;
-        const { watching } = listStoreWatchers([...others, { nodeId, isWithoutStore: this.isWithoutStore() }], owners);
-        if (watching[0] === nodeId) {
-            return this.getMinimumConfirmationInterval();
-        }
-        return this.hasManyNodes ? Infinity : configurationMilliseconds * confirmationFraction;
-    }
-
-    /** Gets the interval of the selected node, in milliseconds. No other node confirms its copy more often. */
-    private getMinimumConfirmationInterval(): number {
-        const fraction = this.hasManyNodes ? selectedConfirmationFractionOfMany : selectedConfirmationFraction;
-        return this.options.configurationMilliseconds * fraction;
+    private getConfirmedTime(): number {
+        return Math.min(...this.options.followers.map(follower => follower.getConfirmedTime()));
     }
 
     /** Reports the age of the copy, and logs when it exceeds the time within which a change must be in force, and when it no longer does. */
@@ -284,30 +273,27 @@
         log.write(event, { ageMilliseconds: age, frontiers, isWithoutStore: this.isWithoutStore() });
     }
 
-    private isWatcher(others: readonly KnownNode[], now: number): boolean {
-        const { nodeId, owners, isSeed } = this.options;
-        if (others.length < independentNodeLimit) {
-            return isSeed || now - this.startedAt > discoveryMilliseconds;
-        }
-        return isStoreWatcher({ nodeId, isWithoutStore: this.isWithoutStore() }, others, owners);
+    private listWatchers(others: readonly KnownNode[]): StoreWatchers {
+        const { nodeId, owners } = this.options;
+        return listStoreWatchers([...others, { nodeId, isWithoutStore: this.isWithoutStore() }], owners);
+    }
+
+    private isWatcher(watchers: StoreWatchers, now: number): boolean {
+        const { nodeId, isSeed } = this.options;
+        return this.hasManyNodes
+            ? isStoreWatcher(nodeId, watchers)
+            : isSeed || now - this.startedAt > discoveryMilliseconds;
     }
 
     /**
-     * Checks if a section has not been read yet. Every node reads the store once when it starts, with two calls, because after a
-     * complete power loss its callers wait for that. Only watching it is limited to a few nodes.
+     * Checks if a section has not been read yet, or has to be read again to prove that it is current. Every node reads the store once when
+     * it starts, with two calls, because after a complete power loss its callers wait for that. Only watching it is limited to a few nodes.
      */
     private isReadingDue(): boolean {
-        return !this.options.followers.every(follower => follower.hasRecords());
-    }
-
-    /** Checks if this node watches the store because its copy is or recently was stale. */
-    private isStale(now: number): boolean {
-        const { configurationMilliseconds } = this.options;
-        const freshAt = Math.max(this.getFreshTime(), this.startedAt);
-        if (now - freshAt > configurationMilliseconds * staleFraction) {
-            this.watchesUntil = now + fallbackWatchMilliseconds;
-        }
-        return now < this.watchesUntil;
+        const isProofMissing = this.getCopyAge() >= this.confirmationAge;
+        return this.options.followers.some(follower =>
+            !follower.hasRecords() || isProofMissing && follower.isFullReadDue()
+        );
     }
 
     /** Acquires, keeps or releases the placement lease, as of the last review of the nodes. */
--- a/tests/process/router/changeFetcher.test.ts
+++ b/tests/process/router/changeFetcher.test.ts
@@ -45,7 +45,7 @@
             },
             clock,
             log: RecordingEventLog.create(),
-            isHub: () => true,
+            isDistributor: () => true,
             onFresh: () => undefined,
             onUpdate: () => undefined,
         });
@@ -86,7 +86,7 @@
                 peers: { call },
                 clock: FakeClock.create(),
                 log: RecordingEventLog.create(),
-                isHub: () => true,
+                isDistributor: () => true,
                 onFresh: () => undefined,
                 onUpdate: () => undefined,
             });
--- a/tests/process/router/choosePartners.test.ts
+++ b/tests/process/router/choosePartners.test.ts
@@ -27,7 +27,8 @@
             dataCentre,
             nodes: others,
             sources: [],
-            isHub: false,
+            isDistributor: false,
+            isProofDue: false,
             round: 1,
             isBusy,
             random,
@@ -60,7 +61,8 @@
             dataCentre: "dc-0",
             nodes,
             sources,
-            isHub: false,
+            isDistributor: false,
+            isProofDue: false,
             isBusy: false,
             random: createSeededRandom(1),
         };
@@ -74,6 +76,24 @@
         assert.ok(others.some(partner => !sources.includes(partner)));
     });
 
+    it("calls a source in each round while it needs a newer proof, and the first one if others get updates from it", () => {
+        const sources = ["10.0.0.3:1", "10.0.0.6:1"];
+        const query = {
+            nodeId: "n",
+            dataCentre: "dc-0",
+            nodes: createNodes(60),
+            sources,
+            isProofDue: true,
+            isBusy: false,
+            random: createSeededRandom(1),
+        };
+        for (const round of [1, 2, 3, 4, 5, 6]) {
+            const [partner = ""] = choosePartners({ ...query, isDistributor: false, round });
+            assert.ok(sources.includes(partner));
+            assert.deepEqual([...choosePartners({ ...query, isDistributor: true, round })], [sources[0]]);
+        }
+    });
+
     it("has no partner if no other node is known", () => {
         assert.equal(chooseAll(1, true).pairs.size, 0);
     });
--- a/tests/process/router/isStoreWatcher.test.ts
+++ b/tests/process/router/isStoreWatcher.test.ts
@@ -3,6 +3,7 @@
 import { RendezvousOwners } from "../../../src/process/membership/rendezvousOwners.ts";
 import { isStoreWatcher } from "../../../src/process/router/isStoreWatcher.ts";
 import type { KnownNode } from "../../../src/process/router/knownNode.ts";
+import { listStoreWatchers } from "../../../src/process/router/listStoreWatchers.ts";
 
 describe("isStoreWatcher", () => {
     let owners: RendezvousOwners;
@@ -22,9 +23,13 @@
     }
 
     function listWatchers(nodes: KnownNode[]): string[] {
-        return nodes
-            .filter(node => isStoreWatcher(node, nodes.filter(other => other !== node), owners))
-            .map(node => node.nodeId);
+        const listed = nodes.map(node => {
+            const others = nodes.filter(other => other !== node);
+            return { node, watchers: listStoreWatchers([...others, node], owners) };
+        });
+        return listed.filter(({ node, watchers }) => isStoreWatcher(node.nodeId, watchers)).map(({ node }) =>
+            node.nodeId
+        );
     }
 
     it("selects few nodes, consistently at every node", () => {
--- a/tests/process/router/listUpdateSources.test.ts
+++ b/tests/process/router/listUpdateSources.test.ts
@@ -23,8 +23,8 @@
     }
 
     it("reaches every node in two hops", () => {
-        const hubs = new Set(nodes.filter(node => list(node).isHub).map(({ address }) => address));
-        const watchers = new Set(nodes.filter(node => list(node).isHub).flatMap(node => list(node).addresses));
+        const hubs = new Set(nodes.filter(node => list(node).isDistributor).map(({ address }) => address));
+        const watchers = new Set(nodes.filter(node => list(node).isDistributor).flatMap(node => list(node).addresses));
         assert.equal(watchers.size, 4);
         for (const node of nodes.filter(({ address }) => !hubs.has(address))) {
             const { addresses } = list(node);
@@ -35,8 +35,8 @@
     it("bounds the number of nodes that each hub serves", () => {
         const askers = new Map<string, number>();
         for (const node of nodes) {
-            const { isHub, addresses } = list(node);
-            for (const address of isHub ? [] : addresses) {
+            const { isDistributor, addresses } = list(node);
+            for (const address of isDistributor ? [] : addresses) {
                 askers.set(address, (askers.get(address) ?? 0) + 1 / addresses.length);
             }
         }
@@ -45,10 +45,10 @@
 
     it("lets only hubs get updates from another data centre", () => {
         for (const node of nodes) {
-            const { isHub, addresses } = list(node);
+            const { isDistributor, addresses } = list(node);
             const isNear = (address: string) =>
                 nodes.find(other => other.address === address)!.dataCentre === node.dataCentre;
-            assert.ok(isHub || addresses.every(isNear));
+            assert.ok(isDistributor || addresses.every(isNear));
         }
     });
 });
--- a/tests/process/router/shouldFetch.test.ts
+++ b/tests/process/router/shouldFetch.test.ts
@@ -3,7 +3,7 @@
 import { shouldFetch } from "../../../src/process/router/shouldFetch.ts";
 
 describe("shouldFetch", () => {
-    const ahead = { isFetching: false, isEmpty: false, isNear: false, isHub: false, behindMilliseconds: 0 };
+    const ahead = { isFetching: false, isEmpty: false, isNear: false, isDistributor: false, behindMilliseconds: 0 };
 
     it("allows one fetch at a time", () => {
         assert.equal(shouldFetch({ ...ahead, isFetching: true, isNear: true, isEmpty: true }), false);
@@ -11,7 +11,7 @@
 
     it("fetches immediately from the same data centre, as a hub, and without a copy", () => {
         assert.equal(shouldFetch({ ...ahead, isNear: true }), true);
-        assert.equal(shouldFetch({ ...ahead, isHub: true }), true);
+        assert.equal(shouldFetch({ ...ahead, isDistributor: true }), true);
         assert.equal(shouldFetch({ ...ahead, isEmpty: true }), true);
     });
 
--- a/tests/process/router/storeWatchController.test.ts
+++ b/tests/process/router/storeWatchController.test.ts
@@ -18,8 +18,9 @@
     });
 
     /** Starts a node that in each step hears from the other nodes, whose copies are current. */
-    function start({ otherCount, hasWork = false, isSeed = false, isTold = () => true, prefix = "node", ...others }: {
+    function start({ otherCount, nodeId = "own", hasWork = false, isSeed = false, isTold = () => true, ...others }: {
         otherCount: number;
+        nodeId?: string;
         prefix?: string;
         isTold?: () => boolean;
         hasWork?: boolean;
@@ -28,7 +29,8 @@
     }) {
         const clock = FakeClock.create();
         const store = new CountedStore();
-        const nodes = NodeTable.create("own");
+        const nodes = NodeTable.create(nodeId);
+        const { prefix = "node" } = others;
         const log = RecordingEventLog.create();
         const leaseCalls: string[] = [];
         const selections: number[] = [];
@@ -45,7 +47,7 @@
             log,
         });
         const controller = StoreWatchController.create({
-            nodeId: "own",
+            nodeId,
             clock,
             nodes,
             owners,
@@ -152,25 +154,65 @@
         assert.equal(leaseCalls.at(-1), "pause");
     });
 
-    // The waiting calls of all nodes are lost, and the store answers everything else.
-    it("confirms its copy within 0.4 of the configuration time at only one node of a large deployment", async () => {
-        const isFirst = (prefix: string) => {
-            const nodeIds = ["own", ...Array.from({ length: 12 }, (_, index) => `${prefix}-${index}`)];
-            return owners.getOwners("store", nodeIds, 1)[0] === "own";
-        };
-        const prefixes = Array.from({ length: 200 }, (_, index) => `node-${index}`);
-        for (const prefix of [prefixes.find(isFirst)!, prefixes.find(candidate => !isFirst(candidate))!]) {
-            const { store, advance } = start({ otherCount: 12, prefix });
-            store.hasChanges = false;
-            await advance(6_000);
-            store.loseWaits();
-            const before = store.confirmations;
-            await advance(10_000);
-            const calls = store.confirmations - before;
-            assert.ok(isFirst(prefix) ? calls >= 5 && calls <= 6 : calls === 0, `${calls} calls beside ${prefix}`);
+    /** Finds an id for the node with which a number of others come before it in the order of the watchers. */
+    function findNodeId(rank: number, otherCount: number): string {
+        const others = Array.from({ length: otherCount }, (_, index) => `node-${index}`);
+        for (let number = 0;; number++) {
+            const nodeId = `own-${number}`;
+            if (owners.getOwners("store", [...others, nodeId], otherCount + 1).indexOf(nodeId) === rank) {
+                return nodeId;
+            }
+        }
+    }
+
+    /** Starts a node of a large deployment, loses the waiting calls, and returns the number of calls for changes in the next 10 s. */
+    async function countConfirmations(rank: number, isTold: () => boolean) {
+        const nodeId = findNodeId(rank, 12);
+        const { store, controller, advance } = start({ otherCount: 12, nodeId, isTold });
+        store.hasChanges = false;
+        await advance(6_000);
+        store.loseWaits();
+        const before = store.confirmations;
+        await advance(10_000);
+        return { calls: store.confirmations - before, freshTime: controller.getFreshTime() };
+    }
+
+    // A node whose waiting call was lost took its copy for current as long as the store answered a health check, and told its peers so.
+    it("does not take its copy for current because the store answers a probe", async () => {
+        for (const rank of [0, 1, 2, 12]) {
+            const { calls, freshTime } = await countConfirmations(rank, () => false);
+            assert.ok(calls > 0, `No call for changes with ${rank} watchers before`);
+            assert.ok(freshTime >= 16_000 - 4_000, `current at ${freshTime} with ${rank} watchers before`);
         }
     });
 
+    it("takes over later, the more watchers are before it, if no proof reaches it", async () => {
+        const counts: number[] = [];
+        for (const rank of [0, 1, 2, 12]) {
+            counts.push((await countConfirmations(rank, () => false)).calls);
+        }
+        assert.deepEqual(counts, [8, 5, 3, 3]);
+    });
+
+    it("makes no call for changes in a large deployment while proofs of other nodes reach it", async () => {
+        for (const rank of [0, 1, 12]) {
+            assert.equal((await countConfirmations(rank, () => true)).calls, 0);
+        }
+    });
+
+    it("asks peers for a newer proof before its copy becomes too old, the sooner if others get updates from it", async () => {
+        let isTold = true;
+        const { controller, advance } = start({ otherCount: 12, isTold: () => isTold });
+        await advance(4_000);
+        assert.equal(controller.isProofDue(true), false);
+        isTold = false;
+        await advance(1_600);
+        assert.equal(controller.isProofDue(true), true);
+        assert.equal(controller.isProofDue(false), false);
+        await advance(600);
+        assert.equal(controller.isProofDue(false), true);
+    });
+
     it("does not take its copy for current while the store answers no call for changes", async () => {
         const { store, controller, advance } = start({ otherCount: 8, isTold: () => false });
         await advance(4_000);
