--- a/src/process/router/changeFetcher.ts
+++ b/src/process/router/changeFetcher.ts
@@ -109,10 +109,12 @@
 
     /** Creates the response to a peer's fetch request. */
     createResponse({ frontier }: FetchRequest, freshAge: number): FetchResponse {
-        const section = this.options.sections.find(({ name }) => name === frontier?.section);
+        const { sections } = this.options;
+        const section = sections.find(({ name }) => name === frontier?.section);
+        const proof = { freshAge, frontiers: this.getFrontiers() };
         const missing = section?.getChangesSince(Number(frontier?.revision ?? 0));
         if (section === undefined || missing === undefined) {
-            return create(FetchResponseSchema, { freshAge });
+            return create(FetchResponseSchema, proof);
         }
         const changed = missing.records.map(({ key, revision, text }) => ({
             key,
@@ -129,10 +131,18 @@
         const records = [...changed, ...unchanged];
         const { frontier: ownFrontier, isWhole } = missing;
         const changes = { section: section.name, frontier: BigInt(ownFrontier), isWhole, records };
-        return create(FetchResponseSchema, { freshAge, changes });
+        return create(FetchResponseSchema, { ...proof, changes });
     }
 
-    /** Checks if this node's copies are at least as current as a peer's. */
+    /** Gets how far this node has followed each section. */
+    getFrontiers(): Pick<SectionFrontier, "section" | "revision">[] {
+        return this.options.sections.map(section => ({
+            section: section.name,
+            revision: BigInt(section.getFrontier()),
+        }));
+    }
+
+    /** Checks if this node's copies have all changes that a peer's have. */
     isCaughtUpWith(frontiers: readonly SectionFrontier[]): boolean {
         return frontiers.every(({ section: name, revision }) => {
             const section = this.options.sections.find(candidate => candidate.name === name);
@@ -175,7 +185,10 @@
             () => this.applyFetched(section, response.changes, { ...peer, fetchMilliseconds, behindMilliseconds }),
         );
         this.behindSince.delete(section.name);
-        if (response.freshAge < maximumAgeMilliseconds && this.isCaughtUpWith(peer.frontiers)) {
+        // The peer's proof may cover changes of other sections that it has got since it told of its frontiers. A node of an earlier release
+        // does not say how far its proof reaches.
+        const isProof = response.freshAge < maximumAgeMilliseconds && response.frontiers.length > 0;
+        if (isProof && this.isCaughtUpWith(response.frontiers)) {
             this.options.onFresh(sentAt - response.freshAge);
         }
     }
--- a/src/process/router/peerExchange.ts
+++ b/src/process/router/peerExchange.ts
@@ -259,14 +259,14 @@
     }
 
     private buildOwnState(knownToPeer: number | undefined): OwnState {
-        const { state, sections, storeWatch, lease } = this.options;
+        const { state, storeWatch, lease } = this.options;
         const live = this.listLive();
         return {
             ...state.createRecords(this.getTime()),
             sender: this.createOwnRecord(),
             nodes: this.createNodeRecords(live, knownToPeer),
             knownNodes: live.length + 1,
-            frontiers: sections.map(section => ({ section: section.name, revision: BigInt(section.getFrontier()) })),
+            frontiers: this.fetching.getFrontiers(),
             storeFailureAge: this.getAge(storeWatch.getLastFailure()),
             freshAge: this.getAge(storeWatch.getFreshTime()),
             leaseRelease: encodeRelease(lease.getNewestRelease()),
--- a/tests/process/router/changeFetcher.test.ts
+++ b/tests/process/router/changeFetcher.test.ts
@@ -77,6 +77,31 @@
         assert.deepEqual(called, ["silent"]);
     });
 
+    // A peer got a change of another section after it had told how far it was, and its proof was taken for one of the older copy.
+    it("takes a peer's answer for a proof only if it knows all that the peer knows as it answers", async () => {
+        for (const [otherFrontier, expected] of [[0n, [0]], [1n, []], [undefined, []]] as const) {
+            const freshTimes: number[] = [];
+            const told = { section: "s", revision: 5n };
+            const frontiers = otherFrontier === undefined ? [] : [told, { section: "other", revision: otherFrontier }];
+            const changes = { section: "s", frontier: 5n, records: [] };
+            const response = create(FetchResponseSchema, { freshAge: 0, changes, frontiers });
+            const fetcher = ChangeFetcher.create({
+                sections: ["s", "other"].map(name => RecordSection.create({ name, onChange: () => undefined })),
+                dataCentre: "a",
+                peers: { call: <T>() => Promise.resolve(response as T) },
+                clock: FakeClock.create(),
+                log: RecordingEventLog.create(),
+                isDistributor: () => true,
+                onFresh: freshAt => freshTimes.push(freshAt),
+                onUpdate: () => undefined,
+            });
+            const peer = { address: "peer", dataCentre: "a", frontiers: [create(SectionFrontierSchema, told)] };
+            fetcher.handlePeerFrontiers(peer);
+            await setImmediate();
+            assert.deepEqual(freshTimes, expected);
+        }
+    });
+
     /** Creates a node whose section has the frontier 108, and a peer that has read a listing at revision 110. */
     function createPair(known: readonly StoreRecord[]) {
         const createFetcher = (section: RecordSection, call: RouterPeers["call"]) =>
