--- a/src/process/router/requestRouter.ts
+++ b/src/process/router/requestRouter.ts
@@ -15,6 +15,7 @@
 import { ProcessorAccount } from "../loop/processorAccount.ts";
 import { ProcessorCause } from "../loop/processorCause.ts";
 import type { Metrics } from "../metrics/metrics.ts";
+import type { RefusalGate } from "./refusalGate.ts";
 import type { RoutingHolder } from "./routingHolder.ts";
 import type { StoreCopyState } from "./storeCopyState.ts";
 
@@ -25,6 +26,8 @@
     stallDetector: StallDetector;
     metrics: Metrics;
     loop: Pick<EventLoopMonitor, "getLag">;
+    /** Holds back refusals of what this node does not know while its copy of the store may be old. */
+    refusalGate: RefusalGate;
     /** Gets the copy of the store that requests are routed by. */
     getCopy(): StoreCopyState;
 }
@@ -33,6 +36,8 @@
 /** Retry delay given to callers; a node without a configuration gets one within about this time. */
 const notReadyRetryMilliseconds = 500;
 const secondMilliseconds = 1_000;
+/** Retry delay given to callers while this node can't prove its copy of the store; by then it has usually asked its peers again. */
+const unprovenRetryMilliseconds = 500;
 /** Maximum length of a caller's text in the log. */
 const maximumLoggedLength = 100;
 
@@ -61,13 +66,13 @@
         const route = state.getRoute(request.host, request.target);
         if (route === undefined) {
             const message = "No route fits the host and path. Check them.";
-            this.refuse(request, sink, { reason: RefusalReason.NoRoute, message }, version);
+            this.refuseUnknown(request, sink, { reason: RefusalReason.NoRoute, message }, version);
             return;
         }
         const customer = state.getCustomer(request.apiKey ?? "");
         if (customer === undefined && state.needsKey() && !route.isPublic) {
             const message = "No customer has this API key. Check it.";
-            this.refuse(request, sink, { reason: RefusalReason.UnknownKey, message }, version);
+            this.refuseUnknown(request, sink, { reason: RefusalReason.UnknownKey, message }, version);
             return;
         }
         const service = state.configuration.services.get(this.chooseService(route));
@@ -139,6 +144,25 @@
         return services[0]?.service ?? "";
     }
 
+    /** Refuses a request for what this node does not know, once its copy of the store is proven to be current. */
+    private refuseUnknown(request: RoutedRequest, sink: AnswerSink, refusal: RelayRefusal, version: number): void {
+        const { refusalGate, environment: { clock } } = this.options;
+        if (refusalGate.isOpen()) {
+            this.refuse(request, sink, refusal, version);
+            return;
+        }
+        const dueAt = request.arrivedAt + (request.deadlineMilliseconds ?? Infinity);
+        const cancel = refusalGate.wait(dueAt - clock.getMonotonicTime(), isProven => {
+            if (isProven) {
+                this.handle(request, sink);
+                return;
+            }
+            const cause = "this node's configuration may lack the latest changes.";
+            this.refuse(request, sink, createRefusal.notRun(cause, unprovenRetryMilliseconds), version);
+        });
+        sink.onClosed(cancel);
+    }
+
     private refuse(request: RoutedRequest, sink: AnswerSink, refusal: RelayRefusal, version: number): void {
         const { environment, metrics, getCopy } = this.options;
         const { reason } = refusal;
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -45,6 +45,7 @@
 import { PeerState } from "./peerState.ts";
 import { QuarantinePersister } from "./quarantinePersister.ts";
 import { RankDemandPart } from "./rankDemandPart.ts";
+import { RefusalGate } from "./refusalGate.ts";
 import { RequestRouter } from "./requestRouter.ts";
 import type { RouterNodeOptions } from "./routerNodeOptions.ts";
 import { RoutingHolder } from "./routingHolder.ts";
@@ -382,6 +383,12 @@
             stallDetector: this.stallDetector,
             metrics,
             loop: clock,
+            refusalGate: RefusalGate.create({
+                clock,
+                isCopyCurrent: () => this.storeWatch.isCopyCurrent(),
+                isWithoutStore: () => this.storeWatch.isWithoutStore(),
+                confirmCopy: () => this.storeWatch.confirmCopy(),
+            }),
             getCopy: () => ({
                 copyAgeMilliseconds: this.storeWatch.getCopyAge(),
                 copyRevision: configuration.getFrontier(),
--- a/src/process/router/storeWatchController.ts
+++ b/src/process/router/storeWatchController.ts
@@ -153,9 +153,10 @@
         return Math.max(this.lastPeerFreshTime, this.getConfirmedTime());
     }
 
-    /** Checks if the copy is proven to have all changes that must be in force. */
+    /** Checks if the copy is proven to have all changes that must be in force. It is not before the first proof, however young the node. */
     isCopyCurrent(): boolean {
-        return this.getCopyAge() <= this.options.configurationMilliseconds * maximumCopyAgeFraction;
+        const { clock, configurationMilliseconds } = this.options;
+        return clock.getMonotonicTime() - this.getFreshTime() <= configurationMilliseconds * maximumCopyAgeFraction;
     }
 
     /**
