--- a/scripts/soak/router/routerFaultKinds.ts
+++ b/scripts/soak/router/routerFaultKinds.ts
@@ -6,6 +6,7 @@
 import { createFaultKind } from "../createFaultKind.ts";
 import type { FaultKind } from "../faultKind.ts";
 import { callKinds } from "./callKind.ts";
+import { changeWhileStopped } from "./changeWhileStopped.ts";
 import { endpointLimitKind } from "./endpointLimitKind.ts";
 import { endpointTakesAddress } from "./endpointTakesAddress.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
@@ -66,6 +67,7 @@
     waitsLost: deploymentFault(2, ({ deployment }) => deployment.store.losePendingWatches()),
     storeRestored: storeFault(3, longDuration, {}, ({ store }) => store.createCopy(), restoreStore),
     storeCompact: deploymentFault(2, ({ deployment }) => deployment.store.compact()),
+    changeWhileStopped,
     configurationChange: deploymentFault(2, ({ deployment }) => void deployment.configure()),
     harmfulRequest: deploymentFault(2, sendHarmful),
     burst: {
--- a/scripts/soak/router/routerSoakContext.ts
+++ b/scripts/soak/router/routerSoakContext.ts
@@ -1,5 +1,6 @@
 import type { FaultTimeline } from "../faultTimeline.ts";
 import type { SeededRandom } from "../seededRandom.ts";
+import type { Violations } from "../violations.ts";
 import type { RouterCallers } from "./routerCallers.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
 
@@ -9,4 +10,5 @@
     random: SeededRandom;
     timeline: FaultTimeline;
     callers: RouterCallers;
+    violations: Violations;
 }
--- a/scripts/soak/router/runRouterSoak.ts
+++ b/scripts/soak/router/runRouterSoak.ts
@@ -64,7 +64,7 @@
     const random = SeededRandom.create(options.seed);
     const callers = RouterCallers.create({ deployment, random, onEnded: record => checks.checkAnswer(record) });
     const faults = FaultLoop.create({
-        context: { deployment, timeline, callers, random: SeededRandom.create(options.seed + 1) },
+        context: { deployment, timeline, callers, violations, random: SeededRandom.create(options.seed + 1) },
         allKinds: routerFaultKinds,
         ...options,
     });
