--- a/src/process/router/peerExchange.ts
+++ b/src/process/router/peerExchange.ts
@@ -22,6 +22,7 @@
 import type { RecordSection } from "../replica/recordSection.ts";
 import { ChangeFetcher } from "./changeFetcher.ts";
 import { choosePartners } from "./choosePartners.ts";
+import type { CopyProof } from "./copyProof.ts";
 import type { EndpointLinks } from "./endpointLinks.ts";
 import type { KnownNode } from "./knownNode.ts";
 import { listDistributors } from "./listDistributors.ts";
@@ -42,6 +43,8 @@
     links: Pick<EndpointLinks, "getTunnelAddress" | "getUnreachableFraction">;
     /** Tracks the store's state, as seen by this node and reported by peers. */
     storeWatch: StoreWatchController;
+    /** Knows how current this node's copy of the store is. */
+    proof: CopyProof;
     /** Lease for placing layers; peers pass on that it was released. */
     lease: Pick<FencedLease, "getNewestRelease" | "noteRelease">;
     /** Addresses of the initial nodes; they may be stale or down. */
@@ -102,7 +105,7 @@
 
     private constructor(options: PeerExchangeOptions) {
         this.options = options;
-        const { sections, dataCentre, clock, log, storeWatch } = options;
+        const { sections, dataCentre, clock, log, proof } = options;
         this.peers = RouterPeers.create(log, clock);
         this.fetching = ChangeFetcher.create({
             sections,
@@ -111,7 +114,7 @@
             clock,
             log,
             isDistributor: () => this.listSources().isDistributor,
-            onFresh: freshAt => storeWatch.recordPeerFreshTime(freshAt),
+            onFresh: freshAt => proof.recordPeerTime(freshAt),
             onUpdate: () => this.propagateUpdate(),
         });
     }
@@ -179,7 +182,7 @@
     }
 
     private choosePartners(): string[] {
-        const { nodeId, dataCentre, random, seeds, address, isBusy, storeWatch } = this.options;
+        const { nodeId, dataCentre, random, seeds, address, isBusy, proof } = this.options;
         const live = this.listLive();
         const nodes = this.listPartnerCandidates(live);
         const { isDistributor, addresses } = this.listSources();
@@ -191,7 +194,7 @@
             sources,
             isDistributor,
             round: this.round,
-            isProofDue: storeWatch.isProofDue(isDistributor),
+            isProofDue: proof.isRequestDue(isDistributor),
             isBusy: isBusy(),
             random,
         });
@@ -259,7 +262,7 @@
     }
 
     private buildOwnState(knownToPeer: number | undefined): OwnState {
-        const { state, storeWatch, lease } = this.options;
+        const { state, storeWatch, proof, lease } = this.options;
         const live = this.listLive();
         return {
             ...state.createRecords(this.getTime()),
@@ -268,7 +271,7 @@
             knownNodes: live.length + 1,
             frontiers: this.fetching.getFrontiers(),
             storeFailureAge: this.getAge(storeWatch.getLastFailure()),
-            freshAge: this.getAge(storeWatch.getFreshTime()),
+            freshAge: this.getAge(proof.getTime()),
             leaseRelease: encodeRelease(lease.getNewestRelease()),
         };
     }
@@ -309,7 +312,7 @@
     handleFetch(request: FetchRequest): FetchResponse {
         return ProcessorAccount.ofProcess.run(
             ProcessorCause.PeerBuild,
-            () => this.fetching.createResponse(request, this.getAge(this.options.storeWatch.getFreshTime())),
+            () => this.fetching.createResponse(request, this.getAge(this.options.proof.getTime())),
         );
     }
 
@@ -319,7 +322,7 @@
         }
         this.applyState(state);
         if (state.freshAge < maximumAgeMilliseconds && this.fetching.isCaughtUpWith(state.frontiers)) {
-            this.options.storeWatch.recordPeerFreshTime(sentAt - state.freshAge);
+            this.options.proof.recordPeerTime(sentAt - state.freshAge);
         }
     }
 
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -21,15 +21,12 @@
 import type { RoutedService } from "../../version/routing/routedService.ts";
 import { RouterService } from "../../wire/generated/foxlead/router/v1/router_pb.ts";
 import type { TimerHandle } from "../clock.ts";
-import { FencedLease } from "../leases/fencedLease.ts";
+import type { FencedLease } from "../leases/fencedLease.ts";
 import { events } from "../logging/events.ts";
 import { OwnersCache } from "../membership/ownersCache.ts";
 import { LowestRankRefuser } from "../overload/lowestRankRefuser.ts";
 import { OverloadProtection } from "../overload/overloadProtection.ts";
 import { PlacementController } from "../placement/placementController.ts";
-import type { ChangeSource } from "../replica/changeSource.ts";
-import { RecordFollower } from "../replica/recordFollower.ts";
-import { RecordSection } from "../replica/recordSection.ts";
 import { chooseLimitSharers } from "./chooseLimitSharers.ts";
 import { createLoadStatus } from "./createLoadStatus.ts";
 import { EndpointCalls } from "./endpointCalls.ts";
@@ -50,12 +47,9 @@
 import type { RouterNodeOptions } from "./routerNodeOptions.ts";
 import { RoutingHolder } from "./routingHolder.ts";
 import { SlidingMaximum } from "./slidingMaximum.ts";
-import { StoreWatchController } from "./storeWatchController.ts";
+import { StoreReplica } from "./storeReplica.ts";
+import type { StoreWatchController } from "./storeWatchController.ts";
 
-/** Time to live of the lease. It is renewed three times within it, and a lost holder is replaced after it. */
-const leaseTtlMilliseconds = 3_000;
-/** Endpoints refuse orders with an older fencing number, so a successor does not wait for orders in flight. */
-const longestOrderMilliseconds = 300;
 const secondMilliseconds = 1_000;
 /**
  * Initially assumed number of nodes. A node that has just started knows few others, and takes a small share of the limits for
@@ -72,6 +66,7 @@
     private readonly holder: RoutingHolder;
     private readonly storeWatch: StoreWatchController;
     private readonly exchange: PeerExchange;
+    private readonly replica: StoreReplica;
     private readonly lease: FencedLease;
     private readonly placementController: PlacementController;
     private readonly router: RequestRouter;
@@ -206,55 +201,21 @@
                 this.stallDetector.handleEndpointRestart(earlier);
             },
         });
-        const configuration = RecordSection.create({
-            name: "configuration",
-            onChange: (record, source) => {
-                this.holder.applyRecord(record, source);
-                this.placementController.wake();
-                this.propagateStoreChange(source);
-            },
-            isOutdated: (record, known) => this.holder.isOutdated(record, known),
-        });
-        const endpoints = RecordSection.create({
-            name: "endpoints",
-            onChange: (record, source) => {
-                this.registry.applyRecord(record, source);
-                this.propagateStoreChange(source);
-            },
-            isOutdated: (record, known) => this.registry.isOutdated(record, known),
-        });
-        this.lease = FencedLease.create({
-            store,
-            clock,
-            random,
-            log,
-            key: keys.placementLease,
-            holder: nodeId,
-            timeToLiveMilliseconds: leaseTtlMilliseconds,
-            longestOrderMilliseconds,
-            getStoreEra: () => store.getEra(),
-            onAcquired: () => this.placementController.wake(),
-        });
-        this.storeWatch = StoreWatchController.create({
-            nodeId,
-            clock,
+        this.replica = StoreReplica.create({
+            node: options,
             nodes: this.nodes,
             owners,
-            followers: [
-                this.createFollower(configuration, keys.configuration),
-                this.createFollower(endpoints, keys.endpointPrefix),
-            ],
-            lease: this.lease,
+            configurations: this.holder,
+            endpoints: this.registry,
             isDraining: () => this.isDraining,
-            callStore: () => store.isAnswering(),
-            configurationMilliseconds: settings.configurationMilliseconds,
-            isSeed: settings.seeds.length === 0 || settings.seeds.includes(settings.peerListener),
             getLeaseAction: rank => this.placementController.getLeaseAction(rank),
-            onSelected: () => this.placementController.wake(),
-            getLag: () => clock.getLag(),
-            onCopyAge: milliseconds => metrics.storeCopyAgeSeconds.set(milliseconds / secondMilliseconds),
-            log,
+            wakePlacement: () => this.placementController.wake(),
+            propagateUpdate: () => this.exchange.propagateUpdate(),
+            announceMissedChanges: () => this.exchange.announceMissedChanges(),
         });
+        const { lease, watch: storeWatch, proof, sections } = this.replica;
+        this.lease = lease;
+        this.storeWatch = storeWatch;
         const linkDelays = LinkDelays.create();
         this.linkAdmission = LinkAdmission.create({
             random,
@@ -270,12 +231,13 @@
             address: settings.peerListener,
             dataCentre: settings.dataCentre,
             links: this.links,
-            storeWatch: this.storeWatch,
-            lease: this.lease,
+            storeWatch,
+            proof,
+            lease,
             seeds: settings.seeds,
             nodes: this.nodes,
             owners,
-            sections: [configuration, endpoints],
+            sections,
             state: PeerState.create({
                 loads,
                 health: this.health,
@@ -385,14 +347,11 @@
             loop: clock,
             refusalGate: RefusalGate.create({
                 clock,
-                isCopyCurrent: () => this.storeWatch.isCopyCurrent(),
-                isWithoutStore: () => this.storeWatch.isWithoutStore(),
-                confirmCopy: () => this.storeWatch.confirmCopy(),
-            }),
-            getCopy: () => ({
-                copyAgeMilliseconds: this.storeWatch.getCopyAge(),
-                copyRevision: configuration.getFrontier(),
+                isCopyCurrent: () => proof.isCurrent(),
+                isWithoutStore: () => storeWatch.isWithoutStore(),
+                confirmCopy: () => storeWatch.confirmCopy(),
             }),
+            getCopy: () => this.replica.getState(),
         });
     }
 
@@ -469,7 +428,7 @@
             endpoints: this.registry.getAll(),
             endpointInstructions: this.instructions.getStatus(),
             storeEra: this.options.store.getEra(),
-            storeCopyAgeMilliseconds: this.storeWatch.getCopyAge(),
+            storeCopyAgeMilliseconds: this.replica.getState().copyAgeMilliseconds,
             load: this.createLoadStatus(now),
         };
     }
@@ -507,37 +466,6 @@
         await this.peerServer?.close();
     }
 
-    private createFollower(section: RecordSection, prefix: string): RecordFollower {
-        const { store, clock, random, log } = this.options;
-        const isStoreAnswering = () => this.storeWatch.isProbeAnswered();
-        const callStore = () => store.isAnswering();
-        return RecordFollower.create({
-            store,
-            section,
-            prefix,
-            isStoreAnswering,
-            callStore,
-            onMissedChanges: () => this.announceMissedChanges(),
-            clock,
-            random,
-            log,
-        });
-    }
-
-    /** Only watchers announce, since all other nodes may find the same change at the same moment. */
-    private announceMissedChanges(): void {
-        if (this.storeWatch.isStoreWatcher()) {
-            this.exchange.announceMissedChanges();
-        }
-    }
-
-    /** Passes on a change from the store. Changes from a peer are passed on once all of them are applied. */
-    private propagateStoreChange(source: ChangeSource): void {
-        if (source === "store") {
-            this.exchange.propagateUpdate();
-        }
-    }
-
     private createLoadStatus(now: number): object {
         const { queue: { rankReserve, refusals }, linkAdmission, losses, storeWatch, lease, overload } = this;
         const nodeCount = this.getLiveNodeCount();
--- a/src/process/router/storeWatchController.ts
+++ b/src/process/router/storeWatchController.ts
@@ -5,12 +5,12 @@
 import type { RendezvousOwners } from "../membership/rendezvousOwners.ts";
 import type { LeaseAction } from "../placement/leaseAction.ts";
 import type { RecordFollower } from "../replica/recordFollower.ts";
+import type { CopyProof } from "./copyProof.ts";
 import { getConfirmationFraction } from "./getConfirmationFraction.ts";
 import { isStoreWatcher } from "./isStoreWatcher.ts";
 import type { KnownNode } from "./knownNode.ts";
 import { LeaseReviewer } from "./leaseReviewer.ts";
 import { listStoreWatchers, type StoreWatchers } from "./listStoreWatchers.ts";
-import { maximumCopyAgeFraction } from "./maximumCopyAgeFraction.ts";
 import type { NodeTable } from "./nodeTable.ts";
 import { StoreProbe } from "./storeProbe.ts";
 
@@ -22,6 +22,8 @@
     /** Assigns duties to nodes. */
     owners: Pick<RendezvousOwners, "getOwners">;
     followers: readonly RecordFollower[];
+    /** Knows how current the copy of the followers' sections is. */
+    proof: Pick<CopyProof, "getAge">;
     /** Lease for placing layers. Only nodes that watch the store try to acquire it. */
     lease: Pick<FencedLease, "isHeld" | "isLastHolder" | "start" | "pause" | "keep" | "refresh" | "rest">;
     /** Whether this node is giving up its duties. */
@@ -54,16 +56,12 @@
 const soleNodeMilliseconds = 1_500;
 /** A node that knows few others assumes only after this time that there are few. */
 const discoveryMilliseconds = 1_500;
-/** A node asks the peers from which it gets updates for a newer proof if its own is older than this fraction of the configuration time. */
-const proofRequestFraction = 0.5;
-/** The same for a node from which others get updates: a proof reaches them one round later. */
-const distributorProofRequestFraction = 0.35;
 /** Number of probes within the configuration time. */
 const probesPerConfigurationTime = 5;
 
 /**
- * Decides from the live nodes whether this node watches the store or gets changes from other nodes. Tracks how current this
- * node's copy is, and when the store last failed.
+ * Decides from the live nodes whether this node watches the store or gets changes from other nodes, and when it proves by calls that its
+ * copy is current. Tracks when the store last failed.
  */
 export class StoreWatchController {
     private readonly options: StoreWatchControllerOptions;
@@ -73,8 +71,6 @@
     private timer: TimerHandle | undefined;
     /** Time of the last store failure that peers reported. */
     private lastPeerFailure = -Infinity;
-    /** Time at which this node's copy of the store was last known to be current, as reported by peers. */
-    private lastPeerFreshTime = -Infinity;
     private isSelectedWatcher = false;
     /** Age of the copy at which this node confirms it by a call, in milliseconds. */
     private confirmationAge = Infinity;
@@ -144,30 +140,6 @@
         return this.isSelectedWatcher;
     }
 
-    /**
-     * Gets the monotonic time in milliseconds up to which this node's copy of the store is proven to have all changes: the time of an
-     * answered call for changes, by this node or by a peer that was not ahead. An answered probe proves nothing: the call that waits for
-     * changes may be lost all the same.
-     */
-    getFreshTime(): number {
-        return Math.max(this.lastPeerFreshTime, this.getConfirmedTime());
-    }
-
-    /** Checks if the copy is proven to have all changes that must be in force. It is not before the first proof, however young the node. */
-    isCopyCurrent(): boolean {
-        const { clock, configurationMilliseconds } = this.options;
-        return clock.getMonotonicTime() - this.getFreshTime() <= configurationMilliseconds * maximumCopyAgeFraction;
-    }
-
-    /**
-     * Checks if this node should ask the peers from which it gets updates for a newer proof.
-     * @param isDistributor - Whether other nodes get updates from this node.
-     */
-    isProofDue(isDistributor: boolean): boolean {
-        const fraction = isDistributor ? distributorProofRequestFraction : proofRequestFraction;
-        return this.getCopyAge() > this.options.configurationMilliseconds * fraction;
-    }
-
     /** Proves by calls that the copy is current, or finds what it lacks, except for sections that were proven to be current lately. */
     confirmCopy(): void {
         const provenAfter = this.options.clock.getMonotonicTime() - this.confirmationAge;
@@ -178,12 +150,6 @@
         }
     }
 
-    /** Gets the time since this node's copy of the store was last known to be current, or since the start, in milliseconds. */
-    getCopyAge(): number {
-        const freshAt = Math.max(this.getFreshTime(), this.startedAt);
-        return Math.round(this.options.clock.getMonotonicTime() - freshAt);
-    }
-
     /** Gets the monotonic time in milliseconds of the last store failure that any node has found. */
     getLastFailure(): number {
         const failures = this.options.followers.map(follower => follower.getLastFailure());
@@ -197,11 +163,6 @@
         }
     }
 
-    /** Records when a peer's copy was last known to be current. This node's copy must have reached the same revision. */
-    recordPeerFreshTime(freshAt: number): void {
-        this.lastPeerFreshTime = Math.max(this.lastPeerFreshTime, freshAt);
-    }
-
     /** Records the last store failure that a peer knows of. */
     recordPeerFailure(failedAt: number): void {
         this.lastPeerFailure = Math.max(this.lastPeerFailure, failedAt);
@@ -239,7 +200,7 @@
         }
         // With few nodes no other node depends on this one, but during a store failure the followers wait for the probe.
         this.probe.setActive(isActive && (isFailing || this.hasManyNodes));
-        if (this.getCopyAge() >= this.confirmationAge) {
+        if (this.options.proof.getAge() >= this.confirmationAge) {
             this.confirmCopy();
         }
         this.reviewLease();
@@ -249,20 +210,16 @@
 
     /** Gets the time until the next review, which is at the latest when the copy has to be confirmed. */
     private getReviewDelay(): number {
-        const untilConfirmation = this.confirmationAge - this.getCopyAge();
+        const untilConfirmation = this.confirmationAge - this.options.proof.getAge();
         return untilConfirmation > 0
             ? Math.min(reviewIntervalMilliseconds, Math.ceil(untilConfirmation))
             : reviewIntervalMilliseconds;
     }
 
-    private getConfirmedTime(): number {
-        return Math.min(...this.options.followers.map(follower => follower.getConfirmedTime()));
-    }
-
     /** Reports the age of the copy, and logs when it exceeds the time within which a change must be in force, and when it no longer does. */
     private reportCopyAge(): void {
         const { log, followers, configurationMilliseconds, onCopyAge } = this.options;
-        const age = this.getCopyAge();
+        const age = this.options.proof.getAge();
         onCopyAge(age);
         const isUnconfirmed = age > configurationMilliseconds;
         if (isUnconfirmed === this.isLoggedAsUnconfirmed) {
@@ -291,7 +248,7 @@
      * it starts, with two calls, because after a complete power loss its callers wait for that. Only watching it is limited to a few nodes.
      */
     private isReadingDue(): boolean {
-        const isProofMissing = this.getCopyAge() >= this.confirmationAge;
+        const isProofMissing = this.options.proof.getAge() >= this.confirmationAge;
         return this.options.followers.some(follower =>
             !follower.hasRecords() || isProofMissing && follower.isFullReadDue()
         );
