--- a/bench/experiment/simulatedNode.ts
+++ b/bench/experiment/simulatedNode.ts
@@ -128,7 +128,7 @@
             peer.environment.health.applySuspicion(suspicion, now);
         }
         for (const crash of quarantine.getCrashes(now)) {
-            peer.environment.quarantine.addPeerCrash(crash);
+            peer.environment.quarantine.addPeerCrash(crash, now);
         }
     }
 
--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -266,6 +266,11 @@
         message:
             "An endpoint rejected a request despite apparent capacity; it was asked whether it rejects all requests.",
     },
+    requestCleared: {
+        number: 1726,
+        level: "info",
+        message: "A request that seemed to crash endpoints is sent again, since an endpoint has run it for a peer.",
+    },
     endpointLimitChanged: {
         number: 1723,
         level: "info",
--- a/src/process/router/peerState.ts
+++ b/src/process/router/peerState.ts
@@ -60,6 +60,7 @@
                 endpointId,
                 age: Math.round(now - at),
             })),
+            safeRequests: quarantine.getRefutations(now),
             endpointLimits: limits.listReports(now).map(({ endpointId, requestsPerSecond, at, demand }) => ({
                 endpointId,
                 requestsPerSecond,
@@ -94,7 +95,10 @@
             onUpdate();
         }
         for (const { fingerprint, endpointId, age } of message.endedRuns) {
-            quarantine.addPeerCrash({ fingerprint, endpointId, at: now - age });
+            quarantine.addPeerCrash({ fingerprint, endpointId, at: now - age }, now);
+        }
+        for (const fingerprint of message.safeRequests) {
+            quarantine.applyRefutation(fingerprint);
         }
         for (const reading of message.readings) {
             readings.add(reading, now);
--- a/src/process/router/quarantinePersister.ts
+++ b/src/process/router/quarantinePersister.ts
@@ -123,7 +123,7 @@
         const wallTime = clock.getWallTime();
         const now = clock.getMonotonicTime();
         for (const { fingerprint, endpointId, endedAt } of runs) {
-            quarantine.addPeerCrash({ fingerprint, endpointId, at: now - Math.max(0, wallTime - endedAt) });
+            quarantine.addPeerCrash({ fingerprint, endpointId, at: now - Math.max(0, wallTime - endedAt) }, now);
         }
     }
 
--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -33,6 +33,7 @@
 const announcementMilliseconds = 5_000;
 /** Limits the size of messages between nodes and of the stored record. */
 const maximumListedCrashes = 100;
+const maximumRefutations = 100;
 /** Maximum numbers of tracked requests. */
 const maximumSuspectRequests = 1_000;
 const maximumSafeRequests = 4_096;
@@ -48,6 +49,8 @@
     private readonly suspectRequests = new LRUCache<string, CrashTimes>({ max: maximumSuspectRequests });
     /** Fingerprints of requests that an endpoint has run without crashing, so that they did not cause other crashes. */
     private readonly safeRequests = new LRUCache<string, true>({ max: maximumSafeRequests });
+    /** Monotonic times in milliseconds at which a peer last suspected a safe request, by fingerprint. */
+    private readonly refutedAt = new LRUCache<string, number>({ max: maximumRefutations });
 
     private constructor(options: RequestQuarantineOptions) {
         this.options = options;
@@ -75,11 +78,34 @@
         this.options.onCrash?.(isHeldBack);
     }
 
-    /** Adds a suspected crash that a peer reported. */
-    addPeerCrash(crash: SuspectedCrash): void {
+    /** Adds a suspected crash that a peer reported. The peer is told soon if the request is safe. */
+    addPeerCrash(crash: SuspectedCrash, now: number): void {
+        if (this.safeRequests.has(crash.fingerprint)) {
+            this.refutedAt.set(crash.fingerprint, now);
+            return;
+        }
         this.addCrash(crash);
     }
 
+    /** Gets the fingerprints of safe requests that peers have suspected lately. */
+    getRefutations(now: number): string[] {
+        return [...this.refutedAt.entries()]
+            .filter(([, at]) => now - at < announcementMilliseconds)
+            .map(([fingerprint]) => fingerprint);
+    }
+
+    /**
+     * Clears a request of suspicion because an endpoint has run it for a peer without crashing. That does not outweigh so many crashes that
+     * they are no coincidence.
+     */
+    applyRefutation(fingerprint: string): void {
+        const endpoints = this.suspectRequests.get(fingerprint);
+        if (endpoints !== undefined && endpoints.size < certainCrashes) {
+            this.options.log.write(events.requestCleared, { fingerprint });
+            this.markSafe(fingerprint);
+        }
+    }
+
     /** Records that an endpoint has run a request without crashing, which clears the request of all suspicion. */
     markSafe(fingerprint: string): void {
         this.suspectRequests.delete(fingerprint);
--- a/tests/platform/harmlessRequest.test.ts
+++ b/tests/platform/harmlessRequest.test.ts
@@ -12,8 +12,8 @@
 /** Time in which nodes exchange their state several times. */
 const gossipMilliseconds = 1_000;
 
-// Guards against refusing a harmless request for a minute at the nodes that have not run it yet. The node that has run it knows that it
-// is safe, but doesn't tell its peers.
+// A harmless request was refused for a minute at the nodes that had not run it yet: the node that had knew that it is safe, and did not tell its
+// peers.
 describe("A harmless request that was on two endpoints with a request that crashed them", () => {
     let harness: RouterTestHarness;
     let nodes: StartedNode[] = [];
--- a/tests/request/relay/quarantine/requestQuarantine.test.ts
+++ b/tests/request/relay/quarantine/requestQuarantine.test.ts
@@ -91,7 +91,7 @@
         quarantine.markSafe("r");
         crash("r", "2", 1);
         crash("r", "3", 2);
-        quarantine.addPeerCrash({ fingerprint: "r", endpointId: "4", at: 3 });
+        quarantine.addPeerCrash({ fingerprint: "r", endpointId: "4", at: 3 }, 3);
         assert.equal(quarantine.getHold("r", 4), undefined);
         assert.deepEqual(quarantine.getCrashes(4), []);
     });
@@ -101,12 +101,34 @@
         const second = createBench();
         first.crash("harmful", "1", 0);
         for (const run of first.quarantine.getCrashes(100)) {
-            second.quarantine.addPeerCrash(run);
+            second.quarantine.addPeerCrash(run, 100);
         }
         second.crash("harmful", "2", 200);
         assert.ok(second.quarantine.getHold("harmful", 201) !== undefined);
     });
 
+    // A harmless request that was on two endpoints with a harmful one was held back at each node that had not run it.
+    it("clears a suspect request that an endpoint has run for a peer, unless it has certainly crashed endpoints", () => {
+        const safe = createBench();
+        const suspicious = createBench();
+        safe.quarantine.markSafe("r");
+        for (const endpointId of ["1", "2"]) {
+            suspicious.crash("r", endpointId, 0);
+        }
+        for (const run of suspicious.quarantine.getCrashes(100)) {
+            safe.quarantine.addPeerCrash(run, 100);
+        }
+        assert.deepEqual(safe.quarantine.getRefutations(200), ["r"]);
+        assert.deepEqual(safe.quarantine.getRefutations(6_000), []);
+        suspicious.quarantine.applyRefutation("r");
+        assert.equal(suspicious.quarantine.getHold("r", 300), undefined);
+        for (const endpointId of ["1", "2", "3"]) {
+            suspicious.crash("certain", endpointId, 0);
+        }
+        suspicious.quarantine.applyRefutation("certain");
+        assert.ok(suspicious.quarantine.getHold("certain", 300) !== undefined);
+    });
+
     it("announces single crashes for a few seconds, and those of held-back requests for as long as they are held back", () => {
         const { quarantine, crash } = createBench();
         for (const fingerprint of ["a", "b", "c"]) {
--- a/tests/request/relay/quarantine/taskQuarantine.test.ts
+++ b/tests/request/relay/quarantine/taskQuarantine.test.ts
@@ -111,7 +111,7 @@
         }
         startStream(bench);
         for (const endpointId of ["5", "6"]) {
-            bench.environment.quarantine.addPeerCrash({ fingerprint: "fingerprint", endpointId, at: 0 });
+            bench.environment.quarantine.addPeerCrash({ fingerprint: "fingerprint", endpointId, at: 0 }, 0);
         }
         assert.deepEqual(bench.answers, []);
         await bench.clock.advance(400);
@@ -124,7 +124,7 @@
         const relay = startStream(bench);
         await bench.clock.advance(runMilliseconds);
         relay.noteLost(new Set([relay.getStages()![0]!.endpoint.id, "no part of the chain"]));
-        bench.environment.quarantine.addPeerCrash({ fingerprint: "fingerprint", endpointId: "5", at: 0 });
+        bench.environment.quarantine.addPeerCrash({ fingerprint: "fingerprint", endpointId: "5", at: 0 }, 0);
         assert.equal(relay.chooseReroute(new Set()), undefined);
     });
 
