--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -192,6 +192,12 @@
     },
     peerRefused: { number: 1411, level: "warn", message: "A peer call with a missing or wrong secret was rejected." },
     routerPeerUnreachable: { number: 1430, level: "warn", message: "A peer of the router does not respond; retrying." },
+    routerChangesInvalid: {
+        number: 1433,
+        level: "error",
+        message:
+            "Changes of the store that a peer sent can't be read; they come from other peers or the store. Check its version.",
+    },
     routerChangesFetched: { number: 1432, level: "info", message: "Changes of the store were fetched from a peer." },
     routerPeerReachable: { number: 1431, level: "info", message: "A peer of the router responds again." },
     configurationPulled: { number: 1420, level: "info", message: "A configuration was fetched from a peer." },
--- a/src/process/router/changeFetcher.ts
+++ b/src/process/router/changeFetcher.ts
@@ -1,10 +1,12 @@
-import { create } from "@bufbuild/protobuf";
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
 import {
     type FetchRequest,
     type FetchResponse,
     FetchResponseSchema,
     type SectionChanges,
     type SectionFrontier,
+    type StoreRecord as StoreRecordMessage,
+    type StoreRecordSchema,
 } from "../../wire/generated/foxlead/router/v1/router_pb.ts";
 import type { Clock } from "../clock.ts";
 import type { EventLog } from "../logging/eventLog.ts";
@@ -14,6 +16,7 @@
 import type { RecordRevision } from "../replica/recordRevision.ts";
 import type { RecordSection } from "../replica/recordSection.ts";
 import type { StoreRecord } from "../replica/storeRecord.ts";
+import { CompressedTexts } from "./compressedTexts.ts";
 import type { RouterPeers } from "./routerPeers.ts";
 import { shouldFetch } from "./shouldFetch.ts";
 
@@ -69,6 +72,7 @@
  */
 export class ChangeFetcher {
     private readonly options: ChangeFetcherOptions;
+    private readonly compressedTexts = CompressedTexts.create();
     /** The latest call in flight by section. */
     private readonly fetches = new Map<string, Fetch>();
     /** Monotonic time in milliseconds since which each section is known to be behind. */
@@ -108,7 +112,7 @@
     }
 
     /** Creates the response to a peer's fetch request. */
-    createResponse({ frontier }: FetchRequest, freshAge: number): FetchResponse {
+    createResponse({ frontier, acceptsCompressed }: FetchRequest, freshAge: number): FetchResponse {
         const { sections } = this.options;
         const section = sections.find(({ name }) => name === frontier?.section);
         const proof = { freshAge, frontiers: this.getFrontiers() };
@@ -116,12 +120,7 @@
         if (section === undefined || missing === undefined) {
             return create(FetchResponseSchema, proof);
         }
-        const changed = missing.records.map(({ key, revision, text }) => ({
-            key,
-            revision: BigInt(revision),
-            isDeleted: text === undefined,
-            text: text ?? "",
-        }));
+        const changed = missing.records.map(record => this.encodeRecord(record, acceptsCompressed));
         // A node of an earlier release ignores an unchanged record, because it ignores any that it knows in the same revision.
         const unchanged = missing.unchanged.map(({ key, revision }) => ({
             key,
@@ -142,6 +141,13 @@
         }));
     }
 
+    private encodeRecord(record: StoreRecord, isCompressed: boolean): MessageInitShape<typeof StoreRecordSchema> {
+        const { key, revision, text } = record;
+        const compressedText = isCompressed ? this.compressedTexts.compress(record) : undefined;
+        const encoded = { key, revision: BigInt(revision), isDeleted: text === undefined };
+        return compressedText === undefined ? { ...encoded, text: text ?? "" } : { ...encoded, compressedText };
+    }
+
     /** Checks if this node's copies have all changes that a peer's have. */
     isCaughtUpWith(frontiers: readonly SectionFrontier[]): boolean {
         return frontiers.every(({ section: name, revision }) => {
@@ -164,7 +170,7 @@
             const frontier = { section: section.name, revision: BigInt(revision) };
             return peers.call(
                 peer.address,
-                client => client.fetch({ frontier }, { timeoutMs: fetchTimeoutMilliseconds }),
+                client => client.fetch({ frontier, acceptsCompressed: true }, { timeoutMs: fetchTimeoutMilliseconds }),
             );
         };
         let response = await request(section.getFrontier());
@@ -194,9 +200,15 @@
     }
 
     private applyFetched(section: RecordSection, changes: SectionChanges | undefined, fetched: FetchedFrom): void {
+        const { log, onUpdate } = this.options;
+        const { address, fetchMilliseconds, behindMilliseconds } = fetched;
         const previousFrontier = section.getFrontier();
         const records = changes === undefined ? [] : getChanged(changes);
         const frontier = Number(changes?.frontier ?? 0);
+        if (records === undefined) {
+            log.write(events.routerChangesInvalid, { section: section.name, address, frontier });
+            return;
+        }
         if (changes?.isWhole === true) {
             section.applyListing(records, frontier, "peer", getUnchanged(changes));
         }
@@ -204,7 +216,6 @@
             section.applyChanges(records, frontier, "peer");
         }
         if (section.getFrontier() > previousFrontier) {
-            const { address, fetchMilliseconds, behindMilliseconds } = fetched;
             const fields = {
                 section: section.name,
                 address,
@@ -213,8 +224,8 @@
                 behindMilliseconds,
                 fetchMilliseconds,
             };
-            this.options.log.write(events.routerChangesFetched, fields);
-            this.options.onUpdate();
+            log.write(events.routerChangesFetched, fields);
+            onUpdate();
         }
     }
 }
@@ -224,12 +235,24 @@
     return changes === undefined || section.hasRecords(getUnchanged(changes), Number(changes.frontier));
 }
 
-function getChanged({ records }: SectionChanges): StoreRecord[] {
-    return records.filter(({ isUnchanged }) => !isUnchanged).map(({ key, revision, isDeleted, text }) => ({
-        key,
-        revision: Number(revision),
-        text: isDeleted ? undefined : text,
-    }));
+/** Gets the changed records; undefined if the text of one can't be read. */
+function getChanged({ records }: SectionChanges): StoreRecord[] | undefined {
+    const changed: StoreRecord[] = [];
+    for (const record of records) {
+        const { key, revision, isDeleted, isUnchanged } = record;
+        const text = isDeleted ? undefined : getText(record);
+        if (text === undefined && !isDeleted) {
+            return undefined;
+        }
+        if (!isUnchanged) {
+            changed.push({ key, revision: Number(revision), text });
+        }
+    }
+    return changed;
+}
+
+function getText({ text, compressedText }: StoreRecordMessage): string | undefined {
+    return compressedText.length === 0 ? text : CompressedTexts.decompress(compressedText);
 }
 
 function getUnchanged({ records }: SectionChanges): RecordRevision[] {
--- a/tests/process/router/changeFetcher.test.ts
+++ b/tests/process/router/changeFetcher.test.ts
@@ -1,4 +1,4 @@
-import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import { create, type MessageInitShape, toBinary } from "@bufbuild/protobuf";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { setImmediate } from "node:timers/promises";
@@ -19,36 +19,48 @@
 const fetchTimeoutMilliseconds = 3_000;
 
 describe("ChangeFetcher", () => {
-    /** Creates a node whose peers have changes up to revision 5. The peer "silent" never answers. */
-    function createFixture() {
-        const clock = FakeClock.create();
-        const section = RecordSection.create({ name: "s", onChange: () => undefined });
-        section.applyChanges([], 1, "store");
-        const called: string[] = [];
-        const fetcher = ChangeFetcher.create({
-            sections: [section],
+    function createFetcher(
+        sections: readonly RecordSection[],
+        call: RouterPeers["call"],
+        changes: Partial<Parameters<typeof ChangeFetcher.create>[0]> = {},
+    ): ChangeFetcher {
+        return ChangeFetcher.create({
+            sections,
             dataCentre: "a",
-            peers: {
-                async call<T>(address: string): Promise<T | undefined> {
-                    called.push(address);
-                    if (address === "silent") {
-                        await new Promise<void>(resolve => clock.setTimer(fetchTimeoutMilliseconds, resolve));
-                        return undefined;
-                    }
-                    const changes = {
-                        section: "s",
-                        frontier: 5n,
-                        records: [{ key: "k", revision: 5n, text: "new" }],
-                    };
-                    return create(FetchResponseSchema, { freshAge: 10, changes }) as T;
-                },
-            },
-            clock,
+            peers: { call },
+            clock: FakeClock.create(),
             log: RecordingEventLog.create(),
             isDistributor: () => true,
             onFresh: () => undefined,
             onUpdate: () => undefined,
+            ...changes,
         });
+    }
+
+    /** Applies a peer's response to a section. */
+    async function applyResponse(section: RecordSection, response: FetchResponse): Promise<void> {
+        const fetcher = createFetcher([section], <T>() => Promise.resolve(response as T));
+        const frontiers = [create(SectionFrontierSchema, { section: "s", revision: 5n })];
+        fetcher.handlePeerFrontiers({ address: "peer", dataCentre: "a", frontiers });
+        await setImmediate();
+    }
+
+    /** Creates a node whose peers have changes up to revision 5. The peer "silent" never answers. */
+    function createFixture() {
+        const clock = FakeClock.create();
+        const section = RecordSection.create({ name: "s", onChange: () => undefined });
+        section.applyChanges([], 1, "store");
+        const called: string[] = [];
+        const call = async <T>(address: string): Promise<T | undefined> => {
+            called.push(address);
+            if (address === "silent") {
+                await new Promise<void>(resolve => clock.setTimer(fetchTimeoutMilliseconds, resolve));
+                return undefined;
+            }
+            const changes = { section: "s", frontier: 5n, records: [{ key: "k", revision: 5n, text: "new" }] };
+            return create(FetchResponseSchema, { freshAge: 10, changes }) as T;
+        };
+        const fetcher = createFetcher([section], call, { clock });
         const tell = (address: string) => {
             const frontiers = [{ $typeName: "foxlead.router.v1.SectionFrontier", section: "s", revision: 5n }] as const;
             fetcher.handlePeerFrontiers({ address, dataCentre: "a", frontiers });
@@ -77,6 +89,36 @@
         assert.deepEqual(called, ["silent"]);
     });
 
+    // A configuration of some hundred KB took a hub more than a second to send to the nodes of its data centre, one after the other.
+    it("sends a long text compressed to a peer that reads it, and in full to any other", async () => {
+        const routes = Array.from({ length: 1_600 }, (_, index) => ({ name: `route-${index}`, prefix: `/p${index}/` }));
+        const text = JSON.stringify({ version: 2, routes, note: "ñ" });
+        const peerSection = RecordSection.create({ name: "s", onChange: () => undefined });
+        peerSection.applyChanges(
+            [{ key: "k", revision: 5, text }, { key: "d", revision: 4, text: undefined }],
+            5,
+            "store",
+        );
+        const peer = createFetcher([peerSection], () => Promise.resolve(undefined));
+        const respond = (acceptsCompressed: boolean) =>
+            peer.createResponse(create(FetchRequestSchema, { frontier: { section: "s" }, acceptsCompressed }), 0);
+        const compressed = respond(true);
+        assert.ok(toBinary(FetchResponseSchema, compressed).length < text.length / 4);
+        assert.equal(respond(false).changes!.records[0]!.text, text);
+        const applied: (string | undefined)[][] = [];
+        const section = RecordSection.create({ name: "s", onChange: ({ key, text }) => applied.push([key, text]) });
+        await applyResponse(section, compressed);
+        assert.deepEqual(applied, [["k", text]]);
+    });
+
+    it("keeps its copy as it is if a text can't be decompressed", async () => {
+        const section = RecordSection.create({ name: "s", onChange: () => undefined });
+        const record = { key: "k", revision: 5n, compressedText: new Uint8Array([1, 2, 3]) };
+        const changes = { section: "s", frontier: 5n, records: [record] };
+        await applyResponse(section, create(FetchResponseSchema, { changes }));
+        assert.equal(section.getFrontier(), 0);
+    });
+
     // A peer got a change of another section after it had told how far it was, and its proof was taken for one of the older copy.
     it("takes a peer's answer for a proof only if it knows all that the peer knows as it answers", async () => {
         for (const [otherFrontier, expected] of [[0n, [0]], [1n, []], [undefined, []]] as const) {
@@ -85,16 +127,9 @@
             const frontiers = otherFrontier === undefined ? [] : [told, { section: "other", revision: otherFrontier }];
             const changes = { section: "s", frontier: 5n, records: [] };
             const response = create(FetchResponseSchema, { freshAge: 0, changes, frontiers });
-            const fetcher = ChangeFetcher.create({
-                sections: ["s", "other"].map(name => RecordSection.create({ name, onChange: () => undefined })),
-                dataCentre: "a",
-                peers: { call: <T>() => Promise.resolve(response as T) },
-                clock: FakeClock.create(),
-                log: RecordingEventLog.create(),
-                isDistributor: () => true,
-                onFresh: freshAt => freshTimes.push(freshAt),
-                onUpdate: () => undefined,
-            });
+            const sections = ["s", "other"].map(name => RecordSection.create({ name, onChange: () => undefined }));
+            const call = <T>() => Promise.resolve(response as T);
+            const fetcher = createFetcher(sections, call, { onFresh: freshAt => freshTimes.push(freshAt) });
             const peer = { address: "peer", dataCentre: "a", frontiers: [create(SectionFrontierSchema, told)] };
             fetcher.handlePeerFrontiers(peer);
             await setImmediate();
@@ -104,23 +139,12 @@
 
     /** Creates a node whose section has the frontier 108, and a peer that has read a listing at revision 110. */
     function createPair(known: readonly StoreRecord[]) {
-        const createFetcher = (section: RecordSection, call: RouterPeers["call"]) =>
-            ChangeFetcher.create({
-                sections: [section],
-                dataCentre: "a",
-                peers: { call },
-                clock: FakeClock.create(),
-                log: RecordingEventLog.create(),
-                isDistributor: () => true,
-                onFresh: () => undefined,
-                onUpdate: () => undefined,
-            });
         const state = new Map<string, string | undefined>();
         const section = RecordSection.create({ name: "s", onChange: ({ key, text }) => state.set(key, text) });
         section.applyChanges(known, 108, "store");
         const peerSection = RecordSection.create({ name: "s", onChange: () => undefined });
         peerSection.applyListing([configuration, { key: "new", revision: 109, text: "new" }], 110, "store");
-        const peer = createFetcher(peerSection, () => Promise.resolve(undefined));
+        const peer = createFetcher([peerSection], () => Promise.resolve(undefined));
         const responses: FetchResponse[] = [];
         const client = {
             fetch: (request: MessageInitShape<typeof FetchRequestSchema>) => {
@@ -130,7 +154,7 @@
             },
         };
         const fetcher = createFetcher(
-            section,
+            [section],
             (_address, send) => send(client as unknown as Parameters<typeof send>[0]),
         );
         const frontiers = [create(SectionFrontierSchema, { section: "s", revision: 110n })];
