--- a/src/process/router/changeFetcher.ts
+++ b/src/process/router/changeFetcher.ts
@@ -252,7 +252,7 @@
 }
 
 function getText({ text, compressedText }: StoreRecordMessage): string | undefined {
-    return compressedText.length === 0 ? text : CompressedTexts.decompress(compressedText);
+    return compressedText === "" ? text : CompressedTexts.decompress(compressedText);
 }
 
 function getUnchanged({ records }: SectionChanges): RecordRevision[] {
--- a/src/process/router/compressedTexts.ts
+++ b/src/process/router/compressedTexts.ts
@@ -13,7 +13,7 @@
  * it.
  */
 export class CompressedTexts {
-    private readonly compressed = new WeakMap<StoreRecord, Uint8Array>();
+    private readonly compressed = new WeakMap<StoreRecord, string>();
 
     private constructor() {}
 
@@ -22,8 +22,8 @@
         return new CompressedTexts();
     }
 
-    /** Compresses the text of a record; undefined if that is not worthwhile. */
-    compress(record: StoreRecord): Uint8Array | undefined {
+    /** Compresses the text of a record to base64; undefined if that is not worthwhile. */
+    compress(record: StoreRecord): string | undefined {
         const { text } = record;
         if (text === undefined || text.length < minimumLength) {
             return undefined;
@@ -32,15 +32,17 @@
         if (known !== undefined) {
             return known;
         }
-        const bytes = deflateRawSync(text, { level: compressionLevel });
-        this.compressed.set(record, bytes);
-        return bytes;
+        const compressed = deflateRawSync(text, { level: compressionLevel }).toString("base64");
+        this.compressed.set(record, compressed);
+        return compressed;
     }
 
-    /** Decompresses a text; undefined if the bytes are no compressed text, or if the text is too long. */
-    static decompress(bytes: Uint8Array): string | undefined {
+    /** Decompresses a text; undefined if it is no compressed text, or if it is too long. */
+    static decompress(compressed: string): string | undefined {
         try {
-            return inflateRawSync(bytes, { maxOutputLength: maximumBytes }).toString("utf8");
+            return inflateRawSync(Buffer.from(compressed, "base64"), { maxOutputLength: maximumBytes }).toString(
+                "utf8",
+            );
         }
         catch {
             return undefined;
--- a/tests/connection/peer/framed/jsonCodec.test.ts
+++ b/tests/connection/peer/framed/jsonCodec.test.ts
@@ -42,7 +42,7 @@
 
     it("ignores fields of a newer release and uses defaults for those that an older one lacks", () => {
         const records = JsonCodec.create(StoreRecordSchema);
-        const longer = Buffer.from(JSON.stringify(["k", 7, 1, "text", 0, "new field"]));
+        const longer = Buffer.from(JSON.stringify(["k", 7, 1, "text", 0, "", "new field"]));
         assert.deepEqual(
             records.decode(longer),
             create(StoreRecordSchema, {
--- a/tests/process/router/changeFetcher.test.ts
+++ b/tests/process/router/changeFetcher.test.ts
@@ -113,7 +113,7 @@
 
     it("keeps its copy as it is if a text can't be decompressed", async () => {
         const section = RecordSection.create({ name: "s", onChange: () => undefined });
-        const record = { key: "k", revision: 5n, compressedText: new Uint8Array([1, 2, 3]) };
+        const record = { key: "k", revision: 5n, compressedText: "AQID" };
         const changes = { section: "s", frontier: 5n, records: [record] };
         await applyResponse(section, create(FetchResponseSchema, { changes }));
         assert.equal(section.getFrontier(), 0);
