--- a/src/process/router/copyProof.ts
+++ b/src/process/router/copyProof.ts
@@ -2,10 +2,14 @@
 import type { RecordFollower } from "../replica/recordFollower.ts";
 import { maximumCopyAgeFraction } from "./maximumCopyAgeFraction.ts";
 
+/** Keeps a section of the copy up to date. */
+type Follower = Pick<RecordFollower, "getConfirmedTime">;
+
 /** Options of {@link CopyProof}. */
 interface CopyProofOptions {
     clock: Clock;
-    followers: readonly Pick<RecordFollower, "getConfirmedTime">[];
+    /** The followers of all sections. */
+    followers: readonly Follower[];
     /** Maximum time for a configuration to come into force on every node, in milliseconds. */
     configurationMilliseconds: number;
 }
@@ -35,9 +39,12 @@
         return new CopyProof(options);
     }
 
-    /** Gets the monotonic time in milliseconds up to which the copy is proven. */
-    getTime(): number {
-        const ownTime = Math.min(...this.options.followers.map(follower => follower.getConfirmedTime()));
+    /**
+     * Gets the monotonic time in milliseconds up to which the copy is proven.
+     * @param followers - The followers of the sections that matter. Default: those of all.
+     */
+    getTime(followers = this.options.followers): number {
+        const ownTime = Math.min(...followers.map(follower => follower.getConfirmedTime()));
         return Math.max(this.peerTime, ownTime);
     }
 
@@ -51,10 +58,13 @@
         this.peerTime = Math.max(this.peerTime, provenAt);
     }
 
-    /** Checks if the copy is proven to have all changes that must be in force. It is not before the first proof, however young the node. */
-    isCurrent(): boolean {
+    /**
+     * Checks if the copy is proven to have all changes that must be in force. It is not before the first proof, however young the node.
+     * @param followers - The followers of the sections that matter. Default: those of all.
+     */
+    isCurrent(followers = this.options.followers): boolean {
         const { clock, configurationMilliseconds } = this.options;
-        return clock.getMonotonicTime() - this.getTime() <= configurationMilliseconds * maximumCopyAgeFraction;
+        return clock.getMonotonicTime() - this.getTime(followers) <= configurationMilliseconds * maximumCopyAgeFraction;
     }
 
     /**
--- a/src/process/router/refusalGate.ts
+++ b/src/process/router/refusalGate.ts
@@ -3,7 +3,7 @@
 /** Options of a {@link RefusalGate}. */
 interface RefusalGateOptions {
     clock: Clock;
-    /** Whether the copy of the store is proven to have all changes that must be in force. */
+    /** Whether the copy of the configuration is proven to have all changes that must be in force. */
     isCopyCurrent(): boolean;
     /** Whether the store does not answer this node, so that no call would prove its copy. */
     isWithoutStore(): boolean;
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -347,7 +347,7 @@
             loop: clock,
             refusalGate: RefusalGate.create({
                 clock,
-                isCopyCurrent: () => proof.isCurrent(),
+                isCopyCurrent: () => this.replica.isConfigurationCurrent(),
                 isWithoutStore: () => storeWatch.isWithoutStore(),
                 confirmCopy: () => storeWatch.confirmCopy(),
             }),
--- a/src/process/router/storeReplica.ts
+++ b/src/process/router/storeReplica.ts
@@ -51,6 +51,7 @@
     readonly watch: StoreWatchController;
     private readonly options: StoreReplicaOptions;
     private readonly configurations: RecordSection;
+    private readonly configurationFollower: RecordFollower;
 
     private constructor(options: StoreReplicaOptions) {
         this.options = options;
@@ -58,10 +59,8 @@
         this.configurations = this.createSection("configuration", options.configurations, wakePlacement);
         const endpoints = this.createSection("endpoints", options.endpoints, () => undefined);
         this.sections = [this.configurations, endpoints];
-        const followers = [
-            this.createFollower(this.configurations, keys.configuration),
-            this.createFollower(endpoints, keys.endpointPrefix),
-        ];
+        this.configurationFollower = this.createFollower(this.configurations, keys.configuration);
+        const followers = [this.configurationFollower, this.createFollower(endpoints, keys.endpointPrefix)];
         const { configurationMilliseconds, seeds, peerListener } = settings;
         this.proof = CopyProof.create({ clock, followers, configurationMilliseconds });
         this.lease = FencedLease.create({
@@ -106,6 +105,11 @@
         return { copyAgeMilliseconds: this.proof.getAge(), copyRevision: this.configurations.getFrontier() };
     }
 
+    /** Checks if the copy of the configuration is proven to have all changes that must be in force. */
+    isConfigurationCurrent(): boolean {
+        return this.proof.isCurrent([this.configurationFollower]);
+    }
+
     private createSection(name: string, consumer: RecordConsumer, onChange: () => void): RecordSection {
         return RecordSection.create({
             name,
