--- a/src/process/router/refusalGate.ts
+++ b/src/process/router/refusalGate.ts
@@ -22,17 +22,20 @@
 const maximumWaitMilliseconds = 500;
 /** Interval at which the proof is looked for. */
 const checkIntervalMilliseconds = 20;
+/** Minimum interval between two calls to the store, which may refuse them at once. */
+const callIntervalMilliseconds = 250;
 /** Maximum number of requests that wait; more are told at once that there is no proof, so that they take no memory. */
 const maximumWaiters = 200;
 
 /**
  * Holds back refusals which say that a route or key does not exist, while the node's copy of the store may lack it. One call proves the copy for
- * all requests that wait, so that requests for what never existed cannot drive up the number of calls.
+ * all requests that wait, and calls have a minimum interval, so that requests for what never existed cannot drive up their number.
  */
 export class RefusalGate {
     private readonly options: RefusalGateOptions;
     private readonly waiters = new Set<Waiter>();
     private timer: TimerHandle | undefined;
+    private lastCallAt = -Infinity;
 
     private constructor(options: RefusalGateOptions) {
         this.options = options;
@@ -70,7 +73,7 @@
     }
 
     private check(): void {
-        const { clock, isCopyCurrent, isWithoutStore, confirmCopy } = this.options;
+        const { clock, isCopyCurrent, isWithoutStore } = this.options;
         this.timer = undefined;
         const isProven = isCopyCurrent();
         const isHopeless = isWithoutStore();
@@ -82,8 +85,15 @@
             }
         }
         if (this.waiters.size > 0) {
-            confirmCopy();
+            this.callStore(now);
             this.timer = clock.setTimer(checkIntervalMilliseconds, () => this.check());
         }
     }
+
+    private callStore(now: number): void {
+        if (now - this.lastCallAt >= callIntervalMilliseconds) {
+            this.lastCallAt = now;
+            this.options.confirmCopy();
+        }
+    }
 }
--- a/tests/process/router/refusalGate.test.ts
+++ b/tests/process/router/refusalGate.test.ts
@@ -56,6 +56,15 @@
         assert.deepEqual(decisions, [false, false]);
     });
 
+    it("limits the rate of the calls, however many requests wait one after the other", async () => {
+        const { clock, state, wait } = createFixture();
+        for (let count = 0; count < 100; count++) {
+            wait(10);
+            await clock.advance(20);
+        }
+        assert.ok(state.calls <= 9, `${state.calls} calls in 2 s`);
+    });
+
     it("limits the number of requests that wait", () => {
         const { decisions, wait } = createFixture();
         for (let count = 0; count < 205; count++) {
