--- a/tests/process/router/choosePartners.test.ts
+++ b/tests/process/router/choosePartners.test.ts
@@ -53,19 +53,24 @@
         assert.ok(chooseAll(60, false).most <= 2);
     });
 
-    it("calls an update source, or a random node in one round of three", () => {
-        const nodes = createNodes(60);
-        const sources = ["10.0.0.3:1", "10.0.0.6:1"];
-        const query = {
+    const sources = ["10.0.0.3:1", "10.0.0.6:1"];
+
+    /** Creates the query of a node of a large deployment, except for the round. */
+    function createQuery(isProofDue: boolean) {
+        return {
             nodeId: "n",
             dataCentre: "dc-0",
-            nodes,
+            nodes: createNodes(60),
             sources,
             isDistributor: false,
-            isProofDue: false,
+            isProofDue,
             isBusy: false,
             random: createSeededRandom(1),
         };
+    }
+
+    it("calls an update source, or a random node in one round of three", () => {
+        const query = createQuery(false);
         for (const round of [1, 2, 4, 5]) {
             const partners = [...choosePartners({ ...query, round })];
             assert.equal(partners.length, 1);
@@ -77,18 +82,9 @@
     });
 
     it("calls a source in each round while it needs a newer proof, and the first one if others get updates from it", () => {
-        const sources = ["10.0.0.3:1", "10.0.0.6:1"];
-        const query = {
-            nodeId: "n",
-            dataCentre: "dc-0",
-            nodes: createNodes(60),
-            sources,
-            isProofDue: true,
-            isBusy: false,
-            random: createSeededRandom(1),
-        };
+        const query = createQuery(true);
         for (const round of [1, 2, 3, 4, 5, 6]) {
-            const [partner = ""] = choosePartners({ ...query, isDistributor: false, round });
+            const [partner = ""] = choosePartners({ ...query, round });
             assert.ok(sources.includes(partner));
             assert.deepEqual([...choosePartners({ ...query, isDistributor: true, round })], [sources[0]]);
         }
