--- a/src/process/replica/recordFollower.ts
+++ b/src/process/replica/recordFollower.ts
@@ -36,8 +36,6 @@
 const confirmationCheckMilliseconds = 600;
 /** A wait that has not returned changes this long after another call did is assumed to be lost. */
 const lostWaitMilliseconds = 200;
-/** A fetch of changes from a peer usually takes less. */
-const slowFetchMilliseconds = 300;
 /** If a peer is ahead for longer than this, this node's own wait is assumed to be unresponsive. */
 const maximumLagMilliseconds = 1_000;
 
@@ -75,8 +73,6 @@
     private isActive = true;
     private onActive: (() => void) | undefined;
     private behindSince: number | undefined;
-    /** Highest frontier that a peer has told. */
-    private peerFrontier = 0;
     private confirmedAt = -Infinity;
 
     private constructor(options: RecordFollowerOptions) {
@@ -161,7 +157,6 @@
     /** Handles the frontier of a peer. A wait that stays behind it is aborted and replaced by a new one. */
     handlePeerFrontier(frontier: number): void {
         const { section, clock } = this.options;
-        this.peerFrontier = Math.max(this.peerFrontier, frontier);
         if (frontier <= section.getFrontier()) {
             this.behindSince = undefined;
             return;
@@ -177,8 +172,6 @@
     /**
      * Proves that the section is current, or finds changes that it lacks, by a call that is answered immediately. An inactive follower does
      * so too. A waiting call alone proves nothing before it ends: the store, or a connection that has stopped responding, may have lost it.
-     * If a peer has been ahead for long, an inactive follower reads all records: changes hold each version of a record, and a series of long
-     * versions takes too long over a slow link.
      */
     async confirm(): Promise<void> {
         const { clock } = this.options;
@@ -189,11 +182,6 @@
         const wait = this.wait;
         const confirmation = new AbortController();
         this.confirmation = confirmation;
-        if (!this.isActive && this.isBehindPeers()) {
-            await this.readAll();
-            this.confirmation = undefined;
-            return;
-        }
         const check = clock.setTimer(confirmationCheckMilliseconds, () => void this.checkStore(confirmation, wait));
         const changes = await this.requestChanges(immediateWaitMilliseconds, confirmation.signal);
         check.cancel();
@@ -210,13 +198,6 @@
         }
     }
 
-    /** Checks if a peer has been ahead for so long that fetching its changes takes too long. */
-    private isBehindPeers(): boolean {
-        const { section, clock } = this.options;
-        const isBehind = this.behindSince !== undefined && this.peerFrontier > section.getFrontier();
-        return isBehind && clock.getMonotonicTime() - this.behindSince! > slowFetchMilliseconds;
-    }
-
     private async run(): Promise<void> {
         while (!this.stopping.signal.aborted) {
             await this.waitUntilActive();
--- a/tests/process/replica/recordFollower.test.ts
+++ b/tests/process/replica/recordFollower.test.ts
@@ -110,20 +110,4 @@
         await advance(clock, 12_000);
         assert.ok(store.waits - before >= 19 && store.waits - before <= 21, `${store.waits - before} calls`);
     });
-
-    // The changes since some seconds ago held each version of a long record, and took a slow link longer than the change might take.
-    it("reads all records to prove its copy if it is inactive and a peer has been ahead for long", async () => {
-        const { clock, store, follower } = start(() => true);
-        await advance(clock, 100);
-        follower.setActive(false);
-        await advance(clock, 1_000);
-        const { reads, confirmations } = store;
-        follower.handlePeerFrontier(1_000);
-        await follower.confirm();
-        assert.deepEqual([store.reads, store.confirmations], [reads, confirmations + 1]);
-        await advance(clock, 400);
-        await follower.confirm();
-        assert.deepEqual([store.reads, store.confirmations], [reads + 1, confirmations + 1]);
-        assert.equal(follower.getConfirmedTime(), 1_500);
-    });
 });
