--- a/src/process/router/storeReplica.ts
+++ b/src/process/router/storeReplica.ts
@@ -12,7 +12,7 @@
 import { StoreWatchController } from "./storeWatchController.ts";
 
 /** A part of the node that uses the records of a section. */
-interface RecordConsumer {
+interface RecordHandler {
     applyRecord(record: StoreRecord, source: ChangeSource): void;
     isOutdated(record: StoreRecord, known: StoreRecord): boolean;
 }
@@ -23,8 +23,8 @@
     nodes: NodeTable;
     /** Assigns duties to nodes. */
     owners: OwnersCache;
-    configurations: RecordConsumer;
-    endpoints: RecordConsumer;
+    configurations: RecordHandler;
+    endpoints: RecordHandler;
     /** Whether this node is giving up its duties. */
     isDraining(): boolean;
     /** Decides what to do with the placement lease. See {@link StoreWatchController}. */
@@ -110,18 +110,18 @@
         return this.proof.isCurrent([this.configurationFollower]);
     }
 
-    private createSection(name: string, consumer: RecordConsumer, onChange: () => void): RecordSection {
+    private createSection(name: string, handler: RecordHandler, onChange: () => void): RecordSection {
         return RecordSection.create({
             name,
             onChange: (record, source) => {
-                consumer.applyRecord(record, source);
+                handler.applyRecord(record, source);
                 onChange();
                 // Changes from a peer are passed on once all of them are applied.
                 if (source === "store") {
                     this.options.propagateUpdate();
                 }
             },
-            isOutdated: (record, known) => consumer.isOutdated(record, known),
+            isOutdated: (record, known) => handler.isOutdated(record, known),
         });
     }
 
