Log how long silent endpoints were silent, and what was in force at a cut answer

The logs could not tell a silence that was taken for a loss from what a change of the configuration does or from a node that was late itself. Change: FL1713 has the silence in milliseconds and whether the path is lost; FL1727 says that an endpoint which did not answer is heard again, and after how long; FL1710 of an answer that an endpoint may have run in vain has the configuration in force, its age at the node and the lag of the event loop at that moment. No decision changes.

--- a/bench/experiment/simulatedNode.ts
+++ b/bench/experiment/simulatedNode.ts
@@ -94,6 +94,7 @@
             }),
             getNodeCount: () => nodeCount,
             getLiveNodeCount: () => nodeCount,
+            getConditions: () => ({ configurationVersion: 1, configurationAgeMilliseconds: 0, lagMilliseconds: 0 }),
         };
         this.disableMechanisms(loads, retryDetector, queue);
     }
--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -230,6 +230,11 @@
         level: "warn",
         message: "Streams have stalled; their first stage was asked for the cause.",
     },
+    endpointHeardAgain: {
+        number: 1727,
+        level: "info",
+        message: "An endpoint that did not answer is heard again.",
+    },
     relayQueued: {
         number: 1715,
         level: "info",
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -180,6 +180,7 @@
         });
         const { pools } = this.links;
         this.holder = RoutingHolder.create({
+            clock,
             decode: text => clock.run("configuration", () => options.decodeConfiguration(text)),
             log,
             metrics,
@@ -299,6 +300,11 @@
             links,
             getNodeCount: () => this.getNodeCount(),
             getLiveNodeCount: () => this.getLiveNodeCount(),
+            getConditions: () => ({
+                configurationVersion: this.holder.getState()?.configuration.version ?? 0,
+                configurationAgeMilliseconds: this.holder.getAge(),
+                lagMilliseconds: Math.round(clock.getLag()),
+            }),
             retryBudget: RetryBudget.create(
                 clock.getMonotonicTime(),
                 () => getRetryPolicy(settings, this.getNodeCount()),
--- a/src/process/router/routingHolder.ts
+++ b/src/process/router/routingHolder.ts
@@ -1,6 +1,7 @@
 import type { Result } from "../../result.ts";
 import type { RoutingConfiguration } from "../../version/routing/routingConfiguration.ts";
 import { RoutingState } from "../../version/routing/routingState.ts";
+import type { Clock } from "../clock.ts";
 import type { EventLog } from "../logging/eventLog.ts";
 import { events } from "../logging/events.ts";
 import type { Metrics } from "../metrics/metrics.ts";
@@ -9,6 +10,7 @@
 
 /** Options of a {@link RoutingHolder}. */
 interface RoutingHolderOptions {
+    clock: Pick<Clock, "getMonotonicTime">;
     decode(text: string): Result<RoutingConfiguration, string>;
     log: EventLog;
     metrics: Metrics;
@@ -18,6 +20,8 @@
 export class RoutingHolder {
     private readonly options: RoutingHolderOptions;
     private state: RoutingState | undefined;
+    /** Monotonic time in milliseconds since which the configuration has been in force. */
+    private inForceSince = 0;
 
     private constructor(options: RoutingHolderOptions) {
         this.options = options;
@@ -33,6 +37,11 @@
         return this.state;
     }
 
+    /** Gets the time for which the configuration has been in force at this node, in milliseconds. */
+    getAge(): number {
+        return Math.round(this.options.clock.getMonotonicTime() - this.inForceSince);
+    }
+
     /** Checks if a record has no configuration, or an older one than the known record. */
     isOutdated(record: StoreRecord, known: StoreRecord): boolean {
         const version = this.getVersion(record);
@@ -42,7 +51,7 @@
 
     /** Puts a configuration in force, unless it is invalid or not newer than the current one. */
     applyRecord({ key, revision, text }: StoreRecord, source: ChangeSource): void {
-        const { decode, log, metrics } = this.options;
+        const { clock, decode, log, metrics } = this.options;
         if (text === undefined) {
             log.write(events.routingInvalid, { key, revision, reason: "The key was deleted." });
             return;
@@ -58,6 +67,7 @@
             return;
         }
         this.state = RoutingState.create(decoded.val);
+        this.inForceSince = clock.getMonotonicTime();
         metrics.configurationVersion.set(version);
         const fields = { version, revision, source, routes: routes.length, customers: customers.length };
         log.write(events.routingAccepted, fields);
--- a/src/request/relay/createEndFields.ts
+++ b/src/request/relay/createEndFields.ts
@@ -1,3 +1,4 @@
+import { RefusalReason } from "./answers/refusalReason.ts";
 import { getSentMilliseconds } from "./getSentMilliseconds.ts";
 import type { RelayEnvironment } from "./relayEnvironment.ts";
 import type { RelayTask } from "./relayTask.ts";
@@ -16,6 +17,14 @@
     dataCentres: readonly string[];
 }
 
+/** Outcomes of requests that an endpoint may have run and whose callers got no complete answer of it. */
+const incompleteOutcomes = new Set<string>([
+    "cut",
+    "cutAtTimeout",
+    RefusalReason.OutcomeUnknown,
+    RefusalReason.TimedOut,
+]);
+
 /**
  * Creates the fields of the log event `relayEnded` that streams and documents share.
  * @param environment - Shared services of relayed requests.
@@ -23,7 +32,7 @@
  * @param end - How it ended.
  */
 export function createEndFields(
-    environment: Pick<RelayEnvironment, "clock" | "dataCentre">,
+    environment: Pick<RelayEnvironment, "clock" | "dataCentre" | "getConditions">,
     task: RelayTask,
     end: RelayEnd,
 ): Record<string, string | number> {
@@ -43,5 +52,6 @@
         takenUpLateMilliseconds: Math.round(takenUpLateMilliseconds),
         sentMilliseconds: getSentMilliseconds(end.firstSentAt, request.arrivedAt),
         milliseconds: Math.round(environment.clock.getMonotonicTime() - request.arrivedAt),
+        ...incompleteOutcomes.has(end.outcome) ? environment.getConditions() : {},
     };
 }
--- a/src/request/relay/detection/stallDetector.ts
+++ b/src/request/relay/detection/stallDetector.ts
@@ -6,6 +6,7 @@
 import type { RerouteOutcome } from "../endpoints/rerouteOutcome.ts";
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { StreamRelay } from "../streams/streamRelay.ts";
+import { SilenceLog } from "./silenceLog.ts";
 
 /** Options of a {@link StallDetector}. */
 interface StallDetectorOptions {
@@ -38,10 +39,13 @@
     private readonly options: StallDetectorOptions;
     private readonly relays = new Set<StreamRelay>();
     private readonly reportRequestedAt = new Map<string, number>();
+    private readonly silenceLog: SilenceLog;
     private timer: TimerHandle | undefined;
 
     private constructor(options: StallDetectorOptions) {
         this.options = options;
+        const { clock, environment: { health, log } } = options;
+        this.silenceLog = SilenceLog.create({ clock, health, log });
     }
 
     /** Creates a detector without streams. */
@@ -76,6 +80,7 @@
 
     private sweep(): void {
         this.timer = undefined;
+        this.silenceLog.review();
         const now = this.options.clock.getMonotonicTime();
         const silentByFirstStage = new Map<string, StreamRelay[]>();
         for (const relay of this.relays) {
@@ -130,20 +135,25 @@
         const affected = continueOverOtherPaths(relays);
         const { environment, clock } = this.options;
         const now = clock.getMonotonicTime();
+        const lastProgressAt = Math.max(...relays.map(relay => relay.getLastProgress() ?? now));
         environment.log.write(events.relayStalled, {
             endpoint: first.id,
             streams: relays.length,
+            silentMilliseconds: Math.round(now - lastProgressAt),
+            isPathLost: affected.some(relay => relay.isPathLost()),
             hasReport: report !== undefined,
             stalled: report?.stalled.length ?? 0,
             at: [...new Set(report?.stalled.map(({ address }) => address))].join(","),
         });
         if (report === undefined) {
+            this.silenceLog.noteSilent(first.id, lastProgressAt);
             environment.health.markUnavailable(first.id, now);
             for (const relay of affected) {
                 this.abandon(relay, first.id, "the first stage does not answer.");
             }
             return;
         }
+        this.silenceLog.noteHeard(first.id);
         const lost = this.recordLost(report, now);
         for (const relay of affected) {
             const isStalled = report.stalled.some(({ requestId }) => requestId === relay.task.request.id);
--- a/src/request/relay/relayEnvironment.ts
+++ b/src/request/relay/relayEnvironment.ts
@@ -14,6 +14,7 @@
 import type { LinkAdmission } from "./links/linkAdmission.ts";
 import type { LinkDelays } from "./links/linkDelays.ts";
 import type { LinkTraffic } from "./links/linkTraffic.ts";
+import type { NodeConditions } from "./nodeConditions.ts";
 import type { RequestQuarantine } from "./quarantine/requestQuarantine.ts";
 import type { RelayQueue } from "./queue/relayQueue.ts";
 import type { RelayTransport } from "./relayTransport.ts";
@@ -48,4 +49,6 @@
     getNodeCount(): number;
     /** Gets the number of nodes that are alive now, including this one. {@link getNodeCount} may be the highest of the last seconds. */
     getLiveNodeCount(): number;
+    /** Gets the conditions of this node, for the log. */
+    getConditions(): NodeConditions;
 }
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -453,6 +453,11 @@
         });
     }
 
+    /** Checks if the path of the connection in use is known not to work. */
+    isPathLost(): boolean {
+        return this.attempt?.exchange?.isPathLost() === true;
+    }
+
     /** Tests the path of the connection in use. Calls back when the result is known. */
     testPath(onDone: () => void): void {
         const exchange = this.attempt?.exchange;
@@ -470,10 +475,10 @@
      */
     continueIfPathLost(): boolean {
         const { attempt } = this;
-        if (attempt?.exchange?.isPathLost() !== true || !this.isResumable()) {
+        if (attempt === undefined || !this.isPathLost() || !this.isResumable()) {
             return false;
         }
-        attempt.exchange.abort();
+        attempt.exchange?.abort();
         const cause = "the path to the first stage is lost.";
         this.endAttempt(attempt, { isNotRun: false, isPathLost: true, cause, avoid: [] });
         return true;
--- a/tests/request/relay/createEndFields.test.ts
+++ b/tests/request/relay/createEndFields.test.ts
@@ -44,6 +44,20 @@
         }
     });
 
+    it("names the configuration in force and the lag of the node if an endpoint may have run the request in vain", async () => {
+        const conditions = { configurationVersion: 7, configurationAgeMilliseconds: 40, lagMilliseconds: 900 };
+        for (const sentAt of [undefined, 0]) {
+            const bench = RelayBench.create(stages);
+            bench.environment.getConditions = () => conditions;
+            StreamRelay.create(bench.environment, bench.createTask(RequestKind.Stream), model, () => undefined).start();
+            bench.sentRequests[0]!.sentAt = sentAt;
+            await bench.clock.advance(1_100);
+            const fields = bench.log.fields[bench.log.numbers.lastIndexOf(events.relayEnded.number)]!;
+            const logged = Object.keys(conditions).map(name => fields[name]);
+            assert.deepEqual(logged, sentAt === undefined ? [undefined, undefined, undefined] : [7, 40, 900]);
+        }
+    });
+
     it("names no data centre for a request that was sent to no endpoint", async () => {
         const bench = RelayBench.create([]);
         DocumentRelay.start(bench.environment, bench.createTask(RequestKind.Idempotent), () => undefined);
--- a/tests/request/relay/relayBench.ts
+++ b/tests/request/relay/relayBench.ts
@@ -96,6 +96,7 @@
             }),
             getNodeCount: () => 1,
             getLiveNodeCount: () => 1,
+            getConditions: () => ({ configurationVersion: 1, configurationAgeMilliseconds: 0, lagMilliseconds: 0 }),
         };
     }
 
