--- a/standins/router/endpointBehaviour.ts
+++ b/standins/router/endpointBehaviour.ts
@@ -24,6 +24,8 @@
     stopsOnBody?: string;
     /** Stalls a stream after this event until an order moves the request to another chain. */
     stallsAfterEvent?: number;
+    /** Time in milliseconds after which a stalled stream continues by itself. Default: it does not. */
+    stallMilliseconds?: number;
     /** Rate limit for all nodes together, which the endpoint sends in its responses. */
     requestsPerSecond?: number;
     /** Delay of the response, in milliseconds. */
--- a/standins/router/endpointStandin.ts
+++ b/standins/router/endpointStandin.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import { setTimeout as wait } from "node:timers/promises";
 import type { ArrivalRecord } from "./arrivalRecord.ts";
 import type { EndpointBehaviour } from "./endpointBehaviour.ts";
 
@@ -43,6 +44,8 @@
     private readonly resumeCallbacks = new Map<string, () => void>();
     private sequence = 0;
     private highestFencingNumber = 0;
+    /** Monotonic time in milliseconds until which the endpoint is silent. */
+    private silentUntil = -Infinity;
 
     private constructor(options: EndpointStandinOptions) {
         this.options = options;
@@ -62,6 +65,24 @@
         return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
     }
 
+    /**
+     * Makes the endpoint stand still for some time, as a process does that is not scheduled. Its connections stay open, and new ones open.
+     * It reads and sends nothing, and then continues where it was.
+     */
+    fallSilent(milliseconds: number): void {
+        this.silentUntil = performance.now() + milliseconds;
+    }
+
+    private getRemainingSilence(): number {
+        return Math.max(0, this.silentUntil - performance.now());
+    }
+
+    private async waitUntilAwake(): Promise<void> {
+        for (let left = this.getRemainingSilence(); left > 0; left = this.getRemainingSilence()) {
+            await wait(left);
+        }
+    }
+
     /** Stops the endpoint and closes all connections. */
     async close(): Promise<void> {
         if (!this.isStopped) {
@@ -85,6 +106,7 @@
     }
 
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        await this.waitUntilAwake();
         if (this.behaviour.isLeaving === true) {
             response.setHeader("server-leaving", "1");
         }
@@ -104,7 +126,7 @@
             this.handleOrder(JSON.parse(body) as Record<string, unknown>, response);
             return;
         }
-        this.runRequest(request, response, body);
+        await this.runRequest(request, response, body);
     }
 
     private sendReport(response: ServerResponse): void {
@@ -147,7 +169,7 @@
         this.options.onLayersChanged?.(this.layers);
     }
 
-    private runRequest(request: IncomingMessage, response: ServerResponse, body: string): void {
+    private async runRequest(request: IncomingMessage, response: ServerResponse, body: string): Promise<void> {
         const id = String(request.headers["request-id"]);
         const { behaviour } = this;
         if (this.isMisdirected(request)) {
@@ -169,7 +191,9 @@
             setTimeout(() => void this.stopByRequest(), stopDelayMilliseconds);
             return;
         }
-        setTimeout(() => this.sendAnswer(request, response, record), behaviour.delayMilliseconds ?? 0);
+        await wait(behaviour.delayMilliseconds ?? 0);
+        await this.waitUntilAwake();
+        this.sendAnswer(request, response, record);
     }
 
     /** Gets if a request or an order is addressed to another endpoint, which had the address before. */
@@ -228,6 +252,11 @@
         if (response.destroyed) {
             return;
         }
+        const silence = this.getRemainingSilence();
+        if (silence > 0) {
+            setTimeout(() => this.streamFrom(event, id, response), silence);
+            return;
+        }
         if (event > events) {
             response.end();
             return;
@@ -238,16 +267,32 @@
             return;
         }
         if (behaviour.stallsAfterEvent !== undefined && event === behaviour.stallsAfterEvent + 1) {
-            this.stalled.set(id, this.stalledAddress);
-            this.resumeCallbacks.set(id, () => {
-                this.behaviour = { ...this.behaviour, stallsAfterEvent: undefined };
-                this.streamFrom(event, id, response);
-            });
+            this.stall(event, id, response);
             return;
         }
         response.write(`id: ${event}\ndata: ${this.options.id}\n\n`);
         setTimeout(() => this.streamFrom(event + 1, id, response), eventMilliseconds * (behaviour.slowness ?? 1));
     }
+
+    /** Holds a stream before an event until an order moves it to another chain, or until the stage that it waits for continues. */
+    private stall(event: number, id: string, response: ServerResponse): void {
+        const { stallMilliseconds } = this.behaviour;
+        const resume = () => {
+            this.stalled.delete(id);
+            this.resumeCallbacks.delete(id);
+            this.behaviour = { ...this.behaviour, stallsAfterEvent: undefined };
+            this.streamFrom(event, id, response);
+        };
+        this.stalled.set(id, this.stalledAddress);
+        this.resumeCallbacks.set(id, resume);
+        if (stallMilliseconds !== undefined) {
+            setTimeout(() => {
+                if (this.resumeCallbacks.get(id) === resume) {
+                    resume();
+                }
+            }, stallMilliseconds);
+        }
+    }
 }
 
 function sendJson(response: ServerResponse, status: number, body: object): void {
--- a/tests/platform/routerTestHarness.ts
+++ b/tests/platform/routerTestHarness.ts
@@ -67,8 +67,10 @@
         id: string,
         service: "documents" | "model",
         layers?: { from: number; to: number; },
+        stream: { events?: number; eventMilliseconds?: number; } = {},
     ): Promise<EndpointStandin> {
         const endpoint = await EndpointStandin.create({
+            ...stream,
             id,
             layers,
             onLayersChanged: held => this.register(id, service, held),
