Split the checks of the platform soak by rule

What faults overlap a request, how a violation is described, and the checks of rate limits and of harmful requests are now a file each, and so is the fault that sends a harmful request. No check changes.

--- a/scripts/soak/faultTimeline.ts
+++ b/scripts/soak/faultTimeline.ts
@@ -38,6 +38,11 @@
         return this.faults.filter(fault => fault.from <= to && fault.to >= from);
     }
 
+    /** Gets the faults of a kind. */
+    getOfKind(name: string): InjectedFault[] {
+        return this.faults.filter(({ kind }) => kind === name);
+    }
+
     /** Gets if a fault of one of the kinds overlaps a time span, at the target or, if undefined, at any. */
     hasDuring(kinds: readonly string[], from: number, to: number, target?: string): boolean {
         return this.getDuring(from, to).some(fault => {
--- a/scripts/soak/router/callChecks.ts
+++ b/scripts/soak/router/callChecks.ts
@@ -3,13 +3,18 @@
 import type { Violations } from "../violations.ts";
 import { callKinds } from "./callKind.ts";
 import type { CallRecord } from "./callRecord.ts";
+import { CallViolations } from "./callViolations.ts";
+import type { CheckContext } from "./checkContext.ts";
+import { checkHarmfulRequests } from "./checkHarmfulRequests.ts";
 import { checkRanks } from "./checkRanks.ts";
-import { endpointLimitKind } from "./endpointLimitKind.ts";
+import { checkRateLimits } from "./checkRateLimits.ts";
+import type { EndpointRun } from "./endpointRun.ts";
 import { eventsPerStream } from "./eventsPerStream.ts";
 import { findArrivalsAfterLeaving } from "./findArrivalsAfterLeaving.ts";
 import { findArrivalsInPauses } from "./findArrivalsInPauses.ts";
 import { harmfulBody } from "./harmfulBody.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
+import { RouterFaults } from "./routerFaults.ts";
 import { startAtDeletionKind } from "./startAtDeletionKind.ts";
 
 /** Options of {@link CallChecks}. */
@@ -19,9 +24,7 @@
     violations: Violations;
 }
 
-/** An execution of a request by an endpoint. */
-type Run = ReturnType<RouterDeployment["endpoints"][number]["getRuns"]>[number];
-
+const { settleMilliseconds } = RouterFaults;
 /** Statuses that guarantee that a request has not run and never will. */
 const notRunStatuses = [408, 421, 429, 503];
 /** Statuses that reject a request as invalid or unauthorized; all requests of the soak test are valid. */
@@ -33,29 +36,22 @@
 const responseToleranceMilliseconds = 1_500;
 const drainMilliseconds = 2_000;
 const drainSlackMilliseconds = 500;
-/** Planned operations at nodes and bursts of requests, which must not interrupt requests. */
-const plannedOperations = ["nodeStop", "nodeStopInBurst", "nodeReload", "burst"];
-/** Time after a fault from which invariants with a time limit hold again. */
-const settleMilliseconds = 4_000;
 /** Time after a caller's disconnect from which no request may arrive at an endpoint: the permitted 500 ms plus transit. */
 const disconnectToleranceMilliseconds = 700;
 const maximumForwardedAfterDisconnect = 3;
-/** Time window in which the rate limit of an endpoint is checked; the check tolerates 1.5 times the limit plus 5 requests. */
-const limitWindowMilliseconds = 4_000;
-const maximumRequestsPerWindow = 1.5 * endpointLimitKind.requestsPerSecond * limitWindowMilliseconds / 1_000 + 5;
 const modelLayers = 8;
-/** Number of crashed endpoints after which a request must no longer be forwarded. */
-const maximumCrashes = 3;
-/** Forwardings of such a request that are tolerated. */
-const maximumRunsAfterCrashes = 3;
 
 /** Checks the invariants against the records of callers and endpoints. */
 export class CallChecks {
     private readonly options: CallChecksOptions;
     private readonly records = new Map<string, CallRecord>();
+    private readonly faults: RouterFaults;
+    private readonly violations: CallViolations;
 
     private constructor(options: CallChecksOptions) {
         this.options = options;
+        this.faults = RouterFaults.create(options.timeline);
+        this.violations = CallViolations.create(options.violations);
     }
 
     /** Creates checks without records. */
@@ -71,15 +67,22 @@
             this.checkSuccess(record);
         }
         else if (signature !== undefined && status !== 500) {
-            this.add("statusChanged", `A signed response has status ${status}.`, record);
+            this.violations.add("statusChanged", `A signed response has status ${status}.`, record);
         }
         else if (rejectionStatuses.includes(status)) {
-            this.add("denied", `A valid request of kind ${kind} was rejected with ${status}: ${record.text}`, record);
+            this.violations.add(
+                "denied",
+                `A valid request of kind ${kind} was rejected with ${status}: ${record.text}`,
+                record,
+            );
         }
         const durationMilliseconds = record.endedAt - record.sentAt;
         const isOverdue = durationMilliseconds > timeoutMilliseconds + responseToleranceMilliseconds;
-        if (record.leftAt === undefined && isOverdue && (!isComplete || status !== 200) && !this.hasNodeFault(record)) {
-            this.add(
+        if (
+            record.leftAt === undefined && isOverdue && (!isComplete || status !== 200)
+            && !this.faults.hasNodeFault(record)
+        ) {
+            this.violations.add(
                 "held",
                 `A request of kind ${kind} took ${durationMilliseconds} ms and ended with status ${status}.`,
                 record,
@@ -94,17 +97,15 @@
             this.checkRun(run);
         }
         this.checkDisconnects(runs);
-        this.checkRateLimits(runs);
         this.checkInstructions();
-        const harmful = runs.filter(({ body }) => body === harmfulBody);
-        for (const runsOfRequest of Map.groupBy(harmful, ({ url }) => url).values()) {
-            this.checkHarmful(runsOfRequest);
-        }
+        const context = this.getContext();
+        checkRateLimits(runs, context);
+        checkHarmfulRequests(runs, context);
         const byRequest = Map.groupBy(runs, ({ id }) => id);
         for (const record of this.records.values()) {
             this.checkRunCounts(record, byRequest.get(record.id) ?? []);
         }
-        const sound = [...this.records.values()].filter(record => !this.hasNodeFault(record));
+        const sound = [...this.records.values()].filter(record => !this.faults.hasNodeFault(record));
         checkRanks(sound, id => byRequest.has(id), this.options.violations);
     }
 
@@ -124,15 +125,20 @@
         );
     }
 
+    private getContext(): CheckContext {
+        const { faults, violations, records, options: { deployment: { endpoints } } } = this;
+        return { endpoints, faults, violations, records };
+    }
+
     private checkSuccess(record: CallRecord): void {
         if (record.signature === undefined) {
-            this.add("unsigned", "A successful response has no endpoint signature.", record);
+            this.violations.add("unsigned", "A successful response has no endpoint signature.", record);
             return;
         }
         const endpointId = record.signature.replace("seal-", "");
         if (record.kind === callKinds.safe || record.kind === callKinds.unsafe) {
             if (record.isComplete && record.text !== `answer of ${endpointId}`) {
-                this.add(
+                this.violations.add(
                     "mixedUp",
                     `The response body belongs to another request or endpoint: "${record.text}".`,
                     record,
@@ -143,19 +149,19 @@
         const ids = [...record.text.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
         const isInOrder = ids.every((id, index) => id === index + 1);
         if (!isInOrder || record.isComplete && ids.length !== eventsPerStream) {
-            this.add("events", `Events are missing, repeated or out of order: ${ids.join(" ")}.`, record);
+            this.violations.add("events", `Events are missing, repeated or out of order: ${ids.join(" ")}.`, record);
         }
     }
 
-    private checkRun(run: Run): void {
+    private checkRun(run: EndpointRun): void {
         const record = this.records.get(run.id);
         if (record === undefined) {
-            this.addForRun("unasked", "No caller sent this request.", run);
+            this.violations.addForRun("unasked", "No caller sent this request.", run);
             return;
         }
         const isChanged = run.method !== record.method || run.url !== record.path || run.body !== record.body;
         if (isChanged || run.headers["tenant"] !== record.customer || run.headers.authorization !== undefined) {
-            this.addForRun(
+            this.violations.addForRun(
                 "changed",
                 `It arrived as ${run.method} ${run.url} of tenant ${run.headers["tenant"]}.`,
                 run,
@@ -164,41 +170,21 @@
         }
         const stages = run.headers["hop-count"];
         if (typeof stages === "string" && !coversLayersInOrder(stages)) {
-            this.addForRun("layers", `Its chain is ${stages}.`, run, record);
+            this.violations.addForRun("layers", `Its chain is ${stages}.`, run, record);
         }
         this.checkDraining(run, record);
     }
 
-    /** Checks that nodes stop forwarding a request once it has crashed several endpoints. */
-    private checkHarmful(runs: readonly Run[]): void {
-        const byEndpoint = [...Map.groupBy(runs, ({ endpointId }) => endpointId).values()];
-        const firstRuns = byEndpoint.map(runsOfEndpoint => runsOfEndpoint[0]!);
-        const last = firstRuns.sort((left, right) => left.arrivedAt - right.arrivedAt)[maximumCrashes - 1];
-        const late = runs.filter(({ id, arrivedAt }) => {
-            const node = this.records.get(id)?.node ?? "";
-            const settledAt = arrivedAt - settleMilliseconds;
-            return last !== undefined && settledAt > last.arrivedAt
-                && !this.hasFault(["node", "store"], settledAt, arrivedAt, node);
-        });
-        if (late.length > maximumRunsAfterCrashes) {
-            this.addForRun(
-                "harmful",
-                `It was forwarded ${late.length} times after ${maximumCrashes} endpoints crashed.`,
-                late.at(-1)!,
-            );
-        }
-    }
-
     /** Checks that nodes rarely forward requests whose callers have disconnected. */
-    private checkDisconnects(runs: readonly Run[]): void {
+    private checkDisconnects(runs: readonly EndpointRun[]): void {
         const late = runs.filter(({ id, arrivedAt, endpointId }) => {
             const { leftAt, node = "" } = this.records.get(id) ?? {};
             return leftAt !== undefined && arrivedAt > leftAt + disconnectToleranceMilliseconds
-                && !this.hasFault(["node"], leftAt - settleMilliseconds, arrivedAt, node)
-                && !this.hasEndpointFault(endpointId, leftAt, arrivedAt);
+                && !this.faults.hasFault(["node"], leftAt - settleMilliseconds, arrivedAt, node)
+                && !this.faults.hasEndpointFault(endpointId, leftAt, arrivedAt);
         });
         if (late.length > maximumForwardedAfterDisconnect) {
-            this.addForRun(
+            this.violations.addForRun(
                 "gone",
                 `It is one of ${late.length} requests that arrived after their callers had disconnected.`,
                 late.at(-1)!,
@@ -206,30 +192,6 @@
         }
     }
 
-    /** Checks that rate-limited endpoints receive no more requests than allowed from nodes without faults. */
-    private checkRateLimits(runs: readonly Run[]): void {
-        for (const { kind, target, from, to } of this.options.timeline.getDuring(0, Infinity)) {
-            if (kind !== endpointLimitKind.name) {
-                continue;
-            }
-            const counted = runs.filter(({ id, endpointId, arrivedAt }) =>
-                endpointId.startsWith(`${target}-`) && arrivedAt >= from + settleMilliseconds && arrivedAt <= to
-                && !this.hasFault(["node"], arrivedAt - settleMilliseconds, arrivedAt, this.records.get(id)?.node ?? "")
-            );
-            for (const run of counted) {
-                const window = counted.filter(({ arrivedAt }) =>
-                    arrivedAt >= run.arrivedAt && arrivedAt < run.arrivedAt + limitWindowMilliseconds
-                );
-                if (window.length > maximumRequestsPerWindow) {
-                    const text =
-                        `It is the first of ${window.length} requests in ${limitWindowMilliseconds} ms at a rate-limited endpoint.`;
-                    this.addForRun("limit", text, run);
-                    break;
-                }
-            }
-        }
-    }
-
     /** Checks that nodes without faults heed the pauses and the announced leaving of endpoints, also while the store is faulty. */
     private checkInstructions(): void {
         const getSentTime = (requestId: string) => this.records.get(requestId)?.sentAt ?? -Infinity;
@@ -238,8 +200,11 @@
             for (const [node, ofNode] of byNode) {
                 const unwanted = [...findArrivalsInPauses(ofNode), ...findArrivalsAfterLeaving(ofNode, getSentTime)];
                 for (const { requestId, askedAt, arrivedAt, text } of unwanted) {
-                    if (node !== undefined && !this.hasFault(["node"], askedAt - settleMilliseconds, arrivedAt, node)) {
-                        this.addForRun("instruction", text, { id: requestId, endpointId, arrivedAt });
+                    if (
+                        node !== undefined
+                        && !this.faults.hasFault(["node"], askedAt - settleMilliseconds, arrivedAt, node)
+                    ) {
+                        this.violations.addForRun("instruction", text, { id: requestId, endpointId, arrivedAt });
                     }
                 }
             }
@@ -247,18 +212,18 @@
     }
 
     /** Checks that an endpoint receives no request after its drain period, counted from its draining or the end of its record. */
-    private checkDraining(run: Run, record: CallRecord): void {
+    private checkDraining(run: EndpointRun, record: CallRecord): void {
         for (const endpoint of this.options.deployment.endpoints) {
             const since = endpoint.getLeavingSince(run.endpointId) ?? endpoint.getDeletedAt(run.endpointId);
             if (since === undefined || run.arrivedAt <= since + drainMilliseconds + drainSlackMilliseconds) {
                 continue;
             }
             if (
-                !this.hasFault(["node", "store"], since - settleMilliseconds, run.arrivedAt, record.node, [
+                !this.faults.hasFault(["node", "store"], since - settleMilliseconds, run.arrivedAt, record.node, [
                     startAtDeletionKind,
                 ])
             ) {
-                this.addForRun(
+                this.violations.addForRun(
                     "drain",
                     `It arrived ${
                         run.arrivedAt - since
@@ -270,70 +235,25 @@
         }
     }
 
-    private checkRunCounts(record: CallRecord, runs: readonly Run[]): void {
+    private checkRunCounts(record: CallRecord, runs: readonly EndpointRun[]): void {
         const { kind, status, isComplete, endedAt } = record;
         const isOnce = kind === callKinds.unsafe || kind === callKinds.once;
         if (isOnce && runs.length > 1) {
-            this.add("twice", `It ran ${runs.length} times.`, record);
+            this.violations.add("twice", `It ran ${runs.length} times.`, record);
         }
         if (isOnce && runs.length > 0 && notRunStatuses.includes(status)) {
-            this.add("refused", `It was refused with ${status} but ran at ${runs[0]!.endpointId}.`, record);
+            this.violations.add("refused", `It was refused with ${status} but ran at ${runs[0]!.endpointId}.`, record);
         }
         // Attempts at endpoints that crashed don't count towards the limit, so harmful requests are excluded.
         if (runs.length > maximumAttempts && record.body !== harmfulBody) {
-            this.add("attempts", `It ran ${runs.length} times.`, record);
+            this.violations.add("attempts", `It ran ${runs.length} times.`, record);
         }
         // A request without a run may have been sent just as the node closed the idle connection.
         const isCut = !isComplete && runs.length > 0 && record.leftAt === undefined;
-        if (isCut && this.hasOnlyPlannedOperations(record) && endedAt - record.sentAt < timeoutMilliseconds) {
-            this.add("lost", `It was interrupted: ${record.reason}`, record);
+        if (isCut && this.faults.hasOnlyPlannedOperations(record) && endedAt - record.sentAt < timeoutMilliseconds) {
+            this.violations.add("lost", `It was interrupted: ${record.reason}`, record);
         }
     }
-
-    /** Gets if no faults other than planned stops and reloads of nodes overlap the request. */
-    private hasOnlyPlannedOperations({ sentAt, endedAt }: CallRecord): boolean {
-        const faults = this.options.timeline.getDuring(sentAt - settleMilliseconds, endedAt);
-        return faults.every(({ kind }) => plannedOperations.includes(kind));
-    }
-
-    private hasNodeFault({ node, sentAt, endedAt }: CallRecord): boolean {
-        return this.hasFault(["node"], sentAt - settleMilliseconds, endedAt, node);
-    }
-
-    private hasEndpointFault(endpointId: string, from: number, to: number): boolean {
-        const faults = this.options.timeline.getDuring(from, to);
-        return faults.some(({ kind, target }) => kind.startsWith("endpoint") && endpointId.startsWith(`${target}-`));
-    }
-
-    /** Gets if a fault of the node or the store, whose kind starts with one of the prefixes, overlaps a time span. */
-    private hasFault(
-        prefixes: readonly string[],
-        from: number,
-        to: number,
-        node: string,
-        ignoredKinds: readonly string[] = [],
-    ): boolean {
-        return this.options.timeline.getDuring(from, to).some(({ kind, target }) =>
-            !ignoredKinds.includes(kind) && prefixes.some(prefix => kind.startsWith(prefix))
-            && (target === node || target === "store")
-        );
-    }
-
-    private addForRun(
-        kind: string,
-        text: string,
-        { id, endpointId, arrivedAt }: Pick<Run, "id" | "endpointId" | "arrivedAt">,
-        record?: CallRecord,
-    ): void {
-        const message = `${id} at ${endpointId}: ${text}`;
-        const names = record && [record.node];
-        this.options.violations.add({ kind, message, from: arrivedAt, to: arrivedAt, names });
-    }
-
-    private add(kind: string, text: string, { id, node, sentAt, endedAt }: CallRecord): void {
-        const message = `${id} at ${node}: ${text}`;
-        this.options.violations.add({ kind, message, from: sentAt, to: endedAt, names: [node] });
-    }
 }
 
 /** Gets if the stages of a chain, as HOST:PORT=FROM-TO, cover each layer once and in order. */
--- a/scripts/soak/router/routerFaultKinds.ts
+++ b/scripts/soak/router/routerFaultKinds.ts
@@ -5,12 +5,12 @@
 import type { KeyValueFaults } from "../../../standins/router/keyValueFaults.ts";
 import { createFaultKind } from "../createFaultKind.ts";
 import type { FaultKind } from "../faultKind.ts";
-import { callKinds } from "./callKind.ts";
 import { changeWhileStopped } from "./changeWhileStopped.ts";
 import { endpointLimitKind } from "./endpointLimitKind.ts";
 import { endpointTakesAddress } from "./endpointTakesAddress.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
 import type { RouterSoakContext } from "./routerSoakContext.ts";
+import { sendHarmfulRequest } from "./sendHarmfulRequest.ts";
 import type { SoakEndpoint } from "./soakEndpoint.ts";
 import type { SoakNode } from "./soakNode.ts";
 import { startAtDeletionKind } from "./startAtDeletionKind.ts";
@@ -27,10 +27,6 @@
 const longDuration: DurationRange = [1_000, 6_000];
 const extendedDuration: DurationRange = [7_000, 12_000];
 const minimalDuration: DurationRange = [0, 300];
-/** Number of times that a harmful request is sent, and the range of delays between them. */
-const harmfulRequests = 12;
-const harmfulDelayMilliseconds: DurationRange = [50, 1_200];
-let lastHarmfulSeries = 0;
 /** Time from the start of a burst to the end of a node, after which the nodes share the capacity by rank. */
 const burstSettleMilliseconds = 4_000;
 /** Time from the start of a node within which a record is deleted; a node reads the store within it. */
@@ -69,7 +65,7 @@
     storeCompact: deploymentFault(2, ({ deployment }) => deployment.store.compact()),
     changeWhileStopped,
     configurationChange: deploymentFault(2, ({ deployment }) => void deployment.configure()),
-    harmfulRequest: deploymentFault(2, sendHarmful),
+    harmfulRequest: deploymentFault(2, sendHarmfulRequest),
     burst: {
         weight: 3,
         durationMilliseconds: extendedDuration,
@@ -277,16 +273,6 @@
     };
 }
 
-/** Sends a request repeatedly that crashes every endpoint that starts to run it. */
-async function sendHarmful({ callers, random }: RouterSoakContext): Promise<void> {
-    const series = lastHarmfulSeries += 1;
-    const kind = random.choose(Object.values(callKinds))!;
-    for (let count = 0; count < harmfulRequests; count++) {
-        void callers.sendHarmful(`harmful-${series}-${count}`, kind, `/${kind}/harmful-${series}`);
-        await sleep(random.chooseInteger(...harmfulDelayMilliseconds));
-    }
-}
-
 async function stopAfterLeaving(_: RouterSoakContext, endpoint: SoakEndpoint): Promise<void> {
     await sleep(leavingMilliseconds);
     endpoint.unregister();
