Let endpoints stand still in the platform soak, and check that no accepted request ends for it

Callers of the play lost answers when an endpoint was silent for a second and then went on; the soak had no such fault, and its check of lost requests accepted any fault anywhere as an excuse.

The new fault makes endpoints stand still in series, for 0.8 to 1.8 s each, with their connections open and their status report silent too, overlapping with each other, with all other faults (it runs in the background) and with changes of the configuration. The new check takes each request that was sent to an endpoint (the stand-in now notes also those that it had not read) and has neither an answer nor a guarantee that it has not run. It is a violation if one of its endpoints stood still meanwhile and nothing else explains it: no other fault, start, end or leaving of its endpoints (any stage of the service for a stream), no kill, freeze or cut link of its node, no reached timeout, no caller that left. Store faults, planned stops and reloads excuse nothing.

--- a/scripts/soak/faultKind.ts
+++ b/scripts/soak/faultKind.ts
@@ -14,6 +14,8 @@
     weight: number;
     /** Minimum and maximum duration of the fault, in milliseconds. */
     durationMilliseconds: readonly [number, number];
+    /** Whether other faults are injected while this one is active. */
+    isInBackground?: boolean;
     /** Chooses a target; undefined if none is available. */
     prepare(context: Context): PreparedFault | undefined;
 }
--- a/scripts/soak/faultLoop.ts
+++ b/scripts/soak/faultLoop.ts
@@ -19,10 +19,11 @@
 const pauseRangeMilliseconds = [200, 1_500] as const;
 const maximumStaggerMilliseconds = 800;
 
-/** Injects seeded faults, one or two at a time, and reverts each after its duration. */
+/** Injects seeded faults, one or two at a time beside those in the background, and reverts each after its duration. */
 export class FaultLoop<Context extends { random: SeededRandom; timeline: FaultTimeline; }> {
     private readonly options: FaultLoopOptions<Context>;
     private readonly kinds: readonly string[];
+    private readonly inBackground: Promise<void>[] = [];
     private count = 0;
     private isStopped = false;
 
@@ -50,6 +51,7 @@
             }
             await Promise.all(active);
         }
+        await Promise.all(this.inBackground);
     }
 
     /**
@@ -70,7 +72,7 @@
         const { context, allKinds, print } = this.options;
         const { random, timeline } = context;
         const kind = random.choose(this.kinds)!;
-        const { durationMilliseconds: durationRange, prepare } = allKinds[kind]!;
+        const { durationMilliseconds: durationRange, isInBackground = false, prepare } = allKinds[kind]!;
         const durationMilliseconds = random.chooseInteger(...durationRange);
         this.count += 1;
         await sleep(delayMilliseconds);
@@ -78,12 +80,20 @@
         if (fault === undefined) {
             return;
         }
-        const entry = timeline.start(kind, fault.target);
         print(`${kind} at ${fault.target} for ${durationMilliseconds} ms`);
-        await fault.inject();
-        await sleep(durationMilliseconds);
-        await fault.revert();
-        timeline.end(entry);
+        const hold = async () => {
+            const entry = timeline.start(kind, fault.target);
+            await fault.inject();
+            await sleep(durationMilliseconds);
+            await fault.revert();
+            timeline.end(entry);
+        };
+        if (isInBackground) {
+            this.inBackground.push(hold());
+        }
+        else {
+            await hold();
+        }
     }
 }
 
--- a/scripts/soak/router/callChecks.ts
+++ b/scripts/soak/router/callChecks.ts
@@ -8,6 +8,7 @@
 import { checkHarmfulRequests } from "./checkHarmfulRequests.ts";
 import { checkRanks } from "./checkRanks.ts";
 import { checkRateLimits } from "./checkRateLimits.ts";
+import { checkSilences } from "./checkSilences.ts";
 import type { EndpointRun } from "./endpointRun.ts";
 import { eventsPerStream } from "./eventsPerStream.ts";
 import { findArrivalsAfterLeaving } from "./findArrivalsAfterLeaving.ts";
@@ -101,6 +102,7 @@
         const context = this.getContext();
         checkRateLimits(runs, context);
         checkHarmfulRequests(runs, context);
+        checkSilences(context);
         const byRequest = Map.groupBy(runs, ({ id }) => id);
         for (const record of this.records.values()) {
             this.checkRunCounts(record, byRequest.get(record.id) ?? []);
--- /dev/null
+++ b/scripts/soak/router/endpointsStandStill.ts
@@ -0,0 +1,53 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import type { FaultKind } from "../faultKind.ts";
+import { endpointStandsStillKind } from "./endpointStandsStillKind.ts";
+import type { RouterSoakContext } from "./routerSoakContext.ts";
+import type { SoakEndpoint } from "./soakEndpoint.ts";
+
+/** Number of endpoints that stand still in a series, one after the other or overlapping. */
+const silences = 10;
+const silenceMilliseconds = [800, 1_800] as const;
+const intervalMilliseconds = [200, 1_200] as const;
+/** Share of the silences beside which the configuration changes. */
+const changeShare = 0.6;
+
+/** Endpoints stand still in series with their connections open, and then continue, also those with other faults. */
+export const endpointsStandStill: FaultKind<RouterSoakContext> = {
+    weight: 16,
+    durationMilliseconds: [0, 0],
+    isInBackground: true,
+    prepare: context =>
+        isActive(context)
+            ? undefined
+            : { target: "endpoints", inject: () => silenceInSeries(context), revert: () => undefined },
+};
+
+function isActive({ timeline }: RouterSoakContext): boolean {
+    return timeline.getOfKind(endpointStandsStillKind).some(({ to }) => to === Infinity);
+}
+
+async function silenceInSeries(context: RouterSoakContext): Promise<void> {
+    const { deployment, random } = context;
+    const silent = new Set<SoakEndpoint>();
+    const active: Promise<void>[] = [];
+    for (let count = 0; count < silences; count++) {
+        const endpoint = random.choose(deployment.endpoints.filter(each => !silent.has(each)));
+        if (endpoint !== undefined) {
+            silent.add(endpoint);
+            active.push(silence(context, endpoint).finally(() => silent.delete(endpoint)));
+        }
+        if (random.isHit(changeShare)) {
+            deployment.configure();
+        }
+        await sleep(random.chooseInteger(...intervalMilliseconds));
+    }
+    await Promise.all(active);
+}
+
+async function silence({ random, timeline }: RouterSoakContext, endpoint: SoakEndpoint): Promise<void> {
+    const milliseconds = random.chooseInteger(...silenceMilliseconds);
+    const entry = timeline.start(endpointStandsStillKind, endpoint.name);
+    endpoint.fallSilent(milliseconds);
+    await sleep(milliseconds);
+    timeline.end(entry);
+}
--- a/scripts/soak/router/routerDeployment.ts
+++ b/scripts/soak/router/routerDeployment.ts
@@ -172,17 +172,23 @@
 
     private async startEndpoints(): Promise<void> {
         for (let index = 0; index < documentEndpoints; index += 1) {
-            const name = `document-${index}`;
-            this.endpoints.push(
-                await SoakEndpoint.create({ name, store: this.store, isStage: false, dataCentre: dataCentres[0]! }),
-            );
+            await this.startEndpoint(`document-${index}`, "documents", false);
         }
         for (const [index, dataCentre] of stageDataCentres.entries()) {
-            const name = `stage-${index}`;
-            this.endpoints.push(await SoakEndpoint.create({ name, store: this.store, isStage: true, dataCentre }));
+            await this.startEndpoint(`stage-${index}`, "model", true, dataCentre);
         }
     }
 
+    private async startEndpoint(
+        name: string,
+        service: string,
+        isStage: boolean,
+        dataCentre = dataCentres[0]!,
+    ): Promise<void> {
+        const options = { name, service, isStage, dataCentre, store: this.store };
+        this.endpoints.push(await SoakEndpoint.create(options));
+    }
+
     private async startNodes(): Promise<void> {
         const ports = await findFreePorts(portsPerNode * this.options.nodes);
         for (let index = 0; index < this.options.nodes; index += 1) {
--- a/scripts/soak/router/routerFaultKinds.ts
+++ b/scripts/soak/router/routerFaultKinds.ts
@@ -7,6 +7,7 @@
 import type { FaultKind } from "../faultKind.ts";
 import { changeWhileStopped } from "./changeWhileStopped.ts";
 import { endpointLimitKind } from "./endpointLimitKind.ts";
+import { endpointsStandStill } from "./endpointsStandStill.ts";
 import { endpointTakesAddress } from "./endpointTakesAddress.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
 import type { RouterSoakContext } from "./routerSoakContext.ts";
@@ -108,6 +109,7 @@
     endpointSlow: behaviourFault(1, { delayMilliseconds: 700 }),
     endpointSlowStream: behaviourFault(2, { slowness: 6 }, longDuration, stageFault),
     endpointTakesAddress,
+    endpointsStandStill,
     [endpointLimitKind.name]: behaviourFault(
         3,
         { requestsPerSecond: endpointLimitKind.requestsPerSecond },
--- a/scripts/soak/router/routerFaults.ts
+++ b/scripts/soak/router/routerFaults.ts
@@ -1,5 +1,6 @@
 import type { FaultTimeline, InjectedFault } from "../faultTimeline.ts";
 import type { CallRecord } from "./callRecord.ts";
+import { endpointStandsStillKind } from "./endpointStandsStillKind.ts";
 
 /** Planned operations at nodes and bursts of requests, which must not interrupt requests. */
 const plannedOperations = ["nodeStop", "nodeStopInBurst", "nodeReload", "burst"];
@@ -42,6 +43,13 @@
         return faults.some(({ kind, target }) => kind.startsWith("endpoint") && endpointId.startsWith(`${target}-`));
     }
 
+    /** Gets if a fault of an endpoint, other than that it stands still, overlaps a time span. */
+    hasOtherEndpointFault(name: string, from: number, to: number): boolean {
+        return this.timeline.getDuring(from, to).some(({ kind, target }) =>
+            kind.startsWith("endpoint") && kind !== endpointStandsStillKind && target === name
+        );
+    }
+
     /** Gets if a fault of the node or the store, whose kind starts with one of the prefixes, overlaps a time span. */
     hasFault(
         prefixes: readonly string[],
--- a/scripts/soak/router/soakEndpoint.ts
+++ b/scripts/soak/router/soakEndpoint.ts
@@ -13,7 +13,8 @@
 interface SoakEndpointOptions {
     name: string;
     store: KeyValueStandin;
-    /** Whether the endpoint serves layers of the model; it starts without any. */
+    service: string;
+    /** Whether the endpoint serves layers of a model; it starts without any. */
     isStage: boolean;
     dataCentre: string;
 }
@@ -35,6 +36,9 @@
     id: string;
     /** host:port, also valid after the end. */
     address: string;
+    /** Wall-clock times in milliseconds; `endedAt` is undefined while it runs. */
+    startedAt: number;
+    endedAt: number | undefined;
     /** Wall-clock time in milliseconds at which it registered as draining; undefined if it has not. */
     leavingSince: number | undefined;
     /** Wall-clock time at which its store record was deleted, in milliseconds; undefined if it was not. */
@@ -82,7 +86,12 @@
         return endpoint;
     }
 
-    /** Gets if the endpoint serves layers of the model. */
+    /** Gets the name of the service of the endpoint. */
+    getService(): string {
+        return this.options.service;
+    }
+
+    /** Gets if the endpoint serves layers of a model. */
     isStage(): boolean {
         return this.options.isStage;
     }
@@ -100,12 +109,17 @@
             events: eventsPerStream,
             eventMilliseconds,
             onLayersChanged: () => this.handleLayersChanged(id),
-            onStopped: () => void this.restart(),
+            onStopped: () => {
+                this.handleEnded();
+                void this.restart();
+            },
         });
         standin.behaviour = { stopsOnBody: harmfulBody };
         standin.born = Date.now();
         const address = standin.getAddress();
-        this.incarnations.push({ standin, id, address, leavingSince: undefined, deletedAt: undefined });
+        const startedAt = Date.now();
+        const running = { endedAt: undefined, leavingSince: undefined, deletedAt: undefined };
+        this.incarnations.push({ standin, id, address, startedAt, ...running });
         this.proxy.resetConnections();
         this.register();
     }
@@ -115,6 +129,11 @@
         this.getCurrent().standin.behaviour = { stopsOnBody: harmfulBody, ...behaviour };
     }
 
+    /** Makes the endpoint stand still with its connections open. */
+    fallSilent(milliseconds: number): void {
+        this.getCurrent().standin.fallSilent(milliseconds);
+    }
+
     /** Registers as draining and continues to serve. */
     startLeaving(): void {
         this.getCurrent().leavingSince = Date.now();
@@ -135,6 +154,7 @@
 
     /** Simulates a crash: the store record remains until {@link SoakEndpoint.unregister}. */
     async crash(): Promise<void> {
+        this.handleEnded();
         await this.getCurrent().standin.close();
     }
 
@@ -173,6 +193,23 @@
         return this.incarnations.flatMap(({ standin, id }) => standin.runs.map(run => ({ ...run, endpointId: id })));
     }
 
+    /** Gets if a request was sent to an incarnation of the endpoint. */
+    hasReceived(requestId: string): boolean {
+        return this.incarnations.some(({ standin }) => standin.receivedIds.has(requestId));
+    }
+
+    /** Gets if an incarnation started, ended, registered as draining or lost its record in a time span of wall-clock milliseconds. */
+    hasChanged(from: number, to: number): boolean {
+        return this.incarnations.some(({ startedAt, endedAt, leavingSince, deletedAt }) =>
+            [startedAt, endedAt, leavingSince, deletedAt].some(at => at !== undefined && at >= from && at <= to)
+        );
+    }
+
+    /** Gets the wall-clock time at which an incarnation ended, in milliseconds. */
+    getEndedAt(endpointId: string): number | undefined {
+        return this.incarnations.find(({ id }) => id === endpointId)?.endedAt;
+    }
+
     /** Gets the arrivals at each incarnation. */
     getArrivals(): SoakArrivals[] {
         return this.incarnations.map(({ standin, id }) => ({ endpointId: id, arrivals: standin.arrivals }));
@@ -194,6 +231,10 @@
         await this.proxy.close();
     }
 
+    private handleEnded(): void {
+        this.getCurrent().endedAt ??= Date.now();
+    }
+
     private getCurrent(): EndpointIncarnation {
         return this.incarnations.at(-1)!;
     }
@@ -208,10 +249,9 @@
 
     private register(state?: string): void {
         const { id, standin } = this.getCurrent();
-        const service = this.isStage() ? "model" : "documents";
         const layers = this.isStage() ? standin.layers ?? null : undefined;
         const address = this.proxy.getAddress();
-        const { dataCentre } = this.options;
+        const { service, dataCentre } = this.options;
         const { born } = standin;
         const record = createEndpointRecord({ service, address, state, slots, layers, born, dataCentre });
         this.writeAgain = () => this.options.store.put(`servers/${id}`, record);
--- a/standins/router/endpointStandin.ts
+++ b/standins/router/endpointStandin.ts
@@ -32,6 +32,8 @@
     born = 1_000;
     readonly runs: RunRecord[] = [];
     readonly arrivals: ArrivalRecord[] = [];
+    /** IDs of the requests that were sent to the endpoint, also those whose callers left while it was silent. */
+    readonly receivedIds = new Set<string>();
     readonly orders: Record<string, unknown>[] = [];
     /** Requests whose stream waits for another chain: the address of the failed stage by request ID. */
     readonly stalled = new Map<string, string>();
@@ -106,6 +108,8 @@
     }
 
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const arrivedAt = Date.now();
+        this.receivedIds.add(String(request.headers["request-id"]));
         await this.waitUntilAwake();
         if (this.behaviour.isLeaving === true) {
             response.setHeader("server-leaving", "1");
@@ -126,7 +130,7 @@
             this.handleOrder(JSON.parse(body) as Record<string, unknown>, response);
             return;
         }
-        await this.runRequest(request, response, body);
+        await this.runRequest(request, response, body, arrivedAt);
     }
 
     private sendReport(response: ServerResponse): void {
@@ -169,7 +173,12 @@
         this.options.onLayersChanged?.(this.layers);
     }
 
-    private async runRequest(request: IncomingMessage, response: ServerResponse, body: string): Promise<void> {
+    private async runRequest(
+        request: IncomingMessage,
+        response: ServerResponse,
+        body: string,
+        arrivedAt: number,
+    ): Promise<void> {
         const id = String(request.headers["request-id"]);
         const { behaviour } = this;
         if (this.isMisdirected(request)) {
@@ -182,7 +191,7 @@
             return;
         }
         const { method = "", url = "", headers } = request;
-        const record: RunRecord = { id, method, url, headers, body, arrivedAt: Date.now(), isAbandoned: false };
+        const record: RunRecord = { id, method, url, headers, body, arrivedAt, isAbandoned: false };
         this.runs.push(record);
         response.once("close", () => {
             record.isAbandoned = !response.writableFinished;
