Log the shared parts of the prompt, and how long a suspect ran, with failed attempts and suspected crashes

FL1711 and FL1718 have only the fingerprint of a request, which is new for each one, so that the log doesn't show that requests of different bodies which crash endpoints have a part of their prompts in common.

--- a/src/process/router/requestRouter.ts
+++ b/src/process/router/requestRouter.ts
@@ -4,6 +4,7 @@
 import type { RelayRefusal } from "../../request/relay/answers/relayRefusal.ts";
 import type { StallDetector } from "../../request/relay/detection/stallDetector.ts";
 import { DocumentRelay } from "../../request/relay/documents/documentRelay.ts";
+import { fingerprintParts } from "../../request/relay/fingerprintParts.ts";
 import { fingerprintRequest } from "../../request/relay/fingerprintRequest.ts";
 import type { RelayEnvironment } from "../../request/relay/relayEnvironment.ts";
 import type { RelayTask } from "../../request/relay/relayTask.ts";
@@ -97,6 +98,7 @@
             service,
             customer,
             fingerprint,
+            partKeys: fingerprintParts(request, service.name),
             sink,
             rank,
             ranks: state.getRanks(service.name),
--- a/src/request/relay/documents/documentRelay.ts
+++ b/src/request/relay/documents/documentRelay.ts
@@ -230,6 +230,7 @@
             isNotRun: end.isNotRun,
             cause: end.cause,
             fingerprint: this.task.fingerprint,
+            parts: this.task.partKeys.join(","),
             milliseconds: Math.round(this.getTime() - attempt.sentAt),
         });
         if (this.attempts.areRunning()) {
--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -66,15 +66,16 @@
      * turns out to be alive.
      * @param crash - The suspected crash.
      * @param requestId - Id of this attempt, for the log.
+     * @param details - Further details of the attempt, for the log.
      */
-    noteCrash(crash: SuspectedCrash, requestId: string): void {
+    noteCrash(crash: SuspectedCrash, requestId: string, details: Readonly<Record<string, string | number>> = {}): void {
         if (!this.addCrash(crash)) {
             return;
         }
         const { fingerprint, endpointId, at } = crash;
         const isHeldBack = this.getHold(fingerprint, at) !== undefined;
-        const details = { request: requestId, fingerprint, endpoint: endpointId, isHeldBack };
-        this.options.log.write(events.endpointCrashSuspected, details);
+        const entry = { request: requestId, fingerprint, endpoint: endpointId, isHeldBack, ...details };
+        this.options.log.write(events.endpointCrashSuspected, entry);
         this.options.onCrash?.(isHeldBack);
     }
 
--- a/src/request/relay/quarantine/taskQuarantine.ts
+++ b/src/request/relay/quarantine/taskQuarantine.ts
@@ -52,11 +52,16 @@
      * @param sentAt - Monotonic time in milliseconds at which the request was sent to it.
      * @param at - Monotonic time in milliseconds at which the connection broke. The test of its path takes longer than
      * {@link minimumRunMilliseconds}, so that the time after the test would make every request a suspect.
+     * @param firstEventAt - Monotonic time in milliseconds of the first event of the answer; undefined if there was none.
      */
-    noteCrash(endpointId: string, sentAt: number, at: number): void {
+    noteCrash(endpointId: string, sentAt: number, at: number, firstEventAt?: number): void {
         if (!this.isSafe && at - sentAt >= minimumRunMilliseconds) {
-            const { fingerprint, request } = this.task;
-            this.environment.quarantine.noteCrash({ fingerprint, endpointId, at }, request.id);
+            const { fingerprint, request, partKeys } = this.task;
+            this.environment.quarantine.noteCrash({ fingerprint, endpointId, at }, request.id, {
+                parts: partKeys.join(","),
+                runMilliseconds: Math.round(at - sentAt),
+                answerMilliseconds: firstEventAt === undefined ? 0 : Math.round(at - firstEventAt),
+            });
         }
     }
 }
--- a/src/request/relay/relayTask.ts
+++ b/src/request/relay/relayTask.ts
@@ -11,6 +11,8 @@
     customer: string | undefined;
     /** Identifies the request when its caller retries it; see `fingerprintRequest`. */
     fingerprint: string;
+    /** Identify the parts of the prompt that other requests may share; see `fingerprintParts`. */
+    partKeys: readonly string[];
     sink: AnswerSink;
     /** Priority rank; 0 is the highest priority. */
     rank: number;
--- a/src/request/relay/routedRequest.ts
+++ b/src/request/relay/routedRequest.ts
@@ -22,4 +22,6 @@
     maximumAnswerTokens: number;
     /** The caller's estimate of the number of answer tokens, accurate only at the median; 0 if not specified. */
     expectedAnswerTokens: number;
+    /** Ids of the parts of the prompt that other requests may share, in order; empty if not specified. */
+    promptParts: readonly string[];
 }
--- a/src/request/relay/streams/streamLogger.ts
+++ b/src/request/relay/streams/streamLogger.ts
@@ -74,6 +74,7 @@
             avoided: end.avoid.join(","),
             lastEvent: this.progress.getLastId(),
             fingerprint: this.task.fingerprint,
+            parts: this.task.partKeys.join(","),
             memoryPart: Number(memoryPart.toFixed(2)),
             eventMilliseconds: Math.round(getEventDuration(attempt)),
             milliseconds: this.getMillisecondsSince(attempt.sentAt),
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -148,7 +148,8 @@
     noteLost(endpointIds: ReadonlySet<string>): void {
         for (const { endpoint } of this.attempt?.stages ?? []) {
             if (endpointIds.has(endpoint.id)) {
-                this.quarantine.noteCrash(endpoint.id, this.attempt!.sentAt, this.getTime());
+                const { sentAt, firstEventAt } = this.attempt!;
+                this.quarantine.noteCrash(endpoint.id, sentAt, this.getTime(), firstEventAt);
             }
         }
     }
@@ -507,7 +508,7 @@
         }
         if (end.brokenAt !== undefined) {
             const sentAt = attempt.exchange?.getSentTime() ?? attempt.sentAt;
-            this.quarantine.noteCrash(attempt.stages[0]!.endpoint.id, sentAt, end.brokenAt);
+            this.quarantine.noteCrash(attempt.stages[0]!.endpoint.id, sentAt, end.brokenAt, attempt.firstEventAt);
         }
         if (end.failure !== undefined) {
             this.answer.noteFailure(end.failure);
--- a/tests/platform/decoders.test.ts
+++ b/tests/platform/decoders.test.ts
@@ -1,8 +1,10 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
+import type { IncomingMessage } from "node:http";
 import { describe, it } from "node:test";
 import { decodeConfiguration } from "../../platform/decodeConfiguration.ts";
 import { decodeEndpoint } from "../../platform/decodeEndpoint.ts";
+import { decodeRequest } from "../../platform/decodeRequest.ts";
 import { endpointProtocol } from "../../platform/endpointProtocol.ts";
 import { parseBootFile } from "../../platform/parseBootFile.ts";
 import { createConfiguration } from "../../standins/router/createConfiguration.ts";
@@ -122,3 +124,18 @@
         assert.deepEqual([undefined, "", "many", "-1", "Infinity"].map(read), Array(5).fill(undefined));
     });
 });
+
+describe("decodeRequest", () => {
+    function listParts(text: string | undefined): readonly string[] | undefined {
+        const headers = { host: "h", "request-id": "r", ...text === undefined ? {} : { "prompt-prefix": text } };
+        const message = { url: "/x", method: "POST", headers, rawHeaders: [] as string[] };
+        return decodeRequest(message as unknown as IncomingMessage, Buffer.alloc(0), 0)?.promptParts;
+    }
+
+    it("lists the parts of a prompt that other requests may share, without the last", () => {
+        assert.deepEqual(listParts("5c1e07a2:800, 91bd3f06:410,e4402b7d:250"), ["5c1e07a2", "91bd3f06"]);
+        for (const text of ["e4402b7d:250", "", ",", undefined]) {
+            assert.deepEqual(listParts(text), []);
+        }
+    });
+});
--- a/tests/request/relay/relayBench.ts
+++ b/tests/request/relay/relayBench.ts
@@ -130,6 +130,7 @@
                 promptTokens: 800,
                 maximumAnswerTokens: 400,
                 expectedAnswerTokens: 200,
+                promptParts: [],
             },
             route: {
                 name: "r",
@@ -148,6 +149,7 @@
             service: { name: "model", maximumConnections: 10, engine: relayModel },
             customer: undefined,
             fingerprint: "fingerprint",
+            partKeys: [],
             sink,
             rank: 1,
             ranks: [1],
