--- a/standins/router/endpointBehaviour.ts
+++ b/standins/router/endpointBehaviour.ts
@@ -22,6 +22,11 @@
     cutsAfterEvent?: number;
     /** Stops the endpoint and closes all its connections shortly after it starts to run a request with this body. */
     stopsOnBody?: string;
+    /**
+     * Stops the endpoint and closes all its connections shortly after it would begin to answer a request whose prompt has this part, unless
+     * it is the last one.
+     */
+    stopsOnPromptPart?: string;
     /** Stalls a stream after this event until an order moves the request to another chain. */
     stallsAfterEvent?: number;
     /** Time in milliseconds after which a stalled stream continues by itself. Default: it does not. */
--- a/standins/router/endpointStandin.ts
+++ b/standins/router/endpointStandin.ts
@@ -1,4 +1,10 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import {
+    createServer,
+    type IncomingHttpHeaders,
+    type IncomingMessage,
+    type Server,
+    type ServerResponse,
+} from "node:http";
 import type { AddressInfo } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
 import type { ArrivalRecord } from "./arrivalRecord.ts";
@@ -187,8 +193,11 @@
         response.once("close", () => {
             record.isAbandoned = !response.writableFinished;
         });
-        if (behaviour.stopsOnBody === body) {
-            setTimeout(() => void this.stopByRequest(), stopDelayMilliseconds);
+        const stopsLater = behaviour.stopsOnPromptPart !== undefined
+            && listSharedParts(headers).includes(behaviour.stopsOnPromptPart);
+        if (stopsLater || behaviour.stopsOnBody === body) {
+            const delay = stopsLater ? behaviour.delayMilliseconds ?? 0 : 0;
+            setTimeout(() => void this.stopByRequest(), delay + stopDelayMilliseconds);
             return;
         }
         await wait(behaviour.delayMilliseconds ?? 0);
@@ -295,6 +304,11 @@
     }
 }
 
+/** Lists the ids of all parts of a prompt but the last, which no other request has. */
+function listSharedParts(headers: IncomingHttpHeaders): string[] {
+    return String(headers["prompt-prefix"] ?? "").split(",").slice(0, -1).map(part => part.split(":", 1)[0]!);
+}
+
 function sendJson(response: ServerResponse, status: number, body: object): void {
     response.writeHead(status, { "content-type": "application/json" }).end(JSON.stringify(body));
 }
--- a/tests/platform/routerTestHarness.ts
+++ b/tests/platform/routerTestHarness.ts
@@ -67,10 +67,10 @@
         id: string,
         service: "documents" | "model",
         layers?: { from: number; to: number; },
-        stream: { events?: number; eventMilliseconds?: number; } = {},
+        options: { events?: number; eventMilliseconds?: number; onStopped?(): void; } = {},
     ): Promise<EndpointStandin> {
         const endpoint = await EndpointStandin.create({
-            ...stream,
+            ...options,
             id,
             layers,
             onLayersChanged: held => this.register(id, service, held),
