Let more endpoints stand still in a series of the soak, and excuse less

A series now has 16 silences, and a fault of an endpoint explains the end of requests that were sent up to 1 s after it.

--- a/scripts/soak/router/checkSilences.ts
+++ b/scripts/soak/router/checkSilences.ts
@@ -5,6 +5,8 @@
 import type { SoakEndpoint } from "./soakEndpoint.ts";
 
 const { settleMilliseconds } = RouterFaults;
+/** Time after a fault of an endpoint within which it may still end requests that are sent there. */
+const endpointSettleMilliseconds = 1_000;
 const timeoutMilliseconds = 3_000;
 const okStatus = 200;
 const notRunStatuses = [408, 421, 429, 503];
@@ -46,6 +48,6 @@
 }
 
 function hasOtherFault(faults: RouterFaults, endpoint: SoakEndpoint, { sentAt, endedAt }: CallRecord): boolean {
-    const from = sentAt - settleMilliseconds;
+    const from = sentAt - endpointSettleMilliseconds;
     return endpoint.hasChanged(from, endedAt) || faults.hasOtherEndpointFault(endpoint.name, from, endedAt);
 }
--- a/scripts/soak/router/endpointsStandStill.ts
+++ b/scripts/soak/router/endpointsStandStill.ts
@@ -5,9 +5,9 @@
 import type { SoakEndpoint } from "./soakEndpoint.ts";
 
 /** Number of endpoints that stand still in a series, one after the other or overlapping. */
-const silences = 10;
+const silences = 16;
 const silenceMilliseconds = [800, 1_800] as const;
-const intervalMilliseconds = [200, 1_200] as const;
+const intervalMilliseconds = [100, 900] as const;
 /** Share of the silences beside which the configuration changes. */
 const changeShare = 0.6;
 
--- a/tests/scripts/checkSilences.test.ts
+++ b/tests/scripts/checkSilences.test.ts
@@ -76,13 +76,20 @@
 
     it("accepts the end of requests that a fault of the node or of an endpoint explains", () => {
         addFault("endpointStandsStill", "one");
-        for (const [kind, target] of [["nodeKill", "node-0"], ["nodeLinksReset", "node-0"], ["endpointReset", "two"]]) {
-            const active = timeline.start(kind!, target!);
-            Object.assign(active, { from: sentAt - 3_000, to: sentAt - 2_000 });
+        const explanations = [["nodeKill", "node-0", 2_000], ["nodeLinksReset", "node-0", 2_000], [
+            "endpointReset",
+            "two",
+            500,
+        ]] as const;
+        for (const [kind, target, beforeMilliseconds] of explanations) {
+            const active = timeline.start(kind, target);
+            Object.assign(active, { from: sentAt - 3_000, to: sentAt - beforeMilliseconds });
             assert.equal(count(cut), 0);
             active.target = "another";
             assert.equal(count(cut), 1);
         }
+        addFault("endpointReset", "two", sentAt - 3_000, sentAt - 1_100);
+        assert.equal(count(cut), 1);
         stageEndedAt = sentAt + 200;
         assert.equal(count(cut), 0);
     });
