Let parts of prompts crash endpoints in the platform soak, and check what is forwarded and served

The soak knew one harmful request that is sent again and again.

A new fault sends requests of one customer with common parts of their prompts for 25 s, after 5 s also some with a harmful part in a random place before the last one. They go to two new routes (resumable, and at most once) of a service of their own with six endpoints that hold the whole model, so that the crashes take nothing from the other routes; a crashed endpoint is back after 3.6 s under a new id. It runs in the background, beside all other faults. Two checks: at most three harmful requests reach endpoints later than 3 s after the fifth crash (partForwarded); sound ones are served at least half as often as before from 6 s after the fifth or the last crash, with 20 or more of each (partRefused). Requests at nodes with a fault, or beside a fault of the store, don't count. The report has a line for each series.

--- a/scripts/soak/router/callChecks.ts
+++ b/scripts/soak/router/callChecks.ts
@@ -6,6 +6,7 @@
 import { CallViolations } from "./callViolations.ts";
 import type { CheckContext } from "./checkContext.ts";
 import { checkHarmfulRequests } from "./checkHarmfulRequests.ts";
+import { checkPromptSeries } from "./checkPromptSeries.ts";
 import { checkRanks } from "./checkRanks.ts";
 import { checkRateLimits } from "./checkRateLimits.ts";
 import { checkSilences } from "./checkSilences.ts";
@@ -13,7 +14,6 @@
 import { eventsPerStream } from "./eventsPerStream.ts";
 import { findArrivalsAfterLeaving } from "./findArrivalsAfterLeaving.ts";
 import { findArrivalsInPauses } from "./findArrivalsInPauses.ts";
-import { harmfulBody } from "./harmfulBody.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
 import { RouterFaults } from "./routerFaults.ts";
 import { startAtDeletionKind } from "./startAtDeletionKind.ts";
@@ -91,8 +91,11 @@
         }
     }
 
-    /** Checks the runs of all endpoints at the end. */
-    checkRuns(): void {
+    /**
+     * Checks the runs of all endpoints at the end.
+     * @returns A line about each series of requests with a harmful part of the prompt.
+     */
+    checkRuns(): string[] {
         const runs = this.options.deployment.endpoints.flatMap(endpoint => endpoint.getRuns());
         for (const run of runs) {
             this.checkRun(run);
@@ -109,6 +112,7 @@
         }
         const sound = [...this.records.values()].filter(record => !this.faults.hasNodeFault(record));
         checkRanks(sound, id => byRequest.has(id), this.options.violations);
+        return checkPromptSeries(runs, context);
     }
 
     /** Describes the requests whose ids start with a prefix and that have no complete successful response. */
@@ -161,7 +165,8 @@
             this.violations.addForRun("unasked", "No caller sent this request.", run);
             return;
         }
-        const isChanged = run.method !== record.method || run.url !== record.path || run.body !== record.body;
+        const isChanged = run.method !== record.method || run.url !== record.path || run.body !== record.body
+            || run.headers["prompt-prefix"] !== record.role?.prefix;
         if (isChanged || run.headers["tenant"] !== record.customer || run.headers.authorization !== undefined) {
             this.violations.addForRun(
                 "changed",
@@ -237,6 +242,11 @@
         }
     }
 
+    /** Gets if the endpoint incarnation of a run ended before a time; such runs don't count towards the limit of attempts. */
+    private hasEnded({ endpointId }: EndpointRun, at: number): boolean {
+        return this.options.deployment.endpoints.some(endpoint => (endpoint.getEndedAt(endpointId) ?? Infinity) <= at);
+    }
+
     private checkRunCounts(record: CallRecord, runs: readonly EndpointRun[]): void {
         const { kind, status, isComplete, endedAt } = record;
         const isOnce = kind === callKinds.unsafe || kind === callKinds.once;
@@ -246,9 +256,9 @@
         if (isOnce && runs.length > 0 && notRunStatuses.includes(status)) {
             this.violations.add("refused", `It was refused with ${status} but ran at ${runs[0]!.endpointId}.`, record);
         }
-        // Attempts at endpoints that crashed don't count towards the limit, so harmful requests are excluded.
-        if (runs.length > maximumAttempts && record.body !== harmfulBody) {
-            this.violations.add("attempts", `It ran ${runs.length} times.`, record);
+        const lasting = runs.length > maximumAttempts ? runs.filter(run => !this.hasEnded(run, endedAt)) : [];
+        if (lasting.length > maximumAttempts) {
+            this.violations.add("attempts", `It ran ${lasting.length} times at endpoints that went on.`, record);
         }
         // A request without a run may have been sent just as the node closed the idle connection.
         const isCut = !isComplete && runs.length > 0 && record.leftAt === undefined;
--- a/scripts/soak/router/callKind.ts
+++ b/scripts/soak/router/callKind.ts
@@ -10,6 +10,10 @@
     once: "once",
     /** A model request with a resumable stream, of the last rank. */
     last: "last",
+    /** A request with a resumable stream that declares the parts of its prompt. */
+    prompt: "prompt",
+    /** The same, but it may run at most once. */
+    promptOnce: "promptOnce",
 } as const;
 
 /** One of {@link callKinds}. */
--- a/scripts/soak/router/callRecord.ts
+++ b/scripts/soak/router/callRecord.ts
@@ -1,4 +1,5 @@
 import type { CallKind } from "./callKind.ts";
+import type { PromptSeriesRole } from "./promptSeriesRole.ts";
 
 /** A request as its caller saw it. */
 export interface CallRecord {
@@ -23,6 +24,8 @@
     text: string;
     /** Whether the response was received completely. */
     isComplete: boolean;
+    /** Its role in a series of requests that declare the parts of their prompts; undefined for other requests. */
+    role?: PromptSeriesRole;
     /** Why the response is not complete. */
     reason: string;
 }
--- a/scripts/soak/router/routerCallers.ts
+++ b/scripts/soak/router/routerCallers.ts
@@ -6,6 +6,7 @@
 import { type Customer, customers } from "./customers.ts";
 import { harmfulBody } from "./harmfulBody.ts";
 import { modelRanks } from "./modelRanks.ts";
+import type { PromptCall } from "./promptCall.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
 import type { SoakNode } from "./soakNode.ts";
 
@@ -18,7 +19,10 @@
 }
 
 /** The content of a request. */
-type CallContent = Pick<CallRecord, "id" | "kind" | "method" | "path" | "body">;
+interface CallContent extends Pick<CallRecord, "id" | "kind" | "method" | "path" | "body" | "role"> {
+    /** Chosen at random if undefined. */
+    customer?: Customer;
+}
 
 const modelKinds = Object.keys(modelRanks) as CallKind[];
 const documentKinds: readonly CallKind[] = [callKinds.safe, callKinds.unsafe];
@@ -107,9 +111,14 @@
         await this.call({ id, kind, method: "POST", path, body: harmfulBody }, false);
     }
 
-    private async call(content: CallContent, disconnects: boolean): Promise<void> {
+    /** Sends a request that declares the parts of its prompt. */
+    async sendWithPrompt({ id, kind, customer, role }: PromptCall): Promise<void> {
+        await this.call({ ...this.createCall(id, kind), customer, role }, false);
+    }
+
+    private async call({ customer: chosen, ...content }: CallContent, disconnects: boolean): Promise<void> {
         const node = this.chooseNode();
-        const { name: customer, apiKey } = chooseCustomer(this.options.random);
+        const { name: customer, apiKey } = chosen ?? chooseCustomer(this.options.random);
         const record: CallRecord = {
             ...content,
             customer,
@@ -147,6 +156,7 @@
                     "request-id": record.id,
                     "request-deadline-ms": String(deadlineMilliseconds),
                     authorization: `Bearer ${apiKey}`,
+                    ...(record.role === undefined ? {} : { "prompt-prefix": record.role.prefix }),
                 },
                 body: record.body,
                 signal: AbortSignal.any([
--- a/scripts/soak/router/routerDeployment.ts
+++ b/scripts/soak/router/routerDeployment.ts
@@ -14,6 +14,7 @@
 import { createSoakConfiguration } from "./createSoakConfiguration.ts";
 import { getLinksFile } from "./getLinksFile.ts";
 import type { LinkState } from "./linkState.ts";
+import { promptService } from "./promptService.ts";
 import { SoakEndpoint } from "./soakEndpoint.ts";
 import type { SoakNode } from "./soakNode.ts";
 
@@ -36,6 +37,8 @@
 /** Data centres of the stages. A chain needs four stages, so that no data centre holds every layer. */
 const stageDataCentres = ["a", "a", "a", "b"];
 const documentEndpoints = 3;
+/** Endpoints of the service whose requests declare the parts of their prompts. Each holds every layer. */
+const promptEndpoints = 6;
 const portsPerNode = 5;
 const pollMilliseconds = 50;
 const checkTimeoutMilliseconds = 1_000;
@@ -177,6 +180,9 @@
         for (const [index, dataCentre] of stageDataCentres.entries()) {
             await this.startEndpoint(`stage-${index}`, "model", true, dataCentre);
         }
+        for (let index = 0; index < promptEndpoints; index += 1) {
+            await this.startEndpoint(`prompt-${index}`, promptService, true);
+        }
     }
 
     private async startEndpoint(
--- a/scripts/soak/router/routerFaultKinds.ts
+++ b/scripts/soak/router/routerFaultKinds.ts
@@ -9,6 +9,7 @@
 import { endpointLimitKind } from "./endpointLimitKind.ts";
 import { endpointsStandStill } from "./endpointsStandStill.ts";
 import { endpointTakesAddress } from "./endpointTakesAddress.ts";
+import { harmfulPart } from "./harmfulPart.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
 import type { RouterSoakContext } from "./routerSoakContext.ts";
 import { sendHarmfulRequest } from "./sendHarmfulRequest.ts";
@@ -66,6 +67,7 @@
     storeCompact: deploymentFault(2, ({ deployment }) => deployment.store.compact()),
     changeWhileStopped,
     configurationChange: deploymentFault(2, ({ deployment }) => void deployment.configure()),
+    harmfulPart,
     harmfulRequest: deploymentFault(2, sendHarmfulRequest),
     burst: {
         weight: 3,
--- a/scripts/soak/router/routerSoakReport.ts
+++ b/scripts/soak/router/routerSoakReport.ts
@@ -10,6 +10,8 @@
     /** Requests by kind and outcome. */
     outcomes: Record<string, number>;
     timeline: FaultTimeline;
+    /** A line about each series of requests with a harmful part of the prompt. */
+    promptSeries: readonly string[];
     violations: readonly Violation[];
 }
 
@@ -19,9 +21,12 @@
  * @param print - Prints a line.
  */
 export function printRouterSoakReport(result: RouterSoakResult, print: (line: string) => void): void {
-    const { seed, seconds, outcomes, timeline, violations } = result;
+    const { seed, seconds, outcomes, timeline, promptSeries, violations } = result;
     print(`Seed ${seed}: ${seconds.toFixed(0)} s.`);
     print(`Faults: ${formatCounts(timeline.getCounts())}.`);
     print(`Requests by outcome: ${formatCounts(outcomes)}.`);
+    for (const line of promptSeries) {
+        print(line);
+    }
     printViolations(violations, print);
 }
--- a/scripts/soak/router/runRouterSoak.ts
+++ b/scripts/soak/router/runRouterSoak.ts
@@ -83,13 +83,14 @@
     checkMemory(parts);
     await Promise.all(deployment.nodes.map(node => deployment.terminate(node)));
     await callers.close();
-    checks.checkRuns();
+    const promptSeries = checks.checkRuns();
     checkExits(parts);
     return {
         seed: options.seed,
         seconds: (Date.now() - startedAt) / millisecondsPerSecond,
         outcomes: checks.getCounts(),
         timeline,
+        promptSeries,
         violations: violations.getAll(),
     };
 }
--- a/scripts/soak/router/soakEndpoint.ts
+++ b/scripts/soak/router/soakEndpoint.ts
@@ -62,6 +62,7 @@
     proxy: LoopbackProxy;
     isTaken = false;
     private isRestarting = false;
+    private harmfulPart: string | undefined;
     /** Rewrites the last record of the current incarnation. */
     private writeAgain: () => void = () => undefined;
     private readonly options: SoakEndpointOptions;
@@ -114,7 +115,7 @@
                 void this.restart();
             },
         });
-        standin.behaviour = { stopsOnBody: harmfulBody };
+        standin.behaviour = this.createBehaviour();
         standin.born = Date.now();
         const address = standin.getAddress();
         const startedAt = Date.now();
@@ -126,7 +127,13 @@
 
     /** Sets how the endpoint responds. */
     setBehaviour(behaviour: EndpointBehaviour): void {
-        this.getCurrent().standin.behaviour = { stopsOnBody: harmfulBody, ...behaviour };
+        this.getCurrent().standin.behaviour = { ...this.createBehaviour(), ...behaviour };
+    }
+
+    /** Sets the part of a prompt that crashes this and all later incarnations of the endpoint. */
+    setHarmfulPart(part: string | undefined): void {
+        this.harmfulPart = part;
+        this.getCurrent().standin.behaviour.stopsOnPromptPart = part;
     }
 
     /** Makes the endpoint stand still with its connections open. */
@@ -231,6 +238,10 @@
         await this.proxy.close();
     }
 
+    private createBehaviour(): EndpointBehaviour {
+        return { stopsOnBody: harmfulBody, stopsOnPromptPart: this.harmfulPart };
+    }
+
     private handleEnded(): void {
         this.getCurrent().endedAt ??= Date.now();
     }
