--- a/scripts/soak/router/promptSeries.ts
+++ b/scripts/soak/router/promptSeries.ts
@@ -1,55 +1,44 @@
 import type { SeededRandom } from "../seededRandom.ts";
 import { callKinds } from "./callKind.ts";
-import type { Customer } from "./customers.ts";
-import { customers } from "./customers.ts";
-import type { PromptCall } from "./promptCall.ts";
+import type { CallRecord } from "./callRecord.ts";
+import { type Customer, customers } from "./customers.ts";
 
-/** Options of {@link PromptSeries}. */
-interface PromptSeriesOptions {
-    name: string;
-    kind: PromptCall["kind"];
-    customer: Customer;
-    /** Ids of the parts that all requests of the series have in common. */
-    commonParts: readonly string[];
-    harmfulPart: string;
-    /** Index of the harmful part in a prompt. */
-    position: number;
-    random: SeededRandom;
-}
-
-const commonPartCount = 2;
+const commonParts = 2;
 const maximumId = 0x7fff_ffff;
 const tokens = [20, 900] as const;
 
 /** Creates requests with common parts of their prompts, some of them with a part that crashes endpoints. No two are alike. */
 export class PromptSeries {
     readonly harmfulPart: string;
-    private readonly options: PromptSeriesOptions;
+    private readonly name: string;
+    private readonly random: SeededRandom;
+    private readonly kind: CallRecord["kind"];
+    private readonly customer: Customer;
+    private readonly sharedParts: readonly string[];
+    /** Index of the harmful part in a prompt, before the last part. */
+    private readonly position: number;
     private count = 0;
 
-    private constructor(options: PromptSeriesOptions) {
-        this.options = options;
-        this.harmfulPart = options.harmfulPart;
+    private constructor(name: string, random: SeededRandom) {
+        this.name = name;
+        this.random = random;
+        this.harmfulPart = createId(random);
+        this.kind = random.choose([callKinds.prompt, callKinds.promptOnce])!;
+        this.customer = random.choose(customers)!;
+        this.sharedParts = Array.from({ length: commonParts }, () => createId(random));
+        this.position = random.chooseInteger(0, commonParts);
     }
 
-    /** Creates a series with random parts and a random position of the harmful part before the last one. */
+    /** Creates a series with random parts. */
     static create(name: string, random: SeededRandom): PromptSeries {
-        return new PromptSeries({
-            name,
-            kind: random.choose([callKinds.prompt, callKinds.promptOnce])!,
-            customer: random.choose(customers)!,
-            commonParts: Array.from({ length: commonPartCount }, () => createId(random)),
-            harmfulPart: createId(random),
-            position: random.chooseInteger(0, commonPartCount),
-            random,
-        });
+        return new PromptSeries(name, random);
     }
 
     /** Creates the next request. */
-    createCall(isHarmful: boolean): PromptCall {
-        const { name, kind, customer, commonParts, harmfulPart, position, random } = this.options;
+    createCall(isHarmful: boolean): Pick<CallRecord, "id" | "kind" | "role"> & { customer: Customer; } {
+        const { name, random, kind, customer, sharedParts, position } = this;
         this.count += 1;
-        const shared = isHarmful ? commonParts.toSpliced(position, 0, harmfulPart) : commonParts;
+        const shared = isHarmful ? sharedParts.toSpliced(position, 0, this.harmfulPart) : sharedParts;
         const prefix = [...shared, createId(random)].map(id => `${id}:${random.chooseInteger(...tokens)}`).join(",");
         const id = `${name}-${isHarmful ? "harmful" : "sound"}-${this.count}`;
         return { id, kind, customer, role: { series: name, isHarmful, prefix } };
--- a/scripts/soak/router/routerCallers.ts
+++ b/scripts/soak/router/routerCallers.ts
@@ -6,7 +6,7 @@
 import { type Customer, customers } from "./customers.ts";
 import { harmfulBody } from "./harmfulBody.ts";
 import { modelRanks } from "./modelRanks.ts";
-import type { PromptCall } from "./promptCall.ts";
+import type { PromptSeries } from "./promptSeries.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
 import type { SoakNode } from "./soakNode.ts";
 
@@ -112,7 +112,7 @@
     }
 
     /** Sends a request that declares the parts of its prompt. */
-    async sendWithPrompt({ id, kind, customer, role }: PromptCall): Promise<void> {
+    async sendWithPrompt({ id, kind, customer, role }: ReturnType<PromptSeries["createCall"]>): Promise<void> {
         await this.call({ ...this.createCall(id, kind), customer, role }, false);
     }
 
