Keep streams on silent endpoints that have nowhere else to go

What callers saw: streams cut after they had begun, and 502, 0.6 to 2.6 s after they were sent and far from any deadline, while an endpoint stood still for a second with its connections open and then went on; also where only a later stage was silent. Cause: suspicion acted as proof. 240 ms without an event and 350 ms without a report made the stall detector abandon every stream of that first stage, also one that can't be resumed or for which no other chain, attempt or retry was left. Abandoning aborted the run first and looked for another chain then. Change: a silent endpoint is a suspect. New requests avoid it as before, and a stream leaves it only for a chain that is reserved before the run is aborted (ChainReplacement): resumable, an attempt and a retry left, not quarantined, no suspect on it. Any other stream stays until its endpoint, its caller or its deadline ends it. Only a restart counts as proof. The same holds for a lost path, for a silent later stage whose stream can't be rerouted, and for a chain that is silent while others progress. A suspicion is not extended before it ends, so that repeated checks don't double it.

--- a/src/request/relay/attemptLimit.ts
+++ b/src/request/relay/attemptLimit.ts
@@ -44,15 +44,19 @@
         this.possibleRuns.add(endpointId);
     }
 
-    /** Checks if the request may be sent to another first stage. */
-    mayAttemptAgain(): boolean {
+    /**
+     * Checks if the request may be sent to another first stage.
+     * @param runningId - Id of a first stage that still runs it.
+     */
+    mayAttemptAgain(runningId?: string): boolean {
         if (this.attemptCount >= hardAttemptLimit || this.refusalCount > maximumRefusals) {
             return false;
         }
         const { directory, health, clock } = this.environment;
         const now = clock.getMonotonicTime();
         const endpoints = directory.getEndpoints(this.task.service.name);
-        const countedRuns = [...this.possibleRuns].filter(ranId =>
+        const possibleRuns = runningId === undefined ? this.possibleRuns : new Set([...this.possibleRuns, runningId]);
+        const countedRuns = [...possibleRuns].filter(ranId =>
             endpoints.some(({ id }) => id === ranId) && !health.isSuspect(ranId, now)
         );
         return countedRuns.length < this.task.route.maximumAttempts;
--- a/src/request/relay/chains/relayChains.ts
+++ b/src/request/relay/chains/relayChains.ts
@@ -30,6 +30,8 @@
     mayOvercommit: boolean;
     /** Fraction of each endpoint's memory that must stay free for other requests. Default: 0. */
     spareFraction?: number;
+    /** Whether suspect endpoints are used if there is no chain without them. Default: true. */
+    maySuspect?: boolean;
     /** Ids of endpoints whose rate limits rejected the request. */
     rateLimited?: ReadonlySet<string>;
     /** Whether links between data centres count as free, because only the existence of a chain is checked. */
@@ -69,14 +71,17 @@
 
     /** Chooses the best chain, or returns undefined if there is none. */
     choose(
-        { avoid, firstStage, mayOvercommit, spareFraction = 0, rateLimited, ignoresLinks = false }: ChainRequirements,
+        requirements: ChainRequirements,
     ): RelayStage[] | undefined {
         const { environment, model, task } = this;
+        const { avoid, firstStage, mayOvercommit, rateLimited } = requirements;
+        const { spareFraction = 0, maySuspect = true, ignoresLinks = false } = requirements;
         const now = environment.clock.getMonotonicTime();
         const runningId = firstStage?.endpoint.id;
         const candidates = listCandidates(environment, model, task.service.name)
-            .filter(({ endpoint: { id } }) =>
+            .filter(({ endpoint: { id }, isSuspect }) =>
                 !avoid.has(id) && rateLimited?.has(id) !== true
+                && (maySuspect || !isSuspect)
                 && (id === runningId || environment.instructions.maySend(id))
             );
         const linkSearch = this.linkUse.startSearch(candidates, this.getPromptTokens(), mayOvercommit, now);
--- a/src/request/relay/detection/stallDetector.ts
+++ b/src/request/relay/detection/stallDetector.ts
@@ -29,16 +29,23 @@
 /** Reports arrive within a few milliseconds. If one is overdue, the path to the endpoint may be lost. */
 const usualReportMilliseconds = 60;
 /** A stream that is silent for this long without a known cause is continued over another chain, before its caller gives up. */
-const abandonMilliseconds = 1_300;
+const overdueMilliseconds = 1_300;
+/** A first stage that did not move a stream when it was told to is told again after this time. */
+const rerouteRetryMilliseconds = 600;
 
 /**
  * Detects stalled streams, finds the endpoint that blocks them from the report of their first stage, and moves them to
  * other chains before their callers give up. Streams with the same first stage share a report.
+ *
+ * A silent endpoint is a suspect: new requests avoid it, and streams that can continue elsewhere do so at once. It may still continue, so
+ * no stream is given up for it that has nowhere to go. Only an endpoint that has restarted is known to have lost its streams.
  */
 export class StallDetector {
     private readonly options: StallDetectorOptions;
     private readonly relays = new Set<StreamRelay>();
     private readonly reportRequestedAt = new Map<string, number>();
+    /** Monotonic time in milliseconds before which a stream's first stage isn't told again to move it. */
+    private readonly rerouteAllowedAt = new WeakMap<StreamRelay, number>();
     private readonly silenceLog: SilenceLog;
     private timer: TimerHandle | undefined;
 
@@ -73,7 +80,7 @@
         const lost = new Set([id]);
         for (const relay of [...this.relays]) {
             if (relay.getStages()?.some(({ endpoint }) => endpoint.id === id) === true) {
-                void this.reroute(relay, lost);
+                void this.reroute(relay, lost, () => relay.abandonChain([id], "a stage of the chain has restarted."));
             }
         }
     }
@@ -147,9 +154,9 @@
         });
         if (report === undefined) {
             this.silenceLog.noteSilent(first.id, lastProgressAt);
-            environment.health.markUnavailable(first.id, now);
+            this.noteSilent(first.id, now);
             for (const relay of affected) {
-                this.abandon(relay, first.id, "the first stage does not answer.");
+                leaveIfFirst(relay, first.id, "the first stage does not answer.");
             }
             return;
         }
@@ -159,7 +166,7 @@
             const isStalled = report.stalled.some(({ requestId }) => requestId === relay.task.request.id);
             const isAffected = relay.getStages()?.some(({ endpoint }) => lost.has(endpoint.id)) === true;
             if (isStalled || isAffected) {
-                void this.reroute(relay, lost);
+                this.rerouteFromSuspects(relay, lost, now);
             }
             else {
                 this.reviewUnexplained(relay, first, now);
@@ -167,6 +174,16 @@
         }
     }
 
+    /** Makes new requests avoid an endpoint that does not answer. The time is not extended before it has ended. */
+    private noteSilent(endpointId: string, now: number): void {
+        const { health } = this.options.environment;
+        if (health.isSuspect(endpointId, now)) {
+            health.markUnreachable(endpointId);
+            return;
+        }
+        health.markUnavailable(endpointId, now);
+    }
+
     /** Waits until a report is there or overdue. Returns whether it is there. */
     private isSettledSoon(reporting: Promise<unknown>): Promise<boolean> {
         return new Promise(resolve => {
@@ -189,9 +206,9 @@
         if (!relay.hasEvents()) {
             linkDelays.recordFirstEvent(dataCentres, now - (relay.getSentAt() ?? now), now);
         }
-        const isOverdue = now - (relay.getLastProgress() ?? now) > abandonMilliseconds;
+        const isOverdue = now - (relay.getLastProgress() ?? now) > overdueMilliseconds;
         if (isOverdue && !relay.isQueuedAtLink() && this.hasProgressingStream(dataCentres.join(), now)) {
-            this.abandon(relay, first.id, "the chain is silent while others make progress.");
+            leaveIfFirst(relay, first.id, "the chain is silent while others make progress.");
         }
     }
 
@@ -212,13 +229,32 @@
             const endpoint = environment.directory.getEndpointAt(address);
             if (endpoint !== undefined && !lost.has(endpoint.id)) {
                 lost.add(endpoint.id);
-                environment.health.markUnavailable(endpoint.id, now);
+                this.noteSilent(endpoint.id, now);
             }
         }
         return lost;
     }
 
-    private async reroute(relay: StreamRelay, lost: Set<string>): Promise<void> {
+    private rerouteFromSuspects(relay: StreamRelay, suspects: Set<string>, now: number): void {
+        if (now < (this.rerouteAllowedAt.get(relay) ?? -Infinity)) {
+            return;
+        }
+        this.rerouteAllowedAt.set(relay, now + rerouteRetryMilliseconds);
+        const cause = "a later stage does not answer and the stream could not be moved.";
+        void this.reroute(relay, suspects, avoid => relay.leaveSuspects(avoid, cause));
+    }
+
+    /**
+     * Tells the first stage of a stream to move it.
+     * @param relay - The stream.
+     * @param lost - Ids of the endpoints that are or may be lost.
+     * @param onFailed - Called if the stream is not moved, with the ids of the endpoints to avoid.
+     */
+    private async reroute(
+        relay: StreamRelay,
+        lost: Set<string>,
+        onFailed: (avoid: string[]) => void,
+    ): Promise<void> {
         if (relay.isRerouting) {
             return;
         }
@@ -234,14 +270,14 @@
             return;
         }
         const faulty = this.options.environment.directory.getEndpointAt(outcome?.faultyAddress ?? "");
-        const avoid = faulty === undefined ? [...lost] : [...lost, faulty.id];
-        relay.abandonChain(avoid, "a stage is lost and the stream could not be moved.");
+        onFailed(faulty === undefined ? [...lost] : [...lost, faulty.id]);
     }
+}
 
-    private abandon(relay: StreamRelay, endpointId: string, cause: string): void {
-        if (relay.getStages()?.[0]?.endpoint.id === endpointId) {
-            relay.abandonChain([endpointId], cause);
-        }
+/** Moves a stream away from a suspect first stage, unless it has another one by now. */
+function leaveIfFirst(relay: StreamRelay, endpointId: string, cause: string): void {
+    if (relay.getStages()?.[0]?.endpoint.id === endpointId) {
+        relay.leaveSuspects([endpointId], cause);
     }
 }
 
--- /dev/null
+++ b/src/request/relay/streams/chainReplacement.ts
@@ -0,0 +1,85 @@
+import { Err, Ok, type Result } from "../../../result.ts";
+import type { AttemptLimit } from "../attemptLimit.ts";
+import type { RelayChains } from "../chains/relayChains.ts";
+import type { ReservedChain } from "../chains/reservedChain.ts";
+import type { TaskQuarantine } from "../quarantine/taskQuarantine.ts";
+import type { RelayEnvironment } from "../relayEnvironment.ts";
+import type { RelayTask } from "../relayTask.ts";
+
+/** Options of a {@link ChainReplacement}. */
+interface ChainReplacementOptions {
+    environment: RelayEnvironment;
+    task: RelayTask;
+    chains: RelayChains;
+    attemptLimit: AttemptLimit;
+    quarantine: TaskQuarantine;
+}
+
+/** Requirements for the other chain of a stream that has begun. */
+interface ReplacementRequirements {
+    /** Ids of endpoints that the chain must not use. */
+    avoid: ReadonlySet<string>;
+    /** Whether the next run counts against the retry budget. */
+    isRetry: boolean;
+}
+
+/** Requirements for the other chain of a request that still runs on one. */
+interface RunningReplacementRequirements {
+    /** Ids of endpoints that the chain must not use. */
+    avoid: ReadonlySet<string>;
+    /** Id of the first stage that may run the request; undefined if its run doesn't count. */
+    countedRunId: string | undefined;
+    /** Whether endpoints without enough free memory for the request may be used. */
+    mayOvercommit: boolean;
+    /** Whether the chain may have suspect endpoints. */
+    maySuspect: boolean;
+}
+
+/** Reserves another chain for a request that was sent before, without the queue. */
+export class ChainReplacement {
+    private readonly options: ChainReplacementOptions;
+
+    private constructor(options: ChainReplacementOptions) {
+        this.options = options;
+    }
+
+    /** Creates the replacement of a request. */
+    static create(options: ChainReplacementOptions): ChainReplacement {
+        return new ChainReplacement(options);
+    }
+
+    /** Reserves a chain for a stream that has begun and has none. Returns why there is none otherwise. */
+    reserve({ avoid, isRetry }: ReplacementRequirements): Result<ReservedChain, string> {
+        return this.choose({ avoid, mayOvercommit: true, maySuspect: true }, isRetry);
+    }
+
+    /**
+     * Reserves a chain for a request while it still runs on another one, so that the run is given up only for a chain that takes over.
+     * @returns The chain; undefined if the request may not be sent again or there is no chain.
+     */
+    reserveForRunning(requirements: RunningReplacementRequirements): ReservedChain | undefined {
+        const { task, attemptLimit, quarantine } = this.options;
+        const mayContinue = task.route.isResumable
+            && attemptLimit.mayAttemptAgain(requirements.countedRunId)
+            && quarantine.getHold() === undefined;
+        return mayContinue ? this.choose(requirements, true).unwrapOr(undefined) : undefined;
+    }
+
+    private choose(
+        { avoid, mayOvercommit, maySuspect }: Omit<RunningReplacementRequirements, "countedRunId">,
+        isRetry: boolean,
+    ): Result<ReservedChain, string> {
+        const { environment, task, chains } = this.options;
+        const now = environment.clock.getMonotonicTime();
+        environment.limits.noteRequest(task.service.name, now);
+        const stages = chains.chooseWithinLimits({ avoid, mayOvercommit, maySuspect, rateLimited: new Set() });
+        if (stages === undefined) {
+            return Err("No other chain has free capacity.");
+        }
+        if (isRetry && !environment.retryBudget.takeRetry(now)) {
+            chains.refundLimit(stages);
+            return Err("The retry budget is used up.");
+        }
+        return Ok({ stages, reservation: chains.reserve(stages) });
+    }
+}
--- a/src/request/relay/streams/streamAttemptEnd.ts
+++ b/src/request/relay/streams/streamAttemptEnd.ts
@@ -1,4 +1,5 @@
 import type { CompleteAnswer } from "../answers/completeAnswer.ts";
+import type { ReservedChain } from "../chains/reservedChain.ts";
 
 /** Why an attempt ended without completing the stream. */
 export interface StreamAttemptEnd {
@@ -13,9 +14,11 @@
     brokenAt?: number;
     /** Whether only the path to the first stage is lost, while the stage itself is alive. */
     isPathLost?: boolean;
+    /** The chain over which the stream continues; undefined if one is to be found. */
+    replacement?: ReservedChain;
     cause: string;
     /** Ids of endpoints that the next chain must avoid. */
-    avoid: string[];
+    avoid: readonly string[];
     /** Failure that is forwarded to the caller if no later attempt succeeds. */
     failure?: CompleteAnswer;
 }
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -25,6 +25,7 @@
 import type { QueuedRelay } from "../queue/queuedRelay.ts";
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
+import { ChainReplacement } from "./chainReplacement.ts";
 import { EventVerdict } from "./eventVerdict.ts";
 import { StreamAnswer } from "./streamAnswer.ts";
 import type { StreamAnswerEnd } from "./streamAnswerEnd.ts";
@@ -50,6 +51,7 @@
     private readonly chains: RelayChains;
     private readonly attemptLimit: AttemptLimit;
     private readonly quarantine: TaskQuarantine;
+    private readonly replacement: ChainReplacement;
     private readonly progress: StreamProgress;
     private readonly answer: StreamAnswer;
     private readonly logger: StreamLogger;
@@ -71,6 +73,8 @@
         this.chains = RelayChains.create(environment, task, model);
         this.attemptLimit = AttemptLimit.create(environment, task);
         this.quarantine = TaskQuarantine.create(environment, task);
+        const { chains, attemptLimit, quarantine } = this;
+        this.replacement = ChainReplacement.create({ environment, task, chains, attemptLimit, quarantine });
         this.progress = StreamProgress.create(task.request.lastEventId);
         this.answer = StreamAnswer.create(task.sink);
         this.logger = StreamLogger.create(environment, task, this.progress);
@@ -167,11 +171,36 @@
     }
 
     /**
-     * Abandons the chain in use and continues over another one.
-     * @param avoid - Ids of the faulty endpoints.
+     * Continues over another chain if one is free and the stream may continue there. Otherwise the stream stays where it is: an endpoint
+     * that is only silent may still send the rest of the answer, which would be lost if the stream was given up.
+     * @param suspects - Ids of the endpoints that may be lost.
+     * @param cause - Why they are suspected.
+     */
+    leaveSuspects(suspects: readonly string[], cause: string): void {
+        const { attempt } = this;
+        if (attempt?.exchange?.getSentTime() === undefined) {
+            this.abandonChain(suspects, cause);
+            return;
+        }
+        const firstId = attempt.stages[0]!.endpoint.id;
+        const replacement = this.replacement.reserveForRunning({
+            avoid: new Set([...this.avoided, ...suspects]),
+            countedRunId: firstId,
+            mayOvercommit: this.answer.isBegun(),
+            maySuspect: false,
+        });
+        if (replacement !== undefined) {
+            attempt.exchange.abort();
+            this.endAttempt(attempt, { isNotRun: false, cause, avoid: suspects, replacement });
+        }
+    }
+
+    /**
+     * Abandons the chain in use, because endpoints of it are lost, and continues over another one.
+     * @param avoid - Ids of the lost endpoints.
      * @param cause - Why the chain is abandoned.
      */
-    abandonChain(avoid: string[], cause: string): void {
+    abandonChain(avoid: readonly string[], cause: string): void {
         const { attempt } = this;
         if (attempt === undefined) {
             return;
@@ -239,20 +268,18 @@
 
     /** Continues a stream that has begun. It does not wait for free capacity, since its caller would give up. */
     private resume(cause: string, isRetry: boolean): void {
-        const { environment, chains, avoided, task } = this;
-        environment.limits.noteRequest(task.service.name, this.getTime());
-        const stages = chains.chooseWithinLimits({ avoid: avoided, mayOvercommit: true, rateLimited: new Set() });
-        if (stages === undefined) {
-            this.giveUp(`${cause} No other chain has free capacity.`);
+        const reserved = this.replacement.reserve({ avoid: this.avoided, isRetry });
+        if (reserved.err) {
+            this.giveUp(`${cause} ${reserved.val}`);
             return;
         }
-        if (isRetry && !environment.retryBudget.takeRetry(this.getTime())) {
-            chains.refundLimit(stages);
-            this.giveUp(`${cause} The retry budget is used up.`);
-            return;
-        }
-        environment.queue.noteStart();
-        this.beginAttempt({ stages, reservation: chains.reserve(stages) });
+        this.continueOver(reserved.val);
+    }
+
+    /** Continues over a chain that was reserved without the queue. */
+    private continueOver(reservedChain: ReservedChain): void {
+        this.environment.queue.noteStart();
+        this.beginAttempt(reservedChain);
     }
 
     private reject(cause: string, retryAfterMilliseconds: number, bound: StartBound): void {
@@ -469,18 +496,27 @@
     }
 
     /**
-     * Continues a resumable stream over another connection if the path of the one in use is lost. Any other stream waits, since the
-     * path may return.
+     * Continues a stream over another connection if the path of the one in use is lost and the stream may continue. Any other stream
+     * waits, since the path may return.
      * @returns Whether it was continued.
      */
     continueIfPathLost(): boolean {
         const { attempt } = this;
-        if (attempt === undefined || !this.isPathLost() || !this.isResumable()) {
+        if (attempt === undefined || !this.isPathLost()) {
+            return false;
+        }
+        const replacement = this.replacement.reserveForRunning({
+            avoid: this.avoided,
+            countedRunId: undefined,
+            mayOvercommit: this.answer.isBegun(),
+            maySuspect: true,
+        });
+        if (replacement === undefined) {
             return false;
         }
         attempt.exchange?.abort();
         const cause = "the path to the first stage is lost.";
-        this.endAttempt(attempt, { isNotRun: false, isPathLost: true, cause, avoid: [] });
+        this.endAttempt(attempt, { isNotRun: false, isPathLost: true, cause, avoid: [], replacement });
         return true;
     }
 
@@ -518,6 +554,10 @@
         const attemptCount = this.attemptLimit.getAttemptCount();
         const memoryPart = this.chains.getUsedMemoryFraction(attempt.stages[0]!.endpoint);
         this.logger.writeFailure({ attempt, end, attemptCount, memoryPart });
+        if (end.replacement !== undefined) {
+            this.continueOver(end.replacement);
+            return;
+        }
         if (end.isNotRun || this.isResumable()) {
             this.startAttempt(end.cause, !end.isUnsent);
             return;
--- a/tests/request/relay/streams/streamRelay.test.ts
+++ b/tests/request/relay/streams/streamRelay.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import type { UpstreamListener } from "../../../../src/connection/upstream/upstreamListener.ts";
 import { StreamRelay } from "../../../../src/request/relay/streams/streamRelay.ts";
 import { RequestKind } from "../../../../src/version/routing/requestKind.ts";
 import { RelayBench } from "../relayBench.ts";
@@ -38,6 +39,95 @@
         assert.deepEqual(bench.answers, ["outcomeUnknown"]);
     });
 
+    describe("leaveSuspects", () => {
+        /** Starts a request on one of several endpoints, of which it may suspect the first stage. */
+        function startSent(ids: string[], isResumable: boolean) {
+            const bench = RelayBench.create(ids.map(id => createEndpoint(id, { layers })));
+            bench.environment.retryBudget.observeRequest();
+            const task = bench.createTask(RequestKind.Stream, isResumable);
+            const twice = { ...task, route: { ...task.route, maximumAttempts: 2 } };
+            const relay = StreamRelay.create(bench.environment, twice, model, () => undefined);
+            relay.start();
+            const [sent] = bench.sentRequests;
+            sent!.sentAt = 0;
+            const first = relay.getStages()![0]!.endpoint.id;
+            const suspect = () => relay.leaveSuspects([first], "the first stage does not answer.");
+            return { bench, sent: sent!, first, suspect };
+        }
+
+        function sendEvent({ listener }: { listener: UpstreamListener; }, id: number): void {
+            listener.onData(Buffer.from(`id: ${id}\ndata: x\n\n`));
+        }
+
+        function begin(sent: { listener: UpstreamListener; }): void {
+            sent.listener.onHead(200, { "request-id": "request", "response-seal": "s" });
+            sendEvent(sent, 1);
+        }
+
+        it("continues a resumable stream over another chain", () => {
+            for (const hasBegun of [true, false]) {
+                const { bench, sent, suspect } = startSent(["1", "2"], true);
+                if (hasBegun) {
+                    begin(sent);
+                }
+                suspect();
+                assert.equal(bench.sentRequests.length, 2);
+                assert.ok(sent.isAborted);
+            }
+        });
+
+        // Guards against cut answers, and against 502, for endpoints that were silent for a second and would then have continued.
+        it("leaves a stream where it is if it may not be resumed", () => {
+            for (const hasBegun of [true, false]) {
+                const { bench, sent, suspect } = startSent(["1", "2"], false);
+                if (hasBegun) {
+                    begin(sent);
+                }
+                suspect();
+                assert.equal(bench.sentRequests.length, 1);
+                assert.ok(!sent.isAborted);
+                assert.deepEqual(bench.answers, hasBegun ? ["200"] : []);
+            }
+        });
+
+        it("leaves a resumable stream where it is if there is no other chain", () => {
+            const { bench, sent, suspect } = startSent(["1"], true);
+            begin(sent);
+            suspect();
+            assert.ok(!sent.isAborted);
+            assert.deepEqual(bench.answers, ["200"]);
+        });
+
+        it("leaves a resumable stream where it is if the other endpoints are suspect too", () => {
+            const { bench, sent, first, suspect } = startSent(["1", "2"], true);
+            begin(sent);
+            bench.environment.health.markUnavailable(first === "1" ? "2" : "1", 0);
+            suspect();
+            assert.ok(!sent.isAborted);
+        });
+
+        it("leaves a resumable stream where it is if the retry budget is used up", () => {
+            const { bench, sent, suspect } = startSent(["1", "2"], true);
+            begin(sent);
+            while (bench.environment.retryBudget.takeRetry(0)) {
+                continue;
+            }
+            suspect();
+            assert.ok(!sent.isAborted);
+        });
+
+        it("leaves a resumable stream where it is if its route allows no further run", () => {
+            const { bench, sent, suspect } = startSent(["1", "2", "3"], true);
+            begin(sent);
+            suspect();
+            const second = bench.sentRequests[1]!;
+            second.sentAt = 0;
+            suspect();
+            assert.equal(bench.sentRequests.length, 2);
+            assert.ok(!second.isAborted);
+        });
+    });
+
     it("reports that the request was not run if it times out before a byte was sent", async () => {
         const { bench } = start(["1"]);
         await bench.clock.advance(1_100);
