Keep a document's attempt whose path seems lost until another one answers

Cause: a path counts as lost if a direct connection did not open within 120 ms and one through a peer did. A silence that ends between the two shows the same. The attempt was aborted before another one was known to be possible. Change: the request is sent over another path beside the first attempt, which goes on and doesn't count against the route's maximum; the first answer is delivered.

--- a/src/request/relay/documents/documentAttempts.ts
+++ b/src/request/relay/documents/documentAttempts.ts
@@ -10,8 +10,8 @@
     private readonly running = new Set<DocumentAttempt>();
     private count = 0;
     private refusals = 0;
-    /** Number of attempts that ended before a byte was sent, or whose path was lost. */
-    private uncounted = 0;
+    /** Attempts that ended before a byte was sent, or whose path was lost. */
+    private readonly uncounted = new Set<DocumentAttempt>();
     private firstSentAt: number | undefined;
     private lastEndpoint: RegisteredEndpoint | undefined;
     private hasPossibleRun = false;
@@ -34,7 +34,7 @@
      * number of refusals.
      */
     isAnotherAllowed(): boolean {
-        return this.count - this.uncounted < this.maximumAttempts
+        return this.count - this.uncounted.size < this.maximumAttempts
             || !this.hasPossibleRun && !this.areRunning() && this.refusals <= maximumRefusals;
     }
 
@@ -50,6 +50,11 @@
         this.running.add(attempt);
     }
 
+    /** Records that the path of an attempt in progress is lost, so that it doesn't count against the route's maximum. */
+    noteLostPath(attempt: DocumentAttempt): void {
+        this.uncounted.add(attempt);
+    }
+
     /** Counts a refusal by an endpoint. */
     noteRefusal(): void {
         this.refusals += 1;
@@ -59,7 +64,9 @@
     end(attempt: DocumentAttempt, { isNotRun, isUnsent, isPathLost, answer }: DocumentAttemptEnd): void {
         this.release(attempt);
         this.hasPossibleRun ||= !isNotRun;
-        this.uncounted += isUnsent === true || isPathLost === true ? 1 : 0;
+        if (isUnsent === true || isPathLost === true) {
+            this.uncounted.add(attempt);
+        }
         this.failureAnswer = answer ?? this.failureAnswer;
     }
 
--- a/src/request/relay/documents/documentRelay.ts
+++ b/src/request/relay/documents/documentRelay.ts
@@ -266,7 +266,7 @@
         }
     }
 
-    /** Tests the paths of attempts whose endpoints have sent nothing since. If one is lost, an idempotent request takes another. */
+    /** Tests the paths of attempts whose endpoints have sent nothing since. If one is lost, an idempotent request is also sent over another. */
     private testSilentPaths(): void {
         for (const attempt of this.attempts.getRunning()) {
             const { exchange, endpoint, sentAt } = attempt;
@@ -276,17 +276,19 @@
             }
             exchange.testPath(state => {
                 if (state === PathState.Lost && this.isIdempotent() && this.attempts.isRunning(attempt)) {
-                    exchange.abort();
-                    this.endAttempt(attempt, {
-                        isNotRun: false,
-                        isPathLost: true,
-                        cause: "the path to the endpoint is lost.",
-                    });
+                    this.sendOverOtherPath(attempt);
                 }
             });
         }
     }
 
+    /** The attempt in progress goes on, since its endpoint may only be silent and there may be no other attempt. */
+    private sendOverOtherPath(attempt: DocumentAttempt): void {
+        this.attempts.noteLostPath(attempt);
+        this.endpoints.allowAgain(attempt.endpoint.id);
+        this.startAttempt("the path to the endpoint is lost.", true);
+    }
+
     private hedge(): void {
         if (this.isDone || !this.attempts.isHedgeAllowed() || !this.endpoints.hasUntried()) {
             return;
--- a/tests/request/relay/documents/documentRelay.test.ts
+++ b/tests/request/relay/documents/documentRelay.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { PathState } from "../../../../src/connection/upstream/path/pathState.ts";
 import { UpstreamFailureKind } from "../../../../src/connection/upstream/upstreamFailureKind.ts";
 import { DocumentRelay } from "../../../../src/request/relay/documents/documentRelay.ts";
 import { RequestKind } from "../../../../src/version/routing/requestKind.ts";
@@ -38,6 +39,32 @@
         assert.deepEqual(bench.environment.health.getSuspicions(0), []);
     });
 
+    // Guards against 502 for a request whose endpoint was silent while its path was tested: the attempt was aborted although no other one
+    // could be sent.
+    it("keeps the attempt of an idempotent request whose path seems lost if there is no other", async () => {
+        const bench = RelayBench.create([createEndpoint("1")]);
+        bench.pathState = PathState.Lost;
+        DocumentRelay.start(bench.environment, bench.createTask(RequestKind.Idempotent), () => undefined);
+        const [sent] = bench.sentRequests;
+        sent!.sentAt = 0;
+        await bench.clock.advance(500);
+        assert.ok(!sent!.isAborted);
+        assert.deepEqual(bench.answers, []);
+        sent!.listener.onHead(200, { "request-id": "request", "response-seal": "s" });
+        sent!.listener.onEnd();
+        assert.deepEqual(bench.answers, ["200"]);
+    });
+
+    it("sends an idempotent request over another path if one is lost, though its route allows no second attempt", async () => {
+        const bench = RelayBench.create([createEndpoint("1"), createEndpoint("2")]);
+        bench.environment.retryBudget.observeRequest();
+        bench.pathState = PathState.Lost;
+        DocumentRelay.start(bench.environment, bench.createTask(RequestKind.Idempotent), () => undefined);
+        bench.sentRequests[0]!.sentAt = 0;
+        await bench.clock.advance(500);
+        assert.equal(bench.sentRequests.length, 2);
+    });
+
     it("answers that the request was not run if no endpoint accepted a connection", async () => {
         for (const kind of [RequestKind.NonIdempotent, RequestKind.Idempotent]) {
             const bench = start(kind);
--- a/tests/request/relay/relayBench.ts
+++ b/tests/request/relay/relayBench.ts
@@ -39,8 +39,10 @@
     readonly sentRequests: SentRequest[] = [];
     /** Final answers to the caller, such as `notRun` or `200`. */
     readonly answers: string[] = [];
-    /** Time that the test of a path takes; its result is that the endpoint is down. */
+    /** Time that the test of a path takes. */
     pathTestMilliseconds = 0;
+    /** Result of the test of a path. */
+    pathState: PathState = PathState.Down;
     readonly environment: RelayEnvironment;
 
     private constructor(endpoints: RegisteredEndpoint[]) {
@@ -58,7 +60,7 @@
             pools: {
                 getPool: address => ({
                     hasIdle: () => true,
-                    hasBytesSince: () => true,
+                    hasBytesSince: () => this.pathState !== PathState.Lost,
                     sendForCaller: (createRequest, listener) => this.send(address, createRequest().headers, listener),
                 }),
             },
@@ -169,10 +171,10 @@
             isPathLost: () => false,
             testPath: (onDone: (state: PathState) => void) => {
                 if (this.pathTestMilliseconds === 0) {
-                    onDone(PathState.Down);
+                    onDone(this.pathState);
                     return;
                 }
-                this.clock.setTimer(this.pathTestMilliseconds, () => onDone(PathState.Down));
+                this.clock.setTimer(this.pathTestMilliseconds, () => onDone(this.pathState));
             },
         };
     }
