Show that a stopping node cuts the answer of a caller that reads slowly

What callers saw: beside a SIGTERM, a large answer ends before its last byte. Evidence: fails on this code: of an answer of 12 MB that the node had written and the caller had not read yet, the rest was discarded as the node stopped listening. The head of a test's answer moves to a file of its own, as two tests use it.

--- a/tests/platform/createAnswerSink.test.ts
+++ b/tests/platform/createAnswerSink.test.ts
@@ -3,8 +3,8 @@
 import { type AddressInfo, connect } from "node:net";
 import { describe, it } from "node:test";
 import { createAnswerSink } from "../../platform/createAnswerSink.ts";
-import type { AnswerHead } from "../../src/request/relay/answers/answerHead.ts";
 import type { AnswerSink } from "../../src/request/relay/answers/answerSink.ts";
+import { createHead } from "./createHead.ts";
 
 /** Sends pipelined requests over one connection, answers them with a function and returns all bytes received. */
 async function exchange(
@@ -35,19 +35,6 @@
     return received;
 }
 
-function createHead(headers: string[] = []): AnswerHead {
-    return {
-        status: 200,
-        headers: ["Content-Type", "text/event-stream", ...headers],
-        isForRequest: true,
-        isSigned: true,
-        isNotRun: false,
-        faultyAddress: undefined,
-        requestsPerSecond: undefined,
-        instructions: { isLeaving: false, pauseMilliseconds: undefined },
-    };
-}
-
 /** Writes a response of two chunks; the length of the second one has two hexadecimal digits. */
 function stream(sink: AnswerSink, text: string): void {
     sink.writeHead(createHead());
--- /dev/null
+++ b/tests/platform/stoppingListener.test.ts
@@ -0,0 +1,72 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { setTimeout as wait } from "node:timers/promises";
+import { CallerListener } from "../../platform/callerListener.ts";
+import { findFreePorts } from "../../scripts/deployment/findFreePorts.ts";
+import { systemClock } from "../../src/process/systemClock.ts";
+import type { AnswerSink } from "../../src/request/relay/answers/answerSink.ts";
+import { waitUntil } from "../support/waitUntil.ts";
+import { createHead } from "./createHead.ts";
+
+/** More than the system buffers for a connection whose caller does not read. */
+const largeAnswerBytes = 12 * 1024 * 1024;
+
+describe("CallerListener of a node that is stopping", () => {
+    let listener: CallerListener;
+    let socket: Socket;
+    /** The requests that were handed on, in order, with the sinks of their answers. */
+    let handled: { id: string; sink: AnswerSink; }[];
+    let received: Buffer[];
+
+    beforeEach(async () => {
+        const [port] = await findFreePorts(1) as [number];
+        handled = [];
+        received = [];
+        listener = CallerListener.create({
+            address: `127.0.0.1:${port}`,
+            clock: systemClock,
+            getMaximumBodyBytes: () => 1_000,
+            handle: ({ id }, sink) => handled.push({ id, sink }),
+        });
+        await listener.listen();
+        socket = connect(port, "127.0.0.1");
+        socket.on("data", chunk => received.push(chunk));
+    });
+
+    afterEach(() => {
+        socket.destroy();
+        listener.stopListening();
+    });
+
+    const createRequest = (id: string) =>
+        `POST /x HTTP/1.1\r\nHost: h\r\nRequest-Id: ${id}\r\nContent-Length: 0\r\n\r\n`;
+
+    /** Sends a request and waits until it is handed on. */
+    async function send(id: string): Promise<AnswerSink> {
+        socket.write(createRequest(id));
+        await waitUntil(`${id} is handled`, () => handled.some(request => request.id === id));
+        return handled.at(-1)!.sink;
+    }
+
+    function answer(sink: AnswerSink, body: Buffer): void {
+        sink.writeHead(createHead(["Content-Length", String(body.length)]));
+        sink.write(body);
+        sink.end();
+    }
+
+    // Node.js takes a connection for idle once its answer was written, although most of the answer may still wait for the caller to read.
+    it("sends the rest of an answer whose caller reads slowly", async () => {
+        const sink = await send("slow");
+        socket.pause();
+        answer(sink, Buffer.alloc(largeAnswerBytes, "a"));
+        await wait(100);
+        listener.startClosing();
+        listener.stopListening();
+        const closed = once(socket, "close");
+        socket.resume();
+        await closed;
+        assert.ok(Buffer.concat(received).length > largeAnswerBytes);
+    });
+});
