Show that a stopping node closes connections on which requests wait for their answers

What callers saw: beside a SIGTERM, a request that was sent before the answer to an earlier one on the same connection gets neither an answer nor a refusal, although it has run. Evidence: both new tests fail on this code. Of two requests handed on, only the first was answered; and a request that came after the head with "Connection: close" was handed on, though nothing could answer it.

--- a/tests/platform/stoppingListener.test.ts
+++ b/tests/platform/stoppingListener.test.ts
@@ -69,4 +69,30 @@
         await closed;
         assert.ok(Buffer.concat(received).length > largeAnswerBytes);
     });
+
+    // The first answer said that it closes the connection, although the second request had been read and handed on.
+    it("answers each request that it has handed on, also those sent before the answer to an earlier one", async () => {
+        const first = await send("first");
+        const second = await send("second");
+        const closed = once(socket, "close");
+        listener.startClosing();
+        answer(first, Buffer.from("1"));
+        answer(second, Buffer.from("2"));
+        await closed;
+        const text = Buffer.concat(received).toString();
+        assert.match(text, /\r\n\r\n1HTTP[^]*Connection: close\r\n[^]*\r\n\r\n2$/);
+        assert.equal(text.match(/Connection: close/g)?.length, 1);
+    });
+
+    it("hands on no request that follows an answer which closes the connection", async () => {
+        const first = await send("first");
+        listener.startClosing();
+        first.writeHead(createHead());
+        socket.write(createRequest("crossing"));
+        await wait(100);
+        const closed = once(socket, "close");
+        first.end();
+        await closed;
+        assert.deepEqual(handled.map(({ id }) => id), ["first"]);
+    });
 });
