Let a stopping node answer every request that it has handed on before it closes a connection

What callers saw: beside a SIGTERM, a request that was sent before the answer to an earlier one on the same connection gets neither an answer nor a refusal, although it has run. Cause: each answer of a stopping node said that it closes the connection, and Node.js closes it after such an answer, whatever was read after its request. Change: only the answer to the latest request of a connection closes it. A request that comes after such an answer was begun is not handed on, since nothing could answer it.

--- a/src/connection/caller/callerConnections.ts
+++ b/src/connection/caller/callerConnections.ts
@@ -15,6 +15,8 @@
     requests: Set<OpenRequest>;
     /** Whether a parse error or a timeout occurred, so that the connection closes after its pending responses. */
     isBroken: boolean;
+    /** Whether an answer was begun that closes the connection, so that later requests on it get none. */
+    isEnding: boolean;
 }
 
 /** Time for which a connection stays open after its last error, so that the caller can read it. */
@@ -46,6 +48,21 @@
         return openRequest.controller.signal;
     }
 
+    /** Checks if no request was received after the given one on its connection. */
+    isLatest(request: IncomingMessage): boolean {
+        return [...this.getConnection(request.socket).requests].at(-1)?.request === request;
+    }
+
+    /** Records that the answer to a request, which is being begun, closes its connection. */
+    startEnding({ socket }: IncomingMessage): void {
+        this.getConnection(socket).isEnding = true;
+    }
+
+    /** Checks if a request was received after an answer was begun that closes its connection. */
+    isTooLate({ socket }: IncomingMessage): boolean {
+        return this.getConnection(socket).isEnding;
+    }
+
     /**
      * Responds to a parse error or a timeout with an error and closes the connection. If responses to earlier requests
      * are pending, the connection closes after the last of them instead.
@@ -84,7 +101,7 @@
         if (known !== undefined) {
             return known;
         }
-        const connection: CallerConnection = { requests: new Set(), isBroken: false };
+        const connection: CallerConnection = { requests: new Set(), isBroken: false, isEnding: false };
         this.connections.set(socket, connection);
         // A caller that has closed its side is treated as disconnected. The connection itself closes some time later.
         socket.once("end", () => abort(connection));
