Show that a reload ends the process if the settings file is missing for a moment

What callers saw: beside a SIGHUP of a node, all requests at it end without an answer. Evidence: fails on this code with "ENOENT: no such file or directory", and the process exits with 1. The file is missing for a moment where it is replaced by removing and writing it.

--- a/tests/platform/platformProcess.test.ts
+++ b/tests/platform/platformProcess.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, renameSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { after, before, describe, it } from "node:test";
@@ -73,6 +73,16 @@
         throw new Error(`The program was not ready in time: ${output}`);
     }
 
+    /** Waits until the program has logged an event or has ended. */
+    async function waitForEvent(event: string): Promise<void> {
+        for (let waited = 0; waited < startMilliseconds && !output.includes(event); waited += 20) {
+            if (child.exitCode !== null) {
+                return;
+            }
+            await new Promise(resolve => setTimeout(resolve, 20));
+        }
+    }
+
     function call(id: string) {
         return request(`http://127.0.0.1:${ports[0]}/unsafe/x`, {
             method: "POST",
@@ -84,13 +94,21 @@
         const metrics = await (await fetch(`http://127.0.0.1:${ports[3]}/metrics`)).text();
         assert.match(metrics, /foxlead_configuration_version 1/);
         child.kill("SIGHUP");
-        for (let waited = 0; waited < startMilliseconds && !output.includes("FL1005"); waited += 20) {
-            await new Promise(resolve => setTimeout(resolve, 20));
-        }
+        await waitForEvent("FL1005");
         assert.match(output, /FL1005/);
         assert.equal(await getReadiness(), 200);
     });
 
+    it("keeps running when its settings are reloaded while the file is being replaced", async () => {
+        const file = join(folder, "node.yaml");
+        renameSync(file, `${file}.old`);
+        child.kill("SIGHUP");
+        await waitForEvent("FL1006");
+        renameSync(`${file}.old`, file);
+        assert.match(output, /FL1006.*ENOENT/);
+        assert.equal(await getReadiness(), 200);
+    });
+
     it("completes requests that arrive before and shortly after SIGTERM, and exits with 0", async () => {
         endpoint.behaviour = { delayMilliseconds: 1_000 };
         const taken = call("before");
