Show that a stopping node leaves requests without an answer that wait for free memory

What callers saw: beside a SIGTERM, a request that the node had read whole and not passed on gets neither an answer nor a refusal; its connection closes as the process ends. Evidence: fails on this code: no answer by the time at which the process would exit. Where a service has several ranks, a request waits for 8 s unless its route sets a shorter pause, longer than a node takes to stop.

--- /dev/null
+++ b/tests/platform/stoppingNode.test.ts
@@ -0,0 +1,49 @@
+import assert from "node:assert/strict";
+import { after, before, describe, it } from "node:test";
+import { events } from "../../src/process/logging/events.ts";
+import { stopRouter } from "../../src/process/router/stopRouter.ts";
+import { systemClock } from "../../src/process/systemClock.ts";
+import { createConfiguration } from "../../standins/router/createConfiguration.ts";
+import { waitUntil } from "../support/waitUntil.ts";
+import { type CallerAnswer, RouterTestHarness } from "./routerTestHarness.ts";
+
+/** Just longer than a stopping node waits for the load balancer to remove it. */
+const shutdownMilliseconds = 3_000;
+const refusalStatus = 503;
+/** Uses all memory of the endpoint. */
+const largeRequest = { "token-counts": "14000,900", "request-deadline-ms": "20000" };
+
+describe("A node that is stopping", () => {
+    let harness: RouterTestHarness;
+
+    before(async () => {
+        harness = await RouterTestHarness.create();
+        const base = createConfiguration(2);
+        const routes = (base["routes"] as { name: string; }[]).map(route => ({
+            ...route,
+            timeout_ms: 20_000,
+            priority: route.name === "once" ? 1 : 0,
+        }));
+        harness.store.put("op/config", { ...base, routes });
+        await harness.addEndpoint("m1", "model", { from: 0, to: 8 });
+        const columns = [{ layers: { start: 0, end: 8 }, kind: "big" }];
+        harness.store.put("foxlead/placement/model", { service: "model", modelName: "m", layers: 8, columns });
+    });
+
+    after(() => harness.close());
+
+    // The process ended while the request waited for free memory, so that its connection closed without an answer.
+    it("refuses the requests that still wait for free memory when its time is over", async () => {
+        const started = await harness.addNode();
+        const { node, callers, log } = started;
+        await harness.waitForEndpoints(started, 1);
+        harness.endpoints.get("m1")!.behaviour = { delayMilliseconds: shutdownMilliseconds * 2 };
+        void harness.send(started, "/model/x", { headers: largeRequest }).catch(() => undefined);
+        await waitUntil("a request runs", () => harness.endpoints.get("m1")!.runs.length > 0);
+        const answers: CallerAnswer[] = [];
+        void harness.send(started, "/once/x", { headers: largeRequest }).then(answer => answers.push(answer));
+        await waitUntil("a request waits", () => log.numbers.includes(events.relayQueued.number));
+        await stopRouter({ node, callers, shutdownMilliseconds, clock: systemClock });
+        assert.deepEqual(answers.map(({ status }) => status), [refusalStatus]);
+    });
+});
