Leave out runs at endpoints that had just crashed when the soak counts attempts

The stand-in notes its end only once its connections are closed, so that the check can count a run that a crash ended as one at an endpoint that went on. A run now counts if its endpoint didn't end until half a second after the request. The violation names the endpoints.

--- a/scripts/soak/router/callChecks.ts
+++ b/scripts/soak/router/callChecks.ts
@@ -40,6 +40,8 @@
 /** Time after a caller's disconnect from which no request may arrive at an endpoint: the permitted 500 ms plus transit. */
 const disconnectToleranceMilliseconds = 700;
 const maximumForwardedAfterDisconnect = 3;
+/** An endpoint that a request crashes closes its connections this long before its end is noted, at most. */
+const endNoticeMilliseconds = 500;
 const modelLayers = 8;
 
 /** Checks the invariants against the records of callers and endpoints. */
@@ -244,7 +246,9 @@
 
     /** Gets if the endpoint incarnation of a run ended before a time; such runs don't count towards the limit of attempts. */
     private hasEnded({ endpointId }: EndpointRun, at: number): boolean {
-        return this.options.deployment.endpoints.some(endpoint => (endpoint.getEndedAt(endpointId) ?? Infinity) <= at);
+        return this.options.deployment.endpoints.some(endpoint =>
+            (endpoint.getEndedAt(endpointId) ?? Infinity) <= at + endNoticeMilliseconds
+        );
     }
 
     private checkRunCounts(record: CallRecord, runs: readonly EndpointRun[]): void {
@@ -258,7 +262,10 @@
         }
         const lasting = runs.length > maximumAttempts ? runs.filter(run => !this.hasEnded(run, endedAt)) : [];
         if (lasting.length > maximumAttempts) {
-            this.violations.add("attempts", `It ran ${lasting.length} times at endpoints that went on.`, record);
+            const places = lasting.map(({ endpointId, arrivedAt }) =>
+                `${endpointId} at ${arrivedAt - record.sentAt} ms`
+            );
+            this.violations.add("attempts", `It ran ${lasting.length} times: ${places.join(", ")}.`, record);
         }
         // A request without a run may have been sent just as the node closed the idle connection.
         const isCut = !isComplete && runs.length > 0 && record.leftAt === undefined;
