--- a/scripts/soak/router/callChecks.ts
+++ b/scripts/soak/router/callChecks.ts
@@ -122,7 +122,7 @@
         const failed = [...this.records.values()].filter(({ id, status, isComplete }) =>
             id.startsWith(idPrefix) && (status !== 200 || !isComplete)
         );
-        return failed.map(({ id, node, status, reason }) => `${id} at ${node}: ${status} ${reason}`);
+        return failed.map(({ id, node, status, reason, text }) => `${id} at ${node}: ${status} ${reason || text}`);
     }
 
     /** Counts the requests by kind and outcome. */
