Let streams leave a suspect for a healthy chain whose memory is full

Cause: such a stream left only for a chain with free memory, where the landed code put it back into the queue. Change: it leaves for any healthy chain, as a stream with events does; an endpoint that is really full refuses it, and it waits in the queue then.

--- a/src/request/relay/streams/chainReplacement.ts
+++ b/src/request/relay/streams/chainReplacement.ts
@@ -29,8 +29,6 @@
     avoid: ReadonlySet<string>;
     /** Id of the first stage that may run the request; undefined if its run doesn't count. */
     countedRunId: string | undefined;
-    /** Whether endpoints without enough free memory for the request may be used. */
-    mayOvercommit: boolean;
     /** Whether the chain may have suspect endpoints. */
     maySuspect: boolean;
 }
@@ -50,7 +48,7 @@
 
     /** Reserves a chain for a stream that has begun and has none. Returns why there is none otherwise. */
     reserve({ avoid, isRetry }: ReplacementRequirements): Result<ReservedChain, string> {
-        return this.choose({ avoid, mayOvercommit: true, maySuspect: true }, isRetry);
+        return this.choose({ avoid, maySuspect: true }, isRetry);
     }
 
     /**
@@ -66,13 +64,13 @@
     }
 
     private choose(
-        { avoid, mayOvercommit, maySuspect }: Omit<RunningReplacementRequirements, "countedRunId">,
+        { avoid, maySuspect }: Omit<RunningReplacementRequirements, "countedRunId">,
         isRetry: boolean,
     ): Result<ReservedChain, string> {
         const { environment, task, chains } = this.options;
         const now = environment.clock.getMonotonicTime();
         environment.limits.noteRequest(task.service.name, now);
-        const stages = chains.chooseWithinLimits({ avoid, mayOvercommit, maySuspect, rateLimited: new Set() });
+        const stages = chains.chooseWithinLimits({ avoid, maySuspect, mayOvercommit: true, rateLimited: new Set() });
         if (stages === undefined) {
             return Err("No other chain has free capacity.");
         }
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -186,7 +186,6 @@
         const replacement = this.replacement.reserveForRunning({
             avoid: new Set([...this.avoided, ...suspects]),
             countedRunId: firstId,
-            mayOvercommit: this.answer.isBegun(),
             maySuspect: false,
         });
         if (replacement !== undefined) {
@@ -508,7 +507,6 @@
         const replacement = this.replacement.reserveForRunning({
             avoid: this.avoided,
             countedRunId: undefined,
-            mayOvercommit: this.answer.isBegun(),
             maySuspect: true,
         });
         if (replacement === undefined) {
