Count the run of an endpoint that is only silent against the attempts of the route

What callers saw: a resumable stream that runs on more endpoints than its route allows. Cause: runs on suspect endpoints weren't counted, as if they had ended, and the stall detector marks a silent first stage suspect just before it moves the stream. A silent endpoint still runs the request.

--- a/src/request/relay/attemptLimit.ts
+++ b/src/request/relay/attemptLimit.ts
@@ -5,7 +5,7 @@
 /** Maximum number of attempts of a request, even if all first stages that ran it are lost. */
 const hardAttemptLimit = 6;
 
-/** Limits the attempts of a request as its route specifies. Runs on first stages that have been lost since don't count. */
+/** Limits the attempts of a request as its route specifies. Runs on first stages that have ended since don't count. */
 export class AttemptLimit {
     private readonly environment: RelayEnvironment;
     private readonly task: RelayTask;
@@ -57,7 +57,7 @@
         const endpoints = directory.getEndpoints(this.task.service.name);
         const possibleRuns = runningId === undefined ? this.possibleRuns : new Set([...this.possibleRuns, runningId]);
         const countedRuns = [...possibleRuns].filter(ranId =>
-            endpoints.some(({ id }) => id === ranId) && !health.isSuspect(ranId, now)
+            endpoints.some(({ id }) => id === ranId) && !health.hasProbablyEnded(ranId, now)
         );
         return countedRuns.length < this.task.route.maximumAttempts;
     }
