Apply what the stall detector finds only to the run and the endpoint that it is true of

What callers saw, and the changes: - A begun stream was cut while it waited for a connection to its next endpoint. It leaves only for a reserved chain. - A stream was cut although the endpoint that it had left for a silence was heard again: what is left on suspicion isn't avoided for the whole request any more. - Silent later stages counted as crashes by the request, so that retries were held back for a minute. A stage counts as crashed once it refuses connections or has restarted. - The outcome of an order to move a stream was applied to its next run; it is compared with the run now. - A stream was cut if one order to move it from a restarted later stage failed. Checks of an endpoint that doesn't answer double their interval up to 0.8 s.

--- a/src/process/router/endpointCalls.ts
+++ b/src/process/router/endpointCalls.ts
@@ -8,6 +8,7 @@
 import type { OrderOutcome } from "../../request/relay/endpoints/orderOutcome.ts";
 import type { RegisteredEndpoint } from "../../request/relay/endpoints/registeredEndpoint.ts";
 import type { RerouteOutcome } from "../../request/relay/endpoints/rerouteOutcome.ts";
+import { Err, Ok, type Result } from "../../result.ts";
 import type { Clock } from "../clock.ts";
 import type { EventLog } from "../logging/eventLog.ts";
 import { events } from "../logging/events.ts";
@@ -28,6 +29,9 @@
     onIncarnation(endpoint: RegisteredEndpoint, incarnation: number): void;
 }
 
+/** Error code of a connection to a port on which nothing listens. */
+const refusedCode = "ECONNREFUSED";
+
 /** A complete response to a report request or an order. */
 interface CallAnswer {
     status: number;
@@ -59,10 +63,11 @@
         const { protocol } = this.options;
         const request = protocol.createReportRequest(endpoint.address);
         const answer = await this.call("report", endpoint, request, reportTimeoutMilliseconds);
-        if (answer === undefined || answer.status !== successStatus) {
+        if (answer.err || answer.val.status !== successStatus) {
             return undefined;
         }
-        const report = account.run(ProcessorCause.EndpointPoll, () => protocol.readReport(answer.body));
+        const { body } = answer.val;
+        const report = account.run(ProcessorCause.EndpointPoll, () => protocol.readReport(body));
         if (report.err) {
             this.options.log.write(events.endpointReportInvalid, { endpoint: endpoint.id, reason: report.val });
             return undefined;
@@ -76,12 +81,19 @@
         return report.val;
     }
 
+    /** Checks if an endpoint refuses connections, as it does once its process has ended. */
+    async isRefusing(endpoint: RegisteredEndpoint): Promise<boolean> {
+        const request = this.options.protocol.createReportRequest(endpoint.address);
+        const answer = await this.call("check", endpoint, request, reportTimeoutMilliseconds);
+        return answer.err && answer.val.includes(refusedCode);
+    }
+
     /** Orders an endpoint to hold layers. Returns undefined if there is no answer. */
     async sendLayerOrder(endpoint: RegisteredEndpoint, order: LayerOrder): Promise<OrderOutcome | undefined> {
         const { protocol } = this.options;
         const request = protocol.createLayerOrder(endpoint, order);
         const answer = await this.call("order", endpoint, request, orderTimeoutMilliseconds);
-        return answer === undefined ? undefined : protocol.readOrderOutcome(answer.status, answer.body);
+        return answer.err ? undefined : protocol.readOrderOutcome(answer.val.status, answer.val.body);
     }
 
     /** Orders the first stage of a chain to move a request to the given stages. */
@@ -90,25 +102,26 @@
         const { endpoint } = stages[0]!;
         const request = protocol.createRerouteOrder(endpoint, requestId, stages);
         const answer = await this.call("reroute", endpoint, request, rerouteTimeoutMilliseconds);
-        if (answer === undefined) {
+        if (answer.err) {
             return { isDone: false, faultyAddress: undefined };
         }
-        const outcome = protocol.readOrderOutcome(answer.status, answer.body);
+        const outcome = protocol.readOrderOutcome(answer.val.status, answer.val.body);
         const isDone = outcome.kind === "begun" || outcome.kind === "done";
         return { isDone, faultyAddress: outcome.faultyAddress };
     }
 
+    /** Sends a request. Returns why there is no answer otherwise. */
     private call(
         name: string,
         endpoint: RegisteredEndpoint,
         request: UpstreamRequest,
         timeoutMilliseconds: number,
-    ): Promise<CallAnswer | undefined> {
+    ): Promise<Result<CallAnswer, string>> {
         const { protocol, pools, clock, metrics, onInstructions } = this.options;
         return new Promise(resolve => {
             const chunks: Buffer[] = [];
             let status = 0;
-            const finish = (outcome: string, answer: CallAnswer | undefined) => {
+            const finish = (outcome: string, answer: Result<CallAnswer, string>) => {
                 timer.cancel();
                 metrics.endpointCallsTotal.inc({ call: name, outcome });
                 resolve(answer);
@@ -122,14 +135,14 @@
                     );
                 },
                 onData: chunk => chunks.push(chunk),
-                onEnd: () => finish("answered", { status, body: Buffer.concat(chunks) }),
-                onFailure: failure => finish(failure.kind, undefined),
+                onEnd: () => finish("answered", Ok({ status, body: Buffer.concat(chunks) })),
+                onFailure: failure => finish(failure.kind, Err(failure.message)),
             });
             const timer = clock.setTimer(timeoutMilliseconds, () => {
                 // Where few requests come, these calls are the first to meet a lost path.
                 exchange.testPath(() => undefined);
                 exchange.abort();
-                finish("timedOut", undefined);
+                finish("timedOut", Err(`no answer within ${timeoutMilliseconds} ms`));
             });
         });
     }
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -344,6 +344,7 @@
             clock,
             fetchReport: endpoint => calls.fetchReport(endpoint),
             reroute: (requestId, stages) => calls.sendReroute(requestId, stages),
+            isRefusing: endpoint => calls.isRefusing(endpoint),
         });
         this.router = RequestRouter.create({
             environment,
--- a/src/request/relay/chains/relayChains.ts
+++ b/src/request/relay/chains/relayChains.ts
@@ -205,6 +205,11 @@
         this.linkUse.noteEvent(now);
     }
 
+    /** Records that the stream waits for an endpoint, not for a link. */
+    noteWaitForEndpoint(): void {
+        this.linkUse.noteOtherCause();
+    }
+
     /** Takes back that the request was begun over the links of its chain, after it was not run there. */
     refundLinks(): void {
         this.linkUse.refund();
--- a/src/request/relay/detection/stallDetector.ts
+++ b/src/request/relay/detection/stallDetector.ts
@@ -1,3 +1,4 @@
+import { LRUCache } from "lru-cache";
 import type { Clock, TimerHandle } from "../../../process/clock.ts";
 import { events } from "../../../process/logging/events.ts";
 import type { RelayStage } from "../chains/relayStage.ts";
@@ -7,6 +8,7 @@
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { StreamRelay } from "../streams/streamRelay.ts";
 import { SilenceLog } from "./silenceLog.ts";
+import { silenceMilliseconds } from "./silenceMilliseconds.ts";
 
 /** Options of a {@link StallDetector}. */
 interface StallDetectorOptions {
@@ -16,16 +18,20 @@
     fetchReport(endpoint: RegisteredEndpoint): Promise<EndpointReport | undefined>;
     /** Asks the first stage to move a request to another chain. */
     reroute(requestId: string, stages: RelayStage[]): Promise<RerouteOutcome>;
+    /** Checks if an endpoint refuses connections, as it does once it has crashed. Default: it never does. */
+    isRefusing?(endpoint: RegisteredEndpoint): Promise<boolean>;
 }
 
 /** Minimum interval between sweeps. It is also the interval while streams are silent. */
 const sweepIntervalMilliseconds = 60;
-/** A stream without events for this long, several times the usual time between events, is checked. */
-const silenceMilliseconds = 240;
 /** Limit for the first event, which also takes the prefill of the prompt on each stage. */
 const silenceBeforeFirstEventMilliseconds = 420;
 /** Maximum age of a report. Fetching it from the same endpoint again before that returns nothing new. */
 const reportIntervalMilliseconds = 200;
+/** Each report that is not answered doubles the interval to the next one, up to this. */
+const maximumReportIntervalMilliseconds = 800;
+/** Number of restarts to remember: more than there are endpoints in the chains of the streams that run. */
+const maximumRestarts = 1_000;
 /** Reports arrive within a few milliseconds. If one is overdue, the path to the endpoint may be lost. */
 const usualReportMilliseconds = 60;
 /** A stream that is silent for this long without a known cause is continued over another chain, before its caller gives up. */
@@ -44,6 +50,10 @@
     private readonly options: StallDetectorOptions;
     private readonly relays = new Set<StreamRelay>();
     private readonly reportRequestedAt = new Map<string, number>();
+    /** Number of reports in a row that a first stage has not answered, by id. */
+    private readonly unansweredReports = new Map<string, number>();
+    /** Ids of endpoints whose process has ended, because it restarted. */
+    private readonly ended = new LRUCache<string, true>({ max: maximumRestarts });
     /** Monotonic time in milliseconds before which a stream's first stage isn't told again to move it. */
     private readonly rerouteAllowedAt = new WeakMap<StreamRelay, number>();
     private readonly silenceLog: SilenceLog;
@@ -77,10 +87,19 @@
      * @param endpoint - The endpoint before the restart.
      */
     handleEndpointRestart({ id }: RegisteredEndpoint): void {
+        this.ended.set(id, true);
         const lost = new Set([id]);
         for (const relay of [...this.relays]) {
-            if (relay.getStages()?.some(({ endpoint }) => endpoint.id === id) === true) {
-                void this.reroute(relay, lost, () => relay.abandonChain([id], "a stage of the chain has restarted."));
+            const index = relay.getStages()?.findIndex(({ endpoint }) => endpoint.id === id) ?? -1;
+            if (index === -1) {
+                continue;
+            }
+            relay.captureRun()(lost);
+            if (index === 0) {
+                relay.abandonChain([id], "the first stage has restarted.");
+            }
+            else {
+                void this.reroute(relay, lost);
             }
         }
     }
@@ -123,13 +142,18 @@
 
     private investigate(relays: StreamRelay[], now: number): void {
         const { endpoint } = relays[0]!.getStages()![0]!;
-        if (now - (this.reportRequestedAt.get(endpoint.id) ?? -Infinity) < reportIntervalMilliseconds) {
+        if (now - (this.reportRequestedAt.get(endpoint.id) ?? -Infinity) < this.getReportInterval(endpoint.id)) {
             return;
         }
         this.reportRequestedAt.set(endpoint.id, now);
         void this.resolveStall(endpoint, relays);
     }
 
+    private getReportInterval(endpointId: string): number {
+        const doublings = this.unansweredReports.get(endpointId) ?? 0;
+        return Math.min(maximumReportIntervalMilliseconds, reportIntervalMilliseconds * 2 ** doublings);
+    }
+
     private async resolveStall(first: RegisteredEndpoint, relays: StreamRelay[]): Promise<void> {
         const reporting = this.options.fetchReport(first);
         if (!await this.isSettledSoon(reporting)) {
@@ -154,19 +178,23 @@
         });
         if (report === undefined) {
             this.silenceLog.noteSilent(first.id, lastProgressAt);
-            this.noteSilent(first.id, now);
+            this.unansweredReports.set(first.id, (this.unansweredReports.get(first.id) ?? 0) + 1);
+            environment.health.markSilent(first.id, now);
             for (const relay of affected) {
+                relay.noteWaitForEndpoint();
                 leaveIfFirst(relay, first.id, "the first stage does not answer.");
             }
             return;
         }
-        this.silenceLog.noteHeard(first.id);
-        const lost = this.recordLost(report, now);
+        this.noteHeard(first.id, now);
+        const suspects = this.recordSuspects(report, now);
+        this.noteCrashes(suspects, affected);
         for (const relay of affected) {
             const isStalled = report.stalled.some(({ requestId }) => requestId === relay.task.request.id);
-            const isAffected = relay.getStages()?.some(({ endpoint }) => lost.has(endpoint.id)) === true;
-            if (isStalled || isAffected) {
-                this.rerouteFromSuspects(relay, lost, now);
+            const lost = this.listLost(relay, suspects);
+            if (isStalled || lost.size > 0) {
+                relay.noteWaitForEndpoint();
+                this.retryReroute(relay, lost, now);
             }
             else {
                 this.reviewUnexplained(relay, first, now);
@@ -174,14 +202,12 @@
         }
     }
 
-    /** Makes new requests avoid an endpoint that does not answer. The time is not extended before it has ended. */
-    private noteSilent(endpointId: string, now: number): void {
-        const { health } = this.options.environment;
-        if (health.isSuspect(endpointId, now)) {
-            health.markUnreachable(endpointId);
-            return;
+    /** Ends the suspicion of an endpoint that did not answer before. */
+    private noteHeard(endpointId: string, now: number): void {
+        this.silenceLog.noteHeard(endpointId);
+        if (this.unansweredReports.delete(endpointId)) {
+            this.options.environment.health.addSuccess(endpointId, now);
         }
-        health.markUnavailable(endpointId, now);
     }
 
     /** Waits until a report is there or overdue. Returns whether it is there. */
@@ -222,55 +248,76 @@
         return false;
     }
 
-    private recordLost(report: EndpointReport, now: number): Set<string> {
+    /** Records the endpoints that a first stage names as the ones that it waits for. */
+    private recordSuspects(report: EndpointReport, now: number): Map<string, RegisteredEndpoint> {
         const { environment } = this.options;
-        const lost = new Set<string>();
+        const suspects = new Map<string, RegisteredEndpoint>();
         for (const { address } of report.stalled) {
             const endpoint = environment.directory.getEndpointAt(address);
-            if (endpoint !== undefined && !lost.has(endpoint.id)) {
-                lost.add(endpoint.id);
-                this.noteSilent(endpoint.id, now);
+            if (endpoint !== undefined && !suspects.has(endpoint.id)) {
+                suspects.set(endpoint.id, endpoint);
+                environment.health.markSilent(endpoint.id, now);
             }
         }
-        return lost;
+        return suspects;
     }
 
-    private rerouteFromSuspects(relay: StreamRelay, suspects: Set<string>, now: number): void {
-        if (now < (this.rerouteAllowedAt.get(relay) ?? -Infinity)) {
-            return;
+    /** Records crashes of those suspects that refuse connections. The others may only be silent. */
+    private noteCrashes(suspects: ReadonlyMap<string, RegisteredEndpoint>, relays: readonly StreamRelay[]): void {
+        const runs = relays.map(relay => relay.captureRun());
+        for (const [id, endpoint] of suspects) {
+            void this.options.isRefusing?.(endpoint).then(isRefusing => {
+                for (const noteCrashed of isRefusing ? runs : []) {
+                    noteCrashed(new Set([id]));
+                }
+            });
+        }
+    }
+
+    /** Lists the stages of a stream that are suspects or have ended. */
+    private listLost(relay: StreamRelay, suspects: ReadonlyMap<string, RegisteredEndpoint>): Set<string> {
+        const ids = relay.getStages()?.map(({ endpoint }) => endpoint.id) ?? [];
+        return new Set(ids.filter(id => suspects.has(id) || this.ended.has(id)));
+    }
+
+    private retryReroute(relay: StreamRelay, lost: Set<string>, now: number): void {
+        if (now >= (this.rerouteAllowedAt.get(relay) ?? -Infinity)) {
+            void this.reroute(relay, lost);
         }
-        this.rerouteAllowedAt.set(relay, now + rerouteRetryMilliseconds);
-        const cause = "a later stage does not answer and the stream could not be moved.";
-        void this.reroute(relay, suspects, avoid => relay.leaveSuspects(avoid, cause));
     }
 
     /**
-     * Tells the first stage of a stream to move it.
+     * Tells the first stage of a stream to move it. If that fails, the stream leaves the first stage too, if it can.
      * @param relay - The stream.
-     * @param lost - Ids of the endpoints that are or may be lost.
-     * @param onFailed - Called if the stream is not moved, with the ids of the endpoints to avoid.
+     * @param lost - Ids of the later stages that have ended or may be lost.
      */
-    private async reroute(
-        relay: StreamRelay,
-        lost: Set<string>,
-        onFailed: (avoid: string[]) => void,
-    ): Promise<void> {
+    private async reroute(relay: StreamRelay, lost: Set<string>): Promise<void> {
         if (relay.isRerouting) {
             return;
         }
+        const { environment, clock, reroute } = this.options;
         relay.isRerouting = true;
-        relay.noteLost(lost);
+        this.rerouteAllowedAt.set(relay, clock.getMonotonicTime() + rerouteRetryMilliseconds);
+        const run = relay.getRun();
         const stages = relay.chooseReroute(lost);
-        const outcome = stages === undefined
-            ? undefined
-            : await this.options.reroute(relay.task.request.id, stages);
+        const outcome = stages === undefined ? undefined : await reroute(relay.task.request.id, stages);
         relay.isRerouting = false;
+        if (relay.getRun() !== run) {
+            return;
+        }
         if (stages !== undefined && outcome?.isDone === true) {
             relay.completeReroute(stages);
             return;
         }
-        const faulty = this.options.environment.directory.getEndpointAt(outcome?.faultyAddress ?? "");
-        onFailed(faulty === undefined ? [...lost] : [...lost, faulty.id]);
+        const ended = relay.getStages()?.filter(({ endpoint }) => this.ended.has(endpoint.id)) ?? [];
+        const faulty = environment.directory.getEndpointAt(outcome?.faultyAddress ?? "");
+        const avoid = [
+            ...lost,
+            ...ended.map(({ endpoint }) => endpoint.id),
+            ...faulty === undefined ? [] : [faulty.id],
+        ];
+        const cause = "a later stage does not answer and the stream could not be moved.";
+        relay.leaveSuspects(avoid, cause, ended.length > 0);
     }
 }
 
--- a/src/request/relay/links/linkAdmission.ts
+++ b/src/request/relay/links/linkAdmission.ts
@@ -235,6 +235,12 @@
                     }
                 }
             },
+            noteOtherCause: () => {
+                isWaiting = false;
+                for (const { gate, stream } of streams) {
+                    gate.removeUnrelated(stream);
+                }
+            },
             isQueued: () => isWaiting && streams.some(({ gate, stream }) => gate.isQueued(stream)),
             end: at => {
                 if (isWaiting) {
--- a/src/request/relay/links/linkGate.ts
+++ b/src/request/relay/links/linkGate.ts
@@ -100,6 +100,11 @@
         this.streams.delete(stream);
     }
 
+    /** Removes a stream that turned out to wait for something else than the link. */
+    removeUnrelated(stream: WaitingStream): void {
+        this.streams.delete(stream);
+    }
+
     /** Applies a peer's report. */
     applyReport(peerId: string, waiting: number, longestWaitMilliseconds: number, now: number): void {
         if (waiting === 0) {
--- a/src/request/relay/links/linkUse.ts
+++ b/src/request/relay/links/linkUse.ts
@@ -138,6 +138,11 @@
         this.crossing?.noteEvent(now);
     }
 
+    /** Records that the stream waits for an endpoint, not for a link. */
+    noteOtherCause(): void {
+        this.crossing?.noteOtherCause();
+    }
+
     /** Checks if the stream may be queued at a link. */
     isQueued(): boolean {
         return this.crossing?.isQueued() === true;
--- a/src/request/relay/quarantine/taskQuarantine.ts
+++ b/src/request/relay/quarantine/taskQuarantine.ts
@@ -22,6 +22,12 @@
         return new TaskQuarantine(environment, task);
     }
 
+    /** Checks if the request is held back, without a log line. */
+    isHeld(): boolean {
+        const { quarantine, clock } = this.environment;
+        return quarantine.getHold(this.task.fingerprint, clock.getMonotonicTime()) !== undefined;
+    }
+
     /** Gets why the request is held back; undefined if it may be sent. */
     getHold(): RequestHold | undefined {
         const { quarantine, log, clock } = this.environment;
--- a/src/request/relay/streams/chainReplacement.ts
+++ b/src/request/relay/streams/chainReplacement.ts
@@ -48,6 +48,8 @@
 
     /** Reserves a chain for a stream that has begun and has none. Returns why there is none otherwise. */
     reserve({ avoid, isRetry }: ReplacementRequirements): Result<ReservedChain, string> {
+        const { environment, task } = this.options;
+        environment.limits.noteRequest(task.service.name, environment.clock.getMonotonicTime());
         return this.choose({ avoid, maySuspect: true }, isRetry);
     }
 
@@ -59,7 +61,7 @@
         const { task, attemptLimit, quarantine } = this.options;
         const mayContinue = task.route.isResumable
             && attemptLimit.mayAttemptAgain(requirements.countedRunId)
-            && quarantine.getHold() === undefined;
+            && !quarantine.isHeld();
         return mayContinue ? this.choose(requirements, true).unwrapOr(undefined) : undefined;
     }
 
@@ -67,14 +69,12 @@
         { avoid, maySuspect }: Omit<RunningReplacementRequirements, "countedRunId">,
         isRetry: boolean,
     ): Result<ReservedChain, string> {
-        const { environment, task, chains } = this.options;
-        const now = environment.clock.getMonotonicTime();
-        environment.limits.noteRequest(task.service.name, now);
+        const { environment, chains } = this.options;
         const stages = chains.chooseWithinLimits({ avoid, maySuspect, mayOvercommit: true, rateLimited: new Set() });
         if (stages === undefined) {
             return Err("No other chain has free capacity.");
         }
-        if (isRetry && !environment.retryBudget.takeRetry(now)) {
+        if (isRetry && !environment.retryBudget.takeRetry(environment.clock.getMonotonicTime())) {
             chains.refundLimit(stages);
             return Err("The retry budget is used up.");
         }
--- a/src/request/relay/streams/streamAnswer.ts
+++ b/src/request/relay/streams/streamAnswer.ts
@@ -27,6 +27,11 @@
         return this.hasBegun;
     }
 
+    /** Checks if an endpoint may have run the request. */
+    hasRun(): boolean {
+        return this.mayHaveRun;
+    }
+
     /** Records that an endpoint may have run the request. */
     noteRun(): void {
         this.mayHaveRun = true;
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -17,6 +17,7 @@
 import type { RelayStage } from "../chains/relayStage.ts";
 import type { ReservedChain } from "../chains/reservedChain.ts";
 import { noteRefusal } from "../detection/noteRefusal.ts";
+import { silenceMilliseconds } from "../detection/silenceMilliseconds.ts";
 import type { RegisteredEndpoint } from "../endpoints/registeredEndpoint.ts";
 import { listDataCentres } from "../links/listDataCentres.ts";
 import { TaskQuarantine } from "../quarantine/taskQuarantine.ts";
@@ -141,20 +142,37 @@
      */
     chooseReroute(avoid: ReadonlySet<string>): RelayStage[] | undefined {
         const [firstStage] = this.attempt?.stages ?? [];
-        if (firstStage === undefined || avoid.has(firstStage.endpoint.id) || this.quarantine.getHold() !== undefined) {
+        if (firstStage === undefined || avoid.has(firstStage.endpoint.id) || this.quarantine.isHeld()) {
             return undefined;
         }
         const all = new Set([...this.avoided, ...avoid]);
         return this.chains.choose({ avoid: all, firstStage, mayOvercommit: true });
     }
 
-    /** Records that endpoints are lost. If the request had just begun to run on them, it may have caused their crash. */
-    noteLost(endpointIds: ReadonlySet<string>): void {
-        for (const { endpoint } of this.attempt?.stages ?? []) {
-            if (endpointIds.has(endpoint.id)) {
-                this.quarantine.noteCrash(endpoint.id, this.attempt!.sentAt, this.getTime());
+    /** Gets the run in use, to recognize it later; undefined between runs. */
+    getRun(): object | undefined {
+        return this.attempt;
+    }
+
+    /**
+     * Gets a function that records that endpoints of the chain in use have crashed, also if the stream has left it by then. If the request
+     * had just begun to run on them, it may have caused the crash.
+     */
+    captureRun(): (crashedIds: ReadonlySet<string>) => void {
+        const { stages = [], sentAt = 0 } = this.attempt ?? {};
+        const at = this.getTime();
+        return crashedIds => {
+            for (const { endpoint } of stages) {
+                if (crashedIds.has(endpoint.id)) {
+                    this.quarantine.noteCrash(endpoint.id, sentAt, at);
+                }
             }
-        }
+        };
+    }
+
+    /** Records that the stream waits for an endpoint that is silent, not for a link between data centres. */
+    noteWaitForEndpoint(): void {
+        this.chains.noteWaitForEndpoint();
     }
 
     /** Switches to another chain after the endpoints accepted the move. */
@@ -171,26 +189,28 @@
     }
 
     /**
-     * Continues over another chain if one is free and the stream may continue there. Otherwise the stream stays where it is: an endpoint
-     * that is only silent may still send the rest of the answer, which would be lost if the stream was given up.
+     * Continues over another chain if there is one and the stream may continue there. Otherwise the stream stays where it is: an endpoint
+     * that is only silent may still send the rest of the answer, which would be lost if the stream was given up. The suspects are not
+     * avoided any more once they are heard again.
      * @param suspects - Ids of the endpoints that may be lost.
      * @param cause - Why they are suspected.
+     * @param maySuspect - Whether the other chain may have suspect endpoints, because this one is known to be lost.
      */
-    leaveSuspects(suspects: readonly string[], cause: string): void {
+    leaveSuspects(suspects: readonly string[], cause: string, maySuspect = false): void {
         const { attempt } = this;
-        if (attempt?.exchange?.getSentTime() === undefined) {
+        const isUnsent = attempt?.exchange?.getSentTime() === undefined;
+        if (attempt === undefined || isUnsent && !this.answer.hasRun()) {
             this.abandonChain(suspects, cause);
             return;
         }
-        const firstId = attempt.stages[0]!.endpoint.id;
         const replacement = this.replacement.reserveForRunning({
             avoid: new Set([...this.avoided, ...suspects]),
-            countedRunId: firstId,
-            maySuspect: false,
+            countedRunId: isUnsent ? undefined : attempt.stages[0]!.endpoint.id,
+            maySuspect,
         });
         if (replacement !== undefined) {
-            attempt.exchange.abort();
-            this.endAttempt(attempt, { isNotRun: false, cause, avoid: suspects, replacement });
+            attempt.exchange?.abort();
+            this.endAttempt(attempt, { isNotRun: isUnsent, isUnsent, cause, avoid: [], replacement });
         }
     }
 
@@ -368,6 +388,7 @@
         }
         account.count(ProcessorCause.StreamEvent);
         const now = this.getTime();
+        const wasSilent = now - attempt.lastProgressAt > silenceMilliseconds;
         this.answer.noteRun();
         attempt.lastProgressAt = now;
         this.chains.noteEvent(now);
@@ -385,6 +406,8 @@
                 now,
             );
             this.environment.firstEvents.record(now - attempt.sentAt);
+        }
+        if (attempt.firstEventAt === now || wasSilent) {
             for (const { endpoint } of attempt.stages) {
                 this.environment.health.addSuccess(endpoint.id, now);
             }
