Refuse the requests that still wait when a node ends

What callers saw: beside a SIGTERM, a request that the node had read whole and not passed on gets neither an answer nor a refusal; its connection closes as the process ends. Cause: the end of a stopping node waited for running requests until its time was over and then exited, whatever waited in the queue. Change: when its time is over, the node refuses what still waits, and leaves 0.1 s to send that.

--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -463,6 +463,11 @@
         return this.links.waitUntilUnused();
     }
 
+    /** Refuses the requests that wait for free memory, since they can't start before this node ends. Returns their number. */
+    refuseWaiting(): number {
+        return this.queue.refuseAll();
+    }
+
     /** Stops the remaining parts and closes the connections. */
     async stop(): Promise<void> {
         this.storeWatch.stop();
--- a/src/process/router/stopRouter.ts
+++ b/src/process/router/stopRouter.ts
@@ -22,6 +22,8 @@
 
 /** The load balancer removes a node after two checks at one per second; the rest is for the last connection to arrive. */
 const balancerRemovalMilliseconds = 2_700;
+/** Time for sending the refusals of the requests that still wait at the end. */
+const refusalMilliseconds = 100;
 
 /**
  * Stops a node without losing requests: it keeps serving until the load balancer has removed it, and then completes the
@@ -35,5 +37,8 @@
     await sleep(balancerRemovalMilliseconds);
     callers.stopListening();
     await Promise.race([Promise.all([callers.waitUntilIdle(), node.waitUntilUnused()]), deadline]);
+    if (node.refuseWaiting() > 0) {
+        await sleep(refusalMilliseconds);
+    }
     await Promise.race([node.stop(), deadline]);
 }
--- a/src/request/admission/start/startQueue.ts
+++ b/src/request/admission/start/startQueue.ts
@@ -4,6 +4,7 @@
 import { SmoothedRate } from "../smoothedRate.ts";
 import { ExhaustedCapacity, type KnownExhaustion } from "./exhaustedCapacity.ts";
 import { OnTimeArrivals } from "./onTimeArrivals.ts";
+import { refuseAtShutdown } from "./refuseAtShutdown.ts";
 import { refuseUnservable } from "./refuseUnservable.ts";
 import type { StartBlock } from "./startBlock.ts";
 import { StartBound } from "./startBound.ts";
@@ -213,6 +214,18 @@
         return reviewed;
     }
 
+    /**
+     * Refuses all waiting requests, before this node ends.
+     * @returns The decisions on these requests.
+     */
+    refuseAll(): ReviewedRequest<Reservation>[] {
+        const requests = [...this.waiting.getAll()].map(({ request }) => request);
+        for (const request of requests) {
+            this.waiting.remove(request);
+        }
+        return requests.map(request => ({ request, decision: refuseAtShutdown(request) }));
+    }
+
     /** Gets the latest time of the next review if no event triggers it earlier; undefined if no requests wait. */
     getNextReview(now: number): number | undefined {
         let next: number | undefined;
--- a/src/request/relay/queue/relayQueue.ts
+++ b/src/request/relay/queue/relayQueue.ts
@@ -116,6 +116,15 @@
         }
     }
 
+    /** Refuses all waiting requests, before this node ends. Returns their number. */
+    refuseAll(): number {
+        const refused = this.startQueue.refuseAll();
+        for (const { request, decision } of refused) {
+            this.endWaiting(request as QueuedRelay, decision);
+        }
+        return refused.length;
+    }
+
     /** Counts a request that was started without the queue. */
     noteStart(): void {
         this.startQueue.recordStart();
