Show that a node which starts ends at a reload, and ends at once at a SIGTERM

What callers saw: beside a SIGHUP or SIGTERM of a node that has just begun to listen, its connections end without an answer, and the process has ended by a signal.

--- a/tests/platform/platformProcess.test.ts
+++ b/tests/platform/platformProcess.test.ts
@@ -31,7 +31,21 @@
         store.put("servers/first", record);
         ports = await findFreePorts(5);
         folder = mkdtempSync(join(tmpdir(), "foxlead-platform-"));
-        const [callers, readiness, peers, admin, tunnels] = ports;
+        writeBootFile("node.yaml", ports);
+        writeBootFile("starting.yaml", await findFreePorts(5));
+        child = start(join(folder, "node.yaml"));
+        child.stdout!.on("data", (chunk: Buffer) => output += chunk.toString("utf8"));
+        await waitUntilReady();
+    });
+
+    after(async () => {
+        child.kill("SIGKILL");
+        await endpoint.close();
+        await store.close();
+        rmSync(folder, { recursive: true });
+    });
+
+    function writeBootFile(name: string, [callers, readiness, peers, admin, tunnels]: number[]): void {
         const boot = createBootFile({
             vm: "edge-1",
             dataCentre: "a",
@@ -43,20 +57,13 @@
             seeds: [],
             store: store.getAddress(),
         });
-        writeFileSync(join(folder, "node.yaml"), boot);
-        child = spawn(process.execPath, ["src/main.ts", "platform", "--settings", join(folder, "node.yaml")], {
-            stdio: ["ignore", "pipe", "inherit"],
-        });
-        child.stdout!.on("data", (chunk: Buffer) => output += chunk.toString("utf8"));
-        await waitUntilReady();
-    });
+        writeFileSync(join(folder, name), boot);
+    }
 
-    after(async () => {
-        child.kill("SIGKILL");
-        await endpoint.close();
-        await store.close();
-        rmSync(folder, { recursive: true });
-    });
+    function start(file: string): ChildProcess {
+        const options = ["src/main.ts", "platform", "--settings", file];
+        return spawn(process.execPath, options, { stdio: ["ignore", "pipe", "inherit"] });
+    }
 
     async function getReadiness(): Promise<number> {
         const response = await fetch(`http://127.0.0.1:${ports[1]}/v1/readiness`).catch(() => undefined);
@@ -109,6 +116,14 @@
         assert.equal(await getReadiness(), 200);
     });
 
+    it("ends with 0 at a SIGTERM while it starts, whatever was reloaded before", async () => {
+        const starting = start(join(folder, "starting.yaml"));
+        await once(starting.stdout!, "data");
+        starting.kill("SIGHUP");
+        starting.kill("SIGTERM");
+        assert.deepEqual(await once(starting, "exit"), [0, null]);
+    });
+
     it("completes requests that arrive before and shortly after SIGTERM, and exits with 0", async () => {
         endpoint.behaviour = { delayMilliseconds: 1_000 };
         const taken = call("before");
