Discard the rest of a refused body before the connection closes, for callers who lost the refusal

Seen by callers: those who still sent their body when a late node refused it early, or when it was over the limit, lost the response if they read last (80 of 80), and 1 of 10 with a body of 200 bytes that came while the node was busy.

--- a/src/connection/caller/answerWriter.ts
+++ b/src/connection/caller/answerWriter.ts
@@ -2,7 +2,7 @@
 import { InvariantError } from "../../process/invariantError.ts";
 import type { RequestError } from "../../request/requestError.ts";
 import { createErrorBody } from "./createErrorBody.ts";
-import { drainBody } from "./drainBody.ts";
+import { endAfterBody } from "./endAfterBody.ts";
 import { hasUnreadBody } from "./hasUnreadBody.ts";
 
 const millisecondsPerSecond = 1000;
@@ -98,7 +98,7 @@
                 ...this.createLengthHeaders(status, body),
                 "content-type": contentType,
             });
-            this.endWithBody(body, isBodyUnread);
+            endAfterBody(response, body);
         }
         // Set last: if Node.js rejects the status or the headers, an error can still be sent.
         this.isFinished = true;
@@ -167,17 +167,6 @@
         }
     }
 
-    /** Writes the body. The response ends only after the rest of an unread request body is discarded. */
-    private endWithBody(body: string | Buffer, isBodyUnread: boolean): void {
-        const { response } = this;
-        if (!isBodyUnread) {
-            response.end(body);
-            return;
-        }
-        response.write(body);
-        void drainBody(response.req).then(() => response.end());
-    }
-
     private createConnectionHeaders(isBodyUnread: boolean): Record<string, string> {
         return isBodyUnread || this.closesConnection() ? { connection: "close" } : {};
     }
--- /dev/null
+++ b/src/connection/caller/endAfterBody.ts
@@ -0,0 +1,18 @@
+import type { ServerResponse } from "node:http";
+import { drainBody } from "./drainBody.ts";
+import { hasUnreadBody } from "./hasUnreadBody.ts";
+
+/**
+ * Writes the body of a response. If the body of the request has not been received completely, the response ends, which
+ * may close the connection, only after the rest of it is discarded.
+ * @param response - Response whose head is written.
+ * @param body - The body.
+ */
+export function endAfterBody(response: ServerResponse, body: string | Buffer): void {
+    if (!hasUnreadBody(response.req)) {
+        response.end(body);
+        return;
+    }
+    response.write(body);
+    void drainBody(response.req).then(() => response.end());
+}
--- a/tests/connection/caller/largeBodies.test.ts
+++ b/tests/connection/caller/largeBodies.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
+import { setTimeout as wait } from "node:timers/promises";
 import { NodeFixture } from "./nodeFixture.ts";
 import { RawCaller } from "./rawCaller.ts";
 
@@ -59,6 +60,19 @@
         assertOneError(await caller.readToEnd(), 413);
     });
 
+    // Guards against a connection reset while the caller still sends, which would cost it the response.
+    it("are read to their end after the refusal, if they arrive within a few seconds", async () => {
+        const caller = await RawCaller.connect(fixture.address);
+        caller.socket.pause();
+        caller.write(createHead(["content-length: 200000"]));
+        for (let part = 0; part < 10; part++) {
+            await wait(200);
+            caller.write("a".repeat(20_000));
+        }
+        caller.socket.resume();
+        assertOneError(await caller.readToEnd(), 413);
+    });
+
     it("are read only up to a limit after the refusal", async () => {
         for (const key of [NodeFixture.apiKey, "wrong"]) {
             const caller = await RawCaller.connect(fixture.address);
