Show that a stream closed inside an event runs beyond its route's attempts and hides a crash

Seen: a resumable stream without length or chunks whose connection is closed regularly inside an event runs 3 to 5 times where its route allows 2, since the same endpoint is tried again; its crash is no evidence for the quarantine; and one that is closed before its first event is answered as a complete stream without events. Cause: the end inside an event is handled as an end by the endpoint, not as a broken connection. Change: tests only. The endpoint stand-in sends answers with neither length nor chunks and closes or resets them.

--- a/standins/router/endpointBehaviour.ts
+++ b/standins/router/endpointBehaviour.ts
@@ -18,6 +18,8 @@
     sendsExtra?: boolean;
     /** Sends a response without a length and then resets the connection. */
     resetsUnframed?: boolean;
+    /** Sends responses with neither a length nor chunks, and ends their connection in this way. */
+    unframedEnd?: "close" | "reset";
     /** Closes the connection of a stream in the middle of the event that follows this event. */
     cutsAfterEvent?: number;
     /** Stops the endpoint and closes all its connections shortly after it starts to run a request with this body. */
--- a/standins/router/endpointStandin.ts
+++ b/standins/router/endpointStandin.ts
@@ -22,6 +22,7 @@
 }
 
 const stopDelayMilliseconds = 20;
+const resetDelayMilliseconds = 20;
 const millisecondsPerSecond = 1_000;
 
 /** Stand-in for an endpoint of the platform. It serves documents, streams, reports and orders. */
@@ -182,7 +183,8 @@
             return;
         }
         const { method = "", url = "", headers } = request;
-        const record: RunRecord = { id, method, url, headers, body, arrivedAt: Date.now(), isAbandoned: false };
+        const port = request.socket.remotePort;
+        const record: RunRecord = { id, method, url, headers, body, arrivedAt: Date.now(), isAbandoned: false, port };
         this.runs.push(record);
         response.once("close", () => {
             record.isAbandoned = !response.writableFinished;
@@ -233,6 +235,9 @@
             setTimeout(() => request.socket.resetAndDestroy(), 30);
             return;
         }
+        if (behaviour.unframedEnd !== undefined) {
+            omitFraming(response);
+        }
         if (headers["hop-count"] !== undefined) {
             response.writeHead(200, { ...head, "content-type": "text/event-stream" });
             this.streamFrom(Number(headers["last-event-id"] ?? 0) + 1, id, response);
@@ -240,6 +245,11 @@
         }
         const status = behaviour.failureStatus ?? 200;
         const answer = `answer of ${this.options.id}`;
+        if (behaviour.unframedEnd !== undefined) {
+            response.writeHead(status, head).write(answer);
+            this.endUnframed(response);
+            return;
+        }
         response.writeHead(status, { ...head, "content-length": answer.length }).end(answer);
         if (behaviour.sendsExtra === true) {
             request.socket.write(`HTTP/1.1 200 OK\r\nrequest-id: extra\r\ncontent-length: 5\r\n\r\nextra`);
@@ -258,12 +268,16 @@
             return;
         }
         if (event > events) {
+            if (behaviour.unframedEnd !== undefined) {
+                this.endUnframed(response);
+                return;
+            }
             response.end();
             return;
         }
         if (behaviour.cutsAfterEvent !== undefined && event === behaviour.cutsAfterEvent + 1) {
             response.write(`id: ${event}\nda`);
-            setTimeout(() => response.destroy(), eventMilliseconds);
+            setTimeout(() => this.cut(response), eventMilliseconds);
             return;
         }
         if (behaviour.stallsAfterEvent !== undefined && event === behaviour.stallsAfterEvent + 1) {
@@ -274,6 +288,24 @@
         setTimeout(() => this.streamFrom(event + 1, id, response), eventMilliseconds * (behaviour.slowness ?? 1));
     }
 
+    /** Ends a response with neither a length nor chunks after its last byte, or in the middle of an event. */
+    private endUnframed(response: ServerResponse): void {
+        if (this.behaviour.unframedEnd === "close") {
+            response.end();
+            return;
+        }
+        // The bytes before a reset would be lost if it followed at once.
+        setTimeout(() => response.socket?.resetAndDestroy(), resetDelayMilliseconds);
+    }
+
+    private cut(response: ServerResponse): void {
+        if (this.behaviour.unframedEnd === undefined) {
+            response.destroy();
+            return;
+        }
+        this.endUnframed(response);
+    }
+
     /** Holds a stream before an event until an order moves it to another chain, or until the stage that it waits for continues. */
     private stall(event: number, id: string, response: ServerResponse): void {
         const { stallMilliseconds } = this.behaviour;
@@ -295,6 +327,15 @@
     }
 }
 
+/** Makes the end of the connection the end of a response. */
+function omitFraming(response: ServerResponse): void {
+    response.useChunkedEncodingByDefault = false;
+    response.shouldKeepAlive = false;
+    for (const name of ["content-length", "transfer-encoding", "connection"]) {
+        response.removeHeader(name);
+    }
+}
+
 function sendJson(response: ServerResponse, status: number, body: object): void {
     response.writeHead(status, { "content-type": "application/json" }).end(JSON.stringify(body));
 }
--- a/standins/router/runRecord.ts
+++ b/standins/router/runRecord.ts
@@ -11,4 +11,6 @@
     arrivedAt: number;
     /** Whether the connection was closed before the response was complete. */
     isAbandoned: boolean;
+    /** Port of the caller's side of the connection. */
+    port: number | undefined;
 }
--- a/tests/request/relay/streams/streamRelay.test.ts
+++ b/tests/request/relay/streams/streamRelay.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { events } from "../../../../src/process/logging/events.ts";
 import { StreamRelay } from "../../../../src/request/relay/streams/streamRelay.ts";
 import { RequestKind } from "../../../../src/version/routing/requestKind.ts";
 import { RelayBench } from "../relayBench.ts";
@@ -55,6 +56,33 @@
         assert.deepEqual(bench.answers, ["outcomeUnknown"]);
     });
 
+    /** Answers a request with a head and a body, and ends the answer regularly. */
+    function answerOnce(headers: Record<string, string>, body: string) {
+        const { bench } = start(["1"]);
+        const [sentRequest] = bench.sentRequests;
+        sentRequest!.sentAt = -100;
+        sentRequest!.listener.onHead(200, { "request-id": "request", "response-seal": "seal", ...headers });
+        sentRequest!.listener.onData(Buffer.from(body));
+        sentRequest!.listener.onEnd();
+        return bench;
+    }
+
+    const chunked = { "transfer-encoding": "chunked" };
+
+    // Guards against an endpoint that crashes before the first event of an answer that ends with its connection.
+    it("takes a stream without events for broken off if only the end of its connection ends it", () => {
+        assert.deepEqual(answerOnce({}, "").answers, ["outcomeUnknown"]);
+        assert.deepEqual(answerOnce(chunked, "").answers, ["200"]);
+        assert.deepEqual(answerOnce({}, "id: 1\ndata: x\n\n").answers, ["200"]);
+    });
+
+    // Guards against a crash that the quarantine doesn't learn of, since the connection ends regularly as the process ends.
+    it("suspects a crash if the connection that ends a stream is closed inside an event", () => {
+        const { number } = events.endpointCrashSuspected;
+        assert.ok(answerOnce({}, "id: 1\nda").log.numbers.includes(number));
+        assert.ok(!answerOnce(chunked, "id: 1\nda").log.numbers.includes(number));
+    });
+
     // Guards against engines that read the prompts of all ranks in order of arrival, and against a header without ranks.
     it("sends the urgency of the request where its service has several ranks", () => {
         const bench = RelayBench.create([createEndpoint("1", { layers })]);
--- a/tests/scripts/callChecks.test.ts
+++ b/tests/scripts/callChecks.test.ts
@@ -64,6 +64,7 @@
             body: "body",
             arrivedAt: 950,
             isAbandoned: false,
+            port: undefined,
             endpointId: "e",
             ...changes,
         };
