Handle a stream that is closed inside an event or before its first one as broken off

A stream without length or chunks that was closed inside an event ran 3 to 5 times where its route allows 2, a crash there was no evidence, and one without any event looked complete. Cause: such an end was taken for one that the endpoint chose, so the same endpoint was tried again. Change: the endpoint is avoided in the next attempt, and where the end of the connection ends the answer, the request is a suspect of a crash. An answer without events that ends with its connection is broken off, unless the caller may have all events (Last-Event-Id).

--- a/src/connection/upstream/upstreamConnection.ts
+++ b/src/connection/upstream/upstreamConnection.ts
@@ -1,8 +1,8 @@
-import type { IncomingHttpHeaders } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { Client, type Dispatcher } from "undici";
 import type { InputBarrier } from "../../process/loop/inputBarrier.ts";
+import { endsWithConnection } from "./endsWithConnection.ts";
 import type { ConnectionPath } from "./path/connectionPath.ts";
 import type { PathConnector } from "./path/pathConnector.ts";
 import type { UpstreamExchange } from "./upstreamExchange.ts";
@@ -98,7 +98,7 @@
         let controller: Dispatcher.DispatchController | undefined;
         let sentAt: number | undefined;
         let isEnded = false;
-        let endsWithConnection = false;
+        let isUnframed = false;
         const fail = (message: string, kind?: UpstreamFailureKind) => {
             if (isEnded) {
                 return;
@@ -132,7 +132,7 @@
                 if (isEnded || status < 200) {
                     return;
                 }
-                endsWithConnection = isWithoutLength(headers);
+                isUnframed = endsWithConnection(headers);
                 listener.onHead(status, headers);
             },
             onResponseData: (_controller, chunk) => {
@@ -144,7 +144,7 @@
             onResponseEnd: () => {
                 // The HTTP client handles a reset as the end of a response without a length, but such a response is
                 // incomplete.
-                if (endsWithConnection && this.hasSocketFailed) {
+                if (isUnframed && this.hasSocketFailed) {
                     fail("The connection was reset before the end of a response without a length.");
                     return;
                 }
@@ -202,7 +202,3 @@
         this.options.onClosed();
     }
 }
-
-function isWithoutLength(headers: IncomingHttpHeaders): boolean {
-    return headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
-}
--- a/src/request/relay/streams/streamAnswerEnd.ts
+++ b/src/request/relay/streams/streamAnswerEnd.ts
@@ -5,8 +5,12 @@
 export type StreamAnswerEnd =
     /** All events were received. */
     | { kind: "whole"; head: AnswerHead; }
-    /** The stream ended within an event. */
-    | { kind: "cut"; }
+    /** The stream ended within an event, or with its connection before its first event. */
+    | {
+        kind: "cut";
+        /** Whether the endpoint closed the connection instead of ending its answer, as it does when it crashes. */
+        isConnectionClosed: boolean;
+    }
     /** The endpoint guarantees that it has not run the request. */
     | { kind: "refused"; head: AnswerHead; }
     /** The endpoint answered with a failure, or with a success without its signature. `answer` is what may be forwarded to the caller. */
--- a/src/request/relay/streams/streamAnswerReader.ts
+++ b/src/request/relay/streams/streamAnswerReader.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders } from "node:http";
+import { endsWithConnection } from "../../../connection/upstream/endsWithConnection.ts";
 import type { AnswerHead } from "../answers/answerHead.ts";
 import type { EndpointProtocol } from "../endpointProtocol.ts";
 import { EventSplitter } from "./eventSplitter.ts";
@@ -9,6 +10,8 @@
 interface StreamAnswerReaderOptions {
     protocol: EndpointProtocol;
     requestId: string;
+    /** Checks if the answer may be whole without any event, since the caller may have received all of them. */
+    mayBeEmpty(): boolean;
     /** Called with the head of an answer to the request. */
     onHead(head: AnswerHead): void;
     /** Called with each event of a successful answer, in order. */
@@ -27,6 +30,8 @@
     /** Body of an answer that is not an event stream. */
     private readonly chunks: Buffer[] = [];
     private head: AnswerHead | undefined;
+    private isEndedByConnection = false;
+    private hasEvents = false;
 
     private constructor(options: StreamAnswerReaderOptions) {
         this.options = options;
@@ -41,6 +46,7 @@
     handleHead(status: number, headers: IncomingHttpHeaders): void {
         const { protocol, requestId, onHead, onEnd } = this.options;
         this.head = protocol.readHead(status, headers, requestId);
+        this.isEndedByConnection = endsWithConnection(headers);
         if (!this.head.isForRequest) {
             onEnd({ kind: "foreign" });
             return;
@@ -59,6 +65,7 @@
             return;
         }
         for (const event of this.splitter.push(chunk)) {
+            this.hasEvents = true;
             this.options.onEvent(event, head);
         }
     }
@@ -76,12 +83,19 @@
             return { kind: "refused", head };
         }
         if (isSuccess(head)) {
-            return this.splitter.hasIncompleteEvent() ? { kind: "cut" } : { kind: "whole", head };
+            return this.isCut()
+                ? { kind: "cut", isConnectionClosed: this.isEndedByConnection }
+                : { kind: "whole", head };
         }
         // A success without a signature is not the endpoint's own answer and must not be forwarded to the caller.
         const answer = hasSuccessStatus(head) ? undefined : { head, body: Buffer.concat(this.chunks) };
         return { kind: "failed", head, answer };
     }
+
+    private isCut(): boolean {
+        const isWithoutEvents = this.isEndedByConnection && !this.hasEvents && !this.options.mayBeEmpty();
+        return isWithoutEvents || this.splitter.hasIncompleteEvent();
+    }
 }
 
 function isSuccess(head: AnswerHead): boolean {
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -307,6 +307,7 @@
         const reader = StreamAnswerReader.create({
             protocol,
             requestId: request.id,
+            mayBeEmpty: () => this.progress.getLastId() > 0,
             onHead: head => this.handleHead(stages, head),
             onEvent: (event, head) => this.handleEvent(attempt, head, event),
             onEnd: end => this.handleEnd(attempt, end),
@@ -401,7 +402,12 @@
                 return;
             }
             case "cut":
-                this.endAttempt(attempt, { isNotRun: false, cause: "the stream ended within an event.", avoid: [] });
+                this.endAttempt(attempt, {
+                    isNotRun: false,
+                    brokenAt: end.isConnectionClosed ? this.getTime() : undefined,
+                    cause: "the endpoint broke off the stream.",
+                    avoid: [firstId],
+                });
                 return;
             case "foreign":
                 attempt.exchange?.abort();
