Show that a request right after an answer that closes its connection fails and marks a healthy endpoint

Seen: a request that comes in the turn of the event loop after an answer without length or chunks, or with Connection: close, is given that answer's connection. It fails before a byte is sent, and the endpoint counts as one that accepts no connections, at this node and at its peers. Cause: the connection returns to the pool before the HTTP client reports that it is closed. Change: tests only.

--- a/tests/connection/upstream/upstreamPool.test.ts
+++ b/tests/connection/upstream/upstreamPool.test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { createServer, type Server } from "node:http";
+import { createServer, type IncomingMessage, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { setTimeout as wait } from "node:timers/promises";
@@ -16,6 +16,13 @@
 
 const request: UpstreamRequest = { method: "POST", target: "/", headers: ["Host", "h"], body: Buffer.from("x") };
 
+/** Times between the end of a response and the next request: the same turn of the event loop, the next one, and the one after it. */
+const waits = [
+    (next: () => void) => next(),
+    setImmediate,
+    (next: () => void) => void setImmediate(() => setImmediate(next)),
+];
+
 describe("UpstreamPool", () => {
     let server: Server;
     let pool: UpstreamPool;
@@ -135,4 +142,34 @@
         assert.deepEqual([created, arrivals], [1, 1]);
         assert.ok(exchange.getSentTime()! > 0);
     });
+
+    // Guards against a request that is sent over a connection which is about to close, and fails.
+    for (
+        const [name, headers] of Object.entries({ unframed: "", closing: "Content-Length: 6\r\nConnection: close\r\n" })
+    ) {
+        it(`sends no request over the connection of an earlier ${name} response, whenever it comes`, async () => {
+            server.removeAllListeners("request");
+            server.on("request", (message: IncomingMessage) => {
+                arrivals += 1;
+                message.resume();
+                message.socket.end(`HTTP/1.1 200 OK\r\n${headers}\r\nanswer`);
+            });
+            const timer = setInterval(runDeferredActions, 1);
+            const failures: string[] = [];
+            for (const waitForNext of [...waits, ...waits]) {
+                await new Promise<void>(resolve =>
+                    pool.send(request, {
+                        ...listener,
+                        onEnd: () => void waitForNext(resolve),
+                        onFailure: ({ message }) => {
+                            failures.push(message);
+                            resolve();
+                        },
+                    })
+                );
+            }
+            clearInterval(timer);
+            assert.deepEqual([failures, arrivals], [[], 2 * waits.length]);
+        });
+    }
 });
