Don't give requests the connection of an answer that has just closed it

Cause: the connection returned to the pool one turn of the event loop before the HTTP client reported its end. Change: a connection whose answer says Connection: close, or ends with the connection, is closed instead. Answers that have no body (204, 304, to HEAD) don't count as such.

--- a/src/connection/upstream/upstreamConnection.ts
+++ b/src/connection/upstream/upstreamConnection.ts
@@ -35,6 +35,8 @@
  */
 const keepAliveMarginMilliseconds = 600;
 
+const closePattern = /(^|,)\s*close\s*(,|$)/i;
+
 /** An HTTP/1.1 connection to an endpoint, with at most one exchange at a time. */
 export class UpstreamConnection {
     private readonly client: Client;
@@ -99,6 +101,7 @@
         let sentAt: number | undefined;
         let isEnded = false;
         let isUnframed = false;
+        let isLast = false;
         const fail = (message: string, kind?: UpstreamFailureKind) => {
             if (isEnded) {
                 return;
@@ -132,7 +135,8 @@
                 if (isEnded || status < 200) {
                     return;
                 }
-                isUnframed = endsWithConnection(headers);
+                isUnframed = request.method !== "HEAD" && endsWithConnection(status, headers);
+                isLast = isUnframed || closePattern.test(String(headers["connection"] ?? ""));
                 listener.onHead(status, headers);
             },
             onResponseData: (_controller, chunk) => {
@@ -154,7 +158,7 @@
                 isEnded = true;
                 this.idleSince = performance.now();
                 // Bytes after the response, which make the connection unusable, are processed first.
-                setImmediate(() => this.release());
+                setImmediate(() => isLast ? this.disconnect() : this.release());
                 listener.onEnd();
             },
             onResponseError: (_controller, error) => fail(error.message),
--- a/src/request/relay/streams/streamAnswerReader.ts
+++ b/src/request/relay/streams/streamAnswerReader.ts
@@ -46,7 +46,7 @@
     handleHead(status: number, headers: IncomingHttpHeaders): void {
         const { protocol, requestId, onHead, onEnd } = this.options;
         this.head = protocol.readHead(status, headers, requestId);
-        this.isEndedByConnection = endsWithConnection(headers);
+        this.isEndedByConnection = endsWithConnection(status, headers);
         if (!this.head.isForRequest) {
             onEnd({ kind: "foreign" });
             return;
