--- a/src/connection/upstream/upstreamConnection.ts
+++ b/src/connection/upstream/upstreamConnection.ts
@@ -1,8 +1,8 @@
-import type { IncomingHttpHeaders } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { Client, type Dispatcher } from "undici";
 import type { InputBarrier } from "../../process/loop/inputBarrier.ts";
+import { endsWithConnection } from "./endsWithConnection.ts";
 import type { ConnectionPath } from "./path/connectionPath.ts";
 import type { PathConnector } from "./path/pathConnector.ts";
 import type { UpstreamExchange } from "./upstreamExchange.ts";
@@ -35,6 +35,8 @@
  */
 const keepAliveMarginMilliseconds = 600;
 
+const closePattern = /(^|,)\s*close\s*(,|$)/i;
+
 /** An HTTP/1.1 connection to an endpoint, with at most one exchange at a time. */
 export class UpstreamConnection {
     private readonly client: Client;
@@ -98,7 +100,8 @@
         let controller: Dispatcher.DispatchController | undefined;
         let sentAt: number | undefined;
         let isEnded = false;
-        let endsWithConnection = false;
+        let isUnframed = false;
+        let isLast = false;
         const fail = (message: string, kind?: UpstreamFailureKind) => {
             if (isEnded) {
                 return;
@@ -132,7 +135,8 @@
                 if (isEnded || status < 200) {
                     return;
                 }
-                endsWithConnection = isWithoutLength(headers);
+                isUnframed = request.method !== "HEAD" && endsWithConnection(status, headers);
+                isLast = isUnframed || closePattern.test(String(headers["connection"] ?? ""));
                 listener.onHead(status, headers);
             },
             onResponseData: (_controller, chunk) => {
@@ -144,7 +148,7 @@
             onResponseEnd: () => {
                 // The HTTP client handles a reset as the end of a response without a length, but such a response is
                 // incomplete.
-                if (endsWithConnection && this.hasSocketFailed) {
+                if (isUnframed && this.hasSocketFailed) {
                     fail("The connection was reset before the end of a response without a length.");
                     return;
                 }
@@ -154,7 +158,7 @@
                 isEnded = true;
                 this.idleSince = performance.now();
                 // Bytes after the response, which make the connection unusable, are processed first.
-                setImmediate(() => this.release());
+                setImmediate(() => isLast ? this.disconnect() : this.release());
                 listener.onEnd();
             },
             onResponseError: (_controller, error) => fail(error.message),
@@ -202,7 +206,3 @@
         this.options.onClosed();
     }
 }
-
-function isWithoutLength(headers: IncomingHttpHeaders): boolean {
-    return headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
-}
