Hold back requests with a part of the prompt that crashes endpoints

Cause: the quarantine knew whole requests only, and no two of these are alike. Change: everything that may be the cause of a crash is a suspect with a key: the request's fingerprint, and each part of its prompt but the last. A crash counts against all keys of the requests that ran there without an answer. An answer clears its parts of all earlier crashes, at every node; a part may become harmful later. Two crashes without a likelier cause make a part unsure: requests with it are refused with 503 and a time of 1 s, but for canaries, which nodes send by turns. The crash of a canary makes it certain (held for ten minutes), its answer clears it. A part that was answered before is less likely the cause than one that never was, is suspected only after 0.7 s, and is not held back for crashes under a likelier one, so that popular parts go on. Whole requests are judged as before. Fields are only added to the messages of nodes and to the stored record. In requestQuarantine.test.ts applyRefutation gets the time as an argument; what is asserted is the same.

--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -259,7 +259,7 @@
         number: 1719,
         level: "warn",
         message:
-            "A quarantined request was not sent: several endpoints crashed while running it. Ask its caller to change it.",
+            "A quarantined request was not sent: several endpoints crashed while running it, or others with the same parts of the prompt. Ask its caller to change it.",
     },
     quarantineStoreFailed: {
         number: 1720,
@@ -282,6 +282,17 @@
         level: "info",
         message: "A request that seemed to crash endpoints is sent again, since an endpoint has run it for a peer.",
     },
+    canarySent: {
+        number: 1728,
+        level: "info",
+        message:
+            "A request with parts of the prompt that are held back is sent, to find out whether they crash endpoints.",
+    },
+    promptPartCleared: {
+        number: 1729,
+        level: "info",
+        message: "A part of prompts is no longer held back, since an endpoint has begun to answer a request with it.",
+    },
     endpointLimitChanged: {
         number: 1723,
         level: "info",
--- a/src/process/router/peerState.ts
+++ b/src/process/router/peerState.ts
@@ -55,12 +55,14 @@
                 isRefusing,
             })),
             readings: readings.getReadings(now),
-            endedRuns: quarantine.getCrashes(now).map(({ fingerprint, endpointId, at }) => ({
+            endedRuns: quarantine.getCrashes(now).map(({ fingerprint, endpointId, at, isCanary }) => ({
                 fingerprint,
                 endpointId,
-                age: Math.round(now - at),
+                age: getAge(at, now),
+                isCanary,
             })),
             safeRequests: quarantine.getRefutations(now),
+            answeredParts: quarantine.getAnsweredParts(now).map(({ key, at }) => ({ key, age: getAge(at, now) })),
             endpointLimits: limits.listReports(now).map(({ endpointId, requestsPerSecond, at, demand }) => ({
                 endpointId,
                 requestsPerSecond,
@@ -94,14 +96,22 @@
         if (hasNewSuspicion) {
             onUpdate();
         }
-        for (const { fingerprint, endpointId, age } of message.endedRuns) {
-            quarantine.addPeerCrash({ fingerprint, endpointId, at: now - age }, now);
+        for (const { fingerprint, endpointId, age, isCanary } of message.endedRuns) {
+            quarantine.addPeerCrash({ fingerprint, endpointId, at: now - age, isCanary }, now);
         }
         for (const fingerprint of message.safeRequests) {
-            quarantine.applyRefutation(fingerprint);
+            quarantine.applyRefutation(fingerprint, now);
+        }
+        for (const { key, age } of message.answeredParts) {
+            quarantine.applyAnsweredPart(key, now - age, now);
         }
         for (const reading of message.readings) {
             readings.add(reading, now);
         }
     }
 }
+
+/** Gets the age of a record in whole milliseconds. */
+function getAge(at: number, now: number): number {
+    return Math.max(0, Math.round(now - at));
+}
--- a/src/process/router/quarantinePersister.ts
+++ b/src/process/router/quarantinePersister.ts
@@ -122,8 +122,9 @@
         const { quarantine, clock } = this.options;
         const wallTime = clock.getWallTime();
         const now = clock.getMonotonicTime();
-        for (const { fingerprint, endpointId, endedAt } of runs) {
-            quarantine.addPeerCrash({ fingerprint, endpointId, at: now - Math.max(0, wallTime - endedAt) }, now);
+        for (const { fingerprint, endpointId, endedAt, isCanary = false } of runs) {
+            const at = now - Math.max(0, wallTime - endedAt);
+            quarantine.addPeerCrash({ fingerprint, endpointId, at, isCanary }, now);
         }
     }
 
@@ -131,10 +132,11 @@
         const { quarantine, clock } = this.options;
         const wallTime = clock.getWallTime();
         const now = clock.getMonotonicTime();
-        const runs = quarantine.getHeldCrashes(now).map(({ fingerprint, endpointId, at }) => ({
+        const runs = quarantine.getHeldCrashes(now).map(({ fingerprint, endpointId, at, isCanary }) => ({
             fingerprint,
             endpointId,
             endedAt: Math.round(wallTime - (now - at)),
+            isCanary,
         }));
         return { runs };
     }
--- a/src/process/router/quarantineRecord.ts
+++ b/src/process/router/quarantineRecord.ts
@@ -7,6 +7,8 @@
         endpointId: z.string(),
         /** Wall-clock time at which the endpoint ended, in milliseconds since the Unix epoch. */
         endedAt: z.number(),
+        /** Whether the request was a canary for the suspect. */
+        isCanary: z.boolean().optional(),
     })),
 });
 
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -14,6 +14,7 @@
 import { LinkAdmission } from "../../request/relay/links/linkAdmission.ts";
 import { LinkDelays } from "../../request/relay/links/linkDelays.ts";
 import { LinkTraffic } from "../../request/relay/links/linkTraffic.ts";
+import type { CanaryOrder } from "../../request/relay/quarantine/canaryOrder.ts";
 import { RequestQuarantine } from "../../request/relay/quarantine/requestQuarantine.ts";
 import { RelayQueue } from "../../request/relay/queue/relayQueue.ts";
 import type { RelayEnvironment } from "../../request/relay/relayEnvironment.ts";
@@ -137,6 +138,8 @@
         const quarantine = RequestQuarantine.create({
             log,
             getAliveTime: endpointId => this.health.getLastAliveTime(endpointId),
+            getCanaryOrder: key => this.getCanaryOrder(key),
+            onCleared: () => this.exchange.propagateUpdate(),
             onCrash: isHeldBack => {
                 metrics.endpointEndsTotal.inc({ outcome: isHeldBack ? "heldBack" : "suspected" });
                 // The caller may send the request again to any other node a moment later.
@@ -199,6 +202,7 @@
             },
             onRestart: (earlier, later) => {
                 instructions.handleRestart(earlier.id, later);
+                quarantine.noteRestart(earlier.id);
                 this.stallDetector.handleEndpointRestart(earlier);
             },
         });
@@ -481,6 +485,13 @@
         );
     }
 
+    /** Gets the place of this node among the live nodes, in an order that all of them have for the same part of prompts. */
+    private getCanaryOrder(key: string): CanaryOrder {
+        const { options: { nodeId, owners, clock } } = this;
+        const nodeIds = [nodeId, ...this.nodes.getLiveNodes(clock.getMonotonicTime()).map(node => node.nodeId)];
+        return { rank: owners.getOwners(key, nodeIds, nodeIds.length).indexOf(nodeId), nodes: nodeIds.length };
+    }
+
     private getModelServices(): RoutedService[] {
         const services = this.holder.getState()?.configuration.services.values() ?? [];
         return [...services].filter(({ engine }) => engine !== undefined);
--- a/src/request/relay/answers/createRefusal.ts
+++ b/src/request/relay/answers/createRefusal.ts
@@ -14,10 +14,10 @@
         retryAfterMilliseconds,
     }),
     /** The request is quarantined for some time, since endpoints crashed while they ran it. */
-    heldBack: ({ endpointIds, remainingMilliseconds }: RequestHold): RelayRefusal => ({
+    heldBack: ({ endpointIds, remainingMilliseconds, parts }: RequestHold): RelayRefusal => ({
         reason: RefusalReason.HeldBack,
-        message:
-            `The request was not run: ${endpointIds.length} endpoints failed while they ran the same request before.`
+        message: `The request was not run: ${endpointIds.length} endpoints failed while they ran `
+            + (parts === undefined ? "the same request before." : "requests with a part of its prompt before.")
             + " Change it, or send it again after the given time.",
         retryAfterMilliseconds: remainingMilliseconds,
     }),
--- a/src/request/relay/answers/refusalReason.ts
+++ b/src/request/relay/answers/refusalReason.ts
@@ -8,7 +8,7 @@
     NoRoute: "noRoute",
     /** No endpoint has run the request or will run it. */
     NotRun: "notRun",
-    /** Endpoints crashed while they ran the same request before; this attempt has not run and will not run. */
+    /** Endpoints crashed while they ran the same request, or such with a part of its prompt; this attempt has not run and will not run. */
     HeldBack: "heldBack",
     /** An endpoint may have run the request, but its answer is missing. */
     OutcomeUnknown: "outcomeUnknown",
--- a/src/request/relay/documents/documentRelay.ts
+++ b/src/request/relay/documents/documentRelay.ts
@@ -167,7 +167,7 @@
             this.endAttempt(attempt, { isNotRun: true, cause: "the endpoints refused it." });
             return;
         }
-        this.quarantine.markSafe();
+        this.quarantine.markSafe(attempt.sentAt);
         const answer = { head, body: Buffer.concat(attempt.chunks) };
         if (head.status >= serverErrorStatus) {
             health.addFailure(attempt.endpoint.id, now);
@@ -289,7 +289,9 @@
     }
 
     private hedge(): void {
-        if (this.isDone || !this.attempts.isHedgeAllowed() || !this.endpoints.hasUntried()) {
+        if (
+            this.isDone || this.quarantine.isCanary() || !this.attempts.isHedgeAllowed() || !this.endpoints.hasUntried()
+        ) {
             return;
         }
         for (const attempt of this.attempts.getRunning()) {
--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -1,52 +1,62 @@
 import { LRUCache } from "lru-cache";
 import type { EventLog } from "../../../process/logging/eventLog.ts";
 import { events } from "../../../process/logging/events.ts";
+import { AnsweredParts } from "./answeredParts.ts";
+import type { CanaryOrder } from "./canaryOrder.ts";
+import { CanarySchedule } from "./canarySchedule.ts";
+import { isPartKey } from "./isPartKey.ts";
+import type { PartHold } from "./partHold.ts";
 import type { RequestHold } from "./requestHold.ts";
+import type { Suspect } from "./suspect.ts";
 import type { SuspectedCrash } from "./suspectedCrash.ts";
+import { SuspectList } from "./suspectList.ts";
+import { SuspectVerdict } from "./suspectVerdict.ts";
 
 /** Options of a {@link RequestQuarantine}. */
 interface RequestQuarantineOptions {
     log: EventLog;
     /** Gets the monotonic time in milliseconds at which an endpoint was last seen alive; -Infinity if never. */
     getAliveTime(endpointId: string): number;
+    /** Gets the place of this node in the order in which nodes send canaries for a part. Default: it is the only node. */
+    getCanaryOrder?(key: string): CanaryOrder;
     /** Called when an endpoint seems to have crashed, with whether the request is held back. Peers must be informed immediately. */
     onCrash?(isHeldBack: boolean): void;
+    /** Called when an answer has cleared a part that was held back. Peers must be informed immediately. */
+    onCleared?(): void;
 }
 
-/** Times at which the connections to crashed endpoints broke, by endpoint id. */
-type CrashTimes = Map<string, number>;
+/** A suspected crash of an endpoint, and everything that may have caused it. */
+interface RunCrash extends SuspectedCrash {
+    /** Keys of the suspected parts of the request's prompt. */
+    partKeys?: readonly string[];
+    /** Keys of the parts for which the request was a canary. */
+    canaryKeys?: readonly string[];
+}
 
-/**
- * Minimum number of crashed endpoints for a request to be held back. A single crash is weak evidence: all requests that the
- * endpoint was just beginning to run are suspected, and nearly all of them are harmless. Continuing after the second crash costs
- * another endpoint for each attempt.
- */
-const minimumCrashes = 2;
-/** From this number of crashes on, the cause is not a coincidence. */
-const certainCrashes = 3;
 /** A harmless request that was on the same endpoint as a harmful one twice is allowed again after this time. */
 const shortHoldMilliseconds = 60_000;
 const longHoldMilliseconds = 600_000;
-/** Data that an endpoint sent before it crashed may still be read for this long, and does not prove that it is alive. */
-const lateDataMilliseconds = 500;
-/** A suspected crash reaches all nodes within this time. Afterwards only the crashes of requests that are held back are announced. */
+/** Time after which a request with a part that is held back may be sent again, since a canary may have cleared the part. */
+const unsureRetryMilliseconds = 1_000;
+/** A suspected crash reaches all nodes within this time. Afterwards only the crashes of suspects that are held back are announced. */
 const announcementMilliseconds = 5_000;
 /** Limits the size of messages between nodes and of the stored record. */
 const maximumListedCrashes = 100;
+const maximumCrashesPerPart = 8;
 const maximumRefutations = 100;
-/** Maximum numbers of tracked requests. */
-const maximumSuspectRequests = 1_000;
 const maximumSafeRequests = 4_096;
 
 /**
- * Holds back requests that crash the endpoints that run them. Tracks suspected crashes by request, across all nodes and all
- * retries of the caller. Otherwise retries by nodes and callers would send such a request to one endpoint after another,
- * until no endpoint is left that can be the first stage of a chain.
+ * Holds back requests that crash the endpoints that run them: whole requests, and requests with a part in their prompts that crashes
+ * endpoints whatever else they hold. Tracks suspected crashes by request and by part, across all nodes and all retries of the caller.
+ * Otherwise retries by nodes and callers would send such a request to one endpoint after another, until no endpoint is left that can be
+ * the first stage of a chain.
  */
 export class RequestQuarantine {
     private readonly options: RequestQuarantineOptions;
-    /** By fingerprint. */
-    private readonly suspectRequests = new LRUCache<string, CrashTimes>({ max: maximumSuspectRequests });
+    private readonly suspects: SuspectList;
+    private readonly answeredParts = AnsweredParts.create();
+    private readonly canaries: CanarySchedule;
     /** Fingerprints of requests that an endpoint has run without crashing, so that they did not cause other crashes. */
     private readonly safeRequests = new LRUCache<string, true>({ max: maximumSafeRequests });
     /** Monotonic times in milliseconds at which a peer last suspected a safe request, by fingerprint. */
@@ -54,6 +64,11 @@
 
     private constructor(options: RequestQuarantineOptions) {
         this.options = options;
+        this.suspects = SuspectList.create({
+            getAliveTime: endpointId => options.getAliveTime(endpointId),
+            wasAnswered: key => this.answeredParts.getTime(key) !== undefined,
+        });
+        this.canaries = CanarySchedule.create(key => options.getCanaryOrder?.(key) ?? { rank: 0, nodes: 1 });
     }
 
     /** Creates a quarantine without requests. */
@@ -68,24 +83,42 @@
      * @param requestId - Id of this attempt, for the log.
      * @param details - Further details of the attempt, for the log.
      */
-    noteCrash(crash: SuspectedCrash, requestId: string, details: Readonly<Record<string, string | number>> = {}): void {
-        if (!this.addCrash(crash)) {
+    noteCrash(crash: RunCrash, requestId: string, details: Readonly<Record<string, string | number>> = {}): void {
+        const { fingerprint, endpointId, at, partKeys = [], canaryKeys = [] } = crash;
+        let isNew = !this.safeRequests.has(fingerprint) && this.suspects.add({ fingerprint, endpointId, at });
+        for (const key of partKeys) {
+            this.answeredParts.noteSuspected(key, at);
+            const isCanary = canaryKeys.includes(key) && (canaryKeys.length === 1 || !this.wasAnswered(key));
+            isNew = this.addPartCrash({ fingerprint: key, endpointId, at, isCanary }) || isNew;
+        }
+        this.canaries.noteCrash(canaryKeys, at);
+        if (!isNew) {
             return;
         }
-        const { fingerprint, endpointId, at } = crash;
-        const isHeldBack = this.getHold(fingerprint, at) !== undefined;
+        const isHeldBack = this.getHold(fingerprint, at) !== undefined || this.getPartHold(partKeys, at) !== undefined;
         const entry = { request: requestId, fingerprint, endpoint: endpointId, isHeldBack, ...details };
         this.options.log.write(events.endpointCrashSuspected, entry);
         this.options.onCrash?.(isHeldBack);
     }
 
-    /** Adds a suspected crash that a peer reported. The peer is told soon if the request is safe. */
+    /** Adds a suspected crash that a peer reported. The peer is told soon if the request is safe or the part was answered. */
     addPeerCrash(crash: SuspectedCrash, now: number): void {
-        if (this.safeRequests.has(crash.fingerprint)) {
-            this.refutedAt.set(crash.fingerprint, now);
+        const { fingerprint } = crash;
+        if (isPartKey(fingerprint)) {
+            this.answeredParts.noteSuspected(fingerprint, now);
+            this.addPartCrash(crash);
+            return;
+        }
+        if (this.safeRequests.has(fingerprint)) {
+            this.refutedAt.set(fingerprint, now);
             return;
         }
-        this.addCrash(crash);
+        this.suspects.add(crash);
+    }
+
+    /** Records that an endpoint has restarted under the same id, so that its answers don't show that it never crashed. */
+    noteRestart(endpointId: string): void {
+        this.suspects.confirm(endpointId);
     }
 
     /** Gets the fingerprints of safe requests that peers have suspected lately. */
@@ -95,55 +128,126 @@
             .map(([fingerprint]) => fingerprint);
     }
 
+    /** Lists the parts that were suspected lately, and when endpoints last began to answer requests with them. */
+    getAnsweredParts(now: number): { key: string; at: number; }[] {
+        return this.answeredParts.listSuspected(now);
+    }
+
     /**
      * Clears a request of suspicion because an endpoint has run it for a peer without crashing. That does not outweigh so many crashes that
      * they are no coincidence.
      */
-    applyRefutation(fingerprint: string): void {
-        const endpoints = this.suspectRequests.get(fingerprint);
-        if (endpoints !== undefined && endpoints.size < certainCrashes) {
+    applyRefutation(fingerprint: string, now: number): void {
+        const suspect = this.suspects.get(fingerprint);
+        if (suspect !== undefined && this.suspects.judge(fingerprint, now) !== SuspectVerdict.Certain) {
             this.options.log.write(events.requestCleared, { fingerprint });
             this.markSafe(fingerprint);
         }
     }
 
+    /** Clears a part of the crashes before an endpoint began to answer a request with it for a peer. */
+    applyAnsweredPart(key: string, at: number, now: number): void {
+        this.clearPart(key, at, now);
+        this.answeredParts.addOfPeer(key, at);
+        this.suspects.noteAnswered(key);
+    }
+
     /** Records that an endpoint has run a request without crashing, which clears the request of all suspicion. */
     markSafe(fingerprint: string): void {
-        this.suspectRequests.delete(fingerprint);
+        this.suspects.delete(fingerprint);
         this.safeRequests.set(fingerprint, true);
     }
 
+    /**
+     * Records that an endpoint has begun to answer a request without crashing, which clears its parts of all earlier crashes. A part may
+     * become harmful later.
+     * @param keys - Keys of the request's parts.
+     * @param at - Monotonic time in milliseconds at which the answer began.
+     * @param now - Monotonic time in milliseconds.
+     */
+    markPartsAnswered(keys: readonly string[], at: number, now: number): void {
+        for (const key of keys) {
+            const { isCleared, wasHeld } = this.clearPart(key, at, now);
+            this.answeredParts.add(key, at);
+            this.suspects.noteAnswered(key);
+            if (isCleared) {
+                this.answeredParts.noteSuspected(key, now);
+            }
+            if (wasHeld) {
+                this.options.onCleared?.();
+            }
+        }
+    }
+
     /**
      * Gets why a request is held back; undefined if it may be sent.
      * @param fingerprint - Fingerprint of the request.
      * @param now - Monotonic time in milliseconds.
      */
     getHold(fingerprint: string, now: number): RequestHold | undefined {
-        const endpoints = this.suspectRequests.get(fingerprint);
-        return endpoints === undefined || endpoints.size < minimumCrashes
-            ? undefined
-            : this.findHold(endpoints, now, this.listCertain(now));
+        const verdict = this.suspects.judge(fingerprint, now);
+        const suspect = this.suspects.get(fingerprint);
+        if (verdict === SuspectVerdict.Free || suspect === undefined) {
+            return undefined;
+        }
+        const hold = verdict === SuspectVerdict.Unsure ? shortHoldMilliseconds : longHoldMilliseconds;
+        const remainingMilliseconds = getNewestCrash(suspect) + hold - now;
+        return remainingMilliseconds > 0
+            ? { endpointIds: [...suspect.crashes.keys()], remainingMilliseconds }
+            : undefined;
     }
 
-    /** Gets the crashes to announce to peers: recent ones, and those of held-back requests for nodes that have just started. */
+    /**
+     * Gets why requests with some parts in their prompts are held back; undefined if they may be sent.
+     * @param keys - Keys of the parts.
+     * @param now - Monotonic time in milliseconds.
+     */
+    getPartHold(keys: readonly string[], now: number): PartHold | undefined {
+        const held = keys.filter(key => this.suspects.judge(key, now) !== SuspectVerdict.Free);
+        if (held.length === 0) {
+            return undefined;
+        }
+        const suspects = held.map(key => this.suspects.get(key)!);
+        const newestCrashAt = Math.max(...suspects.map(getNewestCrash));
+        const isCertain = held.some(key => this.suspects.judge(key, now) === SuspectVerdict.Certain);
+        return {
+            parts: held,
+            endpointIds: [...new Set(suspects.flatMap(({ crashes }) => [...crashes.keys()]))],
+            isCertain,
+            newestCrashAt,
+            remainingMilliseconds: isCertain ? newestCrashAt + longHoldMilliseconds - now : unsureRetryMilliseconds,
+        };
+    }
+
+    /**
+     * Checks if a request with parts that are held back may be sent as a canary, to find out whether one of them is the cause.
+     * @returns The time until which it may be sent; undefined if it may not.
+     */
+    takeCanary({ parts, newestCrashAt }: PartHold, now: number): number | undefined {
+        return this.canaries.take(parts, newestCrashAt, now);
+    }
+
+    /** Gets the crashes to announce to peers: recent ones, and those of suspects that are held back for nodes that have just started. */
     getCrashes(now: number): SuspectedCrash[] {
         return this.listCrashes(now, announcementMilliseconds);
     }
 
-    /** Gets the crashes of requests that are held back. */
+    /** Gets the crashes of suspects that are held back. */
     getHeldCrashes(now: number): SuspectedCrash[] {
         return this.listCrashes(now, 0);
     }
 
-    /** Lists the crashes of requests that are held back, and all recent crashes. */
+    /** Lists the crashes of suspects that are held back, and all recent crashes. Those of the most suspect come first. */
     private listCrashes(now: number, maximumAgeMilliseconds: number): SuspectedCrash[] {
         const crashes: SuspectedCrash[] = [];
-        const certain = this.listCertain(now);
-        for (const [fingerprint, endpoints] of this.suspectRequests.entries()) {
-            const isHeld = this.findHold(endpoints, now, certain) !== undefined;
-            for (const [endpointId, at] of endpoints) {
+        for (const suspect of this.suspects.listByCrashes(now)) {
+            const { key, isPart } = suspect;
+            const isHeld = isPart
+                ? this.suspects.judge(key, now) !== SuspectVerdict.Free
+                : this.getHold(key, now) !== undefined;
+            for (const [endpointId, { at, isCanary }] of listNewest(suspect)) {
                 if (isHeld || now - at < maximumAgeMilliseconds) {
-                    crashes.push({ fingerprint, endpointId, at });
+                    crashes.push({ fingerprint: key, endpointId, at, ...isCanary ? { isCanary } : {} });
                 }
             }
             if (crashes.length >= maximumListedCrashes) {
@@ -153,59 +257,36 @@
         return crashes;
     }
 
-    /** Adds a suspected crash. Returns whether it is new. */
-    private addCrash({ fingerprint, endpointId, at }: SuspectedCrash): boolean {
-        const endpoints: CrashTimes = this.suspectRequests.get(fingerprint) ?? new Map();
-        if (this.safeRequests.has(fingerprint) || endpoints.has(endpointId)) {
-            return false;
-        }
-        endpoints.set(endpointId, at);
-        this.suspectRequests.set(fingerprint, endpoints);
-        return true;
-    }
-
-    /** Lists the crashes of each request that has crashed so many endpoints that it is no coincidence. */
-    private listCertain(now: number): CrashTimes[] {
-        const certain: CrashTimes[] = [];
-        for (const endpoints of this.suspectRequests.values()) {
-            this.removeStale(endpoints, now);
-            if (endpoints.size >= certainCrashes) {
-                certain.push(endpoints);
-            }
-        }
-        return certain;
+    private addPartCrash(crash: SuspectedCrash): boolean {
+        const answeredAt = this.answeredParts.getTime(crash.fingerprint) ?? -Infinity;
+        return crash.at > answeredAt && this.suspects.add(crash);
     }
 
-    private findHold(
-        endpoints: CrashTimes,
-        now: number,
-        certain: readonly CrashTimes[],
-    ): RequestHold | undefined {
-        this.removeStale(endpoints, now);
-        if (endpoints.size < minimumCrashes || endpoints.size < certainCrashes && isExplained(endpoints, certain)) {
-            return undefined;
+    /** Clears a part of the crashes up to a time. Returns whether there were any, and whether it was held back and no longer is. */
+    private clearPart(key: string, until: number, now: number): { isCleared: boolean; wasHeld: boolean; } {
+        const wasSuspect = this.suspects.judge(key, now) !== SuspectVerdict.Free;
+        const isCleared = this.suspects.clearUntil(key, until);
+        const wasHeld = isCleared && wasSuspect && this.suspects.judge(key, now) === SuspectVerdict.Free;
+        if (wasHeld) {
+            this.canaries.forget(key);
+            this.options.log.write(events.promptPartCleared, { part: key });
         }
-        const hold = endpoints.size < certainCrashes ? shortHoldMilliseconds : longHoldMilliseconds;
-        const remainingMilliseconds = Math.max(...endpoints.values()) + hold - now;
-        return remainingMilliseconds > 0 ? { endpointIds: [...endpoints.keys()], remainingMilliseconds } : undefined;
+        return { isCleared, wasHeld };
     }
 
-    /** Removes endpoints that turned out to be alive, and crashes that happened long ago. */
-    private removeStale(endpoints: CrashTimes, now: number): void {
-        for (const [endpointId, at] of endpoints) {
-            const isAlive = this.options.getAliveTime(endpointId) > at + lateDataMilliseconds;
-            if (isAlive || now - at > longHoldMilliseconds) {
-                endpoints.delete(endpointId);
-            }
-        }
+    private wasAnswered(key: string): boolean {
+        return this.answeredParts.getTime(key) !== undefined;
     }
 }
 
-/**
- * Checks if one other request that has certainly crashed endpoints was on all endpoints of a suspect request when they crashed. The
- * suspect may then be harmless; if it isn't, its next crash is one that the other request doesn't explain.
- */
-function isExplained(endpoints: CrashTimes, certain: readonly CrashTimes[]): boolean {
-    const ids = [...endpoints.keys()];
-    return certain.some(crashes => ids.every(id => crashes.has(id)));
+function getNewestCrash({ crashes }: Suspect): number {
+    return Math.max(...[...crashes.values()].map(({ at }) => at));
+}
+
+/** Lists crashes of a suspect, those under canaries and then the newest first. For a part, some of them show enough. */
+function listNewest({ crashes, isPart }: Suspect) {
+    const sorted = [...crashes].sort(([, left], [, right]) =>
+        Number(right.isCanary) - Number(left.isCanary) || right.at - left.at
+    );
+    return isPart ? sorted.slice(0, maximumCrashesPerPart) : [...crashes];
 }
--- /dev/null
+++ b/src/request/relay/quarantine/suspectList.ts
@@ -0,0 +1,150 @@
+import { LRUCache } from "lru-cache";
+import { isPartKey } from "./isPartKey.ts";
+import { judgeSuspect } from "./judgeSuspect.ts";
+import type { Suspect, SuspectCrash } from "./suspect.ts";
+import type { SuspectedCrash } from "./suspectedCrash.ts";
+import { SuspectVerdict } from "./suspectVerdict.ts";
+
+/** Options of a {@link SuspectList}. */
+interface SuspectListOptions {
+    /** Gets the monotonic time in milliseconds at which an endpoint was last seen alive; -Infinity if never. */
+    getAliveTime(endpointId: string): number;
+    /** Checks if an endpoint has begun to answer a request with a part at some time. */
+    wasAnswered(key: string): boolean;
+}
+
+/** Data that an endpoint sent before it crashed may still be read for this long, and does not prove that it is alive. */
+const lateDataMilliseconds = 500;
+/** Time after which a crash is forgotten. */
+const maximumAgeMilliseconds = 600_000;
+/** Time for which verdicts are kept while no crash is added or removed. */
+const reviewMilliseconds = 20;
+const maximumSuspects = 1_000;
+
+/** The requests and parts of prompts that endpoints may have crashed under, with the verdict on each. */
+export class SuspectList {
+    private readonly options: SuspectListOptions;
+    private readonly suspects = new LRUCache<string, Suspect>({ max: maximumSuspects });
+    private readonly verdicts = new Map<string, SuspectVerdict>();
+    private reviewedAt = -Infinity;
+
+    private constructor(options: SuspectListOptions) {
+        this.options = options;
+    }
+
+    /** Creates a list without suspects. */
+    static create(options: SuspectListOptions): SuspectList {
+        return new SuspectList(options);
+    }
+
+    /** Adds a crash. Returns whether it is new. */
+    add({ fingerprint: key, endpointId, at, isCanary = false }: SuspectedCrash): boolean {
+        const suspect = this.suspects.get(key) ?? this.create(key);
+        const known = suspect.crashes.get(endpointId);
+        if (known !== undefined && (known.isCanary || !isCanary)) {
+            return false;
+        }
+        suspect.crashes.set(endpointId, { at: known?.at ?? at, isCanary, isConfirmed: known?.isConfirmed ?? false });
+        this.suspects.set(key, suspect);
+        this.reviewedAt = -Infinity;
+        return known === undefined;
+    }
+
+    /** Removes a suspect. */
+    delete(key: string): void {
+        if (this.suspects.delete(key)) {
+            this.reviewedAt = -Infinity;
+        }
+    }
+
+    /** Removes the crashes of a suspect up to a time. Returns whether there were any. */
+    clearUntil(key: string, until: number): boolean {
+        const crashes = this.suspects.get(key)?.crashes;
+        if (crashes === undefined) {
+            return false;
+        }
+        const { size } = crashes;
+        for (const [endpointId, { at }] of crashes) {
+            if (at <= until) {
+                crashes.delete(endpointId);
+            }
+        }
+        if (crashes.size === 0) {
+            this.suspects.delete(key);
+        }
+        this.reviewedAt = crashes.size < size ? -Infinity : this.reviewedAt;
+        return crashes.size < size;
+    }
+
+    /** Records that an endpoint has begun to answer a request with a part. */
+    noteAnswered(key: string): void {
+        const suspect = this.suspects.get(key);
+        if (suspect !== undefined && !suspect.wasAnswered) {
+            suspect.wasAnswered = true;
+            this.reviewedAt = -Infinity;
+        }
+    }
+
+    /** Records that an endpoint has restarted under the same id, so that it is no longer taken for having been alive all the time. */
+    confirm(endpointId: string): void {
+        for (const { crashes } of this.suspects.values()) {
+            const crash = crashes.get(endpointId);
+            if (crash !== undefined) {
+                crash.isConfirmed = true;
+            }
+        }
+    }
+
+    /** Gets a suspect; undefined if there are no crashes under it. */
+    get(key: string): Suspect | undefined {
+        return this.suspects.get(key);
+    }
+
+    /** Gets all suspects, those with the most crashes first. */
+    listByCrashes(now: number): Suspect[] {
+        this.review(now);
+        return [...this.suspects.values()].sort((left, right) => right.crashes.size - left.crashes.size);
+    }
+
+    /** Gets the verdict on a suspect. */
+    judge(key: string, now: number): SuspectVerdict {
+        const suspect = this.suspects.get(key);
+        if (suspect === undefined) {
+            return SuspectVerdict.Free;
+        }
+        this.review(now);
+        const known = this.verdicts.get(key);
+        if (known !== undefined) {
+            return known;
+        }
+        const verdict = judgeSuspect(suspect, this.suspects.values(), now);
+        this.verdicts.set(key, verdict);
+        return verdict;
+    }
+
+    private create(key: string): Suspect {
+        const isPart = isPartKey(key);
+        return { key, isPart, wasAnswered: isPart && this.options.wasAnswered(key), crashes: new Map() };
+    }
+
+    /** Removes crashes of endpoints that turned out to be alive, and crashes that happened long ago. */
+    private review(now: number): void {
+        if (now >= this.reviewedAt && now - this.reviewedAt < reviewMilliseconds) {
+            return;
+        }
+        this.reviewedAt = now;
+        this.verdicts.clear();
+        for (const suspect of this.suspects.values()) {
+            for (const [endpointId, crash] of suspect.crashes) {
+                if (this.isStale(endpointId, crash, now)) {
+                    suspect.crashes.delete(endpointId);
+                }
+            }
+        }
+    }
+
+    private isStale(endpointId: string, { at, isConfirmed }: SuspectCrash, now: number): boolean {
+        const isAlive = !isConfirmed && this.options.getAliveTime(endpointId) > at + lateDataMilliseconds;
+        return isAlive || now - at > maximumAgeMilliseconds;
+    }
+}
--- a/src/request/relay/quarantine/suspectedCrash.ts
+++ b/src/request/relay/quarantine/suspectedCrash.ts
@@ -1,6 +1,9 @@
 /** A suspected crash of an endpoint shortly after it began to run a request. */
 export interface SuspectedCrash {
-    /** Identifies the request independently of the node that forwards it; see `fingerprintRequest`. */
+    /**
+     * The suspect: identifies the request independently of the node that forwards it, see `fingerprintRequest`, or a part of its prompt,
+     * see `fingerprintParts`.
+     */
     fingerprint: string;
     /** Id of the endpoint, which is new with each of its starts; see `RegisteredEndpoint`. */
     endpointId: string;
@@ -9,4 +12,6 @@
      * reported it or it was read from the store.
      */
     at: number;
+    /** Whether the request was a canary for this suspect. */
+    isCanary?: boolean;
 }
--- a/src/request/relay/quarantine/taskQuarantine.ts
+++ b/src/request/relay/quarantine/taskQuarantine.ts
@@ -5,12 +5,19 @@
 
 /** If a connection breaks sooner than this after sending, the endpoint had already crashed before it could run the request. */
 const minimumRunMilliseconds = 10;
+/** An endpoint that has answered for longer than this did not crash under a part of the prompt, which it does as it begins to answer. */
+const youngAnswerMilliseconds = 100;
 
 /** Connects a forwarded request to the {@link RequestQuarantine} of the node. */
 export class TaskQuarantine {
     private readonly environment: RelayEnvironment;
     private readonly task: RelayTask;
     private isSafe = false;
+    /** Whether an endpoint has answered for long enough to show that the parts of the prompt were harmless then. */
+    private hasAnswered = false;
+    /** Keys of the parts for which the request is a canary, and the time until which it may be sent as one. */
+    private canaryKeys: readonly string[] = [];
+    private canaryUntil = -Infinity;
 
     private constructor(environment: RelayEnvironment, task: RelayTask) {
         this.environment = environment;
@@ -26,11 +33,13 @@
     getHold(): RequestHold | undefined {
         const { quarantine, log, clock } = this.environment;
         const { request, fingerprint } = this.task;
-        const hold = quarantine.getHold(fingerprint, clock.getMonotonicTime());
+        const now = clock.getMonotonicTime();
+        const hold = quarantine.getHold(fingerprint, now) ?? this.getPartHold(now);
         if (hold !== undefined) {
             log.write(events.requestQuarantined, {
                 request: request.id,
                 fingerprint,
+                parts: hold.parts?.join(",") ?? "",
                 endpoints: hold.endpointIds.join(","),
                 remainingMilliseconds: Math.round(hold.remainingMilliseconds),
             });
@@ -38,11 +47,23 @@
         return hold;
     }
 
-    /** Records that an endpoint has run the request without crashing, so that the request is not the cause of other crashes. */
-    markSafe(): void {
+    /** Checks if the request is a canary, which only one endpoint may run. */
+    isCanary(): boolean {
+        return this.canaryKeys.length > 0;
+    }
+
+    /**
+     * Records that an endpoint has run the request without crashing, so that the request is not the cause of other crashes.
+     * @param answeredAt - Monotonic time in milliseconds at which the endpoint began to answer.
+     */
+    markSafe(answeredAt: number): void {
         if (!this.isSafe) {
             this.isSafe = true;
-            this.environment.quarantine.markSafe(this.task.fingerprint);
+            this.hasAnswered = true;
+            const { quarantine, clock } = this.environment;
+            const { fingerprint, partKeys } = this.task;
+            quarantine.markSafe(fingerprint);
+            quarantine.markPartsAnswered(partKeys, answeredAt, clock.getMonotonicTime());
         }
     }
 
@@ -55,13 +76,41 @@
      * @param firstEventAt - Monotonic time in milliseconds of the first event of the answer; undefined if there was none.
      */
     noteCrash(endpointId: string, sentAt: number, at: number, firstEventAt?: number): void {
-        if (!this.isSafe && at - sentAt >= minimumRunMilliseconds) {
-            const { fingerprint, request, partKeys } = this.task;
-            this.environment.quarantine.noteCrash({ fingerprint, endpointId, at }, request.id, {
-                parts: partKeys.join(","),
-                runMilliseconds: Math.round(at - sentAt),
-                answerMilliseconds: firstEventAt === undefined ? 0 : Math.round(at - firstEventAt),
-            });
+        if (this.isSafe || at - sentAt < minimumRunMilliseconds) {
+            return;
+        }
+        const { fingerprint, request, partKeys } = this.task;
+        const answerMilliseconds = firstEventAt === undefined ? 0 : at - firstEventAt;
+        this.hasAnswered ||= answerMilliseconds > youngAnswerMilliseconds;
+        const suspectedParts = this.hasAnswered ? [] : partKeys;
+        const { canaryKeys } = this;
+        this.canaryKeys = [];
+        const crash = { fingerprint, endpointId, at, partKeys: suspectedParts, canaryKeys };
+        this.environment.quarantine.noteCrash(crash, request.id, {
+            parts: suspectedParts.join(","),
+            canaryOf: canaryKeys.join(","),
+            runMilliseconds: Math.round(at - sentAt),
+            answerMilliseconds: Math.round(answerMilliseconds),
+        });
+    }
+
+    /** Gets why the parts of the prompt hold the request back; undefined if it may be sent, if only as a canary. */
+    private getPartHold(now: number): RequestHold | undefined {
+        const { quarantine, log } = this.environment;
+        const hold = quarantine.getPartHold(this.task.partKeys, now);
+        if (hold === undefined || hold.isCertain) {
+            return hold;
+        }
+        if (this.hasAnswered || this.canaryKeys.length > 0 && now < this.canaryUntil) {
+            return undefined;
+        }
+        const canaryUntil = quarantine.takeCanary(hold, now);
+        if (canaryUntil === undefined) {
+            return hold;
         }
+        this.canaryKeys = hold.parts;
+        this.canaryUntil = canaryUntil;
+        log.write(events.canarySent, { request: this.task.request.id, parts: hold.parts.join(",") });
+        return undefined;
     }
 }
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -350,7 +350,7 @@
             this.environment.health.markAlive(endpoint.id, now);
         }
         if (now - (attempt.firstEventAt ?? now) >= safeAfterMilliseconds) {
-            this.quarantine.markSafe();
+            this.quarantine.markSafe(attempt.firstEventAt!);
         }
         if (attempt.firstEventAt === undefined) {
             attempt.firstEventAt = now;
@@ -415,7 +415,8 @@
     }
 
     private complete(head: AnswerHead): void {
-        this.quarantine.markSafe();
+        const { attempt } = this;
+        this.quarantine.markSafe(attempt?.firstEventAt ?? attempt?.sentAt ?? -Infinity);
         this.finish(this.answer.complete(head));
     }
 
--- a/tests/platform/harmfulPromptPart.test.ts
+++ b/tests/platform/harmfulPromptPart.test.ts
@@ -84,6 +84,12 @@
     answer: Promise<CallerAnswer>;
 }
 
+/** What was seen in a play. */
+interface PlayResult {
+    summary: string;
+    isBroken: boolean;
+}
+
 /** One play of requests of a form. */
 class Play {
     private readonly form: RequestForm;
@@ -101,8 +107,8 @@
         this.harness = harness;
     }
 
-    /** Plays the requests and lists which bounds were broken. */
-    static async listViolations(form: RequestForm): Promise<string[]> {
+    /** Plays the requests. Returns what was seen, and whether a bound was broken. */
+    static async run(form: RequestForm): Promise<PlayResult> {
         const play = new Play(form, await RouterTestHarness.create());
         try {
             await play.start();
@@ -186,7 +192,7 @@
         this.sent.push({ at: Date.now(), isHarmful, answer });
     }
 
-    private async review(): Promise<string[]> {
+    private async review(): Promise<PlayResult> {
         const { crashedAt, form } = this;
         const settledAt = (crashedAt[decisiveCrashes - 1] ?? Infinity) + settleMilliseconds;
         const lateRequests = [...this.harness.endpoints.values()].flatMap(({ runs }) => runs)
@@ -201,7 +207,7 @@
             + ` ${before.served} of ${before.sent} before, ${after.served} of ${after.sent} after`;
         const isServed = after.sent >= minimumSoundRequests
             && after.served / after.sent >= minimumServedFraction * before.served / before.sent;
-        return lateRequests <= maximumLateRequests && isServed ? [] : [summary];
+        return { summary, isBroken: lateRequests > maximumLateRequests || !isServed };
     }
 
     private async getServed(isCounted: (at: number) => boolean): Promise<{ sent: number; served: number; }> {
@@ -213,8 +219,11 @@
 }
 
 describe("Requests with a part of the prompt that crashes endpoints", () => {
-    it("are hardly forwarded any more, while others with the same other parts are served", async () => {
-        const violations = await Promise.all(forms.map(form => Play.listViolations(form)));
-        assert.deepEqual(violations.flat(), []);
+    it("are hardly forwarded any more, while others with the same other parts are served", async context => {
+        const results = await Promise.all(forms.map(form => Play.run(form)));
+        for (const { summary } of results) {
+            context.diagnostic(summary);
+        }
+        assert.deepEqual(results.filter(({ isBroken }) => isBroken), []);
     });
 });
--- /dev/null
+++ b/tests/request/relay/quarantine/judgeSuspect.test.ts
@@ -0,0 +1,76 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { judgeSuspect } from "../../../../src/request/relay/quarantine/judgeSuspect.ts";
+import type { Suspect } from "../../../../src/request/relay/quarantine/suspect.ts";
+
+const now = 10_000;
+
+/** Creates a suspect. Crashes under a canary are marked with "!", and those of the last moments with "~". */
+function createSuspect(key: string, endpoints: string, options: Partial<Suspect> = {}): Suspect {
+    const crashes = new Map(
+        endpoints.split(" ").filter(id => id !== "").map(id => [
+            id.replace(/[!~]/, ""),
+            { at: id.includes("~") ? now - 100 : now - 1_000, isCanary: id.includes("!"), isConfirmed: false },
+        ]),
+    );
+    return { key, isPart: true, wasAnswered: false, crashes, ...options };
+}
+
+const request = { isPart: false };
+const answered = { wasAnswered: true };
+
+describe("judgeSuspect", () => {
+    function doTest(expected: string, suspect: Suspect, ...others: Suspect[]): void {
+        assert.equal(judgeSuspect(suspect, [...others, suspect], now), expected);
+    }
+
+    it("holds back a part from its second crash on, and convicts it by the crash of a canary only", () => {
+        doTest("free", createSuspect("part", "1"));
+        doTest("unsure", createSuspect("part", "1 2"));
+        doTest("unsure", createSuspect("part", "1 2 3 4"));
+        doTest("certain", createSuspect("part", "1 2 3!"));
+        doTest("certain", createSuspect("part", "1 2 3!", answered));
+    });
+
+    it("holds back a whole request from its second crash on, and convicts it at the third", () => {
+        doTest("unsure", createSuspect("request", "1 2", request));
+        doTest("certain", createSuspect("request", "1 2 3", request));
+    });
+
+    it("doesn't hold back a part that was answered before if one that never was is there at nearly all of its crashes", () => {
+        doTest("free", createSuspect("popular", "1 2 3", answered), createSuspect("harmful", "1 2 3"));
+        doTest("free", createSuspect("popular", "1 2 3 9", answered), createSuspect("harmful", "1 2 3"));
+        doTest("unsure", createSuspect("popular", "1 2 3 8 9", answered), createSuspect("harmful", "1 2 3"));
+    });
+
+    it("doesn't take a single request or a rare part for the cause of all crashes of a part", () => {
+        const others = [
+            createSuspect("first", "1 2", request),
+            createSuspect("second", "3 4", request),
+            createSuspect("rare", "1 2"),
+        ];
+        doTest("unsure", createSuspect("harmful", "1 2 3 4", answered), ...others);
+        doTest("unsure", createSuspect("new", "1 2 3 4"), ...others);
+    });
+
+    it("holds back a new part unless a likelier one was at all of its crashes", () => {
+        doTest("free", createSuspect("rare", "1 2"), createSuspect("harmful", "1 2 3"));
+        doTest("unsure", createSuspect("rare", "1 9"), createSuspect("harmful", "1 2 3"));
+        doTest("unsure", createSuspect("rare", "1 2"), createSuspect("harmful", "1 2"));
+        doTest("unsure", createSuspect("new", "1 2"), createSuspect("popular", "1 2 3", answered));
+    });
+
+    it("takes a convicted part for the cause of each crash that it was at", () => {
+        const harmful = createSuspect("harmful", "1 2 3! 4 5", answered);
+        doTest("free", createSuspect("popular", "1 2 3 4 5 9", answered), harmful);
+        doTest("free", createSuspect("rare", "4 5"), harmful);
+        doTest("free", createSuspect("request", "4 5", request), harmful);
+        doTest("unsure", createSuspect("popular", "1 2 8 9", answered), harmful);
+    });
+
+    it("waits for signs of life and for answers before a crash counts against a part that was answered before", () => {
+        doTest("free", createSuspect("popular", "1~ 2~ 3", answered));
+        doTest("unsure", createSuspect("popular", "1~ 2 3", answered));
+        doTest("unsure", createSuspect("new", "1~ 2~"));
+    });
+});
--- a/tests/request/relay/quarantine/requestQuarantine.test.ts
+++ b/tests/request/relay/quarantine/requestQuarantine.test.ts
@@ -120,12 +120,12 @@
         }
         assert.deepEqual(safe.quarantine.getRefutations(200), ["r"]);
         assert.deepEqual(safe.quarantine.getRefutations(6_000), []);
-        suspicious.quarantine.applyRefutation("r");
+        suspicious.quarantine.applyRefutation("r", 300);
         assert.equal(suspicious.quarantine.getHold("r", 300), undefined);
         for (const endpointId of ["1", "2", "3"]) {
             suspicious.crash("certain", endpointId, 0);
         }
-        suspicious.quarantine.applyRefutation("certain");
+        suspicious.quarantine.applyRefutation("certain", 300);
         assert.ok(suspicious.quarantine.getHold("certain", 300) !== undefined);
     });
 
