--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -88,7 +88,7 @@
         let isNew = !this.safeRequests.has(fingerprint) && this.suspects.add({ fingerprint, endpointId, at });
         for (const key of partKeys) {
             this.answeredParts.noteSuspected(key, at);
-            const isCanary = canaryKeys.includes(key) && (canaryKeys.length === 1 || !this.wasAnswered(key));
+            const isCanary = canaryKeys.includes(key);
             isNew = this.addPartCrash({ fingerprint: key, endpointId, at, isCanary }) || isNew;
         }
         this.canaries.noteCrash(canaryKeys, at);
@@ -273,10 +273,6 @@
         }
         return { isCleared, wasHeld };
     }
-
-    private wasAnswered(key: string): boolean {
-        return this.answeredParts.getTime(key) !== undefined;
-    }
 }
 
 function getNewestCrash({ crashes }: Suspect): number {
--- a/src/request/relay/quarantine/suspectList.ts
+++ b/src/request/relay/quarantine/suspectList.ts
@@ -117,7 +117,7 @@
         if (known !== undefined) {
             return known;
         }
-        const verdict = judgeSuspect(suspect, this.suspects.values(), now);
+        const verdict = judgeSuspect(suspect, [...this.suspects.values()], now);
         this.verdicts.set(key, verdict);
         return verdict;
     }
