--- a/src/request/relay/streams/chainReplacement.ts
+++ b/src/request/relay/streams/chainReplacement.ts
@@ -59,6 +59,7 @@
         const { task, attemptLimit, quarantine } = this.options;
         const mayContinue = task.route.isResumable
             && attemptLimit.mayAttemptAgain(requirements.countedRunId)
+            && !quarantine.isCanary()
             && quarantine.getHold() === undefined;
         return mayContinue ? this.choose(requirements, true).unwrapOr(undefined) : undefined;
     }
