--- a/src/request/relay/documents/documentRelay.ts
+++ b/src/request/relay/documents/documentRelay.ts
@@ -167,7 +167,7 @@
             this.endAttempt(attempt, { isNotRun: true, cause: "the endpoints refused it." });
             return;
         }
-        this.quarantine.markSafe();
+        this.quarantine.markSafe(attempt.sentAt);
         const answer = { head, body: Buffer.concat(attempt.chunks) };
         if (head.status >= serverErrorStatus) {
             health.addFailure(attempt.endpoint.id, now);
@@ -230,6 +230,7 @@
             isNotRun: end.isNotRun,
             cause: end.cause,
             fingerprint: this.task.fingerprint,
+            parts: this.task.partKeys.join(","),
             milliseconds: Math.round(this.getTime() - attempt.sentAt),
         });
         if (this.attempts.areRunning()) {
@@ -290,7 +291,9 @@
     }
 
     private hedge(): void {
-        if (this.isDone || !this.attempts.isHedgeAllowed() || !this.endpoints.hasUntried()) {
+        if (
+            this.isDone || this.quarantine.isCanary() || !this.attempts.isHedgeAllowed() || !this.endpoints.hasUntried()
+        ) {
             return;
         }
         for (const attempt of this.attempts.getRunning()) {
--- /dev/null
+++ b/src/request/relay/quarantine/judgeSuspect.ts
@@ -0,0 +1,133 @@
+import type { Suspect } from "./suspect.ts";
+import { SuspectVerdict } from "./suspectVerdict.ts";
+
+/**
+ * Minimum number of crashed endpoints for a suspect to be held back. A single crash is weak evidence: all requests that the
+ * endpoint was just beginning to run are suspected, and nearly all of them are harmless. Continuing after the second crash costs
+ * another endpoint for each attempt.
+ */
+const minimumCrashes = 2;
+/** From this number of crashes on, the cause is not a coincidence. */
+const certainCrashes = 3;
+/**
+ * Time after which a crash counts against a part that was answered before. Until then the endpoint may turn out to be alive, and an
+ * answer to another request with the part may clear it.
+ */
+const doubtMilliseconds = 700;
+/**
+ * So many crashes, one after the other, count at once. Endpoints that fail together for another reason, such as that of a rack, do so within a
+ * shorter time.
+ */
+const seriesCrashes = 4;
+const seriesMilliseconds = 200;
+
+/**
+ * Judges a suspect by its crashes and by those of the other suspects, as in group testing: each crash has one cause, which is among the
+ * suspects of that crash. A part that was answered before is less likely the cause than one that never was.
+ * @param suspect - The suspect.
+ * @param suspects - All suspects.
+ * @param now - Monotonic time in milliseconds.
+ */
+export function judgeSuspect(suspect: Suspect, suspects: readonly Suspect[], now: number): SuspectVerdict {
+    const { crashes, isPart, wasAnswered } = suspect;
+    if (crashes.size < minimumCrashes) {
+        return SuspectVerdict.Free;
+    }
+    const convicted = new Set(suspects.filter(other => isConvicted(other, suspects)));
+    if (convicted.has(suspect) || !isPart && crashes.size >= certainCrashes) {
+        return SuspectVerdict.Certain;
+    }
+    const isHeld = wasAnswered
+        ? countUnexplained(suspect, suspects, convicted, now) >= minimumCrashes
+        : !suspects.some(other => explainsAll(other, suspect, convicted));
+    return isHeld ? SuspectVerdict.Unsure : SuspectVerdict.Free;
+}
+
+/**
+ * Checks if a part is the cause of the crash of an endpoint that ran a canary for it, because there is no other suspect to which
+ * that crash points as much. A part is convicted by nothing else, since a wrong verdict would hold back many requests.
+ */
+function isConvicted(suspect: Suspect, suspects: readonly Suspect[]): boolean {
+    if (!suspect.isPart || suspect.crashes.size < minimumCrashes) {
+        return false;
+    }
+    for (const [endpointId, { isCanary }] of suspect.crashes) {
+        if (isCanary && !suspects.some(other => other !== suspect && isRival(other, suspect, endpointId))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/** Checks if a crash under a canary for a part may as well be due to another part, of that request or of another one at the endpoint. */
+function isRival(other: Suspect, { wasAnswered, crashes }: Suspect, endpointId: string): boolean {
+    const crash = other.crashes.get(endpointId);
+    if (crash === undefined || !other.isPart) {
+        return false;
+    }
+    return wasAnswered
+        ? crash.isCanary || other.crashes.size >= Math.max(minimumCrashes, crashes.size - 1)
+        : crash.isCanary && !other.wasAnswered && other.crashes.size > crashes.size;
+}
+
+/**
+ * Checks if another suspect was on all endpoints of a suspect when they crashed, and is the likelier cause. The suspect may then be
+ * harmless; if it isn't, its next crash is one that the other suspect doesn't explain.
+ */
+function explainsAll(other: Suspect, suspect: Suspect, convicted: ReadonlySet<Suspect>): boolean {
+    if (other === suspect || !convicted.has(other) && !isLikelierThanNew(other, suspect)) {
+        return false;
+    }
+    for (const endpointId of suspect.crashes.keys()) {
+        if (!other.crashes.has(endpointId)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/** Checks if another suspect is a likelier cause than a request, or a part that was never answered. */
+function isLikelierThanNew(other: Suspect, { isPart, crashes }: Suspect): boolean {
+    if (!isPart) {
+        return !other.isPart && other.crashes.size >= certainCrashes;
+    }
+    return !other.wasAnswered && other.crashes.size >= certainCrashes && other.crashes.size > crashes.size;
+}
+
+/** Counts the crashes of a part that was answered before for which there is no likelier cause. */
+function countUnexplained(
+    suspect: Suspect,
+    suspects: readonly Suspect[],
+    convicted: ReadonlySet<Suspect>,
+    now: number,
+): number {
+    const unexplained = new Set<string>();
+    const isWaiting = !isSeries(suspect);
+    for (const [endpointId, { at }] of suspect.crashes) {
+        if (!isWaiting || now - at >= doubtMilliseconds) {
+            unexplained.add(endpointId);
+        }
+    }
+    for (const other of suspects) {
+        if (other !== suspect && (convicted.has(other) || isLikelierThanAnswered(other, suspect))) {
+            for (const endpointId of other.crashes.keys()) {
+                unexplained.delete(endpointId);
+            }
+        }
+    }
+    return unexplained.size;
+}
+
+/**
+ * Checks if another suspect is a likelier cause than a part that was answered before: it never was, and was there at nearly as
+ * many crashes. The cause is there at all of them, while each single request and each rare part is there at few.
+ */
+function isLikelierThanAnswered(other: Suspect, { crashes }: Suspect): boolean {
+    const neededCrashes = Math.max(other.isPart ? minimumCrashes : certainCrashes, crashes.size - 1);
+    return !other.wasAnswered && other.crashes.size >= neededCrashes;
+}
+
+function isSeries({ crashes }: Suspect): boolean {
+    const times = [...crashes.values()].map(({ at }) => at);
+    return times.length >= seriesCrashes && Math.max(...times) - Math.min(...times) >= seriesMilliseconds;
+}
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -159,12 +159,12 @@
      * had just begun to run on them, it may have caused the crash.
      */
     captureRun(): (crashedIds: ReadonlySet<string>) => void {
-        const { stages = [], sentAt = 0 } = this.attempt ?? {};
+        const { stages = [], sentAt = 0, firstEventAt } = this.attempt ?? {};
         const at = this.getTime();
         return crashedIds => {
             for (const { endpoint } of stages) {
                 if (crashedIds.has(endpoint.id)) {
-                    this.quarantine.noteCrash(endpoint.id, sentAt, at);
+                    this.quarantine.noteCrash(endpoint.id, sentAt, at, firstEventAt);
                 }
             }
         };
@@ -397,7 +397,7 @@
             this.environment.health.markAlive(endpoint.id, now);
         }
         if (now - (attempt.firstEventAt ?? now) >= safeAfterMilliseconds) {
-            this.quarantine.markSafe();
+            this.quarantine.markSafe(attempt.firstEventAt!);
         }
         if (attempt.firstEventAt === undefined) {
             attempt.firstEventAt = now;
@@ -469,7 +469,8 @@
     }
 
     private complete(head: AnswerHead): void {
-        this.quarantine.markSafe();
+        const { attempt } = this;
+        this.quarantine.markSafe(attempt?.firstEventAt ?? attempt?.sentAt ?? -Infinity);
         this.finish(this.answer.complete(head));
     }
 
@@ -570,7 +571,7 @@
         }
         if (end.brokenAt !== undefined) {
             const sentAt = attempt.exchange?.getSentTime() ?? attempt.sentAt;
-            this.quarantine.noteCrash(attempt.stages[0]!.endpoint.id, sentAt, end.brokenAt);
+            this.quarantine.noteCrash(attempt.stages[0]!.endpoint.id, sentAt, end.brokenAt, attempt.firstEventAt);
         }
         if (end.failure !== undefined) {
             this.answer.noteFailure(end.failure);
