--- a/standins/router/endpointStandin.ts
+++ b/standins/router/endpointStandin.ts
@@ -345,11 +345,6 @@
     }
 }
 
-/** Lists the ids of all parts of a prompt but the last, which no other request has. */
-function listSharedParts(headers: IncomingHttpHeaders): string[] {
-    return String(headers["prompt-prefix"] ?? "").split(",").slice(0, -1).map(part => part.split(":", 1)[0]!);
-}
-
 /** Makes the end of the connection the end of a response. */
 function omitFraming(response: ServerResponse): void {
     response.useChunkedEncodingByDefault = false;
@@ -359,6 +354,11 @@
     }
 }
 
+/** Lists the ids of all parts of a prompt but the last, which no other request has. */
+function listSharedParts(headers: IncomingHttpHeaders): string[] {
+    return String(headers["prompt-prefix"] ?? "").split(",").slice(0, -1).map(part => part.split(":", 1)[0]!);
+}
+
 function sendJson(response: ServerResponse, status: number, body: object): void {
     response.writeHead(status, { "content-type": "application/json" }).end(JSON.stringify(body));
 }
