Give the sending of a stream and the end of its answer modules of their own

streamRelay.ts had grown to 656 lines. What sends a request over a chain and reads the head of its answer (sendStream), and what an incomplete answer means for the attempt (describeIncompleteAnswer), stand on their own.

--- /dev/null
+++ b/src/request/relay/streams/describeIncompleteAnswer.ts
@@ -0,0 +1,31 @@
+import type { StreamAnswerEnd } from "./streamAnswerEnd.ts";
+import type { StreamAttemptEnd } from "./streamAttemptEnd.ts";
+
+/** How an answer ended that does not complete the stream. */
+type IncompleteAnswerEnd = Exclude<StreamAnswerEnd, { kind: "whole"; }>;
+
+/**
+ * Gets what the end of an incomplete answer means for the attempt.
+ * @param end - How the answer ended.
+ * @param firstId - Id of the first stage, which sent the answer.
+ * @param now - Monotonic time in milliseconds.
+ */
+export function describeIncompleteAnswer(end: IncompleteAnswerEnd, firstId: string, now: number): StreamAttemptEnd {
+    switch (end.kind) {
+        case "refused": {
+            const cause = `the endpoint refused the request (${end.head.status}).`;
+            return { isNotRun: true, cause, avoid: [] };
+        }
+        case "failed": {
+            const { head, answer } = end;
+            const cause = `the endpoint answered ${head.status}${head.isSigned ? "" : " without a signature"}.`;
+            return { isNotRun: false, cause, avoid: [firstId], failure: answer };
+        }
+        case "cut": {
+            const brokenAt = end.isConnectionClosed ? now : undefined;
+            return { isNotRun: false, brokenAt, cause: "the endpoint broke off the stream.", avoid: [firstId] };
+        }
+        case "foreign":
+            return { isNotRun: false, cause: "the answer belongs to another request.", avoid: [firstId] };
+    }
+}
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -6,7 +6,6 @@
 import { ProcessorAccount } from "../../../process/loop/processorAccount.ts";
 import { ProcessorCause } from "../../../process/loop/processorCause.ts";
 import type { EngineModel } from "../../../version/routing/engineModel.ts";
-import { getUrgency } from "../../admission/ranks/getUrgency.ts";
 import type { StartBound } from "../../admission/start/startBound.ts";
 import type { AnswerEnd } from "../answers/answerEnd.ts";
 import type { AnswerHead } from "../answers/answerHead.ts";
@@ -22,15 +21,16 @@
 import { listDataCentres } from "../links/listDataCentres.ts";
 import { TaskQuarantine } from "../quarantine/taskQuarantine.ts";
 import { createQueuedRelay } from "../queue/createQueuedRelay.ts";
-import { getLatestOnTimeStart } from "../queue/getLatestOnTimeStart.ts";
 import type { QueuedRelay } from "../queue/queuedRelay.ts";
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
 import { ChainReplacement } from "./chainReplacement.ts";
+import { describeIncompleteAnswer } from "./describeIncompleteAnswer.ts";
 import { EventVerdict } from "./eventVerdict.ts";
+import { getFaultyEndpoint } from "./getFaultyEndpoint.ts";
+import { sendStream } from "./sendStream.ts";
 import { StreamAnswer } from "./streamAnswer.ts";
 import type { StreamAnswerEnd } from "./streamAnswerEnd.ts";
-import { StreamAnswerReader } from "./streamAnswerReader.ts";
 import type { StreamAttempt } from "./streamAttempt.ts";
 import type { StreamAttemptEnd } from "./streamAttemptEnd.ts";
 import type { StreamEvent } from "./streamEvent.ts";
@@ -332,55 +332,17 @@
     }
 
     private send(attempt: StreamAttempt, stages: RelayStage[]): void {
-        const { environment } = this;
-        const { protocol, pools } = environment;
-        const { request, customer, dueAt, rank, ranks } = this.task;
-        const { endpoint } = stages[0]!;
-        const createRequest = () => {
-            const now = this.getTime();
-            const lastEventId = this.progress.getLastId();
-            // The caller of a stream that has begun notices each pause, so it still counts as on time.
-            const isOnTime = this.answer.isBegun() || now <= getLatestOnTimeStart(environment, this.task);
-            return protocol.createRequest(request, {
-                endpoint,
-                customer,
-                remainingMilliseconds: dueAt - now,
-                stages,
-                lastEventId,
-                urgency: getUrgency(rank, ranks, isOnTime),
-            });
-        };
-        const reader = StreamAnswerReader.create({
-            protocol,
-            requestId: request.id,
-            mayBeEmpty: () => this.progress.getLastId() > 0,
-            onHead: head => this.handleHead(stages, head),
+        const { environment, task, progress, answer } = this;
+        attempt.exchange = sendStream({
+            environment,
+            task,
+            stages,
+            getLastEventId: () => progress.getLastId(),
+            isAnswerBegun: () => answer.isBegun(),
             onEvent: (event, head) => this.handleEvent(attempt, head, event),
             onEnd: end => this.handleEnd(attempt, end),
+            onFailure: failure => this.handleFailure(attempt, failure),
         });
-        attempt.exchange = pools.getPool(endpoint.address).sendForCaller(createRequest, {
-            onHead: (status, headers) =>
-                account.runPart(ProcessorCause.StreamHead, () => reader.handleHead(status, headers)),
-            onData: chunk => account.runPart(ProcessorCause.StreamEvent, () => reader.handleData(chunk)),
-            onEnd: () => account.run(ProcessorCause.StreamEnd, () => reader.handleEnd()),
-            onFailure: failure => account.run(ProcessorCause.StreamEnd, () => this.handleFailure(attempt, failure)),
-            maySend: () => environment.instructions.maySend(endpoint.id),
-        });
-    }
-
-    private handleHead(stages: readonly RelayStage[], head: AnswerHead): void {
-        const { limits, instructions } = this.environment;
-        const { endpoint } = stages[0]!;
-        const answerTo = this.task.request.id;
-        limits.noteAnswer(endpoint.id, head.requestsPerSecond, this.getTime());
-        instructions.noteAnswer({ endpointId: endpoint.id, instructions: head.instructions, answerTo });
-        const { pauseMilliseconds } = head.instructions;
-        const faulty = getFaultyEndpoint(stages, head.faultyAddress);
-        if (pauseMilliseconds !== undefined && faulty.id !== endpoint.id) {
-            // The pause may be that of a later stage, whose refusal the first stage passes on.
-            const pause = { isLeaving: false, pauseMilliseconds };
-            instructions.noteAnswer({ endpointId: faulty.id, instructions: pause, answerTo });
-        }
     }
 
     private handleEvent(attempt: StreamAttempt, head: AnswerHead, event: StreamEvent): void {
@@ -428,44 +390,21 @@
         if (attempt !== this.attempt) {
             return;
         }
-        const firstId = attempt.stages[0]!.endpoint.id;
-        switch (end.kind) {
-            case "whole":
-                this.complete(end.head);
-                return;
-            case "refused": {
-                const { head } = end;
-                this.attemptLimit.noteRefusal();
-                const avoid = this.noteRefusal(getFaultyEndpoint(attempt.stages, head.faultyAddress), head.status);
-                this.endAttempt(attempt, {
-                    isNotRun: true,
-                    cause: `the endpoint refused the request (${head.status}).`,
-                    avoid,
-                });
-                return;
-            }
-            case "failed": {
-                const { head, answer } = end;
-                const cause = `the endpoint answered ${head.status}${head.isSigned ? "" : " without a signature"}.`;
-                this.endAttempt(attempt, { isNotRun: false, cause, avoid: [firstId], failure: answer });
-                return;
-            }
-            case "cut":
-                this.endAttempt(attempt, {
-                    isNotRun: false,
-                    brokenAt: end.isConnectionClosed ? this.getTime() : undefined,
-                    cause: "the endpoint broke off the stream.",
-                    avoid: [firstId],
-                });
-                return;
-            case "foreign":
-                attempt.exchange?.abort();
-                this.endAttempt(attempt, {
-                    isNotRun: false,
-                    cause: "the answer belongs to another request.",
-                    avoid: [firstId],
-                });
+        if (end.kind === "whole") {
+            this.complete(end.head);
+            return;
+        }
+        if (end.kind === "foreign") {
+            attempt.exchange?.abort();
         }
+        const attemptEnd = describeIncompleteAnswer(end, attempt.stages[0]!.endpoint.id, this.getTime());
+        if (end.kind !== "refused") {
+            this.endAttempt(attempt, attemptEnd);
+            return;
+        }
+        this.attemptLimit.noteRefusal();
+        const avoid = this.noteRefusal(getFaultyEndpoint(attempt.stages, end.head.faultyAddress), end.head.status);
+        this.endAttempt(attempt, { ...attemptEnd, avoid });
     }
 
     private complete(head: AnswerHead): void {
@@ -649,8 +588,3 @@
         return this.environment.clock.getMonotonicTime();
     }
 }
-
-/** Gets the endpoint that an answer names as faulty, or the first endpoint of the chain if it names none. */
-function getFaultyEndpoint(stages: readonly RelayStage[], address: string | undefined): RegisteredEndpoint {
-    return (stages.find(({ endpoint }) => endpoint.address === address) ?? stages[0]!).endpoint;
-}
