Judge suspects by those that matter only, once in 50 ms

Cause: each check of a part that is held back looked at all suspects, most of them requests with a single crash.

--- a/src/request/relay/quarantine/suspectList.ts
+++ b/src/request/relay/quarantine/suspectList.ts
@@ -18,7 +18,7 @@
 /** Time after which a crash is forgotten. */
 const maximumAgeMilliseconds = 600_000;
 /** Time for which verdicts are kept while no crash is added or removed. */
-const reviewMilliseconds = 20;
+const reviewMilliseconds = 50;
 const maximumSuspects = 1_000;
 
 /** The requests and parts of prompts that endpoints may have crashed under, with the verdict on each. */
@@ -26,6 +26,8 @@
     private readonly options: SuspectListOptions;
     private readonly suspects = new LRUCache<string, Suspect>({ max: maximumSuspects });
     private readonly verdicts = new Map<string, SuspectVerdict>();
+    /** The suspects that may matter for the verdict on others; most have a single crash. */
+    private candidates: Suspect[] = [];
     private reviewedAt = -Infinity;
 
     private constructor(options: SuspectListOptions) {
@@ -117,7 +119,7 @@
         if (known !== undefined) {
             return known;
         }
-        const verdict = judgeSuspect(suspect, [...this.suspects.values()], now);
+        const verdict = judgeSuspect(suspect, this.candidates, now);
         this.verdicts.set(key, verdict);
         return verdict;
     }
@@ -134,12 +136,16 @@
         }
         this.reviewedAt = now;
         this.verdicts.clear();
+        this.candidates = [];
         for (const suspect of this.suspects.values()) {
             for (const [endpointId, crash] of suspect.crashes) {
                 if (this.isStale(endpointId, crash, now)) {
                     suspect.crashes.delete(endpointId);
                 }
             }
+            if (suspect.crashes.size > 1 || hasCanary(suspect)) {
+                this.candidates.push(suspect);
+            }
         }
     }
 
@@ -148,3 +154,12 @@
         return isAlive || now - at > maximumAgeMilliseconds;
     }
 }
+
+function hasCanary({ crashes }: Suspect): boolean {
+    for (const { isCanary } of crashes.values()) {
+        if (isCanary) {
+            return true;
+        }
+    }
+    return false;
+}
