--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -348,6 +348,7 @@
             clock,
             fetchReport: endpoint => calls.fetchReport(endpoint),
             reroute: (requestId, stages) => calls.sendReroute(requestId, stages),
+            isRefusing: endpoint => calls.isRefusing(endpoint),
         });
         this.router = RequestRouter.create({
             environment,
@@ -467,6 +468,11 @@
         return this.links.waitUntilUnused();
     }
 
+    /** Refuses the requests that wait for free memory, since they can't start before this node ends. Returns their number. */
+    refuseWaiting(): number {
+        return this.queue.refuseAll();
+    }
+
     /** Stops the remaining parts and closes the connections. */
     async stop(): Promise<void> {
         this.storeWatch.stop();
--- a/src/request/relay/quarantine/taskQuarantine.ts
+++ b/src/request/relay/quarantine/taskQuarantine.ts
@@ -29,6 +29,16 @@
         return new TaskQuarantine(environment, task);
     }
 
+    /** Checks if the request is held back, without a log line and without making it a canary. */
+    isHeld(): boolean {
+        const { quarantine, clock } = this.environment;
+        const { fingerprint, partKeys } = this.task;
+        const now = clock.getMonotonicTime();
+        const partHold = quarantine.getPartHold(partKeys, now);
+        return quarantine.getHold(fingerprint, now) !== undefined
+            || partHold !== undefined && (partHold.isCertain || !this.hasAnswered);
+    }
+
     /** Gets why the request is held back; undefined if it may be sent. */
     getHold(): RequestHold | undefined {
         const { quarantine, log, clock } = this.environment;
