--- a/src/process/router/peerState.ts
+++ b/src/process/router/peerState.ts
@@ -55,10 +55,11 @@
                 isRefusing,
             })),
             readings: readings.getReadings(now),
-            endedRuns: quarantine.getCrashes(now).map(({ fingerprint, endpointId, at, isCanary }) => ({
+            endedRuns: quarantine.getCrashes(now).map(({ fingerprint, endpointId, at, isDown, isCanary }) => ({
                 fingerprint,
                 endpointId,
                 age: getAge(at, now),
+                isDown,
                 isCanary,
             })),
             safeRequests: quarantine.getRefutations(now),
@@ -96,8 +97,8 @@
         if (hasNewSuspicion) {
             onUpdate();
         }
-        for (const { fingerprint, endpointId, age, isCanary } of message.endedRuns) {
-            quarantine.addPeerCrash({ fingerprint, endpointId, at: now - age, isCanary }, now);
+        for (const { fingerprint, endpointId, age, isDown, isCanary } of message.endedRuns) {
+            quarantine.addPeerCrash({ fingerprint, endpointId, at: now - age, isDown, isCanary }, now);
         }
         for (const fingerprint of message.safeRequests) {
             quarantine.applyRefutation(fingerprint, now);
--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -84,12 +84,12 @@
      * @param details - Further details of the attempt, for the log.
      */
     noteCrash(crash: RunCrash, requestId: string, details: Readonly<Record<string, string | number>> = {}): void {
-        const { fingerprint, endpointId, at, partKeys = [], canaryKeys = [] } = crash;
+        const { fingerprint, endpointId, at, isDown, partKeys = [], canaryKeys = [] } = crash;
         let isNew = !this.safeRequests.has(fingerprint) && this.suspects.add({ fingerprint, endpointId, at });
         for (const key of partKeys) {
             this.answeredParts.noteSuspected(key, at);
             const isCanary = canaryKeys.includes(key);
-            isNew = this.addPartCrash({ fingerprint: key, endpointId, at, isCanary }) || isNew;
+            isNew = this.addPartCrash({ fingerprint: key, endpointId, at, isDown, isCanary }) || isNew;
         }
         this.canaries.noteCrash(canaryKeys, at);
         if (!isNew) {
@@ -245,9 +245,9 @@
             const isHeld = isPart
                 ? this.suspects.judge(key, now) !== SuspectVerdict.Free
                 : this.getHold(key, now) !== undefined;
-            for (const [endpointId, { at, isCanary }] of listNewest(suspect)) {
+            for (const [endpointId, { at, isDown, isCanary }] of listNewest(suspect)) {
                 if (isHeld || now - at < maximumAgeMilliseconds) {
-                    crashes.push({ fingerprint: key, endpointId, at, ...isCanary ? { isCanary } : {} });
+                    crashes.push({ fingerprint: key, endpointId, at, ...isPart ? { isDown, isCanary } : {} });
                 }
             }
             if (crashes.length >= maximumListedCrashes) {
--- a/src/request/relay/quarantine/suspect.ts
+++ b/src/request/relay/quarantine/suspect.ts
@@ -4,6 +4,8 @@
     at: number;
     /** Whether the request that ran there was a canary for this suspect. */
     isCanary: boolean;
+    /** Whether no node could connect to the endpoint right after. */
+    isDown: boolean;
     /** Whether the endpoint is known to have restarted since, so that it was not merely out of sight. */
     isConfirmed: boolean;
 }
--- a/src/request/relay/quarantine/suspectList.ts
+++ b/src/request/relay/quarantine/suspectList.ts
@@ -40,13 +40,14 @@
     }
 
     /** Adds a crash. Returns whether it is new. */
-    add({ fingerprint: key, endpointId, at, isCanary = false }: SuspectedCrash): boolean {
+    add({ fingerprint: key, endpointId, at, isDown = false, isCanary = false }: SuspectedCrash): boolean {
         const suspect = this.suspects.get(key) ?? this.create(key);
         const known = suspect.crashes.get(endpointId);
         if (known !== undefined && (known.isCanary || !isCanary)) {
             return false;
         }
-        suspect.crashes.set(endpointId, { at: known?.at ?? at, isCanary, isConfirmed: known?.isConfirmed ?? false });
+        const isConfirmed = known?.isConfirmed ?? false;
+        suspect.crashes.set(endpointId, { at: known?.at ?? at, isDown, isCanary, isConfirmed });
         this.suspects.set(key, suspect);
         this.reviewedAt = -Infinity;
         return known === undefined;
--- a/src/request/relay/quarantine/suspectedCrash.ts
+++ b/src/request/relay/quarantine/suspectedCrash.ts
@@ -12,6 +12,8 @@
      * reported it or it was read from the store.
      */
     at: number;
+    /** Whether no node could connect to the endpoint right after. */
+    isDown?: boolean;
     /** Whether the request was a canary for this suspect. */
     isCanary?: boolean;
 }
--- a/src/request/relay/quarantine/taskQuarantine.ts
+++ b/src/request/relay/quarantine/taskQuarantine.ts
@@ -8,6 +8,14 @@
 /** An endpoint that has answered for longer than this did not crash under a part of the prompt, which it does as it begins to answer. */
 const youngAnswerMilliseconds = 100;
 
+/** What is known of an attempt whose connection broke. */
+interface BrokenAttempt {
+    /** Monotonic time in milliseconds of the first event of the answer; undefined if there was none. */
+    firstEventAt?: number | undefined;
+    /** Whether no node can connect to the endpoint any more. */
+    isDown?: boolean | undefined;
+}
+
 /** Connects a forwarded request to the {@link RequestQuarantine} of the node. */
 export class TaskQuarantine {
     private readonly environment: RelayEnvironment;
@@ -83,19 +91,20 @@
      * @param sentAt - Monotonic time in milliseconds at which the request was sent to it.
      * @param at - Monotonic time in milliseconds at which the connection broke. The test of its path takes longer than
      * {@link minimumRunMilliseconds}, so that the time after the test would make every request a suspect.
-     * @param firstEventAt - Monotonic time in milliseconds of the first event of the answer; undefined if there was none.
+     * @param attempt - What else is known of the attempt.
      */
-    noteCrash(endpointId: string, sentAt: number, at: number, firstEventAt?: number): void {
+    noteCrash(endpointId: string, sentAt: number, at: number, attempt: BrokenAttempt = {}): void {
         if (this.isSafe || at - sentAt < minimumRunMilliseconds) {
             return;
         }
         const { fingerprint, request, partKeys } = this.task;
+        const { firstEventAt, isDown = false } = attempt;
         const answerMilliseconds = firstEventAt === undefined ? 0 : at - firstEventAt;
         this.hasAnswered ||= answerMilliseconds > youngAnswerMilliseconds;
         const suspectedParts = this.hasAnswered ? [] : partKeys;
         const { canaryKeys } = this;
         this.canaryKeys = [];
-        const crash = { fingerprint, endpointId, at, partKeys: suspectedParts, canaryKeys };
+        const crash = { fingerprint, endpointId, at, isDown, partKeys: suspectedParts, canaryKeys };
         this.environment.quarantine.noteCrash(crash, request.id, {
             parts: suspectedParts.join(","),
             canaryOf: canaryKeys.join(","),
--- a/src/request/relay/streams/streamAttemptEnd.ts
+++ b/src/request/relay/streams/streamAttemptEnd.ts
@@ -12,6 +12,8 @@
      * undefined if it didn't, or if only the path is lost.
      */
     brokenAt?: number;
+    /** Whether no node can connect to the first stage after its connection broke. */
+    isDown?: boolean;
     /** Whether only the path to the first stage is lost, while the stage itself is alive. */
     isPathLost?: boolean;
     /** The chain over which the stream continues; undefined if one is to be found. */
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -164,7 +164,7 @@
         return crashedIds => {
             for (const { endpoint } of stages) {
                 if (crashedIds.has(endpoint.id)) {
-                    this.quarantine.noteCrash(endpoint.id, sentAt, at, firstEventAt);
+                    this.quarantine.noteCrash(endpoint.id, sentAt, at, { firstEventAt });
                 }
             }
         };
@@ -502,6 +502,7 @@
             this.endAttempt(attempt, {
                 isNotRun,
                 brokenAt: isPathLost ? undefined : brokenAt,
+                isDown: state === PathState.Down,
                 isPathLost,
                 cause,
                 avoid,
@@ -571,7 +572,9 @@
         }
         if (end.brokenAt !== undefined) {
             const sentAt = attempt.exchange?.getSentTime() ?? attempt.sentAt;
-            this.quarantine.noteCrash(attempt.stages[0]!.endpoint.id, sentAt, end.brokenAt, attempt.firstEventAt);
+            const { firstEventAt } = attempt;
+            const details = { firstEventAt, isDown: end.isDown };
+            this.quarantine.noteCrash(attempt.stages[0]!.endpoint.id, sentAt, end.brokenAt, details);
         }
         if (end.failure !== undefined) {
             this.answer.noteFailure(end.failure);
