--- a/tests/platform/harmfulPromptPart.test.ts
+++ b/tests/platform/harmfulPromptPart.test.ts
@@ -34,6 +34,10 @@
 /** The crash after which nodes have the settle time, and how many requests may still reach endpoints later. */
 const decisiveCrashes = 5;
 const maximumLateRequests = 3;
+/** Time in which nodes exchange their state several times. */
+const gossipMilliseconds = 1_000;
+/** Of a harmful request at a node that starts beside others, and of a harmful and a sound one after a start of all nodes. */
+const expectedStatuses = [503, 503, 200];
 /** From this part of the rate before, sound requests count as served. */
 const minimumServedFraction = 0.5;
 const minimumSoundRequests = 16;
@@ -113,7 +117,10 @@
         try {
             await play.start();
             await play.send();
-            return await play.review();
+            const result = await play.review();
+            const statuses = [await play.sendAfterStart(), ...await play.sendAfterRestart()];
+            const summary = `${result.summary}, by new nodes ${statuses.join(" ")}`;
+            return { summary, isBroken: result.isBroken || statuses.join() !== expectedStatuses.join() };
         }
         finally {
             for (const timer of play.timers) {
@@ -181,7 +188,7 @@
         }
     }
 
-    private sendOne(isHarmful: boolean, count: number): void {
+    private sendOne(isHarmful: boolean, count: number): SentRequest {
         const { form, random, harness } = this;
         const node = random.choose(this.nodes)!;
         const shared = isHarmful ? form.listHarmful(random) : form.listSound(random);
@@ -189,7 +196,9 @@
         const headers = { "prompt-prefix": prefix };
         const body = `${isHarmful} ${count}`;
         const answer = harness.send(node, form.path, { headers, body });
-        this.sent.push({ at: Date.now(), isHarmful, answer });
+        const sent = { at: Date.now(), isHarmful, answer };
+        this.sent.push(sent);
+        return sent;
     }
 
     private async review(): Promise<PlayResult> {
@@ -210,6 +219,26 @@
         return { summary, isBroken: lateRequests > maximumLateRequests || !isServed };
     }
 
+    /** Sends a harmful request to a node that has just started beside the others. */
+    private async sendAfterStart(): Promise<number> {
+        this.nodes = [await this.startNode()];
+        return (await this.sendOne(true, 0).answer).status;
+    }
+
+    /** Sends a harmful and a sound request to a node that has started after all nodes have stopped. */
+    private async sendAfterRestart(): Promise<number[]> {
+        await this.harness.stopNodes();
+        this.nodes = [await this.startNode()];
+        return [(await this.sendOne(true, 0).answer).status, (await this.sendOne(false, 0).answer).status];
+    }
+
+    private async startNode(): Promise<StartedNode> {
+        const node = await this.harness.addNode();
+        await this.harness.waitForEndpoints(node, this.form.endpoints);
+        await wait(gossipMilliseconds);
+        return node;
+    }
+
     private async getServed(isCounted: (at: number) => boolean): Promise<{ sent: number; served: number; }> {
         const sent = this.sent.filter(({ at, isHarmful }) => !isHarmful && isCounted(at));
         const answers = await Promise.all(sent.map(({ answer }) => answer));
