--- a/tests/platform/lateListener.test.ts
+++ b/tests/platform/lateListener.test.ts
@@ -2,12 +2,17 @@
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 import { after, before, describe, it } from "node:test";
+import { setTimeout as wait } from "node:timers/promises";
 import { CallerListener } from "../../platform/callerListener.ts";
 import { findFreePorts } from "../../scripts/deployment/findFreePorts.ts";
 import { systemClock } from "../../src/process/systemClock.ts";
 import { createRefusal } from "../../src/request/relay/answers/createRefusal.ts";
 import { RefusalReason } from "../../src/request/relay/answers/refusalReason.ts";
 
+const bodyParts = 5;
+const bodyPart = "b".repeat(100);
+const partMilliseconds = 20;
+
 describe("CallerListener of a late node", () => {
     let isRefusing = false;
     /** Number of requests handled in each turn of the event loop. */
@@ -84,4 +89,24 @@
         assert.match(answer, /Retry-After: 2.5\r\n/);
         assert.ok(answer.includes("/x is late."));
     });
+
+    // The connection was closed with unread bytes, which resets it. A caller that was still sending lost the refusal.
+    it("delivers the refusal to a caller that is still sending its body", async () => {
+        isRefusing = true;
+        const socket: Socket = connect(port, "127.0.0.1");
+        let received = "";
+        socket.on("data", chunk => received += chunk.toString());
+        socket.on("error", () => undefined);
+        const closed = new Promise(resolve => socket.once("close", resolve));
+        socket.pause();
+        socket.write(createRequest("", bodyParts * bodyPart.length));
+        for (let part = 0; part < bodyParts; part++) {
+            await wait(partMilliseconds);
+            socket.write(bodyPart);
+        }
+        socket.resume();
+        await closed;
+        isRefusing = false;
+        assert.match(received, /^HTTP\/1.1 503 [^]*\/x is late\./);
+    });
 });
