Show that an aborted answer behind another leaves its connection open

What callers saw: of a request that was sent before the answer to an earlier one had ended, the head of the answer and then nothing, on a connection that stays open. Evidence: fails on this code: no end within 5 s.

--- a/tests/platform/createAnswerSink.test.ts
+++ b/tests/platform/createAnswerSink.test.ts
@@ -123,4 +123,20 @@
         }).catch(() => "");
         assert.ok(!received.includes("\r\n0\r\n\r\n"), received);
     });
+
+    // Node.js forgot that the response was to be destroyed: its head was sent, and its caller waited until its own deadline.
+    it(
+        "closes the connection in place of an aborted response once those before it are complete",
+        { timeout: 5_000 },
+        async () => {
+            const received = await exchange(["/first", "/second"], ([first, second]) => {
+                second!.writeHead(createHead());
+                second!.write(Buffer.from("half"));
+                second!.abort();
+                stream(first!, "ab");
+            });
+            assert.match(received, /^HTTP\/1.1 200 OK[^]*0\r\n\r\n$/);
+            assert.ok(!received.includes("half"), received);
+        },
+    );
 });
