Close new connections unread while they wait too long and peers have room

Cause: nothing bounds how long connections wait to be accepted, and neither lag nor readiness shows it. FL1017, foxlead_connections_closed_unread_total. A wait of 250 ms or more is reported to peers as lag.

--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -141,6 +141,12 @@
         level: "info",
         message: "This node no longer reports itself as not ready to the load balancer because of its lag.",
     },
+    connectionsClosedUnread: {
+        number: 1017,
+        level: "warn",
+        message:
+            "More new connections waited than this node accepts in time, so it closed some unread; their callers can use another node.",
+    },
     claimShardLoaded: {
         number: 1301,
         level: "info",
--- a/src/process/metrics/metrics.ts
+++ b/src/process/metrics/metrics.ts
@@ -159,6 +159,10 @@
         "1 while this node reports itself as not ready to the load balancer because it is late, otherwise 0.",
     );
 
+    readonly connectionsClosedUnreadTotal = this.createCounter(
+        "connections_closed_unread_total",
+        "New connections of callers that were closed unread because too many waited.",
+    );
     readonly configurationVersion = this.createGauge(
         "configuration_version",
         "Version of the configuration in force.",
--- a/src/process/overload/overloadProtection.ts
+++ b/src/process/overload/overloadProtection.ts
@@ -20,7 +20,7 @@
     getNodes(): readonly KnownNode[];
     owners: Pick<RendezvousOwners, "getOwners">;
     log: EventLog;
-    metrics: Pick<Metrics, "overloadStep" | "outOfRotation">;
+    metrics: Pick<Metrics, "overloadStep" | "outOfRotation" | "connectionsClosedUnreadTotal">;
 }
 
 /**
@@ -31,12 +31,23 @@
 /** Factor on the interval of polls of endpoints. With a higher one, readings would expire before the next poll. */
 const pollIntervalFactor = 2;
 
+/** Above this lag, a peer is not sent the callers of connections that this node closes. */
+const maximumPeerLagMilliseconds = 250;
+/** Minimum time between the log lines on closed connections. */
+const logIntervalMilliseconds = 1_000;
+/** Time for which the wait of connections is reported to peers as lag. */
+const queueReportMilliseconds = 1_000;
+
 /** Takes the steps by which a late node protects itself, and logs them. */
 export class OverloadProtection {
     private readonly options: OverloadProtectionOptions;
     private readonly detector = OverloadDetector.create();
     private readonly decider: RotationDecider;
     private isOut = false;
+    /** The last wait of new connections that was long, and when it ended. */
+    private lastQueue = { milliseconds: 0, endedAt: -Infinity };
+    private closedCount = 0;
+    private closedLoggedAt = -Infinity;
 
     private constructor(options: OverloadProtectionOptions) {
         this.options = options;
@@ -63,9 +74,48 @@
         this.reviewRotation(lag, now);
     }
 
-    /** Gets the lag to report to peers, in milliseconds. */
+    /** Gets the lag to report to peers, in milliseconds: that of the event loop, or the wait of new connections if it is longer. */
     getLag(): number {
-        return Math.round(this.options.getLag());
+        const { clock, getLag } = this.options;
+        const { milliseconds, endedAt } = this.lastQueue;
+        const queueTime = clock.getMonotonicTime() - endedAt < queueReportMilliseconds ? milliseconds : 0;
+        return Math.round(Math.max(getLag(), queueTime));
+    }
+
+    /** Checks if at least half of the other nodes of the data centre are in rotation and on time. */
+    canPeersTakeConnections(): boolean {
+        const { dataCentre, getNodes } = this.options;
+        const local = getNodes().filter(node => node.dataCentre === dataCentre);
+        const free = local.filter(node =>
+            node.isOutOfRotation !== true && (node.lag ?? 0) < maximumPeerLagMilliseconds
+        );
+        return free.length > 0 && free.length * 2 >= local.length;
+    }
+
+    /**
+     * Records that no new connection waits any more.
+     * @param queueMilliseconds - For how long connections waited without a break.
+     * @param closed - Number of connections that were closed unread.
+     */
+    noteQueueEnd(queueMilliseconds: number, closed: number): void {
+        const { clock, log, metrics } = this.options;
+        const now = clock.getMonotonicTime();
+        if (queueMilliseconds >= maximumPeerLagMilliseconds) {
+            this.lastQueue = { milliseconds: queueMilliseconds, endedAt: now };
+        }
+        if (closed === 0) {
+            return;
+        }
+        metrics.connectionsClosedUnreadTotal.inc(closed);
+        this.closedCount += closed;
+        if (now - this.closedLoggedAt >= logIntervalMilliseconds) {
+            log.write(events.connectionsClosedUnread, {
+                count: this.closedCount,
+                queueMilliseconds: Math.round(queueMilliseconds),
+            });
+            this.closedCount = 0;
+            this.closedLoggedAt = now;
+        }
     }
 
     /** Gets the last step taken; undefined if the node is on time. */
--- a/src/process/overload/overloadStep.ts
+++ b/src/process/overload/overloadStep.ts
@@ -1,6 +1,6 @@
 /**
- * Steps by which a late node protects itself, in the order in which it takes them. None of them limits new connections, since Node.js
- * accepts at most one per turn of the event loop.
+ * Steps by which a late node protects itself, in the order in which it takes them. None of them limits new connections; see
+ * `NewConnectionDecider`.
  */
 export const OverloadStep = {
     /** Exchanges with peers and polls of endpoints become less frequent. */
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -412,6 +412,15 @@
         return refusal;
     }
 
+    /** Gets how new connections of callers are watched. */
+    getNewConnectionOptions() {
+        return {
+            canPeersTakeConnections: () => this.overload.canPeersTakeConnections(),
+            onQueueEnd: (queueMilliseconds: number, closed: number) =>
+                this.overload.noteQueueEnd(queueMilliseconds, closed),
+        };
+    }
+
     /** Checks if the load balancer should send callers to this node. */
     isReady(): boolean {
         return !this.isDraining && !this.overload.isOutOfRotation() && this.holder.getState() !== undefined;
