Show that listing crashes for peers takes a tenth of a second

Each exchange with peers, several a second, lists the crashes; with 1,000 suspects of one crash each that takes 127 to 217 ms of processor time at once, for the ten minutes in which crashes are kept.

Cause: SuspectList.judge copies all suspects for each suspect, also for those with a single crash, which judgeSuspect calls free at once. judgeSuspect also looks for the convicted ones anew for each suspect.

--- a/tests/request/relay/quarantine/promptParts.test.ts
+++ b/tests/request/relay/quarantine/promptParts.test.ts
@@ -165,4 +165,19 @@
         assert.deepEqual(ofHarmful[0], { fingerprint: harmful, endpointId: "e5", at: 100, isCanary: true });
         assert.deepEqual(crashes.slice(0, 8), ofHarmful);
     });
+
+    it("lists crashes for peers in little processor time, also after hundreds of requests were on endpoints that crashed", () => {
+        const maximumMilliseconds = 30;
+        const { crash, quarantine } = createNode();
+        for (let index = 0; index < 1_000; index++) {
+            crash(`e${index % 20}`, 0, []);
+        }
+        const times = [6_000, 6_300, 6_600].map(now => {
+            const start = process.cpuUsage();
+            quarantine.getCrashes(now);
+            const { user, system } = process.cpuUsage(start);
+            return (user + system) / 1_000;
+        });
+        assert.ok(Math.min(...times) < maximumMilliseconds, `${times.join(", ")} ms`);
+    });
 });
