Show that a part is not suspected of crashes of streams that it let be answered before

A stream that was answered for 0.25 s is safe for good (TaskQuarantine.isSafe, hasAnswered), so noteCrash drops its later crashes for the parts as well. A part that becomes harmful crashes each endpoint over which such a stream continues, up to the route's attempts, and nobody learns.

--- a/tests/request/relay/quarantine/taskPromptParts.test.ts
+++ b/tests/request/relay/quarantine/taskPromptParts.test.ts
@@ -130,4 +130,16 @@
         assert.equal(countSent(), 1, "One of them is the canary.");
         assert.deepEqual(bench.answers, ["heldBack"]);
     });
+
+    it("make a part suspect that was answered at first and crashes the endpoints over which the stream continues", async () => {
+        const { bench, startStream, crashEndpoint, sendEvents, countSent } = createBench();
+        startStream();
+        await sendEvents();
+        await crashEndpoint();
+        await crashEndpoint();
+        await crashEndpoint();
+        assert.equal(countSent(), 4);
+        const now = bench.clock.getMonotonicTime() + 1_000;
+        assert.ok(bench.environment.quarantine.getPartHold([harmful], now) !== undefined);
+    });
 });
