Show that a canary stays on a silent endpoint although it was answered

TaskQuarantine.isCanary stays true for the rest of the stream, so ChainReplacement.reserveForRunning never moves it.

--- a/tests/request/relay/quarantine/taskPromptParts.test.ts
+++ b/tests/request/relay/quarantine/taskPromptParts.test.ts
@@ -142,4 +142,13 @@
         const now = bench.clock.getMonotonicTime() + 1_000;
         assert.ok(bench.environment.quarantine.getPartHold([harmful], now) !== undefined);
     });
+
+    it("may leave a silent endpoint like any other stream once they were answered as a canary", async () => {
+        const { startStream, suspect, sendEvents, countSent } = createBench();
+        suspect("8", "9");
+        const relay = startStream();
+        await sendEvents();
+        relay.leaveSuspects([relay.getStages()![0]!.endpoint.id], "the first stage is silent.");
+        assert.equal(countSent(), 2);
+    });
 });
