Show that delayed messages of peers bring back crashes that an answer has cleared

A peer's copy of a crash is later by the way of the message.

Evidence: the new test fails: a harmless part is held at both nodes 1.6 s after its answer, with messages that take 60 ms and an answer 30 ms after the crashes.

--- a/tests/request/relay/quarantine/promptParts.test.ts
+++ b/tests/request/relay/quarantine/promptParts.test.ts
@@ -180,4 +180,27 @@
         });
         assert.ok(Math.min(...times) < maximumMilliseconds, `${times.join(", ")} ms`);
     });
+
+    it("doesn't hold a part back because peers repeat, after a delay, crashes from before its answer", () => {
+        const delayMilliseconds = 60;
+        const exchangeLate = (from: Node, to: Node, sentAt: number) => {
+            const now = sentAt + delayMilliseconds;
+            for (const crash of from.quarantine.getCrashes(sentAt)) {
+                to.quarantine.addPeerCrash({ ...crash, at: crash.at + delayMilliseconds }, now);
+            }
+            for (const { key, at } of from.quarantine.getAnsweredParts(sentAt)) {
+                to.quarantine.applyAnsweredPart(key, at + delayMilliseconds, now);
+            }
+        };
+        const [first, second] = [createNode(), createNode()];
+        first.crash("1", 0, [popular]);
+        first.crash("2", 0, [popular]);
+        exchangeLate(first, second, 0);
+        first.quarantine.markPartsAnswered([popular], 30, 280);
+        for (let sentAt = 300; sentAt < 1_500; sentAt += 300) {
+            exchangeLate(second, first, sentAt);
+            exchangeLate(first, second, sentAt + 100);
+        }
+        assert.deepEqual([first, second].map(({ getHeld }) => getHeld([popular], 1_600)), [[], []]);
+    });
 });
