Show that crashes of many popular parts displace the one that is certain

RequestQuarantine.listCrashes sorts by the number of crashes, not by verdict, and stops at 100: after the loss of 10 endpoints under 13 parts or more, peers and the store's record no longer get a part that is certain by 3 crashes. The next write erases it from the record.

--- a/tests/request/relay/quarantine/promptParts.test.ts
+++ b/tests/request/relay/quarantine/promptParts.test.ts
@@ -203,4 +203,18 @@
         }
         assert.deepEqual([first, second].map(({ getHeld }) => getHeld([popular], 1_600)), [[], []]);
     });
+
+    it("announces and stores a part that is certain before others, however many endpoints crashed under them", () => {
+        const { crash, quarantine } = createNode();
+        crash("1", 0, [harmful]);
+        crash("2", 0, [harmful]);
+        crash("3", 100, [harmful], [harmful]);
+        const others = Array.from({ length: 20 }, (_, index) => `p${index}`);
+        for (let index = 0; index < 10; index++) {
+            crash(`lost${index}`, 1_000, others);
+        }
+        for (const crashes of [quarantine.getCrashes(1_100), quarantine.getHeldCrashes(1_100)]) {
+            assert.ok(crashes.some(({ fingerprint, isCanary }) => fingerprint === harmful && isCanary));
+        }
+    });
 });
