Show that harmless suspects evict a part that is certain

SuspectList is an LRU list of 1,000, whatever the verdict. 600 requests with a part each, on endpoints that crash, make 1,200 suspects. Where a peer still announces the part, it comes back; a single node, or all nodes at once, forget it.

Evidence: the new test fails.

--- a/tests/request/relay/quarantine/promptParts.test.ts
+++ b/tests/request/relay/quarantine/promptParts.test.ts
@@ -217,4 +217,15 @@
             assert.ok(crashes.some(({ fingerprint, isCanary }) => fingerprint === harmful && isCanary));
         }
     });
+
+    it("keeps a part that is certain when many harmless requests were on endpoints that crashed", () => {
+        const { crash, quarantine } = createNode();
+        crash("1", 0, [harmful]);
+        crash("2", 0, [harmful]);
+        crash("3", 100, [harmful], [harmful]);
+        for (let index = 0; index < 600; index++) {
+            crash(`lost${index % 12}`, 1_000, [`p${index}`]);
+        }
+        assert.equal(quarantine.getPartHold([harmful], 1_100)?.isCertain, true);
+    });
 });
