Show that a canary's crash convicts a part although a whole request explains it

judgeSuspect.isRival ignores whole requests, also those that are certain. The part is then held for ten minutes without canaries.

Evidence: the new test fails (certain, unsure expected).

--- a/tests/request/relay/quarantine/judgeSuspect.test.ts
+++ b/tests/request/relay/quarantine/judgeSuspect.test.ts
@@ -90,4 +90,9 @@
         doTest("unsure", createSuspect("popular", "1~ 2~ 3~ 4", answered));
         doTest("free", createSuspect("popular", "1~ 2~ 3~ 4~ 5~ 6~", answered));
     });
+
+    it("doesn't convict a part by a canary's crash that a whole request explains which crashed several endpoints", () => {
+        doTest("unsure", createSuspect("part", "8 9 3!"), createSuspect("request", "1 2 3", request));
+        doTest("unsure", createSuspect("part", "8 9 3!", answered), createSuspect("request", "1 2 3", request));
+    });
 });
