Show that nodes write the quarantine's record although the store has it

QuarantinePersister.synchronize always swaps, also if the stored record holds every entry. Since parts are held back, each node with a request with that part on a crashed endpoint saves, at the same moment, and all lose races but one.

--- a/tests/process/router/quarantinePersister.test.ts
+++ b/tests/process/router/quarantinePersister.test.ts
@@ -116,4 +116,16 @@
         await clock.advance(10);
         assert.ok(second.getRemaining("harmful") !== undefined);
     });
+
+    it("doesn't write what the store already has", async () => {
+        const store = MemoryStore.create();
+        const clock = FakeClock.create();
+        const [first, second] = [createNode(store, clock), createNode(store, clock)];
+        first.hold("harmful");
+        await clock.advance(1_000);
+        const callCount = store.getCallCount("compareAndSwap");
+        second.hold("harmful");
+        await clock.advance(1_000);
+        assert.equal(store.getCallCount("compareAndSwap"), callCount);
+    });
 });
