--- a/tests/request/relay/quarantine/taskPromptParts.test.ts
+++ b/tests/request/relay/quarantine/taskPromptParts.test.ts
@@ -130,4 +130,25 @@
         assert.equal(countSent(), 1, "One of them is the canary.");
         assert.deepEqual(bench.answers, ["heldBack"]);
     });
+
+    it("make a part suspect that was answered at first and crashes the endpoints over which the stream continues", async () => {
+        const { bench, startStream, crashEndpoint, sendEvents, countSent } = createBench();
+        startStream();
+        await sendEvents();
+        await crashEndpoint();
+        await crashEndpoint();
+        await crashEndpoint();
+        assert.equal(countSent(), 4);
+        const now = bench.clock.getMonotonicTime() + 1_000;
+        assert.ok(bench.environment.quarantine.getPartHold([harmful], now) !== undefined);
+    });
+
+    it("may leave a silent endpoint like any other stream once they were answered as a canary", async () => {
+        const { startStream, suspect, sendEvents, countSent } = createBench();
+        suspect("8", "9");
+        const relay = startStream();
+        await sendEvents();
+        relay.leaveSuspects([relay.getStages()![0]!.endpoint.id], "the first stage is silent.");
+        assert.equal(countSent(), 2);
+    });
 });
