Write the quarantine's record only if the store lacks an entry

What was wrong: QuarantinePersister.synchronize swapped whenever a write was due, also if the record that it had just read held every entry. Nodes that save the same crashes at the same moment lost all races but one, and each then read and wrote again.

Cause and change: the record is compared with what the node would write: by suspect and endpoint, with 5 s of tolerance for the time, since a restarted endpoint may crash again under the same id. A canary's crash is written if the store doesn't know that it was one. A record that is invalid is still overwritten. Nodes that hold the same crashes still all read, and those that read before the first write still race once.

Evidence: "doesn't write what the store already has" failed before (2 swaps, 1 expected) and passes; 7 of 7 of its file pass.

--- a/src/process/router/quarantinePersister.ts
+++ b/src/process/router/quarantinePersister.ts
@@ -23,10 +23,14 @@
 /** Initial backoff after a call that failed or lost a race. It doubles up to the maximum. */
 const minimumBackoffMilliseconds = 300;
 const maximumBackoffMilliseconds = 5_000;
+/** Nodes differ by up to this in when an endpoint crashed, since their clocks differ and a peer's message takes time. */
+const endTimeToleranceMilliseconds = 5_000;
+
+type StoredRun = QuarantineRecord["runs"][number];
 
 /**
- * Saves the quarantined requests to the platform's store, and loads them when the node starts. If all nodes end at once, no peer
- * is left that knows them, and a harmful request would end endpoints again.
+ * Saves the quarantined requests to the platform's store unless it has them, and loads them when the node starts. If all nodes end at
+ * once, no peer is left that knows them, and a harmful request would end endpoints again.
  */
 export class QuarantinePersister {
     private readonly options: QuarantinePersisterOptions;
@@ -112,7 +116,11 @@
             return true;
         }
         this.isWriteDue = false;
-        const written = await store.compareAndSwap(key, stored.val?.revision ?? 0, JSON.stringify(this.createRecord()));
+        const ownRecord = this.createRecord();
+        if (record.ok && holdsAll(record.val, ownRecord)) {
+            return true;
+        }
+        const written = await store.compareAndSwap(key, stored.val?.revision ?? 0, JSON.stringify(ownRecord));
         const isWritten = written.ok && written.val.swapped;
         this.isWriteDue ||= !isWritten;
         return written.err ? this.logFailure(written.val) : isWritten;
@@ -147,6 +155,21 @@
     }
 }
 
+/** Checks if a record has all crashes of another one, none of which happened noticeably later by the other. */
+function holdsAll({ runs }: QuarantineRecord, other: QuarantineRecord): boolean {
+    const known = new Map(runs.map(run => [getRunKey(run), run]));
+    return other.runs.every(run => {
+        const stored = known.get(getRunKey(run));
+        return stored !== undefined
+            && stored.endedAt + endTimeToleranceMilliseconds >= run.endedAt
+            && (stored.isCanary === true || run.isCanary !== true);
+    });
+}
+
+function getRunKey({ fingerprint, endpointId }: StoredRun): string {
+    return JSON.stringify([fingerprint, endpointId]);
+}
+
 function decode(text: string): Result<QuarantineRecord, string> {
     try {
         const record = quarantineRecordSchema.safeParse(JSON.parse(text));
