Forget suspects that are free before those that are held back

What was wrong: SuspectList kept the last 1,000 suspects, whatever the verdict, and each listing counted as a use, in the order of the most crashes first, so that those were also the first to go. Harmless requests on endpoints that crash evicted a part that is certain.

Change: if there are too many, 50 are forgotten at once: free ones first, then unsure ones, and of equal ones those that changed the longest ago.

--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -85,11 +85,11 @@
      */
     noteCrash(crash: RunCrash, requestId: string, details: Readonly<Record<string, string | number>> = {}): void {
         const { fingerprint, endpointId, at, isDown, partKeys = [], canaryKeys = [] } = crash;
-        let isNew = !this.safeRequests.has(fingerprint) && this.suspects.add({ fingerprint, endpointId, at });
+        let isNew = !this.safeRequests.has(fingerprint) && this.suspects.add({ fingerprint, endpointId, at }, at);
         for (const key of partKeys) {
             this.answeredParts.noteSuspected(key, at);
             const isCanary = canaryKeys.includes(key);
-            isNew = this.addPartCrash({ fingerprint: key, endpointId, at, isDown, isCanary }) || isNew;
+            isNew = this.addPartCrash({ fingerprint: key, endpointId, at, isDown, isCanary }, at) || isNew;
         }
         this.canaries.noteCrash(canaryKeys, at);
         if (!isNew) {
@@ -106,14 +106,14 @@
         const { fingerprint } = crash;
         if (isPartKey(fingerprint)) {
             this.answeredParts.noteSuspected(fingerprint, now);
-            this.addPartCrash(crash);
+            this.addPartCrash(crash, now);
             return;
         }
         if (this.safeRequests.has(fingerprint)) {
             this.refutedAt.set(fingerprint, now);
             return;
         }
-        this.suspects.add(crash);
+        this.suspects.add(crash, now);
     }
 
     /** Records that an endpoint has restarted under the same id, so that its answers don't show that it never crashed. */
@@ -257,9 +257,9 @@
         return crashes;
     }
 
-    private addPartCrash(crash: SuspectedCrash): boolean {
+    private addPartCrash(crash: SuspectedCrash, now: number): boolean {
         const answeredAt = this.answeredParts.getTime(crash.fingerprint) ?? -Infinity;
-        return crash.at > answeredAt && this.suspects.add(crash);
+        return crash.at > answeredAt && this.suspects.add(crash, now);
     }
 
     /** Clears a part of the crashes up to a time. Returns whether there were any, and whether it was held back and no longer is. */
--- a/src/request/relay/quarantine/suspectList.ts
+++ b/src/request/relay/quarantine/suspectList.ts
@@ -1,4 +1,3 @@
-import { LRUCache } from "lru-cache";
 import { findConvicted } from "./findConvicted.ts";
 import { isPartKey } from "./isPartKey.ts";
 import { judgeSuspect } from "./judgeSuspect.ts";
@@ -21,11 +20,16 @@
 /** Time for which verdicts are kept while no crash is added or removed. */
 const reviewMilliseconds = 50;
 const maximumSuspects = 1_000;
+/** Number of suspects that are forgotten at once if there are too many, since all have to be judged for that. */
+const evictedSuspects = 50;
+/** Those with the lower number are forgotten first. */
+const evictionRanks = { [SuspectVerdict.Free]: 0, [SuspectVerdict.Unsure]: 1, [SuspectVerdict.Certain]: 2 };
 
 /** The requests and parts of prompts that endpoints may have crashed under, with the verdict on each. */
 export class SuspectList {
     private readonly options: SuspectListOptions;
-    private readonly suspects = new LRUCache<string, Suspect>({ max: maximumSuspects });
+    /** By key, those with the oldest change first. */
+    private readonly suspects = new Map<string, Suspect>();
     private readonly verdicts = new Map<string, SuspectVerdict>();
     /** The suspects that may matter for the verdict on others; most have a single crash. */
     private candidates: Suspect[] = [];
@@ -42,7 +46,8 @@
     }
 
     /** Adds a crash. Returns whether it is new. */
-    add({ fingerprint: key, endpointId, at, isDown = false, isCanary = false }: SuspectedCrash): boolean {
+    add(crash: SuspectedCrash, now: number): boolean {
+        const { fingerprint: key, endpointId, at, isDown = false, isCanary = false } = crash;
         const suspect = this.suspects.get(key) ?? this.create(key);
         const known = suspect.crashes.get(endpointId);
         if (known !== undefined && (known.isCanary || !isCanary)) {
@@ -50,6 +55,8 @@
         }
         const isConfirmed = known?.isConfirmed ?? false;
         suspect.crashes.set(endpointId, { at: known?.at ?? at, isDown, isCanary, isConfirmed });
+        this.suspects.delete(key);
+        this.evict(now);
         this.suspects.set(key, suspect);
         this.reviewedAt = -Infinity;
         return known === undefined;
@@ -132,6 +139,19 @@
         return { key, isPart, wasAnswered: isPart && this.options.wasAnswered(key), crashes: new Map() };
     }
 
+    /** Forgets suspects if there are too many: those that are free first, and of equal ones those that changed the longest ago. */
+    private evict(now: number): void {
+        if (this.suspects.size < maximumSuspects) {
+            return;
+        }
+        this.reviewedAt = -Infinity;
+        const ranked = [...this.suspects.keys()].map(key => ({ key, rank: evictionRanks[this.judge(key, now)] }));
+        ranked.sort((left, right) => left.rank - right.rank);
+        for (const { key } of ranked.slice(0, evictedSuspects)) {
+            this.suspects.delete(key);
+        }
+    }
+
     /** Removes crashes of endpoints that turned out to be alive, and crashes that happened long ago. */
     private review(now: number): void {
         if (now >= this.reviewedAt && now - this.reviewedAt < reviewMilliseconds) {
