List crashes by verdict first

What was wrong: RequestQuarantine.listCrashes sorted by the number of crashes and stopped at 100, so that the loss of some endpoints under many popular parts displaced a part that is certain, in the announcements and in the store's record.

Change: sorted by verdict, then by crashes. That takes all verdicts for each list, so a suspect is judged only by those that may be likelier causes than another one, and no longer than the verdict depends on it.

Evidence: "announces and stores a part that is certain before others, however many endpoints crashed under them" failed before and passes.

--- a/src/request/relay/quarantine/findConvicted.ts
+++ b/src/request/relay/quarantine/findConvicted.ts
@@ -1,8 +1,6 @@
+import { crashThresholds } from "./crashThresholds.ts";
 import type { Suspect } from "./suspect.ts";
 
-/** Minimum number of crashed endpoints for a part to be convicted, and for an answered part to be as likely a cause. */
-const minimumCrashes = 2;
-
 /**
  * Finds the parts that are the cause of the crash of an endpoint that ran a canary for them, because there is no other suspect to which
  * that crash points as much. A part is convicted by nothing else, since a wrong verdict would hold back many requests.
@@ -12,7 +10,7 @@
 }
 
 function isConvicted(suspect: Suspect, suspects: readonly Suspect[]): boolean {
-    if (!suspect.isPart || suspect.crashes.size < minimumCrashes) {
+    if (!suspect.isPart || suspect.crashes.size < crashThresholds.minimum) {
         return false;
     }
     for (const [endpointId, { isCanary }] of suspect.crashes) {
@@ -30,6 +28,6 @@
         return false;
     }
     return wasAnswered
-        ? crash.isCanary || other.crashes.size >= Math.max(minimumCrashes, crashes.size - 1)
+        ? crash.isCanary || other.crashes.size >= Math.max(crashThresholds.minimum, crashes.size - 1)
         : crash.isCanary && !other.wasAnswered && other.crashes.size > crashes.size;
 }
--- a/src/request/relay/quarantine/judgeSuspect.ts
+++ b/src/request/relay/quarantine/judgeSuspect.ts
@@ -1,15 +1,8 @@
+import { crashThresholds } from "./crashThresholds.ts";
 import { findConvicted } from "./findConvicted.ts";
 import type { Suspect } from "./suspect.ts";
 import { SuspectVerdict } from "./suspectVerdict.ts";
 
-/**
- * Minimum number of crashed endpoints for a suspect to be held back. A single crash is weak evidence: all requests that the
- * endpoint was just beginning to run are suspected, and nearly all of them are harmless. Continuing after the second crash costs
- * another endpoint for each attempt.
- */
-const minimumCrashes = 2;
-/** From this number of crashes on, the cause is not a coincidence. */
-const certainCrashes = 3;
 /**
  * Time after which a crash counts against a part that was answered before. Until then the endpoint may turn out to be alive, and an
  * answer to another request with the part may clear it.
@@ -26,7 +19,7 @@
  * Judges a suspect by its crashes and by those of the other suspects, as in group testing: each crash has one cause, which is among the
  * suspects of that crash. A part that was answered before is less likely the cause than one that never was.
  * @param suspect - The suspect.
- * @param suspects - All suspects.
+ * @param suspects - All suspects, or those that `mayExplainOthers`.
  * @param now - Monotonic time in milliseconds.
  * @param convicted - The convicted ones of the suspects, if the caller has found them before.
  */
@@ -37,14 +30,14 @@
     convicted: ReadonlySet<Suspect> = findConvicted(suspects),
 ): SuspectVerdict {
     const { crashes, isPart, wasAnswered } = suspect;
-    if (crashes.size < minimumCrashes) {
+    if (crashes.size < crashThresholds.minimum) {
         return SuspectVerdict.Free;
     }
-    if (convicted.has(suspect) || !isPart && crashes.size >= certainCrashes) {
+    if (convicted.has(suspect) || !isPart && crashes.size >= crashThresholds.certain) {
         return SuspectVerdict.Certain;
     }
     const isHeld = wasAnswered
-        ? countUnexplained(suspect, suspects, convicted, now) >= minimumCrashes
+        ? countUnexplained(suspect, suspects, convicted, now) >= crashThresholds.minimum
         : !suspects.some(other => explainsAll(other, suspect, convicted));
     return isHeld ? SuspectVerdict.Unsure : SuspectVerdict.Free;
 }
@@ -54,7 +47,8 @@
  * harmless; if it isn't, its next crash is one that the other suspect doesn't explain.
  */
 function explainsAll(other: Suspect, suspect: Suspect, convicted: ReadonlySet<Suspect>): boolean {
-    if (other === suspect || !convicted.has(other) && !isLikelierThanNew(other, suspect)) {
+    const mayExplain = other !== suspect && other.crashes.size >= suspect.crashes.size;
+    if (!mayExplain || !isLikelierThanNew(other, suspect) && !convicted.has(other)) {
         return false;
     }
     for (const endpointId of suspect.crashes.keys()) {
@@ -68,12 +62,12 @@
 /** Checks if another suspect is a likelier cause than a request, or a part that was never answered. */
 function isLikelierThanNew(other: Suspect, { isPart, crashes }: Suspect): boolean {
     if (!isPart) {
-        return !other.isPart && other.crashes.size >= certainCrashes;
+        return !other.isPart && other.crashes.size >= crashThresholds.certain;
     }
-    return !other.wasAnswered && other.crashes.size >= certainCrashes && other.crashes.size > crashes.size;
+    return !other.wasAnswered && other.crashes.size >= crashThresholds.certain && other.crashes.size > crashes.size;
 }
 
-/** Counts the crashes of a part that was answered before for which there is no likelier cause. */
+/** Counts the crashes of a part that was answered before for which there is no likelier cause, as far as it takes to judge it. */
 function countUnexplained(
     suspect: Suspect,
     suspects: readonly Suspect[],
@@ -88,7 +82,10 @@
         }
     }
     for (const other of suspects) {
-        if (other !== suspect && (convicted.has(other) || isLikelierThanAnswered(other, suspect))) {
+        if (unexplained.size < crashThresholds.minimum) {
+            break;
+        }
+        if (other !== suspect && (isLikelierThanAnswered(other, suspect) || convicted.has(other))) {
             for (const endpointId of other.crashes.keys()) {
                 unexplained.delete(endpointId);
             }
@@ -102,7 +99,7 @@
  * many crashes. The cause is there at all of them, while each single request and each rare part is there at few.
  */
 function isLikelierThanAnswered(other: Suspect, { crashes }: Suspect): boolean {
-    const neededCrashes = Math.max(other.isPart ? minimumCrashes : certainCrashes, crashes.size - 1);
+    const neededCrashes = Math.max(other.isPart ? crashThresholds.minimum : crashThresholds.certain, crashes.size - 1);
     return !other.wasAnswered && other.crashes.size >= neededCrashes;
 }
 
--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -240,7 +240,7 @@
     /** Lists the crashes of suspects that are held back, and all recent crashes. Those of the most suspect come first. */
     private listCrashes(now: number, maximumAgeMilliseconds: number): SuspectedCrash[] {
         const crashes: SuspectedCrash[] = [];
-        for (const suspect of this.suspects.listByCrashes(now)) {
+        for (const suspect of this.suspects.listBySuspicion(now)) {
             const { key, isPart } = suspect;
             const isHeld = isPart
                 ? this.suspects.judge(key, now) !== SuspectVerdict.Free
--- a/src/request/relay/quarantine/suspectList.ts
+++ b/src/request/relay/quarantine/suspectList.ts
@@ -1,6 +1,7 @@
 import { findConvicted } from "./findConvicted.ts";
 import { isPartKey } from "./isPartKey.ts";
 import { judgeSuspect } from "./judgeSuspect.ts";
+import { mayExplainOthers } from "./mayExplainOthers.ts";
 import type { Suspect, SuspectCrash } from "./suspect.ts";
 import type { SuspectedCrash } from "./suspectedCrash.ts";
 import { SuspectVerdict } from "./suspectVerdict.ts";
@@ -22,8 +23,8 @@
 const maximumSuspects = 1_000;
 /** Number of suspects that are forgotten at once if there are too many, since all have to be judged for that. */
 const evictedSuspects = 50;
-/** Those with the lower number are forgotten first. */
-const evictionRanks = { [SuspectVerdict.Free]: 0, [SuspectVerdict.Unsure]: 1, [SuspectVerdict.Certain]: 2 };
+/** Those with the lower number are forgotten first and listed last. */
+const verdictRanks = { [SuspectVerdict.Free]: 0, [SuspectVerdict.Unsure]: 1, [SuspectVerdict.Certain]: 2 };
 
 /** The requests and parts of prompts that endpoints may have crashed under, with the verdict on each. */
 export class SuspectList {
@@ -31,8 +32,8 @@
     /** By key, those with the oldest change first. */
     private readonly suspects = new Map<string, Suspect>();
     private readonly verdicts = new Map<string, SuspectVerdict>();
-    /** The suspects that may matter for the verdict on others; most have a single crash. */
-    private candidates: Suspect[] = [];
+    /** The suspects that may be likelier causes than others; most have a single crash. */
+    private explaining: Suspect[] = [];
     private convicted: ReadonlySet<Suspect> = new Set();
     private reviewedAt = -Infinity;
 
@@ -112,10 +113,13 @@
         return this.suspects.get(key);
     }
 
-    /** Gets all suspects, those with the most crashes first. */
-    listByCrashes(now: number): Suspect[] {
+    /** Gets all suspects, those of which it is surest that they crash endpoints first, and of equal ones those with the most crashes. */
+    listBySuspicion(now: number): Suspect[] {
         this.review(now);
-        return [...this.suspects.values()].sort((left, right) => right.crashes.size - left.crashes.size);
+        return [...this.suspects.values()]
+            .map(suspect => ({ suspect, rank: this.getRank(suspect.key, now) }))
+            .sort((left, right) => right.rank - left.rank || right.suspect.crashes.size - left.suspect.crashes.size)
+            .map(({ suspect }) => suspect);
     }
 
     /** Gets the verdict on a suspect. */
@@ -129,11 +133,15 @@
         if (known !== undefined) {
             return known;
         }
-        const verdict = judgeSuspect(suspect, this.candidates, now, this.convicted);
+        const verdict = judgeSuspect(suspect, this.explaining, now, this.convicted);
         this.verdicts.set(key, verdict);
         return verdict;
     }
 
+    private getRank(key: string, now: number): number {
+        return verdictRanks[this.judge(key, now)];
+    }
+
     private create(key: string): Suspect {
         const isPart = isPartKey(key);
         return { key, isPart, wasAnswered: isPart && this.options.wasAnswered(key), crashes: new Map() };
@@ -145,7 +153,7 @@
             return;
         }
         this.reviewedAt = -Infinity;
-        const ranked = [...this.suspects.keys()].map(key => ({ key, rank: evictionRanks[this.judge(key, now)] }));
+        const ranked = [...this.suspects.keys()].map(key => ({ key, rank: this.getRank(key, now) }));
         ranked.sort((left, right) => left.rank - right.rank);
         for (const { key } of ranked.slice(0, evictedSuspects)) {
             this.suspects.delete(key);
@@ -159,7 +167,7 @@
         }
         this.reviewedAt = now;
         this.verdicts.clear();
-        this.candidates = [];
+        const candidates: Suspect[] = [];
         for (const suspect of this.suspects.values()) {
             for (const [endpointId, crash] of suspect.crashes) {
                 if (this.isStale(endpointId, crash, now)) {
@@ -167,10 +175,11 @@
                 }
             }
             if (suspect.crashes.size > 1 || hasCanary(suspect)) {
-                this.candidates.push(suspect);
+                candidates.push(suspect);
             }
         }
-        this.convicted = findConvicted(this.candidates);
+        this.convicted = findConvicted(candidates);
+        this.explaining = candidates.filter(suspect => mayExplainOthers(suspect, this.convicted));
     }
 
     private isStale(endpointId: string, { at, isConfirmed }: SuspectCrash, now: number): boolean {
