Tolerate the delay of peers' messages in crashes that an answer has cleared

What was wrong: a peer's copy of a crash is later than the crash by the way of the message. RequestQuarantine compared it with the answer that cleared the crash, took it for a new one, and told it on, so that a harmless part was held back again at both nodes.

Change: a crash that a peer tells counts only if it is later than the last answer by the advance that AnsweredParts asks of answers of peers, 500 ms. Crashes that a node sees itself count as before. The price: a real crash in the 500 ms after an answer began counts only at the node that saw it.

Evidence: "doesn't hold a part back because peers repeat, after a delay, crashes from before its answer" failed before and passes.

--- a/src/request/relay/quarantine/answeredParts.ts
+++ b/src/request/relay/quarantine/answeredParts.ts
@@ -8,7 +8,7 @@
 
 /**
  * Minimum advance of a time that a peer tells. Each time is late by the way between the nodes, so that two nodes would otherwise
- * advance each other's times for ever.
+ * advance each other's times for ever, and bring back crashes from before an answer.
  */
 const minimumAdvanceMilliseconds = 500;
 /** A part is announced as answered for this long after it was suspected, which peers repeat as long as they suspect it. */
@@ -35,6 +35,12 @@
         return this.answeredAt.get(key);
     }
 
+    /** Checks if a crash that this node saw, or that a peer told of, happened before the last answer, so that the part did not cause it. */
+    isBeforeAnswer(key: string, crashAt: number, isOfPeer: boolean): boolean {
+        const latestAt = (this.answeredAt.get(key) ?? -Infinity) + (isOfPeer ? minimumAdvanceMilliseconds : 0);
+        return crashAt <= latestAt;
+    }
+
     /** Records an answer of this node. */
     add(key: string, at: number): void {
         this.answeredAt.set(key, Math.max(at, this.answeredAt.get(key) ?? -Infinity));
--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -89,7 +89,9 @@
         for (const key of partKeys) {
             this.answeredParts.noteSuspected(key, at);
             const isCanary = canaryKeys.includes(key);
-            isNew = this.addPartCrash({ fingerprint: key, endpointId, at, isDown, isCanary }, at) || isNew;
+            const isAdded = !this.answeredParts.isBeforeAnswer(key, at, false)
+                && this.suspects.add({ fingerprint: key, endpointId, at, isDown, isCanary }, at);
+            isNew ||= isAdded;
         }
         this.canaries.noteCrash(canaryKeys, at);
         if (!isNew) {
@@ -106,7 +108,9 @@
         const { fingerprint } = crash;
         if (isPartKey(fingerprint)) {
             this.answeredParts.noteSuspected(fingerprint, now);
-            this.addPartCrash(crash, now);
+            if (!this.answeredParts.isBeforeAnswer(fingerprint, crash.at, true)) {
+                this.suspects.add(crash, now);
+            }
             return;
         }
         if (this.safeRequests.has(fingerprint)) {
@@ -257,11 +261,6 @@
         return crashes;
     }
 
-    private addPartCrash(crash: SuspectedCrash, now: number): boolean {
-        const answeredAt = this.answeredParts.getTime(crash.fingerprint) ?? -Infinity;
-        return crash.at > answeredAt && this.suspects.add(crash, now);
-    }
-
     /** Clears a part of the crashes up to a time. Returns whether there were any, and whether it was held back and no longer is. */
     private clearPart(key: string, until: number, now: number): { isCleared: boolean; wasHeld: boolean; } {
         const wasSuspect = this.suspects.judge(key, now) !== SuspectVerdict.Free;
