Suspect a part of crashes of streams that it let be answered before

What was wrong: a stream that was answered once dropped its later crashes also for its parts. A part that becomes harmful crashed each endpoint over which such a stream continued, and nobody learned.

Change: whether the parts are suspected depends on the answer of the attempt that broke, not on earlier ones. The request itself stays safe. The next answer of the stream clears its parts of that crash.

Evidence: "make a part suspect that was answered at first and crashes the endpoints over which the stream continues" failed before and passes.

--- a/src/request/relay/quarantine/taskQuarantine.ts
+++ b/src/request/relay/quarantine/taskQuarantine.ts
@@ -94,14 +94,24 @@
      * @param attempt - What else is known of the attempt.
      */
     noteCrash(endpointId: string, sentAt: number, at: number, attempt: BrokenAttempt = {}): void {
-        if (this.isSafe || at - sentAt < minimumRunMilliseconds) {
+        if (at - sentAt < minimumRunMilliseconds) {
             return;
         }
         const { fingerprint, request, partKeys } = this.task;
         const { firstEventAt, isDown = false } = attempt;
         const answerMilliseconds = firstEventAt === undefined ? 0 : at - firstEventAt;
-        this.hasAnswered ||= answerMilliseconds > youngAnswerMilliseconds;
-        const suspectedParts = this.hasAnswered ? [] : partKeys;
+        const isAnswered = answerMilliseconds > youngAnswerMilliseconds;
+        this.hasAnswered ||= isAnswered;
+        // A part may become harmful after an endpoint has answered the request.
+        const suspectedParts = isAnswered ? [] : partKeys;
+        if (this.isSafe) {
+            if (suspectedParts.length === 0) {
+                return;
+            }
+            // The request stays safe. The next answer clears its parts of this crash.
+            this.environment.quarantine.markSafe(fingerprint);
+            this.isSafe = false;
+        }
         const { canaryKeys } = this;
         this.canaryKeys = [];
         const crash = { fingerprint, endpointId, at, isDown, partKeys: suspectedParts, canaryKeys };
--- a/tests/request/relay/quarantine/taskPromptParts.test.ts
+++ b/tests/request/relay/quarantine/taskPromptParts.test.ts
@@ -143,6 +143,20 @@
         assert.ok(bench.environment.quarantine.getPartHold([harmful], now) !== undefined);
     });
 
+    it("clear a part of a crash again where the stream continues, also if it was answered before the crash", async () => {
+        const { bench, startStream, crashEndpoint, sendEvents } = createBench();
+        const isSuspect = () =>
+            bench.environment.quarantine.getCrashes(bench.clock.getMonotonicTime())
+                .some(({ fingerprint }) => fingerprint === harmful);
+        startStream();
+        await sendEvents();
+        await crashEndpoint();
+        await crashEndpoint();
+        assert.ok(isSuspect());
+        await sendEvents();
+        assert.ok(!isSuspect());
+    });
+
     it("may leave a silent endpoint like any other stream once they were answered as a canary", async () => {
         const { startStream, suspect, sendEvents, countSent } = createBench();
         suspect("8", "9");
