Let a canary leave a silent endpoint once it was answered

What was wrong: TaskQuarantine.isCanary stayed true for the rest of the stream, so that ChainReplacement.reserveForRunning never moved it.

Change: a request is no longer a canary once an endpoint has answered it for long enough to show that its parts are harmless. A later crash is then no crash of a canary either.

Evidence: "may leave a silent endpoint like any other stream once they were answered as a canary" failed before (1 request sent, 2 expected) and passes.

--- a/src/request/relay/quarantine/taskQuarantine.ts
+++ b/src/request/relay/quarantine/taskQuarantine.ts
@@ -65,7 +65,7 @@
         return hold;
     }
 
-    /** Checks if the request is a canary, which only one endpoint may run. */
+    /** Checks if the request is a canary without an answer yet, which only one endpoint may run. */
     isCanary(): boolean {
         return this.canaryKeys.length > 0;
     }
@@ -78,6 +78,7 @@
         if (!this.isSafe) {
             this.isSafe = true;
             this.hasAnswered = true;
+            this.canaryKeys = [];
             const { quarantine, clock } = this.environment;
             const { fingerprint, partKeys } = this.task;
             quarantine.markSafe(fingerprint);
