--- a/tests/process/router/quarantinePersister.test.ts
+++ b/tests/process/router/quarantinePersister.test.ts
@@ -33,7 +33,7 @@
     };
     const getRemaining = (fingerprint: string) =>
         quarantine.getHold(fingerprint, clock.getMonotonicTime())?.remainingMilliseconds;
-    return { persister, hold, getRemaining, calls };
+    return { persister, quarantine, hold, getRemaining, calls };
 }
 
 describe("QuarantinePersister", () => {
@@ -128,4 +128,25 @@
         await clock.advance(1_000);
         assert.equal(store.getCallCount("compareAndSwap"), callCount);
     });
+
+    it("writes a canary's crash that the store has as another request's, and a later crash of the same endpoint", async () => {
+        const store = MemoryStore.create();
+        const clock = FakeClock.create();
+        const nodes = [createNode(store, clock), createNode(store, clock), createNode(store, clock)];
+        const countWrites = async ({ persister, quarantine }: typeof nodes[number], canaryKeys: string[]) => {
+            const before = store.getCallCount("compareAndSwap");
+            const at = clock.getMonotonicTime();
+            for (const endpointId of ["1", "2"]) {
+                const run = { fingerprint: endpointId, endpointId, at, partKeys: ["pbad"], canaryKeys };
+                quarantine.noteCrash(run, "request");
+            }
+            persister.save();
+            await clock.advance(1_000);
+            return store.getCallCount("compareAndSwap") - before;
+        };
+        assert.equal(await countWrites(nodes[0]!, []), 1);
+        assert.equal(await countWrites(nodes[1]!, ["pbad"]), 1);
+        await clock.advance(20_000);
+        assert.equal(await countWrites(nodes[2]!, []), 1);
+    });
 });
--- a/tests/request/relay/quarantine/judgeSuspect.test.ts
+++ b/tests/request/relay/quarantine/judgeSuspect.test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { findConvicted } from "../../../../src/request/relay/quarantine/findConvicted.ts";
 import { judgeSuspect } from "../../../../src/request/relay/quarantine/judgeSuspect.ts";
+import { mayExplainOthers } from "../../../../src/request/relay/quarantine/mayExplainOthers.ts";
 import type { Suspect } from "../../../../src/request/relay/quarantine/suspect.ts";
 
 const now = 10_000;
@@ -101,4 +103,28 @@
         doTest("unsure", createSuspect("part", "8 9 3!"), createSuspect("request", "1 2 3", request));
         doTest("unsure", createSuspect("part", "8 9 3!", answered), createSuspect("request", "1 2 3", request));
     });
+
+    it("convicts a part by a canary's crash if a request crashed several endpoints, all of them with the part", () => {
+        doTest("certain", createSuspect("part", "1 2 3!"), createSuspect("request", "1 2 3", request));
+        doTest("certain", createSuspect("part", "1 2 3! 4", answered), createSuspect("request", "1 2 3", request));
+    });
+
+    it("comes to the same verdicts with those suspects only that may explain others", () => {
+        const suspects = ["", "1", "1 2", "1 2 3", "1 2 3!", "2 3 4", "1 2 3 4 5!"].flatMap(endpoints => [
+            createSuspect("new", endpoints),
+            createSuspect("answered", endpoints, answered),
+            createSuspect("request", endpoints.replace("!", ""), request),
+        ]);
+        for (const first of suspects) {
+            for (const second of suspects) {
+                const others = [first, second];
+                for (const suspect of suspects) {
+                    const all = [...others, suspect];
+                    const convicted = findConvicted(all);
+                    const explaining = all.filter(other => mayExplainOthers(other, convicted));
+                    assert.equal(judgeSuspect(suspect, explaining, now, convicted), judgeSuspect(suspect, all, now));
+                }
+            }
+        }
+    });
 });
