--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -85,11 +85,13 @@
      */
     noteCrash(crash: RunCrash, requestId: string, details: Readonly<Record<string, string | number>> = {}): void {
         const { fingerprint, endpointId, at, isDown, partKeys = [], canaryKeys = [] } = crash;
-        let isNew = !this.safeRequests.has(fingerprint) && this.suspects.add({ fingerprint, endpointId, at });
+        let isNew = !this.safeRequests.has(fingerprint) && this.suspects.add({ fingerprint, endpointId, at }, at);
         for (const key of partKeys) {
             this.answeredParts.noteSuspected(key, at);
             const isCanary = canaryKeys.includes(key);
-            isNew = this.addPartCrash({ fingerprint: key, endpointId, at, isDown, isCanary }) || isNew;
+            const isAdded = !this.answeredParts.isBeforeAnswer(key, at, false)
+                && this.suspects.add({ fingerprint: key, endpointId, at, isDown, isCanary }, at);
+            isNew ||= isAdded;
         }
         this.canaries.noteCrash(canaryKeys, at);
         if (!isNew) {
@@ -106,14 +108,16 @@
         const { fingerprint } = crash;
         if (isPartKey(fingerprint)) {
             this.answeredParts.noteSuspected(fingerprint, now);
-            this.addPartCrash(crash);
+            if (!this.answeredParts.isBeforeAnswer(fingerprint, crash.at, true)) {
+                this.suspects.add(crash, now);
+            }
             return;
         }
         if (this.safeRequests.has(fingerprint)) {
             this.refutedAt.set(fingerprint, now);
             return;
         }
-        this.suspects.add(crash);
+        this.suspects.add(crash, now);
     }
 
     /** Records that an endpoint has restarted under the same id, so that its answers don't show that it never crashed. */
@@ -240,7 +244,7 @@
     /** Lists the crashes of suspects that are held back, and all recent crashes. Those of the most suspect come first. */
     private listCrashes(now: number, maximumAgeMilliseconds: number): SuspectedCrash[] {
         const crashes: SuspectedCrash[] = [];
-        for (const suspect of this.suspects.listByCrashes(now)) {
+        for (const suspect of this.suspects.listBySuspicion(now)) {
             const { key, isPart } = suspect;
             const isHeld = isPart
                 ? this.suspects.judge(key, now) !== SuspectVerdict.Free
@@ -257,11 +261,6 @@
         return crashes;
     }
 
-    private addPartCrash(crash: SuspectedCrash): boolean {
-        const answeredAt = this.answeredParts.getTime(crash.fingerprint) ?? -Infinity;
-        return crash.at > answeredAt && this.suspects.add(crash);
-    }
-
     /** Clears a part of the crashes up to a time. Returns whether there were any, and whether it was held back and no longer is. */
     private clearPart(key: string, until: number, now: number): { isCleared: boolean; wasHeld: boolean; } {
         const wasSuspect = this.suspects.judge(key, now) !== SuspectVerdict.Free;
--- a/tests/request/relay/quarantine/promptParts.test.ts
+++ b/tests/request/relay/quarantine/promptParts.test.ts
@@ -174,4 +174,67 @@
         });
         assert.deepEqual(crashes.slice(0, 8), ofHarmful);
     });
+
+    it("lists crashes for peers in little processor time, also after hundreds of requests were on endpoints that crashed", () => {
+        const maximumMilliseconds = 30;
+        const { crash, quarantine } = createNode();
+        for (let index = 0; index < 1_000; index++) {
+            crash(`e${index % 20}`, 0, []);
+        }
+        const times = [6_000, 6_300, 6_600].map(now => {
+            const start = process.cpuUsage();
+            quarantine.getCrashes(now);
+            const { user, system } = process.cpuUsage(start);
+            return (user + system) / 1_000;
+        });
+        assert.ok(Math.min(...times) < maximumMilliseconds, `${times.join(", ")} ms`);
+    });
+
+    it("doesn't hold a part back because peers repeat, after a delay, crashes from before its answer", () => {
+        const delayMilliseconds = 60;
+        const exchangeLate = (from: Node, to: Node, sentAt: number) => {
+            const now = sentAt + delayMilliseconds;
+            for (const crash of from.quarantine.getCrashes(sentAt)) {
+                to.quarantine.addPeerCrash({ ...crash, at: crash.at + delayMilliseconds }, now);
+            }
+            for (const { key, at } of from.quarantine.getAnsweredParts(sentAt)) {
+                to.quarantine.applyAnsweredPart(key, at + delayMilliseconds, now);
+            }
+        };
+        const [first, second] = [createNode(), createNode()];
+        first.crash("1", 0, [popular]);
+        first.crash("2", 0, [popular]);
+        exchangeLate(first, second, 0);
+        first.quarantine.markPartsAnswered([popular], 30, 280);
+        for (let sentAt = 300; sentAt < 1_500; sentAt += 300) {
+            exchangeLate(second, first, sentAt);
+            exchangeLate(first, second, sentAt + 100);
+        }
+        assert.deepEqual([first, second].map(({ getHeld }) => getHeld([popular], 1_600)), [[], []]);
+    });
+
+    it("announces and stores a part that is certain before others, however many endpoints crashed under them", () => {
+        const { crash, quarantine } = createNode();
+        crash("1", 0, [harmful]);
+        crash("2", 0, [harmful]);
+        crash("3", 100, [harmful], [harmful]);
+        const others = Array.from({ length: 20 }, (_, index) => `p${index}`);
+        for (let index = 0; index < 10; index++) {
+            crash(`lost${index}`, 1_000, others);
+        }
+        for (const crashes of [quarantine.getCrashes(1_100), quarantine.getHeldCrashes(1_100)]) {
+            assert.ok(crashes.some(({ fingerprint, isCanary }) => fingerprint === harmful && isCanary));
+        }
+    });
+
+    it("keeps a part that is certain when many harmless requests were on endpoints that crashed", () => {
+        const { crash, quarantine } = createNode();
+        crash("1", 0, [harmful]);
+        crash("2", 0, [harmful]);
+        crash("3", 100, [harmful], [harmful]);
+        for (let index = 0; index < 600; index++) {
+            crash(`lost${index % 12}`, 1_000, [`p${index}`]);
+        }
+        assert.equal(quarantine.getPartHold([harmful], 1_100)?.isCertain, true);
+    });
 });
