Suspect parts of prompts only where an endpoint is down

Cause: a broken connection counted as a crash under each part of its request, though the endpoint accepted new connections at once; only an event that this node hears drops such a crash. Change: a broken connection is evidence against parts only if neither this node nor its peers can connect to the endpoint right after, as after a crash, also for documents. Whole requests are suspected as before.

--- a/src/request/relay/documents/documentRelay.ts
+++ b/src/request/relay/documents/documentRelay.ts
@@ -192,7 +192,7 @@
                 if (state === PathState.Down) {
                     health.markUnreachable(attempt.endpoint.id);
                 }
-                this.handleBreak(attempt, state === PathState.Lost, brokenAt, cause);
+                this.handleBreak(attempt, state, brokenAt, cause);
             });
             return;
         }
@@ -205,11 +205,13 @@
         this.endAttempt(attempt, { isNotRun: true, isUnsent: true, cause });
     }
 
-    private handleBreak(attempt: DocumentAttempt, isPathLost: boolean, brokenAt: number, cause: string): void {
+    private handleBreak(attempt: DocumentAttempt, state: PathState, brokenAt: number, cause: string): void {
+        const isPathLost = state === PathState.Lost;
         if (!isPathLost) {
             this.environment.health.addFailure(attempt.endpoint.id, this.getTime());
             const sentAt = attempt.exchange?.getSentTime() ?? attempt.sentAt;
-            this.quarantine.noteCrash(attempt.endpoint.id, sentAt, brokenAt);
+            const isDown = state === PathState.Down;
+            this.quarantine.noteCrash(attempt.endpoint.id, sentAt, brokenAt, { isDown });
         }
         this.endAttempt(attempt, { isNotRun: false, isPathLost, cause });
     }
--- a/src/request/relay/quarantine/taskQuarantine.ts
+++ b/src/request/relay/quarantine/taskQuarantine.ts
@@ -103,8 +103,9 @@
         const answerMilliseconds = firstEventAt === undefined ? 0 : at - firstEventAt;
         const isAnswered = answerMilliseconds > youngAnswerMilliseconds;
         this.hasAnswered ||= isAnswered;
-        // A part may become harmful after an endpoint has answered the request.
-        const suspectedParts = isAnswered ? [] : partKeys;
+        // A part may become harmful after an endpoint has answered the request. Connections also break at endpoints that have not crashed, often
+        // many at once, and would make all parts suspect that pass there.
+        const suspectedParts = isAnswered || !isDown ? [] : partKeys;
         if (this.isSafe) {
             if (suspectedParts.length === 0) {
                 return;
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -164,7 +164,7 @@
         return crashedIds => {
             for (const { endpoint } of stages) {
                 if (crashedIds.has(endpoint.id)) {
-                    this.quarantine.noteCrash(endpoint.id, sentAt, at, { firstEventAt });
+                    this.quarantine.noteCrash(endpoint.id, sentAt, at, { firstEventAt, isDown: true });
                 }
             }
         };
--- a/tests/request/relay/quarantine/taskPromptParts.test.ts
+++ b/tests/request/relay/quarantine/taskPromptParts.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { PathState } from "../../../../src/connection/upstream/path/pathState.ts";
 import { UpstreamFailureKind } from "../../../../src/connection/upstream/upstreamFailureKind.ts";
 import { DocumentRelay } from "../../../../src/request/relay/documents/documentRelay.ts";
 import { StreamRelay } from "../../../../src/request/relay/streams/streamRelay.ts";
@@ -165,4 +166,18 @@
         relay.leaveSuspects([relay.getStages()![0]!.endpoint.id], "the first stage is silent.");
         assert.equal(countSent(), 2);
     });
+
+    // Guards against requests that are refused because many connections to sound endpoints were reset at once.
+    it("aren't held back after connections broke to endpoints that accept new ones", async () => {
+        for (const kind of [RequestKind.Stream, RequestKind.Idempotent]) {
+            const { bench, startStream, startDocument, crashEndpoint } = createBench();
+            bench.pathState = PathState.Open;
+            const start = kind === RequestKind.Stream ? startStream : startDocument;
+            start([harmful]);
+            await crashEndpoint();
+            await crashEndpoint();
+            const now = bench.clock.getMonotonicTime() + 1_000;
+            assert.equal(bench.environment.quarantine.getPartHold([harmful], now), undefined);
+        }
+    });
 });
