Start a node of a test anew if another process took one of its ports

Cause: its four plays look for free ports at the same moment, and a port is free again between the search and the node's start; other test files search too. Change: a process is given no port twice, and the harness stops a node whose port was taken and starts another one.

--- a/scripts/deployment/findFreePorts.ts
+++ b/scripts/deployment/findFreePorts.ts
@@ -6,6 +6,8 @@
  */
 const firstPort = 10_000;
 const endPort = 32_000;
+/** Ports that this process was given before: another part of it may be about to listen on them. */
+const givenPorts = new Set<number>();
 
 /**
  * Finds unused ports on the loopback address.
@@ -18,8 +20,9 @@
     const start = Math.floor(Math.random() * size);
     for (let offset = 0; offset < size && ports.length < count; offset += 1) {
         const port = firstPort + (start + offset) % size;
-        const server = await listen(port);
+        const server = givenPorts.has(port) ? undefined : await listen(port);
         if (server !== undefined) {
+            givenPorts.add(port);
             ports.push(port);
             servers.push(server);
         }
--- a/tests/platform/routerTestHarness.ts
+++ b/tests/platform/routerTestHarness.ts
@@ -43,6 +43,7 @@
     links: NodeLinks;
 }
 
+const maximumStarts = 3;
 let requestCount = 0;
 
 /** Test harness with a store, endpoints and router nodes, all in this process and on loopback addresses. */
@@ -104,8 +105,29 @@
         return links;
     }
 
-    /** Starts a node. */
+    /** Starts a node. If another process takes one of its ports meanwhile, starts another node in its place. */
     async addNode(storeAddress = this.store.getAddress(), links = NodeLinks.create()): Promise<StartedNode> {
+        for (let attempt = 1;; attempt += 1) {
+            const started = await this.createNode(storeAddress, links);
+            const { node, callers, store } = started;
+            try {
+                await node.start();
+                await callers.listen();
+                this.nodes.push(started);
+                return started;
+            }
+            catch (error) {
+                await node.startDraining();
+                await node.stop();
+                store.close();
+                if ((error as NodeJS.ErrnoException).code !== "EADDRINUSE" || attempt === maximumStarts) {
+                    throw error;
+                }
+            }
+        }
+    }
+
+    private async createNode(storeAddress: string, links: NodeLinks): Promise<StartedNode> {
         const [callerPort, peerPort, tunnelPort] = await findFreePorts(3);
         const address = `127.0.0.1:${callerPort}`;
         const peerAddress = `127.0.0.1:${peerPort}`;
@@ -155,11 +177,7 @@
             getMaximumBodyBytes: () => 100_000,
             handle: (request, sink) => node.handle(request, sink),
         });
-        await node.start();
-        await callers.listen();
-        const started = { node, callers, store, log, address, peerAddress, links };
-        this.nodes.push(started);
-        return started;
+        return { node, callers, store, log, address, peerAddress, links };
     }
 
     /** Waits until a node knows the configuration and the given number of endpoints. */
