Bound what the stall detector remembers of endpoints that never answer

The number of unanswered reports was kept by endpoint id for as long as the node runs. It is kept for the last 1,000 endpoints now, as their restarts are. Tests of detection and streams passed.

--- a/src/request/relay/detection/stallDetector.ts
+++ b/src/request/relay/detection/stallDetector.ts
@@ -30,8 +30,8 @@
 const reportIntervalMilliseconds = 200;
 /** Each report that is not answered doubles the interval to the next one, up to this. */
 const maximumReportIntervalMilliseconds = 800;
-/** Number of restarts to remember: more than there are endpoints in the chains of the streams that run. */
-const maximumRestarts = 1_000;
+/** Number of endpoints to remember: more than there are in the chains of the streams that run. */
+const maximumRememberedEndpoints = 1_000;
 /** Reports arrive within a few milliseconds. If one is overdue, the path to the endpoint may be lost. */
 const usualReportMilliseconds = 60;
 /** A stream that is silent for this long without a known cause is continued over another chain, before its caller gives up. */
@@ -51,9 +51,9 @@
     private readonly relays = new Set<StreamRelay>();
     private readonly reportRequestedAt = new Map<string, number>();
     /** Number of reports in a row that a first stage has not answered, by id. */
-    private readonly unansweredReports = new Map<string, number>();
+    private readonly unansweredReports = new LRUCache<string, number>({ max: maximumRememberedEndpoints });
     /** Ids of endpoints whose process has ended, because it restarted. */
-    private readonly ended = new LRUCache<string, true>({ max: maximumRestarts });
+    private readonly ended = new LRUCache<string, true>({ max: maximumRememberedEndpoints });
     /** Monotonic time in milliseconds before which a stream's first stage isn't told again to move it. */
     private readonly rerouteAllowedAt = new WeakMap<StreamRelay, number>();
     private readonly silenceLog: SilenceLog;
