--- a/src/request/relay/streams/streamLogger.ts
+++ b/src/request/relay/streams/streamLogger.ts
@@ -1,4 +1,5 @@
 import { events } from "../../../process/logging/events.ts";
+import type { AttemptLimit } from "../attemptLimit.ts";
 import { formatStages } from "../chains/formatStages.ts";
 import type { RelayStage } from "../chains/relayStage.ts";
 import { createEndFields } from "../createEndFields.ts";
@@ -13,8 +14,8 @@
 interface FailedAttempt {
     attempt: StreamAttempt;
     end: StreamAttemptEnd;
-    /** Number of attempts so far. */
-    attemptCount: number;
+    /** The attempts so far. */
+    attemptLimit: Pick<AttemptLimit, "getAttemptCount" | "getCountedRuns" | "getUncountedRuns">;
     /** Used fraction of the first stage's memory. */
     memoryPart: number;
 }
@@ -62,13 +63,15 @@
     }
 
     /** Logs why an attempt failed. */
-    writeFailure({ attempt, end, attemptCount, memoryPart }: FailedAttempt): void {
+    writeFailure({ attempt, end, attemptLimit, memoryPart }: FailedAttempt): void {
         this.failedStages = attempt.stages;
         this.environment.log.write(events.relayAttemptFailed, {
             request: this.task.request.id,
             chain: formatStages(attempt.stages),
             peer: attempt.exchange?.getPeer() ?? "",
-            attempt: attemptCount,
+            attempt: attemptLimit.getAttemptCount(),
+            countedRuns: attemptLimit.getCountedRuns(),
+            uncountedRuns: attemptLimit.getUncountedRuns(),
             isNotRun: end.isNotRun,
             cause: end.cause,
             avoided: end.avoid.join(","),
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -505,8 +505,12 @@
         }
         else {
             this.answer.noteRun();
-            if (end.isPathLost !== true) {
-                this.attemptLimit.noteRun(attempt.stages[0]!.endpoint.id);
+            const { id } = attempt.stages[0]!.endpoint;
+            if (end.isPathLost === true) {
+                this.attemptLimit.noteLostPath(id);
+            }
+            else {
+                this.attemptLimit.noteRun(id);
             }
         }
         if (end.brokenAt !== undefined) {
@@ -521,9 +525,9 @@
         for (const id of end.avoid) {
             this.avoided.add(id);
         }
-        const attemptCount = this.attemptLimit.getAttemptCount();
+        const { attemptLimit } = this;
         const memoryPart = this.chains.getUsedMemoryFraction(attempt.stages[0]!.endpoint);
-        this.logger.writeFailure({ attempt, end, attemptCount, memoryPart });
+        this.logger.writeFailure({ attempt, end, attemptLimit, memoryPart });
         if (end.replacement !== undefined) {
             this.continueOver(end.replacement);
             return;
