Leave a run out of the attempts of its route only where its endpoint has provably ended

What callers saw: streams that ran on three to five first stages where their route allows two, so repeats piled up while endpoints fell silent and went on.

Cause: absence was taken for an end. AttemptLimit left out a run whose endpoint wasn't in the list of those that accept new requests (drained, lapsed, not yet heard of), and one that was suspect and unheard for 1.5 s. Both say who may be sent work, not who has ended: such endpoints go on running what they have.

Change: PossibleRuns counts an endpoint from the first byte that is sent to it until EndpointEnds has a proof that its process has ended after that: its machine refuses a connection to its port (seen by this node or by a peer that opens tunnels), or a later start is known under its id or at its address. A leaving process may stop listening first, so there the connection of the run must have been closed as well. EndpointHealth.hasProbablyEnded is gone. FL1711 has countedRuns and endedRuns. What is only believed still steers new work away.

Why it works: a proof can't become false when a record, a silence or a peer comes back; what isn't proven counts, so the limit holds whatever is believed.

--- a/bench/experiment/simulatedNode.ts
+++ b/bench/experiment/simulatedNode.ts
@@ -3,6 +3,7 @@
 import type { RandomSource } from "../../src/process/randomSource.ts";
 import { RetryBudget } from "../../src/request/admission/retryBudget.ts";
 import { RetryDetector } from "../../src/request/admission/start/retryDetector.ts";
+import { EndpointEnds } from "../../src/request/relay/endpoints/endpointEnds.ts";
 import { EndpointHealth } from "../../src/request/relay/endpoints/endpointHealth.ts";
 import { EndpointLoads } from "../../src/request/relay/endpoints/endpointLoads.ts";
 import { FirstEventTimes } from "../../src/request/relay/endpoints/firstEventTimes.ts";
@@ -49,6 +50,7 @@
         const loads = EndpointLoads.create(() => queue.wake());
         const retryDetector = RetryDetector.create();
         const health = EndpointHealth.create();
+        const ends = EndpointEnds.create();
         const linkDelays = LinkDelays.create();
         const quarantine = RequestQuarantine.create({
             log,
@@ -61,16 +63,25 @@
             log,
             protocol: simulatedProtocol,
             pools: {
-                getPool: () => ({
+                getPool: address => ({
                     hasIdle: () => true,
                     hasBytesSince: () => true,
-                    sendForCaller: (createRequest, listener) =>
-                        engines.send(index, simulatedProtocol.readSent(createRequest().headers), listener),
+                    sendForCaller: (createRequest, listener) => {
+                        const sent = simulatedProtocol.readSent(createRequest().headers);
+                        const exchange = engines.send(index, sent, listener);
+                        const testPath: typeof exchange.testPath = onDone => {
+                            // A connection breaks only if its engine has ended.
+                            ends.noteRefusal(address, true, clock.getMonotonicTime());
+                            exchange.testPath(onDone);
+                        };
+                        return { ...exchange, testPath };
+                    },
                 }),
             },
             directory,
             loads,
             health,
+            ends,
             refusalDetector: { check: () => Promise.resolve() },
             limits: EndpointLimits.create({
                 log,
--- a/src/connection/upstream/path/connectionOpening.ts
+++ b/src/connection/upstream/path/connectionOpening.ts
@@ -162,6 +162,7 @@
             peers.recordFailure(peer, now);
         }
         else {
+            paths.noteFailure(address, result.val.message);
             this.endpointFailures += 1;
         }
         this.tryPeer();
--- a/src/connection/upstream/path/endpointPaths.ts
+++ b/src/connection/upstream/path/endpointPaths.ts
@@ -16,8 +16,13 @@
     peerDelayMilliseconds: number;
 }
 
-/** Called when an address becomes unreachable or reachable, with why it failed. */
-type OnPathChanged = (address: string, failure: string | undefined) => void;
+/** Options of {@link EndpointPaths}. */
+interface EndpointPathsOptions {
+    /** Called when an address becomes unreachable or reachable, with why it failed. */
+    onChanged(address: string, failure: string | undefined): void;
+    /** Called when a connection was refused by the machine at an address, on which no process listens. */
+    onRefused(address: string): void;
+}
 
 /** Connections open within a few milliseconds. A connection that needs longer is overdue, and a peer may be faster. */
 const directHeadStartMilliseconds = 60;
@@ -28,6 +33,8 @@
 /** Addresses that fail within this time of each other suggest a common cause: the links of this node. */
 const coincidenceMilliseconds = 1_000;
 const minimumCoincidences = 2;
+/** Error code of a connection to a port on which nothing listens. */
+const refusedCode = "ECONNREFUSED";
 
 /**
  * Tracks which endpoints this node can connect to over its own links, and decides how connections to them are opened. An
@@ -35,19 +42,16 @@
  */
 export class EndpointPaths {
     private readonly records = new Map<string, PathRecord>();
-    private readonly onChanged: OnPathChanged;
+    private readonly options: EndpointPathsOptions;
     private failingCount = 0;
 
-    private constructor(onChanged: OnPathChanged) {
-        this.onChanged = onChanged;
+    private constructor(options: EndpointPathsOptions) {
+        this.options = options;
     }
 
-    /**
-     * Creates an instance in which all addresses are reachable.
-     * @param onChanged - Called when an address becomes unreachable or reachable.
-     */
-    static create(onChanged: OnPathChanged): EndpointPaths {
-        return new EndpointPaths(onChanged);
+    /** Creates an instance in which all addresses are reachable. */
+    static create(options: EndpointPathsOptions): EndpointPaths {
+        return new EndpointPaths(options);
     }
 
     /** Records that a direct connection to an address was opened. */
@@ -58,7 +62,7 @@
         if (record.failingSince !== undefined) {
             record.failingSince = undefined;
             this.failingCount -= 1;
-            this.onChanged(address, undefined);
+            this.options.onChanged(address, undefined);
         }
     }
 
@@ -66,10 +70,18 @@
     recordFailed(address: string, failure: string, now: number): void {
         const record = this.getRecord(address);
         record.triedAt = now;
+        this.noteFailure(address, failure);
         if (record.failingSince === undefined) {
             record.failingSince = now;
             this.failingCount += 1;
-            this.onChanged(address, failure);
+            this.options.onChanged(address, failure);
+        }
+    }
+
+    /** Records why this node or a peer could not open a connection, which may tell that the endpoint has ended. */
+    noteFailure(address: string, failure: string): void {
+        if (failure.includes(refusedCode)) {
+            this.options.onRefused(address);
         }
     }
 
--- a/src/process/endpointAccess.ts
+++ b/src/process/endpointAccess.ts
@@ -31,6 +31,8 @@
     onReview(): void;
     /** Called when peers should know at once how many endpoints this node reaches. */
     onLinksChanged(): void;
+    /** Called when the machine of an endpoint refused a connection, because no process listens at the address. */
+    onRefused?(address: string): void;
 }
 
 /** The ways of this node to the endpoints: which of its own links work, and the tunnels that it opens and takes. */
@@ -43,7 +45,10 @@
     private constructor(options: EndpointAccessOptions) {
         this.options = options;
         const { clock, random, createSocket, openTunnel, listPeers, onReview } = options;
-        this.paths = EndpointPaths.create((address, failure) => this.handlePathChanged(address, failure));
+        this.paths = EndpointPaths.create({
+            onChanged: (address, failure) => this.handlePathChanged(address, failure),
+            onRefused: address => options.onRefused?.(address),
+        });
         this.connector = EndpointConnector.create({
             clock,
             random,
--- a/src/process/router/endpointLinks.ts
+++ b/src/process/router/endpointLinks.ts
@@ -29,6 +29,8 @@
     getRegistry(): Pick<EndpointRegistry, "getEndpointAt" | "getAll">;
     /** Called when peers should know at once how many endpoints this node reaches. */
     onLinksChanged(): void;
+    /** Called when the machine of an endpoint refused a connection, because no process listens at the address. */
+    onRefused(address: string): void;
 }
 
 /** The connections of a router node to the endpoints, and the listener for tunnels of its peers. */
--- a/src/process/router/endpointRegistry.ts
+++ b/src/process/router/endpointRegistry.ts
@@ -27,6 +27,8 @@
     getLastStoreFailure(): number;
     /** Called when an endpoint was added, removed or changed. */
     onChange(): void;
+    /** Called with each record that is applied. Its endpoint may have started since the record before. */
+    onRecord(endpoint: RegisteredEndpoint): void;
     /** Called with the previous and the current state of an endpoint that has restarted under the same id. */
     onRestart(earlier: RegisteredEndpoint, later: RegisteredEndpoint): void;
 }
@@ -165,10 +167,11 @@
 
     /** Replaces the endpoint under a key. After a restart, notifies the owner to drop other state of the earlier process. */
     private replace(key: string, endpoint: RegisteredEndpoint, source: ChangeSource | "report"): void {
-        const { log, onRestart, onChange } = this.options;
+        const { log, onRecord, onRestart, onChange } = this.options;
         const known = this.endpoints.get(key)?.endpoint;
         this.endpoints.set(key, { endpoint, retainedUntil: undefined, isIncarnationReported: source === "report" });
         this.isIndexed = false;
+        onRecord(endpoint);
         if (known !== undefined && known.incarnation < endpoint.incarnation) {
             log.write(events.endpointRestarted, { endpoint: endpoint.id, earlier: known.id, source });
             onRestart(known, endpoint);
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -6,6 +6,7 @@
 import type { RelayRefusal } from "../../request/relay/answers/relayRefusal.ts";
 import { RefusalDetector } from "../../request/relay/detection/refusalDetector.ts";
 import { StallDetector } from "../../request/relay/detection/stallDetector.ts";
+import { EndpointEnds } from "../../request/relay/endpoints/endpointEnds.ts";
 import { EndpointHealth } from "../../request/relay/endpoints/endpointHealth.ts";
 import { EndpointLoads } from "../../request/relay/endpoints/endpointLoads.ts";
 import { FirstEventTimes } from "../../request/relay/endpoints/firstEventTimes.ts";
@@ -162,12 +163,14 @@
             log,
             metrics,
         });
+        const ends = EndpointEnds.create();
         this.links = EndpointLinks.create({
             ...options,
             tunnelListener: settings.tunnelListener,
             nodes: this.nodes,
             getRegistry: () => this.registry,
             onLinksChanged: () => this.exchange.propagateUpdate(),
+            onRefused: address => ends.noteRefusal(address, this.isReadyAt(address), clock.getMonotonicTime()),
         });
         this.losses = EndpointLosses.create({
             clock,
@@ -200,6 +203,7 @@
                 this.scheduleCleanup();
                 this.placementController.wake();
             },
+            onRecord: endpoint => ends.noteStart(endpoint, clock.getMonotonicTime()),
             onRestart: (earlier, later) => {
                 instructions.handleRestart(earlier.id, later);
                 quarantine.noteRestart(earlier.id);
@@ -286,6 +290,7 @@
             directory: this.registry,
             loads,
             health: this.health,
+            ends,
             refusalDetector: RefusalDetector.create({
                 health: this.health,
                 clock,
@@ -519,6 +524,12 @@
         return endpoints.filter(({ id }) => lost.has(id) === areLost);
     }
 
+    /** Checks if the endpoint at an address is registered and not leaving. */
+    private isReadyAt(address: string): boolean {
+        const endpoint = this.registry.getEndpointAt(address);
+        return endpoint !== undefined && !endpoint.isDraining && !this.instructions.isLeaving(endpoint.id);
+    }
+
     /** Lists the endpoints of models, except those that want no requests from this node at the moment. */
     private listPolledEndpoints(): RegisteredEndpoint[] {
         const endpoints = this.getModelServices().flatMap(({ name }) => this.registry.getEndpoints(name));
--- a/src/request/relay/endpoints/endpointHealth.ts
+++ b/src/request/relay/endpoints/endpointHealth.ts
@@ -9,8 +9,6 @@
     updatedAt: number;
     /** Monotonic time in milliseconds until which the endpoint is considered unavailable. */
     suspectUntil: number;
-    /** Monotonic time in milliseconds since which it has been considered so. */
-    suspectSince: number;
     /** Monotonic time in milliseconds until which the endpoint is known to refuse new requests. */
     refusingUntil: number;
     /** Consecutive times that the endpoint was unavailable. */
@@ -37,8 +35,6 @@
 const maximumRefusalJitterMilliseconds = 1_500;
 /** Time for which each check that an endpoint doesn't answer extends its suspicion: longer than the time to the next check. */
 const silentSuspicionMilliseconds = 1_400;
-/** A suspect endpoint that was not heard for this long has probably ended. */
-const probableEndMilliseconds = 1_500;
 /** Time without events after which an endpoint may be unavailable: several times the usual time between events. */
 const livenessMilliseconds = 300;
 
@@ -153,13 +149,6 @@
         this.onUnreachable(endpointId);
     }
 
-    /** Checks if the endpoint has probably ended. One that is only silent for a moment still runs its requests. */
-    hasProbablyEnded(endpointId: string, now: number): boolean {
-        const record = this.records.get(endpointId);
-        return record !== undefined && record.suspectUntil > now
-            && now - Math.max(record.aliveAt, record.suspectSince) > probableEndMilliseconds;
-    }
-
     /** Records that no node can connect to the endpoint any more. It is tried again, since connections may also end one by one. */
     markUnreachable(endpointId: string): void {
         this.onUnreachable(endpointId);
@@ -170,7 +159,6 @@
         const record = this.update(endpointId, 1, now);
         const backoff = initialBackoffMilliseconds * 2 ** record.consecutiveFailures;
         record.consecutiveFailures += 1;
-        record.suspectSince = record.suspectUntil > now ? record.suspectSince : now;
         record.suspectUntil = Math.max(record.suspectUntil, now + Math.min(backoff, maximumBackoffMilliseconds));
     }
 
@@ -224,7 +212,6 @@
             failureShare: 0,
             updatedAt: now,
             suspectUntil: -Infinity,
-            suspectSince: -Infinity,
             refusingUntil: -Infinity,
             consecutiveFailures: 0,
             aliveAt: -Infinity,
--- /dev/null
+++ b/src/request/relay/possibleRuns.ts
@@ -0,0 +1,61 @@
+import type { EndpointEnds } from "./endpoints/endpointEnds.ts";
+import type { PossibleRun } from "./possibleRun.ts";
+
+/**
+ * The endpoints that may run or have run a request, of which its route allows a number. An endpoint counts until it is proven that
+ * its process has ended: one that is only silent, unlisted, leaving or unreachable may go on running the request.
+ */
+export class PossibleRuns {
+    private readonly ends: Pick<EndpointEnds, "hasEnded">;
+    private readonly maximumEndpoints: number;
+    private readonly runs = new Set<PossibleRun>();
+
+    private constructor(ends: Pick<EndpointEnds, "hasEnded">, maximumEndpoints: number) {
+        this.ends = ends;
+        this.maximumEndpoints = maximumEndpoints;
+    }
+
+    /**
+     * Creates the record of a request that was not sent yet.
+     * @param ends - Proofs that endpoints have ended.
+     * @param maximumEndpoints - Maximum number of endpoints by the request's route.
+     */
+    static create(ends: Pick<EndpointEnds, "hasEnded">, maximumEndpoints: number): PossibleRuns {
+        return new PossibleRuns(ends, maximumEndpoints);
+    }
+
+    /** Adds a run when its attempt begins. It counts from the moment at which bytes of the request are sent. */
+    add(run: PossibleRun): void {
+        this.runs.add(run);
+    }
+
+    /** Removes a run of which it is certain that the endpoint has not begun it. */
+    remove(run: PossibleRun): void {
+        this.runs.delete(run);
+    }
+
+    /** Checks if the request may be sent to an endpoint that has not received it. */
+    isAnotherAllowed(): boolean {
+        return this.getCountedIds().size < this.maximumEndpoints;
+    }
+
+    /** Gets the ids of the endpoints that count. */
+    getCountedIds(): ReadonlySet<string> {
+        return this.listIds(run => !this.ends.hasEnded(run));
+    }
+
+    /** Gets the ids of the endpoints that have ended since they received the request. */
+    getEndedIds(): ReadonlySet<string> {
+        return this.listIds(run => this.ends.hasEnded(run));
+    }
+
+    private listIds(predicate: (run: PossibleRun) => boolean): ReadonlySet<string> {
+        const ids = new Set<string>();
+        for (const run of this.runs) {
+            if (run.getSentTime() !== undefined && predicate(run)) {
+                ids.add(run.endpoint.id);
+            }
+        }
+        return ids;
+    }
+}
--- a/src/request/relay/relayEnvironment.ts
+++ b/src/request/relay/relayEnvironment.ts
@@ -6,6 +6,7 @@
 import type { RetryDetector } from "../admission/start/retryDetector.ts";
 import type { RefusalDetector } from "./detection/refusalDetector.ts";
 import type { EndpointProtocol } from "./endpointProtocol.ts";
+import type { EndpointEnds } from "./endpoints/endpointEnds.ts";
 import type { EndpointHealth } from "./endpoints/endpointHealth.ts";
 import type { EndpointLoads } from "./endpoints/endpointLoads.ts";
 import type { FirstEventTimes } from "./endpoints/firstEventTimes.ts";
@@ -31,6 +32,7 @@
     directory: RelayDirectory;
     loads: EndpointLoads;
     health: EndpointHealth;
+    ends: EndpointEnds;
     refusalDetector: Pick<RefusalDetector, "check">;
     /** Rate limits that endpoints set for all nodes together. */
     limits: EndpointLimits;
--- a/src/request/relay/streams/chainReplacement.ts
+++ b/src/request/relay/streams/chainReplacement.ts
@@ -27,8 +27,6 @@
 interface RunningReplacementRequirements {
     /** Ids of endpoints that the chain must not use. */
     avoid: ReadonlySet<string>;
-    /** Id of the first stage that may run the request; undefined if its run doesn't count. */
-    countedRunId: string | undefined;
     /** Whether the chain may have suspect endpoints. */
     maySuspect: boolean;
 }
@@ -60,14 +58,14 @@
     reserveForRunning(requirements: RunningReplacementRequirements): ReservedChain | undefined {
         const { task, attemptLimit, quarantine } = this.options;
         const mayContinue = task.route.isResumable
-            && attemptLimit.mayAttemptAgain(requirements.countedRunId)
+            && attemptLimit.mayAttemptAgain()
             && !quarantine.isCanary()
             && !quarantine.isHeld();
         return mayContinue ? this.choose(requirements, true).unwrapOr(undefined) : undefined;
     }
 
     private choose(
-        { avoid, maySuspect }: Omit<RunningReplacementRequirements, "countedRunId">,
+        { avoid, maySuspect }: RunningReplacementRequirements,
         isRetry: boolean,
     ): Result<ReservedChain, string> {
         const { environment, chains } = this.options;
--- a/src/request/relay/streams/streamAttempt.ts
+++ b/src/request/relay/streams/streamAttempt.ts
@@ -1,10 +1,13 @@
 import type { UpstreamExchange } from "../../../connection/upstream/upstreamExchange.ts";
 import type { RelayStage } from "../chains/relayStage.ts";
 import type { LoadReservation } from "../endpoints/loadReservation.ts";
+import type { PossibleRun } from "../possibleRun.ts";
 
 /** An attempt to run a streamed request on a chain. */
 export interface StreamAttempt {
     stages: RelayStage[];
+    /** The run of its first stage, which stays the same when the stream is moved to other later stages. */
+    run: PossibleRun;
     /** Monotonic time at which it was sent, in milliseconds. */
     sentAt: number;
     reservation: LoadReservation;
--- a/src/request/relay/streams/streamLogger.ts
+++ b/src/request/relay/streams/streamLogger.ts
@@ -1,9 +1,9 @@
 import { events } from "../../../process/logging/events.ts";
-import type { AttemptLimit } from "../attemptLimit.ts";
 import { formatStages } from "../chains/formatStages.ts";
 import type { RelayStage } from "../chains/relayStage.ts";
 import { createEndFields } from "../createEndFields.ts";
 import { listDataCentres } from "../links/listDataCentres.ts";
+import type { PossibleRuns } from "../possibleRuns.ts";
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
 import type { StreamAttempt } from "./streamAttempt.ts";
@@ -14,8 +14,9 @@
 interface FailedAttempt {
     attempt: StreamAttempt;
     end: StreamAttemptEnd;
-    /** The attempts so far. */
-    attemptLimit: Pick<AttemptLimit, "getAttemptCount" | "getCountedRuns" | "getUncountedRuns">;
+    /** Number of attempts so far. */
+    attemptCount: number;
+    runs: Pick<PossibleRuns, "getCountedIds" | "getEndedIds">;
     /** Used fraction of the first stage's memory. */
     memoryPart: number;
 }
@@ -63,15 +64,15 @@
     }
 
     /** Logs why an attempt failed. */
-    writeFailure({ attempt, end, attemptLimit, memoryPart }: FailedAttempt): void {
+    writeFailure({ attempt, end, attemptCount, runs, memoryPart }: FailedAttempt): void {
         this.failedStages = attempt.stages;
         this.environment.log.write(events.relayAttemptFailed, {
             request: this.task.request.id,
             chain: formatStages(attempt.stages),
             peer: attempt.exchange?.getPeer() ?? "",
-            attempt: attemptLimit.getAttemptCount(),
-            countedRuns: attemptLimit.getCountedRuns(),
-            uncountedRuns: attemptLimit.getUncountedRuns(),
+            attempt: attemptCount,
+            countedRuns: [...runs.getCountedIds()].join(","),
+            endedRuns: [...runs.getEndedIds()].join(","),
             isNotRun: end.isNotRun,
             cause: end.cause,
             avoided: end.avoid.join(","),
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -19,6 +19,7 @@
 import { silenceMilliseconds } from "../detection/silenceMilliseconds.ts";
 import type { RegisteredEndpoint } from "../endpoints/registeredEndpoint.ts";
 import { listDataCentres } from "../links/listDataCentres.ts";
+import { PossibleRuns } from "../possibleRuns.ts";
 import { TaskQuarantine } from "../quarantine/taskQuarantine.ts";
 import { createQueuedRelay } from "../queue/createQueuedRelay.ts";
 import type { QueuedRelay } from "../queue/queuedRelay.ts";
@@ -50,6 +51,7 @@
     readonly task: RelayTask;
     private readonly environment: RelayEnvironment;
     private readonly chains: RelayChains;
+    private readonly runs: PossibleRuns;
     private readonly attemptLimit: AttemptLimit;
     private readonly quarantine: TaskQuarantine;
     private readonly replacement: ChainReplacement;
@@ -72,7 +74,8 @@
         this.task = task;
         this.onDone = onDone;
         this.chains = RelayChains.create(environment, task, model);
-        this.attemptLimit = AttemptLimit.create(environment, task);
+        this.runs = PossibleRuns.create(environment.ends, task.route.maximumAttempts);
+        this.attemptLimit = AttemptLimit.create(this.runs);
         this.quarantine = TaskQuarantine.create(environment, task);
         const { chains, attemptLimit, quarantine } = this;
         this.replacement = ChainReplacement.create({ environment, task, chains, attemptLimit, quarantine });
@@ -205,7 +208,6 @@
         }
         const replacement = this.replacement.reserveForRunning({
             avoid: new Set([...this.avoided, ...suspects]),
-            countedRunId: isUnsent ? undefined : attempt.stages[0]!.endpoint.id,
             maySuspect,
         });
         if (replacement !== undefined) {
@@ -321,6 +323,11 @@
         const now = this.getTime();
         const attempt: StreamAttempt = {
             stages,
+            run: {
+                endpoint: stages[0]!.endpoint,
+                isBroken: false,
+                getSentTime: () => attempt.exchange?.getSentTime(),
+            },
             sentAt: now,
             reservation,
             exchange: undefined,
@@ -328,6 +335,7 @@
             firstEventAt: undefined,
         };
         this.attempt = attempt;
+        this.runs.add(attempt.run);
         account.runPart(ProcessorCause.StreamHead, () => this.send(attempt, stages));
     }
 
@@ -432,6 +440,7 @@
             return;
         }
         const brokenAt = this.getTime();
+        attempt.run.isBroken = true;
         attempt.exchange?.testPath(state => {
             const isPathLost = state === PathState.Lost;
             const avoid = isPathLost ? [] : [id];
@@ -474,12 +483,10 @@
         if (attempt === undefined || !this.isPathLost()) {
             return false;
         }
-        const replacement = this.replacement.reserveForRunning({
-            avoid: this.avoided,
-            countedRunId: undefined,
-            maySuspect: true,
-        });
+        this.runs.remove(attempt.run);
+        const replacement = this.replacement.reserveForRunning({ avoid: this.avoided, maySuspect: true });
         if (replacement === undefined) {
+            this.runs.add(attempt.run);
             return false;
         }
         attempt.exchange?.abort();
@@ -501,19 +508,17 @@
         this.releaseAttempt(attempt);
         this.attempt = undefined;
         if (end.isNotRun) {
+            this.runs.remove(attempt.run);
             this.chains.refundLinks();
         }
         else {
             this.answer.noteRun();
-            const { id } = attempt.stages[0]!.endpoint;
             if (end.isPathLost === true) {
-                this.attemptLimit.noteLostPath(id);
-            }
-            else {
-                this.attemptLimit.noteRun(id);
+                this.runs.remove(attempt.run);
             }
         }
         if (end.brokenAt !== undefined) {
+            attempt.run.isBroken = true;
             const sentAt = attempt.exchange?.getSentTime() ?? attempt.sentAt;
             const { firstEventAt } = attempt;
             const details = { firstEventAt, isDown: end.isDown };
@@ -525,9 +530,9 @@
         for (const id of end.avoid) {
             this.avoided.add(id);
         }
-        const { attemptLimit } = this;
+        const attemptCount = this.attemptLimit.getAttemptCount();
         const memoryPart = this.chains.getUsedMemoryFraction(attempt.stages[0]!.endpoint);
-        this.logger.writeFailure({ attempt, end, attemptLimit, memoryPart });
+        this.logger.writeFailure({ attempt, end, attemptCount, runs: this.runs, memoryPart });
         if (end.replacement !== undefined) {
             this.continueOver(end.replacement);
             return;
--- a/tests/connection/upstream/path/endpointPaths.test.ts
+++ b/tests/connection/upstream/path/endpointPaths.test.ts
@@ -12,7 +12,10 @@
 
     beforeEach(() => {
         changes = [];
-        paths = EndpointPaths.create((changed, failure) => changes.push(`${changed} ${failure ?? "open"}`));
+        paths = EndpointPaths.create({
+            onChanged: (changed, failure) => changes.push(`${changed} ${failure ?? "open"}`),
+            onRefused: () => undefined,
+        });
     });
 
     it("gives a direct connection a head start while the last one was opened", () => {
--- a/tests/connection/upstream/upstreamPool.test.ts
+++ b/tests/connection/upstream/upstreamPool.test.ts
@@ -50,7 +50,7 @@
             },
             connector: EndpointConnector.create({
                 clock: systemClock,
-                paths: EndpointPaths.create(() => undefined),
+                paths: EndpointPaths.create({ onChanged: () => undefined, onRefused: () => undefined }),
                 peers: TunnelPeers.create({ listPeers: () => [], random: Math.random }),
                 createSocket: createTcpSocket,
                 openTunnel: openTcpTunnel,
--- a/tests/platform/runsBeyondAttempts.test.ts
+++ b/tests/platform/runsBeyondAttempts.test.ts
@@ -6,6 +6,7 @@
 import { setTimeout as wait } from "node:timers/promises";
 import { SeededRandom } from "../../scripts/soak/seededRandom.ts";
 import type { EndpointStandin } from "../../standins/router/endpointStandin.ts";
+import { waitUntil } from "../support/waitUntil.ts";
 import { type CallerAnswer, RouterTestHarness, type StartedNode } from "./routerTestHarness.ts";
 
 const seed = 64;
@@ -18,6 +19,9 @@
 const documentIds = ["d1", "d2", "d3", "d4", "d5"];
 const layers = { from: 0, to: 8 };
 const stream = { events: 40, eventMilliseconds: 15 };
+const longStream = { events: 60, eventMilliseconds: 15 };
+/** A stream that has run for this long isn't suspected of the crash of its endpoint. */
+const harmlessMilliseconds = 300;
 const paths = ["/model/x", "/model/x", "/safe/x", "/model/x", "/once/x", "/unsafe/x"];
 /** Attempts that the routes of the harness allow. */
 const maximumAttempts = 2;
@@ -147,3 +151,37 @@
         assert.deepEqual(exceeding, { longSilence: [], lapsedRecord: [], drainingRecord: [] });
     });
 });
+
+describe("Endpoints that crash one after the other", () => {
+    let harness: RouterTestHarness;
+    let node: StartedNode;
+
+    before(async () => {
+        harness = await RouterTestHarness.create();
+        for (const id of ["m1", "m2", "m3"]) {
+            await harness.addEndpoint(id, "model", layers, longStream);
+        }
+        const columns = [{ layers: { start: 0, end: 8 }, kind: "big" }];
+        harness.store.put("foxlead/placement/model", { service: "model", modelName: "m", layers: 8, columns });
+        node = await harness.addNode();
+        await harness.waitForEndpoints(node, harness.endpoints.size);
+    });
+
+    after(() => harness.close());
+
+    it("don't use up the attempts of a stream", async () => {
+        const endpoints = [...harness.endpoints.values()];
+        const answering = harness.send(node, "/model/x");
+        for (let crashes = 1; crashes <= maximumAttempts; crashes++) {
+            await waitUntil(
+                "the stream runs",
+                () => endpoints.filter(({ runs }) => runs.length > 0).length === crashes,
+            );
+            await wait(harmlessMilliseconds);
+            await endpoints.find(({ runs, isStopped }) => runs.length > 0 && !isStopped)!.close();
+        }
+        const { status, isComplete, body } = await answering;
+        assert.equal(status, 200);
+        assert.ok(isComplete, `The answer was cut: ${body}`);
+    });
+});
--- a/tests/process/router/endpointRegistry.test.ts
+++ b/tests/process/router/endpointRegistry.test.ts
@@ -35,6 +35,7 @@
         isLeaving: () => false,
         getLastStoreFailure: () => lastStoreFailure,
         onChange: () => undefined,
+        onRecord: () => undefined,
         onRestart: ({ id }) => restarted.push(id),
     });
     const getIds = () => registry.getEndpoints("model").map(({ registeredId }) => registeredId);
--- a/tests/request/relay/relayBench.ts
+++ b/tests/request/relay/relayBench.ts
@@ -5,6 +5,7 @@
 import { RetryBudget } from "../../../src/request/admission/retryBudget.ts";
 import { RetryDetector } from "../../../src/request/admission/start/retryDetector.ts";
 import type { AnswerSink } from "../../../src/request/relay/answers/answerSink.ts";
+import { EndpointEnds } from "../../../src/request/relay/endpoints/endpointEnds.ts";
 import { EndpointHealth } from "../../../src/request/relay/endpoints/endpointHealth.ts";
 import { EndpointLoads } from "../../../src/request/relay/endpoints/endpointLoads.ts";
 import { FirstEventTimes } from "../../../src/request/relay/endpoints/firstEventTimes.ts";
@@ -72,6 +73,7 @@
             },
             loads: EndpointLoads.create(() => queue.wake()),
             health,
+            ends: EndpointEnds.create(),
             refusalDetector: { check: () => Promise.resolve() },
             limits: EndpointLimits.create({
                 log,
