Count the runs of streams whose path seems lost, and let a stream return to endpoints that have it

What callers saw: a resumable stream that runs on more first stages than its route allows, beside paths that fail and return.

The run of a first stage whose path seemed lost wasn't counted at all. A test of the path has 120 ms, 200 through a peer, which an endpoint, a node or a peer that stands still misses, and the run didn't come back into the count when the path did.

Change: such a run counts like any other. So that this costs callers little, the limit is what the route says, a number of endpoints: once it is reached, a stream may still go to an endpoint that has received it, over another path, or after it was heard again (RelayChains.mayBeFirst). The number of attempts is bounded as before (six), and the retry budget holds.

One test of leaveSuspects was wrong: it suspected the first stage twice and never the one in use, which the limit alone kept from moving. It suspects both now, while a third endpoint is free, and a second test shows the return.

--- a/src/request/relay/attemptLimit.ts
+++ b/src/request/relay/attemptLimit.ts
@@ -1,25 +1,18 @@
 import { maximumRefusals } from "./answers/maximumRefusals.ts";
-import type { PossibleRuns } from "./possibleRuns.ts";
 
-/** Maximum number of attempts of a request, even if all first stages that ran it have ended. */
-const hardAttemptLimit = 6;
+/** Maximum number of attempts of a request, whichever endpoints receive them. */
+const maximumAttempts = 6;
 
-/** Limits the attempts of a stream: by the endpoints that its route allows, and by their number. */
+/** Limits the number of attempts and refusals of a stream. */
 export class AttemptLimit {
-    private readonly runs: PossibleRuns;
     private attemptCount = 0;
     private refusalCount = 0;
 
-    private constructor(runs: PossibleRuns) {
-        this.runs = runs;
-    }
+    private constructor() {}
 
-    /**
-     * Creates the limit for a request that was not sent yet.
-     * @param runs - The request's runs.
-     */
-    static create(runs: PossibleRuns): AttemptLimit {
-        return new AttemptLimit(runs);
+    /** Creates the limit for a request that was not sent yet. */
+    static create(): AttemptLimit {
+        return new AttemptLimit();
     }
 
     /** Gets the number of attempts. */
@@ -37,10 +30,8 @@
         this.refusalCount += 1;
     }
 
-    /** Checks if the request may be sent to another first stage. */
+    /** Checks if the request may be sent again. */
     mayAttemptAgain(): boolean {
-        return this.attemptCount < hardAttemptLimit
-            && this.refusalCount <= maximumRefusals
-            && this.runs.isAnotherAllowed();
+        return this.attemptCount < maximumAttempts && this.refusalCount <= maximumRefusals;
     }
 }
--- a/src/request/relay/chains/chooseStages.ts
+++ b/src/request/relay/chains/chooseStages.ts
@@ -69,7 +69,7 @@
     random: RandomSource,
     mayUsePartialRanges: boolean,
 ): RelayStage[] | undefined {
-    const { model, firstStage } = query;
+    const { model } = query;
     const ends = getEnds(candidates);
     const emptyChain: PartialChain = { cost: 0, candidate: undefined, start: 0, previous: undefined };
     const chainsByEnd = new Map<number, Map<string, PartialChain>>([[0, new Map([[query.dataCentre, emptyChain]])]]);
@@ -80,7 +80,7 @@
         }
         for (const candidate of candidates) {
             const { start, end } = candidate.layers;
-            if (layer === 0 && firstStage !== undefined && candidate.endpoint.id !== firstStage.endpoint.id) {
+            if (layer === 0 && !mayBeFirst(query, candidate)) {
                 continue;
             }
             if (!query.mayOvercommit && !hasFreeMemory(query, candidate, end - start)) {
@@ -107,6 +107,10 @@
     return toStages(findCheapest(chainsByEnd.get(model.layers)), model.layers);
 }
 
+function mayBeFirst({ firstStage, mayBeFirst }: StageQuery, { endpoint: { id } }: StageCandidate): boolean {
+    return firstStage === undefined ? mayBeFirst?.(id) ?? true : id === firstStage.endpoint.id;
+}
+
 function getEnds(candidates: readonly StageCandidate[]): number[] {
     const ends = new Set<number>();
     for (const { layers } of candidates) {
--- a/src/request/relay/chains/relayChains.ts
+++ b/src/request/relay/chains/relayChains.ts
@@ -8,6 +8,7 @@
 import { LinkUse } from "../links/linkUse.ts";
 import { listDataCentreLinks } from "../links/listDataCentreLinks.ts";
 import { listDataCentres } from "../links/listDataCentres.ts";
+import type { PossibleRuns } from "../possibleRuns.ts";
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
 import { assertValidChain } from "./assertValidChain.ts";
@@ -55,18 +56,36 @@
     private readonly environment: RelayEnvironment;
     private readonly task: RelayTask;
     private readonly model: EngineModel;
+    private readonly runs: Pick<PossibleRuns, "getOnlyAllowedIds">;
     private readonly linkUse: LinkUse;
 
-    private constructor(environment: RelayEnvironment, task: RelayTask, model: EngineModel) {
+    private constructor(
+        environment: RelayEnvironment,
+        task: RelayTask,
+        model: EngineModel,
+        runs: Pick<PossibleRuns, "getOnlyAllowedIds">,
+    ) {
+        this.runs = runs;
         this.environment = environment;
         this.task = task;
         this.model = model;
         this.linkUse = LinkUse.create(environment, task, model);
     }
 
-    /** Creates the selection for a request. */
-    static create(environment: RelayEnvironment, task: RelayTask, model: EngineModel): RelayChains {
-        return new RelayChains(environment, task, model);
+    /**
+     * Creates the selection for a request.
+     * @param environment - Dependencies of relayed requests.
+     * @param task - The request.
+     * @param model - Parameters of the requested model.
+     * @param runs - The request's runs, which limit the first stages that may receive it.
+     */
+    static create(
+        environment: RelayEnvironment,
+        task: RelayTask,
+        model: EngineModel,
+        runs: Pick<PossibleRuns, "getOnlyAllowedIds">,
+    ): RelayChains {
+        return new RelayChains(environment, task, model, runs);
     }
 
     /** Chooses the best chain, or returns undefined if there is none. */
@@ -85,6 +104,7 @@
                 && (id === runningId || environment.instructions.maySend(id))
             );
         const linkSearch = this.linkUse.startSearch(candidates, this.getPromptTokens(), mayOvercommit, now);
+        const onlyAllowedIds = this.runs.getOnlyAllowedIds();
         const query: StageQuery = {
             model,
             promptTokens: this.getPromptTokens(),
@@ -92,6 +112,7 @@
             dataCentre: environment.dataCentre,
             linkUtilization: this.getLinkUtilization(now),
             firstStage,
+            mayBeFirst: id => onlyAllowedIds?.has(id) ?? true,
             mayOvercommit,
             spareFraction,
             isConnected: address => environment.pools.getPool(address).hasIdle(),
@@ -105,6 +126,11 @@
         return stages;
     }
 
+    /** Checks if only some endpoints may be the first stage, because the request may have run on as many as its route allows. */
+    isFirstStageRestricted(): boolean {
+        return this.runs.getOnlyAllowedIds() !== undefined;
+    }
+
     /** Gets the link that keeps the request from starting; undefined if none does. */
     getLinkBlock(): StartBlock | undefined {
         return this.linkUse.getBlock(this.getTokens());
@@ -254,14 +280,17 @@
      */
     private coversAllLayers(avoid: ReadonlySet<string>, at?: number): boolean {
         const { directory, instructions } = this.environment;
+        const onlyAllowedIds = this.runs.getOnlyAllowedIds();
+        let hasFirst = false;
         const ranges: HeldLayers[] = [];
         for (const { id, kind, layers } of directory.getEndpoints(this.task.service.name)) {
             const isCandidate = layers !== undefined && this.model.kinds.has(kind ?? "") && !avoid.has(id);
             if (isCandidate && instructions.maySend(id, at)) {
                 ranges.push(layers);
+                hasFirst ||= layers.start === 0 && (onlyAllowedIds?.has(id) ?? true);
             }
         }
-        return coversAllLayers(ranges, this.model.layers);
+        return hasFirst && coversAllLayers(ranges, this.model.layers);
     }
 
     /** Gets the known used fraction of an endpoint's memory; 0 for an endpoint without layers. */
--- a/src/request/relay/chains/stageQuery.ts
+++ b/src/request/relay/chains/stageQuery.ts
@@ -25,4 +25,6 @@
     isConnected(address: string): boolean;
     /** First stage of the chain, if a running request moves to another chain. */
     firstStage?: RelayStage;
+    /** Checks if an endpoint may be the first stage. Default: each one may. */
+    mayBeFirst?(endpointId: string): boolean;
 }
--- a/src/request/relay/possibleRuns.ts
+++ b/src/request/relay/possibleRuns.ts
@@ -34,9 +34,10 @@
         this.runs.delete(run);
     }
 
-    /** Checks if the request may be sent to an endpoint that has not received it. */
-    isAnotherAllowed(): boolean {
-        return this.getCountedIds().size < this.maximumEndpoints;
+    /** Gets the only endpoints that may receive the request again; undefined if others may receive it too. */
+    getOnlyAllowedIds(): ReadonlySet<string> | undefined {
+        const ids = this.getCountedIds();
+        return ids.size < this.maximumEndpoints ? undefined : ids;
     }
 
     /** Gets the ids of the endpoints that count. */
--- a/src/request/relay/queue/createQueuedRelay.ts
+++ b/src/request/relay/queue/createQueuedRelay.ts
@@ -67,7 +67,8 @@
         // A pause ends by time alone, without a notification, and frees capacity at that moment.
         // What is left free for higher ranks differs by rank, and doesn't hold for a rank that would get too little.
         getCapacityClass: () => {
-            if (isRetry || avoided.size > 0 || rateLimited.size > 0 || instructions.hasPauses() || mayIgnoreReserve()) {
+            const isRestricted = avoided.size > 0 || rateLimited.size > 0 || chains.isFirstStageRestricted();
+            if (isRetry || isRestricted || instructions.hasPauses() || mayIgnoreReserve()) {
                 return undefined;
             }
             return isRanked ? `${rank} ${service.name}` : service.name;
--- a/src/request/relay/streams/chainReplacement.ts
+++ b/src/request/relay/streams/chainReplacement.ts
@@ -71,7 +71,7 @@
         const { environment, chains } = this.options;
         const stages = chains.chooseWithinLimits({ avoid, maySuspect, mayOvercommit: true, rateLimited: new Set() });
         if (stages === undefined) {
-            return Err("No other chain has free capacity.");
+            return Err("No other chain that the request may be sent over has free capacity.");
         }
         if (isRetry && !environment.retryBudget.takeRetry(environment.clock.getMonotonicTime())) {
             chains.refundLimit(stages);
--- a/src/request/relay/streams/streamAttemptEnd.ts
+++ b/src/request/relay/streams/streamAttemptEnd.ts
@@ -14,8 +14,6 @@
     brokenAt?: number;
     /** Whether no node can connect to the first stage after its connection broke. */
     isDown?: boolean;
-    /** Whether only the path to the first stage is lost, while the stage itself is alive. */
-    isPathLost?: boolean;
     /** The chain over which the stream continues; undefined if one is to be found. */
     replacement?: ReservedChain;
     cause: string;
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -73,9 +73,9 @@
         this.environment = environment;
         this.task = task;
         this.onDone = onDone;
-        this.chains = RelayChains.create(environment, task, model);
         this.runs = PossibleRuns.create(environment.ends, task.route.maximumAttempts);
-        this.attemptLimit = AttemptLimit.create(this.runs);
+        this.chains = RelayChains.create(environment, task, model, this.runs);
+        this.attemptLimit = AttemptLimit.create();
         this.quarantine = TaskQuarantine.create(environment, task);
         const { chains, attemptLimit, quarantine } = this;
         this.replacement = ChainReplacement.create({ environment, task, chains, attemptLimit, quarantine });
@@ -241,7 +241,7 @@
             return;
         }
         if (!this.attemptLimit.mayAttemptAgain()) {
-            this.giveUp(`${cause} The route allows no further attempt.`);
+            this.giveUp(`${cause} The request may not be sent again.`);
             return;
         }
         if (this.answer.isBegun()) {
@@ -451,7 +451,6 @@
                 isNotRun,
                 brokenAt: isPathLost ? undefined : brokenAt,
                 isDown: state === PathState.Down,
-                isPathLost,
                 cause,
                 avoid,
             });
@@ -483,15 +482,13 @@
         if (attempt === undefined || !this.isPathLost()) {
             return false;
         }
-        this.runs.remove(attempt.run);
         const replacement = this.replacement.reserveForRunning({ avoid: this.avoided, maySuspect: true });
         if (replacement === undefined) {
-            this.runs.add(attempt.run);
             return false;
         }
         attempt.exchange?.abort();
         const cause = "the path to the first stage is lost.";
-        this.endAttempt(attempt, { isNotRun: false, isPathLost: true, cause, avoid: [], replacement });
+        this.endAttempt(attempt, { isNotRun: false, cause, avoid: [], replacement });
         return true;
     }
 
@@ -513,9 +510,6 @@
         }
         else {
             this.answer.noteRun();
-            if (end.isPathLost === true) {
-                this.runs.remove(attempt.run);
-            }
         }
         if (end.brokenAt !== undefined) {
             attempt.run.isBroken = true;
--- a/tests/request/relay/links/linkUse.test.ts
+++ b/tests/request/relay/links/linkUse.test.ts
@@ -16,7 +16,10 @@
         createEndpoint("2", { layers: { start: 40, end: 80 }, dataCentre: "b" }),
     ]);
     const task = bench.createTask(RequestKind.Stream, true);
-    return { bench, chains: RelayChains.create(bench.environment, task, model) };
+    return {
+        bench,
+        chains: RelayChains.create(bench.environment, task, model, { getOnlyAllowedIds: () => undefined }),
+    };
 }
 
 describe("LinkUse", () => {
--- a/tests/request/relay/links/silentStageClosesLink.test.ts
+++ b/tests/request/relay/links/silentStageClosesLink.test.ts
@@ -26,7 +26,9 @@
         const { bench } = stream;
         await bench.clock.advance(silentMilliseconds);
         const task = bench.createTask(RequestKind.Stream, false);
-        const chains = RelayChains.create(bench.environment, task, { ...relayModel, kinds });
+        const chains = RelayChains.create(bench.environment, task, { ...relayModel, kinds }, {
+            getOnlyAllowedIds: () => undefined,
+        });
         // Without the silent endpoint's stream the other endpoint gets the new request.
         assert.ok(chains.choose({ avoid: new Set(), mayOvercommit: false, ignoresLinks: true }));
         assert.ok(chains.choose({ avoid: new Set(), mayOvercommit: false }));
--- a/tests/request/relay/possibleRuns.test.ts
+++ b/tests/request/relay/possibleRuns.test.ts
@@ -20,18 +20,17 @@
         const unsent = { ...createRun("1"), getSentTime: () => undefined };
         for (const run of [unsent, createRun("2"), createRun("2")]) {
             runs.add(run);
-            assert.ok(runs.isAnotherAllowed());
+            assert.equal(runs.getOnlyAllowedIds(), undefined);
         }
         runs.add(createRun("3"));
-        assert.ok(!runs.isAnotherAllowed());
-        assert.deepEqual([...runs.getCountedIds()], ["2", "3"]);
+        assert.deepEqual([...runs.getOnlyAllowedIds() ?? []], ["2", "3"]);
     });
 
     it("doesn't count an endpoint that has ended, also the second one", () => {
         const runs = createRuns(["1", "2"]);
         for (const id of ["1", "2", "3"]) {
             runs.add(createRun(id));
-            assert.ok(runs.isAnotherAllowed());
+            assert.equal(runs.getOnlyAllowedIds(), undefined);
         }
         assert.deepEqual([...runs.getEndedIds()], ["1", "2"]);
     });
@@ -42,6 +41,6 @@
         runs.add(refused);
         runs.add(createRun("2"));
         runs.remove(refused);
-        assert.ok(runs.isAnotherAllowed());
+        assert.equal(runs.getOnlyAllowedIds(), undefined);
     });
 });
--- a/tests/request/relay/queue/createQueuedRelay.test.ts
+++ b/tests/request/relay/queue/createQueuedRelay.test.ts
@@ -18,7 +18,7 @@
     const refusals: unknown[][] = [];
     const create = (changes: Partial<RelayTask>, isRetry = false) => {
         const task = { ...bench.createTask("stream"), ...changes };
-        const chains = RelayChains.create(environment, task, relayModel);
+        const chains = RelayChains.create(environment, task, relayModel, { getOnlyAllowedIds: () => undefined });
         const avoided = new Set<string>();
         const callbacks = {
             start: () => undefined,
--- a/tests/request/relay/streams/streamRelay.test.ts
+++ b/tests/request/relay/streams/streamRelay.test.ts
@@ -52,8 +52,8 @@
             const [sent] = bench.sentRequests;
             sent!.sentAt = 0;
             const first = relay.getStages()![0]!.endpoint.id;
-            const suspect = () => relay.leaveSuspects([first], "the first stage does not answer.");
-            return { bench, sent: sent!, first, suspect };
+            const suspect = (ids = [first]) => relay.leaveSuspects(ids, "the first stage does not answer.");
+            return { bench, sent: sent!, first, relay, suspect };
         }
 
         function sendEvent({ listener }: { listener: UpstreamListener; }, id: number): void {
@@ -117,16 +117,26 @@
             assert.ok(!sent.isAborted);
         });
 
-        it("leaves a resumable stream where it is if its route allows no further run", () => {
-            const { bench, sent, suspect } = startSent(["1", "2", "3"], true);
+        it("leaves a resumable stream where it is if its route allows no further endpoint and both suspects have received it", () => {
+            const { bench, sent, first, relay, suspect } = startSent(["1", "2", "3"], true);
             begin(sent);
             suspect();
             const second = bench.sentRequests[1]!;
             second.sentAt = 0;
-            suspect();
+            suspect([first, relay.getStages()![0]!.endpoint.id]);
             assert.equal(bench.sentRequests.length, 2);
             assert.ok(!second.isAborted);
         });
+
+        it("returns a resumable stream to the endpoint that it has left if its route allows no further one", () => {
+            const { bench, sent, first, relay, suspect } = startSent(["1", "2", "3"], true);
+            begin(sent);
+            suspect();
+            bench.sentRequests[1]!.sentAt = 0;
+            suspect([relay.getStages()![0]!.endpoint.id]);
+            assert.equal(bench.sentRequests.length, 3);
+            assert.equal(relay.getStages()![0]!.endpoint.id, first);
+        });
     });
 
     it("reports that the request was not run if it times out before a byte was sent", async () => {
