Count the attempts of documents whose path seems lost by their endpoints

An idempotent request whose path seemed lost was sent to further endpoints without counting the first, which may have run it, or still runs it.

The attempt never came back into the count.

Change: DocumentAttempts counts with PossibleRuns, as streams do: by endpoint, from the first byte, until the endpoint has provably ended. Once the route's number is reached, the request may only go to an endpoint that has received it, over another path. FL1711 of documents has countedRuns and endedRuns too.

Tests: two were wrong, as they held that a lost path excuses an attempt. documentAttempts.test.ts now names the endpoints that may still receive the request, and documentRelay.test.ts that the second attempt goes to the same endpoint while another one would be preferred; both failed on the code before.

--- a/src/request/relay/documents/documentAttempts.ts
+++ b/src/request/relay/documents/documentAttempts.ts
@@ -1,41 +1,43 @@
 import type { CompleteAnswer } from "../answers/completeAnswer.ts";
 import { maximumRefusals } from "../answers/maximumRefusals.ts";
 import type { RegisteredEndpoint } from "../endpoints/registeredEndpoint.ts";
+import type { PossibleRuns } from "../possibleRuns.ts";
 import type { DocumentAttempt } from "./documentAttempt.ts";
 import type { DocumentAttemptEnd } from "./documentAttemptEnd.ts";
 
 /** The attempts to run a document request: those in progress, their number, and what the ended ones tell of the request. */
 export class DocumentAttempts {
+    private readonly runs: PossibleRuns;
     private readonly maximumAttempts: number;
     private readonly running = new Set<DocumentAttempt>();
     private count = 0;
     private refusals = 0;
-    /** Attempts that ended before a byte was sent, or whose path was lost. */
-    private readonly uncounted = new Set<DocumentAttempt>();
     private firstSentAt: number | undefined;
     private lastEndpoint: RegisteredEndpoint | undefined;
     private hasPossibleRun = false;
     private failureAnswer: CompleteAnswer | undefined;
 
-    private constructor(maximumAttempts: number) {
+    private constructor(runs: PossibleRuns, maximumAttempts: number) {
+        this.runs = runs;
         this.maximumAttempts = maximumAttempts;
     }
 
     /**
      * Creates the record of a request that was not sent yet.
+     * @param runs - The request's runs, to which its attempts are added.
      * @param maximumAttempts - Maximum number of attempts by the request's route.
      */
-    static create(maximumAttempts: number): DocumentAttempts {
-        return new DocumentAttempts(maximumAttempts);
+    static create(runs: PossibleRuns, maximumAttempts: number): DocumentAttempts {
+        return new DocumentAttempts(runs, maximumAttempts);
     }
 
     /**
-     * Checks if the request may be sent to another endpoint. A request that surely has not run may exceed the route's maximum, up to a
-     * number of refusals.
+     * Gets the only endpoints that may receive the request again; undefined if others may receive it too. A request that surely has not
+     * run may exceed the route's maximum, up to a number of refusals.
      */
-    isAnotherAllowed(): boolean {
-        return this.count - this.uncounted.size < this.maximumAttempts
-            || !this.hasPossibleRun && !this.areRunning() && this.refusals <= maximumRefusals;
+    getOnlyAllowedIds(): ReadonlySet<string> | undefined {
+        const hasSurelyNotRun = !this.hasPossibleRun && !this.areRunning();
+        return hasSurelyNotRun && this.refusals <= maximumRefusals ? undefined : this.runs.getOnlyAllowedIds();
     }
 
     /** Checks if the number of attempts allows a hedge. */
@@ -48,11 +50,7 @@
         this.count += 1;
         this.lastEndpoint = attempt.endpoint;
         this.running.add(attempt);
-    }
-
-    /** Records that the path of an attempt in progress is lost, so that it doesn't count against the route's maximum. */
-    noteLostPath(attempt: DocumentAttempt): void {
-        this.uncounted.add(attempt);
+        this.runs.add(attempt.run);
     }
 
     /** Counts a refusal by an endpoint. */
@@ -61,12 +59,9 @@
     }
 
     /** Ends an attempt without an answer that can be forwarded. */
-    end(attempt: DocumentAttempt, { isNotRun, isUnsent, isPathLost, answer }: DocumentAttemptEnd): void {
+    end(attempt: DocumentAttempt, { isNotRun, answer }: DocumentAttemptEnd): void {
         this.release(attempt);
         this.hasPossibleRun ||= !isNotRun;
-        if (isUnsent === true || isPathLost === true) {
-            this.uncounted.add(attempt);
-        }
         this.failureAnswer = answer ?? this.failureAnswer;
     }
 
--- a/src/request/relay/documents/documentEndpoints.ts
+++ b/src/request/relay/documents/documentEndpoints.ts
@@ -36,14 +36,17 @@
         return this.listUntried().length > 0;
     }
 
-    /** Chooses the next endpoint and takes the request out of this node's share of the endpoint's rate limit. */
-    acquire(): RegisteredEndpoint | undefined {
+    /**
+     * Chooses the next endpoint and takes the request out of this node's share of the endpoint's rate limit.
+     * @param onlyAllowedIds - Ids of the only endpoints that may receive the request; undefined if all may.
+     */
+    acquire(onlyAllowedIds?: ReadonlySet<string>): RegisteredEndpoint | undefined {
         const { environment, task } = this;
         const { limits } = environment;
         const now = this.getTime();
         limits.noteRequest(task.service.name, now);
         this.limitedIds = new Set();
-        let untried = this.listUntried();
+        let untried = this.listUntried().filter(({ id }) => onlyAllowedIds?.has(id) ?? true);
         for (let next = chooseEndpoint(environment, untried); next !== undefined;) {
             if (limits.take(next, now)) {
                 this.triedIds.add(next.id);
--- a/src/request/relay/documents/documentRelay.ts
+++ b/src/request/relay/documents/documentRelay.ts
@@ -12,6 +12,7 @@
 import type { RelayRefusal } from "../answers/relayRefusal.ts";
 import { sendCompleteAnswer } from "../answers/sendCompleteAnswer.ts";
 import { createEndFields } from "../createEndFields.ts";
+import { PossibleRuns } from "../possibleRuns.ts";
 import { TaskQuarantine } from "../quarantine/taskQuarantine.ts";
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
@@ -35,6 +36,7 @@
     private readonly environment: RelayEnvironment;
     private readonly task: RelayTask;
     private readonly endpoints: DocumentEndpoints;
+    private readonly runs: PossibleRuns;
     private readonly attempts: DocumentAttempts;
     private readonly timers: TimerHandle[] = [];
     private readonly onDone: () => void;
@@ -45,7 +47,8 @@
         this.environment = environment;
         this.task = task;
         this.onDone = onDone;
-        this.attempts = DocumentAttempts.create(task.route.maximumAttempts);
+        this.runs = PossibleRuns.create(environment.ends, task.route.maximumAttempts);
+        this.attempts = DocumentAttempts.create(this.runs, task.route.maximumAttempts);
         this.endpoints = DocumentEndpoints.create(environment, task);
         this.quarantine = TaskQuarantine.create(environment, task);
     }
@@ -77,7 +80,7 @@
             return;
         }
         const { environment } = this;
-        const endpoint = this.attempts.isAnotherAllowed() ? this.endpoints.acquire() : undefined;
+        const endpoint = this.endpoints.acquire(this.attempts.getOnlyAllowedIds());
         if (endpoint === undefined) {
             const exhausted = this.endpoints.explainExhaustion(cause);
             this.giveUp(exhausted.cause, exhausted.refusal);
@@ -92,6 +95,7 @@
         const reservation = environment.loads.reserveEndpoint(endpoint.id, now);
         const attempt: DocumentAttempt = {
             endpoint,
+            run: { endpoint, isBroken: false, getSentTime: () => attempt.exchange?.getSentTime() },
             sentAt: now,
             reservation,
             exchange: undefined,
@@ -188,6 +192,7 @@
         const cause = `the exchange with the endpoint failed (${failure.message}).`;
         if (failure.kind === UpstreamFailureKind.Broken) {
             const brokenAt = this.getTime();
+            attempt.run.isBroken = true;
             attempt.exchange?.testPath(state => {
                 if (state === PathState.Down) {
                     health.markUnreachable(attempt.endpoint.id);
@@ -229,6 +234,8 @@
             endpoint: attempt.endpoint.id,
             peer: attempt.exchange?.getPeer() ?? "",
             attempt: this.attempts.getCount(),
+            countedRuns: [...this.runs.getCountedIds()].join(","),
+            endedRuns: [...this.runs.getEndedIds()].join(","),
             isNotRun: end.isNotRun,
             cause: end.cause,
             fingerprint: this.task.fingerprint,
@@ -287,7 +294,6 @@
 
     /** The attempt in progress goes on, since its endpoint may only be silent and there may be no other attempt. */
     private sendOverOtherPath(attempt: DocumentAttempt): void {
-        this.attempts.noteLostPath(attempt);
         this.endpoints.allowAgain(attempt.endpoint.id);
         this.startAttempt("the path to the endpoint is lost.", true);
     }
--- a/tests/request/relay/documents/documentAttempts.test.ts
+++ b/tests/request/relay/documents/documentAttempts.test.ts
@@ -4,26 +4,39 @@
 import type { DocumentAttempt } from "../../../../src/request/relay/documents/documentAttempt.ts";
 import type { DocumentAttemptEnd } from "../../../../src/request/relay/documents/documentAttemptEnd.ts";
 import { DocumentAttempts } from "../../../../src/request/relay/documents/documentAttempts.ts";
+import type { PossibleRun } from "../../../../src/request/relay/possibleRun.ts";
+import { PossibleRuns } from "../../../../src/request/relay/possibleRuns.ts";
 import { createEndpoint } from "../relayModel.ts";
 
 const cause = "why";
 
-function createAttempt(): DocumentAttempt {
+function createAttempt(id = "1", isSent = true): DocumentAttempt {
     const reservation = { release: () => undefined };
-    return { endpoint: createEndpoint("1"), sentAt: 0, reservation, exchange: undefined, head: undefined, chunks: [] };
+    const endpoint = createEndpoint(id);
+    const run = { endpoint, isBroken: false, getSentTime: () => isSent ? 1 : undefined };
+    return { endpoint, run, sentAt: 0, reservation, exchange: undefined, head: undefined, chunks: [] };
 }
 
-/** Runs attempts one after the other, and checks after each if another one is allowed. */
-function listAllowed(maximumAttempts: number, ends: readonly DocumentAttemptEnd[]): boolean[] {
-    const attempts = DocumentAttempts.create(maximumAttempts);
-    return ends.map(end => {
-        const attempt = createAttempt();
+function createAttempts(maximumAttempts: number, endedIds: readonly string[] = []): DocumentAttempts {
+    const ends = { hasEnded: ({ endpoint }: PossibleRun) => endedIds.includes(endpoint.id) };
+    return DocumentAttempts.create(PossibleRuns.create(ends, maximumAttempts), maximumAttempts);
+}
+
+/**
+ * Runs attempts one after the other, each at another endpoint, and checks after each which endpoints may receive the request again.
+ * @returns Their ids, or "any".
+ */
+function listAllowed(maximumAttempts: number, ends: readonly DocumentAttemptEnd[], endedIds?: string[]): string[] {
+    const attempts = createAttempts(maximumAttempts, endedIds);
+    return ends.map((end, index) => {
+        const attempt = createAttempt(String(index + 1), end.isUnsent !== true);
         attempts.add(attempt);
         if (end.isNotRun && end.isUnsent !== true) {
             attempts.noteRefusal();
         }
         attempts.end(attempt, end);
-        return attempts.isAnotherAllowed();
+        const only = attempts.getOnlyAllowedIds();
+        return only === undefined ? "any" : [...only].join();
     });
 }
 
@@ -35,17 +48,23 @@
     const pathLost = { isNotRun: false, isPathLost: true, cause };
     const refusals = Array.from({ length: maximumRefusals + 1 }, () => refused);
 
-    it("counts attempts that may have run, except those whose path was lost, and refusals up to a number of them", () => {
-        assert.deepEqual(listAllowed(2, [run, run]), [true, false]);
-        assert.deepEqual(listAllowed(1, [unsent, pathLost, run]), [true, true, false]);
-        assert.deepEqual(listAllowed(1, refusals), [...refusals.slice(1).map(() => true), false]);
+    it("counts endpoints that may have run, also those whose path seems lost, and refusals up to a number of them", () => {
+        assert.deepEqual(listAllowed(2, [run, run]), ["any", "1,2"]);
+        assert.deepEqual(listAllowed(2, [pathLost, pathLost]), ["any", "1,2"]);
+        assert.deepEqual(listAllowed(1, [unsent, pathLost]), ["any", "2"]);
+        assert.deepEqual(listAllowed(1, refusals).slice(0, -1), refusals.slice(1).map(() => "any"));
+        assert.notEqual(listAllowed(1, refusals).at(-1), "any");
+    });
+
+    it("doesn't count endpoints that have ended", () => {
+        assert.deepEqual(listAllowed(1, [run, run], ["1"]), ["any", "2"]);
     });
 
     it("allows no attempt beside a running one that uses up the route's maximum", () => {
-        const attempts = DocumentAttempts.create(1);
+        const attempts = createAttempts(1);
         assert.ok(!attempts.isHedgeAllowed());
         attempts.add(createAttempt());
-        assert.ok(!attempts.isAnotherAllowed());
+        assert.deepEqual([...attempts.getOnlyAllowedIds() ?? []], ["1"]);
         assert.ok(!attempts.isHedgeAllowed());
     });
 });
--- a/tests/request/relay/documents/documentRelay.test.ts
+++ b/tests/request/relay/documents/documentRelay.test.ts
@@ -55,14 +55,18 @@
         assert.deepEqual(bench.answers, ["200"]);
     });
 
-    it("sends an idempotent request over another path if one is lost, though its route allows no second attempt", async () => {
+    it("sends an idempotent request to the same endpoint over another path if one is lost and its route allows no second endpoint", async () => {
         const bench = RelayBench.create([createEndpoint("1"), createEndpoint("2")]);
         bench.environment.retryBudget.observeRequest();
         bench.pathState = PathState.Lost;
         DocumentRelay.start(bench.environment, bench.createTask(RequestKind.Idempotent), () => undefined);
         bench.sentRequests[0]!.sentAt = 0;
+        // The other endpoint would be preferred.
+        bench.environment.health.markUnavailable(bench.sentRequests[0]!.address.endsWith(":1") ? "1" : "2", 0);
         await bench.clock.advance(500);
-        assert.equal(bench.sentRequests.length, 2);
+        const [first, second, ...others] = bench.sentRequests.map(({ address }) => address);
+        assert.equal(second, first);
+        assert.deepEqual(others, []);
     });
 
     it("answers that the request was not run if no endpoint accepted a connection", async () => {
