Bound what an endpoint may send in response to one request, in bytes and in time

What callers saw: 504 for requests whose endpoint sends bytes that are no answer and never end, at all requests of a node whose memory they fill.

Cause: nothing bounded what precedes a head (informational responses, empty lines), what frames a body (extensions of chunks, trailers), or the body of a failure, a refusal or a report. The HTTP client bounds header fields alone, and bodies were collected until the deadline of their request.

Change: ResponseBounds, a synchronous decision: 64 KiB of overhead beside the body (and eight bytes for each of its bytes), 2.5 s from the first byte to the end of the head, 256 KiB and 2.5 s for the body of a failure or a refusal, 1 MiB for a report or an order, 16 MiB for a document that is kept until it is complete. Streams that are passed on have no bound of their own. What exceeds a bound fails as UpstreamFailureKind.Invalid: the connection is closed, the endpoint counts as faulty and the request goes elsewhere where it may; a refusal stays a refusal, whatever follows its head. Bytes are counted at the socket, also behind a tunnel, as the client doesn't report them.

Tests: endlessAnswers.test.ts, one endpoint of three sends without end, eleven forms for documents and streams and two that drip.

--- a/src/connection/peer/tunnel/createTunnelStream.ts
+++ b/src/connection/peer/tunnel/createTunnelStream.ts
@@ -1,4 +1,5 @@
 import { Duplex } from "node:stream";
+import type { ReceivingSocket } from "../../upstream/path/receivingSocket.ts";
 import type { TunnelFrame } from "./tunnelFrame.ts";
 import { TunnelFrameKind } from "./tunnelFrameKind.ts";
 import type { TunnelFrameReader } from "./tunnelFrameReader.ts";
@@ -15,9 +16,9 @@
     connection: Duplex,
     reader: TunnelFrameReader,
     frames: readonly TunnelFrame[],
-): Duplex {
+): ReceivingSocket {
     let hasEnded = false;
-    const stream = new Duplex({
+    const duplex = new Duplex({
         allowHalfOpen: false,
         read: () => void connection.resume(),
         write: (chunk: Buffer, encoding, callback) => void connection.write(chunk, encoding, callback),
@@ -27,8 +28,10 @@
             callback(error);
         },
     });
+    const stream = Object.assign(duplex, { bytesRead: 0 });
     const handleFrames = (received: readonly TunnelFrame[]) => {
         for (const { kind, payload } of received) {
+            stream.bytesRead += payload.length;
             if (kind === TunnelFrameKind.Data && !stream.push(payload)) {
                 connection.pause();
             }
--- a/src/connection/upstream/path/connectionOpening.ts
+++ b/src/connection/upstream/path/connectionOpening.ts
@@ -1,4 +1,3 @@
-import type { Duplex } from "node:stream";
 import type { Clock, TimerHandle } from "../../../process/clock.ts";
 import { Err, Ok, type Result } from "../../../result.ts";
 import type { TunnelFailure } from "../../peer/tunnel/tunnelFailure.ts";
@@ -8,6 +7,7 @@
 import { openDirect } from "./openDirect.ts";
 import type { OpenedSocket } from "./openedSocket.ts";
 import type { OpenTunnel } from "./openTunnel.ts";
+import type { ReceivingSocket } from "./receivingSocket.ts";
 import type { TunnelPeers } from "./tunnelPeers.ts";
 
 /** Options of a {@link ConnectionOpening}. */
@@ -84,7 +84,7 @@
         });
     }
 
-    private handleDirect(result: Result<Duplex, string>): void {
+    private handleDirect(result: Result<ReceivingSocket, string>): void {
         const { address, clock, paths } = this.options;
         const now = clock.getMonotonicTime();
         this.isDirectPending = false;
@@ -147,7 +147,7 @@
         }
     }
 
-    private handleTunnel(peer: string, result: Result<Duplex, TunnelFailure>): void {
+    private handleTunnel(peer: string, result: Result<ReceivingSocket, TunnelFailure>): void {
         const { address, clock, paths, peers } = this.options;
         const now = clock.getMonotonicTime();
         this.pendingTunnels -= 1;
--- a/src/connection/upstream/path/openTunnelOptions.ts
+++ b/src/connection/upstream/path/openTunnelOptions.ts
@@ -1,7 +1,7 @@
-import type { Duplex } from "node:stream";
 import type { Clock } from "../../../process/clock.ts";
 import type { Result } from "../../../result.ts";
 import type { TunnelFailure } from "../../peer/tunnel/tunnelFailure.ts";
+import type { ReceivingSocket } from "./receivingSocket.ts";
 
 /** Options of {@link OpenTunnel}. */
 export interface OpenTunnelOptions {
@@ -12,5 +12,5 @@
     timeoutMilliseconds: number;
     clock: Pick<Clock, "setTimer">;
     /** Called once, with the open tunnel or the reason for the failure. Not called after a cancellation. */
-    onDone(result: Result<Duplex, TunnelFailure>): void;
+    onDone(result: Result<ReceivingSocket, TunnelFailure>): void;
 }
--- a/src/connection/upstream/upstreamConnection.ts
+++ b/src/connection/upstream/upstreamConnection.ts
@@ -1,10 +1,12 @@
 import type { Socket } from "node:net";
-import type { Duplex } from "node:stream";
 import { Client, type Dispatcher } from "undici";
 import type { InputBarrier } from "../../process/loop/inputBarrier.ts";
+import { bodyBoundsOfUse } from "./bodyBoundsOfUse.ts";
 import { endsWithConnection } from "./endsWithConnection.ts";
 import type { ConnectionPath } from "./path/connectionPath.ts";
 import type { PathConnector } from "./path/pathConnector.ts";
+import type { ReceivingSocket } from "./path/receivingSocket.ts";
+import { ResponseBounds } from "./responseBounds.ts";
 import type { UpstreamExchange } from "./upstreamExchange.ts";
 import { UpstreamFailureKind } from "./upstreamFailureKind.ts";
 import type { UpstreamListener } from "./upstreamListener.ts";
@@ -46,6 +48,10 @@
     /** Monotonic time in milliseconds at which the last exchange ended. */
     private idleSince = 0;
     private readonly path: ConnectionPath;
+    private socket: ReceivingSocket | undefined;
+    private areArrivalsWatched = false;
+    /** Checks the response in progress when bytes have arrived; undefined while there is none. */
+    private checkResponse: (() => void) | undefined;
 
     private constructor(options: UpstreamConnectionOptions) {
         this.options = options;
@@ -102,15 +108,33 @@
         let isEnded = false;
         let isUnframed = false;
         let isLast = false;
+        let bounds: ResponseBounds | undefined;
+        let timer: NodeJS.Timeout | undefined;
+        const end = () => {
+            isEnded = true;
+            this.checkResponse = undefined;
+            clearTimeout(timer);
+        };
         const fail = (message: string, kind?: UpstreamFailureKind) => {
             if (isEnded) {
                 return;
             }
-            isEnded = true;
+            end();
             this.disconnect();
             const defaultKind = sentAt === undefined ? UpstreamFailureKind.NotSent : UpstreamFailureKind.Broken;
             listener.onFailure({ kind: kind ?? defaultKind, message });
         };
+        const check = () => {
+            const violation = bounds?.findViolation(this.getParsedBytes(), performance.now());
+            if (violation !== undefined) {
+                fail(`The response is invalid: ${violation}.`, UpstreamFailureKind.Invalid);
+            }
+        };
+        const startTimer = () => {
+            clearTimeout(timer);
+            const deadline = bounds?.getDeadline();
+            timer = deadline === undefined ? undefined : setTimeout(check, Math.ceil(deadline - performance.now()));
+        };
         this.client.dispatch({
             method: request.method as Dispatcher.HttpMethod,
             path: request.target,
@@ -129,6 +153,15 @@
                     return;
                 }
                 sentAt = performance.now();
+                this.watchArrivals();
+                bounds = ResponseBounds.create(this.getParsedBytes());
+                this.checkResponse = () => {
+                    check();
+                    if (!isEnded && timer === undefined) {
+                        bounds?.noteArrival(performance.now());
+                        startTimer();
+                    }
+                };
             },
             onResponseStart: (_controller, status, headers) => {
                 this.path.lastByteAt = performance.now();
@@ -138,9 +171,16 @@
                 isUnframed = request.method !== "HEAD" && endsWithConnection(status, headers);
                 isLast = isUnframed || closePattern.test(String(headers["connection"] ?? ""));
                 listener.onHead(status, headers);
+                bounds?.noteHead(listener.getBodyBounds?.() ?? bodyBoundsOfUse.kept, performance.now());
+                startTimer();
             },
             onResponseData: (_controller, chunk) => {
                 this.path.lastByteAt = performance.now();
+                if (isEnded) {
+                    return;
+                }
+                bounds?.noteBody(chunk.length);
+                check();
                 if (!isEnded) {
                     listener.onData(chunk);
                 }
@@ -155,7 +195,7 @@
                 if (isEnded) {
                     return;
                 }
-                isEnded = true;
+                end();
                 this.idleSince = performance.now();
                 // Bytes after the response, which make the connection unusable, are processed first.
                 setImmediate(() => isLast ? this.disconnect() : this.release());
@@ -172,7 +212,7 @@
                 if (isEnded) {
                     return;
                 }
-                isEnded = true;
+                end();
                 controller?.abort(new Error("The exchange was aborted."));
                 this.disconnect();
             },
@@ -184,7 +224,21 @@
         this.disconnect();
     }
 
-    private watchSocket(socket: Duplex): void {
+    /** Gets the number of bytes that were received on the connection and are parsed. */
+    private getParsedBytes(): number {
+        return this.socket === undefined ? 0 : this.socket.bytesRead - this.socket.readableLength;
+    }
+
+    /** Checks responses as their bytes arrive. The HTTP client must have its listener first, since a second one gets no earlier bytes. */
+    private watchArrivals(): void {
+        if (!this.areArrivalsWatched) {
+            this.areArrivalsWatched = true;
+            this.socket?.on("readable", () => this.checkResponse?.());
+        }
+    }
+
+    private watchSocket(socket: ReceivingSocket): void {
+        this.socket = socket;
         socket.once("error", () => {
             this.hasSocketFailed = true;
         });
--- a/src/connection/upstream/upstreamFailureKind.ts
+++ b/src/connection/upstream/upstreamFailureKind.ts
@@ -6,5 +6,7 @@
     NotSent: "notSent",
     /** At least part of the request may have been sent, and the response is missing or incomplete. */
     Broken: "broken",
+    /** The request was sent, and bytes came that are no response or exceed the bounds of one. The connection was closed for it. */
+    Invalid: "invalid",
 } as const;
 export type UpstreamFailureKind = typeof UpstreamFailureKind[keyof typeof UpstreamFailureKind];
--- a/src/connection/upstream/upstreamListener.ts
+++ b/src/connection/upstream/upstreamListener.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders } from "node:http";
+import type { BodyBounds } from "./bodyBounds.ts";
 import type { UpstreamFailure } from "./upstreamFailure.ts";
 
 /** Receives the events of an exchange. The last call is either `onEnd` or `onFailure`. */
@@ -10,6 +11,8 @@
     maySend?(): boolean;
     /** Called with the status and the headers of the response. */
     onHead(status: number, headers: IncomingHttpHeaders): void;
+    /** Gets the bounds of the response's body, once the head was passed on. Default: those of a body that is kept. */
+    getBodyBounds?(): BodyBounds;
     onData(chunk: Buffer): void;
     /** Called when the response is complete. */
     onEnd(): void;
--- a/src/process/router/endpointCalls.ts
+++ b/src/process/router/endpointCalls.ts
@@ -1,4 +1,5 @@
 import type { AnswerInstructions } from "../../connection/instructions/answerInstructions.ts";
+import { bodyBoundsOfUse } from "../../connection/upstream/bodyBoundsOfUse.ts";
 import type { UpstreamPools } from "../../connection/upstream/upstreamPools.ts";
 import type { UpstreamRequest } from "../../connection/upstream/upstreamRequest.ts";
 import type { RelayStage } from "../../request/relay/chains/relayStage.ts";
@@ -134,6 +135,7 @@
                         () => onInstructions(endpoint, protocol.readInstructions(responseStatus, headers), name),
                     );
                 },
+                getBodyBounds: () => bodyBoundsOfUse.call,
                 onData: chunk => chunks.push(chunk),
                 onEnd: () => finish("answered", Ok({ status, body: Buffer.concat(chunks) })),
                 onFailure: failure => finish(failure.kind, Err(failure.message)),
--- a/src/request/relay/documents/documentRelay.ts
+++ b/src/request/relay/documents/documentRelay.ts
@@ -1,4 +1,6 @@
 import type { IncomingHttpHeaders } from "node:http";
+import type { BodyBounds } from "../../../connection/upstream/bodyBounds.ts";
+import { bodyBoundsOfUse } from "../../../connection/upstream/bodyBoundsOfUse.ts";
 import { PathState } from "../../../connection/upstream/path/pathState.ts";
 import type { UpstreamFailure } from "../../../connection/upstream/upstreamFailure.ts";
 import { UpstreamFailureKind } from "../../../connection/upstream/upstreamFailureKind.ts";
@@ -127,6 +129,7 @@
         attempt.exchange = pools.getPool(endpoint.address).sendForCaller(createRequest, {
             onHead: (status, headers) =>
                 account.runPart(ProcessorCause.Document, () => this.handleHead(attempt, status, headers)),
+            getBodyBounds: () => getBodyBounds(attempt),
             onData: chunk => attempt.chunks.push(chunk),
             onEnd: () => account.runPart(ProcessorCause.Document, () => this.handleAnswer(attempt)),
             onFailure: failure => account.runPart(ProcessorCause.Document, () => this.handleFailure(attempt, failure)),
@@ -190,6 +193,10 @@
     private handleFailure(attempt: DocumentAttempt, failure: UpstreamFailure): void {
         const { health, limits } = this.environment;
         const cause = `the exchange with the endpoint failed (${failure.message}).`;
+        if (failure.kind === UpstreamFailureKind.Invalid) {
+            this.handleInvalidAnswer(attempt, cause);
+            return;
+        }
         if (failure.kind === UpstreamFailureKind.Broken) {
             const brokenAt = this.getTime();
             attempt.run.isBroken = true;
@@ -210,6 +217,16 @@
         this.endAttempt(attempt, { isNotRun: true, isUnsent: true, cause });
     }
 
+    /** Handles an answer that exceeds its bounds. What follows the head of a refusal doesn't matter. */
+    private handleInvalidAnswer(attempt: DocumentAttempt, cause: string): void {
+        this.environment.health.addFailure(attempt.endpoint.id, this.getTime());
+        const isNotRun = attempt.head?.isNotRun === true;
+        if (isNotRun) {
+            this.attempts.noteRefusal();
+        }
+        this.endAttempt(attempt, { isNotRun, cause });
+    }
+
     private handleBreak(attempt: DocumentAttempt, state: PathState, brokenAt: number, cause: string): void {
         const isPathLost = state === PathState.Lost;
         if (!isPathLost) {
@@ -384,3 +401,8 @@
         return this.environment.clock.getMonotonicTime();
     }
 }
+
+function getBodyBounds({ head }: DocumentAttempt): BodyBounds {
+    const isPassedOn = head !== undefined && head.isSigned && !head.isNotRun && head.status < serverErrorStatus;
+    return isPassedOn ? bodyBoundsOfUse.kept : bodyBoundsOfUse.failure;
+}
--- a/src/request/relay/streams/sendStream.ts
+++ b/src/request/relay/streams/sendStream.ts
@@ -1,5 +1,6 @@
 import type { UpstreamExchange } from "../../../connection/upstream/upstreamExchange.ts";
 import type { UpstreamFailure } from "../../../connection/upstream/upstreamFailure.ts";
+import { UpstreamFailureKind } from "../../../connection/upstream/upstreamFailureKind.ts";
 import type { UpstreamRequest } from "../../../connection/upstream/upstreamRequest.ts";
 import { ProcessorAccount } from "../../../process/loop/processorAccount.ts";
 import { ProcessorCause } from "../../../process/loop/processorCause.ts";
@@ -49,9 +50,18 @@
     return pools.getPool(endpoint.address).sendForCaller(() => createRequest(options), {
         onHead: (status, headers) =>
             account.runPart(ProcessorCause.StreamHead, () => reader.handleHead(status, headers)),
+        getBodyBounds: () => reader.getBodyBounds(),
         onData: chunk => account.runPart(ProcessorCause.StreamEvent, () => reader.handleData(chunk)),
         onEnd: () => account.run(ProcessorCause.StreamEnd, () => reader.handleEnd()),
-        onFailure: failure => account.run(ProcessorCause.StreamEnd, () => onFailure(failure)),
+        onFailure: failure =>
+            account.run(ProcessorCause.StreamEnd, () => {
+                // What follows the head of a refusal doesn't matter.
+                if (failure.kind === UpstreamFailureKind.Invalid && reader.hasRefusal()) {
+                    reader.handleEnd();
+                    return;
+                }
+                onFailure(failure);
+            }),
         maySend: () => instructions.maySend(endpoint.id),
     });
 }
--- a/src/request/relay/streams/streamAnswerReader.ts
+++ b/src/request/relay/streams/streamAnswerReader.ts
@@ -1,4 +1,6 @@
 import type { IncomingHttpHeaders } from "node:http";
+import type { BodyBounds } from "../../../connection/upstream/bodyBounds.ts";
+import { bodyBoundsOfUse } from "../../../connection/upstream/bodyBoundsOfUse.ts";
 import { endsWithConnection } from "../../../connection/upstream/endsWithConnection.ts";
 import type { AnswerHead } from "../answers/answerHead.ts";
 import type { EndpointProtocol } from "../endpointProtocol.ts";
@@ -54,6 +56,16 @@
         onHead(this.head);
     }
 
+    /** Gets the bounds of the answer's body: only the events of a success are passed on as they arrive. */
+    getBodyBounds(): BodyBounds {
+        return this.head !== undefined && isSuccess(this.head) ? bodyBoundsOfUse.streamed : bodyBoundsOfUse.failure;
+    }
+
+    /** Checks if the head of the answer says that the endpoint has not run the request. */
+    hasRefusal(): boolean {
+        return this.head?.isNotRun === true;
+    }
+
     /** Handles bytes of the answer's body. */
     handleData(chunk: Buffer): void {
         const { head } = this;
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -432,6 +432,12 @@
             this.endAttempt(attempt, { isNotRun: true, isUnsent: true, cause, avoid: [] });
             return;
         }
+        if (failure.kind === UpstreamFailureKind.Invalid) {
+            this.environment.health.markRejecting(id, this.getTime());
+            const cause = `the first stage sent no valid answer (${failure.message}).`;
+            this.endAttempt(attempt, { isNotRun: false, cause, avoid: [id] });
+            return;
+        }
         const isNotRun = failure.kind === UpstreamFailureKind.NotSent;
         const cause = `the connection to the first stage failed (${failure.message}).`;
         if (isNotRun) {
