End streams whose events or comments never end

What callers saw: 504, and streams that waited for 4 to 15 s, where an endpoint sends one event without end, or comments and no event.

Cause: the bytes of an incomplete event were collected without a bound, and joined again with each chunk, which costs quadratic time. Comments counted as progress, so that the stall detector never looked.

Change: more than 256 KiB without an event that has an id ends the attempt, whether in one event or in several; the endpoint is avoided and the stream continues elsewhere. A comment is passed on, but is no progress: callers wait for events and leave after a pause between them, so a stream of comments alone is moved like a silent one. Parts of an event are joined only where a line ends.

--- a/src/request/relay/streams/describeIncompleteAnswer.ts
+++ b/src/request/relay/streams/describeIncompleteAnswer.ts
@@ -25,6 +25,10 @@
             const brokenAt = end.isConnectionClosed ? now : undefined;
             return { isNotRun: false, brokenAt, cause: "the endpoint broke off the stream.", avoid: [firstId] };
         }
+        case "oversized": {
+            const cause = `the endpoint sent more than ${end.maximumBytes} bytes without an event.`;
+            return { isNotRun: false, cause, avoid: [firstId] };
+        }
         case "foreign":
             return { isNotRun: false, cause: "the answer belongs to another request.", avoid: [firstId] };
     }
--- a/src/request/relay/streams/eventSplitter.ts
+++ b/src/request/relay/streams/eventSplitter.ts
@@ -9,7 +9,9 @@
 
 /** Splits the bytes of a stream into complete events, which keep their exact bytes. */
 export class EventSplitter {
-    private incompleteEvent: Buffer = Buffer.alloc(0);
+    /** Parts of the incomplete event. They are joined only when its end may have arrived, so that a long event costs linear time. */
+    private parts: Buffer[] = [];
+    private partBytes = 0;
 
     private constructor() {}
 
@@ -20,20 +22,34 @@
 
     /** Adds bytes and returns the events that they complete. */
     push(chunk: Buffer): StreamEvent[] {
-        const bytes = this.incompleteEvent.length === 0 ? chunk : Buffer.concat([this.incompleteEvent, chunk]);
+        if (chunk.length === 0) {
+            return [];
+        }
+        this.parts.push(chunk);
+        this.partBytes += chunk.length;
+        if (!chunk.includes(lineFeed)) {
+            return [];
+        }
+        const bytes = this.parts.length === 1 ? chunk : Buffer.concat(this.parts);
         const events: StreamEvent[] = [];
         let start = 0;
         for (let end = findEventEnd(bytes, start); end !== -1; end = findEventEnd(bytes, start)) {
             events.push(createEvent(bytes.subarray(start, end)));
             start = end;
         }
-        this.incompleteEvent = bytes.subarray(start);
+        this.parts = start === bytes.length ? [] : [bytes.subarray(start)];
+        this.partBytes = bytes.length - start;
         return events;
     }
 
     /** Checks if there are bytes of an incomplete event. */
     hasIncompleteEvent(): boolean {
-        return this.incompleteEvent.length > 0;
+        return this.partBytes > 0;
+    }
+
+    /** Gets the size of the incomplete event in bytes. */
+    getIncompleteBytes(): number {
+        return this.partBytes;
     }
 }
 
--- a/src/request/relay/streams/streamAnswerEnd.ts
+++ b/src/request/relay/streams/streamAnswerEnd.ts
@@ -15,5 +15,7 @@
     | { kind: "refused"; head: AnswerHead; }
     /** The endpoint answered with a failure, or with a success without its signature. `answer` is what may be forwarded to the caller. */
     | { kind: "failed"; head: AnswerHead; answer: CompleteAnswer | undefined; }
+    /** An event, or the comments between two events, exceed the maximum size. */
+    | { kind: "oversized"; maximumBytes: number; }
     /** The answer belongs to another request. */
     | { kind: "foreign"; };
--- a/src/request/relay/streams/streamAnswerReader.ts
+++ b/src/request/relay/streams/streamAnswerReader.ts
@@ -22,6 +22,8 @@
     onEnd(end: StreamAnswerEnd): void;
 }
 
+/** Maximum size of an event, and of the comments between two events. Events hold a few tokens, comments keep connections open. */
+const maximumEventBytes = 256 * 1024;
 const firstSuccessStatus = 200;
 const firstRedirectStatus = 300;
 
@@ -34,6 +36,9 @@
     private head: AnswerHead | undefined;
     private isEndedByConnection = false;
     private hasEvents = false;
+    /** Size of the comments and other events without an id since the last event with one, in bytes. */
+    private unnumberedBytes = 0;
+    private isEnded = false;
 
     private constructor(options: StreamAnswerReaderOptions) {
         this.options = options;
@@ -69,7 +74,7 @@
     /** Handles bytes of the answer's body. */
     handleData(chunk: Buffer): void {
         const { head } = this;
-        if (head === undefined) {
+        if (head === undefined || this.isEnded) {
             return;
         }
         if (!isSuccess(head)) {
@@ -78,8 +83,13 @@
         }
         for (const event of this.splitter.push(chunk)) {
             this.hasEvents = true;
+            this.unnumberedBytes = event.id === undefined ? this.unnumberedBytes + event.bytes.length : 0;
             this.options.onEvent(event, head);
         }
+        if (Math.max(this.splitter.getIncompleteBytes(), this.unnumberedBytes) > maximumEventBytes) {
+            this.isEnded = true;
+            this.options.onEnd({ kind: "oversized", maximumBytes: maximumEventBytes });
+        }
     }
 
     /** Handles the end of the answer's body. */
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -361,6 +361,11 @@
         const now = this.getTime();
         const wasSilent = now - attempt.lastProgressAt > silenceMilliseconds;
         this.answer.noteRun();
+        if (event.id === undefined) {
+            // A comment keeps a connection open. It isn't progress, which callers wait for.
+            this.answer.write(head, event.bytes);
+            return;
+        }
         attempt.lastProgressAt = now;
         this.chains.noteEvent(now);
         for (const { endpoint } of attempt.stages) {
@@ -402,9 +407,12 @@
             this.complete(end.head);
             return;
         }
-        if (end.kind === "foreign") {
+        if (end.kind === "foreign" || end.kind === "oversized") {
             attempt.exchange?.abort();
         }
+        if (end.kind === "oversized") {
+            this.environment.health.markRejecting(attempt.stages[0]!.endpoint.id, this.getTime());
+        }
         const attemptEnd = describeIncompleteAnswer(end, attempt.stages[0]!.endpoint.id, this.getTime());
         if (end.kind !== "refused") {
             this.endAttempt(attempt, attemptEnd);
--- a/standins/router/endlessForms.ts
+++ b/standins/router/endlessForms.ts
@@ -7,6 +7,8 @@
 const createHead = (status: number, requestId: string, fields = "transfer-encoding: chunked\r\n"): string =>
     `HTTP/1.1 ${status} Status\r\nrequest-id: ${requestId}\r\n${ended}${fields}\r\n`;
 
+const createChunk = (data: string): string => `${data.length.toString(16)}\r\n${data}\r\n`;
+
 /** Ways in which bytes come without end that are no answer, by name. */
 export const endlessForms = {
     garbage: { createStart: () => "", createNext: () => `${filler}\n` },
@@ -29,4 +31,6 @@
     },
     failureWithoutLength: { createStart: id => createHead(502, id, ""), createNext: () => filler },
     anotherRequest: { createStart: () => createHead(200, "another"), createNext: () => `${hex}\r\n${filler}\r\n` },
+    event: { createStart: id => createHead(200, id), createNext: () => createChunk(filler) },
+    comments: { createStart: id => createHead(200, id), createNext: () => createChunk(`:${filler}\n\n`) },
 } as const satisfies Record<string, EndlessForm>;
