Close connections to peers that send frames for nothing without end

A peer that sends answers to no call, or frames of a tunnel without bytes of the endpoint, kept its connection for as long as it sent.

Cause: single frames had bounds (4 and 1 MiB), their number had none. Frames without a pending call were dropped and those of a tunnel that bring nothing were skipped.

Change: more than 4 MiB without an answer to a call closes a framed connection, whose calls fail; late answers stay below it. After the frame that opens a tunnel, one without data, or any after its end, closes it.

--- a/src/connection/peer/framed/framedConnection.ts
+++ b/src/connection/peer/framed/framedConnection.ts
@@ -7,6 +7,7 @@
 import { encodeFrame } from "./encodeFrame.ts";
 import type { Frame } from "./frame.ts";
 import { FrameKind } from "./frameKind.ts";
+import { frameLayout } from "./frameLayout.ts";
 import { FrameReader } from "./frameReader.ts";
 
 /** Options of a {@link FramedConnection}. */
@@ -26,6 +27,9 @@
     timer: TimerHandle;
 }
 
+/** Size of the frames without a pending call, such as late answers, above which the peer is taken to send nonsense. */
+const maximumUnexpectedBytes = frameLayout.maximumBytes;
+
 /** A framed connection to a peer. It opens with its first call. */
 export class FramedConnection {
     private readonly options: FramedConnectionOptions;
@@ -33,6 +37,8 @@
     private socket: Socket | undefined;
     private lastCallId = 0;
     private isRetired = false;
+    /** Size of the frames without a pending call since the last answer to one, in bytes. */
+    private unexpectedBytes = 0;
 
     private constructor(options: FramedConnectionOptions) {
         this.options = options;
@@ -96,6 +102,7 @@
             connectTimer.cancel();
             if (this.socket === socket) {
                 this.socket = undefined;
+                this.unexpectedBytes = 0;
                 this.failAll(reason);
             }
         });
@@ -117,10 +124,15 @@
         for (const frame of frames.val) {
             this.handleFrame(frame);
         }
+        if (this.unexpectedBytes > maximumUnexpectedBytes) {
+            socket.destroy(new Error(`More than ${maximumUnexpectedBytes} bytes came that answer no call.`));
+        }
     }
 
     private handleFrame({ callId, kind, payload }: Frame): void {
         const call = this.remove(callId);
+        const frameBytes = frameLayout.methodOffset + payload.length;
+        this.unexpectedBytes = call === undefined ? this.unexpectedBytes + frameBytes : 0;
         if (kind === FrameKind.Answer) {
             call?.resolve(payload);
         }
--- a/src/connection/peer/tunnel/createTunnelStream.ts
+++ b/src/connection/peer/tunnel/createTunnelStream.ts
@@ -32,16 +32,25 @@
     const handleFrames = (received: readonly TunnelFrame[]) => {
         for (const { kind, payload } of received) {
             stream.bytesRead += payload.length;
-            if (kind === TunnelFrameKind.Data && !stream.push(payload)) {
-                connection.pause();
-            }
-            else if (kind === TunnelFrameKind.End) {
+            if (kind === TunnelFrameKind.End) {
                 hasEnded = true;
                 stream.push(null);
+                return;
+            }
+            if (kind !== TunnelFrameKind.Data || payload.length === 0) {
+                stream.destroy(new Error("The peer sent a frame without bytes of the endpoint."));
+                return;
+            }
+            if (!stream.push(payload)) {
+                connection.pause();
             }
         }
     };
     connection.on("data", (chunk: Buffer) => {
+        if (hasEnded || stream.destroyed) {
+            connection.destroy();
+            return;
+        }
         const received = reader.push(chunk);
         if (received.err) {
             stream.destroy(new Error(received.val));
--- a/tests/connection/peer/framed/framedCalls.test.ts
+++ b/tests/connection/peer/framed/framedCalls.test.ts
@@ -1,7 +1,7 @@
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import { type Client, Code, ConnectError, createClient } from "@connectrpc/connect";
 import assert from "node:assert/strict";
-import { connect, createServer } from "node:net";
+import { type AddressInfo, connect, createServer } from "node:net";
 import { after, afterEach, before, beforeEach, describe, it } from "node:test";
 import { createFramedTransport } from "../../../../src/connection/peer/framed/createFramedTransport.ts";
 import { encodeFrame } from "../../../../src/connection/peer/framed/encodeFrame.ts";
@@ -154,4 +154,30 @@
         await new Promise(resolve => stranger.once("close", resolve));
         assert.equal((await ask(2)).changes!.records.length, 1);
     });
+
+    // Guards against a peer that takes all of a link with answers to calls that nobody has made.
+    it("closes the connection to a peer that sends answers to no call without end, and fails its calls", async () => {
+        let sentBytes = 0;
+        const frame = encodeFrame({
+            callId: 1_000_000,
+            kind: FrameKind.Answer,
+            method: "",
+            payload: Buffer.alloc(65_536),
+        });
+        const endless = createServer(socket => {
+            const send = () => {
+                while (!socket.destroyed && socket.write(frame)) {
+                    sentBytes = socket.bytesWritten;
+                }
+                socket.once("drain", send);
+            };
+            socket.on("error", () => undefined);
+            socket.once("data", send);
+        });
+        await new Promise<void>(resolve => endless.listen(0, "127.0.0.1", resolve));
+        createConnection((endless.address() as AddressInfo).port);
+        assert.equal(await getCode(ask(1)), Code.Unavailable);
+        assert.ok(sentBytes < 16_000_000, `It sent ${sentBytes} bytes.`);
+        endless.close();
+    });
 });
--- a/tests/connection/peer/tunnel/tunnel.test.ts
+++ b/tests/connection/peer/tunnel/tunnel.test.ts
@@ -2,9 +2,11 @@
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { afterEach, beforeEach, describe, it } from "node:test";
+import { encodeTunnelFrame } from "../../../../src/connection/peer/tunnel/encodeTunnelFrame.ts";
 import { openTcpTunnel } from "../../../../src/connection/peer/tunnel/openTcpTunnel.ts";
 import type { TunnelFailure } from "../../../../src/connection/peer/tunnel/tunnelFailure.ts";
 import { TunnelFailureKind } from "../../../../src/connection/peer/tunnel/tunnelFailureKind.ts";
+import { TunnelFrameKind } from "../../../../src/connection/peer/tunnel/tunnelFrameKind.ts";
 import { TunnelServer } from "../../../../src/connection/peer/tunnel/tunnelServer.ts";
 import { createTcpSocket } from "../../../../src/connection/upstream/path/createTcpSocket.ts";
 import { systemClock } from "../../../../src/process/systemClock.ts";
@@ -145,3 +147,51 @@
         assert.equal(endpointSockets.length, 0);
     });
 });
+
+// Guards against a peer that keeps a request waiting, and takes all of a link, with frames that bring no bytes of the endpoint.
+describe("A tunnel through a peer that sends frames without end", () => {
+    const emptyData = encodeTunnelFrame({ kind: TunnelFrameKind.Data, payload: Buffer.alloc(0) });
+    const opened = encodeTunnelFrame({ kind: TunnelFrameKind.Opened, payload: Buffer.alloc(0) });
+    const data = encodeTunnelFrame({ kind: TunnelFrameKind.Data, payload: Buffer.from("x") });
+    const end = encodeTunnelFrame({ kind: TunnelFrameKind.End, payload: Buffer.alloc(0) });
+
+    for (
+        const [name, first, next] of [["empty", opened, emptyData], ["repeated", opened, opened], [
+            "after the end",
+            Buffer.concat([opened, end]),
+            data,
+        ]] as const
+    ) {
+        it(`is closed if they are ${name}`, async () => {
+            let sentBytes = 0;
+            const peer = createServer(socket => {
+                const send = () => {
+                    while (
+                        !socket.destroyed && socket.write(Buffer.concat(Array.from({ length: 1_000 }, () => next)))
+                    ) {
+                        sentBytes = socket.bytesWritten;
+                    }
+                    socket.once("drain", send);
+                };
+                socket.on("error", () => undefined);
+                socket.once("data", () => socket.write(first, () => setTimeout(send, 50)));
+            });
+            await new Promise<void>(resolve => peer.listen(0, "127.0.0.1", resolve));
+            const tunnel = await new Promise<Result<Duplex, TunnelFailure>>(onDone =>
+                openTcpTunnel({
+                    peer: `127.0.0.1:${(peer.address() as AddressInfo).port}`,
+                    address: "127.0.0.1:1",
+                    timeoutMilliseconds: 1_000,
+                    clock: systemClock,
+                    onDone,
+                })
+            );
+            assert.ok(tunnel.ok);
+            let isClosed = false;
+            tunnel.val.on("error", () => undefined).on("close", () => isClosed = true).resume();
+            await waitUntil("the tunnel is closed", () => isClosed);
+            await new Promise(resolve => peer.close(resolve));
+            assert.ok(sentBytes < 16_000_000, `It sent ${sentBytes} bytes.`);
+        });
+    }
+});
