Keep streams that wait where they are once they could only return to an endpoint that they have left

Cause: a stream that has been sent to as many endpoints as its route allows left a silent one for the other one, and back, up to six times, each time with its whole prompt over slow links between data centres, until the links and the retry budget were full.

Change: a stream leaves a run that goes on only for an endpoint that has not received it. It returns to one that has only once its run is over, or over another path.

--- a/src/request/relay/streams/chainReplacement.ts
+++ b/src/request/relay/streams/chainReplacement.ts
@@ -2,6 +2,7 @@
 import type { AttemptLimit } from "../attemptLimit.ts";
 import type { RelayChains } from "../chains/relayChains.ts";
 import type { ReservedChain } from "../chains/reservedChain.ts";
+import type { PossibleRuns } from "../possibleRuns.ts";
 import type { TaskQuarantine } from "../quarantine/taskQuarantine.ts";
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
@@ -12,6 +13,7 @@
     task: RelayTask;
     chains: RelayChains;
     attemptLimit: AttemptLimit;
+    runs: Pick<PossibleRuns, "getOnlyAllowedIds">;
     quarantine: TaskQuarantine;
 }
 
@@ -29,6 +31,8 @@
     avoid: ReadonlySet<string>;
     /** Whether the chain may have suspect endpoints. */
     maySuspect: boolean;
+    /** Whether the request may return to an endpoint that has received it, if its route allows no other. */
+    mayReturn: boolean;
 }
 
 /** Reserves another chain for a request that was sent before, without the queue. */
@@ -56,16 +60,17 @@
      * @returns The chain; undefined if the request may not be sent again or there is no chain.
      */
     reserveForRunning(requirements: RunningReplacementRequirements): ReservedChain | undefined {
-        const { task, attemptLimit, quarantine } = this.options;
+        const { task, attemptLimit, runs, quarantine } = this.options;
         const mayContinue = task.route.isResumable
             && attemptLimit.mayAttemptAgain()
+            && (requirements.mayReturn || runs.getOnlyAllowedIds() === undefined)
             && !quarantine.isCanary()
             && !quarantine.isHeld();
         return mayContinue ? this.choose(requirements, true).unwrapOr(undefined) : undefined;
     }
 
     private choose(
-        { avoid, maySuspect }: RunningReplacementRequirements,
+        { avoid, maySuspect }: Pick<RunningReplacementRequirements, "avoid" | "maySuspect">,
         isRetry: boolean,
     ): Result<ReservedChain, string> {
         const { environment, chains } = this.options;
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -77,8 +77,8 @@
         this.chains = RelayChains.create(environment, task, model, this.runs);
         this.attemptLimit = AttemptLimit.create();
         this.quarantine = TaskQuarantine.create(environment, task);
-        const { chains, attemptLimit, quarantine } = this;
-        this.replacement = ChainReplacement.create({ environment, task, chains, attemptLimit, quarantine });
+        const { chains, attemptLimit, runs, quarantine } = this;
+        this.replacement = ChainReplacement.create({ environment, task, chains, attemptLimit, runs, quarantine });
         this.progress = StreamProgress.create(task.request.lastEventId);
         this.answer = StreamAnswer.create(task.sink);
         this.logger = StreamLogger.create(environment, task, this.progress);
@@ -209,6 +209,8 @@
         const replacement = this.replacement.reserveForRunning({
             avoid: new Set([...this.avoided, ...suspects]),
             maySuspect,
+            // Streams that wait for slow endpoints or links would otherwise move to and fro, which makes both slower.
+            mayReturn: false,
         });
         if (replacement !== undefined) {
             attempt.exchange?.abort();
@@ -496,7 +498,11 @@
         if (attempt === undefined || !this.isPathLost()) {
             return false;
         }
-        const replacement = this.replacement.reserveForRunning({ avoid: this.avoided, maySuspect: true });
+        const replacement = this.replacement.reserveForRunning({
+            avoid: this.avoided,
+            maySuspect: true,
+            mayReturn: true,
+        });
         if (replacement === undefined) {
             return false;
         }
