Let the soak's silent endpoints lapse or drain meanwhile, and count their runs by endpoint

The check of attempts counted runs; the users' rule counts endpoints, and since the fix a request may return to an endpoint that has received it. It counts the endpoints of the runs that lasted now, which is their rule, neither more nor less.

--- a/scripts/soak/router/callChecks.ts
+++ b/scripts/soak/router/callChecks.ts
@@ -261,11 +261,12 @@
             this.violations.add("refused", `It was refused with ${status} but ran at ${runs[0]!.endpointId}.`, record);
         }
         const lasting = runs.length > maximumAttempts ? runs.filter(run => !this.hasEnded(run, endedAt)) : [];
-        if (lasting.length > maximumAttempts) {
+        const endpointIds = new Set(lasting.map(({ endpointId }) => endpointId));
+        if (endpointIds.size > maximumAttempts) {
             const places = lasting.map(({ endpointId, arrivedAt }) =>
                 `${endpointId} at ${arrivedAt - record.sentAt} ms`
             );
-            this.violations.add("attempts", `It ran ${lasting.length} times: ${places.join(", ")}.`, record);
+            this.violations.add("attempts", `It ran on ${endpointIds.size} endpoints: ${places.join(", ")}.`, record);
         }
         // A request without a run may have been sent just as the node closed the idle connection.
         const isCut = !isComplete && runs.length > 0 && record.leftAt === undefined;
--- a/scripts/soak/router/endpointsStandStill.ts
+++ b/scripts/soak/router/endpointsStandStill.ts
@@ -1,17 +1,25 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { FaultKind } from "../faultKind.ts";
 import { endpointStandsStillKind } from "./endpointStandsStillKind.ts";
+import { RecordChange } from "./recordChange.ts";
 import type { RouterSoakContext } from "./routerSoakContext.ts";
 import type { SoakEndpoint } from "./soakEndpoint.ts";
 
 /** Number of endpoints that stand still in a series, one after the other or overlapping. */
 const silences = 16;
-const silenceMilliseconds = [800, 1_800] as const;
+const silenceMilliseconds = [800, 2_600] as const;
+/** How long a record is missing or draining beside a silence. */
+const recordMilliseconds = [500, 3_000] as const;
+/** What becomes of the record of an endpoint that stands still. */
+const recordChanges = [undefined, RecordChange.Lapse, RecordChange.Draining] as const;
 const intervalMilliseconds = [100, 900] as const;
 /** Share of the silences beside which the configuration changes. */
 const changeShare = 0.6;
 
-/** Endpoints stand still in series with their connections open, and then continue, also those with other faults. */
+/**
+ * Endpoints stand still in series with their connections open, and then continue, also those with other faults. Some records lapse or say
+ * meanwhile that the endpoint drains.
+ */
 export const endpointsStandStill: FaultKind<RouterSoakContext> = {
     weight: 16,
     durationMilliseconds: [0, 0],
@@ -48,6 +56,11 @@
     const milliseconds = random.chooseInteger(...silenceMilliseconds);
     const entry = timeline.start(endpointStandsStillKind, endpoint.name);
     endpoint.fallSilent(milliseconds);
+    const change = random.choose(recordChanges);
+    const changing = change === undefined
+        ? undefined
+        : endpoint.changeRecord(change, random.chooseInteger(...recordMilliseconds));
     await sleep(milliseconds);
+    await changing;
     timeline.end(entry);
 }
--- a/scripts/soak/router/soakEndpoint.ts
+++ b/scripts/soak/router/soakEndpoint.ts
@@ -8,6 +8,7 @@
 import type { RunRecord } from "../../../standins/router/runRecord.ts";
 import { eventsPerStream } from "./eventsPerStream.ts";
 import { harmfulBody } from "./harmfulBody.ts";
+import { RecordChange } from "./recordChange.ts";
 
 /** Options of {@link SoakEndpoint}. */
 interface SoakEndpointOptions {
@@ -147,6 +148,25 @@
         this.register("draining");
     }
 
+    /** Changes the record for some time in which the endpoint goes on serving, unless it has ended or is leaving for good. */
+    async changeRecord(change: RecordChange, milliseconds: number): Promise<void> {
+        const current = this.getCurrent();
+        if (!isRegistered(current)) {
+            return;
+        }
+        if (change === RecordChange.Lapse) {
+            this.writeAgain = () => undefined;
+            this.options.store.remove(`servers/${current.id}`);
+        }
+        else {
+            this.register("draining");
+        }
+        await sleep(milliseconds);
+        if (current === this.getCurrent() && isRegistered(current)) {
+            this.register();
+        }
+    }
+
     /** Restarts after a crash, once the store record would have expired. */
     async restart(): Promise<void> {
         const ended = this.getCurrent();
@@ -269,3 +289,7 @@
         this.writeAgain();
     }
 }
+
+function isRegistered({ endedAt, leavingSince, deletedAt }: EndpointIncarnation): boolean {
+    return endedAt === undefined && leavingSince === undefined && deletedAt === undefined;
+}
