Bound the responses of services, engines and the store to foxlead node

What callers saw: nothing. The readers of foxlead node had the same gap as those of the platform's program: a document service's informational responses, empty lines and extensions of chunks had no bound but the call's timeout, and the store's bodies none at all.

Change: DocumentConnection bounds its responses at the socket (17 MiB with the head); the store's are read up to 16 MiB (readLimitedText), those of an engine as before up to 1 MiB. Not bounded in bytes: the heads of engines and of the store's watch, which have timeouts.

--- a/src/connection/document/documentConnection.ts
+++ b/src/connection/document/documentConnection.ts
@@ -1,5 +1,6 @@
 import { Agent, buildConnector, type Dispatcher } from "undici";
 import { Err, Ok, type Result } from "../../result.ts";
+import { boundResponses } from "../boundResponses.ts";
 import { isConnectFailure } from "../endpoint/isConnectFailure.ts";
 import { isConnectionRefused } from "../endpoint/isConnectionRefused.ts";
 import type { AnswerInstructions } from "../instructions/answerInstructions.ts";
@@ -23,6 +24,8 @@
 
 /** Larger responses are not forwarded, because they could not be stored completely. */
 const maximumAnswerBytes = 16 * 1024 * 1024;
+/** Size of the head and of the framing of the largest answer, in chunks of some kilobytes. */
+const maximumOverheadBytes = 1024 * 1024;
 const connectTimeoutMilliseconds = 500;
 /** Idle connections are closed after a short time, since a dead one can't be distinguished from a working one. */
 const keepAliveMilliseconds = 4_000;
@@ -148,8 +151,10 @@
 
 function createAgent(connect: buildConnector.connector | undefined): Agent {
     return new Agent({
-        connectTimeout: connectTimeoutMilliseconds,
-        connect,
+        connect: boundResponses(
+            connect ?? buildConnector({ timeout: connectTimeoutMilliseconds }),
+            maximumAnswerBytes + maximumOverheadBytes,
+        ),
         keepAliveTimeout: keepAliveMilliseconds,
         keepAliveMaxTimeout: keepAliveMilliseconds,
         headersTimeout: 0,
--- a/src/connection/endpoint/callEngine.ts
+++ b/src/connection/endpoint/callEngine.ts
@@ -1,5 +1,6 @@
 import type { Dispatcher } from "undici";
 import { readHeaderInstructions } from "../instructions/readHeaderInstructions.ts";
+import { readLimitedText } from "../readLimitedText.ts";
 import type { EngineAnswer } from "./engineAnswer.ts";
 
 /** A call to an engine that is not a batch of passes. */
@@ -27,16 +28,7 @@
         headers: { "content-type": "application/json" },
         signal: AbortSignal.timeout(call.timeoutMilliseconds),
     });
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    for await (const chunk of response.body as AsyncIterable<Buffer>) {
-        bytes += chunk.length;
-        if (bytes > maximumAnswerBytes) {
-            throw new RangeError(`The response to ${call.path} is longer than ${maximumAnswerBytes} bytes.`);
-        }
-        chunks.push(chunk);
-    }
-    const text = Buffer.concat(chunks).toString("utf8");
+    const text = await readLimitedText(response.body, maximumAnswerBytes);
     const instructions = readHeaderInstructions(response.statusCode, response.headers);
     return { status: response.statusCode, instructions, body: text === "" ? undefined : JSON.parse(text) as unknown };
 }
--- a/src/process/platform/etcdWatch.ts
+++ b/src/process/platform/etcdWatch.ts
@@ -1,5 +1,6 @@
 import type { z } from "zod";
 import { LineSplitter } from "../../connection/lineSplitter.ts";
+import { readLimitedText } from "../../connection/readLimitedText.ts";
 import type { Clock, TimerHandle } from "../clock.ts";
 import { CallEffect } from "./callEffect.ts";
 import { classifyRefusal } from "./classifyRefusal.ts";
@@ -73,7 +74,8 @@
         };
         const response = await transport.openStream("/v3/watch", { create_request: create }, this.abort.signal);
         if (response.statusCode !== okStatus) {
-            return classifyRefusal(response.statusCode, await response.body.text(), CallEffect.Read);
+            const text = await readLimitedText(response.body, maximumLineBytes);
+            return classifyRefusal(response.statusCode, text, CallEffect.Read);
         }
         const lines: string[] = [];
         const splitter = LineSplitter.create({ maximumLineBytes, onLine: line => void lines.push(line) });
--- a/src/process/platform/platformTransport.ts
+++ b/src/process/platform/platformTransport.ts
@@ -1,5 +1,6 @@
 import { Agent, type Dispatcher, request } from "undici";
 import type { z } from "zod";
+import { readLimitedText } from "../../connection/readLimitedText.ts";
 import { Err, Ok, type Result } from "../../result.ts";
 import type { Clock } from "../clock.ts";
 import { CallEffect } from "./callEffect.ts";
@@ -11,6 +12,8 @@
 /** Fraction of a call's timeout that connecting may take, so that a connect timeout can be distinguished from a lost response. */
 const connectTimeoutFraction = 0.5;
 const okStatus = 200;
+/** Much larger than a value with its envelope, or than the list of VMs. */
+const maximumResponseBytes = 16 * 1024 * 1024;
 
 interface PlatformTransportOptions {
     /** Address of the service as `host:port`. */
@@ -110,7 +113,10 @@
         });
         try {
             const response = await this.send(call, agent, abort.signal);
-            return Ok({ status: response.statusCode, body: await response.body.text() });
+            return Ok({
+                status: response.statusCode,
+                body: await readLimitedText(response.body, maximumResponseBytes),
+            });
         }
         catch (error) {
             if (abort.signal.aborted && agent === this.agent && !this.isClosed) {
--- a/tests/connection/document/documentConnection.test.ts
+++ b/tests/connection/document/documentConnection.test.ts
@@ -1,6 +1,10 @@
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
 import { DocumentConnection } from "../../../src/connection/document/documentConnection.ts";
+import { EndlessEndpoint } from "../../../standins/router/endlessEndpoint.ts";
+import type { EndlessForm } from "../../../standins/router/endlessForm.ts";
+import { endlessForms } from "../../../standins/router/endlessForms.ts";
+import { waitUntil } from "../../support/waitUntil.ts";
 import { documentFaultCases } from "./documentFaultCases.ts";
 import { RawEndpoint } from "./rawEndpoint.ts";
 
@@ -45,6 +49,28 @@
         });
     }
 
+    // Guards against a service that fills the memory of a node, or takes all of a link until its call times out.
+    for (const [name, form] of Object.entries<EndlessForm>(endlessForms)) {
+        it(`ends a call before its timeout whose response never ends: ${name}`, async context => {
+            const endless = await EndlessEndpoint.create({ form });
+            const caller = DocumentConnection.create({ endpoint: "e", address: endless.getAddress(), ...callbacks });
+            context.after(async () => {
+                await endless.close();
+                await caller.close();
+            });
+            const signal = AbortSignal.timeout(10_000);
+            const answer = await caller.send({ ...call, isIdempotent: true }, signal);
+            assert.ok(answer.err);
+            assert.ok(!signal.aborted);
+            await waitUntil(
+                "the connection is closed",
+                () => endless.connections.every(each => each.milliseconds !== undefined),
+            );
+            const bytes = Math.max(...endless.connections.map(each => each.bytes));
+            assert.ok(bytes < 26_000_000, `The connection took ${bytes} bytes.`);
+        });
+    }
+
     it("treats a 429 response as a refusal, even if its body does not end", async () => {
         const onRequest: RawEndpoint["options"]["onRequest"] = socket => {
             socket.write("HTTP/1.1 429 Busy\r\ncontent-length: 100\r\n\r\npart");
