Check the deadline of a response after it, not up to a millisecond before

Found on reading the diff: a timer that fires early found nothing wrong, and a head that stopped in the middle for good was not looked at again.

--- a/src/connection/upstream/upstreamConnection.ts
+++ b/src/connection/upstream/upstreamConnection.ts
@@ -133,7 +133,8 @@
         const startTimer = () => {
             clearTimeout(timer);
             const deadline = bounds?.getDeadline();
-            timer = deadline === undefined ? undefined : setTimeout(check, Math.ceil(deadline - performance.now()));
+            // Timers may fire a millisecond early.
+            timer = deadline === undefined ? undefined : setTimeout(check, Math.ceil(deadline - performance.now()) + 1);
         };
         this.client.dispatch({
             method: request.method as Dispatcher.HttpMethod,
