Keep one map of the starts of endpoints, and describe a request's runs in one place

Starts by id and by address stood in two maps, and streams and documents built the same two log fields.

--- a/src/request/relay/endpoints/endpointEnds.ts
+++ b/src/request/relay/endpoints/endpointEnds.ts
@@ -9,7 +9,7 @@
     lastWhileReadyAt: number;
 }
 
-/** The latest start of an endpoint under an id or at an address. */
+/** The latest start under an id or at an address. */
 interface KnownStart {
     incarnation: number;
     /** Monotonic time in milliseconds at which this node learned of it. */
@@ -29,8 +29,8 @@
  */
 export class EndpointEnds {
     private readonly refusals = new LRUCache<string, Refusals>({ max: maximumRemembered });
-    private readonly startsById = new LRUCache<string, KnownStart>({ max: maximumRemembered });
-    private readonly startsByAddress = new LRUCache<string, KnownStart>({ max: maximumRemembered });
+    /** By registered id and by address. */
+    private readonly starts = new LRUCache<string, KnownStart>({ max: 2 * maximumRemembered });
 
     private constructor() {}
 
@@ -53,8 +53,11 @@
 
     /** Records that an endpoint is known to have started. */
     noteStart({ registeredId, address, incarnation }: RegisteredEndpoint, now: number): void {
-        addStart(this.startsById, registeredId, { incarnation, learnedAt: now });
-        addStart(this.startsByAddress, address, { incarnation, learnedAt: now });
+        for (const key of [registeredId, address]) {
+            if (incarnation > (this.starts.get(key)?.incarnation ?? -1)) {
+                this.starts.set(key, { incarnation, learnedAt: now });
+            }
+        }
     }
 
     /** Checks if it is proven that the process that may run a request has ended since it got the request. */
@@ -63,15 +66,7 @@
         const refusals = this.refusals.get(endpoint.address);
         const refusedAt = (isBroken ? refusals?.lastAt : refusals?.lastWhileReadyAt) ?? -Infinity;
         return refusedAt > sentAt
-            || isLater(this.startsById.get(endpoint.registeredId), endpoint, sentAt)
-            || isLater(this.startsByAddress.get(endpoint.address), endpoint, sentAt);
-    }
-}
-
-function addStart(starts: LRUCache<string, KnownStart>, key: string, start: KnownStart): void {
-    const known = starts.get(key);
-    if (known === undefined || start.incarnation > known.incarnation) {
-        starts.set(key, start);
+            || [endpoint.registeredId, endpoint.address].some(key => isLater(this.starts.get(key), endpoint, sentAt));
     }
 }
 
--- a/src/request/relay/possibleRuns.ts
+++ b/src/request/relay/possibleRuns.ts
@@ -42,21 +42,16 @@
 
     /** Gets the ids of the endpoints that count. */
     getCountedIds(): ReadonlySet<string> {
-        return this.listIds(run => !this.ends.hasEnded(run));
+        return this.getIds(false);
     }
 
-    /** Gets the ids of the endpoints that have ended since they received the request. */
-    getEndedIds(): ReadonlySet<string> {
-        return this.listIds(run => this.ends.hasEnded(run));
+    /** Describes for the log which endpoints count, and which have ended since they received the request. */
+    describe(): { countedRuns: string; endedRuns: string; } {
+        return { countedRuns: [...this.getIds(false)].join(","), endedRuns: [...this.getIds(true)].join(",") };
     }
 
-    private listIds(predicate: (run: PossibleRun) => boolean): ReadonlySet<string> {
-        const ids = new Set<string>();
-        for (const run of this.runs) {
-            if (run.getSentTime() !== undefined && predicate(run)) {
-                ids.add(run.endpoint.id);
-            }
-        }
-        return ids;
+    private getIds(haveEnded: boolean): ReadonlySet<string> {
+        const sent = [...this.runs].filter(run => run.getSentTime() !== undefined);
+        return new Set(sent.filter(run => this.ends.hasEnded(run) === haveEnded).map(({ endpoint }) => endpoint.id));
     }
 }
--- a/src/request/relay/streams/streamLogger.ts
+++ b/src/request/relay/streams/streamLogger.ts
@@ -16,7 +16,7 @@
     end: StreamAttemptEnd;
     /** Number of attempts so far. */
     attemptCount: number;
-    runs: Pick<PossibleRuns, "getCountedIds" | "getEndedIds">;
+    runs: Pick<PossibleRuns, "describe">;
     /** Used fraction of the first stage's memory. */
     memoryPart: number;
 }
@@ -71,8 +71,7 @@
             chain: formatStages(attempt.stages),
             peer: attempt.exchange?.getPeer() ?? "",
             attempt: attemptCount,
-            countedRuns: [...runs.getCountedIds()].join(","),
-            endedRuns: [...runs.getEndedIds()].join(","),
+            ...runs.describe(),
             isNotRun: end.isNotRun,
             cause: end.cause,
             avoided: end.avoid.join(","),
--- a/tests/request/relay/possibleRuns.test.ts
+++ b/tests/request/relay/possibleRuns.test.ts
@@ -32,7 +32,7 @@
             runs.add(createRun(id));
             assert.equal(runs.getOnlyAllowedIds(), undefined);
         }
-        assert.deepEqual([...runs.getEndedIds()], ["1", "2"]);
+        assert.deepEqual(runs.describe(), { countedRuns: "3", endedRuns: "1,2" });
     });
 
     it("doesn't count a run that surely hasn't begun", () => {
