Read limited bodies and recognize refused connections in one place each

Found on reading the whole change; behaviour stays as it is. The loop that reads a body up to a size stood in documentConnection.ts and again in readLimitedText.ts; the check for a refused connection in endpointCalls.ts and again in endpointPaths.ts. PossibleRuns built sets for each choice of a chain although a request that was sent to fewer endpoints than its route allows has no restriction. A flag of the stream reader told nothing that the abort of its exchange doesn't.

--- a/src/connection/document/documentConnection.ts
+++ b/src/connection/document/documentConnection.ts
@@ -5,6 +5,7 @@
 import { isConnectionRefused } from "../endpoint/isConnectionRefused.ts";
 import type { AnswerInstructions } from "../instructions/answerInstructions.ts";
 import { readHeaderInstructions } from "../instructions/readHeaderInstructions.ts";
+import { readLimitedBody } from "../readLimitedBody.ts";
 import type { DocumentAnswer } from "./documentAnswer.ts";
 import type { DocumentCall } from "./documentCall.ts";
 import type { DocumentFailure } from "./documentFailure.ts";
@@ -123,7 +124,7 @@
             void response.body.dump({ limit: maximumDiscardedBytes, signal: discardSignal }).catch(() => undefined);
             return Err(this.createFailure("refused", "it is overloaded"));
         }
-        const body = await readResponseBody(response.body);
+        const body = await readLimitedBody(response.body, maximumAnswerBytes);
         if (body === undefined) {
             return Err(this.createFailure("unknown", `its response is larger than ${maximumAnswerBytes} bytes`));
         }
@@ -163,19 +164,6 @@
     });
 }
 
-async function readResponseBody(stream: AsyncIterable<Buffer>): Promise<Buffer | undefined> {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    for await (const chunk of stream) {
-        length += chunk.length;
-        if (length > maximumAnswerBytes) {
-            return undefined;
-        }
-        chunks.push(chunk);
-    }
-    return Buffer.concat(chunks);
-}
-
 function describeError(error: unknown): string {
     return error instanceof Error ? error.message : String(error);
 }
--- a/src/connection/readLimitedText.ts
+++ b/src/connection/readLimitedText.ts
@@ -1,3 +1,5 @@
+import { readLimitedBody } from "./readLimitedBody.ts";
+
 /**
  * Reads a body as text.
  * @param body - The body. Its connection is closed if it is too long.
@@ -5,14 +7,9 @@
  * @throws RangeError if the body is longer.
  */
 export async function readLimitedText(body: AsyncIterable<Buffer>, maximumBytes: number): Promise<string> {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    for await (const chunk of body) {
-        bytes += chunk.length;
-        if (bytes > maximumBytes) {
-            throw new RangeError(`The response is longer than ${maximumBytes} bytes.`);
-        }
-        chunks.push(chunk);
+    const bytes = await readLimitedBody(body, maximumBytes);
+    if (bytes === undefined) {
+        throw new RangeError(`The response is longer than ${maximumBytes} bytes.`);
     }
-    return Buffer.concat(chunks).toString("utf8");
+    return bytes.toString("utf8");
 }
--- a/src/connection/upstream/path/endpointPaths.ts
+++ b/src/connection/upstream/path/endpointPaths.ts
@@ -1,3 +1,5 @@
+import { isRefusedFailure } from "./isRefusedFailure.ts";
+
 /** What is known of the connections to an address. */
 interface PathRecord {
     /** Monotonic time in milliseconds since which no direct connection could be opened; undefined if the last one was. */
@@ -33,8 +35,6 @@
 /** Addresses that fail within this time of each other suggest a common cause: the links of this node. */
 const coincidenceMilliseconds = 1_000;
 const minimumCoincidences = 2;
-/** Error code of a connection to a port on which nothing listens. */
-const refusedCode = "ECONNREFUSED";
 
 /**
  * Tracks which endpoints this node can connect to over its own links, and decides how connections to them are opened. An
@@ -80,7 +80,7 @@
 
     /** Records why this node or a peer could not open a connection, which may tell that the endpoint has ended. */
     noteFailure(address: string, failure: string): void {
-        if (failure.includes(refusedCode)) {
+        if (isRefusedFailure(failure)) {
             this.options.onRefused(address);
         }
     }
--- a/src/process/router/endpointCalls.ts
+++ b/src/process/router/endpointCalls.ts
@@ -1,5 +1,6 @@
 import type { AnswerInstructions } from "../../connection/instructions/answerInstructions.ts";
 import { bodyBoundsOfUse } from "../../connection/upstream/bodyBoundsOfUse.ts";
+import { isRefusedFailure } from "../../connection/upstream/path/isRefusedFailure.ts";
 import type { UpstreamPools } from "../../connection/upstream/upstreamPools.ts";
 import type { UpstreamRequest } from "../../connection/upstream/upstreamRequest.ts";
 import type { RelayStage } from "../../request/relay/chains/relayStage.ts";
@@ -30,9 +31,6 @@
     onIncarnation(endpoint: RegisteredEndpoint, incarnation: number): void;
 }
 
-/** Error code of a connection to a port on which nothing listens. */
-const refusedCode = "ECONNREFUSED";
-
 /** A complete response to a report request or an order. */
 interface CallAnswer {
     status: number;
@@ -86,7 +84,7 @@
     async isRefusing(endpoint: RegisteredEndpoint): Promise<boolean> {
         const request = this.options.protocol.createReportRequest(endpoint.address);
         const answer = await this.call("check", endpoint, request, reportTimeoutMilliseconds);
-        return answer.err && answer.val.includes(refusedCode);
+        return answer.err && isRefusedFailure(answer.val);
     }
 
     /** Orders an endpoint to hold layers. Returns undefined if there is no answer. */
--- a/src/request/relay/possibleRuns.ts
+++ b/src/request/relay/possibleRuns.ts
@@ -36,15 +36,13 @@
 
     /** Gets the only endpoints that may receive the request again; undefined if others may receive it too. */
     getOnlyAllowedIds(): ReadonlySet<string> | undefined {
-        const ids = this.getCountedIds();
+        if (this.runs.size < this.maximumEndpoints) {
+            return undefined;
+        }
+        const ids = this.getIds(false);
         return ids.size < this.maximumEndpoints ? undefined : ids;
     }
 
-    /** Gets the ids of the endpoints that count. */
-    getCountedIds(): ReadonlySet<string> {
-        return this.getIds(false);
-    }
-
     /** Describes for the log which endpoints count, and which have ended since they received the request. */
     describe(): { countedRuns: string; endedRuns: string; } {
         return { countedRuns: [...this.getIds(false)].join(","), endedRuns: [...this.getIds(true)].join(",") };
--- a/src/request/relay/streams/streamAnswerReader.ts
+++ b/src/request/relay/streams/streamAnswerReader.ts
@@ -38,7 +38,6 @@
     private hasEvents = false;
     /** Size of the comments and other events without an id since the last event with one, in bytes. */
     private unnumberedBytes = 0;
-    private isEnded = false;
 
     private constructor(options: StreamAnswerReaderOptions) {
         this.options = options;
@@ -74,7 +73,7 @@
     /** Handles bytes of the answer's body. */
     handleData(chunk: Buffer): void {
         const { head } = this;
-        if (head === undefined || this.isEnded) {
+        if (head === undefined) {
             return;
         }
         if (!isSuccess(head)) {
@@ -87,7 +86,6 @@
             this.options.onEvent(event, head);
         }
         if (Math.max(this.splitter.getIncompleteBytes(), this.unnumberedBytes) > maximumEventBytes) {
-            this.isEnded = true;
             this.options.onEnd({ kind: "oversized", maximumBytes: maximumEventBytes });
         }
     }
