Give nodes of the new-connections test processor time by what the machine needs

Cause: a fixed 0.2 of a core for each node, while the machine's speed varies. Four nodes without a limit used 0.15 to 0.26 of a core for the same 67 requests a second within a few minutes, and from the first request on they had 0.2 for cold code too. Where that isn't enough with even connections, callers repeat what isn't read in time, and the repeats keep the nodes behind for many seconds: the check that even connections are served fails before the herd begins. Change: after a time to compile, the share starts at 0.14 and grows by 1.2 until 0.99 of the requests are served, then twice more.

--- a/tests/platform/newConnections.test.ts
+++ b/tests/platform/newConnections.test.ts
@@ -17,16 +17,28 @@
 
 const nodeCount = 4;
 const callerCount = 60;
-/** So many that a node serves its part of them, and not most of them. */
 const requestsPerSecond = 270;
-/** Part of a core that each node has. */
-const processorShare = "0.2";
+/** Part of a core that each node has at first. */
+const processorShare = 0.14;
+/** Factor by which the part of a core grows until a node serves its part of the requests. */
+const processorShareStep = 1.2;
+/** Steps beyond that, so that a short pause doesn't leave more requests waiting than the node can make up for. */
+const spareProcessorSteps = 2;
+const maximumProcessorShare = 0.9;
+/** Time between two signals, which would be joined otherwise. */
+const signalMilliseconds = 200;
+/** Time in which the nodes compile their code with all of a core. */
+const warmUpMilliseconds = 4_000;
+/** Time with one part of a core; the second half is judged. */
+const processorStepMilliseconds = 4_000;
+/** Part of the requests that is served once a node serves its part of them. */
+const sufficientFraction = 0.99;
 const baselineMilliseconds = 10_000;
 const herdMilliseconds = 12_000;
 /** Time after which the rule holds. */
 const settleMilliseconds = 3_000;
 /** Part of the new connections that one node gets. */
-const hotFraction = 0.85;
+const hotFraction = 0.95;
 const deadlineMilliseconds = 3_000;
 /** Time after which callers give up an idempotent request that was not read. */
 const unreadMilliseconds = 1_000;
@@ -47,6 +59,7 @@
 /** A request of a caller, over all its attempts. */
 interface Outcome {
     sentAt: number;
+    endedAt: number;
     path: string;
     /** Result of the first attempt that was read, or of the last one if none was. */
     firstRead: string;
@@ -106,7 +119,11 @@
                 "--settings",
                 file,
             ];
-            const env = { ...process.env, PROCESSOR_SHARE: processorShare };
+            const env = {
+                ...process.env,
+                PROCESSOR_SHARE: String(processorShare),
+                PROCESSOR_SHARE_STEP: String(processorShareStep),
+            };
             const child = spawn(process.execPath, parameters, { stdio: ["ignore", "ignore", "inherit"], env });
             nodes.push({ child, callerPort: callers, readinessPort: readiness, misses: 0 });
             seeds.push(`127.0.0.1:${peers}`);
@@ -210,7 +227,7 @@
             firstRead = firstRead === "unread" ? result : firstRead;
             attempts += 1;
         }
-        outcomes.push({ sentAt, path, firstRead });
+        outcomes.push({ sentAt, endedAt: performance.now(), path, firstRead });
     }
 
     async function runCaller(caller: number): Promise<void> {
@@ -222,6 +239,37 @@
         }
     }
 
+    function signalNodes(): void {
+        for (const { child } of nodes) {
+            child.kill("SIGUSR2");
+        }
+    }
+
+    /** Limits the nodes to little more than the processor time that their part of the requests takes on this machine. */
+    async function limitNodes(): Promise<number> {
+        let share = processorShare;
+        const raiseShare = async () => {
+            signalNodes();
+            share *= processorShareStep;
+            await wait(signalMilliseconds);
+        };
+        signalNodes();
+        while (share < maximumProcessorShare && !await isShareSufficient()) {
+            await raiseShare();
+        }
+        for (let step = 0; step < spareProcessorSteps; step++) {
+            await raiseShare();
+        }
+        return share;
+    }
+
+    async function isShareSufficient(): Promise<boolean> {
+        await wait(processorStepMilliseconds);
+        const judgedFrom = performance.now() - processorStepMilliseconds / 2;
+        const ended = outcomes.filter(outcome => outcome.endedAt >= judgedFrom);
+        return ended.filter(({ firstRead }) => firstRead === "200").length >= sufficientFraction * ended.length;
+    }
+
     /** Gets the part of the requests sent in an interval that were served at the first attempt that was read. */
     function getServedShare(path: string, from: number, to: number): number {
         const sent = outcomes.filter(outcome => outcome.path === path && outcome.sentAt >= from && outcome.sentAt < to);
@@ -229,11 +277,11 @@
     }
 
     it("serve nearly as often as before from the settling time on", { timeout: 120_000 }, async context => {
-        for (const { child } of nodes) {
-            child.kill("SIGUSR2");
-        }
         void checkReadiness();
         const running = Array.from({ length: callerCount }, (_item, caller) => runCaller(caller));
+        await wait(warmUpMilliseconds);
+        const share = await limitNodes();
+        context.diagnostic(`Each node has ${share.toFixed(3)} of a core.`);
         const startedAt = performance.now();
         await wait(baselineMilliseconds);
         isHerd = true;
--- a/tests/support/limitProcessor.ts
+++ b/tests/support/limitProcessor.ts
@@ -1,5 +1,7 @@
-/** Part of a core that the process may use from the signal on. */
-const share = Number(process.env["PROCESSOR_SHARE"] ?? 1);
+/** Part of a core that the process may use from the first signal on. */
+let share = Number(process.env["PROCESSOR_SHARE"] ?? 1);
+/** Factor by which each further signal raises the share. */
+const shareStep = Number(process.env["PROCESSOR_SHARE_STEP"] ?? 1);
 const checkMilliseconds = 5;
 /** Processor time that the process may use at once. */
 const burstMilliseconds = 20;
@@ -22,4 +24,9 @@
     }, checkMilliseconds);
 }
 
-process.once("SIGUSR2", limitProcessor);
+process.once("SIGUSR2", () => {
+    limitProcessor();
+    process.on("SIGUSR2", () => {
+        share *= shareStep;
+    });
+});
