Refuse connections at soak endpoints that have ended

Cause: not the router but the stand-in. A soak endpoint is behind a proxy that went on accepting connections after its process had ended, and reset them then; the machine of a process that has ended refuses them. Change: the proxy listens only while its endpoint runs, always on the same port, which no outgoing connection can take (findFreePorts). No check or bound is changed.

--- a/scripts/soak/router/soakEndpoint.ts
+++ b/scripts/soak/router/soakEndpoint.ts
@@ -6,6 +6,7 @@
 import { EndpointStandin } from "../../../standins/router/endpointStandin.ts";
 import type { KeyValueStandin } from "../../../standins/router/keyValueStandin.ts";
 import type { RunRecord } from "../../../standins/router/runRecord.ts";
+import { findFreePorts } from "../../deployment/findFreePorts.ts";
 import { eventsPerStream } from "./eventsPerStream.ts";
 import { harmfulBody } from "./harmfulBody.ts";
 import { RecordChange } from "./recordChange.ts";
@@ -82,7 +83,8 @@
     /** Starts an endpoint and registers it. */
     static async create(options: SoakEndpointOptions): Promise<SoakEndpoint> {
         const target: ProxyTarget = { endpoint: undefined };
-        const proxy = await LoopbackProxy.create(() => target.endpoint!.getCurrent().address);
+        const [port] = await findFreePorts(1);
+        const proxy = await LoopbackProxy.create(() => target.endpoint!.getCurrent().address, port);
         const endpoint = new SoakEndpoint(options, proxy, target);
         await endpoint.start();
         return endpoint;
@@ -123,6 +125,7 @@
         const running = { endedAt: undefined, leavingSince: undefined, deletedAt: undefined };
         this.incarnations.push({ standin, id, address, startedAt, ...running });
         this.proxy.resetConnections();
+        await this.proxy.listen();
         this.register();
     }
 
@@ -264,6 +267,7 @@
 
     private handleEnded(): void {
         this.getCurrent().endedAt ??= Date.now();
+        this.proxy.refuseConnections();
     }
 
     private getCurrent(): EndpointIncarnation {
--- a/standins/network/loopbackProxy.ts
+++ b/standins/network/loopbackProxy.ts
@@ -5,6 +5,7 @@
 
 /** Less than the time of two health checks of a load balancer, so that a delayed target is slow but not considered dead. */
 const delayMilliseconds = 300;
+const host = "127.0.0.1";
 
 /** The two sockets of a proxied connection. */
 interface ProxiedPair {
@@ -23,25 +24,48 @@
     private mode: ProxyMode = ProxyMode.Pass;
     private freezesNewConnections = false;
     private byteCount = 0;
+    private port: number;
 
-    private constructor(getTargetAddress: () => string) {
+    private constructor(getTargetAddress: () => string, port: number) {
         this.getTargetAddress = getTargetAddress;
+        this.port = port;
         this.server = createServer(caller => this.accept(caller));
     }
 
     /**
-     * Starts a proxy on a free port of the loopback address.
+     * Starts a proxy on the loopback address.
      * @param getTargetAddress - Gets the target as host:port. Called for each new connection.
+     * @param port - Port to listen on. Default: a free one.
      */
-    static async create(getTargetAddress: () => string): Promise<LoopbackProxy> {
-        const proxy = new LoopbackProxy(getTargetAddress);
-        await new Promise<void>(resolve => proxy.server.listen(0, "127.0.0.1", resolve));
+    static async create(getTargetAddress: () => string, port = 0): Promise<LoopbackProxy> {
+        const proxy = new LoopbackProxy(getTargetAddress, port);
+        await proxy.listen();
         return proxy;
     }
 
     /** Gets the address as host:port. */
     getAddress(): string {
-        return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+        return `${host}:${this.port}`;
+    }
+
+    /** Accepts connections, also after {@link LoopbackProxy.refuseConnections}. */
+    async listen(): Promise<void> {
+        if (this.server.listening) {
+            return;
+        }
+        await new Promise<void>((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(this.port, host, () => {
+                this.server.off("error", reject);
+                resolve();
+            });
+        });
+        this.port = (this.server.address() as AddressInfo).port;
+    }
+
+    /** Refuses new connections, as a machine does on whose port no process listens. Open ones are not affected. */
+    refuseConnections(): void {
+        this.server.close();
     }
 
     /** Gets the number of forwarded bytes in both directions. */
--- a/tests/standins/loopbackProxy.test.ts
+++ b/tests/standins/loopbackProxy.test.ts
@@ -46,6 +46,15 @@
         assert.ok(Date.now() - startedAt >= 290);
     });
 
+    it("refuses connections like a port without a process until it listens again", async () => {
+        const address = proxy.getAddress();
+        proxy.refuseConnections();
+        await assert.rejects(call(), { code: "ECONNREFUSED" });
+        await proxy.listen();
+        assert.equal(proxy.getAddress(), address);
+        assert.equal(await call(), "answer");
+    });
+
     // Guards against reordering: when the delay mode ended in the middle of a stream, later events were forwarded before
     // earlier events that were still delayed. TCP never reorders the bytes of a connection.
     it("keeps the order of bytes when the delay mode ends in the middle of a stream", async context => {
