Keep the behaviour of a soak endpoint beyond its restart

Cause: the stand-in. Change: what a fault sets holds for later incarnations too, until the fault is reverted; that of an endpoint that announces that it is leaving is now reverted before it starts again. The check and its bound are unchanged and now apply to an endpoint that does limit.

--- a/scripts/soak/router/routerFaultKinds.ts
+++ b/scripts/soak/router/routerFaultKinds.ts
@@ -97,6 +97,7 @@
         async (_, endpoint) => {
             await endpoint.crash();
             endpoint.unregister();
+            endpoint.setBehaviour({});
             await endpoint.start();
         },
     ),
--- a/scripts/soak/router/soakEndpoint.ts
+++ b/scripts/soak/router/soakEndpoint.ts
@@ -65,6 +65,7 @@
     isTaken = false;
     private isRestarting = false;
     private harmfulPart: string | undefined;
+    private behaviour: EndpointBehaviour = {};
     /** Rewrites the last record of the current incarnation. */
     private writeAgain: () => void = () => undefined;
     private readonly options: SoakEndpointOptions;
@@ -129,9 +130,10 @@
         this.register();
     }
 
-    /** Sets how the endpoint responds. */
+    /** Sets how this and all later incarnations of the endpoint respond. */
     setBehaviour(behaviour: EndpointBehaviour): void {
-        this.getCurrent().standin.behaviour = { ...this.createBehaviour(), ...behaviour };
+        this.behaviour = behaviour;
+        this.getCurrent().standin.behaviour = this.createBehaviour();
     }
 
     /** Sets the part of a prompt that crashes this and all later incarnations of the endpoint. */
@@ -262,7 +264,7 @@
     }
 
     private createBehaviour(): EndpointBehaviour {
-        return { stopsOnBody: harmfulBody, stopsOnPromptPart: this.harmfulPart };
+        return { stopsOnBody: harmfulBody, stopsOnPromptPart: this.harmfulPart, ...this.behaviour };
     }
 
     private handleEnded(): void {
