Build the endless stand-in on the raw endpoint, and close servers with their connections in one place

EndlessEndpoint wrote the server, the reading of heads and the closing again that RawEndpoint has; it now answers through one, which moves from tests/ to standins/. FramedServer, TunnelServer and RawEndpoint closed their servers with the same loop: closeServer. LoopbackProxy waits for "listening" with node:events, as RawEndpoint does. EndlessEndpoint answers once a request's body has arrived, where it answered after its head; it still answers each request.

--- a/src/connection/peer/framed/framedServer.ts
+++ b/src/connection/peer/framed/framedServer.ts
@@ -10,6 +10,7 @@
 import { ProcessorAccount } from "../../../process/loop/processorAccount.ts";
 import { ProcessorCause } from "../../../process/loop/processorCause.ts";
 import { parseAddress } from "../../../process/settings/parseAddress.ts";
+import { closeServer } from "../../closeServer.ts";
 import { encodeFrame } from "./encodeFrame.ts";
 import type { Frame } from "./frame.ts";
 import { FrameKind } from "./frameKind.ts";
@@ -91,13 +92,8 @@
     }
 
     /** Stops listening and closes all connections. */
-    async close(): Promise<void> {
-        await new Promise(resolve => {
-            this.server.close(resolve);
-            for (const socket of this.sockets) {
-                socket.destroy();
-            }
-        });
+    close(): Promise<void> {
+        return closeServer(this.server, this.sockets);
     }
 
     private serve(socket: Socket): void {
--- a/src/connection/peer/tunnel/tunnelServer.ts
+++ b/src/connection/peer/tunnel/tunnelServer.ts
@@ -1,5 +1,6 @@
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { parseAddress } from "../../../process/settings/parseAddress.ts";
+import { closeServer } from "../../closeServer.ts";
 import { connectTunnel } from "./connectTunnel.ts";
 import type { TunnelOptions } from "./tunnelOptions.ts";
 
@@ -52,13 +53,8 @@
     }
 
     /** Stops listening and closes all tunnels. */
-    async close(): Promise<void> {
-        await new Promise(resolve => {
-            this.server.close(resolve);
-            for (const socket of this.sockets) {
-                socket.destroy();
-            }
-        });
+    close(): Promise<void> {
+        return closeServer(this.server, this.sockets);
     }
 
     private accept(socket: Socket): void {
--- a/standins/network/loopbackProxy.ts
+++ b/standins/network/loopbackProxy.ts
@@ -1,3 +1,4 @@
+import { once } from "node:events";
 import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
 import { parseAddress } from "../../src/process/settings/parseAddress.ts";
 import { DelayQueue } from "./delayQueue.ts";
@@ -53,13 +54,8 @@
         if (this.server.listening) {
             return;
         }
-        await new Promise<void>((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(this.port, host, () => {
-                this.server.off("error", reject);
-                resolve();
-            });
-        });
+        this.server.listen(this.port, host);
+        await once(this.server, "listening");
         this.port = (this.server.address() as AddressInfo).port;
     }
 
--- a/tests/connection/document/rawEndpoint.ts
+++ b/standins/network/rawEndpoint.ts
@@ -1,5 +1,6 @@
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import { closeServer } from "../../src/connection/closeServer.ts";
 
 /** Handles a complete request. */
 type RequestHandler = (socket: Socket, request: string) => void;
@@ -41,12 +42,8 @@
     }
 
     /** Closes all connections. */
-    async close(): Promise<void> {
-        const closed = new Promise(resolve => this.server.close(resolve));
-        for (const socket of this.sockets) {
-            socket.destroy();
-        }
-        await closed;
+    close(): Promise<void> {
+        return closeServer(this.server, this.sockets);
     }
 
     private handleConnection(socket: Socket): void {
--- a/standins/router/endlessEndpoint.ts
+++ b/standins/router/endlessEndpoint.ts
@@ -1,4 +1,5 @@
-import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import type { Socket } from "node:net";
+import { RawEndpoint } from "../network/rawEndpoint.ts";
 import type { EndlessForm } from "./endlessForm.ts";
 
 /** A connection on which an endless answer was sent. */
@@ -24,50 +25,29 @@
 export class EndlessEndpoint {
     readonly connections: EndlessConnection[] = [];
     private readonly options: EndlessEndpointOptions;
-    private readonly server: Server;
-    private readonly sockets = new Set<Socket>();
+    private readonly endpoint: RawEndpoint;
 
-    private constructor(options: EndlessEndpointOptions) {
+    private constructor(options: EndlessEndpointOptions, endpoint: RawEndpoint) {
         this.options = options;
-        this.server = createServer(socket => this.accept(socket));
+        this.endpoint = endpoint;
+        endpoint.options = {
+            onRequest: (socket, request) => this.answer(socket, requestIdPattern.exec(request)?.[1] ?? ""),
+        };
     }
 
     /** Starts an endpoint on a free port of the loopback address. */
     static async create(options: EndlessEndpointOptions): Promise<EndlessEndpoint> {
-        const endpoint = new EndlessEndpoint(options);
-        await new Promise<void>(resolve => endpoint.server.listen(0, "127.0.0.1", resolve));
-        return endpoint;
+        return new EndlessEndpoint(options, await RawEndpoint.create());
     }
 
     /** Gets the address as host:port. */
     getAddress(): string {
-        return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+        return this.endpoint.getAddress();
     }
 
     /** Closes all connections. */
-    async close(): Promise<void> {
-        await new Promise(resolve => {
-            this.server.close(resolve);
-            for (const socket of this.sockets) {
-                socket.destroy();
-            }
-        });
-    }
-
-    private accept(socket: Socket): void {
-        this.sockets.add(socket);
-        socket.once("close", () => this.sockets.delete(socket));
-        socket.on("error", () => undefined);
-        let head = "";
-        const readHead = (chunk: Buffer) => {
-            head += chunk.toString("latin1");
-            if (head.includes("\r\n\r\n")) {
-                socket.off("data", readHead);
-                socket.resume();
-                this.answer(socket, requestIdPattern.exec(head)?.[1] ?? "");
-            }
-        };
-        socket.on("data", readHead);
+    close(): Promise<void> {
+        return this.endpoint.close();
     }
 
     private answer(socket: Socket, requestId: string): void {
--- a/tests/connection/document/documentConnection.test.ts
+++ b/tests/connection/document/documentConnection.test.ts
@@ -1,12 +1,12 @@
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
 import { DocumentConnection } from "../../../src/connection/document/documentConnection.ts";
+import { RawEndpoint } from "../../../standins/network/rawEndpoint.ts";
 import { EndlessEndpoint } from "../../../standins/router/endlessEndpoint.ts";
 import type { EndlessForm } from "../../../standins/router/endlessForm.ts";
 import { endlessForms } from "../../../standins/router/endlessForms.ts";
 import { waitUntil } from "../../support/waitUntil.ts";
 import { documentFaultCases } from "./documentFaultCases.ts";
-import { RawEndpoint } from "./rawEndpoint.ts";
 
 const call = { method: "POST", path: "/a", headers: {}, body: Buffer.from("body"), isIdempotent: false };
 const timeoutMilliseconds = 400;
--- a/tests/connection/document/documentFaultCases.ts
+++ b/tests/connection/document/documentFaultCases.ts
@@ -1,5 +1,5 @@
 import type { Socket } from "node:net";
-import type { RawEndpoint } from "./rawEndpoint.ts";
+import type { RawEndpoint } from "../../../standins/network/rawEndpoint.ts";
 
 /** Faults of a document service after which its call may have run. */
 export const documentFaultCases: Readonly<Record<string, RawEndpoint["options"]>> = {
--- a/tests/request/document/instructingDocuments.test.ts
+++ b/tests/request/document/instructingDocuments.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { setTimeout as wait } from "node:timers/promises";
+import { RawEndpoint } from "../../../standins/network/rawEndpoint.ts";
 import { NodeFixture } from "../../connection/caller/nodeFixture.ts";
-import { RawEndpoint } from "../../connection/document/rawEndpoint.ts";
 
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\ncontent-length: 4\r\n\r\nbusy";
 const pauseMilliseconds = 1_000;
--- a/tests/request/document/misbehavingDocuments.test.ts
+++ b/tests/request/document/misbehavingDocuments.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
+import { RawEndpoint } from "../../../standins/network/rawEndpoint.ts";
 import { NodeFixture } from "../../connection/caller/nodeFixture.ts";
 import { documentFaultCases } from "../../connection/document/documentFaultCases.ts";
-import { RawEndpoint } from "../../connection/document/rawEndpoint.ts";
 
 const unknown = { status: 502, code: "outcome_unknown", outcome: "outcomeUnknown" } as const;
 const documentTimeoutMilliseconds = 500;
--- a/tests/request/model/misbehavingEngines.test.ts
+++ b/tests/request/model/misbehavingEngines.test.ts
@@ -2,8 +2,8 @@
 import type { Socket } from "node:net";
 import { after, before, describe, it } from "node:test";
 import type { Pass, PassResult } from "../../../src/connection/endpoint/engineProtocol.ts";
+import { RawEndpoint } from "../../../standins/network/rawEndpoint.ts";
 import { NodeFixture } from "../../connection/caller/nodeFixture.ts";
-import { RawEndpoint } from "../../connection/document/rawEndpoint.ts";
 
 /** Function with which a fake engine answers a batch of passes. */
 type AnswerPasses = (passes: readonly Pass[], stream: ResultStream) => void;
