Let the replacement of chains ask the chains whether the first stage is restricted

Found on reading the whole change; behaviour stays as it is. ChainReplacement was given the runs of a request only to ask what RelayChains.isFirstStageRestricted answers, and it already has the chains.

--- a/src/request/relay/streams/chainReplacement.ts
+++ b/src/request/relay/streams/chainReplacement.ts
@@ -2,7 +2,6 @@
 import type { AttemptLimit } from "../attemptLimit.ts";
 import type { RelayChains } from "../chains/relayChains.ts";
 import type { ReservedChain } from "../chains/reservedChain.ts";
-import type { PossibleRuns } from "../possibleRuns.ts";
 import type { TaskQuarantine } from "../quarantine/taskQuarantine.ts";
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
@@ -13,7 +12,6 @@
     task: RelayTask;
     chains: RelayChains;
     attemptLimit: AttemptLimit;
-    runs: Pick<PossibleRuns, "getOnlyAllowedIds">;
     quarantine: TaskQuarantine;
 }
 
@@ -60,10 +58,10 @@
      * @returns The chain; undefined if the request may not be sent again or there is no chain.
      */
     reserveForRunning(requirements: RunningReplacementRequirements): ReservedChain | undefined {
-        const { task, attemptLimit, runs, quarantine } = this.options;
+        const { task, chains, attemptLimit, quarantine } = this.options;
         const mayContinue = task.route.isResumable
             && attemptLimit.mayAttemptAgain()
-            && (requirements.mayReturn || runs.getOnlyAllowedIds() === undefined)
+            && (requirements.mayReturn || !chains.isFirstStageRestricted())
             && !quarantine.isCanary()
             && !quarantine.isHeld();
         return mayContinue ? this.choose(requirements, true).unwrapOr(undefined) : undefined;
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -77,8 +77,8 @@
         this.chains = RelayChains.create(environment, task, model, this.runs);
         this.attemptLimit = AttemptLimit.create();
         this.quarantine = TaskQuarantine.create(environment, task);
-        const { chains, attemptLimit, runs, quarantine } = this;
-        this.replacement = ChainReplacement.create({ environment, task, chains, attemptLimit, runs, quarantine });
+        const { chains, attemptLimit, quarantine } = this;
+        this.replacement = ChainReplacement.create({ environment, task, chains, attemptLimit, quarantine });
         this.progress = StreamProgress.create(task.request.lastEventId);
         this.answer = StreamAnswer.create(task.sink);
         this.logger = StreamLogger.create(environment, task, this.progress);
