Suspect an endpoint whose answer belongs to another request

Cause: such an answer ended its attempt and nothing else. Its memory was free again at once, so the endpoint stayed the cheapest: all waiting requests went through it, and then all needed the capacity of the sound ones together. An answer that is too long, and one that is invalid, mark their endpoint as rejecting; this one was left out when that was added, as a special case. Change: both kinds of unusable answer abort the exchange and mark the endpoint. A unit test that failed before.

--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -411,8 +411,6 @@
         }
         if (end.kind === "foreign" || end.kind === "oversized") {
             attempt.exchange?.abort();
-        }
-        if (end.kind === "oversized") {
             this.environment.health.markRejecting(attempt.stages[0]!.endpoint.id, this.getTime());
         }
         const attemptEnd = describeIncompleteAnswer(end, attempt.stages[0]!.endpoint.id, this.getTime());
--- a/tests/request/relay/streams/streamRelay.test.ts
+++ b/tests/request/relay/streams/streamRelay.test.ts
@@ -186,6 +186,15 @@
         assert.deepEqual(answerOnce({}, "id: 1\ndata: x\n\n").answers, ["200"]);
     });
 
+    // Guards against an endpoint that answers other requests than its own: each request was sent to it first, and all had to wait for the
+    // others' capacity afterwards.
+    it("suspects an endpoint whose answer belongs to another request", () => {
+        const { bench, relay } = start(["1", "2"]);
+        const first = relay.getStages()![0]!.endpoint.id;
+        bench.sentRequests[0]!.listener.onHead(200, { "request-id": "another", "response-seal": "seal" });
+        assert.ok(bench.environment.health.isSuspect(first, bench.clock.getMonotonicTime()));
+    });
+
     // Guards against a crash that the quarantine doesn't learn of, since the connection ends regularly as the process ends.
     it("suspects a crash if the connection that ends a stream is closed inside an event", () => {
         const { number } = events.endpointCrashSuspected;
