--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -47,6 +47,11 @@
         this.folder = mkdtempSync(join(tmpdir(), "foxlead-review-"));
         this.nodes = [];
         this.isClosing = false;
+        // No process stays behind, also if this one is ended.
+        process.once("exit", () => this.killAll());
+        for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) {
+            process.once(signal, () => process.exit(2));
+        }
     }
 
     /** Starts the processes of some machines and waits until each is ready. */
@@ -127,6 +132,13 @@
         return join(this.folder, `${node.name}.log`);
     }
 
+    killAll() {
+        this.isClosing = true;
+        for (const { child } of this.nodes) {
+            child?.kill("SIGKILL");
+        }
+    }
+
     async close() {
         this.isClosing = true;
         const running = this.nodes.map(({ child }) => child).filter(child => child?.exitCode === null && !child.killed);
