--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -5,12 +5,12 @@
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
-import { apiKey, createModelConfiguration, host } from "../standins/configuration.mjs";
-import { send } from "../standins/consumer.mjs";
-import { Deployment } from "../standins/deployment.mjs";
-import { Record } from "../standins/record.mjs";
-import { Runner } from "../standins/runner.mjs";
-import { Store } from "../standins/store.mjs";
+import { apiKey, createModelConfiguration, host } from "../configuration.mjs";
+import { send } from "../consumer.mjs";
+import { Deployment } from "../deployment.mjs";
+import { Record } from "../record.mjs";
+import { Runner } from "../runner.mjs";
+import { Store } from "../store.mjs";
 
 const hasTrouble = process.env["TROUBLE"] !== "0";
 const folder = dirname(fileURLToPath(import.meta.url));
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 export PATH="$PWD/node_modules/.bin:$PATH"
-for file in review/standins/*.mjs review/*/*.mjs; do
+for file in review/*.mjs review/*/*.mjs; do
     node --check "$file"
 done
 test -x target/foxlead
