Parse an endpoint's address and names where its record is decoded

Cause: the decoder took any text without blanks, colons and slashes before up to five digits as an address, and the client of the store replaced bytes that are not valid UTF-8. The HTTP client builds a URL of the address, in a callback of a request, and throws for a host or port that no URL has.

Change: an address is a type of its own, EndpointAddress, which only its parser creates: an IP address and a port from 1 to 65535. Connection pools, engine and document connections and the configuration of foxlead node take nothing else, so no URL is built of a bare string. A value of the store that is not valid UTF-8 is no record any more. Ids must be sendable in a header, slots and layers are bounded, names have neither control characters nor the replacement character.

Related paths: a customer's name with a control character (could not be sent, and each endpoint was blamed for it) makes the configuration invalid; other names are sent as UTF-8, where characters beyond latin1 could not be sent; addresses in the settings file must be valid, not just digits and dots. Addresses in reports, answers and orders are only compared with known ones. Peers' addresses were parsed already.

--- a/bench/capacity/createSizedConfiguration.ts
+++ b/bench/capacity/createSizedConfiguration.ts
@@ -1,4 +1,5 @@
 import { createHash } from "node:crypto";
+import { EndpointAddress } from "../../src/connection/endpoint/endpointAddress.ts";
 import type { EndpointConfiguration } from "../../src/version/configuration.ts";
 import { designSize } from "./designSize.ts";
 
@@ -37,7 +38,7 @@
     const start = Math.floor(index / models) % designSize.stages * layersPerStage;
     return {
         kind: "engine",
-        address: `10.${index % 10}.${Math.floor(index / 200)}.${1 + index % 200}:8000`,
+        address: EndpointAddress.parse(`10.${index % 10}.${Math.floor(index / 200)}.${1 + index % 200}:8000`).unwrap(),
         dataCentre: getDataCentre(index % designSize.dataCentres),
         accelerator: accelerators[index % accelerators.length],
         layers: [{ model: getModel(index % models), start, end: start + layersPerStage }],
--- a/bench/capacity/measureObservation.ts
+++ b/bench/capacity/measureObservation.ts
@@ -1,4 +1,5 @@
 import { create } from "@bufbuild/protobuf";
+import { EndpointAddress } from "../../src/connection/endpoint/endpointAddress.ts";
 import { EngineConnection } from "../../src/connection/endpoint/engineConnection.ts";
 import { systemClock } from "../../src/process/systemClock.ts";
 import { EndpointRecordSchema } from "../../src/wire/generated/foxlead/peer/v1/peer_pb.ts";
@@ -164,7 +165,7 @@
     const ignore = () => undefined;
     return EngineConnection.create({
         endpoint: "runner-1",
-        address,
+        address: EndpointAddress.parse(address).unwrap(),
         clock: systemClock,
         onAnswered: ignore,
         onSilentConnection: ignore,
--- a/bench/experiment/experiment.ts
+++ b/bench/experiment/experiment.ts
@@ -1,3 +1,4 @@
+import type { EndpointAddress } from "../../src/connection/endpoint/endpointAddress.ts";
 import type { RandomSource } from "../../src/process/randomSource.ts";
 import { choosePartners } from "../../src/process/router/choosePartners.ts";
 import type { AnswerSink } from "../../src/request/relay/answers/answerSink.ts";
@@ -304,7 +305,7 @@
                 registeredId: id,
                 incarnation: 0,
                 service: serviceName,
-                address: `10.0.0.${id}:1`,
+                address: `10.0.0.${id}:1` as EndpointAddress,
                 dataCentre: dataCentres[index % dataCentres.length]!,
                 slots: experimentModel.slots,
                 isDraining: false,
--- a/bench/policy/fleet.ts
+++ b/bench/policy/fleet.ts
@@ -1,3 +1,4 @@
+import { EndpointAddress } from "../../src/connection/endpoint/endpointAddress.ts";
 import type { EndpointState } from "../../src/connection/endpoint/endpointState.ts";
 import type { RandomSource } from "../../src/process/randomSource.ts";
 import type { Configuration, EndpointConfiguration } from "../../src/version/configuration.ts";
@@ -56,7 +57,7 @@
         });
         endpoints[name] = {
             kind: "engine",
-            address: "127.0.0.1:1",
+            address: EndpointAddress.parse("127.0.0.1:1").unwrap(),
             dataCentre: dataCentres[Math.floor(random() * dataCentres.length)] ?? "a",
             accelerator: kind.accelerator,
             layers: [{ model, start, end }],
--- a/bench/recovery/engineFleet.ts
+++ b/bench/recovery/engineFleet.ts
@@ -1,5 +1,6 @@
 import { request } from "undici";
 import { ChildProcess } from "../../scripts/deployment/childProcess.ts";
+import { EndpointAddress } from "../../src/connection/endpoint/endpointAddress.ts";
 import type { Configuration, EndpointConfiguration } from "../../src/version/configuration.ts";
 
 /** A stand-in engine that runs in its own process. */
@@ -9,7 +10,7 @@
     layerStart: number;
     layerEnd: number;
     stepMillisecondsPerLayer: number;
-    address: string;
+    address: EndpointAddress;
     process: ChildProcess;
 }
 
@@ -150,6 +151,6 @@
             ],
         });
         const [, address] = await process.waitForLine(/ready on (127\.0\.0\.1:\d+)/);
-        this.engines.set(name, { ...engine, address: address!, process });
+        this.engines.set(name, { ...engine, address: EndpointAddress.parse(address!).unwrap(), process });
     }
 }
--- a/src/connection/document/documentConnection.ts
+++ b/src/connection/document/documentConnection.ts
@@ -1,6 +1,7 @@
 import { Agent, buildConnector, type Dispatcher } from "undici";
 import { Err, Ok, type Result } from "../../result.ts";
 import { boundResponses } from "../boundResponses.ts";
+import type { EndpointAddress } from "../endpoint/endpointAddress.ts";
 import { isConnectFailure } from "../endpoint/isConnectFailure.ts";
 import { isConnectionRefused } from "../endpoint/isConnectionRefused.ts";
 import type { AnswerInstructions } from "../instructions/answerInstructions.ts";
@@ -14,7 +15,7 @@
 interface DocumentConnectionOptions {
     endpoint: string;
     /** Address of the endpoint, as host:port. */
-    address: string;
+    address: EndpointAddress;
     /** Opens the connections. Default: the HTTP client does. */
     connect?: buildConnector.connector;
     /** Called with the instructions of each answer. */
--- a/src/connection/endpoint/engineConnection.ts
+++ b/src/connection/endpoint/engineConnection.ts
@@ -5,6 +5,7 @@
 import type { BatchCloseInfo } from "./batchCloseInfo.ts";
 import { createPassFailure } from "./createPassFailure.ts";
 import { createPendingPass } from "./createPendingPass.ts";
+import type { EndpointAddress } from "./endpointAddress.ts";
 import { EngineCalls } from "./engineCalls.ts";
 import { EnginePool } from "./enginePool.ts";
 import type { CancelOrder, EngineOrder, EngineStatus, Pass, PassResult } from "./engineProtocol.ts";
@@ -21,7 +22,7 @@
 export interface EngineConnectionOptions {
     endpoint: string;
     /** Address of the engine, as host:port. */
-    address: string;
+    address: EndpointAddress;
     /** Opens the connections. Default: the HTTP client does. */
     connect?: buildConnector.connector;
     clock: Clock;
--- a/src/connection/upstream/upstreamConnection.ts
+++ b/src/connection/upstream/upstreamConnection.ts
@@ -1,6 +1,7 @@
 import type { Socket } from "node:net";
 import { Client, type Dispatcher } from "undici";
 import type { InputBarrier } from "../../process/loop/inputBarrier.ts";
+import type { EndpointAddress } from "../endpoint/endpointAddress.ts";
 import { bodyBoundsOfUse } from "./bodyBoundsOfUse.ts";
 import { endsWithConnection } from "./endsWithConnection.ts";
 import type { ConnectionPath } from "./path/connectionPath.ts";
@@ -16,7 +17,7 @@
 /** Options of an {@link UpstreamConnection}. */
 interface UpstreamConnectionOptions {
     /** host:port of the endpoint. */
-    address: string;
+    address: EndpointAddress;
     connector: PathConnector;
     /**
      * Delays the first request until all input that arrived while the connection opened is read, since that input may
--- a/src/connection/upstream/upstreamPool.ts
+++ b/src/connection/upstream/upstreamPool.ts
@@ -1,4 +1,5 @@
 import type { InputBarrier } from "../../process/loop/inputBarrier.ts";
+import type { EndpointAddress } from "../endpoint/endpointAddress.ts";
 import type { PathConnector } from "./path/pathConnector.ts";
 import { UpstreamConnection } from "./upstreamConnection.ts";
 import type { UpstreamExchange } from "./upstreamExchange.ts";
@@ -9,7 +10,7 @@
 /** Options of an {@link UpstreamPool}. */
 interface UpstreamPoolOptions {
     /** host:port of the endpoint. */
-    address: string;
+    address: EndpointAddress;
     /** Delays requests until all input that has already arrived at the node is read, since it may abort them. */
     barrier: Pick<InputBarrier, "defer">;
     connector: PathConnector;
--- a/src/connection/upstream/upstreamPools.ts
+++ b/src/connection/upstream/upstreamPools.ts
@@ -1,4 +1,5 @@
 import type { InputBarrier } from "../../process/loop/inputBarrier.ts";
+import type { EndpointAddress } from "../endpoint/endpointAddress.ts";
 import type { PathConnector } from "./path/pathConnector.ts";
 import { UpstreamPool } from "./upstreamPool.ts";
 
@@ -26,7 +27,7 @@
     }
 
     /** Gets the pool of an address, creating it if necessary. */
-    getPool(address: string): UpstreamPool {
+    getPool(address: EndpointAddress): UpstreamPool {
         const known = this.pools.get(address);
         if (known !== undefined) {
             return known;
--- a/src/request/relay/chains/stageQuery.ts
+++ b/src/request/relay/chains/stageQuery.ts
@@ -1,3 +1,4 @@
+import type { EndpointAddress } from "../../../connection/endpoint/endpointAddress.ts";
 import type { EngineModel } from "../../../version/routing/engineModel.ts";
 import type { RelayStage } from "./relayStage.ts";
 
@@ -22,7 +23,7 @@
      */
     getLinkWait(from: string, to: string): number;
     /** Checks if a connection to an endpoint's address is open and idle. */
-    isConnected(address: string): boolean;
+    isConnected(address: EndpointAddress): boolean;
     /** First stage of the chain, if a running request moves to another chain. */
     firstStage?: RelayStage;
     /** Checks if an endpoint may be the first stage. Default: each one may. */
--- a/src/request/relay/endpointProtocol.ts
+++ b/src/request/relay/endpointProtocol.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders } from "node:http";
+import type { EndpointAddress } from "../../connection/endpoint/endpointAddress.ts";
 import type { AnswerInstructions } from "../../connection/instructions/answerInstructions.ts";
 import type { UpstreamRequest } from "../../connection/upstream/upstreamRequest.ts";
 import type { Result } from "../../result.ts";
@@ -17,7 +18,7 @@
     readHead(status: number, headers: IncomingHttpHeaders, requestId: string): AnswerHead;
     /** Reads the instructions of any answer of an endpoint, also of one to a report request or an order. */
     readInstructions(status: number, headers: IncomingHttpHeaders): AnswerInstructions;
-    createReportRequest(address: string): UpstreamRequest;
+    createReportRequest(address: EndpointAddress): UpstreamRequest;
     readReport(body: Buffer): Result<EndpointReport, string>;
     createLayerOrder(endpoint: RegisteredEndpoint, order: LayerOrder): UpstreamRequest;
     /** Creates an order that moves a running request to another chain with the same first stage. */
--- a/src/request/relay/endpoints/registeredEndpoint.ts
+++ b/src/request/relay/endpoints/registeredEndpoint.ts
@@ -1,3 +1,4 @@
+import type { EndpointAddress } from "../../../connection/endpoint/endpointAddress.ts";
 import type { HeldLayers } from "./heldLayers.ts";
 
 /** An endpoint as it registered itself in the platform's store. */
@@ -10,7 +11,7 @@
     incarnation: number;
     service: string;
     /** host:port. */
-    address: string;
+    address: EndpointAddress;
     dataCentre: string;
     /** Maximum number of concurrent requests. */
     slots: number;
--- a/src/request/relay/relayTransport.ts
+++ b/src/request/relay/relayTransport.ts
@@ -1,3 +1,4 @@
+import type { EndpointAddress } from "../../connection/endpoint/endpointAddress.ts";
 import type { UpstreamExchange } from "../../connection/upstream/upstreamExchange.ts";
 import type { UpstreamListener } from "../../connection/upstream/upstreamListener.ts";
 import type { UpstreamRequest } from "../../connection/upstream/upstreamRequest.ts";
@@ -5,7 +6,7 @@
 /** Connection pools for relayed requests. */
 export interface RelayTransport {
     /** Gets the connection pool of an address (host:port). */
-    getPool(address: string): {
+    getPool(address: EndpointAddress): {
         /** Checks if a connection is open and idle. */
         hasIdle(): boolean;
         /** Checks if bytes were received from the address since the given monotonic time in milliseconds. */
--- a/src/version/configuration.ts
+++ b/src/version/configuration.ts
@@ -1,3 +1,5 @@
+import type { EndpointAddress } from "../connection/endpoint/endpointAddress.ts";
+
 /** A model that services can use. */
 interface ModelConfiguration {
     /** Number of layers. Layers are numbered from 0. */
@@ -39,7 +41,7 @@
 export interface EndpointConfiguration {
     kind: "engine" | "document";
     /** Address as host:port, where the host is an IP address. */
-    address: string;
+    address: EndpointAddress;
     dataCentre: string;
     /** Kind of accelerator. Undefined for document endpoints. */
     accelerator?: string;
--- a/src/version/configurationSchema.ts
+++ b/src/version/configurationSchema.ts
@@ -1,5 +1,5 @@
-import { isIP } from "node:net";
 import * as z from "zod";
+import { endpointAddressSchema } from "../connection/endpoint/endpointAddressSchema.ts";
 import type { Configuration } from "./configuration.ts";
 
 const namePattern = /^[\p{L}\p{N}][\p{L}\p{N}._:/-]{0,99}$/u;
@@ -15,10 +15,6 @@
     keyHashPattern,
     "Write `sha256:` followed by 64 lower-case hexadecimal digits, as printed by `printf %s KEY | sha256sum`.",
 );
-const address = z.string().refine(
-    isAddress,
-    "Write the address as IP:PORT, such as 10.0.0.7:8000 or [fd00::7]:8000.",
-);
 
 const model = z.strictObject({ layers: count.max(10_000), hiddenBytes: count });
 
@@ -36,7 +32,7 @@
 
 const endpoint = z.strictObject({
     kind: z.enum(["engine", "document"]),
-    address,
+    address: endpointAddressSchema,
     dataCentre: name,
     accelerator: z.string().min(1).optional(),
     layers: z.array(layerRange).default([]),
@@ -90,9 +86,3 @@
         .transform(record => Object.assign(Object.create(null) as Record<string, T>, record))
         .prefault({});
 }
-
-function isAddress(text: string): boolean {
-    const match = /^(?:\[(?<six>[^\]]+)\]|(?<four>[^:]+)):(?<port>[1-9]\d{0,4})$/.exec(text);
-    const { six = "", four = "", port = "" } = match?.groups ?? {};
-    return (isIP(six) === 6 || isIP(four) === 4) && Number(port) <= 65_535;
-}
--- a/standins/router/keyValueStandin.ts
+++ b/standins/router/keyValueStandin.ts
@@ -59,7 +59,12 @@
 
     /** Writes a value as JSON, like an operator or an endpoint. */
     put(key: string, value: object): void {
-        this.write(key, Buffer.from(JSON.stringify(value)).toString("base64"));
+        this.putBytes(key, Buffer.from(JSON.stringify(value)));
+    }
+
+    /** Writes a value that may be no text. */
+    putBytes(key: string, value: Buffer): void {
+        this.write(key, value.toString("base64"));
         this.checkPendingWatches();
     }
 
--- a/tests/connection/document/documentConnection.test.ts
+++ b/tests/connection/document/documentConnection.test.ts
@@ -5,6 +5,7 @@
 import { EndlessEndpoint } from "../../../standins/router/endlessEndpoint.ts";
 import type { EndlessForm } from "../../../standins/router/endlessForm.ts";
 import { endlessForms } from "../../../standins/router/endlessForms.ts";
+import { toEndpointAddress } from "../../support/toEndpointAddress.ts";
 import { waitUntil } from "../../support/waitUntil.ts";
 import { documentFaultCases } from "./documentFaultCases.ts";
 
@@ -19,7 +20,11 @@
 
     before(async () => {
         endpoint = await RawEndpoint.create();
-        connection = DocumentConnection.create({ endpoint: "document", address: endpoint.getAddress(), ...callbacks });
+        connection = DocumentConnection.create({
+            endpoint: "document",
+            address: toEndpointAddress(endpoint.getAddress()),
+            ...callbacks,
+        });
     });
 
     after(async () => {
@@ -53,7 +58,11 @@
     for (const [name, form] of Object.entries<EndlessForm>(endlessForms)) {
         it(`ends a call before its timeout whose response never ends: ${name}`, async context => {
             const endless = await EndlessEndpoint.create({ form });
-            const caller = DocumentConnection.create({ endpoint: "e", address: endless.getAddress(), ...callbacks });
+            const caller = DocumentConnection.create({
+                endpoint: "e",
+                address: toEndpointAddress(endless.getAddress()),
+                ...callbacks,
+            });
             context.after(async () => {
                 await endless.close();
                 await caller.close();
@@ -82,7 +91,11 @@
     });
 
     it("reports that nothing was sent if no connection is established", async () => {
-        const closed = DocumentConnection.create({ endpoint: "closed", address: "127.0.0.1:1", ...callbacks });
+        const closed = DocumentConnection.create({
+            endpoint: "closed",
+            address: toEndpointAddress("127.0.0.1:1"),
+            ...callbacks,
+        });
         const answer = await closed.send(call, AbortSignal.timeout(timeoutMilliseconds));
         assert.equal(answer.ok ? "answered" : answer.val.kind, "notSent");
         await closed.close();
--- a/tests/connection/endpoint/endpointDirectory.test.ts
+++ b/tests/connection/endpoint/endpointDirectory.test.ts
@@ -6,6 +6,7 @@
 import type { EndpointConfiguration } from "../../../src/version/configuration.ts";
 import { EngineStandin } from "../../../standins/engine/engineStandin.ts";
 import { FakeClock } from "../../support/fakeClock.ts";
+import { toEndpointAddress } from "../../support/toEndpointAddress.ts";
 import { waitUntil } from "../../support/waitUntil.ts";
 
 const model = "m";
@@ -23,7 +24,7 @@
             const engine = EngineStandin.create({ name, layers, modelLayers: { [model]: 4 } });
             await engine.listen();
             engines.set(name, engine);
-            const address = engine.getAddress();
+            const address = toEndpointAddress(engine.getAddress());
             endpoints[name] = {
                 kind: "engine",
                 address,
@@ -88,7 +89,12 @@
                 onSilentConnection: () => undefined,
                 onStateChanged: () => undefined,
             });
-            const endpoint = { kind: "document" as const, address: "127.0.0.1:1", dataCentre: "a", layers: [] };
+            const endpoint = {
+                kind: "document" as const,
+                address: toEndpointAddress("127.0.0.1:1"),
+                dataCentre: "a",
+                layers: [],
+            };
             other.update({ endpoints: { [name]: { ...endpoint, checksFencing: false, maximumSequences: 1 } } });
         });
 
--- a/tests/connection/endpoint/engineConnection.test.ts
+++ b/tests/connection/endpoint/engineConnection.test.ts
@@ -6,6 +6,7 @@
 import { systemClock } from "../../../src/process/systemClock.ts";
 import { EngineStandin } from "../../../standins/engine/engineStandin.ts";
 import { FakeClock } from "../../support/fakeClock.ts";
+import { toEndpointAddress } from "../../support/toEndpointAddress.ts";
 
 const model = "m";
 const pass = { request: "r", attempt: 1, model, position: 0, layerStart: 0, layerEnd: 4, priority: 0, text: "a b c" };
@@ -30,7 +31,7 @@
     function createConnection(address: string): EngineConnection {
         return EngineConnection.create({
             endpoint: "engine",
-            address,
+            address: toEndpointAddress(address),
             clock: systemClock,
             onInstructions: () => undefined,
             onConnectionRefused: () => undefined,
@@ -99,7 +100,7 @@
         let isPaused = false;
         const paused = EngineConnection.create({
             endpoint: "engine",
-            address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+            address: toEndpointAddress(`127.0.0.1:${(server.address() as AddressInfo).port}`),
             clock: systemClock,
             onInstructions: (_endpoint, { pauseMilliseconds }) => {
                 isPaused = pauseMilliseconds === 1_000;
@@ -142,7 +143,7 @@
             elapsed = [];
             timed = EngineConnection.create({
                 endpoint: "engine",
-                address: engine.getAddress(),
+                address: toEndpointAddress(engine.getAddress()),
                 clock,
                 onInstructions: () => undefined,
                 onConnectionRefused: () => undefined,
--- a/tests/connection/upstream/upstreamPool.test.ts
+++ b/tests/connection/upstream/upstreamPool.test.ts
@@ -12,6 +12,7 @@
 import { UpstreamPool } from "../../../src/connection/upstream/upstreamPool.ts";
 import type { UpstreamRequest } from "../../../src/connection/upstream/upstreamRequest.ts";
 import { systemClock } from "../../../src/process/systemClock.ts";
+import { toEndpointAddress } from "../../support/toEndpointAddress.ts";
 import { waitUntil } from "../../support/waitUntil.ts";
 
 const request: UpstreamRequest = { method: "POST", target: "/", headers: ["Host", "h"], body: Buffer.from("x") };
@@ -41,7 +42,7 @@
         });
         await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
         pool = UpstreamPool.create({
-            address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+            address: toEndpointAddress(`127.0.0.1:${(server.address() as AddressInfo).port}`),
             barrier: {
                 defer: action => {
                     deferredActions.add(action);
--- a/tests/platform/decoders.test.ts
+++ b/tests/platform/decoders.test.ts
@@ -96,6 +96,36 @@
         }
     });
 
+    it("read a record whose address has the form that other programs may write", () => {
+        for (const address of ["10.1.64.9:8080", "127.0.0.1:1", "[fd00::7]:65535"]) {
+            const endpoint = decodeEndpoint("servers/i-1", JSON.stringify({ ...record, address }));
+            assert.equal(endpoint.unwrap().address, address);
+        }
+    });
+
+    it("name the addresses of the settings that no socket can use", () => {
+        for (const address of ["999.1.1.1:1", "10.1.0.4:99999", "10.1.0:1"]) {
+            const faults = parseBootFile(boot.replace('"10.2.0.1:9"', `"${address}"`));
+            assert.deepEqual(faults.err && faults.val, ["platform.address: Must be IP:PORT."]);
+        }
+    });
+
+    // Such a name can't be sent to an endpoint: each attempt failed, and the endpoint was blamed.
+    it("reject a configuration in which a customer's name has a control character", () => {
+        const configuration = { ...createConfiguration(7), tenants: [{ name: "a\nb", api_keys: ["k"] }] };
+        assert.ok(decodeConfiguration(JSON.stringify(configuration)).err);
+    });
+
+    it("send a customer's name as UTF-8", () => {
+        const endpoint = decodeEndpoint("servers/i-1", JSON.stringify(record)).unwrap();
+        const message = { url: "/x", method: "GET", headers: { host: "h", "request-id": "r" }, rawHeaders: [] };
+        const request = decodeRequest(message as unknown as IncomingMessage, Buffer.alloc(0), 0)!;
+        const context = { endpoint, customer: "ko\u0142o", remainingMilliseconds: 5, lastEventId: 0 };
+        const { headers } = endpointProtocol.createRequest(request, context);
+        const sent = headers[headers.indexOf("Tenant") + 1]!;
+        assert.equal(Buffer.from(sent, "latin1").toString("utf8"), "ko\u0142o");
+    });
+
     it("return a result for any input and never throw", () => {
         const anyText = fc.oneof(fc.string(), fc.json());
         fc.assert(fc.property(anyText, text => {
--- a/tests/process/router/endpointRegistry.test.ts
+++ b/tests/process/router/endpointRegistry.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import type { EndpointAddress } from "../../../src/connection/endpoint/endpointAddress.ts";
 import type { Clock } from "../../../src/process/clock.ts";
 import { events } from "../../../src/process/logging/events.ts";
 import { EraRevision } from "../../../src/process/replica/eraRevision.ts";
@@ -27,7 +28,7 @@
         decode: (key, text) => {
             const incarnation = Number(/\d+/.exec(text)?.[0] ?? 1);
             const id = createEndpointKey(key, incarnation);
-            const address = `10.0.0.1:${/ at (\d+)/.exec(text)?.[1] ?? key}`;
+            const address = `10.0.0.1:${/ at (\d+)/.exec(text)?.[1] ?? key}` as EndpointAddress;
             const changes = { id, incarnation, address, isDraining: text === "leaving", layers: { start: 0, end: 9 } };
             return text === "broken" ? Err("It is broken.") : Ok(createEndpoint(key, changes));
         },
--- a/tests/request/chain/chainFixture.ts
+++ b/tests/request/chain/chainFixture.ts
@@ -5,6 +5,7 @@
 import type { SelectCandidates } from "../../../src/request/chain/selectCandidates.ts";
 import type { Configuration, EndpointConfiguration } from "../../../src/version/configuration.ts";
 import { createSeededRandom } from "../../support/createSeededRandom.ts";
+import { toEndpointAddress } from "../../support/toEndpointAddress.ts";
 
 /** An endpoint of a {@link ChainFixture}. */
 export interface FixtureEndpoint {
@@ -71,7 +72,7 @@
         `e${index}`,
         {
             kind: "engine",
-            address: "127.0.0.1:1",
+            address: toEndpointAddress("127.0.0.1:1"),
             dataCentre: dataCentre ?? "a",
             accelerator: "k",
             layers: [{ model: "m", start, end }],
--- a/tests/request/relay/endpoints/endpointEnds.test.ts
+++ b/tests/request/relay/endpoints/endpointEnds.test.ts
@@ -3,13 +3,14 @@
 import { createEndpointKey } from "../../../../src/request/relay/endpoints/createEndpointKey.ts";
 import { EndpointEnds } from "../../../../src/request/relay/endpoints/endpointEnds.ts";
 import type { RegisteredEndpoint } from "../../../../src/request/relay/endpoints/registeredEndpoint.ts";
+import { toEndpointAddress } from "../../../support/toEndpointAddress.ts";
 import { createEndpoint } from "../relayModel.ts";
 
 const sentAt = 100;
 
 function createStart(registeredId: string, address: string, incarnation: number): RegisteredEndpoint {
     const id = createEndpointKey(registeredId, incarnation);
-    return { ...createEndpoint(registeredId), id, registeredId, address, incarnation };
+    return { ...createEndpoint(registeredId), id, registeredId, address: toEndpointAddress(address), incarnation };
 }
 
 // Guards against requests that run on more endpoints than their route allows, because belief was taken for the proof of an end.
--- a/tests/request/relay/relayModel.ts
+++ b/tests/request/relay/relayModel.ts
@@ -1,4 +1,5 @@
 import { experimentModel } from "../../../bench/experiment/experimentModel.ts";
+import type { EndpointAddress } from "../../../src/connection/endpoint/endpointAddress.ts";
 import type { StageCandidate } from "../../../src/request/relay/chains/stageCandidate.ts";
 import type { StageQuery } from "../../../src/request/relay/chains/stageQuery.ts";
 import type { RegisteredEndpoint } from "../../../src/request/relay/endpoints/registeredEndpoint.ts";
@@ -28,7 +29,7 @@
         registeredId: id,
         incarnation: 1,
         service: "model",
-        address: `10.0.0.1:${id}`,
+        address: `10.0.0.1:${id}` as EndpointAddress,
         dataCentre: "a",
         slots: 134,
         isDraining: false,
