End a request, not the process, if one of its callbacks throws

One exception in a callback of one request ended the process, and with it all other requests of the node.

Cause: creating a request and opening its connection run in an action of the input barrier, a callback that nothing guards; so do the timers of a request and its turn in the queue. Errors in callbacks of the HTTP client were swallowed by that client: the request then waited for its deadline, or its endpoint was blamed, without a line in the log.

Change: RequestGuard runs the callbacks of a request. An error is logged with its stack (FL1703, FL1701), the request ends with a true answer (503 if no byte was sent, else 502), and its reservation, queue entry, timers and exchange are released. An error of this end and errors in decisions that requests share are not caught, since state may be half changed: they end the process, and FL1005 now has their stack. A request that the HTTP client refuses to write ends itself; before, every endpoint was marked as unavailable for it.

--- a/scripts/soak/router/routerFaultKinds.ts
+++ b/scripts/soak/router/routerFaultKinds.ts
@@ -18,6 +18,7 @@
 import { startAtDeletionKind } from "./startAtDeletionKind.ts";
 import { startBurst } from "./startBurst.ts";
 import { takeEndpoint } from "./takeEndpoint.ts";
+import { unusableRecord } from "./unusableRecord.ts";
 
 type RouterFaultKind = FaultKind<RouterSoakContext>;
 /** Injects or reverts a fault of a target. */
@@ -118,6 +119,7 @@
         { requestsPerSecond: endpointLimitKind.requestsPerSecond },
         extendedDuration,
     ),
+    unusableRecord,
     endpointCrash: endpointFault(
         3,
         shortDuration,
--- a/src/connection/upstream/upstreamConnection.ts
+++ b/src/connection/upstream/upstreamConnection.ts
@@ -38,6 +38,9 @@
  */
 const keepAliveMarginMilliseconds = 600;
 
+/** Code of the HTTP client for a request that it can't write, such as one with a header that holds a line feed. */
+const invalidArgumentCode = "UND_ERR_INVALID_ARG";
+
 const closePattern = /(^|,)\s*close\s*(,|$)/i;
 
 /** An HTTP/1.1 connection to an endpoint, with at most one exchange at a time. */
@@ -203,7 +206,15 @@
                 setImmediate(() => isLast ? this.disconnect() : this.release());
                 listener.onEnd();
             },
-            onResponseError: (_controller, error) => fail(error.message),
+            onResponseError: (_controller, error) => {
+                if (!isEnded && (error as NodeJS.ErrnoException).code === invalidArgumentCode) {
+                    end();
+                    this.disconnect();
+                    listener.onError(error);
+                    return;
+                }
+                fail(error.message);
+            },
         });
         return {
             getSentTime: () => sentAt,
--- a/src/connection/upstream/upstreamListener.ts
+++ b/src/connection/upstream/upstreamListener.ts
@@ -2,7 +2,7 @@
 import type { BodyBounds } from "./bodyBounds.ts";
 import type { UpstreamFailure } from "./upstreamFailure.ts";
 
-/** Receives the events of an exchange. The last call is either `onEnd` or `onFailure`. */
+/** Receives the events of an exchange. The last call is `onEnd`, `onFailure` or `onError`. */
 export interface UpstreamListener {
     /**
      * Called immediately before the request is written, which may be long after it was passed to the pool. If it returns false,
@@ -17,4 +17,6 @@
     /** Called when the response is complete. */
     onEnd(): void;
     onFailure(failure: UpstreamFailure): void;
+    /** Called if the request could not be created or written because of an unexpected error. No byte of it was sent. */
+    onError(error: unknown): void;
 }
--- a/src/connection/upstream/upstreamPool.ts
+++ b/src/connection/upstream/upstreamPool.ts
@@ -68,7 +68,10 @@
                 listener.onFailure(withheldFailure);
                 return;
             }
-            exchange = this.acquire(maximumIdleMilliseconds).send(createRequest(), listener);
+            const request = tryCreate(createRequest, listener);
+            if (request !== undefined) {
+                exchange = this.acquire(maximumIdleMilliseconds).send(request, listener);
+            }
         });
         return {
             abort: () => {
@@ -166,3 +169,14 @@
         }
     }
 }
+
+/** Creates a request, unless this throws. The input barrier runs actions of many requests, so the error goes to the listener. */
+function tryCreate(createRequest: () => UpstreamRequest, listener: UpstreamListener): UpstreamRequest | undefined {
+    try {
+        return createRequest();
+    }
+    catch (error) {
+        listener.onError(error);
+        return undefined;
+    }
+}
--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -17,6 +17,11 @@
         level: "warn",
         message: "The node is aborting the requests that are still running.",
     },
+    nodeFailed: {
+        number: 1005,
+        level: "error",
+        message: "An unexpected error ended the process. Report it with its stack.",
+    },
     configurationAccepted: {
         number: 1201,
         level: "info",
--- a/src/process/router/endpointCalls.ts
+++ b/src/process/router/endpointCalls.ts
@@ -137,6 +137,7 @@
                 onData: chunk => chunks.push(chunk),
                 onEnd: () => finish("answered", Ok({ status, body: Buffer.concat(chunks) })),
                 onFailure: failure => finish(failure.kind, Err(failure.message)),
+                onError: error => finish("unsendable", Err(String(error))),
             });
             const timer = clock.setTimer(timeoutMilliseconds, () => {
                 // Where few requests come, these calls are the first to meet a lost path.
--- a/src/process/router/requestRouter.ts
+++ b/src/process/router/requestRouter.ts
@@ -8,6 +8,7 @@
 import { fingerprintRequest } from "../../request/relay/fingerprintRequest.ts";
 import type { RelayEnvironment } from "../../request/relay/relayEnvironment.ts";
 import type { RelayTask } from "../../request/relay/relayTask.ts";
+import { RequestGuard } from "../../request/relay/requestGuard.ts";
 import type { RoutedRequest } from "../../request/relay/routedRequest.ts";
 import { StreamRelay } from "../../request/relay/streams/streamRelay.ts";
 import type { Route } from "../../version/routing/route.ts";
@@ -57,29 +58,42 @@
 
     /** Routes a request. Its caller gets exactly one answer. */
     handle(request: RoutedRequest, sink: AnswerSink): void {
+        const guard = RequestGuard.create({
+            log: this.options.environment.log,
+            requestId: request.id,
+            end: cause => sink.refuse(createRefusal.notRun(cause)),
+        });
+        const task = guard.run(() => this.createTask(request, sink));
+        if (task !== undefined) {
+            this.relay(task);
+        }
+    }
+
+    /** Creates the task of relaying a request. If it can't be relayed, refuses it and returns undefined. */
+    private createTask(request: RoutedRequest, sink: AnswerSink): RelayTask | undefined {
         const state = this.options.holder.getState();
         if (state === undefined) {
             const refusal = createRefusal.notRun("this node has no configuration yet.", notReadyRetryMilliseconds);
             this.refuse(request, sink, refusal, 0);
-            return;
+            return undefined;
         }
         const { version } = state.configuration;
         const route = state.getRoute(request.host, request.target);
         if (route === undefined) {
             const message = "No route fits the host and path. Check them.";
             this.refuseUnknown(request, sink, { reason: RefusalReason.NoRoute, message }, version);
-            return;
+            return undefined;
         }
         const customer = state.getCustomer(request.apiKey ?? "");
         if (customer === undefined && state.needsKey() && !route.isPublic) {
             const message = "No customer has this API key. Check it.";
             this.refuseUnknown(request, sink, { reason: RefusalReason.UnknownKey, message }, version);
-            return;
+            return undefined;
         }
         const service = state.configuration.services.get(this.chooseService(route));
         if (service === undefined) {
             this.refuse(request, sink, createRefusal.notRun("its route names no known service."), version);
-            return;
+            return undefined;
         }
         const dueAt = request.arrivedAt
             + Math.min(route.timeoutMilliseconds, request.deadlineMilliseconds ?? Infinity);
@@ -92,7 +106,7 @@
         );
         const fingerprint = fingerprintRequest(request, customer);
         const takenUpLateMilliseconds = this.options.loop.getLag();
-        this.relay({
+        return {
             request,
             route,
             service,
@@ -105,7 +119,7 @@
             takenUpLateMilliseconds,
             isReturn,
             dueAt,
-        });
+        };
     }
 
     private relay(task: RelayTask): void {
--- a/src/process/runNode.ts
+++ b/src/process/runNode.ts
@@ -1,5 +1,6 @@
 import { FoxleadNode } from "./foxleadNode.ts";
 import { ConsolaEventLog } from "./logging/consolaEventLog.ts";
+import { logFatalErrors } from "./logging/logFatalErrors.ts";
 import type { NodeSettings } from "./settings/nodeSettings.ts";
 import { systemClock } from "./systemClock.ts";
 
@@ -9,6 +10,7 @@
  */
 export async function runNode(settings: NodeSettings): Promise<void> {
     const log = ConsolaEventLog.create({ level: settings.logging.level, vm: settings.vm });
+    logFatalErrors(log);
     const node = await FoxleadNode.create({ settings, log, clock: systemClock, random: Math.random });
     await node.start();
     await waitForSignal();
--- a/src/request/relay/documents/documentRelay.ts
+++ b/src/request/relay/documents/documentRelay.ts
@@ -14,10 +14,12 @@
 import type { RelayRefusal } from "../answers/relayRefusal.ts";
 import { sendCompleteAnswer } from "../answers/sendCompleteAnswer.ts";
 import { createEndFields } from "../createEndFields.ts";
+import { guardListener } from "../guardListener.ts";
 import { PossibleRuns } from "../possibleRuns.ts";
 import { TaskQuarantine } from "../quarantine/taskQuarantine.ts";
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
+import { RequestGuard } from "../requestGuard.ts";
 import type { DocumentAttempt } from "./documentAttempt.ts";
 import type { DocumentAttemptEnd } from "./documentAttemptEnd.ts";
 import { DocumentAttempts } from "./documentAttempts.ts";
@@ -43,6 +45,7 @@
     private readonly timers: TimerHandle[] = [];
     private readonly onDone: () => void;
     private readonly quarantine: TaskQuarantine;
+    private readonly guard: RequestGuard;
     private isDone = false;
 
     private constructor(environment: RelayEnvironment, task: RelayTask, onDone: () => void) {
@@ -53,6 +56,8 @@
         this.attempts = DocumentAttempts.create(this.runs, task.route.maximumAttempts);
         this.endpoints = DocumentEndpoints.create(environment, task);
         this.quarantine = TaskQuarantine.create(environment, task);
+        const { log } = environment;
+        this.guard = RequestGuard.create({ log, requestId: task.request.id, end: cause => this.endOnError(cause) });
     }
 
     /**
@@ -70,7 +75,7 @@
         task.sink.onClosed(() => this.finish("callerGone"));
         this.setTimer(task.dueAt - environment.clock.getMonotonicTime(), () => this.expire());
         this.setTimer(task.route.targetLatencyMilliseconds * hedgeFraction, () => this.handleLateAnswer());
-        this.startAttempt("no endpoint of the service is ready.");
+        this.guard.run(() => this.startAttempt("no endpoint of the service is ready."));
     }
 
     private isIdempotent(): boolean {
@@ -126,7 +131,7 @@
             return protocol.createRequest(request, { endpoint, customer, remainingMilliseconds, lastEventId: 0 });
         };
         const idleLimit = this.isIdempotent() ? Infinity : maximumIdleMilliseconds;
-        attempt.exchange = pools.getPool(endpoint.address).sendForCaller(createRequest, {
+        const listener = guardListener(this.guard, {
             onHead: (status, headers) =>
                 account.runPart(ProcessorCause.Document, () => this.handleHead(attempt, status, headers)),
             getBodyBounds: () => getBodyBounds(attempt),
@@ -134,7 +139,8 @@
             onEnd: () => account.runPart(ProcessorCause.Document, () => this.handleAnswer(attempt)),
             onFailure: failure => account.runPart(ProcessorCause.Document, () => this.handleFailure(attempt, failure)),
             maySend: () => this.environment.instructions.maySend(endpoint.id),
-        }, idleLimit);
+        });
+        attempt.exchange = pools.getPool(endpoint.address).sendForCaller(createRequest, listener, idleLimit);
     }
 
     private handleHead(attempt: DocumentAttempt, status: number, headers: IncomingHttpHeaders): void {
@@ -200,12 +206,9 @@
         if (failure.kind === UpstreamFailureKind.Broken) {
             const brokenAt = this.getTime();
             attempt.run.isBroken = true;
-            attempt.exchange?.testPath(state => {
-                if (state === PathState.Down) {
-                    health.markUnreachable(attempt.endpoint.id);
-                }
-                this.handleBreak(attempt, state, brokenAt, cause);
-            });
+            attempt.exchange?.testPath(state =>
+                this.guard.run(() => this.handleBreak(attempt, state, brokenAt, cause))
+            );
             return;
         }
         if (failure.kind === UpstreamFailureKind.Withheld) {
@@ -229,6 +232,9 @@
 
     private handleBreak(attempt: DocumentAttempt, state: PathState, brokenAt: number, cause: string): void {
         const isPathLost = state === PathState.Lost;
+        if (state === PathState.Down) {
+            this.environment.health.markUnreachable(attempt.endpoint.id);
+        }
         if (!isPathLost) {
             this.environment.health.addFailure(attempt.endpoint.id, this.getTime());
             const sentAt = attempt.exchange?.getSentTime() ?? attempt.sentAt;
@@ -302,7 +308,7 @@
             }
             exchange.testPath(state => {
                 if (state === PathState.Lost && this.isIdempotent() && this.attempts.isRunning(attempt)) {
-                    this.sendOverOtherPath(attempt);
+                    this.guard.run(() => this.sendOverOtherPath(attempt));
                 }
             });
         }
@@ -354,9 +360,19 @@
     }
 
     private expire(): void {
+        this.refuse(
+            this.mayHaveRun() ? createRefusal.timedOut() : createRefusal.notRun("no endpoint accepted it in time."),
+        );
+    }
+
+    private endOnError(cause: string): void {
+        this.refuse(this.mayHaveRun() ? createRefusal.outcomeUnknown(cause) : createRefusal.notRun(cause));
+    }
+
+    /** Checks if an endpoint may have run the request or may run it now. */
+    private mayHaveRun(): boolean {
         const isRunning = [...this.attempts.getRunning()].some(({ exchange }) => exchange?.getSentTime() !== undefined);
-        const mayHaveRun = this.attempts.mayHaveRun() || isRunning;
-        this.refuse(mayHaveRun ? createRefusal.timedOut() : createRefusal.notRun("no endpoint accepted it in time."));
+        return isRunning || this.attempts.mayHaveRun();
     }
 
     private refuse(refusal: RelayRefusal): void {
@@ -393,7 +409,8 @@
     }
 
     private setTimer(delay: number, callback: () => void): void {
-        this.timers.push(this.environment.clock.setTimer(Math.max(0, delay), callback));
+        const guarded = () => this.guard.run(callback);
+        this.timers.push(this.environment.clock.setTimer(Math.max(0, delay), guarded));
     }
 
     private getTime(): number {
--- a/src/request/relay/streams/sendStream.ts
+++ b/src/request/relay/streams/sendStream.ts
@@ -7,9 +7,11 @@
 import { getUrgency } from "../../admission/ranks/getUrgency.ts";
 import type { AnswerHead } from "../answers/answerHead.ts";
 import type { RelayStage } from "../chains/relayStage.ts";
+import { guardListener } from "../guardListener.ts";
 import { getLatestOnTimeStart } from "../queue/getLatestOnTimeStart.ts";
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
+import type { RequestGuard } from "../requestGuard.ts";
 import { getFaultyEndpoint } from "./getFaultyEndpoint.ts";
 import type { StreamAnswerEnd } from "./streamAnswerEnd.ts";
 import { StreamAnswerReader } from "./streamAnswerReader.ts";
@@ -20,6 +22,7 @@
     environment: RelayEnvironment;
     task: RelayTask;
     stages: RelayStage[];
+    guard: RequestGuard;
     /** Gets the id of the last event that the caller has; 0 if none. */
     getLastEventId(): number;
     /** Checks if a part of the answer was written to the caller. */
@@ -36,7 +39,7 @@
 
 /** Sends a streamed request to the first stage of a chain and reads its answer. */
 export function sendStream(options: SendStreamOptions): UpstreamExchange {
-    const { environment, task, stages, getLastEventId, onEvent, onEnd, onFailure } = options;
+    const { environment, task, stages, guard, getLastEventId, onEvent, onEnd, onFailure } = options;
     const { protocol, pools, instructions } = environment;
     const { endpoint } = stages[0]!;
     const reader = StreamAnswerReader.create({
@@ -47,7 +50,7 @@
         onEvent,
         onEnd,
     });
-    return pools.getPool(endpoint.address).sendForCaller(() => createRequest(options), {
+    const listener = guardListener(guard, {
         onHead: (status, headers) =>
             account.runPart(ProcessorCause.StreamHead, () => reader.handleHead(status, headers)),
         getBodyBounds: () => reader.getBodyBounds(),
@@ -64,6 +67,7 @@
             }),
         maySend: () => instructions.maySend(endpoint.id),
     });
+    return pools.getPool(endpoint.address).sendForCaller(() => createRequest(options), listener);
 }
 
 function createRequest(
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -25,6 +25,7 @@
 import type { QueuedRelay } from "../queue/queuedRelay.ts";
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
+import { RequestGuard } from "../requestGuard.ts";
 import { ChainReplacement } from "./chainReplacement.ts";
 import { describeIncompleteAnswer } from "./describeIncompleteAnswer.ts";
 import { EventVerdict } from "./eventVerdict.ts";
@@ -55,6 +56,7 @@
     private readonly attemptLimit: AttemptLimit;
     private readonly quarantine: TaskQuarantine;
     private readonly replacement: ChainReplacement;
+    private readonly guard: RequestGuard;
     private readonly progress: StreamProgress;
     private readonly answer: StreamAnswer;
     private readonly logger: StreamLogger;
@@ -79,6 +81,8 @@
         this.quarantine = TaskQuarantine.create(environment, task);
         const { chains, attemptLimit, quarantine } = this;
         this.replacement = ChainReplacement.create({ environment, task, chains, attemptLimit, quarantine });
+        const { log } = environment;
+        this.guard = RequestGuard.create({ log, requestId: task.request.id, end: cause => this.endOnError(cause) });
         this.progress = StreamProgress.create(task.request.lastEventId);
         this.answer = StreamAnswer.create(task.sink);
         this.logger = StreamLogger.create(environment, task, this.progress);
@@ -105,8 +109,8 @@
         const { sink, dueAt } = this.task;
         sink.onClosed(() => this.finish({ outcome: "callerGone", cause: "" }));
         const delay = Math.max(0, dueAt - this.getTime());
-        this.timer = this.environment.clock.setTimer(delay, () => this.handleTimeout());
-        this.startAttempt("no chain of endpoints has free capacity.");
+        this.timer = this.environment.clock.setTimer(delay, () => this.guard.run(() => this.handleTimeout()));
+        this.guard.run(() => this.startAttempt("no chain of endpoints has free capacity."));
     }
 
     /** Gets the chain in use; undefined between attempts. */
@@ -259,11 +263,11 @@
             isRetry,
             start: reservedChain => {
                 this.queuedRelay = undefined;
-                this.startReserved(reservedChain, cause);
+                this.guard.run(() => this.startReserved(reservedChain, cause));
             },
             refuse: (reason, retryAfterMilliseconds, bound) => {
                 this.queuedRelay = undefined;
-                this.reject(`${cause} ${reason}`, retryAfterMilliseconds, bound);
+                this.guard.run(() => this.reject(`${cause} ${reason}`, retryAfterMilliseconds, bound));
             },
         });
         environment.queue.submit(this.queuedRelay);
@@ -342,11 +346,12 @@
     }
 
     private send(attempt: StreamAttempt, stages: RelayStage[]): void {
-        const { environment, task, progress, answer } = this;
+        const { environment, task, guard, progress, answer } = this;
         attempt.exchange = sendStream({
             environment,
             task,
             stages,
+            guard,
             getLastEventId: () => progress.getLastId(),
             isAnswerBegun: () => answer.isBegun(),
             onEvent: (event, head) => this.handleEvent(attempt, head, event),
@@ -455,20 +460,17 @@
         }
         const brokenAt = this.getTime();
         attempt.run.isBroken = true;
-        attempt.exchange?.testPath(state => {
-            const isPathLost = state === PathState.Lost;
-            const avoid = isPathLost ? [] : [id];
-            if (state === PathState.Down) {
-                this.environment.health.markUnreachable(id);
-            }
-            this.endAttempt(attempt, {
-                isNotRun,
-                brokenAt: isPathLost ? undefined : brokenAt,
-                isDown: state === PathState.Down,
-                cause,
-                avoid,
-            });
-        });
+        attempt.exchange?.testPath(state => this.guard.run(() => this.handleBreak(attempt, state, brokenAt, cause)));
+    }
+
+    private handleBreak(attempt: StreamAttempt, state: PathState, brokenAt: number, cause: string): void {
+        const { id } = attempt.stages[0]!.endpoint;
+        const isDown = state === PathState.Down;
+        if (isDown) {
+            this.environment.health.markUnreachable(id);
+        }
+        const end = state === PathState.Lost ? { avoid: [] } : { brokenAt, avoid: [id] };
+        this.endAttempt(attempt, { isNotRun: false, isDown, cause, ...end });
     }
 
     /** Checks if the path of the connection in use is known not to work. */
@@ -577,6 +579,14 @@
         this.finish(this.answer.giveUp(cause, notRun));
     }
 
+    /** Ends the request after an unexpected error, which may have come before it was recorded that an endpoint runs the request. */
+    private endOnError(cause: string): void {
+        if (this.firstSentAt !== undefined || this.attempt?.exchange?.getSentTime() !== undefined) {
+            this.answer.noteRun();
+        }
+        this.giveUp(cause);
+    }
+
     private handleTimeout(): void {
         const isSent = this.attempt?.exchange?.getSentTime() !== undefined;
         this.finish(this.answer.timeOut(isSent));
--- a/tests/connection/upstream/upstreamPool.test.ts
+++ b/tests/connection/upstream/upstreamPool.test.ts
@@ -72,6 +72,7 @@
         onData: () => undefined,
         onEnd: () => ends++,
         onFailure: () => undefined,
+        onError: () => undefined,
     };
 
     /** Runs all actions that wait at the barrier. */
--- a/tests/platform/routerTestHarness.ts
+++ b/tests/platform/routerTestHarness.ts
@@ -13,6 +13,7 @@
 import { Metrics } from "../../src/process/metrics/metrics.ts";
 import { RouterNode } from "../../src/process/router/routerNode.ts";
 import { systemClock } from "../../src/process/systemClock.ts";
+import type { EndpointProtocol } from "../../src/request/relay/endpointProtocol.ts";
 import { NodeLinks } from "../../standins/network/nodeLinks.ts";
 import { callerKey } from "../../standins/router/callerKey.ts";
 import { createConfiguration } from "../../standins/router/createConfiguration.ts";
@@ -51,6 +52,8 @@
     readonly store: KeyValueStandin;
     readonly endpoints = new Map<string, EndpointStandin>();
     readonly nodes: StartedNode[] = [];
+    /** Protocol of the nodes that are added. */
+    protocol: EndpointProtocol = endpointProtocol;
 
     private constructor(store: KeyValueStandin) {
         this.store = store;
@@ -166,7 +169,7 @@
             owners: await RendezvousOwners.create(),
             store,
             keys: routerKeys,
-            protocol: endpointProtocol,
+            protocol: this.protocol,
             decodeConfiguration,
             decodeEndpoint,
             createSocket: target => links.createSocket(target),
