Leave an endpoint whose stream holds bytes that are no event

Cause: whatever ended with an empty line was taken for an event; one without an id was passed on as a comment is, and a regular end after it made the answer whole.

Change: parseEvent checks the form that PROTOCOL.md promises, "a series of events with increasing ids (text/event-stream)": fields with names in lower case, among them a numeric id; comments and empty lines beside them. From the first other bytes on nothing of the answer is passed on. The stream goes on elsewhere from its last event in the same answer, or is broken off or answered 502 where its route doesn't allow that. The endpoint counts as one that rejects requests.

--- a/scripts/soak/router/callChecks.ts
+++ b/scripts/soak/router/callChecks.ts
@@ -43,6 +43,8 @@
 /** An endpoint that a request crashes closes its connections this long before its end is noted, at most. */
 const endNoticeMilliseconds = 500;
 const modelLayers = 8;
+/** What the endpoints send in a stream. */
+const eventsPattern = /^(?:id: \d+\ndata: [\w-]+\n\n)*$/;
 
 /** Checks the invariants against the records of callers and endpoints. */
 export class CallChecks {
@@ -154,6 +156,14 @@
             }
             return;
         }
+        const wholeEvents = record.text.slice(0, record.text.lastIndexOf("\n\n") + 2);
+        if (!eventsPattern.test(wholeEvents)) {
+            this.violations.add(
+                "foreignBytes",
+                `The response holds bytes that are no event: "${record.text}".`,
+                record,
+            );
+        }
         const ids = [...record.text.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
         const isInOrder = ids.every((id, index) => id === index + 1);
         if (!isInOrder || record.isComplete && ids.length !== eventsPerStream) {
--- a/scripts/soak/router/routerFaultKinds.ts
+++ b/scripts/soak/router/routerFaultKinds.ts
@@ -108,6 +108,9 @@
     endpointUnsigned: behaviourFault(1, { isUnsigned: true }),
     endpointExtraBytes: behaviourFault(1, { sendsExtra: true }),
     endpointResetsUnframed: behaviourFault(1, { resetsUnframed: true }),
+    endpointForeignLine: behaviourFault(2, foreignBytes("upstream connect error\n\n", false)),
+    endpointForeignPage: behaviourFault(2, foreignBytes("<html>\r\n\r\n</html>\r\n\r\n", true)),
+    endpointUnnumberedEvent: behaviourFault(2, foreignBytes("data: more\n\n", true)),
     endpointCutsStreams: behaviourFault(2, { cutsAfterEvent: 5 }),
     endpointStallsStreams: behaviourFault(2, { stallsAfterEvent: 7 }),
     endpointSlow: behaviourFault(1, { delayMilliseconds: 700 }),
@@ -129,6 +132,11 @@
     endpointLeaves: endpointFault(3, minimalDuration, (_, endpoint) => endpoint.startLeaving(), stopAfterLeaving),
 };
 
+/** Creates the behaviour of an endpoint that sends bytes that are no event in the middle of its streams. */
+function foreignBytes(bytes: string, continues: boolean): EndpointBehaviour {
+    return { foreignBytes: { afterEvent: 5, bytes, continues } };
+}
+
 /** Creates a factory of kinds of faults that reserve a node or an endpoint. */
 function createTargetFault<Target extends { name: string; isTaken: boolean; }>(
     getAll: (deployment: RouterDeployment) => readonly Target[],
--- a/src/request/relay/streams/describeIncompleteAnswer.ts
+++ b/src/request/relay/streams/describeIncompleteAnswer.ts
@@ -29,6 +29,8 @@
             const cause = `the endpoint sent more than ${end.maximumBytes} bytes without an event.`;
             return { isNotRun: false, cause, avoid: [firstId] };
         }
+        case "invalid":
+            return { isNotRun: false, cause: "the endpoint sent bytes that are no event.", avoid: [firstId] };
         case "foreign":
             return { isNotRun: false, cause: "the answer belongs to another request.", avoid: [firstId] };
     }
--- a/src/request/relay/streams/eventSplitter.ts
+++ b/src/request/relay/streams/eventSplitter.ts
@@ -1,17 +1,17 @@
+import { EventLineKind } from "./eventLineKind.ts";
+import { getEventLineKind } from "./getEventLineKind.ts";
+import { parseEvent } from "./parseEvent.ts";
 import type { StreamEvent } from "./streamEvent.ts";
+
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
-const space = 0x20;
-const digitZero = 0x30;
-const digitNine = 0x39;
-const decimalRadix = 10;
-const idField = Buffer.from("id:");
 
-/** Splits the bytes of a stream into complete events, which keep their exact bytes. */
+/** Splits the bytes of a stream into complete events, which keep their exact bytes. Returns nothing from the first bytes on that are no event. */
 export class EventSplitter {
     /** Parts of the incomplete event. They are joined only when its end may have arrived, so that a long event costs linear time. */
     private parts: Buffer[] = [];
     private partBytes = 0;
+    private hasInvalidBytes = false;
 
     private constructor() {}
 
@@ -22,7 +22,7 @@
 
     /** Adds bytes and returns the events that they complete. */
     push(chunk: Buffer): StreamEvent[] {
-        if (chunk.length === 0) {
+        if (chunk.length === 0 || this.hasInvalidBytes) {
             return [];
         }
         this.parts.push(chunk);
@@ -34,14 +34,26 @@
         const events: StreamEvent[] = [];
         let start = 0;
         for (let end = findEventEnd(bytes, start); end !== -1; end = findEventEnd(bytes, start)) {
-            events.push(createEvent(bytes.subarray(start, end)));
+            const event = parseEvent(bytes.subarray(start, end));
+            if (event === undefined) {
+                this.hasInvalidBytes = true;
+                return events;
+            }
+            events.push(event);
             start = end;
         }
+        this.hasInvalidBytes = bytes.includes(lineFeed, start)
+            && getEventLineKind(bytes, start) === EventLineKind.Invalid;
         this.parts = start === bytes.length ? [] : [bytes.subarray(start)];
         this.partBytes = bytes.length - start;
         return events;
     }
 
+    /** Checks if bytes have come that are no event. They are recognized at the end of their first line or at the next empty line. */
+    isInvalid(): boolean {
+        return this.hasInvalidBytes;
+    }
+
     /** Checks if there are bytes of an incomplete event. */
     hasIncompleteEvent(): boolean {
         return this.partBytes > 0;
@@ -63,39 +75,3 @@
     }
     return -1;
 }
-
-function createEvent(bytes: Buffer): StreamEvent {
-    return { bytes, id: findId(bytes) };
-}
-
-/** Finds the first line with a numeric id. Reads the bytes in place, since decoding them as text would copy each event. */
-function findId(bytes: Buffer): number | undefined {
-    for (let lineStart = 0; lineStart < bytes.length;) {
-        const id = readId(bytes, lineStart);
-        if (id !== undefined) {
-            return id;
-        }
-        const lineEnd = bytes.indexOf(lineFeed, lineStart);
-        lineStart = lineEnd === -1 ? bytes.length : lineEnd + 1;
-    }
-    return undefined;
-}
-
-/** Reads the id of a line; undefined if the line has none or one that is not a number. */
-function readId(bytes: Buffer, lineStart: number): number | undefined {
-    for (let index = 0; index < idField.length; index++) {
-        if (bytes[lineStart + index] !== idField[index]) {
-            return undefined;
-        }
-    }
-    let at = lineStart + idField.length;
-    at += bytes[at] === space ? 1 : 0;
-    const firstDigit = at;
-    let id = 0;
-    for (let byte = bytes[at]!; byte >= digitZero && byte <= digitNine; byte = bytes[at]!) {
-        id = id * decimalRadix + byte - digitZero;
-        at += 1;
-    }
-    const isLineEnd = bytes[at] === lineFeed || bytes[at] === carriageReturn;
-    return at > firstDigit && isLineEnd ? id : undefined;
-}
--- a/src/request/relay/streams/streamAnswerEnd.ts
+++ b/src/request/relay/streams/streamAnswerEnd.ts
@@ -17,5 +17,7 @@
     | { kind: "failed"; head: AnswerHead; answer: CompleteAnswer | undefined; }
     /** An event, or the comments between two events, exceed the maximum size. */
     | { kind: "oversized"; maximumBytes: number; }
+    /** Bytes came that are no event. The events before them were received. */
+    | { kind: "invalid"; }
     /** The answer belongs to another request. */
     | { kind: "foreign"; };
--- a/src/request/relay/streams/streamAnswerReader.ts
+++ b/src/request/relay/streams/streamAnswerReader.ts
@@ -36,8 +36,8 @@
     private head: AnswerHead | undefined;
     private isEndedByConnection = false;
     private hasEvents = false;
-    /** Size of the comments and other events without an id since the last event with one, in bytes. */
-    private unnumberedBytes = 0;
+    /** Size of the comments since the last event, in bytes. */
+    private commentBytes = 0;
 
     private constructor(options: StreamAnswerReaderOptions) {
         this.options = options;
@@ -82,10 +82,14 @@
         }
         for (const event of this.splitter.push(chunk)) {
             this.hasEvents = true;
-            this.unnumberedBytes = event.id === undefined ? this.unnumberedBytes + event.bytes.length : 0;
+            this.commentBytes = event.id === undefined ? this.commentBytes + event.bytes.length : 0;
             this.options.onEvent(event, head);
         }
-        if (Math.max(this.splitter.getIncompleteBytes(), this.unnumberedBytes) > maximumEventBytes) {
+        if (this.splitter.isInvalid()) {
+            this.options.onEnd({ kind: "invalid" });
+            return;
+        }
+        if (Math.max(this.splitter.getIncompleteBytes(), this.commentBytes) > maximumEventBytes) {
             this.options.onEnd({ kind: "oversized", maximumBytes: maximumEventBytes });
         }
     }
--- a/src/request/relay/streams/streamEvent.ts
+++ b/src/request/relay/streams/streamEvent.ts
@@ -1,7 +1,7 @@
-/** An event of a stream, as the endpoint sent it. */
+/** An event of a stream, or comments between two events, as the endpoint sent them. */
 export interface StreamEvent {
     /** Bytes of the event, including the empty line that terminates it. */
     bytes: Buffer;
-    /** Undefined if the event has no id. */
+    /** Undefined for comments. */
     id: number | undefined;
 }
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -369,7 +369,7 @@
         const wasSilent = now - attempt.lastProgressAt > silenceMilliseconds;
         this.answer.noteRun();
         if (event.id === undefined) {
-            // A comment keeps a connection open. It isn't progress, which callers wait for.
+            // Comments keep a connection open. They are no progress, which callers wait for.
             this.answer.write(head, event.bytes);
             return;
         }
@@ -414,7 +414,7 @@
             this.complete(end.head);
             return;
         }
-        if (end.kind === "foreign" || end.kind === "oversized") {
+        if (end.kind === "foreign" || end.kind === "oversized" || end.kind === "invalid") {
             attempt.exchange?.abort();
             this.environment.health.markRejecting(attempt.stages[0]!.endpoint.id, this.getTime());
         }
--- a/standins/router/endpointStandin.ts
+++ b/standins/router/endpointStandin.ts
@@ -277,7 +277,7 @@
     private streamFrom(event: number, id: string, response: ServerResponse): void {
         const { events = 5, eventMilliseconds = 5 } = this.options;
         const { behaviour } = this;
-        if (response.destroyed) {
+        if (response.destroyed || this.sendForeignBytes(event, response)) {
             return;
         }
         const silence = this.getRemainingSilence();
@@ -306,6 +306,19 @@
         setTimeout(() => this.streamFrom(event + 1, id, response), eventMilliseconds * (behaviour.slowness ?? 1));
     }
 
+    /** Sends bytes that are no event before an event, if the behaviour says so. Returns whether the answer ends there. */
+    private sendForeignBytes(event: number, response: ServerResponse): boolean {
+        const { foreignBytes } = this.behaviour;
+        if (foreignBytes?.afterEvent !== event - 1) {
+            return false;
+        }
+        response.write(foreignBytes.bytes, "latin1");
+        if (!foreignBytes.continues) {
+            response.end();
+        }
+        return !foreignBytes.continues;
+    }
+
     /** Ends a response with neither a length nor chunks after its last byte, or in the middle of an event. */
     private endUnframed(response: ServerResponse): void {
         if (this.behaviour.unframedEnd === "close") {
--- a/tests/platform/routerTestHarness.ts
+++ b/tests/platform/routerTestHarness.ts
@@ -54,6 +54,8 @@
     readonly nodes: StartedNode[] = [];
     /** Protocol of the nodes that are added. */
     protocol: EndpointProtocol = endpointProtocol;
+    /** Retries that all nodes that are added may make in 10 s beyond their ratio. */
+    repeatSlack = 2_000;
 
     private constructor(store: KeyValueStandin) {
         this.store = store;
@@ -158,7 +160,7 @@
                 configurationMilliseconds: 2_000,
                 drainMilliseconds: 2_000,
                 repeatRatio: 0.2,
-                repeatSlack: 2_000,
+                repeatSlack: this.repeatSlack,
                 repeatWindowMilliseconds: 10_000,
             },
             clock,
