--- a/tests/platform/keyValueStore.test.ts
+++ b/tests/platform/keyValueStore.test.ts
@@ -9,10 +9,18 @@
     let store: KeyValueStore;
     /** Eras of the next responses; none is sent for undefined. */
     let eras: (string | undefined)[];
+    /** Last keys of the next pages of a listing, each of which says that there are more. */
+    let pages: string[] = [];
     let changes: [number, number | undefined][];
 
     before(async () => {
-        server = createServer((_, response) => {
+        server = createServer(({ url = "" }, response) => {
+            if (!url.startsWith("/v1/kv-key")) {
+                const key = pages.shift();
+                const items = [{ key, value: "", revision: 2 }];
+                response.end(JSON.stringify({ items, events: [{ key, value: "" }], has_more: true, at: 2 }));
+                return;
+            }
             const era = eras.shift();
             const headers = era === undefined ? {} : { "store-era": era };
             const body = { key: "k", value: Buffer.from("text").toString("base64"), revision: 7 };
@@ -73,6 +81,18 @@
         assert.ok(earlier! < later!);
     });
 
+    // Guards against a listing that never ends, since each page says that there are more.
+    it("rejects a page that doesn't come after the one before", async () => {
+        pages = ["a", "b", "b", "c"];
+        assert.ok((await store.readAll("")).err);
+        assert.deepEqual(pages, ["c"]);
+    });
+
+    it("rejects changes without a revision", async () => {
+        pages = ["a"];
+        assert.ok((await store.waitForChanges("", 1, 1, new AbortController().signal)).err);
+    });
+
     it("has revisions as the store gives them if it names no era", async () => {
         eras = [undefined];
         assert.deepEqual(await getRevisions(1), [7]);
