Minify the syntax of the bundles, without names

Names stay, so that stack traces can be read.

Evidence: tests/scripts/executable, which failed before this commit.

--- a/scripts/executable/createBundle.ts
+++ b/scripts/executable/createBundle.ts
@@ -9,6 +9,7 @@
     legalComments: "none",
     // Characters outside Latin-1, which comments may contain, would double the memory of the whole text.
     minifyWhitespace: true,
+    minifySyntax: true,
     logLevel: "warning",
     metafile: true,
 } satisfies BuildOptions;
