Hold back requests that crash endpoints some time after their first events

Cause: a stream counted as harmless for good 250 ms after its first event, so that no later crash was held against it or its fingerprint.

Change: what 250 ms prove still holds for crashes at the start of a request. A later crash of an endpoint that no node can connect to is on record for each request that ran there (LateCrashes). Three of them at different times without a complete answer in between hold a request back for 60 s, four for ten minutes. Nodes tell each other; a complete answer at one of them clears the request at all.

--- a/scripts/soak/router/checkHarmfulRequests.ts
+++ b/scripts/soak/router/checkHarmfulRequests.ts
@@ -1,6 +1,7 @@
 import type { CheckContext } from "./checkContext.ts";
 import type { EndpointRun } from "./endpointRun.ts";
 import { harmfulBody } from "./harmfulBody.ts";
+import { lateHarmfulBody } from "./lateHarmfulBody.ts";
 import { RouterFaults } from "./routerFaults.ts";
 
 const { settleMilliseconds } = RouterFaults;
@@ -11,7 +12,7 @@
 
 /** Checks that nodes stop forwarding a request once it has crashed several endpoints. */
 export function checkHarmfulRequests(runs: readonly EndpointRun[], context: CheckContext): void {
-    const harmful = runs.filter(({ body }) => body === harmfulBody);
+    const harmful = runs.filter(({ body }) => body === harmfulBody || body === lateHarmfulBody);
     for (const runsOfRequest of Map.groupBy(harmful, ({ url }) => url).values()) {
         checkHarmfulRequest(runsOfRequest, context);
     }
--- a/scripts/soak/router/routerCallers.ts
+++ b/scripts/soak/router/routerCallers.ts
@@ -4,7 +4,6 @@
 import { callKinds } from "./callKind.ts";
 import type { CallRecord } from "./callRecord.ts";
 import { type Customer, customers } from "./customers.ts";
-import { harmfulBody } from "./harmfulBody.ts";
 import { modelRanks } from "./modelRanks.ts";
 import type { PromptSeries } from "./promptSeries.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
@@ -107,8 +106,8 @@
     }
 
     /** Sends a request that crashes the endpoints that run it. */
-    async sendHarmful(id: string, kind: CallKind, path: string): Promise<void> {
-        await this.call({ id, kind, method: "POST", path, body: harmfulBody }, false);
+    async sendHarmful(call: Pick<CallContent, "id" | "kind" | "path" | "body" | "customer">): Promise<void> {
+        await this.call({ ...call, method: "POST" }, false);
     }
 
     /** Sends a request that declares the parts of its prompt. */
--- a/scripts/soak/router/routerFaultKinds.ts
+++ b/scripts/soak/router/routerFaultKinds.ts
@@ -10,6 +10,7 @@
 import { endpointsStandStill } from "./endpointsStandStill.ts";
 import { endpointTakesAddress } from "./endpointTakesAddress.ts";
 import { harmfulPart } from "./harmfulPart.ts";
+import { lateHarmfulBody } from "./lateHarmfulBody.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
 import type { RouterSoakContext } from "./routerSoakContext.ts";
 import { sendHarmfulRequest } from "./sendHarmfulRequest.ts";
@@ -69,7 +70,8 @@
     changeWhileStopped,
     configurationChange: deploymentFault(2, ({ deployment }) => void deployment.configure()),
     harmfulPart,
-    harmfulRequest: deploymentFault(2, sendHarmfulRequest),
+    harmfulRequest: deploymentFault(2, context => sendHarmfulRequest(context)),
+    lateHarmfulRequest: deploymentFault(2, context => sendHarmfulRequest(context, lateHarmfulBody)),
     burst: {
         weight: 3,
         durationMilliseconds: extendedDuration,
--- a/scripts/soak/router/soakEndpoint.ts
+++ b/scripts/soak/router/soakEndpoint.ts
@@ -9,6 +9,7 @@
 import { findFreePorts } from "../../deployment/findFreePorts.ts";
 import { eventsPerStream } from "./eventsPerStream.ts";
 import { harmfulBody } from "./harmfulBody.ts";
+import { lateHarmfulBody } from "./lateHarmfulBody.ts";
 import { RecordChange } from "./recordChange.ts";
 
 /** Options of {@link SoakEndpoint}. */
@@ -55,6 +56,8 @@
 const eventMilliseconds = 30;
 /** Time until the store record of a crashed endpoint is removed: three heartbeats. */
 const recordTimeToLiveMilliseconds = 3_600;
+/** Time from the beginning of an answer to the crash, less than the answer takes. */
+const lateCrashMilliseconds = 400;
 /** Maximum of concurrent requests per endpoint. */
 const slots = 40;
 
@@ -264,7 +267,13 @@
     }
 
     private createBehaviour(): EndpointBehaviour {
-        return { stopsOnBody: harmfulBody, stopsOnPromptPart: this.harmfulPart, ...this.behaviour };
+        const stopsAfterAnswering = { body: lateHarmfulBody, milliseconds: lateCrashMilliseconds };
+        return {
+            stopsOnBody: harmfulBody,
+            stopsAfterAnswering,
+            stopsOnPromptPart: this.harmfulPart,
+            ...this.behaviour,
+        };
     }
 
     private handleEnded(): void {
--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -264,7 +264,7 @@
     endpointCrashSuspected: {
         number: 1718,
         level: "warn",
-        message: "An endpoint appears to have crashed when it started to run a request.",
+        message: "An endpoint appears to have crashed because of a request that it ran.",
     },
     requestQuarantined: {
         number: 1719,
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -38,6 +38,7 @@
 import { EndpointReadings } from "./endpointReadings.ts";
 import { EndpointRegistry } from "./endpointRegistry.ts";
 import { getRetryPolicy } from "./getRetryPolicy.ts";
+import { LateCrashPart } from "./lateCrashPart.ts";
 import { LinkLoadPart } from "./linkLoadPart.ts";
 import { NodeTable } from "./nodeTable.ts";
 import { PeerExchange } from "./peerExchange.ts";
@@ -257,6 +258,7 @@
                     this.losses,
                     LinkLoadPart.create(links, metrics),
                     RankDemandPart.create(queue.rankReserve.demands),
+                    LateCrashPart.create(quarantine.lateCrashes),
                 ],
                 getDemand: () => queue.getDemand(),
                 onUpdate: () => this.exchange.propagateUpdate(),
--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -4,7 +4,9 @@
 import { AnsweredParts } from "./answeredParts.ts";
 import type { CanaryOrder } from "./canaryOrder.ts";
 import { CanarySchedule } from "./canarySchedule.ts";
+import { crashThresholds } from "./crashThresholds.ts";
 import { isPartKey } from "./isPartKey.ts";
+import { LateCrashes } from "./lateCrashes.ts";
 import type { PartHold } from "./partHold.ts";
 import type { RequestHold } from "./requestHold.ts";
 import type { Suspect } from "./suspect.ts";
@@ -53,6 +55,7 @@
  * the first stage of a chain.
  */
 export class RequestQuarantine {
+    readonly lateCrashes: LateCrashes;
     private readonly options: RequestQuarantineOptions;
     private readonly suspects: SuspectList;
     private readonly answeredParts = AnsweredParts.create();
@@ -64,6 +67,7 @@
 
     private constructor(options: RequestQuarantineOptions) {
         this.options = options;
+        this.lateCrashes = LateCrashes.create(endpointId => options.getAliveTime(endpointId));
         this.suspects = SuspectList.create({
             getAliveTime: endpointId => options.getAliveTime(endpointId),
             wasAnswered: key => this.answeredParts.getTime(key) !== undefined,
@@ -103,6 +107,25 @@
         this.options.onCrash?.(isHeldBack);
     }
 
+    /**
+     * Records that an endpoint has crashed some time after it had begun to answer a request. A single crash is on record for all requests
+     * of the endpoint, so it is neither logged nor announced at once.
+     */
+    noteLateCrash(
+        crash: SuspectedCrash,
+        requestId: string,
+        details: Readonly<Record<string, string | number>> = {},
+    ): void {
+        const { fingerprint, endpointId, at } = crash;
+        if (this.lateCrashes.add(crash) < crashThresholds.minimum) {
+            return;
+        }
+        const isHeldBack = this.getHold(fingerprint, at) !== undefined;
+        const entry = { request: requestId, fingerprint, endpoint: endpointId, isHeldBack, ...details };
+        this.options.log.write(events.endpointCrashSuspected, entry);
+        this.options.onCrash?.(isHeldBack);
+    }
+
     /** Adds a suspected crash that a peer reported. The peer is told soon if the request is safe or the part was answered. */
     addPeerCrash(crash: SuspectedCrash, now: number): void {
         const { fingerprint } = crash;
@@ -189,6 +212,11 @@
      * @param now - Monotonic time in milliseconds.
      */
     getHold(fingerprint: string, now: number): RequestHold | undefined {
+        return this.getStartHold(fingerprint, now) ?? this.lateCrashes.getHold(fingerprint, now);
+    }
+
+    /** Gets why a request is held back that crashes endpoints as they begin to run it. */
+    private getStartHold(fingerprint: string, now: number): RequestHold | undefined {
         const verdict = this.suspects.judge(fingerprint, now);
         const suspect = this.suspects.get(fingerprint);
         if (verdict === SuspectVerdict.Free || suspect === undefined) {
@@ -248,7 +276,7 @@
             const { key, isPart } = suspect;
             const isHeld = isPart
                 ? this.suspects.judge(key, now) !== SuspectVerdict.Free
-                : this.getHold(key, now) !== undefined;
+                : this.getStartHold(key, now) !== undefined;
             for (const [endpointId, { at, isDown, isCanary }] of listNewest(suspect)) {
                 if (isHeld || now - at < maximumAgeMilliseconds) {
                     crashes.push({ fingerprint: key, endpointId, at, ...isPart ? { isDown, isCanary } : {} });
--- a/src/request/relay/quarantine/taskQuarantine.ts
+++ b/src/request/relay/quarantine/taskQuarantine.ts
@@ -21,6 +21,8 @@
     private readonly environment: RelayEnvironment;
     private readonly task: RelayTask;
     private isSafe = false;
+    /** Whether an endpoint has crashed after it had run the request for a while. */
+    private hasCrashedLate = false;
     /** Whether an endpoint has answered for long enough to show that the parts of the prompt were harmless then. */
     private hasAnswered = false;
     /** Keys of the parts for which the request is a canary, and the time until which it may be sent as one. */
@@ -86,6 +88,14 @@
         }
     }
 
+    /** Records that the answer is complete. It shows nothing if it was put together of parts from endpoints that crashed. */
+    markComplete(): void {
+        if (!this.hasCrashedLate) {
+            const { quarantine, clock } = this.environment;
+            quarantine.lateCrashes.noteCompletion(this.task.fingerprint, clock.getMonotonicTime());
+        }
+    }
+
     /**
      * Records a suspected crash, if the request had just begun to run on the endpoint.
      * @param endpointId - Id of the endpoint that seems to have crashed.
@@ -107,6 +117,13 @@
         // many at once, and would make all parts suspect that pass there.
         const suspectedParts = isAnswered || !isDown ? [] : partKeys;
         if (this.isSafe) {
+            if (isDown) {
+                this.hasCrashedLate = true;
+                this.environment.quarantine.noteLateCrash({ fingerprint, endpointId, at }, request.id, {
+                    runMilliseconds: Math.round(at - sentAt),
+                    answerMilliseconds: Math.round(answerMilliseconds),
+                });
+            }
             if (suspectedParts.length === 0) {
                 return;
             }
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -431,6 +431,7 @@
     private complete(head: AnswerHead): void {
         const { attempt } = this;
         this.quarantine.markSafe(attempt?.firstEventAt ?? attempt?.sentAt ?? -Infinity);
+        this.quarantine.markComplete();
         this.finish(this.answer.complete(head));
     }
 
--- a/standins/router/endpointBehaviour.ts
+++ b/standins/router/endpointBehaviour.ts
@@ -26,6 +26,8 @@
     foreignBytes?: { afterEvent: number; bytes: string; continues: boolean; };
     /** Stops the endpoint and closes all its connections shortly after it starts to run a request with this body. */
     stopsOnBody?: string;
+    /** Stops the endpoint and closes all its connections this long after it has begun to answer a request with this body. */
+    stopsAfterAnswering?: { body: string; milliseconds: number; };
     /**
      * Stops the endpoint and closes all its connections shortly after it would begin to answer a request whose prompt has this part, unless
      * it is the last one.
--- a/standins/router/endpointStandin.ts
+++ b/standins/router/endpointStandin.ts
@@ -213,6 +213,10 @@
         }
         await wait(behaviour.delayMilliseconds ?? 0);
         await this.waitUntilAwake();
+        const { stopsAfterAnswering } = behaviour;
+        if (stopsAfterAnswering?.body === body) {
+            setTimeout(() => void this.stopByRequest(), stopsAfterAnswering.milliseconds);
+        }
         this.sendAnswer(request, response, record);
     }
 
