--- a/scripts/soak/lineCheck.ts
+++ b/scripts/soak/lineCheck.ts
@@ -2,7 +2,7 @@
 
 /** Kinds of violations by the numbers of log events that no fault justifies. */
 const forbiddenEvents: Readonly<Record<string, string>> = {
-    FL1005: "nodeFailed",
+    FL1011: "nodeFailed",
     FL1701: "invariantFailed",
     FL1703: "requestCrashed",
 };
--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -18,7 +18,7 @@
         message: "The node is aborting the requests that are still running.",
     },
     nodeFailed: {
-        number: 1005,
+        number: 1011,
         level: "error",
         message: "An unexpected error ended the process. Report it with its stack.",
     },
--- a/tests/request/relay/requestGuard.test.ts
+++ b/tests/request/relay/requestGuard.test.ts
@@ -50,7 +50,7 @@
             encoding: "utf8",
         });
         assert.equal(child.status, 1);
-        assert.match(child.stdout, /^1005 Error: shared state/);
+        assert.match(child.stdout, /^1011 Error: shared state/);
         assert.doesNotMatch(child.stdout, /still here/);
     });
 });
