Find late crashes to announce without looking at each request on record

Up to 1,000 requests are on record after endpoints with many streams have crashed, and each exchange with a peer looked at all of them. Now it looks at those with several crashes and at this node's own of the last 5 s.

Evidence: lateCrashes.test.ts and lateHarmfulRequest.test.ts pass as before; the cost was not measured.

--- a/src/request/relay/quarantine/lateCrashes.ts
+++ b/src/request/relay/quarantine/lateCrashes.ts
@@ -4,14 +4,6 @@
 import type { RequestHold } from "./requestHold.ts";
 import type { SuspectedCrash } from "./suspectedCrash.ts";
 
-/** A crash of an endpoint that had run a request for a while. */
-interface LateCrash {
-    /** Monotonic time in milliseconds at which the connection to the endpoint broke. */
-    at: number;
-    /** Whether this node saw it, so that peers learn of it from here. */
-    isOwn: boolean;
-}
-
 /** Crashes within this time count as one: endpoints also fail together for another reason, such as that of a rack. */
 const coincidenceMilliseconds = 500;
 /** Data that an endpoint sent before it crashed may still be read for this long, and does not prove that it is alive. */
@@ -33,8 +25,12 @@
  */
 export class LateCrashes {
     private readonly getAliveTime: (endpointId: string) => number;
-    /** Crashes by fingerprint and endpoint id, the oldest first. */
-    private readonly requests = new LRUCache<string, Map<string, LateCrash>>({ max: maximumRequests });
+    /** Monotonic times in milliseconds at which connections to endpoints broke, by fingerprint and endpoint id, in the order of arrival. */
+    private readonly requests = new LRUCache<string, Map<string, number>>({ max: maximumRequests });
+    /** Fingerprints of requests with several crashes; few of those that are on record. */
+    private readonly repeated = new Set<string>();
+    /** Crashes that this node saw lately, the oldest first. */
+    private recent: SuspectedCrash[] = [];
     private readonly completions = AnsweredParts.create();
 
     private constructor(getAliveTime: (endpointId: string) => number) {
@@ -76,34 +72,35 @@
 
     /** Gets why a request is held back; undefined if it may be sent. */
     getHold(fingerprint: string, now: number): RequestHold | undefined {
+        if (!this.repeated.has(fingerprint)) {
+            return undefined;
+        }
         const crashes = this.getCrashes(fingerprint, now);
-        const count = countMoments(crashes);
+        const count = countMoments(crashes.values());
         if (count < crashThresholds.certain) {
             return undefined;
         }
-        const newestAt = Math.max(...[...crashes.values()].map(({ at }) => at));
+        const newestAt = Math.max(...crashes.values());
         const hold = count === crashThresholds.certain ? shortHoldMilliseconds : longHoldMilliseconds;
         const remainingMilliseconds = newestAt + hold - now;
         return remainingMilliseconds > 0 ? { endpointIds: [...crashes.keys()], remainingMilliseconds } : undefined;
     }
 
-    /** Lists the crashes to announce to peers: recent ones that this node saw or that follow others, and those of requests that are held back. */
+    /** Lists the crashes to announce to peers: recent ones that follow others or that this node saw, and those of requests that are held back. */
     listCrashes(now: number): SuspectedCrash[] {
         const listed: SuspectedCrash[] = [];
-        for (const fingerprint of [...this.requests.keys()]) {
-            const crashes = this.getCrashes(fingerprint, now);
+        for (const fingerprint of [...this.repeated]) {
             const isHeld = this.getHold(fingerprint, now) !== undefined;
-            for (const [endpointId, { at, isOwn }] of crashes) {
-                const isRecent = now - at < announcementMilliseconds;
-                if (isHeld || isRecent && (isOwn || crashes.size > 1)) {
+            for (const [endpointId, at] of this.getCrashes(fingerprint, now)) {
+                if (isHeld || isRecent(at, now)) {
                     listed.push({ fingerprint, endpointId, at });
                 }
             }
-            if (listed.length >= maximumAnnounced) {
-                break;
-            }
         }
-        return listed;
+        const single = this.recent.filter(({ fingerprint, at }) =>
+            isRecent(at, now) && this.requests.has(fingerprint) && !this.repeated.has(fingerprint)
+        );
+        return [...listed, ...single].slice(0, maximumAnnounced);
     }
 
     /** Lists when requests that peers suspect were last answered completely. */
@@ -112,58 +109,71 @@
     }
 
     private addCrash({ fingerprint, endpointId, at }: SuspectedCrash, isOwn: boolean): boolean {
-        const crashes = this.requests.get(fingerprint) ?? new Map<string, LateCrash>();
+        const crashes = this.requests.get(fingerprint) ?? new Map<string, number>();
         if (crashes.has(endpointId) || this.completions.isBeforeAnswer(fingerprint, at, !isOwn)) {
             return false;
         }
-        crashes.set(endpointId, { at, isOwn });
+        crashes.set(endpointId, at);
         if (crashes.size > maximumCrashesPerRequest) {
             crashes.delete(crashes.keys().next().value!);
         }
         this.requests.set(fingerprint, crashes);
+        this.updateIndex(fingerprint, crashes);
+        if (isOwn) {
+            this.recent = [...this.recent.filter(crash => isRecent(crash.at, at)), { fingerprint, endpointId, at }];
+        }
         return true;
     }
 
     /** Removes the crashes of a request up to a time. Returns whether there were any. */
     private clear(fingerprint: string, until: number): boolean {
-        const crashes = this.requests.peek(fingerprint);
-        if (crashes === undefined) {
-            return false;
-        }
-        const { size } = crashes;
-        for (const [endpointId, { at }] of crashes) {
-            if (at <= until) {
-                crashes.delete(endpointId);
-            }
-        }
-        this.deleteIfEmpty(fingerprint, crashes);
-        return crashes.size < size;
+        return this.removeCrashes(fingerprint, (_endpointId, at) => at <= until);
     }
 
     /** Gets the crashes of a request, without old ones and those of endpoints that turned out to be alive. */
-    private getCrashes(fingerprint: string, now: number): ReadonlyMap<string, LateCrash> {
-        const crashes = this.requests.peek(fingerprint) ?? new Map<string, LateCrash>();
-        for (const [endpointId, { at }] of crashes) {
-            if (this.getAliveTime(endpointId) > at + lateDataMilliseconds || now - at > maximumAgeMilliseconds) {
+    private getCrashes(fingerprint: string, now: number): ReadonlyMap<string, number> {
+        this.removeCrashes(
+            fingerprint,
+            (endpointId, at) =>
+                now - at > maximumAgeMilliseconds || this.getAliveTime(endpointId) > at + lateDataMilliseconds,
+        );
+        return this.requests.peek(fingerprint) ?? new Map<string, number>();
+    }
+
+    private removeCrashes(fingerprint: string, isRemoved: (endpointId: string, at: number) => boolean): boolean {
+        const crashes = this.requests.peek(fingerprint) ?? new Map<string, number>();
+        const { size } = crashes;
+        for (const [endpointId, at] of crashes) {
+            if (isRemoved(endpointId, at)) {
                 crashes.delete(endpointId);
             }
         }
-        this.deleteIfEmpty(fingerprint, crashes);
-        return crashes;
+        this.updateIndex(fingerprint, crashes);
+        return crashes.size < size;
     }
 
-    private deleteIfEmpty(fingerprint: string, { size }: ReadonlyMap<string, LateCrash>): void {
+    private updateIndex(fingerprint: string, { size }: ReadonlyMap<string, number>): void {
         if (size === 0) {
             this.requests.delete(fingerprint);
         }
+        if (size < crashThresholds.minimum) {
+            this.repeated.delete(fingerprint);
+        }
+        else {
+            this.repeated.add(fingerprint);
+        }
     }
 }
 
+function isRecent(at: number, now: number): boolean {
+    return now - at < announcementMilliseconds;
+}
+
 /** Counts the different times of crashes. */
-function countMoments(crashes: ReadonlyMap<string, LateCrash>): number {
+function countMoments(times: Iterable<number>): number {
     let count = 0;
     let countedAt = -Infinity;
-    for (const at of [...crashes.values()].map(crash => crash.at).sort((left, right) => left - right)) {
+    for (const at of [...times].sort((left, right) => left - right)) {
         if (at - countedAt >= coincidenceMilliseconds) {
             count += 1;
             countedAt = at;
