--- a/src/request/relay/quarantine/lateCrashes.ts
+++ b/src/request/relay/quarantine/lateCrashes.ts
@@ -31,6 +31,7 @@
     private readonly repeated = new Set<string>();
     /** Crashes that this node saw lately, the oldest first. */
     private recent: SuspectedCrash[] = [];
+    /** Complete answers to requests, by fingerprint in place of the key of a part. */
     private readonly completions = AnsweredParts.create();
 
     private constructor(getAliveTime: (endpointId: string) => number) {
