Own no claim shard after the node has closed its claims

The process was still there, without a socket, with a timer of ClaimShardRunner every 100 ms, as its inspector showed.

Cause: while a node stops, a peer's message or its end may still change the membership. The node then takes over a shard of claims after it has closed them, and a new runner reads the closed store again and again.

Change: a closed owner of claims owns no shard. claimOwner.test.ts fails before and passes now. That this is what kept the hung process alive is shown by the timer; the moment of the take-over wasn't seen.

--- a/src/process/claims/claimOwner.ts
+++ b/src/process/claims/claimOwner.ts
@@ -46,6 +46,7 @@
     private readonly options: ClaimOwnerOptions;
     private readonly grants: GrantLedger;
     private readonly runners = new Map<number, ClaimShardRunner>();
+    private isClosed = false;
 
     private constructor(options: ClaimOwnerOptions) {
         const { futureToleranceMilliseconds, clockMarginMilliseconds } = claimTimes;
@@ -62,12 +63,12 @@
 
     /** Reads a shard that this node has started to own, before its first claim arrives. */
     loadShard(shard: number): void {
-        this.getRunner(shard).load();
+        this.getRunner(shard)?.load();
     }
 
     /** Reads a shard, or only its new slots if it was read before. Other owners may have appended in the meantime. */
     refreshShard(shard: number): void {
-        this.getRunner(shard).refresh();
+        this.getRunner(shard)?.refresh();
     }
 
     /** Discards the state of a shard that this node no longer owns. */
@@ -76,8 +77,9 @@
         this.runners.delete(shard);
     }
 
-    /** Releases all shards. */
+    /** Releases all shards, and owns none from then on. Peers may still change the membership while a node stops. */
     close(): void {
+        this.isClosed = true;
         for (const shard of [...this.runners.keys()]) {
             this.releaseShard(shard);
         }
@@ -102,10 +104,17 @@
                     + " Wait until both nodes use the same configuration, then ask the owner again.",
             });
         }
-        return this.getRunner(shard).claim(item);
+        return this.getRunner(shard)?.claim(item) ?? Promise.resolve({
+            outcome: ClaimOutcome.NotOwner,
+            message: "This node is shutting down. Ask the next owner of the claim shard.",
+        });
     }
 
-    private getRunner(shard: number): ClaimShardRunner {
+    /** Gets or creates the runner of a shard; undefined after {@link close}. */
+    private getRunner(shard: number): ClaimShardRunner | undefined {
+        if (this.isClosed) {
+            return undefined;
+        }
         const existing = this.runners.get(shard);
         if (existing !== undefined && !existing.hasEnded()) {
             return existing;
--- a/tests/process/claims/claimOwner.test.ts
+++ b/tests/process/claims/claimOwner.test.ts
@@ -56,6 +56,19 @@
 }
 
 describe("ClaimOwner", () => {
+    // Guards against a stopped node that took over a shard of a peer which stopped too, and read it again and again.
+    it("makes no calls for a shard that it is to own after it was closed", async () => {
+        const calls: string[] = [];
+        const { clock, createOwner, createKey, claim } = createFixture((_store, method) => calls.push(method));
+        const owner = createOwner();
+        owner.close();
+        owner.loadShard(0);
+        owner.refreshShard(0);
+        assert.equal((await claim(owner, createKey(), "claimant")).outcome, "notOwner");
+        await clock.advance(longPause);
+        assert.deepEqual(calls, []);
+    });
+
     it("does not report a key as unclaimed before it has read the appends of the interim owner", async () => {
         const { clock, store, createOwner, createKey, claim } = createFixture();
         const [first, second] = [createOwner(), createOwner()];
