--- a/tests/process/claims/claimOwner.test.ts
+++ b/tests/process/claims/claimOwner.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { ClaimOutcome } from "../../../src/process/claims/claimOutcome.ts";
 import { ClaimOwner, type ClaimOwnerOptions } from "../../../src/process/claims/claimOwner.ts";
 import { claimStoreKeys } from "../../../src/process/claims/claimStoreKeys.ts";
 import type { ClaimVerdict } from "../../../src/process/claims/claimVerdict.ts";
@@ -64,7 +65,7 @@
         owner.close();
         owner.loadShard(0);
         owner.refreshShard(0);
-        assert.equal((await claim(owner, createKey(), "claimant")).outcome, "notOwner");
+        assert.equal((await claim(owner, createKey(), "claimant")).outcome, ClaimOutcome.NotOwner);
         await clock.advance(longPause);
         assert.deepEqual(calls, []);
     });
