Keep the times of suspected crashes, and when one no longer counts, in one place

LateCrashes had its own copies of five constants of the quarantine and of the list of suspects, and of the check that drops crashes of endpoints that are alive or long past. Both now use crashTimes and isCrashOutdated. No value and no decision changes.

--- a/src/request/relay/quarantine/lateCrashes.ts
+++ b/src/request/relay/quarantine/lateCrashes.ts
@@ -1,19 +1,13 @@
 import { LRUCache } from "lru-cache";
 import { AnsweredParts } from "./answeredParts.ts";
 import { crashThresholds } from "./crashThresholds.ts";
+import { crashTimes } from "./crashTimes.ts";
+import { isCrashOutdated } from "./isCrashOutdated.ts";
 import type { RequestHold } from "./requestHold.ts";
 import type { SuspectedCrash } from "./suspectedCrash.ts";
 
 /** Crashes within this time count as one: endpoints also fail together for another reason, such as that of a rack. */
 const coincidenceMilliseconds = 500;
-/** Data that an endpoint sent before it crashed may still be read for this long, and does not prove that it is alive. */
-const lateDataMilliseconds = 500;
-const shortHoldMilliseconds = 60_000;
-const longHoldMilliseconds = 600_000;
-/** Time after which a crash is forgotten. */
-const maximumAgeMilliseconds = 600_000;
-/** A crash reaches all nodes within this time. */
-const announcementMilliseconds = 5_000;
 const maximumRequests = 1_000;
 const maximumCrashesPerRequest = 8;
 /** Limits the size of messages between nodes. */
@@ -82,7 +76,9 @@
             return undefined;
         }
         const newestAt = Math.max(...crashes.values());
-        const hold = count === crashThresholds.certain ? shortHoldMilliseconds : longHoldMilliseconds;
+        const hold = count === crashThresholds.certain
+            ? crashTimes.shortHoldMilliseconds
+            : crashTimes.longHoldMilliseconds;
         const remainingMilliseconds = newestAt + hold - now;
         return remainingMilliseconds > 0 ? { endpointIds: [...crashes.keys()], remainingMilliseconds } : undefined;
     }
@@ -133,11 +129,7 @@
 
     /** Gets the crashes of a request, without old ones and those of endpoints that turned out to be alive. */
     private getCrashes(fingerprint: string, now: number): ReadonlyMap<string, number> {
-        this.removeCrashes(
-            fingerprint,
-            (endpointId, at) =>
-                now - at > maximumAgeMilliseconds || this.getAliveTime(endpointId) > at + lateDataMilliseconds,
-        );
+        this.removeCrashes(fingerprint, (endpointId, at) => isCrashOutdated(at, this.getAliveTime(endpointId), now));
         return this.requests.peek(fingerprint) ?? new Map<string, number>();
     }
 
@@ -167,7 +159,7 @@
 }
 
 function isRecent(at: number, now: number): boolean {
-    return now - at < announcementMilliseconds;
+    return now - at < crashTimes.announcementMilliseconds;
 }
 
 /** Counts the different times of crashes. */
--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -5,6 +5,7 @@
 import type { CanaryOrder } from "./canaryOrder.ts";
 import { CanarySchedule } from "./canarySchedule.ts";
 import { crashThresholds } from "./crashThresholds.ts";
+import { crashTimes } from "./crashTimes.ts";
 import { isPartKey } from "./isPartKey.ts";
 import { LateCrashes } from "./lateCrashes.ts";
 import type { PartHold } from "./partHold.ts";
@@ -35,13 +36,8 @@
     canaryKeys?: readonly string[];
 }
 
-/** A harmless request that was on the same endpoint as a harmful one twice is allowed again after this time. */
-const shortHoldMilliseconds = 60_000;
-const longHoldMilliseconds = 600_000;
 /** Time after which a request with a part that is held back may be sent again, since a canary may have cleared the part. */
 const unsureRetryMilliseconds = 1_000;
-/** A suspected crash reaches all nodes within this time. Afterwards only the crashes of suspects that are held back are announced. */
-const announcementMilliseconds = 5_000;
 /** Limits the size of messages between nodes and of the stored record. */
 const maximumListedCrashes = 100;
 const maximumCrashesPerPart = 8;
@@ -151,7 +147,7 @@
     /** Gets the fingerprints of safe requests that peers have suspected lately. */
     getRefutations(now: number): string[] {
         return [...this.refutedAt.entries()]
-            .filter(([, at]) => now - at < announcementMilliseconds)
+            .filter(([, at]) => now - at < crashTimes.announcementMilliseconds)
             .map(([fingerprint]) => fingerprint);
     }
 
@@ -222,7 +218,9 @@
         if (verdict === SuspectVerdict.Free || suspect === undefined) {
             return undefined;
         }
-        const hold = verdict === SuspectVerdict.Unsure ? shortHoldMilliseconds : longHoldMilliseconds;
+        const hold = verdict === SuspectVerdict.Unsure
+            ? crashTimes.shortHoldMilliseconds
+            : crashTimes.longHoldMilliseconds;
         const remainingMilliseconds = getNewestCrash(suspect) + hold - now;
         return remainingMilliseconds > 0
             ? { endpointIds: [...suspect.crashes.keys()], remainingMilliseconds }
@@ -247,7 +245,9 @@
             endpointIds: [...new Set(suspects.flatMap(({ crashes }) => [...crashes.keys()]))],
             isCertain,
             newestCrashAt,
-            remainingMilliseconds: isCertain ? newestCrashAt + longHoldMilliseconds - now : unsureRetryMilliseconds,
+            remainingMilliseconds: isCertain
+                ? newestCrashAt + crashTimes.longHoldMilliseconds - now
+                : unsureRetryMilliseconds,
         };
     }
 
@@ -261,7 +261,7 @@
 
     /** Gets the crashes to announce to peers: recent ones, and those of suspects that are held back for nodes that have just started. */
     getCrashes(now: number): SuspectedCrash[] {
-        return this.listCrashes(now, announcementMilliseconds);
+        return this.listCrashes(now, crashTimes.announcementMilliseconds);
     }
 
     /** Gets the crashes of suspects that are held back. */
--- a/src/request/relay/quarantine/suspectList.ts
+++ b/src/request/relay/quarantine/suspectList.ts
@@ -1,4 +1,5 @@
 import { findConvicted } from "./findConvicted.ts";
+import { isCrashOutdated } from "./isCrashOutdated.ts";
 import { isPartKey } from "./isPartKey.ts";
 import { judgeSuspect } from "./judgeSuspect.ts";
 import { mayExplainOthers } from "./mayExplainOthers.ts";
@@ -14,10 +15,6 @@
     wasAnswered(key: string): boolean;
 }
 
-/** Data that an endpoint sent before it crashed may still be read for this long, and does not prove that it is alive. */
-const lateDataMilliseconds = 500;
-/** Time after which a crash is forgotten. */
-const maximumAgeMilliseconds = 600_000;
 /** Time for which verdicts are kept while no crash is added or removed. */
 const reviewMilliseconds = 50;
 const maximumSuspects = 1_000;
@@ -183,8 +180,7 @@
     }
 
     private isStale(endpointId: string, { at, isConfirmed }: SuspectCrash, now: number): boolean {
-        const isAlive = !isConfirmed && this.options.getAliveTime(endpointId) > at + lateDataMilliseconds;
-        return isAlive || now - at > maximumAgeMilliseconds;
+        return isCrashOutdated(at, isConfirmed ? -Infinity : this.options.getAliveTime(endpointId), now);
     }
 }
 
