--- a/src/request/admission/retryBudget.ts
+++ b/src/request/admission/retryBudget.ts
@@ -39,9 +39,7 @@
      * @returns Whether the retry may be sent.
      */
     takeRetry(now: number): boolean {
-        const policy = this.getPolicy();
-        this.add(Math.max(0, now - this.updatedAt) * policy.perSecond / 1000, policy);
-        this.updatedAt = now;
+        this.refill(now);
         if (this.balance < 1) {
             return false;
         }
@@ -49,6 +47,18 @@
         return true;
     }
 
+    /** Gets the number of retries that may be sent now; a fraction is the part of the next one. */
+    getBalance(now: number): number {
+        this.refill(now);
+        return this.balance;
+    }
+
+    private refill(now: number): void {
+        const policy = this.getPolicy();
+        this.add(Math.max(0, now - this.updatedAt) * policy.perSecond / 1000, policy);
+        this.updatedAt = now;
+    }
+
     private add(retries: number, { maximumBalance }: RetryPolicy): void {
         this.balance = Math.min(maximumBalance, this.balance + retries);
     }
--- a/src/request/relay/attemptLimit.ts
+++ b/src/request/relay/attemptLimit.ts
@@ -20,6 +20,11 @@
         return this.attemptCount;
     }
 
+    /** Gets the number of refusals by endpoints that did not run the request. */
+    getRefusalCount(): number {
+        return this.refusalCount;
+    }
+
     /** Counts an attempt. */
     noteAttempt(): void {
         this.attemptCount += 1;
--- a/src/request/relay/streams/streamLogger.ts
+++ b/src/request/relay/streams/streamLogger.ts
@@ -1,4 +1,5 @@
 import { events } from "../../../process/logging/events.ts";
+import type { AttemptLimit } from "../attemptLimit.ts";
 import { formatStages } from "../chains/formatStages.ts";
 import type { RelayStage } from "../chains/relayStage.ts";
 import { createEndFields } from "../createEndFields.ts";
@@ -14,8 +15,7 @@
 interface FailedAttempt {
     attempt: StreamAttempt;
     end: StreamAttemptEnd;
-    /** Number of attempts so far. */
-    attemptCount: number;
+    attempts: Pick<AttemptLimit, "getAttemptCount" | "getRefusalCount">;
     runs: Pick<PossibleRuns, "describe">;
     /** Used fraction of the first stage's memory. */
     memoryPart: number;
@@ -25,8 +25,7 @@
 interface EndedRequest {
     outcome: string;
     cause: string;
-    /** Number of attempts. */
-    attemptCount: number;
+    attempts: Pick<AttemptLimit, "getAttemptCount" | "getRefusalCount">;
     /** The attempt that was in progress. */
     attempt: StreamAttempt | undefined;
     /** Monotonic time in milliseconds at which the first byte was sent to an endpoint. */
@@ -64,15 +63,17 @@
     }
 
     /** Logs why an attempt failed. */
-    writeFailure({ attempt, end, attemptCount, runs, memoryPart }: FailedAttempt): void {
+    writeFailure({ attempt, end, attempts, runs, memoryPart }: FailedAttempt): void {
         this.failedStages = attempt.stages;
         this.environment.log.write(events.relayAttemptFailed, {
             request: this.task.request.id,
             chain: formatStages(attempt.stages),
             peer: attempt.exchange?.getPeer() ?? "",
-            attempt: attemptCount,
+            attempt: attempts.getAttemptCount(),
             ...runs.describe(),
             isNotRun: end.isNotRun,
+            isReplaced: end.replacement !== undefined,
+            ...this.describeRetries(attempts),
             cause: end.cause,
             avoided: end.avoid.join(","),
             lastEvent: this.progress.getLastId(),
@@ -85,19 +86,20 @@
     }
 
     /** Logs how the request ended. */
-    writeEnd({ outcome, cause, attemptCount, attempt, firstSentAt }: EndedRequest): void {
+    writeEnd({ outcome, cause, attempts, attempt, firstSentAt }: EndedRequest): void {
         const { environment, task } = this;
         const { arrivedAt, promptTokens } = task.request;
         environment.log.write(events.relayEnded, {
             ...createEndFields(environment, task, {
                 outcome,
                 cause,
-                attemptCount,
+                attemptCount: attempts.getAttemptCount(),
                 firstSentAt,
                 peer: attempt?.exchange?.getPeer(),
                 dataCentres: listDataCentres(attempt?.stages ?? this.failedStages),
             }),
             reroutes: this.rerouteCount,
+            ...this.describeRetries(attempts),
             events: this.progress.getCount(),
             chain: attempt === undefined ? "" : formatStages(attempt.stages),
             promptTokens,
@@ -106,6 +108,15 @@
         });
     }
 
+    /** Describes what refusals have cost, and how many retries the node has left. */
+    private describeRetries(
+        attempts: Pick<AttemptLimit, "getRefusalCount">,
+    ): { refusals: number; retriesLeft: number; } {
+        const { retryBudget, clock } = this.environment;
+        const retriesLeft = Number(retryBudget.getBalance(clock.getMonotonicTime()).toFixed(1));
+        return { refusals: attempts.getRefusalCount(), retriesLeft };
+    }
+
     private getMillisecondsSince(time: number): number {
         return Math.round(this.environment.clock.getMonotonicTime() - time);
     }
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -545,9 +545,8 @@
         for (const id of end.avoid) {
             this.avoided.add(id);
         }
-        const attemptCount = this.attemptLimit.getAttemptCount();
         const memoryPart = this.chains.getUsedMemoryFraction(attempt.stages[0]!.endpoint);
-        this.logger.writeFailure({ attempt, end, attemptCount, runs: this.runs, memoryPart });
+        this.logger.writeFailure({ attempt, end, attempts: this.attemptLimit, runs: this.runs, memoryPart });
         if (end.replacement !== undefined) {
             this.continueOver(end.replacement);
             return;
@@ -612,7 +611,7 @@
         this.logger.writeEnd({
             outcome,
             cause,
-            attemptCount: this.attemptLimit.getAttemptCount(),
+            attempts: this.attemptLimit,
             attempt,
             firstSentAt,
         });
