--- a/standins/router/endpointStandin.ts
+++ b/standins/router/endpointStandin.ts
@@ -5,7 +5,7 @@
     type Server,
     type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
 import type { ArrivalRecord } from "./arrivalRecord.ts";
 import type { EndpointBehaviour } from "./endpointBehaviour.ts";
@@ -50,6 +50,7 @@
     isStopped = false;
     private readonly options: EndpointStandinOptions;
     private readonly server: Server;
+    private readonly sockets = new Set<Socket>();
     private readonly resumeCallbacks = new Map<string, () => void>();
     private sequence = 0;
     private highestFencingNumber = 0;
@@ -60,6 +61,10 @@
         this.options = options;
         this.layers = options.layers;
         this.server = createServer((request, response) => void this.handle(request, response));
+        this.server.on("connection", socket => {
+            this.sockets.add(socket);
+            socket.once("close", () => this.sockets.delete(socket));
+        });
     }
 
     /** Starts a stand-in on a free port of the loopback address. */
@@ -82,6 +87,13 @@
         this.silentUntil = performance.now() + milliseconds;
     }
 
+    /** Resets all connections, as an endpoint does that is replaced. It accepts new ones. */
+    resetConnections(): void {
+        for (const socket of this.sockets) {
+            socket.resetAndDestroy();
+        }
+    }
+
     private getRemainingSilence(): number {
         return Math.max(0, this.silentUntil - performance.now());
     }
