Give each run of a stream its own use of links, and a sender of its own file

AttemptSender now sends an attempt and finds out how it ended; the relay decides what follows. The use of the links between data centres was one per request, so two runs of a request at a time would have been counted as one: it is one per run now, held by the run's reservation.

--- a/src/request/relay/chains/relayChains.ts
+++ b/src/request/relay/chains/relayChains.ts
@@ -2,7 +2,6 @@
 import type { StartBlock } from "../../admission/start/startBlock.ts";
 import { getPauseRetryDelay } from "../../getPauseRetryDelay.ts";
 import type { HeldLayers } from "../endpoints/heldLayers.ts";
-import type { LoadReservation } from "../endpoints/loadReservation.ts";
 import type { RegisteredEndpoint } from "../endpoints/registeredEndpoint.ts";
 import { getActivationBits } from "../links/getActivationBits.ts";
 import { LinkUse } from "../links/linkUse.ts";
@@ -12,6 +11,7 @@
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
 import { assertValidChain } from "./assertValidChain.ts";
+import type { ChainReservation } from "./chainReservation.ts";
 import { chooseHealthyStages } from "./chooseHealthyStages.ts";
 import { coversAllLayers } from "./coversAllLayers.ts";
 import { findFirstIndex } from "./findFirstIndex.ts";
@@ -206,46 +206,27 @@
      * Reserves the request's load on the endpoints of a chain until it is released, and counts its traffic between data centres.
      * @throws InvariantError if the chain doesn't run each layer exactly once and in order.
      */
-    reserve(stages: readonly RelayStage[]): LoadReservation {
+    reserve(stages: readonly RelayStage[]): ChainReservation {
         assertValidChain(stages, this.model.layers);
         const { loads, linkTraffic, clock, queue } = this.environment;
         const tokens = this.getTokens();
         const now = clock.getMonotonicTime();
         const links = listDataCentreLinks(listDataCentres(stages));
         linkTraffic.add(links.length * getActivationBits(this.model, tokens), now);
-        const endCrossing = this.linkUse.begin(links, this.getPromptTokens(), this.getAnswerTokens(), now);
+        const run = this.linkUse.begin(links, this.getPromptTokens(), this.getAnswerTokens(), now);
         if (stages.some(({ endpoint }) => this.getUsedMemoryFraction(endpoint) > scarceMemoryFraction)) {
             queue.noteContention();
         }
         const reservation = loads.reserveStages(stages, tokens, now);
         return {
+            links: run,
             release: () => {
-                endCrossing();
+                run.end();
                 reservation.release();
             },
         };
     }
 
-    /** Records an event of the request's stream. */
-    noteEvent(now: number): void {
-        this.linkUse.noteEvent(now);
-    }
-
-    /** Records that the stream waits for an endpoint, not for a link. */
-    noteWaitForEndpoint(): void {
-        this.linkUse.noteOtherCause();
-    }
-
-    /** Takes back that the request was begun over the links of its chain, after it was not run there. */
-    refundLinks(): void {
-        this.linkUse.refund();
-    }
-
-    /** Checks if the stream may be queued at a link between data centres, where sending it again would add to the queue. */
-    isQueuedAtLink(): boolean {
-        return this.linkUse.isQueued();
-    }
-
     /** Gets the number of tokens for which the endpoints have memory, at the layer with the least. */
     getMemoryTokens(): number {
         const { environment, model, task } = this;
--- a/src/request/relay/links/linkUse.ts
+++ b/src/request/relay/links/linkUse.ts
@@ -7,7 +7,7 @@
 import type { DataCentreLink } from "./dataCentreLink.ts";
 import { formatDataCentreLink } from "./formatDataCentreLink.ts";
 import { getWaitLimit } from "./getWaitLimit.ts";
-import type { LinkCrossing } from "./linkCrossing.ts";
+import type { LinkRun } from "./linkRun.ts";
 
 /** The links that one search for a chain considers. */
 interface LinkSearch {
@@ -24,8 +24,6 @@
     private readonly model: EngineModel;
     /** Number of times that the request was sent over each link. */
     private readonly beginCounts = new Map<string, number>();
-    private lastLinks: readonly DataCentreLink[] = [];
-    private crossing: LinkCrossing | undefined;
     private lastEventAt: number | undefined;
 
     private constructor(environment: RelayEnvironment, task: RelayTask, model: EngineModel) {
@@ -105,47 +103,32 @@
         };
     }
 
-    /**
-     * Counts that the request is sent over links.
-     * @returns Records that its chain is no longer used.
-     */
-    begin(links: readonly DataCentreLink[], promptTokens: number, answerTokens: number, now: number): () => void {
-        this.lastLinks = links;
-        this.crossing = undefined;
-        if (links.length === 0) {
-            return () => undefined;
-        }
-        for (const key of listKeys(links)) {
+    /** Counts that the request is sent over links. */
+    begin(links: readonly DataCentreLink[], promptTokens: number, answerTokens: number, now: number): LinkRun {
+        const keys = listKeys(links);
+        for (const key of keys) {
             this.beginCounts.set(key, (this.beginCounts.get(key) ?? 0) + 1);
         }
         const { environment, model } = this;
-        const crossing = environment.links.begin(links, model, promptTokens, answerTokens, now);
-        this.crossing = crossing;
-        return () => crossing.end(environment.clock.getMonotonicTime());
+        const crossing = links.length === 0
+            ? undefined
+            : environment.links.begin(links, model, promptTokens, answerTokens, now);
+        return {
+            noteEvent: now => {
+                this.lastEventAt = now;
+                crossing?.noteEvent(now);
+            },
+            noteOtherCause: () => crossing?.noteOtherCause(),
+            isQueued: () => crossing?.isQueued() === true,
+            end: () => crossing?.end(environment.clock.getMonotonicTime()),
+            refund: () => this.refund(keys),
+        };
     }
 
-    /** Takes back the last count, after the request was not run. */
-    refund(): void {
-        for (const key of listKeys(this.lastLinks)) {
+    private refund(keys: ReadonlySet<string>): void {
+        for (const key of keys) {
             this.beginCounts.set(key, (this.beginCounts.get(key) ?? 1) - 1);
         }
-        this.lastLinks = [];
-    }
-
-    /** Records an event of the stream. */
-    noteEvent(now: number): void {
-        this.lastEventAt = now;
-        this.crossing?.noteEvent(now);
-    }
-
-    /** Records that the stream waits for an endpoint, not for a link. */
-    noteOtherCause(): void {
-        this.crossing?.noteOtherCause();
-    }
-
-    /** Checks if the stream may be queued at a link. */
-    isQueued(): boolean {
-        return this.crossing?.isQueued() === true;
     }
 }
 
--- a/src/request/relay/streams/streamAttempt.ts
+++ b/src/request/relay/streams/streamAttempt.ts
@@ -1,6 +1,6 @@
 import type { UpstreamExchange } from "../../../connection/upstream/upstreamExchange.ts";
+import type { ChainReservation } from "../chains/chainReservation.ts";
 import type { RelayStage } from "../chains/relayStage.ts";
-import type { LoadReservation } from "../endpoints/loadReservation.ts";
 import type { PossibleRun } from "../possibleRun.ts";
 
 /** An attempt to run a streamed request on a chain. */
@@ -10,7 +10,7 @@
     run: PossibleRun;
     /** Monotonic time at which it was sent, in milliseconds. */
     sentAt: number;
-    reservation: LoadReservation;
+    reservation: ChainReservation;
     exchange: UpstreamExchange | undefined;
     /** Monotonic time of the last progress, in milliseconds. Used to detect stalled chains. */
     lastProgressAt: number;
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -1,6 +1,3 @@
-import { PathState } from "../../../connection/upstream/path/pathState.ts";
-import type { UpstreamFailure } from "../../../connection/upstream/upstreamFailure.ts";
-import { UpstreamFailureKind } from "../../../connection/upstream/upstreamFailureKind.ts";
 import type { TimerHandle } from "../../../process/clock.ts";
 import { events } from "../../../process/logging/events.ts";
 import { ProcessorAccount } from "../../../process/loop/processorAccount.ts";
@@ -15,9 +12,7 @@
 import { RelayChains } from "../chains/relayChains.ts";
 import type { RelayStage } from "../chains/relayStage.ts";
 import type { ReservedChain } from "../chains/reservedChain.ts";
-import { noteRefusal } from "../detection/noteRefusal.ts";
 import { silenceMilliseconds } from "../detection/silenceMilliseconds.ts";
-import type { RegisteredEndpoint } from "../endpoints/registeredEndpoint.ts";
 import { listDataCentres } from "../links/listDataCentres.ts";
 import { PossibleRuns } from "../possibleRuns.ts";
 import { TaskQuarantine } from "../quarantine/taskQuarantine.ts";
@@ -26,13 +21,10 @@
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
 import { RequestGuard } from "../requestGuard.ts";
+import { AttemptSender } from "./attemptSender.ts";
 import { ChainReplacement } from "./chainReplacement.ts";
-import { describeIncompleteAnswer } from "./describeIncompleteAnswer.ts";
 import { EventVerdict } from "./eventVerdict.ts";
-import { getFaultyEndpoint } from "./getFaultyEndpoint.ts";
-import { sendStream } from "./sendStream.ts";
 import { StreamAnswer } from "./streamAnswer.ts";
-import type { StreamAnswerEnd } from "./streamAnswerEnd.ts";
 import type { StreamAttempt } from "./streamAttempt.ts";
 import type { StreamAttemptEnd } from "./streamAttemptEnd.ts";
 import type { StreamEvent } from "./streamEvent.ts";
@@ -60,6 +52,7 @@
     private readonly progress: StreamProgress;
     private readonly answer: StreamAnswer;
     private readonly logger: StreamLogger;
+    private readonly sender: AttemptSender;
     private readonly onDone: () => void;
     private readonly avoided = new Set<string>();
     private timer: TimerHandle | undefined;
@@ -86,6 +79,19 @@
         this.progress = StreamProgress.create(task.request.lastEventId);
         this.answer = StreamAnswer.create(task.sink);
         this.logger = StreamLogger.create(environment, task, this.progress);
+        this.sender = AttemptSender.create({
+            environment,
+            task,
+            chains,
+            guard: this.guard,
+            getLastEventId: () => this.progress.getLastId(),
+            isAnswerBegun: () => this.answer.isBegun(),
+            isRunning: attempt => attempt === this.attempt,
+            onEvent: (attempt, event, head) => this.handleEvent(attempt, event, head),
+            onComplete: (_attempt, head) => this.complete(head),
+            onRefused: () => this.attemptLimit.noteRefusal(),
+            onEnded: (attempt, end) => this.endAttempt(attempt, end),
+        });
     }
 
     /**
@@ -140,7 +146,7 @@
 
     /** Checks if the stream may be queued at a link between data centres. */
     isQueuedAtLink(): boolean {
-        return this.chains.isQueuedAtLink();
+        return this.attempt?.reservation.links.isQueued() === true;
     }
 
     /**
@@ -179,7 +185,7 @@
 
     /** Records that the stream waits for an endpoint that is silent, not for a link between data centres. */
     noteWaitForEndpoint(): void {
-        this.chains.noteWaitForEndpoint();
+        this.attempt?.reservation.links.noteOtherCause();
     }
 
     /** Switches to another chain after the endpoints accepted the move. */
@@ -342,28 +348,10 @@
         };
         this.attempt = attempt;
         this.runs.add(attempt.run);
-        account.runPart(ProcessorCause.StreamHead, () => this.send(attempt, stages));
-    }
-
-    private send(attempt: StreamAttempt, stages: RelayStage[]): void {
-        const { environment, task, guard, progress, answer } = this;
-        attempt.exchange = sendStream({
-            environment,
-            task,
-            stages,
-            guard,
-            getLastEventId: () => progress.getLastId(),
-            isAnswerBegun: () => answer.isBegun(),
-            onEvent: (event, head) => this.handleEvent(attempt, head, event),
-            onEnd: end => this.handleEnd(attempt, end),
-            onFailure: failure => this.handleFailure(attempt, failure),
-        });
+        account.runPart(ProcessorCause.StreamHead, () => this.sender.send(attempt));
     }
 
-    private handleEvent(attempt: StreamAttempt, head: AnswerHead, event: StreamEvent): void {
-        if (attempt !== this.attempt) {
-            return;
-        }
+    private handleEvent(attempt: StreamAttempt, event: StreamEvent, head: AnswerHead): void {
         account.count(ProcessorCause.StreamEvent);
         const now = this.getTime();
         const wasSilent = now - attempt.lastProgressAt > silenceMilliseconds;
@@ -374,7 +362,7 @@
             return;
         }
         attempt.lastProgressAt = now;
-        this.chains.noteEvent(now);
+        attempt.reservation.links.noteEvent(now);
         for (const { endpoint } of attempt.stages) {
             this.environment.health.markAlive(endpoint.id, now);
         }
@@ -406,28 +394,6 @@
         }
     }
 
-    private handleEnd(attempt: StreamAttempt, end: StreamAnswerEnd): void {
-        if (attempt !== this.attempt) {
-            return;
-        }
-        if (end.kind === "whole") {
-            this.complete(end.head);
-            return;
-        }
-        if (end.kind === "foreign" || end.kind === "oversized" || end.kind === "invalid") {
-            attempt.exchange?.abort();
-            this.environment.health.markRejecting(attempt.stages[0]!.endpoint.id, this.getTime());
-        }
-        const attemptEnd = describeIncompleteAnswer(end, attempt.stages[0]!.endpoint.id, this.getTime());
-        if (end.kind !== "refused") {
-            this.endAttempt(attempt, attemptEnd);
-            return;
-        }
-        this.attemptLimit.noteRefusal();
-        const avoid = this.noteRefusal(getFaultyEndpoint(attempt.stages, end.head.faultyAddress), end.head.status);
-        this.endAttempt(attempt, { ...attemptEnd, avoid });
-    }
-
     private complete(head: AnswerHead): void {
         const { attempt } = this;
         this.quarantine.markSafe(attempt?.firstEventAt ?? attempt?.sentAt ?? -Infinity);
@@ -435,45 +401,6 @@
         this.finish(this.answer.complete(head));
     }
 
-    private handleFailure(attempt: StreamAttempt, failure: UpstreamFailure): void {
-        if (attempt !== this.attempt) {
-            return;
-        }
-        const { id } = attempt.stages[0]!.endpoint;
-        if (failure.kind === UpstreamFailureKind.Withheld) {
-            this.chains.refundLimit(attempt.stages);
-            const cause = "the first stage asked for no more requests before this one was written.";
-            this.endAttempt(attempt, { isNotRun: true, isUnsent: true, cause, avoid: [] });
-            return;
-        }
-        if (failure.kind === UpstreamFailureKind.Invalid) {
-            this.environment.health.markRejecting(id, this.getTime());
-            const cause = `the first stage sent no valid answer (${failure.message}).`;
-            this.endAttempt(attempt, { isNotRun: false, cause, avoid: [id] });
-            return;
-        }
-        const isNotRun = failure.kind === UpstreamFailureKind.NotSent;
-        const cause = `the connection to the first stage failed (${failure.message}).`;
-        if (isNotRun) {
-            this.environment.health.markUnavailable(id, this.getTime());
-            this.endAttempt(attempt, { isNotRun, isUnsent: true, cause, avoid: [id] });
-            return;
-        }
-        const brokenAt = this.getTime();
-        attempt.run.isBroken = true;
-        attempt.exchange?.testPath(state => this.guard.run(() => this.handleBreak(attempt, state, brokenAt, cause)));
-    }
-
-    private handleBreak(attempt: StreamAttempt, state: PathState, brokenAt: number, cause: string): void {
-        const { id } = attempt.stages[0]!.endpoint;
-        const isDown = state === PathState.Down;
-        if (isDown) {
-            this.environment.health.markUnreachable(id);
-        }
-        const end = state === PathState.Lost ? { avoid: [] } : { brokenAt, avoid: [id] };
-        this.endAttempt(attempt, { isNotRun: false, isDown, cause, ...end });
-    }
-
     /** Checks if the path of the connection in use is known not to work. */
     isPathLost(): boolean {
         return this.attempt?.exchange?.isPathLost() === true;
@@ -513,12 +440,6 @@
         return true;
     }
 
-    private noteRefusal(endpoint: RegisteredEndpoint, status: number): string[] {
-        const { environment, chains, task } = this;
-        const memoryPart = chains.getUsedMemoryFraction(endpoint);
-        return noteRefusal({ environment, requestId: task.request.id, endpoint, status, memoryPart });
-    }
-
     private endAttempt(attempt: StreamAttempt, end: StreamAttemptEnd): void {
         if (this.isDone || attempt !== this.attempt) {
             return;
@@ -527,7 +448,7 @@
         this.attempt = undefined;
         if (end.isNotRun) {
             this.runs.remove(attempt.run);
-            this.chains.refundLinks();
+            attempt.reservation.links.refund();
         }
         else {
             this.answer.noteRun();
--- a/tests/request/relay/links/linkUse.test.ts
+++ b/tests/request/relay/links/linkUse.test.ts
@@ -26,13 +26,14 @@
     // Guards against a link that is filled by repeated sends: 54 of 137 streams were begun two to five times.
     it("begins a stream at most twice over a link, also if the stream is resumed", () => {
         const { chains } = createChains();
-        for (let count = 0; count < 2; count++) {
-            const stages = chains.choose(requirements)!;
-            chains.reserve(stages).release();
-        }
+        const [, second] = [0, 1].map(() => {
+            const reservation = chains.reserve(chains.choose(requirements)!);
+            reservation.release();
+            return reservation;
+        });
         assert.equal(chains.choose(requirements), undefined);
         assert.equal(chains.choose({ ...requirements, mayOvercommit: true }), undefined);
-        chains.refundLinks();
+        second!.links.refund();
         assert.ok(chains.choose(requirements));
     });
 
@@ -40,11 +41,11 @@
         const { bench, chains } = createChains();
         const reservation = chains.reserve(chains.choose(requirements)!);
         await bench.clock.advance(900);
-        assert.equal(chains.isQueuedAtLink(), true);
+        assert.equal(reservation.links.isQueued(), true);
         assert.equal(chains.choose(requirements), undefined);
         assert.ok(chains.getLinkBlock()!.waitMilliseconds > 0);
-        chains.noteEvent(bench.clock.getMonotonicTime());
-        assert.equal(chains.isQueuedAtLink(), false);
+        reservation.links.noteEvent(bench.clock.getMonotonicTime());
+        assert.equal(reservation.links.isQueued(), false);
         assert.ok(chains.choose({ ...requirements, mayOvercommit: true }));
         reservation.release();
     });
--- a/tests/request/relay/queue/relayQueue.test.ts
+++ b/tests/request/relay/queue/relayQueue.test.ts
@@ -5,6 +5,14 @@
 import { FakeClock } from "../../../support/fakeClock.ts";
 import { RecordingEventLog } from "../../../support/recordingEventLog.ts";
 
+const unusedLinks = {
+    noteEvent: () => undefined,
+    noteOtherCause: () => undefined,
+    isQueued: () => false,
+    end: () => undefined,
+    refund: () => undefined,
+};
+
 function createBench() {
     const clock = FakeClock.create();
     const log: string[] = [];
@@ -35,7 +43,7 @@
                     return undefined;
                 }
                 capacity.free -= 1;
-                return { stages: [], reservation: { release: () => undefined } };
+                return { stages: [], reservation: { release: () => undefined, links: unusedLinks } };
             },
             start: () => log.push(`start ${name}`),
             refuse: () => log.push(`refuse ${name}`),
