Keep a stream's run until the chain that is to replace it makes progress

Callers saw a begun stream cut, or 502 before its first event, although its endpoint had only been silent for a second: the node had ended the run for another chain that it held to be free, and that one turned the request away.

Cause: the reservation of another chain was taken for the proof that it takes over. It is a belief of one node of many; the irreversible step, the end of the first run, came before the other one had begun. The class: something irreversible is done on a belief.

Change: a stream whose first stage is silent, whose chain makes no progress or whose path seems lost is sent over another chain too (hedged), and the first attempt that makes progress is kept; the others are ended then. A refusal or a failure of one leaves the other as it is. RunningAttempts holds them; the newest one is watched. Only a proof still ends a run first: an endpoint that has restarted, a later stage that has. The attempts of the route, the retry budget and the rate limits count as before; all attempts end with the caller. FL1732 and FL1734 say when a stream is hedged, and which attempt was kept.

Two tests of StreamRelay held the old order to be right. "continues a resumable stream over another chain" asserted that the first run is aborted at once; it now asserts that it is aborted with the first progress of the other one and not before. "returns a resumable stream ... once its run is over" now ends that run first.

--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -235,6 +235,16 @@
         level: "warn",
         message: "An attempt to run a routed request produced no answer that can be passed on to the caller.",
     },
+    relayHedged: {
+        number: 1732,
+        level: "warn",
+        message: "A request is sent over another chain too; the first one that makes progress is kept.",
+    },
+    relaySuperseded: {
+        number: 1734,
+        level: "info",
+        message: "An attempt was ended because another one of the same request makes progress.",
+    },
     relayWaitsToResume: {
         number: 1733,
         level: "warn",
--- a/src/request/relay/detection/stallDetector.ts
+++ b/src/request/relay/detection/stallDetector.ts
@@ -90,11 +90,12 @@
         this.ended.set(id, true);
         const lost = new Set([id]);
         for (const relay of [...this.relays]) {
+            relay.captureRuns()(lost);
+            relay.abandonEarlierAttempts(id, "a stage has restarted.");
             const index = relay.getStages()?.findIndex(({ endpoint }) => endpoint.id === id) ?? -1;
             if (index === -1) {
                 continue;
             }
-            relay.captureRun()(lost);
             if (index === 0) {
                 relay.abandonChain([id], "the first stage has restarted.");
             }
@@ -182,7 +183,7 @@
             environment.health.markSilent(first.id, now);
             for (const relay of affected) {
                 relay.noteWaitForEndpoint();
-                leaveIfFirst(relay, first.id, "the first stage does not answer.");
+                hedgeIfFirst(relay, first.id, "the first stage does not answer.");
             }
             return;
         }
@@ -234,7 +235,7 @@
         }
         const isOverdue = now - (relay.getLastProgress() ?? now) > overdueMilliseconds;
         if (isOverdue && !relay.isQueuedAtLink() && this.hasProgressingStream(dataCentres.join(), now)) {
-            leaveIfFirst(relay, first.id, "the chain is silent while others make progress.");
+            hedgeIfFirst(relay, first.id, "the chain is silent while others make progress.");
         }
     }
 
@@ -264,7 +265,7 @@
 
     /** Records crashes of those suspects that refuse connections. The others may only be silent. */
     private noteCrashes(suspects: ReadonlyMap<string, RegisteredEndpoint>, relays: readonly StreamRelay[]): void {
-        const runs = relays.map(relay => relay.captureRun());
+        const runs = relays.map(relay => relay.captureRuns());
         for (const [id, endpoint] of suspects) {
             void this.options.isRefusing?.(endpoint).then(isRefusing => {
                 for (const noteCrashed of isRefusing ? runs : []) {
@@ -298,15 +299,15 @@
         const { environment, clock, reroute } = this.options;
         relay.isRerouting = true;
         this.rerouteAllowedAt.set(relay, clock.getMonotonicTime() + rerouteRetryMilliseconds);
-        const run = relay.getRun();
+        const attempt = relay.getAttempt();
         const stages = relay.chooseReroute(lost);
         const outcome = stages === undefined ? undefined : await reroute(relay.task.request.id, stages);
         relay.isRerouting = false;
-        if (relay.getRun() !== run) {
+        if (attempt !== undefined && stages !== undefined && outcome?.isDone === true) {
+            relay.completeReroute(attempt, stages);
             return;
         }
-        if (stages !== undefined && outcome?.isDone === true) {
-            relay.completeReroute(stages);
+        if (relay.getAttempt() !== attempt) {
             return;
         }
         const ended = relay.getStages()?.filter(({ endpoint }) => this.ended.has(endpoint.id)) ?? [];
@@ -317,14 +318,18 @@
             ...faulty === undefined ? [] : [faulty.id],
         ];
         const cause = "a later stage does not answer and the stream could not be moved.";
-        relay.leaveSuspects(avoid, cause, ended.length > 0);
+        if (ended.length > 0) {
+            relay.leaveLostChain(avoid, cause);
+            return;
+        }
+        relay.hedge(avoid, cause);
     }
 }
 
-/** Moves a stream away from a suspect first stage, unless it has another one by now. */
-function leaveIfFirst(relay: StreamRelay, endpointId: string, cause: string): void {
+/** Sends a stream over another chain too if its first stage is a suspect, unless it has another one by now. */
+function hedgeIfFirst(relay: StreamRelay, endpointId: string, cause: string): void {
     if (relay.getStages()?.[0]?.endpoint.id === endpointId) {
-        relay.leaveSuspects([endpointId], cause);
+        relay.hedge([endpointId], cause);
     }
 }
 
--- a/src/request/relay/streams/streamLogger.ts
+++ b/src/request/relay/streams/streamLogger.ts
@@ -21,6 +21,15 @@
     memoryPart: number;
 }
 
+/** A request that is sent over another chain while it runs on one, for the log. */
+interface HedgedRequest {
+    /** The other chain. */
+    stages: readonly RelayStage[];
+    cause: string;
+    attempts: Pick<AttemptLimit, "getAttemptCount" | "getRefusalCount">;
+    runs: Pick<PossibleRuns, "describe">;
+}
+
 /** The end of a request, for the log. */
 interface EndedRequest {
     outcome: string;
@@ -85,6 +94,34 @@
         });
     }
 
+    /** Logs that the request is sent over another chain while it runs on one. */
+    writeHedge({ stages, cause, attempts, runs }: HedgedRequest): void {
+        this.environment.log.write(events.relayHedged, {
+            request: this.task.request.id,
+            chain: formatStages(stages),
+            cause,
+            attempt: attempts.getAttemptCount(),
+            ...runs.describe(),
+            lastEvent: this.progress.getLastId(),
+            ...this.describeRetries(attempts),
+        });
+    }
+
+    /**
+     * Logs that an attempt was ended because another one makes progress.
+     * @param attempt - The attempt that was ended.
+     * @param stages - The chain that makes progress.
+     */
+    writeSuperseded(attempt: StreamAttempt, stages: readonly RelayStage[]): void {
+        this.environment.log.write(events.relaySuperseded, {
+            request: this.task.request.id,
+            chain: formatStages(attempt.stages),
+            by: formatStages(stages),
+            lastEvent: this.progress.getLastId(),
+            milliseconds: this.getMillisecondsSince(attempt.sentAt),
+        });
+    }
+
     /**
      * Logs that a stream that has begun waits for a chain.
      * @param cause - Why it has none.
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -26,6 +26,7 @@
 import { ChainReplacement } from "./chainReplacement.ts";
 import { EventVerdict } from "./eventVerdict.ts";
 import { ResumePacing } from "./resumePacing.ts";
+import { RunningAttempts } from "./runningAttempts.ts";
 import { StreamAnswer } from "./streamAnswer.ts";
 import type { StreamAttempt } from "./streamAttempt.ts";
 import type { StreamAttemptEnd } from "./streamAttemptEnd.ts";
@@ -61,11 +62,11 @@
     private readonly onDone: () => void;
     private readonly avoided = new Set<string>();
     private readonly pacing = ResumePacing.create();
+    private readonly attempts = RunningAttempts.create();
     private timer: TimerHandle | undefined;
     /** Timer of the next search for a chain that a stream that has begun can continue on. */
     private resumeTimer: TimerHandle | undefined;
     private resumeSearches = 0;
-    private attempt: StreamAttempt | undefined;
     private queuedRelay: QueuedRelay | undefined;
     /** Monotonic time in milliseconds at which the first byte was sent to an endpoint. */
     private firstSentAt: number | undefined;
@@ -95,9 +96,9 @@
             guard: this.guard,
             getLastEventId: () => this.progress.getLastId(),
             isAnswerBegun: () => this.answer.isBegun(),
-            isRunning: attempt => attempt === this.attempt,
+            isRunning: attempt => this.attempts.has(attempt),
             onEvent: (attempt, event, head) => this.handleEvent(attempt, event, head),
-            onComplete: (_attempt, head) => this.complete(head),
+            onComplete: (attempt, head) => this.complete(attempt, head),
             onRefused: endpointId => {
                 this.attemptLimit.noteRefusal();
                 this.pacing.noteRefusal(endpointId, this.getTime());
@@ -133,32 +134,32 @@
 
     /** Gets the chain in use; undefined between attempts. */
     getStages(): readonly RelayStage[] | undefined {
-        return this.attempt?.stages;
+        return this.attempts.getCurrent()?.stages;
     }
 
     /** Gets the monotonic time of the last progress of the chain in use, in milliseconds. */
     getLastProgress(): number | undefined {
-        return this.attempt?.lastProgressAt;
+        return this.attempts.getCurrent()?.lastProgressAt;
     }
 
     /** Gets the data centres of the chain in use, in order. */
     getDataCentres(): string[] {
-        return listDataCentres(this.attempt?.stages ?? []);
+        return listDataCentres(this.getStages() ?? []);
     }
 
     /** Gets the monotonic time at which the request was sent to the chain in use, in milliseconds. */
     getSentAt(): number | undefined {
-        return this.attempt?.sentAt;
+        return this.attempts.getCurrent()?.sentAt;
     }
 
     /** Checks if the chain in use has sent an event. */
     hasEvents(): boolean {
-        return this.attempt?.firstEventAt !== undefined;
+        return this.attempts.getCurrent()?.firstEventAt !== undefined;
     }
 
     /** Checks if the stream may be queued at a link between data centres. */
     isQueuedAtLink(): boolean {
-        return this.attempt?.reservation.links.isQueued() === true;
+        return this.attempts.getCurrent()?.reservation.links.isQueued() === true;
     }
 
     /**
@@ -166,7 +167,7 @@
      * @param avoid - Ids of endpoints that block the stream, which the chain must not use.
      */
     chooseReroute(avoid: ReadonlySet<string>): RelayStage[] | undefined {
-        const [firstStage] = this.attempt?.stages ?? [];
+        const [firstStage] = this.getStages() ?? [];
         if (firstStage === undefined || avoid.has(firstStage.endpoint.id) || this.quarantine.isHeld()) {
             return undefined;
         }
@@ -174,22 +175,24 @@
         return this.chains.choose({ avoid: all, firstStage, mayOvercommit: true, mayBeFull: false });
     }
 
-    /** Gets the run in use, to recognize it later; undefined between runs. */
-    getRun(): object | undefined {
-        return this.attempt;
+    /** Gets the attempt in use, to recognize it later; undefined between attempts. */
+    getAttempt(): StreamAttempt | undefined {
+        return this.attempts.getCurrent();
     }
 
     /**
-     * Gets a function that records that endpoints of the chain in use have crashed, also if the stream has left it by then. If the request
-     * had just begun to run on them, it may have caused the crash.
+     * Gets a function that records that endpoints of the chains in progress have crashed, also if the stream has left them by then. If the
+     * request had just begun to run on them, it may have caused the crash.
      */
-    captureRun(): (crashedIds: ReadonlySet<string>) => void {
-        const { stages = [], sentAt = 0, firstEventAt } = this.attempt ?? {};
+    captureRuns(): (crashedIds: ReadonlySet<string>) => void {
+        const runs = this.attempts.list().map(({ stages, sentAt, firstEventAt }) => ({ stages, sentAt, firstEventAt }));
         const at = this.getTime();
         return crashedIds => {
-            for (const { endpoint } of stages) {
-                if (crashedIds.has(endpoint.id)) {
-                    this.quarantine.noteCrash(endpoint.id, sentAt, at, { firstEventAt, isDown: true });
+            for (const { stages, sentAt, firstEventAt } of runs) {
+                for (const { endpoint } of stages) {
+                    if (crashedIds.has(endpoint.id)) {
+                        this.quarantine.noteCrash(endpoint.id, sentAt, at, { firstEventAt, isDown: true });
+                    }
                 }
             }
         };
@@ -197,13 +200,12 @@
 
     /** Records that the stream waits for an endpoint that is silent, not for a link between data centres. */
     noteWaitForEndpoint(): void {
-        this.attempt?.reservation.links.noteOtherCause();
+        this.attempts.getCurrent()?.reservation.links.noteOtherCause();
     }
 
-    /** Switches to another chain after the endpoints accepted the move. */
-    completeReroute(stages: RelayStage[]): void {
-        const { attempt } = this;
-        if (attempt === undefined) {
+    /** Records that the endpoints have moved an attempt to other later stages. */
+    completeReroute(attempt: StreamAttempt, stages: RelayStage[]): void {
+        if (!this.attempts.has(attempt)) {
             return;
         }
         attempt.reservation.release();
@@ -214,29 +216,54 @@
     }
 
     /**
-     * Continues over another chain if there is one and the stream may continue there. Otherwise the stream stays where it is: an endpoint
-     * that is only silent may still send the rest of the answer, which would be lost if the stream was given up. The suspects are not
-     * avoided any more once they are heard again.
+     * Sends the stream over another chain too if there is one and the stream may continue there. The attempt in use goes on until one of
+     * both makes progress: an endpoint that is only silent may still send the rest of the answer, and the endpoints of the other chain may
+     * refuse it. The suspects are not avoided any more once they are heard again.
      * @param suspects - Ids of the endpoints that may be lost.
      * @param cause - Why they are suspected.
-     * @param maySuspect - Whether the other chain may have suspect endpoints, because this one is known to be lost.
      */
-    leaveSuspects(suspects: readonly string[], cause: string, maySuspect = false): void {
-        const { attempt } = this;
-        const isUnsent = attempt?.exchange?.getSentTime() === undefined;
-        if (attempt === undefined || isUnsent && !this.answer.hasRun()) {
+    hedge(suspects: readonly string[], cause: string): void {
+        const attempt = this.attempts.getCurrent();
+        if (attempt === undefined) {
+            return;
+        }
+        const isUnsent = attempt.exchange?.getSentTime() === undefined;
+        const isOnly = this.attempts.listOthers(attempt).length === 0;
+        if (isUnsent && !(isOnly && this.answer.hasRun())) {
             this.abandonChain(suspects, cause);
             return;
         }
-        const replacement = this.replacement.reserveForRunning({
-            avoid: new Set([...this.avoided, ...suspects]),
-            maySuspect,
+        const firstStages = this.attempts.list().map(({ stages }) => stages[0]!.endpoint.id);
+        const replacement = this.reserveReplacement({
+            avoid: [...suspects, ...firstStages],
+            maySuspect: false,
             // Streams that wait for slow endpoints or links would otherwise move to and fro, which makes both slower.
             mayReturn: false,
         });
-        if (replacement !== undefined) {
+        if (replacement === undefined) {
+            return;
+        }
+        if (isUnsent) {
             attempt.exchange?.abort();
-            this.endAttempt(attempt, { isNotRun: isUnsent, isUnsent, cause, avoid: [], replacement });
+            this.endAttempt(attempt, { isNotRun: true, isUnsent, cause, avoid: [], replacement });
+            return;
+        }
+        this.logger.writeHedge({ stages: replacement.stages, cause, attempts: this.attemptLimit, runs: this.runs });
+        this.continueOver(replacement);
+    }
+
+    /**
+     * Continues over another chain, if there is one, because the chain in use is known to be lost. Otherwise the stream stays where it is
+     * until it is told again.
+     * @param lost - Ids of the endpoints that are lost.
+     * @param cause - Why they are.
+     */
+    leaveLostChain(lost: readonly string[], cause: string): void {
+        const attempt = this.attempts.getCurrent();
+        const replacement = this.reserveReplacement({ avoid: lost, maySuspect: true, mayReturn: false });
+        if (attempt !== undefined && replacement !== undefined) {
+            attempt.exchange?.abort();
+            this.endAttempt(attempt, { isNotRun: false, cause, avoid: [], replacement });
         }
     }
 
@@ -246,15 +273,39 @@
      * @param cause - Why the chain is abandoned.
      */
     abandonChain(avoid: readonly string[], cause: string): void {
-        const { attempt } = this;
-        if (attempt === undefined) {
-            return;
+        const attempt = this.attempts.getCurrent();
+        if (attempt !== undefined) {
+            this.abandon(attempt, avoid, cause);
         }
+    }
+
+    /** Abandons the attempts that pass through an endpoint that has ended, but for the one in use. */
+    abandonEarlierAttempts(endpointId: string, cause: string): void {
+        const current = this.attempts.getCurrent();
+        for (const attempt of this.attempts.list()) {
+            if (attempt !== current && attempt.stages.some(({ endpoint }) => endpoint.id === endpointId)) {
+                this.abandon(attempt, [], cause);
+            }
+        }
+    }
+
+    private abandon(attempt: StreamAttempt, avoid: readonly string[], cause: string): void {
         const isUnsent = attempt.exchange?.getSentTime() === undefined;
         attempt.exchange?.abort();
         this.endAttempt(attempt, { isNotRun: isUnsent, isUnsent, cause, avoid });
     }
 
+    /** Reserves a chain for a request that still runs on another one, unless endpoints have just refused it. */
+    private reserveReplacement(
+        { avoid, ...requirements }: { avoid: readonly string[]; maySuspect: boolean; mayReturn: boolean; },
+    ): ReservedChain | undefined {
+        const now = this.getTime();
+        const avoided = new Set([...this.avoided, ...this.pacing.listRefusing(now), ...avoid]);
+        return this.pacing.getPause(now) > 0
+            ? undefined
+            : this.replacement.reserveForRunning({ avoid: avoided, ...requirements });
+    }
+
     /**
      * Sends the request over the best chain, queues it, or ends it.
      * @param cause - Why there is no answer yet.
@@ -383,7 +434,7 @@
             lastProgressAt: now,
             firstEventAt: undefined,
         };
-        this.attempt = attempt;
+        this.attempts.add(attempt);
         this.runs.add(attempt.run);
         account.runPart(ProcessorCause.StreamHead, () => this.sender.send(attempt));
     }
@@ -395,7 +446,9 @@
         this.answer.noteRun();
         if (event.id === undefined) {
             // Comments keep a connection open. They are no progress, which callers wait for.
-            this.answer.write(head, event.bytes);
+            if (attempt === this.attempts.getCurrent()) {
+                this.answer.write(head, event.bytes);
+            }
             return;
         }
         attempt.lastProgressAt = now;
@@ -428,25 +481,39 @@
             return;
         }
         if (verdict === EventVerdict.Pass) {
+            this.endOtherAttempts(attempt);
             this.answer.write(head, event.bytes);
         }
     }
 
-    private complete(head: AnswerHead): void {
-        const { attempt } = this;
-        this.quarantine.markSafe(attempt?.firstEventAt ?? attempt?.sentAt ?? -Infinity);
+    /** Ends the attempts beside one that makes progress. */
+    private endOtherAttempts(attempt: StreamAttempt): void {
+        for (const other of this.attempts.listOthers(attempt)) {
+            const isUnsent = other.exchange?.getSentTime() === undefined;
+            other.exchange?.abort();
+            this.releaseAttempt(other);
+            if (isUnsent) {
+                this.removeRun(other);
+            }
+            this.logger.writeSuperseded(other, attempt.stages);
+        }
+    }
+
+    private complete(attempt: StreamAttempt, head: AnswerHead): void {
+        this.endOtherAttempts(attempt);
+        this.quarantine.markSafe(attempt.firstEventAt ?? attempt.sentAt);
         this.quarantine.markComplete();
         this.finish(this.answer.complete(head));
     }
 
     /** Checks if the path of the connection in use is known not to work. */
     isPathLost(): boolean {
-        return this.attempt?.exchange?.isPathLost() === true;
+        return this.attempts.getCurrent()?.exchange?.isPathLost() === true;
     }
 
     /** Tests the path of the connection in use. Calls back when the result is known. */
     testPath(onDone: () => void): void {
-        const exchange = this.attempt?.exchange;
+        const exchange = this.attempts.getCurrent()?.exchange;
         if (exchange === undefined) {
             onDone();
             return;
@@ -455,39 +522,31 @@
     }
 
     /**
-     * Continues a stream over another connection if the path of the one in use is lost and the stream may continue. Any other stream
+     * Sends a stream over another connection too if the path of the one in use seems lost and the stream may continue. Any other stream
      * waits, since the path may return.
-     * @returns Whether it was continued.
+     * @returns Whether it was sent.
      */
     continueIfPathLost(): boolean {
-        const { attempt } = this;
-        if (attempt === undefined || !this.isPathLost()) {
+        if (!this.isPathLost()) {
             return false;
         }
-        const replacement = this.replacement.reserveForRunning({
-            avoid: this.avoided,
-            maySuspect: true,
-            mayReturn: true,
-        });
+        const replacement = this.reserveReplacement({ avoid: [], maySuspect: true, mayReturn: true });
         if (replacement === undefined) {
             return false;
         }
-        attempt.exchange?.abort();
         const cause = "the path to the first stage is lost.";
-        this.endAttempt(attempt, { isNotRun: false, cause, avoid: [], replacement });
+        this.logger.writeHedge({ stages: replacement.stages, cause, attempts: this.attemptLimit, runs: this.runs });
+        this.continueOver(replacement);
         return true;
     }
 
     private endAttempt(attempt: StreamAttempt, end: StreamAttemptEnd): void {
-        if (this.isDone || attempt !== this.attempt) {
+        if (this.isDone || !this.attempts.has(attempt)) {
             return;
         }
         this.releaseAttempt(attempt);
-        this.attempt = undefined;
         if (end.isNotRun) {
-            this.attemptLimit.noteNotRun();
-            this.runs.remove(attempt.run);
-            attempt.reservation.links.refund();
+            this.removeRun(attempt);
         }
         else {
             this.answer.noteRun();
@@ -511,6 +570,9 @@
             this.continueOver(end.replacement);
             return;
         }
+        if (this.attempts.getCurrent() !== undefined) {
+            return;
+        }
         if (end.isNotRun || this.isResumable()) {
             this.startAttempt(end.cause, !end.isUnsent);
             return;
@@ -518,8 +580,16 @@
         this.giveUp(end.cause);
     }
 
-    /** Releases the resources of an attempt. */
+    /** Takes back the run of an attempt that surely was not run. */
+    private removeRun(attempt: StreamAttempt): void {
+        this.attemptLimit.noteNotRun();
+        this.runs.remove(attempt.run);
+        attempt.reservation.links.refund();
+    }
+
+    /** Removes an attempt that ends and releases its resources. */
     private releaseAttempt(attempt: StreamAttempt): void {
+        this.attempts.remove(attempt);
         const heldMilliseconds = attempt.firstEventAt !== undefined ? this.getTime() - attempt.sentAt : undefined;
         this.environment.queue.noteEnd(this.chains.getTokens(), heldMilliseconds);
         this.firstSentAt ??= attempt.exchange?.getSentTime();
@@ -541,15 +611,14 @@
 
     /** Ends the request after an unexpected error, which may have come before it was recorded that an endpoint runs the request. */
     private endOnError(cause: string): void {
-        if (this.firstSentAt !== undefined || this.attempt?.exchange?.getSentTime() !== undefined) {
+        if (this.firstSentAt !== undefined || this.attempts.isAnySent()) {
             this.answer.noteRun();
         }
         this.giveUp(cause);
     }
 
     private handleTimeout(): void {
-        const isSent = this.attempt?.exchange?.getSentTime() !== undefined;
-        this.finish(this.answer.timeOut(isSent));
+        this.finish(this.answer.timeOut(this.attempts.isAnySent()));
     }
 
     private finish({ outcome, cause }: AnswerEnd): void {
@@ -562,10 +631,9 @@
         if (this.queuedRelay !== undefined) {
             this.environment.queue.remove(this.queuedRelay);
         }
-        const { attempt } = this;
-        this.attempt = undefined;
-        attempt?.exchange?.abort();
-        if (attempt !== undefined) {
+        const current = this.attempts.getCurrent();
+        for (const attempt of this.attempts.list()) {
+            attempt.exchange?.abort();
             this.releaseAttempt(attempt);
         }
         const { firstSentAt } = this;
@@ -573,7 +641,7 @@
             outcome,
             cause,
             attempts: this.attemptLimit,
-            attempt,
+            attempt: current,
             firstSentAt,
         });
         this.onDone();
--- a/tests/request/relay/quarantine/taskQuarantine.test.ts
+++ b/tests/request/relay/quarantine/taskQuarantine.test.ts
@@ -123,7 +123,7 @@
         const bench = createBench();
         const relay = startStream(bench);
         await bench.clock.advance(runMilliseconds);
-        relay.captureRun()(new Set([relay.getStages()![0]!.endpoint.id, "no part of the chain"]));
+        relay.captureRuns()(new Set([relay.getStages()![0]!.endpoint.id, "no part of the chain"]));
         bench.environment.quarantine.addPeerCrash({ fingerprint: "fingerprint", endpointId: "5", at: 0 }, 0);
         assert.equal(relay.chooseReroute(new Set()), undefined);
     });
--- a/tests/request/relay/streams/checksCountAsDemand.test.ts
+++ b/tests/request/relay/streams/checksCountAsDemand.test.ts
@@ -6,7 +6,7 @@
 const layers = { start: 0, end: 80 };
 const silenceMilliseconds = 5_000;
 
-describe("StreamRelay.leaveSuspects", () => {
+describe("StreamRelay.hedge", () => {
     // Guards against a node whose share of a rate limit grows since streams wait there for a silent endpoint.
     it("doesn't count a search for another chain that finds none as a request for the service", async () => {
         const stream = SuspectBench.create({
--- a/tests/request/relay/streams/recoveredEndpointIsAvoided.test.ts
+++ b/tests/request/relay/streams/recoveredEndpointIsAvoided.test.ts
@@ -7,7 +7,7 @@
 const layers = { start: 0, end: 80 };
 const suspicionMilliseconds = 5_000;
 
-describe("StreamRelay.leaveSuspects", () => {
+describe("StreamRelay.hedge", () => {
     // Guards against a cut answer although the endpoint that it left for a silence has been heard again since.
     it("returns to an endpoint that is no longer suspect if the next one crashes", async () => {
         const endpoints = ["1", "2"].map(id => createEndpoint(id, { layers }));
--- a/tests/request/relay/streams/silentRunExceedsAttempts.test.ts
+++ b/tests/request/relay/streams/silentRunExceedsAttempts.test.ts
@@ -5,7 +5,7 @@
 
 const layers = { start: 0, end: 80 };
 
-describe("StreamRelay.leaveSuspects", () => {
+describe("StreamRelay.hedge", () => {
     // Guards against more runs than the route allows: a silent endpoint still runs the request.
     it("counts the run of an endpoint that is only silent against the attempts of the route", () => {
         const endpoints = ["1", "2", "3"].map(id => createEndpoint(id, { layers }));
--- a/tests/request/relay/streams/streamRelay.test.ts
+++ b/tests/request/relay/streams/streamRelay.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { PathState } from "../../../../src/connection/upstream/path/pathState.ts";
 import { UpstreamFailureKind } from "../../../../src/connection/upstream/upstreamFailureKind.ts";
 import type { UpstreamListener } from "../../../../src/connection/upstream/upstreamListener.ts";
 import { events } from "../../../../src/process/logging/events.ts";
@@ -42,7 +43,7 @@
         assert.deepEqual(bench.answers, ["outcomeUnknown"]);
     });
 
-    describe("leaveSuspects", () => {
+    describe("hedge", () => {
         /** Starts a request on one of several endpoints, of which it may suspect the first stage. */
         function startSent(ids: string[], isResumable: boolean) {
             const bench = RelayBench.create(ids.map(id => createEndpoint(id, { layers })));
@@ -54,7 +55,7 @@
             const [sent] = bench.sentRequests;
             sent!.sentAt = 0;
             const first = relay.getStages()![0]!.endpoint.id;
-            const suspect = (ids = [first]) => relay.leaveSuspects(ids, "the first stage does not answer.");
+            const suspect = (ids = [first]) => relay.hedge(ids, "the first stage does not answer.");
             return { bench, sent: sent!, first, relay, suspect };
         }
 
@@ -67,7 +68,8 @@
             sendEvent(sent, 1);
         }
 
-        it("continues a resumable stream over another chain", () => {
+        // Guards against a run that is ended for a chain whose endpoint then refuses the request.
+        it("sends a resumable stream over another chain and ends the first run only when the other one makes progress", () => {
             for (const hasBegun of [true, false]) {
                 const { bench, sent, suspect } = startSent(["1", "2"], true);
                 if (hasBegun) {
@@ -75,10 +77,82 @@
                 }
                 suspect();
                 assert.equal(bench.sentRequests.length, 2);
+                assert.ok(!sent.isAborted);
+                const second = bench.sentRequests[1]!;
+                second.sentAt = 0;
+                second.listener.onHead(200, { "request-id": "request", "response-seal": "s" });
+                assert.ok(!sent.isAborted);
+                sendEvent(second, hasBegun ? 2 : 1);
                 assert.ok(sent.isAborted);
+                assert.ok(!second.isAborted);
             }
         });
 
+        it("ends the other run if the first one makes progress before it", () => {
+            const { bench, sent, first, relay, suspect } = startSent(["1", "2"], true);
+            begin(sent);
+            suspect();
+            const second = bench.sentRequests[1]!;
+            second.sentAt = 0;
+            sendEvent(sent, 2);
+            assert.ok(second.isAborted);
+            assert.ok(!sent.isAborted);
+            assert.equal(relay.getStages()![0]!.endpoint.id, first);
+        });
+
+        it("stays with the first run if the endpoints of the other chain refuse the request", () => {
+            for (const hasBegun of [true, false]) {
+                const { bench, sent, first, relay, suspect } = startSent(["1", "2"], true);
+                if (hasBegun) {
+                    begin(sent);
+                }
+                suspect();
+                const second = bench.sentRequests[1]!;
+                second.sentAt = 0;
+                second.listener.onHead(503, { "request-id": "request", "not-executed": "1" });
+                second.listener.onEnd();
+                assert.ok(!sent.isAborted);
+                assert.equal(relay.getStages()![0]!.endpoint.id, first);
+                assert.deepEqual(bench.answers, hasBegun ? ["200"] : []);
+            }
+        });
+
+        it("continues with the other run if the first one ends", () => {
+            const { bench, sent, suspect } = startSent(["1", "2"], true);
+            begin(sent);
+            suspect();
+            const second = bench.sentRequests[1]!;
+            second.sentAt = 0;
+            sent.listener.onFailure({ kind: UpstreamFailureKind.Broken, message: "reset" });
+            assert.equal(bench.sentRequests.length, 2);
+            assert.ok(!second.isAborted);
+            second.listener.onHead(200, { "request-id": "request", "response-seal": "s" });
+            sendEvent(second, 2);
+            second.listener.onEnd();
+            assert.equal(
+                bench.log.fields[bench.log.numbers.indexOf(events.relayEnded.number)]?.["outcome"],
+                "answered",
+            );
+        });
+
+        it("ends all runs when the caller leaves", () => {
+            const { bench, suspect } = startSent(["1", "2"], true);
+            suspect();
+            bench.leave();
+            assert.ok(bench.sentRequests.every(({ isAborted }) => isAborted));
+            assert.deepEqual(bench.environment.loads.getOwnLoads(), []);
+        });
+
+        it("ends an earlier run whose endpoint has restarted", () => {
+            const { bench, sent, first, relay, suspect } = startSent(["1", "2"], true);
+            begin(sent);
+            suspect();
+            relay.abandonEarlierAttempts(first, "a stage has restarted.");
+            assert.ok(sent.isAborted);
+            assert.ok(!bench.sentRequests[1]!.isAborted);
+            assert.deepEqual(bench.answers, ["200"]);
+        });
+
         // Guards against cut answers, and against 502, for endpoints that were silent for a second and would then have continued.
         it("leaves a stream where it is if it may not be resumed", () => {
             for (const hasBegun of [true, false]) {
@@ -145,6 +219,8 @@
             begin(sent);
             suspect();
             bench.sentRequests[1]!.sentAt = 0;
+            bench.pathState = PathState.Lost;
+            sent.listener.onFailure({ kind: UpstreamFailureKind.Broken, message: "reset" });
             relay.abandonChain([relay.getStages()![0]!.endpoint.id], "the answer belongs to another request.");
             assert.equal(bench.sentRequests.length, 3);
             assert.equal(relay.getStages()![0]!.endpoint.id, first);
--- a/tests/request/relay/streams/suspectBench.ts
+++ b/tests/request/relay/streams/suspectBench.ts
@@ -82,7 +82,7 @@
     suspectFirst(): void {
         const first = this.getFirstId();
         this.bench.environment.health.markUnavailable(first, this.bench.clock.getMonotonicTime());
-        this.relay.leaveSuspects([first], "the first stage does not answer.");
+        this.relay.hedge([first], "the first stage does not answer.");
     }
 
     private getListener(): UpstreamListener {
