Don't return a begun stream to endpoints that have broken it off

While a begun stream waited for a chain it forgot all endpoints that it was to avoid, also those that had broken it off, so it ran there again: streamPath and unframedAnswers ("runs no more often than its route allows") saw 3 runs for 2 since.

--- a/src/request/relay/chains/relayChains.ts
+++ b/src/request/relay/chains/relayChains.ts
@@ -251,10 +251,12 @@
     /**
      * Checks if an idle system would have a chain for the request. Also true while no endpoint is known, since their list may not have
      * arrived yet.
+     * @param avoid - Ids of endpoints that don't count.
+     * @param at - Monotonic time in milliseconds: pauses of endpoints that have ended by then don't count. Default: now.
      */
-    hasChain(avoid: ReadonlySet<string>): boolean {
+    hasChain(avoid: ReadonlySet<string>, at?: number): boolean {
         const { directory } = this.environment;
-        return directory.getEndpoints(this.task.service.name).length === 0 || this.coversAllLayers(avoid);
+        return directory.getEndpoints(this.task.service.name).length === 0 || this.coversAllLayers(avoid, at);
     }
 
     /**
--- a/src/request/relay/streams/resumePacing.ts
+++ b/src/request/relay/streams/resumePacing.ts
@@ -53,6 +53,11 @@
         return Math.max(0, this.pauseEndsAt - now);
     }
 
+    /** Lists the endpoints that have refused the request at any time. */
+    listRefused(): string[] {
+        return [...this.refusedAt.keys()];
+    }
+
     /** Lists the endpoints that have refused the request so recently that they would refuse it again. */
     listRefusing(now: number): string[] {
         return [...this.refusedAt].filter(([, at]) => now - at < refusalMilliseconds).map(([id]) => id);
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -365,7 +365,8 @@
 
     /**
      * Continues a stream that has begun as soon as there is a chain for it. It goes before requests that wait in the queue, since its caller
-     * would give up sooner. Lack of capacity doesn't end it: the caller may wait longer than the endpoints are full.
+     * would give up sooner. Lack of capacity doesn't end it: the caller may wait longer than the endpoints are full. It ends if all endpoints
+     * that may run it have broken it off.
      */
     private resume(cause: string, isRetry: boolean): void {
         const now = this.getTime();
@@ -381,11 +382,17 @@
             this.continueOver(reserved.val);
             return;
         }
+        // An endpoint that has refused the request may accept it later. One that has broken it off would only do so again.
+        for (const id of this.pacing.listRefused()) {
+            this.avoided.delete(id);
+        }
+        if (!this.chains.hasChain(this.avoided, this.task.dueAt)) {
+            this.giveUp(`${cause} ${reserved.val}`);
+            return;
+        }
         if (!isRepeated) {
             this.logger.writeWait(`${cause} ${reserved.val}`, this.attemptLimit);
         }
-        // Endpoints that have failed may have recovered. Until then the chain avoids them as suspects.
-        this.avoided.clear();
         const delay = Math.max(
             pause,
             Math.min(initialSearchMilliseconds * 2 ** this.resumeSearches, maximumSearchMilliseconds),
