Split the relay of a stream into its state, its moves and its resumption

StreamState holds what the parts of a request's relay share; StreamMoves changes chains when endpoints are suspect or lost, StreamResumption waits for a chain, RunningAttempts answers what the detector asks of the chain in use, noteProgress records what an event shows. The fake stream of the detector's test is its own moves and attempts now.

--- a/src/request/relay/detection/stallDetector.ts
+++ b/src/request/relay/detection/stallDetector.ts
@@ -90,14 +90,14 @@
         this.ended.set(id, true);
         const lost = new Set([id]);
         for (const relay of [...this.relays]) {
-            relay.captureRuns()(lost);
-            relay.abandonEarlierAttempts(id, "a stage has restarted.");
-            const index = relay.getStages()?.findIndex(({ endpoint }) => endpoint.id === id) ?? -1;
+            relay.moves.captureRuns()(lost);
+            relay.moves.abandonEarlierAttempts(id, "a stage has restarted.");
+            const index = relay.attempts.getStages()?.findIndex(({ endpoint }) => endpoint.id === id) ?? -1;
             if (index === -1) {
                 continue;
             }
             if (index === 0) {
-                relay.abandonChain([id], "the first stage has restarted.");
+                relay.moves.abandonChain([id], "the first stage has restarted.");
             }
             else {
                 void this.reroute(relay, lost);
@@ -111,7 +111,7 @@
         const now = this.options.clock.getMonotonicTime();
         const silentByFirstStage = new Map<string, StreamRelay[]>();
         for (const relay of this.relays) {
-            const first = relay.getStages()?.[0];
+            const first = relay.attempts.getStages()?.[0];
             if (first === undefined || relay.isRerouting || !isSilent(relay, now)) {
                 continue;
             }
@@ -135,14 +135,14 @@
     private getSweepDelay(now: number): number {
         let delay = silenceMilliseconds;
         for (const relay of this.relays) {
-            const silentAt = (relay.getLastProgress() ?? now) + getSilenceLimit(relay);
+            const silentAt = (relay.attempts.getLastProgress() ?? now) + getSilenceLimit(relay);
             delay = Math.min(delay, silentAt - now + 1);
         }
         return Math.max(sweepIntervalMilliseconds, delay);
     }
 
     private investigate(relays: StreamRelay[], now: number): void {
-        const { endpoint } = relays[0]!.getStages()![0]!;
+        const { endpoint } = relays[0]!.attempts.getStages()![0]!;
         if (now - (this.reportRequestedAt.get(endpoint.id) ?? -Infinity) < this.getReportInterval(endpoint.id)) {
             return;
         }
@@ -158,7 +158,7 @@
     private async resolveStall(first: RegisteredEndpoint, relays: StreamRelay[]): Promise<void> {
         const reporting = this.options.fetchReport(first);
         if (!await this.isSettledSoon(reporting)) {
-            await Promise.all(relays.map(relay => new Promise<void>(resolve => relay.testPath(resolve))));
+            await Promise.all(relays.map(relay => new Promise<void>(resolve => relay.attempts.testPath(resolve))));
         }
         if (continueOverOtherPaths(relays).length === 0) {
             return;
@@ -167,12 +167,12 @@
         const affected = continueOverOtherPaths(relays);
         const { environment, clock } = this.options;
         const now = clock.getMonotonicTime();
-        const lastProgressAt = Math.max(...relays.map(relay => relay.getLastProgress() ?? now));
+        const lastProgressAt = Math.max(...relays.map(relay => relay.attempts.getLastProgress() ?? now));
         environment.log.write(events.relayStalled, {
             endpoint: first.id,
             streams: relays.length,
             silentMilliseconds: Math.round(now - lastProgressAt),
-            isPathLost: affected.some(relay => relay.isPathLost()),
+            isPathLost: affected.some(relay => relay.attempts.isPathLost()),
             hasReport: report !== undefined,
             stalled: report?.stalled.length ?? 0,
             at: [...new Set(report?.stalled.map(({ address }) => address))].join(","),
@@ -182,7 +182,7 @@
             this.unansweredReports.set(first.id, (this.unansweredReports.get(first.id) ?? 0) + 1);
             environment.health.markSilent(first.id, now);
             for (const relay of affected) {
-                relay.noteWaitForEndpoint();
+                relay.attempts.noteWaitForEndpoint();
                 hedgeIfFirst(relay, first.id, "the first stage does not answer.");
             }
             return;
@@ -194,7 +194,7 @@
             const isStalled = report.stalled.some(({ requestId }) => requestId === relay.task.request.id);
             const lost = this.listLost(relay, suspects);
             if (isStalled || lost.size > 0) {
-                relay.noteWaitForEndpoint();
+                relay.attempts.noteWaitForEndpoint();
                 this.retryReroute(relay, lost, now);
             }
             else {
@@ -229,20 +229,20 @@
      */
     private reviewUnexplained(relay: StreamRelay, first: RegisteredEndpoint, now: number): void {
         const { linkDelays } = this.options.environment;
-        const dataCentres = relay.getDataCentres();
-        if (!relay.hasEvents()) {
-            linkDelays.recordFirstEvent(dataCentres, now - (relay.getSentAt() ?? now), now);
+        const dataCentres = relay.attempts.getDataCentres();
+        if (!relay.attempts.hasEvents()) {
+            linkDelays.recordFirstEvent(dataCentres, now - (relay.attempts.getSentAt() ?? now), now);
         }
-        const isOverdue = now - (relay.getLastProgress() ?? now) > overdueMilliseconds;
-        if (isOverdue && !relay.isQueuedAtLink() && this.hasProgressingStream(dataCentres.join(), now)) {
+        const isOverdue = now - (relay.attempts.getLastProgress() ?? now) > overdueMilliseconds;
+        if (isOverdue && !relay.attempts.isQueuedAtLink() && this.hasProgressingStream(dataCentres.join(), now)) {
             hedgeIfFirst(relay, first.id, "the chain is silent while others make progress.");
         }
     }
 
     private hasProgressingStream(dataCentres: string, now: number): boolean {
         for (const relay of this.relays) {
-            const isProgressing = relay.hasEvents() && !isSilent(relay, now);
-            if (isProgressing && relay.getDataCentres().join() === dataCentres) {
+            const isProgressing = relay.attempts.hasEvents() && !isSilent(relay, now);
+            if (isProgressing && relay.attempts.getDataCentres().join() === dataCentres) {
                 return true;
             }
         }
@@ -265,7 +265,7 @@
 
     /** Records crashes of those suspects that refuse connections. The others may only be silent. */
     private noteCrashes(suspects: ReadonlyMap<string, RegisteredEndpoint>, relays: readonly StreamRelay[]): void {
-        const runs = relays.map(relay => relay.captureRuns());
+        const runs = relays.map(relay => relay.moves.captureRuns());
         for (const [id, endpoint] of suspects) {
             void this.options.isRefusing?.(endpoint).then(isRefusing => {
                 for (const noteCrashed of isRefusing ? runs : []) {
@@ -277,7 +277,7 @@
 
     /** Lists the stages of a stream that are suspects or have ended. */
     private listLost(relay: StreamRelay, suspects: ReadonlyMap<string, RegisteredEndpoint>): Set<string> {
-        const ids = relay.getStages()?.map(({ endpoint }) => endpoint.id) ?? [];
+        const ids = relay.attempts.getStages()?.map(({ endpoint }) => endpoint.id) ?? [];
         return new Set(ids.filter(id => suspects.has(id) || this.ended.has(id)));
     }
 
@@ -299,18 +299,18 @@
         const { environment, clock, reroute } = this.options;
         relay.isRerouting = true;
         this.rerouteAllowedAt.set(relay, clock.getMonotonicTime() + rerouteRetryMilliseconds);
-        const attempt = relay.getAttempt();
-        const stages = relay.chooseReroute(lost);
+        const attempt = relay.attempts.getCurrent();
+        const stages = relay.moves.chooseReroute(lost);
         const outcome = stages === undefined ? undefined : await reroute(relay.task.request.id, stages);
         relay.isRerouting = false;
         if (attempt !== undefined && stages !== undefined && outcome?.isDone === true) {
-            relay.completeReroute(attempt, stages);
+            relay.moves.completeReroute(attempt, stages);
             return;
         }
-        if (relay.getAttempt() !== attempt) {
+        if (relay.attempts.getCurrent() !== attempt) {
             return;
         }
-        const ended = relay.getStages()?.filter(({ endpoint }) => this.ended.has(endpoint.id)) ?? [];
+        const ended = relay.attempts.getStages()?.filter(({ endpoint }) => this.ended.has(endpoint.id)) ?? [];
         const faulty = environment.directory.getEndpointAt(outcome?.faultyAddress ?? "");
         const avoid = [
             ...lost,
@@ -319,29 +319,29 @@
         ];
         const cause = "a later stage does not answer and the stream could not be moved.";
         if (ended.length > 0) {
-            relay.leaveLostChain(avoid, cause);
+            relay.moves.leaveLostChain(avoid, cause);
             return;
         }
-        relay.hedge(avoid, cause);
+        relay.moves.hedge(avoid, cause);
     }
 }
 
 /** Sends a stream over another chain too if its first stage is a suspect, unless it has another one by now. */
 function hedgeIfFirst(relay: StreamRelay, endpointId: string, cause: string): void {
-    if (relay.getStages()?.[0]?.endpoint.id === endpointId) {
-        relay.hedge([endpointId], cause);
+    if (relay.attempts.getStages()?.[0]?.endpoint.id === endpointId) {
+        relay.moves.hedge([endpointId], cause);
     }
 }
 
 /** Continues the streams whose path is lost, and returns the others. */
 function continueOverOtherPaths(relays: readonly StreamRelay[]): StreamRelay[] {
-    return relays.filter(relay => !relay.continueIfPathLost());
+    return relays.filter(relay => !relay.moves.continueIfPathLost());
 }
 
 function isSilent(relay: StreamRelay, now: number): boolean {
-    return now - (relay.getLastProgress() ?? now) > getSilenceLimit(relay);
+    return now - (relay.attempts.getLastProgress() ?? now) > getSilenceLimit(relay);
 }
 
 function getSilenceLimit(relay: StreamRelay): number {
-    return relay.hasEvents() ? silenceMilliseconds : silenceBeforeFirstEventMilliseconds;
+    return relay.attempts.hasEvents() ? silenceMilliseconds : silenceBeforeFirstEventMilliseconds;
 }
--- a/src/request/relay/streams/runningAttempts.ts
+++ b/src/request/relay/streams/runningAttempts.ts
@@ -1,3 +1,5 @@
+import type { RelayStage } from "../chains/relayStage.ts";
+import { listDataCentres } from "../links/listDataCentres.ts";
 import type { StreamAttempt } from "./streamAttempt.ts";
 
 /**
@@ -51,4 +53,54 @@
     isAnySent(): boolean {
         return this.attempts.some(({ exchange }) => exchange?.getSentTime() !== undefined);
     }
+
+    /** Gets the chain in use; undefined between attempts. */
+    getStages(): readonly RelayStage[] | undefined {
+        return this.getCurrent()?.stages;
+    }
+
+    /** Gets the data centres of the chain in use, in order. */
+    getDataCentres(): string[] {
+        return listDataCentres(this.getStages() ?? []);
+    }
+
+    /** Gets the monotonic time of the last progress of the chain in use, in milliseconds. */
+    getLastProgress(): number | undefined {
+        return this.getCurrent()?.lastProgressAt;
+    }
+
+    /** Gets the monotonic time at which the request was sent to the chain in use, in milliseconds. */
+    getSentAt(): number | undefined {
+        return this.getCurrent()?.sentAt;
+    }
+
+    /** Checks if the chain in use has sent an event. */
+    hasEvents(): boolean {
+        return this.getCurrent()?.firstEventAt !== undefined;
+    }
+
+    /** Checks if the stream may be queued at a link between data centres. */
+    isQueuedAtLink(): boolean {
+        return this.getCurrent()?.reservation.links.isQueued() === true;
+    }
+
+    /** Records that the stream waits for an endpoint that is silent, not for a link between data centres. */
+    noteWaitForEndpoint(): void {
+        this.getCurrent()?.reservation.links.noteOtherCause();
+    }
+
+    /** Checks if the path of the connection in use is known not to work. */
+    isPathLost(): boolean {
+        return this.getCurrent()?.exchange?.isPathLost() === true;
+    }
+
+    /** Tests the path of the connection in use. Calls back when the result is known. */
+    testPath(onDone: () => void): void {
+        const exchange = this.getCurrent()?.exchange;
+        if (exchange === undefined) {
+            onDone();
+            return;
+        }
+        exchange.testPath(onDone);
+    }
 }
--- /dev/null
+++ b/src/request/relay/streams/streamResumption.ts
@@ -0,0 +1,80 @@
+import type { TimerHandle } from "../../../process/clock.ts";
+import { Err } from "../../../result.ts";
+import type { ReservedChain } from "../chains/reservedChain.ts";
+import type { StreamState } from "./streamState.ts";
+
+/** What the relay of a stream does for its resumption. */
+interface StreamResumptionCallbacks {
+    /** Called with a chain over which the request is to be sent. */
+    onReserved(reservedChain: ReservedChain): void;
+    /** Called when a chain is to be searched again, with the arguments of {@link StreamResumption.resume}. */
+    onDue(cause: string, isRetry: boolean): void;
+    /** Called with the cause if no chain can be expected in the time of the request. */
+    onHopeless(cause: string): void;
+}
+
+/** Time until a chain is searched again. It doubles with each search that finds none, up to the maximum. */
+const initialSearchMilliseconds = 50;
+const maximumSearchMilliseconds = 400;
+
+/** Continues a stream that has begun and has no chain, as soon as there is one. */
+export class StreamResumption {
+    private readonly state: StreamState;
+    private readonly callbacks: StreamResumptionCallbacks;
+    private timer: TimerHandle | undefined;
+    /** Number of searches in a row that found no chain. */
+    private searches = 0;
+
+    private constructor(state: StreamState, callbacks: StreamResumptionCallbacks) {
+        this.state = state;
+        this.callbacks = callbacks;
+    }
+
+    /** Creates the resumption of a stream that has not begun. */
+    static create(state: StreamState, callbacks: StreamResumptionCallbacks): StreamResumption {
+        return new StreamResumption(state, callbacks);
+    }
+
+    /** Stops searching for a chain. */
+    cancel(): void {
+        this.timer?.cancel();
+    }
+
+    /**
+     * Continues a stream that has begun as soon as there is a chain for it. It goes before requests that wait in the queue, since its caller
+     * would give up sooner. Lack of capacity doesn't end it: the caller may wait longer than the endpoints are full. It ends if all endpoints
+     * that may run it have broken it off.
+     */
+    resume(cause: string, isRetry: boolean): void {
+        const now = this.state.environment.clock.getMonotonicTime();
+        const isRepeated = this.searches > 0;
+        const pause = this.state.pacing.getPause(now);
+        const avoid = new Set([...this.state.avoided, ...this.state.pacing.listRefusing(now)]);
+        const maySuspect = this.state.pacing.mayTrySuspects(now);
+        const reserved = pause > 0
+            ? Err("Endpoints have just refused it.")
+            : this.state.replacement.reserve({ avoid, isRetry, isRepeated, maySuspect });
+        if (reserved.ok) {
+            this.searches = 0;
+            this.callbacks.onReserved(reserved.val);
+            return;
+        }
+        // An endpoint that has refused the request may accept it later. One that has broken it off would only do so again.
+        for (const id of this.state.pacing.listRefused()) {
+            this.state.avoided.delete(id);
+        }
+        if (!this.state.chains.hasChain(this.state.avoided, this.state.task.dueAt)) {
+            this.callbacks.onHopeless(`${cause} ${reserved.val}`);
+            return;
+        }
+        if (!isRepeated) {
+            this.state.logger.writeWait(`${cause} ${reserved.val}`, this.state.attemptLimit);
+        }
+        const delay = Math.max(
+            pause,
+            Math.min(initialSearchMilliseconds * 2 ** this.searches, maximumSearchMilliseconds),
+        );
+        this.searches += 1;
+        this.timer = this.state.environment.clock.setTimer(delay, () => this.callbacks.onDue(cause, isRetry));
+    }
+}
--- a/tests/request/relay/createEndFields.test.ts
+++ b/tests/request/relay/createEndFields.test.ts
@@ -37,7 +37,7 @@
             const relay = StreamRelay.create(bench.environment, task, model, () => undefined);
             relay.start();
             if (isFailed) {
-                relay.abandonChain(["1"], "the first stage does not answer.");
+                relay.moves.abandonChain(["1"], "the first stage does not answer.");
             }
             await bench.clock.advance(1_100);
             assert.deepEqual(getFields(bench), { rank: 1, customer: "", dataCentre: "a", dataCentres: "a,b" });
--- a/tests/request/relay/detection/rerouteOfEarlierAttempt.test.ts
+++ b/tests/request/relay/detection/rerouteOfEarlierAttempt.test.ts
@@ -19,7 +19,7 @@
         reroute: () => new Promise(resolve => answers.push(resolve)),
     });
     stream.begin();
-    const [earlierFirst, earlierLater] = stream.relay.getStages()!.map(({ endpoint }) => endpoint);
+    const [earlierFirst, earlierLater] = stream.relay.attempts.getStages()!.map(({ endpoint }) => endpoint);
     stream.detector.handleEndpointRestart(earlierLater!);
     stream.getLast().listener.onFailure({ kind: UpstreamFailureKind.Broken, message: "reset" });
     const first = stream.markSent();
--- a/tests/request/relay/detection/restartDuringReroute.test.ts
+++ b/tests/request/relay/detection/restartDuringReroute.test.ts
@@ -20,14 +20,14 @@
             isResumable: true,
             maximumAttempts: 3,
             fetchReport: () => {
-                const { address } = stream.relay.getStages()![1]!.endpoint;
+                const { address } = stream.relay.attempts.getStages()![1]!.endpoint;
                 return Promise.resolve({ stalled: isRestarted ? [] : [{ requestId: "request", address }] } as never);
             },
             reroute: () => new Promise(resolve => answers.push(resolve)),
         });
         const { clock, environment } = stream.bench;
         stream.begin();
-        const later = stream.relay.getStages()![1]!.endpoint;
+        const later = stream.relay.attempts.getStages()![1]!.endpoint;
         await clock.advance(orderMilliseconds);
         assert.equal(answers.length, 1);
         isRestarted = true;
--- a/tests/request/relay/detection/restartOfLaterStage.test.ts
+++ b/tests/request/relay/detection/restartOfLaterStage.test.ts
@@ -12,7 +12,7 @@
         ];
         const stream = SuspectBench.create({ endpoints, isResumable: false });
         stream.begin();
-        stream.detector.handleEndpointRestart(stream.relay.getStages()![1]!.endpoint);
+        stream.detector.handleEndpointRestart(stream.relay.attempts.getStages()![1]!.endpoint);
         await stream.bench.clock.advance(1);
         assert.deepEqual(stream.bench.answers, ["200"]);
         assert.equal(stream.getLast().isAborted, false);
--- a/tests/request/relay/detection/silentStageQuarantine.test.ts
+++ b/tests/request/relay/detection/silentStageQuarantine.test.ts
@@ -12,7 +12,7 @@
             endpoints: [first, ...later],
             isResumable: false,
             fetchReport: () => {
-                const { address } = stream.relay.getStages()![1]!.endpoint;
+                const { address } = stream.relay.attempts.getStages()![1]!.endpoint;
                 const stalled = [{ requestId: "request", address }];
                 return Promise.resolve({ stalled } as never);
             },
--- a/tests/request/relay/detection/stallDetector.test.ts
+++ b/tests/request/relay/detection/stallDetector.test.ts
@@ -7,6 +7,8 @@
 /** A stream over one endpoint. Only what the detector reads of it. */
 class FakeStream {
     isRerouting = false;
+    readonly attempts = this;
+    readonly moves = this;
     private readonly id: string;
     private lastProgressAt: number;
     private isFirstEventSeen = false;
--- a/tests/request/relay/links/silentStageClosesLink.test.ts
+++ b/tests/request/relay/links/silentStageClosesLink.test.ts
@@ -19,7 +19,7 @@
             endpoints,
             isResumable: false,
             fetchReport: () => {
-                const { address } = stream.relay.getStages()![1]!.endpoint;
+                const { address } = stream.relay.attempts.getStages()![1]!.endpoint;
                 return Promise.resolve({ stalled: [{ requestId: "request", address }] } as never);
             },
         });
--- a/tests/request/relay/quarantine/taskPromptParts.test.ts
+++ b/tests/request/relay/quarantine/taskPromptParts.test.ts
@@ -163,7 +163,7 @@
         suspect("8", "9");
         const relay = startStream();
         await sendEvents();
-        relay.hedge([relay.getStages()![0]!.endpoint.id], "the first stage is silent.");
+        relay.moves.hedge([relay.attempts.getStages()![0]!.endpoint.id], "the first stage is silent.");
         assert.equal(countSent(), 2);
     });
 
--- a/tests/request/relay/quarantine/taskQuarantine.test.ts
+++ b/tests/request/relay/quarantine/taskQuarantine.test.ts
@@ -123,9 +123,9 @@
         const bench = createBench();
         const relay = startStream(bench);
         await bench.clock.advance(runMilliseconds);
-        relay.captureRuns()(new Set([relay.getStages()![0]!.endpoint.id, "no part of the chain"]));
+        relay.moves.captureRuns()(new Set([relay.attempts.getStages()![0]!.endpoint.id, "no part of the chain"]));
         bench.environment.quarantine.addPeerCrash({ fingerprint: "fingerprint", endpointId: "5", at: 0 }, 0);
-        assert.equal(relay.chooseReroute(new Set()), undefined);
+        assert.equal(relay.moves.chooseReroute(new Set()), undefined);
     });
 
     it("is held back in the same way for document services", async () => {
--- a/tests/request/relay/streams/commentsHideStall.test.ts
+++ b/tests/request/relay/streams/commentsHideStall.test.ts
@@ -18,12 +18,12 @@
 
     it("doesn't take comments for progress", async () => {
         const stream = begin();
-        const progressAt = stream.relay.getLastProgress();
+        const progressAt = stream.relay.attempts.getLastProgress();
         await stream.bench.clock.advance(100);
         stream.getLast().listener.onData(comment);
-        assert.equal(stream.relay.getLastProgress(), progressAt);
+        assert.equal(stream.relay.attempts.getLastProgress(), progressAt);
         stream.sendEvent(2);
-        assert.notEqual(stream.relay.getLastProgress(), progressAt);
+        assert.notEqual(stream.relay.attempts.getLastProgress(), progressAt);
     });
 
     it("continues a stream elsewhere that has too many bytes of comments between two events", () => {
--- a/tests/request/relay/streams/streamRelay.test.ts
+++ b/tests/request/relay/streams/streamRelay.test.ts
@@ -25,21 +25,21 @@
 describe("StreamRelay", () => {
     it("retries on another chain if its first stage is abandoned before a byte was sent, even if it is not resumable", () => {
         const { bench, relay } = start(["1", "2"]);
-        relay.abandonChain([relay.getStages()![0]!.endpoint.id], "the first stage does not answer.");
+        relay.moves.abandonChain([relay.attempts.getStages()![0]!.endpoint.id], "the first stage does not answer.");
         assert.equal(bench.sentRequests.length, 2);
         assert.deepEqual(bench.answers, []);
     });
 
     it("reports that the request was not run if no byte was sent", () => {
         const { bench, relay } = start(["1"]);
-        relay.abandonChain(["1"], "the first stage does not answer.");
+        relay.moves.abandonChain(["1"], "the first stage does not answer.");
         assert.deepEqual(bench.answers, ["notRun"]);
     });
 
     it("reports an unknown outcome if bytes of the request were sent", () => {
         const { bench, relay } = start(["1", "2"]);
         bench.sentRequests[0]!.sentAt = 0;
-        relay.abandonChain(["1", "2"], "the first stage does not answer.");
+        relay.moves.abandonChain(["1", "2"], "the first stage does not answer.");
         assert.deepEqual(bench.answers, ["outcomeUnknown"]);
     });
 
@@ -54,8 +54,8 @@
             relay.start();
             const [sent] = bench.sentRequests;
             sent!.sentAt = 0;
-            const first = relay.getStages()![0]!.endpoint.id;
-            const suspect = (ids = [first]) => relay.hedge(ids, "the first stage does not answer.");
+            const first = relay.attempts.getStages()![0]!.endpoint.id;
+            const suspect = (ids = [first]) => relay.moves.hedge(ids, "the first stage does not answer.");
             return { bench, sent: sent!, first, relay, suspect };
         }
 
@@ -97,7 +97,7 @@
             sendEvent(sent, 2);
             assert.ok(second.isAborted);
             assert.ok(!sent.isAborted);
-            assert.equal(relay.getStages()![0]!.endpoint.id, first);
+            assert.equal(relay.attempts.getStages()![0]!.endpoint.id, first);
         });
 
         it("stays with the first run if the endpoints of the other chain refuse the request", () => {
@@ -112,7 +112,7 @@
                 second.listener.onHead(503, { "request-id": "request", "not-executed": "1" });
                 second.listener.onEnd();
                 assert.ok(!sent.isAborted);
-                assert.equal(relay.getStages()![0]!.endpoint.id, first);
+                assert.equal(relay.attempts.getStages()![0]!.endpoint.id, first);
                 assert.deepEqual(bench.answers, hasBegun ? ["200"] : []);
             }
         });
@@ -147,7 +147,7 @@
             const { bench, sent, first, relay, suspect } = startSent(["1", "2"], true);
             begin(sent);
             suspect();
-            relay.abandonEarlierAttempts(first, "a stage has restarted.");
+            relay.moves.abandonEarlierAttempts(first, "a stage has restarted.");
             assert.ok(sent.isAborted);
             assert.ok(!bench.sentRequests[1]!.isAborted);
             assert.deepEqual(bench.answers, ["200"]);
@@ -199,7 +199,7 @@
             suspect();
             const second = bench.sentRequests[1]!;
             second.sentAt = 0;
-            suspect([first, relay.getStages()![0]!.endpoint.id]);
+            suspect([first, relay.attempts.getStages()![0]!.endpoint.id]);
             assert.equal(bench.sentRequests.length, 2);
             assert.ok(!second.isAborted);
         });
@@ -210,7 +210,7 @@
             begin(sent);
             suspect();
             bench.sentRequests[1]!.sentAt = 0;
-            suspect([relay.getStages()![0]!.endpoint.id]);
+            suspect([relay.attempts.getStages()![0]!.endpoint.id]);
             assert.equal(bench.sentRequests.length, 2);
         });
 
@@ -221,9 +221,12 @@
             bench.sentRequests[1]!.sentAt = 0;
             bench.pathState = PathState.Lost;
             sent.listener.onFailure({ kind: UpstreamFailureKind.Broken, message: "reset" });
-            relay.abandonChain([relay.getStages()![0]!.endpoint.id], "the answer belongs to another request.");
+            relay.moves.abandonChain(
+                [relay.attempts.getStages()![0]!.endpoint.id],
+                "the answer belongs to another request.",
+            );
             assert.equal(bench.sentRequests.length, 3);
-            assert.equal(relay.getStages()![0]!.endpoint.id, first);
+            assert.equal(relay.attempts.getStages()![0]!.endpoint.id, first);
         });
     });
 
@@ -327,7 +330,7 @@
     // others' capacity afterwards.
     it("suspects an endpoint whose answer belongs to another request", () => {
         const { bench, relay } = start(["1", "2"]);
-        const first = relay.getStages()![0]!.endpoint.id;
+        const first = relay.attempts.getStages()![0]!.endpoint.id;
         bench.sentRequests[0]!.listener.onHead(200, { "request-id": "another", "response-seal": "seal" });
         assert.ok(bench.environment.health.isSuspect(first, bench.clock.getMonotonicTime()));
     });
--- a/tests/request/relay/streams/suspectBench.ts
+++ b/tests/request/relay/streams/suspectBench.ts
@@ -64,7 +64,7 @@
 
     /** Gets the id of the first stage in use. */
     getFirstId(): string {
-        return this.relay.getStages()![0]!.endpoint.id;
+        return this.relay.attempts.getStages()![0]!.endpoint.id;
     }
 
     /** Begins the answer to the last request. */
@@ -82,7 +82,7 @@
     suspectFirst(): void {
         const first = this.getFirstId();
         this.bench.environment.health.markUnavailable(first, this.bench.clock.getMonotonicTime());
-        this.relay.hedge([first], "the first stage does not answer.");
+        this.relay.moves.hedge([first], "the first stage does not answer.");
     }
 
     private getListener(): UpstreamListener {
