Log requests that were read and got no answer before their connection closed (FL1731)

What callers saw: a request that the node had read got neither an answer nor a refusal. No line of the node's log told of it.

Cause: a request that comes behind the head of an answer which announces the close is dropped without a word, and those behind an aborted answer end as if their callers had left.

Change: CallerConnections collects such requests for each connection and logs them in one event when it closes: the first 8 ids, each of at most 64 characters, their number, the time since the earliest came, and the reason. Requests whose callers left or reset the connection are not logged.

No request is handled otherwise than before.

--- a/src/connection/caller/callerConnections.ts
+++ b/src/connection/caller/callerConnections.ts
@@ -1,13 +1,28 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { Clock } from "../../process/clock.ts";
+import type { EventLog } from "../../process/logging/eventLog.ts";
 import { createClientError } from "./createClientError.ts";
 import { createErrorBody } from "./createErrorBody.ts";
+import { UnansweredReason } from "./unansweredReason.ts";
+import { UnansweredRequests } from "./unansweredRequests.ts";
+
+/** Options of {@link CallerConnections}. */
+interface CallerConnectionsOptions {
+    clock: Pick<Clock, "getMonotonicTime">;
+    /** Log of the requests that get neither an answer nor a refusal. */
+    log: EventLog;
+}
 
 /** A request whose response has not been sent completely. */
 interface OpenRequest {
     request: IncomingMessage;
     response: ServerResponse;
     controller: AbortController;
+    /** Monotonic time of its arrival, in milliseconds. */
+    arrivedAt: number;
+    /** Whether its response was aborted before a byte of it was sent. */
+    isAbortedUnsent: boolean;
 }
 
 /** State of one connection. */
@@ -17,6 +32,12 @@
     isBroken: boolean;
     /** Whether an answer was begun that closes the connection, so that later requests on it get none. */
     isEnding: boolean;
+    /** Why the connection closes, as far as this side caused it. */
+    reason: UnansweredReason;
+    /** Whether the caller closed the connection while responses were pending. */
+    hasCallerLeft: boolean;
+    /** Requests that were dropped. */
+    unanswered: UnansweredRequests;
 }
 
 /** Time for which a connection stays open after its last error, so that the caller can read it. */
@@ -30,11 +51,15 @@
 export class CallerConnections {
     private readonly connections = new WeakMap<Socket, CallerConnection>();
 
-    private constructor() {}
+    private readonly options: CallerConnectionsOptions;
+
+    private constructor(options: CallerConnectionsOptions) {
+        this.options = options;
+    }
 
     /** Creates an empty tracker. */
-    static create(): CallerConnections {
-        return new CallerConnections();
+    static create(options: CallerConnectionsOptions): CallerConnections {
+        return new CallerConnections(options);
     }
 
     /**
@@ -42,7 +67,13 @@
      * @returns A signal that aborts if the caller disconnects before.
      */
     add(request: IncomingMessage, response: ServerResponse): AbortSignal {
-        const openRequest = { request, response, controller: new AbortController() };
+        const openRequest = {
+            request,
+            response,
+            controller: new AbortController(),
+            arrivedAt: this.options.clock.getMonotonicTime(),
+            isAbortedUnsent: false,
+        };
         this.getConnection(request.socket).requests.add(openRequest);
         response.once("finish", () => this.remove(openRequest));
         return openRequest.controller.signal;
@@ -55,7 +86,9 @@
 
     /** Records that the answer to a request, which is being begun, closes its connection. */
     startEnding({ socket }: IncomingMessage): void {
-        this.getConnection(socket).isEnding = true;
+        const connection = this.getConnection(socket);
+        connection.isEnding = true;
+        connection.reason = UnansweredReason.AnnouncedClose;
     }
 
     /** Checks if a request was received after an answer was begun that closes its connection. */
@@ -63,6 +96,24 @@
         return this.getConnection(socket).isEnding;
     }
 
+    /** Records that a request is dropped, since it came too late. It is logged when its connection closes. */
+    drop(request: IncomingMessage): void {
+        const { unanswered } = this.getConnection(request.socket);
+        unanswered.add(request, this.options.clock.getMonotonicTime());
+    }
+
+    /** Records that the response to a request is being aborted, which closes its connection. */
+    noteAbort(request: IncomingMessage): void {
+        const connection = this.getConnection(request.socket);
+        connection.reason = UnansweredReason.AbortedAnswer;
+        for (const openRequest of connection.requests) {
+            if (openRequest.request === request) {
+                openRequest.isAbortedUnsent = !isBeingSent(openRequest);
+                return;
+            }
+        }
+    }
+
     /**
      * Responds to a parse error or a timeout with an error and closes the connection. If responses to earlier requests
      * are pending, the connection closes after the last of them instead.
@@ -74,6 +125,7 @@
             return;
         }
         connection.isBroken = true;
+        connection.reason = UnansweredReason.InvalidInput;
         if (!socket.writable || error.code === "ECONNRESET") {
             socket.destroy();
             return;
@@ -101,13 +153,44 @@
         if (known !== undefined) {
             return known;
         }
-        const connection: CallerConnection = { requests: new Set(), isBroken: false, isEnding: false };
+        const connection: CallerConnection = {
+            requests: new Set(),
+            isBroken: false,
+            isEnding: false,
+            reason: UnansweredReason.Closed,
+            hasCallerLeft: false,
+            unanswered: UnansweredRequests.create(),
+        };
         this.connections.set(socket, connection);
         // A caller that has closed its side is treated as disconnected. The connection itself closes some time later.
-        socket.once("end", () => abort(connection));
-        socket.once("close", () => abort(connection));
+        socket.once("end", () => {
+            connection.hasCallerLeft = connection.requests.size > 0;
+            abort(connection);
+        });
+        socket.once("close", () => {
+            connection.hasCallerLeft ||= socket.errored !== null;
+            this.logUnanswered(connection);
+            abort(connection);
+        });
         return connection;
     }
+
+    private logUnanswered({ requests, reason, hasCallerLeft, unanswered }: CallerConnection): void {
+        if (hasCallerLeft) {
+            return;
+        }
+        for (const openRequest of requests) {
+            if (openRequest.request.complete && (openRequest.isAbortedUnsent || !isBeingSent(openRequest))) {
+                unanswered.add(openRequest.request, openRequest.arrivedAt);
+            }
+        }
+        unanswered.writeTo(this.options.log, reason, this.options.clock.getMonotonicTime());
+    }
+}
+
+/** Checks if the head of a response is written, and the response is the first on its connection. */
+function isBeingSent({ response }: OpenRequest): boolean {
+    return response.headersSent && response.socket !== null;
 }
 
 function abort(connection: CallerConnection): void {
--- a/src/connection/caller/callerServer.ts
+++ b/src/connection/caller/callerServer.ts
@@ -34,7 +34,7 @@
 export class CallerServer {
     private readonly options: CallerServerOptions;
     private readonly server: Server;
-    private readonly connections = CallerConnections.create();
+    private readonly connections: CallerConnections;
     /**
      * Delays requests until pending input is read, which may contain the disconnect of the caller if the event loop was
      * blocked.
@@ -46,6 +46,7 @@
 
     private constructor(options: CallerServerOptions) {
         this.options = options;
+        this.connections = CallerConnections.create(options.environment);
         const router = this.createRouter();
         this.server = createHttpServer(options, (request, response) => router.lookup(request, response));
         this.server.on("clientError", (error: Error, socket) => {
--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -320,6 +320,12 @@
         message:
             "The admitted share of a rank, or the memory that it leaves free for higher ranks, has changed by more than a tenth.",
     },
+    requestsUnanswered: {
+        number: 1731,
+        level: "warn",
+        message:
+            "A caller's connection closed with requests that were read and got neither an answer nor a refusal. Their callers must send them again on another connection; the reason says what closed it.",
+    },
     endpointLeavingAnnounced: {
         number: 1725,
         level: "info",
--- a/tests/platform/routerTestHarness.ts
+++ b/tests/platform/routerTestHarness.ts
@@ -179,6 +179,7 @@
         const callers = CallerListener.create({
             address,
             clock,
+            log,
             getMaximumBodyBytes: () => 100_000,
             handle: (request, sink) => node.handle(request, sink),
         });
