Announce the close of a connection only with an answer that ends with it

What callers saw: a request that crossed the head of a stream of a stopping node was read, and got nothing when the connection closed with the stream's end, seconds later.

Cause: the decision to close a connection was made with the head of its last answer, and everything read from then on was dropped. That head may be seconds old when the connection closes: it starts a stream, or it waits behind one. The same happened behind a refusal that was sent before the body of its request had arrived, while an answer ran before it.

Change: only an answer that is whole when it is sent announces the close (a refusal, a document), and it does so when its turn on the connection comes. If another request is received before, it is written without the announcement; so at most one waits on each connection. Requests behind a stream are handled while the node listens, refused with 503 in their turn after that, the last one with Connection: close. A connection whose last answer was a stream is served until the listener stops, and is then closed as idle, as others are. Headers of an answer that may be written later are checked at once, where an error affects its own request only.

What remains: a request that crosses the head of a whole answer is still dropped, which is logged (FL1731). It lasts longer than a moment only where the caller reads that answer slowly.

--- a/src/connection/caller/callerConnections.ts
+++ b/src/connection/caller/callerConnections.ts
@@ -4,6 +4,8 @@
 import type { EventLog } from "../../process/logging/eventLog.ts";
 import { createClientError } from "./createClientError.ts";
 import { createErrorBody } from "./createErrorBody.ts";
+import { drainBody } from "./drainBody.ts";
+import { hasUnreadBody } from "./hasUnreadBody.ts";
 import { UnansweredReason } from "./unansweredReason.ts";
 import { UnansweredRequests } from "./unansweredRequests.ts";
 
@@ -23,6 +25,8 @@
     arrivedAt: number;
     /** Whether its response was aborted before a byte of it was sent. */
     isAbortedUnsent: boolean;
+    /** Writes its whole response, which waits for its turn. */
+    writeResponse: (() => void) | undefined;
 }
 
 /** State of one connection. */
@@ -30,7 +34,7 @@
     requests: Set<OpenRequest>;
     /** Whether a parse error or a timeout occurred, so that the connection closes after its pending responses. */
     isBroken: boolean;
-    /** Whether an answer was begun that closes the connection, so that later requests on it get none. */
+    /** Whether an answer is being sent that closes the connection, so that later requests on it get none. */
     isEnding: boolean;
     /** Why the connection closes, as far as this side caused it. */
     reason: UnansweredReason;
@@ -67,24 +71,49 @@
      * @returns A signal that aborts if the caller disconnects before.
      */
     add(request: IncomingMessage, response: ServerResponse): AbortSignal {
-        const openRequest = {
+        const openRequest: OpenRequest = {
             request,
             response,
             controller: new AbortController(),
             arrivedAt: this.options.clock.getMonotonicTime(),
             isAbortedUnsent: false,
+            writeResponse: undefined,
         };
-        this.getConnection(request.socket).requests.add(openRequest);
+        const { requests } = this.getConnection(request.socket);
+        const latest = getLatest(requests);
+        requests.add(openRequest);
+        if (latest !== undefined) {
+            writeWaiting(latest);
+        }
         response.once("finish", () => this.remove(openRequest));
         return openRequest.controller.signal;
     }
 
     /** Checks if no request was received after the given one on its connection. */
     isLatest(request: IncomingMessage): boolean {
-        return [...this.getConnection(request.socket).requests].at(-1)?.request === request;
+        return getLatest(this.getConnection(request.socket).requests)?.request === request;
     }
 
-    /** Records that the answer to a request, which is being begun, closes its connection. */
+    /**
+     * Writes a whole response that would close its connection as soon as it is known if it does: when the responses before it are
+     * sent, or when another request is received behind it. The rest of its request is read and discarded meanwhile.
+     * @param request - The caller's request.
+     * @param write - Writes the response.
+     */
+    writeInTurn(request: IncomingMessage, write: () => void): void {
+        for (const openRequest of this.getConnection(request.socket).requests) {
+            if (openRequest.request === request && openRequest.response.socket === null) {
+                openRequest.writeResponse = write;
+                if (hasUnreadBody(request)) {
+                    void drainBody(request);
+                }
+                return;
+            }
+        }
+        write();
+    }
+
+    /** Records that the answer to a request, which is being sent, closes its connection. */
     startEnding({ socket }: IncomingMessage): void {
         const connection = this.getConnection(socket);
         connection.isEnding = true;
@@ -143,6 +172,10 @@
         const { socket } = openRequest.request;
         const connection = this.getConnection(socket);
         connection.requests.delete(openRequest);
+        for (const next of connection.requests) {
+            writeWaiting(next);
+            break;
+        }
         if (connection.isBroken && connection.requests.size === 0) {
             socket.destroySoon();
         }
@@ -188,6 +221,17 @@
     }
 }
 
+function getLatest(requests: ReadonlySet<OpenRequest>): OpenRequest | undefined {
+    return [...requests].at(-1);
+}
+
+/** Writes the response that waits for its turn, if there is one. */
+function writeWaiting(openRequest: OpenRequest): void {
+    const { writeResponse } = openRequest;
+    openRequest.writeResponse = undefined;
+    writeResponse?.();
+}
+
 /** Checks if the head of a response is written, and the response is the first on its connection. */
 function isBeingSent({ response }: OpenRequest): boolean {
     return response.headersSent && response.socket !== null;
--- a/src/request/relay/answers/answerSink.ts
+++ b/src/request/relay/answers/answerSink.ts
@@ -5,8 +5,12 @@
 export interface AnswerSink {
     /** Registers a callback for when the caller disconnects before its answer has ended. */
     onClosed(callback: () => void): void;
-    /** Starts the answer with an endpoint's status and headers. */
-    writeHead(head: AnswerHead): void;
+    /**
+     * Starts the answer with an endpoint's status and headers.
+     * @param head - Status and headers.
+     * @param isWhole - Whether the whole body and the end follow at once, in the same turn of the event loop. Default: they don't.
+     */
+    writeHead(head: AnswerHead, isWhole?: boolean): void;
     write(chunk: Buffer): void;
     /** Ends the answer as complete. */
     end(): void;
--- a/src/request/relay/answers/sendCompleteAnswer.ts
+++ b/src/request/relay/answers/sendCompleteAnswer.ts
@@ -3,7 +3,7 @@
 
 /** Forwards an endpoint's complete answer to the caller. */
 export function sendCompleteAnswer(sink: AnswerSink, { head, body }: CompleteAnswer): void {
-    sink.writeHead(head);
+    sink.writeHead(head, true);
     if (body.length > 0) {
         sink.write(body);
     }
--- a/tests/platform/lateListener.test.ts
+++ b/tests/platform/lateListener.test.ts
@@ -8,6 +8,7 @@
 import { systemClock } from "../../src/process/systemClock.ts";
 import { createRefusal } from "../../src/request/relay/answers/createRefusal.ts";
 import { RefusalReason } from "../../src/request/relay/answers/refusalReason.ts";
+import { RawCaller } from "../connection/caller/rawCaller.ts";
 
 const bodyParts = 5;
 const bodyPart = "b".repeat(100);
@@ -18,6 +19,7 @@
     /** Number of requests handled in each turn of the event loop. */
     const handledByTurn = new Map<number, number>();
     let turn = 0;
+    let onLater: (answer: () => void) => void = () => undefined;
     let port: number;
     let listener: CallerListener;
 
@@ -29,6 +31,10 @@
             getMaximumBodyBytes: () => 1_000,
             refuseEarly: head => isRefusing ? createRefusal.notRun(`${head.target} is late.`, 2_500) : undefined,
             handle: (request, sink) => {
+                if (request.target === "/later") {
+                    onLater(() => sink.refuse({ reason: RefusalReason.NoRoute, message: "answered later" }));
+                    return;
+                }
                 handledByTurn.set(turn, (handledByTurn.get(turn) ?? 0) + 1);
                 sink.refuse({ reason: RefusalReason.NoRoute, message: request.body.toString() });
             },
@@ -109,4 +115,27 @@
         isRefusing = false;
         assert.match(received, /^HTTP\/1.1 503 [^]*\/x is late\./);
     });
+
+    // The refusal was to close the connection, although it waited behind a running answer. What came meanwhile was read and dropped.
+    it("answers a request behind one that it has refused before its body arrived, while an answer runs", async () => {
+        const { promise: answerLater, resolve: setAnswer } = Promise.withResolvers<() => void>();
+        onLater = setAnswer;
+        const caller = await RawCaller.connect(`127.0.0.1:${port}`);
+        const createKept = (target: string) =>
+            `POST ${target} HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nContent-Length: 4\r\n\r\n`;
+        caller.write(`${createKept("/later")}body`);
+        const answer = await answerLater;
+        isRefusing = true;
+        caller.write(createKept("/refused"));
+        await wait(partMilliseconds);
+        caller.write("body");
+        await wait(partMilliseconds);
+        isRefusing = false;
+        caller.write(`${createKept("/last")}last`);
+        await wait(partMilliseconds);
+        answer();
+        await caller.waitFor("last");
+        caller.socket.destroy();
+        assert.match(caller.getReceived(), /^HTTP\/1.1 404 [^]*HTTP\/1.1 503 [^]*\/refused is late[^]*HTTP\/1.1 404 /);
+    });
 });
--- a/tests/platform/unansweredRequests.test.ts
+++ b/tests/platform/unansweredRequests.test.ts
@@ -6,11 +6,15 @@
 import { events } from "../../src/process/logging/events.ts";
 import { systemClock } from "../../src/process/systemClock.ts";
 import type { AnswerSink } from "../../src/request/relay/answers/answerSink.ts";
+import { sendCompleteAnswer } from "../../src/request/relay/answers/sendCompleteAnswer.ts";
 import { RawCaller } from "../connection/caller/rawCaller.ts";
 import { RecordingEventLog } from "../support/recordingEventLog.ts";
 import { waitUntil } from "../support/waitUntil.ts";
 import { createHead } from "./createHead.ts";
 
+/** More than the system buffers for a connection whose caller does not read. */
+const largeAnswerBytes = 12 * 1024 * 1024;
+
 const createRequest = (id: string) => `POST /x HTTP/1.1\r\nHost: h\r\nRequest-Id: ${id}\r\nContent-Length: 0\r\n\r\n`;
 
 describe("CallerListener whose connection closes with requests that were read", () => {
@@ -103,10 +107,11 @@
     it("logs those that come after the head of an answer which announces the close", async () => {
         const [first] = await send("first") as [AnswerSink];
         listener.startClosing();
-        first.writeHead(createHead());
+        caller.socket.pause();
+        sendCompleteAnswer(first, { head: createHead(), body: Buffer.alloc(largeAnswerBytes) });
         caller.write(createRequest("crossing"));
         await wait(100);
-        first.end();
+        caller.socket.resume();
         await caller.readToEnd();
         assert.deepEqual(getLogged(), [{ requests: "crossing", count: 1, reason: "announced close" }]);
     });
