Refuse in place of an answer that is aborted before a byte of it was sent

What callers saw: neither an answer nor a refusal, for a stream that broke off while it waited behind another answer on its connection, and for all requests behind it.

Cause: the head and the events of such a stream were already in Node.js's buffer, so that it could only be aborted. That closed the connection when its turn came. Part of the buffer could still go out before the close.

--- a/src/connection/caller/callerConnections.ts
+++ b/src/connection/caller/callerConnections.ts
@@ -23,8 +23,6 @@
     controller: AbortController;
     /** Monotonic time of its arrival, in milliseconds. */
     arrivedAt: number;
-    /** Whether its response was aborted before a byte of it was sent. */
-    isAbortedUnsent: boolean;
     /** Writes its whole response, which waits for its turn. */
     writeResponse: (() => void) | undefined;
 }
@@ -76,7 +74,6 @@
             response,
             controller: new AbortController(),
             arrivedAt: this.options.clock.getMonotonicTime(),
-            isAbortedUnsent: false,
             writeResponse: undefined,
         };
         const { requests } = this.getConnection(request.socket);
@@ -132,15 +129,8 @@
     }
 
     /** Records that the response to a request is being aborted, which closes its connection. */
-    noteAbort(request: IncomingMessage): void {
-        const connection = this.getConnection(request.socket);
-        connection.reason = UnansweredReason.AbortedAnswer;
-        for (const openRequest of connection.requests) {
-            if (openRequest.request === request) {
-                openRequest.isAbortedUnsent = !isBeingSent(openRequest);
-                return;
-            }
-        }
+    noteAbort({ socket }: IncomingMessage): void {
+        this.getConnection(socket).reason = UnansweredReason.AbortedAnswer;
     }
 
     /**
@@ -213,7 +203,7 @@
             return;
         }
         for (const openRequest of requests) {
-            if (openRequest.request.complete && (openRequest.isAbortedUnsent || !isBeingSent(openRequest))) {
+            if (openRequest.request.complete && !isBeingSent(openRequest)) {
                 unanswered.add(openRequest.request, openRequest.arrivedAt);
             }
         }
--- a/src/connection/caller/unansweredReason.ts
+++ b/src/connection/caller/unansweredReason.ts
@@ -2,7 +2,7 @@
 export const UnansweredReason = {
     /** They came after the head of an answer that announced the close of the connection. */
     AnnouncedClose: "announced close",
-    /** An answer before them, or their own, was aborted. */
+    /** An answer before them was aborted. */
     AbortedAnswer: "aborted answer",
     /** Bytes that are no request, or a timeout, came behind them. */
     InvalidInput: "invalid input",
--- a/src/request/relay/answers/answerSink.ts
+++ b/src/request/relay/answers/answerSink.ts
@@ -16,6 +16,6 @@
     end(): void;
     /** Answers with a refusal. Only allowed before the head is written. */
     refuse(refusal: RelayRefusal): void;
-    /** Aborts the answer in a way that the caller can't mistake for its end. */
+    /** Aborts the answer in a way that the caller can't mistake for its end. If no byte of it was sent, the caller gets a refusal instead. */
     abort(): void;
 }
