Refuse an incomplete request behind a running one whose rest can't be received

What callers saw: nothing, on a connection that stayed open. A request whose body was invalid or did not come in time, while an answer to an earlier request on its connection ran, got no response, and the connection did not close after the earlier answer. A node that stops waited for it until the end of its grace.

Cause: handleClientError leaves the connection to the pending answers, and closes it once no request is open. The incomplete one stayed open, since its body never ended. The body may also be late through this node: Node.js doesn't read a connection while its answers wait to be sent.

Change: reading the body ends with the error of the parser or of the timeout, and the request is refused as others are, in its turn.

--- a/src/connection/caller/callerConnections.ts
+++ b/src/connection/caller/callerConnections.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import type { Clock } from "../../process/clock.ts";
 import type { EventLog } from "../../process/logging/eventLog.ts";
+import type { RequestError } from "../../request/requestError.ts";
 import { createClientError } from "./createClientError.ts";
 import { createErrorBody } from "./createErrorBody.ts";
 import { drainBody } from "./drainBody.ts";
@@ -25,6 +26,8 @@
     arrivedAt: number;
     /** Writes its whole response, which waits for its turn. */
     writeResponse: (() => void) | undefined;
+    /** Called when the rest of the request can't be received. */
+    onBroken: ((error: RequestError) => void) | undefined;
 }
 
 /** State of one connection. */
@@ -75,6 +78,7 @@
             controller: new AbortController(),
             arrivedAt: this.options.clock.getMonotonicTime(),
             writeResponse: undefined,
+            onBroken: undefined,
         };
         const { requests } = this.getConnection(request.socket);
         const latest = getLatest(requests);
@@ -91,6 +95,17 @@
         return getLatest(this.getConnection(request.socket).requests)?.request === request;
     }
 
+    /**
+     * Registers a callback for when the rest of a request can't be received, although its connection is still open, since responses to
+     * earlier requests are pending.
+     */
+    onBroken(request: IncomingMessage, callback: (error: RequestError) => void): void {
+        const latest = getLatest(this.getConnection(request.socket).requests);
+        if (latest?.request === request) {
+            latest.onBroken = callback;
+        }
+    }
+
     /**
      * Writes a whole response that would close its connection as soon as it is known if it does: when the responses before it are
      * sent, or when another request is received behind it. The rest of its request is read and discarded meanwhile.
@@ -135,7 +150,7 @@
 
     /**
      * Responds to a parse error or a timeout with an error and closes the connection. If responses to earlier requests
-     * are pending, the connection closes after the last of them instead.
+     * are pending, the connection closes after the last of them instead, and a request that is incomplete is refused in its turn.
      * @param error - Error of the HTTP parser, or the timeout.
      */
     handleClientError(error: Error & { code?: string; }, socket: Socket): void {
@@ -151,6 +166,7 @@
         }
         for (const { request, response } of connection.requests) {
             if (request.complete || response.headersSent) {
+                refuseIncomplete(connection, error.code);
                 return;
             }
         }
@@ -227,6 +243,13 @@
     return response.headersSent && response.socket !== null;
 }
 
+function refuseIncomplete({ requests }: CallerConnection, code: string | undefined): void {
+    const latest = getLatest(requests);
+    if (latest?.request.complete === false) {
+        latest.onBroken?.(createClientError(code));
+    }
+}
+
 function abort(connection: CallerConnection): void {
     for (const { controller } of connection.requests) {
         controller.abort();
--- a/src/connection/caller/callerServer.ts
+++ b/src/connection/caller/callerServer.ts
@@ -208,7 +208,9 @@
         }
         const { span, version } = context.val;
         try {
-            const body = await readBody(request, response, version.configuration.limits.maximumBodyBytes);
+            const { maximumBodyBytes } = version.configuration.limits;
+            const onBroken = this.connections.onBroken.bind(this.connections, request);
+            const body = await readBody(request, response, maximumBodyBytes, onBroken);
             if (!body.ok) {
                 return body;
             }
--- a/src/connection/caller/readBody.ts
+++ b/src/connection/caller/readBody.ts
@@ -10,8 +10,21 @@
  * @param request - The caller's request.
  * @param response - Response to the request.
  * @param maximumBytes - Maximum size of the body. Larger bodies are refused.
+ * @param onBroken - Registers a callback for when the rest of the request can't be received.
  */
-export async function readBody(
+export function readBody(
+    request: IncomingMessage,
+    response: ServerResponse,
+    maximumBytes: number,
+    onBroken: (callback: (error: RequestError) => void) => void,
+): Promise<Result<Buffer, RequestError>> {
+    return new Promise(resolve => {
+        onBroken(error => resolve(Err(error)));
+        void readToEnd(request, response, maximumBytes).then(resolve);
+    });
+}
+
+async function readToEnd(
     request: IncomingMessage,
     response: ServerResponse,
     maximumBytes: number,
