Keep the answers behind one that a draining node sends on the same connection

Cause: a draining node announced the close with each answer, also where other requests on the connection were running, and with the head of a stream. Node.js closes the connection after that answer and drops those behind it. The platform's listener had the same fault with streams.

Change: only the answer to the latest request on a connection announces the close, and the head of a stream never does. Its connection is closed as idle when the node stops.

What remains: a refusal that waits behind a running stream and is the latest when it is written announces the close, so that a request which comes still later is not answered.

--- a/src/connection/caller/answerWriter.ts
+++ b/src/connection/caller/answerWriter.ts
@@ -29,7 +29,7 @@
     /**
      * Creates the writer of one request.
      * @param response - The caller's response.
-     * @param closesConnection - Checks if the connection should close after the answer.
+     * @param closesConnection - Checks if the connection should close after the answer, if that is whole.
      */
     static create(response: ServerResponse, closesConnection: () => boolean = () => false): AnswerWriter {
         const writer = new AnswerWriter(response, closesConnection);
@@ -105,7 +105,8 @@
     }
 
     /**
-     * Starts a stream of server-sent events.
+     * Starts a stream of server-sent events. Its head never announces the close of the connection, since requests that cross it would get
+     * no answer when the stream ends.
      * @param headers - Additional headers.
      * @param createTextEvent - Creates the data of an event from text.
      */
@@ -115,7 +116,6 @@
             ...headers,
             "content-type": "text/event-stream; charset=utf-8",
             "cache-control": "no-cache",
-            ...this.createConnectionHeaders(false),
         });
     }
 
--- a/src/connection/caller/callerServer.ts
+++ b/src/connection/caller/callerServer.ts
@@ -137,7 +137,9 @@
     }
 
     private createWriter(response: ServerResponse): AnswerWriter {
-        return AnswerWriter.create(response, () => this.options.getRefusal() !== undefined);
+        const { req: request } = response;
+        const closesConnection = () => this.options.getRefusal() !== undefined && this.connections.isLatest(request);
+        return AnswerWriter.create(response, closesConnection);
     }
 
     /** Handles one request and ensures that it gets exactly one final answer. */
--- a/tests/connection/caller/answerWriter.test.ts
+++ b/tests/connection/caller/answerWriter.test.ts
@@ -30,6 +30,21 @@
         return { status: response.statusCode, headers: response.headers, text: await response.body.text() };
     }
 
+    // Requests behind the head of a stream that announced the close got no answer, although the connection closed only with its end.
+    it("announces the close with a whole answer, and not with the head of a stream", async () => {
+        const address = await serve((_writer, response) => {
+            const writer = AnswerWriter.create(response, () => true);
+            if (response.req.method === "GET") {
+                writer.startStream({}, text => text);
+                writer.endStream(["last"]);
+                return;
+            }
+            writer.sendResponse(200, "text/plain", "");
+        });
+        assert.notEqual((await get(address)).headers["connection"], "close");
+        assert.equal((await get(address, "HEAD")).headers["connection"], "close");
+    });
+
     it("rejects a second final answer and keeps the first one", async () => {
         const errors: unknown[] = [];
         const address = await serve(writer => {
--- a/tests/connection/caller/gracefulStop.test.ts
+++ b/tests/connection/caller/gracefulStop.test.ts
@@ -4,6 +4,7 @@
 import { v7 as createUuid } from "uuid";
 import type { Admission } from "../../../src/request/admission/admission.ts";
 import { Ok } from "../../../src/result.ts";
+import { waitUntil } from "../../support/waitUntil.ts";
 import { createCallerServer } from "./callerServerFixture.ts";
 import { RawCaller } from "./rawCaller.ts";
 
@@ -12,6 +13,16 @@
 const answerBytes = 16 * 1024 * 1024;
 const answer = { status: 200, contentType: "text/plain", body: Buffer.alloc(answerBytes, "x") };
 
+function createHead(): string {
+    const headers = [
+        "host: x",
+        `authorization: Bearer ${apiKey}`,
+        `idempotency-key: ${createUuid()}`,
+        "content-length: 0",
+    ];
+    return `POST /v1/services/receipts/a HTTP/1.1\r\n${headers.join("\r\n")}\r\n\r\n`;
+}
+
 /** Starts a server that replays a large stored answer, and a caller that doesn't read it. */
 async function startSlowReading() {
     const admission = { waitingCount: 0, requestAdmission: () => Ok({ release: () => undefined }) };
@@ -24,13 +35,7 @@
     const { server, address } = await createCallerServer({ apiKey, environment });
     const caller = await RawCaller.connect(address);
     caller.socket.pause();
-    const headers = [
-        "host: x",
-        `authorization: Bearer ${apiKey}`,
-        `idempotency-key: ${createUuid()}`,
-        "content-length: 0",
-    ];
-    caller.write(`POST /v1/services/receipts/a HTTP/1.1\r\n${headers.join("\r\n")}\r\n\r\n`);
+    caller.write(createHead());
     await sleep(100);
     return { server, caller };
 }
@@ -60,4 +65,35 @@
         const received = await caller.readToEnd();
         assert.ok(received.length < answerBytes);
     });
+
+    // The first answer announced the close, so that the second one, which had run, was never sent.
+    it("answers each request that runs, also those sent before the answer to an earlier one", async () => {
+        const admission = { waitingCount: 0, requestAdmission: () => Ok({ release: () => undefined }) };
+        const pending: (() => void)[] = [];
+        const claim = () =>
+            new Promise<{ kind: "answered"; answer: typeof answer; }>(resolve => {
+                const body = Buffer.from(`answer ${pending.length}`);
+                pending.push(() => resolve({ kind: "answered", answer: { ...answer, body } }));
+            });
+        const environment = {
+            admission: admission as unknown as Admission,
+            getGateCapacity: () => 1,
+            claims: { claim, settle: () => undefined },
+        };
+        let refusal: { code: string; message: string; retryAfterMilliseconds: number; } | undefined = undefined;
+        const { server, address } = await createCallerServer({ apiKey, environment, getRefusal: () => refusal });
+        const caller = await RawCaller.connect(address);
+        for (let count = 1; count <= 2; count += 1) {
+            caller.write(createHead());
+            await waitUntil("the request runs", () => pending.length === count);
+        }
+        refusal = { code: "draining", message: "The node is draining.", retryAfterMilliseconds: 100 };
+        for (const finish of pending) {
+            finish();
+        }
+        const received = await caller.readToEnd();
+        await server.close();
+        assert.match(received, /answer 0HTTP\/1.1 200 [^]*connection: close\r\n[^]*answer 1$/);
+        assert.equal(received.match(/connection: close/g)?.length, 1);
+    });
 });
