--- a/src/connection/caller/callerConnections.ts
+++ b/src/connection/caller/callerConnections.ts
@@ -1,13 +1,33 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { Clock } from "../../process/clock.ts";
+import type { EventLog } from "../../process/logging/eventLog.ts";
+import type { RequestError } from "../../request/requestError.ts";
 import { createClientError } from "./createClientError.ts";
 import { createErrorBody } from "./createErrorBody.ts";
+import { drainBody } from "./drainBody.ts";
+import { hasUnreadBody } from "./hasUnreadBody.ts";
+import { UnansweredReason } from "./unansweredReason.ts";
+import { UnansweredRequests } from "./unansweredRequests.ts";
+
+/** Options of {@link CallerConnections}. */
+interface CallerConnectionsOptions {
+    clock: Pick<Clock, "getMonotonicTime">;
+    /** Log of the requests that get neither an answer nor a refusal. */
+    log: EventLog;
+}
 
 /** A request whose response has not been sent completely. */
 interface OpenRequest {
     request: IncomingMessage;
     response: ServerResponse;
     controller: AbortController;
+    /** Monotonic time of its arrival, in milliseconds. */
+    arrivedAt: number;
+    /** Writes its whole response, which waits for its turn. */
+    writeResponse: (() => void) | undefined;
+    /** Called when the rest of the request can't be received. */
+    onBroken: ((error: RequestError) => void) | undefined;
 }
 
 /** State of one connection. */
@@ -15,8 +35,14 @@
     requests: Set<OpenRequest>;
     /** Whether a parse error or a timeout occurred, so that the connection closes after its pending responses. */
     isBroken: boolean;
-    /** Whether an answer was begun that closes the connection, so that later requests on it get none. */
+    /** Whether an answer is being sent that closes the connection, so that later requests on it get none. */
     isEnding: boolean;
+    /** Why the connection closes, as far as this side caused it. */
+    reason: UnansweredReason;
+    /** Whether the caller closed the connection while responses were pending. */
+    hasCallerLeft: boolean;
+    /** Requests that were dropped. */
+    unanswered: UnansweredRequests;
 }
 
 /** Time for which a connection stays open after its last error, so that the caller can read it. */
@@ -30,11 +56,15 @@
 export class CallerConnections {
     private readonly connections = new WeakMap<Socket, CallerConnection>();
 
-    private constructor() {}
+    private readonly options: CallerConnectionsOptions;
+
+    private constructor(options: CallerConnectionsOptions) {
+        this.options = options;
+    }
 
     /** Creates an empty tracker. */
-    static create(): CallerConnections {
-        return new CallerConnections();
+    static create(options: CallerConnectionsOptions): CallerConnections {
+        return new CallerConnections(options);
     }
 
     /**
@@ -42,20 +72,64 @@
      * @returns A signal that aborts if the caller disconnects before.
      */
     add(request: IncomingMessage, response: ServerResponse): AbortSignal {
-        const openRequest = { request, response, controller: new AbortController() };
-        this.getConnection(request.socket).requests.add(openRequest);
+        const openRequest: OpenRequest = {
+            request,
+            response,
+            controller: new AbortController(),
+            arrivedAt: this.options.clock.getMonotonicTime(),
+            writeResponse: undefined,
+            onBroken: undefined,
+        };
+        const { requests } = this.getConnection(request.socket);
+        const latest = getLatest(requests);
+        requests.add(openRequest);
+        if (latest !== undefined) {
+            writeWaiting(latest);
+        }
         response.once("finish", () => this.remove(openRequest));
         return openRequest.controller.signal;
     }
 
     /** Checks if no request was received after the given one on its connection. */
     isLatest(request: IncomingMessage): boolean {
-        return [...this.getConnection(request.socket).requests].at(-1)?.request === request;
+        return getLatest(this.getConnection(request.socket).requests)?.request === request;
+    }
+
+    /**
+     * Registers a callback for when the rest of a request can't be received, although its connection is still open, since responses to
+     * earlier requests are pending.
+     */
+    onBroken(request: IncomingMessage, callback: (error: RequestError) => void): void {
+        const latest = getLatest(this.getConnection(request.socket).requests);
+        if (latest?.request === request) {
+            latest.onBroken = callback;
+        }
     }
 
-    /** Records that the answer to a request, which is being begun, closes its connection. */
+    /**
+     * Writes a whole response that would close its connection as soon as it is known if it does: when the responses before it are
+     * sent, or when another request is received behind it. The rest of its request is read and discarded meanwhile.
+     * @param request - The caller's request.
+     * @param write - Writes the response.
+     */
+    writeInTurn(request: IncomingMessage, write: () => void): void {
+        for (const openRequest of this.getConnection(request.socket).requests) {
+            if (openRequest.request === request && openRequest.response.socket === null) {
+                openRequest.writeResponse = write;
+                if (hasUnreadBody(request)) {
+                    void drainBody(request);
+                }
+                return;
+            }
+        }
+        write();
+    }
+
+    /** Records that the answer to a request, which is being sent, closes its connection. */
     startEnding({ socket }: IncomingMessage): void {
-        this.getConnection(socket).isEnding = true;
+        const connection = this.getConnection(socket);
+        connection.isEnding = true;
+        connection.reason = UnansweredReason.AnnouncedClose;
     }
 
     /** Checks if a request was received after an answer was begun that closes its connection. */
@@ -63,9 +137,20 @@
         return this.getConnection(socket).isEnding;
     }
 
+    /** Records that a request is dropped, since it came too late. It is logged when its connection closes. */
+    drop(request: IncomingMessage): void {
+        const { unanswered } = this.getConnection(request.socket);
+        unanswered.add(request, this.options.clock.getMonotonicTime());
+    }
+
+    /** Records that the response to a request is being aborted, which closes its connection. */
+    noteAbort({ socket }: IncomingMessage): void {
+        this.getConnection(socket).reason = UnansweredReason.AbortedAnswer;
+    }
+
     /**
      * Responds to a parse error or a timeout with an error and closes the connection. If responses to earlier requests
-     * are pending, the connection closes after the last of them instead.
+     * are pending, the connection closes after the last of them instead, and a request that is incomplete is refused in its turn.
      * @param error - Error of the HTTP parser, or the timeout.
      */
     handleClientError(error: Error & { code?: string; }, socket: Socket): void {
@@ -74,12 +159,14 @@
             return;
         }
         connection.isBroken = true;
+        connection.reason = UnansweredReason.InvalidInput;
         if (!socket.writable || error.code === "ECONNRESET") {
             socket.destroy();
             return;
         }
         for (const { request, response } of connection.requests) {
             if (request.complete || response.headersSent) {
+                refuseIncomplete(connection, error.code);
                 return;
             }
         }
@@ -91,6 +178,10 @@
         const { socket } = openRequest.request;
         const connection = this.getConnection(socket);
         connection.requests.delete(openRequest);
+        for (const next of connection.requests) {
+            writeWaiting(next);
+            break;
+        }
         if (connection.isBroken && connection.requests.size === 0) {
             socket.destroySoon();
         }
@@ -101,13 +192,62 @@
         if (known !== undefined) {
             return known;
         }
-        const connection: CallerConnection = { requests: new Set(), isBroken: false, isEnding: false };
+        const connection: CallerConnection = {
+            requests: new Set(),
+            isBroken: false,
+            isEnding: false,
+            reason: UnansweredReason.Closed,
+            hasCallerLeft: false,
+            unanswered: UnansweredRequests.create(),
+        };
         this.connections.set(socket, connection);
         // A caller that has closed its side is treated as disconnected. The connection itself closes some time later.
-        socket.once("end", () => abort(connection));
-        socket.once("close", () => abort(connection));
+        socket.once("end", () => {
+            connection.hasCallerLeft = connection.requests.size > 0;
+            abort(connection);
+        });
+        socket.once("close", () => {
+            connection.hasCallerLeft ||= socket.errored !== null;
+            this.logUnanswered(connection);
+            abort(connection);
+        });
         return connection;
     }
+
+    private logUnanswered({ requests, reason, hasCallerLeft, unanswered }: CallerConnection): void {
+        if (hasCallerLeft) {
+            return;
+        }
+        for (const openRequest of requests) {
+            if (openRequest.request.complete && !isBeingSent(openRequest)) {
+                unanswered.add(openRequest.request, openRequest.arrivedAt);
+            }
+        }
+        unanswered.writeTo(this.options.log, reason, this.options.clock.getMonotonicTime());
+    }
+}
+
+function getLatest(requests: ReadonlySet<OpenRequest>): OpenRequest | undefined {
+    return [...requests].at(-1);
+}
+
+/** Writes the response that waits for its turn, if there is one. */
+function writeWaiting(openRequest: OpenRequest): void {
+    const { writeResponse } = openRequest;
+    openRequest.writeResponse = undefined;
+    writeResponse?.();
+}
+
+/** Checks if the head of a response is written, and the response is the first on its connection. */
+function isBeingSent({ response }: OpenRequest): boolean {
+    return response.headersSent && response.socket !== null;
+}
+
+function refuseIncomplete({ requests }: CallerConnection, code: string | undefined): void {
+    const latest = getLatest(requests);
+    if (latest?.request.complete === false) {
+        latest.onBroken?.(createClientError(code));
+    }
 }
 
 function abort(connection: CallerConnection): void {
--- a/src/connection/caller/callerServer.ts
+++ b/src/connection/caller/callerServer.ts
@@ -34,7 +34,7 @@
 export class CallerServer {
     private readonly options: CallerServerOptions;
     private readonly server: Server;
-    private readonly connections = CallerConnections.create();
+    private readonly connections: CallerConnections;
     /**
      * Delays requests until pending input is read, which may contain the disconnect of the caller if the event loop was
      * blocked.
@@ -46,6 +46,7 @@
 
     private constructor(options: CallerServerOptions) {
         this.options = options;
+        this.connections = CallerConnections.create(options.environment);
         const router = this.createRouter();
         this.server = createHttpServer(options, (request, response) => router.lookup(request, response));
         this.server.on("clientError", (error: Error, socket) => {
@@ -136,7 +137,9 @@
     }
 
     private createWriter(response: ServerResponse): AnswerWriter {
-        return AnswerWriter.create(response, () => this.options.getRefusal() !== undefined);
+        const { req: request } = response;
+        const closesConnection = () => this.options.getRefusal() !== undefined && this.connections.isLatest(request);
+        return AnswerWriter.create(response, closesConnection);
     }
 
     /** Handles one request and ensures that it gets exactly one final answer. */
@@ -207,7 +210,9 @@
         }
         const { span, version } = context.val;
         try {
-            const body = await readBody(request, response, version.configuration.limits.maximumBodyBytes);
+            const { maximumBodyBytes } = version.configuration.limits;
+            const onBroken = this.connections.onBroken.bind(this.connections, request);
+            const body = await readBody(request, response, maximumBodyBytes, onBroken);
             if (!body.ok) {
                 return body;
             }
