Don't count refusals of a started answer as attempts

What callers saw: an answer of foxlead node ended after some tokens (502, or a stream that is cut) although its engine had room again a second later.

Cause: an engine that refuses a pass has run nothing, but each refusal counted as one of the 12 attempts of an answer. With the only engine full, they were used up within 600 ms.

Change: once something of an answer has run, refusals don't count. The answer waits up to 8 s for a chain that accepts it, as it did for a chain that is available, and asks those that refuse it again after 50 ms, doubling to 400 ms. The decisions are in GenerationRetries, without I/O. FL1736 says how often and for how long a started answer was refused and whether it was continued. Before anything has run, nothing changes: 12 attempts, then a true 503.

Evidence: tests/request/model/silentEngines.test.ts. On the code before, the answers beside an engine that is full for 1.5 s after its connection broke, and beside one that is silent for 1.5 s and then full for 1 s, ended after t8 (the first after 608 ms). Silence of 1, 1.5 and 2.5 s alone, of the first and of a later stage, ended no answer before and ends none now.

--- a/bench/recovery/foxleadRouter.ts
+++ b/bench/recovery/foxleadRouter.ts
@@ -104,6 +104,7 @@
     private createObserver(): GenerationObserver {
         return {
             onPassSent: () => () => undefined,
+            onRefusalsEnded: () => undefined,
             onAttemptFailed: failure => {
                 const cause = `${failure.kind}: ${failure.reason}`;
                 this.counts.brokenAttempts.set(cause, (this.counts.brokenAttempts.get(cause) ?? 0) + 1);
--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -228,6 +228,13 @@
         level: "warn",
         message: "A stage of a chain failed; the context is rebuilt on another chain.",
     },
+    answerRefused: {
+        number: 1736,
+        level: "warn",
+        message:
+            "Engines refused a started answer without running it, and it was continued or ended. If it ends, add memory or "
+            + "engines.",
+    },
     requestCrashed: { number: 1703, level: "error", message: "A request failed with an unexpected error." },
     relayEnded: { number: 1710, level: "info", message: "A routed request has ended." },
     relayAttemptFailed: {
--- a/src/request/model/createGenerationObserver.ts
+++ b/src/request/model/createGenerationObserver.ts
@@ -48,6 +48,13 @@
                 reason: failure.reason,
             });
         },
+        onRefusalsEnded: ({ refusals, milliseconds }, isContinued) =>
+            log.write(events.answerRefused, {
+                request: context.id,
+                refusals,
+                milliseconds: Math.round(milliseconds),
+                isContinued,
+            }),
         onRecovered: elapsedMilliseconds =>
             metrics.recoverySeconds.observe(elapsedMilliseconds / millisecondsPerSecond),
         onContextRebuilt: positions => metrics.rebuiltPositionsTotal.inc(positions),
--- a/src/request/model/generationObserver.ts
+++ b/src/request/model/generationObserver.ts
@@ -1,6 +1,7 @@
 import type { PassResult } from "../../connection/endpoint/engineProtocol.ts";
 import type { PassFailure } from "../../connection/endpoint/passFailure.ts";
 import type { Result } from "../../result.ts";
+import type { RefusedTime } from "./generationRetries.ts";
 import type { NextPass } from "./generationStep.ts";
 
 /** Receives notifications while an answer is generated, to record spans, metrics and log events. */
@@ -9,6 +10,8 @@
     onPassSent(endpoint: string, pass: NextPass): (result: Result<PassResult, PassFailure>) => void;
     /** Called when an attempt fails. */
     onAttemptFailed(failure: PassFailure): void;
+    /** Called when a started answer that engines refused continues or ends. */
+    onRefusalsEnded(refused: RefusedTime, isContinued: boolean): void;
     /** Called at the first token after a failed attempt, with the time since the failure. */
     onRecovered(elapsedMilliseconds: number): void;
     /** Called at the end of an answer whose context was rebuilt, with the number of positions that ran again. */
--- a/src/request/model/runGeneration.ts
+++ b/src/request/model/runGeneration.ts
@@ -10,6 +10,7 @@
 import { ChainSelection } from "./chainSelection.ts";
 import { Generation, type GenerationOptions } from "./generation.ts";
 import type { GenerationObserver } from "./generationObserver.ts";
+import { GenerationRetries } from "./generationRetries.ts";
 import type { GenerationStep } from "./generationStep.ts";
 import { SlowStageDetector } from "./slowStageDetector.ts";
 
@@ -45,11 +46,8 @@
 /** Reason why an attempt ended without an answer. */
 type AttemptEnd = { kind: "cancelled"; } | { kind: "broken"; failure: PassFailure; };
 
-/** Maximum number of attempts of one answer. */
-const maximumAttempts = 12;
-/** Maximum wait of a started answer for an available chain. */
-const chainWaitMilliseconds = 8_000;
-const chainRetryDelayMilliseconds = 50;
+/** Interval at which a started answer checks if a chain is available. */
+const chainCheckMilliseconds = 50;
 const noChainRetryAfterMilliseconds = 1_000;
 
 /**
@@ -68,6 +66,7 @@
     private readonly options: RunGenerationOptions;
     private readonly generation: Generation;
     private readonly selection: ChainSelection;
+    private readonly retries = GenerationRetries.create();
     private mayHaveRun = false;
     /** Monotonic time of the first failure since the last token. */
     private brokenAt: number | undefined;
@@ -84,6 +83,7 @@
 
     async run(): Promise<Result<GenerationSummary, RequestError>> {
         const outcome = await this.runAttempts();
+        this.reportRefusals(outcome.ok);
         const rebuiltPositions = this.generation.getRebuiltPositions();
         if (rebuiltPositions > 0) {
             this.options.observer.onContextRebuilt(rebuiltPositions);
@@ -93,7 +93,7 @@
 
     private async runAttempts(): Promise<Result<GenerationSummary, RequestError>> {
         let lastMessage = "";
-        for (let attempt = 1; attempt <= maximumAttempts; attempt += 1) {
+        while (this.retries.isAllowed(this.getTime())) {
             const chain = await this.chooseChain();
             if (!chain.ok) {
                 return chain;
@@ -108,7 +108,7 @@
             lastMessage = outcome.val.failure.message;
             this.handleBrokenAttempt(chain.val, outcome.val.failure);
         }
-        return Err(this.createFinalError(`The answer failed after ${maximumAttempts} attempts. ${lastMessage}`));
+        return Err(this.createFinalError(`${this.retries.describeEnd()} ${lastMessage}`));
     }
 
     private async runReservedAttempt(chain: Chain): Promise<Result<Omit<GenerationSummary, "chain">, AttemptEnd>> {
@@ -135,7 +135,7 @@
         const detector = SlowStageDetector.create(chain.stages.length);
         for (;;) {
             const { endpoint } = chain.stages[stage]!;
-            const sentAt = this.options.clock.getMonotonicTime();
+            const sentAt = this.getTime();
             const result = await this.runPass(endpoint, pass);
             if (this.options.signal.aborted) {
                 return Err({ kind: "cancelled" });
@@ -144,7 +144,7 @@
                 return Err({ kind: "broken", failure: result.val });
             }
             this.mayHaveRun = true;
-            detector.observePass(stage, result.val.count, this.options.clock.getMonotonicTime() - sentAt);
+            detector.observePass(stage, result.val.count, this.getTime() - sentAt);
             const step = this.generation.acceptResult(result.val);
             if (step.kind === "stale" || step.kind === "malformed") {
                 return Err({ kind: "broken", failure: this.createMalformedFailure(endpoint, step) });
@@ -183,8 +183,9 @@
             return;
         }
         if (this.brokenAt !== undefined) {
-            this.options.observer.onRecovered(this.options.clock.getMonotonicTime() - this.brokenAt);
+            this.options.observer.onRecovered(this.getTime() - this.brokenAt);
             this.brokenAt = undefined;
+            this.reportRefusals(true);
         }
         if (step.text !== "") {
             this.options.onText(step.text);
@@ -196,35 +197,51 @@
      * endpoints are allowed again if there is no chain without them.
      */
     private async chooseChain(): Promise<Result<Chain, RequestError>> {
-        const { clock } = this.options;
-        const deadline = clock.getMonotonicTime() + chainWaitMilliseconds;
+        const deadline = this.retries.getWaitEnd(this.getTime());
         for (;;) {
             const chain = this.selection.chooseChain(this.generation.getEstimatedPositions());
             if (chain.ok) {
                 return Ok(chain.val);
             }
-            const canWait = this.mayHaveRun && clock.getMonotonicTime() < deadline;
+            const canWait = this.mayHaveRun && this.getTime() < deadline;
             if (this.options.signal.aborted) {
                 return Err(this.createAbortError());
             }
             if (!canWait && !this.selection.hasExclusions()) {
                 return Err(this.createFinalError(chain.val.message));
             }
+            const delayMilliseconds = this.selection.hasExclusions()
+                ? this.retries.takeDelay()
+                : chainCheckMilliseconds;
             this.selection.clearExclusions();
-            await new Promise<void>(resolve => void clock.setTimer(chainRetryDelayMilliseconds, resolve));
+            await new Promise<void>(resolve => void this.options.clock.setTimer(delayMilliseconds, resolve));
         }
     }
 
     private handleBrokenAttempt(chain: Chain, failure: PassFailure): void {
-        const { observer, chooser, clock } = this.options;
+        const { observer, chooser } = this.options;
         const isRefusal = failure.kind === "refused" || failure.kind === "notSent";
         this.mayHaveRun ||= !isRefusal;
-        this.brokenAt ??= clock.getMonotonicTime();
+        if (isRefusal && this.mayHaveRun) {
+            this.retries.addRefusal(this.getTime());
+        }
+        else {
+            this.retries.addFailure();
+        }
+        this.brokenAt ??= this.getTime();
         this.selection.observeBrokenChain(chain, failure.endpoint);
         chooser.observeFailure(failure.endpoint);
         observer.onAttemptFailed(failure);
     }
 
+    /** Reports how long the started answer was refused, if it was since its last token. */
+    private reportRefusals(isContinued: boolean): void {
+        const refused = this.retries.takeRefusals(this.getTime());
+        if (refused !== undefined) {
+            this.options.observer.onRefusalsEnded(refused, isContinued);
+        }
+    }
+
     /** Cancels the sequence at every stage. Engines keep its memory until then. */
     private cancelChain(chain: Chain): void {
         const order = { request: this.options.request, attempt: this.generation.getAttempt() };
@@ -267,6 +284,10 @@
             attempts: this.generation.getAttempt(),
         };
     }
+
+    private getTime(): number {
+        return this.options.clock.getMonotonicTime();
+    }
 }
 
 function createSlowFailure(endpoint: string): PassFailure {
