Don't count endpoints that refused a document request against its route's maximum

What callers saw: 502 within milliseconds for an idempotent request that one endpoint may have run and another one refused without running it, although a third one would have answered.

Cause: an endpoint that refused the request stayed among those that may have run it. After the first possible run, it counted towards the maximum number of endpoints of the route.

Change: an attempt that surely has not run is removed from the possible runs, as for streams.

Evidence: tests/request/relay/documents/documentRelay.test.ts, three endpoints, a maximum of two, the first connection breaks, the second endpoint refuses.

--- a/src/request/relay/documents/documentAttempts.ts
+++ b/src/request/relay/documents/documentAttempts.ts
@@ -32,12 +32,13 @@
     }
 
     /**
-     * Gets the only endpoints that may receive the request again; undefined if others may receive it too. A request that surely has not
-     * run may exceed the route's maximum, up to a number of refusals.
+     * Gets the only endpoints that may receive the request again; undefined if others may receive it too. Endpoints that surely have not
+     * run it don't count towards the route's maximum, but no endpoint may receive it after a number of refusals.
      */
     getOnlyAllowedIds(): ReadonlySet<string> | undefined {
-        const hasSurelyNotRun = !this.hasPossibleRun && !this.areRunning();
-        return hasSurelyNotRun && this.refusals <= maximumRefusals ? undefined : this.runs.getOnlyAllowedIds();
+        return this.refusals > maximumRefusals && this.refusals >= this.maximumAttempts
+            ? new Set()
+            : this.runs.getOnlyAllowedIds();
     }
 
     /** Checks if the number of attempts allows a hedge. */
@@ -61,6 +62,9 @@
     /** Ends an attempt without an answer that can be forwarded. */
     end(attempt: DocumentAttempt, { isNotRun, answer }: DocumentAttemptEnd): void {
         this.release(attempt);
+        if (isNotRun) {
+            this.runs.remove(attempt.run);
+        }
         this.hasPossibleRun ||= !isNotRun;
         this.failureAnswer = answer ?? this.failureAnswer;
     }
--- a/tests/request/relay/documents/documentRelay.test.ts
+++ b/tests/request/relay/documents/documentRelay.test.ts
@@ -13,6 +13,34 @@
     return bench;
 }
 
+/** Starts an idempotent request whose route allows some attempts. */
+function startRepeatable(endpointIds: readonly string[], maximumAttempts: number): RelayBench {
+    const bench = RelayBench.create(endpointIds.map(id => createEndpoint(id)));
+    const task = bench.createTask(RequestKind.Idempotent);
+    const route = { ...task.route, maximumAttempts };
+    DocumentRelay.start(bench.environment, { ...task, route, dueAt: 4_000 }, () => undefined);
+    return bench;
+}
+
+type SentRequest = RelayBench["sentRequests"][number];
+
+function breakOff(sent: SentRequest | undefined): void {
+    sent!.sentAt = 0;
+    sent!.listener.onFailure({ kind: UpstreamFailureKind.Broken, message: "reset" });
+}
+
+function refuse(sent: SentRequest | undefined): void {
+    sent!.sentAt = 0;
+    sent!.listener.onHead(503, { "request-id": "request", "not-executed": "1" });
+    sent!.listener.onEnd();
+}
+
+function answer(sent: SentRequest | undefined): void {
+    sent!.sentAt = 0;
+    sent!.listener.onHead(200, { "request-id": "request", "response-seal": "s" });
+    sent!.listener.onEnd();
+}
+
 describe("DocumentRelay", () => {
     it("sends a non-idempotent request to another endpoint if the first one accepts no connection", async () => {
         const bench = start(RequestKind.NonIdempotent);
@@ -76,4 +104,13 @@
             assert.deepEqual(bench.answers, ["notRun"], kind);
         }
     });
+
+    // Guards against 502 for a request that another endpoint would have answered: a refusal without a run used up an attempt.
+    it("doesn't count an endpoint that refused the request against the route's maximum after another one may have run it", () => {
+        const bench = startRepeatable(["1", "2", "3"], 2);
+        breakOff(bench.sentRequests[0]);
+        refuse(bench.sentRequests[1]);
+        answer(bench.sentRequests[2]);
+        assert.deepEqual(bench.answers, ["200"]);
+    });
 });
