Let a document request that may have run wait for an endpoint that accepts it

What callers saw: 502 within milliseconds for an idempotent request, with most of its time left, after the connection to one endpoint had broken and the others were full for a moment, or the retry budget of the node was used up.

Cause: each endpoint was asked once, and a refusal, or a retry that the budget didn't allow, ended a request that may have run, whose outcome the caller can't know then.

Change: such a request waits 50 ms, doubling to 400 ms, and asks one endpoint after each delay, within the retry budget, for up to 2 s or half of its remaining time. It is run as often at most as its route allows endpoints, not counting runs that have ended. A request that surely has not run is still refused at once with 503.

Evidence: tests/request/relay/documents/documentRelay.test.ts.

--- a/src/request/relay/documents/documentAttempts.ts
+++ b/src/request/relay/documents/documentAttempts.ts
@@ -41,6 +41,17 @@
             : this.runs.getOnlyAllowedIds();
     }
 
+    /** Checks if the request has no outcome, although an endpoint may have run it, and may be run once more. */
+    isAnotherRunAllowed(): boolean {
+        const hasNoOutcome = this.hasPossibleRun && this.failureAnswer === undefined;
+        return hasNoOutcome && !this.areRunning() && this.runs.isAnotherRunAllowed();
+    }
+
+    /** Allows as many refusals as for a new request. */
+    resetRefusals(): void {
+        this.refusals = 0;
+    }
+
     /** Checks if the number of attempts allows a hedge. */
     isHedgeAllowed(): boolean {
         return this.count > 0 && this.count < this.maximumAttempts;
--- a/src/request/relay/documents/documentEndpoints.ts
+++ b/src/request/relay/documents/documentEndpoints.ts
@@ -13,7 +13,7 @@
     refusal: RelayRefusal;
 }
 
-/** Chooses the endpoints of a document service that a request is sent to, each at most once. */
+/** Chooses the endpoints of a document service that a request is sent to, each at most once until all are allowed again. */
 export class DocumentEndpoints {
     private readonly environment: RelayEnvironment;
     private readonly task: RelayTask;
@@ -64,6 +64,13 @@
         this.triedIds.delete(endpointId);
     }
 
+    /** Allows all endpoints to be chosen again, if there is none left that has not received the request. */
+    allowAllAgainIfNoneLeft(): void {
+        if (!this.hasUntried()) {
+            this.triedIds.clear();
+        }
+    }
+
     /**
      * Gets why no endpoint is left. The retry delay depends on whether endpoints have rate limits or want a pause.
      * @param cause - Why the request has no answer yet.
--- a/src/request/relay/documents/documentRelay.ts
+++ b/src/request/relay/documents/documentRelay.ts
@@ -24,6 +24,7 @@
 import type { DocumentAttemptEnd } from "./documentAttemptEnd.ts";
 import { DocumentAttempts } from "./documentAttempts.ts";
 import { DocumentEndpoints } from "./documentEndpoints.ts";
+import { DocumentRetryWait } from "./documentRetryWait.ts";
 
 const account = ProcessorAccount.ofProcess;
 /**
@@ -42,10 +43,12 @@
     private readonly endpoints: DocumentEndpoints;
     private readonly runs: PossibleRuns;
     private readonly attempts: DocumentAttempts;
+    private readonly wait = DocumentRetryWait.create();
     private readonly timers: TimerHandle[] = [];
     private readonly onDone: () => void;
     private readonly quarantine: TaskQuarantine;
     private readonly guard: RequestGuard;
+    private isWaiting = false;
     private isDone = false;
 
     private constructor(environment: RelayEnvironment, task: RelayTask, onDone: () => void) {
@@ -89,13 +92,16 @@
         const { environment } = this;
         const endpoint = this.endpoints.acquire(this.attempts.getOnlyAllowedIds());
         if (endpoint === undefined) {
+            if (this.waitForEndpoint(cause)) {
+                return;
+            }
             const exhausted = this.endpoints.explainExhaustion(cause);
             this.giveUp(exhausted.cause, exhausted.refusal);
             return;
         }
         if (isRetry && !this.takeRetryFromBudget()) {
             environment.limits.refund(endpoint.id);
-            this.giveUp(cause);
+            this.waitOrGiveUp(cause);
             return;
         }
         const now = environment.clock.getMonotonicTime();
@@ -113,6 +119,36 @@
         this.send(attempt);
     }
 
+    /**
+     * Waits until the endpoints, or the retry budget, may accept an idempotent request that may have run: its outcome would be unknown
+     * otherwise. It asks one endpoint at a time. One that surely has not run is refused instead, so that its caller can send it to
+     * another node.
+     * @returns Whether the request waits.
+     */
+    private waitForEndpoint(cause: string): boolean {
+        if (!this.isIdempotent() || !this.attempts.isAnotherRunAllowed()) {
+            return false;
+        }
+        const delayMilliseconds = this.wait.takeDelay(this.getTime(), this.task.dueAt);
+        if (delayMilliseconds === undefined) {
+            return false;
+        }
+        this.isWaiting = true;
+        this.setTimer(delayMilliseconds, () => {
+            this.isWaiting = false;
+            this.endpoints.allowAllAgainIfNoneLeft();
+            this.attempts.resetRefusals();
+            this.startAttempt(cause, true);
+        });
+        return true;
+    }
+
+    private waitOrGiveUp(cause: string): void {
+        if (!this.waitForEndpoint(cause)) {
+            this.giveUp(cause);
+        }
+    }
+
     /** Checks if the request is quarantined. If so, refuses it unless an endpoint still runs it. */
     private refuseIfQuarantined(cause: string): boolean {
         const hold = this.quarantine.getHold();
@@ -267,6 +303,10 @@
         if (this.attempts.areRunning()) {
             return;
         }
+        if (this.wait.hasBegun() && end.isNotRun) {
+            this.waitOrGiveUp(end.cause);
+            return;
+        }
         if (end.isNotRun && !this.attempts.mayHaveRun() || this.isIdempotent()) {
             this.startAttempt(end.cause, !end.isUnsent);
             return;
@@ -322,7 +362,8 @@
 
     private hedge(): void {
         if (
-            this.isDone || this.quarantine.isCanary() || !this.attempts.isHedgeAllowed() || !this.endpoints.hasUntried()
+            this.isDone || this.isWaiting || this.quarantine.isCanary() || !this.attempts.isHedgeAllowed()
+            || !this.endpoints.hasUntried()
         ) {
             return;
         }
--- a/src/request/relay/possibleRuns.ts
+++ b/src/request/relay/possibleRuns.ts
@@ -43,6 +43,12 @@
         return ids.size < this.maximumEndpoints ? undefined : ids;
     }
 
+    /** Checks if the request may be run once more. Unlike endpoints, all its runs count that haven't ended, also those at the same endpoint. */
+    isAnotherRunAllowed(): boolean {
+        const counted = [...this.runs].filter(run => run.getSentTime() !== undefined && !this.ends.hasEnded(run));
+        return counted.length < this.maximumEndpoints;
+    }
+
     /** Describes for the log which endpoints count, and which have ended since they received the request. */
     describe(): { countedRuns: string; endedRuns: string; } {
         return { countedRuns: [...this.getIds(false)].join(","), endedRuns: [...this.getIds(true)].join(",") };
--- a/tests/request/relay/documents/documentRelay.test.ts
+++ b/tests/request/relay/documents/documentRelay.test.ts
@@ -113,4 +113,50 @@
         answer(bench.sentRequests[2]);
         assert.deepEqual(bench.answers, ["200"]);
     });
+
+    // Guards against 502 within milliseconds for a request that may have run, since all other endpoints were full for a moment.
+    it("asks endpoints that refused an idempotent request again later if one may have run it", async () => {
+        const bench = startRepeatable(["1", "2"], 2);
+        breakOff(bench.sentRequests[0]);
+        refuse(bench.sentRequests[1]);
+        assert.deepEqual(bench.answers, []);
+        await bench.clock.advance(1_000);
+        for (const sent of bench.sentRequests.slice(2)) {
+            refuse(sent);
+        }
+        await bench.clock.advance(400);
+        answer(bench.sentRequests.at(-1));
+        assert.deepEqual(bench.answers, ["200"]);
+    });
+
+    it("limits the wait of a request that may have run, the number of attempts in it and the number of its runs", async () => {
+        const bench = startRepeatable(["1", "2"], 2);
+        breakOff(bench.sentRequests[0]);
+        let answered = 1;
+        for (let now = 0; now < 2_000 && bench.answers.length === 0; now += 10) {
+            for (; answered < bench.sentRequests.length; answered += 1) {
+                refuse(bench.sentRequests[answered]);
+            }
+            await bench.clock.advance(10);
+        }
+        assert.deepEqual(bench.answers, ["outcomeUnknown"]);
+        assert.ok(answered <= 10, `${answered} attempts`);
+        const broken = startRepeatable(["1", "2"], 2);
+        breakOff(broken.sentRequests[0]);
+        breakOff(broken.sentRequests[1]);
+        assert.deepEqual(broken.answers, ["outcomeUnknown"]);
+    });
+
+    it("waits for its retry budget if a request may have run", async () => {
+        const bench = startRepeatable(["1", "2"], 2);
+        while (bench.environment.retryBudget.takeRetry(0)) {
+            // The budget grows by one retry a second.
+        }
+        breakOff(bench.sentRequests[0]);
+        assert.deepEqual(bench.answers, []);
+        await bench.clock.advance(1_500);
+        assert.equal(bench.sentRequests.length, 2);
+        answer(bench.sentRequests[1]);
+        assert.deepEqual(bench.answers, ["200"]);
+    });
 });
