Let a document call of foxlead node that may have run wait for an endpoint that accepts it

What callers saw: 502 within milliseconds for an idempotent call whose connection to one endpoint had broken while the other one answered 429 for a moment, or while the retry budget was used up.

Cause: as for documents of foxlead platform: each endpoint was asked once, and a refusal without a run, or a retry that the budget didn't allow, ended a call that may have run.

A call that surely has not run is refused as before, and one that isn't idempotent is never repeated.

Evidence: tests/request/document/misbehavingDocuments.test.ts, two endpoints that refuse for 0.7 s after the first connection broke.

--- a/src/request/relay/documents/documentRelay.ts
+++ b/src/request/relay/documents/documentRelay.ts
@@ -9,6 +9,7 @@
 import { ProcessorAccount } from "../../../process/loop/processorAccount.ts";
 import { ProcessorCause } from "../../../process/loop/processorCause.ts";
 import { RequestKind } from "../../../version/routing/requestKind.ts";
+import { RetryWait } from "../../retryWait.ts";
 import type { CompleteAnswer } from "../answers/completeAnswer.ts";
 import { createRefusal } from "../answers/createRefusal.ts";
 import type { RelayRefusal } from "../answers/relayRefusal.ts";
@@ -24,7 +25,6 @@
 import type { DocumentAttemptEnd } from "./documentAttemptEnd.ts";
 import { DocumentAttempts } from "./documentAttempts.ts";
 import { DocumentEndpoints } from "./documentEndpoints.ts";
-import { DocumentRetryWait } from "./documentRetryWait.ts";
 
 const account = ProcessorAccount.ofProcess;
 /**
@@ -43,7 +43,7 @@
     private readonly endpoints: DocumentEndpoints;
     private readonly runs: PossibleRuns;
     private readonly attempts: DocumentAttempts;
-    private readonly wait = DocumentRetryWait.create();
+    private readonly wait = RetryWait.create();
     private readonly timers: TimerHandle[] = [];
     private readonly onDone: () => void;
     private readonly quarantine: TaskQuarantine;
--- a/src/request/relay/documents/documentRetryWait.ts
+++ b/src/request/retryWait.ts
@@ -6,15 +6,15 @@
 const maximumDelayMilliseconds = 400;
 
 /** Decides for how long a request that may have run waits for an endpoint that accepts it, and when it asks the next one. */
-export class DocumentRetryWait {
+export class RetryWait {
     private endsAt: number | undefined;
     private delayMilliseconds = initialDelayMilliseconds;
 
     private constructor() {}
 
     /** Creates the wait of a request that has not waited yet. */
-    static create(): DocumentRetryWait {
-        return new DocumentRetryWait();
+    static create(): RetryWait {
+        return new RetryWait();
     }
 
     /** Checks if the request has waited. */
--- a/tests/request/document/misbehavingDocuments.test.ts
+++ b/tests/request/document/misbehavingDocuments.test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import type { Socket } from "node:net";
 import { after, before, describe, it } from "node:test";
 import { RawEndpoint } from "../../../standins/network/rawEndpoint.ts";
 import { NodeFixture } from "../../connection/caller/nodeFixture.ts";
@@ -85,6 +86,51 @@
     }
 });
 
+describe("document services whose other endpoints are full for a moment after a connection broke", () => {
+    const refusal = "HTTP/1.1 429 Too Many Requests\r\ncontent-length: 0\r\n\r\n";
+    const completeAnswer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+    async function callWhileFull(service: string, fullMilliseconds: number) {
+        let brokenAt: number | undefined;
+        let refusals = 0;
+        const onRequest = (socket: Socket) => {
+            if (brokenAt === undefined) {
+                brokenAt = Date.now();
+                socket.destroy();
+                return;
+            }
+            const isFull = Date.now() - brokenAt < fullMilliseconds;
+            refusals += Number(isFull);
+            socket.write(isFull ? refusal : completeAnswer);
+        };
+        const endpoints = [await RawEndpoint.create({ onRequest }), await RawEndpoint.create({ onRequest })];
+        const [first, second] = endpoints.map(endpoint => endpoint.getAddress());
+        const fixture = await NodeFixture.create({ addresses: { "document-1": first!, "document-2": second! } });
+        const answer = await fixture.post(`/v1/services/${service}/a`, "x", service === "receipts" ? createKey() : {});
+        await fixture.close();
+        for (const endpoint of endpoints) {
+            await endpoint.close();
+        }
+        return { answer, refusals, milliseconds: Date.now() - (brokenAt ?? 0) };
+    }
+
+    // Guards against 502 within milliseconds: a refusal without a run ended an idempotent call that may have run.
+    it("answer an idempotent call once one of them accepts it", async () => {
+        const { answer, refusals } = await callWhileFull("summaries", 700);
+        assert.equal(answer.status, 200, answer.text);
+        assert.ok(refusals < 8, `${refusals} refusals`);
+    });
+
+    it("end an idempotent call after a limited time, and any other call at once", async () => {
+        const idempotent = await callWhileFull("summaries", Infinity);
+        assert.equal(idempotent.answer.status, 502);
+        assert.ok(idempotent.milliseconds > 1_000 && idempotent.refusals < 12, JSON.stringify(idempotent));
+        const other = await callWhileFull("receipts", Infinity);
+        NodeFixture.assertError(other.answer, { ...unknown, message: /may have run; it is not repeated/ });
+        assert.equal(other.refusals, 0);
+    });
+});
+
 describe("document services whose endpoints refuse connections", () => {
     it("answer a call as not run, so that it may be repeated", async () => {
         const raw = await RawEndpoint.create();
