Keep an attempt at a silent or slow engine until another one has emitted a token

What callers saw: a begun answer of foxlead node ended 8 s after its engine had been silent or slow for a second or so, with 502 or a stream that is cut, although the engine had gone on and still held the answer's memory.

Cause: when a pass got no response, or a stage had become slow, the sequence of the answer was cancelled at all engines at once, on a guess. Another request could take the memory, and the next engine could refuse the answer.

Change: the attempt stays open until the next attempt has emitted a token. If its engine is chosen again before that, the attempt continues with its last pass, which an engine doesn't run twice, so that nothing runs again. If an engine of its chain has no memory for the next attempt, the earlier one is cancelled. An attempt that has emitted no token ends as before.

An engine that accepts a later attempt refuses the earlier one, so an attempt is lost as before if the next chain shares an earlier stage with it and a later stage refuses.

--- a/src/request/model/generation.ts
+++ b/src/request/model/generation.ts
@@ -1,6 +1,7 @@
 import type { PassResult } from "../../connection/endpoint/engineProtocol.ts";
 import { InvariantError } from "../../process/invariantError.ts";
 import type { Chain, ChainStage } from "../chain/chain.ts";
+import type { AttemptProgress } from "./attemptProgress.ts";
 import type { GenerationStep, NextPass } from "./generationStep.ts";
 
 /** Options for generating an answer. */
@@ -25,15 +26,8 @@
 export class Generation {
     private readonly options: GenerationOptions;
     private readonly acceptedTokens: number[] = [];
-    private stages: readonly ChainStage[] = [];
-    private attempt = 0;
-    private stageIndex = 0;
-    /** First position of the current pass. */
-    private position = 0;
-    /** Number of positions of the current pass. 0 until the first stage has reported it. */
-    private positionCount = 0;
-    /** First layer that the current positions have not run yet. The invariant depends on it. */
-    private nextLayer = 0;
+    private attempts = 0;
+    private progress: AttemptProgress = createProgress(0, []);
     private promptPositions = 0;
     private rebuiltPositions = 0;
     private isEnded = false;
@@ -47,9 +41,9 @@
         return new Generation(options);
     }
 
-    /** Gets the number of the current attempt, starting at 1. */
-    getAttempt(): number {
-        return this.attempt;
+    /** Gets the number of attempts so far. */
+    getAttemptCount(): number {
+        return this.attempts;
     }
 
     /** Gets the number of tokens accepted so far. */
@@ -70,7 +64,7 @@
     /** Gets the number of positions of the current pass, estimated from the prompt's length until it is known. */
     getEstimatedPositions(): number {
         const promptPositions = this.promptPositions || estimatePositions(this.options.prompt);
-        return this.positionCount || promptPositions + this.acceptedTokens.length;
+        return this.progress.positionCount || promptPositions + this.acceptedTokens.length;
     }
 
     /**
@@ -81,13 +75,9 @@
      */
     startAttempt(chain: Chain): NextPass {
         assertTiles(chain, this.options.layers);
-        this.stages = chain.stages;
-        this.attempt += 1;
-        this.stageIndex = 0;
-        this.position = 0;
-        this.positionCount = 0;
-        this.nextLayer = 0;
-        const isRebuild = this.attempt > 1 && this.promptPositions > 0;
+        this.attempts += 1;
+        this.progress = createProgress(this.attempts, chain.stages);
+        const isRebuild = this.attempts > 1 && this.promptPositions > 0;
         return {
             ...this.createPass(),
             text: this.options.prompt,
@@ -96,6 +86,27 @@
         };
     }
 
+    /** Gets how far the current attempt has got. The object changes with each result. */
+    getProgress(): AttemptProgress {
+        return this.progress;
+    }
+
+    /**
+     * Continues an earlier attempt, from its last pass on.
+     * @param progress - Progress of the attempt. No other attempt may have emitted a token since.
+     * @throws InvariantError if the attempt lacks accepted tokens.
+     */
+    resumeAttempt(progress: AttemptProgress): void {
+        const acceptedPositions = this.promptPositions + this.acceptedTokens.length;
+        if (progress.position + progress.positionCount !== acceptedPositions) {
+            throw InvariantError.create(
+                "resumedAttemptIsComplete",
+                "An attempt that lacks accepted tokens was resumed.",
+            );
+        }
+        this.progress = progress;
+    }
+
     /**
      * Handles the result of a pass.
      * @param result - Result with the outcome `done`.
@@ -109,17 +120,17 @@
         if (mismatch !== undefined) {
             return { kind: "malformed", message: mismatch };
         }
-        this.positionCount = result.count;
-        this.nextLayer = result.layerEnd;
-        if (this.nextLayer < this.options.layers) {
+        this.progress.positionCount = result.count;
+        this.progress.nextLayer = result.layerEnd;
+        if (result.layerEnd < this.options.layers) {
             return this.advanceToNextStage(result);
         }
         return this.acceptToken(result);
     }
 
     private advanceToNextStage(result: PassResult): GenerationStep {
-        this.stageIndex += 1;
-        return { kind: "nextStage", stage: this.stageIndex, pass: { ...this.createPass(), hidden: result.hidden } };
+        const stage = this.progress.stageIndex += 1;
+        return { kind: "nextStage", stage, pass: { ...this.createPass(), hidden: result.hidden } };
     }
 
     private acceptToken(result: PassResult): GenerationStep {
@@ -133,10 +144,10 @@
         if (this.acceptedTokens.length >= this.options.maximumTokens) {
             return this.end(text, "length");
         }
-        this.position += this.positionCount;
-        this.positionCount = 1;
-        this.stageIndex = 0;
-        this.nextLayer = 0;
+        this.progress.position += this.progress.positionCount;
+        this.progress.positionCount = 1;
+        this.progress.stageIndex = 0;
+        this.progress.nextLayer = 0;
         return { kind: "token", text, stage: 0, pass: { ...this.createPass(), tokens: [result.token ?? 0] } };
     }
 
@@ -146,40 +157,40 @@
     }
 
     private recordFirstPassPositions(): void {
-        if (this.position > 0) {
+        if (this.progress.position > 0) {
             return;
         }
         if (this.promptPositions === 0) {
-            this.promptPositions = this.positionCount;
+            this.promptPositions = this.progress.positionCount;
             return;
         }
-        this.rebuiltPositions += this.positionCount;
+        this.rebuiltPositions += this.progress.positionCount;
     }
 
     private createPass(): NextPass {
-        const { layerStart, layerEnd } = this.stages[this.stageIndex]!;
+        const { attempt, stages, stageIndex, position } = this.progress;
+        const { layerStart, layerEnd } = stages[stageIndex]!;
         const { request, model, priority } = this.options;
-        const { attempt, position } = this;
         return { request, attempt, model, position, layerStart, layerEnd, priority };
     }
 
     private getStaleReason(result: PassResult): "attempt" | "position" | "layers" | undefined {
-        if (this.isEnded || result.attempt < this.attempt) {
+        if (this.isEnded || result.attempt < this.progress.attempt) {
             return "attempt";
         }
-        if (result.position < this.position) {
+        if (result.position < this.progress.position) {
             return "position";
         }
-        return result.layerStart < this.nextLayer ? "layers" : undefined;
+        return result.layerStart < this.progress.nextLayer ? "layers" : undefined;
     }
 
     /** Gets a message about how a result does not match the current pass, or undefined if it matches. */
     private getMismatch(result: PassResult): string | undefined {
-        const stage = this.stages[this.stageIndex]!;
-        if (result.request !== this.options.request || result.attempt !== this.attempt) {
+        const stage = this.progress.stages[this.progress.stageIndex]!;
+        if (result.request !== this.options.request || result.attempt !== this.progress.attempt) {
             return "The endpoint returned the result of a different request or attempt.";
         }
-        if (result.position !== this.position || result.layerStart !== this.nextLayer) {
+        if (result.position !== this.progress.position || result.layerStart !== this.progress.nextLayer) {
             return "The endpoint returned a result for a position or layer that was not sent.";
         }
         if (result.layerEnd !== stage.layerEnd) {
@@ -192,8 +203,8 @@
     }
 
     private isExpectedCount(count: number): boolean {
-        if (this.positionCount > 0) {
-            return count === this.positionCount;
+        if (this.progress.positionCount > 0) {
+            return count === this.progress.positionCount;
         }
         const expected = this.promptPositions + this.acceptedTokens.length;
         return this.promptPositions === 0 ? count > 0 : count === expected;
@@ -209,7 +220,8 @@
     }
 
     private assertAllLayersRan(): void {
-        if (this.isEnded || this.stageIndex !== this.stages.length - 1 || this.nextLayer !== this.options.layers) {
+        const { stageIndex, stages, nextLayer } = this.progress;
+        if (this.isEnded || stageIndex !== stages.length - 1 || nextLayer !== this.options.layers) {
             throw InvariantError.create(
                 "layersOnceInOrder",
                 "A token was accepted before each layer had run exactly once.",
@@ -218,6 +230,10 @@
     }
 }
 
+function createProgress(attempt: number, stages: readonly ChainStage[]): AttemptProgress {
+    return { attempt, stages, stageIndex: 0, position: 0, positionCount: 0, nextLayer: 0 };
+}
+
 function estimatePositions(prompt: string): number {
     const bytesPerToken = 4;
     return Math.max(1, Math.ceil(prompt.length / bytesPerToken));
--- a/src/request/model/runGeneration.ts
+++ b/src/request/model/runGeneration.ts
@@ -7,6 +7,7 @@
 import type { ChainChooser } from "../chain/chainChooser.ts";
 import type { NotRunPermit } from "../notRunPermit.ts";
 import { RequestError } from "../requestError.ts";
+import type { ChainAttempt } from "./chainAttempt.ts";
 import { ChainSelection } from "./chainSelection.ts";
 import { Generation, type GenerationOptions } from "./generation.ts";
 import type { GenerationObserver } from "./generationObserver.ts";
@@ -46,6 +47,13 @@
 /** Reason why an attempt ended without an answer. */
 type AttemptEnd = { kind: "cancelled"; } | { kind: "broken"; failure: PassFailure; };
 
+/** An attempt that failed at a silent or slow engine and may go on there. */
+interface ParkedAttempt {
+    attempt: ChainAttempt;
+    /** Endpoint of the engine. */
+    endpoint: string;
+}
+
 /** Interval at which a started answer checks if a chain is available. */
 const chainCheckMilliseconds = 50;
 const noChainRetryAfterMilliseconds = 1_000;
@@ -67,6 +75,9 @@
     private readonly generation: Generation;
     private readonly selection: ChainSelection;
     private readonly retries = GenerationRetries.create();
+    /** Attempts whose sequences the engines hold. */
+    private readonly openAttempts = new Set<ChainAttempt>();
+    private parked: ParkedAttempt | undefined;
     private mayHaveRun = false;
     /** Monotonic time of the first failure since the last token. */
     private brokenAt: number | undefined;
@@ -82,7 +93,14 @@
     }
 
     async run(): Promise<Result<GenerationSummary, RequestError>> {
-        const outcome = await this.runAttempts();
+        const { signal } = this.options;
+        // Once its sequence is cancelled, an engine rejects a queued pass, so an attempt ends soon after the signal.
+        const cancelAttempts = () => this.cancelAttempts();
+        signal.addEventListener("abort", cancelAttempts, { once: true });
+        const outcome = await this.runAttempts().finally(() => {
+            signal.removeEventListener("abort", cancelAttempts);
+            this.endAttempts();
+        });
         this.reportRefusals(outcome.ok);
         const rebuiltPositions = this.generation.getRebuiltPositions();
         if (rebuiltPositions > 0) {
@@ -94,46 +112,27 @@
     private async runAttempts(): Promise<Result<GenerationSummary, RequestError>> {
         let lastMessage = "";
         while (this.retries.isAllowed(this.getTime())) {
-            const chain = await this.chooseChain();
-            if (!chain.ok) {
-                return chain;
+            const attempt = await this.getNextAttempt();
+            if (!attempt.ok) {
+                return attempt;
             }
-            const outcome = await this.runReservedAttempt(chain.val);
+            const outcome = await this.runAttempt(attempt.val);
             if (outcome.ok) {
-                return Ok({ ...outcome.val, chain: chain.val });
+                return Ok({ ...outcome.val, chain: attempt.val.chain });
             }
             if (outcome.val.kind === "cancelled") {
                 return Err(this.createAbortError());
             }
             lastMessage = outcome.val.failure.message;
-            this.handleBrokenAttempt(chain.val, outcome.val.failure);
+            this.handleBrokenAttempt(attempt.val, outcome.val.failure);
         }
         return Err(this.createFinalError(`${this.retries.describeEnd()} ${lastMessage}`));
     }
 
-    private async runReservedAttempt(chain: Chain): Promise<Result<Omit<GenerationSummary, "chain">, AttemptEnd>> {
-        const { chooser, signal } = this.options;
-        chooser.reserveChain(chain);
-        this.options.onChainChosen(chain);
-        // Once the sequence is cancelled, an engine rejects its queued pass, so the attempt ends soon after the signal.
-        const cancelChain = () => this.cancelChain(chain);
-        signal.addEventListener("abort", cancelChain, { once: true });
-        try {
-            return await this.runAttempt(chain);
-        }
-        finally {
-            signal.removeEventListener("abort", cancelChain);
-            this.cancelChain(chain);
-            chooser.releaseChain(chain);
-        }
-    }
-
-    private async runAttempt(chain: Chain): Promise<Result<Omit<GenerationSummary, "chain">, AttemptEnd>> {
-        let stage = 0;
-        let pass = this.generation.startAttempt(chain);
-        this.options.permit.revoke();
-        const detector = SlowStageDetector.create(chain.stages.length);
+    private async runAttempt(attempt: ChainAttempt): Promise<Result<Omit<GenerationSummary, "chain">, AttemptEnd>> {
+        const { chain, detector } = attempt;
         for (;;) {
+            const { stage, pass } = attempt;
             const { endpoint } = chain.stages[stage]!;
             const sentAt = this.getTime();
             const result = await this.runPass(endpoint, pass);
@@ -153,12 +152,16 @@
             if (step.kind === "ended") {
                 return Ok(this.createSummary(step.finishReason));
             }
-            const slowStage = step.kind === "token" ? detector.findSlowStage() : undefined;
+            attempt.stage = step.stage;
+            attempt.pass = step.pass;
+            if (step.kind === "nextStage") {
+                continue;
+            }
+            this.replaceParkedAttempt(attempt);
+            const slowStage = detector.findSlowStage();
             if (slowStage !== undefined && this.selection.tryReplaceSlowStage(chain.stages[slowStage]!.endpoint)) {
                 return Err({ kind: "broken", failure: createSlowFailure(chain.stages[slowStage]!.endpoint) });
             }
-            stage = step.stage;
-            pass = step.pass;
         }
     }
 
@@ -193,15 +196,15 @@
     }
 
     /**
-     * Chooses a chain. If a pass may already have run, waits for an available chain for a limited time. Failed
-     * endpoints are allowed again if there is no chain without them.
+     * Starts an attempt on another chain, or continues the parked one if its endpoint is chosen again. If a pass may already have run,
+     * waits for an available chain for a limited time. Failed endpoints are allowed again if there is no chain without them.
      */
-    private async chooseChain(): Promise<Result<Chain, RequestError>> {
+    private async getNextAttempt(): Promise<Result<ChainAttempt, RequestError>> {
         const deadline = this.retries.getWaitEnd(this.getTime());
         for (;;) {
             const chain = this.selection.chooseChain(this.generation.getEstimatedPositions());
             if (chain.ok) {
-                return Ok(chain.val);
+                return Ok(this.resumeParkedAttempt(chain.val) ?? this.startAttempt(chain.val));
             }
             const canWait = this.mayHaveRun && this.getTime() < deadline;
             if (this.options.signal.aborted) {
@@ -218,7 +221,38 @@
         }
     }
 
-    private handleBrokenAttempt(chain: Chain, failure: PassFailure): void {
+    private startAttempt(chain: Chain): ChainAttempt {
+        this.options.chooser.reserveChain(chain);
+        this.options.onChainChosen(chain);
+        const pass = this.generation.startAttempt(chain);
+        this.options.permit.revoke();
+        const detector = SlowStageDetector.create(chain.stages.length);
+        const attempt = { chain, progress: this.generation.getProgress(), detector, stage: 0, pass };
+        this.openAttempts.add(attempt);
+        return attempt;
+    }
+
+    /** Continues the parked attempt if the endpoint at which it failed is part of a chain that was chosen now. */
+    private resumeParkedAttempt(chain: Chain): ChainAttempt | undefined {
+        const { parked } = this;
+        if (parked === undefined || !hasEndpoint(chain, parked.endpoint)) {
+            return undefined;
+        }
+        const { attempt } = parked;
+        this.options.onChainChosen(attempt.chain);
+        this.generation.resumeAttempt(attempt.progress);
+        return attempt;
+    }
+
+    /** Ends the parked attempt, if there is one, since another attempt has emitted a token. */
+    private replaceParkedAttempt(attempt: ChainAttempt): void {
+        if (this.parked !== undefined && this.parked.attempt !== attempt) {
+            this.endAttempt(this.parked.attempt);
+        }
+        this.parked = undefined;
+    }
+
+    private handleBrokenAttempt(attempt: ChainAttempt, failure: PassFailure): void {
         const { observer, chooser } = this.options;
         const isRefusal = failure.kind === "refused" || failure.kind === "notSent";
         this.mayHaveRun ||= !isRefusal;
@@ -229,11 +263,29 @@
             this.retries.addFailure();
         }
         this.brokenAt ??= this.getTime();
-        this.selection.observeBrokenChain(chain, failure.endpoint);
+        this.parkOrEnd(attempt, failure);
+        this.selection.observeBrokenChain(attempt.chain, failure.endpoint);
         chooser.observeFailure(failure.endpoint);
         observer.onAttemptFailed(failure);
     }
 
+    /**
+     * Keeps an attempt whose engine is silent or slow until another attempt has emitted a token, since the engine may go on and there may
+     * be no memory elsewhere. An engine that needs the memory for the other attempt gets it.
+     */
+    private parkOrEnd(attempt: ChainAttempt, { kind, endpoint, reason }: PassFailure): void {
+        const mayGoOn = kind === "slow" || kind === "unreachable" || kind === "notSent";
+        const isOnlyOne = this.parked === undefined || this.parked.attempt === attempt;
+        if (mayGoOn && isOnlyOne && attempt.progress.position > 0) {
+            this.parked = { attempt, endpoint };
+            return;
+        }
+        this.endAttempt(attempt);
+        if (reason === "memory" && this.parked !== undefined && hasEndpoint(this.parked.attempt.chain, endpoint)) {
+            this.endAttempt(this.parked.attempt);
+        }
+    }
+
     /** Reports how long the started answer was refused, if it was since its last token. */
     private reportRefusals(isContinued: boolean): void {
         const refused = this.retries.takeRefusals(this.getTime());
@@ -242,9 +294,31 @@
         }
     }
 
-    /** Cancels the sequence at every stage. Engines keep its memory until then. */
-    private cancelChain(chain: Chain): void {
-        const order = { request: this.options.request, attempt: this.generation.getAttempt() };
+    /** Ends an attempt. Engines keep the memory of its sequence until then. */
+    private endAttempt(attempt: ChainAttempt): void {
+        this.openAttempts.delete(attempt);
+        if (this.parked?.attempt === attempt) {
+            this.parked = undefined;
+        }
+        this.cancelAttempt(attempt);
+        this.options.chooser.releaseChain(attempt.chain);
+    }
+
+    private endAttempts(): void {
+        for (const attempt of [...this.openAttempts]) {
+            this.endAttempt(attempt);
+        }
+    }
+
+    private cancelAttempts(): void {
+        for (const attempt of this.openAttempts) {
+            this.cancelAttempt(attempt);
+        }
+    }
+
+    /** Cancels the sequence of an attempt at every stage. */
+    private cancelAttempt({ chain, progress }: ChainAttempt): void {
+        const order = { request: this.options.request, attempt: progress.attempt };
         for (const stage of chain.stages) {
             void this.options.getConnection(stage.endpoint)?.cancel(order);
         }
@@ -281,7 +355,7 @@
             finishReason,
             promptPositions: this.generation.getPromptPositions(),
             tokens: this.generation.getTokenCount(),
-            attempts: this.generation.getAttempt(),
+            attempts: this.generation.getAttemptCount(),
         };
     }
 
@@ -290,6 +364,10 @@
     }
 }
 
+function hasEndpoint(chain: Chain, endpoint: string): boolean {
+    return chain.stages.some(stage => stage.endpoint === endpoint);
+}
+
 function createSlowFailure(endpoint: string): PassFailure {
     const message = `Endpoint ${endpoint} became slow. The answer continues on another chain.`;
     return { kind: "slow", endpoint, reason: "slow", message };
