Test that a generation continues an earlier attempt only if it lacks no token

Cause: the continuation of an earlier attempt was tested with engines only.

Change: a test of the state machine: the attempt continues with its last pass, counts nothing as rebuilt, and can't continue once another attempt has emitted a token.

--- a/tests/request/model/generation.test.ts
+++ b/tests/request/model/generation.test.ts
@@ -120,4 +120,20 @@
         assert.equal(generation.getRebuiltPositions(), promptPositions + 1);
         assert.equal(generation.getTokenCount(), 2);
     });
+
+    it("continues an earlier attempt with its last pass, unless another one has emitted a token since", () => {
+        const generation = createGeneration();
+        const first = generation.acceptResult(createResult(generation.startAttempt(createChain([])), 0));
+        assert.ok(first.kind === "token");
+        const progress = generation.getProgress();
+        const other = generation.startAttempt(createChain([6]));
+        assert.equal(generation.acceptResult(createResult(other, 1)).kind, "nextStage");
+        generation.resumeAttempt(progress);
+        assert.equal(generation.acceptResult(createResult(first.pass, 1)).kind, "token");
+        assert.equal(generation.getRebuiltPositions(), 0);
+        const last = generation.startAttempt(createChain([]));
+        assert.equal(last.attempt, 3);
+        assert.equal(generation.acceptResult(createResult(last, 2)).kind, "token");
+        assert.throws(() => generation.resumeAttempt(progress), { invariant: "resumedAttemptIsComplete" });
+    });
 });
