--- a/src/request/model/runGeneration.ts
+++ b/src/request/model/runGeneration.ts
@@ -7,9 +7,11 @@
 import type { ChainChooser } from "../chain/chainChooser.ts";
 import type { NotRunPermit } from "../notRunPermit.ts";
 import { RequestError } from "../requestError.ts";
+import type { ChainAttempt } from "./chainAttempt.ts";
 import { ChainSelection } from "./chainSelection.ts";
 import { Generation, type GenerationOptions } from "./generation.ts";
 import type { GenerationObserver } from "./generationObserver.ts";
+import { GenerationRetries } from "./generationRetries.ts";
 import type { GenerationStep } from "./generationStep.ts";
 import { SlowStageDetector } from "./slowStageDetector.ts";
 
@@ -45,11 +47,15 @@
 /** Reason why an attempt ended without an answer. */
 type AttemptEnd = { kind: "cancelled"; } | { kind: "broken"; failure: PassFailure; };
 
-/** Maximum number of attempts of one answer. */
-const maximumAttempts = 12;
-/** Maximum wait of a started answer for an available chain. */
-const chainWaitMilliseconds = 8_000;
-const chainRetryDelayMilliseconds = 50;
+/** An attempt that failed at a silent or slow engine and may go on there. */
+interface ParkedAttempt {
+    attempt: ChainAttempt;
+    /** Endpoint of the engine. */
+    endpoint: string;
+}
+
+/** Interval at which a started answer checks if a chain is available. */
+const chainCheckMilliseconds = 50;
 const noChainRetryAfterMilliseconds = 1_000;
 
 /**
@@ -68,6 +74,10 @@
     private readonly options: RunGenerationOptions;
     private readonly generation: Generation;
     private readonly selection: ChainSelection;
+    private readonly retries = GenerationRetries.create();
+    /** Attempts whose sequences the engines hold. */
+    private readonly openAttempts = new Set<ChainAttempt>();
+    private parked: ParkedAttempt | undefined;
     private mayHaveRun = false;
     /** Monotonic time of the first failure since the last token. */
     private brokenAt: number | undefined;
@@ -83,7 +93,15 @@
     }
 
     async run(): Promise<Result<GenerationSummary, RequestError>> {
-        const outcome = await this.runAttempts();
+        const { signal } = this.options;
+        // Once its sequence is cancelled, an engine rejects a queued pass, so an attempt ends soon after the signal.
+        const cancelAttempts = () => this.cancelAttempts();
+        signal.addEventListener("abort", cancelAttempts, { once: true });
+        const outcome = await this.runAttempts().finally(() => {
+            signal.removeEventListener("abort", cancelAttempts);
+            this.endAttempts();
+        });
+        this.reportRefusals(outcome.ok);
         const rebuiltPositions = this.generation.getRebuiltPositions();
         if (rebuiltPositions > 0) {
             this.options.observer.onContextRebuilt(rebuiltPositions);
@@ -93,49 +111,30 @@
 
     private async runAttempts(): Promise<Result<GenerationSummary, RequestError>> {
         let lastMessage = "";
-        for (let attempt = 1; attempt <= maximumAttempts; attempt += 1) {
-            const chain = await this.chooseChain();
-            if (!chain.ok) {
-                return chain;
+        while (this.retries.isAllowed(this.getTime())) {
+            const attempt = await this.getNextAttempt();
+            if (!attempt.ok) {
+                return attempt;
             }
-            const outcome = await this.runReservedAttempt(chain.val);
+            const outcome = await this.runAttempt(attempt.val);
             if (outcome.ok) {
-                return Ok({ ...outcome.val, chain: chain.val });
+                return Ok({ ...outcome.val, chain: attempt.val.chain });
             }
             if (outcome.val.kind === "cancelled") {
                 return Err(this.createAbortError());
             }
             lastMessage = outcome.val.failure.message;
-            this.handleBrokenAttempt(chain.val, outcome.val.failure);
-        }
-        return Err(this.createFinalError(`The answer failed after ${maximumAttempts} attempts. ${lastMessage}`));
-    }
-
-    private async runReservedAttempt(chain: Chain): Promise<Result<Omit<GenerationSummary, "chain">, AttemptEnd>> {
-        const { chooser, signal } = this.options;
-        chooser.reserveChain(chain);
-        this.options.onChainChosen(chain);
-        // Once the sequence is cancelled, an engine rejects its queued pass, so the attempt ends soon after the signal.
-        const cancelChain = () => this.cancelChain(chain);
-        signal.addEventListener("abort", cancelChain, { once: true });
-        try {
-            return await this.runAttempt(chain);
-        }
-        finally {
-            signal.removeEventListener("abort", cancelChain);
-            this.cancelChain(chain);
-            chooser.releaseChain(chain);
+            this.handleBrokenAttempt(attempt.val, outcome.val.failure);
         }
+        return Err(this.createFinalError(`${this.retries.describeEnd()} ${lastMessage}`));
     }
 
-    private async runAttempt(chain: Chain): Promise<Result<Omit<GenerationSummary, "chain">, AttemptEnd>> {
-        let stage = 0;
-        let pass = this.generation.startAttempt(chain);
-        this.options.permit.revoke();
-        const detector = SlowStageDetector.create(chain.stages.length);
+    private async runAttempt(attempt: ChainAttempt): Promise<Result<Omit<GenerationSummary, "chain">, AttemptEnd>> {
+        const { chain, detector } = attempt;
         for (;;) {
+            const { stage, pass } = attempt;
             const { endpoint } = chain.stages[stage]!;
-            const sentAt = this.options.clock.getMonotonicTime();
+            const sentAt = this.getTime();
             const result = await this.runPass(endpoint, pass);
             if (this.options.signal.aborted) {
                 return Err({ kind: "cancelled" });
@@ -144,7 +143,7 @@
                 return Err({ kind: "broken", failure: result.val });
             }
             this.mayHaveRun = true;
-            detector.observePass(stage, result.val.count, this.options.clock.getMonotonicTime() - sentAt);
+            detector.observePass(stage, result.val.count, this.getTime() - sentAt);
             const step = this.generation.acceptResult(result.val);
             if (step.kind === "stale" || step.kind === "malformed") {
                 return Err({ kind: "broken", failure: this.createMalformedFailure(endpoint, step) });
@@ -153,12 +152,16 @@
             if (step.kind === "ended") {
                 return Ok(this.createSummary(step.finishReason));
             }
-            const slowStage = step.kind === "token" ? detector.findSlowStage() : undefined;
+            attempt.stage = step.stage;
+            attempt.pass = step.pass;
+            if (step.kind === "nextStage") {
+                continue;
+            }
+            this.replaceParkedAttempt(attempt);
+            const slowStage = detector.findSlowStage();
             if (slowStage !== undefined && this.selection.tryReplaceSlowStage(chain.stages[slowStage]!.endpoint)) {
                 return Err({ kind: "broken", failure: createSlowFailure(chain.stages[slowStage]!.endpoint) });
             }
-            stage = step.stage;
-            pass = step.pass;
         }
     }
 
@@ -183,8 +186,9 @@
             return;
         }
         if (this.brokenAt !== undefined) {
-            this.options.observer.onRecovered(this.options.clock.getMonotonicTime() - this.brokenAt);
+            this.options.observer.onRecovered(this.getTime() - this.brokenAt);
             this.brokenAt = undefined;
+            this.reportRefusals(true);
         }
         if (step.text !== "") {
             this.options.onText(step.text);
@@ -192,42 +196,129 @@
     }
 
     /**
-     * Chooses a chain. If a pass may already have run, waits for an available chain for a limited time. Failed
-     * endpoints are allowed again if there is no chain without them.
+     * Starts an attempt on another chain, or continues the parked one if its endpoint is chosen again. If a pass may already have run,
+     * waits for an available chain for a limited time. Failed endpoints are allowed again if there is no chain without them.
      */
-    private async chooseChain(): Promise<Result<Chain, RequestError>> {
-        const { clock } = this.options;
-        const deadline = clock.getMonotonicTime() + chainWaitMilliseconds;
+    private async getNextAttempt(): Promise<Result<ChainAttempt, RequestError>> {
+        const deadline = this.retries.getWaitEnd(this.getTime());
         for (;;) {
             const chain = this.selection.chooseChain(this.generation.getEstimatedPositions());
             if (chain.ok) {
-                return Ok(chain.val);
+                return Ok(this.resumeParkedAttempt(chain.val) ?? this.startAttempt(chain.val));
             }
-            const canWait = this.mayHaveRun && clock.getMonotonicTime() < deadline;
+            const canWait = this.mayHaveRun && this.getTime() < deadline;
             if (this.options.signal.aborted) {
                 return Err(this.createAbortError());
             }
             if (!canWait && !this.selection.hasExclusions()) {
                 return Err(this.createFinalError(chain.val.message));
             }
+            const delayMilliseconds = this.selection.hasExclusions()
+                ? this.retries.takeDelay()
+                : chainCheckMilliseconds;
             this.selection.clearExclusions();
-            await new Promise<void>(resolve => void clock.setTimer(chainRetryDelayMilliseconds, resolve));
+            await new Promise<void>(resolve => void this.options.clock.setTimer(delayMilliseconds, resolve));
+        }
+    }
+
+    private startAttempt(chain: Chain): ChainAttempt {
+        this.options.chooser.reserveChain(chain);
+        this.options.onChainChosen(chain);
+        const pass = this.generation.startAttempt(chain);
+        this.options.permit.revoke();
+        const detector = SlowStageDetector.create(chain.stages.length);
+        const attempt = { chain, progress: this.generation.getProgress(), detector, stage: 0, pass };
+        this.openAttempts.add(attempt);
+        return attempt;
+    }
+
+    /** Continues the parked attempt if the endpoint at which it failed is part of a chain that was chosen now. */
+    private resumeParkedAttempt(chain: Chain): ChainAttempt | undefined {
+        const { parked } = this;
+        if (parked === undefined || !hasEndpoint(chain, parked.endpoint)) {
+            return undefined;
+        }
+        const { attempt } = parked;
+        this.options.onChainChosen(attempt.chain);
+        this.generation.resumeAttempt(attempt.progress);
+        return attempt;
+    }
+
+    /** Ends the parked attempt, if there is one, since another attempt has emitted a token. */
+    private replaceParkedAttempt(attempt: ChainAttempt): void {
+        if (this.parked !== undefined && this.parked.attempt !== attempt) {
+            this.endAttempt(this.parked.attempt);
         }
+        this.parked = undefined;
     }
 
-    private handleBrokenAttempt(chain: Chain, failure: PassFailure): void {
-        const { observer, chooser, clock } = this.options;
+    private handleBrokenAttempt(attempt: ChainAttempt, failure: PassFailure): void {
+        const { observer, chooser } = this.options;
         const isRefusal = failure.kind === "refused" || failure.kind === "notSent";
         this.mayHaveRun ||= !isRefusal;
-        this.brokenAt ??= clock.getMonotonicTime();
-        this.selection.observeBrokenChain(chain, failure.endpoint);
+        if (isRefusal && this.mayHaveRun) {
+            this.retries.addRefusal(this.getTime());
+        }
+        else {
+            this.retries.addFailure();
+        }
+        this.brokenAt ??= this.getTime();
+        this.parkOrEnd(attempt, failure);
+        this.selection.observeBrokenChain(attempt.chain, failure.endpoint);
         chooser.observeFailure(failure.endpoint);
         observer.onAttemptFailed(failure);
     }
 
-    /** Cancels the sequence at every stage. Engines keep its memory until then. */
-    private cancelChain(chain: Chain): void {
-        const order = { request: this.options.request, attempt: this.generation.getAttempt() };
+    /**
+     * Keeps an attempt whose engine is silent or slow until another attempt has emitted a token, since the engine may go on and there may
+     * be no memory elsewhere. An engine that needs the memory for the other attempt gets it.
+     */
+    private parkOrEnd(attempt: ChainAttempt, { kind, endpoint, reason }: PassFailure): void {
+        const mayGoOn = kind === "slow" || kind === "unreachable" || kind === "notSent";
+        const isOnlyOne = this.parked === undefined || this.parked.attempt === attempt;
+        if (mayGoOn && isOnlyOne && attempt.progress.position > 0) {
+            this.parked = { attempt, endpoint };
+            return;
+        }
+        this.endAttempt(attempt);
+        if (reason === "memory" && this.parked !== undefined && hasEndpoint(this.parked.attempt.chain, endpoint)) {
+            this.endAttempt(this.parked.attempt);
+        }
+    }
+
+    /** Reports how long the started answer was refused, if it was since its last token. */
+    private reportRefusals(isContinued: boolean): void {
+        const refused = this.retries.takeRefusals(this.getTime());
+        if (refused !== undefined) {
+            this.options.observer.onRefusalsEnded(refused, isContinued);
+        }
+    }
+
+    /** Ends an attempt. Engines keep the memory of its sequence until then. */
+    private endAttempt(attempt: ChainAttempt): void {
+        this.openAttempts.delete(attempt);
+        if (this.parked?.attempt === attempt) {
+            this.parked = undefined;
+        }
+        this.cancelAttempt(attempt);
+        this.options.chooser.releaseChain(attempt.chain);
+    }
+
+    private endAttempts(): void {
+        for (const attempt of [...this.openAttempts]) {
+            this.endAttempt(attempt);
+        }
+    }
+
+    private cancelAttempts(): void {
+        for (const attempt of this.openAttempts) {
+            this.cancelAttempt(attempt);
+        }
+    }
+
+    /** Cancels the sequence of an attempt at every stage. */
+    private cancelAttempt({ chain, progress }: ChainAttempt): void {
+        const order = { request: this.options.request, attempt: progress.attempt };
         for (const stage of chain.stages) {
             void this.options.getConnection(stage.endpoint)?.cancel(order);
         }
@@ -264,9 +355,17 @@
             finishReason,
             promptPositions: this.generation.getPromptPositions(),
             tokens: this.generation.getTokenCount(),
-            attempts: this.generation.getAttempt(),
+            attempts: this.generation.getAttemptCount(),
         };
     }
+
+    private getTime(): number {
+        return this.options.clock.getMonotonicTime();
+    }
+}
+
+function hasEndpoint(chain: Chain, endpoint: string): boolean {
+    return chain.stages.some(stage => stage.endpoint === endpoint);
 }
 
 function createSlowFailure(endpoint: string): PassFailure {
