Let endpoints stand still or be replaced while the others are full, in the soak

A stream is ended for another chain whose endpoint then refuses it as full, or loses its endpoint to a planned replacement while others refuse for a second. The soak had no endpoint that is full beside another that is silent, so it couldn't meet this.

Change: two kinds of faults in the background, at the service whose endpoints hold the whole model. silenceWhileOthersAreFull: 12 endpoints in series and overlapping stand still for 0.8 to 1.8 s, half of them with their reports answered, while the others refuse with 503, not executed, for 0.2 to 1.2 s. replacementWhileOthersAreFull: 5 endpoints drain for up to 0.4 s, reset their streams and start again, while the others refuse for 0.8 to 1.2 s. Both beside changes of the configuration and some 20 streams a second whose callers leave after 2 s without an event. checkSilences takes neither a full endpoint nor the planned replacement of another as an explanation; for streams that may be resumed checkReplacements does the same for the replaced endpoint, and counts a begun stream that its caller left for lack of events while no endpoint stood still. Stand-ins can be full (they refuse and report their memory as used) and can answer reports while they are silent. Tests of checkSilences hold as before, over a harness that both checks share.

A caller that left is now counted as "left", not "cut", in the outcomes.

Tests: scripts/checkSilences, checkReplacements, callChecks, checkPromptSeries, platform/silentEndpoints and streamPath pass.

--- a/scripts/soak/router/callChecks.ts
+++ b/scripts/soak/router/callChecks.ts
@@ -9,6 +9,7 @@
 import { checkPromptSeries } from "./checkPromptSeries.ts";
 import { checkRanks } from "./checkRanks.ts";
 import { checkRateLimits } from "./checkRateLimits.ts";
+import { checkReplacements } from "./checkReplacements.ts";
 import { checkSilences } from "./checkSilences.ts";
 import type { EndpointRun } from "./endpointRun.ts";
 import { eventsPerStream } from "./eventsPerStream.ts";
@@ -110,6 +111,7 @@
         checkRateLimits(runs, context);
         checkHarmfulRequests(runs, context);
         checkSilences(context);
+        checkReplacements(context);
         const byRequest = Map.groupBy(runs, ({ id }) => id);
         for (const record of this.records.values()) {
             this.checkRunCounts(record, byRequest.get(record.id) ?? []);
@@ -131,7 +133,10 @@
     getCounts(): Record<string, number> {
         const records = [...this.records.values()];
         return countNames(
-            records.map(({ kind, status, isComplete }) => `${kind}/${status}${isComplete ? "" : " cut"}`),
+            records.map(({ kind, status, isComplete, leftAt }) => {
+                const end = leftAt === undefined ? " cut" : " left";
+                return `${kind}/${status}${isComplete ? "" : end}`;
+            }),
         );
     }
 
--- a/scripts/soak/router/callRecord.ts
+++ b/scripts/soak/router/callRecord.ts
@@ -17,6 +17,8 @@
     endedAt: number;
     /** Wall-clock time at which the caller disconnected early, in milliseconds; undefined if it did not. */
     leftAt: number | undefined;
+    /** Time without an event after which the caller leaves its stream, in milliseconds; undefined if it does not. */
+    patienceMilliseconds?: number;
     /** HTTP status; 0 if the connection closed before the response headers. */
     status: number;
     /** Signature of the endpoint; undefined if the response has none. */
--- a/scripts/soak/router/endpointsStandStill.ts
+++ b/scripts/soak/router/endpointsStandStill.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { FaultKind } from "../faultKind.ts";
-import { endpointStandsStillKind } from "./endpointStandsStillKind.ts";
+import { harmlessFaultKinds } from "./harmlessFaultKinds.ts";
 import { RecordChange } from "./recordChange.ts";
 import type { RouterSoakContext } from "./routerSoakContext.ts";
 import type { SoakEndpoint } from "./soakEndpoint.ts";
@@ -31,7 +31,7 @@
 };
 
 function isActive({ timeline }: RouterSoakContext): boolean {
-    return timeline.getOfKind(endpointStandsStillKind).some(({ to }) => to === Infinity);
+    return timeline.getOfKind(harmlessFaultKinds.standsStill).some(({ to }) => to === Infinity);
 }
 
 async function silenceInSeries(context: RouterSoakContext): Promise<void> {
@@ -54,7 +54,7 @@
 
 async function silence({ random, timeline }: RouterSoakContext, endpoint: SoakEndpoint): Promise<void> {
     const milliseconds = random.chooseInteger(...silenceMilliseconds);
-    const entry = timeline.start(endpointStandsStillKind, endpoint.name);
+    const entry = timeline.start(harmlessFaultKinds.standsStill, endpoint.name);
     endpoint.fallSilent(milliseconds);
     const change = random.choose(recordChanges);
     const changing = change === undefined
--- a/scripts/soak/router/routerCallers.ts
+++ b/scripts/soak/router/routerCallers.ts
@@ -18,7 +18,8 @@
 }
 
 /** The content of a request. */
-interface CallContent extends Pick<CallRecord, "id" | "kind" | "method" | "path" | "body" | "role"> {
+interface CallContent
+    extends Pick<CallRecord, "id" | "kind" | "method" | "path" | "body" | "role" | "patienceMilliseconds"> {
     /** Chosen at random if undefined. */
     customer?: Customer;
 }
@@ -30,6 +31,8 @@
 /** Maximum of connections to each node. */
 const connections = 40;
 const deadlineMilliseconds = 5_000;
+/** Time without an event after which a patient caller leaves its stream. */
+const patienceMilliseconds = 2_000;
 /** Time after the request's deadline at which the caller gives up. */
 const callerTimeoutMarginMilliseconds = 4_000;
 const maximumBodyCharacters = 3_000;
@@ -105,6 +108,11 @@
         return { id, kind, method: isGet ? "GET" : "POST", path, body };
     }
 
+    /** Sends a request with a stream whose caller leaves it after a long time without an event. */
+    async sendWithPatience(id: string, kind: CallKind): Promise<void> {
+        await this.call({ ...this.createCall(id, kind), patienceMilliseconds }, false);
+    }
+
     /** Sends a request that crashes the endpoints that run it. */
     async sendHarmful(call: Pick<CallContent, "id" | "kind" | "path" | "body" | "customer">): Promise<void> {
         await this.call({ ...call, method: "POST" }, false);
@@ -146,6 +154,8 @@
         const timer = disconnects
             ? setTimeout(disconnect, random.chooseInteger(0, maximumDisconnectDelayMilliseconds))
             : undefined;
+        const { patienceMilliseconds: patience } = record;
+        const patienceTimer = patience === undefined ? undefined : setTimeout(disconnect, patience);
         try {
             const answer = await pool.request({
                 method: record.method,
@@ -167,6 +177,7 @@
             const signature = answer.headers["response-seal"];
             record.signature = typeof signature === "string" ? signature : undefined;
             for await (const chunk of answer.body) {
+                patienceTimer?.refresh();
                 record.text += String(chunk);
             }
             record.isComplete = true;
@@ -176,6 +187,7 @@
         }
         finally {
             clearTimeout(timer);
+            clearTimeout(patienceTimer);
         }
     }
 
--- a/scripts/soak/router/routerFaultKinds.ts
+++ b/scripts/soak/router/routerFaultKinds.ts
@@ -11,9 +11,11 @@
 import { endpointTakesAddress } from "./endpointTakesAddress.ts";
 import { harmfulPart } from "./harmfulPart.ts";
 import { lateHarmfulBody } from "./lateHarmfulBody.ts";
+import { replacementWhileOthersAreFull } from "./replacementWhileOthersAreFull.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
 import type { RouterSoakContext } from "./routerSoakContext.ts";
 import { sendHarmfulRequest } from "./sendHarmfulRequest.ts";
+import { silenceWhileOthersAreFull } from "./silenceWhileOthersAreFull.ts";
 import type { SoakEndpoint } from "./soakEndpoint.ts";
 import type { SoakNode } from "./soakNode.ts";
 import { startAtDeletionKind } from "./startAtDeletionKind.ts";
@@ -119,6 +121,8 @@
     endpointSlowStream: behaviourFault(2, { slowness: 6 }, longDuration, stageFault),
     endpointTakesAddress,
     endpointsStandStill,
+    silenceWhileOthersAreFull,
+    replacementWhileOthersAreFull,
     [endpointLimitKind.name]: behaviourFault(
         3,
         { requestsPerSecond: endpointLimitKind.requestsPerSecond },
--- a/scripts/soak/router/routerFaults.ts
+++ b/scripts/soak/router/routerFaults.ts
@@ -1,9 +1,10 @@
 import type { FaultTimeline, InjectedFault } from "../faultTimeline.ts";
 import type { CallRecord } from "./callRecord.ts";
-import { endpointStandsStillKind } from "./endpointStandsStillKind.ts";
+import { harmlessFaultKinds } from "./harmlessFaultKinds.ts";
 
 /** Planned operations at nodes and bursts of requests, which must not interrupt requests. */
 const plannedOperations = ["nodeStop", "nodeStopInBurst", "nodeReload", "burst"];
+const harmlessKinds: readonly string[] = Object.values(harmlessFaultKinds);
 /** Time after a fault from which invariants with a time limit hold again. */
 const settleMilliseconds = 4_000;
 
@@ -43,10 +44,15 @@
         return faults.some(({ kind, target }) => kind.startsWith("endpoint") && endpointId.startsWith(`${target}-`));
     }
 
-    /** Gets if a fault of an endpoint, other than that it stands still, overlaps a time span. */
+    /** Gets if a fault of a kind and target overlaps a time span. */
+    hasFaultAt(kind: string, target: string, from: number, to: number): boolean {
+        return this.timeline.hasDuring([kind], from, to, target);
+    }
+
+    /** Gets if a fault of an endpoint, other than those that end no request, overlaps a time span. */
     hasOtherEndpointFault(name: string, from: number, to: number): boolean {
         return this.timeline.getDuring(from, to).some(({ kind, target }) =>
-            kind.startsWith("endpoint") && kind !== endpointStandsStillKind && target === name
+            kind.startsWith("endpoint") && !harmlessKinds.includes(kind) && target === name
         );
     }
 
--- a/scripts/soak/router/soakEndpoint.ts
+++ b/scripts/soak/router/soakEndpoint.ts
@@ -68,6 +68,8 @@
     isTaken = false;
     private isRestarting = false;
     private harmfulPart: string | undefined;
+    /** Number of reasons for which it is full. */
+    private fullCount = 0;
     private behaviour: EndpointBehaviour = {};
     /** Rewrites the last record of the current incarnation. */
     private writeAgain: () => void = () => undefined;
@@ -145,9 +147,24 @@
         this.getCurrent().standin.behaviour.stopsOnPromptPart = part;
     }
 
-    /** Makes the endpoint stand still with its connections open. */
-    fallSilent(milliseconds: number): void {
-        this.getCurrent().standin.fallSilent(milliseconds);
+    /** Makes this and all later incarnations refuse new requests as full for some time. Those that run go on. */
+    async refuseAsFull(milliseconds: number): Promise<void> {
+        this.changeFullCount(1);
+        await sleep(milliseconds);
+        this.changeFullCount(-1);
+    }
+
+    private changeFullCount(change: number): void {
+        this.fullCount += change;
+        this.getCurrent().standin.behaviour.isFull = this.fullCount > 0;
+    }
+
+    /**
+     * Makes the endpoint stand still with its connections open.
+     * @param answersReports - Whether it goes on answering status reports.
+     */
+    fallSilent(milliseconds: number, answersReports = false): void {
+        this.getCurrent().standin.fallSilent(milliseconds, answersReports);
     }
 
     /** Registers as draining and continues to serve. */
@@ -272,6 +289,7 @@
             stopsOnBody: harmfulBody,
             stopsAfterAnswering,
             stopsOnPromptPart: this.harmfulPart,
+            isFull: this.fullCount > 0,
             ...this.behaviour,
         };
     }
--- a/scripts/soak/router/startBurst.ts
+++ b/scripts/soak/router/startBurst.ts
@@ -1,7 +1,7 @@
-import { setTimeout as sleep } from "node:timers/promises";
 import type { CallKind } from "./callKind.ts";
 import { modelRanks } from "./modelRanks.ts";
 import type { RouterSoakContext } from "./routerSoakContext.ts";
+import { startSending } from "./startSending.ts";
 
 const kinds = Object.keys(modelRanks) as CallKind[];
 /** Range of the pauses between requests. The mean rate of 66 a second is twice what the slots of two chains serve. */
@@ -13,16 +13,8 @@
  * @returns Ends the burst.
  */
 export function startBurst({ callers, random }: Pick<RouterSoakContext, "callers" | "random">): () => void {
-    let isEnded = false;
-    const send = async () => {
-        while (!isEnded) {
-            lastRequest += 1;
-            void callers.sendOfKind(`burst-${lastRequest}`, random.choose(kinds)!);
-            await sleep(random.chooseInteger(...pauseMilliseconds));
-        }
-    };
-    void send();
-    return () => {
-        isEnded = true;
-    };
+    return startSending(random, pauseMilliseconds, () => {
+        lastRequest += 1;
+        void callers.sendOfKind(`burst-${lastRequest}`, random.choose(kinds)!);
+    });
 }
--- a/standins/router/endpointBehaviour.ts
+++ b/standins/router/endpointBehaviour.ts
@@ -2,6 +2,8 @@
 export interface EndpointBehaviour {
     /** Refuses requests with this status and marks them as not executed. */
     refusalStatus?: number;
+    /** Refuses requests as full, marks them as not executed, and reports that its memory is in use. */
+    isFull?: boolean;
     /** Time in seconds for which a refusal asks the node to send no requests. Only with a `refusalStatus`. */
     pauseSeconds?: number;
     /** Announces in all responses that the endpoint is leaving. */
--- a/standins/router/endpointStandin.ts
+++ b/standins/router/endpointStandin.ts
@@ -9,7 +9,6 @@
 import { setTimeout as wait } from "node:timers/promises";
 import type { ArrivalRecord } from "./arrivalRecord.ts";
 import type { EndpointBehaviour } from "./endpointBehaviour.ts";
-
 import type { RunRecord } from "./runRecord.ts";
 
 /** Options of an {@link EndpointStandin}. */
@@ -27,6 +26,9 @@
     onStopped?(): void;
 }
 
+const fullStatus = 503;
+/** Memory that the endpoint reports, in tokens times layers. */
+const totalMemory = 1_000;
 const stopDelayMilliseconds = 20;
 const resetDelayMilliseconds = 20;
 const millisecondsPerSecond = 1_000;
@@ -55,6 +57,8 @@
     private highestFencingNumber = 0;
     /** Monotonic time in milliseconds until which the endpoint is silent. */
     private silentUntil = -Infinity;
+    /** Whether it answers status reports while it is silent. */
+    private answersReports = false;
 
     private constructor(options: EndpointStandinOptions) {
         this.options = options;
@@ -77,9 +81,11 @@
     /**
      * Makes the endpoint stand still for some time, as a process does that is not scheduled. Its connections stay open, and new ones open.
      * It reads and sends nothing, and then continues where it was.
+     * @param answersReports - Whether it goes on answering status reports, as one does whose requests wait for memory.
      */
-    fallSilent(milliseconds: number): void {
+    fallSilent(milliseconds: number, answersReports = false): void {
         this.silentUntil = performance.now() + milliseconds;
+        this.answersReports = answersReports;
     }
 
     private getRemainingSilence(): number {
@@ -117,7 +123,10 @@
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const arrivedAt = Date.now();
         this.receivedIds.add(String(request.headers["request-id"]));
-        await this.waitUntilAwake();
+        const isReport = request.url === "/v1/report";
+        if (!isReport || !this.answersReports) {
+            await this.waitUntilAwake();
+        }
         if (this.behaviour.isLeaving === true) {
             response.setHeader("server-leaving", "1");
         }
@@ -125,7 +134,7 @@
         if (body === undefined) {
             return;
         }
-        if (request.url === "/v1/report") {
+        if (isReport) {
             this.sendReport(response);
             return;
         }
@@ -148,8 +157,8 @@
             busy: false,
             born: this.born,
             layers: this.layers ?? null,
-            kv_used: 0,
-            kv_total: 1_000,
+            kv_used: this.behaviour.isFull === true ? totalMemory : 0,
+            kv_total: totalMemory,
             stalled,
         });
     }
@@ -193,8 +202,9 @@
             return;
         }
         this.recordArrival(id);
-        if (behaviour.refusalStatus !== undefined) {
-            this.refuse(response, id, behaviour.refusalStatus);
+        const refusalStatus = behaviour.refusalStatus ?? (behaviour.isFull === true ? fullStatus : undefined);
+        if (refusalStatus !== undefined) {
+            this.refuse(response, id, refusalStatus);
             return;
         }
         const { method = "", url = "", headers } = request;
