Split the stand-in of an endpoint by its jobs

Change: its silences, its orders with the layers, and its answers and streams are EndpointSilence, EndpointOrders and EndpointAnswers. What tests and the soak use stays (behaviour, layers, orders, stalled and so on; the last three can only be read). sendJson and readBody stood in it and in the stand-in of the store; both now use one. The latter no longer rejects if a caller ends its connection within a body. Behaviour is otherwise unchanged.

--- a/standins/router/endpointStandin.ts
+++ b/standins/router/endpointStandin.ts
@@ -8,8 +8,14 @@
 import type { AddressInfo } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
 import type { ArrivalRecord } from "./arrivalRecord.ts";
+import { EndpointAnswers } from "./endpointAnswers.ts";
 import type { EndpointBehaviour } from "./endpointBehaviour.ts";
+import { EndpointOrders } from "./endpointOrders.ts";
+import { EndpointSilence } from "./endpointSilence.ts";
+import type { LayerRange } from "./layerRange.ts";
+import { readBody } from "./readBody.ts";
 import type { RunRecord } from "./runRecord.ts";
+import { sendJson } from "./sendJson.ts";
 
 /** Options of an {@link EndpointStandin}. */
 interface EndpointStandinOptions {
@@ -19,9 +25,9 @@
     /** Interval between two events, in milliseconds. Default: 5. */
     eventMilliseconds?: number;
     /** Layers that the endpoint holds initially. */
-    layers?: { from: number; to: number; };
+    layers?: LayerRange;
     /** Called when an order has changed the layers. */
-    onLayersChanged?(layers: { from: number; to: number; }): void;
+    onLayersChanged?(layers: LayerRange): void;
     /** Called when a request has stopped the endpoint. */
     onStopped?(): void;
 }
@@ -30,39 +36,46 @@
 /** Memory that the endpoint reports, in tokens times layers. */
 const totalMemory = 1_000;
 const stopDelayMilliseconds = 20;
-const resetDelayMilliseconds = 20;
 const millisecondsPerSecond = 1_000;
 
 /** Stand-in for an endpoint of the platform. It serves documents, streams, reports and orders. */
 export class EndpointStandin {
     behaviour: EndpointBehaviour = {};
-    layers: { from: number; to: number; } | undefined;
     /** Start time of the endpoint, in Unix milliseconds. */
     born = 1_000;
     readonly runs: RunRecord[] = [];
     readonly arrivals: ArrivalRecord[] = [];
     /** IDs of the requests that were sent to the endpoint, also those whose callers left while it was silent. */
     readonly receivedIds = new Set<string>();
-    readonly orders: Record<string, unknown>[] = [];
-    /** Requests whose stream waits for another chain: the address of the failed stage by request ID. */
-    readonly stalled = new Map<string, string>();
     /** Address of the failed stage to report for stalled streams. */
     stalledAddress = "";
     /** Whether the endpoint has stopped. */
     isStopped = false;
     private readonly options: EndpointStandinOptions;
     private readonly server: Server;
-    private readonly resumeCallbacks = new Map<string, () => void>();
-    private sequence = 0;
-    private highestFencingNumber = 0;
-    /** Monotonic time in milliseconds until which the endpoint is silent. */
-    private silentUntil = -Infinity;
-    /** Whether it answers status reports while it is silent. */
-    private answersReports = false;
+    private readonly silence = EndpointSilence.create();
+    private readonly answers: EndpointAnswers;
+    private readonly layerOrders: EndpointOrders;
 
     private constructor(options: EndpointStandinOptions) {
         this.options = options;
-        this.layers = options.layers;
+        const { id, events = 5, eventMilliseconds = 5, layers } = options;
+        this.answers = EndpointAnswers.create({
+            id,
+            events,
+            eventMilliseconds,
+            silence: this.silence,
+            getBehaviour: () => this.behaviour,
+            getStalledAddress: () => this.stalledAddress,
+            onResumed: () => {
+                this.behaviour = { ...this.behaviour, stallsAfterEvent: undefined };
+            },
+        });
+        this.layerOrders = EndpointOrders.create({
+            layers,
+            takeStalled: requestId => this.answers.takeStalled(requestId),
+            onLayersChanged: changed => options.onLayersChanged?.(changed),
+        });
         this.server = createServer((request, response) => void this.handle(request, response));
     }
 
@@ -73,6 +86,21 @@
         return standin;
     }
 
+    /** Layers that the endpoint holds. */
+    get layers(): LayerRange | undefined {
+        return this.layerOrders.getLayers();
+    }
+
+    /** Orders that the endpoint received. */
+    get orders(): Record<string, unknown>[] {
+        return this.layerOrders.received;
+    }
+
+    /** Requests whose stream waits for another chain: the address of the failed stage by request ID. */
+    get stalled(): ReadonlyMap<string, string> {
+        return this.answers.stalled;
+    }
+
     /** Gets the address as host:port. */
     getAddress(): string {
         return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
@@ -84,18 +112,7 @@
      * @param answersReports - Whether it goes on answering status reports, as one does whose requests wait for memory.
      */
     fallSilent(milliseconds: number, answersReports = false): void {
-        this.silentUntil = performance.now() + milliseconds;
-        this.answersReports = answersReports;
-    }
-
-    private getRemainingSilence(): number {
-        return Math.max(0, this.silentUntil - performance.now());
-    }
-
-    private async waitUntilAwake(): Promise<void> {
-        for (let left = this.getRemainingSilence(); left > 0; left = this.getRemainingSilence()) {
-            await wait(left);
-        }
+        this.silence.begin(milliseconds, answersReports);
     }
 
     /** Stops the endpoint and closes all connections. */
@@ -124,9 +141,7 @@
         const arrivedAt = Date.now();
         this.receivedIds.add(String(request.headers["request-id"]));
         const isReport = request.url === "/v1/report";
-        if (!isReport || !this.answersReports) {
-            await this.waitUntilAwake();
-        }
+        await (isReport ? this.silence.waitUntilReports() : this.silence.waitUntilEnd());
         if (this.behaviour.isLeaving === true) {
             response.setHeader("server-leaving", "1");
         }
@@ -143,7 +158,8 @@
                 sendJson(response, 421, {});
                 return;
             }
-            this.handleOrder(JSON.parse(body) as Record<string, unknown>, response);
+            const order = JSON.parse(body) as Record<string, unknown>;
+            this.layerOrders.execute(order, status => sendJson(response, status, {}));
             return;
         }
         await this.runRequest(request, response, body, arrivedAt);
@@ -153,7 +169,7 @@
         const stalled = [...this.stalled.keys()].map(id => ({ id, address: this.stalledAddress }));
         sendJson(response, 200, {
             pace: this.behaviour.slowness ?? 1,
-            sequence: this.sequence,
+            sequence: this.layerOrders.getSequence(),
             busy: false,
             born: this.born,
             layers: this.layers ?? null,
@@ -163,32 +179,6 @@
         });
     }
 
-    private handleOrder(order: Record<string, unknown>, response: ServerResponse): void {
-        this.orders.push(order);
-        if (order["operation"] === "repath") {
-            const id = String(order["id"]);
-            const resume = this.resumeCallbacks.get(id);
-            this.stalled.delete(id);
-            sendJson(response, resume === undefined ? 404 : 202, {});
-            resume?.();
-            return;
-        }
-        const fencingNumber = Number(order["fence"] ?? 0);
-        if (fencingNumber < this.highestFencingNumber) {
-            sendJson(response, 412, {});
-            return;
-        }
-        this.highestFencingNumber = fencingNumber;
-        if (order["expected"] !== undefined && order["expected"] !== this.sequence) {
-            sendJson(response, 409, {});
-            return;
-        }
-        this.sequence += 1;
-        this.layers = { from: Number(order["from"]), to: Number(order["to"]) };
-        sendJson(response, 202, {});
-        this.options.onLayersChanged?.(this.layers);
-    }
-
     private async runRequest(
         request: IncomingMessage,
         response: ServerResponse,
@@ -222,12 +212,12 @@
             return;
         }
         await wait(behaviour.delayMilliseconds ?? 0);
-        await this.waitUntilAwake();
+        await this.silence.waitUntilEnd();
         const { stopsAfterAnswering } = behaviour;
         if (stopsAfterAnswering?.body === body) {
             setTimeout(() => void this.stopByRequest(), stopsAfterAnswering.milliseconds);
         }
-        this.sendAnswer(request, response, record);
+        this.answers.send(request, response, record);
     }
 
     /** Gets if a request or an order is addressed to another endpoint, which had the address before. */
@@ -250,156 +240,9 @@
         }
         response.writeHead(status, { "request-id": id, "not-executed": "1" }).end();
     }
-
-    private sendAnswer(request: IncomingMessage, response: ServerResponse, { id, headers }: RunRecord): void {
-        const { behaviour } = this;
-        if (behaviour.losesAnswer === true) {
-            request.socket.resetAndDestroy();
-            return;
-        }
-        const answeredId = behaviour.answersWrongRequest === true ? "another" : id;
-        const signature = behaviour.isUnsigned === true ? {} : { "response-seal": `seal-${this.options.id}` };
-        const { requestsPerSecond: rate } = behaviour;
-        const limit = rate === undefined ? {} : { "server-limit": String(rate) };
-        const head = { "request-id": answeredId, ...signature, ...limit };
-        if (behaviour.resetsUnframed === true) {
-            request.socket.write(`HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nresponse-seal: s\r\n\r\nhalf`);
-            setTimeout(() => request.socket.resetAndDestroy(), 30);
-            return;
-        }
-        if (behaviour.unframedEnd !== undefined) {
-            omitFraming(response);
-        }
-        if (headers["hop-count"] !== undefined) {
-            response.writeHead(200, { ...head, "content-type": "text/event-stream" });
-            this.streamFrom(Number(headers["last-event-id"] ?? 0) + 1, id, response);
-            return;
-        }
-        const status = behaviour.failureStatus ?? 200;
-        const answer = `answer of ${this.options.id}`;
-        if (behaviour.unframedEnd !== undefined) {
-            response.writeHead(status, head).write(answer);
-            this.endUnframed(response);
-            return;
-        }
-        response.writeHead(status, { ...head, "content-length": answer.length }).end(answer);
-        if (behaviour.sendsExtra === true) {
-            request.socket.write(`HTTP/1.1 200 OK\r\nrequest-id: extra\r\ncontent-length: 5\r\n\r\nextra`);
-        }
-    }
-
-    private streamFrom(event: number, id: string, response: ServerResponse): void {
-        const { events = 5, eventMilliseconds = 5 } = this.options;
-        const { behaviour } = this;
-        if (response.destroyed || this.sendForeignBytes(event, response)) {
-            return;
-        }
-        const silence = this.getRemainingSilence();
-        if (silence > 0) {
-            setTimeout(() => this.streamFrom(event, id, response), silence);
-            return;
-        }
-        if (event > events) {
-            if (behaviour.unframedEnd !== undefined) {
-                this.endUnframed(response);
-                return;
-            }
-            response.end();
-            return;
-        }
-        if (behaviour.cutsAfterEvent !== undefined && event === behaviour.cutsAfterEvent + 1) {
-            response.write(`id: ${event}\nda`);
-            setTimeout(() => this.cut(response), eventMilliseconds);
-            return;
-        }
-        if (behaviour.stallsAfterEvent !== undefined && event === behaviour.stallsAfterEvent + 1) {
-            this.stall(event, id, response);
-            return;
-        }
-        response.write(`id: ${event}\ndata: ${this.options.id}\n\n`);
-        setTimeout(() => this.streamFrom(event + 1, id, response), eventMilliseconds * (behaviour.slowness ?? 1));
-    }
-
-    /** Sends bytes that are no event before an event, if the behaviour says so. Returns whether the answer ends there. */
-    private sendForeignBytes(event: number, response: ServerResponse): boolean {
-        const { foreignBytes } = this.behaviour;
-        if (foreignBytes?.afterEvent !== event - 1) {
-            return false;
-        }
-        response.write(foreignBytes.bytes, "latin1");
-        if (!foreignBytes.continues) {
-            response.end();
-        }
-        return !foreignBytes.continues;
-    }
-
-    /** Ends a response with neither a length nor chunks after its last byte, or in the middle of an event. */
-    private endUnframed(response: ServerResponse): void {
-        if (this.behaviour.unframedEnd === "close") {
-            response.end();
-            return;
-        }
-        // The bytes before a reset would be lost if it followed at once.
-        setTimeout(() => response.socket?.resetAndDestroy(), resetDelayMilliseconds);
-    }
-
-    private cut(response: ServerResponse): void {
-        if (this.behaviour.unframedEnd === undefined) {
-            response.destroy();
-            return;
-        }
-        this.endUnframed(response);
-    }
-
-    /** Holds a stream before an event until an order moves it to another chain, or until the stage that it waits for continues. */
-    private stall(event: number, id: string, response: ServerResponse): void {
-        const { stallMilliseconds } = this.behaviour;
-        const resume = () => {
-            this.stalled.delete(id);
-            this.resumeCallbacks.delete(id);
-            this.behaviour = { ...this.behaviour, stallsAfterEvent: undefined };
-            this.streamFrom(event, id, response);
-        };
-        this.stalled.set(id, this.stalledAddress);
-        this.resumeCallbacks.set(id, resume);
-        if (stallMilliseconds !== undefined) {
-            setTimeout(() => {
-                if (this.resumeCallbacks.get(id) === resume) {
-                    resume();
-                }
-            }, stallMilliseconds);
-        }
-    }
-}
-
-/** Makes the end of the connection the end of a response. */
-function omitFraming(response: ServerResponse): void {
-    response.useChunkedEncodingByDefault = false;
-    response.shouldKeepAlive = false;
-    for (const name of ["content-length", "transfer-encoding", "connection"]) {
-        response.removeHeader(name);
-    }
 }
 
 /** Lists the ids of all parts of a prompt but the last, which no other request has. */
 function listSharedParts(headers: IncomingHttpHeaders): string[] {
     return String(headers["prompt-prefix"] ?? "").split(",").slice(0, -1).map(part => part.split(":", 1)[0]!);
 }
-
-function sendJson(response: ServerResponse, status: number, body: object): void {
-    response.writeHead(status, { "content-type": "application/json" }).end(JSON.stringify(body));
-}
-
-/** Reads the body of a request. Returns undefined if the caller disconnects before its end. */
-async function readBody(request: IncomingMessage): Promise<string | undefined> {
-    const chunks: Buffer[] = [];
-    try {
-        for await (const chunk of request) {
-            chunks.push(chunk as Buffer);
-        }
-    }
-    catch {
-        return undefined;
-    }
-    return Buffer.concat(chunks).toString("utf8");
-}
--- a/standins/router/keyValueStandin.ts
+++ b/standins/router/keyValueStandin.ts
@@ -1,6 +1,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import type { KeyValueFaults } from "./keyValueFaults.ts";
+import { readBody } from "./readBody.ts";
+import { sendJson } from "./sendJson.ts";
 
 /** A stored key. The value is undefined if the key was deleted. */
 interface StoredItem {
@@ -131,7 +133,10 @@
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const url = new URL(request.url ?? "/", "http://store");
         this.callCounts.set(url.pathname, (this.callCounts.get(url.pathname) ?? 0) + 1);
-        const text = await readText(request);
+        const text = await readBody(request);
+        if (text === undefined) {
+            return;
+        }
         response.setHeader("store-era", this.era);
         if (this.faults.isSilent === true) {
             return;
@@ -235,15 +240,3 @@
         sendJson(response, 200, { revision: this.revision });
     }
 }
-
-async function readText(request: IncomingMessage): Promise<string> {
-    const chunks: Buffer[] = [];
-    for await (const chunk of request) {
-        chunks.push(chunk as Buffer);
-    }
-    return Buffer.concat(chunks).toString("utf8");
-}
-
-function sendJson(response: ServerResponse, status: number, body: object): void {
-    response.writeHead(status, { "content-type": "application/json" }).end(JSON.stringify(body));
-}
