Split the soak's endpoints, checks and kinds of faults by their jobs

Change: an endpoint's incarnations with what they received are EndpointHistory, its records in the store EndpointRegistration. The checks of arrivals after a caller has left, of instructions, of drained endpoints and of the number of runs are functions of their own like the other checks. The list of statuses that say that nothing ran stood twice.

--- a/scripts/soak/router/callChecks.ts
+++ b/scripts/soak/router/callChecks.ts
@@ -5,19 +5,20 @@
 import type { CallRecord } from "./callRecord.ts";
 import { CallViolations } from "./callViolations.ts";
 import type { CheckContext } from "./checkContext.ts";
+import { checkDisconnects } from "./checkDisconnects.ts";
+import { checkDraining } from "./checkDraining.ts";
 import { checkHarmfulRequests } from "./checkHarmfulRequests.ts";
+import { checkInstructions } from "./checkInstructions.ts";
 import { checkPromptSeries } from "./checkPromptSeries.ts";
 import { checkRanks } from "./checkRanks.ts";
 import { checkRateLimits } from "./checkRateLimits.ts";
 import { checkReplacements } from "./checkReplacements.ts";
+import { checkRunCounts } from "./checkRunCounts.ts";
 import { checkSilences } from "./checkSilences.ts";
 import type { EndpointRun } from "./endpointRun.ts";
 import { eventsPerStream } from "./eventsPerStream.ts";
-import { findArrivalsAfterLeaving } from "./findArrivalsAfterLeaving.ts";
-import { findArrivalsInPauses } from "./findArrivalsInPauses.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
 import { RouterFaults } from "./routerFaults.ts";
-import { startAtDeletionKind } from "./startAtDeletionKind.ts";
 
 /** Options of {@link CallChecks}. */
 interface CallChecksOptions {
@@ -26,23 +27,11 @@
     violations: Violations;
 }
 
-const { settleMilliseconds } = RouterFaults;
-/** Statuses that guarantee that a request has not run and never will. */
-const notRunStatuses = [408, 421, 429, 503];
 /** Statuses that reject a request as invalid or unauthorized; all requests of the soak test are valid. */
 const rejectionStatuses = [400, 401, 403, 404, 405, 413, 431];
-/** Maximum of attempts that the routes allow. */
-const maximumAttempts = 2;
 const timeoutMilliseconds = 3_000;
 /** Tolerance for late responses: the permitted 500 ms plus scheduling delays of a busy machine. */
 const responseToleranceMilliseconds = 1_500;
-const drainMilliseconds = 2_000;
-const drainSlackMilliseconds = 500;
-/** Time after a caller's disconnect from which no request may arrive at an endpoint: the permitted 500 ms plus transit. */
-const disconnectToleranceMilliseconds = 700;
-const maximumForwardedAfterDisconnect = 3;
-/** An endpoint that a request crashes closes its connections this long before its end is noted, at most. */
-const endNoticeMilliseconds = 500;
 const modelLayers = 8;
 /** What the endpoints send in a stream. */
 const eventsPattern = /^(?:id: \d+\ndata: [\w-]+\n\n)*$/;
@@ -101,20 +90,20 @@
      * @returns A line about each series of requests with a harmful part of the prompt.
      */
     checkRuns(): string[] {
-        const runs = this.options.deployment.endpoints.flatMap(endpoint => endpoint.getRuns());
+        const runs = this.options.deployment.endpoints.flatMap(endpoint => endpoint.history.getRuns());
+        const context = this.getContext();
         for (const run of runs) {
-            this.checkRun(run);
+            this.checkRun(run, context);
         }
-        this.checkDisconnects(runs);
-        this.checkInstructions();
-        const context = this.getContext();
+        checkDisconnects(runs, context);
+        checkInstructions(context);
         checkRateLimits(runs, context);
         checkHarmfulRequests(runs, context);
         checkSilences(context);
         checkReplacements(context);
         const byRequest = Map.groupBy(runs, ({ id }) => id);
         for (const record of this.records.values()) {
-            this.checkRunCounts(record, byRequest.get(record.id) ?? []);
+            checkRunCounts(record, byRequest.get(record.id) ?? [], context);
         }
         const sound = [...this.records.values()].filter(record => !this.faults.hasNodeFault(record));
         checkRanks(sound, id => byRequest.has(id), this.options.violations);
@@ -176,7 +165,7 @@
         }
     }
 
-    private checkRun(run: EndpointRun): void {
+    private checkRun(run: EndpointRun, context: CheckContext): void {
         const record = this.records.get(run.id);
         if (record === undefined) {
             this.violations.addForRun("unasked", "No caller sent this request.", run);
@@ -196,98 +185,7 @@
         if (typeof stages === "string" && !coversLayersInOrder(stages)) {
             this.violations.addForRun("layers", `Its chain is ${stages}.`, run, record);
         }
-        this.checkDraining(run, record);
-    }
-
-    /** Checks that nodes rarely forward requests whose callers have disconnected. */
-    private checkDisconnects(runs: readonly EndpointRun[]): void {
-        const late = runs.filter(({ id, arrivedAt, endpointId }) => {
-            const { leftAt, node = "" } = this.records.get(id) ?? {};
-            return leftAt !== undefined && arrivedAt > leftAt + disconnectToleranceMilliseconds
-                && !this.faults.hasFault(["node"], leftAt - settleMilliseconds, arrivedAt, node)
-                && !this.faults.hasEndpointFault(endpointId, leftAt, arrivedAt);
-        });
-        if (late.length > maximumForwardedAfterDisconnect) {
-            this.violations.addForRun(
-                "gone",
-                `It is one of ${late.length} requests that arrived after their callers had disconnected.`,
-                late.at(-1)!,
-            );
-        }
-    }
-
-    /** Checks that nodes without faults heed the pauses and the announced leaving of endpoints, also while the store is faulty. */
-    private checkInstructions(): void {
-        const getSentTime = (requestId: string) => this.records.get(requestId)?.sentAt ?? -Infinity;
-        for (const { endpointId, arrivals } of this.options.deployment.endpoints.flatMap(each => each.getArrivals())) {
-            const byNode = Map.groupBy(arrivals, ({ requestId }) => this.records.get(requestId)?.node);
-            for (const [node, ofNode] of byNode) {
-                const unwanted = [...findArrivalsInPauses(ofNode), ...findArrivalsAfterLeaving(ofNode, getSentTime)];
-                for (const { requestId, askedAt, arrivedAt, text } of unwanted) {
-                    if (
-                        node !== undefined
-                        && !this.faults.hasFault(["node"], askedAt - settleMilliseconds, arrivedAt, node)
-                    ) {
-                        this.violations.addForRun("instruction", text, { id: requestId, endpointId, arrivedAt });
-                    }
-                }
-            }
-        }
-    }
-
-    /** Checks that an endpoint receives no request after its drain period, counted from its draining or the end of its record. */
-    private checkDraining(run: EndpointRun, record: CallRecord): void {
-        for (const endpoint of this.options.deployment.endpoints) {
-            const since = endpoint.getLeavingSince(run.endpointId) ?? endpoint.getDeletedAt(run.endpointId);
-            if (since === undefined || run.arrivedAt <= since + drainMilliseconds + drainSlackMilliseconds) {
-                continue;
-            }
-            if (
-                !this.faults.hasFault(["node", "store"], since - settleMilliseconds, run.arrivedAt, record.node, [
-                    startAtDeletionKind,
-                ])
-            ) {
-                this.violations.addForRun(
-                    "drain",
-                    `It arrived ${
-                        run.arrivedAt - since
-                    } ms after the endpoint started draining or its record was deleted.`,
-                    run,
-                    record,
-                );
-            }
-        }
-    }
-
-    /** Gets if the endpoint incarnation of a run ended before a time; such runs don't count towards the limit of attempts. */
-    private hasEnded({ endpointId }: EndpointRun, at: number): boolean {
-        return this.options.deployment.endpoints.some(endpoint =>
-            (endpoint.getEndedAt(endpointId) ?? Infinity) <= at + endNoticeMilliseconds
-        );
-    }
-
-    private checkRunCounts(record: CallRecord, runs: readonly EndpointRun[]): void {
-        const { kind, status, isComplete, endedAt } = record;
-        const isOnce = kind === callKinds.unsafe || kind === callKinds.once;
-        if (isOnce && runs.length > 1) {
-            this.violations.add("twice", `It ran ${runs.length} times.`, record);
-        }
-        if (isOnce && runs.length > 0 && notRunStatuses.includes(status)) {
-            this.violations.add("refused", `It was refused with ${status} but ran at ${runs[0]!.endpointId}.`, record);
-        }
-        const lasting = runs.length > maximumAttempts ? runs.filter(run => !this.hasEnded(run, endedAt)) : [];
-        const endpointIds = new Set(lasting.map(({ endpointId }) => endpointId));
-        if (endpointIds.size > maximumAttempts) {
-            const places = lasting.map(({ endpointId, arrivedAt }) =>
-                `${endpointId} at ${arrivedAt - record.sentAt} ms`
-            );
-            this.violations.add("attempts", `It ran on ${endpointIds.size} endpoints: ${places.join(", ")}.`, record);
-        }
-        // A request without a run may have been sent just as the node closed the idle connection.
-        const isCut = !isComplete && runs.length > 0 && record.leftAt === undefined;
-        if (isCut && this.faults.hasOnlyPlannedOperations(record) && endedAt - record.sentAt < timeoutMilliseconds) {
-            this.violations.add("lost", `It was interrupted: ${record.reason}`, record);
-        }
+        checkDraining(run, record, context);
     }
 }
 
--- a/scripts/soak/router/checkPromptSeries.ts
+++ b/scripts/soak/router/checkPromptSeries.ts
@@ -35,7 +35,7 @@
     const harmful = new Map(records.filter(({ role }) => role!.isHarmful).map(({ id, node }) => [id, node]));
     const harmfulRuns = runs.filter(({ id }) => harmful.has(id));
     const crashes = [...new Set(harmfulRuns.map(({ endpointId }) => endpointId))]
-        .flatMap(id => endpoints.map(endpoint => endpoint.getEndedAt(id)))
+        .flatMap(id => endpoints.map(endpoint => endpoint.history.getEndedAt(id)))
         .filter(at => at !== undefined)
         .sort((left, right) => left - right);
     const fifth = crashes[decisiveCrash - 1];
--- a/scripts/soak/router/endpointRun.ts
+++ b/scripts/soak/router/endpointRun.ts
@@ -1,4 +1,4 @@
 import type { RouterDeployment } from "./routerDeployment.ts";
 
 /** An execution of a request by an endpoint. */
-export type EndpointRun = ReturnType<RouterDeployment["endpoints"][number]["getRuns"]>[number];
+export type EndpointRun = ReturnType<RouterDeployment["endpoints"][number]["history"]["getRuns"]>[number];
--- /dev/null
+++ b/scripts/soak/router/faultDuration.ts
@@ -0,0 +1,2 @@
+/** Minimum and maximum duration of a fault, in milliseconds. */
+export type FaultDuration = readonly [number, number];
--- a/scripts/soak/router/findLostRequests.ts
+++ b/scripts/soak/router/findLostRequests.ts
@@ -40,7 +40,7 @@
             continue;
         }
         const { id, node, sentAt, endedAt, status, reason } = record;
-        const receivers = endpoints.filter(endpoint => endpoint.hasReceived(id));
+        const receivers = endpoints.filter(endpoint => endpoint.history.hasReceived(id));
         const services = receivers.filter(endpoint => endpoint.isStage()).map(endpoint => endpoint.getService());
         // The stages of a chain are not known here, so that any stage of the service may be one of them.
         const involved = endpoints.filter(each => receivers.includes(each) || services.includes(each.getService()));
@@ -67,6 +67,6 @@
     const from = sentAt - endpointSettleMilliseconds;
     const continuesElsewhere = resumableKinds.includes(kind)
         && faults.hasFaultAt(harmlessFaultKinds.replaced, endpoint.name, from, endedAt);
-    return endpoint.hasChanged(from, endedAt) && !continuesElsewhere
+    return endpoint.history.hasChanged(from, endedAt) && !continuesElsewhere
         || faults.hasOtherEndpointFault(endpoint.name, from, endedAt);
 }
--- a/scripts/soak/router/isUnanswered.ts
+++ b/scripts/soak/router/isUnanswered.ts
@@ -1,7 +1,7 @@
 import type { CallRecord } from "./callRecord.ts";
+import { notRunStatuses } from "./notRunStatuses.ts";
 
 const okStatus = 200;
-const notRunStatuses = [408, 421, 429, 503];
 
 /** Gets if a request whose caller waited has no complete answer, and no refusal that guarantees that it has not run. */
 export function isUnanswered({ leftAt, isComplete, status }: CallRecord): boolean {
--- a/scripts/soak/router/soakEndpoint.ts
+++ b/scripts/soak/router/soakEndpoint.ts
@@ -1,12 +1,12 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { LoopbackProxy } from "../../../standins/network/loopbackProxy.ts";
-import type { ArrivalRecord } from "../../../standins/router/arrivalRecord.ts";
-import { createEndpointRecord } from "../../../standins/router/createEndpointRecord.ts";
 import type { EndpointBehaviour } from "../../../standins/router/endpointBehaviour.ts";
 import { EndpointStandin } from "../../../standins/router/endpointStandin.ts";
 import type { KeyValueStandin } from "../../../standins/router/keyValueStandin.ts";
-import type { RunRecord } from "../../../standins/router/runRecord.ts";
 import { findFreePorts } from "../../deployment/findFreePorts.ts";
+import { EndpointHistory } from "./endpointHistory.ts";
+import type { EndpointIncarnation } from "./endpointIncarnation.ts";
+import { EndpointRegistration } from "./endpointRegistration.ts";
 import { eventsPerStream } from "./eventsPerStream.ts";
 import { harmfulBody } from "./harmfulBody.ts";
 import { lateHarmfulBody } from "./lateHarmfulBody.ts";
@@ -22,40 +22,12 @@
     dataCentre: string;
 }
 
-/** An execution of a request, with the id of the endpoint incarnation that ran it. */
-interface SoakRun extends RunRecord {
-    endpointId: string;
-}
-
-/** The requests that arrived at an endpoint incarnation. */
-interface SoakArrivals {
-    endpointId: string;
-    arrivals: readonly ArrivalRecord[];
-}
-
-/** An incarnation of an endpoint, from a start to its end. */
-interface EndpointIncarnation {
-    standin: EndpointStandin;
-    id: string;
-    /** host:port, also valid after the end. */
-    address: string;
-    /** Wall-clock times in milliseconds; `endedAt` is undefined while it runs. */
-    startedAt: number;
-    endedAt: number | undefined;
-    /** Wall-clock time in milliseconds at which it registered as draining; undefined if it has not. */
-    leavingSince: number | undefined;
-    /** Wall-clock time at which its store record was deleted, in milliseconds; undefined if it was not. */
-    deletedAt: number | undefined;
-}
-
 /** Where a proxy leads to; undefined only until the endpoint is created. */
 interface ProxyTarget {
     endpoint: SoakEndpoint | undefined;
 }
 
 const eventMilliseconds = 30;
-/** Time until the store record of a crashed endpoint is removed: three heartbeats. */
-const recordTimeToLiveMilliseconds = 3_600;
 /** Time from the beginning of an answer to the crash, less than the answer takes. */
 const lateCrashMilliseconds = 400;
 /** Maximum of concurrent requests per endpoint. */
@@ -71,10 +43,9 @@
     /** Number of reasons for which it is full. */
     private fullCount = 0;
     private behaviour: EndpointBehaviour = {};
-    /** Rewrites the last record of the current incarnation. */
-    private writeAgain: () => void = () => undefined;
+    readonly history = EndpointHistory.create();
+    private readonly registration: EndpointRegistration;
     private readonly options: SoakEndpointOptions;
-    private readonly incarnations: EndpointIncarnation[] = [];
     /** Selects the endpoint that the proxy leads to. */
     private target: ProxyTarget;
 
@@ -83,6 +54,7 @@
         this.name = options.name;
         this.proxy = proxy;
         this.target = target;
+        this.registration = EndpointRegistration.create(options.store);
         target.endpoint = this;
     }
 
@@ -113,7 +85,7 @@
 
     /** Starts a new incarnation, without layers. */
     async start(): Promise<void> {
-        const id = `${this.name}-${this.incarnations.length}`;
+        const id = `${this.name}-${this.history.getCount()}`;
         const standin = await EndpointStandin.create({
             id,
             events: eventsPerStream,
@@ -129,7 +101,7 @@
         const address = standin.getAddress();
         const startedAt = Date.now();
         const running = { endedAt: undefined, leavingSince: undefined, deletedAt: undefined };
-        this.incarnations.push({ standin, id, address, startedAt, ...running });
+        this.history.add({ standin, id, address, startedAt, ...running });
         this.proxy.resetConnections();
         await this.proxy.listen();
         this.register();
@@ -180,8 +152,7 @@
             return;
         }
         if (change === RecordChange.Lapse) {
-            this.writeAgain = () => undefined;
-            this.options.store.remove(`servers/${current.id}`);
+            this.registration.remove(current.id);
         }
         else {
             this.register("draining");
@@ -195,7 +166,7 @@
     /** Restarts after a crash, once the store record would have expired. */
     async restart(): Promise<void> {
         const ended = this.getCurrent();
-        await sleep(recordTimeToLiveMilliseconds);
+        await sleep(EndpointRegistration.timeToLiveMilliseconds);
         if (ended === this.getCurrent() && !this.isRestarting) {
             this.isRestarting = true;
             this.unregister();
@@ -212,10 +183,9 @@
 
     /** Removes the store record, as the platform does after missed heartbeats. */
     unregister(): void {
-        this.writeAgain = () => undefined;
         const current = this.getCurrent();
         current.deletedAt ??= Date.now();
-        this.options.store.remove(`servers/${current.id}`);
+        this.registration.remove(current.id);
     }
 
     /** Exchanges the addresses of two endpoints that have crashed, so that each starts again at the address of the other one. */
@@ -231,50 +201,7 @@
      * expire like those of a crashed endpoint.
      */
     async handleStoreRestored(): Promise<void> {
-        this.writeAgain();
-        const current = this.getCurrent();
-        const ended = this.incarnations.filter(each => each !== current || each.deletedAt !== undefined);
-        await sleep(recordTimeToLiveMilliseconds);
-        for (const { id } of ended) {
-            this.options.store.remove(`servers/${id}`);
-        }
-    }
-
-    /** Gets the runs of all incarnations. */
-    getRuns(): SoakRun[] {
-        return this.incarnations.flatMap(({ standin, id }) => standin.runs.map(run => ({ ...run, endpointId: id })));
-    }
-
-    /** Gets if a request was sent to an incarnation of the endpoint. */
-    hasReceived(requestId: string): boolean {
-        return this.incarnations.some(({ standin }) => standin.receivedIds.has(requestId));
-    }
-
-    /** Gets if an incarnation started, ended, registered as draining or lost its record in a time span of wall-clock milliseconds. */
-    hasChanged(from: number, to: number): boolean {
-        return this.incarnations.some(({ startedAt, endedAt, leavingSince, deletedAt }) =>
-            [startedAt, endedAt, leavingSince, deletedAt].some(at => at !== undefined && at >= from && at <= to)
-        );
-    }
-
-    /** Gets the wall-clock time at which an incarnation ended, in milliseconds. */
-    getEndedAt(endpointId: string): number | undefined {
-        return this.incarnations.find(({ id }) => id === endpointId)?.endedAt;
-    }
-
-    /** Gets the arrivals at each incarnation. */
-    getArrivals(): SoakArrivals[] {
-        return this.incarnations.map(({ standin, id }) => ({ endpointId: id, arrivals: standin.arrivals }));
-    }
-
-    /** Gets the wall-clock time at which an incarnation registered as draining, in milliseconds. */
-    getLeavingSince(endpointId: string): number | undefined {
-        return this.incarnations.find(({ id }) => id === endpointId)?.leavingSince;
-    }
-
-    /** Gets the wall-clock time at which the store record of an incarnation was deleted, in milliseconds. */
-    getDeletedAt(endpointId: string): number | undefined {
-        return this.incarnations.find(({ id }) => id === endpointId)?.deletedAt;
+        await this.registration.restore(this.history.listEndedIds());
     }
 
     /** Stops the endpoint and its proxy. */
@@ -300,7 +227,7 @@
     }
 
     private getCurrent(): EndpointIncarnation {
-        return this.incarnations.at(-1)!;
+        return this.history.getCurrent();
     }
 
     /** Registers the new layers, unless the record was deleted or the endpoint has been replaced. */
@@ -317,9 +244,7 @@
         const address = this.proxy.getAddress();
         const { service, dataCentre } = this.options;
         const { born } = standin;
-        const record = createEndpointRecord({ service, address, state, slots, layers, born, dataCentre });
-        this.writeAgain = () => this.options.store.put(`servers/${id}`, record);
-        this.writeAgain();
+        this.registration.write(id, { service, address, state, slots, layers, born, dataCentre });
     }
 }
 
--- a/tests/scripts/callChecks.test.ts
+++ b/tests/scripts/callChecks.test.ts
@@ -8,7 +8,7 @@
 import { Violations } from "../../scripts/soak/violations.ts";
 import type { ArrivalRecord } from "../../standins/router/arrivalRecord.ts";
 
-type Run = ReturnType<RouterDeployment["endpoints"][number]["getRuns"]>[number];
+type Run = ReturnType<RouterDeployment["endpoints"][number]["history"]["getRuns"]>[number];
 
 const leftAt = 1_000;
 const stream = Array.from({ length: 20 }, (_, index) => `id: ${index + 1}\ndata: x\n\n`).join("");
@@ -25,12 +25,13 @@
         arrivals = [];
         timeline = FaultTimeline.create();
         violations = Violations.create(timeline, LogTail.create(), () => undefined);
-        const endpoints = [{
+        const history = {
             getRuns: () => runs,
             getArrivals: () => [{ endpointId: "e", arrivals }],
             getLeavingSince: (id: string) => id === "leaving" ? leftAt : undefined,
             getDeletedAt: (id: string) => id === "deleted" ? leftAt : undefined,
-        }];
+        };
+        const endpoints = [{ history }];
         checks = CallChecks.create({ deployment: { endpoints } as never, timeline, violations });
     });
 
--- a/tests/scripts/checkPromptSeries.test.ts
+++ b/tests/scripts/checkPromptSeries.test.ts
@@ -51,7 +51,7 @@
         const violations = Violations.create(timeline, LogTail.create(), () => undefined);
         const getEndedAt = (id: string) => Number(id.slice("e-".length));
         checkPromptSeries(runs, {
-            endpoints: [{ getEndedAt }] as never,
+            endpoints: [{ history: { getEndedAt } }] as never,
             faults: RouterFaults.create(timeline),
             violations: CallViolations.create(violations),
             records,
--- a/tests/scripts/lostRequestHarness.ts
+++ b/tests/scripts/lostRequestHarness.ts
@@ -53,8 +53,11 @@
             name,
             isStage: () => service === "model",
             getService: () => service,
-            hasReceived: () => hasReceived,
-            hasChanged: (from: number, to: number) => isReceivingStage && stageEndedAt >= from && stageEndedAt <= to,
+            history: {
+                hasReceived: () => hasReceived,
+                hasChanged: (from: number, to: number) =>
+                    isReceivingStage && stageEndedAt >= from && stageEndedAt <= to,
+            },
         };
     }
 }
