Send some of the soak's requests behind others on kept connections

Cause: callers of the soak sent one request at a time on a connection (undici's pools without pipelining), so nothing met a request that crosses a head which says that its connection closes, or an answer that is cut with another request behind it.

Change: each eleventh request of the load goes over a kept connection of its own kind (CallConnection over a plain socket, which never sends again by itself) and another follows it there, half of them at once and half within 0.5 s, so that a twelfth of the load is sent behind others. Callers heed a head that says that the connection closes. checkCallsBehind: a request behind a complete answer that gets nothing breaks the promise if it was forwarded, or if the connection ended later than 200 ms after it was sent; those behind an answer that was cut count if they were forwarded and are more than three. Faults that end the node or cut its links explain both. The outcomes count them as "behind". They have a random source of their own; the load otherwise draws as before, but for the delay of callers that leave, which such a request doesn't draw. createCall and createCallRecord moved out of RouterCallers.

--- a/scripts/soak/router/callChecks.ts
+++ b/scripts/soak/router/callChecks.ts
@@ -4,6 +4,7 @@
 import { callKinds } from "./callKind.ts";
 import type { CallRecord } from "./callRecord.ts";
 import { CallViolations } from "./callViolations.ts";
+import { checkCallsBehind } from "./checkCallsBehind.ts";
 import type { CheckContext } from "./checkContext.ts";
 import { checkDisconnects } from "./checkDisconnects.ts";
 import { checkDraining } from "./checkDraining.ts";
@@ -99,6 +100,7 @@
         checkInstructions(context);
         checkRateLimits(runs, context);
         checkHarmfulRequests(runs, context);
+        checkCallsBehind(context);
         checkSilences(context);
         checkReplacements(context);
         const byRequest = Map.groupBy(runs, ({ id }) => id);
@@ -122,9 +124,10 @@
     getCounts(): Record<string, number> {
         const records = [...this.records.values()];
         return countNames(
-            records.map(({ kind, status, isComplete, leftAt }) => {
+            records.map(({ kind, status, isComplete, leftAt, aheadId }) => {
+                const place = aheadId === undefined ? "" : " behind";
                 const end = leftAt === undefined ? " cut" : " left";
-                return `${kind}/${status}${isComplete ? "" : end}`;
+                return `${kind}${place}/${status}${isComplete ? "" : end}`;
             }),
         );
     }
--- a/scripts/soak/router/callRecord.ts
+++ b/scripts/soak/router/callRecord.ts
@@ -19,6 +19,8 @@
     leftAt: number | undefined;
     /** Time without an event after which the caller leaves its stream, in milliseconds; undefined if it does not. */
     patienceMilliseconds?: number;
+    /** Id of the request ahead, if this one was sent over its connection right behind it; undefined for most requests. */
+    aheadId?: string;
     /** HTTP status; 0 if the connection closed before the response headers. */
     status: number;
     /** Signature of the endpoint; undefined if the response has none. */
--- a/scripts/soak/router/findLostRequests.ts
+++ b/scripts/soak/router/findLostRequests.ts
@@ -1,6 +1,7 @@
 import { callKinds } from "./callKind.ts";
 import type { CallRecord } from "./callRecord.ts";
 import type { CheckContext } from "./checkContext.ts";
+import { endingNodeFaults } from "./endingNodeFaults.ts";
 import { harmlessFaultKinds } from "./harmlessFaultKinds.ts";
 import { isUnanswered } from "./isUnanswered.ts";
 import { RouterFaults } from "./routerFaults.ts";
@@ -19,8 +20,6 @@
 /** Time after a fault of an endpoint within which it may still end requests that are sent there. */
 const endpointSettleMilliseconds = 1_000;
 const timeoutMilliseconds = 3_000;
-/** Faults of a node that end its requests or part it from the endpoints, by the prefixes of their kinds. */
-const nodeFaultPrefixes = ["nodeKill", "nodeStopAtStart", "nodeStartAtDeletion", "nodeFreeze", "nodeLinks"];
 const resumableKinds: readonly CallRecord["kind"][] = [callKinds.model, callKinds.last, callKinds.prompt];
 
 /**
@@ -39,7 +38,10 @@
         if (harmless.length === 0 || !isLost(record) || record.endedAt - record.sentAt >= timeoutMilliseconds) {
             continue;
         }
-        const { id, node, sentAt, endedAt, status, reason } = record;
+        const { id, node, sentAt, endedAt, status, reason, aheadId = "" } = record;
+        if (records.get(aheadId)?.isComplete === false) {
+            continue;
+        }
         const receivers = endpoints.filter(endpoint => endpoint.history.hasReceived(id));
         const services = receivers.filter(endpoint => endpoint.isStage()).map(endpoint => endpoint.getService());
         // The stages of a chain are not known here, so that any stage of the service may be one of them.
@@ -47,7 +49,7 @@
         const during = harmless.filter(({ from, to, target }) =>
             from <= endedAt && to >= sentAt && involved.some(({ name }) => name === target)
         );
-        const isExplained = faults.hasFault(nodeFaultPrefixes, sentAt - settleMilliseconds, endedAt, node)
+        const isExplained = faults.hasFault(endingNodeFaults, sentAt - settleMilliseconds, endedAt, node)
             || involved.some(endpoint => hasOtherFault(faults, endpoint, record));
         if (during.length > 0 && !isExplained) {
             const targets = during.map(({ target }) => target).join(", ");
--- a/scripts/soak/router/routerCallers.ts
+++ b/scripts/soak/router/routerCallers.ts
@@ -1,47 +1,49 @@
 import { Pool } from "undici";
 import type { SeededRandom } from "../seededRandom.ts";
+import type { CallConnection } from "./callConnection.ts";
+import type { CallContent } from "./callContent.ts";
 import type { CallKind } from "./callKind.ts";
 import { callKinds } from "./callKind.ts";
 import type { CallRecord } from "./callRecord.ts";
-import { type Customer, customers } from "./customers.ts";
+import { createCall } from "./createCall.ts";
+import { createCallRecord } from "./createCallRecord.ts";
 import { modelRanks } from "./modelRanks.ts";
 import type { PromptSeries } from "./promptSeries.ts";
 import type { RouterDeployment } from "./routerDeployment.ts";
+import { sendCallPair } from "./sendCallPair.ts";
 import type { SoakNode } from "./soakNode.ts";
 
 /** Options of {@link RouterCallers}. */
 interface RouterCallersOptions {
     deployment: RouterDeployment;
     random: SeededRandom;
+    /** Used for the requests that are sent behind others, so that the others stay as they are. There are none if undefined. */
+    randomBehind?: SeededRandom;
     /** Called after each request. */
     onEnded(record: CallRecord): void;
 }
 
-/** The content of a request. */
-interface CallContent
-    extends Pick<CallRecord, "id" | "kind" | "method" | "path" | "body" | "role" | "patienceMilliseconds"> {
-    /** Chosen at random if undefined. */
-    customer?: Customer;
-}
-
 const modelKinds = Object.keys(modelRanks) as CallKind[];
 const documentKinds: readonly CallKind[] = [callKinds.safe, callKinds.unsafe];
 /** Share of model requests outside bursts. */
 const modelShare = 0.5;
 /** Maximum of connections to each node. */
 const connections = 40;
-const deadlineMilliseconds = 5_000;
 /** Time without an event after which a patient caller leaves its stream. */
 const patienceMilliseconds = 2_000;
-/** Time after the request's deadline at which the caller gives up. */
-const callerTimeoutMarginMilliseconds = 4_000;
-const maximumBodyCharacters = 3_000;
+/** Time after which the caller gives up: 4 s after the deadline of its request. */
+const callerTimeoutMilliseconds = 9_000;
 const healthCheckIntervalMilliseconds = 1_000;
 /** Consecutive failed health checks after which the load balancer removes a node from the rotation. */
 const maximumFailures = 2;
 /** Share of requests whose callers disconnect early, and the maximum delay until then. */
 const disconnectShare = 0.08;
 const maximumDisconnectDelayMilliseconds = 800;
+/** One in this many requests is followed by another one over its connection, usually before its answer has ended. */
+const pairInterval = 11;
+/** Share of these that follow at once, and the maximum delay of the others. */
+const immediateShare = 0.5;
+const maximumPairDelayMilliseconds = 500;
 /** Share of requests that go to any node, as over kept-alive connections that bypass the load balancer's rotation. */
 const bypassShare = 0.2;
 
@@ -50,6 +52,9 @@
     private readonly options: RouterCallersOptions;
     private readonly pools = new Map<SoakNode, Pool>();
     private readonly failures = new Map<SoakNode, number>();
+    private sentCount = 0;
+    /** Kept connections for requests that are sent behind others. */
+    private readonly idle = new Map<SoakNode, CallConnection[]>();
     private readonly timer: NodeJS.Timeout;
 
     private constructor(options: RouterCallersOptions) {
@@ -68,6 +73,9 @@
         for (const pool of this.pools.values()) {
             await pool.destroy();
         }
+        for (const connection of [...this.idle.values()].flat()) {
+            connection.close();
+        }
     }
 
     private async checkReadiness(): Promise<void> {
@@ -87,7 +95,13 @@
 
     /** Sends a request; resolves after the response, or when the caller disconnects, as a share of them does. */
     async send(id: string): Promise<void> {
-        await this.call(this.createCall(id), this.options.random.isHit(disconnectShare));
+        const call = this.createCall(id);
+        const disconnects = this.options.random.isHit(disconnectShare);
+        const { randomBehind } = this.options;
+        this.sentCount += 1;
+        await (randomBehind !== undefined && this.sentCount % pairInterval === 0
+            ? this.callWithOneBehind(call, randomBehind)
+            : this.call(call, disconnects));
     }
 
     /** Sends a request whose caller never disconnects early. */
@@ -100,14 +114,6 @@
         await this.call(this.createCall(id, kind), false);
     }
 
-    private createCall(id: string, kind = chooseKind(this.options.random)): CallContent {
-        const { random } = this.options;
-        const path = `/${kind}/${id}?of=${random.chooseInteger(0, 9)}`;
-        const isGet = kind === callKinds.safe;
-        const body = isGet ? "" : createBody(random);
-        return { id, kind, method: isGet ? "GET" : "POST", path, body };
-    }
-
     /** Sends a request with a stream whose caller leaves it after a long time without an event. */
     async sendWithPatience(id: string, kind: CallKind): Promise<void> {
         await this.call({ ...this.createCall(id, kind), patienceMilliseconds }, false);
@@ -123,28 +129,43 @@
         await this.call({ ...this.createCall(id, kind), customer, role }, false);
     }
 
-    private async call({ customer: chosen, ...content }: CallContent, disconnects: boolean): Promise<void> {
+    private async call(content: CallContent, disconnects: boolean): Promise<void> {
         const node = this.chooseNode();
-        const { name: customer, apiKey } = chosen ?? chooseCustomer(this.options.random);
-        const record: CallRecord = {
-            ...content,
-            customer,
-            node: node.name,
-            sentAt: Date.now(),
-            endedAt: 0,
-            leftAt: undefined,
-            status: 0,
-            signature: undefined,
-            text: "",
-            isComplete: false,
-            reason: "",
-        };
-        await this.receive(record, apiKey, this.getPool(node), disconnects);
+        const { record, headers } = createCallRecord(content, node, this.options.random);
+        await this.receive(record, headers, this.getPool(node), disconnects);
         record.endedAt = Date.now();
         this.options.onEnded(record);
     }
 
-    private async receive(record: CallRecord, apiKey: string, pool: Pool, disconnects: boolean): Promise<void> {
+    private async callWithOneBehind(content: CallContent, randomBehind: SeededRandom): Promise<void> {
+        const { random, onEnded } = this.options;
+        const node = this.chooseNode();
+        const idle = this.idle.get(node) ?? [];
+        this.idle.set(node, idle);
+        const behind = createCall(`${content.id}-behind`, chooseKind(randomBehind), randomBehind);
+        await sendCallPair({
+            port: node.ports.callers,
+            idle,
+            ahead: createCallRecord(content, node, random),
+            behind: createCallRecord({ ...behind, aheadId: content.id }, node, randomBehind),
+            delayMilliseconds: randomBehind.isHit(immediateShare)
+                ? 0
+                : randomBehind.chooseInteger(1, maximumPairDelayMilliseconds),
+            timeoutMilliseconds: callerTimeoutMilliseconds,
+            onEnded,
+        });
+    }
+
+    private createCall(id: string, kind = chooseKind(this.options.random)): CallContent {
+        return createCall(id, kind, this.options.random);
+    }
+
+    private async receive(
+        record: CallRecord,
+        headers: Readonly<Record<string, string>>,
+        pool: Pool,
+        disconnects: boolean,
+    ): Promise<void> {
         const { random } = this.options;
         const controller = new AbortController();
         const disconnect = () => {
@@ -160,17 +181,11 @@
             const answer = await pool.request({
                 method: record.method,
                 path: record.path,
-                headers: {
-                    host: "one.example",
-                    "request-id": record.id,
-                    "request-deadline-ms": String(deadlineMilliseconds),
-                    authorization: `Bearer ${apiKey}`,
-                    ...(record.role === undefined ? {} : { "prompt-prefix": record.role.prefix }),
-                },
+                headers,
                 body: record.body,
                 signal: AbortSignal.any([
                     controller.signal,
-                    AbortSignal.timeout(deadlineMilliseconds + callerTimeoutMarginMilliseconds),
+                    AbortSignal.timeout(callerTimeoutMilliseconds),
                 ]),
             });
             record.status = answer.statusCode;
@@ -206,12 +221,3 @@
 function chooseKind(random: SeededRandom): CallKind {
     return random.choose(random.isHit(modelShare) ? modelKinds : documentKinds)!;
 }
-
-function chooseCustomer(random: SeededRandom): Customer {
-    const [large, ...others] = customers;
-    return random.isHit(large!.share) ? large! : random.choose(others)!;
-}
-
-function createBody(random: SeededRandom): string {
-    return String(random.chooseInteger(0, 9)).repeat(random.chooseInteger(1, maximumBodyCharacters));
-}
--- a/scripts/soak/router/runRouterSoak.ts
+++ b/scripts/soak/router/runRouterSoak.ts
@@ -62,7 +62,12 @@
     const { deployment, timeline, violations, checks } = parts;
     const startedAt = Date.now();
     const random = SeededRandom.create(options.seed);
-    const callers = RouterCallers.create({ deployment, random, onEnded: record => checks.checkAnswer(record) });
+    const callers = RouterCallers.create({
+        deployment,
+        random,
+        randomBehind: SeededRandom.create(options.seed + 2),
+        onEnded: record => checks.checkAnswer(record),
+    });
     const faults = FaultLoop.create({
         context: { deployment, timeline, callers, violations, random: SeededRandom.create(options.seed + 1) },
         allKinds: routerFaultKinds,
