Ask in one place whether a fault of the soak is active

Cause: endpointsStandStill and harmfulPart looked through the timeline in the same way.

Change: FaultTimeline.isActive. Nothing else changes.

--- a/scripts/soak/faultTimeline.ts
+++ b/scripts/soak/faultTimeline.ts
@@ -43,6 +43,11 @@
         return this.faults.filter(({ kind }) => kind === name);
     }
 
+    /** Gets if a fault of a kind is active. */
+    isActive(name: string): boolean {
+        return this.getOfKind(name).some(({ to }) => to === Infinity);
+    }
+
     /** Gets if a fault of one of the kinds overlaps a time span, at the target or, if undefined, at any. */
     hasDuring(kinds: readonly string[], from: number, to: number, target?: string): boolean {
         return this.getDuring(from, to).some(fault => {
--- a/scripts/soak/router/endpointsStandStill.ts
+++ b/scripts/soak/router/endpointsStandStill.ts
@@ -25,15 +25,11 @@
     durationMilliseconds: [0, 0],
     isInBackground: true,
     prepare: context =>
-        isActive(context)
+        context.timeline.isActive(harmlessFaultKinds.standsStill)
             ? undefined
             : { target: "endpoints", inject: () => silenceInSeries(context), revert: () => undefined },
 };
 
-function isActive({ timeline }: RouterSoakContext): boolean {
-    return timeline.getOfKind(harmlessFaultKinds.standsStill).some(({ to }) => to === Infinity);
-}
-
 async function silenceInSeries(context: RouterSoakContext): Promise<void> {
     const { deployment, random } = context;
     const silent = new Set<SoakEndpoint>();
--- a/scripts/soak/router/harmfulPart.ts
+++ b/scripts/soak/router/harmfulPart.ts
@@ -18,7 +18,7 @@
     durationMilliseconds: [0, 0],
     isInBackground: true,
     prepare: context =>
-        context.timeline.getOfKind(kind).some(({ to }) => to === Infinity)
+        context.timeline.isActive(kind)
             ? undefined
             : { target: promptService, inject: () => sendSeries(context), revert: () => undefined },
 };
