--- a/scripts/soak/router/endpointsStandStill.ts
+++ b/scripts/soak/router/endpointsStandStill.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { FaultKind } from "../faultKind.ts";
-import { endpointStandsStillKind } from "./endpointStandsStillKind.ts";
+import { harmlessFaultKinds } from "./harmlessFaultKinds.ts";
 import { RecordChange } from "./recordChange.ts";
 import type { RouterSoakContext } from "./routerSoakContext.ts";
 import type { SoakEndpoint } from "./soakEndpoint.ts";
@@ -25,15 +25,11 @@
     durationMilliseconds: [0, 0],
     isInBackground: true,
     prepare: context =>
-        isActive(context)
+        context.timeline.isActive(harmlessFaultKinds.standsStill)
             ? undefined
             : { target: "endpoints", inject: () => silenceInSeries(context), revert: () => undefined },
 };
 
-function isActive({ timeline }: RouterSoakContext): boolean {
-    return timeline.getOfKind(endpointStandsStillKind).some(({ to }) => to === Infinity);
-}
-
 async function silenceInSeries(context: RouterSoakContext): Promise<void> {
     const { deployment, random } = context;
     const silent = new Set<SoakEndpoint>();
@@ -54,7 +50,7 @@
 
 async function silence({ random, timeline }: RouterSoakContext, endpoint: SoakEndpoint): Promise<void> {
     const milliseconds = random.chooseInteger(...silenceMilliseconds);
-    const entry = timeline.start(endpointStandsStillKind, endpoint.name);
+    const entry = timeline.start(harmlessFaultKinds.standsStill, endpoint.name);
     endpoint.fallSilent(milliseconds);
     const change = random.choose(recordChanges);
     const changing = change === undefined
