Judge no peer by calls for which the process had too few turns of its event loop

Cause: a call takes several turns of the event loop (connect, write, read), and its deadline runs on while each turn is long. The gossiper measured how late its process was by the timer of its rounds only. A timer that is about as long as a turn runs on time once a turn, so a process with turns as long as the interval was not late by that measure, and its own timeouts counted as misses of its peers. Each timeout also replaces the connection, and a new one takes more turns, so in longer turns no call got through and no refutation arrived: the suspects died.

Change: TurnMeter measures the time that goes into long turns, by short timers that are set only while calls are in flight. A call of which more than a quarter (as before) went into turns longer than a tenth of its timeout says nothing of the peer. The tests' nodes scale that bound with their timeout.

Evidence: lateProcess.test.ts, with the fake clock and no network: turns as long as the interval and calls of six turns. A second new test keeps a process with short turns judging.

Not run in this commit: the test beside load.

--- a/src/process/membership/gossiper.ts
+++ b/src/process/membership/gossiper.ts
@@ -12,6 +12,7 @@
 import { logMemberChange } from "./logMemberChange.ts";
 import type { MembershipView } from "./membershipView.ts";
 import { MemberState } from "./memberState.ts";
+import { TurnMeter } from "./turnMeter.ts";
 
 const defaultIntervalMilliseconds = 500;
 const defaultFullMeshPeers = 8;
@@ -19,7 +20,9 @@
 const defaultPullIntervalMilliseconds = 60_000;
 /** Largest jitter of a round, as a share of the interval. */
 const jitterRatio = 0.2;
-/** A call during which this process was late for more than this share of the time says nothing of the peer. */
+/** A tenth of a call's default timeout, since a call over a new connection takes several turns of the event loop. */
+const defaultMaximumTurnMilliseconds = 100;
+/** A call says nothing of the peer if more than this share of its time went into longer turns of this process's event loop. */
 const maximumLateFraction = 0.25;
 
 /** Options of a {@link Gossiper}. */
@@ -41,12 +44,20 @@
     fanOut?: number;
     /** Mean time between two pulls of a peer's full view in milliseconds. Default 60000. */
     pullIntervalMilliseconds?: number;
+    /** Longest turn of the event loop in milliseconds with which calls are answered in time. Default 100, a tenth of their timeout. */
+    maximumTurnMilliseconds?: number;
     /** Most membership changes in one message. Default 8. */
     piggybackLimit?: number;
     /** Most bytes of endpoint and demand records in one message. Default 256. */
     payloadBudgetBytes?: number;
 }
 
+/** Result of a call, and whether this process was too late to read an answer. */
+interface MeasuredCall {
+    result: Result<GossipResponse, PeerError>;
+    isLate: boolean;
+}
+
 /**
  * Exchanges heartbeats with peers in rounds. A peer that does not answer twice, the second time over a new connection, is
  * suspected. The suspicion spreads to other nodes, some of which check the peer out of turn, and its refutation spreads
@@ -57,12 +68,11 @@
     private readonly view: MembershipView;
     private readonly exchange: GossipExchange;
     private readonly chooser: ContactChooser;
+    private readonly turns: TurnMeter;
     private readonly pending = new Set<string>();
     private readonly unsubscribe: () => void;
     private timer: TimerHandle | undefined;
     private nextRoundAt: number | undefined;
-    /** Time by which all rounds together were late, in milliseconds. */
-    private lateness = 0;
     private isStopped = false;
     private lastContact: number | undefined;
 
@@ -77,6 +87,10 @@
             fanOut: options.fanOut ?? defaultFanOut,
             pullIntervalMilliseconds: options.pullIntervalMilliseconds ?? defaultPullIntervalMilliseconds,
         });
+        this.turns = TurnMeter.create(
+            options.clock,
+            options.maximumTurnMilliseconds ?? defaultMaximumTurnMilliseconds,
+        );
         this.unsubscribe = this.view.onChange(change => {
             logMemberChange(options.log, change, this.view.getSelf());
             if (change.member.state === MemberState.Suspect) {
@@ -125,11 +139,8 @@
             return;
         }
         const now = this.options.clock.getMonotonicTime();
-        const lateMilliseconds = this.getCurrentLateness(now);
-        this.lateness += lateMilliseconds;
-        this.nextRoundAt = undefined;
         // What peers sent while this process was late is read only after this round.
-        this.view.postponeDeadlines(lateMilliseconds);
+        this.view.postponeDeadlines(Math.max(0, now - (this.nextRoundAt ?? now)));
         this.view.advance(now);
         for (const contact of this.chooser.chooseRound(now)) {
             void this.contact(contact);
@@ -140,16 +151,6 @@
         this.timer = this.options.clock.setTimer(delay, () => this.runRound());
     }
 
-    /** Gets the time by which the next round is overdue, in milliseconds. */
-    private getCurrentLateness(now: number): number {
-        return this.nextRoundAt === undefined ? 0 : Math.max(0, now - this.nextRoundAt);
-    }
-
-    /** Gets the time by which this process was late so far, in milliseconds. */
-    private getLateness(now: number): number {
-        return this.lateness + this.getCurrentLateness(now);
-    }
-
     private async contact(contact: Contact): Promise<void> {
         if (this.pending.has(contact.address)) {
             return;
@@ -169,17 +170,9 @@
     private async callHeartbeat(contact: Contact): Promise<boolean> {
         const member = contact.nodeId === undefined ? undefined : this.view.getMember(contact.nodeId);
         const request = this.exchange.createHeartbeat(member);
-        const sentAt = this.options.clock.getMonotonicTime();
-        const latenessBefore = this.getLateness(sentAt);
-        let result = await this.options.callGossip(contact.address, request);
-        if (result.err && result.val.kind === PeerErrorKind.TimedOut) {
-            // The connection has been replaced. A peer that is alive answers over the new one.
-            result = await this.options.callGossip(contact.address, request);
-        }
+        const { result, isLate } = await this.callTwice(contact.address, request);
         const now = this.options.clock.getMonotonicTime();
         if (result.err) {
-            const lateMilliseconds = this.getLateness(now) - latenessBefore;
-            const isLate = lateMilliseconds > (now - sentAt) * maximumLateFraction;
             if (contact.nodeId !== undefined && !this.isStopped && isMiss(result.val.kind) && !isLate) {
                 this.view.noteMiss(contact.nodeId, now);
             }
@@ -197,6 +190,25 @@
         return true;
     }
 
+    /** Calls a peer, a second time if the first call times out, and checks if this process was too late to read an answer. */
+    private async callTwice(address: string, request: GossipRequest): Promise<MeasuredCall> {
+        const { callGossip, clock } = this.options;
+        const sentAt = clock.getMonotonicTime();
+        const measurement = this.turns.start();
+        try {
+            let result = await callGossip(address, request);
+            if (result.err && result.val.kind === PeerErrorKind.TimedOut) {
+                // The connection has been replaced. A peer that is alive answers over the new one.
+                result = await callGossip(address, request);
+            }
+            const limitMilliseconds = (clock.getMonotonicTime() - sentAt) * maximumLateFraction;
+            return { result, isLate: measurement.getLongMilliseconds() > limitMilliseconds };
+        }
+        finally {
+            measurement.end();
+        }
+    }
+
     private async callPull(contact: Contact): Promise<void> {
         const result = await this.options.callGossip(contact.address, this.exchange.createPull());
         if (result.err) {
--- /dev/null
+++ b/src/process/membership/turnMeter.ts
@@ -0,0 +1,79 @@
+import type { Clock, TimerHandle } from "../clock.ts";
+
+/** A running measurement. */
+interface Measurement {
+    /** Gets the time that went into long turns since its start, in milliseconds. */
+    getLongMilliseconds(): number;
+    /** Ends it, so that no timers are set for it. */
+    end(): void;
+}
+
+/** The timers are shorter than a long turn by this factor, so that a timer which waits for a short turn doesn't count as long. */
+const timersPerTurn = 5;
+
+/**
+ * Measures the time that this process spends in long turns of its event loop, as it does while it is starved of processor time.
+ *
+ * An exchange with a peer takes several turns. The lateness of a timer does not show how few there were: a timer that is as long
+ * as a turn is on time. So the process sets short timers, but only while a measurement is running.
+ */
+export class TurnMeter {
+    private readonly clock: Clock;
+    private readonly maximumTurnMilliseconds: number;
+    private runningCount = 0;
+    private timer: TimerHandle | undefined;
+    private turnStartedAt = 0;
+    /** Time that all long turns together took, in milliseconds. */
+    private longMilliseconds = 0;
+
+    private constructor(clock: Clock, maximumTurnMilliseconds: number) {
+        this.clock = clock;
+        this.maximumTurnMilliseconds = maximumTurnMilliseconds;
+    }
+
+    /**
+     * Creates a meter that sets no timers before its first measurement.
+     * @param clock - Clock of the process.
+     * @param maximumTurnMilliseconds - A turn that takes longer is a long one.
+     */
+    static create(clock: Clock, maximumTurnMilliseconds: number): TurnMeter {
+        return new TurnMeter(clock, maximumTurnMilliseconds);
+    }
+
+    /** Starts a measurement. It must be ended. */
+    start(): Measurement {
+        this.runningCount++;
+        if (this.runningCount === 1) {
+            this.startTurn();
+        }
+        const before = this.getLongMilliseconds();
+        return {
+            getLongMilliseconds: () => this.getLongMilliseconds() - before,
+            end: () => this.end(),
+        };
+    }
+
+    private end(): void {
+        this.runningCount--;
+        if (this.runningCount === 0) {
+            this.timer?.cancel();
+        }
+    }
+
+    private startTurn(): void {
+        this.turnStartedAt = this.clock.getMonotonicTime();
+        this.timer = this.clock.setTimer(this.maximumTurnMilliseconds / timersPerTurn, () => {
+            this.longMilliseconds += this.getCurrentLongMilliseconds();
+            this.startTurn();
+        });
+    }
+
+    private getLongMilliseconds(): number {
+        return this.longMilliseconds + this.getCurrentLongMilliseconds();
+    }
+
+    private getCurrentLongMilliseconds(): number {
+        const milliseconds = this.clock.getMonotonicTime() - this.turnStartedAt;
+        return milliseconds > this.maximumTurnMilliseconds ? milliseconds : 0;
+    }
+}
--- a/tests/process/membership/lateProcess.test.ts
+++ b/tests/process/membership/lateProcess.test.ts
@@ -12,6 +12,8 @@
 import { FakeClock } from "../../support/fakeClock.ts";
 
 const callMilliseconds = 250;
+const intervalMilliseconds = 50;
+const maximumTurnMilliseconds = 25;
 const suspicionMilliseconds = 1_000;
 const peer: Member = {
     nodeId: "peer",
@@ -26,10 +28,13 @@
     let clock: FakeClock;
     let view: MembershipView;
     let isAnswering: boolean;
+    /** Turns of the event loop that a call needs until its answer is read. */
+    let turnsOfCall: number;
 
     beforeEach(() => {
         clock = FakeClock.create();
         isAnswering = true;
+        turnsOfCall = 1;
         view = MembershipView.create({
             nodeId: "own",
             peerAddress: "127.0.0.1:1",
@@ -42,7 +47,8 @@
             log: { write: () => undefined },
             clock,
             random: () => 0.5,
-            intervalMilliseconds: 50,
+            intervalMilliseconds,
+            maximumTurnMilliseconds,
             payloads: {
                 collectEndpointRecords: () => [],
                 applyEndpointRecords: () => undefined,
@@ -59,7 +65,9 @@
     /** Answers after 10 ms, unless the caller is late or the peer does not answer; then the call times out. */
     async function callPeer(): Promise<Result<GossipResponse, PeerError>> {
         const sentAt = clock.getMonotonicTime();
-        await new Promise<void>(resolve => clock.setTimer(isAnswering ? 10 : callMilliseconds, resolve));
+        for (let turn = 0; turn < turnsOfCall && clock.getMonotonicTime() - sentAt < callMilliseconds; turn++) {
+            await new Promise<void>(resolve => clock.setTimer(isAnswering ? 10 : callMilliseconds, resolve));
+        }
         return clock.getMonotonicTime() - sentAt < callMilliseconds
             ? Ok(create(GossipResponseSchema, {}))
             : Err({ kind: PeerErrorKind.TimedOut, message: "The call timed out." });
@@ -76,6 +84,17 @@
         }
     });
 
+    // A starved process declared its peers dead: a call took more turns than its time had, while the rounds, one a turn, were on time.
+    it("suspects no peer whose answers need more turns of the event loop than it had", async () => {
+        await clock.advance(500);
+        turnsOfCall = 6;
+        for (let count = 0; count < 100; count++) {
+            clock.freeze(intervalMilliseconds);
+            await clock.advance(0);
+            assert.equal(getState(), MemberState.Alive);
+        }
+    });
+
     it("declares no suspect dead before it has read what came meanwhile", async () => {
         isAnswering = false;
         await clock.advance(900);
@@ -87,6 +106,16 @@
         assert.equal(getState(), MemberState.Alive);
     });
 
+    // Guards against a busy process that judges nobody any more.
+    it("declares a peer dead that does not answer while the process has short turns", async () => {
+        isAnswering = false;
+        for (let count = 0; count < 150; count++) {
+            clock.freeze(maximumTurnMilliseconds * 0.7);
+            await clock.advance(0);
+        }
+        assert.equal(getState(), MemberState.Dead);
+    });
+
     it("declares a peer dead that does not answer while the process is in time", async () => {
         isAnswering = false;
         await clock.advance(700 + suspicionMilliseconds + callMilliseconds);
--- a/tests/process/membership/testNode.ts
+++ b/tests/process/membership/testNode.ts
@@ -8,6 +8,7 @@
 import { LoopbackProxy } from "../../../standins/network/loopbackProxy.ts";
 
 const secret = "test-secret";
+const callMilliseconds = 250;
 const log = { write: () => undefined };
 
 /** Membership of a node over real loopback connections. All calls to the node pass through its proxy. */
@@ -23,7 +24,7 @@
 
     private constructor(nodeId: string, proxy: LoopbackProxy) {
         this.proxy = proxy;
-        this.connections = PeerConnections.create({ secret, log, timeoutMilliseconds: 250 });
+        this.connections = PeerConnections.create({ secret, log, timeoutMilliseconds: callMilliseconds });
         this.view = MembershipView.create({
             nodeId,
             peerAddress: proxy.getAddress(),
@@ -44,6 +45,7 @@
         this.gossiper = Gossiper.create({
             ...common,
             intervalMilliseconds: 50,
+            maximumTurnMilliseconds: callMilliseconds / 10,
             payloads: {
                 collectEndpointRecords: () => [],
                 applyEndpointRecords: () => undefined,
