Stop the deadlines of suspects while no call gets through in the process

Cause: the deadline of a suspect was put off only by the lateness of the round's timer. While every turn of the event loop is long, calls time out before their answers are read, so a suspect can't refute, whoever suspected it. The rounds run about once a turn, so most of that time counted as given to the suspect.

Change: a round puts the deadlines off by the time that went into long turns since the last round, if that is more than its own lateness.

Evidence: lateProcess.test.ts, with the fake clock: a suspect, then turns as long as the interval in which no call gets through.

--- a/src/process/membership/gossiper.ts
+++ b/src/process/membership/gossiper.ts
@@ -73,6 +73,8 @@
     private readonly unsubscribe: () => void;
     private timer: TimerHandle | undefined;
     private nextRoundAt: number | undefined;
+    /** Time in long turns up to the last round, in milliseconds. */
+    private longMilliseconds = 0;
     private isStopped = false;
     private lastContact: number | undefined;
 
@@ -139,8 +141,8 @@
             return;
         }
         const now = this.options.clock.getMonotonicTime();
-        // What peers sent while this process was late is read only after this round.
-        this.view.postponeDeadlines(Math.max(0, now - (this.nextRoundAt ?? now)));
+        // What peers sent while this process was late is read only after this round, and in long turns no call gets through.
+        this.view.postponeDeadlines(Math.max(now - (this.nextRoundAt ?? now), this.takeLongMilliseconds()));
         this.view.advance(now);
         for (const contact of this.chooser.chooseRound(now)) {
             void this.contact(contact);
@@ -151,6 +153,14 @@
         this.timer = this.options.clock.setTimer(delay, () => this.runRound());
     }
 
+    /** Gets the time that went into long turns of the event loop since the last round, in milliseconds. */
+    private takeLongMilliseconds(): number {
+        const total = this.turns.getLongMilliseconds();
+        const milliseconds = total - this.longMilliseconds;
+        this.longMilliseconds = total;
+        return milliseconds;
+    }
+
     private async contact(contact: Contact): Promise<void> {
         if (this.pending.has(contact.address)) {
             return;
--- a/src/process/membership/turnMeter.ts
+++ b/src/process/membership/turnMeter.ts
@@ -22,7 +22,7 @@
     private readonly maximumTurnMilliseconds: number;
     private runningCount = 0;
     private timer: TimerHandle | undefined;
-    private turnStartedAt = 0;
+    private turnStartedAt: number | undefined;
     /** Time that all long turns together took, in milliseconds. */
     private longMilliseconds = 0;
 
@@ -53,9 +53,16 @@
         };
     }
 
+    /** Gets the time that went into long turns during all measurements, in milliseconds. */
+    getLongMilliseconds(): number {
+        return this.longMilliseconds + this.getCurrentLongMilliseconds();
+    }
+
     private end(): void {
         this.runningCount--;
         if (this.runningCount === 0) {
+            this.longMilliseconds = this.getLongMilliseconds();
+            this.turnStartedAt = undefined;
             this.timer?.cancel();
         }
     }
@@ -63,17 +70,14 @@
     private startTurn(): void {
         this.turnStartedAt = this.clock.getMonotonicTime();
         this.timer = this.clock.setTimer(this.maximumTurnMilliseconds / timersPerTurn, () => {
-            this.longMilliseconds += this.getCurrentLongMilliseconds();
+            this.longMilliseconds = this.getLongMilliseconds();
             this.startTurn();
         });
     }
 
-    private getLongMilliseconds(): number {
-        return this.longMilliseconds + this.getCurrentLongMilliseconds();
-    }
-
     private getCurrentLongMilliseconds(): number {
-        const milliseconds = this.clock.getMonotonicTime() - this.turnStartedAt;
+        const now = this.clock.getMonotonicTime();
+        const milliseconds = now - (this.turnStartedAt ?? now);
         return milliseconds > this.maximumTurnMilliseconds ? milliseconds : 0;
     }
 }
--- a/tests/process/membership/lateProcess.test.ts
+++ b/tests/process/membership/lateProcess.test.ts
@@ -116,6 +116,20 @@
         assert.equal(getState(), MemberState.Dead);
     });
 
+    // A starved process declared suspects dead: its turns were too long for any call to get through, so no refutation could.
+    it("declares no suspect dead while calls have too few turns of the event loop to get through", async () => {
+        await clock.advance(500);
+        turnsOfCall = 6;
+        view.applyRecords([{ ...peer, state: MemberState.Suspect }], clock.getMonotonicTime());
+        for (let count = 0; count < 100; count++) {
+            clock.freeze(intervalMilliseconds);
+            await clock.advance(0);
+            assert.equal(getState(), MemberState.Suspect);
+        }
+        await clock.advance(2 * suspicionMilliseconds);
+        assert.equal(getState(), MemberState.Dead);
+    });
+
     it("declares a peer dead that does not answer while the process is in time", async () => {
         isAnswering = false;
         await clock.advance(700 + suspicionMilliseconds + callMilliseconds);
