Count the credit that a node has saved up in the soak's check of ranks

Cause: the check is wrong. The floor of a rank is granted by credit at each node: each arrival adds a twentieth of its cost, a start takes its cost off, and at most one request is saved up (RankFloor). The check allowed a node the twentieth of its arrivals in the time that counts, rounded up, as if its credit were 0 when that time begins. While memory is full, a node saves up one request before, and the floor then admits one more than the check allowed.

Change: the check replays the credit of each node from the requests before that time, and allows the arrivals' part plus what was saved, at most one request a node, none at a node that has used it up. Everything else stays as it was. It is as strict: one request beyond what the floor itself admits is still found, and a node with no credit is judged as before.

Not shown: that every `ranks` violation seen so far is of this kind.

--- a/scripts/soak/router/findRankInversions.ts
+++ b/scripts/soak/router/findRankInversions.ts
@@ -25,8 +25,8 @@
 const maximumGapMilliseconds = 1_000;
 /** Time that nodes need to hear of each other. */
 const exchangeMilliseconds = 3_000;
-/** Share of its demand that each rank gets in any case; granted by credit at each node, so rounded up there. */
-const floorFraction = 0.05;
+/** Arrivals at a node for which a rank gets one request in any case. They give credit there, so a part of them gives one too. */
+const arrivalsPerFloorRequest = 20;
 
 /** Finds the times in which the first rank was refused for longer than nodes need to hear of each other while the last was admitted. */
 export function findRankInversions(calls: readonly RankedCall[]): RankInversion[] {
@@ -41,10 +41,10 @@
     ) {
         const from = refused[0]!.endedAt + exchangeMilliseconds;
         const to = refused.at(-1)!.endedAt;
-        const ofLast = calls.filter(({ rank, sentAt }) => rank === last && sentAt >= from && sentAt <= to);
-        const admitted = ofLast.filter(({ isAdmitted }) => isAdmitted);
+        const ofLast = calls.filter(({ rank, sentAt }) => rank === last && sentAt <= to);
+        const admitted = ofLast.filter(({ isAdmitted, sentAt }) => isAdmitted && sentAt >= from);
         const maximumAdmitted = [...Map.groupBy(ofLast, ({ node }) => node).values()]
-            .reduce((sum, { length }) => sum + Math.ceil(floorFraction * length), 0);
+            .reduce((sum, ofNode) => sum + getMaximumAdmitted(ofNode, from), 0);
         if (admitted.length > maximumAdmitted) {
             inversions.push({ from, to, refused, admitted, maximumAdmitted });
         }
@@ -52,6 +52,25 @@
     return inversions;
 }
 
+/** Gets how many of a node's requests of the last rank its credit admits from a time on. */
+function getMaximumAdmitted(calls: readonly RankedCall[], from: number): number {
+    const arrivalCount = calls.filter(({ sentAt }) => sentAt >= from).length;
+    const savedArrivals = getSavedArrivals(calls.filter(({ sentAt }) => sentAt < from));
+    return arrivalCount === 0 ? 0 : Math.ceil((savedArrivals + arrivalCount) / arrivalsPerFloorRequest);
+}
+
+/** Gets the arrivals whose credit a node has saved up, at most those for one request. Each request that it admitted used some up. */
+function getSavedArrivals(calls: readonly RankedCall[]): number {
+    let saved = 0;
+    for (const { isAdmitted } of calls.toSorted((left, right) => left.sentAt - right.sentAt)) {
+        saved = Math.min(arrivalsPerFloorRequest, saved + 1);
+        if (isAdmitted) {
+            saved = Math.max(-arrivalsPerFloorRequest, saved - arrivalsPerFloorRequest);
+        }
+    }
+    return Math.max(0, saved);
+}
+
 /** Groups refusals that follow each other without a longer gap. */
 function groupByGap(refused: readonly RankedCall[]): RankedCall[][] {
     const groups: RankedCall[][] = [];
