--- a/src/process/leases/leaseState.ts
+++ b/src/process/leases/leaseState.ts
@@ -6,9 +6,13 @@
 import type { StoredValue, SwapOutcome } from "../platform/platformStore.ts";
 import type { RandomSource } from "../randomSource.ts";
 import { EraRevision } from "../replica/eraRevision.ts";
+import { getSuccessorWait } from "./getSuccessorWait.ts";
+import { LeaseEra } from "./leaseEra.ts";
 import type { LeaseOutput } from "./leaseOutput.ts";
 import type { LeaseRecord } from "./leaseRecord.ts";
 import type { LeaseRelease } from "./leaseRelease.ts";
+import type { LeaseWrite } from "./leaseWrite.ts";
+import { ObservedLease } from "./observedLease.ts";
 import { parseLeaseRecord } from "./parseLeaseRecord.ts";
 
 /** Options of a {@link LeaseState}. */
@@ -24,27 +28,6 @@
     getStoreEra?(): number | undefined;
 }
 
-/** The last known state of the lease's key. */
-interface Observation {
-    /** 0 if the key is absent. */
-    revision: number;
-    record: LeaseRecord | undefined;
-    firstSeenAt: number;
-}
-
-/** A write of this process. */
-interface Write {
-    record: LeaseRecord;
-    sentAt: number;
-}
-
-/** Factor by which a successor waits longer, because clocks run at different speeds. */
-const driftFactor = 1.01;
-/**
- * Fencing numbers of a later era of the store are higher than all of an earlier one, since an older snapshot of the store does not
- * contain the last number that was given out.
- */
-const fencingNumbersPerEra = 1_000_000;
 const renewalsPerTimeToLive = 3;
 const retriesPerTimeToLive = 10;
 
@@ -55,31 +38,29 @@
  */
 export class LeaseState {
     private readonly options: LeaseStateOptions;
-    private observed: Observation | undefined;
+    private readonly observed: ObservedLease;
+    private readonly era: LeaseEra;
     /** The own write by which the lease is held. */
-    private held: Write | undefined;
-    private sent: Write | undefined;
-    /** Own writes with an unknown outcome, by write id. All compare with the observed revision. */
-    private readonly undetermined = new Map<string, Write>();
-    private era: number | undefined;
+    private held: LeaseWrite | undefined;
+    private sent: LeaseWrite | undefined;
     /** Monotonic time in milliseconds before which the lease is not acquired, since a holder of an earlier era may still act. */
     private blockedUntil = -Infinity;
     private isCalling = false;
     private isWanted = true;
-    /** Revision of the newest write of this process that has succeeded. */
-    private adoptedRevision: number | undefined;
     /** Revision of the record that this process has tried to release. */
     private releaseTriedAt: number | undefined;
     /** Fencing number of the lease that this process released last. */
     private releasedFencingNumber = 0;
     private retryAt = -Infinity;
-    private acquireJitter = 0;
-    private highestFencingNumber = 0;
     private writes = 0;
     private logs: LeaseOutput["logs"] = [];
 
     private constructor(options: LeaseStateOptions) {
         this.options = options;
+        const { random, timeToLiveMilliseconds, getStoreEra = () => undefined } = options;
+        const maximumJitterMilliseconds = timeToLiveMilliseconds / retriesPerTimeToLive;
+        this.observed = ObservedLease.create({ random, maximumJitterMilliseconds });
+        this.era = LeaseEra.create(getStoreEra);
     }
 
     /** Creates the state of a lease that was not read yet. */
@@ -97,11 +78,11 @@
      * holder is known. It does not prove that the lease is held: orders with it are only safe at endpoints that check it.
      */
     getLastNumber(): number | undefined {
-        const record = this.observed?.record;
+        const record = this.observed.getRecord();
         if (record?.holder === this.options.holder && !record.isReleased) {
             return record.fencingNumber;
         }
-        return this.releasedFencingNumber > 0 && this.releasedFencingNumber === this.highestFencingNumber
+        return this.releasedFencingNumber > 0 && this.releasedFencingNumber === this.observed.getHighestFencingNumber()
             ? this.releasedFencingNumber
             : undefined;
     }
@@ -111,8 +92,7 @@
      * isn't enough, since an earlier process may have had the same one.
      */
     isLastHolder(): boolean {
-        const { observed } = this;
-        return observed !== undefined && observed.revision === this.adoptedRevision;
+        return this.observed.isOwn();
     }
 
     /** Neither acquires nor renews the lease until {@link resume}. */
@@ -132,7 +112,7 @@
 
     /** Requests a read of the record if it was never seen. */
     readIfUnknown(time: EventTime): LeaseOutput {
-        return this.observed === undefined ? this.read(time) : { logs: [] };
+        return this.observed.getRevision() === undefined ? this.read(time) : { logs: [] };
     }
 
     /** Requests a read of the record. */
@@ -151,17 +131,17 @@
 
     /** Releases the lease, also if it has expired. The call in the output is sent once for a record, without retries. */
     release(): LeaseOutput {
-        const { observed } = this;
         this.held = undefined;
-        const isDue = this.isLastHolder() && !this.isCalling && observed?.revision !== this.releaseTriedAt;
-        if (!isDue || observed?.record === undefined) {
+        const expectedRevision = this.observed.getRevision();
+        const record = this.observed.getRecord();
+        const isDue = this.isLastHolder() && !this.isCalling && expectedRevision !== this.releaseTriedAt;
+        if (!isDue || expectedRevision === undefined || record === undefined) {
             return { logs: [] };
         }
-        this.releaseTriedAt = observed.revision;
-        const value = JSON.stringify({ ...observed.record, writeId: this.createWriteId(), isReleased: true });
-        const { fencingNumber } = observed.record;
-        const logs = [{ event: events.leaseReleased, fields: { fencingNumber } }];
-        return { call: { kind: "swap", expectedRevision: observed.revision, value }, logs };
+        this.releaseTriedAt = expectedRevision;
+        const value = JSON.stringify({ ...record, writeId: this.createWriteId(), isReleased: true });
+        const logs = [{ event: events.leaseReleased, fields: { fencingNumber: record.fencingNumber } }];
+        return { call: { kind: "swap", expectedRevision, value }, logs };
     }
 
     /** Records that this process released the lease. It stays the last holder until another one is seen. */
@@ -181,8 +161,8 @@
 
     /** Handles such a notice without acquiring the lease. A higher number than the held one shows that the lease was lost. */
     observeRelease({ revision, fencingNumber }: LeaseRelease, time: EventTime): void {
-        const isNewer = this.observed === undefined || this.observed.revision < revision;
-        const isOfEra = EraRevision.getEra(revision) >= (this.era ?? 0);
+        const isNewer = (this.observed.getRevision() ?? -Infinity) < revision;
+        const isOfEra = EraRevision.getEra(revision) >= this.era.get();
         const isHeld = this.isValid(this.held, time.monotonic) && this.held.record.fencingNumber >= fencingNumber;
         if (isNewer && isOfEra && !isHeld) {
             this.lose();
@@ -201,7 +181,7 @@
             longestOrderMilliseconds,
             expiresHint: time.wall,
         };
-        this.setObserved(revision, record, time);
+        this.observed.set(revision, record, time.monotonic);
     }
 
     /** Handles the result of a read. */
@@ -223,7 +203,7 @@
         this.sent = undefined;
         if (result.err) {
             if (sent !== undefined && result.val.kind === PlatformErrorKind.OutcomeUnknown) {
-                this.undetermined.set(sent.record.writeId, sent);
+                this.observed.addUndetermined(sent);
             }
             this.retryLater(result.val.message, time);
         }
@@ -245,20 +225,19 @@
             return;
         }
         const record = parsed?.val;
-        const own = record === undefined ? undefined : this.undetermined.get(record.writeId);
+        const own = record === undefined ? undefined : this.observed.findUndetermined(record);
         if (stored !== undefined && own !== undefined) {
             this.adopt(own, stored.revision, time);
             return;
         }
         this.lose();
-        this.setObserved(stored?.revision ?? 0, record, time);
+        this.observed.set(stored?.revision ?? 0, record, time.monotonic);
     }
 
     /** Applies an own write that has succeeded. */
-    private adopt(write: Write, revision: number, time: EventTime): void {
+    private adopt(write: LeaseWrite, revision: number, time: EventTime): void {
         const isNew = this.held?.record.fencingNumber !== write.record.fencingNumber;
-        this.setObserved(revision, write.record, time);
-        this.adoptedRevision = revision;
+        this.observed.adopt(revision, write.record, time.monotonic);
         if (!this.isValid(write, time.monotonic)) {
             this.lose();
             return;
@@ -269,16 +248,6 @@
         }
     }
 
-    private setObserved(revision: number, record: LeaseRecord | undefined, time: EventTime): void {
-        this.highestFencingNumber = Math.max(this.highestFencingNumber, record?.fencingNumber ?? 0);
-        if (this.observed?.revision === revision) {
-            return;
-        }
-        this.observed = { revision, record, firstSeenAt: time.monotonic };
-        this.undetermined.clear();
-        this.acquireJitter = this.options.random() * this.options.timeToLiveMilliseconds / retriesPerTimeToLive;
-    }
-
     private lose(): void {
         if (this.held !== undefined) {
             this.log(events.leaseLost, { fencingNumber: this.held.record.fencingNumber });
@@ -291,24 +260,16 @@
      * and another process may acquire the lease. A process that did not hold it waits until the earlier holder's time to live is over.
      */
     private checkEra({ monotonic }: EventTime): void {
-        const era = this.options.getStoreEra?.();
-        if (era === undefined || era === this.era) {
-            return;
-        }
-        const isFirst = this.era === undefined;
-        this.era = era;
-        if (isFirst) {
+        if (!this.era.update()) {
             return;
         }
         if (!this.isValid(this.held, monotonic)) {
             const { timeToLiveMilliseconds, longestOrderMilliseconds } = this.options;
-            this.blockedUntil = monotonic + (timeToLiveMilliseconds + longestOrderMilliseconds) * driftFactor;
+            this.blockedUntil = monotonic + getSuccessorWait(timeToLiveMilliseconds, longestOrderMilliseconds);
         }
         this.lose();
-        this.observed = undefined;
-        this.adoptedRevision = undefined;
+        this.observed.clear();
         this.sent = undefined;
-        this.undetermined.clear();
     }
 
     private step(time: EventTime): LeaseOutput {
@@ -325,13 +286,15 @@
 
     private createCall(time: EventTime): LeaseOutput["call"] {
         this.isCalling = true;
-        if (this.observed === undefined) {
+        const expectedRevision = this.observed.getRevision();
+        if (expectedRevision === undefined) {
             return { kind: "read" };
         }
         const { timeToLiveMilliseconds, longestOrderMilliseconds, holder } = this.options;
         const record: LeaseRecord = {
             holder,
-            fencingNumber: this.held?.record.fencingNumber ?? this.getNextFencingNumber(),
+            fencingNumber: this.held?.record.fencingNumber
+                ?? this.era.getNextFencingNumber(this.observed.getHighestFencingNumber()),
             writeId: this.createWriteId(),
             isReleased: false,
             timeToLiveMilliseconds,
@@ -339,11 +302,7 @@
             expiresHint: time.wall + timeToLiveMilliseconds,
         };
         this.sent = { record, sentAt: time.monotonic };
-        return { kind: "swap", expectedRevision: this.observed.revision, value: JSON.stringify(record) };
-    }
-
-    private getNextFencingNumber(): number {
-        return Math.max(this.highestFencingNumber, (this.era ?? 0) * fencingNumbersPerEra) + 1;
+        return { kind: "swap", expectedRevision, value: JSON.stringify(record) };
     }
 
     private getCallTime(): number {
@@ -354,19 +313,10 @@
         return Math.max(this.retryAt, this.getAcquireTime());
     }
 
-    /** Gets the time at which the lease may be acquired: its time to live plus the maximum order time after it was first seen. */
+    /** Gets the time at which the lease may be acquired. An unknown lease is read at once. */
     private getAcquireTime(): number {
-        const { record, firstSeenAt } = this.observed ?? {};
-        if (firstSeenAt === undefined) {
-            return -Infinity;
-        }
-        // No other process has written the record since, so that only this one can have sent orders.
-        if (record === undefined || this.isLastHolder()) {
-            return this.blockedUntil;
-        }
-        const timeToLive = record.isReleased ? 0 : record.timeToLiveMilliseconds;
-        const endsAt = firstSeenAt + (timeToLive + record.longestOrderMilliseconds) * driftFactor + this.acquireJitter;
-        return Math.max(endsAt, this.blockedUntil);
+        const isKnown = this.observed.getRevision() !== undefined;
+        return isKnown ? Math.max(this.observed.getEndTime(), this.blockedUntil) : -Infinity;
     }
 
     private getWakeTime(): number | undefined {
@@ -375,7 +325,7 @@
         return wakeAt === Infinity ? undefined : wakeAt;
     }
 
-    private isValid(write: Write | undefined, monotonicTime: number): write is Write {
+    private isValid(write: LeaseWrite | undefined, monotonicTime: number): write is LeaseWrite {
         return write !== undefined && monotonicTime < write.sentAt + this.options.timeToLiveMilliseconds;
     }
 
