Take the calls that read a section out of the follower of records

What moved where, in src/process/replica: sectionReader.ts makes the calls, applies the answers to the section, and counts and logs failures; recordFollower.ts keeps waits, confirmations and delays; recordFollowerOptions.ts holds the options of both.

--- a/src/process/replica/recordFollower.ts
+++ b/src/process/replica/recordFollower.ts
@@ -1,32 +1,8 @@
-import type { Result } from "../../result.ts";
-import type { Clock } from "../clock.ts";
-import type { EventLog } from "../logging/eventLog.ts";
 import { events } from "../logging/events.ts";
-import { ProcessorAccount } from "../loop/processorAccount.ts";
-import { ProcessorCause } from "../loop/processorCause.ts";
 import { type PlatformError, PlatformErrorKind } from "../platform/platformError.ts";
-import type { RandomSource } from "../randomSource.ts";
 import { CallPacer } from "./callPacer.ts";
-import type { RecordChanges } from "./recordChanges.ts";
-import type { RecordSection } from "./recordSection.ts";
-import type { RecordStore } from "./recordStore.ts";
-
-/** Options of a {@link RecordFollower}. */
-interface RecordFollowerOptions {
-    store: RecordStore;
-    section: RecordSection;
-    /** Prefix of the section's keys. */
-    prefix: string;
-    /** Whether the store has answered the last cheap call. After a failure, the follower makes no call before that. */
-    isStoreAnswering(): boolean;
-    /** Makes the cheapest call to the store; returns false if it is not answered soon. */
-    callStore(): Promise<boolean>;
-    /** Called when a call has returned changes that the waiting call has not. Those of other nodes may have missed them too. */
-    onMissedChanges(): void;
-    clock: Clock;
-    random: RandomSource;
-    log: EventLog;
-}
+import type { RecordFollowerOptions } from "./recordFollowerOptions.ts";
+import { SectionReader } from "./sectionReader.ts";
 
 /** Maximum time that one call waits for changes. Each call is billed, so that the wait is long. */
 const waitTimeoutMilliseconds = 15_000;
@@ -61,22 +37,20 @@
 /** Keeps a section up to date with the store: reads all records once, then waits for changes. */
 export class RecordFollower {
     private readonly options: RecordFollowerOptions;
+    private readonly reader: SectionReader;
     private readonly pacer: CallPacer;
     private readonly stopping = new AbortController();
     /** The call that waits for changes, if there is one. */
     private wait: AbortController | undefined;
     /** The call that confirms that the section is current, if there is one. */
     private confirmation: AbortController | undefined;
-    private needsFullRead = true;
-    private failures = 0;
-    private lastFailureAt = -Infinity;
     private isActive = true;
     private onActive: (() => void) | undefined;
     private behindSince: number | undefined;
-    private confirmedAt = -Infinity;
 
     private constructor(options: RecordFollowerOptions) {
         this.options = options;
+        this.reader = SectionReader.create(options);
         this.pacer = CallPacer.create(options.random);
     }
 
@@ -119,13 +93,13 @@
             return;
         }
         // Earlier failures say nothing about the current state of the store.
-        this.failures = 0;
+        this.reader.clearFailures();
         this.wait?.abort(AbortReason.Inactive);
     }
 
     /** Handles that the store was restored from an older snapshot: all records are read again. */
     handleStoreRestored(): void {
-        this.needsFullRead = true;
+        this.reader.requireFullRead();
         this.wait?.abort(AbortReason.Restored);
     }
 
@@ -136,22 +110,22 @@
 
     /** Checks if all records have to be read before a call for changes can prove anything. */
     isFullReadDue(): boolean {
-        return this.needsFullRead;
+        return this.reader.isFullReadDue();
     }
 
     /** Checks if the last call was answered. */
     isStoreReachable(): boolean {
-        return this.failures === 0;
+        return this.reader.getFailures() === 0;
     }
 
     /** Gets the monotonic time in milliseconds at which the last answered call was sent. The section has all changes until then. */
     getConfirmedTime(): number {
-        return this.confirmedAt;
+        return this.reader.getConfirmedTime();
     }
 
     /** Gets the monotonic time of the last failed call, in milliseconds. */
     getLastFailure(): number {
-        return this.lastFailureAt;
+        return this.reader.getLastFailure();
     }
 
     /** Handles the frontier of a peer. A wait that stays behind it is aborted and replaced by a new one. */
@@ -175,15 +149,15 @@
      */
     async confirm(): Promise<void> {
         const { clock } = this.options;
-        const isStoreDown = this.failures > 0 && this.wait === undefined;
-        if (this.needsFullRead || this.confirmation !== undefined || isStoreDown) {
+        const isStoreDown = !this.isStoreReachable() && this.wait === undefined;
+        if (this.isFullReadDue() || this.confirmation !== undefined || isStoreDown) {
             return;
         }
         const wait = this.wait;
         const confirmation = new AbortController();
         this.confirmation = confirmation;
         const check = clock.setTimer(confirmationCheckMilliseconds, () => void this.checkStore(confirmation, wait));
-        const changes = await this.requestChanges(immediateWaitMilliseconds, confirmation.signal);
+        const changes = await this.reader.requestChanges(immediateWaitMilliseconds, confirmation.signal);
         check.cancel();
         this.confirmation = undefined;
         if (changes.err) {
@@ -201,13 +175,13 @@
     private async run(): Promise<void> {
         while (!this.stopping.signal.aborted) {
             await this.waitUntilActive();
-            if (this.failures > 0 && !this.options.isStoreAnswering()) {
-                await this.sleep(this.pacer.getBackoff(this.failures));
+            if (!this.isStoreReachable() && !this.options.isStoreAnswering()) {
+                await this.sleep(this.pacer.getBackoff(this.reader.getFailures()));
                 continue;
             }
-            const isAnswered = this.needsFullRead ? await this.readAll() : await this.waitForChanges();
+            const isAnswered = this.isFullReadDue() ? await this.readAll() : await this.waitForChanges();
             if (!this.stopping.signal.aborted) {
-                await this.sleep(isAnswered ? this.pacer.getDelay() : this.pacer.getBackoff(this.failures));
+                await this.sleep(isAnswered ? this.pacer.getDelay() : this.pacer.getBackoff(this.reader.getFailures()));
             }
         }
     }
@@ -221,23 +195,11 @@
     }
 
     private async readAll(): Promise<boolean> {
-        const { store, prefix, section, clock } = this.options;
-        const sentAt = clock.getMonotonicTime();
-        const listing = await store.readAll(prefix);
-        if (listing.err) {
-            this.recordFailure(listing.val);
-            return false;
+        const isAnswered = await this.reader.readAll();
+        if (isAnswered) {
+            this.pacer.noteListing();
         }
-        this.recordSuccess();
-        this.confirmedAt = sentAt;
-        this.needsFullRead = false;
-        this.pacer.noteListing();
-        const { records, revision } = listing.val;
-        ProcessorAccount.ofProcess.runPart(
-            ProcessorCause.Store,
-            () => section.applyListing(records, revision, "store"),
-        );
-        return true;
+        return isAnswered;
     }
 
     private async waitForChanges(): Promise<boolean> {
@@ -246,8 +208,8 @@
         this.wait = wait;
         const sentAt = clock.getMonotonicTime();
         // After a failure, a call that is answered immediately shows without a delay that the store responds again.
-        const waitMilliseconds = this.failures > 0 ? immediateWaitMilliseconds : waitTimeoutMilliseconds;
-        const changes = await this.requestChanges(waitMilliseconds, wait.signal);
+        const waitMilliseconds = this.isStoreReachable() ? waitTimeoutMilliseconds : immediateWaitMilliseconds;
+        const changes = await this.reader.requestChanges(waitMilliseconds, wait.signal);
         this.wait = undefined;
         if (changes.err) {
             return this.handleFailedWait(changes.val, wait, sentAt);
@@ -256,34 +218,6 @@
         return true;
     }
 
-    /** Requests the changes since the section's frontier, and applies them. */
-    private async requestChanges(
-        waitMilliseconds: number,
-        signal: AbortSignal,
-    ): Promise<Result<RecordChanges, PlatformError>> {
-        const { store, prefix, section, log, clock } = this.options;
-        const after = section.getFrontier();
-        const sentAt = clock.getMonotonicTime();
-        const changes = await store.waitForChanges(prefix, after, waitMilliseconds, signal);
-        if (changes.err) {
-            return changes;
-        }
-        this.recordSuccess();
-        if (changes.val.isHistoryLost) {
-            log.write(events.storeHistoryLost, { section: section.name, after });
-            this.needsFullRead = true;
-        }
-        else {
-            this.confirmedAt = sentAt;
-            const { records, revision } = changes.val;
-            ProcessorAccount.ofProcess.runPart(
-                ProcessorCause.Store,
-                () => section.applyChanges(records, revision, "store"),
-            );
-        }
-        return changes;
-    }
-
     /** Handles a wait that has no answer. Returns whether to make the next call without a backoff. */
     private handleFailedWait(error: PlatformError, { signal }: AbortController, sentAt: number): boolean {
         const isReplaced = signal.aborted && signal.reason !== AbortReason.Lost;
@@ -291,7 +225,7 @@
             this.logAbort(signal, sentAt);
         }
         if (!isReplaced) {
-            this.recordFailure(error);
+            this.reader.recordFailure(error);
         }
         this.pacer.noteReplaced();
         return isReplaced;
@@ -305,7 +239,7 @@
         if (confirmation.signal.aborted || await this.options.callStore() || confirmation.signal.aborted) {
             return;
         }
-        this.recordFailure(unansweredError);
+        this.reader.recordFailure(unansweredError);
         confirmation.abort();
         wait?.abort(AbortReason.Lost);
     }
@@ -323,23 +257,6 @@
         });
     }
 
-    private recordSuccess(): void {
-        if (this.failures > 0) {
-            const { log, section } = this.options;
-            log.write(events.storeReachable, { section: section.name, failures: this.failures });
-        }
-        this.failures = 0;
-    }
-
-    private recordFailure(error: PlatformError): void {
-        const { log, section, clock } = this.options;
-        if (this.failures === 0) {
-            log.write(events.storeUnreachable, { section: section.name, reason: error.message });
-        }
-        this.failures += 1;
-        this.lastFailureAt = clock.getMonotonicTime();
-    }
-
     private sleep(milliseconds: number): Promise<void> {
         return new Promise(resolve => {
             this.options.clock.setTimer(milliseconds, resolve);
