Give the tests of links between data centres one request to ask about

Why: createLoadStatus.test.ts and linkLoadPart.test.ts spelt out the same request over the same link.

What moved where: tests/process/router/crossingQuery.ts holds it.

--- a/tests/process/router/createLoadStatus.test.ts
+++ b/tests/process/router/createLoadStatus.test.ts
@@ -8,6 +8,7 @@
 import { RecentRefusals } from "../../../src/request/relay/queue/recentRefusals.ts";
 import { relayModel } from "../../request/relay/relayModel.ts";
 import { RecordingEventLog } from "../../support/recordingEventLog.ts";
+import { crossingQuery } from "./crossingQuery.ts";
 
 const log = RecordingEventLog.create();
 
@@ -97,21 +98,9 @@
         const sources = createSources();
         const { linkAdmission } = sources;
         const link = { from: "a", to: "b" };
-        const query = {
-            ...link,
-            model: relayModel,
-            promptTokens: 800,
-            elapsedMilliseconds: 0,
-            objectiveMilliseconds: 500,
-            waitLimitMilliseconds: 2_000,
-            isReturn: false,
-            isRunning: false,
-            beginCount: 0,
-            isOnlyChoice: true,
-        };
         const report = { ...link, bitsPerSecond: 1, waiting: 2, longestWaitMilliseconds: 9_000 };
         linkAdmission.applyReports("node-2", 0, [report], 0);
-        linkAdmission.getWait(query, 100);
+        linkAdmission.getWait(crossingQuery, 100);
         const getLink = (now: number) => createLoadStatus(sources, now).links[0]!;
         assert.deepEqual(getLink(400), {
             ...link,
@@ -122,7 +111,7 @@
             reporter: "node-2",
         });
         linkAdmission.applyReports("node-2", 0, [], 500);
-        linkAdmission.getWait(query, 500);
+        linkAdmission.getWait(crossingQuery, 500);
         assert.equal(getLink(500).state, "trial");
         linkAdmission.begin([link], relayModel, 800, 200, 600).noteEvent(700);
         assert.deepEqual([getLink(700).state, getLink(700).reporter], ["open", undefined]);
--- a/tests/process/router/linkLoadPart.test.ts
+++ b/tests/process/router/linkLoadPart.test.ts
@@ -8,6 +8,7 @@
 import { NodeRecordSchema, NodeStateSchema } from "../../../src/wire/generated/foxlead/router/v1/router_pb.ts";
 import { relayModel } from "../../request/relay/relayModel.ts";
 import { RecordingEventLog } from "../../support/recordingEventLog.ts";
+import { crossingQuery } from "./crossingQuery.ts";
 
 const link = { from: "a", to: "b" };
 
@@ -21,19 +22,7 @@
         getNodeCount: () => 2,
         onClosed: (_link, isClosed) => closed.push(isClosed),
     });
-    const query = {
-        ...link,
-        model: relayModel,
-        promptTokens: 800,
-        elapsedMilliseconds: 0,
-        objectiveMilliseconds: 500,
-        waitLimitMilliseconds: 2_000,
-        isReturn: false,
-        isRunning: false,
-        beginCount: 0,
-        isOnlyChoice: true,
-    };
-    return { closed, links, query, part: LinkLoadPart.create(links, Metrics.create()) };
+    return { closed, links, part: LinkLoadPart.create(links, Metrics.create()) };
 }
 
 describe("LinkLoadPart", () => {
@@ -47,9 +36,9 @@
         assert.ok(linkLoads[0]!.bitsPerSecond > 0);
         const record = create(NodeRecordSchema, { nodeId: "sender" });
         receiver.part.applyRecords(create(NodeStateSchema, { sender: record, linkLoads }), 1_500);
-        assert.ok(receiver.links.getWait(receiver.query, 1_500) > 0);
+        assert.ok(receiver.links.getWait(crossingQuery, 1_500) > 0);
         assert.deepEqual(receiver.closed, [true]);
         receiver.part.applyRecords(create(NodeStateSchema, { sender: record }), 2_000);
-        assert.equal(receiver.links.getWait(receiver.query, 2_000), 0);
+        assert.equal(receiver.links.getWait(crossingQuery, 2_000), 0);
     });
 });
