Let the router's test harness do what its tests repeated

Why: nine tests wrote the same plan of layers to the store by hand, two started the same six endpoints, and two counted the runs and the crashes of a harmful request in the same way.

What moved where: RouterTestHarness has putWholePlacement, addReplicas, countRuns and countStopped, and the tests use them.

--- a/tests/platform/endlessAnswers.test.ts
+++ b/tests/platform/endlessAnswers.test.ts
@@ -41,8 +41,7 @@
             model.behaviour = { slowness: 8 };
             await harness.addEndpoint(`d${id}`, "documents");
         }
-        const columns = [{ layers: { start: 0, end: 8 }, kind: "big" }];
-        harness.store.put("foxlead/placement/model", { service: "model", modelName: "m", layers: 8, columns });
+        harness.putWholePlacement();
         node = await harness.addNode();
         await harness.waitForEndpoints(node, harness.endpoints.size);
     });
--- a/tests/platform/failingCallbacks.test.ts
+++ b/tests/platform/failingCallbacks.test.ts
@@ -63,8 +63,7 @@
             harness.protocol = protocol;
             await harness.addEndpoint("m1", "model", layers);
             await harness.addEndpoint("d1", "documents");
-            const columns = [{ layers: { start: 0, end: 8 }, kind: "big" }];
-            harness.store.put("foxlead/placement/model", { service: "model", modelName: "m", layers: 8, columns });
+            harness.putWholePlacement();
             node = await harness.addNode();
             await harness.waitForEndpoints(node, harness.endpoints.size);
         });
--- a/tests/platform/foreignBytes.test.ts
+++ b/tests/platform/foreignBytes.test.ts
@@ -33,8 +33,7 @@
         harness.repeatSlack = unlimitedRepeats;
         await harness.addEndpoint("m1", "model", layers);
         await harness.addEndpoint("m2", "model", layers);
-        const columns = [{ layers: { start: 0, end: 8 }, kind: "big" }];
-        harness.store.put("foxlead/placement/model", { service: "model", modelName: "m", layers: 8, columns });
+        harness.putWholePlacement();
         node = await harness.addNode(undefined, await harness.createLinks());
         await harness.addNode();
         for (const started of harness.nodes) {
--- a/tests/platform/harmfulPromptPart.test.ts
+++ b/tests/platform/harmfulPromptPart.test.ts
@@ -132,8 +132,7 @@
 
     private async start(): Promise<void> {
         const { harness, form } = this;
-        const columns = Array.from({ length: form.endpoints }, () => ({ layers: { start: 0, end: 8 }, kind: "big" }));
-        harness.store.put("foxlead/placement/model", { service: "model", modelName: "m", layers: 8, columns });
+        harness.putWholePlacement(form.endpoints);
         for (let index = 0; index < form.endpoints; index++) {
             await this.startEndpoint();
         }
--- a/tests/platform/harmfulRequest.test.ts
+++ b/tests/platform/harmfulRequest.test.ts
@@ -38,28 +38,25 @@
 
     after(() => harness.close());
 
-    const countRuns = () =>
-        [...harness.endpoints.values()].flatMap(({ runs }) => runs).filter(({ body }) => body === harmfulBody).length;
-    const countCrashed = () => [...harness.endpoints.values()].filter(({ isStopped }) => isStopped).length;
     const sendHarmful = (node: StartedNode) => harness.send(node, "/model/x", { body: harmfulBody });
 
     it("is hardly forwarded any more once it has crashed three of them", async () => {
         let turn = 0;
-        while (countCrashed() < 3 && turn < 6) {
+        while (harness.countStopped() < 3 && turn < 6) {
             await sendHarmful(nodes[turn % nodes.length]!);
             turn += 1;
         }
         await wait(settleMilliseconds);
-        const runsBefore = countRuns();
+        const runsBefore = harness.countRuns(harmfulBody);
         for (let count = 0; count < 6; count++) {
             await sendHarmful(nodes[count % nodes.length]!);
         }
-        const lateAttempts = countRuns() - runsBefore;
+        const lateAttempts = harness.countRuns(harmfulBody) - runsBefore;
         assert.ok(lateAttempts <= maximumLateAttempts, `It was forwarded ${lateAttempts} more times.`);
     });
 
     it("is rejected as not run by every node, including one that has just started, while other requests are served", async () => {
-        const runsBefore = countRuns();
+        const runsBefore = harness.countRuns(harmfulBody);
         nodes.push(await harness.addNode());
         const newest = nodes.at(-1)!;
         await harness.waitForEndpoints(newest, firstStages + 1);
@@ -70,16 +67,16 @@
             assert.ok(Number(answer.headers["retry-after"]) > 10, "The retry delay is too short.");
             assert.equal((await harness.send(node, "/model/x", { body: "sound" })).status, 200);
         }
-        assert.equal(countRuns(), runsBefore);
+        assert.equal(harness.countRuns(harmfulBody), runsBefore);
     });
 
     it("is still rejected after all nodes have been replaced", async () => {
-        const runsBefore = countRuns();
+        const runsBefore = harness.countRuns(harmfulBody);
         await harness.stopNodes();
         const node = await harness.addNode();
         await harness.waitForEndpoints(node, firstStages + 1);
         await wait(gossipMilliseconds);
         assert.equal((await sendHarmful(node)).status, 503);
-        assert.equal(countRuns(), runsBefore);
+        assert.equal(harness.countRuns(harmfulBody), runsBefore);
     });
 });
--- a/tests/platform/lateHarmfulRequest.test.ts
+++ b/tests/platform/lateHarmfulRequest.test.ts
@@ -38,24 +38,20 @@
 
         after(() => harness.close());
 
-        const countRuns = () =>
-            [...harness.endpoints.values()].flatMap(({ runs }) => runs).filter(({ body }) => body === harmfulBody)
-                .length;
-        const countCrashed = () => [...harness.endpoints.values()].filter(({ isStopped }) => isStopped).length;
         const sendHarmful = (node: StartedNode) => harness.send(node, path, { body: harmfulBody });
 
         it("is hardly forwarded any more once it has crashed three of them, while other requests are served", async () => {
-            for (let turn = 0; countCrashed() < 3 && turn < 6; turn++) {
+            for (let turn = 0; harness.countStopped() < 3 && turn < 6; turn++) {
                 await sendHarmful(nodes[turn % nodes.length]!);
             }
             await wait(settleMilliseconds);
-            const runsBefore = countRuns();
+            const runsBefore = harness.countRuns(harmfulBody);
             for (let turn = 0; turn < 6; turn++) {
                 const node = nodes[turn % nodes.length]!;
                 await sendHarmful(node);
                 assert.equal((await harness.send(node, path, { body: `sound ${turn}` })).status, 200);
             }
-            const lateAttempts = countRuns() - runsBefore;
+            const lateAttempts = harness.countRuns(harmfulBody) - runsBefore;
             assert.ok(lateAttempts <= maximumLateAttempts, `It was forwarded ${lateAttempts} more times.`);
             for (const node of nodes) {
                 const answer = await sendHarmful(node);
--- a/tests/platform/routerTestHarness.ts
+++ b/tests/platform/routerTestHarness.ts
@@ -86,6 +86,27 @@
         return endpoint;
     }
 
+    /** Starts this many endpoints for each half of the model's layers, as many for documents, and writes a plan that they match. */
+    async addReplicas(count: number): Promise<void> {
+        for (let index = 1; index <= count; index++) {
+            await this.addEndpoint(`a${index}`, "model", { from: 0, to: 4 });
+            await this.addEndpoint(`b${index}`, "model", { from: 4, to: 8 });
+            await this.addEndpoint(`d${index}`, "documents");
+        }
+        this.putPlacementInHalves();
+    }
+
+    /** Counts the runs of requests with a body at all endpoints. */
+    countRuns(body: string): number {
+        const runs = [...this.endpoints.values()].flatMap(endpoint => endpoint.runs);
+        return runs.filter(run => run.body === body).length;
+    }
+
+    /** Counts the endpoints that have stopped or crashed. */
+    countStopped(): number {
+        return [...this.endpoints.values()].filter(({ isStopped }) => isStopped).length;
+    }
+
     /** Writes the record of an endpoint to the store. */
     register(id: string, service: string, layers?: { from: number; to: number; }, state?: string): void {
         const endpoint = this.endpoints.get(id)!;
@@ -97,8 +118,12 @@
 
     /** Writes a plan in which endpoints hold either half of the model's layers. No layers are moved if the endpoints match it. */
     putPlacementInHalves(): void {
-        const columns = [{ layers: { start: 0, end: 4 }, kind: "big" }, { layers: { start: 4, end: 8 }, kind: "big" }];
-        this.store.put("foxlead/placement/model", { service: "model", modelName: "m", layers: 8, columns });
+        this.putPlacement([{ start: 0, end: 4 }, { start: 4, end: 8 }]);
+    }
+
+    /** Writes a plan in which this many endpoints hold all layers of the model each. No layers are moved if the endpoints match it. */
+    putWholePlacement(endpoints = 1): void {
+        this.putPlacement(Array.from({ length: endpoints }, () => ({ start: 0, end: 8 })));
     }
 
     /** Creates links of a node to all endpoints that can be cut. */
@@ -132,6 +157,11 @@
         }
     }
 
+    private putPlacement(ranges: readonly { start: number; end: number; }[]): void {
+        const columns = ranges.map(layers => ({ layers, kind: "big" }));
+        this.store.put("foxlead/placement/model", { service: "model", modelName: "m", layers: 8, columns });
+    }
+
     private async createNode(storeAddress: string, links: NodeLinks): Promise<StartedNode> {
         const [callerPort, peerPort, tunnelPort] = await findFreePorts(3);
         const address = `127.0.0.1:${callerPort}`;
--- a/tests/platform/runsBeyondAttempts.test.ts
+++ b/tests/platform/runsBeyondAttempts.test.ts
@@ -43,8 +43,7 @@
         for (const id of documentIds) {
             await harness.addEndpoint(id, "documents");
         }
-        const columns = [{ layers: { start: 0, end: 8 }, kind: "big" }];
-        harness.store.put("foxlead/placement/model", { service: "model", modelName: "m", layers: 8, columns });
+        harness.putWholePlacement();
         nodes = [await harness.addNode(), await harness.addNode()];
         for (const node of nodes) {
             await harness.waitForEndpoints(node, harness.endpoints.size);
@@ -161,8 +160,7 @@
         for (const id of ["m1", "m2", "m3"]) {
             await harness.addEndpoint(id, "model", layers, longStream);
         }
-        const columns = [{ layers: { start: 0, end: 8 }, kind: "big" }];
-        harness.store.put("foxlead/placement/model", { service: "model", modelName: "m", layers: 8, columns });
+        harness.putWholePlacement();
         node = await harness.addNode();
         await harness.waitForEndpoints(node, harness.endpoints.size);
     });
--- a/tests/platform/silentEndpoints.test.ts
+++ b/tests/platform/silentEndpoints.test.ts
@@ -41,8 +41,7 @@
             models.push(await harness.addEndpoint(id, "model", { from: 0, to: 8 }, stream));
             await harness.addEndpoint(id.replace("m", "d"), "documents");
         }
-        const columns = [{ layers: { start: 0, end: 8 }, kind: "big" }];
-        harness.store.put("foxlead/placement/model", { service: "model", modelName: "m", layers: 8, columns });
+        harness.putWholePlacement();
         putKeys([callerKey]);
         nodes = [await harness.addNode(), await harness.addNode()];
         for (const node of nodes) {
--- a/tests/platform/stoppingNode.test.ts
+++ b/tests/platform/stoppingNode.test.ts
@@ -26,8 +26,7 @@
         }));
         harness.store.put("op/config", { ...base, routes });
         await harness.addEndpoint("m1", "model", { from: 0, to: 8 });
-        const columns = [{ layers: { start: 0, end: 8 }, kind: "big" }];
-        harness.store.put("foxlead/placement/model", { service: "model", modelName: "m", layers: 8, columns });
+        harness.putWholePlacement();
     });
 
     after(() => harness.close());
--- a/tests/platform/unframedAnswers.test.ts
+++ b/tests/platform/unframedAnswers.test.ts
@@ -18,12 +18,7 @@
 
     before(async () => {
         harness = await RouterTestHarness.create();
-        for (const id of ["a1", "a2"]) {
-            await harness.addEndpoint(id, "model", { from: 0, to: 4 });
-            await harness.addEndpoint(id.replace("a", "b"), "model", { from: 4, to: 8 });
-            await harness.addEndpoint(id.replace("a", "d"), "documents");
-        }
-        harness.putPlacementInHalves();
+        await harness.addReplicas(2);
         node = await harness.addNode(undefined, await harness.createLinks());
         await harness.addNode();
         for (const started of harness.nodes) {
--- a/tests/platform/unreachableEndpoints.test.ts
+++ b/tests/platform/unreachableEndpoints.test.ts
@@ -21,12 +21,7 @@
 
     before(async () => {
         harness = await RouterTestHarness.create();
-        for (const id of ["a1", "a2"]) {
-            await harness.addEndpoint(id, "model", { from: 0, to: 4 });
-            await harness.addEndpoint(id.replace("a", "b"), "model", { from: 4, to: 8 });
-            await harness.addEndpoint(id.replace("a", "d"), "documents");
-        }
-        harness.putPlacementInHalves();
+        await harness.addReplicas(2);
         nodes = [];
         for (let count = 0; count < 3; count++) {
             nodes.push(await harness.addNode(undefined, await harness.createLinks()));
--- a/tests/platform/unusableRecords.test.ts
+++ b/tests/platform/unusableRecords.test.ts
@@ -36,8 +36,7 @@
             await harness.addEndpoint(`m${id}`, "model", layers);
             await harness.addEndpoint(`d${id}`, "documents");
         }
-        const columns = [{ layers: { start: 0, end: 8 }, kind: "big" }];
-        harness.store.put("foxlead/placement/model", { service: "model", modelName: "m", layers: 8, columns });
+        harness.putWholePlacement();
         nodes = [await harness.addNode(), await harness.addNode()];
         for (const node of nodes) {
             await harness.waitForEndpoints(node, harness.endpoints.size);
