Call the configuration that a router routes by `routing` in its parts

Why: the parts of the router called it `holder`, which in the placement and in the leases is the node that holds the lease.

What moved where: the property of RouterParts and the options of RequestRouter, EarlyRefuser, ModelEndpoints and createRelayEnvironment are named `routing`. RoutingHolder keeps its name.

--- a/src/process/router/createRelayEnvironment.ts
+++ b/src/process/router/createRelayEnvironment.ts
@@ -19,7 +19,7 @@
 interface RelayEnvironmentOptions {
     node: Pick<RouterNodeOptions, "settings" | "clock" | "random" | "log" | "metrics" | "protocol">;
     liveNodes: LiveNodes;
-    holder: RoutingHolder;
+    routing: RoutingHolder;
     endpoints: RouterEndpoints;
     calls: Pick<EndpointCalls, "fetchReport">;
     quarantine: RequestQuarantine;
@@ -30,7 +30,7 @@
 
 /** Creates the dependencies of all relayed requests: the node's parts that they use, and what they alone share. */
 export function createRelayEnvironment(options: RelayEnvironmentOptions): RelayEnvironment {
-    const { node: { settings, clock, random, log, protocol }, liveNodes, holder, endpoints, calls } = options;
+    const { node: { settings, clock, random, log, protocol }, liveNodes, routing, endpoints, calls } = options;
     const { health, loads, ends, limits, instructions } = endpoints;
     const linkDelays = LinkDelays.create();
     return {
@@ -63,8 +63,8 @@
         getNodeCount: () => liveNodes.getHighestCount(),
         getLiveNodeCount: () => liveNodes.getCount(),
         getConditions: () => ({
-            configurationVersion: holder.getState()?.configuration.version ?? 0,
-            configurationAgeMilliseconds: holder.getAge(),
+            configurationVersion: routing.getState()?.configuration.version ?? 0,
+            configurationAgeMilliseconds: routing.getAge(),
             lagMilliseconds: Math.round(clock.getLag()),
         }),
         retryBudget: RetryBudget.create(
--- a/src/process/router/createRouterStatus.ts
+++ b/src/process/router/createRouterStatus.ts
@@ -13,7 +13,7 @@
     parts: RouterParts,
     isReady: boolean,
 ): object {
-    const { liveNodes, overload, queue, endpoints, holder, replica, lease, storeWatch, environment } = parts;
+    const { liveNodes, overload, queue, endpoints, routing, replica, lease, storeWatch, environment } = parts;
     const { rankReserve, refusals } = queue;
     const { registry, instructions, losses } = endpoints;
     const loadSources = {
@@ -28,7 +28,7 @@
     };
     return {
         node: nodeId,
-        configurationVersion: holder.getState()?.configuration.version,
+        configurationVersion: routing.getState()?.configuration.version,
         isReady,
         hasPlacementDuty: lease.isHeld(),
         peers: liveNodes.getOthers(),
--- a/src/process/router/earlyRefuser.ts
+++ b/src/process/router/earlyRefuser.ts
@@ -10,7 +10,7 @@
 interface EarlyRefuserOptions {
     node: Pick<RouterNodeOptions, "random" | "log" | "metrics">;
     overload: Pick<OverloadProtection, "getRefusalMilliseconds">;
-    holder: Pick<RoutingHolder, "getState">;
+    routing: Pick<RoutingHolder, "getState">;
 }
 
 /** Refuses requests before their bodies are read while the node is too late to serve them, and logs and counts the refusals. */
@@ -33,9 +33,9 @@
      * @returns The refusal, or undefined if the request is to be handled as usual.
      */
     decide(head: Pick<RoutedRequest, "id" | "host" | "target" | "apiKey">): RelayRefusal | undefined {
-        const { node: { log, metrics }, overload, holder } = this.options;
+        const { node: { log, metrics }, overload, routing } = this.options;
         const recoveryMilliseconds = overload.getRefusalMilliseconds();
-        const state = holder.getState();
+        const state = routing.getState();
         if (recoveryMilliseconds === 0 || state === undefined) {
             return undefined;
         }
--- a/src/process/router/modelEndpoints.ts
+++ b/src/process/router/modelEndpoints.ts
@@ -7,7 +7,7 @@
 
 /** Options of {@link ModelEndpoints}. */
 interface ModelEndpointsOptions {
-    holder: Pick<RoutingHolder, "getState">;
+    routing: Pick<RoutingHolder, "getState">;
     registry: Pick<EndpointRegistry, "getEndpoints">;
     losses: Pick<EndpointLosses, "getLostEndpoints">;
     instructions: Pick<EndpointInstructions, "maySend">;
@@ -28,7 +28,7 @@
 
     /** Lists the services that have model engines. */
     listServices(): RoutedService[] {
-        const services = this.options.holder.getState()?.configuration.services.values() ?? [];
+        const services = this.options.routing.getState()?.configuration.services.values() ?? [];
         return [...services].filter(({ engine }) => engine !== undefined);
     }
 
--- a/src/process/router/requestRouter.ts
+++ b/src/process/router/requestRouter.ts
@@ -24,7 +24,7 @@
 /** Options of a {@link RequestRouter}. */
 interface RequestRouterOptions {
     environment: RelayEnvironment;
-    holder: RoutingHolder;
+    routing: RoutingHolder;
     stallDetector: StallDetector;
     metrics: Metrics;
     loop: Pick<EventLoopMonitor, "getLag">;
@@ -71,7 +71,7 @@
 
     /** Creates the task of relaying a request. If it can't be relayed, refuses it and returns undefined. */
     private createTask(request: RoutedRequest, sink: AnswerSink): RelayTask | undefined {
-        const state = this.options.holder.getState();
+        const state = this.options.routing.getState();
         if (state === undefined) {
             const refusal = createRefusal.notRun("this node has no configuration yet.", notReadyRetryMilliseconds);
             this.refuse(request, sink, refusal, 0);
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -79,7 +79,7 @@
 
     /** Gets the configuration in force; undefined if there is none yet. */
     getRouting() {
-        return this.parts.holder.getState();
+        return this.parts.routing.getState();
     }
 
     /** Gets the status of this node for operators. */
--- a/src/process/router/routerParts.ts
+++ b/src/process/router/routerParts.ts
@@ -47,7 +47,7 @@
     readonly queue: RelayQueue;
     readonly endpoints: RouterEndpoints;
     readonly quarantine: NodeQuarantine;
-    readonly holder: RoutingHolder;
+    readonly routing: RoutingHolder;
     readonly replica: StoreReplica;
     readonly lease: FencedLease;
     readonly storeWatch: StoreWatchController;
@@ -77,7 +77,7 @@
             propagateUpdate: () => this.exchange.propagateUpdate(),
         });
         this.overload = this.createOverloadProtection();
-        this.holder = this.createHolder();
+        this.routing = this.createRouting();
         this.replica = this.createReplica();
         this.lease = this.replica.lease;
         this.storeWatch = this.replica.watch;
@@ -85,7 +85,7 @@
         this.environment = createRelayEnvironment({
             node,
             liveNodes: this.liveNodes,
-            holder: this.holder,
+            routing: this.routing,
             endpoints: this.endpoints,
             calls: this.calls,
             quarantine: this.quarantine.requests,
@@ -94,12 +94,12 @@
         });
         this.exchange = this.createExchange();
         const { registry, losses, instructions } = this.endpoints;
-        this.modelEndpoints = ModelEndpoints.create({ holder: this.holder, registry, losses, instructions });
+        this.modelEndpoints = ModelEndpoints.create({ routing: this.routing, registry, losses, instructions });
         this.placementController = this.createPlacementController();
         this.endpointPoller = this.createEndpointPoller();
         this.stallDetector = this.createStallDetector();
         this.router = this.createRouter();
-        this.earlyRefuser = EarlyRefuser.create({ node, overload: this.overload, holder: this.holder });
+        this.earlyRefuser = EarlyRefuser.create({ node, overload: this.overload, routing: this.routing });
     }
 
     /** Creates the parts, of which none does anything before it is started. */
@@ -136,7 +136,7 @@
         });
     }
 
-    private createHolder(): RoutingHolder {
+    private createRouting(): RoutingHolder {
         const { clock, log, metrics, decodeConfiguration } = this.options.node;
         return RoutingHolder.create({
             clock,
@@ -151,7 +151,7 @@
             node: this.options.node,
             nodes: this.liveNodes.table,
             owners: this.owners,
-            configurations: this.holder,
+            configurations: this.routing,
             endpoints: this.endpoints.registry,
             isDraining: () => this.options.isDraining(),
             getLeaseAction: rank => this.placementController.getLeaseAction(rank),
@@ -274,10 +274,11 @@
     }
 
     private createRouter(): RequestRouter {
-        const { options: { node: { clock, metrics } }, environment, holder, stallDetector, storeWatch, replica } = this;
+        const { options: { node: { clock, metrics } }, environment, routing, stallDetector, storeWatch, replica } =
+            this;
         return RequestRouter.create({
             environment,
-            holder,
+            routing,
             stallDetector,
             metrics,
             loop: clock,
