Start nodes of the quarantine's tests in one place

Why: five tests of QuarantinePersister created and started a node, and waited for it, in the same three lines.

What moved where: startNode in the test file does it.

--- a/tests/process/router/quarantinePersister.test.ts
+++ b/tests/process/router/quarantinePersister.test.ts
@@ -36,6 +36,14 @@
     return { persister, quarantine, hold, getRemaining, calls };
 }
 
+/** Starts a node, and gives it the time to read the record. */
+async function startNode(store: MemoryStore, clock: FakeClock) {
+    const node = createNode(store, clock);
+    node.persister.start();
+    await clock.advance(10);
+    return node;
+}
+
 describe("QuarantinePersister", () => {
     it("loads what other nodes quarantined, for the remaining time, when a node starts", async () => {
         const store = MemoryStore.create();
@@ -43,9 +51,7 @@
         const first = createNode(store, clock);
         first.hold("harmful");
         await clock.advance(20_000);
-        const second = createNode(store, clock);
-        second.persister.start();
-        await clock.advance(10);
+        const second = await startNode(store, clock);
         assert.equal(second.getRemaining("harmful"), 39_990);
     });
 
@@ -55,9 +61,7 @@
         createNode(store, clock).hold("a");
         createNode(store, clock).hold("b");
         await clock.advance(5_000);
-        const later = createNode(store, clock);
-        later.persister.start();
-        await clock.advance(10);
+        const later = await startNode(store, clock);
         assert.ok(later.getRemaining("a") !== undefined);
         assert.ok(later.getRemaining("b") !== undefined);
     });
@@ -72,9 +76,7 @@
         store.setDown(false);
         store.loseAnswers(1);
         await clock.advance(10_000);
-        const second = createNode(store, clock);
-        second.persister.start();
-        await clock.advance(10);
+        const second = await startNode(store, clock);
         assert.ok(second.getRemaining("harmful") !== undefined);
     });
 
@@ -95,9 +97,7 @@
         await store.compareAndSwap(key, 0, "{");
         createNode(store, clock).hold("harmful");
         await clock.advance(1_000);
-        const later = createNode(store, clock);
-        later.persister.start();
-        await clock.advance(10);
+        const later = await startNode(store, clock);
         assert.ok(later.getRemaining("harmful") !== undefined);
     });
 
@@ -111,9 +111,7 @@
         store.restore(copy);
         first.persister.handleStoreRestored();
         await clock.advance(1_000);
-        const second = createNode(store, clock);
-        second.persister.start();
-        await clock.advance(10);
+        const second = await startNode(store, clock);
         assert.ok(second.getRemaining("harmful") !== undefined);
     });
 
