Begin the answer to a hedged stream with the head of the attempt that is kept

Callers of a hedged stream without an event could see the head, and with it the signature, of one endpoint and then the events of another one from the first on, which is no continuation of a run.

Cause: a comment of the newest attempt began the answer, although an earlier one was still in progress and could make progress first.

Change: comments begin the answer only while the attempt is the only one. RunningAttempts tells that.

--- a/src/request/relay/streams/runningAttempts.ts
+++ b/src/request/relay/streams/runningAttempts.ts
@@ -49,6 +49,11 @@
         return this.attempts.filter(other => other !== attempt);
     }
 
+    /** Checks if an attempt is the only one in progress. */
+    isOnly(attempt: StreamAttempt): boolean {
+        return this.attempts.length === 1 && this.has(attempt);
+    }
+
     /** Checks if bytes of the request may have been sent by one of the attempts. */
     isAnySent(): boolean {
         return this.attempts.some(({ exchange }) => exchange?.getSentTime() !== undefined);
--- a/src/request/relay/streams/streamMoves.ts
+++ b/src/request/relay/streams/streamMoves.ts
@@ -87,7 +87,7 @@
             return;
         }
         const isUnsent = attempt.exchange?.getSentTime() === undefined;
-        const isOnly = this.state.attempts.listOthers(attempt).length === 0;
+        const isOnly = this.state.attempts.isOnly(attempt);
         if (isUnsent && !(isOnly && this.state.answer.hasRun())) {
             this.abandonChain(suspects, cause);
             return;
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -215,8 +215,10 @@
         const now = this.getTime();
         this.state.answer.noteRun();
         if (event.id === undefined) {
-            // Comments keep a connection open. They are no progress, which callers wait for.
-            if (attempt === this.attempts.getCurrent()) {
+            // Comments keep a connection open. They are no progress, which callers wait for, so they don't decide which of several attempts
+            // begins the answer.
+            const mayWrite = this.state.answer.isBegun() || this.attempts.isOnly(attempt);
+            if (mayWrite && attempt === this.attempts.getCurrent()) {
                 this.state.answer.write(head, event.bytes);
             }
             return;
