Don't take an empty answer that only its connection ends for the end of a hedged stream

Callers of a hedged stream could see their answer end as complete, with events missing: the second endpoint sent the head of an answer without a length, crashed before its first event, and its system closed the connection regularly, while the first endpoint was still at work on the rest.

Cause: an answer without an event counts as whole if the caller has events already, since nothing may be left to send. Beside another attempt this is a guess that ends a sound run.

Change: such an answer counts as broken off while another attempt is in progress. An answer whose end is framed, and one of the only attempt, count as before.

--- a/src/request/relay/streams/attemptSender.ts
+++ b/src/request/relay/streams/attemptSender.ts
@@ -28,6 +28,8 @@
     isAnswerBegun(): boolean;
     /** Checks if an attempt is in progress. Nothing is reported of any other. */
     isRunning(attempt: StreamAttempt): boolean;
+    /** Checks if an attempt is the only one in progress. */
+    isOnly(attempt: StreamAttempt): boolean;
     /** Called with each event of a successful answer, in order. */
     onEvent(attempt: StreamAttempt, event: StreamEvent, head: AnswerHead): void;
     /** Called when an answer is complete. */
@@ -53,7 +55,7 @@
 
     /** Sends the request to the first stage of an attempt. */
     send(attempt: StreamAttempt): void {
-        const { environment, task, guard, getLastEventId, isAnswerBegun, onEvent } = this.options;
+        const { environment, task, guard, getLastEventId, isAnswerBegun, isOnly, onEvent } = this.options;
         attempt.exchange = sendStream({
             environment,
             task,
@@ -61,6 +63,8 @@
             guard,
             getLastEventId,
             isAnswerBegun,
+            // An endpoint that crashes before its first event may end its connection as regularly as one that has nothing left to send.
+            mayBeEmpty: () => getLastEventId() > 0 && isOnly(attempt),
             onEvent: (event, head) => {
                 if (this.options.isRunning(attempt)) {
                     onEvent(attempt, event, head);
--- a/src/request/relay/streams/sendStream.ts
+++ b/src/request/relay/streams/sendStream.ts
@@ -27,6 +27,8 @@
     getLastEventId(): number;
     /** Checks if a part of the answer was written to the caller. */
     isAnswerBegun(): boolean;
+    /** Checks if the answer may be whole without any event, since the caller may have received all of them. */
+    mayBeEmpty(): boolean;
     /** Called with each event of a successful answer, in order. */
     onEvent(event: StreamEvent, head: AnswerHead): void;
     /** Called once with how the answer ended, unless the connection fails. */
@@ -39,13 +41,13 @@
 
 /** Sends a streamed request to the first stage of a chain and reads its answer. */
 export function sendStream(options: SendStreamOptions): UpstreamExchange {
-    const { environment, task, stages, guard, getLastEventId, onEvent, onEnd, onFailure } = options;
+    const { environment, task, stages, guard, mayBeEmpty, onEvent, onEnd, onFailure } = options;
     const { protocol, pools, instructions } = environment;
     const { endpoint } = stages[0]!;
     const reader = StreamAnswerReader.create({
         protocol,
         requestId: task.request.id,
-        mayBeEmpty: () => getLastEventId() > 0,
+        mayBeEmpty,
         onHead: head => noteHead(options, head),
         onEvent,
         onEnd,
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -76,6 +76,7 @@
             getLastEventId: () => progress.getLastId(),
             isAnswerBegun: () => answer.isBegun(),
             isRunning: attempt => attempts.has(attempt),
+            isOnly: attempt => attempts.isOnly(attempt),
             onEvent: (attempt, event, head) => this.handleEvent(attempt, event, head),
             onComplete: (attempt, head) => this.complete(attempt, head),
             onRefused: endpointId => {
