Let a stream that has begun wait for endpoints to which it could not be sent

Callers saw a begun stream cut within milliseconds although an endpoint had room: its run had ended, and the connection to the next endpoint could not be opened at that moment, or that endpoint had been left before a byte was sent to it.

Cause: such an endpoint was avoided for the rest of the request like one that has broken it off. It has received nothing; a refusal was forgotten in the same place.

--- a/src/request/relay/streams/resumePacing.ts
+++ b/src/request/relay/streams/resumePacing.ts
@@ -25,7 +25,10 @@
         return new ResumePacing();
     }
 
-    /** Records that an endpoint has refused the request. Times are monotonic, in milliseconds. */
+    /**
+     * Records that an endpoint has refused the request, or that the request could not be sent to it. Neither has run anything. Times are
+     * monotonic, in milliseconds.
+     */
     noteRefusal(endpointId: string, now: number): void {
         this.refusedAt.set(endpointId, now);
         this.refusals += 1;
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -281,6 +281,9 @@
         }
         for (const id of end.avoid) {
             this.state.avoided.add(id);
+            if (end.isUnsent === true) {
+                this.state.pacing.noteRefusal(id, this.getTime());
+            }
         }
         const memoryPart = this.state.chains.getUsedMemoryFraction(attempt.stages[0]!.endpoint);
         this.state.logger.writeFailure({
--- a/src/request/relay/streams/streamResumption.ts
+++ b/src/request/relay/streams/streamResumption.ts
@@ -59,7 +59,8 @@
             this.callbacks.onReserved(reserved.val);
             return;
         }
-        // An endpoint that has refused the request may accept it later. One that has broken it off would only do so again.
+        // An endpoint that has refused the request, or could not be reached, may accept it later. One that has broken it off would only
+        // do so again.
         for (const id of this.state.pacing.listRefused()) {
             this.state.avoided.delete(id);
         }
