Keep off an endpoint that has broken off a stream, also if it had refused it before

Callers would see no difference at first: a begun stream went back to an endpoint that had refused it once, then accepted it and broke it off, and ran there again, up to six times in all, where it would otherwise have ended or gone elsewhere.

Cause: a waiting stream forgets that it is to avoid the endpoints that have ever refused it, and a refusal was remembered past a later run at the same endpoint.

Change: ResumePacing forgets the refusals of an endpoint that breaks the stream off.

--- a/src/request/relay/streams/resumePacing.ts
+++ b/src/request/relay/streams/resumePacing.ts
@@ -39,6 +39,11 @@
         }
     }
 
+    /** Records that an endpoint has broken off the request, so that its refusals before don't matter any more. */
+    noteBreak(endpointId: string): void {
+        this.refusedAt.delete(endpointId);
+    }
+
     /** Records that the stream makes progress, so that its next refusal is a first one again. */
     noteProgress(): void {
         this.refusals = 0;
@@ -56,7 +61,7 @@
         return Math.max(0, this.pauseEndsAt - now);
     }
 
-    /** Lists the endpoints that have refused the request at any time. */
+    /** Lists the endpoints that have refused the request at any time, and have not broken it off since. */
     listRefused(): string[] {
         return [...this.refusedAt.keys()];
     }
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -284,6 +284,9 @@
             if (end.isUnsent === true) {
                 this.state.pacing.noteRefusal(id, this.getTime());
             }
+            else if (!end.isNotRun) {
+                this.state.pacing.noteBreak(id);
+            }
         }
         const memoryPart = this.state.chains.getUsedMemoryFraction(attempt.stages[0]!.endpoint);
         this.state.logger.writeFailure({
