Keep the evidence of a crash whose attempt is given up while its path is tested

Callers could lose one endpoint more to a request that crashes endpoints: the crash of the endpoint that the stream ran on first wasn't on record, so the request was sent on until two others had crashed.

Cause: a broken connection is judged after a test of its path. Since a stream is hedged, an event of the other attempt may come within that test and end the broken one, after which the result of its test was dropped.

Change: the break is recorded also for an attempt that has been given up by then, as long as the request goes on.

--- a/src/request/relay/streams/attemptSender.ts
+++ b/src/request/relay/streams/attemptSender.ts
@@ -36,7 +36,7 @@
     onComplete(attempt: StreamAttempt, head: AnswerHead): void;
     /** Called with the id of an endpoint that has refused the request, before {@link onEnded}. */
     onRefused(endpointId: string): void;
-    /** Called when an attempt has ended without a complete answer. */
+    /** Called when an attempt has ended without a complete answer, also if it was given up while the path of its connection was tested. */
     onEnded(attempt: StreamAttempt, end: StreamAttemptEnd): void;
 }
 
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -259,7 +259,11 @@
     }
 
     private endAttempt(attempt: StreamAttempt, end: StreamAttemptEnd): void {
-        if (this.isDone || !this.attempts.has(attempt)) {
+        if (this.isDone) {
+            return;
+        }
+        if (!this.attempts.has(attempt)) {
+            this.noteBreak(attempt, end);
             return;
         }
         this.releaseAttempt(attempt);
@@ -269,13 +273,7 @@
         else {
             this.state.answer.noteRun();
         }
-        if (end.brokenAt !== undefined) {
-            attempt.run.isBroken = true;
-            const sentAt = attempt.exchange?.getSentTime() ?? attempt.sentAt;
-            const { firstEventAt } = attempt;
-            const details = { firstEventAt, isDown: end.isDown };
-            this.state.quarantine.noteCrash(attempt.stages[0]!.endpoint.id, sentAt, end.brokenAt, details);
-        }
+        this.noteBreak(attempt, end);
         if (end.failure !== undefined) {
             this.state.answer.noteFailure(end.failure);
         }
@@ -310,6 +308,17 @@
         this.giveUp(end.cause);
     }
 
+    /** Records that the connection of an attempt broke. The attempt may have been given up while its path was tested. */
+    private noteBreak(attempt: StreamAttempt, { brokenAt, isDown }: StreamAttemptEnd): void {
+        if (brokenAt === undefined) {
+            return;
+        }
+        attempt.run.isBroken = true;
+        const sentAt = attempt.exchange?.getSentTime() ?? attempt.sentAt;
+        const { stages, firstEventAt } = attempt;
+        this.state.quarantine.noteCrash(stages[0]!.endpoint.id, sentAt, brokenAt, { firstEventAt, isDown });
+    }
+
     /** Takes back the run of an attempt that surely was not run. */
     private removeRun(attempt: StreamAttempt): void {
         this.state.attemptLimit.noteNotRun();
