--- a/src/request/relay/streams/resumePacing.ts
+++ b/src/request/relay/streams/resumePacing.ts
@@ -25,7 +25,10 @@
         return new ResumePacing();
     }
 
-    /** Records that an endpoint has refused the request. Times are monotonic, in milliseconds. */
+    /**
+     * Records that an endpoint has refused the request, or that the request could not be sent to it. Neither has run anything. Times are
+     * monotonic, in milliseconds.
+     */
     noteRefusal(endpointId: string, now: number): void {
         this.refusedAt.set(endpointId, now);
         this.refusals += 1;
@@ -36,6 +39,11 @@
         }
     }
 
+    /** Records that an endpoint has broken off the request, so that its refusals before don't matter any more. */
+    noteBreak(endpointId: string): void {
+        this.refusedAt.delete(endpointId);
+    }
+
     /** Records that the stream makes progress, so that its next refusal is a first one again. */
     noteProgress(): void {
         this.refusals = 0;
@@ -53,7 +61,7 @@
         return Math.max(0, this.pauseEndsAt - now);
     }
 
-    /** Lists the endpoints that have refused the request at any time. */
+    /** Lists the endpoints that have refused the request at any time, and have not broken it off since. */
     listRefused(): string[] {
         return [...this.refusedAt.keys()];
     }
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -76,6 +76,7 @@
             getLastEventId: () => progress.getLastId(),
             isAnswerBegun: () => answer.isBegun(),
             isRunning: attempt => attempts.has(attempt),
+            isOnly: attempt => attempts.isOnly(attempt),
             onEvent: (attempt, event, head) => this.handleEvent(attempt, event, head),
             onComplete: (attempt, head) => this.complete(attempt, head),
             onRefused: endpointId => {
@@ -215,8 +216,10 @@
         const now = this.getTime();
         this.state.answer.noteRun();
         if (event.id === undefined) {
-            // Comments keep a connection open. They are no progress, which callers wait for.
-            if (attempt === this.attempts.getCurrent()) {
+            // Comments keep a connection open. They are no progress, which callers wait for, so they don't decide which of several attempts
+            // begins the answer.
+            const mayWrite = this.state.answer.isBegun() || this.attempts.isOnly(attempt);
+            if (mayWrite && attempt === this.attempts.getCurrent()) {
                 this.state.answer.write(head, event.bytes);
             }
             return;
@@ -256,7 +259,11 @@
     }
 
     private endAttempt(attempt: StreamAttempt, end: StreamAttemptEnd): void {
-        if (this.isDone || !this.attempts.has(attempt)) {
+        if (this.isDone) {
+            return;
+        }
+        if (!this.attempts.has(attempt)) {
+            this.noteBreak(attempt, end);
             return;
         }
         this.releaseAttempt(attempt);
@@ -266,18 +273,18 @@
         else {
             this.state.answer.noteRun();
         }
-        if (end.brokenAt !== undefined) {
-            attempt.run.isBroken = true;
-            const sentAt = attempt.exchange?.getSentTime() ?? attempt.sentAt;
-            const { firstEventAt } = attempt;
-            const details = { firstEventAt, isDown: end.isDown };
-            this.state.quarantine.noteCrash(attempt.stages[0]!.endpoint.id, sentAt, end.brokenAt, details);
-        }
+        this.noteBreak(attempt, end);
         if (end.failure !== undefined) {
             this.state.answer.noteFailure(end.failure);
         }
         for (const id of end.avoid) {
             this.state.avoided.add(id);
+            if (end.isUnsent === true) {
+                this.state.pacing.noteRefusal(id, this.getTime());
+            }
+            else if (!end.isNotRun) {
+                this.state.pacing.noteBreak(id);
+            }
         }
         const memoryPart = this.state.chains.getUsedMemoryFraction(attempt.stages[0]!.endpoint);
         this.state.logger.writeFailure({
@@ -301,6 +308,17 @@
         this.giveUp(end.cause);
     }
 
+    /** Records that the connection of an attempt broke. The attempt may have been given up while its path was tested. */
+    private noteBreak(attempt: StreamAttempt, { brokenAt, isDown }: StreamAttemptEnd): void {
+        if (brokenAt === undefined) {
+            return;
+        }
+        attempt.run.isBroken = true;
+        const sentAt = attempt.exchange?.getSentTime() ?? attempt.sentAt;
+        const { stages, firstEventAt } = attempt;
+        this.state.quarantine.noteCrash(stages[0]!.endpoint.id, sentAt, brokenAt, { firstEventAt, isDown });
+    }
+
     /** Takes back the run of an attempt that surely was not run. */
     private removeRun(attempt: StreamAttempt): void {
         this.state.attemptLimit.noteNotRun();
