Return to the rate limit what attempts took that end before they were sent

Callers of endpoints with a rate limit were refused or waited although the limit had room: each attempt of a stream that ended before a byte of it was sent (ended for another attempt, left, or given up by its caller) stayed counted against it.

Cause: only an attempt that the endpoint's instructions withheld was taken back. Since streams are hedged, attempts end unsent more often.

Change: the release of an attempt returns what it took if none of it was sent.

--- a/src/request/relay/streams/attemptSender.ts
+++ b/src/request/relay/streams/attemptSender.ts
@@ -107,14 +107,13 @@
     }
 
     private handleFailure(attempt: StreamAttempt, failure: UpstreamFailure): void {
-        const { environment, chains, guard, isRunning, onEnded } = this.options;
+        const { environment, guard, isRunning, onEnded } = this.options;
         if (!isRunning(attempt)) {
             return;
         }
         const { id } = attempt.stages[0]!.endpoint;
         const now = environment.clock.getMonotonicTime();
         if (failure.kind === UpstreamFailureKind.Withheld) {
-            chains.refundLimit(attempt.stages);
             const cause = "the first stage asked for no more requests before this one was written.";
             onEnded(attempt, { isNotRun: true, isUnsent: true, cause, avoid: [] });
             return;
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -331,7 +331,11 @@
         this.attempts.remove(attempt);
         const heldMilliseconds = attempt.firstEventAt !== undefined ? this.getTime() - attempt.sentAt : undefined;
         this.state.environment.queue.noteEnd(this.state.chains.getTokens(), heldMilliseconds);
-        this.firstSentAt ??= attempt.exchange?.getSentTime();
+        const sentAt = attempt.exchange?.getSentTime();
+        this.firstSentAt ??= sentAt;
+        if (sentAt === undefined) {
+            this.state.chains.refundLimit(attempt.stages);
+        }
         attempt.reservation.release();
     }
 
