Don't move a stream's next attempt for what the first stage before it reports

Callers of a stream that had just continued elsewhere could see it moved again, or held up: the new first stage was told to use other later stages (and the stream to leave it, where it knew no such request), because the first stage before it had reported that the run there waits for one.

Cause: a report takes up to a second, and what it says of a request was applied to the attempt in use when it came. Streams change their attempt in use more often since they are hedged.

Change: a report counts only for streams whose attempt in use still has that first stage. Crashes that it shows are recorded for all attempts, as before.

--- a/src/request/relay/detection/stallDetector.ts
+++ b/src/request/relay/detection/stallDetector.ts
@@ -164,7 +164,8 @@
             return;
         }
         const report = await reporting;
-        const affected = continueOverOtherPaths(relays);
+        const waiting = continueOverOtherPaths(relays);
+        const affected = waiting.filter(relay => hasFirstStage(relay, first.id));
         const { environment, clock } = this.options;
         const now = clock.getMonotonicTime();
         const lastProgressAt = Math.max(...relays.map(relay => relay.attempts.getLastProgress() ?? now));
@@ -189,7 +190,7 @@
         }
         this.noteHeard(first.id, now);
         const suspects = this.recordSuspects(report, now);
-        this.noteCrashes(suspects, affected);
+        this.noteCrashes(suspects, waiting);
         for (const relay of affected) {
             const isStalled = report.stalled.some(({ requestId }) => requestId === relay.task.request.id);
             const lost = this.listLost(relay, suspects);
@@ -328,11 +329,16 @@
 
 /** Sends a stream over another chain too if its first stage is a suspect, unless it has another one by now. */
 function hedgeIfFirst(relay: StreamRelay, endpointId: string, cause: string): void {
-    if (relay.attempts.getStages()?.[0]?.endpoint.id === endpointId) {
+    if (hasFirstStage(relay, endpointId)) {
         relay.moves.hedge([endpointId], cause);
     }
 }
 
+/** Checks if an endpoint is the first stage in use. A stream may have left it since it was asked for its report. */
+function hasFirstStage(relay: StreamRelay, endpointId: string): boolean {
+    return relay.attempts.getStages()?.[0]?.endpoint.id === endpointId;
+}
+
 /** Continues the streams whose path is lost, and returns the others. */
 function continueOverOtherPaths(relays: readonly StreamRelay[]): StreamRelay[] {
     return relays.filter(relay => !relay.moves.continueIfPathLost());
