Ask endpoints again that refused an unbegun stream some time ago

Callers saw 502 for a stream without an event whose run had ended, although another endpoint had room: that one had refused the stream when it was hedged, perhaps seconds before, and was avoided for the rest of the request.

Cause: a refusal excluded an endpoint for good until the answer had begun. Since a stream is hedged, refusals come long before the attempt that needs the endpoint.

The limits of its attempts and refusals hold as before, for requests that were not hedged too.

refusedHedgeExcludesEndpoint failed before (outcomeUnknown at once). tests/request passes (432).

--- a/src/request/relay/streams/resumePacing.ts
+++ b/src/request/relay/streams/resumePacing.ts
@@ -70,4 +70,9 @@
     listRefusing(now: number): string[] {
         return [...this.refusedAt].filter(([, at]) => now - at < refusalMilliseconds).map(([id]) => id);
     }
+
+    /** Lists the endpoints that refused the request so long ago that they may accept it now. */
+    listRecovered(now: number): string[] {
+        return [...this.refusedAt].filter(([, at]) => now - at >= refusalMilliseconds).map(([id]) => id);
+    }
 }
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -130,7 +130,10 @@
             this.resumption.resume(cause, isRetry);
             return;
         }
-        const { environment, task, chains, avoided } = this.state;
+        const { environment, task, chains, avoided, pacing } = this.state;
+        for (const id of pacing.listRecovered(this.getTime())) {
+            avoided.delete(id);
+        }
         this.queuedRelay = createQueuedRelay({
             environment,
             task,
