--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -130,7 +130,10 @@
             this.resumption.resume(cause, isRetry);
             return;
         }
-        const { environment, task, chains, avoided } = this.state;
+        const { environment, task, chains, avoided, pacing } = this.state;
+        for (const id of pacing.listRecovered(this.getTime())) {
+            avoided.delete(id);
+        }
         this.queuedRelay = createQueuedRelay({
             environment,
             task,
@@ -331,7 +334,11 @@
         this.attempts.remove(attempt);
         const heldMilliseconds = attempt.firstEventAt !== undefined ? this.getTime() - attempt.sentAt : undefined;
         this.state.environment.queue.noteEnd(this.state.chains.getTokens(), heldMilliseconds);
-        this.firstSentAt ??= attempt.exchange?.getSentTime();
+        const sentAt = attempt.exchange?.getSentTime();
+        this.firstSentAt ??= sentAt;
+        if (sentAt === undefined) {
+            this.state.chains.refundLimit(attempt.stages);
+        }
         attempt.reservation.release();
     }
 
