Minify the names of the bundles, and write their source maps

Names of methods and properties stay, so a stack trace shows methods without their classes; the build writes the source maps beside the executable.

--- a/scripts/executable/createBundle.ts
+++ b/scripts/executable/createBundle.ts
@@ -10,6 +10,9 @@
     // Characters outside Latin-1, which comments may contain, would double the memory of the whole text.
     minifyWhitespace: true,
     minifySyntax: true,
+    // Stack traces keep the names of methods. The source map, which is not loaded, has the others.
+    minifyIdentifiers: true,
+    sourcemap: "external",
     logLevel: "warning",
     metafile: true,
 } satisfies BuildOptions;
