--- a/src/request/relay/streams/streamMoves.ts
+++ b/src/request/relay/streams/streamMoves.ts
@@ -107,13 +107,7 @@
             this.callbacks.onEnded(attempt, { isNotRun: true, isUnsent, cause, avoid: [], replacement });
             return;
         }
-        this.state.logger.writeHedge({
-            stages: replacement.stages,
-            cause,
-            attempts: this.state.attemptLimit,
-            runs: this.state.runs,
-        });
-        this.callbacks.onReserved(replacement);
+        this.sendBeside(replacement, cause);
     }
 
     /**
@@ -167,13 +161,7 @@
             return false;
         }
         const cause = "the path to the first stage is lost.";
-        this.state.logger.writeHedge({
-            stages: replacement.stages,
-            cause,
-            attempts: this.state.attemptLimit,
-            runs: this.state.runs,
-        });
-        this.callbacks.onReserved(replacement);
+        this.sendBeside(replacement, cause);
         return true;
     }
 
@@ -183,6 +171,13 @@
         this.callbacks.onEnded(attempt, { isNotRun: isUnsent, isUnsent, cause, avoid });
     }
 
+    /** Sends the request over a reserved chain while it still runs on another one. */
+    private sendBeside(replacement: ReservedChain, cause: string): void {
+        const { logger, attemptLimit, runs } = this.state;
+        logger.writeHedge({ stages: replacement.stages, cause, attempts: attemptLimit, runs });
+        this.callbacks.onReserved(replacement);
+    }
+
     /** Reserves a chain for a request that still runs on another one, unless endpoints have just refused it. */
     private reserveReplacement(
         { avoid, ...requirements }: { avoid: readonly string[]; maySuspect: boolean; mayReturn: boolean; },
