--- a/src/request/relay/streams/resumePacing.ts
+++ b/src/request/relay/streams/resumePacing.ts
@@ -1,6 +1,6 @@
-/** Number of refusals in a row that are each followed by an attempt at once, as another endpoint may be free. */
+/** Number of attempts in a row without a pause, as another endpoint may be free. */
 const immediateAttempts = 2;
-/** Pause after the first refusal beyond these. It doubles with each further refusal, up to the maximum. */
+/** Pause after the refusal of the last of these. It doubles with each further refusal, up to the maximum. */
 const initialPauseMilliseconds = 100;
 const maximumPauseMilliseconds = 400;
 /** Time after the last refusal from which suspect endpoints are tried if there are no others, since their suspicion may last for seconds. */
--- a/src/request/relay/streams/streamResumption.ts
+++ b/src/request/relay/streams/streamResumption.ts
@@ -44,6 +44,8 @@
      * Continues a stream that has begun as soon as there is a chain for it. It goes before requests that wait in the queue, since its caller
      * would give up sooner. Lack of capacity doesn't end it: the caller may wait longer than the endpoints are full. It ends if all endpoints
      * that may run it have broken it off.
+     * @param cause - Why it has no chain.
+     * @param isRetry - Whether the next run counts against the retry budget.
      */
     resume(cause: string, isRetry: boolean): void {
         const now = this.state.environment.clock.getMonotonicTime();
