Tell connections of runs apart by their endpoint and their port

What was seen: 'of /safe/x that is closed regularly is whole, and its connection is not used again' failed once in 17 runs: 9 of 10 ports differed.

Cause: the test takes a connection for its client port alone, but connections to different endpoints may have the same one.

Change: endpoint and port together tell connections apart. It is as strict: a connection that is used again has both.

--- a/tests/platform/unframedAnswers.test.ts
+++ b/tests/platform/unframedAnswers.test.ts
@@ -42,6 +42,9 @@
     }
 
     const listRuns = (): RunRecord[] => [...harness.endpoints.values()].flatMap(({ runs }) => runs);
+    /** Lists the connections of the runs: different connections may have the same client port, but not at the same endpoint. */
+    const listConnections = () =>
+        [...harness.endpoints].flatMap(([id, { runs }]) => runs.map(({ port }) => `${id} ${port}`));
     const getIds = (body: string) => [...body.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
     const allIds = Array.from({ length: eventCount }, (_item, index) => index + 1);
 
@@ -54,7 +57,7 @@
                     assert.deepEqual([status, isComplete], [200, true]);
                     assert.match(body, /^answer of d[12]$/);
                 }
-                assert.equal(new Set(listRuns().map(({ port }) => port)).size, requestCount);
+                assert.equal(new Set(listConnections()).size, requestCount);
                 assert.equal(listRuns().length, requestCount);
             });
         }
@@ -80,7 +83,7 @@
                     const { status, body, isComplete } = await harness.send(node, path);
                     assert.deepEqual([status, getIds(body), isComplete], [200, allIds, true]);
                 }
-                assert.equal(new Set(listRuns().map(({ port }) => port)).size, requestCount);
+                assert.equal(new Set(listConnections()).size, requestCount);
                 assert.equal(listRuns().length, requestCount);
             });
         }
