Log what was known of an endpoint that is taken for crashed

FL1718 could not tell an endpoint that had crashed from one that had broken off a stream and went on.

Change: FL1718 has `isDown`, whether no node could connect to the endpoint right after its connection broke, and `heardMilliseconds`, how long before that it was last heard. No decision changes.

--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -98,9 +98,7 @@
             return;
         }
         const isHeldBack = this.getHold(fingerprint, at) !== undefined || this.getPartHold(partKeys, at) !== undefined;
-        const entry = { request: requestId, fingerprint, endpoint: endpointId, isHeldBack, ...details };
-        this.options.log.write(events.endpointCrashSuspected, entry);
-        this.options.onCrash?.(isHeldBack);
+        this.announceCrash(crash, requestId, isHeldBack, details);
     }
 
     /**
@@ -112,14 +110,12 @@
         requestId: string,
         details: Readonly<Record<string, string | number>> = {},
     ): void {
-        const { fingerprint, endpointId, at } = crash;
+        const { fingerprint, at } = crash;
         if (this.lateCrashes.add(crash) < crashThresholds.minimum) {
             return;
         }
         const isHeldBack = this.getHold(fingerprint, at) !== undefined;
-        const entry = { request: requestId, fingerprint, endpoint: endpointId, isHeldBack, ...details };
-        this.options.log.write(events.endpointCrashSuspected, entry);
-        this.options.onCrash?.(isHeldBack);
+        this.announceCrash(crash, requestId, isHeldBack, details);
     }
 
     /** Adds a suspected crash that a peer reported. The peer is told soon if the request is safe or the part was answered. */
@@ -289,6 +285,19 @@
         return crashes;
     }
 
+    private announceCrash(
+        { fingerprint, endpointId, at, isDown = false }: SuspectedCrash,
+        requestId: string,
+        isHeldBack: boolean,
+        details: Readonly<Record<string, string | number>>,
+    ): void {
+        const entry = { request: requestId, fingerprint, endpoint: endpointId, isHeldBack, isDown };
+        const aliveAt = this.options.getAliveTime(endpointId);
+        const heardMilliseconds = aliveAt === -Infinity ? -1 : Math.round(at - aliveAt);
+        this.options.log.write(events.endpointCrashSuspected, { ...entry, heardMilliseconds, ...details });
+        this.options.onCrash?.(isHeldBack);
+    }
+
     /** Clears a part of the crashes up to a time. Returns whether there were any, and whether it was held back and no longer is. */
     private clearPart(key: string, until: number, now: number): { isCleared: boolean; wasHeld: boolean; } {
         const wasSuspect = this.suspects.judge(key, now) !== SuspectVerdict.Free;
--- a/src/request/relay/quarantine/taskQuarantine.ts
+++ b/src/request/relay/quarantine/taskQuarantine.ts
@@ -119,7 +119,7 @@
         if (this.isSafe) {
             if (isDown) {
                 this.hasCrashedLate = true;
-                this.environment.quarantine.noteLateCrash({ fingerprint, endpointId, at }, request.id, {
+                this.environment.quarantine.noteLateCrash({ fingerprint, endpointId, at, isDown }, request.id, {
                     runMilliseconds: Math.round(at - sentAt),
                     answerMilliseconds: Math.round(answerMilliseconds),
                 });
