Test a path again that was open in a test from before the connection broke

What callers saw: nothing by itself. A crash of an endpoint within 200 ms after a stream of it was reset for another reason counted as a reset, since the node took the result of the earlier test.

Cause: results of path tests were shared for 200 ms after they were known, and by calls that came while a test ran. An open path then proves nothing of what happened after the test began.

Change: a call shares a test that began with it. One that comes while a test runs waits for it, and shares one more test if the path was open. At most one test of a path runs at a time, as before.

Evidence: the new test of PathTester failed before (one test for both) and passes now.

--- a/src/connection/upstream/path/pathTester.ts
+++ b/src/connection/upstream/path/pathTester.ts
@@ -20,13 +20,18 @@
 /** Connections open within a few milliseconds; the rest allows for a busy event loop at either end. */
 const directTimeoutMilliseconds = 120;
 const tunnelTimeoutMilliseconds = 200;
-/** Time for which the result of a test holds. */
-const resultMilliseconds = 200;
+/** A test of a path. */
+interface PathTest {
+    /** Monotonic time in milliseconds at which it began. */
+    startedAt: number;
+    result: Promise<PathState>;
+}
 
 /** Tests whether endpoints can be reached, by opening connections that carry no request. */
 export class PathTester {
     private readonly options: PathTesterOptions;
-    private readonly tests = new Map<string, Promise<PathState>>();
+    /** The tests in progress, by path. */
+    private readonly tests = new Map<string, PathTest>();
 
     private constructor(options: PathTesterOptions) {
         this.options = options;
@@ -37,7 +42,10 @@
         return new PathTester(options);
     }
 
-    /** Tests the path to an address. Concurrent and immediately following calls share a test. */
+    /**
+     * Tests the path to an address. Concurrent calls share a test, unless it began before the call and found the path open: the endpoint may
+     * have crashed since.
+     */
     test(address: string): Promise<PathState> {
         return this.share(address, () => this.run(address));
     }
@@ -75,14 +83,21 @@
     }
 
     private share(key: string, run: () => Promise<PathState>): Promise<PathState> {
+        const calledAt = this.options.clock.getMonotonicTime();
         const running = this.tests.get(key);
-        if (running !== undefined) {
-            return running;
+        if (running === undefined) {
+            return this.start(key, run);
         }
-        const test = run();
+        return running.startedAt >= calledAt
+            ? running.result
+            : running.result.then(state => state === PathState.Open ? this.share(key, run) : state);
+    }
+
+    private start(key: string, run: () => Promise<PathState>): Promise<PathState> {
+        const test = { startedAt: this.options.clock.getMonotonicTime(), result: run() };
         this.tests.set(key, test);
-        void test.then(() => this.options.clock.setTimer(resultMilliseconds, () => this.tests.delete(key)));
-        return test;
+        void test.result.then(() => this.tests.delete(key));
+        return test.result;
     }
 
     /** Opens a connection through a peer. Returns whether this succeeded. */
