Take an endpoint for crashed only if it can't be reached or has restarted

What callers saw: harmless streams were cut after they had begun, and their callers' next tries refused for a minute, though no endpoint had crashed.

Cause: each broken connection on which a request ran between 10 and 250 ms counted as a crash of its endpoint and against the request. Whether the endpoint can still be reached was tested and known by then, but asked only for parts of prompts and for later crashes. Two such connections hold a request back at all nodes. An answer that ends with its connection inside an event was not tested at all.

Change: a connection that breaks counts against the request and the parts of its prompt only with a proof: no node can connect to the endpoint after it, or the endpoint is known within two seconds to have restarted under its id. Other breaks are kept for that time (UnprovenBreaks), logged (FL1742), and told to nobody. A canary whose connection broke without a proof may be sent again. It works for streams, documents and parts alike, since all go through TaskQuarantine; peers and the store get proven crashes only.

The tests of requests and parts that do crash endpoints (harmfulRequest, lateHarmfulRequest, harmfulPromptPart, harmlessRequest) pass. RelayBench's tests have endpoints that can't be reached, so none of them changes, but for the time that noteRestart takes now.

--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -289,6 +289,13 @@
         level: "warn",
         message: "An endpoint appears to have crashed because of a request that it ran.",
     },
+    connectionBroke: {
+        number: 1742,
+        level: "info",
+        message:
+            "A connection broke while its endpoint ran a request, and the endpoint can be reached. It counts as crashed only "
+            + "if it turns out to have restarted.",
+    },
     requestQuarantined: {
         number: 1719,
         level: "warn",
--- a/src/process/router/routerParts.ts
+++ b/src/process/router/routerParts.ts
@@ -116,7 +116,7 @@
             propagateUpdate: () => this.exchange.propagateUpdate(),
             wakePlacement: () => this.placementController.wake(),
             onRestart: earlier => {
-                this.quarantine.requests.noteRestart(earlier.id);
+                this.quarantine.requests.noteRestart(earlier.id, this.options.node.clock.getMonotonicTime());
                 this.stallDetector.handleEndpointRestart(earlier);
             },
         });
--- a/src/request/relay/documents/documentRelay.ts
+++ b/src/request/relay/documents/documentRelay.ts
@@ -275,7 +275,7 @@
             this.environment.health.addFailure(attempt.endpoint.id, this.getTime());
             const sentAt = attempt.exchange?.getSentTime() ?? attempt.sentAt;
             const isDown = state === PathState.Down;
-            this.quarantine.noteCrash(attempt.endpoint.id, sentAt, brokenAt, { isDown });
+            this.quarantine.noteBreak(attempt.endpoint.id, sentAt, brokenAt, { isDown });
         }
         this.endAttempt(attempt, { isNotRun: false, isPathLost, cause });
     }
--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -14,6 +14,7 @@
 import type { SuspectedCrash } from "./suspectedCrash.ts";
 import { SuspectList } from "./suspectList.ts";
 import { SuspectVerdict } from "./suspectVerdict.ts";
+import { UnprovenBreaks } from "./unprovenBreaks.ts";
 
 /** Options of a {@link RequestQuarantine}. */
 interface RequestQuarantineOptions {
@@ -52,6 +53,8 @@
  */
 export class RequestQuarantine {
     readonly lateCrashes: LateCrashes;
+    /** Broken connections that count as crashes once their endpoints are known to have restarted. */
+    readonly unprovenBreaks = UnprovenBreaks.create();
     private readonly options: RequestQuarantineOptions;
     private readonly suspects: SuspectList;
     private readonly answeredParts = AnsweredParts.create();
@@ -135,8 +138,12 @@
         this.suspects.add(crash, now);
     }
 
-    /** Records that an endpoint has restarted under the same id, so that its answers don't show that it never crashed. */
-    noteRestart(endpointId: string): void {
+    /**
+     * Records that an endpoint has restarted under the same id: connections that broke just before did so in a crash, and its answers don't show
+     * that it never crashed.
+     */
+    noteRestart(endpointId: string, now: number): void {
+        this.unprovenBreaks.prove(endpointId, now);
         this.suspects.confirm(endpointId);
     }
 
--- a/src/request/relay/quarantine/taskQuarantine.ts
+++ b/src/request/relay/quarantine/taskQuarantine.ts
@@ -16,6 +16,17 @@
     isDown?: boolean | undefined;
 }
 
+/** A run that ended as its connection broke. */
+interface BrokenRun {
+    endpointId: string;
+    /** Monotonic time in milliseconds at which the connection broke. */
+    at: number;
+    /** Time from sending the request until then. */
+    runMilliseconds: number;
+    /** Time from the first event until then; 0 if there was none. */
+    answerMilliseconds: number;
+}
+
 /** Connects a forwarded request to the {@link RequestQuarantine} of the node. */
 export class TaskQuarantine {
     private readonly environment: RelayEnvironment;
@@ -97,48 +108,60 @@
     }
 
     /**
-     * Records a suspected crash, if the request had just begun to run on the endpoint.
-     * @param endpointId - Id of the endpoint that seems to have crashed.
+     * Records that the connection of an attempt broke. The endpoint counts as crashed if no node can connect to it, or once it is known to have
+     * restarted: endpoints also break off single streams and go on with the others.
+     * @param endpointId - Id of the endpoint that ran the request.
      * @param sentAt - Monotonic time in milliseconds at which the request was sent to it.
      * @param at - Monotonic time in milliseconds at which the connection broke. The test of its path takes longer than
      * {@link minimumRunMilliseconds}, so that the time after the test would make every request a suspect.
      * @param attempt - What else is known of the attempt.
      */
-    noteCrash(endpointId: string, sentAt: number, at: number, attempt: BrokenAttempt = {}): void {
-        if (at - sentAt < minimumRunMilliseconds) {
+    noteBreak(endpointId: string, sentAt: number, at: number, attempt: BrokenAttempt = {}): void {
+        const { firstEventAt, isDown = false } = attempt;
+        const answerMilliseconds = firstEventAt === undefined ? 0 : at - firstEventAt;
+        const run = { endpointId, at, runMilliseconds: at - sentAt, answerMilliseconds };
+        if (run.runMilliseconds < minimumRunMilliseconds) {
             return;
         }
+        this.hasAnswered ||= isAnswered(run);
+        if (isDown) {
+            this.noteCrash(run, true);
+            return;
+        }
+        const { quarantine, log } = this.environment;
+        quarantine.unprovenBreaks.add({ endpointId, at, onProven: () => this.noteCrash(run, false) });
+        log.write(events.connectionBroke, {
+            request: this.task.request.id,
+            fingerprint: this.task.fingerprint,
+            endpoint: endpointId,
+            ...describeRun(run),
+        });
+    }
+
+    /** Records a crash under the request, of which the request or a part of its prompt may be the cause. */
+    private noteCrash(run: BrokenRun, isDown: boolean): void {
+        const { quarantine } = this.environment;
         const { fingerprint, request, partKeys } = this.task;
-        const { firstEventAt, isDown = false } = attempt;
-        const answerMilliseconds = firstEventAt === undefined ? 0 : at - firstEventAt;
-        const isAnswered = answerMilliseconds > youngAnswerMilliseconds;
-        this.hasAnswered ||= isAnswered;
-        // A part may become harmful after an endpoint has answered the request. Connections also break at endpoints that have not crashed, often
-        // many at once, and would make all parts suspect that pass there.
-        const suspectedParts = isAnswered || !isDown ? [] : partKeys;
+        const { endpointId, at } = run;
+        const crash = { fingerprint, endpointId, at, isDown };
+        // A part may become harmful after an endpoint has answered the request.
+        const suspectedParts = isAnswered(run) ? [] : partKeys;
         if (this.isSafe) {
-            if (isDown) {
-                this.hasCrashedLate = true;
-                this.environment.quarantine.noteLateCrash({ fingerprint, endpointId, at, isDown }, request.id, {
-                    runMilliseconds: Math.round(at - sentAt),
-                    answerMilliseconds: Math.round(answerMilliseconds),
-                });
-            }
+            this.hasCrashedLate = true;
+            quarantine.noteLateCrash(crash, request.id, describeRun(run));
             if (suspectedParts.length === 0) {
                 return;
             }
             // The request stays safe. The next answer clears its parts of this crash.
-            this.environment.quarantine.markSafe(fingerprint);
+            quarantine.markSafe(fingerprint);
             this.isSafe = false;
         }
         const { canaryKeys } = this;
         this.canaryKeys = [];
-        const crash = { fingerprint, endpointId, at, isDown, partKeys: suspectedParts, canaryKeys };
-        this.environment.quarantine.noteCrash(crash, request.id, {
+        quarantine.noteCrash({ ...crash, partKeys: suspectedParts, canaryKeys }, request.id, {
             parts: suspectedParts.join(","),
             canaryOf: canaryKeys.join(","),
-            runMilliseconds: Math.round(at - sentAt),
-            answerMilliseconds: Math.round(answerMilliseconds),
+            ...describeRun(run),
         });
     }
 
@@ -162,3 +185,16 @@
         return undefined;
     }
 }
+
+/** Checks if the endpoint had answered for longer than one does that crashes under a part of the prompt. */
+function isAnswered({ answerMilliseconds }: BrokenRun): boolean {
+    return answerMilliseconds > youngAnswerMilliseconds;
+}
+
+/** Gets the details of a run for the log. */
+function describeRun({ runMilliseconds, answerMilliseconds }: BrokenRun) {
+    return {
+        runMilliseconds: Math.round(runMilliseconds),
+        answerMilliseconds: Math.round(answerMilliseconds),
+    };
+}
--- a/src/request/relay/streams/attemptSender.ts
+++ b/src/request/relay/streams/attemptSender.ts
@@ -8,6 +8,7 @@
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
 import type { RequestGuard } from "../requestGuard.ts";
+import { brokenOffCause } from "./brokenOffCause.ts";
 import { describeIncompleteAnswer } from "./describeIncompleteAnswer.ts";
 import { getFaultyEndpoint } from "./getFaultyEndpoint.ts";
 import { sendStream } from "./sendStream.ts";
@@ -84,13 +85,17 @@
             onComplete(attempt, end.head);
             return;
         }
+        if (end.kind === "cut" && end.isConnectionClosed) {
+            this.handleBreak(attempt, brokenOffCause);
+            return;
+        }
         const { id } = attempt.stages[0]!.endpoint;
         const now = environment.clock.getMonotonicTime();
         if (end.kind === "foreign" || end.kind === "oversized" || end.kind === "invalid") {
             attempt.exchange?.abort();
             environment.health.markRejecting(id, now);
         }
-        const attemptEnd = describeIncompleteAnswer(end, id, now);
+        const attemptEnd = describeIncompleteAnswer(end, id);
         if (end.kind !== "refused") {
             onEnded(attempt, attemptEnd);
             return;
@@ -107,7 +112,7 @@
     }
 
     private handleFailure(attempt: StreamAttempt, failure: UpstreamFailure): void {
-        const { environment, guard, isRunning, onEnded } = this.options;
+        const { environment, isRunning, onEnded } = this.options;
         if (!isRunning(attempt)) {
             return;
         }
@@ -130,11 +135,18 @@
             onEnded(attempt, { isNotRun: true, isUnsent: true, cause, avoid: [id] });
             return;
         }
+        this.handleBreak(attempt, cause);
+    }
+
+    /** Finds out whether the endpoint can still be reached whose connection broke, and ends the attempt. */
+    private handleBreak(attempt: StreamAttempt, cause: string): void {
+        const { environment, guard } = this.options;
+        const brokenAt = environment.clock.getMonotonicTime();
         attempt.run.isBroken = true;
-        attempt.exchange?.testPath(state => guard.run(() => this.handleBreak(attempt, state, now, cause)));
+        attempt.exchange?.testPath(state => guard.run(() => this.endBroken(attempt, state, brokenAt, cause)));
     }
 
-    private handleBreak(attempt: StreamAttempt, state: PathState, brokenAt: number, cause: string): void {
+    private endBroken(attempt: StreamAttempt, state: PathState, brokenAt: number, cause: string): void {
         const { id } = attempt.stages[0]!.endpoint;
         const isDown = state === PathState.Down;
         if (isDown) {
--- /dev/null
+++ b/src/request/relay/streams/brokenOffCause.ts
@@ -0,0 +1,2 @@
+/** Why an attempt ended whose endpoint ended its answer inside an event. */
+export const brokenOffCause = "the endpoint broke off the stream.";
--- a/src/request/relay/streams/describeIncompleteAnswer.ts
+++ b/src/request/relay/streams/describeIncompleteAnswer.ts
@@ -1,3 +1,4 @@
+import { brokenOffCause } from "./brokenOffCause.ts";
 import type { StreamAnswerEnd } from "./streamAnswerEnd.ts";
 import type { StreamAttemptEnd } from "./streamAttemptEnd.ts";
 
@@ -8,9 +9,8 @@
  * Gets what the end of an incomplete answer means for the attempt.
  * @param end - How the answer ended.
  * @param firstId - Id of the first stage, which sent the answer.
- * @param now - Monotonic time in milliseconds.
  */
-export function describeIncompleteAnswer(end: IncompleteAnswerEnd, firstId: string, now: number): StreamAttemptEnd {
+export function describeIncompleteAnswer(end: IncompleteAnswerEnd, firstId: string): StreamAttemptEnd {
     switch (end.kind) {
         case "refused": {
             const cause = `the endpoint refused the request (${end.head.status}).`;
@@ -21,10 +21,8 @@
             const cause = `the endpoint answered ${head.status}${head.isSigned ? "" : " without a signature"}.`;
             return { isNotRun: false, cause, avoid: [firstId], failure: answer };
         }
-        case "cut": {
-            const brokenAt = end.isConnectionClosed ? now : undefined;
-            return { isNotRun: false, brokenAt, cause: "the endpoint broke off the stream.", avoid: [firstId] };
-        }
+        case "cut":
+            return { isNotRun: false, cause: brokenOffCause, avoid: [firstId] };
         case "oversized": {
             const cause = `the endpoint sent more than ${end.maximumBytes} bytes without an event.`;
             return { isNotRun: false, cause, avoid: [firstId] };
--- a/src/request/relay/streams/streamMoves.ts
+++ b/src/request/relay/streams/streamMoves.ts
@@ -55,7 +55,7 @@
             for (const { stages, sentAt, firstEventAt } of runs) {
                 for (const { endpoint } of stages) {
                     if (crashedIds.has(endpoint.id)) {
-                        this.state.quarantine.noteCrash(endpoint.id, sentAt, at, { firstEventAt, isDown: true });
+                        this.state.quarantine.noteBreak(endpoint.id, sentAt, at, { firstEventAt, isDown: true });
                     }
                 }
             }
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -319,7 +319,7 @@
         attempt.run.isBroken = true;
         const sentAt = attempt.exchange?.getSentTime() ?? attempt.sentAt;
         const { stages, firstEventAt } = attempt;
-        this.state.quarantine.noteCrash(stages[0]!.endpoint.id, sentAt, brokenAt, { firstEventAt, isDown });
+        this.state.quarantine.noteBreak(stages[0]!.endpoint.id, sentAt, brokenAt, { firstEventAt, isDown });
     }
 
     /** Takes back the run of an attempt that surely was not run. */
--- a/tests/platform/brokenStreams.test.ts
+++ b/tests/platform/brokenStreams.test.ts
@@ -17,11 +17,13 @@
     let harness: RouterTestHarness;
     let node: StartedNode;
     const models: EndpointStandin[] = [];
+    const documents: EndpointStandin[] = [];
 
     before(async () => {
         harness = await RouterTestHarness.create();
         for (const index of [1, 2, 3, 4]) {
             models.push(await harness.addEndpoint(`m${index}`, "model", { from: 0, to: 8 }, stream));
+            documents.push(await harness.addEndpoint(`d${index}`, "documents"));
         }
         harness.putWholePlacement(models.length);
         node = await harness.addNode();
@@ -62,4 +64,16 @@
             assert.equal((await harness.send(started, "/model/x", { body: "repeated /model/x" })).status, 200);
         }
     });
+
+    it("are answered if they are documents, and are not refused later", async () => {
+        for (const endpoint of documents) {
+            endpoint.behaviour = { delayMilliseconds: 2 * runMilliseconds };
+        }
+        for (const { status } of await sendBroken("/safe/x", documents)) {
+            assert.equal(status, 200);
+        }
+        for (const started of harness.nodes) {
+            assert.equal((await harness.send(started, "/safe/x", { body: "repeated /safe/x" })).status, 200);
+        }
+    });
 });
--- a/tests/request/relay/quarantine/promptParts.test.ts
+++ b/tests/request/relay/quarantine/promptParts.test.ts
@@ -119,7 +119,7 @@
         aliveTimes.set("2", 700);
         assert.deepEqual(getHeld([harmful], 710), []);
         crash("3", 800, [harmful]);
-        quarantine.noteRestart("3");
+        quarantine.noteRestart("3", 900);
         aliveTimes.set("3", 2_000);
         assert.deepEqual(getHeld([harmful], 2_010), [harmful]);
     });
--- a/tests/request/relay/quarantine/taskQuarantine.test.ts
+++ b/tests/request/relay/quarantine/taskQuarantine.test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { PathState } from "../../../../src/connection/upstream/path/pathState.ts";
 import { UpstreamFailureKind } from "../../../../src/connection/upstream/upstreamFailureKind.ts";
+import { events } from "../../../../src/process/logging/events.ts";
 import { DocumentRelay } from "../../../../src/request/relay/documents/documentRelay.ts";
 import { StreamRelay } from "../../../../src/request/relay/streams/streamRelay.ts";
 import { RequestKind } from "../../../../src/version/routing/requestKind.ts";
@@ -29,6 +31,15 @@
     return relay;
 }
 
+function start(bench: RelayBench, kind: RequestKind): void {
+    if (kind === RequestKind.Stream) {
+        startStream(bench);
+    }
+    else {
+        DocumentRelay.start(bench.environment, createTask(bench, kind), () => undefined);
+    }
+}
+
 /** Lets the latest attempt run for some time, then crashes its endpoint. */
 async function crashEndpoint(bench: RelayBench, milliseconds = runMilliseconds): Promise<void> {
     const { listener } = bench.sentRequests.at(-1)!;
@@ -66,6 +77,48 @@
         }
     });
 
+    // Guards against ending a harmless request because its connections broke at endpoints that went on.
+    it("is not suspected if the endpoints can be reached and have not restarted", async () => {
+        for (const kind of [RequestKind.Stream, RequestKind.Idempotent]) {
+            const bench = createBench();
+            bench.pathState = PathState.Open;
+            start(bench, kind);
+            for (const count of [2, 3, 4]) {
+                await crashEndpoint(bench);
+                assert.equal(bench.sentRequests.length, count, kind);
+            }
+            assert.equal(bench.log.numbers.includes(events.endpointCrashSuspected.number), false);
+        }
+    });
+
+    it("is held back if endpoints that can be reached turn out to have restarted", async () => {
+        for (const kind of [RequestKind.Stream, RequestKind.Idempotent]) {
+            const bench = createBench();
+            bench.pathState = PathState.Open;
+            start(bench, kind);
+            for (const count of [1, 2]) {
+                await crashEndpoint(bench);
+                const line = bench.log.numbers.lastIndexOf(events.connectionBroke.number);
+                const endpointId = String(bench.log.fields[line]?.["endpoint"]);
+                bench.environment.quarantine.noteRestart(endpointId, bench.clock.getMonotonicTime() + 100);
+                assert.equal(bench.environment.quarantine.getCrashes(bench.clock.getMonotonicTime()).length, count);
+            }
+            start(bench, kind);
+            assert.equal(bench.answers.at(-1), "heldBack", kind);
+        }
+    });
+
+    it("is suspected if the endpoint ends its answer inside an event and can't be reached", async () => {
+        const bench = createBench();
+        startStream(bench);
+        const { listener } = bench.sentRequests[0]!;
+        listener.onHead(200, headers);
+        await bench.clock.advance(runMilliseconds);
+        listener.onData(Buffer.from("id: 1\nda"));
+        listener.onEnd();
+        assert.equal(bench.environment.quarantine.getCrashes(bench.clock.getMonotonicTime()).length, 1);
+    });
+
     it("is not suspected if the endpoint had crashed before it arrived", async () => {
         const bench = createBench();
         startStream(bench);
@@ -80,12 +133,7 @@
         for (const kind of [RequestKind.Stream, RequestKind.Idempotent]) {
             const bench = createBench();
             bench.pathTestMilliseconds = runMilliseconds;
-            if (kind === RequestKind.Stream) {
-                startStream(bench);
-            }
-            else {
-                DocumentRelay.start(bench.environment, createTask(bench, kind), () => undefined);
-            }
+            start(bench, kind);
             for (const count of [2, 3, 4]) {
                 await crashEndpoint(bench, 1);
                 await bench.clock.advance(runMilliseconds);
