Let a begun stream return to endpoints that broke it off after events and go on

What callers saw: a begun stream was cut with seconds left as soon as as many endpoints as its route allows had each broken it off once, though they went on with other streams.

Cause: an endpoint that breaks a stream off was avoided for good, and with the second one nobody was left who may run it.

Change: where the path test shows that the endpoint can be reached and it had sent events of this stream, it counts like one that has refused the stream: not asked for 300 ms, then again if there is no other chain, with the pauses and the limit of six runs as they are. If an endpoint fails the stream without progress, those before it aren't asked again either, so streams that nobody can carry on end as before (streamPath, unframedAnswers).

Evidence: brokenStreamHasNoEndpointLeft failed before (2 runs of 3 expected, then cut) and passes now; the tests of streams (60), unframedAnswers (28), streamPath (9), brokenStreams (2) pass.

--- a/src/request/relay/streams/resumePacing.ts
+++ b/src/request/relay/streams/resumePacing.ts
@@ -17,6 +17,8 @@
     private pauseEndsAt = -Infinity;
     private lastRefusedAt = -Infinity;
     private readonly refusedAt = new Map<string, number>();
+    /** Ids of the endpoints that have broken off the request after events. */
+    private readonly brokenOffBy = new Set<string>();
 
     private constructor() {}
 
@@ -39,9 +41,21 @@
         }
     }
 
-    /** Records that an endpoint has broken off the request, so that its refusals before don't matter any more. */
-    noteBreak(endpointId: string): void {
-        this.refusedAt.delete(endpointId);
+    /**
+     * Records that an endpoint has broken off the request after events, and goes on with others. The stream may return to it like to one that
+     * has refused it, unless an endpoint fails the request: a stream that makes no progress elsewhere would only be broken off again.
+     */
+    noteBreakAfterProgress(endpointId: string, now: number): void {
+        this.noteRefusal(endpointId, now);
+        this.brokenOffBy.add(endpointId);
+    }
+
+    /** Records that an endpoint has failed the request, so that its refusals before don't matter any more. */
+    noteFailure(endpointId: string): void {
+        for (const id of [endpointId, ...this.brokenOffBy]) {
+            this.refusedAt.delete(id);
+        }
+        this.brokenOffBy.clear();
     }
 
     /** Records that the stream makes progress, so that its next refusal is a first one again. */
@@ -61,7 +75,7 @@
         return Math.max(0, this.pauseEndsAt - now);
     }
 
-    /** Lists the endpoints that have refused the request at any time, and have not broken it off since. */
+    /** Lists the endpoints that have refused the request at any time, and have not failed it since. */
     listRefused(): string[] {
         return [...this.refusedAt.keys()];
     }
--- a/src/request/relay/streams/streamAttemptEnd.ts
+++ b/src/request/relay/streams/streamAttemptEnd.ts
@@ -12,7 +12,7 @@
      * undefined if it didn't, or if only the path is lost.
      */
     brokenAt?: number;
-    /** Whether no node can connect to the first stage after its connection broke. */
+    /** Whether no node can connect to the first stage after its connection broke; undefined if that was not tested. */
     isDown?: boolean;
     /** The chain over which the stream continues; undefined if one is to be found. */
     replacement?: ReservedChain;
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -285,8 +285,11 @@
             if (end.isUnsent === true) {
                 this.state.pacing.noteRefusal(id, this.getTime());
             }
+            else if (end.isDown === false && attempt.firstEventAt !== undefined) {
+                this.state.pacing.noteBreakAfterProgress(id, this.getTime());
+            }
             else if (!end.isNotRun) {
-                this.state.pacing.noteBreak(id);
+                this.state.pacing.noteFailure(id);
             }
         }
         const memoryPart = this.state.chains.getUsedMemoryFraction(attempt.stages[0]!.endpoint);
--- a/src/request/relay/streams/streamResumption.ts
+++ b/src/request/relay/streams/streamResumption.ts
@@ -43,7 +43,7 @@
     /**
      * Continues a stream that has begun as soon as there is a chain for it. It goes before requests that wait in the queue, since its caller
      * would give up sooner. Lack of capacity doesn't end it: the caller may wait longer than the endpoints are full. It ends if all endpoints
-     * that may run it have broken it off.
+     * that may run it have broken it off and can't be reached.
      * @param cause - Why it has no chain.
      * @param isRetry - Whether the next run counts against the retry budget.
      */
@@ -61,8 +61,8 @@
             this.callbacks.onReserved(reserved.val);
             return;
         }
-        // An endpoint that has refused the request, or could not be reached, may accept it later. One that has broken it off would only
-        // do so again.
+        // An endpoint that has refused the request, has broken it off after events, or could not be reached before the request was sent, may
+        // run it later. One that has failed otherwise would only do so again.
         for (const id of this.state.pacing.listRefused()) {
             this.state.avoided.delete(id);
         }
