Keep the last retry of foxlead node for calls that may have run

Callers saw 502 with an unknown outcome for idempotent calls to document services whose first connection broke, while the services refused other calls and would have taken these.

Cause: calls that surely have not run, and can be refused without harm, took the same retries as calls that may have run, and asked more often, so each retry that came back went to one of them until the wait of the others was over.

Change: a call that surely has not run leaves one retry of the budget, as requests of foxlead platform without an answer do.

--- a/src/request/admission/retryBudget.ts
+++ b/src/request/admission/retryBudget.ts
@@ -36,7 +36,7 @@
     /**
      * Takes one retry from the budget.
      * @param now - Monotonic time in milliseconds.
-     * @param kept - Number of retries to leave for requests whose answer has begun, which can't be refused any more.
+     * @param kept - Number of retries to leave for requests that may have run, which can't be refused any more.
      * @returns Whether the retry may be sent.
      */
     takeRetry(now: number, kept = 0): boolean {
--- a/src/request/document/runDocumentCall.ts
+++ b/src/request/document/runDocumentCall.ts
@@ -31,13 +31,15 @@
 
 /** Maximum number of endpoints that a call is sent to without a wait, and of its possible runs. */
 const maximumAttempts = 3;
+/** Retries that calls which surely have not run leave to those that may have run, since only the former can be refused. */
+const keptRetries = 1;
 const refusalRetryAfterMilliseconds = 1_000;
 const noEndpointRetryAfterMilliseconds = 2_000;
 
 /**
  * Sends a document call to one of the service's endpoints. A call that did not run fails over to another endpoint. A
  * call that may have run is retried only if it is idempotent; it then waits for an endpoint that accepts it, since its outcome would be
- * unknown otherwise. The retry budget limits all retries.
+ * unknown otherwise. The retry budget limits all retries, and keeps the last one for calls that may have run.
  * @param environment - Shared services of the process.
  * @param context - Context of the request.
  * @param service - Configuration of the service.
@@ -107,7 +109,7 @@
 
     private takeRetry(): boolean {
         const { retryBudget, clock, metrics } = this.options.environment;
-        const isAllowed = retryBudget.takeRetry(clock.getMonotonicTime());
+        const isAllowed = retryBudget.takeRetry(clock.getMonotonicTime(), this.possibleRuns > 0 ? 0 : keptRetries);
         metrics.retriesTotal.inc({ outcome: isAllowed ? "sent" : "overBudget" });
         return isAllowed;
     }
--- a/tests/request/document/misbehavingDocuments.test.ts
+++ b/tests/request/document/misbehavingDocuments.test.ts
@@ -4,6 +4,7 @@
 import { RawEndpoint } from "../../../standins/network/rawEndpoint.ts";
 import { NodeFixture } from "../../connection/caller/nodeFixture.ts";
 import { documentFaultCases } from "../../connection/document/documentFaultCases.ts";
+import { waitUntil } from "../../support/waitUntil.ts";
 
 const unknown = { status: 502, code: "outcome_unknown", outcome: "outcomeUnknown" } as const;
 const documentTimeoutMilliseconds = 500;
@@ -131,6 +132,55 @@
     });
 });
 
+describe("document services that refuse most calls", () => {
+    const refusal = "HTTP/1.1 429 Too Many Requests\r\ncontent-length: 0\r\n\r\n";
+    const completeAnswer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    const otherCallers = 8;
+    const calls = 6;
+
+    // Guards against 502 for calls that may have run: calls that surely had not run used up the retry budget.
+    it("answer the calls whose first connection broke", async () => {
+        const broken = new Set<string>();
+        const onRequest = (socket: Socket, request: string) => {
+            const path = request.split(" ")[1]!;
+            if (!path.startsWith("/may-have-run")) {
+                socket.write(refusal);
+                return;
+            }
+            if (broken.has(path)) {
+                socket.write(completeAnswer);
+                return;
+            }
+            broken.add(path);
+            socket.destroy();
+        };
+        const endpoints = [await RawEndpoint.create({ onRequest }), await RawEndpoint.create({ onRequest })];
+        const [first, second] = endpoints.map(endpoint => endpoint.getAddress());
+        const fixture = await NodeFixture.create({ addresses: { "document-1": first!, "document-2": second! } });
+        const statuses: number[] = [];
+        let isDone = false;
+        let refused = 0;
+        const callOthers = async () => {
+            while (!isDone) {
+                const answer = await fixture.post("/v1/services/summaries/not-run", "x");
+                refused += Number(answer.status === 503);
+            }
+        };
+        const others = Array.from({ length: otherCallers }, callOthers);
+        await waitUntil("the other calls have used up the retries", () => refused > 100);
+        for (let call = 0; call < calls; call += 1) {
+            statuses.push((await fixture.post(`/v1/services/summaries/may-have-run/${call}`, "x")).status);
+        }
+        isDone = true;
+        await Promise.all(others);
+        await fixture.close();
+        for (const endpoint of endpoints) {
+            await endpoint.close();
+        }
+        assert.deepEqual(statuses, new Array(calls).fill(200));
+    });
+});
+
 describe("document services whose endpoints refuse connections", () => {
     it("answer a call as not run, so that it may be repeated", async () => {
         const raw = await RawEndpoint.create();
