Keep the sequence of a silent engine's attempt when its chain's other engine is full

Callers of foxlead node lost a begun answer (an error in its stream after 8 s) whose second engine was silent for 1.5 to 2.5 s, if the first engine had no memory for a second sequence.

Cause: the attempt on another chain shares the first engine, which refused it for want of memory. The node then cancelled the sequence of the kept attempt, in the belief that the other chain would accept the answer. Another request took the memory, or the later stage of the other chain was full, and the silent engine had nothing left to go on with.

Change: a refusal for memory at an engine that both chains share makes the kept attempt the next one to be continued, in turn with the other chain. It gives way when the process of its engine has ended (the last probe's connection was refused) or 3 s after it first failed. FL1748 logs each of these decisions.

--- a/bench/recovery/foxleadRouter.ts
+++ b/bench/recovery/foxleadRouter.ts
@@ -105,6 +105,7 @@
         return {
             onPassSent: () => () => undefined,
             onRefusalsEnded: () => undefined,
+            onMemoryConflict: () => undefined,
             onAttemptFailed: failure => {
                 const cause = `${failure.kind}: ${failure.reason}`;
                 this.counts.brokenAttempts.set(cause, (this.counts.brokenAttempts.get(cause) ?? 0) + 1);
--- a/src/connection/endpoint/engineConnection.ts
+++ b/src/connection/endpoint/engineConnection.ts
@@ -159,6 +159,11 @@
         return this.reachability.probe();
     }
 
+    /** Checks if the engine refused the connection of the last probe, so that its process has ended and its sequences are lost. */
+    hasEnded(): boolean {
+        return this.reachability.hasEnded();
+    }
+
     /** Checks if this node recently sent a pass to the engine. */
     isInUse(): boolean {
         return this.reachability.isInUse();
--- a/src/connection/endpoint/engineReachability.ts
+++ b/src/connection/endpoint/engineReachability.ts
@@ -26,6 +26,7 @@
     private usedAt = Number.NEGATIVE_INFINITY;
     private answeredAt = Number.NEGATIVE_INFINITY;
     private unreachableUntil = Number.NEGATIVE_INFINITY;
+    private wasRefused = false;
 
     private constructor(options: EngineReachabilityOptions) {
         this.options = options;
@@ -48,6 +49,12 @@
     observeAnswer(): void {
         this.answeredAt = this.options.clock.getMonotonicTime();
         this.unreachableUntil = Number.NEGATIVE_INFINITY;
+        this.wasRefused = false;
+    }
+
+    /** Checks if no process listened at the engine's address when it was last probed. */
+    hasEnded(): boolean {
+        return this.wasRefused;
     }
 
     /** Checks if a pass was recently sent to the engine. */
@@ -78,6 +85,7 @@
         if (this.answeredAt > startedAt) {
             return true;
         }
+        this.wasRefused = outcome === "refused";
         this.unreachableUntil = this.options.clock.getMonotonicTime() + unreachableMilliseconds;
         // If the probe was refused, the connections of passes in flight fail too, and each error shows if the pass was
         // sent.
--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -235,6 +235,12 @@
             "Engines refused a started answer without running it, and it was continued or ended. If it ends, add memory or "
             + "engines.",
     },
+    memoryConflict: {
+        number: 1748,
+        level: "info",
+        message:
+            "An engine has no memory for a started answer that moves to another chain, since it holds the answer's earlier attempt, whose other engine is silent or slow. The earlier attempt is kept and continued, or ended if that engine's process has ended or is silent for too long. If this is frequent, add memory or engines.",
+    },
     requestCrashed: { number: 1703, level: "error", message: "A request failed with an unexpected error." },
     relayEnded: { number: 1710, level: "info", message: "A routed request has ended." },
     relayAttemptFailed: {
--- a/src/request/model/createGenerationObserver.ts
+++ b/src/request/model/createGenerationObserver.ts
@@ -55,6 +55,12 @@
                 milliseconds: Math.round(milliseconds),
                 isContinued,
             }),
+        onMemoryConflict: ({ parkedMilliseconds, ...conflict }) =>
+            log.write(events.memoryConflict, {
+                request: context.id,
+                ...conflict,
+                parkedMilliseconds: Math.round(parkedMilliseconds),
+            }),
         onRecovered: elapsedMilliseconds =>
             metrics.recoverySeconds.observe(elapsedMilliseconds / millisecondsPerSecond),
         onContextRebuilt: positions => metrics.rebuiltPositionsTotal.inc(positions),
--- a/src/request/model/runGeneration.ts
+++ b/src/request/model/runGeneration.ts
@@ -13,6 +13,7 @@
 import type { GenerationObserver } from "./generationObserver.ts";
 import { GenerationRetries } from "./generationRetries.ts";
 import type { GenerationStep } from "./generationStep.ts";
+import { ParkedAttempt } from "./parkedAttempt.ts";
 import { SlowStageDetector } from "./slowStageDetector.ts";
 
 /** Options for running a generation. */
@@ -47,13 +48,6 @@
 /** Reason why an attempt ended without an answer. */
 type AttemptEnd = { kind: "cancelled"; } | { kind: "broken"; failure: PassFailure; };
 
-/** An attempt that failed at a silent or slow engine and may go on there. */
-interface ParkedAttempt {
-    attempt: ChainAttempt;
-    /** Endpoint of the engine. */
-    endpoint: string;
-}
-
 /** Interval at which a started answer checks if a chain is available. */
 const chainCheckMilliseconds = 50;
 const noChainRetryAfterMilliseconds = 1_000;
@@ -197,7 +191,8 @@
 
     /**
      * Starts an attempt on another chain, or continues the parked one if its endpoint is chosen again. If a pass may already have run,
-     * waits for an available chain for a limited time. Failed endpoints are allowed again if there is no chain without them.
+     * waits for an available chain for a limited time. Failed endpoints are allowed again if there is no chain without them; a parked
+     * attempt that is due is continued first.
      */
     private async getNextAttempt(): Promise<Result<ChainAttempt, RequestError>> {
         const deadline = this.retries.getWaitEnd(this.getTime());
@@ -218,6 +213,9 @@
                 : chainCheckMilliseconds;
             this.selection.clearExclusions();
             await new Promise<void>(resolve => void this.options.clock.setTimer(delayMilliseconds, resolve));
+            if (this.parked?.isDueToContinue() === true) {
+                return Ok(this.resumeAttempt(this.parked.attempt));
+            }
         }
     }
 
@@ -235,10 +233,12 @@
     /** Continues the parked attempt if the endpoint at which it failed is part of a chain that was chosen now. */
     private resumeParkedAttempt(chain: Chain): ChainAttempt | undefined {
         const { parked } = this;
-        if (parked === undefined || !hasEndpoint(chain, parked.endpoint)) {
-            return undefined;
-        }
-        const { attempt } = parked;
+        const isChosen = parked !== undefined
+            && chain.stages.some(({ endpoint }) => endpoint === parked.getEndpoint());
+        return isChosen ? this.resumeAttempt(parked.attempt) : undefined;
+    }
+
+    private resumeAttempt(attempt: ChainAttempt): ChainAttempt {
         this.options.onChainChosen(attempt.chain);
         this.generation.resumeAttempt(attempt.progress);
         return attempt;
@@ -271,18 +271,42 @@
 
     /**
      * Keeps an attempt whose engine is silent or slow until another attempt has emitted a token, since the engine may go on and there may
-     * be no memory elsewhere. An engine that needs the memory for the other attempt gets it.
+     * be no memory elsewhere.
      */
     private parkOrEnd(attempt: ChainAttempt, { kind, endpoint, reason }: PassFailure): void {
         const mayGoOn = kind === "slow" || kind === "unreachable" || kind === "notSent";
         const isOnlyOne = this.parked === undefined || this.parked.attempt === attempt;
         if (mayGoOn && isOnlyOne && attempt.progress.position > 0) {
-            this.parked = { attempt, endpoint };
+            this.parked ??= ParkedAttempt.create(attempt, endpoint, this.getTime());
+            this.parked.observeFailure(endpoint);
             return;
         }
         this.endAttempt(attempt);
-        if (reason === "memory" && this.parked !== undefined && hasEndpoint(this.parked.attempt.chain, endpoint)) {
-            this.endAttempt(this.parked.attempt);
+        if (reason === "memory") {
+            this.handleMemoryRefusal(endpoint);
+        }
+    }
+
+    /** Ends the parked attempt if an engine needs its memory and the silent engine won't go on. */
+    private handleMemoryRefusal(refusingEndpoint: string): void {
+        const { parked } = this;
+        if (parked?.hasEndpoint(refusingEndpoint) !== true) {
+            return;
+        }
+        const silentEndpoint = parked.getEndpoint();
+        const now = this.getTime();
+        const hasEnded = this.options.getConnection(silentEndpoint)?.hasEnded() ?? true;
+        const isKept = parked.keepDespiteRefusal(hasEnded, now);
+        const parkedMilliseconds = parked.getAge(now);
+        this.options.observer.onMemoryConflict({
+            refusingEndpoint,
+            silentEndpoint,
+            hasEnded,
+            parkedMilliseconds,
+            isKept,
+        });
+        if (!isKept) {
+            this.endAttempt(parked.attempt);
         }
     }
 
@@ -364,10 +388,6 @@
     }
 }
 
-function hasEndpoint(chain: Chain, endpoint: string): boolean {
-    return chain.stages.some(stage => stage.endpoint === endpoint);
-}
-
 function createSlowFailure(endpoint: string): PassFailure {
     const message = `Endpoint ${endpoint} became slow. The answer continues on another chain.`;
     return { kind: "slow", endpoint, reason: "slow", message };
--- a/tests/request/model/silentEngines.test.ts
+++ b/tests/request/model/silentEngines.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import type { Socket } from "node:net";
-import { after, before, beforeEach, describe, it } from "node:test";
+import { after, afterEach, before, beforeEach, describe, it } from "node:test";
 import type { Pass } from "../../../src/connection/endpoint/engineProtocol.ts";
 import { RawEndpoint } from "../../../standins/network/rawEndpoint.ts";
 import { NodeFixture } from "../../connection/caller/nodeFixture.ts";
@@ -21,6 +21,7 @@
     stalledUntil = 0;
     /** Until then, it has no memory for sequences that it doesn't hold. */
     fullUntil = 0;
+    maximumSequences = Infinity;
     refusals = 0;
     /** Whether its status says that it is leaving, so that it isn't chosen. */
     isLeaving = false;
@@ -74,6 +75,9 @@
             }
         }
         const waitMilliseconds = Math.max(this.silentUntil, isPass ? this.stalledUntil : 0) - Date.now();
+        if (waitMilliseconds === Infinity) {
+            return;
+        }
         if (waitMilliseconds > 0) {
             setTimeout(() => this.receive(socket, request), waitMilliseconds);
             return;
@@ -93,7 +97,8 @@
         const count = hidden?.length ?? tokens.length + (text === undefined ? 0 : promptPositions);
         const common = { id, request, attempt, position, layerStart, layerEnd, count, queue: 0 };
         const sequence = `${request}/${attempt}`;
-        if (!this.sequences.has(sequence) && (position > 0 || this.fullUntil > Date.now())) {
+        const isFull = this.fullUntil > Date.now() || this.sequences.size >= this.maximumSequences;
+        if (!this.sequences.has(sequence) && (position > 0 || isFull)) {
             this.refusals += 1;
             return { ...common, outcome: "refused", reason: position > 0 ? "order" : "memory" };
         }
@@ -241,3 +246,100 @@
         });
     }
 });
+
+/** Three engines. The first one holds one sequence from the fault on, and the third one takes the place of the second one then. */
+class SharedStageScenario {
+    readonly first: RawEngine;
+    readonly second: RawEngine;
+    readonly third: RawEngine;
+    private readonly fixture: NodeFixture;
+
+    private constructor(engines: RawEngine[], fixture: NodeFixture) {
+        [this.first, this.second, this.third] = engines as [RawEngine, RawEngine, RawEngine];
+        this.fixture = fixture;
+    }
+
+    static async create(): Promise<SharedStageScenario> {
+        const engines = [
+            await RawEngine.create("engine-1", 0, 4),
+            await RawEngine.create("engine-2", 4, 8),
+            await RawEngine.create("engine-3", 4, 8),
+        ];
+        const [first, second, third] = engines.map(engine => engine.getAddress());
+        const addresses = { "engine-1": first!, "engine-2": second!, "engine-3": third! };
+        engines[2]!.isLeaving = true;
+        return new SharedStageScenario(engines, await NodeFixture.create({ addresses, weightLoadMilliseconds }));
+    }
+
+    /** Sends a request whose second engine fails. Returns the text of the answer and its time in milliseconds. */
+    async run(fail: (socket: Socket) => void): Promise<{ text: string; milliseconds: number; }> {
+        this.second.onFault = socket => {
+            this.first.maximumSequences = 1;
+            this.third.isLeaving = false;
+            fail(socket);
+            return this.second.silentUntil === 0;
+        };
+        for (;;) {
+            const startedAt = Date.now();
+            const text = await requestText(this.fixture);
+            if (this.second.onFault === undefined) {
+                return { text, milliseconds: Date.now() - startedAt };
+            }
+            // The third engine runs requests until the node has read its status.
+            assert.equal(text, answerText);
+        }
+    }
+
+    async close(): Promise<void> {
+        await this.fixture.close();
+        for (const engine of [this.first, this.second, this.third]) {
+            await engine.close();
+        }
+    }
+}
+
+// Guards against 502 for an answer whose memory at a sound engine was freed for another chain, while its silent engine was about to go on.
+describe("an engine of a chain that falls silent while another engine of it has memory for one sequence", () => {
+    let scenario: SharedStageScenario;
+
+    beforeEach(async () => {
+        scenario = await SharedStageScenario.create();
+    });
+
+    afterEach(() => scenario.close());
+
+    for (const milliseconds of [1_500, 2_500]) {
+        it(`ends no answer if another request wants the memory (${milliseconds} ms)`, async () => {
+            scenario.first.isMemoryWanted = true;
+            const { text } = await scenario.run(() => {
+                scenario.second.silentUntil = Date.now() + milliseconds;
+            });
+            assert.equal(text, answerText);
+            assert.ok(scenario.first.refusals > 0, "No other chain was tried.");
+        });
+
+        it(`ends no answer if the later stage of the other chain is full (${milliseconds} ms)`, async () => {
+            scenario.second.isMemoryWanted = true;
+            const { text } = await scenario.run(() => {
+                scenario.third.fullUntil = Infinity;
+                scenario.second.silentUntil = Date.now() + milliseconds;
+            });
+            assert.equal(text, answerText);
+            assert.ok(scenario.first.refusals > 0, "No other chain was tried.");
+        });
+    }
+
+    it("gives its memory to the other chain if it stays silent", async () => {
+        const { text, milliseconds } = await scenario.run(() => {
+            scenario.second.silentUntil = Infinity;
+        });
+        assert.equal(text, answerText);
+        assert.ok(milliseconds < 7_000, `The answer took ${milliseconds} ms.`);
+    });
+
+    it("gives its memory to the other chain at once if its process has ended", async () => {
+        const { text, milliseconds } = await scenario.run(() => void scenario.second.close());
+        assert.equal(text, answerText);
+        assert.ok(milliseconds < 2_000, `The answer took ${milliseconds} ms.`);
+    });
+});
