Send the peer of a tunnel what came before its endpoint broke the connection

An answer that an endpoint had sent in full was cut for its caller if the endpoint then reset its connection while the node at the other end of the tunnel read slowly.

Cause: the node that holds the endpoint's connection destroyed the tunnel as soon as that connection was reset, with the bytes that were written to the tunnel and not sent yet. Over a direct connection they would have been read.

Change: the tunnel is destroyed once these bytes are sent, still without the frame for a regular end.

--- a/src/connection/peer/tunnel/connectTunnel.ts
+++ b/src/connection/peer/tunnel/connectTunnel.ts
@@ -48,6 +48,19 @@
     peer.end(encodeTunnelFrame({ kind: TunnelFrameKind.Failed, payload: Buffer.from(reason) }));
 }
 
+/**
+ * Ends a tunnel whose endpoint has broken its connection, once the peer has what came before, which may be a complete answer. Without
+ * the frame for a regular end, the peer takes the end of the tunnel as a failure.
+ */
+function destroyAfterWrites(peer: Duplex): void {
+    if (peer.writable) {
+        peer.write(noBytes, () => peer.destroy());
+    }
+    else {
+        peer.destroy();
+    }
+}
+
 /** Passes bytes between a peer and an endpoint, each as fast as the other takes them, until either connection ends. */
 function join(peer: Duplex, endpoint: Socket): void {
     let hasEnded = false;
@@ -63,9 +76,8 @@
     });
     endpoint.on("error", () => undefined);
     endpoint.once("close", () => {
-        // Without the frame for a regular end, the peer takes the end of the tunnel as a failure.
         if (!hasEnded) {
-            peer.destroy();
+            destroyAfterWrites(peer);
         }
     });
     peer.once("close", () => endpoint.destroy());
