Keep an answer whose end came through a tunnel before the tunnel broke

An answer without a length that had come in full through a peer was cut if the connection to the peer broke before the answer was read.

Cause: the near end of a tunnel took any error of the connection to the peer for the end of the endpoint's bytes, also after the frame for their regular end, and dropped those that were not read yet.

Change: after that frame an error of the connection to the peer is ignored, also while the near end closes its own direction.

--- a/src/connection/peer/tunnel/createTunnelStream.ts
+++ b/src/connection/peer/tunnel/createTunnelStream.ts
@@ -22,7 +22,8 @@
         allowHalfOpen: false,
         read: () => void connection.resume(),
         write: (chunk: Buffer, encoding, callback) => void connection.write(chunk, encoding, callback),
-        final: callback => void connection.end(callback),
+        // Nothing is left to be written, so a failure that matters is reported by the connection itself.
+        final: callback => void connection.end(() => callback()),
         destroy: (error, callback) => {
             connection.destroy();
             callback(error);
@@ -58,7 +59,12 @@
         }
         handleFrames(received.val);
     });
-    connection.on("error", error => stream.destroy(error));
+    connection.on("error", error => {
+        // What the endpoint sent is complete. It may not have been read yet.
+        if (!hasEnded) {
+            stream.destroy(error);
+        }
+    });
     connection.once("close", () => {
         if (!hasEnded) {
             stream.destroy(new Error("The tunnel through a peer was closed before the endpoint's connection ended."));
