Move retries between nodes to begun streams that wait for one

What callers saw: a stream whose endpoint had broken off stood still until its caller left, or was cut at the end of its time, because its own node had no retry left while the other nodes had theirs.

Cause: the budget of all nodes is divided by their number. At many nodes each has few retries, requests without an answer may spend all but one of them on refusals, and one comes back in seconds. Nothing moved between nodes.

Change: requests without an answer leave one retry for each stream that has begun, up to four and up to half of what the budget holds (one before), and all of them while such streams wait. A hedged attempt before the first event counts as one without an answer. A node whose begun streams wait asks up to three random peers in a call of the exchange of state (two new fields, 0 for older nodes). A peer that keeps enough for its own streams takes whole retries from its balance and grants them in its answer. Only the answer to the call that asked is accepted, and only up to what it asked for, so a grant counts once or is lost for both. Asks have pauses from 100 to 800 ms that grow while nothing is granted; nothing is asked while no stream waits. FL1737, FL1738 and FL1739 log each decision.

--- a/bench/experiment/simulatedNode.ts
+++ b/bench/experiment/simulatedNode.ts
@@ -3,6 +3,7 @@
 import type { RandomSource } from "../../src/process/randomSource.ts";
 import { RetryBudget } from "../../src/request/admission/retryBudget.ts";
 import { RetryDetector } from "../../src/request/admission/start/retryDetector.ts";
+import { StreamRetries } from "../../src/request/admission/streamRetries.ts";
 import { EndpointEnds } from "../../src/request/relay/endpoints/endpointEnds.ts";
 import { EndpointHealth } from "../../src/request/relay/endpoints/endpointHealth.ts";
 import { EndpointLoads } from "../../src/request/relay/endpoints/endpointLoads.ts";
@@ -56,6 +57,7 @@
             log,
             getAliveTime: endpointId => health.getLastAliveTime(endpointId),
         });
+        const retryBudget = RetryBudget.create(clock.getMonotonicTime(), () => retryBudgetPolicy);
         this.environment = {
             dataCentre,
             clock,
@@ -90,7 +92,8 @@
             }),
             instructions: EndpointInstructions.create({ clock, log }),
             quarantine,
-            retryBudget: RetryBudget.create(clock.getMonotonicTime(), () => retryBudgetPolicy),
+            retryBudget,
+            streamRetries: StreamRetries.create({ budget: retryBudget, onNeed: () => undefined }),
             queue,
             firstEvents: FirstEventTimes.create(),
             retryDetector,
--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -258,6 +258,21 @@
         message:
             "A stream that has begun waits for a chain that it can continue on. Add endpoints if this happens often.",
     },
+    retriesAsked: {
+        number: 1737,
+        level: "info",
+        message: "Streams that have begun wait for a retry, and peers are asked for some of theirs.",
+    },
+    retriesGranted: {
+        number: 1738,
+        level: "info",
+        message: "A peer asked for retries, and this node gave up as many as it could spare.",
+    },
+    retriesReceived: {
+        number: 1739,
+        level: "info",
+        message: "A peer has given up retries for streams of this node that have begun.",
+    },
     relayRerouted: { number: 1712, level: "warn", message: "A running stream was moved to another chain." },
     relayStalled: {
         number: 1713,
--- a/src/process/router/createRelayEnvironment.ts
+++ b/src/process/router/createRelayEnvironment.ts
@@ -1,5 +1,6 @@
 import { RetryBudget } from "../../request/admission/retryBudget.ts";
 import { RetryDetector } from "../../request/admission/start/retryDetector.ts";
+import { StreamRetries } from "../../request/admission/streamRetries.ts";
 import { RefusalDetector } from "../../request/relay/detection/refusalDetector.ts";
 import { FirstEventTimes } from "../../request/relay/endpoints/firstEventTimes.ts";
 import { LinkAdmission } from "../../request/relay/links/linkAdmission.ts";
@@ -26,6 +27,8 @@
     queue: RelayQueue;
     /** Informs the peers at once. */
     propagateUpdate(): void;
+    /** Asks peers for retries. */
+    askForRetries(): void;
 }
 
 /** Creates the dependencies of all relayed requests: the node's parts that they use, and what they alone share. */
@@ -33,6 +36,10 @@
     const { node: { settings, clock, random, log, protocol }, liveNodes, routing, endpoints, calls } = options;
     const { health, loads, ends, limits, instructions } = endpoints;
     const linkDelays = LinkDelays.create();
+    const retryBudget = RetryBudget.create(
+        clock.getMonotonicTime(),
+        () => getRetryPolicy(settings, liveNodes.getHighestCount()),
+    );
     return {
         dataCentre: settings.dataCentre,
         clock,
@@ -67,10 +74,8 @@
             configurationAgeMilliseconds: routing.getAge(),
             lagMilliseconds: Math.round(clock.getLag()),
         }),
-        retryBudget: RetryBudget.create(
-            clock.getMonotonicTime(),
-            () => getRetryPolicy(settings, liveNodes.getHighestCount()),
-        ),
+        retryBudget,
+        streamRetries: StreamRetries.create({ budget: retryBudget, onNeed: () => options.askForRetries() }),
     };
 }
 
--- a/src/process/router/partnerSelector.ts
+++ b/src/process/router/partnerSelector.ts
@@ -72,6 +72,13 @@
         return [...partners];
     }
 
+    /** Selects random nodes that answer, as far as known. Each of them may spare what this node lacks. */
+    selectRandom(count: number): string[] {
+        const idle = this.listLive().map(({ address }) => address).filter(address => this.isIdle(address));
+        const start = Math.floor(this.options.random() * idle.length);
+        return [...idle.slice(start), ...idle.slice(0, start)].slice(0, count);
+    }
+
     private describeOwn() {
         const { nodeId, dataCentre, storeWatch } = this.options;
         return { nodeId, dataCentre, isWithoutStore: storeWatch.isWithoutStore() };
--- a/src/process/router/peerExchange.ts
+++ b/src/process/router/peerExchange.ts
@@ -29,6 +29,11 @@
 const minimumRoundMilliseconds = 100;
 const callTimeoutMilliseconds = 600;
 
+/** A message to a peer. */
+type SentExchange = Exclude<MessageInitShape<typeof ExchangeRequestSchema>, ExchangeRequest> & {
+    wantedRetries: number;
+};
+
 /** Exchanges state with some peers in each round, and fetches missing changes of the store from them. */
 export class PeerExchange {
     private readonly options: PeerExchangeOptions;
@@ -92,12 +97,26 @@
         this.exchangeWith(this.partners.listDistributors());
     }
 
-    /** Applies a peer's state and responds with the state of this node. */
+    /** Asks some peers at once for retries that they can spare, if streams of this node that have begun wait for them. */
+    askForRetries(): void {
+        const { retries, clock } = this.options;
+        if (this.isStopped || this.partners.listLive().length === 0) {
+            return;
+        }
+        const ask = retries.ask(clock.getMonotonicTime());
+        if (ask !== undefined) {
+            this.exchangeWith(this.partners.selectRandom(ask.peers), ask.wanted);
+        }
+    }
+
+    /** Applies a peer's state and responds with the state of this node, and with the retries that the peer asked for. */
     handleExchange(
-        { state = create(NodeStateSchema) }: ExchangeRequest,
+        { state = create(NodeStateSchema), wantedRetries }: ExchangeRequest,
     ): MessageInitShape<typeof ExchangeResponseSchema> {
+        const { retries, clock } = this.options;
         account.run(ProcessorCause.PeerApply, () => this.messages.apply(state));
-        return { state: this.buildState(state.knownNodes) };
+        const grantedRetries = retries.grant(state.sender?.nodeId ?? "", wantedRetries, clock.getMonotonicTime());
+        return { state: this.buildState(state.knownNodes), grantedRetries };
     }
 
     /** Responds with the store changes that a peer lacks. */
@@ -128,20 +147,24 @@
         return interval * this.options.overload.getExchangeIntervalFactor();
     }
 
-    /** Sends this node's state to peers, except those that have not answered yet. All get the same message, which is built once. */
-    private exchangeWith(addresses: readonly string[]): void {
+    /**
+     * Sends this node's state to peers, except those that have not answered yet. All get the same message, which is built once.
+     * @param wantedRetries - Retries to ask each of them for.
+     */
+    private exchangeWith(addresses: readonly string[], wantedRetries = 0): void {
         const idle = addresses.filter(address => this.peers.getCallCount(address) === 0);
         if (idle.length === 0) {
             return;
         }
-        const request = { state: this.buildState() };
+        const request = { state: this.buildState(), wantedRetries };
         for (const address of idle) {
             void this.exchange(address, request);
         }
     }
 
-    private async exchange(address: string, request: MessageInitShape<typeof ExchangeRequestSchema>): Promise<void> {
-        const sentAt = this.options.clock.getMonotonicTime();
+    private async exchange(address: string, request: SentExchange): Promise<void> {
+        const { clock, retries } = this.options;
+        const sentAt = clock.getMonotonicTime();
         const response = await this.peers.call(
             address,
             client => client.exchange(request, { timeoutMs: callTimeoutMilliseconds }),
@@ -149,6 +172,8 @@
         const state = response?.state;
         if (state !== undefined) {
             account.run(ProcessorCause.PeerApply, () => this.messages.applyResponse(state, sentAt));
+            const { wantedRetries: wanted } = request;
+            retries.accept({ address, wanted, granted: response!.grantedRetries }, clock.getMonotonicTime());
         }
     }
 
--- a/src/process/router/peerExchangeOptions.ts
+++ b/src/process/router/peerExchangeOptions.ts
@@ -9,6 +9,7 @@
 import type { EndpointLinks } from "./endpointLinks.ts";
 import type { NodeTable } from "./nodeTable.ts";
 import type { PeerState } from "./peerState.ts";
+import type { RetryTransfer } from "./retryTransfer.ts";
 import type { StoreWatchController } from "./storeWatchController.ts";
 
 /** Options of a `PeerExchange`. */
@@ -32,6 +33,8 @@
     owners: Pick<RendezvousOwners, "getOwners">;
     sections: readonly RecordSection[];
     state: PeerState;
+    /** Decides how retries move between this node and its peers. */
+    retries: RetryTransfer;
     /** Whether this node's requests compete with those of other nodes for endpoint capacity. */
     isBusy(): boolean;
     /** Reviewed in each round. */
--- a/src/process/router/routerParts.ts
+++ b/src/process/router/routerParts.ts
@@ -20,6 +20,7 @@
 import { RankDemandPart } from "./rankDemandPart.ts";
 import { RefusalGate } from "./refusalGate.ts";
 import { RequestRouter } from "./requestRouter.ts";
+import { RetryTransfer } from "./retryTransfer.ts";
 import { RouterEndpoints } from "./routerEndpoints.ts";
 import type { RouterNodeOptions } from "./routerNodeOptions.ts";
 import { RoutingHolder } from "./routingHolder.ts";
@@ -91,6 +92,7 @@
             quarantine: this.quarantine.requests,
             queue: this.queue,
             propagateUpdate: () => this.exchange.propagateUpdate(),
+            askForRetries: () => this.exchange.askForRetries(),
         });
         this.exchange = this.createExchange();
         const { registry, losses, instructions } = this.endpoints;
@@ -194,6 +196,7 @@
             owners: this.owners,
             sections,
             state: this.createPeerState(),
+            retries: this.createRetryTransfer(),
             isBusy: () => queue.isContended(),
             overload: this.overload,
             isReady: () => this.options.isReady(),
@@ -223,6 +226,11 @@
         });
     }
 
+    private createRetryTransfer(): RetryTransfer {
+        const { retryBudget: budget, streamRetries: streams, log } = this.environment;
+        return RetryTransfer.create({ budget, streams, log });
+    }
+
     private createPlacementController(): PlacementController {
         const { options: { node, isDraining }, storeWatch, modelEndpoints, calls } = this;
         const { store, clock, log, keys, metrics } = node;
--- a/src/request/admission/retryBudget.ts
+++ b/src/request/admission/retryBudget.ts
@@ -47,6 +47,30 @@
         return true;
     }
 
+    /**
+     * Takes whole retries from the budget for another node.
+     * @param wanted - Largest number to take.
+     * @param kept - Number of retries to leave.
+     * @param now - Monotonic time in milliseconds.
+     * @returns The number that was taken.
+     */
+    giveAway(wanted: number, kept: number, now: number): number {
+        const given = Math.max(0, Math.min(wanted, Math.floor(this.getBalance(now) - kept)));
+        this.balance -= given;
+        return given;
+    }
+
+    /** Adds retries that another node has given away. What exceeds the maximum balance is lost. */
+    receive(retries: number, now: number): void {
+        this.refill(now);
+        this.add(retries, this.getPolicy());
+    }
+
+    /** Gets the largest number of retries that the budget can hold now. */
+    getMaximumBalance(): number {
+        return this.getPolicy().maximumBalance;
+    }
+
     /** Gets the number of retries that may be sent now; a fraction is the part of the next one. */
     getBalance(now: number): number {
         this.refill(now);
--- a/src/request/relay/queue/createQueuedRelay.ts
+++ b/src/request/relay/queue/createQueuedRelay.ts
@@ -25,14 +25,11 @@
  */
 const reservedFractionForTimely = 0.2;
 
-/** Retries that requests without an answer leave for streams that have begun. */
-const keptRetries = 1;
-
 /** Creates the queue entry of a request for a chain, which states how long it may wait and how it is started. */
 export function createQueuedRelay(options: QueuedRelayOptions): QueuedRelay {
     const { environment, task, chains, avoided, isRetry, start, refuse } = options;
     const { request, service, customer, rank, ranks, isReturn, dueAt } = task;
-    const { clock, retryBudget, instructions, queue, getLiveNodeCount } = environment;
+    const { clock, streamRetries, instructions, queue, getLiveNodeCount } = environment;
     const latestOnTimeStart = getLatestOnTimeStart(environment, task);
     const rateLimited = new Set<string>();
     environment.limits.noteRequest(service.name, clock.getMonotonicTime());
@@ -88,7 +85,7 @@
             if (stages === undefined) {
                 return undefined;
             }
-            if (isRetry && !retryBudget.takeRetry(now, keptRetries)) {
+            if (isRetry && !streamRetries.take(task, now)) {
                 chains.refundLimit(stages);
                 return undefined;
             }
--- a/src/request/relay/relayEnvironment.ts
+++ b/src/request/relay/relayEnvironment.ts
@@ -4,6 +4,7 @@
 import type { RandomSource } from "../../process/randomSource.ts";
 import type { RetryBudget } from "../admission/retryBudget.ts";
 import type { RetryDetector } from "../admission/start/retryDetector.ts";
+import type { StreamRetries } from "../admission/streamRetries.ts";
 import type { RefusalDetector } from "./detection/refusalDetector.ts";
 import type { EndpointProtocol } from "./endpointProtocol.ts";
 import type { EndpointEnds } from "./endpoints/endpointEnds.ts";
@@ -39,6 +40,8 @@
     /** What endpoints have told this node to send or not to send them. */
     instructions: EndpointInstructions;
     retryBudget: RetryBudget;
+    /** Divides the retry budget between streams that have begun and other requests. */
+    streamRetries: StreamRetries;
     quarantine: RequestQuarantine;
     queue: RelayQueue;
     firstEvents: FirstEventTimes;
--- a/src/request/relay/streams/chainReplacement.ts
+++ b/src/request/relay/streams/chainReplacement.ts
@@ -79,9 +79,9 @@
         { avoid, maySuspect }: Pick<RunningReplacementRequirements, "avoid" | "maySuspect">,
         isRetry: boolean,
     ): Result<ReservedChain, string> {
-        const { environment, chains } = this.options;
+        const { environment, task, chains } = this.options;
         const now = environment.clock.getMonotonicTime();
-        if (isRetry && environment.retryBudget.getBalance(now) < 1) {
+        if (isRetry && !environment.streamRetries.isAvailable(task, now)) {
             return Err(exhaustedBudgetCause);
         }
         const stages = chains.chooseWithinLimits({
@@ -94,7 +94,7 @@
         if (stages === undefined) {
             return Err("No other chain that the request may be sent over has free capacity.");
         }
-        if (isRetry && !environment.retryBudget.takeRetry(now)) {
+        if (isRetry && !environment.streamRetries.take(task, now)) {
             chains.refundLimit(stages);
             return Err(exhaustedBudgetCause);
         }
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -223,7 +223,7 @@
             // begins the answer.
             const mayWrite = this.state.answer.isBegun() || this.attempts.isOnly(attempt);
             if (mayWrite && attempt === this.attempts.getCurrent()) {
-                this.state.answer.write(head, event.bytes);
+                this.write(head, event.bytes);
             }
             return;
         }
@@ -237,10 +237,17 @@
         }
         if (verdict === EventVerdict.Pass) {
             this.endOtherAttempts(attempt);
-            this.state.answer.write(head, event.bytes);
+            this.write(head, event.bytes);
         }
     }
 
+    private write(head: AnswerHead, bytes: Buffer): void {
+        if (!this.state.answer.isBegun() && this.isResumable()) {
+            this.state.environment.streamRetries.noteBegun(this.task);
+        }
+        this.state.answer.write(head, bytes);
+    }
+
     /** Ends the attempts beside one that makes progress. */
     private endOtherAttempts(attempt: StreamAttempt): void {
         for (const other of this.attempts.listOthers(attempt)) {
@@ -374,6 +381,7 @@
         this.isDone = true;
         this.timer?.cancel();
         this.resumption.cancel();
+        this.state.environment.streamRetries.noteEnd(this.task);
         if (this.queuedRelay !== undefined) {
             this.state.environment.queue.remove(this.queuedRelay);
         }
--- a/tests/request/relay/relayBench.ts
+++ b/tests/request/relay/relayBench.ts
@@ -4,6 +4,7 @@
 import type { UpstreamListener } from "../../../src/connection/upstream/upstreamListener.ts";
 import { RetryBudget } from "../../../src/request/admission/retryBudget.ts";
 import { RetryDetector } from "../../../src/request/admission/start/retryDetector.ts";
+import { StreamRetries } from "../../../src/request/admission/streamRetries.ts";
 import type { AnswerSink } from "../../../src/request/relay/answers/answerSink.ts";
 import { EndpointEnds } from "../../../src/request/relay/endpoints/endpointEnds.ts";
 import { EndpointHealth } from "../../../src/request/relay/endpoints/endpointHealth.ts";
@@ -54,6 +55,7 @@
         const queue = RelayQueue.create({ clock, random, log });
         const health = EndpointHealth.create();
         const linkDelays = LinkDelays.create();
+        const retryBudget = RetryBudget.create(0);
         this.environment = {
             dataCentre: "a",
             clock,
@@ -87,7 +89,8 @@
                 log,
                 getAliveTime: endpointId => health.getLastAliveTime(endpointId),
             }),
-            retryBudget: RetryBudget.create(0),
+            retryBudget,
+            streamRetries: StreamRetries.create({ budget: retryBudget, onNeed: () => undefined }),
             queue,
             firstEvents: FirstEventTimes.create(),
             retryDetector: RetryDetector.create(),
