Return the retry of an attempt that was never sent

What callers saw: nothing by itself; at a node with few retries, streams that have begun wait sooner.

Cause: a hedged attempt that ended before a byte of it was sent, or whose request ended then, kept the retry that it had taken. (An attempt after one that was not sent took none instead, which was right only if there was one.)

Change: a reserved chain says whether a retry was taken for it, which is returned with the part of the rate limit if nothing was sent. An attempt after one that was not sent takes a retry if the request was sent before.

In relayQueue.test.ts the reserved chain got the new property; no check has changed.

--- a/src/request/admission/retryBudget.ts
+++ b/src/request/admission/retryBudget.ts
@@ -60,7 +60,7 @@
         return given;
     }
 
-    /** Adds retries that another node has given away. What exceeds the maximum balance is lost. */
+    /** Adds retries that another node has given away, or that were not sent. What exceeds the maximum balance is lost. */
     receive(retries: number, now: number): void {
         this.refill(now);
         this.add(retries, this.getPolicy());
--- a/src/request/relay/chains/reservedChain.ts
+++ b/src/request/relay/chains/reservedChain.ts
@@ -5,4 +5,6 @@
 export interface ReservedChain {
     stages: RelayStage[];
     reservation: ChainReservation;
+    /** Whether a retry was taken from the retry budget for it. */
+    isRetry: boolean;
 }
--- a/src/request/relay/queue/createQueuedRelay.ts
+++ b/src/request/relay/queue/createQueuedRelay.ts
@@ -92,7 +92,7 @@
             if (isRanked) {
                 queue.rankReserve.noteStart(ranked, now);
             }
-            return { stages, reservation: chains.reserve(stages) };
+            return { stages, reservation: chains.reserve(stages), isRetry };
         },
         isServable: () => chains.hasChain(avoided),
         getPauseRetryMilliseconds: () => chains.getPauseRetryDelay(avoided),
--- a/src/request/relay/streams/chainReplacement.ts
+++ b/src/request/relay/streams/chainReplacement.ts
@@ -98,6 +98,6 @@
             chains.refundLimit(stages);
             return Err(exhaustedBudgetCause);
         }
-        return Ok({ stages, reservation: chains.reserve(stages) });
+        return Ok({ stages, reservation: chains.reserve(stages), isRetry });
     }
 }
--- a/src/request/relay/streams/streamAttempt.ts
+++ b/src/request/relay/streams/streamAttempt.ts
@@ -11,6 +11,8 @@
     /** Monotonic time at which it was sent, in milliseconds. */
     sentAt: number;
     reservation: ChainReservation;
+    /** Whether a retry was taken from the retry budget for it. */
+    isRetry: boolean;
     exchange: UpstreamExchange | undefined;
     /** Monotonic time of the last progress, in milliseconds. Used to detect stalled chains. */
     lastProgressAt: number;
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -156,7 +156,7 @@
     private startReserved(reservedChain: ReservedChain, cause: string): void {
         if (this.endIfHeld(cause)) {
             this.state.environment.queue.noteEnd(this.state.chains.getTokens(), undefined);
-            this.state.chains.refundLimit(reservedChain.stages);
+            this.refundUnsent(reservedChain);
             reservedChain.reservation.release();
             return;
         }
@@ -193,7 +193,7 @@
         this.giveUp(cause, createRefusal.notRun(cause, retryAfterMilliseconds));
     }
 
-    private beginAttempt({ stages, reservation }: ReservedChain): void {
+    private beginAttempt({ stages, reservation, isRetry }: ReservedChain): void {
         this.state.attemptLimit.noteAttempt();
         const now = this.getTime();
         const attempt: StreamAttempt = {
@@ -205,6 +205,7 @@
             },
             sentAt: now,
             reservation,
+            isRetry,
             exchange: undefined,
             lastProgressAt: now,
             firstEventAt: undefined,
@@ -312,7 +313,7 @@
             return;
         }
         if (end.isNotRun || this.isResumable()) {
-            this.startAttempt(end.cause, !end.isUnsent);
+            this.startAttempt(end.cause, !end.isUnsent || this.firstSentAt !== undefined);
             return;
         }
         this.giveUp(end.cause);
@@ -344,11 +345,19 @@
         const sentAt = attempt.exchange?.getSentTime();
         this.firstSentAt ??= sentAt;
         if (sentAt === undefined) {
-            this.state.chains.refundLimit(attempt.stages);
+            this.refundUnsent(attempt);
         }
         attempt.reservation.release();
     }
 
+    /** Returns what was taken from the rate limit and the retry budget for an attempt of which no byte was sent. */
+    private refundUnsent({ stages, isRetry }: Pick<ReservedChain, "stages" | "isRetry">): void {
+        this.state.chains.refundLimit(stages);
+        if (isRetry) {
+            this.state.environment.retryBudget.receive(1, this.getTime());
+        }
+    }
+
     private isResumable(): boolean {
         return this.task.route.isResumable;
     }
--- a/tests/request/relay/queue/relayQueue.test.ts
+++ b/tests/request/relay/queue/relayQueue.test.ts
@@ -43,7 +43,7 @@
                     return undefined;
                 }
                 capacity.free -= 1;
-                return { stages: [], reservation: { release: () => undefined, links: unusedLinks } };
+                return { stages: [], isRetry: false, reservation: { release: () => undefined, links: unusedLinks } };
             },
             start: () => log.push(`start ${name}`),
             refuse: () => log.push(`refuse ${name}`),
