Leave the retries that are kept to document requests that may have run, too

What callers saw: by reading only. A hedged attempt of a late document request, or one after a refusal, could take the last retry of a node, and one that another node had granted to a begun stream; an idempotent request that had lost its endpoint then waited for the budget, and got 502.

Cause: document requests took retries from the budget without regard to what was kept.

Change: they take them as streams do. An idempotent request that has lost an attempt that may have run, and has none in progress, counts as begun: it gets what is kept, and its node asks peers if there is none. Any other one leaves what is kept. The cost, which was not measured under load: where a node has few retries, fewer late document requests are hedged.

--- a/src/request/admission/streamRetries.ts
+++ b/src/request/admission/streamRetries.ts
@@ -19,7 +19,7 @@
  */
 export class StreamRetries {
     private readonly options: StreamRetriesOptions;
-    /** The requests whose answer has begun and may be continued. */
+    /** The requests that can't be refused any more and may be run again. */
     private readonly begun = new Set<object>();
     /** Those that found no retry, with the time of their last search. */
     private readonly needs = new Map<object, number>();
@@ -33,7 +33,10 @@
         return new StreamRetries(options);
     }
 
-    /** Records that the answer to a request has begun, and that it may be continued by another run. */
+    /**
+     * Records that a request can't be refused any more and may be run again: the answer to a stream has begun, or a document request has
+     * lost an attempt that may have run.
+     */
     noteBegun(request: object): void {
         this.begun.add(request);
     }
@@ -44,7 +47,7 @@
         this.needs.delete(request);
     }
 
-    /** Checks if there is a retry for a request. Records that it waits for one otherwise, if its answer has begun. */
+    /** Checks if there is a retry for a request. Records that it waits for one otherwise, if it can't be refused any more. */
     isAvailable(request: object, now: number): boolean {
         if (this.options.budget.getBalance(now) >= 1 + this.getKeptFrom(request, now)) {
             return true;
--- a/src/request/relay/documents/documentRelay.ts
+++ b/src/request/relay/documents/documentRelay.ts
@@ -374,7 +374,11 @@
     }
 
     private takeRetryFromBudget(): boolean {
-        return this.environment.retryBudget.takeRetry(this.getTime());
+        const { streamRetries } = this.environment;
+        if (this.attempts.mayHaveRun() && !this.attempts.areRunning()) {
+            streamRetries.noteBegun(this.task);
+        }
+        return streamRetries.take(this.task, this.getTime());
     }
 
     private deliver(answer: CompleteAnswer, attempt: DocumentAttempt): void {
@@ -433,6 +437,7 @@
         }
         this.attempts.abortAll();
         const { environment, task, attempts } = this;
+        environment.streamRetries.noteEnd(task);
         const dataCentre = (answered?.endpoint ?? attempts.getLastEndpoint())?.dataCentre;
         environment.log.write(events.relayEnded, {
             ...createEndFields(environment, task, {
