Count the peers only when there is something to ask of them

Each search of a begun stream that waits for a retry listed the live nodes and counted the waiting streams, also while the pause between asks was running. The pause is checked first now. Found by reading; the processor time was not measured. The tests of the transfer have two more cases, for two known peers and none.

--- a/src/process/router/peerExchange.ts
+++ b/src/process/router/peerExchange.ts
@@ -100,10 +100,10 @@
     /** Asks some peers at once for retries that they can spare, if streams of this node that have begun wait for them. */
     askForRetries(): void {
         const { retries, clock } = this.options;
-        if (this.isStopped || this.partners.listLive().length === 0) {
+        if (this.isStopped) {
             return;
         }
-        const ask = retries.ask(clock.getMonotonicTime());
+        const ask = retries.ask(clock.getMonotonicTime(), () => this.partners.listLive().length);
         if (ask !== undefined) {
             this.exchangeWith(this.partners.selectRandom(ask.peers), ask.wanted);
         }
--- a/src/process/router/retryTransfer.ts
+++ b/src/process/router/retryTransfer.ts
@@ -47,18 +47,24 @@
 
     /**
      * Decides what to ask of peers now.
-     * @returns What to ask; undefined if no stream needs a retry, or peers were asked just before.
+     * @param getPeerCount - Gets the number of peers that can be asked. Called only if there is something to ask.
+     * @returns What to ask; undefined if no stream needs a retry, or peers were asked just before, or there are none.
      */
-    ask(now: number): RetryAsk | undefined {
+    ask(now: number, getPeerCount: () => number): RetryAsk | undefined {
+        // With many streams that wait, the pause is the usual reason, and the cheapest one to check.
+        if (now - this.askedAt < this.getPause()) {
+            return undefined;
+        }
         const { budget, streams, log } = this.options;
         const need = streams.getNeed(now);
-        if (need === 0 || now - this.askedAt < this.getPause()) {
+        const peerCount = need === 0 ? 0 : getPeerCount();
+        if (peerCount === 0) {
             return undefined;
         }
         const balance = budget.getBalance(now);
         // What doesn't fit into the budget would be lost.
         const room = Math.max(1, Math.floor(budget.getMaximumBalance() - balance));
-        const peers = Math.min(maximumPeers, room);
+        const peers = Math.min(maximumPeers, room, peerCount);
         const wanted = Math.min(maximumRetries, Math.ceil(Math.min(need, room) / peers));
         this.fruitlessAsks = now - this.askedAt >= 2 * maximumAskMilliseconds ? 1 : this.fruitlessAsks + 1;
         this.askedAt = now;
--- a/tests/process/router/retryTransfer.test.ts
+++ b/tests/process/router/retryTransfer.test.ts
@@ -8,6 +8,8 @@
 import { createSeededRandom } from "../../support/createSeededRandom.ts";
 import { RecordingEventLog } from "../../support/recordingEventLog.ts";
 
+const getPeerCount = () => 9;
+
 /** Creates the retries of a node that has just started. */
 function startNode(policy: RetryPolicy, now: number) {
     const budget = RetryBudget.create(now, () => policy);
@@ -37,11 +39,13 @@
 
 describe("RetryTransfer", () => {
     it("asks some peers for what its streams need and its budget can hold", () => {
-        assert.equal(createNeedyNode(10, 0).transfer.ask(0), undefined);
-        assert.deepEqual(createNeedyNode(10, 1).transfer.ask(0), { peers: 3, wanted: 1 });
-        assert.deepEqual(createNeedyNode(10, 6).transfer.ask(0), { peers: 3, wanted: 2 });
-        assert.deepEqual(createNeedyNode(100, 60).transfer.ask(0), { peers: 3, wanted: 4 });
-        assert.deepEqual(createNeedyNode(1, 6).transfer.ask(0), { peers: 1, wanted: 1 });
+        assert.equal(createNeedyNode(10, 0).transfer.ask(0, getPeerCount), undefined);
+        assert.deepEqual(createNeedyNode(10, 1).transfer.ask(0, getPeerCount), { peers: 3, wanted: 1 });
+        assert.deepEqual(createNeedyNode(10, 6).transfer.ask(0, getPeerCount), { peers: 3, wanted: 2 });
+        assert.deepEqual(createNeedyNode(100, 60).transfer.ask(0, getPeerCount), { peers: 3, wanted: 4 });
+        assert.deepEqual(createNeedyNode(10, 6).transfer.ask(0, () => 2), { peers: 2, wanted: 3 });
+        assert.equal(createNeedyNode(10, 6).transfer.ask(0, () => 0), undefined);
+        assert.deepEqual(createNeedyNode(1, 6).transfer.ask(0, getPeerCount), { peers: 1, wanted: 1 });
     });
 
     it("asks again after pauses that grow while nothing is granted", () => {
@@ -49,7 +53,7 @@
         const asked: number[] = [];
         for (let now = 0; now < 3_000; now += 50) {
             search(now);
-            if (transfer.ask(now) !== undefined) {
+            if (transfer.ask(now, getPeerCount) !== undefined) {
                 asked.push(now);
             }
             if (now === 1_550) {
@@ -106,7 +110,7 @@
                             sent.push(now);
                         }
                     }
-                    const { peers, wanted } = needy.transfer.ask(now) ?? { peers: 0, wanted: 0 };
+                    const { peers, wanted } = needy.transfer.ask(now, getPeerCount) ?? { peers: 0, wanted: 0 };
                     for (let index = 0; index < peers; index++) {
                         const granted = nodes[pick()]!.transfer.grant("needy", wanted, now);
                         const deliver = (time: number) => {
