Let no request wait for a spare link beyond its latest start on time

Seen: after a stage had stood still and went on, requests of all ranks were refused with 503 (bound link), while nodes knew of no request at the endpoints and the link between the data centres had spare bandwidth.

Cause: where every chain needs a link, the last first event that came over it counts as the time for which prompts queue there. With spare bandwidth a request is to be served late rather than refused, so it waits for the part of this time that its objective leaves. That part was computed with the usual first event of chains without a link, which is never measured where there are none, and the queue computes the latest start on time with that of all chains, which the silence had made slow. So the wait was longer than the queue keeps a request, and the queue refused it on arrival.

Change: the wait for a link with spare bandwidth ends before the latest start on time of the queue. The request then starts, late. A link that is contended or closed is decided on as before.

Evidence: linkUse.test.ts, with the fake clock: ten first events of 1.2 s over a link, 6 s without requests, then one request. Before, it was refused for the link; now it starts.

--- a/src/request/relay/links/linkAdmission.ts
+++ b/src/request/relay/links/linkAdmission.ts
@@ -119,9 +119,8 @@
         }
         const mayBeOnTime = !isScarce || canBeOnTime(query, this.options.delays.getUsualFirstEvent());
         if (mayBeOnTime && couldBeOnTime && queueTime > slack) {
-            // With spare bandwidth, the request is served late rather than refused.
             const excess = queueTime - slack;
-            return isScarce ? excess : Math.max(minimumWaitMilliseconds, Math.min(excess, slack));
+            return isScarce ? excess : getSpareWait(Math.min(excess, slack), query.onTimeWaitMilliseconds);
         }
         if (!isScarce) {
             return 0;
@@ -314,6 +313,15 @@
     }
 }
 
+/**
+ * Limits the wait for a link with spare bandwidth to the time for which the queue keeps the request, so that the request is served late
+ * rather than refused.
+ */
+function getSpareWait(milliseconds: number, onTimeWaitMilliseconds: number): number {
+    const limited = Math.min(milliseconds, onTimeWaitMilliseconds - minimumWaitMilliseconds);
+    return limited < minimumWaitMilliseconds ? 0 : limited;
+}
+
 function isContended({ contendedAt }: LinkState, now: number): boolean {
     return now - contendedAt <= contentionMilliseconds;
 }
--- a/src/request/relay/links/linkCrossingQuery.ts
+++ b/src/request/relay/links/linkCrossingQuery.ts
@@ -10,6 +10,8 @@
     elapsedMilliseconds: number;
     /** Latency objective of the first event, in milliseconds. */
     objectiveMilliseconds: number;
+    /** Time for which the queue may keep the request without making it late, in milliseconds; 0 or less if it is late. */
+    onTimeWaitMilliseconds: number;
     /** Time without an event after which the caller leaves, in milliseconds. */
     waitLimitMilliseconds: number;
     /** Whether the request is late already, because its caller sends it again after a refusal. */
--- a/src/request/relay/links/linkUse.ts
+++ b/src/request/relay/links/linkUse.ts
@@ -2,6 +2,7 @@
 import type { StartBlock } from "../../admission/start/startBlock.ts";
 import { coversAllLayers } from "../chains/coversAllLayers.ts";
 import type { StageCandidate } from "../chains/stageCandidate.ts";
+import { getLatestOnTimeStart } from "../queue/getLatestOnTimeStart.ts";
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
 import type { DataCentreLink } from "./dataCentreLink.ts";
@@ -50,7 +51,8 @@
         isRunning: boolean,
         now: number,
     ): LinkSearch {
-        const { environment: { links }, task, model } = this;
+        const { environment, task, model } = this;
+        const { links } = environment;
         const { request, route } = task;
         const waits = new Map<string, DataCentreLink & { wait: number; }>();
         let isOnlyChoice: boolean | undefined;
@@ -68,6 +70,7 @@
                 promptTokens,
                 elapsedMilliseconds: now - (isRunning ? this.lastEventAt ?? request.arrivedAt : request.arrivedAt),
                 objectiveMilliseconds: route.targetLatencyMilliseconds,
+                onTimeWaitMilliseconds: getLatestOnTimeStart(environment, task) - now,
                 waitLimitMilliseconds: getWaitLimit(route),
                 isReturn: task.isReturn,
                 isRunning,
--- a/tests/process/router/crossingQuery.ts
+++ b/tests/process/router/crossingQuery.ts
@@ -13,5 +13,6 @@
     isReturn: false,
     isRunning: false,
     beginCount: 0,
+    onTimeWaitMilliseconds: Infinity,
     isOnlyChoice: true,
 };
--- a/tests/request/relay/links/linkAdmission.test.ts
+++ b/tests/request/relay/links/linkAdmission.test.ts
@@ -29,6 +29,7 @@
     isReturn: false,
     isRunning: false,
     beginCount: 0,
+    onTimeWaitMilliseconds: Infinity,
     isOnlyChoice: true,
 };
 const seeds = Array.from({ length: 60 }, (_, index) => index + 1);
--- a/tests/request/relay/links/linkUse.test.ts
+++ b/tests/request/relay/links/linkUse.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { RelayChains } from "../../../../src/request/relay/chains/relayChains.ts";
+import { createQueuedRelay } from "../../../../src/request/relay/queue/createQueuedRelay.ts";
 import { RequestKind } from "../../../../src/version/routing/requestKind.ts";
 import { RelayBench } from "../relayBench.ts";
 import { createEndpoint, relayModel } from "../relayModel.ts";
@@ -60,4 +61,36 @@
         assert.equal(chains.choose(requirements), undefined);
         assert.equal(chains.getLinkBlock(), undefined);
     });
+
+    // Guards against refusals for an idle link, after a stage had stood still: the slow first events counted as a queue at the link.
+    it("starts a request over a link with spare bandwidth, after first events were slow", async () => {
+        const { bench } = createChains();
+        const { environment, clock } = bench;
+        const slowMilliseconds = 1_200;
+        for (let count = 0; count < 10; count++) {
+            environment.firstEvents.record(slowMilliseconds);
+            environment.linkDelays.recordFirstEvent(["a", "b"], slowMilliseconds, 0);
+        }
+        environment.links.begin([{ from: "a", to: "b" }], model, 800, 200, 0).noteEvent(slowMilliseconds);
+        await clock.advance(slowMilliseconds + 6_000);
+        const arrivedAt = clock.getMonotonicTime();
+        const task = bench.createTask(RequestKind.Stream, true);
+        const targetLatencyMilliseconds = 300;
+        const request = { ...task.request, arrivedAt };
+        const route = { ...task.route, targetLatencyMilliseconds };
+        const slowTask = { ...task, request, route, dueAt: arrivedAt + 3_000 };
+        let outcome = "";
+        const relay = createQueuedRelay({
+            environment,
+            task: slowTask,
+            chains: RelayChains.create(environment, slowTask, model, { getOnlyAllowedIds: () => undefined }),
+            avoided: new Set(),
+            isRetry: false,
+            start: () => outcome = "started",
+            refuse: cause => outcome = cause,
+        });
+        environment.queue.submit(relay);
+        await clock.advance(targetLatencyMilliseconds);
+        assert.equal(outcome, "started");
+    });
 });
