Refuse no late request for a link that only requests on time wait for

Cause: a review of the waiting requests searches no chain for a request that is as large as one that found none before it. Those on time come first, and prefer to wait for a link with spare bandwidth; late ones may use it at once. So a late request was not tried if another one was on time, and the link that this one waited for was taken for its own.

Change: while a link keeps requests waiting, late ones are searched a chain for by themselves, and only late ones that found none spare the search of those that follow. No request is refused for a link in a review in which it could not be tried, as one is ahead that nothing may overtake.

Evidence: startQueue.test.ts: of three requests that wait for a link, one becomes late. Before, it was refused; now it starts.

--- a/src/request/admission/start/startQueue.ts
+++ b/src/request/admission/start/startQueue.ts
@@ -155,10 +155,16 @@
         const ahead: RequestsAhead = { count: 0, cost: 0 };
         let isBlocked = false;
         let smallestUnreservedCost = Infinity;
+        let smallestUnreservedLateCost = Infinity;
         for (const waiting of this.waiting.listInOrder(now)) {
             const { request } = waiting;
             const isHeld = request.isHeld?.() === true;
-            const reservation = isBlocked || isHeld || request.cost >= smallestUnreservedCost
+            const isLate = !isOnTime(request, now);
+            // A link that requests on time prefer to wait for may be good enough for late ones.
+            const knownCost = isLate && request.getLinkBlock?.() !== undefined
+                ? smallestUnreservedLateCost
+                : smallestUnreservedCost;
+            const reservation = isBlocked || isHeld || request.cost >= knownCost
                 ? undefined
                 : this.tryReserve(request, now).reservation;
             if (reservation !== undefined) {
@@ -170,10 +176,13 @@
                 reviewed.push({ request, decision: { kind: "start", reservation } });
                 continue;
             }
-            smallestUnreservedCost = isBlocked || isHeld
-                ? smallestUnreservedCost
-                : Math.min(smallestUnreservedCost, request.cost);
-            const block = isOnTime(request, now) ? undefined : request.getLinkBlock?.();
+            if (!isBlocked && !isHeld) {
+                smallestUnreservedCost = Math.min(smallestUnreservedCost, request.cost);
+                smallestUnreservedLateCost = isLate
+                    ? Math.min(smallestUnreservedLateCost, request.cost)
+                    : smallestUnreservedLateCost;
+            }
+            const block = isLate && !isBlocked ? request.getLinkBlock?.() : undefined;
             if (block !== undefined) {
                 this.waiting.remove(request);
                 reviewed.push({ request, decision: refuseBlocked(request, block) });
--- a/tests/request/admission/start/startQueue.test.ts
+++ b/tests/request/admission/start/startQueue.test.ts
@@ -79,6 +79,25 @@
         assert.equal(fixture.queue.getLength(), 0);
     });
 
+    // Guards against refusals for an idle link: a late request was refused since one that was on time preferred to wait for the link.
+    it("starts a late request that a link no longer keeps waiting, though the link keeps one that is on time waiting", () => {
+        const fixture = createFixture(0);
+        fixture.learnThroughput(10_000);
+        let now = 0;
+        const create = (name: string, latestOnTimeStart: number): TestRequest => ({
+            ...fixture.create(name, { latestOnTimeStart }),
+            tryReserve: () => now > latestOnTimeStart ? name : undefined,
+            getLinkBlock: () => ({ waitMilliseconds: 10, bookRetry: () => 500 }),
+        });
+        for (const [name, latestOnTimeStart] of [["first", 100], ["second", 300], ["third", 300]] as const) {
+            assert.equal(fixture.queue.decideArrival(create(name, latestOnTimeStart), 0).kind, "wait");
+        }
+        now = 101;
+        assert.deepEqual(fixture.review(now), ["start first"]);
+        now = 301;
+        assert.deepEqual(fixture.review(now), ["start second", "start third"]);
+    });
+
     // Guards against callers of the first rank that are told to wait for the retries of a flood of the last one.
     it("gives a refused request a retry delay by the requests and retries of its rank and higher ones", () => {
         const fixture = createFixture();
