Judge peers also in a process whose turns stay long, by calls that get more time

Cause: the time of a call is fixed, so in long turns it ends before any answer can be read, and a new connection, which takes more turns, follows each time.

Change: CallAllowance gives calls the time of about twenty turns, up to eight times as much as usual, once a call has timed out in long turns. A call that had this time and fifteen turns in each attempt says something of its peer, and the deadlines of suspects then run on, slower by the same factor. A process that is in time, or has a single long turn, decides as before, and in a late one each peer has more time than in one that is in time. A connection that could not be opened in the usual time is replaced, so that the next call has its own time for that.

Evidence: lateProcess.test.ts, with the fake clock: all turns take 56 to 100 ms, four times the longest that counts as short at most. Before, the peer that doesn't answer stayed alive; now it is declared dead. One that answers within twelve turns stays alive. callAllowance.test.ts tests the decisions.

--- a/src/connection/peer/peerConnection.ts
+++ b/src/connection/peer/peerConnection.ts
@@ -31,11 +31,13 @@
 export class PeerConnection<Service extends DescService> {
     /** Client of the service. */
     readonly client: Client<Service>;
+    readonly connectTimeoutMilliseconds: number;
     private readonly sessions: Http2SessionManager;
     private callCount = 0;
     private isRetired = false;
 
     private constructor(options: PeerConnectionOptions<Service>) {
+        this.connectTimeoutMilliseconds = options.connectTimeoutMilliseconds;
         const baseUrl = `${options.tls === undefined ? "http" : "https"}://${options.address}`;
         this.sessions = new Http2SessionManager(baseUrl, {
             pingIntervalMs: options.pingIntervalMilliseconds,
--- a/src/connection/peer/peerConnections.ts
+++ b/src/connection/peer/peerConnections.ts
@@ -51,6 +51,8 @@
 interface PeerCallOptions {
     /** Deadline of the call. */
     timeoutMilliseconds?: number;
+    /** Multiplies the deadline, for a process that is late. Default: 1. */
+    timeoutFactor?: number;
 }
 
 /**
@@ -173,12 +175,12 @@
         if (this.isClosed) {
             return Err(createClosedError(address));
         }
-        const connection = this.getConnection(address);
+        const timeoutMs = (options?.timeoutMilliseconds ?? this.getTimeout()) * (options?.timeoutFactor ?? 1);
+        const connection = this.getConnection(address, timeoutMs);
         const maximumCalls = this.options.maximumCallsPerPeer ?? defaultMaximumCalls;
         if (connection.getCallCount() >= maximumCalls) {
             return Err(createTooManyCallsError(address, maximumCalls));
         }
-        const timeoutMs = options?.timeoutMilliseconds ?? this.getTimeout();
         try {
             return Ok(await connection.run(client => call(client, { timeoutMs })));
         }
@@ -187,11 +189,16 @@
             if (error.kind === PeerErrorKind.TimedOut) {
                 this.replace(address, connection);
             }
+            else if (error.kind === PeerErrorKind.Unreachable && connection.connectTimeoutMilliseconds < timeoutMs) {
+                // The next call has more time to connect.
+                this.remove(address, connection);
+            }
             return Err(error);
         }
     }
 
-    private getConnection(address: string): PeerConnection<typeof PeerService> {
+    /** Gets the connection to a peer, or creates one that has at least the time of the call that opens it to connect. */
+    private getConnection(address: string, timeoutMs: number): PeerConnection<typeof PeerService> {
         const known = this.connections.get(address);
         if (known !== undefined) {
             return known;
@@ -201,7 +208,7 @@
             address,
             secret: this.options.secret,
             tls: this.options.tls,
-            connectTimeoutMilliseconds: this.getTimeout(),
+            connectTimeoutMilliseconds: Math.max(this.getTimeout(), timeoutMs),
             pingIntervalMilliseconds: this.options.pingIntervalMilliseconds ?? defaultPingIntervalMilliseconds,
             pingTimeoutMilliseconds: this.getTimeout() / 2,
             idleTimeoutMilliseconds: this.options.idleTimeoutMilliseconds ?? defaultIdleTimeoutMilliseconds,
@@ -211,13 +218,17 @@
     }
 
     private replace(address: string, connection: PeerConnection<typeof PeerService>): void {
-        connection.retire();
-        if (this.connections.get(address) === connection) {
-            this.connections.delete(address);
+        if (this.remove(address, connection)) {
             this.options.log.write(events.peerCallTimedOut, { address });
         }
     }
 
+    /** Gives the next call a new connection. Returns whether it would have used this one. */
+    private remove(address: string, connection: PeerConnection<typeof PeerService>): boolean {
+        connection.retire();
+        return this.connections.get(address) === connection && this.connections.delete(address);
+    }
+
     private getTimeout(): number {
         return this.options.timeoutMilliseconds ?? defaultTimeoutMilliseconds;
     }
--- a/src/process/membership/gossiper.ts
+++ b/src/process/membership/gossiper.ts
@@ -5,6 +5,7 @@
 import type { Clock, TimerHandle } from "../clock.ts";
 import type { EventLog } from "../logging/eventLog.ts";
 import type { RandomSource } from "../randomSource.ts";
+import { CallAllowance } from "./callAllowance.ts";
 import type { Contact } from "./contact.ts";
 import { ContactChooser } from "./contactChooser.ts";
 import { GossipExchange } from "./gossipExchange.ts";
@@ -22,8 +23,6 @@
 const jitterRatio = 0.2;
 /** A tenth of a call's default timeout, since a call over a new connection takes several turns of the event loop. */
 const defaultMaximumTurnMilliseconds = 100;
-/** A call says nothing of the peer if more than this share of its time went into longer turns of this process's event loop. */
-const maximumLateFraction = 0.25;
 
 /** Options of a {@link Gossiper}. */
 interface GossiperOptions {
@@ -32,8 +31,12 @@
     clock: Clock;
     random: RandomSource;
     log: EventLog;
-    /** Calls Gossip at an address. The call must have its own timeout. */
-    callGossip(address: string, request: GossipRequest): Promise<Result<GossipResponse, PeerError>>;
+    /** Calls Gossip at an address. The call must have its own timeout, multiplied by the given factor. */
+    callGossip(
+        address: string,
+        request: GossipRequest,
+        timeoutFactor: number,
+    ): Promise<Result<GossipResponse, PeerError>>;
     /** Called when a peer reports a higher configuration version than this node's. */
     onPeerConfigurationVersion(version: number, peerAddress: string): void;
     /** Mean time between two rounds in milliseconds. Default 500. */
@@ -69,6 +72,7 @@
     private readonly exchange: GossipExchange;
     private readonly chooser: ContactChooser;
     private readonly turns: TurnMeter;
+    private readonly allowance: CallAllowance;
     private readonly pending = new Set<string>();
     private readonly unsubscribe: () => void;
     private timer: TimerHandle | undefined;
@@ -89,10 +93,9 @@
             fanOut: options.fanOut ?? defaultFanOut,
             pullIntervalMilliseconds: options.pullIntervalMilliseconds ?? defaultPullIntervalMilliseconds,
         });
-        this.turns = TurnMeter.create(
-            options.clock,
-            options.maximumTurnMilliseconds ?? defaultMaximumTurnMilliseconds,
-        );
+        const maximumTurnMilliseconds = options.maximumTurnMilliseconds ?? defaultMaximumTurnMilliseconds;
+        this.turns = TurnMeter.create(options.clock, maximumTurnMilliseconds);
+        this.allowance = CallAllowance.create(maximumTurnMilliseconds);
         this.unsubscribe = this.view.onChange(change => {
             logMemberChange(options.log, change, this.view.getSelf());
             if (change.member.state === MemberState.Suspect) {
@@ -141,8 +144,9 @@
             return;
         }
         const now = this.options.clock.getMonotonicTime();
-        // What peers sent while this process was late is read only after this round, and in long turns no call gets through.
-        this.view.postponeDeadlines(Math.max(now - (this.nextRoundAt ?? now), this.takeLongMilliseconds()));
+        // What peers sent while this process was late is read only after this round, and in long turns few calls get through.
+        const lateMilliseconds = this.takeLongMilliseconds() * this.allowance.getPostponedFraction();
+        this.view.postponeDeadlines(Math.max(now - (this.nextRoundAt ?? now), lateMilliseconds));
         this.view.advance(now);
         for (const contact of this.chooser.chooseRound(now)) {
             void this.contact(contact);
@@ -205,14 +209,25 @@
         const { callGossip, clock } = this.options;
         const sentAt = clock.getMonotonicTime();
         const measurement = this.turns.start();
+        const factor = this.allowance.getFactor();
+        let attemptCount = 1;
         try {
-            let result = await callGossip(address, request);
+            let result = await callGossip(address, request, factor);
             if (result.err && result.val.kind === PeerErrorKind.TimedOut) {
                 // The connection has been replaced. A peer that is alive answers over the new one.
-                result = await callGossip(address, request);
+                attemptCount = 2;
+                result = await callGossip(address, request, factor);
             }
-            const limitMilliseconds = (clock.getMonotonicTime() - sentAt) * maximumLateFraction;
-            return { result, isLate: measurement.getLongMilliseconds() > limitMilliseconds };
+            const isLate = this.allowance.noteEnd({
+                elapsedMilliseconds: clock.getMonotonicTime() - sentAt,
+                longMilliseconds: measurement.getLongMilliseconds(),
+                turnCount: measurement.getTurnCount(),
+                attemptCount,
+                factor,
+                isAnswered: result.ok,
+                isTimedOut: result.err && result.val.kind === PeerErrorKind.TimedOut,
+            });
+            return { result, isLate };
         }
         finally {
             measurement.end();
@@ -220,7 +235,8 @@
     }
 
     private async callPull(contact: Contact): Promise<void> {
-        const result = await this.options.callGossip(contact.address, this.exchange.createPull());
+        const factor = this.allowance.getFactor();
+        const result = await this.options.callGossip(contact.address, this.exchange.createPull(), factor);
         if (result.err) {
             return;
         }
--- a/src/process/membership/turnMeter.ts
+++ b/src/process/membership/turnMeter.ts
@@ -4,6 +4,8 @@
 interface Measurement {
     /** Gets the time that went into long turns since its start, in milliseconds. */
     getLongMilliseconds(): number;
+    /** Gets the number of turns since its start, of which very short ones count as one. */
+    getTurnCount(): number;
     /** Ends it, so that no timers are set for it. */
     end(): void;
 }
@@ -25,6 +27,7 @@
     private turnStartedAt: number | undefined;
     /** Time that all long turns together took, in milliseconds. */
     private longMilliseconds = 0;
+    private turnCount = 0;
 
     private constructor(clock: Clock, maximumTurnMilliseconds: number) {
         this.clock = clock;
@@ -47,8 +50,10 @@
             this.startTurn();
         }
         const before = this.getLongMilliseconds();
+        const turnsBefore = this.turnCount;
         return {
             getLongMilliseconds: () => this.getLongMilliseconds() - before,
+            getTurnCount: () => this.turnCount - turnsBefore,
             end: () => this.end(),
         };
     }
@@ -71,6 +76,7 @@
         this.turnStartedAt = this.clock.getMonotonicTime();
         this.timer = this.clock.setTimer(this.maximumTurnMilliseconds / timersPerTurn, () => {
             this.longMilliseconds = this.getLongMilliseconds();
+            this.turnCount++;
             this.startTurn();
         });
     }
--- a/src/process/membershipService.ts
+++ b/src/process/membershipService.ts
@@ -67,7 +67,7 @@
             clock,
             random,
             log,
-            callGossip: (address, request) => peers.gossip(address, request),
+            callGossip: (address, request, timeoutFactor) => peers.gossip(address, request, { timeoutFactor }),
             onPeerConfigurationVersion: (version, address) => void this.distributor.pull(version, address),
         });
         view.onChange(change => {
