Break off single streams in the soak, while callers send the same requests

What callers saw: a stream that may be resumed was cut, and the next try of the same request was refused as one that crashes endpoints, although each endpoint had only broken off that one stream and had gone on with the others. No kind of the soak did this: its endpoints broke off all streams of a connection fault, each with a request of its own.

Change: the kind `streamsBreakOff`. Up to four of the six endpoints that hold the whole model break off single streams after 0 to 5 events, and go on with all others under their id and start time. Callers send each request four times; two of these are broken off, each once, so that the route (two attempts) allows another endpoint. Others send streams that go on, and the configuration changes. `checkBreaks` demands that no such request is cut, fails, is held until its caller has left (`brokenOff`) or is held back (`heldBack`), unless an endpoint crashed or had another fault.

--- a/scripts/soak/router/callChecks.ts
+++ b/scripts/soak/router/callChecks.ts
@@ -4,6 +4,7 @@
 import { callKinds } from "./callKind.ts";
 import type { CallRecord } from "./callRecord.ts";
 import { CallViolations } from "./callViolations.ts";
+import { checkBreaks } from "./checkBreaks.ts";
 import { checkCallsBehind } from "./checkCallsBehind.ts";
 import type { CheckContext } from "./checkContext.ts";
 import { checkDisconnects } from "./checkDisconnects.ts";
@@ -103,6 +104,7 @@
         checkCallsBehind(context);
         checkSilences(context);
         checkReplacements(context);
+        checkBreaks(context);
         const byRequest = Map.groupBy(runs, ({ id }) => id);
         for (const record of this.records.values()) {
             checkRunCounts(record, byRequest.get(record.id) ?? [], context);
--- a/scripts/soak/router/checkReplacements.ts
+++ b/scripts/soak/router/checkReplacements.ts
@@ -2,8 +2,8 @@
 import type { CheckContext } from "./checkContext.ts";
 import { findLostRequests } from "./findLostRequests.ts";
 import { harmlessFaultKinds } from "./harmlessFaultKinds.ts";
+import { isHeldTooLong } from "./isHeldTooLong.ts";
 import { isUnanswered } from "./isUnanswered.ts";
-import type { RouterFaults } from "./routerFaults.ts";
 
 /**
  * Checks that streams that may be resumed go on while their callers wait, though an endpoint was replaced as planned and others refused them
@@ -15,9 +15,3 @@
         context.violations.add("displaced", `${text}, while ${targets} was replaced.`, record);
     }
 }
-
-/** Gets if a caller has left its stream because no event followed the first ones, though no endpoint stood still. */
-function isHeldTooLong({ leftAt, patienceMilliseconds, sentAt, text }: CallRecord, faults: RouterFaults): boolean {
-    return leftAt !== undefined && patienceMilliseconds !== undefined && text !== ""
-        && !faults.getOfKind(harmlessFaultKinds.standsStill).some(({ from, to }) => from <= leftAt && to >= sentAt);
-}
--- a/scripts/soak/router/createFullEndpointsKind.ts
+++ b/scripts/soak/router/createFullEndpointsKind.ts
@@ -2,6 +2,7 @@
 import type { FaultKind } from "../faultKind.ts";
 import { callKinds } from "./callKind.ts";
 import { harmlessFaultKinds } from "./harmlessFaultKinds.ts";
+import { isServiceTaken } from "./isServiceTaken.ts";
 import { promptService } from "./promptService.ts";
 import type { RouterSoakContext } from "./routerSoakContext.ts";
 import type { SoakEndpoint } from "./soakEndpoint.ts";
@@ -38,19 +39,12 @@
         durationMilliseconds: [0, 0],
         isInBackground: true,
         prepare: context =>
-            isActive(context)
+            isServiceTaken(context, promptService)
                 ? undefined
                 : { target: promptService, inject: () => runSeries(context, options), revert: () => undefined },
     };
 }
 
-/** Gets if another series of faults of the same service runs. */
-function isActive({ timeline }: RouterSoakContext): boolean {
-    return timeline.getDuring(Date.now(), Infinity).some(({ target, to }) =>
-        target === promptService && to === Infinity
-    );
-}
-
 async function runSeries(context: RouterSoakContext, options: FullEndpointsOptions): Promise<void> {
     const { callers, deployment, random } = context;
     const endSending = startSending(random, pauseMilliseconds, () => {
--- a/scripts/soak/router/harmlessFaultKinds.ts
+++ b/scripts/soak/router/harmlessFaultKinds.ts
@@ -6,4 +6,6 @@
     full: "endpointFull",
     /** It drains, leaves, resets its streams and starts again as another one. */
     replaced: "endpointReplaced",
+    /** It breaks off single streams, each once, and goes on with the others. */
+    breaksOff: "endpointBreaksOff",
 } as const;
--- a/scripts/soak/router/routerCallers.ts
+++ b/scripts/soak/router/routerCallers.ts
@@ -114,9 +114,16 @@
         await this.call(this.createCall(id, kind), false);
     }
 
-    /** Sends a request with a stream whose caller leaves it after a long time without an event. */
-    async sendWithPatience(id: string, kind: CallKind): Promise<void> {
-        await this.call({ ...this.createCall(id, kind), patienceMilliseconds }, false);
+    /**
+     * Sends a request with a stream whose caller leaves it after a long time without an event.
+     * @param content - What it has in common with others; the rest is chosen at random.
+     */
+    async sendWithPatience(
+        id: string,
+        kind: CallKind,
+        content: Partial<Pick<CallContent, "path" | "body" | "customer">> = {},
+    ): Promise<void> {
+        await this.call({ ...this.createCall(id, kind), ...content, patienceMilliseconds }, false);
     }
 
     /** Sends a request that crashes the endpoints that run it. */
--- a/scripts/soak/router/routerEndpointFaultKinds.ts
+++ b/scripts/soak/router/routerEndpointFaultKinds.ts
@@ -13,6 +13,7 @@
 import { silenceWhileOthersAreFull } from "./silenceWhileOthersAreFull.ts";
 import type { SoakEndpoint } from "./soakEndpoint.ts";
 import { stopAfterLeaving } from "./stopAfterLeaving.ts";
+import { streamsBreakOff } from "./streamsBreakOff.ts";
 import { unusableRecord } from "./unusableRecord.ts";
 
 const endpointFault = createTargetFault(({ endpoints }) => endpoints);
@@ -73,6 +74,7 @@
         (_, endpoint) => endpoint.startLeaving(),
         stopAfterLeaving,
     ),
+    streamsBreakOff,
 };
 
 /** Creates the behaviour of an endpoint that sends bytes that are no event in the middle of its streams. */
--- a/standins/router/endpointAnswers.ts
+++ b/standins/router/endpointAnswers.ts
@@ -93,6 +93,11 @@
             setTimeout(() => this.streamFrom(event, id, response), silentMilliseconds);
             return;
         }
+        if (behaviour.breaksOff?.(id, event - 1) === true) {
+            // The bytes before a reset would be lost if it followed at once.
+            setTimeout(() => response.socket?.resetAndDestroy(), eventMilliseconds);
+            return;
+        }
         if (event > events) {
             if (behaviour.unframedEnd !== undefined) {
                 this.endUnframed(response);
--- a/standins/router/endpointBehaviour.ts
+++ b/standins/router/endpointBehaviour.ts
@@ -24,6 +24,8 @@
     unframedEnd?: "close" | "reset";
     /** Closes the connection of a stream in the middle of the event that follows this event. */
     cutsAfterEvent?: number;
+    /** Gets if the connection of a stream breaks after this number of events, while those of the others continue. */
+    breaksOff?(requestId: string, sentEvents: number): boolean;
     /** Sends bytes that are no event after this event of a stream, and then ends the answer regularly or goes on with its events. */
     foreignBytes?: { afterEvent: number; bytes: string; continues: boolean; };
     /** Stops the endpoint and closes all its connections shortly after it starts to run a request with this body. */
