Close callers' connections in stages, so that a late request doesn't reset them

What callers saw: a part of an answer, or of several, and then a reset, on a connection whose last answer had announced the close, if they sent another request before they had read what the node had already sent.

Cause: a connection was closed as soon as its last answer had been handed to the system. What the caller has not received by then waits in the node's send buffer. Bytes that reach a closed connection reset it, which discards that buffer. It concerns requests that were passed on and answered. By reading, foxlead node also handled a request that came behind the announcement, although its answer could not be sent.

Change: both programs end their side and read on, discarding what comes, until the caller ends its own or one second is over (RFC 9112, section 9.6). Such a connection counts as a request in flight, so that a stopping node waits for it, and no idle connections are closed meanwhile, since Node.js takes it for one of them. Bodies of dropped requests are read. foxlead node drops requests behind an announced close, as foxlead platform does, and logs them (FL1731).

Evidence: two tests of stoppingListener.test.ts and one of gracefulStop.test.ts fail on the code before (ECONNRESET; the answers are incomplete) and pass now.

What remains: a caller that reads for longer than one second after its last answer was sent may still be reset by a request that it sends then.

--- a/src/connection/caller/answerWriter.ts
+++ b/src/connection/caller/answerWriter.ts
@@ -16,23 +16,30 @@
 export class AnswerWriter {
     private readonly response: ServerResponse;
     private readonly closesConnection: () => boolean;
+    private readonly onClosing: () => void;
     private isFinished = false;
     private isBlocked = false;
     private pendingText = "";
     private createTextEvent: (text: string) => string = text => text;
 
-    private constructor(response: ServerResponse, closesConnection: () => boolean) {
+    private constructor(response: ServerResponse, closesConnection: () => boolean, onClosing: () => void) {
         this.response = response;
         this.closesConnection = closesConnection;
+        this.onClosing = onClosing;
     }
 
     /**
      * Creates the writer of one request.
      * @param response - The caller's response.
      * @param closesConnection - Checks if the connection should close after the answer, if that is whole.
+     * @param onClosing - Called before an answer is written that announces the close.
      */
-    static create(response: ServerResponse, closesConnection: () => boolean = () => false): AnswerWriter {
-        const writer = new AnswerWriter(response, closesConnection);
+    static create(
+        response: ServerResponse,
+        closesConnection: () => boolean = () => false,
+        onClosing: () => void = () => undefined,
+    ): AnswerWriter {
+        const writer = new AnswerWriter(response, closesConnection, onClosing);
         response.on("drain", () => writer.flush());
         return writer;
     }
@@ -168,7 +175,11 @@
     }
 
     private createConnectionHeaders(isBodyUnread: boolean): Record<string, string> {
-        return isBodyUnread || this.closesConnection() ? { connection: "close" } : {};
+        if (!isBodyUnread && !this.closesConnection()) {
+            return {};
+        }
+        this.onClosing();
+        return { connection: "close" };
     }
 
     /**
--- a/src/connection/caller/callerConnections.ts
+++ b/src/connection/caller/callerConnections.ts
@@ -3,6 +3,7 @@
 import type { Clock } from "../../process/clock.ts";
 import type { EventLog } from "../../process/logging/eventLog.ts";
 import type { RequestError } from "../../request/requestError.ts";
+import { closeInStages } from "./closeInStages.ts";
 import { createClientError } from "./createClientError.ts";
 import { createErrorBody } from "./createErrorBody.ts";
 import { drainBody } from "./drainBody.ts";
@@ -45,9 +46,6 @@
     unanswered: UnansweredRequests;
 }
 
-/** Time for which a connection stays open after its last error, so that the caller can read it. */
-const lingerMilliseconds = 500;
-
 /**
  * Tracks the requests of each open connection. When a caller disconnects, all its requests are aborted, including
  * pipelined ones whose responses wait for others. When a caller sends invalid bytes, the error doesn't replace a
@@ -141,6 +139,8 @@
     drop(request: IncomingMessage): void {
         const { unanswered } = this.getConnection(request.socket);
         unanswered.add(request, this.options.clock.getMonotonicTime());
+        // Its body is discarded: unread bytes would reset the connection.
+        request.resume();
     }
 
     /** Records that the response to a request is being aborted, which closes its connection. */
@@ -266,6 +266,5 @@
         `content-length: ${Buffer.byteLength(body)}`,
     ];
     socket.end(`${head.join("\r\n")}\r\n\r\n${body}`);
-    const timer = setTimeout(() => socket.destroy(), lingerMilliseconds);
-    socket.once("close", () => clearTimeout(timer));
+    closeInStages(socket);
 }
--- a/src/connection/caller/callerServer.ts
+++ b/src/connection/caller/callerServer.ts
@@ -12,6 +12,7 @@
 import { AnswerWriter } from "./answerWriter.ts";
 import { CallerConnections } from "./callerConnections.ts";
 import type { CallerServerOptions } from "./callerServerOptions.ts";
+import { closeConnectionsInStages } from "./closeConnectionsInStages.ts";
 import { createForwardedHeaders } from "./createForwardedHeaders.ts";
 import { createHttpServer } from "./createHttpServer.ts";
 import { createRequestContext } from "./createRequestContext.ts";
@@ -48,7 +49,17 @@
         this.options = options;
         this.connections = CallerConnections.create(options.environment);
         const router = this.createRouter();
-        this.server = createHttpServer(options, (request, response) => router.lookup(request, response));
+        this.server = createHttpServer(options, (request, response) => {
+            if (this.connections.isTooLate(request)) {
+                this.connections.drop(request);
+                return;
+            }
+            router.lookup(request, response);
+        });
+        closeConnectionsInStages(this.server, socket => {
+            this.running.add();
+            socket.once("close", () => this.running.remove());
+        });
         this.server.on("clientError", (error: Error, socket) => {
             this.connections.handleClientError(error, socket as Socket);
         });
@@ -67,7 +78,7 @@
         });
     }
 
-    /** Gets the number of requests whose final answer has not been sent completely. */
+    /** Gets the number of requests whose final answer has not been sent completely, or whose connection closes after it. */
     getRequestsInProgress(): number {
         return this.running.getCount();
     }
@@ -139,7 +150,7 @@
     private createWriter(response: ServerResponse): AnswerWriter {
         const { req: request } = response;
         const closesConnection = () => this.options.getRefusal() !== undefined && this.connections.isLatest(request);
-        return AnswerWriter.create(response, closesConnection);
+        return AnswerWriter.create(response, closesConnection, () => this.connections.startEnding(request));
     }
 
     /** Handles one request and ensures that it gets exactly one final answer. */
--- a/tests/connection/caller/gracefulStop.test.ts
+++ b/tests/connection/caller/gracefulStop.test.ts
@@ -11,6 +11,8 @@
 const apiKey = "key";
 /** Larger than the socket buffers of both sides. */
 const answerBytes = 16 * 1024 * 1024;
+/** What the system buffers for a caller that doesn't read, although that has not received it. */
+const bufferedBody = Buffer.alloc(1024 * 1024, "x");
 const answer = { status: 200, contentType: "text/plain", body: Buffer.alloc(answerBytes, "x") };
 
 function createHead(): string {
@@ -96,4 +98,38 @@
         assert.match(received, /answer 0HTTP\/1.1 200 [^]*connection: close\r\n[^]*answer 1$/);
         assert.equal(received.match(/connection: close/g)?.length, 1);
     });
+
+    // The connection was closed with its last answer. A request that came then reset it, and what of the answers was still on its way was lost.
+    it("sends all answers before a close that it has announced, although a request crosses it", async () => {
+        let claims = 0;
+        const claim = () => {
+            claims += 1;
+            return Promise.resolve({ kind: "answered", answer: { ...answer, body: bufferedBody } } as const);
+        };
+        const admission = { waitingCount: 0, requestAdmission: () => Ok({ release: () => undefined }) };
+        const environment = {
+            admission: admission as unknown as Admission,
+            getGateCapacity: () => 1,
+            claims: { claim, settle: () => undefined },
+        };
+        let refusal: { code: string; message: string; retryAfterMilliseconds: number; } | undefined = undefined;
+        const { server, address } = await createCallerServer({ apiKey, environment, getRefusal: () => refusal });
+        const caller = await RawCaller.connect(address);
+        caller.socket.pause();
+        caller.write(createHead());
+        await waitUntil("the request runs", () => claims === 1);
+        refusal = { code: "draining", message: "The node is draining.", retryAfterMilliseconds: 100 };
+        for (let count = 0; count < 2; count += 1) {
+            await sleep(100);
+            caller.write(createHead());
+        }
+        const stopping = server.waitUntilIdle().then(() => server.close());
+        await sleep(100);
+        caller.socket.resume();
+        const received = await caller.readToEnd();
+        await stopping;
+        assert.ok(received.length > bufferedBody.length);
+        assert.match(received, /xHTTP\/1.1 503 [^]*connection: close\r\n[^]*draining[^]*\}$/);
+        assert.equal(received.match(/HTTP\/1.1 /g)?.length, 2);
+    });
 });
--- a/tests/platform/stoppingListener.test.ts
+++ b/tests/platform/stoppingListener.test.ts
@@ -13,6 +13,8 @@
 
 /** More than the system buffers for a connection whose caller does not read. */
 const largeAnswerBytes = 12 * 1024 * 1024;
+/** What the system buffers for such a connection, but its caller doesn't receive before it reads. */
+const bufferedAnswerBytes = 1024 * 1024;
 
 describe("CallerListener of a node that is stopping", () => {
     let listener: CallerListener;
@@ -99,6 +101,33 @@
         assert.match(getText(), /^HTTP\/1\.1 200 [^]*?\r\nConnection: close\r\n/);
     });
 
+    // The connection was closed with its last answer. A request that came then reset it, and what of the answer was still on its way was lost.
+    for (
+        const [moment, act] of [["while the node serves", "startClosing"], [
+            "once it doesn't listen",
+            "stopListening",
+        ]] as const
+    ) {
+        it(`sends all answers before a close that it has announced, although a request crosses it, ${moment}`, async () => {
+            socket.pause();
+            answer(await send("first"), Buffer.alloc(bufferedAnswerBytes, "a"));
+            const last = await send("last");
+            listener.startClosing();
+            answer(last, Buffer.from("2"));
+            await wait(50);
+            listener[act]();
+            socket.write(createRequest("crossing"));
+            await wait(100);
+            const closed = once(socket, "close");
+            socket.resume();
+            await closed;
+            await listener.waitUntilIdle();
+            assert.ok(Buffer.concat(received).length > bufferedAnswerBytes);
+            assert.match(getText(), /aHTTP[^]*\r\nConnection: close\r\n[^]*\r\n\r\n2$/);
+            assert.deepEqual(handled.map(({ id }) => id), ["first", "last"]);
+        });
+    }
+
     // The head of a stream announced a close that came only with its end, seconds later. Requests that crossed it were read and dropped.
     it("hands on and answers a request that comes behind the head of a stream", async () => {
         const first = await send("first");
