Announce the close of a connection only with an answer that is sent at once

What callers saw: neither an answer nor a refusal, for a request that was sent while the answer to an earlier one on its connection was still being read, if the node was stopping; and for one that came together with a request that a stopping node refused early.

Cause: the head of a large answer announced the close, and the rest of that answer waited in the node until its slow caller had read. What was read meanwhile was dropped, as nothing behind the announcement may be processed (RFC 9112, section 9.6). An early refusal announced the close before the rest of what had been received with its request was parsed.

Change: an answer announces the close if its body has 64 KiB at most, which systems take at once also for a caller that reads nothing.

Tests: 'hands on no request that follows an answer which closes the connection' and 'logs those that come after the head of an answer which announces the close' asserted the fault: their answers were large. They now send the late request 100 ms behind a small one, which still announces the close; their assertions are unchanged.

Evidence: two tests of stoppingListener.test.ts (the request is never handed on) and one of answerWriter.test.ts fail on the code before and pass now. 53 tests of six files on this code pass, run once at a load of 17. A trial of the same that also deferred refusals before the body failed 4 tests of unreadBodies.test.ts, whose callers waited for the close; so these aren't deferred.

What remains: the close of a connection whose last answer was large isn't announced, so that a request may cross it, unread. If the system's buffers are nearly full with earlier answers, an announced answer can still wait for its caller (by reading).

--- a/src/connection/caller/answerWriter.ts
+++ b/src/connection/caller/answerWriter.ts
@@ -4,6 +4,7 @@
 import { createErrorBody } from "./createErrorBody.ts";
 import { endAfterBody } from "./endAfterBody.ts";
 import { hasUnreadBody } from "./hasUnreadBody.ts";
+import { isSentAtOnce } from "./isSentAtOnce.ts";
 
 const millisecondsPerSecond = 1000;
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
@@ -31,7 +32,7 @@
     /**
      * Creates the writer of one request.
      * @param response - The caller's response.
-     * @param closesConnection - Checks if the connection should close after the answer, if that is whole.
+     * @param closesConnection - Checks if the connection should close after the answer, if that is whole and sent at once.
      * @param onClosing - Called before an answer is written that announces the close.
      */
     static create(
@@ -101,7 +102,7 @@
             const isBodyUnread = hasUnreadBody(response.req);
             response.writeHead(status, {
                 ...headers,
-                ...this.createConnectionHeaders(isBodyUnread),
+                ...this.createConnectionHeaders(isBodyUnread, Buffer.byteLength(body)),
                 ...this.createLengthHeaders(status, body),
                 "content-type": contentType,
             });
@@ -174,8 +175,8 @@
         }
     }
 
-    private createConnectionHeaders(isBodyUnread: boolean): Record<string, string> {
-        if (!isBodyUnread && !this.closesConnection()) {
+    private createConnectionHeaders(isBodyUnread: boolean, bytes: number): Record<string, string> {
+        if (!isBodyUnread && !(isSentAtOnce(bytes) && this.closesConnection())) {
             return {};
         }
         this.onClosing();
--- a/src/connection/caller/callerConnections.ts
+++ b/src/connection/caller/callerConnections.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import type { Clock } from "../../process/clock.ts";
 import type { EventLog } from "../../process/logging/eventLog.ts";
+import { InputBarrier } from "../../process/loop/inputBarrier.ts";
 import type { RequestError } from "../../request/requestError.ts";
 import { closeInStages } from "./closeInStages.ts";
 import { createClientError } from "./createClientError.ts";
@@ -55,6 +56,8 @@
     private readonly connections = new WeakMap<Socket, CallerConnection>();
 
     private readonly options: CallerConnectionsOptions;
+    /** Delays answers that may close their connection until pending input is read, which may contain another request. */
+    private readonly barrier = InputBarrier.create();
 
     private constructor(options: CallerConnectionsOptions) {
         this.options = options;
@@ -105,22 +108,28 @@
     }
 
     /**
-     * Writes a whole response that would close its connection as soon as it is known if it does: when the responses before it are
-     * sent, or when another request is received behind it. The rest of its request is read and discarded meanwhile.
+     * Writes a whole response that would close its connection as soon as it is known if it does: when the responses before it are sent and
+     * what has arrived until then is read, or when another request is received behind it. If its own request isn't received completely, the
+     * rest is read and discarded, and nothing else is waited for once its turn has come.
      * @param request - The caller's request.
      * @param write - Writes the response.
      */
     writeInTurn(request: IncomingMessage, write: () => void): void {
         for (const openRequest of this.getConnection(request.socket).requests) {
-            if (openRequest.request === request && openRequest.response.socket === null) {
+            if (openRequest.request === request) {
                 openRequest.writeResponse = write;
-                if (hasUnreadBody(request)) {
+                if (!hasUnreadBody(request)) {
+                    this.writeInItsTurn(openRequest);
+                }
+                else if (openRequest.response.socket === null) {
                     void drainBody(request);
                 }
+                else {
+                    writeWaiting(openRequest);
+                }
                 return;
             }
         }
-        write();
     }
 
     /** Records that the answer to a request, which is being sent, closes its connection. */
@@ -179,7 +188,7 @@
         const connection = this.getConnection(socket);
         connection.requests.delete(openRequest);
         for (const next of connection.requests) {
-            writeWaiting(next);
+            this.writeInItsTurn(next);
             break;
         }
         if (connection.isBroken && connection.requests.size === 0) {
@@ -187,6 +196,15 @@
         }
     }
 
+    /** Writes the response that waits, once the input that has arrived is read, if it is the first on its connection. */
+    private writeInItsTurn(openRequest: OpenRequest): void {
+        this.barrier.defer(() => {
+            if (openRequest.response.socket !== null) {
+                writeWaiting(openRequest);
+            }
+        });
+    }
+
     private getConnection(socket: Socket): CallerConnection {
         const known = this.connections.get(socket);
         if (known !== undefined) {
@@ -231,11 +249,13 @@
     return [...requests].at(-1);
 }
 
-/** Writes the response that waits for its turn, if there is one. */
+/** Writes the response that waits for its turn, if there is one and its caller is still there. */
 function writeWaiting(openRequest: OpenRequest): void {
-    const { writeResponse } = openRequest;
+    const { writeResponse, controller } = openRequest;
     openRequest.writeResponse = undefined;
-    writeResponse?.();
+    if (!controller.signal.aborted) {
+        writeResponse?.();
+    }
 }
 
 /** Checks if the head of a response is written, and the response is the first on its connection. */
--- a/src/connection/caller/responseSink.ts
+++ b/src/connection/caller/responseSink.ts
@@ -19,8 +19,9 @@
     /**
      * Writes an answer that is whole, now or when its turn on the connection comes.
      * @param write - Writes it. `isLast` says if it closes the connection.
+     * @param bytes - Size of its body.
      */
-    writeWhole(write: (isLast: boolean) => void): void;
+    writeWhole(write: (isLast: boolean) => void, bytes: number): void;
     /** Called before the response is aborted, which closes the connection. */
     onAborting?(): void;
 }
@@ -113,22 +114,24 @@
 
     private sendRefusal(refusal: RelayRefusal): void {
         const { status, headers, body } = this.options.encodeRefusal(refusal);
-        this.options.writeWhole(isLast => {
+        const write = (isLast: boolean) => {
             this.response.writeHead(status, isLast ? [...headers, "Connection", "close"] : headers);
             endAfterBody(this.response, body);
-        });
+        };
+        this.options.writeWhole(write, body.length);
     }
 
     private sendWhole({ head: { status, headers }, chunks }: { head: AnswerHead; chunks: readonly Buffer[]; }): void {
         // The answer may be written later, where an error would not be limited to its own request.
         validateHeaders(headers);
-        this.options.writeWhole(isLast => {
+        const write = (isLast: boolean) => {
             this.sendHead(status, isLast ? [...headers, "Connection", "close"] : headers);
             for (const chunk of chunks) {
                 this.sendChunk(chunk);
             }
             this.response.end();
-        });
+        };
+        this.options.writeWhole(write, chunks.reduce((sum, { length }) => sum + length, 0));
     }
 
     private writeEarly(): void {
--- a/tests/connection/caller/answerWriter.test.ts
+++ b/tests/connection/caller/answerWriter.test.ts
@@ -45,6 +45,16 @@
         assert.equal((await get(address, "HEAD")).headers["connection"], "close");
     });
 
+    // The caller read a large answer slowly. Requests that crossed its head, which announced the close, got no answer.
+    it("announces the close only with an answer that is sent at once", async () => {
+        const address = await serve((_writer, response) => {
+            const body = Buffer.alloc(Number(response.req.url!.split("/")[1]));
+            AnswerWriter.create(response, () => true).sendResponse(200, "text/plain", body);
+        });
+        assert.notEqual((await get(`${address}/100000`)).headers["connection"], "close");
+        assert.equal((await get(`${address}/1000`)).headers["connection"], "close");
+    });
+
     it("rejects a second final answer and keeps the first one", async () => {
         const errors: unknown[] = [];
         const address = await serve(writer => {
--- a/tests/platform/stoppingListener.test.ts
+++ b/tests/platform/stoppingListener.test.ts
@@ -7,6 +7,7 @@
 import { findFreePorts } from "../../scripts/deployment/findFreePorts.ts";
 import { systemClock } from "../../src/process/systemClock.ts";
 import type { AnswerSink } from "../../src/request/relay/answers/answerSink.ts";
+import { createRefusal } from "../../src/request/relay/answers/createRefusal.ts";
 import { sendCompleteAnswer } from "../../src/request/relay/answers/sendCompleteAnswer.ts";
 import { waitUntil } from "../support/waitUntil.ts";
 import { createHead } from "./createHead.ts";
@@ -31,6 +32,7 @@
             address: `127.0.0.1:${port}`,
             clock: systemClock,
             getMaximumBodyBytes: () => 1_000,
+            refuseEarly: ({ target }) => target === "/refused" ? createRefusal.notRun("the node is late.") : undefined,
             handle: ({ id }, sink) => handled.push({ id, sink }),
         });
         await listener.listen();
@@ -91,7 +93,8 @@
         const first = await send("first");
         listener.startClosing();
         socket.pause();
-        answer(first, Buffer.alloc(largeAnswerBytes, "a"));
+        answer(first, Buffer.from("1"));
+        await wait(100);
         socket.write(createRequest("crossing"));
         await wait(100);
         const closed = once(socket, "close");
@@ -101,6 +104,30 @@
         assert.match(getText(), /^HTTP\/1\.1 200 [^]*?\r\nConnection: close\r\n/);
     });
 
+    // The head of the first answer announced the close, which its slow caller read seconds later. What was read meanwhile was dropped.
+    it("answers a request that crosses an answer whose caller reads slowly", async () => {
+        const first = await send("first");
+        listener.startClosing();
+        socket.pause();
+        answer(first, Buffer.alloc(largeAnswerBytes, "a"));
+        const second = await send("crossing");
+        answer(second, Buffer.from("2"));
+        socket.resume();
+        await waitUntil("both are answered", () => getText().endsWith("\r\n\r\n2"));
+    });
+
+    // The refusal announced the close as soon as its request was read. The next one, which had come with it, was dropped.
+    it("answers a request that arrives together with one that it refuses early", async () => {
+        listener.startClosing();
+        const closed = once(socket, "close");
+        socket.write(createRequest("first").replace("/x", "/refused") + createRequest("second"));
+        await waitUntil("the second is handled", () => handled.length > 0);
+        answer(handled[0]!.sink, Buffer.from("2"));
+        await closed;
+        assert.match(getText(), /^HTTP\/1\.1 503 [^]*HTTP\/1\.1 200 [^]*Connection: close\r\n[^]*\r\n\r\n2$/);
+        assert.equal(getText().match(/Connection: close/g)?.length, 1);
+    });
+
     // The connection was closed with its last answer. A request that came then reset it, and what of the answer was still on its way was lost.
     for (
         const [moment, act] of [["while the node serves", "startClosing"], [
