--- a/src/connection/caller/drainBody.ts
+++ b/src/connection/caller/drainBody.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from "node:http";
 
-const maximumDrainBytes = 4 * 1024 * 1024;
+/** Size of the rest of a body that is discarded at most. */
+export const maximumDrainBytes = 4 * 1024 * 1024;
 const maximumDrainMilliseconds = 5_000;
 /** A caller that has sent nothing for this time has read the response, or waits for something else. */
 const maximumIdleMilliseconds = 1_000;
--- a/tests/platform/lateListener.test.ts
+++ b/tests/platform/lateListener.test.ts
@@ -116,6 +116,34 @@
         assert.match(received, /^HTTP\/1.1 503 [^]*\/x is late\./);
     });
 
+    // The refusal closed the connection once the body had come. A request that came right behind it was read and dropped.
+    for (
+        const [framing, body] of [["Content-Length: 4", "body"], [
+            "Transfer-Encoding: chunked",
+            "4\r\nbody\r\n0\r\n\r\n",
+        ]] as const
+    ) {
+        it(`answers a request right behind the body (${framing}) of one that it has refused before`, async () => {
+            const caller = await RawCaller.connect(`127.0.0.1:${port}`);
+            isRefusing = true;
+            caller.write(`POST /refused HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\n${framing}\r\n\r\n`);
+            await caller.waitFor("/refused is late");
+            isRefusing = false;
+            caller.write(body + createRequest("last"));
+            const received = await caller.readToEnd();
+            assert.match(received, /^HTTP\/1.1 503 [^]*\/refused is late[^]*HTTP\/1.1 404 [^]*\{"error":"last"\}$/);
+        });
+    }
+
+    it("closes the connection of a request that it has refused, if its body doesn't come", async () => {
+        const caller = await RawCaller.connect(`127.0.0.1:${port}`);
+        isRefusing = true;
+        caller.write("POST /refused HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nContent-Length: 4\r\n\r\n");
+        const received = await caller.readToEnd();
+        isRefusing = false;
+        assert.equal(received.match(/HTTP\/1.1 /g)?.length, 1);
+    });
+
     // The refusal was to close the connection, although it waited behind a running answer. What came meanwhile was read and dropped.
     it("answers a request behind one that it has refused before its body arrived, while an answer runs", async () => {
         const { promise: answerLater, resolve: setAnswer } = Promise.withResolvers<() => void>();
--- a/tests/platform/unreadBodies.test.ts
+++ b/tests/platform/unreadBodies.test.ts
@@ -14,6 +14,8 @@
 /** Processor time that a late node takes for each request, during which bodies arrive. */
 const lateMilliseconds = 5;
 
+const lastRequest = "GET /x HTTP/1.1\r\nHost: h\r\nRequest-Id: 2\r\nConnection: close\r\n\r\n";
+
 /** How a caller sends the body of a request. */
 interface Sending {
     name: string;
@@ -53,7 +55,7 @@
 
     after(() => listener.stopListening());
 
-    /** Sends a request. Returns all that the caller receives until the connection ends. */
+    /** Sends a request, and another one behind it that closes the connection. Returns all that the caller receives until it ends. */
     async function send(
         { parts, partBytes, intervalMilliseconds }: Sending,
         isChunked: boolean,
@@ -70,7 +72,7 @@
             await wait(intervalMilliseconds);
             caller.write(isChunked ? `${partBytes.toString(16)}\r\n${part}\r\n` : part);
         }
-        caller.write(isChunked ? "0\r\n\r\n" : "");
+        caller.write((isChunked ? "0\r\n\r\n" : "") + lastRequest);
         caller.socket.resume();
         return await caller.readToEnd();
     }
@@ -84,9 +86,8 @@
         const sendings = Array.from({ length: callerCount }, () => send(sending, isChunked, readsLast));
         const counts = { complete: 0, lost: 0 };
         for (const received of await Promise.all(sendings)) {
-            const [head = "", body = ""] = received.split("\r\n\r\n");
-            const isComplete = head.startsWith(`HTTP/1.1 ${status} `)
-                && head.includes(`Content-Length: ${body.length}\r\n`);
+            const answers = received.split("HTTP/1.1 ").slice(1);
+            const isComplete = answers.length === 2 && isWhole(answers[0]!, status) && isWhole(answers[1]!, 503);
             counts[isComplete ? "complete" : "lost"] += 1;
         }
         assert.deepEqual(counts, { complete: callerCount, lost: 0 });
@@ -112,6 +113,12 @@
     }
 });
 
+/** Checks the status of an answer, and that its body has the announced length. */
+function isWhole(answer: string, status: number): boolean {
+    const [head = "", body = ""] = answer.split("\r\n\r\n");
+    return head.startsWith(`${status} `) && head.includes(`Content-Length: ${body.length}\r\n`);
+}
+
 function refuseSlowly(): RelayRefusal {
     for (const startedAt = performance.now(); performance.now() - startedAt < lateMilliseconds;) {
         // Keeps the event loop busy.
