Test that requests sent in parts are answered while settings are reloaded

A request may be half received when SIGHUP comes. The test sends three requests on one connection in four parts each, with a SIGHUP at each part, and expects each to be answered.

--- a/tests/platform/platformProcess.test.ts
+++ b/tests/platform/platformProcess.test.ts
@@ -7,11 +7,14 @@
 import { after, before, describe, it } from "node:test";
 import { request } from "undici";
 import { findFreePorts } from "../../scripts/deployment/findFreePorts.ts";
+import { callerKey } from "../../standins/router/callerKey.ts";
 import { createBootFile } from "../../standins/router/createBootFile.ts";
 import { createConfiguration } from "../../standins/router/createConfiguration.ts";
 import { createEndpointRecord } from "../../standins/router/createEndpointRecord.ts";
 import { EndpointStandin } from "../../standins/router/endpointStandin.ts";
 import { KeyValueStandin } from "../../standins/router/keyValueStandin.ts";
+import { RawCaller } from "../connection/caller/rawCaller.ts";
+import { waitUntil } from "../support/waitUntil.ts";
 
 const startMilliseconds = 15_000;
 
@@ -106,6 +109,21 @@
         assert.equal(await getReadiness(), 200);
     });
 
+    it("answers the requests of a kept connection that are sent in parts while its settings are reloaded", async () => {
+        const caller = await RawCaller.connect(`127.0.0.1:${ports[0]}`);
+        const head = `POST /safe/x HTTP/1.1\r\nHost: one.example\r\nAuthorization: Bearer ${callerKey}\r\n`;
+        for (let count = 1; count <= 3; count += 1) {
+            const framing = `Request-Id: part-${count}\r\nRequest-Deadline-Ms: 5000\r\nContent-Length: 4\r\n\r\n`;
+            for (const part of [head.slice(0, 30), head.slice(30) + framing, "bo", "dy"]) {
+                caller.write(part);
+                child.kill("SIGHUP");
+                await new Promise(resolve => setTimeout(resolve, 20));
+            }
+        }
+        await waitUntil("all are answered", () => caller.getReceived().match(/HTTP\/1\.1 200 /g)?.length === 3);
+        caller.socket.destroy();
+    });
+
     it("keeps running when its settings are reloaded while the file is being replaced", async () => {
         const file = join(folder, "node.yaml");
         renameSync(file, `${file}.old`);
