--- a/src/connection/caller/answerWriter.ts
+++ b/src/connection/caller/answerWriter.ts
@@ -4,6 +4,7 @@
 import { createErrorBody } from "./createErrorBody.ts";
 import { endAfterBody } from "./endAfterBody.ts";
 import { hasUnreadBody } from "./hasUnreadBody.ts";
+import { isSentAtOnce } from "./isSentAtOnce.ts";
 
 const millisecondsPerSecond = 1000;
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
@@ -16,23 +17,30 @@
 export class AnswerWriter {
     private readonly response: ServerResponse;
     private readonly closesConnection: () => boolean;
+    private readonly onClosing: () => void;
     private isFinished = false;
     private isBlocked = false;
     private pendingText = "";
     private createTextEvent: (text: string) => string = text => text;
 
-    private constructor(response: ServerResponse, closesConnection: () => boolean) {
+    private constructor(response: ServerResponse, closesConnection: () => boolean, onClosing: () => void) {
         this.response = response;
         this.closesConnection = closesConnection;
+        this.onClosing = onClosing;
     }
 
     /**
      * Creates the writer of one request.
      * @param response - The caller's response.
-     * @param closesConnection - Checks if the connection should close after the answer, if that is whole.
+     * @param closesConnection - Checks if the connection should close after the answer, if that is whole and sent at once.
+     * @param onClosing - Called before an answer is written that announces the close.
      */
-    static create(response: ServerResponse, closesConnection: () => boolean = () => false): AnswerWriter {
-        const writer = new AnswerWriter(response, closesConnection);
+    static create(
+        response: ServerResponse,
+        closesConnection: () => boolean = () => false,
+        onClosing: () => void = () => undefined,
+    ): AnswerWriter {
+        const writer = new AnswerWriter(response, closesConnection, onClosing);
         response.on("drain", () => writer.flush());
         return writer;
     }
@@ -94,7 +102,7 @@
             const isBodyUnread = hasUnreadBody(response.req);
             response.writeHead(status, {
                 ...headers,
-                ...this.createConnectionHeaders(isBodyUnread),
+                ...this.createConnectionHeaders(isBodyUnread, Buffer.byteLength(body)),
                 ...this.createLengthHeaders(status, body),
                 "content-type": contentType,
             });
@@ -167,8 +175,12 @@
         }
     }
 
-    private createConnectionHeaders(isBodyUnread: boolean): Record<string, string> {
-        return isBodyUnread || this.closesConnection() ? { connection: "close" } : {};
+    private createConnectionHeaders(isBodyUnread: boolean, bytes: number): Record<string, string> {
+        if (!isBodyUnread && !(isSentAtOnce(bytes) && this.closesConnection())) {
+            return {};
+        }
+        this.onClosing();
+        return { connection: "close" };
     }
 
     /**
