Let no late request overtake one of a higher rank that waits for a link

Cause, by reading: since a late request was tried for a link that a request on time waits for, also if that one is of a higher rank; and a late request that could not be tried was refused for the link.

Change: late requests are tried beside those of their own rank only, and one is refused for a link only if it was tried, or a late one no larger was and found none.

Evidence: the new test of StartQueue failed before (the lower rank started first) and passes now; 63 tests of the queue and the links pass.

--- a/src/request/admission/start/startQueue.ts
+++ b/src/request/admission/start/startQueue.ts
@@ -156,17 +156,22 @@
         let isBlocked = false;
         let smallestUnreservedCost = Infinity;
         let smallestUnreservedLateCost = Infinity;
+        let rank: number | undefined;
+        let smallestOfHigherRanks = Infinity;
         for (const waiting of this.waiting.listInOrder(now)) {
             const { request } = waiting;
+            if (request.rank !== rank) {
+                rank = request.rank;
+                smallestOfHigherRanks = smallestUnreservedCost;
+            }
             const isHeld = request.isHeld?.() === true;
             const isLate = !isOnTime(request, now);
-            // A link that requests on time prefer to wait for may be good enough for late ones.
+            // A link that requests on time prefer to wait for may be good enough for late ones of the same rank.
             const knownCost = isLate && request.getLinkBlock?.() !== undefined
-                ? smallestUnreservedLateCost
+                ? Math.min(smallestUnreservedLateCost, smallestOfHigherRanks)
                 : smallestUnreservedCost;
-            const reservation = isBlocked || isHeld || request.cost >= knownCost
-                ? undefined
-                : this.tryReserve(request, now).reservation;
+            const isTried = !isBlocked && !isHeld && request.cost < knownCost;
+            const reservation = isTried ? this.tryReserve(request, now).reservation : undefined;
             if (reservation !== undefined) {
                 this.waiting.remove(request);
                 for (const bypassed of stillWaiting) {
@@ -176,13 +181,14 @@
                 reviewed.push({ request, decision: { kind: "start", reservation } });
                 continue;
             }
-            if (!isBlocked && !isHeld) {
+            if (isTried) {
                 smallestUnreservedCost = Math.min(smallestUnreservedCost, request.cost);
                 smallestUnreservedLateCost = isLate
                     ? Math.min(smallestUnreservedLateCost, request.cost)
                     : smallestUnreservedLateCost;
             }
-            const block = isLate && !isBlocked ? request.getLinkBlock?.() : undefined;
+            const isKnownToFail = isTried || !isBlocked && request.cost >= smallestUnreservedLateCost;
+            const block = isLate && isKnownToFail ? request.getLinkBlock?.() : undefined;
             if (block !== undefined) {
                 this.waiting.remove(request);
                 reviewed.push({ request, decision: refuseBlocked(request, block) });
--- a/tests/request/admission/start/startQueue.test.ts
+++ b/tests/request/admission/start/startQueue.test.ts
@@ -98,6 +98,25 @@
         assert.deepEqual(fixture.review(now), ["start second", "start third"]);
     });
 
+    // Guards against late requests that overtake those of a higher rank which wait for a link, and against refusals of ones that were not tried.
+    it("keeps a late request waiting behind one of a higher rank that a link keeps waiting", () => {
+        const fixture = createFixture(0);
+        fixture.learnThroughput(10_000);
+        let now = 0;
+        const create = (name: string, rank: number, latestOnTimeStart: number): TestRequest => ({
+            ...fixture.create(name, { rank, latestOnTimeStart }),
+            tryReserve: () => now > latestOnTimeStart ? name : undefined,
+            getLinkBlock: () => ({ waitMilliseconds: 10, bookRetry: () => 500 }),
+        });
+        for (const [name, rank, latestOnTimeStart] of [["higher", 1, 300], ["lower", 2, 100]] as const) {
+            assert.equal(fixture.queue.decideArrival(create(name, rank, latestOnTimeStart), 0).kind, "wait");
+        }
+        now = 101;
+        assert.deepEqual(fixture.review(now), []);
+        now = 301;
+        assert.deepEqual(fixture.review(now), ["start higher", "start lower"]);
+    });
+
     // Guards against callers of the first rank that are told to wait for the retries of a flood of the last one.
     it("gives a refused request a retry delay by the requests and retries of its rank and higher ones", () => {
         const fixture = createFixture();
