Share one more test of a path among all calls that wait for it

When many connections to an endpoint break at once, as at a reset, their streams waited for the test of the path one after the other, each with a new connection to the endpoint, before they could go on.

Cause: a call that waited for an earlier test compared the next test with the time at which it asked again instead of the time of the call. On a clock of which no two readings are the same, the first of the waiting calls began a test, all others were later than that, and so on: as many tests in a row as calls. The tests of PathTester have a clock on which simultaneous calls have the same time.

Change: a call keeps its time while it waits, so that all calls that wait for a test share the next one.

Evidence: the new test failed before (3 tests begun where 2 are enough, after two of 5 calls had an answer) and passes now, with the two other tests of PathTester.

--- a/src/connection/upstream/path/pathTester.ts
+++ b/src/connection/upstream/path/pathTester.ts
@@ -47,13 +47,14 @@
      * have crashed since.
      */
     test(address: string): Promise<PathState> {
-        return this.share(address, () => this.run(address));
+        return this.share(address, this.getTime(), () => this.run(address));
     }
 
     /** Tests the path to an address through a peer, likewise. */
     testPeer(peer: string, address: string): Promise<PathState> {
         return this.share(
             `${peer} ${address}`,
+            this.getTime(),
             async () => await this.testTunnel(peer, address) ? PathState.Open : PathState.Lost,
         );
     }
@@ -82,19 +83,19 @@
         });
     }
 
-    private share(key: string, run: () => Promise<PathState>): Promise<PathState> {
-        const calledAt = this.options.clock.getMonotonicTime();
+    /** Shares the test of a path that began with a call or after it. All calls that wait for a test share the next one. */
+    private share(key: string, calledAt: number, run: () => Promise<PathState>): Promise<PathState> {
         const running = this.tests.get(key);
         if (running === undefined) {
             return this.start(key, run);
         }
         return running.startedAt >= calledAt
             ? running.result
-            : running.result.then(state => state === PathState.Open ? this.share(key, run) : state);
+            : running.result.then(state => state === PathState.Open ? this.share(key, calledAt, run) : state);
     }
 
     private start(key: string, run: () => Promise<PathState>): Promise<PathState> {
-        const test = { startedAt: this.options.clock.getMonotonicTime(), result: run() };
+        const test = { startedAt: this.getTime(), result: run() };
         this.tests.set(key, test);
         void test.result.then(() => this.tests.delete(key));
         return test.result;
@@ -141,4 +142,8 @@
             });
         });
     }
+
+    private getTime(): number {
+        return this.options.clock.getMonotonicTime();
+    }
 }
--- a/tests/connection/upstream/path/pathTester.test.ts
+++ b/tests/connection/upstream/path/pathTester.test.ts
@@ -9,9 +9,16 @@
 import { FakeClock } from "../../../support/fakeClock.ts";
 
 const address = "127.0.0.1:1";
+const readingMilliseconds = 0.001;
 
 function createBench() {
     const clock = FakeClock.create();
+    let readings = 0;
+    // No two readings of a real clock are the same.
+    const preciseClock = {
+        getMonotonicTime: () => clock.getMonotonicTime() + ++readings * readingMilliseconds,
+        setTimer: clock.setTimer.bind(clock),
+    };
     const sockets: EventEmitter[] = [];
     const createSocket = () => {
         const socket = Object.assign(new EventEmitter(), { destroy: () => undefined });
@@ -20,8 +27,9 @@
     };
     const paths = EndpointPaths.create({ onChanged: () => undefined, onRefused: () => undefined });
     const peers = TunnelPeers.create({ listPeers: () => [], random: () => 0 });
-    const tester = PathTester.create({ clock, paths, peers, createSocket, openTunnel: () => () => undefined });
-    return { clock, sockets, tester };
+    const createTester = (testerClock: Pick<FakeClock, "getMonotonicTime" | "setTimer">) =>
+        PathTester.create({ clock: testerClock, paths, peers, createSocket, openTunnel: () => () => undefined });
+    return { clock, sockets, tester: createTester(clock), preciseTester: createTester(preciseClock) };
 }
 
 describe("PathTester", () => {
@@ -48,4 +56,16 @@
         sockets[0]!.emit("connect");
         assert.deepEqual(await Promise.all(tests), [PathState.Open, PathState.Open]);
     });
+
+    // Guards against streams that wait for one test after the other when many connections to an endpoint break at once.
+    it("shares one more test among calls that came one after the other while a test ran", async () => {
+        const { clock, sockets, preciseTester } = createBench();
+        const tests = Array.from({ length: 5 }, () => preciseTester.test(address));
+        for (const index of [0, 1]) {
+            sockets[index]!.emit("connect");
+            await clock.advance(1);
+        }
+        assert.equal(sockets.length, 2);
+        assert.deepEqual(await Promise.all(tests), tests.map(() => PathState.Open));
+    });
 });
