Count a broken connection whose endpoint is known to have restarted before its path was found open

What callers saw: nothing measured. A request that crashes endpoints that are back under their ids at once could run on all endpoints that its route allows, and its caller's next tries again, since none of the crashes counted.

Cause: a break is kept as unproven only after the test of its path, which takes up to some hundred milliseconds. A restart that the node learns of before that found no break to prove, and the break was added after it and proven by nothing. The stall detector records such crashes of streams that it watches, but not those of documents.

Evidence: the new test of taskQuarantine (streams without a detector, documents) failed before (no crash on record instead of one) and passes now; the tests of taskQuarantine, requestQuarantine, promptParts and taskPromptParts pass (47).

--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -54,7 +54,7 @@
 export class RequestQuarantine {
     readonly lateCrashes: LateCrashes;
     /** Broken connections that count as crashes once their endpoints are known to have restarted. */
-    readonly unprovenBreaks = UnprovenBreaks.create();
+    private readonly unprovenBreaks = UnprovenBreaks.create();
     private readonly options: RequestQuarantineOptions;
     private readonly suspects: SuspectList;
     private readonly answeredParts = AnsweredParts.create();
@@ -138,6 +138,13 @@
         this.suspects.add(crash, now);
     }
 
+    /** Adds a broken connection that counts as a crash once its endpoint is known to have restarted, which it may be by now. */
+    addUnprovenBreak(added: Parameters<UnprovenBreaks["add"]>[0]): void {
+        if (this.unprovenBreaks.add(added)) {
+            this.suspects.confirm(added.endpointId);
+        }
+    }
+
     /**
      * Records that an endpoint has restarted under the same id: connections that broke just before did so in a crash, and its answers don't show
      * that it never crashed.
--- a/src/request/relay/quarantine/taskQuarantine.ts
+++ b/src/request/relay/quarantine/taskQuarantine.ts
@@ -129,7 +129,7 @@
             return;
         }
         const { quarantine, log } = this.environment;
-        quarantine.unprovenBreaks.add({ endpointId, at, onProven: () => this.noteCrash(run, false) });
+        quarantine.addUnprovenBreak({ endpointId, at, onProven: () => this.noteCrash(run, false) });
         log.write(events.connectionBroke, {
             request: this.task.request.id,
             fingerprint: this.task.fingerprint,
--- a/tests/request/relay/quarantine/taskQuarantine.test.ts
+++ b/tests/request/relay/quarantine/taskQuarantine.test.ts
@@ -108,6 +108,23 @@
         }
     });
 
+    // Guards against requests that go on to all endpoints, because these restart before the test of their paths has ended.
+    it("is suspected if the endpoint is known to have restarted before its path was found open", async () => {
+        for (const kind of [RequestKind.Stream, RequestKind.Idempotent]) {
+            const bench = createBench();
+            const { clock, environment: { quarantine } } = bench;
+            bench.pathState = PathState.Open;
+            bench.pathTestMilliseconds = runMilliseconds;
+            start(bench, kind);
+            await crashEndpoint(bench);
+            for (const endpointId of ["1", "2", "3", "4"]) {
+                quarantine.noteRestart(endpointId, clock.getMonotonicTime());
+            }
+            await clock.advance(runMilliseconds);
+            assert.equal(quarantine.getCrashes(clock.getMonotonicTime()).length, 1, kind);
+        }
+    });
+
     it("is suspected if the endpoint ends its answer inside an event and can't be reached", async () => {
         const bench = createBench();
         startStream(bench);
