Hold a crash against a canary's parts only if its request was a canary as the connection broke

What callers saw: nothing measured. Requests with a harmless part could be refused for ten minutes at all nodes, as with a part that certainly crashes endpoints.

Cause: a break that is proven later was recorded with the parts for which the request is a canary by then. A request whose connection had broken before, and that was sent again as a canary, so convicted its part by a crash that was none of a canary, and the next crash, that of the real canary, counted as none.

Change: the parts of which a request is a canary are kept with the break.

Evidence: the new test of taskPromptParts failed before (the part counted as certain) and passes now, with the others of taskPromptParts and taskQuarantine (24).

--- a/src/request/relay/quarantine/taskQuarantine.ts
+++ b/src/request/relay/quarantine/taskQuarantine.ts
@@ -25,6 +25,8 @@
     runMilliseconds: number;
     /** Time from the first event until then; 0 if there was none. */
     answerMilliseconds: number;
+    /** Keys of the parts for which the request was a canary then, whatever it is once the crash is proven. */
+    canaryKeys: readonly string[];
 }
 
 /** Connects a forwarded request to the {@link RequestQuarantine} of the node. */
@@ -119,7 +121,8 @@
     noteBreak(endpointId: string, sentAt: number, at: number, attempt: BrokenAttempt = {}): void {
         const { firstEventAt, isDown = false } = attempt;
         const answerMilliseconds = firstEventAt === undefined ? 0 : at - firstEventAt;
-        const run = { endpointId, at, runMilliseconds: at - sentAt, answerMilliseconds };
+        const { canaryKeys } = this;
+        const run = { endpointId, at, runMilliseconds: at - sentAt, answerMilliseconds, canaryKeys };
         if (run.runMilliseconds < minimumRunMilliseconds) {
             return;
         }
@@ -142,7 +145,7 @@
     private noteCrash(run: BrokenRun, isDown: boolean): void {
         const { quarantine } = this.environment;
         const { fingerprint, request, partKeys } = this.task;
-        const { endpointId, at } = run;
+        const { endpointId, at, canaryKeys } = run;
         const crash = { fingerprint, endpointId, at, isDown };
         // A part may become harmful after an endpoint has answered the request.
         const suspectedParts = isAnswered(run) ? [] : partKeys;
@@ -156,8 +159,9 @@
             quarantine.markSafe(fingerprint);
             this.isSafe = false;
         }
-        const { canaryKeys } = this;
-        this.canaryKeys = [];
+        if (this.canaryKeys === canaryKeys) {
+            this.canaryKeys = [];
+        }
         quarantine.noteCrash({ ...crash, partKeys: suspectedParts, canaryKeys }, request.id, {
             parts: suspectedParts.join(","),
             canaryOf: canaryKeys.join(","),
--- a/tests/request/relay/quarantine/taskPromptParts.test.ts
+++ b/tests/request/relay/quarantine/taskPromptParts.test.ts
@@ -105,6 +105,24 @@
         assert.equal(countSent(), 2);
     });
 
+    // Guards against convicting a harmless part by a crash from before its request was a canary.
+    it("don't convict a part by the crash of an endpoint that did not run a canary", async () => {
+        const { bench, startStream, crashEndpoint, suspect, countSent } = createBench();
+        const { quarantine } = bench.environment;
+        bench.pathState = PathState.Open;
+        const relay = startStream();
+        const brokenId = relay.attempts.getStages()![0]!.endpoint.id;
+        suspect("8", "9");
+        await crashEndpoint();
+        assert.equal(countSent(), 2, "It is a canary now.");
+        quarantine.noteRestart(brokenId, runMilliseconds);
+        assert.equal(quarantine.getPartHold([harmful], runMilliseconds)?.isCertain, false);
+        const canaryId = relay.attempts.getStages()![0]!.endpoint.id;
+        await crashEndpoint();
+        quarantine.noteRestart(canaryId, 2 * runMilliseconds);
+        assert.equal(quarantine.getPartHold([harmful], 2 * runMilliseconds)?.isCertain, true);
+    });
+
     it("don't make a part suspect if the endpoint had answered for some time", async () => {
         const { bench, startStream, crashEndpoint, countSent } = createBench();
         for (let count = 1; count <= 3; count++) {
