Let a begun stream wait while the crashes that hold it back may be refuted

What callers saw: a begun stream was cut at once when a second endpoint seemed to have crashed under it, though a crash no longer counts if the endpoint is heard half a second later. A node that has lost its links together with the peers that it asks takes endpoints that live for crashed.

Cause: startAttempt ended a begun stream as soon as its request was held back, whatever the verdict.

Change: while the verdict on the request is unsure (two crashes) and one of the endpoints isn't known to have restarted, a begun stream waits until one second after the latest crash, and looks each 100 ms. Nothing is sent in the meantime, so a harmful request reaches no further endpoint; then it ends or goes on as before. Requests that have not begun are refused at once as before. Holds for a part of the prompt and for late crashes don't wait.

--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -39,6 +39,8 @@
 
 /** Time after which a request with a part that is held back may be sent again, since a canary may have cleared the part. */
 const unsureRetryMilliseconds = 1_000;
+/** Time in which an endpoint that seems to have crashed is heard again if it is alive, counted from the time of the crash. */
+const refutationMilliseconds = 1_000;
 /** Limits the size of messages between nodes and of the stored record. */
 const maximumListedCrashes = 100;
 const maximumCrashesPerPart = 8;
@@ -237,6 +239,18 @@
             : undefined;
     }
 
+    /**
+     * Gets for how many milliseconds it may still turn out that a request is held back for endpoints that are alive; 0 if that is sure, or
+     * if the request isn't held back so.
+     */
+    getDoubt(fingerprint: string, now: number): number {
+        const isUnsure = this.suspects.judge(fingerprint, now) === SuspectVerdict.Unsure;
+        const suspect = isUnsure ? this.suspects.get(fingerprint) : undefined;
+        const isRefutable = suspect !== undefined
+            && [...suspect.crashes.values()].some(({ isConfirmed }) => !isConfirmed);
+        return isRefutable ? Math.max(0, getNewestCrash(suspect) + refutationMilliseconds - now) : 0;
+    }
+
     /**
      * Gets why requests with some parts in their prompts are held back; undefined if they may be sent.
      * @param keys - Keys of the parts.
--- a/src/request/relay/quarantine/taskQuarantine.ts
+++ b/src/request/relay/quarantine/taskQuarantine.ts
@@ -80,6 +80,12 @@
         return hold;
     }
 
+    /** Gets for how many milliseconds it may still turn out that the request is held back for endpoints that are alive; 0 if it can't. */
+    getDoubt(): number {
+        const { quarantine, clock } = this.environment;
+        return quarantine.getDoubt(this.task.fingerprint, clock.getMonotonicTime());
+    }
+
     /** Checks if the request is a canary without an answer yet, which only one endpoint may run. */
     isCanary(): boolean {
         return this.canaryKeys.length > 0;
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -118,10 +118,15 @@
      * @param isRetry - Whether this is a retry, which counts against the retry budget.
      */
     private startAttempt(cause: string, isRetry = false): void {
+        const isBegun = this.state.answer.isBegun();
+        const doubtMilliseconds = isBegun ? this.state.quarantine.getDoubt() : 0;
+        if (doubtMilliseconds > 0) {
+            this.resumption.waitForProof(cause, isRetry, doubtMilliseconds);
+            return;
+        }
         if (this.endIfHeld(cause)) {
             return;
         }
-        const isBegun = this.state.answer.isBegun();
         if (!(isBegun ? this.state.attemptLimit.mayRunAgain() : this.state.attemptLimit.mayAttemptAgain())) {
             this.giveUp(`${cause} The request may not be sent again.`);
             return;
--- a/src/request/relay/streams/streamResumption.ts
+++ b/src/request/relay/streams/streamResumption.ts
@@ -16,6 +16,8 @@
 /** Time until a chain is searched again. It doubles with each search that finds none, up to the maximum. */
 const initialSearchMilliseconds = 50;
 const maximumSearchMilliseconds = 400;
+/** Interval at which it is checked whether a stream is still held back for crashes that may be refuted. */
+const doubtReviewMilliseconds = 100;
 
 /** Continues a stream that has begun and has no chain, as soon as there is one. */
 export class StreamResumption {
@@ -24,6 +26,8 @@
     private timer: TimerHandle | undefined;
     /** Number of searches in a row that found no chain. */
     private searches = 0;
+    /** Whether it waits until the crashes for which the request is held back are refuted. */
+    private isInDoubt = false;
 
     private constructor(state: StreamState, callbacks: StreamResumptionCallbacks) {
         this.state = state;
@@ -40,6 +44,22 @@
         this.timer?.cancel();
     }
 
+    /**
+     * Waits while a stream that has begun is held back for crashes that may be refuted. Nothing is sent in the meantime.
+     * @param cause - Why it has no chain.
+     * @param isRetry - Whether the next run counts against the retry budget.
+     * @param doubtMilliseconds - Time in which they may be refuted.
+     */
+    waitForProof(cause: string, isRetry: boolean, doubtMilliseconds: number): void {
+        const { environment, logger, attemptLimit } = this.state;
+        if (!this.isInDoubt) {
+            this.isInDoubt = true;
+            logger.writeWait(`${cause} The endpoints that seem to have crashed may be alive.`, attemptLimit);
+        }
+        const delay = Math.min(doubtMilliseconds, doubtReviewMilliseconds);
+        this.timer = environment.clock.setTimer(delay, () => this.callbacks.onDue(cause, isRetry));
+    }
+
     /**
      * Continues a stream that has begun as soon as there is a chain for it. It goes before requests that wait in the queue, since its caller
      * would give up sooner. Lack of capacity doesn't end it: the caller may wait longer than the endpoints are full. It ends if all endpoints
@@ -48,6 +68,7 @@
      * @param isRetry - Whether the next run counts against the retry budget.
      */
     resume(cause: string, isRetry: boolean): void {
+        this.isInDoubt = false;
         const now = this.state.environment.clock.getMonotonicTime();
         const isRepeated = this.searches > 0;
         const pause = this.state.pacing.getPause(now);
