Count a break whose path seemed lost, too, once its endpoint is known to have restarted

What callers saw: nothing measured. Requests that crash endpoints were never held back for crashes of runs through peers, where a test of the path never says that the endpoint is down, nor if the endpoint was back before a peer was asked, after this node's connection to it was refused.

Cause: only a break after which the path was open was kept until a restart can prove it. One after which the path seemed lost was forgotten, since the endpoint was taken for alive.

Change: each break that isn't proven is kept, whether the path was open or seemed lost. A lost path alone still holds nothing back, and the endpoint may still be asked again over another path. FL1742 says that the endpoint isn't known to be down, instead of that it can be reached.

Evidence: the new test of taskQuarantine (streams and documents) failed before (no crash on record instead of one) and passes now; the tests of taskQuarantine, streamRelay, lostPathExceedsAttempts and documentRelay pass (54).

--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -293,8 +293,8 @@
         number: 1742,
         level: "info",
         message:
-            "A connection broke while its endpoint ran a request, and the endpoint can be reached. It counts as crashed only "
-            + "if it turns out to have restarted.",
+            "A connection broke while its endpoint ran a request, and the endpoint isn't known to be down. It counts as crashed "
+            + "only if it turns out to have restarted.",
     },
     requestQuarantined: {
         number: 1719,
--- a/src/request/relay/documents/documentRelay.ts
+++ b/src/request/relay/documents/documentRelay.ts
@@ -273,10 +273,10 @@
         }
         if (!isPathLost) {
             this.environment.health.addFailure(attempt.endpoint.id, this.getTime());
-            const sentAt = attempt.exchange?.getSentTime() ?? attempt.sentAt;
-            const isDown = state === PathState.Down;
-            this.quarantine.noteBreak(attempt.endpoint.id, sentAt, brokenAt, { isDown });
         }
+        const sentAt = attempt.exchange?.getSentTime() ?? attempt.sentAt;
+        const isDown = state === PathState.Down;
+        this.quarantine.noteBreak(attempt.endpoint.id, sentAt, brokenAt, { isDown });
         this.endAttempt(attempt, { isNotRun: false, isPathLost, cause });
     }
 
--- a/src/request/relay/quarantine/unprovenBreaks.ts
+++ b/src/request/relay/quarantine/unprovenBreaks.ts
@@ -1,6 +1,6 @@
 import { LRUCache } from "lru-cache";
 
-/** A connection that broke while its endpoint ran a request, although the endpoint could be reached right after. */
+/** A connection that broke while its endpoint ran a request, after which the endpoint could be reached or only the path seemed lost. */
 interface UnprovenBreak {
     endpointId: string;
     /** Monotonic time in milliseconds at which the connection broke. */
--- a/src/request/relay/streams/attemptSender.ts
+++ b/src/request/relay/streams/attemptSender.ts
@@ -152,7 +152,7 @@
         if (isDown) {
             this.options.environment.health.markUnreachable(id);
         }
-        const end = state === PathState.Lost ? { avoid: [] } : { brokenAt, avoid: [id] };
-        this.options.onEnded(attempt, { isNotRun: false, isDown, cause, ...end });
+        const avoid = state === PathState.Lost ? [] : [id];
+        this.options.onEnded(attempt, { isNotRun: false, brokenAt, isDown, cause, avoid });
     }
 }
--- a/src/request/relay/streams/streamAttemptEnd.ts
+++ b/src/request/relay/streams/streamAttemptEnd.ts
@@ -9,7 +9,7 @@
     isUnsent?: boolean;
     /**
      * Monotonic time in milliseconds at which the connection to the first stage broke, as it does when an endpoint crashes;
-     * undefined if it didn't, or if only the path is lost.
+     * undefined if it didn't.
      */
     brokenAt?: number;
     /** Whether no node can connect to the first stage after its connection broke; undefined if that was not tested. */
--- a/tests/request/relay/quarantine/taskQuarantine.test.ts
+++ b/tests/request/relay/quarantine/taskQuarantine.test.ts
@@ -125,6 +125,22 @@
         }
     });
 
+    // Guards against crashes that never count because the connection went through a peer, or a peer found the endpoint back first.
+    it("is suspected if only the path to the endpoint seemed lost, and the endpoint turns out to have restarted", async () => {
+        for (const kind of [RequestKind.Stream, RequestKind.Idempotent]) {
+            const bench = createBench();
+            const { clock, environment: { quarantine } } = bench;
+            bench.pathState = PathState.Lost;
+            start(bench, kind);
+            await crashEndpoint(bench);
+            assert.equal(quarantine.getCrashes(clock.getMonotonicTime()).length, 0, kind);
+            for (const endpointId of ["1", "2", "3", "4"]) {
+                quarantine.noteRestart(endpointId, clock.getMonotonicTime());
+            }
+            assert.equal(quarantine.getCrashes(clock.getMonotonicTime()).length, 1, kind);
+        }
+    });
+
     it("is suspected if the endpoint ends its answer inside an event and can't be reached", async () => {
         const bench = createBench();
         startStream(bench);
