--- a/tests/request/relay/quarantine/taskQuarantine.test.ts
+++ b/tests/request/relay/quarantine/taskQuarantine.test.ts
@@ -125,6 +125,30 @@
         }
     });
 
+    // Guards against cutting a stream, and holding it back at all nodes, because the endpoints that it was on ended as planned.
+    it("is not suspected if the endpoints had announced that they are leaving", async () => {
+        const bench = createBench();
+        const { clock, environment: { instructions, quarantine, retryBudget } } = bench;
+        const task = { ...createTask(bench, RequestKind.Stream), dueAt: 20_000 };
+        const relay = StreamRelay.create(bench.environment, task, model, () => undefined);
+        retryBudget.observeRequest();
+        relay.start();
+        for (const count of [1, 2, 3]) {
+            assert.equal(bench.sentRequests.length, count);
+            bench.sentRequests.at(-1)!.listener.onHead(200, headers);
+            sendEvent(bench, 2 * count - 1);
+            await clock.advance(300);
+            sendEvent(bench, 2 * count);
+            const { id: endpointId } = relay.attempts.getStages()![0]!.endpoint;
+            const leaving = { isLeaving: true, pauseMilliseconds: undefined };
+            instructions.noteAnswer({ endpointId, instructions: leaving, answerTo: "" });
+            await crashEndpoint(bench, 300);
+            await clock.advance(1_000);
+        }
+        assert.equal(quarantine.getHold("fingerprint", clock.getMonotonicTime()), undefined);
+        assert.equal(bench.sentRequests.length, 4);
+    });
+
     // Guards against crashes that never count because the connection went through a peer, or a peer found the endpoint back first.
     it("is suspected if only the path to the endpoint seemed lost, and the endpoint turns out to have restarted", async () => {
         for (const kind of [RequestKind.Stream, RequestKind.Idempotent]) {
