--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -39,6 +39,8 @@
 
 /** Time after which a request with a part that is held back may be sent again, since a canary may have cleared the part. */
 const unsureRetryMilliseconds = 1_000;
+/** Time in which an endpoint that seems to have crashed is heard again if it is alive, counted from the time of the crash. */
+const refutationMilliseconds = 1_000;
 /** Limits the size of messages between nodes and of the stored record. */
 const maximumListedCrashes = 100;
 const maximumCrashesPerPart = 8;
@@ -54,7 +56,7 @@
 export class RequestQuarantine {
     readonly lateCrashes: LateCrashes;
     /** Broken connections that count as crashes once their endpoints are known to have restarted. */
-    readonly unprovenBreaks = UnprovenBreaks.create();
+    private readonly unprovenBreaks = UnprovenBreaks.create();
     private readonly options: RequestQuarantineOptions;
     private readonly suspects: SuspectList;
     private readonly answeredParts = AnsweredParts.create();
@@ -138,6 +140,13 @@
         this.suspects.add(crash, now);
     }
 
+    /** Adds a broken connection that counts as a crash once its endpoint is known to have restarted, which it may be by now. */
+    addUnprovenBreak(added: Parameters<UnprovenBreaks["add"]>[0]): void {
+        if (this.unprovenBreaks.add(added)) {
+            this.suspects.confirm(added.endpointId);
+        }
+    }
+
     /**
      * Records that an endpoint has restarted under the same id: connections that broke just before did so in a crash, and its answers don't show
      * that it never crashed.
@@ -230,6 +239,18 @@
             : undefined;
     }
 
+    /**
+     * Gets for how many milliseconds it may still turn out that a request is held back for endpoints that are alive; 0 if that is sure, or
+     * if the request isn't held back so.
+     */
+    getDoubt(fingerprint: string, now: number): number {
+        const isUnsure = this.suspects.judge(fingerprint, now) === SuspectVerdict.Unsure;
+        const suspect = isUnsure ? this.suspects.get(fingerprint) : undefined;
+        const isRefutable = suspect !== undefined
+            && [...suspect.crashes.values()].some(({ isConfirmed }) => !isConfirmed);
+        return isRefutable ? Math.max(0, getNewestCrash(suspect) + refutationMilliseconds - now) : 0;
+    }
+
     /**
      * Gets why requests with some parts in their prompts are held back; undefined if they may be sent.
      * @param keys - Keys of the parts.
--- a/src/request/relay/quarantine/taskQuarantine.ts
+++ b/src/request/relay/quarantine/taskQuarantine.ts
@@ -25,6 +25,8 @@
     runMilliseconds: number;
     /** Time from the first event until then; 0 if there was none. */
     answerMilliseconds: number;
+    /** Keys of the parts for which the request was a canary then, whatever it is once the crash is proven. */
+    canaryKeys: readonly string[];
 }
 
 /** Connects a forwarded request to the {@link RequestQuarantine} of the node. */
@@ -78,6 +80,12 @@
         return hold;
     }
 
+    /** Gets for how many milliseconds it may still turn out that the request is held back for endpoints that are alive; 0 if it can't. */
+    getDoubt(): number {
+        const { quarantine, clock } = this.environment;
+        return quarantine.getDoubt(this.task.fingerprint, clock.getMonotonicTime());
+    }
+
     /** Checks if the request is a canary without an answer yet, which only one endpoint may run. */
     isCanary(): boolean {
         return this.canaryKeys.length > 0;
@@ -109,7 +117,8 @@
 
     /**
      * Records that the connection of an attempt broke. The endpoint counts as crashed if no node can connect to it, or once it is known to have
-     * restarted: endpoints also break off single streams and go on with the others.
+     * restarted: endpoints also break off single streams and go on with the others. An endpoint that has announced that it is leaving ends as
+     * announced, and gets no more requests.
      * @param endpointId - Id of the endpoint that ran the request.
      * @param sentAt - Monotonic time in milliseconds at which the request was sent to it.
      * @param at - Monotonic time in milliseconds at which the connection broke. The test of its path takes longer than
@@ -119,17 +128,21 @@
     noteBreak(endpointId: string, sentAt: number, at: number, attempt: BrokenAttempt = {}): void {
         const { firstEventAt, isDown = false } = attempt;
         const answerMilliseconds = firstEventAt === undefined ? 0 : at - firstEventAt;
-        const run = { endpointId, at, runMilliseconds: at - sentAt, answerMilliseconds };
+        const { canaryKeys } = this;
+        const run = { endpointId, at, runMilliseconds: at - sentAt, answerMilliseconds, canaryKeys };
         if (run.runMilliseconds < minimumRunMilliseconds) {
             return;
         }
         this.hasAnswered ||= isAnswered(run);
+        if (this.environment.instructions.isLeaving(endpointId)) {
+            return;
+        }
         if (isDown) {
             this.noteCrash(run, true);
             return;
         }
         const { quarantine, log } = this.environment;
-        quarantine.unprovenBreaks.add({ endpointId, at, onProven: () => this.noteCrash(run, false) });
+        quarantine.addUnprovenBreak({ endpointId, at, onProven: () => this.noteCrash(run, false) });
         log.write(events.connectionBroke, {
             request: this.task.request.id,
             fingerprint: this.task.fingerprint,
@@ -142,7 +155,7 @@
     private noteCrash(run: BrokenRun, isDown: boolean): void {
         const { quarantine } = this.environment;
         const { fingerprint, request, partKeys } = this.task;
-        const { endpointId, at } = run;
+        const { endpointId, at, canaryKeys } = run;
         const crash = { fingerprint, endpointId, at, isDown };
         // A part may become harmful after an endpoint has answered the request.
         const suspectedParts = isAnswered(run) ? [] : partKeys;
@@ -156,8 +169,9 @@
             quarantine.markSafe(fingerprint);
             this.isSafe = false;
         }
-        const { canaryKeys } = this;
-        this.canaryKeys = [];
+        if (this.canaryKeys === canaryKeys) {
+            this.canaryKeys = [];
+        }
         quarantine.noteCrash({ ...crash, partKeys: suspectedParts, canaryKeys }, request.id, {
             parts: suspectedParts.join(","),
             canaryOf: canaryKeys.join(","),
--- a/tests/request/relay/quarantine/taskQuarantine.test.ts
+++ b/tests/request/relay/quarantine/taskQuarantine.test.ts
@@ -108,6 +108,63 @@
         }
     });
 
+    // Guards against requests that go on to all endpoints, because these restart before the test of their paths has ended.
+    it("is suspected if the endpoint is known to have restarted before its path was found open", async () => {
+        for (const kind of [RequestKind.Stream, RequestKind.Idempotent]) {
+            const bench = createBench();
+            const { clock, environment: { quarantine } } = bench;
+            bench.pathState = PathState.Open;
+            bench.pathTestMilliseconds = runMilliseconds;
+            start(bench, kind);
+            await crashEndpoint(bench);
+            for (const endpointId of ["1", "2", "3", "4"]) {
+                quarantine.noteRestart(endpointId, clock.getMonotonicTime());
+            }
+            await clock.advance(runMilliseconds);
+            assert.equal(quarantine.getCrashes(clock.getMonotonicTime()).length, 1, kind);
+        }
+    });
+
+    // Guards against cutting a stream, and holding it back at all nodes, because the endpoints that it was on ended as planned.
+    it("is not suspected if the endpoints had announced that they are leaving", async () => {
+        const bench = createBench();
+        const { clock, environment: { instructions, quarantine, retryBudget } } = bench;
+        const task = { ...createTask(bench, RequestKind.Stream), dueAt: 20_000 };
+        const relay = StreamRelay.create(bench.environment, task, model, () => undefined);
+        retryBudget.observeRequest();
+        relay.start();
+        for (const count of [1, 2, 3]) {
+            assert.equal(bench.sentRequests.length, count);
+            bench.sentRequests.at(-1)!.listener.onHead(200, headers);
+            sendEvent(bench, 2 * count - 1);
+            await clock.advance(300);
+            sendEvent(bench, 2 * count);
+            const { id: endpointId } = relay.attempts.getStages()![0]!.endpoint;
+            const leaving = { isLeaving: true, pauseMilliseconds: undefined };
+            instructions.noteAnswer({ endpointId, instructions: leaving, answerTo: "" });
+            await crashEndpoint(bench, 300);
+            await clock.advance(1_000);
+        }
+        assert.equal(quarantine.getHold("fingerprint", clock.getMonotonicTime()), undefined);
+        assert.equal(bench.sentRequests.length, 4);
+    });
+
+    // Guards against crashes that never count because the connection went through a peer, or a peer found the endpoint back first.
+    it("is suspected if only the path to the endpoint seemed lost, and the endpoint turns out to have restarted", async () => {
+        for (const kind of [RequestKind.Stream, RequestKind.Idempotent]) {
+            const bench = createBench();
+            const { clock, environment: { quarantine } } = bench;
+            bench.pathState = PathState.Lost;
+            start(bench, kind);
+            await crashEndpoint(bench);
+            assert.equal(quarantine.getCrashes(clock.getMonotonicTime()).length, 0, kind);
+            for (const endpointId of ["1", "2", "3", "4"]) {
+                quarantine.noteRestart(endpointId, clock.getMonotonicTime());
+            }
+            assert.equal(quarantine.getCrashes(clock.getMonotonicTime()).length, 1, kind);
+        }
+    });
+
     it("is suspected if the endpoint ends its answer inside an event and can't be reached", async () => {
         const bench = createBench();
         startStream(bench);
