Don't take an endpoint for down that closes new connections at once

What callers saw: nothing measured. An endpoint that had as many connections as it takes, and closed further ones at once, counted as down when the path to it was tested after a stream had broken, and so as crashed.

Cause: the test of a path took each failure to connect for an endpoint that is down, although a reset shows that the path works, as the opening of connections says itself.

Change: a test that ends with a reset has found the path open.

Evidence: the new test of PathTester failed before (down instead of open) and passes now, with the 13 others of that folder.

--- a/src/connection/upstream/path/connectionOpening.ts
+++ b/src/connection/upstream/path/connectionOpening.ts
@@ -4,6 +4,7 @@
 import { TunnelFailureKind } from "../../peer/tunnel/tunnelFailureKind.ts";
 import type { CreateSocket } from "./createSocket.ts";
 import type { EndpointPaths } from "./endpointPaths.ts";
+import { isResetFailure } from "./isResetFailure.ts";
 import { openDirect } from "./openDirect.ts";
 import type { OpenedSocket } from "./openedSocket.ts";
 import type { OpenTunnel } from "./openTunnel.ts";
@@ -29,7 +30,6 @@
 /** A peer that has not answered after this time may have lost its links too, so another one is asked besides. */
 const nextPeerMilliseconds = 50;
 const maximumPeers = 4;
-const resetCode = "ECONNRESET";
 /** An endpoint counts as down once this many peers have answered that they can't connect to it. */
 const maximumEndpointFailures = 3;
 
@@ -94,8 +94,7 @@
             return;
         }
         this.failure = result.val;
-        if (result.val.includes(resetCode)) {
-            // The endpoint accepted the connection and closed it, so the path works.
+        if (isResetFailure(result.val)) {
             paths.recordOpened(address, now);
             this.finish(Err(this.failure));
             return;
--- a/src/connection/upstream/path/pathTester.ts
+++ b/src/connection/upstream/path/pathTester.ts
@@ -3,6 +3,7 @@
 import { ConnectionOpening } from "./connectionOpening.ts";
 import type { CreateSocket } from "./createSocket.ts";
 import type { EndpointPaths } from "./endpointPaths.ts";
+import { isResetFailure } from "./isResetFailure.ts";
 import { openDirect } from "./openDirect.ts";
 import type { OpenTunnel } from "./openTunnel.ts";
 import { PathState } from "./pathState.ts";
@@ -131,7 +132,7 @@
                 directTimeoutMilliseconds,
                 onDone: result => {
                     if (result.err) {
-                        resolve(PathState.Down);
+                        resolve(isResetFailure(result.val) ? PathState.Open : PathState.Down);
                         return;
                     }
                     const { socket, peer } = result.val;
--- a/tests/connection/upstream/path/pathTester.test.ts
+++ b/tests/connection/upstream/path/pathTester.test.ts
@@ -68,4 +68,12 @@
         assert.equal(sockets.length, 2);
         assert.deepEqual(await Promise.all(tests), tests.map(() => PathState.Open));
     });
+
+    // Guards against taking an endpoint for crashed that has too many connections, and closes new ones at once.
+    it("finds a path open on which the endpoint closes the connection at once", async () => {
+        const { sockets, tester } = createBench();
+        const test = tester.test(address);
+        sockets[0]!.emit("error", new Error("connect ECONNRESET"));
+        assert.equal(await test, PathState.Open);
+    });
 });
