Name the reason when a begun stream has no endpoint left

Cause: the reason of the last search was passed on, although the stream ended because no search could succeed any more.

Evidence: the 64 tests of streams pass.

--- a/src/request/relay/streams/streamResumption.ts
+++ b/src/request/relay/streams/streamResumption.ts
@@ -16,6 +16,7 @@
 /** Time until a chain is searched again. It doubles with each search that finds none, up to the maximum. */
 const initialSearchMilliseconds = 50;
 const maximumSearchMilliseconds = 400;
+const noEndpointCause = "No endpoint is left that may run it: those that its route allows have failed it.";
 /** Interval at which it is checked whether a stream is still held back for crashes that may be refuted. */
 const doubtReviewMilliseconds = 100;
 
@@ -88,7 +89,7 @@
             this.state.avoided.delete(id);
         }
         if (!this.state.chains.hasChain(this.state.avoided, this.state.task.dueAt)) {
-            this.callbacks.onHopeless(`${cause} ${reserved.val}`);
+            this.callbacks.onHopeless(`${cause} ${noEndpointCause}`);
             return;
         }
         if (!isRepeated) {
