--- a/tests/platform/answersDuringChanges.test.ts
+++ b/tests/platform/answersDuringChanges.test.ts
@@ -5,6 +5,7 @@
 import { createConfiguration } from "../../standins/router/createConfiguration.ts";
 import { RawCaller } from "../connection/caller/rawCaller.ts";
 import { waitUntil } from "../support/waitUntil.ts";
+import { listAnswers } from "./listAnswers.ts";
 import { RouterTestHarness, type StartedNode } from "./routerTestHarness.ts";
 
 const idleMilliseconds = 600;
@@ -169,19 +170,3 @@
         });
     }
 });
-
-/** Lists the complete answers in a text, in order. */
-function listAnswers(text: string): { id: string; status: string; }[] {
-    const answers: { id: string; status: string; }[] = [];
-    for (let rest = text;;) {
-        const headEnd = rest.indexOf("\r\n\r\n") + 4;
-        const head = rest.slice(0, headEnd);
-        const length = /\r\ncontent-length: (\d+)/i.exec(head)?.[1];
-        const end = length === undefined ? rest.indexOf("\r\n0\r\n\r\n", headEnd - 2) + 7 : headEnd + Number(length);
-        if (headEnd < 4 || end < headEnd || end > rest.length) {
-            return answers;
-        }
-        answers.push({ id: /\r\nrequest-id: (\S+)/i.exec(head)?.[1] ?? "", status: head.slice(9, 12) });
-        rest = rest.slice(end);
-    }
-}
