Go on stopping in time if a further SIGTERM comes

What callers saw: a node that was told to stop a second time, while it was still answering what it had accepted, closed all their connections at once, without an answer or a refusal. Two plans that overlap at a node, or a person who repeats the command, do that.

Cause: the handler of SIGTERM was removed by the first signal, so that the second one had its default action, the end of the process.

Change: the handler stays. The stop has its own deadline, and the platform's SIGKILL follows it. SIGINT is as before: the second one ends the process. `foxlead node` has a meaning of its own for a second signal, with an answer for each request, and isn't changed.

--- a/tests/platform/platformProcess.test.ts
+++ b/tests/platform/platformProcess.test.ts
@@ -142,7 +142,8 @@
         assert.deepEqual(await once(starting, "exit"), [0, null]);
     });
 
-    it("completes requests that arrive before and shortly after SIGTERM, and exits with 0", async () => {
+    // A second SIGTERM ended the process at once, and closed the connections of all requests that it had accepted without an answer.
+    it("completes requests that arrive before and shortly after SIGTERM, also if another follows, and exits with 0", async () => {
         endpoint.behaviour = { delayMilliseconds: 1_000 };
         const taken = call("before");
         await new Promise(resolve => setTimeout(resolve, 200));
@@ -150,6 +151,8 @@
         await new Promise(resolve => setTimeout(resolve, 200));
         assert.equal(await getReadiness(), 503);
         const late = call("after");
+        await waitUntil("both run", () => endpoint.runs.some(({ id }) => id === "after"));
+        child.kill("SIGTERM");
         for (const answer of [await taken, await late]) {
             assert.equal(answer.statusCode, 200);
             assert.equal(answer.headers.connection, "close");
