Have the soak play late beginnings, stops beside long streams, and losses beside changes of the configuration

A request that was cut beside a change of the configuration counted as explained, since changes weren't among the planned operations; one that was read and reached no endpoint never counted; no stream lasts longer than a node has to stop; and no endpoint is slow to begin while others are free.

- Beside planned operations only, to which changes of the configuration belong now, a request is lost too if it reached no endpoint and its connection was closed over 200 ms after it was sent.
- nodeStopBesideLongStreams stops a node while streams of a route of its own last as long as the node has, others wait for memory, and the configuration changes each 0.4 s.
A long stream that has begun may be cut at the end; one without an answer is lost.
- lateBeginWhileOthersAreFree has endpoints, one at a time, begin what they take only after its callers have left.
A caller that leaves a stream without an event then is a violation (notBegun), unless an endpoint stood still.
- The deadline of requests is longer than all timeouts, which decide.

The checks' tests have the new conditions.

--- a/scripts/soak/router/checkRunCounts.ts
+++ b/scripts/soak/router/checkRunCounts.ts
@@ -2,11 +2,15 @@
 import type { CallRecord } from "./callRecord.ts";
 import type { CheckContext } from "./checkContext.ts";
 import type { EndpointRun } from "./endpointRun.ts";
+import { longPathPrefix } from "./longPathPrefix.ts";
 import { notRunStatuses } from "./notRunStatuses.ts";
 
 /** Maximum of attempts that the routes allow. */
 const maximumAttempts = 2;
 const timeoutMilliseconds = 3_000;
+/** Time after its last byte within which a request that crosses the end of its connection may get nothing. */
+const lossSlackMilliseconds = 200;
+const closedPattern = /other side closed|ECONNRESET|socket hang up/;
 /** An endpoint that a request crashes closes its connections this long before its end is noted, at most. */
 const endNoticeMilliseconds = 500;
 
@@ -31,9 +35,13 @@
         violations.add("attempts", `It ran on ${endpointIds.size} endpoints: ${places.join(", ")}.`, record);
     }
     // A request without a run may have been sent just as the node closed the idle connection.
-    const isCut = !isComplete && runs.length > 0 && record.leftAt === undefined;
-    if (isCut && faults.hasOnlyPlannedOperations(record) && endedAt - record.sentAt < timeoutMilliseconds) {
-        violations.add("lost", `It was interrupted: ${record.reason}`, record);
+    const milliseconds = endedAt - record.sentAt;
+    const isRead = runs.length > 0 || milliseconds > lossSlackMilliseconds && closedPattern.test(record.reason);
+    const isCut = !isComplete && isRead && record.leftAt === undefined;
+    // A long stream that has begun may be cut at the end of the time that its node has to stop.
+    const isInTime = record.path.startsWith(longPathPrefix) ? status === 0 : milliseconds < timeoutMilliseconds;
+    if (isCut && isInTime && faults.hasOnlyPlannedOperations(record)) {
+        violations.add("lost", `It was interrupted after ${milliseconds} ms: ${record.reason}`, record);
     }
 }
 
--- a/scripts/soak/router/createCallRecord.ts
+++ b/scripts/soak/router/createCallRecord.ts
@@ -4,7 +4,8 @@
 import { type Customer, customers } from "./customers.ts";
 import type { SoakNode } from "./soakNode.ts";
 
-const deadlineMilliseconds = 5_000;
+/** Longer than the timeout of each route. */
+const deadlineMilliseconds = 30_000;
 
 /** Creates the record of a request to a node that has not been sent yet, and its headers. */
 export function createCallRecord(
--- a/scripts/soak/router/createFullEndpointsKind.ts
+++ b/scripts/soak/router/createFullEndpointsKind.ts
@@ -10,19 +10,22 @@
 
 /** Options of {@link createFullEndpointsKind}. */
 interface FullEndpointsOptions {
+    /** Minimum and maximum pause between streams. The endpoints serve some ten at once. Default: 0 to 100. */
+    pauseMilliseconds?: readonly [number, number];
     /** Number of endpoints that the event happens to, one after the other or overlapping. */
     events: number;
     /** Minimum and maximum time from one event to the next, in milliseconds. */
     intervalMilliseconds: readonly [number, number];
-    /** Minimum and maximum time from an event until the other endpoints are full, and for which they are, in milliseconds. */
-    fullAfterMilliseconds: readonly [number, number];
-    fullMilliseconds: readonly [number, number];
+    /**
+     * Minimum and maximum time from an event until the other endpoints are full, and for which they are, in milliseconds. Default: they
+     * never are.
+     */
+    fullAfterMilliseconds?: readonly [number, number];
+    fullMilliseconds?: readonly [number, number];
     /** What happens to an endpoint, which is reserved until it is over. */
     happen(context: RouterSoakContext, endpoint: SoakEndpoint): Promise<void>;
 }
 
-/** Range of the pauses between streams. The endpoints serve some ten at once. */
-const pauseMilliseconds = [0, 100] as const;
 /** Time for which streams run before the first event, and after the last. */
 const marginMilliseconds = 1_000;
 /** Share of the events beside which the configuration changes. */
@@ -47,6 +50,7 @@
 
 async function runSeries(context: RouterSoakContext, options: FullEndpointsOptions): Promise<void> {
     const { callers, deployment, random } = context;
+    const { pauseMilliseconds = [0, 100] } = options;
     const endSending = startSending(random, pauseMilliseconds, () => {
         lastRequest += 1;
         void callers.sendWithPatience(`patient-${lastRequest}`, callKinds.prompt);
@@ -76,8 +80,11 @@
     endpoint.isTaken = true;
     const others = ofService.filter(each => each !== endpoint);
     const happening = options.happen(context, endpoint);
-    await sleep(random.chooseInteger(...options.fullAfterMilliseconds));
-    await Promise.all(others.map(other => fill(context, other, random.chooseInteger(...options.fullMilliseconds))));
+    const { fullAfterMilliseconds, fullMilliseconds } = options;
+    if (fullAfterMilliseconds !== undefined && fullMilliseconds !== undefined) {
+        await sleep(random.chooseInteger(...fullAfterMilliseconds));
+        await Promise.all(others.map(other => fill(context, other, random.chooseInteger(...fullMilliseconds))));
+    }
     await happening;
     endpoint.isTaken = false;
 }
--- a/scripts/soak/router/createSoakConfiguration.ts
+++ b/scripts/soak/router/createSoakConfiguration.ts
@@ -1,6 +1,7 @@
 import { createConfiguration } from "../../../standins/router/createConfiguration.ts";
 import { callKinds } from "./callKind.ts";
 import { customers } from "./customers.ts";
+import { longPathPrefix } from "./longPathPrefix.ts";
 import { modelRanks } from "./modelRanks.ts";
 import { promptService } from "./promptService.ts";
 
@@ -10,6 +11,8 @@
  */
 const engineChanges = { kinds: [{ name: "big", mb: 5_000, pace: 1, read_x: 1 }] };
 
+const longTimeoutMilliseconds = 20_000;
+
 /** A key that every second version withdraws and that no caller uses. */
 const spareKey = "key-of-nobody";
 
@@ -30,8 +33,9 @@
     const last = { ...model, name: callKinds.last, prefix: `/${callKinds.last}/` };
     const sticky = { service: promptService, sticky: true };
     const prompt = { ...model, ...sticky, name: callKinds.prompt, prefix: `/${callKinds.prompt}/` };
+    const long = { ...prompt, name: "long", prefix: longPathPrefix, timeout_ms: longTimeoutMilliseconds };
     const promptOnce = { ...once, ...sticky, name: callKinds.promptOnce, prefix: `/${callKinds.promptOnce}/` };
-    const ranked = [...routes, last, prompt, promptOnce].map(route => ({
+    const ranked = [...routes, last, prompt, promptOnce, long].map(route => ({
         ...route,
         priority: modelRanks[route.name] ?? 0,
     }));
--- a/scripts/soak/router/harmlessFaultKinds.ts
+++ b/scripts/soak/router/harmlessFaultKinds.ts
@@ -6,6 +6,8 @@
     full: "endpointFull",
     /** It drains, leaves, resets its streams and starts again as another one. */
     replaced: "endpointReplaced",
+    /** It takes requests, and begins to answer them long after others would have. */
+    beginsLate: "endpointBeginsLate",
     /** It breaks off single streams, each once, and goes on with the others. */
     breaksOff: "endpointBreaksOff",
 } as const;
--- a/scripts/soak/router/routerEndpointFaultKinds.ts
+++ b/scripts/soak/router/routerEndpointFaultKinds.ts
@@ -8,6 +8,7 @@
 import type { FaultAction } from "./faultAction.ts";
 import type { FaultDuration } from "./faultDuration.ts";
 import { faultDurations } from "./faultDurations.ts";
+import { lateBeginWhileOthersAreFree } from "./lateBeginWhileOthersAreFree.ts";
 import { replacementWhileOthersAreFull } from "./replacementWhileOthersAreFull.ts";
 import type { RouterSoakContext } from "./routerSoakContext.ts";
 import { silenceWhileOthersAreFull } from "./silenceWhileOthersAreFull.ts";
@@ -56,6 +57,7 @@
     endpointsStandStill,
     silenceWhileOthersAreFull,
     replacementWhileOthersAreFull,
+    lateBeginWhileOthersAreFree,
     [endpointLimitKind.name]: behaviourFault(
         3,
         { requestsPerSecond: endpointLimitKind.requestsPerSecond },
--- a/scripts/soak/router/routerFaults.ts
+++ b/scripts/soak/router/routerFaults.ts
@@ -2,8 +2,9 @@
 import type { CallRecord } from "./callRecord.ts";
 import { harmlessFaultKinds } from "./harmlessFaultKinds.ts";
 
-/** Planned operations at nodes and bursts of requests, which must not interrupt requests. */
-const plannedOperations = ["nodeStop", "nodeStopInBurst", "nodeReload", "burst"];
+/** Planned operations at nodes, changes of the configuration and bursts of requests, which must not interrupt requests. */
+const stops = ["nodeStop", "nodeStopInBurst", "nodeStopBesideLongStreams"];
+const plannedOperations = [...stops, "nodeReload", "configurationChange", "burst"];
 const harmlessKinds: readonly string[] = Object.values(harmlessFaultKinds);
 /** Time after a fault from which invariants with a time limit hold again. */
 const settleMilliseconds = 4_000;
--- a/scripts/soak/router/routerNodeFaultKinds.ts
+++ b/scripts/soak/router/routerNodeFaultKinds.ts
@@ -12,6 +12,7 @@
 import { startAtDeletionKind } from "./startAtDeletionKind.ts";
 import { startBurst } from "./startBurst.ts";
 import { stopAfterLeaving } from "./stopAfterLeaving.ts";
+import { stopBesideLongStreams } from "./stopBesideLongStreams.ts";
 import { takeEndpoint } from "./takeEndpoint.ts";
 
 /** Time from the start of a burst to the end of a node, after which the nodes share the capacity by rank. */
@@ -28,6 +29,7 @@
     nodeStopAtStart: nodeFault(1, faultDurations.minimal, stopAtStart, restart),
     nodeKillInBurst: endInBurst((deployment, node) => deployment.kill(node)),
     nodeStopInBurst: endInBurst((deployment, node) => deployment.terminate(node)),
+    nodeStopBesideLongStreams: nodeFault(3, faultDurations.minimal, stopBesideLongStreams, restart),
     [startAtDeletionKind]: nodeFault(3, faultDurations.minimal, startAtDeletion, () => undefined),
     nodeFreeze: nodeFault(3, faultDurations.long, (_, { process }) => process.signal("SIGSTOP"), thaw),
     nodeReload: nodeFault(2, faultDurations.minimal, (_, { process }) => process.signal("SIGHUP"), () => undefined),
--- a/tests/scripts/callChecks.test.ts
+++ b/tests/scripts/callChecks.test.ts
@@ -231,6 +231,27 @@
         assert.deepEqual(check(cut, createRun()), ["lost"]);
     });
 
+    it("detects requests without a run whose connection ended later than they could cross its end, also beside a change", () => {
+        const changed = timeline.start("configurationChange", "store");
+        Object.assign(changed, { from: 900, to: 1_000 });
+        const cut = { isComplete: false, status: 0, signature: undefined, reason: "SocketError: other side closed" };
+        const checkWithoutRun = (changes: Partial<CallRecord>) => {
+            checks.checkAnswer(createRecord({ ...cut, ...changes }));
+            checks.checkRuns();
+            return violations.getAll().map(({ kind }) => kind);
+        };
+        assert.deepEqual(checkWithoutRun({ endedAt: 1_100 }), []);
+        assert.deepEqual(checkWithoutRun({ endedAt: 1_300, reason: "Error: connect ECONNREFUSED" }), []);
+        assert.deepEqual(checkWithoutRun({ endedAt: 1_300 }), ["lost"]);
+    });
+
+    it("detects a long stream that ended without an answer, and accepts one that has begun", () => {
+        const long = createRecord({ path: "/long/1", endedAt: 8_900, isComplete: false, status: 0 });
+        const run = createRun({ url: "/long/1" });
+        assert.ok(!check({ ...long, status: 200 }, run).includes("lost"));
+        assert.ok(check(long, run).includes("lost"));
+    });
+
     it("detects a request that is still forwarded after it crashed three endpoints", () => {
         const send = (arrivedAt: number, endpointId: string) => {
             const id = `harmful-${arrivedAt}`;
--- a/tests/scripts/checkSilences.test.ts
+++ b/tests/scripts/checkSilences.test.ts
@@ -58,6 +58,18 @@
         assert.equal(harness.count(cut), 0);
     });
 
+    it("detects that a caller left its stream without an event while an endpoint began late, but not otherwise", () => {
+        const left = { status: 0, isComplete: false, leftAt: sentAt + 900, patienceMilliseconds: 900, text: "" };
+        assert.equal(harness.count(left), 0);
+        harness.addFault("endpointBeginsLate", "one");
+        assert.equal(harness.count(left), 1);
+        assert.equal(harness.count({ ...left, text: "id: 1" }), 0);
+        assert.equal(harness.count({ ...left, patienceMilliseconds: undefined }), 0);
+        assert.equal(harness.count(left, "model", false), 0);
+        harness.addFault("endpointStandsStill", "two");
+        assert.equal(harness.count(left), 0);
+    });
+
     it("does not accept that others refuse the request as full, or that one of them is replaced, as an explanation", () => {
         harness.addFault("endpointStandsStill", "one");
         harness.addFault("endpointFull", "two");
