--- a/src/request/relay/links/linkAdmission.ts
+++ b/src/request/relay/links/linkAdmission.ts
@@ -2,6 +2,7 @@
 import type { RandomSource } from "../../../process/randomSource.ts";
 import type { EngineModel } from "../../../version/routing/engineModel.ts";
 import { canBeOnTime } from "./canBeOnTime.ts";
+import { createLinkCrossing } from "./createLinkCrossing.ts";
 import type { DataCentreLink } from "./dataCentreLink.ts";
 import { formatDataCentreLink } from "./formatDataCentreLink.ts";
 import { getActivationBits } from "./getActivationBits.ts";
@@ -10,13 +11,13 @@
 import type { LinkCrossing } from "./linkCrossing.ts";
 import type { LinkCrossingQuery } from "./linkCrossingQuery.ts";
 import type { LinkDelays } from "./linkDelays.ts";
-import { LinkGate } from "./linkGate.ts";
 import { LinkPacer } from "./linkPacer.ts";
 import { LinkQueueTimes } from "./linkQueueTimes.ts";
 import type { LinkReport } from "./linkReport.ts";
 import { LinkRetries } from "./linkRetries.ts";
 import { LinkShares } from "./linkShares.ts";
-import { LinkTraffic } from "./linkTraffic.ts";
+import type { LinkState } from "./linkState.ts";
+import { LinkStates } from "./linkStates.ts";
 
 /** Options of {@link LinkAdmission}. */
 interface LinkAdmissionOptions {
@@ -34,15 +35,6 @@
 
 type LinkOfModel = Pick<LinkCrossingQuery, "from" | "to" | "model">;
 
-/** State of one link. */
-interface LinkState {
-    link: DataCentreLink;
-    gate: LinkGate;
-    traffic: LinkTraffic;
-    /** Monotonic time at which the link was last found to be contended, in milliseconds. */
-    contendedAt: number;
-}
-
 /** Maximum number of times that a stream is sent over the same link. */
 const maximumBegins = 2;
 /**
@@ -57,6 +49,7 @@
 const maximumReportedLinks = 12;
 /** Time after which a link that is no longer contended counts as unused. */
 const contentionMilliseconds = 3_000;
+
 /**
  * Decides which streams may use the links between data centres, at which all chains of all nodes share the bandwidth.
  *
@@ -73,10 +66,11 @@
     private readonly queueTimes: LinkQueueTimes;
     /** Which links keep requests from starting, and the retries that are booked on them. */
     readonly retries = LinkRetries.create();
-    private readonly states = new Map<string, LinkState>();
+    private readonly states: LinkStates;
 
     private constructor(options: LinkAdmissionOptions) {
         this.options = options;
+        this.states = LinkStates.create(options);
         this.shares = LinkShares.create(options);
         this.queueTimes = LinkQueueTimes.create(options.delays);
         this.pacer = LinkPacer.create((from, to, now) => this.shares.getShare(from, to, now));
@@ -93,7 +87,7 @@
      */
     getWait(query: LinkCrossingQuery, now: number): number {
         const { from, to, isRunning, isReturn, beginCount, elapsedMilliseconds, waitLimitMilliseconds } = query;
-        const state = this.getState(from, to);
+        const state = this.states.get(from, to);
         const gateState = state.gate.getState(now, this.getPeerFirstEvent(query, now));
         if (beginCount >= maximumBegins || beginCount > 0 && gateState !== "open") {
             return Infinity;
@@ -142,14 +136,14 @@
      * stream can be on time, since the link may open before.
      */
     private getClosedWait(query: LinkCrossingQuery, slack: number, now: number): number {
-        const { gate } = this.getState(query.from, query.to);
+        const { gate } = this.states.get(query.from, query.to);
         const waited = gate.getClosingWait(now, this.getPeerFirstEvent(query, now));
         return Math.max(minimumWaitMilliseconds, Math.min(query.waitLimitMilliseconds - waited, slack));
     }
 
     /** Gets the time for which a prompt is expected to queue at a link, in milliseconds. */
     private getQueueTime({ from, to, model }: LinkOfModel, now: number): number {
-        const contendedTime = isContended(this.getState(from, to), now) ? getContendedQueueTime(model) : 0;
+        const contendedTime = isContended(this.states.get(from, to), now) ? getContendedQueueTime(model) : 0;
         return Math.max(this.queueTimes.get(from, to, model, now), contendedTime);
     }
 
@@ -189,7 +183,7 @@
 
     /** Records that a request needs a link, whether it may use it or not. */
     noteNeed({ from, to }: DataCentreLink, now: number): void {
-        this.getState(from, to);
+        this.states.get(from, to);
         this.shares.noteNeed(formatDataCentreLink(from, to), now);
     }
 
@@ -215,7 +209,7 @@
         );
         const streams = links.map(link => {
             const { from, to } = link;
-            const state = this.getState(from, to);
+            const state = this.states.get(from, to);
             const { gate, traffic } = state;
             this.noteNeed(link, now);
             const credit = isContended(state, now) ? this.getTypicalOccupancy({ from, to, model }, now) : 0;
@@ -223,40 +217,14 @@
             traffic.add(getActivationBits(model, promptTokens + answerTokens), now);
             return { gate, stream: gate.add(expected, now) };
         });
-        let isWaiting = true;
-        return {
-            noteEvent: at => {
-                if (isWaiting) {
-                    isWaiting = false;
-                    this.queueTimes.record(links, at - now, transfer, at);
-                    for (const { gate, stream } of streams) {
-                        gate.removeAnswered(stream, at);
-                    }
-                }
-            },
-            noteOtherCause: () => {
-                isWaiting = false;
-                for (const { gate, stream } of streams) {
-                    gate.removeUnrelated(stream);
-                }
-            },
-            isQueued: () => isWaiting && streams.some(({ gate, stream }) => gate.isQueued(stream)),
-            end: at => {
-                if (isWaiting) {
-                    isWaiting = false;
-                    for (const { gate, stream } of streams) {
-                        gate.removeUnanswered(stream, at);
-                    }
-                }
-            },
-        };
+        return createLinkCrossing(streams, at => this.queueTimes.record(links, at - now, transfer, at));
     }
 
     /** Creates this node's reports for its peers. */
     createReports(now: number): LinkReport[] {
         const reports: LinkReport[] = [];
         for (const key of this.shares.listNeeded(now).slice(0, maximumReportedLinks)) {
-            const { link, traffic, gate } = this.states.get(key)!;
+            const { link, traffic, gate } = this.states.getByKey(key);
             reports.push({
                 ...link,
                 bitsPerSecond: traffic.getRate(now),
@@ -276,41 +244,23 @@
      */
     applyReports(peerId: string, demand: number, reports: readonly LinkReport[], now: number): void {
         this.shares.applyPeer(peerId, demand, reports.map(({ from, to }) => formatDataCentreLink(from, to)), now);
-        for (const { gate } of this.states.values()) {
+        for (const { gate } of this.states.list()) {
             gate.applyReport(peerId, 0, 0, now);
         }
         for (const { from, to, waiting, longestWaitMilliseconds } of reports) {
-            this.getState(from, to).gate.applyReport(peerId, waiting, longestWaitMilliseconds, now);
+            this.states.get(from, to).gate.applyReport(peerId, waiting, longestWaitMilliseconds, now);
         }
     }
 
     /** Lists the links that this node or a peer has needed since the start, with this node's traffic. */
     listStatus(now: number) {
-        return [...this.states.values()].map(({ link, gate, traffic }) => ({
+        return this.states.list().map(({ link, gate, traffic }) => ({
             ...link,
             bitsPerSecond: Math.round(traffic.getRate(now)),
             waiting: gate.getWaitingCount(),
             ...gate.getStatus(now),
         }));
     }
-
-    private getState(from: string, to: string): LinkState {
-        const key = formatDataCentreLink(from, to);
-        const known = this.states.get(key);
-        if (known !== undefined) {
-            return known;
-        }
-        const link = { from, to };
-        const { log, onClosed } = this.options;
-        const state: LinkState = {
-            link,
-            gate: LinkGate.create({ link, log, onChange: isClosed => onClosed?.(link, isClosed) }),
-            traffic: LinkTraffic.create(),
-            contendedAt: -Infinity,
-        };
-        this.states.set(key, state);
-        return state;
-    }
 }
 
 /**
