Take an endpoint for crashed only if a refusal or a peer proves it, not because this node is cut off

At a node that is cut off from endpoints and peers, two connections that break hold a harmless request back, at the node and, once it can send again, at its peers; a begun stream is cut after a second.

Cause: a test of a path that ended without a connection was Down, whatever the reason: also if the node's own attempt had only timed out and no peer was there, answered or had been asked. TaskQuarantine takes Down as a proof of a crash, and the loss of endpoints as evidence.

Change: the opening of a connection says whether its failure proves that the endpoint is down: its machine refused the connection, or a peer that reaches other endpoints could not connect to it either (for the time in which peers are not asked again, the peers that failed just before). Any other failure is PathState.Unknown: the break is kept as unproven, as after a test that found the path open, and the endpoint is avoided. A peer whose connection was reset by the endpoint proves nothing.

--- a/src/connection/upstream/path/connectionOpening.ts
+++ b/src/connection/upstream/path/connectionOpening.ts
@@ -4,9 +4,11 @@
 import { TunnelFailureKind } from "../../peer/tunnel/tunnelFailureKind.ts";
 import type { CreateSocket } from "./createSocket.ts";
 import type { EndpointPaths } from "./endpointPaths.ts";
+import { isRefusedFailure } from "./isRefusedFailure.ts";
 import { isResetFailure } from "./isResetFailure.ts";
 import { openDirect } from "./openDirect.ts";
 import type { OpenedSocket } from "./openedSocket.ts";
+import type { OpeningFailure } from "./openingFailure.ts";
 import type { OpenTunnel } from "./openTunnel.ts";
 import type { ReceivingSocket } from "./receivingSocket.ts";
 import type { TunnelPeers } from "./tunnelPeers.ts";
@@ -22,7 +24,7 @@
     openTunnel: OpenTunnel;
     directTimeoutMilliseconds: number;
     /** Called once, with the connection or the reason for the failure. */
-    onDone(result: Result<OpenedSocket, string>): void;
+    onDone(result: Result<OpenedSocket, OpeningFailure>): void;
 }
 
 /** Longer than the peer needs to find out that it can't connect to the endpoint. */
@@ -46,6 +48,7 @@
     private pendingTunnels = 0;
     private endpointFailures = 0;
     private failure = "no peer can connect to it.";
+    private isProven = false;
     private isDone = false;
 
     private constructor(options: ConnectionOpeningOptions) {
@@ -59,7 +62,10 @@
 
     private run(): void {
         const { address, clock, paths } = this.options;
-        const { isDirect, peerDelayMilliseconds } = paths.planOpen(address, clock.getMonotonicTime());
+        const now = clock.getMonotonicTime();
+        const { isDirect, peerDelayMilliseconds } = paths.planOpen(address, now);
+        // Peers that have just failed to connect to it are not asked again.
+        this.isProven = !paths.mayAskPeers(address, now);
         if (isDirect) {
             this.tryDirect();
         }
@@ -96,9 +102,10 @@
         this.failure = result.val;
         if (isResetFailure(result.val)) {
             paths.recordOpened(address, now);
-            this.finish(Err(this.failure));
+            this.fail();
             return;
         }
+        this.isProven ||= isRefusedFailure(result.val);
         paths.recordFailed(address, result.val, now);
         this.tryPeer();
     }
@@ -142,7 +149,7 @@
             this.tryDirect();
         }
         else if (!this.isDirectPending && this.pendingTunnels === 0) {
-            this.finish(Err(this.failure));
+            this.fail();
         }
     }
 
@@ -163,6 +170,7 @@
         else {
             paths.noteFailure(address, result.val.message);
             this.endpointFailures += 1;
+            this.isProven ||= !isResetFailure(result.val.message);
         }
         this.tryPeer();
     }
@@ -176,7 +184,11 @@
         this.finish(Ok(opened));
     }
 
-    private finish(result: Result<OpenedSocket, string>): void {
+    private fail(): void {
+        this.finish(Err({ message: this.failure, isProven: this.isProven }));
+    }
+
+    private finish(result: Result<OpenedSocket, OpeningFailure>): void {
         if (!this.isDone) {
             this.isDone = true;
             this.timer?.cancel();
--- a/src/connection/upstream/path/endpointConnector.ts
+++ b/src/connection/upstream/path/endpointConnector.ts
@@ -63,7 +63,12 @@
      * @param onDone - Called once, with the connection or the reason for the failure.
      */
     open(address: string, onDone: (result: Result<OpenedSocket, string>) => void): void {
-        ConnectionOpening.start({ ...this.options, address, directTimeoutMilliseconds, onDone });
+        ConnectionOpening.start({
+            ...this.options,
+            address,
+            directTimeoutMilliseconds,
+            onDone: result => onDone(result.mapErr(({ message }) => message)),
+        });
     }
 
     /**
--- a/src/connection/upstream/path/pathTester.ts
+++ b/src/connection/upstream/path/pathTester.ts
@@ -5,6 +5,7 @@
 import type { EndpointPaths } from "./endpointPaths.ts";
 import { isResetFailure } from "./isResetFailure.ts";
 import { openDirect } from "./openDirect.ts";
+import type { OpeningFailure } from "./openingFailure.ts";
 import type { OpenTunnel } from "./openTunnel.ts";
 import { PathState } from "./pathState.ts";
 import type { TunnelPeers } from "./tunnelPeers.ts";
@@ -132,7 +133,7 @@
                 directTimeoutMilliseconds,
                 onDone: result => {
                     if (result.err) {
-                        resolve(isResetFailure(result.val) ? PathState.Open : PathState.Down);
+                        resolve(judgeFailure(result.val));
                         return;
                     }
                     const { socket, peer } = result.val;
@@ -148,3 +149,10 @@
         return this.options.clock.getMonotonicTime();
     }
 }
+
+function judgeFailure({ message, isProven }: OpeningFailure): PathState {
+    if (isResetFailure(message)) {
+        return PathState.Open;
+    }
+    return isProven ? PathState.Down : PathState.Unknown;
+}
--- a/src/request/relay/quarantine/taskQuarantine.ts
+++ b/src/request/relay/quarantine/taskQuarantine.ts
@@ -12,7 +12,7 @@
 interface BrokenAttempt {
     /** Monotonic time in milliseconds of the first event of the answer; undefined if there was none. */
     firstEventAt?: number | undefined;
-    /** Whether no node can connect to the endpoint any more. */
+    /** Whether it is proven that no node can connect to the endpoint any more, see `PathState.Down`. */
     isDown?: boolean | undefined;
 }
 
