Let a stream that may have run without an answer wait for a chain, instead of ending it with 502 for want of room

Cause: a request without an answer went to the queue again, whose refusal ended it; with a request that may have run, the refusal is no "not run". Only streams that have begun waited for a chain.

Change: a resumable stream that may have run and is refused by the queue, or by more endpoints than a request may be refused by, goes on like one that has begun: it searches at growing intervals, with the pauses after refusals, the runs that its route allows and the retry budget, from which streams that can't be refused get theirs first. It ends with 502 when its caller would leave (getLatestStart), if no endpoint is left that may run it, or when its node ends, which is why the queue knows of those that wait outside of it. A request that is held back for crashes ends at once as before, and each search asks that first. The same holds after a 5xx answer, which is passed on at the end of the wait.

--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -262,7 +262,7 @@
         number: 1733,
         level: "warn",
         message:
-            "A stream that has begun waits for a chain that it can continue on. Add endpoints if this happens often.",
+            "A stream that has begun or may have run waits for a chain that it can go on over. Add endpoints if this happens often.",
     },
     retriesAsked: {
         number: 1737,
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -66,7 +66,7 @@
         this.resumption = StreamResumption.create(state, {
             onReserved,
             onDue: (cause, isRetry) => this.guard.run(() => this.startAttempt(cause, isRetry)),
-            onHopeless: cause => this.giveUp(cause),
+            onHopeless: cause => this.guard.run(() => this.giveUp(cause)),
         });
         this.sender = AttemptSender.create({
             environment,
@@ -127,11 +127,13 @@
         if (this.endIfHeld(cause)) {
             return;
         }
-        if (!(isBegun ? this.state.attemptLimit.mayRunAgain() : this.state.attemptLimit.mayAttemptAgain())) {
+        const mayAttempt = this.state.attemptLimit.mayAttemptAgain();
+        const isKept = isBegun || this.resumption.isSearching() || !mayAttempt && this.mayResume();
+        if (!(isKept ? this.state.attemptLimit.mayRunAgain() : mayAttempt)) {
             this.giveUp(`${cause} The request may not be sent again.`);
             return;
         }
-        if (isBegun) {
+        if (isKept) {
             this.resumption.resume(cause, isRetry);
             return;
         }
@@ -151,7 +153,13 @@
             },
             refuse: (reason, retryAfterMilliseconds, bound) => {
                 this.queuedRelay = undefined;
-                this.guard.run(() => this.reject(`${cause} ${reason}`, retryAfterMilliseconds, bound));
+                this.guard.run(() => {
+                    if (this.mayResume()) {
+                        this.resumption.resume(`${cause} ${reason}`, isRetry);
+                        return;
+                    }
+                    this.reject(`${cause} ${reason}`, retryAfterMilliseconds, bound);
+                });
             },
         });
         environment.queue.submit(this.queuedRelay);
@@ -366,6 +374,11 @@
         }
     }
 
+    /** Checks if a request that may have run without an answer goes on instead of ending with an unknown outcome. */
+    private mayResume(): boolean {
+        return this.isResumable() && this.state.answer.hasRun() && !this.state.environment.queue.hasRefusedAll();
+    }
+
     private isResumable(): boolean {
         return this.task.route.isResumable;
     }
--- a/src/request/relay/streams/streamResumption.ts
+++ b/src/request/relay/streams/streamResumption.ts
@@ -1,6 +1,7 @@
 import type { TimerHandle } from "../../../process/clock.ts";
 import { Err } from "../../../result.ts";
 import type { ReservedChain } from "../chains/reservedChain.ts";
+import { getLatestStart } from "../queue/getLatestStart.ts";
 import type { StreamState } from "./streamState.ts";
 
 /** What the relay of a stream does for its resumption. */
@@ -19,8 +20,12 @@
 const noEndpointCause = "No endpoint is left that may run it: those that its route allows have failed it.";
 /** Interval at which it is checked whether a stream is still held back for crashes that may be refuted. */
 const doubtReviewMilliseconds = 100;
+const shutdownCause = "This node is shutting down.";
 
-/** Continues a stream that has begun and has no chain, as soon as there is one. */
+/**
+ * Continues a stream that can't be refused any more and has no chain, as soon as there is one: it has begun, or it may have run without an
+ * answer, so that its caller would not know whether to send it again.
+ */
 export class StreamResumption {
     private readonly state: StreamState;
     private readonly callbacks: StreamResumptionCallbacks;
@@ -29,6 +34,7 @@
     private searches = 0;
     /** Whether it waits until the crashes for which the request is held back are refuted. */
     private isInDoubt = false;
+    private readonly endAtShutdown = () => this.callbacks.onHopeless(shutdownCause);
 
     private constructor(state: StreamState, callbacks: StreamResumptionCallbacks) {
         this.state = state;
@@ -43,6 +49,12 @@
     /** Stops searching for a chain. */
     cancel(): void {
         this.timer?.cancel();
+        this.state.environment.queue.removeUnqueued(this.endAtShutdown);
+    }
+
+    /** Checks if it searches for a chain. */
+    isSearching(): boolean {
+        return this.searches > 0;
     }
 
     /**
@@ -62,24 +74,32 @@
     }
 
     /**
-     * Continues a stream that has begun as soon as there is a chain for it. It goes before requests that wait in the queue, since its caller
-     * would give up sooner. Lack of capacity doesn't end it: the caller may wait longer than the endpoints are full. It ends if all endpoints
-     * that may run it have broken it off and can't be reached.
+     * Continues a stream as soon as there is a chain for it. It goes before requests that wait in the queue, since its caller would give up
+     * sooner. Lack of capacity doesn't end one that has begun: the caller may wait longer than the endpoints are full. One without an answer
+     * ends when its caller is about to leave. Either ends if all endpoints that may run it have broken it off and can't be reached.
      * @param cause - Why it has no chain.
      * @param isRetry - Whether the next run counts against the retry budget.
      */
     resume(cause: string, isRetry: boolean): void {
         this.isInDoubt = false;
-        const now = this.state.environment.clock.getMonotonicTime();
-        const isRepeated = this.searches > 0;
+        const { environment, task, answer } = this.state;
+        const now = environment.clock.getMonotonicTime();
+        const isBegun = answer.isBegun();
+        const isFirstSearch = this.searches === 0;
         const pause = this.state.pacing.getPause(now);
         const avoid = new Set([...this.state.avoided, ...this.state.pacing.listRefusing(now)]);
         const maySuspect = this.state.pacing.mayTrySuspects(now);
+        // One without an answer has counted as demand when it was refused.
+        const isRepeated = !isFirstSearch || !isBegun;
+        if (!isBegun) {
+            environment.streamRetries.noteBegun(task);
+        }
         const reserved = pause > 0
             ? Err("Endpoints have just refused it.")
             : this.state.replacement.reserve({ avoid, isRetry, isRepeated, maySuspect });
         if (reserved.ok) {
             this.searches = 0;
+            environment.queue.removeUnqueued(this.endAtShutdown);
             this.callbacks.onReserved(reserved.val);
             return;
         }
@@ -92,14 +112,21 @@
             this.callbacks.onHopeless(`${cause} ${noEndpointCause}`);
             return;
         }
-        if (!isRepeated) {
-            this.state.logger.writeWait(`${cause} ${reserved.val}`, this.state.attemptLimit);
-        }
         const delay = Math.max(
             pause,
             Math.min(initialSearchMilliseconds * 2 ** this.searches, maximumSearchMilliseconds),
         );
+        if (!isBegun && now + delay > getLatestStart(environment, task)) {
+            this.callbacks.onHopeless(`${cause} ${reserved.val}`);
+            return;
+        }
+        if (isFirstSearch) {
+            this.state.logger.writeWait(`${cause} ${reserved.val}`, this.state.attemptLimit);
+        }
+        if (!isBegun) {
+            environment.queue.addUnqueued(this.endAtShutdown);
+        }
         this.searches += 1;
-        this.timer = this.state.environment.clock.setTimer(delay, () => this.callbacks.onDue(cause, isRetry));
+        this.timer = environment.clock.setTimer(delay, () => this.callbacks.onDue(cause, isRetry));
     }
 }
