Log where a stream stood whose caller left before its first event

Callers left without an event, and the logs did not tell how long their request had waited at which first stage, when an event last came through that stage, or why the request was not sent over another chain too: FL1710 has the chain, the attempts and the retries left.

FL1745 says so, one line for each such caller. The search for a second chain now returns why there is none, and the stall detector names its reason where it doesn't search. No decision changes.

Evidence: the new test of streams/callerLeftUnserved reads the line; the event didn't exist before.

--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -243,6 +243,13 @@
     },
     requestCrashed: { number: 1703, level: "error", message: "A request failed with an unexpected error." },
     relayEnded: { number: 1710, level: "info", message: "A routed request has ended." },
+    callerLeftUnserved: {
+        number: 1745,
+        level: "info",
+        message:
+            "A caller left a stream before its first event. The line names the first stage that had the request, for how long, and why "
+            + "no other chain was tried.",
+    },
     relayAttemptFailed: {
         number: 1711,
         level: "warn",
--- a/src/request/relay/detection/stallDetector.ts
+++ b/src/request/relay/detection/stallDetector.ts
@@ -235,9 +235,15 @@
             linkDelays.recordFirstEvent(dataCentres, now - (relay.attempts.getSentAt() ?? now), now);
         }
         const isOverdue = now - (relay.attempts.getLastProgress() ?? now) > overdueMilliseconds;
-        if (isOverdue && !relay.attempts.isQueuedAtLink() && this.hasProgressingStream(dataCentres.join(), now)) {
+        if (relay.attempts.isQueuedAtLink()) {
+            relay.moves.noteStay("It may be queued at a link.");
+            return;
+        }
+        if (isOverdue && this.hasProgressingStream(dataCentres.join(), now)) {
             hedgeIfFirst(relay, first.id, "the chain is silent while others make progress.");
+            return;
         }
+        relay.moves.noteStay("The first stage answers checks, and no other stream shows that others are faster.");
     }
 
     private hasProgressingStream(dataCentres: string, now: number): boolean {
--- a/src/request/relay/streams/chainReplacement.ts
+++ b/src/request/relay/streams/chainReplacement.ts
@@ -63,16 +63,20 @@
 
     /**
      * Reserves a chain for a request while it still runs on another one, so that the run is given up only for a chain that takes over.
-     * @returns The chain; undefined if the request may not be sent again or there is no chain.
+     * @returns The chain; otherwise why the request stays where it is.
      */
-    reserveForRunning(requirements: RunningReplacementRequirements): ReservedChain | undefined {
+    reserveForRunning(requirements: RunningReplacementRequirements): Result<ReservedChain, string> {
         const { task, chains, attemptLimit, quarantine } = this.options;
-        const mayContinue = task.route.isResumable
-            && attemptLimit.mayRunAgain()
-            && (requirements.mayReturn || !chains.isFirstStageRestricted())
-            && !quarantine.isCanary()
-            && !quarantine.isHeld();
-        return mayContinue ? this.choose(requirements, true).unwrapOr(undefined) : undefined;
+        if (!task.route.isResumable) {
+            return Err("Its route allows no second run.");
+        }
+        if (!attemptLimit.mayRunAgain() || !requirements.mayReturn && chains.isFirstStageRestricted()) {
+            return Err("It was sent to as many endpoints as it may be.");
+        }
+        if (quarantine.isCanary() || quarantine.isHeld()) {
+            return Err("It may crash endpoints.");
+        }
+        return this.choose(requirements, true);
     }
 
     private choose(
--- a/src/request/relay/streams/streamLogger.ts
+++ b/src/request/relay/streams/streamLogger.ts
@@ -39,6 +39,10 @@
     attempt: StreamAttempt | undefined;
     /** Monotonic time in milliseconds at which the first byte was sent to an endpoint. */
     firstSentAt: number | undefined;
+    /** Whether the attempt may have been queued at a link. */
+    isQueuedAtLink: boolean;
+    /** Why there was no second chain. */
+    obstacle: string;
 }
 
 /** Writes the log entries of a streamed request. */
@@ -138,8 +142,12 @@
     }
 
     /** Logs how the request ended. */
-    writeEnd({ outcome, cause, attempts, attempt, firstSentAt }: EndedRequest): void {
+    writeEnd(ended: EndedRequest): void {
         const { environment, task } = this;
+        const { outcome, cause, attempts, attempt, firstSentAt } = ended;
+        if (outcome === "callerGone" && this.progress.getCount() === 0) {
+            this.writeUnserved(ended);
+        }
         const { arrivedAt, promptTokens } = task.request;
         environment.log.write(events.relayEnded, {
             ...createEndFields(environment, task, {
@@ -160,6 +168,23 @@
         });
     }
 
+    /** Logs where a stream stood whose caller left before its first event. */
+    private writeUnserved({ attempt, attempts, isQueuedAtLink, obstacle }: EndedRequest): void {
+        const { health, log } = this.environment;
+        const endpointId = attempt?.stages[0]!.endpoint.id ?? "";
+        const lastAliveAt = health.getLastAliveTime(endpointId);
+        log.write(events.callerLeftUnserved, {
+            request: this.task.request.id,
+            endpoint: endpointId,
+            heldMilliseconds: this.getMillisecondsSince(attempt?.sentAt ?? this.task.request.arrivedAt),
+            unheardMilliseconds: lastAliveAt === -Infinity ? "" : this.getMillisecondsSince(lastAliveAt),
+            isQueuedAtLink,
+            attempt: attempts.getAttemptCount(),
+            ...this.describeRetries(attempts),
+            obstacle: attempt === undefined ? "It had no chain." : obstacle,
+        });
+    }
+
     /** Describes what refusals have cost, and how many retries the node has left. */
     private describeRetries(
         attempts: Pick<AttemptLimit, "getRefusalCount">,
--- a/src/request/relay/streams/streamMoves.ts
+++ b/src/request/relay/streams/streamMoves.ts
@@ -1,3 +1,4 @@
+import { Err } from "../../../result.ts";
 import type { RelayStage } from "../chains/relayStage.ts";
 import type { ReservedChain } from "../chains/reservedChain.ts";
 import type { StreamAttempt } from "./streamAttempt.ts";
@@ -16,6 +17,7 @@
 export class StreamMoves {
     private readonly state: StreamState;
     private readonly callbacks: StreamMovesCallbacks;
+    private obstacle = "It was not looked for.";
 
     private constructor(state: StreamState, callbacks: StreamMovesCallbacks) {
         this.state = state;
@@ -27,6 +29,19 @@
         return new StreamMoves(state, callbacks);
     }
 
+    /** Gets why the last search for a second chain found none, for the log. */
+    getObstacle(): string {
+        return this.obstacle;
+    }
+
+    /**
+     * Records why no second chain is searched.
+     * @param cause - Why the stream stays where it is.
+     */
+    noteStay(cause: string): void {
+        this.obstacle = cause;
+    }
+
     /**
      * Chooses another chain with the same first stage.
      * @param avoid - Ids of endpoints that block the stream, which the chain must not use.
@@ -184,8 +199,13 @@
     ): ReservedChain | undefined {
         const now = this.state.environment.clock.getMonotonicTime();
         const avoided = new Set([...this.state.avoided, ...this.state.pacing.listRefusing(now), ...avoid]);
-        return this.state.pacing.getPause(now) > 0
-            ? undefined
+        const reserved = this.state.pacing.getPause(now) > 0
+            ? Err("Endpoints have just refused it.")
             : this.state.replacement.reserveForRunning({ avoid: avoided, ...requirements });
+        if (reserved.ok) {
+            return reserved.val;
+        }
+        this.obstacle = reserved.val;
+        return undefined;
     }
 }
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -403,6 +403,7 @@
             this.state.environment.queue.remove(this.queuedRelay);
         }
         const current = this.attempts.getCurrent();
+        const isQueuedAtLink = this.attempts.isQueuedAtLink();
         for (const attempt of this.attempts.list()) {
             attempt.exchange?.abort();
             this.releaseAttempt(attempt);
@@ -414,6 +415,8 @@
             attempts: this.state.attemptLimit,
             attempt: current,
             firstSentAt,
+            isQueuedAtLink,
+            obstacle: this.moves.getObstacle(),
         });
         this.onDone();
     }
