--- a/tests/platform/changesBesideRequests.test.ts
+++ b/tests/platform/changesBesideRequests.test.ts
@@ -118,7 +118,7 @@
         await wait(50);
         await apply();
         await wait(50);
-        measured.write("dy" + createWhole("next", "/safe/x"));
+        measured.write("dy" + createHead("next", "/safe/x", "Content-Length: 0"));
         chunked.write("2\r\ndy\r\n0\r\n\r\n");
         const expected: [RawCaller, string[]][] = [
             [begun, ["begun"]],
--- a/tests/platform/routerTestHarness.ts
+++ b/tests/platform/routerTestHarness.ts
@@ -45,6 +45,8 @@
 }
 
 const maximumStarts = 3;
+/** Maximum size of a body before a configuration is known. */
+const maximumBodyBytes = 100_000;
 let requestCount = 0;
 
 /** Test harness with a store, endpoints and router nodes, all in this process and on loopback addresses. */
@@ -210,7 +212,9 @@
             address,
             clock,
             log,
-            getMaximumBodyBytes: () => 100_000,
+            getMaximumBodyBytes: () => node.getRouting()?.configuration.limits.bodyBytes ?? maximumBodyBytes,
+            getIdleMilliseconds: () => node.getRouting()?.configuration.limits.idleTimeoutMilliseconds ?? 0,
+            refuseEarly: head => node.refuseEarly(head),
             handle: (request, sink) => node.handle(request, sink),
         });
         return { node, callers, store, log, address, peerAddress, links };
