Forget broken connections once they can't be proven to be crashes any more

What callers saw: nothing. A node that has served its last broken connection kept up to 1,000 requests with their bodies in memory, until the next connection broke.

Cause: UnprovenBreaks dropped old breaks only as it added one, and their closures hold the requests.

Change: each break is followed by a timer of the time in which it can be proven, which forgets the old ones. The break has a named type of its own in place of Parameters<...>.

--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -14,6 +14,7 @@
 import type { SuspectedCrash } from "./suspectedCrash.ts";
 import { SuspectList } from "./suspectList.ts";
 import { SuspectVerdict } from "./suspectVerdict.ts";
+import type { UnprovenBreak } from "./unprovenBreak.ts";
 import { UnprovenBreaks } from "./unprovenBreaks.ts";
 
 /** Options of a {@link RequestQuarantine}. */
@@ -141,12 +142,17 @@
     }
 
     /** Adds a broken connection that counts as a crash once its endpoint is known to have restarted, which it may be by now. */
-    addUnprovenBreak(added: Parameters<UnprovenBreaks["add"]>[0]): void {
+    addUnprovenBreak(added: UnprovenBreak): void {
         if (this.unprovenBreaks.add(added)) {
             this.suspects.confirm(added.endpointId);
         }
     }
 
+    /** Forgets the broken connections that can't be proven any more. */
+    forgetOldBreaks(now: number): void {
+        this.unprovenBreaks.forgetOld(now);
+    }
+
     /**
      * Records that an endpoint has restarted under the same id: connections that broke just before did so in a crash, and its answers don't show
      * that it never crashed.
--- a/src/request/relay/quarantine/taskQuarantine.ts
+++ b/src/request/relay/quarantine/taskQuarantine.ts
@@ -1,6 +1,7 @@
 import { events } from "../../../process/logging/events.ts";
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
+import { proofMilliseconds } from "./proofMilliseconds.ts";
 import type { RequestHold } from "./requestHold.ts";
 
 /** If a connection breaks sooner than this after sending, the endpoint had already crashed before it could run the request. */
@@ -141,8 +142,9 @@
             this.noteCrash(run, true);
             return;
         }
-        const { quarantine, log } = this.environment;
+        const { quarantine, log, clock } = this.environment;
         quarantine.addUnprovenBreak({ endpointId, at, onProven: () => this.noteCrash(run, false) });
+        clock.setTimer(proofMilliseconds, () => quarantine.forgetOldBreaks(clock.getMonotonicTime()));
         log.write(events.connectionBroke, {
             request: this.task.request.id,
             fingerprint: this.task.fingerprint,
--- a/src/request/relay/quarantine/unprovenBreaks.ts
+++ b/src/request/relay/quarantine/unprovenBreaks.ts
@@ -1,16 +1,7 @@
 import { LRUCache } from "lru-cache";
+import { proofMilliseconds } from "./proofMilliseconds.ts";
+import type { UnprovenBreak } from "./unprovenBreak.ts";
 
-/** A connection that broke while its endpoint ran a request, after which the endpoint could be reached or only the path seemed lost. */
-interface UnprovenBreak {
-    endpointId: string;
-    /** Monotonic time in milliseconds at which the connection broke. */
-    at: number;
-    /** Called if the endpoint turns out to have restarted, and so to have crashed. */
-    onProven(): void;
-}
-
-/** An endpoint that restarts so quickly that it can be reached right after a crash is known to have restarted within this time. */
-const restartMilliseconds = 2_000;
 const maximumBreaks = 1_000;
 const maximumRestarted = 1_000;
 
@@ -31,17 +22,24 @@
         return new UnprovenBreaks();
     }
 
-    /** Adds a break, and forgets old ones. A break at an endpoint that is known to have restarted is proven at once. Returns whether it is. */
+    /** Adds a break. One at an endpoint that is known to have restarted is proven at once. Returns whether it is. */
     add(added: UnprovenBreak): boolean {
         if (this.restarted.has(added.endpointId)) {
             added.onProven();
             return true;
         }
-        const kept = this.breaks.filter(({ at }) => added.at - at < restartMilliseconds);
-        this.breaks = [...kept.slice(-(maximumBreaks - 1)), added];
+        this.breaks = [...this.breaks.slice(-(maximumBreaks - 1)), added];
         return false;
     }
 
+    /**
+     * Forgets the breaks that can't be proven any more, with the requests that they hold.
+     * @param now - Monotonic time in milliseconds.
+     */
+    forgetOld(now: number): void {
+        this.breaks = this.breaks.filter(({ at }) => now - at < proofMilliseconds);
+    }
+
     /**
      * Proves the recent breaks at an endpoint, since it is known to have restarted.
      * @param endpointId - Id of the endpoint before the restart.
@@ -49,9 +47,8 @@
      */
     prove(endpointId: string, now: number): void {
         this.restarted.set(endpointId, true);
-        const proven = this.breaks.filter(({ endpointId: id, at }) =>
-            id === endpointId && now - at < restartMilliseconds
-        );
+        this.forgetOld(now);
+        const proven = this.breaks.filter(each => each.endpointId === endpointId);
         this.breaks = this.breaks.filter(each => each.endpointId !== endpointId);
         for (const { onProven } of proven) {
             onProven();
--- a/tests/request/relay/quarantine/taskQuarantine.test.ts
+++ b/tests/request/relay/quarantine/taskQuarantine.test.ts
@@ -4,6 +4,7 @@
 import { UpstreamFailureKind } from "../../../../src/connection/upstream/upstreamFailureKind.ts";
 import { events } from "../../../../src/process/logging/events.ts";
 import { DocumentRelay } from "../../../../src/request/relay/documents/documentRelay.ts";
+import { proofMilliseconds } from "../../../../src/request/relay/quarantine/proofMilliseconds.ts";
 import { StreamRelay } from "../../../../src/request/relay/streams/streamRelay.ts";
 import { RequestKind } from "../../../../src/version/routing/requestKind.ts";
 import { RelayBench } from "../relayBench.ts";
@@ -47,6 +48,11 @@
     listener.onFailure(broken);
 }
 
+/** Gets the id of the endpoint whose connection broke last without a proof of a crash. */
+function getBrokenId({ log }: RelayBench): string {
+    return String(log.fields[log.numbers.lastIndexOf(events.connectionBroke.number)]?.["endpoint"]);
+}
+
 function sendEvent(bench: RelayBench, id: number): void {
     bench.sentRequests.at(-1)!.listener.onData(Buffer.from(`id: ${id}\ndata: x\n\n`));
 }
@@ -101,9 +107,7 @@
             start(bench, kind);
             for (const count of [1, 2]) {
                 await crashEndpoint(bench);
-                const line = bench.log.numbers.lastIndexOf(events.connectionBroke.number);
-                const endpointId = String(bench.log.fields[line]?.["endpoint"]);
-                bench.environment.quarantine.noteRestart(endpointId, bench.clock.getMonotonicTime() + 100);
+                bench.environment.quarantine.noteRestart(getBrokenId(bench), bench.clock.getMonotonicTime() + 100);
                 assert.equal(bench.environment.quarantine.getCrashes(bench.clock.getMonotonicTime()).length, count);
             }
             start(bench, kind);
@@ -111,6 +115,19 @@
         }
     });
 
+    // Guards against a node that keeps requests that have ended in memory until the next connection breaks.
+    it("is forgotten with its broken connection once that can't be proven any more", async () => {
+        const bench = createBench();
+        const { clock, environment: { quarantine } } = bench;
+        bench.pathState = PathState.Open;
+        startStream(bench);
+        await crashEndpoint(bench);
+        const brokenAt = clock.getMonotonicTime();
+        await clock.advance(proofMilliseconds);
+        quarantine.noteRestart(getBrokenId(bench), brokenAt);
+        assert.equal(quarantine.getCrashes(clock.getMonotonicTime()).length, 0);
+    });
+
     // Guards against requests that go on to all endpoints, because these restart before the test of their paths has ended.
     it("is suspected if the endpoint is known to have restarted before its path was found open", async () => {
         for (const kind of [RequestKind.Stream, RequestKind.Idempotent]) {
