Count a broken connection as a crash, too, if its endpoint refuses connections within two seconds

What callers saw: nothing measured. A request that crashes endpoints which still accept a connection as they crash, or whose node was cut off as it tested the path, was held against nothing until the endpoint was known to have restarted within two seconds.

Cause: a break that was not proven at once could be proven by a restart under the same id only.

Change: a refused connection, of this node or of a peer that it asked, to an endpoint that accepts requests and isn't leaving proves the breaks at it of the last two seconds, as a test of the path that ends so does. The endpoint counts as down, not as restarted, so that it refutes the crash if it is heard again.

The call from the router's refused connections to the quarantine is covered by the type check only.

--- a/src/process/router/routerEndpoints.ts
+++ b/src/process/router/routerEndpoints.ts
@@ -27,6 +27,12 @@
     wakePlacement(): void;
     /** Called with the previous state of an endpoint that has restarted under the same id. */
     onRestart(earlier: RegisteredEndpoint): void;
+    /**
+     * Called when the machine of an endpoint that accepted requests refuses connections.
+     * @param endpointId - Id of the endpoint.
+     * @param now - Monotonic time in milliseconds.
+     */
+    onEnded(endpointId: string, now: number): void;
 }
 
 /**
@@ -95,11 +101,19 @@
             nodes: liveNodes.table,
             getRegistry: () => this.registry,
             onLinksChanged: propagateUpdate,
-            onRefused: address =>
-                this.ends.noteRefusal(address, this.isReadyAt(address), node.clock.getMonotonicTime()),
+            onRefused: address => this.handleRefused(address),
         });
     }
 
+    private handleRefused(address: string): void {
+        const now = this.options.node.clock.getMonotonicTime();
+        const readyId = this.getReadyIdAt(address);
+        this.ends.noteRefusal(address, readyId !== undefined, now);
+        if (readyId !== undefined) {
+            this.options.onEnded(readyId, now);
+        }
+    }
+
     private createLosses(): EndpointLosses {
         const { node: { clock, log, metrics }, liveNodes, propagateUpdate, wakePlacement } = this.options;
         return EndpointLosses.create({
@@ -140,9 +154,11 @@
     }
 
     /** Checks if the endpoint at an address is registered and not leaving. */
-    private isReadyAt(address: string): boolean {
+    /** Gets the id of the endpoint at an address; undefined if there is none that accepts requests. */
+    private getReadyIdAt(address: string): string | undefined {
         const endpoint = this.registry.getEndpointAt(address);
-        return endpoint !== undefined && !endpoint.isDraining && !this.instructions.isLeaving(endpoint.id);
+        const isReady = endpoint !== undefined && !endpoint.isDraining && !this.instructions.isLeaving(endpoint.id);
+        return isReady ? endpoint.id : undefined;
     }
 
     /** Stops sending to an endpoint that has announced that it is leaving, and informs the peers. */
--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -56,7 +56,7 @@
  */
 export class RequestQuarantine {
     readonly lateCrashes: LateCrashes;
-    /** Broken connections that count as crashes once their endpoints are known to have restarted. */
+    /** Broken connections that count as crashes once their endpoints are known to have restarted or to be down. */
     private readonly unprovenBreaks = UnprovenBreaks.create();
     private readonly options: RequestQuarantineOptions;
     private readonly suspects: SuspectList;
@@ -141,7 +141,7 @@
         this.suspects.add(crash, now);
     }
 
-    /** Adds a broken connection that counts as a crash once its endpoint is known to have restarted, which it may be by now. */
+    /** Adds a broken connection that counts as a crash once its endpoint is known to have restarted, which it may be by now, or to be down. */
     addUnprovenBreak(added: UnprovenBreak): void {
         if (this.unprovenBreaks.add(added)) {
             this.suspects.confirm(added.endpointId);
@@ -158,10 +158,15 @@
      * that it never crashed.
      */
     noteRestart(endpointId: string, now: number): void {
-        this.unprovenBreaks.prove(endpointId, now);
+        this.unprovenBreaks.proveByRestart(endpointId, now);
         this.suspects.confirm(endpointId);
     }
 
+    /** Records that the machine of an endpoint that wasn't about to leave refuses connections, so that the endpoint has ended. */
+    noteRefusedConnection(endpointId: string, now: number): void {
+        this.unprovenBreaks.proveByRefusal(endpointId, now);
+    }
+
     /** Gets the fingerprints of safe requests that peers have suspected lately. */
     getRefutations(now: number): string[] {
         return [...this.refutedAt.entries()]
--- a/src/request/relay/quarantine/taskQuarantine.ts
+++ b/src/request/relay/quarantine/taskQuarantine.ts
@@ -118,7 +118,7 @@
 
     /**
      * Records that the connection of an attempt broke. The endpoint counts as crashed if no node can connect to it, or once it is known to have
-     * restarted: endpoints also break off single streams and go on with the others. An endpoint that has announced that it is leaving ends as
+     * restarted or refuses connections: endpoints also break off single streams and go on with the others. An endpoint that has announced that it is leaving ends as
      * announced, and gets no more requests.
      * @param endpointId - Id of the endpoint that ran the request.
      * @param sentAt - Monotonic time in milliseconds at which the request was sent to it.
@@ -143,7 +143,7 @@
             return;
         }
         const { quarantine, log, clock } = this.environment;
-        quarantine.addUnprovenBreak({ endpointId, at, onProven: () => this.noteCrash(run, false) });
+        quarantine.addUnprovenBreak({ endpointId, at, onProven: isDownNow => this.noteCrash(run, isDownNow) });
         clock.setTimer(proofMilliseconds, () => quarantine.forgetOldBreaks(clock.getMonotonicTime()));
         log.write(events.connectionBroke, {
             request: this.task.request.id,
--- a/src/request/relay/quarantine/unprovenBreak.ts
+++ b/src/request/relay/quarantine/unprovenBreak.ts
@@ -3,6 +3,9 @@
     endpointId: string;
     /** Monotonic time in milliseconds at which the connection broke. */
     at: number;
-    /** Called if the endpoint turns out to have restarted, and so to have crashed. */
-    onProven(): void;
+    /**
+     * Called if the endpoint turns out to have crashed.
+     * @param isDown - Whether its machine refuses connections. Otherwise it has restarted.
+     */
+    onProven(isDown: boolean): void;
 }
--- a/src/request/relay/quarantine/unprovenBreaks.ts
+++ b/src/request/relay/quarantine/unprovenBreaks.ts
@@ -25,7 +25,7 @@
     /** Adds a break. One at an endpoint that is known to have restarted is proven at once. Returns whether it is. */
     add(added: UnprovenBreak): boolean {
         if (this.restarted.has(added.endpointId)) {
-            added.onProven();
+            added.onProven(false);
             return true;
         }
         this.breaks = [...this.breaks.slice(-(maximumBreaks - 1)), added];
@@ -45,13 +45,22 @@
      * @param endpointId - Id of the endpoint before the restart.
      * @param now - Monotonic time in milliseconds.
      */
-    prove(endpointId: string, now: number): void {
+    proveByRestart(endpointId: string, now: number): void {
         this.restarted.set(endpointId, true);
+        this.prove(endpointId, now, false);
+    }
+
+    /** Proves the recent breaks at an endpoint, since its machine refuses connections by now. */
+    proveByRefusal(endpointId: string, now: number): void {
+        this.prove(endpointId, now, true);
+    }
+
+    private prove(endpointId: string, now: number, isDown: boolean): void {
         this.forgetOld(now);
         const proven = this.breaks.filter(each => each.endpointId === endpointId);
         this.breaks = this.breaks.filter(each => each.endpointId !== endpointId);
         for (const { onProven } of proven) {
-            onProven();
+            onProven(isDown);
         }
     }
 }
--- a/tests/request/relay/quarantine/taskQuarantine.test.ts
+++ b/tests/request/relay/quarantine/taskQuarantine.test.ts
@@ -115,6 +115,23 @@
         }
     });
 
+    // Guards against crashes that never count because the endpoint still accepted a connection as it crashed, or the node was cut off then.
+    it("is held back if endpoints that were not proven to be down refuse connections soon after", async () => {
+        for (const kind of [RequestKind.Stream, RequestKind.Idempotent]) {
+            const bench = createBench();
+            const { clock, environment: { quarantine } } = bench;
+            bench.pathState = PathState.Open;
+            start(bench, kind);
+            for (const count of [1, 2]) {
+                await crashEndpoint(bench);
+                quarantine.noteRefusedConnection(getBrokenId(bench), clock.getMonotonicTime() + 100);
+                assert.equal(quarantine.getCrashes(clock.getMonotonicTime()).length, count);
+            }
+            start(bench, kind);
+            assert.equal(bench.answers.at(-1), "heldBack", kind);
+        }
+    });
+
     // Guards against a node that keeps requests that have ended in memory until the next connection breaks.
     it("is forgotten with its broken connection once that can't be proven any more", async () => {
         const bench = createBench();
