Compare the balance once when a stream takes a retry

What callers saw: nothing.

Cause: StreamRetries.take asked isAvailable and then compared the same balance again in RetryBudget.takeRetry, with another bound for what the budget can hold.

Change: RetryBudget.spend takes a retry that is known to be left.

--- a/src/request/admission/retryBudget.ts
+++ b/src/request/admission/retryBudget.ts
@@ -43,10 +43,15 @@
         if (this.getBalance(now) < Math.min(1 + kept, this.getPolicy().maximumBalance)) {
             return false;
         }
-        this.balance -= 1;
+        this.spend();
         return true;
     }
 
+    /** Takes one retry that is known to be left. */
+    spend(): void {
+        this.balance -= 1;
+    }
+
     /**
      * Takes whole retries from the budget for another node.
      * @param wanted - Largest number to take.
--- a/src/request/admission/streamRetries.ts
+++ b/src/request/admission/streamRetries.ts
@@ -65,7 +65,8 @@
             return false;
         }
         this.needs.delete(request);
-        return this.options.budget.takeRetry(now, this.getKeptFrom(request, now));
+        this.options.budget.spend();
+        return true;
     }
 
     /** Gets the number of retries that streams which have begun wait for, beyond those that the node has. */
