Grow the delays between attempts in one place

What callers saw: nothing.

Cause: the delay from 50 to 400 ms that doubles stood in RetryWait, StreamResumption and GenerationRetries.

Change: RetryDelay has it; each of the three keeps its own end.

GenerationRetries' test asks for the delays 50, 100, 200, 400, 400 as before.

--- a/src/request/model/generationRetries.ts
+++ b/src/request/model/generationRetries.ts
@@ -1,3 +1,5 @@
+import { RetryDelay } from "../retryDelay.ts";
+
 /** Refusals of a started answer since its last token. */
 export interface RefusedTime {
     refusals: number;
@@ -9,9 +11,6 @@
 const maximumAttempts = 12;
 /** Maximum wait of a started answer for a chain that accepts it. */
 const waitMilliseconds = 8_000;
-/** Delay before endpoints that failed or refused are tried again. It doubles while they refuse a started answer. */
-const initialDelayMilliseconds = 50;
-const maximumDelayMilliseconds = 400;
 
 /**
  * Decides whether an answer may be attempted again, and after which delay. What the engines have run of a started answer would be lost
@@ -21,7 +20,7 @@
     private countedAttempts = 0;
     private refusals = 0;
     private firstRefusalAt = 0;
-    private delayMilliseconds = initialDelayMilliseconds;
+    private readonly delay = RetryDelay.create();
 
     private constructor() {}
 
@@ -48,7 +47,7 @@
     takeRefusals(now: number): RefusedTime | undefined {
         const { refusals } = this;
         this.refusals = 0;
-        this.delayMilliseconds = initialDelayMilliseconds;
+        this.delay.reset();
         return refusals === 0 ? undefined : { refusals, milliseconds: now - this.firstRefusalAt };
     }
 
@@ -62,13 +61,9 @@
         return (this.refusals === 0 ? now : this.firstRefusalAt) + waitMilliseconds;
     }
 
-    /** Gets the delay before endpoints that failed or refused are tried again, in milliseconds. */
+    /** Gets the delay before endpoints that failed or refused are tried again, in milliseconds. It grows while they refuse a started answer. */
     takeDelay(): number {
-        const { delayMilliseconds } = this;
-        if (this.refusals > 0) {
-            this.delayMilliseconds = Math.min(2 * delayMilliseconds, maximumDelayMilliseconds);
-        }
-        return delayMilliseconds;
+        return this.refusals > 0 ? this.delay.take() : this.delay.get();
     }
 
     /** Describes for the caller why no other attempt is allowed. */
--- a/src/request/relay/streams/streamResumption.ts
+++ b/src/request/relay/streams/streamResumption.ts
@@ -1,5 +1,6 @@
 import type { TimerHandle } from "../../../process/clock.ts";
 import { Err } from "../../../result.ts";
+import { RetryDelay } from "../../retryDelay.ts";
 import type { ReservedChain } from "../chains/reservedChain.ts";
 import { getLatestStart } from "../queue/getLatestStart.ts";
 import type { StreamState } from "./streamState.ts";
@@ -14,9 +15,6 @@
     onHopeless(cause: string): void;
 }
 
-/** Time until a chain is searched again. It doubles with each search that finds none, up to the maximum. */
-const initialSearchMilliseconds = 50;
-const maximumSearchMilliseconds = 400;
 const noEndpointCause = "No endpoint is left that may run it: those that its route allows have failed it.";
 /** Interval at which it is checked whether a stream is still held back for crashes that may be refuted. */
 const doubtReviewMilliseconds = 100;
@@ -30,8 +28,10 @@
     private readonly state: StreamState;
     private readonly callbacks: StreamResumptionCallbacks;
     private timer: TimerHandle | undefined;
-    /** Number of searches in a row that found no chain. */
-    private searches = 0;
+    /** Time until a chain is searched again. */
+    private readonly searchDelay = RetryDelay.create();
+    /** Whether the last search found no chain. */
+    private isWaiting = false;
     /** Whether it waits until the crashes for which the request is held back are refuted. */
     private isInDoubt = false;
     private readonly endAtShutdown = () => this.callbacks.onHopeless(shutdownCause);
@@ -54,7 +54,7 @@
 
     /** Checks if it searches for a chain. */
     isSearching(): boolean {
-        return this.searches > 0;
+        return this.isWaiting;
     }
 
     /**
@@ -85,7 +85,7 @@
         const { environment, task, answer } = this.state;
         const now = environment.clock.getMonotonicTime();
         const isBegun = answer.isBegun();
-        const isFirstSearch = this.searches === 0;
+        const isFirstSearch = !this.isWaiting;
         const pause = this.state.pacing.getPause(now);
         const avoid = new Set([...this.state.avoided, ...this.state.pacing.listRefusing(now)]);
         const maySuspect = this.state.pacing.mayTrySuspects(now);
@@ -98,7 +98,8 @@
             ? Err("Endpoints have just refused it.")
             : this.state.replacement.reserve({ avoid, isRetry, isRepeated, maySuspect });
         if (reserved.ok) {
-            this.searches = 0;
+            this.isWaiting = false;
+            this.searchDelay.reset();
             environment.queue.removeUnqueued(this.endAtShutdown);
             this.callbacks.onReserved(reserved.val);
             return;
@@ -112,10 +113,7 @@
             this.callbacks.onHopeless(`${cause} ${noEndpointCause}`);
             return;
         }
-        const delay = Math.max(
-            pause,
-            Math.min(initialSearchMilliseconds * 2 ** this.searches, maximumSearchMilliseconds),
-        );
+        const delay = Math.max(pause, this.searchDelay.take());
         if (!isBegun && now + delay > getLatestStart(environment, task)) {
             this.callbacks.onHopeless(`${cause} ${reserved.val}`);
             return;
@@ -126,7 +124,7 @@
         if (!isBegun) {
             environment.queue.addUnqueued(this.endAtShutdown);
         }
-        this.searches += 1;
+        this.isWaiting = true;
         this.timer = environment.clock.setTimer(delay, () => this.callbacks.onDue(cause, isRetry));
     }
 }
--- a/src/request/retryWait.ts
+++ b/src/request/retryWait.ts
@@ -1,14 +1,14 @@
+import { RetryDelay } from "./retryDelay.ts";
+
 /** Maximum time for which a request waits for an endpoint that accepts it. */
 const maximumWaitMilliseconds = 2_000;
 /** Maximum wait as a fraction of the remaining time. The caller needs the rest to send the request again. */
 const waitFraction = 0.5;
-const initialDelayMilliseconds = 50;
-const maximumDelayMilliseconds = 400;
 
 /** Decides for how long a request that may have run waits for an endpoint that accepts it, and when it asks the next one. */
 export class RetryWait {
     private endsAt: number | undefined;
-    private delayMilliseconds = initialDelayMilliseconds;
+    private readonly delay = RetryDelay.create();
 
     private constructor() {}
 
@@ -29,8 +29,7 @@
      */
     takeDelay(now: number, dueAt: number): number | undefined {
         this.endsAt ??= now + Math.min(maximumWaitMilliseconds, waitFraction * (dueAt - now));
-        const { delayMilliseconds } = this;
-        this.delayMilliseconds = Math.min(2 * delayMilliseconds, maximumDelayMilliseconds);
+        const delayMilliseconds = this.delay.take();
         return now + delayMilliseconds > this.endsAt ? undefined : delayMilliseconds;
     }
 }
