--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -14,6 +14,7 @@
 import type { SuspectedCrash } from "./suspectedCrash.ts";
 import { SuspectList } from "./suspectList.ts";
 import { SuspectVerdict } from "./suspectVerdict.ts";
+import type { UnprovenBreak } from "./unprovenBreak.ts";
 import { UnprovenBreaks } from "./unprovenBreaks.ts";
 
 /** Options of a {@link RequestQuarantine}. */
@@ -55,7 +56,7 @@
  */
 export class RequestQuarantine {
     readonly lateCrashes: LateCrashes;
-    /** Broken connections that count as crashes once their endpoints are known to have restarted. */
+    /** Broken connections that count as crashes once their endpoints are known to have restarted or to be down. */
     private readonly unprovenBreaks = UnprovenBreaks.create();
     private readonly options: RequestQuarantineOptions;
     private readonly suspects: SuspectList;
@@ -140,22 +141,32 @@
         this.suspects.add(crash, now);
     }
 
-    /** Adds a broken connection that counts as a crash once its endpoint is known to have restarted, which it may be by now. */
-    addUnprovenBreak(added: Parameters<UnprovenBreaks["add"]>[0]): void {
+    /** Adds a broken connection that counts as a crash once its endpoint is known to have restarted, which it may be by now, or to be down. */
+    addUnprovenBreak(added: UnprovenBreak): void {
         if (this.unprovenBreaks.add(added)) {
             this.suspects.confirm(added.endpointId);
         }
     }
 
+    /** Forgets the broken connections that can't be proven any more. */
+    forgetOldBreaks(now: number): void {
+        this.unprovenBreaks.forgetOld(now);
+    }
+
     /**
      * Records that an endpoint has restarted under the same id: connections that broke just before did so in a crash, and its answers don't show
      * that it never crashed.
      */
     noteRestart(endpointId: string, now: number): void {
-        this.unprovenBreaks.prove(endpointId, now);
+        this.unprovenBreaks.proveByRestart(endpointId, now);
         this.suspects.confirm(endpointId);
     }
 
+    /** Records that the machine of an endpoint that wasn't about to leave refuses connections, so that the endpoint has ended. */
+    noteRefusedConnection(endpointId: string, now: number): void {
+        this.unprovenBreaks.proveByRefusal(endpointId, now);
+    }
+
     /** Gets the fingerprints of safe requests that peers have suspected lately. */
     getRefutations(now: number): string[] {
         return [...this.refutedAt.entries()]
--- a/src/request/relay/quarantine/taskQuarantine.ts
+++ b/src/request/relay/quarantine/taskQuarantine.ts
@@ -1,6 +1,7 @@
 import { events } from "../../../process/logging/events.ts";
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
+import { proofMilliseconds } from "./proofMilliseconds.ts";
 import type { RequestHold } from "./requestHold.ts";
 
 /** If a connection breaks sooner than this after sending, the endpoint had already crashed before it could run the request. */
@@ -117,7 +118,7 @@
 
     /**
      * Records that the connection of an attempt broke. The endpoint counts as crashed if no node can connect to it, or once it is known to have
-     * restarted: endpoints also break off single streams and go on with the others. An endpoint that has announced that it is leaving ends as
+     * restarted or refuses connections: endpoints also break off single streams and go on with the others. An endpoint that has announced that it is leaving ends as
      * announced, and gets no more requests.
      * @param endpointId - Id of the endpoint that ran the request.
      * @param sentAt - Monotonic time in milliseconds at which the request was sent to it.
@@ -141,8 +142,9 @@
             this.noteCrash(run, true);
             return;
         }
-        const { quarantine, log } = this.environment;
-        quarantine.addUnprovenBreak({ endpointId, at, onProven: () => this.noteCrash(run, false) });
+        const { quarantine, log, clock } = this.environment;
+        quarantine.addUnprovenBreak({ endpointId, at, onProven: isDownNow => this.noteCrash(run, isDownNow) });
+        clock.setTimer(proofMilliseconds, () => quarantine.forgetOldBreaks(clock.getMonotonicTime()));
         log.write(events.connectionBroke, {
             request: this.task.request.id,
             fingerprint: this.task.fingerprint,
