Send a stream whose first event is late over a second chain

Cause: the first stage read the prompts of others and answered checks. The detector excuses a stream before its first event for that, until 1,300 ms and a stream that progresses over the same data centres; both together came late or never.

Change: after half of the objective (240 to 420 ms), beyond the time that its own prompt takes, a resumable stream that was sent goes over a second chain too. The newest streams of the node must show that most other first stages took at most half as long; the slow ones are left out. If nothing is known of the others, it goes once half of its caller's stay is over. The second chain needs free memory and no wait at a link, and a retry beyond those kept for begun streams. It counts against the attempts of the route; canaries and quarantined requests stay; the first run ends when the second one begins. A request that waits at a link stays. No report is asked for it. A search is made each 200 ms at most. The stay of callers has one function now, which the queue uses too.

--- a/src/request/relay/detection/stallDetector.ts
+++ b/src/request/relay/detection/stallDetector.ts
@@ -7,6 +7,8 @@
 import type { RerouteOutcome } from "../endpoints/rerouteOutcome.ts";
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { StreamRelay } from "../streams/streamRelay.ts";
+import { LateFirstEvents } from "./lateFirstEvents.ts";
+import { silenceBeforeFirstEventMilliseconds } from "./silenceBeforeFirstEventMilliseconds.ts";
 import { SilenceLog } from "./silenceLog.ts";
 import { silenceMilliseconds } from "./silenceMilliseconds.ts";
 
@@ -24,8 +26,6 @@
 
 /** Minimum interval between sweeps. It is also the interval while streams are silent. */
 const sweepIntervalMilliseconds = 60;
-/** Limit for the first event, which also takes the prefill of the prompt on each stage. */
-const silenceBeforeFirstEventMilliseconds = 420;
 /** Maximum age of a report. Fetching it from the same endpoint again before that returns nothing new. */
 const reportIntervalMilliseconds = 200;
 /** Each report that is not answered doubles the interval to the next one, up to this. */
@@ -57,12 +57,14 @@
     /** Monotonic time in milliseconds before which a stream's first stage isn't told again to move it. */
     private readonly rerouteAllowedAt = new WeakMap<StreamRelay, number>();
     private readonly silenceLog: SilenceLog;
+    private readonly lateFirstEvents: LateFirstEvents;
     private timer: TimerHandle | undefined;
 
     private constructor(options: StallDetectorOptions) {
         this.options = options;
-        const { clock, environment: { health, log } } = options;
-        this.silenceLog = SilenceLog.create({ clock, health, log });
+        const { clock, environment } = options;
+        this.silenceLog = SilenceLog.create({ clock, health: environment.health, log: environment.log });
+        this.lateFirstEvents = LateFirstEvents.create(environment);
     }
 
     /** Creates a detector without streams. */
@@ -110,7 +112,8 @@
         this.silenceLog.review();
         const now = this.options.clock.getMonotonicTime();
         const silentByFirstStage = new Map<string, StreamRelay[]>();
-        for (const relay of this.relays) {
+        for (const relay of [...this.relays]) {
+            this.lateFirstEvents.review(relay, this.relays, now);
             const first = relay.attempts.getStages()?.[0];
             if (first === undefined || relay.isRerouting || !isSilent(relay, now)) {
                 continue;
@@ -135,8 +138,9 @@
     private getSweepDelay(now: number): number {
         let delay = silenceMilliseconds;
         for (const relay of this.relays) {
-            const silentAt = (relay.attempts.getLastProgress() ?? now) + getSilenceLimit(relay);
-            delay = Math.min(delay, silentAt - now + 1);
+            const reviewedAt = (relay.attempts.getLastProgress() ?? now)
+                + (relay.attempts.hasEvents() ? silenceMilliseconds : this.lateFirstEvents.getLimit(relay));
+            delay = Math.min(delay, reviewedAt - now + 1);
         }
         return Math.max(sweepIntervalMilliseconds, delay);
     }
@@ -235,15 +239,9 @@
             linkDelays.recordFirstEvent(dataCentres, now - (relay.attempts.getSentAt() ?? now), now);
         }
         const isOverdue = now - (relay.attempts.getLastProgress() ?? now) > overdueMilliseconds;
-        if (relay.attempts.isQueuedAtLink()) {
-            relay.moves.noteStay("It may be queued at a link.");
-            return;
-        }
-        if (isOverdue && this.hasProgressingStream(dataCentres.join(), now)) {
+        if (isOverdue && !relay.attempts.isQueuedAtLink() && this.hasProgressingStream(dataCentres.join(), now)) {
             hedgeIfFirst(relay, first.id, "the chain is silent while others make progress.");
-            return;
         }
-        relay.moves.noteStay("The first stage answers checks, and no other stream shows that others are faster.");
     }
 
     private hasProgressingStream(dataCentres: string, now: number): boolean {
--- a/src/request/relay/queue/getLatestStart.ts
+++ b/src/request/relay/queue/getLatestStart.ts
@@ -1,17 +1,12 @@
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
+import { getCallerStay } from "./getCallerStay.ts";
 
 /**
  * Maximum time that a request waits for free memory where its service has one rank. Its first event then still comes before the
  * caller gives up, and a late answer is worth more to callers than a refusal.
  */
 const maximumWaitMilliseconds = 1_200;
-/** Minimum time for which callers stay without an event. */
-const minimumStayMilliseconds = 2_000;
-/** Callers stay for this many times the latency objective, or the longest pause of their route, without an event. */
-const staysPerObjective = 4;
-const staysPerEventGap = 8;
-
 /**
  * Gets the latest start of a request, on time or late, as a monotonic time in milliseconds. Where its service has several ranks, it
  * waits for as long as its caller stays, less the usual time to a first event.
@@ -25,10 +20,5 @@
     if (ranks.length < 2) {
         return Math.min(request.arrivedAt + maximumWaitMilliseconds, dueAt);
     }
-    const stayMilliseconds = Math.max(
-        minimumStayMilliseconds,
-        staysPerObjective * route.targetLatencyMilliseconds,
-        staysPerEventGap * route.maximumEventGapMilliseconds,
-    );
-    return Math.min(request.arrivedAt + Math.max(0, stayMilliseconds - firstEvents.getExpected()), dueAt);
+    return Math.min(request.arrivedAt + Math.max(0, getCallerStay(route) - firstEvents.getExpected()), dueAt);
 }
--- a/src/request/relay/streams/chainReplacement.ts
+++ b/src/request/relay/streams/chainReplacement.ts
@@ -35,6 +35,8 @@
     maySuspect: boolean;
     /** Whether the request may return to an endpoint that has received it, if its route allows no other. */
     mayReturn: boolean;
+    /** Whether the chain may have endpoints without enough free memory, and links at which the request would wait. Default: true. */
+    mayOvercommit?: boolean;
 }
 
 const exhaustedBudgetCause = "The retry budget is used up.";
@@ -80,7 +82,7 @@
     }
 
     private choose(
-        { avoid, maySuspect }: Pick<RunningReplacementRequirements, "avoid" | "maySuspect">,
+        { avoid, maySuspect, mayOvercommit = true }: Omit<RunningReplacementRequirements, "mayReturn">,
         isRetry: boolean,
     ): Result<ReservedChain, string> {
         const { environment, task, chains } = this.options;
@@ -91,7 +93,7 @@
         const stages = chains.chooseWithinLimits({
             avoid,
             maySuspect,
-            mayOvercommit: true,
+            mayOvercommit,
             mayBeFull: false,
             rateLimited: new Set(),
         });
--- a/src/request/relay/streams/streamMoves.ts
+++ b/src/request/relay/streams/streamMoves.ts
@@ -1,10 +1,13 @@
 import { Err } from "../../../result.ts";
 import type { RelayStage } from "../chains/relayStage.ts";
 import type { ReservedChain } from "../chains/reservedChain.ts";
+import type { ChainReplacement } from "./chainReplacement.ts";
 import type { StreamAttempt } from "./streamAttempt.ts";
 import type { StreamAttemptEnd } from "./streamAttemptEnd.ts";
 import type { StreamState } from "./streamState.ts";
 
+type RunningRequirements = Parameters<ChainReplacement["reserveForRunning"]>[0];
+
 /** What the relay of a stream does for its moves. */
 interface StreamMovesCallbacks {
     /** Called with a chain over which the request is to be sent. */
@@ -125,6 +128,30 @@
         this.sendBeside(replacement, cause);
     }
 
+    /**
+     * Sends a stream that waits for its first event over another chain too, if that has free capacity. Of the retries, it leaves those that
+     * streams which have begun may need. A stream has one such chain, and stays in its place if no byte of it was sent yet.
+     * @param slow - Ids of the endpoints whose first events are late.
+     * @param cause - Why it is sent elsewhere.
+     */
+    hedgeUnbegun(slow: ReadonlySet<string>, cause: string): void {
+        const attempt = this.state.attempts.getCurrent();
+        const isOnly = attempt !== undefined && this.state.attempts.isOnly(attempt);
+        if (!isOnly || attempt.exchange?.getSentTime() === undefined || this.state.answer.isBegun()) {
+            this.obstacle = isOnly ? "It was not sent yet." : "It was sent over another chain too.";
+            return;
+        }
+        const replacement = this.reserveReplacement({
+            avoid: [...slow],
+            maySuspect: false,
+            mayReturn: false,
+            mayOvercommit: false,
+        });
+        if (replacement !== undefined) {
+            this.sendBeside(replacement, cause);
+        }
+    }
+
     /**
      * Continues over another chain, if there is one, because the chain in use is known to be lost. Otherwise the stream stays where it is
      * until it is told again.
@@ -195,7 +222,7 @@
 
     /** Reserves a chain for a request that still runs on another one, unless endpoints have just refused it. */
     private reserveReplacement(
-        { avoid, ...requirements }: { avoid: readonly string[]; maySuspect: boolean; mayReturn: boolean; },
+        { avoid, ...requirements }: Omit<RunningRequirements, "avoid"> & { avoid: readonly string[]; },
     ): ReservedChain | undefined {
         const now = this.state.environment.clock.getMonotonicTime();
         const avoided = new Set([...this.state.avoided, ...this.state.pacing.listRefusing(now), ...avoid]);
--- a/tests/request/relay/detection/stallDetector.test.ts
+++ b/tests/request/relay/detection/stallDetector.test.ts
@@ -9,12 +9,15 @@
     isRerouting = false;
     readonly attempts = this;
     readonly moves = this;
+    readonly task = { route: { targetLatencyMilliseconds: 500 } };
     private readonly id: string;
+    private readonly sentAt: number;
     private lastProgressAt: number;
     private isFirstEventSeen = false;
 
     constructor(id: string, sentAt: number) {
         this.id = id;
+        this.sentAt = sentAt;
         this.lastProgressAt = sentAt;
     }
 
@@ -27,6 +30,10 @@
         return [{ endpoint: { id: this.id } }];
     }
 
+    getSentAt(): number {
+        return this.sentAt;
+    }
+
     getLastProgress(): number {
         return this.lastProgressAt;
     }
--- a/tests/request/relay/streams/suspectBench.ts
+++ b/tests/request/relay/streams/suspectBench.ts
@@ -51,6 +51,21 @@
         return new SuspectBench(options);
     }
 
+    /** Sends another stream of the node, which begins after some time. */
+    startAnother(delayMilliseconds: number): void {
+        const { environment, clock } = this.bench;
+        const task = { ...this.bench.createTask(RequestKind.Stream), dueAt };
+        const other = StreamRelay.create(environment, task, model, () => this.detector.remove(other));
+        this.detector.add(other);
+        other.start();
+        this.getLast().sentAt = clock.getMonotonicTime();
+        const { listener } = this.getLast();
+        clock.setTimer(delayMilliseconds, () => {
+            listener.onHead(200, { "request-id": "request", "response-seal": "s" });
+            listener.onData(Buffer.from("id: 1\ndata: x\n\n"));
+        });
+    }
+
     /** Gets the last request that was passed to a connection. */
     getLast() {
         return this.bench.sentRequests.at(-1)!;
