Keep whole retries for streams that have begun

Cause: the part that is kept for begun streams is a fraction, 1.55 retries of a full budget of 3.1. It can serve one begun stream, but other requests had to wait until 2.55 retries were there.

Change: other requests leave the whole retries of that part. The budget itself and what a node gives to peers are the same.

--- a/src/request/admission/streamRetries.ts
+++ b/src/request/admission/streamRetries.ts
@@ -47,9 +47,14 @@
         this.needs.delete(request);
     }
 
-    /** Checks if there is a retry for a request. Records that it waits for one otherwise, if it can't be refused any more. */
-    isAvailable(request: object, now: number): boolean {
-        if (this.options.budget.getBalance(now) >= 1 + this.getKeptFrom(request, now)) {
+    /**
+     * Checks if there is a retry for a request. Records that it waits for one otherwise, if it can't be refused any more.
+     * @param request - The request.
+     * @param now - Monotonic time in milliseconds.
+     * @param left - Number of further retries to leave for other requests.
+     */
+    isAvailable(request: object, now: number, left = 0): boolean {
+        if (this.options.budget.getBalance(now) >= 1 + this.getKeptFrom(request, now) + left) {
             return true;
         }
         if (this.begun.has(request)) {
@@ -59,9 +64,9 @@
         return false;
     }
 
-    /** Takes a retry for a request. Returns whether there was one. */
-    take(request: object, now: number): boolean {
-        if (!this.isAvailable(request, now)) {
+    /** Takes a retry for a request, with the arguments of {@link isAvailable}. Returns whether there was one. */
+    take(request: object, now: number, left = 0): boolean {
+        if (!this.isAvailable(request, now, left)) {
             return false;
         }
         this.needs.delete(request);
@@ -81,8 +86,9 @@
         return Math.max(usual, this.countWaiting(now));
     }
 
+    /** Gets the number of whole retries that a request leaves for others: a part of one would only hold it up. */
     private getKeptFrom(request: object, now: number): number {
-        return this.begun.has(request) ? 0 : this.getKept(now);
+        return this.begun.has(request) ? 0 : Math.floor(this.getKept(now));
     }
 
     private countWaiting(now: number): number {
--- a/tests/request/admission/streamRetries.test.ts
+++ b/tests/request/admission/streamRetries.test.ts
@@ -42,6 +42,23 @@
         assert.ok(retries.take(streams[0]!, 0));
     });
 
+    // Guards against requests that find the budget used up while it holds a retry beyond the one that streams which have begun can use.
+    it("keeps whole retries", () => {
+        const { retries } = createRetries(2, 3);
+        for (const stream of streams) {
+            retries.noteBegun(stream);
+        }
+        assert.ok(retries.take(other, 0));
+        assert.ok(!retries.take(other, 0));
+        assert.ok(retries.take(streams[0]!, 0));
+    });
+
+    it("leaves further retries to other requests if asked to", () => {
+        const { retries } = createRetries(2, 10);
+        assert.ok(!retries.take(other, 0, 1));
+        assert.ok(retries.take(other, 0));
+    });
+
     it("gives no retry to other requests while streams wait, also if the budget holds only one", () => {
         const { budget, retries, needs } = createRetries(0, 1);
         retries.noteBegun(streams[0]!);
