Serve streams first whose callers may leave before their first event

Change: a stream whose first event is late leaves one more retry, for streams of which half of the caller's stay is over. Those also go if half of the other first stages that are known are fast, not only if more are.

Tests: "leaves retries to streams that have begun, and to those whose callers may leave soon" fails without the distinction ("3 !== 4").

--- a/src/request/relay/detection/findSlowFirstStages.ts
+++ b/src/request/relay/detection/findSlowFirstStages.ts
@@ -15,7 +15,7 @@
     endpointId: string;
     /** Time that it has waited beyond the time that its own prompt takes, in milliseconds. */
     waitedMilliseconds: number;
-    /** Whether its caller may leave soon, so that it is sent elsewhere unless others are known to be late too. */
+    /** Whether its caller may leave soon, so that it is sent elsewhere unless most others are known to be late too. */
     isUrgent: boolean;
 }
 
@@ -50,7 +50,7 @@
     newest.delete(late.endpointId);
     const slow = [...newest.values()].filter(({ sentAt, firstEventAt }) => (firstEventAt ?? now) - sentAt > limit);
     const fastCount = newest.size - slow.length;
-    if (fastCount > slow.length || newest.size === 0 && late.isUrgent) {
+    if (fastCount > slow.length || fastCount === slow.length && late.isUrgent) {
         return Ok(new Set([late.endpointId, ...slow.map(({ endpointId }) => endpointId)]));
     }
     return Err(otherwiseSlowCause);
--- a/src/request/relay/detection/lateFirstEvents.ts
+++ b/src/request/relay/detection/lateFirstEvents.ts
@@ -58,15 +58,15 @@
             moves.noteStay("Its prompt may still be read, or be queued at a link.");
             return;
         }
-        const urgentAt = task.request.arrivedAt + getCallerStay(task.route) * urgentStayFraction;
-        const late = { endpointId: stages[0]!.endpoint.id, waitedMilliseconds, isUrgent: now >= urgentAt };
+        const isUrgent = now >= task.request.arrivedAt + getCallerStay(task.route) * urgentStayFraction;
+        const late = { endpointId: stages[0]!.endpoint.id, waitedMilliseconds, isUrgent };
         const slow = findSlowFirstStages(late, listSentStreams(relays), now);
         if (slow.err) {
             moves.noteStay(slow.val);
             return;
         }
         this.searchAllowedAt.set(relay, now + searchIntervalMilliseconds);
-        moves.hedgeUnbegun(slow.val, "the first event is late while those of other first stages are not.");
+        moves.hedgeUnbegun(slow.val, isUrgent);
     }
 }
 
--- a/src/request/relay/streams/chainReplacement.ts
+++ b/src/request/relay/streams/chainReplacement.ts
@@ -37,6 +37,8 @@
     mayReturn: boolean;
     /** Whether the chain may have endpoints without enough free memory, and links at which the request would wait. Default: true. */
     mayOvercommit?: boolean;
+    /** Number of retries that it leaves for other requests, beyond those that are kept for streams that have begun. Default: 0. */
+    retriesLeft?: number;
 }
 
 const exhaustedBudgetCause = "The retry budget is used up.";
@@ -82,12 +84,12 @@
     }
 
     private choose(
-        { avoid, maySuspect, mayOvercommit = true }: Omit<RunningReplacementRequirements, "mayReturn">,
+        { avoid, maySuspect, mayOvercommit = true, retriesLeft = 0 }: Omit<RunningReplacementRequirements, "mayReturn">,
         isRetry: boolean,
     ): Result<ReservedChain, string> {
         const { environment, task, chains } = this.options;
         const now = environment.clock.getMonotonicTime();
-        if (isRetry && !environment.streamRetries.isAvailable(task, now)) {
+        if (isRetry && !environment.streamRetries.isAvailable(task, now, retriesLeft)) {
             return Err(exhaustedBudgetCause);
         }
         const stages = chains.chooseWithinLimits({
@@ -100,7 +102,7 @@
         if (stages === undefined) {
             return Err("No other chain that the request may be sent over has free capacity.");
         }
-        if (isRetry && !environment.streamRetries.take(task, now)) {
+        if (isRetry && !environment.streamRetries.take(task, now, retriesLeft)) {
             chains.refundLimit(stages);
             return Err(exhaustedBudgetCause);
         }
--- a/src/request/relay/streams/streamMoves.ts
+++ b/src/request/relay/streams/streamMoves.ts
@@ -132,9 +132,9 @@
      * Sends a stream that waits for its first event over another chain too, if that has free capacity. Of the retries, it leaves those that
      * streams which have begun may need. A stream has one such chain, and stays in its place if no byte of it was sent yet.
      * @param slow - Ids of the endpoints whose first events are late.
-     * @param cause - Why it is sent elsewhere.
+     * @param isUrgent - Whether its caller may leave soon. Otherwise it leaves a retry for a stream of which that is so.
      */
-    hedgeUnbegun(slow: ReadonlySet<string>, cause: string): void {
+    hedgeUnbegun(slow: ReadonlySet<string>, isUrgent: boolean): void {
         const attempt = this.state.attempts.getCurrent();
         const isOnly = attempt !== undefined && this.state.attempts.isOnly(attempt);
         if (!isOnly || attempt.exchange?.getSentTime() === undefined || this.state.answer.isBegun()) {
@@ -146,9 +146,10 @@
             maySuspect: false,
             mayReturn: false,
             mayOvercommit: false,
+            retriesLeft: isUrgent ? 0 : 1,
         });
         if (replacement !== undefined) {
-            this.sendBeside(replacement, cause);
+            this.sendBeside(replacement, "the first event is late while those of other first stages are not.");
         }
     }
 
