Send no request to a first stage whose slots are full while others have some

What callers saw: first events after 1.3 to 1.9 s, and some callers that left without one after 2 s, all at one first stage, while others answered within 0.1 s. It runs 134 at the same time (`slots`): the rest wait there until others end.

Cause: a first stage's slots were no bound of the choice. Only memory was, which is not what such an endpoint runs out of first.

Change: the cost of a first stage rises as its slots fill, as it does with memory; a request that has not begun starts only at one with a free slot, of which a node takes all but a margin or its share, as of memory, and leaves the part that is kept for requests on time and higher ranks. If there is none it waits or is refused in this node's queue. The capacity by which ranks are admitted counts the slots too. Streams that have begun may still exceed them.

--- a/src/request/relay/chains/chooseStages.ts
+++ b/src/request/relay/chains/chooseStages.ts
@@ -16,11 +16,14 @@
 
 /** Maximum random increase of a chain's cost, as a fraction, so that nodes don't all choose the same chain. */
 const maximumNoiseFraction = 0.08;
-/** The cost of an endpoint rises above this fraction of used memory, so that requests go elsewhere before it is full. */
-const memoryPenaltyThreshold = 0.55;
-const memoryPenaltyFactor = 6;
-/** Cost of a stage without enough memory, chosen only as a last resort: its engine would abort requests in mid-stream. */
-const insufficientMemoryCostMilliseconds = 100_000;
+/** The cost of an endpoint rises above this fraction of used memory or slots, so that requests go elsewhere before it is full. */
+const usePenaltyThreshold = 0.55;
+const usePenaltyFactor = 6;
+/**
+ * Cost of a stage without enough memory or slots, chosen only as a last resort: its engine would abort requests in mid-stream, or have them
+ * wait for others to end.
+ */
+const exhaustedCostMilliseconds = 100_000;
 /**
  * Cost of a first stage in another data centre. The events of the answer then cross the link, which is hardly slower but is
  * charged by the byte. Such a stage is chosen only if the local ones are clearly more loaded.
@@ -56,6 +59,7 @@
         ? candidates
         : candidates.filter(candidate =>
             hasFreeMemory(query, candidate, candidate.layers.end - candidate.layers.start)
+            && (candidate.layers.start > 0 || hasFreeSlot(query, candidate))
         );
     if (!coversAllLayers(usable.map(({ layers }) => layers), query.model.layers)) {
         return undefined;
@@ -80,7 +84,7 @@
         }
         for (const candidate of candidates) {
             const { start, end } = candidate.layers;
-            if (layer === 0 && !mayBeFirst(query, candidate)) {
+            if (layer === 0 && !(mayBeFirst(query, candidate) && hasFreeSlot(query, candidate))) {
                 continue;
             }
             if (!query.mayOvercommit && !hasFreeMemory(query, candidate, end - start)) {
@@ -111,6 +115,12 @@
     return firstStage === undefined ? mayBeFirst?.(id) ?? true : id === firstStage.endpoint.id;
 }
 
+/** Checks if a first stage may run the request at once, unless it runs it already. */
+function hasFreeSlot(query: StageQuery, { freeSlots, endpoint: { slots } }: StageCandidate): boolean {
+    const isRunning = query.firstStage !== undefined;
+    return query.mayOvercommit || isRunning || 1 + query.spareFraction * slots <= freeSlots;
+}
+
 function getEnds(candidates: readonly StageCandidate[]): number[] {
     const ends = new Set<number>();
     for (const { layers } of candidates) {
@@ -167,12 +177,13 @@
     start: number,
     end: number,
 ): PartialChain {
-    return { ...chain, cost: chain.cost + getStageCost(query, candidate, end - start) };
+    return { ...chain, cost: chain.cost + getStageCost(query, candidate, start, end) };
 }
 
-/** Gets the cost of a stage: the milliseconds that it adds to a complete answer, increased as the endpoint's memory fills. */
-function getStageCost(query: StageQuery, candidate: StageCandidate, layers: number): number {
+/** Gets the cost of a stage: the milliseconds that it adds to a complete answer, increased as the endpoint's memory or slots fill. */
+function getStageCost(query: StageQuery, candidate: StageCandidate, start: number, end: number): number {
     const { model, promptTokens, answerTokens } = query;
+    const layers = end - start;
     const work = {
         kind: candidate.kind,
         layers,
@@ -180,12 +191,13 @@
         slowness: candidate.slowness,
     };
     const time = estimateAnswerTime(model, work, promptTokens, answerTokens);
-    const usedFraction = getUsedMemoryFraction(query, candidate, layers);
+    const usedMemory = getUsedMemoryFraction(query, candidate, layers);
+    const usedFraction = start > 0 ? usedMemory : Math.max(usedMemory, getUsedSlotsFraction(candidate));
     if (usedFraction > 1) {
-        return time + insufficientMemoryCostMilliseconds * usedFraction;
+        return time + exhaustedCostMilliseconds * usedFraction;
     }
-    const excess = Math.max(0, usedFraction - memoryPenaltyThreshold) / (1 - memoryPenaltyThreshold);
-    return time * (1 + memoryPenaltyFactor * excess * excess);
+    const excess = Math.max(0, usedFraction - usePenaltyThreshold) / (1 - usePenaltyThreshold);
+    return time * (1 + usePenaltyFactor * excess * excess);
 }
 
 /** Gets the fraction of an endpoint's memory that is used once it runs the request. */
@@ -193,6 +205,11 @@
     return (candidate.tokenLayers + getNeededMemory(query, layers)) / Math.max(1, candidate.totalTokenLayers);
 }
 
+/** Gets the fraction of a first stage's slots that is used once it runs the request. */
+function getUsedSlotsFraction({ requests, endpoint: { slots } }: StageCandidate): number {
+    return (requests + 1) / slots;
+}
+
 function hasFreeMemory(query: StageQuery, candidate: StageCandidate, layers: number): boolean {
     const reserved = query.spareFraction * candidate.totalTokenLayers;
     return getNeededMemory(query, layers) + reserved <= candidate.freeTokenLayers;
--- a/src/request/relay/chains/getCapacityTokens.ts
+++ b/src/request/relay/chains/getCapacityTokens.ts
@@ -19,8 +19,9 @@
         if (candidate.isSuspect) {
             continue;
         }
-        const { layers: { start, end }, totalTokenLayers } = candidate;
-        const requests = getTimelyRequests(candidate, model, maximumEventGapMilliseconds);
+        const { layers: { start, end }, totalTokenLayers, endpoint: { slots } } = candidate;
+        const timelyRequests = getTimelyRequests(candidate, model, maximumEventGapMilliseconds);
+        const requests = start > 0 ? timelyRequests : Math.min(timelyRequests, slots);
         const tokens = Math.min(
             totalTokenLayers / Math.max(1, end - start),
             requests * (model.typicalPromptTokens + model.typicalAnswerTokens),
--- a/src/request/relay/chains/listCandidates.ts
+++ b/src/request/relay/chains/listCandidates.ts
@@ -31,6 +31,7 @@
             tokenLayers: tokenLayers + hiddenTokenLayers,
             totalTokenLayers,
             freeTokenLayers: loads.getAvailableMemory(endpoint.id, totalTokenLayers - hiddenTokenLayers, demand, now),
+            freeSlots: loads.getAvailableSlots(endpoint.id, endpoint.slots, demand),
             slowness: directory.getSlowness(endpoint.id),
             isSuspect: health.isSuspect(endpoint.id, now),
         });
--- a/src/request/relay/chains/stageCandidate.ts
+++ b/src/request/relay/chains/stageCandidate.ts
@@ -15,6 +15,8 @@
     totalTokenLayers: number;
     /** Memory that this node may still use for requests on the endpoint, in tokens times layers. */
     freeTokenLayers: number;
+    /** Further requests that this node may send to it as the first stage of their chains. */
+    freeSlots: number;
     /** Factor by which it is slower than usual for its kind; 1 if it is as fast. */
     slowness: number;
     /** Whether it is currently suspected to be lost. */
--- a/src/request/relay/endpoints/endpointLoads.ts
+++ b/src/request/relay/endpoints/endpointLoads.ts
@@ -1,6 +1,7 @@
 import { peerReportTimeToLiveMilliseconds } from "../../admission/peerReportTimeToLiveMilliseconds.ts";
 import type { RelayStage } from "../chains/relayStage.ts";
 import { computeAvailableMemory } from "./computeAvailableMemory.ts";
+import { computeAvailableSlots } from "./computeAvailableSlots.ts";
 import type { LoadOfEndpoint } from "./loadOfEndpoint.ts";
 import type { LoadReservation } from "./loadReservation.ts";
 
@@ -88,6 +89,17 @@
         return computeAvailableMemory({ own, ownPeak, others, total, share: this.getKnownDemandShare(ownDemand) });
     }
 
+    /**
+     * Gets the number of further requests that this node may send to an endpoint as the first stage of their chains.
+     * @param endpointId - The endpoint.
+     * @param total - Number of requests that it runs at the same time as a first stage.
+     * @param ownDemand - Tokens per second of new requests that arrive at this node.
+     */
+    getAvailableSlots(endpointId: string, total: number, ownDemand: number): number {
+        const { requests } = this.getLoad(endpointId);
+        return computeAvailableSlots({ used: requests, total, share: this.getKnownDemandShare(ownDemand) });
+    }
+
     /**
      * Gets this node's share of the demand of all nodes. Nodes without a recent report count with the average demand of the
      * other peers.
--- a/tests/request/relay/chains/chooseStages.test.ts
+++ b/tests/request/relay/chains/chooseStages.test.ts
@@ -49,6 +49,31 @@
         assert.equal(choose(candidates, { mayOvercommit: false }), undefined);
     });
 
+    // Requests waited at the fastest first stage until others had ended, while other first stages had free slots.
+    it("sends no request to a first stage whose slots are full while another one has some", () => {
+        const busy = createCandidate("1", 0, 40, { requests: 134, slowness: 0.1 });
+        const candidates = [busy, createCandidate("2", 0, 40), createCandidate("3", 40, 80, { requests: 134 })];
+        assert.deepEqual(choose(candidates), ["2", "3"]);
+        assert.deepEqual(choose(candidates, { mayOvercommit: false }), ["2", "3"]);
+        const halfBusy = { ...busy, requests: 60, freeSlots: 74 };
+        assert.deepEqual(choose([halfBusy, ...candidates.slice(1)], { mayOvercommit: false }), ["1", "3"]);
+    });
+
+    it("uses a first stage without a free slot only if overfilling is allowed or it runs the request", () => {
+        const first = createCandidate("1", 0, 40, { requests: 134 });
+        const candidates = [first, createCandidate("2", 40, 80)];
+        const firstStage = { endpoint: first.endpoint, start: 0, end: 40 };
+        assert.deepEqual(choose(candidates), ["1", "2"]);
+        assert.equal(choose(candidates, { mayOvercommit: false }), undefined);
+        assert.deepEqual(choose(candidates, { mayOvercommit: false, firstStage }), ["1", "2"]);
+    });
+
+    it("leaves the spare fraction of a first stage's slots free", () => {
+        const candidates = [createCandidate("1", 0, 40, { requests: 120 }), createCandidate("2", 40, 80)];
+        assert.deepEqual(choose(candidates, { mayOvercommit: false }), ["1", "2"]);
+        assert.equal(choose(candidates, { mayOvercommit: false, spareFraction: 0.2 }), undefined);
+    });
+
     it("stays in the caller's data centre if the loads are equal", () => {
         const candidates = [
             createCandidate("1", 0, 40, { dataCentre: "b" }),
--- a/tests/request/relay/relayModel.ts
+++ b/tests/request/relay/relayModel.ts
@@ -56,6 +56,7 @@
         tokenLayers: 0,
         totalTokenLayers: 100_000 * (end - start),
         freeTokenLayers: 100_000 * (end - start) - (changes.tokenLayers ?? 0),
+        freeSlots: 134 - (changes.requests ?? 0),
         slowness: 1,
         isSuspect: false,
         ...rest,
