End each request that is open at a stop's deadline, with its answer and its log entry

What callers saw: requests that an engine still ran at the deadline of a stop, and had not begun to answer, lost their connection without an answer; none of the requests that a stop ended had an FL1710, so that nothing told what they were. Cause: the process ended with its connections. Only requests in the queue were refused. Change: the node knows its open requests. At the deadline a begun answer is cut, a request that may have run gets 502, any other 503 with a return of now. FL1710 says how long after the signal a request came and ended, and if it was running, resuming or waiting; FL1746 counts them, with the answers that were not sent completely then.

--- a/bench/experiment/simulatedNode.ts
+++ b/bench/experiment/simulatedNode.ts
@@ -16,6 +16,7 @@
 import { RequestQuarantine } from "../../src/request/relay/quarantine/requestQuarantine.ts";
 import { RelayQueue } from "../../src/request/relay/queue/relayQueue.ts";
 import type { RelayEnvironment } from "../../src/request/relay/relayEnvironment.ts";
+import { NodeStop } from "../../src/request/relay/stop/nodeStop.ts";
 import { Mechanism } from "./mechanism.ts";
 import type { SimulatedEngines } from "./simulatedEngines.ts";
 import { simulatedProtocol } from "./simulatedProtocol.ts";
@@ -99,6 +100,7 @@
             retryDetector,
             linkDelays,
             linkTraffic: LinkTraffic.create(),
+            stop: NodeStop.create(),
             links: LinkAdmission.create({
                 random,
                 log,
--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -377,6 +377,12 @@
         message:
             "A caller's connection closed with requests that were read and got neither an answer nor a refusal. Their callers must send them again on another connection; the reason says what closed it.",
     },
+    requestsEndedAtStop: {
+        number: 1746,
+        level: "warn",
+        message:
+            "A node ended with requests that had no final answer. Their number stands by what happened to them; the entry of each says when it came. If engines were at work on many, allow more time for stops.",
+    },
     endpointLeavingAnnounced: {
         number: 1725,
         level: "info",
--- a/src/process/router/requestRouter.ts
+++ b/src/process/router/requestRouter.ts
@@ -10,6 +10,9 @@
 import type { RelayTask } from "../../request/relay/relayTask.ts";
 import { RequestGuard } from "../../request/relay/requestGuard.ts";
 import type { RoutedRequest } from "../../request/relay/routedRequest.ts";
+import type { OpenRequest } from "../../request/relay/stop/openRequest.ts";
+import { OpenRequests } from "../../request/relay/stop/openRequests.ts";
+import { OpenRequestState } from "../../request/relay/stop/openRequestState.ts";
 import { StreamRelay } from "../../request/relay/streams/streamRelay.ts";
 import type { Route } from "../../version/routing/route.ts";
 import { events } from "../logging/events.ts";
@@ -46,6 +49,7 @@
 /** Resolves the route, customer and service of each request, and starts its relay. */
 export class RequestRouter {
     private readonly options: RequestRouterOptions;
+    private readonly open = OpenRequests.create();
 
     private constructor(options: RequestRouterOptions) {
         this.options = options;
@@ -69,6 +73,11 @@
         }
     }
 
+    /** Ends all requests that have no final answer, because this node ends. Returns their number by what happened to them. */
+    endOpen(): ReturnType<OpenRequests["endAll"]> {
+        return this.open.endAll();
+    }
+
     /** Creates the task of relaying a request. If it can't be relayed, refuses it and returns undefined. */
     private createTask(request: RoutedRequest, sink: AnswerSink): RelayTask | undefined {
         const state = this.options.routing.getState();
@@ -134,14 +143,21 @@
         };
         if (service.engine === undefined) {
             account.reassign(ProcessorCause.StreamHead, ProcessorCause.Document);
-            DocumentRelay.start(environment, task, finish);
+            const relay = DocumentRelay.create(environment, task, () => {
+                this.open.remove(relay);
+                finish();
+            });
+            this.open.add(relay);
+            relay.start();
             return;
         }
         const relay = StreamRelay.create(environment, task, service.engine, () => {
             stallDetector.remove(relay);
+            this.open.remove(relay);
             finish();
         });
         stallDetector.add(relay);
+        this.open.add(relay);
         relay.start();
     }
 
@@ -168,7 +184,18 @@
             return;
         }
         const dueAt = request.arrivedAt + (request.deadlineMilliseconds ?? Infinity);
-        const cancel = refusalGate.wait(dueAt - clock.getMonotonicTime(), isProven => {
+        const waiting: OpenRequest = {
+            getState: () => OpenRequestState.Waiting,
+            endAtStop: () => {
+                cancel();
+                this.open.remove(waiting);
+                this.refuse(request, sink, createRefusal.stopping("this node is shutting down."), version);
+            },
+        };
+        let cancel = () => undefined as void;
+        this.open.add(waiting);
+        cancel = refusalGate.wait(dueAt - clock.getMonotonicTime(), isProven => {
+            this.open.remove(waiting);
             if (isProven) {
                 this.handle(request, sink);
                 return;
@@ -176,7 +203,10 @@
             const cause = "this node's configuration may lack the latest changes.";
             this.refuse(request, sink, createRefusal.notRun(cause, unprovenRetryMilliseconds), version);
         });
-        sink.onClosed(cancel);
+        sink.onClosed(() => {
+            cancel();
+            this.open.remove(waiting);
+        });
     }
 
     private refuse(request: RoutedRequest, sink: AnswerSink, refusal: RelayRefusal, version: number): void {
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -5,6 +5,7 @@
 import { RouterService } from "../../wire/generated/foxlead/router/v1/router_pb.ts";
 import { events } from "../logging/events.ts";
 import { createRouterStatus } from "./createRouterStatus.ts";
+import type { RequestRouter } from "./requestRouter.ts";
 import type { RouterNodeOptions } from "./routerNodeOptions.ts";
 import { RouterParts } from "./routerParts.ts";
 
@@ -96,10 +97,15 @@
         placementController.handleStoreRestored();
     }
 
-    /** Reports this node as not ready to the load balancer, and gives up its duties. */
-    async startDraining(): Promise<void> {
-        const { placementController, endpointPoller, endpoints, exchange, lease } = this.parts;
+    /**
+     * Reports this node as not ready to the load balancer, and gives up its duties.
+     * @param endsAt - Monotonic time in milliseconds at which the requests that are still open are ended.
+     */
+    async startDraining(endsAt = Infinity): Promise<void> {
+        const { placementController, endpointPoller, endpoints, exchange, lease, environment: { stop, clock } } =
+            this.parts;
         this.isDraining = true;
+        stop.begin({ begunAt: clock.getMonotonicTime(), endsAt });
         this.options.log.write(events.nodeDraining, {});
         placementController.stop();
         endpointPoller.stop();
@@ -118,6 +124,16 @@
         return this.parts.queue.refuseAll();
     }
 
+    /** Ends the requests that have no final answer, because this node ends. Returns their number by what happened to them. */
+    endRequests(): ReturnType<RequestRouter["endOpen"]> {
+        return this.parts.router.endOpen();
+    }
+
+    /** Logs how many requests the stop has ended, and how many answers were still not sent completely then. */
+    reportEndedRequests(counts: ReturnType<RequestRouter["endOpen"]> & { refused: number; unfinished: number; }): void {
+        this.options.log.write(events.requestsEndedAtStop, counts);
+    }
+
     /** Stops the remaining parts and closes the connections. */
     async stop(): Promise<void> {
         const { storeWatch, quarantine, exchange, endpoints } = this.parts;
--- a/src/process/router/stopRouter.ts
+++ b/src/process/router/stopRouter.ts
@@ -9,6 +9,8 @@
     stopListening(): void;
     /** Waits until all requests are answered. */
     waitUntilIdle(): Promise<void>;
+    /** Gets the number of requests whose answers are not sent completely, and of connections that are closing. */
+    getOpenCount(): number;
 }
 
 /** Options of {@link stopRouter}. */
@@ -22,7 +24,7 @@
 
 /** The load balancer removes a node after two checks at one per second; the rest is for the last connection to arrive. */
 const balancerRemovalMilliseconds = 2_700;
-/** Time for sending the refusals of the requests that still wait at the end. */
+/** Time for sending the answers of the requests that are ended. */
 const refusalMilliseconds = 100;
 
 /**
@@ -33,12 +35,16 @@
     const sleep = (milliseconds: number) => new Promise<void>(resolve => clock.setTimer(milliseconds, resolve));
     const deadline = sleep(shutdownMilliseconds);
     callers.startClosing();
-    void node.startDraining();
+    void node.startDraining(clock.getMonotonicTime() + shutdownMilliseconds);
     await sleep(balancerRemovalMilliseconds);
     callers.stopListening();
     await Promise.race([Promise.all([callers.waitUntilIdle(), node.waitUntilUnused()]), deadline]);
-    if (node.refuseWaiting() > 0) {
+    const isIdle = callers.getOpenCount() === 0;
+    const refused = node.refuseWaiting();
+    const ended = node.endRequests();
+    if (!isIdle) {
         await sleep(refusalMilliseconds);
+        node.reportEndedRequests({ refused, ...ended, unfinished: callers.getOpenCount() });
     }
     await Promise.race([node.stop(), deadline]);
 }
--- a/src/request/relay/answers/createRefusal.ts
+++ b/src/request/relay/answers/createRefusal.ts
@@ -13,6 +13,8 @@
         message: `The request was not run: ${cause} Send it again after the given time.`,
         retryAfterMilliseconds,
     }),
+    /** No endpoint has run the request, and this node ends. Others may have room now. */
+    stopping: (cause: string): RelayRefusal => createRefusal.notRun(cause, 0),
     /** The request is quarantined for some time, since endpoints crashed while they ran it. */
     heldBack: ({ endpointIds, remainingMilliseconds, parts }: RequestHold): RelayRefusal => ({
         reason: RefusalReason.HeldBack,
--- a/src/request/relay/createEndFields.ts
+++ b/src/request/relay/createEndFields.ts
@@ -21,6 +21,7 @@
 const incompleteOutcomes = new Set<string>([
     "cut",
     "cutAtTimeout",
+    "cutAtStop",
     RefusalReason.OutcomeUnknown,
     RefusalReason.TimedOut,
 ]);
@@ -32,11 +33,12 @@
  * @param end - How it ended.
  */
 export function createEndFields(
-    environment: Pick<RelayEnvironment, "clock" | "dataCentre" | "getConditions">,
+    environment: Pick<RelayEnvironment, "clock" | "dataCentre" | "getConditions" | "stop">,
     task: RelayTask,
     end: RelayEnd,
 ): Record<string, string | number> {
     const { request, route, rank, customer, fingerprint, takenUpLateMilliseconds } = task;
+    const now = environment.clock.getMonotonicTime();
     return {
         request: request.id,
         route: route.name,
@@ -51,7 +53,8 @@
         peer: end.peer ?? "",
         takenUpLateMilliseconds: Math.round(takenUpLateMilliseconds),
         sentMilliseconds: getSentMilliseconds(end.firstSentAt, request.arrivedAt),
-        milliseconds: Math.round(environment.clock.getMonotonicTime() - request.arrivedAt),
+        milliseconds: Math.round(now - request.arrivedAt),
+        ...environment.stop.describe(request.arrivedAt, now),
         ...incompleteOutcomes.has(end.outcome) ? environment.getConditions() : {},
     };
 }
--- a/src/request/relay/documents/documentRelay.ts
+++ b/src/request/relay/documents/documentRelay.ts
@@ -21,6 +21,9 @@
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
 import { RequestGuard } from "../requestGuard.ts";
+import { createStopCause } from "../stop/createStopCause.ts";
+import type { OpenRequest } from "../stop/openRequest.ts";
+import { OpenRequestState } from "../stop/openRequestState.ts";
 import type { DocumentAttempt } from "./documentAttempt.ts";
 import type { DocumentAttemptEnd } from "./documentAttemptEnd.ts";
 import { DocumentAttempts } from "./documentAttempts.ts";
@@ -37,7 +40,7 @@
 const serverErrorStatus = 500;
 
 /** Forwards a request to a document service and answers its caller exactly once. */
-export class DocumentRelay {
+export class DocumentRelay implements OpenRequest {
     private readonly environment: RelayEnvironment;
     private readonly task: RelayTask;
     private readonly endpoints: DocumentEndpoints;
@@ -64,16 +67,33 @@
     }
 
     /**
-     * Starts forwarding a request.
+     * Creates the relay of a request; nothing is sent before {@link start}.
      * @param environment - Shared services of relayed requests.
      * @param task - The request.
      * @param onDone - Called once, when the caller was answered or has disconnected.
      */
+    static create(environment: RelayEnvironment, task: RelayTask, onDone: () => void): DocumentRelay {
+        return new DocumentRelay(environment, task, onDone);
+    }
+
+    /** Creates the relay of a request and starts forwarding it; see {@link create}. */
     static start(environment: RelayEnvironment, task: RelayTask, onDone: () => void): void {
-        new DocumentRelay(environment, task, onDone).run();
+        DocumentRelay.create(environment, task, onDone).start();
+    }
+
+    /** Gets what happens to the request. */
+    getState(): OpenRequestState {
+        return this.attempts.areRunning() ? OpenRequestState.Running : OpenRequestState.Waiting;
+    }
+
+    /** Ends the request because this node ends. */
+    endAtStop(): void {
+        const cause = createStopCause(this.getState());
+        this.guard.run(() => this.endWithout(cause, createRefusal.stopping(cause)));
     }
 
-    private run(): void {
+    /** Starts forwarding the request. */
+    start(): void {
         const { environment, task } = this;
         task.sink.onClosed(() => this.finish("callerGone"));
         this.setTimer(task.dueAt - environment.clock.getMonotonicTime(), () => this.expire());
@@ -392,16 +412,20 @@
      * @param notRun - Refusal for the caller if no endpoint has run the request.
      */
     private giveUp(cause: string, notRun: RelayRefusal = createRefusal.notRun(cause)): void {
-        if (this.attempts.areRunning()) {
-            return;
+        if (!this.attempts.areRunning()) {
+            this.endWithout(cause, notRun);
         }
+    }
+
+    /** Ends the request without success, also while an endpoint runs it. See {@link giveUp}. */
+    private endWithout(cause: string, notRun: RelayRefusal): void {
         const failureAnswer = this.attempts.getFailureAnswer();
         if (failureAnswer !== undefined) {
             sendCompleteAnswer(this.task.sink, failureAnswer);
             this.finish("endpointFailed", undefined, failureAnswer.head.status);
             return;
         }
-        this.refuse(this.attempts.mayHaveRun() ? createRefusal.outcomeUnknown(cause) : notRun);
+        this.refuse(this.mayHaveRun() ? createRefusal.outcomeUnknown(cause) : notRun);
     }
 
     private expire(): void {
--- a/src/request/relay/relayEnvironment.ts
+++ b/src/request/relay/relayEnvironment.ts
@@ -20,6 +20,7 @@
 import type { RequestQuarantine } from "./quarantine/requestQuarantine.ts";
 import type { RelayQueue } from "./queue/relayQueue.ts";
 import type { RelayTransport } from "./relayTransport.ts";
+import type { NodeStop } from "./stop/nodeStop.ts";
 
 /** Dependencies shared by all relayed requests. */
 export interface RelayEnvironment {
@@ -50,6 +51,8 @@
     /** Traffic between data centres caused by this node's requests. */
     linkTraffic: LinkTraffic;
     links: LinkAdmission;
+    /** The stop of this node. */
+    stop: NodeStop;
     /** Gets the number of live nodes, including this one. */
     getNodeCount(): number;
     /** Gets the number of nodes that are alive now, including this one. {@link getNodeCount} may be the highest of the last seconds. */
--- /dev/null
+++ b/src/request/relay/stop/openRequest.ts
@@ -0,0 +1,9 @@
+import type { OpenRequestState } from "./openRequestState.ts";
+
+/** A request that has no final answer yet. */
+export interface OpenRequest {
+    /** Gets what happens to it. */
+    getState(): OpenRequestState;
+    /** Ends it because this node ends. */
+    endAtStop(): void;
+}
--- a/src/request/relay/streams/streamAnswer.ts
+++ b/src/request/relay/streams/streamAnswer.ts
@@ -87,6 +87,20 @@
         );
     }
 
+    /**
+     * Ends the request because this node ends.
+     * @param cause - What happened to the request until then.
+     * @param isSent - Whether an attempt is in progress that may have reached an endpoint.
+     */
+    stop(cause: string, isSent: boolean): AnswerEnd {
+        if (this.hasBegun) {
+            this.sink.abort();
+            return { outcome: "cutAtStop", cause };
+        }
+        this.mayHaveRun ||= isSent;
+        return this.giveUp(cause, createRefusal.stopping(cause));
+    }
+
     private begin(head: AnswerHead): void {
         if (!this.hasBegun) {
             this.hasBegun = true;
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -14,6 +14,9 @@
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
 import { RequestGuard } from "../requestGuard.ts";
+import { createStopCause } from "../stop/createStopCause.ts";
+import type { OpenRequest } from "../stop/openRequest.ts";
+import { OpenRequestState } from "../stop/openRequestState.ts";
 import { AttemptSender } from "./attemptSender.ts";
 import { createStreamState } from "./createStreamState.ts";
 import { EventVerdict } from "./eventVerdict.ts";
@@ -33,7 +36,7 @@
  * the stream continues after its last event over another chain, in the same answer. The ids of the forwarded events
  * increase strictly, also across attempts.
  */
-export class StreamRelay {
+export class StreamRelay implements OpenRequest {
     readonly task: RelayTask;
     /** The attempts in progress. */
     readonly attempts: RunningAttempts;
@@ -112,6 +115,20 @@
         this.guard.run(() => this.startAttempt("no chain of endpoints has free capacity."));
     }
 
+    /** Gets what happens to the request. */
+    getState(): OpenRequestState {
+        if (this.attempts.getCurrent() !== undefined) {
+            return OpenRequestState.Running;
+        }
+        return this.state.answer.isBegun() ? OpenRequestState.Resuming : OpenRequestState.Waiting;
+    }
+
+    /** Ends the request because this node ends. */
+    endAtStop(): void {
+        const cause = createStopCause(this.getState());
+        this.guard.run(() => this.finish(this.state.answer.stop(cause, this.attempts.isAnySent())));
+    }
+
     /**
      * Sends the request over the best chain, queues it, or ends it.
      * @param cause - Why there is no answer yet.
--- a/tests/platform/stoppingNode.test.ts
+++ b/tests/platform/stoppingNode.test.ts
@@ -10,6 +10,7 @@
 /** Just longer than a stopping node waits for the load balancer to remove it. */
 const shutdownMilliseconds = 3_000;
 const refusalStatus = 503;
+const outcomeUnknownStatus = 502;
 /** Uses all memory of the endpoint. */
 const largeRequest = { "token-counts": "14000,900", "request-deadline-ms": "20000" };
 
@@ -45,4 +46,25 @@
         await stopRouter({ node, callers, shutdownMilliseconds, clock: systemClock });
         assert.deepEqual(answers.map(({ status }) => status), [refusalStatus]);
     });
+
+    // A request whose endpoint had sent nothing lost its connection with the end of the process, and no line told of it.
+    it("answers the requests that an endpoint still runs when its time is over, and logs the end of each", async () => {
+        const started = await harness.addNode();
+        const { node, callers, log } = started;
+        await harness.waitForEndpoints(started, 1);
+        const { runs } = harness.endpoints.get("m1")!;
+        const earlier = runs.length;
+        harness.endpoints.get("m1")!.behaviour = { delayMilliseconds: shutdownMilliseconds * 2 };
+        const answers: CallerAnswer[] = [];
+        void harness.send(started, "/once/x").then(answer => answers.push(answer));
+        await waitUntil("a request runs", () => runs.length > earlier);
+        await stopRouter({ node, callers, shutdownMilliseconds, clock: systemClock });
+        assert.deepEqual(answers.map(({ status }) => status), [outcomeUnknownStatus]);
+        const end = log.fields[log.numbers.indexOf(events.relayEnded.number)]!;
+        assert.ok(Number(end["arrivedAfterStopMilliseconds"]) <= 0);
+        const { refused, running, resuming, waiting } = log.fields[
+            log.numbers.indexOf(events.requestsEndedAtStop.number)
+        ]!;
+        assert.deepEqual({ refused, running, resuming, waiting }, { refused: 0, running: 1, resuming: 0, waiting: 0 });
+    });
 });
--- a/tests/request/relay/relayBench.ts
+++ b/tests/request/relay/relayBench.ts
@@ -19,6 +19,7 @@
 import { RelayQueue } from "../../../src/request/relay/queue/relayQueue.ts";
 import type { RelayEnvironment } from "../../../src/request/relay/relayEnvironment.ts";
 import type { RelayTask } from "../../../src/request/relay/relayTask.ts";
+import { NodeStop } from "../../../src/request/relay/stop/nodeStop.ts";
 import type { RequestKind } from "../../../src/version/routing/requestKind.ts";
 import { FakeClock } from "../../support/fakeClock.ts";
 import { RecordingEventLog } from "../../support/recordingEventLog.ts";
@@ -103,6 +104,7 @@
                 getDemand: () => queue.getDemand(),
                 getNodeCount: () => 1,
             }),
+            stop: NodeStop.create(),
             getNodeCount: () => 1,
             getLiveNodeCount: () => 1,
             getConditions: () => ({ configurationVersion: 1, configurationAgeMilliseconds: 0, lagMilliseconds: 0 }),
