Refuse at a stop what can't be answered before it, at once and while it waits

What callers saw: a node that stops takes requests for some seconds more, so that the load balancer can remove it. It took answers that last longer than it did, let requests wait until its end, and cut them there, while the other nodes had room. Cause: nothing compared the time that an answer needs with the time that the node has left. Change: `AnswerTimes` measures how long the answers of each route take in proportion to their expected size, as a bound within which about nine in ten end (a stream: the usual time to its first event and the rest in proportion to its expected tokens). `shouldEndAtStop` decides by it: a request that arrives after the signal and can't be answered in time is refused at once as not run, with a return of now (FL1747), and one that waits is ended as soon as its answer can't end any more: 503 if no engine ran it, 502 if one may have. Looked at each tenth of a second during a stop, not at other times. What an engine runs, and a begun stream that waits for a chain, goes on until the end as before.

--- a/bench/experiment/simulatedNode.ts
+++ b/bench/experiment/simulatedNode.ts
@@ -16,6 +16,7 @@
 import { RequestQuarantine } from "../../src/request/relay/quarantine/requestQuarantine.ts";
 import { RelayQueue } from "../../src/request/relay/queue/relayQueue.ts";
 import type { RelayEnvironment } from "../../src/request/relay/relayEnvironment.ts";
+import { AnswerTimes } from "../../src/request/relay/stop/answerTimes.ts";
 import { NodeStop } from "../../src/request/relay/stop/nodeStop.ts";
 import { Mechanism } from "./mechanism.ts";
 import type { SimulatedEngines } from "./simulatedEngines.ts";
@@ -100,6 +101,7 @@
             retryDetector,
             linkDelays,
             linkTraffic: LinkTraffic.create(),
+            answerTimes: AnswerTimes.create(),
             stop: NodeStop.create(),
             links: LinkAdmission.create({
                 random,
--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -383,6 +383,12 @@
         message:
             "A node ended with requests that had no final answer. Their number stands by what happened to them; the entry of each says when it came. If engines were at work on many, allow more time for stops.",
     },
+    refusedAtStop: {
+        number: 1747,
+        level: "info",
+        message:
+            "A node that stops refused a request whose answer would need more time than the node has. Its caller can send it to another node at once.",
+    },
     endpointLeavingAnnounced: {
         number: 1725,
         level: "info",
--- a/src/process/router/createRelayEnvironment.ts
+++ b/src/process/router/createRelayEnvironment.ts
@@ -9,6 +9,7 @@
 import type { RequestQuarantine } from "../../request/relay/quarantine/requestQuarantine.ts";
 import type { RelayQueue } from "../../request/relay/queue/relayQueue.ts";
 import type { RelayEnvironment } from "../../request/relay/relayEnvironment.ts";
+import { AnswerTimes } from "../../request/relay/stop/answerTimes.ts";
 import { NodeStop } from "../../request/relay/stop/nodeStop.ts";
 import type { EndpointCalls } from "./endpointCalls.ts";
 import { getRetryPolicy } from "./getRetryPolicy.ts";
@@ -68,6 +69,7 @@
         linkDelays,
         linkTraffic: LinkTraffic.create(),
         links: createLinkAdmission(options, linkDelays),
+        answerTimes: AnswerTimes.create(),
         stop: NodeStop.create(),
         getNodeCount: () => liveNodes.getHighestCount(),
         getLiveNodeCount: () => liveNodes.getCount(),
--- a/src/process/router/requestRouter.ts
+++ b/src/process/router/requestRouter.ts
@@ -10,9 +10,11 @@
 import type { RelayTask } from "../../request/relay/relayTask.ts";
 import { RequestGuard } from "../../request/relay/requestGuard.ts";
 import type { RoutedRequest } from "../../request/relay/routedRequest.ts";
+import { estimateAnswerDuration } from "../../request/relay/stop/estimateAnswerDuration.ts";
 import type { OpenRequest } from "../../request/relay/stop/openRequest.ts";
 import { OpenRequests } from "../../request/relay/stop/openRequests.ts";
 import { OpenRequestState } from "../../request/relay/stop/openRequestState.ts";
+import { shouldEndAtStop } from "../../request/relay/stop/shouldEndAtStop.ts";
 import { StreamRelay } from "../../request/relay/streams/streamRelay.ts";
 import type { Route } from "../../version/routing/route.ts";
 import { events } from "../logging/events.ts";
@@ -68,11 +70,19 @@
             end: cause => sink.refuse(createRefusal.notRun(cause)),
         });
         const task = guard.run(() => this.createTask(request, sink));
-        if (task !== undefined) {
+        if (task !== undefined && !this.refuseIfHopeless(task)) {
             this.relay(task);
         }
     }
 
+    /**
+     * Ends the requests that wait and can't be answered before this node ends.
+     * @param remainingMilliseconds - Time until then.
+     */
+    endHopeless(remainingMilliseconds: number): void {
+        this.open.endHopeless(remainingMilliseconds);
+    }
+
     /** Ends all requests that have no final answer, because this node ends. Returns their number by what happened to them. */
     endOpen(): ReturnType<OpenRequests["endAll"]> {
         return this.open.endAll();
@@ -161,6 +171,35 @@
         relay.start();
     }
 
+    /** Refuses a request that can't be answered before this node ends. Returns whether it is refused. */
+    private refuseIfHopeless(task: RelayTask): boolean {
+        const { environment, metrics } = this.options;
+        const { request, route, sink } = task;
+        const now = environment.clock.getMonotonicTime();
+        const remainingMilliseconds = environment.stop.getRemainingTime(now);
+        if (remainingMilliseconds === Infinity) {
+            return false;
+        }
+        const neededMilliseconds = estimateAnswerDuration(environment, task);
+        const isHopeless = shouldEndAtStop({
+            state: OpenRequestState.Waiting,
+            neededMilliseconds,
+            remainingMilliseconds,
+        });
+        if (isHopeless) {
+            const refusal = createRefusal.stopping("this node is shutting down and would end before its answer.");
+            environment.log.write(events.refusedAtStop, {
+                request: request.id,
+                route: route.name,
+                neededMilliseconds: Math.round(neededMilliseconds),
+                remainingMilliseconds: Math.round(remainingMilliseconds),
+            });
+            metrics.refusalsTotal.inc({ reason: refusal.reason });
+            sink.refuse(refusal);
+        }
+        return isHopeless;
+    }
+
     private chooseService({ services }: Route): string {
         let total = 0;
         for (const { weight } of services) {
@@ -186,6 +225,7 @@
         const dueAt = request.arrivedAt + (request.deadlineMilliseconds ?? Infinity);
         const waiting: OpenRequest = {
             getState: () => OpenRequestState.Waiting,
+            getNeededTime: () => 0,
             endAtStop: () => {
                 cancel();
                 this.open.remove(waiting);
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -9,6 +9,9 @@
 import type { RouterNodeOptions } from "./routerNodeOptions.ts";
 import { RouterParts } from "./routerParts.ts";
 
+/** Interval at which a stopping node looks for requests that it can't answer in time any more. */
+const stopReviewMilliseconds = 100;
+
 /** A node that routes requests to endpoints registered in the platform's store. */
 export class RouterNode {
     private readonly options: RouterNodeOptions;
@@ -107,6 +110,7 @@
         this.isDraining = true;
         stop.begin({ begunAt: clock.getMonotonicTime(), endsAt });
         this.options.log.write(events.nodeDraining, {});
+        this.reviewRequests();
         placementController.stop();
         endpointPoller.stop();
         endpoints.links.startDraining();
@@ -143,4 +147,14 @@
         await endpoints.links.close();
         await this.peerServer?.close();
     }
+
+    /** Ends the requests that wait and can't be answered any more before this node ends, now and as its time passes. */
+    private reviewRequests(): void {
+        const { router, environment: { stop, clock } } = this.parts;
+        const remainingMilliseconds = stop.getRemainingTime(clock.getMonotonicTime());
+        router.endHopeless(remainingMilliseconds);
+        if (remainingMilliseconds > 0 && remainingMilliseconds < Infinity) {
+            clock.setTimer(Math.min(remainingMilliseconds, stopReviewMilliseconds), () => this.reviewRequests());
+        }
+    }
 }
--- a/src/request/relay/documents/documentRelay.ts
+++ b/src/request/relay/documents/documentRelay.ts
@@ -22,6 +22,8 @@
 import type { RelayTask } from "../relayTask.ts";
 import { RequestGuard } from "../requestGuard.ts";
 import { createStopCause } from "../stop/createStopCause.ts";
+import { estimateAnswerDuration } from "../stop/estimateAnswerDuration.ts";
+import { getAnswerSize } from "../stop/getAnswerSize.ts";
 import type { OpenRequest } from "../stop/openRequest.ts";
 import { OpenRequestState } from "../stop/openRequestState.ts";
 import type { DocumentAttempt } from "./documentAttempt.ts";
@@ -86,6 +88,11 @@
         return this.attempts.areRunning() ? OpenRequestState.Running : OpenRequestState.Waiting;
     }
 
+    /** Gets the time that the request needs for its answer, in milliseconds. */
+    getNeededTime(): number {
+        return estimateAnswerDuration(this.environment, this.task);
+    }
+
     /** Ends the request because this node ends. */
     endAtStop(): void {
         const cause = createStopCause(this.getState());
@@ -403,6 +410,8 @@
 
     private deliver(answer: CompleteAnswer, attempt: DocumentAttempt): void {
         sendCompleteAnswer(this.task.sink, answer);
+        const milliseconds = this.getTime() - this.task.request.arrivedAt;
+        this.environment.answerTimes.record(this.task.route.name, milliseconds, getAnswerSize(this.task));
         this.finish("answered", attempt, answer.head.status);
     }
 
--- a/src/request/relay/relayEnvironment.ts
+++ b/src/request/relay/relayEnvironment.ts
@@ -20,6 +20,7 @@
 import type { RequestQuarantine } from "./quarantine/requestQuarantine.ts";
 import type { RelayQueue } from "./queue/relayQueue.ts";
 import type { RelayTransport } from "./relayTransport.ts";
+import type { AnswerTimes } from "./stop/answerTimes.ts";
 import type { NodeStop } from "./stop/nodeStop.ts";
 
 /** Dependencies shared by all relayed requests. */
@@ -51,6 +52,7 @@
     /** Traffic between data centres caused by this node's requests. */
     linkTraffic: LinkTraffic;
     links: LinkAdmission;
+    answerTimes: AnswerTimes;
     /** The stop of this node. */
     stop: NodeStop;
     /** Gets the number of live nodes, including this one. */
--- a/src/request/relay/stop/nodeStop.ts
+++ b/src/request/relay/stop/nodeStop.ts
@@ -20,6 +20,14 @@
         this.period ??= period;
     }
 
+    /**
+     * Gets the time until the node ends its requests, in milliseconds; infinite if it goes on.
+     * @param now - Monotonic time in milliseconds.
+     */
+    getRemainingTime(now: number): number {
+        return this.period === undefined ? Infinity : this.period.endsAt - now;
+    }
+
     /**
      * Describes the stop for the log entry of a request that ends; no fields if the node goes on.
      * @param arrivedAt - Monotonic time of the request's arrival, in milliseconds.
--- a/src/request/relay/stop/openRequests.ts
+++ b/src/request/relay/stop/openRequests.ts
@@ -1,5 +1,6 @@
 import type { OpenRequest } from "./openRequest.ts";
 import { OpenRequestState } from "./openRequestState.ts";
+import { shouldEndAtStop } from "./shouldEndAtStop.ts";
 
 /** The requests of a node that have no final answer yet. */
 export class OpenRequests {
@@ -22,6 +23,19 @@
         this.requests.delete(request);
     }
 
+    /**
+     * Ends the requests that can't be answered before this node ends, although they could wait until then.
+     * @param remainingMilliseconds - Time until the node ends.
+     */
+    endHopeless(remainingMilliseconds: number): void {
+        for (const request of [...this.requests]) {
+            const neededMilliseconds = request.getNeededTime();
+            if (shouldEndAtStop({ state: request.getState(), neededMilliseconds, remainingMilliseconds })) {
+                request.endAtStop();
+            }
+        }
+    }
+
     /**
      * Ends all requests, because this node ends.
      * @returns Their number by what happened to them.
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -15,6 +15,8 @@
 import type { RelayTask } from "../relayTask.ts";
 import { RequestGuard } from "../requestGuard.ts";
 import { createStopCause } from "../stop/createStopCause.ts";
+import { estimateAnswerDuration } from "../stop/estimateAnswerDuration.ts";
+import { getAnswerSize } from "../stop/getAnswerSize.ts";
 import type { OpenRequest } from "../stop/openRequest.ts";
 import { OpenRequestState } from "../stop/openRequestState.ts";
 import { AttemptSender } from "./attemptSender.ts";
@@ -123,6 +125,11 @@
         return this.state.answer.isBegun() ? OpenRequestState.Resuming : OpenRequestState.Waiting;
     }
 
+    /** Gets the time that the request needs for its answer, in milliseconds. */
+    getNeededTime(): number {
+        return estimateAnswerDuration(this.state.environment, this.task);
+    }
+
     /** Ends the request because this node ends. */
     endAtStop(): void {
         const cause = createStopCause(this.getState());
@@ -288,9 +295,19 @@
         this.endOtherAttempts(attempt);
         this.state.quarantine.markSafe(attempt.firstEventAt ?? attempt.sentAt);
         this.state.quarantine.markComplete();
+        this.recordAnswerTime();
         this.finish(this.state.answer.complete(head));
     }
 
+    private recordAnswerTime(): void {
+        const firstAt = this.state.progress.getFirstTime();
+        // The rest of an answer that its caller resumes says little of whole ones.
+        if (firstAt !== undefined && this.task.request.lastEventId === 0) {
+            const size = getAnswerSize(this.task);
+            this.state.environment.answerTimes.record(this.task.route.name, this.getTime() - firstAt, size);
+        }
+    }
+
     private endAttempt(attempt: StreamAttempt, end: StreamAttemptEnd): void {
         if (this.isDone) {
             return;
--- a/tests/platform/stoppingNode.test.ts
+++ b/tests/platform/stoppingNode.test.ts
@@ -11,6 +11,9 @@
 const shutdownMilliseconds = 3_000;
 const refusalStatus = 503;
 const outcomeUnknownStatus = 502;
+/** Makes a stream last longer than the stop. */
+const longSlowness = 200;
+const longDeadline = { "request-deadline-ms": "20000" };
 /** Uses all memory of the endpoint. */
 const largeRequest = { "token-counts": "14000,900", "request-deadline-ms": "20000" };
 
@@ -67,4 +70,23 @@
         ]!;
         assert.deepEqual({ refused, running, resuming, waiting }, { refused: 0, running: 1, resuming: 0, waiting: 0 });
     });
+
+    // A node took long answers until the load balancer had removed it, and cut them with its end, though other nodes had room.
+    it("refuses at once a stream that would last longer than it does, and answers a short request", async () => {
+        await harness.addEndpoint("d1", "documents");
+        const started = await harness.addNode();
+        const { node, callers, log } = started;
+        await harness.waitForEndpoints(started, 2);
+        harness.endpoints.get("m1")!.behaviour = { slowness: longSlowness };
+        assert.ok((await harness.send(started, "/model/x", { headers: longDeadline })).isComplete);
+        const stopped = stopRouter({ node, callers, shutdownMilliseconds, clock: systemClock });
+        const [long, short] = await Promise.all([
+            harness.send(started, "/model/x", { headers: longDeadline }),
+            harness.send(started, "/unsafe/x"),
+        ]);
+        assert.deepEqual([long.status, long.headers["retry-after"], short.status], [refusalStatus, "0", 200]);
+        assert.ok(log.numbers.includes(events.refusedAtStop.number));
+        await stopped;
+        assert.ok(!log.numbers.includes(events.requestsEndedAtStop.number));
+    });
 });
--- a/tests/request/relay/relayBench.ts
+++ b/tests/request/relay/relayBench.ts
@@ -19,6 +19,7 @@
 import { RelayQueue } from "../../../src/request/relay/queue/relayQueue.ts";
 import type { RelayEnvironment } from "../../../src/request/relay/relayEnvironment.ts";
 import type { RelayTask } from "../../../src/request/relay/relayTask.ts";
+import { AnswerTimes } from "../../../src/request/relay/stop/answerTimes.ts";
 import { NodeStop } from "../../../src/request/relay/stop/nodeStop.ts";
 import type { RequestKind } from "../../../src/version/routing/requestKind.ts";
 import { FakeClock } from "../../support/fakeClock.ts";
@@ -104,6 +105,7 @@
                 getDemand: () => queue.getDemand(),
                 getNodeCount: () => 1,
             }),
+            answerTimes: AnswerTimes.create(),
             stop: NodeStop.create(),
             getNodeCount: () => 1,
             getLiveNodeCount: () => 1,
