--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -14,6 +14,11 @@
 import type { RelayEnvironment } from "../relayEnvironment.ts";
 import type { RelayTask } from "../relayTask.ts";
 import { RequestGuard } from "../requestGuard.ts";
+import { createStopCause } from "../stop/createStopCause.ts";
+import { estimateAnswerDuration } from "../stop/estimateAnswerDuration.ts";
+import { getAnswerSize } from "../stop/getAnswerSize.ts";
+import type { OpenRequest } from "../stop/openRequest.ts";
+import { OpenRequestState } from "../stop/openRequestState.ts";
 import { AttemptSender } from "./attemptSender.ts";
 import { createStreamState } from "./createStreamState.ts";
 import { EventVerdict } from "./eventVerdict.ts";
@@ -33,7 +38,7 @@
  * the stream continues after its last event over another chain, in the same answer. The ids of the forwarded events
  * increase strictly, also across attempts.
  */
-export class StreamRelay {
+export class StreamRelay implements OpenRequest {
     readonly task: RelayTask;
     /** The attempts in progress. */
     readonly attempts: RunningAttempts;
@@ -112,6 +117,25 @@
         this.guard.run(() => this.startAttempt("no chain of endpoints has free capacity."));
     }
 
+    /** Gets what happens to the request. */
+    getState(): OpenRequestState {
+        if (this.attempts.getCurrent() !== undefined) {
+            return OpenRequestState.Running;
+        }
+        return this.state.answer.isBegun() ? OpenRequestState.Resuming : OpenRequestState.Waiting;
+    }
+
+    /** Gets the time that the request needs for its answer, in milliseconds. */
+    getNeededTime(): number {
+        return estimateAnswerDuration(this.state.environment, this.task);
+    }
+
+    /** Ends the request because this node ends. */
+    endAtStop(): void {
+        const cause = createStopCause(this.getState());
+        this.guard.run(() => this.finish(this.state.answer.stop(cause, this.attempts.isAnySent())));
+    }
+
     /**
      * Sends the request over the best chain, queues it, or ends it.
      * @param cause - Why there is no answer yet.
@@ -279,9 +303,19 @@
         this.endOtherAttempts(attempt);
         this.state.quarantine.markSafe(attempt.firstEventAt ?? attempt.sentAt);
         this.state.quarantine.markComplete();
+        this.recordAnswerTime();
         this.finish(this.state.answer.complete(head));
     }
 
+    private recordAnswerTime(): void {
+        const firstAt = this.state.progress.getFirstTime();
+        // The rest of an answer that its caller resumes says little of whole ones.
+        if (firstAt !== undefined && this.task.request.lastEventId === 0) {
+            const size = getAnswerSize(this.task);
+            this.state.environment.answerTimes.record(this.task.route.name, this.getTime() - firstAt, size);
+        }
+    }
+
     private endAttempt(attempt: StreamAttempt, end: StreamAttemptEnd): void {
         if (this.isDone) {
             return;
--- a/tests/platform/stoppingNode.test.ts
+++ b/tests/platform/stoppingNode.test.ts
@@ -10,6 +10,10 @@
 /** Just longer than a stopping node waits for the load balancer to remove it. */
 const shutdownMilliseconds = 3_000;
 const refusalStatus = 503;
+const outcomeUnknownStatus = 502;
+/** Makes a stream last longer than the stop. */
+const longSlowness = 200;
+const longDeadline = { "request-deadline-ms": "20000" };
 /** Uses all memory of the endpoint. */
 const largeRequest = { "token-counts": "14000,900", "request-deadline-ms": "20000" };
 
@@ -45,4 +49,44 @@
         await stopRouter({ node, callers, shutdownMilliseconds, clock: systemClock });
         assert.deepEqual(answers.map(({ status }) => status), [refusalStatus]);
     });
+
+    // A request whose endpoint had sent nothing lost its connection with the end of the process, and no line told of it.
+    it("answers the requests that an endpoint still runs when its time is over, and logs the end of each", async () => {
+        const started = await harness.addNode();
+        const { node, callers, log } = started;
+        await harness.waitForEndpoints(started, 1);
+        const { runs } = harness.endpoints.get("m1")!;
+        const earlier = runs.length;
+        harness.endpoints.get("m1")!.behaviour = { delayMilliseconds: shutdownMilliseconds * 2 };
+        const answers: CallerAnswer[] = [];
+        void harness.send(started, "/once/x").then(answer => answers.push(answer));
+        await waitUntil("a request runs", () => runs.length > earlier);
+        await stopRouter({ node, callers, shutdownMilliseconds, clock: systemClock });
+        assert.deepEqual(answers.map(({ status }) => status), [outcomeUnknownStatus]);
+        const end = log.fields[log.numbers.indexOf(events.relayEnded.number)]!;
+        assert.ok(Number(end["arrivedAfterStopMilliseconds"]) <= 0);
+        const { refused, running, resuming, waiting } = log.fields[
+            log.numbers.indexOf(events.requestsEndedAtStop.number)
+        ]!;
+        assert.deepEqual({ refused, running, resuming, waiting }, { refused: 0, running: 1, resuming: 0, waiting: 0 });
+    });
+
+    // A node took long answers until the load balancer had removed it, and cut them with its end, though other nodes had room.
+    it("refuses at once a stream that would last longer than it does, and answers a short request", async () => {
+        await harness.addEndpoint("d1", "documents");
+        const started = await harness.addNode();
+        const { node, callers, log } = started;
+        await harness.waitForEndpoints(started, 2);
+        harness.endpoints.get("m1")!.behaviour = { slowness: longSlowness };
+        assert.ok((await harness.send(started, "/model/x", { headers: longDeadline })).isComplete);
+        const stopped = stopRouter({ node, callers, shutdownMilliseconds, clock: systemClock });
+        const [long, short] = await Promise.all([
+            harness.send(started, "/model/x", { headers: longDeadline }),
+            harness.send(started, "/unsafe/x"),
+        ]);
+        assert.deepEqual([long.status, long.headers["retry-after"], short.status], [refusalStatus, "0", 200]);
+        assert.ok(log.numbers.includes(events.refusedAtStop.number));
+        await stopped;
+        assert.ok(!log.numbers.includes(events.requestsEndedAtStop.number));
+    });
 });
