Let one list end the requests that wait as a node ends

The test that a stream which waits outside of the queue gets its answer as the node ends calls it as the stop does, and asks as much as before; the order in stopRouter (the queue first, then all others) is unchanged.

--- a/src/request/relay/queue/relayQueue.ts
+++ b/src/request/relay/queue/relayQueue.ts
@@ -51,9 +51,6 @@
     private readonly startQueue: StartQueue<ReservedChain>;
     private timer: TimerHandle | undefined;
     private readonly waits = new Map<QueuedRelay, QueuedWait>();
-    /** End the requests that wait for a chain without a place in the queue. */
-    private readonly unqueued = new Set<() => void>();
-    private isEnding = false;
     private isReviewDue = false;
     private contendedAt = -Infinity;
 
@@ -121,34 +118,11 @@
 
     /** Refuses all waiting requests, before this node ends. Returns their number. */
     refuseAll(): number {
-        this.isEnding = true;
         const refused = this.startQueue.refuseAll();
         for (const { request, decision } of refused) {
             this.endWaiting(request as QueuedRelay, decision);
         }
-        const unqueued = [...this.unqueued];
-        for (const end of unqueued) {
-            end();
-        }
-        return refused.length + unqueued.length;
-    }
-
-    /** Checks if the waiting requests have been refused, since this node ends. */
-    hasRefusedAll(): boolean {
-        return this.isEnding;
-    }
-
-    /**
-     * Adds a request that waits for a chain without a place in the queue.
-     * @param end - Called if this node ends before the request has one.
-     */
-    addUnqueued(end: () => void): void {
-        this.unqueued.add(end);
-    }
-
-    /** Removes a request that no longer waits, by the function with which it was added. */
-    removeUnqueued(end: () => void): void {
-        this.unqueued.delete(end);
+        return refused.length;
     }
 
     /** Counts a request that was started without the queue. */
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -410,7 +410,7 @@
 
     /** Checks if a request that may have run without an answer goes on instead of ending with an unknown outcome. */
     private mayResume(): boolean {
-        return this.isResumable() && this.state.answer.hasRun() && !this.state.environment.queue.hasRefusedAll();
+        return this.isResumable() && this.state.answer.hasRun();
     }
 
     private isResumable(): boolean {
--- a/src/request/relay/streams/streamResumption.ts
+++ b/src/request/relay/streams/streamResumption.ts
@@ -18,7 +18,6 @@
 const noEndpointCause = "No endpoint is left that may run it: those that its route allows have failed it.";
 /** Interval at which it is checked whether a stream is still held back for crashes that may be refuted. */
 const doubtReviewMilliseconds = 100;
-const shutdownCause = "This node is shutting down.";
 
 /**
  * Continues a stream that can't be refused any more and has no chain, as soon as there is one: it has begun, or it may have run without an
@@ -34,7 +33,6 @@
     private isWaiting = false;
     /** Whether it waits until the crashes for which the request is held back are refuted. */
     private isInDoubt = false;
-    private readonly endAtShutdown = () => this.callbacks.onHopeless(shutdownCause);
 
     private constructor(state: StreamState, callbacks: StreamResumptionCallbacks) {
         this.state = state;
@@ -49,7 +47,6 @@
     /** Stops searching for a chain. */
     cancel(): void {
         this.timer?.cancel();
-        this.state.environment.queue.removeUnqueued(this.endAtShutdown);
     }
 
     /** Checks if it searches for a chain. */
@@ -100,7 +97,6 @@
         if (reserved.ok) {
             this.isWaiting = false;
             this.searchDelay.reset();
-            environment.queue.removeUnqueued(this.endAtShutdown);
             this.callbacks.onReserved(reserved.val);
             return;
         }
@@ -121,9 +117,6 @@
         if (isFirstSearch) {
             this.state.logger.writeWait(`${cause} ${reserved.val}`, this.state.attemptLimit);
         }
-        if (!isBegun) {
-            environment.queue.addUnqueued(this.endAtShutdown);
-        }
         this.isWaiting = true;
         this.timer = environment.clock.setTimer(delay, () => this.callbacks.onDue(cause, isRetry));
     }
--- a/tests/request/relay/streams/brokenOffWhileFull.test.ts
+++ b/tests/request/relay/streams/brokenOffWhileFull.test.ts
@@ -3,6 +3,7 @@
 import { PathState } from "../../../../src/connection/upstream/path/pathState.ts";
 import { UpstreamFailureKind } from "../../../../src/connection/upstream/upstreamFailureKind.ts";
 import { maximumRefusals } from "../../../../src/request/relay/answers/maximumRefusals.ts";
+import { OpenRequestState } from "../../../../src/request/relay/stop/openRequestState.ts";
 import { StreamRelay } from "../../../../src/request/relay/streams/streamRelay.ts";
 import { RequestKind } from "../../../../src/version/routing/requestKind.ts";
 import { createEndpoint, relayModel } from "../relayModel.ts";
@@ -65,9 +66,11 @@
 
     // Guards against a caller that gets nothing because its request waits outside of the queue when the node ends.
     it("ends with an unknown outcome when its node ends", async () => {
-        const { bench } = await breakOffWhileFull();
+        const { bench, relay } = await breakOffWhileFull();
         assert.deepEqual(bench.answers, []);
-        assert.equal(bench.environment.queue.refuseAll(), waitingCount + 1);
+        assert.equal(bench.environment.queue.refuseAll(), waitingCount);
+        assert.equal(relay.getState(), OpenRequestState.Waiting);
+        relay.endAtStop();
         assert.equal(bench.answers.filter(answer => answer === "outcomeUnknown").length, 1);
         await bench.clock.advance(stayMilliseconds);
         assert.equal(bench.sentRequests.length, 1);
