Count nodes without a recent report with the average load of the others

Cause: of 84 nodes, one hears from few others within the time to live of a report. So what it believed of an endpoint was nearly its last reading (each 2.5 s, passed on from node to node), and all nodes filled what that showed as free until the next one.

Change: live nodes without a report count with the average of those with one, in the load of a stage, the memory that a node may use, its share of the demand, and what the poller takes for explained. Fewer than 12 reports count as 12, so that where all nodes speak to each other nothing changes. Documents keep the known loads: their requests are shorter than a report is old. No message, call or poll is added.

--- a/bench/experiment/experiment.ts
+++ b/bench/experiment/experiment.ts
@@ -1,21 +1,20 @@
-import type { EndpointAddress } from "../../src/connection/endpoint/endpointAddress.ts";
 import type { RandomSource } from "../../src/process/randomSource.ts";
 import { choosePartners } from "../../src/process/router/choosePartners.ts";
 import type { AnswerSink } from "../../src/request/relay/answers/answerSink.ts";
-import type { RegisteredEndpoint } from "../../src/request/relay/endpoints/registeredEndpoint.ts";
-import type { RelayDirectory } from "../../src/request/relay/endpoints/relayDirectory.ts";
 import { StreamRelay } from "../../src/request/relay/streams/streamRelay.ts";
 import { RequestKind } from "../../src/version/routing/requestKind.ts";
 import type { Route } from "../../src/version/routing/route.ts";
 import { createSeededRandom } from "../../tests/support/createSeededRandom.ts";
 import { VirtualClock } from "../../tests/support/virtualClock.ts";
+import { createEngines } from "./createEngines.ts";
 import { createRequest } from "./createRequest.ts";
 import { experimentModel } from "./experimentModel.ts";
 import type { ExperimentResult, ExperimentWindow, RankResult } from "./experimentResult.ts";
+import { experimentServiceName } from "./experimentServiceName.ts";
 import type { ExperimentSettings } from "./experimentSettings.ts";
 import type { Mechanism } from "./mechanism.ts";
 import { type CallerOutcome, SimulatedCaller } from "./simulatedCaller.ts";
-import { SimulatedEngine } from "./simulatedEngine.ts";
+import type { SimulatedEngine } from "./simulatedEngine.ts";
 import { SimulatedEngines } from "./simulatedEngines.ts";
 import { SimulatedNode } from "./simulatedNode.ts";
 import type { SimulatedRequest } from "./simulatedRequest.ts";
@@ -30,18 +29,21 @@
 const secondMilliseconds = 1_000;
 const windowSeconds = 2;
 const gossipRoundMilliseconds = 300;
+const largeGossipRoundMilliseconds = 450;
+const pollIntervalMilliseconds = 2_500;
+const hubsPerDataCentre = 2;
+/** Number of nodes that watch the store. */
+const watcherCount = 3;
 const afterBurstMilliseconds = 4_000;
 /** Time after the last arrivals in which running requests can finish. */
 const drainMilliseconds = 25_000;
-const dataCentres = ["a", "b", "c"];
-const serviceName = "model";
 
 const route: Route = {
     name: "r",
     host: "h",
     prefix: "/",
     kind: RequestKind.Stream,
-    services: [{ service: serviceName, weight: 1 }],
+    services: [{ service: experimentServiceName, weight: 1 }],
     timeoutMilliseconds: 20_000,
     targetLatencyMilliseconds: 500,
     maximumEventGapMilliseconds: 200,
@@ -69,16 +71,15 @@
         this.random = createSeededRandom(seed);
         this.engines = createEngines(settings);
         this.simulation = SimulatedEngines.create(this.clock, this.engines);
-        const directory = createDirectory(this.engines);
         this.nodes = Array.from({ length: settings.nodes }, (_, index) =>
             SimulatedNode.create({
                 index,
                 nodeCount: settings.nodes,
-                dataCentre: dataCentres[index % dataCentres.length]!,
+                dataCentre: `${index % settings.dataCentres}`,
                 clock: this.clock,
                 random: createSeededRandom(seed * settings.nodes + index + 1),
-                engines: this.simulation,
-                directory,
+                simulation: this.simulation,
+                engines: this.engines,
                 without,
             }));
     }
@@ -93,8 +94,11 @@
     private simulate(): void {
         const end = this.settings.durationSeconds * secondMilliseconds;
         this.scheduleFaults();
-        for (const node of this.nodes) {
-            this.scheduleGossip(node);
+        for (const [index, node] of this.nodes.entries()) {
+            this.scheduleGossip(node, 0);
+            if (this.settings.pollsEndpoints) {
+                this.schedulePolls(node, index);
+            }
         }
         this.scheduleArrival();
         this.clock.runTimersUntil(end + drainMilliseconds);
@@ -146,7 +150,8 @@
         const now = this.clock.getMonotonicTime();
         const isReturn = environment.retryDetector.observeRequest(route.name, deadlineMilliseconds, now);
         const { targetLatencyMilliseconds, rank } = request;
-        const { routes } = this.settings;
+        const { routes, linkMegabitsPerSecond = experimentModel.linkMegabitsPerSecond } = this.settings;
+        const engine = { ...experimentModel, linkMegabitsPerSecond };
         const task = {
             request: {
                 id: `${request.id}-${attempt}`,
@@ -165,7 +170,7 @@
                 promptParts: [],
             },
             route: { ...route, targetLatencyMilliseconds },
-            service: { name: serviceName, maximumConnections: 1_000, engine: experimentModel },
+            service: { name: experimentServiceName, maximumConnections: 1_000, engine },
             customer: request.customer,
             fingerprint: request.id,
             partKeys: [],
@@ -177,12 +182,15 @@
             dueAt: now + deadlineMilliseconds,
         };
         environment.retryBudget.observeRequest();
-        StreamRelay.create(environment, task, experimentModel, () => undefined).start();
+        StreamRelay.create(environment, task, engine, () => undefined).start();
     }
 
-    private scheduleGossip(node: SimulatedNode): void {
-        this.clock.setTimer(gossipRoundMilliseconds * (0.8 + 0.4 * this.random()), () => {
+    private scheduleGossip(node: SimulatedNode, round: number): void {
+        const { hasHubs } = this.settings;
+        const interval = hasHubs ? largeGossipRoundMilliseconds : gossipRoundMilliseconds;
+        this.clock.setTimer(interval * (0.8 + 0.4 * this.random()), () => {
             const others = this.nodes.filter(other => other !== node);
+            const hubs = hasHubs ? this.listHubs(node) : [];
             const partners = choosePartners({
                 nodeId: node.nodeId,
                 dataCentre: node.dataCentre,
@@ -193,20 +201,40 @@
                     isWithoutStore: false,
                     heardAt: 0,
                 })),
-                sources: [],
-                isDistributor: false,
+                sources: hubs.filter(id => id !== node.nodeId),
+                isDistributor: hubs.includes(node.nodeId),
                 isProofDue: false,
-                round: 1,
+                round: hasHubs ? round : 1,
                 isBusy: node.isBusy(),
                 random: this.random,
             });
             for (const other of others.filter(({ nodeId }) => partners.has(nodeId))) {
                 node.exchangeWith(other, this.clock.getMonotonicTime());
             }
-            this.scheduleGossip(node);
+            this.scheduleGossip(node, round + 1);
         });
     }
 
+    /** Lists the nodes from which a node gets store updates: the first ones of its data centre, or of all for such a node itself. */
+    private listHubs(node: SimulatedNode): string[] {
+        const local = this.nodes.filter(({ dataCentre }) => dataCentre === node.dataCentre);
+        const hubs = local.slice(0, hubsPerDataCentre).map(({ nodeId }) => nodeId);
+        return hubs.includes(node.nodeId) ? this.nodes.slice(0, watcherCount).map(({ nodeId }) => nodeId) : hubs;
+    }
+
+    private schedulePolls(node: SimulatedNode, index: number): void {
+        this.clock.setTimer(pollIntervalMilliseconds * this.random(), () => this.poll(node, index));
+    }
+
+    private poll(node: SimulatedNode, index: number): void {
+        for (const [position, engine] of this.engines.entries()) {
+            if (position % this.nodes.length === index) {
+                node.readEngine(engine);
+            }
+        }
+        this.clock.setTimer(pollIntervalMilliseconds, () => this.poll(node, index));
+    }
+
     private scheduleFaults(): void {
         for (const { kind, from, to, share, every, factor, nodeShare } of this.settings.faults) {
             const affectedEngines = this.engines.filter((_, index) =>
@@ -294,37 +322,3 @@
         return Math.max(0, ...customerFractions.map(fraction => servedFraction - fraction));
     }
 }
-
-function createEngines({ endpoints }: ExperimentSettings): SimulatedEngine[] {
-    const engines: SimulatedEngine[] = [];
-    for (const { kind, count, layers: [start, end] } of endpoints) {
-        for (let index = 0; index < count; index++) {
-            const id = `${engines.length}`;
-            const endpoint: RegisteredEndpoint = {
-                id,
-                registeredId: id,
-                incarnation: 0,
-                service: serviceName,
-                address: `10.0.0.${id}:1` as EndpointAddress,
-                dataCentre: dataCentres[index % dataCentres.length]!,
-                slots: experimentModel.slots,
-                isDraining: false,
-                kind,
-                layers: { start, end },
-            };
-            engines.push(SimulatedEngine.create(endpoint, { start, end }));
-        }
-    }
-    return engines;
-}
-
-function createDirectory(engines: readonly SimulatedEngine[]): RelayDirectory {
-    const endpoints = engines.map(({ endpoint }) => endpoint);
-    const byId = new Map(engines.map(engine => [engine.endpoint.id, engine]));
-    return {
-        getEndpoints: () => endpoints.filter(({ id }) => !byId.get(id)!.isLeaving),
-        getEndpointAt: address => endpoints.find(endpoint => endpoint.address === address),
-        getSlowness: id => byId.get(id)?.slowness ?? 1,
-        getHiddenTokenLayers: () => 0,
-    };
-}
--- /dev/null
+++ b/bench/experiment/experimentServiceName.ts
@@ -0,0 +1,2 @@
+/** Name of the only service of an experiment. */
+export const experimentServiceName = "model";
--- a/bench/experiment/experimentSettings.ts
+++ b/bench/experiment/experimentSettings.ts
@@ -44,6 +44,8 @@
     count: z.number().int().positive(),
     /** First layer that each endpoint of the group holds, and the layer after its last one. */
     layers: z.tuple([z.number().int().nonnegative(), z.number().int().positive()]),
+    /** Index of the data centre of all its endpoints. Default: they are spread over the data centres. */
+    dataCentre: z.number().int().nonnegative().optional(),
 });
 
 /** Schema of an experiment file: a deployment, its load and its faults. Times are in seconds. */
@@ -51,6 +53,13 @@
     /** What the experiment tests, in one line. */
     purpose: z.string(),
     nodes: z.number().int().positive(),
+    dataCentres: z.number().int().positive().default(3),
+    /** Whether nodes exchange state as in a large deployment: in longer rounds, and with the hubs of their data centres. */
+    hasHubs: z.boolean().default(false),
+    /** Whether nodes poll the endpoints for their memory use and pass the readings on. */
+    pollsEndpoints: z.boolean().default(false),
+    /** Capacity that all links between data centres share. Default: that of the model. */
+    linkMegabitsPerSecond: z.number().positive().optional(),
     durationSeconds: z.number().positive(),
     arrivalsPerSecond: z.number().positive(),
     /** Probability that a request comes from the large customer; the others come from nine small ones. */
--- a/bench/experiment/simulatedNode.ts
+++ b/bench/experiment/simulatedNode.ts
@@ -1,6 +1,8 @@
+import type { EndpointAddress } from "../../src/connection/endpoint/endpointAddress.ts";
 import { EndpointInstructions } from "../../src/connection/instructions/endpointInstructions.ts";
 import type { Clock } from "../../src/process/clock.ts";
 import type { RandomSource } from "../../src/process/randomSource.ts";
+import { EndpointReadings } from "../../src/process/router/endpointReadings.ts";
 import { RetryBudget } from "../../src/request/admission/retryBudget.ts";
 import { RetryDetector } from "../../src/request/admission/start/retryDetector.ts";
 import { StreamRetries } from "../../src/request/admission/streamRetries.ts";
@@ -17,6 +19,7 @@
 import { RelayQueue } from "../../src/request/relay/queue/relayQueue.ts";
 import type { RelayEnvironment } from "../../src/request/relay/relayEnvironment.ts";
 import { Mechanism } from "./mechanism.ts";
+import type { SimulatedEngine } from "./simulatedEngine.ts";
 import type { SimulatedEngines } from "./simulatedEngines.ts";
 import { simulatedProtocol } from "./simulatedProtocol.ts";
 
@@ -27,11 +30,13 @@
     dataCentre: string;
     clock: Clock;
     random: RandomSource;
-    engines: SimulatedEngines;
-    directory: RelayDirectory;
+    simulation: SimulatedEngines;
+    engines: readonly SimulatedEngine[];
     without: ReadonlySet<Mechanism>;
 }
 
+/** As in the poller of production. */
+const minimumHiddenFraction = 0.05;
 const retryBudgetPolicy = { ratio: 0.15, perSecond: 0.2, maximumBalance: 17 };
 
 /** A node that runs the routing code of production on simulated engines. */
@@ -39,16 +44,17 @@
     readonly nodeId: string;
     readonly dataCentre: string;
     readonly environment: RelayEnvironment;
+    private readonly readings = EndpointReadings.create();
     private readonly without: ReadonlySet<Mechanism>;
 
     private constructor(options: SimulatedNodeOptions) {
-        const { index, nodeCount, dataCentre, clock, random, engines, directory, without } = options;
+        const { index, nodeCount, dataCentre, clock, random, simulation, engines, without } = options;
         this.nodeId = `node-${String(index).padStart(3, "0")}`;
         this.dataCentre = dataCentre;
         this.without = without;
         const log = { write: () => undefined };
         const queue = RelayQueue.create({ clock, random, log });
-        const loads = EndpointLoads.create(() => queue.wake());
+        const loads = EndpointLoads.create(() => queue.wake(), () => nodeCount - 1);
         const retryDetector = RetryDetector.create();
         const health = EndpointHealth.create();
         const ends = EndpointEnds.create();
@@ -70,7 +76,7 @@
                     hasBytesSince: () => true,
                     sendForCaller: (createRequest, listener) => {
                         const sent = simulatedProtocol.readSent(createRequest().headers);
-                        const exchange = engines.send(index, sent, listener);
+                        const exchange = simulation.send(index, sent, listener);
                         const testPath: typeof exchange.testPath = onDone => {
                             // A connection breaks only if its engine has ended.
                             ends.noteRefusal(address, true, clock.getMonotonicTime());
@@ -80,7 +86,7 @@
                     },
                 }),
             },
-            directory,
+            directory: createDirectory(engines, this.readings, clock),
             loads,
             health,
             ends,
@@ -129,6 +135,18 @@
         peer.sendStateTo(this, now);
     }
 
+    /** Reads the memory use of an engine, as the node that polls it. */
+    readEngine({ endpoint: { id }, usedTokenLayers, totalTokenLayers, slowness }: SimulatedEngine): void {
+        const { loads, clock } = this.environment;
+        const hidden = usedTokenLayers - loads.getExpectedLoad(id).tokenLayers;
+        this.readings.add({
+            endpointId: id,
+            factor: slowness,
+            hiddenTokenLayers: hidden > minimumHiddenFraction * totalTokenLayers ? hidden : 0,
+            age: 0,
+        }, clock.getMonotonicTime());
+    }
+
     private sendStateTo(peer: SimulatedNode, now: number): void {
         const { loads, health, quarantine, queue, links } = this.environment;
         const own = loads.getOwnLoads().map(load => ({ ...load }));
@@ -139,6 +157,9 @@
             queue.rankReserve.demands.listOwn(now),
             now,
         );
+        for (const reading of this.readings.getReadings(now)) {
+            peer.readings.add(reading, now);
+        }
         for (const suspicion of health.getSuspicions(now)) {
             peer.environment.health.applySuspicion(suspicion, now);
         }
@@ -149,7 +170,7 @@
 
     private disableMechanisms(loads: EndpointLoads, retryDetector: RetryDetector, queue: RelayQueue): void {
         if (this.without.has(Mechanism.MemoryLimit)) {
-            loads.getAvailableMemory = (endpointId, total) => total - loads.getLoad(endpointId).tokenLayers;
+            loads.getAvailableMemory = (endpointId, total) => total - loads.getExpectedLoad(endpointId).tokenLayers;
         }
         if (this.without.has(Mechanism.FullEndpoints)) {
             loads.markFull = (endpointId, now) => this.environment.health.markUnavailable(endpointId, now);
@@ -169,3 +190,18 @@
         }
     }
 }
+
+function createDirectory(
+    engines: readonly SimulatedEngine[],
+    readings: EndpointReadings,
+    clock: Clock,
+): RelayDirectory {
+    const byId = new Map(engines.map(engine => [engine.endpoint.id, engine]));
+    const byAddress = new Map(engines.map(({ endpoint }) => [endpoint.address, endpoint]));
+    return {
+        getEndpoints: () => engines.filter(({ isLeaving }) => !isLeaving).map(({ endpoint }) => endpoint),
+        getEndpointAt: address => byAddress.get(address as EndpointAddress),
+        getSlowness: id => byId.get(id)?.slowness ?? 1,
+        getHiddenTokenLayers: id => readings.getHiddenTokenLayers(id, clock.getMonotonicTime()),
+    };
+}
--- a/src/process/router/routerEndpoints.ts
+++ b/src/process/router/routerEndpoints.ts
@@ -50,7 +50,7 @@
         this.options = options;
         const { node: { random, log }, liveNodes, queue, propagateUpdate } = options;
         this.health = EndpointHealth.create(random, endpointId => this.losses.addEvidence(endpointId));
-        this.loads = EndpointLoads.create(() => queue.wake());
+        this.loads = EndpointLoads.create(() => queue.wake(), () => liveNodes.getCount() - 1);
         this.limits = EndpointLimits.create({
             log,
             random,
--- a/src/process/router/routerParts.ts
+++ b/src/process/router/routerParts.ts
@@ -262,7 +262,7 @@
             nodeId,
             clock,
             readings,
-            getExpectedTokenLayers: endpointId => loads.getLoad(endpointId).tokenLayers,
+            getExpectedTokenLayers: endpointId => loads.getExpectedLoad(endpointId).tokenLayers,
             getNodeIds: () => this.liveNodes.getOtherIds(),
             getIntervalFactor: () => this.overload.getPollIntervalFactor(),
             getEndpoints: () => this.modelEndpoints.listPolled(),
--- a/src/request/relay/chains/listCandidates.ts
+++ b/src/request/relay/chains/listCandidates.ts
@@ -20,7 +20,7 @@
         if (layers === undefined || kind === undefined) {
             continue;
         }
-        const { requests, tokenLayers } = loads.getLoad(endpoint.id);
+        const { requests, tokenLayers } = loads.getExpectedLoad(endpoint.id);
         const hiddenTokenLayers = directory.getHiddenTokenLayers(endpoint.id);
         const totalTokenLayers = getRequestMemory(model, kind, layers.end - layers.start);
         candidates.push({
--- a/src/request/relay/chains/relayChains.ts
+++ b/src/request/relay/chains/relayChains.ts
@@ -286,7 +286,7 @@
         if (kind === undefined || layers === undefined) {
             return 0;
         }
-        const used = loads.getLoad(id).tokenLayers + directory.getHiddenTokenLayers(id);
+        const used = loads.getExpectedLoad(id).tokenLayers + directory.getHiddenTokenLayers(id);
         return used / Math.max(1, getRequestMemory(this.model, kind, layers.end - layers.start));
     }
 
--- a/src/request/relay/endpoints/endpointLoads.ts
+++ b/src/request/relay/endpoints/endpointLoads.ts
@@ -37,37 +37,48 @@
 const minimumShareFraction = 0.25;
 const noLoad: LoadOfEndpoint = { endpointId: "", requests: 0, tokenLayers: 0 };
 
+/** Fewer reports count as this many, since the requests of a few peers say little about those of all. */
+const minimumSampledPeers = 12;
+
 /** Tracks the load of each endpoint: this node's own requests, and those that peers report. */
 export class EndpointLoads {
     private readonly own = new Map<string, OwnLoad>();
     private readonly peers = new Map<string, PeerLoads>();
     private readonly onRelease: () => void;
+    private readonly getLivePeerCount: () => number;
     /** Kept up to date with each report, since summing the reports of all peers for each of them would be quadratic. */
     private readonly peerSums = new Map<string, PeerSum>();
     private peerDemand = 0;
     private peerCount = 0;
+    /** Number of live peers for each one with a recent report. */
+    private livePeersPerReport = 1;
 
-    private constructor(onRelease: () => void) {
+    private constructor(onRelease: () => void, getLivePeerCount: () => number) {
         this.onRelease = onRelease;
+        this.getLivePeerCount = getLivePeerCount;
     }
 
     /**
      * Creates an instance without load.
      * @param onRelease - Called when a request releases its endpoints, or when a peer's report arrives.
+     * @param getLivePeerCount - Gets the number of the other live nodes. Default: only those with a recent report count.
      */
-    static create(onRelease: () => void = () => undefined): EndpointLoads {
-        return new EndpointLoads(onRelease);
+    static create(onRelease: () => void = () => undefined, getLivePeerCount: () => number = () => 0): EndpointLoads {
+        return new EndpointLoads(onRelease, getLivePeerCount);
     }
 
-    /** Gets the last known load of an endpoint by the requests of all nodes. */
+    /** Gets the last known load of an endpoint by the requests of this node and of the peers with a recent report. */
     getLoad(endpointId: string): LoadOfEndpoint {
-        const own = this.own.get(endpointId) ?? noLoad;
-        const others = this.peerSums.get(endpointId) ?? noLoad;
-        return {
-            endpointId,
-            requests: own.requests + others.requests,
-            tokenLayers: own.tokenLayers + others.tokenLayers,
-        };
+        return this.addLoads(endpointId, 1);
+    }
+
+    /**
+     * Gets the expected load of an endpoint by the requests of all live nodes. Those without a recent report, which are most of them
+     * in a large deployment, count with the average of the other peers. Otherwise all nodes would fill an endpoint that was
+     * almost empty at its last reading, until the next one.
+     */
+    getExpectedLoad(endpointId: string): LoadOfEndpoint {
+        return this.addLoads(endpointId, this.livePeersPerReport);
     }
 
     /**
@@ -80,7 +91,7 @@
     getAvailableMemory(endpointId: string, total: number, ownDemand: number, now: number): number {
         const load = this.own.get(endpointId);
         const own = load?.tokenLayers ?? 0;
-        const others = this.peerSums.get(endpointId)?.tokenLayers ?? 0;
+        const others = (this.peerSums.get(endpointId)?.tokenLayers ?? 0) * this.livePeersPerReport;
         if (this.isFull(endpointId, now)) {
             return 0;
         }
@@ -159,6 +170,16 @@
         }
     }
 
+    private addLoads(endpointId: string, peerFactor: number): LoadOfEndpoint {
+        const own = this.own.get(endpointId) ?? noLoad;
+        const others = this.peerSums.get(endpointId) ?? noLoad;
+        return {
+            endpointId,
+            requests: own.requests + others.requests * peerFactor,
+            tokenLayers: own.tokenLayers + others.tokenLayers * peerFactor,
+        };
+    }
+
     private reserve(loads: LoadOfEndpoint[], now: number): LoadReservation {
         for (const { endpointId, requests, tokenLayers } of loads) {
             const own = this.getOwn(endpointId, now);
@@ -210,8 +231,8 @@
 
     /** Gets this node's share of the known demand, or an equal share if there is no demand. */
     private getKnownDemandShare(ownDemand: number): number {
-        const sum = ownDemand + this.peerDemand;
-        return sum > 0 ? ownDemand / sum : 1 / (1 + this.peerCount);
+        const sum = ownDemand + this.peerDemand * this.livePeersPerReport;
+        return sum > 0 ? ownDemand / sum : 1 / (1 + this.peerCount * this.livePeersPerReport);
     }
 
     private removeExpiredPeers(now: number): void {
@@ -224,6 +245,8 @@
             this.peerDemand += demand;
         }
         this.peerCount = this.peers.size;
+        const sampled = Math.max(this.peerCount, minimumSampledPeers);
+        this.livePeersPerReport = Math.max(1, this.getLivePeerCount() / sampled);
     }
 
     private removePeer(peerId: string): void {
--- a/tests/bench/experiment.test.ts
+++ b/tests/bench/experiment.test.ts
@@ -98,6 +98,15 @@
         assert.ok(shares! > neither! + 0.03, `${shares} and ${neither}`);
     });
 
+    // Guards against waves of requests at one data centre after the other: where most reports of other nodes are missing, all nodes
+    // filled the endpoints that their last readings showed as free, so that requests waited there for memory and were late.
+    it("serve in time where nodes know little of each other's requests and data centres differ in capacity", () => {
+        const { goodput, refusedPart, preemptedPart } = runLoad("uneven-columns");
+        assert.ok(goodput.least > 0.99, `${goodput.least}`);
+        assert.ok(refusedPart < 0.01, `${refusedPart}`);
+        assert.ok(preemptedPart < 0.01, `${preemptedPart}`);
+    });
+
     // Guards against decisions by rank where all routes have one: the same load must be decided as without them.
     it("don't depend on ranks where all routes have one rank", () => {
         const settings = readLoad("rank-flood");
--- a/tests/request/relay/endpoints/endpointLoads.test.ts
+++ b/tests/request/relay/endpoints/endpointLoads.test.ts
@@ -60,6 +60,28 @@
         }));
     });
 
+    // Guards against nodes that all take an endpoint for free, since each one knows the requests of few others.
+    it("expects of live nodes without a recent report what the others report on average, and leaves memory for them", () => {
+        const loads = EndpointLoads.create(() => undefined, () => 60);
+        for (let peer = 0; peer < 20; peer++) {
+            loads.setPeerLoads(`${peer}`, [{ endpointId: "1", requests: 1, tokenLayers: 100 }], 50, 0);
+        }
+        loads.reserveStages(stages, 100, 0);
+        assert.deepEqual(loads.getLoad("1"), { endpointId: "1", requests: 21, tokenLayers: 3_000 });
+        assert.deepEqual(loads.getExpectedLoad("1"), { endpointId: "1", requests: 61, tokenLayers: 7_000 });
+        assert.ok(loads.getAvailableMemory("1", 5_000, 50, 0) <= 0);
+        assert.ok(loads.getAvailableMemory("1", 10_000, 50, 0) > 0);
+    });
+
+    it("expects nothing beyond the reports where all nodes report, and less where only a few do", () => {
+        const report = [{ endpointId: "1", requests: 1, tokenLayers: 100 }];
+        for (const [livePeers, requests] of [[0, 1], [1, 1], [12, 1], [60, 5]] as const) {
+            const loads = EndpointLoads.create(() => undefined, () => livePeers);
+            loads.setPeerLoads("p", report, 0, 0);
+            assert.equal(loads.getExpectedLoad("1").requests, requests);
+        }
+    });
+
     it("reserves the memory of an ended request for this node until peers know that it ended", () => {
         const loads = EndpointLoads.create();
         const reservation = loads.reserveStages(stages, 100, 0);
