--- a/bench/experiment/mechanism.ts
+++ b/bench/experiment/mechanism.ts
@@ -20,5 +20,7 @@
     RankReserve: "reserve",
     /** Admitted shares of the ranks, by the demand and the capacity of all nodes. */
     RankShares: "shares",
+    /** Counts nodes without a recent report with the average load of the others. */
+    ExpectedLoads: "expected-loads",
 } as const;
 export type Mechanism = typeof Mechanism[keyof typeof Mechanism];
--- a/tests/bench/experiment.test.ts
+++ b/tests/bench/experiment.test.ts
@@ -85,19 +85,30 @@
     });
 
     // Guards against admission by reported memory alone: with more nodes, many reports are missing, so that endpoints refuse requests
-    // of the first rank. Shares follow from the mean demand of the nodes that report.
-    it("serve the first rank better with shares, where nodes know little of each other's requests", () => {
+    // of the first rank. Shares follow from the mean demand of the nodes that report, and so do the loads that are expected of the others.
+    it("serve the first rank better with shares, and with expected loads, where nodes know little of each other's requests", () => {
         const settings = { ...readLoad("rank-flood"), nodes: 22 };
         const run = (without: Mechanism[]) => Experiment.run({ settings, seed: 1, without: new Set(without) });
-        const [shares, reserveAlone, neither] = [
+        const [both, shares, reserveAlone, neither] = [
             run([]),
-            run([Mechanism.RankShares]),
-            run([Mechanism.RankShares, Mechanism.RankReserve]),
+            run([Mechanism.ExpectedLoads]),
+            run([Mechanism.ExpectedLoads, Mechanism.RankShares]),
+            run([Mechanism.ExpectedLoads, Mechanism.RankShares, Mechanism.RankReserve]),
         ].map(({ ranks }) => ranks[0]!.worthShare);
+        assert.ok(both! > shares! + 0.03, `${both} and ${shares}`);
         assert.ok(shares! > reserveAlone! + 0.03, `${shares} and ${reserveAlone}`);
         assert.ok(shares! > neither! + 0.03, `${shares} and ${neither}`);
     });
 
+    // Guards against waves of requests at one data centre after the other: where most reports of other nodes are missing, all nodes
+    // filled the endpoints that their last readings showed as free, so that requests waited there for memory and were late.
+    it("serve in time where nodes know little of each other's requests and data centres differ in capacity", () => {
+        const { goodput, refusedPart, preemptedPart } = runLoad("uneven-columns");
+        assert.ok(goodput.least > 0.99, `${goodput.least}`);
+        assert.ok(refusedPart < 0.01, `${refusedPart}`);
+        assert.ok(preemptedPart < 0.01, `${preemptedPart}`);
+    });
+
     // Guards against decisions by rank where all routes have one: the same load must be decided as without them.
     it("don't depend on ranks where all routes have one rank", () => {
         const settings = readLoad("rank-flood");
