Begin chains only at endpoints with a free slot

Callers saw: first events after 1 to 2 s at one first stage while they took 0.07 s elsewhere; some left after 2.0 s without an event.

Cause: an endpoint runs as many requests as it has slots as their first stage (134 here); those beyond wait in its own queue, in the order of arrival, until others end. The choice of a chain knew the memory of a first stage, not its slots.

Change: a request begins only where a slot is free, a twentieth being left for other nodes' requests; else another first stage is chosen, or the request waits in the node's own line. Requests that move keep the slot that they have; those that must not wait use a full first stage as the last resort. The known requests of an endpoint that holds layers from the first on are taken as those that it is the first stage of, so that peers need no new field.

--- a/bench/experiment/simulatedEngine.ts
+++ b/bench/experiment/simulatedEngine.ts
@@ -37,6 +37,11 @@
         return new SimulatedEngine(endpoint, layers, model.kinds.get(endpoint.kind!)!);
     }
 
+    /** Gets if it can run another request as the first stage. */
+    hasFreeSlot(): boolean {
+        return this.layers.start > 0 || this.runs.size < this.endpoint.slots;
+    }
+
     /** Gets if there is free memory for a number of tokens. */
     hasFreeMemory(tokens: number): boolean {
         return this.usedTokenLayers + this.getTokenLayers(tokens) <= this.totalTokenLayers;
--- a/bench/experiment/simulatedEngines.ts
+++ b/bench/experiment/simulatedEngines.ts
@@ -99,7 +99,7 @@
             this.setTimer(run, stallMilliseconds, () => this.refuse(run, rest.find(({ isLost }) => isLost)!));
             return;
         }
-        if (!first!.hasFreeMemory(run.promptTokens)) {
+        if (!first!.hasFreeSlot() || !first!.hasFreeMemory(run.promptTokens)) {
             first!.waiting.push(run);
             this.setTimer(run, memoryWaitMilliseconds, () => this.refuse(run, first!));
             return;
@@ -207,7 +207,10 @@
 
     private startNextWaiting(engine: SimulatedEngine): void {
         const [next] = engine.waiting;
-        if (next !== undefined && next.engines.every(other => other.hasFreeMemory(next.promptTokens))) {
+        if (
+            next !== undefined && engine.hasFreeSlot()
+            && next.engines.every(other => other.hasFreeMemory(next.promptTokens))
+        ) {
             engine.waiting.shift();
             next.timer?.cancel();
             this.startPrefill(next);
--- a/src/request/relay/chains/chooseStages.ts
+++ b/src/request/relay/chains/chooseStages.ts
@@ -19,6 +19,8 @@
 /** The cost of an endpoint rises above this fraction of used memory, so that requests go elsewhere before it is full. */
 const memoryPenaltyThreshold = 0.55;
 const memoryPenaltyFactor = 6;
+/** Part of an endpoint's slots that stays free for requests that peers send before this node receives their reports. */
+const spareSlotFraction = 0.05;
 /** Cost of a stage without enough memory, chosen only as a last resort: its engine would abort requests in mid-stream. */
 const insufficientMemoryCostMilliseconds = 100_000;
 /**
@@ -80,7 +82,7 @@
         }
         for (const candidate of candidates) {
             const { start, end } = candidate.layers;
-            if (layer === 0 && !mayBeFirst(query, candidate)) {
+            if (layer === 0 && !(mayBeFirst(query, candidate) && hasFreeSlot(query, candidate))) {
                 continue;
             }
             if (!query.mayOvercommit && !hasFreeMemory(query, candidate, end - start)) {
@@ -111,6 +113,15 @@
     return firstStage === undefined ? mayBeFirst?.(id) ?? true : id === firstStage.endpoint.id;
 }
 
+/**
+ * Checks if an endpoint has a slot for the request as its first stage. Without one, the request would wait there, in the order in
+ * which requests arrived, until another one ends.
+ */
+function hasFreeSlot({ firstStage, mayOvercommit }: StageQuery, { requests, endpoint }: StageCandidate): boolean {
+    const usableSlots = Math.ceil(endpoint.slots * (1 - spareSlotFraction));
+    return mayOvercommit || firstStage !== undefined || requests < usableSlots;
+}
+
 function getEnds(candidates: readonly StageCandidate[]): number[] {
     const ends = new Set<number>();
     for (const { layers } of candidates) {
@@ -167,12 +178,13 @@
     start: number,
     end: number,
 ): PartialChain {
-    return { ...chain, cost: chain.cost + getStageCost(query, candidate, end - start) };
+    return { ...chain, cost: chain.cost + getStageCost(query, candidate, start, end) };
 }
 
-/** Gets the cost of a stage: the milliseconds that it adds to a complete answer, increased as the endpoint's memory fills. */
-function getStageCost(query: StageQuery, candidate: StageCandidate, layers: number): number {
+/** Gets the cost of a stage: the milliseconds that it adds to a complete answer, increased as the endpoint's memory or slots fill. */
+function getStageCost(query: StageQuery, candidate: StageCandidate, start: number, end: number): number {
     const { model, promptTokens, answerTokens } = query;
+    const layers = end - start;
     const work = {
         kind: candidate.kind,
         layers,
@@ -180,7 +192,10 @@
         slowness: candidate.slowness,
     };
     const time = estimateAnswerTime(model, work, promptTokens, answerTokens);
-    const usedFraction = getUsedMemoryFraction(query, candidate, layers);
+    const usedFraction = Math.max(
+        getUsedMemoryFraction(query, candidate, layers),
+        start === 0 ? getUsedSlotFraction(query, candidate) : 0,
+    );
     if (usedFraction > 1) {
         return time + insufficientMemoryCostMilliseconds * usedFraction;
     }
@@ -193,6 +208,11 @@
     return (candidate.tokenLayers + getNeededMemory(query, layers)) / Math.max(1, candidate.totalTokenLayers);
 }
 
+/** Gets the fraction of a first stage's slots that is used once it runs the request. A request that moves has its slot. */
+function getUsedSlotFraction({ firstStage }: StageQuery, { requests, endpoint }: StageCandidate): number {
+    return firstStage === undefined ? (requests + 1) / endpoint.slots : 0;
+}
+
 function hasFreeMemory(query: StageQuery, candidate: StageCandidate, layers: number): boolean {
     const reserved = query.spareFraction * candidate.totalTokenLayers;
     return getNeededMemory(query, layers) + reserved <= candidate.freeTokenLayers;
--- a/src/request/relay/chains/getCapacityTokens.ts
+++ b/src/request/relay/chains/getCapacityTokens.ts
@@ -3,11 +3,11 @@
 import type { StageCandidate } from "./stageCandidate.ts";
 
 /**
- * Gets the number of tokens of requests that endpoints can hold at the same time, at the layer with the least. Suspect endpoints
- * don't count.
+ * Gets the number of tokens of requests that endpoints can hold at the same time, at the layer with the least. First stages hold no
+ * more requests than they have slots. Suspect endpoints don't count.
  * @param candidates - The endpoints.
  * @param model - Performance figures of the model.
- * @param maximumEventGapMilliseconds - Longest pause between events that is on time. Without it, only memory counts.
+ * @param maximumEventGapMilliseconds - Longest pause between events that is on time. Without it, only memory and slots count.
  */
 export function getCapacityTokens(
     candidates: readonly StageCandidate[],
@@ -19,8 +19,9 @@
         if (candidate.isSuspect) {
             continue;
         }
-        const { layers: { start, end }, totalTokenLayers } = candidate;
-        const requests = getTimelyRequests(candidate, model, maximumEventGapMilliseconds);
+        const { endpoint, layers: { start, end }, totalTokenLayers } = candidate;
+        const slots = start === 0 ? endpoint.slots : Infinity;
+        const requests = Math.min(slots, getTimelyRequests(candidate, model, maximumEventGapMilliseconds));
         const tokens = Math.min(
             totalTokenLayers / Math.max(1, end - start),
             requests * (model.typicalPromptTokens + model.typicalAnswerTokens),
--- a/tests/request/relay/chains/chooseStages.test.ts
+++ b/tests/request/relay/chains/chooseStages.test.ts
@@ -103,6 +103,31 @@
         assert.deepEqual(choose([...others, busy], { isConnected }), ["2", "3"]);
     });
 
+    // Guards against first events that wait at an endpoint until one of its other requests ends.
+    it("begins only at an endpoint that has a free slot, unless the request must not wait", () => {
+        const full = createCandidate("1", 0, 40, { requests: 134 });
+        const other = createCandidate("2", 0, 40, { slowness: 2 });
+        const last = createCandidate("3", 40, 80, { requests: 500 });
+        assert.deepEqual(choose([full, other, last], { mayOvercommit: false }), ["2", "3"]);
+        assert.equal(choose([full, last], { mayOvercommit: false }), undefined);
+        assert.deepEqual(choose([full, last]), ["1", "3"]);
+        assert.deepEqual(choose([full, other, last]), ["2", "3"]);
+        const firstStage = { endpoint: full.endpoint, start: 0, end: 40 };
+        assert.deepEqual(choose([full, other, last], { mayOvercommit: false, firstStage }), ["1", "3"]);
+    });
+
+    it("leaves slots for requests of other nodes, and prefers a first stage before its slots are used up", () => {
+        const last = createCandidate("3", 40, 80);
+        for (const [requests, expected] of [[127, ["1", "3"]], [128, undefined]] as const) {
+            assert.deepEqual(
+                choose([createCandidate("1", 0, 40, { requests }), last], { mayOvercommit: false }),
+                expected,
+            );
+        }
+        const filling = createCandidate("1", 0, 40, { requests: 120 });
+        assert.deepEqual(choose([filling, createCandidate("2", 0, 40, { slowness: 1.8 }), last]), ["2", "3"]);
+    });
+
     it("keeps the given first stage when a request is moved to another chain", () => {
         const candidates = [
             createCandidate("1", 0, 40, { requests: 90 }),
--- a/tests/request/relay/chains/getCapacityTokens.test.ts
+++ b/tests/request/relay/chains/getCapacityTokens.test.ts
@@ -28,6 +28,16 @@
         assert.equal(getCapacityTokens(candidates, relayModel, 200), 0);
     });
 
+    it("is bounded by the slots of first stages", () => {
+        const { typicalPromptTokens, typicalAnswerTokens } = relayModel;
+        const first = createCandidate("1", 0, 40);
+        const few = { ...first, endpoint: { ...first.endpoint, slots: 10 } };
+        assert.equal(
+            getCapacityTokens([few, createCandidate("2", 40, 80)], relayModel),
+            10 * (typicalPromptTokens + typicalAnswerTokens),
+        );
+    });
+
     it("is 0 if a layer is missing", () => {
         assert.equal(getCapacityTokens([createCandidate("1", 0, 40), createCandidate("2", 50, 80)], relayModel), 0);
         assert.equal(getCapacityTokens([createCandidate("1", 0, 40)], relayModel), 0);
