--- a/src/request/relay/chains/chooseStages.ts
+++ b/src/request/relay/chains/chooseStages.ts
@@ -192,7 +192,7 @@
     };
     const time = estimateAnswerTime(model, work, promptTokens, answerTokens);
     const usedMemory = getUsedMemoryFraction(query, candidate, layers);
-    const usedFraction = start > 0 ? usedMemory : Math.max(usedMemory, getUsedSlotsFraction(candidate));
+    const usedFraction = start > 0 ? usedMemory : Math.max(usedMemory, getUsedSlotsFraction(query, candidate));
     if (usedFraction > 1) {
         return time + exhaustedCostMilliseconds * usedFraction;
     }
@@ -205,9 +205,9 @@
     return (candidate.tokenLayers + getNeededMemory(query, layers)) / Math.max(1, candidate.totalTokenLayers);
 }
 
-/** Gets the fraction of a first stage's slots that is used once it runs the request. */
-function getUsedSlotsFraction({ requests, endpoint: { slots } }: StageCandidate): number {
-    return (requests + 1) / slots;
+/** Gets the fraction of a first stage's slots that is used once it runs the request. A request that moves has its slot. */
+function getUsedSlotsFraction(query: StageQuery, { requests, endpoint: { slots } }: StageCandidate): number {
+    return query.firstStage === undefined ? (requests + 1) / slots : 0;
 }
 
 function hasFreeMemory(query: StageQuery, candidate: StageCandidate, layers: number): boolean {
