Log each request that a node refuses since it doesn't listen any more

What callers saw: nothing else; a request that came on an open connection after the node had stopped listening was refused without a line, so that one whose refusal waited behind a stream that the stop cut could not be told from one that was never read. Change: FL1747 names it, and says if its refusal waits behind an earlier answer on its connection.

--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -387,7 +387,7 @@
         number: 1747,
         level: "info",
         message:
-            "A node that stops refused a request whose answer would need more time than the node has. Its caller can send it to another node at once.",
+            "A node that stops refused a request whose answer would need more time than the node has, or that came when it didn't listen any more. Its caller can send it to another node at once.",
     },
     endpointLeavingAnnounced: {
         number: 1725,
--- a/tests/platform/stoppingListener.test.ts
+++ b/tests/platform/stoppingListener.test.ts
@@ -9,6 +9,7 @@
 import type { AnswerSink } from "../../src/request/relay/answers/answerSink.ts";
 import { createRefusal } from "../../src/request/relay/answers/createRefusal.ts";
 import { sendCompleteAnswer } from "../../src/request/relay/answers/sendCompleteAnswer.ts";
+import { RecordingEventLog } from "../support/recordingEventLog.ts";
 import { waitUntil } from "../support/waitUntil.ts";
 import { createHead } from "./createHead.ts";
 
@@ -23,14 +24,17 @@
     /** The requests that were handed on, in order, with the sinks of their answers. */
     let handled: { id: string; sink: AnswerSink; }[];
     let received: Buffer[];
+    let log: RecordingEventLog;
 
     beforeEach(async () => {
         const [port] = await findFreePorts(1) as [number];
         handled = [];
+        log = RecordingEventLog.create();
         received = [];
         listener = CallerListener.create({
             address: `127.0.0.1:${port}`,
             clock: systemClock,
+            log,
             getMaximumBodyBytes: () => 1_000,
             refuseEarly: ({ target }) => target === "/refused" ? createRefusal.notRun("the node is late.") : undefined,
             handle: ({ id }, sink) => handled.push({ id, sink }),
@@ -186,6 +190,7 @@
         await closed;
         const [, ...refusals] = getText().split("HTTP/1.1 ");
         assert.deepEqual(refusals.map(refusal => refusal.slice(0, 3)), ["200", "503", "503"]);
+        assert.deepEqual(log.fields, ["second", "third"].map(request => ({ request, isBehindAnswer: true })));
         assert.match(refusals[1]!, /Request-Id: second\r\n/);
         assert.match(refusals[2]!, /Request-Id: third\r\n[^]*Connection: close\r\n[^]*\}$/);
         assert.equal(getText().match(/Connection: close/g)?.length, 1);
