Forget the requests of peers that have stopped reporting although no other peer reports

What callers would see: a node that hears no other node any more refuses requests, or has them wait until their callers leave, since it takes the endpoints for full: as full as its peers said last, for as long as no report comes. The last node of a few that is left, and a node that is cut off from all others, are in that state.

Cause: reports of peers expire only as another report arrives.

Change: whoever looks at the loads to choose a chain has old reports removed, at most each second, and not at all while reports arrive.

--- a/src/request/relay/chains/listCandidates.ts
+++ b/src/request/relay/chains/listCandidates.ts
@@ -13,6 +13,7 @@
     const { directory, loads, health, clock, queue } = environment;
     const now = clock.getMonotonicTime();
     const demand = queue.getDemand();
+    loads.forgetOldReports(now);
     const candidates: StageCandidate[] = [];
     for (const endpoint of directory.getEndpoints(service)) {
         const { layers } = endpoint;
--- a/src/request/relay/endpoints/endpointLoads.ts
+++ b/src/request/relay/endpoints/endpointLoads.ts
@@ -40,6 +40,8 @@
 
 /** Fewer reports count as this many, since the requests of a few peers say little about those of all. */
 const minimumSampledPeers = 12;
+/** Time without any report after which the reports of peers are looked through for old ones. */
+const reviewIntervalMilliseconds = 1_000;
 
 /** Tracks the load of each endpoint: this node's own requests, and those that peers report. */
 export class EndpointLoads {
@@ -53,6 +55,8 @@
     private peerCount = 0;
     /** Number of live peers for each one with a recent report. */
     private livePeersPerReport = 1;
+    /** Monotonic time in milliseconds at which old reports were last removed. */
+    private reviewedAt = -Infinity;
 
     private constructor(onRelease: () => void, getLivePeerCount: () => number) {
         this.onRelease = onRelease;
@@ -153,6 +157,13 @@
         this.onRelease();
     }
 
+    /** Forgets the reports of peers that have stopped reporting, which each report of another peer does too. */
+    forgetOldReports(now: number): void {
+        if (now - this.reviewedAt >= reviewIntervalMilliseconds) {
+            this.removeExpiredPeers(now);
+        }
+    }
+
     /**
      * Reserves the load of a request at each stage of its chain.
      * @param stages - The chain.
@@ -248,6 +259,7 @@
     }
 
     private removeExpiredPeers(now: number): void {
+        this.reviewedAt = now;
         this.peerDemand = 0;
         for (const [peerId, { receivedAt, demand }] of this.peers) {
             if (now - receivedAt > peerReportTimeToLiveMilliseconds) {
--- a/tests/request/relay/endpoints/endpointLoads.test.ts
+++ b/tests/request/relay/endpoints/endpointLoads.test.ts
@@ -30,6 +30,17 @@
         assert.deepEqual(loads.getLoad("1"), { endpointId: "1", requests: 1, tokenLayers: 10 });
     });
 
+    // Guards against a node that refuses requests for those of peers which are gone.
+    it("forgets the requests of peers that have stopped reporting although no other peer reports", () => {
+        const loads = EndpointLoads.create();
+        loads.setPeerLoads("p", [{ endpointId: "1", requests: 10, tokenLayers: 100 }], 50, 0);
+        loads.forgetOldReports(3_000);
+        assert.equal(loads.getAvailableSlots("1", 10, 50), 0);
+        loads.forgetOldReports(4_100);
+        assert.equal(loads.getAvailableSlots("1", 10, 50), 10);
+        assert.equal(loads.getExpectedLoad("1").requests, 0);
+    });
+
     it("keeps the same sums as adding up all current reports, and no rounding error when the last request ends", () => {
         const anyReport = fc.record({
             peer: fc.constantFrom("p", "q", "r"),
