Leave whole slots of an endpoint free, so that small ones are used

What callers would see: an endpoint with one slot never begins a request of a node with less than 95 in 100 of the demand, however idle it is, and one with up to 19 slots never uses its last one. Late requests and lower ranks leave a further part of a slot. If all endpoints of a service are so small, each request waits until it is refused.

Cause: the margin and the spare fraction of the slots are parts of a slot where there are few, and a request needs a whole one beyond them.

Change: both are rounded down to whole slots. At 134 slots the margin is 6 in place of 6.7.

--- a/src/request/relay/chains/chooseStages.ts
+++ b/src/request/relay/chains/chooseStages.ts
@@ -118,7 +118,7 @@
 /** Checks if a first stage may run the request at once, unless it runs it already. */
 function hasFreeSlot(query: StageQuery, { freeSlots, endpoint: { slots } }: StageCandidate): boolean {
     const isRunning = query.firstStage !== undefined;
-    return query.mayOvercommit || isRunning || 1 + query.spareFraction * slots <= freeSlots;
+    return query.mayOvercommit || isRunning || 1 + Math.floor(query.spareFraction * slots) <= freeSlots;
 }
 
 function getEnds(candidates: readonly StageCandidate[]): number[] {
--- a/src/request/relay/endpoints/computeAvailableSlots.ts
+++ b/src/request/relay/endpoints/computeAvailableSlots.ts
@@ -8,7 +8,7 @@
     share: number;
 }
 
-/** Fraction of the slots that this node leaves free, for requests that its peers start before it receives their reports. */
+/** Fraction of the slots that this node leaves free, in whole slots, for requests that its peers start before it receives their reports. */
 const marginFraction = 0.05;
 
 /**
@@ -17,5 +17,5 @@
  */
 export function computeAvailableSlots({ used, total, share }: EndpointSlots): number {
     const free = total - used;
-    return Math.max(free * share, free - total * marginFraction);
+    return Math.max(free * share, free - Math.floor(total * marginFraction));
 }
--- a/tests/request/relay/chains/chooseStages.test.ts
+++ b/tests/request/relay/chains/chooseStages.test.ts
@@ -74,6 +74,14 @@
         assert.equal(choose(candidates, { mayOvercommit: false, spareFraction: 0.2 }), undefined);
     });
 
+    // Late requests and lower ranks never got an endpoint of few slots, however idle it was.
+    it("leaves whole slots free, so that an idle first stage of few slots runs requests", () => {
+        const first = createCandidate("1", 0, 40, { freeSlots: 1 });
+        const single = { ...first, endpoint: { ...first.endpoint, slots: 1 } };
+        const candidates = [single, createCandidate("2", 40, 80)];
+        assert.deepEqual(choose(candidates, { mayOvercommit: false, spareFraction: 0.2 }), ["1", "2"]);
+    });
+
     it("stays in the caller's data centre if the loads are equal", () => {
         const candidates = [
             createCandidate("1", 0, 40, { dataCentre: "b" }),
--- a/tests/request/relay/endpoints/computeAvailableSlots.test.ts
+++ b/tests/request/relay/endpoints/computeAvailableSlots.test.ts
@@ -15,6 +15,12 @@
         assert.equal(computeAvailableSlots({ used: 40, total: 100, share: 1 }), 60);
     });
 
+    it("leaves no part of a slot free, so that a node with a small share uses each slot of a small endpoint", () => {
+        assert.equal(computeAvailableSlots({ used: 0, total: 1, share: 0.01 }), 1);
+        assert.equal(computeAvailableSlots({ used: 3, total: 4, share: 0.01 }), 1);
+        assert.equal(computeAvailableSlots({ used: 18, total: 20, share: 0.01 }), 1);
+    });
+
     it("is not positive if no slot is free", () => {
         assert.ok(computeAvailableSlots({ used: 110, total: 100, share: 0.1 }) <= 0);
     });
