Find chains whose later stage is an endpoint with full slots

What callers would see: a request waits or is refused although there is a chain: its first stage has a free slot, and an endpoint that holds layers from the first on and whose slots are full runs only later layers of it. Slots bound what an endpoint receives as the first stage only.

Cause: the check before the search left out each endpoint that holds layers from the first on and has no free slot, also as a later stage. The search itself allows it.

Change: the check asks for memory for all layers, and for one first stage with a free slot.

--- a/src/request/relay/chains/chooseStages.ts
+++ b/src/request/relay/chains/chooseStages.ts
@@ -54,14 +54,14 @@
     candidates: readonly StageCandidate[],
     random: RandomSource,
 ): RelayStage[] | undefined {
-    // When memory is exhausted, most searches would fail. This check is much cheaper than a search.
+    // When memory or slots are exhausted, most searches would fail. This check is much cheaper than a search.
     const usable = query.mayOvercommit
         ? candidates
         : candidates.filter(candidate =>
             hasFreeMemory(query, candidate, candidate.layers.end - candidate.layers.start)
-            && (candidate.layers.start > 0 || hasFreeSlot(query, candidate))
         );
-    if (!coversAllLayers(usable.map(({ layers }) => layers), query.model.layers)) {
+    const hasFirst = usable.some(candidate => candidate.layers.start === 0 && hasFreeSlot(query, candidate));
+    if (!hasFirst || !coversAllLayers(usable.map(({ layers }) => layers), query.model.layers)) {
         return undefined;
     }
     return searchChain(query, candidates, random, false) ?? searchChain(query, candidates, random, true);
--- a/tests/request/relay/chains/chooseStages.test.ts
+++ b/tests/request/relay/chains/chooseStages.test.ts
@@ -82,6 +82,15 @@
         assert.deepEqual(choose(candidates, { mayOvercommit: false, spareFraction: 0.2 }), ["1", "2"]);
     });
 
+    it("uses an endpoint whose slots are full as a later stage", () => {
+        const candidates = [
+            createCandidate("1", 0, 60, { requests: 134 }),
+            createCandidate("2", 0, 30),
+            createCandidate("3", 60, 80),
+        ];
+        assert.deepEqual(choose(candidates, { mayOvercommit: false }), ["2", "1", "3"]);
+    });
+
     it("stays in the caller's data centre if the loads are equal", () => {
         const candidates = [
             createCandidate("1", 0, 40, { dataCentre: "b" }),
