Let a begun stream wait a second for endpoints that are not listed for a moment

Cause: of the endpoints that may run it, one had not failed it, but its record had lapsed. A stream for which no endpoint is listed ended as hopeless.

Change: it goes on searching for up to a second while an endpoint that has not failed it is missing from the list, which is less than callers wait for the next event.

--- a/src/request/relay/chains/relayChains.ts
+++ b/src/request/relay/chains/relayChains.ts
@@ -279,6 +279,15 @@
         return hasFirst && coversAllLayers(ranges, this.model.layers);
     }
 
+    /**
+     * Checks if an endpoint to which the request may return is not listed now. Its record may only have lapsed, and come back.
+     * @param avoid - Ids of endpoints that have failed the request.
+     */
+    hasUnlistedEndpoint(avoid: ReadonlySet<string>): boolean {
+        const listed = new Set(this.environment.directory.getEndpoints(this.task.service.name).map(({ id }) => id));
+        return [...this.runs.getOnlyAllowedIds() ?? []].some(id => !listed.has(id) && !avoid.has(id));
+    }
+
     /** Gets the known used fraction of an endpoint's memory; 0 for an endpoint without layers. */
     getUsedMemoryFraction({ id, kind: kindName, layers }: RegisteredEndpoint): number {
         const { loads, directory } = this.environment;
--- a/src/request/relay/streams/streamResumption.ts
+++ b/src/request/relay/streams/streamResumption.ts
@@ -16,6 +16,8 @@
 }
 
 const noEndpointCause = "No endpoint is left that may run it: those that its route allows have failed it.";
+/** Time within which the record of an endpoint that lapsed comes back, less than callers wait for the next event. */
+const relistMilliseconds = 1_000;
 /** Interval at which it is checked whether a stream is still held back for crashes that may be refuted. */
 const doubtReviewMilliseconds = 100;
 
@@ -33,6 +35,8 @@
     private isWaiting = false;
     /** Whether it waits until the crashes for which the request is held back are refuted. */
     private isInDoubt = false;
+    /** Monotonic time in milliseconds since which no endpoint is listed that may run it; undefined if one is. */
+    private unlistedSince: number | undefined;
 
     private constructor(state: StreamState, callbacks: StreamResumptionCallbacks) {
         this.state = state;
@@ -105,7 +109,7 @@
         for (const id of this.state.pacing.listRefused()) {
             this.state.avoided.delete(id);
         }
-        if (!this.state.chains.hasChain(this.state.avoided, this.state.task.dueAt)) {
+        if (!this.mayHaveChain(now)) {
             this.callbacks.onHopeless(`${cause} ${noEndpointCause}`);
             return;
         }
@@ -120,4 +124,15 @@
         this.isWaiting = true;
         this.timer = environment.clock.setTimer(delay, () => this.callbacks.onDue(cause, isRetry));
     }
+
+    /** Checks if a chain may be found in the time of the request. Records of endpoints that have not failed it may be missing for a moment. */
+    private mayHaveChain(now: number): boolean {
+        const { chains, avoided, task } = this.state;
+        if (chains.hasChain(avoided, task.dueAt)) {
+            this.unlistedSince = undefined;
+            return true;
+        }
+        this.unlistedSince ??= now;
+        return chains.hasUnlistedEndpoint(avoided) && now - this.unlistedSince < relistMilliseconds;
+    }
 }
