Prove a crash later only by a connection that neither this node nor a peer can open

Change: the proof is that of the test of a path: a connection that nobody could open, whose failure proves that the endpoint is down.

--- a/src/connection/upstream/path/connectionOpening.ts
+++ b/src/connection/upstream/path/connectionOpening.ts
@@ -149,6 +149,9 @@
             this.tryDirect();
         }
         else if (!this.isDirectPending && this.pendingTunnels === 0) {
+            if (this.isProven) {
+                this.options.paths.recordDown(this.options.address);
+            }
             this.fail();
         }
     }
--- a/src/connection/upstream/path/endpointPaths.ts
+++ b/src/connection/upstream/path/endpointPaths.ts
@@ -24,6 +24,8 @@
     onChanged(address: string, failure: string | undefined): void;
     /** Called when a connection was refused by the machine at an address, on which no process listens. */
     onRefused(address: string): void;
+    /** Called when a connection to an endpoint that nobody could open has proven that the endpoint is down, see `OpeningFailure`. */
+    onDown?(address: string): void;
 }
 
 /** Connections open within a few milliseconds. A connection that needs longer is overdue, and a peer may be faster. */
@@ -85,6 +87,11 @@
         }
     }
 
+    /** Records that neither this node nor a peer could connect to an address, and that this proves that the endpoint is down. */
+    recordDown(address: string): void {
+        this.options.onDown?.(address);
+    }
+
     /** Records that no peer could connect to an address either. */
     recordPeersFailed(address: string, now: number): void {
         this.getRecord(address).peersFailedAt = now;
--- a/src/connection/upstream/path/pathState.ts
+++ b/src/connection/upstream/path/pathState.ts
@@ -4,7 +4,7 @@
     Open: "open",
     /** This node can't connect to the endpoint, but a peer can. */
     Lost: "lost",
-    /** The endpoint's machine refuses connections, or neither this node nor peers that reach other endpoints can connect to it. */
+    /** Neither this node nor its peers can connect to the endpoint: its machine refuses connections, or a peer that reaches others has tried. */
     Down: "down",
     /** This node can't connect to the endpoint, and may itself be cut off: no peer has found out whether the endpoint can be reached. */
     Unknown: "unknown",
--- a/src/process/endpointAccess.ts
+++ b/src/process/endpointAccess.ts
@@ -33,6 +33,8 @@
     onLinksChanged(): void;
     /** Called when the machine of an endpoint refused a connection, because no process listens at the address. */
     onRefused?(address: string): void;
+    /** Called when a connection to an endpoint that nobody could open has proven that the endpoint is down, see `OpeningFailure`. */
+    onDown?(address: string): void;
 }
 
 /** The ways of this node to the endpoints: which of its own links work, and the tunnels that it opens and takes. */
@@ -48,6 +50,7 @@
         this.paths = EndpointPaths.create({
             onChanged: (address, failure) => this.handlePathChanged(address, failure),
             onRefused: address => options.onRefused?.(address),
+            onDown: address => options.onDown?.(address),
         });
         this.connector = EndpointConnector.create({
             clock,
--- a/src/process/router/endpointLinks.ts
+++ b/src/process/router/endpointLinks.ts
@@ -31,6 +31,8 @@
     onLinksChanged(): void;
     /** Called when the machine of an endpoint refused a connection, because no process listens at the address. */
     onRefused(address: string): void;
+    /** Called when a connection to an endpoint that nobody could open has proven that the endpoint is down, see `OpeningFailure`. */
+    onDown(address: string): void;
 }
 
 /** The connections of a router node to the endpoints, and the listener for tunnels of its peers. */
--- a/src/process/router/routerEndpoints.ts
+++ b/src/process/router/routerEndpoints.ts
@@ -28,11 +28,11 @@
     /** Called with the previous state of an endpoint that has restarted under the same id. */
     onRestart(earlier: RegisteredEndpoint): void;
     /**
-     * Called when the machine of an endpoint that accepted requests refuses connections.
+     * Called when an endpoint that accepted requests is proven to be down.
      * @param endpointId - Id of the endpoint.
      * @param now - Monotonic time in milliseconds.
      */
-    onEnded(endpointId: string, now: number): void;
+    onDown(endpointId: string, now: number): void;
 }
 
 /**
@@ -101,16 +101,20 @@
             nodes: liveNodes.table,
             getRegistry: () => this.registry,
             onLinksChanged: propagateUpdate,
-            onRefused: address => this.handleRefused(address),
+            onRefused: address =>
+                this.ends.noteRefusal(
+                    address,
+                    this.getReadyIdAt(address) !== undefined,
+                    node.clock.getMonotonicTime(),
+                ),
+            onDown: address => this.handleDown(address),
         });
     }
 
-    private handleRefused(address: string): void {
-        const now = this.options.node.clock.getMonotonicTime();
+    private handleDown(address: string): void {
         const readyId = this.getReadyIdAt(address);
-        this.ends.noteRefusal(address, readyId !== undefined, now);
         if (readyId !== undefined) {
-            this.options.onEnded(readyId, now);
+            this.options.onDown(readyId, this.options.node.clock.getMonotonicTime());
         }
     }
 
--- a/src/process/router/routerParts.ts
+++ b/src/process/router/routerParts.ts
@@ -121,7 +121,7 @@
                 this.quarantine.requests.noteRestart(earlier.id, this.options.node.clock.getMonotonicTime());
                 this.stallDetector.handleEndpointRestart(earlier);
             },
-            onEnded: (endpointId, now) => this.quarantine.requests.noteRefusedConnection(endpointId, now),
+            onDown: (endpointId, now) => this.quarantine.requests.noteDown(endpointId, now),
         });
     }
 
--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -162,9 +162,9 @@
         this.suspects.confirm(endpointId);
     }
 
-    /** Records that the machine of an endpoint that wasn't about to leave refuses connections, so that the endpoint has ended. */
-    noteRefusedConnection(endpointId: string, now: number): void {
-        this.unprovenBreaks.proveByRefusal(endpointId, now);
+    /** Records that an endpoint that wasn't about to leave is proven to be down: connections that broke just before did so in a crash. */
+    noteDown(endpointId: string, now: number): void {
+        this.unprovenBreaks.proveByLoss(endpointId, now);
     }
 
     /** Gets the fingerprints of safe requests that peers have suspected lately. */
--- a/src/request/relay/quarantine/taskQuarantine.ts
+++ b/src/request/relay/quarantine/taskQuarantine.ts
@@ -118,8 +118,8 @@
 
     /**
      * Records that the connection of an attempt broke. The endpoint counts as crashed if no node can connect to it, or once it is known to have
-     * restarted or refuses connections: endpoints also break off single streams and go on with the others. An endpoint that has announced that it is leaving ends as
-     * announced, and gets no more requests.
+     * restarted or to be down: endpoints also break off single streams and go on with the others. An endpoint that has announced that it is
+     * leaving ends as announced, and gets no more requests.
      * @param endpointId - Id of the endpoint that ran the request.
      * @param sentAt - Monotonic time in milliseconds at which the request was sent to it.
      * @param at - Monotonic time in milliseconds at which the connection broke. The test of its path takes longer than
--- a/src/request/relay/quarantine/unprovenBreak.ts
+++ b/src/request/relay/quarantine/unprovenBreak.ts
@@ -5,7 +5,7 @@
     at: number;
     /**
      * Called if the endpoint turns out to have crashed.
-     * @param isDown - Whether its machine refuses connections. Otherwise it has restarted.
+     * @param isDown - Whether it is down. Otherwise it has restarted.
      */
     onProven(isDown: boolean): void;
 }
--- a/src/request/relay/quarantine/unprovenBreaks.ts
+++ b/src/request/relay/quarantine/unprovenBreaks.ts
@@ -50,8 +50,8 @@
         this.prove(endpointId, now, false);
     }
 
-    /** Proves the recent breaks at an endpoint, since its machine refuses connections by now. */
-    proveByRefusal(endpointId: string, now: number): void {
+    /** Proves the recent breaks at an endpoint, since it is down by now. */
+    proveByLoss(endpointId: string, now: number): void {
         this.prove(endpointId, now, true);
     }
 
--- a/tests/connection/upstream/path/pathTester.test.ts
+++ b/tests/connection/upstream/path/pathTester.test.ts
@@ -9,7 +9,7 @@
 import { PathState } from "../../../../src/connection/upstream/path/pathState.ts";
 import { PathTester } from "../../../../src/connection/upstream/path/pathTester.ts";
 import { TunnelPeers } from "../../../../src/connection/upstream/path/tunnelPeers.ts";
-import { Err } from "../../../../src/result.ts";
+import { Err, Ok } from "../../../../src/result.ts";
 import { FakeClock } from "../../../support/fakeClock.ts";
 
 const address = "127.0.0.1:1";
@@ -32,14 +32,19 @@
         sockets.push(socket);
         return socket as unknown as Socket;
     };
-    const paths = EndpointPaths.create({ onChanged: () => undefined, onRefused: () => undefined });
+    const downAddresses: string[] = [];
+    const paths = EndpointPaths.create({
+        onChanged: () => undefined,
+        onRefused: () => undefined,
+        onDown: downAddress => downAddresses.push(downAddress),
+    });
     const peers = TunnelPeers.create({
         listPeers: () => peerAddresses.map(peerAddress => ({ address: peerAddress, unreachableFraction: 0 })),
         random: () => 0,
     });
     const createTester = (testerClock: Pick<FakeClock, "getMonotonicTime" | "setTimer">) =>
         PathTester.create({ clock: testerClock, paths, peers, createSocket, openTunnel });
-    return { clock, sockets, tester: createTester(clock), preciseTester: createTester(preciseClock) };
+    return { clock, sockets, downAddresses, tester: createTester(clock), preciseTester: createTester(preciseClock) };
 }
 
 /** Tests a path on which no direct connection opens, while peers fail in a way. */
@@ -105,4 +110,22 @@
         assert.equal(await testThroughPeers(["p"], TunnelFailureKind.Endpoint, "ECONNRESET"), PathState.Unknown);
         assert.equal(await testThroughPeers(["p"], TunnelFailureKind.Endpoint, "no answer"), PathState.Down);
     });
+
+    // Guards against taking all endpoints for crashed at a node whose new connections are refused though the endpoints live.
+    it("takes an endpoint that refuses the connection for down only if no peer opens one", async () => {
+        const refused = new Error("connect ECONNREFUSED");
+        const through = createBench(["p"], ({ onDone }) => {
+            onDone(Ok(Object.assign(new EventEmitter(), { destroy: () => undefined }) as unknown as Socket));
+            return () => undefined;
+        });
+        const lost = through.tester.test(address);
+        through.sockets[0]!.emit("error", refused);
+        assert.equal(await lost, PathState.Lost);
+        assert.deepEqual(through.downAddresses, []);
+        const alone = createBench();
+        const down = alone.tester.test(address);
+        alone.sockets[0]!.emit("error", refused);
+        assert.equal(await down, PathState.Down);
+        assert.deepEqual(alone.downAddresses, [address]);
+    });
 });
--- a/tests/request/relay/quarantine/taskQuarantine.test.ts
+++ b/tests/request/relay/quarantine/taskQuarantine.test.ts
@@ -116,7 +116,7 @@
     });
 
     // Guards against crashes that never count because the endpoint still accepted a connection as it crashed, or the node was cut off then.
-    it("is held back if endpoints that were not proven to be down refuse connections soon after", async () => {
+    it("is held back if endpoints that were not proven to be down are so soon after", async () => {
         for (const kind of [RequestKind.Stream, RequestKind.Idempotent]) {
             const bench = createBench();
             const { clock, environment: { quarantine } } = bench;
@@ -124,7 +124,7 @@
             start(bench, kind);
             for (const count of [1, 2]) {
                 await crashEndpoint(bench);
-                quarantine.noteRefusedConnection(getBrokenId(bench), clock.getMonotonicTime() + 100);
+                quarantine.noteDown(getBrokenId(bench), clock.getMonotonicTime() + 100);
                 assert.equal(quarantine.getCrashes(clock.getMonotonicTime()).length, count);
             }
             start(bench, kind);
