Read a node's streams once for all whose first events are late

What callers would see: while the first events of many streams are late, all streams of their node are held up for some tens of milliseconds, each 60 ms.

Just then, when all are late, it cost most.

The decision is the same.

Tests: the cases of findSlowFirstStages are the same, and summarize their streams first.

--- a/src/request/relay/detection/findSlowFirstStages.ts
+++ b/src/request/relay/detection/findSlowFirstStages.ts
@@ -1,13 +1,5 @@
 import { Err, Ok, type Result } from "../../../result.ts";
-
-/** A stream that this node has sent to a first stage. */
-interface SentStream {
-    endpointId: string;
-    /** Monotonic time in milliseconds. */
-    sentAt: number;
-    /** Monotonic time of its first event, in milliseconds; undefined if there is none yet. */
-    firstEventAt: number | undefined;
-}
+import type { FirstStageTimes } from "./firstStageTimes.ts";
 
 /** A stream whose first event is late. */
 interface LateStream {
@@ -21,37 +13,37 @@
 
 /** Other first stages count as fast if their first events take at most this fraction of the wait, and as slow otherwise. */
 const fastFraction = 0.5;
-/** Time for which a first event tells how long the next one takes. */
-const evidenceMilliseconds = 2_000;
 const otherwiseSlowCause = "First events are late at other first stages too, or not known.";
 
 /**
  * Finds the first stages that a second chain of a stream must avoid, since their first events are late. The newest stream of each
  * first stage counts.
  * @param late - The stream that waits.
- * @param streams - The streams that this node runs.
- * @param now - Monotonic time in milliseconds.
+ * @param firstStages - What the streams that this node runs tell of each first stage.
  * @returns Their ids, with that of the stream's own first stage; why there should be no second chain if not most of the others are fast.
  */
 export function findSlowFirstStages(
     late: LateStream,
-    streams: Iterable<SentStream>,
-    now: number,
+    firstStages: ReadonlyMap<string, FirstStageTimes>,
 ): Result<ReadonlySet<string>, string> {
     const limit = late.waitedMilliseconds * fastFraction;
-    const newest = new Map<string, SentStream>();
-    for (const stream of streams) {
-        const isKnown = now - (stream.firstEventAt ?? now) <= evidenceMilliseconds
-            && (stream.firstEventAt !== undefined || now - stream.sentAt > limit);
-        if (isKnown && stream.sentAt >= (newest.get(stream.endpointId)?.sentAt ?? -Infinity)) {
-            newest.set(stream.endpointId, stream);
+    const slow = new Set([late.endpointId]);
+    let slowCount = 0;
+    let fastCount = 0;
+    for (const [endpointId, { answeredMilliseconds, waitingMilliseconds }] of firstStages) {
+        if (endpointId === late.endpointId) {
+            continue;
+        }
+        if (Math.max(waitingMilliseconds, answeredMilliseconds ?? 0) > limit) {
+            slow.add(endpointId);
+            slowCount += 1;
+        }
+        else if (answeredMilliseconds !== undefined) {
+            fastCount += 1;
         }
     }
-    newest.delete(late.endpointId);
-    const slow = [...newest.values()].filter(({ sentAt, firstEventAt }) => (firstEventAt ?? now) - sentAt > limit);
-    const fastCount = newest.size - slow.length;
-    if (fastCount > slow.length || fastCount === slow.length && late.isUrgent) {
-        return Ok(new Set([late.endpointId, ...slow.map(({ endpointId }) => endpointId)]));
+    if (fastCount > slowCount || fastCount === slowCount && late.isUrgent) {
+        return Ok(slow);
     }
     return Err(otherwiseSlowCause);
 }
--- a/src/request/relay/detection/lateFirstEvents.ts
+++ b/src/request/relay/detection/lateFirstEvents.ts
@@ -3,8 +3,10 @@
 import type { StreamRelay } from "../streams/streamRelay.ts";
 import { estimateReadingTime } from "./estimateReadingTime.ts";
 import { findSlowFirstStages } from "./findSlowFirstStages.ts";
+import type { FirstStageTimes } from "./firstStageTimes.ts";
 import { silenceBeforeFirstEventMilliseconds } from "./silenceBeforeFirstEventMilliseconds.ts";
 import { silenceMilliseconds } from "./silenceMilliseconds.ts";
+import { summarizeFirstStages } from "./summarizeFirstStages.ts";
 
 /** Fraction of the latency objective after which a first event is late, so that a second chain may still be on time. */
 const lateFraction = 0.5;
@@ -39,28 +41,39 @@
     }
 
     /**
-     * Sends a stream over a second chain too if its first event is late, and most other first stages are faster.
-     * @param relay - The stream.
+     * Sends each stream over a second chain too whose first event is late, if most other first stages are faster.
      * @param relays - The streams that this node runs.
      * @param now - Monotonic time in milliseconds.
      */
-    review(relay: StreamRelay, relays: Iterable<StreamRelay>, now: number): void {
-        const { attempts, moves, task } = relay;
-        const limit = this.getLimit(relay);
-        const milliseconds = now - (attempts.getSentAt() ?? now);
-        const isSearched = now < (this.searchAllowedAt.get(relay) ?? -Infinity);
-        if (attempts.hasEvents() || milliseconds <= limit || isSearched) {
-            return;
+    review(relays: readonly StreamRelay[], now: number): void {
+        let firstStages: ReadonlyMap<string, FirstStageTimes> | undefined;
+        for (const relay of relays) {
+            if (this.isDue(relay, now)) {
+                firstStages ??= summarizeFirstStages(listSentStreams(relays), now);
+                this.search(relay, firstStages, now);
+            }
+        }
+    }
+
+    private isDue(relay: StreamRelay, now: number): boolean {
+        const { attempts } = relay;
+        if (attempts.hasEvents() || now < (this.searchAllowedAt.get(relay) ?? -Infinity)) {
+            return false;
         }
+        return now - (attempts.getSentAt() ?? now) > this.getLimit(relay);
+    }
+
+    private search(relay: StreamRelay, firstStages: ReadonlyMap<string, FirstStageTimes>, now: number): void {
+        const { attempts, moves, task } = relay;
         const stages = attempts.getStages()!;
-        const waitedMilliseconds = milliseconds - estimateReadingTime(this.environment, task, stages);
-        if (waitedMilliseconds <= limit || attempts.isQueuedAtLink()) {
+        const waitedMilliseconds = now - attempts.getSentAt()! - estimateReadingTime(this.environment, task, stages);
+        if (waitedMilliseconds <= this.getLimit(relay) || attempts.isQueuedAtLink()) {
             moves.noteStay("Its prompt may still be read, or be queued at a link.");
             return;
         }
         const isUrgent = now >= task.request.arrivedAt + getCallerStay(task.route) * urgentStayFraction;
         const late = { endpointId: stages[0]!.endpoint.id, waitedMilliseconds, isUrgent };
-        const slow = findSlowFirstStages(late, listSentStreams(relays), now);
+        const slow = findSlowFirstStages(late, firstStages);
         if (slow.err) {
             moves.noteStay(slow.val);
             return;
@@ -70,10 +83,12 @@
     }
 }
 
-function* listSentStreams(relays: Iterable<StreamRelay>) {
-    for (const relay of relays) {
-        for (const { stages, sentAt, firstEventAt } of relay.attempts.list()) {
-            yield { endpointId: stages[0]!.endpoint.id, sentAt, firstEventAt };
-        }
-    }
+function listSentStreams(relays: readonly StreamRelay[]) {
+    return relays.flatMap(({ attempts }) =>
+        attempts.list().map(({ stages, sentAt, firstEventAt }) => ({
+            endpointId: stages[0]!.endpoint.id,
+            sentAt,
+            firstEventAt,
+        }))
+    );
 }
--- a/src/request/relay/detection/stallDetector.ts
+++ b/src/request/relay/detection/stallDetector.ts
@@ -112,8 +112,8 @@
         this.silenceLog.review();
         const now = this.options.clock.getMonotonicTime();
         const silentByFirstStage = new Map<string, StreamRelay[]>();
-        for (const relay of [...this.relays]) {
-            this.lateFirstEvents.review(relay, this.relays, now);
+        this.lateFirstEvents.review([...this.relays], now);
+        for (const relay of this.relays) {
             const first = relay.attempts.getStages()?.[0];
             if (first === undefined || relay.isRerouting || !isSilent(relay, now)) {
                 continue;
--- a/tests/request/relay/detection/findSlowFirstStages.test.ts
+++ b/tests/request/relay/detection/findSlowFirstStages.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { findSlowFirstStages } from "../../../../src/request/relay/detection/findSlowFirstStages.ts";
+import { summarizeFirstStages } from "../../../../src/request/relay/detection/summarizeFirstStages.ts";
 
 const now = 10_000;
 const waitedMilliseconds = 500;
@@ -10,11 +11,12 @@
 
 describe("findSlowFirstStages", () => {
     function doTest(
-        streams: Parameters<typeof findSlowFirstStages>[1],
+        streams: Parameters<typeof summarizeFirstStages>[0],
         expected: string[] | undefined,
         isUrgent = false,
     ) {
-        const found = findSlowFirstStages({ endpointId: "own", waitedMilliseconds, isUrgent }, streams, now);
+        const late = { endpointId: "own", waitedMilliseconds, isUrgent };
+        const found = findSlowFirstStages(late, summarizeFirstStages(streams, now));
         assert.deepEqual(found.ok ? [...found.val].sort() : undefined, expected);
     }
 
--- a/tests/request/relay/detection/lateFirstEvents.test.ts
+++ b/tests/request/relay/detection/lateFirstEvents.test.ts
@@ -7,12 +7,15 @@
 function createStream(targetLatencyMilliseconds: number, promptTokens: number, isQueued: boolean) {
     const stages = [{ endpoint: createEndpoint("1"), start: 0, end: 80 }];
     const route = { targetLatencyMilliseconds, maximumEventGapMilliseconds: 200 };
-    const counts = { searches: 0 };
+    const counts = { searches: 0, reads: 0 };
     const attempts = {
         getSentAt: () => 0,
         hasEvents: () => false,
         getStages: () => stages,
-        list: () => [{ stages, sentAt: 0, firstEventAt: undefined }],
+        list: () => {
+            counts.reads += 1;
+            return [{ stages, sentAt: 0, firstEventAt: undefined }];
+        },
         isQueuedAtLink: () => isQueued,
     };
     const moves = { noteStay: () => undefined, hedgeUnbegun: () => counts.searches += 1 };
@@ -22,7 +25,10 @@
 
 describe("LateFirstEvents", () => {
     const others = ["2", "3"].map(id => ({
-        attempts: { list: () => [{ stages: [{ endpoint: { id } }], sentAt: 100, firstEventAt: 170 }] },
+        attempts: {
+            hasEvents: () => true,
+            list: () => [{ stages: [{ endpoint: { id } }], sentAt: 100, firstEventAt: 170 }],
+        },
     }));
 
     interface Case {
@@ -41,7 +47,7 @@
         const { counts, stream } = createStream(objective, promptTokens, isQueued);
         const review = LateFirstEvents.create({ directory: { getSlowness: () => 1 } as never });
         for (const time of times) {
-            review.review(stream as never, [stream, ...relays] as never, time);
+            review.review([stream, ...relays] as never, time);
         }
         assert.equal(counts.searches, expected);
     }
@@ -63,4 +69,12 @@
         doTest({ relays: [] }, [300, 990], 0);
         doTest({ relays: [] }, [1_010], 1);
     });
+
+    // Guards against reviews that hold up all streams of a node while the first events of many are late.
+    it("reads each stream once for all that wait", () => {
+        const streams = Array.from({ length: 50 }, () => createStream(100, 1, false));
+        const review = LateFirstEvents.create({ directory: { getSlowness: () => 1 } as never });
+        review.review(streams.map(({ stream }) => stream) as never, 300);
+        assert.equal(streams.reduce((sum, { counts }) => sum + counts.reads, 0), 50);
+    });
 });
