Count a late beginning in the soak only where the request met it

The check of callers that leave without an event took any stage of the service for the late one, and a beginning of that time that lay after the request's arrival. An endpoint has to have received the request, and to begin late within half a second of its sending. tests/scripts/checkSilences.test.ts has both cases, and is otherwise unchanged.

--- a/tests/scripts/checkSilences.test.ts
+++ b/tests/scripts/checkSilences.test.ts
@@ -61,6 +61,9 @@
     it("detects that a caller left its stream without an event while an endpoint began late, but not otherwise", () => {
         const left = { status: 0, isComplete: false, leftAt: sentAt + 900, patienceMilliseconds: 900, text: "" };
         assert.equal(harness.count(left), 0);
+        harness.addFault("endpointBeginsLate", "two");
+        harness.addFault("endpointBeginsLate", "one", sentAt + 800);
+        assert.equal(harness.count(left), 0);
         harness.addFault("endpointBeginsLate", "one");
         assert.equal(harness.count(left), 1);
         assert.equal(harness.count({ ...left, text: "id: 1" }), 0);
