--- a/src/request/relay/chains/chooseStages.ts
+++ b/src/request/relay/chains/chooseStages.ts
@@ -54,14 +54,14 @@
     candidates: readonly StageCandidate[],
     random: RandomSource,
 ): RelayStage[] | undefined {
-    // When memory is exhausted, most searches would fail. This check is much cheaper than a search.
+    // When memory or slots are exhausted, most searches would fail. This check is much cheaper than a search.
     const usable = query.mayOvercommit
         ? candidates
         : candidates.filter(candidate =>
             hasFreeMemory(query, candidate, candidate.layers.end - candidate.layers.start)
-            && (candidate.layers.start > 0 || hasFreeSlot(query, candidate))
         );
-    if (!coversAllLayers(usable.map(({ layers }) => layers), query.model.layers)) {
+    const hasFirst = usable.some(candidate => candidate.layers.start === 0 && hasFreeSlot(query, candidate));
+    if (!hasFirst || !coversAllLayers(usable.map(({ layers }) => layers), query.model.layers)) {
         return undefined;
     }
     return searchChain(query, candidates, random, false) ?? searchChain(query, candidates, random, true);
@@ -118,7 +118,7 @@
 /** Checks if a first stage may run the request at once, unless it runs it already. */
 function hasFreeSlot(query: StageQuery, { freeSlots, endpoint: { slots } }: StageCandidate): boolean {
     const isRunning = query.firstStage !== undefined;
-    return query.mayOvercommit || isRunning || 1 + query.spareFraction * slots <= freeSlots;
+    return query.mayOvercommit || isRunning || 1 + Math.floor(query.spareFraction * slots) <= freeSlots;
 }
 
 function getEnds(candidates: readonly StageCandidate[]): number[] {
