Send the refusals of requests that arrive while a stopping node closes

What callers saw: a connection that was closed without an answer, though its request had been read. A connection on which nothing has come yet isn't idle to Node.js, so it stays open when the listener closes; a request that came on it after all others were answered was read, and the process exited before its refusal was sent. Nothing logged it. Change: the stop waits, until its deadline at most, for what came while it closed.

--- a/src/process/router/stopRouter.ts
+++ b/src/process/router/stopRouter.ts
@@ -47,4 +47,6 @@
         node.reportEndedRequests({ refused, ...ended, unfinished: callers.getOpenCount() });
     }
     await Promise.race([node.stop(), deadline]);
+    // Connections on which nothing has come yet are still open, and what came on them meanwhile is being refused.
+    await Promise.race([callers.waitUntilIdle(), deadline]);
 }
--- a/tests/platform/stoppingNode.test.ts
+++ b/tests/platform/stoppingNode.test.ts
@@ -1,5 +1,8 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
+import { connect } from "node:net";
 import { after, before, describe, it } from "node:test";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import { events } from "../../src/process/logging/events.ts";
 import { stopRouter } from "../../src/process/router/stopRouter.ts";
 import { systemClock } from "../../src/process/systemClock.ts";
@@ -89,4 +92,28 @@
         await stopped;
         assert.ok(!log.numbers.includes(events.requestsEndedAtStop.number));
     });
+
+    // The process ended with a request that it had read after all others were answered, before the refusal was sent.
+    it("sends the refusal of a request that arrives while it closes", async () => {
+        const { node, callers, address } = await harness.addNode();
+        const [host, port] = address.split(":");
+        const socket = connect(Number(port), host);
+        await once(socket, "connect");
+        let received = "";
+        socket.on("data", chunk => received += String(chunk));
+        const stop = node.stop.bind(node);
+        node.stop = async () => {
+            node.stop = stop;
+            await stop();
+            socket.write(
+                `POST /model/x HTTP/1.1\r\nHost: one.example\r\nRequest-Id: late\r\nContent-Length: 0\r\n\r\n`,
+            );
+            while (callers.getOpenCount() === 0 && received === "") {
+                await nextTurn();
+            }
+        };
+        await stopRouter({ node, callers, shutdownMilliseconds: 2 * shutdownMilliseconds, clock: systemClock });
+        assert.match(received, /^HTTP\/1\.1 503 [^]*Request-Id: late\r\n/);
+        socket.destroy();
+    });
 });
