Don't send a request that was quarantined while it waited in the queue

What callers would see: nothing for themselves; one more endpoint can crash. If it was quarantined while it waited, by crashes of its own or those that peers report, it was sent to one more endpoint all the same: outside of the queue, memory and slots don't hold it up. Found by reading.

Cause: the start of an attempt and the start from the queue ask the quarantine, the refusal by the queue didn't.

Change: it asks, too; the request then ends as it does at the two other places.

--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -177,18 +177,22 @@
             },
             refuse: (reason, retryAfterMilliseconds, bound) => {
                 this.queuedRelay = undefined;
-                this.guard.run(() => {
-                    if (this.mayResume()) {
-                        this.resumption.resume(`${cause} ${reason}`, isRetry);
-                        return;
-                    }
-                    this.reject(`${cause} ${reason}`, retryAfterMilliseconds, bound);
-                });
+                this.guard.run(() => this.handleRefusal(`${cause} ${reason}`, isRetry, retryAfterMilliseconds, bound));
             },
         });
         environment.queue.submit(this.queuedRelay);
     }
 
+    /** Goes on outside of the queue if the request may have run, unless it was quarantined while it waited. Otherwise rejects it. */
+    private handleRefusal(cause: string, isRetry: boolean, retryAfterMilliseconds: number, bound: StartBound): void {
+        if (!this.mayResume()) {
+            this.reject(cause, retryAfterMilliseconds, bound);
+        }
+        else if (!this.endIfHeld(cause)) {
+            this.resumption.resume(cause, isRetry);
+        }
+    }
+
     /** Starts a queued request on its reserved chain, unless the request was quarantined while it waited. */
     private startReserved(reservedChain: ReservedChain, cause: string): void {
         if (this.endIfHeld(cause)) {
--- a/tests/request/relay/streams/brokenOffWhileFull.test.ts
+++ b/tests/request/relay/streams/brokenOffWhileFull.test.ts
@@ -76,6 +76,33 @@
         assert.equal(bench.sentRequests.length, 1);
     });
 
+    // Guards against one more endpoint for a request that turned out to crash them while it waited in the queue.
+    it("is sent to no other endpoint once it is held back", async () => {
+        const stream = SuspectBench.create({ endpoints, isResumable: true, maximumAttempts: ids.length });
+        const { bench: { environment, clock, ...bench }, detector, relay: { task: { fingerprint } } } = stream;
+        detector.remove(stream.relay);
+        stream.bench.pathState = PathState.Open;
+        await clock.advance(runMilliseconds);
+        const now = clock.getMonotonicTime();
+        environment.loads.setPeerLoads(
+            "p",
+            endpoints.map(({ id, slots }) => ({
+                endpointId: id,
+                requests: slots,
+                tokenLayers: 0,
+            })),
+            0,
+            now,
+        );
+        stream.getLast().listener.onFailure(broken);
+        for (const endpointId of ["6", "7", "8"]) {
+            environment.quarantine.addPeerCrash({ fingerprint, endpointId, at: now }, now);
+        }
+        assert.equal(environment.queue.refuseAll(), 1);
+        assert.deepEqual(bench.answers, ["outcomeUnknown"]);
+        assert.equal(bench.sentRequests.length, 1);
+    });
+
     // Guards against an unknown outcome after a few refusals, which run nothing.
     it("goes on after as many refusals as end a request that has not run", async () => {
         const stream = SuspectBench.create({ endpoints, isResumable: true, maximumAttempts: ids.length });
