--- a/src/process/router/routerEndpoints.ts
+++ b/src/process/router/routerEndpoints.ts
@@ -153,7 +153,6 @@
         });
     }
 
-    /** Checks if the endpoint at an address is registered and not leaving. */
     /** Gets the id of the endpoint at an address; undefined if there is none that accepts requests. */
     private getReadyIdAt(address: string): string | undefined {
         const endpoint = this.registry.getEndpointAt(address);
