Limit an error of a stream's second chain to the stream

What callers would see: all requests of a node break off. An unexpected error while a stream is sent over a second chain, such as one of its encoding, was caught by nothing: the review of all streams called it, and an error there ends the process. Second chains for late first events make that way a common one.

Cause: the sends from the queue and from the resumption run in the guard of their request, those of its moves didn't.

Change: they do, too. Errors in choosing the chain are of decisions that all requests share, and end the process as before.

--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -65,7 +65,7 @@
         this.onDone = onDone;
         const { log } = environment;
         this.guard = RequestGuard.create({ log, requestId: task.request.id, end: cause => this.endOnError(cause) });
-        const onReserved = (reservedChain: ReservedChain) => this.continueOver(reservedChain);
+        const onReserved = (reservedChain: ReservedChain) => this.guard.run(() => this.continueOver(reservedChain));
         const onEnded = (attempt: StreamAttempt, end: StreamAttemptEnd) => this.endAttempt(attempt, end);
         this.moves = StreamMoves.create(state, { onReserved, onEnded });
         this.resumption = StreamResumption.create(state, {
--- a/tests/request/relay/streams/unbegunStreamWaitsAtOneStage.test.ts
+++ b/tests/request/relay/streams/unbegunStreamWaitsAtOneStage.test.ts
@@ -56,4 +56,17 @@
         await bench.clock.advance(callerStayMilliseconds - 200);
         assert.equal(bench.sentRequests.length, sentCount);
     });
+
+    // Guards against the end of the process, with all requests, for an error of one of them.
+    it("ends alone if it can't be sent over the other chain because of an unexpected error", async () => {
+        const { stream, bench, first } = start({ otherDelays: [80, 90] });
+        const createRequest = () => {
+            throw new Error("It can't be encoded.");
+        };
+        Object.assign(bench.environment, { protocol: { ...bench.environment.protocol, createRequest } });
+        await bench.clock.advance(callerStayMilliseconds / 3);
+        assert.ok(first.isAborted);
+        assert.equal(stream.relay.attempts.list().length, 0);
+        assert.equal(bench.answers.filter(answer => answer === "outcomeUnknown").length, 1);
+    });
 });
