Don't ask the endpoint that refused last again while a stream that has begun has others

What callers saw: a begun stream whose endpoint had closed its connection was cut at the timeout, though two others had had room for 2 s. They and its own had refused it once; then its own was asked again and again (attempts 4 to 7, FL1711 m1, 503 each) until the retries were used up.

Cause: once all had refused, they count alike, and the search takes the first of equal ones each time: the noise of a chain's cost is applied before the cost of its first stage.

Change: the search leaves out the endpoint that refused last, if there is a chain without it.

Evidence: tests/platform/replacementRefused.test.ts, 'continues once one accepts it': 3 of 3 failed alone before; with it 3 of 3 alone and 3 of 3 of the whole file pass (load 17).

--- a/src/request/relay/streams/resumePacing.ts
+++ b/src/request/relay/streams/resumePacing.ts
@@ -80,6 +80,11 @@
         return [...this.refusedAt.keys()];
     }
 
+    /** Gets the endpoint that was the last to refuse the request; undefined if there is none. */
+    getLastRefusing(): string | undefined {
+        return [...this.refusedAt].find(([, at]) => at === this.lastRefusedAt)?.[0];
+    }
+
     /** Lists the endpoints that have refused the request so recently that they would refuse it again. */
     listRefusing(now: number): string[] {
         return [...this.refusedAt].filter(([, at]) => now - at < refusalMilliseconds).map(([id]) => id);
--- a/src/request/relay/streams/streamResumption.ts
+++ b/src/request/relay/streams/streamResumption.ts
@@ -1,8 +1,9 @@
 import type { TimerHandle } from "../../../process/clock.ts";
-import { Err } from "../../../result.ts";
+import { Err, type Result } from "../../../result.ts";
 import { RetryDelay } from "../../retryDelay.ts";
 import type { ReservedChain } from "../chains/reservedChain.ts";
 import { getLatestStart } from "../queue/getLatestStart.ts";
+import type { ChainReplacement } from "./chainReplacement.ts";
 import type { StreamState } from "./streamState.ts";
 
 /** What the relay of a stream does for its resumption. */
@@ -97,7 +98,7 @@
         }
         const reserved = pause > 0
             ? Err("Endpoints have just refused it.")
-            : this.state.replacement.reserve({ avoid, isRetry, isRepeated, maySuspect });
+            : this.reserve({ avoid, isRetry, isRepeated, maySuspect });
         if (reserved.ok) {
             this.isWaiting = false;
             this.searchDelay.reset();
@@ -125,6 +126,17 @@
         this.timer = environment.clock.setTimer(delay, () => this.callbacks.onDue(cause, isRetry));
     }
 
+    /** Reserves a chain, without the endpoint that was the last to refuse the request if there is another one. */
+    private reserve(requirements: Parameters<ChainReplacement["reserve"]>[0]): Result<ReservedChain, string> {
+        const { replacement, pacing } = this.state;
+        const last = pacing.getLastRefusing();
+        if (last === undefined || requirements.avoid.has(last)) {
+            return replacement.reserve(requirements);
+        }
+        const other = replacement.reserve({ ...requirements, avoid: new Set([...requirements.avoid, last]) });
+        return other.ok ? other : replacement.reserve({ ...requirements, isRepeated: true });
+    }
+
     /** Checks if a chain may be found in the time of the request. Records of endpoints that have not failed it may be missing for a moment. */
     private mayHaveChain(now: number): boolean {
         const { chains, avoided, task } = this.state;
