--- a/review/two/deployment.mjs
+++ b/review/two/deployment.mjs
@@ -56,8 +56,9 @@
     }
 
     /** Writes the entry of a runner, as the runner does. */
-    register(id, fields) {
-        this.store.put(`servers/${id}`, createEndpointRecord(fields));
+    register(id, { kind, ...fields }) {
+        const entry = createEndpointRecord(fields);
+        this.store.put(`servers/${id}`, kind === undefined ? entry : { ...entry, kind });
     }
 
     /** Starts machines and waits until each reports that it is ready. */
--- a/review/two/runner.mjs
+++ b/review/two/runner.mjs
@@ -5,6 +5,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 
 const finalEvent = "end";
+/** Three heartbeats. */
+const entryMilliseconds = 3_600;
 
 /** A runner that registers itself in the store. Each start is a new lifetime. */
 export class Runner {
@@ -63,9 +65,9 @@
     }
 
     createEntry() {
-        const { service, zone, slots, isModel } = this.options;
+        const { service, zone, slots, isModel, kind } = this.options;
         const layers = isModel === true ? this.layers ?? null : undefined;
-        return { service, address: this.getAddress(), slots, born: this.born, dataCentre: zone, layers };
+        return { service, address: this.getAddress(), slots, born: this.born, dataCentre: zone, layers, kind };
     }
 
     /** Ends the process at once. Its entry goes after three heartbeats unless it has started again by then. */
@@ -90,6 +92,13 @@
         await this.start();
     }
 
+    /** Ends the process at once for good. Its entry goes after three heartbeats. */
+    async loseForGood(cause) {
+        await this.crash(cause);
+        await sleep(entryMilliseconds);
+        this.options.deployment.store.remove(`servers/${this.id}`);
+    }
+
     /** Stops for good at the end of the case. */
     async close() {
         if (!this.isDown) {
@@ -125,7 +134,7 @@
                 stage: "both",
                 models: [{ name: "m", version: 1, adapters: [] }],
                 layers: this.layers ?? null,
-                kind: "big",
+                kind: this.options.kind ?? "big",
                 busy: this.isBusy,
                 sequence: this.sequence,
                 queued: 0,
