--- a/review/two/record.mjs
+++ b/review/two/record.mjs
@@ -34,7 +34,7 @@
     const record = openRecord(folder);
     const hasTrouble = process.env["TROUBLE"] !== "0";
     let code = 2;
-    process.once("SIGTERM", () => void Deployment.closeAll().then(() => process.exit(2)));
+    process.on("SIGTERM", () => void Deployment.closeAll().then(() => process.exit(2)));
     try {
         record.say(hasTrouble ? "with the disruption" : "without the disruption");
         const isBroken = await run(record, hasTrouble);
