Review: a script whose stand-in fails ends with 2

One of five runs of case 8 ended with 1 though the rule hadn't been judged: the stand-in of a runner that starts again found its port taken by another script, and threw. It now takes another port, and any such error ends a script with 2 and ends its processes (the port was tried alone).

--- a/review/two/record.mjs
+++ b/review/two/record.mjs
@@ -34,7 +34,12 @@
     const record = openRecord(folder);
     const hasTrouble = process.env["TROUBLE"] !== "0";
     let code = 2;
-    process.on("SIGTERM", () => void Deployment.closeAll().then(() => process.exit(2)));
+    const end = reason => {
+        record.say(`the case could not run: ${reason}`);
+        void Deployment.closeAll().then(() => process.exit(2));
+    };
+    process.on("SIGTERM", () => end("it took too long, or was ended"));
+    process.on("uncaughtException", error => end(error.stack));
     try {
         record.say(hasTrouble ? "with the disruption" : "without the disruption");
         const isBroken = await run(record, hasTrouble);
--- a/review/two/runner.mjs
+++ b/review/two/runner.mjs
@@ -50,8 +50,13 @@
             socket.once("close", () => this.sockets.delete(socket));
         });
         await new Promise((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(this.port ?? 0, "127.0.0.1", resolve);
+            this.server.once("listening", resolve);
+            this.server.once("error", () => {
+                // Another program has its port now. It starts at another address.
+                this.server.once("error", reject);
+                this.server.listen(0, "127.0.0.1");
+            });
+            this.server.listen(this.port ?? 0, "127.0.0.1");
         });
         this.port = this.server.address().port;
         this.isDown = false;
