--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -4,21 +4,23 @@
 import { fileURLToPath } from "node:url";
 import { callerKey } from "../../standins/router/callerKey.ts";
 import { createConfiguration } from "../../standins/router/createConfiguration.ts";
-import { call, createChannel } from "../two/consumer.mjs";
-import { Deployment } from "../two/deployment.mjs";
-import { runCase } from "../two/record.mjs";
-import { Runner } from "../two/runner.mjs";
+import { call, createChannel } from "../consumer-2.mjs";
+import { Deployment } from "../deployment-2.mjs";
+import { runCase } from "../record-2.mjs";
+import { Runner } from "../runner-2.mjs";
 
 /** `memory_mb` of the settings of a small deployment (DEPLOY.md, SYSTEM.md). */
 const memoryMegabytes = 350;
-/** What the faulty runner sends on all its channels together: half of `link_mbps` (1,000 Mbit/s). */
-const faultyBytesPerSecond = 62_500_000;
+/** What the faulty runner sends on a channel at most: a third of `link_mbps` (1,000 Mbit/s). */
+const faultyBytesPerSecond = 40_000_000;
 /** What a consumer reads: a line of 100 Mbit/s. */
 const consumerBytesPerSecond = 12_500_000;
-/** The faulty runner, one of three, spoils one in so many of its answers: `garble` with `share` 0.33 and `x` 0.05. */
-const spoiledOneIn = 20;
+/** The faulty runner, one of three, spoils each 34th of its answers for 5 s: `garble` with `share` 0.33, `x` below 0.03, `for_s` 5. */
+const spoiledOneIn = 34;
+const garbleMilliseconds = 5_000;
 const settleMilliseconds = 4_000;
-const troubleMilliseconds = 25_000;
+/** Time for which an answer that was spoiled may go on: the deadline of its request is 20 s. */
+const endlessMilliseconds = 15_000;
 /** The rule allows this many at a machine. */
 const allowedLosses = 3;
 
@@ -33,8 +35,8 @@
     }
     deployment.configure(configuration);
     let isFaulty = false;
+    let isOver = false;
     let faultyBytes = 0;
-    let faultyCount = 0;
     let answerCount = 0;
     /** Sends events beyond all that the request's `Token-Counts` allows, until the caller closes. */
     const answerWithoutEnd = async (runner, request, response) => {
@@ -42,19 +44,18 @@
             return false;
         }
         answerCount += 1;
-        if (answerCount % spoiledOneIn !== 1) {
+        if (answerCount % spoiledOneIn !== 0) {
             return false;
         }
         const id = request.headers["request-id"];
         record.note(`${runner.options.name}: sends bytes without end for ${id}`);
-        faultyCount += 1;
         const filler = "x".repeat(4_000);
         const eventsPerWrite = 64;
         let event = 0;
         let sent = 0;
         const startedAt = Date.now();
-        while (!response.destroyed && isFaulty) {
-            const due = (Date.now() - startedAt) / 1_000 * faultyBytesPerSecond / Math.max(1, faultyCount);
+        while (!response.destroyed && !isOver) {
+            const due = (Date.now() - startedAt) / 1_000 * faultyBytesPerSecond;
             let isTaken = true;
             while (sent < due && isTaken) {
                 let text = "";
@@ -71,7 +72,6 @@
                 await sleep(5);
             } while (!isTaken && response.writableNeedDrain && !response.destroyed);
         }
-        faultyCount -= 1;
         record.note(`${runner.options.name}: ${id} ended after ${event} events, ${Math.round(sent / 1e6)} MB`);
         response.destroy();
         return true;
@@ -79,7 +79,7 @@
     const common = { deployment, record };
     const runners = [
         ...["llm-1", "llm-2", "llm-3"].map(name =>
-            new Runner({ ...common, name, service: "model", isModel: true, events: 20, eventMilliseconds: 100, answerStream: answerWithoutEnd })),
+            new Runner({ ...common, name, service: "model", isModel: true, events: 10, eventMilliseconds: 40, answerStream: answerWithoutEnd })),
         ...["doc-1", "doc-2"].map(name => new Runner({ ...common, name, service: "documents", workMilliseconds: 150 })),
     ];
     for (const runner of runners) {
@@ -96,7 +96,6 @@
     deployment.watchMemory(memoryMegabytes, (node, megabytes) => killed.push({ node, megabytes, at: Date.now() }));
     /** Requests by id, with what became of them. */
     const results = [];
-    let isOver = false;
     const consume = async (index, request) => {
         const agent = createChannel();
         const node = deployment.nodes[index % deployment.nodes.length];
@@ -114,18 +113,20 @@
     for (let index = 0; index < 36; index += 1) {
         consumers.push(consume(index, { path: "/unsafe/x", headers }));
     }
-    for (let index = 0; index < 12; index += 1) {
+    for (let index = 0; index < 36; index += 1) {
         consumers.push(consume(index, { path: "/model/x", headers: streamHeaders }));
     }
     await sleep(settleMilliseconds);
     isFaulty = hasTrouble;
     record.note(hasTrouble ? "llm-1 hands out wrong bytes from now on" : "no disruption");
-    await sleep(troubleMilliseconds);
+    await sleep(garbleMilliseconds);
     isFaulty = false;
+    record.note("llm-1 spoils no more answers; those that are spoiled go on until the caller closes");
+    await sleep(endlessMilliseconds);
     isOver = true;
     await Promise.race([Promise.all(consumers), sleep(15_000)]);
     const soundRuns = new Set(runners.filter(({ options }) => options.name !== "llm-1").flatMap(({ runs }) => runs));
-    const lost = results.filter(({ id, end, isKept }) => isKept && soundRuns.has(id) && (end === "closed" || end === "cut"));
+    const lost = results.filter(({ id, end, isKept }) => isKept && soundRuns.has(id) && end === "closed");
     for (const { id, node, status, end } of lost) {
         record.note(`LOST: ${id} was passed on to a sound runner by ${node.name}, and its kept channel ended: ${status} ${end}`);
     }
