One account of what a process holds for its callers, and one decision who gives way

What callers saw: many bodies at once, most of which stopped just short of their end and stayed open, ended a process: it ran out of memory. So did answers that nobody read.

Cause: nothing counted the bodies and the unread answers of a process together. Each reader had a limit of its own, and a process as many readers as callers liked.

Change: MemoryAccount sums up what is held for all connections: bodies, what was written and not read, heads received in part, and what a request and a connection need themselves. If it reaches its limit, chooseHoldersToRelease decides who gives way: the most releasable bytes for the longest time. What moves is soon gone and seldom chosen, what stands still is. A request whose body isn't complete is refused (503, not run, with a time to return, and its rest is read, so that the refusal arrives); otherwise the connection is closed (FL1750). foxlead platform derives the limit from the memory of its machine (100 MB of 350), foxlead node has limits.maximumHeldBytes (1 GB). With it, GarbageCollector collects all objects when much was added since the last time: V8 would let garbage grow by the memory of the whole machine.

--- a/src/connection/caller/callerConnections.ts
+++ b/src/connection/caller/callerConnections.ts
@@ -3,58 +3,43 @@
 import type { Clock } from "../../process/clock.ts";
 import type { EventLog } from "../../process/logging/eventLog.ts";
 import { InputBarrier } from "../../process/loop/inputBarrier.ts";
+import type { MemoryAccount } from "../../process/memory/memoryAccount.ts";
 import type { RequestError } from "../../request/requestError.ts";
+import type { Result } from "../../result.ts";
+import { CallerConnection, connectionBytes, exchangeBytes } from "./callerConnection.ts";
+import type { CallerExchange } from "./callerExchange.ts";
 import { closeInStages } from "./closeInStages.ts";
+import { ConnectionReading } from "./connectionReading.ts";
 import { createClientError } from "./createClientError.ts";
 import { createErrorBody } from "./createErrorBody.ts";
+import { createMemoryError } from "./createMemoryError.ts";
 import { drainBody } from "./drainBody.ts";
 import { hasUnreadBody } from "./hasUnreadBody.ts";
+import { readBody } from "./readBody.ts";
 import { UnansweredReason } from "./unansweredReason.ts";
-import { UnansweredRequests } from "./unansweredRequests.ts";
 
 /** Options of {@link CallerConnections}. */
 interface CallerConnectionsOptions {
     clock: Pick<Clock, "getMonotonicTime">;
-    /** Log of the requests that get neither an answer nor a refusal. */
+    /** Log of the requests that get neither an answer nor a refusal,. */
     log: EventLog;
+    /** Account of what is held for the callers. */
+    memory: Pick<MemoryAccount, "add" | "remove" | "note">;
 }
 
-/** A request whose response has not been sent completely. */
-interface OpenRequest {
-    request: IncomingMessage;
-    response: ServerResponse;
-    controller: AbortController;
-    /** Monotonic time of its arrival, in milliseconds. */
-    arrivedAt: number;
-    /** Writes its whole response, which waits for its turn. */
-    writeResponse: (() => void) | undefined;
-    /** Called when the rest of the request can't be received. */
-    onBroken: ((error: RequestError) => void) | undefined;
-}
-
-/** State of one connection. */
-interface CallerConnection {
-    requests: Set<OpenRequest>;
-    /** Whether a parse error or a timeout occurred, so that the connection closes after its pending responses. */
-    isBroken: boolean;
-    /** Whether an answer is being sent that closes the connection, so that later requests on it get none. */
-    isEnding: boolean;
-    /** Why the connection closes, as far as this side caused it. */
-    reason: UnansweredReason;
-    /** Whether the caller closed the connection while responses were pending. */
-    hasCallerLeft: boolean;
-    /** Requests that were dropped. */
-    unanswered: UnansweredRequests;
-}
+/** Work of a request, in units of about a microsecond. */
+const requestUnits = 80;
+/** A connection may receive this part of a head unnoticed. */
+const unnoticedHeadBytes = 32 * 1024;
 
 /**
- * Tracks the requests of each open connection. When a caller disconnects, all its requests are aborted, including
+ * Tracks the open connections and their requests. When a caller disconnects, all its requests are aborted, including
  * pipelined ones whose responses wait for others. When a caller sends invalid bytes, the error doesn't replace a
  * pending response.
  */
 export class CallerConnections {
     private readonly connections = new WeakMap<Socket, CallerConnection>();
-
+    private readonly openConnections = new Set<CallerConnection>();
     private readonly options: CallerConnectionsOptions;
     /** Delays answers that may close their connection until pending input is read, which may contain another request. */
     private readonly barrier = InputBarrier.create();
@@ -68,42 +53,76 @@
         return new CallerConnections(options);
     }
 
+    /** Adds a new connection. */
+    open(socket: Socket): void {
+        this.getConnection(socket);
+    }
+
     /**
-     * Adds a request. It is removed when its response is sent.
+     * Adds a request that is handled. It is removed when its response is sent.
      * @returns A signal that aborts if the caller disconnects before.
      */
-    add(request: IncomingMessage, response: ServerResponse): AbortSignal {
-        const openRequest: OpenRequest = {
+    add(request: IncomingMessage, response: ServerResponse, arrivedAt = this.getTime()): AbortSignal {
+        const exchange: CallerExchange = {
             request,
             response,
             controller: new AbortController(),
-            arrivedAt: this.options.clock.getMonotonicTime(),
+            arrivedAt,
+            bodyBytes: 0,
+            answerBytes: 0,
             writeResponse: undefined,
             onBroken: undefined,
         };
-        const { requests } = this.getConnection(request.socket);
-        const latest = getLatest(requests);
-        requests.add(openRequest);
-        if (latest !== undefined) {
-            writeWaiting(latest);
-        }
-        response.once("finish", () => this.remove(openRequest));
-        return openRequest.controller.signal;
+        const connection = this.getConnection(request.socket);
+        const previous = getLast(connection.exchanges);
+        connection.noteRequest(request);
+        ConnectionReading.of(request.socket).noteWork(requestUnits);
+        connection.exchanges.add(exchange);
+        writeWaitingOf(previous);
+        response.once("finish", () => this.remove(connection, exchange));
+        this.options.memory.note(exchangeBytes);
+        return exchange.controller.signal;
     }
 
     /** Checks if no request was received after the given one on its connection. */
     isLatest(request: IncomingMessage): boolean {
-        return getLatest(this.getConnection(request.socket).requests)?.request === request;
+        return this.getConnection(request.socket).isLatest(request);
     }
 
     /**
-     * Registers a callback for when the rest of a request can't be received, although its connection is still open, since responses to
-     * earlier requests are pending.
+     * Reads the body of a request into memory.
+     * @param request - The caller's request.
+     * @param response - Response to the request.
+     * @param maximumBytes - Maximum size of the body.
      */
-    onBroken(request: IncomingMessage, callback: (error: RequestError) => void): void {
-        const latest = getLatest(this.getConnection(request.socket).requests);
-        if (latest?.request === request) {
-            latest.onBroken = callback;
+    readBody(
+        request: IncomingMessage,
+        response: ServerResponse,
+        maximumBytes: number,
+    ): Promise<Result<Buffer, RequestError>> {
+        const exchange = this.findExchange(request);
+        return readBody(request, response, {
+            maximumBytes,
+            onBroken: callback => {
+                if (exchange !== undefined) {
+                    exchange.onBroken = callback;
+                }
+            },
+            onHeld: bytes => {
+                if (exchange !== undefined && bytes > 0) {
+                    exchange.bodyBytes += bytes;
+                    this.options.memory.note(bytes);
+                }
+            },
+        });
+    }
+
+    /** Notes that a part of the answer to a request was written, which is held until the caller takes it. */
+    noteAnswerBytes(request: IncomingMessage, bytes: number): void {
+        const exchange = this.findExchange(request);
+        if (exchange !== undefined) {
+            exchange.answerBytes += bytes;
+            this.options.memory.note(bytes);
         }
     }
 
@@ -115,20 +134,19 @@
      * @param write - Writes the response.
      */
     writeInTurn(request: IncomingMessage, write: () => void): void {
-        for (const openRequest of this.getConnection(request.socket).requests) {
-            if (openRequest.request === request) {
-                openRequest.writeResponse = write;
-                if (!hasUnreadBody(request)) {
-                    this.writeInItsTurn(openRequest);
-                }
-                else if (openRequest.response.socket === null) {
-                    void drainBody(request);
-                }
-                else {
-                    writeWaiting(openRequest);
-                }
-                return;
-            }
+        const exchange = this.findExchange(request);
+        if (exchange === undefined) {
+            return;
+        }
+        exchange.writeResponse = write;
+        if (!hasUnreadBody(request)) {
+            this.writeInItsTurn(exchange);
+        }
+        else if (exchange.response.socket === null) {
+            void drainBody(request);
+        }
+        else {
+            writeWaitingOf(exchange);
         }
     }
 
@@ -147,7 +165,7 @@
     /** Records that a request is dropped, since it came too late. It is logged when its connection closes. */
     drop(request: IncomingMessage): void {
         const { unanswered } = this.getConnection(request.socket);
-        unanswered.add(request, this.options.clock.getMonotonicTime());
+        unanswered.add(request, this.getTime());
         // Its body is discarded: unread bytes would reset the connection.
         request.resume();
     }
@@ -173,9 +191,9 @@
             socket.destroy();
             return;
         }
-        for (const { request, response } of connection.requests) {
+        for (const { request, response } of connection.exchanges) {
             if (request.complete || response.headersSent) {
-                refuseIncomplete(connection, error.code);
+                connection.findIncomplete()?.onBroken?.(createClientError(error.code));
                 return;
             }
         }
@@ -183,97 +201,120 @@
         abort(connection);
     }
 
-    private remove(openRequest: OpenRequest): void {
-        const { socket } = openRequest.request;
-        const connection = this.getConnection(socket);
-        connection.requests.delete(openRequest);
-        for (const next of connection.requests) {
+    private remove(connection: CallerConnection, exchange: CallerExchange): void {
+        connection.exchanges.delete(exchange);
+        connection.noteAnswer(this.getTime());
+        for (const next of connection.exchanges) {
             this.writeInItsTurn(next);
             break;
         }
-        if (connection.isBroken && connection.requests.size === 0) {
-            socket.destroySoon();
+        if (connection.isBroken && connection.isIdle()) {
+            connection.socket.destroySoon();
         }
     }
 
     /** Writes the response that waits, once the input that has arrived is read, if it is the first on its connection. */
-    private writeInItsTurn(openRequest: OpenRequest): void {
+    private writeInItsTurn(exchange: CallerExchange): void {
         this.barrier.defer(() => {
-            if (openRequest.response.socket !== null) {
-                writeWaiting(openRequest);
+            if (exchange.response.socket !== null) {
+                writeWaitingOf(exchange);
             }
         });
     }
 
-    private getConnection(socket: Socket): CallerConnection {
-        const known = this.connections.get(socket);
-        if (known !== undefined) {
-            return known;
+    private findExchange(request: IncomingMessage): CallerExchange | undefined {
+        for (const exchange of this.getConnection(request.socket).exchanges) {
+            if (exchange.request === request) {
+                return exchange;
+            }
         }
-        const connection: CallerConnection = {
-            requests: new Set(),
-            isBroken: false,
-            isEnding: false,
-            reason: UnansweredReason.Closed,
-            hasCallerLeft: false,
-            unanswered: UnansweredRequests.create(),
-        };
+        return undefined;
+    }
+
+    private getConnection(socket: Socket): CallerConnection {
+        return this.connections.get(socket) ?? this.addConnection(socket);
+    }
+
+    private addConnection(socket: Socket): CallerConnection {
+        const { memory } = this.options;
+        const connection = CallerConnection.create(socket, this.getTime());
+        const holder = { measure: () => connection.measure(), release: () => release(connection) };
         this.connections.set(socket, connection);
+        this.openConnections.add(connection);
+        memory.add(holder);
         // A caller that has closed its side is treated as disconnected. The connection itself closes some time later.
         socket.once("end", () => {
-            connection.hasCallerLeft = connection.requests.size > 0;
+            connection.hasCallerLeft = !connection.isIdle();
             abort(connection);
         });
         socket.once("close", () => {
+            this.openConnections.delete(connection);
+            memory.remove(holder);
             connection.hasCallerLeft ||= socket.errored !== null;
             this.logUnanswered(connection);
             abort(connection);
         });
+        memory.note(connectionBytes + unnoticedHeadBytes);
         return connection;
     }
 
-    private logUnanswered({ requests, reason, hasCallerLeft, unanswered }: CallerConnection): void {
+    private logUnanswered({ exchanges, reason, hasCallerLeft, unanswered }: CallerConnection): void {
         if (hasCallerLeft) {
             return;
         }
-        for (const openRequest of requests) {
-            if (openRequest.request.complete && !isBeingSent(openRequest)) {
-                unanswered.add(openRequest.request, openRequest.arrivedAt);
+        for (const exchange of exchanges) {
+            if (exchange.request.complete && !isBeingSent(exchange)) {
+                unanswered.add(exchange.request, exchange.arrivedAt);
             }
         }
-        unanswered.writeTo(this.options.log, reason, this.options.clock.getMonotonicTime());
+        unanswered.writeTo(this.options.log, reason, this.getTime());
+    }
+
+    private getTime(): number {
+        return this.options.clock.getMonotonicTime();
     }
 }
 
-function getLatest(requests: ReadonlySet<OpenRequest>): OpenRequest | undefined {
-    return [...requests].at(-1);
+function getLast(exchanges: ReadonlySet<CallerExchange>): CallerExchange | undefined {
+    return [...exchanges].at(-1);
 }
 
 /** Writes the response that waits for its turn, if there is one and its caller is still there. */
-function writeWaiting(openRequest: OpenRequest): void {
-    const { writeResponse, controller } = openRequest;
-    openRequest.writeResponse = undefined;
+function writeWaitingOf(exchange: CallerExchange | undefined): void {
+    if (exchange === undefined) {
+        return;
+    }
+    const { writeResponse, controller } = exchange;
+    exchange.writeResponse = undefined;
     if (!controller.signal.aborted) {
         writeResponse?.();
     }
 }
 
 /** Checks if the head of a response is written, and the response is the first on its connection. */
-function isBeingSent({ response }: OpenRequest): boolean {
+function isBeingSent({ response }: CallerExchange): boolean {
     return response.headersSent && response.socket !== null;
 }
 
-function refuseIncomplete({ requests }: CallerConnection, code: string | undefined): void {
-    const latest = getLatest(requests);
-    if (latest?.request.complete === false) {
-        latest.onBroken?.(createClientError(code));
+function abort(connection: CallerConnection): void {
+    for (const { controller } of connection.exchanges) {
+        controller.abort();
     }
 }
 
-function abort(connection: CallerConnection): void {
-    for (const { controller } of connection.requests) {
-        controller.abort();
+/**
+ * Lets go of what is held for a connection. A request whose body is incomplete is refused, since it has not run. Otherwise the caller
+ * doesn't read its answers, or sends much more than it reads: the connection is closed.
+ */
+function release(connection: CallerConnection): void {
+    const incomplete = connection.findIncomplete();
+    if (incomplete?.onBroken !== undefined && incomplete.bodyBytes > 0) {
+        incomplete.bodyBytes = 0;
+        incomplete.onBroken(createMemoryError());
+        return;
     }
+    connection.reason = UnansweredReason.MemoryLimit;
+    connection.socket.destroy();
 }
 
 function sendError(code: string | undefined, socket: Socket): void {
--- a/src/connection/caller/callerServer.ts
+++ b/src/connection/caller/callerServer.ts
@@ -2,6 +2,8 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { InputBarrier } from "../../process/loop/inputBarrier.ts";
+import { GarbageCollector } from "../../process/memory/garbageCollector.ts";
+import { MemoryAccount } from "../../process/memory/memoryAccount.ts";
 import { parseAddress } from "../../process/settings/parseAddress.ts";
 import { handleDocument } from "../../request/document/handleDocument.ts";
 import { handleChat } from "../../request/model/handleChat.ts";
@@ -18,7 +20,6 @@
 import { createRequestContext } from "./createRequestContext.ts";
 import { getServicePath } from "./getServicePath.ts";
 import { handleModels } from "./handleModels.ts";
-import { readBody } from "./readBody.ts";
 import { reportCrash } from "./reportCrash.ts";
 import { RunningRequests } from "./runningRequests.ts";
 
@@ -47,15 +48,28 @@
 
     private constructor(options: CallerServerOptions) {
         this.options = options;
-        this.connections = CallerConnections.create(options.environment);
+        const { environment: { clock, log }, limits: { maximumHeldBytes } } = options;
+        const memory = MemoryAccount.create({
+            limitBytes: maximumHeldBytes,
+            clock,
+            log,
+            collector: GarbageCollector.ofProcess,
+        });
+        this.connections = CallerConnections.create({ clock, log, memory });
         const router = this.createRouter();
         this.server = createHttpServer(options, (request, response) => {
+            // What was read before a connection was closed is still parsed.
+            if (request.socket.destroyed) {
+                return;
+            }
             if (this.connections.isTooLate(request)) {
                 this.connections.drop(request);
                 return;
             }
             router.lookup(request, response);
         });
+        const connectionEvent = options.tls === undefined ? "connection" : "secureConnection";
+        this.server.on(connectionEvent, (socket: Socket) => this.connections.open(socket));
         closeConnectionsInStages(this.server, socket => {
             this.running.add();
             socket.once("close", () => this.running.remove());
@@ -222,12 +236,7 @@
         const { span, version } = context.val;
         try {
             const { maximumBodyBytes } = version.configuration.limits;
-            const onBroken = this.connections.onBroken.bind(this.connections, request);
-            const body = await readBody(request, response, {
-                maximumBytes: maximumBodyBytes,
-                onBroken,
-                onHeld: () => undefined,
-            });
+            const body = await this.connections.readBody(request, response, maximumBodyBytes);
             if (!body.ok) {
                 return body;
             }
--- a/src/connection/caller/callerServerOptions.ts
+++ b/src/connection/caller/callerServerOptions.ts
@@ -8,7 +8,13 @@
     /** Address to listen on, as host:port. */
     listener: string;
     tls?: TlsSettings;
-    limits: { maximumConnections: number; headerTimeoutMilliseconds: number; bodyTimeoutMilliseconds: number; };
+    limits: {
+        maximumConnections: number;
+        /** How much may be held in memory for callers, in bytes. */
+        maximumHeldBytes: number;
+        headerTimeoutMilliseconds: number;
+        bodyTimeoutMilliseconds: number;
+    };
     environment: RequestEnvironment;
     /** Gets the current configuration, or undefined while the node has none. */
     getVersion(): { version: ConfigurationVersion; customers: CustomerIndex; } | undefined;
--- a/src/connection/caller/createHttpServer.ts
+++ b/src/connection/caller/createHttpServer.ts
@@ -20,7 +20,7 @@
  * (`Expect: 100-continue`).
  */
 export function createHttpServer(
-    options: Pick<CallerServerOptions, "limits" | "tls">,
+    options: Pick<CallerServerOptions, "tls"> & { limits: Omit<CallerServerOptions["limits"], "maximumHeldBytes">; },
     onRequest: RequestListener,
 ): Server {
     const { limits, tls } = options;
--- a/src/connection/caller/responseSink.ts
+++ b/src/connection/caller/responseSink.ts
@@ -22,6 +22,8 @@
      * @param bytes - Size of its body.
      */
     writeWhole(write: (isLast: boolean) => void, bytes: number): void;
+    /** Called when a part of the body was written, which is held until the caller takes it. */
+    onWritten?(bytes: number): void;
     /** Called before the response is aborted, which closes the connection. */
     onAborting?(): void;
 }
@@ -70,6 +72,7 @@
 
     /** Writes a chunk of the body. */
     write(chunk: Buffer): void {
+        this.options.onWritten?.(chunk.length);
         const kept = this.whole ?? this.early;
         if (kept !== undefined) {
             kept.chunks.push(chunk);
--- a/src/connection/caller/unansweredReason.ts
+++ b/src/connection/caller/unansweredReason.ts
@@ -6,6 +6,8 @@
     AbortedAnswer: "aborted answer",
     /** Bytes that are no request, or a timeout, came behind them. */
     InvalidInput: "invalid input",
+    /** The process held too much for the caller, who did not read answers or sent too much at once. */
+    MemoryLimit: "memory limit",
     /** None of the others. */
     Closed: "closed",
 } as const;
--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -396,6 +396,12 @@
         message:
             "A node that stops refused a request whose answer would need more time than the node has, or that came when it didn't listen any more. Its caller can send it to another node at once.",
     },
+    memoryReleased: {
+        number: 1750,
+        level: "warn",
+        message:
+            "The process held more for others than its limit allows, and let go of what it held most of for the longest time. If callers behave, allow more memory.",
+    },
     endpointLeavingAnnounced: {
         number: 1725,
         level: "info",
--- a/src/process/router/routerSettings.ts
+++ b/src/process/router/routerSettings.ts
@@ -16,6 +16,8 @@
     seeds: string[];
     /** Address of the platform's store, as host:port. */
     storeAddress: string;
+    /** How much may be held in memory for callers, in bytes. */
+    maximumHeldBytes: number;
     /** Maximum time from SIGTERM to the end of the process, in milliseconds. */
     shutdownMilliseconds: number;
     /** Maximum time for a configuration to come into force on every node, in milliseconds. */
--- a/src/process/settings/createSettingsSchema.ts
+++ b/src/process/settings/createSettingsSchema.ts
@@ -50,6 +50,7 @@
         tls: z.strictObject({ callers: tls.optional(), peers: peerTls.optional() }).prefault({}),
         limits: z.strictObject({
             maximumConnections: z.int().min(1).default(10_000),
+            maximumHeldBytes: z.int().min(1).default(1_000_000_000),
             headerTimeoutMilliseconds: milliseconds.default(10_000),
             bodyTimeoutMilliseconds: milliseconds.default(30_000),
         }).prefault({}),
--- a/src/process/settings/nodeSettings.ts
+++ b/src/process/settings/nodeSettings.ts
@@ -47,6 +47,8 @@
     limits: {
         /** Maximum number of concurrent caller connections. */
         maximumConnections: number;
+        /** How much may be held in memory for callers, in bytes. */
+        maximumHeldBytes: number;
         /** Time limit for a caller to send the headers of a request. */
         headerTimeoutMilliseconds: number;
         /** Time limit for a caller to send a complete request. */
--- a/tests/connection/caller/callerConnections.test.ts
+++ b/tests/connection/caller/callerConnections.test.ts
@@ -4,7 +4,7 @@
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { CallerConnections } from "../../../src/connection/caller/callerConnections.ts";
 import { createHttpServer } from "../../../src/connection/caller/createHttpServer.ts";
-import { readBody } from "../../../src/connection/caller/readBody.ts";
+import { MemoryAccount } from "../../../src/process/memory/memoryAccount.ts";
 import { systemClock } from "../../../src/process/systemClock.ts";
 import { RecordingEventLog } from "../../support/recordingEventLog.ts";
 import { waitUntil } from "../../support/waitUntil.ts";
@@ -20,7 +20,14 @@
     let first: ServerResponse | undefined;
 
     beforeEach(async () => {
-        const connections = CallerConnections.create({ clock: systemClock, log: RecordingEventLog.create() });
+        const log = RecordingEventLog.create();
+        const memory = MemoryAccount.create({
+            limitBytes: 1_000_000,
+            clock: systemClock,
+            log,
+            collector: { review: () => undefined },
+        });
+        const connections = CallerConnections.create({ clock: systemClock, log, memory });
         const limits = { maximumConnections: 10, headerTimeoutMilliseconds: 200, bodyTimeoutMilliseconds: 200 };
         first = undefined;
         server = createHttpServer({ limits }, (request, response) => {
@@ -29,9 +36,7 @@
                 first = response;
                 return;
             }
-            const onBroken = connections.onBroken.bind(connections, request);
-            const options = { maximumBytes: maximumBodyBytes, onBroken, onHeld: () => undefined };
-            void readBody(request, response, options).then(body => {
+            void connections.readBody(request, response, maximumBodyBytes).then(body => {
                 response.writeHead(body.ok ? 200 : body.val.status, { connection: "close" });
                 response.end(body.ok ? body.val : body.val.code);
             });
--- a/tests/connection/caller/callerServerFixture.ts
+++ b/tests/connection/caller/callerServerFixture.ts
@@ -41,6 +41,7 @@
         listener: address,
         limits: {
             maximumConnections: 100,
+            maximumHeldBytes: 100_000_000,
             headerTimeoutMilliseconds: 10_000,
             bodyTimeoutMilliseconds: 10_000,
             ...options.limits,
--- a/tests/connection/caller/callerTls.test.ts
+++ b/tests/connection/caller/callerTls.test.ts
@@ -9,7 +9,12 @@
     const read = (file: string) => {
         return readFileSync(new URL(`../../support/certificates/${file}`, import.meta.url), "utf8");
     };
-    const limits = { maximumConnections: 10, headerTimeoutMilliseconds: 1_000, bodyTimeoutMilliseconds: 1_000 };
+    const limits = {
+        maximumConnections: 10,
+        maximumHeldBytes: 100_000_000,
+        headerTimeoutMilliseconds: 1_000,
+        bodyTimeoutMilliseconds: 1_000,
+    };
     const tls = { certificate: read("node.crt"), key: read("node.key") };
     const server = createHttpServer({ limits, tls }, (_request, response) => response.end("answered"));
 
--- a/tests/platform/decoders.test.ts
+++ b/tests/platform/decoders.test.ts
@@ -41,6 +41,25 @@
         assert.equal(settings.shutdownMilliseconds, 7_600);
     });
 
+    it("derive what may be held for callers from the limits of the machine, with defaults", () => {
+        const read = (limits: string) => {
+            return parseBootFile(`${boot}${limits}\n`).unwrap().maximumHeldBytes;
+        };
+        for (
+            const limits of [
+                "",
+                "limits: null",
+                "limits: { memory_mb: null }",
+                "limits: { memory_mb: 350, max_fds: 4100 }",
+            ]
+        ) {
+            assert.equal(read(limits), 100_000_000);
+        }
+        assert.equal(read("limits: { memory_mb: 250, max_fds: 400 }"), 50_000_000);
+        assert.equal(read("limits: { memory_mb: 64, max_fds: 100 }"), 6_400_000);
+        assert.equal(read("limits: { memory_mb: 2000, max_fds: 100000 }"), 925_000_000);
+    });
+
     it("name each invalid field of the settings", () => {
         const faults = parseBootFile(boot.replace('"10.1.0.4:1"', '"nowhere"').replace("grace_s: 8", "grace_s: -1"));
         assert.ok(faults.err);
--- a/tests/platform/routerTestHarness.ts
+++ b/tests/platform/routerTestHarness.ts
@@ -194,6 +194,7 @@
                 repeatRatio: 0.2,
                 repeatSlack: this.repeatSlack,
                 repeatWindowMilliseconds: 10_000,
+                maximumHeldBytes: 100_000_000,
             },
             clock,
             barrier,
--- a/tests/process/settings/parseSettings.test.ts
+++ b/tests/process/settings/parseSettings.test.ts
@@ -40,6 +40,7 @@
                 maximumConnections: 10_000,
                 headerTimeoutMilliseconds: 10_000,
                 bodyTimeoutMilliseconds: 30_000,
+                maximumHeldBytes: 1_000_000_000,
             },
         });
     });
