Only so many requests of a connection are handled at the same time

What callers saw: connections that sent thousands of small requests without reading the answers took a process beyond a gigabyte, and nobody got an answer for seconds.

Cause: requests on one connection were taken without a bound while earlier ones were unanswered, each with all that belongs to one, and all that one read had brought were handled in the same turn of the event loop.

Change: 32 requests of a connection are handled at the same time. The next ones wait unhandled, count in the account, and nothing more is read from the connection until they have begun. Requests of a connection that had its share of a turn wait for the next one. None is dropped: at a stop, all that were read are answered or refused.

--- a/src/connection/caller/callerConnection.ts
+++ b/src/connection/caller/callerConnection.ts
@@ -4,11 +4,14 @@
 import type { CallerExchange } from "./callerExchange.ts";
 import { UnansweredReason } from "./unansweredReason.ts";
 import { UnansweredRequests } from "./unansweredRequests.ts";
+import type { WaitingRequest } from "./waitingRequest.ts";
 
 /** Memory that an open connection needs by itself. */
 export const connectionBytes = 8 * 1024;
 /** Memory that a request needs beside its body and its answer while it is handled. */
 export const exchangeBytes = 16 * 1024;
+/** Memory that a request needs while it waits for its turn. */
+export const waitingBytes = 6 * 1024;
 /** The HTTP parser accepts no longer head. */
 const maximumHeadBytes = 32 * 1024;
 
@@ -19,6 +22,8 @@
     readonly openedAt: number;
     /** Requests that are handled and whose responses are not sent completely. */
     readonly exchanges = new Set<CallerExchange>();
+    /** Requests behind them. */
+    readonly waiting: WaitingRequest[] = [];
     /** Requests that were dropped. */
     readonly unanswered = UnansweredRequests.create();
     /** Whether a parse error or a timeout occurred, so that the connection closes after its pending responses. */
@@ -63,7 +68,7 @@
 
     /** Checks if no request on the connection is unanswered. */
     isIdle(): boolean {
-        return this.exchanges.size === 0;
+        return this.exchanges.size === 0 && this.waiting.length === 0;
     }
 
     /** Gets the time since when the connection has been idle after a request, in milliseconds; undefined before its first request. */
@@ -73,6 +78,9 @@
 
     /** Finds the latest request, if its body is not received completely. */
     findIncomplete(): CallerExchange | undefined {
+        if (this.waiting.length > 0) {
+            return undefined;
+        }
         for (const exchange of this.exchanges) {
             if (this.isLatest(exchange.request)) {
                 return exchange.request.complete ? undefined : exchange;
@@ -88,9 +96,10 @@
             const heldSince = this.lastAnsweredAt ?? this.openedAt;
             return { bytes: connectionBytes + headBytes, releasableBytes: headBytes, heldSince };
         }
-        let bytes = connectionBytes;
-        let releasableBytes = 0;
-        let heldSince = Infinity;
+        const waiting = this.waiting.length * waitingBytes;
+        let bytes = connectionBytes + waiting;
+        let releasableBytes = waiting;
+        let heldSince = this.waiting[0]?.arrivedAt ?? Infinity;
         for (const exchange of this.exchanges) {
             const { request, bodyBytes, arrivedAt } = exchange;
             const unsent = getUnsentBytes(exchange);
--- a/src/connection/caller/callerConnections.ts
+++ b/src/connection/caller/callerConnections.ts
@@ -6,7 +6,7 @@
 import type { MemoryAccount } from "../../process/memory/memoryAccount.ts";
 import type { RequestError } from "../../request/requestError.ts";
 import type { Result } from "../../result.ts";
-import { CallerConnection, connectionBytes, exchangeBytes } from "./callerConnection.ts";
+import { CallerConnection, connectionBytes, exchangeBytes, waitingBytes } from "./callerConnection.ts";
 import type { CallerExchange } from "./callerExchange.ts";
 import { closeInStages } from "./closeInStages.ts";
 import { ConnectionReading } from "./connectionReading.ts";
@@ -15,6 +15,7 @@
 import { createMemoryError } from "./createMemoryError.ts";
 import { drainBody } from "./drainBody.ts";
 import { hasUnreadBody } from "./hasUnreadBody.ts";
+import { PauseReason } from "./pauseReason.ts";
 import { readBody } from "./readBody.ts";
 import { UnansweredReason } from "./unansweredReason.ts";
 
@@ -27,8 +28,11 @@
     memory: Pick<MemoryAccount, "add" | "remove" | "note">;
 }
 
+/** Requests of a connection that are handled at the same time; the others wait unhandled. */
+const maximumExchanges = 32;
 /** Work of a request, in units of about a microsecond. */
 const requestUnits = 80;
+const waitingUnits = 4;
 /** A connection may receive this part of a head unnoticed. */
 const unnoticedHeadBytes = 32 * 1024;
 
@@ -58,6 +62,37 @@
         this.getConnection(socket);
     }
 
+    /**
+     * Handles a request, at once or when earlier requests on its connection are answered.
+     * @param request - The caller's request.
+     * @param start - Handles it, and adds it with {@link add}. The argument is the monotonic time of its arrival, in milliseconds.
+     */
+    admit(request: IncomingMessage, start: (arrivedAt: number) => void): void {
+        const connection = this.getConnection(request.socket);
+        connection.noteRequest(request);
+        const arrivedAt = this.getTime();
+        const reading = ConnectionReading.of(request.socket);
+        if (connection.waiting.length === 0 && mayStart(connection)) {
+            reading.noteWork(requestUnits);
+            start(arrivedAt);
+            return;
+        }
+        reading.noteWork(waitingUnits);
+        reading.pause(PauseReason.Requests);
+        connection.waiting.push({ request, arrivedAt, start: () => start(arrivedAt) });
+        writeWaitingOf(getLast(connection.exchanges));
+        this.options.memory.note(waitingBytes);
+    }
+
+    /** Handles all requests that wait for others, because no more are accepted and these are refused. */
+    startWaiting(): void {
+        for (const connection of this.openConnections) {
+            while (connection.waiting.length > 0) {
+                startNext(connection);
+            }
+        }
+    }
+
     /**
      * Adds a request that is handled. It is removed when its response is sent.
      * @returns A signal that aborts if the caller disconnects before.
@@ -75,8 +110,9 @@
         };
         const connection = this.getConnection(request.socket);
         const previous = getLast(connection.exchanges);
-        connection.noteRequest(request);
-        ConnectionReading.of(request.socket).noteWork(requestUnits);
+        if (connection.waiting.length === 0) {
+            connection.noteRequest(request);
+        }
         connection.exchanges.add(exchange);
         writeWaitingOf(previous);
         response.once("finish", () => this.remove(connection, exchange));
@@ -208,6 +244,7 @@
             this.writeInItsTurn(next);
             break;
         }
+        startAllowed(connection);
         if (connection.isBroken && connection.isIdle()) {
             connection.socket.destroySoon();
         }
@@ -241,6 +278,7 @@
         const holder = { measure: () => connection.measure(), release: () => release(connection) };
         this.connections.set(socket, connection);
         this.openConnections.add(connection);
+        ConnectionReading.of(socket).setTurnCallback(() => startAllowed(connection));
         memory.add(holder);
         // A caller that has closed its side is treated as disconnected. The connection itself closes some time later.
         socket.once("end", () => {
@@ -252,13 +290,14 @@
             memory.remove(holder);
             connection.hasCallerLeft ||= socket.errored !== null;
             this.logUnanswered(connection);
+            connection.waiting.length = 0;
             abort(connection);
         });
         memory.note(connectionBytes + unnoticedHeadBytes);
         return connection;
     }
 
-    private logUnanswered({ exchanges, reason, hasCallerLeft, unanswered }: CallerConnection): void {
+    private logUnanswered({ exchanges, waiting, reason, hasCallerLeft, unanswered }: CallerConnection): void {
         if (hasCallerLeft) {
             return;
         }
@@ -267,6 +306,9 @@
                 unanswered.add(exchange.request, exchange.arrivedAt);
             }
         }
+        for (const { request, arrivedAt } of waiting) {
+            unanswered.add(request, arrivedAt);
+        }
         unanswered.writeTo(this.options.log, reason, this.getTime());
     }
 
@@ -275,6 +317,28 @@
     }
 }
 
+/** Checks if a request on a connection may be handled now. */
+function mayStart(connection: CallerConnection): boolean {
+    return connection.exchanges.size < maximumExchanges && !ConnectionReading.of(connection.socket).isTurnOver();
+}
+
+/** Handles the requests that need not wait any more. */
+function startAllowed(connection: CallerConnection): void {
+    while (connection.waiting.length > 0 && mayStart(connection)) {
+        startNext(connection);
+    }
+}
+
+/** Handles the next request that waits. */
+function startNext(connection: CallerConnection): void {
+    const reading = ConnectionReading.of(connection.socket);
+    reading.noteWork(requestUnits);
+    connection.waiting.shift()?.start();
+    if (connection.waiting.length === 0) {
+        reading.resume(PauseReason.Requests);
+    }
+}
+
 function getLast(exchanges: ReadonlySet<CallerExchange>): CallerExchange | undefined {
     return [...exchanges].at(-1);
 }
--- a/src/connection/caller/callerServer.ts
+++ b/src/connection/caller/callerServer.ts
@@ -66,7 +66,7 @@
                 this.connections.drop(request);
                 return;
             }
-            router.lookup(request, response);
+            this.connections.admit(request, () => router.lookup(request, response));
         });
         const connectionEvent = options.tls === undefined ? "connection" : "secureConnection";
         this.server.on(connectionEvent, (socket: Socket) => this.connections.open(socket));
