An idle connection is closed for a new one beyond the maximum

What callers saw: while connections that sent nothing were opened again and again, the connection of an ordinary caller was closed at once, and the process could run out of descriptors.

Cause: a process held up to 3,500 connections of callers, whatever its descriptors, and beyond that closed each new one, whoever opened it, while those that sent nothing stayed.

Change: chooseConnectionToClose decides which connection is closed for a new one: the oldest on which no request came, or else the one that has been idle for the longest time; the new one only if all others have unanswered requests (FL1751). foxlead platform derives the maximum from the descriptors of its process: 90% of those that aren't for files, at most 3,500 as before.

--- a/src/connection/caller/callerConnections.ts
+++ b/src/connection/caller/callerConnections.ts
@@ -2,12 +2,14 @@
 import type { Socket } from "node:net";
 import type { Clock } from "../../process/clock.ts";
 import type { EventLog } from "../../process/logging/eventLog.ts";
+import { events } from "../../process/logging/events.ts";
 import { InputBarrier } from "../../process/loop/inputBarrier.ts";
 import type { MemoryAccount } from "../../process/memory/memoryAccount.ts";
 import type { RequestError } from "../../request/requestError.ts";
 import type { Result } from "../../result.ts";
 import { CallerConnection, connectionBytes, exchangeBytes, waitingBytes } from "./callerConnection.ts";
 import type { CallerExchange } from "./callerExchange.ts";
+import { chooseConnectionToClose } from "./chooseConnectionToClose.ts";
 import { closeInStages } from "./closeInStages.ts";
 import { ConnectionReading } from "./connectionReading.ts";
 import { createClientError } from "./createClientError.ts";
@@ -22,10 +24,12 @@
 /** Options of {@link CallerConnections}. */
 interface CallerConnectionsOptions {
     clock: Pick<Clock, "getMonotonicTime">;
-    /** Log of the requests that get neither an answer nor a refusal,. */
+    /** Log of the requests that get neither an answer nor a refusal, and of the connections that are closed for others. */
     log: EventLog;
     /** Account of what is held for the callers. */
     memory: Pick<MemoryAccount, "add" | "remove" | "note">;
+    /** Maximum number of connections. One that is idle is closed for each further one. */
+    maximumConnections: number;
 }
 
 /** Requests of a connection that are handled at the same time; the others wait unhandled. */
@@ -57,9 +61,21 @@
         return new CallerConnections(options);
     }
 
-    /** Adds a new connection. */
+    /** Adds a new connection. If there are too many, an idle one is closed. */
     open(socket: Socket): void {
-        this.getConnection(socket);
+        const connection = this.getConnection(socket);
+        if (this.openConnections.size <= this.options.maximumConnections) {
+            return;
+        }
+        const chosen = chooseConnectionToClose(this.openConnections, connection);
+        this.options.log.write(events.connectionClosedForAnother, {
+            connections: this.openConnections.size,
+            milliseconds: Math.round(this.getTime() - (chosen.getIdleStart() ?? chosen.openedAt)),
+            hadRequests: chosen.getIdleStart() !== undefined,
+            isNew: chosen === connection,
+        });
+        this.openConnections.delete(chosen);
+        chosen.socket.destroy();
     }
 
     /**
--- a/src/connection/caller/callerServer.ts
+++ b/src/connection/caller/callerServer.ts
@@ -48,14 +48,14 @@
 
     private constructor(options: CallerServerOptions) {
         this.options = options;
-        const { environment: { clock, log }, limits: { maximumHeldBytes } } = options;
+        const { environment: { clock, log }, limits: { maximumConnections, maximumHeldBytes } } = options;
         const memory = MemoryAccount.create({
             limitBytes: maximumHeldBytes,
             clock,
             log,
             collector: GarbageCollector.ofProcess,
         });
-        this.connections = CallerConnections.create({ clock, log, memory });
+        this.connections = CallerConnections.create({ clock, log, memory, maximumConnections });
         const router = this.createRouter();
         this.server = createHttpServer(options, (request, response) => {
             // What was read before a connection was closed is still parsed.
--- a/src/connection/caller/createHttpServer.ts
+++ b/src/connection/caller/createHttpServer.ts
@@ -40,7 +40,8 @@
     const server = tls === undefined
         ? createServer(serverOptions, onRequest)
         : createTlsServer({ ...serverOptions, cert: tls.certificate, key: tls.key }, onRequest);
-    server.maxConnections = maximumConnections;
+    // One more than the maximum is accepted, so that an idle connection can be closed for it.
+    server.maxConnections = maximumConnections + 1;
     // The size of the headers is already limited. With a limit of their number, Node.js would silently drop further
     // headers.
     server.maxHeadersCount = 0;
--- a/src/process/logging/events.ts
+++ b/src/process/logging/events.ts
@@ -402,6 +402,12 @@
         message:
             "The process held more for others than its limit allows, and let go of what it held most of for the longest time. If callers behave, allow more memory.",
     },
+    connectionClosedForAnother: {
+        number: 1751,
+        level: "warn",
+        message:
+            "A caller opened a connection beyond the maximum, and an idle one was closed for it, or the new one if none was idle. If callers behave, allow more descriptors.",
+    },
     endpointLeavingAnnounced: {
         number: 1725,
         level: "info",
--- a/src/process/router/routerSettings.ts
+++ b/src/process/router/routerSettings.ts
@@ -18,6 +18,8 @@
     storeAddress: string;
     /** How much may be held in memory for callers, in bytes. */
     maximumHeldBytes: number;
+    /** Maximum number of connections of callers. */
+    maximumConnections: number;
     /** Maximum time from SIGTERM to the end of the process, in milliseconds. */
     shutdownMilliseconds: number;
     /** Maximum time for a configuration to come into force on every node, in milliseconds. */
--- a/tests/connection/caller/callerConnections.test.ts
+++ b/tests/connection/caller/callerConnections.test.ts
@@ -27,7 +27,7 @@
             log,
             collector: { review: () => undefined },
         });
-        const connections = CallerConnections.create({ clock: systemClock, log, memory });
+        const connections = CallerConnections.create({ clock: systemClock, log, memory, maximumConnections: 10 });
         const limits = { maximumConnections: 10, headerTimeoutMilliseconds: 200, bodyTimeoutMilliseconds: 200 };
         first = undefined;
         server = createHttpServer({ limits }, (request, response) => {
--- a/tests/platform/decoders.test.ts
+++ b/tests/platform/decoders.test.ts
@@ -43,7 +43,8 @@
 
     it("derive what may be held for callers from the limits of the machine, with defaults", () => {
         const read = (limits: string) => {
-            return parseBootFile(`${boot}${limits}\n`).unwrap().maximumHeldBytes;
+            const { maximumHeldBytes, maximumConnections } = parseBootFile(`${boot}${limits}\n`).unwrap();
+            return [maximumHeldBytes, maximumConnections];
         };
         for (
             const limits of [
@@ -53,11 +54,11 @@
                 "limits: { memory_mb: 350, max_fds: 4100 }",
             ]
         ) {
-            assert.equal(read(limits), 100_000_000);
+            assert.deepEqual(read(limits), [100_000_000, 3_500]);
         }
-        assert.equal(read("limits: { memory_mb: 250, max_fds: 400 }"), 50_000_000);
-        assert.equal(read("limits: { memory_mb: 64, max_fds: 100 }"), 6_400_000);
-        assert.equal(read("limits: { memory_mb: 2000, max_fds: 100000 }"), 925_000_000);
+        assert.deepEqual(read("limits: { memory_mb: 250, max_fds: 400 }"), [50_000_000, 180]);
+        assert.deepEqual(read("limits: { memory_mb: 64, max_fds: 100 }"), [6_400_000, 1]);
+        assert.deepEqual(read("limits: { memory_mb: 2000, max_fds: 100000 }"), [925_000_000, 3_500]);
     });
 
     it("name each invalid field of the settings", () => {
--- a/tests/platform/routerTestHarness.ts
+++ b/tests/platform/routerTestHarness.ts
@@ -195,6 +195,7 @@
                 repeatSlack: this.repeatSlack,
                 repeatWindowMilliseconds: 10_000,
                 maximumHeldBytes: 100_000_000,
+                maximumConnections: 3_500,
             },
             clock,
             barrier,
