A large body of a request that nothing can come of is not kept

What callers saw: bodies with an unknown key, or on a path of no route, filled the memory of a process like any others.

Cause: the route, the key and the id of a request were looked at only when its body was complete.

Change: where a body may be large (over 16 KiB, or without a length), a request without a route, with an unknown key or without an id is refused at its head, if the node's copy of the configuration is surely current; the rest is read and discarded as after other early refusals. identifyRequest finds route and customer for all three places that need them; it stood twice.

--- a/src/process/overload/lowestRankRefuser.ts
+++ b/src/process/overload/lowestRankRefuser.ts
@@ -3,6 +3,7 @@
 import type { RoutedRequest } from "../../request/relay/routedRequest.ts";
 import type { RoutingState } from "../../version/routing/routingState.ts";
 import type { RandomSource } from "../randomSource.ts";
+import { identifyRequest } from "../router/identifyRequest.ts";
 
 /** Fraction of the retry delay by which it varies, so that the refused callers don't return together. */
 const retrySpread = 0.5;
@@ -33,15 +34,15 @@
      * @returns The refusal, or undefined if the request is handled as usual.
      */
     decide(
-        { host, target, apiKey }: Pick<RoutedRequest, "host" | "target" | "apiKey">,
+        head: Pick<RoutedRequest, "host" | "target" | "apiKey">,
         state: RoutingState,
         recoveryMilliseconds: number,
     ): RelayRefusal | undefined {
-        const route = state.getRoute(host, target);
-        const customer = state.getCustomer(apiKey ?? "");
-        if (route === undefined || customer === undefined && state.needsKey() && !route.isPublic) {
+        const identified = identifyRequest(state, head);
+        if (identified.err) {
             return undefined;
         }
+        const { route, customer } = identified.val;
         const rank = state.getRank(customer, route);
         const isLowest = route.services.every(({ service }) => {
             const ranks = state.getRanks(service);
--- a/src/process/router/requestRouter.ts
+++ b/src/process/router/requestRouter.ts
@@ -1,6 +1,5 @@
 import type { AnswerSink } from "../../request/relay/answers/answerSink.ts";
 import { createRefusal } from "../../request/relay/answers/createRefusal.ts";
-import { RefusalReason } from "../../request/relay/answers/refusalReason.ts";
 import type { RelayRefusal } from "../../request/relay/answers/relayRefusal.ts";
 import type { StallDetector } from "../../request/relay/detection/stallDetector.ts";
 import { DocumentRelay } from "../../request/relay/documents/documentRelay.ts";
@@ -22,6 +21,7 @@
 import { ProcessorAccount } from "../loop/processorAccount.ts";
 import { ProcessorCause } from "../loop/processorCause.ts";
 import type { Metrics } from "../metrics/metrics.ts";
+import { identifyRequest } from "./identifyRequest.ts";
 import type { RefusalGate } from "./refusalGate.ts";
 import type { RoutingHolder } from "./routingHolder.ts";
 import type { StoreCopyState } from "./storeCopyState.ts";
@@ -97,18 +97,12 @@
             return undefined;
         }
         const { version } = state.configuration;
-        const route = state.getRoute(request.host, request.target);
-        if (route === undefined) {
-            const message = "No route fits the host and path. Check them.";
-            this.refuseUnknown(request, sink, { reason: RefusalReason.NoRoute, message }, version);
-            return undefined;
-        }
-        const customer = state.getCustomer(request.apiKey ?? "");
-        if (customer === undefined && state.needsKey() && !route.isPublic) {
-            const message = "No customer has this API key. Check it.";
-            this.refuseUnknown(request, sink, { reason: RefusalReason.UnknownKey, message }, version);
+        const identified = identifyRequest(state, request);
+        if (identified.err) {
+            this.refuseUnknown(request, sink, identified.val, version);
             return undefined;
         }
+        const { route, customer } = identified.val;
         const service = state.configuration.services.get(this.chooseService(route));
         if (service === undefined) {
             this.refuse(request, sink, createRefusal.notRun("its route names no known service."), version);
--- a/src/process/router/routerNode.ts
+++ b/src/process/router/routerNode.ts
@@ -60,11 +60,14 @@
     }
 
     /**
-     * Refuses a request before its body is read if this node is too late to serve it.
+     * Refuses a request before its body is read if this node is too late to serve it, or if nothing can come of a body that may be large.
      * @returns The refusal, or undefined if the request is to be handled as usual.
      */
-    refuseEarly(head: Pick<RoutedRequest, "id" | "host" | "target" | "apiKey">): RelayRefusal | undefined {
-        return this.parts.earlyRefuser.decide(head);
+    refuseEarly(
+        head: Pick<RoutedRequest, "id" | "host" | "target" | "apiKey">,
+        hasLargeBody: boolean,
+    ): RelayRefusal | undefined {
+        return this.parts.earlyRefuser.decide(head, hasLargeBody);
     }
 
     /** Gets how new connections of callers are watched. */
--- a/src/process/router/routerParts.ts
+++ b/src/process/router/routerParts.ts
@@ -101,7 +101,12 @@
         this.endpointPoller = this.createEndpointPoller();
         this.stallDetector = this.createStallDetector();
         this.router = this.createRouter();
-        this.earlyRefuser = EarlyRefuser.create({ node, overload: this.overload, routing: this.routing });
+        this.earlyRefuser = EarlyRefuser.create({
+            node,
+            overload: this.overload,
+            routing: this.routing,
+            isCopyCurrent: () => this.replica.isConfigurationCurrent(),
+        });
     }
 
     /** Creates the parts, of which none does anything before it is started. */
--- a/tests/crowd/bodies.test.ts
+++ b/tests/crowd/bodies.test.ts
@@ -72,4 +72,16 @@
             assertWithinLimits(router);
         });
     }
+
+    it("exceed no limit with an unknown key", async () => {
+        const head = createCrowdHead({ path: "/safe/x", framing: chunked, key: "unknown" });
+        const plan = { head, block: largeChunk, blocks: largeChunks, connections: crowdConnections, reads: true };
+        await playCrowd(router, { port: router.port, ...plan }, "/safe/x");
+    });
+
+    it("exceed no limit without a route", async () => {
+        const head = createCrowdHead({ path: "/none/x", framing: chunked });
+        const plan = { head, block: largeChunk, blocks: largeChunks, connections: crowdConnections, reads: true };
+        await playCrowd(router, { port: router.port, ...plan }, "/safe/x");
+    });
 });
--- a/tests/platform/routerTestHarness.ts
+++ b/tests/platform/routerTestHarness.ts
@@ -216,7 +216,7 @@
             log,
             getMaximumBodyBytes: () => node.getRouting()?.configuration.limits.bodyBytes ?? maximumBodyBytes,
             getIdleMilliseconds: () => node.getRouting()?.configuration.limits.idleTimeoutMilliseconds ?? 0,
-            refuseEarly: head => node.refuseEarly(head),
+            refuseEarly: (head, hasLargeBody) => node.refuseEarly(head, hasLargeBody),
             handle: (request, sink) => node.handle(request, sink),
         });
         return { node, callers, store, log, address, peerAddress, links };
