A request with more tokens than any endpoint holds is refused at once

What callers saw: after two requests with `Token-Counts: 1e308,1e308` a node answered each further model request 503, for good.

Cause: such a request entered the estimates of demand, of run times and of memory, which were infinite or no numbers from then on.

Change: a request whose prompt and expected answer have more tokens than an accelerator of any kind could hold for one layer is refused with 400 before it enters any estimate: no placement of the model can serve it. The expected length of an answer is computed in one place.

--- a/src/process/router/requestRouter.ts
+++ b/src/process/router/requestRouter.ts
@@ -1,6 +1,9 @@
 import type { AnswerSink } from "../../request/relay/answers/answerSink.ts";
 import { createRefusal } from "../../request/relay/answers/createRefusal.ts";
+import { RefusalReason } from "../../request/relay/answers/refusalReason.ts";
 import type { RelayRefusal } from "../../request/relay/answers/relayRefusal.ts";
+import { getExpectedAnswerTokens } from "../../request/relay/chains/getExpectedAnswerTokens.ts";
+import { getMaximumTokens } from "../../request/relay/chains/getMaximumTokens.ts";
 import type { StallDetector } from "../../request/relay/detection/stallDetector.ts";
 import { DocumentRelay } from "../../request/relay/documents/documentRelay.ts";
 import { fingerprintParts } from "../../request/relay/fingerprintParts.ts";
@@ -15,6 +18,7 @@
 import { OpenRequestState } from "../../request/relay/stop/openRequestState.ts";
 import { shouldEndAtStop } from "../../request/relay/stop/shouldEndAtStop.ts";
 import { StreamRelay } from "../../request/relay/streams/streamRelay.ts";
+import type { EngineModel } from "../../version/routing/engineModel.ts";
 import type { Route } from "../../version/routing/route.ts";
 import { events } from "../logging/events.ts";
 import type { EventLoopMonitor } from "../loop/eventLoopMonitor.ts";
@@ -108,6 +112,11 @@
             this.refuse(request, sink, createRefusal.notRun("its route names no known service."), version);
             return undefined;
         }
+        if (service.engine !== undefined && !fitsAnyEndpoint(request, service.engine)) {
+            const message = "No endpoint has memory for so many tokens. Send fewer.";
+            this.refuse(request, sink, { reason: RefusalReason.Malformed, message }, version);
+            return undefined;
+        }
         const dueAt = request.arrivedAt
             + Math.min(route.timeoutMilliseconds, request.deadlineMilliseconds ?? Infinity);
         const rank = state.getRank(customer, route);
@@ -259,6 +268,11 @@
     }
 }
 
+/** Checks if an endpoint could hold a request. One that is larger than all memory would distort the estimates for the others. */
+function fitsAnyEndpoint(request: RoutedRequest, model: EngineModel): boolean {
+    return request.promptTokens + getExpectedAnswerTokens(model, request) <= getMaximumTokens(model);
+}
+
 /** Gets the path of a target without its query, which may hold what must not be logged. */
 function getPath(target: string): string {
     const queryStart = target.indexOf("?");
--- a/src/request/relay/chains/relayChains.ts
+++ b/src/request/relay/chains/relayChains.ts
@@ -16,6 +16,7 @@
 import { coversAllLayers } from "./coversAllLayers.ts";
 import { findFirstIndex } from "./findFirstIndex.ts";
 import { getCapacityTokens } from "./getCapacityTokens.ts";
+import { getExpectedAnswerTokens } from "./getExpectedAnswerTokens.ts";
 import { getRequestMemory } from "./getRequestMemory.ts";
 import { listCandidates } from "./listCandidates.ts";
 import type { RelayStage } from "./relayStage.ts";
@@ -309,9 +310,7 @@
         return this.task.request.promptTokens || this.model.typicalPromptTokens;
     }
 
-    /** Gets the caller's estimate or the usual length, limited to the requested maximum. */
     private getAnswerTokens(): number {
-        const { expectedAnswerTokens, maximumAnswerTokens } = this.task.request;
-        return Math.min(expectedAnswerTokens || this.model.typicalAnswerTokens, maximumAnswerTokens || Infinity);
+        return getExpectedAnswerTokens(this.model, this.task.request);
     }
 }
--- a/src/request/relay/stop/getAnswerSize.ts
+++ b/src/request/relay/stop/getAnswerSize.ts
@@ -1,3 +1,4 @@
+import { getExpectedAnswerTokens } from "../chains/getExpectedAnswerTokens.ts";
 import type { RelayTask } from "../relayTask.ts";
 
 /** Gets the expected size of an answer: its tokens if it is a stream, else 1, since nothing is known of the size of documents. */
@@ -6,6 +7,5 @@
     if (engine === undefined) {
         return 1;
     }
-    const { expectedAnswerTokens, maximumAnswerTokens } = request;
-    return Math.max(1, Math.min(expectedAnswerTokens || engine.typicalAnswerTokens, maximumAnswerTokens || Infinity));
+    return Math.max(1, getExpectedAnswerTokens(engine, request));
 }
