An answer whose status is none is not passed on

What callers saw: answers with statuses 600, 700 and 999, with the endpoint's signature.

Cause: the HTTP client reads any three digits from 100 on as a status, and nothing checked it. It refuses others, such as 000.

Change: isFinalStatus, for answers of endpoints and of document services. foxlead platform takes such an answer for one that is none: its endpoint counts as failing, the request may have run, and one that may be repeated is. foxlead node reports the outcome as unknown.

--- a/src/connection/document/documentConnection.ts
+++ b/src/connection/document/documentConnection.ts
@@ -6,6 +6,7 @@
 import { isConnectionRefused } from "../endpoint/isConnectionRefused.ts";
 import type { AnswerInstructions } from "../instructions/answerInstructions.ts";
 import { readHeaderInstructions } from "../instructions/readHeaderInstructions.ts";
+import { isFinalStatus } from "../isFinalStatus.ts";
 import { readLimitedBody } from "../readLimitedBody.ts";
 import type { DocumentAnswer } from "./documentAnswer.ts";
 import type { DocumentCall } from "./documentCall.ts";
@@ -117,6 +118,11 @@
             body: call.body.length === 0 ? undefined : call.body,
             signal,
         });
+        if (!isFinalStatus(response.statusCode)) {
+            // The error that this causes says nothing new.
+            response.body.on("error", () => undefined).destroy();
+            return Err(this.createFailure("unknown", `its status is ${response.statusCode}`));
+        }
         const instructions = readHeaderInstructions(response.statusCode, response.headers);
         this.options.onInstructions(this.options.endpoint, instructions);
         if (response.statusCode === tooManyRequestsStatus) {
--- a/src/connection/upstream/upstreamConnection.ts
+++ b/src/connection/upstream/upstreamConnection.ts
@@ -2,6 +2,7 @@
 import { Client, type Dispatcher } from "undici";
 import type { InputBarrier } from "../../process/loop/inputBarrier.ts";
 import type { EndpointAddress } from "../endpoint/endpointAddress.ts";
+import { isFinalStatus } from "../isFinalStatus.ts";
 import { bodyBoundsOfUse } from "./bodyBoundsOfUse.ts";
 import { endsWithConnection } from "./endsWithConnection.ts";
 import type { ConnectionPath } from "./path/connectionPath.ts";
@@ -173,6 +174,10 @@
                 if (isEnded || status < 200) {
                     return;
                 }
+                if (!isFinalStatus(status)) {
+                    fail(`The response is invalid: its status is ${status}.`, UpstreamFailureKind.Invalid);
+                    return;
+                }
                 isUnframed = request.method !== "HEAD" && endsWithConnection(status, headers);
                 isLast = isUnframed || closePattern.test(String(headers["connection"] ?? ""));
                 listener.onHead(status, headers);
--- a/standins/router/endpointAnswers.ts
+++ b/standins/router/endpointAnswers.ts
@@ -51,6 +51,12 @@
             request.socket.resetAndDestroy();
             return;
         }
+        const lastEventId = Number(headers["last-event-id"] ?? 0);
+        const rawAnswer = behaviour.createRawAnswer?.(id, lastEventId);
+        if (rawAnswer !== undefined) {
+            request.socket.write(rawAnswer);
+            return;
+        }
         const answeredId = behaviour.answersWrongRequest === true ? "another" : id;
         const signature = behaviour.isUnsigned === true ? {} : { "response-seal": `seal-${this.options.id}` };
         const { requestsPerSecond: rate } = behaviour;
@@ -66,7 +72,7 @@
         }
         if (headers["hop-count"] !== undefined) {
             response.writeHead(200, { ...head, "content-type": "text/event-stream" });
-            this.streamFrom(Number(headers["last-event-id"] ?? 0) + 1, id, response);
+            this.streamFrom(lastEventId + 1, id, response);
             return;
         }
         const status = behaviour.failureStatus ?? 200;
--- a/standins/router/endpointBehaviour.ts
+++ b/standins/router/endpointBehaviour.ts
@@ -12,6 +12,8 @@
     losesAnswer?: boolean;
     /** Runs the request and responds with this status. */
     failureStatus?: number;
+    /** Creates the raw bytes to respond with, after having run the request. A stream that is resumed has a last event. */
+    createRawAnswer?(requestId: string, lastEventId: number): string | undefined;
     /** Sends a different request ID in the response. */
     answersWrongRequest?: boolean;
     /** Omits the signature of the response. */
--- a/tests/connection/document/documentFaultCases.ts
+++ b/tests/connection/document/documentFaultCases.ts
@@ -32,6 +32,9 @@
     "answers with an invalid status": {
         onRequest: socket => socket.end("HTTP/1.1 000 None\r\ncontent-length: 1\r\n\r\nx"),
     },
+    "answers with a status beyond all that are valid": {
+        onRequest: socket => socket.end("HTTP/1.1 600 Odd\r\ncontent-length: 1\r\n\r\nx"),
+    },
     "switches to another protocol": {
         onRequest: socket => socket.end("HTTP/1.1 101 Switching\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n"),
     },
