Small amounts don't break a connection, and the number of requests handled at a time is a setting

What callers saw: nothing yet. With many connections, the part of the account that can't give way could have come near the limit, and streams with a few unread bytes would have been closed for it.

Change: what is less than 4 KiB doesn't give way; what a connection and a request need themselves is estimated as 4 and 12 KiB, so that 3,500 connections with a request each take 56 of 100 MB. foxlead node has limits.maximumRequestsPerConnection.

--- a/src/connection/caller/callerConnection.ts
+++ b/src/connection/caller/callerConnection.ts
@@ -7,9 +7,9 @@
 import type { WaitingRequest } from "./waitingRequest.ts";
 
 /** Memory that an open connection needs by itself. */
-export const connectionBytes = 8 * 1024;
+export const connectionBytes = 4 * 1024;
 /** Memory that a request needs beside its body and its answer while it is handled. */
-export const exchangeBytes = 16 * 1024;
+export const exchangeBytes = 12 * 1024;
 /** Memory that a request needs while it waits for its turn. */
 export const waitingBytes = 6 * 1024;
 /** The HTTP parser accepts no longer head. */
--- a/src/connection/caller/callerConnections.ts
+++ b/src/connection/caller/callerConnections.ts
@@ -30,10 +30,11 @@
     memory: Pick<MemoryAccount, "add" | "remove" | "note">;
     /** Maximum number of connections. One that is idle is closed for each further one. */
     maximumConnections: number;
+    /** Requests of a connection that are handled at the same time; the others wait unhandled. Default: 32. */
+    maximumRequestsPerConnection?: number;
 }
 
-/** Requests of a connection that are handled at the same time; the others wait unhandled. */
-const maximumExchanges = 32;
+const defaultMaximumRequestsPerConnection = 32;
 /** Work of a request, in units of about a microsecond. */
 const requestUnits = 80;
 const waitingUnits = 4;
@@ -88,7 +89,7 @@
         connection.noteRequest(request);
         const arrivedAt = this.getTime();
         const reading = ConnectionReading.of(request.socket);
-        if (connection.waiting.length === 0 && mayStart(connection)) {
+        if (connection.waiting.length === 0 && this.mayStart(connection)) {
             reading.noteWork(requestUnits);
             start(arrivedAt);
             return;
@@ -260,12 +261,25 @@
             this.writeInItsTurn(next);
             break;
         }
-        startAllowed(connection);
+        this.startAllowed(connection);
         if (connection.isBroken && connection.isIdle()) {
             connection.socket.destroySoon();
         }
     }
 
+    /** Checks if a request on a connection may be handled now. */
+    private mayStart({ exchanges, socket }: CallerConnection): boolean {
+        const { maximumRequestsPerConnection = defaultMaximumRequestsPerConnection } = this.options;
+        return exchanges.size < maximumRequestsPerConnection && !ConnectionReading.of(socket).isTurnOver();
+    }
+
+    /** Handles the requests that need not wait any more. */
+    private startAllowed(connection: CallerConnection): void {
+        while (connection.waiting.length > 0 && this.mayStart(connection)) {
+            startNext(connection);
+        }
+    }
+
     /** Writes the response that waits, once the input that has arrived is read, if it is the first on its connection. */
     private writeInItsTurn(exchange: CallerExchange): void {
         this.barrier.defer(() => {
@@ -294,7 +308,7 @@
         const holder = { measure: () => connection.measure(), release: () => release(connection) };
         this.connections.set(socket, connection);
         this.openConnections.add(connection);
-        ConnectionReading.of(socket).setTurnCallback(() => startAllowed(connection));
+        ConnectionReading.of(socket).setTurnCallback(() => this.startAllowed(connection));
         memory.add(holder);
         // A caller that has closed its side is treated as disconnected. The connection itself closes some time later.
         socket.once("end", () => {
@@ -333,18 +347,6 @@
     }
 }
 
-/** Checks if a request on a connection may be handled now. */
-function mayStart(connection: CallerConnection): boolean {
-    return connection.exchanges.size < maximumExchanges && !ConnectionReading.of(connection.socket).isTurnOver();
-}
-
-/** Handles the requests that need not wait any more. */
-function startAllowed(connection: CallerConnection): void {
-    while (connection.waiting.length > 0 && mayStart(connection)) {
-        startNext(connection);
-    }
-}
-
 /** Handles the next request that waits. */
 function startNext(connection: CallerConnection): void {
     const reading = ConnectionReading.of(connection.socket);
--- a/src/connection/caller/callerServer.ts
+++ b/src/connection/caller/callerServer.ts
@@ -48,14 +48,14 @@
 
     private constructor(options: CallerServerOptions) {
         this.options = options;
-        const { environment: { clock, log }, limits: { maximumConnections, maximumHeldBytes } } = options;
+        const { environment: { clock, log }, limits: { maximumHeldBytes, ...limits } } = options;
         const memory = MemoryAccount.create({
             limitBytes: maximumHeldBytes,
             clock,
             log,
             collector: GarbageCollector.ofProcess,
         });
-        this.connections = CallerConnections.create({ clock, log, memory, maximumConnections });
+        this.connections = CallerConnections.create({ clock, log, memory, ...limits });
         const router = this.createRouter();
         this.server = createHttpServer(options, (request, response) => {
             // What was read before a connection was closed is still parsed.
--- a/src/connection/caller/callerServerOptions.ts
+++ b/src/connection/caller/callerServerOptions.ts
@@ -12,6 +12,8 @@
         maximumConnections: number;
         /** How much may be held in memory for callers, in bytes. */
         maximumHeldBytes: number;
+        /** Requests of a connection that are handled at the same time. */
+        maximumRequestsPerConnection: number;
         headerTimeoutMilliseconds: number;
         bodyTimeoutMilliseconds: number;
     };
--- a/src/connection/caller/createHttpServer.ts
+++ b/src/connection/caller/createHttpServer.ts
@@ -20,7 +20,9 @@
  * (`Expect: 100-continue`).
  */
 export function createHttpServer(
-    options: Pick<CallerServerOptions, "tls"> & { limits: Omit<CallerServerOptions["limits"], "maximumHeldBytes">; },
+    options: Pick<CallerServerOptions, "tls"> & {
+        limits: Omit<CallerServerOptions["limits"], "maximumHeldBytes" | "maximumRequestsPerConnection">;
+    },
     onRequest: RequestListener,
 ): Server {
     const { limits, tls } = options;
--- a/src/process/memory/chooseHoldersToRelease.ts
+++ b/src/process/memory/chooseHoldersToRelease.ts
@@ -1,5 +1,8 @@
 import type { MeasuredHolder } from "./measuredHolder.ts";
 
+/** Less than this is not worth a broken connection. */
+const minimumReleasableBytes = 4 * 1024;
+
 /**
  * Chooses which parties give way when a process holds too much. Those with the most releasable bytes for the longest time give way first:
  * a body or an answer that moves is soon gone, whatever its size, and one that stands still is the older, the less likely it moves again.
@@ -13,7 +16,7 @@
     excessBytes: number,
     now: number,
 ): MeasuredHolder[] {
-    const candidates = holders.filter(({ amount }) => amount.releasableBytes > 0);
+    const candidates = holders.filter(({ amount }) => amount.releasableBytes >= minimumReleasableBytes);
     candidates.sort((first, second) => getWeight(second, now) - getWeight(first, now));
     const chosen: MeasuredHolder[] = [];
     let releasedBytes = 0;
--- a/src/process/settings/createSettingsSchema.ts
+++ b/src/process/settings/createSettingsSchema.ts
@@ -51,6 +51,7 @@
         limits: z.strictObject({
             maximumConnections: z.int().min(1).default(10_000),
             maximumHeldBytes: z.int().min(1).default(1_000_000_000),
+            maximumRequestsPerConnection: z.int().min(1).default(32),
             headerTimeoutMilliseconds: milliseconds.default(10_000),
             bodyTimeoutMilliseconds: milliseconds.default(30_000),
         }).prefault({}),
--- a/src/process/settings/nodeSettings.ts
+++ b/src/process/settings/nodeSettings.ts
@@ -49,6 +49,8 @@
         maximumConnections: number;
         /** How much may be held in memory for callers, in bytes. */
         maximumHeldBytes: number;
+        /** Maximum number of requests of a connection that are handled at the same time. */
+        maximumRequestsPerConnection: number;
         /** Time limit for a caller to send the headers of a request. */
         headerTimeoutMilliseconds: number;
         /** Time limit for a caller to send a complete request. */
--- a/tests/connection/caller/callerServerFixture.ts
+++ b/tests/connection/caller/callerServerFixture.ts
@@ -42,6 +42,7 @@
         limits: {
             maximumConnections: 100,
             maximumHeldBytes: 100_000_000,
+            maximumRequestsPerConnection: 32,
             headerTimeoutMilliseconds: 10_000,
             bodyTimeoutMilliseconds: 10_000,
             ...options.limits,
--- a/tests/connection/caller/callerTls.test.ts
+++ b/tests/connection/caller/callerTls.test.ts
@@ -12,6 +12,7 @@
     const limits = {
         maximumConnections: 10,
         maximumHeldBytes: 100_000_000,
+        maximumRequestsPerConnection: 32,
         headerTimeoutMilliseconds: 1_000,
         bodyTimeoutMilliseconds: 1_000,
     };
--- a/tests/process/settings/parseSettings.test.ts
+++ b/tests/process/settings/parseSettings.test.ts
@@ -41,6 +41,7 @@
                 headerTimeoutMilliseconds: 10_000,
                 bodyTimeoutMilliseconds: 30_000,
                 maximumHeldBytes: 1_000_000_000,
+                maximumRequestsPerConnection: 32,
             },
         });
     });
