Answers that are kept until they are complete count in the account

What callers saw: nothing yet. A node keeps an answer of a document service until it is complete, up to 8 MiB each; many of them at once took memory that nobody counted.

Change: a document's relay notes what it keeps with the sink of its caller, where it counts like what was written and not read, and gives way with its connection.

--- a/src/connection/caller/callerConnections.ts
+++ b/src/connection/caller/callerConnections.ts
@@ -170,7 +170,7 @@
         });
     }
 
-    /** Notes that a part of the answer to a request was written, which is held until the caller takes it. */
+    /** Notes that a part of the answer to a request is held until the caller takes it. */
     noteAnswerBytes(request: IncomingMessage, bytes: number): void {
         const exchange = this.findExchange(request);
         if (exchange !== undefined) {
--- a/src/connection/caller/callerExchange.ts
+++ b/src/connection/caller/callerExchange.ts
@@ -10,7 +10,7 @@
     arrivedAt: number;
     /** Size of the part of its body that is kept. */
     bodyBytes: number;
-    /** Size of the part of its answer that was written. It is kept until its turn on the connection. */
+    /** Size of the part of its answer that was received or written before its turn on the connection. */
     answerBytes: number;
     /** Writes its whole response, which waits for its turn. */
     writeResponse: (() => void) | undefined;
--- a/src/connection/caller/responseSink.ts
+++ b/src/connection/caller/responseSink.ts
@@ -22,8 +22,8 @@
      * @param bytes - Size of its body.
      */
     writeWhole(write: (isLast: boolean) => void, bytes: number): void;
-    /** Called when a part of the body was written, which is held until the caller takes it. */
-    onWritten?(bytes: number): void;
+    /** Called when a part of the body is held until the caller takes it. */
+    onHeld?(bytes: number): void;
     /** Called before the response is aborted, which closes the connection. */
     onAborting?(): void;
 }
@@ -72,7 +72,7 @@
 
     /** Writes a chunk of the body. */
     write(chunk: Buffer): void {
-        this.options.onWritten?.(chunk.length);
+        this.options.onHeld?.(chunk.length);
         const kept = this.whole ?? this.early;
         if (kept !== undefined) {
             kept.chunks.push(chunk);
@@ -82,6 +82,11 @@
         this.sendChunk(chunk);
     }
 
+    /** Notes that a part of the answer is kept until it is written as a whole. */
+    noteKept(bytes: number): void {
+        this.options.onHeld?.(bytes);
+    }
+
     /** Ends the answer as complete. */
     end(): void {
         if (this.whole !== undefined) {
--- a/src/request/relay/answers/answerSink.ts
+++ b/src/request/relay/answers/answerSink.ts
@@ -12,6 +12,8 @@
      */
     writeHead(head: AnswerHead, isWhole?: boolean): void;
     write(chunk: Buffer): void;
+    /** Notes that a part of the answer was received, and is kept until the answer is written as a whole. */
+    noteKept?(bytes: number): void;
     /** Ends the answer as complete. */
     end(): void;
     /** Answers with a refusal. Only allowed before the head is written. */
--- a/src/request/relay/documents/documentRelay.ts
+++ b/src/request/relay/documents/documentRelay.ts
@@ -198,7 +198,10 @@
             onHead: (status, headers) =>
                 account.runPart(ProcessorCause.Document, () => this.handleHead(attempt, status, headers)),
             getBodyBounds: () => getBodyBounds(attempt),
-            onData: chunk => attempt.chunks.push(chunk),
+            onData: chunk => {
+                attempt.chunks.push(chunk);
+                this.task.sink.noteKept?.(chunk.length);
+            },
             onEnd: () => account.runPart(ProcessorCause.Document, () => this.handleAnswer(attempt)),
             onFailure: failure => account.runPart(ProcessorCause.Document, () => this.handleFailure(attempt, failure)),
             maySend: () => this.environment.instructions.maySend(endpoint.id),
