CallerConnections hands its decisions to smaller modules

Nothing else is changed.

Evidence: the tests of connection/caller and the platform's listeners (75): passed.

--- a/src/connection/caller/callerConnections.ts
+++ b/src/connection/caller/callerConnections.ts
@@ -2,23 +2,22 @@
 import type { Socket } from "node:net";
 import type { Clock } from "../../process/clock.ts";
 import type { EventLog } from "../../process/logging/eventLog.ts";
-import { events } from "../../process/logging/events.ts";
 import { InputBarrier } from "../../process/loop/inputBarrier.ts";
 import type { MemoryAccount } from "../../process/memory/memoryAccount.ts";
 import type { RequestError } from "../../request/requestError.ts";
 import type { Result } from "../../result.ts";
 import { CallerConnection, connectionBytes, exchangeBytes, waitingBytes } from "./callerConnection.ts";
 import type { CallerExchange } from "./callerExchange.ts";
-import { chooseConnectionToClose } from "./chooseConnectionToClose.ts";
-import { closeInStages } from "./closeInStages.ts";
 import { ConnectionReading } from "./connectionReading.ts";
 import { createClientError } from "./createClientError.ts";
-import { createErrorBody } from "./createErrorBody.ts";
-import { createMemoryError } from "./createMemoryError.ts";
 import { drainBody } from "./drainBody.ts";
 import { hasUnreadBody } from "./hasUnreadBody.ts";
-import { PauseReason } from "./pauseReason.ts";
+import { logUnanswered } from "./logUnanswered.ts";
+import { OpenConnections } from "./openConnections.ts";
 import { readBody } from "./readBody.ts";
+import { releaseConnection } from "./releaseConnection.ts";
+import { RequestAdmission } from "./requestAdmission.ts";
+import { sendClientError } from "./sendClientError.ts";
 import { UnansweredReason } from "./unansweredReason.ts";
 
 /** Options of {@link CallerConnections}. */
@@ -35,9 +34,6 @@
 }
 
 const defaultMaximumRequestsPerConnection = 32;
-/** Work of a request, in units of about a microsecond. */
-const requestUnits = 80;
-const waitingUnits = 4;
 /** A connection may receive this part of a head unnoticed. */
 const unnoticedHeadBytes = 32 * 1024;
 
@@ -48,13 +44,18 @@
  */
 export class CallerConnections {
     private readonly connections = new WeakMap<Socket, CallerConnection>();
-    private readonly openConnections = new Set<CallerConnection>();
     private readonly options: CallerConnectionsOptions;
+    private readonly openConnections: OpenConnections;
+    private readonly admission: RequestAdmission;
     /** Delays answers that may close their connection until pending input is read, which may contain another request. */
     private readonly barrier = InputBarrier.create();
 
     private constructor(options: CallerConnectionsOptions) {
         this.options = options;
+        this.openConnections = OpenConnections.create(options);
+        this.admission = RequestAdmission.create(
+            options.maximumRequestsPerConnection ?? defaultMaximumRequestsPerConnection,
+        );
     }
 
     /** Creates an empty tracker. */
@@ -64,19 +65,7 @@
 
     /** Adds a new connection. If there are too many, an idle one is closed. */
     open(socket: Socket): void {
-        const connection = this.getConnection(socket);
-        if (this.openConnections.size <= this.options.maximumConnections) {
-            return;
-        }
-        const chosen = chooseConnectionToClose(this.openConnections, connection);
-        this.options.log.write(events.connectionClosedForAnother, {
-            connections: this.openConnections.size,
-            milliseconds: Math.round(this.getTime() - (chosen.getIdleStart() ?? chosen.openedAt)),
-            hadRequests: chosen.getIdleStart() !== undefined,
-            isNew: chosen === connection,
-        });
-        this.openConnections.delete(chosen);
-        chosen.socket.destroy();
+        this.openConnections.makeRoomFor(this.getConnection(socket));
     }
 
     /**
@@ -88,25 +77,16 @@
         const connection = this.getConnection(request.socket);
         connection.noteRequest(request);
         const arrivedAt = this.getTime();
-        const reading = ConnectionReading.of(request.socket);
-        if (connection.waiting.length === 0 && this.mayStart(connection)) {
-            reading.noteWork(requestUnits);
-            start(arrivedAt);
-            return;
+        if (!this.admission.admit(connection, request, arrivedAt, () => start(arrivedAt))) {
+            writeWaitingOf(getLast(connection.exchanges));
+            this.options.memory.note(waitingBytes);
         }
-        reading.noteWork(waitingUnits);
-        reading.pause(PauseReason.Requests);
-        connection.waiting.push({ request, arrivedAt, start: () => start(arrivedAt) });
-        writeWaitingOf(getLast(connection.exchanges));
-        this.options.memory.note(waitingBytes);
     }
 
     /** Handles all requests that wait for others, because no more are accepted and these are refused. */
     startWaiting(): void {
-        for (const connection of this.openConnections) {
-            while (connection.waiting.length > 0) {
-                startNext(connection);
-            }
+        for (const connection of this.openConnections.list()) {
+            this.admission.startAll(connection);
         }
     }
 
@@ -250,7 +230,7 @@
                 return;
             }
         }
-        sendError(error.code, socket);
+        sendClientError(error.code, socket);
         abort(connection);
     }
 
@@ -261,25 +241,12 @@
             this.writeInItsTurn(next);
             break;
         }
-        this.startAllowed(connection);
+        this.admission.startAllowed(connection);
         if (connection.isBroken && connection.isIdle()) {
             connection.socket.destroySoon();
         }
     }
 
-    /** Checks if a request on a connection may be handled now. */
-    private mayStart({ exchanges, socket }: CallerConnection): boolean {
-        const { maximumRequestsPerConnection = defaultMaximumRequestsPerConnection } = this.options;
-        return exchanges.size < maximumRequestsPerConnection && !ConnectionReading.of(socket).isTurnOver();
-    }
-
-    /** Handles the requests that need not wait any more. */
-    private startAllowed(connection: CallerConnection): void {
-        while (connection.waiting.length > 0 && this.mayStart(connection)) {
-            startNext(connection);
-        }
-    }
-
     /** Writes the response that waits, once the input that has arrived is read, if it is the first on its connection. */
     private writeInItsTurn(exchange: CallerExchange): void {
         this.barrier.defer(() => {
@@ -305,10 +272,10 @@
     private addConnection(socket: Socket): CallerConnection {
         const { memory } = this.options;
         const connection = CallerConnection.create(socket, this.getTime());
-        const holder = { measure: () => connection.measure(), release: () => release(connection) };
+        const holder = { measure: () => connection.measure(), release: () => releaseConnection(connection) };
         this.connections.set(socket, connection);
         this.openConnections.add(connection);
-        ConnectionReading.of(socket).setTurnCallback(() => this.startAllowed(connection));
+        ConnectionReading.of(socket).setTurnCallback(() => this.admission.startAllowed(connection));
         memory.add(holder);
         // A caller that has closed its side is treated as disconnected. The connection itself closes some time later.
         socket.once("end", () => {
@@ -316,10 +283,10 @@
             abort(connection);
         });
         socket.once("close", () => {
-            this.openConnections.delete(connection);
+            this.openConnections.remove(connection);
             memory.remove(holder);
             connection.hasCallerLeft ||= socket.errored !== null;
-            this.logUnanswered(connection);
+            logUnanswered(connection, this.options.log, this.getTime());
             connection.waiting.length = 0;
             abort(connection);
         });
@@ -327,36 +294,11 @@
         return connection;
     }
 
-    private logUnanswered({ exchanges, waiting, reason, hasCallerLeft, unanswered }: CallerConnection): void {
-        if (hasCallerLeft) {
-            return;
-        }
-        for (const exchange of exchanges) {
-            if (exchange.request.complete && !isBeingSent(exchange)) {
-                unanswered.add(exchange.request, exchange.arrivedAt);
-            }
-        }
-        for (const { request, arrivedAt } of waiting) {
-            unanswered.add(request, arrivedAt);
-        }
-        unanswered.writeTo(this.options.log, reason, this.getTime());
-    }
-
     private getTime(): number {
         return this.options.clock.getMonotonicTime();
     }
 }
 
-/** Handles the next request that waits. */
-function startNext(connection: CallerConnection): void {
-    const reading = ConnectionReading.of(connection.socket);
-    reading.noteWork(requestUnits);
-    connection.waiting.shift()?.start();
-    if (connection.waiting.length === 0) {
-        reading.resume(PauseReason.Requests);
-    }
-}
-
 function getLast(exchanges: ReadonlySet<CallerExchange>): CallerExchange | undefined {
     return [...exchanges].at(-1);
 }
@@ -373,41 +315,8 @@
     }
 }
 
-/** Checks if the head of a response is written, and the response is the first on its connection. */
-function isBeingSent({ response }: CallerExchange): boolean {
-    return response.headersSent && response.socket !== null;
-}
-
 function abort(connection: CallerConnection): void {
     for (const { controller } of connection.exchanges) {
         controller.abort();
     }
 }
-
-/**
- * Lets go of what is held for a connection. A request whose body is incomplete is refused, since it has not run. Otherwise the caller
- * doesn't read its answers, or sends much more than it reads: the connection is closed.
- */
-function release(connection: CallerConnection): void {
-    const incomplete = connection.findIncomplete();
-    if (incomplete?.onBroken !== undefined && incomplete.bodyBytes > 0) {
-        incomplete.bodyBytes = 0;
-        incomplete.onBroken(createMemoryError());
-        return;
-    }
-    connection.reason = UnansweredReason.MemoryLimit;
-    connection.socket.destroy();
-}
-
-function sendError(code: string | undefined, socket: Socket): void {
-    const error = createClientError(code);
-    const body = JSON.stringify(createErrorBody(error));
-    const head = [
-        `HTTP/1.1 ${error.status} ${error.code}`,
-        "connection: close",
-        "content-type: application/json",
-        `content-length: ${Buffer.byteLength(body)}`,
-    ];
-    socket.end(`${head.join("\r\n")}\r\n\r\n${body}`);
-    closeInStages(socket);
-}
