--- a/scripts/executable/executableFlags.ts
+++ b/scripts/executable/executableFlags.ts
@@ -5,5 +5,5 @@
     // Lets the program collect the buffers of received bodies.
     "--expose-gc",
     // In megabytes. By default, new objects may take three times 32 MB where the machine has much memory.
-    "--max-semi-space-size=8",
+    "--max-semi-space-size=2",
 ];
