A stream is read from its endpoint only as fast as its caller takes it

Cause: nothing slowed an endpoint down. UpstreamConnection read as fast as bytes came, ResponseSink wrote whatever came, and what a slow caller had not taken was held without a bound. Memory was let go of only by closing whole connections, and what the process pays for bytes on their way is more than the account sees.

Change: Node.js' contract for streams, end to end. ResponseSink says when its socket needs to drain, StreamFlowControl pauses the exchange of the attempt that was written, and resumes it at the drain. A stream whose turn on the connection hasn't come is paused at 64 KiB. A pause isn't taken for silence of the endpoint; deadlines and callers that leave end a paused stream as before. FL1710 has pausedMilliseconds.

--- a/bench/experiment/simulatedEngines.ts
+++ b/bench/experiment/simulatedEngines.ts
@@ -75,6 +75,8 @@
         }
         return {
             abort: () => this.removeRun(run),
+            pause: () => undefined,
+            resume: () => undefined,
             getSentTime: () => sentAt,
             getPeer: () => undefined,
             isPathLost: () => false,
--- a/src/connection/caller/responseSink.ts
+++ b/src/connection/caller/responseSink.ts
@@ -29,6 +29,8 @@
 }
 
 const account = ProcessorAccount.ofProcess;
+/** What a stream may hold before its turn on the connection without being paused, in bytes: as much as a socket does. */
+const maximumEarlyBytes = 64 * 1024;
 
 /** Writes an answer to an HTTP response, in its turn on the connection. */
 export class ResponseSink implements AnswerSink {
@@ -36,9 +38,11 @@
     private readonly response: ServerResponse;
     private corkedSocket: Socket | undefined;
     /** What was written of a stream before its turn on the connection. */
-    private early: { head: AnswerHead; chunks: Buffer[]; } | undefined;
+    private early: { head: AnswerHead; chunks: Buffer[]; bytes: number; } | undefined;
     /** The head and the body of an answer whose end follows at once. */
     private whole: { head: AnswerHead; chunks: Buffer[]; } | undefined;
+    private drainCallback: (() => void) | undefined;
+    private isDrainAwaited = false;
 
     private constructor(options: ResponseSinkOptions) {
         this.options = options;
@@ -63,8 +67,11 @@
         }
         if (this.response.socket === null) {
             validateHeaders(head.headers);
-            this.early = { head, chunks: [] };
-            this.response.once("socket", () => this.writeEarly());
+            this.early = { head, chunks: [], bytes: 0 };
+            this.response.once("socket", () => {
+                this.writeEarly();
+                this.reportDrain();
+            });
             return;
         }
         this.sendHead(head.status, head.headers);
@@ -73,15 +80,32 @@
     /** Writes a chunk of the body. */
     write(chunk: Buffer): void {
         this.options.onHeld?.(chunk.length);
-        const kept = this.whole ?? this.early;
-        if (kept !== undefined) {
-            kept.chunks.push(chunk);
+        if (this.whole !== undefined) {
+            this.whole.chunks.push(chunk);
+            return;
+        }
+        if (this.early !== undefined) {
+            this.early.chunks.push(chunk);
+            this.early.bytes += chunk.length;
             return;
         }
         this.cork();
         this.sendChunk(chunk);
     }
 
+    /** Checks if so much waits for the caller, or for the answer's turn on the connection, that no more should be read. */
+    needsDrain(): boolean {
+        if (this.early !== undefined) {
+            return this.early.bytes >= maximumEarlyBytes;
+        }
+        return this.response.socket?.writableNeedDrain === true;
+    }
+
+    /** Sets the callback for when the caller has taken what waited. */
+    onDrain(callback: () => void): void {
+        this.drainCallback = callback;
+    }
+
     /** Notes that a part of the answer is kept until it is written as a whole. */
     noteKept(bytes: number): void {
         this.options.onHeld?.(bytes);
@@ -142,6 +166,12 @@
         this.options.writeWhole(write, chunks.reduce((sum, { length }) => sum + length, 0));
     }
 
+    private reportDrain(): void {
+        if (!this.needsDrain()) {
+            this.drainCallback?.();
+        }
+    }
+
     private writeEarly(): void {
         if (this.early === undefined) {
             return;
@@ -170,9 +200,23 @@
         const { socket } = response;
         if (socket === null || !response.chunkedEncoding || socket.destroyed || chunk.length === 0) {
             response.write(chunk);
+        }
+        else {
+            socket.write(frameChunk(chunk));
+        }
+        this.awaitDrain();
+    }
+
+    private awaitDrain(): void {
+        const { socket } = this.response;
+        if (this.drainCallback === undefined || this.isDrainAwaited || socket?.writableNeedDrain !== true) {
             return;
         }
-        socket.write(frameChunk(chunk));
+        this.isDrainAwaited = true;
+        socket.once("drain", () => {
+            this.isDrainAwaited = false;
+            this.reportDrain();
+        });
     }
 
     /** Has all events that arrive in one turn of the event loop go out in one write. A late node reads several of a stream at once. */
--- a/src/connection/upstream/upstreamConnection.ts
+++ b/src/connection/upstream/upstreamConnection.ts
@@ -234,6 +234,9 @@
                 controller?.abort(new Error("The exchange was aborted."));
                 this.disconnect();
             },
+            pause: () => controller?.pause(),
+            // The HTTP client parses one response at a time, and this may be called while it parses another one.
+            resume: () => queueMicrotask(() => isEnded ? undefined : controller?.resume()),
         };
     }
 
--- a/src/connection/upstream/upstreamExchange.ts
+++ b/src/connection/upstream/upstreamExchange.ts
@@ -4,6 +4,10 @@
 export interface UpstreamExchange {
     /** Aborts the exchange and closes its connection. The listener is not called any more. */
     abort(): void;
+    /** Stops reading the response, so that its endpoint can't send more of it. The time bounds of the response go on. */
+    pause(): void;
+    /** Reads on after {@link pause}. The listener is not called before this has returned. */
+    resume(): void;
     /**
      * Gets the monotonic time in milliseconds from which bytes of the request may have been sent, or undefined if none
      * were. An exchange that is aborted before this time is never sent.
--- a/src/connection/upstream/upstreamPool.ts
+++ b/src/connection/upstream/upstreamPool.ts
@@ -78,6 +78,8 @@
                 deferred.cancel();
                 exchange?.abort();
             },
+            pause: () => exchange?.pause(),
+            resume: () => exchange?.resume(),
             getSentTime: () => exchange?.getSentTime(),
             getPeer: () => exchange?.getPeer(),
             isPathLost: () => exchange?.isPathLost() ?? false,
--- a/src/request/relay/answers/answerSink.ts
+++ b/src/request/relay/answers/answerSink.ts
@@ -12,6 +12,10 @@
      */
     writeHead(head: AnswerHead, isWhole?: boolean): void;
     write(chunk: Buffer): void;
+    /** Checks if so much waits for the caller that no more should be read from the endpoint. Default: never. */
+    needsDrain?(): boolean;
+    /** Sets the callback for when the caller has taken what waited. */
+    onDrain?(callback: () => void): void;
     /** Notes that a part of the answer was received, and is kept until the answer is written as a whole. */
     noteKept?(bytes: number): void;
     /** Ends the answer as complete. */
--- a/src/request/relay/detection/stallDetector.ts
+++ b/src/request/relay/detection/stallDetector.ts
@@ -246,7 +246,8 @@
 
     private hasProgressingStream(dataCentres: string, now: number): boolean {
         for (const relay of this.relays) {
-            const isProgressing = relay.attempts.hasEvents() && !isSilent(relay, now);
+            const isRead = relay.attempts.getLastProgress() !== undefined;
+            const isProgressing = relay.attempts.hasEvents() && isRead && !isSilent(relay, now);
             if (isProgressing && relay.attempts.getDataCentres().join() === dataCentres) {
                 return true;
             }
--- a/src/request/relay/streams/createStreamState.ts
+++ b/src/request/relay/streams/createStreamState.ts
@@ -9,6 +9,7 @@
 import { ResumePacing } from "./resumePacing.ts";
 import { RunningAttempts } from "./runningAttempts.ts";
 import { StreamAnswer } from "./streamAnswer.ts";
+import { StreamFlowControl } from "./streamFlowControl.ts";
 import { StreamLogger } from "./streamLogger.ts";
 import { StreamProgress } from "./streamProgress.ts";
 import type { StreamState } from "./streamState.ts";
@@ -19,19 +20,21 @@
     const chains = RelayChains.create(environment, task, model, runs);
     const attemptLimit = AttemptLimit.create();
     const quarantine = TaskQuarantine.create(environment, task);
+    const attempts = RunningAttempts.create();
     const progress = StreamProgress.create(task.request.lastEventId);
     return {
         environment,
         task,
         chains,
         runs,
-        attempts: RunningAttempts.create(),
+        attempts,
         attemptLimit,
         pacing: ResumePacing.create(),
         quarantine,
         replacement: ChainReplacement.create({ environment, task, chains, attemptLimit, quarantine }),
         progress,
         answer: StreamAnswer.create(task.sink),
+        flowControl: StreamFlowControl.create({ sink: task.sink, attempts, clock: environment.clock }),
         logger: StreamLogger.create(environment, task, progress),
         avoided: new Set(),
     };
--- a/src/request/relay/streams/runningAttempts.ts
+++ b/src/request/relay/streams/runningAttempts.ts
@@ -69,9 +69,13 @@
         return listDataCentres(this.getStages() ?? []);
     }
 
-    /** Gets the monotonic time of the last progress of the chain in use, in milliseconds. */
+    /**
+     * Gets the monotonic time of the last progress of the chain in use, in milliseconds; undefined while its answer is not read, since the
+     * endpoint is not silent then.
+     */
     getLastProgress(): number | undefined {
-        return this.getCurrent()?.lastProgressAt;
+        const current = this.getCurrent();
+        return current?.isPaused === true ? undefined : current?.lastProgressAt;
     }
 
     /** Gets the monotonic time at which the request was sent to the chain in use, in milliseconds. */
--- a/src/request/relay/streams/streamAttempt.ts
+++ b/src/request/relay/streams/streamAttempt.ts
@@ -18,4 +18,6 @@
     lastProgressAt: number;
     /** Monotonic time of the first event of this attempt, in milliseconds; undefined before the first event. */
     firstEventAt: number | undefined;
+    /** Whether its answer is not read, because the caller takes the stream more slowly than it comes. */
+    isPaused: boolean;
 }
--- a/src/request/relay/streams/streamLogger.ts
+++ b/src/request/relay/streams/streamLogger.ts
@@ -43,6 +43,8 @@
     isQueuedAtLink: boolean;
     /** Why there was no second chain. */
     obstacle: string;
+    /** For how long its endpoint waited for its caller. */
+    pausedMilliseconds: number;
 }
 
 /** Writes the log entries of a streamed request. */
@@ -144,7 +146,7 @@
     /** Logs how the request ended. */
     writeEnd(ended: EndedRequest): void {
         const { environment, task } = this;
-        const { outcome, cause, attempts, attempt, firstSentAt } = ended;
+        const { outcome, cause, attempts, attempt, firstSentAt, pausedMilliseconds } = ended;
         if (outcome === "callerGone" && this.progress.getCount() === 0) {
             this.writeUnserved(ended);
         }
@@ -165,6 +167,7 @@
             promptTokens,
             firstEventMilliseconds: Math.round((this.progress.getFirstTime() ?? arrivedAt) - arrivedAt),
             longestGapMilliseconds: Math.round(this.progress.getLongestGap()),
+            pausedMilliseconds: Math.round(pausedMilliseconds),
         });
     }
 
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -250,6 +250,7 @@
             exchange: undefined,
             lastProgressAt: now,
             firstEventAt: undefined,
+            isPaused: false,
         };
         this.attempts.add(attempt);
         this.state.runs.add(attempt.run);
@@ -265,7 +266,7 @@
             // begins the answer.
             const mayWrite = this.state.answer.isBegun() || this.attempts.isOnly(attempt);
             if (mayWrite && attempt === this.attempts.getCurrent()) {
-                this.write(head, event.bytes);
+                this.write(attempt, head, event.bytes);
             }
             return;
         }
@@ -279,15 +280,16 @@
         }
         if (verdict === EventVerdict.Pass) {
             this.endOtherAttempts(attempt);
-            this.write(head, event.bytes);
+            this.write(attempt, head, event.bytes);
         }
     }
 
-    private write(head: AnswerHead, bytes: Buffer): void {
+    private write(attempt: StreamAttempt, head: AnswerHead, bytes: Buffer): void {
         if (!this.state.answer.isBegun() && this.isResumable()) {
             this.state.environment.streamRetries.noteBegun(this.task);
         }
         this.state.answer.write(head, bytes);
+        this.state.flowControl.review(attempt);
     }
 
     /** Ends the attempts beside one that makes progress. */
@@ -468,6 +470,7 @@
             firstSentAt,
             isQueuedAtLink,
             obstacle: this.moves.getObstacle(),
+            pausedMilliseconds: this.state.flowControl.getPausedTime(),
         });
         this.onDone();
     }
--- a/src/request/relay/streams/streamState.ts
+++ b/src/request/relay/streams/streamState.ts
@@ -8,6 +8,7 @@
 import type { ResumePacing } from "./resumePacing.ts";
 import type { RunningAttempts } from "./runningAttempts.ts";
 import type { StreamAnswer } from "./streamAnswer.ts";
+import type { StreamFlowControl } from "./streamFlowControl.ts";
 import type { StreamLogger } from "./streamLogger.ts";
 import type { StreamProgress } from "./streamProgress.ts";
 
@@ -24,6 +25,7 @@
     readonly replacement: ChainReplacement;
     readonly progress: StreamProgress;
     readonly answer: StreamAnswer;
+    readonly flowControl: StreamFlowControl;
     readonly logger: StreamLogger;
     /** Ids of endpoints that have failed or refused the request, which the next chain must not use. */
     readonly avoided: Set<string>;
--- a/tests/request/relay/relayBench.ts
+++ b/tests/request/relay/relayBench.ts
@@ -34,6 +34,8 @@
     /** Time at which its first byte was sent. */
     sentAt: number | undefined;
     isAborted: boolean;
+    /** Whether its answer is not read. */
+    isPaused: boolean;
 }
 
 /** Relay dependencies with fake connections that a test controls. */
@@ -45,6 +47,10 @@
     readonly answers: string[] = [];
     /** Disconnects the caller of the last task. */
     leave: () => void = () => undefined;
+    /** Whether the callers have not taken what was written to them. */
+    isCallerSlow = false;
+    /** Has the caller of the last task take what was written. */
+    drain: () => void = () => undefined;
     /** Time that the test of a path takes. */
     pathTestMilliseconds = 0;
     /** Result of the test of a path. */
@@ -124,6 +130,8 @@
             onClosed: callback => this.leave = callback,
             writeHead: ({ status }) => this.answers.push(String(status)),
             write: () => undefined,
+            needsDrain: () => this.isCallerSlow,
+            onDrain: callback => this.drain = callback,
             end: () => undefined,
             refuse: ({ reason }) => this.answers.push(reason),
             abort: () => this.answers.push("cut"),
@@ -173,12 +181,21 @@
     }
 
     private send(address: string, headers: readonly string[], listener: UpstreamListener) {
-        const sentRequest: SentRequest = { address, headers, listener, sentAt: undefined, isAborted: false };
+        const sentRequest: SentRequest = {
+            address,
+            headers,
+            listener,
+            sentAt: undefined,
+            isAborted: false,
+            isPaused: false,
+        };
         this.sentRequests.push(sentRequest);
         return {
             abort: () => {
                 sentRequest.isAborted = true;
             },
+            pause: () => sentRequest.isPaused = true,
+            resume: () => sentRequest.isPaused = false,
             getSentTime: () => sentRequest.sentAt,
             getPeer: () => undefined,
             isPathLost: () => false,
