A stream with more events than its request allows tokens is cut, and its endpoint avoided

Cause: nothing compared the events with the tokens that the request allows, each of which an event has at least one of.

Change: StreamProgress knows the maximum and allows eight events beside it, for those without tokens. The first one beyond ends the request: what was passed on was no answer, so that no other endpoint can continue it. The endpoint counts as rejecting.

--- a/src/request/relay/streams/createStreamState.ts
+++ b/src/request/relay/streams/createStreamState.ts
@@ -21,7 +21,7 @@
     const attemptLimit = AttemptLimit.create();
     const quarantine = TaskQuarantine.create(environment, task);
     const attempts = RunningAttempts.create();
-    const progress = StreamProgress.create(task.request.lastEventId);
+    const progress = StreamProgress.create(task.request.lastEventId, task.request.maximumAnswerTokens);
     return {
         environment,
         task,
--- a/src/request/relay/streams/eventVerdict.ts
+++ b/src/request/relay/streams/eventVerdict.ts
@@ -6,5 +6,7 @@
     Repeat: "repeat",
     /** An earlier event is missing. */
     Gap: "gap",
+    /** The request allows no more events. */
+    Excess: "excess",
 } as const;
 export type EventVerdict = typeof EventVerdict[keyof typeof EventVerdict];
--- a/src/request/relay/streams/streamProgress.ts
+++ b/src/request/relay/streams/streamProgress.ts
@@ -1,5 +1,8 @@
 import { EventVerdict } from "./eventVerdict.ts";
 
+/** Events that a stream may have beside one for each token of its answer, such as one that ends it. */
+const eventsWithoutTokens = 8;
+
 /** Tracks the events of a stream that were forwarded to the caller, and their timing. */
 export class StreamProgress {
     private lastId: number;
@@ -10,16 +13,20 @@
     private lastAt = 0;
     private longestGap = 0;
 
-    private constructor(lastId: number) {
+    private readonly maximumCount: number;
+
+    private constructor(lastId: number, maximumTokens: number) {
         this.lastId = lastId;
+        this.maximumCount = maximumTokens > 0 ? maximumTokens + eventsWithoutTokens : Infinity;
     }
 
     /**
      * Creates the progress of a stream.
      * @param lastId - Id of the last event that the caller has received; 0 if none.
+     * @param maximumTokens - Maximum number of tokens of the answer, each event of which has one at least; 0 if the request names none.
      */
-    static create(lastId: number): StreamProgress {
-        return new StreamProgress(lastId);
+    static create(lastId: number, maximumTokens: number): StreamProgress {
+        return new StreamProgress(lastId, maximumTokens);
     }
 
     /**
@@ -38,6 +45,9 @@
         if (!isNext && this.isConsecutive && this.count > 1) {
             return EventVerdict.Gap;
         }
+        if (this.count >= this.maximumCount) {
+            return EventVerdict.Excess;
+        }
         this.isConsecutive &&= isNext;
         this.recordTime(now);
         this.lastId = id;
--- a/src/request/relay/streams/streamRelay.ts
+++ b/src/request/relay/streams/streamRelay.ts
@@ -278,6 +278,12 @@
             this.endAttempt(attempt, { isNotRun: false, cause: "an event of the stream is missing.", avoid: [] });
             return;
         }
+        if (verdict === EventVerdict.Excess) {
+            // What was passed on was no answer either, so that another endpoint can't continue it.
+            this.state.environment.health.markRejecting(attempt.stages[0]!.endpoint.id, now);
+            this.giveUp("the stream has more events than its request allows tokens.");
+            return;
+        }
         if (verdict === EventVerdict.Pass) {
             this.endOtherAttempts(attempt);
             this.write(attempt, head, event.bytes);
--- a/tests/request/relay/streams/streamProgress.test.ts
+++ b/tests/request/relay/streams/streamProgress.test.ts
@@ -6,7 +6,7 @@
 
 describe("StreamProgress", () => {
     it("passes only events with increasing ids, and detects a missing one", () => {
-        const progress = StreamProgress.create(3);
+        const progress = StreamProgress.create(3, 0);
         const verdicts = [3, 4, 5, 4, undefined, 7, 6].map(id => progress.accept(id, 0));
         const { Pass, Repeat, Gap } = EventVerdict;
         assert.deepEqual(verdicts, [Repeat, Pass, Pass, Repeat, Pass, Gap, Pass]);
@@ -14,12 +14,23 @@
     });
 
     it("allows gaps between ids if there were gaps before", () => {
-        const progress = StreamProgress.create(0);
+        const progress = StreamProgress.create(0, 0);
         assert.deepEqual([5, 10, 20].map(id => progress.accept(id, 0)), ["pass", "pass", "pass"]);
     });
 
+    it("allows as many events as the answer may have tokens, and a few more, wherever the ids begin", () => {
+        for (const lastId of [0, 1_000]) {
+            const progress = StreamProgress.create(lastId, 100);
+            for (let id = lastId + 1; id <= lastId + 108; id++) {
+                assert.equal(progress.accept(id, 0), EventVerdict.Pass);
+            }
+            assert.equal(progress.accept(undefined, 0), EventVerdict.Pass);
+            assert.equal(progress.accept(lastId + 109, 0), EventVerdict.Excess);
+        }
+    });
+
     it("measures the time of the first event and the longest gap", () => {
-        const progress = StreamProgress.create(0);
+        const progress = StreamProgress.create(0, 0);
         for (const [id, now] of [[1, 100], [2, 150], [3, 400], [4, 420]] as const) {
             progress.accept(id, now);
         }
@@ -30,7 +41,7 @@
     it("passes each event once and in order for any sequence of attempts", () => {
         const run = fc.record({ skipped: fc.integer({ min: 0, max: 4 }), length: fc.integer({ min: 0, max: 6 }) });
         fc.assert(fc.property(fc.array(run, { maxLength: 8 }), runs => {
-            const progress = StreamProgress.create(0);
+            const progress = StreamProgress.create(0, 0);
             const passed: number[] = [];
             for (const { skipped, length } of runs) {
                 // An attempt resumes after the last event, or some events earlier.
