--- a/tests/request/relay/fingerprintParts.test.ts
+++ b/tests/request/relay/fingerprintParts.test.ts
@@ -17,8 +17,15 @@
         assert.ok(keys.every(key => /^p[0-9a-f]{15}$/.test(key)));
     });
 
+    // Guards against a harmful part that crashes one endpoint after the other, because sixteen harmless ones come before it.
+    it("gives a part its key behind many others", () => {
+        const promptParts = Array.from({ length: 63 }, (_, index) => String(index));
+        const [harmful] = fingerprintParts({ promptParts: ["harmful"] }, "model");
+        assert.equal(fingerprintParts({ promptParts: [...promptParts, "harmful"] }, "model").at(-1), harmful);
+    });
+
     it("takes a bounded number of parts into account", () => {
         const promptParts = Array.from({ length: 100 }, (_, index) => String(index));
-        assert.equal(fingerprintParts({ promptParts }, "model").length, 16);
+        assert.equal(fingerprintParts({ promptParts }, "model").length, 64);
     });
 });
