A request that crashes endpoints as soon as it arrives is held back

Callers saw: sound requests refused, since most endpoints of the service were down.

Cause: TaskQuarantine.noteBreak dropped each break less than 10 ms after sending, as that of an endpoint that had crashed before the request arrived. On a local network a request arrives within a millisecond, so that time alone can't tell the two apart. An idempotent document could reach every endpoint of its service in one attempt of its caller, since ended runs don't count against its limit.

Change: such a crash is on record as sudden, with the same proof as others that its endpoint is down or has restarted. What tells the two apart is repetition: endpoints that fail together do so at one time. A sudden crash counts if no other crash under the same suspect lies within half a second, the time that late crashes use, or if it is the fourth within it: each of four endpoints would have to crash in the instant before the request was sent to it. It holds for whole requests and parts of prompts, documents, streams and what peers tell (is_sudden).

--- a/src/process/router/peerState.ts
+++ b/src/process/router/peerState.ts
@@ -55,12 +55,15 @@
                 isRefusing,
             })),
             readings: readings.getReadings(now),
-            endedRuns: quarantine.getCrashes(now).map(({ fingerprint, endpointId, at, isDown, isCanary }) => ({
+            endedRuns: quarantine.getCrashes(now).map((
+                { fingerprint, endpointId, at, isDown, isCanary, isSudden },
+            ) => ({
                 fingerprint,
                 endpointId,
                 age: getAge(at, now),
                 isDown,
                 isCanary,
+                isSudden,
             })),
             safeRequests: quarantine.getRefutations(now),
             answeredParts: quarantine.getAnsweredParts(now).map(({ key, at }) => ({ key, age: getAge(at, now) })),
@@ -97,8 +100,8 @@
         if (hasNewSuspicion) {
             onUpdate();
         }
-        for (const { fingerprint, endpointId, age, isDown, isCanary } of message.endedRuns) {
-            quarantine.addPeerCrash({ fingerprint, endpointId, at: now - age, isDown, isCanary }, now);
+        for (const { fingerprint, endpointId, age, isDown, isCanary, isSudden } of message.endedRuns) {
+            quarantine.addPeerCrash({ fingerprint, endpointId, at: now - age, isDown, isCanary, isSudden }, now);
         }
         for (const fingerprint of message.safeRequests) {
             quarantine.applyRefutation(fingerprint, now);
--- a/src/request/relay/quarantine/lateCrashes.ts
+++ b/src/request/relay/quarantine/lateCrashes.ts
@@ -6,8 +6,6 @@
 import type { RequestHold } from "./requestHold.ts";
 import type { SuspectedCrash } from "./suspectedCrash.ts";
 
-/** Crashes within this time count as one: endpoints also fail together for another reason, such as that of a rack. */
-const coincidenceMilliseconds = 500;
 const maximumRequests = 1_000;
 const maximumCrashesPerRequest = 8;
 /** Limits the size of messages between nodes. */
@@ -162,12 +160,12 @@
     return now - at < crashTimes.announcementMilliseconds;
 }
 
-/** Counts the different times of crashes. */
+/** Counts the different times of crashes, of which those that may be a coincidence count as one. */
 function countMoments(times: Iterable<number>): number {
     let count = 0;
     let countedAt = -Infinity;
     for (const at of [...times].sort((left, right) => left - right)) {
-        if (at - countedAt >= coincidenceMilliseconds) {
+        if (at - countedAt >= crashTimes.coincidenceMilliseconds) {
             count += 1;
             countedAt = at;
         }
--- a/src/request/relay/quarantine/requestQuarantine.ts
+++ b/src/request/relay/quarantine/requestQuarantine.ts
@@ -89,14 +89,19 @@
      * @param requestId - Id of this attempt, for the log.
      * @param details - Further details of the attempt, for the log.
      */
-    noteCrash(crash: RunCrash, requestId: string, details: Readonly<Record<string, string | number>> = {}): void {
-        const { fingerprint, endpointId, at, isDown, partKeys = [], canaryKeys = [] } = crash;
-        let isNew = !this.safeRequests.has(fingerprint) && this.suspects.add({ fingerprint, endpointId, at }, at);
+    noteCrash(
+        crash: RunCrash,
+        requestId: string,
+        details: Readonly<Record<string, string | number | boolean>> = {},
+    ): void {
+        const { fingerprint, endpointId, at, isDown, isSudden, partKeys = [], canaryKeys = [] } = crash;
+        let isNew = !this.safeRequests.has(fingerprint)
+            && this.suspects.add({ fingerprint, endpointId, at, isSudden }, at);
         for (const key of partKeys) {
             this.answeredParts.noteSuspected(key, at);
             const isCanary = canaryKeys.includes(key);
             const isAdded = !this.answeredParts.isBeforeAnswer(key, at, false)
-                && this.suspects.add({ fingerprint: key, endpointId, at, isDown, isCanary }, at);
+                && this.suspects.add({ fingerprint: key, endpointId, at, isDown, isCanary, isSudden }, at);
             isNew ||= isAdded;
         }
         this.canaries.noteCrash(canaryKeys, at);
@@ -114,7 +119,7 @@
     noteLateCrash(
         crash: SuspectedCrash,
         requestId: string,
-        details: Readonly<Record<string, string | number>> = {},
+        details: Readonly<Record<string, string | number | boolean>> = {},
     ): void {
         const { fingerprint, at } = crash;
         if (this.lateCrashes.add(crash) < crashThresholds.minimum) {
@@ -312,9 +317,10 @@
             const isHeld = isPart
                 ? this.suspects.judge(key, now) !== SuspectVerdict.Free
                 : this.getStartHold(key, now) !== undefined;
-            for (const [endpointId, { at, isDown, isCanary }] of listNewest(suspect)) {
+            for (const [endpointId, { at, isDown, isCanary, isSudden }] of listNewest(suspect)) {
                 if (isHeld || now - at < maximumAgeMilliseconds) {
-                    crashes.push({ fingerprint: key, endpointId, at, ...isPart ? { isDown, isCanary } : {} });
+                    const details = { ...isPart ? { isDown, isCanary } : {}, ...isSudden ? { isSudden } : {} };
+                    crashes.push({ fingerprint: key, endpointId, at, ...details });
                 }
             }
             if (crashes.length >= maximumListedCrashes) {
@@ -328,7 +334,7 @@
         { fingerprint, endpointId, at, isDown = false }: SuspectedCrash,
         requestId: string,
         isHeldBack: boolean,
-        details: Readonly<Record<string, string | number>>,
+        details: Readonly<Record<string, string | number | boolean>>,
     ): void {
         const entry = { request: requestId, fingerprint, endpoint: endpointId, isHeldBack, isDown };
         const aliveAt = this.options.getAliveTime(endpointId);
--- a/src/request/relay/quarantine/suspect.ts
+++ b/src/request/relay/quarantine/suspect.ts
@@ -8,6 +8,8 @@
     isDown: boolean;
     /** Whether the endpoint is known to have restarted since, so that it was not merely out of sight. */
     isConfirmed: boolean;
+    /** Whether the connection broke so soon after sending that the endpoint may have crashed before the request arrived. */
+    isSudden: boolean;
 }
 
 /** A whole request, or a part of prompts, that endpoints may have crashed under. */
@@ -20,4 +22,6 @@
     wasAnswered: boolean;
     /** By endpoint id. */
     crashes: Map<string, SuspectCrash>;
+    /** Monotonic times in milliseconds of sudden crashes that may be a coincidence with another one and don't count, by endpoint id. */
+    coincidences: Map<string, number>;
 }
--- a/src/request/relay/quarantine/suspectList.ts
+++ b/src/request/relay/quarantine/suspectList.ts
@@ -3,6 +3,7 @@
 import { isPartKey } from "./isPartKey.ts";
 import { judgeSuspect } from "./judgeSuspect.ts";
 import { mayExplainOthers } from "./mayExplainOthers.ts";
+import { resolveCoincidences } from "./resolveCoincidences.ts";
 import type { Suspect, SuspectCrash } from "./suspect.ts";
 import type { SuspectedCrash } from "./suspectedCrash.ts";
 import { SuspectVerdict } from "./suspectVerdict.ts";
@@ -43,16 +44,19 @@
         return new SuspectList(options);
     }
 
-    /** Adds a crash. Returns whether it is new. */
+    /** Adds a crash. Returns whether it is new and counts. */
     add(crash: SuspectedCrash, now: number): boolean {
-        const { fingerprint: key, endpointId, at, isDown = false, isCanary = false } = crash;
+        const { fingerprint: key, endpointId, at, isDown = false, isCanary = false, isSudden = false } = crash;
         const suspect = this.suspects.get(key) ?? this.create(key);
         const known = suspect.crashes.get(endpointId);
         if (known !== undefined && (known.isCanary || !isCanary)) {
             return false;
         }
+        if (known === undefined && !resolveCoincidences(suspect, crash)) {
+            return false;
+        }
         const isConfirmed = known?.isConfirmed ?? false;
-        suspect.crashes.set(endpointId, { at: known?.at ?? at, isDown, isCanary, isConfirmed });
+        suspect.crashes.set(endpointId, { at: known?.at ?? at, isDown, isCanary, isConfirmed, isSudden });
         this.suspects.delete(key);
         this.evict(now);
         this.suspects.set(key, suspect);
@@ -141,7 +145,13 @@
 
     private create(key: string): Suspect {
         const isPart = isPartKey(key);
-        return { key, isPart, wasAnswered: isPart && this.options.wasAnswered(key), crashes: new Map() };
+        return {
+            key,
+            isPart,
+            wasAnswered: isPart && this.options.wasAnswered(key),
+            crashes: new Map(),
+            coincidences: new Map(),
+        };
     }
 
     /** Forgets suspects if there are too many: those that are free first, and of equal ones those that changed the longest ago. */
--- a/src/request/relay/quarantine/suspectedCrash.ts
+++ b/src/request/relay/quarantine/suspectedCrash.ts
@@ -16,4 +16,6 @@
     isDown?: boolean;
     /** Whether the request was a canary for this suspect. */
     isCanary?: boolean;
+    /** Whether the connection broke so soon after sending that the endpoint may have crashed before the request arrived. */
+    isSudden?: boolean;
 }
--- a/src/request/relay/quarantine/taskQuarantine.ts
+++ b/src/request/relay/quarantine/taskQuarantine.ts
@@ -4,7 +4,7 @@
 import { proofMilliseconds } from "./proofMilliseconds.ts";
 import type { RequestHold } from "./requestHold.ts";
 
-/** If a connection breaks sooner than this after sending, the endpoint had already crashed before it could run the request. */
+/** If a connection breaks sooner than this after sending, the endpoint may have crashed before the request arrived. */
 const minimumRunMilliseconds = 10;
 /** An endpoint that has answered for longer than this did not crash under a part of the prompt, which it does as it begins to answer. */
 const youngAnswerMilliseconds = 100;
@@ -123,7 +123,7 @@
      * @param endpointId - Id of the endpoint that ran the request.
      * @param sentAt - Monotonic time in milliseconds at which the request was sent to it.
      * @param at - Monotonic time in milliseconds at which the connection broke. The test of its path takes longer than
-     * {@link minimumRunMilliseconds}, so that the time after the test would make every request a suspect.
+     * {@link minimumRunMilliseconds}, so that with the time after the test no crash would be sudden.
      * @param attempt - What else is known of the attempt.
      */
     noteBreak(endpointId: string, sentAt: number, at: number, attempt: BrokenAttempt = {}): void {
@@ -131,9 +131,6 @@
         const answerMilliseconds = firstEventAt === undefined ? 0 : at - firstEventAt;
         const { canaryKeys } = this;
         const run = { endpointId, at, runMilliseconds: at - sentAt, answerMilliseconds, canaryKeys };
-        if (run.runMilliseconds < minimumRunMilliseconds) {
-            return;
-        }
         this.hasAnswered ||= isAnswered(run);
         if (this.environment.instructions.isLeaving(endpointId)) {
             return;
@@ -158,7 +155,7 @@
         const { quarantine } = this.environment;
         const { fingerprint, request, partKeys } = this.task;
         const { endpointId, at, canaryKeys } = run;
-        const crash = { fingerprint, endpointId, at, isDown };
+        const crash = { fingerprint, endpointId, at, isDown, isSudden: isSudden(run) };
         // A part may become harmful after an endpoint has answered the request.
         const suspectedParts = isAnswered(run) ? [] : partKeys;
         if (this.isSafe) {
@@ -207,10 +204,16 @@
     return answerMilliseconds > youngAnswerMilliseconds;
 }
 
+/** Checks if the connection broke so soon that the endpoint may have crashed before the request arrived. */
+function isSudden({ runMilliseconds }: BrokenRun): boolean {
+    return runMilliseconds < minimumRunMilliseconds;
+}
+
 /** Gets the details of a run for the log. */
-function describeRun({ runMilliseconds, answerMilliseconds }: BrokenRun) {
+function describeRun(run: BrokenRun) {
     return {
-        runMilliseconds: Math.round(runMilliseconds),
-        answerMilliseconds: Math.round(answerMilliseconds),
+        runMilliseconds: Math.round(run.runMilliseconds),
+        answerMilliseconds: Math.round(run.answerMilliseconds),
+        isSudden: isSudden(run),
     };
 }
--- a/standins/router/endpointBehaviour.ts
+++ b/standins/router/endpointBehaviour.ts
@@ -32,6 +32,8 @@
     foreignBytes?: { afterEvent: number; bytes: string; continues: boolean; };
     /** Stops the endpoint and closes all its connections shortly after it starts to run a request with this body. */
     stopsOnBody?: string;
+    /** Stops the endpoint at once for such a request, without the time that it takes to start a run. */
+    stopsSuddenly?: boolean;
     /** Stops the endpoint and closes all its connections this long after it has begun to answer a request with this body. */
     stopsAfterAnswering?: { body: string; milliseconds: number; };
     /**
--- a/standins/router/endpointStandin.ts
+++ b/standins/router/endpointStandin.ts
@@ -220,7 +220,8 @@
             && listSharedParts(headers).includes(behaviour.stopsOnPromptPart);
         if (stopsLater || behaviour.stopsOnBody === body) {
             const delay = stopsLater ? behaviour.delayMilliseconds ?? 0 : 0;
-            setTimeout(() => void this.stopByRequest(), delay + stopDelayMilliseconds);
+            const startMilliseconds = behaviour.stopsSuddenly === true ? 0 : stopDelayMilliseconds;
+            setTimeout(() => void this.stopByRequest(), delay + startMilliseconds);
             return;
         }
         await wait(behaviour.delayMilliseconds ?? 0);
--- a/tests/request/relay/quarantine/judgeSuspect.test.ts
+++ b/tests/request/relay/quarantine/judgeSuspect.test.ts
@@ -17,10 +17,11 @@
                 isDown: !id.includes("?"),
                 isCanary: id.includes("!"),
                 isConfirmed: false,
+                isSudden: false,
             },
         ]),
     );
-    return { key, isPart: true, wasAnswered: false, crashes, ...options };
+    return { key, isPart: true, wasAnswered: false, crashes, coincidences: new Map(), ...options };
 }
 
 const request = { isPart: false };
--- a/tests/request/relay/quarantine/requestQuarantine.test.ts
+++ b/tests/request/relay/quarantine/requestQuarantine.test.ts
@@ -107,6 +107,49 @@
         assert.ok(second.quarantine.getHold("harmful", 201) !== undefined);
     });
 
+    // Guards against refusing a harmless request because several endpoints crashed together just before it arrived.
+    it("counts sudden crashes that may be a coincidence with other ones only once, also those of peers", () => {
+        const plays: [at: number, isSudden: boolean, isHeld: boolean][][] = [
+            [[0, true, false], [400, true, false], [499, true, false], [500, true, true]],
+            [[0, true, false], [20, true, false], [40, true, false]],
+            [[0, false, false], [499, true, false], [500, true, true]],
+            [[0, true, false], [499, false, false], [500, false, true]],
+        ];
+        for (const play of plays) {
+            const own = createBench().quarantine;
+            const ofPeer = createBench().quarantine;
+            for (const [index, [at, isSudden, isHeld]] of play.entries()) {
+                own.noteCrash({ fingerprint: "r", endpointId: String(index), at, isSudden }, "request");
+                for (const crash of own.getCrashes(at)) {
+                    ofPeer.addPeerCrash(crash, at);
+                }
+                assert.equal(own.getHold("r", at) !== undefined, isHeld, `at ${at} ms`);
+                assert.equal(ofPeer.getHold("r", at) !== undefined, isHeld, `at ${at} ms for the peer`);
+            }
+        }
+    });
+
+    // Guards against a request that crashes all endpoints, one after the other, before half a second has passed.
+    it("counts the fourth of several sudden crashes, which are no coincidence", () => {
+        const { quarantine } = createBench();
+        for (const [index, at] of [0, 20, 40, 60].entries()) {
+            assert.equal(quarantine.getHold("r", at), undefined);
+            quarantine.noteCrash({ fingerprint: "r", endpointId: String(index), at, isSudden: true }, "request");
+        }
+        assert.deepEqual(quarantine.getHold("r", 61)?.endpointIds, ["0", "3"]);
+    });
+
+    // Guards against a part of a prompt that crashes endpoints as it arrives, and was never held back.
+    it("holds back a part under which endpoints crash suddenly at different times", () => {
+        const { quarantine } = createBench();
+        for (const [index, at] of [0, 600].entries()) {
+            const crash = { fingerprint: `r${index}`, endpointId: String(index), at, isDown: true, isSudden: true };
+            quarantine.noteCrash({ ...crash, partKeys: ["pharmful"] }, "request");
+        }
+        assert.equal(quarantine.getPartHold(["pother"], 601), undefined);
+        assert.deepEqual(quarantine.getPartHold(["pharmful"], 601)?.endpointIds, ["0", "1"]);
+    });
+
     // A harmless request that was on two endpoints with a harmful one was held back at each node that had not run it.
     it("clears a suspect request that an endpoint has run for a peer, unless it has certainly crashed endpoints", () => {
         const safe = createBench();
--- a/tests/request/relay/quarantine/taskQuarantine.test.ts
+++ b/tests/request/relay/quarantine/taskQuarantine.test.ts
@@ -246,6 +246,32 @@
         }
     });
 
+    // Guards against a request that crashes endpoints as it arrives, and was sent to one after the other for as long as it came: a crash
+    // that follows at once was never counted.
+    it("is held back if endpoints crash as soon as it is sent to them, at different times", async () => {
+        const gapMilliseconds = 600;
+        const bench = createBench();
+        startStream(bench);
+        await crashEndpoint(bench, 1);
+        bench.sentRequests.at(-1)!.sentAt = bench.clock.getMonotonicTime() + gapMilliseconds;
+        await crashEndpoint(bench, gapMilliseconds + 1);
+        startStream(bench);
+        assert.equal(bench.sentRequests.length, 2);
+        assert.deepEqual(bench.answers, ["outcomeUnknown", "heldBack"]);
+    });
+
+    it("is held back at the fourth of them within a moment, also for document services", async () => {
+        const bench = RelayBench.create(["1", "2", "3", "4", "5"].map(id => createEndpoint(id, { layers })));
+        start(bench, RequestKind.Idempotent);
+        for (const count of [1, 2, 3, 4]) {
+            assert.equal(bench.sentRequests.length, count);
+            await crashEndpoint(bench, 1);
+        }
+        start(bench, RequestKind.Idempotent);
+        assert.equal(bench.sentRequests.length, 4);
+        assert.deepEqual(bench.answers, ["outcomeUnknown", "heldBack"]);
+    });
+
     it("is not sent if other endpoints crashed while it waited for free memory", async () => {
         const bench = createBench();
         for (const id of ["1", "2", "3", "4"]) {
