A record of a service without configuration doesn't take a sound endpoint out of use

Cause: each readable record with a later `born` counted as the proof that another process listens at its address, also one of a service that no configuration names.

Change: EndpointRegistry leaves records of services that the configuration in force doesn't name out of its index, of what replaces an endpoint and of what proves that one has started (EndpointEnds would count its runs as ended). The index follows the configuration.

Not done: a record of a service that is named, with a foreign address, still replaces the endpoint there.

--- a/src/process/router/endpointRegistry.ts
+++ b/src/process/router/endpointRegistry.ts
@@ -19,6 +19,8 @@
     readings: EndpointReadings;
     /** Parses the record that an endpoint wrote under a key. */
     decode(key: string, text: string): Result<RegisteredEndpoint, string>;
+    /** Gets the services of the configuration in force, by name; undefined if there is none yet. */
+    getServices(): ReadonlyMap<string, unknown> | undefined;
     /** How long an endpoint that is gone may still get requests, in milliseconds. */
     drainMilliseconds: number;
     /** Checks if an endpoint has announced to this node that it is leaving, whatever its record says. */
@@ -27,7 +29,7 @@
     getLastStoreFailure(): number;
     /** Called when an endpoint was added, removed or changed. */
     onChange(): void;
-    /** Called with each record that is applied. Its endpoint may have started since the record before. */
+    /** Called with each record of a service of the configuration that is applied. Its endpoint may have started since the record before. */
     onRecord(endpoint: RegisteredEndpoint): void;
     /** Called with the previous and the current state of an endpoint that has restarted under the same id. */
     onRestart(earlier: RegisteredEndpoint, later: RegisteredEndpoint): void;
@@ -65,6 +67,8 @@
     private readonly usableByService = new Map<string, RegisteredEndpoint[]>();
     private readonly byAddress = new Map<string, RegisteredEndpoint>();
     private isIndexed = false;
+    /** The services of the configuration for which the index was built. */
+    private indexedServices: ReadonlyMap<string, unknown> | undefined;
 
     private constructor(options: EndpointRegistryOptions) {
         this.options = options;
@@ -138,13 +142,22 @@
     /** Checks if another endpoint registered at an address with an incarnation. */
     private hasOther(key: string, address: string, incarnation: number): boolean {
         for (const [otherKey, { endpoint }] of this.endpoints) {
-            if (otherKey !== key && endpoint.address === address && endpoint.incarnation === incarnation) {
+            const isAtAddress = endpoint.address === address && endpoint.incarnation === incarnation;
+            if (otherKey !== key && isAtAddress && this.isNamed(endpoint)) {
                 return true;
             }
         }
         return false;
     }
 
+    /**
+     * Checks if the configuration names the service of an endpoint. A record of another service may come from any writer and proves nothing
+     * about the process at its address.
+     */
+    private isNamed({ service }: RegisteredEndpoint): boolean {
+        return this.options.getServices()?.has(service) ?? true;
+    }
+
     /** Checks if a record of a later era of the store lacks the announcement of an endpoint that is known to be leaving. */
     isOutdated(record: StoreRecord, known: StoreRecord): boolean {
         const { decode } = this.options;
@@ -171,7 +184,9 @@
         const known = this.endpoints.get(key)?.endpoint;
         this.endpoints.set(key, { endpoint, retainedUntil: undefined, isIncarnationReported: source === "report" });
         this.isIndexed = false;
-        onRecord(endpoint);
+        if (this.isNamed(endpoint)) {
+            onRecord(endpoint);
+        }
         if (known !== undefined && known.incarnation < endpoint.incarnation) {
             log.write(events.endpointRestarted, { endpoint: endpoint.id, earlier: known.id, source });
             onRestart(known, endpoint);
@@ -266,15 +281,18 @@
     }
 
     private buildIndex(): void {
-        if (this.isIndexed) {
+        const services = this.options.getServices();
+        if (this.isIndexed && services === this.indexedServices) {
             return;
         }
         this.isIndexed = true;
+        this.indexedServices = services;
         this.usableByService.clear();
         this.byAddress.clear();
-        const endpoints = this.getAll();
-        const replaced = findReplacedEndpoints(this.endpoints.values());
-        for (const endpoint of endpoints) {
+        this.removeExpired();
+        const entries = [...this.endpoints.values()].filter(({ endpoint }) => this.isNamed(endpoint));
+        const replaced = findReplacedEndpoints(entries);
+        for (const { endpoint } of entries) {
             if (replaced.has(endpoint)) {
                 continue;
             }
--- a/src/process/router/routerEndpoints.ts
+++ b/src/process/router/routerEndpoints.ts
@@ -19,6 +19,8 @@
     liveNodes: LiveNodes;
     /** The requests that wait for endpoints. */
     queue: Pick<RelayQueue, "wake" | "refuseUnservable" | "noteCapacityChange">;
+    /** Gets the services of the configuration in force, by name; undefined if there is none yet. */
+    getServices(): ReadonlyMap<string, unknown> | undefined;
     /** Gets the monotonic time in milliseconds of the last known store failure. */
     getLastStoreFailure(): number;
     /** Informs the peers at once. */
@@ -135,13 +137,14 @@
     }
 
     private createRegistry(): EndpointRegistry {
-        const { node: { clock, log, settings, decodeEndpoint }, getLastStoreFailure, wakePlacement, onRestart } =
+        const { node: { clock, log, settings, decodeEndpoint }, getServices, getLastStoreFailure, wakePlacement, onRestart } =
             this.options;
         return EndpointRegistry.create({
             clock,
             log,
             readings: this.readings,
             decode: decodeEndpoint,
+            getServices,
             drainMilliseconds: settings.drainMilliseconds,
             isLeaving: endpointId => this.instructions.isLeaving(endpointId),
             getLastStoreFailure,
--- a/src/process/router/routerParts.ts
+++ b/src/process/router/routerParts.ts
@@ -119,6 +119,7 @@
             node: this.options.node,
             liveNodes: this.liveNodes,
             queue: this.queue,
+            getServices: () => this.routing.getState()?.configuration.services,
             getLastStoreFailure: () => this.storeWatch.getLastFailure(),
             propagateUpdate: () => this.exchange.propagateUpdate(),
             wakePlacement: () => this.placementController.wake(),
--- a/tests/process/router/endpointRegistry.test.ts
+++ b/tests/process/router/endpointRegistry.test.ts
@@ -13,6 +13,9 @@
 import { RecordingEventLog } from "../../support/recordingEventLog.ts";
 
 function createFixture(lastStoreFailure = -Infinity, changes: Partial<Clock> = {}) {
+    let services: ReadonlyMap<string, unknown> | undefined;
+    const nameServices = (...names: string[]) => services = new Map(names.map(name => [name, undefined]));
+    const recorded: string[] = [];
     const clock = FakeClock.create();
     const log = RecordingEventLog.create();
     const restarted: string[] = [];
@@ -29,18 +32,21 @@
             const incarnation = Number(/\d+/.exec(text)?.[0] ?? 1);
             const id = createEndpointKey(key, incarnation);
             const address = `10.0.0.1:${/ at (\d+)/.exec(text)?.[1] ?? key}` as EndpointAddress;
-            const changes = { id, incarnation, address, isDraining: text === "leaving", layers: { start: 0, end: 9 } };
+            const service = / of (\w+)/.exec(text)?.[1] ?? "model";
+            const isDraining = text === "leaving";
+            const changes = { id, incarnation, address, service, isDraining, layers: { start: 0, end: 9 } };
             return text === "broken" ? Err("It is broken.") : Ok(createEndpoint(key, changes));
         },
+        getServices: () => services,
         drainMilliseconds: 2_000,
         isLeaving: () => false,
         getLastStoreFailure: () => lastStoreFailure,
         onChange: () => undefined,
-        onRecord: () => undefined,
+        onRecord: ({ registeredId }) => recorded.push(registeredId),
         onRestart: ({ id }) => restarted.push(id),
     });
     const getIds = () => registry.getEndpoints("model").map(({ registeredId }) => registeredId);
-    return { clock, registry, getIds, log, restarted };
+    return { clock, registry, getIds, log, restarted, recorded, nameServices };
 }
 
 describe("EndpointRegistry", () => {
@@ -55,6 +61,34 @@
         assert.deepEqual(getIds(), []);
     });
 
+    // Guards against records of another writer, of services that no configuration names, that take sound endpoints out of use.
+    it("doesn't take a record of a service without configuration for the proof that another endpoint has started", () => {
+        const { registry, getIds, recorded, nameServices } = createFixture();
+        nameServices("model");
+        registry.applyRecord({ key: "1", revision: 1, text: "ready 5 at 1" }, "store");
+        registry.applyRecord({ key: "2", revision: 2, text: "ready 9 at 1 of other" }, "store");
+        assert.deepEqual(getIds(), ["1"]);
+        assert.equal(registry.getEndpointAt("10.0.0.1:1")?.registeredId, "1");
+        assert.deepEqual(recorded, ["1"]);
+        registry.handleIncarnation(registry.getAll()[0]!, 9);
+        assert.equal(registry.getEndpointAt("10.0.0.1:1")?.incarnation, 9, "Its own report counts.");
+        nameServices("model", "other");
+        registry.applyRecord({ key: "2", revision: 3, text: "ready 10 at 1 of other" }, "store");
+        assert.deepEqual(getIds(), []);
+        assert.equal(registry.getEndpointAt("10.0.0.1:1")?.registeredId, "2");
+    });
+
+    // Guards against an address that stays that of a record whose service only a later configuration names, or no longer.
+    it("judges records by the configuration in force", () => {
+        const { registry, getIds, nameServices } = createFixture();
+        registry.applyRecord({ key: "1", revision: 1, text: "ready 5 at 1" }, "store");
+        registry.applyRecord({ key: "2", revision: 2, text: "ready 9 at 1 of other" }, "store");
+        for (const [names, ids] of [[["model"], ["1"]], [["model", "other"], []], [["model"], ["1"]]] as const) {
+            nameServices(...names);
+            assert.deepEqual(getIds(), ids);
+        }
+    });
+
     it("keeps an endpoint for a while if its record disappeared during a store failure", async () => {
         const { clock, registry, getIds } = createFixture(0);
         registry.applyRecord({ key: "1", revision: 1, text: "ready" }, "store");
