--- a/src/process/router/routerEndpoints.ts
+++ b/src/process/router/routerEndpoints.ts
@@ -137,8 +137,13 @@
     }
 
     private createRegistry(): EndpointRegistry {
-        const { node: { clock, log, settings, decodeEndpoint }, getServices, getLastStoreFailure, wakePlacement, onRestart } =
-            this.options;
+        const {
+            node: { clock, log, settings, decodeEndpoint },
+            getServices,
+            getLastStoreFailure,
+            wakePlacement,
+            onRestart,
+        } = this.options;
         return EndpointRegistry.create({
             clock,
             log,
