Small endpoints take a lost column in parts as small as their memory asks for

A restart of all nodes didn't help.

Cause: the stored plan is kept for as long as the model is the same, and a column was split into three parts at most, so that an endpoint with memory for less than a third of it held nothing. Endpoints that hold replicas of other columns didn't help either.

Change: each column also has the partitions, of up to eight parts, that endpoints of each kind need. They are used only if the fleet lacks the column and no endpoint can take it as a whole, for 3 s in a row (LostColumnTracker), since it may register or return: free endpoints take the parts first, then those whose layers another one has loaded. A plan needn't be made again, and an endpoint that returns takes the whole column again. A column that can be taken is decided as before.

--- a/src/process/placement/assignLayers.ts
+++ b/src/process/placement/assignLayers.ts
@@ -3,12 +3,14 @@
 import type { ColumnCoverage } from "./columnCoverage.ts";
 import { completeDataCentre } from "./completeDataCentre.ts";
 import { coverFleetInParts } from "./coverFleetInParts.ts";
+import { coverLostColumn } from "./coverLostColumn.ts";
 import { findBalanceMove } from "./findBalanceMove.ts";
 import { findFleetMove } from "./findFleetMove.ts";
 import { FleetCoverage } from "./fleetCoverage.ts";
 import type { LayerAssignment } from "./layerAssignment.ts";
 import type { LayerColumn } from "./layerColumn.ts";
 import type { LayerMove } from "./layerMove.ts";
+import { listLostColumns } from "./listLostColumns.ts";
 import { MovePurpose } from "./movePurpose.ts";
 import type { PlacementDecision } from "./placementDecision.ts";
 import type { PlacementEndpoint } from "./placementEndpoint.ts";
@@ -31,19 +33,51 @@
  * @param model - Performance figures of the model.
  * @param columns - Columns of the plan.
  * @param endpoints - Endpoints that are not draining, with the layers that they hold.
+ * @param isLossFinal - Whether endpoints that could take a lost column as a whole aren't expected to register or return soon, so that others
+ * take it in parts as small as their memory asks for.
  */
 export function assignLayers(
     model: EngineModel,
     columns: readonly LayerColumn[],
     endpoints: readonly PlacementEndpoint[],
+    isLossFinal = false,
 ): LayerDecisions {
     const fleet = FleetCoverage.create(model, columns, endpoints);
     const fleetLacks = fleet.columns.filter(coverage => !fleet.isCoveredByFleet(coverage));
+    let completions = decideAll(fleet, fleetLacks, endpoints);
+    const lost = isLossFinal ? listLostColumns(fleet, endpoints) : [];
+    if (lost.length > 0) {
+        // Endpoints for the parts may have been chosen as replicas of other columns.
+        fleet.rollback(0);
+        for (const coverage of lost) {
+            coverLostColumn(fleet, coverage, endpoints);
+        }
+        completions = decideAll(fleet, fleetLacks, endpoints);
+    }
+    const planned = completions.filter(({ endpoint }) => !fleet.isFree(endpoint));
+    const urgent = fleetLacks.filter(coverage => isMoveNeeded(fleet, coverage, completions));
+    const assignments = fleet.listDecisions()
+        .filter(({ endpoint }) => fleet.isFree(endpoint))
+        .map(({ endpoint, to: { layers } }) => ({ endpointId: endpoint.id, layers }));
+    if (planned.length === 0 && urgent.length === 0) {
+        const move = findBalanceMove(fleet);
+        return { assignments, moves: move === undefined ? [] : [move] };
+    }
+    return { assignments, moves: listUrgentMoves(fleet, { planned, urgent, endpoints }) };
+}
+
+/** Decides what endpoints are to hold, beside what is decided already. Returns the decisions that complete columns. */
+function decideAll(
+    fleet: FleetCoverage,
+    fleetLacks: readonly ColumnCoverage[],
+    endpoints: readonly PlacementEndpoint[],
+): PlacementDecision[] {
+    const decidedBefore = fleet.getDecisionCount();
+    let completions = fleet.listDecisions();
     assignReplicas(fleet, endpoints);
-    let completions: PlacementDecision[] = [];
     if (listIncomplete(fleet).length > 0) {
         // The planned kinds of free endpoints don't complete each data centre, so their kind may only break ties.
-        fleet.rollback(0);
+        fleet.rollback(decidedBefore);
         for (const dataCentre of listIncomplete(fleet)) {
             completeDataCentre(fleet, dataCentre);
         }
@@ -55,7 +89,7 @@
     );
     if (lackedInParts.length > 0) {
         // Endpoints that complete their data centre in parts may be the ones that the fleet needs.
-        fleet.rollback(0);
+        fleet.rollback(decidedBefore);
         for (const coverage of lackedInParts) {
             coverFleetInParts(fleet, coverage, endpoints);
         }
@@ -65,16 +99,7 @@
         completions = fleet.listDecisions();
         assignReplicas(fleet, endpoints);
     }
-    const planned = completions.filter(({ endpoint }) => !fleet.isFree(endpoint));
-    const urgent = fleetLacks.filter(coverage => isMoveNeeded(fleet, coverage, completions));
-    const assignments = fleet.listDecisions()
-        .filter(({ endpoint }) => fleet.isFree(endpoint))
-        .map(({ endpoint, to: { layers } }) => ({ endpointId: endpoint.id, layers }));
-    if (planned.length === 0 && urgent.length === 0) {
-        const move = findBalanceMove(fleet);
-        return { assignments, moves: move === undefined ? [] : [move] };
-    }
-    return { assignments, moves: listUrgentMoves(fleet, { planned, urgent, endpoints }) };
+    return completions;
 }
 
 /**
--- a/src/process/placement/columnCoverage.ts
+++ b/src/process/placement/columnCoverage.ts
@@ -6,4 +6,6 @@
     tokens: number;
     /** Each way to split the column into parts, with the fewest parts first. */
     partitions: ReplicaSet[][];
+    /** Further ways, into parts that fit on small endpoints, for a column that the fleet can't hold otherwise. */
+    smallPartitions: ReplicaSet[][];
 }
--- a/src/process/placement/coverFleetInParts.ts
+++ b/src/process/placement/coverFleetInParts.ts
@@ -1,8 +1,8 @@
 import { chooseLowestRanked } from "./chooseLowestRanked.ts";
+import { choosePartEndpoint } from "./choosePartEndpoint.ts";
 import type { ColumnCoverage } from "./columnCoverage.ts";
 import type { FleetCoverage } from "./fleetCoverage.ts";
 import type { PlacementEndpoint } from "./placementEndpoint.ts";
-import type { ReplicaSet } from "./replicaSet.ts";
 
 /**
  * Decides which endpoints take the parts of a column that no endpoint of the fleet holds: free endpoints first, then endpoints whose
@@ -21,26 +21,9 @@
         return { parts, ranks: [parts.length] };
     });
     for (const part of chooseLowestRanked(partitions)?.parts ?? []) {
-        const endpoint = chooseEndpoint(fleet, part, endpoints);
+        const endpoint = choosePartEndpoint(fleet, part, endpoints);
         if (endpoint !== undefined) {
             fleet.place(endpoint, part);
         }
     }
 }
-
-function chooseEndpoint(
-    fleet: FleetCoverage,
-    part: ReplicaSet,
-    endpoints: readonly PlacementEndpoint[],
-): PlacementEndpoint | undefined {
-    const choices = [];
-    for (const endpoint of endpoints) {
-        const held = fleet.getHeld(endpoint);
-        const isFree = fleet.isFree(endpoint) && held === undefined;
-        const isSpare = held !== undefined && held.replicas.size > 1 && fleet.canLeave(endpoint, true);
-        if ((isFree || isSpare) && fleet.fits(part, endpoint)) {
-            choices.push({ endpoint, ranks: [isFree ? 0 : 1, endpoint.kind === part.column.kind ? 0 : 1] });
-        }
-    }
-    return chooseLowestRanked(choices)?.endpoint;
-}
--- a/src/process/placement/fleetCoverage.ts
+++ b/src/process/placement/fleetCoverage.ts
@@ -14,6 +14,8 @@
  * to recover.
  */
 const maximumPartsPerColumn = 3;
+/** The same for a column that no endpoint of the fleet holds, without which no chain is complete. */
+const maximumPartsPerLackedColumn = 8;
 
 /**
  * Which endpoints hold which columns of a plan, including the layers that they are loading and those that are decided
@@ -37,7 +39,7 @@
         endpoints: readonly PlacementEndpoint[],
     ) {
         this.model = model;
-        this.columns = columns.map(createColumnCoverage);
+        this.columns = columns.map(column => createColumnCoverage(model, column));
         this.dataCentres = Map.groupBy(endpoints, ({ dataCentre }) => dataCentre);
         for (const endpoint of endpoints) {
             const set = this.findSet(endpoint.layers);
@@ -176,7 +178,7 @@
         if (whole === undefined || isSameRange(layers, whole.layers)) {
             return whole;
         }
-        return whole.partitions.flat().find(part => isSameRange(layers, part.layers));
+        return [...whole.partitions, ...whole.smallPartitions].flat().find(part => isSameRange(layers, part.layers));
     }
 
     private countLoaded({ isBusy, dataCentre }: PlacementEndpoint, set: ReplicaSet): void {
@@ -225,8 +227,12 @@
 }
 
 /** Checks if there is a way to split a column such that each part fulfils a condition. */
-function isHeldInParts({ partitions }: ColumnCoverage, isHeld: (part: ReplicaSet) => boolean): boolean {
-    return partitions.some(parts => parts.every(isHeld));
+function isHeldInParts(
+    { partitions, smallPartitions }: ColumnCoverage,
+    isHeld: (part: ReplicaSet) => boolean,
+): boolean {
+    const isHeldAs = (parts: readonly ReplicaSet[]) => parts.every(isHeld);
+    return partitions.some(isHeldAs) || smallPartitions.some(isHeldAs);
 }
 
 function isPart({ layers, column }: ReplicaSet): boolean {
@@ -234,10 +240,9 @@
 }
 
 /** Creates the coverage of a column without replicas, with each way to split the column into parts. */
-function createColumnCoverage(column: LayerColumn): ColumnCoverage {
+function createColumnCoverage(model: EngineModel, column: LayerColumn): ColumnCoverage {
     const partitions: ReplicaSet[][] = [];
-    const maximumParts = Math.min(maximumPartsPerColumn, column.layers.end - column.layers.start);
-    for (let count = 2; count <= maximumParts; count++) {
+    for (const count of listPartCounts(model, column)) {
         // Two partitions of a column with few layers can have a part in common.
         const existing = partitions.flat();
         partitions.push(
@@ -246,7 +251,23 @@
             ),
         );
     }
-    return { ...createReplicaSet(column, column.layers), tokens: 0, partitions };
+    return {
+        ...createReplicaSet(column, column.layers),
+        tokens: 0,
+        partitions: partitions.filter(({ length }) => length <= maximumPartsPerColumn),
+        smallPartitions: partitions.filter(({ length }) => length > maximumPartsPerColumn),
+    };
+}
+
+/** Lists into how many parts a column is split: few, and as many as endpoints of each kind need to hold one. */
+function listPartCounts(model: EngineModel, { layers }: LayerColumn): number[] {
+    const maximumCount = Math.min(maximumPartsPerLackedColumn, layers.end - layers.start);
+    const all = Array.from({ length: maximumCount }, (_, index) => index + 1);
+    const needed = new Set<number | undefined>();
+    for (const kind of model.kinds.keys()) {
+        needed.add(all.find(count => splitColumn(layers, count).every(part => isUseful(model, part, { kind }))));
+    }
+    return all.filter(count => count > 1 && (count <= maximumPartsPerColumn || needed.has(count)));
 }
 
 function createReplicaSet(column: LayerColumn, layers: HeldLayers): ReplicaSet {
--- a/src/process/placement/getRequestTokens.ts
+++ b/src/process/placement/getRequestTokens.ts
@@ -7,7 +7,11 @@
  * Gets the number of request tokens that fit in an endpoint's memory in addition to the weights of layers; 0 if the
  * weights do not fit.
  */
-export function getRequestTokens(model: EngineModel, layers: HeldLayers, endpoint: PlacementEndpoint): number {
+export function getRequestTokens(
+    model: EngineModel,
+    layers: HeldLayers,
+    endpoint: Pick<PlacementEndpoint, "kind">,
+): number {
     const kind = model.kinds.get(endpoint.kind);
     const count = layers.end - layers.start;
     return kind === undefined ? 0 : getRequestMemory(model, kind, count) / count;
--- a/src/process/placement/isUseful.ts
+++ b/src/process/placement/isUseful.ts
@@ -7,7 +7,7 @@
 const usefulRequests = 8;
 
 /** Checks if an endpoint that holds layers has enough memory left for a few requests of usual size. */
-export function isUseful(model: EngineModel, layers: HeldLayers, endpoint: PlacementEndpoint): boolean {
+export function isUseful(model: EngineModel, layers: HeldLayers, endpoint: Pick<PlacementEndpoint, "kind">): boolean {
     const minimumTokens = usefulRequests * (model.typicalPromptTokens + model.typicalAnswerTokens);
     return getRequestTokens(model, layers, endpoint) >= minimumTokens;
 }
--- a/src/process/placement/layerPlacer.ts
+++ b/src/process/placement/layerPlacer.ts
@@ -4,10 +4,13 @@
 import { assignLayers } from "./assignLayers.ts";
 import { chooseLoads } from "./chooseLoads.ts";
 import { EndpointStabilityTracker } from "./endpointStabilityTracker.ts";
+import { FleetCoverage } from "./fleetCoverage.ts";
 import type { LayerAssignment } from "./layerAssignment.ts";
 import type { LayerColumn } from "./layerColumn.ts";
 import type { LayerMove } from "./layerMove.ts";
 import type { LayerOrderTracker } from "./layerOrderTracker.ts";
+import { listLostColumns } from "./listLostColumns.ts";
+import { LostColumnTracker } from "./lostColumnTracker.ts";
 import { MovePurpose } from "./movePurpose.ts";
 import { MoveSchedule } from "./moveSchedule.ts";
 import type { PlacementControllerOptions } from "./placementControllerOptions.ts";
@@ -43,6 +46,7 @@
     private readonly options: LayerPlacerOptions;
     private readonly stabilityTracker = EndpointStabilityTracker.create();
     private readonly moveSchedule = MoveSchedule.create();
+    private readonly lostColumns = LostColumnTracker.create();
     /** Why orders are withheld, by service, as logged. */
     private readonly withheldReasons = new Map<string, string>();
 
@@ -92,10 +96,15 @@
         return {
             isDue: wanted.length > 0,
             isPending: isPending || orders.hasPending(),
-            nextCheckAt: Math.min(stableCheckAt, nextDueAt),
+            nextCheckAt: Math.min(stableCheckAt, nextDueAt, this.getLossCheckTime(service, now)),
         };
     }
 
+    /** Gets the monotonic time in milliseconds at which the loss of a column becomes final; Infinity if there is none that isn't. */
+    private getLossCheckTime(service: string, now: number): number {
+        return this.lostColumns.isFinal(service, now) ? Infinity : this.lostColumns.getFinalTime(service);
+    }
+
     /** Sends the orders that may run at once, unless this node must not send any. */
     private sendOrders(service: string, wanted: WantedOrders, fencingNumber: number | undefined): void {
         const { model, columns, endpoints, states, assignments, now } = wanted;
@@ -132,12 +141,14 @@
         columns: readonly LayerColumn[],
         states: readonly PlacementEndpoint[],
     ): ReturnType<typeof assignLayers> {
-        const decision = assignLayers(model, columns, states);
+        const now = this.options.clock.getMonotonicTime();
+        const decision = assignLayers(model, columns, states, this.lostColumns.isFinal(service, now));
+        const lostColumns = listLostColumns(FleetCoverage.create(model, columns, states), states);
+        this.lostColumns.update(service, lostColumns.length > 0, now);
         const lost = this.options.getLostEndpoints(service);
         if (lost.length === 0) {
             return decision;
         }
-        const now = this.options.clock.getMonotonicTime();
         const lostStates = this.createPlacementEndpoints(lost, now).map(state => ({ ...state, isBusy: true }));
         const { moves } = assignLayers(model, columns, [...states, ...lostStates]);
         const isForFleet = ({ purpose }: LayerMove) => purpose === MovePurpose.FleetLacks;
--- a/tests/process/placement/assignLayersInParts.test.ts
+++ b/tests/process/placement/assignLayersInParts.test.ts
@@ -41,4 +41,51 @@
         assert.ok(assignments.length > 0);
         assert.ok(assignments.every(({ layers }) => layers.end <= 4), JSON.stringify(assignments));
     });
+
+    describe("after the loss of all endpoints that can hold a column as a whole", () => {
+        const small = { name: "small", memoryMegabytes: 4_000, stepFactor: 2, prefillFactor: 2 };
+        const large = { name: "large", memoryMegabytes: 40_000, stepFactor: 1, prefillFactor: 1 };
+        const mixedModel = { ...model, kinds: new Map([["large", large], ["small", small]]) };
+        const wholeColumns = [{ layers: { start: 0, end: 8 }, kind: "large" }];
+
+        function create(starts: readonly (number | undefined)[], largeCount = 0) {
+            const endpoints = starts.map((start, index) => ({
+                id: `small${index}`,
+                kind: "small",
+                dataCentre: index % 2 === 0 ? "a" : "b",
+                isBusy: false,
+                layers: start === undefined ? undefined : { start, end: start + 2 },
+            }));
+            const whole = Array.from({ length: largeCount }, (_, index) => ({
+                id: `large${index}`,
+                kind: "large",
+                dataCentre: "a",
+                isBusy: false,
+                layers: undefined,
+            }));
+            return [...endpoints, ...whole];
+        }
+
+        const list = (endpoints: ReturnType<typeof create>, isLossFinal: boolean) =>
+            assignLayers(mixedModel, wholeColumns, endpoints, isLossFinal).assignments
+                .map(({ endpointId, layers: { start, end } }) => `${endpointId.slice(0, 5)} ${start}-${end}`)
+                .sort();
+
+        // Guards against streams that are refused for good, because free endpoints hold nothing that together could hold all layers.
+        it("has free endpoints take it in parts as small as their memory asks for, once the loss is final", () => {
+            const endpoints = create([undefined, undefined, undefined, undefined, undefined]);
+            assert.deepEqual(list(endpoints, false), []);
+            assert.deepEqual(list(endpoints, true), ["small 0-2", "small 2-4", "small 4-6", "small 6-8"]);
+        });
+
+        it("completes the parts that are held, and takes none that don't complete the column", () => {
+            assert.deepEqual(list(create([0, undefined, 4, undefined]), true), ["small 2-4", "small 6-8"]);
+            assert.deepEqual(list(create([undefined, undefined, undefined]), true), []);
+        });
+
+        it("has an endpoint that returns take the whole column", () => {
+            assert.deepEqual(list(create([0, 2, 4, 6], 1), true), ["large 0-8"]);
+            assert.deepEqual(list(create([undefined, undefined, undefined, undefined], 1), true), ["large 0-8"]);
+        });
+    });
 });
--- a/tests/process/placement/placementFleet.ts
+++ b/tests/process/placement/placementFleet.ts
@@ -105,8 +105,8 @@
     }
 
     /** Registers an endpoint. */
-    register(id: string, layers?: HeldLayers): void {
-        const registered = createEndpoint(id, { layers });
+    register(id: string, layers?: HeldLayers, kind = "fast"): void {
+        const registered = createEndpoint(id, { layers, kind });
         this.endpoints.set(id, { registered, isUp: true, isLoading: false, sequence: 0, fencingNumber: 0 });
         this.setKnown(id, registered);
     }
