A lease isn't tried again at once if the store refuses the revision that it names itself

Cause: after a refused write LeaseState took the record of the answer and wrote again at once, also if nothing in it had changed.

Change: it then waits as after a failed call, a tenth of the time to live, and logs why.

--- a/src/process/leases/leaseState.ts
+++ b/src/process/leases/leaseState.ts
@@ -211,7 +211,11 @@
             this.adopt(sent, result.val.revision ?? 0, time);
         }
         else {
-            this.observe(result.val.current, time);
+            const { current } = result.val;
+            if (current !== undefined && current.revision === this.observed.getRevision()) {
+                this.retryLater("The store refused a write that expects the revision that it names itself.", time);
+            }
+            this.observe(current, time);
         }
         return this.step(time);
     }
--- a/tests/process/leases/leaseState.test.ts
+++ b/tests/process/leases/leaseState.test.ts
@@ -50,6 +50,19 @@
         assert.equal((JSON.parse(call.value) as { fencingNumber: number; }).fencingNumber, 8);
     });
 
+    // Guards against calls without a pause that use up the store's rate, if the store refuses each write.
+    it("waits before it is tried again if the store refuses the revision that it names itself", () => {
+        const state = createSuccessor();
+        const taken = state.wake({ monotonic: 4_000, wall: 0 });
+        assert.ok(taken.call?.kind === "swap");
+        const current = { key: "lease", value: "{}", revision: taken.call.expectedRevision };
+        const record = { holder: "node-1", fencingNumber: 7, writeId: "node-1-1", isReleased: true };
+        const value = JSON.stringify({ ...record, timeToLiveMilliseconds: 3_000, longestOrderMilliseconds: 300, expiresHint: 0 });
+        const refused = state.finishSwap(Ok({ swapped: false, current: { ...current, value } }), { monotonic: 4_010, wall: 0 });
+        assert.equal(refused.call, undefined);
+        assert.ok(refused.wakeAt !== undefined && refused.wakeAt >= 4_300, `It wakes at ${refused.wakeAt}.`);
+    });
+
     it("ignores an older release notice", () => {
         const state = createSuccessor();
         const output = state.noteRelease({ revision: 4, fencingNumber: 6 }, { monotonic: 200, wall: 0 });
