Endpoints get 8 s to return before small ones take a lost column

A node ordered a replica of other layers to load a part at 9.61 s, 0.24 s before an endpoint was back that took the whole column.

Cause: the wait of 3 s of is shorter than endpoints take to return from a crash, 5 to 8 s.

--- a/src/process/placement/lostColumnTracker.ts
+++ b/src/process/placement/lostColumnTracker.ts
@@ -2,7 +2,7 @@
  * Time after which the loss of a column that no endpoint can take as a whole counts as final: longer than it takes endpoints to register
  * beside each other, or to return from most crashes.
  */
-const finalMilliseconds = 3_000;
+const finalMilliseconds = 8_000;
 
 /** Tracks for how long services have lacked columns that no endpoint can take as a whole. */
 export class LostColumnTracker {
