A crowd whose connections are opened again waits for those that were opened first, and no longer for ever

Cause, in the test's crowd: connections that the program closes are opened again, and each of them lowered the number of those that still send. It passed 0 between two looks at it and went below, where it is never 0 again; and the time of the last write, the other sign, is renewed with each connection. The program had answered.

Change: only connections that were opened first count, so that the number ends at 0 and stays there. What is checked, and when, is as it was meant: after all of these have sent or were closed.

--- a/tests/crowd/crowdWorker.ts
+++ b/tests/crowd/crowdWorker.ts
@@ -16,10 +16,11 @@
 let hasLeft = false;
 let hasPostedSent = false;
 let lastWriteAt = performance.now();
+/** Number of the connections opened first that can still send. Those that are opened again come and go for as long as the crowd stays. */
 let sending = plan.connections;
 
 for (let count = 0; count < plan.connections; count += 1) {
-    open();
+    open(true);
 }
 const timer = setInterval(() => {
     if (sending === 0 || performance.now() - lastWriteAt > unreadMilliseconds) {
@@ -42,12 +43,12 @@
     }
 }
 
-function open(): void {
+function open(isFirst: boolean): void {
     const socket = connect({ host: "127.0.0.1", port: plan.port });
     sockets.add(socket);
     let isSending = true;
     const stopSending = () => {
-        sending -= Number(isSending);
+        sending -= Number(isSending && isFirst);
         isSending = false;
     };
     let blocksLeft = plan.blocks;
@@ -73,7 +74,7 @@
         sockets.delete(socket);
         stopSending();
         if (plan.isRenewed === true && !hasLeft) {
-            setTimeout(open, renewalMilliseconds);
+            setTimeout(() => open(false), renewalMilliseconds);
         }
     });
     if (plan.reads) {
