The coverage of a fleet is built once for each check of the placement, and parts are placed by one function

LayerPlacer built the coverage a second time at each check, to find lost columns: assignLayers now only builds it for decideLayers, which the placer calls with its own. coverFleetInParts and coverLostColumn had the same loop around the choice of an endpoint (placePart).

Behaviour is the same: the loss of before the check decides, as it did.

--- a/src/process/placement/coverFleetInParts.ts
+++ b/src/process/placement/coverFleetInParts.ts
@@ -1,8 +1,8 @@
 import { chooseLowestRanked } from "./chooseLowestRanked.ts";
-import { choosePartEndpoint } from "./choosePartEndpoint.ts";
 import type { ColumnCoverage } from "./columnCoverage.ts";
 import type { FleetCoverage } from "./fleetCoverage.ts";
 import type { PlacementEndpoint } from "./placementEndpoint.ts";
+import { placePart } from "./placePart.ts";
 
 /**
  * Decides which endpoints take the parts of a column that no endpoint of the fleet holds: free endpoints first, then endpoints whose
@@ -21,9 +21,6 @@
         return { parts, ranks: [parts.length] };
     });
     for (const part of chooseLowestRanked(partitions)?.parts ?? []) {
-        const endpoint = choosePartEndpoint(fleet, part, endpoints);
-        if (endpoint !== undefined) {
-            fleet.place(endpoint, part);
-        }
+        placePart(fleet, part, endpoints);
     }
 }
--- a/src/process/placement/coverLostColumn.ts
+++ b/src/process/placement/coverLostColumn.ts
@@ -1,7 +1,7 @@
-import { choosePartEndpoint } from "./choosePartEndpoint.ts";
 import type { ColumnCoverage } from "./columnCoverage.ts";
 import type { FleetCoverage } from "./fleetCoverage.ts";
 import type { PlacementEndpoint } from "./placementEndpoint.ts";
+import { placePart } from "./placePart.ts";
 
 /**
  * Decides which endpoints take a column that no endpoint of the fleet can take as a whole, in parts as small as their memory asks for. Takes
@@ -19,10 +19,7 @@
     const decisionCount = fleet.getDecisionCount();
     for (const parts of lacking) {
         for (const part of parts) {
-            const endpoint = choosePartEndpoint(fleet, part, endpoints);
-            if (endpoint !== undefined) {
-                fleet.place(endpoint, part);
-            }
+            placePart(fleet, part, endpoints);
         }
         if (parts.every(({ counts }) => counts.size > 0)) {
             return;
--- a/src/process/placement/layerPlacer.ts
+++ b/src/process/placement/layerPlacer.ts
@@ -3,10 +3,12 @@
 import { events } from "../logging/events.ts";
 import { assignLayers } from "./assignLayers.ts";
 import { chooseLoads } from "./chooseLoads.ts";
+import { decideLayers } from "./decideLayers.ts";
 import { EndpointStabilityTracker } from "./endpointStabilityTracker.ts";
 import { FleetCoverage } from "./fleetCoverage.ts";
 import type { LayerAssignment } from "./layerAssignment.ts";
 import type { LayerColumn } from "./layerColumn.ts";
+import type { LayerDecisions } from "./layerDecisions.ts";
 import type { LayerMove } from "./layerMove.ts";
 import type { LayerOrderTracker } from "./layerOrderTracker.ts";
 import { listLostColumns } from "./listLostColumns.ts";
@@ -140,11 +142,12 @@
         model: EngineModel,
         columns: readonly LayerColumn[],
         states: readonly PlacementEndpoint[],
-    ): ReturnType<typeof assignLayers> {
+    ): LayerDecisions {
         const now = this.options.clock.getMonotonicTime();
-        const decision = assignLayers(model, columns, states, this.lostColumns.isFinal(service, now));
-        const lostColumns = listLostColumns(FleetCoverage.create(model, columns, states), states);
-        this.lostColumns.update(service, lostColumns.length > 0, now);
+        const fleet = FleetCoverage.create(model, columns, states);
+        const isLossFinal = this.lostColumns.isFinal(service, now);
+        this.lostColumns.update(service, listLostColumns(fleet, states).length > 0, now);
+        const decision = decideLayers(fleet, states, isLossFinal);
         const lost = this.options.getLostEndpoints(service);
         if (lost.length === 0) {
             return decision;
--- a/src/process/placement/choosePartEndpoint.ts
+++ b/src/process/placement/placePart.ts
@@ -3,12 +3,10 @@
 import type { PlacementEndpoint } from "./placementEndpoint.ts";
 import type { ReplicaSet } from "./replicaSet.ts";
 
-/** Chooses the endpoint that takes a part of a column: a free one first, then one whose column or part another one has loaded. */
-export function choosePartEndpoint(
-    fleet: FleetCoverage,
-    part: ReplicaSet,
-    endpoints: readonly PlacementEndpoint[],
-): PlacementEndpoint | undefined {
+/**
+ * Decides which endpoint takes a part of a column, if one can: a free one first, then one whose column or part another one has loaded.
+ */
+export function placePart(fleet: FleetCoverage, part: ReplicaSet, endpoints: readonly PlacementEndpoint[]): void {
     const choices = [];
     for (const endpoint of endpoints) {
         const held = fleet.getHeld(endpoint);
@@ -18,5 +16,8 @@
             choices.push({ endpoint, ranks: [isFree ? 0 : 1, endpoint.kind === part.column.kind ? 0 : 1] });
         }
     }
-    return chooseLowestRanked(choices)?.endpoint;
+    const endpoint = chooseLowestRanked(choices)?.endpoint;
+    if (endpoint !== undefined) {
+        fleet.place(endpoint, part);
+    }
 }
