--- a/tests/crowd/routerProcess.ts
+++ b/tests/crowd/routerProcess.ts
@@ -8,8 +8,8 @@
 import { createBundle } from "../../scripts/executable/createBundle.ts";
 import { executableFlags } from "../../scripts/executable/executableFlags.ts";
 import { createBootFile } from "../../standins/router/createBootFile.ts";
-import { createConfiguration } from "../../standins/router/createConfiguration.ts";
 import { createEndpointRecord } from "../../standins/router/createEndpointRecord.ts";
+import { createPatientConfiguration } from "../../standins/router/createPatientConfiguration.ts";
 import { EndpointStandin } from "../../standins/router/endpointStandin.ts";
 import { KeyValueStandin } from "../../standins/router/keyValueStandin.ts";
 import { RawCaller } from "../connection/caller/rawCaller.ts";
@@ -18,8 +18,6 @@
 
 const startMilliseconds = 30_000;
 const pollMilliseconds = 50;
-/** Long, so that no test depends on the speed of the machine. */
-const routeTimeoutMilliseconds = 60_000;
 const bytesPerKibibyte = 1024;
 
 /** One process of `foxlead platform` with stand-ins for its store and its endpoints, and with lowered limits. */
@@ -139,9 +137,7 @@
         header_timeout_ms: 3_000,
         idle_timeout_ms: 15_000,
     };
-    const { routes } = createConfiguration(1) as { routes: object[]; };
-    const patientRoutes = routes.map(route => ({ ...route, timeout_ms: routeTimeoutMilliseconds }));
-    store.put("op/config", createConfiguration(1, { limits, routes: patientRoutes }));
+    store.put("op/config", createPatientConfiguration(1, { limits }));
     const layers = { from: 0, to: 8 };
     store.put("servers/documents", createEndpointRecord({ service: "documents", address: documents.getAddress() }));
     store.put("servers/model", createEndpointRecord({ service: "model", address: model.getAddress(), layers }));
--- a/tests/platform/slowStreamCallers.test.ts
+++ b/tests/platform/slowStreamCallers.test.ts
@@ -6,8 +6,8 @@
 import { setTimeout as wait } from "node:timers/promises";
 import { LinkCut } from "../../standins/network/linkCut.ts";
 import { callerKey } from "../../standins/router/callerKey.ts";
-import { createConfiguration } from "../../standins/router/createConfiguration.ts";
 import { createEndpointRecord } from "../../standins/router/createEndpointRecord.ts";
+import { createPatientConfiguration } from "../../standins/router/createPatientConfiguration.ts";
 import { FastEndpoint } from "../../standins/router/fastEndpoint.ts";
 import { waitUntil } from "../support/waitUntil.ts";
 import { RouterTestHarness, type StartedNode } from "./routerTestHarness.ts";
@@ -18,8 +18,6 @@
 /** What the sockets between the endpoint, the nodes and the caller hold at most, and the nodes beside them. */
 const maximumUnreadBytes = 30_000_000;
 const unreadMilliseconds = 1_500;
-/** Long, so that no test depends on the speed of the machine. */
-const routeTimeoutMilliseconds = 60_000;
 
 describe("A caller that takes a stream slowly", () => {
     let harness: RouterTestHarness;
@@ -30,9 +28,7 @@
 
     before(async () => {
         harness = await RouterTestHarness.create();
-        const { routes } = createConfiguration(2) as { routes: object[]; };
-        const patientRoutes = routes.map(route => ({ ...route, timeout_ms: routeTimeoutMilliseconds }));
-        harness.store.put("op/config", createConfiguration(2, { routes: patientRoutes }));
+        harness.store.put("op/config", createPatientConfiguration(2));
         endpoint = await FastEndpoint.create({ eventBytes, eventCount });
         const address = endpoint.getAddress();
         harness.store.put("servers/fast", createEndpointRecord({ service: "model", address, layers }));
