--- a/src/request/relay/streams/streamProgress.ts
+++ b/src/request/relay/streams/streamProgress.ts
@@ -5,6 +5,7 @@
 
 /** Tracks the events of a stream that were forwarded to the caller, and their timing. */
 export class StreamProgress {
+    private readonly maximumCount: number;
     private lastId: number;
     private count = 0;
     /** Whether each id so far was one higher than the previous id, so that a larger step indicates a missing event. */
@@ -13,8 +14,6 @@
     private lastAt = 0;
     private longestGap = 0;
 
-    private readonly maximumCount: number;
-
     private constructor(lastId: number, maximumTokens: number) {
         this.lastId = lastId;
         this.maximumCount = maximumTokens > 0 ? maximumTokens + eventsWithoutTokens : Infinity;
